--- /dev/null
+++ b/crates/back/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards model engines, plain services and the cloud.
--- /dev/null
+++ b/crates/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level objectives: error budget, burn rates and reports.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! What callers embed to reach the system.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,4 @@
+//! Deployments, accounts and how a change of them is agreed.
+
+pub mod deployment;
+pub mod snapshot;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The reducer of one entry: all events in, effects out.
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers.
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases with fencing numbers over the table service.
--- /dev/null
+++ b/crates/matrix/src/lib.rs
@@ -0,0 +1,1 @@
+//! The fault matrix and random histories over the reducer.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small specifications of the core protocols, checked over all reachable states.
--- /dev/null
+++ b/crates/ops/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' gRPC contract and its server.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entries over capnp-rpc.
--- /dev/null
+++ b/crates/policy/benches/patterns.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load, without I/O.
--- /dev/null
+++ b/crates/request/src/lib.rs
@@ -0,0 +1,1 @@
+//! The life of one request: attempts, offsets, tickets and tokens.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of an entry: reading, checking, schema and documentation.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the outside systems, with faults that a test can order.
