--- /dev/null
+++ b/crates/policy/tests/support/load.rs
@@ -0,0 +1,307 @@
+//! Load patterns as data: who sends what, how the fleet is built and what goes wrong when.
+
+use policy::account;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use super::engine::Health;
+use super::engine::Shape;
+
+/// One client account and what it sends.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    /// Weight, priority and limits.
+    pub spec: account::Spec,
+    /// Requests a second.
+    pub rate: f64,
+    /// Mean prompt length; spread evenly from half to one and a half of it.
+    pub prompt: u32,
+    /// Part of the prompt that requests with one prefix share.
+    pub shared: u32,
+    /// How many prefixes it uses, the first ones more often.
+    pub prefixes: u64,
+    /// Mean output length; spread evenly from half to one and a half of it.
+    pub output: u32,
+    /// Target for the first token, milliseconds.
+    pub first_token_ms: u64,
+    /// Target between tokens, milliseconds.
+    pub token_gap_ms: u64,
+    /// Whether its requests may run twice.
+    pub idempotent: bool,
+    /// From, to (milliseconds) and factor of its rate.
+    pub surges: Vec<(u64, u64, f64)>,
+    /// Sends everything through this entry.
+    pub entry: Option<usize>,
+    /// Sends all requests with one prefix.
+    pub hot_key: bool,
+    /// Whether callers come back after a refusal.
+    pub persistent: bool,
+}
+
+impl Profile {
+    /// An ordinary account: short questions with a shared beginning.
+    pub fn new(name: &str, weight: u32, rate: f64) -> Profile {
+        Profile {
+            spec: account::Spec {
+                name: name.into(),
+                weight,
+                priority: 0,
+                tokens_per_second: 0,
+                concurrent: 0,
+            },
+            rate,
+            prompt: 600,
+            shared: 400,
+            prefixes: 40,
+            output: 100,
+            first_token_ms: 1_000,
+            token_gap_ms: 61,
+            idempotent: true,
+            surges: Vec::new(),
+            entry: None,
+            hot_key: false,
+            persistent: true,
+        }
+    }
+
+    /// The same with long archive bundles.
+    pub fn long(mut self) -> Profile {
+        self.prompt = 12_000;
+        self.shared = 2_000;
+        self.output = 400;
+        self.first_token_ms = 8_000;
+        self
+    }
+
+    /// The same at another rate in a stretch of time.
+    pub fn surge(mut self, from_ms: u64, to_ms: u64, factor: f64) -> Profile {
+        self.surges.push((from_ms, to_ms, factor));
+        self
+    }
+
+    /// The same with another priority.
+    pub fn priority(mut self, priority: u8) -> Profile {
+        self.spec.priority = priority;
+        self
+    }
+
+    fn rate_at(&self, ms: u64) -> f64 {
+        let factors = self
+            .surges
+            .iter()
+            .filter(|(from, to, _)| (*from..*to).contains(&ms));
+        self.rate * factors.map(|(_, _, factor)| factor).product::<f64>()
+    }
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// The replica's health changes.
+    Health(usize, Health),
+    /// The replica's process dies.
+    Kill(usize),
+    /// A fresh incarnation takes the replica's place.
+    Restart(usize),
+    /// All replicas of the zone get notice and are gone that many milliseconds later.
+    ReclaimZone(usize, u64),
+    /// All replicas of the zone die without notice.
+    LoseZone(usize),
+    /// A fresh incarnation for each dead replica of the zone.
+    ReturnZone(usize),
+}
+
+/// How load reports travel.
+#[derive(Clone, Copy, Debug)]
+pub struct Reports {
+    /// Milliseconds between two of them.
+    pub period_ms: u64,
+    /// Milliseconds until one arrives.
+    pub lag_ms: u64,
+    /// Share that is lost.
+    pub loss: f64,
+}
+
+/// A request that kills the engine that runs it.
+#[derive(Clone, Copy, Debug)]
+pub struct Killer {
+    /// First sent when.
+    pub at_ms: u64,
+    /// Through which entry.
+    pub entry: usize,
+}
+
+/// One load pattern.
+#[derive(Clone, Debug)]
+pub struct Pattern {
+    /// Its name in the table.
+    pub name: &'static str,
+    /// Who sends.
+    pub profiles: Vec<Profile>,
+    /// For how long.
+    pub seconds: u64,
+    /// Entries.
+    pub entries: usize,
+    /// Replicas, spread over the zones in turn.
+    pub replicas: usize,
+    /// Zones.
+    pub zones: usize,
+    /// What an engine can do.
+    pub shape: Shape,
+    /// Load reports.
+    pub reports: Reports,
+    /// What goes wrong, at which millisecond.
+    pub faults: Vec<(u64, Fault)>,
+    /// One killer request, sent again through each entry.
+    pub killers: Vec<Killer>,
+    /// Milliseconds until a killed replica is back; none for never.
+    pub restart_ms: Option<u64>,
+}
+
+impl Pattern {
+    /// Both users' model pool: 9 replicas in three zones, 8 entries.
+    pub fn new(name: &'static str, profiles: Vec<Profile>) -> Pattern {
+        Pattern {
+            name,
+            profiles,
+            seconds: 30,
+            entries: 8,
+            replicas: 9,
+            zones: 3,
+            shape: Shape::default(),
+            reports: Reports {
+                period_ms: 500,
+                lag_ms: 300,
+                loss: 0.0,
+            },
+            faults: Vec::new(),
+            killers: Vec::new(),
+            restart_ms: Some(10_000),
+        }
+    }
+
+    /// The same with a fault.
+    pub fn fault(mut self, at_ms: u64, fault: Fault) -> Pattern {
+        self.faults.push((at_ms, fault));
+        self
+    }
+
+    /// The same, all rates multiplied.
+    pub fn scaled(mut self, factor: f64) -> Pattern {
+        for profile in &mut self.profiles {
+            profile.rate *= factor;
+        }
+        self
+    }
+
+    /// All requests of the run in order of time; the same for every policy.
+    pub fn arrivals(&self, seed: u64) -> Vec<Arrival> {
+        let mut arrivals = Vec::new();
+        for (index, profile) in self.profiles.iter().enumerate() {
+            let mut random = Pcg64::seed_from_u64(seed * 1_000 + index as u64);
+            self.arrivals_of(index, profile, &mut random, &mut arrivals);
+        }
+        for killer in &self.killers {
+            arrivals.push(killer_arrival(killer, &self.profiles[0]));
+        }
+        arrivals.sort_by_key(|arrival| (arrival.at_ms, arrival.account, arrival.fingerprint));
+        arrivals
+    }
+
+    fn arrivals_of(
+        &self,
+        index: usize,
+        profile: &Profile,
+        random: &mut Pcg64,
+        arrivals: &mut Vec<Arrival>,
+    ) {
+        // Thinning: draw at the highest rate, keep each with the share of the rate then in force.
+        let highest = profile
+            .surges
+            .iter()
+            .fold(1.0, |most: f64, surge| most.max(surge.2));
+        let peak = profile.rate * highest;
+        if peak <= 0.0 {
+            return;
+        }
+        let mut at = 0.0;
+        loop {
+            at += -(1.0 - random.random::<f64>()).ln() / peak * 1_000.0;
+            if at >= (self.seconds * 1_000) as f64 {
+                return;
+            }
+            let kept = random.random::<f64>() * peak < profile.rate_at(at as u64);
+            let arrival = self.draw(index, profile, at as u64, random);
+            if kept {
+                arrivals.push(arrival);
+            }
+        }
+    }
+
+    fn draw(&self, index: usize, profile: &Profile, at_ms: u64, random: &mut Pcg64) -> Arrival {
+        let skewed = random.random::<f64>().powi(2) * profile.prefixes as f64;
+        let key = if profile.hot_key { 0 } else { skewed as u64 };
+        let prompt = spread(profile.prompt, random).max(profile.shared + 1);
+        let output = spread(profile.output, random);
+        let entry = random.random_range(0..self.entries);
+        Arrival {
+            at_ms,
+            account: index,
+            entry: profile.entry.unwrap_or(entry),
+            prompt,
+            shared: profile.shared,
+            prefix: (index as u64 + 1) * 1_000_003 + key,
+            output,
+            max_new: profile.output * 2,
+            fingerprint: random.random::<u64>() | 1,
+            killer: false,
+        }
+    }
+}
+
+/// One request that a caller wants answered.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it is first sent.
+    pub at_ms: u64,
+    /// Index of its account's profile.
+    pub account: usize,
+    /// Through which entry.
+    pub entry: usize,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Of them shared.
+    pub shared: u32,
+    /// Hash of the shared part.
+    pub prefix: u64,
+    /// Output tokens of the whole answer.
+    pub output: u32,
+    /// Most tokens that the caller asks for.
+    pub max_new: u32,
+    /// Content hash.
+    pub fingerprint: u64,
+    /// Whether it crashes what runs it.
+    pub killer: bool,
+}
+
+/// Evenly from half to one and a half of the mean.
+fn spread(mean: u32, random: &mut Pcg64) -> u32 {
+    (f64::from(mean) * random.random_range(0.5..1.5)).max(1.0) as u32
+}
+
+/// Every killer has the same content.
+fn killer_arrival(killer: &Killer, profile: &Profile) -> Arrival {
+    Arrival {
+        at_ms: killer.at_ms,
+        account: 0,
+        entry: killer.entry,
+        prompt: profile.prompt,
+        shared: 1,
+        prefix: 666,
+        output: profile.output,
+        max_new: profile.output * 2,
+        fingerprint: 0,
+        killer: true,
+    }
+}
