Compose fair queueing, admission, size classes, limits, shedding and retries

The scheduler served first in first out: beyond capacity every answer was late. It is now a folder of small files over pure modules: fair (start-time fair queueing by token cost), admission (predicted time to first token by Little's law), size (classes and caps), limit (shares told in digests), brownout (shed by priority, then share), retry (budget, spread returns). New methods: with_settings, set_entries, digest, absorb, explain, waiting; the others are as they were.

--- /dev/null
+++ b/crates/policy/src/configs/admission.rs
@@ -0,0 +1,28 @@
+//! Settings of [`crate::admission`].
+
+/// How latency is predicted and whom that admits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Admission {
+    /// Off, everything waits until it is served.
+    pub enabled: bool,
+    /// Most jobs waiting in one pool, whatever the prediction.
+    pub most_waiting: usize,
+    /// Weight of the newest observation in the running means.
+    pub smoothing: f64,
+    /// Share of the slack that the predicted wait may use.
+    pub wait_share: f64,
+    /// A job that can't meet its target even on an idle replica gets this many times that time.
+    pub stretch: f64,
+}
+
+impl Default for Admission {
+    fn default() -> Admission {
+        Admission {
+            enabled: true,
+            most_waiting: 100_000,
+            smoothing: 0.05,
+            wait_share: 0.8,
+            stretch: 3.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/configs/fair.rs
@@ -0,0 +1,22 @@
+//! Settings of [`crate::fair`].
+
+/// How work is charged to accounts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fair {
+    /// Off, jobs are served in order of arrival.
+    pub enabled: bool,
+    /// A generated token costs as much as this many prompt tokens.
+    pub output_weight: u64,
+    /// Weight of the newest answer in an account's mean output length.
+    pub smoothing: f64,
+}
+
+impl Default for Fair {
+    fn default() -> Fair {
+        Fair {
+            enabled: true,
+            output_weight: 4,
+            smoothing: 0.1,
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,15 @@
 //! with [`decision::Decision`]s; it reads no clock and draws randomness from the seed it was given.
 
 pub mod account;
+pub mod admission;
+pub mod brownout;
+pub mod configs;
 pub mod decision;
+pub mod fair;
 pub mod job;
+pub mod limit;
 pub mod pool;
 pub mod replica;
+pub mod retry;
 pub mod scheduler;
+pub mod size;
--- /dev/null
+++ b/crates/policy/src/limit/account.rs
@@ -0,0 +1,185 @@
+//! One account's limit at one entry.
+
+use clock::Span;
+use clock::Time;
+
+use crate::account::Spec;
+use crate::configs::limit::Limit;
+use crate::fair::Cost;
+use crate::limit::Others;
+use crate::limit::digest::Claim;
+
+/// Demand below this is none.
+const NO_DEMAND: f64 = 0.01;
+
+/// Token bucket, open count and claim.
+#[derive(Clone, Debug)]
+pub(crate) struct Account {
+    tokens_limit: f64,
+    open_limit: u32,
+    /// In force. Invariant: never above what was told as claim a period ago, or an equal part.
+    tokens: f64,
+    open: u32,
+    /// Told, in force after the next review if nothing speaks against it.
+    next_tokens: f64,
+    next_open: u32,
+    bucket: f64,
+    filled: Time,
+    holding: u32,
+    asked: f64,
+    refused: u32,
+    demand: f64,
+    wanted: f64,
+}
+
+impl Account {
+    pub(crate) fn new(spec: &Spec, entries: u32) -> Account {
+        let mut account = Account {
+            tokens_limit: 0.0,
+            open_limit: 0,
+            tokens: f64::MAX,
+            open: u32::MAX,
+            next_tokens: f64::MAX,
+            next_open: u32::MAX,
+            bucket: 0.0,
+            filled: Time::ZERO,
+            holding: 0,
+            asked: 0.0,
+            refused: 0,
+            demand: 0.0,
+            wanted: 0.0,
+        };
+        account.set_spec(spec, entries);
+        account.bucket = account.tokens;
+        account
+    }
+
+    /// New limits: a share in force is cut to its equal part when they change.
+    pub(crate) fn set_spec(&mut self, spec: &Spec, entries: u32) {
+        let limits = (spec.tokens_per_second as f64, spec.concurrent);
+        if limits == (self.tokens_limit, self.open_limit) {
+            return;
+        }
+        (self.tokens_limit, self.open_limit) = limits;
+        let (tokens, open) = self.equal(entries);
+        self.tokens = self.tokens.min(tokens);
+        self.open = self.open.min(open);
+        self.next_tokens = self.tokens;
+        self.next_open = self.open;
+    }
+
+    /// One entry's part if all get the same.
+    pub(crate) fn equal(&self, entries: u32) -> (f64, u32) {
+        (
+            self.tokens_limit / f64::from(entries),
+            self.open_limit / entries,
+        )
+    }
+
+    /// What an entry may give without having claimed anything.
+    pub(crate) fn floor(&self, settings: &Limit, entries: u32) -> (f64, u32) {
+        let (tokens, open) = self.equal(entries);
+        let few = (f64::from(open) * settings.floor) as u32;
+        (tokens * settings.floor, few.max(1).min(open))
+    }
+
+    pub(crate) fn share(&self) -> (f64, u32) {
+        (self.tokens, self.open)
+    }
+
+    pub(crate) fn admit(&mut self, settings: &Limit, now: Time, cost: Cost) -> Result<(), Span> {
+        self.fill(settings, now);
+        self.asked += cost as f64;
+        if self.open_limit > 0 && self.holding >= self.open {
+            self.refused += 1;
+            return Err(settings.period.times(2));
+        }
+        // A job larger than the bucket passes when the bucket is full; the debt is waited off.
+        let needed = (cost as f64).min(self.size(settings));
+        if self.tokens_limit > 0.0 && self.bucket < needed {
+            self.refused += 1;
+            let seconds = (needed - self.bucket) / self.tokens.max(1.0);
+            return Err(Span::from_millis((seconds * 1_000.0) as u64).max(settings.period));
+        }
+        self.bucket -= cost as f64;
+        self.holding += 1;
+        Ok(())
+    }
+
+    pub(crate) fn release(&mut self, estimated: Cost, actual: Cost) {
+        self.holding = self.holding.saturating_sub(1);
+        self.bucket += estimated as f64 - actual as f64;
+    }
+
+    /// Puts last period's claim in force as far as the others leave room, and works out the next one.
+    pub(crate) fn review(&mut self, settings: &Limit, entries: u32, others: &Others, told: bool) {
+        self.measure(settings);
+        let floor = self.floor(settings, entries);
+        let room_tokens = (self.tokens_limit - others.tokens).max(0.0);
+        let room_open = self.open_limit.saturating_sub(others.open);
+        if told {
+            self.tokens = self.tokens.max(self.next_tokens.min(room_tokens));
+            self.open = self.open.max(self.next_open.min(room_open));
+        } else {
+            self.tokens = self.tokens.min(floor.0);
+            self.open = self.open.min(floor.1);
+        }
+        let equal = self.equal(entries);
+        let known = f64::from((others.fresh + 1).min(entries));
+        let silent = f64::from(entries) - known;
+        let part = |limit: f64, equal: f64, floor: f64, mine: f64, theirs: f64| {
+            let by_demand = if mine > NO_DEMAND {
+                mine / (mine + theirs)
+            } else {
+                0.0
+            };
+            floor + (limit - equal * silent - floor * known).max(0.0) * by_demand
+        };
+        self.next_tokens = part(
+            self.tokens_limit,
+            equal.0,
+            floor.0,
+            self.demand,
+            others.demand,
+        );
+        let (equal_open, floor_open) = (f64::from(equal.1), f64::from(floor.1));
+        let limit = f64::from(self.open_limit);
+        self.next_open = part(limit, equal_open, floor_open, self.wanted, others.wanted) as u32;
+        self.tokens = self.tokens.min(self.next_tokens);
+        self.open = self.open.min(self.next_open);
+    }
+
+    /// What is told of this account; nothing without demand, which claims no more than the floor.
+    pub(crate) fn claim(&self, name: u64) -> Option<Claim> {
+        if self.demand + self.wanted < NO_DEMAND && self.holding == 0 {
+            return None;
+        }
+        Some(Claim {
+            name,
+            demand: self.demand,
+            wanted: self.wanted,
+            tokens: self.tokens.max(self.next_tokens),
+            open: self.open.max(self.next_open).max(self.holding),
+        })
+    }
+
+    fn measure(&mut self, settings: &Limit) {
+        let seconds = settings.period.as_millis() as f64 / 1_000.0;
+        let asked = self.asked / seconds;
+        let wanted = f64::from(self.holding + self.refused);
+        self.demand += settings.smoothing * (asked - self.demand);
+        self.wanted += settings.smoothing * (wanted - self.wanted);
+        self.asked = 0.0;
+        self.refused = 0;
+    }
+
+    fn size(&self, settings: &Limit) -> f64 {
+        self.tokens * settings.burst.as_millis() as f64 / 1_000.0
+    }
+
+    fn fill(&mut self, settings: &Limit, now: Time) {
+        let seconds = now.since(self.filled).as_millis() as f64 / 1_000.0;
+        self.filled = now;
+        self.bucket = (self.bucket + seconds * self.tokens).min(self.size(settings));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/intake.rs
@@ -0,0 +1,268 @@
+//! Arrivals: limits, shedding, admission, and refusals with the time to come back.
+
+use clock::Span;
+use clock::Time;
+use verdict::Reason;
+use verdict::Refusal;
+use verdict::Verdict;
+
+use crate::admission;
+use crate::decision::Decision;
+use crate::fair::Cost;
+use crate::job;
+use crate::job::Job;
+use crate::pool;
+use crate::scheduler::Scheduler;
+use crate::scheduler::state::Open;
+use crate::size;
+use crate::size::Class;
+
+impl Scheduler {
+    /// Puts the job in its pool's queue or refuses it.
+    pub(super) fn take_in(&mut self, now: Time, job: Job, out: &mut Vec<Decision>) {
+        let Some(cost) = self.estimate(&job) else {
+            let refusal = Refusal::not_run(Reason::Unauthorized, "no such account");
+            out.push(Decision::Refuse {
+                job: job.id,
+                refusal,
+            });
+            return;
+        };
+        if let Err(after) = self.limits.admit(now, job.account, cost) {
+            let refusal = Refusal::not_run(Reason::OverLimit, "the account is over its limit");
+            let refusal = refusal.with_retry_after(self.jittered(after));
+            out.push(Decision::Refuse {
+                job: job.id,
+                refusal,
+            });
+            return;
+        }
+        let refused = self.open_job(now, job, cost);
+        if let Err((reason, message)) = refused {
+            self.refuse(now, job.id, reason, message, out);
+        }
+    }
+
+    /// Ends a job with its final word; it is closed.
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        id: job::Id,
+        reason: Reason,
+        message: &'static str,
+        out: &mut Vec<Decision>,
+    ) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let (job, cost, may_have_run) = (open.job, open.cost, open.may_have_run);
+        let mut refusal = Refusal::not_run(reason, message);
+        if may_have_run {
+            refusal.verdict = Verdict::MayHaveRun;
+        }
+        // A caller that may not repeat its request has no use for a time to come back.
+        if !may_have_run || job.idempotent {
+            refusal.retry_after = Some(self.appoint(now, job.pool, cost));
+        }
+        self.close(id);
+        out.push(Decision::Refuse { job: id, refusal });
+    }
+
+    /// Refuses what can no longer be answered in time.
+    pub(super) fn expire(&mut self, now: Time, out: &mut Vec<Decision>) {
+        while let Some((until, id)) = self.expiry.first().copied() {
+            if until > now {
+                return;
+            }
+            let lonely = self
+                .open
+                .get(&id)
+                .and_then(|open| self.pools.get(&open.job.pool))
+                .is_none_or(|pool| pool.members.is_empty());
+            let reason = if lonely {
+                Reason::NoBackend
+            } else {
+                Reason::Overloaded
+            };
+            self.refuse(now, id, reason, "the latency target can't be met", out);
+        }
+    }
+
+    /// Prompt and expected output, weighted.
+    fn estimate(&self, job: &Job) -> Option<Cost> {
+        let account = self.accounts.get(&job.account)?;
+        let output = match job.kind {
+            job::Kind::Model => account.estimate.expect(job.max_new_tokens),
+            job::Kind::Plain => 0,
+        };
+        Some(self.cost(job.prompt_tokens, output))
+    }
+
+    pub(super) fn cost(&self, prompt: u32, output: u32) -> Cost {
+        (u64::from(prompt) + u64::from(output) * self.settings.fair.output_weight).max(1)
+    }
+
+    fn open_job(&mut self, now: Time, job: Job, cost: Cost) -> Result<(), (Reason, &'static str)> {
+        let sizes = self.settings.size;
+        let class = self.pool_mut(job.pool).classes.classify(&sizes, cost);
+        let allowed = self.allowed(&job);
+        let predicted = self.predicted_wait(&job, class);
+        self.open.insert(
+            job.id,
+            Open {
+                job,
+                class,
+                cost,
+                due: now + allowed,
+                place: None,
+                until: now,
+                replica: None,
+                started: now,
+                streaming: false,
+                made: 0,
+                may_have_run: false,
+                tried: Vec::new(),
+                predicted,
+            },
+        );
+        self.admit(now, &job, cost, allowed, predicted)?;
+        self.enqueue(now, job.id, false);
+        Ok(())
+    }
+
+    /// Whether the job may wait.
+    fn admit(
+        &mut self,
+        now: Time,
+        job: &Job,
+        cost: Cost,
+        allowed: Span,
+        predicted: Span,
+    ) -> Result<(), (Reason, &'static str)> {
+        let settings = self.settings;
+        let Some(account) = self.accounts.get(&job.account) else {
+            return Ok(());
+        };
+        let Some(pool) = self.pools.get_mut(&job.pool) else {
+            return Ok(());
+        };
+        if pool.members.is_empty() {
+            return Err((Reason::NoBackend, "no backend server"));
+        }
+        let rate = pool.service.rate(pool.running);
+        pool.gate.offer(
+            &settings.brownout,
+            now,
+            job.account,
+            &account.spec,
+            cost,
+            rate,
+        );
+        if predicted == Span::ZERO {
+            return Ok(());
+        }
+        if settings.admission.enabled && pool.queue.len() >= settings.admission.most_waiting {
+            return Err((Reason::Overloaded, "the queue is full"));
+        }
+        let slack = allowed - pool.service.first(job.prompt_tokens);
+        let backlog = admission::wait(pool.queue.cost(), rate);
+        if settings.brownout.enabled
+            && backlog > slack.scaled(settings.brownout.pressure)
+            && !pool.gate.passes(job.account)
+        {
+            return Err((Reason::Overloaded, "shed under overload"));
+        }
+        if settings.admission.enabled && predicted > slack.scaled(settings.admission.wait_share) {
+            return Err((Reason::Overloaded, "the latency target can't be met"));
+        }
+        Ok(())
+    }
+
+    /// The time a job has for its first token.
+    fn allowed(&self, job: &Job) -> Span {
+        let service = self.pools.get(&job.pool).map(|pool| &pool.service);
+        service.map_or(job.first_token, |service| {
+            service.allowed(&self.settings.admission, job.first_token, job.prompt_tokens)
+        })
+    }
+
+    /// Time in the queue to expect; zero if the job can start at once.
+    fn predicted_wait(&self, job: &Job, class: Class) -> Span {
+        let Some(pool) = self.pools.get(&job.pool) else {
+            return Span::ZERO;
+        };
+        let free = !pool.roomy.is_empty() && self.class_has_room(pool, class);
+        if free && pool.queue.is_empty() {
+            return Span::ZERO;
+        }
+        let Some(account) = self.accounts.get(&job.account) else {
+            return Span::ZERO;
+        };
+        let ahead = pool.queue.ahead(job.account, account.spec.weight);
+        let rate = pool.service.rate(pool.running);
+        // Even the next in line waits until something ends.
+        admission::wait(ahead, rate).max(Span::from_millis(1))
+    }
+
+    pub(super) fn class_has_room(
+        &self,
+        pool: &crate::scheduler::state::Pool,
+        class: Class,
+    ) -> bool {
+        class == Class::Short || pool.long < size::cap(pool.slots, self.settings.size.pool_share)
+    }
+
+    /// Puts an open job in its queue; `front`, ahead of its account's others.
+    pub(super) fn enqueue(&mut self, now: Time, id: job::Id, front: bool) {
+        let settings = self.settings;
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let account = open.job.account;
+        let weight = self
+            .accounts
+            .get(&account)
+            .map_or(1, |account| account.spec.weight);
+        let Some(pool) = self.pools.get_mut(&open.job.pool) else {
+            return;
+        };
+        let place = if front {
+            pool.queue
+                .push_front(account, weight, open.class, id, open.cost)
+        } else {
+            pool.queue.push(account, weight, open.class, id, open.cost)
+        };
+        open.place = Some(place);
+        open.until = match (open.streaming, settings.admission.enabled) {
+            // Its caller already reads the answer: the target for the first token is behind it.
+            (true, _) => now + settings.placement.patience,
+            (false, true) => last_start(now, open.due, pool.service.first(open.job.prompt_tokens)),
+            (false, false) => now + Span::from_seconds(3_600),
+        };
+        self.expiry.insert((open.until, id));
+        self.stirred.insert(open.job.pool);
+    }
+
+    /// When a refused caller should come back.
+    fn appoint(&mut self, now: Time, pool: pool::Key, cost: Cost) -> Span {
+        let settings = self.settings.retry;
+        let Some(pool) = self.pools.get_mut(&pool) else {
+            return settings.shortest;
+        };
+        let rate = pool.service.rate(pool.running);
+        let backlog = admission::wait(pool.queue.cost(), rate);
+        pool.calendar
+            .appoint(&settings, now, backlog, cost, rate, &mut self.random)
+    }
+
+    fn jittered(&mut self, span: Span) -> Span {
+        use rand::RngExt;
+        span.scaled(self.random.random_range(1.0..1.5))
+    }
+}
+
+/// The last moment at which a start still makes the first token come in time.
+fn last_start(now: Time, due: Time, first: Span) -> Time {
+    let left = due.since(now);
+    now + (left - first)
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/mod.rs
@@ -0,0 +1,228 @@
+//! Composes the policy modules for one entry.
+//!
+//! The embedder reports events through the methods; each appends its decisions to `out`. Between
+//! events it calls [`Scheduler::poll`] at the time that [`Scheduler::next_wake`] names. Entries that
+//! share accounts pass [`Scheduler::digest`]s to each other once a period.
+
+mod ends;
+mod intake;
+mod placement;
+mod state;
+mod wave;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use clock::Time;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::account;
+use crate::configs::scheduler::Settings;
+use crate::decision::Decision;
+use crate::job;
+use crate::job::Job;
+use crate::limit;
+use crate::pool;
+use crate::replica;
+use crate::scheduler::state::Account;
+use crate::scheduler::state::Open;
+use crate::scheduler::state::Pool;
+use crate::scheduler::state::Replica;
+
+pub use crate::scheduler::state::Explain;
+
+/// The decisions of one entry.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: Settings,
+    accounts: BTreeMap<account::Key, Account>,
+    pools: BTreeMap<pool::Key, Pool>,
+    replicas: BTreeMap<replica::Key, Replica>,
+    open: BTreeMap<job::Id, Open>,
+    /// When each waiting job is given up. Invariant: holds exactly the jobs that wait in a queue.
+    expiry: BTreeSet<(Time, job::Id)>,
+    /// Running jobs to be moved off leaving replicas.
+    moving: BTreeSet<job::Id>,
+    /// Pools to look at in the next poll.
+    stirred: BTreeSet<pool::Key>,
+    limits: limit::Limits,
+    random: Pcg64,
+    next_replica: u32,
+}
+
+/// News for the other entries, of bounded size.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Digest {
+    /// Claims on account limits.
+    pub limit: limit::Digest,
+}
+
+impl Scheduler {
+    /// A scheduler without accounts and replicas; `seed` feeds every random choice.
+    pub fn new(seed: u64) -> Scheduler {
+        Scheduler::with_settings(seed, Settings::default())
+    }
+
+    /// The same with other settings than the defaults.
+    pub fn with_settings(seed: u64, settings: Settings) -> Scheduler {
+        Scheduler {
+            limits: limit::Limits::new(settings.limit),
+            settings,
+            accounts: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            replicas: BTreeMap::new(),
+            open: BTreeMap::new(),
+            expiry: BTreeSet::new(),
+            moving: BTreeSet::new(),
+            stirred: BTreeSet::new(),
+            random: Pcg64::seed_from_u64(seed),
+            next_replica: 0,
+        }
+    }
+
+    /// How many entries share the accounts and the replicas, this one included.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.settings.placement.entries = entries.max(1);
+        self.limits.set_entries(entries);
+    }
+
+    /// Adds an account or changes it.
+    pub fn set_account(&mut self, key: account::Key, spec: account::Spec) {
+        self.limits.set_account(key, &spec);
+        match self.accounts.get_mut(&key) {
+            Some(account) => account.spec = spec,
+            None => {
+                self.accounts.insert(key, Account::new(spec));
+            }
+        }
+    }
+
+    /// Adds a replica.
+    pub fn replica_joined(
+        &mut self,
+        now: Time,
+        spec: replica::Spec,
+        out: &mut Vec<Decision>,
+    ) -> replica::Key {
+        let key = replica::Key(self.next_replica);
+        self.next_replica += 1;
+        let replica = Replica::new(spec, self.settings.placement.entries);
+        let pool = replica.spec.pool;
+        self.pool_mut(pool).members.insert(key);
+        self.replicas.insert(key, replica);
+        self.index(key);
+        self.stirred.insert(pool);
+        self.poll(now, out);
+        key
+    }
+
+    /// Notes a load report.
+    pub fn replica_reported(&mut self, now: Time, key: replica::Key, report: replica::Report) {
+        self.note_report(now, key, report);
+    }
+
+    /// The replica gets no new work from now on; what runs there is moved before `deadline`.
+    pub fn replica_leaving(
+        &mut self,
+        now: Time,
+        key: replica::Key,
+        deadline: Time,
+        out: &mut Vec<Decision>,
+    ) {
+        self.leave(now, key, deadline);
+        self.poll(now, out);
+    }
+
+    /// The replica is gone; the embedder reports the end of each attempt there by itself.
+    pub fn replica_lost(&mut self, _now: Time, key: replica::Key) {
+        self.forget(key);
+    }
+
+    /// A request has arrived: it is started, kept waiting or refused.
+    pub fn offer(&mut self, now: Time, job: Job, out: &mut Vec<Decision>) {
+        self.take_in(now, job, out);
+        self.poll(now, out);
+    }
+
+    /// The replica began to answer: its first token (or the head of a plain answer) came.
+    pub fn first_token(&mut self, now: Time, id: job::Id) {
+        self.note_first(now, id);
+    }
+
+    /// More tokens came since the last report.
+    pub fn progressed(&mut self, _now: Time, id: job::Id, tokens: u32) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.made = open.made.saturating_add(tokens);
+        }
+    }
+
+    /// An attempt ended; `tokens` were generated in it.
+    ///
+    /// With [`job::End::Finished`] or [`job::End::Left`] the job is closed. After any other end it
+    /// is started elsewhere, kept waiting or refused, as idempotence and budgets allow.
+    pub fn attempt_ended(
+        &mut self,
+        now: Time,
+        id: job::Id,
+        end: job::End,
+        tokens: u32,
+        out: &mut Vec<Decision>,
+    ) {
+        self.note_end(now, id, end, tokens, out);
+        self.poll(now, out);
+    }
+
+    /// The caller went away or the job was cancelled.
+    pub fn cancel(&mut self, now: Time, id: job::Id, out: &mut Vec<Decision>) {
+        if let Some(replica) = self.open.get(&id).and_then(|open| open.replica) {
+            out.push(Decision::Cancel { job: id, replica });
+        }
+        self.close(id);
+        self.poll(now, out);
+    }
+
+    /// Takes whatever decisions the time allows.
+    pub fn poll(&mut self, now: Time, out: &mut Vec<Decision>) {
+        self.expire(now, out);
+        self.move_on(now, out);
+        while let Some(pool) = self.stirred.pop_first() {
+            self.dispatch(now, pool, out);
+        }
+    }
+
+    /// When [`Scheduler::poll`] wants to be called next.
+    pub fn next_wake(&self) -> Option<Time> {
+        if !self.stirred.is_empty() {
+            return Some(Time::ZERO);
+        }
+        self.expiry.first().map(|(at, _)| *at)
+    }
+
+    /// What to tell the other entries; called once a period of [`crate::configs::limit::Limit`].
+    pub fn digest(&mut self, now: Time) -> Digest {
+        Digest {
+            limit: self.limits.digest(now),
+        }
+    }
+
+    /// Takes in what the entry `peer` told.
+    pub fn absorb(&mut self, now: Time, peer: u64, digest: &Digest, _out: &mut Vec<Decision>) {
+        self.limits.absorb(now, peer, &digest.limit);
+    }
+
+    /// Why an open job is where it is.
+    pub fn explain(&self, id: job::Id) -> Option<Explain> {
+        self.open.get(&id).map(Open::explain)
+    }
+
+    /// Jobs waiting in the pool.
+    pub fn waiting(&self, pool: pool::Key) -> usize {
+        self.pools.get(&pool).map_or(0, |pool| pool.queue.len())
+    }
+
+    fn pool_mut(&mut self, key: pool::Key) -> &mut Pool {
+        let settings = &self.settings;
+        self.pools.entry(key).or_insert_with(|| Pool::new(settings))
+    }
+}
