Quarantine killer requests across entries

Cause: one request that crashes its replica is sent again through every entry and takes two replicas at each of them. Weighed: a count at each entry alone (two replicas an entry: 16 lost over 8 entries); running suspects with others (a second killer beside them would condemn an innocent); letting each entry choose where a suspect runs (one more replica lost an entry). Change: crashes make fingerprints suspect; suspects wait for the peers' news, then run alone at a place all entries agree on by rendezvous hashing; the second crash, counted by incarnation, quarantines at every entry by a bounded digest. Replicas of one zone lost together blame nobody. Figures: in tests/quarantine.rs two replicas are lost, both one entry after the other and all at once.

--- /dev/null
+++ b/crates/policy/src/configs/mod.rs
@@ -0,0 +1,3 @@
+//! Settings of the policy modules, one file a module.
+
+pub mod quarantine;
--- /dev/null
+++ b/crates/policy/src/configs/quarantine.rs
@@ -0,0 +1,55 @@
+//! Settings of [`crate::quarantine`].
+
+use clock::Span;
+
+/// When a request counts as a killer, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Crashes of different incarnations after which a fingerprint is quarantined.
+    ///
+    /// One could be chance; two are the fewest that show a pattern, and each costs a replica.
+    pub crashes: usize,
+    /// How long a suspect is held before it runs alone, and how far apart crashes of one zone may
+    /// lie to count as one event.
+    ///
+    /// Must exceed a digest's way to the peers (1 ms one way between zones, plus the shell's
+    /// batching) by far, so that crashes seen elsewhere are known before the next replica is risked.
+    pub settle: Span,
+    /// Spread added to `settle`, so that entries don't all start a suspect in the same instant.
+    pub spread: Span,
+    /// Replicas of one zone lost within `settle` that count as the loss of the zone, not of a
+    /// killer: one more than the replicas a killer may take.
+    pub zone_loss: usize,
+    /// How long suspicion and quarantine last.
+    ///
+    /// An ordinary replica fails every 52 days (230 of 12,000 a day), so an innocent suspect that
+    /// runs alone for 10 s is blamed for a chance crash 2 times in a million: the term needn't be
+    /// short for its sake. It bounds what a standing killer costs: one replica a term.
+    pub term: Span,
+    /// How long a peer's word that a suspect runs at a replica holds without being repeated: three
+    /// digests at one a second.
+    pub claim: Span,
+    /// A digest leaves out what expires sooner than this, so that two entries can't teach each
+    /// other an expired record over and over; longer than any digest's way.
+    pub margin: Span,
+    /// Most records kept.
+    pub records: usize,
+    /// Most records and crashes in one digest.
+    pub digest: usize,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            crashes: 2,
+            settle: Span::from_millis(300),
+            spread: Span::from_millis(300),
+            zone_loss: 3,
+            term: Span::from_seconds(3_600),
+            claim: Span::from_seconds(3),
+            margin: Span::from_seconds(5),
+            records: 1_024,
+            digest: 64,
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,11 @@
 //! with [`decision::Decision`]s; it reads no clock and draws randomness from the seed it was given.
 
 pub mod account;
+pub mod configs;
 pub mod decision;
 pub mod job;
 pub mod pool;
+pub mod quarantine;
+pub mod rendezvous;
 pub mod replica;
 pub mod scheduler;
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,259 @@
+//! Killer requests: what they cost, and what their neighbours suffer.
+
+use clock::Span;
+use clock::Time;
+use policy::configs::quarantine::Config;
+use policy::quarantine::Quarantine;
+use policy::quarantine::Standing;
+use policy::rendezvous;
+use proptest::prelude::*;
+use proptest::test_runner::Config as Proptest;
+use proptest::test_runner::RngSeed;
+
+const ENTRIES: usize = 8;
+const REPLICAS: u64 = 9;
+const KILLER: u64 = 666;
+/// From the start of a killer to the crash.
+const FUSE: Span = Span::from_millis(20);
+/// From a crash or a digest's sending to its receipt.
+const FLIGHT: Span = Span::from_millis(2);
+
+/// Entries that share replicas; a killer crashes each replica on which it starts.
+struct System {
+    now: Time,
+    entries: Vec<Quarantine>,
+    alive: Vec<u64>,
+    lost: Vec<u64>,
+    /// Killers that run: entry, replica, time of the crash.
+    running: Vec<(usize, u64, Time)>,
+    /// Copies of the killer that wait at an entry.
+    waiting: Vec<usize>,
+    quarantined: usize,
+}
+
+impl System {
+    fn new() -> System {
+        let entry = |index| Quarantine::new(Config::default(), index as u64);
+        System {
+            now: Time::ZERO,
+            entries: (0..ENTRIES).map(entry).collect(),
+            alive: (0..REPLICAS).collect(),
+            lost: Vec::new(),
+            running: Vec::new(),
+            waiting: Vec::new(),
+            quarantined: 0,
+        }
+    }
+
+    /// Runs until every copy has its final answer.
+    fn settle(&mut self) {
+        let limit = self.now + Span::from_seconds(60);
+        while !(self.waiting.is_empty() && self.running.is_empty()) {
+            assert!(self.now < limit, "a copy never got its answer");
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        for entry in std::mem::take(&mut self.waiting) {
+            match self.entries[entry].standing(self.now, KILLER) {
+                Standing::Clear => self.start(entry, false),
+                Standing::Trial => self.start(entry, true),
+                Standing::Held(_) => self.waiting.push(entry),
+                Standing::Quarantined(_) => self.quarantined += 1,
+            }
+        }
+        self.now = self.now + Span::from_millis(1);
+        self.crash_due();
+        self.tell();
+    }
+
+    fn start(&mut self, entry: usize, trial: bool) {
+        let alive = self.alive.iter().map(|replica| (*replica, *replica));
+        let replica = self.entries[entry].place(KILLER, alive).expect("a replica");
+        if trial {
+            self.entries[entry].trial_started(KILLER, replica);
+        }
+        self.running.push((entry, replica, self.now + FUSE));
+    }
+
+    fn crash_due(&mut self) {
+        let now = self.now;
+        let due = self.running.iter().find(|(_, _, at)| *at <= now).copied();
+        let Some((_, replica, _)) = due else {
+            return;
+        };
+        self.lost.push(replica);
+        self.alive.retain(|alive| *alive != replica);
+        for (entry, at, crash) in std::mem::take(&mut self.running) {
+            if at == replica {
+                self.entries[entry].crashed(now, replica, replica % 3, &[KILLER]);
+                self.waiting.push(entry);
+            } else {
+                self.running.push((entry, at, crash));
+            }
+        }
+    }
+
+    fn tell(&mut self) {
+        for from in 0..ENTRIES {
+            if !self.entries[from].urgent() {
+                continue;
+            }
+            let digest = self.entries[from].digest(self.now);
+            let arrives = self.now + FLIGHT;
+            for to in (0..ENTRIES).filter(|to| *to != from) {
+                self.entries[to].merge(arrives, &digest);
+            }
+        }
+    }
+}
+
+/// A caller whose request crashes replicas sends it through one entry after the other as each gives
+/// up. Without shared memory of it every entry would lose two replicas of its own.
+#[test]
+fn killer_through_each_entry_costs_two_replicas() {
+    let mut system = System::new();
+    for entry in 0..ENTRIES {
+        system.waiting.push(entry);
+        system.settle();
+    }
+    assert_eq!(system.lost.len(), 2);
+    assert_eq!(system.quarantined, ENTRIES);
+}
+
+/// Copies of one killer arrive at all entries in the same millisecond, so no entry can have heard of
+/// a crash. They meet at the same replica; after its crash each entry holds its copy until the
+/// others' news has come, and one of them risks the second replica.
+#[test]
+fn killers_through_all_entries_at_once_cost_two_replicas() {
+    let mut system = System::new();
+    system.waiting.extend(0..ENTRIES);
+    system.settle();
+    assert_eq!(system.lost.len(), 2);
+    assert_eq!(system.quarantined, ENTRIES);
+}
+
+/// A request that merely shared the crashed replica must get its answer: it runs alone, ends well
+/// and is clear from then on, also at the peers.
+#[test]
+fn innocent_is_acquitted_everywhere() {
+    let mut here = Quarantine::new(Config::default(), 1);
+    let mut peer = Quarantine::new(Config::default(), 2);
+    here.crashed(Time::ZERO, 1, 0, &[7, KILLER]);
+    peer.merge(Time::ZERO, &here.digest(Time::ZERO));
+    let later = Time::from_millis(1_000);
+    assert_eq!(peer.standing(later, 7), Standing::Trial);
+    assert_eq!(here.standing(later, 7), Standing::Trial);
+    here.trial_started(7, 3);
+    peer.merge(later, &here.digest(later));
+    assert!(peer.is_reserved(later, 3));
+    assert!(matches!(peer.standing(later, 7), Standing::Held(_)));
+    here.finished(later, 7);
+    peer.merge(later, &here.digest(later));
+    assert_eq!(here.standing(later, 7), Standing::Clear);
+    assert_eq!(peer.standing(later, 7), Standing::Clear);
+    assert!(!peer.is_reserved(later, 3));
+    assert_eq!(peer.standing(later, KILLER), Standing::Trial);
+}
+
+/// A zone goes without notice: its replicas crash within moments of each other, some seen here,
+/// some told by a peer. If all that ran there had to run alone, callers would wait for minutes.
+#[test]
+fn loss_of_a_zone_blames_nobody() {
+    let mut here = Quarantine::new(Config::default(), 1);
+    let mut peer = Quarantine::new(Config::default(), 2);
+    let at = Time::from_millis(5);
+    here.crashed(Time::ZERO, 1, 0, &[10, 11, 12]);
+    here.crashed(at, 2, 0, &[12, 13]);
+    peer.crashed(at, 3, 0, &[12, 14]);
+    let late = peer.digest(at);
+    here.merge(at + FLIGHT, &late);
+    for fingerprint in 10..15 {
+        assert_eq!(here.standing(at + FLIGHT, fingerprint), Standing::Clear);
+    }
+    here.merge(Time::from_millis(2_000), &late);
+    assert_eq!(here.standing(Time::from_millis(3_000), 14), Standing::Clear);
+}
+
+/// After its term a quarantined request is let out on parole, so that a repaired engine can serve
+/// it; if it crashes once more, it is quarantined again: one replica a term. A peer whose record
+/// expires a little later must not bring the old one back.
+#[test]
+fn quarantine_expires_to_parole_and_stays_expired() {
+    let config = Config::default();
+    let mut here = Quarantine::new(config, 1);
+    let mut peer = Quarantine::new(config, 2);
+    here.crashed(Time::ZERO, 1, 0, &[KILLER]);
+    here.crashed(Time::from_millis(900), 2, 1, &[KILLER]);
+    let told = Time::from_millis(950);
+    assert!(matches!(
+        here.standing(told, KILLER),
+        Standing::Quarantined(_)
+    ));
+    peer.merge(told, &here.digest(told));
+    assert!(matches!(
+        peer.standing(told, KILLER),
+        Standing::Quarantined(_)
+    ));
+
+    let over = Time::from_millis(900) + config.term;
+    here.tick(over);
+    assert_eq!(here.standing(over, KILLER), Standing::Trial);
+    here.merge(over, &peer.digest(over));
+    assert_eq!(here.standing(over, KILLER), Standing::Trial);
+    here.crashed(over, 3, 0, &[KILLER]);
+    assert!(matches!(
+        here.standing(over, KILLER),
+        Standing::Quarantined(_)
+    ));
+}
+
+proptest! {
+    #![proptest_config(Proptest {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..Proptest::default()
+    })]
+
+    /// Whatever is reported, digests stay bounded, and two entries that exchange them often enough
+    /// hold the same requests quarantined.
+    #[test]
+    fn digests_are_bounded_and_converge(
+        crashes in proptest::collection::vec((0_u64..400, 0_u64..5, 0_u64..300, any::<bool>()), 1..300)
+    ) {
+        let config = Config { digest: 16, ..Config::default() };
+        let mut one = Quarantine::new(config, 1);
+        let mut other = Quarantine::new(config, 2);
+        let mut now = Time::ZERO;
+        for (replica, zone, fingerprint, at_one) in crashes {
+            now = now + Span::from_millis(400);
+            let entry = if at_one { &mut one } else { &mut other };
+            entry.crashed(now, replica, zone, &[fingerprint]);
+        }
+        for _ in 0..60 {
+            now = now + Span::from_millis(1_000);
+            let (first, second) = (one.digest(now), other.digest(now));
+            prop_assert!(first.items.len() <= 16 && first.crashes.len() <= 16);
+            one.merge(now, &second);
+            other.merge(now, &first);
+        }
+        now = now + Span::from_millis(1_000);
+        for fingerprint in 0..300 {
+            let quarantined = |entry: &Quarantine| {
+                matches!(entry.standing(now, fingerprint), Standing::Quarantined(_))
+            };
+            prop_assert_eq!(quarantined(&one), quarantined(&other));
+        }
+    }
+
+    /// When a replica goes, only the keys that ranked it first find a new first choice.
+    #[test]
+    fn rendezvous_moves_only_what_it_must(key in any::<u64>(), gone in 0_u64..9) {
+        let nodes = |without| (0..9_u64).filter(move |node| Some(*node) != without).map(|node| (node, node));
+        let (first, second) = rendezvous::two(key, nodes(None));
+        let (after, _) = rendezvous::two(key, nodes(Some(gone)));
+        prop_assert_eq!(after, if first == Some(gone) { second } else { first });
+    }
+}
