--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -1,4 +1,5 @@
 //! Settings of the policy modules, one file a module.
 
+pub mod affinity;
 pub mod health;
 pub mod quarantine;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! with [`decision::Decision`]s; it reads no clock and draws randomness from the seed it was given.
 
 pub mod account;
+pub mod affinity;
 pub mod configs;
 pub mod decision;
 pub mod health;
