--- /dev/null
+++ b/crates/policy/examples/reports.rs
@@ -0,0 +1,131 @@
+//! How evenly 8 entries load 9 replicas with reports a second old, by the share of own additions
+//! that is expected of the others. `cargo run --release -p policy --example reports`
+
+use clock::Span;
+use clock::Time;
+use policy::concurrency::Load;
+use policy::configs::concurrency::Config;
+use policy::replica::Report;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+
+const ENTRIES: usize = 8;
+const REPLICAS: usize = 9;
+const SLOTS: u32 = 32;
+const SEEDS: u64 = 10;
+/// Length of a job, ms.
+const JOB: u64 = 4_000;
+/// Arrivals over all entries, a second: 70% of the slots.
+const RATE: f64 = 0.7 * (REPLICAS as f64) * (SLOTS as f64) / (JOB as f64 / 1_000.0);
+const REPORT_PERIOD: u64 = 1_000;
+const REPORT_AGE: Span = Span::from_millis(500);
+const LENGTH: u64 = 120_000;
+
+/// How an entry picks.
+#[derive(Clone, Copy)]
+enum Pick {
+    Least,
+    TwoRandom,
+}
+
+fn main() {
+    println!("pick of    herd  worst over mean  p99 over mean  over slots");
+    for (name, pick) in [("least", Pick::Least), ("two", Pick::TwoRandom)] {
+        for herd in [0.0, 0.125, 0.25, 0.5, 1.0] {
+            let runs: Vec<[f64; 3]> = (0..SEEDS).map(|seed| run(pick, herd, seed)).collect();
+            let mean =
+                |index: usize| runs.iter().map(|run| run[index]).sum::<f64>() / runs.len() as f64;
+            println!(
+                "{name:8} {herd:6.3}  {:15.2}  {:13.2}  {:9.2}%",
+                mean(0),
+                mean(1),
+                100.0 * mean(2),
+            );
+        }
+    }
+}
+
+/// Worst and 99th percentile of the fullest replica over the mean; share of time over its slots.
+fn run(pick: Pick, herd: f64, seed: u64) -> [f64; 3] {
+    let config = Config {
+        herd,
+        ..Config::default()
+    };
+    let mut random = Pcg32::seed_from_u64(seed);
+    let mut loads = vec![vec![Load::new(config, SLOTS); REPLICAS]; ENTRIES];
+    let mut ends: Vec<(u64, usize, usize)> = Vec::new();
+    let mut old = vec![0; REPLICAS];
+    let mut peaks = Vec::new();
+    for millis in 0..LENGTH {
+        let now = Time::from_millis(millis);
+        ends.retain(|(at, entry, replica)| {
+            if *at == millis {
+                loads[*entry][*replica].ended(now, 0);
+            }
+            *at > millis
+        });
+        if random.random_bool(RATE / 1_000.0) {
+            let entry = random.random_range(0..ENTRIES);
+            let replica = choose(&loads[entry], now, pick, &mut random);
+            loads[entry][replica].started(now, 1);
+            ends.push((
+                millis + JOB / 2 + random.random_range(0..JOB),
+                entry,
+                replica,
+            ));
+        }
+        let there = count(&loads);
+        if millis % REPORT_PERIOD == REPORT_PERIOD - REPORT_AGE.as_millis() {
+            old.clone_from(&there);
+        }
+        if millis % REPORT_PERIOD == 0 {
+            tell(&mut loads, now, &old);
+        }
+        if millis > 3 * JOB && millis % 10 == 0 {
+            let mean = there.iter().sum::<u32>() as f64 / REPLICAS as f64;
+            let most = f64::from(there.iter().copied().max().unwrap_or(0));
+            let over = there.iter().filter(|jobs| **jobs > SLOTS).count();
+            peaks.push((most / mean, over as f64 / REPLICAS as f64));
+        }
+    }
+    peaks.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let over = peaks.iter().map(|(_, over)| over).sum::<f64>() / peaks.len() as f64;
+    [
+        peaks[peaks.len() - 1].0,
+        peaks[peaks.len() * 99 / 100].0,
+        over,
+    ]
+}
+
+fn choose(loads: &[Load], now: Time, pick: Pick, random: &mut Pcg32) -> usize {
+    let usual = loads.iter().map(|load| f64::from(load.own())).sum::<f64>() / REPLICAS as f64;
+    let jobs = |replica: &usize| loads[*replica].jobs(now, usual);
+    let candidates: Vec<usize> = match pick {
+        Pick::Least => (0..REPLICAS).collect(),
+        Pick::TwoRandom => (0..2).map(|_| random.random_range(0..REPLICAS)).collect(),
+    };
+    let best = candidates
+        .iter()
+        .min_by(|one, other| jobs(one).total_cmp(&jobs(other)));
+    best.copied().unwrap_or(0)
+}
+
+fn count(loads: &[Vec<Load>]) -> Vec<u32> {
+    let at = |replica: usize| loads.iter().map(|entry| entry[replica].own()).sum();
+    (0..REPLICAS).map(at).collect()
+}
+
+fn tell(loads: &mut [Vec<Load>], now: Time, old: &[u32]) {
+    for entry in loads {
+        for (load, running) in entry.iter_mut().zip(old) {
+            let report = Report {
+                running: *running,
+                waiting: 0,
+                kv_used: 0.0,
+                age: REPORT_AGE,
+            };
+            load.reported(now, &report);
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod affinity;
+pub mod concurrency;
 pub mod configs;
 pub mod decision;
 pub mod health;
