Compose affinity, load estimates, ejection and quarantine in the scheduler

Merges the routing modules as far as they are and composes them. Cause of the new module slots: with the load estimate alone as the bound, eight entries overbook each replica together and the wait moves into the replicas.

--- a/crates/policy/src/configs/placement.rs
+++ b/crates/policy/src/configs/placement.rs
@@ -2,26 +2,36 @@
 
 use clock::Span;
 
-/// How a replica is chosen.
+/// Which modules take part in the choice of a replica, and how far it looks.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Placement {
-    /// Entries that share the replicas: each may always use its equal part of the slots.
-    pub entries: u32,
-    /// Queue heads looked at when the first can't be placed.
+pub struct Config {
+    /// Off, the least loaded replica is taken whatever the prefix.
+    pub affinity: bool,
+    /// Off, every replica takes what it has slots for by our own count.
+    pub concurrency: bool,
+    /// Off, no replica is ejected.
+    pub health: bool,
+    /// Off, a killer request is tried like any other.
+    pub quarantine: bool,
+    /// Queue heads looked at when the first can't be placed: enough that one account's suspects or
+    /// retried jobs don't block the others, few enough that a decision stays short.
     pub heads: usize,
-    /// Replicas looked at for one job.
-    pub candidates: usize,
     /// How long a job whose caller already has its first token waits for a place after a crash.
     pub patience: Span,
+    /// One of this many replicas of a pool, at most, is kept free for suspects at once.
+    pub trial_share: usize,
 }
 
-impl Default for Placement {
-    fn default() -> Placement {
-        Placement {
-            entries: 8,
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            affinity: true,
+            concurrency: true,
+            health: true,
+            quarantine: true,
             heads: 8,
-            candidates: 16,
             patience: Span::from_seconds(30),
+            trial_share: 4,
         }
     }
 }
--- a/crates/policy/src/configs/scheduler.rs
+++ b/crates/policy/src/configs/scheduler.rs
@@ -1,28 +1,43 @@
 //! All settings of [`crate::scheduler`].
 
-use crate::configs::admission::Admission;
-use crate::configs::brownout::Brownout;
-use crate::configs::fair::Fair;
-use crate::configs::limit::Limit;
-use crate::configs::placement::Placement;
-use crate::configs::retry::Retry;
-use crate::configs::size::Size;
+use crate::configs::admission;
+use crate::configs::affinity;
+use crate::configs::brownout;
+use crate::configs::concurrency;
+use crate::configs::fair;
+use crate::configs::health;
+use crate::configs::limit;
+use crate::configs::placement;
+use crate::configs::quarantine;
+use crate::configs::retry;
+use crate::configs::size;
+use crate::configs::slots;
 
 /// One part for each module.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Settings {
     /// Prediction and bounded queue.
-    pub admission: Admission,
+    pub admission: admission::Config,
+    /// Equal prefixes to equal replicas.
+    pub affinity: affinity::Config,
     /// Shedding by priority and share.
-    pub brownout: Brownout,
+    pub brownout: brownout::Config,
+    /// Load estimates and limits of replicas.
+    pub concurrency: concurrency::Config,
     /// Fair queueing.
-    pub fair: Fair,
+    pub fair: fair::Config,
+    /// Ejection of replicas.
+    pub health: health::Config,
     /// Account limits.
-    pub limit: Limit,
+    pub limit: limit::Config,
     /// Choice of replica.
-    pub placement: Placement,
+    pub placement: placement::Config,
+    /// Killer requests.
+    pub quarantine: quarantine::Config,
     /// Retries and returns.
-    pub retry: Retry,
+    pub retry: retry::Config,
     /// Size classes.
-    pub size: Size,
+    pub size: size::Config,
+    /// Slots shared among entries.
+    pub slots: slots::Config,
 }
--- a/crates/policy/src/configs/size.rs
+++ b/crates/policy/src/configs/size.rs
@@ -2,7 +2,7 @@
 
 /// Which jobs are long and how many slots they may hold.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Size {
+pub struct Config {
     /// Off, there is one class.
     pub enabled: bool,
     /// A job is long from this many times the pool's mean cost on.
@@ -15,9 +15,9 @@
     pub smoothing: f64,
 }
 
-impl Default for Size {
-    fn default() -> Size {
-        Size {
+impl Default for Config {
+    fn default() -> Config {
+        Config {
             enabled: true,
             long_factor: 4.0,
             pool_share: 0.5,
--- a/crates/policy/src/limit/account.rs
+++ b/crates/policy/src/limit/account.rs
@@ -4,7 +4,7 @@
 use clock::Time;
 
 use crate::account::Spec;
-use crate::configs::limit::Limit;
+use crate::configs::limit::Config;
 use crate::fair::Cost;
 use crate::limit::Others;
 use crate::limit::digest::Claim;
@@ -77,7 +77,7 @@
     }
 
     /// What an entry may give without having claimed anything.
-    pub(crate) fn floor(&self, settings: &Limit, entries: u32) -> (f64, u32) {
+    pub(crate) fn floor(&self, settings: &Config, entries: u32) -> (f64, u32) {
         let (tokens, open) = self.equal(entries);
         let few = (f64::from(open) * settings.floor) as u32;
         (tokens * settings.floor, few.max(1).min(open))
@@ -87,7 +87,7 @@
         (self.tokens, self.open)
     }
 
-    pub(crate) fn admit(&mut self, settings: &Limit, now: Time, cost: Cost) -> Result<(), Span> {
+    pub(crate) fn admit(&mut self, settings: &Config, now: Time, cost: Cost) -> Result<(), Span> {
         self.fill(settings, now);
         self.asked += cost as f64;
         if self.open_limit > 0 && self.holding >= self.open {
@@ -112,7 +112,7 @@
     }
 
     /// Puts last period's claim in force as far as the others leave room, and works out the next one.
-    pub(crate) fn review(&mut self, settings: &Limit, entries: u32, others: &Others, told: bool) {
+    pub(crate) fn review(&mut self, settings: &Config, entries: u32, others: &Others, told: bool) {
         self.measure(settings);
         let floor = self.floor(settings, entries);
         let room_tokens = (self.tokens_limit - others.tokens).max(0.0);
@@ -163,7 +163,7 @@
         })
     }
 
-    fn measure(&mut self, settings: &Limit) {
+    fn measure(&mut self, settings: &Config) {
         let seconds = settings.period.as_millis() as f64 / 1_000.0;
         let asked = self.asked / seconds;
         let wanted = f64::from(self.holding + self.refused);
@@ -173,11 +173,11 @@
         self.refused = 0;
     }
 
-    fn size(&self, settings: &Limit) -> f64 {
+    fn size(&self, settings: &Config) -> f64 {
         self.tokens * settings.burst.as_millis() as f64 / 1_000.0
     }
 
-    fn fill(&mut self, settings: &Limit, now: Time) {
+    fn fill(&mut self, settings: &Config, now: Time) {
         let seconds = now.since(self.filled).as_millis() as f64 / 1_000.0;
         self.filled = now;
         self.bucket = (self.bucket + seconds * self.tokens).min(self.size(settings));
--- a/crates/policy/src/size.rs
+++ b/crates/policy/src/size.rs
@@ -8,7 +8,7 @@
 //! find slots that turn over quickly. Long jobs don't starve: fair queueing charges short jobs too,
 //! and at least one slot is open to long ones.
 
-use crate::configs::size::Size;
+use crate::configs::size::Config;
 use crate::fair::Cost;
 
 /// Short or long.
@@ -28,7 +28,7 @@
 
 impl Classes {
     /// The class of a job; notes its cost.
-    pub fn classify(&mut self, settings: &Size, cost: Cost) -> Class {
+    pub fn classify(&mut self, settings: &Config, cost: Cost) -> Class {
         let cost = cost as f64;
         let mean = *self.mean.get_or_insert(cost);
         let long = settings.enabled && cost > mean * settings.long_factor;
