--- /dev/null
+++ b/crates/entry/src/effect.rs
@@ -0,0 +1,165 @@
+//! Everything that an entry does, as data; the shell carries it out.
+
+use clock::Span;
+use policy::decision::Transfer;
+use request::id::Incarnation;
+use request::id::Stream;
+use request::ledger::Answer;
+use request::ledger::Estate;
+use request::ticket::Ticket;
+use smol_str::SmolStr;
+use verdict::Refusal;
+
+use crate::attempt::Place;
+use crate::line::Line;
+use crate::operator;
+
+/// One effect.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Something for the task that holds a request.
+    Flight {
+        /// Which request.
+        serial: u64,
+        /// What to do.
+        command: Command,
+    },
+    /// The answer to a question for addresses.
+    Addresses {
+        /// Who asked.
+        asker: u64,
+        /// The answer.
+        answer: Addresses,
+    },
+    /// The answer to a wish to cancel.
+    CancelAnswer {
+        /// Who asked.
+        asker: u64,
+        /// None when it was done.
+        refusal: Option<Refusal>,
+    },
+    /// A call of the table service.
+    Store {
+        /// Names the call in the answer.
+        id: store::call::Id,
+        /// The call.
+        call: store::call::Call,
+    },
+    /// The answer to an operator.
+    Operator {
+        /// Which call.
+        call: u64,
+        /// The answer.
+        reply: operator::Reply,
+    },
+    /// Ask a peer whether a ticket may be spent; its word, or its loss, comes back as an event.
+    AskSpend {
+        /// Which request waits for it.
+        serial: u64,
+        /// `host:port` of the peer.
+        address: SmolStr,
+        /// The ticket.
+        ticket: Ticket,
+    },
+    /// Tell a peer whether a ticket may be spent.
+    SpendAnswer {
+        /// Who asked.
+        asker: u64,
+        /// Our word.
+        answer: Answer,
+    },
+    /// Hand our ledger on to a peer.
+    OfferEstates {
+        /// `host:port` of the peer.
+        address: SmolStr,
+        /// What is handed on.
+        estates: Vec<Estate>,
+    },
+    /// Tell a leaving peer that its ledger is held here now.
+    EstatesTaken {
+        /// Who offered it.
+        asker: u64,
+        /// Our incarnation, or none when we are leaving ourselves.
+        by: Option<Incarnation>,
+    },
+    /// Send a digest to a peer.
+    SendDigest {
+        /// `host:port` of the peer.
+        address: SmolStr,
+        /// Its bytes.
+        digest: Vec<u8>,
+    },
+    /// One line of the log.
+    Log(Line),
+    /// Nothing is left to do: the process may end.
+    Exit,
+}
+
+/// What the task that holds a request is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Give the caller its final answer now.
+    Refuse(Refusal),
+    /// Run it at this backend server; a model call goes on behind the tokens passed on so far.
+    Start {
+        /// The attempt's stream.
+        stream: Stream,
+        /// Where.
+        place: Place,
+        /// Priority for the engine: 0 goes last under pressure, 9 first.
+        priority: u8,
+        /// The resume word for the caller, still open; the shell seals it.
+        account: SmolStr,
+    },
+    /// Go on reading a stream that an engine still holds.
+    Attach {
+        /// Our attempt's number.
+        attempt: u32,
+        /// The engine's stream.
+        stream: Stream,
+        /// Where.
+        place: Place,
+        /// The caller's offset of that stream's first token.
+        base: u64,
+        /// Whose it is.
+        account: SmolStr,
+    },
+    /// Move the running stream.
+    Move {
+        /// The new attempt's stream.
+        stream: Stream,
+        /// Where to.
+        place: Place,
+        /// By which means.
+        how: Transfer,
+    },
+    /// Stop the attempt that runs.
+    Stop,
+    /// End the stream here; the caller goes on at another entry.
+    HandOff {
+        /// `host:port` of that entry.
+        address: SmolStr,
+    },
+}
+
+/// Which entries a caller may use.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Addresses {
+    /// Entries, best first.
+    pub entries: Vec<Address>,
+    /// How long the answer may be kept.
+    pub ttl: Span,
+    /// Tickets, still open; the shell seals them.
+    pub tickets: Vec<Ticket>,
+}
+
+/// One entry as told to callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Address {
+    /// `host:port`.
+    pub address: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Share of new connections it should get, against the others'.
+    pub weight: u32,
+}
--- /dev/null
+++ b/crates/entry/src/event.rs
@@ -0,0 +1,121 @@
+//! Everything that can happen to an entry.
+
+use policy::replica;
+use request::id::Incarnation;
+use request::ledger::Answer;
+use request::ledger::Estate;
+use request::ticket::Ticket;
+use smol_str::SmolStr;
+
+use crate::arrival::Arrival;
+use crate::attempt::Report;
+use crate::instance::Instance;
+use crate::instance::Notice;
+use crate::operator;
+
+/// One event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A caller's request was read whole.
+    Arrived {
+        /// Its serial at this entry, rising by one.
+        serial: u64,
+        /// What it asks for.
+        arrival: Arrival,
+    },
+    /// The caller's connection is gone.
+    CallerGone {
+        /// Which request.
+        serial: u64,
+    },
+    /// A caller asks to cancel a request.
+    CancelAsked {
+        /// Whom to answer.
+        asker: u64,
+        /// The bearer key.
+        key: Option<SmolStr>,
+        /// The request's name, as given.
+        request: SmolStr,
+    },
+    /// A caller asks which entries to use.
+    AddressesAsked {
+        /// Whom to answer.
+        asker: u64,
+        /// The bearer key.
+        key: Option<SmolStr>,
+        /// Prefix hash of its next request.
+        prefix: Option<u64>,
+    },
+    /// News of an attempt.
+    Attempt {
+        /// Which request.
+        serial: u64,
+        /// Which attempt.
+        attempt: u32,
+        /// What happened.
+        report: Report,
+    },
+    /// The instance list was read.
+    InstancesRead(Vec<Instance>),
+    /// Reclaim notices were read.
+    NoticesRead(Vec<Notice>),
+    /// A backend server reported its load.
+    LoadRead {
+        /// Which life of which server.
+        incarnation: SmolStr,
+        /// Its report.
+        report: replica::Report,
+    },
+    /// The table service answered, or did not.
+    Store {
+        /// Which call.
+        id: store::call::Id,
+        /// What became of it.
+        outcome: store::call::Outcome,
+    },
+    /// An operator calls.
+    Operator {
+        /// Whom to answer.
+        call: u64,
+        /// What is asked.
+        request: operator::Request,
+    },
+    /// A peer asks whether a ticket of ours may be spent.
+    SpendAsked {
+        /// Whom to answer.
+        asker: u64,
+        /// The ticket.
+        ticket: Ticket,
+    },
+    /// A peer answered whether a ticket may be spent; none when its word was lost.
+    SpendAnswered {
+        /// Which request.
+        serial: u64,
+        /// The peer's word.
+        answer: Option<Answer>,
+    },
+    /// A leaving peer hands its ledger on to us.
+    EstatesOffered {
+        /// Whom to answer.
+        asker: u64,
+        /// What it hands on.
+        estates: Vec<Estate>,
+    },
+    /// A peer took over our ledger, or did not say so.
+    EstatesTaken {
+        /// The peer, if it said so.
+        by: Option<Incarnation>,
+    },
+    /// A digest came from a peer.
+    DigestReceived {
+        /// Its bytes.
+        digest: Vec<u8>,
+    },
+    /// Time has passed.
+    Tick,
+    /// The process is asked to stop.
+    StopAsked {
+        /// Whether to stop without waiting for requests in progress.
+        hurry: bool,
+    },
+}
--- /dev/null
+++ b/crates/entry/src/instance.rs
@@ -0,0 +1,28 @@
+//! Instances as the platform names them.
+
+use clock::Span;
+use smol_str::SmolStr;
+
+/// One line of the instance list. The list lags behind reality.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// This life of the instance, unique for ever.
+    pub incarnation: SmolStr,
+    /// `host:port` of the server on it.
+    pub address: SmolStr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Pool it belongs to.
+    pub pool: SmolStr,
+    /// Whether the list says that it is leaving.
+    pub leaving: bool,
+}
+
+/// The cloud's word that an instance will be taken away.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Notice {
+    /// Which life of which instance.
+    pub incarnation: SmolStr,
+    /// Time left.
+    pub left: Span,
+}
--- /dev/null
+++ b/crates/front/src/answer.rs
@@ -0,0 +1,191 @@
+//! Answers in HTTP: refusals, whole answers and streams of events.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body;
+use hyper::body::Frame;
+use serde_json::json;
+use tokio::sync::mpsc;
+use verdict::Reason;
+use verdict::Refusal;
+use verdict::Verdict;
+
+/// Header that carries the request's name.
+pub const REQUEST_HEADER: &str = "x-dogwoodspur-request";
+/// Header that carries the verdict.
+pub const VERDICT_HEADER: &str = "x-dogwoodspur-verdict";
+/// Header that carries the sealed resume word.
+pub const RESUME_HEADER: &str = "x-dogwoodspur-resume";
+/// Header that carries the offset wanted next.
+pub const OFFSET_HEADER: &str = "x-dogwoodspur-offset";
+/// Header that carries a sealed ticket.
+pub const TICKET_HEADER: &str = "x-dogwoodspur-ticket";
+/// Header with the time to come back after, milliseconds.
+pub const RETRY_HEADER: &str = "x-dogwoodspur-retry-after-ms";
+
+/// The body of any answer.
+pub type Payload = UnsyncBoxBody<Bytes, Infallible>;
+
+/// A body that is known whole.
+pub fn whole(bytes: impl Into<Bytes>) -> Payload {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// A body that is fed through a channel; it ends when the sender is dropped.
+pub fn fed(receiver: mpsc::Receiver<Bytes>) -> Payload {
+    Feed { receiver }.boxed_unsync()
+}
+
+/// A JSON answer that isn't about a request.
+pub fn json_answer(value: &serde_json::Value) -> Response<Payload> {
+    let mut response = Response::new(whole(value.to_string()));
+    set(
+        &mut response,
+        header::CONTENT_TYPE.as_str(),
+        "application/json",
+    );
+    response
+}
+
+/// The head of a stream of events.
+pub fn stream_head(
+    request: &str,
+    resume: &str,
+    receiver: mpsc::Receiver<Bytes>,
+) -> Response<Payload> {
+    let mut response = Response::new(fed(receiver));
+    set(
+        &mut response,
+        header::CONTENT_TYPE.as_str(),
+        "text/event-stream",
+    );
+    set(&mut response, header::CACHE_CONTROL.as_str(), "no-store");
+    set(&mut response, REQUEST_HEADER, request);
+    set(&mut response, RESUME_HEADER, resume);
+    response
+}
+
+/// A whole answer, given once and in full.
+pub fn done(request: &str, mut response: Response<Payload>) -> Response<Payload> {
+    set(&mut response, REQUEST_HEADER, request);
+    set(&mut response, VERDICT_HEADER, Verdict::Done.as_str());
+    response
+}
+
+/// A refusal as an answer of its own.
+pub fn refused(request: &str, refusal: &Refusal) -> Response<Payload> {
+    let mut response = Response::new(whole(refusal_body(request, refusal)));
+    *response.status_mut() = status_of(refusal);
+    set(
+        &mut response,
+        header::CONTENT_TYPE.as_str(),
+        "application/json",
+    );
+    set(&mut response, REQUEST_HEADER, request);
+    set(&mut response, VERDICT_HEADER, refusal.verdict.as_str());
+    if let Some(span) = refusal.retry_after {
+        let seconds = span.as_millis().div_ceil(1_000);
+        set(
+            &mut response,
+            header::RETRY_AFTER.as_str(),
+            &seconds.to_string(),
+        );
+        set(&mut response, RETRY_HEADER, &span.as_millis().to_string());
+    }
+    response
+}
+
+/// One chunk of a stream.
+pub fn chunk_event(offset: u64, data: &str) -> Bytes {
+    Bytes::from(format!("id: {offset}\ndata: {data}\n\n"))
+}
+
+/// The end of a stream that was answered whole.
+pub fn done_event() -> Bytes {
+    Bytes::from_static(b"data: [DONE]\n\n")
+}
+
+/// The end of a stream that goes on at another entry.
+pub fn continue_event(address: &str, token: &str) -> Bytes {
+    let data = json!({"address": address, "token": token});
+    Bytes::from(format!("event: continue\ndata: {data}\n\n"))
+}
+
+/// The end of a stream that failed.
+pub fn error_event(request: &str, refusal: &Refusal) -> Bytes {
+    Bytes::from(format!(
+        "event: error\ndata: {}\n\n",
+        refusal_body(request, refusal)
+    ))
+}
+
+/// The JSON form of a refusal.
+fn refusal_body(request: &str, refusal: &Refusal) -> String {
+    let mut error = json!({
+        "reason": refusal.reason.as_str(),
+        "verdict": refusal.verdict.as_str(),
+        "message": refusal.message.as_str(),
+        "request": request,
+    });
+    if let Some(span) = refusal.retry_after {
+        error["retry_after_ms"] = json!(span.as_millis());
+    }
+    json!({ "error": error }).to_string()
+}
+
+/// The HTTP status of a refusal.
+fn status_of(refusal: &Refusal) -> StatusCode {
+    match refusal.reason {
+        Reason::Malformed => StatusCode::BAD_REQUEST,
+        Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+        Reason::Forbidden => StatusCode::FORBIDDEN,
+        Reason::Unknown => StatusCode::NOT_FOUND,
+        Reason::OverLimit | Reason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Repeated => StatusCode::CONFLICT,
+        Reason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::BackendFailed => StatusCode::BAD_GATEWAY,
+        Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        Reason::Cancelled => StatusCode::GONE,
+        Reason::NoBackend | Reason::Leaving | Reason::NotReady | Reason::StoreUnavailable => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    }
+}
+
+/// Sets a header whose value is known to be printable.
+fn set(response: &mut Response<Payload>, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+/// A body read from a channel.
+struct Feed {
+    receiver: mpsc::Receiver<Bytes>,
+}
+
+impl Body for Feed {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.receiver
+            .poll_recv(context)
+            .map(|bytes| bytes.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
--- /dev/null
+++ b/crates/front/src/handler.rs
@@ -0,0 +1,19 @@
+//! The border to whoever answers the calls.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use http::Response;
+
+use crate::answer::Payload;
+use crate::call::Call;
+use crate::call::Credentials;
+
+/// The answer to come.
+pub type Pending = Pin<Box<dyn Future<Output = Response<Payload>>>>;
+
+/// Answers calls. Dropping the pending answer means that the caller went away.
+pub trait Handler {
+    /// Begins to answer one call.
+    fn handle(&self, credentials: Credentials, call: Call) -> Pending;
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,1 +1,8 @@
-//! The life of one request: attempts, offsets, tickets and tokens.
+//! The life of one request: its name, its stream position, and the words that let a caller come back.
+
+pub mod id;
+pub mod ledger;
+pub mod relay;
+pub mod resume;
+pub mod seal;
+pub mod ticket;
