Read and check the settings file

Cause: the daemon needs its addresses, zone, keys and limits. Change: one file a feature in configs/; a schema drawn from the structs; a walk of the file beside the schema that names all faults with file and line; rules across options; keys in a type that never shows them.

--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,249 @@
+//! Compares a settings file with the schema and names every fault with its line.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use jsonc_parser::ast;
+use jsonc_parser::common::Ranged;
+use serde_json::Value;
+
+use crate::fault::Fault;
+use crate::schema::join;
+
+/// How alike two names must be for "did you mean", 0 to 1: the usual bound for Jaro-Winkler, which
+/// admits a slip of a letter or two in a word of ours and no other word.
+const ALIKE: f64 = 0.8;
+
+/// What the walk through one file found.
+#[derive(Debug, Default)]
+pub struct Findings {
+    /// What forbids a start.
+    pub faults: Vec<Fault>,
+    /// Unknown names: they forbid nothing, so that an older version starts with a newer file.
+    pub warnings: Vec<Fault>,
+    /// The line of each option that is set.
+    pub lines: BTreeMap<String, usize>,
+    /// The settings as far as they are sound.
+    pub value: Value,
+}
+
+/// Walks the file beside the schema.
+pub fn check(file: &str, text: &str, root: Option<&ast::Value<'_>>, schema: &Value) -> Findings {
+    let mut walk = Walk {
+        file,
+        text,
+        findings: Findings::default(),
+    };
+    walk.findings.value = match root {
+        Some(node) => walk.node(node, schema, "").unwrap_or_default(),
+        None => Value::Object(serde_json::Map::new()),
+    };
+    walk.findings
+}
+
+/// The state of one walk.
+struct Walk<'a> {
+    file: &'a str,
+    text: &'a str,
+    findings: Findings,
+}
+
+impl Walk<'_> {
+    /// Checks one value; gives it as JSON if it is sound.
+    fn node(&mut self, node: &ast::Value<'_>, schema: &Value, name: &str) -> Option<Value> {
+        if schema.get("properties").is_some() {
+            return self.section(node, schema, name);
+        }
+        let value = plain(node);
+        match expected(&value, schema) {
+            None => Some(value),
+            Some(expected) => {
+                let message = format!("expected {expected}, found {}", found(node));
+                self.fault(node.start(), name, message);
+                None
+            }
+        }
+    }
+
+    /// Checks an object name by name.
+    fn section(&mut self, node: &ast::Value<'_>, schema: &Value, name: &str) -> Option<Value> {
+        let ast::Value::Object(object) = node else {
+            let message = format!("expected an object, found {}", found(node));
+            self.fault(node.start(), name, message);
+            return None;
+        };
+        let known = schema.get("properties").and_then(Value::as_object)?;
+        let mut sound = serde_json::Map::new();
+        for property in &object.properties {
+            let step = property.name.as_str();
+            let option = join(name, step);
+            let line = self.line(property.start());
+            if step == "$schema" && name.is_empty() {
+                continue;
+            }
+            let Some(below) = known.get(step) else {
+                let near = nearest(step, known.keys().map(String::as_str));
+                self.unknown(line, option, near);
+                continue;
+            };
+            if self.findings.lines.insert(option.clone(), line).is_some() {
+                self.fault(property.start(), &option, "it is set twice".to_owned());
+            }
+            if let Some(value) = self.node(&property.value, below, &option) {
+                sound.insert(step.to_owned(), value);
+            }
+        }
+        Some(Value::Object(sound))
+    }
+
+    /// Notes a fault at a byte of the file.
+    fn fault(&mut self, at: usize, option: &str, message: String) {
+        let fault = Fault {
+            file: self.file.to_owned(),
+            line: self.line(at),
+            option: option.to_owned(),
+            message,
+            did_you_mean: None,
+        };
+        self.findings.faults.push(fault);
+    }
+
+    /// Notes an unknown name.
+    fn unknown(&mut self, line: usize, option: String, near: Option<String>) {
+        self.findings.warnings.push(Fault {
+            file: self.file.to_owned(),
+            line,
+            option,
+            message: "no such option".to_owned(),
+            did_you_mean: near,
+        });
+    }
+
+    /// The line of a byte, from 1.
+    fn line(&self, at: usize) -> usize {
+        let before = self.text.as_bytes().iter().take(at);
+        1 + before.filter(|byte| **byte == b'\n').count()
+    }
+}
+
+/// The known name that is most like `name`, if one is like it at all.
+pub fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> Option<String> {
+    known
+        .map(|candidate| (strsim::jaro_winkler(name, candidate), candidate))
+        .filter(|(likeness, _)| *likeness >= ALIKE)
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, candidate)| candidate.to_owned())
+}
+
+/// What the schema wants in place of `value`; nothing if the value is sound.
+fn expected(value: &Value, schema: &Value) -> Option<String> {
+    let optional = types(schema).any(|kind| kind == "null");
+    if value.is_null() && optional {
+        return None;
+    }
+    if let Some(words) = words(schema) {
+        let sound = value.as_str().is_some_and(|word| words.contains(&word));
+        return (!sound).then(|| format!("one of {}", words.join(", ")));
+    }
+    let kind = types(schema).find(|kind| *kind != "null").unwrap_or("");
+    match kind {
+        "integer" => integer(value, schema),
+        "string" => string(value, schema),
+        "boolean" => (!value.is_boolean()).then(|| "true or false".to_owned()),
+        _ => None,
+    }
+}
+
+/// The types that the schema admits.
+fn types(schema: &Value) -> impl Iterator<Item = &str> {
+    let kind = schema.get("type");
+    let one = kind.and_then(Value::as_str);
+    let several = kind.and_then(Value::as_array).into_iter().flatten();
+    one.into_iter().chain(several.filter_map(Value::as_str))
+}
+
+/// The words of an enumeration.
+pub fn words(schema: &Value) -> Option<Vec<&str>> {
+    if let Some(words) = schema.get("enum").and_then(Value::as_array) {
+        return Some(words.iter().filter_map(Value::as_str).collect());
+    }
+    let variants = schema.get("oneOf").and_then(Value::as_array)?;
+    let words = variants.iter().filter_map(|variant| variant.get("const"));
+    Some(words.filter_map(Value::as_str).collect())
+}
+
+/// Checks a whole number and its bounds.
+fn integer(value: &Value, schema: &Value) -> Option<String> {
+    let least = schema.get("minimum").and_then(Value::as_u64).unwrap_or(0);
+    let most = schema.get("maximum").and_then(Value::as_u64);
+    let most = most.unwrap_or(u64::MAX);
+    let sound = value
+        .as_u64()
+        .is_some_and(|number| (least..=most).contains(&number));
+    (!sound).then(|| format!("a whole number from {least} to {most}"))
+}
+
+/// Checks a text, its length and its form.
+fn string(value: &Value, schema: &Value) -> Option<String> {
+    let Some(text) = value.as_str() else {
+        return Some(form(schema).to_owned());
+    };
+    let least = schema.get("minLength").and_then(Value::as_u64).unwrap_or(0);
+    let most = schema.get("maxLength").and_then(Value::as_u64);
+    let most = most.unwrap_or(u64::MAX);
+    if !(least..=most).contains(&(text.chars().count() as u64)) {
+        return Some(format!("{least} to {most} characters"));
+    }
+    let sound = match schema.get("format").and_then(Value::as_str) {
+        Some("socket-address") => text.parse::<SocketAddr>().is_ok(),
+        Some("http-address") => is_http_address(text),
+        Some("name") => is_name(text),
+        _ => true,
+    };
+    (!sound).then(|| form(schema).to_owned())
+}
+
+/// The form that the schema wants of a text, in words.
+pub fn form(schema: &Value) -> &'static str {
+    match schema.get("format").and_then(Value::as_str) {
+        Some("socket-address") => "an address such as \"127.0.0.1:8000\" or \"[::1]:8000\"",
+        Some("http-address") => "an address such as \"http://127.0.0.1:7000\"",
+        Some("name") => "a name of 1 to 63 of a-z, 0-9 and -",
+        _ => "a text",
+    }
+}
+
+/// Whether it is `http://IP:PORT`.
+fn is_http_address(text: &str) -> bool {
+    text.strip_prefix("http://")
+        .is_some_and(|rest| rest.parse::<SocketAddr>().is_ok())
+}
+
+/// Whether it may name an entry or a zone.
+fn is_name(text: &str) -> bool {
+    let good = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    (1..=63).contains(&text.len()) && text.bytes().all(good)
+}
+
+/// The value as JSON.
+fn plain(node: &ast::Value<'_>) -> Value {
+    match node {
+        ast::Value::StringLit(text) => Value::String(text.value.clone().into_owned()),
+        ast::Value::NumberLit(number) => number.value.parse().map_or(Value::Null, Value::Number),
+        ast::Value::BooleanLit(flag) => Value::Bool(flag.value),
+        ast::Value::Array(array) => Value::Array(array.elements.iter().map(plain).collect()),
+        ast::Value::Object(_) | ast::Value::NullKeyword(_) => Value::Null,
+    }
+}
+
+/// What stands there, in words. Texts aren't repeated: one of them may be a key.
+fn found(node: &ast::Value<'_>) -> String {
+    match node {
+        ast::Value::StringLit(_) => "another text".to_owned(),
+        ast::Value::NumberLit(number) => number.value.to_owned(),
+        ast::Value::BooleanLit(flag) => flag.value.to_string(),
+        ast::Value::Object(_) => "an object".to_owned(),
+        ast::Value::Array(_) => "a list".to_owned(),
+        ast::Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/configs/mod.rs
@@ -0,0 +1,11 @@
+//! One file a feature: its options, their meaning and their defaults.
+
+pub mod admin;
+pub mod callers;
+pub mod identity;
+pub mod leases;
+pub mod logs;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod shutdown;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,58 @@
 //! Settings of an entry: reading, checking, schema and documentation.
+//!
+//! The structs in [`configs`] are the one source: the schema is drawn from them, the file is checked
+//! against the schema, and the page for operators is drawn from it too.
+
+pub mod check;
+pub mod configs;
+pub mod fault;
+pub mod load;
+pub mod rules;
+pub mod schema;
+pub mod secret;
+pub mod text;
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use serde::Serialize;
+
+pub use crate::fault::Fault;
+pub use crate::fault::Faults;
+pub use crate::load::Loaded;
+pub use crate::load::load;
+pub use crate::load::read;
+pub use crate::secret::Secret;
+
+use crate::configs::admin::Admin;
+use crate::configs::callers::Callers;
+use crate::configs::identity::Identity;
+use crate::configs::leases::Leases;
+use crate::configs::logs::Logs;
+use crate::configs::operators::Operators;
+use crate::configs::peers::Peers;
+use crate::configs::platform::Platform;
+use crate::configs::shutdown::Shutdown;
+
+/// All settings of one entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default)]
+pub struct Settings {
+    /// Who this entry is.
+    pub identity: Identity,
+    /// The port of callers.
+    pub callers: Callers,
+    /// The port of health checks and metrics.
+    pub admin: Admin,
+    /// The operators' port.
+    pub operators: Operators,
+    /// The port between entries.
+    pub peers: Peers,
+    /// The platform's services.
+    pub platform: Platform,
+    /// Leases in the table service.
+    pub leases: Leases,
+    /// A planned stop.
+    pub shutdown: Shutdown,
+    /// What is logged.
+    pub logs: Logs,
+}
--- /dev/null
+++ b/crates/settings/src/load.rs
@@ -0,0 +1,136 @@
+//! Reads a settings file.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ParseResult;
+use jsonc_parser::parse_to_ast;
+
+use crate::Settings;
+use crate::check;
+use crate::check::Findings;
+use crate::fault::Fault;
+use crate::fault::Faults;
+use crate::rules;
+use crate::schema;
+
+/// Settings as read from a file.
+#[derive(Clone, Debug)]
+pub struct Loaded {
+    /// The effective settings.
+    pub settings: Settings,
+    /// Unknown names, to be logged at start; `--check` counts them as faults.
+    pub warnings: Faults,
+    /// The line of each option that the file sets.
+    pub lines: BTreeMap<String, usize>,
+}
+
+/// Reads a file and keeps the settings alone; unknown names in it are passed over.
+pub fn load(path: impl AsRef<Path>) -> Result<Settings, Faults> {
+    read(path).map(|loaded| loaded.settings)
+}
+
+/// Reads a file with all that is known of it, or names everything that forbids a start.
+pub fn read(path: impl AsRef<Path>) -> Result<Loaded, Faults> {
+    let path = path.as_ref();
+    let file = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => parse(&file, &text),
+        Err(error) => Err(Faults(vec![whole(
+            &file,
+            format!("can't be read: {error}"),
+        )])),
+    }
+}
+
+/// Reads the text of a file.
+pub fn parse(file: &str, text: &str) -> Result<Loaded, Faults> {
+    let tree = tree(file, text)?;
+    let schema = schema::schema();
+    let mut findings = check::check(file, text, tree.value.as_ref(), &schema);
+    let settings = settings(file, &mut findings);
+    if let Some(settings) = &settings {
+        break_rules(file, settings, &mut findings);
+    }
+    match settings {
+        Some(settings) if findings.faults.is_empty() => Ok(Loaded {
+            settings,
+            warnings: Faults(findings.warnings),
+            lines: findings.lines,
+        }),
+        _ => Err(all(findings)),
+    }
+}
+
+/// Reads the syntax: JSON with comments and trailing commas, nothing looser.
+fn tree<'a>(file: &str, text: &'a str) -> Result<ParseResult<'a>, Faults> {
+    let options = ParseOptions {
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+        ..ParseOptions::default()
+    };
+    parse_to_ast(text, &CollectOptions::default(), &options).map_err(|error| {
+        Faults(vec![Fault {
+            line: error.line_display(),
+            ..whole(file, error.kind().to_string())
+        }])
+    })
+}
+
+/// Fills the structs with what is sound; the rest keeps its default.
+fn settings(file: &str, findings: &mut Findings) -> Option<Settings> {
+    match serde_json::from_value(findings.value.clone()) {
+        Ok(settings) => Some(settings),
+        Err(error) => {
+            findings.faults.push(whole(file, error.to_string()));
+            None
+        }
+    }
+}
+
+/// Adds the broken rules, but for options that have a fault of their own already.
+fn break_rules(file: &str, settings: &Settings, findings: &mut Findings) {
+    for breach in rules::breaches(settings) {
+        if findings
+            .faults
+            .iter()
+            .any(|fault| fault.option == breach.option)
+        {
+            continue;
+        }
+        let line = findings.lines.get(breach.option).copied().unwrap_or(1);
+        findings.faults.push(Fault {
+            line,
+            option: breach.option.to_owned(),
+            ..whole(file, breach.message)
+        });
+    }
+}
+
+/// Everything found, in the order of the lines: with a fault, unknown names are part of the report.
+fn all(findings: Findings) -> Faults {
+    let mut faults = findings.faults;
+    faults.extend(findings.warnings);
+    faults.sort_by_key(|fault| fault.line);
+    Faults(faults)
+}
+
+/// A fault of the file as a whole.
+fn whole(file: &str, message: String) -> Fault {
+    Fault {
+        file: file.to_owned(),
+        line: 1,
+        option: String::new(),
+        message,
+        did_you_mean: None,
+    }
+}
--- /dev/null
+++ b/crates/settings/src/rules.rs
@@ -0,0 +1,93 @@
+//! What options must be among themselves, beyond what the schema says of each.
+
+use crate::Settings;
+
+/// A rule that the settings break.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// The option to change.
+    pub option: &'static str,
+    /// What was expected.
+    pub message: String,
+}
+
+/// All rules that the settings break.
+pub fn breaches(settings: &Settings) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    required(settings, &mut breaches);
+    leases(settings, &mut breaches);
+    addresses(settings, &mut breaches);
+    breaches
+}
+
+/// Options without a sensible default.
+fn required(settings: &Settings, breaches: &mut Vec<Breach>) {
+    let options = [
+        ("identity.name", settings.identity.name.is_empty()),
+        ("identity.zone", settings.identity.zone.is_empty()),
+        ("operators.key", settings.operators.key.is_empty()),
+        ("peers.key", settings.peers.key.is_empty()),
+        (
+            "platform.table_service",
+            settings.platform.table_service.is_empty(),
+        ),
+        ("platform.cloud", settings.platform.cloud.is_empty()),
+    ];
+    for (option, absent) in options {
+        if absent {
+            breaches.push(Breach {
+                option,
+                message: "it must be set".to_owned(),
+            });
+        }
+    }
+}
+
+/// A lease must outlast the time to its renewal by the margin, else it lapses while all is well.
+fn leases(settings: &Settings, breaches: &mut Vec<Breach>) {
+    let leases = &settings.leases;
+    let most = leases.term_ms.saturating_sub(leases.margin_ms);
+    if leases.renew_interval_ms >= most {
+        breaches.push(Breach {
+            option: "leases.renew_interval_ms",
+            message: format!(
+                "expected less than term_ms - margin_ms ({most}), found {}",
+                leases.renew_interval_ms
+            ),
+        });
+    }
+}
+
+/// No two ports on one address, and what is advertised must be reachable.
+fn addresses(settings: &Settings, breaches: &mut Vec<Breach>) {
+    let listens = [
+        ("callers.listen", settings.callers.listen),
+        ("admin.listen", settings.admin.listen),
+        ("operators.listen", settings.operators.listen),
+        ("peers.listen", settings.peers.listen),
+    ];
+    for (index, (option, address)) in listens.iter().enumerate() {
+        let earlier = listens.iter().take(index);
+        let mut equal = earlier.filter(|(_, other)| other == address && address.port() != 0);
+        if let Some((other, _)) = equal.next() {
+            breaches.push(Breach {
+                option,
+                message: format!("expected another address than that of {other}"),
+            });
+        }
+    }
+    let advertised = [
+        ("callers.advertise", settings.callers.advertise),
+        ("peers.advertise", settings.peers.advertise),
+    ];
+    for (option, address) in advertised {
+        let unusable =
+            |address: std::net::SocketAddr| address.port() == 0 || address.ip().is_unspecified();
+        if address.is_some_and(unusable) {
+            breaches.push(Breach {
+                option,
+                message: "expected an address that others can connect to".to_owned(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/schema.rs
@@ -0,0 +1,52 @@
+//! The schema of the settings file, drawn from the structs.
+
+use schemars::generate::SchemaSettings;
+use serde_json::Value;
+
+use crate::Settings;
+
+/// The schema of the whole file, without references, so that it can be walked beside the file.
+pub fn schema() -> Value {
+    SchemaSettings::draft2020_12()
+        .for_deserialize()
+        .with(|settings| settings.inline_subschemas = true)
+        .into_generator()
+        .into_root_schema_for::<Settings>()
+        .to_value()
+}
+
+/// The option's part of the schema; the whole for an empty name.
+pub fn option<'a>(schema: &'a Value, name: &str) -> Option<&'a Value> {
+    if name.is_empty() {
+        return Some(schema);
+    }
+    name.split('.')
+        .try_fold(schema, |part, step| part.get("properties")?.get(step))
+}
+
+/// Names of all options, with their sections before them, in the schema's order.
+pub fn options(schema: &Value) -> Vec<String> {
+    let mut names = Vec::new();
+    collect(schema, "", &mut names);
+    names
+}
+
+/// Appends the options below `part`.
+fn collect(part: &Value, name: &str, names: &mut Vec<String>) {
+    let Some(properties) = part.get("properties").and_then(Value::as_object) else {
+        names.push(name.to_owned());
+        return;
+    };
+    for (step, below) in properties {
+        collect(below, &join(name, step), names);
+    }
+}
+
+/// The name of `step` within `section`.
+pub fn join(section: &str, step: &str) -> String {
+    if section.is_empty() {
+        step.to_owned()
+    } else {
+        format!("{section}.{step}")
+    }
+}
--- /dev/null
+++ b/crates/settings/src/secret.rs
@@ -0,0 +1,68 @@
+//! A key that never shows in logs or printed settings.
+
+use std::borrow::Cow;
+use std::fmt;
+
+use schemars::JsonSchema;
+use schemars::Schema;
+use schemars::SchemaGenerator;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::Serializer;
+use smol_str::SmolStr;
+
+/// What is shown in place of a key.
+const HIDDEN: &str = "(hidden)";
+
+/// A key. Printing it or writing it as JSON shows only whether one is set.
+#[derive(Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(transparent)]
+pub struct Secret(SmolStr);
+
+impl Secret {
+    /// Wraps a key.
+    pub fn new(key: impl Into<SmolStr>) -> Secret {
+        Secret(key.into())
+    }
+
+    /// The key itself.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether none is set.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// What may be shown of it.
+    fn shown(&self) -> &'static str {
+        if self.is_empty() { "" } else { HIDDEN }
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.shown())
+    }
+}
+
+impl Serialize for Secret {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.shown())
+    }
+}
+
+impl JsonSchema for Secret {
+    fn inline_schema() -> bool {
+        true
+    }
+
+    fn schema_name() -> Cow<'static, str> {
+        Cow::Borrowed("Secret")
+    }
+
+    fn json_schema(generator: &mut SchemaGenerator) -> Schema {
+        String::json_schema(generator)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/text.rs
@@ -0,0 +1,1 @@
+//! Settings as text: effective ones, one explained, and the page for operators.
