Carry store calls over HTTP

Cause: nothing spoke to the table service yet. Change: a hyper driver for tables, transactions and objects. Adds call::Id.

--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -5,6 +5,10 @@
 use serde_json::Value;
 use smol_str::SmolStr;
 
+/// Names one open call of one state machine; the embedder maps it to its own numbering.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
 /// One call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,3 +1,7 @@
 //! The platform's table service and object store: typed calls, budget and HTTP driver.
+//!
+//! State machines ask for a [`call::Call`] as data and are handed its [`call::Outcome`] later; only
+//! [`driver::Driver`] does I/O.
 
 pub mod call;
+pub mod driver;
