--- /dev/null
+++ b/crates/entry/src/arrivals.rs
@@ -0,0 +1,279 @@
+//! Requests as they arrive: who sent them, what they may call, and what they need before they run.
+
+use clock::Span;
+use clock::Time;
+use config::deployment::Deployment;
+use config::deployment::Grant;
+use policy::job;
+use policy::job::Job;
+use request::id::Id;
+use request::resume::Resume;
+use smol_str::SmolStr;
+use verdict::Reason;
+use verdict::Refusal;
+
+use crate::arrival::Arrival;
+use crate::arrival::Work;
+use crate::attempt::Place;
+use crate::effect::Command;
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::flight::Flight;
+use crate::line::Line;
+
+/// When a caller of a leaving entry may come back; it then asks for other addresses.
+const LEAVING_RETRY: Span = Span::from_millis(100);
+
+/// When a caller may come back to an entry without a configuration.
+const NOT_READY_RETRY: Span = Span::from_millis(500);
+
+/// Tokens that a plain call counts as.
+const PLAIN_TOKENS: u32 = 1;
+
+impl Entry {
+    /// Admits a request, or gives it its final answer at once.
+    pub(crate) fn arrived(
+        &mut self,
+        now: Time,
+        serial: u64,
+        arrival: Arrival,
+        effects: &mut Vec<Effect>,
+    ) {
+        let flight = match self.check_in(now, serial, &arrival) {
+            Ok(flight) => flight,
+            Err(refusal) => return self.refuse_arrival(serial, refusal, effects),
+        };
+        if let Some(sealed) = &arrival.resume {
+            return self.resume_flight(now, flight, sealed, arrival.offset, effects);
+        }
+        let non_idempotent = !flight.job.idempotent;
+        self.flights.insert(serial, flight);
+        if non_idempotent || arrival.idempotency_key.is_some() || arrival.ticket.is_some() {
+            self.seek_leave(now, serial, &arrival, effects);
+        } else {
+            self.offer(now, serial, effects);
+        }
+    }
+
+    /// Gives the request to the scheduler.
+    pub(crate) fn offer(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(flight) = self.flights.get_mut(&serial) else {
+            return;
+        };
+        flight.waits_for = None;
+        let job = flight.job;
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.offer(now, job, out)
+        });
+    }
+
+    /// Ends an open request with its final word.
+    pub(crate) fn refuse(&mut self, serial: u64, refusal: Refusal, effects: &mut Vec<Effect>) {
+        let Some(flight) = self.flights.remove(&serial) else {
+            return;
+        };
+        let line = Line::info("request_refused")
+            .with("request", flight.origin)
+            .with("account", &flight.account)
+            .with("deployment", &flight.deployment);
+        self.send_refusal(serial, truthful(&flight, refusal), line, effects);
+    }
+
+    /// Ends a request that was never open.
+    fn refuse_arrival(&mut self, serial: u64, refusal: Refusal, effects: &mut Vec<Effect>) {
+        let id = self.id_of(serial);
+        let line = Line::info("request_refused").with("request", id);
+        self.send_refusal(serial, refusal, line, effects);
+    }
+
+    /// Sends the final word and logs it.
+    fn send_refusal(
+        &mut self,
+        serial: u64,
+        refusal: Refusal,
+        line: Line,
+        effects: &mut Vec<Effect>,
+    ) {
+        let line = line
+            .with("reason", refusal.reason)
+            .with("verdict", refusal.verdict);
+        effects.push(Effect::Log(line));
+        effects.push(Effect::Flight {
+            serial,
+            command: Command::Refuse(refusal),
+        });
+    }
+
+    /// The name of a request that arrived here.
+    pub(crate) fn id_of(&self, serial: u64) -> Id {
+        Id {
+            incarnation: self.identity.incarnation,
+            serial,
+        }
+    }
+
+    /// Checks account, deployment and grant, and makes the open request.
+    fn check_in(&mut self, now: Time, serial: u64, arrival: &Arrival) -> Result<Flight, Refusal> {
+        if self.stop.is_stopping() {
+            let refusal = Refusal::not_run(Reason::Leaving, "this entry is leaving");
+            return Err(refusal.with_retry_after(LEAVING_RETRY));
+        }
+        if !self.is_ready() {
+            let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known here yet");
+            return Err(refusal.with_retry_after(NOT_READY_RETRY));
+        }
+        let account = self.account_of(arrival.key.as_ref())?;
+        let deployment = self.book.deployment(&arrival.deployment);
+        let deployment = deployment.ok_or_else(|| unknown_deployment(&arrival.deployment))?;
+        let grant = self.book.grant(&arrival.deployment, &account);
+        let grant = grant.ok_or_else(forbidden)?;
+        let job = self.job_of(serial, &account, deployment, grant, arrival)?;
+        Ok(Flight {
+            id: self.id_of(serial),
+            origin: self.id_of(serial),
+            account,
+            deployment: arrival.deployment.clone(),
+            job,
+            attempt: 0,
+            replica: None,
+            waits_for: None,
+            may_have_run: false,
+            may_have_run_before: false,
+            accepted: false,
+            arrived: now,
+            first_token: None,
+            tokens: 0,
+            recomputed: 0,
+            moves: 0,
+        })
+    }
+
+    /// The account that a key belongs to.
+    pub(crate) fn account_of(&self, key: Option<&SmolStr>) -> Result<SmolStr, Refusal> {
+        let account = key.and_then(|key| self.book.account_by_key(key));
+        account.map(|account| account.name.clone()).ok_or_else(|| {
+            Refusal::not_run(
+                Reason::Unauthorized,
+                "the key is missing or belongs to no account",
+            )
+        })
+    }
+
+    /// What the scheduler gets to know of a request.
+    fn job_of(
+        &self,
+        serial: u64,
+        account: &str,
+        deployment: &Deployment,
+        grant: &Grant,
+        arrival: &Arrival,
+    ) -> Result<Job, Refusal> {
+        let keys = self
+            .book
+            .account_key(account)
+            .zip(self.book.known_pool(&deployment.pool));
+        let (account, pool) = keys.ok_or_else(forbidden)?;
+        let (kind, prompt_tokens, max_new_tokens, prefix) = sizes_of(&arrival.work);
+        let asked_once = arrival.idempotency_key.is_some() || arrival.ticket.is_some();
+        Ok(Job {
+            id: job::Id(serial),
+            account,
+            pool,
+            kind,
+            prompt_tokens,
+            max_new_tokens,
+            prefix,
+            fingerprint: arrival.fingerprint,
+            idempotent: !asked_once && is_idempotent(deployment, &arrival.work),
+            first_token: Span::from_millis(grant.first_token_ms),
+            token_gap: Span::from_millis(grant.token_gap_ms),
+        })
+    }
+
+    /// Continues a stream that began at another entry, or here before its connection broke.
+    fn resume_flight(
+        &mut self,
+        now: Time,
+        mut flight: Flight,
+        sealed: &str,
+        offset: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let serial = flight.id.serial;
+        let word: Option<Resume> = self.seals.resume.open(sealed);
+        let word = word
+            .filter(|word| word.account == flight.account && word.deployment == flight.deployment);
+        let Some(word) = word else {
+            let refusal = Refusal::not_run(Reason::Forbidden, "the resume token isn't yours");
+            return self.refuse_arrival(serial, refusal, effects);
+        };
+        flight.origin = word.request;
+        flight.may_have_run = true;
+        let attempt = flight.next_stream().attempt;
+        flight.replica = self.backends.key_of(&word.incarnation);
+        let line = Line::info("request_resumed")
+            .with("request", flight.origin)
+            .with("offset", offset)
+            .with("replica", &word.incarnation);
+        effects.push(Effect::Log(line));
+        effects.push(Effect::Flight {
+            serial,
+            command: Command::Attach {
+                attempt,
+                stream: word.stream,
+                place: Place {
+                    address: word.address,
+                    incarnation: word.incarnation,
+                },
+                base: word.base,
+                account: flight.account.clone(),
+            },
+        });
+        let _ = now;
+        self.flights.insert(serial, flight);
+    }
+}
+
+/// The verdict that is true of this request: "not run" only if no attempt can have run.
+fn truthful(flight: &Flight, mut refusal: Refusal) -> Refusal {
+    if flight.may_have_run && refusal.verdict == verdict::Verdict::NotRun {
+        refusal.verdict = verdict::Verdict::MayHaveRun;
+    }
+    refusal
+}
+
+/// Kind, prompt length, most new tokens and prefix of some work.
+fn sizes_of(work: &Work) -> (job::Kind, u32, u32, u64) {
+    match work {
+        Work::Model {
+            prompt_tokens,
+            max_new_tokens,
+            prefix,
+        } => (job::Kind::Model, *prompt_tokens, *max_new_tokens, *prefix),
+        Work::Plain { .. } => (job::Kind::Plain, PLAIN_TOKENS, 0, 0),
+    }
+}
+
+/// Whether the deployment allows this work to run a second time.
+fn is_idempotent(deployment: &Deployment, work: &Work) -> bool {
+    match work {
+        Work::Model { .. } => true,
+        Work::Plain { method, path } => !deployment
+            .non_idempotent
+            .iter()
+            .any(|pattern| pattern.matches(method, path)),
+    }
+}
+
+/// The refusal of a deployment that isn't there.
+fn unknown_deployment(name: &SmolStr) -> Refusal {
+    Refusal::not_run(Reason::Unknown, format!("no deployment is named {name}"))
+}
+
+/// The refusal of an account without a grant.
+fn forbidden() -> Refusal {
+    Refusal::not_run(
+        Reason::Forbidden,
+        "the account may not call this deployment",
+    )
+}
--- /dev/null
+++ b/crates/entry/src/attempts.rs
@@ -0,0 +1,180 @@
+//! What becomes of attempts, cancels and callers that go away.
+
+use clock::Time;
+use policy::job;
+use policy::job::End;
+use request::id::Id;
+use smol_str::SmolStr;
+use verdict::Reason;
+use verdict::Refusal;
+
+use crate::attempt::Report;
+use crate::effect::Command;
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::flight::Flight;
+use crate::line::Line;
+
+impl Entry {
+    /// Takes a report of the newest attempt; reports of older ones are dropped.
+    pub(crate) fn attempt_reported(
+        &mut self,
+        now: Time,
+        serial: u64,
+        attempt: u32,
+        report: Report,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&serial) else {
+            return;
+        };
+        if flight.attempt != attempt {
+            return;
+        }
+        match report {
+            Report::Head => {
+                flight.accepted = true;
+                flight.first_token.get_or_insert(now);
+                self.scheduler.first_token(now, job::Id(serial));
+            }
+            Report::Tokens(tokens) => {
+                flight.tokens += u64::from(tokens);
+                self.scheduler.progressed(now, job::Id(serial), tokens);
+            }
+            Report::Moved { how, recomputed } => {
+                flight.recomputed += u64::from(recomputed);
+                let line = Line::info("request_moved")
+                    .with("request", flight.origin)
+                    .with("how", format_args!("{how:?}"))
+                    .with("recomputed", recomputed);
+                effects.push(Effect::Log(line));
+            }
+            Report::AttachFailed => {
+                flight.replica = None;
+                self.offer(now, serial, effects);
+            }
+            Report::Ended { end, tokens } => self.attempt_ended(now, serial, end, tokens, effects),
+        }
+    }
+
+    /// The attempt is over: the request is done, or the scheduler decides how it goes on.
+    fn attempt_ended(
+        &mut self,
+        now: Time,
+        serial: u64,
+        end: End,
+        tokens: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&serial) else {
+            return;
+        };
+        flight.tokens += u64::from(tokens);
+        flight.replica = None;
+        if end == End::NotStarted {
+            flight.may_have_run = flight.may_have_run_before;
+        }
+        if matches!(end, End::Finished | End::Left) {
+            effects.push(Effect::Log(finished_line(now, flight)));
+            self.flights.remove(&serial);
+        }
+        let job = job::Id(serial);
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.attempt_ended(now, job, end, tokens, out);
+        });
+    }
+
+    /// The caller's connection is gone.
+    ///
+    /// A plain call that was handed on runs to its end, so that its outcome becomes known. A model
+    /// stream is left with its engine for the resume window: the caller may come back for it.
+    pub(crate) fn caller_gone(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(flight) = self.flights.get(&serial) else {
+            return;
+        };
+        if flight.job.kind == job::Kind::Plain && flight.may_have_run {
+            return;
+        }
+        self.drop_flight(now, serial, Command::Stop, effects);
+    }
+
+    /// A caller wants a request of its own cancelled.
+    pub(crate) fn cancel_asked(
+        &mut self,
+        now: Time,
+        asker: u64,
+        key: Option<SmolStr>,
+        request: &str,
+        effects: &mut Vec<Effect>,
+    ) {
+        let refusal = self.cancel(now, key.as_ref(), request, effects).err();
+        effects.push(Effect::CancelAnswer { asker, refusal });
+    }
+
+    /// Cancels the request if it is open here and belongs to the account of that key.
+    fn cancel(
+        &mut self,
+        now: Time,
+        key: Option<&SmolStr>,
+        request: &str,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), Refusal> {
+        let account = self.account_of(key)?;
+        let found = Id::parse(request).and_then(|id| self.find(id, &account));
+        let Some(serial) = found else {
+            // One answer for "not there" and "not yours", so that nobody learns of others' requests.
+            return Err(Refusal::not_run(
+                Reason::Unknown,
+                "no such request is open here",
+            ));
+        };
+        let refusal = Refusal::not_run(Reason::Cancelled, "cancelled by its caller");
+        let job = job::Id(serial);
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.cancel(now, job, out)
+        });
+        self.refuse(serial, refusal, effects);
+        Ok(())
+    }
+
+    /// The serial of an account's open request.
+    fn find(&self, id: Id, account: &str) -> Option<u64> {
+        let mut flights = self.flights.values();
+        flights
+            .find(|flight| (flight.origin == id || flight.id == id) && flight.account == account)
+            .map(|flight| flight.id.serial)
+    }
+
+    /// Closes a request without a word to its caller.
+    pub(crate) fn drop_flight(
+        &mut self,
+        now: Time,
+        serial: u64,
+        command: Command,
+        effects: &mut Vec<Effect>,
+    ) {
+        let job = job::Id(serial);
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.cancel(now, job, out)
+        });
+        if let Some(flight) = self.flights.remove(&serial) {
+            let line = Line::debug("caller_gone").with("request", flight.origin);
+            effects.push(Effect::Log(line));
+            effects.push(Effect::Flight { serial, command });
+        }
+    }
+}
+
+/// The log's line of an answered request.
+fn finished_line(now: Time, flight: &Flight) -> Line {
+    let first_token = flight.first_token.unwrap_or(now).since(flight.arrived);
+    Line::info("request_done")
+        .with("request", flight.origin)
+        .with("account", &flight.account)
+        .with("deployment", &flight.deployment)
+        .with("first_token_ms", first_token.as_millis())
+        .with("total_ms", now.since(flight.arrived).as_millis())
+        .with("tokens", flight.tokens)
+        .with("recomputed", flight.recomputed)
+        .with("moves", flight.moves)
+}
--- /dev/null
+++ b/crates/entry/src/configs/entry.rs
@@ -0,0 +1,30 @@
+//! Times and shares of one entry.
+
+use clock::Span;
+
+/// What the reducer needs of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How long a caller may keep an address answer.
+    pub address_ttl: Span,
+    /// Tickets given out with each address answer.
+    pub tickets_per_answer: u64,
+    /// Time in which requests may finish before they are handed to a peer, on a planned stop.
+    pub grace: Span,
+    /// How often the configuration's head row is read.
+    pub head_interval: Span,
+    /// Longest wait for a row of its own before a request is given up.
+    pub intent_wait: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            address_ttl: Span::from_seconds(10),
+            tickets_per_answer: 4,
+            grace: Span::from_seconds(20),
+            head_interval: Span::from_seconds(2),
+            intent_wait: Span::from_seconds(2),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/decisions.rs
@@ -0,0 +1,94 @@
+//! Carries the scheduler's decisions out.
+
+use clock::Time;
+use policy::decision::Decision;
+use policy::decision::Transfer;
+use policy::job;
+use policy::job::End;
+use policy::replica;
+
+use crate::effect::Command;
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::line::Line;
+
+/// Highest priority of an account; engines count the other way round.
+const LOWEST_PRIORITY: u8 = 9;
+
+impl Entry {
+    /// Carries one decision out.
+    pub(crate) fn decided(&mut self, now: Time, decision: Decision, effects: &mut Vec<Effect>) {
+        match decision {
+            Decision::Start { job, replica } => self.start(now, job, replica, effects),
+            Decision::Refuse { job, refusal } => self.refuse(job.0, refusal, effects),
+            Decision::Move { job, to, how, .. } => self.move_flight(job, to, how, effects),
+            Decision::Cancel { job, .. } => effects.push(Effect::Flight {
+                serial: job.0,
+                command: Command::Stop,
+            }),
+        }
+    }
+
+    /// Hands a request to a backend server.
+    ///
+    /// This is where the effect leaves: a server that became known as leaving since the scheduler
+    /// chose it gets nothing, and the scheduler chooses again.
+    fn start(&mut self, now: Time, job: job::Id, replica: replica::Key, effects: &mut Vec<Effect>) {
+        let place = self.backends.place(replica);
+        let place = place.filter(|place| !self.backends.is_leaving(&place.incarnation));
+        let Some(place) = place else {
+            return self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.attempt_ended(now, job, End::NotStarted, 0, out);
+            });
+        };
+        let Some(flight) = self.flights.get_mut(&job.0) else {
+            return;
+        };
+        let again = flight.may_have_run;
+        let stream = flight.next_stream();
+        flight.replica = Some(replica);
+        if again {
+            flight.recomputed += u64::from(flight.job.prompt_tokens) + flight.tokens;
+        }
+        let line = Line::debug("request_started")
+            .with("request", flight.origin)
+            .with("attempt", flight.attempt)
+            .with("replica", &place.incarnation);
+        let account = flight.account.clone();
+        let snapshot = self.book.snapshot();
+        let priority = snapshot.account(&account).map_or(0, |one| one.priority);
+        effects.push(Effect::Log(line));
+        effects.push(Effect::Flight {
+            serial: job.0,
+            command: Command::Start {
+                stream,
+                place,
+                priority: LOWEST_PRIORITY.saturating_sub(priority),
+                account,
+            },
+        });
+    }
+
+    /// Moves a running stream to another replica.
+    fn move_flight(
+        &mut self,
+        job: job::Id,
+        to: replica::Key,
+        how: Transfer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(place) = self.backends.place(to) else {
+            return;
+        };
+        let Some(flight) = self.flights.get_mut(&job.0) else {
+            return;
+        };
+        let stream = flight.next_stream();
+        flight.replica = Some(to);
+        flight.moves += 1;
+        effects.push(Effect::Flight {
+            serial: job.0,
+            command: Command::Move { stream, place, how },
+        });
+    }
+}
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -12,7 +12,6 @@
 
 use crate::attempt::Place;
 use crate::line::Line;
-use crate::operator;
 
 /// One effect.
 #[derive(Clone, Debug, PartialEq)]
@@ -50,7 +49,7 @@
         /// Which call.
         call: u64,
         /// The answer.
-        reply: operator::Reply,
+        reply: Result<ops::reply::Reply, ops::fault::Fault>,
     },
     /// Ask a peer whether a ticket may be spent; its word, or its loss, comes back as an event.
     AskSpend {
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,178 @@
+//! The state of one entry and the step that takes it from event to event.
+
+use std::collections::BTreeMap;
+
+use clock::Time;
+use policy::decision::Decision;
+use policy::scheduler::Scheduler;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use request::ledger::Ledger;
+
+use crate::backends::Backends;
+use crate::book::Book;
+use crate::configs::entry::Settings;
+use crate::configuration::Configuration;
+use crate::effect::Effect;
+use crate::event::Event;
+use crate::flight::Flight;
+use crate::identity::Identity;
+use crate::leave::Seals;
+use crate::stop::Stop;
+
+/// One entry.
+pub struct Entry {
+    pub(crate) identity: Identity,
+    pub(crate) settings: Settings,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) seals: Seals,
+    pub(crate) book: Book,
+    pub(crate) backends: Backends,
+    pub(crate) scheduler: Scheduler,
+    /// Open requests by serial.
+    pub(crate) flights: BTreeMap<u64, Flight>,
+    pub(crate) ledger: Ledger,
+    pub(crate) configuration: Configuration,
+    pub(crate) stop: Stop,
+    /// Names the next call of the table service.
+    pub(crate) next_store_call: u64,
+    /// What waits for which call of the table service.
+    pub(crate) store_calls: BTreeMap<store::call::Id, Waiter>,
+}
+
+/// Who waits for an answer of the table service.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Waiter {
+    /// The configuration.
+    Configuration,
+    /// A request's own row.
+    Intent {
+        /// Which request.
+        serial: u64,
+    },
+}
+
+impl Entry {
+    /// An entry that has seen nothing yet.
+    ///
+    /// `shared_key` is the entries' common key, under which tickets and resume words are sealed;
+    /// `seed` feeds every random choice.
+    pub fn new(identity: Identity, settings: Settings, shared_key: &str, seed: u64) -> Entry {
+        Entry {
+            ledger: Ledger::new(identity.incarnation),
+            identity,
+            settings,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            seals: Seals::new(shared_key),
+            book: Book::default(),
+            backends: Backends::default(),
+            scheduler: Scheduler::new(seed),
+            flights: BTreeMap::new(),
+            configuration: Configuration::default(),
+            stop: Stop::default(),
+            next_store_call: 0,
+            store_calls: BTreeMap::new(),
+        }
+    }
+
+    /// Takes one event and appends what follows from it.
+    pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::Arrived { serial, arrival } => self.arrived(now, serial, arrival, effects),
+            Event::CallerGone { serial } => self.caller_gone(now, serial, effects),
+            Event::CancelAsked {
+                asker,
+                key,
+                request,
+            } => self.cancel_asked(now, asker, key, &request, effects),
+            Event::AddressesAsked { asker, key, prefix } => {
+                self.addresses_asked(now, asker, key, prefix, effects);
+            }
+            Event::Attempt {
+                serial,
+                attempt,
+                report,
+            } => self.attempt_reported(now, serial, attempt, report, effects),
+            Event::InstancesRead(list) => self.instances_read(now, &list, effects),
+            Event::NoticesRead(notices) => self.notices_read(now, &notices, effects),
+            Event::LoadRead {
+                incarnation,
+                report,
+            } => self.load_read(now, &incarnation, report),
+            Event::Store { id, outcome } => self.store_answered(now, id, outcome, effects),
+            Event::Operator { call, request } => self.operator_called(now, call, request, effects),
+            Event::SpendAsked { asker, ticket } => self.spend_asked(now, asker, &ticket, effects),
+            Event::SpendAnswered { serial, answer } => {
+                self.spend_answered(now, serial, answer, effects);
+            }
+            Event::EstatesOffered { asker, estates } => {
+                self.estates_offered(now, asker, estates, effects);
+            }
+            Event::EstatesTaken { by } => self.estates_taken(now, by, effects),
+            Event::DigestReceived { .. } => {}
+            Event::Tick => self.tick(now, effects),
+            Event::StopAsked { hurry } => self.stop_asked(now, hurry, effects),
+        }
+    }
+
+    /// Whether this entry admits requests.
+    pub fn is_ready(&self) -> bool {
+        self.book.version() > 0 && !self.stop.is_stopping()
+    }
+
+    /// Requests open here.
+    pub fn open_requests(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Lets time pass in every part.
+    fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.configuration_tick(now, effects);
+        self.intents_tick(now, effects);
+        self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
+        self.stop_tick(now, effects);
+    }
+
+    /// Calls the scheduler and carries its decisions out.
+    pub(crate) fn with_scheduler<T>(
+        &mut self,
+        now: Time,
+        effects: &mut Vec<Effect>,
+        call: impl FnOnce(&mut Scheduler, &mut Vec<Decision>) -> T,
+    ) -> T {
+        let mut decisions = Vec::new();
+        let result = call(&mut self.scheduler, &mut decisions);
+        for decision in decisions {
+            self.decided(now, decision, effects);
+        }
+        result
+    }
+
+    /// Asks the table service something; the answer finds its way by `waiter`.
+    pub(crate) fn ask_store(
+        &mut self,
+        waiter: Waiter,
+        call: store::call::Call,
+        effects: &mut Vec<Effect>,
+    ) {
+        let id = store::call::Id(self.next_store_call);
+        self.next_store_call += 1;
+        self.store_calls.insert(id, waiter);
+        effects.push(Effect::Store { id, call });
+    }
+
+    /// Passes an answer of the table service to whoever waits for it.
+    fn store_answered(
+        &mut self,
+        now: Time,
+        id: store::call::Id,
+        outcome: store::call::Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        match self.store_calls.remove(&id) {
+            Some(Waiter::Configuration) => self.configuration_answered(now, outcome, effects),
+            Some(Waiter::Intent { serial }) => self.intent_answered(now, serial, outcome, effects),
+            None => {}
+        }
+    }
+}
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -11,7 +11,6 @@
 use crate::attempt::Report;
 use crate::instance::Instance;
 use crate::instance::Notice;
-use crate::operator;
 
 /// One event.
 #[derive(Clone, Debug, PartialEq)]
@@ -78,7 +77,7 @@
         /// Whom to answer.
         call: u64,
         /// What is asked.
-        request: operator::Request,
+        request: ops::request::Request,
     },
     /// A peer asks whether a ticket of ours may be spent.
     SpendAsked {
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -28,9 +28,11 @@
     pub waits_for: Option<Leave>,
     /// Whether bytes of it were handed to a backend server that did not refuse to start it.
     ///
-    /// Only an end with `surely not run` of the very attempt that set it unsets it. While it is set
-    /// nothing says "not run" of this request.
+    /// Unset only when the very attempt that set it ends as not started. While it is set nothing
+    /// says "not run" of this request.
     pub may_have_run: bool,
+    /// What `may_have_run` was before the newest attempt.
+    pub may_have_run_before: bool,
     /// Whether the caller has the head of its answer: from then on it must end in a whole answer.
     pub accepted: bool,
     /// When it arrived.
@@ -62,9 +64,11 @@
 }
 
 impl Flight {
-    /// The stream of a new attempt.
+    /// The stream of a new attempt; from now on the request may have run.
     pub fn next_stream(&mut self) -> Stream {
         self.attempt += 1;
+        self.may_have_run_before = self.may_have_run;
+        self.may_have_run = true;
         Stream {
             request: self.id,
             attempt: self.attempt,
--- /dev/null
+++ b/crates/entry/src/leave.rs
@@ -0,0 +1,269 @@
+//! Leave to run a non-idempotent request: by ticket, or by a row of its own in the table service.
+//!
+//! Guards against such a request running twice. The fault shows when a caller repeats a request at
+//! another entry after a cut, or when the store's answer to the first try was lost. A ticket is spent
+//! in its minter's ledger alone; a row is inserted only if absent and names the one attempt that may
+//! run. Either way exactly one request gets leave, whatever any clock or lease says.
+
+use clock::Span;
+use clock::Time;
+use rand::Rng;
+use request::ledger::Answer;
+use request::ledger::Estate;
+use request::seal::Seal;
+use request::ticket::Ticket;
+use serde_json::json;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use store::call::Address;
+use store::call::Call;
+use store::call::Check;
+use store::call::Outcome;
+use store::call::Row;
+use store::call::Transaction;
+use store::call::Write;
+use verdict::Reason;
+use verdict::Refusal;
+
+use crate::arrival::Arrival;
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::entry::Waiter;
+use crate::flight::Leave;
+use crate::line::Line;
+
+/// Table of the rows of callers' idempotency keys.
+const INTENT_TABLE: &str = "intents";
+
+/// Longest idempotency key, bytes.
+const KEY_BYTES: usize = 200;
+
+/// When a caller may come back while the table service is down.
+const STORE_RETRY: Span = Span::from_seconds(2);
+
+/// Seals of what callers carry.
+pub struct Seals {
+    /// For resume words.
+    pub resume: Seal,
+    /// For tickets.
+    pub ticket: Seal,
+}
+
+impl Seals {
+    /// Seals under the entries' common key.
+    pub fn new(shared_key: &str) -> Seals {
+        Seals {
+            resume: Seal::new(shared_key, "resume"),
+            ticket: Seal::new(shared_key, "ticket"),
+        }
+    }
+}
+
+impl Entry {
+    /// Seeks leave for a request that must not run twice; one without key and ticket can't be
+    /// repeated by name, so it has leave at once.
+    pub(crate) fn seek_leave(
+        &mut self,
+        now: Time,
+        serial: u64,
+        arrival: &Arrival,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(sealed) = &arrival.ticket {
+            self.seek_by_ticket(now, serial, sealed, effects);
+        } else if let Some(key) = &arrival.idempotency_key {
+            self.seek_by_row(now, serial, key, effects);
+        } else {
+            self.offer(now, serial, effects);
+        }
+    }
+
+    /// Spends the ticket here, or asks the entry that holds its ledger.
+    fn seek_by_ticket(&mut self, now: Time, serial: u64, sealed: &str, effects: &mut Vec<Effect>) {
+        let ticket: Option<Ticket> = self.seals.ticket.open(sealed);
+        let account = self.flights.get(&serial).map(|flight| &flight.account);
+        let Some(ticket) = ticket.filter(|ticket| Some(&ticket.account) == account) else {
+            let refusal = Refusal::not_run(Reason::Malformed, "the ticket isn't yours");
+            return self.refuse(serial, refusal, effects);
+        };
+        if self.ledger.holds(ticket.minter) {
+            let answer = self.ledger.spend(now, &ticket);
+            return self.leave_answered(now, serial, answer, effects);
+        }
+        let Some(address) = self.ledger_holder(ticket.minter) else {
+            return self.leave_answered(now, serial, Answer::Unknown, effects);
+        };
+        if let Some(flight) = self.flights.get_mut(&serial) {
+            flight.waits_for = Some(Leave::Ticket);
+        }
+        effects.push(Effect::AskSpend {
+            serial,
+            address,
+            ticket,
+        });
+    }
+
+    /// A peer's word on a ticket came, or was lost.
+    pub(crate) fn spend_answered(
+        &mut self,
+        now: Time,
+        serial: u64,
+        answer: Option<Answer>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let waits = self.flights.get(&serial).map(|flight| &flight.waits_for);
+        if waits == Some(&Some(Leave::Ticket)) {
+            self.leave_answered(now, serial, answer.unwrap_or(Answer::Unknown), effects);
+        }
+    }
+
+    /// Runs the request, or says that an earlier one under the same ticket may have run.
+    fn leave_answered(
+        &mut self,
+        now: Time,
+        serial: u64,
+        answer: Answer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let message = match answer {
+            Answer::Granted => return self.offer(now, serial, effects),
+            Answer::Spent => "a request with this ticket was accepted before",
+            Answer::Unknown => "nobody can say any more whether this ticket was used",
+        };
+        let refusal = Refusal::may_have_run(Reason::Repeated, message);
+        self.refuse(serial, refusal, effects);
+    }
+
+    /// A peer asks whether a ticket of a ledger held here may be spent.
+    pub(crate) fn spend_asked(
+        &mut self,
+        now: Time,
+        asker: u64,
+        ticket: &Ticket,
+        effects: &mut Vec<Effect>,
+    ) {
+        let answer = self.ledger.spend(now, ticket);
+        effects.push(Effect::SpendAnswer { asker, answer });
+    }
+
+    /// A leaving peer hands its ledger on. An entry that is leaving itself takes none.
+    pub(crate) fn estates_offered(
+        &mut self,
+        now: Time,
+        asker: u64,
+        estates: Vec<Estate>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.stop.is_stopping() {
+            effects.push(Effect::EstatesTaken { asker, by: None });
+            return;
+        }
+        let line = Line::info("ledger_inherited").with("minters", estates.len());
+        for estate in estates {
+            self.ledger.inherit(now, estate);
+        }
+        let by = Some(self.identity.incarnation);
+        effects.push(Effect::Log(line));
+        effects.push(Effect::EstatesTaken { asker, by });
+    }
+
+    /// Inserts the row of the caller's key, if it is absent.
+    fn seek_by_row(&mut self, now: Time, serial: u64, key: &str, effects: &mut Vec<Effect>) {
+        if key.is_empty() || key.len() > KEY_BYTES {
+            let refusal = Refusal::not_run(Reason::Malformed, "idempotency-key has 1 to 200 bytes");
+            return self.refuse(serial, refusal, effects);
+        }
+        let until = now + self.settings.intent_wait;
+        let token = format_smolstr!("{:016x}", self.random.next_u64());
+        let Some(flight) = self.flights.get_mut(&serial) else {
+            return;
+        };
+        let key = format_smolstr!("{}/{}", flight.account, key);
+        flight.waits_for = Some(Leave::Intent { key, token, until });
+        self.insert_row(serial, effects);
+    }
+
+    /// Sends the insert. Sending it again is safe: a row with our own token counts as inserted.
+    fn insert_row(&mut self, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(flight) = self.flights.get(&serial) else {
+            return;
+        };
+        let Some(Leave::Intent { key, token, .. }) = &flight.waits_for else {
+            return;
+        };
+        let at = Address {
+            table: SmolStr::new_static(INTENT_TABLE),
+            key: key.clone(),
+        };
+        let value = json!({"token": token, "request": flight.origin.to_string()});
+        let transaction = Transaction {
+            token: token.clone(),
+            checks: vec![Check {
+                at: at.clone(),
+                revision: None,
+            }],
+            writes: vec![Write { at, value }],
+        };
+        self.ask_store(
+            Waiter::Intent { serial },
+            Call::Transact(transaction),
+            effects,
+        );
+    }
+
+    /// The table service answered an insert.
+    pub(crate) fn intent_answered(
+        &mut self,
+        now: Time,
+        serial: u64,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(flight) = self.flights.get(&serial) else {
+            return;
+        };
+        let Some(Leave::Intent { token, until, .. }) = &flight.waits_for else {
+            return;
+        };
+        let in_time = now < *until;
+        match outcome {
+            Outcome::Committed(_) => self.offer(now, serial, effects),
+            Outcome::Conflict(rows) if is_own(&rows, token) => self.offer(now, serial, effects),
+            Outcome::Conflict(_) => {
+                let message = "a request with this idempotency key was accepted before";
+                let refusal = Refusal::may_have_run(Reason::Repeated, message);
+                self.refuse(serial, refusal, effects);
+            }
+            Outcome::Unknown if in_time => self.insert_row(serial, effects),
+            _ => self.refuse(serial, store_refusal(), effects),
+        }
+    }
+
+    /// Gives up requests whose rows take too long. None of them was handed to a backend server.
+    pub(crate) fn intents_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let overdue = |leave: &Option<Leave>| matches!(leave, Some(Leave::Intent { until, .. }) if *until <= now);
+        let late: Vec<u64> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| overdue(&flight.waits_for))
+            .map(|(serial, _)| *serial)
+            .collect();
+        for serial in late {
+            self.refuse(serial, store_refusal(), effects);
+        }
+    }
+}
+
+/// Whether the row in the way is our own insert, whose answer was lost.
+fn is_own(rows: &[(Address, Option<Row>)], token: &SmolStr) -> bool {
+    rows.iter().any(|(_, row)| {
+        row.as_ref()
+            .is_some_and(|row| row.value["token"].as_str() == Some(token.as_str()))
+    })
+}
+
+/// The refusal of a request whose row could not be written.
+fn store_refusal() -> Refusal {
+    let message = "the table service doesn't answer; send it again with a new key";
+    Refusal::not_run(Reason::StoreUnavailable, message).with_retry_after(STORE_RETRY)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,28 @@
 //! The reducer of one entry: all events in, effects out.
+//!
+//! [`entry::Entry::step`] reads no clock, does no I/O and draws randomness from the seed it was
+//! given, so that a test replays any history exactly. The shell in the `daemon` crate turns I/O into
+//! [`event::Event`]s and carries [`effect::Effect`]s out.
+
+pub mod arrival;
+pub mod attempt;
+pub mod backends;
+pub mod book;
+pub mod configs;
+pub mod effect;
+pub mod entry;
+pub mod event;
+pub mod flight;
+pub mod identity;
+pub mod instance;
+pub mod line;
+
+mod addresses;
+mod arrivals;
+mod attempts;
+mod configuration;
+mod decisions;
+mod fleet;
+mod leave;
+mod operators;
+mod stop;
--- /dev/null
+++ b/crates/entry/src/stop.rs
@@ -0,0 +1,122 @@
+//! A planned stop: admit nothing, finish or hand on what is open, hand the ledger on, exit.
+
+use clock::Time;
+use policy::job;
+use request::id::Incarnation;
+use smol_str::SmolStr;
+
+use crate::effect::Command;
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::line::Line;
+
+/// How far a planned stop has come.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Stop {
+    deadline: Option<Time>,
+    ledger_sent: bool,
+    ledger_settled: bool,
+    exited: bool,
+}
+
+impl Stop {
+    /// Whether this entry is leaving.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.deadline.is_some()
+    }
+}
+
+impl Entry {
+    /// Begins to stop; asked a second time in a hurry, the grace ends at once.
+    pub(crate) fn stop_asked(&mut self, now: Time, hurry: bool, effects: &mut Vec<Effect>) {
+        let grace = now + self.settings.grace;
+        let deadline = if hurry { now } else { grace };
+        let line = Line::info("stop_asked")
+            .with("hurry", hurry)
+            .with("open", self.flights.len());
+        effects.push(Effect::Log(line));
+        let earlier = self.stop.deadline.unwrap_or(deadline);
+        self.stop.deadline = Some(earlier.min(deadline));
+        self.stop_tick(now, effects);
+    }
+
+    /// Takes the stop as far as it goes now.
+    pub(crate) fn stop_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Some(deadline) = self.stop.deadline else {
+            return;
+        };
+        if self.stop.exited {
+            return;
+        }
+        if now >= deadline {
+            self.hand_off_all(now, effects);
+        }
+        if !self.flights.is_empty() {
+            return;
+        }
+        self.hand_ledger_on(now, effects);
+        if self.stop.ledger_settled {
+            self.stop.exited = true;
+            effects.push(Effect::Log(Line::info("stopped")));
+            effects.push(Effect::Exit);
+        }
+    }
+
+    /// A peer holds our ledger now, or can't be reached: its tickets then end as "may have run".
+    pub(crate) fn estates_taken(
+        &mut self,
+        now: Time,
+        by: Option<Incarnation>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let line = match by {
+            Some(heir) => Line::info("ledger_handed_on").with("heir", heir),
+            None => Line::warn("ledger_lost"),
+        };
+        effects.push(Effect::Log(line));
+        self.stop.ledger_settled = true;
+        self.stop_tick(now, effects);
+    }
+
+    /// Sends every open stream on to another entry.
+    ///
+    /// A plain call in progress is waited for: nobody else can read its answer.
+    fn hand_off_all(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Some(address) = self.successor_for_callers() else {
+            return;
+        };
+        let streams: Vec<u64> = self
+            .flights
+            .values()
+            .filter(|flight| flight.job.kind == job::Kind::Model && flight.accepted)
+            .map(|flight| flight.id.serial)
+            .collect();
+        for serial in streams {
+            let address = address.clone();
+            self.drop_flight(now, serial, Command::HandOff { address }, effects);
+        }
+    }
+
+    /// Offers the ledger to a peer, once.
+    fn hand_ledger_on(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.stop.ledger_sent {
+            return;
+        }
+        self.stop.ledger_sent = true;
+        let estates = self.ledger.hand_on(now);
+        match self.successor_for_ledger() {
+            Some(address) => effects.push(Effect::OfferEstates { address, estates }),
+            None => self.stop.ledger_settled = true,
+        }
+    }
+
+    /// `host:port` for callers of an entry that stays.
+    fn successor_for_callers(&self) -> Option<SmolStr> {
+        None
+    }
+
+    /// `host:port` for peers of an entry that stays.
+    fn successor_for_ledger(&self) -> Option<SmolStr> {
+        None
+    }
+}
