Serve the operators' contract

Cause: operators drive the system by remote procedure calls alone. Ruled out: conflicts as a gRPC error with details (no schema for the difference; an outcome in the result has one); reading prost messages in the reducer (it knows no wires). Change: the schema with its rules for a decade, generated code with its generator as an example, Request, Reply and Fault in the terms of the configuration, a server that checks every field and names all faults at once. Border: config::check, the soundness of deployments and accounts in themselves; burn::report, the report as data, without its ledger yet. Conclusion: 7 tests over a real socket with a small fake behind it pass.

--- /dev/null
+++ b/crates/ops/examples/regenerate.rs
@@ -0,0 +1,16 @@
+//! Makes the code in `src/generated` from the schema; no protoc is needed.
+//!
+//! `cargo run -p ops --example regenerate`
+
+use std::path::Path;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let proto = root.join("proto");
+    let descriptors = protox::compile(["dogwoodspur.proto"], [&proto])?;
+    tonic_prost_build::configure()
+        .emit_rerun_if_changed(false)
+        .out_dir(root.join("src/generated"))
+        .compile_fds(descriptors)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ops/src/convert/configuration.rs
@@ -0,0 +1,149 @@
+//! Deployments and accounts.
+
+use config::check;
+use config::check::Violation;
+use config::deployment::Account;
+use config::deployment::CallPattern;
+use config::deployment::Deployment;
+use config::deployment::Grant;
+use config::deployment::Kind;
+use smol_str::SmolStr;
+
+use crate::wire;
+use crate::wire::deployment::Kind as WireKind;
+
+/// Reads a deployment and names everything wrong with it.
+pub fn deployment_from(message: wire::Deployment) -> Result<Deployment, Vec<Violation>> {
+    let kind = message.kind.map(kind_from);
+    let deployment = Deployment {
+        name: message.name.into(),
+        kind: kind.clone().unwrap_or(Kind::Service),
+        pool: message.pool.into(),
+        grants: message.grants.into_iter().map(grant_from).collect(),
+        non_idempotent: message.non_idempotent.into_iter().map(call_from).collect(),
+        checks_fencing: message.checks_fencing,
+    };
+    let mut violations = check::deployment(&deployment);
+    if kind.is_none() {
+        violations.push(Violation::new(
+            "kind",
+            "expected model or service, found none",
+        ));
+    }
+    if violations.is_empty() {
+        Ok(deployment)
+    } else {
+        Err(violations)
+    }
+}
+
+/// Writes a deployment.
+pub fn deployment_to(deployment: Deployment) -> wire::Deployment {
+    wire::Deployment {
+        name: deployment.name.into(),
+        kind: Some(kind_to(deployment.kind)),
+        pool: deployment.pool.into(),
+        grants: deployment.grants.into_iter().map(grant_to).collect(),
+        non_idempotent: deployment.non_idempotent.into_iter().map(call_to).collect(),
+        checks_fencing: deployment.checks_fencing,
+    }
+}
+
+/// Reads an account and names everything wrong with it.
+pub fn account_from(message: wire::Account) -> Result<Account, Vec<Violation>> {
+    let priority = u8::try_from(message.priority);
+    let account = Account {
+        name: message.name.into(),
+        key_hashes: message.key_hashes.into_iter().map(SmolStr::from).collect(),
+        weight: message.weight,
+        priority: priority.unwrap_or_default(),
+        tokens_per_second: message.tokens_per_second,
+        concurrent: message.concurrent,
+    };
+    let mut violations = check::account(&account);
+    if priority.is_err() {
+        let message = format!("expected 0 to 9, found {}", message.priority);
+        violations.push(Violation::new("priority", message));
+    }
+    if violations.is_empty() {
+        Ok(account)
+    } else {
+        Err(violations)
+    }
+}
+
+/// Writes an account.
+pub fn account_to(account: Account) -> wire::Account {
+    wire::Account {
+        name: account.name.into(),
+        key_hashes: account.key_hashes.into_iter().map(String::from).collect(),
+        weight: account.weight,
+        priority: u32::from(account.priority),
+        tokens_per_second: account.tokens_per_second,
+        concurrent: account.concurrent,
+    }
+}
+
+/// Reads what is served.
+fn kind_from(kind: WireKind) -> Kind {
+    match kind {
+        WireKind::Model(model) => Kind::Model {
+            model: model.model.into(),
+            adapter: model.adapter.into(),
+            version: model.version.into(),
+        },
+        WireKind::Service(wire::PlainService {}) => Kind::Service,
+    }
+}
+
+/// Writes what is served.
+fn kind_to(kind: Kind) -> WireKind {
+    match kind {
+        Kind::Model {
+            model,
+            adapter,
+            version,
+        } => WireKind::Model(wire::Model {
+            model: model.into(),
+            adapter: adapter.into(),
+            version: version.into(),
+        }),
+        Kind::Service => WireKind::Service(wire::PlainService {}),
+    }
+}
+
+/// Reads a promise.
+fn grant_from(grant: wire::Grant) -> Grant {
+    Grant {
+        account: grant.account.into(),
+        first_token_ms: grant.first_token_ms,
+        token_gap_ms: grant.token_gap_ms,
+        share_per_mille: grant.share_per_mille,
+    }
+}
+
+/// Writes a promise.
+fn grant_to(grant: Grant) -> wire::Grant {
+    wire::Grant {
+        account: grant.account.into(),
+        first_token_ms: grant.first_token_ms,
+        token_gap_ms: grant.token_gap_ms,
+        share_per_mille: grant.share_per_mille,
+    }
+}
+
+/// Reads a rule about calls.
+fn call_from(pattern: wire::CallPattern) -> CallPattern {
+    CallPattern {
+        method: pattern.method.into(),
+        path_prefix: pattern.path_prefix.into(),
+    }
+}
+
+/// Writes a rule about calls.
+fn call_to(pattern: CallPattern) -> wire::CallPattern {
+    wire::CallPattern {
+        method: pattern.method.into(),
+        path_prefix: pattern.path_prefix.into(),
+    }
+}
--- /dev/null
+++ b/crates/ops/src/convert/mod.rs
@@ -0,0 +1,7 @@
+//! Between messages and the terms of the configuration.
+
+pub mod configuration;
+pub mod reply;
+pub mod report;
+pub mod request;
+pub mod status;
--- /dev/null
+++ b/crates/ops/src/convert/report.rs
@@ -0,0 +1,161 @@
+//! The burn report.
+
+use burn::report::Gap;
+use burn::report::Misses;
+use burn::report::Point;
+use burn::report::Quantiles;
+use burn::report::Report;
+use burn::report::Row;
+use burn::report::Target;
+
+use crate::wire;
+
+/// Writes a report.
+pub fn report_to(report: Report) -> wire::ReportResult {
+    wire::ReportResult {
+        rows: report.rows.into_iter().map(row_to).collect(),
+        gaps: report.gaps.into_iter().map(gap_to).collect(),
+        short_window_ms: report.short_window_ms,
+        long_window_ms: report.long_window_ms,
+    }
+}
+
+/// Reads a report.
+pub fn report_from(message: wire::ReportResult) -> Report {
+    Report {
+        rows: message.rows.into_iter().map(row_from).collect(),
+        gaps: message.gaps.into_iter().map(gap_from).collect(),
+        short_window_ms: message.short_window_ms,
+        long_window_ms: message.long_window_ms,
+    }
+}
+
+/// Writes a row.
+fn row_to(row: Row) -> wire::ReportRow {
+    wire::ReportRow {
+        deployment: row.deployment.into(),
+        target: Some(wire::Grant {
+            account: row.account.as_str().to_owned(),
+            first_token_ms: row.target.first_token_ms,
+            token_gap_ms: row.target.token_gap_ms,
+            share_per_mille: row.target.share_per_mille,
+        }),
+        account: row.account.into(),
+        requests: row.requests,
+        within: row.within,
+        budget_left: row.budget_left,
+        burn_short: row.burn_short,
+        burn_long: row.burn_long,
+        misses: Some(misses_to(row.misses)),
+        first_token_ms: Some(quantiles_to(row.first_token_ms)),
+        worst_gap_ms: Some(quantiles_to(row.worst_gap_ms)),
+        cost_micros: row.cost_micros,
+        cost_per_within_micros: row.cost_per_within_micros,
+        recomputed_tokens: row.recomputed_tokens,
+        points: row.points.into_iter().map(point_to).collect(),
+    }
+}
+
+/// Reads a row.
+fn row_from(row: wire::ReportRow) -> Row {
+    let target = row.target.unwrap_or_default();
+    Row {
+        deployment: row.deployment.into(),
+        account: row.account.into(),
+        target: Target {
+            first_token_ms: target.first_token_ms,
+            token_gap_ms: target.token_gap_ms,
+            share_per_mille: target.share_per_mille,
+        },
+        requests: row.requests,
+        within: row.within,
+        budget_left: row.budget_left,
+        burn_short: row.burn_short,
+        burn_long: row.burn_long,
+        misses: misses_from(row.misses.unwrap_or_default()),
+        first_token_ms: quantiles_from(row.first_token_ms.unwrap_or_default()),
+        worst_gap_ms: quantiles_from(row.worst_gap_ms.unwrap_or_default()),
+        cost_micros: row.cost_micros,
+        cost_per_within_micros: row.cost_per_within_micros,
+        recomputed_tokens: row.recomputed_tokens,
+        points: row.points.into_iter().map(point_from).collect(),
+    }
+}
+
+/// Writes misses by cause.
+fn misses_to(misses: Misses) -> wire::ReportMisses {
+    wire::ReportMisses {
+        waiting: misses.waiting,
+        slow_backend: misses.slow_backend,
+        reclaim: misses.reclaim,
+        refused: misses.refused,
+        store: misses.store,
+        other: misses.other,
+    }
+}
+
+/// Reads misses by cause.
+fn misses_from(misses: wire::ReportMisses) -> Misses {
+    Misses {
+        waiting: misses.waiting,
+        slow_backend: misses.slow_backend,
+        reclaim: misses.reclaim,
+        refused: misses.refused,
+        store: misses.store,
+        other: misses.other,
+    }
+}
+
+/// Writes quantiles.
+fn quantiles_to(quantiles: Quantiles) -> wire::Quantiles {
+    wire::Quantiles {
+        p50: quantiles.p50,
+        p95: quantiles.p95,
+        p99: quantiles.p99,
+    }
+}
+
+/// Reads quantiles.
+fn quantiles_from(quantiles: wire::Quantiles) -> Quantiles {
+    Quantiles {
+        p50: quantiles.p50,
+        p95: quantiles.p95,
+        p99: quantiles.p99,
+    }
+}
+
+/// Writes a slice of the course.
+fn point_to(point: Point) -> wire::ReportPoint {
+    wire::ReportPoint {
+        ago_ms: point.ago_ms,
+        requests: point.requests,
+        within: point.within,
+    }
+}
+
+/// Reads a slice of the course.
+fn point_from(point: wire::ReportPoint) -> Point {
+    Point {
+        ago_ms: point.ago_ms,
+        requests: point.requests,
+        within: point.within,
+    }
+}
+
+/// Writes a gap.
+fn gap_to(gap: Gap) -> wire::ReportGap {
+    wire::ReportGap {
+        entry: gap.entry.into(),
+        from_ago_ms: gap.from_ago_ms,
+        to_ago_ms: gap.to_ago_ms,
+    }
+}
+
+/// Reads a gap.
+fn gap_from(gap: wire::ReportGap) -> Gap {
+    Gap {
+        entry: gap.entry.into(),
+        from_ago_ms: gap.from_ago_ms,
+        to_ago_ms: gap.to_ago_ms,
+    }
+}
--- /dev/null
+++ b/crates/ops/src/convert/request.rs
@@ -0,0 +1,246 @@
+//! Reads calls and names everything wrong with each.
+
+use clock::Span;
+use config::check;
+use config::check::Violation;
+use smol_str::SmolStr;
+
+use crate::convert::configuration::account_from;
+use crate::convert::configuration::deployment_from;
+use crate::fault::Fault;
+use crate::request::Change;
+use crate::request::Edit;
+use crate::request::Request;
+use crate::request::Target;
+use crate::wire;
+use crate::wire::drain_request::Target as WireTarget;
+
+/// Longest name of a change.
+const CHANGE_ID_MAX: usize = 64;
+/// Wait for a change when none is asked for, milliseconds.
+const WAIT_DEFAULT_MS: u64 = 10_000;
+/// Longest wait for a change, milliseconds.
+const WAIT_MAX_MS: u64 = 60_000;
+/// Past changes given when no number is asked for.
+const HISTORY_DEFAULT: u32 = 50;
+/// Most past changes given at once.
+const HISTORY_MAX: u32 = 1_000;
+/// Longest id of a request or an incarnation.
+const ID_MAX: usize = 256;
+
+impl TryFrom<wire::CreateDeploymentRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::CreateDeploymentRequest) -> Result<Request, Fault> {
+        let deployment = named("deployment", message.deployment, deployment_from);
+        change(message.change, deployment.map(Edit::CreateDeployment))
+    }
+}
+
+impl TryFrom<wire::ChangeDeploymentRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::ChangeDeploymentRequest) -> Result<Request, Fault> {
+        let deployment = named("deployment", message.deployment, deployment_from);
+        change(message.change, deployment.map(Edit::ChangeDeployment))
+    }
+}
+
+impl TryFrom<wire::RemoveDeploymentRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::RemoveDeploymentRequest) -> Result<Request, Fault> {
+        let name = sound_name(message.name);
+        change(message.change, name.map(Edit::RemoveDeployment))
+    }
+}
+
+impl TryFrom<wire::GetDeploymentRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::GetDeploymentRequest) -> Result<Request, Fault> {
+        let name = sound_name(message.name).map_err(Fault::Invalid)?;
+        Ok(Request::GetDeployment { name })
+    }
+}
+
+impl TryFrom<wire::ListDeploymentsRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(_: wire::ListDeploymentsRequest) -> Result<Request, Fault> {
+        Ok(Request::ListDeployments)
+    }
+}
+
+impl TryFrom<wire::PutAccountRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::PutAccountRequest) -> Result<Request, Fault> {
+        let account = named("account", message.account, account_from);
+        change(message.change, account.map(Edit::PutAccount))
+    }
+}
+
+impl TryFrom<wire::RemoveAccountRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::RemoveAccountRequest) -> Result<Request, Fault> {
+        let name = sound_name(message.name);
+        change(message.change, name.map(Edit::RemoveAccount))
+    }
+}
+
+impl TryFrom<wire::GetHistoryRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::GetHistoryRequest) -> Result<Request, Fault> {
+        let limit = match message.limit {
+            0 => HISTORY_DEFAULT,
+            limit if limit <= HISTORY_MAX => limit,
+            limit => {
+                let expected = format!("expected at most {HISTORY_MAX}, found {limit}");
+                return Err(Fault::Invalid(vec![Violation::new("limit", expected)]));
+            }
+        };
+        Ok(Request::GetHistory {
+            before: (message.before_version > 0).then_some(message.before_version),
+            limit: limit as usize,
+        })
+    }
+}
+
+impl TryFrom<wire::GetStatusRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(_: wire::GetStatusRequest) -> Result<Request, Fault> {
+        Ok(Request::GetStatus)
+    }
+}
+
+impl TryFrom<wire::DrainRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::DrainRequest) -> Result<Request, Fault> {
+        let target = match message.target {
+            Some(WireTarget::Entry(name)) => Target::Entry(id("entry", name)?),
+            Some(WireTarget::Backend(name)) => Target::Backend(id("backend", name)?),
+            None => {
+                let violation = Violation::new("target", "expected entry or backend, found none");
+                return Err(Fault::Invalid(vec![violation]));
+            }
+        };
+        Ok(Request::Drain(target))
+    }
+}
+
+impl TryFrom<wire::ReportRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::ReportRequest) -> Result<Request, Fault> {
+        if message.deployment.is_empty() {
+            return Ok(Request::Report { deployment: None });
+        }
+        let mut violations = Vec::new();
+        check::name("deployment", &message.deployment, &mut violations);
+        if !violations.is_empty() {
+            return Err(Fault::Invalid(violations));
+        }
+        Ok(Request::Report {
+            deployment: Some(message.deployment.into()),
+        })
+    }
+}
+
+impl TryFrom<wire::ExplainRequest> for Request {
+    type Error = Fault;
+
+    fn try_from(message: wire::ExplainRequest) -> Result<Request, Fault> {
+        let request = id("request", message.request)?;
+        Ok(Request::Explain { request })
+    }
+}
+
+/// Puts a change together, or names the faults of both parts.
+fn change(
+    message: Option<wire::Change>,
+    edit: Result<Edit, Vec<Violation>>,
+) -> Result<Request, Fault> {
+    let mut violations = Vec::new();
+    let message = message.unwrap_or_else(|| {
+        violations.push(Violation::new("change", "it must be set"));
+        wire::Change::default()
+    });
+    if violations.is_empty() {
+        check_change(&message, &mut violations);
+    }
+    let edit = edit.map_err(|more| violations.extend(more));
+    match edit {
+        Ok(edit) if violations.is_empty() => Ok(Request::Change(Change {
+            id: message.change_id.into(),
+            expected_version: message.expected_version,
+            wait: wait(message.wait_ms),
+            edit,
+        })),
+        _ => Err(Fault::Invalid(violations)),
+    }
+}
+
+/// Checks what every change carries.
+fn check_change(message: &wire::Change, out: &mut Vec<Violation>) {
+    let good = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    let id = &message.change_id;
+    if !(1..=CHANGE_ID_MAX).contains(&id.len()) || !id.bytes().all(good) {
+        let expected = "expected 1 to 64 of A-Z, a-z, 0-9, - and _";
+        out.push(Violation::new("change.change_id", expected));
+    }
+    if message.wait_ms > WAIT_MAX_MS {
+        let expected = format!("expected at most {WAIT_MAX_MS}, found {}", message.wait_ms);
+        out.push(Violation::new("change.wait_ms", expected));
+    }
+}
+
+/// How long a change may wait.
+fn wait(wait_ms: u64) -> Span {
+    match wait_ms {
+        0 => Span::from_millis(WAIT_DEFAULT_MS),
+        asked => Span::from_millis(asked),
+    }
+}
+
+/// Reads a message that must be there, with its name before the fields of its faults.
+fn named<M, T>(
+    name: &str,
+    message: Option<M>,
+    read: fn(M) -> Result<T, Vec<Violation>>,
+) -> Result<T, Vec<Violation>> {
+    let Some(message) = message else {
+        return Err(vec![Violation::new(name, "it must be set")]);
+    };
+    read(message).map_err(|mut violations| {
+        for violation in &mut violations {
+            violation.field = format!("{name}.{}", violation.field);
+        }
+        violations
+    })
+}
+
+/// Reads the name of a deployment or an account.
+fn sound_name(name: String) -> Result<SmolStr, Vec<Violation>> {
+    let mut violations = Vec::new();
+    check::name("name", &name, &mut violations);
+    if violations.is_empty() {
+        Ok(name.into())
+    } else {
+        Err(violations)
+    }
+}
+
+/// Reads an id that others chose.
+fn id(field: &str, text: String) -> Result<SmolStr, Fault> {
+    let good = |byte: u8| byte.is_ascii_graphic();
+    if (1..=ID_MAX).contains(&text.len()) && text.bytes().all(good) {
+        return Ok(text.into());
+    }
+    let expected = format!("expected 1 to {ID_MAX} visible characters");
+    Err(Fault::Invalid(vec![Violation::new(field, expected)]))
+}
--- /dev/null
+++ b/crates/ops/tests/server.rs
@@ -0,0 +1,258 @@
+//! The operators' port over a real socket, with a small fake behind it.
+
+use config::deployment::Deployment;
+use config::deployment::Kind;
+use ops::Call;
+use ops::Fault;
+use ops::Reply;
+use ops::Request;
+use ops::reply::Changed;
+use ops::reply::Difference;
+use ops::request::Edit;
+use ops::wire;
+use ops::wire::change_result::Outcome;
+use ops::wire::operators_client::OperatorsClient;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tonic::Code;
+use tonic::transport::Channel;
+
+const KEY: &str = "0123456789abcdef";
+
+/// Starts a port whose calls are answered by `answer`.
+async fn start(
+    answer: impl Fn(Request) -> Result<Reply, Fault> + Send + 'static,
+) -> OperatorsClient<Channel> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    let (calls, mut received) = mpsc::channel::<Call>(16);
+    tokio::spawn(async move { ops::serve(listener, KEY, calls).await });
+    tokio::spawn(async move {
+        while let Some(call) = received.recv().await {
+            let _ = call.reply.send(answer(call.request));
+        }
+    });
+    OperatorsClient::connect(format!("http://{address}"))
+        .await
+        .expect("a port that answers")
+}
+
+/// A message with the operators' key.
+fn with_key<M>(message: M, key: &str) -> tonic::Request<M> {
+    let mut request = tonic::Request::new(message);
+    let value = format!("Bearer {key}")
+        .parse()
+        .expect("a key of visible characters");
+    request.metadata_mut().insert("authorization", value);
+    request
+}
+
+/// A sound change.
+fn change() -> Option<wire::Change> {
+    Some(wire::Change {
+        expected_version: 4,
+        change_id: "c-1".to_owned(),
+        wait_ms: 0,
+    })
+}
+
+/// A sound deployment.
+fn deployment() -> wire::Deployment {
+    wire::Deployment {
+        name: "thesis".to_owned(),
+        kind: Some(wire::deployment::Kind::Service(wire::PlainService {})),
+        pool: "thesis".to_owned(),
+        ..Default::default()
+    }
+}
+
+#[tokio::test]
+async fn a_change_reaches_the_reducer_in_domain_terms_and_its_result_comes_back() {
+    let mut client = start(|request| {
+        let Request::Change(change) = request else {
+            panic!("not a change");
+        };
+        assert_eq!((change.id.as_str(), change.expected_version), ("c-1", 4));
+        assert_eq!(change.wait.as_millis(), 10_000);
+        let Edit::CreateDeployment(Deployment { kind, .. }) = change.edit else {
+            panic!("not a creation");
+        };
+        assert_eq!(kind, Kind::Service);
+        Ok(Reply::Changed(Changed::Committed {
+            version: 5,
+            waiting_for: vec!["entry-2".into()],
+        }))
+    })
+    .await;
+    let message = wire::CreateDeploymentRequest {
+        change: change(),
+        deployment: Some(deployment()),
+    };
+    let result = client
+        .create_deployment(with_key(message, KEY))
+        .await
+        .unwrap();
+    let expected = Outcome::Committed(wire::Committed {
+        version: 5,
+        waiting_for: vec!["entry-2".to_owned()],
+    });
+    assert_eq!(result.into_inner().outcome, Some(expected));
+}
+
+/// Two operators change the same deployment at the same moment. The second must not undo what the
+/// first did: it is told the newest version and what differs, and nothing of its change is in force.
+#[tokio::test]
+async fn the_loser_of_a_race_gets_the_newest_version_and_the_difference() {
+    let mut client = start(|_| {
+        Ok(Reply::Changed(Changed::Conflict {
+            version: 5,
+            differences: vec![Difference {
+                subject: "deployment thesis".to_owned(),
+                field: "pool".to_owned(),
+                before: "\"thesis\"".to_owned(),
+                after: "\"theses\"".to_owned(),
+            }],
+        }))
+    })
+    .await;
+    let message = wire::RemoveDeploymentRequest {
+        change: change(),
+        name: "thesis".to_owned(),
+    };
+    let result = client
+        .remove_deployment(with_key(message, KEY))
+        .await
+        .unwrap();
+    let Some(Outcome::Conflict(conflict)) = result.into_inner().outcome else {
+        panic!("not a conflict");
+    };
+    assert_eq!(conflict.version, 5);
+    assert_eq!(conflict.differences[0].after, "\"theses\"");
+}
+
+/// An operator's program sends a change with several wrong fields. It is told all of them at once,
+/// and nothing reaches the reducer.
+#[tokio::test]
+async fn all_faults_of_a_change_are_named_at_once() {
+    let mut client = start(|_| panic!("a malformed change got through")).await;
+    let grant = wire::Grant {
+        account: "branches".to_owned(),
+        first_token_ms: 480,
+        token_gap_ms: 0,
+        share_per_mille: 1_000,
+    };
+    let message = wire::ChangeDeploymentRequest {
+        change: Some(wire::Change {
+            change_id: "no spaces".to_owned(),
+            wait_ms: 60_001,
+            ..Default::default()
+        }),
+        deployment: Some(wire::Deployment {
+            name: "Thesis".to_owned(),
+            kind: None,
+            grants: vec![grant.clone(), grant],
+            ..deployment()
+        }),
+    };
+    let status = client
+        .change_deployment(with_key(message, KEY))
+        .await
+        .unwrap_err();
+    assert_eq!(status.code(), Code::InvalidArgument);
+    let lines: Vec<&str> = status.message().lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "change.change_id: expected 1 to 64 of A-Z, a-z, 0-9, - and _",
+            "change.wait_ms: expected at most 60000, found 60001",
+            "deployment.name: expected 1 to 63 of a-z, 0-9 and -",
+            "deployment.grants[0].token_gap_ms: expected 1 to 3600000, found 0",
+            "deployment.grants[0].share_per_mille: expected 1 to 999, found 1000",
+            "deployment.grants[1].account: 'branches' has a grant already",
+            "deployment.grants[1].token_gap_ms: expected 1 to 3600000, found 0",
+            "deployment.grants[1].share_per_mille: expected 1 to 999, found 1000",
+            "deployment.kind: expected model or service, found none",
+        ]
+    );
+}
+
+#[tokio::test]
+async fn an_account_that_is_not_sound_is_refused() {
+    let mut client = start(|_| panic!("a malformed account got through")).await;
+    let message = wire::PutAccountRequest {
+        change: None,
+        account: Some(wire::Account {
+            name: "branches".to_owned(),
+            key_hashes: vec!["the key itself".to_owned()],
+            weight: 0,
+            priority: 300,
+            ..Default::default()
+        }),
+    };
+    let status = client
+        .put_account(with_key(message, KEY))
+        .await
+        .unwrap_err();
+    assert_eq!(status.code(), Code::InvalidArgument);
+    let lines: Vec<&str> = status.message().lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "change: it must be set",
+            "account.key_hashes[0]: expected 64 lower-case hexadecimal digits (SHA-256 of the key)",
+            "account.weight: expected 1 to 1000000, found 0",
+            "account.priority: expected 0 to 9, found 300",
+        ]
+    );
+}
+
+#[tokio::test]
+async fn a_wrong_or_missing_key_gets_nothing_done() {
+    let mut client = start(|_| panic!("a call without the key got through")).await;
+    let wrong = with_key(wire::GetStatusRequest {}, "0123456789abcdeg");
+    let status = client.get_status(wrong).await.unwrap_err();
+    assert_eq!(status.code(), Code::Unauthenticated);
+    let missing = tonic::Request::new(wire::GetStatusRequest {});
+    let status = client.get_status(missing).await.unwrap_err();
+    assert_eq!(status.code(), Code::Unauthenticated);
+}
+
+/// The entry is killed between taking a change and answering it. The operator must not hear that
+/// nothing happened: the change may be in force.
+#[tokio::test]
+async fn a_call_that_is_dropped_has_an_unknown_outcome() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (calls, mut received) = mpsc::channel::<Call>(16);
+    tokio::spawn(async move { ops::serve(listener, KEY, calls).await });
+    tokio::spawn(async move { while received.recv().await.is_some() {} });
+    let mut client = OperatorsClient::connect(format!("http://{address}"))
+        .await
+        .unwrap();
+    let message = wire::RemoveDeploymentRequest {
+        change: change(),
+        name: "thesis".to_owned(),
+    };
+    let status = client
+        .remove_deployment(with_key(message, KEY))
+        .await
+        .unwrap_err();
+    assert_eq!(status.code(), Code::Unknown);
+    let question = with_key(wire::ListDeploymentsRequest {}, KEY);
+    let status = client.list_deployments(question).await.unwrap_err();
+    assert_eq!(status.code(), Code::Unavailable);
+}
+
+#[tokio::test]
+async fn faults_have_their_own_codes() {
+    let mut client = start(|_| Err(Fault::NotFound("deployment thesis".to_owned()))).await;
+    let message = wire::GetDeploymentRequest {
+        name: "thesis".to_owned(),
+    };
+    let status = client
+        .get_deployment(with_key(message, KEY))
+        .await
+        .unwrap_err();
+    assert_eq!(status.code(), Code::NotFound);
+    assert_eq!(status.message(), "no deployment thesis");
+}
