Add the stand-in platform, engine and plain service

Cause: entries need outside systems to talk to before anything can be tried over real sockets. Change: one binary with a subcommand a part; each part is also a library function that runs on the current LocalSet. Faults are ordered over /control.

--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,65 @@
+//! The stand-in model engine: batches, streams, prefix cache, KV export and orders.
+
+use std::io;
+use std::rc::Rc;
+
+use futures::future::LocalBoxFuture;
+use hyper::Request;
+use hyper::body::Incoming;
+
+use crate::configs;
+use crate::server::Answer;
+use crate::server::Server;
+
+use state::State;
+
+mod batch;
+mod cache;
+pub mod fault;
+mod generate;
+mod load;
+pub mod order;
+mod relay;
+mod route;
+mod state;
+mod stream;
+
+/// A running engine.
+pub struct Engine {
+    /// Its listener.
+    pub server: Rc<Server>,
+    state: Rc<State>,
+}
+
+/// Starts an engine on the current `LocalSet`.
+pub async fn spawn(config: configs::engine::Engine) -> io::Result<Engine> {
+    let listen = config.listen.clone();
+    let state = Rc::new(State::new(config));
+    let shared = Rc::clone(&state);
+    let handler = Rc::new(move |request: Request<Incoming>| {
+        let state = Rc::clone(&shared);
+        Box::pin(route::handle(state, request)) as LocalBoxFuture<'static, io::Result<Answer>>
+    });
+    let server = Rc::new(Server::bind(&listen, handler).await?);
+    state.set_server(&server);
+    tokio::task::spawn_local(load::publish(Rc::downgrade(&state)));
+    Ok(Engine { server, state })
+}
+
+impl Engine {
+    /// What it has done so far.
+    pub fn counts(&self) -> fault::Counts {
+        self.state.counts.borrow().clone()
+    }
+
+    /// Orders a fault, in place of the one before.
+    pub fn set_fault(&self, fault: fault::Fault) {
+        self.state.set_fault(fault);
+    }
+
+    /// Dies, as on a marked prompt or at the end of a reclaim notice.
+    pub fn kill(&self) {
+        self.server.kill();
+        self.state.streams.borrow_mut().clear();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/generate.rs
@@ -0,0 +1,70 @@
+//! Runs a stream: waits for a slot, computes the prompt, makes one token after the other.
+
+use std::rc::Rc;
+
+use crate::engine::state::State;
+use crate::engine::stream::Phase;
+use crate::engine::stream::Stream;
+use crate::tokens::BLOCK_BYTES;
+use crate::tokens::BYTES_PER_TOKEN;
+use crate::tokens::Chat;
+use crate::tokens::blocks;
+
+/// Runs a new stream from its prompt on.
+pub async fn start(state: Rc<State>, stream: Rc<Stream>, chat: Chat) {
+    let Some(_slot) = state.batch.slot(stream.priority).await else {
+        return;
+    };
+    if stream.phase() != Phase::Running {
+        return;
+    }
+    if stream.plan.crashes {
+        state.crash();
+        return;
+    }
+    let fresh = look_up(&state, &chat);
+    let millis = state.config.prefill_ms as f64 * fresh as f64 / 1_000.0;
+    state.spend(millis).await;
+    run(&state, &stream).await;
+}
+
+/// Goes on with a stream that was parked; nothing of its prompt is computed again.
+pub async fn go_on(state: Rc<State>, stream: Rc<Stream>) {
+    let Some(_slot) = state.batch.slot(stream.priority).await else {
+        return;
+    };
+    run(&state, &stream).await;
+}
+
+async fn run(state: &State, stream: &Stream) {
+    stream.finish_if_whole();
+    while stream.phase() == Phase::Running {
+        state.spend(state.config.token_ms as f64).await;
+        if stream.phase() != Phase::Running {
+            return;
+        }
+        stream.advance();
+        state.counts.borrow_mut().generated_tokens += 1;
+    }
+}
+
+/// Counts what is computed and what is cached; returns the prompt tokens to compute.
+fn look_up(state: &State, chat: &Chat) -> u64 {
+    let text = chat.text();
+    let all = prompt_tokens(&text);
+    let hits = state.cache.borrow_mut().touch(&blocks(&text));
+    let cached = (hits * BLOCK_BYTES / BYTES_PER_TOKEN) as u64;
+    let fresh = all.saturating_sub(cached);
+    let mut counts = state.counts.borrow_mut();
+    counts.cached_tokens += cached;
+    counts.computed_tokens += fresh;
+    if chat.plan().base > 0 {
+        counts.recomputed_tokens += fresh;
+    }
+    fresh
+}
+
+/// Tokens of a prompt's text.
+pub fn prompt_tokens(text: &str) -> u64 {
+    text.len().div_ceil(BYTES_PER_TOKEN) as u64
+}
--- /dev/null
+++ b/crates/standin/src/engine/load.rs
@@ -0,0 +1,83 @@
+//! The load report, which lags.
+
+use std::rc::Weak;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::engine::state::State;
+
+const KV_CAPACITY_TOKENS: f64 = 262_144.0;
+
+/// Load as it was at some moment.
+#[derive(Clone, Copy)]
+pub struct Load {
+    at: Instant,
+    running: usize,
+    waiting: usize,
+    kv_used: f64,
+    tokens_per_second: f64,
+}
+
+/// The report as it is answered.
+#[derive(Serialize)]
+pub struct Report {
+    running: usize,
+    waiting: usize,
+    kv_used: f64,
+    tokens_per_second: f64,
+    as_of_ms: u64,
+}
+
+impl Load {
+    /// An idle engine.
+    pub fn now() -> Load {
+        Load {
+            at: Instant::now(),
+            running: 0,
+            waiting: 0,
+            kv_used: 0.0,
+            tokens_per_second: 0.0,
+        }
+    }
+
+    /// The report made of it now.
+    pub fn report(&self) -> Report {
+        Report {
+            running: self.running,
+            waiting: self.waiting,
+            kv_used: self.kv_used,
+            tokens_per_second: self.tokens_per_second,
+            as_of_ms: self.at.elapsed().as_millis() as u64,
+        }
+    }
+}
+
+/// Looks at the engine's load again and again, until the engine is gone.
+pub async fn publish(state: Weak<State>) {
+    let mut generated = 0;
+    loop {
+        let Some(state) = state.upgrade() else { return };
+        let total = state.counts.borrow().generated_tokens;
+        let before = state.load.get().at;
+        let seconds = before.elapsed().as_secs_f64().max(0.001);
+        let held: u64 = state
+            .streams
+            .borrow()
+            .values()
+            .map(|stream| stream.held_tokens())
+            .sum();
+        state.load.set(Load {
+            at: Instant::now(),
+            running: state.batch.running(),
+            waiting: state.batch.waiting(),
+            kv_used: held as f64 / KV_CAPACITY_TOKENS,
+            tokens_per_second: (total - generated) as f64 / seconds,
+        });
+        generated = total;
+        let lag = Duration::from_millis(state.config.load_lag_ms.max(1));
+        drop(state);
+        tokio::time::sleep(lag).await;
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,12 @@
 //! Small fakes of the outside systems, with faults that a test can order.
+//!
+//! Each part runs as a process of its own (`standin platform` and so on) or, by its `spawn`
+//! function, on the current `LocalSet`, so that a test or the demo holds all parts in one process.
+
+pub mod configs;
+pub mod engine;
+pub mod gate;
+pub mod platform;
+pub mod server;
+pub mod service;
+pub mod tokens;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,17 @@
-//! Placeholder.
+//! `standin`: the parts as processes of their own, and the demo.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let arguments: command::Standin = argh::from_env();
+    match command::run(arguments) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+mod command;
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,160 @@
+//! The stand-in plain service: echoes a call and counts how often each one was executed.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::configs;
+use crate::gate::Gate;
+use crate::server;
+use crate::server::Answer;
+use crate::server::Server;
+
+/// A running plain service.
+pub struct Service {
+    /// Its listener.
+    pub server: Server,
+    state: Rc<State>,
+}
+
+/// What a test orders to go wrong.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fault {
+    /// Says that it did not start a call.
+    pub refuse: bool,
+    /// Executes the call, then cuts the connection without an answer.
+    pub lose_answer: bool,
+    /// Executes the call, then answers 500.
+    pub fail: bool,
+    /// Added to the time of a call, milliseconds.
+    pub delay_ms: u64,
+    /// Neither begins nor ends any call.
+    pub frozen: bool,
+}
+
+/// Executions by call.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Key: method, path with query and body, separated by spaces.
+    pub executions: BTreeMap<String, u32>,
+}
+
+#[derive(Serialize)]
+struct Echo<'a> {
+    method: &'a str,
+    path: &'a str,
+    body: &'a str,
+}
+
+struct State {
+    config: configs::service::Service,
+    fault: RefCell<Fault>,
+    counts: RefCell<Counts>,
+    gate: Gate,
+}
+
+/// Starts a plain service on the current `LocalSet`.
+pub async fn spawn(config: configs::service::Service) -> io::Result<Service> {
+    let listen = config.listen.clone();
+    let state = Rc::new(State {
+        config,
+        fault: RefCell::default(),
+        counts: RefCell::default(),
+        gate: Gate::default(),
+    });
+    let shared = Rc::clone(&state);
+    let handler = Rc::new(move |request| {
+        let state = Rc::clone(&shared);
+        Box::pin(handle(state, request)) as futures::future::LocalBoxFuture<'static, _>
+    });
+    let server = Server::bind(&listen, handler).await?;
+    Ok(Service { server, state })
+}
+
+impl Service {
+    /// Executions so far.
+    pub fn counts(&self) -> Counts {
+        self.state.counts.borrow().clone()
+    }
+
+    /// Orders a fault, in place of the one before.
+    pub fn set_fault(&self, fault: Fault) {
+        self.state.set_fault(fault);
+    }
+}
+
+impl State {
+    fn set_fault(&self, fault: Fault) {
+        self.gate.set_frozen(fault.frozen);
+        *self.fault.borrow_mut() = fault;
+    }
+
+    fn count(&self, call: String) {
+        let mut counts = self.counts.borrow_mut();
+        *counts.executions.entry(call).or_default() += 1;
+    }
+}
+
+async fn handle(state: Rc<State>, request: Request<Incoming>) -> io::Result<Answer> {
+    match request.uri().path() {
+        "/control/counts" => server::json(StatusCode::OK, &*state.counts.borrow()),
+        "/control/fault" => match server::read_json(request).await? {
+            Ok(fault) => {
+                state.set_fault(fault);
+                Ok(server::empty(StatusCode::OK))
+            }
+            Err(refusal) => Ok(refusal),
+        },
+        _ => call(state, request).await,
+    }
+}
+
+async fn call(state: Rc<State>, request: Request<Incoming>) -> io::Result<Answer> {
+    let mut gate = state.gate.pass();
+    gate.wait().await;
+    let fault = state.fault.borrow().clone();
+    if fault.refuse {
+        return Ok(not_started());
+    }
+    let method = request.method().to_string();
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or_else(String::new, ToString::to_string);
+    let body = server::read(request).await?;
+    let body = String::from_utf8_lossy(&body);
+    state.count(format!("{method} {path} {body}"));
+    tokio::time::sleep(Duration::from_millis(state.config.call_ms + fault.delay_ms)).await;
+    gate.wait().await;
+    if fault.lose_answer {
+        return Err(io::Error::other("answer lost on order"));
+    }
+    if fault.fail {
+        return Ok(server::empty(StatusCode::INTERNAL_SERVER_ERROR));
+    }
+    let echo = Echo {
+        method: &method,
+        path: &path,
+        body: &body,
+    };
+    server::json(StatusCode::OK, &echo)
+}
+
+/// The word that a request was not started.
+pub fn not_started() -> Answer {
+    let mut answer = server::empty(StatusCode::SERVICE_UNAVAILABLE);
+    answer.headers_mut().insert(
+        "x-not-started",
+        hyper::header::HeaderValue::from_static("true"),
+    );
+    answer
+}
--- /dev/null
+++ b/crates/standin/src/tokens.rs
@@ -0,0 +1,149 @@
+//! The stand-in model: each token is a function of the prompt and its index.
+//!
+//! A test can therefore say what the whole answer must be, whichever engines took part in it.
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Prompt text for which one block of KV cache is kept.
+pub const BLOCK_BYTES: usize = 256;
+
+/// Bytes of text counted as one prompt token.
+pub const BYTES_PER_TOKEN: usize = 4;
+
+/// A prompt that holds this text makes the engine die when it starts to run it.
+pub const CRASH_MARK: &str = "[crash]";
+
+const LENGTH_MARK: &str = "[tokens=";
+const DEFAULT_LENGTH: u32 = 24;
+
+/// The body of a model call, as far as the stand-in looks at it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Chat {
+    /// The deployment.
+    #[serde(default)]
+    pub model: String,
+    /// The conversation.
+    pub messages: Vec<Message>,
+    /// Most new tokens.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u32>,
+    /// Whether a stream is wanted.
+    #[serde(default)]
+    pub stream: bool,
+    /// Whether a last message of the assistant is to be continued.
+    #[serde(default)]
+    pub continue_final_message: bool,
+}
+
+/// One message.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Message {
+    /// `system`, `user` or `assistant`.
+    pub role: String,
+    /// Its text.
+    pub content: String,
+}
+
+impl Chat {
+    /// A streamed call with one question, to be answered with `length` tokens.
+    pub fn question(model: &str, text: &str, length: u32) -> Chat {
+        Chat {
+            model: model.to_owned(),
+            messages: vec![Message {
+                role: "user".to_owned(),
+                content: format!("{text} {LENGTH_MARK}{length}]"),
+            }],
+            stream: true,
+            ..Chat::default()
+        }
+    }
+
+    /// What the model makes of it.
+    pub fn plan(&self) -> Plan {
+        let continued = self.continued();
+        let asked = self.messages.len() - usize::from(continued.is_some());
+        let prompt = flatten(&self.messages[..asked]);
+        let base = continued.map_or(0, |text| text.split_whitespace().count() as u32);
+        let length = length_of(&prompt);
+        let new = length.saturating_sub(base);
+        Plan {
+            seed: xxh3_64(prompt.as_bytes()),
+            base,
+            new: new.min(self.max_tokens.unwrap_or(u32::MAX)),
+            crashes: prompt.contains(CRASH_MARK),
+        }
+    }
+
+    /// The text that the engine has to compute, block by block.
+    pub fn text(&self) -> String {
+        flatten(&self.messages)
+    }
+
+    fn continued(&self) -> Option<&str> {
+        let last = self.messages.last()?;
+        (self.continue_final_message && last.role == "assistant").then_some(last.content.as_str())
+    }
+}
+
+/// What will be generated for a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Hash of the prompt without the part of the answer that was there already.
+    pub seed: u64,
+    /// Tokens of the answer that were there already.
+    pub base: u32,
+    /// Tokens to generate.
+    pub new: u32,
+    /// Whether the engine dies of it.
+    pub crashes: bool,
+}
+
+impl Plan {
+    /// The token at an offset; offset 0 is the first new token.
+    pub fn token(&self, offset: u32) -> String {
+        let index = u64::from(self.base) + u64::from(offset);
+        let mut bytes = [0; 16];
+        bytes[..8].copy_from_slice(&self.seed.to_le_bytes());
+        bytes[8..].copy_from_slice(&index.to_le_bytes());
+        format!("w{:05x} ", xxh3_64(&bytes) & 0xf_ffff)
+    }
+
+    /// The whole of what is to be generated.
+    pub fn answer(&self) -> String {
+        (0..self.new).map(|offset| self.token(offset)).collect()
+    }
+}
+
+/// Hash of the text up to the end of each whole block.
+pub fn blocks(text: &str) -> Vec<u64> {
+    let mut hasher = Xxh3::new();
+    let mut hashes = Vec::with_capacity(text.len() / BLOCK_BYTES);
+    for block in text.as_bytes().chunks_exact(BLOCK_BYTES) {
+        hasher.update(block);
+        hashes.push(hasher.digest());
+    }
+    hashes
+}
+
+fn flatten(messages: &[Message]) -> String {
+    let mut text = String::new();
+    for message in messages {
+        text.push_str(&message.role);
+        text.push('\n');
+        text.push_str(&message.content);
+        text.push('\n');
+    }
+    text
+}
+
+fn length_of(prompt: &str) -> u32 {
+    let Some(at) = prompt.rfind(LENGTH_MARK) else {
+        return DEFAULT_LENGTH;
+    };
+    let digits = &prompt[at + LENGTH_MARK.len()..];
+    let end = digits.find(']').unwrap_or(0);
+    digits[..end].parse().unwrap_or(DEFAULT_LENGTH)
+}
