--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,18 @@
 //! The entry daemon: carries events into the reducer and effects out of it.
+//!
+//! One loop on one thread ([`shell`]) owns the reducer. Tasks on the same thread do the I/O: one for
+//! each open request ([`flight`]), and a few that poll the platform. They tell the loop what happened
+//! through [`link::Link`] and never touch the reducer.
+
+pub mod admin;
+pub mod callers;
+pub mod flight;
+pub mod link;
+pub mod logs;
+pub mod output;
+pub mod plain;
+pub mod platform;
+pub mod run;
+pub mod shell;
+
+pub use crate::run::run;
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,98 @@
+//! Polls the instance list, the reclaim notices and the engines' load.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use back::cloud::Cloud;
+use back::engine::Engine;
+use back::engine::Load;
+use back::http_client::HttpClient;
+use clock::Span;
+use entry::event::Event;
+use entry::instance::Instance;
+use entry::instance::Notice;
+use policy::replica;
+use smol_str::SmolStr;
+
+use crate::link::Link;
+
+/// What an entry of the list is called that serves as one of us.
+const ENTRY_KIND: &str = "entry";
+
+/// What a model engine is called in the list.
+const ENGINE_KIND: &str = "engine";
+
+/// What an instance is called in the list that gets no new work.
+const LEAVING_STATE: &str = "leaving";
+
+/// Polls the platform until the future is dropped.
+pub async fn poll(link: Rc<Link>, client: HttpClient, cloud_address: SmolStr, interval: Duration) {
+    let mut last_notice = 0;
+    let mut timer = tokio::time::interval(interval);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let cloud = Cloud::new(&client, &cloud_address);
+        if let Ok(notices) = cloud.notices(last_notice).await {
+            last_notice = notices
+                .iter()
+                .map(|one| one.seq)
+                .fold(last_notice, u64::max);
+            let notices = notices.iter().map(notice_of).collect();
+            link.event(Event::NoticesRead(notices));
+        }
+        if let Ok(instances) = cloud.instances().await {
+            ask_loads(&link, &client, &instances);
+            let backends = instances.iter().filter(|one| one.kind != ENTRY_KIND);
+            link.event(Event::InstancesRead(backends.map(instance_of).collect()));
+        }
+    }
+}
+
+/// Asks every engine for its load, side by side.
+fn ask_loads(link: &Rc<Link>, client: &HttpClient, instances: &[back::cloud::Instance]) {
+    for instance in instances.iter().filter(|one| one.kind == ENGINE_KIND) {
+        let link = Rc::clone(link);
+        let client = client.clone();
+        let address = instance.address.clone();
+        let incarnation = instance.incarnation.clone();
+        tokio::task::spawn_local(async move {
+            if let Ok(load) = Engine::new(&client, &address).load().await {
+                let report = report_of(&load);
+                link.event(Event::LoadRead {
+                    incarnation,
+                    report,
+                });
+            }
+        });
+    }
+}
+
+/// An engine's load as the reducer sees it.
+fn report_of(load: &Load) -> replica::Report {
+    replica::Report {
+        running: load.running,
+        waiting: load.waiting,
+        kv_used: load.kv_used,
+        age: Span::from_millis(load.as_of_ms),
+    }
+}
+
+/// An instance as the reducer sees it.
+fn instance_of(instance: &back::cloud::Instance) -> Instance {
+    Instance {
+        incarnation: instance.incarnation.clone(),
+        address: instance.address.clone(),
+        zone: instance.zone.clone(),
+        pool: instance.pool.clone(),
+        leaving: instance.state == LEAVING_STATE,
+    }
+}
+
+/// A notice as the reducer sees it.
+fn notice_of(notice: &back::cloud::Notice) -> Notice {
+    Notice {
+        incarnation: notice.incarnation.clone(),
+        left: Span::from_millis(notice.deadline_ms),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,257 @@
+//! Starts one entry: settings, sockets, tasks, loop.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use back::http_client::HttpClient;
+use clock::Clock;
+use clock::Span;
+use entry::entry::Entry;
+use entry::identity::Identity;
+use front::configs::limit::Limit;
+use prometheus::Registry;
+use request::id::Incarnation;
+use request::seal::Seal;
+use settings::Settings;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use store::driver::Driver;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::admin;
+use crate::admin::Admin;
+use crate::callers::Callers;
+use crate::flight::Shared;
+use crate::link::Link;
+use crate::logs;
+use crate::platform;
+use crate::shell::Askers;
+use crate::shell::Shell;
+
+/// Operators' calls that may wait for the loop.
+const CALLS_WAITING: usize = 64;
+
+/// Longest time for the last words of answers to reach their callers.
+const LAST_WORDS_TIME: Duration = Duration::from_secs(5);
+
+/// The sockets of one entry, bound.
+pub struct Sockets {
+    callers: TcpListener,
+    admin: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+/// Where an entry is to be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bound {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Health, readiness and metrics.
+    pub admin: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
+    /// Other entries.
+    pub peers: SocketAddr,
+}
+
+/// Runs an entry by its settings file until it is stopped.
+pub fn run(path: &Path) -> Result<()> {
+    let loaded = settings::read(path)?;
+    logs::init(logs::filter_of(loaded.settings.logs.level));
+    for warning in &loaded.warnings.0 {
+        log::warn!(event = "unknown_setting", what = warning.to_string().as_str(); "");
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let (stop, stops) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(watch_signals(stop));
+        let sockets = Sockets::bind(&loaded.settings).await?;
+        let bound = sockets.bound()?;
+        println!(
+            "listening callers={} admin={} operators={} peers={}",
+            bound.callers, bound.admin, bound.operators, bound.peers
+        );
+        serve(loaded.settings, sockets, stops).await
+    })
+}
+
+/// Serves on bound sockets until a stop is done. Runs within a `LocalSet`; each word on `stops` asks
+/// for a stop, `true` for one without grace.
+pub async fn serve(
+    settings: Settings,
+    sockets: Sockets,
+    stops: mpsc::UnboundedReceiver<bool>,
+) -> Result<()> {
+    let bound = sockets.bound()?;
+    let identity = identity_of(&settings, &bound)?;
+    let shared_key = settings.peers.key.reveal();
+    let (link, messages) = Link::new();
+    let link = Rc::new(link);
+    let client = HttpClient::new();
+    let shared = Rc::new(Shared {
+        link: Rc::clone(&link),
+        client: client.clone(),
+        seal: Seal::new(shared_key, "resume"),
+    });
+    let ready = Rc::new(Cell::new(false));
+    let entry = Entry::new(
+        identity.clone(),
+        entry_settings(&settings),
+        shared_key,
+        random()?,
+    );
+    let tickets = Seal::new(shared_key, "ticket");
+    let callers = Rc::new(Callers::new(shared, identity.incarnation, tickets));
+    let (call_sender, calls) = mpsc::channel(CALLS_WAITING);
+    let operators_key = settings.operators.key.reveal().to_owned();
+    let admin = Admin {
+        ready: Rc::clone(&ready),
+        registry: Registry::new(),
+    };
+    let interval = Duration::from_millis(settings.platform.instances_interval_ms);
+    let cloud = host_of(&settings.platform.cloud);
+    let (end, ended) = watch::channel(false);
+    let front = tokio::task::spawn_local(front::server::serve(
+        sockets.callers,
+        limit_of(&settings),
+        callers,
+        ended,
+    ));
+    let tasks = [
+        tokio::task::spawn_local(admin::serve(sockets.admin, admin)),
+        tokio::task::spawn_local(serve_operators(
+            sockets.operators,
+            operators_key,
+            call_sender,
+        )),
+        tokio::task::spawn_local(platform::poll(Rc::clone(&link), client, cloud, interval)),
+    ];
+    let timeout = Duration::from_millis(settings.platform.timeout_ms);
+    let store = Driver::new(&host_of(&settings.platform.table_service), timeout);
+    let shell = Shell {
+        name: identity.name,
+        clock: Clock::start(),
+        entry,
+        link,
+        store: Rc::new(store),
+        ready,
+        flights: HashMap::new(),
+        askers: Askers::default(),
+    };
+    shell.run(messages, calls, stops).await;
+    // The last words of answers may still be on their way to callers.
+    let _ = end.send(true);
+    let _ = tokio::time::timeout(LAST_WORDS_TIME, front).await;
+    for task in tasks {
+        task.abort();
+    }
+    drop(sockets.peers);
+    Ok(())
+}
+
+impl Sockets {
+    /// Binds all sockets that the settings name.
+    pub async fn bind(settings: &Settings) -> Result<Sockets> {
+        Ok(Sockets {
+            callers: listen(settings.callers.listen).await?,
+            admin: listen(settings.admin.listen).await?,
+            operators: listen(settings.operators.listen).await?,
+            peers: listen(settings.peers.listen).await?,
+        })
+    }
+
+    /// What was bound.
+    pub fn bound(&self) -> Result<Bound> {
+        Ok(Bound {
+            callers: self.callers.local_addr()?,
+            admin: self.admin.local_addr()?,
+            operators: self.operators.local_addr()?,
+            peers: self.peers.local_addr()?,
+        })
+    }
+}
+
+/// Binds one socket.
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("can't listen on {address}"))
+}
+
+/// Serves operators; a failure there leaves the rest of the entry alone.
+async fn serve_operators(listener: TcpListener, key: String, calls: ops::Calls) {
+    if let Err(error) = ops::serve(listener, &key, calls).await {
+        log::error!(event = "operators_port_failed", error = error.to_string().as_str(); "");
+    }
+}
+
+/// Passes signals on: the first asks for a graceful stop, the second hurries it.
+async fn watch_signals(stop: mpsc::UnboundedSender<bool>) {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    let mut hurry = false;
+    while terminate.recv().await.is_some() {
+        let _ = stop.send(hurry);
+        hurry = true;
+    }
+}
+
+/// Who this entry is.
+fn identity_of(settings: &Settings, bound: &Bound) -> Result<Identity> {
+    let callers = settings.callers.advertise.unwrap_or(bound.callers);
+    let peers = settings.peers.advertise.unwrap_or(bound.peers);
+    Ok(Identity {
+        name: settings.identity.name.clone(),
+        incarnation: Incarnation(random()?),
+        zone: settings.identity.zone.clone(),
+        caller_address: callers.to_smolstr(),
+        peer_address: peers.to_smolstr(),
+    })
+}
+
+/// The reducer's part of the settings.
+fn entry_settings(settings: &Settings) -> entry::configs::entry::Settings {
+    entry::configs::entry::Settings {
+        address_ttl: Span::from_millis(settings.callers.address_ttl_ms),
+        grace: Span::from_millis(settings.shutdown.grace_ms),
+        ..entry::configs::entry::Settings::default()
+    }
+}
+
+/// The callers' limits.
+fn limit_of(settings: &Settings) -> Limit {
+    let callers = &settings.callers;
+    Limit {
+        head_bytes: callers.max_header_bytes as usize,
+        body_bytes: usize::try_from(callers.max_body_bytes).unwrap_or(usize::MAX),
+        connections: callers.max_connections as usize,
+        head_time: Span::from_millis(callers.header_timeout_ms),
+        body_time: Span::from_millis(callers.body_timeout_ms),
+    }
+}
+
+/// `HOST:PORT` of an address that may be written as a URL.
+fn host_of(url: &str) -> SmolStr {
+    SmolStr::from(url.trim_start_matches("http://").trim_end_matches('/'))
+}
+
+/// A number from the system's source of randomness.
+fn random() -> Result<u64> {
+    getrandom::u64().map_err(|error| anyhow::anyhow!("no randomness: {error}"))
+}
--- /dev/null
+++ b/crates/daemon/src/shell.rs
@@ -0,0 +1,196 @@
+//! The one loop: takes messages, steps the reducer, carries its effects out.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clock::Clock;
+use entry::effect::Addresses;
+use entry::effect::Command;
+use entry::effect::Effect;
+use entry::entry::Entry;
+use entry::event::Event;
+use ops::fault::Fault;
+use ops::reply::Reply;
+use smol_str::SmolStr;
+use store::driver::Driver;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use verdict::Refusal;
+
+use crate::link::Link;
+use crate::link::Message;
+use crate::logs;
+
+/// How often the reducer is told that time has passed.
+const TICK_TIME: Duration = Duration::from_millis(20);
+
+/// The loop's state.
+pub struct Shell {
+    /// Name of the entry, for the log.
+    pub name: SmolStr,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The reducer.
+    pub entry: Entry,
+    /// For tasks that the loop starts.
+    pub link: Rc<Link>,
+    /// The table service.
+    pub store: Rc<Driver>,
+    /// What the admin port says.
+    pub ready: Rc<Cell<bool>>,
+    /// Tasks of open requests.
+    pub flights: HashMap<u64, mpsc::UnboundedSender<Command>>,
+    /// Who waits for an answer of the reducer.
+    pub askers: Askers,
+}
+
+/// Those who wait for an answer, by number.
+#[derive(Default)]
+pub struct Askers {
+    next: u64,
+    addresses: HashMap<u64, oneshot::Sender<Addresses>>,
+    cancels: HashMap<u64, oneshot::Sender<Option<Refusal>>>,
+    operators: HashMap<u64, oneshot::Sender<Result<Reply, Fault>>>,
+}
+
+impl Askers {
+    /// A number not used before.
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+}
+
+impl Shell {
+    /// Runs until the reducer has nothing left to do.
+    pub async fn run(
+        mut self,
+        mut messages: mpsc::UnboundedReceiver<Message>,
+        mut calls: mpsc::Receiver<ops::Call>,
+        mut stops: mpsc::UnboundedReceiver<bool>,
+    ) {
+        let mut tick = tokio::time::interval(TICK_TIME);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                Some(message) = messages.recv() => self.event_of(message),
+                Some(call) = calls.recv() => Some(self.operator(call)),
+                Some(hurry) = stops.recv() => Some(Event::StopAsked { hurry }),
+                _ = tick.tick() => Some(Event::Tick),
+                else => return,
+            };
+            let Some(event) = event else {
+                continue;
+            };
+            if self.step(event) {
+                return;
+            }
+        }
+    }
+
+    /// Takes one event; gives whether the process may end.
+    fn step(&mut self, event: Event) -> bool {
+        let mut effects = Vec::new();
+        self.entry.step(self.clock.now(), event, &mut effects);
+        self.ready.set(self.entry.is_ready());
+        let mut exit = false;
+        for effect in effects {
+            exit |= matches!(effect, Effect::Exit);
+            self.perform(effect);
+        }
+        exit
+    }
+
+    /// The event of a message; notes who waits for what follows.
+    fn event_of(&mut self, message: Message) -> Option<Event> {
+        match message {
+            Message::Event(event) => Some(event),
+            Message::Open {
+                serial,
+                arrival,
+                commands,
+            } => {
+                self.flights.insert(serial, commands);
+                Some(Event::Arrived { serial, arrival })
+            }
+            Message::Closed { serial } => {
+                self.flights.remove(&serial);
+                None
+            }
+            Message::Addresses { key, prefix, reply } => {
+                let asker = self.askers.number();
+                self.askers.addresses.insert(asker, reply);
+                Some(Event::AddressesAsked { asker, key, prefix })
+            }
+            Message::Cancel {
+                key,
+                request,
+                reply,
+            } => {
+                let asker = self.askers.number();
+                self.askers.cancels.insert(asker, reply);
+                Some(Event::CancelAsked {
+                    asker,
+                    key,
+                    request,
+                })
+            }
+        }
+    }
+
+    /// The event of an operator's call.
+    fn operator(&mut self, call: ops::Call) -> Event {
+        let number = self.askers.number();
+        self.askers.operators.insert(number, call.reply);
+        Event::Operator {
+            call: number,
+            request: call.request,
+        }
+    }
+
+    /// Carries one effect out, without waiting for anything.
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Flight { serial, command } => {
+                if let Some(flight) = self.flights.get(&serial) {
+                    let _ = flight.send(command);
+                }
+            }
+            Effect::Addresses { asker, answer } => {
+                if let Some(reply) = self.askers.addresses.remove(&asker) {
+                    let _ = reply.send(answer);
+                }
+            }
+            Effect::CancelAnswer { asker, refusal } => {
+                if let Some(reply) = self.askers.cancels.remove(&asker) {
+                    let _ = reply.send(refusal);
+                }
+            }
+            Effect::Operator { call, reply } => {
+                if let Some(waiting) = self.askers.operators.remove(&call) {
+                    let _ = waiting.send(reply);
+                }
+            }
+            Effect::Store { id, call } => self.call_store(id, call),
+            Effect::Log(line) => logs::write(&self.name, &line),
+            Effect::AskSpend { .. }
+            | Effect::SpendAnswer { .. }
+            | Effect::OfferEstates { .. }
+            | Effect::EstatesTaken { .. }
+            | Effect::SendDigest { .. }
+            | Effect::Exit => {}
+        }
+    }
+
+    /// Sends a call to the table service; its outcome comes back as an event.
+    fn call_store(&self, id: store::call::Id, call: store::call::Call) {
+        let link = Rc::clone(&self.link);
+        let store = Rc::clone(&self.store);
+        tokio::task::spawn_local(async move {
+            let outcome = store.call(&call).await;
+            link.event(Event::Store { id, outcome });
+        });
+    }
+}
--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -61,6 +61,7 @@
             return;
         };
         flight.waits_for = None;
+        flight.scheduled = true;
         let job = flight.job;
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.offer(now, job, out)
@@ -136,6 +137,7 @@
             job,
             attempt: 0,
             replica: None,
+            scheduled: false,
             waits_for: None,
             may_have_run: false,
             may_have_run_before: false,
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -74,9 +74,12 @@
         if end == End::NotStarted {
             flight.may_have_run = flight.may_have_run_before;
         }
+        let scheduled = flight.scheduled;
         if matches!(end, End::Finished | End::Left) {
             effects.push(Effect::Log(finished_line(now, flight)));
             self.flights.remove(&serial);
+        } else if !scheduled {
+            return self.offer(now, serial, effects);
         }
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
@@ -95,7 +98,7 @@
         if flight.job.kind == job::Kind::Plain && flight.may_have_run {
             return;
         }
-        self.drop_flight(now, serial, Command::Stop, effects);
+        self.drop_flight(now, serial, None, effects);
     }
 
     /// A caller wants a request of its own cancelled.
@@ -145,23 +148,26 @@
             .map(|flight| flight.id.serial)
     }
 
-    /// Closes a request without a word to its caller.
+    /// Closes a request here without a final word to its caller; its engine stream is left alone.
     pub(crate) fn drop_flight(
         &mut self,
         now: Time,
         serial: u64,
-        command: Command,
+        command: Option<Command>,
         effects: &mut Vec<Effect>,
     ) {
+        let Some(flight) = self.flights.remove(&serial) else {
+            return;
+        };
+        let line = Line::debug("request_left").with("request", flight.origin);
+        effects.push(Effect::Log(line));
+        if let Some(command) = command {
+            effects.push(Effect::Flight { serial, command });
+        }
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
-            scheduler.cancel(now, job, out)
+            scheduler.attempt_ended(now, job, End::Left, 0, out);
         });
-        if let Some(flight) = self.flights.remove(&serial) {
-            let line = Line::debug("caller_gone").with("request", flight.origin);
-            effects.push(Effect::Log(line));
-            effects.push(Effect::Flight { serial, command });
-        }
     }
 }
 
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -132,7 +132,7 @@
         /// By which means.
         how: Transfer,
     },
-    /// Stop the attempt that runs.
+    /// Stop the attempt that runs; the request stays open.
     Stop,
     /// End the stream here; the caller goes on at another entry.
     HandOff {
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -116,6 +116,12 @@
     Bytes::from_static(b"data: [DONE]\n\n")
 }
 
+/// Word within a stream that the caller is to come back with another resume word from now on.
+pub fn resume_event(token: &str) -> Bytes {
+    let data = json!({ "token": token });
+    Bytes::from(format!("event: resume\ndata: {data}\n\n"))
+}
+
 /// The end of a stream that goes on at another entry.
 pub fn continue_event(address: &str, token: &str) -> Bytes {
     let data = json!({"address": address, "token": token});
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -1,9 +1,10 @@
 //! Accepts callers' connections and answers their calls.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -15,6 +16,8 @@
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::answer;
 use crate::answer::Payload;
@@ -22,48 +25,79 @@
 use crate::handler::Handler;
 use crate::read;
 
-/// Serves callers until the future is dropped. Runs within a `LocalSet`.
-pub async fn serve(listener: TcpListener, limit: Limit, handler: Rc<dyn Handler>) {
-    let open = Rc::new(Cell::new(0_usize));
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Smallest read buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8_192;
+
+/// Serves callers until `ended` turns true, then lets every connection finish the answer that it is
+/// in. Runs within a `LocalSet`.
+pub async fn serve(
+    listener: TcpListener,
+    limit: Limit,
+    handler: Rc<dyn Handler>,
+    mut ended: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
     loop {
-        let Ok((socket, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+            _ = ended.changed() => break,
+        };
+        let Ok((socket, _)) = accepted else {
             // Out of file descriptors: let some connections end before the next try.
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= limit.connections {
-            log::warn!(event = "connection_refused", open = open.get(); "too many connections");
+        if connections.len() >= limit.connections {
+            log::warn!(event = "connection_refused", open = connections.len(); "");
             continue;
         }
-        let guard = Guard::enter(Rc::clone(&open));
-        let handler = Rc::clone(&handler);
-        tokio::task::spawn_local(async move {
-            connection(socket, limit, handler).await;
-            drop(guard);
-        });
+        let connection = connection(socket, limit, Rc::clone(&handler), ended.clone());
+        connections.spawn_local(connection);
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 /// Serves one connection to its end.
-async fn connection(socket: TcpStream, limit: Limit, handler: Rc<dyn Handler>) {
+async fn connection(
+    socket: TcpStream,
+    limit: Limit,
+    handler: Rc<dyn Handler>,
+    mut ended: watch::Receiver<bool>,
+) {
     let _ = socket.set_nodelay(true);
     let service = service_fn(move |request| answer_one(request, limit, Rc::clone(&handler)));
+    let builder = builder_of(&limit);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        _ = ended.changed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = served {
+        log::debug!(event = "connection_ended", error = error.to_string().as_str(); "");
+    }
+}
+
+/// HTTP/1.1 and 2 within the limits.
+fn builder_of(limit: &Limit) -> Builder<LocalExecutor> {
     let mut builder = Builder::new(LocalExecutor);
     builder
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limit.head_time.as_duration())
-        .max_buf_size(limit.head_bytes.max(8_192));
+        .max_buf_size(limit.head_bytes.max(LEAST_BUFFER));
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(limit.head_bytes).unwrap_or(u32::MAX));
-    let served = builder
-        .serve_connection(TokioIo::new(socket), service)
-        .await;
-    if let Err(error) = served {
-        log::debug!(event = "connection_ended", error = error.to_string().as_str(); "caller's connection");
-    }
+    builder
 }
 
 /// Reads and answers one call.
@@ -88,22 +122,3 @@
         tokio::task::spawn_local(future);
     }
 }
-
-/// Counts a connection for as long as it lives.
-struct Guard {
-    open: Rc<Cell<usize>>,
-}
-
-impl Guard {
-    /// Counts one more.
-    fn enter(open: Rc<Cell<usize>>) -> Guard {
-        open.set(open.get() + 1);
-        Guard { open }
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.open.set(self.open.get() - 1);
-    }
-}
