--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -13,3 +13,6 @@
 pub mod scheduler;
 pub mod size;
 pub mod slots;
+pub mod subset;
+pub mod warmup;
+pub mod wave;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,3 +22,6 @@
 pub mod scheduler;
 pub mod size;
 pub mod slots;
+pub mod subset;
+pub mod warmup;
+pub mod wave;
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -20,6 +20,7 @@
         let pool = self.pool_mut(replica.spec.pool);
         pool.members.insert(key);
         pool.monitor.joined(now, key);
+        pool.warmup.joined(now, key);
         pool.slots += replica.spec.slots;
         self.stir(replica.spec.pool);
         self.replicas.insert(key, replica);
@@ -37,6 +38,7 @@
         if pool.members.remove(&key) {
             pool.slots -= replica.spec.slots;
             pool.monitor.left(key);
+            pool.warmup.left(key);
             pool.affinity.left(key);
         }
         self.stir(replica.spec.pool);
@@ -98,17 +100,28 @@
             Some(Candidate {
                 key: *key,
                 identity: replica.identity,
-                load: self.load(now, replica, usual),
+                load: self.load(now, pool, *key, replica, usual),
                 open: self.is_open(now, pool, *key, replica, usual),
             })
         };
         pool.members.iter().filter_map(candidate).collect()
     }
 
-    fn load(&self, now: Time, replica: &Replica, usual: f64) -> f64 {
-        match self.settings.placement.concurrency {
+    fn load(
+        &self,
+        now: Time,
+        pool: &Pool,
+        key: replica::Key,
+        replica: &Replica,
+        usual: f64,
+    ) -> f64 {
+        let load = match self.settings.placement.concurrency {
             true => replica.load.jobs(now, usual),
             false => f64::from(replica.running()),
+        };
+        match self.settings.placement.warmup {
+            true => pool.warmup.load(now, key, load),
+            false => load,
         }
     }
 
@@ -134,8 +147,12 @@
             true => replica.load.is_open(now, usual),
             false => replica.running() < replica.spec.slots,
         };
+        let warm = !settings.warmup
+            || replica.running() == 0
+            || replica.load.jobs(now, usual)
+                < f64::from(pool.warmup.jobs(now, key, replica.spec.slots));
         let reserved = settings.quarantine
             && (replica.trial.is_some() || self.quarantine.is_reserved(now, replica.identity));
-        healthy && has_slots && in_share && !reserved
+        healthy && has_slots && in_share && warm && !reserved
     }
 }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -123,6 +123,8 @@
         open.place = None;
         open.started = now;
         open.spoke = now;
+        open.outstanding = open.cost;
+        open.moved = false;
         open.tried.push(replica);
         self.put_on(now, id, replica);
     }
@@ -133,7 +135,6 @@
             return;
         };
         open.replica = Some(key);
-        open.outstanding = open.cost;
         let long = u32::from(open.class == Class::Long);
         if let Some(pool) = self.pools.get_mut(&open.job.pool) {
             pool.running += 1;
@@ -142,7 +143,7 @@
         }
         if let Some(replica) = self.replicas.get_mut(&key) {
             replica.long += long;
-            replica.load.started(now, open.cost);
+            replica.load.started(now, open.outstanding);
             replica.jobs.insert(id);
         }
     }
@@ -167,7 +168,7 @@
             replica.load.ended(now, open.outstanding);
             replica.jobs.remove(&id);
         }
-        self.moving.remove(&id);
+        self.steps.remove(&id);
         let pool = open.job.pool;
         self.end_trial(id, key);
         self.stir(pool);
