--- /dev/null
+++ b/crates/policy/benches/patterns/main.rs
@@ -0,0 +1,30 @@
+//! Prints tables of what callers receive: load pattern by policy, and each module off in turn.
+//!
+//! `cargo bench -p policy --bench patterns -- [table|ablation|slopes] [pattern]`; all without one.
+//! Everything is virtual time but the slopes. Seeds 1 to [`SEEDS`], the same for every policy.
+
+mod ablation;
+mod slopes;
+#[path = "../../tests/support/mod.rs"]
+mod support;
+mod table;
+
+/// Runs of each pattern under each policy.
+const SEEDS: u64 = 10;
+
+fn main() {
+    let mut words = std::env::args()
+        .skip(1)
+        .filter(|word| !word.starts_with('-'));
+    let what = words.next().unwrap_or_default();
+    let pattern = words.next().unwrap_or_default();
+    if what.is_empty() || what == "table" {
+        table::print(SEEDS, &pattern);
+    }
+    if what.is_empty() || what == "ablation" {
+        ablation::print(SEEDS, &pattern);
+    }
+    if what.is_empty() || what == "slopes" {
+        slopes::print();
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/support/patterns.rs
@@ -0,0 +1,216 @@
+//! The load patterns of the table and the tests, at both users' sizes.
+//!
+//! [`CAPACITY`] is where goodput of this mix stops rising: on 9 replicas of the default shape every
+//! policy meets all targets at 48 requests a second, none gets beyond 54.
+
+use super::engine::Health;
+use super::engine::Shape;
+use super::load::Fault;
+use super::load::Killer;
+use super::load::Pattern;
+use super::load::Profile;
+use super::load::Reports;
+
+/// Requests a second of [`accounts`] that 9 replicas carry.
+pub const CAPACITY: f64 = 52.0;
+
+/// Two large and three small accounts at that share of capacity.
+pub fn accounts(load: f64) -> Vec<Profile> {
+    let rate = load * CAPACITY;
+    vec![
+        Profile::new("large-a", 4, rate * 0.35),
+        Profile::new("large-b", 4, rate * 0.35),
+        Profile::new("small-a", 1, rate * 0.10),
+        Profile::new("small-b", 1, rate * 0.10),
+        Profile::new("small-c", 1, rate * 0.10),
+    ]
+}
+
+/// All patterns in the order of the table.
+pub fn all() -> Vec<Pattern> {
+    vec![
+        steady(),
+        burst(),
+        hot_caller(),
+        without_hot_caller(),
+        hot_key(),
+        slow_replica(Health::Slow(6.0), "slow-replica"),
+        slow_replica(Health::Frozen, "frozen-replica"),
+        slow_replica(Health::FailsFast, "fast-failing"),
+        long_among_short(),
+        overload("overload-1.2", 1.2),
+        overload("overload-2", 2.0),
+        overload("overload-5", 5.0),
+        priorities(),
+        zone_reclaim(),
+        zone_loss(),
+        outage(),
+        stale_reports(),
+        killer(),
+        burst_and_slow(),
+        reclaim_and_hot_caller(),
+        plain_overload(),
+    ]
+}
+
+/// Most of capacity, nothing wrong.
+pub fn steady() -> Pattern {
+    Pattern::new("steady-0.8", accounts(0.8))
+}
+
+/// Three times the load for five seconds.
+pub fn burst() -> Pattern {
+    let surge = |profile: Profile| profile.surge(10_000, 15_000, 4.0);
+    let profiles = accounts(0.6).into_iter().map(surge).collect();
+    Pattern::new("burst", profiles)
+}
+
+/// One small account sends 40 times its rate, twice what the fleet can carry alone.
+pub fn hot_caller() -> Pattern {
+    let mut profiles = accounts(0.5);
+    profiles[2].rate *= 40.0;
+    Pattern::new("hot-caller", profiles)
+}
+
+/// The same without the hot account: what an innocent account gets alone.
+pub fn without_hot_caller() -> Pattern {
+    let mut profiles = accounts(0.5);
+    profiles[2].rate = 0.0;
+    Pattern::new("no-hot-caller", profiles)
+}
+
+/// Half of all requests share one long prefix.
+pub fn hot_key() -> Pattern {
+    let mut profiles = accounts(0.8);
+    for profile in &mut profiles {
+        profile.prompt = 1_600;
+        profile.shared = 1_400;
+    }
+    profiles[0].hot_key = true;
+    profiles[0].prefixes = 1;
+    Pattern::new("hot-key", profiles)
+}
+
+/// One replica goes bad at 5 s and is well again at 20 s.
+pub fn slow_replica(health: Health, name: &'static str) -> Pattern {
+    Pattern::new(name, accounts(0.7))
+        .fault(5_000, Fault::Health(4, health))
+        .fault(20_000, Fault::Health(4, Health::Well))
+}
+
+/// Archive bundles among captions.
+pub fn long_among_short() -> Pattern {
+    let mut profiles = accounts(0.45);
+    profiles[1] = Profile::new("bundles", 4, 2.6).long();
+    Pattern::new("long-among-short", profiles)
+}
+
+/// More than the fleet can carry, for the whole run.
+pub fn overload(name: &'static str, factor: f64) -> Pattern {
+    Pattern::new(name, accounts(factor))
+}
+
+/// Overload, in which three accounts may wait longer for better times than the others.
+pub fn priorities() -> Pattern {
+    let mut profiles = accounts(2.0);
+    profiles[1] = profiles[1].clone().priority(5);
+    profiles[3] = profiles[3].clone().priority(9);
+    profiles[4] = profiles[4].clone().priority(9);
+    Pattern::new("priorities-2", profiles)
+}
+
+/// A zone gets notice at nearly full load and comes back later.
+pub fn zone_reclaim() -> Pattern {
+    let mut pattern =
+        Pattern::new("zone-reclaim", accounts(0.65)).fault(10_000, Fault::ReclaimZone(1, 5_000));
+    pattern.restart_ms = Some(8_000);
+    pattern
+}
+
+/// A zone is lost without notice at nearly full load.
+pub fn zone_loss() -> Pattern {
+    let mut pattern = Pattern::new("zone-loss", accounts(0.9)).fault(10_000, Fault::LoseZone(1));
+    pattern.restart_ms = Some(8_000);
+    pattern
+}
+
+/// Everything is gone for five seconds; every caller comes back.
+pub fn outage() -> Pattern {
+    let mut pattern = Pattern::new("outage", accounts(0.7));
+    pattern.restart_ms = Some(5_000);
+    for zone in 0..3 {
+        pattern = pattern.fault(10_000, Fault::LoseZone(zone));
+    }
+    pattern
+}
+
+/// Reports every two seconds, two seconds old, a third of them lost.
+pub fn stale_reports() -> Pattern {
+    let mut pattern = Pattern::new("stale-reports", accounts(0.9));
+    pattern.reports = Reports {
+        period_ms: 2_000,
+        lag_ms: 2_000,
+        loss: 0.33,
+    };
+    pattern
+}
+
+/// One request that kills what runs it, sent again through each entry in turn.
+pub fn killer() -> Pattern {
+    let mut pattern = Pattern::new("killer", accounts(0.5));
+    pattern.killers = (0..8)
+        .map(|entry| Killer {
+            at_ms: 5_000 + entry as u64 * 1_500,
+            entry,
+        })
+        .collect();
+    pattern
+}
+
+/// A burst while a replica is slow.
+pub fn burst_and_slow() -> Pattern {
+    let mut pattern = burst();
+    pattern.name = "burst+slow";
+    pattern
+        .fault(8_000, Fault::Health(4, Health::Slow(6.0)))
+        .fault(20_000, Fault::Health(4, Health::Well))
+}
+
+/// A zone's reclaim while one account floods.
+pub fn reclaim_and_hot_caller() -> Pattern {
+    let mut pattern = hot_caller();
+    pattern.name = "reclaim+hot";
+    pattern.restart_ms = Some(8_000);
+    pattern.fault(10_000, Fault::ReclaimZone(1, 5_000))
+}
+
+/// The plain pool of 3 replicas at twice its capacity: short calls, answered in one piece.
+pub fn plain_overload() -> Pattern {
+    let mut profiles = accounts(1.0);
+    for profile in &mut profiles {
+        // A call occupies its server for 20 to 60 ms on its own.
+        profile.prompt = 400;
+        profile.shared = 0;
+        profile.output = 1;
+        profile.first_token_ms = 500;
+    }
+    let mut pattern = Pattern::new("plain-overload-2", profiles).scaled(2.6);
+    pattern.replicas = 3;
+    pattern.shape = Shape {
+        slots: 8,
+        step_us: 1_000,
+        sequence_us: 0,
+        cache_tokens: 0,
+        ..Shape::default()
+    };
+    pattern
+}
+
+/// One account has limits on tokens and open requests, and sends three times as much.
+pub fn limited() -> Pattern {
+    let mut profiles = accounts(0.6);
+    profiles[0].spec.tokens_per_second = 5_000;
+    profiles[0].spec.concurrent = 24;
+    profiles[0].rate *= 2.0;
+    Pattern::new("limited", profiles)
+}
--- /dev/null
+++ b/crates/policy/tests/support/world/fleet.rs
@@ -0,0 +1,163 @@
+//! Replicas: reports, faults, comings and goings.
+
+use clock::Span;
+use clock::Time;
+use policy::job;
+use policy::pool;
+use policy::replica;
+use rand::RngExt;
+
+use crate::support::engine::Engine;
+use crate::support::engine::Health;
+use crate::support::load::Fault;
+use crate::support::world::Event;
+use crate::support::world::World;
+
+impl World {
+    pub(super) fn sample(&mut self) {
+        for place in 0..self.places.len() {
+            let engine = self.places[place];
+            if matches!(self.engines[engine].health, Health::Dead | Health::Frozen) {
+                continue;
+            }
+            let (running, waiting) = self.engines[engine].load();
+            for entry in 0..self.entries.len() {
+                if self.random.random::<f64>() < self.pattern.reports.loss {
+                    continue;
+                }
+                let report = replica::Report {
+                    running: running as u32,
+                    waiting: waiting as u32,
+                    kv_used: running as f64 / self.pattern.shape.slots as f64,
+                    age: Span::from_millis(self.pattern.reports.lag_ms),
+                };
+                self.after(
+                    self.pattern.reports.lag_ms,
+                    Event::Report(entry, engine, report),
+                );
+            }
+        }
+        self.after(self.pattern.reports.period_ms, Event::Sample);
+    }
+
+    pub(super) fn report(&mut self, entry: usize, engine: usize, report: replica::Report) {
+        let Some(key) = self.keys[entry].get(&engine).copied() else {
+            return;
+        };
+        self.with(entry, |policy, now, _| policy.reported(now, key, report));
+    }
+
+    pub(super) fn fault(&mut self, index: usize) {
+        match self.pattern.faults[index].1.clone() {
+            Fault::Health(place, health) => {
+                let engine = self.places[place];
+                self.engines[engine].health = health;
+                self.kick(engine);
+            }
+            Fault::Kill(place) => self.kill(self.places[place]),
+            Fault::Restart(place) => self.restart(place),
+            Fault::ReclaimZone(zone, notice) => self.reclaim(zone, notice),
+            Fault::LoseZone(zone) => {
+                for place in self.in_zone(zone) {
+                    self.kill(self.places[place]);
+                }
+            }
+            Fault::ReturnZone(zone) => {
+                for place in self.in_zone(zone) {
+                    self.restart(place);
+                }
+            }
+        }
+    }
+
+    pub(super) fn in_zone(&self, zone: usize) -> Vec<usize> {
+        (0..self.places.len())
+            .filter(|place| place % self.pattern.zones == zone)
+            .collect()
+    }
+
+    pub(super) fn reclaim(&mut self, zone: usize, notice_ms: u64) {
+        let deadline = Time::from_millis(self.now_ms + notice_ms);
+        for place in self.in_zone(zone) {
+            let engine = self.places[place];
+            for entry in 0..self.entries.len() {
+                let key = self.keys[entry][&engine];
+                self.with(entry, |policy, now, out| {
+                    policy.leaving(now, key, deadline, out)
+                });
+            }
+            self.after(notice_ms, Event::Gone(engine));
+        }
+    }
+
+    pub(super) fn kill(&mut self, engine: usize) {
+        if self.engines[engine].health == Health::Dead {
+            return;
+        }
+        let lost = self.engines[engine].crash();
+        if let Some(since) = self.live_since[engine].take() {
+            self.count_life(since);
+        }
+        for sequence in lost {
+            self.note_lost(&sequence);
+            self.after(
+                1,
+                Event::Ended(
+                    sequence.entry,
+                    sequence.id,
+                    job::End::Crashed,
+                    sequence.made,
+                ),
+            );
+        }
+        for entry in 0..self.entries.len() {
+            if let Some(key) = self.keys[entry].remove(&engine) {
+                self.with(entry, |policy, now, _| policy.lost(now, key));
+            }
+        }
+        let Some(ms) = self.pattern.restart_ms else {
+            return;
+        };
+        if let Some(place) = self.places.iter().position(|held| *held == engine) {
+            self.after(ms, Event::Restart(place));
+        }
+    }
+
+    pub(super) fn restart(&mut self, place: usize) {
+        if self.engines[self.places[place]].health == Health::Dead {
+            self.join(place);
+        }
+    }
+
+    pub(super) fn join(&mut self, place: usize) {
+        let engine = self.engines.len();
+        let mut fresh = Engine::new(self.pattern.shape.clone());
+        fresh.killers.insert(0);
+        self.engines.push(fresh);
+        self.live_since.push(Some(self.now_ms));
+        self.places[place] = engine;
+        self.zones.push(place % self.pattern.zones);
+        for entry in 0..self.entries.len() {
+            let spec = replica::Spec {
+                incarnation: format!("r{engine}").into(),
+                pool: pool::Key(0),
+                zone: format!("zone-{}", self.zones[engine]).into(),
+                slots: self.pattern.shape.slots as u32,
+            };
+            let now = self.now();
+            let mut out = Vec::new();
+            let key = self.entries[entry].joined(now, spec, &mut out);
+            self.keys[entry].insert(engine, key);
+            self.found[entry].insert(key, engine);
+            for decision in out {
+                self.carry_out(entry, decision);
+            }
+            self.arm(entry);
+        }
+    }
+
+    pub(super) fn count_life(&mut self, since: u64) {
+        let end = self.now_ms.min(self.pattern.seconds * 1_000);
+        self.tally.replica_seconds += end.saturating_sub(since) as f64 / 1_000.0;
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/support/world/mod.rs
@@ -0,0 +1,248 @@
+//! Runs one pattern under one policy in virtual time.
+
+mod attempts;
+mod callers;
+mod fleet;
+mod news;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+
+use clock::Time;
+use policy::account;
+use policy::decision::Decision;
+use policy::job;
+use policy::replica;
+use policy::scheduler::Digest;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::support::engine::Engine;
+use crate::support::engine::Sequence;
+use crate::support::load::Arrival;
+use crate::support::load::Pattern;
+use crate::support::policy::Policy;
+use crate::support::tally::Outcome;
+use crate::support::tally::Tally;
+
+/// How long after the last arrival the run goes on.
+const DRAIN_MS: u64 = 60_000;
+/// Entries exchange news this often.
+const EXCHANGE_MS: u64 = 500;
+/// Output tokens weigh so much against prompt tokens in an account's cost.
+const OUTPUT_WEIGHT: f64 = 4.0;
+
+/// Something that happens.
+#[derive(Clone, Debug)]
+enum Event {
+    Send(usize),
+    Step(usize),
+    Ended(usize, job::Id, job::End, u32),
+    Patience(job::Id, u32),
+    Wake(usize),
+    Sample,
+    Report(usize, usize, replica::Report),
+    Fault(usize),
+    Gone(usize),
+    Restart(usize),
+    Exchange,
+    News(usize, Box<Digest>),
+    Arrive(usize, usize, usize, Box<Sequence>),
+}
+
+/// One sending as its caller sees it.
+#[derive(Debug)]
+struct Send {
+    request: usize,
+    entry: usize,
+    sent: u64,
+    first: Option<u64>,
+    last: u64,
+    made: u32,
+    handed: bool,
+    spent: u64,
+    replica: Option<usize>,
+}
+
+/// The whole setting.
+pub struct World {
+    pattern: Pattern,
+    now_ms: u64,
+    sequence: u64,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    waiting: BTreeMap<u64, Event>,
+    entries: Vec<Box<dyn Policy>>,
+    wakes: Vec<Option<u64>>,
+    engines: Vec<Engine>,
+    /// Which engine stands at each place of the fleet.
+    places: Vec<usize>,
+    zones: Vec<usize>,
+    live_since: Vec<Option<u64>>,
+    keys: Vec<BTreeMap<usize, replica::Key>>,
+    found: Vec<BTreeMap<replica::Key, usize>>,
+    arrivals: Vec<Arrival>,
+    sends: BTreeMap<job::Id, Send>,
+    ran: BTreeSet<usize>,
+    /// When the link of a leaving engine is free.
+    links: BTreeMap<usize, u64>,
+    open: Vec<u32>,
+    random: Pcg64,
+    tally: Tally,
+}
+
+impl World {
+    /// The pattern with one policy an entry.
+    pub fn new(pattern: Pattern, seed: u64, make: &dyn Fn(u64) -> Box<dyn Policy>) -> World {
+        let arrivals = pattern.arrivals(seed);
+        let entries: Vec<Box<dyn Policy>> = (0..pattern.entries)
+            .map(|at| make(seed * 100 + at as u64))
+            .collect();
+        let count = pattern.entries;
+        let mut world = World {
+            now_ms: 0,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            waiting: BTreeMap::new(),
+            entries,
+            wakes: vec![None; count],
+            engines: Vec::new(),
+            places: vec![usize::MAX; pattern.replicas],
+            zones: Vec::new(),
+            live_since: Vec::new(),
+            keys: vec![BTreeMap::new(); count],
+            found: vec![BTreeMap::new(); count],
+            sends: BTreeMap::new(),
+            ran: BTreeSet::new(),
+            links: BTreeMap::new(),
+            open: vec![0; pattern.profiles.len()],
+            random: Pcg64::seed_from_u64(seed ^ 0x5eed),
+            tally: Tally::default(),
+            arrivals,
+            pattern,
+        };
+        world.set_up();
+        world
+    }
+
+    /// Runs to the end and counts.
+    pub fn run(mut self) -> Tally {
+        let last = self.pattern.seconds * 1_000 + DRAIN_MS;
+        while let Some(Reverse((at, key))) = self.events.pop() {
+            if at > last || self.is_over(at) {
+                break;
+            }
+            self.now_ms = at;
+            if let Some(event) = self.waiting.remove(&key) {
+                self.handle(event);
+            }
+        }
+        self.close()
+    }
+
+    fn set_up(&mut self) {
+        for (index, profile) in self.pattern.profiles.clone().into_iter().enumerate() {
+            self.tally.weights.push(f64::from(profile.spec.weight));
+            for entry in &mut self.entries {
+                entry.set_account(account::Key(index as u32), profile.spec.clone());
+            }
+        }
+        for place in 0..self.pattern.replicas {
+            self.join(place);
+        }
+        for (index, arrival) in self.arrivals.clone().iter().enumerate() {
+            self.tally.outcomes.push(Outcome {
+                account: arrival.account,
+                cost: f64::from(arrival.prompt) + OUTPUT_WEIGHT * f64::from(arrival.output),
+                ..Outcome::default()
+            });
+            self.at(arrival.at_ms, Event::Send(index));
+        }
+        for (index, (at, _)) in self.pattern.faults.clone().iter().enumerate() {
+            self.at(*at, Event::Fault(index));
+        }
+        self.at(self.pattern.reports.period_ms, Event::Sample);
+        self.at(EXCHANGE_MS, Event::Exchange);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Send(request) => self.send(request),
+            Event::Step(engine) => self.step(engine),
+            Event::Ended(entry, id, end, made) => self.ended(entry, id, end, made),
+            Event::Patience(id, made) => self.patience(id, made),
+            Event::Wake(entry) => {
+                self.wakes[entry] = None;
+                self.with(entry, |policy, now, out| policy.poll(now, out));
+            }
+            Event::Sample => self.sample(),
+            Event::Report(entry, engine, report) => self.report(entry, engine, report),
+            Event::Fault(index) => self.fault(index),
+            Event::Gone(engine) => self.kill(engine),
+            Event::Restart(place) => self.restart(place),
+            Event::Exchange => self.exchange(),
+            Event::News(from, digest) => self.news(from, &digest),
+            Event::Arrive(entry, from, to, sequence) => self.arrive(entry, from, to, *sequence),
+        }
+    }
+
+    fn at(&mut self, at_ms: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_ms, self.sequence)));
+        self.waiting.insert(self.sequence, event);
+    }
+
+    fn after(&mut self, ms: u64, event: Event) {
+        self.at(self.now_ms + ms, event);
+    }
+
+    fn now(&self) -> Time {
+        Time::from_millis(self.now_ms)
+    }
+
+    fn is_over(&self, at: u64) -> bool {
+        at > self.pattern.seconds * 1_000
+            && self.sends.is_empty()
+            && !self
+                .waiting
+                .values()
+                .any(|event| matches!(event, Event::Send(_)))
+    }
+
+    /// Lets an entry act and carries its decisions out.
+    fn with(&mut self, entry: usize, act: impl FnOnce(&mut dyn Policy, Time, &mut Vec<Decision>)) {
+        let now = self.now();
+        let mut out = Vec::new();
+        act(self.entries[entry].as_mut(), now, &mut out);
+        for decision in out {
+            self.carry_out(entry, decision);
+        }
+        self.arm(entry);
+        let scheduler = self.entries[entry].scheduler();
+        if scheduler.is_some_and(|scheduler| scheduler.urgent()) {
+            self.tell(entry);
+        }
+    }
+
+    fn arm(&mut self, entry: usize) {
+        let Some(wake) = self.entries[entry].next_wake() else {
+            return;
+        };
+        let wake = wake.as_millis().max(self.now_ms);
+        if self.wakes[entry].is_none_or(|armed| wake < armed) {
+            self.wakes[entry] = Some(wake);
+            self.at(wake, Event::Wake(entry));
+        }
+    }
+
+    fn close(mut self) -> Tally {
+        for since in std::mem::take(&mut self.live_since).into_iter().flatten() {
+            self.count_life(since);
+        }
+        self.tally.seconds = self.pattern.seconds as f64;
+        self.tally.computed = self.engines.iter().map(|engine| engine.computed).sum();
+        self.tally.forgotten = self.sends.len() as u32;
+        self.tally
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/support/world/news.rs
@@ -0,0 +1,39 @@
+//! What entries tell each other.
+
+use policy::scheduler::Digest;
+
+use crate::support::world::Event;
+use crate::support::world::World;
+
+/// Entries exchange news this often.
+const EXCHANGE_MS: u64 = 500;
+/// News takes this long.
+const NEWS_MS: u64 = 5;
+
+impl World {
+    /// Every entry tells all others its news, which arrives a little later.
+    pub(super) fn exchange(&mut self) {
+        for from in 0..self.entries.len() {
+            self.tell(from);
+        }
+        self.after(EXCHANGE_MS, Event::Exchange);
+    }
+
+    pub(super) fn tell(&mut self, from: usize) {
+        let now = self.now();
+        if let Some(scheduler) = self.entries[from].scheduler() {
+            let digest = scheduler.digest(now);
+            self.after(NEWS_MS, Event::News(from, Box::new(digest)));
+        }
+    }
+
+    pub(super) fn news(&mut self, from: usize, digest: &Digest) {
+        for to in (0..self.entries.len()).filter(|to| *to != from) {
+            self.with(to, |policy, now, out| {
+                if let Some(scheduler) = policy.scheduler() {
+                    scheduler.absorb(now, from as u64, digest, out);
+                }
+            });
+        }
+    }
+}
