--- a/crates/policy/src/brownout.rs
+++ b/crates/policy/src/brownout.rs
@@ -19,6 +19,9 @@
 /// Offers below this rate (cost a second) are forgotten.
 const FORGOTTEN: f64 = 1.0;
 
+/// Share of its jobs from which on an account counts as mostly within its share.
+const MOSTLY: f64 = 0.5;
+
 /// Decides for one pool who passes.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
@@ -70,11 +73,17 @@
         offer.cost += cost as f64;
     }
 
-    /// Whether a job of the account passes under the present plan.
-    pub fn passes(&mut self, key: account::Key) -> bool {
+    /// Whether a job of the account passes under the present plan; `idle`, it has none waiting.
+    ///
+    /// An idle account passes unless most of its work is shed: rates measured over a short time would
+    /// thin out a small account for two requests that happen to come together.
+    pub fn passes(&mut self, key: account::Key, idle: bool) -> bool {
         let Some(offer) = self.offers.get_mut(&key) else {
             return true;
         };
+        if idle && offer.passes >= MOSTLY {
+            return true;
+        }
         offer.credit = (offer.credit + offer.passes).min(1.0 + offer.passes);
         if offer.credit < 1.0 {
             return false;
--- a/crates/policy/src/configs/brownout.rs
+++ b/crates/policy/src/configs/brownout.rs
@@ -24,7 +24,7 @@
             period: Span::from_millis(500),
             pressure: 0.25,
             headroom: 1.05,
-            smoothing: 0.5,
+            smoothing: 0.2,
         }
     }
 }
--- a/crates/policy/src/configs/size.rs
+++ b/crates/policy/src/configs/size.rs
@@ -1,17 +1,16 @@
 //! Settings of [`crate::size`].
 
-/// Which jobs are long and how many slots they may hold.
+/// Which jobs are long.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
     /// Off, there is one class.
     pub enabled: bool,
     /// A job is long from this many times the pool's mean cost on.
     pub long_factor: f64,
-    /// Share of a pool's slots that long jobs may hold.
-    pub pool_share: f64,
-    /// Share of one replica's slots that long jobs may hold; at least one slot.
-    pub replica_share: f64,
-    /// Weight of the newest job in the mean cost.
+    /// Part of the work that long jobs must make up before replicas are set apart for them: one in a
+    /// hundred is less than a replica of the smallest pool that has spare ones.
+    pub least_part: f64,
+    /// Weight of the newest job in the means: about the last hundred arrivals.
     pub smoothing: f64,
 }
 
@@ -20,8 +19,7 @@
         Config {
             enabled: true,
             long_factor: 4.0,
-            pool_share: 0.5,
-            replica_share: 0.5,
+            least_part: 0.01,
             smoothing: 0.01,
         }
     }
--- a/crates/policy/src/configs/slots.rs
+++ b/crates/policy/src/configs/slots.rs
@@ -13,7 +13,7 @@
     fn default() -> Config {
         Config {
             enabled: true,
-            borrowed_parts: 2.0,
+            borrowed_parts: 0.5,
         }
     }
 }
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -65,11 +65,12 @@
         if end == job::End::Finished {
             self.judge_plain(now, id);
         }
-        let Some(key) = self.take_off(now, id, end) else {
-            return;
-        };
+        // Before the job is taken off: with its last job a lost replica is forgotten.
         if end == job::End::Crashed {
-            self.blame(now, id, key);
+            self.blame(now, id);
+        }
+        if self.take_off(now, id, end).is_none() {
+            return;
         }
         let Some(open) = self.open.get_mut(&id) else {
             return;
@@ -129,7 +130,9 @@
         let actual = self.cost(job.prompt_tokens, tokens);
         let settings = self.settings;
         self.quarantine.finished(now, job.fingerprint);
+        let mut priority = 0;
         if let Some(account) = self.accounts.get_mut(&job.account) {
+            priority = account.spec.priority;
             account.estimate.note(tokens, settings.fair.smoothing);
         }
         if let Some(pool) = self.pools.get_mut(&job.pool) {
@@ -137,7 +140,7 @@
                 pool.service.note_end(&settings.admission, actual, took);
             }
             pool.budget.earn(&settings.retry);
-            pool.queue.settle(job.account, estimated, actual);
+            pool.queue.settle(priority, job.account, estimated, actual);
         }
     }
 
@@ -168,11 +171,10 @@
             return;
         };
         self.expiry.remove(&(open.until, id));
-        let actual = if open.tried.is_empty() {
-            0
-        } else {
-            self.cost(open.job.prompt_tokens, open.made)
+        let actual = match open.tried.is_empty() {
+            true => 0,
+            false => u64::from(open.job.prompt_tokens) + u64::from(open.made),
         };
-        self.limits.release(open.job.account, open.cost, actual);
+        self.limits.release(open.job.account, open.tokens, actual);
     }
 }
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -21,7 +21,6 @@
         pool.members.insert(key);
         pool.monitor.joined(now, key);
         pool.warmup.joined(now, key);
-        pool.slots += replica.spec.slots;
         self.stir(replica.spec.pool);
         self.replicas.insert(key, replica);
         key
@@ -36,7 +35,6 @@
             return;
         };
         if pool.members.remove(&key) {
-            pool.slots -= replica.spec.slots;
             pool.monitor.left(key);
             pool.warmup.left(key);
             pool.affinity.left(key);
@@ -143,8 +141,12 @@
         let entries = self.settings.concurrency.entries;
         let in_share = !self.settings.slots.enabled
             || replica.running() < replica.share.limit(replica.spec.slots, entries);
+        let own_part = self.settings.slots.enabled
+            && replica
+                .share
+                .is_own(replica.spec.slots, entries, replica.running());
         let has_slots = match settings.concurrency {
-            true => replica.load.is_open(now, usual),
+            true => own_part || replica.load.is_open(now, usual),
             false => replica.running() < replica.spec.slots,
         };
         let warm = !settings.warmup
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -10,6 +10,7 @@
 use crate::affinity::Candidate;
 use crate::decision::Decision;
 use crate::fair::Cost;
+use crate::fair::Entrant;
 use crate::job;
 use crate::job::Job;
 use crate::pool;
@@ -37,7 +38,9 @@
             });
             return;
         }
-        if let Err(after) = self.limits.admit(now, job.account, cost) {
+        let output = self.expected_output(&job).unwrap_or(0);
+        let tokens = u64::from(job.prompt_tokens) + u64::from(output);
+        if let Err(after) = self.limits.admit(now, job.account, tokens) {
             let refusal = Refusal::not_run(Reason::OverLimit, "the account is over its limit");
             let refusal = refusal.with_retry_after(self.jittered(after));
             out.push(Decision::Refuse {
@@ -46,7 +49,7 @@
             });
             return;
         }
-        let refused = self.open_job(now, job, cost);
+        let refused = self.open_job(now, job, cost, tokens);
         if let Err((reason, message)) = refused {
             self.refuse(now, job.id, reason, message, out);
         }
@@ -98,21 +101,31 @@
         }
     }
 
-    /// Prompt and expected output, weighted.
+    /// Prompt and expected output, weighted; none without its account.
     fn estimate(&self, job: &Job) -> Option<Cost> {
+        let output = self.expected_output(job)?;
+        Some(self.cost(job.prompt_tokens, output))
+    }
+
+    fn expected_output(&self, job: &Job) -> Option<u32> {
         let account = self.accounts.get(&job.account)?;
-        let output = match job.kind {
+        Some(match job.kind {
             job::Kind::Model => account.estimate.expect(job.max_new_tokens),
             job::Kind::Plain => 0,
-        };
-        Some(self.cost(job.prompt_tokens, output))
+        })
     }
 
     pub(super) fn cost(&self, prompt: u32, output: u32) -> Cost {
         (u64::from(prompt) + u64::from(output) * self.settings.fair.output_weight).max(1)
     }
 
-    fn open_job(&mut self, now: Time, job: Job, cost: Cost) -> Result<(), (Reason, &'static str)> {
+    fn open_job(
+        &mut self,
+        now: Time,
+        job: Job,
+        cost: Cost,
+        tokens: Cost,
+    ) -> Result<(), (Reason, &'static str)> {
         let sizes = self.settings.size;
         let class = self.pool_mut(job.pool).classes.classify(&sizes, cost);
         let allowed = self.allowed(&job);
@@ -123,6 +136,7 @@
                 job,
                 class,
                 cost,
+                tokens,
                 due: now + allowed,
                 place: None,
                 until: now,
@@ -179,9 +193,10 @@
         }
         let slack = allowed - pool.service.first(job.prompt_tokens);
         let backlog = admission::wait(pool.queue.cost(), rate);
+        let idle = pool.queue.waiting_of(account.spec.priority, job.account) == 0;
         if settings.brownout.enabled
             && backlog > slack.scaled(settings.brownout.pressure)
-            && !pool.gate.passes(job.account)
+            && !pool.gate.passes(job.account, idle)
         {
             return Err((Reason::Overloaded, "shed under overload"));
         }
@@ -210,7 +225,9 @@
         let Some(account) = self.accounts.get(&job.account) else {
             return Span::ZERO;
         };
-        let ahead = pool.queue.ahead(job.account, account.spec.weight);
+        let ahead = pool
+            .queue
+            .ahead(account.spec.priority, job.account, account.spec.weight);
         let rate = pool.service.rate(pool.running);
         // Even the next in line waits until something ends.
         admission::wait(ahead, rate).max(Span::from_millis(1))
@@ -218,11 +235,14 @@
 
     /// Whether a job of the class could start at once.
     fn has_room(&self, now: Time, pool: &Pool, class: Class) -> bool {
-        let room = |candidates: Vec<Candidate>| candidates.iter().any(|node| node.open);
-        !pool.full
-            && pool.queue.is_empty()
-            && self.class_has_room(pool, class)
-            && room(self.candidates(now, pool))
+        if pool.full || !pool.queue.is_empty() {
+            return false;
+        }
+        let lanes = self.lanes(pool);
+        let fits = |node: &Candidate| class == Class::Short || lanes.contains(&node.key);
+        self.candidates(now, pool)
+            .iter()
+            .any(|node| node.open && fits(node))
     }
 
     /// Takes a job out of its queue, for whatever reason but its start.
@@ -242,19 +262,24 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let account = open.job.account;
-        let weight = self
-            .accounts
-            .get(&account)
-            .map_or(1, |account| account.spec.weight);
         let Some(pool) = self.pools.get_mut(&open.job.pool) else {
             return;
         };
-        let place = if front {
-            pool.queue
-                .push_front(account, weight, open.class, id, open.cost)
-        } else {
-            pool.queue.push(account, weight, open.class, id, open.cost)
+        let spec = self
+            .accounts
+            .get(&open.job.account)
+            .map(|account| &account.spec);
+        let entrant = Entrant {
+            id,
+            account: open.job.account,
+            weight: spec.map_or(1, |spec| spec.weight),
+            priority: spec.map_or(0, |spec| spec.priority),
+            class: open.class,
+            cost: open.cost,
+        };
+        let place = match front {
+            true => pool.queue.push_front(&entrant),
+            false => pool.queue.push(&entrant),
         };
         open.place = Some(place);
         self.expiry.remove(&(open.until, id));
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -4,8 +4,8 @@
 
 use crate::affinity::Candidate;
 use crate::decision::Decision;
-use crate::fair::Head;
 use crate::job;
+use crate::job::Job;
 use crate::pool;
 use crate::replica;
 use crate::scheduler::Scheduler;
@@ -26,10 +26,11 @@
         self.set_suspects_aside(now, key, out);
         while let Some(pool) = self.pools.get(&key).filter(|pool| !pool.queue.is_empty()) {
             let candidates = self.candidates(now, pool);
-            let heads = self.heads(pool);
+            let lanes = self.lanes(pool);
+            let heads = pool.queue.heads(self.settings.placement.heads);
             let start = heads
                 .iter()
-                .find_map(|head| Some((*head, self.choose(now, head.id, &candidates)?)));
+                .find_map(|head| Some((*head, self.choose(now, head.id, &candidates, &lanes)?)));
             let Some((head, replica)) = start else {
                 break;
             };
@@ -47,72 +48,62 @@
         }
     }
 
-    /// The jobs that may go next, in order.
-    pub(super) fn heads(&self, pool: &Pool) -> Vec<Head> {
-        let most = self.settings.placement.heads;
-        let mut heads: Vec<(u64, Head)> = pool.queue.heads(Class::Short, most).collect();
-        if self.class_has_room(pool, Class::Long) {
-            heads.extend(pool.queue.heads(Class::Long, most));
-            heads.sort_by_key(|(tag, head)| (*tag, head.place));
-        }
-        heads.into_iter().map(|(_, head)| head).collect()
-    }
-
     /// A replica for the job among the candidates.
     pub(super) fn choose(
         &mut self,
         now: Time,
         id: job::Id,
         candidates: &[Candidate],
+        lanes: &[replica::Key],
     ) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
-        let (key, prefix) = (open.job.pool, open.job.prefix);
-        let fits = |candidate: &Candidate| {
-            candidate.open
-                && !open.tried.contains(&candidate.key)
-                && self.takes_class(candidate.key, open.class)
+        let (job, class) = (open.job, open.class);
+        let free = |node: &Candidate| node.open && !open.tried.contains(&node.key);
+        let in_lane = |node: &Candidate| lanes.contains(&node.key);
+        let fits = |node: &Candidate| free(node) && in_lane(node) == (class == Class::Long);
+        let narrow = |fits: &dyn Fn(&Candidate) -> bool| -> Vec<Candidate> {
+            let narrowed = |node: &Candidate| Candidate {
+                open: fits(node),
+                ..*node
+            };
+            candidates.iter().map(narrowed).collect()
         };
-        let narrowed: Vec<Candidate> = candidates
-            .iter()
-            .map(|candidate| Candidate {
-                open: fits(candidate),
-                ..*candidate
-            })
-            .collect();
-        if !narrowed.iter().any(|candidate| candidate.open) {
+        let mut narrowed = narrow(&fits);
+        // Short jobs take a lane when nothing else is open; long ones leave the rest to them.
+        if class == Class::Short && !narrowed.iter().any(|node| node.open) {
+            narrowed = narrow(&free);
+        }
+        self.choose_by_prefix(now, &job, &narrowed)
+    }
+
+    fn choose_by_prefix(
+        &mut self,
+        now: Time,
+        job: &Job,
+        candidates: &[Candidate],
+    ) -> Option<replica::Key> {
+        if !candidates.iter().any(|node| node.open) {
             return None;
         }
         if !self.settings.placement.affinity {
-            let open = narrowed.iter().filter(|candidate| candidate.open);
+            let open = candidates.iter().filter(|node| node.open);
             return open
                 .min_by(|a, b| a.load.total_cmp(&b.load))
-                .map(|candidate| candidate.key);
+                .map(|node| node.key);
         }
-        let affinity = &mut self.pools.get_mut(&key)?.affinity;
-        affinity
-            .choose(now, prefix, &narrowed)
-            .map(|choice| choice.replica())
+        let affinity = &mut self.pools.get_mut(&job.pool)?.affinity;
+        let choice = affinity.choose(now, job.prefix, candidates)?;
+        Some(choice.replica())
     }
 
-    /// Whether one more job of the class may start in the pool, slots aside.
-    pub(super) fn class_has_room(&self, pool: &Pool, class: Class) -> bool {
-        let part = pool.part(self.settings.concurrency.entries);
-        class == Class::Short || pool.long < size::cap(part, self.settings.size.pool_share)
-    }
-
-    fn takes_class(&self, key: replica::Key, class: Class) -> bool {
-        let Some(replica) = self.replicas.get(&key) else {
-            return false;
-        };
-        let part = replica
-            .spec
-            .slots
-            .div_ceil(self.settings.concurrency.entries);
-        let cap = size::cap(
-            part.max(replica.running()),
-            self.settings.size.replica_share,
-        );
-        class == Class::Short || replica.long < cap
+    /// The replicas on which long jobs run.
+    pub(super) fn lanes(&self, pool: &Pool) -> Vec<replica::Key> {
+        let count = pool.classes.lanes(&self.settings.size, pool.members.len());
+        let members = pool.members.iter().filter_map(|key| {
+            let replica = self.replicas.get(key)?;
+            Some((*key, replica.identity))
+        });
+        size::rank(count, members)
     }
 
     pub(super) fn start(&mut self, now: Time, id: job::Id, replica: replica::Key) {
@@ -135,14 +126,11 @@
             return;
         };
         open.replica = Some(key);
-        let long = u32::from(open.class == Class::Long);
         if let Some(pool) = self.pools.get_mut(&open.job.pool) {
             pool.running += 1;
-            pool.long += long;
             pool.monitor.started(now, key);
         }
         if let Some(replica) = self.replicas.get_mut(&key) {
-            replica.long += long;
             replica.load.started(now, open.outstanding);
             replica.jobs.insert(id);
         }
@@ -157,14 +145,11 @@
     ) -> Option<replica::Key> {
         let open = self.open.get_mut(&id)?;
         let key = open.replica.take()?;
-        let long = u32::from(open.class == Class::Long);
         if let Some(pool) = self.pools.get_mut(&open.job.pool) {
             pool.running -= 1;
-            pool.long -= long;
             pool.monitor.ended(now, key, end);
         }
         if let Some(replica) = self.replicas.get_mut(&key) {
-            replica.long -= long;
             replica.load.ended(now, open.outstanding);
             replica.jobs.remove(&id);
         }
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -57,12 +57,8 @@
     pub warmup: Warmup,
     /// Replicas that are neither leaving nor lost.
     pub members: BTreeSet<replica::Key>,
-    /// Slots of all members.
-    pub slots: u32,
     /// Our attempts on its replicas, leaving ones included.
     pub running: u32,
-    /// Of them long ones.
-    pub long: u32,
     /// Whether nothing can be started, as far as the last look told; reset by every change.
     pub full: bool,
 }
@@ -80,9 +76,7 @@
             monitor: Monitor::new(settings.health),
             warmup: Warmup::new(settings.warmup),
             members: BTreeSet::new(),
-            slots: 0,
             running: 0,
-            long: 0,
             full: false,
         }
     }
@@ -91,11 +85,6 @@
     pub fn usual(&self) -> f64 {
         f64::from(self.running) / self.members.len().max(1) as f64
     }
-
-    /// Slots that are ours: an equal part, or what we hold if that is more.
-    pub fn part(&self, entries: u32) -> u32 {
-        self.slots.div_ceil(entries).max(self.running)
-    }
 }
 
 /// A replica and what we run there.
@@ -113,8 +102,6 @@
     pub share: Share,
     /// Our attempts there.
     pub jobs: BTreeSet<job::Id>,
-    /// Of them long ones.
-    pub long: u32,
     /// A suspect of ours that waits for the replica to be empty, or runs there alone.
     pub trial: Option<job::Id>,
 }
@@ -130,7 +117,6 @@
             leaving: None,
             lost: false,
             jobs: BTreeSet::new(),
-            long: 0,
             trial: None,
         }
     }
@@ -148,6 +134,8 @@
     pub class: Class,
     /// What its account was charged.
     pub cost: Cost,
+    /// What its account's limit was charged.
+    pub tokens: Cost,
     /// When the first token is due.
     pub due: Time,
     /// Where it waits. Invariant: not set while `replica` is.
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -18,15 +18,12 @@
     }
 
     /// A replica's process died, or so it seems, while the job ran there.
-    pub(super) fn blame(&mut self, now: Time, id: job::Id, key: replica::Key) {
+    pub(super) fn blame(&mut self, now: Time, id: job::Id) {
         let Some(open) = self.open.get(&id) else {
             return;
         };
-        let Some(replica) = self
-            .replicas
-            .get(&key)
-            .filter(|replica| replica.leaving.is_none())
-        else {
+        let replica = open.replica.and_then(|key| self.replicas.get(&key));
+        let Some(replica) = replica.filter(|replica| replica.leaving.is_none()) else {
             return;
         };
         let (identity, zone) = (replica.identity, replica.zone);
@@ -125,7 +122,8 @@
 
     fn first_suspect(&self, now: Time, key: pool::Key) -> Option<(job::Id, Standing)> {
         let pool = self.pools.get(&key)?;
-        self.heads(pool).into_iter().find_map(|head| {
+        let heads = pool.queue.heads(self.settings.placement.heads);
+        heads.into_iter().find_map(|head| {
             let open = self.open.get(&head.id)?;
             let standing = self.quarantine.standing(now, open.job.fingerprint);
             (standing != Standing::Clear).then_some((head.id, standing))
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -30,6 +30,11 @@
         self.limit.max(part(slots, entries))
     }
 
+    /// Whether one more stays within this entry's own part, whatever the others do.
+    pub fn is_own(&self, slots: u32, entries: u32, running: u32) -> bool {
+        running < part(slots, entries)
+    }
+
     /// Takes in a report, while `running` attempts are ours; `drawn`, from 0 to 1, rounds.
     pub fn reported(
         &mut self,
