--- a/crates/policy/tests/support/world/callers.rs
+++ b/crates/policy/tests/support/world/callers.rs
@@ -98,14 +98,6 @@
         // An engine that holds the shared prefix computes the rest alone.
         let own = u64::from(arrival.prompt - arrival.shared);
         let ideal = (own * shape.prompt_token_us + shape.step_us) / 1_000;
-            eprintln!(
-                "why {} {} {:?} first {:?}",
-                self.now_ms / 1000,
-                refusal.message,
-                self.now_ms - send.sent,
-                send.handed
-            );
-        }
         let waited = self.now_ms - send.sent;
         let outcome = &mut self.tally.outcomes[send.request];
         if waited <= AT_ONCE_MS {
