Give each account its own calendar of returns

Refused callers of all accounts shared one calendar, which a flooding account filled for 30 s: an innocent caller refused once came back too late.

--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -13,7 +13,7 @@
 use crate::fair::Entrant;
 use crate::job;
 use crate::job::Job;
-use crate::pool;
+use crate::retry::Refused;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
@@ -75,7 +75,7 @@
         // A caller that may not repeat its request has no use for a time to come back; nor has one
         // whose request crashes replicas.
         if reason != Reason::Quarantined && (!may_have_run || job.idempotent) {
-            refusal.retry_after = Some(self.appoint(now, job.pool, cost));
+            refusal.retry_after = Some(self.appoint(now, &job, cost));
         }
         self.close(now, id);
         out.push(Decision::Refuse { job: id, refusal });
@@ -295,15 +295,24 @@
     }
 
     /// When a refused caller should come back.
-    fn appoint(&mut self, now: Time, pool: pool::Key, cost: Cost) -> Span {
+    fn appoint(&mut self, now: Time, job: &Job, cost: Cost) -> Span {
         let settings = self.settings.retry;
-        let Some(pool) = self.pools.get_mut(&pool) else {
+        let spec = self.accounts.get(&job.account).map(|account| &account.spec);
+        let (weight, priority) = spec.map_or((1, 0), |spec| (spec.weight, spec.priority));
+        let Some(pool) = self.pools.get_mut(&job.pool) else {
             return settings.shortest;
         };
         let rate = pool.service.rate(pool.running);
-        let backlog = admission::wait(pool.queue.cost(), rate);
+        let ahead = pool.queue.ahead(priority, job.account, weight);
+        let refused = Refused {
+            account: job.account,
+            weight,
+            cost,
+            wait: admission::wait(ahead, rate),
+            rate,
+        };
         pool.calendar
-            .appoint(&settings, now, backlog, cost, rate, &mut self.random)
+            .appoint(&settings, now, &refused, &mut self.random)
     }
 
     fn jittered(&mut self, span: Span) -> Span {
