Choose the cheapest mix that carries the demand without any one zone

Cause: a pool bought where it is cheapest is lost whole with its zone; one that follows each price pays for instances that load models.

--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -7,6 +7,7 @@
 pub mod fair;
 pub mod health;
 pub mod limit;
+pub mod mix;
 pub mod placement;
 pub mod quarantine;
 pub mod retry;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod health;
 pub mod job;
 pub mod limit;
+pub mod mix;
 pub mod pool;
 pub mod quarantine;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/policy/src/mix/fill.rs
@@ -0,0 +1,113 @@
+//! The cheapest capacity that is enough without any one zone.
+
+use std::cmp::Ordering;
+
+/// Most caps on a zone's capacity that are tried; below so many instances all of them are.
+const TRIES: u64 = 64;
+
+/// Something that can be had in a zone.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Tier {
+    /// Which zone, by number.
+    pub zone: usize,
+    /// Price of one instance.
+    pub price: f64,
+    /// What one instance can carry; at least 1.
+    pub capacity: u32,
+    /// How many there are; none for no end.
+    pub count: Option<u32>,
+}
+
+/// A choice: how many of each tier.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Choice {
+    /// By tier.
+    pub counts: Vec<u32>,
+    /// Price of all.
+    pub price: f64,
+    /// What all of it carries.
+    pub total: u64,
+    /// What is left when the largest zone goes.
+    pub without_one: u64,
+}
+
+/// The cheapest choice that carries `need` without any one zone; if there is none, the one that
+/// carries most without one, and failing that the one that carries most.
+///
+/// For every cap on a zone's part the cheapest tiers are taken in order, which is the best for that
+/// cap but for the size of an instance; the cheapest over all caps is the answer.
+pub(super) fn cheapest(tiers: &[Tier], zones: usize, need: u32) -> Choice {
+    let need = u64::from(need);
+    let mut order: Vec<usize> = (0..tiers.len()).collect();
+    order.sort_by(|one, other| by_unit(&tiers[*one], &tiers[*other]));
+    let largest = tiers.iter().map(|tier| u64::from(tier.capacity)).max();
+    let least = need.div_ceil(zones.saturating_sub(1).max(1) as u64);
+    let most = need + largest.unwrap_or(0);
+    let step = (most - least).div_ceil(TRIES).max(1);
+    let caps = (least..=most).step_by(step as usize);
+    let choices = caps.map(|cap| fill(tiers, &order, zones, need, cap));
+    let better = |one: &Choice, other: &Choice| prefer(one, other, need);
+    choices.min_by(better).unwrap_or(Choice {
+        counts: vec![0; tiers.len()],
+        price: 0.0,
+        total: 0,
+        without_one: 0,
+    })
+}
+
+fn by_unit(one: &Tier, other: &Tier) -> Ordering {
+    let unit = |tier: &Tier| tier.price / f64::from(tier.capacity);
+    unit(one).total_cmp(&unit(other))
+}
+
+/// Enough goes before too little, then cheap before dear.
+fn prefer(one: &Choice, other: &Choice, need: u64) -> Ordering {
+    let short = |choice: &Choice| {
+        let without_one = need.saturating_sub(choice.without_one);
+        (without_one, need.saturating_sub(choice.total))
+    };
+    let shorter = short(one).cmp(&short(other));
+    shorter.then(one.price.total_cmp(&other.price))
+}
+
+/// Takes the cheapest first, while no zone passes the cap, until it is enough.
+fn fill(tiers: &[Tier], order: &[usize], zones: usize, need: u64, cap: u64) -> Choice {
+    let mut counts = vec![0; tiers.len()];
+    let mut carried = vec![0_u64; zones];
+    let mut price = 0.0;
+    for index in order {
+        let tier = &tiers[*index];
+        let capacity = u64::from(tier.capacity);
+        let room = cap.saturating_sub(carried[tier.zone]) / capacity;
+        let count = missing(&carried, tier.zone, need)
+            .div_ceil(capacity)
+            .min(room)
+            .min(u64::from(tier.count.unwrap_or(u32::MAX)));
+        counts[*index] = count as u32;
+        carried[tier.zone] += count * capacity;
+        price += tier.price * count as f64;
+    }
+    Choice {
+        counts,
+        price,
+        total: carried.iter().sum(),
+        without_one: without_one(&carried),
+    }
+}
+
+/// What the zone must still add so that the rest is enough without any other zone.
+fn missing(carried: &[u64], zone: usize, need: u64) -> u64 {
+    let total: u64 = carried.iter().sum();
+    let others = carried
+        .iter()
+        .enumerate()
+        .filter(|(other, _)| *other != zone);
+    let largest = others.map(|(_, carried)| *carried).max().unwrap_or(0);
+    // The zone's own loss is cared for by the others.
+    (need + largest).saturating_sub(total)
+}
+
+fn without_one(carried: &[u64]) -> u64 {
+    let total: u64 = carried.iter().sum();
+    total - carried.iter().copied().max().unwrap_or(0)
+}
