--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -8,3 +8,11 @@
 pub mod retry;
 pub mod scheduler;
 pub mod size;
+//! Settings of the policy modules, one file a module.
+
+pub mod affinity;
+pub mod concurrency;
+pub mod health;
+pub mod quarantine;
+pub mod warmup;
+pub mod wave;
