Add the client library

Cause: callers need one place that knows addresses, resumes streams and repeats only what may be. Change: address book with time to live, weighted choice and shunning; tickets go to their minter and are forgotten with it, because a minter that is gone can only be answered with "may have run"; streams resume by token and offset and drop or re-ask what does not fit; errors carry the verdict.

--- /dev/null
+++ b/crates/client/src/client.rs
@@ -0,0 +1,219 @@
+//! The client: addresses, tickets and the loop around each try.
+
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use bytes::Bytes;
+use clock::Clock;
+use clock::Time;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+use verdict::Verdict;
+
+use crate::address::Answer;
+use crate::address::Book;
+use crate::address::Ticket;
+use crate::configs;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::retry;
+use crate::retry::Repeat;
+use crate::wire;
+use crate::wire::Wire;
+
+/// Reaches the system for one client account; clones share all they know.
+#[derive(Clone)]
+pub struct Client {
+    pub(crate) shared: Arc<Shared>,
+}
+
+pub(crate) struct Shared {
+    pub(crate) config: configs::Client,
+    pub(crate) wire: Wire,
+    clock: Clock,
+    book: Mutex<Book>,
+}
+
+/// Tries of one request so far.
+pub(crate) struct Tries {
+    since: Time,
+    failed: u32,
+    repeat: Repeat,
+}
+
+impl Client {
+    /// Knows the entries of the settings and has asked none yet.
+    pub fn new(config: configs::Client) -> Client {
+        let seed = config
+            .seed
+            .unwrap_or_else(|| RandomState::new().hash_one(0));
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        let shared = Shared {
+            wire: Wire::new(config.key.clone(), config.connect, config.silence),
+            clock: Clock::start(),
+            book: Mutex::new(Book::new(config.entries.clone(), random)),
+            config,
+        };
+        Client {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// The entry to use for a request with this prefix key; empty for none.
+    pub async fn entry(&self, key: &str) -> Result<SmolStr, Error> {
+        self.shared.entry(key).await
+    }
+
+    /// Asks for addresses anew, whatever is known.
+    pub async fn refresh(&self, key: &str) -> Result<Answer, Error> {
+        self.shared.refresh(key).await
+    }
+}
+
+impl Shared {
+    pub(crate) async fn entry(&self, key: &str) -> Result<SmolStr, Error> {
+        if let Some(address) = self.pick(key) {
+            return Ok(address);
+        }
+        self.refresh(key).await?;
+        self.pick(key).ok_or_else(unreachable)
+    }
+
+    pub(crate) async fn ticket(&self) -> Result<Option<Ticket>, Error> {
+        let now = self.clock.now();
+        if let Some(ticket) = self.book().take_ticket(now) {
+            return Ok(Some(ticket));
+        }
+        self.refresh("").await?;
+        Ok(self.book().take_ticket(now))
+    }
+
+    pub(crate) fn shun(&self, address: &str) {
+        let now = self.clock.now();
+        self.book().shun(now, address);
+    }
+
+    pub(crate) fn trust(&self, address: &str) {
+        self.book().trust(address);
+    }
+
+    pub(crate) fn tries(&self, repeat: Repeat) -> Tries {
+        Tries {
+            since: self.clock.now(),
+            failed: 0,
+            repeat,
+        }
+    }
+
+    /// Goes on at once at the entry that the last one named, unless that has led nowhere too often.
+    pub(crate) fn hop(&self, tries: &mut Tries, error: Error) -> Result<(), Error> {
+        tries.failed += 1;
+        if tries.failed >= self.config.tries {
+            return Err(error);
+        }
+        Ok(())
+    }
+
+    /// Waits before the next try, or gives the error back when there should be none.
+    pub(crate) async fn after(&self, tries: &mut Tries, error: Error) -> Result<(), Error> {
+        tries.failed += 1;
+        if tries.failed >= self.config.tries {
+            return Err(error);
+        }
+        let wait = retry::wait(&error, tries.repeat, tries.failed, self.book().random());
+        let Some(wait) = wait else { return Err(error) };
+        let spent = self.clock.now().since(tries.since);
+        if spent + wait > self.config.patience {
+            return Err(error);
+        }
+        tokio::time::sleep(wait.as_duration()).await;
+        Ok(())
+    }
+
+    async fn refresh(&self, key: &str) -> Result<Answer, Error> {
+        let now = self.clock.now();
+        let order = self.book().ask_order(now);
+        let mut last = unreachable();
+        for address in order {
+            match self.ask(&address, key).await {
+                Ok(answer) => {
+                    let mut book = self.book();
+                    book.trust(&address);
+                    book.keep(self.clock.now(), &address, key, answer.clone());
+                    return Ok(answer);
+                }
+                Err(error) => {
+                    self.shun(&address);
+                    last = error;
+                }
+            }
+        }
+        // Only addresses were asked for: whatever went wrong, the request did not run.
+        last.verdict = Verdict::NotRun;
+        Err(last)
+    }
+
+    async fn ask(&self, address: &str, key: &str) -> Result<Answer, Error> {
+        let path = if key.is_empty() {
+            "/v1/addresses".to_owned()
+        } else {
+            format!("/v1/addresses?key={key}")
+        };
+        let request = Request::builder().method(Method::GET);
+        let response = self
+            .wire
+            .send(address, request, &path, Bytes::new())
+            .await?;
+        let status = response.status();
+        let bytes = self.wire.read(response).await?;
+        if status != StatusCode::OK {
+            return Err(wire::refusal(&bytes));
+        }
+        serde_json::from_slice(&bytes).map_err(|_| {
+            Error::new(
+                Verdict::NotRun,
+                Kind::Protocol,
+                "an address answer that can't be read",
+            )
+        })
+    }
+
+    fn pick(&self, key: &str) -> Option<SmolStr> {
+        let now = self.clock.now();
+        self.book().pick(now, key)
+    }
+
+    fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Tries {
+    /// Something was achieved: only failures in a row count.
+    pub(crate) fn reset(&mut self, now: Time) {
+        self.failed = 0;
+        self.since = now;
+    }
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+}
+
+fn unreachable() -> Error {
+    Error::new(
+        Verdict::NotRun,
+        Kind::Unreachable,
+        "no known entry can be reached",
+    )
+}
--- /dev/null
+++ b/crates/client/src/stream.rs
@@ -0,0 +1,310 @@
+//! Streamed answers of models.
+//!
+//! A stream that is cut, or that an entry passes on, is taken up again with its token and the offset
+//! of the next chunk. Offsets below that are dropped and a gap counts as a cut, so that each chunk is
+//! delivered exactly once and in order.
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use smol_str::SmolStr;
+use verdict::Verdict;
+
+use crate::Client;
+use crate::client::Tries;
+use crate::error::Error;
+use crate::error::Kind;
+use crate::event::Event;
+use crate::event::Parser;
+use crate::retry::Repeat;
+use crate::wire;
+
+const PATH: &str = "/v1/chat/completions";
+const DONE: &str = "[DONE]";
+
+/// One chunk of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// Rises by one from 0.
+    pub offset: u64,
+    /// Its text.
+    pub text: String,
+}
+
+/// An answer as it arrives.
+pub struct Stream {
+    client: Client,
+    body: Value,
+    key: SmolStr,
+    tries: Tries,
+    /// The answer so far, for a continuation where nothing of the stream is left.
+    text: String,
+    /// Offset of the next chunk to deliver; all below were delivered once.
+    offset: u64,
+    token: SmolStr,
+    request: SmolStr,
+    /// The entry that an earlier one named for going on.
+    next_entry: Option<SmolStr>,
+    source: Option<Source>,
+    reconnects: u32,
+    done: bool,
+}
+
+/// A connection that carries the stream now.
+struct Source {
+    body: Incoming,
+    parser: Parser,
+}
+
+enum Step {
+    Chunk(Chunk),
+    Nothing,
+    Done,
+}
+
+#[derive(Deserialize)]
+struct Data {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    delta: Delta,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: String,
+}
+
+#[derive(Deserialize)]
+struct Continue {
+    address: SmolStr,
+    token: SmolStr,
+}
+
+impl Client {
+    /// Sends a model call, in the customary shape, and returns once it is accepted.
+    ///
+    /// `key` is the hash of the prompt's prefix by which an entry is chosen; empty for none.
+    pub async fn stream(&self, body: Value, key: &str) -> Result<Stream, Error> {
+        let Value::Object(mut fields) = body else {
+            return Err(not_an_object());
+        };
+        fields.insert("stream".to_owned(), Value::Bool(true));
+        let mut stream = Stream {
+            client: self.clone(),
+            body: Value::Object(fields),
+            key: SmolStr::from(key),
+            tries: self.shared.tries(Repeat::Idempotent),
+            text: String::new(),
+            offset: 0,
+            token: SmolStr::default(),
+            request: SmolStr::default(),
+            next_entry: None,
+            source: None,
+            reconnects: 0,
+            done: false,
+        };
+        stream.connect().await?;
+        Ok(stream)
+    }
+}
+
+impl Stream {
+    /// The next chunk; none after the last.
+    pub async fn next(&mut self) -> Option<Result<Chunk, Error>> {
+        while !self.done {
+            match self.step().await {
+                Ok(Step::Chunk(chunk)) => return Some(Ok(chunk)),
+                Ok(Step::Nothing) => {}
+                Ok(Step::Done) => self.done = true,
+                Err(error) => {
+                    if let Err(error) = self.recover(error).await {
+                        self.done = true;
+                        return Some(Err(error));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// The rest of the answer in one piece.
+    pub async fn rest(&mut self) -> Result<String, Error> {
+        let mut text = String::new();
+        while let Some(chunk) = self.next().await {
+            text.push_str(&chunk?.text);
+        }
+        Ok(text)
+    }
+
+    /// The request's id at the entry.
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
+    /// How often the stream was taken up again.
+    pub fn reconnects(&self) -> u32 {
+        self.reconnects
+    }
+
+    /// Tells the system that the rest is not wanted.
+    pub async fn cancel(mut self) -> Result<(), Error> {
+        self.source = None;
+        self.client.cancel(&self.request).await
+    }
+
+    async fn step(&mut self) -> Result<Step, Error> {
+        let Some(source) = &mut self.source else {
+            return Err(cut("the stream was cut"));
+        };
+        if let Some(event) = source.parser.take() {
+            return self.take(event);
+        }
+        let bytes = self.client.shared.wire.next(&mut source.body).await?;
+        let Some(bytes) = bytes else {
+            return Err(cut("the stream ended before its end"));
+        };
+        let pushed = source.parser.push(&bytes);
+        pushed.map_err(|_| protocol("an event is too large"))?;
+        Ok(Step::Nothing)
+    }
+
+    fn take(&mut self, event: Event) -> Result<Step, Error> {
+        match event.name.as_str() {
+            "error" => Err(wire::refusal(event.data.as_bytes())),
+            "continue" => self.pass_on(&event),
+            _ if event.data == DONE => Ok(Step::Done),
+            _ => self.chunk(&event),
+        }
+    }
+
+    fn pass_on(&mut self, event: &Event) -> Result<Step, Error> {
+        let read = serde_json::from_str::<Continue>(&event.data);
+        let passed = read.map_err(|_| protocol("a continue event that can't be read"))?;
+        self.token = passed.token;
+        self.next_entry = Some(passed.address);
+        self.source = None;
+        Ok(Step::Nothing)
+    }
+
+    fn chunk(&mut self, event: &Event) -> Result<Step, Error> {
+        let offset = event.id.ok_or_else(|| protocol("a chunk without offset"))?;
+        if offset < self.offset {
+            return Ok(Step::Nothing);
+        }
+        if offset > self.offset {
+            self.source = None;
+            return Err(cut("a chunk is missing"));
+        }
+        let read = serde_json::from_str::<Data>(&event.data);
+        let data = read.map_err(|_| protocol("a chunk that can't be read"))?;
+        let text: String = data
+            .choices
+            .into_iter()
+            .map(|choice| choice.delta.content)
+            .collect();
+        self.offset += 1;
+        self.text.push_str(&text);
+        self.tries.reset(self.client.shared.now());
+        Ok(Step::Chunk(Chunk { offset, text }))
+    }
+
+    /// Takes the stream up again, or gives the error back when that should not be.
+    async fn recover(&mut self, error: Error) -> Result<(), Error> {
+        self.source = None;
+        let shared = &self.client.shared;
+        match self.next_entry {
+            Some(_) => shared.hop(&mut self.tries, error)?,
+            None => shared.after(&mut self.tries, error).await?,
+        }
+        self.reconnects += 1;
+        self.connect().await
+    }
+
+    async fn connect(&mut self) -> Result<(), Error> {
+        loop {
+            match self.attempt().await {
+                Ok(()) => return Ok(()),
+                Err(error) => self.client.shared.after(&mut self.tries, error).await?,
+            }
+        }
+    }
+
+    async fn attempt(&mut self) -> Result<(), Error> {
+        let client = self.client.clone();
+        let shared = &client.shared;
+        let address = match self.next_entry.take() {
+            Some(address) => address,
+            None => shared.entry(&self.key).await?,
+        };
+        let mut builder = Request::builder()
+            .method(Method::POST)
+            .header(http::header::CONTENT_TYPE, "application/json");
+        if !self.token.is_empty() {
+            builder = builder
+                .header(wire::RESUME, self.token.as_str())
+                .header(wire::OFFSET, self.offset);
+        }
+        let sent = shared
+            .wire
+            .send(&address, builder, PATH, self.bytes())
+            .await;
+        let response = sent.inspect_err(|_| shared.shun(&address))?;
+        shared.trust(&address);
+        self.accept(response).await
+    }
+
+    async fn accept(&mut self, response: Response<Incoming>) -> Result<(), Error> {
+        if !response.status().is_success() {
+            let bytes = self.client.shared.wire.read(response).await?;
+            return Err(wire::refusal(&bytes));
+        }
+        let token = wire::text(response.headers(), wire::RESUME);
+        if !token.is_empty() {
+            self.token = token;
+        }
+        self.request = wire::text(response.headers(), wire::REQUEST);
+        self.source = Some(Source {
+            body: response.into_body(),
+            parser: Parser::default(),
+        });
+        Ok(())
+    }
+
+    /// The original body, with the answer so far as a message to be continued.
+    fn bytes(&self) -> Bytes {
+        if self.text.is_empty() {
+            return Bytes::from(self.body.to_string());
+        }
+        let mut body = self.body.clone();
+        if let Some(Value::Array(messages)) = body.get_mut("messages") {
+            messages.push(json!({ "role": "assistant", "content": self.text }));
+        }
+        body["continue_final_message"] = Value::Bool(true);
+        Bytes::from(body.to_string())
+    }
+}
+
+fn cut(message: &str) -> Error {
+    Error::new(Verdict::MayHaveRun, Kind::Cut, message)
+}
+
+fn protocol(message: &str) -> Error {
+    Error::new(Verdict::MayHaveRun, Kind::Protocol, message)
+}
+
+fn not_an_object() -> Error {
+    Error::new(
+        Verdict::NotRun,
+        Kind::Request,
+        "the body of a model call is a JSON object",
+    )
+}
--- /dev/null
+++ b/crates/client/src/wire.rs
@@ -0,0 +1,176 @@
+//! One HTTP exchange with one entry, and how its failures are read.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use clock::Span;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use smol_str::SmolStr;
+use verdict::Reason;
+use verdict::Verdict;
+
+use crate::error::Error;
+use crate::error::Kind;
+
+/// The caller's own key for a request that must run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// A ticket from an address answer.
+pub const TICKET: &str = "x-dogwoodspur-ticket";
+/// The token of a stream.
+pub const RESUME: &str = "x-dogwoodspur-resume";
+/// The next chunk wanted of a resumed stream.
+pub const OFFSET: &str = "x-dogwoodspur-offset";
+/// The request's id.
+pub const REQUEST: &str = "x-dogwoodspur-request";
+/// The verdict.
+pub const VERDICT: &str = "x-dogwoodspur-verdict";
+
+const MAX_BODY_BYTES: usize = 64 << 20;
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Connections to the entries, kept while they are of use.
+#[derive(Clone)]
+pub struct Wire {
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+    key: SmolStr,
+    silence: Duration,
+}
+
+impl Wire {
+    /// No connection yet.
+    pub fn new(key: SmolStr, connect: Span, silence: Span) -> Wire {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect.as_duration()));
+        connector.set_nodelay(true);
+        let http = legacy::Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE)
+            // A request is repeated by `retry` alone, which knows whether it may be.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Wire {
+            http,
+            key,
+            silence: silence.as_duration(),
+        }
+    }
+
+    /// The head of an entry's answer.
+    pub async fn send(
+        &self,
+        address: &str,
+        request: http::request::Builder,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, Error> {
+        let request = self.request(address, request, path, body)?;
+        let sent = tokio::time::timeout(self.silence, self.http.request(request)).await;
+        match sent {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(Error::new(
+                Verdict::NotRun,
+                Kind::Unreachable,
+                "no connection to the entry",
+            )),
+            Ok(Err(_)) => Err(cut("the connection was lost before the answer")),
+            Err(_) => Err(cut("no answer within the time allowed")),
+        }
+    }
+
+    /// The whole body of an answer.
+    pub async fn read(&self, response: Response<Incoming>) -> Result<Bytes, Error> {
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
+        match tokio::time::timeout(self.silence, body).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            _ => Err(cut("the connection was lost within the answer")),
+        }
+    }
+
+    /// The next bytes of a streamed answer; none at its end.
+    pub async fn next(&self, body: &mut Incoming) -> Result<Option<Bytes>, Error> {
+        loop {
+            let frame = tokio::time::timeout(self.silence, body.frame()).await;
+            match frame {
+                Ok(None) => return Ok(None),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+                _ => return Err(cut("the connection was lost within the stream")),
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        address: &str,
+        builder: http::request::Builder,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let mut builder = builder.uri(format!("http://{address}{path}"));
+        if !self.key.is_empty() {
+            builder = builder.header(header::AUTHORIZATION, format!("Bearer {}", self.key));
+        }
+        let request = builder.body(Full::new(body));
+        request.map_err(|error| Error::new(Verdict::NotRun, Kind::Request, error.to_string()))
+    }
+}
+
+/// What a refusal says in its body.
+#[derive(Debug, Deserialize)]
+struct Body {
+    error: Detail,
+}
+
+#[derive(Debug, Deserialize)]
+struct Detail {
+    reason: Reason,
+    verdict: Verdict,
+    #[serde(default)]
+    message: SmolStr,
+    #[serde(default)]
+    retry_after_ms: Option<u64>,
+    #[serde(default)]
+    request: SmolStr,
+}
+
+/// Reads a refusal's body; one that can't be read leaves the worst verdict.
+pub fn refusal(bytes: &[u8]) -> Error {
+    let Ok(body) = serde_json::from_slice::<Body>(bytes) else {
+        return Error::new(
+            Verdict::MayHaveRun,
+            Kind::Protocol,
+            "a refusal that can't be read",
+        );
+    };
+    let detail = body.error;
+    Error {
+        verdict: detail.verdict,
+        kind: Kind::Refused(detail.reason),
+        retry_after: detail.retry_after_ms.map(Span::from_millis),
+        message: detail.message,
+        request: detail.request,
+    }
+}
+
+/// A header as text; empty where it is missing.
+pub fn text(headers: &HeaderMap, name: &str) -> SmolStr {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.map(SmolStr::from).unwrap_or_default()
+}
+
+fn cut(message: &str) -> Error {
+    Error::new(Verdict::MayHaveRun, Kind::Cut, message)
+}
