Follow resume events, add sample installation and control client

Cause: a stream that moved behind an entry gets a new token in a `resume` event; the client took events that it did not know for chunks. Change: `resume` replaces the token, unknown events are passed over (test). standin gains a small HTTP client for the control APIs and the settings, account and deployments of a sample installation.

--- a/crates/client/src/stream.rs
+++ b/crates/client/src/stream.rs
@@ -89,6 +89,11 @@
     token: SmolStr,
 }
 
+#[derive(Deserialize)]
+struct Resume {
+    token: SmolStr,
+}
+
 impl Client {
     /// Sends a model call, in the customary shape, and returns once it is accepted.
     ///
@@ -181,8 +186,10 @@
         match event.name.as_str() {
             "error" => Err(wire::refusal(event.data.as_bytes())),
             "continue" => self.pass_on(&event),
-            _ if event.data == DONE => Ok(Step::Done),
-            _ => self.chunk(&event),
+            "resume" => self.moved(&event),
+            "" if event.data == DONE => Ok(Step::Done),
+            "" => self.chunk(&event),
+            _ => Ok(Step::Nothing),
         }
     }
 
@@ -195,6 +202,15 @@
         Ok(Step::Nothing)
     }
 
+    /// The stream has moved behind the entry: another token finds it from now on.
+    fn moved(&mut self, event: &Event) -> Result<Step, Error> {
+        let read = serde_json::from_str::<Resume>(&event.data);
+        self.token = read
+            .map_err(|_| protocol("a resume event that can't be read"))?
+            .token;
+        Ok(Step::Nothing)
+    }
+
     fn chunk(&mut self, event: &Event) -> Result<Step, Error> {
         let offset = event.id.ok_or_else(|| protocol("a chunk without offset"))?;
         if offset < self.offset {
--- a/crates/client/tests/client/stream.rs
+++ b/crates/client/tests/client/stream.rs
@@ -119,3 +119,20 @@
         assert_eq!(entry.requests().len(), 1);
     });
 }
+
+/// A stream moved to another engine before its entry was killed: the token of its head finds nothing
+/// any more, so the client has to come back with the newer one.
+#[test]
+fn newer_token_replaces_the_first() {
+    fake::run(async {
+        let moved = "event: resume\ndata: {\"token\":\"T2\"}\n\nevent: news\ndata: x\n\n";
+        let answers = [
+            fake::stream("T1", &[chunks(0, 2), moved.into()]),
+            fake::stream("T2", &[chunks(2, 6), DONE.into()]),
+        ];
+        let entry = Fake::start(&answers).await;
+        let mut stream = client(&[&entry]).stream(body(), "").await.unwrap();
+        assert_eq!(stream.rest().await.unwrap(), WHOLE);
+        assert!(entry.requests()[1].contains("x-dogwoodspur-resume: T2"));
+    });
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod configs;
 pub mod engine;
 pub mod gate;
+pub mod http;
 pub mod platform;
+pub mod sample;
 pub mod server;
 pub mod service;
 pub mod tokens;
--- /dev/null
+++ b/crates/standin/src/sample.rs
@@ -0,0 +1,114 @@
+//! A small installation: two deployments, one account, settings of its entries.
+
+use clock::Span;
+use config::deployment::Account;
+use config::deployment::CallPattern;
+use config::deployment::Deployment;
+use config::deployment::Grant;
+use config::deployment::Kind;
+use config::snapshot::hash_key;
+use smol_str::SmolStr;
+
+use crate::platform::fleet::Instance;
+
+/// Key of the operators.
+pub const OPERATORS_KEY: &str = "operators-of-the-sample";
+/// Key between the entries.
+pub const PEER_KEY: &str = "peers-of-the-sample-0123";
+/// Key of the account [`ACCOUNT`].
+pub const ACCOUNT_KEY: &str = "key-of-the-librarians";
+/// The client account.
+pub const ACCOUNT: &str = "librarians";
+/// The model deployment, and its pool.
+pub const MODEL: &str = "thesis";
+/// The plain service's deployment, and its pool.
+pub const SERVICE: &str = "records";
+
+/// Longest wait for a change to be in force everywhere.
+pub const CHANGE_WAIT: Span = Span::from_seconds(10);
+
+/// The account that calls.
+pub fn account() -> Account {
+    Account {
+        name: SmolStr::from(ACCOUNT),
+        key_hashes: vec![hash_key(ACCOUNT_KEY)],
+        weight: 1,
+        priority: 5,
+        tokens_per_second: 0,
+        concurrent: 0,
+    }
+}
+
+/// The model deployment.
+pub fn model() -> Deployment {
+    Deployment {
+        name: SmolStr::from(MODEL),
+        kind: Kind::Model {
+            model: SmolStr::from("summariser"),
+            adapter: SmolStr::default(),
+            version: SmolStr::from("v1"),
+        },
+        pool: SmolStr::from(MODEL),
+        grants: vec![grant()],
+        non_idempotent: Vec::new(),
+        checks_fencing: true,
+    }
+}
+
+/// The plain service's deployment; receipts are written at most once.
+pub fn service() -> Deployment {
+    Deployment {
+        name: SmolStr::from(SERVICE),
+        kind: Kind::Service,
+        pool: SmolStr::from(SERVICE),
+        grants: vec![grant()],
+        non_idempotent: vec![CallPattern {
+            method: SmolStr::from("POST"),
+            path_prefix: SmolStr::from("/receipts"),
+        }],
+        checks_fencing: false,
+    }
+}
+
+fn grant() -> Grant {
+    Grant {
+        account: SmolStr::from(ACCOUNT),
+        first_token_ms: 10_000,
+        token_gap_ms: 1_000,
+        share_per_mille: 950,
+    }
+}
+
+/// An instance as the platform's list shows it.
+pub fn instance(kind: &str, pool: &str, zone: &str, address: &str) -> Instance {
+    Instance {
+        address: SmolStr::from(address),
+        zone: SmolStr::from(zone),
+        class: SmolStr::from("g4"),
+        market: SmolStr::from("reclaimable"),
+        pool: SmolStr::from(pool),
+        kind: SmolStr::from(kind),
+        ..Instance::default()
+    }
+}
+
+/// Settings of an entry, on free ports of the loopback.
+pub fn settings(name: &str, zone: &str, platform: &str) -> String {
+    format!(
+        r#"{{
+  // An entry of the sample.
+  "identity": {{ "name": "{name}", "zone": "{zone}" }},
+  "callers": {{ "listen": "127.0.0.1:0", "address_ttl_ms": 1000 }},
+  "admin": {{ "listen": "127.0.0.1:0" }},
+  "operators": {{ "listen": "127.0.0.1:0", "key": "{OPERATORS_KEY}" }},
+  "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}" }},
+  "platform": {{
+    "table_service": "http://{platform}",
+    "cloud": "http://{platform}",
+    "instances_interval_ms": 200
+  }},
+  "leases": {{ "term_ms": 3000, "margin_ms": 500, "renew_interval_ms": 800 }}
+}}
+"#
+    )
+}
