--- /dev/null
+++ b/crates/config/src/admission.rs
@@ -0,0 +1,135 @@
+//! Whether this entry may admit requests under the version it holds.
+//!
+//! Failure guarded against: an entry that was frozen, or cut off from the table service, serves
+//! under a version that was replaced while nobody waited for it any more.
+//!
+//! There are two grounds to admit. Either this entry's lease is valid, and it has read the head
+//! since it gained the lease: then every acceptance waits for it. Or a majority of all members has
+//! said, in answer to a question sent less than a term ago, that they hold nothing newer: then no
+//! acceptance can have found a majority (see [`crate::acceptance`]). The second ground keeps the
+//! entries serving while the table service is down, and lets an entry start in that time with the
+//! newest version that a majority knows, which an accepted one can't exceed. A question carries the
+//! asker's own time and its answer gives it back, so an answer that a frozen peer or network holds
+//! back is worth nothing when it comes.
+
+use std::collections::BTreeMap;
+
+use clock::Span;
+use clock::Time;
+use smol_str::SmolStr;
+
+/// The grounds that this entry has.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    me: SmolStr,
+    lease: Lease,
+    /// The lease during which the head was read, sent after the lease was gained, and applied.
+    confirmed: Option<u64>,
+    voters: Vec<SmolStr>,
+    word: BTreeMap<SmolStr, Word>,
+    term: Span,
+}
+
+/// This entry's own lease.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lease {
+    /// Counts the times the lease was gained; a renewal in time keeps the number.
+    pub epoch: u64,
+    /// By our clock, counted from before the renewal was sent.
+    pub valid_until: Time,
+}
+
+/// What a member said of its version.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    /// When we asked.
+    asked: Time,
+    /// What it holds.
+    version: u64,
+}
+
+impl Admission {
+    /// No grounds yet; `term` is the term of a lease.
+    pub fn new(me: SmolStr, term: Span) -> Admission {
+        Admission {
+            me,
+            lease: Lease::default(),
+            confirmed: None,
+            voters: Vec::new(),
+            word: BTreeMap::new(),
+            term,
+        }
+    }
+
+    /// Whether requests may be admitted under version `applied` now.
+    pub fn admits(&self, now: Time, applied: u64) -> bool {
+        self.leased(now) || self.majority(now, applied)
+    }
+
+    /// Whether the lease is valid and the head was read since it was gained.
+    pub fn leased(&self, now: Time) -> bool {
+        now < self.lease.valid_until && self.confirmed == Some(self.lease.epoch)
+    }
+
+    /// Whether the lease is close enough to its end that peers should be asked.
+    pub fn wants_word(&self, now: Time) -> bool {
+        let reserve = self.term.scaled(0.5);
+        !self.leased(now) || self.lease.valid_until < now + reserve
+    }
+
+    /// The lease as it stands.
+    pub fn lease(&self) -> Lease {
+        self.lease
+    }
+
+    /// Notes a gained or renewed lease.
+    pub fn set_lease(&mut self, lease: Lease) {
+        self.lease = lease;
+    }
+
+    /// The head was read, by a call sent in this epoch, and what it names was applied.
+    pub fn confirm(&mut self, epoch: u64) {
+        self.confirmed = Some(epoch);
+    }
+
+    /// All members, as this entry read them from the table service.
+    pub fn set_voters(&mut self, voters: Vec<SmolStr>) {
+        self.word.retain(|member, _| voters.contains(member));
+        self.voters = voters;
+    }
+
+    /// All members that count.
+    pub fn voters(&self) -> &[SmolStr] {
+        &self.voters
+    }
+
+    /// A member answered the question that was sent at `asked`.
+    pub fn hear(&mut self, member: SmolStr, asked: Time, version: u64) {
+        if !self.voters.contains(&member) {
+            return;
+        }
+        let word = self.word.entry(member).or_insert(Word { asked, version });
+        if word.asked <= asked {
+            *word = Word {
+                asked,
+                version: word.version.max(version),
+            };
+        }
+    }
+
+    /// Whether a majority of members held nothing newer than `applied` within the last term.
+    fn majority(&self, now: Time, applied: u64) -> bool {
+        let agreeing = self
+            .voters
+            .iter()
+            .filter(|member| **member == self.me || self.agrees(member, now, applied))
+            .count();
+        agreeing * 2 > self.voters.len()
+    }
+
+    fn agrees(&self, member: &SmolStr, now: Time, applied: u64) -> bool {
+        self.word
+            .get(member)
+            .is_some_and(|word| now < word.asked + self.term && word.version <= applied)
+    }
+}
--- /dev/null
+++ b/crates/config/src/agreement.rs
@@ -0,0 +1,271 @@
+//! One entry's part in agreeing on the configuration: commit, follow, accept, admit.
+//!
+//! Pure: the embedder feeds [`Event`]s to [`Agreement::step`], carries out the [`Effect`]s and calls
+//! again with [`Event::Wake`] at the time that [`Agreement::next_wake`] names.
+
+mod commits;
+mod peers;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use clock::Span;
+use clock::Time;
+use smol_str::SmolStr;
+use store::backoff::Backoff;
+use store::call;
+use store::call::Call;
+use store::call::Outcome;
+
+use crate::acceptance::Acceptance;
+use crate::acceptance::View;
+use crate::admission::Admission;
+use crate::admission::Lease;
+use crate::change::Standing;
+use crate::configs::agreement::Settings;
+use crate::event::Effect;
+use crate::event::Event;
+use crate::follower::Follower;
+use crate::history::History;
+use crate::row;
+use crate::row::Head;
+use crate::snapshot::Snapshot;
+use crate::submission::Commit;
+use crate::submission::Known;
+use crate::submission::Submissions;
+use crate::submission::Validate;
+
+/// Time between two requests for a newer view while a version waits.
+const VIEW_INTERVAL: Span = Span::from_millis(500);
+
+/// The state machine.
+#[derive(Clone, Debug)]
+pub struct Agreement {
+    me: SmolStr,
+    settings: Settings,
+    validate: Validate,
+    history: History,
+    follower: Follower,
+    admission: Admission,
+    acceptance: Acceptance,
+    submissions: Submissions,
+    /// The head as last read; none if it may have moved since by our own doing.
+    known: Option<Known>,
+    /// A head read by a call sent in this epoch, to be confirmed once this version is applied.
+    unconfirmed: Option<(u64, u64)>,
+    calls: BTreeMap<call::Id, Purpose>,
+    next_call: u64,
+    next_poll: Time,
+    next_ask: Time,
+    next_view: Time,
+    peers: Vec<SmolStr>,
+    backoff: Backoff,
+}
+
+/// Why a store call was made.
+#[derive(Clone, Debug)]
+enum Purpose {
+    /// To read the head, during this epoch of our lease.
+    Head(u64),
+    /// To fetch the snapshot or versions.
+    Follow,
+    /// To commit a version.
+    Commit(Box<Commit>),
+}
+
+impl Agreement {
+    /// A state machine that knows no configuration yet. `me` is this entry's incarnation.
+    pub fn new(me: SmolStr, settings: Settings, validate: Validate, seed: u64) -> Agreement {
+        Agreement {
+            history: History::new(settings.kept),
+            follower: Follower::new(settings),
+            admission: Admission::new(me.clone(), settings.term),
+            acceptance: Acceptance::new(settings.term + settings.margin),
+            submissions: Submissions::default(),
+            known: None,
+            unconfirmed: None,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            next_poll: Time::ZERO,
+            next_ask: Time::ZERO,
+            next_view: Time::ZERO,
+            peers: Vec::new(),
+            backoff: Backoff::new(settings.retry, settings.retry_limit, seed),
+            me,
+            settings,
+            validate,
+        }
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
+        let before = self.history.version();
+        match event {
+            Event::Wake => {}
+            Event::Store { id, outcome } => self.answered(now, id, outcome),
+            Event::Submit {
+                operation,
+                change,
+                deadline,
+            } => self.submit(now, operation, change, deadline, effects),
+            Event::View(view) => self.viewed(view),
+            Event::Peers(peers) => self.peers = peers,
+            Event::Lease(lease) => self.leased(now, lease),
+            Event::Applied { member, version } => self.heard(now, member, version, effects),
+            Event::Peer { from, message } => self.told(now, from, message, effects),
+        }
+        self.settle(now, before, effects);
+        self.drive(now, effects);
+    }
+
+    /// Whether requests may be admitted now; to be asked again where the effect leaves.
+    pub fn admits(&self, now: Time) -> bool {
+        self.admission.admits(now, self.history.version())
+    }
+
+    /// The configuration in force here.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        self.history.snapshot()
+    }
+
+    /// How far a version has come, as this entry sees it.
+    pub fn standing(&mut self, now: Time, version: u64) -> Standing {
+        if version > self.history.version() {
+            return Standing::Unknown;
+        }
+        self.acceptance.track(now, version);
+        self.acceptance.standing(now, version)
+    }
+
+    /// When [`Event::Wake`] is wanted next.
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        let mut wakes = vec![self.next_poll];
+        if self.admission.wants_word(now) {
+            wakes.push(self.next_ask);
+        } else {
+            let lease = self.admission.lease().valid_until;
+            wakes.push(Time::ZERO + lease.since(Time::ZERO + self.settings.term.scaled(0.5)));
+        }
+        if self.acceptance.wants_view() {
+            wakes.push(self.next_view);
+        }
+        wakes.extend(self.submissions.next_wake(now));
+        wakes.extend(self.acceptance.next_wake());
+        wakes.extend(self.follower.next_wake());
+        let soonest = wakes.into_iter().min()?;
+        Some(soonest.max(now + Span::from_millis(1)))
+    }
+
+    /// Takes the outcome of a store call.
+    fn answered(&mut self, now: Time, id: call::Id, outcome: Outcome) {
+        match self.calls.remove(&id) {
+            Some(Purpose::Head(epoch)) => self.head_read(now, epoch, outcome),
+            Some(Purpose::Follow) => {
+                let wait = self.backoff.fail();
+                if self
+                    .follower
+                    .answered(now, outcome, wait, &mut self.history)
+                {
+                    self.backoff.reset();
+                }
+            }
+            Some(Purpose::Commit(commit)) => self.commit_ended(now, *commit, outcome),
+            None => {}
+        }
+    }
+
+    fn head_read(&mut self, now: Time, epoch: u64, outcome: Outcome) {
+        let known = match outcome {
+            Outcome::Row(None) => Known::default(),
+            Outcome::Row(Some(row)) => match row::read::<Head>(&row) {
+                Some(head) => Known {
+                    head,
+                    revision: Some(row.revision),
+                },
+                None => return,
+            },
+            _ => {
+                self.next_poll = now + self.backoff.fail();
+                return;
+            }
+        };
+        self.backoff.reset();
+        // Reads may overtake each other; an older answer must not hide a newer head.
+        if self.known.is_none_or(|old| old.revision <= known.revision) {
+            self.known = Some(known);
+        }
+        self.follower.expect(known.head.version, None);
+        self.unconfirmed = Some((epoch, known.head.version));
+    }
+
+    /// The head has moved or may have: it is read before the next commit.
+    fn reread(&mut self, now: Time) {
+        self.known = None;
+        self.next_poll = now;
+    }
+
+    fn viewed(&mut self, view: View) {
+        let voters = view.members.iter().map(|seen| seen.member.clone());
+        self.admission.set_voters(voters.collect());
+        self.acceptance.set_view(view);
+        self.acceptance
+            .set_applied(&self.me, self.history.version());
+    }
+
+    fn leased(&mut self, now: Time, lease: Lease) {
+        if lease.epoch != self.admission.lease().epoch {
+            self.next_poll = now;
+        }
+        self.admission.set_lease(lease);
+    }
+
+    /// Draws the conclusions of a risen version.
+    fn settle(&mut self, now: Time, before: u64, effects: &mut Vec<Effect>) {
+        let version = self.history.version();
+        if version > before {
+            self.follower.progressed(now);
+            self.acceptance.set_applied(&self.me, version);
+            effects.push(Effect::Apply(self.history.snapshot().clone()));
+        }
+        if let Some((epoch, wanted)) = self.unconfirmed
+            && version >= wanted
+        {
+            self.admission.confirm(epoch);
+            self.unconfirmed = None;
+        }
+    }
+
+    /// Does whatever is due.
+    fn drive(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.poll(now, effects);
+        if let Some(call) = self.follower.next_call(now, &self.history) {
+            self.call(Purpose::Follow, call, effects);
+        }
+        while self.attempt(now, effects) {}
+        self.answer(now, effects);
+        self.ask(now, effects);
+        if self.acceptance.wants_view() && now >= self.next_view {
+            self.next_view = now + VIEW_INTERVAL;
+            effects.push(Effect::View);
+        }
+    }
+
+    fn poll(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if now < self.next_poll {
+            return;
+        }
+        let members = self.admission.voters().len() as u64;
+        let shared = Span::from_millis(members * 1_000 / self.settings.polls_per_second);
+        let interval = self.settings.poll.max(shared);
+        self.next_poll = now + self.backoff.spread(interval);
+        let epoch = self.admission.lease().epoch;
+        self.call(Purpose::Head(epoch), Call::Get { at: row::head() }, effects);
+    }
+
+    fn call(&mut self, purpose: Purpose, call: Call, effects: &mut Vec<Effect>) {
+        let id = call::Id(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(id, purpose);
+        effects.push(Effect::Store { id, call });
+    }
+}
--- /dev/null
+++ b/crates/config/src/agreement/peers.rs
@@ -0,0 +1,112 @@
+//! What is said between entries, and what follows from it.
+
+use clock::Time;
+use smol_str::SmolStr;
+
+use crate::agreement::Agreement;
+use crate::event::Effect;
+use crate::message::Message;
+use crate::snapshot::Snapshot;
+
+/// Versions sent in one message.
+const LOG_LIMIT: usize = 64;
+/// Parts of a term between two rounds of questions to the members.
+const ASKS_PER_TERM: f64 = 4.0;
+
+impl Agreement {
+    /// A peer holds a version: newer than ours, it is fetched from there.
+    pub(super) fn heard(
+        &mut self,
+        now: Time,
+        member: SmolStr,
+        version: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.acceptance.set_applied(&member, version);
+        let after = self.history.version();
+        if version <= after || !self.follower.expect(version, Some(now)) {
+            return;
+        }
+        let message = Message::Fetch { after };
+        effects.push(Effect::Send {
+            to: member,
+            message,
+        });
+    }
+
+    pub(super) fn told(
+        &mut self,
+        now: Time,
+        from: SmolStr,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Fetch { after } => {
+                if let Some(message) = self.answer_fetch(after) {
+                    effects.push(Effect::Send { to: from, message });
+                }
+            }
+            Message::Log { versions } => {
+                for version in versions {
+                    self.history.push(version);
+                }
+            }
+            Message::Whole { snapshot, before } => {
+                self.history.replace(snapshot, before);
+            }
+            Message::Ask { asked } => {
+                let message = Message::Word {
+                    asked,
+                    version: self.history.version(),
+                    voters: self.admission.voters().to_vec(),
+                };
+                effects.push(Effect::Send { to: from, message });
+            }
+            Message::Word {
+                asked,
+                version,
+                voters,
+            } => {
+                if self.admission.voters().is_empty() {
+                    self.admission.set_voters(voters);
+                }
+                let asked = Time::from_millis(asked);
+                self.admission.hear(from.clone(), asked, version);
+                self.heard(now, from, version, effects);
+            }
+        }
+    }
+
+    fn answer_fetch(&self, after: u64) -> Option<Message> {
+        if after >= self.history.version() {
+            return None;
+        }
+        match self.history.after(after, LOG_LIMIT) {
+            Some(versions) => Some(Message::Log { versions }),
+            None => Some(Message::Whole {
+                snapshot: Snapshot::clone(self.history.snapshot()),
+                before: self.history.after(self.history.floor(), usize::MAX)?,
+            }),
+        }
+    }
+
+    /// Asks the members which version they hold while the lease is not to be relied on.
+    pub(super) fn ask(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if now < self.next_ask || !self.admission.wants_word(now) {
+            return;
+        }
+        self.next_ask = now + self.settings.term.scaled(1.0 / ASKS_PER_TERM);
+        let asked = now.as_millis();
+        let members = match self.admission.voters() {
+            [] => &self.peers,
+            voters => voters,
+        };
+        for member in members.iter().filter(|member| **member != self.me) {
+            effects.push(Effect::Send {
+                to: member.clone(),
+                message: Message::Ask { asked },
+            });
+        }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,4 +1,21 @@
 //! Deployments, accounts and how a change of them is agreed.
+//!
+//! [`agreement::Agreement`] is the state machine that an entry embeds: it commits operators' changes
+//! through the table service, follows the newest version, says when a version is accepted and
+//! whether this entry may admit requests under the version it holds.
 
+pub mod acceptance;
+pub mod admission;
+pub mod agreement;
+pub mod change;
+pub mod configs;
 pub mod deployment;
+pub mod diff;
+pub mod edit;
+pub mod event;
+mod follower;
+pub mod history;
+pub mod message;
+pub mod row;
 pub mod snapshot;
+mod submission;
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -41,6 +41,16 @@
     pub key: SmolStr,
 }
 
+impl Address {
+    /// The row `key` of `table`.
+    pub fn new(table: impl Into<SmolStr>, key: impl Into<SmolStr>) -> Address {
+        Address {
+            table: table.into(),
+            key: key.into(),
+        }
+    }
+}
+
 /// A conditional write of several rows.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Transaction {
--- /dev/null
+++ b/crates/store/src/fake.rs
@@ -0,0 +1,154 @@
+//! An in-memory table service for tests of state machines, with faults in a given order.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use crate::call::Address;
+use crate::call::Call;
+use crate::call::Outcome;
+use crate::call::Row;
+use crate::call::Transaction;
+
+/// What goes wrong with one call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// The service says it is down.
+    Down,
+    /// The call never arrives; its sender sees a timeout.
+    LostCall,
+    /// The call takes effect; its sender sees a timeout.
+    LostAnswer,
+}
+
+/// The whole service.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<Address, Row>,
+    revision: u64,
+    down: bool,
+    faults: VecDeque<Fault>,
+    reads: u64,
+    writes: u64,
+}
+
+impl Table {
+    /// An empty service that works.
+    pub fn new() -> Table {
+        Table::default()
+    }
+
+    /// Takes the service down or up again.
+    pub fn set_down(&mut self, down: bool) {
+        self.down = down;
+    }
+
+    /// Queues a fault: each call takes one from the queue.
+    pub fn push_fault(&mut self, fault: Fault) {
+        self.faults.push_back(fault);
+    }
+
+    /// Carries out one call and says what its sender sees.
+    pub fn apply(&mut self, call: &Call) -> Outcome {
+        let fault = self.faults.pop_front().unwrap_or_default();
+        if self.down || fault == Fault::Down {
+            return Outcome::Unavailable;
+        }
+        if fault == Fault::LostCall {
+            return lost(call);
+        }
+        let outcome = self.serve(call);
+        if fault == Fault::LostAnswer {
+            return lost(call);
+        }
+        outcome
+    }
+
+    /// The row at an address, without a call.
+    pub fn row(&self, table: &str, key: &str) -> Option<&Row> {
+        self.rows.get(&Address {
+            table: SmolStr::from(table),
+            key: SmolStr::from(key),
+        })
+    }
+
+    /// Reads and transactions served so far.
+    pub fn served(&self) -> (u64, u64) {
+        (self.reads, self.writes)
+    }
+
+    fn serve(&mut self, call: &Call) -> Outcome {
+        match call {
+            Call::Get { at } => {
+                self.reads += 1;
+                Outcome::Row(self.rows.get(at).cloned())
+            }
+            Call::Scan {
+                table,
+                prefix,
+                after,
+                limit,
+            } => {
+                self.reads += 1;
+                self.scan(table, prefix, after, *limit as usize)
+            }
+            Call::Transact(transaction) => {
+                self.writes += 1;
+                self.transact(transaction)
+            }
+        }
+    }
+
+    fn scan(&self, table: &str, prefix: &str, after: &str, limit: usize) -> Outcome {
+        let mut rows: Vec<Row> = self
+            .rows
+            .iter()
+            .filter(|(at, _)| at.table == table)
+            .filter(|(at, _)| at.key.starts_with(prefix) && at.key.as_str() > after)
+            .map(|(_, row)| row.clone())
+            .take(limit + 1)
+            .collect();
+        let more = rows.len() > limit;
+        rows.truncate(limit);
+        Outcome::Rows { rows, more }
+    }
+
+    fn transact(&mut self, transaction: &Transaction) -> Outcome {
+        let failed: Vec<(Address, Option<Row>)> = transaction
+            .checks
+            .iter()
+            .filter(|check| self.rows.get(&check.at).map(|row| row.revision) != check.revision)
+            .map(|check| (check.at.clone(), self.rows.get(&check.at).cloned()))
+            .collect();
+        if !failed.is_empty() {
+            return Outcome::Conflict(failed);
+        }
+        self.revision += 1;
+        for write in &transaction.writes {
+            if write.value == Value::Null {
+                self.rows.remove(&write.at);
+                continue;
+            }
+            let row = Row {
+                key: write.at.key.clone(),
+                value: write.value.clone(),
+                revision: self.revision,
+            };
+            self.rows.insert(write.at.clone(), row);
+        }
+        Outcome::Committed(self.revision)
+    }
+}
+
+/// What the sender of a call sees when no answer comes.
+fn lost(call: &Call) -> Outcome {
+    match call {
+        Call::Transact(_) => Outcome::Unknown,
+        _ => Outcome::Unavailable,
+    }
+}
