--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod agreement;
 pub mod change;
+pub mod check;
 pub mod configs;
 pub mod deployment;
 pub mod diff;
