--- a/crates/config/src/acceptance.rs
+++ b/crates/config/src/acceptance.rs
@@ -16,7 +16,7 @@
 
 use clock::Span;
 use clock::Time;
-use smol_str::SmolStr;
+use lease::holder;
 
 use crate::change::Standing;
 
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
     /// The member's incarnation.
-    pub member: SmolStr,
+    pub member: holder::Id,
     /// The version it said it had applied.
     pub applied: u64,
     /// Whether its lease has lapsed: its row stood unchanged for the whole term and margin since we
@@ -47,7 +47,7 @@
     view: View,
     /// The newest version each member is known to have applied. Never falls for an incarnation, so
     /// old word is safe to use.
-    applied: BTreeMap<SmolStr, u64>,
+    applied: BTreeMap<holder::Id, u64>,
     tracked: BTreeMap<u64, Tracked>,
     accepted: u64,
     hold: Span,
@@ -89,7 +89,7 @@
     /// Notes a newer view; word on members that are gone from it is dropped.
     pub fn set_view(&mut self, view: View) {
         for seen in &view.members {
-            let applied = self.applied.entry(seen.member.clone()).or_default();
+            let applied = self.applied.entry(seen.member).or_default();
             *applied = seen.applied.max(*applied);
         }
         self.applied
@@ -98,15 +98,15 @@
     }
 
     /// Notes that a member has applied a version, whoever tells it.
-    pub fn set_applied(&mut self, member: &SmolStr, version: u64) {
-        if let Some(applied) = self.applied.get_mut(member) {
+    pub fn set_applied(&mut self, member: holder::Id, version: u64) {
+        if let Some(applied) = self.applied.get_mut(&member) {
             *applied = version.max(*applied);
         }
     }
 
     /// All members of the last view.
-    pub fn members(&self) -> impl Iterator<Item = &SmolStr> {
-        self.view.members.iter().map(|seen| &seen.member)
+    pub fn members(&self) -> impl Iterator<Item = holder::Id> {
+        self.view.members.iter().map(|seen| seen.member)
     }
 
     /// Whether some tracked version waits for a view that is newer than the last one.
@@ -166,12 +166,12 @@
     }
 
     /// Members that have not applied the version: those that are out, or those that are not.
-    fn behind(&self, version: u64, out: bool) -> Vec<SmolStr> {
+    fn behind(&self, version: u64, out: bool) -> Vec<holder::Id> {
         self.view
             .members
             .iter()
-            .filter(|seen| seen.lapsed == out && !self.has_applied(&seen.member, version))
-            .map(|seen| seen.member.clone())
+            .filter(|seen| seen.lapsed == out && !self.has_applied(seen.member, version))
+            .map(|seen| seen.member)
             .collect()
     }
 
@@ -180,12 +180,12 @@
             .view
             .members
             .iter()
-            .filter(|seen| !seen.lapsed && self.has_applied(&seen.member, version))
+            .filter(|seen| !seen.lapsed && self.has_applied(seen.member, version))
             .count();
         applied * 2 > self.view.members.len()
     }
 
-    fn has_applied(&self, member: &SmolStr, version: u64) -> bool {
-        self.applied.get(member).is_some_and(|at| *at >= version)
+    fn has_applied(&self, member: holder::Id, version: u64) -> bool {
+        self.applied.get(&member).is_some_and(|at| *at >= version)
     }
 }
--- a/crates/config/src/admission.rs
+++ b/crates/config/src/admission.rs
@@ -16,17 +16,17 @@
 
 use clock::Span;
 use clock::Time;
-use smol_str::SmolStr;
+use lease::holder;
 
 /// The grounds that this entry has.
 #[derive(Clone, Debug)]
 pub struct Admission {
-    me: SmolStr,
+    me: holder::Id,
     lease: Lease,
     /// The lease during which the head was read, sent after the lease was gained, and applied.
     confirmed: Option<u64>,
-    voters: Vec<SmolStr>,
-    word: BTreeMap<SmolStr, Word>,
+    voters: Vec<holder::Id>,
+    word: BTreeMap<holder::Id, Word>,
     term: Span,
 }
 
@@ -50,7 +50,7 @@
 
 impl Admission {
     /// No grounds yet; `term` is the term of a lease.
-    pub fn new(me: SmolStr, term: Span) -> Admission {
+    pub fn new(me: holder::Id, term: Span) -> Admission {
         Admission {
             me,
             lease: Lease::default(),
@@ -93,18 +93,18 @@
     }
 
     /// All members, as this entry read them from the table service.
-    pub fn set_voters(&mut self, voters: Vec<SmolStr>) {
+    pub fn set_voters(&mut self, voters: Vec<holder::Id>) {
         self.word.retain(|member, _| voters.contains(member));
         self.voters = voters;
     }
 
     /// All members that count.
-    pub fn voters(&self) -> &[SmolStr] {
+    pub fn voters(&self) -> &[holder::Id] {
         &self.voters
     }
 
     /// A member answered the question that was sent at `asked`.
-    pub fn hear(&mut self, member: SmolStr, asked: Time, version: u64) {
+    pub fn hear(&mut self, member: holder::Id, asked: Time, version: u64) {
         if !self.voters.contains(&member) {
             return;
         }
@@ -122,14 +122,14 @@
         let agreeing = self
             .voters
             .iter()
-            .filter(|member| **member == self.me || self.agrees(member, now, applied))
+            .filter(|member| **member == self.me || self.agrees(**member, now, applied))
             .count();
         agreeing * 2 > self.voters.len()
     }
 
-    fn agrees(&self, member: &SmolStr, now: Time, applied: u64) -> bool {
+    fn agrees(&self, member: holder::Id, now: Time, applied: u64) -> bool {
         self.word
-            .get(member)
+            .get(&member)
             .is_some_and(|word| now < word.asked + self.term && word.version <= applied)
     }
 }
--- a/crates/config/src/agreement.rs
+++ b/crates/config/src/agreement.rs
@@ -11,7 +11,7 @@
 
 use clock::Span;
 use clock::Time;
-use smol_str::SmolStr;
+use lease::holder;
 use store::backoff::Backoff;
 use store::call;
 use store::call::Call;
@@ -41,7 +41,7 @@
 /// The state machine.
 #[derive(Clone, Debug)]
 pub struct Agreement {
-    me: SmolStr,
+    me: holder::Id,
     settings: Settings,
     validate: Validate,
     history: History,
@@ -58,7 +58,7 @@
     next_poll: Time,
     next_ask: Time,
     next_view: Time,
-    peers: Vec<SmolStr>,
+    peers: Vec<holder::Id>,
     backoff: Backoff,
 }
 
@@ -75,11 +75,11 @@
 
 impl Agreement {
     /// A state machine that knows no configuration yet. `me` is this entry's incarnation.
-    pub fn new(me: SmolStr, settings: Settings, validate: Validate, seed: u64) -> Agreement {
+    pub fn new(me: holder::Id, settings: Settings, validate: Validate, seed: u64) -> Agreement {
         Agreement {
             history: History::new(settings.kept),
             follower: Follower::new(settings),
-            admission: Admission::new(me.clone(), settings.term),
+            admission: Admission::new(me, settings.term),
             acceptance: Acceptance::new(settings.term + settings.margin),
             submissions: Submissions::default(),
             known: None,
@@ -205,11 +205,10 @@
     }
 
     fn viewed(&mut self, view: View) {
-        let voters = view.members.iter().map(|seen| seen.member.clone());
+        let voters = view.members.iter().map(|seen| seen.member);
         self.admission.set_voters(voters.collect());
         self.acceptance.set_view(view);
-        self.acceptance
-            .set_applied(&self.me, self.history.version());
+        self.acceptance.set_applied(self.me, self.history.version());
     }
 
     fn leased(&mut self, now: Time, lease: Lease) {
@@ -224,7 +223,7 @@
         let version = self.history.version();
         if version > before {
             self.follower.progressed(now);
-            self.acceptance.set_applied(&self.me, version);
+            self.acceptance.set_applied(self.me, version);
             effects.push(Effect::Apply(self.history.snapshot().clone()));
         }
         if let Some((epoch, wanted)) = self.unconfirmed
--- a/crates/config/src/agreement/peers.rs
+++ b/crates/config/src/agreement/peers.rs
@@ -1,7 +1,7 @@
 //! What is said between entries, and what follows from it.
 
 use clock::Time;
-use smol_str::SmolStr;
+use lease::holder;
 
 use crate::agreement::Agreement;
 use crate::event::Effect;
@@ -18,11 +18,11 @@
     pub(super) fn heard(
         &mut self,
         now: Time,
-        member: SmolStr,
+        member: holder::Id,
         version: u64,
         effects: &mut Vec<Effect>,
     ) {
-        self.acceptance.set_applied(&member, version);
+        self.acceptance.set_applied(member, version);
         let after = self.history.version();
         if version <= after || !self.follower.expect(version, Some(now)) {
             return;
@@ -37,7 +37,7 @@
     pub(super) fn told(
         &mut self,
         now: Time,
-        from: SmolStr,
+        from: holder::Id,
         message: Message,
         effects: &mut Vec<Effect>,
     ) {
@@ -72,7 +72,7 @@
                     self.admission.set_voters(voters);
                 }
                 let asked = Time::from_millis(asked);
-                self.admission.hear(from.clone(), asked, version);
+                self.admission.hear(from, asked, version);
                 self.heard(now, from, version, effects);
             }
         }
@@ -104,7 +104,7 @@
         };
         for member in members.iter().filter(|member| **member != self.me) {
             effects.push(Effect::Send {
-                to: member.clone(),
+                to: *member,
                 message: Message::Ask { asked },
             });
         }
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -1,5 +1,6 @@
 //! What an operator asks for and is answered.
 
+use lease::holder;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -34,7 +35,7 @@
         /// The version that holds it.
         version: u64,
         /// The members that were still waited for.
-        waiting: Vec<SmolStr>,
+        waiting: Vec<holder::Id>,
     },
     /// Others changed the same items since `base`; nothing was done.
     Conflict {
@@ -68,7 +69,7 @@
     /// In force at every entry that admits requests.
     Accepted,
     /// Committed; these members are waited for. Empty while they are being read.
-    Waiting(Vec<SmolStr>),
+    Waiting(Vec<holder::Id>),
     /// This entry does not know of such a version.
     Unknown,
 }
--- a/crates/config/src/event.rs
+++ b/crates/config/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use clock::Time;
-use smol_str::SmolStr;
+use lease::holder;
 use store::call;
 use store::call::Call;
 use store::call::Outcome;
@@ -40,20 +40,20 @@
     /// The members were read from the table service.
     View(View),
     /// Peers that can be reached; used while no members are known.
-    Peers(Vec<SmolStr>),
+    Peers(Vec<holder::Id>),
     /// This entry's own lease was gained or renewed.
     Lease(Lease),
     /// A peer is heard to have applied a version.
     Applied {
         /// Which peer, by incarnation.
-        member: SmolStr,
+        member: holder::Id,
         /// The version.
         version: u64,
     },
     /// A peer sent a message.
     Peer {
         /// Which peer, by incarnation.
-        from: SmolStr,
+        from: holder::Id,
         /// What it said.
         message: Message,
     },
@@ -72,7 +72,7 @@
     /// Send a message to a peer; it may get lost.
     Send {
         /// Which peer, by incarnation.
-        to: SmolStr,
+        to: holder::Id,
         /// The message.
         message: Message,
     },
--- a/crates/config/src/message.rs
+++ b/crates/config/src/message.rs
@@ -1,8 +1,8 @@
 //! What entries say to each other about the configuration.
 
+use lease::holder;
 use serde::Deserialize;
 use serde::Serialize;
-use smol_str::SmolStr;
 
 use crate::row::Version;
 use crate::snapshot::Snapshot;
@@ -40,6 +40,6 @@
         /// The newest version the answerer has applied.
         version: u64,
         /// All members the answerer last read from the table service.
-        voters: Vec<SmolStr>,
+        voters: Vec<holder::Id>,
     },
 }
--- a/crates/config/tests/agreement.rs
+++ b/crates/config/tests/agreement.rs
@@ -14,6 +14,7 @@
 use config::edit::Edit;
 use config::event::Effect;
 use config::event::Event;
+use lease::holder;
 use store::fake::Table;
 
 /// The account `name` with this weight.
@@ -35,9 +36,9 @@
 }
 
 impl Entry {
-    fn start(name: &str) -> Entry {
+    fn start(id: u64) -> Entry {
         Entry {
-            agreement: Agreement::new(name.into(), Settings::default(), |_| Ok(()), 1),
+            agreement: Agreement::new(holder::Id(id), Settings::default(), |_| Ok(()), 1),
             answers: Vec::new(),
         }
     }
@@ -79,7 +80,7 @@
 #[test]
 fn a_change_is_committed_applied_and_accepted() {
     let mut table = Table::new();
-    let mut entry = Entry::start("e1");
+    let mut entry = Entry::start(1);
     let start = Time::from_millis(10);
     assert!(!entry.agreement.admits(start));
 
@@ -98,7 +99,7 @@
     assert_eq!(entry.answers, []);
 
     let seen = Seen {
-        member: "e1".into(),
+        member: holder::Id(1),
         applied: 0,
         lapsed: false,
     };
@@ -116,8 +117,8 @@
 #[test]
 fn the_second_of_two_conflicting_changes_is_told_the_difference() {
     let mut table = Table::new();
-    let mut first = Entry::start("e1");
-    let mut second = Entry::start("e2");
+    let mut first = Entry::start(1);
+    let mut second = Entry::start(2);
     let now = Time::from_millis(10);
     first.feed(now, Event::Wake, &mut table);
     second.feed(now, Event::Wake, &mut table);
@@ -145,8 +146,8 @@
 #[test]
 fn changes_of_different_items_do_not_conflict() {
     let mut table = Table::new();
-    let mut first = Entry::start("e1");
-    let mut second = Entry::start("e2");
+    let mut first = Entry::start(1);
+    let mut second = Entry::start(2);
     let now = Time::from_millis(10);
     second.feed(now, Event::Wake, &mut table);
     let put = |name| Edit::PutAccount(account(name, 1));
