--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,12 +5,12 @@
 
 pub mod account;
 pub mod admission;
+pub mod affinity;
 pub mod brownout;
+pub mod concurrency;
 pub mod configs;
 pub mod decision;
 pub mod fair;
-pub mod affinity;
-pub mod concurrency;
 pub mod health;
 pub mod job;
 pub mod limit;
