--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,187 @@
+//! Calls peers.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp;
+use capnp_rpc::twoparty::VatNetwork;
+use clock::Span;
+use futures::AsyncReadExt;
+use request::id::Incarnation;
+use request::ledger::Answer;
+use request::ledger::Estate;
+use smol_str::SmolStr;
+use tokio::net::TcpStream;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::configs::limit::Limit;
+use crate::peer_capnp;
+use crate::peer_capnp::door;
+use crate::peer_capnp::entry;
+use crate::proof;
+use crate::proof::Key;
+use crate::proof::Side;
+use crate::server::options_of;
+
+/// Connections to peers, opened when needed. Cheap to clone; lives on one thread.
+#[derive(Clone)]
+pub struct Peers {
+    key: Key,
+    limit: Limit,
+    open: Rc<RefCell<HashMap<SmolStr, entry::Client>>>,
+}
+
+/// No answer came: what was asked for may have happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lost(pub String);
+
+impl Peers {
+    /// No connections yet.
+    pub fn new(key: Key, limit: Limit) -> Peers {
+        Peers {
+            key,
+            limit,
+            open: Rc::default(),
+        }
+    }
+
+    /// Asks the peer at `address` to spend a sealed ticket.
+    pub async fn spend(&self, address: &SmolStr, ticket: &str) -> Result<Answer, Lost> {
+        let entry = self.entry(address).await?;
+        let mut request = entry.spend_request();
+        request.get().set_ticket(ticket);
+        let response = self.answer(address, request.send().promise).await?;
+        let answer = response.get().and_then(|one| Ok(one.get_answer()?));
+        Ok(match answer.map_err(lost)? {
+            peer_capnp::Answer::Granted => Answer::Granted,
+            peer_capnp::Answer::Spent => Answer::Spent,
+            peer_capnp::Answer::Unknown => Answer::Unknown,
+        })
+    }
+
+    /// Hands ledgers on; gives the incarnation that took them, or none when the peer didn't.
+    pub async fn inherit(
+        &self,
+        address: &SmolStr,
+        estates: &[Estate],
+    ) -> Result<Option<Incarnation>, Lost> {
+        let entry = self.entry(address).await?;
+        let bytes = serde_json::to_vec(estates).map_err(|error| Lost(error.to_string()))?;
+        let mut request = entry.inherit_request();
+        request.get().set_estates(&bytes);
+        let response = self.answer(address, request.send().promise).await?;
+        let response = response.get().map_err(lost)?;
+        let by = Incarnation(response.get_by());
+        Ok(response.get_taken().then_some(by))
+    }
+
+    /// Sends a digest.
+    pub async fn digest(&self, address: &SmolStr, bytes: &[u8]) -> Result<(), Lost> {
+        let entry = self.entry(address).await?;
+        let mut request = entry.digest_request();
+        request.get().set_bytes(bytes);
+        self.answer(address, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Sends a message about the configuration.
+    pub async fn configure(
+        &self,
+        address: &SmolStr,
+        from: Incarnation,
+        message: &[u8],
+    ) -> Result<(), Lost> {
+        let entry = self.entry(address).await?;
+        let mut request = entry.configure_request();
+        request.get().set_from(from.0);
+        request.get().set_message(message);
+        self.answer(address, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Waits for an answer. A connection that failed or fell silent is not used again.
+    async fn answer<T>(
+        &self,
+        address: &SmolStr,
+        answer: impl Future<Output = Result<T, capnp::Error>>,
+    ) -> Result<T, Lost> {
+        let result = within(self.limit.call, answer).await;
+        if result.is_err() {
+            self.open.borrow_mut().remove(address);
+        }
+        result
+    }
+
+    /// The peer at `address`, over a connection that both sides have proved.
+    async fn entry(&self, address: &SmolStr) -> Result<entry::Client, Lost> {
+        if let Some(entry) = self.open.borrow().get(address) {
+            return Ok(entry.clone());
+        }
+        let entry = within(self.limit.greeting, self.connect(address)).await?;
+        let mut open = self.open.borrow_mut();
+        open.insert(address.clone(), entry.clone());
+        Ok(entry)
+    }
+
+    /// Opens a connection and goes through both proofs.
+    async fn connect(&self, address: &SmolStr) -> Result<entry::Client, capnp::Error> {
+        let socket = TcpStream::connect(address.as_str()).await?;
+        socket.set_nodelay(true)?;
+        let (reader, writer) = TokioAsyncReadCompatExt::compat(socket).split();
+        let network = VatNetwork::new(
+            futures::io::BufReader::new(reader),
+            futures::io::BufWriter::new(writer),
+            rpc_twoparty_capnp::Side::Client,
+            options_of(&self.limit),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let door: door::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        let (open, gone) = (Rc::downgrade(&self.open), address.clone());
+        tokio::task::spawn_local(async move {
+            let _ = system.await;
+            if let Some(open) = open.upgrade() {
+                open.borrow_mut().remove(&gone);
+            }
+        });
+        self.enter(&door).await
+    }
+
+    /// Checks the callee's proof and gives our own.
+    async fn enter(&self, door: &door::Client) -> Result<entry::Client, capnp::Error> {
+        let ours = proof::nonce()?;
+        let mut greet = door.greet_request();
+        greet.get().set_nonce(&ours);
+        let greeted = greet.send().promise.await?;
+        let greeted = greeted.get()?;
+        let theirs = greeted.get_nonce()?;
+        let proof = greeted.get_proof()?;
+        if !self.key.check(Side::Callee, &ours, theirs, proof) {
+            return Err(capnp::Error::failed(String::from(
+                "the callee isn't an entry",
+            )));
+        }
+        let mut enter = door.enter_request();
+        let proof = self.key.prove(Side::Caller, &ours, theirs);
+        enter.get().set_proof(&proof);
+        enter.send().promise.await?.get()?.get_entry()
+    }
+}
+
+/// Waits for something, but not longer than `limit`.
+async fn within<T>(
+    limit: Span,
+    future: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, Lost> {
+    match tokio::time::timeout(limit.as_duration(), future).await {
+        Ok(result) => result.map_err(lost),
+        Err(_) => Err(Lost(format!("no answer within {limit}"))),
+    }
+}
+
+/// A failed call as a lost one.
+fn lost(error: capnp::Error) -> Lost {
+    Lost(error.to_string())
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,214 @@
+//! Answers peers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp;
+use capnp_rpc::twoparty::VatNetwork;
+use clock::Span;
+use futures::AsyncReadExt;
+use smol_str::SmolStr;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::configs::limit::Limit;
+use crate::peer_capnp::Answer;
+use crate::peer_capnp::door;
+use crate::peer_capnp::entry;
+use crate::proof;
+use crate::proof::Key;
+use crate::proof::NONCE_BYTES;
+use crate::proof::Side;
+use crate::receiver::Receiver;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Span = Span::from_millis(10);
+
+/// Bytes of a word in the size limits of the message library.
+const WORD_BYTES: usize = 8;
+
+/// Serves peers until the future is dropped. Runs within a `LocalSet`.
+pub async fn serve(listener: TcpListener, key: Key, limit: Limit, receiver: Rc<dyn Receiver>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+        };
+        let Ok((socket, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE.as_duration()).await;
+            continue;
+        };
+        if connections.len() >= limit.connections {
+            log::warn!(event = "peer_refused", open = connections.len(); "");
+            continue;
+        }
+        connections.spawn_local(connection(socket, key.clone(), limit, Rc::clone(&receiver)));
+    }
+}
+
+/// Serves one connection; one that doesn't prove itself in time is closed.
+async fn connection(socket: TcpStream, key: Key, limit: Limit, receiver: Rc<dyn Receiver>) {
+    let proved = Rc::new(Cell::new(false));
+    let door = Door {
+        key,
+        receiver,
+        proved: Rc::clone(&proved),
+        nonces: Cell::new(None),
+    };
+    let client: door::Client = capnp_rpc::new_client(door);
+    let _ = socket.set_nodelay(true);
+    let (reader, writer) = TokioAsyncReadCompatExt::compat(socket).split();
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        rpc_twoparty_capnp::Side::Server,
+        options_of(&limit),
+    );
+    let mut system = RpcSystem::new(Box::new(network), Some(client.client));
+    let ended = tokio::select! {
+        ended = &mut system => ended,
+        () = tokio::time::sleep(limit.greeting.as_duration()) => {
+            if !proved.get() {
+                log::warn!(event = "peer_unproved"; "");
+                return;
+            }
+            system.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(event = "peer_connection_ended", error = error.to_string().as_str(); "");
+    }
+}
+
+/// Size limits of messages.
+pub(crate) fn options_of(limit: &Limit) -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(limit.message_bytes / WORD_BYTES));
+    options
+}
+
+/// What a connection gets before it has proved itself.
+struct Door {
+    key: Key,
+    receiver: Rc<dyn Receiver>,
+    proved: Rc<Cell<bool>>,
+    nonces: Cell<Option<Nonces>>,
+}
+
+/// Both sides' nonces.
+#[derive(Clone, Copy)]
+struct Nonces {
+    caller: [u8; NONCE_BYTES],
+    callee: [u8; NONCE_BYTES],
+}
+
+impl door::Server for Door {
+    async fn greet(
+        self: Rc<Self>,
+        params: door::GreetParams,
+        mut results: door::GreetResults,
+    ) -> Result<(), capnp::Error> {
+        let caller = params.get()?.get_nonce()?;
+        let caller = <[u8; NONCE_BYTES]>::try_from(caller)
+            .map_err(|_| capnp::Error::failed(String::from("the nonce has another length")))?;
+        let callee = proof::nonce()?;
+        let proof = self.key.prove(Side::Callee, &caller, &callee);
+        self.nonces.set(Some(Nonces { caller, callee }));
+        results.get().set_nonce(&callee);
+        results.get().set_proof(&proof);
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: door::EnterParams,
+        mut results: door::EnterResults,
+    ) -> Result<(), capnp::Error> {
+        // Each pair of nonces is good for one try.
+        let nonces = self.nonces.take();
+        let proof = params.get()?.get_proof()?;
+        let proved = nonces.is_some_and(|nonces| {
+            self.key
+                .check(Side::Caller, &nonces.caller, &nonces.callee, proof)
+        });
+        if !proved {
+            return Err(capnp::Error::failed(String::from("not an entry")));
+        }
+        self.proved.set(true);
+        let receiver = Rc::clone(&self.receiver);
+        results
+            .get()
+            .set_entry(capnp_rpc::new_client(Inside { receiver }));
+        Ok(())
+    }
+}
+
+/// The entry, to a peer that has proved itself.
+struct Inside {
+    receiver: Rc<dyn Receiver>,
+}
+
+impl entry::Server for Inside {
+    async fn spend(
+        self: Rc<Self>,
+        params: entry::SpendParams,
+        mut results: entry::SpendResults,
+    ) -> Result<(), capnp::Error> {
+        let ticket = SmolStr::from(params.get()?.get_ticket()?.to_str()?);
+        let answer = self.receiver.spend(ticket).await.ok_or_else(no_answer)?;
+        results.get().set_answer(wire_answer(answer));
+        Ok(())
+    }
+
+    async fn inherit(
+        self: Rc<Self>,
+        params: entry::InheritParams,
+        mut results: entry::InheritResults,
+    ) -> Result<(), capnp::Error> {
+        let estates = serde_json::from_slice(params.get()?.get_estates()?)
+            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        let by = self.receiver.inherit(estates).await;
+        results.get().set_taken(by.is_some());
+        results.get().set_by(by.map_or(0, |by| by.0));
+        Ok(())
+    }
+
+    async fn digest(
+        self: Rc<Self>,
+        params: entry::DigestParams,
+        _: entry::DigestResults,
+    ) -> Result<(), capnp::Error> {
+        self.receiver.digest(params.get()?.get_bytes()?.to_vec());
+        Ok(())
+    }
+
+    async fn configure(
+        self: Rc<Self>,
+        params: entry::ConfigureParams,
+        _: entry::ConfigureResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let message = params.get_message()?.to_vec();
+        self.receiver.configure(params.get_from(), message);
+        Ok(())
+    }
+}
+
+/// The failure of a call whose answer can't be given.
+fn no_answer() -> capnp::Error {
+    capnp::Error::failed(String::from("this entry is stopping"))
+}
+
+/// A ledger's word on the wire.
+fn wire_answer(answer: request::ledger::Answer) -> Answer {
+    match answer {
+        request::ledger::Answer::Granted => Answer::Granted,
+        request::ledger::Answer::Spent => Answer::Spent,
+        request::ledger::Answer::Unknown => Answer::Unknown,
+    }
+}
