--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -12,5 +12,6 @@
 pub mod retry;
 pub mod scheduler;
 pub mod size;
+pub mod subset;
 pub mod warmup;
 pub mod wave;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod retry;
 pub mod scheduler;
 pub mod size;
+pub mod subset;
 pub mod warmup;
 pub mod wave;
