Count cuts and moves of a stream apart

Change: a test of a planned stop must see that no stream was cut; cuts() and moves() replace reconnects(), entry() names the entry that serves the stream.

--- a/crates/client/src/stream.rs
+++ b/crates/client/src/stream.rs
@@ -51,7 +51,9 @@
     /// The entry that an earlier one named for going on.
     next_entry: Option<SmolStr>,
     source: Option<Source>,
-    reconnects: u32,
+    entry: SmolStr,
+    cuts: u32,
+    moves: u32,
     done: bool,
 }
 
@@ -114,7 +116,9 @@
             request: SmolStr::default(),
             next_entry: None,
             source: None,
-            reconnects: 0,
+            entry: SmolStr::default(),
+            cuts: 0,
+            moves: 0,
             done: false,
         };
         stream.connect().await?;
@@ -155,9 +159,19 @@
         &self.request
     }
 
-    /// How often the stream was taken up again.
-    pub fn reconnects(&self) -> u32 {
-        self.reconnects
+    /// Address of the entry that serves it now.
+    pub fn entry(&self) -> &str {
+        &self.entry
+    }
+
+    /// How often it was taken up again after a cut.
+    pub fn cuts(&self) -> u32 {
+        self.cuts
+    }
+
+    /// How often an entry passed it on to another one.
+    pub fn moves(&self) -> u32 {
+        self.moves
     }
 
     /// Tells the system that the rest is not wanted.
@@ -238,10 +252,15 @@
         self.source = None;
         let shared = &self.client.shared;
         match self.next_entry {
-            Some(_) => shared.hop(&mut self.tries, error)?,
-            None => shared.after(&mut self.tries, error).await?,
+            Some(_) => {
+                shared.hop(&mut self.tries, error)?;
+                self.moves += 1;
+            }
+            None => {
+                shared.after(&mut self.tries, error).await?;
+                self.cuts += 1;
+            }
         }
-        self.reconnects += 1;
         self.connect().await
     }
 
@@ -275,6 +294,7 @@
             .await;
         let response = sent.inspect_err(|_| shared.shun(&address))?;
         shared.trust(&address);
+        self.entry = address;
         self.accept(response).await
     }
 
--- a/crates/client/tests/client/stream.rs
+++ b/crates/client/tests/client/stream.rs
@@ -82,7 +82,7 @@
         let first = Fake::start(&[fake::stream("T1", &[chunks(0, 2), passed])]).await;
         let mut stream = client(&[&first]).stream(body(), "").await.unwrap();
         assert_eq!(stream.rest().await.unwrap(), WHOLE);
-        assert_eq!(stream.reconnects(), 1);
+        assert_eq!((stream.moves(), stream.cuts()), (1, 0));
         assert!(second.requests()[0].contains("x-dogwoodspur-resume: T9"));
     });
 }
