--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,22 @@
 //! with [`decision::Decision`]s; it reads no clock and draws randomness from the seed it was given.
 
 pub mod account;
+pub mod admission;
+pub mod affinity;
+pub mod brownout;
+pub mod concurrency;
+pub mod configs;
 pub mod decision;
+pub mod fair;
+pub mod health;
 pub mod job;
+pub mod limit;
 pub mod pool;
+pub mod quarantine;
+pub mod rendezvous;
 pub mod replica;
+pub mod retry;
 pub mod scheduler;
+pub mod size;
+pub mod warmup;
+pub mod wave;
