Give operators their command

Cause: operators need a command beside the contract. Ruled out: wire messages in the command (it shares Request and Reply with the reducer through ops::client); serde's errors for definitions (first fault only, so the settings' walk beside a schema now takes lists, tagged unions and required fields, and reads definitions too); a retry of changes under a new name. Change: create, change, show, list, remove, account add/change/rekey/remove/show, history, status, drain, report (JSON as yet), explain; exit codes; help with examples; a change whose outcome is unknown is sent again under the same name. Border: config::deployment fields that may be absent have serde defaults, so that definitions and rows written before a field was added are read.

--- /dev/null
+++ b/crates/cli/src/commands/deployment.rs
@@ -0,0 +1,211 @@
+//! Deployments: create, change, show, list, remove.
+
+use argh::FromArgs;
+use ops::Reply;
+use ops::Request;
+use ops::request::Edit;
+
+use crate::arguments::How;
+use crate::definition;
+use crate::exit::Exit;
+use crate::exit::Trouble;
+use crate::output;
+use crate::session::Session;
+use crate::session::mismatch;
+
+/// Adds a deployment that a file defines.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "create",
+    note = "The file is JSON with comments:\n\
+{{\n  // what callers name as their model\n  \"name\": \"thesis\",\n  \
+\"kind\": {{\"type\": \"model\", \"model\": \"base-7b\", \"adapter\": \"\", \"version\": \"v1\"}},\n  \
+\"pool\": \"thesis\",\n  \"grants\": [{{\"account\": \"branches\", \"first_token_ms\": 480, \
+\"token_gap_ms\": 61, \"share_per_mille\": 950}}],\n  \"non_idempotent\": [],\n  \
+\"checks_fencing\": true\n}}\n\
+A plain service has {{\"type\": \"service\"}} as its kind.",
+    example = "{command_name} thesis.jsonc"
+)]
+pub struct Create {
+    /// file with the definition
+    #[argh(positional)]
+    pub file: String,
+    /// name of the change; a repeat under the same name takes effect once (a random one by default)
+    #[argh(option, arg_name = "id")]
+    pub change_id: Option<String>,
+    /// longest wait for the change to be in force everywhere, milliseconds
+    #[argh(option, arg_name = "ms")]
+    pub wait_ms: Option<u64>,
+}
+
+impl Create {
+    /// Adds the deployment. The newest version will do: a name that is taken is refused.
+    pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+        let definition = definition::read(&self.file)?;
+        let how = How {
+            expect: None,
+            change_id: self.change_id,
+            wait_ms: self.wait_ms,
+        };
+        let (version, _) = configuration(session).await?;
+        let edit = Edit::CreateDeployment(definition.deployment);
+        let changed = session.change(edit, version, &how).await?;
+        output::changed::write(session, &changed)
+    }
+}
+
+/// Replaces a deployment by what a file defines.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "change",
+    note = "The version on which the change is based comes from --expect or from the file's \
+\"version\", which show --json writes. If another change came in between, nothing happens, the \
+difference is shown and the exit code is 4.",
+    example = "{command_name} thesis.json",
+    example = "{command_name} thesis.jsonc --expect 7"
+)]
+pub struct Change {
+    /// file with the definition
+    #[argh(positional)]
+    pub file: String,
+    /// version of the configuration on which the change is based
+    #[argh(option, arg_name = "version")]
+    pub expect: Option<u64>,
+    /// name of the change; a repeat under the same name takes effect once (a random one by default)
+    #[argh(option, arg_name = "id")]
+    pub change_id: Option<String>,
+    /// longest wait for the change to be in force everywhere, milliseconds
+    #[argh(option, arg_name = "ms")]
+    pub wait_ms: Option<u64>,
+}
+
+impl Change {
+    /// Replaces the deployment.
+    pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+        let definition = definition::read(&self.file)?;
+        let Some(version) = self.expect.or(definition.version) else {
+            let message = "which version is the change based on? Give --expect or \"version\" in the \
+file, as show --json writes it";
+            return Err(Trouble::new(Exit::Usage, message));
+        };
+        let how = How {
+            expect: Some(version),
+            change_id: self.change_id,
+            wait_ms: self.wait_ms,
+        };
+        let edit = Edit::ChangeDeployment(definition.deployment);
+        let changed = session.change(edit, version, &how).await?;
+        output::changed::write(session, &changed)
+    }
+}
+
+/// Shows one deployment; with --json, as a definition that change takes.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "show",
+    example = "{command_name} thesis",
+    example = "{command_name} thesis --json > thesis.json"
+)]
+pub struct Show {
+    /// name of the deployment
+    #[argh(positional)]
+    pub name: String,
+}
+
+impl Show {
+    /// Shows the deployment.
+    pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+        let name = self.name.into();
+        match session.ask(Request::GetDeployment { name }).await? {
+            Reply::Deployment {
+                version,
+                deployment,
+            } => output::configuration::deployment(session, version, &deployment),
+            _ => Err(mismatch()),
+        }
+    }
+}
+
+/// Lists all deployments and accounts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list", example = "{command_name}")]
+pub struct List {}
+
+impl List {
+    /// Lists them.
+    pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+        let (version, whole) = configuration(session).await?;
+        output::configuration::whole(session, version, &whole)
+    }
+}
+
+/// Removes a deployment; requests in progress finish.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "remove",
+    example = "{command_name} thesis",
+    example = "{command_name} thesis --expect 7"
+)]
+pub struct Remove {
+    /// name of the deployment
+    #[argh(positional)]
+    pub name: String,
+    /// version of the configuration on which the change is based (the newest by default)
+    #[argh(option, arg_name = "version")]
+    pub expect: Option<u64>,
+    /// name of the change; a repeat under the same name takes effect once (a random one by default)
+    #[argh(option, arg_name = "id")]
+    pub change_id: Option<String>,
+    /// longest wait for the change to be in force everywhere, milliseconds
+    #[argh(option, arg_name = "ms")]
+    pub wait_ms: Option<u64>,
+}
+
+impl Remove {
+    /// Removes the deployment.
+    pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+        let how = How {
+            expect: self.expect,
+            change_id: self.change_id,
+            wait_ms: self.wait_ms,
+        };
+        let version = match how.expect {
+            Some(version) => version,
+            None => configuration(session).await?.0,
+        };
+        let edit = Edit::RemoveDeployment(self.name.into());
+        let changed = session.change(edit, version, &how).await?;
+        output::changed::write(session, &changed)
+    }
+}
+
+/// Deployments and accounts of one version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Whole {
+    /// By name.
+    pub deployments: Vec<config::deployment::Deployment>,
+    /// By name.
+    pub accounts: Vec<config::deployment::Account>,
+}
+
+/// Asks for the newest configuration and its version.
+pub async fn configuration(session: &Session<'_>) -> Result<(u64, Whole), Trouble> {
+    match session.ask(Request::ListDeployments).await? {
+        Reply::Configuration {
+            version,
+            deployments,
+            accounts,
+        } => Ok((
+            version,
+            Whole {
+                deployments,
+                accounts,
+            },
+        )),
+        _ => Err(mismatch()),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/drain.rs
@@ -0,0 +1,72 @@
+//! Takes something out of use.
+
+use argh::FromArgs;
+use ops::Reply;
+use ops::Request;
+use ops::request::Target;
+use serde::Serialize;
+
+use crate::exit::Exit;
+use crate::exit::Trouble;
+use crate::session::Session;
+use crate::session::mismatch;
+
+/// Takes an entry or a backend server out of use; requests in progress finish or move.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "drain",
+    note = "Repeating it changes nothing; status shows how far it is.",
+    example = "{command_name} --entry-name entry-3",
+    example = "{command_name} --backend i-1.1"
+)]
+pub struct Drain {
+    /// name of an entry
+    #[argh(option, arg_name = "name")]
+    pub entry_name: Option<String>,
+    /// incarnation of a backend server, as status shows it
+    #[argh(option, arg_name = "incarnation")]
+    pub backend: Option<String>,
+}
+
+/// The answer for programs.
+#[derive(Serialize)]
+struct Answer {
+    already_leaving: bool,
+    running: u32,
+}
+
+impl Drain {
+    /// Begins to drain.
+    pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+        let target = match (self.entry_name, self.backend) {
+            (Some(name), None) => Target::Entry(name.into()),
+            (None, Some(incarnation)) => Target::Backend(incarnation.into()),
+            _ => {
+                let message = "give either --entry-name or --backend";
+                return Err(Trouble::new(Exit::Usage, message));
+            }
+        };
+        let Reply::Drained {
+            already_leaving,
+            running,
+        } = session.ask(Request::Drain(target)).await?
+        else {
+            return Err(mismatch());
+        };
+        if session.json {
+            session.write_json(&Answer {
+                already_leaving,
+                running,
+            })?;
+            return Ok(Exit::Done);
+        }
+        let word = if already_leaving {
+            "leaving already"
+        } else {
+            "leaving"
+        };
+        writeln!(session.out, "{word}, {running} requests in progress")?;
+        Ok(Exit::Done)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,31 @@
+//! One file a command or a family of them.
+
+pub mod account;
+pub mod deployment;
+pub mod drain;
+pub mod explain;
+pub mod history;
+pub mod report;
+pub mod status;
+
+use crate::arguments::Command;
+use crate::exit::Exit;
+use crate::exit::Trouble;
+use crate::session::Session;
+
+/// Carries a command out.
+pub async fn run(command: Command, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+    match command {
+        Command::Create(create) => create.run(session).await,
+        Command::Change(change) => change.run(session).await,
+        Command::Show(show) => show.run(session).await,
+        Command::List(list) => list.run(session).await,
+        Command::Remove(remove) => remove.run(session).await,
+        Command::Account(account) => account.run(session).await,
+        Command::History(history) => history.run(session).await,
+        Command::Status(status) => status.run(session).await,
+        Command::Drain(drain) => drain.run(session).await,
+        Command::Report(report) => report.run(session).await,
+        Command::Explain(explain) => explain.run(session).await,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/report.rs
@@ -0,0 +1,36 @@
+//! The service-level burn report.
+
+use argh::FromArgs;
+use ops::Reply;
+use ops::Request;
+
+use crate::exit::Exit;
+use crate::exit::Trouble;
+use crate::output;
+use crate::session::Session;
+use crate::session::mismatch;
+
+/// Shows for each deployment and account the share within its targets, the error budget and the cost.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "report",
+    example = "{command_name}",
+    example = "{command_name} --deployment thesis --json"
+)]
+pub struct Report {
+    /// only this deployment
+    #[argh(option, arg_name = "name")]
+    pub deployment: Option<String>,
+}
+
+impl Report {
+    /// Shows it.
+    pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
+        let deployment = self.deployment.map(Into::into);
+        match session.ask(Request::Report { deployment }).await? {
+            Reply::Report(report) => output::report::write(session, &report),
+            _ => Err(mismatch()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/definition.rs
@@ -0,0 +1,109 @@
+//! Deployment definitions: files of JSON with comments.
+
+use std::collections::BTreeMap;
+use std::fs;
+
+use config::check;
+use config::check::Violation;
+use config::deployment::Deployment;
+use schemars::generate::SchemaSettings;
+use serde_json::Value;
+use serde_json::json;
+use settings::Fault;
+use settings::Faults;
+use settings::check::Findings;
+
+use crate::exit::Exit;
+use crate::exit::Trouble;
+
+/// The option that names the version on which a definition is based.
+const VERSION: &str = "version";
+
+/// A definition as read from a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Definition {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Version of the configuration on which it is based, where the file says so.
+    pub version: Option<u64>,
+}
+
+/// Reads a definition, or names everything wrong with it.
+pub fn read(file: &str) -> Result<Definition, Trouble> {
+    let text = fs::read_to_string(file)
+        .map_err(|error| Trouble::new(Exit::Usage, format!("{file}: can't be read: {error}")))?;
+    parse(file, &text).map_err(|faults| Trouble::new(Exit::Usage, faults.to_string()))
+}
+
+/// Reads the text of a definition.
+pub fn parse(file: &str, text: &str) -> Result<Definition, Faults> {
+    let tree = settings::check::parse(file, text).map_err(|fault| Faults(vec![fault]))?;
+    let schema = schema();
+    let mut findings = settings::check::check(file, text, tree.value.as_ref(), &schema);
+    let version = findings.value.get(VERSION).and_then(Value::as_u64);
+    let faults = malformed(&mut findings);
+    if !faults.0.is_empty() {
+        return Err(faults);
+    }
+    let deployment: Deployment = serde_json::from_value(findings.value)
+        .map_err(|error| Faults(vec![Fault::whole(file, error.to_string())]))?;
+    let violations = check::deployment(&deployment);
+    if !violations.is_empty() {
+        return Err(unsound(file, &findings.lines, violations));
+    }
+    Ok(Definition {
+        deployment,
+        version,
+    })
+}
+
+/// The schema of a definition, with the version beside the deployment's own fields.
+pub fn schema() -> Value {
+    let mut schema = SchemaSettings::draft2020_12()
+        .for_deserialize()
+        .with(|settings| settings.inline_subschemas = true)
+        .into_generator()
+        .into_root_schema_for::<Deployment>()
+        .to_value();
+    if let Some(properties) = schema.get_mut("properties").and_then(Value::as_object_mut) {
+        let version = json!({
+            "type": "integer",
+            "minimum": 0,
+            "description": "Version of the configuration on which the definition is based.",
+        });
+        properties.insert(VERSION.to_owned(), version);
+    }
+    schema
+}
+
+/// Faults of the file's form. Unknown names are among them: here they are slips, not later options.
+fn malformed(findings: &mut Findings) -> Faults {
+    let mut faults = std::mem::take(&mut findings.faults);
+    faults.append(&mut findings.warnings);
+    faults.sort_by_key(|fault| fault.line);
+    Faults(faults)
+}
+
+/// Faults of the deployment itself, with the lines of their fields.
+fn unsound(file: &str, lines: &BTreeMap<String, usize>, violations: Vec<Violation>) -> Faults {
+    let fault = |violation: Violation| Fault {
+        line: line(lines, &violation.field),
+        option: violation.field,
+        ..Fault::whole(file, violation.message)
+    };
+    Faults(violations.into_iter().map(fault).collect())
+}
+
+/// The line of a field, or of the nearest one around it that stands in the file.
+fn line(lines: &BTreeMap<String, usize>, field: &str) -> usize {
+    let mut field = field;
+    loop {
+        if let Some(line) = lines.get(field) {
+            return *line;
+        }
+        match field.rfind(['.', '[']) {
+            Some(end) => field = field.get(..end).unwrap_or_default(),
+            None => return 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output/changed.rs
@@ -0,0 +1,100 @@
+//! What became of a change.
+
+use ops::reply::Changed;
+use ops::reply::Difference;
+use serde::Serialize;
+
+use crate::exit::Exit;
+use crate::exit::Trouble;
+use crate::session::Session;
+
+/// The answer for programs, with a new key where there is one.
+#[derive(Serialize)]
+struct Answer<'a> {
+    #[serde(flatten)]
+    changed: &'a Changed,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<&'a str>,
+}
+
+/// Writes the result.
+pub fn write(session: &mut Session<'_>, changed: &Changed) -> Result<Exit, Trouble> {
+    answer(session, changed, None)
+}
+
+/// Writes the result and, if the change took effect, the new key: the only time that it is shown.
+pub fn write_with_key(
+    session: &mut Session<'_>,
+    changed: &Changed,
+    key: &str,
+) -> Result<Exit, Trouble> {
+    let took_effect = !matches!(changed, Changed::Conflict { .. });
+    answer(session, changed, took_effect.then_some(key))
+}
+
+/// Writes the result and a key.
+fn answer(
+    session: &mut Session<'_>,
+    changed: &Changed,
+    key: Option<&str>,
+) -> Result<Exit, Trouble> {
+    if session.json {
+        session.write_json(&Answer { changed, key })?;
+        return Ok(exit(changed));
+    }
+    text(session, changed)?;
+    if let Some(key) = key {
+        writeln!(session.out, "key (shown only now): {key}")?;
+    }
+    Ok(exit(changed))
+}
+
+/// Writes the result for a person.
+fn text(session: &mut Session<'_>, changed: &Changed) -> Result<(), Trouble> {
+    match changed {
+        Changed::Accepted { version } => {
+            writeln!(
+                session.out,
+                "accepted: version {version} is in force everywhere"
+            )?;
+        }
+        Changed::Committed {
+            version,
+            waiting_for,
+        } => {
+            let waiting_for = waiting_for.join(", ");
+            let line = format!("committed: version {version}, waiting for {waiting_for}");
+            writeln!(session.out, "{line}")?;
+        }
+        Changed::Conflict {
+            version,
+            differences,
+        } => {
+            let line = "conflict: nothing was changed; another change came first";
+            writeln!(session.out, "{line}, and version {version} is the newest:")?;
+            for difference in differences {
+                writeln!(session.out, "  {}", one_line(difference))?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// A difference for a person.
+fn one_line(difference: &Difference) -> String {
+    let subject = &difference.subject;
+    match (difference.before.as_str(), difference.after.as_str()) {
+        ("", after) => format!("{subject} {}: added {after}", difference.field),
+        (before, "") => format!("{subject} {}: removed {before}", difference.field),
+        (before, after) => format!("{subject} {}: {before} -> {after}", difference.field),
+    }
+}
+
+/// The exit code for a result.
+fn exit(changed: &Changed) -> Exit {
+    match changed {
+        Changed::Accepted { .. } => Exit::Done,
+        Changed::Committed { .. } => Exit::Committed,
+        Changed::Conflict { .. } => Exit::Conflict,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output/configuration.rs
@@ -0,0 +1,177 @@
+//! Deployments and accounts.
+
+use config::deployment::Account;
+use config::deployment::Deployment;
+use config::deployment::Kind;
+use serde::Serialize;
+
+use crate::commands::deployment::Whole;
+use crate::exit::Exit;
+use crate::exit::Trouble;
+use crate::output::table;
+use crate::output::table::row;
+use crate::session::Session;
+
+/// Something with the version in which it stands so, for programs.
+#[derive(Serialize)]
+struct Versioned<'a, T> {
+    version: u64,
+    #[serde(flatten)]
+    item: &'a T,
+}
+
+/// The whole configuration for programs.
+#[derive(Serialize)]
+struct Listing<'a> {
+    version: u64,
+    deployments: &'a [Deployment],
+    accounts: &'a [Account],
+}
+
+/// Writes one deployment; as JSON it is a definition that `change` takes.
+pub fn deployment(
+    session: &mut Session<'_>,
+    version: u64,
+    deployment: &Deployment,
+) -> Result<Exit, Trouble> {
+    if session.json {
+        let item = deployment;
+        session.write_json(&Versioned { version, item })?;
+        return Ok(Exit::Done);
+    }
+    let fencing = if deployment.checks_fencing {
+        "checked"
+    } else {
+        "not checked"
+    };
+    let fields = [
+        row(&["deployment", &deployment.name]),
+        row(&["version", &version.to_string()]),
+        row(&["serves", &serves(&deployment.kind)]),
+        row(&["pool", &deployment.pool]),
+        row(&["fencing", fencing]),
+    ];
+    table::write(session.out, &fields)?;
+    let mut grants = vec![row(&[
+        "account",
+        "first token",
+        "token gap",
+        "share within",
+    ])];
+    for grant in &deployment.grants {
+        grants.push(vec![
+            grant.account.to_string(),
+            format!("{} ms", grant.first_token_ms),
+            format!("{} ms", grant.token_gap_ms),
+            format!("{} in 1000", grant.share_per_mille),
+        ]);
+    }
+    writeln!(session.out)?;
+    table::write(session.out, &grants)?;
+    for pattern in &deployment.non_idempotent {
+        let method = if pattern.method.is_empty() {
+            "any method"
+        } else {
+            &pattern.method
+        };
+        writeln!(
+            session.out,
+            "\nat most once: {method} {}",
+            pattern.path_prefix
+        )?;
+    }
+    Ok(Exit::Done)
+}
+
+/// Writes one account.
+pub fn account(
+    session: &mut Session<'_>,
+    version: u64,
+    account: &Account,
+) -> Result<Exit, Trouble> {
+    if session.json {
+        let item = account;
+        session.write_json(&Versioned { version, item })?;
+        return Ok(Exit::Done);
+    }
+    table::write(session.out, &[account_head(), account_row(account)])?;
+    Ok(Exit::Done)
+}
+
+/// Writes the whole configuration.
+pub fn whole(session: &mut Session<'_>, version: u64, whole: &Whole) -> Result<Exit, Trouble> {
+    if session.json {
+        session.write_json(&Listing {
+            version,
+            deployments: &whole.deployments,
+            accounts: &whole.accounts,
+        })?;
+        return Ok(Exit::Done);
+    }
+    writeln!(session.out, "version {version}\n")?;
+    let mut deployments = vec![row(&["deployment", "serves", "pool", "accounts"])];
+    for deployment in &whole.deployments {
+        deployments.push(vec![
+            deployment.name.to_string(),
+            serves(&deployment.kind),
+            deployment.pool.to_string(),
+            deployment.grants.len().to_string(),
+        ]);
+    }
+    table::write(session.out, &deployments)?;
+    writeln!(session.out)?;
+    let mut accounts = vec![account_head()];
+    accounts.extend(whole.accounts.iter().map(account_row));
+    table::write(session.out, &accounts)?;
+    Ok(Exit::Done)
+}
+
+/// What a deployment serves, in a few words.
+fn serves(kind: &Kind) -> String {
+    match kind {
+        Kind::Model {
+            model,
+            adapter,
+            version,
+        } if adapter.is_empty() => format!("{model} {version}"),
+        Kind::Model {
+            model,
+            adapter,
+            version,
+        } => format!("{model}+{adapter} {version}"),
+        Kind::Service => "plain service".to_owned(),
+    }
+}
+
+/// The head above accounts.
+fn account_head() -> Vec<String> {
+    row(&[
+        "account",
+        "weight",
+        "priority",
+        "tokens/s",
+        "concurrent",
+        "keys",
+    ])
+}
+
+/// One account's cells.
+fn account_row(account: &Account) -> Vec<String> {
+    vec![
+        account.name.to_string(),
+        account.weight.to_string(),
+        account.priority.to_string(),
+        limit(account.tokens_per_second),
+        limit(u64::from(account.concurrent)),
+        account.key_hashes.len().to_string(),
+    ]
+}
+
+/// A limit; none for 0.
+fn limit(number: u64) -> String {
+    if number == 0 {
+        "no limit".to_owned()
+    } else {
+        number.to_string()
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output/mod.rs
@@ -0,0 +1,9 @@
+//! Answers as text and as JSON.
+
+pub mod changed;
+pub mod configuration;
+pub mod explanation;
+pub mod history;
+pub mod report;
+pub mod status;
+pub mod table;
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -98,7 +98,7 @@
     let Kind::Model { model, version, .. } = kind else {
         return;
     };
-    for (field, text) in [("model.model", model), ("model.version", version)] {
+    for (field, text) in [("kind.model", model), ("kind.version", version)] {
         if text.is_empty() {
             out.push(Violation::new(field, "expected a name, found none"));
         }
--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -15,10 +15,13 @@
     /// The pool of the instance list whose backend servers serve it.
     pub pool: SmolStr,
     /// The accounts that may call it, and what each was promised.
+    #[serde(default)]
     pub grants: Vec<Grant>,
     /// Calls that must run at most once.
+    #[serde(default)]
     pub non_idempotent: Vec<CallPattern>,
     /// Whether its engines refuse an order with an old fencing number.
+    #[serde(default)]
     pub checks_fencing: bool,
 }
 
@@ -31,6 +34,7 @@
         /// Name of the base model.
         model: SmolStr,
         /// Name of the adapter, empty for none.
+        #[serde(default)]
         adapter: SmolStr,
         /// Version of model and adapter together.
         version: SmolStr,
@@ -79,9 +83,12 @@
     /// Its share against other accounts when there isn't enough for all; at least 1.
     pub weight: u32,
     /// Who is shed first under overload: 0 goes last, 9 first.
+    #[serde(default)]
     pub priority: u8,
     /// Tokens (prompt and generated) a second over all entries; 0 for no limit.
+    #[serde(default)]
     pub tokens_per_second: u64,
     /// Requests open at once over all entries; 0 for no limit.
+    #[serde(default)]
     pub concurrent: u32,
 }
--- /dev/null
+++ b/crates/ops/src/client.rs
@@ -0,0 +1,233 @@
+//! The operators' side: sends a [`Request`], gives the [`Reply`].
+
+use std::error::Error;
+use std::fmt;
+use std::time::Duration;
+
+use tonic::Code;
+use tonic::Response;
+use tonic::Status;
+use tonic::metadata::Ascii;
+use tonic::metadata::MetadataValue;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+use crate::convert::answer::Garbled;
+use crate::convert::ask;
+use crate::reply::Reply;
+use crate::request::Change;
+use crate::request::Edit;
+use crate::request::Request;
+use crate::wire;
+use crate::wire::operators_client::OperatorsClient;
+
+/// Longest time for a connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for one call; more than the server allows itself.
+const CALL_TIMEOUT: Duration = Duration::from_secs(130);
+/// Most bytes of one answer: a configuration with thousands of accounts is larger than the default.
+const ANSWER_MAX: usize = 64 * 1024 * 1024;
+
+/// A connection to the operators' port of one entry.
+#[derive(Clone, Debug)]
+pub struct Client {
+    stub: OperatorsClient<Channel>,
+    key: MetadataValue<Ascii>,
+}
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// What kind of failure.
+    pub kind: Kind,
+    /// For a person.
+    pub message: String,
+}
+
+/// Kinds of failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The call is malformed.
+    Invalid,
+    /// The operators' key is missing or wrong.
+    Unauthenticated,
+    /// No such thing.
+    NotFound,
+    /// It is there already.
+    AlreadyExists,
+    /// The change contradicts the configuration.
+    Precondition,
+    /// Nothing happened; coming back helps.
+    Unavailable,
+    /// A change may or may not have taken effect.
+    OutcomeUnknown,
+    /// Anything else.
+    Internal,
+}
+
+impl Failure {
+    /// A failure of that kind.
+    pub fn new(kind: Kind, message: impl Into<String>) -> Failure {
+        Failure {
+            kind,
+            message: message.into(),
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.message)
+    }
+}
+
+impl Error for Failure {}
+
+impl Client {
+    /// Connects to `http://HOST:PORT`.
+    pub async fn connect(address: &str, key: &str) -> Result<Client, Failure> {
+        let key = format!("Bearer {key}").parse().map_err(|_| {
+            let message = "the operators' key holds characters that no key has";
+            Failure::new(Kind::Unauthenticated, message)
+        })?;
+        let endpoint = Endpoint::from_shared(address.to_owned())
+            .map_err(|error| Failure::new(Kind::Invalid, format!("{address}: {error}")))?;
+        let channel = endpoint
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(CALL_TIMEOUT)
+            .connect()
+            .await
+            .map_err(|error| Failure::new(Kind::Unavailable, chain(address, &error)))?;
+        let stub = OperatorsClient::new(channel).max_decoding_message_size(ANSWER_MAX);
+        Ok(Client { stub, key })
+    }
+
+    /// Sends a request and waits for its answer.
+    pub async fn call(&mut self, request: Request) -> Result<Reply, Failure> {
+        let may_change = request.may_change();
+        let result = match request {
+            Request::Change(change) => self.change(change).await,
+            Request::GetDeployment { name } => {
+                let message = self.with_key(wire::GetDeploymentRequest { name: name.into() });
+                read(self.stub.get_deployment(message).await)
+            }
+            Request::ListDeployments => {
+                let message = self.with_key(wire::ListDeploymentsRequest {});
+                read(self.stub.list_deployments(message).await)
+            }
+            Request::GetHistory { before, limit } => {
+                let message = self.with_key(wire::GetHistoryRequest {
+                    before_version: before.unwrap_or_default(),
+                    limit: u32::try_from(limit).unwrap_or(u32::MAX),
+                });
+                read(self.stub.get_history(message).await)
+            }
+            Request::GetStatus => {
+                let message = self.with_key(wire::GetStatusRequest {});
+                read(self.stub.get_status(message).await)
+            }
+            Request::Drain(target) => {
+                let message = self.with_key(ask::drain(target));
+                read(self.stub.drain(message).await)
+            }
+            Request::Report { deployment } => {
+                let message = self.with_key(wire::ReportRequest {
+                    deployment: deployment.unwrap_or_default().into(),
+                });
+                read(self.stub.report(message).await)
+            }
+            Request::Explain { request } => {
+                let message = self.with_key(wire::ExplainRequest {
+                    request: request.into(),
+                });
+                read(self.stub.explain(message).await)
+            }
+        };
+        result.map_err(|status| failure(&status, may_change))
+    }
+
+    /// Sends a change.
+    async fn change(&mut self, change: Change) -> Result<Reply, Status> {
+        let how = ask::change_to(&change);
+        match change.edit {
+            Edit::CreateDeployment(deployment) => {
+                let message = self.with_key(ask::create(how, deployment));
+                read(self.stub.create_deployment(message).await)
+            }
+            Edit::ChangeDeployment(deployment) => {
+                let message = self.with_key(ask::replace(how, deployment));
+                read(self.stub.change_deployment(message).await)
+            }
+            Edit::RemoveDeployment(name) => {
+                let message = self.with_key(wire::RemoveDeploymentRequest {
+                    change: how,
+                    name: name.into(),
+                });
+                read(self.stub.remove_deployment(message).await)
+            }
+            Edit::PutAccount(account) => {
+                let message = self.with_key(ask::put(how, account));
+                read(self.stub.put_account(message).await)
+            }
+            Edit::RemoveAccount(name) => {
+                let message = self.with_key(wire::RemoveAccountRequest {
+                    change: how,
+                    name: name.into(),
+                });
+                read(self.stub.remove_account(message).await)
+            }
+        }
+    }
+
+    /// A message with the operators' key.
+    fn with_key<M>(&self, message: M) -> tonic::Request<M> {
+        let mut request = tonic::Request::new(message);
+        request
+            .metadata_mut()
+            .insert("authorization", self.key.clone());
+        request
+    }
+}
+
+/// Reads an answer.
+fn read<M>(result: Result<Response<M>, Status>) -> Result<Reply, Status>
+where
+    Reply: TryFrom<M, Error = Garbled>,
+{
+    let message = result?.into_inner();
+    Reply::try_from(message).map_err(|Garbled(why)| Status::internal(why))
+}
+
+/// Reads a status.
+///
+/// A connection that breaks while a change is on its way leaves a status with a source, made on this
+/// side: the entry may have carried the change out, so that the outcome is unknown whatever the code.
+fn failure(status: &Status, may_change: bool) -> Failure {
+    let broken = status.source().is_some();
+    let kind = match status.code() {
+        _ if broken && may_change => Kind::OutcomeUnknown,
+        _ if broken => Kind::Unavailable,
+        Code::InvalidArgument => Kind::Invalid,
+        Code::Unauthenticated => Kind::Unauthenticated,
+        Code::NotFound => Kind::NotFound,
+        Code::AlreadyExists => Kind::AlreadyExists,
+        Code::FailedPrecondition => Kind::Precondition,
+        Code::Unavailable => Kind::Unavailable,
+        Code::Unknown | Code::Cancelled | Code::DeadlineExceeded if may_change => {
+            Kind::OutcomeUnknown
+        }
+        _ => Kind::Internal,
+    };
+    Failure::new(kind, status.message())
+}
+
+/// An error with its causes.
+fn chain(address: &str, error: &dyn Error) -> String {
+    let mut text = format!("{address}: {error}");
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(&format!(": {error}"));
+        cause = error.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/ops/src/convert/ask.rs
@@ -0,0 +1,61 @@
+//! Writes calls.
+
+use crate::convert::configuration::account_to;
+use crate::convert::configuration::deployment_to;
+use crate::request::Change;
+use crate::request::Target;
+use crate::wire;
+use crate::wire::drain_request::Target as WireTarget;
+
+/// Writes what every change carries.
+pub fn change_to(change: &Change) -> Option<wire::Change> {
+    Some(wire::Change {
+        expected_version: change.expected_version,
+        change_id: change.id.to_string(),
+        wait_ms: change.wait.as_millis(),
+    })
+}
+
+/// Writes a creation.
+pub fn create(
+    change: Option<wire::Change>,
+    deployment: config::deployment::Deployment,
+) -> wire::CreateDeploymentRequest {
+    wire::CreateDeploymentRequest {
+        change,
+        deployment: Some(deployment_to(deployment)),
+    }
+}
+
+/// Writes a replacement.
+pub fn replace(
+    change: Option<wire::Change>,
+    deployment: config::deployment::Deployment,
+) -> wire::ChangeDeploymentRequest {
+    wire::ChangeDeploymentRequest {
+        change,
+        deployment: Some(deployment_to(deployment)),
+    }
+}
+
+/// Writes an account's addition or replacement.
+pub fn put(
+    change: Option<wire::Change>,
+    account: config::deployment::Account,
+) -> wire::PutAccountRequest {
+    wire::PutAccountRequest {
+        change,
+        account: Some(account_to(account)),
+    }
+}
+
+/// Writes what is drained.
+pub fn drain(target: Target) -> wire::DrainRequest {
+    let target = match target {
+        Target::Entry(name) => WireTarget::Entry(name.into()),
+        Target::Backend(incarnation) => WireTarget::Backend(incarnation.into()),
+    };
+    wire::DrainRequest {
+        target: Some(target),
+    }
+}
--- a/crates/ops/src/convert/status.rs
+++ b/crates/ops/src/convert/status.rs
@@ -52,3 +52,49 @@
         running: backend.running,
     }
 }
+
+/// Reads how things stand.
+pub fn status_from(message: wire::GetStatusResult) -> Status {
+    Status {
+        entry: message.entry.into(),
+        version: message.version,
+        store_available: message.store_available,
+        entries: message.entries.into_iter().map(entry_from).collect(),
+        backends: message.backends.into_iter().map(backend_from).collect(),
+    }
+}
+
+/// Reads how an entry stands; a state that isn't known here counts as the worst.
+fn entry_from(entry: wire::EntryStatus) -> EntryStatus {
+    let lease = match entry.lease() {
+        wire::LeaseState::Held => LeaseState::Held,
+        wire::LeaseState::Overdue => LeaseState::Overdue,
+        wire::LeaseState::Leaving => LeaseState::Leaving,
+        wire::LeaseState::Lapsed | wire::LeaseState::Unspecified => LeaseState::Lapsed,
+    };
+    EntryStatus {
+        name: entry.name.into(),
+        zone: entry.zone.into(),
+        address: entry.address.into(),
+        applied_version: entry.applied_version,
+        lease,
+        release: entry.release.into(),
+    }
+}
+
+/// Reads how a backend server stands; a state that isn't known here counts as getting no work.
+fn backend_from(backend: wire::BackendStatus) -> BackendStatus {
+    let state = match backend.state() {
+        wire::BackendState::Live => BackendState::Live,
+        wire::BackendState::Ejected => BackendState::Ejected,
+        wire::BackendState::Loading => BackendState::Loading,
+        wire::BackendState::Leaving | wire::BackendState::Unspecified => BackendState::Leaving,
+    };
+    BackendStatus {
+        incarnation: backend.incarnation.into(),
+        pool: backend.pool.into(),
+        zone: backend.zone.into(),
+        state,
+        running: backend.running,
+    }
+}
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -4,6 +4,7 @@
 //! the configuration, sends that as a [`Call`] and turns the [`Reply`] or [`Fault`] back.
 
 pub mod call;
+pub mod client;
 pub mod convert;
 pub mod fault;
 pub mod reply;
@@ -13,6 +14,7 @@
 
 pub use crate::call::Call;
 pub use crate::call::Calls;
+pub use crate::client::Client;
 pub use crate::fault::Fault;
 pub use crate::reply::Reply;
 pub use crate::request::Request;
--- a/crates/ops/src/reply.rs
+++ b/crates/ops/src/reply.rs
@@ -2,11 +2,13 @@
 
 use config::deployment::Account;
 use config::deployment::Deployment;
+use serde::Serialize;
 use smol_str::SmolStr;
 use verdict::Verdict;
 
 /// The answer to a call, by the kind of its request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(untagged)]
 pub enum Reply {
     /// To `Request::Change`.
     Changed(Changed),
@@ -44,7 +46,8 @@
 }
 
 /// What became of a change.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "outcome")]
 pub enum Changed {
     /// In force at every entry.
     Accepted {
@@ -68,7 +71,7 @@
 }
 
 /// One field that differs between two versions.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Difference {
     /// What it belongs to, such as `deployment thesis`.
     pub subject: String,
@@ -81,7 +84,7 @@
 }
 
 /// One past change.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct PastChange {
     /// Version that it made.
     pub version: u64,
@@ -94,7 +97,7 @@
 }
 
 /// How things stand, as this entry knows it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Status {
     /// Name of this entry.
     pub entry: SmolStr,
@@ -109,7 +112,7 @@
 }
 
 /// How an entry stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct EntryStatus {
     /// Its name.
     pub name: SmolStr,
@@ -126,7 +129,8 @@
 }
 
 /// State of an entry's lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum LeaseState {
     /// Renewed in time.
     Held,
@@ -139,7 +143,7 @@
 }
 
 /// How a backend server stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BackendStatus {
     /// Its incarnation.
     pub incarnation: SmolStr,
@@ -154,7 +158,8 @@
 }
 
 /// State of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum BackendState {
     /// Gets work.
     Live,
@@ -167,7 +172,7 @@
 }
 
 /// The life of one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Explanation {
     /// Its id.
     pub request: SmolStr,
@@ -182,7 +187,7 @@
 }
 
 /// One thing that happened to a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Step {
     /// Milliseconds after the request arrived.
     pub at_ms: u64,
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -3,8 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ParseResult;
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged;
+use jsonc_parser::parse_to_ast;
 use serde_json::Value;
 
 use crate::fault::Fault;
@@ -27,6 +31,25 @@
     pub value: Value,
 }
 
+/// Reads the syntax: JSON with comments and trailing commas, nothing looser.
+pub fn parse<'a>(file: &str, text: &'a str) -> Result<ParseResult<'a>, Fault> {
+    let options = ParseOptions {
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+        ..ParseOptions::default()
+    };
+    parse_to_ast(text, &CollectOptions::default(), &options).map_err(|error| Fault {
+        line: error.line_display(),
+        ..Fault::whole(file, error.kind().to_string())
+    })
+}
+
 /// Walks the file beside the schema.
 pub fn check(file: &str, text: &str, root: Option<&ast::Value<'_>>, schema: &Value) -> Findings {
     let mut walk = Walk {
@@ -51,9 +74,13 @@
 impl Walk<'_> {
     /// Checks one value; gives it as JSON if it is sound.
     fn node(&mut self, node: &ast::Value<'_>, schema: &Value, name: &str) -> Option<Value> {
+        let schema = variant(node, schema);
         if schema.get("properties").is_some() {
             return self.section(node, schema, name);
         }
+        if let Some(below) = schema.get("items") {
+            return self.list(node, below, name);
+        }
         let value = plain(node);
         match expected(&value, schema) {
             None => Some(value),
@@ -93,9 +120,32 @@
                 sound.insert(step.to_owned(), value);
             }
         }
+        for step in names(schema, "required") {
+            let option = join(name, step);
+            if object.get(step).is_none() {
+                self.fault(node.start(), &option, "it must be set".to_owned());
+            }
+        }
         Some(Value::Object(sound))
     }
 
+    /// Checks a list item by item.
+    fn list(&mut self, node: &ast::Value<'_>, below: &Value, name: &str) -> Option<Value> {
+        let ast::Value::Array(array) = node else {
+            let message = format!("expected a list, found {}", found(node));
+            self.fault(node.start(), name, message);
+            return None;
+        };
+        let mut sound = Vec::new();
+        for (index, element) in array.elements.iter().enumerate() {
+            let option = format!("{name}[{index}]");
+            let line = self.line(element.start());
+            self.findings.lines.insert(option.clone(), line);
+            sound.extend(self.node(element, below, &option));
+        }
+        Some(Value::Array(sound))
+    }
+
     /// Notes a fault at a byte of the file.
     fn fault(&mut self, at: usize, option: &str, message: String) {
         let fault = Fault {
@@ -141,6 +191,9 @@
     if value.is_null() && optional {
         return None;
     }
+    if let Some(tags) = tags(schema) {
+        return Some(format!("an object whose \"type\" is {}", tags.join(" or ")));
+    }
     if let Some(words) = words(schema) {
         let sound = value.as_str().is_some_and(|word| words.contains(&word));
         return (!sound).then(|| format!("one of {}", words.join(", ")));
@@ -154,6 +207,27 @@
     }
 }
 
+/// The variant of a tagged union that the value's `type` names; the schema itself if it is none.
+fn variant<'s>(node: &ast::Value<'_>, schema: &'s Value) -> &'s Value {
+    let Some(variants) = schema.get("oneOf").and_then(Value::as_array) else {
+        return schema;
+    };
+    let object = node.as_object();
+    let tag = object.and_then(|object| object.get_string("type"));
+    let tag = tag.map(|tag| tag.value.as_ref());
+    let named = |variant: &&Value| {
+        let known = variant.pointer("/properties/type/const");
+        known.is_some() && known.and_then(Value::as_str) == tag
+    };
+    variants.iter().find(named).unwrap_or(schema)
+}
+
+/// A list of names in the schema.
+fn names<'s>(schema: &'s Value, list: &str) -> impl Iterator<Item = &'s str> {
+    let names = schema.get(list).and_then(Value::as_array);
+    names.into_iter().flatten().filter_map(Value::as_str)
+}
+
 /// The types that the schema admits.
 fn types(schema: &Value) -> impl Iterator<Item = &str> {
     let kind = schema.get("type");
@@ -162,6 +236,18 @@
     one.into_iter().chain(several.filter_map(Value::as_str))
 }
 
+/// The tags of a tagged union.
+fn tags(schema: &Value) -> Option<Vec<&str>> {
+    let variants = schema.get("oneOf").and_then(Value::as_array)?;
+    let tag = |variant: &'_ Value| variant.pointer("/properties/type/const").is_some();
+    if !variants.iter().any(tag) {
+        return None;
+    }
+    let tags = variants.iter();
+    let tags = tags.filter_map(|variant| variant.pointer("/properties/type/const"));
+    Some(tags.filter_map(Value::as_str).collect())
+}
+
 /// The words of an enumeration.
 pub fn words(schema: &Value) -> Option<Vec<&str>> {
     if let Some(words) = schema.get("enum").and_then(Value::as_array) {
@@ -176,11 +262,23 @@
 fn integer(value: &Value, schema: &Value) -> Option<String> {
     let least = schema.get("minimum").and_then(Value::as_u64).unwrap_or(0);
     let most = schema.get("maximum").and_then(Value::as_u64);
-    let most = most.unwrap_or(u64::MAX);
-    let sound = value
-        .as_u64()
-        .is_some_and(|number| (least..=most).contains(&number));
-    (!sound).then(|| format!("a whole number from {least} to {most}"))
+    let most = most.unwrap_or_else(|| greatest(schema));
+    let number = value.as_u64();
+    if number.is_some_and(|number| (least..=most).contains(&number)) {
+        return None;
+    }
+    if most == u64::MAX {
+        return Some("a whole number".to_owned());
+    }
+    Some(format!("a whole number from {least} to {most}"))
+}
+
+/// The greatest number of the type.
+fn greatest(schema: &Value) -> u64 {
+    match schema.get("format").and_then(Value::as_str) {
+        Some("uint32") => u64::from(u32::MAX),
+        _ => u64::MAX,
+    }
 }
 
 /// Checks a text, its length and its form.
--- a/crates/settings/src/fault.rs
+++ b/crates/settings/src/fault.rs
@@ -17,6 +17,19 @@
     pub did_you_mean: Option<String>,
 }
 
+impl Fault {
+    /// A fault of the file as a whole.
+    pub fn whole(file: &str, message: String) -> Fault {
+        Fault {
+            file: file.to_owned(),
+            line: 1,
+            option: String::new(),
+            message,
+            did_you_mean: None,
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}:{}: ", self.file, self.line)?;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -4,11 +4,6 @@
 use std::fs;
 use std::path::Path;
 
-use jsonc_parser::CollectOptions;
-use jsonc_parser::ParseOptions;
-use jsonc_parser::ParseResult;
-use jsonc_parser::parse_to_ast;
-
 use crate::Settings;
 use crate::check;
 use crate::check::Findings;
@@ -39,7 +34,7 @@
     let file = path.display().to_string();
     match fs::read_to_string(path) {
         Ok(text) => parse(&file, &text),
-        Err(error) => Err(Faults(vec![whole(
+        Err(error) => Err(Faults(vec![Fault::whole(
             &file,
             format!("can't be read: {error}"),
         )])),
@@ -48,7 +43,7 @@
 
 /// Reads the text of a file.
 pub fn parse(file: &str, text: &str) -> Result<Loaded, Faults> {
-    let tree = tree(file, text)?;
+    let tree = check::parse(file, text).map_err(|fault| Faults(vec![fault]))?;
     let schema = schema::schema();
     let mut findings = check::check(file, text, tree.value.as_ref(), &schema);
     let settings = settings(file, &mut findings);
@@ -65,33 +60,12 @@
     }
 }
 
-/// Reads the syntax: JSON with comments and trailing commas, nothing looser.
-fn tree<'a>(file: &str, text: &'a str) -> Result<ParseResult<'a>, Faults> {
-    let options = ParseOptions {
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-        ..ParseOptions::default()
-    };
-    parse_to_ast(text, &CollectOptions::default(), &options).map_err(|error| {
-        Faults(vec![Fault {
-            line: error.line_display(),
-            ..whole(file, error.kind().to_string())
-        }])
-    })
-}
-
 /// Fills the structs with what is sound; the rest keeps its default.
 fn settings(file: &str, findings: &mut Findings) -> Option<Settings> {
     match serde_json::from_value(findings.value.clone()) {
         Ok(settings) => Some(settings),
         Err(error) => {
-            findings.faults.push(whole(file, error.to_string()));
+            findings.faults.push(Fault::whole(file, error.to_string()));
             None
         }
     }
@@ -111,7 +85,7 @@
         findings.faults.push(Fault {
             line,
             option: breach.option.to_owned(),
-            ..whole(file, breach.message)
+            ..Fault::whole(file, breach.message)
         });
     }
 }
@@ -123,14 +97,3 @@
     faults.sort_by_key(|fault| fault.line);
     Faults(faults)
 }
-
-/// A fault of the file as a whole.
-fn whole(file: &str, message: String) -> Fault {
-    Fault {
-        file: file.to_owned(),
-        line: 1,
-        option: String::new(),
-        message,
-        did_you_mean: None,
-    }
-}
