--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,7 +1,6 @@
 //! Compares a settings file with the schema and names every fault with its line.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use jsonc_parser::CollectOptions;
 use jsonc_parser::ParseOptions;
@@ -11,6 +10,7 @@
 use jsonc_parser::parse_to_ast;
 use serde_json::Value;
 
+use crate::expect::expected;
 use crate::fault::Fault;
 use crate::schema::join;
 
@@ -185,28 +185,6 @@
         .map(|(_, candidate)| candidate.to_owned())
 }
 
-/// What the schema wants in place of `value`; nothing if the value is sound.
-fn expected(value: &Value, schema: &Value) -> Option<String> {
-    let optional = types(schema).any(|kind| kind == "null");
-    if value.is_null() && optional {
-        return None;
-    }
-    if let Some(tags) = tags(schema) {
-        return Some(format!("an object whose \"type\" is {}", tags.join(" or ")));
-    }
-    if let Some(words) = words(schema) {
-        let sound = value.as_str().is_some_and(|word| words.contains(&word));
-        return (!sound).then(|| format!("one of {}", words.join(", ")));
-    }
-    let kind = types(schema).find(|kind| *kind != "null").unwrap_or("");
-    match kind {
-        "integer" => integer(value, schema),
-        "string" => string(value, schema),
-        "boolean" => (!value.is_boolean()).then(|| "true or false".to_owned()),
-        _ => None,
-    }
-}
-
 /// The variant of a tagged union that the value's `type` names; the schema itself if it is none.
 fn variant<'s>(node: &ast::Value<'_>, schema: &'s Value) -> &'s Value {
     let Some(variants) = schema.get("oneOf").and_then(Value::as_array) else {
@@ -228,101 +206,6 @@
     names.into_iter().flatten().filter_map(Value::as_str)
 }
 
-/// The types that the schema admits.
-fn types(schema: &Value) -> impl Iterator<Item = &str> {
-    let kind = schema.get("type");
-    let one = kind.and_then(Value::as_str);
-    let several = kind.and_then(Value::as_array).into_iter().flatten();
-    one.into_iter().chain(several.filter_map(Value::as_str))
-}
-
-/// The tags of a tagged union.
-fn tags(schema: &Value) -> Option<Vec<&str>> {
-    let variants = schema.get("oneOf").and_then(Value::as_array)?;
-    let tag = |variant: &'_ Value| variant.pointer("/properties/type/const").is_some();
-    if !variants.iter().any(tag) {
-        return None;
-    }
-    let tags = variants.iter();
-    let tags = tags.filter_map(|variant| variant.pointer("/properties/type/const"));
-    Some(tags.filter_map(Value::as_str).collect())
-}
-
-/// The words of an enumeration.
-pub fn words(schema: &Value) -> Option<Vec<&str>> {
-    if let Some(words) = schema.get("enum").and_then(Value::as_array) {
-        return Some(words.iter().filter_map(Value::as_str).collect());
-    }
-    let variants = schema.get("oneOf").and_then(Value::as_array)?;
-    let words = variants.iter().filter_map(|variant| variant.get("const"));
-    Some(words.filter_map(Value::as_str).collect())
-}
-
-/// Checks a whole number and its bounds.
-fn integer(value: &Value, schema: &Value) -> Option<String> {
-    let least = schema.get("minimum").and_then(Value::as_u64).unwrap_or(0);
-    let most = schema.get("maximum").and_then(Value::as_u64);
-    let most = most.unwrap_or_else(|| greatest(schema));
-    let number = value.as_u64();
-    if number.is_some_and(|number| (least..=most).contains(&number)) {
-        return None;
-    }
-    if most == u64::MAX {
-        return Some("a whole number".to_owned());
-    }
-    Some(format!("a whole number from {least} to {most}"))
-}
-
-/// The greatest number of the type.
-fn greatest(schema: &Value) -> u64 {
-    match schema.get("format").and_then(Value::as_str) {
-        Some("uint32") => u64::from(u32::MAX),
-        _ => u64::MAX,
-    }
-}
-
-/// Checks a text, its length and its form.
-fn string(value: &Value, schema: &Value) -> Option<String> {
-    let Some(text) = value.as_str() else {
-        return Some(form(schema).to_owned());
-    };
-    let least = schema.get("minLength").and_then(Value::as_u64).unwrap_or(0);
-    let most = schema.get("maxLength").and_then(Value::as_u64);
-    let most = most.unwrap_or(u64::MAX);
-    if !(least..=most).contains(&(text.chars().count() as u64)) {
-        return Some(format!("{least} to {most} characters"));
-    }
-    let sound = match schema.get("format").and_then(Value::as_str) {
-        Some("socket-address") => text.parse::<SocketAddr>().is_ok(),
-        Some("http-address") => is_http_address(text),
-        Some("name") => is_name(text),
-        _ => true,
-    };
-    (!sound).then(|| form(schema).to_owned())
-}
-
-/// The form that the schema wants of a text, in words.
-pub fn form(schema: &Value) -> &'static str {
-    match schema.get("format").and_then(Value::as_str) {
-        Some("socket-address") => "an address such as \"127.0.0.1:8000\" or \"[::1]:8000\"",
-        Some("http-address") => "an address such as \"http://127.0.0.1:7000\"",
-        Some("name") => "a name of 1 to 63 of a-z, 0-9 and -",
-        _ => "a text",
-    }
-}
-
-/// Whether it is `http://IP:PORT`.
-fn is_http_address(text: &str) -> bool {
-    text.strip_prefix("http://")
-        .is_some_and(|rest| rest.parse::<SocketAddr>().is_ok())
-}
-
-/// Whether it may name an entry or a zone.
-fn is_name(text: &str) -> bool {
-    let good = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
-    (1..=63).contains(&text.len()) && text.bytes().all(good)
-}
-
 /// The value as JSON.
 fn plain(node: &ast::Value<'_>) -> Value {
     match node {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,12 +5,15 @@
 
 pub mod check;
 pub mod configs;
+pub mod document;
+pub mod expect;
+pub mod explain;
 pub mod fault;
 pub mod load;
+pub mod print;
 pub mod rules;
 pub mod schema;
 pub mod secret;
-pub mod text;
 
 use schemars::JsonSchema;
 use serde::Deserialize;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -23,6 +23,16 @@
     pub lines: BTreeMap<String, usize>,
 }
 
+impl Loaded {
+    /// Where an option's value comes from: `line 7` or `default`.
+    pub fn origin(&self, option: &str) -> String {
+        match self.lines.get(option) {
+            Some(line) => format!("line {line}"),
+            None => "default".to_owned(),
+        }
+    }
+}
+
 /// Reads a file and keeps the settings alone; unknown names in it are passed over.
 pub fn load(path: impl AsRef<Path>) -> Result<Settings, Faults> {
     read(path).map(|loaded| loaded.settings)
--- /dev/null
+++ b/crates/settings/src/print.rs
@@ -0,0 +1,40 @@
+//! Effective settings as text, for `dogwoodspurd --print`.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+use crate::Loaded;
+use crate::schema;
+
+/// The effective settings as JSON with comments: each option with its meaning and where it was set.
+///
+/// Keys show only whether they are set, so that the text can be passed on.
+pub fn effective(loaded: &Loaded) -> String {
+    let schema = schema::schema();
+    let values = serde_json::to_value(&loaded.settings).unwrap_or_default();
+    let mut text = String::from("{\n");
+    for (section, part) in sections(&schema) {
+        let _ = writeln!(text, "  \"{section}\": {{");
+        for (step, below) in sections(part) {
+            let option = schema::join(section, step);
+            let value = values
+                .pointer(&format!("/{section}/{step}"))
+                .unwrap_or(&Value::Null);
+            let origin = loaded.origin(&option);
+            let _ = writeln!(text, "    // {} ({origin})", schema::description(below));
+            let _ = writeln!(text, "    \"{step}\": {value},");
+        }
+        text.push_str("  },\n");
+    }
+    text.push_str("}\n");
+    text
+}
+
+/// The properties of a part of the schema.
+fn sections(part: &Value) -> impl Iterator<Item = (&String, &Value)> {
+    part.get("properties")
+        .and_then(Value::as_object)
+        .into_iter()
+        .flatten()
+}
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -42,6 +42,24 @@
     }
 }
 
+/// What an option or a section means, in one line.
+pub fn description(part: &Value) -> String {
+    let text = part
+        .get("description")
+        .and_then(Value::as_str)
+        .unwrap_or("");
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+/// An option's default as it would be written; a word where there is none.
+pub fn default(part: &Value) -> String {
+    match part.get("default") {
+        None | Some(Value::Null) => "none".to_owned(),
+        Some(Value::String(text)) if text.is_empty() => "none".to_owned(),
+        Some(value) => format!("`{value}`"),
+    }
+}
+
 /// The name of `step` within `section`.
 pub fn join(section: &str, step: &str) -> String {
     if section.is_empty() {
--- a/crates/settings/src/text.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Settings as text: effective ones, one explained, and the page for operators.
