Hand a ledger on once

Cause: hand_on gave the same estates each time it was called. A leaving entry that lost its heir's word and turned to a second heir would have made two ledgers that grant the same ticket. Ruled out: the inheritance itself, which already ignores a second delivery to the same heir.

--- a/crates/request/src/ledger.rs
+++ b/crates/request/src/ledger.rs
@@ -126,11 +126,17 @@
         self.books.get(&minter).is_some_and(|book| !book.frozen)
     }
 
-    /// Freezes everything and gives what a successor needs. Calling it again gives the same.
+    /// Freezes everything and gives what the one successor needs.
+    ///
+    /// A book is given once: were it given again to a second successor, because the first one's word
+    /// was lost, both would grant its tickets.
     pub fn hand_on(&mut self, now: Time) -> Vec<Estate> {
         self.expire(now);
         let mut estates = Vec::new();
         for (minter, book) in &mut self.books {
+            if book.frozen {
+                continue;
+            }
             book.frozen = true;
             estates.push(Estate {
                 minter: *minter,
--- /dev/null
+++ b/crates/request/tests/seal.rs
@@ -0,0 +1,58 @@
+//! Sealed words open only whole, under the same key and for the same purpose.
+
+use request::id::Id;
+use request::id::Incarnation;
+use request::id::Stream;
+use request::resume::Resume;
+use request::seal::Seal;
+use smol_str::SmolStr;
+
+const KEY: &str = "a common key of all entries";
+
+fn word() -> Resume {
+    let request = Id {
+        incarnation: Incarnation(5),
+        serial: 6,
+    };
+    Resume {
+        request,
+        account: SmolStr::new_static("omuramba"),
+        deployment: SmolStr::new_static("thesis"),
+        stream: Stream {
+            request,
+            attempt: 1,
+        },
+        address: SmolStr::new_static("127.0.0.1:9000"),
+        incarnation: SmolStr::new_static("i-1.1"),
+        base: 0,
+    }
+}
+
+#[test]
+fn a_word_comes_back_as_it_was() {
+    let seal = Seal::new(KEY, "resume");
+    assert_eq!(seal.open::<Resume>(&seal.close(&word())), Some(word()));
+}
+
+/// A caller would read another account's answer: it changes the account in its own word.
+#[test]
+fn a_changed_word_does_not_open() {
+    let seal = Seal::new(KEY, "resume");
+    let text = seal.close(&word());
+    for at in 0..text.len() {
+        let mut bytes = text.clone().into_bytes();
+        bytes[at] = if bytes[at] == b'0' { b'1' } else { b'0' };
+        let changed = String::from_utf8(bytes).unwrap();
+        assert_eq!(seal.open::<Resume>(&changed), None, "changed at {at}");
+    }
+}
+
+#[test]
+fn neither_another_key_nor_another_purpose_opens_it() {
+    let text = Seal::new(KEY, "resume").close(&word());
+    assert_eq!(Seal::new("another", "resume").open::<Resume>(&text), None);
+    assert_eq!(Seal::new(KEY, "ticket").open::<Resume>(&text), None);
+    for garbage in ["", "0", "zz", "äö", "00ff"] {
+        assert_eq!(Seal::new(KEY, "resume").open::<Resume>(garbage), None);
+    }
+}
