--- a/crates/policy/src/brownout.rs
+++ b/crates/policy/src/brownout.rs
@@ -13,7 +13,7 @@
 use clock::Time;
 
 use crate::account;
-use crate::configs::brownout::Brownout;
+use crate::configs::brownout::Config;
 use crate::fair::Cost;
 
 /// Offers below this rate (cost a second) are forgotten.
@@ -47,7 +47,7 @@
     /// Notes an offer, and makes a new plan when the old one is over; `capacity` is cost a second.
     pub fn offer(
         &mut self,
-        settings: &Brownout,
+        settings: &Config,
         now: Time,
         key: account::Key,
         spec: &account::Spec,
@@ -88,7 +88,7 @@
         self.total
     }
 
-    fn plan(&mut self, settings: &Brownout, now: Time, capacity: Option<f64>) {
+    fn plan(&mut self, settings: &Config, now: Time, capacity: Option<f64>) {
         let seconds = now.since(self.planned).as_millis() as f64 / 1_000.0;
         self.planned = now;
         for offer in self.offers.values_mut() {
--- a/crates/policy/src/configs/brownout.rs
+++ b/crates/policy/src/configs/brownout.rs
@@ -4,7 +4,7 @@
 
 /// When and how much is shed.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Brownout {
+pub struct Config {
     /// Off, the queue alone decides.
     pub enabled: bool,
     /// How long one plan holds.
@@ -17,9 +17,9 @@
     pub smoothing: f64,
 }
 
-impl Default for Brownout {
-    fn default() -> Brownout {
-        Brownout {
+impl Default for Config {
+    fn default() -> Config {
+        Config {
             enabled: true,
             period: Span::from_millis(500),
             pressure: 0.25,
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64;
 
-use crate::configs::retry::Retry;
+use crate::configs::retry::Config;
 use crate::fair::Cost;
 
 /// Retries that may still be made.
@@ -25,19 +25,19 @@
 
 impl Budget {
     /// A full budget.
-    pub fn new(settings: &Retry) -> Budget {
+    pub fn new(settings: &Config) -> Budget {
         Budget {
             left: settings.saved,
         }
     }
 
     /// A whole answer was given.
-    pub fn earn(&mut self, settings: &Retry) {
+    pub fn earn(&mut self, settings: &Config) {
         self.left = (self.left + settings.fraction).min(settings.saved);
     }
 
     /// Takes one retry, if there is one.
-    pub fn spend(&mut self, settings: &Retry) -> bool {
+    pub fn spend(&mut self, settings: &Config) -> bool {
         if !settings.enabled {
             return true;
         }
@@ -61,7 +61,7 @@
     /// `backlog` the time that the present queue takes.
     pub fn appoint(
         &mut self,
-        settings: &Retry,
+        settings: &Config,
         now: Time,
         backlog: Span,
         cost: Cost,
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -7,6 +7,7 @@
 use verdict::Verdict;
 
 use crate::admission;
+use crate::affinity::Candidate;
 use crate::decision::Decision;
 use crate::fair::Cost;
 use crate::job;
@@ -14,7 +15,7 @@
 use crate::pool;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
-use crate::size;
+use crate::scheduler::state::Pool;
 use crate::size::Class;
 
 impl Scheduler {
@@ -28,6 +29,14 @@
             });
             return;
         };
+        if self.is_quarantined(now, job.fingerprint) {
+            let refusal = Refusal::not_run(Reason::Quarantined, "it crashes backend servers");
+            out.push(Decision::Refuse {
+                job: job.id,
+                refusal,
+            });
+            return;
+        }
         if let Err(after) = self.limits.admit(now, job.account, cost) {
             let refusal = Refusal::not_run(Reason::OverLimit, "the account is over its limit");
             let refusal = refusal.with_retry_after(self.jittered(after));
@@ -60,11 +69,12 @@
         if may_have_run {
             refusal.verdict = Verdict::MayHaveRun;
         }
-        // A caller that may not repeat its request has no use for a time to come back.
-        if !may_have_run || job.idempotent {
+        // A caller that may not repeat its request has no use for a time to come back; nor has one
+        // whose request crashes replicas.
+        if reason != Reason::Quarantined && (!may_have_run || job.idempotent) {
             refusal.retry_after = Some(self.appoint(now, job.pool, cost));
         }
-        self.close(id);
+        self.close(now, id);
         out.push(Decision::Refuse { job: id, refusal });
     }
 
@@ -106,7 +116,7 @@
         let sizes = self.settings.size;
         let class = self.pool_mut(job.pool).classes.classify(&sizes, cost);
         let allowed = self.allowed(&job);
-        let predicted = self.predicted_wait(&job, class);
+        let predicted = self.predicted_wait(now, &job, class);
         self.open.insert(
             job.id,
             Open {
@@ -118,6 +128,8 @@
                 until: now,
                 replica: None,
                 started: now,
+                spoke: now,
+                outstanding: 0,
                 streaming: false,
                 made: 0,
                 may_have_run: false,
@@ -187,12 +199,11 @@
     }
 
     /// Time in the queue to expect; zero if the job can start at once.
-    fn predicted_wait(&self, job: &Job, class: Class) -> Span {
+    fn predicted_wait(&self, now: Time, job: &Job, class: Class) -> Span {
         let Some(pool) = self.pools.get(&job.pool) else {
             return Span::ZERO;
         };
-        let free = !pool.roomy.is_empty() && self.class_has_room(pool, class);
-        if free && pool.queue.is_empty() {
+        if self.has_room(now, pool, class) {
             return Span::ZERO;
         }
         let Some(account) = self.accounts.get(&job.account) else {
@@ -204,12 +215,24 @@
         admission::wait(ahead, rate).max(Span::from_millis(1))
     }
 
-    pub(super) fn class_has_room(
-        &self,
-        pool: &crate::scheduler::state::Pool,
-        class: Class,
-    ) -> bool {
-        class == Class::Short || pool.long < size::cap(pool.slots, self.settings.size.pool_share)
+    /// Whether a job of the class could start at once.
+    fn has_room(&self, now: Time, pool: &Pool, class: Class) -> bool {
+        let room = |candidates: Vec<Candidate>| candidates.iter().any(|node| node.open);
+        !pool.full
+            && pool.queue.is_empty()
+            && self.class_has_room(pool, class)
+            && room(self.candidates(now, pool))
+    }
+
+    /// Takes a job out of its queue, for whatever reason but its start.
+    pub(super) fn unqueue(&mut self, id: job::Id) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let place = open.place.take();
+        if let Some((place, pool)) = place.zip(self.pools.get_mut(&open.job.pool)) {
+            pool.queue.remove(place);
+        }
     }
 
     /// Puts an open job in its queue; `front`, ahead of its account's others.
@@ -233,6 +256,7 @@
             pool.queue.push(account, weight, open.class, id, open.cost)
         };
         open.place = Some(place);
+        self.expiry.remove(&(open.until, id));
         open.until = match (open.streaming, settings.admission.enabled) {
             // Its caller already reads the answer: the target for the first token is behind it.
             (true, _) => now + settings.placement.patience,
@@ -240,7 +264,8 @@
             (false, false) => now + Span::from_seconds(3_600),
         };
         self.expiry.insert((open.until, id));
-        self.stirred.insert(open.job.pool);
+        let pool = open.job.pool;
+        self.stir(pool);
     }
 
     /// When a refused caller should come back.
--- a/crates/policy/tests/support/world.rs
+++ b/crates/policy/tests/support/world.rs
@@ -234,6 +234,10 @@
             self.carry_out(entry, decision);
         }
         self.arm(entry);
+        let scheduler = self.entries[entry].scheduler();
+        if scheduler.is_some_and(|scheduler| scheduler.urgent()) {
+            self.tell(entry);
+        }
     }
 
     fn arm(&mut self, entry: usize) {
@@ -688,15 +692,18 @@
 
     /// Every entry tells all others its news, which arrives a little later.
     fn exchange(&mut self) {
-        let now = self.now();
         for from in 0..self.entries.len() {
-            let Some(scheduler) = self.entries[from].scheduler() else {
-                continue;
-            };
+            self.tell(from);
+        }
+        self.after(EXCHANGE_MS, Event::Exchange);
+    }
+
+    fn tell(&mut self, from: usize) {
+        let now = self.now();
+        if let Some(scheduler) = self.entries[from].scheduler() {
             let digest = scheduler.digest(now);
             self.after(NEWS_MS, Event::News(from, Box::new(digest)));
         }
-        self.after(EXCHANGE_MS, Event::Exchange);
     }
 
     fn news(&mut self, from: usize, digest: &Digest) {
