--- a/crates/config/src/acceptance.rs
+++ b/crates/config/src/acceptance.rs
@@ -17,30 +17,10 @@
 use clock::Span;
 use clock::Time;
 use lease::holder;
+use lease::view::View;
 
 use crate::change::Standing;
 
-/// All members, as read from the table service.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct View {
-    /// When the read was sent: it shows every row written before.
-    pub asked: Time,
-    /// Every row, of live and of lapsed members.
-    pub members: Vec<Seen>,
-}
-
-/// One member's row.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Seen {
-    /// The member's incarnation.
-    pub member: holder::Id,
-    /// The version it said it had applied.
-    pub applied: u64,
-    /// Whether its lease has lapsed: its row stood unchanged for the whole term and margin since we
-    /// first saw it so, by our clock.
-    pub lapsed: bool,
-}
-
 /// Follows versions until they are accepted.
 #[derive(Clone, Debug)]
 pub struct Acceptance {
--- a/crates/config/src/admission.rs
+++ b/crates/config/src/admission.rs
@@ -17,12 +17,13 @@
 use clock::Span;
 use clock::Time;
 use lease::holder;
+use lease::holding::Holding;
 
 /// The grounds that this entry has.
 #[derive(Clone, Debug)]
 pub struct Admission {
     me: holder::Id,
-    lease: Lease,
+    lease: Holding,
     /// The lease during which the head was read, sent after the lease was gained, and applied.
     confirmed: Option<u64>,
     voters: Vec<holder::Id>,
@@ -30,15 +31,6 @@
     term: Span,
 }
 
-/// This entry's own lease.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Lease {
-    /// Counts the times the lease was gained; a renewal in time keeps the number.
-    pub epoch: u64,
-    /// By our clock, counted from before the renewal was sent.
-    pub valid_until: Time,
-}
-
 /// What a member said of its version.
 #[derive(Clone, Copy, Debug)]
 struct Word {
@@ -53,7 +45,7 @@
     pub fn new(me: holder::Id, term: Span) -> Admission {
         Admission {
             me,
-            lease: Lease::default(),
+            lease: Holding::default(),
             confirmed: None,
             voters: Vec::new(),
             word: BTreeMap::new(),
@@ -68,7 +60,7 @@
 
     /// Whether the lease is valid and the head was read since it was gained.
     pub fn leased(&self, now: Time) -> bool {
-        now < self.lease.valid_until && self.confirmed == Some(self.lease.epoch)
+        self.lease.is_valid(now) && self.confirmed == Some(self.lease.epoch)
     }
 
     /// Whether the lease is close enough to its end that peers should be asked.
@@ -78,12 +70,12 @@
     }
 
     /// The lease as it stands.
-    pub fn lease(&self) -> Lease {
+    pub fn lease(&self) -> Holding {
         self.lease
     }
 
     /// Notes a gained or renewed lease.
-    pub fn set_lease(&mut self, lease: Lease) {
+    pub fn set_lease(&mut self, lease: Holding) {
         self.lease = lease;
     }
 
--- a/crates/config/src/agreement.rs
+++ b/crates/config/src/agreement.rs
@@ -12,15 +12,15 @@
 use clock::Span;
 use clock::Time;
 use lease::holder;
+use lease::holding::Holding;
+use lease::view::View;
 use store::backoff::Backoff;
 use store::call;
 use store::call::Call;
 use store::call::Outcome;
 
 use crate::acceptance::Acceptance;
-use crate::acceptance::View;
 use crate::admission::Admission;
-use crate::admission::Lease;
 use crate::change::Standing;
 use crate::configs::agreement::Settings;
 use crate::event::Effect;
@@ -211,7 +211,7 @@
         self.acceptance.set_applied(self.me, self.history.version());
     }
 
-    fn leased(&mut self, now: Time, lease: Lease) {
+    fn leased(&mut self, now: Time, lease: Holding) {
         if lease.epoch != self.admission.lease().epoch {
             self.next_poll = now;
         }
--- a/crates/config/src/event.rs
+++ b/crates/config/src/event.rs
@@ -4,12 +4,12 @@
 
 use clock::Time;
 use lease::holder;
+use lease::holding::Holding;
+use lease::view::View;
 use store::call;
 use store::call::Call;
 use store::call::Outcome;
 
-use crate::acceptance::View;
-use crate::admission::Lease;
 use crate::change::Answer;
 use crate::change::Change;
 use crate::change::Operation;
@@ -42,7 +42,7 @@
     /// Peers that can be reached; used while no members are known.
     Peers(Vec<holder::Id>),
     /// This entry's own lease was gained or renewed.
-    Lease(Lease),
+    Lease(Holding),
     /// A peer is heard to have applied a version.
     Applied {
         /// Which peer, by incarnation.
--- a/crates/config/tests/agreement.rs
+++ b/crates/config/tests/agreement.rs
@@ -2,9 +2,6 @@
 
 use clock::Span;
 use clock::Time;
-use config::acceptance::Seen;
-use config::acceptance::View;
-use config::admission::Lease;
 use config::agreement::Agreement;
 use config::change::Answer;
 use config::change::Change;
@@ -15,6 +12,9 @@
 use config::event::Effect;
 use config::event::Event;
 use lease::holder;
+use lease::holding::Holding;
+use lease::view::Seen;
+use lease::view::View;
 use store::fake::Table;
 
 /// The account `name` with this weight.
@@ -85,7 +85,7 @@
     assert!(!entry.agreement.admits(start));
 
     let valid_until = start + Span::from_seconds(6);
-    let lease = Lease {
+    let lease = Holding {
         epoch: 1,
         valid_until,
     };
--- /dev/null
+++ b/crates/member/src/addresses.rs
@@ -0,0 +1,103 @@
+//! Which entries callers are told to use.
+//!
+//! The load pattern: callers keep an answer for a while and send what they have to the first address
+//! in it. Without a key, answers spread callers over all entries by weight; with a prefix's key its
+//! owner comes first, so that requests that share a prefix meet where its cache is known. An entry
+//! that is draining, gone or silent is never named, since callers would hold on to it for the
+//! answer's whole lifetime.
+
+use clock::Span;
+use clock::Time;
+use lease::holder;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+
+use crate::directory::Directory;
+use crate::directory::Known;
+use crate::rendezvous;
+
+/// Weight of an idle entry.
+const FULL_WEIGHT: u32 = 100;
+/// Weight of a full one: some callers still find out that it has room again.
+const LEAST_WEIGHT: u32 = 5;
+
+/// One entry named to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Named {
+    /// Which.
+    pub id: holder::Id,
+    /// `host:port` to connect to.
+    pub address: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Its share of callers who choose at random; at least 1.
+    pub weight: u32,
+}
+
+/// Up to `limit` entries: the key's owner first, the others drawn by weight over the zones.
+pub fn choose(
+    directory: &Directory,
+    now: Time,
+    quiet: Span,
+    key: Option<u64>,
+    limit: usize,
+    random: &mut Pcg64Mcg,
+) -> Vec<Named> {
+    let mut usable: Vec<Named> = directory
+        .iter()
+        .filter(|(_, known)| known.is_usable(now, quiet))
+        .map(|(id, known)| named(id, known))
+        .collect();
+    let mut chosen = Vec::new();
+    if let Some(key) = key
+        && let Some(owner) = rendezvous::owner(key, usable.iter().map(|item| item.id))
+    {
+        take(&mut usable, &mut chosen, |item| item.id == owner);
+    }
+    while chosen.len() < limit && !usable.is_empty() {
+        let fewest = usable
+            .iter()
+            .map(|item| zone_count(&chosen, &item.zone))
+            .min()
+            .unwrap_or(0);
+        let total: u32 = usable
+            .iter()
+            .filter(|item| zone_count(&chosen, &item.zone) == fewest)
+            .map(|item| item.weight)
+            .sum();
+        let mut left = random.random_range(0..total.max(1));
+        let drawn = usable
+            .iter()
+            .filter(|item| zone_count(&chosen, &item.zone) == fewest)
+            .find(|item| {
+                let here = left < item.weight;
+                left = left.saturating_sub(item.weight);
+                here
+            })
+            .map(|item| item.id);
+        take(&mut usable, &mut chosen, |item| Some(item.id) == drawn);
+    }
+    chosen
+}
+
+/// Moves the first match over.
+fn take(usable: &mut Vec<Named>, chosen: &mut Vec<Named>, matches: impl Fn(&Named) -> bool) {
+    let place = usable.iter().position(matches).unwrap_or(0);
+    chosen.push(usable.remove(place));
+}
+
+fn zone_count(chosen: &[Named], zone: &str) -> usize {
+    chosen.iter().filter(|item| item.zone == zone).count()
+}
+
+fn named(id: holder::Id, known: &Known) -> Named {
+    let load = u32::from(known.beat.load);
+    let weight = FULL_WEIGHT - FULL_WEIGHT * load / u32::from(u8::MAX);
+    Named {
+        id,
+        address: known.record.row.address.clone(),
+        zone: known.record.row.zone.clone(),
+        weight: weight.max(LEAST_WEIGHT),
+    }
+}
--- /dev/null
+++ b/crates/member/src/directory.rs
@@ -0,0 +1,120 @@
+//! All members this entry knows of, from its own reads and from others' word.
+//!
+//! Good enough to choose whom to talk to and whom to name to callers. What must not be wrong (when a
+//! lease has lapsed for certain) is concluded from our own reads alone, in [`crate::roster`].
+
+use std::collections::BTreeMap;
+
+use clock::Span;
+use clock::Time;
+use lease::holder;
+
+use crate::digest::Beat;
+use crate::digest::Record;
+use crate::row::State;
+
+/// The members.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    members: BTreeMap<holder::Id, Known>,
+}
+
+/// One member.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The newest record.
+    pub record: Record,
+    /// The newest heartbeat.
+    pub beat: Beat,
+    /// When the heartbeat last rose, or the member was first heard of.
+    pub heard: Time,
+}
+
+impl Directory {
+    /// Takes a record; true if it says something that others should hear.
+    pub fn take(&mut self, now: Time, record: &Record) -> bool {
+        let Some(known) = self.members.get_mut(&record.row.id) else {
+            if record.gone || record.row.state == State::Left {
+                return false;
+            }
+            let known = Known {
+                record: record.clone(),
+                beat: Beat::default(),
+                heard: now,
+            };
+            self.members.insert(record.row.id, known);
+            return true;
+        };
+        let old = &known.record;
+        let newer = record.row.renewals > old.row.renewals;
+        let lapsed = record.row.renewals == old.row.renewals && record.gone && !old.gone;
+        if !newer && !lapsed {
+            return false;
+        }
+        let news = record.gone != old.gone
+            || record.row.state != old.row.state
+            || record.row.heir != old.row.heir
+            || record.row.address != old.row.address;
+        known.record = record.clone();
+        news
+    }
+
+    /// Takes a heartbeat; true if the member is known and has applied a newer version.
+    pub fn hear(&mut self, now: Time, beat: &Beat) -> bool {
+        let Some(known) = self.members.get_mut(&beat.id) else {
+            return false;
+        };
+        if beat.count <= known.beat.count {
+            return false;
+        }
+        let newer = beat.applied > known.beat.applied;
+        known.beat = *beat;
+        known.heard = now;
+        newer
+    }
+
+    /// Forgets members that went or left and were not heard for `keep`; names them.
+    pub fn expire(&mut self, now: Time, keep: Span) -> Vec<holder::Id> {
+        let expired: Vec<holder::Id> = self
+            .iter()
+            .filter(|(_, known)| !known.is_present() && now.since(known.heard) > keep)
+            .map(|(id, _)| id)
+            .collect();
+        for id in &expired {
+            self.members.remove(id);
+        }
+        expired
+    }
+
+    /// What is known of a member.
+    pub fn get(&self, id: holder::Id) -> Option<&Known> {
+        self.members.get(&id)
+    }
+
+    /// All members, also those that are gone.
+    pub fn iter(&self) -> impl Iterator<Item = (holder::Id, &Known)> {
+        self.members.iter().map(|(id, known)| (*id, known))
+    }
+
+    /// Members that have not gone or left.
+    pub fn present(&self) -> impl Iterator<Item = (holder::Id, &Known)> {
+        self.iter().filter(|(_, known)| known.is_present())
+    }
+
+    /// How many have not gone or left.
+    pub fn count(&self) -> usize {
+        self.present().count()
+    }
+}
+
+impl Known {
+    /// Whether it has not gone or left.
+    pub fn is_present(&self) -> bool {
+        !self.record.gone && self.record.row.state != State::Left
+    }
+
+    /// Whether it may be named to callers: live, and heard within `quiet`.
+    pub fn is_usable(&self, now: Time, quiet: Span) -> bool {
+        self.is_present() && self.record.row.state == State::Live && now.since(self.heard) <= quiet
+    }
+}
--- /dev/null
+++ b/crates/member/src/fake.rs
@@ -0,0 +1,235 @@
+//! Many members before one table service in virtual time, for tests and measurements.
+
+use std::collections::BTreeMap;
+
+use clock::Span;
+use clock::Time;
+use lease::holder;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use store::call;
+use store::call::Call;
+use store::fake::Table;
+use store::queue::Queue;
+
+use crate::configs::membership::Settings;
+use crate::digest::Digest;
+use crate::event::Effect;
+use crate::event::Event;
+use crate::membership::Membership;
+use crate::row::Row;
+
+/// One way between two entries.
+const HOP: Span = Span::from_millis(1);
+/// One way between an entry and the table service.
+const STORE_HOP: Span = Span::from_millis(3);
+
+/// All members and what is on its way between them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// The table service.
+    pub table: Table,
+    /// The members by index; ids are index plus 1.
+    pub nodes: Vec<Node>,
+    /// The present time.
+    pub now: Time,
+    by_address: BTreeMap<SmolStr, usize>,
+    queue: Queue<Delivery>,
+}
+
+/// One member.
+#[derive(Debug)]
+pub struct Node {
+    /// Its state machine.
+    pub membership: Membership,
+    /// Stopped for good.
+    pub dead: bool,
+    /// Gets nothing until it is thawed; then everything at once, as a stopped process does.
+    pub frozen: bool,
+    /// Members hear each other only within the same part of a cut network.
+    pub part: u32,
+    /// Whether the network cuts it off from the table service.
+    pub store_cut: bool,
+    /// What it told its embedder, with the time.
+    pub told: Vec<(Time, Effect)>,
+    /// Bytes of digests sent.
+    pub sent_bytes: u64,
+    /// Bytes of digests received.
+    pub received_bytes: u64,
+    /// Bytes of rows read.
+    pub read_bytes: u64,
+    /// Steps made.
+    pub steps: u64,
+    held: Vec<Event>,
+    woken_for: Time,
+}
+
+/// Something on its way.
+#[derive(Debug)]
+enum Delivery {
+    Wake(usize),
+    Event(usize, Event),
+    Digest(usize, usize, Digest),
+    Call(usize, call::Id, Call),
+}
+
+impl Fleet {
+    /// Adds a member in a zone and starts it; returns its index.
+    pub fn start(&mut self, zone: &str, settings: Settings) -> usize {
+        let index = self.nodes.len();
+        let address = format_smolstr!("10.0.{}.{}:1", index / 250, index % 250);
+        let row = Row {
+            id: holder::Id(index as u64 + 1),
+            zone: SmolStr::from(zone),
+            address: address.clone(),
+            peer_address: address.clone(),
+            ..Row::default()
+        };
+        let seeds = self.nodes.iter().take(3);
+        let seeds = seeds
+            .filter_map(|node| {
+                Some(
+                    node.membership
+                        .directory()
+                        .iter()
+                        .next()?
+                        .1
+                        .record
+                        .row
+                        .peer_address
+                        .clone(),
+                )
+            })
+            .collect();
+        self.by_address.insert(address, index);
+        self.nodes.push(Node {
+            membership: Membership::new(row, seeds, settings, index as u64),
+            dead: false,
+            frozen: false,
+            part: 0,
+            store_cut: false,
+            told: Vec::new(),
+            sent_bytes: 0,
+            received_bytes: 0,
+            read_bytes: 0,
+            steps: 0,
+            held: Vec::new(),
+            woken_for: Time::ZERO,
+        });
+        self.feed(index, Event::Wake);
+        index
+    }
+
+    /// The id of the member at `index`.
+    pub fn id(&self, index: usize) -> holder::Id {
+        holder::Id(index as u64 + 1)
+    }
+
+    /// Stops and continues a member as a signal does.
+    pub fn set_frozen(&mut self, index: usize, frozen: bool) {
+        self.nodes[index].frozen = frozen;
+        if frozen {
+            return;
+        }
+        for event in std::mem::take(&mut self.nodes[index].held) {
+            self.feed(index, event);
+        }
+        self.feed(index, Event::Wake);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while let Some((at, delivery)) = self.queue.pop(until) {
+            self.now = at;
+            self.deliver(delivery);
+        }
+        self.now = until;
+    }
+
+    /// Lets time pass until something holds, at most `limit`; how long it took.
+    pub fn run_until(&mut self, limit: Span, holds: impl Fn(&Fleet) -> bool) -> Option<Span> {
+        let start = self.now;
+        while !holds(self) {
+            if self.now.since(start) >= limit {
+                return None;
+            }
+            self.run(Span::from_millis(10));
+        }
+        Some(self.now.since(start))
+    }
+
+    /// Feeds one event to a member and carries out what follows.
+    pub fn feed(&mut self, index: usize, event: Event) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.dead {
+            return;
+        }
+        if node.frozen {
+            node.held.push(event);
+            return;
+        }
+        let mut effects = Vec::new();
+        node.steps += 1;
+        node.membership.step(now, event, &mut effects);
+        let wake = node.membership.next_wake().max(now + Span::from_millis(1));
+        if node.woken_for <= now || wake < node.woken_for {
+            node.woken_for = wake;
+            self.queue.push(wake, Delivery::Wake(index));
+        }
+        for effect in effects {
+            self.carry_out(index, effect);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Store { id, call } => {
+                let at = self.now + STORE_HOP;
+                self.queue.push(at, Delivery::Call(index, id, call));
+            }
+            Effect::Send { to, digest } => self.send(index, to.0 as usize - 1, digest),
+            Effect::Greet { address, digest } => {
+                if let Some(to) = self.by_address.get(&address).copied() {
+                    self.send(index, to, digest);
+                }
+            }
+            effect => self.nodes[index].told.push((self.now, effect)),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, digest: Digest) {
+        self.nodes[from].sent_bytes += digest.size() as u64;
+        let at = self.now + HOP;
+        self.queue.push(at, Delivery::Digest(from, to, digest));
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Wake(index) => self.feed(index, Event::Wake),
+            Delivery::Event(index, event) => self.feed(index, event),
+            Delivery::Digest(from, to, digest) => {
+                if self.nodes[from].part != self.nodes[to].part {
+                    return;
+                }
+                self.nodes[to].received_bytes += digest.size() as u64;
+                self.feed(to, Event::Digest(digest));
+            }
+            Delivery::Call(index, id, call) => {
+                let outcome = if self.nodes[index].store_cut {
+                    call::Outcome::Unavailable
+                } else {
+                    self.table.apply(&call)
+                };
+                if let call::Outcome::Rows { rows, .. } = &outcome {
+                    let bytes = rows.iter().map(|row| row.value.to_string().len() as u64);
+                    self.nodes[index].read_bytes += bytes.sum::<u64>();
+                }
+                let event = Event::Store { id, outcome };
+                self.queue
+                    .push(self.now + STORE_HOP, Delivery::Event(index, event));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/membership.rs
@@ -0,0 +1,376 @@
+//! One entry's part in knowing who is there: register, read, tell, answer callers.
+//!
+//! Pure: the embedder feeds [`Event`]s to [`Membership::step`], carries out the [`Effect`]s and calls
+//! again with [`Event::Wake`] at the time that [`Membership::next_wake`] names.
+
+mod gossip;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use clock::Span;
+use clock::Time;
+use lease::holder;
+use lease::holding::Holding;
+use lease::pulse::Pulse;
+use lease::view::Seen;
+use lease::view::View;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use store::backoff::Backoff;
+use store::call;
+use store::call::Call;
+use store::call::Outcome;
+
+use crate::addresses;
+use crate::addresses::Named;
+use crate::configs::membership::Settings;
+use crate::digest::Beat;
+use crate::digest::Item;
+use crate::digest::Record;
+use crate::digest::Topic;
+use crate::directory::Directory;
+use crate::event::Effect;
+use crate::event::Event;
+use crate::news::News;
+use crate::registration::Registration;
+use crate::rendezvous;
+use crate::roster::Roster;
+use crate::row;
+use crate::row::Row;
+use crate::row::State;
+use crate::rumors::Rumors;
+use crate::rumors::Subject;
+
+/// Outdated rows deleted after one read.
+const DELETIONS: usize = 8;
+
+/// The state machine.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: holder::Id,
+    settings: Settings,
+    registration: Registration,
+    roster: Roster,
+    directory: Directory,
+    news: News,
+    rumors: Rumors,
+    pulse: Pulse,
+    beat: Beat,
+    calls: BTreeMap<call::Id, Purpose>,
+    next_call: u64,
+    next_zone: Time,
+    next_whole: Time,
+    next_gossip: Time,
+    last_gossip: Time,
+    round: u64,
+    /// Where the round of heartbeats stands.
+    turn: holder::Id,
+    known_gone: BTreeSet<holder::Id>,
+    seeds: Vec<SmolStr>,
+    holding: Holding,
+    left: bool,
+    backoff: Backoff,
+    random: Pcg64Mcg,
+}
+
+/// Why a store call was made.
+#[derive(Clone, Copy, Debug)]
+enum Purpose {
+    Renewal,
+    Read,
+    Delete,
+}
+
+impl Membership {
+    /// A member that is not registered yet. `row` says who it is; `seeds` are peer addresses to try
+    /// while no members are known.
+    pub fn new(row: Row, seeds: Vec<SmolStr>, settings: Settings, seed: u64) -> Membership {
+        Membership {
+            me: row.id,
+            registration: Registration::new(row.clone()),
+            roster: Roster::new(settings.margin),
+            directory: Directory::default(),
+            news: News::default(),
+            rumors: Rumors::default(),
+            pulse: Pulse::new(settings.longest_gap),
+            beat: Beat {
+                id: row.id,
+                ..Beat::default()
+            },
+            calls: BTreeMap::new(),
+            next_call: 0,
+            next_zone: Time::ZERO,
+            next_whole: Time::ZERO,
+            next_gossip: Time::ZERO,
+            last_gossip: Time::ZERO,
+            round: 0,
+            turn: holder::Id::default(),
+            known_gone: BTreeSet::new(),
+            seeds,
+            holding: Holding::default(),
+            left: false,
+            backoff: Backoff::new(settings.retry, settings.retry_limit, seed),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
+        let before = self.directory.count();
+        if self.pulse.beat(now) {
+            self.registration.lapse(now);
+        }
+        match event {
+            Event::Wake => {}
+            Event::Store { id, outcome } => self.answered(now, id, outcome, effects),
+            Event::Digest(digest) => self.receive(now, digest, effects),
+            Event::Applied(version) => self.applied(now, version),
+            Event::Load(load) => self.beat.load = load,
+            Event::Drain => self.change_state(now, State::Draining, None),
+            Event::Leave { heir } => self.leave(now, heir),
+            Event::Look => self.next_whole = now,
+            Event::Gone(id) => {
+                self.known_gone.insert(id);
+            }
+            Event::Publish(item) => {
+                self.learn(now, &item);
+            }
+        }
+        self.renew(now, effects);
+        self.read(now, effects);
+        self.gossip(now, effects);
+        self.report(before, effects);
+    }
+
+    /// Our lease, to be checked again where an effect leaves the process.
+    pub fn holding(&self) -> Holding {
+        self.holding
+    }
+
+    /// Entries to name to a caller, a key's owner first.
+    pub fn addresses(&mut self, now: Time, key: Option<u64>) -> Vec<Named> {
+        let quiet = self.quiet();
+        let limit = self.settings.addresses;
+        addresses::choose(&self.directory, now, quiet, key, limit, &mut self.random)
+    }
+
+    /// Where to forward a request with this key: its owner, if that is another entry and the request
+    /// was not forwarded before. One forward at most, so that entries that know different members
+    /// never send a request in a circle.
+    pub fn forward(&self, now: Time, key: u64, forwarded: bool) -> Option<holder::Id> {
+        if forwarded {
+            return None;
+        }
+        let quiet = self.quiet();
+        let usable = self
+            .directory
+            .iter()
+            .filter(|(_, known)| known.is_usable(now, quiet))
+            .map(|(id, _)| id);
+        rendezvous::owner(key, usable).filter(|owner| *owner != self.me)
+    }
+
+    /// Who holds the ledger of an entry that left.
+    pub fn heir(&self, now: Time, of: holder::Id) -> Option<holder::Id> {
+        let told = self
+            .news
+            .get(now, Topic::Heir, &format_smolstr!("{of}"))
+            .and_then(|item| holder::Id::parse(std::str::from_utf8(&item.payload).ok()?));
+        told.or_else(|| self.directory.get(of)?.record.row.heir)
+    }
+
+    /// `host:port` at which other entries reach a member.
+    pub fn peer_address(&self, id: holder::Id) -> Option<&SmolStr> {
+        Some(&self.directory.get(id)?.record.row.peer_address)
+    }
+
+    /// Whether a backend server incarnation is known to be leaving. Sticky.
+    pub fn is_leaving(&self, incarnation: &str) -> bool {
+        self.news.contains(Topic::Leaving, incarnation)
+    }
+
+    /// All members known here.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// When [`Event::Wake`] is wanted next.
+    pub fn next_wake(&self) -> Time {
+        let mut wake = self.next_gossip;
+        if let Some(renewal) = self.registration.next_wake() {
+            wake = wake.min(renewal);
+        }
+        if !self.roster.is_busy() {
+            wake = wake.min(self.next_zone).min(self.next_whole);
+        }
+        wake
+    }
+
+    fn answered(&mut self, now: Time, id: call::Id, outcome: Outcome, effects: &mut Vec<Effect>) {
+        let failed = matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
+        let wait = if failed {
+            self.backoff.fail()
+        } else {
+            self.backoff.reset();
+            Span::ZERO
+        };
+        match self.calls.remove(&id) {
+            Some(Purpose::Renewal) => self.registration.answered(now, outcome, wait),
+            Some(Purpose::Read) => self.was_read(now, outcome, wait, effects),
+            Some(Purpose::Delete) | None => {}
+        }
+    }
+
+    /// Takes a page or the end of a read.
+    fn was_read(&mut self, now: Time, outcome: Outcome, wait: Span, effects: &mut Vec<Effect>) {
+        let (page, finished) = self.roster.answered(now, outcome);
+        if let Some(call) = page {
+            return self.call(Purpose::Read, call, effects);
+        }
+        let Some(finished) = finished else {
+            self.next_zone = now + wait;
+            self.next_whole = self.next_whole.min(now + wait);
+            return;
+        };
+        for record in &finished.records {
+            self.take_record(now, record);
+        }
+        if finished.whole {
+            let members = self.roster.members().map(|(row, lapsed)| Seen {
+                member: row.id,
+                applied: row.applied,
+                lapsed,
+            });
+            let view = View {
+                asked: finished.asked,
+                members: members.collect(),
+            };
+            effects.push(Effect::View(view));
+        }
+        self.delete_outdated(now, effects);
+    }
+
+    /// Deletes rows nobody needs. Each has one member that does it, so that they don't all try.
+    fn delete_outdated(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let outdated = self.roster.outdated(
+            now,
+            self.settings.keep_left,
+            self.settings.keep_lapsed,
+            |id| self.known_gone.contains(&id),
+        );
+        let mine = outdated.into_iter().filter(|(id, _)| {
+            let present = self.directory.present().map(|(id, _)| id);
+            rendezvous::owner(id.0, present) == Some(self.me)
+        });
+        let calls: Vec<Call> = mine.map(|(_, call)| call).take(DELETIONS).collect();
+        for call in calls {
+            self.call(Purpose::Delete, call, effects);
+        }
+    }
+
+    fn applied(&mut self, now: Time, version: u64) {
+        if version <= self.beat.applied {
+            return;
+        }
+        self.beat.applied = version;
+        let early = self.settings.early_among(self.directory.count());
+        self.registration.change(early, |row| row.applied = version);
+        self.hurry(now);
+    }
+
+    fn leave(&mut self, now: Time, heir: Option<holder::Id>) {
+        self.change_state(now, State::Left, heir);
+        if let Some(heir) = heir {
+            let item = Item {
+                topic: Topic::Heir,
+                key: format_smolstr!("{}", self.me),
+                version: 1,
+                age_ms: 0,
+                payload: format!("{heir}").into_bytes(),
+            };
+            self.learn(now, &item);
+        }
+    }
+
+    fn change_state(&mut self, now: Time, state: State, heir: Option<holder::Id>) {
+        self.registration.change(Span::ZERO, |row| {
+            row.state = state;
+            row.heir = heir;
+        });
+        self.take_own(now);
+        self.rumors.add(Subject::Member(self.me));
+        self.hurry(now);
+    }
+
+    /// Renews our row when that is due.
+    fn renew(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let members = self.directory.count();
+        let interval = self.settings.renewal_among(members);
+        let interval = self.backoff.spread(interval).min(interval);
+        let term = self.settings.term_among(members);
+        if let Some(call) = self.registration.due(now, interval, term) {
+            self.take_own(now);
+            self.call(Purpose::Renewal, call, effects);
+        }
+    }
+
+    /// Notes our own row among the members.
+    fn take_own(&mut self, now: Time) {
+        let record = Record {
+            row: self.registration.row().clone(),
+            gone: false,
+        };
+        self.take_record(now, &record);
+    }
+
+    /// Reads the rows of our zone often and all rows rarely.
+    fn read(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.roster.is_busy() || now < self.next_zone.min(self.next_whole) {
+            return;
+        }
+        let zone = row::zone_prefix(&self.registration.row().zone);
+        let zone_interval = self.settings.scan_among(self.roster.count(&zone));
+        self.next_zone = now + self.backoff.spread(zone_interval);
+        let prefix = if now >= self.next_whole {
+            let whole_interval = self.settings.scan_among(self.directory.count());
+            self.next_whole = now + self.backoff.spread(whole_interval);
+            SmolStr::default()
+        } else {
+            zone
+        };
+        let call = self.roster.start(now, prefix);
+        self.call(Purpose::Read, call, effects);
+    }
+
+    /// Tells the embedder what has changed.
+    fn report(&mut self, before: usize, effects: &mut Vec<Effect>) {
+        let holding = self.registration.holding();
+        if holding != self.holding {
+            self.holding = holding;
+            effects.push(Effect::Lease(holding));
+        }
+        if self.directory.count() != before {
+            let peers = self.directory.present().map(|(id, _)| id);
+            effects.push(Effect::Peers(peers.filter(|id| *id != self.me).collect()));
+        }
+        if self.registration.has_left() && !self.left {
+            self.left = true;
+            effects.push(Effect::Left);
+        }
+    }
+
+    fn quiet(&self) -> Span {
+        self.settings.quiet_among(self.directory.count())
+    }
+
+    fn call(&mut self, purpose: Purpose, call: Call, effects: &mut Vec<Effect>) {
+        let id = call::Id(self.next_call);
+        self.next_call += 1;
+        self.calls.insert(id, purpose);
+        effects.push(Effect::Store { id, call });
+    }
+}
--- /dev/null
+++ b/crates/member/src/membership/gossip.rs
@@ -0,0 +1,265 @@
+//! Rounds of digests to a few peers, and what is learnt from theirs.
+
+use clock::Time;
+use lease::holder;
+use rand::RngExt;
+
+use crate::digest::BEAT_BYTES;
+use crate::digest::Digest;
+use crate::digest::Item;
+use crate::digest::Record;
+use crate::event::Effect;
+use crate::membership::Membership;
+use crate::rumors::Subject;
+
+/// Rounds between two words to a member that seems to be silent, so that a healed cut is noticed.
+const SILENT_ROUNDS: u64 = 8;
+/// Rounds between two sweeps of what has expired.
+const EXPIRE_ROUNDS: u64 = 64;
+/// Part of a digest that news may take; the rest is kept for heartbeats and old news in turn.
+const NEWS_SHARE: f64 = 0.75;
+/// Part of a digest that may be taken before old news in turn.
+const BEATS_SHARE: f64 = 0.8;
+/// Most bytes of the answer to a greeting, which brings a starting entry up to date.
+const WELCOME_BYTES: usize = 128 << 10;
+
+impl Membership {
+    /// Sends a round of digests when one is due.
+    pub(super) fn gossip(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if now < self.next_gossip {
+            return;
+        }
+        let regular = now >= self.last_gossip + self.settings.gossip || self.round == 0;
+        self.last_gossip = now;
+        self.next_gossip = now + self.backoff.spread(self.settings.gossip);
+        self.round += 1;
+        self.beat.count += 1;
+        let beat = self.beat;
+        self.directory.hear(now, &beat);
+        if self.round.is_multiple_of(EXPIRE_ROUNDS) {
+            self.expire(now);
+        }
+        let targets = self.targets(now);
+        if targets.is_empty() {
+            return self.greet(effects);
+        }
+        for to in targets {
+            let digest = self.digest(now, self.settings.digest_bytes, regular);
+            effects.push(Effect::Send { to, digest });
+        }
+    }
+
+    /// Takes in what a peer says.
+    pub(super) fn receive(&mut self, now: Time, digest: Digest, effects: &mut Vec<Effect>) {
+        for record in &digest.records {
+            self.take_record(now, record);
+        }
+        for beat in digest.beats.iter().chain([&digest.own]) {
+            if beat.id != self.me && self.directory.hear(now, beat) {
+                effects.push(Effect::Heard {
+                    member: beat.id,
+                    version: beat.applied,
+                });
+            }
+        }
+        for item in &digest.items {
+            if self.learn(now, item) {
+                effects.push(Effect::News(item.clone()));
+            }
+        }
+        if digest.greeting && digest.own.id != self.me {
+            let welcome = self.welcome(now);
+            effects.push(Effect::Send {
+                to: digest.own.id,
+                digest: welcome,
+            });
+        }
+    }
+
+    /// Takes a record and passes it on if it is news; refutes the word that we are gone.
+    pub(super) fn take_record(&mut self, now: Time, record: &Record) {
+        let id = record.row.id;
+        if id == self.me && record.gone {
+            self.registration.refute(record.row.renewals);
+            let own = Record {
+                row: self.registration.row().clone(),
+                gone: false,
+            };
+            self.directory.take(now, record);
+            self.directory.take(now, &own);
+            self.rumors.add(Subject::Member(id));
+            return self.hurry(now);
+        }
+        if self.directory.take(now, record) {
+            self.rumors.add(Subject::Member(id));
+            self.hurry(now);
+        } else if self.directory.get(id).is_some() {
+            self.rumors.rest(Subject::Member(id));
+        }
+    }
+
+    /// Takes an item and passes it on if it is news.
+    pub(super) fn learn(&mut self, now: Time, item: &Item) -> bool {
+        if !self.news.take(now, item) {
+            return false;
+        }
+        self.rumors.add(Subject::Item(item.topic, item.key.clone()));
+        if item.topic.urgent() {
+            self.hurry(now);
+        }
+        true
+    }
+
+    /// Brings the next round forward.
+    pub(super) fn hurry(&mut self, now: Time) {
+        let soon = (self.last_gossip + self.settings.urgent).max(now);
+        self.next_gossip = self.next_gossip.min(soon);
+    }
+
+    /// The peers of this round: at random among those that are heard, now and then a silent one.
+    fn targets(&mut self, now: Time) -> Vec<holder::Id> {
+        let quiet = self.quiet();
+        let (mut heard, silent): (Vec<_>, Vec<_>) = self
+            .directory
+            .present()
+            .filter(|(id, _)| *id != self.me)
+            .map(|(id, known)| (id, now.since(known.heard) <= quiet))
+            .partition(|(_, heard)| *heard);
+        let mut targets = Vec::new();
+        if !silent.is_empty() && (heard.is_empty() || self.round.is_multiple_of(SILENT_ROUNDS)) {
+            targets.push(silent[self.random.random_range(0..silent.len())].0);
+        }
+        while targets.len() < self.settings.fanout && !heard.is_empty() {
+            let place = self.random.random_range(0..heard.len());
+            targets.push(heard.swap_remove(place).0);
+        }
+        targets
+    }
+
+    /// Presents ourselves at an address of the settings.
+    fn greet(&mut self, effects: &mut Vec<Effect>) {
+        if self.seeds.is_empty() {
+            return;
+        }
+        let place = self.random.random_range(0..self.seeds.len());
+        let digest = Digest {
+            own: self.beat,
+            records: vec![Record {
+                row: self.registration.row().clone(),
+                gone: false,
+            }],
+            greeting: true,
+            ..Digest::default()
+        };
+        let address = self.seeds[place].clone();
+        effects.push(Effect::Greet { address, digest });
+    }
+
+    /// News first, then heartbeats, then old news in turn, within `limit` bytes.
+    fn digest(&mut self, now: Time, limit: usize, regular: bool) -> Digest {
+        let mut digest = Digest {
+            own: self.beat,
+            ..Digest::default()
+        };
+        let members = self.directory.count();
+        let room = |share: f64| (limit as f64 * share) as usize;
+        for subject in self.rumors.hottest() {
+            if digest.size() >= room(NEWS_SHARE) {
+                break;
+            }
+            if self.put(now, &subject, limit, &mut digest) {
+                self.rumors.tell(&subject, members);
+            }
+        }
+        if !regular {
+            return digest;
+        }
+        self.put_beats(now, room(BEATS_SHARE), &mut digest);
+        for _ in 0..self.rumors.len() {
+            let Some(subject) = self.rumors.next_in_turn() else {
+                break;
+            };
+            if !self.put(now, &subject, limit, &mut digest) {
+                break;
+            }
+        }
+        digest
+    }
+
+    /// Everything that a starting entry should know.
+    fn welcome(&mut self, now: Time) -> Digest {
+        let mut digest = Digest {
+            own: self.beat,
+            ..Digest::default()
+        };
+        for _ in 0..self.rumors.len() {
+            if let Some(subject) = self.rumors.next_in_turn() {
+                self.put(now, &subject, WELCOME_BYTES, &mut digest);
+            }
+        }
+        digest
+    }
+
+    /// Adds a subject if it fits; false if it doesn't fit or is there already.
+    fn put(&mut self, now: Time, subject: &Subject, limit: usize, digest: &mut Digest) -> bool {
+        match subject {
+            Subject::Member(id) => {
+                let Some(known) = self.directory.get(*id) else {
+                    self.rumors.remove(subject);
+                    return true;
+                };
+                let record = &known.record;
+                let there = digest.records.iter().any(|other| other.row.id == *id);
+                if there || digest.size() + record.size() > limit {
+                    return false;
+                }
+                digest.records.push(record.clone());
+            }
+            Subject::Item(topic, key) => {
+                let Some(item) = self.news.get(now, *topic, key) else {
+                    self.rumors.remove(subject);
+                    return true;
+                };
+                let there = digest
+                    .items
+                    .iter()
+                    .any(|other| other.topic == *topic && other.key == *key);
+                if there || digest.size() + item.size() > limit {
+                    return false;
+                }
+                digest.items.push(item);
+            }
+        }
+        true
+    }
+
+    /// Adds heartbeats of others, in turn.
+    fn put_beats(&mut self, now: Time, limit: usize, digest: &mut Digest) {
+        let quiet = self.quiet();
+        let fresh: Vec<_> = self
+            .directory
+            .present()
+            .filter(|(id, known)| {
+                *id != self.me && known.beat.count > 0 && now.since(known.heard) <= quiet
+            })
+            .map(|(_, known)| known.beat)
+            .collect();
+        let start = fresh.partition_point(|beat| beat.id <= self.turn);
+        for beat in fresh[start..].iter().chain(&fresh[..start]) {
+            if digest.size() + BEAT_BYTES > limit {
+                break;
+            }
+            digest.beats.push(*beat);
+            self.turn = beat.id;
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        for (topic, key) in self.news.expire(now) {
+            self.rumors.remove(&Subject::Item(topic, key));
+        }
+        for id in self.directory.expire(now, self.settings.keep_left) {
+            self.rumors.remove(&Subject::Member(id));
+        }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod call;
 pub mod driver;
 pub mod fake;
+pub mod queue;
