--- a/crates/policy/src/configs/fair.rs
+++ b/crates/policy/src/configs/fair.rs
@@ -2,7 +2,7 @@
 
 /// How work is charged to accounts.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Fair {
+pub struct Config {
     /// Off, jobs are served in order of arrival.
     pub enabled: bool,
     /// A generated token costs as much as this many prompt tokens.
@@ -11,9 +11,9 @@
     pub smoothing: f64,
 }
 
-impl Default for Fair {
-    fn default() -> Fair {
-        Fair {
+impl Default for Config {
+    fn default() -> Config {
+        Config {
             enabled: true,
             output_weight: 4,
             smoothing: 0.1,
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -1,4 +1,5 @@
 //! Settings of the policy modules, each with its defaults and their grounds.
+//! Settings of the policy modules, one file a module, each with its defaults and their grounds.
 
 pub mod admission;
 pub mod affinity;
@@ -13,6 +14,7 @@
 pub mod retry;
 pub mod scheduler;
 pub mod size;
+pub mod slots;
 pub mod subset;
 pub mod warmup;
 pub mod wave;
--- /dev/null
+++ b/crates/policy/src/configs/slots.rs
@@ -0,0 +1,19 @@
+//! Settings of [`crate::slots`].
+
+/// How slots that others leave free are borrowed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// Off, an entry takes whatever its estimate calls free.
+    pub enabled: bool,
+    /// Equal parts of the slots reported free that an entry takes on top of its own.
+    pub borrowed_parts: f64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            enabled: true,
+            borrowed_parts: 2.0,
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod retry;
 pub mod scheduler;
 pub mod size;
+pub mod slots;
 pub mod subset;
 pub mod warmup;
 pub mod wave;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -5,9 +5,11 @@
 //! share accounts pass [`Scheduler::digest`]s to each other once a period.
 
 mod ends;
+mod fleet;
 mod intake;
 mod placement;
 mod state;
+mod suspects;
 mod wave;
 
 use std::collections::BTreeMap;
@@ -24,6 +26,7 @@
 use crate::job::Job;
 use crate::limit;
 use crate::pool;
+use crate::quarantine;
 use crate::replica;
 use crate::scheduler::state::Account;
 use crate::scheduler::state::Open;
@@ -40,14 +43,18 @@
     pools: BTreeMap<pool::Key, Pool>,
     replicas: BTreeMap<replica::Key, Replica>,
     open: BTreeMap<job::Id, Open>,
-    /// When each waiting job is given up. Invariant: holds exactly the jobs that wait in a queue.
+    /// When each waiting job is given up. Invariant: holds exactly the open jobs without a replica.
     expiry: BTreeSet<(Time, job::Id)>,
     /// Running jobs to be moved off leaving replicas.
     moving: BTreeSet<job::Id>,
     /// Pools to look at in the next poll.
     stirred: BTreeSet<pool::Key>,
+    /// Suspects that wait outside their queue, and until when.
+    held: BTreeSet<(Time, job::Id)>,
     limits: limit::Limits,
+    quarantine: quarantine::Quarantine,
     random: Pcg64,
+    seed: u64,
     next_replica: u32,
 }
 
@@ -56,6 +63,8 @@
 pub struct Digest {
     /// Claims on account limits.
     pub limit: limit::Digest,
+    /// Killer requests.
+    pub quarantine: quarantine::Digest,
 }
 
 impl Scheduler {
@@ -68,6 +77,8 @@
     pub fn with_settings(seed: u64, settings: Settings) -> Scheduler {
         Scheduler {
             limits: limit::Limits::new(settings.limit),
+            quarantine: quarantine::Quarantine::new(settings.quarantine, seed),
+            held: BTreeSet::new(),
             settings,
             accounts: BTreeMap::new(),
             pools: BTreeMap::new(),
@@ -77,14 +88,18 @@
             moving: BTreeSet::new(),
             stirred: BTreeSet::new(),
             random: Pcg64::seed_from_u64(seed),
+            seed,
             next_replica: 0,
         }
     }
 
     /// How many entries share the accounts and the replicas, this one included.
     pub fn set_entries(&mut self, entries: u32) {
-        self.settings.placement.entries = entries.max(1);
+        self.settings.concurrency.entries = entries.max(1);
         self.limits.set_entries(entries);
+        for replica in self.replicas.values_mut() {
+            replica.load.set_entries(entries);
+        }
     }
 
     /// Adds an account or changes it.
@@ -105,14 +120,7 @@
         spec: replica::Spec,
         out: &mut Vec<Decision>,
     ) -> replica::Key {
-        let key = replica::Key(self.next_replica);
-        self.next_replica += 1;
-        let replica = Replica::new(spec, self.settings.placement.entries);
-        let pool = replica.spec.pool;
-        self.pool_mut(pool).members.insert(key);
-        self.replicas.insert(key, replica);
-        self.index(key);
-        self.stirred.insert(pool);
+        let key = self.join(now, spec);
         self.poll(now, out);
         key
     }
@@ -151,10 +159,8 @@
     }
 
     /// More tokens came since the last report.
-    pub fn progressed(&mut self, _now: Time, id: job::Id, tokens: u32) {
-        if let Some(open) = self.open.get_mut(&id) {
-            open.made = open.made.saturating_add(tokens);
-        }
+    pub fn progressed(&mut self, now: Time, id: job::Id, tokens: u32) {
+        self.note_progress(now, id, tokens);
     }
 
     /// An attempt ended; `tokens` were generated in it.
@@ -178,13 +184,15 @@
         if let Some(replica) = self.open.get(&id).and_then(|open| open.replica) {
             out.push(Decision::Cancel { job: id, replica });
         }
-        self.close(id);
+        self.close(now, id);
         self.poll(now, out);
     }
 
     /// Takes whatever decisions the time allows.
     pub fn poll(&mut self, now: Time, out: &mut Vec<Decision>) {
         self.expire(now, out);
+        self.judge(now);
+        self.release_held(now, out);
         self.move_on(now, out);
         while let Some(pool) = self.stirred.pop_first() {
             self.dispatch(now, pool, out);
@@ -196,19 +204,32 @@
         if !self.stirred.is_empty() {
             return Some(Time::ZERO);
         }
-        self.expiry.first().map(|(at, _)| *at)
+        let judged = self.pools.values().filter(|pool| pool.running > 0);
+        let judged = judged.map(|pool| pool.monitor.next_wake()).min();
+        let expiry = self.expiry.first().map(|(at, _)| *at);
+        let held = self.held.first().map(|(at, _)| *at);
+        [judged, expiry, held].into_iter().flatten().min()
     }
 
-    /// What to tell the other entries; called once a period of [`crate::configs::limit::Limit`].
+    /// What to tell the other entries; called once a period of [`crate::configs::limit::Config`].
     pub fn digest(&mut self, now: Time) -> Digest {
         Digest {
             limit: self.limits.digest(now),
+            quarantine: self.quarantine.digest(now),
         }
     }
 
     /// Takes in what the entry `peer` told.
-    pub fn absorb(&mut self, now: Time, peer: u64, digest: &Digest, _out: &mut Vec<Decision>) {
+    pub fn absorb(&mut self, now: Time, peer: u64, digest: &Digest, out: &mut Vec<Decision>) {
         self.limits.absorb(now, peer, &digest.limit);
+        self.quarantine.merge(now, &digest.quarantine);
+        self.stir_all();
+        self.poll(now, out);
+    }
+
+    /// Whether the digest holds news that shouldn't wait for the period; asking resets it.
+    pub fn urgent(&mut self) -> bool {
+        self.quarantine.urgent()
     }
 
     /// Why an open job is where it is.
@@ -223,6 +244,9 @@
 
     fn pool_mut(&mut self, key: pool::Key) -> &mut Pool {
         let settings = &self.settings;
-        self.pools.entry(key).or_insert_with(|| Pool::new(settings))
+        let seed = self.seed ^ u64::from(key.0);
+        self.pools
+            .entry(key)
+            .or_insert_with(|| Pool::new(settings, seed))
     }
 }
--- /dev/null
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -0,0 +1,179 @@
+//! Requests that may have crashed a replica: held, run alone, or refused for good.
+
+use clock::Time;
+use verdict::Reason;
+
+use crate::decision::Decision;
+use crate::job;
+use crate::pool;
+use crate::quarantine::Standing;
+use crate::replica;
+use crate::scheduler::Scheduler;
+
+impl Scheduler {
+    /// Whether the fingerprint is quarantined.
+    pub(super) fn is_quarantined(&self, now: Time, fingerprint: u64) -> bool {
+        let standing = self.quarantine.standing(now, fingerprint);
+        self.settings.placement.quarantine && matches!(standing, Standing::Quarantined(_))
+    }
+
+    /// A replica's process died, or so it seems, while the job ran there.
+    pub(super) fn blame(&mut self, now: Time, id: job::Id, key: replica::Key) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let Some(replica) = self.replicas.get(&key).filter(|replica| !replica.leaving) else {
+            return;
+        };
+        let (identity, zone) = (replica.identity, replica.zone);
+        self.quarantine
+            .crashed(now, identity, zone, &[open.job.fingerprint]);
+    }
+
+    /// Takes suspects out of the queue's heads: the others go on, they wait their time.
+    pub(super) fn set_suspects_aside(
+        &mut self,
+        now: Time,
+        key: pool::Key,
+        out: &mut Vec<Decision>,
+    ) {
+        if !self.settings.placement.quarantine {
+            return;
+        }
+        while let Some((id, standing)) = self.first_suspect(now, key) {
+            if matches!(standing, Standing::Quarantined(_)) {
+                self.refuse(
+                    now,
+                    id,
+                    Reason::Quarantined,
+                    "it crashes backend servers",
+                    out,
+                );
+                continue;
+            }
+            self.unqueue(id);
+            let until = match standing {
+                Standing::Held(until) => until,
+                _ => now,
+            };
+            self.held.insert((until, id));
+        }
+    }
+
+    /// Looks again at suspects whose time has come.
+    pub(super) fn release_held(&mut self, now: Time, out: &mut Vec<Decision>) {
+        let due: Vec<(Time, job::Id)> = self
+            .held
+            .iter()
+            .take_while(|(until, _)| *until <= now)
+            .copied()
+            .collect();
+        for (until, id) in due {
+            self.held.remove(&(until, id));
+            let Some(fingerprint) = self.open.get(&id).map(|open| open.job.fingerprint) else {
+                continue;
+            };
+            match self.quarantine.standing(now, fingerprint) {
+                Standing::Clear => self.enqueue(now, id, true),
+                Standing::Held(until) => {
+                    self.held.insert((until, id));
+                }
+                Standing::Quarantined(_) => {
+                    self.refuse(
+                        now,
+                        id,
+                        Reason::Quarantined,
+                        "it crashes backend servers",
+                        out,
+                    );
+                }
+                Standing::Trial => self.try_alone(now, id, out),
+            }
+        }
+    }
+
+    /// The trial is over: the replica is free for others.
+    pub(super) fn end_trial(&mut self, id: job::Id, key: replica::Key) {
+        let Some(replica) = self.replicas.get_mut(&key) else {
+            return;
+        };
+        if replica.trial != Some(id) {
+            return;
+        }
+        replica.trial = None;
+        if let Some(open) = self.open.get(&id) {
+            self.quarantine.trial_ended(open.job.fingerprint);
+        }
+    }
+
+    /// Gives up a trial that has not begun.
+    pub(super) fn drop_trial(&mut self, id: job::Id) {
+        // A trial that has not begun belongs to a held suspect: mostly there is none to search for.
+        if self.held.is_empty() {
+            return;
+        }
+        let waits = |replica: &crate::scheduler::state::Replica| replica.trial == Some(id);
+        let found = self.replicas.iter().find(|(_, replica)| waits(replica));
+        if let Some(key) = found.map(|(key, _)| *key) {
+            self.end_trial(id, key);
+        }
+    }
+
+    fn first_suspect(&self, now: Time, key: pool::Key) -> Option<(job::Id, Standing)> {
+        let pool = self.pools.get(&key)?;
+        self.heads(pool).into_iter().find_map(|head| {
+            let open = self.open.get(&head.id)?;
+            let standing = self.quarantine.standing(now, open.job.fingerprint);
+            (standing != Standing::Clear).then_some((head.id, standing))
+        })
+    }
+
+    /// Starts the suspect alone on its place, or keeps the place free until it is empty.
+    fn try_alone(&mut self, now: Time, id: job::Id, out: &mut Vec<Decision>) {
+        let again = now + self.settings.health.period;
+        let Some(key) = self.place_for(now, id) else {
+            self.held.insert((again, id));
+            return;
+        };
+        let Some(fingerprint) = self.open.get(&id).map(|open| open.job.fingerprint) else {
+            return;
+        };
+        let Some(replica) = self.replicas.get_mut(&key) else {
+            return;
+        };
+        if replica.trial.is_none() {
+            replica.trial = Some(id);
+            self.quarantine.trial_started(fingerprint, replica.identity);
+        }
+        if !replica.jobs.is_empty() {
+            self.held.insert((again, id));
+            return;
+        }
+        self.start(now, id, key);
+        out.push(Decision::Start {
+            job: id,
+            replica: key,
+        });
+    }
+
+    /// The suspect's place, if it may be kept free for it.
+    fn place_for(&self, now: Time, id: job::Id) -> Option<replica::Key> {
+        let open = self.open.get(&id)?;
+        let pool = self.pools.get(&open.job.pool)?;
+        let members = pool.members.iter().filter_map(|key| {
+            let replica = self.replicas.get(key)?;
+            Some((*key, replica.identity))
+        });
+        let key = self.quarantine.place(open.job.fingerprint, members)?;
+        let replica = self.replicas.get(&key)?;
+        if replica.trial == Some(id) {
+            return Some(key);
+        }
+        let most = (pool.members.len() / self.settings.placement.trial_share).max(1);
+        let taken = replica.trial.is_some()
+            || self.quarantine.is_reserved(now, replica.identity)
+            || self.quarantine.reserved(now) >= most
+            || open.tried.contains(&key);
+        (!taken).then_some(key)
+    }
+}
--- a/crates/policy/src/scheduler/wave.rs
+++ b/crates/policy/src/scheduler/wave.rs
@@ -15,30 +15,33 @@
             return;
         };
         replica.leaving = true;
-        let pool = replica.spec.pool;
         for id in &replica.jobs {
             let kind = self.open.get(id).map(|open| open.job.kind);
             if kind == Some(job::Kind::Model) {
                 self.moving.insert(*id);
             }
         }
-        self.index(key);
-        if let Some(pool) = self.pools.get_mut(&pool) {
-            pool.members.remove(&key);
-        }
+        self.drop_member(key);
     }
 
     /// Moves what must move, while there is room for it.
-    pub(super) fn move_on(&mut self, _now: Time, out: &mut Vec<Decision>) {
+    pub(super) fn move_on(&mut self, now: Time, out: &mut Vec<Decision>) {
         let moving: Vec<job::Id> = self.moving.iter().copied().collect();
         for id in moving {
-            let Some(to) = self.choose(id) else {
+            let pool = self
+                .open
+                .get(&id)
+                .and_then(|open| self.pools.get(&open.job.pool));
+            let Some(candidates) = pool.map(|pool| self.candidates(now, pool)) else {
+                continue;
+            };
+            let Some(to) = self.choose(now, id, &candidates) else {
                 continue;
             };
-            let Some(from) = self.take_off(id) else {
+            let Some(from) = self.take_off(now, id, job::End::Left) else {
                 continue;
             };
-            self.put_on(id, to);
+            self.put_on(now, id, to);
             out.push(Decision::Move {
                 job: id,
                 from,
@@ -50,16 +53,13 @@
 
     /// Drops a replica that is gone.
     pub(super) fn forget(&mut self, key: replica::Key) {
+        self.drop_member(key);
         let Some(replica) = self.replicas.get_mut(&key) else {
             return;
         };
-        replica.leaving = true;
-        self.index(key);
-        let Some(replica) = self.replicas.remove(&key) else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&replica.spec.pool) {
-            pool.members.remove(&key);
+        replica.lost = true;
+        if replica.jobs.is_empty() {
+            self.replicas.remove(&key);
         }
     }
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,12 +1,16 @@
 //! Compares a settings file with the schema and names every fault with its line.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ParseResult;
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged;
+use jsonc_parser::parse_to_ast;
 use serde_json::Value;
 
+use crate::expect::expected;
 use crate::fault::Fault;
 use crate::schema::join;
 
@@ -27,6 +31,25 @@
     pub value: Value,
 }
 
+/// Reads the syntax: JSON with comments and trailing commas, nothing looser.
+pub fn parse<'a>(file: &str, text: &'a str) -> Result<ParseResult<'a>, Fault> {
+    let options = ParseOptions {
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+        ..ParseOptions::default()
+    };
+    parse_to_ast(text, &CollectOptions::default(), &options).map_err(|error| Fault {
+        line: error.line_display(),
+        ..Fault::whole(file, error.kind().to_string())
+    })
+}
+
 /// Walks the file beside the schema.
 pub fn check(file: &str, text: &str, root: Option<&ast::Value<'_>>, schema: &Value) -> Findings {
     let mut walk = Walk {
@@ -51,9 +74,13 @@
 impl Walk<'_> {
     /// Checks one value; gives it as JSON if it is sound.
     fn node(&mut self, node: &ast::Value<'_>, schema: &Value, name: &str) -> Option<Value> {
+        let schema = variant(node, schema);
         if schema.get("properties").is_some() {
             return self.section(node, schema, name);
         }
+        if let Some(below) = schema.get("items") {
+            return self.list(node, below, name);
+        }
         let value = plain(node);
         match expected(&value, schema) {
             None => Some(value),
@@ -93,9 +120,32 @@
                 sound.insert(step.to_owned(), value);
             }
         }
+        for step in names(schema, "required") {
+            let option = join(name, step);
+            if object.get(step).is_none() {
+                self.fault(node.start(), &option, "it must be set".to_owned());
+            }
+        }
         Some(Value::Object(sound))
     }
 
+    /// Checks a list item by item.
+    fn list(&mut self, node: &ast::Value<'_>, below: &Value, name: &str) -> Option<Value> {
+        let ast::Value::Array(array) = node else {
+            let message = format!("expected a list, found {}", found(node));
+            self.fault(node.start(), name, message);
+            return None;
+        };
+        let mut sound = Vec::new();
+        for (index, element) in array.elements.iter().enumerate() {
+            let option = format!("{name}[{index}]");
+            let line = self.line(element.start());
+            self.findings.lines.insert(option.clone(), line);
+            sound.extend(self.node(element, below, &option));
+        }
+        Some(Value::Array(sound))
+    }
+
     /// Notes a fault at a byte of the file.
     fn fault(&mut self, at: usize, option: &str, message: String) {
         let fault = Fault {
@@ -135,94 +185,25 @@
         .map(|(_, candidate)| candidate.to_owned())
 }
 
-/// What the schema wants in place of `value`; nothing if the value is sound.
-fn expected(value: &Value, schema: &Value) -> Option<String> {
-    let optional = types(schema).any(|kind| kind == "null");
-    if value.is_null() && optional {
-        return None;
-    }
-    if let Some(words) = words(schema) {
-        let sound = value.as_str().is_some_and(|word| words.contains(&word));
-        return (!sound).then(|| format!("one of {}", words.join(", ")));
-    }
-    let kind = types(schema).find(|kind| *kind != "null").unwrap_or("");
-    match kind {
-        "integer" => integer(value, schema),
-        "string" => string(value, schema),
-        "boolean" => (!value.is_boolean()).then(|| "true or false".to_owned()),
-        _ => None,
-    }
-}
-
-/// The types that the schema admits.
-fn types(schema: &Value) -> impl Iterator<Item = &str> {
-    let kind = schema.get("type");
-    let one = kind.and_then(Value::as_str);
-    let several = kind.and_then(Value::as_array).into_iter().flatten();
-    one.into_iter().chain(several.filter_map(Value::as_str))
-}
-
-/// The words of an enumeration.
-pub fn words(schema: &Value) -> Option<Vec<&str>> {
-    if let Some(words) = schema.get("enum").and_then(Value::as_array) {
-        return Some(words.iter().filter_map(Value::as_str).collect());
-    }
-    let variants = schema.get("oneOf").and_then(Value::as_array)?;
-    let words = variants.iter().filter_map(|variant| variant.get("const"));
-    Some(words.filter_map(Value::as_str).collect())
-}
-
-/// Checks a whole number and its bounds.
-fn integer(value: &Value, schema: &Value) -> Option<String> {
-    let least = schema.get("minimum").and_then(Value::as_u64).unwrap_or(0);
-    let most = schema.get("maximum").and_then(Value::as_u64);
-    let most = most.unwrap_or(u64::MAX);
-    let sound = value
-        .as_u64()
-        .is_some_and(|number| (least..=most).contains(&number));
-    (!sound).then(|| format!("a whole number from {least} to {most}"))
-}
-
-/// Checks a text, its length and its form.
-fn string(value: &Value, schema: &Value) -> Option<String> {
-    let Some(text) = value.as_str() else {
-        return Some(form(schema).to_owned());
+/// The variant of a tagged union that the value's `type` names; the schema itself if it is none.
+fn variant<'s>(node: &ast::Value<'_>, schema: &'s Value) -> &'s Value {
+    let Some(variants) = schema.get("oneOf").and_then(Value::as_array) else {
+        return schema;
     };
-    let least = schema.get("minLength").and_then(Value::as_u64).unwrap_or(0);
-    let most = schema.get("maxLength").and_then(Value::as_u64);
-    let most = most.unwrap_or(u64::MAX);
-    if !(least..=most).contains(&(text.chars().count() as u64)) {
-        return Some(format!("{least} to {most} characters"));
-    }
-    let sound = match schema.get("format").and_then(Value::as_str) {
-        Some("socket-address") => text.parse::<SocketAddr>().is_ok(),
-        Some("http-address") => is_http_address(text),
-        Some("name") => is_name(text),
-        _ => true,
+    let object = node.as_object();
+    let tag = object.and_then(|object| object.get_string("type"));
+    let tag = tag.map(|tag| tag.value.as_ref());
+    let named = |variant: &&Value| {
+        let known = variant.pointer("/properties/type/const");
+        known.is_some() && known.and_then(Value::as_str) == tag
     };
-    (!sound).then(|| form(schema).to_owned())
-}
-
-/// The form that the schema wants of a text, in words.
-pub fn form(schema: &Value) -> &'static str {
-    match schema.get("format").and_then(Value::as_str) {
-        Some("socket-address") => "an address such as \"127.0.0.1:8000\" or \"[::1]:8000\"",
-        Some("http-address") => "an address such as \"http://127.0.0.1:7000\"",
-        Some("name") => "a name of 1 to 63 of a-z, 0-9 and -",
-        _ => "a text",
-    }
-}
-
-/// Whether it is `http://IP:PORT`.
-fn is_http_address(text: &str) -> bool {
-    text.strip_prefix("http://")
-        .is_some_and(|rest| rest.parse::<SocketAddr>().is_ok())
+    variants.iter().find(named).unwrap_or(schema)
 }
 
-/// Whether it may name an entry or a zone.
-fn is_name(text: &str) -> bool {
-    let good = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
-    (1..=63).contains(&text.len()) && text.bytes().all(good)
+/// A list of names in the schema.
+fn names<'s>(schema: &'s Value, list: &str) -> impl Iterator<Item = &'s str> {
+    let names = schema.get(list).and_then(Value::as_array);
+    names.into_iter().flatten().filter_map(Value::as_str)
 }
 
 /// The value as JSON.
