--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -10,17 +10,18 @@
 use capnp_rpc::twoparty::VatNetwork;
 use clock::Span;
 use futures::AsyncReadExt;
+use member::digest::Digest;
 use request::id::Incarnation;
 use request::ledger::Answer;
 use request::ledger::Estate;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 use tokio_util::compat::TokioAsyncReadCompatExt;
+use wire::peer_capnp;
+use wire::peer_capnp::door;
+use wire::peer_capnp::entry;
 
 use crate::configs::limit::Limit;
-use crate::peer_capnp;
-use crate::peer_capnp::door;
-use crate::peer_capnp::entry;
 use crate::proof;
 use crate::proof::Key;
 use crate::proof::Side;
@@ -79,10 +80,10 @@
     }
 
     /// Sends a digest.
-    pub async fn digest(&self, address: &SmolStr, bytes: &[u8]) -> Result<(), Lost> {
+    pub async fn digest(&self, address: &SmolStr, digest: &Digest) -> Result<(), Lost> {
         let entry = self.entry(address).await?;
         let mut request = entry.digest_request();
-        request.get().set_bytes(bytes);
+        wire::digest::write(digest, request.get().init_digest());
         self.answer(address, request.send().promise).await?;
         Ok(())
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,8 +10,3 @@
 pub mod proof;
 pub mod receiver;
 pub mod server;
-
-/// Drawn from `schema/peer.capnp` by `cargo run -p peer --example regenerate`.
-#[allow(missing_docs, clippy::all, clippy::unwrap_used)]
-#[rustfmt::skip]
-pub mod peer_capnp;
--- a/crates/peer/src/receiver.rs
+++ b/crates/peer/src/receiver.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
+use member::digest::Digest;
 use request::id::Incarnation;
 use request::ledger::Answer;
 use request::ledger::Estate;
@@ -20,7 +21,7 @@
     fn inherit(&self, estates: Vec<Estate>) -> Pending<Incarnation>;
 
     /// Takes a digest.
-    fn digest(&self, bytes: Vec<u8>);
+    fn digest(&self, digest: Digest);
 
     /// Takes a message about the configuration.
     fn configure(&self, from: u64, message: Vec<u8>);
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -14,11 +14,11 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio_util::compat::TokioAsyncReadCompatExt;
+use wire::peer_capnp::Answer;
+use wire::peer_capnp::door;
+use wire::peer_capnp::entry;
 
 use crate::configs::limit::Limit;
-use crate::peer_capnp::Answer;
-use crate::peer_capnp::door;
-use crate::peer_capnp::entry;
 use crate::proof;
 use crate::proof::Key;
 use crate::proof::NONCE_BYTES;
@@ -183,7 +183,8 @@
         params: entry::DigestParams,
         _: entry::DigestResults,
     ) -> Result<(), capnp::Error> {
-        self.receiver.digest(params.get()?.get_bytes()?.to_vec());
+        let digest = wire::digest::read(params.get()?.get_digest()?)?;
+        self.receiver.digest(digest);
         Ok(())
     }
 
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! What entries say to each other, in bytes.
+//!
+//! The schema is `schema/peer.capnp`. Its encoding lets an older entry pass over what it doesn't know
+//! and gives a newer one defaults for what wasn't said, so that two releases run side by side.
+
+pub mod digest;
+pub mod news;
+
+/// Drawn from `schema/peer.capnp` by `cargo run -p wire --example regenerate`.
+#[allow(missing_docs, clippy::all, clippy::unwrap_used)]
+#[rustfmt::skip]
+pub mod peer_capnp;
