--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod logs;
 pub mod output;
+pub mod peers;
 pub mod plain;
 pub mod platform;
 pub mod run;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -6,6 +6,10 @@
 use entry::effect::Addresses;
 use entry::effect::Command;
 use entry::event::Event;
+use request::id::Incarnation;
+use request::ledger::Answer;
+use request::ledger::Estate;
+use request::ticket::Ticket;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -47,6 +51,20 @@
         /// The way back; none when it was done.
         reply: oneshot::Sender<Option<Refusal>>,
     },
+    /// A peer asks for a ticket to be spent.
+    Spend {
+        /// The ticket.
+        ticket: Ticket,
+        /// The way back.
+        reply: oneshot::Sender<Answer>,
+    },
+    /// A peer hands its ledgers on.
+    Inherit {
+        /// What it hands on.
+        estates: Vec<Estate>,
+        /// The way back.
+        reply: oneshot::Sender<Option<Incarnation>>,
+    },
 }
 
 /// A task's end of the way. Cheap to share within the thread.
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,130 @@
+//! Other entries: carries what the reducer says to them, and tells it what they say.
+
+use std::rc::Rc;
+
+use config::message::Message as ConfigMessage;
+use entry::event::Event;
+use member::digest::Digest;
+use peer::client;
+use peer::receiver::Pending;
+use peer::receiver::Receiver;
+use request::id::Incarnation;
+use request::ledger::Answer;
+use request::ledger::Estate;
+use request::seal::Seal;
+use request::ticket::Ticket;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use crate::link::Link;
+use crate::link::Message;
+
+/// The way to other entries. Nothing waits for it: words come back as events.
+pub struct Peers {
+    link: Rc<Link>,
+    client: client::Peers,
+    me: Incarnation,
+    tickets: Rc<Seal>,
+}
+
+impl Peers {
+    /// Calls peers in the name of `me`; `tickets` seals tickets on their way.
+    pub fn new(link: Rc<Link>, client: client::Peers, me: Incarnation, tickets: Seal) -> Peers {
+        Peers {
+            link,
+            client,
+            me,
+            tickets: Rc::new(tickets),
+        }
+    }
+
+    /// Asks a peer to spend a ticket.
+    pub fn ask_spend(&self, serial: u64, address: SmolStr, ticket: Ticket) {
+        let client = self.client.clone();
+        let link = Rc::clone(&self.link);
+        let sealed = self.tickets.close(&ticket);
+        tokio::task::spawn_local(async move {
+            let answer = client.spend(&address, &sealed).await.ok();
+            link.event(Event::SpendAnswered { serial, answer });
+        });
+    }
+
+    /// Hands ledgers on to a peer.
+    pub fn offer(&self, address: SmolStr, estates: Vec<Estate>) {
+        let client = self.client.clone();
+        let link = Rc::clone(&self.link);
+        tokio::task::spawn_local(async move {
+            let by = client.inherit(&address, &estates).await.unwrap_or(None);
+            link.event(Event::EstatesTaken { by });
+        });
+    }
+
+    /// Sends a digest; its loss does no harm.
+    pub fn send_digest(&self, address: SmolStr, digest: Digest) {
+        let client = self.client.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(lost) = client.digest(&address, &digest).await {
+                log::debug!(event = "digest_lost", peer = address.as_str(), error = lost.0.as_str(); "");
+            }
+        });
+    }
+
+    /// Sends a message about the configuration; its loss does no harm.
+    pub fn send_configure(&self, address: SmolStr, message: ConfigMessage) {
+        let client = self.client.clone();
+        let me = self.me;
+        tokio::task::spawn_local(async move {
+            let Ok(bytes) = serde_json::to_vec(&message) else {
+                return;
+            };
+            if let Err(lost) = client.configure(&address, me, &bytes).await {
+                log::debug!(event = "configure_lost", peer = address.as_str(), error = lost.0.as_str(); "");
+            }
+        });
+    }
+}
+
+/// Answers peers.
+pub struct Answering {
+    link: Rc<Link>,
+    tickets: Seal,
+}
+
+impl Answering {
+    /// Answers by asking the loop; `tickets` opens tickets.
+    pub fn new(link: Rc<Link>, tickets: Seal) -> Answering {
+        Answering { link, tickets }
+    }
+}
+
+impl Receiver for Answering {
+    fn spend(&self, ticket: SmolStr) -> Pending<Answer> {
+        let (reply, answer) = oneshot::channel();
+        if let Some(ticket) = self.tickets.open(&ticket) {
+            self.link.send(Message::Spend { ticket, reply });
+        }
+        Box::pin(async move { answer.await.ok() })
+    }
+
+    fn inherit(&self, estates: Vec<Estate>) -> Pending<Incarnation> {
+        let (reply, answer) = oneshot::channel();
+        self.link.send(Message::Inherit { estates, reply });
+        Box::pin(async move { answer.await.ok().flatten() })
+    }
+
+    fn digest(&self, digest: Digest) {
+        self.link.event(Event::DigestReceived(digest));
+    }
+
+    fn configure(&self, from: u64, message: Vec<u8>) {
+        match serde_json::from_slice(&message) {
+            Ok(message) => self.link.event(Event::ConfigureReceived {
+                from: Incarnation(from),
+                message,
+            }),
+            Err(error) => {
+                log::warn!(event = "message_unreadable", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -15,9 +15,12 @@
 use entry::entry::Entry;
 use entry::identity::Identity;
 use front::configs::limit::Limit;
+use peer::proof::Key;
 use prometheus::Registry;
 use request::id::Incarnation;
+use request::seal::RESUME_PURPOSE;
 use request::seal::Seal;
+use request::seal::TICKET_PURPOSE;
 use settings::Settings;
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
@@ -35,6 +38,8 @@
 use crate::flight::Shared;
 use crate::link::Link;
 use crate::logs;
+use crate::peers::Answering;
+use crate::peers::Peers;
 use crate::platform;
 use crate::shell::Askers;
 use crate::shell::Shell;
@@ -106,7 +111,7 @@
     let shared = Rc::new(Shared {
         link: Rc::clone(&link),
         client: client.clone(),
-        seal: Seal::new(shared_key, "resume"),
+        seal: Seal::new(shared_key, RESUME_PURPOSE),
     });
     let ready = Rc::new(Cell::new(false));
     let entry = Entry::new(
@@ -115,7 +120,7 @@
         shared_key,
         random()?,
     );
-    let tickets = Seal::new(shared_key, "ticket");
+    let tickets = Seal::new(shared_key, TICKET_PURPOSE);
     let callers = Rc::new(Callers::new(shared, identity.incarnation, tickets));
     let (call_sender, calls) = mpsc::channel(CALLS_WAITING);
     let operators_key = settings.operators.key.reveal().to_owned();
@@ -132,7 +137,21 @@
         callers,
         ended,
     ));
+    let peer_key = Key::new(shared_key);
+    let answering = Rc::new(Answering::new(
+        Rc::clone(&link),
+        Seal::new(shared_key, TICKET_PURPOSE),
+    ));
+    let peer_limit = peer::configs::limit::Limit::default();
+    let peer_server = peer::server::serve(sockets.peers, peer_key.clone(), peer_limit, answering);
+    let peers = Peers::new(
+        Rc::clone(&link),
+        peer::client::Peers::new(peer_key, peer_limit),
+        identity.incarnation,
+        Seal::new(shared_key, TICKET_PURPOSE),
+    );
     let tasks = [
+        tokio::task::spawn_local(peer_server),
         tokio::task::spawn_local(admin::serve(sockets.admin, admin)),
         tokio::task::spawn_local(serve_operators(
             sockets.operators,
@@ -149,6 +168,7 @@
         entry,
         link,
         store: Rc::new(store),
+        peers,
         ready,
         flights: HashMap::new(),
         askers: Askers::default(),
@@ -160,7 +180,6 @@
     for task in tasks {
         task.abort();
     }
-    drop(sockets.peers);
     Ok(())
 }
 
@@ -230,6 +249,7 @@
     entry::configs::entry::Settings {
         address_ttl: Span::from_millis(settings.callers.address_ttl_ms),
         grace: Span::from_millis(settings.shutdown.grace_ms),
+        lease_term: Span::from_millis(settings.leases.term_ms),
         ..entry::configs::entry::Settings::default()
     }
 }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -13,6 +13,8 @@
 use entry::event::Event;
 use ops::fault::Fault;
 use ops::reply::Reply;
+use request::id::Incarnation;
+use request::ledger::Answer;
 use smol_str::SmolStr;
 use store::driver::Driver;
 use tokio::sync::mpsc;
@@ -22,6 +24,7 @@
 use crate::link::Link;
 use crate::link::Message;
 use crate::logs;
+use crate::peers::Peers;
 
 /// How often the reducer is told that time has passed.
 const TICK_TIME: Duration = Duration::from_millis(20);
@@ -38,6 +41,8 @@
     pub link: Rc<Link>,
     /// The table service.
     pub store: Rc<Driver>,
+    /// Other entries.
+    pub peers: Peers,
     /// What the admin port says.
     pub ready: Rc<Cell<bool>>,
     /// Tasks of open requests.
@@ -53,6 +58,8 @@
     addresses: HashMap<u64, oneshot::Sender<Addresses>>,
     cancels: HashMap<u64, oneshot::Sender<Option<Refusal>>>,
     operators: HashMap<u64, oneshot::Sender<Result<Reply, Fault>>>,
+    spends: HashMap<u64, oneshot::Sender<Answer>>,
+    heirs: HashMap<u64, oneshot::Sender<Option<Incarnation>>>,
 }
 
 impl Askers {
@@ -93,8 +100,9 @@
     /// Takes one event; gives whether the process may end.
     fn step(&mut self, event: Event) -> bool {
         let mut effects = Vec::new();
-        self.entry.step(self.clock.now(), event, &mut effects);
-        self.ready.set(self.entry.is_ready());
+        let now = self.clock.now();
+        self.entry.step(now, event, &mut effects);
+        self.ready.set(self.entry.is_ready(now));
         let mut exit = false;
         for effect in effects {
             exit |= matches!(effect, Effect::Exit);
@@ -137,6 +145,16 @@
                     request,
                 })
             }
+            Message::Spend { ticket, reply } => {
+                let asker = self.askers.number();
+                self.askers.spends.insert(asker, reply);
+                Some(Event::SpendAsked { asker, ticket })
+            }
+            Message::Inherit { estates, reply } => {
+                let asker = self.askers.number();
+                self.askers.heirs.insert(asker, reply);
+                Some(Event::EstatesOffered { asker, estates })
+            }
         }
     }
 
@@ -175,12 +193,27 @@
             }
             Effect::Store { id, call } => self.call_store(id, call),
             Effect::Log(line) => logs::write(&self.name, &line),
-            Effect::AskSpend { .. }
-            | Effect::SpendAnswer { .. }
-            | Effect::OfferEstates { .. }
-            | Effect::EstatesTaken { .. }
-            | Effect::SendDigest { .. }
-            | Effect::Exit => {}
+            Effect::SpendAnswer { asker, answer } => {
+                if let Some(reply) = self.askers.spends.remove(&asker) {
+                    let _ = reply.send(answer);
+                }
+            }
+            Effect::EstatesTaken { asker, by } => {
+                if let Some(reply) = self.askers.heirs.remove(&asker) {
+                    let _ = reply.send(by);
+                }
+            }
+            Effect::AskSpend {
+                serial,
+                address,
+                ticket,
+            } => self.peers.ask_spend(serial, address, ticket),
+            Effect::OfferEstates { address, estates } => self.peers.offer(address, estates),
+            Effect::SendDigest { address, digest } => self.peers.send_digest(address, digest),
+            Effect::SendConfigure { address, message } => {
+                self.peers.send_configure(address, message);
+            }
+            Effect::Exit => {}
         }
     }
 
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -1,7 +1,6 @@
 //! Answers to callers who ask which entries to use.
 
 use clock::Time;
-use request::id::Incarnation;
 use smol_str::SmolStr;
 
 use crate::effect::Address;
@@ -9,9 +8,6 @@
 use crate::effect::Effect;
 use crate::entry::Entry;
 
-/// Weight of an entry that takes its full share.
-const FULL_WEIGHT: u32 = 100;
-
 impl Entry {
     /// Answers with the entries to use and, to a known account, some tickets.
     pub(crate) fn addresses_asked(
@@ -22,7 +18,6 @@
         prefix: Option<u64>,
         effects: &mut Vec<Effect>,
     ) {
-        let _ = prefix;
         let tickets = match self.account_of(key.as_ref()) {
             Ok(account) if !self.stop.is_stopping() => {
                 let count = self.settings.tickets_per_answer;
@@ -31,28 +26,23 @@
             _ => Vec::new(),
         };
         let answer = Addresses {
-            entries: self.usable_entries(),
+            entries: self.usable_entries(now, prefix),
             ttl: self.settings.address_ttl,
             tickets,
         };
         effects.push(Effect::Addresses { asker, answer });
     }
 
-    /// Entries that admit requests, as far as known here.
-    fn usable_entries(&self) -> Vec<Address> {
-        if self.stop.is_stopping() {
-            return Vec::new();
-        }
-        vec![Address {
-            address: self.identity.caller_address.clone(),
-            zone: self.identity.zone.clone(),
-            weight: FULL_WEIGHT,
-        }]
-    }
-
-    /// `host:port` of the entry that holds the ledger of a minter.
-    pub(crate) fn ledger_holder(&self, minter: Incarnation) -> Option<SmolStr> {
-        let _ = minter;
-        None
+    /// Entries that admit requests, as far as known here; the owner of the prefix comes first.
+    fn usable_entries(&mut self, now: Time, prefix: Option<u64>) -> Vec<Address> {
+        let named = self.membership.addresses(now, prefix);
+        named
+            .into_iter()
+            .map(|named| Address {
+                address: named.address,
+                zone: named.zone,
+                weight: named.weight,
+            })
+            .collect()
     }
 }
--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -119,8 +119,11 @@
             let refusal = Refusal::not_run(Reason::Leaving, "this entry is leaving");
             return Err(refusal.with_retry_after(LEAVING_RETRY));
         }
-        if !self.is_ready() {
-            let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known here yet");
+        if !self.is_ready(now) {
+            let refusal = Refusal::not_run(
+                Reason::NotReady,
+                "this entry can't be sure yet of the newest configuration",
+            );
             return Err(refusal.with_retry_after(NOT_READY_RETRY));
         }
         let account = self.account_of(arrival.key.as_ref())?;
--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -1,6 +1,7 @@
 //! Times and shares of one entry.
 
 use clock::Span;
+use smol_str::SmolStr;
 
 /// What the reducer needs of the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,8 +12,10 @@
     pub tickets_per_answer: u64,
     /// Time in which requests may finish before they are handed to a peer, on a planned stop.
     pub grace: Span,
-    /// How often the configuration's head row is read.
-    pub head_interval: Span,
+    /// Term of this entry's lease.
+    pub lease_term: Span,
+    /// Peer addresses to try while no members are known.
+    pub seeds: Vec<SmolStr>,
     /// Longest wait for a row of its own before a request is given up.
     pub intent_wait: Span,
 }
@@ -23,7 +26,8 @@
             address_ttl: Span::from_seconds(10),
             tickets_per_answer: 4,
             grace: Span::from_seconds(20),
-            head_interval: Span::from_seconds(2),
+            lease_term: Span::from_seconds(6),
+            seeds: Vec::new(),
             intent_wait: Span::from_seconds(2),
         }
     }
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -1,122 +1,120 @@
-//! The configuration's head row: read it, and write operators' changes under its revision.
+//! The configuration: what the agreement machine is told, asks for and puts in force.
 
+use clock::Span;
 use clock::Time;
+use config::agreement::Agreement;
+use config::change;
+use config::change::Answer;
+use config::change::Operation;
+use config::edit;
+use config::event::Effect as ConfigEffect;
+use config::event::Event as ConfigEvent;
+use config::message::Message;
 use config::snapshot::Snapshot;
+use lease::holder;
+use lease::holding::Holding;
+use lease::view::View;
 use ops::fault::Fault;
 use ops::reply::Changed;
 use ops::reply::Reply;
+use ops::request::Change;
+use ops::request::Edit;
 use smol_str::SmolStr;
-use store::call::Address;
-use store::call::Call;
-use store::call::Check;
-use store::call::Outcome;
-use store::call::Row;
-use store::call::Transaction;
-use store::call::Write;
+use smol_str::format_smolstr;
 
 use crate::effect::Effect;
 use crate::entry::Entry;
 use crate::entry::Waiter;
 use crate::line::Line;
+use crate::operators;
 
-/// Where the newest configuration stands.
-const HEAD: (&str, &str) = ("config", "head");
-
-/// What is going on with the head row.
-#[derive(Debug, Default)]
-pub(crate) struct Configuration {
-    revision: Option<u64>,
-    next_read: Time,
-    busy: bool,
-    changing: Option<Changing>,
-}
-
-/// A change on its way.
-#[derive(Debug)]
-struct Changing {
-    call: u64,
-    snapshot: Snapshot,
-}
+/// Shortest time that a change is given to be in force everywhere.
+const LEAST_WAIT: Span = Span::from_millis(500);
 
 impl Entry {
-    /// Reads the head row when it is time.
+    /// Lets the agreement machine act on the time.
     pub(crate) fn configuration_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if self.configuration.busy || now < self.configuration.next_read {
-            return;
+        if self
+            .agreement
+            .next_wake(now)
+            .is_some_and(|wake| wake <= now + Span::from_millis(1))
+        {
+            self.agree(now, ConfigEvent::Wake, effects);
+        }
+    }
+
+    /// Takes one event into the agreement machine and carries out what it asks for.
+    pub(crate) fn agree(&mut self, now: Time, event: ConfigEvent, effects: &mut Vec<Effect>) {
+        let mut asked = Vec::new();
+        self.agreement.step(now, event, &mut asked);
+        for effect in asked {
+            match effect {
+                ConfigEffect::Store { id, call } => {
+                    self.ask_store(Waiter::Agreement(id), call, effects);
+                }
+                ConfigEffect::Send { to, message } => self.send_configure(to, message, effects),
+                ConfigEffect::View => self.look(now, effects),
+                ConfigEffect::Apply(snapshot) => self.apply(now, &snapshot, effects),
+                ConfigEffect::Answer { operation, answer } => {
+                    let reply = reply_of(self.agreement.snapshot(), answer);
+                    let call = operation.0;
+                    effects.push(Effect::Operator { call, reply });
+                }
+            }
         }
-        self.configuration.busy = true;
-        self.configuration.next_read = now + self.settings.head_interval;
-        self.ask_store(Waiter::Configuration, Call::Get { at: head() }, effects);
     }
 
-    /// Writes a new configuration under the head's revision.
-    pub(crate) fn write_configuration(
+    /// An operator's change: its edits are checked here, its base against the newest version there.
+    pub(crate) fn change_asked(
         &mut self,
+        now: Time,
         call: u64,
-        snapshot: Snapshot,
+        asked: Change,
         effects: &mut Vec<Effect>,
     ) {
-        let transaction = Transaction {
-            token: SmolStr::default(),
-            checks: vec![Check {
-                at: head(),
-                revision: self.configuration.revision,
-            }],
-            writes: vec![Write {
-                at: head(),
-                value: serde_json::to_value(&snapshot).unwrap_or_default(),
-            }],
+        if let Err(fault) = operators::check(self.book.snapshot(), &asked.edit) {
+            let reply = Err(fault);
+            return effects.push(Effect::Operator { call, reply });
+        }
+        let change = change::Change {
+            id: asked.id,
+            base: asked.expected_version,
+            edits: vec![edit_of(asked.edit)],
+        };
+        let submit = ConfigEvent::Submit {
+            operation: Operation(call),
+            change,
+            deadline: now + asked.wait.max(LEAST_WAIT),
         };
-        self.configuration.changing = Some(Changing { call, snapshot });
-        self.ask_store(Waiter::Configuration, Call::Transact(transaction), effects);
+        self.agree(now, submit, effects);
     }
 
-    /// The table service answered.
-    pub(crate) fn configuration_answered(
+    /// All members were read.
+    pub(crate) fn viewed(&mut self, now: Time, view: View, effects: &mut Vec<Effect>) {
+        self.agree(now, ConfigEvent::View(view), effects);
+    }
+
+    /// Our own lease was gained, renewed or lost.
+    pub(crate) fn leased(&mut self, now: Time, holding: Holding, effects: &mut Vec<Effect>) {
+        self.agree(now, ConfigEvent::Lease(holding), effects);
+    }
+
+    /// A peer sent a message.
+    pub(crate) fn configure_received(
         &mut self,
         now: Time,
-        outcome: Outcome,
+        from: u64,
+        message: Message,
         effects: &mut Vec<Effect>,
     ) {
-        self.configuration.busy = false;
-        match outcome {
-            Outcome::Row(row) => self.head_read(now, row, effects),
-            Outcome::Committed(revision) => {
-                self.configuration.revision = Some(revision);
-                let Some(changing) = self.configuration.changing.take() else {
-                    return;
-                };
-                let version = changing.snapshot.version;
-                self.apply(now, changing.snapshot, effects);
-                let reply = Ok(Reply::Changed(Changed::Accepted { version }));
-                let call = changing.call;
-                effects.push(Effect::Operator { call, reply });
-            }
-            Outcome::Unavailable | Outcome::Unknown | Outcome::Conflict(_) => {
-                if let Some(Changing { call, .. }) = self.configuration.changing.take() {
-                    let reply = Err(Fault::OutcomeUnknown);
-                    effects.push(Effect::Operator { call, reply });
-                }
-            }
-            Outcome::Rows { .. } => {}
-        }
-    }
-
-    /// Applies what the head row holds.
-    fn head_read(&mut self, now: Time, row: Option<Row>, effects: &mut Vec<Effect>) {
-        let Some(row) = row else {
-            return;
-        };
-        self.configuration.revision = Some(row.revision);
-        if let Ok(snapshot) = serde_json::from_value(row.value) {
-            self.apply(now, snapshot, effects);
-        }
+        let from = holder::Id(from);
+        self.agree(now, ConfigEvent::Peer { from, message }, effects);
     }
 
     /// Puts a configuration in force.
-    pub(crate) fn apply(&mut self, _now: Time, snapshot: Snapshot, effects: &mut Vec<Effect>) {
+    fn apply(&mut self, now: Time, snapshot: &Snapshot, effects: &mut Vec<Effect>) {
         let version = snapshot.version;
-        if !self.book.apply(snapshot) {
+        if !self.book.apply(snapshot.clone()) {
             return;
         }
         for (key, spec) in self.book.account_specs() {
@@ -125,13 +123,83 @@
         effects.push(Effect::Log(
             Line::info("configuration_applied").with("version", version),
         ));
+        self.applied(now, version, effects);
+    }
+
+    /// Sends a message to a member whose address is known; otherwise it counts as lost.
+    fn send_configure(&mut self, to: holder::Id, message: Message, effects: &mut Vec<Effect>) {
+        if let Some(address) = self.membership.peer_address(to).cloned() {
+            effects.push(Effect::SendConfigure { address, message });
+        }
+    }
+}
+
+/// A new agreement machine of an entry.
+pub(crate) fn agreement(me: holder::Id, term: Span, seed: u64) -> Agreement {
+    let settings = config::configs::agreement::Settings {
+        term,
+        ..config::configs::agreement::Settings::default()
+    };
+    Agreement::new(me, settings, validate, seed)
+}
+
+/// Whether a configuration hangs together: checked on the version that a change would make.
+fn validate(snapshot: &Snapshot) -> Result<(), SmolStr> {
+    for deployment in &snapshot.deployments {
+        for grant in &deployment.grants {
+            if snapshot.account(&grant.account).is_none() {
+                return Err(format_smolstr!(
+                    "deployment {} grants account {}, which isn't there",
+                    deployment.name,
+                    grant.account
+                ));
+            }
+        }
     }
+    Ok(())
 }
 
-/// The head row's address.
-fn head() -> Address {
-    Address {
-        table: SmolStr::new_static(HEAD.0),
-        key: SmolStr::new_static(HEAD.1),
+/// An operator's edit in the terms of the configuration.
+fn edit_of(edit: Edit) -> edit::Edit {
+    match edit {
+        Edit::CreateDeployment(deployment) | Edit::ChangeDeployment(deployment) => {
+            edit::Edit::PutDeployment(deployment)
+        }
+        Edit::RemoveDeployment(name) => edit::Edit::RemoveDeployment(name),
+        Edit::PutAccount(account) => edit::Edit::PutAccount(account),
+        Edit::RemoveAccount(name) => edit::Edit::RemoveAccount(name),
     }
 }
+
+/// The answer to an operator.
+fn reply_of(newest: &Snapshot, answer: Answer) -> Result<Reply, Fault> {
+    let changed = match answer {
+        Answer::Accepted { version } => Changed::Accepted { version },
+        Answer::Committed { version, waiting } => Changed::Committed {
+            version,
+            waiting_for: waiting.iter().map(|id| format_smolstr!("{id}")).collect(),
+        },
+        Answer::Conflict {
+            version,
+            difference,
+        } => Changed::Conflict {
+            version,
+            differences: operators::differences(newest, difference.unwrap_or_default()),
+        },
+        Answer::Invalid { message } => return Err(Fault::Precondition(message.to_string())),
+        Answer::Reused { version } => {
+            let why = format!("the change id was used for another change, version {version}");
+            return Err(Fault::Precondition(why));
+        }
+        Answer::Unavailable => {
+            let why = "the table service doesn't answer; nothing was changed";
+            return Err(Fault::Unavailable(SmolStr::new_static(why)));
+        }
+        Answer::Busy => {
+            let why = "too many changes wait here; nothing was changed";
+            return Err(Fault::Unavailable(SmolStr::new_static(why)));
+        }
+        Answer::Unknown => return Err(Fault::OutcomeUnknown),
+    };
+    Ok(Reply::Changed(changed))
+}
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -1,6 +1,8 @@
 //! Everything that an entry does, as data; the shell carries it out.
 
 use clock::Span;
+use config::message::Message;
+use member::digest::Digest;
 use policy::decision::Transfer;
 use request::id::Incarnation;
 use request::id::Stream;
@@ -85,8 +87,15 @@
     SendDigest {
         /// `host:port` of the peer.
         address: SmolStr,
-        /// Its bytes.
-        digest: Vec<u8>,
+        /// The digest.
+        digest: Digest,
+    },
+    /// Send a message about the configuration to a peer.
+    SendConfigure {
+        /// `host:port` of the peer.
+        address: SmolStr,
+        /// The message.
+        message: Message,
     },
     /// One line of the log.
     Log(Line),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 
 use clock::Time;
+use config::agreement::Agreement;
+use lease::holder;
+use member::membership::Membership;
 use policy::decision::Decision;
 use policy::scheduler::Scheduler;
 use rand::SeedableRng;
@@ -12,12 +15,13 @@
 use crate::backends::Backends;
 use crate::book::Book;
 use crate::configs::entry::Settings;
-use crate::configuration::Configuration;
+use crate::configuration;
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::flight::Flight;
 use crate::identity::Identity;
 use crate::leave::Seals;
+use crate::members;
 use crate::stop::Stop;
 
 /// One entry.
@@ -32,7 +36,12 @@
     /// Open requests by serial.
     pub(crate) flights: BTreeMap<u64, Flight>,
     pub(crate) ledger: Ledger,
-    pub(crate) configuration: Configuration,
+    pub(crate) agreement: Agreement,
+    pub(crate) membership: Membership,
+    /// When peers are told next what our accounts ask for.
+    pub(crate) next_demand: Time,
+    /// Orders our pieces of news.
+    pub(crate) news_version: u64,
     pub(crate) stop: Stop,
     /// Names the next call of the table service.
     pub(crate) next_store_call: u64,
@@ -43,8 +52,10 @@
 /// Who waits for an answer of the table service.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Waiter {
-    /// The configuration.
-    Configuration,
+    /// The agreement machine, by its own number.
+    Agreement(store::call::Id),
+    /// The membership machine, by its own number.
+    Membership(store::call::Id),
     /// A request's own row.
     Intent {
         /// Which request.
@@ -58,8 +69,14 @@
     /// `shared_key` is the entries' common key, under which tickets and resume words are sealed;
     /// `seed` feeds every random choice.
     pub fn new(identity: Identity, settings: Settings, shared_key: &str, seed: u64) -> Entry {
+        let me = holder::Id(identity.incarnation.0);
+        let seeds = settings.seeds.clone();
         Entry {
             ledger: Ledger::new(identity.incarnation),
+            agreement: configuration::agreement(me, settings.lease_term, seed),
+            membership: members::membership(&identity, seeds, seed),
+            next_demand: Time::ZERO,
+            news_version: 0,
             identity,
             settings,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -68,7 +85,6 @@
             backends: Backends::default(),
             scheduler: Scheduler::new(seed),
             flights: BTreeMap::new(),
-            configuration: Configuration::default(),
             stop: Stop::default(),
             next_store_call: 0,
             store_calls: BTreeMap::new(),
@@ -109,15 +125,20 @@
                 self.estates_offered(now, asker, estates, effects);
             }
             Event::EstatesTaken { by } => self.estates_taken(now, by, effects),
-            Event::DigestReceived { .. } => {}
+            Event::DigestReceived(digest) => {
+                self.attend(now, member::event::Event::Digest(digest), effects);
+            }
+            Event::ConfigureReceived { from, message } => {
+                self.configure_received(now, from.0, message, effects);
+            }
             Event::Tick => self.tick(now, effects),
             Event::StopAsked { hurry } => self.stop_asked(now, hurry, effects),
         }
     }
 
-    /// Whether this entry admits requests.
-    pub fn is_ready(&self) -> bool {
-        self.book.version() > 0 && !self.stop.is_stopping()
+    /// Whether this entry admits requests now.
+    pub fn is_ready(&self, now: Time) -> bool {
+        self.agreement.admits(now) && !self.stop.is_stopping()
     }
 
     /// Requests open here.
@@ -127,6 +148,7 @@
 
     /// Lets time pass in every part.
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.members_tick(now, effects);
         self.configuration_tick(now, effects);
         self.intents_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
@@ -170,7 +192,12 @@
         effects: &mut Vec<Effect>,
     ) {
         match self.store_calls.remove(&id) {
-            Some(Waiter::Configuration) => self.configuration_answered(now, outcome, effects),
+            Some(Waiter::Agreement(id)) => {
+                self.agree(now, config::event::Event::Store { id, outcome }, effects);
+            }
+            Some(Waiter::Membership(id)) => {
+                self.attend(now, member::event::Event::Store { id, outcome }, effects);
+            }
             Some(Waiter::Intent { serial }) => self.intent_answered(now, serial, outcome, effects),
             None => {}
         }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -1,5 +1,7 @@
 //! Everything that can happen to an entry.
 
+use config::message::Message;
+use member::digest::Digest;
 use policy::replica;
 use request::id::Incarnation;
 use request::ledger::Answer;
@@ -106,9 +108,13 @@
         by: Option<Incarnation>,
     },
     /// A digest came from a peer.
-    DigestReceived {
-        /// Its bytes.
-        digest: Vec<u8>,
+    DigestReceived(Digest),
+    /// A message about the configuration came from a peer.
+    ConfigureReceived {
+        /// The peer's incarnation.
+        from: Incarnation,
+        /// What it says.
+        message: Message,
     },
     /// Time has passed.
     Tick,
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -41,6 +41,7 @@
     ) {
         for notice in notices {
             if self.backends.mark_leaving(notice.incarnation.clone()) {
+                self.publish_leaving(now, &notice.incarnation, effects);
                 self.backend_leaving(now, &notice.incarnation, now + notice.left, effects);
             }
         }
--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -10,7 +10,9 @@
 use rand::Rng;
 use request::ledger::Answer;
 use request::ledger::Estate;
+use request::seal::RESUME_PURPOSE;
 use request::seal::Seal;
+use request::seal::TICKET_PURPOSE;
 use request::ticket::Ticket;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -53,8 +55,8 @@
     /// Seals under the entries' common key.
     pub fn new(shared_key: &str) -> Seals {
         Seals {
-            resume: Seal::new(shared_key, "resume"),
-            ticket: Seal::new(shared_key, "ticket"),
+            resume: Seal::new(shared_key, RESUME_PURPOSE),
+            ticket: Seal::new(shared_key, TICKET_PURPOSE),
         }
     }
 }
@@ -90,7 +92,7 @@
             let answer = self.ledger.spend(now, &ticket);
             return self.leave_answered(now, serial, answer, effects);
         }
-        let Some(address) = self.ledger_holder(ticket.minter) else {
+        let Some(address) = self.ledger_holder(now, ticket.minter) else {
             return self.leave_answered(now, serial, Answer::Unknown, effects);
         };
         if let Some(flight) = self.flights.get_mut(&serial) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,5 +24,6 @@
 mod decisions;
 mod fleet;
 mod leave;
+mod members;
 mod operators;
 mod stop;
--- /dev/null
+++ b/crates/entry/src/members.rs
@@ -0,0 +1,200 @@
+//! Other entries: what the membership machine is told, asks for and knows.
+
+use clock::Span;
+use clock::Time;
+use lease::holder;
+use member::digest::Item;
+use member::digest::Topic;
+use member::event::Effect as MemberEffect;
+use member::event::Event as MemberEvent;
+use member::membership::Membership;
+use member::row::Row;
+use member::row::State;
+use request::id::Incarnation;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::backends::LISTED_LEAVE_TIME;
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::entry::Waiter;
+use crate::identity::Identity;
+use crate::line::Line;
+
+/// Time between two pieces of news on what our accounts ask for.
+const DEMAND_INTERVAL: Span = Span::from_seconds(1);
+
+impl Entry {
+    /// Lets the membership machine act on the time, and tells peers what the scheduler has to say.
+    pub(crate) fn members_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.membership.next_wake() <= now {
+            self.attend(now, MemberEvent::Wake, effects);
+        }
+        let due = now >= self.next_demand;
+        if due || self.scheduler.urgent() {
+            self.next_demand = now + DEMAND_INTERVAL;
+            self.publish_news(now, effects);
+        }
+    }
+
+    /// Takes one event into the membership machine and carries out what it asks for.
+    pub(crate) fn attend(&mut self, now: Time, event: MemberEvent, effects: &mut Vec<Effect>) {
+        let mut asked = Vec::new();
+        self.membership.step(now, event, &mut asked);
+        for effect in asked {
+            self.attended(now, effect, effects);
+        }
+    }
+
+    /// Carries out one thing that the membership machine asks for.
+    fn attended(&mut self, now: Time, effect: MemberEffect, effects: &mut Vec<Effect>) {
+        match effect {
+            MemberEffect::Store { id, call } => {
+                self.ask_store(Waiter::Membership(id), call, effects);
+            }
+            MemberEffect::Send { to, digest } => {
+                if let Some(address) = self.membership.peer_address(to).cloned() {
+                    effects.push(Effect::SendDigest { address, digest });
+                }
+            }
+            MemberEffect::Greet { address, digest } => {
+                effects.push(Effect::SendDigest { address, digest });
+            }
+            MemberEffect::Lease(holding) => self.leased(now, holding, effects),
+            MemberEffect::View(view) => self.viewed(now, view, effects),
+            MemberEffect::Heard { member, version } => {
+                let heard = config::event::Event::Applied { member, version };
+                self.agree(now, heard, effects);
+            }
+            MemberEffect::News(item) => self.news_came(now, &item, effects),
+            MemberEffect::Peers(peers) => {
+                let entries = u32::try_from(peers.len() + 1).unwrap_or(u32::MAX);
+                self.scheduler.set_entries(entries);
+                self.agree(now, config::event::Event::Peers(peers), effects);
+            }
+            MemberEffect::Left => self.left(now, effects),
+        }
+    }
+
+    /// All members are to be read soon.
+    pub(crate) fn look(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.attend(now, MemberEvent::Look, effects);
+    }
+
+    /// A configuration version is in force here: others are to hear of it.
+    pub(crate) fn applied(&mut self, now: Time, version: u64, effects: &mut Vec<Effect>) {
+        self.attend(now, MemberEvent::Applied(version), effects);
+    }
+
+    /// Tells all entries that a backend server leaves.
+    pub(crate) fn publish_leaving(
+        &mut self,
+        now: Time,
+        incarnation: &SmolStr,
+        effects: &mut Vec<Effect>,
+    ) {
+        let item = Item {
+            topic: Topic::Leaving,
+            key: incarnation.clone(),
+            version: 1,
+            age_ms: 0,
+            payload: Vec::new(),
+        };
+        self.attend(now, MemberEvent::Publish(item), effects);
+    }
+
+    /// `host:port` of the entry that holds the ledger of a minter, if that isn't lost.
+    ///
+    /// Follows heirs of heirs; a chain longer than the directory can't be a true one.
+    pub(crate) fn ledger_holder(&self, now: Time, minter: Incarnation) -> Option<SmolStr> {
+        let mut holder = holder::Id(minter.0);
+        for _ in 0..=self.membership.directory().iter().count() {
+            match self.membership.heir(now, holder) {
+                Some(heir) => holder = heir,
+                None => return self.membership.peer_address(holder).cloned(),
+            }
+        }
+        None
+    }
+
+    /// A member that stays, to take over what this entry leaves behind: the nearest by name, so that
+    /// a wave of leaving entries doesn't all choose one.
+    pub(crate) fn successor(&self) -> Option<Row> {
+        let me = self.identity.incarnation.0;
+        let mut live: Vec<&Row> = self
+            .membership
+            .directory()
+            .present()
+            .map(|(_, known)| &known.record.row)
+            .filter(|row| row.id.0 != me && row.state == State::Live)
+            .collect();
+        live.sort_by_key(|row| row.id.0.wrapping_sub(me));
+        live.first().map(|row| (*row).clone())
+    }
+
+    /// Takes in a piece of news.
+    fn news_came(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
+        match item.topic {
+            Topic::Leaving => {
+                if self.backends.mark_leaving(item.key.clone()) {
+                    let deadline = now + LISTED_LEAVE_TIME;
+                    self.backend_leaving(now, &item.key, deadline, effects);
+                }
+            }
+            Topic::Demand | Topic::Quarantine => self.scheduler_news(now, item, effects),
+            Topic::Heir => {}
+        }
+    }
+
+    /// Gives the scheduler what another entry's scheduler has to say.
+    fn scheduler_news(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
+        let peer = holder::Id::parse(&item.key).map_or(0, |id| id.0);
+        if peer == self.identity.incarnation.0 {
+            return;
+        }
+        match wire::news::decode(&item.payload) {
+            Ok(digest) => self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.absorb(now, peer, &digest, out);
+            }),
+            Err(error) => {
+                let line = Line::warn("news_unreadable").with("error", error);
+                effects.push(Effect::Log(line));
+            }
+        }
+    }
+
+    /// Tells all entries what this scheduler has to say.
+    fn publish_news(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let digest = self.scheduler.digest(now);
+        let urgent = !digest.quarantine.items.is_empty() || !digest.quarantine.claims.is_empty();
+        if !urgent && digest.limit.claims.is_empty() {
+            return;
+        }
+        self.news_version += 1;
+        let item = Item {
+            topic: if urgent {
+                Topic::Quarantine
+            } else {
+                Topic::Demand
+            },
+            key: format_smolstr!("{}", self.identity.incarnation),
+            version: self.news_version,
+            age_ms: 0,
+            payload: wire::news::encode(&digest),
+        };
+        self.attend(now, MemberEvent::Publish(item), effects);
+    }
+}
+
+/// A new membership machine of an entry.
+pub(crate) fn membership(identity: &Identity, seeds: Vec<SmolStr>, seed: u64) -> Membership {
+    let row = Row {
+        id: holder::Id(identity.incarnation.0),
+        zone: identity.zone.clone(),
+        address: identity.caller_address.clone(),
+        peer_address: identity.peer_address.clone(),
+        ..Row::default()
+    };
+    let settings = member::configs::membership::Settings::default();
+    Membership::new(row, seeds, settings, seed)
+}
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -1,15 +1,16 @@
 //! Operators' calls.
 
 use clock::Time;
-use config::deployment::Account;
 use config::deployment::Deployment;
+use config::edit;
+use config::edit::Item;
 use config::snapshot::Snapshot;
 use ops::fault::Fault;
-use ops::reply::Changed;
+use ops::reply::Difference;
 use ops::reply::Reply;
-use ops::request::Change;
 use ops::request::Edit;
 use ops::request::Request;
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use crate::effect::Effect;
@@ -19,13 +20,13 @@
     /// Answers an operator, or begins what will answer it.
     pub(crate) fn operator_called(
         &mut self,
-        _now: Time,
+        now: Time,
         call: u64,
         request: Request,
         effects: &mut Vec<Effect>,
     ) {
         let reply = match request {
-            Request::Change(change) => return self.change_asked(call, change, effects),
+            Request::Change(change) => return self.change_asked(now, call, change, effects),
             Request::GetDeployment { name } => self.deployment_reply(&name),
             Request::ListDeployments => Ok(self.configuration_reply()),
             _ => Err(Fault::Unavailable(SmolStr::new_static("not served yet"))),
@@ -33,27 +34,6 @@
         effects.push(Effect::Operator { call, reply });
     }
 
-    /// Begins a change, if it is made on the newest version.
-    fn change_asked(&mut self, call: u64, change: Change, effects: &mut Vec<Effect>) {
-        let version = self.book.version();
-        if change.expected_version != version {
-            let differences = Vec::new();
-            let reply = Ok(Reply::Changed(Changed::Conflict {
-                version,
-                differences,
-            }));
-            effects.push(Effect::Operator { call, reply });
-            return;
-        }
-        match edited(self.book.snapshot(), &change.edit) {
-            Ok(snapshot) => self.write_configuration(call, snapshot, effects),
-            Err(fault) => effects.push(Effect::Operator {
-                call,
-                reply: Err(fault),
-            }),
-        }
-    }
-
     /// One deployment as it stands.
     fn deployment_reply(&self, name: &str) -> Result<Reply, Fault> {
         let deployment = self.book.deployment(name);
@@ -75,65 +55,67 @@
     }
 }
 
-/// The configuration after an edit, at the next version.
-pub(crate) fn edited(before: &Snapshot, edit: &Edit) -> Result<Snapshot, Fault> {
-    let mut after = before.clone();
-    after.version += 1;
+/// Whether an edit makes sense on a configuration.
+pub(crate) fn check(before: &Snapshot, edit: &Edit) -> Result<(), Fault> {
     match edit {
-        Edit::CreateDeployment(deployment) => create_deployment(&mut after, deployment)?,
-        Edit::ChangeDeployment(deployment) => change_deployment(&mut after, deployment)?,
-        Edit::RemoveDeployment(name) => remove_deployment(&mut after, name)?,
-        Edit::PutAccount(account) => put_account(&mut after, account),
-        Edit::RemoveAccount(name) => remove_account(&mut after, name)?,
+        Edit::CreateDeployment(deployment) => match before.deployment(&deployment.name) {
+            Some(_) => Err(Fault::AlreadyExists(format!(
+                "deployment {}",
+                deployment.name
+            ))),
+            None => check_grants(before, deployment),
+        },
+        Edit::ChangeDeployment(deployment) => {
+            deployment_there(before, &deployment.name)?;
+            check_grants(before, deployment)
+        }
+        Edit::RemoveDeployment(name) => deployment_there(before, name),
+        Edit::PutAccount(_) => Ok(()),
+        Edit::RemoveAccount(name) => check_removal(before, name),
     }
-    after
-        .accounts
-        .sort_by(|one, other| one.name.cmp(&other.name));
-    after
-        .deployments
-        .sort_by(|one, other| one.name.cmp(&other.name));
-    Ok(after)
 }
 
-/// Adds a deployment.
-fn create_deployment(snapshot: &mut Snapshot, deployment: &Deployment) -> Result<(), Fault> {
-    if snapshot.deployment(&deployment.name).is_some() {
-        return Err(Fault::AlreadyExists(format!(
-            "deployment {}",
-            deployment.name
-        )));
-    }
-    check_grants(snapshot, deployment)?;
-    snapshot.deployments.push(deployment.clone());
-    Ok(())
+/// What changed by edits that others made, in the terms of operators.
+pub(crate) fn differences(newest: &Snapshot, edits: Vec<edit::Edit>) -> Vec<Difference> {
+    let mut differences: Vec<Difference> = edits
+        .into_iter()
+        .map(|edit| {
+            let (subject, after) = match edit.item() {
+                Item::Account(name) => {
+                    let after = newest.account(&name).map(as_json);
+                    (format!("account {name}"), after)
+                }
+                Item::Deployment(name) => {
+                    let after = newest.deployment(&name).map(as_json);
+                    (format!("deployment {name}"), after)
+                }
+            };
+            Difference {
+                subject,
+                field: String::new(),
+                before: String::new(),
+                after: after.unwrap_or_default(),
+            }
+        })
+        .collect();
+    differences.sort_by(|one, other| one.subject.cmp(&other.subject));
+    differences.dedup();
+    differences
 }
 
-/// Replaces a deployment.
-fn change_deployment(snapshot: &mut Snapshot, deployment: &Deployment) -> Result<(), Fault> {
-    remove_deployment(snapshot, &deployment.name)?;
-    create_deployment(snapshot, deployment)
+fn as_json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
 }
 
-/// Removes a deployment.
-fn remove_deployment(snapshot: &mut Snapshot, name: &SmolStr) -> Result<(), Fault> {
-    let before = snapshot.deployments.len();
-    snapshot
-        .deployments
-        .retain(|deployment| deployment.name != *name);
-    if snapshot.deployments.len() == before {
-        return Err(Fault::NotFound(format!("deployment {name}")));
+fn deployment_there(snapshot: &Snapshot, name: &str) -> Result<(), Fault> {
+    match snapshot.deployment(name) {
+        Some(_) => Ok(()),
+        None => Err(Fault::NotFound(format!("deployment {name}"))),
     }
-    Ok(())
-}
-
-/// Adds or replaces an account.
-fn put_account(snapshot: &mut Snapshot, account: &Account) {
-    snapshot.accounts.retain(|one| one.name != account.name);
-    snapshot.accounts.push(account.clone());
 }
 
-/// Removes an account that nothing is granted to.
-fn remove_account(snapshot: &mut Snapshot, name: &SmolStr) -> Result<(), Fault> {
+/// An account may go once nothing is granted to it.
+fn check_removal(snapshot: &Snapshot, name: &SmolStr) -> Result<(), Fault> {
     if snapshot.account(name).is_none() {
         return Err(Fault::NotFound(format!("account {name}")));
     }
@@ -141,24 +123,26 @@
         .deployments
         .iter()
         .find(|deployment| deployment.grants.iter().any(|grant| grant.account == *name));
-    if let Some(deployment) = granted_by {
-        let why = format!("account {name} is granted deployment {}", deployment.name);
-        return Err(Fault::Precondition(why));
+    match granted_by {
+        Some(deployment) => Err(Fault::Precondition(format!(
+            "account {name} is granted deployment {}",
+            deployment.name
+        ))),
+        None => Ok(()),
     }
-    snapshot.accounts.retain(|account| account.name != *name);
-    Ok(())
 }
 
 /// Every grant must name an account that is there.
 fn check_grants(snapshot: &Snapshot, deployment: &Deployment) -> Result<(), Fault> {
-    for grant in &deployment.grants {
-        if snapshot.account(&grant.account).is_none() {
-            let why = format!(
-                "deployment {} grants account {}, which isn't there",
-                deployment.name, grant.account
-            );
-            return Err(Fault::Precondition(why));
-        }
+    let stray = deployment
+        .grants
+        .iter()
+        .find(|grant| snapshot.account(&grant.account).is_none());
+    match stray {
+        Some(grant) => Err(Fault::Precondition(format!(
+            "deployment {} grants account {}, which isn't there",
+            deployment.name, grant.account
+        ))),
+        None => Ok(()),
     }
-    Ok(())
 }
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -1,21 +1,27 @@
 //! A planned stop: admit nothing, finish or hand on what is open, hand the ledger on, exit.
 
+use clock::Span;
 use clock::Time;
+use lease::holder;
+use member::event::Event as MemberEvent;
 use policy::job;
 use request::id::Incarnation;
-use smol_str::SmolStr;
 
 use crate::effect::Command;
 use crate::effect::Effect;
 use crate::entry::Entry;
 use crate::line::Line;
 
+/// Longest wait, once all else is done, for the table service to note that we left.
+const LEAVE_WAIT: Span = Span::from_seconds(3);
+
 /// How far a planned stop has come.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Stop {
     deadline: Option<Time>,
     ledger_sent: bool,
-    ledger_settled: bool,
+    ledger_settled: Option<Time>,
+    left: bool,
     exited: bool,
 }
 
@@ -37,6 +43,7 @@
         effects.push(Effect::Log(line));
         let earlier = self.stop.deadline.unwrap_or(deadline);
         self.stop.deadline = Some(earlier.min(deadline));
+        self.attend(now, MemberEvent::Drain, effects);
         self.stop_tick(now, effects);
     }
 
@@ -55,7 +62,11 @@
             return;
         }
         self.hand_ledger_on(now, effects);
-        if self.stop.ledger_settled {
+        let waited = self
+            .stop
+            .ledger_settled
+            .is_some_and(|settled| now.since(settled) >= LEAVE_WAIT);
+        if self.stop.left || waited {
             self.stop.exited = true;
             effects.push(Effect::Log(Line::info("stopped")));
             effects.push(Effect::Exit);
@@ -74,7 +85,9 @@
             None => Line::warn("ledger_lost"),
         };
         effects.push(Effect::Log(line));
-        self.stop.ledger_settled = true;
+        self.stop.ledger_settled = Some(now);
+        let heir = by.map(|heir| holder::Id(heir.0));
+        self.attend(now, MemberEvent::Leave { heir }, effects);
         self.stop_tick(now, effects);
     }
 
@@ -82,7 +95,7 @@
     ///
     /// A plain call in progress is waited for: nobody else can read its answer.
     fn hand_off_all(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let Some(address) = self.successor_for_callers() else {
+        let Some(address) = self.successor().map(|row| row.address) else {
             return;
         };
         let streams: Vec<u64> = self
@@ -104,19 +117,18 @@
         }
         self.stop.ledger_sent = true;
         let estates = self.ledger.hand_on(now);
-        match self.successor_for_ledger() {
-            Some(address) => effects.push(Effect::OfferEstates { address, estates }),
-            None => self.stop.ledger_settled = true,
+        match self.successor() {
+            Some(row) => effects.push(Effect::OfferEstates {
+                address: row.peer_address,
+                estates,
+            }),
+            None => self.estates_taken(now, None, effects),
         }
     }
 
-    /// `host:port` for callers of an entry that stays.
-    fn successor_for_callers(&self) -> Option<SmolStr> {
-        None
-    }
-
-    /// `host:port` for peers of an entry that stays.
-    fn successor_for_ledger(&self) -> Option<SmolStr> {
-        None
+    /// The table service has it that we left.
+    pub(crate) fn left(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.stop.left = true;
+        self.stop_tick(now, effects);
     }
 }
--- a/crates/request/src/seal.rs
+++ b/crates/request/src/seal.rs
@@ -9,6 +9,12 @@
 use serde::de::DeserializeOwned;
 use sha2::Sha256;
 
+/// Purpose of resume words.
+pub const RESUME_PURPOSE: &str = "resume";
+
+/// Purpose of tickets.
+pub const TICKET_PURPOSE: &str = "ticket";
+
 /// Bytes of the authentication code that are kept.
 const CODE_BYTES: usize = 16;
 
