--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -25,6 +25,7 @@
 use crate::size::Class;
 use crate::size::Classes;
 use crate::slots::Share;
+use crate::warmup::Warmup;
 
 /// An account and what its answers taught.
 #[derive(Debug)]
@@ -53,6 +54,7 @@
     pub calendar: Calendar,
     pub affinity: Affinity,
     pub monitor: Monitor,
+    pub warmup: Warmup,
     /// Replicas that are neither leaving nor lost.
     pub members: BTreeSet<replica::Key>,
     /// Slots of all members.
@@ -76,6 +78,7 @@
             calendar: Calendar::default(),
             affinity: Affinity::new(settings.affinity, seed),
             monitor: Monitor::new(settings.health),
+            warmup: Warmup::new(settings.warmup),
             members: BTreeSet::new(),
             slots: 0,
             running: 0,
@@ -102,7 +105,8 @@
     /// [`rendezvous::identity`] of its incarnation and of its zone.
     pub identity: u64,
     pub zone: u64,
-    pub leaving: bool,
+    /// When it is gone, if it has got its notice; sticky.
+    pub leaving: Option<Time>,
     /// Kept only until the ends of its attempts are reported.
     pub lost: bool,
     pub load: Load,
@@ -123,7 +127,7 @@
             load: Load::new(settings.concurrency, spec.slots),
             share: Share::new(spec.slots, settings.concurrency.entries),
             spec,
-            leaving: false,
+            leaving: None,
             lost: false,
             jobs: BTreeSet::new(),
             long: 0,
@@ -158,6 +162,8 @@
     pub outstanding: u64,
     /// Whether the caller has had its first token.
     pub streaming: bool,
+    /// Whether it was moved since it was started: its duration then tells nothing.
+    pub moved: bool,
     /// Tokens made in all attempts.
     pub made: u32,
     /// Whether bytes of it were handed to a replica that did not say "not started".
