Run the whole path as separate processes, and the demo in one

The demo reclaims the engine half way and kills it at its deadline. Ruled out: free ports chosen beforehand (another process may take them in between); the daemon prints what it bound. GetStatus isn't served yet, so readiness is the version in force and /readyz. The address answer names one entry so far: the test asks only that it runs.

--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,143 @@
+//! The main job in one process: deploy, stream, reclaim under way, call once, stop.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use client::Client;
+use client::call::Call;
+use client::call::Once;
+use http::Method;
+use smol_str::SmolStr;
+
+use crate::configs;
+use crate::local::Local;
+use crate::platform::fleet::Reclaim;
+use crate::sample;
+use crate::tokens::Chat;
+
+const ENTRIES: usize = 3;
+const ENGINES: usize = 3;
+const TOKENS: u32 = 200;
+const TOKEN_MS: u64 = 10;
+
+/// Notice that the cloud gives before it takes an instance, milliseconds: less than the rest of the
+/// stream takes, so that it can't finish where it began.
+const NOTICE_MS: u64 = 500;
+
+/// Runs the demo and prints what happens; whether all held.
+pub async fn run() -> anyhow::Result<bool> {
+    let mut checks = Checks::default();
+    let mut local = Local::start().await?;
+    let config = configs::engine::Engine {
+        token_ms: TOKEN_MS,
+        ..configs::engine::Engine::default()
+    };
+    local.add_engines(ENGINES, &config).await?;
+    local.add_services(1).await?;
+    local.add_entries(ENTRIES).await?;
+    println!("started: a platform, {ENTRIES} entries, {ENGINES} engines, 1 plain service");
+    let version = local.deploy().await?;
+    println!("deployed: account, model and plain service are in force as version {version}");
+    let caller = local.caller();
+    stream_through_a_reclaim(&local, &caller, &mut checks).await?;
+    call_once(&local, &caller, &mut checks).await?;
+    for entry in local.entries {
+        entry.stop().await?;
+    }
+    checks.note(true, "every entry stopped gracefully".to_owned());
+    Ok(checks.all_held())
+}
+
+async fn stream_through_a_reclaim(
+    local: &Local,
+    caller: &Client,
+    checks: &mut Checks,
+) -> anyhow::Result<()> {
+    let chat = Chat::question(sample::MODEL, "What is known of the burnt mill?", TOKENS);
+    let mut stream = caller.stream(serde_json::to_value(&chat)?, "").await?;
+    println!("streaming: request {} was accepted", stream.request());
+    let mut text = String::new();
+    for _ in 0..TOKENS / 2 {
+        let chunk = stream.next().await.context("the stream ended early")??;
+        text.push_str(&chunk.text);
+    }
+    let at = serving(local).context("no engine serves the stream")?;
+    let (engine, instance) = &local.engines[at];
+    let whom = Reclaim {
+        id: instance.id.clone(),
+        deadline_ms: NOTICE_MS,
+        ..Reclaim::default()
+    };
+    local.platform.state.borrow_mut().fleet.reclaim(&whom);
+    println!(
+        "reclaimed: {} of zone {} has {NOTICE_MS} ms",
+        instance.id, instance.zone
+    );
+    let taken = async {
+        tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
+        engine.kill();
+        println!("taken: {} is gone", instance.id);
+    };
+    let (rest, ()) = tokio::join!(stream.rest(), taken);
+    text.push_str(&rest?);
+    let whole = text == chat.plan().answer();
+    let recomputed: u64 = local
+        .engines
+        .iter()
+        .map(|(engine, _)| engine.counts().recomputed_tokens)
+        .sum();
+    checks.note(
+        whole,
+        format!("the caller has all {TOKENS} tokens once and in order ({recomputed} recomputed)"),
+    );
+    Ok(())
+}
+
+/// The engine that has begun a stream.
+fn serving(local: &Local) -> Option<usize> {
+    local
+        .engines
+        .iter()
+        .position(|(engine, _)| !engine.counts().started.is_empty())
+}
+
+async fn call_once(local: &Local, caller: &Client, checks: &mut Checks) -> anyhow::Result<()> {
+    let call = Call {
+        deployment: SmolStr::from(sample::SERVICE),
+        method: Method::POST,
+        path: SmolStr::from("/receipts"),
+        body: Bytes::from_static(b"one copy for the branch"),
+        once: Once::Ticket,
+    };
+    let answer = caller.call(&call).await?;
+    let key = "POST /receipts one copy for the branch";
+    let executions: u32 = local
+        .services
+        .iter()
+        .filter_map(|(service, _)| service.counts().executions.get(key).copied())
+        .sum();
+    checks.note(
+        answer.status.is_success() && executions == 1,
+        format!("the receipt was answered, and executed {executions} time"),
+    );
+    Ok(())
+}
+
+/// What was checked.
+#[derive(Default)]
+struct Checks {
+    failed: u32,
+}
+
+impl Checks {
+    fn note(&mut self, held: bool, what: String) {
+        let word = if held { "held" } else { "FAILED" };
+        println!("{word}: {what}");
+        self.failed += u32::from(!held);
+    }
+
+    fn all_held(&self) -> bool {
+        self.failed == 0
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,9 +4,11 @@
 //! function, on the current `LocalSet`, so that a test or the demo holds all parts in one process.
 
 pub mod configs;
+pub mod demo;
 pub mod engine;
 pub mod gate;
 pub mod http;
+pub mod local;
 pub mod platform;
 pub mod sample;
 pub mod server;
--- /dev/null
+++ b/crates/standin/src/local.rs
@@ -0,0 +1,204 @@
+//! A whole installation in one process, on the current `LocalSet`, over real loopback sockets.
+
+use anyhow::Context;
+use bytes::Bytes;
+use clock::Span;
+use daemon::run::Bound;
+use daemon::run::Sockets;
+use hyper::Method;
+use ops::client::Client;
+use ops::reply::Changed;
+use ops::reply::Reply;
+use ops::request::Change;
+use ops::request::Edit;
+use ops::request::Request;
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::configs;
+use crate::engine;
+use crate::engine::Engine;
+use crate::http::Http;
+use crate::platform;
+use crate::platform::Platform;
+use crate::platform::fleet::Instance;
+use crate::sample;
+use crate::service;
+use crate::service::Service;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// How often the operator looks whether the entries are ready.
+const LOOK: Span = Span::from_millis(50);
+
+/// Looks until the operator gives up: ten seconds' worth.
+const MAX_LOOKS: u32 = 200;
+
+/// The installation.
+pub struct Local {
+    /// The platform.
+    pub platform: Platform,
+    /// Model engines and how the instance list names them.
+    pub engines: Vec<(Engine, Instance)>,
+    /// Plain services and how the instance list names them.
+    pub services: Vec<(Service, Instance)>,
+    /// Entries.
+    pub entries: Vec<Entry>,
+}
+
+/// An entry in this process.
+pub struct Entry {
+    /// Where it listens.
+    pub bound: Bound,
+    stop: mpsc::UnboundedSender<bool>,
+    task: JoinHandle<anyhow::Result<()>>,
+}
+
+impl Local {
+    /// An installation with nothing but its platform.
+    pub async fn start() -> anyhow::Result<Local> {
+        Ok(Local {
+            platform: platform::spawn("127.0.0.1:0").await?,
+            engines: Vec::new(),
+            services: Vec::new(),
+            entries: Vec::new(),
+        })
+    }
+
+    /// Adds model engines, over the zones in turn.
+    pub async fn add_engines(
+        &mut self,
+        count: usize,
+        config: &configs::engine::Engine,
+    ) -> anyhow::Result<()> {
+        for zone in ZONES.iter().cycle().take(count) {
+            let engine = engine::spawn(config.clone()).await?;
+            let address = engine.server.address().to_string();
+            let instance = self.list("engine", sample::MODEL, zone, &address);
+            self.engines.push((engine, instance));
+        }
+        Ok(())
+    }
+
+    /// Adds plain services, over the zones in turn.
+    pub async fn add_services(&mut self, count: usize) -> anyhow::Result<()> {
+        for zone in ZONES.iter().cycle().take(count) {
+            let service = service::spawn(configs::service::Service::default()).await?;
+            let address = service.server.address().to_string();
+            let instance = self.list("service", sample::SERVICE, zone, &address);
+            self.services.push((service, instance));
+        }
+        Ok(())
+    }
+
+    /// Adds entries, over the zones in turn.
+    pub async fn add_entries(&mut self, count: usize) -> anyhow::Result<()> {
+        let platform = self.platform.server.address().to_string();
+        for zone in ZONES.iter().cycle().take(count) {
+            let name = format!("entry-{}", self.entries.len());
+            self.entries
+                .push(Entry::start(&name, zone, &platform).await?);
+        }
+        Ok(())
+    }
+
+    /// An operator creates the sample at the first entry; returns the version that is in force.
+    pub async fn deploy(&self) -> anyhow::Result<u64> {
+        let entry = self.entries.first().context("no entry runs")?;
+        let address = format!("http://{}", entry.bound.operators);
+        let mut client = Client::connect(&address, sample::OPERATORS_KEY).await?;
+        let edits = [
+            ("account", Edit::PutAccount(sample::account())),
+            ("model", Edit::CreateDeployment(sample::model())),
+            ("service", Edit::CreateDeployment(sample::service())),
+        ];
+        let mut version = version_at(&mut client).await?;
+        for (id, edit) in edits {
+            version = change(&mut client, id, version, edit).await?;
+        }
+        for entry in &self.entries {
+            self.wait_until_ready(entry, version).await?;
+        }
+        Ok(version)
+    }
+
+    /// A caller that knows all entries.
+    pub fn caller(&self) -> client::Client {
+        let addresses = self.entries.iter().map(|entry| entry.bound.callers);
+        client::Client::new(client::configs::Client {
+            entries: addresses
+                .map(|address| SmolStr::from(address.to_string()))
+                .collect(),
+            key: SmolStr::from(sample::ACCOUNT_KEY),
+            ..client::configs::Client::default()
+        })
+    }
+
+    /// Waits until an entry has a version in force and admits requests.
+    async fn wait_until_ready(&self, entry: &Entry, version: u64) -> anyhow::Result<()> {
+        let address = format!("http://{}", entry.bound.operators);
+        let mut client = Client::connect(&address, sample::OPERATORS_KEY).await?;
+        let admin = entry.bound.admin.to_string();
+        let http = Http::default();
+        for _ in 0..MAX_LOOKS {
+            let applied = version_at(&mut client).await? >= version;
+            let (status, _) = http
+                .send(Method::GET, &admin, "/readyz", Bytes::new())
+                .await?;
+            if applied && status.is_success() {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK.as_duration()).await;
+        }
+        anyhow::bail!("an entry does not get ready")
+    }
+
+    fn list(&self, kind: &str, pool: &str, zone: &str, address: &str) -> Instance {
+        let instance = sample::instance(kind, pool, zone, address);
+        self.platform.state.borrow_mut().fleet.add(instance)
+    }
+}
+
+impl Entry {
+    /// Starts an entry on free ports.
+    pub async fn start(name: &str, zone: &str, platform: &str) -> anyhow::Result<Entry> {
+        let text = sample::settings(name, zone, platform);
+        let loaded = settings::load::parse(name, &text)?;
+        let sockets = Sockets::bind(&loaded.settings).await?;
+        let bound = sockets.bound()?;
+        let (stop, stops) = mpsc::unbounded_channel();
+        let serving = daemon::run::serve(loaded.settings, sockets, stops);
+        Ok(Entry {
+            bound,
+            stop,
+            task: tokio::task::spawn_local(serving),
+        })
+    }
+
+    /// Stops it gracefully and waits for its end.
+    pub async fn stop(self) -> anyhow::Result<()> {
+        let _ = self.stop.send(false);
+        self.task.await?
+    }
+}
+
+async fn version_at(client: &mut Client) -> anyhow::Result<u64> {
+    match client.call(Request::ListDeployments).await? {
+        Reply::Configuration { version, .. } => Ok(version),
+        other => anyhow::bail!("a list was answered with {other:?}"),
+    }
+}
+
+async fn change(client: &mut Client, id: &str, version: u64, edit: Edit) -> anyhow::Result<u64> {
+    let change = Change {
+        id: SmolStr::from(id),
+        expected_version: version,
+        wait: sample::CHANGE_WAIT,
+        edit,
+    };
+    match client.call(Request::Change(change)).await? {
+        Reply::Changed(Changed::Accepted { version }) => Ok(version),
+        other => anyhow::bail!("the change {id} was answered with {other:?}"),
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,7 +3,6 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::init();
     let arguments: command::Standin = argh::from_env();
     match command::run(arguments) {
         Ok(code) => code,
--- /dev/null
+++ b/crates/standin/tests/harness/mod.rs
@@ -0,0 +1,34 @@
+//! Runs the parts and the entries as separate processes, and waits for conditions.
+
+#![allow(dead_code, clippy::unwrap_used)]
+
+pub mod operator;
+pub mod process;
+pub mod world;
+
+use std::future::Future;
+use std::time::Duration;
+
+/// Longest wait for a condition; far beyond what any of them takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Runs a test on one thread.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// Waits until `condition` gives a value.
+pub async fn wait_for<T>(what: &str, mut condition: impl AsyncFnMut() -> Option<T>) -> T {
+    let begin = tokio::time::Instant::now();
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(begin.elapsed() < PATIENCE, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/harness/process.rs
@@ -0,0 +1,106 @@
+//! One child process, killed when it is dropped.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use tokio::io::AsyncBufReadExt;
+use tokio::io::BufReader;
+use tokio::process::Child;
+use tokio::process::Command;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A running child.
+pub struct Process {
+    child: Child,
+    /// What it printed in its `listening` line.
+    pub addresses: BTreeMap<String, String>,
+    /// Where its log goes.
+    pub log: PathBuf,
+}
+
+impl Process {
+    /// Starts `standin` with these arguments and waits until it listens.
+    pub async fn start(name: &str, arguments: &[&str]) -> Process {
+        let log = scratch(&format!("{name}.log"));
+        let file = std::fs::File::create(&log).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_standin"))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(file)
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let addresses = loop {
+            let line = lines.next_line().await.unwrap();
+            let line = line.unwrap_or_else(|| panic!("{name} ended; its log: {}", log.display()));
+            if let Some(rest) = line.strip_prefix("listening ") {
+                break pairs(rest);
+            }
+        };
+        // The pipe is read on, so that the child never blocks on a full one.
+        tokio::task::spawn_local(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        Process {
+            child,
+            addresses,
+            log,
+        }
+    }
+
+    /// An address of its `listening` line.
+    pub fn address(&self, name: &str) -> &str {
+        &self.addresses[name]
+    }
+
+    /// Kills it, as the end of a reclaim does.
+    pub async fn kill(&mut self) {
+        self.child.kill().await.unwrap();
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
+    /// Its exit code, once it has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().unwrap()?.code()
+    }
+
+    /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
+    pub async fn signal(&self, name: &str) {
+        let id = self.child.id().expect("it runs").to_string();
+        let status = Command::new("kill")
+            .args(["-s", name, &id])
+            .status()
+            .await
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Its log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+}
+
+/// A fresh path for a file of this run.
+pub fn scratch(name: &str) -> PathBuf {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    directory.join(format!("{}-{number}-{name}", std::process::id()))
+}
+
+fn pairs(text: &str) -> BTreeMap<String, String> {
+    let pairs = text
+        .split_whitespace()
+        .filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/tests/harness/world.rs
@@ -0,0 +1,236 @@
+//! A whole installation as separate processes: platform, entries, engines, plain services.
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use smol_str::SmolStr;
+use standin::engine;
+use standin::http::Http;
+use standin::platform::fleet::Instance;
+use standin::sample;
+use standin::service;
+
+use client::Client;
+use ops::request::Edit;
+
+use crate::harness::operator::Operator;
+use crate::harness::process::Process;
+use crate::harness::process::scratch;
+use crate::harness::wait_for;
+
+/// The installation.
+pub struct World {
+    pub http: Http,
+    pub platform: Process,
+    pub entries: Vec<Process>,
+    pub engines: Vec<Backend>,
+    pub services: Vec<Backend>,
+}
+
+/// A backend server and its entry in the instance list.
+pub struct Backend {
+    pub process: Process,
+    pub instance: Instance,
+}
+
+/// How large an installation is to be.
+pub struct Size {
+    /// Entries, over the zones in turn.
+    pub entries: usize,
+    /// Model engines, over the zones in turn.
+    pub engines: usize,
+    /// Plain services, over the zones in turn.
+    pub services: usize,
+    /// Time between two tokens, milliseconds.
+    pub token_ms: u64,
+}
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+impl World {
+    /// Starts everything; nothing is deployed yet.
+    pub async fn start(size: &Size) -> World {
+        let platform = Process::start("platform", &["platform"]).await;
+        let mut world = World {
+            http: Http::default(),
+            platform,
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+        };
+        for at in 0..size.engines {
+            world.add_engine(ZONES[at % 3], size.token_ms).await;
+        }
+        for at in 0..size.services {
+            world.add_service(ZONES[at % 3]).await;
+        }
+        for at in 0..size.entries {
+            world.add_entry(ZONES[at % 3]).await;
+        }
+        world
+    }
+
+    /// Starts everything and deploys the sample.
+    pub async fn deployed(size: &Size) -> World {
+        let world = World::start(size).await;
+        world.deploy().await;
+        world
+    }
+
+    /// Starts one more engine; returns its index.
+    pub async fn add_engine(&mut self, zone: &str, token_ms: u64) -> usize {
+        let name = format!("engine-{}", self.engines.len());
+        let token_ms = token_ms.to_string();
+        let process = Process::start(&name, &["engine", "--token-ms", &token_ms]).await;
+        let backend = self.list("engine", sample::MODEL, zone, process).await;
+        self.engines.push(backend);
+        self.engines.len() - 1
+    }
+
+    /// Starts one more plain service; returns its index.
+    pub async fn add_service(&mut self, zone: &str) -> usize {
+        let name = format!("service-{}", self.services.len());
+        let process = Process::start(&name, &["service"]).await;
+        let backend = self.list("service", sample::SERVICE, zone, process).await;
+        self.services.push(backend);
+        self.services.len() - 1
+    }
+
+    /// Starts one more entry; returns its index.
+    pub async fn add_entry(&mut self, zone: &str) -> usize {
+        let name = format!("entry-{}", self.entries.len());
+        let text = sample::settings(&name, zone, self.platform.address("address"));
+        let path = scratch(&format!("{name}.jsonc"));
+        std::fs::write(&path, text).unwrap();
+        let path = path.display().to_string();
+        let process = Process::start(&name, &["entry", "--settings", &path]).await;
+        self.entries.push(process);
+        self.entries.len() - 1
+    }
+
+    /// An operator creates the account and both deployments, and waits until they can be called.
+    pub async fn deploy(&self) {
+        let mut operator = self.operator(0).await;
+        let edits = [
+            ("account", Edit::PutAccount(sample::account())),
+            ("model", Edit::CreateDeployment(sample::model())),
+            ("service", Edit::CreateDeployment(sample::service())),
+        ];
+        let mut version = operator.version().await;
+        for (id, edit) in edits {
+            version = operator.accepted(id, version, edit).await;
+        }
+        for entry in &self.entries {
+            self.wait_until_ready(entry, version).await;
+        }
+    }
+
+    /// Waits until an entry has a version in force and is ready.
+    pub async fn wait_until_ready(&self, entry: &Process, version: u64) {
+        let mut operator = Operator::connect(entry.address("operators")).await;
+        wait_for("the version in force", async || {
+            (operator.version().await >= version).then_some(())
+        })
+        .await;
+        wait_for("a ready entry", async || {
+            let asked =
+                self.http
+                    .send(Method::GET, entry.address("admin"), "/readyz", Bytes::new());
+            asked.await.unwrap().0.is_success().then_some(())
+        })
+        .await;
+    }
+
+    /// An operator at an entry.
+    pub async fn operator(&self, entry: usize) -> Operator {
+        Operator::connect(self.entries[entry].address("operators")).await
+    }
+
+    /// A caller that knows all entries that run.
+    pub fn caller(&self) -> Client {
+        self.caller_of(self.entries.iter())
+    }
+
+    /// A caller that knows these entries.
+    pub fn caller_of<'a>(&self, entries: impl Iterator<Item = &'a Process>) -> Client {
+        Client::new(client::configs::Client {
+            entries: entries
+                .map(|entry| SmolStr::from(entry.address("callers")))
+                .collect(),
+            key: SmolStr::from(sample::ACCOUNT_KEY),
+            silence: clock::Span::from_seconds(5),
+            seed: Some(1),
+            ..client::configs::Client::default()
+        })
+    }
+
+    /// Sends a notice for instances that this JSON names.
+    pub async fn reclaim(&self, whom: serde_json::Value) {
+        self.control("/control/notice", &whom).await;
+    }
+
+    /// Orders a fault at the platform.
+    pub async fn platform_fault(&self, fault: serde_json::Value) {
+        self.control("/control/fault", &fault).await;
+    }
+
+    /// What an engine has counted.
+    pub async fn engine_counts(&self, at: usize) -> engine::fault::Counts {
+        self.counts(&self.engines[at].process).await
+    }
+
+    /// What a plain service has counted.
+    pub async fn service_counts(&self, at: usize) -> service::Counts {
+        self.counts(&self.services[at].process).await
+    }
+
+    /// Executions of a call, such as `POST /receipts?x=1 body`, over all plain services.
+    pub async fn executions(&self, call: &str) -> u32 {
+        let mut executions = 0;
+        for at in 0..self.services.len() {
+            let counts = self.service_counts(at).await;
+            executions += counts.executions.get(call).copied().unwrap_or(0);
+        }
+        executions
+    }
+
+    /// Orders a fault at a backend server.
+    pub async fn fault(&self, process: &Process, fault: serde_json::Value) {
+        let address = process.address("address");
+        self.http
+            .post(address, "/control/fault", &fault)
+            .await
+            .unwrap();
+    }
+
+    /// Changes the state of an instance in the list.
+    pub async fn set_state(&self, id: &str, state: &str) {
+        let path = format!("/control/instances/{id}");
+        self.control(&path, &json!({ "state": state })).await;
+    }
+
+    async fn list(&self, kind: &str, pool: &str, zone: &str, process: Process) -> Backend {
+        let instance = sample::instance(kind, pool, zone, process.address("address"));
+        let address = self.platform.address("address");
+        let added = self
+            .http
+            .post(address, "/control/instances", &instance)
+            .await
+            .unwrap();
+        Backend {
+            process,
+            instance: serde_json::from_slice(&added).unwrap(),
+        }
+    }
+
+    async fn control(&self, path: &str, value: &serde_json::Value) {
+        let address = self.platform.address("address");
+        self.http.post(address, path, value).await.unwrap();
+    }
+
+    async fn counts<T: DeserializeOwned>(&self, process: &Process) -> T {
+        let address = process.address("address");
+        self.http.get(address, "/control/counts").await.unwrap()
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/path.rs
@@ -0,0 +1,56 @@
+//! The whole path over real sockets, each part a process of its own.
+
+mod harness;
+
+use bytes::Bytes;
+use client::call::Call;
+use client::call::Once;
+use harness::world::Size;
+use harness::world::World;
+use http::Method;
+use smol_str::SmolStr;
+use standin::sample;
+use standin::tokens::Chat;
+
+const SIZE: Size = Size {
+    entries: 2,
+    engines: 3,
+    services: 1,
+    token_ms: 5,
+};
+
+/// An operator creates the deployments at one entry. A caller asks the other one for addresses,
+/// streams a model's answer and calls the plain service. All of it must come whole, and once.
+#[test]
+fn whole_path() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        let caller = world.caller_of(world.entries[1..].iter());
+        let answer = caller.refresh("").await.unwrap();
+        let named = &answer.addresses[0].address;
+        assert!(
+            world
+                .entries
+                .iter()
+                .any(|entry| entry.address("callers") == named)
+        );
+
+        let chat = Chat::question(sample::MODEL, "Why are there so few theses on moss?", 40);
+        let body = serde_json::to_value(&chat).unwrap();
+        let mut stream = caller.stream(body, "").await.unwrap();
+        assert_eq!(stream.rest().await.unwrap(), chat.plan().answer());
+
+        let receipt = Call {
+            deployment: SmolStr::from(sample::SERVICE),
+            method: Method::POST,
+            path: SmolStr::from("/receipts/7?copy=1"),
+            body: Bytes::from_static(b"one"),
+            once: Once::Ticket,
+        };
+        let answer = caller.call(&receipt).await.unwrap();
+        assert!(answer.status.is_success());
+        let body = String::from_utf8(answer.body.to_vec()).unwrap();
+        assert!(body.contains("\"path\":\"/receipts/7?copy=1\""), "{body}");
+        assert_eq!(world.executions("POST /receipts/7?copy=1 one").await, 1);
+    });
+}
