--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -10,7 +10,7 @@
 
 use clock::Span;
 
-use crate::configs::admission::Admission;
+use crate::configs::admission::Config;
 use crate::fair::Cost;
 
 /// An idle replica's time is taken from the quickest answers: the estimate falls quickly and rises
@@ -48,7 +48,7 @@
 
 impl Service {
     /// Notes an attempt's time from start to first token.
-    pub fn note_first(&mut self, settings: &Admission, prompt: u32, took: Span) {
+    pub fn note_first(&mut self, settings: &Config, prompt: u32, took: Span) {
         let prompt = f64::from(prompt);
         let took = took.as_millis() as f64;
         let smoothing = settings.smoothing;
@@ -63,7 +63,7 @@
     }
 
     /// Notes an attempt's whole duration and cost.
-    pub fn note_end(&mut self, settings: &Admission, cost: Cost, took: Span) {
+    pub fn note_end(&mut self, settings: &Config, cost: Cost, took: Span) {
         self.duration
             .note(took.as_millis() as f64, settings.smoothing);
         self.cost.note(cost as f64, settings.smoothing);
@@ -92,7 +92,7 @@
 
     /// The time that a job has for its first token: its target, or more if even an idle replica
     /// takes longer (else it would be refused for ever).
-    pub fn allowed(&self, settings: &Admission, target: Span, prompt: u32) -> Span {
+    pub fn allowed(&self, settings: &Config, target: Span, prompt: u32) -> Span {
         let idle = self.idle(prompt);
         if idle <= target.as_millis() as f64 {
             return target;
--- a/crates/policy/src/concurrency/mod.rs
+++ b/crates/policy/src/concurrency/mod.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// How many entries share the replica now, this one included.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.config.entries = entries.max(1);
+    }
+
     /// A job of ours with that many tokens was started there.
     pub fn started(&mut self, now: Time, tokens: u64) {
         self.own.started(now, tokens, self.config.history);
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -1,4 +1,5 @@
 //! Settings of the policy modules, each with its defaults and their grounds.
+//! Settings of the policy modules, one file a module, each with its defaults and their grounds.
 
 pub mod admission;
 pub mod affinity;
@@ -7,10 +8,13 @@
 pub mod fair;
 pub mod health;
 pub mod limit;
+pub mod mix;
 pub mod placement;
 pub mod quarantine;
 pub mod retry;
 pub mod scheduler;
 pub mod size;
+pub mod slots;
+pub mod subset;
 pub mod warmup;
 pub mod wave;
