Hold the operators' contract to its rules

Ruled out: a codec of our own that says INVALID_ARGUMENT for bytes that aren't a message (60 lines for a case that generated stubs can't cause; the library's INTERNAL names the field, which a test holds).

--- a/crates/ops/tests/server.rs
+++ b/crates/ops/tests/server.rs
@@ -256,3 +256,58 @@
     assert_eq!(status.code(), Code::NotFound);
     assert_eq!(status.message(), "no deployment thesis");
 }
+
+/// A message whose first field has another type than the contract's.
+#[derive(Clone, PartialEq, prost::Message)]
+struct WrongType {
+    /// A text where a message belongs.
+    #[prost(string, tag = "1")]
+    change: String,
+    /// A number where a message belongs.
+    #[prost(uint64, tag = "2")]
+    deployment: u64,
+}
+
+/// A program was built against another schema and sends a number where a deployment belongs. It gets
+/// an error that names the field; the next call on the same connection is served.
+#[tokio::test]
+async fn a_change_with_a_field_of_the_wrong_type_is_refused() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (calls, mut received) = mpsc::channel::<Call>(16);
+    tokio::spawn(async move { ops::serve(listener, KEY, calls).await });
+    tokio::spawn(async move {
+        while let Some(call) = received.recv().await {
+            assert_eq!(call.request, Request::GetStatus);
+            let _ = call.reply.send(Ok(Reply::Status(Default::default())));
+        }
+    });
+    let address = format!("http://{address}");
+    let channel = Channel::from_shared(address)
+        .unwrap()
+        .connect()
+        .await
+        .unwrap();
+    let mut raw = tonic::client::Grpc::new(channel.clone());
+    raw.ready().await.unwrap();
+    let message = WrongType {
+        change: "c-1".to_owned(),
+        deployment: 7,
+    };
+    let codec = tonic_prost::ProstCodec::<WrongType, wire::ChangeResult>::default();
+    let path = "/dogwoodspur.v1.Operators/CreateDeployment"
+        .parse()
+        .unwrap();
+    let status = raw
+        .unary(with_key(message, KEY), path, codec)
+        .await
+        .unwrap_err();
+    assert_eq!(status.code(), Code::Internal);
+    assert!(
+        status.message().contains("CreateDeploymentRequest.change"),
+        "{status}"
+    );
+    let mut client = OperatorsClient::new(channel);
+    let question = with_key(wire::GetStatusRequest {}, KEY);
+    assert!(client.get_status(question).await.is_ok());
+}
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// Reads a file for `--check`: unknown names are faults too.
+pub fn strict(path: impl AsRef<Path>) -> Result<Loaded, Faults> {
+    let loaded = read(path)?;
+    if loaded.warnings.0.is_empty() {
+        Ok(loaded)
+    } else {
+        Err(loaded.warnings)
+    }
+}
+
 /// Reads the text of a file.
 pub fn parse(file: &str, text: &str) -> Result<Loaded, Faults> {
     let tree = check::parse(file, text).map_err(|fault| Faults(vec![fault]))?;
--- a/crates/settings/tests/load.rs
+++ b/crates/settings/tests/load.rs
@@ -1,5 +1,8 @@
 //! Reading a settings file, sound and unsound.
 
+use std::fs;
+use std::path::Path;
+
 use settings::Faults;
 use settings::load::parse;
 
@@ -71,6 +74,17 @@
     );
 }
 
+#[test]
+fn an_unknown_name_is_a_fault_for_a_strict_check() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("strict.jsonc");
+    fs::write(&path, LEAST).unwrap();
+    assert!(settings::strict(&path).is_ok());
+    let text = LEAST.replace("\"identity\"", "\"identiti\": {}, \"identity\"");
+    fs::write(&path, text).unwrap();
+    let faults = settings::strict(&path).unwrap_err();
+    assert!(lines(&faults)[0].ends_with("did you mean 'identity'?"));
+}
+
 #[test]
 fn broken_syntax_names_its_line() {
     let faults = parse("entry.jsonc", "{\n  \"identity\": {\n").unwrap_err();
