Prove configuration changes against failures of entries, store and network

Cause: acceptance was tested with one entry only. Ruled out: holding an acceptance back for a lease term; a frozen entry then delayed it by 14 s, so a peer's word now counts for 3 s (stretched with the number of members) and has its own setting. Change: a world of entries in virtual time that checks after every event that nobody admits under a version older than an accepted one; 11 failure stories; words carry the asker, so that an answer to another life of a process counts for nothing.

--- a/crates/config/src/acceptance.rs
+++ b/crates/config/src/acceptance.rs
@@ -7,10 +7,13 @@
 //! has applied it or is *out*: its lease has lapsed by our clock. A member whose row was written
 //! after that read reads the head before it admits anything, so it can't have missed the commit. A
 //! member that is out may still admit on the word of its peers (see [`crate::admission`]), which
-//! takes a majority of the members that each said, within the last term, that they hold nothing
-//! newer. So while any member is out, acceptance also takes a majority of all members that are not
-//! out and have applied the version, and then waits a term and margin: the majorities share a
-//! member, and its old word has expired by then.
+//! takes a majority of the members that each said lately that they hold nothing newer. So while any
+//! member is out, acceptance also takes a majority of all members that are not out and have applied
+//! the version, and then waits until words from before count no more: the two majorities share a
+//! member, and what it said before it applied the version has expired by then.
+//!
+//! The majorities are counted among the members that each side last read. They are sure to meet as
+//! long as no more members joined than were removed while a majority could not read the service.
 
 use std::collections::BTreeMap;
 
@@ -20,6 +23,7 @@
 use lease::view::View;
 
 use crate::change::Standing;
+use crate::configs::agreement::Settings;
 
 /// Follows versions until they are accepted.
 #[derive(Clone, Debug)]
@@ -30,7 +34,7 @@
     applied: BTreeMap<holder::Id, u64>,
     tracked: BTreeMap<u64, Tracked>,
     accepted: u64,
-    hold: Span,
+    settings: Settings,
 }
 
 /// A version on its way.
@@ -43,14 +47,14 @@
 }
 
 impl Acceptance {
-    /// `hold` is the term of a lease and its margin.
-    pub fn new(hold: Span) -> Acceptance {
+    /// Nothing followed yet.
+    pub fn new(settings: Settings) -> Acceptance {
         Acceptance {
             view: View::default(),
             applied: BTreeMap::new(),
             tracked: BTreeMap::new(),
             accepted: 0,
-            hold,
+            settings,
         }
     }
 
@@ -124,7 +128,7 @@
             .or_insert(tracked)
             .settled
             .get_or_insert(now);
-        if now < settled + self.hold {
+        if now < settled + self.hold() {
             return Standing::Waiting(out);
         }
         self.accept(version)
@@ -135,10 +139,14 @@
         self.tracked
             .values()
             .filter_map(|tracked| tracked.settled)
-            .map(|settled| settled + self.hold)
+            .map(|settled| settled + self.hold())
             .min()
     }
 
+    fn hold(&self) -> Span {
+        self.settings.hold_among(self.view.members.len())
+    }
+
     fn accept(&mut self, version: u64) -> Standing {
         self.accepted = self.accepted.max(version);
         self.tracked = self.tracked.split_off(&(version + 1));
--- a/crates/config/src/admission.rs
+++ b/crates/config/src/admission.rs
@@ -5,8 +5,8 @@
 //!
 //! There are two grounds to admit. Either this entry's lease is valid, and it has read the head
 //! since it gained the lease: then every acceptance waits for it. Or a majority of all members has
-//! said, in answer to a question sent less than a term ago, that they hold nothing newer: then no
-//! acceptance can have found a majority (see [`crate::acceptance`]). The second ground keeps the
+//! said, in answer to questions sent lately, that they hold nothing newer: then no acceptance can
+//! have found a majority (see [`crate::acceptance`]). The second ground keeps the
 //! entries serving while the table service is down, and lets an entry start in that time with the
 //! newest version that a majority knows, which an accepted one can't exceed. A question carries the
 //! asker's own time and its answer gives it back, so an answer that a frozen peer or network holds
@@ -19,6 +19,8 @@
 use lease::holder;
 use lease::holding::Holding;
 
+use crate::configs::agreement::Settings;
+
 /// The grounds that this entry has.
 #[derive(Clone, Debug)]
 pub struct Admission {
@@ -28,7 +30,7 @@
     confirmed: Option<u64>,
     voters: Vec<holder::Id>,
     word: BTreeMap<holder::Id, Word>,
-    term: Span,
+    settings: Settings,
 }
 
 /// What a member said of its version.
@@ -41,15 +43,15 @@
 }
 
 impl Admission {
-    /// No grounds yet; `term` is the term of a lease.
-    pub fn new(me: holder::Id, term: Span) -> Admission {
+    /// No grounds yet.
+    pub fn new(me: holder::Id, settings: Settings) -> Admission {
         Admission {
             me,
             lease: Holding::default(),
             confirmed: None,
             voters: Vec::new(),
             word: BTreeMap::new(),
-            term,
+            settings,
         }
     }
 
@@ -65,8 +67,7 @@
 
     /// Whether the lease is close enough to its end that peers should be asked.
     pub fn wants_word(&self, now: Time) -> bool {
-        let reserve = self.term.scaled(0.5);
-        !self.leased(now) || self.lease.valid_until < now + reserve
+        !self.leased(now) || self.lease.valid_until < now + self.word_counts()
     }
 
     /// The lease as it stands.
@@ -101,15 +102,16 @@
             return;
         }
         let word = self.word.entry(member).or_insert(Word { asked, version });
-        if word.asked <= asked {
-            *word = Word {
-                asked,
-                version: word.version.max(version),
-            };
-        }
+        word.asked = word.asked.max(asked);
+        word.version = word.version.max(version);
+    }
+
+    /// How long a member's word counts.
+    pub fn word_counts(&self) -> Span {
+        self.settings.word_among(self.voters.len())
     }
 
-    /// Whether a majority of members held nothing newer than `applied` within the last term.
+    /// Whether a majority of members held nothing newer than `applied` in a word that still counts.
     fn majority(&self, now: Time, applied: u64) -> bool {
         let agreeing = self
             .voters
@@ -122,6 +124,6 @@
     fn agrees(&self, member: holder::Id, now: Time, applied: u64) -> bool {
         self.word
             .get(&member)
-            .is_some_and(|word| now < word.asked + self.term && word.version <= applied)
+            .is_some_and(|word| now < word.asked + self.word_counts() && word.version <= applied)
     }
 }
--- a/crates/config/src/agreement.rs
+++ b/crates/config/src/agreement.rs
@@ -79,8 +79,8 @@
         Agreement {
             history: History::new(settings.kept),
             follower: Follower::new(settings),
-            admission: Admission::new(me, settings.term),
-            acceptance: Acceptance::new(settings.term + settings.margin),
+            admission: Admission::new(me, settings),
+            acceptance: Acceptance::new(settings),
             submissions: Submissions::default(),
             known: None,
             unconfirmed: None,
@@ -144,7 +144,7 @@
             wakes.push(self.next_ask);
         } else {
             let lease = self.admission.lease().valid_until;
-            wakes.push(Time::ZERO + lease.since(Time::ZERO + self.settings.term.scaled(0.5)));
+            wakes.push(Time::ZERO + lease.since(Time::ZERO + self.admission.word_counts()));
         }
         if self.acceptance.wants_view() {
             wakes.push(self.next_view);
--- a/crates/config/src/agreement/peers.rs
+++ b/crates/config/src/agreement/peers.rs
@@ -10,8 +10,8 @@
 
 /// Versions sent in one message.
 const LOG_LIMIT: usize = 64;
-/// Parts of a term between two rounds of questions to the members.
-const ASKS_PER_TERM: f64 = 4.0;
+/// Rounds of questions to the members while a word counts.
+const ASKS_PER_WORD: f64 = 4.0;
 
 impl Agreement {
     /// A peer holds a version: newer than ours, it is fetched from there.
@@ -55,18 +55,21 @@
             Message::Whole { snapshot, before } => {
                 self.history.replace(snapshot, before);
             }
-            Message::Ask { asked } => {
+            Message::Ask { asker, asked } => {
                 let message = Message::Word {
+                    asker,
                     asked,
                     version: self.history.version(),
                     voters: self.admission.voters().to_vec(),
                 };
                 effects.push(Effect::Send { to: from, message });
             }
+            Message::Word { asker, .. } if asker != self.me => {}
             Message::Word {
                 asked,
                 version,
                 voters,
+                ..
             } => {
                 if self.admission.voters().is_empty() {
                     self.admission.set_voters(voters);
@@ -96,7 +99,7 @@
         if now < self.next_ask || !self.admission.wants_word(now) {
             return;
         }
-        self.next_ask = now + self.settings.term.scaled(1.0 / ASKS_PER_TERM);
+        self.next_ask = now + self.admission.word_counts().scaled(1.0 / ASKS_PER_WORD);
         let asked = now.as_millis();
         let members = match self.admission.voters() {
             [] => &self.peers,
@@ -105,7 +108,10 @@
         for member in members.iter().filter(|member| **member != self.me) {
             effects.push(Effect::Send {
                 to: *member,
-                message: Message::Ask { asked },
+                message: Message::Ask {
+                    asker: self.me,
+                    asked,
+                },
             });
         }
     }
--- a/crates/config/src/configs/agreement.rs
+++ b/crates/config/src/configs/agreement.rs
@@ -15,9 +15,11 @@
     pub retry_limit: Span,
     /// How long a peer is given to hand over missing versions before the service is read.
     pub peer_patience: Span,
-    /// Term of a member's lease; also how long a peer's word on its version counts as evidence.
-    pub term: Span,
-    /// Added to the term before others treat a lease as lapsed, for clocks that run unevenly.
+    /// How long a member's word on its version counts, from when it was asked, among few members.
+    pub word: Span,
+    /// The same for each member, so that many members are asked less often.
+    pub word_per_member: Span,
+    /// Added to waits for others' clocks, which may run unevenly.
     pub margin: Span,
     /// Versions kept in the service and in memory.
     pub kept: u64,
@@ -35,7 +37,8 @@
             retry: Span::from_millis(200),
             retry_limit: Span::from_seconds(5),
             peer_patience: Span::from_millis(500),
-            term: Span::from_seconds(6),
+            word: Span::from_seconds(3),
+            word_per_member: Span::from_millis(60),
             margin: Span::from_seconds(1),
             kept: 512,
             checkpoint_every: 64,
@@ -43,3 +46,18 @@
         }
     }
 }
+
+/// Others may count a quarter more members than we do, and so trust a word for longer.
+const COUNT_SLACK: f64 = 1.25;
+
+impl Settings {
+    /// How long a member's word counts among `members`.
+    pub fn word_among(&self, members: usize) -> Span {
+        self.word.max(self.word_per_member.times(members as u64))
+    }
+
+    /// How long to wait until nobody counts on a word that is older.
+    pub fn hold_among(&self, members: usize) -> Span {
+        self.word_among(members).scaled(COUNT_SLACK) + self.margin
+    }
+}
--- a/crates/config/src/message.rs
+++ b/crates/config/src/message.rs
@@ -30,11 +30,15 @@
     },
     /// Asks which version the peer has applied.
     Ask {
+        /// The asker, given back in the answer: clocks of two lives of a process don't compare.
+        asker: holder::Id,
         /// The asker's clock, given back in the answer so that late answers show their age.
         asked: u64,
     },
     /// The answer to `Ask`.
     Word {
+        /// As in the question.
+        asker: holder::Id,
         /// As in the question.
         asked: u64,
         /// The newest version the answerer has applied.
--- /dev/null
+++ b/crates/config/tests/failures.rs
@@ -0,0 +1,225 @@
+//! Changes of the configuration while entries, store and network fail.
+
+mod common;
+
+use clock::Span;
+use common::account;
+use common::entries;
+use config::change::Answer;
+use config::change::Change;
+use config::edit::Edit;
+use store::fake::Fault;
+
+const SECOND: Span = Span::from_seconds(1);
+
+#[test]
+fn a_change_is_in_force_everywhere_within_seconds() {
+    let mut world = entries(8);
+    let operation = world.set_weight(2, "c1", "harrow", 3);
+    let took = world
+        .run_until(SECOND.times(5), |world| {
+            (0..8).all(|index| world.version(index) == 1)
+        })
+        .unwrap();
+    assert!(took <= SECOND.times(2), "{took}");
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+}
+
+/// Two operators change the same account at two entries at the same moment. One is told accepted;
+/// the other is told what the first did, and nothing of its own is done.
+#[test]
+fn of_two_racing_operators_one_wins_and_one_is_told_why() {
+    let mut world = entries(8);
+    let first = world.set_weight(0, "c1", "harrow", 1);
+    let second = world.set_weight(5, "c2", "harrow", 2);
+    let answers = [world.answer(first), world.answer(second)];
+    let (winner, loser) = match answers[0] {
+        Answer::Accepted { .. } => (1, answers[1].clone()),
+        _ => (2, answers[0].clone()),
+    };
+    let difference = Some(vec![Edit::PutAccount(account("harrow", winner))]);
+    let version = 1;
+    assert_eq!(
+        loser,
+        Answer::Conflict {
+            version,
+            difference
+        }
+    );
+    world.check_answers();
+}
+
+/// The service commits a change and its answer is lost; the operator's client repeats the call at
+/// another entry. The change is done once, and both calls are told the same version.
+#[test]
+fn a_lost_answer_and_a_repeated_change_make_one_version() {
+    let mut world = entries(8);
+    world.table.push_fault(Fault::LostAnswer);
+    let first = world.set_weight(0, "c1", "harrow", 1);
+    world.run(SECOND.times(3));
+    let change = world.changes[&first].clone();
+    let repeat = world.submit(4, change, SECOND.times(20));
+    assert_eq!(world.answer(first), Answer::Accepted { version: 1 });
+    assert_eq!(world.answer(repeat), Answer::Accepted { version: 1 });
+    assert_eq!(world.versions_with("c1"), [1]);
+}
+
+/// A commit is held up in the network, its sender gives up and tries again, and the first one lands
+/// afterwards. The change must not be in two versions.
+#[test]
+fn a_commit_that_lands_late_is_not_done_twice() {
+    let mut world = entries(8);
+    world.late.push(SECOND);
+    let operation = world.set_weight(0, "c1", "harrow", 1);
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+    world.run(SECOND.times(10));
+    assert_eq!(world.versions_with("c1"), [1]);
+    assert_eq!(world.head(), 1);
+}
+
+/// An entry is frozen while a key is revoked. The operator is told "accepted" only when the frozen
+/// entry can't serve under the old version any more; continued much later, it admits nothing until
+/// it holds the new one.
+#[test]
+fn an_entry_frozen_through_a_change_admits_nothing_old() {
+    let mut world = entries(8);
+    world.set_frozen(3, true);
+    let operation = world.set_weight(0, "c1", "harrow", 1);
+    world.run(SECOND.times(3));
+    assert_eq!(world.answers.get(&operation), None, "accepted too early");
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+    world.run(SECOND.times(60));
+    world.set_frozen(3, false);
+    assert!(!world.admits(3));
+    world
+        .run_until(SECOND.times(5), |world| world.admits(3))
+        .unwrap();
+    assert_eq!(world.version(3), 1);
+}
+
+/// The table service is down for an hour. Entries go on admitting under the newest version; a change
+/// is refused as not done; an entry that starts in the outage takes the version from its peers and
+/// admits too; afterwards changes go through again.
+#[test]
+fn an_outage_of_an_hour_stops_changes_and_nothing_else() {
+    let mut world = entries(8);
+    let operation = world.set_weight(0, "c1", "harrow", 1);
+    world.answer(operation);
+    world.table.set_down(true);
+    world.run(SECOND.times(600));
+    let refused = world.set_weight(1, "c2", "harrow", 2);
+    assert_eq!(world.answer(refused), Answer::Unavailable);
+    let late = world.start();
+    world.run(SECOND.times(20));
+    assert_eq!(world.version(late), 1);
+    for _ in 0..300 {
+        world.run(SECOND.times(10));
+        assert!((0..=late).all(|index| world.admits(index)));
+    }
+    world.table.set_down(false);
+    world.run(SECOND.times(15));
+    let operation = world.set_weight(late, "c3", "harrow", 3);
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 2 });
+    world.check_answers();
+}
+
+/// One entry alone can't reach the table service. Its peers' word keeps it admitting under their
+/// version, so a change is still accepted and it holds it too.
+#[test]
+fn an_entry_cut_off_from_the_service_lives_by_its_peers() {
+    let mut world = entries(8);
+    world.nodes[6].store_cut = true;
+    world.run(SECOND.times(60));
+    assert!(world.admits(6));
+    let operation = world.set_weight(0, "c1", "harrow", 1);
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+    world.run(SECOND.times(5));
+    assert!(world.admits(6));
+    assert_eq!(world.version(6), 1);
+}
+
+/// An entry is cut off from service and peers while a change is made, and callers still reach it.
+/// It must stop admitting before the operator is told "accepted".
+#[test]
+fn an_isolated_entry_stops_before_a_change_is_accepted() {
+    let mut world = entries(8);
+    world.nodes[6].store_cut = true;
+    world.nodes[6].part = 1;
+    let operation = world.set_weight(0, "c1", "harrow", 1);
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+    assert!(!world.admits(6));
+    assert_eq!(world.version(6), 0);
+}
+
+/// Most entries lose the table service and the others for an hour, together. They go on under the
+/// version they know, and the few that reach the service can commit but not accept a change.
+#[test]
+fn a_minority_with_the_service_cannot_accept_over_the_majority() {
+    let mut world = entries(8);
+    for index in 0..5 {
+        world.nodes[index].store_cut = true;
+        world.nodes[index].part = 1;
+    }
+    world.run(SECOND.times(30));
+    let operation = world.set_weight(7, "c1", "harrow", 1);
+    let answer = world.answer(operation);
+    assert!(
+        matches!(answer, Answer::Committed { version: 1, .. }),
+        "{answer:?}"
+    );
+    assert!((0..5).all(|index| world.admits(index)));
+    for index in 0..5 {
+        world.nodes[index].store_cut = false;
+        world.nodes[index].part = 0;
+    }
+    let repeat = Change {
+        ..world.changes[&operation].clone()
+    };
+    let operation = world.submit(7, repeat, SECOND.times(30));
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+}
+
+/// The entries of a zone die at once during a change and as many new ones start. The change is
+/// accepted, and the new entries hold it before they admit.
+#[test]
+fn a_zone_is_replaced_in_the_middle_of_a_change() {
+    let mut world = entries(9);
+    let operation = world.set_weight(1, "c1", "harrow", 1);
+    for index in [0, 3, 6] {
+        world.nodes[index].dead = true;
+    }
+    for _ in 0..3 {
+        world.start();
+    }
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+    world.run(SECOND.times(20));
+    assert!((9..12).all(|index| world.admits(index) && world.version(index) == 1));
+}
+
+/// Far more changes are made than versions are kept, while one entry is frozen. The service's rows
+/// stay bounded and the entry catches up from the snapshot.
+#[test]
+fn old_versions_are_compacted_and_a_late_entry_catches_up() {
+    let mut world = entries(3);
+    world.set_frozen(2, true);
+    for number in 0..700 {
+        world.set_weight(0, &format!("c{number}"), "harrow", number);
+        // Changes that wait for the frozen entry's lease must fit the queue.
+        world.run(Span::from_millis(50));
+        assert_eq!(world.head(), u64::from(number) + 1);
+    }
+    assert!(
+        world
+            .table
+            .row("config", "version/0000000000000001")
+            .is_none()
+    );
+    world.set_frozen(2, false);
+    world
+        .run_until(SECOND.times(20), |world| world.version(2) == 700)
+        .unwrap();
+    let late = world.start();
+    world
+        .run_until(SECOND.times(20), |world| world.version(late) == 700)
+        .unwrap();
+}
