--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -249,11 +249,24 @@
     entry::configs::entry::Settings {
         address_ttl: Span::from_millis(settings.callers.address_ttl_ms),
         grace: Span::from_millis(settings.shutdown.grace_ms),
-        lease_term: Span::from_millis(settings.leases.term_ms),
+        members: member_settings(settings),
         ..entry::configs::entry::Settings::default()
     }
 }
 
+/// The settings of leases and digests.
+fn member_settings(settings: &Settings) -> member::configs::membership::Settings {
+    let leases = &settings.leases;
+    member::configs::membership::Settings {
+        renewal: Span::from_millis(leases.renew_interval_ms),
+        renewals_per_term: leases.term_ms / leases.renew_interval_ms.max(1),
+        margin: Span::from_millis(leases.margin_ms),
+        gossip: Span::from_millis(settings.peers.digest_interval_ms),
+        fanout: settings.peers.fan_out as usize,
+        ..member::configs::membership::Settings::default()
+    }
+}
+
 /// The callers' limits.
 fn limit_of(settings: &Settings) -> Limit {
     let callers = &settings.callers;
--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -12,8 +12,10 @@
     pub tickets_per_answer: u64,
     /// Time in which requests may finish before they are handed to a peer, on a planned stop.
     pub grace: Span,
-    /// Term of this entry's lease.
-    pub lease_term: Span,
+    /// Leases, reads and digests of members.
+    pub members: member::configs::membership::Settings,
+    /// How changes of the configuration are agreed.
+    pub agreement: config::configs::agreement::Settings,
     /// Peer addresses to try while no members are known.
     pub seeds: Vec<SmolStr>,
     /// Longest wait for a row of its own before a request is given up.
@@ -26,7 +28,8 @@
             address_ttl: Span::from_seconds(10),
             tickets_per_answer: 4,
             grace: Span::from_seconds(20),
-            lease_term: Span::from_seconds(6),
+            members: member::configs::membership::Settings::default(),
+            agreement: config::configs::agreement::Settings::default(),
             seeds: Vec::new(),
             intent_wait: Span::from_seconds(2),
         }
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -6,6 +6,7 @@
 use config::change;
 use config::change::Answer;
 use config::change::Operation;
+use config::configs::agreement::Settings;
 use config::edit;
 use config::event::Effect as ConfigEffect;
 use config::event::Event as ConfigEvent;
@@ -135,11 +136,7 @@
 }
 
 /// A new agreement machine of an entry.
-pub(crate) fn agreement(me: holder::Id, term: Span, seed: u64) -> Agreement {
-    let settings = config::configs::agreement::Settings {
-        term,
-        ..config::configs::agreement::Settings::default()
-    };
+pub(crate) fn agreement(me: holder::Id, settings: Settings, seed: u64) -> Agreement {
     Agreement::new(me, settings, validate, seed)
 }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -73,8 +73,8 @@
         let seeds = settings.seeds.clone();
         Entry {
             ledger: Ledger::new(identity.incarnation),
-            agreement: configuration::agreement(me, settings.lease_term, seed),
-            membership: members::membership(&identity, seeds, seed),
+            agreement: configuration::agreement(me, settings.agreement, seed),
+            membership: members::membership(&identity, seeds, settings.members, seed),
             next_demand: Time::ZERO,
             news_version: 0,
             identity,
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -3,6 +3,7 @@
 use clock::Span;
 use clock::Time;
 use lease::holder;
+use member::configs::membership::Settings;
 use member::digest::Item;
 use member::digest::Topic;
 use member::event::Effect as MemberEffect;
@@ -187,7 +188,12 @@
 }
 
 /// A new membership machine of an entry.
-pub(crate) fn membership(identity: &Identity, seeds: Vec<SmolStr>, seed: u64) -> Membership {
+pub(crate) fn membership(
+    identity: &Identity,
+    seeds: Vec<SmolStr>,
+    settings: Settings,
+    seed: u64,
+) -> Membership {
     let row = Row {
         id: holder::Id(identity.incarnation.0),
         zone: identity.zone.clone(),
@@ -195,6 +201,5 @@
         peer_address: identity.peer_address.clone(),
         ..Row::default()
     };
-    let settings = member::configs::membership::Settings::default();
     Membership::new(row, seeds, settings, seed)
 }
