--- a/crates/config/tests/failures.rs
+++ b/crates/config/tests/failures.rs
@@ -223,3 +223,39 @@
         .run_until(SECOND.times(20), |world| world.version(late) == 700)
         .unwrap();
 }
+
+/// An entry is frozen through a change and hears nothing of its peers when it is continued. It renews
+/// its lease at once; a caller served in the moment before it has read the head would be served
+/// under the old version.
+#[test]
+fn a_regained_lease_alone_does_not_let_an_entry_admit() {
+    let mut world = entries(5);
+    world.nodes[3].part = 1;
+    world.run(SECOND);
+    world.set_frozen(3, true);
+    let operation = world.set_weight(0, "c1", "harrow", 1);
+    assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+    world.set_frozen(3, false);
+    world.run(SECOND.times(5));
+    assert!(world.admits(3));
+    assert_eq!(world.version(3), 1);
+}
+
+/// An entry starts and admits under the newest version, hearing no peer, just before a change. The
+/// entry that commits the change has read the members a moment earlier and doesn't know of it. The
+/// change must not be called accepted before the new entry holds it too.
+#[test]
+fn an_entry_that_started_since_the_last_read_is_waited_for() {
+    for offset in 0..10 {
+        let mut world = entries(3);
+        world.run(Span::from_millis(offset * 400));
+        let late = world.start();
+        world.nodes[late].part = 1;
+        world
+            .run_until(SECOND.times(5), |world| world.admits(late))
+            .unwrap();
+        let operation = world.set_weight(0, "c1", "harrow", 1);
+        assert_eq!(world.answer(operation), Answer::Accepted { version: 1 });
+        assert_eq!(world.version(late), 1, "started at {offset}");
+    }
+}
