--- /dev/null
+++ b/crates/standin/tests/failures_backend.rs
@@ -0,0 +1,239 @@
+//! Backend servers that are reclaimed, killed or cut while they serve.
+
+mod harness;
+
+use std::time::Duration;
+
+use client::call::Once;
+use harness::caller::Asked;
+use harness::caller::receipt;
+use harness::caller::receipt_key;
+use harness::wait_for;
+use harness::world::Size;
+use harness::world::World;
+use serde_json::json;
+use verdict::Verdict;
+
+const SIZE: Size = Size {
+    entries: 3,
+    engines: 6,
+    services: 3,
+    token_ms: 10,
+};
+
+/// Less than the streams of these tests take, so that none can finish where it began.
+const NOTICE_MS: u64 = 600;
+
+/// Within this a leaving server must be out of use at every entry.
+const FEW_SECONDS: Duration = Duration::from_secs(3);
+
+/// A dossier stops half way: its engine's instance was reclaimed with notice. The stream must go on
+/// at another engine, whole, and with nothing computed again, since KV can still be exported.
+#[test]
+fn reclaimed_engine_in_mid_stream() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let mut asked = Asked::new(&world.caller(), "reclaimed engine", 150).await;
+        asked.read(40).await;
+        let at = busy_engine(&world).await;
+        reclaim_and_kill(&mut world, &[at]).await;
+        asked.finish().await;
+        assert_eq!(asked.stream.cuts(), 0);
+        assert_eq!(recomputed(&world, &[at]).await, 0);
+    });
+}
+
+/// The same where the engines can't move KV: prompt and tokens so far are run again elsewhere.
+#[test]
+fn reclaimed_engine_without_transfer() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        for engine in &world.engines {
+            world
+                .fault(&engine.process, json!({ "no_transfer": true }))
+                .await;
+        }
+        let mut asked = Asked::new(&world.caller(), "no transfer", 150).await;
+        asked.read(40).await;
+        let at = busy_engine(&world).await;
+        reclaim_and_kill(&mut world, &[at]).await;
+        asked.finish().await;
+        assert!(recomputed(&world, &[at]).await > 0);
+    });
+}
+
+/// A county society's portal goes dark with its zone: engines, plain services and the entry of one
+/// zone are reclaimed together in mid-stream. Every stream must end whole, and each receipt be
+/// executed once.
+#[test]
+fn reclaimed_zone_in_mid_stream() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let caller = world.caller();
+        let mut streams = Vec::new();
+        for number in 0..12 {
+            let mut asked = Asked::new(&caller, &format!("zone {number}"), 150).await;
+            asked.read(5).await;
+            streams.push(asked);
+        }
+        world
+            .reclaim(json!({ "zone": "a", "deadline_ms": NOTICE_MS }))
+            .await;
+        world.entries[0].signal("TERM").await;
+        let filing = async {
+            for number in 0..10 {
+                let body = format!("zone-{number}");
+                caller.call(&receipt(&body, Once::Ticket)).await.unwrap();
+            }
+        };
+        let reading = futures::future::join_all(streams.iter_mut().map(Asked::finish));
+        let taking = async {
+            tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
+            world.engines[0].process.kill().await;
+            world.engines[3].process.kill().await;
+            world.services[0].process.kill().await;
+        };
+        tokio::join!(filing, reading, taking);
+        for number in 0..10 {
+            let key = receipt_key(&format!("zone-{number}"));
+            let mut executions = 0;
+            for service in 1..SIZE.services {
+                let counts = world.service_counts(service).await;
+                executions += counts.executions.get(&key).copied().unwrap_or(0);
+            }
+            assert!(executions <= 1, "{key}: {executions}");
+        }
+    });
+}
+
+/// A stream stops without any notice: its engine was killed. Prompt and tokens so far are run again
+/// elsewhere, and the reader sees nothing of it.
+#[test]
+fn killed_engine_in_mid_stream() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let mut asked = Asked::new(&world.caller(), "killed engine", 150).await;
+        asked.read(40).await;
+        let at = busy_engine(&world).await;
+        world.engines[at].process.kill().await;
+        asked.finish().await;
+        assert_eq!(asked.stream.cuts(), 0);
+    });
+}
+
+/// A stream's connection to its engine is cut while the engine lives: the engine keeps the stream,
+/// so that it is resumed there and nothing is computed again.
+#[test]
+fn cut_connection_to_an_engine() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        for engine in &world.engines {
+            world.fault(&engine.process, json!({ "cut_at": 30 })).await;
+        }
+        let mut asked = Asked::new(&world.caller(), "cut connection", 100).await;
+        asked.finish().await;
+        let mut started = 0;
+        for engine in 0..SIZE.engines {
+            started += world.engine_counts(engine).await.started.len();
+        }
+        assert_eq!(started, 1);
+    });
+}
+
+/// A request is sent to a server that is about to go: the instance list lags by a minute and still
+/// calls it live. The notice alone must keep new work away from it, in this incarnation for ever.
+#[test]
+fn leaving_engine_gets_no_new_work() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        let leaving = &world.engines[0];
+        world
+            .reclaim(json!({ "id": leaving.instance.id, "deadline_ms": 120_000 }))
+            .await;
+        world.set_state(&leaving.instance.id, "live").await;
+        tokio::time::sleep(FEW_SECONDS).await;
+        let before = world.engine_counts(0).await.started.len();
+        let caller = world.caller();
+        for number in 0..24 {
+            let mut asked = Asked::new(&caller, &format!("new work {number}"), 2).await;
+            asked.finish().await;
+        }
+        assert_eq!(world.engine_counts(0).await.started.len(), before);
+    });
+}
+
+/// A family's filing is lost or doubled: the service executes it and its answer is lost. Nobody can
+/// know more than "may have run", and it must not be executed again.
+#[test]
+fn lost_answer_of_a_service() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        for service in &world.services {
+            world
+                .fault(&service.process, json!({ "lose_answer": true }))
+                .await;
+        }
+        let call = receipt("lost", Once::Ticket);
+        let error = world.caller().call(&call).await.unwrap_err();
+        assert_eq!(error.verdict, Verdict::MayHaveRun);
+        assert_eq!(world.executions(&receipt_key("lost")).await, 1);
+    });
+}
+
+/// Every service says that it did not start the call: the caller is told "not run", which is true.
+#[test]
+fn refusing_services_are_not_run() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        for service in &world.services {
+            world
+                .fault(&service.process, json!({ "refuse": true }))
+                .await;
+        }
+        let caller = world.hasty_caller();
+        let error = caller
+            .call(&receipt("refused", Once::Ticket))
+            .await
+            .unwrap_err();
+        assert_eq!(error.verdict, Verdict::NotRun);
+        assert_eq!(world.executions(&receipt_key("refused")).await, 0);
+    });
+}
+
+/// The engine that generates now.
+async fn busy_engine(world: &World) -> usize {
+    wait_for("a busy engine", async || {
+        for at in 0..world.engines.len() {
+            if !world.engine_counts(at).await.started.is_empty() {
+                return Some(at);
+            }
+        }
+        None
+    })
+    .await
+}
+
+/// Sends notices to engines and kills them at the deadline.
+async fn reclaim_and_kill(world: &mut World, engines: &[usize]) {
+    for at in engines {
+        let id = world.engines[*at].instance.id.clone();
+        world
+            .reclaim(json!({ "id": id, "deadline_ms": NOTICE_MS }))
+            .await;
+    }
+    tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
+    for at in engines {
+        world.engines[*at].process.kill().await;
+    }
+}
+
+/// Recomputed tokens of all engines but those.
+async fn recomputed(world: &World, but: &[usize]) -> u64 {
+    let mut recomputed = 0;
+    for at in 0..world.engines.len() {
+        if !but.contains(&at) {
+            recomputed += world.engine_counts(at).await.recomputed_tokens;
+        }
+    }
+    recomputed
+}
--- /dev/null
+++ b/crates/standin/tests/failures_entry.rs
@@ -0,0 +1,73 @@
+//! Entries that are killed, frozen or replaced while callers are served.
+
+mod harness;
+
+use client::call::Once;
+use harness::caller::Asked;
+use harness::caller::receipt;
+use harness::caller::receipt_key;
+use harness::wait_for;
+use harness::world::Size;
+use harness::world::World;
+use verdict::Verdict;
+
+const SIZE: Size = Size {
+    entries: 3,
+    engines: 3,
+    services: 1,
+    token_ms: 10,
+};
+
+/// An examiner sees a report stop in mid-sentence: the entry that carried it was killed. The caller
+/// comes back to another entry with token and offset; the engine still has the stream, so that the
+/// report goes on where it stopped and nothing is computed again.
+#[test]
+fn killed_entry_in_mid_stream() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let mut asked = Asked::new(&world.caller(), "killed entry", 150).await;
+        asked.read(40).await;
+        let at = world.entry_at(asked.stream.entry());
+        world.entries[at].kill().await;
+        asked.finish().await;
+        assert_eq!(asked.stream.cuts(), 1);
+        assert_ne!(asked.stream.entry(), world.entries[at].address("callers"));
+        let (mut started, mut recomputed) = (0, 0);
+        for engine in 0..SIZE.engines {
+            let counts = world.engine_counts(engine).await;
+            started += counts.started.values().sum::<u32>();
+            recomputed += counts.recomputed_tokens;
+        }
+        assert_eq!((started, recomputed), (1, 0));
+    });
+}
+
+/// A branch is billed twice: the entry that handed the receipt on is killed before the answer, and
+/// the branch sends it again. The client must be told that it may have run, and the same ticket or
+/// key must not run it a second time at any other entry.
+#[test]
+fn killed_entry_before_the_answer_of_a_non_idempotent_call() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let slow = serde_json::json!({ "delay_ms": 3_000 });
+        world.fault(&world.services[0].process, slow).await;
+        let key = receipt_key("killed");
+        let caller = world.caller_of(world.entries[..1].iter());
+        let call = receipt("killed", Once::Key("filing-1".into()));
+        let sent = call.clone();
+        let answer = tokio::task::spawn_local(async move { caller.call(&sent).await });
+        wait_for("the receipt at the service", async || {
+            (world.executions(&key).await == 1).then_some(())
+        })
+        .await;
+        world.entries[0].kill().await;
+        let error = answer.await.unwrap().unwrap_err();
+        assert_eq!(error.verdict, Verdict::MayHaveRun);
+        for entry in 1..SIZE.entries {
+            let caller = world.caller_of(world.entries[entry..=entry].iter());
+            let error = caller.call(&call).await.unwrap_err();
+            assert_eq!(error.verdict, Verdict::MayHaveRun);
+        }
+        assert_eq!(world.executions(&key).await, 1);
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/harness/caller.rs
@@ -0,0 +1,68 @@
+//! What callers send, and what they must get back.
+
+use bytes::Bytes;
+use client::Client;
+use client::call::Call;
+use client::call::Once;
+use client::error::Error;
+use client::stream::Stream;
+use http::Method;
+use smol_str::SmolStr;
+use standin::sample;
+use standin::tokens::Chat;
+
+/// A streamed answer under way, and all that it must become.
+pub struct Asked {
+    pub stream: Stream,
+    pub text: String,
+    whole: String,
+}
+
+impl Asked {
+    /// Sends a question that is answered with `length` tokens.
+    pub async fn new(caller: &Client, question: &str, length: u32) -> Asked {
+        let chat = Chat::question(sample::MODEL, question, length);
+        let body = serde_json::to_value(&chat).unwrap();
+        Asked {
+            stream: caller.stream(body, "").await.unwrap(),
+            text: String::new(),
+            whole: chat.plan().answer(),
+        }
+    }
+
+    /// Reads so many chunks.
+    pub async fn read(&mut self, chunks: usize) {
+        for _ in 0..chunks {
+            let chunk = self.stream.next().await.expect("more chunks").unwrap();
+            self.text.push_str(&chunk.text);
+        }
+    }
+
+    /// Reads the rest; the answer must be whole, with no chunk doubled.
+    pub async fn finish(&mut self) {
+        self.text.push_str(&self.stream.rest().await.unwrap());
+        assert_eq!(self.text, self.whole);
+    }
+}
+
+/// A non-idempotent call.
+pub fn receipt(body: &str, once: Once) -> Call {
+    Call {
+        deployment: SmolStr::from(sample::SERVICE),
+        method: Method::POST,
+        path: SmolStr::from("/receipts"),
+        body: Bytes::from(body.to_owned()),
+        once,
+    }
+}
+
+/// How the plain service counts [`receipt`].
+pub fn receipt_key(body: &str) -> String {
+    format!("POST /receipts {body}")
+}
+
+/// Sends a receipt under the caller's own key.
+pub async fn send_receipt(caller: &Client, body: &str, key: &str) -> Result<(), Error> {
+    let call = receipt(body, Once::Key(SmolStr::from(key)));
+    caller.call(&call).await.map(drop)
+}
--- a/crates/standin/tests/harness/mod.rs
+++ b/crates/standin/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, clippy::unwrap_used)]
 
+pub mod caller;
+pub mod load;
 pub mod operator;
 pub mod process;
 pub mod world;
--- a/crates/standin/tests/harness/world.rs
+++ b/crates/standin/tests/harness/world.rs
@@ -154,7 +154,14 @@
 
     /// A caller that knows these entries.
     pub fn caller_of<'a>(&self, entries: impl Iterator<Item = &'a Process>) -> Client {
-        Client::new(client::configs::Client {
+        Client::new(self.caller_config(entries))
+    }
+
+    fn caller_config<'a>(
+        &self,
+        entries: impl Iterator<Item = &'a Process>,
+    ) -> client::configs::Client {
+        client::configs::Client {
             entries: entries
                 .map(|entry| SmolStr::from(entry.address("callers")))
                 .collect(),
@@ -162,9 +169,26 @@
             silence: clock::Span::from_seconds(5),
             seed: Some(1),
             ..client::configs::Client::default()
+        }
+    }
+
+    /// A caller that gives up after a second try.
+    pub fn hasty_caller(&self) -> Client {
+        Client::new(client::configs::Client {
+            tries: 2,
+            ..self.caller_config(self.entries.iter())
         })
     }
 
+    /// The entry whose callers use this address.
+    pub fn entry_at(&self, address: &str) -> usize {
+        let at = self
+            .entries
+            .iter()
+            .position(|entry| entry.address("callers") == address);
+        at.expect("the entry is known")
+    }
+
     /// Sends a notice for instances that this JSON names.
     pub async fn reclaim(&self, whom: serde_json::Value) {
         self.control("/control/notice", &whom).await;
