--- a/crates/policy/src/configs/placement.rs
+++ b/crates/policy/src/configs/placement.rs
@@ -13,11 +13,23 @@
     pub health: bool,
     /// Off, a killer request is tried like any other.
     pub quarantine: bool,
+    /// Off, a new replica gets its whole part at once.
+    pub warmup: bool,
+    /// Off, what runs on a leaving replica stays there to its end.
+    pub wave: bool,
     /// Queue heads looked at when the first can't be placed: enough that one account's suspects or
     /// retried jobs don't block the others, few enough that a decision stays short.
     pub heads: usize,
     /// How long a job whose caller already has its first token waits for a place after a crash.
     pub patience: Span,
+    /// The notices of one wave come within this time: moves are planned after it, so that nothing is
+    /// moved to a replica that is named next.
+    pub gather: Span,
+    /// Moves are planned anew this often while jobs are left on leaving replicas.
+    pub review: Span,
+    /// This long before a deadline, after the plan's own margin, full replicas are overbooked: a place
+    /// in a replica's own queue is better than a lost answer.
+    pub last_call: Span,
     /// One of this many replicas of a pool, at most, is kept free for suspects at once.
     pub trial_share: usize,
 }
@@ -29,8 +41,13 @@
             concurrency: true,
             health: true,
             quarantine: true,
+            warmup: true,
+            wave: true,
             heads: 8,
             patience: Span::from_seconds(30),
+            gather: Span::from_millis(50),
+            review: Span::from_millis(250),
+            last_call: Span::from_millis(1_500),
             trial_share: 4,
         }
     }
--- a/crates/policy/src/configs/scheduler.rs
+++ b/crates/policy/src/configs/scheduler.rs
@@ -12,6 +12,8 @@
 use crate::configs::retry;
 use crate::configs::size;
 use crate::configs::slots;
+use crate::configs::warmup;
+use crate::configs::wave;
 
 /// One part for each module.
 #[derive(Clone, Copy, Debug, Default)]
@@ -40,4 +42,8 @@
     pub size: size::Config,
     /// Slots shared among entries.
     pub slots: slots::Config,
+    /// New replicas.
+    pub warmup: warmup::Config,
+    /// Reclaim waves.
+    pub wave: wave::Config,
 }
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -15,7 +15,7 @@
         };
         let took = now.since(open.started);
         let again = std::mem::replace(&mut open.streaming, true);
-        if again || open.tried.len() > 1 {
+        if again || open.moved || open.tried.len() > 1 {
             return;
         }
         if let Some(pool) = self.pools.get_mut(&open.job.pool) {
@@ -125,7 +125,7 @@
             return;
         };
         let took = now.since(open.started);
-        let (job, estimated) = (open.job, open.cost);
+        let (job, estimated, moved) = (open.job, open.cost, open.moved);
         let actual = self.cost(job.prompt_tokens, tokens);
         let settings = self.settings;
         self.quarantine.finished(now, job.fingerprint);
@@ -133,7 +133,9 @@
             account.estimate.note(tokens, settings.fair.smoothing);
         }
         if let Some(pool) = self.pools.get_mut(&job.pool) {
-            pool.service.note_end(&settings.admission, actual, took);
+            if !moved {
+                pool.service.note_end(&settings.admission, actual, took);
+            }
             pool.budget.earn(&settings.retry);
             pool.queue.settle(job.account, estimated, actual);
         }
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -131,6 +131,7 @@
                 spoke: now,
                 outstanding: 0,
                 streaming: false,
+                moved: false,
                 made: 0,
                 may_have_run: false,
                 tried: Vec::new(),
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -7,10 +7,10 @@
 mod ends;
 mod fleet;
 mod intake;
+mod moves;
 mod placement;
 mod state;
 mod suspects;
-mod wave;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -32,6 +32,7 @@
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
+use crate::wave;
 
 pub use crate::scheduler::state::Explain;
 
@@ -45,8 +46,12 @@
     open: BTreeMap<job::Id, Open>,
     /// When each waiting job is given up. Invariant: holds exactly the open jobs without a replica.
     expiry: BTreeSet<(Time, job::Id)>,
-    /// Running jobs to be moved off leaving replicas.
-    moving: BTreeSet<job::Id>,
+    /// Planned moves off leaving replicas.
+    steps: BTreeMap<job::Id, wave::Step>,
+    /// Leaving replicas that still hold jobs of ours.
+    leaving: BTreeSet<replica::Key>,
+    /// When moves are planned next.
+    review: Option<Time>,
     /// Pools to look at in the next poll.
     stirred: BTreeSet<pool::Key>,
     /// Suspects that wait outside their queue, and until when.
@@ -85,7 +90,9 @@
             replicas: BTreeMap::new(),
             open: BTreeMap::new(),
             expiry: BTreeSet::new(),
-            moving: BTreeSet::new(),
+            steps: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            review: None,
             stirred: BTreeSet::new(),
             random: Pcg64::seed_from_u64(seed),
             seed,
@@ -208,7 +215,11 @@
         let judged = judged.map(|pool| pool.monitor.next_wake()).min();
         let expiry = self.expiry.first().map(|(at, _)| *at);
         let held = self.held.first().map(|(at, _)| *at);
-        [judged, expiry, held].into_iter().flatten().min()
+        let step = self.next_step();
+        [judged, expiry, held, step, self.review]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// What to tell the other entries; called once a period of [`crate::configs::limit::Config`].
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -22,7 +22,11 @@
         let Some(open) = self.open.get(&id) else {
             return;
         };
-        let Some(replica) = self.replicas.get(&key).filter(|replica| !replica.leaving) else {
+        let Some(replica) = self
+            .replicas
+            .get(&key)
+            .filter(|replica| replica.leaving.is_none())
+        else {
             return;
         };
         let (identity, zone) = (replica.identity, replica.zone);
