Take over running streams in the scheduler; end what takes too long

An accepted stream is owed its rest: no retry budget refuses it. A stream that a caller brings from another entry counts at its replica and moves with a wave. The prefix is hashed over whole blocks as engines name them, so that cache events can be matched; a stream cut between its last token and its end needs no engine.

--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -188,7 +188,12 @@
                 place,
                 priority,
                 account,
-            } => self.start(stream, place, priority, account),
+            } => {
+                if self.passed >= u64::from(self.chat.max_new_tokens) {
+                    return self.whole(stream).await;
+                }
+                self.start(stream, place, priority, account);
+            }
             Command::Attach {
                 attempt,
                 stream,
@@ -208,6 +213,20 @@
         Flow::On
     }
 
+    /// The answer was cut between its last token and its end: nothing is left to be computed.
+    async fn whole(&mut self, stream: Stream) -> Flow {
+        self.shared.link.event(Event::Attempt {
+            serial: self.serial,
+            attempt: stream.attempt,
+            report: Report::Ended {
+                end: End::Finished,
+                tokens: std::mem::take(&mut self.unreported),
+            },
+        });
+        self.output.done().await;
+        Flow::Over
+    }
+
     /// Starts the call, behind what was passed on already.
     fn start(&mut self, stream: Stream, place: Place, priority: u8, account: SmolStr) {
         let base = self.relay.next();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -249,6 +249,7 @@
     entry::configs::entry::Settings {
         address_ttl: Span::from_millis(settings.callers.address_ttl_ms),
         grace: Span::from_millis(settings.shutdown.grace_ms),
+        request_time: Span::from_millis(settings.callers.request_timeout_ms),
         members: member_settings(settings),
         ..entry::configs::entry::Settings::default()
     }
--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -61,7 +61,6 @@
             return;
         };
         flight.waits_for = None;
-        flight.scheduled = true;
         let job = flight.job;
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.offer(now, job, out)
@@ -140,7 +139,6 @@
             job,
             attempt: 0,
             replica: None,
-            scheduled: false,
             waits_for: None,
             may_have_run: false,
             may_have_run_before: false,
@@ -234,8 +232,13 @@
                 account: flight.account.clone(),
             },
         });
-        let _ = now;
+        let (job, replica) = (flight.job, flight.replica);
         self.flights.insert(serial, flight);
+        if let Some(replica) = replica {
+            self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.adopt(now, job, replica, out);
+            });
+        }
     }
 }
 
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -49,10 +49,7 @@
                     .with("recomputed", recomputed);
                 effects.push(Effect::Log(line));
             }
-            Report::AttachFailed => {
-                flight.replica = None;
-                self.offer(now, serial, effects);
-            }
+            Report::AttachFailed => self.attach_failed(now, serial, effects),
             Report::Ended { end, tokens } => self.attempt_ended(now, serial, end, tokens, effects),
         }
     }
@@ -74,12 +71,9 @@
         if end == End::NotStarted {
             flight.may_have_run = flight.may_have_run_before;
         }
-        let scheduled = flight.scheduled;
         if matches!(end, End::Finished | End::Left) {
             effects.push(Effect::Log(finished_line(now, flight)));
             self.flights.remove(&serial);
-        } else if !scheduled {
-            return self.offer(now, serial, effects);
         }
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
@@ -87,6 +81,22 @@
         });
     }
 
+    /// The stream that a caller came back for is gone: prompt and text so far are run again.
+    fn attach_failed(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(flight) = self.flights.get_mut(&serial) else {
+            return;
+        };
+        let adopted = flight.replica.take().is_some();
+        if adopted {
+            let job = job::Id(serial);
+            self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.attempt_ended(now, job, End::NotStarted, 0, out);
+            });
+        } else {
+            self.offer(now, serial, effects);
+        }
+    }
+
     /// The caller's connection is gone.
     ///
     /// A plain call that was handed on runs to its end, so that its outcome becomes known. A model
@@ -166,9 +176,27 @@
         }
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
-            scheduler.attempt_ended(now, job, End::Left, 0, out);
+            scheduler.cancel(now, job, out)
         });
     }
+
+    /// Ends requests that take longer than any may.
+    pub(crate) fn flights_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let limit = self.settings.request_time;
+        // Serials rise with the time of arrival, so the first that is in time ends the search.
+        while let Some((serial, flight)) = self.flights.first_key_value() {
+            if now.since(flight.arrived) < limit {
+                return;
+            }
+            let serial = *serial;
+            let refusal = Refusal::not_run(Reason::TimedOut, "the time for a request has passed");
+            self.refuse(serial, refusal, effects);
+            let job = job::Id(serial);
+            self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.cancel(now, job, out)
+            });
+        }
+    }
 }
 
 /// The log's line of an answered request.
--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -18,6 +18,8 @@
     pub agreement: config::configs::agreement::Settings,
     /// Peer addresses to try while no members are known.
     pub seeds: Vec<SmolStr>,
+    /// Longest time from a request's arrival to the end of its answer.
+    pub request_time: Span,
     /// Longest wait for a row of its own before a request is given up.
     pub intent_wait: Span,
 }
@@ -31,6 +33,7 @@
             members: member::configs::membership::Settings::default(),
             agreement: config::configs::agreement::Settings::default(),
             seeds: Vec::new(),
+            request_time: Span::from_seconds(600),
             intent_wait: Span::from_seconds(2),
         }
     }
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -12,9 +12,6 @@
 use crate::entry::Entry;
 use crate::line::Line;
 
-/// Highest priority of an account; engines count the other way round.
-const LOWEST_PRIORITY: u8 = 9;
-
 impl Entry {
     /// Carries one decision out.
     pub(crate) fn decided(&mut self, now: Time, decision: Decision, effects: &mut Vec<Effect>) {
@@ -42,7 +39,9 @@
             });
         };
         let Some(flight) = self.flights.get_mut(&job.0) else {
-            return;
+            return self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.attempt_ended(now, job, End::Left, 0, out);
+            });
         };
         let again = flight.may_have_run;
         let stream = flight.next_stream();
@@ -63,7 +62,7 @@
             command: Command::Start {
                 stream,
                 place,
-                priority: LOWEST_PRIORITY.saturating_sub(priority),
+                priority,
                 account,
             },
         });
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -114,7 +114,7 @@
         stream: Stream,
         /// Where.
         place: Place,
-        /// Priority for the engine: 0 goes last under pressure, 9 first.
+        /// Priority for the engine: 0 goes first, 9 last.
         priority: u8,
         /// The resume word for the caller, still open; the shell seals it.
         account: SmolStr,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -151,6 +151,7 @@
         self.members_tick(now, effects);
         self.configuration_tick(now, effects);
         self.intents_tick(now, effects);
+        self.flights_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
         self.stop_tick(now, effects);
     }
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -24,9 +24,6 @@
     pub attempt: u32,
     /// Where it runs.
     pub replica: Option<replica::Key>,
-    /// Whether the scheduler knows it; one taken over from another entry is only known once it has to
-    /// run elsewhere.
-    pub scheduled: bool,
     /// What it waits for before the scheduler may see it.
     pub waits_for: Option<Leave>,
     /// Whether bytes of it were handed to a backend server that did not refuse to start it.
--- a/crates/front/src/chat.rs
+++ b/crates/front/src/chat.rs
@@ -19,8 +19,13 @@
 /// The most tokens that a call may ask for.
 const MOST_MAX_TOKENS: u32 = 131_072;
 
-/// Bytes of the first message that make the prefix.
-const PREFIX_BYTES: usize = 4_096;
+/// Bytes of a block of the prompt: engines cache whole blocks and name them by the hash of all text
+/// up to their end.
+const BLOCK_BYTES: usize = 256;
+
+/// Blocks that make the prefix. A longer one tells more prompts apart that share a system prompt, a
+/// shorter one brings more of them together; 4 KiB is about a thousand tokens.
+const PREFIX_BLOCKS: usize = 16;
 
 /// A model call.
 #[derive(Clone, Debug)]
@@ -89,7 +94,7 @@
             stream: read.stream,
             prompt_tokens: estimate_tokens(&read.messages),
             max_new_tokens,
-            prefix: prefix_of(&read.messages[0].content),
+            prefix: prefix_of(prompt),
             fingerprint: fingerprint_of(&read.model, prompt),
             text_so_far,
             deployment: read.model,
@@ -97,13 +102,13 @@
         })
     }
 
-    /// The body that makes an engine go on behind the text so far.
+    /// The body that makes an engine go on behind the text so far; to be used while tokens are left.
     pub fn continued_body(&self, text: &str, tokens_so_far: u64) -> Bytes {
         let Ok(mut value) = serde_json::from_slice::<Value>(&self.body) else {
             return self.body.clone();
         };
         let left = u64::from(self.max_new_tokens).saturating_sub(tokens_so_far);
-        value["max_tokens"] = json!(left.max(1));
+        value["max_tokens"] = json!(left);
         value["continue_final_message"] = json!(true);
         if let Some(messages) = value["messages"].as_array_mut() {
             if self.text_so_far.is_some() {
@@ -129,9 +134,24 @@
     u32::try_from(bytes / BYTES_PER_TOKEN + 1).unwrap_or(u32::MAX)
 }
 
-/// Hash of the first message's beginning: system prompt or archive bundle, which requests share.
-fn prefix_of(text: &str) -> u64 {
-    let end = text.len().min(PREFIX_BYTES);
+/// Hash of the prompt's first whole blocks, as engines name them; of all its text if it has none.
+fn prefix_of(prompt: &[Message]) -> u64 {
+    let mut text = String::new();
+    for message in prompt {
+        if text.len() >= PREFIX_BLOCKS * BLOCK_BYTES {
+            break;
+        }
+        for part in [&message.role, &message.content] {
+            text.push_str(part);
+            text.push('\n');
+        }
+    }
+    let blocks = (text.len() / BLOCK_BYTES).min(PREFIX_BLOCKS);
+    let end = if blocks == 0 {
+        text.len()
+    } else {
+        blocks * BLOCK_BYTES
+    };
     xxh3_64(&text.as_bytes()[..end])
 }
 
--- a/crates/policy/src/limit/account.rs
+++ b/crates/policy/src/limit/account.rs
@@ -101,9 +101,14 @@
             let seconds = (needed - self.bucket) / self.tokens.max(1.0);
             return Err(Span::from_millis((seconds * 1_000.0) as u64).max(settings.period));
         }
+        self.hold(cost);
+        Ok(())
+    }
+
+    /// Counts a job that may not be refused any more.
+    pub(crate) fn hold(&mut self, cost: Cost) {
         self.bucket -= cost as f64;
         self.holding += 1;
-        Ok(())
     }
 
     pub(crate) fn release(&mut self, estimated: Cost, actual: Cost) {
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -118,6 +118,13 @@
         }
     }
 
+    /// A job was taken over from another entry, which had admitted it.
+    pub fn take_over(&mut self, key: Key, cost: Cost) {
+        if let Some(account) = self.account(key) {
+            account.hold(cost);
+        }
+    }
+
     /// A job ended that had been admitted at `estimated`.
     pub fn release(&mut self, key: Key, estimated: Cost, actual: Cost) {
         if let Some(account) = self.account(key) {
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -98,6 +98,8 @@
             return;
         };
         let repeatable = open.job.idempotent || !open.may_have_run;
+        // Its caller holds the head of the answer: it is owed the rest, whatever the budget says.
+        let owed = open.streaming && repeatable;
         let attempts = open.tried.len();
         let Some(pool) = self.pools.get_mut(&open.job.pool) else {
             return;
@@ -107,7 +109,10 @@
             && attempts < settings.attempts
             && !tried_everywhere
             && pool.budget.spend(&settings);
-        if !allowed {
+        if owed && tried_everywhere {
+            self.forget_tried(id);
+        }
+        if !allowed && !owed {
             self.refuse(
                 now,
                 id,
@@ -120,6 +125,13 @@
         self.enqueue(now, id, true);
     }
 
+    /// Any replica will do again.
+    fn forget_tried(&mut self, id: job::Id) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.tried.clear();
+        }
+    }
+
     fn learn(&mut self, now: Time, id: job::Id, tokens: u32) {
         let Some(open) = self.open.get(&id) else {
             return;
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -13,6 +13,7 @@
 use crate::job;
 use crate::job::Job;
 use crate::pool;
+use crate::replica;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
@@ -113,6 +114,14 @@
     }
 
     fn open_job(&mut self, now: Time, job: Job, cost: Cost) -> Result<(), (Reason, &'static str)> {
+        let (allowed, predicted) = self.enter(now, job, cost);
+        self.admit(now, &job, cost, allowed, predicted)?;
+        self.enqueue(now, job.id, false);
+        Ok(())
+    }
+
+    /// Notes the job as open; gives the time it may take to its first token and what is expected.
+    fn enter(&mut self, now: Time, job: Job, cost: Cost) -> (Span, Span) {
         let sizes = self.settings.size;
         let class = self.pool_mut(job.pool).classes.classify(&sizes, cost);
         let allowed = self.allowed(&job);
@@ -138,9 +147,21 @@
                 predicted,
             },
         );
-        self.admit(now, &job, cost, allowed, predicted)?;
-        self.enqueue(now, job.id, false);
-        Ok(())
+        (allowed, predicted)
+    }
+
+    /// Takes in a job that runs already: its caller holds the head of its answer.
+    pub(super) fn take_over(&mut self, now: Time, job: Job, replica: replica::Key) {
+        let Some(cost) = self.estimate(&job) else {
+            return;
+        };
+        self.limits.take_over(job.account, cost);
+        self.enter(now, job, cost);
+        self.start(now, job.id, replica);
+        if let Some(open) = self.open.get_mut(&job.id) {
+            open.streaming = true;
+        }
+        self.leave_with(now, replica);
     }
 
     /// Whether the job may wait.
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -160,6 +160,14 @@
         self.poll(now, out);
     }
 
+    /// A job that was started by another entry runs on and is this one's from now on.
+    ///
+    /// It is not refused: its caller was promised the rest of its answer.
+    pub fn adopt(&mut self, now: Time, job: Job, replica: replica::Key, out: &mut Vec<Decision>) {
+        self.take_over(now, job, replica);
+        self.poll(now, out);
+    }
+
     /// The replica began to answer: its first token (or the head of a plain answer) came.
     pub fn first_token(&mut self, now: Time, id: job::Id) {
         self.note_first(now, id);
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -20,6 +20,17 @@
             return;
         };
         replica.leaving.get_or_insert(deadline);
+        self.leave_with(now, key);
+    }
+
+    /// Lets the wave's plan take in what runs on the replica, if it leaves.
+    pub(super) fn leave_with(&mut self, now: Time, key: replica::Key) {
+        let Some(replica) = self.replicas.get(&key) else {
+            return;
+        };
+        if replica.leaving.is_none() {
+            return;
+        }
         if self.settings.placement.wave && !replica.jobs.is_empty() {
             self.leaving.insert(key);
             self.review
