--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -65,11 +65,12 @@
         if end == job::End::Finished {
             self.judge_plain(now, id);
         }
-        let Some(key) = self.take_off(now, id, end) else {
-            return;
-        };
         if end == job::End::Crashed {
-            self.blame(now, id, key);
+            // Before it is taken off: a lost replica is forgotten with its last job.
+            self.blame(now, id);
+        }
+        if self.take_off(now, id, end).is_none() {
+            return;
         }
         let Some(open) = self.open.get_mut(&id) else {
             return;
