--- a/crates/standin/src/sample.rs
+++ b/crates/standin/src/sample.rs
@@ -98,7 +98,13 @@
         r#"{{
   // An entry of the sample.
   "identity": {{ "name": "{name}", "zone": "{zone}" }},
-  "callers": {{ "listen": "127.0.0.1:0", "address_ttl_ms": 1000 }},
+  "callers": {{
+    "listen": "127.0.0.1:0",
+    "address_ttl_ms": 1000,
+    "max_body_bytes": 1048576,
+    "header_timeout_ms": 2000,
+    "body_timeout_ms": 2000
+  }},
   "admin": {{ "listen": "127.0.0.1:0" }},
   "operators": {{ "listen": "127.0.0.1:0", "key": "{OPERATORS_KEY}" }},
   "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}" }},
--- a/crates/standin/tests/harness/mod.rs
+++ b/crates/standin/tests/harness/mod.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod operator;
 pub mod process;
+pub mod raw;
 pub mod world;
 
 use std::future::Future;
--- /dev/null
+++ b/crates/standin/tests/harness/raw.rs
@@ -0,0 +1,88 @@
+//! Requests byte by byte, as a careless or hostile caller sends them.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What came back until the connection was closed.
+#[derive(Debug)]
+pub struct Raw {
+    /// 0 if nothing came that looks like an answer.
+    pub status: u16,
+    /// Head, in lower case.
+    pub head: String,
+    /// Body.
+    pub body: String,
+}
+
+impl Raw {
+    /// The reason in the body of a refusal.
+    pub fn reason(&self) -> String {
+        self.field("reason")
+    }
+
+    /// The verdict in the body of a refusal; the header must say the same.
+    pub fn verdict(&self) -> String {
+        let verdict = self.field("verdict");
+        let header = format!("x-dogwoodspur-verdict: {verdict}");
+        assert!(self.head.contains(&header), "{self:?}");
+        verdict
+    }
+
+    /// A header's value; empty where it is missing.
+    pub fn header(&self, name: &str) -> String {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut values = lines.filter(|(header, _)| *header == name);
+        values
+            .next()
+            .map(|(_, value)| value.to_owned())
+            .unwrap_or_default()
+    }
+
+    fn field(&self, name: &str) -> String {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body["error"][name].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// Sends bytes and reads until the other side closes.
+pub async fn exchange(address: &str, bytes: &[u8]) -> Raw {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    read(stream).await
+}
+
+/// Sends a whole HTTP/1.1 request.
+pub async fn request(address: &str, line: &str, headers: &[(&str, &str)], body: &str) -> Raw {
+    let mut text = format!("{line} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+    exchange(address, text.as_bytes()).await
+}
+
+/// Reads until the other side closes.
+pub async fn read(mut stream: TcpStream) -> Raw {
+    let mut bytes = Vec::new();
+    let reading = stream.read_to_end(&mut bytes);
+    let _ = tokio::time::timeout(PATIENCE, reading)
+        .await
+        .expect("the connection is closed");
+    let text = String::from_utf8_lossy(&bytes);
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    Raw {
+        status: status.unwrap_or(0),
+        head: head.to_lowercase(),
+        body: body.to_owned(),
+    }
+}
