Count service-level burn and report it

Cause: operators must see who is let down, how fast and by what, and the two measures of the users, also after every entry was replaced. Ruled out: a budget period of 30 days (slices for each pair and entry don't fit); shared rows that are added to (a lost answer counts twice). The page's plots were not viewed: no browser is there.

--- /dev/null
+++ b/crates/burn/src/builder.rs
@@ -0,0 +1,148 @@
+//! Draws a report from the summaries of all entries.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+use crate::count::Count;
+use crate::report::Gap;
+use crate::report::Point;
+use crate::report::Report;
+use crate::report::Row;
+use crate::report::Target;
+use crate::series::LONG_SLICE_MS;
+use crate::series::SHORT_SLICE_MS;
+use crate::series::Series;
+use crate::summary;
+use crate::summary::Summary;
+
+/// The short window: the running slice of five minutes and the one before.
+const SHORT_WINDOW_MS: u64 = 2 * SHORT_SLICE_MS;
+/// The long window: an hour.
+const LONG_WINDOW_MS: u64 = 60 * 60 * 1_000;
+/// The period of the error budget: a day.
+const PERIOD_MS: u64 = 24 * 60 * 60 * 1_000;
+/// How old a summary may be before the time since counts as missing: entries write one a minute, and
+/// one write may fail.
+pub const FRESH_MS: u64 = 150_000;
+
+impl Report {
+    /// The report at a moment, milliseconds since 1970, from what the store holds.
+    ///
+    /// Of several summaries of one incarnation the newest counts. The order of the list is of no
+    /// matter.
+    pub fn at(unix_ms: u64, summaries: Vec<Summary>) -> Report {
+        let summaries = summary::newest(summaries);
+        let mut merged: BTreeMap<(SmolStr, SmolStr), Series> = BTreeMap::new();
+        for series in summaries.iter().flat_map(|summary| &summary.series) {
+            let pair = (series.deployment.clone(), series.account.clone());
+            let sum = merged
+                .entry(pair.clone())
+                .or_insert_with(|| Series::new(pair.0, pair.1));
+            sum.merge(series);
+        }
+        let rows = merged.values().map(|series| row(unix_ms, series));
+        Report {
+            rows: rows
+                .filter(|row| row.requests > 0 || row.cost_micros > 0)
+                .collect(),
+            gaps: gaps(unix_ms, &summaries),
+            short_window_ms: SHORT_WINDOW_MS,
+            long_window_ms: LONG_WINDOW_MS,
+            period_ms: PERIOD_MS,
+        }
+    }
+
+    /// The report on one deployment.
+    pub fn only(mut self, deployment: &str) -> Report {
+        self.rows.retain(|row| row.deployment == deployment);
+        self
+    }
+}
+
+/// The row of one account with one deployment.
+fn row(unix_ms: u64, series: &Series) -> Row {
+    let period = series
+        .long
+        .since(first_slice(unix_ms, PERIOD_MS, LONG_SLICE_MS));
+    let short = series
+        .short
+        .since(first_slice(unix_ms, SHORT_WINDOW_MS, SHORT_SLICE_MS));
+    let long = series
+        .short
+        .since(first_slice(unix_ms, LONG_WINDOW_MS, SHORT_SLICE_MS));
+    let latency_from = first_slice(unix_ms, 2 * LONG_SLICE_MS, LONG_SLICE_MS);
+    Row {
+        deployment: series.deployment.clone(),
+        account: series.account.clone(),
+        target: series.target,
+        requests: period.requests,
+        within: period.within,
+        budget_left: 1.0 - burn(&period, series.target),
+        burn_short: burn(&short, series.target),
+        burn_long: burn(&long, series.target),
+        misses: period.misses,
+        first_token_ms: series.first_token.quantiles_since(latency_from),
+        worst_gap_ms: series.worst_gap.quantiles_since(latency_from),
+        cost_micros: period.cost_micros,
+        cost_per_within_micros: ratio(period.cost_micros, period.within),
+        recomputed_tokens: period.recomputed,
+        points: points(unix_ms, series),
+    }
+}
+
+/// The first slice of a window that ends with the running slice.
+fn first_slice(unix_ms: u64, window_ms: u64, slice_ms: u64) -> u64 {
+    (unix_ms / slice_ms + 1).saturating_sub(window_ms / slice_ms)
+}
+
+/// Misses as a multiple of what the share allows: at 1 the budget lasts exactly the period.
+fn burn(count: &Count, target: Target) -> f64 {
+    let allowed_per_mille = 1_000_u32.saturating_sub(target.share_per_mille);
+    let missed_per_mille = ratio(count.missed() * 1_000, count.requests);
+    if missed_per_mille == 0.0 {
+        return 0.0;
+    }
+    missed_per_mille / f64::from(allowed_per_mille.max(1))
+}
+
+/// A quotient; zero of nothing.
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        0.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
+
+/// The course over the period, by hour.
+fn points(unix_ms: u64, series: &Series) -> Vec<Point> {
+    let first = first_slice(unix_ms, PERIOD_MS, LONG_SLICE_MS);
+    let point = |(number, count): (u64, &Count)| Point {
+        ago_ms: unix_ms.saturating_sub((number + 1) * LONG_SLICE_MS),
+        requests: count.requests,
+        within: count.within,
+    };
+    series.long.iter_since(first).map(point).collect()
+}
+
+/// Where data is missing: after the newest summary of an incarnation that did not say it was the
+/// last one. What such an entry counted since may still come, or is lost with its instance.
+fn gaps(unix_ms: u64, summaries: &[Summary]) -> Vec<Gap> {
+    let mut gaps = Vec::new();
+    for (index, summary) in summaries.iter().enumerate() {
+        let age = unix_ms.saturating_sub(summary.made_unix_ms);
+        if summary.last || age <= FRESH_MS || age > PERIOD_MS {
+            continue;
+        }
+        let next = summaries.get(index + 1);
+        let successor = next.filter(|next| next.entry == summary.entry);
+        let end = successor.map(|next| next.since_unix_ms.max(summary.made_unix_ms));
+        gaps.push(Gap {
+            entry: summary.entry.clone(),
+            from_ago_ms: age,
+            to_ago_ms: end.map_or(0, |end| unix_ms.saturating_sub(end)),
+        });
+    }
+    gaps
+}
--- /dev/null
+++ b/crates/burn/src/count.rs
@@ -0,0 +1,104 @@
+//! What is added up over a slice of time.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::report::Misses;
+use crate::sample::Cause;
+
+/// Sums over a slice of time. Written as a list of numbers: slices are most of a summary.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "[u64; 10]", from = "[u64; 10]")]
+pub struct Count {
+    /// Requests that ended and count against the promise.
+    pub requests: u64,
+    /// Those that met both targets; at most `requests`, and the misses are the rest.
+    pub within: u64,
+    /// Misses by cause.
+    pub misses: Misses,
+    /// Cost of all requests, millionths of the currency.
+    pub cost_micros: u64,
+    /// Tokens that were computed again.
+    pub recomputed: u64,
+}
+
+impl Count {
+    /// Adds another slice's sums.
+    pub fn add(&mut self, other: &Count) {
+        let sums = <[u64; 10]>::from(*self);
+        let more = <[u64; 10]>::from(*other);
+        let mut added = [0; 10];
+        for ((sum, left), right) in added.iter_mut().zip(sums).zip(more) {
+            *sum = left.saturating_add(right);
+        }
+        *self = Count::from(added);
+    }
+
+    /// Counts one miss.
+    pub fn miss(&mut self, cause: Cause) {
+        let misses = &mut self.misses;
+        let counter = match cause {
+            Cause::Waiting => &mut misses.waiting,
+            Cause::SlowBackend => &mut misses.slow_backend,
+            Cause::Reclaim => &mut misses.reclaim,
+            Cause::Refused => &mut misses.refused,
+            Cause::Store => &mut misses.store,
+            Cause::Other => &mut misses.other,
+        };
+        *counter += 1;
+    }
+
+    /// Requests that missed a target.
+    pub const fn missed(&self) -> u64 {
+        self.requests.saturating_sub(self.within)
+    }
+}
+
+impl From<Count> for [u64; 10] {
+    fn from(count: Count) -> [u64; 10] {
+        let misses = count.misses;
+        [
+            count.requests,
+            count.within,
+            misses.waiting,
+            misses.slow_backend,
+            misses.reclaim,
+            misses.refused,
+            misses.store,
+            misses.other,
+            count.cost_micros,
+            count.recomputed,
+        ]
+    }
+}
+
+impl From<[u64; 10]> for Count {
+    fn from(numbers: [u64; 10]) -> Count {
+        let [
+            requests,
+            within,
+            waiting,
+            slow_backend,
+            reclaim,
+            refused,
+            store,
+            other,
+            cost,
+            again,
+        ] = numbers;
+        Count {
+            requests,
+            within,
+            misses: Misses {
+                waiting,
+                slow_backend,
+                reclaim,
+                refused,
+                store,
+                other,
+            },
+            cost_micros: cost,
+            recomputed: again,
+        }
+    }
+}
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -1,4 +1,8 @@
 //! The burn report as data.
+//!
+//! Answers the question that operators have in an incident: who is being let down, how fast, and by
+//! what. A rate over one window alone either cries at every blip (short) or goes on for an hour after
+//! all is well (long); [`Row::urgency`] wants both, the multi-window rule of the SRE workbook.
 
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -16,9 +20,11 @@
     pub short_window_ms: u64,
     /// Length of the long window, milliseconds.
     pub long_window_ms: u64,
+    /// Length of the period of the error budget, over which all sums go, milliseconds.
+    pub period_ms: u64,
 }
 
-/// How one account fares with one deployment over the long window.
+/// How one account fares with one deployment over the period.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 pub struct Row {
     /// The deployment.
@@ -39,9 +45,9 @@
     pub burn_long: f64,
     /// Misses by cause.
     pub misses: Misses,
-    /// Time to the first token.
+    /// Time to the first token, over the running hour and the one before.
     pub first_token_ms: Quantiles,
-    /// Worst time between two tokens of a request.
+    /// Worst time between two tokens of a request, over the same hours.
     pub worst_gap_ms: Quantiles,
     /// Cost of all requests, millionths of the currency.
     pub cost_micros: u64,
@@ -49,10 +55,52 @@
     pub cost_per_within_micros: f64,
     /// Tokens that were computed more than once.
     pub recomputed_tokens: u64,
-    /// The course over the long window, the oldest first.
+    /// The course over the period by hour, the oldest first; hours without a request are left out.
     pub points: Vec<Point>,
 }
 
+/// How soon someone should look.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Urgency {
+    /// The budget lasts.
+    Calm,
+    /// A tenth of the day's budget goes in an hour at this rate: look today.
+    Watch,
+    /// A quarter of the day's budget goes in an hour at this rate: look now.
+    Page,
+}
+
+/// Burn rate at which a quarter of the day's budget goes in an hour: 24 / 4.
+const PAGE_RATE: f64 = 6.0;
+/// Burn rate at which a tenth of the day's budget goes in an hour: 24 / 10.
+const WATCH_RATE: f64 = 2.4;
+
+impl Row {
+    /// How soon someone should look: both windows must burn. The long one shows that it matters, the
+    /// short one that it still goes on.
+    pub fn urgency(&self) -> Urgency {
+        let rate = self.burn_short.min(self.burn_long);
+        if rate >= PAGE_RATE {
+            Urgency::Page
+        } else if rate >= WATCH_RATE {
+            Urgency::Watch
+        } else {
+            Urgency::Calm
+        }
+    }
+
+    /// Share of requests that met both targets, in thousandths; all of none.
+    pub fn share_per_mille(&self) -> f64 {
+        if self.requests == 0 {
+            return 1_000.0;
+        }
+        self.within as f64 * 1_000.0 / self.requests as f64
+    }
+}
+
 /// What one deployment promised one account.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Target {
--- /dev/null
+++ b/crates/burn/src/series.rs
@@ -0,0 +1,132 @@
+//! What is kept of one account with one deployment.
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::count::Count;
+use crate::latency::Latency;
+use crate::report::Target;
+use crate::sample::Outcome;
+use crate::sample::Sample;
+use crate::slices::Slices;
+
+/// Width of a short slice, milliseconds.
+pub const SHORT_SLICE_MS: u64 = 5 * 60 * 1_000;
+/// Width of a long slice, milliseconds.
+pub const LONG_SLICE_MS: u64 = 60 * 60 * 1_000;
+/// Short slices kept: the long window of an hour and the running slice.
+const SHORT_SLICES: u64 = 13;
+/// Long slices kept: the period of a day and the running slice.
+const LONG_SLICES: u64 = 25;
+/// Hours of latencies kept: the last whole one and the running one.
+const LATENCY_HOURS: u64 = 2;
+
+/// What is kept of one account with one deployment. Its size is bounded by the slices kept.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Series {
+    /// The deployment.
+    pub deployment: SmolStr,
+    /// The account.
+    pub account: SmolStr,
+    /// The newest promise. Requests were judged by the one in force when they ended.
+    pub target: Target,
+    /// When the promise was last seen, milliseconds since 1970: the newest one wins in a merge.
+    pub target_unix_ms: u64,
+    /// Sums by five minutes, for burn rates.
+    pub short: Slices,
+    /// Sums by hour, for the error budget.
+    pub long: Slices,
+    /// Time to the first token.
+    pub first_token: Latency,
+    /// Worst time between two tokens of a request.
+    pub worst_gap: Latency,
+}
+
+impl Series {
+    /// An empty one.
+    pub fn new(deployment: SmolStr, account: SmolStr) -> Series {
+        Series {
+            deployment,
+            account,
+            ..Series::default()
+        }
+    }
+
+    /// Notes the promise.
+    pub fn promise(&mut self, unix_ms: u64, target: Target) {
+        self.target = target;
+        self.target_unix_ms = unix_ms;
+    }
+
+    /// Counts an ended request.
+    pub fn record(&mut self, unix_ms: u64, sample: &Sample) {
+        let count = self.judge(sample);
+        self.short.add(unix_ms / SHORT_SLICE_MS, &count);
+        self.long.add(unix_ms / LONG_SLICE_MS, &count);
+        let hour = unix_ms / LONG_SLICE_MS;
+        if sample.outcome != Outcome::Answered {
+            return;
+        }
+        if let Some(first_token) = sample.first_token {
+            self.first_token.record(hour, first_token.as_millis());
+            self.worst_gap.record(hour, sample.worst_gap.as_millis());
+        }
+    }
+
+    /// Adds what another entry, or another incarnation, kept of the same account and deployment.
+    pub fn merge(&mut self, other: &Series) {
+        if other.target_unix_ms > self.target_unix_ms {
+            self.promise(other.target_unix_ms, other.target);
+        }
+        self.short.merge(&other.short);
+        self.long.merge(&other.long);
+        self.first_token.merge(&other.first_token);
+        self.worst_gap.merge(&other.worst_gap);
+    }
+
+    /// Forgets what is older than any window.
+    pub fn trim(&mut self, unix_ms: u64) {
+        let short = unix_ms / SHORT_SLICE_MS;
+        let long = unix_ms / LONG_SLICE_MS;
+        self.short.trim((short + 1).saturating_sub(SHORT_SLICES));
+        self.long.trim((long + 1).saturating_sub(LONG_SLICES));
+        let first_hour = (long + 1).saturating_sub(LATENCY_HOURS);
+        self.first_token.trim(first_hour);
+        self.worst_gap.trim(first_hour);
+    }
+
+    /// Whether nothing is left in any window.
+    pub fn is_idle(&self) -> bool {
+        self.short.is_empty() && self.long.is_empty()
+    }
+
+    /// What one request adds to the sums.
+    fn judge(&self, sample: &Sample) -> Count {
+        let mut count = Count {
+            cost_micros: sample.cost_micros,
+            recomputed: sample.recomputed,
+            ..Count::default()
+        };
+        if sample.outcome == Outcome::Caller {
+            return count;
+        }
+        count.requests = 1;
+        if self.is_within(sample) {
+            count.within = 1;
+        } else {
+            count.miss(sample.cause);
+        }
+        count
+    }
+
+    /// Whether the request met both targets.
+    fn is_within(&self, sample: &Sample) -> bool {
+        let Some(first_token) = sample.first_token else {
+            return false;
+        };
+        sample.outcome == Outcome::Answered
+            && first_token.as_millis() <= self.target.first_token_ms
+            && sample.worst_gap.as_millis() <= self.target.token_gap_ms
+    }
+}
--- /dev/null
+++ b/crates/burn/src/words.rs
@@ -0,0 +1,115 @@
+//! Figures in words, the same for a terminal and a page.
+
+use crate::report::Gap;
+use crate::report::Misses;
+use crate::report::Row;
+
+/// Milliseconds in a minute.
+const MINUTE_MS: u64 = 60_000;
+/// Milliseconds in an hour.
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+
+/// A row's figures.
+pub fn facts(row: &Row) -> Vec<(&'static str, String)> {
+    let target = &row.target;
+    let first = &row.first_token_ms;
+    let gap = &row.worst_gap_ms;
+    vec![
+        (
+            "target",
+            format!(
+                "{} in 1000 within {} ms, {} ms between tokens",
+                target.share_per_mille, target.first_token_ms, target.token_gap_ms
+            ),
+        ),
+        (
+            "within",
+            format!(
+                "{:.1} in 1000 ({} of {})",
+                row.share_per_mille(),
+                row.within,
+                row.requests
+            ),
+        ),
+        ("budget left", format!("{:.1}%", row.budget_left * 100.0)),
+        (
+            "burn rate",
+            format!("{:.2} short, {:.2} long", row.burn_short, row.burn_long),
+        ),
+        ("misses", misses(&row.misses)),
+        (
+            "first token",
+            format!(
+                "{} / {} / {} ms (50, 95, 99 in 100)",
+                first.p50, first.p95, first.p99
+            ),
+        ),
+        (
+            "worst gap",
+            format!("{} / {} / {} ms", gap.p50, gap.p95, gap.p99),
+        ),
+        (
+            "cost",
+            format!(
+                "{} in all, {} for each request within target",
+                money(row.cost_micros as f64),
+                money(row.cost_per_within_micros)
+            ),
+        ),
+        ("recomputed", format!("{} tokens", row.recomputed_tokens)),
+    ]
+}
+
+/// Misses by cause, the most frequent first.
+fn misses(misses: &Misses) -> String {
+    let mut causes = causes(misses);
+    causes.retain(|(_, count)| *count > 0);
+    causes.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    if causes.is_empty() {
+        return "none".to_owned();
+    }
+    let named = causes.iter().map(|(name, count)| format!("{count} {name}"));
+    named.collect::<Vec<_>>().join(", ")
+}
+
+/// Causes by name.
+pub fn causes(misses: &Misses) -> Vec<(&'static str, u64)> {
+    vec![
+        ("waiting", misses.waiting),
+        ("slow backend server", misses.slow_backend),
+        ("reclaim", misses.reclaim),
+        ("refused", misses.refused),
+        ("store", misses.store),
+        ("other", misses.other),
+    ]
+}
+
+/// A gap in one line.
+pub fn gap_line(gap: &Gap) -> String {
+    let from = span(gap.from_ago_ms);
+    if gap.to_ago_ms == 0 {
+        return format!("{}: nothing since {from} ago", gap.entry);
+    }
+    format!("{}: from {from} to {} ago", gap.entry, span(gap.to_ago_ms))
+}
+
+/// A length of time for people.
+pub fn span(millis: u64) -> String {
+    if millis >= HOUR_MS {
+        let (hours, rest) = (millis / HOUR_MS, millis % HOUR_MS / MINUTE_MS);
+        return if rest == 0 {
+            format!("{hours} h")
+        } else {
+            format!("{hours} h {rest} min")
+        };
+    }
+    if millis >= MINUTE_MS {
+        return format!("{} min", millis / MINUTE_MS);
+    }
+    format!("{} s", millis / 1_000)
+}
+
+/// An amount for people.
+fn money(micros: f64) -> String {
+    format!("{:.4}", micros / 1_000_000.0)
+}
--- /dev/null
+++ b/crates/burn/tests/ledger.rs
@@ -0,0 +1,223 @@
+//! The arithmetic of budgets and burn rates, and what survives the replacement of entries.
+
+use burn::Cause;
+use burn::Ledger;
+use burn::Outcome;
+use burn::Report;
+use burn::Sample;
+use burn::Summary;
+use burn::ledger::REST;
+use burn::ledger::SERIES_MAX;
+use burn::report::Target;
+use burn::report::Urgency;
+use clock::Span;
+use clock::Time;
+
+/// A whole hour since 1970, so that slices begin with the tests.
+const ZERO: u64 = 500_000 * 3_600_000;
+const MINUTE: u64 = 60_000;
+const HOUR: u64 = 60 * MINUTE;
+const TARGET: Target = Target {
+    first_token_ms: 480,
+    token_gap_ms: 61,
+    share_per_mille: 900,
+};
+
+/// A ledger with one promise.
+fn ledger(entry: &str, incarnation: &str, zero: u64) -> Ledger {
+    let mut ledger = Ledger::new(entry.into(), incarnation.into(), zero);
+    let pair = ("thesis".into(), "branches".into());
+    ledger.promise(Time::ZERO, [(pair, TARGET)]);
+    ledger
+}
+
+/// A request that met its targets.
+fn good() -> Sample {
+    Sample {
+        deployment: "thesis".into(),
+        account: "branches".into(),
+        first_token: Some(Span::from_millis(200)),
+        worst_gap: Span::from_millis(40),
+        outcome: Outcome::Answered,
+        cause: Cause::Other,
+        recomputed: 0,
+        cost_micros: 100,
+    }
+}
+
+/// A request that waited too long.
+fn late() -> Sample {
+    Sample {
+        first_token: Some(Span::from_millis(481)),
+        cause: Cause::Waiting,
+        recomputed: 30,
+        ..good()
+    }
+}
+
+/// Records a sample several times.
+fn record(ledger: &mut Ledger, at: u64, sample: &Sample, times: u64) {
+    for _ in 0..times {
+        ledger.record(Time::from_millis(at), sample);
+    }
+}
+
+/// The summary at a time of the process.
+fn summary(ledger: &mut Ledger, at: u64) -> Summary {
+    ledger.summary(Time::from_millis(at), false)
+}
+
+#[test]
+fn share_budget_and_cost_add_up() {
+    let mut ledger = ledger("entry-1", "entry-1.1", ZERO);
+    record(&mut ledger, MINUTE, &good(), 95);
+    record(&mut ledger, MINUTE, &late(), 5);
+    let report = Report::at(ZERO + 2 * MINUTE, vec![summary(&mut ledger, 2 * MINUTE)]);
+    let row = &report.rows[0];
+    assert_eq!((row.requests, row.within, row.misses.waiting), (100, 95, 5));
+    // 100 in 1000 may miss and 50 in 1000 did: half of the budget, burnt at half of its rate.
+    assert_eq!(
+        (row.budget_left, row.burn_short, row.burn_long),
+        (0.5, 0.5, 0.5)
+    );
+    assert_eq!((row.cost_micros, row.recomputed_tokens), (10_000, 150));
+    assert!((row.cost_per_within_micros - 10_000.0 / 95.0).abs() < 1e-9);
+    assert!((200..=202).contains(&row.first_token_ms.p50));
+    assert_eq!(row.urgency(), Urgency::Calm);
+    assert!(report.gaps.is_empty());
+}
+
+#[test]
+fn each_target_alone_can_be_missed_and_a_caller_s_own_end_breaks_no_promise() {
+    let mut ledger = ledger("entry-1", "entry-1.1", ZERO);
+    let slow = Sample {
+        worst_gap: Span::from_millis(62),
+        cause: Cause::SlowBackend,
+        ..good()
+    };
+    let refused = Sample {
+        first_token: None,
+        outcome: Outcome::Failed,
+        cause: Cause::Refused,
+        ..good()
+    };
+    let cancelled = Sample {
+        outcome: Outcome::Caller,
+        ..good()
+    };
+    for sample in [good(), slow, refused, cancelled] {
+        record(&mut ledger, 0, &sample, 1);
+    }
+    let report = Report::at(ZERO, vec![summary(&mut ledger, 0)]);
+    let row = &report.rows[0];
+    assert_eq!((row.requests, row.within), (3, 1));
+    assert_eq!((row.misses.slow_backend, row.misses.refused), (1, 1));
+    assert_eq!(row.cost_micros, 400);
+}
+
+/// A backend server hangs for some minutes, then all is well. Operators should be called while it
+/// lasts, not for the hour that the long window remembers it.
+#[test]
+fn both_windows_must_burn_for_a_page() {
+    let mut ledger = ledger("entry-1", "entry-1.1", ZERO);
+    record(&mut ledger, 0, &good(), 20);
+    record(&mut ledger, 20 * MINUTE, &late(), 80);
+    let during = Report::at(ZERO + 21 * MINUTE, vec![summary(&mut ledger, 21 * MINUTE)]);
+    assert_eq!(during.rows[0].burn_long, 8.0);
+    assert_eq!(during.rows[0].burn_short, 10.0);
+    assert_eq!(during.rows[0].urgency(), Urgency::Page);
+    record(&mut ledger, 40 * MINUTE, &good(), 10);
+    let after = Report::at(ZERO + 41 * MINUTE, vec![summary(&mut ledger, 41 * MINUTE)]);
+    assert!(after.rows[0].burn_long > 6.0);
+    assert_eq!(after.rows[0].burn_short, 0.0);
+    assert_eq!(after.rows[0].urgency(), Urgency::Calm);
+}
+
+#[test]
+fn what_is_older_than_the_period_is_forgotten() {
+    let mut ledger = ledger("entry-1", "entry-1.1", ZERO);
+    record(&mut ledger, 0, &late(), 10);
+    record(&mut ledger, 23 * HOUR, &good(), 1);
+    let report = Report::at(ZERO + 24 * HOUR, vec![summary(&mut ledger, 24 * HOUR)]);
+    assert_eq!((report.rows[0].requests, report.rows[0].within), (1, 1));
+    let spent = summary(&mut ledger, 24 * HOUR);
+    assert!(!spent.is_spent(ZERO + 48 * HOUR));
+    assert!(spent.is_spent(ZERO + 50 * HOUR));
+    assert!(Report::at(ZERO + 50 * HOUR, vec![spent]).rows.is_empty());
+    let empty = summary(&mut ledger, 48 * HOUR);
+    assert!(empty.series.is_empty());
+}
+
+/// Every entry is replaced. What the old ones counted stays in the report, and the time between an
+/// entry's last summary and its successor's start is named as missing, as nobody counted it.
+#[test]
+fn the_report_survives_the_replacement_of_every_entry_and_names_what_is_missing() {
+    let mut left = Vec::new();
+    for name in ["entry-1", "entry-2"] {
+        let mut old = ledger(name, &format!("{name}.1"), ZERO);
+        record(&mut old, MINUTE, &good(), 10);
+        left.push(old.summary(Time::from_millis(2 * MINUTE), name == "entry-1"));
+    }
+    for name in ["entry-1", "entry-2"] {
+        let mut new = ledger(name, &format!("{name}.2"), ZERO + 10 * MINUTE);
+        record(&mut new, 0, &good(), 5);
+        left.push(summary(&mut new, 5 * MINUTE));
+    }
+    let report = Report::at(ZERO + 15 * MINUTE, left);
+    assert_eq!(report.rows[0].requests, 30);
+    assert_eq!(report.gaps.len(), 1);
+    let gap = &report.gaps[0];
+    assert_eq!(gap.entry, "entry-2");
+    assert_eq!((gap.from_ago_ms, gap.to_ago_ms), (13 * MINUTE, 5 * MINUTE));
+    assert!(
+        report
+            .to_text()
+            .contains("entry-2: from 13 min to 5 min ago")
+    );
+}
+
+/// A write whose answer was lost is repeated, and the store lists an older copy too. Nothing may be
+/// counted twice.
+#[test]
+fn only_the_newest_summary_of_an_incarnation_counts() {
+    let mut ledger = ledger("entry-1", "entry-1.1", ZERO);
+    record(&mut ledger, 0, &good(), 3);
+    let early = summary(&mut ledger, MINUTE);
+    record(&mut ledger, MINUTE, &good(), 4);
+    let late = summary(&mut ledger, 2 * MINUTE);
+    let all = vec![late.clone(), early, late];
+    assert_eq!(Report::at(ZERO + 2 * MINUTE, all).rows[0].requests, 7);
+}
+
+/// A caller finds a way to come under thousands of names, or accounts are that many. Memory and
+/// summaries must not grow with them.
+#[test]
+fn accounts_beyond_the_bound_count_together() {
+    let mut ledger = Ledger::new("entry-1".into(), "entry-1.1".into(), ZERO);
+    for number in 0..SERIES_MAX + 500 {
+        let sample = Sample {
+            account: format!("account-{number}").into(),
+            ..good()
+        };
+        record(&mut ledger, 0, &sample, 1);
+    }
+    let summary = summary(&mut ledger, 0);
+    assert_eq!(summary.series.len(), SERIES_MAX + 1);
+    let report = Report::at(ZERO, vec![summary]);
+    let rest = report.rows.iter().find(|row| row.account == REST).unwrap();
+    assert_eq!(rest.requests, 500);
+}
+
+#[test]
+fn a_page_shows_names_as_text_and_needs_nothing_else() {
+    let mut ledger = Ledger::new("entry-1".into(), "entry-1.1".into(), ZERO);
+    let sample = Sample {
+        account: "<script>".into(),
+        ..late()
+    };
+    record(&mut ledger, 0, &sample, 1);
+    let html = Report::at(ZERO, vec![summary(&mut ledger, 0)]).to_html();
+    assert!(html.contains("thesis / &lt;script&gt;"));
+    assert!(!html.contains("<script") && !html.contains("http"));
+    assert_eq!(html.matches("<svg").count(), html.matches("</svg>").count());
+}
--- a/crates/cli/src/commands/report.rs
+++ b/crates/cli/src/commands/report.rs
@@ -15,13 +15,19 @@
 #[argh(
     subcommand,
     name = "report",
+    note = "PAGE: over both windows, a quarter of the day's error budget goes in an hour. WATCH: a \
+tenth does.",
     example = "{command_name}",
-    example = "{command_name} --deployment thesis --json"
+    example = "{command_name} --deployment thesis --json",
+    example = "{command_name} --html burn.html"
 )]
 pub struct Report {
     /// only this deployment
     #[argh(option, arg_name = "name")]
     pub deployment: Option<String>,
+    /// writes a page with plots into this file
+    #[argh(option, arg_name = "file")]
+    pub html: Option<String>,
 }
 
 impl Report {
@@ -29,7 +35,7 @@
     pub async fn run(self, session: &mut Session<'_>) -> Result<Exit, Trouble> {
         let deployment = self.deployment.map(Into::into);
         match session.ask(Request::Report { deployment }).await? {
-            Reply::Report(report) => output::report::write(session, &report),
+            Reply::Report(report) => output::report::write(session, &report, self.html.as_deref()),
             _ => Err(mismatch()),
         }
     }
--- a/crates/cli/src/output/report.rs
+++ b/crates/cli/src/output/report.rs
@@ -1,13 +1,29 @@
 //! The burn report.
 
+use std::fs;
+
 use burn::Report;
 
 use crate::exit::Exit;
 use crate::exit::Trouble;
 use crate::session::Session;
 
-/// Writes the report.
-pub fn write(session: &mut Session<'_>, report: &Report) -> Result<Exit, Trouble> {
-    session.write_json(report)?;
+/// Writes the report: as JSON, as text, or as a page into a file.
+pub fn write(
+    session: &mut Session<'_>,
+    report: &Report,
+    page: Option<&str>,
+) -> Result<Exit, Trouble> {
+    if let Some(file) = page {
+        fs::write(file, report.to_html())
+            .map_err(|error| Trouble::new(Exit::Failed, format!("{file}: {error}")))?;
+    }
+    if session.json {
+        session.write_json(report)?;
+    } else if let Some(file) = page {
+        writeln!(session.out, "written to {file}")?;
+    } else {
+        write!(session.out, "{}", report.to_text())?;
+    }
     Ok(Exit::Done)
 }
--- a/crates/ops/examples/regenerate.rs
+++ b/crates/ops/examples/regenerate.rs
@@ -1,6 +1,9 @@
 //! Makes the code in `src/generated` from the schema; no protoc is needed.
 //!
 //! `cargo run -p ops --example regenerate`
+//!
+//! The library must compile for it: run it after a change of the schema and before the code that uses
+//! the new fields.
 
 use std::path::Path;
 
--- a/crates/ops/src/convert/report.rs
+++ b/crates/ops/src/convert/report.rs
@@ -17,6 +17,7 @@
         gaps: report.gaps.into_iter().map(gap_to).collect(),
         short_window_ms: report.short_window_ms,
         long_window_ms: report.long_window_ms,
+        period_ms: report.period_ms,
     }
 }
 
@@ -27,6 +28,7 @@
         gaps: message.gaps.into_iter().map(gap_from).collect(),
         short_window_ms: message.short_window_ms,
         long_window_ms: message.long_window_ms,
+        period_ms: message.period_ms,
     }
 }
 
--- a/crates/ops/tests/support/fields.rs
+++ b/crates/ops/tests/support/fields.rs
@@ -11,7 +11,7 @@
     for file in &set.file {
         for message in &file.message_type {
             for field in &message.field {
-                lines.insert(format!(
+                let line = format!(
                     "{}.{} {} {:?} {:?} {}",
                     message.name(),
                     field.name(),
@@ -19,7 +19,8 @@
                     field.label(),
                     field.r#type(),
                     field.type_name()
-                ));
+                );
+                lines.insert(line.trim_end().to_owned());
             }
         }
         for service in &file.service {
--- a/crates/ops/tests/support/messages.rs
+++ b/crates/ops/tests/support/messages.rs
@@ -270,6 +270,7 @@
         }],
         short_window_ms: 300_000,
         long_window_ms: 3_600_000,
+        period_ms: 86_400_000,
     }
 }
 
