--- a/crates/config/src/agreement.rs
+++ b/crates/config/src/agreement.rs
@@ -12,15 +12,15 @@
 use clock::Span;
 use clock::Time;
 use lease::holder;
+use lease::holding::Holding;
+use lease::view::View;
 use store::backoff::Backoff;
 use store::call;
 use store::call::Call;
 use store::call::Outcome;
 
 use crate::acceptance::Acceptance;
-use crate::acceptance::View;
 use crate::admission::Admission;
-use crate::admission::Lease;
 use crate::change::Standing;
 use crate::configs::agreement::Settings;
 use crate::event::Effect;
@@ -79,8 +79,8 @@
         Agreement {
             history: History::new(settings.kept),
             follower: Follower::new(settings),
-            admission: Admission::new(me, settings.term),
-            acceptance: Acceptance::new(settings.term + settings.margin),
+            admission: Admission::new(me, settings),
+            acceptance: Acceptance::new(settings),
             submissions: Submissions::default(),
             known: None,
             unconfirmed: None,
@@ -144,7 +144,7 @@
             wakes.push(self.next_ask);
         } else {
             let lease = self.admission.lease().valid_until;
-            wakes.push(Time::ZERO + lease.since(Time::ZERO + self.settings.term.scaled(0.5)));
+            wakes.push(Time::ZERO + lease.since(Time::ZERO + self.admission.word_counts()));
         }
         if self.acceptance.wants_view() {
             wakes.push(self.next_view);
@@ -211,7 +211,7 @@
         self.acceptance.set_applied(self.me, self.history.version());
     }
 
-    fn leased(&mut self, now: Time, lease: Lease) {
+    fn leased(&mut self, now: Time, lease: Holding) {
         if lease.epoch != self.admission.lease().epoch {
             self.next_poll = now;
         }
--- a/crates/policy/src/configs/limit.rs
+++ b/crates/policy/src/configs/limit.rs
@@ -4,7 +4,7 @@
 
 /// How an account's limit is shared among the entries.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Limit {
+pub struct Config {
     /// Off, limits aren't enforced.
     pub enabled: bool,
     /// Entries that share each limit until [`crate::limit::Limits::set_entries`] says otherwise.
@@ -23,9 +23,9 @@
     pub smoothing: f64,
 }
 
-impl Default for Limit {
-    fn default() -> Limit {
-        Limit {
+impl Default for Config {
+    fn default() -> Config {
+        Config {
             enabled: true,
             entries: 8,
             period: Span::from_millis(500),
--- a/crates/policy/src/configs/placement.rs
+++ b/crates/policy/src/configs/placement.rs
@@ -2,26 +2,53 @@
 
 use clock::Span;
 
-/// How a replica is chosen.
+/// Which modules take part in the choice of a replica, and how far it looks.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Placement {
-    /// Entries that share the replicas: each may always use its equal part of the slots.
-    pub entries: u32,
-    /// Queue heads looked at when the first can't be placed.
+pub struct Config {
+    /// Off, the least loaded replica is taken whatever the prefix.
+    pub affinity: bool,
+    /// Off, every replica takes what it has slots for by our own count.
+    pub concurrency: bool,
+    /// Off, no replica is ejected.
+    pub health: bool,
+    /// Off, a killer request is tried like any other.
+    pub quarantine: bool,
+    /// Off, a new replica gets its whole part at once.
+    pub warmup: bool,
+    /// Off, what runs on a leaving replica stays there to its end.
+    pub wave: bool,
+    /// Queue heads looked at when the first can't be placed: enough that one account's suspects or
+    /// retried jobs don't block the others, few enough that a decision stays short.
     pub heads: usize,
-    /// Replicas looked at for one job.
-    pub candidates: usize,
     /// How long a job whose caller already has its first token waits for a place after a crash.
     pub patience: Span,
+    /// The notices of one wave come within this time: moves are planned after it, so that nothing is
+    /// moved to a replica that is named next.
+    pub gather: Span,
+    /// Moves are planned anew this often while jobs are left on leaving replicas.
+    pub review: Span,
+    /// This long before a deadline, after the plan's own margin, full replicas are overbooked: a place
+    /// in a replica's own queue is better than a lost answer.
+    pub last_call: Span,
+    /// One of this many replicas of a pool, at most, is kept free for suspects at once.
+    pub trial_share: usize,
 }
 
-impl Default for Placement {
-    fn default() -> Placement {
-        Placement {
-            entries: 8,
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            affinity: true,
+            concurrency: true,
+            health: true,
+            quarantine: true,
+            warmup: true,
+            wave: true,
             heads: 8,
-            candidates: 16,
             patience: Span::from_seconds(30),
+            gather: Span::from_millis(50),
+            review: Span::from_millis(250),
+            last_call: Span::from_millis(1_500),
+            trial_share: 4,
         }
     }
 }
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -8,7 +8,7 @@
 //! - A share is lowered at once, but raised only one period after the raise was told, and only as far as
 //!   the claims heard meanwhile leave room. Two entries that raise at the same time have by then heard of
 //!   each other, if news takes less than half a period.
-//! - A peer that isn't heard for [`Limit::silence`] is counted with at least its equal part; an entry
+//! - A peer that isn't heard for [`Config::silence`] is counted with at least its equal part; an entry
 //!   that hears nobody for so long falls back to just that.
 //! - An entry that claims nothing keeps a floor, so that an account's first request is not refused.
 //!   A limit on open requests that is smaller than the number of entries leaves no floor: there the
@@ -28,22 +28,26 @@
 
 use crate::account::Key;
 use crate::account::Spec;
-use crate::configs::limit::Limit;
+use crate::configs::limit::Config;
 use crate::fair::Cost;
 use crate::limit::account::Account;
 
 pub use crate::limit::digest::Claim;
 pub use crate::limit::digest::Digest;
 
+/// Share of a period from which on a digest counts as the next period's: timers are a little off.
+const EARLY: f64 = 0.8;
+
 /// The limits of one entry.
 #[derive(Debug)]
 pub struct Limits {
-    settings: Limit,
+    settings: Config,
     entries: u32,
     accounts: BTreeMap<u64, Account>,
     names: BTreeMap<Key, u64>,
     peers: BTreeMap<u64, Peer>,
     told: Digest,
+    reviewed: Time,
 }
 
 /// What a peer told last.
@@ -70,7 +74,7 @@
 
 impl Limits {
     /// Limits without accounts and peers.
-    pub fn new(settings: Limit) -> Limits {
+    pub fn new(settings: Config) -> Limits {
         Limits {
             settings,
             entries: settings.entries.max(1),
@@ -78,6 +82,7 @@
             names: BTreeMap::new(),
             peers: BTreeMap::new(),
             told: Digest::default(),
+            reviewed: Time::ZERO,
         }
     }
 
@@ -120,8 +125,12 @@
         }
     }
 
-    /// What to tell the peers; call it once a [`Limit::period`].
+    /// What to tell the peers; call it once a [`Config::period`], or in between for the same again.
     pub fn digest(&mut self, now: Time) -> Digest {
+        if now.since(self.reviewed) < self.settings.period.scaled(EARLY) {
+            return self.told.clone();
+        }
+        self.reviewed = now;
         let others: BTreeMap<u64, Others> = self
             .accounts
             .keys()
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -15,7 +15,7 @@
         };
         let took = now.since(open.started);
         let again = std::mem::replace(&mut open.streaming, true);
-        if again || open.tried.len() > 1 {
+        if again || open.moved || open.tried.len() > 1 {
             return;
         }
         if let Some(pool) = self.pools.get_mut(&open.job.pool) {
@@ -24,6 +24,35 @@
         }
     }
 
+    /// Learns from tokens that came: the gap between them, and what is still to come.
+    pub(super) fn note_progress(&mut self, now: Time, id: job::Id, tokens: u32) {
+        let weight = self.settings.fair.output_weight;
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let gap = now.since(open.spoke).as_millis() as f64 / f64::from(tokens.max(1));
+        let begun = open.streaming && open.spoke > open.started;
+        open.spoke = now;
+        open.made = open.made.saturating_add(tokens);
+        let done = open.outstanding.min(u64::from(tokens) * weight);
+        open.outstanding -= done;
+        let Some(key) = open.replica else {
+            return;
+        };
+        // The first token of an attempt came after its prefill: it tells nothing of the gap.
+        let gap = begun.then_some(gap);
+        let target = open.job.token_gap.as_millis().max(1) as f64;
+        if let Some(replica) = self.replicas.get_mut(&key) {
+            replica.load.progressed(done);
+            if let Some(gap) = gap {
+                replica.load.sample(now, gap / target);
+            }
+        }
+        if let Some(pool) = self.pools.get_mut(&open.job.pool) {
+            pool.monitor.progressed(now, key, gap);
+        }
+    }
+
     /// Closes the job or tries it again.
     pub(super) fn note_end(
         &mut self,
@@ -33,8 +62,14 @@
         tokens: u32,
         out: &mut Vec<Decision>,
     ) {
-        if self.take_off(id).is_none() {
+        if end == job::End::Finished {
+            self.judge_plain(now, id);
+        }
+        let Some(key) = self.take_off(now, id, end) else {
             return;
+        };
+        if end == job::End::Crashed {
+            self.blame(now, id, key);
         }
         let Some(open) = self.open.get_mut(&id) else {
             return;
@@ -43,11 +78,11 @@
         match end {
             job::End::Finished => {
                 self.learn(now, id, tokens);
-                self.close(id);
+                self.close(now, id);
                 return;
             }
             job::End::Left => {
-                self.close(id);
+                self.close(now, id);
                 return;
             }
             job::End::NotStarted => {}
@@ -90,31 +125,49 @@
             return;
         };
         let took = now.since(open.started);
-        let (job, estimated) = (open.job, open.cost);
+        let (job, estimated, moved) = (open.job, open.cost, open.moved);
         let actual = self.cost(job.prompt_tokens, tokens);
         let settings = self.settings;
+        self.quarantine.finished(now, job.fingerprint);
         if let Some(account) = self.accounts.get_mut(&job.account) {
             account.estimate.note(tokens, settings.fair.smoothing);
         }
         if let Some(pool) = self.pools.get_mut(&job.pool) {
-            pool.service.note_end(&settings.admission, actual, took);
+            if !moved {
+                pool.service.note_end(&settings.admission, actual, took);
+            }
             pool.budget.earn(&settings.retry);
             pool.queue.settle(job.account, estimated, actual);
         }
     }
 
+    /// A plain call's whole time stands for its gap.
+    fn judge_plain(&mut self, now: Time, id: job::Id) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let (Some(key), job::Kind::Plain) = (open.replica, open.job.kind) else {
+            return;
+        };
+        let took = now.since(open.started).as_millis() as f64;
+        let target = open.job.first_token.as_millis().max(1) as f64;
+        if let Some(replica) = self.replicas.get_mut(&key) {
+            replica.load.sample(now, took / target);
+        }
+        if let Some(pool) = self.pools.get_mut(&open.job.pool) {
+            pool.monitor.progressed(now, key, Some(took));
+        }
+    }
+
     /// Forgets a job, wherever it is.
-    pub(super) fn close(&mut self, id: job::Id) {
-        self.take_off(id);
+    pub(super) fn close(&mut self, now: Time, id: job::Id) {
+        self.take_off(now, id, job::End::Left);
+        self.unqueue(id);
+        self.drop_trial(id);
         let Some(open) = self.open.remove(&id) else {
             return;
         };
-        if let Some(place) = open.place {
-            self.expiry.remove(&(open.until, id));
-            if let Some(pool) = self.pools.get_mut(&open.job.pool) {
-                pool.queue.remove(place);
-            }
-        }
+        self.expiry.remove(&(open.until, id));
         let actual = if open.tried.is_empty() {
             0
         } else {
--- /dev/null
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -0,0 +1,158 @@
+//! Replicas as they come, report, are judged and go.
+
+use clock::Time;
+use rand::RngExt;
+
+use crate::affinity::Candidate;
+use crate::health::Allowance;
+use crate::pool;
+use crate::replica;
+use crate::scheduler::Scheduler;
+use crate::scheduler::state::Pool;
+use crate::scheduler::state::Replica;
+
+impl Scheduler {
+    /// Adds a replica.
+    pub(super) fn join(&mut self, now: Time, spec: replica::Spec) -> replica::Key {
+        let key = replica::Key(self.next_replica);
+        self.next_replica += 1;
+        let replica = Replica::new(spec, &self.settings);
+        let pool = self.pool_mut(replica.spec.pool);
+        pool.members.insert(key);
+        pool.monitor.joined(now, key);
+        pool.warmup.joined(now, key);
+        pool.slots += replica.spec.slots;
+        self.stir(replica.spec.pool);
+        self.replicas.insert(key, replica);
+        key
+    }
+
+    /// Takes a replica off its pool, if it still belongs to it.
+    pub(super) fn drop_member(&mut self, key: replica::Key) {
+        let Some(replica) = self.replicas.get(&key) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&replica.spec.pool) else {
+            return;
+        };
+        if pool.members.remove(&key) {
+            pool.slots -= replica.spec.slots;
+            pool.monitor.left(key);
+            pool.warmup.left(key);
+            pool.affinity.left(key);
+        }
+        self.stir(replica.spec.pool);
+    }
+
+    pub(super) fn note_report(&mut self, now: Time, key: replica::Key, report: replica::Report) {
+        let drawn: f64 = self.random.random();
+        let settings = &self.settings;
+        let Some(replica) = self.replicas.get_mut(&key) else {
+            return;
+        };
+        replica.load.reported(now, &report);
+        replica.share.reported(
+            &settings.slots,
+            replica.spec.slots,
+            settings.concurrency.entries,
+            replica.jobs.len() as u32,
+            &report,
+            drawn,
+        );
+        let pool = replica.spec.pool;
+        if let Some(pool) = self.pools.get_mut(&pool) {
+            pool.monitor.reported(now, key);
+        }
+        self.stir(pool);
+    }
+
+    /// Judges the health of each pool whose time has come.
+    pub(super) fn judge(&mut self, now: Time) {
+        for (key, pool) in &mut self.pools {
+            if pool.monitor.next_wake() <= now {
+                pool.monitor.tick(now);
+                pool.full = false;
+                self.stirred.insert(*key);
+            }
+        }
+    }
+
+    /// Something changed: the pool's queue is looked at in the next poll.
+    pub(super) fn stir(&mut self, key: pool::Key) {
+        if let Some(pool) = self.pools.get_mut(&key) {
+            pool.full = false;
+            self.stirred.insert(key);
+        }
+    }
+
+    pub(super) fn stir_all(&mut self) {
+        for (key, pool) in &mut self.pools {
+            pool.full = false;
+            self.stirred.insert(*key);
+        }
+    }
+
+    /// Every member of the pool, with its load, and whether it may take one more short job.
+    pub(super) fn candidates(&self, now: Time, pool: &Pool) -> Vec<Candidate> {
+        let usual = pool.usual();
+        let candidate = |key: &replica::Key| {
+            let replica = self.replicas.get(key)?;
+            Some(Candidate {
+                key: *key,
+                identity: replica.identity,
+                load: self.load(now, pool, *key, replica, usual),
+                open: self.is_open(now, pool, *key, replica, usual),
+            })
+        };
+        pool.members.iter().filter_map(candidate).collect()
+    }
+
+    fn load(
+        &self,
+        now: Time,
+        pool: &Pool,
+        key: replica::Key,
+        replica: &Replica,
+        usual: f64,
+    ) -> f64 {
+        let load = match self.settings.placement.concurrency {
+            true => replica.load.jobs(now, usual),
+            false => f64::from(replica.running()),
+        };
+        match self.settings.placement.warmup {
+            true => pool.warmup.load(now, key, load),
+            false => load,
+        }
+    }
+
+    fn is_open(
+        &self,
+        now: Time,
+        pool: &Pool,
+        key: replica::Key,
+        replica: &Replica,
+        usual: f64,
+    ) -> bool {
+        let settings = &self.settings.placement;
+        let healthy = match pool.monitor.allowance(key) {
+            _ if !settings.health => true,
+            Allowance::None => false,
+            Allowance::Jobs(jobs) => replica.running() < jobs,
+            Allowance::Full => true,
+        };
+        let entries = self.settings.concurrency.entries;
+        let in_share = !self.settings.slots.enabled
+            || replica.running() < replica.share.limit(replica.spec.slots, entries);
+        let has_slots = match settings.concurrency {
+            true => replica.load.is_open(now, usual),
+            false => replica.running() < replica.spec.slots,
+        };
+        let warm = !settings.warmup
+            || replica.running() == 0
+            || replica.load.jobs(now, usual)
+                < f64::from(pool.warmup.jobs(now, key, replica.spec.slots));
+        let reserved = settings.quarantine
+            && (replica.trial.is_some() || self.quarantine.is_reserved(now, replica.identity));
+        healthy && has_slots && in_share && warm && !reserved
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/moves.rs
@@ -0,0 +1,217 @@
+//! Replicas that leave: their jobs are moved in the order that [`crate::wave`] plans.
+
+use clock::Span;
+use clock::Time;
+
+use crate::decision::Decision;
+use crate::job;
+use crate::replica;
+use crate::scheduler::Scheduler;
+use crate::scheduler::state::Open;
+use crate::scheduler::state::Pool;
+use crate::wave;
+use crate::wave::Fate;
+
+impl Scheduler {
+    /// Gives the replica no more work; what becomes of its jobs is planned when the wave is gathered.
+    pub(super) fn leave(&mut self, now: Time, key: replica::Key, deadline: Time) {
+        self.drop_member(key);
+        let Some(replica) = self.replicas.get_mut(&key) else {
+            return;
+        };
+        replica.leaving.get_or_insert(deadline);
+        if self.settings.placement.wave && !replica.jobs.is_empty() {
+            self.leaving.insert(key);
+            self.review
+                .get_or_insert(now + self.settings.placement.gather);
+        }
+    }
+
+    /// Drops a replica that is gone.
+    pub(super) fn forget(&mut self, key: replica::Key) {
+        self.drop_member(key);
+        self.leaving.remove(&key);
+        let Some(replica) = self.replicas.get_mut(&key) else {
+            return;
+        };
+        replica.lost = true;
+        if replica.jobs.is_empty() {
+            self.replicas.remove(&key);
+        }
+    }
+
+    /// Plans if it is time, and makes the moves that are due.
+    pub(super) fn move_on(&mut self, now: Time, out: &mut Vec<Decision>) {
+        if self.review.is_some_and(|review| review <= now) {
+            self.plan_moves(now);
+        }
+        let due: Vec<wave::Step> = self
+            .steps
+            .values()
+            .filter(|step| start_of(step).is_some_and(|at| at <= now))
+            .copied()
+            .collect();
+        for step in due {
+            self.steps.remove(&step.job);
+            self.make_move(now, step, out);
+        }
+    }
+
+    /// When the next planned move is due.
+    pub(super) fn next_step(&self) -> Option<Time> {
+        self.steps.values().filter_map(start_of).min()
+    }
+
+    fn plan_moves(&mut self, now: Time) {
+        let replicas = &self.replicas;
+        self.leaving.retain(|key| {
+            replicas
+                .get(key)
+                .is_some_and(|replica| !replica.jobs.is_empty())
+        });
+        let again = now + self.settings.placement.review;
+        self.review = (!self.leaving.is_empty()).then_some(again);
+        let mut planned = Vec::new();
+        for pool in self.pools.values() {
+            let sources = self.sources(pool);
+            if sources.is_empty() {
+                continue;
+            }
+            let jobs = self.jobs_to_move(&sources);
+            let targets = self.targets(now, pool, &sources);
+            planned.extend(wave::plan(
+                &self.settings.wave,
+                now,
+                &sources,
+                &jobs,
+                &targets,
+            ));
+        }
+        let moves = planned.into_iter().filter(|step| start_of(step).is_some());
+        self.steps.extend(moves.map(|step| (step.job, step)));
+    }
+
+    /// The pool's leaving replicas.
+    fn sources(&self, pool: &Pool) -> Vec<wave::Source> {
+        let source = |key: &replica::Key| {
+            let replica = self.replicas.get(key)?;
+            let same = self
+                .pools
+                .get(&replica.spec.pool)
+                .is_some_and(|of| std::ptr::eq(of, pool));
+            let deadline = replica.leaving.filter(|_| same)?;
+            Some(wave::Source {
+                key: *key,
+                deadline,
+            })
+        };
+        self.leaving.iter().filter_map(source).collect()
+    }
+
+    /// What runs there and has no planned move yet.
+    fn jobs_to_move(&self, sources: &[wave::Source]) -> Vec<wave::Running> {
+        let ids = sources
+            .iter()
+            .filter_map(|source| self.replicas.get(&source.key))
+            .flat_map(|replica| &replica.jobs)
+            .filter(|id| !self.steps.contains_key(id));
+        ids.filter_map(|id| self.running(self.open.get(id)?))
+            .collect()
+    }
+
+    fn running(&self, open: &Open) -> Option<wave::Running> {
+        let account = self.accounts.get(&open.job.account)?;
+        let expected = account.estimate.expect(open.job.max_new_tokens);
+        let left = expected.saturating_sub(open.made).max(1);
+        Some(wave::Running {
+            id: open.job.id,
+            from: open.replica?,
+            kind: open.job.kind,
+            tokens: open.job.prompt_tokens.saturating_add(open.made),
+            rest: gap(open).times(u64::from(left)),
+            idempotent: open.job.idempotent,
+        })
+    }
+
+    /// Where the jobs can go: replicas with room, outside the zones that are leaving if possible.
+    fn targets(&self, now: Time, pool: &Pool, sources: &[wave::Source]) -> Vec<wave::Target> {
+        let settings = &self.settings;
+        let zones: Vec<u64> = sources
+            .iter()
+            .filter_map(|source| self.replicas.get(&source.key))
+            .map(|replica| replica.zone)
+            .collect();
+        let soonest = sources
+            .iter()
+            .map(|source| source.deadline.since(now))
+            .min();
+        let call = settings.wave.margin + settings.placement.last_call;
+        let last_call = soonest.is_some_and(|left| left <= call);
+        let (mut outside, mut inside) = (Vec::new(), Vec::new());
+        for candidate in self.candidates(now, pool) {
+            let Some(replica) = self.replicas.get(&candidate.key) else {
+                continue;
+            };
+            let free = (f64::from(replica.spec.slots) - candidate.load).max(0.0) as u32;
+            let slots = match (last_call, candidate.open) {
+                (true, _) => replica.spec.slots,
+                (false, true) => free.div_ceil(settings.concurrency.entries).max(1),
+                (false, false) => 0,
+            };
+            let target = wave::Target {
+                key: candidate.key,
+                slots,
+                tokens: u64::MAX,
+            };
+            match zones.contains(&replica.zone) {
+                true => inside.push(target),
+                false => outside.push(target),
+            }
+        }
+        if outside.is_empty() { inside } else { outside }
+    }
+
+    fn make_move(&mut self, now: Time, step: wave::Step, out: &mut Vec<Decision>) {
+        let Fate::Move { to, how, .. } = step.fate else {
+            return;
+        };
+        let stays =
+            |replica: &crate::scheduler::state::Replica| replica.leaving.is_none() && !replica.lost;
+        // A target that is gone by now: the next review plans the job again.
+        if !self.replicas.get(&to).is_some_and(stays) {
+            return;
+        }
+        let Some(from) = self.take_off(now, step.job, job::End::Left) else {
+            return;
+        };
+        if let Some(open) = self.open.get_mut(&step.job) {
+            open.moved = true;
+            open.started = now;
+            open.spoke = now;
+        }
+        self.put_on(now, step.job, to);
+        out.push(Decision::Move {
+            job: step.job,
+            from,
+            to,
+            how,
+        });
+    }
+}
+
+/// When a planned move begins.
+fn start_of(step: &wave::Step) -> Option<Time> {
+    match step.fate {
+        Fate::Move { at, .. } => Some(at),
+        Fate::Finish | Fate::Stay => None,
+    }
+}
+
+/// Time for each further token: as it went so far, or as the target says.
+fn gap(open: &Open) -> Span {
+    let measured = open.spoke.since(open.started).as_millis() / u64::from(open.made.max(1));
+    match open.made {
+        0 => open.job.token_gap,
+        _ => Span::from_millis(measured.max(1)),
+    }
+}
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -7,19 +7,25 @@
 
 use crate::account;
 use crate::admission::Service;
+use crate::affinity::Affinity;
 use crate::brownout::Gate;
+use crate::concurrency::Load;
 use crate::configs::scheduler::Settings;
 use crate::fair::Cost;
 use crate::fair::Estimate;
 use crate::fair::Place;
 use crate::fair::Queue;
+use crate::health::Monitor;
 use crate::job;
 use crate::job::Job;
+use crate::rendezvous;
 use crate::replica;
 use crate::retry::Budget;
 use crate::retry::Calendar;
 use crate::size::Class;
 use crate::size::Classes;
+use crate::slots::Share;
+use crate::warmup::Warmup;
 
 /// An account and what its answers taught.
 #[derive(Debug)]
@@ -46,21 +52,23 @@
     pub gate: Gate,
     pub budget: Budget,
     pub calendar: Calendar,
+    pub affinity: Affinity,
+    pub monitor: Monitor,
+    pub warmup: Warmup,
+    /// Replicas that are neither leaving nor lost.
     pub members: BTreeSet<replica::Key>,
-    /// Members that take new work and have room, least loaded first.
-    ///
-    /// Invariant: holds `(load, key)` exactly where `Replica::indexed` is `Some(load)`.
-    pub roomy: BTreeSet<(u32, replica::Key)>,
-    /// Our attempts on its replicas.
+    /// Slots of all members.
+    pub slots: u32,
+    /// Our attempts on its replicas, leaving ones included.
     pub running: u32,
     /// Of them long ones.
     pub long: u32,
-    /// What our limits on its replicas add up to.
-    pub slots: u32,
+    /// Whether nothing can be started, as far as the last look told; reset by every change.
+    pub full: bool,
 }
 
 impl Pool {
-    pub fn new(settings: &Settings) -> Pool {
+    pub fn new(settings: &Settings, seed: u64) -> Pool {
         Pool {
             queue: Queue::new(settings.fair.enabled),
             classes: Classes::default(),
@@ -68,56 +76,68 @@
             gate: Gate::default(),
             budget: Budget::new(&settings.retry),
             calendar: Calendar::default(),
+            affinity: Affinity::new(settings.affinity, seed),
+            monitor: Monitor::new(settings.health),
+            warmup: Warmup::new(settings.warmup),
             members: BTreeSet::new(),
-            roomy: BTreeSet::new(),
+            slots: 0,
             running: 0,
             long: 0,
-            slots: 0,
+            full: false,
         }
     }
+
+    /// Our attempts on a member, on the mean.
+    pub fn usual(&self) -> f64 {
+        f64::from(self.running) / self.members.len().max(1) as f64
+    }
+
+    /// Slots that are ours: an equal part, or what we hold if that is more.
+    pub fn part(&self, entries: u32) -> u32 {
+        self.slots.div_ceil(entries).max(self.running)
+    }
 }
 
 /// A replica and what we run there.
 #[derive(Debug)]
 pub(super) struct Replica {
     pub spec: replica::Spec,
-    pub leaving: bool,
-    /// Our attempts there. Invariant: the number of ids in `jobs`.
-    pub running: u32,
+    /// [`rendezvous::identity`] of its incarnation and of its zone.
+    pub identity: u64,
+    pub zone: u64,
+    /// When it is gone, if it has got its notice; sticky.
+    pub leaving: Option<Time>,
+    /// Kept only until the ends of its attempts are reported.
+    pub lost: bool,
+    pub load: Load,
+    pub share: Share,
+    /// Our attempts there.
+    pub jobs: BTreeSet<job::Id>,
     /// Of them long ones.
     pub long: u32,
-    /// Most attempts of ours at once.
-    pub limit: u32,
-    pub jobs: BTreeSet<job::Id>,
-    /// Its load in the pool's index, if it is there.
-    pub indexed: Option<u32>,
-    /// What it adds to the pool's slots.
-    pub counted: u32,
+    /// A suspect of ours that waits for the replica to be empty, or runs there alone.
+    pub trial: Option<job::Id>,
 }
 
 impl Replica {
-    pub fn new(spec: replica::Spec, entries: u32) -> Replica {
-        let mut replica = Replica {
+    pub fn new(spec: replica::Spec, settings: &Settings) -> Replica {
+        Replica {
+            identity: rendezvous::identity(&spec.incarnation),
+            zone: rendezvous::identity(&spec.zone),
+            load: Load::new(settings.concurrency, spec.slots),
+            share: Share::new(spec.slots, settings.concurrency.entries),
             spec,
-            leaving: false,
-            running: 0,
-            long: 0,
-            limit: 0,
+            leaving: None,
+            lost: false,
             jobs: BTreeSet::new(),
-            indexed: None,
-            counted: 0,
-        };
-        replica.limit = replica.part(entries);
-        replica
-    }
-
-    /// The slots that are this entry's whatever the others do.
-    pub fn part(&self, entries: u32) -> u32 {
-        self.spec.slots.div_ceil(entries).max(1)
+            long: 0,
+            trial: None,
+        }
     }
 
-    pub fn has_room(&self) -> bool {
-        !self.leaving && self.running < self.limit
+    /// Our attempts there.
+    pub fn running(&self) -> u32 {
+        self.jobs.len() as u32
     }
 }
 
@@ -130,13 +150,20 @@
     pub cost: Cost,
     /// When the first token is due.
     pub due: Time,
-    /// Where it waits. Invariant: set exactly while `replica` is not, and then in `expiry` at `until`.
+    /// Where it waits. Invariant: not set while `replica` is.
     pub place: Option<Place>,
+    /// When it is given up if it hasn't started. Invariant: in `expiry` while `replica` isn't set.
     pub until: Time,
     pub replica: Option<replica::Key>,
     pub started: Time,
+    /// When tokens of this attempt came last.
+    pub spoke: Time,
+    /// Output tokens expected when this attempt was started, less those that came.
+    pub outstanding: u64,
     /// Whether the caller has had its first token.
     pub streaming: bool,
+    /// Whether it was moved since it was started: its duration then tells nothing.
+    pub moved: bool,
     /// Tokens made in all attempts.
     pub made: u32,
     /// Whether bytes of it were handed to a replica that did not say "not started".
@@ -155,7 +182,7 @@
             predicted_wait: self.predicted,
             replica: self.replica,
             attempts: self.tried.len(),
-            given_up_at: self.place.map(|_| self.until),
+            given_up_at: self.replica.is_none().then_some(self.until),
         }
     }
 }
