--- a/crates/policy/src/configs/admission.rs
+++ b/crates/policy/src/configs/admission.rs
@@ -2,7 +2,7 @@
 
 /// How latency is predicted and whom that admits.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Admission {
+pub struct Config {
     /// Off, everything waits until it is served.
     pub enabled: bool,
     /// Most jobs waiting in one pool, whatever the prediction.
@@ -15,9 +15,9 @@
     pub stretch: f64,
 }
 
-impl Default for Admission {
-    fn default() -> Admission {
-        Admission {
+impl Default for Config {
+    fn default() -> Config {
+        Config {
             enabled: true,
             most_waiting: 100_000,
             smoothing: 0.05,
--- a/crates/policy/src/configs/retry.rs
+++ b/crates/policy/src/configs/retry.rs
@@ -4,7 +4,7 @@
 
 /// How often work is tried again and when callers come back.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Retry {
+pub struct Config {
     /// Off, retries are unlimited and callers come back at once.
     pub enabled: bool,
     /// Retries earned by one whole answer.
@@ -21,9 +21,9 @@
     pub return_share: f64,
 }
 
-impl Default for Retry {
-    fn default() -> Retry {
-        Retry {
+impl Default for Config {
+    fn default() -> Config {
+        Config {
             enabled: true,
             fraction: 0.1,
             saved: 20.0,
