Use a short notice: move KV in what is left of it

Cause, two: the wave plan kept a fixed margin of 1 s, so a notice of 0.6 s left no time and streams were run again at once; and a peer's word of a leave carried no deadline, so whoever heard it first took 30 s for given and let streams 'finish'. Ruled out: export and import themselves (moves under a longer notice recomputed nothing). Change: the margin is at most a quarter of the notice; news of a leave carries the time left, less its age; of several deadlines the soonest counts.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -40,10 +40,12 @@
         effects: &mut Vec<Effect>,
     ) {
         for notice in notices {
+            let deadline = now + notice.left;
             if self.backends.mark_leaving(notice.incarnation.clone()) {
-                self.publish_leaving(now, &notice.incarnation, effects);
-                self.backend_leaving(now, &notice.incarnation, now + notice.left, effects);
+                self.publish_leaving(now, &notice.incarnation, notice.left, effects);
             }
+            // Told again even if a peer or the list said so before: they don't know the deadline.
+            self.backend_leaving(now, &notice.incarnation, deadline, effects);
         }
     }
 
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -92,6 +92,7 @@
         &mut self,
         now: Time,
         incarnation: &SmolStr,
+        left: Span,
         effects: &mut Vec<Effect>,
     ) {
         let item = Item {
@@ -99,7 +100,7 @@
             key: incarnation.clone(),
             version: 1,
             age_ms: 0,
-            payload: Vec::new(),
+            payload: left.as_millis().to_le_bytes().to_vec(),
         };
         self.attend(now, MemberEvent::Publish(item), effects);
     }
@@ -138,8 +139,7 @@
         match item.topic {
             Topic::Leaving => {
                 if self.backends.mark_leaving(item.key.clone()) {
-                    let deadline = now + LISTED_LEAVE_TIME;
-                    self.backend_leaving(now, &item.key, deadline, effects);
+                    self.backend_leaving(now, &item.key, now + time_left(item), effects);
                 }
             }
             Topic::Demand | Topic::Quarantine => self.scheduler_news(now, item, effects),
@@ -187,6 +187,14 @@
     }
 }
 
+/// Time that a leaving server has left by a peer's word, less the time that the word took.
+fn time_left(item: &Item) -> Span {
+    match <[u8; 8]>::try_from(item.payload.as_slice()) {
+        Ok(bytes) => Span::from_millis(u64::from_le_bytes(bytes)) - Span::from_millis(item.age_ms),
+        Err(_) => LISTED_LEAVE_TIME,
+    }
+}
+
 /// A new membership machine of an entry.
 pub(crate) fn membership(
     identity: &Identity,
--- a/crates/policy/src/configs/wave.rs
+++ b/crates/policy/src/configs/wave.rs
@@ -18,6 +18,8 @@
     pub lanes: usize,
     /// Part of the notice that isn't planned with: notices and timers come late.
     pub margin: Span,
+    /// The margin is at most this part of the notice, so that a short one is still used.
+    pub margin_share: f64,
     /// Times its expected rest that a job must have left to be let finish: a job that doesn't end
     /// in time after all is run again in full.
     pub patience: f64,
@@ -30,6 +32,7 @@
             setup: Span::from_millis(50),
             lanes: 1,
             margin: Span::from_seconds(1),
+            margin_share: 0.25,
             patience: 1.25,
         }
     }
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -19,7 +19,12 @@
         let Some(replica) = self.replicas.get_mut(&key) else {
             return;
         };
-        replica.leaving.get_or_insert(deadline);
+        // Several sources tell of one leave; the soonest end counts.
+        let sooner = replica.leaving.is_none_or(|known| deadline < known);
+        if !sooner {
+            return;
+        }
+        replica.leaving = Some(deadline);
         self.leave_with(now, key);
     }
 
--- a/crates/policy/src/wave/mod.rs
+++ b/crates/policy/src/wave/mod.rs
@@ -126,6 +126,15 @@
     plan.steps
 }
 
+/// When the last transfer out of a source must have ended.
+///
+/// Guards against a short notice being taken for none: with a fixed margin of a second, a notice of
+/// half a second showed as streams run again though their KV cache could still be moved.
+fn last_end(config: &Config, now: Time, deadline: Time) -> Time {
+    let left = deadline.since(now);
+    now + (left - config.margin.min(left.scaled(config.margin_share)))
+}
+
 /// A plan in the making.
 struct Plan<'a> {
     config: &'a Config,
@@ -158,7 +167,7 @@
 impl<'a> Plan<'a> {
     fn new(config: &'a Config, now: Time, sources: &[Source], targets: &[Target]) -> Plan<'a> {
         let link = |source: &Source| Link {
-            deadline: now + (source.deadline.since(now) - config.margin),
+            deadline: last_end(config, now, source.deadline),
             lanes: vec![now; config.lanes.max(1)],
         };
         let room = |target: &&Target| target.slots > 0;
