Run suspects apart without emptying their replica, spill in rendezvous order

Cause: a suspect waited until its place was empty, at most one replica in four was lent for that, and other work was kept off it even when refused for want of room. An ordinary crash, far more frequent than a killer, cost its neighbours their targets. Ruled out: series of trials on one emptied replica (in a pool of three it halves what is left). Change: a suspect starts at its place at once, never beside another suspect; new work keeps off as long as there is room elsewhere. Attribution stays as sharp: only one suspect is ever at a replica. Places skip ejected replicas. Expired records are dropped (nobody called tick before). Affinity spills on in rendezvous order instead of to one of two at random, so that copies of one request meet at fewer replicas.

--- a/crates/policy/src/affinity/mod.rs
+++ b/crates/policy/src/affinity/mod.rs
@@ -5,9 +5,9 @@
 //! without the bound, the home of a hot key is overrun while its peers idle. *How*: the home is the
 //! first in [`crate::rendezvous`] order, so all entries agree on it untold. A home above the bound
 //! spills to the second in that order, always the same one, so that it warms too; then to a replica
-//! that cache events hint at; then to the less loaded of two drawn at random, since loads are
-//! stale and the least loaded would be overrun by all entries at once (Mitzenmacher, "How Useful Is
-//! Old Information?", 2000).
+//! that cache events hint at; then on in that order; and where all are above the bound to the less
+//! loaded of two drawn at random, since loads are stale and the least loaded would be overrun by
+//! all entries at once (Mitzenmacher, "How Useful Is Old Information?", 2000).
 //!
 //! Copies of one killer request meet at the same two replicas for the same reason; see
 //! [`crate::quarantine`].
@@ -88,8 +88,8 @@
     pub fn choose(&mut self, now: Time, prefix: u64, candidates: &[Candidate]) -> Option<Choice> {
         let bound = self.bound(candidates);
         let fits = |candidate: &Candidate| candidate.open && candidate.load <= bound;
-        let nodes = candidates.iter().map(|node| (node, node.identity));
-        let (home, second) = rendezvous::two(prefix, nodes);
+        let nodes = || candidates.iter().map(|node| (node, node.identity));
+        let (home, second) = rendezvous::two(prefix, nodes());
         if let Some(home) = home.filter(|node| fits(node)) {
             return Some(Choice::Home(home.key));
         }
@@ -101,7 +101,11 @@
         if let Some(hinted) = hinted.filter(|node| fits(node)) {
             return Some(Choice::Hinted(hinted.key));
         }
-        let spilled = self.balance(candidates)?;
+        let fitting = nodes().filter(|(node, _)| fits(node));
+        let spilled = match rendezvous::two(prefix, fitting).0 {
+            Some(next) => next.key,
+            None => self.balance(candidates)?,
+        };
         self.hints.stored(now, prefix, spilled);
         Some(Choice::Spilled(spilled))
     }
--- a/crates/policy/src/configs/placement.rs
+++ b/crates/policy/src/configs/placement.rs
@@ -30,8 +30,6 @@
     /// This long before a deadline, after the plan's own margin, full replicas are overbooked: a place
     /// in a replica's own queue is better than a lost answer.
     pub last_call: Span,
-    /// One of this many replicas of a pool, at most, is kept free for suspects at once.
-    pub trial_share: usize,
 }
 
 impl Default for Config {
@@ -48,7 +46,6 @@
             gather: Span::from_millis(50),
             review: Span::from_millis(250),
             last_call: Span::from_millis(1_500),
-            trial_share: 4,
         }
     }
 }
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -104,7 +104,27 @@
                 open: self.is_open(now, pool, *key, replica, usual),
             })
         };
-        pool.members.iter().filter_map(candidate).collect()
+        let mut candidates: Vec<Candidate> = pool.members.iter().filter_map(candidate).collect();
+        self.spare_reserved(now, &mut candidates);
+        candidates
+    }
+
+    /// Keeps other work off replicas where suspects run, as long as there is room elsewhere: work
+    /// that is refused for want of it would suffer more surely than work that shares a crash.
+    fn spare_reserved(&self, now: Time, candidates: &mut [Candidate]) {
+        if !self.settings.placement.quarantine || self.quarantine.reserved(now) == 0 {
+            return;
+        }
+        let spared = |candidate: &Candidate| self.quarantine.is_reserved(now, candidate.identity);
+        let other = candidates
+            .iter()
+            .any(|candidate| candidate.open && !spared(candidate));
+        if !other {
+            return;
+        }
+        for candidate in candidates.iter_mut() {
+            candidate.open &= !spared(candidate);
+        }
     }
 
     fn load(
@@ -151,8 +171,6 @@
             || replica.running() == 0
             || replica.load.jobs(now, usual)
                 < f64::from(pool.warmup.jobs(now, key, replica.spec.slots));
-        let reserved = settings.quarantine
-            && (replica.trial.is_some() || self.quarantine.is_reserved(now, replica.identity));
-        healthy && has_slots && in_share && warm && !reserved
+        healthy && has_slots && in_share && warm
     }
 }
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -224,6 +224,7 @@
 
     /// What to tell the other entries; called once a period of [`crate::configs::limit::Config`].
     pub fn digest(&mut self, now: Time) -> Digest {
+        self.quarantine.tick(now);
         Digest {
             limit: self.limits.digest(now),
             quarantine: self.quarantine.digest(now),
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -4,6 +4,7 @@
 use verdict::Reason;
 
 use crate::decision::Decision;
+use crate::health::Allowance;
 use crate::job;
 use crate::pool;
 use crate::quarantine::Standing;
@@ -129,10 +130,13 @@
         })
     }
 
-    /// Starts the suspect alone on its place, or keeps the place free until it is empty.
+    /// Starts the suspect at its place, if no other suspect runs there.
+    ///
+    /// What runs there already isn't waited for: hardly any suspect is a killer, and those that
+    /// waited until a replica is empty would all miss their targets.
     fn try_alone(&mut self, now: Time, id: job::Id, out: &mut Vec<Decision>) {
-        let again = now + self.settings.health.period;
         let Some(key) = self.place_for(now, id) else {
+            let again = now + self.settings.health.period;
             self.held.insert((again, id));
             return;
         };
@@ -142,14 +146,8 @@
         let Some(replica) = self.replicas.get_mut(&key) else {
             return;
         };
-        if replica.trial.is_none() {
-            replica.trial = Some(id);
-            self.quarantine.trial_started(fingerprint, replica.identity);
-        }
-        if !replica.jobs.is_empty() {
-            self.held.insert((again, id));
-            return;
-        }
+        replica.trial = Some(id);
+        self.quarantine.trial_started(fingerprint, replica.identity);
         self.start(now, id, key);
         out.push(Decision::Start {
             job: id,
@@ -157,23 +155,20 @@
         });
     }
 
-    /// The suspect's place, if it may be kept free for it.
+    /// The suspect's place, if no other suspect is there. It may be overbooked by this one job:
+    /// a suspect that waited for a free slot at one certain replica might never come to its turn.
     fn place_for(&self, now: Time, id: job::Id) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
         let pool = self.pools.get(&open.job.pool)?;
         let members = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
-            Some((*key, replica.identity))
+            let usable = pool.monitor.allowance(*key) != Allowance::None;
+            usable.then_some((*key, replica.identity))
         });
         let key = self.quarantine.place(open.job.fingerprint, members)?;
         let replica = self.replicas.get(&key)?;
-        if replica.trial == Some(id) {
-            return Some(key);
-        }
-        let most = (pool.members.len() / self.settings.placement.trial_share).max(1);
         let taken = replica.trial.is_some()
             || self.quarantine.is_reserved(now, replica.identity)
-            || self.quarantine.reserved(now) >= most
             || open.tried.contains(&key);
         (!taken).then_some(key)
     }
