--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -61,7 +61,6 @@
             return;
         };
         flight.waits_for = None;
-        flight.scheduled = true;
         let job = flight.job;
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.offer(now, job, out)
@@ -119,8 +118,11 @@
             let refusal = Refusal::not_run(Reason::Leaving, "this entry is leaving");
             return Err(refusal.with_retry_after(LEAVING_RETRY));
         }
-        if !self.is_ready() {
-            let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known here yet");
+        if !self.is_ready(now) {
+            let refusal = Refusal::not_run(
+                Reason::NotReady,
+                "this entry can't be sure yet of the newest configuration",
+            );
             return Err(refusal.with_retry_after(NOT_READY_RETRY));
         }
         let account = self.account_of(arrival.key.as_ref())?;
@@ -137,7 +139,6 @@
             job,
             attempt: 0,
             replica: None,
-            scheduled: false,
             waits_for: None,
             may_have_run: false,
             may_have_run_before: false,
@@ -231,8 +232,13 @@
                 account: flight.account.clone(),
             },
         });
-        let _ = now;
+        let (job, replica) = (flight.job, flight.replica);
         self.flights.insert(serial, flight);
+        if let Some(replica) = replica {
+            self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.adopt(now, job, replica, out);
+            });
+        }
     }
 }
 
