--- /dev/null
+++ b/crates/standin/src/command/whole.rs
@@ -0,0 +1,57 @@
+//! Whole installations in this process.
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use argh::FromArgs;
+use standin::configs;
+use standin::demo;
+use standin::local::Local;
+use standin::sample;
+
+use crate::command::stay;
+
+/// Runs the main job with all parts in this process; exit code 0 only if all held.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {}
+
+/// Runs a small installation in this process until it is ended: 3 entries, 3 engines, 1 plain service.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sample")]
+pub struct Sample {
+    /// where the first entry listens for callers
+    #[argh(option, default = "String::from(\"127.0.0.1:8000\")")]
+    callers: String,
+}
+
+pub async fn run_demo() -> anyhow::Result<ExitCode> {
+    let held = demo::run().await?;
+    Ok(if held {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+pub async fn run_sample(arguments: Sample) -> anyhow::Result<ExitCode> {
+    let mut local = Local::start().await?;
+    local
+        .add_engines(3, &configs::engine::Engine::default())
+        .await?;
+    local.add_services(1).await?;
+    local.add_entry("a", &arguments.callers).await?;
+    local.add_entry("b", sample::ANY_PORT).await?;
+    local.add_entry("c", sample::ANY_PORT).await?;
+    local.deploy().await?;
+    let bound = local.entries.first().context("no entry runs")?.bound;
+    println!(
+        "listening callers={} operators={} admin={} key={} operators_key={}",
+        bound.callers,
+        bound.operators,
+        bound.admin,
+        sample::ACCOUNT_KEY,
+        sample::OPERATORS_KEY
+    );
+    stay().await
+}
--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -94,15 +94,21 @@
 
     /// Adds entries, over the zones in turn.
     pub async fn add_entries(&mut self, count: usize) -> anyhow::Result<()> {
-        let platform = self.platform.server.address().to_string();
         for zone in ZONES.iter().cycle().take(count) {
-            let name = format!("entry-{}", self.entries.len());
-            self.entries
-                .push(Entry::start(&name, zone, &platform).await?);
+            self.add_entry(zone, sample::ANY_PORT).await?;
         }
         Ok(())
     }
 
+    /// Adds an entry that listens for callers at an address.
+    pub async fn add_entry(&mut self, zone: &str, callers: &str) -> anyhow::Result<()> {
+        let platform = self.platform.server.address().to_string();
+        let name = format!("entry-{}", self.entries.len());
+        let entry = Entry::start(&name, zone, &platform, callers).await?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
     /// An operator creates the sample at the first entry; returns the version that is in force.
     pub async fn deploy(&self) -> anyhow::Result<u64> {
         let entry = self.entries.first().context("no entry runs")?;
@@ -161,9 +167,14 @@
 }
 
 impl Entry {
-    /// Starts an entry on free ports.
-    pub async fn start(name: &str, zone: &str, platform: &str) -> anyhow::Result<Entry> {
-        let text = sample::settings(name, zone, platform);
+    /// Starts an entry that listens for callers at an address, and elsewhere on free ports.
+    pub async fn start(
+        name: &str,
+        zone: &str,
+        platform: &str,
+        callers: &str,
+    ) -> anyhow::Result<Entry> {
+        let text = sample::settings(name, zone, platform, callers);
         let loaded = settings::load::parse(name, &text)?;
         let sockets = Sockets::bind(&loaded.settings).await?;
         let bound = sockets.bound()?;
--- a/crates/standin/src/sample.rs
+++ b/crates/standin/src/sample.rs
@@ -92,14 +92,17 @@
     }
 }
 
-/// Settings of an entry, on free ports of the loopback.
-pub fn settings(name: &str, zone: &str, platform: &str) -> String {
+/// Where callers find an entry that may take any port.
+pub const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Settings of an entry; all its ports but the callers' are free ones of the loopback.
+pub fn settings(name: &str, zone: &str, platform: &str, callers: &str) -> String {
     format!(
         r#"{{
   // An entry of the sample.
   "identity": {{ "name": "{name}", "zone": "{zone}" }},
   "callers": {{
-    "listen": "127.0.0.1:0",
+    "listen": "{callers}",
     "address_ttl_ms": 1000,
     "max_body_bytes": 1048576,
     "header_timeout_ms": 2000,
