--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/command/changes.rs
@@ -1,6 +1,4 @@
-//! The command against a real operators' port, with a small fake behind it.
-
-mod common;
+//! Changes of deployments and accounts, and what goes wrong with them.
 
 use std::path::PathBuf;
 
