--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -18,15 +18,12 @@
     }
 
     /// A replica's process died, or so it seems, while the job ran there.
-    pub(super) fn blame(&mut self, now: Time, id: job::Id, key: replica::Key) {
+    pub(super) fn blame(&mut self, now: Time, id: job::Id) {
         let Some(open) = self.open.get(&id) else {
             return;
         };
-        let Some(replica) = self
-            .replicas
-            .get(&key)
-            .filter(|replica| replica.leaving.is_none())
-        else {
+        let replica = open.replica.and_then(|key| self.replicas.get(&key));
+        let Some(replica) = replica.filter(|replica| replica.leaving.is_none()) else {
             return;
         };
         let (identity, zone) = (replica.identity, replica.zone);
