Say in the contract that conflicts are by item

Cause: the agreement compares what a change touches, not the whole version, and keeps no values from before. Conclusion: fields and bytes are the same; tests of ops and cli pass.

--- a/crates/cli/src/commands/deployment.rs
+++ b/crates/cli/src/commands/deployment.rs
@@ -61,8 +61,8 @@
     subcommand,
     name = "change",
     note = "The version on which the change is based comes from --expect or from the file's \
-\"version\", which show --json writes. If another change came in between, nothing happens, the \
-difference is shown and the exit code is 4.",
+\"version\", which show --json writes. If another change of the deployment came in between, nothing \
+happens, the difference is shown and the exit code is 4.",
     example = "{command_name} thesis.json",
     example = "{command_name} thesis.jsonc --expect 7"
 )]
--- a/crates/cli/src/output/changed.rs
+++ b/crates/cli/src/output/changed.rs
@@ -82,11 +82,12 @@
 
 /// A difference for a person.
 fn one_line(difference: &Difference) -> String {
-    let subject = &difference.subject;
+    let subject = [difference.subject.as_str(), &difference.field].join(" ");
+    let subject = subject.trim_end();
     match (difference.before.as_str(), difference.after.as_str()) {
-        ("", after) => format!("{subject} {}: added {after}", difference.field),
-        (before, "") => format!("{subject} {}: removed {before}", difference.field),
-        (before, after) => format!("{subject} {}: {before} -> {after}", difference.field),
+        (_, "") => format!("{subject}: removed"),
+        ("", after) => format!("{subject}: now {after}"),
+        (before, after) => format!("{subject}: {before} -> {after}"),
     }
 }
 
--- a/crates/ops/src/reply.rs
+++ b/crates/ops/src/reply.rs
@@ -75,9 +75,9 @@
 pub struct Difference {
     /// What it belongs to, such as `deployment thesis`.
     pub subject: String,
-    /// The field, such as `kind.version`; empty if the whole was added or removed.
+    /// The field, such as `kind.version`; empty for the whole.
     pub field: String,
-    /// As JSON; empty if it was added.
+    /// As JSON; empty if it was added or isn't known any more.
     pub before: String,
     /// As JSON; empty if it was removed.
     pub after: String,
--- a/crates/ops/src/request.rs
+++ b/crates/ops/src/request.rs
@@ -52,7 +52,7 @@
 pub struct Change {
     /// The operator's name for it; a repeat under the same name takes effect once.
     pub id: SmolStr,
-    /// It takes effect only on this version.
+    /// The version that the operator saw: it is a conflict if what it touches was changed since.
     pub expected_version: u64,
     /// Longest wait for it to be in force everywhere.
     pub wait: Span,
