Give a repeated creation or removal its first result

Cause: an operator's command that sends a creation again after a lost answer was told that the deployment is there already: the entry checked the edit against the configuration that the first time had made. Seen with real processes; the new test failed with AlreadyExists before the change. Ruled out: taking AlreadyExists for success in the command (it may be another operator's deployment). Change: border, crates/entry: the check doesn't speak against a change whose id the agreement holds; crates/config: Agreement::holds. A test with real processes sends both again to the same entry and to another.

--- a/crates/config/src/agreement.rs
+++ b/crates/config/src/agreement.rs
@@ -128,6 +128,11 @@
         self.history.snapshot()
     }
 
+    /// Whether a change of this id is part of the history kept here.
+    pub fn holds(&self, change: &str) -> bool {
+        self.history.find(change).is_some()
+    }
+
     /// How far a version has come, as this entry sees it.
     pub fn standing(&mut self, now: Time, version: u64) -> Standing {
         if version > self.history.version() {
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -66,6 +66,10 @@
     }
 
     /// An operator's change: its edits are checked here, its base against the newest version there.
+    ///
+    /// A change that was committed before is not checked again: after a lost answer it comes a second
+    /// time, and its own effect (the deployment is there now) would speak against it. The machine
+    /// gives it the result of the first time.
     pub(crate) fn change_asked(
         &mut self,
         now: Time,
@@ -73,7 +77,10 @@
         asked: Change,
         effects: &mut Vec<Effect>,
     ) {
-        if let Err(fault) = operators::check(self.book.snapshot(), &asked.edit) {
+        let checked = operators::check(self.book.snapshot(), &asked.edit);
+        if let Err(fault) = checked
+            && !self.agreement.holds(&asked.id)
+        {
             let reply = Err(fault);
             return effects.push(Effect::Operator { call, reply });
         }
--- /dev/null
+++ b/crates/standin/tests/repeated_change.rs
@@ -0,0 +1,45 @@
+//! An operator's change that is sent again because its answer was lost.
+
+mod harness;
+
+use harness::world::Size;
+use harness::world::World;
+use ops::client::Kind;
+use ops::request::Edit;
+use standin::sample;
+
+const SIZE: Size = Size {
+    entries: 2,
+    engines: 1,
+    services: 0,
+    token_ms: 5,
+};
+
+/// An operator creates a deployment and the answer is lost on its way. The command sends the change
+/// again under the same name, to the same entry and to another: each must say that it was accepted,
+/// not that a deployment of that name is there already, which would look like another operator's.
+#[test]
+fn a_creation_or_removal_that_is_sent_again_gets_the_first_result() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        let mut first = world.operator(0).await;
+        let mut other = world.operator(1).await;
+        let mut second = sample::model();
+        second.name = "second".into();
+        let base = first.version().await;
+        let create = Edit::CreateDeployment(second);
+        let created = first.accepted("create", base, create.clone()).await;
+        let remove = Edit::RemoveDeployment("second".into());
+        for operator in [&mut first, &mut other] {
+            let again = operator.accepted("create", base, create.clone()).await;
+            assert_eq!(again, created);
+        }
+        let anew = first.change("create-2", created, create).await.unwrap_err();
+        assert_eq!(anew.kind, Kind::AlreadyExists);
+        let removed = first.accepted("remove", created, remove.clone()).await;
+        for operator in [&mut first, &mut other] {
+            let again = operator.accepted("remove", created, remove.clone()).await;
+            assert_eq!(again, removed);
+        }
+    });
+}
