Share the table service out and put single-row inserts together

Cause: nothing kept the entries' calls within the service's limits. Change: store::budget and store::throttle (shares over live members, renewals never wait, a full queue gives calls back), store::batch (group commit; a conflict ends only its own caller's insert).

--- /dev/null
+++ b/crates/store/src/batch.rs
@@ -0,0 +1,229 @@
+//! Group commit of inserts that have nothing to do with each other.
+//!
+//! The load pattern: many requests a second each need one row inserted before they run, and the
+//! service takes a few hundred transactions a second. Without grouping, requests beyond that number
+//! are refused. Rows that are asked for at about the same time go into one transaction. A row that
+//! exists already fails the whole transaction and is named in its answer; only its own caller is told
+//! of the conflict, and the others go into the next transaction.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use clock::Time;
+use serde_json::Value;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::call;
+use crate::call::Address;
+use crate::call::Call;
+use crate::call::Check;
+use crate::call::Outcome;
+use crate::call::Row;
+use crate::call::Transaction;
+use crate::call::Write;
+use crate::configs::batch::Settings;
+
+/// Names one insert; chosen by the embedder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// One row to be inserted if it is absent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Insert {
+    /// Given back with the outcome.
+    pub ticket: Ticket,
+    /// Which row.
+    pub at: Address,
+    /// Its value; carries the writer's own token, by which a lost answer is read back.
+    pub value: Value,
+}
+
+/// What the embedder is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Make a store call.
+    Store {
+        /// Given back with its outcome.
+        id: call::Id,
+        /// The call.
+        call: Call,
+    },
+    /// An insert has ended: committed, in conflict with the row given, unavailable or unknown.
+    Done {
+        /// Which.
+        ticket: Ticket,
+        /// How.
+        outcome: Outcome,
+    },
+}
+
+/// The inserts that wait and those on their way.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    settings: Settings,
+    waiting: VecDeque<Insert>,
+    /// When the oldest waiting insert has waited long enough.
+    due: Time,
+    sent: BTreeMap<call::Id, Vec<Insert>>,
+    /// After an answer that named no row: how many rows the next transaction may hold.
+    limit: usize,
+    next_call: u64,
+    name: SmolStr,
+}
+
+impl Batch {
+    /// Nothing waits. `name` appears in the service's log.
+    pub fn new(name: SmolStr, settings: Settings) -> Batch {
+        Batch {
+            waiting: VecDeque::new(),
+            due: Time::ZERO,
+            sent: BTreeMap::new(),
+            limit: settings.rows,
+            next_call: 0,
+            name,
+            settings,
+        }
+    }
+
+    /// Adds an insert; refuses it at once if too many wait.
+    pub fn insert(&mut self, now: Time, insert: Insert, effects: &mut Vec<Effect>) {
+        if self.waiting.len() >= self.settings.queue {
+            effects.push(done(&insert, Outcome::Unavailable));
+            return;
+        }
+        if self.waiting.is_empty() {
+            self.due = now + self.settings.linger;
+        }
+        self.waiting.push_back(insert);
+        self.poll(now, effects);
+    }
+
+    /// Takes the outcome of a transaction.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        id: call::Id,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(inserts) = self.sent.remove(&id) else {
+            return;
+        };
+        match outcome {
+            Outcome::Conflict(failed) => self.split(now, inserts, failed, effects),
+            outcome => {
+                self.limit = self.settings.rows;
+                for insert in &inserts {
+                    effects.push(done(insert, outcome.clone()));
+                }
+            }
+        }
+        self.poll(now, effects);
+    }
+
+    /// Sends what is due.
+    pub fn poll(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        while self.may_send(now) {
+            let inserts = self.take();
+            if inserts.is_empty() {
+                return;
+            }
+            let id = call::Id(self.next_call);
+            self.next_call += 1;
+            let call = Call::Transact(self.transaction(&inserts));
+            self.sent.insert(id, inserts);
+            effects.push(Effect::Store { id, call });
+        }
+    }
+
+    /// When [`Batch::poll`] wants to be called next.
+    pub fn next_wake(&self) -> Option<Time> {
+        let waits = !self.waiting.is_empty() && self.sent.len() < self.settings.concurrent;
+        waits.then_some(self.due)
+    }
+
+    fn may_send(&self, now: Time) -> bool {
+        let full = self.waiting.len() >= self.settings.rows;
+        !self.waiting.is_empty()
+            && self.sent.len() < self.settings.concurrent
+            && (full || now >= self.due)
+    }
+
+    /// The next rows, no address twice: the second insert of a row waits for the first one's end.
+    fn take(&mut self) -> Vec<Insert> {
+        let mut addresses: BTreeSet<Address> = self
+            .sent
+            .values()
+            .flatten()
+            .map(|insert| insert.at.clone())
+            .collect();
+        let mut taken = Vec::new();
+        let mut kept = VecDeque::new();
+        for insert in std::mem::take(&mut self.waiting) {
+            if taken.len() < self.limit && addresses.insert(insert.at.clone()) {
+                taken.push(insert);
+            } else {
+                kept.push_back(insert);
+            }
+        }
+        self.waiting = kept;
+        taken
+    }
+
+    fn transaction(&self, inserts: &[Insert]) -> Transaction {
+        let check = |insert: &Insert| Check {
+            at: insert.at.clone(),
+            revision: None,
+        };
+        let write = |insert: &Insert| Write {
+            at: insert.at.clone(),
+            value: insert.value.clone(),
+        };
+        Transaction {
+            token: format_smolstr!("{}/{}", self.name, self.next_call),
+            checks: inserts.iter().map(check).collect(),
+            writes: inserts.iter().map(write).collect(),
+        }
+    }
+
+    /// Ends the inserts whose rows exist and sends the others again: nothing of them was written.
+    fn split(
+        &mut self,
+        now: Time,
+        inserts: Vec<Insert>,
+        failed: Vec<(Address, Option<Row>)>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut failed: BTreeMap<Address, Option<Row>> = failed.into_iter().collect();
+        let named = inserts.iter().any(|insert| failed.contains_key(&insert.at));
+        if !named && inserts.len() == 1 {
+            effects.push(done(&inserts[0], Outcome::Conflict(Vec::new())));
+            return;
+        }
+        // A service that doesn't name the rows makes us look for them by halves.
+        self.limit = if named {
+            self.settings.rows
+        } else {
+            inserts.len() / 2
+        };
+        self.due = now;
+        for insert in inserts.into_iter().rev() {
+            match failed.remove(&insert.at) {
+                Some(row) => {
+                    let conflict = Outcome::Conflict(vec![(insert.at.clone(), row)]);
+                    effects.push(done(&insert, conflict));
+                }
+                None => self.waiting.push_front(insert),
+            }
+        }
+    }
+}
+
+fn done(insert: &Insert, outcome: Outcome) -> Effect {
+    Effect::Done {
+        ticket: insert.ticket,
+        outcome,
+    }
+}
--- /dev/null
+++ b/crates/store/src/configs/mod.rs
@@ -0,0 +1,4 @@
+//! Settings of this crate's parts and their defaults.
+
+pub mod batch;
+pub mod budget;
--- /dev/null
+++ b/crates/store/tests/budget.rs
@@ -0,0 +1,87 @@
+//! Shares of the service under load.
+
+use clock::Span;
+use clock::Time;
+use store::budget::Priority;
+use store::call::Address;
+use store::call::Call;
+use store::call::Transaction;
+use store::configs::budget::Settings;
+use store::throttle::Throttle;
+
+fn write() -> Call {
+    Call::Transact(Transaction::default())
+}
+
+fn read() -> Call {
+    Call::Get {
+        at: Address::new("t", "k"),
+    }
+}
+
+/// Calls of each kind that `members` entries make together in a minute when all want to make as many
+/// as they can, a second.
+fn together(members: usize) -> (f64, f64) {
+    let mut throttle = Throttle::new(Settings::default());
+    throttle.set_members(Time::ZERO, members);
+    let (mut reads, mut writes) = (0, 0);
+    for step in 0..6_000 {
+        let now = Time::from_millis(step * 10);
+        throttle.push(Priority::Intent, 'w', write());
+        throttle.push(Priority::Config, 'r', read());
+        throttle.push(Priority::Config, 'r', read());
+        while let Some((kind, _)) = throttle.pop(now) {
+            match kind {
+                'w' => writes += 1,
+                _ => reads += 1,
+            }
+        }
+    }
+    let all = members as f64 / 60.0;
+    (f64::from(reads) * all, f64::from(writes) * all)
+}
+
+#[test]
+fn the_total_stays_under_the_limits_however_many_entries() {
+    for members in [8, 64, 840] {
+        let (reads, writes) = together(members);
+        assert!(reads <= 2_000.0, "{members} members: {reads} reads/s");
+        assert!(writes <= 300.0, "{members} members: {writes} writes/s");
+    }
+}
+
+/// Summaries and intent rows want far more than there is. Renewals must not wait behind them, or the
+/// entry loses its lease because it is busy.
+#[test]
+fn renewals_do_not_wait_behind_anything() {
+    let mut throttle = Throttle::new(Settings::default());
+    throttle.set_members(Time::ZERO, 64);
+    for step in 0..3_000 {
+        let now = Time::from_millis(step * 10);
+        throttle.push(Priority::Summary, "summary", write());
+        throttle.push(Priority::Intent, "intent", write());
+        while throttle.pop(now).is_some() {}
+        if step % 200 == 0 {
+            throttle.push(Priority::Lease, "renewal", write());
+            assert_eq!(throttle.pop(now).map(|(asker, _)| asker), Some("renewal"));
+        }
+    }
+}
+
+/// A write that can't wait because too many do is given back, so that its caller is told at once.
+#[test]
+fn a_full_queue_gives_the_call_back() {
+    let settings = Settings {
+        queue: 2,
+        ..Settings::default()
+    };
+    let mut throttle = Throttle::new(settings);
+    assert_eq!(throttle.push(Priority::Intent, 1, write()), None);
+    assert_eq!(throttle.push(Priority::Intent, 2, write()), None);
+    assert_eq!(
+        throttle.push(Priority::Intent, 3, write()),
+        Some((3, write()))
+    );
+    assert!(throttle.next_wake(Time::ZERO) > Some(Time::ZERO));
+    assert!(throttle.next_wake(Time::ZERO) < Some(Time::ZERO + Span::from_seconds(1)));
+}
