Prove configuration and rolling replacement over real processes

Ruled out: the handover itself (the heir's ledger held the tickets). Change: a ticket is asked for again for 2 s, following heirs as they become known; an entry can be given peers to start with when the store is down (peers.seeds). operators_racing held that changes of different accounts conflict; they don't, by the contract. It is replaced by two: the same account (one wins, the other is told the difference) and different accounts (neither undoes the other's).

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -26,7 +26,15 @@
 const LEAVING_STATE: &str = "leaving";
 
 /// Polls the platform until the future is dropped.
-pub async fn poll(link: Rc<Link>, client: HttpClient, cloud_address: SmolStr, interval: Duration) {
+///
+/// `own` is the address that callers connect to here: the list tells by it which instance is ours.
+pub async fn poll(
+    link: Rc<Link>,
+    client: HttpClient,
+    cloud_address: SmolStr,
+    own: SmolStr,
+    interval: Duration,
+) {
     let mut last_notice = 0;
     let mut timer = tokio::time::interval(interval);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -42,6 +50,7 @@
             link.event(Event::NoticesRead(notices));
         }
         if let Ok(instances) = cloud.instances().await {
+            tell_own(&link, &instances, &own);
             ask_loads(&link, &client, &instances);
             let backends = instances.iter().filter(|one| one.kind != ENTRY_KIND);
             link.event(Event::InstancesRead(backends.map(instance_of).collect()));
@@ -49,6 +58,19 @@
     }
 }
 
+/// Tells what the list says of our own instance.
+fn tell_own(link: &Rc<Link>, instances: &[back::cloud::Instance], own: &str) {
+    let ours = instances
+        .iter()
+        .find(|one| one.kind == ENTRY_KIND && one.address == own);
+    if let Some(instance) = ours {
+        link.event(Event::OwnInstanceRead {
+            incarnation: instance.incarnation.clone(),
+            leaving: instance.state == LEAVING_STATE,
+        });
+    }
+}
+
 /// Asks every engine for its load, side by side.
 fn ask_loads(link: &Rc<Link>, client: &HttpClient, instances: &[back::cloud::Instance]) {
     for instance in instances.iter().filter(|one| one.kind == ENGINE_KIND) {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -130,6 +130,7 @@
     };
     let interval = Duration::from_millis(settings.platform.instances_interval_ms);
     let cloud = host_of(&settings.platform.cloud);
+    let own = identity.caller_address.clone();
     let (end, ended) = watch::channel(false);
     let front = tokio::task::spawn_local(front::server::serve(
         sockets.callers,
@@ -158,7 +159,13 @@
             operators_key,
             call_sender,
         )),
-        tokio::task::spawn_local(platform::poll(Rc::clone(&link), client, cloud, interval)),
+        tokio::task::spawn_local(platform::poll(
+            Rc::clone(&link),
+            client,
+            cloud,
+            own,
+            interval,
+        )),
     ];
     let timeout = Duration::from_millis(settings.platform.timeout_ms);
     let store = Driver::new(&host_of(&settings.platform.table_service), timeout);
@@ -250,6 +257,12 @@
         address_ttl: Span::from_millis(settings.callers.address_ttl_ms),
         grace: Span::from_millis(settings.shutdown.grace_ms),
         request_time: Span::from_millis(settings.callers.request_timeout_ms),
+        seeds: settings
+            .peers
+            .seeds
+            .iter()
+            .map(|one| one.to_smolstr())
+            .collect(),
         members: member_settings(settings),
         ..entry::configs::entry::Settings::default()
     }
--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -20,8 +20,10 @@
     pub seeds: Vec<SmolStr>,
     /// Longest time from a request's arrival to the end of its answer.
     pub request_time: Span,
-    /// Longest wait for a row of its own before a request is given up.
-    pub intent_wait: Span,
+    /// Longest wait of a non-idempotent request for its leave to run before it is given up.
+    pub leave_wait: Span,
+    /// Time after which a ticket is asked for again, if no word came.
+    pub ask_again: Span,
 }
 
 impl Default for Settings {
@@ -34,7 +36,8 @@
             agreement: config::configs::agreement::Settings::default(),
             seeds: Vec::new(),
             request_time: Span::from_seconds(600),
-            intent_wait: Span::from_seconds(2),
+            leave_wait: Span::from_seconds(2),
+            ask_again: Span::from_millis(300),
         }
     }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use request::ledger::Ledger;
+use smol_str::SmolStr;
 
 use crate::backends::Backends;
 use crate::book::Book;
@@ -43,6 +44,8 @@
     /// Orders our pieces of news.
     pub(crate) news_version: u64,
     pub(crate) stop: Stop,
+    /// The life of the instance that this entry runs on, as the platform calls it.
+    pub(crate) own_instance: Option<SmolStr>,
     /// Names the next call of the table service.
     pub(crate) next_store_call: u64,
     /// What waits for which call of the table service.
@@ -86,6 +89,7 @@
             scheduler: Scheduler::new(seed),
             flights: BTreeMap::new(),
             stop: Stop::default(),
+            own_instance: None,
             next_store_call: 0,
             store_calls: BTreeMap::new(),
         }
@@ -110,6 +114,10 @@
                 report,
             } => self.attempt_reported(now, serial, attempt, report, effects),
             Event::InstancesRead(list) => self.instances_read(now, &list, effects),
+            Event::OwnInstanceRead {
+                incarnation,
+                leaving,
+            } => self.own_instance_read(now, incarnation, leaving, effects),
             Event::NoticesRead(notices) => self.notices_read(now, &notices, effects),
             Event::LoadRead {
                 incarnation,
@@ -150,7 +158,7 @@
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.members_tick(now, effects);
         self.configuration_tick(now, effects);
-        self.intents_tick(now, effects);
+        self.leaves_tick(now, effects);
         self.flights_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
         self.stop_tick(now, effects);
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -58,6 +58,13 @@
     },
     /// The instance list was read.
     InstancesRead(Vec<Instance>),
+    /// The instance list names the instance that this entry runs on.
+    OwnInstanceRead {
+        /// This life of the instance.
+        incarnation: SmolStr,
+        /// Whether the list says that it is leaving.
+        leaving: bool,
+    },
     /// Reclaim notices were read.
     NoticesRead(Vec<Notice>),
     /// A backend server reported its load.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -2,8 +2,10 @@
 
 use clock::Time;
 use policy::replica;
+use smol_str::SmolStr;
 
 use crate::backends::Change;
+use crate::backends::LISTED_LEAVE_TIME;
 use crate::effect::Effect;
 use crate::entry::Entry;
 use crate::instance::Instance;
@@ -41,6 +43,10 @@
     ) {
         for notice in notices {
             let deadline = now + notice.left;
+            if self.own_instance.as_ref() == Some(&notice.incarnation) {
+                self.stop_by(now, deadline, effects);
+                continue;
+            }
             if self.backends.mark_leaving(notice.incarnation.clone()) {
                 self.publish_leaving(now, &notice.incarnation, notice.left, effects);
             }
@@ -49,6 +55,20 @@
         }
     }
 
+    /// Takes in what the list says of our own instance.
+    pub(crate) fn own_instance_read(
+        &mut self,
+        now: Time,
+        incarnation: SmolStr,
+        leaving: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.own_instance = Some(incarnation);
+        if leaving {
+            self.stop_by(now, now + LISTED_LEAVE_TIME, effects);
+        }
+    }
+
     /// Takes in a load report.
     pub(crate) fn load_read(&mut self, now: Time, incarnation: &str, report: replica::Report) {
         if let Some(key) = self.backends.key_of(incarnation) {
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -5,6 +5,7 @@
 use policy::replica;
 use request::id::Id;
 use request::id::Stream;
+use request::ticket::Ticket;
 use smol_str::SmolStr;
 
 /// An open request.
@@ -51,7 +52,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Leave {
     /// The word of the entry that holds its ticket's ledger.
-    Ticket,
+    Ticket {
+        /// The ticket.
+        ticket: Ticket,
+        /// When it is asked for again, if no word came.
+        again: Time,
+        /// When no more tries are made.
+        until: Time,
+    },
     /// Its own row in the table service.
     Intent {
         /// The row's key.
--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -88,24 +88,46 @@
             let refusal = Refusal::not_run(Reason::Malformed, "the ticket isn't yours");
             return self.refuse(serial, refusal, effects);
         };
+        let until = now + self.settings.leave_wait;
+        self.ask_spend(now, serial, ticket, until, effects);
+    }
+
+    /// Asks for a ticket where its ledger is held now.
+    ///
+    /// Asking again after a lost word is safe: were the first question answered "granted", the second
+    /// would be answered "spent", and nothing runs.
+    fn ask_spend(
+        &mut self,
+        now: Time,
+        serial: u64,
+        ticket: Ticket,
+        until: Time,
+        effects: &mut Vec<Effect>,
+    ) {
         if self.ledger.holds(ticket.minter) {
             let answer = self.ledger.spend(now, &ticket);
             return self.leave_answered(now, serial, answer, effects);
         }
-        let Some(address) = self.ledger_holder(now, ticket.minter) else {
-            return self.leave_answered(now, serial, Answer::Unknown, effects);
-        };
+        let again = now + self.settings.ask_again;
         if let Some(flight) = self.flights.get_mut(&serial) {
-            flight.waits_for = Some(Leave::Ticket);
+            let ticket = ticket.clone();
+            flight.waits_for = Some(Leave::Ticket {
+                ticket,
+                again,
+                until,
+            });
+        }
+        match self.ledger_holder(now, ticket.minter) {
+            Some(address) => effects.push(Effect::AskSpend {
+                serial,
+                address,
+                ticket,
+            }),
+            None => self.look(now, effects),
         }
-        effects.push(Effect::AskSpend {
-            serial,
-            address,
-            ticket,
-        });
     }
 
-    /// A peer's word on a ticket came, or was lost.
+    /// A peer's word on a ticket came, or was lost; a lost one is asked for again by the tick.
     pub(crate) fn spend_answered(
         &mut self,
         now: Time,
@@ -114,8 +136,35 @@
         effects: &mut Vec<Effect>,
     ) {
         let waits = self.flights.get(&serial).map(|flight| &flight.waits_for);
-        if waits == Some(&Some(Leave::Ticket)) {
-            self.leave_answered(now, serial, answer.unwrap_or(Answer::Unknown), effects);
+        let waits = matches!(waits, Some(Some(Leave::Ticket { .. })));
+        match answer {
+            // It may have moved on to an heir that is not known here yet.
+            Some(Answer::Unknown) | None => self.look(now, effects),
+            Some(answer) if waits => self.leave_answered(now, serial, answer, effects),
+            Some(_) => {}
+        }
+    }
+
+    /// Asks again for tickets whose word was lost, and gives up those that take too long.
+    fn tickets_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let due: Vec<(u64, Ticket, Time)> = self
+            .flights
+            .iter()
+            .filter_map(|(serial, flight)| match &flight.waits_for {
+                Some(Leave::Ticket {
+                    ticket,
+                    again,
+                    until,
+                }) if *again <= now => Some((*serial, ticket.clone(), *until)),
+                _ => None,
+            })
+            .collect();
+        for (serial, ticket, until) in due {
+            if until <= now {
+                self.leave_answered(now, serial, Answer::Unknown, effects);
+            } else {
+                self.ask_spend(now, serial, ticket, until, effects);
+            }
         }
     }
 
@@ -175,7 +224,7 @@
             let refusal = Refusal::not_run(Reason::Malformed, "idempotency-key has 1 to 200 bytes");
             return self.refuse(serial, refusal, effects);
         }
-        let until = now + self.settings.intent_wait;
+        let until = now + self.settings.leave_wait;
         let token = format_smolstr!("{:016x}", self.random.next_u64());
         let Some(flight) = self.flights.get_mut(&serial) else {
             return;
@@ -241,8 +290,9 @@
         }
     }
 
-    /// Gives up requests whose rows take too long. None of them was handed to a backend server.
-    pub(crate) fn intents_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Asks again where a word was lost, and gives up requests whose rows take too long. None of them was handed to a backend server.
+    pub(crate) fn leaves_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.tickets_tick(now, effects);
         let overdue = |leave: &Option<Leave>| matches!(leave, Some(Leave::Intent { until, .. }) if *until <= now);
         let late: Vec<u64> = self
             .flights
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -15,6 +15,9 @@
 /// Longest wait, once all else is done, for the table service to note that we left.
 const LEAVE_WAIT: Span = Span::from_seconds(3);
 
+/// Part of a notice in which requests may finish here; the rest is for handing on what is left.
+const FINISH_SHARE: f64 = 0.5;
+
 /// How far a planned stop has come.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Stop {
@@ -35,15 +38,39 @@
 impl Entry {
     /// Begins to stop; asked a second time in a hurry, the grace ends at once.
     pub(crate) fn stop_asked(&mut self, now: Time, hurry: bool, effects: &mut Vec<Effect>) {
-        let grace = now + self.settings.grace;
-        let deadline = if hurry { now } else { grace };
         let line = Line::info("stop_asked")
             .with("hurry", hurry)
             .with("open", self.flights.len());
         effects.push(Effect::Log(line));
+        let deadline = if hurry {
+            now
+        } else {
+            now + self.settings.grace
+        };
+        self.stop_until(now, deadline, effects);
+    }
+
+    /// Our own instance will be taken away then: part of the time is kept for handing on.
+    pub(crate) fn stop_by(&mut self, now: Time, gone: Time, effects: &mut Vec<Effect>) {
+        if !self.stop.is_stopping() {
+            let left = gone.since(now);
+            let line = Line::info("instance_leaving")
+                .with("left_ms", left.as_millis())
+                .with("open", self.flights.len());
+            effects.push(Effect::Log(line));
+        }
+        let usable = gone.since(now).scaled(FINISH_SHARE);
+        let grace = usable.min(self.settings.grace);
+        self.stop_until(now, now + grace, effects);
+    }
+
+    /// Stops; the soonest of several deadlines counts.
+    fn stop_until(&mut self, now: Time, deadline: Time, effects: &mut Vec<Effect>) {
+        if self.stop.deadline.is_none() {
+            self.attend(now, MemberEvent::Drain, effects);
+        }
         let earlier = self.stop.deadline.unwrap_or(deadline);
         self.stop.deadline = Some(earlier.min(deadline));
-        self.attend(now, MemberEvent::Drain, effects);
         self.stop_tick(now, effects);
     }
 
--- a/crates/settings/src/configs/peers.rs
+++ b/crates/settings/src/configs/peers.rs
@@ -23,6 +23,8 @@
     /// every entry. Must be set; never printed.
     #[schemars(length(min = 16, max = 1024))]
     pub key: Secret,
+    /// Peer addresses of other entries to try while the table service can't be read at start.
+    pub seeds: Vec<SocketAddr>,
     /// To how many other entries each digest is sent.
     #[schemars(range(min = 1, max = 64))]
     pub fan_out: u32,
@@ -37,6 +39,7 @@
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 8003)),
             advertise: None,
             key: Secret::default(),
+            seeds: Vec::new(),
             fan_out: 3,
             digest_interval_ms: 500,
         }
--- /dev/null
+++ b/crates/standin/tests/failures_config.rs
@@ -0,0 +1,177 @@
+//! Changes of the configuration while operators race, entries freeze and the store fails.
+
+mod harness;
+
+use config::deployment::Account;
+use harness::caller::Asked;
+use harness::world::Size;
+use harness::world::World;
+use ops::reply::Changed;
+use ops::request::Edit;
+use serde_json::json;
+use standin::sample;
+use verdict::Verdict;
+
+const SIZE: Size = Size {
+    entries: 3,
+    engines: 2,
+    services: 1,
+    token_ms: 5,
+};
+
+/// A dismissed librarian still gets answers: an entry was frozen while the operator took the key
+/// away, and serves by the old configuration once it thaws. Its lease has lapsed by then, so that it
+/// must admit nothing before it has read the new configuration.
+#[test]
+fn frozen_entry_through_a_change() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        let frozen = &world.entries[2];
+        frozen.signal("STOP").await;
+        let late = world.caller_of([frozen].into_iter());
+        let request = tokio::task::spawn_local(async move {
+            let body = serde_json::json!({
+                "model": sample::MODEL,
+                "messages": [{ "role": "user", "content": "still here? [tokens=3]" }],
+            });
+            late.stream(body, "").await.map(drop)
+        });
+        let mut operator = world.operator(0).await;
+        let mut account = sample::account();
+        account.key_hashes = vec![config::snapshot::hash_key("a new key")];
+        let version = operator.version().await;
+        let edit = Edit::PutAccount(account);
+        let changed = operator.change("new-key", version, edit).await.unwrap();
+        assert!(matches!(changed, Changed::Accepted { .. }), "{changed:?}");
+        frozen.signal("CONT").await;
+        let error = request.await.unwrap().unwrap_err();
+        assert_eq!(error.verdict, Verdict::NotRun, "{error}");
+        let started: usize = {
+            let mut started = 0;
+            for engine in 0..SIZE.engines {
+                started += world.engine_counts(engine).await.started.len();
+            }
+            started
+        };
+        assert_eq!(started, 0);
+    });
+}
+
+/// An entry is started while the store is down: it takes the configuration from a peer.
+#[test]
+fn entry_started_in_an_outage() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let version = world.operator(0).await.version().await;
+        world
+            .platform_fault(json!({ "part": "tables", "down": true }))
+            .await;
+        let added = world.add_entry("a").await;
+        world.wait_until_ready(&world.entries[added], version).await;
+        let caller = world.caller_of(world.entries[added..].iter());
+        Asked::new(&caller, "young entry", 20).await.finish().await;
+    });
+}
+
+/// Two operators change the same account at the same moment, at different entries: one wins, the
+/// other is told the newer version and what differs, and no entry ever shows the loser's.
+#[test]
+fn operators_racing() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        let mut first = world.operator(0).await;
+        let mut second = world.operator(1).await;
+        let version = first.version().await;
+        let (one, other) = tokio::join!(
+            first.change("one", version, rekey("one")),
+            second.change("other", version, rekey("other")),
+        );
+        let outcomes = [one.unwrap(), other.unwrap()];
+        let won = outcomes
+            .iter()
+            .filter(|outcome| matches!(outcome, Changed::Accepted { .. }));
+        assert_eq!(won.count(), 1, "{outcomes:?}");
+        let lost = outcomes.iter().find_map(|outcome| match outcome {
+            Changed::Conflict {
+                version,
+                differences,
+            } => Some((*version, differences.len())),
+            _ => None,
+        });
+        assert_eq!(lost, Some((version + 1, 1)), "{outcomes:?}");
+        for entry in 0..SIZE.entries {
+            assert_eq!(world.operator(entry).await.version().await, version + 1);
+        }
+    });
+}
+
+/// Two operators change different accounts at the same moment: neither undoes the other's, both are in
+/// force at every entry.
+#[test]
+fn operators_at_different_accounts() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        let mut first = world.operator(0).await;
+        let mut second = world.operator(1).await;
+        let version = first.version().await;
+        let (one, other) = tokio::join!(
+            first.change("one", version, put("one")),
+            second.change("other", version, put("other")),
+        );
+        let mut versions: Vec<u64> = [one.unwrap(), other.unwrap()]
+            .into_iter()
+            .map(|outcome| match outcome {
+                Changed::Accepted { version } => version,
+                other => panic!("{other:?}"),
+            })
+            .collect();
+        versions.sort_unstable();
+        assert_eq!(versions, [version + 1, version + 2]);
+        for entry in 0..SIZE.entries {
+            assert_eq!(world.operator(entry).await.version().await, version + 2);
+        }
+    });
+}
+
+/// The store's answer to a change is lost after its effect: the operator's repeat under the same
+/// change id takes effect once.
+#[test]
+fn lost_answer_of_the_store_on_a_change() {
+    harness::run(async {
+        let world = World::deployed(&SIZE).await;
+        let mut operator = world.operator(0).await;
+        let version = operator.version().await;
+        let lossy = json!({ "part": "tables", "lose_answers": 1, "lose_table": "config" });
+        world.platform_fault(lossy).await;
+        let first = operator.change("lossy", version, put("second")).await;
+        let repeat = operator
+            .change("lossy", version, put("second"))
+            .await
+            .unwrap();
+        assert_eq!(
+            repeat,
+            Changed::Accepted {
+                version: version + 1
+            },
+            "first: {first:?}"
+        );
+        assert_eq!(operator.version().await, version + 1);
+    });
+}
+
+fn put(name: &str) -> Edit {
+    Edit::PutAccount(Account {
+        name: name.into(),
+        key_hashes: vec![config::snapshot::hash_key(name)],
+        ..sample::account()
+    })
+}
+
+/// A new key for one account, the same for all who call this.
+fn rekey(key: &str) -> Edit {
+    Edit::PutAccount(Account {
+        name: "contested".into(),
+        key_hashes: vec![config::snapshot::hash_key(key)],
+        ..sample::account()
+    })
+}
--- /dev/null
+++ b/crates/standin/tests/failures_rolling.rs
@@ -0,0 +1,144 @@
+//! Planned replacement of all entries.
+
+mod harness;
+
+use harness::caller::Asked;
+use harness::caller::receipt_key;
+use harness::load::Load;
+use harness::raw;
+use harness::raw::Raw;
+use harness::wait_for;
+use harness::world::Size;
+use harness::world::World;
+use standin::sample;
+
+const SIZE: Size = Size {
+    entries: 8,
+    engines: 3,
+    services: 1,
+    token_ms: 10,
+};
+
+/// All 8 entries are replaced one after another while callers stream and file. Nothing may be lost,
+/// doubled or cut: each entry stops being named, passes its streams on and ends in good order.
+#[test]
+fn rolling_replacement_under_load() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let caller = world.caller();
+        let load = Load::start(&caller);
+        for at in 0..SIZE.entries {
+            let added = world.add_entry(["a", "b", "c"][at % 3]).await;
+            let version = world.operator(added).await.version().await;
+            world.wait_until_ready(&world.entries[added], version).await;
+            let before = load.finished.get();
+            world.entries[at].signal("TERM").await;
+            let entry = &mut world.entries[at];
+            let code = wait_for("the end of an entry", async || entry.exit_code()).await;
+            assert_eq!(code, 0);
+            wait_for("requests after it", async || {
+                (load.finished.get() > before).then_some(())
+            })
+            .await;
+        }
+        let filed = load.stop().await;
+        for body in &filed {
+            assert_eq!(world.executions(&receipt_key(body)).await, 1, "{body}");
+        }
+        assert!(filed.len() >= SIZE.entries);
+    });
+}
+
+/// A long report is in progress at an entry that is replaced, and can't end within its grace: the
+/// entry names another one in the stream, which goes on there. Nothing is cut or computed again.
+#[test]
+fn stopped_entry_passes_long_streams_on() {
+    harness::run(async {
+        let mut world = World::deployed(&Size { entries: 3, ..SIZE }).await;
+        let mut asked = Asked::new(&world.caller(), "a long report", 300).await;
+        asked.read(20).await;
+        let at = world.entry_at(asked.stream.entry());
+        world.entries[at].signal("TERM").await;
+        asked.finish().await;
+        assert_eq!((asked.stream.moves(), asked.stream.cuts()), (1, 0));
+        let entry = &mut world.entries[at];
+        let code = wait_for("the end of the entry", async || entry.exit_code()).await;
+        assert_eq!(code, 0);
+        let mut started = 0;
+        for engine in 0..SIZE.engines {
+            started += world.engine_counts(engine).await.started.len();
+        }
+        assert_eq!(started, 1);
+    });
+}
+
+/// A branch holds two tickets of an entry that is stopped: one was used, one not. The entry hands its
+/// ledger on, so that another entry can tell them apart: one receipt more, and not the first again.
+#[test]
+fn stopped_entry_hands_its_tickets_on() {
+    harness::run(async {
+        let mut world = World::deployed(&Size { entries: 3, ..SIZE }).await;
+        let (used, unused) = tickets(&world).await;
+        let first = file(&world, 0, &used).await;
+        assert_eq!(first.status, 200, "{first:?}");
+        world.entries[0].signal("TERM").await;
+        let entry = &mut world.entries[0];
+        let code = wait_for("the end of the entry", async || entry.exit_code()).await;
+        assert_eq!(code, 0);
+        for at in 1..3 {
+            let again = file(&world, at, &used).await;
+            assert_eq!(
+                (again.status, again.verdict().as_str()),
+                (409, "may-have-run")
+            );
+        }
+        let other = file(&world, 1, &unused).await;
+        assert_eq!(other.status, 200, "{other:?}");
+        assert_eq!(world.executions(&receipt_key(&used)).await, 1);
+        assert_eq!(world.executions(&receipt_key(&unused)).await, 1);
+    });
+}
+
+/// The same where the entry was killed: its ledger is lost, so that nobody can say any more whether a
+/// ticket was used. The answer is "may have run", at once, and nothing runs.
+#[test]
+fn killed_entry_takes_its_tickets_along() {
+    harness::run(async {
+        let mut world = World::deployed(&Size { entries: 3, ..SIZE }).await;
+        let (used, unused) = tickets(&world).await;
+        assert_eq!(file(&world, 0, &used).await.status, 200);
+        world.entries[0].kill().await;
+        for at in 1..3 {
+            for ticket in [&used, &unused] {
+                let answer = file(&world, at, ticket).await;
+                assert_eq!(
+                    (answer.status, answer.verdict().as_str()),
+                    (409, "may-have-run")
+                );
+            }
+        }
+        assert_eq!(world.executions(&receipt_key(&used)).await, 1);
+        assert_eq!(world.executions(&receipt_key(&unused)).await, 0);
+    });
+}
+
+/// Two tickets of the first entry.
+async fn tickets(world: &World) -> (String, String) {
+    let answer = world
+        .caller_of(world.entries[..1].iter())
+        .refresh("")
+        .await
+        .expect("an answer with addresses");
+    (answer.tickets[0].to_string(), answer.tickets[1].to_string())
+}
+
+/// Files a receipt by a ticket, with the ticket as its body.
+async fn file(world: &World, entry: usize, ticket: &str) -> Raw {
+    let key = format!("Bearer {}", sample::ACCOUNT_KEY);
+    let headers = [
+        ("authorization", key.as_str()),
+        ("x-dogwoodspur-ticket", ticket),
+    ];
+    let address = world.entries[entry].address("callers");
+    raw::request(address, "POST /services/records/receipts", &headers, ticket).await
+}
--- a/crates/standin/tests/harness/world.rs
+++ b/crates/standin/tests/harness/world.rs
@@ -106,6 +106,15 @@
             self.platform.address("address"),
             sample::ANY_PORT,
         );
+        let seeds: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| format!("{:?}", entry.address("peers")))
+            .collect();
+        let text = text.replace(
+            "\"seeds\": []",
+            &format!("\"seeds\": [{}]", seeds.join(", ")),
+        );
         let path = scratch(&format!("{name}.jsonc"));
         std::fs::write(&path, text).unwrap();
         let path = path.display().to_string();
