--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -123,7 +123,8 @@
 
     fn first_suspect(&self, now: Time, key: pool::Key) -> Option<(job::Id, Standing)> {
         let pool = self.pools.get(&key)?;
-        self.heads(pool).into_iter().find_map(|head| {
+        let heads = pool.queue.heads(self.settings.placement.heads);
+        heads.into_iter().find_map(|head| {
             let open = self.open.get(&head.id)?;
             let standing = self.quarantine.standing(now, open.job.fingerprint);
             (standing != Standing::Clear).then_some((head.id, standing))
