--- a/crates/standin/src/sample.rs
+++ b/crates/standin/src/sample.rs
@@ -116,7 +116,8 @@
     "cloud": "http://{platform}",
     "instances_interval_ms": 200
   }},
-  "leases": {{ "term_ms": 3000, "margin_ms": 500, "renew_interval_ms": 800 }}
+  "leases": {{ "term_ms": 3000, "margin_ms": 500, "renew_interval_ms": 800 }},
+  "shutdown": {{ "grace_ms": 500 }}
 }}
 "#
     )
--- /dev/null
+++ b/crates/standin/tests/failures_tickets.rs
@@ -0,0 +1,63 @@
+//! Tickets of entries that are gone.
+
+#![allow(clippy::unwrap_used)]
+
+mod harness;
+
+use harness::caller::receipt_key;
+use harness::raw;
+use harness::raw::Raw;
+use harness::world::Size;
+use harness::world::World;
+use standin::sample;
+
+const SIZE: Size = Size {
+    entries: 3,
+    engines: 1,
+    services: 1,
+    token_ms: 10,
+};
+
+/// A branch holds tickets of an entry that was killed: its ledger is lost, so that nobody can say any
+/// more whether a ticket was used. The answer is "may have run", at once, and nothing runs.
+#[test]
+fn killed_entry_takes_its_tickets_along() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let (used, unused) = tickets(&world).await;
+        assert_eq!(file(&world, 0, &used).await.status, 200);
+        world.entries[0].kill().await;
+        for at in 1..3 {
+            for ticket in [&used, &unused] {
+                let answer = file(&world, at, ticket).await;
+                assert_eq!(
+                    (answer.status, answer.verdict().as_str()),
+                    (409, "may-have-run")
+                );
+            }
+        }
+        assert_eq!(world.executions(&receipt_key(&used)).await, 1);
+        assert_eq!(world.executions(&receipt_key(&unused)).await, 0);
+    });
+}
+
+/// Two tickets of the first entry.
+async fn tickets(world: &World) -> (String, String) {
+    let answer = world
+        .caller_of(world.entries[..1].iter())
+        .refresh("")
+        .await
+        .unwrap();
+    (answer.tickets[0].to_string(), answer.tickets[1].to_string())
+}
+
+/// Files a receipt by a ticket, with the ticket as its body.
+async fn file(world: &World, entry: usize, ticket: &str) -> Raw {
+    let key = format!("Bearer {}", sample::ACCOUNT_KEY);
+    let headers = [
+        ("authorization", key.as_str()),
+        ("x-dogwoodspur-ticket", ticket),
+    ];
+    let address = world.entries[entry].address("callers");
+    raw::request(address, "POST /services/records/receipts", &headers, ticket).await
+}
