--- /dev/null
+++ b/crates/standin/tests/callers_page.rs
@@ -0,0 +1,104 @@
+//! The session of docs/callers.md works as printed.
+
+mod harness;
+
+use std::path::Path;
+
+use harness::process::Process;
+use harness::process::scratch;
+use tokio::process::Command;
+
+/// What the page types to name its entry; the test's own entry takes its place.
+const ENTRY: &str = "ENTRY=127.0.0.1:8000";
+
+/// Stands on the page for what differs from run to run.
+const ANYTHING: &str = "...";
+
+/// Printed by the script before the output of each command.
+const MARK: &str = "=== command";
+
+/// One command of the page, and what it prints there.
+#[derive(Default)]
+struct Step {
+    command: String,
+    printed: String,
+}
+
+#[test]
+fn session_works_as_printed() {
+    harness::run(async {
+        let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/callers.md");
+        let steps = steps_of(&std::fs::read_to_string(page).unwrap());
+        assert!(steps.len() > 10);
+        let sample = Process::start("sample", &["sample", "--callers", "127.0.0.1:0"]).await;
+        let entry = format!("ENTRY={}", sample.address("callers"));
+        let mut script = String::new();
+        for step in &steps {
+            let command = step.command.replace(ENTRY, &entry);
+            script.push_str(&format!("echo '{MARK}'\n{command}\n"));
+        }
+        let directory = scratch("callers-page");
+        std::fs::create_dir(&directory).unwrap();
+        let bash = Command::new("bash")
+            .args(["-c", &script])
+            .current_dir(&directory)
+            .output();
+        let output = String::from_utf8(bash.await.unwrap().stdout).unwrap();
+        let outputs: Vec<&str> = output.split(&format!("{MARK}\n")).skip(1).collect();
+        assert_eq!(outputs.len(), steps.len(), "{output}");
+        for (step, printed) in steps.iter().zip(outputs) {
+            let same = matches(&step.printed, printed);
+            assert!(
+                same,
+                "{}\nprints\n{printed}\nnot\n{}",
+                step.command, step.printed
+            );
+        }
+    });
+}
+
+/// The commands of the page's `sh` blocks.
+fn steps_of(page: &str) -> Vec<Step> {
+    let mut steps: Vec<Step> = Vec::new();
+    let mut inside = false;
+    for line in page.lines() {
+        if line.starts_with("```") {
+            inside = line == "```sh";
+            continue;
+        }
+        if !inside {
+            continue;
+        }
+        match line.strip_prefix("$ ") {
+            Some(command) => steps.push(Step {
+                command: command.to_owned(),
+                printed: String::new(),
+            }),
+            None => {
+                let step = steps.last_mut().expect("a command comes first");
+                step.printed.push_str(line);
+                step.printed.push('\n');
+            }
+        }
+    }
+    steps
+}
+
+/// Whether a text is as printed, where the dots stand for anything.
+fn matches(printed: &str, text: &str) -> bool {
+    let mut pieces = printed.split(ANYTHING);
+    let Some(mut rest) = text.strip_prefix(pieces.next().unwrap_or_default()) else {
+        return false;
+    };
+    let pieces: Vec<&str> = pieces.collect();
+    let Some((last, middle)) = pieces.split_last() else {
+        return rest.is_empty();
+    };
+    for piece in middle {
+        let Some((_, after)) = rest.split_once(piece) else {
+            return false;
+        };
+        rest = after;
+    }
+    rest.ends_with(last)
+}
