Carry burn summaries through the store

Cause: a report must survive the replacement of every entry, within the store's limits. Ruled out: the object store (it has no list, so summaries of gone entries can't be found); a fixed minute at any size (1,000 pairs would be 29 KB a second).

--- a/crates/burn/src/builder.rs
+++ b/crates/burn/src/builder.rs
@@ -22,9 +22,9 @@
 const LONG_WINDOW_MS: u64 = 60 * 60 * 1_000;
 /// The period of the error budget: a day.
 const PERIOD_MS: u64 = 24 * 60 * 60 * 1_000;
-/// How old a summary may be before the time since counts as missing: entries write one a minute, and
-/// one write may fail.
-pub const FRESH_MS: u64 = 150_000;
+/// How long a summary may be overdue before the time since counts as missing: a slow store and clocks
+/// that differ by some seconds are no gap.
+const OVERDUE_MS: u64 = 90_000;
 
 impl Report {
     /// The report at a moment, milliseconds since 1970, from what the store holds.
@@ -132,7 +132,8 @@
     let mut gaps = Vec::new();
     for (index, summary) in summaries.iter().enumerate() {
         let age = unix_ms.saturating_sub(summary.made_unix_ms);
-        if summary.last || age <= FRESH_MS || age > PERIOD_MS {
+        let overdue = unix_ms.saturating_sub(summary.due_unix_ms) > OVERDUE_MS;
+        if summary.last || !overdue || age > PERIOD_MS {
             continue;
         }
         let next = summaries.get(index + 1);
--- a/crates/burn/src/ledger.rs
+++ b/crates/burn/src/ledger.rs
@@ -73,7 +73,9 @@
         series.record(unix_ms, sample);
     }
 
-    /// What is to be written to the store; `last` when the entry has stopped.
+    /// What is to be written to the store; `last` if nothing is counted from now on.
+    ///
+    /// It is due again at once: who writes it sets when.
     pub fn summary(&mut self, now: Time, last: bool) -> Summary {
         self.trim(now);
         Summary {
@@ -81,6 +83,7 @@
             incarnation: self.incarnation.clone(),
             since_unix_ms: self.zero_unix_ms,
             made_unix_ms: self.unix_ms(now),
+            due_unix_ms: self.unix_ms(now),
             last,
             series: self.series.values().cloned().collect(),
         }
@@ -95,6 +98,11 @@
         self.series.retain(|_, series| !series.is_idle());
     }
 
+    /// Its entry's incarnation.
+    pub fn incarnation(&self) -> &SmolStr {
+        &self.incarnation
+    }
+
     /// The wall clock at a time of the process.
     pub fn unix_ms(&self, now: Time) -> u64 {
         self.zero_unix_ms.saturating_add(now.as_millis())
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -156,7 +156,7 @@
 pub struct Gap {
     /// The entry whose data is missing.
     pub entry: SmolStr,
-    /// How long ago the gap began, milliseconds.
+    /// How long ago the gap began, milliseconds; 0 if its data is there but can't be read now.
     pub from_ago_ms: u64,
     /// How long ago it ended, milliseconds; 0 if it lasts.
     pub to_ago_ms: u64,
--- a/crates/burn/src/summary.rs
+++ b/crates/burn/src/summary.rs
@@ -1,5 +1,7 @@
 //! What an entry leaves in the platform's store for the report.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -21,11 +23,13 @@
     pub incarnation: SmolStr,
     /// When it began to count, milliseconds since 1970.
     pub since_unix_ms: u64,
-    /// When the summary was made, milliseconds since 1970.
+    /// When the summary was made, milliseconds since 1970. All parts of one write have the same.
     pub made_unix_ms: u64,
+    /// When the next one is due, milliseconds since 1970.
+    pub due_unix_ms: u64,
     /// Whether it is the last one: the entry has stopped and counted everything.
     pub last: bool,
-    /// By deployment, then account.
+    /// By deployment, then account; each pair in one part only.
     pub series: Vec<Series>,
 }
 
@@ -34,26 +38,61 @@
     pub fn is_spent(&self, unix_ms: u64) -> bool {
         unix_ms.saturating_sub(self.made_unix_ms) > SPENT_MS
     }
+
+    /// The same summary in parts of at most `most` series each; at least one part.
+    pub fn into_parts(mut self, most: usize) -> Vec<Summary> {
+        let mut parts = Vec::new();
+        while self.series.len() > most {
+            let rest = self.series.split_off(most);
+            let series = std::mem::replace(&mut self.series, rest);
+            parts.push(Summary {
+                series,
+                ..self.without_series()
+            });
+        }
+        parts.push(self);
+        parts
+    }
+
+    /// The head alone.
+    fn without_series(&self) -> Summary {
+        Summary {
+            entry: self.entry.clone(),
+            incarnation: self.incarnation.clone(),
+            series: Vec::new(),
+            ..*self
+        }
+    }
 }
 
-/// The newest summary of each incarnation, by entry and time of its start.
-pub fn newest(mut summaries: Vec<Summary>) -> Vec<Summary> {
-    summaries.sort_by(|left, right| {
-        let left = (
-            &left.entry,
-            left.since_unix_ms,
-            &left.incarnation,
-            left.made_unix_ms,
-        );
-        left.cmp(&(
-            &right.entry,
-            right.since_unix_ms,
-            &right.incarnation,
-            right.made_unix_ms,
-        ))
+/// The newest summary of each incarnation, put together from its parts, by entry and start.
+///
+/// A list that was read while an entry wrote may hold parts of two writes: the older ones are left
+/// out, so that nothing counts twice.
+pub fn newest(summaries: Vec<Summary>) -> Vec<Summary> {
+    let mut by_incarnation: BTreeMap<SmolStr, Summary> = BTreeMap::new();
+    for summary in summaries {
+        match by_incarnation.get_mut(&summary.incarnation) {
+            Some(kept) if kept.made_unix_ms > summary.made_unix_ms => {}
+            Some(kept) if kept.made_unix_ms == summary.made_unix_ms => add(kept, summary),
+            _ => {
+                by_incarnation.insert(summary.incarnation.clone(), summary);
+            }
+        }
+    }
+    let mut newest: Vec<Summary> = by_incarnation.into_values().collect();
+    newest.sort_by(|left, right| {
+        (&left.entry, left.since_unix_ms).cmp(&(&right.entry, right.since_unix_ms))
     });
-    summaries.reverse();
-    summaries.dedup_by(|later, kept| later.incarnation == kept.incarnation);
-    summaries.reverse();
-    summaries
+    newest
+}
+
+/// Adds another part of the same write; a part that is there already adds nothing.
+fn add(kept: &mut Summary, part: Summary) {
+    let pair = |series: &Series| (series.deployment.clone(), series.account.clone());
+    for series in part.series {
+        if !kept.series.iter().any(|other| pair(other) == pair(&series)) {
+            kept.series.push(series);
+        }
+    }
 }
--- a/crates/burn/src/words.rs
+++ b/crates/burn/src/words.rs
@@ -86,6 +86,9 @@
 
 /// A gap in one line.
 pub fn gap_line(gap: &Gap) -> String {
+    if gap.from_ago_ms == 0 {
+        return format!("{}: could not be read", gap.entry);
+    }
     let from = span(gap.from_ago_ms);
     if gap.to_ago_ms == 0 {
         return format!("{}: nothing since {from} ago", gap.entry);
--- a/crates/burn/tests/merge.rs
+++ b/crates/burn/tests/merge.rs
@@ -104,7 +104,7 @@
         for (_, at, sample) in &samples {
             ledger.record(Time::from_millis(*at), sample);
         }
-        let summary = ledger.summary(Time::from_millis(END), false);
+        let summary = ledger.summary(Time::from_millis(END), true);
         let text = serde_json::to_string(&summary).unwrap();
         let again: Summary = serde_json::from_str(&text).unwrap();
         prop_assert_eq!(summary, again);
@@ -118,7 +118,7 @@
         for (_, at, sample) in &samples {
             ledger.record(Time::from_millis(*at), sample);
         }
-        let report = Report::at(ZERO + END, vec![ledger.summary(Time::from_millis(END), false)]);
+        let report = Report::at(ZERO + END, vec![ledger.summary(Time::from_millis(END), true)]);
         for row in &report.rows {
             let misses = &row.misses;
             let named = misses.waiting + misses.slow_backend + misses.reclaim;
