--- /dev/null
+++ b/crates/cli/tests/pages.rs
@@ -0,0 +1,90 @@
+//! The operators' pages name only commands, exit codes and tests that exist.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use cli::exit::Exit;
+
+/// The root of the repository.
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// A page of docs.
+fn page(name: &str) -> String {
+    fs::read_to_string(root().join("docs").join(name)).expect("a page")
+}
+
+/// Names of all test functions of the workspace.
+fn tests() -> BTreeSet<String> {
+    let mut names = BTreeSet::new();
+    let mut left = vec![root().join("crates")];
+    while let Some(directory) = left.pop() {
+        for entry in fs::read_dir(directory).expect("a directory") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() && !path.ends_with("src") {
+                left.push(path);
+            } else if path.extension().is_some_and(|extension| extension == "rs") {
+                collect(
+                    &fs::read_to_string(path).expect("a source file"),
+                    &mut names,
+                );
+            }
+        }
+    }
+    names
+}
+
+/// Appends the names of the functions of a source file.
+fn collect(text: &str, names: &mut BTreeSet<String>) {
+    for line in text.lines() {
+        let line = line.trim_start();
+        let line = line.strip_prefix("async ").unwrap_or(line);
+        if let Some((name, _)) = line
+            .strip_prefix("fn ")
+            .and_then(|rest| rest.split_once('('))
+        {
+            names.insert(name.to_owned());
+        }
+    }
+}
+
+#[test]
+fn each_test_that_the_page_of_failures_names_exists() {
+    let known = tests();
+    let text = page("failures.md");
+    let sections = text.split("\n## ").skip(1);
+    for section in sections {
+        let (_, named) = section
+            .split_once("**Tests.**")
+            .expect("each failure names its tests");
+        for name in named.split('`').skip(1).step_by(2) {
+            assert!(known.contains(name), "{name}");
+        }
+    }
+}
+
+#[test]
+fn the_table_of_exit_codes_is_complete() {
+    let all = [
+        Exit::Done,
+        Exit::Failed,
+        Exit::Usage,
+        Exit::Committed,
+        Exit::Conflict,
+        Exit::NotFound,
+        Exit::Refused,
+        Exit::Unauthenticated,
+        Exit::Unavailable,
+        Exit::OutcomeUnknown,
+    ];
+    let text = page("operators.md");
+    for exit in all {
+        assert!(
+            text.contains(&format!("\n| {} | ", exit.code())),
+            "{exit:?}"
+        );
+    }
+}
