--- a/crates/member/src/fake.rs
+++ b/crates/member/src/fake.rs
@@ -33,6 +33,8 @@
     pub nodes: Vec<Node>,
     /// The present time.
     pub now: Time,
+    /// Members apply a configuration version as soon as they hear of it.
+    pub follow: bool,
     by_address: BTreeMap<SmolStr, usize>,
     queue: Queue<Delivery>,
 }
@@ -195,6 +197,11 @@
                     self.send(index, to, digest);
                 }
             }
+            Effect::Heard { version, .. } if self.follow => {
+                let at = self.now + HOP + HOP;
+                self.queue
+                    .push(at, Delivery::Event(index, Event::Applied(version)));
+            }
             effect => self.nodes[index].told.push((self.now, effect)),
         }
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fake;
 pub mod membership;
 pub mod news;
+mod purse;
 pub mod registration;
 pub mod rendezvous;
 pub mod roster;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -35,6 +35,7 @@
 use crate::event::Effect;
 use crate::event::Event;
 use crate::news::News;
+use crate::purse::Purse;
 use crate::registration::Registration;
 use crate::rendezvous;
 use crate::roster::Roster;
@@ -66,6 +67,9 @@
     next_gossip: Time,
     last_gossip: Time,
     round: u64,
+    /// Rounds that are still to be brought forward.
+    urgent_rounds: u32,
+    purse: Purse,
     /// Where the round of heartbeats stands.
     turn: holder::Id,
     known_gone: BTreeSet<holder::Id>,
@@ -107,6 +111,8 @@
             next_gossip: Time::ZERO,
             last_gossip: Time::ZERO,
             round: 0,
+            urgent_rounds: 0,
+            purse: Purse::default(),
             turn: holder::Id::default(),
             known_gone: BTreeSet::new(),
             seeds,
@@ -193,6 +199,11 @@
         self.news.contains(Topic::Leaving, incarnation)
     }
 
+    /// The configuration version this entry has applied, as it tells others.
+    pub fn applied_version(&self) -> u64 {
+        self.beat.applied
+    }
+
     /// All members known here.
     pub fn directory(&self) -> &Directory {
         &self.directory
--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -10,18 +10,28 @@
 use crate::digest::Record;
 use crate::event::Effect;
 use crate::membership::Membership;
+use crate::rumors::Kind;
 use crate::rumors::Subject;
 
 /// Rounds between two words to a member that seems to be silent, so that a healed cut is noticed.
 const SILENT_ROUNDS: u64 = 8;
 /// Rounds between two sweeps of what has expired.
 const EXPIRE_ROUNDS: u64 = 64;
-/// Part of a digest that news may take; the rest is kept for heartbeats and old news in turn.
+/// Part of a digest that items may take. They go before records: a wave that takes many members makes
+/// many records, and a leaving backend server must not wait behind them.
+const ITEMS_SHARE: f64 = 0.5;
+/// Part that items and records may take; the rest is kept for heartbeats and old news in turn.
 const NEWS_SHARE: f64 = 0.75;
 /// Part of a digest that may be taken before old news in turn.
 const BEATS_SHARE: f64 = 0.8;
 /// Most bytes of the answer to a greeting, which brings a starting entry up to date.
 const WELCOME_BYTES: usize = 128 << 10;
+/// Urgent rounds after something new was learnt. With two peers a round and a third of them frozen,
+/// one round reaches too few for the news to grow; after three, the next regular rounds reach the
+/// rest.
+const URGENT_ROUNDS: u32 = 3;
+/// Least bytes that a digest is worth putting a subject into.
+const LEAST_SUBJECT_BYTES: usize = 32;
 
 impl Membership {
     /// Sends a round of digests when one is due.
@@ -45,8 +55,11 @@
         }
         for to in targets {
             let digest = self.digest(now, self.settings.digest_bytes, regular);
+            self.purse.spend(digest.size());
             effects.push(Effect::Send { to, digest });
         }
+        self.urgent_rounds = self.urgent_rounds.saturating_sub(1);
+        self.schedule_urgent(now);
     }
 
     /// Takes in what a peer says.
@@ -110,8 +123,17 @@
         true
     }
 
-    /// Brings the next round forward.
+    /// Something new was learnt: the next rounds are brought forward.
     pub(super) fn hurry(&mut self, now: Time) {
+        self.urgent_rounds = URGENT_ROUNDS;
+        self.schedule_urgent(now);
+    }
+
+    /// Brings the next round forward while urgent rounds are left and bytes are saved up for them.
+    fn schedule_urgent(&mut self, now: Time) {
+        if self.urgent_rounds == 0 || !self.purse.affords(now, &self.settings) {
+            return;
+        }
         let soon = (self.last_gossip + self.settings.urgent).max(now);
         self.next_gossip = self.next_gossip.min(soon);
     }
@@ -163,12 +185,11 @@
         };
         let members = self.directory.count();
         let room = |share: f64| (limit as f64 * share) as usize;
-        for subject in self.rumors.hottest() {
-            if digest.size() >= room(NEWS_SHARE) {
-                break;
-            }
-            if self.put(now, &subject, limit, &mut digest) {
-                self.rumors.tell(&subject, members);
+        for (kind, share) in [(Kind::Item, ITEMS_SHARE), (Kind::Member, NEWS_SHARE)] {
+            for subject in self.rumors.hottest(kind, limit / LEAST_SUBJECT_BYTES) {
+                if self.put(now, &subject, room(share), &mut digest) {
+                    self.rumors.tell(&subject, members);
+                }
             }
         }
         if !regular {
--- a/crates/member/src/rumors.rs
+++ b/crates/member/src/rumors.rs
@@ -26,6 +26,25 @@
     Item(Topic, SmolStr),
 }
 
+/// What kind of subject it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A member's record.
+    Member,
+    /// An item.
+    Item,
+}
+
+impl Subject {
+    /// Its kind.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Subject::Member(_) => Kind::Member,
+            Subject::Item(..) => Kind::Item,
+        }
+    }
+}
+
 /// How often each subject was told.
 #[derive(Clone, Debug, Default)]
 pub struct Rumors {
@@ -60,13 +79,18 @@
         !self.hot.is_empty()
     }
 
-    /// Subjects with tellings left, the least told first.
-    pub fn hottest(&self) -> Vec<Subject> {
-        let mut subjects: Vec<(&Subject, u32)> =
-            self.hot.iter().map(|(key, told)| (key, *told)).collect();
+    /// Up to `limit` subjects of one kind with tellings left, the least told first.
+    pub fn hottest(&self, kind: Kind, limit: usize) -> Vec<Subject> {
+        let mut subjects: Vec<(&Subject, u32)> = self
+            .hot
+            .iter()
+            .filter(|(subject, _)| subject.kind() == kind)
+            .map(|(subject, told)| (subject, *told))
+            .collect();
         subjects.sort_by_key(|(_, told)| *told);
         subjects
             .into_iter()
+            .take(limit)
             .map(|(subject, _)| subject.clone())
             .collect()
     }
