--- a/crates/settings/src/configs/peers.rs
+++ b/crates/settings/src/configs/peers.rs
@@ -24,7 +24,7 @@
     #[schemars(length(min = 16, max = 1024))]
     pub key: Secret,
     /// Peer addresses of other entries to try while the table service can't be read at start.
-    #[schemars(inner(extend("format" = "socket-address")))]
+    #[schemars(extend("items" = {"type": "string", "format": "socket-address"}))]
     pub seeds: Vec<SocketAddr>,
     /// To how many other entries each digest is sent.
     #[schemars(range(min = 1, max = 64))]
