Stop running copies of a request that came under suspicion

Cause: copies of a killer sent through several entries within a moment each crashed a replica of their own before the first crash was known there. Change: when news of a suspect comes, copies that run elsewhere are cancelled and held, if they are idempotent.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -65,6 +65,8 @@
     /// Where the next digest goes on with the older records.
     cursor: u64,
     urgent: bool,
+    /// Fingerprints against which something new came up; bounded by what one event names.
+    accused: Vec<u64>,
 }
 
 impl Quarantine {
@@ -79,6 +81,7 @@
             changes: 0,
             cursor: 0,
             urgent: false,
+            accused: Vec::new(),
         }
     }
 
@@ -165,6 +168,12 @@
         std::mem::take(&mut self.urgent)
     }
 
+    /// Fingerprints that came under suspicion since the last call: copies of them that run are to be
+    /// stopped, where that is safe, before they crash one replica each.
+    pub fn take_accused(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.accused)
+    }
+
     /// News for peers: what changed last, and by turns the rest.
     pub fn digest(&mut self, now: Time) -> Digest {
         self.crashes.drop_old(now, self.config.settle);
@@ -246,6 +255,7 @@
         }
         self.changes += 1;
         record.changed = self.changes;
+        self.accused.push(fingerprint);
         record.expires = record.expires.max(now + left);
         // A suspect that waited its time has run alone since: its second crash needs no more news.
         let was_settled = now >= record.settled && record.blame() >= self.config.crashes;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -207,6 +207,7 @@
     pub fn poll(&mut self, now: Time, out: &mut Vec<Decision>) {
         self.expire(now, out);
         self.judge(now);
+        self.recall_suspects(now, out);
         self.release_held(now, out);
         self.move_on(now, out);
         while let Some(pool) = self.stirred.pop_first() {
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -10,6 +10,7 @@
 use crate::quarantine::Standing;
 use crate::replica;
 use crate::scheduler::Scheduler;
+use crate::scheduler::state::Open;
 
 impl Scheduler {
     /// Whether the fingerprint is quarantined.
@@ -32,6 +33,33 @@
             .crashed(now, identity, zone, &[open.job.fingerprint]);
     }
 
+    /// Stops copies of new suspects that run here, if they may run again: sent through several
+    /// entries at once, each would take a replica of its own along before the first crash is known.
+    pub(super) fn recall_suspects(&mut self, now: Time, out: &mut Vec<Decision>) {
+        let accused = self.quarantine.take_accused();
+        if accused.is_empty() || !self.settings.placement.quarantine {
+            return;
+        }
+        let running = |open: &&Open| open.job.idempotent && open.replica.is_some();
+        let copies: Vec<job::Id> = self
+            .open
+            .values()
+            .filter(running)
+            .filter(|open| accused.contains(&open.job.fingerprint))
+            .map(|open| open.job.id)
+            .collect();
+        for id in copies {
+            let Some(replica) = self.take_off(now, id, job::End::Left) else {
+                continue;
+            };
+            if let Some(open) = self.open.get_mut(&id) {
+                open.may_have_run = true;
+            }
+            out.push(Decision::Cancel { job: id, replica });
+            self.enqueue(now, id, true);
+        }
+    }
+
     /// Takes suspects out of the queue's heads: the others go on, they wait their time.
     pub(super) fn set_suspects_aside(
         &mut self,
