--- a/crates/settings/src/configs/peers.rs
+++ b/crates/settings/src/configs/peers.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 
 use schemars::JsonSchema;
+use schemars::Schema;
+use schemars::SchemaGenerator;
+use schemars::json_schema;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,6 +27,7 @@
     #[schemars(length(min = 16, max = 1024))]
     pub key: Secret,
     /// Peer addresses of other entries to try while the table service can't be read at start.
+    #[schemars(schema_with = "addresses")]
     pub seeds: Vec<SocketAddr>,
     /// To how many other entries each digest is sent.
     #[schemars(range(min = 1, max = 64))]
@@ -33,6 +37,14 @@
     pub digest_interval_ms: u64,
 }
 
+/// The schema of a list of addresses.
+fn addresses(_: &mut SchemaGenerator) -> Schema {
+    json_schema!({
+        "type": "array",
+        "items": {"type": "string", "format": "socket-address"}
+    })
+}
+
 impl Default for Peers {
     fn default() -> Self {
         Peers {
--- a/crates/settings/src/expect.rs
+++ b/crates/settings/src/expect.rs
@@ -106,6 +106,9 @@
 
 /// What an option takes, in words.
 pub fn takes(schema: &Value) -> String {
+    if let Some(items) = schema.get("items") {
+        return format!("a list, each {}", takes(items));
+    }
     let wanted = expected(&Value::Array(Vec::new()), schema).unwrap_or_default();
     if types(schema).any(|kind| kind == "null") {
         return format!("{wanted}, or null");
--- a/crates/settings/tests/load.rs
+++ b/crates/settings/tests/load.rs
@@ -64,6 +64,17 @@
     );
 }
 
+#[test]
+fn each_item_of_a_list_is_checked() {
+    let seeds = "\"peers\": {\"seeds\": [\n\"127.0.0.1:1\",\n\"nowhere\"],";
+    let text = LEAST.replace("\"peers\": {", seeds);
+    let faults = parse("entry.jsonc", &text).unwrap_err();
+    let expected = "entry.jsonc:7: peers.seeds[1]: expected an address such as";
+    assert!(lines(&faults)[0].starts_with(expected), "{faults}");
+    let sound = parse("entry.jsonc", &text.replace("nowhere", "127.0.0.1:2")).unwrap();
+    assert_eq!(sound.settings.peers.seeds.len(), 2);
+}
+
 #[test]
 fn an_unknown_name_alone_is_a_warning() {
     let text = LEAST.replace("\"identity\"", "\"later\": {}, \"identity\"");
