--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -1,6 +1,7 @@
 //! Times and shares of one entry.
 
 use clock::Span;
+use smol_str::SmolStr;
 
 /// What the reducer needs of the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,10 +12,18 @@
     pub tickets_per_answer: u64,
     /// Time in which requests may finish before they are handed to a peer, on a planned stop.
     pub grace: Span,
-    /// How often the configuration's head row is read.
-    pub head_interval: Span,
-    /// Longest wait for a row of its own before a request is given up.
-    pub intent_wait: Span,
+    /// Leases, reads and digests of members.
+    pub members: member::configs::membership::Settings,
+    /// How changes of the configuration are agreed.
+    pub agreement: config::configs::agreement::Settings,
+    /// Peer addresses to try while no members are known.
+    pub seeds: Vec<SmolStr>,
+    /// Longest time from a request's arrival to the end of its answer.
+    pub request_time: Span,
+    /// Longest wait of a non-idempotent request for its leave to run before it is given up.
+    pub leave_wait: Span,
+    /// Time after which a ticket is asked for again, if no word came.
+    pub ask_again: Span,
 }
 
 impl Default for Settings {
@@ -23,8 +32,12 @@
             address_ttl: Span::from_seconds(10),
             tickets_per_answer: 4,
             grace: Span::from_seconds(20),
-            head_interval: Span::from_seconds(2),
-            intent_wait: Span::from_seconds(2),
+            members: member::configs::membership::Settings::default(),
+            agreement: config::configs::agreement::Settings::default(),
+            seeds: Vec::new(),
+            request_time: Span::from_seconds(600),
+            leave_wait: Span::from_seconds(2),
+            ask_again: Span::from_millis(300),
         }
     }
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -1,5 +1,7 @@
 //! Everything that can happen to an entry.
 
+use config::message::Message;
+use member::digest::Digest;
 use policy::replica;
 use request::id::Incarnation;
 use request::ledger::Answer;
@@ -56,6 +58,13 @@
     },
     /// The instance list was read.
     InstancesRead(Vec<Instance>),
+    /// The instance list names the instance that this entry runs on.
+    OwnInstanceRead {
+        /// This life of the instance.
+        incarnation: SmolStr,
+        /// Whether the list says that it is leaving.
+        leaving: bool,
+    },
     /// Reclaim notices were read.
     NoticesRead(Vec<Notice>),
     /// A backend server reported its load.
@@ -106,9 +115,13 @@
         by: Option<Incarnation>,
     },
     /// A digest came from a peer.
-    DigestReceived {
-        /// Its bytes.
-        digest: Vec<u8>,
+    DigestReceived(Digest),
+    /// A message about the configuration came from a peer.
+    ConfigureReceived {
+        /// The peer's incarnation.
+        from: Incarnation,
+        /// What it says.
+        message: Message,
     },
     /// Time has passed.
     Tick,
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -5,6 +5,7 @@
 use policy::replica;
 use request::id::Id;
 use request::id::Stream;
+use request::ticket::Ticket;
 use smol_str::SmolStr;
 
 /// An open request.
@@ -24,9 +25,6 @@
     pub attempt: u32,
     /// Where it runs.
     pub replica: Option<replica::Key>,
-    /// Whether the scheduler knows it; one taken over from another entry is only known once it has to
-    /// run elsewhere.
-    pub scheduled: bool,
     /// What it waits for before the scheduler may see it.
     pub waits_for: Option<Leave>,
     /// Whether bytes of it were handed to a backend server that did not refuse to start it.
@@ -54,7 +52,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Leave {
     /// The word of the entry that holds its ticket's ledger.
-    Ticket,
+    Ticket {
+        /// The ticket.
+        ticket: Ticket,
+        /// When it is asked for again, if no word came.
+        again: Time,
+        /// When no more tries are made.
+        until: Time,
+    },
     /// Its own row in the table service.
     Intent {
         /// The row's key.
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -4,8 +4,10 @@
 //! the configuration, sends that as a [`Call`] and turns the [`Reply`] or [`Fault`] back.
 
 pub mod call;
+pub mod client;
 pub mod convert;
 pub mod fault;
+pub mod journal;
 pub mod reply;
 pub mod request;
 pub mod server;
@@ -13,7 +15,9 @@
 
 pub use crate::call::Call;
 pub use crate::call::Calls;
+pub use crate::client::Client;
 pub use crate::fault::Fault;
+pub use crate::journal::Journal;
 pub use crate::reply::Reply;
 pub use crate::request::Request;
 pub use crate::server::serve;
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -1,3 +1,4 @@
+//! Settings of the policy modules, each with its defaults and their grounds.
 //! Settings of the policy modules, one file a module, each with its defaults and their grounds.
 
 pub mod admission;
@@ -7,6 +8,7 @@
 pub mod fair;
 pub mod health;
 pub mod limit;
+pub mod mix;
 pub mod placement;
 pub mod quarantine;
 pub mod retry;
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -13,6 +13,7 @@
 use crate::fair::Entrant;
 use crate::job;
 use crate::job::Job;
+use crate::replica;
 use crate::retry::Refused;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
@@ -126,6 +127,14 @@
         cost: Cost,
         tokens: Cost,
     ) -> Result<(), (Reason, &'static str)> {
+        let (allowed, predicted) = self.enter(now, job, cost, tokens);
+        self.admit(now, &job, allowed, predicted)?;
+        self.enqueue(now, job.id, false);
+        Ok(())
+    }
+
+    /// Notes the job as open; gives the time it may take to its first token and what is expected.
+    fn enter(&mut self, now: Time, job: Job, cost: Cost, tokens: Cost) -> (Span, Span) {
         let sizes = self.settings.size;
         let class = self.pool_mut(job.pool).classes.classify(&sizes, cost);
         let allowed = self.allowed(&job);
@@ -152,9 +161,23 @@
                 predicted,
             },
         );
-        self.admit(now, &job, class, cost, allowed, predicted)?;
-        self.enqueue(now, job.id, false);
-        Ok(())
+        (allowed, predicted)
+    }
+
+    /// Takes in a job that runs already: its caller holds the head of its answer.
+    pub(super) fn take_over(&mut self, now: Time, job: Job, replica: replica::Key) {
+        let Some(cost) = self.estimate(&job) else {
+            return;
+        };
+        let output = self.expected_output(&job).unwrap_or(0);
+        let tokens = u64::from(job.prompt_tokens) + u64::from(output);
+        self.limits.take_over(job.account, tokens);
+        self.enter(now, job, cost, tokens);
+        self.start(now, job.id, replica);
+        if let Some(open) = self.open.get_mut(&job.id) {
+            open.streaming = true;
+        }
+        self.leave_with(now, replica);
     }
 
     /// Whether the job may wait.
@@ -162,12 +185,13 @@
         &mut self,
         now: Time,
         job: &Job,
-        class: Class,
-        cost: Cost,
         allowed: Span,
         predicted: Span,
     ) -> Result<(), (Reason, &'static str)> {
         let settings = self.settings;
+        let Some((class, cost)) = self.open.get(&job.id).map(|open| (open.class, open.cost)) else {
+            return Ok(());
+        };
         let Some(account) = self.accounts.get(&job.account) else {
             return Ok(());
         };
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -160,6 +160,14 @@
         self.poll(now, out);
     }
 
+    /// A job that was started by another entry runs on and is this one's from now on.
+    ///
+    /// It is not refused: its caller was promised the rest of its answer.
+    pub fn adopt(&mut self, now: Time, job: Job, replica: replica::Key, out: &mut Vec<Decision>) {
+        self.take_over(now, job, replica);
+        self.poll(now, out);
+    }
+
     /// The replica began to answer: its first token (or the head of a plain answer) came.
     pub fn first_token(&mut self, now: Time, id: job::Id) {
         self.note_first(now, id);
@@ -199,6 +207,7 @@
     pub fn poll(&mut self, now: Time, out: &mut Vec<Decision>) {
         self.expire(now, out);
         self.judge(now);
+        self.recall_suspects(now, out);
         self.release_held(now, out);
         self.move_on(now, out);
         while let Some(pool) = self.stirred.pop_first() {
@@ -224,6 +233,7 @@
 
     /// What to tell the other entries; called once a period of [`crate::configs::limit::Config`].
     pub fn digest(&mut self, now: Time) -> Digest {
+        self.quarantine.tick(now);
         Digest {
             limit: self.limits.digest(now),
             quarantine: self.quarantine.digest(now),
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -19,7 +19,23 @@
         let Some(replica) = self.replicas.get_mut(&key) else {
             return;
         };
-        replica.leaving.get_or_insert(deadline);
+        // Several sources tell of one leave; the soonest end counts.
+        let sooner = replica.leaving.is_none_or(|known| deadline < known);
+        if !sooner {
+            return;
+        }
+        replica.leaving = Some(deadline);
+        self.leave_with(now, key);
+    }
+
+    /// Lets the wave's plan take in what runs on the replica, if it leaves.
+    pub(super) fn leave_with(&mut self, now: Time, key: replica::Key) {
+        let Some(replica) = self.replicas.get(&key) else {
+            return;
+        };
+        if replica.leaving.is_none() {
+            return;
+        }
         if self.settings.placement.wave && !replica.jobs.is_empty() {
             self.leaving.insert(key);
             self.review
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -4,11 +4,13 @@
 use verdict::Reason;
 
 use crate::decision::Decision;
+use crate::health::Allowance;
 use crate::job;
 use crate::pool;
 use crate::quarantine::Standing;
 use crate::replica;
 use crate::scheduler::Scheduler;
+use crate::scheduler::state::Open;
 
 impl Scheduler {
     /// Whether the fingerprint is quarantined.
@@ -31,6 +33,33 @@
             .crashed(now, identity, zone, &[open.job.fingerprint]);
     }
 
+    /// Stops copies of new suspects that run here, if they may run again: sent through several
+    /// entries at once, each would take a replica of its own along before the first crash is known.
+    pub(super) fn recall_suspects(&mut self, now: Time, out: &mut Vec<Decision>) {
+        let accused = self.quarantine.take_accused();
+        if accused.is_empty() || !self.settings.placement.quarantine {
+            return;
+        }
+        let running = |open: &&Open| open.job.idempotent && open.replica.is_some();
+        let copies: Vec<job::Id> = self
+            .open
+            .values()
+            .filter(running)
+            .filter(|open| accused.contains(&open.job.fingerprint))
+            .map(|open| open.job.id)
+            .collect();
+        for id in copies {
+            let Some(replica) = self.take_off(now, id, job::End::Left) else {
+                continue;
+            };
+            if let Some(open) = self.open.get_mut(&id) {
+                open.may_have_run = true;
+            }
+            out.push(Decision::Cancel { job: id, replica });
+            self.enqueue(now, id, true);
+        }
+    }
+
     /// Takes suspects out of the queue's heads: the others go on, they wait their time.
     pub(super) fn set_suspects_aside(
         &mut self,
@@ -130,10 +159,13 @@
         })
     }
 
-    /// Starts the suspect alone on its place, or keeps the place free until it is empty.
+    /// Starts the suspect at its place, if no other suspect runs there.
+    ///
+    /// What runs there already isn't waited for: hardly any suspect is a killer, and those that
+    /// waited until a replica is empty would all miss their targets.
     fn try_alone(&mut self, now: Time, id: job::Id, out: &mut Vec<Decision>) {
-        let again = now + self.settings.health.period;
         let Some(key) = self.place_for(now, id) else {
+            let again = now + self.settings.health.period;
             self.held.insert((again, id));
             return;
         };
@@ -143,14 +175,8 @@
         let Some(replica) = self.replicas.get_mut(&key) else {
             return;
         };
-        if replica.trial.is_none() {
-            replica.trial = Some(id);
-            self.quarantine.trial_started(fingerprint, replica.identity);
-        }
-        if !replica.jobs.is_empty() {
-            self.held.insert((again, id));
-            return;
-        }
+        replica.trial = Some(id);
+        self.quarantine.trial_started(fingerprint, replica.identity);
         self.start(now, id, key);
         out.push(Decision::Start {
             job: id,
@@ -158,23 +184,20 @@
         });
     }
 
-    /// The suspect's place, if it may be kept free for it.
+    /// The suspect's place, if no other suspect is there. It may be overbooked by this one job:
+    /// a suspect that waited for a free slot at one certain replica might never come to its turn.
     fn place_for(&self, now: Time, id: job::Id) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
         let pool = self.pools.get(&open.job.pool)?;
         let members = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
-            Some((*key, replica.identity))
+            let usable = pool.monitor.allowance(*key) != Allowance::None;
+            usable.then_some((*key, replica.identity))
         });
         let key = self.quarantine.place(open.job.fingerprint, members)?;
         let replica = self.replicas.get(&key)?;
-        if replica.trial == Some(id) {
-            return Some(key);
-        }
-        let most = (pool.members.len() / self.settings.placement.trial_share).max(1);
         let taken = replica.trial.is_some()
             || self.quarantine.is_reserved(now, replica.identity)
-            || self.quarantine.reserved(now) >= most
             || open.tried.contains(&key);
         (!taken).then_some(key)
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,12 +5,15 @@
 
 pub mod check;
 pub mod configs;
+pub mod document;
+pub mod expect;
+pub mod explain;
 pub mod fault;
 pub mod load;
+pub mod print;
 pub mod rules;
 pub mod schema;
 pub mod secret;
-pub mod text;
 
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -21,6 +24,7 @@
 pub use crate::load::Loaded;
 pub use crate::load::load;
 pub use crate::load::read;
+pub use crate::load::strict;
 pub use crate::secret::Secret;
 
 use crate::configs::admin::Admin;
