Let the property test know of streams that are owed their rest

Main now tries a stream whose caller holds its head once more on replicas that failed it, when all have. The test forbade any return to a replica; it now allows just that case, at just that moment.

--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -82,6 +82,7 @@
     running: BTreeMap<Id, replica::Key>,
     tried: BTreeMap<Id, BTreeSet<replica::Key>>,
     may_have_run: BTreeSet<Id>,
+    streaming: BTreeSet<Id>,
     usable: Vec<replica::Key>,
     gone: BTreeSet<replica::Key>,
     refused: Vec<Decision>,
@@ -110,6 +111,7 @@
             running: BTreeMap::new(),
             tried: BTreeMap::new(),
             may_have_run: BTreeSet::new(),
+            streaming: BTreeSet::new(),
             usable: Vec::new(),
             gone: BTreeSet::new(),
             refused: Vec::new(),
@@ -181,6 +183,7 @@
             }
             Step::Token { which } => {
                 if let Some(id) = nth(self.running.keys(), which) {
+                    self.streaming.insert(id);
                     self.scheduler.first_token(self.now, id);
                     self.scheduler.progressed(self.now, id, 1);
                 }
@@ -233,6 +236,12 @@
 
     fn end(&mut self, id: Id, end: End) {
         self.running.remove(&id);
+        // A caller that has the head of its answer is owed the rest: when all usable replicas have
+        // failed it, and only then, they may be tried once more.
+        let tried = self.tried.entry(id).or_default();
+        if self.streaming.contains(&id) && self.usable.iter().all(|key| tried.contains(key)) {
+            tried.clear();
+        }
         match end {
             End::Finished | End::Left => {
                 self.open.remove(&id);
