Make the latency limit of a replica hold, and give reclaim, warm-up and gap their own patterns

Causes and changes: - concurrency: the limit rose by one a token instead of one a round, and was cut from far above what was in use. A sample is now 32 gaps, a cut starts from the jobs in use.

Border: concurrency::limit cuts from the jobs in use.

--- a/crates/policy/benches/patterns/ablation.rs
+++ b/crates/policy/benches/patterns/ablation.rs
@@ -61,7 +61,7 @@
         case("slots", patterns::overload("overload-2", 2.0), |settings| {
             settings.slots.enabled = false;
         }),
-        case("concurrency", patterns::stale_reports(), |settings| {
+        case("concurrency", patterns::tight_gap(), |settings| {
             settings.placement.concurrency = false;
         }),
         case("affinity", patterns::hot_key(), |settings| {
@@ -84,7 +84,7 @@
         case("quarantine", patterns::killer(), |settings| {
             settings.placement.quarantine = false
         }),
-        case("warmup", patterns::zone_reclaim(), |settings| {
+        case("warmup", patterns::cold_return(), |settings| {
             settings.placement.warmup = false
         }),
         case("wave", patterns::zone_reclaim(), |settings| {
--- a/crates/policy/src/concurrency/limit.rs
+++ b/crates/policy/src/concurrency/limit.rs
@@ -34,7 +34,7 @@
     pub fn sample(&mut self, now: Time, strain: f64, jobs: u32, config: &Config) {
         self.strain += config.sample * (strain - self.strain);
         if self.strain > 1.0 {
-            self.cut(now, config);
+            self.cut(now, jobs, config);
             return;
         }
         // An unused limit proves nothing: it would rise beyond what was ever tried.
@@ -48,11 +48,12 @@
         self.value as u32
     }
 
-    fn cut(&mut self, now: Time, config: &Config) {
+    /// Cuts what is in use: a limit far above it would stay without effect for many cuts.
+    fn cut(&mut self, now: Time, jobs: u32, config: &Config) {
         if now < self.pause {
             return;
         }
         self.pause = now + config.pause;
-        self.value = (self.value * config.cut).max(1.0);
+        self.value = (self.value.min(f64::from(jobs)) * config.cut).max(1.0);
     }
 }
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -6,6 +6,10 @@
 use crate::decision::Decision;
 use crate::job;
 use crate::scheduler::Scheduler;
+use crate::scheduler::state::Open;
+
+/// Gaps between tokens that make up one sample of a replica's latency.
+const ROUND: u32 = 32;
 
 impl Scheduler {
     /// Learns from the first token of an attempt.
@@ -40,16 +44,16 @@
         open.made = open.made.saturating_add(tokens);
         let done = open.outstanding.min(u64::from(tokens) * weight);
         open.outstanding -= done;
+        let strain = round(open, now, tokens);
         let Some(key) = open.replica else {
             return;
         };
         // The first token of an attempt came after its prefill: it tells nothing of the gap.
         let gap = begun.then_some(gap);
-        let target = open.job.token_gap.as_millis().max(1) as f64;
         if let Some(replica) = self.replicas.get_mut(&key) {
             replica.load.progressed(done);
-            if let Some(gap) = gap {
-                replica.load.sample(now, gap / target);
+            if let Some(strain) = strain {
+                replica.load.sample(now, strain);
             }
         }
         if let Some(pool) = self.pools.get_mut(&open.job.pool) {
@@ -194,3 +198,22 @@
         self.limits.release(open.job.account, open.tokens, actual);
     }
 }
+
+/// The mean gap of a round of tokens over its target, when the round is full.
+///
+/// The limit on a replica's jobs rises with each sample: one a token would raise it many times for the
+/// same news.
+fn round(open: &mut Open, now: Time, tokens: u32) -> Option<f64> {
+    if open.round.tokens == 0 {
+        open.round.begun = now;
+    }
+    open.round.tokens += tokens;
+    let gaps = open.round.tokens.saturating_sub(1);
+    if gaps < ROUND {
+        return None;
+    }
+    let gap = now.since(open.round.begun).as_millis() as f64 / f64::from(gaps);
+    open.round.tokens = 1;
+    open.round.begun = now;
+    Some(gap / open.job.token_gap.as_millis().max(1) as f64)
+}
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -158,21 +158,29 @@
             Allowance::Jobs(jobs) => replica.running() < jobs,
             Allowance::Full => true,
         };
-        let entries = self.settings.concurrency.entries;
-        let in_share = !self.settings.slots.enabled
-            || replica.running() < replica.share.limit(replica.spec.slots, entries);
-        let own_part = self.settings.slots.enabled
-            && replica
-                .share
-                .is_own(replica.spec.slots, entries, replica.running());
-        let has_slots = match settings.concurrency {
-            true => own_part || replica.load.is_open(now, usual),
-            false => replica.running() < replica.spec.slots,
-        };
+        let has_slots = self.has_slots(now, replica, usual);
         let warm = !settings.warmup
             || replica.running() == 0
             || replica.load.jobs(now, usual)
                 < f64::from(pool.warmup.jobs(now, key, replica.spec.slots));
-        healthy && has_slots && in_share && warm
+        healthy && has_slots && warm
+    }
+
+    /// Whether one more of our jobs may run there: within what its latency allows, and within our
+    /// share of its slots. Our own part of them doesn't depend on what others seem to run.
+    fn has_slots(&self, now: Time, replica: &Replica, usual: f64) -> bool {
+        let settings = &self.settings;
+        let entries = settings.concurrency.entries;
+        let (slots, running) = (replica.spec.slots, replica.running());
+        let shared = settings.slots.enabled;
+        if shared && running >= replica.share.limit(slots, entries) {
+            return false;
+        }
+        if !settings.placement.concurrency {
+            return running < slots;
+        }
+        let is_own = shared && replica.share.is_own(slots, entries, running);
+        let kept_up = running < replica.load.limit();
+        is_own && kept_up || replica.load.is_open(now, usual)
     }
 }
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -18,6 +18,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
+use crate::scheduler::state::Round;
 use crate::size::Class;
 
 impl Scheduler {
@@ -152,6 +153,7 @@
                 replica: None,
                 started: now,
                 spoke: now,
+                round: Round::default(),
                 outstanding: 0,
                 streaming: false,
                 moved: false,
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -9,6 +9,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
+use crate::scheduler::state::Round;
 use crate::wave;
 use crate::wave::Fate;
 
@@ -204,6 +205,7 @@
             open.moved = true;
             open.started = now;
             open.spoke = now;
+            open.round = Round::default();
         }
         self.put_on(now, step.job, to);
         out.push(Decision::Move {
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -10,6 +10,7 @@
 use crate::replica;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Pool;
+use crate::scheduler::state::Round;
 use crate::size;
 use crate::size::Class;
 
@@ -114,6 +115,7 @@
         open.place = None;
         open.started = now;
         open.spoke = now;
+        open.round = Round::default();
         open.outstanding = open.cost;
         open.moved = false;
         open.tried.push(replica);
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -127,6 +127,13 @@
     }
 }
 
+/// Tokens that make up one latency sample.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Round {
+    pub begun: Time,
+    pub tokens: u32,
+}
+
 /// An open job.
 #[derive(Debug)]
 pub(super) struct Open {
@@ -144,6 +151,8 @@
     pub until: Time,
     pub replica: Option<replica::Key>,
     pub started: Time,
+    /// Tokens since the last latency sample.
+    pub round: Round,
     /// When tokens of this attempt came last.
     pub spoke: Time,
     /// Output tokens expected when this attempt was started, less those that came.
--- a/crates/policy/tests/support/patterns.rs
+++ b/crates/policy/tests/support/patterns.rs
@@ -43,9 +43,12 @@
         overload("overload-5", 5.0),
         priorities(),
         zone_reclaim(),
+        cold_return(),
         zone_loss(),
         outage(),
         stale_reports(),
+        tight_gap(),
+        limited(),
         killer(),
         burst_and_slow(),
         reclaim_and_hot_caller(),
@@ -119,14 +122,40 @@
     Pattern::new("priorities-2", profiles)
 }
 
-/// A zone gets notice at nearly full load and comes back later.
+/// A zone gets three seconds' notice while long answers are being written, and comes back later.
 pub fn zone_reclaim() -> Pattern {
+    let mut profiles = accounts(0.17);
+    for profile in &mut profiles {
+        profile.output = 400;
+    }
     let mut pattern =
-        Pattern::new("zone-reclaim", accounts(0.65)).fault(10_000, Fault::ReclaimZone(1, 5_000));
+        Pattern::new("zone-reclaim", profiles).fault(10_000, Fault::ReclaimZone(1, 3_000));
+    pattern.restart_ms = Some(8_000);
+    pattern
+}
+
+/// A zone's replicas come back with empty caches while the others are full of long prefixes.
+pub fn cold_return() -> Pattern {
+    let mut profiles = accounts(0.55);
+    for profile in &mut profiles {
+        profile.prompt = 1_600;
+        profile.shared = 1_400;
+        profile.prefixes = 12;
+    }
+    let mut pattern = Pattern::new("cold-return", profiles).fault(5_000, Fault::LoseZone(1));
     pattern.restart_ms = Some(8_000);
     pattern
 }
 
+/// Callers were promised a gap between tokens that a full batch doesn't keep.
+pub fn tight_gap() -> Pattern {
+    let mut profiles = accounts(1.5);
+    for profile in &mut profiles {
+        profile.token_gap_ms = 24;
+    }
+    Pattern::new("tight-gap", profiles)
+}
+
 /// A zone is lost without notice at nearly full load.
 pub fn zone_loss() -> Pattern {
     let mut pattern = Pattern::new("zone-loss", accounts(0.9)).fault(10_000, Fault::LoseZone(1));
