--- a/crates/policy/benches/patterns/main.rs
+++ b/crates/policy/benches/patterns/main.rs
@@ -9,6 +9,9 @@
 mod support;
 mod table;
 
+#[global_allocator]
+static ALLOCATOR: slopes::Counting = slopes::Counting;
+
 /// Runs of each pattern under each policy.
 const SEEDS: u64 = 10;
 
