--- a/crates/config/src/agreement.rs
+++ b/crates/config/src/agreement.rs
@@ -133,6 +133,12 @@
         self.history.find(change).is_some()
     }
 
+    /// The versions that are kept here, in rising order.
+    pub fn kept(&self) -> Vec<row::Version> {
+        let floor = self.history.floor();
+        self.history.after(floor, usize::MAX).unwrap_or_default()
+    }
+
     /// How far a version has come, as this entry sees it.
     pub fn standing(&mut self, now: Time, version: u64) -> Standing {
         if version > self.history.version() {
--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use back::engine::Engine;
 use back::events::Chunk;
@@ -11,6 +12,7 @@
 use back::failure::Failure;
 use back::http_client::HttpClient;
 use bytes::Bytes;
+use clock::Span;
 use entry::attempt::Place;
 use entry::attempt::Report;
 use entry::effect::Command;
@@ -59,6 +61,10 @@
     running: Option<Running>,
     /// Tokens passed on since the last report.
     unreported: u32,
+    /// Longest time between two tokens since the last report.
+    worst_gap: Span,
+    /// When the last token was passed on.
+    last_token: Option<Instant>,
     /// Tokens passed on by this task.
     passed: u64,
 }
@@ -133,6 +139,8 @@
             phase: Phase::Idle,
             running: None,
             unreported: 0,
+            worst_gap: Span::ZERO,
+            last_token: None,
             passed: 0,
         }
     }
@@ -405,6 +413,11 @@
             Pass::Emit => {
                 running.how = Asked::Fresh;
                 self.unreported += 1;
+                let last = self.last_token.replace(Instant::now());
+                if let Some(last) = last {
+                    let gap = Span::from_millis(last.elapsed().as_millis() as u64);
+                    self.worst_gap = self.worst_gap.max(gap);
+                }
                 self.passed += 1;
                 self.output.chunk(offset, data).await;
             }
@@ -454,14 +467,15 @@
     fn report_tokens(&mut self) {
         if self.unreported > 0 {
             let tokens = std::mem::take(&mut self.unreported);
-            self.report(Report::Tokens(tokens));
+            let worst_gap = std::mem::take(&mut self.worst_gap);
+            self.report(Report::Tokens { tokens, worst_gap });
         }
     }
 
     /// Reports the end of the running attempt.
     fn report_end(&mut self, end: End) {
-        let tokens = std::mem::take(&mut self.unreported);
-        self.report(Report::Ended { end, tokens });
+        self.report_tokens();
+        self.report(Report::Ended { end, tokens: 0 });
     }
 
     /// Reports on the running attempt.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -2,8 +2,10 @@
 
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use back::cloud::Cloud;
+use back::cloud::Price;
 use back::engine::Engine;
 use back::engine::Load;
 use back::http_client::HttpClient;
@@ -25,6 +27,12 @@
 /// What an instance is called in the list that gets no new work.
 const LEAVING_STATE: &str = "leaving";
 
+/// Time between two readings of the prices.
+const PRICES_TIME: Duration = Duration::from_secs(60);
+
+/// Millionths of the currency in one.
+const MICROS: f64 = 1_000_000.0;
+
 /// Polls the platform until the future is dropped.
 ///
 /// `own` is the address that callers connect to here: the list tells by it which instance is ours.
@@ -36,11 +44,19 @@
     interval: Duration,
 ) {
     let mut last_notice = 0;
+    let mut prices = Vec::new();
+    let mut next_prices = Instant::now();
     let mut timer = tokio::time::interval(interval);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         timer.tick().await;
         let cloud = Cloud::new(&client, &cloud_address);
+        if Instant::now() >= next_prices
+            && let Ok(newest) = cloud.prices().await
+        {
+            prices = newest;
+            next_prices = Instant::now() + PRICES_TIME;
+        }
         if let Ok(notices) = cloud.notices(last_notice).await {
             last_notice = notices
                 .iter()
@@ -53,7 +69,9 @@
             tell_own(&link, &instances, &own);
             ask_loads(&link, &client, &instances);
             let backends = instances.iter().filter(|one| one.kind != ENTRY_KIND);
-            link.event(Event::InstancesRead(backends.map(instance_of).collect()));
+            link.event(Event::InstancesRead(
+                backends.map(|one| instance_of(one, &prices)).collect(),
+            ));
         }
     }
 }
@@ -101,12 +119,20 @@
 }
 
 /// An instance as the reducer sees it.
-fn instance_of(instance: &back::cloud::Instance) -> Instance {
+fn instance_of(instance: &back::cloud::Instance, prices: &[Price]) -> Instance {
     Instance {
         incarnation: instance.incarnation.clone(),
         address: instance.address.clone(),
         zone: instance.zone.clone(),
         pool: instance.pool.clone(),
+        hourly_micros: prices
+            .iter()
+            .find(|price| {
+                price.zone == instance.zone
+                    && price.class == instance.class
+                    && price.market == instance.market
+            })
+            .map_or(0, |price| (price.per_hour * MICROS) as u64),
         leaving: instance.state == LEAVING_STATE,
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -256,6 +257,7 @@
     entry::configs::entry::Settings {
         address_ttl: Span::from_millis(settings.callers.address_ttl_ms),
         grace: Span::from_millis(settings.shutdown.grace_ms),
+        zero_unix_ms: unix_ms(),
         request_time: Span::from_millis(settings.callers.request_timeout_ms),
         seeds: settings
             .peers
@@ -298,6 +300,12 @@
     SmolStr::from(url.trim_start_matches("http://").trim_end_matches('/'))
 }
 
+/// Wall clock, milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// A number from the system's source of randomness.
 fn random() -> Result<u64> {
     getrandom::u64().map_err(|error| anyhow::anyhow!("no randomness: {error}"))
--- /dev/null
+++ b/crates/entry/src/accounts.rs
@@ -0,0 +1,199 @@
+//! What requests came to: samples for the burn report, and the journal that `explain` reads.
+
+use burn::collector;
+use burn::collector::Collector;
+use burn::ledger::Ledger;
+use burn::sample::Cause;
+use burn::sample::Outcome;
+use burn::sample::Sample;
+use clock::Span;
+use clock::Time;
+use config::deployment::Grant;
+use config::snapshot::Snapshot;
+use ops::reply::Reply;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use smol_str::format_smolstr;
+use verdict::Reason;
+use verdict::Refusal;
+use verdict::Verdict;
+
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::entry::Waiter;
+use crate::flight::Flight;
+use crate::identity::Identity;
+use crate::line::Line;
+
+/// Milliseconds in an hour.
+const HOUR_MILLIS: u64 = 3_600_000;
+
+impl Entry {
+    /// Lets the collector write its summary when that is due.
+    pub(crate) fn accounts_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.collector.next_wake().is_some_and(|wake| wake <= now) {
+            self.collect(now, collector::Event::Wake, effects);
+        }
+    }
+
+    /// Takes one event into the collector and carries out what it asks for.
+    pub(crate) fn collect(
+        &mut self,
+        now: Time,
+        event: collector::Event,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut asked = Vec::new();
+        self.collector.step(now, event, &mut asked);
+        for effect in asked {
+            match effect {
+                collector::Effect::Store { id, call } => {
+                    self.ask_store(Waiter::Collector(id), call, effects);
+                }
+                collector::Effect::Report { asker, report } => effects.push(Effect::Operator {
+                    call: asker,
+                    reply: Ok(Reply::Report(report)),
+                }),
+            }
+        }
+    }
+
+    /// Takes over the promises of a configuration.
+    pub(crate) fn promise(&mut self, now: Time) {
+        let targets = promises(self.book.snapshot());
+        self.collector.ledger.promise(now, targets);
+    }
+
+    /// Counts an answered request.
+    pub(crate) fn count_answered(&mut self, now: Time, flight: &Flight) {
+        let sample = Sample {
+            outcome: Outcome::Answered,
+            cause: self.cause_of(now, flight),
+            ..sample_of(now, flight)
+        };
+        self.collector.ledger.record(now, &sample);
+        let request = flight.origin.to_smolstr();
+        self.journal.end(&request, Verdict::Done);
+    }
+
+    /// Counts a request that ends otherwise.
+    pub(crate) fn count_refused(&mut self, now: Time, flight: &Flight, refusal: &Refusal) {
+        let (outcome, cause) = blame(refusal.reason);
+        let sample = Sample {
+            outcome,
+            cause,
+            ..sample_of(now, flight)
+        };
+        self.collector.ledger.record(now, &sample);
+        let request = flight.origin.to_smolstr();
+        self.journal.end(&request, refusal.verdict);
+    }
+
+    /// Notes in the journal what the log is told of requests: `explain` shows the same lines.
+    pub(crate) fn note_lines(&mut self, now: Time, effects: &[Effect]) {
+        for effect in effects {
+            let Effect::Log(line) = effect else {
+                continue;
+            };
+            let request = line.fields.iter().find(|(name, _)| *name == "request");
+            if let Some((_, request)) = request {
+                self.journal
+                    .note(now, request, line.event, &detail_of(line));
+            }
+        }
+    }
+
+    /// What held an answered request up, should it have missed its targets.
+    fn cause_of(&self, now: Time, flight: &Flight) -> Cause {
+        if flight.moves > 0 || flight.recomputed > 0 {
+            return Cause::Reclaim;
+        }
+        let waited = flight.started.unwrap_or(now).since(flight.arrived);
+        let took = flight.first_token.unwrap_or(now).since(flight.arrived);
+        if waited + waited > took {
+            return Cause::Waiting;
+        }
+        Cause::SlowBackend
+    }
+}
+
+/// A new collector of an entry.
+pub(crate) fn collector(identity: &Identity, zero_unix_ms: u64) -> Collector {
+    let incarnation = format_smolstr!("{}", identity.incarnation);
+    let ledger = Ledger::new(identity.name.clone(), incarnation, zero_unix_ms);
+    Collector::new(Time::ZERO, ledger)
+}
+
+/// All promises of a configuration.
+fn promises(snapshot: &Snapshot) -> Vec<((SmolStr, SmolStr), burn::report::Target)> {
+    let deployments = snapshot.deployments.iter();
+    deployments
+        .flat_map(|deployment| {
+            let grants = deployment.grants.iter();
+            grants.map(|grant| {
+                let pair = (deployment.name.clone(), grant.account.clone());
+                (pair, target_of(grant))
+            })
+        })
+        .collect()
+}
+
+fn target_of(grant: &Grant) -> burn::report::Target {
+    burn::report::Target {
+        first_token_ms: grant.first_token_ms,
+        token_gap_ms: grant.token_gap_ms,
+        share_per_mille: grant.share_per_mille,
+    }
+}
+
+/// What is the same of every ended request.
+fn sample_of(now: Time, flight: &Flight) -> Sample {
+    let first_token = flight.first_token.map(|at| at.since(flight.arrived));
+    Sample {
+        deployment: flight.deployment.clone(),
+        account: flight.account.clone(),
+        first_token,
+        worst_gap: flight.worst_gap,
+        outcome: Outcome::Failed,
+        cause: Cause::Other,
+        recomputed: flight.recomputed,
+        cost_micros: cost_of(now, flight),
+    }
+}
+
+/// The request's share of its replica's price: the time there, over what the replica runs at once.
+fn cost_of(now: Time, flight: &Flight) -> u64 {
+    let Some(started) = flight.started else {
+        return 0;
+    };
+    let busy: Span = now.since(started);
+    busy.as_millis().saturating_mul(flight.hourly_micros) / HOUR_MILLIS / flight.share.max(1)
+}
+
+/// How a refusal counts.
+fn blame(reason: Reason) -> (Outcome, Cause) {
+    match reason {
+        Reason::Malformed
+        | Reason::TooLarge
+        | Reason::Unauthorized
+        | Reason::Forbidden
+        | Reason::Unknown
+        | Reason::Repeated
+        | Reason::Cancelled => (Outcome::Caller, Cause::Other),
+        Reason::OverLimit | Reason::Overloaded | Reason::NoBackend => {
+            (Outcome::Failed, Cause::Refused)
+        }
+        Reason::StoreUnavailable | Reason::NotReady => (Outcome::Failed, Cause::Store),
+        Reason::BackendFailed | Reason::TimedOut => (Outcome::Failed, Cause::SlowBackend),
+        Reason::Leaving | Reason::Quarantined => (Outcome::Failed, Cause::Other),
+    }
+}
+
+/// A line's fields but the request's name.
+fn detail_of(line: &Line) -> String {
+    let fields = line.fields.iter().filter(|(name, _)| *name != "request");
+    let pairs: Vec<String> = fields
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    pairs.join(" ")
+}
--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -9,6 +9,7 @@
 use request::id::Id;
 use request::resume::Resume;
 use smol_str::SmolStr;
+use smol_str::ToSmolStr;
 use verdict::Reason;
 use verdict::Refusal;
 
@@ -43,6 +44,9 @@
             Ok(flight) => flight,
             Err(refusal) => return self.refuse_arrival(serial, refusal, effects),
         };
+        let request = flight.origin.to_smolstr();
+        self.journal
+            .begin(now, &request, &flight.account, &flight.deployment);
         if let Some(sealed) = &arrival.resume {
             return self.resume_flight(now, flight, sealed, arrival.offset, effects);
         }
@@ -68,15 +72,23 @@
     }
 
     /// Ends an open request with its final word.
-    pub(crate) fn refuse(&mut self, serial: u64, refusal: Refusal, effects: &mut Vec<Effect>) {
+    pub(crate) fn refuse(
+        &mut self,
+        now: Time,
+        serial: u64,
+        refusal: Refusal,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(flight) = self.flights.remove(&serial) else {
             return;
         };
+        let refusal = truthful(&flight, refusal);
+        self.count_refused(now, &flight, &refusal);
         let line = Line::info("request_refused")
             .with("request", flight.origin)
             .with("account", &flight.account)
             .with("deployment", &flight.deployment);
-        self.send_refusal(serial, truthful(&flight, refusal), line, effects);
+        self.send_refusal(serial, refusal, line, effects);
     }
 
     /// Ends a request that was never open.
@@ -144,6 +156,10 @@
             may_have_run_before: false,
             accepted: false,
             arrived: now,
+            started: None,
+            worst_gap: Span::ZERO,
+            hourly_micros: 0,
+            share: 1,
             first_token: None,
             tokens: 0,
             recomputed: 0,
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,5 +1,6 @@
 //! What the shell reports of one attempt to run a request.
 
+use clock::Span;
 use policy::decision::Transfer;
 use policy::job::End;
 use smol_str::SmolStr;
@@ -9,8 +10,13 @@
 pub enum Report {
     /// The backend server began to answer.
     Head,
-    /// So many tokens were passed on since the last report.
-    Tokens(u32),
+    /// Tokens were passed on.
+    Tokens {
+        /// How many since the last report.
+        tokens: u32,
+        /// Longest time between two of them.
+        worst_gap: Span,
+    },
     /// The attempt is over.
     Ended {
         /// How.
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -37,7 +37,8 @@
                 flight.first_token.get_or_insert(now);
                 self.scheduler.first_token(now, job::Id(serial));
             }
-            Report::Tokens(tokens) => {
+            Report::Tokens { tokens, worst_gap } => {
+                flight.worst_gap = flight.worst_gap.max(worst_gap);
                 flight.tokens += u64::from(tokens);
                 self.scheduler.progressed(now, job::Id(serial), tokens);
             }
@@ -73,7 +74,9 @@
         }
         if matches!(end, End::Finished | End::Left) {
             effects.push(Effect::Log(finished_line(now, flight)));
-            self.flights.remove(&serial);
+            if let Some(flight) = self.flights.remove(&serial) {
+                self.count_answered(now, &flight);
+            }
         }
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
@@ -146,7 +149,7 @@
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.cancel(now, job, out)
         });
-        self.refuse(serial, refusal, effects);
+        self.refuse(now, serial, refusal, effects);
         Ok(())
     }
 
@@ -190,7 +193,7 @@
             }
             let serial = *serial;
             let refusal = Refusal::not_run(Reason::TimedOut, "the time for a request has passed");
-            self.refuse(serial, refusal, effects);
+            self.refuse(now, serial, refusal, effects);
             let job = job::Id(serial);
             self.with_scheduler(now, effects, |scheduler, out| {
                 scheduler.cancel(now, job, out)
--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -18,6 +18,8 @@
     pub agreement: config::configs::agreement::Settings,
     /// Peer addresses to try while no members are known.
     pub seeds: Vec<SmolStr>,
+    /// Wall clock at the process's time zero, milliseconds since 1970; only for reports to people.
+    pub zero_unix_ms: u64,
     /// Longest time from a request's arrival to the end of its answer.
     pub request_time: Span,
     /// Longest wait of a non-idempotent request for its leave to run before it is given up.
@@ -35,6 +37,7 @@
             members: member::configs::membership::Settings::default(),
             agreement: config::configs::agreement::Settings::default(),
             seeds: Vec::new(),
+            zero_unix_ms: 0,
             request_time: Span::from_seconds(600),
             leave_wait: Span::from_seconds(2),
             ask_again: Span::from_millis(300),
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -128,6 +128,7 @@
         for (key, spec) in self.book.account_specs() {
             self.scheduler.set_account(key, spec);
         }
+        self.promise(now);
         effects.push(Effect::Log(
             Line::info("configuration_applied").with("version", version),
         ));
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -10,6 +10,7 @@
 use crate::effect::Command;
 use crate::effect::Effect;
 use crate::entry::Entry;
+use crate::fleet::ASSUMED_SLOTS;
 use crate::line::Line;
 
 impl Entry {
@@ -17,7 +18,7 @@
     pub(crate) fn decided(&mut self, now: Time, decision: Decision, effects: &mut Vec<Effect>) {
         match decision {
             Decision::Start { job, replica } => self.start(now, job, replica, effects),
-            Decision::Refuse { job, refusal } => self.refuse(job.0, refusal, effects),
+            Decision::Refuse { job, refusal } => self.refuse(now, job.0, refusal, effects),
             Decision::Move { job, to, how, .. } => self.move_flight(job, to, how, effects),
             Decision::Cancel { job, .. } => effects.push(Effect::Flight {
                 serial: job.0,
@@ -38,6 +39,8 @@
                 scheduler.attempt_ended(now, job, End::NotStarted, 0, out);
             });
         };
+        let instance = self.backends.instance(replica);
+        let hourly_micros = instance.map_or(0, |instance| instance.hourly_micros);
         let Some(flight) = self.flights.get_mut(&job.0) else {
             return self.with_scheduler(now, effects, |scheduler, out| {
                 scheduler.attempt_ended(now, job, End::Left, 0, out);
@@ -46,6 +49,9 @@
         let again = flight.may_have_run;
         let stream = flight.next_stream();
         flight.replica = Some(replica);
+        flight.started.get_or_insert(now);
+        flight.hourly_micros = hourly_micros;
+        flight.share = u64::from(ASSUMED_SLOTS);
         if again {
             flight.recomputed += u64::from(flight.job.prompt_tokens) + flight.tokens;
         }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -2,17 +2,22 @@
 
 use std::collections::BTreeMap;
 
+use burn::collector;
+use burn::collector::Collector;
 use clock::Time;
 use config::agreement::Agreement;
 use lease::holder;
 use member::membership::Membership;
+use ops::Journal;
 use policy::decision::Decision;
 use policy::scheduler::Scheduler;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use request::ledger::Ledger;
 use smol_str::SmolStr;
+use store::call::Outcome;
 
+use crate::accounts;
 use crate::backends::Backends;
 use crate::book::Book;
 use crate::configs::entry::Settings;
@@ -46,6 +51,10 @@
     pub(crate) stop: Stop,
     /// The life of the instance that this entry runs on, as the platform calls it.
     pub(crate) own_instance: Option<SmolStr>,
+    pub(crate) collector: Collector,
+    pub(crate) journal: Journal,
+    /// Whether the table service answered the last call.
+    pub(crate) store_available: bool,
     /// Names the next call of the table service.
     pub(crate) next_store_call: u64,
     /// What waits for which call of the table service.
@@ -59,6 +68,8 @@
     Agreement(store::call::Id),
     /// The membership machine, by its own number.
     Membership(store::call::Id),
+    /// The collector of the burn report, by its own number.
+    Collector(store::call::Id),
     /// A request's own row.
     Intent {
         /// Which request.
@@ -78,6 +89,9 @@
             ledger: Ledger::new(identity.incarnation),
             agreement: configuration::agreement(me, settings.agreement, seed),
             membership: members::membership(&identity, seeds, settings.members, seed),
+            collector: accounts::collector(&identity, settings.zero_unix_ms),
+            journal: Journal::new(identity.name.clone()),
+            store_available: true,
             next_demand: Time::ZERO,
             news_version: 0,
             identity,
@@ -97,6 +111,13 @@
 
     /// Takes one event and appends what follows from it.
     pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
+        let before = effects.len();
+        self.take(now, event, effects);
+        self.note_lines(now, &effects[before..]);
+    }
+
+    /// Passes an event to the part that it concerns.
+    fn take(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Arrived { serial, arrival } => self.arrived(now, serial, arrival, effects),
             Event::CallerGone { serial } => self.caller_gone(now, serial, effects),
@@ -161,6 +182,7 @@
         self.leaves_tick(now, effects);
         self.flights_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
+        self.accounts_tick(now, effects);
         self.stop_tick(now, effects);
     }
 
@@ -197,9 +219,10 @@
         &mut self,
         now: Time,
         id: store::call::Id,
-        outcome: store::call::Outcome,
+        outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        self.store_available = !matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
         match self.store_calls.remove(&id) {
             Some(Waiter::Agreement(id)) => {
                 self.agree(now, config::event::Event::Store { id, outcome }, effects);
@@ -207,6 +230,9 @@
             Some(Waiter::Membership(id)) => {
                 self.attend(now, member::event::Event::Store { id, outcome }, effects);
             }
+            Some(Waiter::Collector(id)) => {
+                self.collect(now, collector::Event::Store { id, outcome }, effects);
+            }
             Some(Waiter::Intent { serial }) => self.intent_answered(now, serial, outcome, effects),
             None => {}
         }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::line::Line;
 
 /// Requests that a server is taken to run at once until its own reports say more.
-const ASSUMED_SLOTS: u32 = 32;
+pub(crate) const ASSUMED_SLOTS: u32 = 32;
 
 impl Entry {
     /// Takes in a reading of the instance list.
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -1,5 +1,6 @@
 //! One open request at this entry.
 
+use clock::Span;
 use clock::Time;
 use policy::job::Job;
 use policy::replica;
@@ -38,6 +39,14 @@
     pub accepted: bool,
     /// When it arrived.
     pub arrived: Time,
+    /// When it was first handed to a backend server.
+    pub started: Option<Time>,
+    /// Longest time between two tokens so far.
+    pub worst_gap: Span,
+    /// Price of an hour of its replica, millionths of the currency.
+    pub hourly_micros: u64,
+    /// What its replica runs at once.
+    pub share: u64,
     /// When its first token, or the head of its answer, was passed on.
     pub first_token: Option<Time>,
     /// Tokens passed on by this entry.
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -14,6 +14,8 @@
     pub zone: SmolStr,
     /// Pool it belongs to.
     pub pool: SmolStr,
+    /// Price of an hour, millionths of the currency; 0 while it isn't known.
+    pub hourly_micros: u64,
     /// Whether the list says that it is leaving.
     pub leaving: bool,
 }
--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -86,7 +86,7 @@
         let account = self.flights.get(&serial).map(|flight| &flight.account);
         let Some(ticket) = ticket.filter(|ticket| Some(&ticket.account) == account) else {
             let refusal = Refusal::not_run(Reason::Malformed, "the ticket isn't yours");
-            return self.refuse(serial, refusal, effects);
+            return self.refuse(now, serial, refusal, effects);
         };
         let until = now + self.settings.leave_wait;
         self.ask_spend(now, serial, ticket, until, effects);
@@ -182,7 +182,7 @@
             Answer::Unknown => "nobody can say any more whether this ticket was used",
         };
         let refusal = Refusal::may_have_run(Reason::Repeated, message);
-        self.refuse(serial, refusal, effects);
+        self.refuse(now, serial, refusal, effects);
     }
 
     /// A peer asks whether a ticket of a ledger held here may be spent.
@@ -222,7 +222,7 @@
     fn seek_by_row(&mut self, now: Time, serial: u64, key: &str, effects: &mut Vec<Effect>) {
         if key.is_empty() || key.len() > KEY_BYTES {
             let refusal = Refusal::not_run(Reason::Malformed, "idempotency-key has 1 to 200 bytes");
-            return self.refuse(serial, refusal, effects);
+            return self.refuse(now, serial, refusal, effects);
         }
         let until = now + self.settings.leave_wait;
         let token = format_smolstr!("{:016x}", self.random.next_u64());
@@ -283,10 +283,10 @@
             Outcome::Conflict(_) => {
                 let message = "a request with this idempotency key was accepted before";
                 let refusal = Refusal::may_have_run(Reason::Repeated, message);
-                self.refuse(serial, refusal, effects);
+                self.refuse(now, serial, refusal, effects);
             }
             Outcome::Unknown if in_time => self.insert_row(serial, effects),
-            _ => self.refuse(serial, store_refusal(), effects),
+            _ => self.refuse(now, serial, store_refusal(), effects),
         }
     }
 
@@ -301,7 +301,7 @@
             .map(|(serial, _)| *serial)
             .collect();
         for serial in late {
-            self.refuse(serial, store_refusal(), effects);
+            self.refuse(now, serial, store_refusal(), effects);
         }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod instance;
 pub mod line;
 
+mod accounts;
 mod addresses;
 mod arrivals;
 mod attempts;
@@ -26,4 +27,5 @@
 mod leave;
 mod members;
 mod operators;
+mod status;
 mod stop;
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -1,5 +1,6 @@
 //! Operators' calls.
 
+use burn::collector;
 use clock::Time;
 use config::deployment::Deployment;
 use config::edit;
@@ -29,7 +30,14 @@
             Request::Change(change) => return self.change_asked(now, call, change, effects),
             Request::GetDeployment { name } => self.deployment_reply(&name),
             Request::ListDeployments => Ok(self.configuration_reply()),
-            _ => Err(Fault::Unavailable(SmolStr::new_static("not served yet"))),
+            Request::GetHistory { before, limit } => Ok(self.history_reply(before, limit)),
+            Request::GetStatus => Ok(self.status_reply(now)),
+            Request::Drain(target) => self.drain_asked(now, &target, effects),
+            Request::Report { deployment } => {
+                let asker = call;
+                return self.collect(now, collector::Event::Asked { asker, deployment }, effects);
+            }
+            Request::Explain { request } => self.explain_reply(&request),
         };
         effects.push(Effect::Operator { call, reply });
     }
@@ -44,6 +52,14 @@
         })
     }
 
+    /// What happened to a request here.
+    fn explain_reply(&self, request: &str) -> Result<Reply, Fault> {
+        match self.journal.explain(request) {
+            Some(explanation) => Ok(Reply::Explained(explanation)),
+            None => Err(Fault::NotFound(format!("request {request} known here"))),
+        }
+    }
+
     /// The whole configuration as it stands.
     fn configuration_reply(&self) -> Reply {
         let snapshot = self.book.snapshot();
--- /dev/null
+++ b/crates/entry/src/status.rs
@@ -0,0 +1,195 @@
+//! How things stand, as this entry knows it, for operators.
+
+use clock::Time;
+use config::edit;
+use config::edit::Item;
+use config::row::Version;
+use member::directory::Known;
+use member::row::State;
+use ops::fault::Fault;
+use ops::reply::BackendState;
+use ops::reply::BackendStatus;
+use ops::reply::EntryStatus;
+use ops::reply::LeaseState;
+use ops::reply::PastChange;
+use ops::reply::Reply;
+use ops::reply::Status;
+use ops::request::Target;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+
+use crate::backends::LISTED_LEAVE_TIME;
+use crate::effect::Effect;
+use crate::entry::Entry;
+
+/// Release of this entry.
+const RELEASE: &str = env!("CARGO_PKG_VERSION");
+
+impl Entry {
+    /// How entries and backend servers stand.
+    pub(crate) fn status_reply(&self, now: Time) -> Reply {
+        let directory = self.membership.directory();
+        let entries = directory
+            .present()
+            .map(|(_, known)| self.entry_status(now, known));
+        let mut backends: Vec<BackendStatus> = self
+            .backends
+            .iter()
+            .map(|instance| BackendStatus {
+                incarnation: instance.incarnation.clone(),
+                pool: instance.pool.clone(),
+                zone: instance.zone.clone(),
+                state: if self.backends.is_leaving(&instance.incarnation) {
+                    BackendState::Leaving
+                } else {
+                    BackendState::Live
+                },
+                running: self.running_at(&instance.incarnation),
+            })
+            .collect();
+        backends.sort_by(|one, other| one.incarnation.cmp(&other.incarnation));
+        let mut entries: Vec<EntryStatus> = entries.collect();
+        entries.sort_by(|one, other| one.name.cmp(&other.name));
+        Reply::Status(Status {
+            entry: self.identity.name.clone(),
+            version: self.book.version(),
+            store_available: self.store_available,
+            entries,
+            backends,
+        })
+    }
+
+    /// Past changes that are kept, the newest first.
+    pub(crate) fn history_reply(&self, before: Option<u64>, limit: usize) -> Reply {
+        let newest = self.book.version();
+        let before = before.unwrap_or(newest + 1);
+        let mut versions = self.agreement.kept();
+        versions.retain(|version| version.version < before);
+        versions.reverse();
+        versions.truncate(limit);
+        Reply::History(versions.iter().map(past_change).collect())
+    }
+
+    /// Takes an entry or a backend server out of use.
+    pub(crate) fn drain_asked(
+        &mut self,
+        now: Time,
+        target: &Target,
+        effects: &mut Vec<Effect>,
+    ) -> Result<Reply, Fault> {
+        match target {
+            Target::Entry(name) if *name == self.identity.name => {
+                let already_leaving = self.stop.is_stopping();
+                let running = count(self.flights.len());
+                self.stop_asked(now, false, effects);
+                Ok(Reply::Drained {
+                    already_leaving,
+                    running,
+                })
+            }
+            Target::Entry(name) => {
+                let why = format!(
+                    "this is entry {}; ask entry {name} itself",
+                    self.identity.name
+                );
+                Err(Fault::Precondition(why))
+            }
+            Target::Backend(incarnation) => self.drain_backend(now, incarnation, effects),
+        }
+    }
+
+    /// Takes a backend server out of use at every entry.
+    fn drain_backend(
+        &mut self,
+        now: Time,
+        incarnation: &SmolStr,
+        effects: &mut Vec<Effect>,
+    ) -> Result<Reply, Fault> {
+        if self.backends.key_of(incarnation).is_none() {
+            return Err(Fault::NotFound(format!("backend server {incarnation}")));
+        }
+        let running = self.running_at(incarnation);
+        let already_leaving = !self.backends.mark_leaving(incarnation.clone());
+        if !already_leaving {
+            self.publish_leaving(now, incarnation, LISTED_LEAVE_TIME, effects);
+            self.backend_leaving(now, incarnation, now + LISTED_LEAVE_TIME, effects);
+        }
+        Ok(Reply::Drained {
+            already_leaving,
+            running,
+        })
+    }
+
+    /// Requests of this entry that run at a backend server.
+    fn running_at(&self, incarnation: &str) -> u32 {
+        let key = self.backends.key_of(incarnation);
+        let here = |replica| key.is_some() && replica == key;
+        count(
+            self.flights
+                .values()
+                .filter(|one| here(one.replica))
+                .count(),
+        )
+    }
+
+    /// One entry, as known here.
+    fn entry_status(&self, now: Time, known: &Known) -> EntryStatus {
+        let row = &known.record.row;
+        let own = row.id.0 == self.identity.incarnation.0;
+        EntryStatus {
+            name: if own {
+                self.identity.name.clone()
+            } else {
+                row.id.to_smolstr()
+            },
+            zone: row.zone.clone(),
+            address: row.address.clone(),
+            applied_version: known.beat.applied.max(row.applied),
+            lease: lease_of(now, known),
+            release: if own {
+                SmolStr::new_static(RELEASE)
+            } else {
+                SmolStr::default()
+            },
+        }
+    }
+}
+
+/// State of a member's lease, by its heartbeat.
+fn lease_of(now: Time, known: &Known) -> LeaseState {
+    let silent = now.since(known.heard);
+    let term = known.record.row.term();
+    match known.record.row.state {
+        State::Draining | State::Left => LeaseState::Leaving,
+        State::Live if silent > term + term => LeaseState::Lapsed,
+        State::Live if silent > term => LeaseState::Overdue,
+        State::Live => LeaseState::Held,
+    }
+}
+
+/// A kept version in the terms of operators. The versions carry no time.
+fn past_change(version: &Version) -> PastChange {
+    let edits: Vec<String> = version.edits.iter().map(summary_of).collect();
+    PastChange {
+        version: version.version,
+        change_id: version.change.clone(),
+        summary: edits.join(", "),
+        written_unix_ms: 0,
+    }
+}
+
+/// One edit in words.
+fn summary_of(edit: &edit::Edit) -> String {
+    let verb = match edit {
+        edit::Edit::PutAccount(_) | edit::Edit::PutDeployment(_) => "put",
+        edit::Edit::RemoveAccount(_) | edit::Edit::RemoveDeployment(_) => "remove",
+    };
+    match edit.item() {
+        Item::Account(name) => format!("{verb} account {name}"),
+        Item::Deployment(name) => format!("{verb} deployment {name}"),
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -1,5 +1,6 @@
 //! A planned stop: admit nothing, finish or hand on what is open, hand the ledger on, exit.
 
+use burn::collector;
 use clock::Span;
 use clock::Time;
 use lease::holder;
@@ -93,7 +94,7 @@
             .stop
             .ledger_settled
             .is_some_and(|settled| now.since(settled) >= LEAVE_WAIT);
-        if self.stop.left || waited {
+        if (self.stop.left && self.collector.is_done()) || waited {
             self.stop.exited = true;
             effects.push(Effect::Log(Line::info("stopped")));
             effects.push(Effect::Exit);
@@ -113,6 +114,7 @@
         };
         effects.push(Effect::Log(line));
         self.stop.ledger_settled = Some(now);
+        self.collect(now, collector::Event::Stopped, effects);
         let heir = by.map(|heir| holder::Id(heir.0));
         self.attend(now, MemberEvent::Leave { heir }, effects);
         self.stop_tick(now, effects);
--- a/crates/standin/src/sample.rs
+++ b/crates/standin/src/sample.rs
@@ -110,7 +110,7 @@
   }},
   "admin": {{ "listen": "127.0.0.1:0" }},
   "operators": {{ "listen": "127.0.0.1:0", "key": "{OPERATORS_KEY}" }},
-  "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}" }},
+  "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}", "seeds": [] }},
   "platform": {{
     "table_service": "http://{platform}",
     "cloud": "http://{platform}",
