--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod flight;
 pub mod link;
 pub mod logs;
+pub mod metrics;
 pub mod output;
 pub mod peers;
 pub mod plain;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! `dogwoodspurd`: one entry of dogwoodspur.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -15,12 +16,23 @@
     /// read and check the settings, then stop
     #[argh(switch)]
     check: bool,
+
+    /// print the effective settings with the origin of each, then stop
+    #[argh(switch)]
+    print: bool,
+
+    /// explain one option, such as peers.fan_out, then stop
+    #[argh(option)]
+    explain: Option<String>,
 }
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if arguments.check {
-        return check(&arguments.settings);
+    if let Some(option) = &arguments.explain {
+        return explain(&arguments.settings, option);
+    }
+    if arguments.check || arguments.print {
+        return show(&arguments);
     }
     match daemon::run(&arguments.settings) {
         Ok(()) => ExitCode::SUCCESS,
@@ -31,16 +43,16 @@
     }
 }
 
-/// Reads and checks the settings.
-fn check(path: &std::path::Path) -> ExitCode {
-    match settings::read(path) {
-        Ok(loaded) if loaded.warnings.0.is_empty() => {
-            println!("{}: sound", path.display());
+/// Checks the settings; prints them if that is asked for.
+fn show(arguments: &Arguments) -> ExitCode {
+    match settings::load::strict(&arguments.settings) {
+        Ok(loaded) if arguments.print => {
+            print!("{}", settings::print::effective(&loaded));
             ExitCode::SUCCESS
         }
-        Ok(loaded) => {
-            eprintln!("{}", loaded.warnings);
-            ExitCode::FAILURE
+        Ok(_) => {
+            println!("{}: sound", arguments.settings.display());
+            ExitCode::SUCCESS
         }
         Err(faults) => {
             eprintln!("{faults}");
@@ -48,3 +60,18 @@
         }
     }
 }
+
+/// Explains one option, with its value where there is a sound settings file.
+fn explain(path: &Path, option: &str) -> ExitCode {
+    let loaded = settings::read(path).ok();
+    match settings::explain::explain(option, loaded.as_ref()) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,149 @@
+//! Metrics by opentelemetry, scraped from the admin port.
+//!
+//! Counts are taken from the reducer's own log lines, so that log and metrics never disagree.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use entry::effect::Effect;
+use entry::entry::Vitals;
+use entry::line::Line;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+
+/// Bounds of the latency histograms, milliseconds: around the targets of 61 and 480 ms and beyond.
+const LATENCY_BOUNDS: [f64; 12] = [
+    10.0, 30.0, 61.0, 120.0, 240.0, 480.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0, 60_000.0, 600_000.0,
+];
+
+/// The instruments of one entry.
+pub struct Metrics {
+    /// Kept: instruments fall silent without their provider.
+    _provider: SdkMeterProvider,
+    events: Counter<u64>,
+    refusals: Counter<u64>,
+    first_token: Histogram<f64>,
+    total: Histogram<f64>,
+    recomputed: Counter<u64>,
+    busy: Counter<f64>,
+    open: Gauge<u64>,
+    version: Gauge<u64>,
+    members: Gauge<u64>,
+    backends: Gauge<u64>,
+    ready: Gauge<u64>,
+    store: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Instruments that show in `registry`.
+    pub fn new(registry: &Registry) -> Result<Metrics> {
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("dogwoodspur");
+        let latency = |name: &'static str, what: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(what)
+                .with_unit("ms")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build()
+        };
+        let gauge = |name: &'static str, what: &'static str| {
+            meter.u64_gauge(name).with_description(what).build()
+        };
+        Ok(Metrics {
+            events: meter
+                .u64_counter("dogwoodspur_events")
+                .with_description("Events of the log, by name")
+                .build(),
+            refusals: meter
+                .u64_counter("dogwoodspur_refusals")
+                .with_description("Requests refused, by reason and verdict")
+                .build(),
+            first_token: latency("dogwoodspur_first_token", "Time to the first token"),
+            total: latency("dogwoodspur_answer", "Time to the end of the answer"),
+            recomputed: meter
+                .u64_counter("dogwoodspur_recomputed_tokens")
+                .with_description("Tokens computed a second time")
+                .build(),
+            busy: meter
+                .f64_counter("dogwoodspur_reducer_busy")
+                .with_description("Time spent in decisions and control")
+                .with_unit("s")
+                .build(),
+            open: gauge("dogwoodspur_open_requests", "Requests open here"),
+            version: gauge("dogwoodspur_configuration_version", "Version in force here"),
+            members: gauge("dogwoodspur_members", "Entries known here"),
+            backends: gauge("dogwoodspur_backends", "Backend servers known here"),
+            ready: gauge("dogwoodspur_ready", "1 while requests are admitted"),
+            store: gauge(
+                "dogwoodspur_store_available",
+                "1 if the last store call was answered",
+            ),
+            _provider: provider,
+        })
+    }
+
+    /// Counts what one step did.
+    pub fn stepped(&self, effects: &[Effect], took: Duration) {
+        self.busy.add(took.as_secs_f64(), &[]);
+        for effect in effects {
+            if let Effect::Log(line) = effect {
+                self.line(line);
+            }
+        }
+    }
+
+    /// Shows how the entry stands.
+    pub fn show(&self, vitals: &Vitals) {
+        self.open.record(vitals.open_requests, &[]);
+        self.version.record(vitals.version, &[]);
+        self.members.record(vitals.members, &[]);
+        self.backends.record(vitals.backends, &[]);
+        self.ready.record(u64::from(vitals.ready), &[]);
+        self.store.record(u64::from(vitals.store_available), &[]);
+    }
+
+    /// Counts one line.
+    fn line(&self, line: &Line) {
+        self.events.add(1, &[KeyValue::new("event", line.event)]);
+        match line.event {
+            "request_refused" => {
+                let labels = [label(line, "reason"), label(line, "verdict")];
+                self.refusals.add(1, &labels);
+            }
+            "request_done" => {
+                let labels = [label(line, "deployment"), label(line, "account")];
+                self.first_token
+                    .record(number(line, "first_token_ms"), &labels);
+                self.total.record(number(line, "total_ms"), &labels);
+                self.recomputed
+                    .add(number(line, "recomputed") as u64, &labels);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A field of a line as a label.
+fn label(line: &Line, name: &'static str) -> KeyValue {
+    KeyValue::new(name, field(line, name).to_owned())
+}
+
+/// A field of a line as a number.
+fn number(line: &Line, name: &str) -> f64 {
+    field(line, name).parse().unwrap_or(0.0)
+}
+
+/// A field of a line; empty if it has none of that name.
+fn field<'a>(line: &'a Line, name: &str) -> &'a str {
+    let found = line.fields.iter().find(|(known, _)| *known == name);
+    found.map_or("", |(_, value)| value.as_str())
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -39,6 +39,7 @@
 use crate::flight::Shared;
 use crate::link::Link;
 use crate::logs;
+use crate::metrics::Metrics;
 use crate::peers::Answering;
 use crate::peers::Peers;
 use crate::platform;
@@ -125,9 +126,11 @@
     let callers = Rc::new(Callers::new(shared, identity.incarnation, tickets));
     let (call_sender, calls) = mpsc::channel(CALLS_WAITING);
     let operators_key = settings.operators.key.reveal().to_owned();
+    let registry = Registry::new();
+    let metrics = Metrics::new(&registry)?;
     let admin = Admin {
         ready: Rc::clone(&ready),
-        registry: Registry::new(),
+        registry,
     };
     let interval = Duration::from_millis(settings.platform.instances_interval_ms);
     let cloud = host_of(&settings.platform.cloud);
@@ -177,6 +180,7 @@
         link,
         store: Rc::new(store),
         peers,
+        metrics,
         ready,
         flights: HashMap::new(),
         askers: Askers::default(),
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use clock::Clock;
 use entry::effect::Addresses;
@@ -24,6 +25,7 @@
 use crate::link::Link;
 use crate::link::Message;
 use crate::logs;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 
 /// How often the reducer is told that time has passed.
@@ -43,6 +45,8 @@
     pub store: Rc<Driver>,
     /// Other entries.
     pub peers: Peers,
+    /// What is counted.
+    pub metrics: Metrics,
     /// What the admin port says.
     pub ready: Rc<Cell<bool>>,
     /// Tasks of open requests.
@@ -101,8 +105,15 @@
     fn step(&mut self, event: Event) -> bool {
         let mut effects = Vec::new();
         let now = self.clock.now();
+        let tick = event == Event::Tick;
+        let begun = Instant::now();
         self.entry.step(now, event, &mut effects);
-        self.ready.set(self.entry.is_ready(now));
+        self.metrics.stepped(&effects, begun.elapsed());
+        if tick {
+            let vitals = self.entry.vitals(now);
+            self.ready.set(vitals.ready);
+            self.metrics.show(&vitals);
+        }
         let mut exit = false;
         for effect in effects {
             exit |= matches!(effect, Effect::Exit);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -61,6 +61,23 @@
     pub(crate) store_calls: BTreeMap<store::call::Id, Waiter>,
 }
 
+/// How an entry stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vitals {
+    /// Requests open here.
+    pub open_requests: u64,
+    /// Configuration version in force here.
+    pub version: u64,
+    /// Entries known here, this one included.
+    pub members: u64,
+    /// Backend servers known here.
+    pub backends: u64,
+    /// Whether requests are admitted.
+    pub ready: bool,
+    /// Whether the table service answered the last call.
+    pub store_available: bool,
+}
+
 /// Who waits for an answer of the table service.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Waiter {
@@ -170,9 +187,16 @@
         self.agreement.admits(now) && !self.stop.is_stopping()
     }
 
-    /// Requests open here.
-    pub fn open_requests(&self) -> usize {
-        self.flights.len()
+    /// How this entry stands, for metrics.
+    pub fn vitals(&self, now: Time) -> Vitals {
+        Vitals {
+            open_requests: self.flights.len() as u64,
+            version: self.book.version(),
+            members: self.membership.directory().count() as u64,
+            backends: self.backends.iter().count() as u64,
+            ready: self.is_ready(now),
+            store_available: self.store_available,
+        }
     }
 
     /// Lets time pass in every part.
