Check acceptance of a configuration change over all its states; a hole found

Change: the specification now has members keep silent on having applied a change until what they said before counts no more, which also makes holding an acceptance back needless.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,5 +5,6 @@
 //! be reached within the bounds stated in the specification. Each specification has faulty variants
 //! that leave out one guard; the checker must find what goes wrong then, else it proves nothing.
 
+pub mod acceptance;
 pub mod checker;
 pub mod lease;
--- /dev/null
+++ b/crates/model/tests/acceptance.rs
@@ -0,0 +1,49 @@
+//! Acceptance of a configuration change, over all reachable states.
+
+use model::acceptance::Acceptance;
+use model::acceptance::Fault;
+use model::checker::check;
+
+#[test]
+fn nobody_admits_under_the_old_version_once_the_new_is_accepted() {
+    let cases = [
+        (false, [true, false]),
+        (false, [false, true]),
+        (true, [true, true]),
+    ];
+    for (joining, asked) in cases {
+        let report = check(&Acceptance {
+            fault: Fault::None,
+            joining,
+            asked,
+        });
+        println!(
+            "acceptance joining={joining} asked={asked:?} states={} (3 members, 1 change, term 2, margin 1, word 2)",
+            report.states
+        );
+        if let Some(counterexample) = report.counterexample {
+            panic!("{counterexample}");
+        }
+    }
+}
+
+#[test]
+fn every_guard_left_out_is_found() {
+    let faults = [
+        (Fault::NoReread, false),
+        (Fault::OldView, true),
+        (Fault::NoPromise, false),
+        (Fault::NoMajority, false),
+        (Fault::WordFromAnswer, false),
+        (Fault::NoWait, false),
+    ];
+    for (fault, joining) in faults {
+        let report = check(&Acceptance {
+            fault,
+            joining,
+            asked: [false, true],
+        });
+        let counterexample = report.counterexample.expect("not found");
+        println!("acceptance {fault:?}: {counterexample}");
+    }
+}
