--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -18,8 +18,14 @@
     pub agreement: config::configs::agreement::Settings,
     /// Peer addresses to try while no members are known.
     pub seeds: Vec<SmolStr>,
-    /// Longest wait for a row of its own before a request is given up.
-    pub intent_wait: Span,
+    /// Wall clock at the process's time zero, milliseconds since 1970; only for reports to people.
+    pub zero_unix_ms: u64,
+    /// Longest time from a request's arrival to the end of its answer.
+    pub request_time: Span,
+    /// Longest wait of a non-idempotent request for its leave to run before it is given up.
+    pub leave_wait: Span,
+    /// Time after which a ticket is asked for again, if no word came.
+    pub ask_again: Span,
 }
 
 impl Default for Settings {
@@ -31,7 +37,10 @@
             members: member::configs::membership::Settings::default(),
             agreement: config::configs::agreement::Settings::default(),
             seeds: Vec::new(),
-            intent_wait: Span::from_seconds(2),
+            zero_unix_ms: 0,
+            request_time: Span::from_seconds(600),
+            leave_wait: Span::from_seconds(2),
+            ask_again: Span::from_millis(300),
         }
     }
 }
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -1,10 +1,12 @@
 //! One open request at this entry.
 
+use clock::Span;
 use clock::Time;
 use policy::job::Job;
 use policy::replica;
 use request::id::Id;
 use request::id::Stream;
+use request::ticket::Ticket;
 use smol_str::SmolStr;
 
 /// An open request.
@@ -24,9 +26,6 @@
     pub attempt: u32,
     /// Where it runs.
     pub replica: Option<replica::Key>,
-    /// Whether the scheduler knows it; one taken over from another entry is only known once it has to
-    /// run elsewhere.
-    pub scheduled: bool,
     /// What it waits for before the scheduler may see it.
     pub waits_for: Option<Leave>,
     /// Whether bytes of it were handed to a backend server that did not refuse to start it.
@@ -40,6 +39,14 @@
     pub accepted: bool,
     /// When it arrived.
     pub arrived: Time,
+    /// When it was first handed to a backend server.
+    pub started: Option<Time>,
+    /// Longest time between two tokens so far.
+    pub worst_gap: Span,
+    /// Price of an hour of its replica, millionths of the currency.
+    pub hourly_micros: u64,
+    /// What its replica runs at once.
+    pub share: u64,
     /// When its first token, or the head of its answer, was passed on.
     pub first_token: Option<Time>,
     /// Tokens passed on by this entry.
@@ -54,7 +61,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Leave {
     /// The word of the entry that holds its ticket's ledger.
-    Ticket,
+    Ticket {
+        /// The ticket.
+        ticket: Ticket,
+        /// When it is asked for again, if no word came.
+        again: Time,
+        /// When no more tries are made.
+        until: Time,
+    },
     /// Its own row in the table service.
     Intent {
         /// The row's key.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -1,5 +1,6 @@
 //! A planned stop: admit nothing, finish or hand on what is open, hand the ledger on, exit.
 
+use burn::collector;
 use clock::Span;
 use clock::Time;
 use lease::holder;
@@ -15,6 +16,9 @@
 /// Longest wait, once all else is done, for the table service to note that we left.
 const LEAVE_WAIT: Span = Span::from_seconds(3);
 
+/// Part of a notice in which requests may finish here; the rest is for handing on what is left.
+const FINISH_SHARE: f64 = 0.5;
+
 /// How far a planned stop has come.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Stop {
@@ -35,15 +39,39 @@
 impl Entry {
     /// Begins to stop; asked a second time in a hurry, the grace ends at once.
     pub(crate) fn stop_asked(&mut self, now: Time, hurry: bool, effects: &mut Vec<Effect>) {
-        let grace = now + self.settings.grace;
-        let deadline = if hurry { now } else { grace };
         let line = Line::info("stop_asked")
             .with("hurry", hurry)
             .with("open", self.flights.len());
         effects.push(Effect::Log(line));
+        let deadline = if hurry {
+            now
+        } else {
+            now + self.settings.grace
+        };
+        self.stop_until(now, deadline, effects);
+    }
+
+    /// Our own instance will be taken away then: part of the time is kept for handing on.
+    pub(crate) fn stop_by(&mut self, now: Time, gone: Time, effects: &mut Vec<Effect>) {
+        if !self.stop.is_stopping() {
+            let left = gone.since(now);
+            let line = Line::info("instance_leaving")
+                .with("left_ms", left.as_millis())
+                .with("open", self.flights.len());
+            effects.push(Effect::Log(line));
+        }
+        let usable = gone.since(now).scaled(FINISH_SHARE);
+        let grace = usable.min(self.settings.grace);
+        self.stop_until(now, now + grace, effects);
+    }
+
+    /// Stops; the soonest of several deadlines counts.
+    fn stop_until(&mut self, now: Time, deadline: Time, effects: &mut Vec<Effect>) {
+        if self.stop.deadline.is_none() {
+            self.attend(now, MemberEvent::Drain, effects);
+        }
         let earlier = self.stop.deadline.unwrap_or(deadline);
         self.stop.deadline = Some(earlier.min(deadline));
-        self.attend(now, MemberEvent::Drain, effects);
         self.stop_tick(now, effects);
     }
 
@@ -66,7 +94,7 @@
             .stop
             .ledger_settled
             .is_some_and(|settled| now.since(settled) >= LEAVE_WAIT);
-        if self.stop.left || waited {
+        if (self.stop.left && self.collector.is_done()) || waited {
             self.stop.exited = true;
             effects.push(Effect::Log(Line::info("stopped")));
             effects.push(Effect::Exit);
@@ -86,6 +114,7 @@
         };
         effects.push(Effect::Log(line));
         self.stop.ledger_settled = Some(now);
+        self.collect(now, collector::Event::Stopped, effects);
         let heir = by.map(|heir| holder::Id(heir.0));
         self.attend(now, MemberEvent::Leave { heir }, effects);
         self.stop_tick(now, effects);
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -21,7 +21,6 @@
         pool.members.insert(key);
         pool.monitor.joined(now, key);
         pool.warmup.joined(now, key);
-        pool.slots += replica.spec.slots;
         self.stir(replica.spec.pool);
         self.replicas.insert(key, replica);
         key
@@ -36,7 +35,6 @@
             return;
         };
         if pool.members.remove(&key) {
-            pool.slots -= replica.spec.slots;
             pool.monitor.left(key);
             pool.warmup.left(key);
             pool.affinity.left(key);
@@ -104,7 +102,27 @@
                 open: self.is_open(now, pool, *key, replica, usual),
             })
         };
-        pool.members.iter().filter_map(candidate).collect()
+        let mut candidates: Vec<Candidate> = pool.members.iter().filter_map(candidate).collect();
+        self.spare_reserved(now, &mut candidates);
+        candidates
+    }
+
+    /// Keeps other work off replicas where suspects run, as long as there is room elsewhere: work
+    /// that is refused for want of it would suffer more surely than work that shares a crash.
+    fn spare_reserved(&self, now: Time, candidates: &mut [Candidate]) {
+        if !self.settings.placement.quarantine || self.quarantine.reserved(now) == 0 {
+            return;
+        }
+        let spared = |candidate: &Candidate| self.quarantine.is_reserved(now, candidate.identity);
+        let other = candidates
+            .iter()
+            .any(|candidate| candidate.open && !spared(candidate));
+        if !other {
+            return;
+        }
+        for candidate in candidates.iter_mut() {
+            candidate.open &= !spared(candidate);
+        }
     }
 
     fn load(
@@ -143,16 +161,18 @@
         let entries = self.settings.concurrency.entries;
         let in_share = !self.settings.slots.enabled
             || replica.running() < replica.share.limit(replica.spec.slots, entries);
+        let own_part = self.settings.slots.enabled
+            && replica
+                .share
+                .is_own(replica.spec.slots, entries, replica.running());
         let has_slots = match settings.concurrency {
-            true => replica.load.is_open(now, usual),
+            true => own_part || replica.load.is_open(now, usual),
             false => replica.running() < replica.spec.slots,
         };
         let warm = !settings.warmup
             || replica.running() == 0
             || replica.load.jobs(now, usual)
                 < f64::from(pool.warmup.jobs(now, key, replica.spec.slots));
-        let reserved = settings.quarantine
-            && (replica.trial.is_some() || self.quarantine.is_reserved(now, replica.identity));
-        healthy && has_slots && in_share && warm && !reserved
+        healthy && has_slots && in_share && warm
     }
 }
--- a/crates/standin/src/sample.rs
+++ b/crates/standin/src/sample.rs
@@ -92,22 +92,32 @@
     }
 }
 
-/// Settings of an entry, on free ports of the loopback.
-pub fn settings(name: &str, zone: &str, platform: &str) -> String {
+/// Where callers find an entry that may take any port.
+pub const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Settings of an entry; all its ports but the callers' are free ones of the loopback.
+pub fn settings(name: &str, zone: &str, platform: &str, callers: &str) -> String {
     format!(
         r#"{{
   // An entry of the sample.
   "identity": {{ "name": "{name}", "zone": "{zone}" }},
-  "callers": {{ "listen": "127.0.0.1:0", "address_ttl_ms": 1000 }},
+  "callers": {{
+    "listen": "{callers}",
+    "address_ttl_ms": 1000,
+    "max_body_bytes": 1048576,
+    "header_timeout_ms": 2000,
+    "body_timeout_ms": 2000
+  }},
   "admin": {{ "listen": "127.0.0.1:0" }},
   "operators": {{ "listen": "127.0.0.1:0", "key": "{OPERATORS_KEY}" }},
-  "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}" }},
+  "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}", "seeds": [] }},
   "platform": {{
     "table_service": "http://{platform}",
     "cloud": "http://{platform}",
     "instances_interval_ms": 200
   }},
-  "leases": {{ "term_ms": 3000, "margin_ms": 500, "renew_interval_ms": 800 }}
+  "leases": {{ "term_ms": 3000, "margin_ms": 500, "renew_interval_ms": 800 }},
+  "shutdown": {{ "grace_ms": 500 }}
 }}
 "#
     )
