Run reducers in a world of fakes and check random histories

A world of 1 to 8 entries with fakes of engines, services, table service, cloud, callers and operators in virtual time; a checker of the seven points that knows only what was seen; random runs from a seed.

--- /dev/null
+++ b/crates/matrix/src/check.rs
@@ -0,0 +1,292 @@
+//! Judges a history against the seven points; knows nothing of the reducer.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use clock::Span;
+use clock::Time;
+use smol_str::SmolStr;
+use verdict::Verdict;
+
+use crate::history::Ask;
+use crate::history::Cause;
+use crate::history::Fact;
+use crate::history::History;
+use crate::history::Kind;
+use crate::history::Try;
+
+/// Within this a leaving server must be out of use everywhere.
+pub const LEAVE_LIMIT: Span = Span::from_seconds(5);
+
+/// One of the seven points.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Point {
+    /// An accepted request is answered whole.
+    Survives,
+    /// Each caller gets its own whole answer, each token once and in order.
+    OwnAnswer,
+    /// A request said to be "not run" did not run.
+    NotRunIsTrue,
+    /// A non-idempotent request runs at most once.
+    AtMostOnce,
+    /// A leaving backend server gets no new work.
+    LeavesAlone,
+    /// A planned stop cuts nothing.
+    StopsGracefully,
+    /// An accepted configuration is in force everywhere and never reverts.
+    NeverReverts,
+}
+
+/// One breach of a point.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Which point.
+    pub point: Point,
+    /// When it was seen.
+    pub at: Time,
+    /// What was seen.
+    pub what: String,
+}
+
+/// All breaches in a history that ran to its end.
+pub fn check(history: &History) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    survives(history, &mut breaches);
+    own_answer(history, &mut breaches);
+    not_run_is_true(history, &mut breaches);
+    at_most_once(history, &mut breaches);
+    leaves_alone(history, &mut breaches);
+    stops_gracefully(history, &mut breaches);
+    never_reverts(history, &mut breaches);
+    breaches.sort_by_key(|breach| breach.at);
+    breaches
+}
+
+fn breach(breaches: &mut Vec<Breach>, point: Point, at: Time, what: String) {
+    breaches.push(Breach { point, at, what });
+}
+
+/// Every request whose caller holds the head of its answer ends whole, unless its caller leaves it or
+/// it crashes its servers; and every sending of any other has a last word.
+fn survives(history: &History, breaches: &mut Vec<Breach>) {
+    let mut headed = BTreeMap::new();
+    let mut excused = BTreeSet::new();
+    let mut open: BTreeMap<Ask, Time> = BTreeMap::new();
+    for (at, fact) in &history.records {
+        match fact {
+            Fact::Asked {
+                ask, killer: true, ..
+            }
+            | Fact::Dropped { ask } => {
+                excused.insert(*ask);
+                open.remove(ask);
+            }
+            Fact::Sent { ask, .. } => {
+                open.insert(*ask, *at);
+            }
+            Fact::Head { ask } => {
+                headed.insert(*ask, *at);
+            }
+            Fact::Whole { ask, .. } => {
+                headed.remove(ask);
+                open.remove(ask);
+            }
+            Fact::Refused { ask, .. } | Fact::Cut { ask, .. } | Fact::Continued { ask } => {
+                open.remove(ask);
+            }
+            _ => {}
+        }
+    }
+    for (ask, at) in headed {
+        if !excused.contains(&ask) {
+            let what = format!("{ask:?} was accepted and never answered whole");
+            breach(breaches, Point::Survives, at, what);
+        }
+    }
+    for (ask, at) in open {
+        let what = format!("{ask:?} has no last word");
+        breach(breaches, Point::Survives, at, what);
+    }
+}
+
+/// On each sending tokens come in order from the offset that was wanted, and are the caller's own.
+fn own_answer(history: &History, breaches: &mut Vec<Breach>) {
+    let mut kinds = BTreeMap::new();
+    let mut next: BTreeMap<Try, u64> = BTreeMap::new();
+    for (at, fact) in &history.records {
+        match fact {
+            Fact::Asked { ask, kind, .. } => {
+                kinds.insert(*ask, *kind);
+            }
+            Fact::Sent { number, offset, .. } => {
+                next.insert(*number, *offset);
+            }
+            Fact::Chunk {
+                ask,
+                number,
+                offset,
+                owner,
+                index,
+            } => {
+                let wanted = next.get(number).copied().unwrap_or(0);
+                if *offset != wanted || *index != wanted || owner != ask {
+                    let what = format!(
+                        "{ask:?} got offset {offset} (token {index} of {owner:?}) and not {wanted}"
+                    );
+                    breach(breaches, Point::OwnAnswer, *at, what);
+                }
+                next.insert(*number, wanted + 1);
+            }
+            Fact::Whole { ask, number, owner } => {
+                let got = next.get(number).copied().unwrap_or(0);
+                let whole = match kinds.get(ask) {
+                    Some(Kind::Model { tokens }) => got == *tokens,
+                    _ => true,
+                };
+                if !whole || owner != ask {
+                    let what = format!("{ask:?} ended at {got} with the end of {owner:?}");
+                    breach(breaches, Point::OwnAnswer, *at, what);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// No sending that was refused as "not run" ran, before or after.
+fn not_run_is_true(history: &History, breaches: &mut Vec<Breach>) {
+    let mut ran = BTreeSet::new();
+    for (_, fact) in &history.records {
+        if let Fact::Ran { number, .. } = fact {
+            ran.insert(*number);
+        }
+    }
+    for (at, fact) in &history.records {
+        if let Fact::Refused {
+            ask,
+            number,
+            verdict: Verdict::NotRun,
+            reason,
+        } = fact
+            && ran.contains(number)
+        {
+            let what = format!("{ask:?} was refused as not run ({reason}) and ran");
+            breach(breaches, Point::NotRunIsTrue, *at, what);
+        }
+    }
+}
+
+/// A non-idempotent request is begun once at most, over all its sendings.
+fn at_most_once(history: &History, breaches: &mut Vec<Breach>) {
+    let mut once = BTreeSet::new();
+    let mut ran = BTreeSet::new();
+    for (at, fact) in &history.records {
+        match fact {
+            Fact::Asked {
+                ask,
+                kind: Kind::Plain {
+                    non_idempotent: true,
+                },
+                ..
+            } => {
+                once.insert(*ask);
+            }
+            Fact::Ran { ask, server, .. } if once.contains(ask) && !ran.insert(*ask) => {
+                let what = format!("{ask:?} ran again, at {server}");
+                breach(breaches, Point::AtMostOnce, *at, what);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// No server begins anything later than the limit after its end was announced.
+fn leaves_alone(history: &History, breaches: &mut Vec<Breach>) {
+    let mut noticed: BTreeMap<&SmolStr, Time> = BTreeMap::new();
+    for (at, fact) in &history.records {
+        match fact {
+            Fact::Noticed { server } => {
+                noticed.insert(server, *at);
+            }
+            Fact::Ran { ask, server, .. } => {
+                let late = noticed
+                    .get(server)
+                    .is_some_and(|from| at.since(*from) > LEAVE_LIMIT);
+                if late {
+                    let what = format!("{ask:?} was begun at {server}, which is leaving");
+                    breach(breaches, Point::LeavesAlone, *at, what);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// No connection ends because its entry stopped as planned.
+///
+/// An instance that is taken away while its entry stands still, or stood still during the notice,
+/// could not be cleared in time.
+fn stops_gracefully(history: &History, breaches: &mut Vec<Breach>) {
+    let mut paused = BTreeSet::new();
+    for (at, fact) in &history.records {
+        match fact {
+            Fact::Paused { life, .. } => {
+                paused.insert(*life);
+            }
+            Fact::Cut { ask, life, cause } => {
+                let planned = match cause {
+                    Cause::Exit => true,
+                    Cause::Reclaim => !paused.contains(life),
+                    Cause::Kill | Cause::Link | Cause::Patience => false,
+                };
+                if planned {
+                    let what = format!("{ask:?} was cut by the planned stop of {life:?}");
+                    breach(breaches, Point::StopsGracefully, *at, what);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Versions shown by an entry only rise; no key admits that was replaced by an accepted change before
+/// the request was sent; and once all faults are over, a change is accepted.
+fn never_reverts(history: &History, breaches: &mut Vec<Breach>) {
+    let mut shown = BTreeMap::new();
+    let mut set_by: BTreeMap<&SmolStr, u64> = BTreeMap::new();
+    let mut accepted: Vec<(Time, &SmolStr, u64)> = Vec::new();
+    for (_, fact) in &history.records {
+        if let Fact::Accepted { key, version, .. } | Fact::Committed { key, version, .. } = fact {
+            set_by.insert(key, *version);
+        }
+    }
+    for (at, fact) in &history.records {
+        match fact {
+            Fact::Showed { life, version } => {
+                let before = shown.insert(*life, *version).unwrap_or(0);
+                if *version < before {
+                    let what = format!("{life:?} went back from {before} to {version}");
+                    breach(breaches, Point::NeverReverts, *at, what);
+                }
+            }
+            Fact::Accepted {
+                account, version, ..
+            } => accepted.push((*at, account, *version)),
+            Fact::Admitted { account, key, sent } => {
+                let version = set_by.get(key).copied();
+                let newer = accepted.iter().find(|(when, whose, newer)| {
+                    when < sent && *whose == account && version.is_some_and(|old| *newer > old)
+                });
+                if let Some((_, _, newer)) = newer {
+                    let what = format!("{key} admitted though version {newer} replaced it");
+                    breach(breaches, Point::NeverReverts, *at, what);
+                }
+            }
+            Fact::LastChange { accepted: false } => {
+                let what = "the last change was not accepted".to_owned();
+                breach(breaches, Point::NeverReverts, *at, what);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/matrix/src/plan.rs
@@ -0,0 +1,166 @@
+//! Random runs: what callers ask and which faults happen, drawn from a seed.
+
+use clock::Span;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::check;
+use crate::check::Breach;
+use crate::fault::Fault;
+use crate::history::Ask;
+use crate::world::Bug;
+use crate::world::Once;
+use crate::world::Shape;
+use crate::world::World;
+
+/// Time in which callers ask and faults begin, milliseconds.
+const BUSY: u64 = 20_000;
+
+/// Zones of every world.
+const ZONES: u64 = 3;
+
+/// One random run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Feeds all else.
+    pub seed: u64,
+    /// How large the world is.
+    pub shape: Shape,
+    /// Requests of each kind.
+    pub requests: u64,
+    /// Faults and when they begin.
+    pub faults: Vec<(Span, Fault)>,
+}
+
+impl Plan {
+    /// The run of a seed.
+    pub fn new(seed: u64) -> Plan {
+        let mut draw = Draw(Pcg64Mcg::seed_from_u64(seed));
+        let shape = Shape {
+            entries: 1 + draw.below(8) as usize,
+            engines: 3 + draw.below(4) as usize,
+            services: 2 + draw.below(2) as usize,
+        };
+        let count = draw.below(9);
+        let mut faults: Vec<(Span, Fault)> = (0..count)
+            .map(|_| {
+                let at = Span::from_millis(draw.below(BUSY));
+                (at, draw.fault(shape))
+            })
+            .collect();
+        faults.sort_by_key(|(at, _)| *at);
+        Plan {
+            seed,
+            shape,
+            requests: 4 + draw.below(8),
+            faults,
+        }
+    }
+
+    /// Runs it to its end and gives the breaches, and the steps of reducers that it took.
+    pub fn run(&self, bug: Bug) -> (Vec<Breach>, u64) {
+        let mut world = World::new(self.seed, self.shape, bug);
+        let mut draw = Draw(Pcg64Mcg::seed_from_u64(!self.seed));
+        for _ in 0..self.requests {
+            draw.requests(&mut world);
+        }
+        for (after, fault) in &self.faults {
+            world.fault_in(*after, *fault);
+        }
+        world.run_for(Span::from_millis(BUSY));
+        let (history, steps) = world.finish();
+        (check::check(&history), steps)
+    }
+
+    /// The same run with as few faults as still breach the same point first.
+    pub fn shrunk(&self, bug: Bug) -> Plan {
+        let mut least = self.clone();
+        let point = |plan: &Plan| plan.run(bug).0.first().map(|breach| breach.point);
+        let wanted = point(self);
+        let mut at = 0;
+        while at < least.faults.len() {
+            let mut fewer = least.clone();
+            fewer.faults.remove(at);
+            if point(&fewer) == wanted {
+                least = fewer;
+            } else {
+                at += 1;
+            }
+        }
+        least
+    }
+}
+
+/// Draws from a seed.
+struct Draw(Pcg64Mcg);
+
+impl Draw {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0.next_u64() % limit.max(1)
+    }
+
+    fn span(&mut self, from: u64, to: u64) -> Span {
+        Span::from_millis(from + self.below(to - from))
+    }
+
+    fn slot(&mut self, slots: usize) -> usize {
+        self.below(slots as u64) as usize
+    }
+
+    /// One request of each kind; a few callers go away.
+    fn requests(&mut self, world: &mut World) {
+        let when = |draw: &mut Draw| draw.span(0, BUSY);
+        let tokens = 1 + self.below(150);
+        let after = when(self);
+        let model = world.ask_model(after, tokens);
+        let after = when(self);
+        world.ask_plain(after, true, Once::Ticket);
+        let after = when(self);
+        world.ask_plain(after, true, Once::Key);
+        let after = when(self);
+        world.ask_plain(after, true, Once::No);
+        let after = when(self);
+        let plain = world.ask_plain(after, false, Once::No);
+        self.drop_some(world, &[model, plain]);
+    }
+
+    fn drop_some(&mut self, world: &mut World, asks: &[Ask]) {
+        for ask in asks {
+            if self.below(8) == 0 {
+                let after = self.span(0, BUSY);
+                world.drop_later(after, *ask);
+            }
+        }
+    }
+
+    fn fault(&mut self, shape: Shape) -> Fault {
+        let entry = self.slot(shape.entries);
+        let other = self.slot(shape.entries);
+        let backend = self.slot(shape.engines + shape.services);
+        let zone = self.below(ZONES) as usize;
+        let count = 1 + self.below(3) as u32;
+        match self.below(20) {
+            0 => Fault::KillEntry(entry),
+            1 => Fault::Freeze(entry, self.span(100, 15_000)),
+            2 => Fault::CutPeers(entry, other, self.span(500, 15_000)),
+            3 => Fault::BreakEngines(entry),
+            4 => Fault::BreakCallers(entry),
+            5 => Fault::SlowPeers(entry, self.span(500, 15_000)),
+            6 => Fault::LoseServiceAnswers(count),
+            7 => Fault::RefuseStarts(count),
+            8 => Fault::StoreDown(self.span(500, 60_000)),
+            9 => Fault::StoreSlow(self.span(500, 30_000)),
+            10 => Fault::LoseStoreAnswers(count),
+            11 => Fault::LoseStoreCalls(count),
+            12 => Fault::Reclaim(backend, self.span(5_000, 30_000)),
+            13 => Fault::ReclaimZone(zone, self.span(15_000, 30_000)),
+            14 => Fault::ReclaimEntry(entry, self.span(15_000, 30_000)),
+            15 => Fault::StopEntry(entry),
+            16 => Fault::KillBackend(backend),
+            17 => Fault::RefuseInstances(self.span(5_000, 40_000)),
+            18 => Fault::RaceOperators,
+            _ => Fault::KillerRequest,
+        }
+    }
+}
--- /dev/null
+++ b/crates/matrix/src/world/backend.rs
@@ -0,0 +1,128 @@
+//! Backend servers by slot: model engines first, then plain services.
+
+use clock::Span;
+use clock::Time;
+use entry::instance::Instance;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::world::Happening;
+use crate::world::World;
+use crate::world::engine::Streams;
+use crate::world::node::ZONES;
+
+/// Pool of the model engines.
+pub(crate) const MODEL_POOL: &str = "dossiers";
+
+/// Pool of the plain services.
+pub(crate) const SERVICE_POOL: &str = "records";
+
+/// How far the instance list lags.
+const LIST_LAG: Span = Span::from_millis(2_000);
+
+/// Time to start a new instance.
+const START_TIME: Span = Span::from_millis(4_000);
+
+/// One slot; its address stays, its lives change.
+pub(crate) struct Backend {
+    pub address: SmolStr,
+    pub zone: &'static str,
+    pub pool: &'static str,
+    pub incarnation: SmolStr,
+    lives: u32,
+    pub alive: bool,
+    pub born: Time,
+    /// When its end was announced, and when it comes.
+    pub leaving: Option<(Time, Time)>,
+    /// Lives that ended, for the lagging list.
+    pub ended: Vec<(Time, Instance)>,
+    pub streams: Streams,
+}
+
+impl World {
+    /// Starts all backend servers.
+    pub(crate) fn start_backends(&mut self) {
+        let shape = self.shape;
+        for slot in 0..shape.engines + shape.services {
+            let pool = match slot < shape.engines {
+                true => MODEL_POOL,
+                false => SERVICE_POOL,
+            };
+            self.backends.push(Backend {
+                address: format_smolstr!("backend:{slot}"),
+                zone: ZONES[slot % ZONES.len()],
+                pool,
+                incarnation: format_smolstr!("i-{slot}.1"),
+                lives: 1,
+                alive: true,
+                born: Time::ZERO,
+                leaving: None,
+                ended: Vec::new(),
+                streams: Streams::new(),
+            });
+        }
+    }
+
+    /// The slot that lives at an address.
+    pub(crate) fn backend_at(&self, address: &str) -> Option<usize> {
+        self.backends
+            .iter()
+            .position(|backend| backend.alive && backend.address == address)
+    }
+
+    /// A life ends, if it is still the one that was meant.
+    pub(crate) fn backend_dies(&mut self, slot: usize, incarnation: &str) {
+        let now = self.now;
+        let backend = &mut self.backends[slot];
+        if !backend.alive || backend.incarnation != incarnation {
+            return;
+        }
+        backend.alive = false;
+        let last = instance_of(backend, true);
+        backend.ended.push((now, last));
+        self.end_streams(slot);
+        self.after(START_TIME, Happening::BackendBorn(slot));
+    }
+
+    /// A new life starts in a slot, unless the cloud refuses.
+    pub(crate) fn backend_born(&mut self, slot: usize) {
+        if self.refusing_instances {
+            return self.after(START_TIME, Happening::BackendBorn(slot));
+        }
+        let now = self.now;
+        let backend = &mut self.backends[slot];
+        backend.lives += 1;
+        backend.incarnation = format_smolstr!("i-{slot}.{}", backend.lives);
+        backend.alive = true;
+        backend.born = now;
+        backend.leaving = None;
+    }
+
+    /// The list as it is shown now: it lags.
+    pub(crate) fn instance_list(&self, tell_leaves: bool) -> Vec<Instance> {
+        let mut list = Vec::new();
+        for backend in &self.backends {
+            let ended = backend.ended.iter();
+            let shown = ended.filter(|(at, _)| self.now.since(*at) < LIST_LAG);
+            list.extend(shown.map(|(_, instance)| instance.clone()));
+            let first = backend.born == Time::ZERO;
+            if backend.alive && (first || self.now.since(backend.born) >= LIST_LAG) {
+                let told = backend
+                    .leaving
+                    .is_some_and(|(at, _)| self.now.since(at) >= LIST_LAG);
+                list.push(instance_of(backend, told && tell_leaves));
+            }
+        }
+        list
+    }
+}
+
+fn instance_of(backend: &Backend, leaving: bool) -> Instance {
+    Instance {
+        incarnation: backend.incarnation.clone(),
+        address: backend.address.clone(),
+        zone: SmolStr::new_static(backend.zone),
+        pool: SmolStr::new_static(backend.pool),
+        leaving,
+    }
+}
--- /dev/null
+++ b/crates/matrix/src/world/callers.rs
@@ -0,0 +1,495 @@
+//! Callers: they send, come back after a cut, and repeat by ticket or key at other entries.
+
+use clock::Span;
+use clock::Time;
+use entry::arrival::Arrival;
+use entry::arrival::Work;
+use entry::effect::Addresses;
+use entry::event::Event;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use verdict::Reason;
+use verdict::Refusal;
+use verdict::Verdict;
+
+use crate::history::Ask;
+use crate::history::Cause;
+use crate::history::Fact;
+use crate::history::Kind;
+use crate::history::Try;
+use crate::world::HOP;
+use crate::world::Happening;
+use crate::world::World;
+use crate::world::backend::MODEL_POOL;
+use crate::world::backend::SERVICE_POOL;
+use crate::world::input::Input;
+use crate::world::node::Asker;
+use crate::world::operators::CALLER_KEY;
+
+/// How long a caller waits for any word.
+const PATIENCE: Span = Span::from_seconds(9);
+
+/// Time before a caller comes back where no other time is told.
+const PAUSE: Span = Span::from_millis(200);
+
+/// Repeats of a call that must not run twice, once it may have run: a caller that doesn't give up.
+const STUBBORN: u32 = 4;
+
+/// Sendings of one request at most.
+const MOST_TRIES: u32 = 120;
+
+/// How a caller asks that its call run at most once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Once {
+    /// Not at all.
+    No,
+    /// By a key of its own.
+    Key,
+    /// By a ticket.
+    Ticket,
+}
+
+/// What a caller hears on the connection of one sending.
+#[derive(Clone)]
+pub(crate) enum CallerWord {
+    Head {
+        token: Option<SmolStr>,
+    },
+    Chunk {
+        offset: u64,
+        owner: Ask,
+        index: u64,
+    },
+    Done {
+        owner: Ask,
+    },
+    Refused(Refusal),
+    Continue {
+        address: SmolStr,
+        token: Option<SmolStr>,
+    },
+    Cut(Cause),
+}
+
+/// One caller with one request.
+pub(crate) struct Caller {
+    ask: Ask,
+    kind: Kind,
+    once: Once,
+    killer: bool,
+    /// Set for a trial of a key that operators change.
+    watched: Option<(SmolStr, SmolStr, Time)>,
+    key: SmolStr,
+    ticket: Option<SmolStr>,
+    token: Option<SmolStr>,
+    next: u64,
+    /// The open sending, and the entry it went to.
+    open: Option<(Try, usize)>,
+    /// Where to go next, if it was told.
+    told: Option<usize>,
+    heard: Time,
+    sent: u32,
+    uncertain: u32,
+    /// Set once the caller holds the head of its answer.
+    headed: bool,
+    done: bool,
+}
+
+impl World {
+    /// A caller sends a request for a streamed answer.
+    pub fn ask_model(&mut self, after: Span, tokens: u64) -> Ask {
+        self.add_caller(after, Kind::Model { tokens }, Once::No, false)
+    }
+
+    /// A caller makes a plain call.
+    pub fn ask_plain(&mut self, after: Span, non_idempotent: bool, once: Once) -> Ask {
+        self.add_caller(after, Kind::Plain { non_idempotent }, once, false)
+    }
+
+    /// A caller sends a request that crashes each engine that runs it.
+    pub(crate) fn add_killer(&mut self) {
+        self.add_caller(HOP, Kind::Model { tokens: 20 }, Once::No, true);
+    }
+
+    /// A caller goes away for good later.
+    pub fn drop_later(&mut self, after: Span, ask: Ask) {
+        let caller = ask.0 as usize;
+        self.after(after, Happening::CallerWaits(caller, Try(u32::MAX)));
+    }
+
+    /// Whether every caller has come to its end.
+    pub(crate) fn callers_done(&self) -> bool {
+        self.callers
+            .iter()
+            .all(|caller| caller.done || caller.watched.is_some())
+    }
+
+    /// Whether a request's caller holds the head of its answer.
+    pub fn is_headed(&self, ask: Ask) -> bool {
+        self.callers[ask.0 as usize].headed
+    }
+
+    /// Whether a request has come to its end.
+    pub fn is_done(&self, ask: Ask) -> bool {
+        self.callers[ask.0 as usize].done
+    }
+
+    /// The entry slot that a request is open at.
+    pub fn slot_of(&self, ask: Ask) -> Option<usize> {
+        let (_, node) = self.callers[ask.0 as usize].open?;
+        Some(self.nodes[node].slot)
+    }
+
+    /// The backend slot that last began to run a request.
+    pub fn backend_of(&self, ask: Ask) -> Option<usize> {
+        let mut facts = self.history.records.iter().rev();
+        let server = facts.find_map(|(_, fact)| match fact {
+            Fact::Ran {
+                ask: whose, server, ..
+            } if *whose == ask => Some(server.clone()),
+            _ => None,
+        })?;
+        self.backends
+            .iter()
+            .position(|backend| backend.incarnation == server)
+    }
+
+    fn add_caller(&mut self, after: Span, kind: Kind, once: Once, killer: bool) -> Ask {
+        let number = self.callers.len();
+        let ask = Ask(number as u32);
+        self.callers.push(Caller {
+            ask,
+            kind,
+            once,
+            killer,
+            watched: None,
+            key: SmolStr::new_static(CALLER_KEY),
+            ticket: None,
+            token: None,
+            next: 0,
+            open: None,
+            told: None,
+            heard: self.now,
+            sent: 0,
+            uncertain: 0,
+            headed: false,
+            done: false,
+        });
+        self.note(Fact::Asked { ask, kind, killer });
+        self.after(after, Happening::CallerActs(number));
+        ask
+    }
+
+    /// One trial of a watched key.
+    pub(crate) fn send_probe(&mut self, node: usize, account: SmolStr, key: SmolStr) {
+        let non_idempotent = false;
+        let number = self.callers.len();
+        self.add_caller(
+            Span::from_seconds(1_000_000),
+            Kind::Plain { non_idempotent },
+            Once::No,
+            false,
+        );
+        let caller = &mut self.callers[number];
+        caller.key = key.clone();
+        caller.watched = Some((account, key, self.now));
+        caller.told = Some(node);
+        self.caller_acts(number);
+    }
+
+    /// Whose sending it was.
+    pub(crate) fn ask_of(&self, number: Try) -> Ask {
+        self.callers[self.tries[number.0 as usize]].ask
+    }
+
+    /// A caller sends its request, once more perhaps.
+    pub(crate) fn caller_acts(&mut self, number: usize) {
+        let caller = &self.callers[number];
+        if caller.done || caller.open.is_some() {
+            return;
+        }
+        if caller.sent >= MOST_TRIES {
+            return;
+        }
+        let node = match caller.told {
+            Some(node) => node,
+            None => {
+                let slot = self.draw(self.slots.len() as u64) as usize;
+                self.slots[slot]
+            }
+        };
+        let caller = &mut self.callers[number];
+        caller.told = None;
+        if caller.once == Once::Ticket && caller.ticket.is_none() {
+            return self.ask_ticket(number, node);
+        }
+        if !self.is_up(node) {
+            return self.after(PAUSE, Happening::CallerActs(number));
+        }
+        self.send(number, node);
+    }
+
+    fn ask_ticket(&mut self, number: usize, node: usize) {
+        let key = Some(self.callers[number].key.clone());
+        let event = move |asker| Event::AddressesAsked {
+            asker,
+            key,
+            prefix: None,
+        };
+        let input = Input::Asked(Asker::Addresses(number), Box::new(event));
+        self.after(HOP, Happening::Input(node, input));
+        // The answer may be lost, or bring no ticket.
+        self.after(Span::from_millis(900), Happening::CallerActs(number));
+    }
+
+    /// An entry answers with addresses and tickets.
+    pub(crate) fn addresses_given(&mut self, node: usize, asker: u64, answer: Addresses) {
+        let Some(Asker::Addresses(number)) = self.nodes[node].askers.remove(&asker) else {
+            return;
+        };
+        let ticket = answer.tickets.first();
+        let sealed = ticket.map(|ticket| SmolStr::from(self.seals.ticket.close(ticket)));
+        // Some use the ticket where they got it, others elsewhere.
+        let here = self.draw(2) == 0;
+        let caller = &mut self.callers[number];
+        if caller.ticket.is_some() || caller.open.is_some() {
+            return;
+        }
+        caller.ticket = sealed;
+        caller.told = here.then_some(node);
+        if caller.ticket.is_some() {
+            self.after(HOP, Happening::CallerActs(number));
+        }
+    }
+
+    fn send(&mut self, number: usize, node: usize) {
+        let name = Try(self.tries.len() as u32);
+        self.tries.push(number);
+        let now = self.now;
+        let caller = &mut self.callers[number];
+        caller.sent += 1;
+        caller.open = Some((name, node));
+        caller.heard = now;
+        let arrival = arrival_of(caller);
+        let (ask, killer, offset) = (caller.ask, caller.killer, caller.next);
+        let tokens = match caller.kind {
+            Kind::Model { tokens } => tokens,
+            Kind::Plain { .. } => 0,
+        };
+        let life = World::life(node);
+        self.note(Fact::Sent {
+            ask,
+            number: name,
+            life,
+            offset,
+        });
+        let input = Input::Open {
+            number: name,
+            ask,
+            arrival,
+            killer,
+            tokens,
+        };
+        self.after(HOP, Happening::Input(node, input));
+        self.after(PATIENCE, Happening::CallerWaits(number, name));
+    }
+
+    /// A caller looks whether it has waited too long, or goes away for good.
+    pub(crate) fn caller_waits(&mut self, number: usize, name: Try) {
+        let for_good = name == Try(u32::MAX);
+        let caller = &self.callers[number];
+        let Some((open, node)) = caller.open else {
+            if for_good && !caller.done {
+                self.drop_caller(number);
+            }
+            return;
+        };
+        if caller.done || (open != name && !for_good) {
+            return;
+        }
+        let waited = self.now.since(caller.heard);
+        if for_good {
+            self.drop_caller(number);
+        } else if waited < PATIENCE {
+            let rest = PATIENCE - waited;
+            return self.after(rest, Happening::CallerWaits(number, name));
+        }
+        self.after(HOP, Happening::Input(node, Input::Gone { number: open }));
+        if !for_good {
+            self.caller_hears(open, CallerWord::Cut(Cause::Patience));
+        }
+    }
+
+    fn drop_caller(&mut self, number: usize) {
+        let ask = self.callers[number].ask;
+        self.note(Fact::Dropped { ask });
+        self.callers[number].done = true;
+    }
+
+    /// A word reaches a caller; words of connections that it closed are not read.
+    pub(crate) fn caller_hears(&mut self, name: Try, word: CallerWord) {
+        let number = self.tries[name.0 as usize];
+        let now = self.now;
+        let caller = &mut self.callers[number];
+        let Some((open, node)) = caller.open else {
+            return;
+        };
+        if open != name || caller.done {
+            return;
+        }
+        caller.heard = now;
+        let ask = caller.ask;
+        match word {
+            CallerWord::Head { token } => {
+                caller.token = token;
+                caller.headed = true;
+                self.note(Fact::Head { ask });
+            }
+            CallerWord::Chunk {
+                offset,
+                owner,
+                index,
+            } => {
+                caller.next = caller.next.max(offset + 1);
+                self.note(Fact::Chunk {
+                    ask,
+                    number: name,
+                    offset,
+                    owner,
+                    index,
+                });
+            }
+            CallerWord::Done { owner } => {
+                caller.done = true;
+                caller.open = None;
+                self.note(Fact::Whole {
+                    ask,
+                    number: name,
+                    owner,
+                });
+                self.probe_ended(number, None);
+            }
+            CallerWord::Refused(refusal) => self.refused(number, name, &refusal),
+            CallerWord::Continue { address, token } => {
+                caller.open = None;
+                if token.is_some() {
+                    caller.token = token;
+                }
+                let nodes = &self.nodes;
+                caller.told = nodes
+                    .iter()
+                    .position(|node| node.identity.caller_address == address);
+                self.note(Fact::Continued { ask });
+                self.after(HOP, Happening::CallerActs(number));
+            }
+            CallerWord::Cut(cause) => {
+                caller.open = None;
+                caller.uncertain += 1;
+                let life = World::life(node);
+                self.note(Fact::Cut { ask, life, cause });
+                self.come_back(number, PAUSE);
+            }
+        }
+    }
+
+    fn refused(&mut self, number: usize, name: Try, refusal: &Refusal) {
+        let (verdict, reason) = (refusal.verdict, refusal.reason);
+        let caller = &mut self.callers[number];
+        caller.open = None;
+        let ask = caller.ask;
+        let certain = verdict == Verdict::NotRun;
+        if !certain {
+            caller.uncertain += 1;
+        }
+        // A new ticket only when nothing can have run under the old one.
+        if certain && caller.uncertain == 0 {
+            caller.ticket = None;
+        }
+        self.note(Fact::Refused {
+            ask,
+            number: name,
+            verdict,
+            reason,
+        });
+        if self.probe_ended(number, Some(reason)) {
+            return;
+        }
+        let elsewhere = matches!(reason, Reason::Leaving | Reason::NotReady);
+        match refusal.retry_after {
+            Some(after) if !elsewhere => self.come_back(number, after),
+            _ if elsewhere => self.come_back(number, PAUSE),
+            _ => match self.callers[number].kind {
+                Kind::Plain {
+                    non_idempotent: true,
+                } => self.come_back(number, PAUSE),
+                _ => self.callers[number].done = true,
+            },
+        }
+    }
+
+    /// A caller comes back, unless its call must not run twice and nothing would recognise a repeat.
+    fn come_back(&mut self, number: usize, after: Span) {
+        let caller = &mut self.callers[number];
+        let non_idempotent = matches!(
+            caller.kind,
+            Kind::Plain {
+                non_idempotent: true
+            }
+        );
+        let unnamed = caller.once == Once::No;
+        if caller.watched.is_some()
+            || (non_idempotent && caller.uncertain > 0 && unnamed)
+            || (non_idempotent && caller.uncertain >= STUBBORN)
+        {
+            caller.done = true;
+            return;
+        }
+        self.after(after + HOP, Happening::CallerActs(number));
+    }
+
+    /// A trial of a watched key has come to its end; gives whether it was one.
+    fn probe_ended(&mut self, number: usize, reason: Option<Reason>) -> bool {
+        let Some((account, key, sent)) = self.callers[number].watched.clone() else {
+            return false;
+        };
+        self.callers[number].done = true;
+        let unused = [Reason::Unauthorized, Reason::NotReady, Reason::Leaving];
+        if reason.is_none_or(|reason| !unused.contains(&reason)) {
+            self.note(Fact::Admitted { account, key, sent });
+        }
+        true
+    }
+}
+
+fn arrival_of(caller: &Caller) -> Arrival {
+    let plain = |method: &'static str, path: &'static str| Work::Plain {
+        method: SmolStr::new_static(method),
+        path: SmolStr::new_static(path),
+    };
+    let (deployment, work) = match caller.kind {
+        Kind::Model { tokens } => (
+            MODEL_POOL,
+            Work::Model {
+                prompt_tokens: 100,
+                max_new_tokens: (tokens - caller.next.min(tokens)) as u32,
+                prefix: u64::from(caller.ask.0 % 3),
+            },
+        ),
+        Kind::Plain {
+            non_idempotent: true,
+        } => (SERVICE_POOL, plain("POST", "/receipts")),
+        Kind::Plain { .. } => (SERVICE_POOL, plain("GET", "/catalogue")),
+    };
+    let idempotency_key =
+        (caller.once == Once::Key).then(|| format_smolstr!("key-{}", caller.ask.0));
+    Arrival {
+        key: Some(caller.key.clone()),
+        deployment: SmolStr::new_static(deployment),
+        work,
+        fingerprint: u64::from(caller.ask.0) + 1,
+        idempotency_key,
+        ticket: caller.ticket.clone(),
+        resume: caller.token.clone(),
+        offset: caller.next,
+    }
+}
--- /dev/null
+++ b/crates/matrix/src/world/cloud.rs
@@ -0,0 +1,105 @@
+//! The cloud: notices, ends of instances, and new ones.
+
+use clock::Span;
+use entry::event::Event;
+use entry::instance::Notice;
+
+use crate::history::Cause;
+use crate::history::Fact;
+use crate::world::Happening;
+use crate::world::World;
+
+/// Time until a new life of an entry starts.
+const ENTRY_START_TIME: Span = Span::from_millis(3_000);
+
+impl World {
+    /// All notices that hold now.
+    pub(crate) fn notices(&self) -> Vec<Notice> {
+        let mut notices = Vec::new();
+        for backend in self.backends.iter().filter(|backend| backend.alive) {
+            if let Some((_, end)) = backend.leaving {
+                notices.push(Notice {
+                    incarnation: backend.incarnation.clone(),
+                    left: end.since(self.now),
+                });
+            }
+        }
+        for node in self.nodes.iter().filter(|node| node.alive) {
+            if let Some(end) = node.leaving {
+                notices.push(Notice {
+                    incarnation: node.instance.clone(),
+                    left: end.since(self.now),
+                });
+            }
+        }
+        notices
+    }
+
+    /// Announces the end of a backend server's instance.
+    pub(crate) fn reclaim_backend(&mut self, slot: usize, left: Span) {
+        let now = self.now;
+        let Some(backend) = self.backends.get_mut(slot) else {
+            return;
+        };
+        if !backend.alive || backend.leaving.is_some() {
+            return;
+        }
+        backend.leaving = Some((now, now + left));
+        let server = backend.incarnation.clone();
+        self.note(Fact::Noticed {
+            server: server.clone(),
+        });
+        self.after(left, Happening::BackendDies(slot, server));
+    }
+
+    /// Announces the end of an entry's instance.
+    pub(crate) fn reclaim_entry(&mut self, slot: usize, left: Span) {
+        let Some(node) = self.slots.get(slot).copied() else {
+            return;
+        };
+        let end = self.now + left;
+        let life = &mut self.nodes[node];
+        if !life.alive || life.leaving.is_some() {
+            return;
+        }
+        life.leaving = Some(end);
+        life.stopping = true;
+        self.after(left, Happening::EntryDies(node));
+    }
+
+    /// An entry's instance is taken away.
+    pub(crate) fn entry_dies(&mut self, node: usize) {
+        if !self.nodes[node].alive {
+            return;
+        }
+        self.end_entry(node, Cause::Reclaim);
+        self.entry_replaced(self.nodes[node].slot);
+    }
+
+    /// A new life of an entry is ordered.
+    pub(crate) fn entry_replaced(&mut self, slot: usize) {
+        self.after(ENTRY_START_TIME, Happening::EntryBorn(slot));
+    }
+
+    /// A new life of an entry starts, unless the cloud refuses or one runs.
+    pub(crate) fn entry_born(&mut self, slot: usize) {
+        if self.nodes[self.slots[slot]].alive {
+            return;
+        }
+        if self.refusing_instances {
+            return self.entry_replaced(slot);
+        }
+        self.start_entry(slot);
+    }
+
+    /// An entry is asked to stop.
+    pub(crate) fn stop_entry(&mut self, slot: usize) {
+        let Some(node) = self.slots.get(slot).copied() else {
+            return;
+        };
+        if self.nodes[node].alive {
+            self.nodes[node].stopping = true;
+            self.tell(node, Event::StopAsked { hurry: false });
+        }
+    }
+}
--- /dev/null
+++ b/crates/matrix/src/world/effects.rs
@@ -0,0 +1,155 @@
+//! Carries the effects of a reducer out, as the shell of the daemon does.
+
+use clock::Span;
+use entry::effect::Effect;
+use entry::event::Event;
+use request::id::Incarnation;
+use request::ledger::Answer;
+use smol_str::SmolStr;
+
+use crate::history::Cause;
+use crate::history::Fact;
+use crate::history::Try;
+use crate::world::HOP;
+use crate::world::Happening;
+use crate::world::World;
+use crate::world::callers::CallerWord;
+use crate::world::input::Input;
+use crate::world::node::Asker;
+
+/// How long a call of a peer waits for its word.
+const PEER_WAIT: Span = Span::from_millis(800);
+
+/// What a slow link adds at most.
+const SLOW: u64 = 1_500;
+
+impl World {
+    /// Carries one effect out.
+    pub(crate) fn perform(&mut self, node: usize, effect: Effect) {
+        match effect {
+            Effect::Flight { serial, command } => {
+                let input = Input::Command { serial, command };
+                self.after(Span::ZERO, Happening::Input(node, input));
+            }
+            Effect::Addresses { asker, answer } => self.addresses_given(node, asker, answer),
+            Effect::CancelAnswer { .. } | Effect::Log(_) => {}
+            Effect::Operator { call, reply } => self.operator_answered(node, call, reply),
+            Effect::Store { id, call } => self.store_asked(node, id, call),
+            Effect::AskSpend {
+                serial,
+                address,
+                ticket,
+            } => {
+                let asker = Asker::Spend { from: node, serial };
+                let event = move |asker| Event::SpendAsked { asker, ticket };
+                let lost = Event::SpendAnswered {
+                    serial,
+                    answer: None,
+                };
+                self.call_peer(node, &address, Input::Asked(asker, Box::new(event)), lost);
+            }
+            Effect::OfferEstates { address, estates } => {
+                let asker = Asker::Heir { from: node };
+                let event = move |asker| Event::EstatesOffered { asker, estates };
+                let lost = Event::EstatesTaken { by: None };
+                self.call_peer(node, &address, Input::Asked(asker, Box::new(event)), lost);
+            }
+            Effect::SpendAnswer { asker, answer } => self.spend_answer(node, asker, answer),
+            Effect::EstatesTaken { asker, by } => self.heir_answer(node, asker, by),
+            Effect::SendDigest { address, digest } => {
+                let event = Event::DigestReceived(digest);
+                self.send_peer(node, &address, Input::Event(event));
+            }
+            Effect::SendConfigure { address, message } => {
+                let from = self.nodes[node].identity.incarnation;
+                let event = Event::ConfigureReceived { from, message };
+                self.send_peer(node, &address, Input::Event(event));
+            }
+            Effect::Exit => self.exits(node),
+        }
+    }
+
+    /// An event of the process itself: it takes its turn in the loop.
+    pub(crate) fn tell(&mut self, node: usize, event: Event) {
+        self.after(HOP, Happening::Input(node, Input::Event(event)));
+    }
+
+    /// The entry living at a peer address, unless what is sent there is lost.
+    fn peer_at(&self, from: usize, address: &SmolStr) -> Option<usize> {
+        let to = self
+            .nodes
+            .iter()
+            .position(|node| node.identity.peer_address == *address)?;
+        let slots = (self.nodes[from].slot, self.nodes[to].slot);
+        (self.nodes[to].alive && !self.cut.contains(&slots)).then_some(to)
+    }
+
+    /// Time to a peer.
+    fn peer_time(&mut self, from: usize, to: usize) -> Span {
+        let slots = [self.nodes[from].slot, self.nodes[to].slot];
+        let slow = slots.iter().any(|slot| self.slow.contains(slot));
+        let more = if slow { self.draw(SLOW) } else { self.draw(2) };
+        HOP + Span::from_millis(more)
+    }
+
+    /// Sends something that may get lost.
+    fn send_peer(&mut self, from: usize, address: &SmolStr, input: Input) {
+        if let Some(to) = self.peer_at(from, address) {
+            let time = self.peer_time(from, to);
+            self.after(time, Happening::Input(to, input));
+        }
+    }
+
+    /// Calls a peer; a call whose word is lost or late ends with `lost`.
+    fn call_peer(&mut self, from: usize, address: &SmolStr, input: Input, lost: Event) {
+        let to = self.peer_at(from, address);
+        let wait = if to.is_some() { PEER_WAIT } else { HOP };
+        if let Some(to) = to {
+            let time = self.peer_time(from, to);
+            self.after(time, Happening::Input(to, input));
+        }
+        // A word that came in time makes the reducer pass over the loss that follows.
+        self.after(wait, Happening::Input(from, Input::Event(lost)));
+    }
+
+    /// Gives a peer its answer, unless it is lost on the way back.
+    fn answer_peer(&mut self, node: usize, to: usize, event: Event) {
+        let address = self.nodes[to].identity.peer_address.clone();
+        self.send_peer(node, &address, Input::Event(event));
+    }
+
+    fn spend_answer(&mut self, node: usize, asker: u64, answer: Answer) {
+        if let Some(Asker::Spend { from, serial }) = self.nodes[node].askers.remove(&asker) {
+            let answer = Some(answer);
+            self.answer_peer(node, from, Event::SpendAnswered { serial, answer });
+        }
+    }
+
+    fn heir_answer(&mut self, node: usize, asker: u64, by: Option<Incarnation>) {
+        if let Some(Asker::Heir { from }) = self.nodes[node].askers.remove(&asker) {
+            self.answer_peer(node, from, Event::EstatesTaken { by });
+        }
+    }
+
+    /// The process ends in good order.
+    fn exits(&mut self, node: usize) {
+        let slot = self.nodes[node].slot;
+        self.end_entry(node, Cause::Exit);
+        self.entry_replaced(slot);
+    }
+
+    /// Passes a word on to the caller of a sending.
+    pub(crate) fn tell_caller(&mut self, number: Try, word: CallerWord) {
+        self.after(HOP, Happening::ToCaller(number, word));
+    }
+
+    /// Notes that a backend server began to run a request.
+    pub(crate) fn note_ran(&mut self, number: Try, server: SmolStr) {
+        let ask = self.ask_of(number);
+        self.note(Fact::Ran {
+            ask,
+            number,
+            server,
+        });
+    }
+}
