Keep a plain call's task until the reducer has dropped it

Cause: the task ended when its caller went; a Start decided just before found no task, and the call stayed open for the whole request time, held its slot and held up a planned stop (finding of the matrix by reading). Change: the task reports the caller's going once and stays; the reducer drops it by a command, or lets it run if it was handed on. A repeat of an idempotency key is no longer advised to take a new one: its first sending may have run.

--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -182,6 +182,7 @@
                 self.output.refuse(&refusal).await;
                 return Flow::Over;
             }
+            Command::Drop => return Flow::Over,
             Command::Stop => {
                 self.give_up_stream();
                 self.phase = Phase::Idle;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -56,25 +56,28 @@
 
     /// Serves the call to its end.
     ///
-    /// A caller that goes away doesn't stop a call that was handed on: its outcome is still wanted.
+    /// A caller that goes away doesn't stop a call that was handed on: its outcome is still wanted. The
+    /// task then stays until the reducer, which may just have handed the call on, has dropped it; were
+    /// it to end at once, such a call would stay open with nobody to report its end.
     pub async fn run(mut self) {
-        let mut attempt = 0;
+        let mut gone = false;
         let response = loop {
             let command = tokio::select! {
                 biased;
                 command = self.commands.recv() => command,
-                () = self.head.closed(), if attempt == 0 => {
+                () = self.head.closed(), if !gone => {
+                    gone = true;
                     self.shared.link.event(Event::CallerGone { serial: self.serial });
-                    None
+                    continue;
                 }
             };
             match command {
-                None | Some(Command::HandOff { .. }) => break None,
+                None | Some(Command::HandOff { .. } | Command::Drop) => break None,
                 Some(Command::Refuse(refusal)) => {
                     break Some(answer::refused(&self.request, &refusal));
                 }
                 Some(Command::Start { stream, place, .. }) => {
-                    attempt = stream.attempt;
+                    let attempt = stream.attempt;
                     let called =
                         plain::call(&self.shared.client, &place.address, self.call.clone()).await;
                     match called {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -111,7 +111,7 @@
         if flight.job.kind == job::Kind::Plain && flight.may_have_run {
             return;
         }
-        self.drop_flight(now, serial, None, effects);
+        self.drop_flight(now, serial, Command::Drop, effects);
     }
 
     /// A caller wants a request of its own cancelled.
@@ -166,7 +166,7 @@
         &mut self,
         now: Time,
         serial: u64,
-        command: Option<Command>,
+        command: Command,
         effects: &mut Vec<Effect>,
     ) {
         let Some(flight) = self.flights.remove(&serial) else {
@@ -174,9 +174,7 @@
         };
         let line = Line::debug("request_left").with("request", flight.origin);
         effects.push(Effect::Log(line));
-        if let Some(command) = command {
-            effects.push(Effect::Flight { serial, command });
-        }
+        effects.push(Effect::Flight { serial, command });
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.cancel(now, job, out)
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -143,6 +143,8 @@
     },
     /// Stop the attempt that runs; the request stays open.
     Stop,
+    /// Nobody waits for an answer any more: end without a word.
+    Drop,
     /// End the stream here; the caller goes on at another entry.
     HandOff {
         /// `host:port` of that entry.
--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -316,6 +316,6 @@
 
 /// The refusal of a request whose row could not be written.
 fn store_refusal() -> Refusal {
-    let message = "the table service doesn't answer; send it again with a new key";
+    let message = "the table service doesn't answer; come back with the same key";
     Refusal::not_run(Reason::StoreUnavailable, message).with_retry_after(STORE_RETRY)
 }
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -135,7 +135,7 @@
             .collect();
         for serial in streams {
             let address = address.clone();
-            self.drop_flight(now, serial, Some(Command::HandOff { address }), effects);
+            self.drop_flight(now, serial, Command::HandOff { address }, effects);
         }
     }
 
--- a/crates/matrix/src/world/flight.rs
+++ b/crates/matrix/src/world/flight.rs
@@ -1,5 +1,6 @@
 //! The task of one open model call: the daemon's, without its sockets.
 
+use clock::Span;
 use entry::arrival::Arrival;
 use entry::arrival::Work;
 use entry::attempt::Place;
@@ -132,6 +133,10 @@
                 self.tell_caller(number, CallerWord::Refused(refusal));
             }
             Command::Stop => self.give_up_stream(node, serial),
+            Command::Drop => {
+                self.drop_reader(node, serial);
+                self.nodes[node].flights.remove(&serial);
+            }
             Command::HandOff { address } => {
                 let token = self.token(node, serial);
                 self.drop_reader(node, serial);
@@ -417,7 +422,8 @@
             && flight.unreported >= EACH
         {
             let tokens = std::mem::take(&mut flight.unreported);
-            self.report(node, serial, Report::Tokens(tokens));
+            let worst_gap = Span::ZERO;
+            self.report(node, serial, Report::Tokens { tokens, worst_gap });
         }
     }
 
--- a/crates/matrix/src/world/plain.rs
+++ b/crates/matrix/src/world/plain.rs
@@ -24,7 +24,7 @@
                     self.tell_caller(flight.number(), CallerWord::Refused(refusal));
                 }
             }
-            Command::HandOff { .. } => {
+            Command::HandOff { .. } | Command::Drop => {
                 self.nodes[node].flights.remove(&serial);
             }
             Command::Start { stream, place, .. } => {
