--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -38,6 +39,7 @@
 use crate::flight::Shared;
 use crate::link::Link;
 use crate::logs;
+use crate::metrics::Metrics;
 use crate::peers::Answering;
 use crate::peers::Peers;
 use crate::platform;
@@ -124,9 +126,11 @@
     let callers = Rc::new(Callers::new(shared, identity.incarnation, tickets));
     let (call_sender, calls) = mpsc::channel(CALLS_WAITING);
     let operators_key = settings.operators.key.reveal().to_owned();
+    let registry = Registry::new();
+    let metrics = Metrics::new(&registry)?;
     let admin = Admin {
         ready: Rc::clone(&ready),
-        registry: Registry::new(),
+        registry,
     };
     let interval = Duration::from_millis(settings.platform.instances_interval_ms);
     let cloud = host_of(&settings.platform.cloud);
@@ -176,6 +180,7 @@
         link,
         store: Rc::new(store),
         peers,
+        metrics,
         ready,
         flights: HashMap::new(),
         askers: Askers::default(),
@@ -256,6 +261,7 @@
     entry::configs::entry::Settings {
         address_ttl: Span::from_millis(settings.callers.address_ttl_ms),
         grace: Span::from_millis(settings.shutdown.grace_ms),
+        zero_unix_ms: unix_ms(),
         request_time: Span::from_millis(settings.callers.request_timeout_ms),
         seeds: settings
             .peers
@@ -298,6 +304,12 @@
     SmolStr::from(url.trim_start_matches("http://").trim_end_matches('/'))
 }
 
+/// Wall clock, milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// A number from the system's source of randomness.
 fn random() -> Result<u64> {
     getrandom::u64().map_err(|error| anyhow::anyhow!("no randomness: {error}"))
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -37,7 +37,8 @@
                 flight.first_token.get_or_insert(now);
                 self.scheduler.first_token(now, job::Id(serial));
             }
-            Report::Tokens(tokens) => {
+            Report::Tokens { tokens, worst_gap } => {
+                flight.worst_gap = flight.worst_gap.max(worst_gap);
                 flight.tokens += u64::from(tokens);
                 self.scheduler.progressed(now, job::Id(serial), tokens);
             }
@@ -73,7 +74,9 @@
         }
         if matches!(end, End::Finished | End::Left) {
             effects.push(Effect::Log(finished_line(now, flight)));
-            self.flights.remove(&serial);
+            if let Some(flight) = self.flights.remove(&serial) {
+                self.count_answered(now, &flight);
+            }
         }
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
@@ -108,7 +111,7 @@
         if flight.job.kind == job::Kind::Plain && flight.may_have_run {
             return;
         }
-        self.drop_flight(now, serial, None, effects);
+        self.drop_flight(now, serial, Command::Drop, effects);
     }
 
     /// A caller wants a request of its own cancelled.
@@ -146,7 +149,7 @@
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.cancel(now, job, out)
         });
-        self.refuse(serial, refusal, effects);
+        self.refuse(now, serial, refusal, effects);
         Ok(())
     }
 
@@ -163,7 +166,7 @@
         &mut self,
         now: Time,
         serial: u64,
-        command: Option<Command>,
+        command: Command,
         effects: &mut Vec<Effect>,
     ) {
         let Some(flight) = self.flights.remove(&serial) else {
@@ -171,9 +174,7 @@
         };
         let line = Line::debug("request_left").with("request", flight.origin);
         effects.push(Effect::Log(line));
-        if let Some(command) = command {
-            effects.push(Effect::Flight { serial, command });
-        }
+        effects.push(Effect::Flight { serial, command });
         let job = job::Id(serial);
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.cancel(now, job, out)
@@ -190,7 +191,7 @@
             }
             let serial = *serial;
             let refusal = Refusal::not_run(Reason::TimedOut, "the time for a request has passed");
-            self.refuse(serial, refusal, effects);
+            self.refuse(now, serial, refusal, effects);
             let job = job::Id(serial);
             self.with_scheduler(now, effects, |scheduler, out| {
                 scheduler.cancel(now, job, out)
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -2,17 +2,22 @@
 
 use std::collections::BTreeMap;
 
+use burn::collector;
+use burn::collector::Collector;
 use clock::Time;
 use config::agreement::Agreement;
 use lease::holder;
 use member::membership::Membership;
+use ops::Journal;
 use policy::decision::Decision;
 use policy::scheduler::Scheduler;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use request::ledger::Ledger;
 use smol_str::SmolStr;
+use store::call::Outcome;
 
+use crate::accounts;
 use crate::backends::Backends;
 use crate::book::Book;
 use crate::configs::entry::Settings;
@@ -46,12 +51,33 @@
     pub(crate) stop: Stop,
     /// The life of the instance that this entry runs on, as the platform calls it.
     pub(crate) own_instance: Option<SmolStr>,
+    pub(crate) collector: Collector,
+    pub(crate) journal: Journal,
+    /// Whether the table service answered the last call.
+    pub(crate) store_available: bool,
     /// Names the next call of the table service.
     pub(crate) next_store_call: u64,
     /// What waits for which call of the table service.
     pub(crate) store_calls: BTreeMap<store::call::Id, Waiter>,
 }
 
+/// How an entry stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vitals {
+    /// Requests open here.
+    pub open_requests: u64,
+    /// Configuration version in force here.
+    pub version: u64,
+    /// Entries known here, this one included.
+    pub members: u64,
+    /// Backend servers known here.
+    pub backends: u64,
+    /// Whether requests are admitted.
+    pub ready: bool,
+    /// Whether the table service answered the last call.
+    pub store_available: bool,
+}
+
 /// Who waits for an answer of the table service.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Waiter {
@@ -59,6 +85,8 @@
     Agreement(store::call::Id),
     /// The membership machine, by its own number.
     Membership(store::call::Id),
+    /// The collector of the burn report, by its own number.
+    Collector(store::call::Id),
     /// A request's own row.
     Intent {
         /// Which request.
@@ -78,6 +106,9 @@
             ledger: Ledger::new(identity.incarnation),
             agreement: configuration::agreement(me, settings.agreement, seed),
             membership: members::membership(&identity, seeds, settings.members, seed),
+            collector: accounts::collector(&identity, settings.zero_unix_ms),
+            journal: Journal::new(identity.name.clone()),
+            store_available: true,
             next_demand: Time::ZERO,
             news_version: 0,
             identity,
@@ -97,6 +128,13 @@
 
     /// Takes one event and appends what follows from it.
     pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
+        let before = effects.len();
+        self.take(now, event, effects);
+        self.note_lines(now, &effects[before..]);
+    }
+
+    /// Passes an event to the part that it concerns.
+    fn take(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
         match event {
             Event::Arrived { serial, arrival } => self.arrived(now, serial, arrival, effects),
             Event::CallerGone { serial } => self.caller_gone(now, serial, effects),
@@ -149,9 +187,16 @@
         self.agreement.admits(now) && !self.stop.is_stopping()
     }
 
-    /// Requests open here.
-    pub fn open_requests(&self) -> usize {
-        self.flights.len()
+    /// How this entry stands, for metrics.
+    pub fn vitals(&self, now: Time) -> Vitals {
+        Vitals {
+            open_requests: self.flights.len() as u64,
+            version: self.book.version(),
+            members: self.membership.directory().count() as u64,
+            backends: self.backends.iter().count() as u64,
+            ready: self.is_ready(now),
+            store_available: self.store_available,
+        }
     }
 
     /// Lets time pass in every part.
@@ -161,6 +206,7 @@
         self.leaves_tick(now, effects);
         self.flights_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
+        self.accounts_tick(now, effects);
         self.stop_tick(now, effects);
     }
 
@@ -197,9 +243,10 @@
         &mut self,
         now: Time,
         id: store::call::Id,
-        outcome: store::call::Outcome,
+        outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        self.store_available = !matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
         match self.store_calls.remove(&id) {
             Some(Waiter::Agreement(id)) => {
                 self.agree(now, config::event::Event::Store { id, outcome }, effects);
@@ -207,6 +254,9 @@
             Some(Waiter::Membership(id)) => {
                 self.attend(now, member::event::Event::Store { id, outcome }, effects);
             }
+            Some(Waiter::Collector(id)) => {
+                self.collect(now, collector::Event::Store { id, outcome }, effects);
+            }
             Some(Waiter::Intent { serial }) => self.intent_answered(now, serial, outcome, effects),
             None => {}
         }
--- a/crates/standin/src/sample.rs
+++ b/crates/standin/src/sample.rs
@@ -95,8 +95,30 @@
 /// Where callers find an entry that may take any port.
 pub const ANY_PORT: &str = "127.0.0.1:0";
 
+/// What differs between the settings of two entries.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its availability zone.
+    pub zone: &'a str,
+    /// Address of the platform.
+    pub platform: &'a str,
+    /// Where it listens for callers.
+    pub callers: &'a str,
+    /// Peer addresses of entries that run already.
+    pub seeds: &'a [String],
+}
+
 /// Settings of an entry; all its ports but the callers' are free ones of the loopback.
-pub fn settings(name: &str, zone: &str, platform: &str, callers: &str) -> String {
+pub fn settings(entry: &Entry<'_>) -> String {
+    let Entry {
+        name,
+        zone,
+        platform,
+        callers,
+        seeds,
+    } = entry;
     format!(
         r#"{{
   // An entry of the sample.
@@ -110,7 +132,7 @@
   }},
   "admin": {{ "listen": "127.0.0.1:0" }},
   "operators": {{ "listen": "127.0.0.1:0", "key": "{OPERATORS_KEY}" }},
-  "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}" }},
+  "peers": {{ "listen": "127.0.0.1:0", "key": "{PEER_KEY}", "seeds": {seeds:?} }},
   "platform": {{
     "table_service": "http://{platform}",
     "cloud": "http://{platform}",
