--- a/crates/policy/src/configs/affinity.rs
+++ b/crates/policy/src/configs/affinity.rs
@@ -11,9 +11,9 @@
     /// 2016: the expected cost of spilling grows with 1/(factor - 1)^2, so less buys little evenness.
     pub factor: f64,
     /// Load above the mean that is always granted, in jobs. One job of ours moves the estimate of all
-    /// entries' load by up to eight; with less slack, equal prefixes spill for the estimate's noise.
-    /// In the table "Affinity" of docs/MEASUREMENTS.md shares within target don't depend on it, but
-    /// how many replicas copies of one request meet does.
+    /// entries' load by several; with less slack equal prefixes spill for the estimate's noise, and
+    /// copies of one request meet more replicas; with more, a hot key's home is overrun. The table
+    /// "Affinity" in docs/MEASUREMENTS.md gives both by this figure.
     pub slack: f64,
     /// Most prefixes for which a hint is kept.
     pub hints: usize,
@@ -26,7 +26,7 @@
     fn default() -> Config {
         Config {
             factor: 1.25,
-            slack: 4.0,
+            slack: 2.0,
             hints: 4_096,
             fresh: Span::from_seconds(60),
         }
--- a/crates/policy/src/configs/warmup.rs
+++ b/crates/policy/src/configs/warmup.rs
@@ -7,8 +7,9 @@
 pub struct Config {
     /// Share of its slots that a new replica may use at once.
     pub start: f64,
-    /// Time until it may use all of them; the table "Warm-up" in docs/MEASUREMENTS.md gives the
-    /// time to first token by this figure.
+    /// Time until it may use all of them: about twice what a replica takes to compute as many
+    /// prefixes as its cache holds (2.4 s for the engine of the table "Warm-up" in
+    /// docs/MEASUREMENTS.md, where 5 s is best). Longer wastes capacity, shorter warms nothing.
     pub span: Span,
 }
 
@@ -16,7 +17,7 @@
     fn default() -> Config {
         Config {
             start: 0.1,
-            span: Span::from_seconds(30),
+            span: Span::from_seconds(5),
         }
     }
 }
--- a/crates/policy/tests/warmup.rs
+++ b/crates/policy/tests/warmup.rs
@@ -18,8 +18,9 @@
     assert_eq!(warmup.jobs(late, Key(1), 32), 4);
     assert_eq!(warmup.load(late, Key(1), 1.0), 10.0);
     let mut last = 4;
-    for second in 0..=30 {
-        let now = Time::from_millis(600_000 + second * 1_000);
+    let span = config.span.as_millis();
+    for step in 0..=30 {
+        let now = Time::from_millis(600_000 + span * step / 30);
         let jobs = warmup.jobs(now, Key(1), 32);
         assert!(jobs >= last && jobs - last <= 2);
         last = jobs;
