--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -128,7 +128,7 @@
         tokens: Cost,
     ) -> Result<(), (Reason, &'static str)> {
         let (allowed, predicted) = self.enter(now, job, cost, tokens);
-        self.admit(now, &job, cost, allowed, predicted)?;
+        self.admit(now, &job, allowed, predicted)?;
         self.enqueue(now, job.id, false);
         Ok(())
     }
@@ -185,11 +185,13 @@
         &mut self,
         now: Time,
         job: &Job,
-        cost: Cost,
         allowed: Span,
         predicted: Span,
     ) -> Result<(), (Reason, &'static str)> {
         let settings = self.settings;
+        let Some((class, cost)) = self.open.get(&job.id).map(|open| (open.class, open.cost)) else {
+            return Ok(());
+        };
         let Some(account) = self.accounts.get(&job.account) else {
             return Ok(());
         };
@@ -214,7 +216,7 @@
         if settings.admission.enabled && pool.queue.len() >= settings.admission.most_waiting {
             return Err((Reason::Overloaded, "the queue is full"));
         }
-        let slack = allowed - pool.service.first(job.prompt_tokens);
+        let slack = allowed - pool.service.first(class, job.prompt_tokens);
         let backlog = admission::wait(pool.queue.cost(), rate);
         let idle = pool.queue.waiting_of(account.spec.priority, job.account) == 0;
         if settings.brownout.enabled
@@ -309,7 +311,11 @@
         open.until = match (open.streaming, settings.admission.enabled) {
             // Its caller already reads the answer: the target for the first token is behind it.
             (true, _) => now + settings.placement.patience,
-            (false, true) => last_start(now, open.due, pool.service.first(open.job.prompt_tokens)),
+            (false, true) => last_start(
+                now,
+                open.due,
+                pool.service.first(open.class, open.job.prompt_tokens),
+            ),
             (false, false) => now + Span::from_seconds(3_600),
         };
         self.expiry.insert((open.until, id));
