--- a/crates/standin/tests/harness/world.rs
+++ b/crates/standin/tests/harness/world.rs
@@ -136,11 +136,13 @@
         }
     }
 
-    /// Waits until an entry has a version in force and is ready.
+    /// Waits until an entry has a version in force, knows all backend servers that run, and is ready.
     pub async fn wait_until_ready(&self, entry: &Process, version: u64) {
         let mut operator = Operator::connect(entry.address("operators")).await;
-        wait_for("the version in force", async || {
-            (operator.version().await >= version).then_some(())
+        let backends = self.engines.len() + self.services.len();
+        wait_for("the version in force and all backend servers", async || {
+            let status = operator.status().await;
+            (status.version >= version && status.backends.len() >= backends).then_some(())
         })
         .await;
         wait_for("a ready entry", async || {
