--- a/crates/config/tests/histories.rs
+++ b/crates/config/tests/histories.rs
@@ -2,6 +2,7 @@
 //!
 //! The world checks after every event that no version falls, differs or is admitted under after a
 //! newer one was accepted; at the end every answer must be true of what the service holds.
+//! `HISTORIES=2000 cargo test --release -p config --test histories` runs more of them.
 
 mod common;
 
@@ -124,8 +125,10 @@
 
 #[test]
 fn no_history_reverts_or_splits_the_configuration() {
+    let more = std::env::var("HISTORIES").ok();
+    let cases = more.and_then(|count| count.parse().ok()).unwrap_or(CASES);
     let config = Config {
-        cases: CASES,
+        cases,
         rng_seed: RngSeed::Fixed(5),
         failure_persistence: None,
         ..Config::default()
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod acceptance;
 pub mod checker;
 pub mod lease;
+pub mod ticket;
