--- a/crates/matrix/examples/histories.rs
+++ b/crates/matrix/examples/histories.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use matrix::check::Point;
+use matrix::history::Fact;
 use matrix::plan::Plan;
 use matrix::world::Bug;
 
@@ -19,7 +20,7 @@
     /// threads
     #[argh(option, default = "4")]
     threads: u64,
-    /// print one seed's breaches with the fewest faults
+    /// print one seed's history with the fewest faults
     #[argh(option)]
     shrink: Option<u64>,
 }
@@ -54,7 +55,8 @@
 }
 
 fn run(seed: u64) -> Outcome {
-    let (breaches, steps) = Plan::new(seed).run(Bug::None);
+    let run = Plan::new(seed).run(Bug::None);
+    let (breaches, steps) = (run.breaches, run.steps);
     let mut points: Vec<Point> = breaches.iter().map(|breach| breach.point).collect();
     points.sort();
     points.dedup();
@@ -89,7 +91,13 @@
 fn shrink(seed: u64) -> anyhow::Result<()> {
     let plan = Plan::new(seed).shrunk(Bug::None);
     println!("{plan:#?}");
-    for breach in plan.run(Bug::None).0 {
+    let run = plan.run(Bug::None);
+    for (at, fact) in &run.history.records {
+        if !matches!(fact, Fact::Chunk { .. }) {
+            println!("{at} {fact:?}");
+        }
+    }
+    for breach in run.breaches {
         println!("{breach:?}");
     }
     Ok(())
--- a/crates/matrix/src/plan.rs
+++ b/crates/matrix/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::check::Breach;
 use crate::fault::Fault;
 use crate::history::Ask;
+use crate::history::History;
 use crate::world::Bug;
 use crate::world::Once;
 use crate::world::Shape;
@@ -33,6 +34,16 @@
     pub faults: Vec<(Span, Fault)>,
 }
 
+/// How a run went.
+pub struct Run {
+    /// What was seen.
+    pub history: History,
+    /// What the checker found.
+    pub breaches: Vec<Breach>,
+    /// Steps of reducers that it took.
+    pub steps: u64,
+}
+
 impl Plan {
     /// The run of a seed.
     pub fn new(seed: u64) -> Plan {
@@ -58,8 +69,8 @@
         }
     }
 
-    /// Runs it to its end and gives the breaches, and the steps of reducers that it took.
-    pub fn run(&self, bug: Bug) -> (Vec<Breach>, u64) {
+    /// Runs it to its end.
+    pub fn run(&self, bug: Bug) -> Run {
         let mut world = World::new(self.seed, self.shape, bug);
         let mut draw = Draw(Pcg64Mcg::seed_from_u64(!self.seed));
         for _ in 0..self.requests {
@@ -70,13 +81,18 @@
         }
         world.run_for(Span::from_millis(BUSY));
         let (history, steps) = world.finish();
-        (check::check(&history), steps)
+        let breaches = check::check(&history);
+        Run {
+            history,
+            breaches,
+            steps,
+        }
     }
 
     /// The same run with as few faults as still breach the same point first.
     pub fn shrunk(&self, bug: Bug) -> Plan {
         let mut least = self.clone();
-        let point = |plan: &Plan| plan.run(bug).0.first().map(|breach| breach.point);
+        let point = |plan: &Plan| plan.run(bug).breaches.first().map(|breach| breach.point);
         let wanted = point(self);
         let mut at = 0;
         while at < least.faults.len() {
--- a/crates/matrix/src/world/backend.rs
+++ b/crates/matrix/src/world/backend.rs
@@ -123,6 +123,7 @@
         address: backend.address.clone(),
         zone: SmolStr::new_static(backend.zone),
         pool: SmolStr::new_static(backend.pool),
+        hourly_micros: 0,
         leaving,
     }
 }
--- a/crates/matrix/src/world/flight.rs
+++ b/crates/matrix/src/world/flight.rs
@@ -1,5 +1,6 @@
 //! The task of one open model call: the daemon's, without its sockets.
 
+use clock::Span;
 use entry::arrival::Arrival;
 use entry::arrival::Work;
 use entry::attempt::Place;
@@ -29,6 +30,9 @@
 use crate::world::engine::Reader;
 use crate::world::engine::Word;
 
+/// Tokens are reported so many at a time.
+const REPORT_EACH: u32 = 8;
+
 /// One open call.
 pub(crate) struct Flight {
     number: Try,
@@ -405,27 +409,25 @@
                     self.tell_caller(number, word.clone());
                 }
                 self.tell_caller(number, word);
-                self.report_tokens(node, serial);
+                self.report_tokens(node, serial, REPORT_EACH);
             }
         }
     }
 
     /// Reports counts now and then.
-    fn report_tokens(&mut self, node: usize, serial: u64) {
-        const EACH: u32 = 8;
+    fn report_tokens(&mut self, node: usize, serial: u64, least: u32) {
         if let Some(flight) = self.flight(node, serial)
-            && flight.unreported >= EACH
+            && flight.unreported >= least
         {
             let tokens = std::mem::take(&mut flight.unreported);
-            self.report(node, serial, Report::Tokens(tokens));
+            let worst_gap = Span::ZERO;
+            self.report(node, serial, Report::Tokens { tokens, worst_gap });
         }
     }
 
     fn report_end(&mut self, node: usize, serial: u64, end: End) {
-        if let Some(flight) = self.flight(node, serial) {
-            let tokens = std::mem::take(&mut flight.unreported);
-            self.report(node, serial, Report::Ended { end, tokens });
-        }
+        self.report_tokens(node, serial, 1);
+        self.report(node, serial, Report::Ended { end, tokens: 0 });
     }
 
     fn report(&mut self, node: usize, serial: u64, report: Report) {
@@ -479,7 +481,7 @@
             address: place.address,
             order,
         };
-        let time = HOP + clock::Span::from_millis(self.draw(3));
+        let time = HOP + Span::from_millis(self.draw(3));
         self.after(time, Happening::Engine(call));
     }
 
