--- a/crates/matrix/src/lib.rs
+++ b/crates/matrix/src/lib.rs
@@ -4,8 +4,12 @@
 //! of everything around them. It records what callers, backend servers, operators and the cloud see;
 //! [`check`] judges that record against the seven points and knows nothing of the reducer.
 
+pub mod cell;
 pub mod check;
 pub mod fault;
 pub mod history;
+pub mod page;
 pub mod plan;
+pub mod run;
+pub mod table;
 pub mod world;
--- a/crates/matrix/src/world/callers.rs
+++ b/crates/matrix/src/world/callers.rs
@@ -117,6 +117,37 @@
         self.after(after, Happening::CallerWaits(caller, Try(u32::MAX)));
     }
 
+    /// A caller cancels its request now and wants no answer any more.
+    pub fn cancel(&mut self, ask: Ask) {
+        let number = ask.0 as usize;
+        let open = self.callers[number].open;
+        self.drop_caller(number);
+        let Some((name, node)) = open else {
+            return;
+        };
+        let flights = &self.nodes[node].flights;
+        let found = flights.iter().find(|(_, flight)| flight.number() == name);
+        let Some(serial) = found.map(|(serial, _)| *serial) else {
+            return;
+        };
+        let incarnation = self.nodes[node].identity.incarnation;
+        let request = format_smolstr!(
+            "{}",
+            request::id::Id {
+                incarnation,
+                serial
+            }
+        );
+        let key = Some(self.callers[number].key.clone());
+        let event = move |asker| Event::CancelAsked {
+            asker,
+            key,
+            request,
+        };
+        let input = Input::Asked(Asker::Cancel, Box::new(event));
+        self.after(HOP, Happening::Input(node, input));
+    }
+
     /// Whether every caller has come to its end.
     pub(crate) fn callers_done(&self) -> bool {
         self.callers
--- a/crates/matrix/src/world/effects.rs
+++ b/crates/matrix/src/world/effects.rs
@@ -49,6 +49,7 @@
                 self.call_peer(node, &address, Input::Asked(asker, Box::new(event)), lost);
             }
             Effect::OfferEstates { address, estates } => {
+                self.handovers += 1;
                 let asker = Asker::Heir { from: node };
                 let event = move |asker| Event::EstatesOffered { asker, estates };
                 let lost = Event::EstatesTaken { by: None };
--- a/crates/matrix/src/world/mod.rs
+++ b/crates/matrix/src/world/mod.rs
@@ -168,6 +168,8 @@
     calm_from: Time,
     /// Steps of reducers taken so far.
     steps: u64,
+    /// Ledgers offered so far.
+    handovers: u64,
     history: History,
 }
 
@@ -206,6 +208,7 @@
             probing: true,
             calm_from: Time::ZERO,
             steps: 0,
+            handovers: 0,
             history: History::default(),
         };
         for slot in 0..shape.entries {
@@ -260,6 +263,19 @@
         (self.history, self.steps)
     }
 
+    /// Ledgers offered so far.
+    pub fn handovers(&self) -> u64 {
+        self.handovers
+    }
+
+    /// Whether a write to a table of the service is on its way.
+    pub fn is_writing(&self, table: &str) -> bool {
+        self.queue.values().any(|happening| match happening {
+            Happening::Store(arrival) => arrival.writes_to(table),
+            _ => false,
+        })
+    }
+
     /// What was seen so far.
     pub fn history(&self) -> &History {
         &self.history
--- a/crates/matrix/src/world/node.rs
+++ b/crates/matrix/src/world/node.rs
@@ -56,6 +56,8 @@
     Addresses(usize),
     /// An operator.
     Operator(usize),
+    /// A caller that cancels.
+    Cancel,
     /// A look at the version.
     Version,
     /// A peer for leave to spend a ticket.
--- a/crates/matrix/src/world/store.rs
+++ b/crates/matrix/src/world/store.rs
@@ -37,6 +37,19 @@
     back: Span,
 }
 
+impl Arrival {
+    /// Whether it is a write to that table.
+    pub fn writes_to(&self, table: &str) -> bool {
+        match &self.call {
+            Call::Transact(transaction) => transaction
+                .writes
+                .iter()
+                .any(|write| write.at.table == table),
+            _ => false,
+        }
+    }
+}
+
 impl World {
     /// A reducer asks the service something.
     pub(crate) fn store_asked(&mut self, node: usize, id: Id, call: Call) {
