--- a/crates/matrix/src/check.rs
+++ b/crates/matrix/src/check.rs
@@ -72,6 +72,7 @@
     let mut headed = BTreeMap::new();
     let mut excused = BTreeSet::new();
     let mut open: BTreeMap<Ask, Time> = BTreeMap::new();
+    let mut last = BTreeMap::new();
     for (at, fact) in &history.records {
         match fact {
             Fact::Asked {
@@ -91,7 +92,11 @@
                 headed.remove(ask);
                 open.remove(ask);
             }
-            Fact::Refused { ask, .. } | Fact::Cut { ask, .. } | Fact::Continued { ask } => {
+            Fact::Refused { ask, reason, .. } => {
+                open.remove(ask);
+                last.insert(*ask, reason.as_str());
+            }
+            Fact::Cut { ask, .. } | Fact::Continued { ask } => {
                 open.remove(ask);
             }
             _ => {}
@@ -99,7 +104,9 @@
     }
     for (ask, at) in headed {
         if !excused.contains(&ask) {
-            let what = format!("{ask:?} was accepted and never answered whole");
+            let reason = last.get(&ask).unwrap_or(&"nothing");
+            let what =
+                format!("{ask:?} was accepted and never answered whole; last heard: {reason}");
             breach(breaches, Point::Survives, at, what);
         }
     }
--- a/crates/matrix/src/plan.rs
+++ b/crates/matrix/src/plan.rs
@@ -127,7 +127,7 @@
     /// One request of each kind; a few callers go away.
     fn requests(&mut self, world: &mut World) {
         let when = |draw: &mut Draw| draw.span(0, BUSY);
-        let tokens = 1 + self.below(150);
+        let tokens = 1 + self.below(400);
         let after = when(self);
         let model = world.ask_model(after, tokens);
         let after = when(self);
--- a/crates/matrix/src/world/callers.rs
+++ b/crates/matrix/src/world/callers.rs
@@ -17,6 +17,7 @@
 use crate::history::Fact;
 use crate::history::Kind;
 use crate::history::Try;
+use crate::world::Bug;
 use crate::world::HOP;
 use crate::world::Happening;
 use crate::world::World;
@@ -421,7 +422,10 @@
     }
 
     fn refused(&mut self, number: usize, name: Try, refusal: &Refusal) {
-        let (verdict, reason) = (refusal.verdict, refusal.reason);
+        let (mut verdict, reason) = (refusal.verdict, refusal.reason);
+        if self.bug == Bug::SayNotRun {
+            verdict = Verdict::NotRun;
+        }
         let caller = &mut self.callers[number];
         caller.open = None;
         let ask = caller.ask;
--- a/crates/matrix/src/world/flight.rs
+++ b/crates/matrix/src/world/flight.rs
@@ -15,6 +15,8 @@
 use request::relay::Relay;
 use request::resume::Resume;
 use smol_str::SmolStr;
+use verdict::Reason;
+use verdict::Refusal;
 
 use crate::history::Ask;
 use crate::history::Try;
@@ -140,10 +142,10 @@
                 let token = self.token(node, serial);
                 self.drop_reader(node, serial);
                 self.nodes[node].flights.remove(&serial);
-                let token = match self.bug {
-                    Bug::LoseHandedOff => None,
-                    _ => token,
-                };
+                if self.bug == Bug::LoseHandedOff {
+                    let refusal = Refusal::may_have_run(Reason::BackendFailed, "lost");
+                    return self.tell_caller(number, CallerWord::Refused(refusal));
+                }
                 self.tell_caller(number, CallerWord::Continue { address, token });
             }
             Command::Start {
--- a/crates/matrix/src/world/mod.rs
+++ b/crates/matrix/src/world/mod.rs
@@ -67,20 +67,22 @@
     /// None.
     #[default]
     None,
-    /// Streams that were handed off can't be continued anywhere.
+    /// Streams that should be handed off end with an error.
     LoseHandedOff,
     /// Each tenth token is given to the caller twice.
     DoubleChunk,
+    /// Each refusal says "not run".
+    SayNotRun,
     /// A lost answer of a service is reported as not started.
     CallLostNotStarted,
-    /// The table service takes every insert, whatever its checks.
+    /// The table service takes every row of a key, whatever is there.
     IgnoreChecks,
-    /// The notices and the list never tell of a leave.
+    /// Neither notices nor list tell of a leave.
     HideNotices,
     /// An entry asked to stop ends at once.
     StopAtOnce,
-    /// An entry admits whatever its lease says and hears nothing of changes.
-    StaleEntry,
+    /// Operators are told "accepted" as soon as they ask.
+    AcceptEarly,
 }
 
 /// How large a world is.
@@ -119,6 +121,7 @@
     CallerWaits(usize, Try),
     OperatorActs(usize),
     Probe,
+    OldKeys(smol_str::SmolStr),
     Fault(Fault),
     Thaw(usize),
     Heal(Healing),
@@ -312,6 +315,7 @@
             Happening::CallerWaits(caller, number) => self.caller_waits(caller, number),
             Happening::OperatorActs(change) => self.operator_acts(change),
             Happening::Probe => self.probe(),
+            Happening::OldKeys(account) => self.try_old_keys(&account),
             Happening::Fault(fault) => self.strike(fault),
             Happening::Thaw(node) => self.thaw(node),
             Happening::Heal(healing) => self.heal(healing),
--- a/crates/matrix/src/world/operators.rs
+++ b/crates/matrix/src/world/operators.rs
@@ -19,6 +19,7 @@
 use smol_str::format_smolstr;
 
 use crate::history::Fact;
+use crate::world::Bug;
 use crate::world::HOP;
 use crate::world::Happening;
 use crate::world::World;
@@ -175,7 +176,6 @@
 
     /// An operator makes its change, or asks again under the same name.
     pub(crate) fn operator_acts(&mut self, number: usize) {
-        let waits = PATIENCE;
         if self.operators.changes[number].done || self.operators.changes[number].tries > 12 {
             self.operators.changes[number].done = true;
             return;
@@ -191,7 +191,18 @@
             wait: CHANGE_WAIT,
             edit: asked.edit.clone(),
         };
-        self.after(waits, Happening::OperatorActs(number));
+        if self.bug == Bug::AcceptEarly {
+            let asked = &self.operators.changes[number];
+            let early = Fact::Accepted {
+                account: asked.account.clone(),
+                key: asked.key.clone(),
+                version: asked.base + 1,
+            };
+            let account = asked.account.clone();
+            self.note(early);
+            self.after(HOP, Happening::OldKeys(account));
+        }
+        self.after(PATIENCE, Happening::OperatorActs(number));
         self.ask_entry(node, Asker::Operator(number), Request::Change(change));
     }
 
@@ -227,6 +238,7 @@
             Ok(Reply::Changed(Changed::Accepted { version })) => {
                 asked.done = true;
                 asked.accepted = true;
+                self.after(HOP, Happening::OldKeys(account.clone()));
                 Some(Fact::Accepted {
                     account,
                     key,
@@ -281,6 +293,21 @@
         }
     }
 
+    /// Somebody tries all keys of an account but its newest at every entry.
+    pub(crate) fn try_old_keys(&mut self, account: &SmolStr) {
+        let keys = self.operators.keys.iter();
+        let mut own: Vec<SmolStr> = keys
+            .filter(|(whose, _)| whose == account)
+            .map(|(_, key)| key.clone())
+            .collect();
+        own.pop();
+        for key in own {
+            for node in self.slots.clone() {
+                self.send_probe(node, account.clone(), key.clone());
+            }
+        }
+    }
+
     /// Somebody tries a key, perhaps an old one, at some entry; and looks at its version.
     pub(crate) fn probe(&mut self) {
         if !self.probing {
