--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -136,6 +136,11 @@
         self.seen.as_ref().map(|(row, _)| row.fence)
     }
 
+    /// When the lease ends by our clock, unless it is renewed before.
+    pub fn valid_until(&self) -> Time {
+        self.valid_until
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
         if self.pulse.beat(now) {
--- a/crates/lease/src/order.rs
+++ b/crates/lease/src/order.rs
@@ -30,6 +30,13 @@
     pub role: SmolStr,
 }
 
+impl Target {
+    /// Whether both hold the same model, adapter and version, whatever their role.
+    pub fn holds_same(&self, other: &Target) -> bool {
+        self.model == other.model && self.adapter == other.adapter && self.version == other.version
+    }
+}
+
 /// What happens to the state machine.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -262,7 +269,8 @@
         if self.ordered.is_some_and(|at| now < at + settings.flight) {
             return false;
         }
-        let destructive = !seen.target.model.is_empty();
+        // A change of role alone takes nothing away: what runs goes on.
+        let destructive = !seen.target.model.is_empty() && !seen.target.holds_same(&self.wanted);
         let fresh = now.since(seen.at) <= settings.longest_gap();
         let quiet = seen
             .idle_since
