Put the fleet leader in force; let a leaving entry stay for callers with old addresses

Cause: the entry exited while callers still held its address; what they had just sent showed as cut. Ruled out: the final flush, which waits for connections in an answer.

--- a/crates/back/src/engine.rs
+++ b/crates/back/src/engine.rs
@@ -10,7 +10,6 @@
 use request::id::Stream;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_json::Value;
 use serde_json::json;
 use smol_str::SmolStr;
 
@@ -56,6 +55,18 @@
     pub role: SmolStr,
 }
 
+/// What an engine says that it is.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Standing {
+    /// What it was last ordered to be.
+    pub target: Target,
+    /// Whether it has become that.
+    pub loaded: bool,
+    /// The highest fencing number that it has seen.
+    #[serde(default)]
+    pub fence: u64,
+}
+
 /// The engine at one address.
 #[derive(Clone, Debug)]
 pub struct Engine<'a> {
@@ -141,9 +152,13 @@
     }
 
     /// What the engine is.
-    pub async fn state(&self) -> Result<Value, Failure> {
+    pub async fn standing(&self) -> Result<Standing, Failure> {
         let exchange = Exchange::new(self.address, Method::GET, "/v1/state", SHORT_TIME);
-        self.client.fetch_json(exchange).await
+        let value = self.client.fetch_json(exchange).await?;
+        serde_json::from_value(value).map_err(|_| Failure::Answered {
+            status: 200,
+            message: SmolStr::new_static("the engine's state has another shape"),
+        })
     }
 }
 
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -9,6 +9,7 @@
 use crate::deployment::Account;
 use crate::deployment::CallPattern;
 use crate::deployment::Deployment;
+use crate::deployment::Fleet;
 use crate::deployment::Grant;
 use crate::deployment::Kind;
 
@@ -18,6 +19,10 @@
 const TARGET_MAX_MS: u64 = 3_600_000;
 /// Greatest share that can be promised, in thousandths: all would leave no error budget.
 const SHARE_MAX_PER_MILLE: u32 = 999;
+/// Most requests that one instance can be said to run at once.
+const CAPACITY_MAX: u32 = 10_000;
+/// Most instances of one pool.
+const INSTANCES_MAX: u32 = 100_000;
 /// Greatest weight of an account.
 const WEIGHT_MAX: u32 = 1_000_000;
 /// Greatest priority number of an account.
@@ -57,12 +62,23 @@
     name("pool", &deployment.pool, &mut out);
     kind(&deployment.kind, &mut out);
     grants(&deployment.grants, &mut out);
+    fleet(&deployment.fleet, &mut out);
     for (index, pattern) in deployment.non_idempotent.iter().enumerate() {
         call_pattern(&format!("non_idempotent[{index}]"), pattern, &mut out);
     }
     out
 }
 
+/// Checks the bounds of a pool.
+fn fleet(fleet: &Fleet, out: &mut Vec<Violation>) {
+    if *fleet == Fleet::default() {
+        return;
+    }
+    within("fleet.capacity", fleet.capacity, 1, CAPACITY_MAX, out);
+    within("fleet.most", fleet.most, 1, INSTANCES_MAX, out);
+    within("fleet.least", fleet.least, 0, fleet.most, out);
+}
+
 /// Everything wrong with an account.
 pub fn account(account: &Account) -> Vec<Violation> {
     let mut out = Vec::new();
--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -23,6 +23,21 @@
     /// Whether its engines refuse an order with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// How many instances its pool may have.
+    #[serde(default)]
+    pub fleet: Fleet,
+}
+
+/// Bounds of a pool that the system looks after; all zero where others do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default)]
+pub struct Fleet {
+    /// Requests that one instance runs at once within the targets.
+    pub capacity: u32,
+    /// Fewest instances.
+    pub least: u32,
+    /// Most instances; 0 if the system starts and stops none.
+    pub most: u32,
 }
 
 /// What a deployment serves.
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -13,9 +13,12 @@
 use entry::event::Event;
 use entry::instance::Instance;
 use entry::instance::Notice;
+use policy::mix::Kind;
+use policy::mix::Offer;
 use policy::replica;
 use smol_str::SmolStr;
 
+use crate::fleet_port::market_of;
 use crate::link::Link;
 
 /// What an entry of the list is called that serves as one of us.
@@ -54,6 +57,7 @@
         if Instant::now() >= next_prices
             && let Ok(newest) = cloud.prices().await
         {
+            link.event(Event::PricesRead(newest.iter().map(offer_of).collect()));
             prices = newest;
             next_prices = Instant::now() + PRICES_TIME;
         }
@@ -121,6 +125,12 @@
 /// An instance as the reducer sees it.
 fn instance_of(instance: &back::cloud::Instance, prices: &[Price]) -> Instance {
     Instance {
+        id: instance.id.clone(),
+        kind: Kind {
+            zone: instance.zone.clone(),
+            class: instance.class.clone(),
+            market: market_of(&instance.market),
+        },
         incarnation: instance.incarnation.clone(),
         address: instance.address.clone(),
         zone: instance.zone.clone(),
@@ -137,6 +147,19 @@
     }
 }
 
+/// A price as the reducer sees it; what an instance carries is the deployment's to say.
+fn offer_of(price: &Price) -> Offer {
+    Offer {
+        kind: Kind {
+            zone: price.zone.clone(),
+            class: price.class.clone(),
+            market: market_of(&price.market),
+        },
+        per_hour: price.per_hour,
+        capacity: 1,
+    }
+}
+
 /// A notice as the reducer sees it.
 fn notice_of(notice: &back::cloud::Notice) -> Notice {
     Notice {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -36,6 +36,7 @@
 use crate::admin;
 use crate::admin::Admin;
 use crate::callers::Callers;
+use crate::fleet_port::FleetPort;
 use crate::flight::Shared;
 use crate::link::Link;
 use crate::logs;
@@ -110,6 +111,7 @@
     let (link, messages) = Link::new();
     let link = Rc::new(link);
     let client = HttpClient::new();
+    let fleet_client = client.clone();
     let shared = Rc::new(Shared {
         link: Rc::clone(&link),
         client: client.clone(),
@@ -171,15 +173,23 @@
             interval,
         )),
     ];
+    let clock = Clock::start();
+    let fleet = FleetPort {
+        link: Rc::clone(&link),
+        client: fleet_client,
+        cloud: host_of(&settings.platform.cloud),
+        clock,
+    };
     let timeout = Duration::from_millis(settings.platform.timeout_ms);
     let store = Driver::new(&host_of(&settings.platform.table_service), timeout);
     let shell = Shell {
         name: identity.name,
-        clock: Clock::start(),
+        clock,
         entry,
         link,
         store: Rc::new(store),
         peers,
+        fleet,
         metrics,
         ready,
         flights: HashMap::new(),
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -22,6 +22,7 @@
 use tokio::sync::oneshot;
 use verdict::Refusal;
 
+use crate::fleet_port::FleetPort;
 use crate::link::Link;
 use crate::link::Message;
 use crate::logs;
@@ -45,6 +46,8 @@
     pub store: Rc<Driver>,
     /// Other entries.
     pub peers: Peers,
+    /// Engines' orders and the cloud.
+    pub fleet: FleetPort,
     /// What is counted.
     pub metrics: Metrics,
     /// What the admin port says.
@@ -105,7 +108,7 @@
     fn step(&mut self, event: Event) -> bool {
         let mut effects = Vec::new();
         let now = self.clock.now();
-        let tick = event == Event::Tick;
+        let tick = matches!(event, Event::Tick);
         let begun = Instant::now();
         self.entry.step(now, event, &mut effects);
         self.metrics.stepped(&effects, begun.elapsed());
@@ -224,6 +227,29 @@
             Effect::SendConfigure { address, message } => {
                 self.peers.send_configure(address, message);
             }
+            Effect::ReadEngine {
+                deployment,
+                engine,
+                address,
+            } => self.fleet.read(deployment, engine, address),
+            Effect::OrderEngine {
+                deployment,
+                engine,
+                address,
+                fence,
+                target,
+                until,
+            } => self
+                .fleet
+                .order(deployment, engine, address, fence, target, until),
+            Effect::StartInstance {
+                deployment,
+                token,
+                kind,
+                pool,
+                until,
+            } => self.fleet.start(deployment, token, kind, pool, until),
+            Effect::StopInstance { id, after, until } => self.fleet.stop(id, after, until),
             Effect::Exit => {}
         }
     }
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -1,9 +1,12 @@
 //! Everything that an entry does, as data; the shell carries it out.
 
 use clock::Span;
+use clock::Time;
 use config::message::Message;
+use lease::order::Target;
 use member::digest::Digest;
 use policy::decision::Transfer;
+use policy::mix::Kind;
 use request::id::Incarnation;
 use request::id::Stream;
 use request::ledger::Answer;
@@ -97,6 +100,53 @@
         /// The message.
         message: Message,
     },
+    /// Read what an engine serves; the answer comes back as a fleet event.
+    ReadEngine {
+        /// Whose leader asks.
+        deployment: SmolStr,
+        /// The engine's incarnation.
+        engine: SmolStr,
+        /// `host:port` of the engine.
+        address: SmolStr,
+    },
+    /// Send an order to an engine, if it is not `until` yet when it leaves.
+    OrderEngine {
+        /// Whose leader orders.
+        deployment: SmolStr,
+        /// The engine's incarnation.
+        engine: SmolStr,
+        /// `host:port` of the engine.
+        address: SmolStr,
+        /// Fencing number.
+        fence: u64,
+        /// What it is to serve.
+        target: Target,
+        /// When the leader's lease ends.
+        until: Time,
+    },
+    /// Ask the cloud for an instance, if it is not `until` yet when the wish leaves.
+    StartInstance {
+        /// Whose leader asks.
+        deployment: SmolStr,
+        /// Names the wish.
+        token: SmolStr,
+        /// Where and as what.
+        kind: Kind,
+        /// For which pool.
+        pool: SmolStr,
+        /// When the leader's lease ends.
+        until: Time,
+    },
+    /// Give an instance back to the cloud after a while, if the lease was valid until then or the
+    /// order was given while it was.
+    StopInstance {
+        /// Name of the machine.
+        id: SmolStr,
+        /// Time for its work to end or move.
+        after: Span,
+        /// When the leader's lease ended as it was ordered.
+        until: Time,
+    },
     /// One line of the log.
     Log(Line),
     /// Nothing is left to do: the process may end.
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -10,6 +10,7 @@
 use member::membership::Membership;
 use ops::Journal;
 use policy::decision::Decision;
+use policy::mix::Offer;
 use policy::scheduler::Scheduler;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -26,6 +27,7 @@
 use crate::event::Event;
 use crate::flight::Flight;
 use crate::identity::Identity;
+use crate::leaders::Leaders;
 use crate::leave::Seals;
 use crate::members;
 use crate::stop::Stop;
@@ -51,6 +53,9 @@
     pub(crate) stop: Stop,
     /// The life of the instance that this entry runs on, as the platform calls it.
     pub(crate) own_instance: Option<SmolStr>,
+    pub(crate) leaders: Leaders,
+    /// Prices as last read.
+    pub(crate) offers: Vec<Offer>,
     pub(crate) collector: Collector,
     pub(crate) journal: Journal,
     /// Whether the table service answered the last call.
@@ -87,6 +92,13 @@
     Membership(store::call::Id),
     /// The collector of the burn report, by its own number.
     Collector(store::call::Id),
+    /// The leader of a deployment, by its own number.
+    Leader {
+        /// Which deployment.
+        deployment: SmolStr,
+        /// Its number.
+        id: store::call::Id,
+    },
     /// A request's own row.
     Intent {
         /// Which request.
@@ -106,6 +118,8 @@
             ledger: Ledger::new(identity.incarnation),
             agreement: configuration::agreement(me, settings.agreement, seed),
             membership: members::membership(&identity, seeds, settings.members, seed),
+            leaders: Leaders::default(),
+            offers: Vec::new(),
             collector: accounts::collector(&identity, settings.zero_unix_ms),
             journal: Journal::new(identity.name.clone()),
             store_available: true,
@@ -151,7 +165,17 @@
                 attempt,
                 report,
             } => self.attempt_reported(now, serial, attempt, report, effects),
-            Event::InstancesRead(list) => self.instances_read(now, &list, effects),
+            Event::InstancesRead(list) => {
+                self.instances_read(now, &list, effects);
+                self.leaders_listed(now, &list, effects);
+            }
+            Event::PricesRead(offers) => {
+                self.priced(now, &offers, effects);
+                self.offers = offers;
+            }
+            Event::Fleet { deployment, event } => {
+                self.lead_step(now, &deployment, event, effects);
+            }
             Event::OwnInstanceRead {
                 incarnation,
                 leaving,
@@ -160,7 +184,11 @@
             Event::LoadRead {
                 incarnation,
                 report,
-            } => self.load_read(now, &incarnation, report),
+            } => {
+                self.load_read(now, &incarnation, report);
+                let requests = report.running + report.waiting;
+                self.leaders_loaded(now, &incarnation, requests, effects);
+            }
             Event::Store { id, outcome } => self.store_answered(now, id, outcome, effects),
             Event::Operator { call, request } => self.operator_called(now, call, request, effects),
             Event::SpendAsked { asker, ticket } => self.spend_asked(now, asker, &ticket, effects),
@@ -203,6 +231,7 @@
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.members_tick(now, effects);
         self.configuration_tick(now, effects);
+        self.leaders_tick(now, effects);
         self.leaves_tick(now, effects);
         self.flights_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
@@ -257,6 +286,10 @@
             Some(Waiter::Collector(id)) => {
                 self.collect(now, collector::Event::Store { id, outcome }, effects);
             }
+            Some(Waiter::Leader { deployment, id }) => {
+                let answered = fleet::event::Event::Store { id, outcome };
+                self.lead_step(now, &deployment, answered, effects);
+            }
             Some(Waiter::Intent { serial }) => self.intent_answered(now, serial, outcome, effects),
             None => {}
         }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -2,6 +2,7 @@
 
 use config::message::Message;
 use member::digest::Digest;
+use policy::mix::Offer;
 use policy::replica;
 use request::id::Incarnation;
 use request::ledger::Answer;
@@ -15,7 +16,7 @@
 use crate::instance::Notice;
 
 /// One event.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub enum Event {
     /// A caller's request was read whole.
     Arrived {
@@ -65,6 +66,15 @@
         /// Whether the list says that it is leaving.
         leaving: bool,
     },
+    /// Prices were read.
+    PricesRead(Vec<Offer>),
+    /// Something for the leader of a deployment: engines read, orders refused, wishes answered.
+    Fleet {
+        /// Which deployment.
+        deployment: SmolStr,
+        /// What happened.
+        event: fleet::event::Event,
+    },
     /// Reclaim notices were read.
     NoticesRead(Vec<Notice>),
     /// A backend server reported its load.
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -1,11 +1,14 @@
 //! Instances as the platform names them.
 
 use clock::Span;
+use policy::mix::Kind;
 use smol_str::SmolStr;
 
 /// One line of the instance list. The list lags behind reality.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
+    /// Name of the machine, for the cloud.
+    pub id: SmolStr,
     /// This life of the instance, unique for ever.
     pub incarnation: SmolStr,
     /// `host:port` of the server on it.
@@ -14,6 +17,8 @@
     pub zone: SmolStr,
     /// Pool it belongs to.
     pub pool: SmolStr,
+    /// Where and as what it is had.
+    pub kind: Kind,
     /// Price of an hour, millionths of the currency; 0 while it isn't known.
     pub hourly_micros: u64,
     /// Whether the list says that it is leaving.
--- /dev/null
+++ b/crates/entry/src/leaders.rs
@@ -0,0 +1,357 @@
+//! Fleets: which deployments this entry should lead, and what their leaders ask for.
+//!
+//! Every deployment has one entry that should lead it, by rendezvous over the live members; it claims
+//! the lease. Until its lease lapses a former leader stays the holder, so that two entries that see
+//! different members never both act.
+
+use std::collections::BTreeMap;
+
+use clock::Span;
+use clock::Time;
+use config::deployment::Deployment;
+use config::deployment::Kind;
+use fleet::event::Effect as FleetEffect;
+use fleet::event::Event as FleetEvent;
+use fleet::event::Instance as FleetInstance;
+use fleet::event::Mission;
+use fleet::event::Size;
+use fleet::lead::Lead;
+use lease::holder;
+use lease::order::Target;
+use policy::mix::Offer;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::entry::Waiter;
+use crate::instance::Instance;
+use crate::line::Line;
+
+/// Time between two looks at who should lead what.
+const ASSIGN_INTERVAL: Span = Span::from_seconds(1);
+
+/// Time to clear an instance that is given back.
+const GIVE_BACK_TIME: Span = Span::from_seconds(30);
+
+/// The leaders of this entry.
+#[derive(Debug, Default)]
+pub(crate) struct Leaders {
+    leads: BTreeMap<SmolStr, Lead>,
+    next_assign: Time,
+    list: Vec<Instance>,
+}
+
+impl Entry {
+    /// Lets leaders act on the time, and looks at who should lead what.
+    pub(crate) fn leaders_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if now >= self.leaders.next_assign {
+            self.leaders.next_assign = now + ASSIGN_INTERVAL;
+            self.assign(now, effects);
+        }
+        let due: Vec<SmolStr> = self
+            .leaders
+            .leads
+            .iter()
+            .filter(|(_, lead)| lead.next_wake(now).is_some_and(|wake| wake <= now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.lead_step(now, &name, FleetEvent::Wake, effects);
+        }
+    }
+
+    /// Takes one event into a leader and carries out what it asks for.
+    pub(crate) fn lead_step(
+        &mut self,
+        now: Time,
+        name: &SmolStr,
+        event: FleetEvent,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(lead) = self.leaders.leads.get_mut(name) else {
+            return;
+        };
+        let mut asked = Vec::new();
+        lead.step(now, event, &mut asked);
+        for effect in asked {
+            self.led(now, name, effect, effects);
+        }
+    }
+
+    /// The instance list was read.
+    pub(crate) fn leaders_listed(
+        &mut self,
+        now: Time,
+        list: &[Instance],
+        effects: &mut Vec<Effect>,
+    ) {
+        self.leaders.list = list.to_vec();
+        let names: Vec<SmolStr> = self.leaders.leads.keys().cloned().collect();
+        for name in names {
+            let listed = FleetEvent::Listed(self.pool_of(&name));
+            self.lead_step(now, &name, listed, effects);
+        }
+    }
+
+    /// Prices were read.
+    pub(crate) fn priced(&mut self, now: Time, offers: &[Offer], effects: &mut Vec<Effect>) {
+        let names: Vec<SmolStr> = self.leaders.leads.keys().cloned().collect();
+        for name in names {
+            self.lead_step(now, &name, FleetEvent::Priced(offers.to_vec()), effects);
+        }
+    }
+
+    /// An engine reported its load: its leader counts the demand.
+    pub(crate) fn leaders_loaded(
+        &mut self,
+        now: Time,
+        incarnation: &str,
+        requests: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        let pool = self
+            .leaders
+            .list
+            .iter()
+            .find(|one| one.incarnation == incarnation)
+            .map(|one| one.pool.clone());
+        let Some(pool) = pool else {
+            return;
+        };
+        let deployments = self.book.snapshot().deployments.iter();
+        let names: Vec<SmolStr> = deployments
+            .filter(|deployment| deployment.pool == pool)
+            .map(|deployment| deployment.name.clone())
+            .collect();
+        for name in names {
+            let engine = incarnation.to_smolstr();
+            let loaded = FleetEvent::Loaded { engine, requests };
+            self.lead_step(now, &name, loaded, effects);
+        }
+    }
+
+    /// Assigns each deployment to the member that should lead it.
+    fn assign(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let deployments = self.book.snapshot().deployments.clone();
+        let gone: Vec<SmolStr> = self
+            .leaders
+            .leads
+            .keys()
+            .filter(|name| !deployments.iter().any(|one| one.name == **name))
+            .cloned()
+            .collect();
+        for name in gone {
+            self.lead_step(now, &name, FleetEvent::Assigned(None), effects);
+            self.leaders.leads.remove(&name);
+        }
+        for deployment in deployments {
+            let mission = self
+                .should_lead(now, &deployment.name)
+                .then(|| mission_of(&deployment))
+                .filter(|mission| mission.target.is_some() || mission.size.is_some());
+            self.open_lead(now, &deployment.name, mission.is_some(), effects);
+            self.lead_step(
+                now,
+                &deployment.name,
+                FleetEvent::Assigned(mission),
+                effects,
+            );
+        }
+    }
+
+    /// Makes a leader that doesn't exist yet and tells it what is known.
+    fn open_lead(&mut self, now: Time, name: &SmolStr, wanted: bool, effects: &mut Vec<Effect>) {
+        if !wanted || self.leaders.leads.contains_key(name) {
+            return;
+        }
+        let me = holder::Id(self.identity.incarnation.0);
+        let settings = fleet::configs::lead::Settings::default();
+        let seed = self.identity.incarnation.0 ^ xxh3_64(name.as_bytes());
+        let lead = Lead::new(me, name.clone(), settings, seed);
+        self.leaders.leads.insert(name.clone(), lead);
+        let offers = self.offers.clone();
+        self.lead_step(now, name, FleetEvent::Priced(offers), effects);
+        let listed = FleetEvent::Listed(self.pool_of(name));
+        self.lead_step(now, name, listed, effects);
+    }
+
+    /// Whether this entry is the one that should lead a deployment. One that leaves leads nothing.
+    fn should_lead(&self, now: Time, name: &str) -> bool {
+        let key = xxh3_64(name.as_bytes());
+        !self.stop.is_stopping()
+            && self.membership.forward(now, key, false).is_none()
+            && self.is_ready(now)
+    }
+
+    /// Instances of a deployment's pool that stay.
+    fn pool_of(&self, name: &str) -> Vec<FleetInstance> {
+        let Some(deployment) = self.book.deployment(name) else {
+            return Vec::new();
+        };
+        let list = self.leaders.list.iter();
+        list.filter(|one| one.pool == deployment.pool && !one.leaving)
+            .filter(|one| !self.backends.is_leaving(&one.incarnation))
+            .map(|one| FleetInstance {
+                id: one.id.clone(),
+                incarnation: one.incarnation.clone(),
+                kind: one.kind.clone(),
+            })
+            .collect()
+    }
+
+    /// Carries out one thing that a leader asks for.
+    fn led(&mut self, now: Time, name: &SmolStr, effect: FleetEffect, effects: &mut Vec<Effect>) {
+        match effect {
+            FleetEffect::Store { id, call } => {
+                let deployment = name.clone();
+                self.ask_store(Waiter::Leader { deployment, id }, call, effects);
+            }
+            FleetEffect::Order {
+                engine,
+                fence,
+                target,
+                until,
+            } => self.order(name, &engine, fence, target, until, effects),
+            FleetEffect::Read(engine) => {
+                if let Some(address) = self.address_of(&engine) {
+                    effects.push(Effect::ReadEngine {
+                        deployment: name.clone(),
+                        engine,
+                        address,
+                    });
+                }
+            }
+            FleetEffect::Start { token, kind, until } => {
+                self.wish(name, token, kind, until, effects)
+            }
+            FleetEffect::Stop {
+                id,
+                incarnation,
+                until,
+            } => self.give_back(now, id, &incarnation, until, effects),
+            FleetEffect::Leads(fence) => {
+                let line = Line::info("fleet_leads").with("deployment", name);
+                effects.push(Effect::Log(line.with("fence", fence)));
+            }
+            FleetEffect::Deposed => {
+                let line = Line::info("fleet_deposed").with("deployment", name);
+                effects.push(Effect::Log(line));
+            }
+        }
+    }
+
+    /// Sends an order to an engine.
+    fn order(
+        &mut self,
+        name: &SmolStr,
+        engine: &SmolStr,
+        fence: u64,
+        target: Target,
+        until: Time,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(address) = self.address_of(engine) else {
+            return;
+        };
+        let line = Line::info("engine_ordered")
+            .with("replica", engine)
+            .with("version", &target.version)
+            .with("role", &target.role)
+            .with("fence", fence);
+        effects.push(Effect::Log(line));
+        effects.push(Effect::OrderEngine {
+            deployment: name.clone(),
+            engine: engine.clone(),
+            address,
+            fence,
+            target,
+            until,
+        });
+    }
+
+    /// Asks the cloud for an instance.
+    fn wish(
+        &mut self,
+        name: &SmolStr,
+        token: SmolStr,
+        kind: policy::mix::Kind,
+        until: Time,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pool) = self.book.deployment(name).map(|one| one.pool.clone()) else {
+            return;
+        };
+        let line = Line::info("instance_wished")
+            .with("deployment", name)
+            .with("zone", &kind.zone)
+            .with("class", &kind.class)
+            .with("market", format_args!("{:?}", kind.market));
+        effects.push(Effect::Log(line));
+        effects.push(Effect::StartInstance {
+            deployment: name.clone(),
+            token,
+            kind,
+            pool,
+            until,
+        });
+    }
+
+    /// Gives an instance back: first no entry sends it new work, and what runs there is moved; the
+    /// cloud is told once that had its time.
+    fn give_back(
+        &mut self,
+        now: Time,
+        id: SmolStr,
+        incarnation: &SmolStr,
+        until: Time,
+        effects: &mut Vec<Effect>,
+    ) {
+        let line = Line::info("instance_given_back").with("replica", incarnation);
+        effects.push(Effect::Log(line));
+        if self.backends.mark_leaving(incarnation.clone()) {
+            self.publish_leaving(now, incarnation, GIVE_BACK_TIME, effects);
+            self.backend_leaving(now, incarnation, now + GIVE_BACK_TIME, effects);
+        }
+        effects.push(Effect::StopInstance {
+            id,
+            after: GIVE_BACK_TIME,
+            until,
+        });
+    }
+
+    fn address_of(&self, incarnation: &str) -> Option<SmolStr> {
+        let list = self.leaders.list.iter();
+        let mut found = list.filter(|one| one.incarnation == incarnation);
+        found.next().map(|one| one.address.clone())
+    }
+}
+
+/// What the leader of a deployment has to see to.
+fn mission_of(deployment: &Deployment) -> Mission {
+    let target = match &deployment.kind {
+        Kind::Model {
+            model,
+            adapter,
+            version,
+        } => Some(Target {
+            model: model.clone(),
+            adapter: adapter.clone(),
+            version: version.clone(),
+            role: SmolStr::new_static(fleet::rollout::SERVE),
+        }),
+        Kind::Service => None,
+    };
+    let bounds = deployment.fleet;
+    let size = Size {
+        capacity: bounds.capacity,
+        least: bounds.least,
+        most: bounds.most,
+    };
+    Mission {
+        target,
+        checks_fencing: deployment.checks_fencing,
+        size: (bounds.most > 0).then_some(size),
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod configuration;
 mod decisions;
 mod fleet;
+mod leaders;
 mod leave;
 mod members;
 mod operators;
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -19,10 +19,18 @@
 /// Part of a notice in which requests may finish here; the rest is for handing on what is left.
 const FINISH_SHARE: f64 = 0.5;
 
+/// Part of a notice after which this entry no longer waits for callers with old addresses.
+const LINGER_SHARE: f64 = 0.8;
+
+/// Time until other entries have heard that this one leaves and no longer name it.
+const NEWS_TIME: Span = Span::from_millis(1_500);
+
 /// How far a planned stop has come.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Stop {
     deadline: Option<Time>,
+    /// Until when callers may still come who were told of this entry before it began to leave.
+    linger: Time,
     ledger_sent: bool,
     ledger_settled: Option<Time>,
     left: bool,
@@ -43,12 +51,12 @@
             .with("hurry", hurry)
             .with("open", self.flights.len());
         effects.push(Effect::Log(line));
-        let deadline = if hurry {
-            now
+        let linger = self.settings.address_ttl + NEWS_TIME;
+        if hurry {
+            self.stop_until(now, now, now, effects);
         } else {
-            now + self.settings.grace
-        };
-        self.stop_until(now, deadline, effects);
+            self.stop_until(now, now + self.settings.grace, now + linger, effects);
+        }
     }
 
     /// Our own instance will be taken away then: part of the time is kept for handing on.
@@ -62,14 +70,18 @@
         }
         let usable = gone.since(now).scaled(FINISH_SHARE);
         let grace = usable.min(self.settings.grace);
-        self.stop_until(now, now + grace, effects);
+        let linger = gone.since(now).scaled(LINGER_SHARE);
+        let linger = linger.min(self.settings.address_ttl + NEWS_TIME);
+        self.stop_until(now, now + grace, now + linger, effects);
     }
 
     /// Stops; the soonest of several deadlines counts.
-    fn stop_until(&mut self, now: Time, deadline: Time, effects: &mut Vec<Effect>) {
+    fn stop_until(&mut self, now: Time, deadline: Time, linger: Time, effects: &mut Vec<Effect>) {
         if self.stop.deadline.is_none() {
+            self.stop.linger = linger;
             self.attend(now, MemberEvent::Drain, effects);
         }
+        self.stop.linger = self.stop.linger.min(linger);
         let earlier = self.stop.deadline.unwrap_or(deadline);
         self.stop.deadline = Some(earlier.min(deadline));
         self.stop_tick(now, effects);
@@ -86,7 +98,9 @@
         if now >= deadline {
             self.hand_off_all(now, effects);
         }
-        if !self.flights.is_empty() {
+        // Callers keep addresses for a while and come here still. Were the process gone, the requests
+        // that they had sent by then would show as cut; while it stays they are told "not run".
+        if !self.flights.is_empty() || now < self.stop.linger {
             return;
         }
         self.hand_ledger_on(now, effects);
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -94,6 +94,10 @@
     );
     set(&mut response, REQUEST_HEADER, request);
     set(&mut response, VERDICT_HEADER, refusal.verdict.as_str());
+    if refusal.reason == Reason::Leaving {
+        // The next request is to go elsewhere, over another connection.
+        set(&mut response, header::CONNECTION.as_str(), "close");
+    }
     if let Some(span) = refusal.retry_after {
         let seconds = span.as_millis().div_ceil(1_000);
         set(
--- a/crates/matrix/src/world/backend.rs
+++ b/crates/matrix/src/world/backend.rs
@@ -3,6 +3,8 @@
 use clock::Span;
 use clock::Time;
 use entry::instance::Instance;
+use policy::mix::Kind;
+use policy::mix::Market;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -123,6 +125,12 @@
         address: backend.address.clone(),
         zone: SmolStr::new_static(backend.zone),
         pool: SmolStr::new_static(backend.pool),
+        id: backend.incarnation.clone(),
+        kind: Kind {
+            zone: SmolStr::new_static(backend.zone),
+            class: SmolStr::new_static("g4"),
+            market: Market::Reclaimable,
+        },
         hourly_micros: 0,
         leaving,
     }
--- a/crates/matrix/src/world/effects.rs
+++ b/crates/matrix/src/world/effects.rs
@@ -67,6 +67,11 @@
                 self.send_peer(node, &address, Input::Event(event));
             }
             Effect::Exit => self.exits(node),
+            // The fleet is proved by itself, in the tests of its own crate.
+            Effect::ReadEngine { .. }
+            | Effect::OrderEngine { .. }
+            | Effect::StartInstance { .. }
+            | Effect::StopInstance { .. } => {}
         }
     }
 
--- a/crates/matrix/src/world/operators.rs
+++ b/crates/matrix/src/world/operators.rs
@@ -5,6 +5,7 @@
 use config::deployment::Account;
 use config::deployment::CallPattern;
 use config::deployment::Deployment;
+use config::deployment::Fleet;
 use config::deployment::Grant;
 use config::deployment::Kind;
 use config::snapshot::hash_key;
@@ -349,6 +350,7 @@
         grants: grants(accounts),
         non_idempotent: Vec::new(),
         checks_fencing: false,
+        fleet: Fleet::default(),
     }
 }
 
@@ -363,5 +365,6 @@
             path_prefix: SmolStr::new_static("/receipts"),
         }],
         checks_fencing: false,
+        fleet: Fleet::default(),
     }
 }
--- a/crates/ops/src/convert/configuration.rs
+++ b/crates/ops/src/convert/configuration.rs
@@ -5,6 +5,7 @@
 use config::deployment::Account;
 use config::deployment::CallPattern;
 use config::deployment::Deployment;
+use config::deployment::Fleet;
 use config::deployment::Grant;
 use config::deployment::Kind;
 use smol_str::SmolStr;
@@ -22,6 +23,7 @@
         grants: message.grants.into_iter().map(grant_from).collect(),
         non_idempotent: message.non_idempotent.into_iter().map(call_from).collect(),
         checks_fencing: message.checks_fencing,
+        fleet: message.fleet.map(fleet_from).unwrap_or_default(),
     };
     let mut violations = check::deployment(&deployment);
     if kind.is_none() {
@@ -46,9 +48,27 @@
         grants: deployment.grants.into_iter().map(grant_to).collect(),
         non_idempotent: deployment.non_idempotent.into_iter().map(call_to).collect(),
         checks_fencing: deployment.checks_fencing,
+        fleet: fleet_to(deployment.fleet),
     }
 }
 
+fn fleet_from(fleet: wire::Fleet) -> Fleet {
+    Fleet {
+        capacity: fleet.capacity,
+        least: fleet.least,
+        most: fleet.most,
+    }
+}
+
+/// Bounds that are all zero are left out, as they were before there were any.
+fn fleet_to(fleet: Fleet) -> Option<wire::Fleet> {
+    (fleet != Fleet::default()).then_some(wire::Fleet {
+        capacity: fleet.capacity,
+        least: fleet.least,
+        most: fleet.most,
+    })
+}
+
 /// Reads an account and names everything wrong with it.
 pub fn account_from(message: wire::Account) -> Result<Account, Vec<Violation>> {
     let priority = u8::try_from(message.priority);
--- a/crates/ops/tests/support/messages.rs
+++ b/crates/ops/tests/support/messages.rs
@@ -16,6 +16,7 @@
 pub fn samples() -> Vec<Sample> {
     vec![
         ("create_deployment_request", create().encode_to_vec()),
+        ("create_with_fleet_request", with_fleet().encode_to_vec()),
         ("change_deployment_request", replace().encode_to_vec()),
         ("remove_deployment_request", remove().encode_to_vec()),
         ("put_account_request", put().encode_to_vec()),
@@ -56,6 +57,22 @@
     }
 }
 
+/// A creation whose pool the system looks after.
+fn with_fleet() -> wire::CreateDeploymentRequest {
+    let fleet = wire::Fleet {
+        capacity: 8,
+        least: 3,
+        most: 12,
+    };
+    wire::CreateDeploymentRequest {
+        change: Some(change()),
+        deployment: Some(wire::Deployment {
+            fleet: Some(fleet),
+            ..thesis()
+        }),
+    }
+}
+
 /// A creation with a field that no release knows, at the top and inside the deployment.
 pub fn with_unknown_fields() -> Vec<u8> {
     let change = change().encode_to_vec();
@@ -99,6 +116,7 @@
             path_prefix: "/receipts".to_owned(),
         }],
         checks_fencing: true,
+        fleet: None,
     }
 }
 
--- a/crates/standin/src/engine/order.rs
+++ b/crates/standin/src/engine/order.rs
@@ -67,7 +67,9 @@
             return Err(standing.fence);
         }
         standing.fence = standing.fence.max(order.fence);
-        standing.loaded = standing.loaded && standing.target == order.target;
+        // The first order names what the engine was started with.
+        let held = standing.target == order.target || standing.target == Target::default();
+        standing.loaded = standing.loaded && held;
         standing.target = order.target.clone();
         Ok(())
     }
--- a/crates/standin/src/sample.rs
+++ b/crates/standin/src/sample.rs
@@ -4,6 +4,7 @@
 use config::deployment::Account;
 use config::deployment::CallPattern;
 use config::deployment::Deployment;
+use config::deployment::Fleet;
 use config::deployment::Grant;
 use config::deployment::Kind;
 use config::snapshot::hash_key;
@@ -52,6 +53,7 @@
         grants: vec![grant()],
         non_idempotent: Vec::new(),
         checks_fencing: true,
+        fleet: Fleet::default(),
     }
 }
 
@@ -67,6 +69,7 @@
             path_prefix: SmolStr::from("/receipts"),
         }],
         checks_fencing: false,
+        fleet: Fleet::default(),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod digest;
 pub mod news;
 
-/// Drawn from `schema/peer.capnp` by `cargo run -p wire --example regenerate`.
+/// Drawn from `schema/peer.capnp` by `cargo run -p wire --example draw`.
 #[allow(missing_docs, clippy::all, clippy::unwrap_used)]
 #[rustfmt::skip]
 pub mod peer_capnp;
