--- a/crates/policy/src/configs/brownout.rs
+++ b/crates/policy/src/configs/brownout.rs
@@ -13,7 +13,8 @@
     pub pressure: f64,
     /// Work let through, as a share of the measured drain rate.
     pub headroom: f64,
-    /// Weight of the newest period in the offered rates.
+    /// Weight of the newest period in the offered rates: about 2.5 s. At a half, small accounts were
+    /// thinned out for requests that happened to come together.
     pub smoothing: f64,
 }
 
--- a/crates/policy/src/configs/retry.rs
+++ b/crates/policy/src/configs/retry.rs
@@ -17,7 +17,8 @@
     pub shortest: Span,
     /// Longest time to come back after.
     pub longest: Span,
-    /// Share of the drain rate that returning callers are spread over.
+    /// Share of the drain rate that returning callers are spread over: half, the whole and twice were
+    /// measured, docs/design/policy-queues.md.
     pub return_share: f64,
 }
 
--- a/crates/policy/src/configs/slots.rs
+++ b/crates/policy/src/configs/slots.rs
@@ -5,7 +5,8 @@
 pub struct Config {
     /// Off, an entry takes whatever its estimate calls free.
     pub enabled: bool,
-    /// Equal parts of the slots reported free that an entry takes on top of its own.
+    /// Equal parts of the slots reported free that an entry takes on top of its own a report: a half, one
+    /// and two were measured, docs/design/policy-queues.md.
     pub borrowed_parts: f64,
 }
 
