--- a/crates/policy/benches/patterns/goals.rs
+++ b/crates/policy/benches/patterns/goals.rs
@@ -12,7 +12,8 @@
     println!("| --- | --- | --- |");
     baselines(rows);
     overload(rows, seeds);
-    innocents(rows);
+    innocents(rows, "");
+    innocents(rows, "/3");
     reclaim(rows);
     let ours: Vec<&Tally> = rows
         .iter()
@@ -102,6 +103,10 @@
         if !row.pattern.starts_with("overload") {
             continue;
         }
+        let capacity = match row.pattern.ends_with("/3") {
+            true => small,
+            false => large,
+        };
         let goodput = spread(&row.tallies, Tally::goodput).0;
         let figure = format!("{goodput:.1} of {capacity:.1}");
         let name = format!("{}: goodput at least 0.9 of that at capacity", row.pattern);
@@ -121,7 +126,8 @@
     for account in [0, 1, 3, 4] {
         let share = |row: &table::Row| spread(&row.tallies, |tally| tally.share(Some(account))).0;
         let figure = format!("{:.3}, alone {:.3}", share(hot), share(quiet));
-        let name = format!("hot-caller: account {account} at most 0.02 below its share alone");
+        let name =
+            format!("hot-caller{size}: account {account} at most 0.02 below its share alone");
         line(&name, &figure, share(hot) >= share(quiet) - 0.02);
     }
 }
--- a/crates/policy/tests/burst.rs
+++ b/crates/policy/tests/burst.rs
@@ -26,3 +26,11 @@
     let both = Contestant::ours().run(&patterns::burst_and_slow(), 1);
     assert!(both.share(None) > 0.8, "{}", both.share(None));
 }
+
+/// The same burst in the pool of three, where an entry has six slots to itself.
+#[test]
+fn a_small_pool_comes_through_as_well() {
+    let pattern = patterns::small(&patterns::burst());
+    let ours = Contestant::ours().run(&pattern, 1);
+    assert!(ours.share(None) > 0.85, "{}", ours.share(None));
+}
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -23,6 +23,12 @@
         assert!(ours.jain() > 0.98, "{name}: {}", ours.jain());
         assert_eq!(ours.forgotten, 0);
         assert_eq!(ours.false_not_run, 0);
+        let small = Contestant::ours().run(&patterns::small(&pattern), 1);
+        assert!(
+            small.goodput() > 0.3 * CAPACITY,
+            "{name}, 3 replicas: {}",
+            small.goodput()
+        );
     }
 }
 
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -10,6 +10,7 @@
 use support::load::Killer;
 use support::load::Pattern;
 use support::patterns;
+use support::patterns::small;
 use support::tally::Tally;
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
@@ -81,18 +82,6 @@
     tallies.iter().map(of).sum::<f64>() / tallies.len() as f64
 }
 
-/// The pattern in the pool of three, at a third of its load.
-fn small(pattern: &Pattern) -> Pattern {
-    let mut pattern = pattern.clone().scaled(1.0 / 3.0);
-    pattern.replicas = 3;
-    for (_, fault) in &mut pattern.faults {
-        if let Fault::Health(replica, _) | Fault::Kill(replica) | Fault::Restart(replica) = fault {
-            *replica %= 3;
-        }
-    }
-    pattern
-}
-
 fn at_load(name: &'static str, load: f64) -> Pattern {
     Pattern::new(name, patterns::accounts(load))
 }
--- a/crates/policy/tests/support/patterns.rs
+++ b/crates/policy/tests/support/patterns.rs
@@ -53,9 +53,23 @@
         burst_and_slow(),
         reclaim_and_hot_caller(),
         plain_overload(),
+        named(small(&steady()), "steady-0.8/3"),
+        named(small(&burst()), "burst/3"),
+        named(small(&hot_caller()), "hot-caller/3"),
+        named(small(&without_hot_caller()), "no-hot-caller/3"),
+        named(small(&long_among_short()), "long-among-short/3"),
+        named(small(&overload("", 2.0)), "overload-2/3"),
+        named(small(&priorities()), "priorities-2/3"),
+        named(small(&zone_reclaim()), "zone-reclaim/3"),
+        named(small(&outage()), "outage/3"),
     ]
 }
 
+fn named(mut pattern: Pattern, name: &'static str) -> Pattern {
+    pattern.name = name;
+    pattern
+}
+
 /// Most of capacity, nothing wrong.
 pub fn steady() -> Pattern {
     Pattern::new("steady-0.8", accounts(0.8))
@@ -243,3 +257,15 @@
     profiles[0].rate *= 2.0;
     Pattern::new("limited", profiles)
 }
+
+/// The same with a third of the load on 3 replicas, one a zone: both users' smaller pool.
+pub fn small(pattern: &Pattern) -> Pattern {
+    let mut pattern = pattern.clone().scaled(1.0 / 3.0);
+    pattern.replicas = 3;
+    for (_, fault) in &mut pattern.faults {
+        if let Fault::Health(replica, _) | Fault::Kill(replica) | Fault::Restart(replica) = fault {
+            *replica %= 3;
+        }
+    }
+    pattern
+}
