--- a/crates/policy/benches/patterns/goals.rs
+++ b/crates/policy/benches/patterns/goals.rs
@@ -1,6 +1,7 @@
 //! The goals that the table is held against.
 
 use crate::support::contestant::Contestant;
+use crate::support::load::Pattern;
 use crate::support::patterns;
 use crate::support::tally::Tally;
 use crate::table;
@@ -94,11 +95,11 @@
 /// Goodput beyond capacity against goodput at capacity.
 fn overload(rows: &Rows, seeds: u64) {
     let at = patterns::overload("capacity", 1.0);
-    let capacity = spread(
-        &table::runs(&Contestant::ours(), &at, seeds),
-        Tally::goodput,
-    )
-    .0;
+    let goodput = |pattern: &Pattern| {
+        let tallies = table::runs(&Contestant::ours(), pattern, seeds);
+        spread(&tallies, Tally::goodput).0
+    };
+    let (large, small) = (goodput(&at), goodput(&patterns::small(&at)));
     for row in rows.iter().filter(|row| row.policy == "ours") {
         if !row.pattern.starts_with("overload") {
             continue;
@@ -115,8 +116,9 @@
 }
 
 /// What an innocent account gets beside a hot one and alone.
-fn innocents(rows: &Rows) {
+fn innocents(rows: &Rows, size: &str) {
     let of = |name: &str| {
+        let name = format!("{name}{size}");
         rows.iter()
             .find(|row| row.policy == "ours" && row.pattern == name)
     };
