--- a/crates/policy/benches/patterns/goals.rs
+++ b/crates/policy/benches/patterns/goals.rs
@@ -1,6 +1,7 @@
 //! The goals that the table is held against.
 
 use crate::support::contestant::Contestant;
+use crate::support::load::Pattern;
 use crate::support::patterns;
 use crate::support::tally::Tally;
 use crate::table;
@@ -12,7 +13,8 @@
     println!("| --- | --- | --- |");
     baselines(rows);
     overload(rows, seeds);
-    innocents(rows);
+    innocents(rows, "");
+    innocents(rows, "/3");
     reclaim(rows);
     let ours: Vec<&Tally> = rows
         .iter()
@@ -93,15 +95,19 @@
 /// Goodput beyond capacity against goodput at capacity.
 fn overload(rows: &Rows, seeds: u64) {
     let at = patterns::overload("capacity", 1.0);
-    let capacity = spread(
-        &table::runs(&Contestant::ours(), &at, seeds),
-        Tally::goodput,
-    )
-    .0;
+    let goodput = |pattern: &Pattern| {
+        let tallies = table::runs(&Contestant::ours(), pattern, seeds);
+        spread(&tallies, Tally::goodput).0
+    };
+    let (large, small) = (goodput(&at), goodput(&patterns::small(&at)));
     for row in rows.iter().filter(|row| row.policy == "ours") {
         if !row.pattern.starts_with("overload") {
             continue;
         }
+        let capacity = match row.pattern.ends_with("/3") {
+            true => small,
+            false => large,
+        };
         let goodput = spread(&row.tallies, Tally::goodput).0;
         let figure = format!("{goodput:.1} of {capacity:.1}");
         let name = format!("{}: goodput at least 0.9 of that at capacity", row.pattern);
@@ -110,8 +116,9 @@
 }
 
 /// What an innocent account gets beside a hot one and alone.
-fn innocents(rows: &Rows) {
+fn innocents(rows: &Rows, size: &str) {
     let of = |name: &str| {
+        let name = format!("{name}{size}");
         rows.iter()
             .find(|row| row.policy == "ours" && row.pattern == name)
     };
@@ -121,7 +128,8 @@
     for account in [0, 1, 3, 4] {
         let share = |row: &table::Row| spread(&row.tallies, |tally| tally.share(Some(account))).0;
         let figure = format!("{:.3}, alone {:.3}", share(hot), share(quiet));
-        let name = format!("hot-caller: account {account} at most 0.02 below its share alone");
+        let name =
+            format!("hot-caller{size}: account {account} at most 0.02 below its share alone");
         line(&name, &figure, share(hot) >= share(quiet) - 0.02);
     }
 }
