Feed cache events to the scheduler; split the records from the quarantine

Cache events reach affinity through Scheduler::replica_cached; the fake engines tell them, late and with gaps, where a pattern asks. Only model calls are stopped when they come under suspicion: the daemons can't stop a plain call. A digest can't hold a record longer than the own term.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -3,15 +3,16 @@
 //! *Pattern*: a killer request, sent again by its caller through every entry. *Without it*: each
 //! attempt, by retry or by the caller, costs one replica and everything that ran there; 8 entries
 //! with one retry each lose 16. *How*: a crash makes every fingerprint that ran there suspect. A
-//! suspect is held until peers' news must have come, then runs alone at the one replica that every
-//! entry would choose for it. A second crash quarantines it: its final answer is given at once,
-//! here and, by [`Digest`], at every entry. A run to the end acquits it.
+//! suspect is held until peers' news must have come, then runs apart from all other suspects, at the
+//! one replica that every entry would choose for it. A second crash quarantines it: its final
+//! answer is given at once, here and, by [`Digest`], at every entry. A run to the end acquits it.
 //!
 //! *To compose*: ask [`Quarantine::standing`] before a start; start a [`Standing::Trial`] at
-//! [`Quarantine::place`] once nothing of ours runs there, after [`Quarantine::trial_started`]; keep
-//! other work off a [`Quarantine::is_reserved`] replica. Report crashes of replicas that were not
-//! announced as leaving. A crash is counted by incarnation, so that entries which report the same
-//! one don't count it twice.
+//! [`Quarantine::place`] after [`Quarantine::trial_started`], unless another suspect is there; keep
+//! other work off a [`Quarantine::is_reserved`] replica while there is room elsewhere; stop copies
+//! of what [`Quarantine::take_accused`] names. Report crashes of replicas that were not announced
+//! as leaving. A crash is counted by incarnation, so that entries which report the same one don't
+//! count it twice.
 //!
 //! *Guard against the loss of a zone*: everything that ran there would be suspect and would wait to
 //! run alone just when capacity is short. It shows as several replicas of one zone lost together;
@@ -21,8 +22,7 @@
 mod crashes;
 mod digest;
 mod record;
-
-use std::collections::BTreeMap;
+mod records;
 
 use clock::Span;
 use clock::Time;
@@ -37,6 +37,7 @@
 pub use self::digest::Digest;
 pub use self::digest::Item;
 use self::record::Record;
+use self::records::Records;
 
 /// How a fingerprint may be run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,14 +57,9 @@
 pub struct Quarantine {
     config: Config,
     seed: u64,
-    /// By fingerprint; at most `config.records`.
-    records: BTreeMap<u64, Record>,
+    records: Records,
     crashes: Crashes,
     claims: Claims,
-    /// Counts the changes of records, so that digests tell the latest first.
-    changes: u64,
-    /// Where the next digest goes on with the older records.
-    cursor: u64,
     urgent: bool,
     /// Fingerprints against which something new came up; bounded by what one event names.
     accused: Vec<u64>,
@@ -75,11 +71,9 @@
         Quarantine {
             config,
             seed,
-            records: BTreeMap::new(),
+            records: Records::default(),
             crashes: Crashes::default(),
             claims: Claims::default(),
-            changes: 0,
-            cursor: 0,
             urgent: false,
             accused: Vec::new(),
         }
@@ -87,7 +81,7 @@
 
     /// How the request of that fingerprint may be run now.
     pub fn standing(&self, now: Time, fingerprint: u64) -> Standing {
-        let Some(record) = self.records.get(&fingerprint) else {
+        let Some(record) = self.records.get(fingerprint) else {
             return Standing::Clear;
         };
         if record.blame() == 0 {
@@ -151,7 +145,7 @@
     /// A request ran to its end: it is no killer, unless it was found to be one already.
     pub fn finished(&mut self, now: Time, fingerprint: u64) {
         self.claims.end_own(fingerprint);
-        let Some(record) = self.records.get(&fingerprint) else {
+        let Some(record) = self.records.get(fingerprint) else {
             return;
         };
         let judged = now >= record.settled && self.is_judged(now, record);
@@ -177,9 +171,12 @@
     /// News for peers: what changed last, and by turns the rest.
     pub fn digest(&mut self, now: Time) -> Digest {
         self.crashes.drop_old(now, self.config.settle);
-        let chosen = self.choose(now);
+        let chosen = self.records.choose(now, &self.config);
         Digest {
-            items: chosen.iter().map(|key| self.item(now, *key)).collect(),
+            items: chosen
+                .iter()
+                .filter_map(|key| self.item(now, *key))
+                .collect(),
             crashes: self.crashes.told(now),
             claims: self.claims.own(),
         }
@@ -210,18 +207,9 @@
     ///
     /// A quarantined request is released on parole: one more crash is enough.
     pub fn tick(&mut self, now: Time) {
-        let config = self.config;
-        self.records.retain(|_, record| {
-            if now < record.expires {
-                return true;
-            }
-            let parole = record.blame() >= config.crashes;
-            record.keep_last();
-            record.expires = now + config.term;
-            parole
-        });
+        self.records.expire(now, &self.config);
         self.claims.tick(now);
-        self.crashes.drop_old(now, config.settle);
+        self.crashes.drop_old(now, self.config.settle);
     }
 
     /// Whether the evidence is enough, be it settled or not.
@@ -245,18 +233,14 @@
         if by.is_empty() {
             return;
         }
-        if !self.records.contains_key(&fingerprint) {
-            self.make_room();
-        }
-        let new = Record::new(settled, now + left);
-        let record = self.records.entry(fingerprint).or_insert(new);
-        if !record.accuse(&by) {
+        let expires = now + left.min(self.config.term);
+        let new = Record::new(settled, expires);
+        let most = self.config.records;
+        let Some(record) = self.records.accuse(fingerprint, &by, new, most) else {
             return;
-        }
-        self.changes += 1;
-        record.changed = self.changes;
+        };
         self.accused.push(fingerprint);
-        record.expires = record.expires.max(now + left);
+        record.expires = record.expires.max(expires);
         // A suspect that waited its time has run alone since: its second crash needs no more news.
         let was_settled = now >= record.settled && record.blame() >= self.config.crashes;
         if !was_settled {
@@ -265,14 +249,9 @@
     }
 
     fn acquit(&mut self, fingerprint: u64, of: &[u64]) {
-        let Some(record) = self.records.get_mut(&fingerprint) else {
+        let Some(record) = self.records.acquit(fingerprint, of) else {
             return;
         };
-        if !record.acquit(of) {
-            return;
-        }
-        self.changes += 1;
-        record.changed = self.changes;
         if record.blame() == 0 {
             self.claims.release(fingerprint);
         }
@@ -280,13 +259,9 @@
 
     /// Crashes of one zone at once are the loss of the zone: they blame nobody.
     fn forgive_zone(&mut self, zone: u64) {
-        let Some(lost) = self.crashes.forgive(zone, self.config.zone_loss) else {
-            return;
-        };
-        self.records.retain(|_, record| {
-            record.forget(&lost);
-            !record.crashes.is_empty()
-        });
+        if let Some(lost) = self.crashes.forgive(zone, self.config.zone_loss) {
+            self.records.forgive(&lost);
+        }
     }
 
     fn note_crash(&mut self, now: Time, replica: u64, zone: u64) {
@@ -296,51 +271,14 @@
             .note(now, replica, zone, config.settle, config.digest);
     }
 
-    /// Gives up the least telling record when there are too many.
-    fn make_room(&mut self) {
-        if self.records.len() < self.config.records {
-            return;
-        }
-        let least = self
-            .records
-            .iter()
-            .min_by_key(|(_, record)| (record.blame(), record.expires))
-            .map(|(fingerprint, _)| *fingerprint);
-        if let Some(fingerprint) = least {
-            self.records.remove(&fingerprint);
-        }
-    }
-
-    /// Fingerprints for the next digest: half the latest changes, half by turns.
-    fn choose(&mut self, now: Time) -> Vec<u64> {
-        let margin = self.config.margin;
-        let mut keys: Vec<(u64, u64)> = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.expires.since(now) > margin)
-            .map(|(key, record)| (record.changed, *key))
-            .collect();
-        keys.sort_unstable_by(|one, other| other.cmp(one));
-        let mut chosen: Vec<u64> = keys.iter().map(|(_, key)| *key).collect();
-        if chosen.len() <= self.config.digest {
-            return chosen;
-        }
-        let mut rest = chosen.split_off(self.config.digest / 2);
-        rest.sort_unstable_by_key(|key| (*key <= self.cursor, *key));
-        rest.truncate(self.config.digest - chosen.len());
-        self.cursor = rest.last().copied().unwrap_or(0);
-        chosen.extend(rest);
-        chosen
-    }
-
-    fn item(&self, now: Time, fingerprint: u64) -> Item {
-        let record = &self.records[&fingerprint];
-        Item {
+    fn item(&self, now: Time, fingerprint: u64) -> Option<Item> {
+        let record = self.records.get(fingerprint)?;
+        Some(Item {
             fingerprint,
             crashes: record.crashes.clone(),
             acquitted: record.acquitted.clone(),
             judged: now >= record.settled && self.is_judged(now, record),
             left: record.expires.since(now),
-        }
+        })
     }
 }
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -64,6 +64,23 @@
         self.stir(pool);
     }
 
+    pub(super) fn note_cached(
+        &mut self,
+        now: Time,
+        key: replica::Key,
+        sequence: u64,
+        prefix: u64,
+        stored: bool,
+    ) {
+        let Some(replica) = self.replicas.get(&key) else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&replica.spec.pool) {
+            pool.affinity
+                .cache_event(now, key, sequence, prefix, stored);
+        }
+    }
+
     /// Judges the health of each pool whose time has come.
     pub(super) fn judge(&mut self, now: Time) {
         for (key, pool) in &mut self.pools {
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -137,6 +137,19 @@
         self.note_report(now, key, report);
     }
 
+    /// Notes a cache event of the replica: that it holds a prefix, or no longer does. Events may come
+    /// late and with gaps, which the rising sequence number shows.
+    pub fn replica_cached(
+        &mut self,
+        now: Time,
+        key: replica::Key,
+        sequence: u64,
+        prefix: u64,
+        stored: bool,
+    ) {
+        self.note_cached(now, key, sequence, prefix, stored);
+    }
+
     /// The replica gets no new work from now on; what runs there is moved before `deadline`.
     pub fn replica_leaving(
         &mut self,
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that may have crashed a replica: held, run alone, or refused for good.
+//! Requests that may have crashed a replica: held, run apart, or refused for good.
 
 use clock::Time;
 use verdict::Reason;
@@ -35,12 +35,15 @@
 
     /// Stops copies of new suspects that run here, if they may run again: sent through several
     /// entries at once, each would take a replica of its own along before the first crash is known.
+    /// Plain calls can't be stopped once they are handed on.
     pub(super) fn recall_suspects(&mut self, now: Time, out: &mut Vec<Decision>) {
         let accused = self.quarantine.take_accused();
         if accused.is_empty() || !self.settings.placement.quarantine {
             return;
         }
-        let running = |open: &&Open| open.job.idempotent && open.replica.is_some();
+        let running = |open: &&Open| {
+            open.job.idempotent && open.job.kind == job::Kind::Model && open.replica.is_some()
+        };
         let copies: Vec<job::Id> = self
             .open
             .values()
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -9,6 +9,7 @@
 use support::load::Fault;
 use support::load::Killer;
 use support::load::Pattern;
+use support::load::Reports;
 use support::patterns;
 use support::tally::Tally;
 
@@ -161,6 +162,26 @@
     Verdict::of(&small(&patterns::stale_reports())).gains(-0.03);
 }
 
+/// Cache events come five seconds late and half of them not at all, so that half of what they praise
+/// is evicted again. Believed, they would send requests where their beginning no longer is.
+#[test]
+fn stale_and_gapped_cache_events() {
+    let share = |loss: Option<f64>| {
+        let mut pattern = patterns::hot_key();
+        pattern.name = "cache-events";
+        pattern.cache_events = loss.map(|loss| Reports {
+            period_ms: 500,
+            lag_ms: 5_000,
+            loss,
+        });
+        Verdict::of(&pattern).share()
+    };
+    let without = share(None);
+    for loss in [0.0, 0.5] {
+        assert!(share(Some(loss)) >= without - 0.02, "worse for events");
+    }
+}
+
 /// A zone goes without notice at nine tenths of the load: a third of the capacity, and all that ran
 /// there. If everyone were still taken in, everyone would be late.
 #[test]
--- a/crates/policy/tests/support/engine.rs
+++ b/crates/policy/tests/support/engine.rs
@@ -70,6 +70,17 @@
     Token(usize, job::Id, bool),
 }
 
+/// A prefix was stored or evicted.
+#[derive(Clone, Copy, Debug)]
+pub struct CacheEvent {
+    /// Rises by one with each event of an engine.
+    pub sequence: u64,
+    /// Hash of the prefix.
+    pub prefix: u64,
+    /// Whether it is held now.
+    pub stored: bool,
+}
+
 /// Health of a fake engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Health {
@@ -99,6 +110,10 @@
     pub waiting: VecDeque<Sequence>,
     /// Prefixes held, least recently used first, with their lengths.
     cache: VecDeque<(u64, u32)>,
+    /// What became of the cache since somebody asked.
+    events: Vec<CacheEvent>,
+    /// Events so far.
+    sequence: u64,
     /// Whether a step is in progress.
     pub stepping: bool,
     /// Prompt and output tokens computed so far.
@@ -118,6 +133,8 @@
             running: Vec::new(),
             waiting: VecDeque::new(),
             cache: VecDeque::new(),
+            events: Vec::new(),
+            sequence: 0,
             stepping: false,
             computed: 0,
             busy_us: 0,
@@ -238,9 +255,27 @@
         }
     }
 
+    /// What became of the cache since the last call.
+    pub fn take_events(&mut self) -> Vec<CacheEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    fn note(&mut self, prefix: u64, stored: bool) {
+        self.sequence += 1;
+        self.events.push(CacheEvent {
+            sequence: self.sequence,
+            prefix,
+            stored,
+        });
+    }
+
     /// Notes a prefix as used just now and drops the oldest beyond the cache's size.
     fn remember(&mut self, prefix: u64, shared: u32) {
+        let held = self.cache.len();
         self.cache.retain(|(held, _)| *held != prefix);
+        if self.cache.len() == held {
+            self.note(prefix, true);
+        }
         self.cache.push_back((prefix, shared));
         let mut size: u64 = self
             .cache
@@ -248,9 +283,10 @@
             .map(|(_, tokens)| u64::from(*tokens))
             .sum();
         while size > self.shape.cache_tokens {
-            let Some((_, tokens)) = self.cache.pop_front() else {
+            let Some((evicted, tokens)) = self.cache.pop_front() else {
                 return;
             };
+            self.note(evicted, false);
             size -= u64::from(tokens);
         }
     }
--- a/crates/policy/tests/support/load.rs
+++ b/crates/policy/tests/support/load.rs
@@ -151,6 +151,8 @@
     pub shape: Shape,
     /// Load reports.
     pub reports: Reports,
+    /// Cache events; none unless a pattern asks for them.
+    pub cache_events: Option<Reports>,
     /// What goes wrong, at which millisecond.
     pub faults: Vec<(u64, Fault)>,
     /// One killer request, sent again through each entry.
@@ -175,6 +177,7 @@
                 lag_ms: 300,
                 loss: 0.0,
             },
+            cache_events: None,
             faults: Vec::new(),
             killers: Vec::new(),
             restart_ms: Some(10_000),
--- a/crates/policy/tests/support/policy.rs
+++ b/crates/policy/tests/support/policy.rs
@@ -8,6 +8,8 @@
 use policy::replica;
 use policy::scheduler::Scheduler;
 
+use crate::support::engine::CacheEvent;
+
 /// One entry's decisions.
 pub trait Policy {
     /// Adds an account.
@@ -16,6 +18,8 @@
     fn joined(&mut self, now: Time, spec: replica::Spec, out: &mut Vec<Decision>) -> replica::Key;
     /// A load report came.
     fn reported(&mut self, now: Time, key: replica::Key, report: replica::Report);
+    /// A cache event came; a plain balancer has no use for it.
+    fn cached(&mut self, _: Time, _: replica::Key, _: &CacheEvent) {}
     /// A replica got its notice.
     fn leaving(&mut self, now: Time, key: replica::Key, deadline: Time, out: &mut Vec<Decision>);
     /// A replica is gone.
@@ -53,6 +57,10 @@
         self.replica_reported(now, key, report);
     }
 
+    fn cached(&mut self, now: Time, key: replica::Key, event: &CacheEvent) {
+        self.replica_cached(now, key, event.sequence, event.prefix, event.stored);
+    }
+
     fn leaving(&mut self, now: Time, key: replica::Key, deadline: Time, out: &mut Vec<Decision>) {
         self.replica_leaving(now, key, deadline, out);
     }
--- a/crates/policy/tests/support/world/fleet.rs
+++ b/crates/policy/tests/support/world/fleet.rs
@@ -7,6 +7,7 @@
 use policy::replica;
 use rand::RngExt;
 
+use crate::support::engine::CacheEvent;
 use crate::support::engine::Engine;
 use crate::support::engine::Health;
 use crate::support::load::Fault;
@@ -47,6 +48,30 @@
         self.with(entry, |policy, now, _| policy.reported(now, key, report));
     }
 
+    /// Every entry gets what became of the caches, but for what is lost on the way.
+    pub(super) fn sample_caches(&mut self) {
+        let Some(way) = self.pattern.cache_events else {
+            return;
+        };
+        for engine in 0..self.engines.len() {
+            for event in self.engines[engine].take_events() {
+                for entry in 0..self.entries.len() {
+                    if self.cache_random.random::<f64>() >= way.loss {
+                        self.after(way.lag_ms, Event::Cached(entry, engine, event));
+                    }
+                }
+            }
+        }
+        self.after(way.period_ms, Event::SampleCaches);
+    }
+
+    pub(super) fn cached(&mut self, entry: usize, engine: usize, event: CacheEvent) {
+        let Some(key) = self.keys[entry].get(&engine).copied() else {
+            return;
+        };
+        self.with(entry, |policy, now, _| policy.cached(now, key, &event));
+    }
+
     pub(super) fn fault(&mut self, index: usize) {
         match self.pattern.faults[index].1.clone() {
             Fault::Health(place, health) => {
--- a/crates/policy/tests/support/world/mod.rs
+++ b/crates/policy/tests/support/world/mod.rs
@@ -19,6 +19,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
+use crate::support::engine::CacheEvent;
 use crate::support::engine::Engine;
 use crate::support::engine::Sequence;
 use crate::support::load::Arrival;
@@ -44,6 +45,8 @@
     Wake(usize),
     Sample,
     Report(usize, usize, replica::Report),
+    SampleCaches,
+    Cached(usize, usize, CacheEvent),
     Fault(usize),
     Gone(usize),
     Restart(usize),
@@ -89,6 +92,8 @@
     links: BTreeMap<usize, u64>,
     open: Vec<u32>,
     random: Pcg64,
+    /// Draws for cache events alone: patterns without them draw the same with or without this.
+    cache_random: Pcg64,
     tally: Tally,
 }
 
@@ -118,6 +123,7 @@
             links: BTreeMap::new(),
             open: vec![0; pattern.profiles.len()],
             random: Pcg64::seed_from_u64(seed ^ 0x5eed),
+            cache_random: Pcg64::seed_from_u64(seed ^ 0xcac4e),
             tally: Tally::default(),
             arrivals,
             pattern,
@@ -163,6 +169,9 @@
             self.at(*at, Event::Fault(index));
         }
         self.at(self.pattern.reports.period_ms, Event::Sample);
+        if let Some(events) = self.pattern.cache_events {
+            self.at(events.period_ms, Event::SampleCaches);
+        }
         self.at(EXCHANGE_MS, Event::Exchange);
     }
 
@@ -178,6 +187,8 @@
             }
             Event::Sample => self.sample(),
             Event::Report(entry, engine, report) => self.report(entry, engine, report),
+            Event::SampleCaches => self.sample_caches(),
+            Event::Cached(entry, engine, event) => self.cached(entry, engine, event),
             Event::Fault(index) => self.fault(index),
             Event::Gone(engine) => self.kill(engine),
             Event::Restart(place) => self.restart(place),
