Tell a killer request to all peers at once, and age what is relayed

Cause: quarantine news went by rounds, to two peers each 100 ms at best, in digests of 480 bytes of which items may take half; what one crash makes suspect is more than that and was never told at all. Relayed digests also kept the time left and the age of crashes that they had when they were sent. Change: the membership sends a piece of quarantine news of its own to up to 16 peers past the rounds; an entry ages a digest by the time that it was under way. Left: at full size the entries that share replicas with the sender should come first; not built.

--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -154,9 +154,12 @@
             return;
         }
         match wire::news::decode(&item.payload) {
-            Ok(digest) => self.with_scheduler(now, effects, |scheduler, out| {
-                scheduler.absorb(now, peer, &digest, out);
-            }),
+            Ok(mut digest) => {
+                digest.quarantine = digest.quarantine.aged(Span::from_millis(item.age_ms));
+                self.with_scheduler(now, effects, |scheduler, out| {
+                    scheduler.absorb(now, peer, &digest, out);
+                });
+            }
             Err(error) => {
                 let line = Line::warn("news_unreadable").with("error", error);
                 effects.push(Effect::Log(line));
--- a/crates/member/src/configs/membership.rs
+++ b/crates/member/src/configs/membership.rs
@@ -27,6 +27,10 @@
     pub gossip: Span,
     /// Peers that are sent a digest each round.
     pub fanout: usize,
+    /// Peers that are told of a request that crashes backend servers at once; the others by rounds.
+    /// Twice today's 8 entries; at full size those beside which the same replicas are used must come
+    /// first, which isn't built.
+    pub announced: usize,
     /// Most bytes of one digest.
     pub digest_bytes: usize,
     /// Bytes of digests a second beyond which nothing is brought forward.
@@ -62,6 +66,7 @@
             row_bytes: 250,
             gossip: Span::from_seconds(1),
             fanout: 2,
+            announced: 16,
             digest_bytes: 480,
             gossip_bytes_per_second: 1_200,
             urgent: Span::from_millis(100),
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -143,7 +143,9 @@
                 self.known_gone.insert(id);
             }
             Event::Publish(item) => {
-                self.learn(now, &item);
+                if self.learn(now, &item) && item.topic == Topic::Quarantine {
+                    self.announce(item, effects);
+                }
             }
         }
         self.renew(now, effects);
--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -62,6 +62,28 @@
         self.schedule_urgent(now);
     }
 
+    /// Tells peers a piece of our own at once, past the rounds.
+    ///
+    /// A request that crashes backend servers is sent again within milliseconds through the next entry.
+    /// Rounds would bring the news a few tenths of a second later and each entry would lose servers of
+    /// its own; and all that a crash makes suspect takes more bytes than a round may carry.
+    pub(super) fn announce(&mut self, item: Item, effects: &mut Vec<Effect>) {
+        let digest = Digest {
+            own: self.beat,
+            items: vec![item],
+            ..Digest::default()
+        };
+        let peers = self.directory.present().map(|(id, _)| id);
+        let peers: Vec<holder::Id> = peers.filter(|id| *id != self.me).collect();
+        for to in peers.into_iter().take(self.settings.announced) {
+            self.purse.spend(digest.size());
+            effects.push(Effect::Send {
+                to,
+                digest: digest.clone(),
+            });
+        }
+    }
+
     /// Takes in what a peer says.
     pub(super) fn receive(&mut self, now: Time, digest: Digest, effects: &mut Vec<Effect>) {
         for record in &digest.records {
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -192,6 +192,31 @@
         .unwrap();
 }
 
+/// A request crashes two backend servers at one entry; its caller sends it again through the next
+/// within milliseconds. Every entry must know by then, and what a crash makes suspect is more than a
+/// round may carry, so it would not get there by rounds at all.
+#[test]
+fn a_killer_request_is_told_to_all_past_the_rounds() {
+    let mut fleet = eight();
+    let item = Item {
+        topic: Topic::Quarantine,
+        key: "entry-1".into(),
+        version: 1,
+        age_ms: 0,
+        payload: vec![7; 4_000],
+    };
+    fleet.feed(0, Event::Publish(item.clone()));
+    fleet.run(Span::from_millis(20));
+    for index in 1..8 {
+        let told = &fleet.nodes[index].told;
+        let heard = told.iter().any(|(_, effect)| match effect {
+            Effect::News(news) => news.topic == item.topic && news.payload == item.payload,
+            _ => false,
+        });
+        assert!(heard, "at {index}");
+    }
+}
+
 /// Answers to renewals get lost after their effect, twice in a row. The entry finds its own row in
 /// the service, takes it for its own and keeps its lease.
 #[test]
--- a/crates/policy/src/quarantine/digest.rs
+++ b/crates/policy/src/quarantine/digest.rs
@@ -14,6 +14,20 @@
     pub claims: Vec<Claim>,
 }
 
+impl Digest {
+    /// The same after it was that long under way; without it a relayed digest would last longer than
+    /// its sender meant, and crashes at different times would look like the loss of a zone.
+    pub fn aged(mut self, by: Span) -> Digest {
+        for item in &mut self.items {
+            item.left = item.left - by;
+        }
+        for crash in &mut self.crashes {
+            crash.age = crash.age + by;
+        }
+        self
+    }
+}
+
 /// What is held against one fingerprint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -184,7 +184,8 @@
 
     /// Takes in a peer's news.
     pub fn merge(&mut self, now: Time, digest: &Digest) {
-        for crash in &digest.crashes {
+        let settle = self.config.settle;
+        for crash in digest.crashes.iter().filter(|crash| crash.age <= settle) {
             self.note_crash(now, crash.replica, crash.zone);
         }
         for item in &digest.items {
