--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod intake;
 mod moves;
 mod placement;
+mod refusals;
 mod state;
 mod suspects;
 
@@ -244,6 +245,7 @@
     pub fn absorb(&mut self, now: Time, peer: u64, digest: &Digest, out: &mut Vec<Decision>) {
         self.limits.absorb(now, peer, &digest.limit);
         self.quarantine.merge(now, &digest.quarantine);
+        self.review_held();
         self.stir_all();
         self.poll(now, out);
     }
