--- /dev/null
+++ b/crates/standin/benches/entry.rs
@@ -0,0 +1,207 @@
+//! What an entry costs: latency and throughput against a direct call, memory and time per stream.
+//!
+//! `cargo bench -p standin --bench entry`. The entry is a process of its own; backend servers, callers
+//! and platform share this process and one thread, which bounds the throughput of both ways alike.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "../tests/harness/mod.rs"]
+mod harness;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use client::Client;
+use harness::caller::Asked;
+use harness::operator::Operator;
+use harness::process::Process;
+use harness::process::scratch;
+use harness::wait_for;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use ops::request::Edit;
+use smol_str::SmolStr;
+use standin::configs;
+use standin::local::Local;
+use standin::sample;
+
+const ENGINES: usize = 64;
+const CALLS: usize = 4_000;
+const CONCURRENT: usize = 32;
+const ROUNDS: usize = 3;
+const STREAMS: usize = 1_000;
+const STREAM_TOKENS: u32 = 100;
+const TOKEN_MS: u64 = 200;
+
+type Http = legacy::Client<HttpConnector, Full<Bytes>>;
+
+fn main() {
+    harness::run(async {
+        let mut local = Local::start().await.unwrap();
+        let engines = configs::engine::Engine {
+            token_ms: TOKEN_MS,
+            slots: 64,
+            ..configs::engine::Engine::default()
+        };
+        local.add_engines(ENGINES, &engines).await.unwrap();
+        let quick = configs::service::Service {
+            call_ms: 0,
+            ..configs::service::Service::default()
+        };
+        local.add_service("a", quick).await.unwrap();
+        let entry = entry_of(&local).await;
+        let service = local.services[0].0.server.address().to_string();
+        println!("at rest: {} KiB resident", resident_kib(&entry));
+        calls(&service, entry.address("callers")).await;
+        // Twice, to tell what a stream leaves behind from what the allocator keeps for the next ones.
+        streams(&entry).await;
+        streams(&entry).await;
+    });
+}
+
+/// One entry as a process, with everything deployed.
+async fn entry_of(local: &Local) -> Process {
+    let settings = sample::settings(&sample::Entry {
+        name: "entry-0",
+        zone: "a",
+        platform: &local.platform.server.address().to_string(),
+        callers: sample::ANY_PORT,
+        seeds: &[],
+    });
+    let path = scratch("entry-0.jsonc");
+    std::fs::write(&path, settings).unwrap();
+    let path = path.display().to_string();
+    let entry = Process::start("entry-0", &["entry", "--settings", &path]).await;
+    let mut operator = Operator::connect(entry.address("operators")).await;
+    let edits = [
+        ("account", Edit::PutAccount(sample::account())),
+        ("model", Edit::CreateDeployment(sample::model())),
+        ("service", Edit::CreateDeployment(sample::service())),
+    ];
+    let mut version = 0;
+    for (id, edit) in edits {
+        version = operator.accepted(id, version, edit).await;
+    }
+    wait_for("all backend servers", async || {
+        (operator.status().await.backends.len() > ENGINES).then_some(())
+    })
+    .await;
+    entry
+}
+
+/// Plain calls, direct and through the entry in turn.
+async fn calls(service: &str, entry: &str) {
+    let direct = format!("http://{service}/catalogue/7");
+    let through = format!("http://{entry}/services/{}/catalogue/7", sample::SERVICE);
+    for round in 0..ROUNDS {
+        let (slow, fast) = (one_by_one(&through).await, one_by_one(&direct).await);
+        println!(
+            "round {round}, one at a time: direct p50 {} us, p99 {} us; entry p50 {} us, p99 {} us",
+            fast.0, fast.1, slow.0, slow.1
+        );
+        let (slow, fast) = (side_by_side(&through).await, side_by_side(&direct).await);
+        println!(
+            "round {round}, {CONCURRENT} at a time: direct {fast:.0}/s, entry {slow:.0}/s, ratio {:.2}",
+            slow / fast
+        );
+    }
+}
+
+/// Median and 99th percentile of the time of a call, microseconds.
+async fn one_by_one(uri: &str) -> (u128, u128) {
+    let http: Http = legacy::Client::builder(TokioExecutor::new()).build_http();
+    let mut times = Vec::with_capacity(CALLS / 4);
+    for _ in 0..CALLS / 4 {
+        let begin = Instant::now();
+        call(&http, uri).await;
+        times.push(begin.elapsed().as_micros());
+    }
+    times.sort_unstable();
+    (times[times.len() / 2], times[times.len() * 99 / 100])
+}
+
+/// Calls a second.
+async fn side_by_side(uri: &str) -> f64 {
+    let http: Http = legacy::Client::builder(TokioExecutor::new()).build_http();
+    let begin = Instant::now();
+    let workers = (0..CONCURRENT).map(async |_| {
+        for _ in 0..CALLS / CONCURRENT {
+            call(&http, uri).await;
+        }
+    });
+    futures::future::join_all(workers).await;
+    CALLS as f64 / begin.elapsed().as_secs_f64()
+}
+
+async fn call(http: &Http, uri: &str) {
+    let request = Request::builder()
+        .uri(uri)
+        .header("authorization", format!("Bearer {}", sample::ACCOUNT_KEY))
+        .body(Full::default())
+        .unwrap();
+    let response = http.request(request).await.unwrap();
+    assert!(response.status().is_success(), "{}", response.status());
+    response.into_body().collect().await.unwrap();
+}
+
+/// Memory and processor time with many streams open.
+async fn streams(entry: &Process) {
+    let caller = Client::new(client::configs::Client {
+        entries: vec![SmolStr::from(entry.address("callers"))],
+        key: SmolStr::from(sample::ACCOUNT_KEY),
+        ..client::configs::Client::default()
+    });
+    let before = resident_kib(entry);
+    let mut open = Vec::new();
+    for batch in 0..STREAMS / 50 {
+        let asked = (0..50).map(|number| {
+            let question = format!("stream {batch} {number}");
+            let caller = caller.clone();
+            async move { Asked::new(&caller, &question, STREAM_TOKENS).await }
+        });
+        open.extend(futures::future::join_all(asked).await);
+    }
+    let first = futures::future::join_all(open.iter_mut().map(|asked| asked.read(1)));
+    first.await;
+    let (busy, begin) = (processor_ms(entry), Instant::now());
+    let after = resident_kib(entry);
+    println!(
+        "{STREAMS} streams open: {after} KiB resident, {:.1} KiB a stream",
+        (after - before) as f64 / STREAMS as f64
+    );
+    let reading = futures::future::join_all(open.iter_mut().map(|asked| asked.read(20)));
+    reading.await;
+    let (spent, seconds) = (processor_ms(entry) - busy, begin.elapsed().as_secs_f64());
+    println!(
+        "20 tokens of each in {seconds:.1} s: {:.0} tokens/s, {:.1} us of the entry's processor a token",
+        20.0 * STREAMS as f64 / seconds,
+        spent * 1_000.0 / (20.0 * STREAMS as f64)
+    );
+    futures::future::join_all(open.iter_mut().map(Asked::finish)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    println!("all ended: {} KiB resident", resident_kib(entry));
+}
+
+/// Resident memory of a process.
+fn resident_kib(process: &Process) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+/// Processor time of a process, milliseconds; the kernel counts in hundredths of a second.
+fn processor_ms(process: &Process) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.id())).unwrap();
+    let after_name = stat.rsplit(") ").next().unwrap();
+    let fields: Vec<&str> = after_name.split(' ').collect();
+    let ticks: u64 = fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap();
+    ticks as f64 * 10.0
+}
--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -84,14 +84,25 @@
     /// Adds plain services, over the zones in turn.
     pub async fn add_services(&mut self, count: usize) -> anyhow::Result<()> {
         for zone in ZONES.iter().cycle().take(count) {
-            let service = service::spawn(configs::service::Service::default()).await?;
-            let address = service.server.address().to_string();
-            let instance = self.list("service", sample::SERVICE, zone, &address);
-            self.services.push((service, instance));
+            self.add_service(zone, configs::service::Service::default())
+                .await?;
         }
         Ok(())
     }
 
+    /// Adds one plain service.
+    pub async fn add_service(
+        &mut self,
+        zone: &str,
+        config: configs::service::Service,
+    ) -> anyhow::Result<()> {
+        let service = service::spawn(config).await?;
+        let address = service.server.address().to_string();
+        let instance = self.list("service", sample::SERVICE, zone, &address);
+        self.services.push((service, instance));
+        Ok(())
+    }
+
     /// Adds entries, over the zones in turn.
     pub async fn add_entries(&mut self, count: usize) -> anyhow::Result<()> {
         for zone in ZONES.iter().cycle().take(count) {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -133,7 +133,10 @@
     let body = server::read(request).await?;
     let body = String::from_utf8_lossy(&body);
     state.count(format!("{method} {path} {body}"));
-    tokio::time::sleep(Duration::from_millis(state.config.call_ms + fault.delay_ms)).await;
+    let millis = state.config.call_ms + fault.delay_ms;
+    if millis > 0 {
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+    }
     gate.wait().await;
     if fault.lose_answer {
         return Err(io::Error::other("answer lost on order"));
--- a/crates/standin/tests/harness/process.rs
+++ b/crates/standin/tests/harness/process.rs
@@ -57,6 +57,11 @@
         &self.addresses[name]
     }
 
+    /// Its process id, while it runs.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("it runs")
+    }
+
     /// Kills it, as the end of a reclaim does.
     pub async fn kill(&mut self) {
         self.child.kill().await.unwrap();
@@ -74,7 +79,7 @@
 
     /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
     pub async fn signal(&self, name: &str) {
-        let id = self.child.id().expect("it runs").to_string();
+        let id = self.id().to_string();
         let status = Command::new("kill")
             .args(["-s", name, &id])
             .status()
