--- a/crates/model/src/acceptance.rs
+++ b/crates/model/src/acceptance.rs
@@ -301,10 +301,42 @@
                 next.accepted = true;
             }
         }
-        normalize(&mut next);
+        self.normalize(&mut next);
         (next != *state).then_some(next)
     }
 
+    /// Clears what no longer has an effect, so that equal states are counted once.
+    fn normalize(&self, next: &mut State) {
+        // Once member 2 has applied the change it never admits under the old version again.
+        if next.members[ASKER].applied {
+            let mut members: [Member; MEMBERS] = Default::default();
+            members[ASKER].applied = true;
+            *next = State {
+                members,
+                view: None,
+                accepted: false,
+            };
+            return;
+        }
+        for member in &mut next.members {
+            member.word = member.word.filter(|(left, changed)| *left > 0 && !changed);
+            member.question = member
+                .question
+                .filter(|question| question.answer != Some(true))
+                .filter(|question| question.left > 0 || self.fault == Fault::WordFromAnswer);
+            if next.accepted {
+                member.watched = None;
+                member.written = false;
+                member.promise = 0;
+            }
+        }
+        // A view from before the commit counts only where that is the fault.
+        let early = !next.committed() && self.fault != Fault::OldView;
+        if next.accepted || early {
+            next.view = None;
+        }
+    }
+
     fn renew(&self, next: &mut State, member: usize) {
         let state = &mut next.members[member];
         if state.lease == 0 && self.fault != Fault::NoReread {
@@ -347,35 +379,6 @@
     }
 }
 
-/// Clears what no longer has an effect, so that equal states are counted once.
-fn normalize(next: &mut State) {
-    let asker = &mut next.members[ASKER];
-    let settled = asker.applied;
-    if settled {
-        asker.lease = 0;
-        asker.confirmed = false;
-        asker.read = None;
-    }
-    for member in &mut next.members {
-        member.word = member.word.filter(|(left, changed)| *left > 0 && !changed);
-        member.question = member
-            .question
-            .filter(|question| question.answer != Some(true));
-        if settled {
-            member.word = None;
-            member.question = None;
-        }
-        if next.accepted {
-            member.watched = None;
-            member.written = false;
-            member.promise = 0;
-        }
-    }
-    if next.accepted {
-        next.view = None;
-    }
-}
-
 fn tick(next: &mut State) {
     for member in &mut next.members {
         member.lease = member.lease.saturating_sub(1);
