--- a/crates/model/src/lease.rs
+++ b/crates/model/src/lease.rs
@@ -213,7 +213,7 @@
                 if on_its_way {
                     next.rivals[rival].ghost = Some(write);
                 }
-                next.rivals[rival].seen = false;
+                next.rivals[rival].free = false;
             }
             Action::GhostArrives(rival) => {
                 let write = next.rivals[rival].ghost.take()?;
