--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -9,6 +9,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
+use crate::scheduler::state::Round;
 use crate::wave;
 use crate::wave::Fate;
 
@@ -138,7 +139,12 @@
     fn running(&self, open: &Open) -> Option<wave::Running> {
         let account = self.accounts.get(&open.job.account)?;
         let expected = account.estimate.expect(open.job.max_new_tokens);
-        let left = expected.saturating_sub(open.made).max(1);
+        // An answer that has outgrown the mean goes on: what is left of it isn't next to nothing.
+        let most = open.job.max_new_tokens.saturating_sub(open.made).max(1);
+        let left = expected
+            .saturating_sub(open.made)
+            .max(expected / 2)
+            .min(most);
         Some(wave::Running {
             id: open.job.id,
             from: open.replica?,
@@ -204,6 +210,7 @@
             open.moved = true;
             open.started = now;
             open.spoke = now;
+            open.round = Round::default();
         }
         self.put_on(now, step.job, to);
         out.push(Decision::Move {
