Run random histories of members; drop a refutation that changed nothing

Cause: membership had stories and no random histories; two mutants survived (a read counted from its answer; no refutation of the word that we are gone). Change: 128 random histories that compare every view with the leases it speaks of; tests of lease::watch; a story for the entry called gone.

--- /dev/null
+++ b/crates/lease/tests/watch.rs
@@ -0,0 +1,32 @@
+//! When a lease of another counts as lapsed.
+
+use clock::Span;
+use clock::Time;
+use lease::watch::Watch;
+
+const TERM: Span = Span::from_seconds(6);
+const MARGIN: Span = Span::from_seconds(1);
+
+/// The answer to a read is held up for longer than a lease runs. It shows the row as it was when the
+/// service was asked; the holder has renewed since. Counting from the answer would take the lease of a
+/// holder that is well.
+#[test]
+fn a_read_counts_from_when_it_was_asked() {
+    let start = Time::from_millis(1_000);
+    let late = start + TERM + MARGIN;
+    let mut watch = Watch::new(4, start);
+    watch.see(4, start + Span::from_millis(10), late);
+    assert!(!watch.lapsed(TERM, MARGIN));
+    watch.see(4, late, late);
+    assert!(watch.lapsed(TERM, MARGIN));
+}
+
+/// Answers overtake each other; an older one must not make the row look older than it is.
+#[test]
+fn an_older_revision_changes_nothing() {
+    let start = Time::from_millis(1_000);
+    let mut watch = Watch::new(5, start);
+    watch.see(4, start + TERM + MARGIN, start + TERM + MARGIN);
+    assert_eq!(watch.revision(), 5);
+    assert!(!watch.lapsed(TERM, MARGIN));
+}
--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -89,19 +89,12 @@
         }
     }
 
-    /// Takes a record and passes it on if it is news; refutes the word that we are gone.
+    /// Takes a record and passes it on if it is news.
     pub(super) fn take_record(&mut self, now: Time, record: &Record) {
         let id = record.row.id;
+        // Our next attempt to renew counts higher, whether it succeeds or not, and is told on.
         if id == self.me && record.gone {
-            self.registration.refute(record.row.renewals);
-            let own = Record {
-                row: self.registration.row().clone(),
-                gone: false,
-            };
-            self.directory.take(now, record);
-            self.directory.take(now, &own);
-            self.rumors.add(Subject::Member(id));
-            return self.hurry(now);
+            return;
         }
         if self.directory.take(now, record) {
             self.rumors.add(Subject::Member(id));
--- a/crates/member/src/registration.rs
+++ b/crates/member/src/registration.rs
@@ -81,12 +81,6 @@
         }
     }
 
-    /// Others believe that we are gone: the next record must outrank theirs.
-    pub fn refute(&mut self, renewals: u64) {
-        self.row.renewals = self.row.renewals.max(renewals) + 1;
-        self.changed = true;
-    }
-
     /// The loop slept: the lease no longer counts, and is renewed at once.
     pub fn lapse(&mut self, now: Time) {
         self.valid_until = Time::ZERO;
--- /dev/null
+++ b/crates/member/tests/histories.rs
@@ -0,0 +1,152 @@
+//! Random histories of members that start, die, freeze and lose each other or the service.
+//!
+//! Whenever a member concludes that another's lease has lapsed, that lease must not be valid. After
+//! all faults have ended, every live member is named everywhere and no dead one is.
+
+use clock::Span;
+use member::configs::membership::Settings;
+use member::event::Effect;
+use member::fake::Fleet;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestCaseError;
+use proptest::test_runner::TestRunner;
+use store::fake::Fault;
+
+const START: usize = 5;
+const MOST: usize = 8;
+const CASES: u32 = 128;
+
+/// One thing that happens.
+#[derive(Clone, Debug)]
+enum Step {
+    Freeze(usize, bool),
+    Kill(usize),
+    Start,
+    CutStore(usize, bool),
+    CutPeers(usize, u32),
+    Outage(bool),
+    Fault(u8),
+    Wait(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let at = 0..MOST;
+    prop_oneof![
+        4 => (at.clone(), any::<bool>()).prop_map(|(at, frozen)| Step::Freeze(at, frozen)),
+        1 => at.clone().prop_map(Step::Kill),
+        1 => (0..1_u8).prop_map(|_| Step::Start),
+        3 => (at.clone(), any::<bool>()).prop_map(|(at, cut)| Step::CutStore(at, cut)),
+        2 => (at, 0..3_u32).prop_map(|(at, part)| Step::CutPeers(at, part)),
+        1 => any::<bool>().prop_map(Step::Outage),
+        3 => (0..3_u8).prop_map(Step::Fault),
+        8 => (0..9_000_u16).prop_map(Step::Wait),
+    ]
+}
+
+fn take(fleet: &mut Fleet, step: &Step) -> Result<(), TestCaseError> {
+    let count = fleet.nodes.len();
+    match *step {
+        Step::Freeze(at, frozen) => fleet.set_frozen(at % count, frozen),
+        Step::Kill(at) => fleet.nodes[at % count].dead = true,
+        Step::Start if count < MOST => {
+            fleet.start("b", Settings::default());
+        }
+        Step::Start => {}
+        Step::CutStore(at, cut) => fleet.nodes[at % count].store_cut = cut,
+        Step::CutPeers(at, part) => fleet.nodes[at % count].part = part,
+        Step::Outage(down) => fleet.table.set_down(down),
+        Step::Fault(kind) => {
+            let faults = [Fault::Down, Fault::LostCall, Fault::LostAnswer];
+            fleet.table.push_fault(faults[usize::from(kind)]);
+        }
+        Step::Wait(millis) => {
+            for _ in 0..millis / 100 {
+                fleet.run(Span::from_millis(100));
+                views_are_true(fleet)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Compares every view since the last look with what the members hold now. A lease that is valid now
+/// and was gained or renewed in time was valid when the view was made, a moment ago.
+fn views_are_true(fleet: &mut Fleet) -> Result<(), TestCaseError> {
+    let now = fleet.now;
+    for index in 0..fleet.nodes.len() {
+        for (at, effect) in std::mem::take(&mut fleet.nodes[index].told) {
+            let Effect::View(view) = effect else {
+                continue;
+            };
+            for seen in view.members.iter().filter(|seen| seen.lapsed) {
+                let other = &fleet.nodes[seen.member.0 as usize - 1];
+                let holding = other.membership.holding();
+                let renewed_since = holding.valid_until >= at + Span::from_millis(5_900);
+                prop_assert!(
+                    !holding.is_valid(now) || renewed_since,
+                    "{index} takes {} for lapsed at {at}, valid until {}",
+                    seen.member,
+                    holding.valid_until
+                );
+            }
+        }
+    }
+    Ok(())
+}
+
+fn heal(fleet: &mut Fleet) -> Result<(), TestCaseError> {
+    fleet.table.set_down(false);
+    for index in 0..fleet.nodes.len() {
+        fleet.nodes[index].store_cut = false;
+        fleet.nodes[index].part = 0;
+        fleet.set_frozen(index, false);
+    }
+    fleet.run(Span::from_seconds(60));
+    let alive: Vec<usize> = (0..fleet.nodes.len())
+        .filter(|index| !fleet.nodes[*index].dead)
+        .collect();
+    let now = fleet.now;
+    for index in &alive {
+        prop_assert!(fleet.nodes[*index].membership.holding().is_valid(now));
+        let mut named: Vec<usize> = fleet.nodes[*index]
+            .membership
+            .addresses(now, None)
+            .iter()
+            .map(|named| named.id.0 as usize - 1)
+            .collect();
+        named.sort_unstable();
+        prop_assert_eq!(&named, &alive, "named by {}", index);
+    }
+    Ok(())
+}
+
+#[test]
+fn no_history_takes_a_valid_lease_for_lapsed() {
+    let config = Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(19),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let steps = proptest::collection::vec(step(), 1..60);
+    let run = TestRunner::new(config).run(&steps, |steps| {
+        let mut fleet = Fleet::default();
+        for index in 0..START {
+            fleet.start(["a", "b", "c"][index % 3], Settings::default());
+        }
+        fleet.run(Span::from_seconds(15));
+        for step in &steps {
+            take(&mut fleet, step)?;
+        }
+        heal(&mut fleet)
+    });
+    if let Err(error) = run {
+        panic!("{error}");
+    }
+}
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -227,3 +227,27 @@
     }
     assert!(owned.iter().all(|count| *count > 50), "{owned:?}");
 }
+
+/// An entry is frozen past its lease and called gone; then the table service goes down and the entry is
+/// continued. It can't renew its row, but it runs: it tells the others so, and callers are sent to it.
+#[test]
+fn an_entry_called_gone_comes_back_without_the_service() {
+    let mut fleet = eight();
+    fleet.set_frozen(2, true);
+    fleet.run(Span::from_seconds(30));
+    assert_eq!(named(&mut fleet, 0).len(), 7);
+    fleet.table.set_down(true);
+    fleet.set_frozen(2, false);
+    let id = fleet.id(2);
+    let back = fleet.run_until(Span::from_seconds(10), |fleet| {
+        let mut others = fleet.nodes.iter();
+        others.all(|node| {
+            let known = node.membership.directory().get(id);
+            known.is_some_and(|known| known.is_usable(fleet.now, Span::from_seconds(8)))
+        })
+    });
+    assert!(back.is_some());
+    for index in 0..8 {
+        assert_eq!(named(&mut fleet, index).len(), 8, "at {index}");
+    }
+}
