--- a/crates/matrix/src/world/flight.rs
+++ b/crates/matrix/src/world/flight.rs
@@ -138,6 +138,10 @@
                 self.tell_caller(number, CallerWord::Refused(refusal));
             }
             Command::Stop => self.give_up_stream(node, serial),
+            Command::Drop => {
+                self.drop_reader(node, serial);
+                self.nodes[node].flights.remove(&serial);
+            }
             Command::HandOff { address } => {
                 let token = self.token(node, serial);
                 self.drop_reader(node, serial);
--- a/crates/standin/tests/harness/world.rs
+++ b/crates/standin/tests/harness/world.rs
@@ -100,21 +100,17 @@
     /// Starts one more entry; returns its index.
     pub async fn add_entry(&mut self, zone: &str) -> usize {
         let name = format!("entry-{}", self.entries.len());
-        let text = sample::settings(
-            &name,
-            zone,
-            self.platform.address("address"),
-            sample::ANY_PORT,
-        );
-        let seeds: Vec<String> = self
+        let running = self
             .entries
             .iter()
-            .map(|entry| format!("{:?}", entry.address("peers")))
-            .collect();
-        let text = text.replace(
-            "\"seeds\": []",
-            &format!("\"seeds\": [{}]", seeds.join(", ")),
-        );
+            .map(|entry| entry.address("peers").to_owned());
+        let text = sample::settings(&sample::Entry {
+            name: &name,
+            zone,
+            platform: self.platform.address("address"),
+            callers: sample::ANY_PORT,
+            seeds: &running.collect::<Vec<String>>(),
+        });
         let path = scratch(&format!("{name}.jsonc"));
         std::fs::write(&path, text).unwrap();
         let path = path.display().to_string();
@@ -140,11 +136,13 @@
         }
     }
 
-    /// Waits until an entry has a version in force and is ready.
+    /// Waits until an entry has a version in force, knows all backend servers that run, and is ready.
     pub async fn wait_until_ready(&self, entry: &Process, version: u64) {
         let mut operator = Operator::connect(entry.address("operators")).await;
-        wait_for("the version in force", async || {
-            (operator.version().await >= version).then_some(())
+        let backends = self.engines.len() + self.services.len();
+        wait_for("the version in force and all backend servers", async || {
+            let status = operator.status().await;
+            (status.version >= version && status.backends.len() >= backends).then_some(())
         })
         .await;
         wait_for("a ready entry", async || {
