--- a/crates/matrix/src/plan.rs
+++ b/crates/matrix/src/plan.rs
@@ -89,10 +89,15 @@
         }
     }
 
-    /// The same run with as few faults as still breach the same point first.
+    /// The same run with as few faults as still breach the same point first, in the same way.
     pub fn shrunk(&self, bug: Bug) -> Plan {
         let mut least = self.clone();
-        let point = |plan: &Plan| plan.run(bug).breaches.first().map(|breach| breach.point);
+        let point = |plan: &Plan| {
+            let run = plan.run(bug);
+            let first = run.breaches.first()?;
+            let way = first.what.rsplit(';').next()?.to_owned();
+            Some((first.point, way))
+        };
         let wanted = point(self);
         let mut at = 0;
         while at < least.faults.len() {
--- a/crates/matrix/src/world/effects.rs
+++ b/crates/matrix/src/world/effects.rs
@@ -27,10 +27,7 @@
     /// Carries one effect out.
     pub(crate) fn perform(&mut self, node: usize, effect: Effect) {
         match effect {
-            Effect::Flight { serial, command } => {
-                let input = Input::Command { serial, command };
-                self.after(Span::ZERO, Happening::Input(node, input));
-            }
+            Effect::Flight { serial, command } => self.flight_commanded(node, serial, command),
             Effect::Addresses { asker, answer } => self.addresses_given(node, asker, answer),
             Effect::CancelAnswer { .. } | Effect::Log(_) => {}
             Effect::Operator { call, reply } => self.operator_answered(node, call, reply),
--- a/crates/matrix/src/world/input.rs
+++ b/crates/matrix/src/world/input.rs
@@ -1,7 +1,6 @@
 //! What reaches an entry's process.
 
 use entry::arrival::Arrival;
-use entry::effect::Command;
 use entry::event::Event;
 
 use crate::history::Ask;
@@ -25,8 +24,6 @@
         killer: bool,
         tokens: u64,
     },
-    /// A command of the reducer reaches the task of a request.
-    Command { serial: u64, command: Command },
     /// A backend server's word for the task of a request.
     Word { serial: u64, link: u64, word: Word },
     /// The caller of a request is gone.
@@ -68,7 +65,6 @@
                 self.nodes[node].flights.insert(serial, flight);
                 self.step(node, Event::Arrived { serial, arrival });
             }
-            Input::Command { serial, command } => self.flight_commanded(node, serial, command),
             Input::Word { serial, link, word } => self.flight_hears(node, serial, link, word),
             Input::Gone { number } => self.caller_left(node, number),
         }
--- a/crates/matrix/src/world/operators.rs
+++ b/crates/matrix/src/world/operators.rs
@@ -162,12 +162,14 @@
         self.operators.changes.len() - 1
     }
 
-    /// The newest version that any entry has shown.
+    /// The newest version that any entry has shown or told of.
     fn newest_shown(&self) -> u64 {
         let facts = self.history.records.iter().rev();
         facts
             .filter_map(|(_, fact)| match fact {
-                Fact::Showed { version, .. } => Some(*version),
+                Fact::Showed { version, .. }
+                | Fact::Accepted { version, .. }
+                | Fact::Committed { version, .. } => Some(*version),
                 _ => None,
             })
             .max()
@@ -295,6 +297,9 @@
 
     /// Somebody tries all keys of an account but its newest at every entry.
     pub(crate) fn try_old_keys(&mut self, account: &SmolStr) {
+        if !self.probing {
+            return;
+        }
         let keys = self.operators.keys.iter();
         let mut own: Vec<SmolStr> = keys
             .filter(|(whose, _)| whose == account)
