Say may-have-run to callers who come back with a resume word

Cause: an entry that is leaving or not ready refused a resumed stream with 'not-run', though the request ran before its connection broke. Ruled out: saying may-have-run to repeats by ticket or key as well: a first sending couldn't be told from a repeat, and callers would give up calls that never ran; docs/FAULTS.md says what 'not-run' speaks of.

--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -42,7 +42,10 @@
     ) {
         let flight = match self.check_in(now, serial, &arrival) {
             Ok(flight) => flight,
-            Err(refusal) => return self.refuse_arrival(serial, refusal, effects),
+            Err(refusal) => {
+                let refusal = true_of_arrival(&arrival, refusal);
+                return self.refuse_arrival(serial, refusal, effects);
+            }
         };
         let request = flight.origin.to_smolstr();
         self.journal
@@ -223,7 +226,7 @@
         let word = word
             .filter(|word| word.account == flight.account && word.deployment == flight.deployment);
         let Some(word) = word else {
-            let refusal = Refusal::not_run(Reason::Forbidden, "the resume token isn't yours");
+            let refusal = Refusal::may_have_run(Reason::Forbidden, "the resume token isn't yours");
             return self.refuse_arrival(serial, refusal, effects);
         };
         flight.origin = word.request;
@@ -266,6 +269,15 @@
     refusal
 }
 
+/// The verdict that is true of a request that isn't taken in: one that comes back with a resume word
+/// ran before its connection broke.
+fn true_of_arrival(arrival: &Arrival, mut refusal: Refusal) -> Refusal {
+    if arrival.resume.is_some() {
+        refusal.verdict = verdict::Verdict::MayHaveRun;
+    }
+    refusal
+}
+
 /// Kind, prompt length, most new tokens and prefix of some work.
 fn sizes_of(work: &Work) -> (job::Kind, u32, u32, u64) {
     match work {
