--- a/crates/matrix/src/check.rs
+++ b/crates/matrix/src/check.rs
@@ -162,7 +162,8 @@
     }
 }
 
-/// No sending that was refused as "not run" ran, before or after.
+/// No sending that was refused as "not run" ran, before or after; nor is that said of a request whose
+/// caller came back for the rest of its answer.
 fn not_run_is_true(history: &History, breaches: &mut Vec<Breach>) {
     let mut ran = BTreeSet::new();
     for (_, fact) in &history.records {
@@ -170,14 +171,18 @@
             ran.insert(*number);
         }
     }
+    let mut headed = BTreeSet::new();
     for (at, fact) in &history.records {
+        if let Fact::Head { ask } = fact {
+            headed.insert(*ask);
+        }
         if let Fact::Refused {
             ask,
             number,
             verdict: Verdict::NotRun,
             reason,
         } = fact
-            && ran.contains(number)
+            && (ran.contains(number) || headed.contains(ask))
         {
             let what = format!("{ask:?} was refused as not run ({reason}) and ran");
             breach(breaches, Point::NotRunIsTrue, *at, what);
--- a/crates/matrix/src/world/flight.rs
+++ b/crates/matrix/src/world/flight.rs
@@ -45,6 +45,8 @@
     tokens: u64,
     account_deployment: SmolStr,
     pub plain: bool,
+    /// Whether the reducer was told that the caller is gone.
+    pub left: bool,
     /// Number of the plain attempt that runs.
     pub plain_attempt: u32,
     relay: Relay,
@@ -94,6 +96,7 @@
             tokens,
             account_deployment: arrival.deployment.clone(),
             plain: matches!(arrival.work, Work::Plain { .. }),
+            left: false,
             plain_attempt: 0,
             relay: Relay::starting_at(arrival.offset),
             running: None,
@@ -117,7 +120,7 @@
 
     /// Whether it goes on when its caller is gone.
     pub fn outlives_caller(&self) -> bool {
-        self.plain && self.plain_attempt > 0
+        self.plain && (self.left || self.plain_attempt > 0)
     }
 }
 
--- a/crates/matrix/src/world/input.rs
+++ b/crates/matrix/src/world/input.rs
@@ -72,18 +72,26 @@
 
     /// The task of a request whose caller is gone tells the reducer.
     ///
-    /// A plain call that was handed on is waited for: its outcome is still wanted.
+    /// A plain call that runs is waited for: its outcome is still wanted. One that doesn't run stays
+    /// until the reducer, which may just have handed it on, drops it.
     fn caller_left(&mut self, node: usize, number: Try) {
         let flights = &mut self.nodes[node].flights;
         let found = flights.iter().find(|(_, flight)| flight.number() == number);
         let Some(serial) = found.map(|(serial, _)| *serial) else {
             return;
         };
-        if flights.get(&serial).is_some_and(Flight::outlives_caller) {
+        let Some(flight) = flights.get_mut(&serial) else {
             return;
+        };
+        if flight.outlives_caller() {
+            return;
+        }
+        if flight.plain {
+            flight.left = true;
+        } else {
+            flights.remove(&serial);
+            self.drop_reader(node, serial);
         }
-        flights.remove(&serial);
-        self.drop_reader(node, serial);
         self.tell(node, Event::CallerGone { serial });
     }
 }
