--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -226,7 +226,7 @@
         let word = word
             .filter(|word| word.account == flight.account && word.deployment == flight.deployment);
         let Some(word) = word else {
-            let refusal = Refusal::may_have_run(Reason::Forbidden, "the resume token isn't yours");
+            let refusal = Refusal::not_run(Reason::Forbidden, "the resume token isn't yours");
             return self.refuse_arrival(serial, refusal, effects);
         };
         flight.origin = word.request;
