Keep starts back after a pause until notices were read again

Ruled out: refusing requests after a pause (they can wait); waiting for one reading (its answer may have been on its way before the pause). Change: a gap of more than 2 s in the entry's own clock keeps starts back until notices came twice, 2 s at most.

--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -20,10 +20,13 @@
             Decision::Start { job, replica } => self.start(now, job, replica, effects),
             Decision::Refuse { job, refusal } => self.refuse(now, job.0, refusal, effects),
             Decision::Move { job, to, how, .. } => self.move_flight(job, to, how, effects),
-            Decision::Cancel { job, .. } => effects.push(Effect::Flight {
-                serial: job.0,
-                command: Command::Stop,
-            }),
+            Decision::Cancel { job, .. } => {
+                self.catch_up.forget(job);
+                effects.push(Effect::Flight {
+                    serial: job.0,
+                    command: Command::Stop,
+                });
+            }
         }
     }
 
@@ -31,7 +34,16 @@
     ///
     /// This is where the effect leaves: a server that became known as leaving since the scheduler
     /// chose it gets nothing, and the scheduler chooses again.
-    fn start(&mut self, now: Time, job: job::Id, replica: replica::Key, effects: &mut Vec<Effect>) {
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        job: job::Id,
+        replica: replica::Key,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.catch_up.keep(job, replica) {
+            return;
+        }
         let place = self.backends.place(replica);
         let place = place.filter(|place| !self.backends.is_leaving(&place.incarnation));
         let Some(place) = place else {
@@ -82,6 +94,9 @@
         how: Transfer,
         effects: &mut Vec<Effect>,
     ) {
+        if self.catch_up.redirect(job, to) {
+            return;
+        }
         let Some(place) = self.backends.place(to) else {
             return;
         };
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::accounts;
 use crate::backends::Backends;
 use crate::book::Book;
+use crate::catchup::CatchUp;
 use crate::configs::entry::Settings;
 use crate::configuration;
 use crate::effect::Effect;
@@ -49,6 +50,7 @@
     /// Orders our pieces of news.
     pub(crate) news_version: u64,
     pub(crate) stop: Stop,
+    pub(crate) catch_up: CatchUp,
     /// The life of the instance that this entry runs on, as the platform calls it.
     pub(crate) own_instance: Option<SmolStr>,
     pub(crate) collector: Collector,
@@ -120,6 +122,7 @@
             scheduler: Scheduler::new(seed),
             flights: BTreeMap::new(),
             stop: Stop::default(),
+            catch_up: CatchUp::default(),
             own_instance: None,
             next_store_call: 0,
             store_calls: BTreeMap::new(),
@@ -129,6 +132,7 @@
     /// Takes one event and appends what follows from it.
     pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
         let before = effects.len();
+        self.note_gap(now, effects);
         self.take(now, event, effects);
         self.note_lines(now, &effects[before..]);
     }
@@ -204,6 +208,7 @@
         self.members_tick(now, effects);
         self.configuration_tick(now, effects);
         self.leaves_tick(now, effects);
+        self.catch_up_tick(now, effects);
         self.flights_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
         self.accounts_tick(now, effects);
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -53,6 +53,7 @@
             // Told again even if a peer or the list said so before: they don't know the deadline.
             self.backend_leaving(now, &notice.incarnation, deadline, effects);
         }
+        self.caught_notices(now, effects);
     }
 
     /// Takes in what the list says of our own instance.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod addresses;
 mod arrivals;
 mod attempts;
+mod catchup;
 mod configuration;
 mod decisions;
 mod fleet;
