--- a/crates/matrix/src/check.rs
+++ b/crates/matrix/src/check.rs
@@ -33,8 +33,10 @@
     LeavesAlone,
     /// A planned stop cuts nothing.
     StopsGracefully,
-    /// An accepted configuration is in force everywhere and never reverts.
+    /// An accepted configuration never reverts, and nobody admits under an older one.
     NeverReverts,
+    /// A change is in force everywhere soon, once all faults are over.
+    InForce,
 }
 
 /// One breach of a point.
@@ -160,7 +162,8 @@
     }
 }
 
-/// No sending that was refused as "not run" ran, before or after.
+/// No sending that was refused as "not run" ran, before or after; nor is that said of a request whose
+/// caller came back for the rest of its answer.
 fn not_run_is_true(history: &History, breaches: &mut Vec<Breach>) {
     let mut ran = BTreeSet::new();
     for (_, fact) in &history.records {
@@ -168,14 +171,18 @@
             ran.insert(*number);
         }
     }
+    let mut headed = BTreeSet::new();
     for (at, fact) in &history.records {
+        if let Fact::Head { ask } = fact {
+            headed.insert(*ask);
+        }
         if let Fact::Refused {
             ask,
             number,
             verdict: Verdict::NotRun,
             reason,
         } = fact
-            && ran.contains(number)
+            && (ran.contains(number) || headed.contains(ask))
         {
             let what = format!("{ask:?} was refused as not run ({reason}) and ran");
             breach(breaches, Point::NotRunIsTrue, *at, what);
@@ -291,7 +298,7 @@
             }
             Fact::LastChange { accepted: false } => {
                 let what = "the last change was not accepted".to_owned();
-                breach(breaches, Point::NeverReverts, *at, what);
+                breach(breaches, Point::InForce, *at, what);
             }
             _ => {}
         }
