Measure the reducer's slopes; look at waiting leaves and grants by index

Cause: a tick passed over all open requests to find those that wait for leave (11.6 us at 1,000 open, 135 us at 10,000), and a grant was searched among all of a deployment's (53.9 us a request at 5,000 accounts). Change: both by index. After, same example, rows alone in a process: tick 1.2 us at 500 open and 2.2 us at 2,000; 39.8 us a request at 5,000 accounts. Failed: the row of 100,000 open requests did not end within 5 minutes, since opening them passes over 5,012 replicas each; it is left out.

--- a/crates/entry/src/book.rs
+++ b/crates/entry/src/book.rs
@@ -19,6 +19,8 @@
     snapshot: Snapshot,
     by_key_hash: BTreeMap<SmolStr, usize>,
     by_deployment: BTreeMap<SmolStr, usize>,
+    /// By deployment and account.
+    by_grant: BTreeMap<SmolStr, BTreeMap<SmolStr, usize>>,
     /// Kept over versions, so that a key always stands for the same account.
     accounts: BTreeMap<SmolStr, account::Key>,
     /// Kept over versions, so that a key always stands for the same pool.
@@ -35,6 +37,7 @@
         }
         self.by_key_hash.clear();
         self.by_deployment.clear();
+        self.by_grant.clear();
         for (at, account) in snapshot.accounts.iter().enumerate() {
             for hash in &account.key_hashes {
                 self.by_key_hash.insert(hash.clone(), at);
@@ -44,6 +47,10 @@
         }
         for (at, deployment) in snapshot.deployments.iter().enumerate() {
             self.by_deployment.insert(deployment.name.clone(), at);
+            let grants = deployment.grants.iter().enumerate();
+            let grants = grants.map(|(at, grant)| (grant.account.clone(), at));
+            self.by_grant
+                .insert(deployment.name.clone(), grants.collect());
             self.pool_key(&deployment.pool);
         }
         self.snapshot = snapshot;
@@ -74,8 +81,8 @@
 
     /// What a deployment promised an account.
     pub fn grant(&self, deployment: &str, account: &str) -> Option<&Grant> {
-        let grants = &self.deployment(deployment)?.grants;
-        grants.iter().find(|grant| grant.account == account)
+        let place = self.by_grant.get(deployment)?.get(account)?;
+        self.deployment(deployment)?.grants.get(*place)
     }
 
     /// The scheduler's key of an account.
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! The state of one entry and the step that takes it from event to event.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use burn::collector;
 use burn::collector::Collector;
@@ -44,6 +45,8 @@
     pub(crate) scheduler: Scheduler,
     /// Open requests by serial.
     pub(crate) flights: BTreeMap<u64, Flight>,
+    /// Open requests that wait for leave to run; may name some that don't any more.
+    pub(crate) seeking_leave: BTreeSet<u64>,
     pub(crate) ledger: Ledger,
     pub(crate) agreement: Agreement,
     pub(crate) membership: Membership,
@@ -135,6 +138,7 @@
             backends: Backends::default(),
             scheduler: Scheduler::new(seed),
             flights: BTreeMap::new(),
+            seeking_leave: BTreeSet::new(),
             stop: Stop::default(),
             catch_up: CatchUp::default(),
             own_instance: None,
--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -71,6 +71,7 @@
         arrival: &Arrival,
         effects: &mut Vec<Effect>,
     ) {
+        self.seeking_leave.insert(serial);
         if let Some(sealed) = &arrival.ticket {
             self.seek_by_ticket(now, serial, sealed, effects);
         } else if let Some(key) = &arrival.idempotency_key {
@@ -147,10 +148,9 @@
 
     /// Asks again for tickets whose word was lost, and gives up those that take too long.
     fn tickets_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let due: Vec<(u64, Ticket, Time)> = self
-            .flights
-            .iter()
-            .filter_map(|(serial, flight)| match &flight.waits_for {
+        let seeking = self.seeking_leave.iter();
+        let due: Vec<(u64, Ticket, Time)> = seeking
+            .filter_map(|serial| match &self.flights.get(serial)?.waits_for {
                 Some(Leave::Ticket {
                     ticket,
                     again,
@@ -294,11 +294,18 @@
     pub(crate) fn leaves_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.tickets_tick(now, effects);
         let overdue = |leave: &Option<Leave>| matches!(leave, Some(Leave::Intent { until, .. }) if *until <= now);
-        let late: Vec<u64> = self
-            .flights
-            .iter()
-            .filter(|(_, flight)| overdue(&flight.waits_for))
-            .map(|(serial, _)| *serial)
+        let flights = &self.flights;
+        self.seeking_leave.retain(|serial| {
+            let flight = flights.get(serial);
+            flight.is_some_and(|flight| flight.waits_for.is_some())
+        });
+        let seeking = self.seeking_leave.iter();
+        let late: Vec<u64> = seeking
+            .filter(|serial| {
+                let flight = flights.get(serial);
+                flight.is_some_and(|flight| overdue(&flight.waits_for))
+            })
+            .copied()
             .collect();
         for serial in late {
             self.refuse(now, serial, store_refusal(), effects);
