Settle disputes over a suspect's place before it starts

Change: a claim stands 100 ms before the suspect starts; of two claims for one replica the lower fingerprint's stands, of two for one fingerprint the lower replica's, at both entries alike. Since that settles who runs where, a suspect takes the first free replica in its order instead of waiting for one. The spread of settling falls from 300 to 100 ms for it, so that the whole wait stays as long.

--- a/crates/policy/src/configs/quarantine.rs
+++ b/crates/policy/src/configs/quarantine.rs
@@ -15,8 +15,12 @@
     /// Must exceed a digest's way to the peers (1 ms one way between zones, plus the shell's
     /// batching) by far, so that crashes seen elsewhere are known before the next replica is risked.
     pub settle: Span,
-    /// Spread added to `settle`, so that entries don't all start a suspect in the same instant.
+    /// Spread added to `settle`, so that fewer claims meet.
     pub spread: Span,
+    /// How long a claim on a replica must stand before the suspect starts: more than two ways of a
+    /// digest (36 ms at most each over the entries of the fault matrix), so that of two entries that
+    /// claim at once one knows in time to yield.
+    pub dispute: Span,
     /// Replicas of one zone lost within `settle` that count as the loss of the zone, not of a
     /// killer: one more than the replicas a killer may take.
     pub zone_loss: usize,
@@ -43,7 +47,8 @@
         Config {
             crashes: 2,
             settle: Span::from_millis(300),
-            spread: Span::from_millis(300),
+            spread: Span::from_millis(100),
+            dispute: Span::from_millis(100),
             zone_loss: 3,
             term: Span::from_seconds(3_600),
             claim: Span::from_seconds(3),
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -7,8 +7,9 @@
 //! one replica that every entry would choose for it. A second crash quarantines it: its final
 //! answer is given at once, here and, by [`Digest`], at every entry. A run to the end acquits it.
 //!
-//! *To compose*: ask [`Quarantine::standing`] before a start; start a [`Standing::Trial`] at
-//! [`Quarantine::place`] after [`Quarantine::trial_started`], unless another suspect is there; keep
+//! *To compose*: ask [`Quarantine::standing`] before a start; [`Quarantine::reserve`] the
+//! [`Quarantine::place`] of a [`Standing::Trial`] unless another suspect is there, and start it if the
+//! claim [`Quarantine::holds`] after its time; keep
 //! other work off a [`Quarantine::is_reserved`] replica while there is room elsewhere; stop copies
 //! of what [`Quarantine::take_accused`] names. Report crashes of replicas that were not announced
 //! as leaving. A crash is counted by incarnation, so that entries which report the same one don't
@@ -99,9 +100,8 @@
         }
     }
 
-    /// Where a suspect runs: the same place at every entry that knows the same replicas.
-    ///
-    /// Entries that chose freely would risk one replica each.
+    /// Where a suspect runs, of the replicas where no other one does: the same place at every entry
+    /// that knows the same.
     pub fn place<T: Copy>(
         &self,
         fingerprint: u64,
@@ -120,12 +120,24 @@
         self.claims.count(now)
     }
 
-    /// A suspect starts alone at `replica`.
-    pub fn trial_started(&mut self, fingerprint: u64, replica: u64) {
-        self.claims.start(fingerprint, replica);
+    /// Claims the replica for a suspect; it may start once the claim has stood for the configured
+    /// time.
+    pub fn reserve(&mut self, fingerprint: u64, replica: u64) {
+        self.claims.reserve(fingerprint, replica);
         self.urgent = true;
     }
 
+    /// Whether the claim still stands. It falls if another entry claimed the replica in the same
+    /// moment for another suspect: two of them at one replica would both be blamed for its crash.
+    pub fn holds(&self, fingerprint: u64, replica: u64) -> bool {
+        self.claims.holds(fingerprint, replica)
+    }
+
+    /// The suspect starts at the replica that was claimed for it.
+    pub fn trial_started(&mut self, replica: u64) {
+        self.claims.start(replica);
+    }
+
     /// The attempt of a suspect ended, however it did.
     pub fn trial_ended(&mut self, fingerprint: u64) {
         self.claims.end_own(fingerprint);
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -114,6 +114,7 @@
                 moved: false,
                 made: 0,
                 may_have_run: false,
+                claim: None,
                 tried: Vec::new(),
                 predicted,
             },
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -134,6 +134,14 @@
     pub tokens: u32,
 }
 
+/// A replica claimed for a suspect.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Claim {
+    pub replica: replica::Key,
+    /// When it is beyond dispute.
+    pub stands: Time,
+}
+
 /// An open job.
 #[derive(Debug)]
 pub(super) struct Open {
@@ -165,6 +173,9 @@
     pub made: u32,
     /// Whether bytes of it were handed to a replica that did not say "not started".
     pub may_have_run: bool,
+    /// The place that is claimed for it, if it is a suspect that waits. Invariant: not set while
+    /// `replica` is.
+    pub claim: Option<Claim>,
     /// Where it was tried. Bounded by the most attempts of one job.
     pub tried: Vec<replica::Key>,
     /// The wait predicted when it came.
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -10,6 +10,7 @@
 use crate::quarantine::Standing;
 use crate::replica;
 use crate::scheduler::Scheduler;
+use crate::scheduler::state::Claim;
 use crate::scheduler::state::Open;
 
 impl Scheduler {
@@ -120,7 +121,7 @@
                         out,
                     );
                 }
-                Standing::Trial => self.try_alone(now, id, out),
+                Standing::Trial => self.try_apart(now, id, out),
             }
         }
     }
@@ -148,15 +149,14 @@
 
     /// Gives up a trial that has not begun.
     pub(super) fn drop_trial(&mut self, id: job::Id) {
-        // A trial that has not begun belongs to a held suspect: mostly there is none to search for.
-        if self.held.is_empty() {
+        let claim = self.open.get_mut(&id).and_then(|open| open.claim.take());
+        let Some(claim) = claim else {
             return;
+        };
+        if let Some(open) = self.open.get(&id) {
+            self.quarantine.trial_ended(open.job.fingerprint);
         }
-        let waits = |replica: &crate::scheduler::state::Replica| replica.trial == Some(id);
-        let found = self.replicas.iter().find(|(_, replica)| waits(replica));
-        if let Some(key) = found.map(|(key, _)| *key) {
-            self.end_trial(id, key);
-        }
+        self.end_trial(id, claim.replica);
     }
 
     fn first_suspect(&self, now: Time, key: pool::Key) -> Option<(job::Id, Standing)> {
@@ -169,46 +169,81 @@
         })
     }
 
-    /// Starts the suspect at its place, if no other suspect runs there.
+    /// Claims the suspect's place, if no other suspect is there, and starts it once the claim stands.
     ///
     /// What runs there already isn't waited for: hardly any suspect is a killer, and those that
     /// waited until a replica is empty would all miss their targets.
-    fn try_alone(&mut self, now: Time, id: job::Id, out: &mut Vec<Decision>) {
-        let Some(key) = self.place_for(now, id) else {
-            let again = now + self.settings.health.period;
+    fn try_apart(&mut self, now: Time, id: job::Id, out: &mut Vec<Decision>) {
+        if let Some(claim) = self.open.get(&id).and_then(|open| open.claim) {
+            return self.use_claim(now, id, claim, out);
+        }
+        let stands = now + self.settings.quarantine.dispute;
+        let again = now + self.settings.health.period;
+        let place = self.place_for(now, id);
+        let replica = place.and_then(|key| self.replicas.get_mut(&key));
+        let (Some(open), Some(key), Some(replica)) = (self.open.get_mut(&id), place, replica)
+        else {
             self.held.insert((again, id));
             return;
         };
-        let Some(fingerprint) = self.open.get(&id).map(|open| open.job.fingerprint) else {
+        replica.trial = Some(id);
+        open.claim = Some(Claim {
+            replica: key,
+            stands,
+        });
+        self.quarantine
+            .reserve(open.job.fingerprint, replica.identity);
+        self.held.insert((stands, id));
+    }
+
+    /// Starts the suspect if its claim has stood for its time; gives up a claim that fell.
+    fn use_claim(&mut self, now: Time, id: job::Id, claim: Claim, out: &mut Vec<Decision>) {
+        if now < claim.stands {
+            self.held.insert((claim.stands, id));
             return;
-        };
-        let Some(replica) = self.replicas.get_mut(&key) else {
+        }
+        if !self.may_use(id, claim.replica) {
+            self.drop_trial(id);
+            self.held.insert((now + self.settings.health.period, id));
             return;
-        };
-        replica.trial = Some(id);
-        self.quarantine.trial_started(fingerprint, replica.identity);
-        self.start(now, id, key);
+        }
+        if let Some(replica) = self.replicas.get(&claim.replica) {
+            self.quarantine.trial_started(replica.identity);
+        }
+        if let Some(open) = self.open.get_mut(&id) {
+            open.claim = None;
+        }
+        self.start(now, id, claim.replica);
         out.push(Decision::Start {
             job: id,
-            replica: key,
+            replica: claim.replica,
         });
     }
 
-    /// The suspect's place, if no other suspect is there. It may be overbooked by this one job:
-    /// a suspect that waited for a free slot at one certain replica might never come to its turn.
+    /// Whether a claim holds and its replica is still there.
+    fn may_use(&self, id: job::Id, key: replica::Key) -> bool {
+        let open = self.open.get(&id);
+        let replica = self.replicas.get(&key);
+        open.zip(replica).is_some_and(|(open, replica)| {
+            let gone = replica.lost || replica.leaving.is_some();
+            let fingerprint = open.job.fingerprint;
+            !gone && self.quarantine.holds(fingerprint, replica.identity)
+        })
+    }
+
+    /// The first in the suspect's order of the replicas where no other suspect is. It may be
+    /// overbooked by this one job: a suspect that waited for a slot might never come to its turn.
     fn place_for(&self, now: Time, id: job::Id) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
         let pool = self.pools.get(&open.job.pool)?;
-        let members = pool.members.iter().filter_map(|key| {
+        let free = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
             let usable = pool.monitor.allowance(*key) != Allowance::None;
-            usable.then_some((*key, replica.identity))
+            let taken = replica.trial.is_some()
+                || self.quarantine.is_reserved(now, replica.identity)
+                || open.tried.contains(key);
+            (usable && !taken).then_some((*key, replica.identity))
         });
-        let key = self.quarantine.place(open.job.fingerprint, members)?;
-        let replica = self.replicas.get(&key)?;
-        let taken = replica.trial.is_some()
-            || self.quarantine.is_reserved(now, replica.identity)
-            || open.tried.contains(&key);
-        (!taken).then_some(key)
+        self.quarantine.place(open.job.fingerprint, free)
     }
 }
