--- a/crates/matrix/src/world/operators.rs
+++ b/crates/matrix/src/world/operators.rs
@@ -5,6 +5,7 @@
 use config::deployment::Account;
 use config::deployment::CallPattern;
 use config::deployment::Deployment;
+use config::deployment::Fleet;
 use config::deployment::Grant;
 use config::deployment::Kind;
 use config::snapshot::hash_key;
@@ -162,12 +163,14 @@
         self.operators.changes.len() - 1
     }
 
-    /// The newest version that any entry has shown.
+    /// The newest version that any entry has shown or told of.
     fn newest_shown(&self) -> u64 {
         let facts = self.history.records.iter().rev();
         facts
             .filter_map(|(_, fact)| match fact {
-                Fact::Showed { version, .. } => Some(*version),
+                Fact::Showed { version, .. }
+                | Fact::Accepted { version, .. }
+                | Fact::Committed { version, .. } => Some(*version),
                 _ => None,
             })
             .max()
@@ -295,6 +298,9 @@
 
     /// Somebody tries all keys of an account but its newest at every entry.
     pub(crate) fn try_old_keys(&mut self, account: &SmolStr) {
+        if !self.probing {
+            return;
+        }
         let keys = self.operators.keys.iter();
         let mut own: Vec<SmolStr> = keys
             .filter(|(whose, _)| whose == account)
@@ -349,6 +355,7 @@
         grants: grants(accounts),
         non_idempotent: Vec::new(),
         checks_fencing: false,
+        fleet: Fleet::default(),
     }
 }
 
@@ -363,5 +370,6 @@
             path_prefix: SmolStr::new_static("/receipts"),
         }],
         checks_fencing: false,
+        fleet: Fleet::default(),
     }
 }
