--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod configs;
 pub mod error;
 pub mod event;
+mod message;
 pub mod retry;
 pub mod stream;
 pub mod wire;
--- a/crates/client/src/stream.rs
+++ b/crates/client/src/stream.rs
@@ -9,7 +9,6 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
-use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -21,6 +20,8 @@
 use crate::error::Kind;
 use crate::event::Event;
 use crate::event::Parser;
+use crate::message;
+use crate::message::protocol;
 use crate::retry::Repeat;
 use crate::wire;
 
@@ -69,33 +70,6 @@
     Done,
 }
 
-#[derive(Deserialize)]
-struct Data {
-    choices: Vec<Choice>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    delta: Delta,
-}
-
-#[derive(Deserialize)]
-struct Delta {
-    #[serde(default)]
-    content: String,
-}
-
-#[derive(Deserialize)]
-struct Continue {
-    address: SmolStr,
-    token: SmolStr,
-}
-
-#[derive(Deserialize)]
-struct Resume {
-    token: SmolStr,
-}
-
 impl Client {
     /// Sends a model call, in the customary shape, and returns once it is accepted.
     ///
@@ -208,8 +182,7 @@
     }
 
     fn pass_on(&mut self, event: &Event) -> Result<Step, Error> {
-        let read = serde_json::from_str::<Continue>(&event.data);
-        let passed = read.map_err(|_| protocol("a continue event that can't be read"))?;
+        let passed: message::Continue = message::read(event)?;
         self.token = passed.token;
         self.next_entry = Some(passed.address);
         self.source = None;
@@ -218,10 +191,8 @@
 
     /// The stream has moved behind the entry: another token finds it from now on.
     fn moved(&mut self, event: &Event) -> Result<Step, Error> {
-        let read = serde_json::from_str::<Resume>(&event.data);
-        self.token = read
-            .map_err(|_| protocol("a resume event that can't be read"))?
-            .token;
+        let moved: message::Resume = message::read(event)?;
+        self.token = moved.token;
         Ok(Step::Nothing)
     }
 
@@ -234,13 +205,7 @@
             self.source = None;
             return Err(cut("a chunk is missing"));
         }
-        let read = serde_json::from_str::<Data>(&event.data);
-        let data = read.map_err(|_| protocol("a chunk that can't be read"))?;
-        let text: String = data
-            .choices
-            .into_iter()
-            .map(|choice| choice.delta.content)
-            .collect();
+        let text = message::read::<message::Chunk>(event)?.text();
         self.offset += 1;
         self.text.push_str(&text);
         self.tries.reset(self.client.shared.now());
@@ -333,10 +298,6 @@
     Error::new(Verdict::MayHaveRun, Kind::Cut, message)
 }
 
-fn protocol(message: &str) -> Error {
-    Error::new(Verdict::MayHaveRun, Kind::Protocol, message)
-}
-
 fn not_an_object() -> Error {
     Error::new(
         Verdict::NotRun,
--- a/crates/standin/tests/failures_backend.rs
+++ b/crates/standin/tests/failures_backend.rs
@@ -8,7 +8,6 @@
 use harness::caller::Asked;
 use harness::caller::receipt;
 use harness::caller::receipt_key;
-use harness::wait_for;
 use harness::world::Size;
 use harness::world::World;
 use serde_json::json;
@@ -35,7 +34,7 @@
         let mut world = World::deployed(&SIZE).await;
         let mut asked = Asked::new(&world.caller(), "reclaimed engine", 150).await;
         asked.read(40).await;
-        let at = busy_engine(&world).await;
+        let at = world.busy_engine().await;
         reclaim_and_kill(&mut world, &[at]).await;
         asked.finish().await;
         assert_eq!(asked.stream.cuts(), 0);
@@ -55,7 +54,7 @@
         }
         let mut asked = Asked::new(&world.caller(), "no transfer", 150).await;
         asked.read(40).await;
-        let at = busy_engine(&world).await;
+        let at = world.busy_engine().await;
         reclaim_and_kill(&mut world, &[at]).await;
         asked.finish().await;
         assert!(recomputed(&world, &[at]).await > 0);
@@ -114,7 +113,7 @@
         let mut world = World::deployed(&SIZE).await;
         let mut asked = Asked::new(&world.caller(), "killed engine", 150).await;
         asked.read(40).await;
-        let at = busy_engine(&world).await;
+        let at = world.busy_engine().await;
         world.engines[at].process.kill().await;
         asked.finish().await;
         assert_eq!(asked.stream.cuts(), 0);
@@ -200,19 +199,6 @@
     });
 }
 
-/// The engine that generates now.
-async fn busy_engine(world: &World) -> usize {
-    wait_for("a busy engine", async || {
-        for at in 0..world.engines.len() {
-            if !world.engine_counts(at).await.started.is_empty() {
-                return Some(at);
-            }
-        }
-        None
-    })
-    .await
-}
-
 /// Sends notices to engines and kills them at the deadline.
 async fn reclaim_and_kill(world: &mut World, engines: &[usize]) {
     for at in engines {
--- a/crates/standin/tests/failures_engines.rs
+++ b/crates/standin/tests/failures_engines.rs
@@ -25,7 +25,7 @@
         let world = World::deployed(&SIZE).await;
         let mut asked = Asked::new(&world.caller(), "frozen engine", 150).await;
         asked.read(40).await;
-        let at = busy_engine(&world).await;
+        let at = world.busy_engine().await;
         world.engines[at].process.signal("STOP").await;
         asked.finish().await;
         world.engines[at].process.signal("CONT").await;
@@ -94,16 +94,3 @@
         .await;
     }
 }
-
-/// The engine that generates now.
-async fn busy_engine(world: &World) -> usize {
-    wait_for("a busy engine", async || {
-        for at in 0..world.engines.len() {
-            if !world.engine_counts(at).await.started.is_empty() {
-                return Some(at);
-            }
-        }
-        None
-    })
-    .await
-}
--- a/crates/standin/tests/harness/world.rs
+++ b/crates/standin/tests/harness/world.rs
@@ -216,6 +216,19 @@
         self.counts(&self.engines[at].process).await
     }
 
+    /// The engine that was given a stream.
+    pub async fn busy_engine(&self) -> usize {
+        wait_for("a busy engine", async || {
+            for at in 0..self.engines.len() {
+                if !self.engine_counts(at).await.started.is_empty() {
+                    return Some(at);
+                }
+            }
+            None
+        })
+        .await
+    }
+
     /// What a plain service has counted.
     pub async fn service_counts(&self, at: usize) -> service::Counts {
         self.counts(&self.services[at].process).await
