Give a suspect another place than the replicas where it was tried

Cause: killer_request (new, real processes) hung: a bystander whose engine was crashed by another's request got neither head nor end for 40 s at any entry. Its place as a suspect is fixed by rendezvous; that was the dead engine, which the instance list still named; being tried already it was never taken, nor was any other. Ruled out: the resume path (the same hang without it) and the instance list (with the dead engine taken off at once the test passed). Change, at the border (crates/policy/src/scheduler/suspects.rs): tried replicas leave the choice before the rendezvous. All entries still come to the same order of places.

--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -196,19 +196,20 @@
 
     /// The suspect's place, if no other suspect is there. It may be overbooked by this one job:
     /// a suspect that waited for a free slot at one certain replica might never come to its turn.
+    ///
+    /// Replicas where it was tried are passed over: one that crashed under it stays in a lagging
+    /// instance list, and a suspect that had its place there would wait for it for ever.
     fn place_for(&self, now: Time, id: job::Id) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
         let pool = self.pools.get(&open.job.pool)?;
         let members = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
             let usable = pool.monitor.allowance(*key) != Allowance::None;
-            usable.then_some((*key, replica.identity))
+            (usable && !open.tried.contains(key)).then_some((*key, replica.identity))
         });
         let key = self.quarantine.place(open.job.fingerprint, members)?;
         let replica = self.replicas.get(&key)?;
-        let taken = replica.trial.is_some()
-            || self.quarantine.is_reserved(now, replica.identity)
-            || open.tried.contains(&key);
+        let taken = replica.trial.is_some() || self.quarantine.is_reserved(now, replica.identity);
         (!taken).then_some(key)
     }
 }
--- /dev/null
+++ b/crates/standin/tests/failures_killer.rs
@@ -0,0 +1,57 @@
+//! A request that crashes each engine that runs it.
+
+#![allow(clippy::unwrap_used)]
+
+mod harness;
+
+use harness::caller::Asked;
+use harness::caller::ask_at;
+use harness::world::Size;
+use harness::world::World;
+use standin::tokens::CRASH_MARK;
+
+const SIZE: Size = Size {
+    entries: 3,
+    engines: 6,
+    services: 0,
+    token_ms: 10,
+};
+
+/// Most engines that one request may take with it, over all entries and all its repeats.
+const MOST_CRASHES: usize = 2;
+
+/// A family's scan crashes each engine that runs it, and the family sends it again and again, to
+/// every entry. After the second crash it must be answered for good, everywhere, and the streams of
+/// others must come whole.
+#[test]
+fn killer_request() {
+    harness::run(async {
+        let mut world = World::deployed(&SIZE).await;
+        let caller = world.caller();
+        let mut others = Vec::new();
+        for number in 0..6 {
+            others.push(Asked::new(&caller, &format!("bystander {number}"), 200).await);
+        }
+        let question = format!("a scan {CRASH_MARK}");
+        let mut answers = Vec::new();
+        for round in 0..9 {
+            let address = world.entries[round % SIZE.entries].address("callers");
+            answers.push(ask_at(address, &question).await);
+        }
+        let crashed = world
+            .engines
+            .iter_mut()
+            .filter_map(|one| one.process.exit_code())
+            .count();
+        assert!(
+            (1..=MOST_CRASHES).contains(&crashed),
+            "{crashed} engines crashed"
+        );
+        for answer in answers.iter().rev().take(SIZE.entries) {
+            assert_eq!(answer.reason(), "quarantined", "{answer:?}");
+        }
+        for other in &mut others {
+            other.finish().await;
+        }
+    });
+}
