--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -233,6 +233,9 @@
 
     /// The first in the suspect's order of the replicas where no other suspect is. It may be
     /// overbooked by this one job: a suspect that waited for a slot might never come to its turn.
+    ///
+    /// Replicas where it was tried are passed over: one that crashed under it stays in a lagging
+    /// instance list, and a suspect that had its place there would wait for it for ever.
     fn place_for(&self, now: Time, id: job::Id) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
         let pool = self.pools.get(&open.job.pool)?;
