--- a/crates/member/examples/spread.rs
+++ b/crates/member/examples/spread.rs
@@ -17,6 +17,8 @@
 const MEASURED: Span = Span::from_seconds(60);
 /// Longest time that news may take.
 const LIMIT: Span = Span::from_seconds(120);
+/// Longest time that a wave may take.
+const WAVE_LIMIT: Span = Span::from_seconds(600);
 
 fn main() {
     println!(
@@ -25,6 +27,50 @@
     for (nodes, zones) in [(8, 3), (16, 3), (32, 3), (64, 3), (840, 17)] {
         measure(nodes, zones);
     }
+    println!("a wave: nodes, leaving backend servers, ms until all know all, bytes sent a node");
+    for (nodes, items) in [(8, 12), (64, 100), (64, 1_000)] {
+        wave(nodes, items);
+    }
+}
+
+/// One member hears of many leaving backend servers at once.
+fn wave(nodes: usize, items: usize) {
+    let mut fleet = Fleet::default();
+    for index in 0..nodes {
+        fleet.start(&format!("zone-{}", index % 3), Settings::default());
+    }
+    fleet.run(WARM_UP);
+    for node in &mut fleet.nodes {
+        node.sent_bytes = 0;
+    }
+    let names: Vec<String> = (0..items).map(|number| format!("i-{number}.1")).collect();
+    for name in &names {
+        fleet.feed(0, Event::Publish(leaving(name)));
+    }
+    let took = fleet.run_until(WAVE_LIMIT, |fleet| {
+        let mut members = fleet.nodes.iter().map(|node| &node.membership);
+        members.all(|member| names.iter().all(|name| member.is_leaving(name)))
+    });
+    let sent: u64 = fleet.nodes.iter().map(|node| node.sent_bytes).sum();
+    match took {
+        Some(took) => println!(
+            "{nodes:5} {items:6} {:8} {:8}",
+            took.as_millis(),
+            sent / nodes as u64
+        ),
+        None => println!("{nodes:5} {items:6} not within {WAVE_LIMIT}"),
+    }
+}
+
+/// News of a leaving backend server.
+fn leaving(name: &str) -> Item {
+    Item {
+        topic: Topic::Leaving,
+        key: name.into(),
+        version: 1,
+        age_ms: 0,
+        payload: Vec::new(),
+    }
 }
 
 fn measure(nodes: usize, zones: usize) {
@@ -73,13 +119,7 @@
     for index in (1..nodes).step_by(3) {
         fleet.set_frozen(index, true);
     }
-    let item = Item {
-        topic: Topic::Leaving,
-        key: "i-7.1".into(),
-        version: 1,
-        age_ms: 0,
-        payload: Vec::new(),
-    };
+    let item = leaving("i-7.1");
     fleet.feed(0, Event::Publish(item));
     let leaving = fleet.run_until(LIMIT, |fleet| {
         let mut thawed = fleet.nodes.iter().filter(|node| !node.frozen);
