--- a/crates/matrix/src/world/input.rs
+++ b/crates/matrix/src/world/input.rs
@@ -1,7 +1,6 @@
 //! What reaches an entry's process.
 
 use entry::arrival::Arrival;
-use entry::effect::Command;
 use entry::event::Event;
 
 use crate::history::Ask;
@@ -25,8 +24,6 @@
         killer: bool,
         tokens: u64,
     },
-    /// A command of the reducer reaches the task of a request.
-    Command { serial: u64, command: Command },
     /// A backend server's word for the task of a request.
     Word { serial: u64, link: u64, word: Word },
     /// The caller of a request is gone.
@@ -68,7 +65,6 @@
                 self.nodes[node].flights.insert(serial, flight);
                 self.step(node, Event::Arrived { serial, arrival });
             }
-            Input::Command { serial, command } => self.flight_commanded(node, serial, command),
             Input::Word { serial, link, word } => self.flight_hears(node, serial, link, word),
             Input::Gone { number } => self.caller_left(node, number),
         }
@@ -76,18 +72,26 @@
 
     /// The task of a request whose caller is gone tells the reducer.
     ///
-    /// A plain call that was handed on is waited for: its outcome is still wanted.
+    /// A plain call that runs is waited for: its outcome is still wanted. One that doesn't run stays
+    /// until the reducer, which may just have handed it on, drops it.
     fn caller_left(&mut self, node: usize, number: Try) {
         let flights = &mut self.nodes[node].flights;
         let found = flights.iter().find(|(_, flight)| flight.number() == number);
         let Some(serial) = found.map(|(serial, _)| *serial) else {
             return;
         };
-        if flights.get(&serial).is_some_and(Flight::outlives_caller) {
+        let Some(flight) = flights.get_mut(&serial) else {
             return;
+        };
+        if flight.outlives_caller() {
+            return;
+        }
+        if flight.plain {
+            flight.left = true;
+        } else {
+            flights.remove(&serial);
+            self.drop_reader(node, serial);
         }
-        flights.remove(&serial);
-        self.drop_reader(node, serial);
         self.tell(node, Event::CallerGone { serial });
     }
 }
