--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod configuration;
 mod decisions;
 mod fleet;
+mod leaders;
 mod leave;
 mod members;
 mod operators;
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -192,6 +192,31 @@
         .unwrap();
 }
 
+/// A request crashes two backend servers at one entry; its caller sends it again through the next
+/// within milliseconds. Every entry must know by then, and what a crash makes suspect is more than a
+/// round may carry, so it would not get there by rounds at all.
+#[test]
+fn a_killer_request_is_told_to_all_past_the_rounds() {
+    let mut fleet = eight();
+    let item = Item {
+        topic: Topic::Quarantine,
+        key: "entry-1".into(),
+        version: 1,
+        age_ms: 0,
+        payload: vec![7; 4_000],
+    };
+    fleet.feed(0, Event::Publish(item.clone()));
+    fleet.run(Span::from_millis(20));
+    for index in 1..8 {
+        let told = &fleet.nodes[index].told;
+        let heard = told.iter().any(|(_, effect)| match effect {
+            Effect::News(news) => news.topic == item.topic && news.payload == item.payload,
+            _ => false,
+        });
+        assert!(heard, "at {index}");
+    }
+}
+
 /// Answers to renewals get lost after their effect, twice in a row. The entry finds its own row in
 /// the service, takes it for its own and keeps its lease.
 #[test]
@@ -227,3 +252,27 @@
     }
     assert!(owned.iter().all(|count| *count > 50), "{owned:?}");
 }
+
+/// An entry is frozen past its lease and called gone; then the table service goes down and the entry is
+/// continued. It can't renew its row, but it runs: it tells the others so, and callers are sent to it.
+#[test]
+fn an_entry_called_gone_comes_back_without_the_service() {
+    let mut fleet = eight();
+    fleet.set_frozen(2, true);
+    fleet.run(Span::from_seconds(30));
+    assert_eq!(named(&mut fleet, 0).len(), 7);
+    fleet.table.set_down(true);
+    fleet.set_frozen(2, false);
+    let id = fleet.id(2);
+    let back = fleet.run_until(Span::from_seconds(10), |fleet| {
+        let mut others = fleet.nodes.iter();
+        others.all(|node| {
+            let known = node.membership.directory().get(id);
+            known.is_some_and(|known| known.is_usable(fleet.now, Span::from_seconds(8)))
+        })
+    });
+    assert!(back.is_some());
+    for index in 0..8 {
+        assert_eq!(named(&mut fleet, index).len(), 8, "at {index}");
+    }
+}
