--- a/crates/matrix/src/world/flight.rs
+++ b/crates/matrix/src/world/flight.rs
@@ -11,7 +11,6 @@
 use policy::job::End;
 use request::id::Id;
 use request::id::Stream;
-use request::relay::Pass;
 use request::relay::Relay;
 use request::resume::Resume;
 use smol_str::SmolStr;
@@ -26,53 +25,48 @@
 use crate::world::World;
 use crate::world::callers::CallerWord;
 use crate::world::engine::EngineCall;
-use crate::world::engine::Failure;
 use crate::world::engine::Moving;
 use crate::world::engine::Order;
 use crate::world::engine::Reader;
-use crate::world::engine::Word;
-
-/// Tokens are reported so many at a time.
-const REPORT_EACH: u32 = 8;
 
 /// One open call.
 pub(crate) struct Flight {
-    number: Try,
-    ask: Ask,
-    origin: Id,
-    killer: bool,
+    pub(super) number: Try,
+    pub(super) ask: Ask,
+    pub(super) origin: Id,
+    pub(super) killer: bool,
     /// Length of the whole answer; 0 for a plain call.
-    tokens: u64,
-    account_deployment: SmolStr,
+    pub(super) tokens: u64,
+    pub(super) account_deployment: SmolStr,
     pub plain: bool,
     /// Whether the reducer was told that the caller is gone.
     pub left: bool,
     /// Number of the plain attempt that runs.
     pub plain_attempt: u32,
-    relay: Relay,
-    running: Option<Running>,
+    pub(super) relay: Relay,
+    pub(super) running: Option<Running>,
     /// Names the connection whose words count; 0 for none.
-    link: u64,
-    unreported: u32,
-    passed: u64,
-    most: u64,
-    emitted: u64,
+    pub(super) link: u64,
+    pub(super) unreported: u32,
+    pub(super) passed: u64,
+    pub(super) most: u64,
+    pub(super) emitted: u64,
 }
 
 /// The attempt that runs.
 #[derive(Clone)]
-struct Running {
-    attempt: u32,
-    stream: Stream,
-    place: Place,
-    account: SmolStr,
-    base: u64,
-    how: Asked,
+pub(super) struct Running {
+    pub(super) attempt: u32,
+    pub(super) stream: Stream,
+    pub(super) place: Place,
+    pub(super) account: SmolStr,
+    pub(super) base: u64,
+    pub(super) how: Asked,
 }
 
 /// How the stream that is read now was asked for.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Asked {
+pub(super) enum Asked {
     Fresh,
     Again,
     Adopted,
@@ -185,11 +179,11 @@
         }
     }
 
-    fn flight(&mut self, node: usize, serial: u64) -> Option<&mut Flight> {
+    pub(super) fn flight(&mut self, node: usize, serial: u64) -> Option<&mut Flight> {
         self.nodes[node].flights.get_mut(&serial)
     }
 
-    fn start_stream(
+    pub(super) fn start_stream(
         &mut self,
         node: usize,
         serial: u64,
@@ -247,7 +241,7 @@
         self.tell_caller(flight.number, CallerWord::Done { owner: flight.ask });
     }
 
-    fn attach(&mut self, node: usize, serial: u64, running: Running) {
+    pub(super) fn attach(&mut self, node: usize, serial: u64, running: Running) {
         let link = self.new_link();
         let Some(flight) = self.flight(node, serial) else {
             return;
@@ -298,164 +292,8 @@
         self.call_engine(node, serial, link, old.place, Order::Export(moving));
     }
 
-    /// A word of an engine; words of connections that were given up are dropped.
-    pub(crate) fn flight_hears(&mut self, node: usize, serial: u64, link: u64, word: Word) {
-        let Some(flight) = self.flight(node, serial) else {
-            return;
-        };
-        if flight.plain {
-            return self.plain_hears(node, serial, link, word);
-        }
-        if flight.link != link {
-            return;
-        }
-        match word {
-            Word::Opened(moved) => self.opened(node, serial, moved),
-            Word::NotOpened { failure, moved } => self.not_opened(node, serial, failure, moved),
-            Word::Token { offset, ask, index } => {
-                self.token_came(node, serial, offset, ask, index);
-            }
-            Word::Done { ask } => {
-                self.report_end(node, serial, End::Finished);
-                if let Some(flight) = self.nodes[node].flights.remove(&serial) {
-                    self.tell_caller(flight.number, CallerWord::Done { owner: ask });
-                }
-            }
-            Word::Broken => self.broken(node, serial, End::Crashed),
-            Word::PlainDone { .. } => {}
-        }
-    }
-
-    fn opened(&mut self, node: usize, serial: u64, moved: Option<Transfer>) {
-        let token = self.token(node, serial);
-        if let Some(flight) = self.flight(node, serial) {
-            let number = flight.number;
-            self.tell_caller(number, CallerWord::Head { token });
-        }
-        match moved {
-            Some(how) => self.report(node, serial, Report::Moved { how, recomputed: 0 }),
-            None => self.report(node, serial, Report::Head),
-        }
-    }
-
-    fn not_opened(&mut self, node: usize, serial: u64, failure: Failure, moved: bool) {
-        let Some(flight) = self.flight(node, serial) else {
-            return;
-        };
-        flight.link = 0;
-        let Some(running) = flight.running.clone() else {
-            return;
-        };
-        if moved {
-            let recomputed = flight.passed as u32;
-            let how = Transfer::Rerun;
-            self.report(node, serial, Report::Moved { how, recomputed });
-            let Running {
-                stream,
-                place,
-                account,
-                ..
-            } = running;
-            return self.start_stream(node, serial, stream, place, account);
-        }
-        match (running.how, failure) {
-            (Asked::Adopted, _) => self.report(node, serial, Report::AttachFailed),
-            (Asked::Again, Failure::NotSent | Failure::Broken) => {
-                self.report_end(node, serial, End::Crashed);
-            }
-            (Asked::Again, _) => self.report_end(node, serial, End::Failed),
-            (Asked::Fresh, Failure::NotSent | Failure::NotStarted) => {
-                self.report_end(node, serial, End::NotStarted);
-            }
-            (Asked::Fresh, Failure::Broken) => self.report_end(node, serial, End::Crashed),
-            (Asked::Fresh, Failure::Answered) => self.report_end(node, serial, End::Failed),
-        }
-    }
-
-    /// The stream broke: the same engine is asked for it again once.
-    fn broken(&mut self, node: usize, serial: u64, end: End) {
-        let Some(flight) = self.flight(node, serial) else {
-            return;
-        };
-        flight.link = 0;
-        let Some(mut running) = flight.running.clone() else {
-            return;
-        };
-        match running.how {
-            Asked::Adopted => self.report(node, serial, Report::AttachFailed),
-            Asked::Again => self.report_end(node, serial, end),
-            Asked::Fresh => {
-                running.how = Asked::Again;
-                self.attach(node, serial, running);
-            }
-        }
-    }
-
-    fn token_came(&mut self, node: usize, serial: u64, engine: u64, owner: Ask, index: u64) {
-        let twice = self.bug == Bug::DoubleChunk;
-        let Some(flight) = self.flight(node, serial) else {
-            return;
-        };
-        let Some(running) = &mut flight.running else {
-            return;
-        };
-        let offset = flight.relay.next();
-        match flight.relay.chunk(running.attempt, engine) {
-            Pass::Drop => {}
-            Pass::Gap => self.broken(node, serial, End::Crashed),
-            Pass::Emit => {
-                running.how = Asked::Fresh;
-                flight.unreported += 1;
-                flight.passed += 1;
-                flight.emitted += 1;
-                let (number, tenth) = (flight.number, flight.emitted % 10 == 0);
-                let word = CallerWord::Chunk {
-                    offset,
-                    owner,
-                    index,
-                };
-                if twice && tenth {
-                    self.tell_caller(number, word.clone());
-                }
-                self.tell_caller(number, word);
-                self.report_tokens(node, serial, REPORT_EACH);
-            }
-        }
-    }
-
-    /// Reports counts now and then.
-    fn report_tokens(&mut self, node: usize, serial: u64, least: u32) {
-        if let Some(flight) = self.flight(node, serial)
-            && flight.unreported >= least
-        {
-            let tokens = std::mem::take(&mut flight.unreported);
-            let worst_gap = Span::ZERO;
-            self.report(node, serial, Report::Tokens { tokens, worst_gap });
-        }
-    }
-
-    fn report_end(&mut self, node: usize, serial: u64, end: End) {
-        self.report_tokens(node, serial, 1);
-        self.report(node, serial, Report::Ended { end, tokens: 0 });
-    }
-
-    fn report(&mut self, node: usize, serial: u64, report: Report) {
-        let running = self
-            .flight(node, serial)
-            .and_then(|flight| flight.running.as_ref());
-        let attempt = running.map_or(0, |running| running.attempt);
-        self.tell(
-            node,
-            Event::Attempt {
-                serial,
-                attempt,
-                report,
-            },
-        );
-    }
-
     /// The sealed word with which the caller can come back to the running stream.
-    fn token(&mut self, node: usize, serial: u64) -> Option<SmolStr> {
+    pub(super) fn token(&mut self, node: usize, serial: u64) -> Option<SmolStr> {
         let flight = self.nodes[node].flights.get(&serial)?;
         let running = flight.running.as_ref()?;
         let word = Resume {
@@ -471,7 +309,7 @@
     }
 
     /// Stops the engine's work on a call that nobody waits for.
-    fn give_up_stream(&mut self, node: usize, serial: u64) {
+    pub(super) fn give_up_stream(&mut self, node: usize, serial: u64) {
         let Some(flight) = self.flight(node, serial) else {
             return;
         };
--- a/crates/matrix/src/world/mod.rs
+++ b/crates/matrix/src/world/mod.rs
@@ -1,5 +1,6 @@
 //! Several entries and small fakes of all that is around them, in virtual time.
 
+mod answers;
 mod backend;
 mod callers;
 mod cloud;
@@ -13,6 +14,7 @@
 mod plain;
 mod service;
 mod store;
+mod stream;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
