--- /dev/null
+++ b/crates/matrix/tests/long.rs
@@ -0,0 +1,90 @@
+//! Long and wide failures: an hour without the table service, half of all instances, all entries.
+
+use clock::Span;
+use matrix::check;
+use matrix::fault::Fault;
+use matrix::history::Ask;
+use matrix::history::Fact;
+use matrix::history::History;
+use matrix::world::Bug;
+use matrix::world::Once;
+use matrix::world::Shape;
+use matrix::world::World;
+
+/// Every request of the list that ended whole.
+fn whole(history: &History, asks: &[Ask]) -> usize {
+    let facts = history.records.iter();
+    facts
+        .filter(|(_, fact)| matches!(fact, Fact::Whole { ask, .. } if asks.contains(ask)))
+        .count()
+}
+
+/// The platform's store is down for an hour. Students must still get their answers, and branches
+/// their receipts by ticket: leases lapse in the meantime, and nobody can renew one.
+#[test]
+fn requests_go_on_while_the_store_is_down_for_an_hour() {
+    let hour = 3_600_000;
+    let mut world = World::new(3, Shape::default(), Bug::None);
+    world.fault_in(Span::ZERO, Fault::StoreDown(Span::from_millis(hour)));
+    let mut asks = Vec::new();
+    for at in (30_000..hour).step_by(60_000) {
+        let after = Span::from_millis(at);
+        asks.push(world.ask_model(after, 30));
+        asks.push(world.ask_plain(after, true, Once::Ticket));
+    }
+    world.run_for(Span::from_millis(hour - 10_000));
+    let before = whole(world.history(), &asks);
+    let (history, _) = world.finish();
+    assert_eq!(check::check(&history), vec![]);
+    assert_eq!(before, asks.len());
+}
+
+/// A wave takes half of all backend servers at once, and the cloud starts no others for a while. The
+/// dossiers that run there must be ended elsewhere, whole.
+#[test]
+fn streams_survive_a_wave_that_takes_half_of_the_instances() {
+    let shape = Shape {
+        entries: 4,
+        engines: 12,
+        services: 6,
+    };
+    let mut world = World::new(4, shape, Bug::None);
+    let asks: Vec<Ask> = (0..60)
+        .map(|at| world.ask_model(Span::from_millis(at * 50), 400))
+        .collect();
+    let wave = Span::from_seconds(4);
+    world.fault_in(wave, Fault::RefuseInstances(Span::from_seconds(60)));
+    for slot in (0..shape.engines + shape.services).step_by(2) {
+        world.fault_in(wave, Fault::Reclaim(slot, Span::from_seconds(15)));
+    }
+    world.run_for(Span::from_seconds(20));
+    let (history, _) = world.finish();
+    assert_eq!(check::check(&history), vec![]);
+    assert_eq!(whole(&history, &asks), asks.len());
+}
+
+/// All 8 entries are replaced one after another while callers stream and file. Nothing may be lost,
+/// doubled or cut.
+#[test]
+fn all_entries_are_replaced_one_after_another() {
+    let shape = Shape {
+        entries: 8,
+        ..Shape::default()
+    };
+    let mut world = World::new(5, shape, Bug::None);
+    let mut asks = Vec::new();
+    for at in (0..160_000).step_by(1_000) {
+        let after = Span::from_millis(at);
+        asks.push(world.ask_model(after, 250));
+        asks.push(world.ask_plain(after, true, Once::Ticket));
+        asks.push(world.ask_plain(after, true, Once::Key));
+    }
+    for slot in 0..shape.entries {
+        let after = Span::from_seconds(5 + 20 * slot as u64);
+        world.fault_in(after, Fault::StopEntry(slot));
+    }
+    world.run_for(Span::from_seconds(170));
+    let (history, _) = world.finish();
+    assert_eq!(check::check(&history), vec![]);
+    assert_eq!(whole(&history, &asks), asks.len());
+}
