--- a/crates/matrix/src/world/effects.rs
+++ b/crates/matrix/src/world/effects.rs
@@ -1,6 +1,7 @@
 //! Carries the effects of a reducer out, as the shell of the daemon does.
 
 use clock::Span;
+use entry::attempt::Report;
 use entry::effect::Effect;
 use entry::event::Event;
 use request::id::Incarnation;
@@ -77,6 +78,16 @@
         self.after(HOP, Happening::Input(node, Input::Event(event)));
     }
 
+    /// The report of a request's task on an attempt.
+    pub(crate) fn tell_attempt(&mut self, node: usize, serial: u64, attempt: u32, report: Report) {
+        let event = Event::Attempt {
+            serial,
+            attempt,
+            report,
+        };
+        self.tell(node, event);
+    }
+
     /// The entry living at a peer address, unless what is sent there is lost.
     fn peer_at(&self, from: usize, address: &SmolStr) -> Option<usize> {
         let to = self
--- a/crates/matrix/src/world/flight.rs
+++ b/crates/matrix/src/world/flight.rs
@@ -6,7 +6,6 @@
 use entry::attempt::Place;
 use entry::attempt::Report;
 use entry::effect::Command;
-use entry::event::Event;
 use policy::decision::Transfer;
 use policy::job::End;
 use request::id::Id;
@@ -230,14 +229,7 @@
             tokens: flight.unreported,
         };
         let attempt = stream.attempt;
-        self.tell(
-            node,
-            Event::Attempt {
-                serial,
-                attempt,
-                report,
-            },
-        );
+        self.tell_attempt(node, serial, attempt, report);
         self.tell_caller(flight.number, CallerWord::Done { owner: flight.ask });
     }
 
--- a/crates/matrix/src/world/plain.rs
+++ b/crates/matrix/src/world/plain.rs
@@ -2,7 +2,6 @@
 
 use entry::attempt::Report;
 use entry::effect::Command;
-use entry::event::Event;
 use policy::job::End;
 
 use crate::world::Bug;
@@ -60,9 +59,9 @@
         let end = match word {
             Word::PlainDone { ask } => {
                 self.nodes[node].flights.remove(&serial);
-                self.plain_report(node, serial, attempt, Report::Head);
+                self.tell_attempt(node, serial, attempt, Report::Head);
                 let (end, tokens) = (End::Finished, 0);
-                self.plain_report(node, serial, attempt, Report::Ended { end, tokens });
+                self.tell_attempt(node, serial, attempt, Report::Ended { end, tokens });
                 return self.tell_caller(number, CallerWord::Done { owner: ask });
             }
             Word::NotOpened {
@@ -76,17 +75,6 @@
             _ if self.bug == Bug::CallLostNotStarted => End::NotStarted,
             _ => End::Crashed,
         };
-        self.plain_report(node, serial, attempt, Report::Ended { end, tokens: 0 });
-    }
-
-    fn plain_report(&mut self, node: usize, serial: u64, attempt: u32, report: Report) {
-        self.tell(
-            node,
-            Event::Attempt {
-                serial,
-                attempt,
-                report,
-            },
-        );
+        self.tell_attempt(node, serial, attempt, Report::Ended { end, tokens: 0 });
     }
 }
--- a/crates/matrix/src/world/stream.rs
+++ b/crates/matrix/src/world/stream.rs
@@ -2,7 +2,6 @@
 
 use clock::Span;
 use entry::attempt::Report;
-use entry::event::Event;
 use policy::decision::Transfer;
 use policy::job::End;
 use request::relay::Pass;
@@ -166,13 +165,6 @@
             .flight(node, serial)
             .and_then(|flight| flight.running.as_ref());
         let attempt = running.map_or(0, |running| running.attempt);
-        self.tell(
-            node,
-            Event::Attempt {
-                serial,
-                attempt,
-                report,
-            },
-        );
+        self.tell_attempt(node, serial, attempt, report);
     }
 }
--- a/crates/matrix/tests/histories.rs
+++ b/crates/matrix/tests/histories.rs
@@ -42,6 +42,16 @@
     }
 }
 
+/// Seeds that breached a point once, run before any others.
+fn kept(seeds: &[u64], counts: impl Fn(&Plan, &Breach) -> bool) {
+    for seed in seeds {
+        let plan = Plan::new(*seed);
+        let mut breaches = plan.run(Bug::None).breaches;
+        breaches.retain(|breach| counts(&plan, breach));
+        assert_eq!(breaches, vec![], "seed {seed}");
+    }
+}
+
 fn has_killer(plan: &Plan) -> bool {
     let mut faults = plan.faults.iter();
     faults.any(|(_, fault)| *fault == Fault::KillerRequest)
@@ -61,14 +71,16 @@
 /// beside it made it a suspect, though it never crashed anything.
 #[test]
 fn a_stream_beside_a_killer_request_is_answered_whole() {
-    run(2, FEW_CASES, |plan, breach| {
-        breach.point == Point::Survives && has_killer(plan)
-    });
+    let counts = |plan: &Plan, breach: &Breach| breach.point == Point::Survives && has_killer(plan);
+    kept(&[1_092, 4_934], counts);
+    run(2, FEW_CASES, counts);
 }
 
 /// An operator's change is committed and never said to be accepted: entries that died without a word
 /// stay members for a day, and with as many dead as live ones no majority comes together.
 #[test]
 fn a_change_is_accepted_once_all_is_calm() {
-    run(3, FEW_CASES, |_, breach| breach.point == Point::InForce);
+    let counts = |_: &Plan, breach: &Breach| breach.point == Point::InForce;
+    kept(&[756, 924], counts);
+    run(3, FEW_CASES, counts);
 }
