Take members off whose instances are gone by the instance list

Ruled out: shortening keep_lapsed, which would drop a member that is only frozen; doing it in the entry's directory, which doesn't know rows of members that were gone before it started. Change: the shell tells the listed entries (entry: EntriesRead, member: Listed); a lapsed member that is missing from a list naming ourselves for 15 s, or whose address a live member has, is known as gone.

--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -72,6 +72,9 @@
         if let Ok(instances) = cloud.instances().await {
             tell_own(&link, &instances, &own);
             ask_loads(&link, &client, &instances);
+            let entries = instances.iter().filter(|one| one.kind == ENTRY_KIND);
+            let addresses = entries.map(|one| one.address.clone()).collect();
+            link.event(Event::EntriesRead(addresses));
             let backends = instances.iter().filter(|one| one.kind != ENTRY_KIND);
             link.event(Event::InstancesRead(
                 backends.map(|one| instance_of(one, &prices)).collect(),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -184,6 +184,9 @@
                 incarnation,
                 leaving,
             } => self.own_instance_read(now, incarnation, leaving, effects),
+            Event::EntriesRead(addresses) => {
+                self.attend(now, member::event::Event::Listed(addresses), effects);
+            }
             Event::NoticesRead(notices) => self.notices_read(now, &notices, effects),
             Event::LoadRead {
                 incarnation,
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -75,6 +75,8 @@
         /// What happened.
         event: fleet::event::Event,
     },
+    /// The instance list names these entries, by the addresses that callers connect to.
+    EntriesRead(Vec<SmolStr>),
     /// Reclaim notices were read.
     NoticesRead(Vec<Notice>),
     /// A backend server reported its load.
--- a/crates/matrix/src/world/backend.rs
+++ b/crates/matrix/src/world/backend.rs
@@ -20,7 +20,7 @@
 pub(crate) const SERVICE_POOL: &str = "records";
 
 /// How far the instance list lags.
-const LIST_LAG: Span = Span::from_millis(2_000);
+pub(crate) const LIST_LAG: Span = Span::from_millis(2_000);
 
 /// Time to start a new instance.
 const START_TIME: Span = Span::from_millis(4_000);
--- a/crates/matrix/src/world/cloud.rs
+++ b/crates/matrix/src/world/cloud.rs
@@ -1,13 +1,16 @@
 //! The cloud: notices, ends of instances, and new ones.
 
 use clock::Span;
+use clock::Time;
 use entry::event::Event;
 use entry::instance::Notice;
+use smol_str::SmolStr;
 
 use crate::history::Cause;
 use crate::history::Fact;
 use crate::world::Happening;
 use crate::world::World;
+use crate::world::backend::LIST_LAG;
 
 /// Time until a new life of an entry starts.
 const ENTRY_START_TIME: Span = Span::from_millis(3_000);
@@ -35,6 +38,19 @@
         notices
     }
 
+    /// Addresses of entries as the list shows them now: it lags.
+    pub(crate) fn entry_list(&self) -> Vec<SmolStr> {
+        let shown = self.nodes.iter().filter(|node| {
+            let since = node.ended.unwrap_or(self.now);
+            let first = node.born == Time::ZERO;
+            let appeared = first || self.now.since(node.born) >= LIST_LAG;
+            appeared && self.now.since(since) < LIST_LAG
+        });
+        shown
+            .map(|node| node.identity.caller_address.clone())
+            .collect()
+    }
+
     /// Announces the end of a backend server's instance.
     pub(crate) fn reclaim_backend(&mut self, slot: usize, left: Span) {
         let now = self.now;
--- a/crates/matrix/src/world/node.rs
+++ b/crates/matrix/src/world/node.rs
@@ -38,6 +38,7 @@
     /// When its own clock read zero.
     pub born: Time,
     pub alive: bool,
+    pub ended: Option<Time>,
     pub frozen: bool,
     /// What came while it stood still.
     pub inbox: Vec<Input>,
@@ -92,6 +93,7 @@
             instance: format_smolstr!("e-{slot}.{node}"),
             born: self.now,
             alive: true,
+            ended: None,
             frozen: false,
             inbox: Vec::new(),
             flights: BTreeMap::new(),
@@ -138,7 +140,13 @@
             leaving: false,
         };
         // Answers come in any order.
-        let mut events = vec![own, Event::InstancesRead(list), Event::NoticesRead(notices)];
+        let entries = Event::EntriesRead(self.entry_list());
+        let mut events = vec![
+            own,
+            Event::InstancesRead(list),
+            Event::NoticesRead(notices),
+            entries,
+        ];
         if self.draw(2) == 0 {
             events.swap(1, 2);
         }
@@ -205,6 +213,7 @@
             return;
         }
         self.nodes[node].alive = false;
+        self.nodes[node].ended = Some(self.now);
         self.nodes[node].inbox.clear();
         let flights = std::mem::take(&mut self.nodes[node].flights);
         for flight in flights.into_values() {
--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -40,6 +40,8 @@
     Look,
     /// The instance list says that this member's instance is gone for good.
     Gone(holder::Id),
+    /// The instance list names these entries, by the addresses that callers connect to.
+    Listed(Vec<SmolStr>),
     /// News from this entry itself, to be told to all.
     Publish(Item),
 }
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -4,6 +4,7 @@
 //! again with [`Event::Wake`] at the time that [`Membership::next_wake`] names.
 
 mod gossip;
+mod listed;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -73,6 +74,8 @@
     /// Where the round of heartbeats stands.
     turn: holder::Id,
     known_gone: BTreeSet<holder::Id>,
+    /// Since when lapsed members are missing from the instance list.
+    unlisted: BTreeMap<holder::Id, Time>,
     seeds: Vec<SmolStr>,
     holding: Holding,
     left: bool,
@@ -115,6 +118,7 @@
             purse: Purse::default(),
             turn: holder::Id::default(),
             known_gone: BTreeSet::new(),
+            unlisted: BTreeMap::new(),
             seeds,
             holding: Holding::default(),
             left: false,
@@ -142,6 +146,7 @@
             Event::Gone(id) => {
                 self.known_gone.insert(id);
             }
+            Event::Listed(addresses) => self.listed(now, &addresses),
             Event::Publish(item) => {
                 if self.learn(now, &item) && item.topic == Topic::Quarantine {
                     self.announce(item, effects);
