Leave saved-up bytes for urgent rounds

Cause: larger digests spent what urgent rounds need: 64 entries that start together had a new version in force after 1,140 ms (median), 340 ms before larger digests. Change: larger digests leave ten seconds' worth of bytes. Conclusion: cargo test -p member -p config -p entry passes.

--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -201,7 +201,7 @@
         let members = self.directory.count();
         let room = |share: f64| (limit as f64 * share) as usize;
         let most = self.settings.burst_digest_bytes.saturating_sub(limit);
-        let extra = (self.purse.saved() / self.settings.fanout.max(1)).min(most);
+        let extra = (self.purse.spare(&self.settings) / self.settings.fanout.max(1)).min(most);
         for (kind, share) in [(Kind::Item, ITEMS_SHARE), (Kind::Member, NEWS_SHARE)] {
             let limit = room(share) + extra;
             for subject in self.rumors.hottest(kind, limit / LEAST_SUBJECT_BYTES) {
--- a/crates/member/src/purse.rs
+++ b/crates/member/src/purse.rs
@@ -13,6 +13,10 @@
 /// Seconds' worth of bytes that regular rounds may go into debt.
 const DEBT_SECONDS: i64 = 4;
 
+/// Seconds' worth of bytes that larger digests leave, so that a new version still gets its urgent
+/// rounds while a wave is told.
+const RESERVE_SECONDS: i64 = 10;
+
 /// Bytes saved up; regular rounds may take it below zero.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Purse {
@@ -26,9 +30,10 @@
         self.saved -= bytes as i64;
     }
 
-    /// Bytes saved up.
-    pub fn saved(&self) -> usize {
-        usize::try_from(self.saved).unwrap_or(0)
+    /// Bytes that larger digests may spend.
+    pub fn spare(&self, settings: &Settings) -> usize {
+        let reserve = settings.gossip_bytes_per_second as i64 * RESERVE_SECONDS;
+        usize::try_from(self.saved - reserve).unwrap_or(0)
     }
 
     /// Whether an urgent round may be sent.
