--- a/crates/standin/tests/harness/world.rs
+++ b/crates/standin/tests/harness/world.rs
@@ -80,9 +80,15 @@
 
     /// Starts one more engine; returns its index.
     pub async fn add_engine(&mut self, zone: &str, token_ms: u64) -> usize {
-        let name = format!("engine-{}", self.engines.len());
         let token_ms = token_ms.to_string();
-        let process = Process::start(&name, &["engine", "--token-ms", &token_ms]).await;
+        self.add_engine_with(zone, &["--token-ms", &token_ms]).await
+    }
+
+    /// Starts one more engine with these arguments; returns its index.
+    pub async fn add_engine_with(&mut self, zone: &str, arguments: &[&str]) -> usize {
+        let name = format!("engine-{}", self.engines.len());
+        let arguments = [&["engine"], arguments].concat();
+        let process = Process::start(&name, &arguments).await;
         let backend = self.list("engine", sample::MODEL, zone, process).await;
         self.engines.push(backend);
         self.engines.len() - 1
