Spend only our share of the table service, by urgency

Cause: the settings named a share of reads and writes that nothing kept to; an outage's end would have brought all calls of all entries at once. Change: every call waits for its turn in store::throttle (leases, configuration, callers' rows, summaries); platform.reads_per_second and writes_per_second now give what the service takes from all entries, whose number comes from membership. Ruled out: fixed shares by entry, which waste what is left when entries are few.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -279,6 +279,11 @@
             .iter()
             .map(|one| one.to_smolstr())
             .collect(),
+        store: store::configs::budget::Settings {
+            writes_per_second: f64::from(settings.platform.writes_per_second),
+            reads_per_second: f64::from(settings.platform.reads_per_second),
+            ..store::configs::budget::Settings::default()
+        },
         members: member_settings(settings),
         ..entry::configs::entry::Settings::default()
     }
--- a/crates/entry/src/accounts.rs
+++ b/crates/entry/src/accounts.rs
@@ -20,10 +20,10 @@
 
 use crate::effect::Effect;
 use crate::entry::Entry;
-use crate::entry::Waiter;
 use crate::flight::Flight;
 use crate::identity::Identity;
 use crate::line::Line;
+use crate::store_calls::Waiter;
 
 /// Milliseconds in an hour.
 const HOUR_MILLIS: u64 = 3_600_000;
@@ -48,7 +48,7 @@
         for effect in asked {
             match effect {
                 collector::Effect::Store { id, call } => {
-                    self.ask_store(Waiter::Collector(id), call, effects);
+                    self.ask_store(Waiter::Collector(id), call);
                 }
                 collector::Effect::Report { asker, report } => effects.push(Effect::Operator {
                     call: asker,
--- a/crates/entry/src/configs/entry.rs
+++ b/crates/entry/src/configs/entry.rs
@@ -4,7 +4,7 @@
 use smol_str::SmolStr;
 
 /// What the reducer needs of the settings.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How long a caller may keep an address answer.
     pub address_ttl: Span,
@@ -12,6 +12,8 @@
     pub tickets_per_answer: u64,
     /// Time in which requests may finish before they are handed to a peer, on a planned stop.
     pub grace: Span,
+    /// What the table service takes from all entries together.
+    pub store: store::configs::budget::Settings,
     /// Leases, reads and digests of members.
     pub members: member::configs::membership::Settings,
     /// How changes of the configuration are agreed.
@@ -34,6 +36,7 @@
             address_ttl: Span::from_seconds(10),
             tickets_per_answer: 4,
             grace: Span::from_seconds(20),
+            store: store::configs::budget::Settings::default(),
             members: member::configs::membership::Settings::default(),
             agreement: config::configs::agreement::Settings::default(),
             seeds: Vec::new(),
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -25,9 +25,9 @@
 
 use crate::effect::Effect;
 use crate::entry::Entry;
-use crate::entry::Waiter;
 use crate::line::Line;
 use crate::operators;
+use crate::store_calls::Waiter;
 
 /// Shortest time that a change is given to be in force everywhere.
 const LEAST_WAIT: Span = Span::from_millis(500);
@@ -51,7 +51,7 @@
         for effect in asked {
             match effect {
                 ConfigEffect::Store { id, call } => {
-                    self.ask_store(Waiter::Agreement(id), call, effects);
+                    self.ask_store(Waiter::Agreement(id), call);
                 }
                 ConfigEffect::Send { to, message } => self.send_configure(to, message, effects),
                 ConfigEffect::View => self.look(now, effects),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use burn::collector;
 use burn::collector::Collector;
 use clock::Time;
 use config::agreement::Agreement;
@@ -17,7 +16,7 @@
 use rand_pcg::Pcg64Mcg;
 use request::ledger::Ledger;
 use smol_str::SmolStr;
-use store::call::Outcome;
+use store::throttle::Throttle;
 
 use crate::accounts;
 use crate::backends::Backends;
@@ -33,6 +32,7 @@
 use crate::leave::Seals;
 use crate::members;
 use crate::stop::Stop;
+use crate::store_calls::Waiter;
 
 /// One entry.
 pub struct Entry {
@@ -67,6 +67,10 @@
     pub(crate) store_available: bool,
     /// Names the next call of the table service.
     pub(crate) next_store_call: u64,
+    /// Calls that wait for their turn within our share of the table service.
+    pub(crate) throttle: Throttle<store::call::Id>,
+    /// Calls that found the queue full.
+    pub(crate) store_refused: Vec<store::call::Id>,
     /// What waits for which call of the table service.
     pub(crate) store_calls: BTreeMap<store::call::Id, Waiter>,
 }
@@ -88,29 +92,6 @@
     pub store_available: bool,
 }
 
-/// Who waits for an answer of the table service.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Waiter {
-    /// The agreement machine, by its own number.
-    Agreement(store::call::Id),
-    /// The membership machine, by its own number.
-    Membership(store::call::Id),
-    /// The collector of the burn report, by its own number.
-    Collector(store::call::Id),
-    /// The leader of a deployment, by its own number.
-    Leader {
-        /// Which deployment.
-        deployment: SmolStr,
-        /// Its number.
-        id: store::call::Id,
-    },
-    /// A request's own row.
-    Intent {
-        /// Which request.
-        serial: u64,
-    },
-}
-
 impl Entry {
     /// An entry that has seen nothing yet.
     ///
@@ -119,6 +100,7 @@
     pub fn new(identity: Identity, settings: Settings, shared_key: &str, seed: u64) -> Entry {
         let me = holder::Id(identity.incarnation.0);
         let seeds = settings.seeds.clone();
+        let store_settings = settings.store;
         Entry {
             ledger: Ledger::new(identity.incarnation),
             agreement: configuration::agreement(me, settings.agreement, seed),
@@ -143,6 +125,8 @@
             catch_up: CatchUp::default(),
             own_instance: None,
             next_store_call: 0,
+            throttle: Throttle::new(store_settings),
+            store_refused: Vec::new(),
             store_calls: BTreeMap::new(),
         }
     }
@@ -152,6 +136,7 @@
         let before = effects.len();
         self.note_gap(now, effects);
         self.take(now, event, effects);
+        self.make_store_calls(now, effects);
         self.note_lines(now, &effects[before..]);
     }
 
@@ -265,45 +250,4 @@
         }
         result
     }
-
-    /// Asks the table service something; the answer finds its way by `waiter`.
-    pub(crate) fn ask_store(
-        &mut self,
-        waiter: Waiter,
-        call: store::call::Call,
-        effects: &mut Vec<Effect>,
-    ) {
-        let id = store::call::Id(self.next_store_call);
-        self.next_store_call += 1;
-        self.store_calls.insert(id, waiter);
-        effects.push(Effect::Store { id, call });
-    }
-
-    /// Passes an answer of the table service to whoever waits for it.
-    fn store_answered(
-        &mut self,
-        now: Time,
-        id: store::call::Id,
-        outcome: Outcome,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.store_available = !matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
-        match self.store_calls.remove(&id) {
-            Some(Waiter::Agreement(id)) => {
-                self.agree(now, config::event::Event::Store { id, outcome }, effects);
-            }
-            Some(Waiter::Membership(id)) => {
-                self.attend(now, member::event::Event::Store { id, outcome }, effects);
-            }
-            Some(Waiter::Collector(id)) => {
-                self.collect(now, collector::Event::Store { id, outcome }, effects);
-            }
-            Some(Waiter::Leader { deployment, id }) => {
-                let answered = fleet::event::Event::Store { id, outcome };
-                self.lead_step(now, &deployment, answered, effects);
-            }
-            Some(Waiter::Intent { serial }) => self.intent_answered(now, serial, outcome, effects),
-            None => {}
-        }
-    }
 }
--- a/crates/entry/src/leaders.rs
+++ b/crates/entry/src/leaders.rs
@@ -25,9 +25,9 @@
 
 use crate::effect::Effect;
 use crate::entry::Entry;
-use crate::entry::Waiter;
 use crate::instance::Instance;
 use crate::line::Line;
+use crate::store_calls::Waiter;
 
 /// Time between two looks at who should lead what.
 const ASSIGN_INTERVAL: Span = Span::from_seconds(1);
@@ -206,7 +206,7 @@
         match effect {
             FleetEffect::Store { id, call } => {
                 let deployment = name.clone();
-                self.ask_store(Waiter::Leader { deployment, id }, call, effects);
+                self.ask_store(Waiter::Leader { deployment, id }, call);
             }
             FleetEffect::Order {
                 engine,
--- a/crates/entry/src/leave.rs
+++ b/crates/entry/src/leave.rs
@@ -30,9 +30,9 @@
 use crate::arrival::Arrival;
 use crate::effect::Effect;
 use crate::entry::Entry;
-use crate::entry::Waiter;
 use crate::flight::Leave;
 use crate::line::Line;
+use crate::store_calls::Waiter;
 
 /// Table of the rows of callers' idempotency keys.
 const INTENT_TABLE: &str = "intents";
@@ -231,11 +231,11 @@
         };
         let key = format_smolstr!("{}/{}", flight.account, key);
         flight.waits_for = Some(Leave::Intent { key, token, until });
-        self.insert_row(serial, effects);
+        self.insert_row(serial);
     }
 
     /// Sends the insert. Sending it again is safe: a row with our own token counts as inserted.
-    fn insert_row(&mut self, serial: u64, effects: &mut Vec<Effect>) {
+    fn insert_row(&mut self, serial: u64) {
         let Some(flight) = self.flights.get(&serial) else {
             return;
         };
@@ -255,11 +255,7 @@
             }],
             writes: vec![Write { at, value }],
         };
-        self.ask_store(
-            Waiter::Intent { serial },
-            Call::Transact(transaction),
-            effects,
-        );
+        self.ask_store(Waiter::Intent { serial }, Call::Transact(transaction));
     }
 
     /// The table service answered an insert.
@@ -285,7 +281,7 @@
                 let refusal = Refusal::may_have_run(Reason::Repeated, message);
                 self.refuse(now, serial, refusal, effects);
             }
-            Outcome::Unknown if in_time => self.insert_row(serial, effects),
+            Outcome::Unknown if in_time => self.insert_row(serial),
             _ => self.refuse(now, serial, store_refusal(), effects),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,3 +31,4 @@
 mod operators;
 mod status;
 mod stop;
+mod store_calls;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -18,9 +18,9 @@
 use crate::backends::LISTED_LEAVE_TIME;
 use crate::effect::Effect;
 use crate::entry::Entry;
-use crate::entry::Waiter;
 use crate::identity::Identity;
 use crate::line::Line;
+use crate::store_calls::Waiter;
 
 /// Time between two pieces of news on what our accounts ask for.
 const DEMAND_INTERVAL: Span = Span::from_seconds(1);
@@ -51,7 +51,7 @@
     fn attended(&mut self, now: Time, effect: MemberEffect, effects: &mut Vec<Effect>) {
         match effect {
             MemberEffect::Store { id, call } => {
-                self.ask_store(Waiter::Membership(id), call, effects);
+                self.ask_store(Waiter::Membership(id), call);
             }
             MemberEffect::Send { to, digest } => {
                 if let Some(address) = self.membership.peer_address(to).cloned() {
@@ -71,6 +71,7 @@
             MemberEffect::Peers(peers) => {
                 let entries = u32::try_from(peers.len() + 1).unwrap_or(u32::MAX);
                 self.scheduler.set_entries(entries);
+                self.throttle.set_members(now, peers.len() + 1);
                 self.agree(now, config::event::Event::Peers(peers), effects);
             }
             MemberEffect::Left => self.left(now, effects),
--- a/crates/settings/src/configs/platform.rs
+++ b/crates/settings/src/configs/platform.rs
@@ -18,11 +18,11 @@
     /// Time allowed for one call, milliseconds; afterwards its outcome counts as unknown.
     #[schemars(range(min = 50, max = 60000))]
     pub timeout_ms: u64,
-    /// Most reads a second of this entry.
-    #[schemars(range(min = 1, max = 2000))]
+    /// Reads a second that the table service takes from all entries together; each uses its share.
+    #[schemars(range(min = 1, max = 1000000))]
     pub reads_per_second: u32,
-    /// Most writes a second of this entry.
-    #[schemars(range(min = 1, max = 500))]
+    /// Writes a second that the table service takes from all entries together; each uses its share.
+    #[schemars(range(min = 1, max = 1000000))]
     pub writes_per_second: u32,
     /// Time between two reads of the instance list and the notices, milliseconds.
     #[schemars(range(min = 50, max = 60000))]
@@ -35,8 +35,8 @@
             table_service: SmolStr::default(),
             cloud: SmolStr::default(),
             timeout_ms: 2_000,
-            reads_per_second: 100,
-            writes_per_second: 20,
+            reads_per_second: 2_000,
+            writes_per_second: 300,
             instances_interval_ms: 1_000,
         }
     }
