--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -1,4 +1,9 @@
 //! The task of one open model call: starts, resumes and moves its engine stream and relays it.
+//!
+//! `opening` asks engines for streams, `words` takes what they say.
+
+mod opening;
+mod words;
 
 use std::future::Future;
 use std::pin::Pin;
@@ -11,7 +16,6 @@
 use back::events::Events;
 use back::failure::Failure;
 use back::http_client::HttpClient;
-use bytes::Bytes;
 use clock::Span;
 use entry::attempt::Place;
 use entry::attempt::Report;
@@ -22,14 +26,11 @@
 use policy::job::End;
 use request::id::Id;
 use request::id::Stream;
-use request::relay::Pass;
 use request::relay::Relay;
 use request::resume::Resume;
 use request::seal::Seal;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
-use verdict::Reason;
-use verdict::Refusal;
 
 use crate::link::Link;
 use crate::link::Message;
@@ -236,206 +237,6 @@
         Flow::Over
     }
 
-    /// Starts the call, behind what was passed on already.
-    fn start(&mut self, stream: Stream, place: Place, priority: u8, account: SmolStr) {
-        let base = self.relay.next();
-        self.relay.begin(stream.attempt, base);
-        self.running = Some(Running {
-            attempt: stream.attempt,
-            stream,
-            place: place.clone(),
-            account,
-            base,
-            how: Asked::Fresh,
-        });
-        let body = self.body();
-        let client = self.shared.client.clone();
-        self.phase = Phase::Opening(Box::pin(async move {
-            let engine = Engine::new(&client, &place.address);
-            let events = engine.start(stream, priority, body).await;
-            Opened {
-                events,
-                moved: None,
-            }
-        }));
-    }
-
-    /// Goes on reading a stream that an engine holds.
-    fn attach(&mut self, running: Running) {
-        self.relay.begin(running.attempt, running.base);
-        let offset = self.relay.next().saturating_sub(running.base);
-        let stream = running.stream;
-        let address = running.place.address.clone();
-        let client = self.shared.client.clone();
-        self.running = Some(running);
-        self.phase = Phase::Opening(Box::pin(async move {
-            let events = Engine::new(&client, &address).resume(stream, offset).await;
-            Opened {
-                events,
-                moved: None,
-            }
-        }));
-    }
-
-    /// Moves the running stream, by its KV cache or by running it again.
-    fn move_to(&mut self, stream: Stream, place: Place, how: Transfer) {
-        let Some(old) = self.running.clone() else {
-            return;
-        };
-        let base = old.base;
-        let offset = self.relay.next().saturating_sub(base);
-        self.relay.begin(stream.attempt, base);
-        self.running = Some(Running {
-            attempt: stream.attempt,
-            stream,
-            place: place.clone(),
-            account: old.account,
-            base,
-            how: Asked::Fresh,
-        });
-        let client = self.shared.client.clone();
-        self.phase = Phase::Opening(Box::pin(async move {
-            let from = Engine::new(&client, &old.place.address);
-            let to = Engine::new(&client, &place.address);
-            let events = match how {
-                Transfer::Kv => transfer(&from, old.stream, &to, stream, offset).await,
-                Transfer::Rerun => Err(Failure::NotSent),
-            };
-            if events.is_err() {
-                // Neither engine is to go on with it: it is run again from here.
-                let _ = from.cancel(old.stream).await;
-                let _ = to.cancel(stream).await;
-            }
-            Opened {
-                events,
-                moved: Some(how),
-            }
-        }));
-    }
-
-    /// Takes the engine's next word.
-    async fn word(&mut self, word: Word) -> Flow {
-        match word {
-            Word::Opened(opened) => self.opened(opened).await,
-            Word::Chunk(Ok(Chunk::Token { offset, data })) => self.token_came(offset, data).await,
-            Word::Chunk(Ok(Chunk::Done)) => {
-                self.report_end(End::Finished);
-                self.output.done().await;
-                Flow::Over
-            }
-            Word::Chunk(Err(failure)) => {
-                self.broken(&failure);
-                Flow::On
-            }
-        }
-    }
-
-    /// The stream has begun, or could not.
-    async fn opened(&mut self, opened: Opened) -> Flow {
-        self.phase = Phase::Idle;
-        match (opened.events, opened.moved) {
-            (Ok(events), moved) => {
-                self.phase = Phase::Reading(events);
-                let token = self.token();
-                self.output.begin(&token).await;
-                match moved {
-                    Some(how) => self.report(Report::Moved { how, recomputed: 0 }),
-                    None => self.report(Report::Head),
-                }
-                Flow::On
-            }
-            (Err(_), Some(_)) => {
-                self.rerun();
-                Flow::On
-            }
-            (Err(failure), None) => self.not_opened(&failure).await,
-        }
-    }
-
-    /// The stream could not be moved: its replica runs prompt and tokens so far again.
-    fn rerun(&mut self) {
-        let Some(running) = self.running.clone() else {
-            return;
-        };
-        let recomputed = self.chat.prompt_tokens + u32::try_from(self.passed).unwrap_or(u32::MAX);
-        self.report(Report::Moved {
-            how: Transfer::Rerun,
-            recomputed,
-        });
-        self.start(running.stream, running.place, 0, running.account);
-    }
-
-    /// A start or a resume failed.
-    async fn not_opened(&mut self, failure: &Failure) -> Flow {
-        let how = self.running.as_ref().map_or(Asked::Fresh, |one| one.how);
-        match (how, failure) {
-            (Asked::Adopted, _) => self.report(Report::AttachFailed),
-            // It ran there before the cut, so "not sent" speaks of the question alone.
-            (Asked::Again, Failure::NotSent | Failure::Broken) => self.report_end(End::Crashed),
-            (Asked::Again, _) => self.report_end(End::Failed),
-            (Asked::Fresh, Failure::Answered { status, .. }) if (400..500).contains(status) => {
-                self.report_end(End::Left);
-                let message = format!("the model engine answered {status}");
-                let refusal = Refusal::may_have_run(Reason::Malformed, message);
-                self.output.refuse(&refusal).await;
-                return Flow::Over;
-            }
-            (Asked::Fresh, _) => self.report_end(end_of(failure)),
-        }
-        Flow::On
-    }
-
-    /// The stream broke: ask the same engine for it again once, since a cut connection alone costs
-    /// nothing to mend, before the attempt counts as failed.
-    fn broken(&mut self, failure: &Failure) {
-        self.phase = Phase::Idle;
-        let Some(mut running) = self.running.clone() else {
-            return;
-        };
-        match running.how {
-            Asked::Adopted => self.report(Report::AttachFailed),
-            Asked::Again => self.report_end(end_of(failure)),
-            Asked::Fresh => {
-                running.how = Asked::Again;
-                self.attach(running);
-            }
-        }
-    }
-
-    /// Passes a token on, if it is the next one.
-    async fn token_came(&mut self, engine_offset: u64, data: Bytes) -> Flow {
-        let Some(running) = &mut self.running else {
-            return Flow::On;
-        };
-        let offset = self.relay.next();
-        match self.relay.chunk(running.attempt, engine_offset) {
-            Pass::Drop => {}
-            Pass::Gap => self.broken(&Failure::Broken),
-            Pass::Emit => {
-                running.how = Asked::Fresh;
-                self.unreported += 1;
-                let last = self.last_token.replace(Instant::now());
-                if let Some(last) = last {
-                    let gap = Span::from_millis(last.elapsed().as_millis() as u64);
-                    self.worst_gap = self.worst_gap.max(gap);
-                }
-                self.passed += 1;
-                self.output.chunk(offset, data).await;
-            }
-        }
-        Flow::On
-    }
-
-    /// The body for the engine: the caller's own, or one that goes on behind what was passed on.
-    fn body(&self) -> Bytes {
-        if self.passed == 0 {
-            return self.chat.body.clone();
-        }
-        let mut text = self.chat.text_so_far.clone().unwrap_or_default();
-        text.push_str(&self.output.text());
-        self.chat.continued_body(&text, self.passed)
-    }
-
     /// The sealed word with which the caller can come back to the running stream.
     fn token(&self) -> String {
         let Some(running) = &self.running else {
@@ -506,25 +307,3 @@
         }
     }
 }
-
-/// Takes a stream's KV cache from one engine to another and goes on reading there.
-async fn transfer(
-    from: &Engine<'_>,
-    old: Stream,
-    to: &Engine<'_>,
-    new: Stream,
-    offset: u64,
-) -> Result<Events, Failure> {
-    let blob = from.export(old).await?;
-    to.import(new, blob).await?;
-    to.resume(new, offset).await
-}
-
-/// The scheduler's view of a failure.
-fn end_of(failure: &Failure) -> End {
-    match failure {
-        Failure::NotSent | Failure::NotStarted => End::NotStarted,
-        Failure::Broken => End::Crashed,
-        Failure::Answered { .. } | Failure::TimedOut => End::Failed,
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/flight/opening.rs
@@ -0,0 +1,118 @@
+//! Asks engines for the call's stream: starts it, goes on reading it, moves it.
+
+use back::engine::Engine;
+use back::events::Events;
+use back::failure::Failure;
+use bytes::Bytes;
+use entry::attempt::Place;
+use policy::decision::Transfer;
+use request::id::Stream;
+use smol_str::SmolStr;
+
+use crate::flight::Asked;
+use crate::flight::Flight;
+use crate::flight::Opened;
+use crate::flight::Phase;
+use crate::flight::Running;
+
+impl Flight {
+    /// Starts the call, behind what was passed on already.
+    pub(super) fn start(&mut self, stream: Stream, place: Place, priority: u8, account: SmolStr) {
+        let base = self.relay.next();
+        self.relay.begin(stream.attempt, base);
+        self.running = Some(Running {
+            attempt: stream.attempt,
+            stream,
+            place: place.clone(),
+            account,
+            base,
+            how: Asked::Fresh,
+        });
+        let body = self.body();
+        let client = self.shared.client.clone();
+        self.phase = Phase::Opening(Box::pin(async move {
+            let engine = Engine::new(&client, &place.address);
+            let events = engine.start(stream, priority, body).await;
+            Opened {
+                events,
+                moved: None,
+            }
+        }));
+    }
+
+    /// Goes on reading a stream that an engine holds.
+    pub(super) fn attach(&mut self, running: Running) {
+        self.relay.begin(running.attempt, running.base);
+        let offset = self.relay.next().saturating_sub(running.base);
+        let stream = running.stream;
+        let address = running.place.address.clone();
+        let client = self.shared.client.clone();
+        self.running = Some(running);
+        self.phase = Phase::Opening(Box::pin(async move {
+            let events = Engine::new(&client, &address).resume(stream, offset).await;
+            Opened {
+                events,
+                moved: None,
+            }
+        }));
+    }
+
+    /// Moves the running stream, by its KV cache or by running it again.
+    pub(super) fn move_to(&mut self, stream: Stream, place: Place, how: Transfer) {
+        let Some(old) = self.running.clone() else {
+            return;
+        };
+        let base = old.base;
+        let offset = self.relay.next().saturating_sub(base);
+        self.relay.begin(stream.attempt, base);
+        self.running = Some(Running {
+            attempt: stream.attempt,
+            stream,
+            place: place.clone(),
+            account: old.account,
+            base,
+            how: Asked::Fresh,
+        });
+        let client = self.shared.client.clone();
+        self.phase = Phase::Opening(Box::pin(async move {
+            let from = Engine::new(&client, &old.place.address);
+            let to = Engine::new(&client, &place.address);
+            let events = match how {
+                Transfer::Kv => transfer(&from, old.stream, &to, stream, offset).await,
+                Transfer::Rerun => Err(Failure::NotSent),
+            };
+            if events.is_err() {
+                // Neither engine is to go on with it: it is run again from here.
+                let _ = from.cancel(old.stream).await;
+                let _ = to.cancel(stream).await;
+            }
+            Opened {
+                events,
+                moved: Some(how),
+            }
+        }));
+    }
+
+    /// The body for the engine: the caller's own, or one that goes on behind what was passed on.
+    fn body(&self) -> Bytes {
+        if self.passed == 0 {
+            return self.chat.body.clone();
+        }
+        let mut text = self.chat.text_so_far.clone().unwrap_or_default();
+        text.push_str(&self.output.text());
+        self.chat.continued_body(&text, self.passed)
+    }
+}
+
+/// Takes a stream's KV cache from one engine to another and goes on reading there.
+async fn transfer(
+    from: &Engine<'_>,
+    old: Stream,
+    to: &Engine<'_>,
+    new: Stream,
+    offset: u64,
+) -> Result<Events, Failure> {
+    let blob = from.export(old).await?;
+    to.import(new, blob).await?;
+    to.resume(new, offset).await
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod callers;
+pub mod ends;
 pub mod fleet_port;
 pub mod flight;
 pub mod link;
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::ends::end_of;
 use crate::flight::Shared;
 use crate::link::Message;
 
@@ -121,12 +122,3 @@
     *response.headers_mut() = whole.headers;
     response
 }
-
-/// The scheduler's view of a failure.
-fn end_of(failure: &Failure) -> End {
-    match failure {
-        Failure::NotSent | Failure::NotStarted => End::NotStarted,
-        Failure::Broken => End::Crashed,
-        Failure::Answered { .. } | Failure::TimedOut => End::Failed,
-    }
-}
