--- a/crates/back/src/engine.rs
+++ b/crates/back/src/engine.rs
@@ -42,6 +42,17 @@
     pub as_of_ms: u64,
 }
 
+/// An engine's word that it holds a prefix, or no longer does.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct CacheEvent {
+    /// Rises with each event; one that is skipped was never published.
+    pub seq: u64,
+    /// Whether it holds the prefix now.
+    pub stored: bool,
+    /// Hash of the prefix, hexadecimal.
+    pub prefix: SmolStr,
+}
+
 /// What an engine is ordered to be.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -143,6 +154,17 @@
         })
     }
 
+    /// Cache events after `seq`; they come late and with gaps.
+    pub async fn cache_events(&self, seq: u64) -> Result<Vec<CacheEvent>, Failure> {
+        let path = format!("/v1/cache-events?after={seq}");
+        let exchange = Exchange::new(self.address, Method::GET, &path, SHORT_TIME);
+        let mut value = self.client.fetch_json(exchange).await?;
+        serde_json::from_value(value["events"].take()).map_err(|_| Failure::Answered {
+            status: 200,
+            message: SmolStr::new_static("the cache events have another shape"),
+        })
+    }
+
     /// Orders the engine to become `target`, under a fencing number.
     pub async fn order(&self, fence: u64, target: &Target) -> Result<(), Failure> {
         let body = json!({"fence": fence, "target": target}).to_string();
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use back::failure::Failure;
 use back::plain;
 use back::plain::Answer;
 use entry::attempt::Report;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,16 +1,20 @@
 //! Polls the instance list, the reclaim notices and the engines' load.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use back::cloud::Cloud;
 use back::cloud::Price;
+use back::engine::CacheEvent;
 use back::engine::Engine;
 use back::engine::Load;
 use back::http_client::HttpClient;
 use clock::Span;
 use entry::event::Event;
+use entry::instance::Cached;
 use entry::instance::Instance;
 use entry::instance::Notice;
 use policy::mix::Kind;
@@ -36,6 +40,9 @@
 /// Millionths of the currency in one.
 const MICROS: f64 = 1_000_000.0;
 
+/// The last cache event heard of each engine.
+type Heard = Rc<RefCell<BTreeMap<SmolStr, u64>>>;
+
 /// Polls the platform until the future is dropped.
 ///
 /// `own` is the address that callers connect to here: the list tells by it which instance is ours.
@@ -47,6 +54,7 @@
     interval: Duration,
 ) {
     let mut last_notice = 0;
+    let heard = Heard::default();
     let mut prices = Vec::new();
     let mut next_prices = Instant::now();
     let mut timer = tokio::time::interval(interval);
@@ -72,6 +80,7 @@
         if let Ok(instances) = cloud.instances().await {
             tell_own(&link, &instances, &own);
             ask_loads(&link, &client, &instances);
+            ask_caches(&link, &client, &instances, &heard);
             let entries = instances.iter().filter(|one| one.kind == ENTRY_KIND);
             let addresses = entries.map(|one| one.address.clone()).collect();
             link.event(Event::EntriesRead(addresses));
@@ -115,6 +124,52 @@
     }
 }
 
+/// Asks every engine what its cache holds since it was last asked.
+fn ask_caches(
+    link: &Rc<Link>,
+    client: &HttpClient,
+    instances: &[back::cloud::Instance],
+    heard: &Heard,
+) {
+    let listed = |name: &SmolStr| instances.iter().any(|one| one.incarnation == *name);
+    heard.borrow_mut().retain(|name, _| listed(name));
+    for instance in instances.iter().filter(|one| one.kind == ENGINE_KIND) {
+        let link = Rc::clone(link);
+        let client = client.clone();
+        let heard = Rc::clone(heard);
+        let address = instance.address.clone();
+        let incarnation = instance.incarnation.clone();
+        let after = heard.borrow().get(&incarnation).copied().unwrap_or(0);
+        tokio::task::spawn_local(async move {
+            let read = Engine::new(&client, &address).cache_events(after).await;
+            let events: Vec<Cached> = read
+                .unwrap_or_default()
+                .iter()
+                .filter_map(cached_of)
+                .collect();
+            let Some(last) = events.last() else {
+                return;
+            };
+            heard
+                .borrow_mut()
+                .insert(incarnation.clone(), last.sequence);
+            link.event(Event::CacheRead {
+                incarnation,
+                events,
+            });
+        });
+    }
+}
+
+/// A cache event as the reducer sees it.
+fn cached_of(event: &CacheEvent) -> Option<Cached> {
+    Some(Cached {
+        sequence: event.seq,
+        prefix: u64::from_str_radix(&event.prefix, 16).ok()?,
+        stored: event.stored,
+    })
+}
+
 /// An engine's load as the reducer sees it.
 fn report_of(load: &Load) -> replica::Report {
     replica::Report {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -185,6 +185,10 @@
                 let requests = report.running + report.waiting;
                 self.leaders_loaded(now, &incarnation, requests, effects);
             }
+            Event::CacheRead {
+                incarnation,
+                events,
+            } => self.cache_read(now, &incarnation, &events),
             Event::Store { id, outcome } => self.store_answered(now, id, outcome, effects),
             Event::Operator { call, request } => self.operator_called(now, call, request, effects),
             Event::SpendAsked { asker, ticket } => self.spend_asked(now, asker, &ticket, effects),
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -12,6 +12,7 @@
 
 use crate::arrival::Arrival;
 use crate::attempt::Report;
+use crate::instance::Cached;
 use crate::instance::Instance;
 use crate::instance::Notice;
 
@@ -86,6 +87,13 @@
         /// Its report.
         report: replica::Report,
     },
+    /// A model engine published what its cache holds.
+    CacheRead {
+        /// Which life of which server.
+        incarnation: SmolStr,
+        /// Its events, in order.
+        events: Vec<Cached>,
+    },
     /// The table service answered, or did not.
     Store {
         /// Which call.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -8,6 +8,7 @@
 use crate::backends::LISTED_LEAVE_TIME;
 use crate::effect::Effect;
 use crate::entry::Entry;
+use crate::instance::Cached;
 use crate::instance::Instance;
 use crate::instance::Notice;
 use crate::line::Line;
@@ -77,6 +78,17 @@
         }
     }
 
+    /// Takes in what an engine's cache holds.
+    pub(crate) fn cache_read(&mut self, now: Time, incarnation: &str, events: &[Cached]) {
+        let Some(key) = self.backends.key_of(incarnation) else {
+            return;
+        };
+        for event in events {
+            self.scheduler
+                .replica_cached(now, key, event.sequence, event.prefix, event.stored);
+        }
+    }
+
     /// A new server may be used.
     fn backend_joined(&mut self, now: Time, instance: Instance, effects: &mut Vec<Effect>) {
         let spec = replica::Spec {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -25,6 +25,17 @@
     pub leaving: bool,
 }
 
+/// One cache event of a model engine; they come late and with gaps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cached {
+    /// Rises with each event.
+    pub sequence: u64,
+    /// Hash of a prompt's beginning.
+    pub prefix: u64,
+    /// Whether it is held now.
+    pub stored: bool,
+}
+
 /// The cloud's word that an instance will be taken away.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Notice {
