Forget the oldest leaving servers first, not the first by name

Cause: names of servers that left are bounded, and the set dropped its first by order of the alphabet, so that a server which had just announced its end could be forgotten and get work again. Found on reading as a newcomer. Before: the_newest_leaves_are_remembered failed on the old code.

--- a/crates/entry/src/backends.rs
+++ b/crates/entry/src/backends.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use clock::Span;
 use clock::Time;
@@ -39,6 +40,8 @@
     by_key: BTreeMap<replica::Key, SmolStr>,
     /// Incarnations that leave or are gone; an incarnation never gets out of here.
     leaving: BTreeSet<SmolStr>,
+    /// The same names, the oldest first; each once.
+    leaving_order: VecDeque<SmolStr>,
 }
 
 /// One known server.
@@ -75,10 +78,16 @@
     ///
     /// Gives whether that is news.
     pub fn mark_leaving(&mut self, incarnation: SmolStr) -> bool {
-        while self.leaving.len() >= GONE_KEPT {
-            self.leaving.pop_first();
+        if !self.leaving.insert(incarnation.clone()) {
+            return false;
         }
-        self.leaving.insert(incarnation)
+        self.leaving_order.push_back(incarnation);
+        if self.leaving_order.len() > GONE_KEPT
+            && let Some(oldest) = self.leaving_order.pop_front()
+        {
+            self.leaving.remove(&oldest);
+        }
+        true
     }
 
     /// Whether an incarnation gets no new work.
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -10,8 +10,8 @@
 use crate::effect::Command;
 use crate::effect::Effect;
 use crate::entry::Entry;
-use crate::fleet::ASSUMED_SLOTS;
 use crate::line::Line;
+use crate::platform::ASSUMED_SLOTS;
 
 impl Entry {
     /// Carries one decision out.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,11 +24,12 @@
 mod catchup;
 mod configuration;
 mod decisions;
-mod fleet;
+
 mod leaders;
 mod leave;
 mod members;
 mod operators;
+mod platform;
 mod status;
 mod stop;
 mod store_calls;
