--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -47,12 +47,10 @@
                 return self.refuse_arrival(serial, refusal, effects);
             }
         };
-        let request = flight.origin.to_smolstr();
-        self.journal
-            .begin(now, &request, &flight.account, &flight.deployment);
         if let Some(sealed) = &arrival.resume {
             return self.resume_flight(now, flight, sealed, arrival.offset, effects);
         }
+        self.begin_journal(now, &flight);
         let non_idempotent = !flight.job.idempotent;
         self.flights.insert(serial, flight);
         if non_idempotent || arrival.idempotency_key.is_some() || arrival.ticket.is_some() {
@@ -62,6 +60,13 @@
         }
     }
 
+    /// Begins to note what happens to a request, under the name that its caller knows.
+    fn begin_journal(&mut self, now: Time, flight: &Flight) {
+        let request = flight.origin.to_smolstr();
+        self.journal
+            .begin(now, &request, &flight.account, &flight.deployment);
+    }
+
     /// Gives the request to the scheduler.
     pub(crate) fn offer(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
         let Some(flight) = self.flights.get_mut(&serial) else {
@@ -230,6 +235,7 @@
             return self.refuse_arrival(serial, refusal, effects);
         };
         flight.origin = word.request;
+        self.begin_journal(now, &flight);
         flight.may_have_run = true;
         let attempt = flight.next_stream().attempt;
         flight.replica = self.backends.key_of(&word.incarnation);
