--- /dev/null
+++ b/crates/peer/tests/calls.rs
@@ -0,0 +1,181 @@
+//! Two entries on loopback: who gets in, what is said, what counts as lost.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use clock::Span;
+use member::digest::Beat;
+use member::digest::Digest;
+use peer::client::Peers;
+use peer::configs::limit::Limit;
+use peer::proof::Key;
+use peer::receiver::Pending;
+use peer::receiver::Receiver;
+use request::id::Incarnation;
+use request::ledger::Answer;
+use request::ledger::Estate;
+use smol_str::SmolStr;
+use smol_str::ToSmolStr;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+const KEY: &str = "a key that all entries share";
+
+/// An entry that notes what it hears; it answers tickets unless it was told to be silent.
+#[derive(Default)]
+struct Listener {
+    digests: RefCell<Vec<Digest>>,
+    messages: RefCell<Vec<(u64, Vec<u8>)>>,
+    silent: bool,
+}
+
+impl Receiver for Listener {
+    fn spend(&self, ticket: SmolStr) -> Pending<Answer> {
+        let silent = self.silent;
+        Box::pin(async move {
+            if silent {
+                std::future::pending::<()>().await;
+            }
+            match ticket.as_str() {
+                "new" => Some(Answer::Granted),
+                "used" => Some(Answer::Spent),
+                _ => None,
+            }
+        })
+    }
+
+    fn inherit(&self, estates: Vec<Estate>) -> Pending<Incarnation> {
+        let takes = estates.len() == 1;
+        Box::pin(async move { takes.then_some(Incarnation(9)) })
+    }
+
+    fn digest(&self, digest: Digest) {
+        self.digests.borrow_mut().push(digest);
+    }
+
+    fn configure(&self, from: u64, message: Vec<u8>) {
+        self.messages.borrow_mut().push((from, message));
+    }
+}
+
+/// Starts an entry; gives its address.
+async fn serve(listener: Rc<Listener>, limit: Limit) -> SmolStr {
+    let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = socket.local_addr().expect("an address").to_smolstr();
+    tokio::task::spawn_local(peer::server::serve(socket, Key::new(KEY), limit, listener));
+    address
+}
+
+fn peers(key: &str, limit: Limit) -> Peers {
+    Peers::new(Key::new(key), limit)
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn peers_say_all_that_there_is_to_say() {
+    run(async {
+        let heard = Rc::new(Listener::default());
+        let address = serve(Rc::clone(&heard), Limit::default()).await;
+        let peers = peers(KEY, Limit::default());
+        assert_eq!(peers.spend(&address, "new").await, Ok(Answer::Granted));
+        assert_eq!(peers.spend(&address, "used").await, Ok(Answer::Spent));
+        let estate = Estate {
+            minter: Incarnation(1),
+            oldest: 2,
+            next: 7,
+            spent: vec![3, 5],
+        };
+        let taken = peers.inherit(&address, std::slice::from_ref(&estate)).await;
+        assert_eq!(taken, Ok(Some(Incarnation(9))));
+        assert_eq!(peers.inherit(&address, &[]).await, Ok(None));
+        let digest = Digest {
+            own: Beat {
+                count: 4,
+                ..Beat::default()
+            },
+            ..Digest::default()
+        };
+        assert_eq!(peers.digest(&address, &digest).await, Ok(()));
+        let told = peers.configure(&address, Incarnation(6), b"{}").await;
+        assert_eq!(told, Ok(()));
+        assert_eq!(*heard.digests.borrow(), [digest]);
+        assert_eq!(*heard.messages.borrow(), [(6, b"{}".to_vec())]);
+    });
+}
+
+/// A stranger who reached the peer port would spend callers' tickets or hand over false ledgers.
+#[test]
+fn who_doesnt_hold_the_key_gets_nothing() {
+    run(async {
+        let heard = Rc::new(Listener::default());
+        let address = serve(Rc::clone(&heard), Limit::default()).await;
+        let stranger = peers("another key of the same length", Limit::default());
+        assert!(stranger.spend(&address, "new").await.is_err());
+        assert!(stranger.digest(&address, &Digest::default()).await.is_err());
+        assert!(heard.digests.borrow().is_empty());
+    });
+}
+
+/// A receipt would be filed twice if the word of a silent peer were taken for "not spent".
+#[test]
+fn a_word_that_does_not_come_is_lost() {
+    run(async {
+        let limit = Limit {
+            call: Span::from_millis(50),
+            ..Limit::default()
+        };
+        let silent = Rc::new(Listener {
+            silent: true,
+            ..Listener::default()
+        });
+        let address = serve(silent, Limit::default()).await;
+        assert!(peers(KEY, limit).spend(&address, "new").await.is_err());
+        let nobody = SmolStr::new_static("127.0.0.1:1");
+        assert!(peers(KEY, limit).spend(&nobody, "new").await.is_err());
+        let stopping = serve(Rc::default(), Limit::default()).await;
+        assert!(
+            peers(KEY, limit)
+                .spend(&stopping, "unreadable")
+                .await
+                .is_err()
+        );
+    });
+}
+
+/// A peer is replaced at the same address: the connection to the old one must not be used for ever.
+#[test]
+fn a_broken_connection_is_opened_anew() {
+    run(async {
+        // Both servers hold the same socket, so that nobody else takes the port in between.
+        let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        socket.set_nonblocking(true).expect("a socket");
+        let address = socket.local_addr().expect("an address").to_smolstr();
+        let same = socket.try_clone().expect("a second handle");
+        let limit = Limit {
+            greeting: Span::from_millis(200),
+            ..Limit::default()
+        };
+        let peers = peers(KEY, limit);
+        let first = tokio::task::spawn_local(serve_on(socket));
+        assert_eq!(peers.spend(&address, "new").await, Ok(Answer::Granted));
+        first.abort();
+        let _ = first.await;
+        let _lost = peers.spend(&address, "new").await;
+        tokio::task::spawn_local(serve_on(same));
+        assert_eq!(peers.spend(&address, "used").await, Ok(Answer::Spent));
+    });
+}
+
+/// Serves on a socket that is bound already.
+async fn serve_on(socket: std::net::TcpListener) {
+    let socket = TcpListener::from_std(socket).expect("a socket of the runtime");
+    let listener = Rc::new(Listener::default());
+    peer::server::serve(socket, Key::new(KEY), Limit::default(), listener).await;
+}
