Ask at nine replicas for all eight killers refused for good again

The test had been widened to seven of eight for both sizes. Only the pool of three shows the case (a caller uses up its sendings while its request waits as a suspect); at nine replicas all eight are refused, as the test first asked.

--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -194,7 +194,9 @@
 #[test]
 fn killer_through_each_entry() {
     let pattern = with_killers(at_load("killer", 0.5), 1_500);
-    for pattern in [pattern.clone(), small(&pattern)] {
+    // In the pool of three one caller may have used up its sendings while its request waits as a
+    // suspect; in the pool of nine each is refused for good.
+    for (pattern, least) in [(pattern.clone(), 8), (small(&pattern), 7)] {
         let verdict = Verdict::of(&pattern);
         assert!(verdict.killed() <= 2);
         verdict.gains(0.3);
@@ -212,7 +214,7 @@
                 let ended = outcome.refused_for_good > 0 || outcome.sends == 4;
                 assert!(!arrival.killer || ended && outcome.given_up == 0 && !outcome.answered);
             }
-            assert!(for_good(true) >= 7);
+            assert!(for_good(true) >= least);
             assert!(for_good(false) <= 2, "{} innocents", for_good(false));
         }
     }
