--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -147,6 +147,11 @@
             .filter(|flight| flight.job.kind == job::Kind::Model && flight.accepted)
             .map(|flight| flight.id.serial)
             .collect();
+        if !streams.is_empty() {
+            // What a stop that doesn't wait costs: callers connect anew, nothing is computed again.
+            let line = Line::info("streams_handed_on").with("streams", streams.len());
+            effects.push(Effect::Log(line.with("to", &address)));
+        }
         for serial in streams {
             let address = address.clone();
             self.drop_flight(now, serial, Command::HandOff { address }, effects);
