Refuse what still waits when a stop's time is up

Cause: at the end of its grace a leaving entry passed its streams on, but requests that waited for a replica or for leave stayed until the instance was taken away, without a word. Change: they are told 'not run, leaving' at once.

--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -23,7 +23,7 @@
 use crate::line::Line;
 
 /// When a caller of a leaving entry may come back; it then asks for other addresses.
-const LEAVING_RETRY: Span = Span::from_millis(100);
+pub(crate) const LEAVING_RETRY: Span = Span::from_millis(100);
 
 /// When a caller may come back to an entry without a configuration.
 const NOT_READY_RETRY: Span = Span::from_millis(500);
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -7,7 +7,10 @@
 use member::event::Event as MemberEvent;
 use policy::job;
 use request::id::Incarnation;
+use verdict::Reason;
+use verdict::Refusal;
 
+use crate::arrivals::LEAVING_RETRY;
 use crate::effect::Command;
 use crate::effect::Effect;
 use crate::entry::Entry;
@@ -96,6 +99,7 @@
             return;
         }
         if now >= deadline {
+            self.refuse_waiting(now, effects);
             self.hand_off_all(now, effects);
         }
         // Callers keep addresses for a while and come here still. Were the process gone, the requests
@@ -134,6 +138,29 @@
         self.stop_tick(now, effects);
     }
 
+    /// Refuses what was not handed to a backend server yet: nobody would be left to start it.
+    fn refuse_waiting(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let waiting: Vec<u64> = self
+            .flights
+            .values()
+            .filter(|flight| !flight.may_have_run)
+            .map(|flight| flight.id.serial)
+            .collect();
+        for serial in waiting {
+            let refusal = Refusal::not_run(Reason::Leaving, "this entry is leaving");
+            self.refuse(
+                now,
+                serial,
+                refusal.with_retry_after(LEAVING_RETRY),
+                effects,
+            );
+            let job = job::Id(serial);
+            self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.cancel(now, job, out);
+            });
+        }
+    }
+
     /// Sends every open stream on to another entry.
     ///
     /// A plain call in progress is waited for: nobody else can read its answer.
