--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -170,16 +170,14 @@
 
     /// Takes the instance list.
     fn listed(&mut self, now: Time, instances: Vec<Instance>, effects: &mut Vec<Effect>) {
-        for old in &self.instances {
-            if !instances
-                .iter()
-                .any(|one| one.incarnation == old.incarnation)
-            {
-                let gone = old.incarnation.clone();
-                let mut ignored = Vec::new();
-                self.orders
-                    .step(now, order::Event::Gone(gone), &mut ignored);
-            }
+        let gone: Vec<SmolStr> = self
+            .instances
+            .iter()
+            .map(|old| old.incarnation.clone())
+            .filter(|old| !instances.iter().any(|one| one.incarnation == *old))
+            .collect();
+        for engine in gone {
+            self.order_step(now, order::Event::Gone(engine), effects);
         }
         self.count_arrivals(&instances);
         self.instances = instances;
@@ -239,32 +237,19 @@
         let most_out = self.instances.len() * self.settings.out_per_mille as usize / 1_000;
         let planned: BTreeMap<SmolStr, order::Target> =
             self.rollout.plan(&target, most_out).into_iter().collect();
-        for instance in &self.instances {
-            let engine = instance.incarnation.clone();
+        let engines: Vec<SmolStr> = self
+            .instances
+            .iter()
+            .map(|instance| instance.incarnation.clone())
+            .collect();
+        for engine in engines {
             let target = planned.get(&engine).unwrap_or(&target).clone();
             let want = order::Event::Want {
                 engine,
                 checks_fencing,
                 target,
             };
-            let mut asked = Vec::new();
-            self.orders.step(now, want, &mut asked);
-            let until = self.claim.valid_until();
-            let leads = self.claim.fence(now).is_some();
-            effects.extend(asked.into_iter().filter_map(|effect| match effect {
-                order::Effect::Order {
-                    engine,
-                    fence,
-                    target,
-                } if leads => Some(Effect::Order {
-                    engine,
-                    fence,
-                    target,
-                    until,
-                }),
-                order::Effect::Read(engine) => Some(Effect::Read(engine)),
-                _ => None,
-            }));
+            self.order_step(now, want, effects);
         }
     }
 
