--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod identity;
 pub mod instance;
 
-
 pub use line;
 
 mod accounts;
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -29,8 +29,14 @@
         let id = job::Id(serial);
         match report {
             Report::First => {
-                open.began = true;
                 open.first.get_or_insert(now);
+                let (own, service) = (open.own_tokens, open.service.clone());
+                let took = open.started.map(|started| now.since(started));
+                let alone = open.attempt == 1;
+                self.note_begun(now, serial);
+                if let Some(took) = took.filter(|_| alone) {
+                    self.work.entry(service).or_default().first_token(own, took);
+                }
                 self.scheduler.first_token(now, id);
             }
             Report::Progress { tokens } => self.scheduler.progressed(now, id, tokens),
@@ -43,8 +49,6 @@
         let Some(open) = self.open.get_mut(&serial) else {
             return;
         };
-        let reached = !matches!(end, End::NotSent | End::NotStarted);
-        open.began |= reached;
         let replica = open.replica.take();
         let place = replica.and_then(|key| self.servers.id_of(key));
         let line = end_line(&end)
@@ -53,6 +57,9 @@
             .with("replica", place.unwrap_or_default())
             .with("age_ms", now.since(open.arrived).as_millis());
         effects.push(Effect::Log(line));
+        if !matches!(end, End::NotSent | End::NotStarted) {
+            self.note_begun(now, serial);
+        }
         let (how, tokens) = match end {
             End::Finished { tokens, .. } => (job::End::Finished, tokens),
             End::NotSent => (job::End::NotSent, 0),
@@ -70,6 +77,24 @@
         }
     }
 
+    /// Notes that a replica has begun to work on a request; it counts once, whatever becomes of it.
+    fn note_begun(&mut self, now: Time, serial: u64) {
+        let Some(open) = self.open.get_mut(&serial) else {
+            return;
+        };
+        if std::mem::replace(&mut open.began, true) {
+            return;
+        }
+        // A plain call begins as it is sent; a model's with its first token.
+        let at = match open.repeat.is_stream() {
+            true => now,
+            false => open.started.unwrap_or(now),
+        };
+        if let Some(account) = open.account.clone() {
+            self.usage.began(at, &account);
+        }
+    }
+
     /// The whole answer was given.
     fn finished(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
         let Some(open) = self.forget(serial) else {
--- a/crates/gateway/src/configs/gateway.rs
+++ b/crates/gateway/src/configs/gateway.rs
@@ -24,6 +24,20 @@
     pub repeat_ratio: f64,
     /// Repeats allowed besides, over all entries and in one window.
     pub repeat_allowance: f64,
+    /// Unix time when the process's clock read zero, milliseconds.
+    pub zero_unix_ms: u64,
+    /// Whether usage is reported.
+    pub report_usage: bool,
+    /// Length of a window of usage.
+    pub usage_window: Span,
+    /// Time after a window's end by which it must be reported.
+    pub usage_delay: Span,
+    /// Whether replicas are ordered.
+    pub order_replicas: bool,
+    /// The lease of both duties.
+    pub lease: lease::configs::claim::Settings,
+    /// The choice of replicas.
+    pub cover: policy::configs::cover::Config,
     /// Decisions under load.
     pub scheduler: scheduler::Settings,
     /// Sharing of quotas.
@@ -45,6 +59,13 @@
             bulletin: Span::from_millis(250),
             repeat_ratio: 0.15,
             repeat_allowance: 40.0,
+            zero_unix_ms: 0,
+            report_usage: false,
+            usage_window: Span::from_seconds(5),
+            usage_delay: Span::from_seconds(10),
+            order_replicas: false,
+            lease: lease_settings(),
+            cover: policy::configs::cover::Config::default(),
             scheduler: scheduler_settings(),
             quota: policy::configs::quota::Config::default(),
             members: member_settings(),
@@ -78,6 +99,18 @@
     settings
 }
 
+/// A lease that is back in other hands soon enough that a window's usage is still reported in time.
+fn lease_settings() -> lease::configs::claim::Settings {
+    lease::configs::claim::Settings {
+        term: Span::from_millis(4_000),
+        renewal: Span::from_millis(1_300),
+        poll: Span::from_millis(1_500),
+        margin: Span::from_millis(500),
+        longest_gap: Span::from_millis(2_000),
+        ..lease::configs::claim::Settings::default()
+    }
+}
+
 /// Membership among few entries on a fast network: a killed one must not be named to callers for long.
 fn member_settings() -> member::configs::membership::Settings {
     member::configs::membership::Settings {
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -34,13 +34,7 @@
     }
 
     /// Hands a request to a replica.
-    fn start(
-        &mut self,
-        now: Time,
-        job: job::Id,
-        replica: replica::Key,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn start(&mut self, now: Time, job: job::Id, replica: replica::Key, effects: &mut Vec<Effect>) {
         let Some(open) = self.open.get_mut(&job.0) else {
             return;
         };
--- /dev/null
+++ b/crates/gateway/src/duties.rs
@@ -0,0 +1,162 @@
+//! The lease under which one entry reports usage and orders replicas.
+
+use clock::Time;
+use lease::claim;
+use lease::claim::Claim;
+use line::Line;
+use policy::rendezvous;
+use store::call;
+
+use crate::duty;
+use crate::duty::Warrant;
+use crate::effect::Effect;
+use crate::fleet::Fleet;
+use crate::gateway::Gateway;
+use crate::reports::Reports;
+use crate::store_calls::Waiter;
+
+/// Name of the lease.
+const LEASE: &str = "duties";
+/// Entries that try to get the lease: enough that one is there when the holder is lost, few enough that
+/// their reads cost little.
+const CANDIDATES: usize = 2;
+
+/// What the holder of the lease does.
+pub(crate) struct Duties {
+    claim: Claim,
+    pub reports: Reports,
+    pub fleet: Fleet,
+    /// Names the next call.
+    next_call: u64,
+    /// Whether the lease is wanted, as the claim was told last.
+    wanted: bool,
+}
+
+impl Duties {
+    /// Nothing held yet.
+    pub fn new(claim: Claim, fleet: Fleet) -> Duties {
+        Duties {
+            claim,
+            reports: Reports::default(),
+            fleet,
+            next_call: 0,
+            wanted: false,
+        }
+    }
+
+    /// When the duties want to be looked at next.
+    pub fn next_wake(&self, now: Time) -> Time {
+        self.claim.next_wake(now)
+    }
+}
+
+/// A new claim on the lease.
+pub(crate) fn claim(me: lease::holder::Id, settings: claim_settings::Settings, seed: u64) -> Claim {
+    Claim::new(me, LEASE, settings, seed)
+}
+
+pub(crate) use lease::configs::claim as claim_settings;
+
+impl Gateway {
+    /// Lets time pass in the duties.
+    pub(crate) fn duties_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if !self.settings.report_usage && !self.settings.order_replicas {
+            return;
+        }
+        let wanted = self.is_candidate(now);
+        if wanted != self.duties.wanted {
+            self.duties.wanted = wanted;
+            self.claim_step(now, claim::Event::Want(wanted), effects);
+        }
+        if self.duties.claim.next_wake(now) <= now {
+            self.claim_step(now, claim::Event::Wake, effects);
+        }
+        self.usage.expire(now);
+        if let Some(warrant) = self.warrant(now) {
+            self.reports_tick(now, warrant, effects);
+            self.fleet_tick(now, warrant, effects);
+        }
+    }
+
+    /// An answer of the table service to the claim.
+    pub(crate) fn claim_answered(
+        &mut self,
+        now: Time,
+        id: call::Id,
+        outcome: call::Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.claim_step(now, claim::Event::Store { id, outcome }, effects);
+    }
+
+    /// In whose name calls are made, if the lease is held.
+    pub(crate) fn warrant(&self, now: Time) -> Option<Warrant> {
+        let fence = self.duties.claim.fence(now)?;
+        let until = self.duties.claim.valid_until();
+        Some(Warrant { fence, until })
+    }
+
+    /// Makes a call of the platform; its outcome comes back under the number given.
+    pub(crate) fn call_platform(
+        &mut self,
+        call: duty::Call,
+        warrant: Warrant,
+        effects: &mut Vec<Effect>,
+    ) -> u64 {
+        self.duties.next_call += 1;
+        let id = self.duties.next_call;
+        effects.push(Effect::Duty { id, call, warrant });
+        id
+    }
+
+    /// A call of the platform ended.
+    pub(crate) fn duty_answered(
+        &mut self,
+        now: Time,
+        id: u64,
+        outcome: duty::Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let line = Line::info("duty_answered")
+            .with("call", id)
+            .with("outcome", format!("{outcome:?}"));
+        effects.push(Effect::Log(line));
+        self.report_answered(now, id, outcome);
+        self.order_answered(now, id, outcome);
+    }
+
+    /// Whether this entry should try to get or keep the lease: the holder as long as it may, else those
+    /// that rank first among the live entries.
+    fn is_candidate(&self, now: Time) -> bool {
+        if !self.is_ready() {
+            return false;
+        }
+        if self.duties.claim.fence(now).is_some() {
+            return true;
+        }
+        let me = self.identity.incarnation;
+        let quiet = self.settings.members.quiet;
+        let key = rendezvous::identity(LEASE);
+        let ours = rendezvous::weight(key, me.0);
+        let directory = self.membership.directory().iter();
+        let usable = directory.filter(|(id, known)| *id != me && known.is_usable(now, quiet));
+        let ahead = usable.filter(|(id, _)| rendezvous::weight(key, id.0) > ours);
+        ahead.count() < CANDIDATES
+    }
+
+    fn claim_step(&mut self, now: Time, event: claim::Event, effects: &mut Vec<Effect>) {
+        let mut asked = Vec::new();
+        self.duties.claim.step(now, event, &mut asked);
+        for effect in asked {
+            match effect {
+                claim::Effect::Store { id, call } => self.ask_store(Waiter::Claim(id), call),
+                claim::Effect::Gained(fence) => {
+                    self.duties.reports = Reports::default();
+                    self.duties.fleet.gained(now);
+                    effects.push(Effect::Log(Line::info("duty_gained").with("fence", fence)));
+                }
+                claim::Effect::Lost => effects.push(Effect::Log(Line::info("duty_lost"))),
+            }
+        }
+    }
+}
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -10,6 +10,7 @@
 use verdict::Refusal;
 
 use crate::attempt::Place;
+use crate::duty;
 
 /// One effect.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +36,15 @@
         /// The call.
         call: Call,
     },
+    /// Make a call that only the holder of a duty may make, unless its lease has ended when it leaves.
+    Duty {
+        /// Names the call in the answer.
+        id: u64,
+        /// The call.
+        call: duty::Call,
+        /// In whose name.
+        warrant: duty::Warrant,
+    },
     /// Send a digest to a peer; it may get lost.
     SendDigest {
         /// `host:port` of the peer.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -12,6 +12,7 @@
 use crate::arrival::Arrival;
 use crate::attempt::Report;
 use crate::book::Book;
+use crate::duty;
 use crate::server;
 
 /// One event.
@@ -65,6 +66,13 @@
         /// How it ended.
         outcome: Outcome,
     },
+    /// An answer to a call that only the holder of a duty makes.
+    DutyAnswered {
+        /// Of which call.
+        id: u64,
+        /// How it ended.
+        outcome: duty::Outcome,
+    },
     /// A peer sent a digest.
     DigestReceived(Digest),
     /// Time has passed.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,14 +21,20 @@
 
 use crate::book::Book;
 use crate::configs::gateway::Settings;
+use crate::duties;
+use crate::duties::Duties;
 use crate::effect::Effect;
 use crate::event::Event;
+use crate::fleet::Fleet;
 use crate::identity::Identity;
 use crate::open::Open;
 use crate::peers;
 use crate::peers::Lagging;
 use crate::servers::Servers;
 use crate::store_calls::Waiter;
+use crate::usage::Usage;
+use crate::work::Demand;
+use crate::work::Work;
 
 /// One entry.
 pub struct Gateway {
@@ -53,6 +59,16 @@
     pub(crate) membership: Membership,
     /// Peers whose configuration is older than ours.
     pub(crate) lagging: Lagging,
+    /// Requests that began to run.
+    pub(crate) usage: Usage,
+    /// Work that arrived here, by service.
+    pub(crate) work: BTreeMap<SmolStr, Work>,
+    /// The same at peers; that of lost ones stays, so that the sum doesn't fall.
+    pub(crate) peer_work: BTreeMap<holder::Id, BTreeMap<SmolStr, Work>>,
+    /// How fast work arrives.
+    pub(crate) demand: Demand,
+    /// What the holder of the duties' lease does.
+    pub(crate) duties: Duties,
     /// What peers run at each backend server, by the hash of its incarnation, and when they said so.
     pub(crate) peer_loads: BTreeMap<holder::Id, (Time, BTreeMap<u64, u32>)>,
     /// When the next bulletin is due.
@@ -108,6 +124,14 @@
             accounts: BTreeMap::new(),
             pools: BTreeMap::new(),
             lagging: Lagging::default(),
+            usage: Usage::new(settings.usage_window.as_millis(), settings.zero_unix_ms),
+            work: BTreeMap::new(),
+            peer_work: BTreeMap::new(),
+            demand: Demand::default(),
+            duties: Duties::new(
+                duties::claim(identity.incarnation, settings.lease, seed),
+                Fleet::new(settings.cover),
+            ),
             peer_loads: BTreeMap::new(),
             next_bulletin: Time::ZERO,
             news_version: 0,
@@ -148,6 +172,7 @@
             Event::Servers(news) => self.servers_read(now, news, effects),
             Event::ServersLost => self.servers_lost(now, effects),
             Event::Store { id, outcome } => self.store_answered(now, id, outcome, effects),
+            Event::DutyAnswered { id, outcome } => self.duty_answered(now, id, outcome, effects),
             Event::DigestReceived(digest) => {
                 self.attend(now, member::event::Event::Digest(digest), effects);
             }
@@ -185,6 +210,7 @@
         let wakes = [
             Some(self.membership.next_wake()),
             Some(self.next_bulletin),
+            Some(self.duties.next_wake(now)),
             self.scheduler.next_wake(),
             timeout,
             self.lagging.next_wake(),
@@ -202,6 +228,7 @@
         self.servers_tick(now, effects);
         self.timeouts_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
+        self.duties_tick(now, effects);
         self.stop_tick(now, effects);
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -23,6 +23,7 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::open::Open;
+use crate::work;
 
 /// When a caller may come back to an entry without a configuration: about one read of it.
 const NOT_READY_RETRY: Span = Span::from_millis(300);
@@ -50,6 +51,10 @@
         match self.check_in(now, serial, arrival) {
             Ok(open) => {
                 let job = open.job;
+                if let Some(prompt) = &arrival.prompt {
+                    let work = self.work.entry(open.service.clone()).or_default();
+                    work.arrived(prompt);
+                }
                 self.timeouts.insert((open.ends, serial));
                 self.open.insert(serial, open);
                 self.with_scheduler(now, effects, |scheduler, out| {
@@ -129,13 +134,17 @@
         let service = self.draw_service(route);
         let job = self.job_of(serial, &book, route, account, &service, arrival)?;
         let charged = self.charge(now, account, arrival)?;
-        let engine = book.service(&service).and_then(|service| service.engine.as_ref());
+        let engine = book
+            .service(&service)
+            .and_then(|service| service.engine.as_ref());
         let arrived = before(now, arrival.reading);
         let ends = arrived + route.timeout.min(arrival.deadline.unwrap_or(route.timeout));
         Ok(Open {
             id: arrival.id.clone(),
             route: route.name.clone(),
             account: account.map(|account| account.name.clone()),
+            own_tokens: arrival.prompt.as_ref().map_or(0, work::own_tokens),
+            service: service.clone(),
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
             repeat: route.repeat,
             job,
@@ -262,6 +271,9 @@
 /// How long a replica may be silent before another one is tried; only for what may be repeated.
 fn patience_of(route: &Route, left: Span) -> Option<Span> {
     let pauses = || route.pause.map(|pause| pause.times(PAUSES));
+    if route.attempts < 2 {
+        return None;
+    }
     match route.repeat {
         Repeat::Idempotent => Some(left.scaled(PATIENCE)),
         Repeat::Stream { resumable: true } => {
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -19,6 +19,10 @@
     pub route: SmolStr,
     /// Whose it is; none on public routes.
     pub account: Option<SmolStr>,
+    /// Which service runs it.
+    pub service: SmolStr,
+    /// Prompt tokens that no other request shares.
+    pub own_tokens: u64,
     /// Tokens in one event of its stream.
     pub tokens_per_event: u32,
     /// What may be repeated.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,8 +12,8 @@
 use member::event::Event as MemberEvent;
 use member::membership::Membership;
 use member::row::Row;
-use policy::replica;
 use policy::rendezvous;
+use policy::replica;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -23,6 +23,7 @@
 use crate::gateway::Gateway;
 use crate::identity::Identity;
 use crate::store_calls::Waiter;
+use crate::work::Work;
 
 /// A peer that still tells an older version so long after ours came in force is sent ours. Most read
 /// it themselves within a few milliseconds; one that the table service turns away can't.
@@ -137,18 +138,24 @@
         for open in self.open.values() {
             let place = open.replica.and_then(|key| self.servers.id_of(key));
             if let Some(incarnation) = place {
-                *running.entry(rendezvous::identity(&incarnation)).or_default() += 1;
+                *running
+                    .entry(rendezvous::identity(&incarnation))
+                    .or_default() += 1;
             }
         }
         let bulletin = Bulletin {
             charged: self.quotas.counts(),
             running,
-            ..Bulletin::default()
+            begun: self.usage.told().clone(),
+            unix_ms: self.usage.raw_unix_ms(now),
+            work: self.work.clone(),
         };
         match serde_json::to_vec(&bulletin) {
             Ok(payload) => self.publish(now, Topic::Count, payload, effects),
             Err(error) => {
-                effects.push(Effect::Log(Line::warn("bulletin_lost").with("error", error)));
+                effects.push(Effect::Log(
+                    Line::warn("bulletin_lost").with("error", error),
+                ));
             }
         }
     }
@@ -188,6 +195,9 @@
             return;
         };
         self.quotas.absorb(now, peer.0, &bulletin.charged);
+        self.usage
+            .absorb(now, peer, bulletin.begun, bulletin.unix_ms);
+        self.peer_work.insert(peer, bulletin.work);
         self.peer_loads.insert(peer, (now, bulletin.running));
         self.report_loads(now);
     }
@@ -207,6 +217,18 @@
         }
     }
 
+    /// Tokens that arrived for a service at all entries, and the speed of its replicas as most see it.
+    pub(crate) fn work_of(&self, service: &SmolStr) -> (u64, f64) {
+        let all = self.peer_work.values().chain([&self.work]);
+        let of: Vec<Work> = all.filter_map(|work| work.get(service).copied()).collect();
+        let tokens = of.iter().map(|work| work.tokens).sum();
+        let mut speeds: Vec<f64> = of.iter().map(|work| work.speed).collect();
+        speeds.retain(|speed| *speed > 0.0);
+        speeds.sort_by(f64::total_cmp);
+        let median = speeds.get(speeds.len() / 2).copied().unwrap_or(0.0);
+        (tokens, median)
+    }
+
     /// Gives the scheduler what all entries run at each replica.
     fn report_loads(&mut self, now: Time) {
         let fresh = self.settings.members.quiet;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -86,7 +86,10 @@
 
     /// A new life of a server ends the one before.
     fn replace_lives(&mut self, now: Time, server: &Server, effects: &mut Vec<Effect>) {
-        for before in self.servers.incarnations_of(std::slice::from_ref(&server.id)) {
+        for before in self
+            .servers
+            .incarnations_of(std::slice::from_ref(&server.id))
+        {
             if before != server.incarnation {
                 self.server_gone(now, &before, effects);
             }
@@ -155,7 +158,10 @@
         effects.push(Effect::Log(line));
         // Its attempts go on until their connections end: a row may be gone before its server is.
         self.scheduler.replica_lost(now, known.key);
-        let running = self.open.values().any(|open| open.replica == Some(known.key));
+        let running = self
+            .open
+            .values()
+            .any(|open| open.replica == Some(known.key));
         if !running {
             self.servers.drop_key(known.key);
         }
--- /dev/null
+++ b/crates/gateway/src/reports.rs
@@ -0,0 +1,227 @@
+//! Reports of usage, one for each window.
+//!
+//! Failure guarded against: a holder sends a report, its answer is lost and it dies; its successor has
+//! heard a little more or less and sends other counts for the same window, and the account is billed by
+//! two reports that contradict each other. So the counts of a window are written to the table service
+//! first, if nobody wrote them before, and only what stands there is sent, however often.
+
+use std::collections::BTreeMap;
+
+use clock::Span;
+use clock::Time;
+use line::Line;
+use serde_json::Value;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use store::call::Address;
+use store::call::Call;
+use store::call::Check;
+use store::call::Outcome;
+use store::call::Transaction;
+use store::call::Write;
+
+use crate::duty;
+use crate::duty::Warrant;
+use crate::effect::Effect;
+use crate::gateway::Gateway;
+use crate::store_calls::Waiter;
+use crate::usage::Counts;
+
+/// The table of reports.
+const TABLE: &str = "usage";
+/// After a window's end until its counts are fixed: two rounds of what entries tell each other, and what
+/// entries that are cut off for a moment bring late.
+const SETTLE: Span = Span::from_millis(1_500);
+/// Time between two tries.
+const RETRY: Span = Span::from_millis(700);
+/// Windows whose rows are kept.
+const KEPT: u64 = 24;
+
+/// Reports under way.
+#[derive(Debug, Default)]
+pub(crate) struct Reports {
+    windows: BTreeMap<u64, Report>,
+}
+
+/// One window's report.
+#[derive(Clone, Debug)]
+struct Report {
+    stage: Stage,
+    /// When it is tried again.
+    next: Time,
+}
+
+/// How far a report is.
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    /// Its counts must be fixed.
+    Open,
+    /// They are being written.
+    Writing(Counts),
+    /// They are fixed and must be sent.
+    Fixed(Counts),
+    /// They are being sent under this number.
+    Sending(u64, Counts),
+    /// The platform has them.
+    Done,
+}
+
+impl Gateway {
+    /// Fixes and sends what is due.
+    pub(crate) fn reports_tick(&mut self, now: Time, warrant: Warrant, effects: &mut Vec<Effect>) {
+        if !self.settings.report_usage {
+            return;
+        }
+        let newest = self.usage.window(now);
+        let span = self.settings.usage_delay.as_millis() / self.settings.usage_window.as_millis();
+        let oldest = newest.saturating_sub(span + 1);
+        self.duties
+            .reports
+            .windows
+            .retain(|window, _| *window >= oldest);
+        for window in oldest..newest {
+            let since = self.usage.since_end(now, window);
+            let delay = self.settings.usage_delay.as_millis() as i64;
+            if since < SETTLE.as_millis() as i64 || since > delay {
+                continue;
+            }
+            self.report_window(now, window, warrant, effects);
+        }
+    }
+
+    fn report_window(
+        &mut self,
+        now: Time,
+        window: u64,
+        warrant: Warrant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let report = self.duties.reports.windows.entry(window).or_insert(Report {
+            stage: Stage::Open,
+            next: now,
+        });
+        if now < report.next {
+            return;
+        }
+        report.next = now + RETRY;
+        match report.stage.clone() {
+            Stage::Open => self.fix(window),
+            Stage::Fixed(counts) => self.send_report(window, counts, warrant, effects),
+            Stage::Writing(_) | Stage::Sending(..) | Stage::Done => {}
+        }
+    }
+
+    /// Writes the counts of a window, unless there are some.
+    fn fix(&mut self, window: u64) {
+        let mut counts = self.usage.total(window);
+        if let Some(book) = &self.book {
+            for account in &book.accounts {
+                counts.entry(account.name.clone()).or_default();
+            }
+        }
+        let at = address(window);
+        let value = serde_json::to_value(&counts).unwrap_or(Value::Null);
+        let transaction = Transaction {
+            token: format_smolstr!("usage/{window}"),
+            checks: vec![Check {
+                at: at.clone(),
+                revision: None,
+            }],
+            writes: vec![
+                Write { at, value },
+                Write {
+                    at: address(window.saturating_sub(KEPT)),
+                    value: Value::Null,
+                },
+            ],
+        };
+        if let Some(report) = self.duties.reports.windows.get_mut(&window) {
+            report.stage = Stage::Writing(counts);
+        }
+        self.ask_store(Waiter::Report(window), Call::Transact(transaction));
+    }
+
+    /// The table service answered the writing of a window's counts.
+    pub(crate) fn report_fixed(
+        &mut self,
+        now: Time,
+        window: u64,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(report) = self.duties.reports.windows.get_mut(&window) else {
+            return;
+        };
+        let Stage::Writing(written) = report.stage.clone() else {
+            return;
+        };
+        report.stage = match outcome {
+            Outcome::Committed(_) => Stage::Fixed(written),
+            Outcome::Conflict(failed) => match standing(failed) {
+                Some(counts) => Stage::Fixed(counts),
+                None => Stage::Open,
+            },
+            // Written or not: a second try finds out.
+            _ => Stage::Open,
+        };
+        if matches!(report.stage, Stage::Fixed(_)) {
+            report.next = now;
+            if let Some(warrant) = self.warrant(now) {
+                self.report_window(now, window, warrant, effects);
+            }
+        }
+    }
+
+    fn send_report(
+        &mut self,
+        window: u64,
+        counts: Counts,
+        warrant: Warrant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let call = duty::Call::Usage {
+            window,
+            counts: counts.clone(),
+        };
+        let total: u64 = counts.values().sum();
+        let line = Line::info("usage_reported")
+            .with("window", window)
+            .with("requests", total)
+            .with("fence", warrant.fence);
+        effects.push(Effect::Log(line));
+        let id = self.call_platform(call, warrant, effects);
+        if let Some(report) = self.duties.reports.windows.get_mut(&window) {
+            report.stage = Stage::Sending(id, counts);
+        }
+    }
+
+    /// The platform answered a report.
+    pub(crate) fn report_answered(&mut self, now: Time, id: u64, outcome: duty::Outcome) {
+        for report in self.duties.reports.windows.values_mut() {
+            let Stage::Sending(sent, counts) = &report.stage else {
+                continue;
+            };
+            if *sent != id {
+                continue;
+            }
+            report.next = now + RETRY;
+            report.stage = match outcome {
+                duty::Outcome::Done => Stage::Done,
+                _ => Stage::Fixed(counts.clone()),
+            };
+            return;
+        }
+    }
+}
+
+/// Where the counts of a window stand.
+fn address(window: u64) -> Address {
+    let key: SmolStr = format_smolstr!("{window:012}");
+    Address::new(TABLE, key)
+}
+
+/// The counts that somebody else wrote.
+fn standing(failed: Vec<(Address, Option<store::call::Row>)>) -> Option<Counts> {
+    let (_, row) = failed.into_iter().next()?;
+    serde_json::from_value(row?.value).ok()
+}
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -153,7 +153,8 @@
     /// Keeps the keys of gone servers bounded.
     pub fn forget_keys(&mut self, alive: impl Fn(replica::Key) -> bool) {
         let known: BTreeSet<replica::Key> = self.known.values().map(|known| known.key).collect();
-        self.by_key.retain(|key, _| known.contains(key) || alive(*key));
+        self.by_key
+            .retain(|key, _| known.contains(key) || alive(*key));
     }
 }
 
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -14,6 +14,10 @@
 pub(crate) enum Waiter {
     /// The membership machine, by its own number.
     Membership(call::Id),
+    /// The claim on the duties' lease, by its own number.
+    Claim(call::Id),
+    /// The report of this window.
+    Report(u64),
 }
 
 impl Gateway {
@@ -22,7 +26,11 @@
     pub(crate) fn ask_store(&mut self, waiter: Waiter, call: Call) {
         let id = call::Id(self.next_store_call);
         self.next_store_call += 1;
-        let refused = self.throttle.push(Priority::Lease, id, call);
+        let priority = match waiter {
+            Waiter::Membership(_) | Waiter::Claim(_) => Priority::Lease,
+            Waiter::Report(_) => Priority::Config,
+        };
+        let refused = self.throttle.push(priority, id, call);
         self.store_calls.insert(id, waiter);
         if let Some((id, _)) = refused {
             self.store_refused.push(id);
@@ -54,17 +62,13 @@
     }
 
     /// Passes an answer to whoever waits for it.
-    fn pass_on(
-        &mut self,
-        now: Time,
-        id: call::Id,
-        outcome: Outcome,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn pass_on(&mut self, now: Time, id: call::Id, outcome: Outcome, effects: &mut Vec<Effect>) {
         match self.store_calls.remove(&id) {
             Some(Waiter::Membership(id)) => {
                 self.attend(now, member::event::Event::Store { id, outcome }, effects);
             }
+            Some(Waiter::Claim(id)) => self.claim_answered(now, id, outcome, effects),
+            Some(Waiter::Report(window)) => self.report_fixed(now, window, outcome, effects),
             None => {}
         }
     }
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -22,7 +22,10 @@
 
     /// Ends one request.
     fn time_out(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
-        let running = self.open.get(&serial).is_some_and(|open| open.replica.is_some());
+        let running = self
+            .open
+            .get(&serial)
+            .is_some_and(|open| open.replica.is_some());
         let refusal = match running {
             true => Refusal::may_have_run(Reason::TimedOut, "its time is up"),
             false => Refusal::not_run(Reason::TimedOut, "its time is up"),
--- /dev/null
+++ b/crates/gateway/src/usage.rs
@@ -0,0 +1,126 @@
+//! How many requests of each account began to run, by window of true time.
+//!
+//! Each entry counts its own and tells all others, so that whoever holds the duty can add them up. What a
+//! killed entry told stays with its peers; only what it had not told yet is lost.
+
+use std::collections::BTreeMap;
+
+use clock::Time;
+use lease::holder;
+use smol_str::SmolStr;
+
+/// Requests by account.
+pub type Counts = BTreeMap<SmolStr, u64>;
+/// Requests by window and account.
+pub type Windows = BTreeMap<u64, Counts>;
+
+/// Windows that are kept and told: reports are due two windows after a window's end, and an entry that
+/// was cut off for some seconds still brings its counts in time.
+const KEPT: u64 = 8;
+/// Clocks that differ by less are left alone: messages take that long.
+const CLOCK_SLACK_MS: i64 = 250;
+
+/// Counts of all entries.
+#[derive(Debug, Default)]
+pub(crate) struct Usage {
+    window_ms: u64,
+    /// Unix time at the start of the process, as its wall clock said then.
+    zero_unix_ms: u64,
+    /// By how much that clock was behind the others'.
+    correction_ms: i64,
+    own: Windows,
+    peers: BTreeMap<holder::Id, Windows>,
+    /// By how much each peer's clock is ahead of ours.
+    ahead: BTreeMap<holder::Id, i64>,
+}
+
+impl Usage {
+    /// Counts in windows of this length; the wall clock read `zero_unix_ms` at the start.
+    pub fn new(window_ms: u64, zero_unix_ms: u64) -> Usage {
+        Usage {
+            window_ms: window_ms.max(1),
+            zero_unix_ms,
+            ..Usage::default()
+        }
+    }
+
+    /// Unix time in milliseconds.
+    ///
+    /// The wall clock is read once, at the start, since it may jump later. Should it have been wrong just
+    /// then, the median of all entries' clocks puts it right.
+    pub fn unix_ms(&self, now: Time) -> u64 {
+        let unix = self.zero_unix_ms + now.as_millis();
+        unix.saturating_add_signed(self.correction_ms)
+    }
+
+    /// The window that a moment belongs to.
+    pub fn window(&self, at: Time) -> u64 {
+        self.unix_ms(at) / self.window_ms
+    }
+
+    /// Milliseconds since a window's end; negative before it.
+    pub fn since_end(&self, now: Time, window: u64) -> i64 {
+        let end = (window + 1) * self.window_ms;
+        self.unix_ms(now) as i64 - end as i64
+    }
+
+    /// A request of this account began to run.
+    pub fn began(&mut self, at: Time, account: &SmolStr) {
+        let window = self.window(at);
+        let counts = self.own.entry(window).or_default();
+        *counts.entry(account.clone()).or_default() += 1;
+    }
+
+    /// What to tell the others.
+    pub fn told(&self) -> &Windows {
+        &self.own
+    }
+
+    /// Takes in what another entry tells, with its clock's time.
+    pub fn absorb(&mut self, now: Time, peer: holder::Id, windows: Windows, unix_ms: u64) {
+        self.peers.insert(peer, windows);
+        if unix_ms > 0 {
+            let ours = self.zero_unix_ms + now.as_millis();
+            self.ahead.insert(peer, unix_ms as i64 - ours as i64);
+        }
+        self.correct();
+    }
+
+    /// Requests of all entries in a window.
+    pub fn total(&self, window: u64) -> Counts {
+        let mut total = Counts::new();
+        let all = self.peers.values().chain([&self.own]);
+        for counts in all.filter_map(|windows| windows.get(&window)) {
+            for (account, count) in counts {
+                *total.entry(account.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+
+    /// The clock as it read at the start, for peers to compare: uncorrected, or all would follow each other.
+    pub fn raw_unix_ms(&self, now: Time) -> u64 {
+        self.zero_unix_ms + now.as_millis()
+    }
+
+    /// Forgets what is too old to be reported.
+    pub fn expire(&mut self, now: Time) {
+        let oldest = self.window(now).saturating_sub(KEPT);
+        self.own.retain(|window, _| *window >= oldest);
+        for windows in self.peers.values_mut() {
+            windows.retain(|window, _| *window >= oldest);
+        }
+        self.peers.retain(|_, windows| !windows.is_empty());
+    }
+
+    /// Puts a clock right that differs from most others.
+    fn correct(&mut self) {
+        let mut clocks: Vec<i64> = self.ahead.values().copied().chain([0]).collect();
+        clocks.sort_unstable();
+        let median = clocks[clocks.len() / 2];
+        self.correction_ms = match median.abs() > CLOCK_SLACK_MS {
+            true => median,
+            false => 0,
+        };
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/work.rs
@@ -0,0 +1,131 @@
+//! How much work arrives for each service, and how fast its replicas are.
+//!
+//! Work is counted in prompt tokens that must be read: the request's own part of its prompt, and a
+//! little for each token that is generated. The part that requests share is read once and kept. The
+//! speed of a replica is learnt from the time to the first token, by the quicker answers: the slower ones
+//! waited behind others.
+
+use std::collections::BTreeMap;
+
+use clock::Span;
+use clock::Time;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::arrival::Prompt;
+
+/// Prompt tokens that a generated token counts as. In a batch it adds some hundredths of a millisecond to
+/// a step, as one to two prompt tokens do.
+const OUTPUT_WEIGHT: u64 = 2;
+/// Shorter prompts say little of the speed: their time is mostly that of a step.
+const LEAST_TOKENS: u64 = 1_000;
+/// Time to the first token that isn't reading.
+const BASE: Span = Span::from_millis(8);
+/// The speed rises by this part of the difference towards a quicker answer, and falls by a twentieth of
+/// that towards a slower one: it settles near the quickest. Falling faster it followed the waits of an
+/// overload, and replicas were ordered for three times the work.
+const RISE: f64 = 0.06;
+const FALL: f64 = 0.003;
+/// A weight of a second's arrivals in the rate, for rises and falls: a rise is believed within two or
+/// three seconds, since replicas take four to start; a fall is not, since stopping one too many costs
+/// more than running it for some seconds.
+const UP: f64 = 0.4;
+const DOWN: f64 = 0.04;
+
+/// What one entry has seen of one service since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Work {
+    /// Prompt tokens that had to be read, all requests together.
+    pub tokens: u64,
+    /// Prompt tokens that a replica reads in a millisecond; 0 while unknown.
+    pub speed: f64,
+}
+
+impl Work {
+    /// A request arrived.
+    pub fn arrived(&mut self, prompt: &Prompt) {
+        let output = prompt.expected_tokens.unwrap_or(prompt.max_new_tokens);
+        let output = output.min(prompt.max_new_tokens);
+        self.tokens += own_tokens(prompt) + u64::from(output) * OUTPUT_WEIGHT;
+    }
+
+    /// The first token of a request came after `took` at its replica; `own` tokens had to be read.
+    pub fn first_token(&mut self, own: u64, took: Span) {
+        let reading = took - BASE;
+        if own < LEAST_TOKENS || reading == Span::ZERO {
+            return;
+        }
+        let speed = own as f64 / reading.as_millis() as f64;
+        if self.speed == 0.0 {
+            self.speed = speed;
+        }
+        let weight = match speed > self.speed {
+            true => RISE,
+            false => FALL,
+        };
+        // One answer that was far too quick, from a part thought to be unread, must not count for more.
+        let speed = speed.min(self.speed * 2.0);
+        self.speed += weight * (speed - self.speed);
+    }
+}
+
+/// Tokens of the prompt that no other request shares.
+pub fn own_tokens(prompt: &Prompt) -> u64 {
+    match prompt.parts.last() {
+        Some(own) => u64::from(own.tokens),
+        None => u64::from(prompt.tokens),
+    }
+}
+
+/// Replicas' worth of work that arrives, over all entries.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    /// By service.
+    rates: BTreeMap<SmolStr, Rate>,
+}
+
+/// One service's arrivals.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    /// All entries' tokens when they were last looked at.
+    seen: u64,
+    at: Time,
+    /// Tokens a millisecond.
+    rate: f64,
+}
+
+/// Time over which arrivals are counted for one look.
+const LOOK: Span = Span::from_millis(1_000);
+
+impl Demand {
+    /// Notes what all entries have seen of a service by now.
+    pub fn note(&mut self, now: Time, service: &SmolStr, tokens: u64) {
+        let rate = self.rates.entry(service.clone()).or_default();
+        let passed = now.since(rate.at);
+        if rate.at == Time::ZERO || tokens < rate.seen {
+            // The first look, or an entry is gone from the sum.
+            rate.seen = tokens;
+            rate.at = now;
+            return;
+        }
+        if passed < LOOK {
+            return;
+        }
+        let fresh = (tokens - rate.seen) as f64 / passed.as_millis() as f64;
+        let weight = match fresh > rate.rate {
+            true => UP,
+            false => DOWN,
+        };
+        rate.rate += weight * (fresh - rate.rate);
+        rate.seen = tokens;
+        rate.at = now;
+    }
+
+    /// How many replicas of this speed, tokens a millisecond, the arrivals keep busy.
+    pub fn replicas(&self, service: &SmolStr, speed: f64) -> Option<f64> {
+        let rate = self.rates.get(service)?;
+        (speed > 0.0).then(|| rate.rate / speed)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/configs/cover.rs
@@ -0,0 +1,32 @@
+//! Settings of [`crate::cover`].
+
+use clock::Span;
+
+/// How full replicas may be, and how soon what is too many is given back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// Part of a replica's time that work fills while all is well: prompts then seldom wait behind long
+    /// ones of others.
+    pub comfort: f64,
+    /// The same in the seconds after a zone's reclaimable replicas are gone, until new ones are there.
+    pub stress: f64,
+    /// On-demand replicas that are too many are kept for so long: the next reclaim often follows the last
+    /// within seconds.
+    pub linger: Span,
+    /// The same for reclaimable ones, which cost a fifth.
+    pub cheap_linger: Span,
+    /// How long a refusal of reclaimable replicas is taken as lasting.
+    pub refusal: Span,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            comfort: 0.3,
+            stress: 0.6,
+            linger: Span::from_millis(2_500),
+            cheap_linger: Span::from_seconds(8),
+            refusal: Span::from_millis(1_500),
+        }
+    }
+}
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -5,6 +5,7 @@
 pub mod affinity;
 pub mod brownout;
 pub mod concurrency;
+pub mod cover;
 pub mod fair;
 pub mod health;
 pub mod limit;
--- /dev/null
+++ b/crates/policy/src/cover.rs
@@ -0,0 +1,110 @@
+//! How many reclaimable and on-demand replicas cover the work in each zone.
+//!
+//! Load pattern: reclaimable replicas cost a fifth and go a zone at a time, within seconds, several times
+//! in a row, and none are to be had anywhere just then; any replica starts within seconds. Without it:
+//! on-demand replicas alone cost five times as much; reclaimable ones alone are all gone after three
+//! reclaims, and every request is refused until the market opens again.
+//!
+//! Reclaimable replicas stand evenly in all zones, so many that prompts seldom wait. Should the zone with
+//! the most of them go, the rest and the on-demand ones must still carry the work, though less
+//! comfortably; on-demand replicas are had only for what is missing there. That is nothing while the
+//! market is open: a third of the comfortable number is what a reclaim of one of three zones takes, and
+//! half of it is enough to get through.
+//!
+//! [`crate::mix`] plans by the hour, names the instances to be stopped, and wants the whole work carried
+//! without any one zone at all times. Where replicas start in seconds that bought on-demand replicas for
+//! the full load after the first reclaim, and stopped reclaimable ones in the middle of it.
+
+use crate::configs::cover::Config;
+
+/// One zone as it stands. Replicas that leave don't count; those that were ordered and start do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Zone {
+    /// Price of an on-demand replica there.
+    pub price: f64,
+    /// Reclaimable replicas, those that start included.
+    pub reclaimable: u32,
+    /// Those of them that serve already.
+    pub live: u32,
+    /// On-demand replicas.
+    pub on_demand: u32,
+    /// Whether reclaimable replicas are to be had there.
+    pub open: bool,
+}
+
+/// Bounds for each zone, both markets together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Fewest replicas.
+    pub least: u32,
+    /// Most replicas.
+    pub most: u32,
+    /// Whether there are reclaimable ones at all.
+    pub reclaimable: bool,
+}
+
+/// What a zone should have.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Wanted {
+    /// Reclaimable replicas.
+    pub reclaimable: u32,
+    /// On-demand replicas.
+    pub on_demand: u32,
+}
+
+/// Plans all zones for work that keeps `busy` replicas busy without a pause.
+pub fn plan(config: &Config, busy: f64, zones: &[Zone], bounds: Bounds) -> Vec<Wanted> {
+    let mut wanted = vec![Wanted::default(); zones.len()];
+    if zones.is_empty() {
+        return wanted;
+    }
+    let comfort = needed(busy, config.comfort);
+    if !bounds.reclaimable {
+        spread(&mut wanted, zones, bounds, comfort);
+        return wanted;
+    }
+    let each = comfort.div_ceil(zones.len() as u32).max(bounds.least);
+    for (zone, wanted) in zones.iter().zip(&mut wanted) {
+        wanted.reclaimable = match zone.open {
+            true => each.min(bounds.most),
+            // Nothing can be added, and what is there must not be given back now.
+            false => zone.reclaimable,
+        };
+    }
+    let stress = needed(busy, config.stress);
+    let missing = stress.saturating_sub(without_largest(&wanted, |zone| zone.reclaimable));
+    // What stands is given back only once that which replaces it serves.
+    let standing: u32 = zones.iter().map(|zone| zone.on_demand).sum();
+    let kept = stress.saturating_sub(without_largest(zones, |zone| zone.live));
+    spread(&mut wanted, zones, bounds, missing.max(kept.min(standing)));
+    wanted
+}
+
+/// The sum over all zones but the largest.
+fn without_largest<T>(zones: &[T], count: impl Fn(&T) -> u32) -> u32 {
+    let counts: Vec<u32> = zones.iter().map(count).collect();
+    let largest = counts.iter().max().copied().unwrap_or(0);
+    counts.iter().sum::<u32>() - largest
+}
+
+/// Replicas that are filled to this part by the work.
+fn needed(busy: f64, fill: f64) -> u32 {
+    (busy / fill).ceil() as u32
+}
+
+/// Adds on-demand replicas one by one: where there are most already, so that none moves for nothing, then
+/// where they are cheapest, within the bounds.
+fn spread(wanted: &mut [Wanted], zones: &[Zone], bounds: Bounds, count: u32) {
+    for _ in 0..count {
+        let room = |at: &usize| wanted[*at].reclaimable + wanted[*at].on_demand < bounds.most;
+        let kept = |at: &usize| wanted[*at].on_demand < zones[*at].on_demand;
+        let best = (0..zones.len()).filter(room).min_by(|one, other| {
+            let by_kept = kept(other).cmp(&kept(one));
+            by_kept.then(zones[*one].price.total_cmp(&zones[*other].price))
+        });
+        match best {
+            Some(at) => wanted[at].on_demand += 1,
+            None => return,
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod brownout;
 pub mod concurrency;
 pub mod configs;
+pub mod cover;
 pub mod decision;
 pub mod fair;
 pub mod health;
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -119,11 +119,8 @@
         };
         let tried_everywhere = pool.members.iter().all(|key| open.tried.contains(key));
         let within = !reached || pool.budget.spend(&settings);
-        let allowed = repeatable
-            && left
-            && attempts < settings.attempts
-            && !tried_everywhere
-            && within;
+        let allowed =
+            repeatable && left && attempts < settings.attempts && !tried_everywhere && within;
         if owed && tried_everywhere {
             self.forget_tried(id);
         }
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -179,7 +179,10 @@
         }
         let slack = allowed - pool.service.first(class, job.prompt_tokens);
         let backlog = admission::wait(pool.queue.cost(), rate);
-        let idle = pool.queue.waiting_of(level(&account.spec, job), job.account) == 0;
+        let idle = pool
+            .queue
+            .waiting_of(level(&account.spec, job), job.account)
+            == 0;
         if settings.brownout.enabled
             && backlog > slack.scaled(settings.brownout.pressure)
             && !pool.gate.passes(job.account, idle)
--- /dev/null
+++ b/crates/policy/tests/cover.rs
@@ -0,0 +1,107 @@
+//! Reclaimable and on-demand replicas, by what is left to carry the work.
+
+use policy::configs::cover::Config;
+use policy::cover::Bounds;
+use policy::cover::Wanted;
+use policy::cover::Zone;
+use policy::cover::plan;
+
+const BOUNDS: Bounds = Bounds {
+    least: 1,
+    most: 6,
+    reclaimable: true,
+};
+
+fn zone(reclaimable: u32, on_demand: u32, open: bool) -> Zone {
+    Zone {
+        price: 1.0,
+        reclaimable,
+        live: reclaimable,
+        on_demand,
+        open,
+    }
+}
+
+fn on_demand(wanted: &[Wanted]) -> u32 {
+    wanted.iter().map(|zone| zone.on_demand).sum()
+}
+
+/// While reclaimable replicas are to be had, dear ones are given back, however many stand there.
+#[test]
+fn an_open_market_needs_no_on_demand_replicas() {
+    let zones = [zone(3, 3, true), zone(3, 3, true), zone(3, 3, true)];
+    let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
+    assert_eq!(on_demand(&wanted), 0);
+    assert!(wanted.iter().all(|zone| zone.reclaimable == 3));
+}
+
+/// One zone's reclaimable replicas are taken back and the market is dry. Another zone may be next: what
+/// would then be left must be enough to get through, so on-demand replicas are ordered now, while there
+/// is time to start them.
+#[test]
+fn a_dry_market_is_made_up_for_before_the_next_reclaim() {
+    let zones = [zone(0, 0, false), zone(3, 0, false), zone(3, 0, false)];
+    let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
+    assert_eq!(on_demand(&wanted), 1);
+    let zones = [zone(0, 1, false), zone(0, 0, false), zone(3, 0, false)];
+    let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
+    assert_eq!(on_demand(&wanted), 4);
+    assert_eq!(wanted[2].reclaimable, 3, "what is there stays");
+}
+
+/// All reclaimable replicas are gone: on-demand ones carry the work alone, those that stand stay.
+#[test]
+fn on_demand_replicas_carry_the_work_alone() {
+    let zones = [zone(0, 0, false), zone(0, 4, false), zone(0, 0, false)];
+    let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
+    assert_eq!(on_demand(&wanted), 4);
+    assert_eq!(wanted[1].on_demand, 4);
+}
+
+/// Bounds hold for both markets of a zone together, whatever the work asks for.
+#[test]
+fn no_zone_gets_more_than_it_may() {
+    for busy in [0.0, 3.0, 9.0, 50.0] {
+        for open in [true, false] {
+            let zones = [zone(2, 0, open), zone(6, 0, open), zone(0, 6, true)];
+            for wanted in plan(&Config::default(), busy, &zones, BOUNDS) {
+                assert!(wanted.reclaimable + wanted.on_demand <= BOUNDS.most);
+            }
+        }
+    }
+}
+
+/// A platform without reclaimable replicas still gets the comfortable number.
+#[test]
+fn one_market_alone_carries_the_work() {
+    let bounds = Bounds {
+        reclaimable: false,
+        ..BOUNDS
+    };
+    let zones = [zone(0, 0, true), zone(0, 0, true), zone(0, 0, true)];
+    let wanted = plan(&Config::default(), 2.4, &zones, bounds);
+    assert_eq!(on_demand(&wanted), 8);
+}
+
+/// The market opens again and reclaimable replicas start. Those that stood in for them go on until the new
+/// ones serve: given back at the order, they left four seconds in which nobody carried the work.
+#[test]
+fn on_demand_replicas_stay_until_others_serve() {
+    let starting = Zone {
+        live: 0,
+        ..zone(3, 0, true)
+    };
+    let zones = [
+        starting,
+        Zone {
+            on_demand: 4,
+            ..starting
+        },
+        starting,
+    ];
+    let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
+    assert_eq!(on_demand(&wanted), 4);
+    let zones = [zone(3, 0, true), zone(3, 4, true), zone(3, 0, true)];
+    let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
+    assert_eq!(on_demand(&wanted), 0);
+}
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -7,6 +7,7 @@
 use clock::Span;
 use gateway::arrival::Arrival;
 use gateway::book::Book;
+use gateway::duty;
 use gateway::effect::Addresses;
 use gateway::effect::Start;
 use gateway::server::Server;
@@ -90,6 +91,12 @@
     fn call(&self, call: Call) -> Pending<'_, Outcome>;
 }
 
+/// The platform's calls for holders of duties.
+pub trait Cloud {
+    /// Makes a call in the name of the entry.
+    fn call(&self, call: duty::Call, fence: u64) -> Pending<'_, duty::Outcome>;
+}
+
 /// A table that is followed.
 pub trait Feed {
     /// All its rows.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -62,7 +62,10 @@
 impl Flight {
     /// Hands the request to a replica and passes its answer on. None if the caller is gone.
     pub async fn exchange(&mut self, start: &Start) -> Option<End> {
-        let resume = self.last_event.clone().map(|last_event| Resume { last_event });
+        let resume = self
+            .last_event
+            .clone()
+            .map(|last_event| Resume { last_event });
         let head = tokio::select! {
             head = ask(&self.shared, &self.question, start, resume.as_ref()) => head,
             () = self.caller.gone() => return None,
@@ -196,12 +199,7 @@
 }
 
 /// Sends the request and waits for the head of its answer.
-async fn ask(
-    shared: &Shared,
-    question: &Question,
-    start: &Start,
-    resume: Option<&Resume>,
-) -> Head {
+async fn ask(shared: &Shared, question: &Question, start: &Start, resume: Option<&Resume>) -> Head {
     let asked = shared.clock.now();
     let patience = start.patience.map_or(UNLIMITED, Span::as_duration);
     let mut kept = shared.pool.take(&start.place);
@@ -229,7 +227,9 @@
         let request = request_of(shared, question, &start, resume);
         let sending = connection.sender.try_send_request(request);
         let mut error = match tokio::time::timeout(patience, sending).await {
-            Ok(Ok(response)) => return judged(shared, question, &start, connection, response).await,
+            Ok(Ok(response)) => {
+                return judged(shared, question, &start, connection, response).await;
+            }
             Ok(Err(error)) => error,
             Err(_) => return Head::Ended(silent(patience)),
         };
--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -35,7 +35,11 @@
         .spawn(move || {
             let mut output = std::io::stdout();
             for line in lines {
-                if output.write_all(&line).and_then(|()| output.flush()).is_err() {
+                if output
+                    .write_all(&line)
+                    .and_then(|()| output.flush())
+                    .is_err()
+                {
                     DROPPED.fetch_add(1, Ordering::Relaxed);
                 }
             }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -144,7 +144,8 @@
         let mut values = headers.get_all(name).iter();
         values.any(|value| {
             let text = value.to_str().unwrap_or_default();
-            text.split(',').any(|part| part.trim().eq_ignore_ascii_case(word))
+            text.split(',')
+                .any(|part| part.trim().eq_ignore_ascii_case(word))
         })
     };
     if says(CONNECTION.as_str(), "close") {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -22,6 +23,7 @@
 use log::LevelFilter;
 use peer::proof::Key;
 use settings::Settings;
+use settings::configs::gateway::Duty;
 use settings::configs::logs::Level;
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
@@ -33,6 +35,7 @@
 use tokio::sync::watch;
 
 use crate::adapter::Changes;
+use crate::adapter::Cloud;
 use crate::adapter::Codec;
 use crate::adapter::Fault;
 use crate::adapter::Feed;
@@ -61,6 +64,8 @@
     pub codec: Rc<dyn Codec>,
     /// The table service.
     pub tables: Rc<dyn Tables>,
+    /// Calls for holders of duties, if the platform has any.
+    pub cloud: Option<Rc<dyn Cloud>>,
     /// The table of the configuration.
     pub configuration: Rc<dyn Feed>,
     /// The table of backend servers.
@@ -116,11 +121,7 @@
         shared: Rc::clone(&shared),
     });
     let (end, ended) = watch::channel(false);
-    let front = tokio::task::spawn_local(front::serve(
-        sockets.callers,
-        Rc::clone(&shared),
-        ended,
-    ));
+    let front = tokio::task::spawn_local(front::serve(sockets.callers, Rc::clone(&shared), ended));
     let hurry = Rc::new(Notify::new());
     let configuration = Rc::new(ConfigurationReader(Rc::clone(&shared)));
     let servers = Rc::new(ServersReader(Rc::clone(&shared)));
@@ -146,6 +147,7 @@
         gateway: Gateway::new(identity.clone(), gateway_settings(&settings), random()?),
         shared,
         tables: adapter.tables,
+        cloud: adapter.cloud,
         peers: Peers::new(peer::client::Peers::new(key, limit), identity.incarnation),
         hurry,
         flights: HashMap::new(),
@@ -320,6 +322,18 @@
         grace: Span::from_millis(settings.shutdown.grace_ms),
         repeat_ratio: f64::from(options.repeats_percent) / 100.0,
         repeat_allowance: f64::from(options.repeats_allowed),
+        zero_unix_ms: unix_ms(),
+        report_usage: options.duties.contains(&Duty::Usage),
+        usage_window: Span::from_millis(options.usage_window_ms),
+        usage_delay: Span::from_millis(options.usage_delay_ms),
+        order_replicas: options.duties.contains(&Duty::Replicas),
+        lease: lease::configs::claim::Settings {
+            term: defaults
+                .lease
+                .term
+                .max(Span::from_millis(options.duty_term_ms)),
+            ..defaults.lease
+        },
         members: member_settings(settings),
         store: store::configs::budget::Settings {
             writes_per_second: f64::from(settings.platform.writes_per_second),
@@ -355,6 +369,12 @@
     }
 }
 
+/// Wall clock, milliseconds since 1970. Read once: it may jump.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// A number from the system's source of randomness.
 fn random() -> Result<u64> {
     getrandom::u64().map_err(|error| anyhow::anyhow!("no randomness: {error}"))
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -6,6 +6,7 @@
 
 use clock::Span;
 use clock::Time;
+use gateway::duty;
 use gateway::effect::Addresses;
 use gateway::effect::Command;
 use gateway::effect::Effect;
@@ -15,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::adapter::Cloud;
 use crate::adapter::Tables;
 use crate::link::Message;
 use crate::logs;
@@ -34,6 +36,8 @@
     pub shared: Rc<Shared>,
     /// The platform's table service.
     pub tables: Rc<dyn Tables>,
+    /// The platform's calls for holders of duties, if it has any.
+    pub cloud: Option<Rc<dyn Cloud>>,
     /// Other entries.
     pub peers: Peers,
     /// Asks for a read of the configuration.
@@ -142,6 +146,7 @@
                 }
             }
             Effect::Store { id, call } => self.call_store(id, call),
+            Effect::Duty { id, call, warrant } => self.call_cloud(id, call, warrant),
             Effect::SendDigest { address, digest } => self.peers.send_digest(address, digest),
             Effect::SendConfiguration { address, document } => {
                 self.peers.send_configuration(address, document);
@@ -161,6 +166,24 @@
             link.event(Event::Store { id, outcome });
         });
     }
+
+    /// Makes a call for the holder of a duty, if its lease still holds as the call leaves.
+    ///
+    /// Guards against a pause between the decision and the call: the lease may have gone to another entry
+    /// meanwhile, and two would act.
+    fn call_cloud(&self, id: u64, call: duty::Call, warrant: duty::Warrant) {
+        let shared = Rc::clone(&self.shared);
+        let cloud = self.cloud.clone();
+        tokio::task::spawn_local(async move {
+            let outcome = match cloud {
+                Some(cloud) if shared.clock.now() < warrant.until => {
+                    cloud.call(call, warrant.fence).await
+                }
+                _ => duty::Outcome::Refused,
+            };
+            shared.link.event(Event::DutyAnswered { id, outcome });
+        });
+    }
 }
 
 /// Time between two sweeps of unused connections.
--- a/crates/settings/src/configs/gateway.rs
+++ b/crates/settings/src/configs/gateway.rs
@@ -30,16 +30,25 @@
     /// Least time for which the holder of a duty must stay the holder, milliseconds.
     #[schemars(range(min = 500, max = 600000))]
     pub duty_term_ms: u64,
-    /// Whether this deployment's platform takes reports of usage.
-    pub report_usage: bool,
+    /// Calls of the platform that one entry makes for all.
+    pub duties: Vec<Duty>,
     /// Length of a window of usage, milliseconds.
     #[schemars(range(min = 1000, max = 3600000))]
     pub usage_window_ms: u64,
     /// Time after a window's end by which its usage must be reported, milliseconds.
     #[schemars(range(min = 1000, max = 3600000))]
     pub usage_delay_ms: u64,
-    /// Whether this deployment's platform takes orders for replicas.
-    pub order_replicas: bool,
+}
+
+/// What one entry does for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+#[schemars(extend("type" = "string"))]
+pub enum Duty {
+    /// Reports how many requests of each account began to run.
+    Usage,
+    /// Orders replicas.
+    Replicas,
 }
 
 impl Default for Gateway {
@@ -51,10 +60,9 @@
             repeats_percent: 10,
             repeats_allowed: 20,
             duty_term_ms: 3_000,
-            report_usage: false,
+            duties: Vec::new(),
             usage_window_ms: 5_000,
             usage_delay_ms: 10_000,
-            order_replicas: false,
         }
     }
 }
