--- a/crates/policy/src/configs/quota.rs
+++ b/crates/policy/src/configs/quota.rs
@@ -12,6 +12,9 @@
     pub smoothing: f64,
     /// Part of the burst that a starting entry takes to be left: it can't know what was used before.
     pub start: f64,
+    /// Added to every account's burst, in its quota's unit: what the platform lets pass beyond quotas, so that a
+    /// request isn't refused for the grain of others before it.
+    pub grace: u64,
     /// Shortest time to come back after: one exchange of counts.
     pub shortest: Span,
 }
@@ -22,6 +25,7 @@
             silence: Span::from_millis(1_500),
             smoothing: 0.25,
             start: 0.5,
+            grace: 0,
             shortest: Span::from_millis(250),
         }
     }
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -85,7 +85,7 @@
             self.buckets.remove(&name);
             return;
         }
-        let (rate, burst) = (rate as f64, burst as f64);
+        let (rate, burst) = (rate as f64, (burst + self.config.grace) as f64);
         let start = burst * self.config.start;
         let bucket = self.buckets.entry(name).or_insert(Bucket {
             rate,
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -93,6 +93,10 @@
                 .map(|node| node.key);
         }
         let affinity = &mut self.pools.get_mut(&job.pool)?.affinity;
+        // Nothing of a plain call is kept for the next one: all of them on one replica would only wait there.
+        if job.kind == job::Kind::Plain {
+            return affinity.balance(candidates);
+        }
         let choice = affinity.choose(now, job.prefix, candidates)?;
         Some(choice.replica())
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -322,6 +322,11 @@
         grace: Span::from_millis(settings.shutdown.grace_ms),
         repeat_ratio: f64::from(options.repeats_percent) / 100.0,
         repeat_allowance: f64::from(options.repeats_allowed),
+        quota: policy::configs::quota::Config {
+            // The other half is left to what entries don't know of each other yet.
+            grace: options.quota_allowance / 2,
+            ..defaults.quota
+        },
         zero_unix_ms: unix_ms(),
         report_usage: options.duties.contains(&Duty::Usage),
         usage_window: Span::from_millis(options.usage_window_ms),
--- a/crates/settings/src/configs/gateway.rs
+++ b/crates/settings/src/configs/gateway.rs
@@ -27,6 +27,8 @@
     /// Repeats allowed besides in one window, over all entries.
     #[schemars(range(min = 0, max = 1000000))]
     pub repeats_allowed: u32,
+    /// What the platform lets pass beyond an account's quota in one window, in the quota's unit.
+    pub quota_allowance: u64,
     /// Least time for which the holder of a duty must stay the holder, milliseconds.
     #[schemars(range(min = 500, max = 600000))]
     pub duty_term_ms: u64,
@@ -59,6 +61,7 @@
             entries: 8,
             repeats_percent: 10,
             repeats_allowed: 20,
+            quota_allowance: 0,
             duty_term_ms: 3_000,
             duties: Vec::new(),
             usage_window_ms: 5_000,
