Give a job up only after a look for a free place

Cause: in an overload first tokens come seconds late; the line fitted to them says that no target can be met, and the last moment to start lies in the past as the job is queued, so it expires before it is placed. Ruled out: slots, ejection, quarantine (the new fields of the refusal's line show them). The test fails without the change.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -94,6 +94,14 @@
             .with("account", open.account.unwrap_or_default())
             .with("age_ms", now.since(open.arrived).as_millis())
             .with("attempts", open.attempt);
+        let pool = self.scheduler.glance(now, open.job.pool);
+        let line = line
+            .with("members", pool.members)
+            .with("open", pool.open)
+            .with("ejected", pool.ejected)
+            .with("running", pool.running)
+            .with("waiting", pool.waiting)
+            .with("held", pool.held);
         self.send_refusal(serial, refusal, line, effects);
     }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -110,7 +110,8 @@
         let line = line
             .with("reason", refusal.reason)
             .with("verdict", refusal.verdict)
-            .with("retry_ms", retry);
+            .with("retry_ms", retry)
+            .with("why", &refusal.message);
         effects.push(Effect::Log(line));
         effects.push(Effect::Flight {
             serial,
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -20,6 +20,9 @@
 use crate::scheduler::state::level;
 use crate::size::Class;
 
+/// Every job waits at least this long, in which it is placed if there is room.
+const ONE_LOOK: Span = Span::from_millis(1);
+
 /// How long a job waits when admission is off.
 const UNBOUNDED: Span = Span::from_seconds(3_600);
 
@@ -282,7 +285,10 @@
             ),
             (false, false) => now + UNBOUNDED,
         };
-        open.until = open.until.min(open.patience);
+        // Whatever is predicted, it is given up only after a look for a free place. Predictions learnt in an
+        // overload would else refuse everybody beside idle replicas, for ever: nothing ran that could
+        // correct them.
+        open.until = open.until.min(open.patience).max(now + ONE_LOOK);
         self.expiry.insert((open.until, id));
         let pool = open.job.pool;
         self.stir(pool);
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 use crate::account;
 use crate::configs::scheduler::Settings;
 use crate::decision::Decision;
+use crate::health::Allowance;
 use crate::job;
 use crate::job::Job;
 use crate::limit;
@@ -73,6 +74,23 @@
     pub quarantine: quarantine::Digest,
 }
 
+/// How a pool stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Glance {
+    /// Replicas that neither leave nor are lost.
+    pub members: usize,
+    /// Those of them that may take one more job.
+    pub open: usize,
+    /// Those that are taken out for their health.
+    pub ejected: usize,
+    /// Our attempts on all of them.
+    pub running: u32,
+    /// Jobs in the queue.
+    pub waiting: usize,
+    /// Suspects that wait outside the queue, of all pools.
+    pub held: usize,
+}
+
 impl Scheduler {
     /// A scheduler without accounts and replicas; `seed` feeds every random choice.
     pub fn new(seed: u64) -> Scheduler {
@@ -278,6 +296,23 @@
         self.pools.get(&pool).map_or(0, |pool| pool.queue.len())
     }
 
+    /// How a pool stands, for the log's line on a refusal.
+    pub fn glance(&self, now: Time, key: pool::Key) -> Glance {
+        let Some(pool) = self.pools.get(&key) else {
+            return Glance::default();
+        };
+        let candidates = self.candidates(now, pool);
+        let allowed = pool.members.iter().map(|key| pool.monitor.allowance(*key));
+        Glance {
+            members: pool.members.len(),
+            open: candidates.iter().filter(|one| one.open).count(),
+            ejected: allowed.filter(|one| *one == Allowance::None).count(),
+            running: pool.running,
+            waiting: pool.queue.len(),
+            held: self.held.len(),
+        }
+    }
+
     fn pool_mut(&mut self, key: pool::Key) -> &mut Pool {
         let settings = &self.settings;
         let seed = self.seed ^ u64::from(key.0);
--- /dev/null
+++ b/crates/policy/tests/idle.rs
@@ -0,0 +1,79 @@
+//! Replicas that stand idle serve whoever comes.
+
+use clock::Span;
+use clock::Time;
+use policy::account;
+use policy::decision::Decision;
+use policy::job;
+use policy::job::Job;
+use policy::pool;
+use policy::replica;
+use policy::scheduler::Scheduler;
+
+const ACCOUNT: account::Key = account::Key(1);
+const POOL: pool::Key = pool::Key(1);
+
+fn scheduler() -> Scheduler {
+    let mut scheduler = Scheduler::new(7);
+    let account = account::Spec {
+        name: "a".into(),
+        weight: 1,
+        priority: 0,
+        tokens_per_second: 0,
+        concurrent: 0,
+    };
+    scheduler.set_account(ACCOUNT, account);
+    scheduler.set_entries(1);
+    let replica = replica::Spec {
+        incarnation: "r".into(),
+        pool: POOL,
+        zone: "z".into(),
+        slots: 64,
+    };
+    scheduler.replica_joined(Time::ZERO, replica, &mut Vec::new());
+    scheduler
+}
+
+fn job(id: u64) -> Job {
+    Job {
+        id: job::Id(id),
+        account: ACCOUNT,
+        pool: POOL,
+        kind: job::Kind::Model,
+        prompt_tokens: 2_000,
+        max_new_tokens: 50,
+        prefix: id,
+        fingerprint: id,
+        idempotent: true,
+        first_token: Span::from_millis(800),
+        token_gap: Span::from_millis(100),
+        terms: job::Terms::default(),
+    }
+}
+
+fn starts(out: &[Decision]) -> usize {
+    let started = |decision: &&Decision| matches!(decision, Decision::Start { .. });
+    out.iter().filter(started).count()
+}
+
+/// An overload makes every first token come seconds late. It ends, nothing runs any more, and yet each
+/// request is refused at once for a target that can't be met: what was learnt in the overload is never
+/// unlearnt, since nothing is started that could show better.
+#[test]
+fn what_an_overload_taught_refuses_nobody_once_it_is_over() {
+    let mut scheduler = scheduler();
+    let mut out = Vec::new();
+    let mut now = Time::from_millis(1_000);
+    for id in 0..60 {
+        let late = if id < 20 { 50 } else { 3_000 };
+        let first = now + Span::from_millis(late);
+        scheduler.offer(now, job(id), &mut out);
+        scheduler.first_token(first, job::Id(id));
+        let end = first + Span::from_millis(500);
+        scheduler.attempt_ended(end, job::Id(id), job::End::Finished, 50, &mut out);
+        now = end;
+    }
+    out.clear();
+    scheduler.offer(now + Span::from_seconds(10), job(1_000), &mut out);
+    assert_eq!(starts(&out), 1, "{out:?}");
+}
