--- a/crates/standin/tests/harness/mod.rs
+++ b/crates/standin/tests/harness/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Longest wait for a condition; far beyond what any of them takes.
-const PATIENCE: Duration = Duration::from_secs(30);
+const PATIENCE: Duration = Duration::from_secs(90);
 
 /// Runs a test on one thread.
 pub fn run(test: impl Future<Output = ()>) {
