Keep what serves in the plan of replicas; tell dark replicas from busy ones

Ruled out: quotas, store, entries' processor time. Change: cover counts serving and expected replicas apart and keeps the former within each zone's room; a replica is silent only if no connection of ours heard it, and a dark one shows by unacknowledged bytes after 0.8 s.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -303,23 +303,19 @@
         };
         let mut zones = Vec::new();
         for (name, price) in &scaling.prices {
-            let mut expected = |market: Market| {
+            let mut look = |market: Market| {
                 let target = target(name, market);
-                let have = counts.get(&target).copied().unwrap_or(0);
+                let live = counts.get(&target).copied().unwrap_or(0);
                 let state = self.targets.entry(target).or_default();
-                state.see(have);
-                (
-                    state.expected(now, scaling.boot),
-                    have,
-                    now >= state.refused,
-                )
+                state.see(live);
+                let expected = state.expected(now, scaling.boot);
+                (cover::Stock { live, expected }, now >= state.refused)
             };
-            let (on_demand, _, _) = expected(Market::OnDemand);
-            let (reclaimable, live, open) = expected(Market::Reclaimable);
+            let (on_demand, _) = look(Market::OnDemand);
+            let (reclaimable, open) = look(Market::Reclaimable);
             zones.push(cover::Zone {
                 price: *price,
                 reclaimable,
-                live,
                 on_demand,
                 open,
             });
--- a/crates/gateway/src/work.rs
+++ b/crates/gateway/src/work.rs
@@ -27,11 +27,11 @@
 /// overload, and replicas were ordered for three times the work.
 const RISE: f64 = 0.06;
 const FALL: f64 = 0.003;
-/// A weight of a second's arrivals in the rate, for rises and falls: a rise is believed within two or
-/// three seconds, since replicas take four to start; a fall is not, since stopping one too many costs
-/// more than running it for some seconds.
+/// Weight of a second's arrivals in the rate, for rises and falls: a rise is believed within two or three
+/// seconds, since replicas take four to start; a fall within ten, since stopping one too many costs more
+/// than running it for some seconds.
 const UP: f64 = 0.4;
-const DOWN: f64 = 0.04;
+const DOWN: f64 = 0.1;
 
 /// What one entry has seen of one service since it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/policy/src/cover.rs
+++ b/crates/policy/src/cover.rs
@@ -17,21 +17,28 @@
 
 use crate::configs::cover::Config;
 
-/// One zone as it stands. Replicas that leave don't count; those that were ordered and start do.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// One zone as it stands. Replicas that leave don't count.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Zone {
     /// Price of an on-demand replica there.
     pub price: f64,
-    /// Reclaimable replicas, those that start included.
-    pub reclaimable: u32,
-    /// Those of them that serve already.
-    pub live: u32,
+    /// Reclaimable replicas.
+    pub reclaimable: Stock,
     /// On-demand replicas.
-    pub on_demand: u32,
+    pub on_demand: Stock,
     /// Whether reclaimable replicas are to be had there.
     pub open: bool,
 }
 
+/// Replicas of one market in one zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stock {
+    /// Those that serve.
+    pub live: u32,
+    /// Those, and the ones that were ordered and start. Invariant: at least `live`.
+    pub expected: u32,
+}
+
 /// Bounds for each zone, both markets together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -63,20 +70,23 @@
         spread(&mut wanted, zones, bounds, comfort);
         return wanted;
     }
+    let stress = needed(busy, config.stress);
+    // On-demand replicas that serve are given back only once those that replace them serve too.
+    let serving = without_largest(zones, |zone| zone.reclaimable.live);
+    let standing: u32 = zones.iter().map(|zone| zone.on_demand.live).sum();
+    let kept = stress.saturating_sub(serving).min(standing);
+    spread(&mut wanted, zones, bounds, kept);
     let each = comfort.div_ceil(zones.len() as u32).max(bounds.least);
     for (zone, wanted) in zones.iter().zip(&mut wanted) {
+        let room = bounds.most.saturating_sub(wanted.on_demand);
         wanted.reclaimable = match zone.open {
-            true => each.min(bounds.most),
+            true => each.min(room),
             // Nothing can be added, and what is there must not be given back now.
-            false => zone.reclaimable,
+            false => zone.reclaimable.expected.min(room),
         };
     }
-    let stress = needed(busy, config.stress);
-    let missing = stress.saturating_sub(without_largest(&wanted, |zone| zone.reclaimable));
-    // What stands is given back only once that which replaces it serves.
-    let standing: u32 = zones.iter().map(|zone| zone.on_demand).sum();
-    let kept = stress.saturating_sub(without_largest(zones, |zone| zone.live));
-    spread(&mut wanted, zones, bounds, missing.max(kept.min(standing)));
+    let covered = without_largest(&wanted, |zone| zone.reclaimable) + kept;
+    spread(&mut wanted, zones, bounds, stress.saturating_sub(covered));
     wanted
 }
 
@@ -92,15 +102,26 @@
     (busy / fill).ceil() as u32
 }
 
-/// Adds on-demand replicas one by one: where there are most already, so that none moves for nothing, then
-/// where they are cheapest, within the bounds.
+/// Adds on-demand replicas one by one, within the bounds: those that serve come first, then those that
+/// start, so that none moves for nothing; new ones go where most room is, which leaves room for
+/// reclaimable ones everywhere, and then where they are cheapest.
 fn spread(wanted: &mut [Wanted], zones: &[Zone], bounds: Bounds, count: u32) {
     for _ in 0..count {
-        let room = |at: &usize| wanted[*at].reclaimable + wanted[*at].on_demand < bounds.most;
-        let kept = |at: &usize| wanted[*at].on_demand < zones[*at].on_demand;
-        let best = (0..zones.len()).filter(room).min_by(|one, other| {
-            let by_kept = kept(other).cmp(&kept(one));
-            by_kept.then(zones[*one].price.total_cmp(&zones[*other].price))
+        let taken = |at: usize| wanted[at].reclaimable + wanted[at].on_demand;
+        let rank = |at: usize| {
+            let stock = zones[at].on_demand;
+            if wanted[at].on_demand < stock.live {
+                0
+            } else if wanted[at].on_demand < stock.expected {
+                1
+            } else {
+                2 + taken(at)
+            }
+        };
+        let free = (0..zones.len()).filter(|at| taken(*at) < bounds.most);
+        let best = free.min_by(|one, other| {
+            let by_rank = rank(*one).cmp(&rank(*other));
+            by_rank.then(zones[*one].price.total_cmp(&zones[*other].price))
         });
         match best {
             Some(at) => wanted[at].on_demand += 1,
--- a/crates/policy/tests/cover.rs
+++ b/crates/policy/tests/cover.rs
@@ -2,6 +2,7 @@
 
 use policy::configs::cover::Config;
 use policy::cover::Bounds;
+use policy::cover::Stock;
 use policy::cover::Wanted;
 use policy::cover::Zone;
 use policy::cover::plan;
@@ -15,13 +16,26 @@
 fn zone(reclaimable: u32, on_demand: u32, open: bool) -> Zone {
     Zone {
         price: 1.0,
-        reclaimable,
-        live: reclaimable,
-        on_demand,
+        reclaimable: standing(reclaimable),
+        on_demand: standing(on_demand),
         open,
     }
 }
 
+fn standing(count: u32) -> Stock {
+    Stock {
+        live: count,
+        expected: count,
+    }
+}
+
+fn starting(count: u32) -> Stock {
+    Stock {
+        live: 0,
+        expected: count,
+    }
+}
+
 fn on_demand(wanted: &[Wanted]) -> u32 {
     wanted.iter().map(|zone| zone.on_demand).sum()
 }
@@ -87,21 +101,45 @@
 /// ones serve: given back at the order, they left four seconds in which nobody carried the work.
 #[test]
 fn on_demand_replicas_stay_until_others_serve() {
-    let starting = Zone {
-        live: 0,
-        ..zone(3, 0, true)
-    };
-    let zones = [
-        starting,
-        Zone {
-            on_demand: 4,
-            ..starting
-        },
-        starting,
-    ];
+    let mut zones = [zone(0, 0, true), zone(0, 4, true), zone(0, 0, true)];
+    for zone in &mut zones {
+        zone.reclaimable = starting(3);
+    }
     let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
     assert_eq!(on_demand(&wanted), 4);
     let zones = [zone(3, 0, true), zone(3, 4, true), zone(3, 0, true)];
     let wanted = plan(&Config::default(), 2.4, &zones, BOUNDS);
     assert_eq!(on_demand(&wanted), 0);
 }
+
+/// On-demand replicas fill their zones to the bound when the market opens. Six reclaimable ones more in
+/// each would not fit beside them, and the order for those took the others' places four seconds before
+/// they served.
+#[test]
+fn reclaimable_replicas_take_only_the_room_that_is_left() {
+    let zones = [zone(0, 6, true), zone(0, 4, true), zone(0, 6, true)];
+    let wanted = plan(&Config::default(), 5.3, &zones, BOUNDS);
+    assert_eq!(on_demand(&wanted), 9, "{wanted:?}");
+    assert!(
+        wanted
+            .iter()
+            .all(|zone| zone.reclaimable + zone.on_demand <= 6)
+    );
+    assert!(wanted.iter().map(|zone| zone.reclaimable).sum::<u32>() > 0);
+}
+
+/// The same number is wanted while replicas start in one zone and serve in another. Given back where
+/// they serve, for the price, they were missing until the others had started.
+#[test]
+fn replicas_that_serve_go_before_cheaper_ones_that_start() {
+    let dear = Zone {
+        price: 2.0,
+        ..zone(0, 5, false)
+    };
+    let cheap = Zone {
+        on_demand: starting(6),
+        ..zone(0, 0, false)
+    };
+    let wanted = plan(&Config::default(), 2.9, &[dear, cheap], BOUNDS);
+    assert_eq!(wanted[0].on_demand, 5, "{wanted:?}");
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request handed to a replica, and its answer on the way back.
 
+use std::future::Future;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,8 +34,6 @@
 const WHOLE_BYTES: usize = 4 << 20;
 /// Longest wait for the rest of an answer that nobody needs, to use its connection again.
 const REST_TIME: Duration = Duration::from_millis(50);
-/// Silence of a replica that is waited for if the reducer names none: its own time limit comes first.
-const UNLIMITED: Duration = Duration::from_secs(3_600);
 
 /// How an exchange went as far as the head of its answer.
 enum Head {
@@ -126,17 +125,18 @@
             reported: self.shared.clock.now(),
             unreported: 0,
         };
-        let patience = start.patience.map_or(UNLIMITED, Span::as_duration);
         loop {
+            let reading_on = unless_silent(&self.shared, start, answer.body.frame());
             let frame = tokio::select! {
-                frame = tokio::time::timeout(patience, answer.body.frame()) => frame,
+                frame = reading_on => frame,
                 () = self.caller.gone() => return None,
             };
+            self.shared.pool.hear(&start.place);
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Some(broken(&self.shared, start).await),
                 Ok(None) => break,
-                Err(_) => return Some(silent(patience)),
+                Err(end) => return Some(end),
             };
             let Ok(bytes) = frame.into_data() else {
                 continue;
@@ -201,7 +201,6 @@
 /// Sends the request and waits for the head of its answer.
 async fn ask(shared: &Shared, question: &Question, start: &Start, resume: Option<&Resume>) -> Head {
     let asked = shared.clock.now();
-    let patience = start.patience.map_or(UNLIMITED, Span::as_duration);
     let mut kept = shared.pool.take(&start.place);
     loop {
         let connection = match kept.take() {
@@ -226,12 +225,13 @@
         };
         let request = request_of(shared, question, &start, resume);
         let sending = connection.sender.try_send_request(request);
-        let mut error = match tokio::time::timeout(patience, sending).await {
+        let mut error = match unless_silent(shared, &start, sending).await {
             Ok(Ok(response)) => {
+                shared.pool.hear(&start.place);
                 return judged(shared, question, &start, connection, response).await;
             }
             Ok(Err(error)) => error,
-            Err(_) => return Head::Ended(silent(patience)),
+            Err(end) => return Head::Ended(end),
         };
         if error.take_message().is_none() {
             return Head::Ended(broken(shared, &start).await);
@@ -298,9 +298,26 @@
     }
 }
 
-fn silent(patience: Duration) -> End {
-    End::Silent {
-        waited: Span::from_millis(patience.as_millis() as u64),
+/// Waits for something of a replica, but gives it up when the replica has said nothing, on any connection,
+/// for the attempt's patience.
+///
+/// One that answers others is busy: given up there, the request would be read again elsewhere, and an
+/// overload would feed itself. A plain call says nothing of others and is given up by its own time.
+async fn unless_silent<T>(
+    shared: &Shared,
+    start: &Start,
+    awaited: impl Future<Output = T>,
+) -> Result<T, End> {
+    let Some(patience) = start.patience else {
+        return Ok(awaited.await);
+    };
+    let mut awaited = std::pin::pin!(awaited);
+    loop {
+        match tokio::time::timeout(patience.as_duration(), awaited.as_mut()).await {
+            Ok(value) => return Ok(value),
+            Err(_) if start.stream && shared.pool.was_heard(&start.place, patience) => {}
+            Err(_) => return Err(End::Silent { waited: patience }),
+        }
     }
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -23,18 +23,25 @@
 use hyper_util::rt::TokioIo;
 use smol_str::SmolStr;
 use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// Longest time for a connection to come about: a round trip takes a few milliseconds, and a first
 /// packet that was dropped is sent again after a second.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
-/// A peer that acknowledges nothing for so long is gone.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// A replica that acknowledges nothing for so long is gone: four retransmissions on this network, so that a
+/// link that loses one packet in thirty breaks hardly any. A busy one acknowledges within milliseconds.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(800);
+/// A connection on which only answers come shows by probes that the other side is gone: the first after so
+/// long without a byte, and as long between them.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 /// How long an unused connection is kept if its server doesn't say.
 const IDLE_TIME: Span = Span::from_millis(1_500);
 /// Part of a server's own idle time after which a connection isn't used any more.
 const IDLE_SHARE: f64 = 0.6;
+/// How long it is remembered when a server spoke last; longer than any silence that is asked for.
+const HEARD_KEPT: Span = Span::from_seconds(20);
 /// Unused connections kept for each server.
 const MOST_IDLE: usize = 8;
 
@@ -42,6 +49,8 @@
 pub struct Pool {
     clock: Clock,
     idle: RefCell<BTreeMap<SmolStr, Vec<Connection>>>,
+    /// When each server said something last, by incarnation.
+    heard: RefCell<BTreeMap<SmolStr, Time>>,
 }
 
 /// One connection. Dropped, it is closed.
@@ -67,9 +76,29 @@
         Pool {
             clock,
             idle: RefCell::default(),
+            heard: RefCell::default(),
         }
     }
 
+    /// Notes that a server said something.
+    pub fn hear(&self, place: &Place) {
+        let now = self.clock.now();
+        let mut heard = self.heard.borrow_mut();
+        match heard.get_mut(&place.incarnation) {
+            Some(at) => *at = now,
+            None => {
+                heard.insert(place.incarnation.clone(), now);
+            }
+        }
+    }
+
+    /// Whether a server said something, on any connection, within this time.
+    pub fn was_heard(&self, place: &Place, within: Span) -> bool {
+        let heard = self.heard.borrow();
+        let at = heard.get(&place.incarnation);
+        at.is_some_and(|at| self.clock.now().since(*at) <= within)
+    }
+
     /// An unused connection to a server, if there is one.
     pub fn take(&self, place: &Place) -> Option<Connection> {
         let now = self.clock.now();
@@ -91,7 +120,12 @@
             Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
         };
         socket.set_nodelay(true)?;
-        SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        let options = SockRef::from(&socket);
+        options.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_TIME)
+            .with_interval(PROBE_TIME);
+        options.set_tcp_keepalive(&probes)?;
         let (sender, connection) = http1::handshake(TokioIo::new(socket))
             .await
             .map_err(std::io::Error::other)?;
@@ -130,6 +164,8 @@
     /// Closes what is too old, and everything to servers that `known` doesn't name.
     pub fn sweep(&self, known: impl Fn(&str) -> bool) {
         let now = self.clock.now();
+        let mut heard = self.heard.borrow_mut();
+        heard.retain(|_, at| now.since(*at) <= HEARD_KEPT);
         let mut idle = self.idle.borrow_mut();
         idle.retain(|incarnation, waiting| {
             waiting.retain(|one| one.until > now && !one.sender.is_closed());
