--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -13,6 +13,9 @@
 use crate::scheduler::state::Claim;
 use crate::scheduler::state::Open;
 
+/// Trials of a stream beyond the usual attempts.
+const STREAM_TRIALS: u32 = 2;
+
 impl Scheduler {
     /// Whether the fingerprint is quarantined.
     pub(super) fn is_quarantined(&self, now: Time, fingerprint: u64) -> bool {
@@ -75,7 +78,7 @@
             return;
         }
         while let Some((id, standing)) = self.first_suspect(now, key) {
-            if matches!(standing, Standing::Quarantined(_)) {
+            if matches!(standing, Standing::Quarantined(_)) && !self.is_owed_a_trial(id) {
                 self.refuse(
                     now,
                     id,
@@ -112,7 +115,7 @@
                 Standing::Held(until) => {
                     self.held.insert((until, id));
                 }
-                Standing::Quarantined(_) => {
+                Standing::Quarantined(_) if !self.is_owed_a_trial(id) => {
                     self.refuse(
                         now,
                         id,
@@ -121,11 +124,23 @@
                         out,
                     );
                 }
-                Standing::Trial => self.try_apart(now, id, out),
+                Standing::Quarantined(_) | Standing::Trial => self.try_apart(now, id, out),
             }
         }
     }
 
+    /// Whether a quarantined job is tried apart all the same: its caller reads its answer already.
+    ///
+    /// Guards against an innocent stream that ran beside a killer twice: it was refused in mid-answer. A
+    /// killer crashes what begins to run it, so one that made tokens is hardly one; should it be, what it
+    /// costs is bounded by its trials.
+    fn is_owed_a_trial(&self, id: job::Id) -> bool {
+        let most = self.settings.retry.attempts as u32 + STREAM_TRIALS;
+        self.open
+            .get(&id)
+            .is_some_and(|open| open.streaming && open.made > 0 && open.sent < most)
+    }
+
     /// The trial is over: the replica is free for others.
     pub(super) fn end_trial(&mut self, id: job::Id, key: replica::Key) {
         let Some(replica) = self.replicas.get_mut(&key) else {
