--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -82,25 +82,40 @@
     local.block_on(&runtime, async {
         let (stop, stops) = mpsc::unbounded_channel();
         tokio::task::spawn_local(watch_signals(stop));
-        serve(settings, adapter, stops).await
+        let sockets = Sockets::bind(&settings).await?;
+        serve(settings, sockets, adapter, stops).await
     })
 }
 
 /// The sockets of one gateway, bound.
-struct Sockets {
+pub struct Sockets {
     callers: TcpListener,
     directory: TcpListener,
     readiness: TcpListener,
     peers: TcpListener,
 }
 
-/// Serves until a stop is done. Runs within a `LocalSet`.
-async fn serve(
+/// Where a gateway is to be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bound {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Questions for addresses.
+    pub directory: SocketAddr,
+    /// Readiness.
+    pub readiness: SocketAddr,
+    /// Other entries.
+    pub peers: SocketAddr,
+}
+
+/// Serves on bound sockets until a stop is done; each word on `stops` asks for one. Runs within a
+/// `LocalSet`.
+pub async fn serve(
     settings: Settings,
+    sockets: Sockets,
     adapter: Adapter,
     stops: mpsc::UnboundedReceiver<()>,
 ) -> Result<()> {
-    let sockets = Sockets::bind(&settings).await?;
     let identity = identity_of(&settings, &sockets)?;
     log_start(&settings, &identity);
     let clock = Clock::start();
@@ -165,7 +180,7 @@
 
 impl Sockets {
     /// Binds what the settings name.
-    async fn bind(settings: &Settings) -> Result<Sockets> {
+    pub async fn bind(settings: &Settings) -> Result<Sockets> {
         Ok(Sockets {
             callers: listen(settings.callers.listen).await?,
             directory: listen(settings.gateway.directory_listen).await?,
@@ -173,6 +188,16 @@
             peers: listen(settings.peers.listen).await?,
         })
     }
+
+    /// What was bound.
+    pub fn bound(&self) -> Result<Bound> {
+        Ok(Bound {
+            callers: self.callers.local_addr()?,
+            directory: self.directory.local_addr()?,
+            readiness: self.readiness.local_addr()?,
+            peers: self.peers.local_addr()?,
+        })
+    }
 }
 
 /// Binds one socket.
