--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -134,16 +134,10 @@
 
 /// A field of a line as a label.
 fn label(line: &Line, name: &'static str) -> KeyValue {
-    KeyValue::new(name, field(line, name).to_owned())
+    KeyValue::new(name, line.field(name).to_owned())
 }
 
 /// A field of a line as a number.
 fn number(line: &Line, name: &str) -> f64 {
-    field(line, name).parse().unwrap_or(0.0)
-}
-
-/// A field of a line; empty if it has none of that name.
-fn field<'a>(line: &'a Line, name: &str) -> &'a str {
-    let found = line.fields.iter().find(|(known, _)| *known == name);
-    found.map_or("", |(_, value)| value.as_str())
+    line.field(name).parse().unwrap_or(0.0)
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -37,6 +37,8 @@
         status: u16,
         /// Tokens of all attempts.
         tokens: u32,
+        /// Longest pause between two events, over all attempts.
+        pause: Span,
     },
     /// No byte of it reached the replica.
     NotSent,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -1,5 +1,6 @@
 //! What the tasks of open requests report of their attempts.
 
+use clock::Span;
 use clock::Time;
 use line::Line;
 use policy::job;
@@ -60,8 +61,12 @@
         if !matches!(end, End::NotSent | End::NotStarted) {
             self.note_begun(now, serial);
         }
+        let mut longest = Span::ZERO;
         let (how, tokens) = match end {
-            End::Finished { tokens, .. } => (job::End::Finished, tokens),
+            End::Finished { tokens, pause, .. } => {
+                longest = pause;
+                (job::End::Finished, tokens)
+            }
             End::NotSent => (job::End::NotSent, 0),
             End::NotStarted => (job::End::NotStarted, 0),
             End::Broken { alive: false } => (job::End::Crashed, 0),
@@ -73,7 +78,7 @@
             scheduler.attempt_ended(now, job::Id(serial), how, tokens, out);
         });
         if how == job::End::Finished {
-            self.finished(now, serial, effects);
+            self.finished(now, serial, tokens, longest, effects);
         }
     }
 
@@ -96,17 +101,28 @@
     }
 
     /// The whole answer was given.
-    fn finished(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+    fn finished(
+        &mut self,
+        now: Time,
+        serial: u64,
+        tokens: u32,
+        pause: Span,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(open) = self.forget(serial) else {
             return;
         };
         let first = open.first.unwrap_or(now);
         let line = Line::info("request_done")
+            .routine()
             .with("request", &open.id)
             .with("route", &open.route)
+            .with("service", &open.service)
             .with("account", open.account.unwrap_or_default())
             .with("first_ms", first.since(open.arrived).as_millis())
             .with("total_ms", now.since(open.arrived).as_millis())
+            .with("pause_ms", pause.as_millis())
+            .with("tokens", tokens)
             .with("attempts", open.attempt);
         effects.push(Effect::Log(line));
     }
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -45,6 +45,7 @@
             self.pool_key(&service.name);
         }
         self.document = document;
+        self.book_since = now;
         self.book = Some(Rc::clone(&book));
         self.attend(now, member::event::Event::Applied(book.version), effects);
     }
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -5,6 +5,7 @@
 use policy::decision::Decision;
 use policy::job;
 use policy::replica;
+use policy::scheduler::Glance;
 use verdict::Refusal;
 use verdict::Verdict;
 
@@ -61,12 +62,20 @@
             tokens_per_event: open.tokens_per_event,
             place,
         };
+        let (first, pool) = (open.attempt == 1, open.job.pool);
         let line = Line::info("attempt_started")
             .with("request", &open.id)
+            .with("service", &open.service)
             .with("attempt", open.attempt)
-            .with("replica", &start.place.id)
+            .with("replica", &start.place.incarnation)
             .with("waited_ms", now.since(open.arrived).as_millis())
             .with("left_ms", start.left.as_millis());
+        // The first attempt of a request is the ordinary course; what is tried again is told with what
+        // there was to choose from.
+        let line = match first {
+            true => line.routine(),
+            false => with_pool(line, &self.scheduler.glance(now, pool)),
+        };
         effects.push(Effect::Log(line));
         effects.push(Effect::Flight {
             serial: job.0,
@@ -94,14 +103,18 @@
             .with("account", open.account.unwrap_or_default())
             .with("age_ms", now.since(open.arrived).as_millis())
             .with("attempts", open.attempt);
-        let pool = self.scheduler.glance(now, open.job.pool);
-        let line = line
-            .with("members", pool.members)
-            .with("open", pool.open)
-            .with("ejected", pool.ejected)
-            .with("running", pool.running)
-            .with("waiting", pool.waiting)
-            .with("held", pool.held);
+        let line = line.with("service", &open.service);
+        let line = with_pool(line, &self.scheduler.glance(now, open.job.pool));
         self.send_refusal(serial, refusal, line, effects);
     }
 }
+
+/// A line with what there was to choose from.
+fn with_pool(line: Line, pool: &Glance) -> Line {
+    line.with("members", pool.members)
+        .with("open", pool.open)
+        .with("ejected", pool.ejected)
+        .with("running", pool.running)
+        .with("waiting", pool.waiting)
+        .with("held", pool.held)
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -12,6 +12,7 @@
 use crate::arrival::Arrival;
 use crate::attempt::Report;
 use crate::book::Book;
+use crate::configs::gateway::Settings;
 use crate::duty;
 use crate::server;
 
@@ -77,6 +78,8 @@
     DigestReceived(Digest),
     /// Time has passed.
     Tick,
+    /// The settings were read again.
+    SettingsRead(Box<Settings>),
     /// The process is asked to stop.
     StopAsked,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use clock::Time;
 use lease::holder;
+use line::Line;
 use member::membership::Membership;
 use policy::account;
 use policy::decision::Decision;
@@ -43,6 +44,8 @@
     pub(crate) random: Pcg64Mcg,
     /// The newest configuration seen in this life; its version never falls.
     pub(crate) book: Option<Rc<Book>>,
+    /// When `book` came in force.
+    pub(crate) book_since: Time,
     /// The document that `book` was read from.
     pub(crate) document: Bytes,
     pub(crate) scheduler: Scheduler,
@@ -90,7 +93,7 @@
 }
 
 /// How an entry stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Vitals {
     /// Requests open here.
     pub open_requests: u64,
@@ -104,6 +107,18 @@
     pub ready: bool,
     /// Whether a stop was asked for.
     pub stopping: bool,
+    /// Milliseconds since the configuration came in force.
+    pub version_age_ms: u64,
+    /// Servers that leave but are still there.
+    pub leaving: u64,
+    /// Servers whose rows are missing.
+    pub missing: u64,
+    /// Requests in the queues.
+    pub waiting: u64,
+    /// Repeats that may still be made, all services together.
+    pub repeats_left: u64,
+    /// Fencing number of the duties' lease while it is held; 0 while it isn't.
+    pub fence: u64,
 }
 
 impl Gateway {
@@ -117,6 +132,7 @@
             servers: Servers::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
             book: None,
+            book_since: Time::ZERO,
             document: Bytes::new(),
             scheduler,
             open: BTreeMap::new(),
@@ -177,6 +193,7 @@
                 self.attend(now, member::event::Event::Digest(digest), effects);
             }
             Event::Tick => self.tick(now, effects),
+            Event::SettingsRead(settings) => self.settings_read(now, *settings, effects),
             Event::StopAsked => self.stop_asked(now, effects),
         }
     }
@@ -193,8 +210,17 @@
     }
 
     /// How this entry stands, for metrics.
-    pub fn vitals(&self) -> Vitals {
+    pub fn vitals(&self, now: Time) -> Vitals {
+        let pools = || self.pools.values();
+        let waiting: usize = pools().map(|pool| self.scheduler.waiting(*pool)).sum();
+        let repeats: f64 = pools().map(|pool| self.scheduler.repeats_left(*pool)).sum();
         Vitals {
+            version_age_ms: now.since(self.book_since).as_millis(),
+            leaving: self.servers.leaving_count() as u64,
+            missing: self.servers.missing().len() as u64,
+            waiting: waiting as u64,
+            repeats_left: repeats.max(0.0) as u64,
+            fence: self.warrant(now).map_or(0, |warrant| warrant.fence),
             open_requests: self.open.len() as u64,
             version: self.book.as_ref().map_or(0, |book| book.version),
             members: self.membership.directory().count() as u64,
@@ -222,6 +248,23 @@
         first.unwrap_or(now)
     }
 
+    /// Takes over what may change while the entry runs; leases and membership keep their terms, which others
+    /// count on.
+    fn settings_read(&mut self, now: Time, settings: Settings, effects: &mut Vec<Effect>) {
+        let line = Line::info("reloaded")
+            .with("seeds", settings.seeds.len())
+            .with("entries", settings.entries)
+            .with("grace_ms", settings.grace.as_millis());
+        effects.push(Effect::Log(line));
+        self.membership.set_seeds(settings.seeds.clone());
+        let known = self.membership.directory().count() as u32;
+        self.quotas.set_entries(now, settings.entries.max(known));
+        self.settings.seeds = settings.seeds;
+        self.settings.entries = settings.entries;
+        self.settings.address_keep = settings.address_keep;
+        self.settings.grace = settings.grace;
+    }
+
     /// Lets time pass in every part.
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.peers_tick(now, effects);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -62,15 +62,32 @@
                 });
             }
             Err(refusal) => {
-                let line = Line::info("request_refused")
-                    .with("request", &arrival.id)
-                    .with("path", &arrival.path)
-                    .with("version", self.book.as_ref().map_or(0, |book| book.version));
+                let line = self.early_line(now, arrival);
                 self.send_refusal(serial, refusal, line, effects);
             }
         }
     }
 
+    /// The line on a request that is refused before it is queued, with what decided that.
+    fn early_line(&self, now: Time, arrival: &Arrival) -> Line {
+        let version = self.book.as_ref().map_or(0, |book| book.version);
+        let line = Line::info("request_refused")
+            .with("request", &arrival.id)
+            .with("path", &arrival.path)
+            .with("version", version)
+            .with("version_age_ms", now.since(self.book_since).as_millis());
+        let book = self.book.as_ref();
+        let key = arrival.key.as_deref();
+        let account = book.zip(key).and_then(|(book, key)| book.account(key));
+        let Some(account) = account else {
+            return line;
+        };
+        let name = rendezvous::identity(&account.name);
+        line.with("account", &account.name)
+            .with("quota_left", format!("{:.0}", self.quotas.left(now, name)))
+            .with("cost", quota_cost(account, arrival))
+    }
+
     /// The caller is gone: nothing is owed to it any more.
     pub(crate) fn caller_gone(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
         let Some(open) = self.forget(serial) else {
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -144,6 +144,14 @@
         self.known.len()
     }
 
+    /// How many leave but are still there.
+    pub fn leaving_count(&self) -> usize {
+        let known = self.known.keys();
+        known
+            .filter(|incarnation| self.is_leaving(incarnation))
+            .count()
+    }
+
     /// When missing rows begin to count, if there are any.
     pub fn next_wake(&self) -> Option<Time> {
         let any = self.known.values().any(|known| known.missing);
--- a/crates/line/src/lib.rs
+++ b/crates/line/src/lib.rs
@@ -15,6 +15,8 @@
     pub event: &'static str,
     /// Names and values, in order.
     pub fields: Vec<(&'static str, SmolStr)>,
+    /// Whether it tells of the ordinary course of one request: under load such lines go first.
+    pub routine: bool,
 }
 
 impl Line {
@@ -24,6 +26,7 @@
             level: Level::Info,
             event,
             fields: Vec::new(),
+            routine: false,
         }
     }
 
@@ -43,6 +46,18 @@
         }
     }
 
+    /// The same line, to be left out first when there are too many.
+    pub fn routine(mut self) -> Line {
+        self.routine = true;
+        self
+    }
+
+    /// The value of a field; empty if there is none of that name.
+    pub fn field(&self, name: &str) -> &str {
+        let found = self.fields.iter().find(|(known, _)| *known == name);
+        found.map_or("", |(_, value)| value.as_str())
+    }
+
     /// The same line with one more field.
     pub fn with(mut self, name: &'static str, value: impl Display) -> Line {
         self.fields.push((name, value.to_smolstr()));
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -160,6 +160,11 @@
         self.report(before, effects);
     }
 
+    /// Replaces the addresses that are tried while no members are known.
+    pub fn set_seeds(&mut self, seeds: Vec<SmolStr>) {
+        self.seeds = seeds;
+    }
+
     /// Our lease, to be checked again where an effect leaves the process.
     pub fn holding(&self) -> Holding {
         self.holding
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -124,6 +124,12 @@
         Ok(())
     }
 
+    /// What is left of a quota, by what is known here; below zero while a debt is paid off.
+    pub fn left(&self, now: Time, name: Name) -> f64 {
+        let level = self.buckets.get(&name).map_or(0.0, |bucket| bucket.level);
+        level - self.unseen(now, name)
+    }
+
     /// Takes back the charge of a request that didn't run.
     pub fn refund(&mut self, name: Name, cost: Cost) {
         if let Some(bucket) = self.buckets.get_mut(&name) {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Retries that may still be made.
+    pub fn left(&self) -> f64 {
+        self.left
+    }
+
     /// A whole answer was given.
     pub fn earn(&mut self, settings: &Config) {
         self.left = (self.left + settings.fraction).min(settings.saved);
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -296,6 +296,11 @@
         self.pools.get(&pool).map_or(0, |pool| pool.queue.len())
     }
 
+    /// Repeats that may still be made in a pool.
+    pub fn repeats_left(&self, pool: pool::Key) -> f64 {
+        self.pools.get(&pool).map_or(0.0, |pool| pool.budget.left())
+    }
+
     /// How a pool stands, for the log's line on a refusal.
     pub fn glance(&self, now: Time, key: pool::Key) -> Glance {
         let Some(pool) = self.pools.get(&key) else {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -56,6 +56,8 @@
     reported: Time,
     /// Tokens since the last report.
     unreported: u32,
+    /// When the last event of this attempt came.
+    last: Time,
 }
 
 impl Flight {
@@ -114,6 +116,7 @@
         Some(End::Finished {
             status,
             tokens: self.tokens,
+            pause: self.pause,
         })
     }
 
@@ -124,6 +127,7 @@
             begun: false,
             reported: self.shared.clock.now(),
             unreported: 0,
+            last: self.shared.clock.now(),
         };
         loop {
             let reading_on = unless_silent(&self.shared, start, answer.body.frame());
@@ -161,6 +165,7 @@
         Some(End::Finished {
             status: answer.head.status.as_u16(),
             tokens: self.tokens,
+            pause: self.pause,
         })
     }
 
@@ -179,8 +184,8 @@
             let headers = stream_headers(self.shared.codec.backward(&head.headers));
             self.caller.begin(head.status, headers);
         }
-        if !reading.begun {
-            reading.begun = true;
+        let first = !std::mem::replace(&mut reading.begun, true);
+        if first {
             self.report(start, Report::First);
         }
         if event.id.is_some() {
@@ -190,6 +195,10 @@
         reading.unreported += start.tokens_per_event;
         self.caller.piece(event.bytes).await;
         let now = self.shared.clock.now();
+        if !first {
+            self.pause = self.pause.max(now.since(reading.last));
+        }
+        reading.last = now;
         if now.since(reading.reported) >= REPORT_TIME {
             reading.reported = now;
             let tokens = std::mem::take(&mut reading.unreported);
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use clock::Span;
 use gateway::attempt::End;
 use gateway::attempt::Report;
 use gateway::effect::Command;
@@ -32,6 +33,8 @@
     pub last_event: Option<SmolStr>,
     /// Tokens passed on.
     pub tokens: u32,
+    /// Longest pause between two events.
+    pub pause: Span,
 }
 
 /// A request as it was read.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -31,6 +31,9 @@
     /// Some rows.
     fn changed(&self, changes: Changes);
 
+    /// What was read so far is current.
+    fn fresh(&self);
+
     /// The table can't be read for now.
     fn lost(&self, fault: Fault);
 }
@@ -43,6 +46,7 @@
             Ok(rows) => {
                 pause = FIRST_PAUSE;
                 let revision = rows.revision;
+                reader.fresh();
                 reader.all(rows);
                 let fault = tokio::select! {
                     fault = changes(&feed, &reader, revision) => Some(fault),
@@ -66,6 +70,7 @@
         match feed.changes(revision, WAIT).await {
             Ok(changes) => {
                 revision = changes.revision.max(revision);
+                reader.fresh();
                 if !changes.written.is_empty() || !changes.deleted.is_empty() {
                     reader.changed(changes);
                 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -135,6 +135,7 @@
         kept: None,
         last_event: None,
         tokens: 0,
+        pause: Span::ZERO,
     };
     shared.link.send(Message::Open {
         serial,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod flight;
 mod front;
 mod link;
+mod metrics;
 mod payload;
 mod peers;
 mod pool;
--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -8,8 +8,8 @@
 use std::io::Write;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
-use std::sync::mpsc::TrySendError;
 use std::sync::mpsc::sync_channel;
 
 use line::Line;
@@ -23,27 +23,29 @@
 /// Lines that may wait for the reader: a second's worth of a busy entry, 200 KB at most.
 const LINES_WAITING: usize = 1_024;
 
+/// From so many waiting lines on, those of the ordinary course are left out, so that refusals, uncertain
+/// ends, resumed streams and duties still find room.
+const ROUTINE_WAITING: u64 = LINES_WAITING as u64 / 4;
+
 /// Lines that found the queue full.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// Lines of the ordinary course that were left out.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+/// Lines in the queue.
+static WAITING: AtomicU64 = AtomicU64::new(0);
 
 /// Sets the log up: one line of key=value pairs an event, on standard output.
 pub fn init(level: LevelFilter) {
+    init_to(level, Box::new(std::io::stdout()));
+}
+
+/// The same on any output.
+pub fn init_to(level: LevelFilter, output: Box<dyn Write + Send>) {
     let (sender, lines) = sync_channel::<Vec<u8>>(LINES_WAITING);
     let writing = std::thread::Builder::new()
         .name(String::from("log"))
         .stack_size(64 << 10)
-        .spawn(move || {
-            let mut output = std::io::stdout();
-            for line in lines {
-                if output
-                    .write_all(&line)
-                    .and_then(|()| output.flush())
-                    .is_err()
-                {
-                    DROPPED.fetch_add(1, Ordering::Relaxed);
-                }
-            }
-        });
+        .spawn(move || write_out(output, lines));
     if writing.is_err() {
         eprintln!("level=error event=log_thread_failed");
         return;
@@ -66,16 +68,47 @@
     drop(built);
 }
 
-/// Lines dropped so far.
+/// Writes lines out as they come, and what was dropped before each.
+fn write_out(mut output: Box<dyn Write + Send>, lines: Receiver<Vec<u8>>) {
+    let mut told = 0;
+    for line in lines {
+        WAITING.fetch_sub(1, Ordering::Relaxed);
+        let lost = dropped() + left_out();
+        if lost > told {
+            let text = format!("level=warn event=log_lines_dropped count={}\n", lost - told);
+            told = lost;
+            count_failure(output.write_all(text.as_bytes()));
+        }
+        count_failure(output.write_all(&line).and_then(|()| output.flush()));
+    }
+}
+
+/// A line that can't be written is counted: there is nowhere to say so.
+fn count_failure(written: std::io::Result<()>) {
+    if written.is_err() {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Lines dropped so far because the queue was full.
 pub fn dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Lines of the ordinary course left out so far.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
 /// Writes one line.
 pub fn write(line: &Line) {
     if line.level > log::max_level() {
         return;
     }
+    if line.routine && WAITING.load(Ordering::Relaxed) >= ROUTINE_WAITING {
+        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
     let mut fields = Fields::default();
     fields.add("event", line.event);
     for (name, value) in &line.fields {
@@ -102,9 +135,9 @@
         self.buffer.extend_from_slice(bytes);
         if self.buffer.last() == Some(&b'\n') {
             let line = std::mem::take(&mut self.buffer);
-            if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-                self.sender.try_send(line)
-            {
+            WAITING.fetch_add(1, Ordering::Relaxed);
+            if self.sender.try_send(line).is_err() {
+                WAITING.fetch_sub(1, Ordering::Relaxed);
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,259 @@
+//! Metrics by opentelemetry, read from the metrics port.
+//!
+//! Counts are taken from the reducer's own log lines, so that log and metrics never disagree; a line that
+//! is left out of the log under load is counted all the same.
+
+use std::time::Duration;
+
+use anyhow::Result;
+use gateway::gateway::Vitals;
+use line::Line;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use store::call::Outcome;
+
+use crate::logs;
+
+/// Bounds of the latency histograms, milliseconds: around usual targets and beyond.
+const LATENCY_BOUNDS: [f64; 11] = [
+    5.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_500.0, 3_000.0, 6_000.0, 15_000.0,
+];
+
+/// The instruments of one gateway.
+pub struct Metrics {
+    /// Kept: instruments fall silent without their provider.
+    _provider: SdkMeterProvider,
+    registry: Registry,
+    done: Counter<u64>,
+    refused: Counter<u64>,
+    attempts: Counter<u64>,
+    ends: Counter<u64>,
+    store_calls: Counter<u64>,
+    cloud_calls: Counter<u64>,
+    busy: Counter<f64>,
+    first: Histogram<f64>,
+    total: Histogram<f64>,
+    pause: Histogram<f64>,
+    waited: Histogram<f64>,
+    gauges: Gauges,
+}
+
+/// What stands as it is.
+struct Gauges {
+    open: Gauge<u64>,
+    waiting: Gauge<u64>,
+    version: Gauge<u64>,
+    version_age: Gauge<u64>,
+    members: Gauge<u64>,
+    servers: Gauge<u64>,
+    ready: Gauge<u64>,
+    repeats: Gauge<u64>,
+    fence: Gauge<u64>,
+    feed_age: Gauge<u64>,
+    lines: Gauge<u64>,
+    memory: Gauge<u64>,
+}
+
+/// Ages of what is followed, milliseconds since it was last known to be current.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ages {
+    /// The configuration.
+    pub configuration_ms: u64,
+    /// The list of backend servers.
+    pub servers_ms: u64,
+}
+
+impl Metrics {
+    /// Instruments of their own.
+    pub fn new() -> Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("dogwoodspur");
+        let count = |name: &'static str, what: &'static str| {
+            meter.u64_counter(name).with_description(what).build()
+        };
+        let gauge = |name: &'static str, what: &'static str| {
+            meter.u64_gauge(name).with_description(what).build()
+        };
+        let latency = |name: &'static str, what: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(what)
+                .with_unit("ms")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build()
+        };
+        Ok(Metrics {
+            done: count("dogwoodspur_requests_done", "Whole answers, by service"),
+            refused: count(
+                "dogwoodspur_requests_refused",
+                "Final answers of our own, by reason and verdict",
+            ),
+            attempts: count(
+                "dogwoodspur_attempts",
+                "Requests handed to replicas, by service and whether it was the first time",
+            ),
+            ends: count(
+                "dogwoodspur_attempts_failed",
+                "Attempts that failed, by end",
+            ),
+            store_calls: count("dogwoodspur_store_calls", "Table service calls, by outcome"),
+            cloud_calls: count("dogwoodspur_duty_calls", "Calls of the duties' holder"),
+            busy: meter
+                .f64_counter("dogwoodspur_reducer_busy")
+                .with_description("Time spent in decisions")
+                .with_unit("s")
+                .build(),
+            first: latency("dogwoodspur_first_token", "Arrival to first event"),
+            total: latency("dogwoodspur_answer", "Arrival to the end of the answer"),
+            pause: latency("dogwoodspur_pause", "Longest pause of each stream"),
+            waited: latency("dogwoodspur_wait", "Arrival to the first attempt"),
+            gauges: Gauges {
+                open: gauge("dogwoodspur_open_requests", "Requests open here"),
+                waiting: gauge("dogwoodspur_waiting_requests", "Requests in the queues"),
+                version: gauge("dogwoodspur_configuration_version", "Version in force"),
+                version_age: gauge("dogwoodspur_configuration_age_ms", "Since it came in force"),
+                members: gauge("dogwoodspur_members", "Entries known here"),
+                servers: gauge("dogwoodspur_servers", "Backend servers, by state"),
+                ready: gauge("dogwoodspur_ready", "1 while callers may be sent here"),
+                repeats: gauge("dogwoodspur_repeats_left", "Repeats that may still be made"),
+                fence: gauge(
+                    "dogwoodspur_duty_fence",
+                    "Fencing number while duties are held",
+                ),
+                feed_age: gauge(
+                    "dogwoodspur_feed_age_ms",
+                    "Since a feed was current, by feed",
+                ),
+                lines: gauge(
+                    "dogwoodspur_log_lines_dropped",
+                    "Log lines dropped, by kind",
+                ),
+                memory: gauge("dogwoodspur_memory_bytes", "Resident memory"),
+            },
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts one step of the reducer.
+    pub fn stepped(&self, took: Duration) {
+        self.busy.add(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts one line of the log.
+    pub fn line(&self, line: &Line) {
+        match line.event {
+            "request_done" => {
+                let service = [label(line, "service")];
+                self.done.add(1, &service);
+                self.first.record(number(line, "first_ms"), &service);
+                self.total.record(number(line, "total_ms"), &service);
+                self.pause.record(number(line, "pause_ms"), &service);
+            }
+            "request_refused" => {
+                let labels = [label(line, "reason"), label(line, "verdict")];
+                self.refused.add(1, &labels);
+            }
+            "attempt_started" => {
+                let first = line.field("attempt") == "1";
+                let labels = [label(line, "service"), KeyValue::new("first", first)];
+                self.attempts.add(1, &labels);
+                if first {
+                    self.waited.record(number(line, "waited_ms"), &labels[..1]);
+                }
+            }
+            "attempt_ended" if line.field("end") != "finished" => {
+                self.ends.add(1, &[label(line, "end")]);
+            }
+            "duty_answered" => self.cloud_calls.add(1, &[label(line, "outcome")]),
+            _ => {}
+        }
+    }
+
+    /// Counts a call of the table service.
+    pub fn store_call(&self, outcome: &Outcome) {
+        let name = match outcome {
+            Outcome::Row(_) | Outcome::Rows { .. } => "read",
+            Outcome::Committed(_) => "committed",
+            Outcome::Conflict(_) => "conflict",
+            Outcome::Unavailable => "unavailable",
+            Outcome::Unknown => "unknown",
+        };
+        self.store_calls.add(1, &[KeyValue::new("outcome", name)]);
+    }
+
+    /// All metrics in the customary text form, as of now.
+    pub fn text(&self, vitals: &Vitals, ages: Ages) -> Vec<u8> {
+        self.show(vitals, ages);
+        let mut buffer = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            log::warn!(event = "metrics_unreadable", error = error.to_string().as_str(); "");
+        }
+        buffer
+    }
+
+    fn show(&self, vitals: &Vitals, ages: Ages) {
+        let gauges = &self.gauges;
+        gauges.open.record(vitals.open_requests, &[]);
+        gauges.waiting.record(vitals.waiting, &[]);
+        gauges.version.record(vitals.version, &[]);
+        gauges.version_age.record(vitals.version_age_ms, &[]);
+        gauges.members.record(vitals.members, &[]);
+        gauges.ready.record(u64::from(vitals.ready), &[]);
+        gauges.repeats.record(vitals.repeats_left, &[]);
+        gauges.fence.record(vitals.fence, &[]);
+        let states = [
+            ("known", vitals.servers),
+            ("leaving", vitals.leaving),
+            ("missing", vitals.missing),
+        ];
+        for (state, count) in states {
+            gauges
+                .servers
+                .record(count, &[KeyValue::new("state", state)]);
+        }
+        let feeds = [
+            ("configuration", ages.configuration_ms),
+            ("servers", ages.servers_ms),
+        ];
+        for (feed, age) in feeds {
+            gauges.feed_age.record(age, &[KeyValue::new("feed", feed)]);
+        }
+        for (kind, count) in [("any", logs::dropped()), ("routine", logs::left_out())] {
+            gauges.lines.record(count, &[KeyValue::new("kind", kind)]);
+        }
+        gauges.memory.record(resident_bytes(), &[]);
+    }
+}
+
+/// Resident memory of the process; 0 where the system doesn't tell.
+fn resident_bytes() -> u64 {
+    const PAGE: u64 = 4_096;
+    let status = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = status
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
+
+/// A field of a line as a label.
+fn label(line: &Line, name: &'static str) -> KeyValue {
+    KeyValue::new(name, line.field(name).to_owned())
+}
+
+/// A field of a line as a number.
+fn number(line: &Line, name: &str) -> f64 {
+    line.field(name).parse().unwrap_or(0.0)
+}
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -65,6 +65,8 @@
             false => StatusCode::SERVICE_UNAVAILABLE,
         };
         empty(status)
+    } else if codec.is_metrics(&head) {
+        Response::new(Bytes::from(shared.metrics_text()))
     } else {
         empty(StatusCode::NOT_FOUND)
     };
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -12,10 +13,12 @@
 use anyhow::Result;
 use clock::Clock;
 use clock::Span;
+use clock::Time;
 use gateway::book::Limits;
 use gateway::event::Event;
 use gateway::event::Source;
 use gateway::gateway::Gateway;
+use gateway::gateway::Vitals;
 use gateway::identity::Identity;
 use gateway::server::News;
 use gateway::server::Server;
@@ -47,6 +50,7 @@
 use crate::front;
 use crate::link::Link;
 use crate::logs;
+use crate::metrics::Metrics;
 use crate::peers::Answering;
 use crate::peers::Peers;
 use crate::pool::Pool;
@@ -58,6 +62,9 @@
 /// Longest time for the last words of answers to reach their callers.
 const LAST_WORDS_TIME: Duration = Duration::from_millis(250);
 
+/// Time between two looks whether the settings file has changed.
+const SETTINGS_TIME: Duration = Duration::from_secs(3);
+
 /// What an adapter brings.
 pub struct Adapter {
     /// Callers' and backend servers' wires.
@@ -70,6 +77,8 @@
     pub configuration: Rc<dyn Feed>,
     /// The table of backend servers.
     pub servers: Rc<dyn Feed>,
+    /// Where the settings were read, to be read again when they change.
+    pub settings_path: Option<PathBuf>,
 }
 
 /// Runs a gateway until it is stopped.
@@ -81,9 +90,10 @@
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async {
         let (stop, stops) = mpsc::unbounded_channel();
-        tokio::task::spawn_local(watch_signals(stop));
+        let reload = Rc::new(Notify::new());
+        tokio::task::spawn_local(watch_signals(stop, Rc::clone(&reload)));
         let sockets = Sockets::bind(&settings).await?;
-        serve(settings, sockets, adapter, stops).await
+        serve(settings, sockets, adapter, stops, reload).await
     })
 }
 
@@ -93,6 +103,7 @@
     directory: TcpListener,
     readiness: TcpListener,
     peers: TcpListener,
+    metrics: Option<TcpListener>,
 }
 
 /// Where a gateway is to be reached.
@@ -108,13 +119,14 @@
     pub peers: SocketAddr,
 }
 
-/// Serves on bound sockets until a stop is done; each word on `stops` asks for one. Runs within a
-/// `LocalSet`.
+/// Serves on bound sockets until a stop is done; each word on `stops` asks for one, each on `reload` for a
+/// new look at the settings. Runs within a `LocalSet`.
 pub async fn serve(
     settings: Settings,
     sockets: Sockets,
     adapter: Adapter,
     stops: mpsc::UnboundedReceiver<()>,
+    reload: Rc<Notify>,
 ) -> Result<()> {
     let identity = identity_of(&settings, &sockets)?;
     log_start(&settings, &identity);
@@ -125,6 +137,10 @@
         codec: Rc::clone(&adapter.codec),
         pool: Pool::new(clock),
         clock,
+        metrics: Metrics::new()?,
+        vitals: Cell::new(Vitals::default()),
+        configuration_at: Cell::new(Time::ZERO),
+        servers_at: Cell::new(Time::ZERO),
         limits: RefCell::new(Limits::default()),
         ready: Cell::new(false),
         stopping: Cell::new(false),
@@ -138,8 +154,14 @@
     let (end, ended) = watch::channel(false);
     let front = tokio::task::spawn_local(front::serve(sockets.callers, Rc::clone(&shared), ended));
     let hurry = Rc::new(Notify::new());
-    let configuration = Rc::new(ConfigurationReader(Rc::clone(&shared)));
-    let servers = Rc::new(ServersReader(Rc::clone(&shared)));
+    let configuration = Rc::new(ConfigurationReader {
+        shared: Rc::clone(&shared),
+        dependency: Dependency::new("configuration"),
+    });
+    let servers = Rc::new(ServersReader {
+        shared: Rc::clone(&shared),
+        dependency: Dependency::new("servers"),
+    });
     let never = Rc::new(Notify::new());
     let tasks = [
         tokio::task::spawn_local(peer::server::serve(
@@ -157,7 +179,15 @@
         )),
         tokio::task::spawn_local(follow::follow(adapter.servers, servers, never)),
         tokio::task::spawn_local(shell::sweep(Rc::clone(&shared))),
+        tokio::task::spawn_local(watch_settings(
+            adapter.settings_path,
+            Rc::clone(&shared),
+            reload,
+        )),
     ];
+    if let Some(metrics) = sockets.metrics {
+        tokio::task::spawn_local(ports::serve(metrics, Rc::clone(&shared)));
+    }
     let shell = Shell {
         gateway: Gateway::new(identity.clone(), gateway_settings(&settings), random()?),
         shared,
@@ -186,6 +216,10 @@
             directory: listen(settings.gateway.directory_listen).await?,
             readiness: listen(settings.admin.listen).await?,
             peers: listen(settings.peers.listen).await?,
+            metrics: match settings.gateway.metrics_listen {
+                Some(address) => Some(listen(address).await?),
+                None => None,
+            },
         })
     }
 
@@ -206,18 +240,50 @@
     listener.with_context(|| format!("can't listen on {address}"))
 }
 
+/// Something that an entry depends on; its loss and return are logged once each.
+struct Dependency {
+    name: &'static str,
+    lost_at: Cell<Option<Time>>,
+}
+
+impl Dependency {
+    fn new(name: &'static str) -> Dependency {
+        Dependency {
+            name,
+            lost_at: Cell::new(None),
+        }
+    }
+
+    fn lost(&self, now: Time, fault: &'static str) {
+        if self.lost_at.get().is_none() {
+            self.lost_at.set(Some(now));
+            log::warn!(event = "dependency_lost", name = self.name, fault = fault; "");
+        }
+    }
+
+    fn regained(&self, now: Time) {
+        if let Some(lost) = self.lost_at.take() {
+            let after = now.since(lost).as_millis();
+            log::info!(event = "dependency_regained", name = self.name, after_ms = after; "");
+        }
+    }
+}
+
 /// Takes what is read of the configuration.
-struct ConfigurationReader(Rc<Shared>);
+struct ConfigurationReader {
+    shared: Rc<Shared>,
+    dependency: Dependency,
+}
 
 impl ConfigurationReader {
     /// The table holds other rows besides; only one is the configuration.
     fn take(&self, rows: &[Row]) {
         for row in rows {
-            if !self.0.codec.is_configuration(row) {
+            if !self.shared.codec.is_configuration(row) {
                 continue;
             }
-            match self.0.codec.book(&row.data) {
-                Ok(book) => self.0.link.event(Event::Configured {
+            match self.shared.codec.book(&row.data) {
+                Ok(book) => self.shared.link.event(Event::Configured {
                     book: Rc::new(book),
                     document: row.data.clone(),
                     source: Source::Store,
@@ -239,13 +305,23 @@
         self.take(&changes.written);
     }
 
+    fn fresh(&self) {
+        let now = self.shared.clock.now();
+        self.shared.configuration_at.set(now);
+        self.dependency.regained(now);
+    }
+
     fn lost(&self, fault: Fault) {
-        log::warn!(event = "configuration_lost", fault = fault.as_str(); "");
+        self.dependency
+            .lost(self.shared.clock.now(), fault.as_str());
     }
 }
 
 /// Takes what is read of backend servers.
-struct ServersReader(Rc<Shared>);
+struct ServersReader {
+    shared: Rc<Shared>,
+    dependency: Dependency,
+}
 
 impl ServersReader {
     /// Servers of these rows, and the keys of rows that name none.
@@ -253,7 +329,7 @@
         let mut servers = Vec::new();
         let mut unusable = Vec::new();
         for row in rows {
-            match self.0.codec.server(row) {
+            match self.shared.codec.server(row) {
                 Ok(server) => servers.push(server),
                 Err(error) => {
                     log::info!(event = "server_row_unusable", key = row.key.as_str(), error = error.to_string().as_str(); "");
@@ -268,33 +344,44 @@
 impl Reader for ServersReader {
     fn all(&self, rows: Rows) {
         let (servers, _) = self.sort(&rows.rows);
-        self.0.link.event(Event::Servers(News::All(servers)));
+        self.shared.link.event(Event::Servers(News::All(servers)));
     }
 
     fn changed(&self, changes: Changes) {
         let (servers, mut removed) = self.sort(&changes.written);
         removed.extend(changes.deleted);
         if !servers.is_empty() {
-            self.0.link.event(Event::Servers(News::Changed(servers)));
+            self.shared
+                .link
+                .event(Event::Servers(News::Changed(servers)));
         }
         if !removed.is_empty() {
-            self.0.link.event(Event::Servers(News::Removed(removed)));
+            self.shared
+                .link
+                .event(Event::Servers(News::Removed(removed)));
         }
     }
 
+    fn fresh(&self) {
+        let now = self.shared.clock.now();
+        self.shared.servers_at.set(now);
+        self.dependency.regained(now);
+    }
+
     fn lost(&self, fault: Fault) {
-        log::warn!(event = "server_list_lost", fault = fault.as_str(); "");
-        self.0.link.event(Event::ServersLost);
+        self.dependency
+            .lost(self.shared.clock.now(), fault.as_str());
+        self.shared.link.event(Event::ServersLost);
     }
 }
 
 /// Passes signals on.
-async fn watch_signals(stop: mpsc::UnboundedSender<()>) {
+async fn watch_signals(stop: mpsc::UnboundedSender<()>, reload: Rc<Notify>) {
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
         log::error!(event = "signals_unwatched"; "");
         return;
     };
-    let Ok(mut reload) = signal(SignalKind::hangup()) else {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         log::error!(event = "signals_unwatched"; "");
         return;
     };
@@ -303,12 +390,45 @@
             Some(()) = terminate.recv() => {
                 let _ = stop.send(());
             }
-            Some(()) = reload.recv() => log::info!(event = "reload_asked"; ""),
+            Some(()) = hangup.recv() => reload.notify_one(),
             else => return,
         }
     }
 }
 
+/// Reads the settings again when that is asked for, or when the file has changed without a word. Settings
+/// that can't be read change nothing.
+async fn watch_settings(path: Option<PathBuf>, shared: Rc<Shared>, reload: Rc<Notify>) {
+    let Some(path) = path else {
+        return;
+    };
+    let changed = || {
+        std::fs::metadata(&path)
+            .and_then(|file| file.modified())
+            .ok()
+    };
+    let mut seen = changed();
+    loop {
+        let asked = tokio::time::timeout(SETTINGS_TIME, reload.notified())
+            .await
+            .is_ok();
+        let now = changed();
+        if !asked && now == seen {
+            continue;
+        }
+        seen = now;
+        match settings::load(&path) {
+            Ok(settings) => {
+                let settings = Box::new(gateway_settings(&settings));
+                shared.link.event(Event::SettingsRead(settings));
+            }
+            Err(faults) => {
+                log::warn!(event = "reload_failed", faults = faults.to_string().as_str(); "");
+            }
+        }
+    }
+}
+
 /// Who this entry is.
 fn identity_of(settings: &Settings, sockets: &Sockets) -> Result<Identity> {
     let callers = sockets.callers.local_addr()?;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -5,10 +5,14 @@
 use std::rc::Rc;
 
 use clock::Clock;
+use clock::Time;
 use gateway::book::Limits;
+use gateway::gateway::Vitals;
 
 use crate::adapter::Codec;
 use crate::link::Link;
+use crate::metrics::Ages;
+use crate::metrics::Metrics;
 use crate::pool::Pool;
 
 /// Handed to every task.
@@ -21,6 +25,14 @@
     pub pool: Pool,
     /// The process's clock.
     pub clock: Clock,
+    /// What is counted.
+    pub metrics: Metrics,
+    /// How the entry stands, as of the last step.
+    pub vitals: Cell<Vitals>,
+    /// When the configuration was known to be current.
+    pub configuration_at: Cell<Time>,
+    /// When the list of backend servers was known to be current.
+    pub servers_at: Cell<Time>,
     /// What callers may send now.
     pub limits: RefCell<Limits>,
     /// Whether callers may be sent here.
@@ -32,6 +44,16 @@
 }
 
 impl Shared {
+    /// All metrics as text.
+    pub fn metrics_text(&self) -> Vec<u8> {
+        let now = self.clock.now();
+        let ages = Ages {
+            configuration_ms: now.since(self.configuration_at.get()).as_millis(),
+            servers_ms: now.since(self.servers_at.get()).as_millis(),
+        };
+        self.metrics.text(&self.vitals.get(), ages)
+    }
+
     /// A number not used before.
     pub fn serial(&self) -> u64 {
         let serial = self.next_serial.get();
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use clock::Span;
 use clock::Time;
@@ -84,9 +85,11 @@
         let mut effects = Vec::new();
         let now = self.shared.clock.now();
         let changed = !matches!(event, Event::Attempt { .. } | Event::Arrived { .. });
+        let begun = Instant::now();
         self.gateway.step(now, event, &mut effects);
+        self.shared.metrics.stepped(begun.elapsed());
         if changed {
-            self.show();
+            self.show(now);
         }
         let mut exit = false;
         for effect in effects {
@@ -97,8 +100,9 @@
     }
 
     /// Shows tasks how the entry stands.
-    fn show(&mut self) {
-        let vitals = self.gateway.vitals();
+    fn show(&mut self, now: Time) {
+        let vitals = self.gateway.vitals(now);
+        self.shared.vitals.set(vitals);
         self.shared.ready.set(vitals.ready);
         self.shared.stopping.set(vitals.stopping);
         let limits = self.gateway.limits();
@@ -152,18 +156,22 @@
                 self.peers.send_configuration(address, document);
             }
             Effect::ReadConfiguration => self.hurry.notify_one(),
-            Effect::Log(line) => logs::write(&line),
+            Effect::Log(line) => {
+                self.shared.metrics.line(&line);
+                logs::write(&line);
+            }
             Effect::Exit => {}
         }
     }
 
     /// Sends a call to the table service; its outcome comes back as an event.
     fn call_store(&self, id: store::call::Id, call: store::call::Call) {
-        let link = self.shared.link.clone();
+        let shared = Rc::clone(&self.shared);
         let tables = Rc::clone(&self.tables);
         tokio::task::spawn_local(async move {
             let outcome = tables.call(call).await;
-            link.event(Event::Store { id, outcome });
+            shared.metrics.store_call(&outcome);
+            shared.link.event(Event::Store { id, outcome });
         });
     }
 
--- a/crates/settings/src/configs/gateway.rs
+++ b/crates/settings/src/configs/gateway.rs
@@ -18,6 +18,9 @@
     /// Address of the port on which callers ask which entries to use.
     #[schemars(extend("format" = "socket-address"))]
     pub directory_listen: SocketAddr,
+    /// Address of the port on which metrics are read; none while absent.
+    #[schemars(extend("format" = "socket-address"))]
+    pub metrics_listen: Option<SocketAddr>,
     /// Entries that are expected to run; fewer known ones are taken for silent.
     #[schemars(range(min = 1, max = 100000))]
     pub entries: u32,
@@ -58,6 +61,7 @@
         Gateway {
             enabled: false,
             directory_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 8004)),
+            metrics_listen: None,
             entries: 8,
             repeats_percent: 10,
             repeats_allowed: 20,
