--- a/crates/policy/src/configs/quota.rs
+++ b/crates/policy/src/configs/quota.rs
@@ -8,6 +8,8 @@
     /// A peer not heard for so long is taken to use its equal part: several times the interval at which
     /// entries tell their counts, so that one lost message changes nothing.
     pub silence: Span,
+    /// A peer not heard for so long doesn't come back under its name: longer than cuts usually last.
+    pub forget: Span,
     /// Weight of the newest count in a peer's rate: about its last four messages.
     pub smoothing: f64,
     /// Part of the burst that a starting entry takes to be left: it can't know what was used before.
@@ -23,6 +25,7 @@
     fn default() -> Config {
         Config {
             silence: Span::from_millis(1_500),
+            forget: Span::from_seconds(60),
             smoothing: 0.25,
             start: 0.5,
             grace: 0,
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -194,19 +194,27 @@
         if seconds == 0.0 {
             return;
         }
-        let entries = f64::from(self.entries);
         let config = self.config;
-        let known = self.peers.len().min(self.entries as usize - 1);
-        let unknown = (self.entries as usize - 1 - known) as f64;
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_fresh(now, &config));
+        // No more parts than entries that are missing: one that ended was replaced by another.
+        let missing = (self.entries as usize - 1).saturating_sub(fresh.count());
+        self.peers
+            .retain(|_, peer| now.since(peer.heard) < config.forget);
+        let mut silent: Vec<&mut Peer> = self
+            .peers
+            .values_mut()
+            .filter(|peer| !peer.is_fresh(now, &config))
+            .collect();
+        silent.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
         for (name, bucket) in &mut self.buckets {
-            let part = bucket.rate * seconds / entries;
-            let mut taken = part * unknown;
-            let silent = self.peers.values_mut();
-            for peer in silent.filter(|peer| !peer.is_fresh(now, &config)) {
+            let part = bucket.rate * seconds / f64::from(self.entries);
+            for peer in silent.iter_mut().take(missing) {
                 *peer.assumed.entry(*name).or_default() += part;
-                taken += part;
             }
-            let filled = (bucket.rate * seconds - taken).max(part);
+            let filled = bucket.rate * seconds - part * missing as f64;
             bucket.level = (bucket.level + filled).min(bucket.burst);
         }
     }
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -136,3 +136,30 @@
     quotas.refund(ACCOUNT, BURST);
     assert!(quotas.charge(now, ACCOUNT, BURST).is_ok());
 }
+
+/// All entries are replaced one after the other, as in a rolling restart. Those that ended say nothing more,
+/// but their successors do: an account within its quota must not lose a part of it for each that ended.
+#[test]
+fn replaced_entries_take_no_part_of_the_quota() {
+    let mut quotas = Quotas::new(Config::default());
+    quotas.set_entries(Time::ZERO, ENTRIES as u32);
+    quotas.set(Time::ZERO, ACCOUNT, RATE, BURST);
+    let others = ENTRIES as u64 - 1;
+    let mut now = 0;
+    let mut served = 0;
+    for round in 0..200_u64 {
+        now += TELL_MILLIS;
+        // Each second round ends one entry and starts another in its place.
+        let first = (round / 2).min(others);
+        for peer in first..first + others {
+            quotas.absorb(
+                Time::from_millis(now),
+                peer,
+                &BTreeMap::from([(ACCOUNT, 0)]),
+            );
+        }
+        let cost = RATE * TELL_MILLIS / 1_000 * 9 / 10;
+        served += u64::from(quotas.charge(Time::from_millis(now), ACCOUNT, cost).is_ok());
+    }
+    assert!(served >= 195, "{served} of 200");
+}
