--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -50,6 +50,9 @@
         let Some(open) = self.open.get_mut(&serial) else {
             return;
         };
+        if let End::Failed { status } = end {
+            open.failed = Some(status);
+        }
         let replica = open.replica.take();
         let place = replica.and_then(|key| self.servers.id_of(key));
         let line = end_line(&end)
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -103,7 +103,11 @@
             .with("account", open.account.unwrap_or_default())
             .with("age_ms", now.since(open.arrived).as_millis())
             .with("attempts", open.attempt);
-        let line = line.with("service", &open.service);
+        let answer = match open.failed {
+            Some(status) => format!("replica:{status}"),
+            None => String::from("own"),
+        };
+        let line = line.with("service", &open.service).with("answer", answer);
         let line = with_pool(line, &self.scheduler.glance(now, open.job.pool));
         self.send_refusal(serial, refusal, line, effects);
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -172,6 +172,7 @@
             ends,
             patience: patience_of(route, ends.since(now)),
             charged,
+            failed: None,
             started: None,
             first: None,
             began: false,
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -41,6 +41,8 @@
     pub patience: Option<Span>,
     /// Charged to its account's quota.
     pub charged: Option<(Name, Cost)>,
+    /// Status of a replica's own failure, which the caller gets if nobody does better.
+    pub failed: Option<u16>,
     /// When it was handed to a replica last.
     pub started: Option<Time>,
     /// When its answer began.
