Let a killed holder's successor take over at once; keep usage counts in the table service

Change: an entry that bound the port of an earlier life tells its claim that the holder is gone; the holder writes open windows' counts each second; all entries note the work; an order is given again when replicas go that weren't given back.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -1,8 +1,12 @@
 //! The lease under which one entry reports usage and orders replicas.
 
+use std::collections::BTreeSet;
+
+use clock::Span;
 use clock::Time;
 use lease::claim;
 use lease::claim::Claim;
+use lease::holder;
 use line::Line;
 use policy::rendezvous;
 use store::call;
@@ -12,11 +16,18 @@
 use crate::effect::Effect;
 use crate::fleet::Fleet;
 use crate::gateway::Gateway;
+use crate::progress::Writer;
 use crate::reports::Reports;
 use crate::store_calls::Waiter;
 
 /// Name of the lease.
 const LEASE: &str = "duties";
+/// An entry that has followed the list of servers for so long knows all of them: while the whole system
+/// starts, they announce themselves over some seconds.
+const SETTLED: Span = Span::from_seconds(5);
+/// An entry that starts in a predecessor's place tries for the lease for so long: a read of the members and
+/// one of the lease, with a retry of each.
+const SUCCESSION: Span = Span::from_seconds(4);
 /// Entries that try to get the lease: enough that one is there when the holder is lost, few enough that
 /// their reads cost little.
 const CANDIDATES: usize = 2;
@@ -26,6 +37,9 @@
     claim: Claim,
     pub reports: Reports,
     pub fleet: Fleet,
+    pub progress: Writer,
+    /// Earlier lives of this entry.
+    predecessors: BTreeSet<holder::Id>,
     /// Names the next call.
     next_call: u64,
     /// Whether the lease is wanted, as the claim was told last.
@@ -39,6 +53,8 @@
             claim,
             reports: Reports::default(),
             fleet,
+            progress: Writer::default(),
+            predecessors: BTreeSet::new(),
             next_call: 0,
             wanted: false,
         }
@@ -63,6 +79,7 @@
         if !self.settings.report_usage && !self.settings.order_replicas {
             return;
         }
+        self.tell_predecessors(now, effects);
         let wanted = self.is_candidate(now);
         if wanted != self.duties.wanted {
             self.duties.wanted = wanted;
@@ -72,7 +89,9 @@
             self.claim_step(now, claim::Event::Wake, effects);
         }
         self.usage.expire(now);
+        self.note_demand(now);
         if let Some(warrant) = self.warrant(now) {
+            self.progress_tick(now);
             self.reports_tick(now, warrant, effects);
             self.fleet_tick(now, warrant, effects);
         }
@@ -134,6 +153,11 @@
         if self.duties.claim.fence(now).is_some() {
             return true;
         }
+        // Its predecessor may have been the holder: it alone needn't wait for that lease.
+        let young = now < Time::ZERO + SUCCESSION;
+        if young && !self.duties.predecessors.is_empty() {
+            return true;
+        }
         let me = self.identity.incarnation;
         let quiet = self.settings.members.quiet;
         let key = rendezvous::identity(LEASE);
@@ -144,6 +168,22 @@
         ahead.count() < CANDIDATES
     }
 
+    /// Tells the claim of earlier lives of this entry: they are gone, since their port is ours now.
+    fn tell_predecessors(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let me = self.identity.incarnation;
+        let address = &self.identity.peer_address;
+        let known = self.membership.directory().iter();
+        let gone: Vec<holder::Id> = known
+            .filter(|(id, known)| *id != me && known.record.row.peer_address == *address)
+            .map(|(id, _)| id)
+            .filter(|id| !self.duties.predecessors.contains(id))
+            .collect();
+        for id in gone {
+            self.duties.predecessors.insert(id);
+            self.claim_step(now, claim::Event::Gone(id), effects);
+        }
+    }
+
     fn claim_step(&mut self, now: Time, event: claim::Event, effects: &mut Vec<Effect>) {
         let mut asked = Vec::new();
         self.duties.claim.step(now, event, &mut asked);
@@ -152,7 +192,9 @@
                 claim::Effect::Store { id, call } => self.ask_store(Waiter::Claim(id), call),
                 claim::Effect::Gained(fence) => {
                     self.duties.reports = Reports::default();
-                    self.duties.fleet.gained(now);
+                    self.duties.progress = Writer::default();
+                    let settled = now.since(self.servers_since) > SETTLED;
+                    self.duties.fleet.gained(now, settled);
                     effects.push(Effect::Log(Line::info("duty_gained").with("fence", fence)));
                 }
                 claim::Effect::Lost => effects.push(Effect::Log(Line::info("duty_lost"))),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -27,9 +27,10 @@
 const PATIENCE: Span = Span::from_millis(3_000);
 /// Time before an order that the platform refused or left unanswered is given again.
 const RETRY: Span = Span::from_millis(700);
-/// A new holder watches for so long before it orders: its picture of servers and work must be whole. While
-/// the whole system starts, servers announce themselves over some seconds.
+/// A new holder watches for so long before it orders: its picture of servers and work must be whole.
 const LOOK_AROUND: Span = Span::from_millis(3_000);
+/// The same if it has known the servers for a while: what its predecessor ordered last may be under way.
+const SHORT_LOOK: Span = Span::from_millis(300);
 /// Work that the replicas standing at the start are taken to be made for, while none was measured.
 const USUAL_FILL: f64 = 0.3;
 
@@ -95,9 +96,12 @@
     }
 
     /// The duty was gained: what others ordered isn't known.
-    pub fn gained(&mut self, now: Time) {
+    pub fn gained(&mut self, now: Time, settled: bool) {
         self.services.clear();
-        self.next = now + LOOK_AROUND;
+        self.next = match settled {
+            true => now + SHORT_LOOK,
+            false => now + LOOK_AROUND,
+        };
     }
 }
 
@@ -114,10 +118,8 @@
     /// Takes in how many stand there now.
     fn see(&mut self, have: u32) {
         if have < self.have {
-            // Some went: the order that brought them says nothing any more.
-            self.given = self
-                .given
-                .filter(|given| given.count <= have || !given.fulfilled);
+            // Some went that weren't given back: a reclaim may have taken what was ordered as well.
+            self.given = self.given.filter(|given| given.count <= have);
         }
         self.have = have;
         if let Some(given) = &mut self.given {
@@ -171,7 +173,7 @@
     ) {
         let counts = self.standing(service);
         let standing: u32 = counts.values().sum();
-        let busy = self.busy(now, &service.name);
+        let busy = self.busy(&service.name);
         let fleet = &mut self.duties.fleet;
         let config = fleet.config;
         let orders = fleet.services.entry(service.name.clone()).or_default();
@@ -278,10 +280,20 @@
         counts
     }
 
+    /// Notes how much work has arrived at all entries; every entry does, so that one that gains the duty knows.
+    pub(crate) fn note_demand(&mut self, now: Time) {
+        let Some(book) = self.book.clone() else {
+            return;
+        };
+        for service in book.services.iter().filter(|one| one.scaling.is_some()) {
+            let (tokens, _) = self.work_of(&service.name);
+            self.demand.note(now, &service.name, tokens);
+        }
+    }
+
     /// Replicas that the work keeps busy, once that is known.
-    fn busy(&mut self, now: Time, service: &SmolStr) -> Option<f64> {
-        let (tokens, speed) = self.work_of(service);
-        self.demand.note(now, service, tokens);
+    fn busy(&self, service: &SmolStr) -> Option<f64> {
+        let (_, speed) = self.work_of(service);
         let busy = self.demand.replicas(service, speed);
         busy.filter(|busy| *busy > 0.0)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -44,6 +44,8 @@
     pub(crate) random: Pcg64Mcg,
     /// The newest configuration seen in this life; its version never falls.
     pub(crate) book: Option<Rc<Book>>,
+    /// When the list of servers was read first.
+    pub(crate) servers_since: Time,
     /// When `book` came in force.
     pub(crate) book_since: Time,
     /// The document that `book` was read from.
@@ -132,6 +134,7 @@
             servers: Servers::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
             book: None,
+            servers_since: Time::ZERO,
             book_since: Time::ZERO,
             document: Bytes::new(),
             scheduler,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod open;
 mod peers;
 mod presence;
+mod progress;
 mod reports;
 mod servers;
 mod stop;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -17,6 +17,9 @@
         if let Some(failed) = self.store_failed {
             self.servers.trust_from(failed + self.settings.return_time);
         }
+        if self.servers_since == Time::ZERO {
+            self.servers_since = now;
+        }
         match news {
             News::All(servers) => {
                 let mut absent = self.servers.incarnations();
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -18,6 +18,8 @@
     Claim(call::Id),
     /// The report of this window.
     Report(u64),
+    /// Counts of usage on their way.
+    Progress,
 }
 
 impl Gateway {
@@ -29,6 +31,7 @@
         let priority = match waiter {
             Waiter::Membership(_) | Waiter::Claim(_) => Priority::Lease,
             Waiter::Report(_) => Priority::Config,
+            Waiter::Progress => Priority::Summary,
         };
         let refused = self.throttle.push(priority, id, call);
         self.store_calls.insert(id, waiter);
@@ -69,6 +72,7 @@
             }
             Some(Waiter::Claim(id)) => self.claim_answered(now, id, outcome, effects),
             Some(Waiter::Report(window)) => self.report_fixed(now, window, outcome, effects),
+            Some(Waiter::Progress) => self.progress_answered(outcome, effects),
             None => {}
         }
     }
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -98,6 +98,30 @@
         total
     }
 
+    /// Requests of each entry in a window; `me` counts its own.
+    pub fn by_entry(
+        &self,
+        window: u64,
+        me: holder::Id,
+    ) -> impl Iterator<Item = (holder::Id, &Counts)> {
+        let all = self.peers.iter().map(|(id, windows)| (*id, windows));
+        all.chain([(me, &self.own)])
+            .filter_map(move |(id, windows)| Some((id, windows.get(&window)?)))
+    }
+
+    /// Adds what an entry had told a former holder, unless more of it was heard.
+    pub fn recall(&mut self, entry: holder::Id, window: u64, counts: Counts) {
+        let known = self
+            .peers
+            .entry(entry)
+            .or_default()
+            .entry(window)
+            .or_default();
+        if counts.values().sum::<u64>() > known.values().sum::<u64>() {
+            *known = counts;
+        }
+    }
+
     /// The clock as it read at the start, for peers to compare: uncorrected, or all would follow each other.
     pub fn raw_unix_ms(&self, now: Time) -> u64 {
         self.zero_unix_ms + now.as_millis()
--- a/crates/gateway/src/work.rs
+++ b/crates/gateway/src/work.rs
@@ -115,6 +115,7 @@
         }
         let fresh = (tokens - rate.seen) as f64 / passed.as_millis() as f64;
         let weight = match fresh > rate.rate {
+            true if rate.rate == 0.0 => 1.0,
             true => UP,
             false => DOWN,
         };
--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -7,6 +7,8 @@
 //! fencing number rises with each change of holder; the holder counts from before it sent, and those
 //! who wait from after they saw.
 
+use std::collections::BTreeSet;
+
 use clock::Span;
 use clock::Time;
 use serde::Deserialize;
@@ -58,6 +60,9 @@
     },
     /// Whether this process wants the lease; a holder that doesn't any more releases it.
     Want(bool),
+    /// A holder is gone for certain: its lease needn't be waited for. The embedder must know that no
+    /// instruction of it runs any more, as of a process whose own port it has bound since.
+    Gone(holder::Id),
 }
 
 /// What the embedder is to do.
@@ -83,6 +88,8 @@
     at: Address,
     settings: Settings,
     wanted: bool,
+    /// Holders that are gone for certain; as many as were told of.
+    gone: BTreeSet<holder::Id>,
     /// The row as last seen; the watch follows its revision.
     seen: Option<(Row, Watch)>,
     /// Whether a read was answered since the last uncertain write.
@@ -114,6 +121,7 @@
             me,
             at: Address::new(TABLE, name),
             wanted: false,
+            gone: BTreeSet::new(),
             seen: None,
             known: false,
             valid_until: Time::ZERO,
@@ -154,6 +162,10 @@
                 self.next = now;
                 self.wanted = wanted;
             }
+            Event::Gone(id) => {
+                self.gone.insert(id);
+                self.next = now;
+            }
         }
         self.act(now, effects);
         self.report(now, effects);
@@ -248,7 +260,14 @@
             || self
                 .seen
                 .as_ref()
-                .is_none_or(|(row, watch)| is_free(row, watch, self.settings.margin))
+                .is_none_or(|(row, watch)| self.is_free(row, watch))
+    }
+
+    /// Whether the lease may be taken: released, its holder gone, or lapsed for certain.
+    fn is_free(&self, row: &Row, watch: &Watch) -> bool {
+        let term = Span::from_millis(row.term_ms);
+        let holder = row.holder.is_none_or(|holder| self.gone.contains(&holder));
+        holder || watch.lapsed(term, self.settings.margin)
     }
 
     fn is_ours(&self) -> bool {
@@ -277,7 +296,7 @@
                 let fence = row.fence;
                 self.write(now, Some(self.me), fence, effects);
             }
-            Some((row, watch)) if !is_free(row, watch, self.settings.margin) => {
+            Some((row, watch)) if !self.is_free(row, watch) => {
                 self.read(now, effects);
             }
             Some((row, _)) => {
@@ -344,8 +363,3 @@
         }
     }
 }
-
-/// Whether the lease may be taken: released, or lapsed for certain.
-fn is_free(row: &Row, watch: &Watch, margin: Span) -> bool {
-    row.holder.is_none() || watch.lapsed(Span::from_millis(row.term_ms), margin)
-}
--- a/crates/lease/tests/claim.rs
+++ b/crates/lease/tests/claim.rs
@@ -93,3 +93,22 @@
     assert!(took < SECOND.times(4), "{took}");
     assert_eq!(world.fence(1 - first), Some(2));
 }
+
+/// The holder's process is killed and starts again on its instance. Nobody acts until its lease has lapsed,
+/// though the new process knows that the old one is gone: it is told so and takes over at once, under a
+/// higher fencing number.
+#[test]
+fn the_successor_of_a_killed_process_need_not_wait_for_its_lease() {
+    let mut world = rivals(2);
+    world.run(SECOND.times(5));
+    let first = world.holder().expect("no holder");
+    let second = 1 - first;
+    world.rivals[first].dead = true;
+    let gone = lease::holder::Id(first as u64 + 1);
+    world.feed(second, Event::Claim(claim::Event::Gone(gone)));
+    let took = world
+        .run_until(SECOND.times(20), |world| world.holder() == Some(second))
+        .expect("nobody took over");
+    assert!(took < SECOND, "{took}");
+    assert_eq!(world.fence(second), Some(2));
+}
