Carry counts by hubs among many entries; name large entries more often; pace feeds

Cause: with 79 entries each told 16 others; load, quotas and usage were known in part, work measured at a fifth, so too few replicas were ordered, and most entries looked silent to address answers.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -1,4 +1,4 @@
-//! What one entry tells all others of its counts, several times a second.
+//! What entries tell each other of their counts, some times a second.
 
 use std::collections::BTreeMap;
 
@@ -10,11 +10,14 @@
 use crate::usage::Windows;
 use crate::work::Work;
 
-/// The counts of one entry since it started. Each replaces the one before; loss and repetition do no
-/// harm.
+/// The counts of one entry since it started, or the sum of many. Each replaces the one before; loss and
+/// repetition do no harm.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Bulletin {
+    /// How many entries it sums up; 0 for the sender's own counts.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub sums: u32,
     /// Tokens charged to each account.
     pub charged: Counts,
     /// Attempts under way at each backend server, by the hash of its incarnation.
@@ -26,3 +29,64 @@
     /// Work that arrived, by service.
     pub work: BTreeMap<SmolStr, Work>,
 }
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+impl Bulletin {
+    /// Adds an entry's own counts; `fresh`, what it runs counts too.
+    pub fn add(&mut self, one: &Bulletin, fresh: bool) {
+        self.sums += u32::from(fresh);
+        for (account, tokens) in &one.charged {
+            *self.charged.entry(*account).or_default() += tokens;
+        }
+        for (replica, count) in one.running.iter().filter(|_| fresh) {
+            *self.running.entry(*replica).or_default() += count;
+        }
+        for (window, counts) in &one.begun {
+            let into = self.begun.entry(*window).or_default();
+            for (account, count) in counts {
+                *into.entry(account.clone()).or_default() += count;
+            }
+        }
+        for (service, work) in &one.work {
+            let into = self.work.entry(service.clone()).or_default();
+            into.tokens += work.tokens;
+            into.speed = into.speed.max(work.speed);
+        }
+    }
+
+    /// The same sum without one entry's own counts.
+    pub fn without(&self, one: &Bulletin) -> Bulletin {
+        let mut rest = self.clone();
+        rest.sums = rest.sums.saturating_sub(1);
+        for (account, tokens) in &one.charged {
+            take(&mut rest.charged, account, *tokens);
+        }
+        for (replica, count) in &one.running {
+            if let Some(into) = rest.running.get_mut(replica) {
+                *into = into.saturating_sub(*count);
+            }
+        }
+        for (window, counts) in &one.begun {
+            if let Some(into) = rest.begun.get_mut(window) {
+                for (account, count) in counts {
+                    take(into, account, *count);
+                }
+            }
+        }
+        for (service, work) in &one.work {
+            if let Some(into) = rest.work.get_mut(service) {
+                into.tokens = into.tokens.saturating_sub(work.tokens);
+            }
+        }
+        rest
+    }
+}
+
+fn take<K: Ord>(counts: &mut BTreeMap<K, u64>, key: &K, count: u64) {
+    if let Some(into) = counts.get_mut(key) {
+        *into = into.saturating_sub(count);
+    }
+}
--- a/crates/gateway/src/configs/gateway.rs
+++ b/crates/gateway/src/configs/gateway.rs
@@ -11,6 +11,8 @@
     pub seeds: Vec<SmolStr>,
     /// Entries expected; fewer known ones are taken for silent.
     pub entries: u32,
+    /// How much this entry can take against others, 1 to 255.
+    pub capacity: u8,
     /// How long callers may keep an address answer: short enough that they leave a stopped entry soon.
     pub address_keep: Span,
     /// From the request to stop until the process must be gone.
@@ -53,6 +55,7 @@
         Settings {
             seeds: Vec::new(),
             entries: 8,
+            capacity: u8::MAX,
             address_keep: Span::from_seconds(2),
             grace: Span::from_seconds(8),
             return_time: Span::from_millis(2_500),
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -8,7 +8,6 @@
 use lease::claim::Claim;
 use lease::holder;
 use line::Line;
-use policy::rendezvous;
 use store::call;
 
 use crate::duty;
@@ -28,9 +27,6 @@
 /// An entry that starts in a predecessor's place tries for the lease for so long: a read of the members and
 /// one of the lease, with a retry of each.
 const SUCCESSION: Span = Span::from_seconds(4);
-/// Entries that try to get the lease: enough that one is there when the holder is lost, few enough that
-/// their reads cost little.
-const CANDIDATES: usize = 2;
 
 /// What the holder of the lease does.
 pub(crate) struct Duties {
@@ -144,8 +140,8 @@
         self.order_answered(now, id, outcome);
     }
 
-    /// Whether this entry should try to get or keep the lease: the holder as long as it may, else those
-    /// that rank first among the live entries.
+    /// Whether this entry should try to get or keep the lease: the holder as long as it may, else the hubs,
+    /// which know everyone's counts first.
     fn is_candidate(&self, now: Time) -> bool {
         if !self.is_ready() {
             return false;
@@ -158,14 +154,7 @@
         if young && !self.duties.predecessors.is_empty() {
             return true;
         }
-        let me = self.identity.incarnation;
-        let quiet = self.settings.members.quiet;
-        let key = rendezvous::identity(LEASE);
-        let ours = rendezvous::weight(key, me.0);
-        let directory = self.membership.directory().iter();
-        let usable = directory.filter(|(id, known)| *id != me && known.is_usable(now, quiet));
-        let ahead = usable.filter(|(id, _)| rendezvous::weight(key, id.0) > ours);
-        ahead.count() < CANDIDATES
+        self.hubs(now).contains(&self.identity.incarnation)
     }
 
     /// Tells the claim of earlier lives of this entry: they are gone, since their port is ours now.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::fleet::Fleet;
+use crate::hubs::Hub;
 use crate::identity::Identity;
 use crate::open::Open;
 use crate::peers;
@@ -70,6 +71,8 @@
     pub(crate) work: BTreeMap<SmolStr, Work>,
     /// The same at peers; that of lost ones stays, so that the sum doesn't fall.
     pub(crate) peer_work: BTreeMap<holder::Id, BTreeMap<SmolStr, Work>>,
+    /// What was heard as a hub.
+    pub(crate) hub: Hub,
     /// How fast work arrives.
     pub(crate) demand: Demand,
     /// What the holder of the duties' lease does.
@@ -146,6 +149,7 @@
             usage: Usage::new(settings.usage_window.as_millis(), settings.zero_unix_ms),
             work: BTreeMap::new(),
             peer_work: BTreeMap::new(),
+            hub: Hub::default(),
             demand: Demand::default(),
             duties: Duties::new(
                 duties::claim(identity.incarnation, settings.lease, seed),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod decisions;
 mod duties;
 mod fleet;
+mod hubs;
 mod intake;
 mod open;
 mod peers;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,6 +21,7 @@
 use crate::configs::gateway::Settings;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::hubs::SUM;
 use crate::identity::Identity;
 use crate::store_calls::Waiter;
 use crate::work::Work;
@@ -28,6 +29,8 @@
 /// A peer that still tells an older version so long after ours came in force is sent ours. Most read
 /// it themselves within a few milliseconds; one that the table service turns away can't.
 const LAG_TIME: Span = Span::from_millis(300);
+/// Where counts travel by hubs, they are told in so many times the interval.
+const HUB_PACE: u64 = 2;
 /// Time between two sendings to the same peer.
 const LAG_RETRY: Span = Span::from_millis(500);
 
@@ -52,7 +55,7 @@
             self.attend(now, MemberEvent::Wake, effects);
         }
         if now >= self.next_bulletin {
-            self.next_bulletin = now + self.settings.bulletin;
+            self.next_bulletin = now + self.bulletin_time();
             self.publish_bulletin(now, effects);
             self.publish_quarantine(now, effects);
             self.note_lagging(now);
@@ -62,6 +65,25 @@
         self.send_configurations(now, effects);
     }
 
+    /// Time to the next bulletin: longer by hubs, whose messages go to everyone.
+    fn bulletin_time(&self) -> Span {
+        match self.by_hubs() {
+            true => self.settings.bulletin.times(HUB_PACE),
+            false => self.settings.bulletin,
+        }
+    }
+
+    /// How long a member may be silent before it isn't counted on. News of many takes several rounds to
+    /// come round.
+    pub(crate) fn quiet(&self) -> Span {
+        let members = self.membership.directory().count();
+        let quiet = self.settings.members.quiet_among(members);
+        match self.by_hubs() {
+            true => quiet.times(HUB_PACE),
+            false => quiet,
+        }
+    }
+
     /// Takes one event into the membership machine and carries out what it asks for.
     pub(crate) fn attend(&mut self, now: Time, event: MemberEvent, effects: &mut Vec<Effect>) {
         let mut asked = Vec::new();
@@ -144,12 +166,16 @@
             }
         }
         let bulletin = Bulletin {
+            sums: 0,
             charged: self.quotas.counts(),
             running,
             begun: self.usage.told().clone(),
             unix_ms: self.usage.raw_unix_ms(now),
             work: self.work.clone(),
         };
+        if self.by_hubs() {
+            return self.tell_by_hubs(now, bulletin, effects);
+        }
         match serde_json::to_vec(&bulletin) {
             Ok(payload) => self.publish(now, Topic::Count, payload, effects),
             Err(error) => {
@@ -194,7 +220,19 @@
         let Some(peer) = holder::Id::parse(&item.key) else {
             return;
         };
-        self.quotas.absorb(now, peer.0, &bulletin.charged);
+        // A sum stands for all entries but this one; it takes the place of what they told directly.
+        let peer = match bulletin.sums {
+            0 => peer,
+            _ => SUM,
+        };
+        if peer == SUM {
+            self.quotas
+                .absorb_sum(now, SUM.0, &bulletin.charged, bulletin.sums);
+        } else if self.by_hubs() {
+            return self.hub_heard(now, peer, &bulletin);
+        } else {
+            self.quotas.absorb(now, peer.0, &bulletin.charged);
+        }
         self.usage
             .absorb(now, peer, bulletin.begun, bulletin.unix_ms);
         self.peer_work.insert(peer, bulletin.work);
@@ -231,7 +269,7 @@
 
     /// Gives the scheduler what all entries run at each replica.
     fn report_loads(&mut self, now: Time) {
-        let fresh = self.settings.members.quiet;
+        let fresh = self.quiet();
         self.peer_loads
             .retain(|_, (heard, _)| now.since(*heard) < fresh);
         let mut totals: BTreeMap<u64, u32> = BTreeMap::new();
@@ -307,5 +345,8 @@
         peer_address: identity.peer_address.clone(),
         ..Row::default()
     };
-    Membership::new(row, settings.seeds.clone(), settings.members, seed)
+    let mut membership = Membership::new(row, settings.seeds.clone(), settings.members, seed);
+    let load = u8::MAX - settings.capacity;
+    membership.step(Time::ZERO, MemberEvent::Load(load), &mut Vec::new());
+    membership
 }
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Time,
+    /// How many entries it speaks for.
+    entries: u32,
     counts: Counts,
     /// Tokens a second that it charges each account.
     rates: BTreeMap<Name, f64>,
@@ -168,6 +170,22 @@
         known.heard = now;
     }
 
+    /// Takes in what `entries` others have charged together. A sum that falls tells that one of them is not
+    /// counted in it any more, and gives nothing back.
+    pub fn absorb_sum(&mut self, now: Time, peer: u64, counts: &Counts, entries: u32) {
+        let mut rising = counts.clone();
+        if let Some(known) = self.peers.get(&peer) {
+            for (name, count) in &mut rising {
+                *count = (*count).max(known.counts.get(name).copied().unwrap_or(0));
+            }
+        }
+        self.absorb(now, peer, &rising);
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.counts = counts.clone();
+            known.entries = entries;
+        }
+    }
+
     /// The other entry is gone: nothing is held back for it any more.
     pub fn forget(&mut self, now: Time, peer: u64) {
         self.fill(now);
@@ -200,7 +218,8 @@
             .values()
             .filter(|peer| peer.is_fresh(now, &config));
         // No more parts than entries that are missing: one that ended was replaced by another.
-        let missing = (self.entries as usize - 1).saturating_sub(fresh.count());
+        let heard: u32 = fresh.map(|peer| peer.entries).sum();
+        let missing = (self.entries - 1).saturating_sub(heard) as usize;
         self.peers
             .retain(|_, peer| now.since(peer.heard) < config.forget);
         let mut silent: Vec<&mut Peer> = self
@@ -224,6 +243,7 @@
     fn new(now: Time, counts: &Counts) -> Peer {
         Peer {
             heard: now,
+            entries: 1,
             counts: counts.clone(),
             rates: BTreeMap::new(),
             assumed: BTreeMap::new(),
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -31,6 +31,9 @@
     /// Some rows.
     fn changed(&self, changes: Changes);
 
+    /// Pause after changes, so that those that follow at once come in one answer.
+    fn pace(&self) -> Duration;
+
     /// What was read so far is current.
     fn fresh(&self);
 
@@ -73,6 +76,7 @@
                 reader.fresh();
                 if !changes.written.is_empty() || !changes.deleted.is_empty() {
                     reader.changed(changes);
+                    tokio::time::sleep(reader.pace()).await;
                 }
             }
             Err(fault) => return fault,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -269,6 +269,17 @@
     }
 }
 
+/// Pause between two answers of a feed, and what each entry adds to it: all entries together read as often as
+/// a few would, within a part of the time in which changes must be in force.
+const FEED_PACE: Duration = Duration::from_millis(40);
+const FEED_PACE_ENTRY: Duration = Duration::from_millis(5);
+
+/// Pause after changes of a feed.
+fn pace_of(shared: &Shared) -> Duration {
+    let members = u32::try_from(shared.vitals.get().members).unwrap_or(u32::MAX);
+    FEED_PACE + FEED_PACE_ENTRY * members.min(100)
+}
+
 /// Takes what is read of the configuration.
 struct ConfigurationReader {
     shared: Rc<Shared>,
@@ -305,6 +316,10 @@
         self.take(&changes.written);
     }
 
+    fn pace(&self) -> Duration {
+        pace_of(&self.shared)
+    }
+
     fn fresh(&self) {
         let now = self.shared.clock.now();
         self.shared.configuration_at.set(now);
@@ -362,6 +377,10 @@
         }
     }
 
+    fn pace(&self) -> Duration {
+        pace_of(&self.shared)
+    }
+
     fn fresh(&self) {
         let now = self.shared.clock.now();
         self.shared.servers_at.set(now);
@@ -463,6 +482,7 @@
     gateway::configs::gateway::Settings {
         seeds: seeds.map(|one| one.to_smolstr()).collect(),
         entries: options.entries,
+        capacity: capacity_of(&options.processor),
         address_keep: Span::from_millis(settings.callers.address_ttl_ms),
         grace: Span::from_millis(settings.shutdown.grace_ms),
         repeat_ratio: f64::from(options.repeats_percent) / 100.0,
@@ -495,6 +515,15 @@
     .shared_out()
 }
 
+/// How much an entry can take, 1 to 255, 255 being a whole processor core or more.
+fn capacity_of(processor: &str) -> u8 {
+    let Ok(share) = processor.parse::<f64>() else {
+        log::warn!(event = "setting_unreadable", option = "gateway.processor", value = processor; "");
+        return u8::MAX;
+    };
+    (share * f64::from(u8::MAX)).clamp(1.0, f64::from(u8::MAX)) as u8
+}
+
 /// The settings of membership.
 fn member_settings(settings: &Settings) -> member::configs::membership::Settings {
     let leases = &settings.leases;
--- a/crates/settings/src/configs/gateway.rs
+++ b/crates/settings/src/configs/gateway.rs
@@ -6,6 +6,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
+use smol_str::SmolStr;
 
 /// Requests passed on as they come, by routes in the platform's table service.
 ///
@@ -21,6 +22,9 @@
     /// Address of the port on which metrics are read; none while absent.
     #[schemars(extend("format" = "socket-address"))]
     pub metrics_listen: Option<SocketAddr>,
+    /// Processor cores that this entry has, as a decimal number such as `0.25`. Entries with more are named to
+    /// more callers.
+    pub processor: SmolStr,
     /// Entries that are expected to run; fewer known ones are taken for silent.
     #[schemars(range(min = 1, max = 100000))]
     pub entries: u32,
@@ -62,6 +66,7 @@
             enabled: false,
             directory_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 8004)),
             metrics_listen: None,
+            processor: SmolStr::new_static("1"),
             entries: 8,
             repeats_percent: 10,
             repeats_allowed: 20,
