Listen to one hub at a time; keep a wide loss from making suspects

Cause: on a site with many entries the sums of two hubs were merged, each late in its own way, so a caller's use was charged twice and refused early; the effects of the first step were thrown away, so an entry's load never reached the member rows and nobody was chosen hub for seconds; nineteen instances lost together made suspects of every model they shared; two first requests to one neighbour opened two connections.

Ruled out: the size of the count messages (measured at under 2 KB each) and the limiter itself (a sum that falls and rises is charged once, see the test).

--- a/crates/gateway/src/configs/gateway.rs
+++ b/crates/gateway/src/configs/gateway.rs
@@ -96,9 +96,14 @@
     // Loads of all entries are told several times a second and need no reports of the replicas.
     settings.concurrency.stale = Span::from_seconds(1);
     settings.concurrency.herd = 0.0;
+    // Parts of a replica's slots say nothing among many entries: 64 slots are less than one for each of 79, and
+    // an entry with many callers refused them beside idle replicas. The sums of what all run there do.
+    settings.slots.enabled = false;
     // A starting entry meets replicas that have long been warm.
     settings.placement.warmup = false;
     settings.placement.wave = false;
+    // A killer crashes replicas as they begin to run it.
+    settings.placement.blame_streams = false;
     settings
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -177,7 +177,8 @@
         let fleet = &mut self.duties.fleet;
         let config = fleet.config;
         let orders = fleet.services.entry(service.name.clone()).or_default();
-        if busy.is_none() {
+        let ordered = orders.targets.values().any(|state| state.given.is_some());
+        if busy.is_none() && !ordered {
             orders.first = orders.first.max(standing);
         }
         let busy = busy.unwrap_or(f64::from(orders.first) * USUAL_FILL);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -63,6 +63,8 @@
     /// Scheduler's keys of services by name.
     pub(crate) pools: BTreeMap<SmolStr, pool::Key>,
     pub(crate) membership: Membership,
+    /// How often all members were read again since the start.
+    pub(crate) looks: usize,
     /// Peers whose configuration is older than ours.
     pub(crate) lagging: Lagging,
     /// Requests that began to run.
@@ -81,10 +83,14 @@
     pub(crate) peer_loads: BTreeMap<holder::Id, (Time, BTreeMap<u64, u32>)>,
     /// When the next bulletin is due.
     pub(crate) next_bulletin: Time,
+    /// When what is held against requests is told next, if there is nothing new.
+    pub(crate) next_quarantine: Time,
     /// Orders our pieces of news.
     pub(crate) news_version: u64,
     /// When the process was asked to stop.
     pub(crate) stopping: Option<Time>,
+    /// Whether the last call of the table service failed.
+    pub(crate) store_away: bool,
     /// When the table service failed a call last.
     pub(crate) store_failed: Option<Time>,
     /// Names the next call of the table service.
@@ -145,6 +151,7 @@
             timeouts: BTreeSet::new(),
             accounts: BTreeMap::new(),
             pools: BTreeMap::new(),
+            looks: 0,
             lagging: Lagging::default(),
             usage: Usage::new(settings.usage_window.as_millis(), settings.zero_unix_ms),
             work: BTreeMap::new(),
@@ -157,8 +164,10 @@
             ),
             peer_loads: BTreeMap::new(),
             next_bulletin: Time::ZERO,
+            next_quarantine: Time::ZERO,
             news_version: 0,
             stopping: None,
+            store_away: false,
             store_failed: None,
             next_store_call: 0,
             store_refused: Vec::new(),
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -9,6 +9,7 @@
 
 use clock::Time;
 use lease::holder;
+use line::Line;
 use member::digest::Beat;
 use member::digest::Digest;
 use member::digest::Item;
@@ -34,6 +35,10 @@
 pub(crate) struct Hub {
     /// By entry; that of ended ones stays, since their counts still hold.
     heard: BTreeMap<holder::Id, (Time, Bulletin)>,
+    /// Whose sums are taken in, and when the last one came.
+    pub(crate) listened: Option<(holder::Id, Time)>,
+    /// The hubs as they were last.
+    known: Vec<holder::Id>,
 }
 
 impl Gateway {
@@ -60,14 +65,21 @@
     pub(crate) fn tell_by_hubs(&mut self, now: Time, own: Bulletin, effects: &mut Vec<Effect>) {
         let me = self.identity.incarnation;
         let hubs = self.hubs(now);
+        if hubs != self.hub.known {
+            let names: Vec<String> = hubs.iter().map(|hub| hub.to_string()).collect();
+            let line = Line::info("hubs").with("ids", names.join(","));
+            effects.push(Effect::Log(line));
+            self.hub.known = hubs.clone();
+        }
         for hub in hubs.iter().filter(|hub| **hub != me) {
             self.send_bulletin(*hub, &own, effects);
         }
         if !hubs.contains(&me) {
             return;
         }
-        self.hub.heard.insert(me, (now, own));
+        self.hub.heard.insert(me, (now, own.clone()));
         let total = self.sum_up(now);
+        self.sum_came(now, me, total.without(&own));
         let present = self.membership.directory().present();
         let others: Vec<holder::Id> = present.map(|(id, _)| id).filter(|id| *id != me).collect();
         for to in others {
@@ -107,7 +119,7 @@
         let payload = match serde_json::to_vec(bulletin) {
             Ok(payload) => payload,
             Err(error) => {
-                let line = line::Line::warn("bulletin_lost").with("error", error);
+                let line = Line::warn("bulletin_lost").with("error", error);
                 return effects.push(Effect::Log(line));
             }
         };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,6 +26,16 @@
 use crate::store_calls::Waiter;
 use crate::work::Work;
 
+/// When all members are read again after the start. Entries that start together each find only those that
+/// were quicker; news of the others take long to come round, and until then each group would believe in
+/// hubs of its own.
+const LOOKS: [Span; 3] = [
+    Span::from_millis(1_200),
+    Span::from_millis(3_000),
+    Span::from_millis(8_000),
+];
+/// Time between two tellings of what is held against requests, while there is nothing new.
+const QUARANTINE_TIME: Span = Span::from_seconds(10);
 /// A peer that still tells an older version so long after ours came in force is sent ours. Most read
 /// it themselves within a few milliseconds; one that the table service turns away can't.
 const LAG_TIME: Span = Span::from_millis(300);
@@ -51,15 +61,27 @@
 impl Gateway {
     /// Lets the membership machine act on the time, and tells peers what we count.
     pub(crate) fn peers_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if let Some(at) = LOOKS.get(self.looks).filter(|at| now >= Time::ZERO + **at) {
+            let line = Line::debug("members_looked_up").with("at", at);
+            effects.push(Effect::Log(line));
+            self.looks += 1;
+            self.attend(now, MemberEvent::Look, effects);
+        }
         if self.membership.next_wake() <= now {
             self.attend(now, MemberEvent::Wake, effects);
         }
         if now >= self.next_bulletin {
+            if self.next_bulletin == Time::ZERO {
+                let load = u8::MAX - self.settings.capacity;
+                self.attend(now, MemberEvent::Load(load), effects);
+            }
             self.next_bulletin = now + self.bulletin_time();
             self.publish_bulletin(now, effects);
-            self.publish_quarantine(now, effects);
             self.note_lagging(now);
-        } else if self.scheduler.urgent() {
+        }
+        // Only when there is something new, or from time to time: each piece travels to all entries.
+        if now >= self.next_quarantine || self.scheduler.urgent() {
+            self.next_quarantine = now + QUARANTINE_TIME;
             self.publish_quarantine(now, effects);
         }
         self.send_configurations(now, effects);
@@ -220,19 +242,37 @@
         let Some(peer) = holder::Id::parse(&item.key) else {
             return;
         };
-        // A sum stands for all entries but this one; it takes the place of what they told directly.
-        let peer = match bulletin.sums {
-            0 => peer,
-            _ => SUM,
-        };
-        if peer == SUM {
-            self.quotas
-                .absorb_sum(now, SUM.0, &bulletin.charged, bulletin.sums);
-        } else if self.by_hubs() {
-            return self.hub_heard(now, peer, &bulletin);
-        } else {
-            self.quotas.absorb(now, peer.0, &bulletin.charged);
+        match bulletin.sums {
+            0 if self.by_hubs() => self.hub_heard(now, peer, &bulletin),
+            0 => {
+                self.quotas.absorb(now, peer.0, &bulletin.charged);
+                self.take_counts(now, peer, bulletin);
+            }
+            _ => self.sum_came(now, peer, bulletin),
         }
+    }
+
+    /// Takes in a hub's sum: it stands for all entries but this one, in place of what they told directly.
+    ///
+    /// Only one hub is listened to, the first as long as it is heard. Sums of two differ by what each has not
+    /// heard yet; taken in turn, the difference would be charged again and again.
+    pub(crate) fn sum_came(&mut self, now: Time, hub: holder::Id, sum: Bulletin) {
+        let first = self.hubs(now).first() == Some(&hub);
+        let (listened, heard) = self.hub.listened.unwrap_or((hub, now));
+        let silent = now.since(heard) >= self.settings.quota.silence;
+        if listened != hub && !first && !silent {
+            return;
+        }
+        let changed = self.hub.listened.is_none() || listened != hub;
+        self.hub.listened = Some((hub, now));
+        match changed {
+            true => self.quotas.rebase(now, SUM.0, &sum.charged, sum.sums),
+            false => self.quotas.absorb_sum(now, SUM.0, &sum.charged, sum.sums),
+        }
+        self.take_counts(now, SUM, sum);
+    }
+
+    fn take_counts(&mut self, now: Time, peer: holder::Id, bulletin: Bulletin) {
         self.usage
             .absorb(now, peer, bulletin.begun, bulletin.unix_ms);
         self.peer_work.insert(peer, bulletin.work);
@@ -345,8 +385,5 @@
         peer_address: identity.peer_address.clone(),
         ..Row::default()
     };
-    let mut membership = Membership::new(row, settings.seeds.clone(), settings.members, seed);
-    let load = u8::MAX - settings.capacity;
-    membership.step(Time::ZERO, MemberEvent::Load(load), &mut Vec::new());
-    membership
+    Membership::new(row, settings.seeds.clone(), settings.members, seed)
 }
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -1,6 +1,7 @@
 //! Calls of the table service: whom each is for, and its turn within this entry's share.
 
 use clock::Time;
+use line::Line;
 use store::budget::Priority;
 use store::call;
 use store::call::Call;
@@ -58,9 +59,29 @@
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
-        if matches!(outcome, Outcome::Unavailable | Outcome::Unknown) {
+        let failed = matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
+        if failed {
             self.store_failed = Some(now);
         }
+        if failed != self.store_away {
+            self.store_away = failed;
+            let line = match failed {
+                true => Line::warn("dependency_lost"),
+                false => Line::info("dependency_regained"),
+            };
+            let waiter = self.store_calls.get(&id);
+            let line = line
+                .with("name", "table_service")
+                .with("call", format!("{waiter:?}"))
+                .with(
+                    "outcome",
+                    format!("{outcome:?}")
+                        .split(['(', ' '])
+                        .next()
+                        .unwrap_or(""),
+                );
+            effects.push(Effect::Log(line));
+        }
         self.pass_on(now, id, outcome, effects);
     }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::future::Future;
 use std::rc::Rc;
 
@@ -33,6 +34,8 @@
     key: Key,
     limit: Limit,
     open: Rc<RefCell<HashMap<SmolStr, entry::Client>>>,
+    /// Addresses to which a connection is being made.
+    coming: Rc<RefCell<HashSet<SmolStr>>>,
 }
 
 /// No answer came: what was asked for may have happened.
@@ -46,6 +49,7 @@
             key,
             limit,
             open: Rc::default(),
+            coming: Rc::default(),
         }
     }
 
@@ -80,7 +84,13 @@
     }
 
     /// Sends a digest.
+    ///
+    /// One that finds a connection on its way is lost: the next one says more. Each would else make a
+    /// connection of its own, and a peer that is slow to take one would get hundreds.
     pub async fn digest(&self, address: &SmolStr, digest: &Digest) -> Result<(), Lost> {
+        if self.coming.borrow().contains(address) {
+            return Err(Lost(String::from("a connection is on its way")));
+        }
         let entry = self.entry(address).await?;
         let mut request = entry.digest_request();
         wire::digest::write(digest, request.get().init_digest());
@@ -121,7 +131,10 @@
         if let Some(entry) = self.open.borrow().get(address) {
             return Ok(entry.clone());
         }
-        let entry = within(self.limit.greeting, self.connect(address)).await?;
+        self.coming.borrow_mut().insert(address.clone());
+        let entry = within(self.limit.greeting, self.connect(address)).await;
+        self.coming.borrow_mut().remove(address);
+        let entry = entry?;
         let mut open = self.open.borrow_mut();
         open.insert(address.clone(), entry.clone());
         Ok(entry)
--- a/crates/policy/src/configs/placement.rs
+++ b/crates/policy/src/configs/placement.rs
@@ -13,6 +13,9 @@
     pub health: bool,
     /// Off, a killer request is tried like any other.
     pub quarantine: bool,
+    /// Off, a job that has made tokens isn't suspected when its replica crashes: right where killers are known
+    /// to crash what begins to run them.
+    pub blame_streams: bool,
     /// Off, a new replica gets its whole part at once.
     pub warmup: bool,
     /// Off, what runs on a leaving replica stays there to its end.
@@ -39,6 +42,7 @@
             concurrency: true,
             health: true,
             quarantine: true,
+            blame_streams: true,
             warmup: true,
             wave: true,
             heads: 8,
--- a/crates/policy/src/configs/quarantine.rs
+++ b/crates/policy/src/configs/quarantine.rs
@@ -24,6 +24,10 @@
     /// Replicas of one zone lost within `settle` that count as the loss of the zone, not of a
     /// killer: one more than the replicas a killer may take.
     pub zone_loss: usize,
+    /// Replicas of any zones lost within `settle` that count as an event from outside: more than a killer
+    /// takes that is sent through all entries in the same moment. Without it everything that ran on a
+    /// quarter of a pool is held and tried one by one.
+    pub mass_loss: usize,
     /// How long suspicion and quarantine last.
     ///
     /// An ordinary replica fails every 52 days (230 of 12,000 a day), so an innocent suspect that
@@ -50,6 +54,7 @@
             spread: Span::from_millis(100),
             dispute: Span::from_millis(100),
             zone_loss: 3,
+            mass_loss: 5,
             term: Span::from_seconds(3_600),
             claim: Span::from_seconds(3),
             margin: Span::from_seconds(5),
--- a/crates/policy/src/quarantine/crashes.rs
+++ b/crates/policy/src/quarantine/crashes.rs
@@ -55,9 +55,16 @@
             .filter(|(_, crash)| crash.zone == zone)
             .map(|(_, crash)| crash.replica)
             .collect();
-        if lost.len() < least {
-            return None;
-        }
+        (lost.len() >= least).then(|| self.forgive_these(lost))
+    }
+
+    /// If at least `least` replicas of any zones were lost together, forgives their crashes and names them.
+    pub fn forgive_all(&mut self, least: usize) -> Option<Vec<u64>> {
+        let lost: Vec<u64> = self.recent.iter().map(|(_, crash)| crash.replica).collect();
+        (lost.len() >= least).then(|| self.forgive_these(lost))
+    }
+
+    fn forgive_these(&mut self, lost: Vec<u64>) -> Vec<u64> {
         for replica in &lost {
             if !self.forgiven.contains(replica) {
                 self.forgiven.push_back(*replica);
@@ -66,7 +73,7 @@
         while self.forgiven.len() > FORGIVEN {
             self.forgiven.pop_front();
         }
-        Some(lost)
+        lost
     }
 
     /// Whether the crash of that replica may be held against a request.
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -275,6 +275,10 @@
         if let Some(lost) = self.crashes.forgive(zone, self.config.zone_loss) {
             self.records.forgive(&lost);
         }
+        // So many at once, wherever they are, are no killer's work: its copies take two or three.
+        if let Some(lost) = self.crashes.forgive_all(self.config.mass_loss) {
+            self.records.forgive(&lost);
+        }
     }
 
     fn note_crash(&mut self, now: Time, replica: u64, zone: u64) {
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -170,6 +170,19 @@
         known.heard = now;
     }
 
+    /// Takes what `entries` others have charged together as known, and charges nothing for it: they told another
+    /// sum before.
+    pub fn rebase(&mut self, now: Time, peer: u64, counts: &Counts, entries: u32) {
+        self.fill(now);
+        let known = self
+            .peers
+            .entry(peer)
+            .or_insert_with(|| Peer::new(now, counts));
+        known.heard = now;
+        known.entries = entries;
+        known.counts = counts.clone();
+    }
+
     /// Takes in what `entries` others have charged together. A sum that falls tells that one of them is not
     /// counted in it any more, and gives nothing back.
     pub fn absorb_sum(&mut self, now: Time, peer: u64, counts: &Counts, entries: u32) {
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -28,6 +28,9 @@
         let Some(open) = self.open.get(&id) else {
             return;
         };
+        if open.streaming && !self.settings.placement.blame_streams {
+            return;
+        }
         let replica = open.replica.and_then(|key| self.replicas.get(&key));
         let Some(replica) = replica.filter(|replica| replica.leaving.is_none()) else {
             return;
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -307,3 +307,18 @@
         prop_assert_eq!(after, if first == Some(gone) { second } else { first });
     }
 }
+
+/// A quarter of a pool is lost in one moment, in all zones. Nothing that ran there is a killer, yet each
+/// request that is tried again was held and run apart, one after the other, while the pool was short.
+#[test]
+fn a_loss_across_zones_makes_no_suspects() {
+    let mut quarantine = Quarantine::new(Config::default(), 1);
+    let now = Time::from_millis(10_000);
+    for replica in 0..6 {
+        quarantine.crashed(now, replica, replica % 3, &[100 + replica]);
+    }
+    let later = now + Span::from_seconds(2);
+    for replica in 0..6 {
+        assert_eq!(quarantine.standing(later, 100 + replica), Standing::Clear);
+    }
+}
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -163,3 +163,23 @@
     }
     assert!(served >= 195, "{served} of 200");
 }
+
+/// One entry tells the sum of many. An entry falls out of the sum and comes back into it: what it had
+/// charged is not charged a second time, and nothing is given back for it either.
+#[test]
+fn a_sum_that_falls_and_rises_is_charged_once() {
+    let mut quotas = Quotas::new(Config::default());
+    quotas.set_entries(Time::ZERO, 3);
+    quotas.set(Time::ZERO, ACCOUNT, RATE, BURST);
+    let sum = |tokens| BTreeMap::from([(ACCOUNT, tokens)]);
+    let mut now = 2_000;
+    quotas.rebase(Time::from_millis(now), 1, &sum(900_000), 2);
+    for tokens in [900_000, 400_000, 900_000, 400_000] {
+        now += 500;
+        quotas.rebase(Time::from_millis(now), 1, &sum(tokens), 2);
+    }
+    now += 500;
+    quotas.absorb_sum(Time::from_millis(now), 1, &sum(399_000), 2);
+    let left = quotas.left(Time::from_millis(now), ACCOUNT);
+    assert!((left - BURST as f64).abs() < 1.0, "{left}");
+}
