Use hubs only among many live entries, and never go back

Change: live entries decide, there is no way back, a hub tells charges since it first heard an entry, single entries' counts are dropped when sums take their place.

--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -2,8 +2,10 @@
 //!
 //! Up to [`DIRECT`] entries each tells all others. Beyond, that would be thousands of messages a second, so
 //! each tells two hubs, and these tell everyone the sum of all others' counts. Any entry can be a hub: the two
-//! that rank first among the live ones, by a hash that all compute alike. Both send; whichever was heard last
-//! counts, so that the loss of one changes nothing.
+//! that rank first among the live ones, by a hash that all compute alike. Both send, and one is listened to.
+//!
+//! There is no way back to telling all others: entries that were replaced stand among the members until they
+//! are known gone, and while the way changed to and fro their counts would be charged twice.
 
 use std::collections::BTreeMap;
 
@@ -14,6 +16,7 @@
 use member::digest::Digest;
 use member::digest::Item;
 use member::digest::Topic;
+use policy::quota::Counts;
 use policy::rendezvous;
 use smol_str::format_smolstr;
 
@@ -33,18 +36,55 @@
 /// What a hub has heard.
 #[derive(Debug, Default)]
 pub(crate) struct Hub {
+    /// Whether counts travel by hubs.
+    on: bool,
     /// By entry; that of ended ones stays, since their counts still hold.
-    heard: BTreeMap<holder::Id, (Time, Bulletin)>,
+    heard: BTreeMap<holder::Id, Heard>,
     /// Whose sums are taken in, and when the last one came.
     pub(crate) listened: Option<(holder::Id, Time)>,
     /// The hubs as they were last.
     known: Vec<holder::Id>,
 }
 
+/// What a hub knows of one entry.
+#[derive(Debug)]
+struct Heard {
+    at: Time,
+    /// What it had charged when it was heard first. A new hub hears all entries anew; were its sum to rise by
+    /// all they ever charged, accounts would be charged for their past a second time.
+    before: Counts,
+    /// What it told last, with the charges since then.
+    counts: Bulletin,
+}
+
 impl Gateway {
     /// Whether counts travel by hubs.
     pub(crate) fn by_hubs(&self) -> bool {
-        self.membership.directory().count() > DIRECT
+        self.hub.on
+    }
+
+    /// Goes over to hubs once there are too many live entries.
+    pub(crate) fn consider_hubs(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let quiet = self.quiet();
+        let directory = self.membership.directory().iter();
+        let live = directory.filter(|(_, known)| known.is_usable(now, quiet));
+        if !self.hub.on && live.count() > DIRECT {
+            self.use_hubs(now, effects);
+        }
+    }
+
+    /// From here on sums count in place of what single entries told.
+    pub(crate) fn use_hubs(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.hub.on {
+            return;
+        }
+        self.hub.on = true;
+        for peer in std::mem::take(&mut self.peer_work).into_keys() {
+            self.quotas.forget(now, peer.0);
+        }
+        self.peer_loads.clear();
+        self.usage.forget_peers();
+        effects.push(Effect::Log(Line::info("hubs_used")));
     }
 
     /// The entries that rank first among the live ones.
@@ -77,25 +117,40 @@
         if !hubs.contains(&me) {
             return;
         }
-        self.hub.heard.insert(me, (now, own.clone()));
+        self.hub_heard(now, me, own);
         let total = self.sum_up(now);
-        self.sum_came(now, me, total.without(&own));
+        self.sum_came(now, me, self.without(&total, me));
         let present = self.membership.directory().present();
         let others: Vec<holder::Id> = present.map(|(id, _)| id).filter(|id| *id != me).collect();
         for to in others {
-            let share = match self.hub.heard.get(&to) {
-                Some((_, theirs)) => total.without(theirs),
-                None => total.clone(),
-            };
+            let share = self.without(&total, to);
             self.send_bulletin(to, &share, effects);
         }
     }
 
+    /// The sum without what that entry told itself.
+    fn without(&self, total: &Bulletin, entry: holder::Id) -> Bulletin {
+        match self.hub.heard.get(&entry) {
+            Some(theirs) => total.without(&theirs.counts),
+            None => total.clone(),
+        }
+    }
+
     /// Notes what an entry tells this one as a hub.
-    pub(crate) fn hub_heard(&mut self, now: Time, from: holder::Id, bulletin: &Bulletin) {
-        if self.by_hubs() {
-            self.hub.heard.insert(from, (now, bulletin.clone()));
+    pub(crate) fn hub_heard(&mut self, now: Time, from: holder::Id, mut bulletin: Bulletin) {
+        let before = match self.hub.heard.remove(&from) {
+            Some(known) => known.before,
+            None => bulletin.charged.clone(),
+        };
+        for (account, count) in &mut bulletin.charged {
+            *count = count.saturating_sub(before.get(account).copied().unwrap_or(0));
         }
+        let heard = Heard {
+            at: now,
+            before,
+            counts: bulletin,
+        };
+        self.hub.heard.insert(from, heard);
     }
 
     /// The sum of all that was heard; what entries run counts only while they are heard.
@@ -105,9 +160,9 @@
             unix_ms: self.usage.raw_unix_ms(now),
             ..Bulletin::default()
         };
-        for (heard, bulletin) in self.hub.heard.values() {
-            let fresh = now.since(*heard) <= quiet;
-            total.add(bulletin, fresh);
+        for heard in self.hub.heard.values() {
+            let fresh = now.since(heard.at) <= quiet;
+            total.add(&heard.counts, fresh);
         }
         total
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -75,6 +75,7 @@
                 let load = u8::MAX - self.settings.capacity;
                 self.attend(now, MemberEvent::Load(load), effects);
             }
+            self.consider_hubs(now, effects);
             self.next_bulletin = now + self.bulletin_time();
             self.publish_bulletin(now, effects);
             self.note_lagging(now);
@@ -242,8 +243,11 @@
         let Some(peer) = holder::Id::parse(&item.key) else {
             return;
         };
+        if bulletin.sums > 0 {
+            self.use_hubs(now, effects);
+        }
         match bulletin.sums {
-            0 if self.by_hubs() => self.hub_heard(now, peer, &bulletin),
+            0 if self.by_hubs() => self.hub_heard(now, peer, bulletin),
             0 => {
                 self.quotas.absorb(now, peer.0, &bulletin.charged);
                 self.take_counts(now, peer, bulletin);
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Forgets what single entries told; from here on one sum stands for all.
+    pub fn forget_peers(&mut self) {
+        self.peers.clear();
+        self.ahead.clear();
+    }
+
     /// The clock as it read at the start, for peers to compare: uncorrected, or all would follow each other.
     pub fn raw_unix_ms(&self, now: Time) -> u64 {
         self.zero_unix_ms + now.as_millis()
