Count entries by address; take no rates from bunched messages

Cause: eight entries killed at once and started again were sixteen members until the dead were known gone. Quotas and the scheduler counted seventeen, and counts went over to hubs. There, two messages of one hub came within a millisecond; what the second told was taken for the charge of that millisecond, 8.7 million tokens a second, and held back until it spoke again.

Ruled out: the baselines of a new hub (left as they were, the refusals stay).

Change: members are counted by address where entries are meant; a peer's counts are spread over one exchange at least. Test: messages_that_come_in_a_bunch_make_no_rush failed before.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -273,7 +273,7 @@
             .with("grace_ms", settings.grace.as_millis());
         effects.push(Effect::Log(line));
         self.membership.set_seeds(settings.seeds.clone());
-        let known = self.membership.directory().count() as u32;
+        let known = self.entries();
         self.quotas.set_entries(now, settings.entries.max(known));
         self.settings.seeds = settings.seeds;
         self.settings.entries = settings.entries;
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -63,12 +63,9 @@
         self.hub.on
     }
 
-    /// Goes over to hubs once there are too many live entries.
+    /// Goes over to hubs once there are too many entries.
     pub(crate) fn consider_hubs(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let quiet = self.quiet();
-        let directory = self.membership.directory().iter();
-        let live = directory.filter(|(_, known)| known.is_usable(now, quiet));
-        if !self.hub.on && live.count() > DIRECT {
+        if !self.hub.on && self.membership.directory().addresses() > DIRECT {
             self.use_hubs(now, effects);
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -159,14 +159,19 @@
 
     fn peers_changed(&mut self, now: Time, peers: &[holder::Id], effects: &mut Vec<Effect>) {
         let members = peers.len() + 1;
-        let entries = u32::try_from(members).unwrap_or(u32::MAX);
+        let entries = self.entries();
         self.scheduler.set_entries(entries);
-        let counted = entries.max(self.settings.entries);
-        self.quotas.set_entries(now, counted);
-        self.throttle.set_members(now, members);
+        self.quotas
+            .set_entries(now, entries.max(self.settings.entries));
+        self.throttle.set_members(now, entries as usize);
         effects.push(Effect::Log(Line::info("members").with("count", members)));
     }
 
+    /// How many entries there are, those counted once that were started anew.
+    pub(crate) fn entries(&self) -> u32 {
+        u32::try_from(self.membership.directory().addresses().max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Takes in a piece of news.
     fn news_came(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
         match item.topic {
--- a/crates/policy/src/configs/quota.rs
+++ b/crates/policy/src/configs/quota.rs
@@ -17,7 +17,8 @@
     /// Added to every account's burst, in its quota's unit: what the platform lets pass beyond quotas, so that a
     /// request isn't refused for the grain of others before it.
     pub grace: u64,
-    /// Shortest time to come back after: one exchange of counts.
+    /// Shortest time to come back after, and the shortest that a peer's counts are spread over: one exchange of
+    /// counts.
     pub shortest: Span,
 }
 
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -153,7 +153,9 @@
             self.peers.insert(peer, Peer::new(now, counts));
             return;
         };
-        let seconds = now.since(known.heard).as_millis() as f64 / 1_000.0;
+        // Messages that were held up come in a bunch; what the later ones tell wasn't charged between them.
+        let passed = now.since(known.heard).max(self.config.shortest);
+        let seconds = passed.as_millis() as f64 / 1_000.0;
         for (name, count) in counts {
             let before = known.counts.get(name).copied().unwrap_or(0);
             let charged = *count as f64 - before as f64;
@@ -161,10 +163,8 @@
             if let Some(bucket) = self.buckets.get_mut(name) {
                 bucket.level = (bucket.level - charged + assumed).min(bucket.burst);
             }
-            if seconds > 0.0 {
-                let rate = known.rates.entry(*name).or_default();
-                *rate += self.config.smoothing * ((charged / seconds).max(0.0) - *rate);
-            }
+            let rate = known.rates.entry(*name).or_default();
+            *rate += self.config.smoothing * ((charged / seconds).max(0.0) - *rate);
         }
         known.counts = counts.clone();
         known.heard = now;
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -183,3 +183,24 @@
     let left = quotas.left(Time::from_millis(now), ACCOUNT);
     assert!((left - BURST as f64).abs() < 1.0, "{left}");
 }
+
+#[test]
+fn messages_that_come_in_a_bunch_make_no_rush() {
+    // Accounts far below their quotas were refused for half a minute after a neighbour's messages had been held
+    // up on a slow link. Two came within a millisecond; what the second told beyond the first was taken for the
+    // charge of one millisecond, and so much was held back for what the neighbour would charge until it spoke.
+    let mut quotas = Quotas::new(Config::default());
+    quotas.set_entries(Time::ZERO, 2);
+    quotas.set(Time::ZERO, ACCOUNT, RATE, BURST);
+    quotas.absorb(Time::ZERO, 1, &BTreeMap::from([(ACCOUNT, 0)]));
+    quotas.absorb(Time::from_millis(999), 1, &BTreeMap::from([(ACCOUNT, 900)]));
+    quotas.absorb(
+        Time::from_millis(1_000),
+        1,
+        &BTreeMap::from([(ACCOUNT, 1_900)]),
+    );
+
+    let refused = quotas.charge(Time::from_millis(1_250), ACCOUNT, COST);
+
+    assert_eq!(refused, Ok(()));
+}
