Let hubs tell the median of all clocks, and keep sums of usage through a change of holders

What a former holder had written of all entries together was overwritten by the next sum. Ruled out: counts that come too late (they are told twice a second, and windows are fixed 1.5 s after their end). Change: a hub takes the median of the clocks that it hears and tells that; others follow it. What was read of a former holder's total is kept beside the sums, and the larger counts.

--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -135,6 +135,9 @@
 
     /// Notes what an entry tells this one as a hub.
     pub(crate) fn hub_heard(&mut self, now: Time, from: holder::Id, mut bulletin: Bulletin) {
+        if from != self.identity.incarnation {
+            self.usage.heard_clock(now, from, bulletin.unix_ms);
+        }
         let before = match self.hub.heard.remove(&from) {
             Some(known) => known.before,
             None => bulletin.charged.clone(),
@@ -154,7 +157,7 @@
     fn sum_up(&self, now: Time) -> Bulletin {
         let quiet = self.quiet();
         let mut total = Bulletin {
-            unix_ms: self.usage.raw_unix_ms(now),
+            unix_ms: self.usage.unix_ms(now),
             ..Bulletin::default()
         };
         for heard in self.hub.heard.values() {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -255,6 +255,7 @@
             0 if self.by_hubs() => self.hub_heard(now, peer, bulletin),
             0 => {
                 self.quotas.absorb(now, peer.0, &bulletin.charged);
+                self.usage.heard_clock(now, peer, bulletin.unix_ms);
                 self.take_counts(now, peer, bulletin);
             }
             _ => self.sum_came(now, peer, bulletin),
@@ -278,12 +279,14 @@
             true => self.quotas.rebase(now, SUM.0, &sum.charged, sum.sums),
             false => self.quotas.absorb_sum(now, SUM.0, &sum.charged, sum.sums),
         }
+        if hub != self.identity.incarnation {
+            self.usage.follow_clock(now, sum.unix_ms);
+        }
         self.take_counts(now, SUM, sum);
     }
 
     fn take_counts(&mut self, now: Time, peer: holder::Id, bulletin: Bulletin) {
-        self.usage
-            .absorb(now, peer, bulletin.begun, bulletin.unix_ms);
+        self.usage.absorb(peer, bulletin.begun);
         self.peer_work.insert(peer, bulletin.work);
         self.peer_loads.insert(peer, (now, bulletin.running));
         self.report_loads(now);
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -21,6 +21,7 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::hubs::SUM;
 use crate::store_calls::Waiter;
 use crate::usage::Counts;
 
@@ -58,9 +59,7 @@
         let newest = self.usage.window(now);
         let mut progress = Progress::new();
         for window in newest.saturating_sub(WINDOWS - 1)..=newest {
-            let counts = self.usage.by_entry(window, self.identity.incarnation);
-            let named = counts.map(|(entry, counts)| (format_smolstr!("{entry}"), counts.clone()));
-            progress.insert(window, named.collect());
+            progress.insert(window, self.known_counts(window));
         }
         let value = serde_json::to_value(&progress).unwrap_or(Value::Null);
         let transaction = Transaction {
@@ -71,6 +70,18 @@
         self.ask_store(Waiter::Progress, Call::Transact(transaction));
     }
 
+    /// What is known of a window: by entry, or of all together where counts travel by hubs.
+    fn known_counts(&self, window: u64) -> BTreeMap<SmolStr, Counts> {
+        if self.by_hubs() {
+            let total = self.usage.total(window);
+            return BTreeMap::from([(format_smolstr!("{SUM}"), total)]);
+        }
+        let counts = self.usage.by_entry(window, self.identity.incarnation);
+        counts
+            .map(|(entry, counts)| (format_smolstr!("{entry}"), counts.clone()))
+            .collect()
+    }
+
     /// The table service answered.
     pub(crate) fn progress_answered(&mut self, outcome: Outcome, effects: &mut Vec<Effect>) {
         let Outcome::Row(row) = outcome else {
@@ -92,10 +103,12 @@
     fn take_progress(&mut self, progress: Progress) {
         for (window, entries) in progress {
             for (entry, counts) in entries {
-                if let Some(entry) = holder::Id::parse(&entry)
-                    && entry != self.identity.incarnation
-                {
-                    self.usage.recall(entry, window, counts);
+                match holder::Id::parse(&entry) {
+                    Some(SUM) => self.usage.recall_total(window, counts),
+                    Some(entry) if entry != self.identity.incarnation => {
+                        self.usage.recall(entry, window, counts);
+                    }
+                    _ => {}
                 }
             }
         }
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -30,6 +30,8 @@
     correction_ms: i64,
     own: Windows,
     peers: BTreeMap<holder::Id, Windows>,
+    /// What a former holder of the duty knew of all entries together, where counts travel by hubs.
+    recalled: Windows,
     /// By how much each peer's clock is ahead of ours.
     ahead: BTreeMap<holder::Id, i64>,
 }
@@ -76,14 +78,22 @@
         &self.own
     }
 
-    /// Takes in what another entry tells, with its clock's time.
-    pub fn absorb(&mut self, now: Time, peer: holder::Id, windows: Windows, unix_ms: u64) {
+    /// Takes in what another entry tells.
+    pub fn absorb(&mut self, peer: holder::Id, windows: Windows) {
         self.peers.insert(peer, windows);
-        if unix_ms > 0 {
-            let ours = self.zero_unix_ms + now.as_millis();
-            self.ahead.insert(peer, unix_ms as i64 - ours as i64);
-        }
-        self.correct();
+    }
+
+    /// Notes what another entry's clock read.
+    pub fn heard_clock(&mut self, now: Time, peer: holder::Id, unix_ms: u64) {
+        self.ahead.insert(peer, self.ahead_of_ours(now, unix_ms));
+        let mut clocks: Vec<i64> = self.ahead.values().copied().chain([0]).collect();
+        clocks.sort_unstable();
+        self.correct(clocks[clocks.len() / 2]);
+    }
+
+    /// Follows a hub's time, which is the median of all clocks already.
+    pub fn follow_clock(&mut self, now: Time, unix_ms: u64) {
+        self.correct(self.ahead_of_ours(now, unix_ms));
     }
 
     /// Requests of all entries in a window.
@@ -95,7 +105,10 @@
                 *total.entry(account.clone()).or_default() += count;
             }
         }
-        total
+        match self.recalled.get(&window) {
+            Some(recalled) if sum(recalled) > sum(&total) => recalled.clone(),
+            _ => total,
+        }
     }
 
     /// Requests of each entry in a window; `me` counts its own.
@@ -117,11 +130,16 @@
             .or_default()
             .entry(window)
             .or_default();
-        if counts.values().sum::<u64>() > known.values().sum::<u64>() {
+        if sum(&counts) > sum(known) {
             *known = counts;
         }
     }
 
+    /// Notes what a former holder knew of all entries together.
+    pub fn recall_total(&mut self, window: u64, counts: Counts) {
+        self.recalled.insert(window, counts);
+    }
+
     /// Forgets what single entries told; from here on one sum stands for all.
     pub fn forget_peers(&mut self) {
         self.peers.clear();
@@ -137,20 +155,26 @@
     pub fn expire(&mut self, now: Time) {
         let oldest = self.window(now).saturating_sub(KEPT);
         self.own.retain(|window, _| *window >= oldest);
+        self.recalled.retain(|window, _| *window >= oldest);
         for windows in self.peers.values_mut() {
             windows.retain(|window, _| *window >= oldest);
         }
         self.peers.retain(|_, windows| !windows.is_empty());
     }
 
-    /// Puts a clock right that differs from most others.
-    fn correct(&mut self) {
-        let mut clocks: Vec<i64> = self.ahead.values().copied().chain([0]).collect();
-        clocks.sort_unstable();
-        let median = clocks[clocks.len() / 2];
-        self.correction_ms = match median.abs() > CLOCK_SLACK_MS {
-            true => median,
+    fn ahead_of_ours(&self, now: Time, unix_ms: u64) -> i64 {
+        unix_ms as i64 - self.raw_unix_ms(now) as i64
+    }
+
+    /// Puts our clock right if it differs.
+    fn correct(&mut self, ahead_ms: i64) {
+        self.correction_ms = match ahead_ms.abs() > CLOCK_SLACK_MS {
+            true => ahead_ms,
             false => 0,
         };
     }
 }
+
+fn sum(counts: &Counts) -> u64 {
+    counts.values().sum()
+}
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -8,7 +8,7 @@
 
 /// Requests of one window that the tests send, and its length in milliseconds.
 const WINDOW: u64 = 5_000;
-const REQUESTS: u64 = 40;
+const REQUESTS: u64 = 50;
 
 /// Lets entries find each other and one take the duties, up to the start of a window.
 fn settle(world: &mut World) {
@@ -49,6 +49,29 @@
     assert_eq!(served, REQUESTS);
 }
 
+#[test]
+fn many_entries_report_by_one_clock() {
+    // Every window's report of a large system was wrong by a third. One entry's clock was two seconds ahead, and
+    // it happened to be the hub whose time all others followed.
+    // The first holds the duties, as hubs do.
+    for ahead in [0, 7, 15] {
+        let mut world = World::new(24);
+        world.skew(ahead, 2_000);
+        settle(&mut world);
+        world.run(WINDOW - world.now % WINDOW);
+        let served = one_window(&mut world, 24);
+        let window = (world.unix_ms() - 1) / WINDOW;
+        world.run(3 * WINDOW);
+
+        let told = counts(&world).get(&window).copied().unwrap_or(0);
+
+        assert!(
+            served.abs_diff(told) <= 1,
+            "{told} of {served}, entry {ahead} was ahead"
+        );
+    }
+}
+
 #[test]
 fn a_second_holder_reports_the_same_counts() {
     // An account was billed by two reports of one window that told different sums. The holder had sent one, its
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -40,6 +41,8 @@
 pub const SERVICE: &str = "drafts";
 pub const KEY: &str = "amber-key";
 const STEP: u64 = 10;
+/// True time at the start; a window begins then.
+const ZERO_UNIX_MS: u64 = 1_000_000_000;
 /// Servers of the start, in each of two zones.
 const SERVERS: usize = 3;
 
@@ -76,6 +79,8 @@
     pub cut: BTreeSet<usize>,
     pub version: u64,
     pub servers: Vec<Server>,
+    /// By how much the wall clocks of some entries are ahead, milliseconds.
+    ahead: BTreeMap<usize, u64>,
     settings: Settings,
     processes: Vec<Option<Process>>,
     next_life: u64,
@@ -107,6 +112,7 @@
             cut: BTreeSet::new(),
             version: 3,
             servers: some_servers(),
+            ahead: BTreeMap::new(),
             settings,
             processes: (0..entries).map(|_| None).collect(),
             next_life: 100,
@@ -130,7 +136,7 @@
             peer_address: peer_address(entry),
         };
         let mut settings = self.settings.clone();
-        settings.zero_unix_ms = 1_000_000_000 + self.now;
+        settings.zero_unix_ms = self.unix_ms() + self.ahead.get(&entry).copied().unwrap_or(0);
         self.processes[entry] = Some(Process {
             gateway: Gateway::new(identity, settings, self.next_life),
             started: self.now,
@@ -139,6 +145,17 @@
         self.step(entry, Event::Servers(News::All(self.servers.clone())));
     }
 
+    /// Starts an entry anew with a wall clock that is ahead.
+    pub fn skew(&mut self, entry: usize, millis: u64) {
+        self.ahead.insert(entry, millis);
+        self.start(entry);
+    }
+
+    /// True time.
+    pub fn unix_ms(&self) -> u64 {
+        ZERO_UNIX_MS + self.now
+    }
+
     /// Kills an entry's process.
     pub fn kill(&mut self, entry: usize) {
         self.processes[entry] = None;
@@ -238,8 +255,9 @@
     }
 
     fn step(&mut self, entry: usize, event: Event) {
-        let mut events = vec![(entry, event)];
-        while let Some((entry, event)) = events.pop() {
+        // In order, as connections keep it.
+        let mut events = VecDeque::from([(entry, event)]);
+        while let Some((entry, event)) = events.pop_front() {
             let Some(process) = &mut self.processes[entry] else {
                 continue;
             };
