--- /dev/null
+++ b/crates/relay/src/options.rs
@@ -0,0 +1,77 @@
+//! The reducer's part of the settings.
+
+use std::time::SystemTime;
+
+use clock::Span;
+use settings::Settings;
+use settings::configs::gateway::Duty;
+use smol_str::ToSmolStr;
+
+/// The reducer's part of the settings.
+pub fn gateway_settings(settings: &Settings) -> gateway::configs::gateway::Settings {
+    let defaults = gateway::configs::gateway::Settings::default();
+    let seeds = settings.peers.seeds.iter();
+    let options = &settings.gateway;
+    gateway::configs::gateway::Settings {
+        seeds: seeds.map(|one| one.to_smolstr()).collect(),
+        entries: options.entries,
+        capacity: capacity_of(&options.processor),
+        address_keep: Span::from_millis(settings.callers.address_ttl_ms),
+        grace: Span::from_millis(settings.shutdown.grace_ms),
+        repeat_ratio: f64::from(options.repeats_percent) / 100.0,
+        repeat_allowance: f64::from(options.repeats_allowed),
+        quota: policy::configs::quota::Config {
+            // The other half is left to what entries don't know of each other yet.
+            grace: options.quota_allowance / 2,
+            ..defaults.quota
+        },
+        zero_unix_ms: unix_ms(),
+        report_usage: options.duties.contains(&Duty::Usage),
+        usage_window: Span::from_millis(options.usage_window_ms),
+        usage_delay: Span::from_millis(options.usage_delay_ms),
+        order_replicas: options.duties.contains(&Duty::Replicas),
+        lease: lease::configs::claim::Settings {
+            term: defaults
+                .lease
+                .term
+                .max(Span::from_millis(options.duty_term_ms)),
+            ..defaults.lease
+        },
+        members: member_settings(settings),
+        store: store::configs::budget::Settings {
+            writes_per_second: f64::from(settings.platform.writes_per_second),
+            reads_per_second: f64::from(settings.platform.reads_per_second),
+            ..store::configs::budget::Settings::default()
+        },
+        ..defaults
+    }
+    .shared_out()
+}
+
+/// How much an entry can take, 1 to 255, 255 being a whole processor core or more.
+fn capacity_of(processor: &str) -> u8 {
+    let Ok(share) = processor.parse::<f64>() else {
+        log::warn!(event = "setting_unreadable", option = "gateway.processor", value = processor; "");
+        return u8::MAX;
+    };
+    (share * f64::from(u8::MAX)).clamp(1.0, f64::from(u8::MAX)) as u8
+}
+
+/// The settings of membership.
+fn member_settings(settings: &Settings) -> member::configs::membership::Settings {
+    let leases = &settings.leases;
+    member::configs::membership::Settings {
+        renewal: Span::from_millis(leases.renew_interval_ms),
+        renewals_per_term: leases.term_ms / leases.renew_interval_ms.max(1),
+        margin: Span::from_millis(leases.margin_ms),
+        gossip: Span::from_millis(settings.peers.digest_interval_ms),
+        fanout: settings.peers.fan_out as usize,
+        ..gateway::configs::gateway::Settings::default().members
+    }
+}
+
+/// Wall clock, milliseconds since 1970. Read once: it may jump.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/relay/src/readers.rs
@@ -0,0 +1,189 @@
+//! What is done with each answer of the feeds: configuration and backend servers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clock::Time;
+use gateway::event::Event;
+use gateway::event::Source;
+use gateway::server::News;
+use gateway::server::Server;
+use smol_str::SmolStr;
+
+use crate::adapter::Changes;
+use crate::adapter::Fault;
+use crate::adapter::Row;
+use crate::adapter::Rows;
+use crate::follow::Reader;
+use crate::shared::Shared;
+
+/// Something that an entry depends on; its loss and return are logged once each.
+struct Dependency {
+    name: &'static str,
+    lost_at: Cell<Option<Time>>,
+}
+
+impl Dependency {
+    fn new(name: &'static str) -> Dependency {
+        Dependency {
+            name,
+            lost_at: Cell::new(None),
+        }
+    }
+
+    fn lost(&self, now: Time, fault: &'static str) {
+        if self.lost_at.get().is_none() {
+            self.lost_at.set(Some(now));
+            log::warn!(event = "dependency_lost", name = self.name, fault = fault; "");
+        }
+    }
+
+    fn regained(&self, now: Time) {
+        if let Some(lost) = self.lost_at.take() {
+            let after = now.since(lost).as_millis();
+            log::info!(event = "dependency_regained", name = self.name, after_ms = after; "");
+        }
+    }
+}
+
+/// Pause between two answers of a feed, and what each entry adds to it: all entries together read as often as
+/// a few would, within a part of the time in which changes must be in force.
+const FEED_PACE: Duration = Duration::from_millis(40);
+const FEED_PACE_ENTRY: Duration = Duration::from_millis(5);
+
+/// Pause after changes of a feed.
+fn pace_of(shared: &Shared) -> Duration {
+    let members = u32::try_from(shared.vitals.get().members).unwrap_or(u32::MAX);
+    FEED_PACE + FEED_PACE_ENTRY * members.min(100)
+}
+
+/// Takes what is read of the configuration.
+pub struct ConfigurationReader {
+    shared: Rc<Shared>,
+    dependency: Dependency,
+}
+
+impl ConfigurationReader {
+    /// A reader that tells the reducer.
+    pub fn new(shared: Rc<Shared>) -> ConfigurationReader {
+        ConfigurationReader {
+            shared,
+            dependency: Dependency::new("configuration"),
+        }
+    }
+
+    /// The table holds other rows besides; only one is the configuration.
+    fn take(&self, rows: &[Row]) {
+        for row in rows {
+            if !self.shared.codec.is_configuration(row) {
+                continue;
+            }
+            match self.shared.codec.book(&row.data) {
+                Ok(book) => self.shared.link.event(Event::Configured {
+                    book: Rc::new(book),
+                    document: row.data.clone(),
+                    source: Source::Store,
+                }),
+                Err(error) => {
+                    log::warn!(event = "configuration_unreadable", source = "store", error = error.to_string().as_str(); "");
+                }
+            }
+        }
+    }
+}
+
+impl Reader for ConfigurationReader {
+    fn all(&self, rows: Rows) {
+        self.take(&rows.rows);
+    }
+
+    fn changed(&self, changes: Changes) {
+        self.take(&changes.written);
+    }
+
+    fn pace(&self) -> Duration {
+        pace_of(&self.shared)
+    }
+
+    fn fresh(&self) {
+        let now = self.shared.clock.now();
+        self.shared.configuration_at.set(now);
+        self.dependency.regained(now);
+    }
+
+    fn lost(&self, fault: Fault) {
+        self.dependency
+            .lost(self.shared.clock.now(), fault.as_str());
+    }
+}
+
+/// Takes what is read of backend servers.
+pub struct ServersReader {
+    shared: Rc<Shared>,
+    dependency: Dependency,
+}
+
+impl ServersReader {
+    /// A reader that tells the reducer.
+    pub fn new(shared: Rc<Shared>) -> ServersReader {
+        ServersReader {
+            shared,
+            dependency: Dependency::new("servers"),
+        }
+    }
+
+    /// Servers of these rows, and the keys of rows that name none.
+    fn sort(&self, rows: &[Row]) -> (Vec<Server>, Vec<SmolStr>) {
+        let mut servers = Vec::new();
+        let mut unusable = Vec::new();
+        for row in rows {
+            match self.shared.codec.server(row) {
+                Ok(server) => servers.push(server),
+                Err(error) => {
+                    log::info!(event = "server_row_unusable", key = row.key.as_str(), error = error.to_string().as_str(); "");
+                    unusable.push(row.key.clone());
+                }
+            }
+        }
+        (servers, unusable)
+    }
+}
+
+impl Reader for ServersReader {
+    fn all(&self, rows: Rows) {
+        let (servers, _) = self.sort(&rows.rows);
+        self.shared.link.event(Event::Servers(News::All(servers)));
+    }
+
+    fn changed(&self, changes: Changes) {
+        let (servers, mut removed) = self.sort(&changes.written);
+        removed.extend(changes.deleted);
+        if !servers.is_empty() {
+            self.shared
+                .link
+                .event(Event::Servers(News::Changed(servers)));
+        }
+        if !removed.is_empty() {
+            self.shared
+                .link
+                .event(Event::Servers(News::Removed(removed)));
+        }
+    }
+
+    fn pace(&self) -> Duration {
+        pace_of(&self.shared)
+    }
+
+    fn fresh(&self) {
+        let now = self.shared.clock.now();
+        self.shared.servers_at.set(now);
+        self.dependency.regained(now);
+    }
+
+    fn lost(&self, fault: Fault) {
+        self.dependency
+            .lost(self.shared.clock.now(), fault.as_str());
+        self.shared.link.event(Event::ServersLost);
+    }
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,28 +7,21 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use anyhow::Context;
 use anyhow::Result;
 use clock::Clock;
-use clock::Span;
 use clock::Time;
 use gateway::book::Limits;
 use gateway::event::Event;
-use gateway::event::Source;
 use gateway::gateway::Gateway;
 use gateway::gateway::Vitals;
 use gateway::identity::Identity;
-use gateway::server::News;
-use gateway::server::Server;
 use lease::holder;
 use log::LevelFilter;
 use peer::proof::Key;
 use settings::Settings;
-use settings::configs::gateway::Duty;
 use settings::configs::logs::Level;
-use smol_str::SmolStr;
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
@@ -37,24 +30,22 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use crate::adapter::Changes;
 use crate::adapter::Cloud;
 use crate::adapter::Codec;
-use crate::adapter::Fault;
 use crate::adapter::Feed;
-use crate::adapter::Row;
-use crate::adapter::Rows;
 use crate::adapter::Tables;
 use crate::follow;
-use crate::follow::Reader;
 use crate::front;
 use crate::link::Link;
 use crate::logs;
 use crate::metrics::Metrics;
+use crate::options::gateway_settings;
 use crate::peers::Answering;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::ports;
+use crate::readers::ConfigurationReader;
+use crate::readers::ServersReader;
 use crate::shared::Shared;
 use crate::shell;
 use crate::shell::Shell;
@@ -154,14 +145,8 @@
     let (end, ended) = watch::channel(false);
     let front = tokio::task::spawn_local(front::serve(sockets.callers, Rc::clone(&shared), ended));
     let hurry = Rc::new(Notify::new());
-    let configuration = Rc::new(ConfigurationReader {
-        shared: Rc::clone(&shared),
-        dependency: Dependency::new("configuration"),
-    });
-    let servers = Rc::new(ServersReader {
-        shared: Rc::clone(&shared),
-        dependency: Dependency::new("servers"),
-    });
+    let configuration = Rc::new(ConfigurationReader::new(Rc::clone(&shared)));
+    let servers = Rc::new(ServersReader::new(Rc::clone(&shared)));
     let never = Rc::new(Notify::new());
     let tasks = [
         tokio::task::spawn_local(peer::server::serve(
@@ -240,160 +225,6 @@
     listener.with_context(|| format!("can't listen on {address}"))
 }
 
-/// Something that an entry depends on; its loss and return are logged once each.
-struct Dependency {
-    name: &'static str,
-    lost_at: Cell<Option<Time>>,
-}
-
-impl Dependency {
-    fn new(name: &'static str) -> Dependency {
-        Dependency {
-            name,
-            lost_at: Cell::new(None),
-        }
-    }
-
-    fn lost(&self, now: Time, fault: &'static str) {
-        if self.lost_at.get().is_none() {
-            self.lost_at.set(Some(now));
-            log::warn!(event = "dependency_lost", name = self.name, fault = fault; "");
-        }
-    }
-
-    fn regained(&self, now: Time) {
-        if let Some(lost) = self.lost_at.take() {
-            let after = now.since(lost).as_millis();
-            log::info!(event = "dependency_regained", name = self.name, after_ms = after; "");
-        }
-    }
-}
-
-/// Pause between two answers of a feed, and what each entry adds to it: all entries together read as often as
-/// a few would, within a part of the time in which changes must be in force.
-const FEED_PACE: Duration = Duration::from_millis(40);
-const FEED_PACE_ENTRY: Duration = Duration::from_millis(5);
-
-/// Pause after changes of a feed.
-fn pace_of(shared: &Shared) -> Duration {
-    let members = u32::try_from(shared.vitals.get().members).unwrap_or(u32::MAX);
-    FEED_PACE + FEED_PACE_ENTRY * members.min(100)
-}
-
-/// Takes what is read of the configuration.
-struct ConfigurationReader {
-    shared: Rc<Shared>,
-    dependency: Dependency,
-}
-
-impl ConfigurationReader {
-    /// The table holds other rows besides; only one is the configuration.
-    fn take(&self, rows: &[Row]) {
-        for row in rows {
-            if !self.shared.codec.is_configuration(row) {
-                continue;
-            }
-            match self.shared.codec.book(&row.data) {
-                Ok(book) => self.shared.link.event(Event::Configured {
-                    book: Rc::new(book),
-                    document: row.data.clone(),
-                    source: Source::Store,
-                }),
-                Err(error) => {
-                    log::warn!(event = "configuration_unreadable", source = "store", error = error.to_string().as_str(); "");
-                }
-            }
-        }
-    }
-}
-
-impl Reader for ConfigurationReader {
-    fn all(&self, rows: Rows) {
-        self.take(&rows.rows);
-    }
-
-    fn changed(&self, changes: Changes) {
-        self.take(&changes.written);
-    }
-
-    fn pace(&self) -> Duration {
-        pace_of(&self.shared)
-    }
-
-    fn fresh(&self) {
-        let now = self.shared.clock.now();
-        self.shared.configuration_at.set(now);
-        self.dependency.regained(now);
-    }
-
-    fn lost(&self, fault: Fault) {
-        self.dependency
-            .lost(self.shared.clock.now(), fault.as_str());
-    }
-}
-
-/// Takes what is read of backend servers.
-struct ServersReader {
-    shared: Rc<Shared>,
-    dependency: Dependency,
-}
-
-impl ServersReader {
-    /// Servers of these rows, and the keys of rows that name none.
-    fn sort(&self, rows: &[Row]) -> (Vec<Server>, Vec<SmolStr>) {
-        let mut servers = Vec::new();
-        let mut unusable = Vec::new();
-        for row in rows {
-            match self.shared.codec.server(row) {
-                Ok(server) => servers.push(server),
-                Err(error) => {
-                    log::info!(event = "server_row_unusable", key = row.key.as_str(), error = error.to_string().as_str(); "");
-                    unusable.push(row.key.clone());
-                }
-            }
-        }
-        (servers, unusable)
-    }
-}
-
-impl Reader for ServersReader {
-    fn all(&self, rows: Rows) {
-        let (servers, _) = self.sort(&rows.rows);
-        self.shared.link.event(Event::Servers(News::All(servers)));
-    }
-
-    fn changed(&self, changes: Changes) {
-        let (servers, mut removed) = self.sort(&changes.written);
-        removed.extend(changes.deleted);
-        if !servers.is_empty() {
-            self.shared
-                .link
-                .event(Event::Servers(News::Changed(servers)));
-        }
-        if !removed.is_empty() {
-            self.shared
-                .link
-                .event(Event::Servers(News::Removed(removed)));
-        }
-    }
-
-    fn pace(&self) -> Duration {
-        pace_of(&self.shared)
-    }
-
-    fn fresh(&self) {
-        let now = self.shared.clock.now();
-        self.shared.servers_at.set(now);
-        self.dependency.regained(now);
-    }
-
-    fn lost(&self, fault: Fault) {
-        self.dependency
-            .lost(self.shared.clock.now(), fault.as_str());
-        self.shared.link.event(Event::ServersLost);
-    }
-}
-
 /// Passes signals on.
 async fn watch_signals(stop: mpsc::UnboundedSender<()>, reload: Rc<Notify>) {
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
@@ -474,69 +305,6 @@
     );
 }
 
-/// The reducer's part of the settings.
-fn gateway_settings(settings: &Settings) -> gateway::configs::gateway::Settings {
-    let defaults = gateway::configs::gateway::Settings::default();
-    let seeds = settings.peers.seeds.iter();
-    let options = &settings.gateway;
-    gateway::configs::gateway::Settings {
-        seeds: seeds.map(|one| one.to_smolstr()).collect(),
-        entries: options.entries,
-        capacity: capacity_of(&options.processor),
-        address_keep: Span::from_millis(settings.callers.address_ttl_ms),
-        grace: Span::from_millis(settings.shutdown.grace_ms),
-        repeat_ratio: f64::from(options.repeats_percent) / 100.0,
-        repeat_allowance: f64::from(options.repeats_allowed),
-        quota: policy::configs::quota::Config {
-            // The other half is left to what entries don't know of each other yet.
-            grace: options.quota_allowance / 2,
-            ..defaults.quota
-        },
-        zero_unix_ms: unix_ms(),
-        report_usage: options.duties.contains(&Duty::Usage),
-        usage_window: Span::from_millis(options.usage_window_ms),
-        usage_delay: Span::from_millis(options.usage_delay_ms),
-        order_replicas: options.duties.contains(&Duty::Replicas),
-        lease: lease::configs::claim::Settings {
-            term: defaults
-                .lease
-                .term
-                .max(Span::from_millis(options.duty_term_ms)),
-            ..defaults.lease
-        },
-        members: member_settings(settings),
-        store: store::configs::budget::Settings {
-            writes_per_second: f64::from(settings.platform.writes_per_second),
-            reads_per_second: f64::from(settings.platform.reads_per_second),
-            ..store::configs::budget::Settings::default()
-        },
-        ..defaults
-    }
-    .shared_out()
-}
-
-/// How much an entry can take, 1 to 255, 255 being a whole processor core or more.
-fn capacity_of(processor: &str) -> u8 {
-    let Ok(share) = processor.parse::<f64>() else {
-        log::warn!(event = "setting_unreadable", option = "gateway.processor", value = processor; "");
-        return u8::MAX;
-    };
-    (share * f64::from(u8::MAX)).clamp(1.0, f64::from(u8::MAX)) as u8
-}
-
-/// The settings of membership.
-fn member_settings(settings: &Settings) -> member::configs::membership::Settings {
-    let leases = &settings.leases;
-    member::configs::membership::Settings {
-        renewal: Span::from_millis(leases.renew_interval_ms),
-        renewals_per_term: leases.term_ms / leases.renew_interval_ms.max(1),
-        margin: Span::from_millis(leases.margin_ms),
-        gossip: Span::from_millis(settings.peers.digest_interval_ms),
-        fanout: settings.peers.fan_out as usize,
-        ..gateway::configs::gateway::Settings::default().members
-    }
-}
-
 /// The log's filter for a level of the settings.
 fn filter_of(level: Level) -> LevelFilter {
     match level {
@@ -548,12 +316,6 @@
     }
 }
 
-/// Wall clock, milliseconds since 1970. Read once: it may jump.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// A number from the system's source of randomness.
 fn random() -> Result<u64> {
     getrandom::u64().map_err(|error| anyhow::anyhow!("no randomness: {error}"))
