--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod fleet;
 mod hubs;
 mod intake;
+mod lagging;
 mod open;
 mod peers;
 mod presence;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,33 +36,8 @@
 ];
 /// Time between two tellings of what is held against requests, while there is nothing new.
 const QUARANTINE_TIME: Span = Span::from_seconds(10);
-/// A peer that still tells an older version so long after ours came in force is sent ours. Most read
-/// it themselves within a few milliseconds; one that the table service turns away can't.
-const LAG_TIME: Span = Span::from_millis(300);
 /// Where counts travel by hubs, they are told in so many times the interval.
 const HUB_PACE: u64 = 2;
-/// Time between two sendings to the same peer, among few entries.
-const LAG_RETRY: Span = Span::from_millis(500);
-/// Time from one helper's turn to the next one's, among few entries.
-const LAG_TURN: Span = Span::from_millis(120);
-/// Among so many entries and fewer the times above hold; they grow with more. What another has read is heard
-/// later there, and what all would send meanwhile fills their links: 10,000 documents a second among 79, which
-/// made every answer late for ten seconds.
-const LAG_FEW: u32 = 8;
-
-/// Peers whose configuration is older than ours.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Lagging {
-    /// When each is sent ours.
-    due: BTreeMap<holder::Id, Time>,
-}
-
-impl Lagging {
-    /// When the next one is due.
-    pub fn next_wake(&self) -> Option<Time> {
-        self.due.values().min().copied()
-    }
-}
 
 impl Gateway {
     /// Lets the membership machine act on the time, and tells peers what we count.
@@ -350,63 +325,6 @@
             self.scheduler.replica_reported(now, known.key, report);
         }
     }
-
-    /// Notes peers that tell an older configuration than ours.
-    fn note_lagging(&mut self, now: Time) {
-        let Some(ours) = self.book.as_ref().map(|book| book.version) else {
-            return;
-        };
-        let me = self.identity.incarnation;
-        let mut due = BTreeMap::new();
-        for (id, known) in self.membership.directory().present() {
-            if id == me || known.beat.applied >= ours {
-                continue;
-            }
-            let first =
-                now + LAG_TIME + LAG_TURN.times(self.turn_to_help(now, id) * self.lag_pace());
-            let at = self.lagging.due.get(&id).copied().unwrap_or(first);
-            due.insert(id, at);
-        }
-        self.lagging.due = due;
-    }
-
-    /// Sends our configuration to peers that lag behind.
-    /// How many live entries go before this one in helping that peer.
-    fn turn_to_help(&self, now: Time, peer: holder::Id) -> u64 {
-        let quiet = self.quiet();
-        let ours = rendezvous::weight(peer.0, self.identity.incarnation.0);
-        let directory = self.membership.directory().iter();
-        let live = directory.filter(|(id, known)| *id != peer && known.is_usable(now, quiet));
-        let ahead = live.filter(|(id, _)| rendezvous::weight(peer.0, id.0) > ours);
-        ahead.count() as u64
-    }
-
-    /// By how much lagging peers are helped more slowly than among few entries.
-    fn lag_pace(&self) -> u64 {
-        u64::from((self.entries() / LAG_FEW).max(1))
-    }
-
-    fn send_configurations(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let due: Vec<holder::Id> = self
-            .lagging
-            .due
-            .iter()
-            .filter(|(_, at)| **at <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
-            let next = now + LAG_RETRY.times(self.lag_pace());
-            self.lagging.due.insert(id, next);
-            if let Some(address) = self.membership.peer_address(id).cloned() {
-                let line = Line::info("configuration_sent").with("peer", &address);
-                effects.push(Effect::Log(line));
-                effects.push(Effect::SendConfiguration {
-                    address,
-                    document: self.document.clone(),
-                });
-            }
-        }
-    }
 }
 
 /// A new membership machine of an entry.
