Blame a killer for the crash of a copy that was stopped too late

Cause: of eight copies in one millisecond, one runs at the second choice. The first crash is known 5 ms later, the copy there is called back, and its replica crashes all the same. The job was on no replica any more, so nobody was blamed; the killer had one crash to its name and got a trial, which cost a third replica.

Change: the quarantine remembers copies that were stopped within its settling time and holds their replica's crash against them, whoever tells of it. News is urgent only where it is new: in a first form two entries told each other of one crash for ever (test news_of_one_crash_is_urgent_once).

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -25,6 +25,8 @@
 mod record;
 mod records;
 
+use std::collections::VecDeque;
+
 use clock::Span;
 use clock::Time;
 
@@ -64,6 +66,17 @@
     urgent: bool,
     /// Fingerprints against which something new came up; bounded by what one event names.
     accused: Vec<u64>,
+    /// Copies of suspects that were stopped within `settle`: when, fingerprint, replica.
+    stopped: VecDeque<Stopped>,
+}
+
+/// A suspect's copy that was called back from a replica.
+#[derive(Clone, Copy, Debug)]
+struct Stopped {
+    at: Time,
+    fingerprint: u64,
+    replica: u64,
+    zone: u64,
 }
 
 impl Quarantine {
@@ -77,6 +90,7 @@
             claims: Claims::default(),
             urgent: false,
             accused: Vec::new(),
+            stopped: VecDeque::new(),
         }
     }
 
@@ -154,6 +168,30 @@
         self.urgent = true;
     }
 
+    /// A copy of a suspect was called back from that replica, unfinished.
+    ///
+    /// A crash of the replica within `settle` is held against it. Guards against a killer whose second
+    /// crash came while its cancellation travelled: nobody was blamed for it, and the killer's trial cost a
+    /// third replica.
+    pub fn stopped(&mut self, now: Time, fingerprint: u64, replica: u64, zone: u64) {
+        self.drop_stopped(now);
+        self.stopped.push_back(Stopped {
+            at: now,
+            fingerprint,
+            replica,
+            zone,
+        });
+    }
+
+    /// A stopped copy ended with a crash after all; its replica may be known no more.
+    pub fn stopped_crashed(&mut self, now: Time, fingerprint: u64) {
+        let of_it = |copy: &&Stopped| copy.fingerprint == fingerprint;
+        let Some(copy) = self.stopped.iter().rfind(of_it).copied() else {
+            return;
+        };
+        self.crashed(now, copy.replica, copy.zone, &[fingerprint]);
+    }
+
     /// A request ran to its end: it is no killer, unless it was found to be one already.
     pub fn finished(&mut self, now: Time, fingerprint: u64) {
         self.claims.end_own(fingerprint);
@@ -237,20 +275,28 @@
         now + self.config.settle + Span::from_millis(spread)
     }
 
-    fn accuse(&mut self, now: Time, fingerprint: u64, by: &[u64], left: Span, settled: Time) {
+    /// Whether it was new.
+    fn accuse(
+        &mut self,
+        now: Time,
+        fingerprint: u64,
+        by: &[u64],
+        left: Span,
+        settled: Time,
+    ) -> bool {
         let by: Vec<u64> = by
             .iter()
             .filter(|replica| self.crashes.blames(**replica))
             .copied()
             .collect();
         if by.is_empty() {
-            return;
+            return false;
         }
         let expires = now + left.min(self.config.term);
         let new = Record::new(settled, expires);
         let most = self.config.records;
         let Some(record) = self.records.accuse(fingerprint, &by, new, most) else {
-            return;
+            return false;
         };
         self.accused.push(fingerprint);
         record.expires = record.expires.max(expires);
@@ -259,6 +305,7 @@
         if !was_settled {
             record.settled = settled;
         }
+        true
     }
 
     fn acquit(&mut self, fingerprint: u64, of: &[u64]) {
@@ -286,6 +333,24 @@
         self.claims.drop_replica(replica);
         self.crashes
             .note(now, replica, zone, config.settle, config.digest);
+        self.drop_stopped(now);
+        let here = |copy: &&Stopped| copy.replica == replica;
+        let blamed: Vec<u64> = self
+            .stopped
+            .iter()
+            .filter(here)
+            .map(|copy| copy.fingerprint)
+            .collect();
+        for fingerprint in blamed {
+            let settled = self.settled(now, fingerprint);
+            // Only what is new is urgent: peers that tell each other of one crash would never end.
+            self.urgent |= self.accuse(now, fingerprint, &[replica], self.config.term, settled);
+        }
+    }
+
+    fn drop_stopped(&mut self, now: Time) {
+        let settle = self.config.settle;
+        self.stopped.retain(|copy| now.since(copy.at) <= settle);
     }
 
     fn item(&self, now: Time, fingerprint: u64) -> Option<Item> {
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -31,6 +31,10 @@
         if open.streaming && !self.settings.placement.blame_streams {
             return;
         }
+        if open.replica.is_none() {
+            self.quarantine.stopped_crashed(now, open.job.fingerprint);
+            return;
+        }
         let replica = open.replica.and_then(|key| self.replicas.get(&key));
         let Some(replica) = replica.filter(|replica| replica.leaving.is_none()) else {
             return;
@@ -59,6 +63,8 @@
             .map(|open| open.job.id)
             .collect();
         for id in copies {
+            // Before the job is taken off: with its last job a lost replica is forgotten.
+            self.note_stopped(now, id);
             let Some(replica) = self.take_off(now, id, job::End::Left) else {
                 continue;
             };
@@ -70,6 +76,18 @@
         }
     }
 
+    fn note_stopped(&mut self, now: Time, id: job::Id) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let replica = open.replica.and_then(|key| self.replicas.get(&key));
+        if let Some(replica) = replica {
+            let (identity, zone) = (replica.identity, replica.zone);
+            self.quarantine
+                .stopped(now, open.job.fingerprint, identity, zone);
+        }
+    }
+
     /// Takes suspects out of the queue's heads: the others go on, they wait their time.
     pub(super) fn set_suspects_aside(
         &mut self,
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -322,3 +322,67 @@
         assert_eq!(quarantine.standing(later, 100 + replica), Standing::Clear);
     }
 }
+
+/// A killer's copies run at two replicas. The first crash is known in time to stop the copy at the
+/// second, but it had done its work: that replica crashes while the cancellation is on its way, when
+/// no copy is counted there any more. Unless that crash is held against it, the killer has a clean
+/// trial to come, which costs a third replica.
+#[test]
+fn a_copy_that_was_stopped_too_late_is_still_blamed() {
+    let heard_from_a_peer = |entry: &mut Quarantine, now: Time| {
+        let mut peer = Quarantine::new(Config::default(), 2);
+        peer.crashed(now, 7, 1, &[5]);
+        entry.merge(now, &peer.digest(now));
+    };
+    let seen_here = |entry: &mut Quarantine, now: Time| entry.crashed(now, 7, 1, &[5]);
+    let told_by_the_copy = |entry: &mut Quarantine, now: Time| entry.stopped_crashed(now, KILLER);
+    let ways: [&dyn Fn(&mut Quarantine, Time); 3] =
+        [&heard_from_a_peer, &seen_here, &told_by_the_copy];
+    for crash_of_the_second in ways {
+        let mut entry = Quarantine::new(Config::default(), 1);
+        let start = Time::ZERO + Span::from_seconds(1);
+        entry.crashed(start, 3, 0, &[KILLER]);
+        assert_eq!(entry.take_accused(), [KILLER]);
+        entry.stopped(start, KILLER, 7, 1);
+        crash_of_the_second(&mut entry, start + FLIGHT);
+        let later = start + Span::from_seconds(1);
+        let standing = entry.standing(later, KILLER);
+        assert!(matches!(standing, Standing::Quarantined(_)), "{standing:?}");
+    }
+}
+
+/// An ordinary suspect's copy was stopped; its replica crashes much later, of something else.
+#[test]
+fn a_stopped_copy_is_not_blamed_for_a_later_crash() {
+    let mut entry = Quarantine::new(Config::default(), 1);
+    let start = Time::ZERO + Span::from_seconds(1);
+    entry.crashed(start, 3, 0, &[9]);
+    entry.stopped(start, 9, 7, 1);
+    let later = start + Config::default().settle + Span::from_millis(1);
+    entry.crashed(later, 7, 1, &[5]);
+    let standing = entry.standing(later + Span::from_seconds(1), 9);
+    assert!(
+        !matches!(standing, Standing::Quarantined(_)),
+        "{standing:?}"
+    );
+}
+
+/// Two entries stopped a copy at the same replica and hear of its crash from each other. Each hearing
+/// called for news at once, so the two told each other of it without end, and memory ran out.
+#[test]
+fn news_of_one_crash_is_urgent_once() {
+    let mut entry = Quarantine::new(Config::default(), 1);
+    let mut peer = Quarantine::new(Config::default(), 2);
+    let now = Time::ZERO + Span::from_seconds(1);
+    for one in [&mut entry, &mut peer] {
+        one.stopped(now, KILLER, 7, 1);
+    }
+    entry.crashed(now, 7, 1, &[KILLER]);
+    let mut told = 0;
+    while entry.urgent() || peer.urgent() {
+        told += 1;
+        assert!(told < 10, "the two never fall silent");
+        peer.merge(now, &entry.digest(now));
+        entry.merge(now, &peer.digest(now));
+    }
+}
