Write log lines as text in one place

The text form of a line, and handing it to the log, stood in the daemon's and the relay's logs; the filter of a level stood twice. They are line::text and Level::filter now. Output is unchanged: the tests of both logs pass as they were.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -77,7 +77,7 @@
 /// Runs an entry by its settings file until it is stopped.
 pub fn run(path: &Path) -> Result<()> {
     let loaded = settings::read(path)?;
-    logs::init(logs::filter_of(loaded.settings.logs.level));
+    logs::init(loaded.settings.logs.level.filter());
     for warning in &loaded.warnings.0 {
         log::warn!(event = "unknown_setting", what = warning.to_string().as_str(); "");
     }
--- a/crates/line/src/lib.rs
+++ b/crates/line/src/lib.rs
@@ -1,5 +1,7 @@
 //! One line of the log: an event with its fields.
 
+pub mod text;
+
 use std::fmt::Display;
 
 use log::Level;
--- /dev/null
+++ b/crates/line/src/text.rs
@@ -0,0 +1,91 @@
+//! The text form of the log: one line of key=value pairs an event.
+
+use std::io::Write;
+
+use log::Level;
+use log::Record;
+use log::kv::Error;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+
+use crate::Line;
+
+/// The name under which a record carries a line that is in its final form already.
+const FINISHED: &str = "line";
+
+/// Writes one record as text, for the log's formatter.
+pub fn format<W: Write>(output: &mut W, record: &Record) -> std::io::Result<()> {
+    let mut fields = Fields::default();
+    // Collecting text can't fail; a value that can't be shown would only be missing from its line.
+    let _ = record.key_values().visit(&mut fields);
+    let level = level_name(record.level());
+    writeln!(output, "level={level}{}", fields.text)
+}
+
+/// Hands the line to the process's log; `entry` names the entry it is about, where a process may hold several.
+pub fn send(line: &Line, entry: Option<&str>) {
+    let mut fields = Fields::default();
+    fields.add("event", line.event);
+    if let Some(entry) = entry {
+        fields.add("entry", entry);
+    }
+    for (name, value) in &line.fields {
+        fields.add(name, value);
+    }
+    log::logger().log(
+        &Record::builder()
+            .level(line.level)
+            .target("dogwoodspur")
+            .args(format_args!(""))
+            .key_values(&[(FINISHED, fields.text.trim_start())])
+            .build(),
+    );
+}
+
+const fn level_name(level: Level) -> &'static str {
+    match level {
+        Level::Error => "error",
+        Level::Warn => "warn",
+        Level::Info => "info",
+        Level::Debug => "debug",
+        Level::Trace => "trace",
+    }
+}
+
+/// Fields of a line, as text.
+#[derive(Default)]
+struct Fields {
+    text: String,
+}
+
+impl Fields {
+    /// Adds one field; values with blanks or quotes are quoted.
+    fn add(&mut self, name: &str, value: &str) {
+        self.text.push(' ');
+        self.text.push_str(name);
+        self.text.push('=');
+        let plain = !value.is_empty()
+            && value
+                .chars()
+                .all(|sign| !sign.is_whitespace() && !sign.is_control() && sign != '"');
+        if plain {
+            self.text.push_str(value);
+        } else {
+            self.text.push_str(&format!("{value:?}"));
+        }
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let text = value.to_string();
+        if key.as_str() == FINISHED {
+            self.text.push(' ');
+            self.text.push_str(&text);
+        } else {
+            self.add(key.as_str(), &text);
+        }
+        Ok(())
+    }
+}
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -18,6 +18,9 @@
 /// From a crash or a digest's sending to its receipt.
 const FLIGHT: Span = Span::from_millis(2);
 
+/// Something that an entry learns at a moment.
+type Event = dyn Fn(&mut Quarantine, Time);
+
 /// Entries that share replicas; a killer crashes each replica on which it starts.
 struct System {
     now: Time,
@@ -336,8 +339,7 @@
     };
     let seen_here = |entry: &mut Quarantine, now: Time| entry.crashed(now, 7, 1, &[5]);
     let told_by_the_copy = |entry: &mut Quarantine, now: Time| entry.stopped_crashed(now, KILLER);
-    let ways: [&dyn Fn(&mut Quarantine, Time); 3] =
-        [&heard_from_a_peer, &seen_here, &told_by_the_copy];
+    let ways: [&Event; 3] = [&heard_from_a_peer, &seen_here, &told_by_the_copy];
     for crash_of_the_second in ways {
         let mut entry = Quarantine::new(Config::default(), 1);
         let start = Time::ZERO + Span::from_seconds(1);
--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -13,12 +13,7 @@
 use std::sync::mpsc::sync_channel;
 
 use line::Line;
-use log::Level;
 use log::LevelFilter;
-use log::kv::Error;
-use log::kv::Key;
-use log::kv::Value;
-use log::kv::VisitSource;
 
 /// Lines that may wait for the reader: a second's worth of a busy entry, 200 KB at most.
 const LINES_WAITING: usize = 1_024;
@@ -57,12 +52,7 @@
     let built = env_logger::Builder::new()
         .filter_level(level)
         .target(env_logger::Target::Pipe(Box::new(queue)))
-        .format(|buffer, record| {
-            let mut fields = Fields::default();
-            let _ = record.key_values().visit(&mut fields);
-            let level = level_name(record.level());
-            writeln!(buffer, "level={level}{}", fields.text)
-        })
+        .format(line::text::format)
         .try_init();
     // A second gateway in the same process shares the first one's log.
     drop(built);
@@ -109,19 +99,7 @@
         LEFT_OUT.fetch_add(1, Ordering::Relaxed);
         return;
     }
-    let mut fields = Fields::default();
-    fields.add("event", line.event);
-    for (name, value) in &line.fields {
-        fields.add(name, value);
-    }
-    log::logger().log(
-        &log::Record::builder()
-            .level(line.level)
-            .target("dogwoodspur")
-            .args(format_args!(""))
-            .key_values(&[("line", fields.text.trim_start())])
-            .build(),
-    );
+    line::text::send(line, None);
 }
 
 /// Collects bytes to whole lines and hands them to the writing thread.
@@ -148,52 +126,3 @@
         Ok(())
     }
 }
-
-/// The level's name in the log.
-fn level_name(level: Level) -> &'static str {
-    match level {
-        Level::Error => "error",
-        Level::Warn => "warn",
-        Level::Info => "info",
-        Level::Debug => "debug",
-        Level::Trace => "trace",
-    }
-}
-
-/// Fields of a line, as text.
-#[derive(Default)]
-struct Fields {
-    text: String,
-}
-
-impl Fields {
-    /// Adds one field; values with blanks or quotes are quoted.
-    fn add(&mut self, name: &str, value: &str) {
-        self.text.push(' ');
-        self.text.push_str(name);
-        self.text.push('=');
-        let plain = !value.is_empty()
-            && value
-                .chars()
-                .all(|sign| !sign.is_whitespace() && !sign.is_control() && sign != '"');
-        if plain {
-            self.text.push_str(value);
-        } else {
-            self.text.push_str(&format!("{value:?}"));
-        }
-    }
-}
-
-impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let text = value.to_string();
-        if key.as_str() == "line" {
-            // Already in its final form.
-            self.text.push(' ');
-            self.text.push_str(&text);
-        } else {
-            self.add(key.as_str(), &text);
-        }
-        Ok(())
-    }
-}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -18,10 +18,8 @@
 use gateway::gateway::Vitals;
 use gateway::identity::Identity;
 use lease::holder;
-use log::LevelFilter;
 use peer::proof::Key;
 use settings::Settings;
-use settings::configs::logs::Level;
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
@@ -74,7 +72,7 @@
 
 /// Runs a gateway until it is stopped.
 pub fn run(settings: Settings, adapter: Adapter) -> Result<()> {
-    logs::init(filter_of(settings.logs.level));
+    logs::init(settings.logs.level.filter());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -305,17 +303,6 @@
     );
 }
 
-/// The log's filter for a level of the settings.
-fn filter_of(level: Level) -> LevelFilter {
-    match level {
-        Level::Error => LevelFilter::Error,
-        Level::Warn => LevelFilter::Warn,
-        Level::Info => LevelFilter::Info,
-        Level::Debug => LevelFilter::Debug,
-        Level::Trace => LevelFilter::Trace,
-    }
-}
-
 /// A number from the system's source of randomness.
 fn random() -> Result<u64> {
     getrandom::u64().map_err(|error| anyhow::anyhow!("no randomness: {error}"))
--- a/crates/settings/src/configs/logs.rs
+++ b/crates/settings/src/configs/logs.rs
@@ -1,5 +1,6 @@
 //! What is logged.
 
+use log::LevelFilter;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde::Serialize;
@@ -29,6 +30,19 @@
     Trace,
 }
 
+impl Level {
+    /// The log's filter for this level.
+    pub const fn filter(self) -> LevelFilter {
+        match self {
+            Level::Error => LevelFilter::Error,
+            Level::Warn => LevelFilter::Warn,
+            Level::Info => LevelFilter::Info,
+            Level::Debug => LevelFilter::Debug,
+            Level::Trace => LevelFilter::Trace,
+        }
+    }
+}
+
 impl Default for Logs {
     fn default() -> Self {
         Logs { level: Level::Info }
