Hand nothing to a server that leaves while its request waits

Cause: a request was placed on a server and waited for its connection at an entry short of processor time; the server began to leave, the entry knew it, and handed the request over 3.65 s later. The request's task never learned what the reducer knew.

Change: the reducer says so as an effect, for servers that leave and that are gone; the pool gives up unused connections and the task asks it right before the request leaves the process. An attempt that finds the server closed ends as not sent and is placed anew. A server whose row comes back is opened again.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -61,6 +61,16 @@
     },
     /// Read the configuration again as soon as may be: a peer has a newer one.
     ReadConfiguration,
+    /// A backend server may be handed requests, also if it was given up before.
+    OpenServer {
+        /// The life of the server that joined.
+        incarnation: SmolStr,
+    },
+    /// Hand nothing more to a backend server; what was handed over goes on.
+    CloseServer {
+        /// The life of the server that leaves or is gone.
+        incarnation: SmolStr,
+    },
     /// One line of the log.
     Log(Line),
     /// Nothing is left to do: the process may end.
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -111,6 +111,9 @@
             .with("service", &server.service)
             .with("zone", &server.zone);
         effects.push(Effect::Log(line));
+        effects.push(Effect::OpenServer {
+            incarnation: server.incarnation.clone(),
+        });
         let mut decisions = Vec::new();
         let key = self.scheduler.replica_joined(now, spec, &mut decisions);
         // Waiting requests may be placed there at once: their place must be known first.
@@ -135,6 +138,9 @@
             .with("replica", incarnation)
             .with("left_ms", until.since(now).as_millis());
         effects.push(Effect::Log(line));
+        effects.push(Effect::CloseServer {
+            incarnation: incarnation.clone(),
+        });
         let Some(key) = self.servers.get_mut(incarnation).map(|known| known.key) else {
             return true;
         };
@@ -159,6 +165,9 @@
         };
         let line = Line::info("server_gone").with("replica", incarnation);
         effects.push(Effect::Log(line));
+        effects.push(Effect::CloseServer {
+            incarnation: incarnation.clone(),
+        });
         // Its attempts go on until their connections end: a row may be gone before its server is.
         self.scheduler.replica_lost(now, known.key);
         let running = self
--- /dev/null
+++ b/crates/gateway/tests/leaving.rs
@@ -0,0 +1,45 @@
+//! What an entry does about requests that are on their way to a server that begins to leave.
+
+mod support;
+
+use support::World;
+
+#[test]
+fn a_server_that_leaves_gets_nothing_more() {
+    // A request was placed on a server and waited for its connection, at an entry short of processor time. The
+    // server said that it leaves; more than three seconds later the entry handed the request over, and the
+    // server was gone before the answer was whole. Nothing told the request's task what its entry knew.
+    let mut world = World::new(2);
+    world.run(1_000);
+    world.servers[0].leaving = true;
+    world.tell_servers();
+
+    let told: Vec<usize> = world.closed.iter().map(|(entry, _)| *entry).collect();
+    assert_eq!(told, [0, 1]);
+    assert!(world.closed.iter().all(|(_, server)| server == "s0#1"));
+}
+
+#[test]
+fn a_server_that_is_gone_gets_nothing_more() {
+    let mut world = World::new(1);
+    world.run(1_000);
+    let gone = world.servers.remove(1);
+    world.tell_servers();
+
+    assert_eq!(world.closed, [(0, gone.incarnation)]);
+}
+
+#[test]
+fn a_server_whose_row_comes_back_gets_requests_again() {
+    // The row of a server that lives lapsed, and the server wrote it again. Had its name stayed closed, requests
+    // placed there would come back unsent, one after the other.
+    let mut world = World::new(1);
+    world.run(1_000);
+    let back = world.servers.remove(1);
+    world.tell_servers();
+    world.run(1_000);
+    world.servers.push(back);
+    world.tell_servers();
+
+    assert!(world.closed.is_empty());
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -78,6 +78,8 @@
     /// Entries that no message reaches or leaves.
     pub cut: BTreeSet<usize>,
     pub version: u64,
+    /// Servers that an entry was told to hand nothing more, by entry.
+    pub closed: Vec<(usize, SmolStr)>,
     pub servers: Vec<Server>,
     /// By how much the wall clocks of some entries are ahead, milliseconds.
     ahead: BTreeMap<usize, u64>,
@@ -111,6 +113,7 @@
             lines: BTreeMap::new(),
             cut: BTreeSet::new(),
             version: 3,
+            closed: Vec::new(),
             servers: some_servers(),
             ahead: BTreeMap::new(),
             settings,
@@ -318,6 +321,15 @@
                 None
             }
             Effect::Addresses { .. } | Effect::ReadConfiguration => None,
+            Effect::OpenServer { incarnation } => {
+                self.closed
+                    .retain(|one| *one != (entry, incarnation.clone()));
+                None
+            }
+            Effect::CloseServer { incarnation } => {
+                self.closed.push((entry, incarnation));
+                None
+            }
             Effect::Log(line) => {
                 *self.lines.entry(line.event).or_default() += 1;
                 None
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -225,7 +225,7 @@
             }
         };
         let left = start.left - shared.clock.now().since(asked);
-        if left == Span::ZERO {
+        if left == Span::ZERO || !shared.pool.takes_requests(&start.place) {
             return Head::Ended(End::NotSent);
         }
         let start = Start {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod adapter;
 pub mod follow;
 pub mod logs;
+pub mod pool;
 pub mod run;
 
 mod attempt;
@@ -19,7 +20,6 @@
 mod options;
 mod payload;
 mod peers;
-mod pool;
 mod ports;
 mod readers;
 mod shared;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -42,6 +42,8 @@
 const IDLE_SHARE: f64 = 0.6;
 /// How long it is remembered when a server spoke last; longer than any silence that is asked for.
 const HEARD_KEPT: Span = Span::from_seconds(20);
+/// How long a server that left is remembered; longer than a request may wait to be handed over.
+const CLOSED_KEPT: Span = Span::from_seconds(60);
 /// Unused connections kept for each server.
 const MOST_IDLE: usize = 8;
 
@@ -51,6 +53,8 @@
     idle: RefCell<BTreeMap<SmolStr, Vec<Connection>>>,
     /// When each server said something last, by incarnation.
     heard: RefCell<BTreeMap<SmolStr, Time>>,
+    /// Servers that get nothing more, by incarnation, and since when.
+    closed: RefCell<BTreeMap<SmolStr, Time>>,
 }
 
 /// One connection. Dropped, it is closed.
@@ -77,6 +81,7 @@
             clock,
             idle: RefCell::default(),
             heard: RefCell::default(),
+            closed: RefCell::default(),
         }
     }
 
@@ -99,6 +104,26 @@
         at.is_some_and(|at| self.clock.now().since(*at) <= within)
     }
 
+    /// Takes a server up; its row may have been missing for a while though it lives.
+    pub fn open(&self, incarnation: &str) {
+        self.closed.borrow_mut().remove(incarnation);
+    }
+
+    /// Gives up a server that leaves: its unused connections, and requests that are not handed over yet.
+    ///
+    /// Guards against a request that waited for its connection while the server began to leave: one was
+    /// handed over 3.6 s after that, by an entry short of processor time, and would have ended with the server.
+    pub fn close(&self, incarnation: SmolStr) {
+        self.idle.borrow_mut().remove(&incarnation);
+        let now = self.clock.now();
+        self.closed.borrow_mut().insert(incarnation, now);
+    }
+
+    /// Whether a server may be handed a request now.
+    pub fn takes_requests(&self, place: &Place) -> bool {
+        !self.closed.borrow().contains_key(&place.incarnation)
+    }
+
     /// An unused connection to a server, if there is one.
     pub fn take(&self, place: &Place) -> Option<Connection> {
         let now = self.clock.now();
@@ -147,7 +172,7 @@
         let Some(idle_time) = idle_time(headers) else {
             return;
         };
-        if connection.sender.ready().await.is_err() {
+        if connection.sender.ready().await.is_err() || !self.takes_requests(place) {
             return;
         }
         let now = self.clock.now();
@@ -161,15 +186,17 @@
         }
     }
 
-    /// Closes what is too old, and everything to servers that `known` doesn't name.
-    pub fn sweep(&self, known: impl Fn(&str) -> bool) {
+    /// Closes and forgets what is too old.
+    pub fn sweep(&self) {
         let now = self.clock.now();
         let mut heard = self.heard.borrow_mut();
         heard.retain(|_, at| now.since(*at) <= HEARD_KEPT);
+        let mut closed = self.closed.borrow_mut();
+        closed.retain(|_, at| now.since(*at) <= CLOSED_KEPT);
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|incarnation, waiting| {
+        idle.retain(|_, waiting| {
             waiting.retain(|one| one.until > now && !one.sender.is_closed());
-            !waiting.is_empty() && known(incarnation)
+            !waiting.is_empty()
         });
     }
 }
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -156,6 +156,8 @@
                 self.peers.send_configuration(address, document);
             }
             Effect::ReadConfiguration => self.hurry.notify_one(),
+            Effect::OpenServer { incarnation } => self.shared.pool.open(&incarnation),
+            Effect::CloseServer { incarnation } => self.shared.pool.close(incarnation),
             Effect::Log(line) => {
                 self.shared.metrics.line(&line);
                 logs::write(&line);
@@ -201,6 +203,6 @@
 pub async fn sweep(shared: Rc<Shared>) {
     loop {
         tokio::time::sleep(SWEEP_TIME).await;
-        shared.pool.sweep(|_| true);
+        shared.pool.sweep();
     }
 }
--- /dev/null
+++ b/crates/relay/tests/pool.rs
@@ -0,0 +1,56 @@
+//! Connections to servers that leave.
+
+#![allow(clippy::unwrap_used)]
+
+use clock::Clock;
+use gateway::attempt::Place;
+use http::HeaderMap;
+use relay::pool::Pool;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+async fn listener() -> (TcpListener, Place) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let place = Place {
+        address: listener.local_addr().unwrap().to_string().into(),
+        id: "s1".into(),
+        incarnation: "s1#1".into(),
+    };
+    (listener, place)
+}
+
+#[tokio::test]
+async fn a_server_that_leaves_is_handed_nothing_more() {
+    // A connection to the server is being made, and another lies unused, when the server begins to leave. Either
+    // would have carried a request to it that its end cuts off.
+    let (_listener, place) = listener().await;
+    let check = async {
+        let pool = Pool::new(Clock::start());
+        for _ in 0..2 {
+            let connection = pool.connect(&place).await.unwrap();
+            pool.keep(&place, connection, &HeaderMap::new()).await;
+        }
+        let busy = pool.take(&place).unwrap();
+        assert!(pool.takes_requests(&place));
+
+        pool.close(place.incarnation.clone());
+        assert!(!pool.takes_requests(&place));
+        assert!(pool.take(&place).is_none());
+        // The answer that was awaited on the other connection came whole.
+        pool.keep(&place, busy, &HeaderMap::new()).await;
+        assert!(pool.take(&place).is_none());
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+#[tokio::test]
+async fn the_next_life_of_a_server_is_not_the_one_that_left() {
+    let (_listener, place) = listener().await;
+    let pool = Pool::new(Clock::start());
+    pool.close(place.incarnation.clone());
+    let next = Place {
+        incarnation: "s1#2".into(),
+        ..place
+    };
+    assert!(pool.takes_requests(&next));
+}
