Keep counts of ended entries among the hubs

Cause: counts of usage travel by two entries of a large system. With each replaced entry others may become these, and what ended entries had told was known to their forerunners alone; while a quarter was stopped and started in turn not all agreed on who they are.

Change: a hub tells the hubs what it was told, every two seconds, for windows that may still be reported; nobody's count falls (the most that any sum tells counts); where counts travel by hubs a window is fixed four seconds after its end instead of one and a half, and not by one that has not listened yet. Members are counted by address for the time after which one is taken as quiet.

What is left is lost with all entries at once, or in the open window.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -18,6 +18,9 @@
     /// How many entries it sums up; 0 for the sender's own counts.
     #[serde(skip_serializing_if = "is_zero")]
     pub sums: u32,
+    /// Whether it tells what an entry had counted once, in the words of one that had heard it.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub past: bool,
     /// Tokens charged to each account.
     pub charged: Counts,
     /// Attempts under way at each backend server, by the hash of its incarnation.
@@ -35,6 +38,15 @@
 }
 
 impl Bulletin {
+    /// What holds of it also once its entry has ended.
+    pub fn past(&self) -> Bulletin {
+        Bulletin {
+            past: true,
+            begun: self.begun.clone(),
+            ..Bulletin::default()
+        }
+    }
+
     /// Adds an entry's own counts; `fresh`, what it runs counts too.
     pub fn add(&mut self, one: &Bulletin, fresh: bool) {
         self.sums += u32::from(fresh);
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 
+use clock::Span;
 use clock::Time;
 use lease::holder;
 use line::Line;
@@ -23,12 +24,22 @@
 use crate::bulletin::Bulletin;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::usage;
 use crate::work;
 
 /// Most entries that tell each other directly: 16 messages four times a second, about one percent of a core.
 const DIRECT: usize = 16;
 /// Hubs: with one, its loss would silence all until everyone has noticed.
 pub(crate) const HUBS: usize = 2;
+/// Time between two hand-overs. While entries are replaced, not all agree on who the hubs are, and each of several
+/// hears a part.
+const HAND_OVER_TIME: Span = Span::from_millis(2_000);
+/// A hub has heard all entries once it has been one for so long: three tellings.
+const LISTEN: Span = Span::from_millis(1_500);
+/// Stands in the key of what a hub tells of another entry's past, between the two names.
+pub(crate) const PAST_MARK: char = '/';
+/// Entries told of in one message as a hub hands over: about 10 KB.
+const AT_ONCE: usize = 32;
 /// What the hubs' rank is drawn from.
 const KEY: &str = "hub";
 /// In whose name a sum is taken in; no entry draws this number.
@@ -45,6 +56,10 @@
     pub(crate) listened: Option<(holder::Id, Time)>,
     /// The hubs as they were last.
     known: Vec<holder::Id>,
+    /// Since when this entry has been one, if it is one.
+    since: Time,
+    /// When it tells the others next what it was told.
+    next_hand_over: Time,
 }
 
 /// What a hub knows of one entry.
@@ -52,8 +67,8 @@
 struct Heard {
     at: Time,
     /// What it had charged when it was heard first. A new hub hears all entries anew; were its sum to rise by
-    /// all they ever charged, accounts would be charged for their past a second time.
-    before: Counts,
+    /// all they ever charged, accounts would be charged for their past a second time. None if others told of it.
+    before: Option<Counts>,
     /// What it told last, with the charges since then.
     counts: Bulletin,
 }
@@ -64,6 +79,11 @@
         self.hub.on
     }
 
+    /// Whether this entry has had time to hear what all others count.
+    pub(crate) fn has_listened(&self, now: Time) -> bool {
+        now >= self.hub.since + LISTEN
+    }
+
     /// Goes over to hubs once there are too many entries.
     pub(crate) fn consider_hubs(&mut self, now: Time, effects: &mut Vec<Effect>) {
         if !self.hub.on && self.membership.directory().addresses() > DIRECT {
@@ -77,6 +97,7 @@
             return;
         }
         self.hub.on = true;
+        self.hub.since = now;
         for peer in std::mem::take(&mut self.peer_work).into_keys() {
             self.quotas.forget(now, peer.0);
         }
@@ -107,11 +128,24 @@
             let names: Vec<String> = hubs.iter().map(|hub| hub.to_string()).collect();
             let line = Line::info("hubs").with("ids", names.join(","));
             effects.push(Effect::Log(line));
-            self.hub.known = hubs.clone();
+            let before = std::mem::replace(&mut self.hub.known, hubs.clone());
+            if before.contains(&me) {
+                self.hub.next_hand_over = now;
+            } else {
+                self.hub.since = now;
+            }
         }
         for hub in hubs.iter().filter(|hub| **hub != me) {
             self.send_bulletin(*hub, &own, effects);
         }
+        if now >= self.hub.next_hand_over {
+            self.hub.next_hand_over = now + HAND_OVER_TIME;
+            let oldest = self.usage.oldest(now);
+            for heard in self.hub.heard.values_mut() {
+                heard.counts.begun.retain(|window, _| *window >= oldest);
+            }
+            self.hand_over(&hubs, effects);
+        }
         if !hubs.contains(&me) {
             return;
         }
@@ -126,6 +160,37 @@
         }
     }
 
+    /// Tells the hubs what all entries had told this one, also those that have ended.
+    ///
+    /// Guards against counts that go with a hub: a new one hears the live entries alone, and while a quarter of a
+    /// large system was stopped and started in turn, reports of usage missed up to a third. Which have ended isn't
+    /// known at once, so nobody is left out; whoever lives speaks for itself soon.
+    fn hand_over(&mut self, hubs: &[holder::Id], effects: &mut Vec<Effect>) {
+        let me = self.identity.incarnation;
+        let told: Vec<(holder::Id, Bulletin)> = self
+            .hub
+            .heard
+            .iter()
+            .filter(|(_, heard)| !heard.counts.begun.is_empty())
+            .map(|(id, heard)| (*id, heard.counts.past()))
+            .collect();
+        for hub in hubs.iter().filter(|hub| **hub != me) {
+            for some in told.chunks(AT_ONCE) {
+                self.send_bulletins(*hub, some, effects);
+            }
+        }
+    }
+
+    /// Notes what another entry had counted, by the word of a former hub.
+    fn hub_told_of(&mut self, entry: holder::Id, bulletin: Bulletin) {
+        let heard = self.hub.heard.entry(entry).or_insert_with(|| Heard {
+            at: Time::ZERO,
+            before: None,
+            counts: Bulletin::default(),
+        });
+        usage::take_most(&mut heard.counts.begun, &bulletin.begun);
+    }
+
     /// The sum without what that entry told itself.
     fn without(&self, total: &Bulletin, entry: holder::Id) -> Bulletin {
         match self.hub.heard.get(&entry) {
@@ -136,19 +201,21 @@
 
     /// Notes what an entry tells this one as a hub.
     pub(crate) fn hub_heard(&mut self, now: Time, from: holder::Id, mut bulletin: Bulletin) {
+        if bulletin.past {
+            return self.hub_told_of(from, bulletin);
+        }
         if from != self.identity.incarnation {
             self.usage.heard_clock(now, from, bulletin.unix_ms);
         }
-        let before = match self.hub.heard.remove(&from) {
-            Some(known) => known.before,
-            None => bulletin.charged.clone(),
-        };
+        let known = self.hub.heard.remove(&from);
+        let before = known.and_then(|known| known.before);
+        let before = before.unwrap_or_else(|| bulletin.charged.clone());
         for (account, count) in &mut bulletin.charged {
             *count = count.saturating_sub(before.get(account).copied().unwrap_or(0));
         }
         let heard = Heard {
             at: now,
-            before,
+            before: Some(before),
             counts: bulletin,
         };
         self.hub.heard.insert(from, heard);
@@ -174,33 +241,54 @@
     }
 
     fn send_bulletin(&mut self, to: holder::Id, bulletin: &Bulletin, effects: &mut Vec<Effect>) {
+        let own = [(self.identity.incarnation, bulletin.clone())];
+        self.send_bulletins(to, &own, effects);
+    }
+
+    /// Sends what some entries count, in one message.
+    fn send_bulletins(
+        &mut self,
+        to: holder::Id,
+        bulletins: &[(holder::Id, Bulletin)],
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(address) = self.membership.peer_address(to).cloned() else {
             return;
         };
-        let payload = match serde_json::to_vec(bulletin) {
-            Ok(payload) => payload,
-            Err(error) => {
-                let line = Line::warn("bulletin_lost").with("error", error);
-                return effects.push(Effect::Log(line));
+        let mut items = Vec::new();
+        for (of, bulletin) in bulletins {
+            match serde_json::to_vec(bulletin) {
+                Ok(payload) => items.push(self.count_item(*of, payload, bulletin.past)),
+                Err(error) => {
+                    let line = Line::warn("bulletin_lost").with("error", error);
+                    effects.push(Effect::Log(line));
+                }
             }
-        };
-        self.news_version += 1;
-        let me = self.identity.incarnation;
-        let item = Item {
-            topic: Topic::Count,
-            key: format_smolstr!("{me}"),
-            version: self.news_version,
-            age_ms: 0,
-            payload,
-        };
+        }
         let digest = Digest {
             own: Beat {
-                id: me,
+                id: self.identity.incarnation,
                 ..Beat::default()
             },
-            items: vec![item],
+            items,
             ..Digest::default()
         };
         effects.push(Effect::SendDigest { address, digest });
     }
+
+    fn count_item(&mut self, of: holder::Id, payload: Vec<u8>, past: bool) -> Item {
+        self.news_version += 1;
+        // Under a key of its own: versions of one key are its entry's.
+        let key = match past {
+            true => format_smolstr!("{of}{PAST_MARK}{}", self.identity.incarnation),
+            false => format_smolstr!("{of}"),
+        };
+        Item {
+            topic: Topic::Count,
+            key,
+            version: self.news_version,
+            age_ms: 0,
+            payload,
+        }
+    }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,6 +21,7 @@
 use crate::configs::gateway::Settings;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::hubs::PAST_MARK;
 use crate::hubs::SUM;
 use crate::identity::Identity;
 use crate::store_calls::Waiter;
@@ -81,7 +82,7 @@
     /// How long a member may be silent before it isn't counted on. News of many takes several rounds to
     /// come round.
     pub(crate) fn quiet(&self) -> Span {
-        let members = self.membership.directory().count();
+        let members = self.membership.directory().addresses();
         let quiet = self.settings.members.quiet_among(members);
         match self.by_hubs() {
             true => quiet.times(HUB_PACE),
@@ -177,6 +178,7 @@
         }
         let bulletin = Bulletin {
             sums: 0,
+            past: false,
             charged: self.quotas.counts(),
             running,
             begun: self.usage.told().clone(),
@@ -227,7 +229,8 @@
                 return effects.push(Effect::Log(line));
             }
         };
-        let Some(peer) = holder::Id::parse(&item.key) else {
+        let name = item.key.split(PAST_MARK).next().unwrap_or_default();
+        let Some(peer) = holder::Id::parse(name) else {
             return;
         };
         if bulletin.sums > 0 {
@@ -249,6 +252,8 @@
     /// Only one hub is listened to, the first as long as it is heard. Sums of two differ by what each has not
     /// heard yet; taken in turn, the difference would be charged again and again.
     pub(crate) fn sum_came(&mut self, now: Time, hub: holder::Id, sum: Bulletin) {
+        // Of usage each sum tells something: what one hub hasn't heard yet the other may have.
+        self.usage.absorb_sum(SUM, &sum.begun);
         let first = self.hubs(now).first() == Some(&hub);
         let (listened, heard) = self.hub.listened.unwrap_or((hub, now));
         let silent = now.since(heard) >= self.settings.quota.silence;
@@ -264,11 +269,15 @@
         if hub != self.identity.incarnation {
             self.usage.follow_clock(now, sum.unix_ms);
         }
-        self.take_counts(now, SUM, sum);
+        self.take_work(now, SUM, sum);
     }
 
-    fn take_counts(&mut self, now: Time, peer: holder::Id, bulletin: Bulletin) {
-        self.usage.absorb(peer, bulletin.begun);
+    fn take_counts(&mut self, now: Time, peer: holder::Id, mut bulletin: Bulletin) {
+        self.usage.absorb(peer, std::mem::take(&mut bulletin.begun));
+        self.take_work(now, peer, bulletin);
+    }
+
+    fn take_work(&mut self, now: Time, peer: holder::Id, bulletin: Bulletin) {
         self.peer_work.insert(peer, bulletin.work);
         self.peer_loads.insert(peer, (now, bulletin.running));
         self.report_loads(now);
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -32,6 +32,9 @@
 /// After a window's end until its counts are fixed: two rounds of what entries tell each other, and what
 /// entries that are cut off for a moment bring late.
 const SETTLE: Span = Span::from_millis(1_500);
+/// The same where counts travel by hubs: while entries are replaced, some seconds go by until all agree on who
+/// the hubs are, and until then each of them knows a part. Leaves more than half of the usual time to report.
+const SETTLE_BY_HUBS: Span = Span::from_millis(4_000);
 /// Time between two tries.
 const RETRY: Span = Span::from_millis(700);
 /// Windows whose rows are kept.
@@ -70,7 +73,8 @@
     /// Fixes and sends what is due.
     pub(crate) fn reports_tick(&mut self, now: Time, warrant: Warrant, effects: &mut Vec<Effect>) {
         // A window fixed before a former holder's counts were read would miss all that only it knew.
-        if !self.settings.report_usage || !self.duties.progress.read {
+        let ready = self.duties.progress.read && self.has_listened(now);
+        if !self.settings.report_usage || !ready {
             return;
         }
         let newest = self.usage.window(now);
@@ -83,7 +87,11 @@
         for window in oldest..newest {
             let since = self.usage.since_end(now, window);
             let delay = self.settings.usage_delay.as_millis() as i64;
-            if since < SETTLE.as_millis() as i64 || since > delay {
+            let settle = match self.by_hubs() {
+                true => SETTLE_BY_HUBS,
+                false => SETTLE,
+            };
+            if since < settle.as_millis() as i64 || since > delay {
                 continue;
             }
             self.report_window(now, window, warrant, effects);
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -83,6 +83,12 @@
         self.peers.insert(peer, windows);
     }
 
+    /// Takes in what all others have counted together. Nobody's count falls: a sum that tells less comes from an
+    /// entry that hasn't heard all of them yet.
+    pub fn absorb_sum(&mut self, peer: holder::Id, windows: &Windows) {
+        take_most(self.peers.entry(peer).or_default(), windows);
+    }
+
     /// Notes what another entry's clock read.
     pub fn heard_clock(&mut self, now: Time, peer: holder::Id, unix_ms: u64) {
         self.ahead.insert(peer, self.ahead_of_ours(now, unix_ms));
@@ -151,9 +157,14 @@
         self.zero_unix_ms + now.as_millis()
     }
 
+    /// The oldest window that may still be reported.
+    pub fn oldest(&self, now: Time) -> u64 {
+        self.window(now).saturating_sub(KEPT)
+    }
+
     /// Forgets what is too old to be reported.
     pub fn expire(&mut self, now: Time) {
-        let oldest = self.window(now).saturating_sub(KEPT);
+        let oldest = self.oldest(now);
         self.own.retain(|window, _| *window >= oldest);
         self.recalled.retain(|window, _| *window >= oldest);
         for windows in self.peers.values_mut() {
@@ -175,6 +186,17 @@
     }
 }
 
+/// Raises each count to what the other one tells, if that is more.
+pub(crate) fn take_most(into: &mut Windows, told: &Windows) {
+    for (window, counts) in told {
+        let into = into.entry(*window).or_default();
+        for (account, count) in counts {
+            let most = into.entry(account.clone()).or_default();
+            *most = (*most).max(*count);
+        }
+    }
+}
+
 fn sum(counts: &Counts) -> u64 {
     counts.values().sum()
 }
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -158,3 +158,36 @@
 
     assert_eq!(told, served);
 }
+
+#[test]
+fn entries_replaced_in_turn_lose_no_counts() {
+    // While a quarter of a large system was stopped and started in turn, each window's report missed up to a third of
+    // its requests. With each start other entries became the ones by way of which counts travel, and what entries that
+    // had ended had told was known to their forerunners alone.
+    let entries = 24;
+    let mut world = World::new(entries);
+    settle(&mut world);
+    world.run(WINDOW - world.now % WINDOW);
+    let mut served: BTreeMap<u64, u64> = BTreeMap::new();
+    for number in 0..2_000 {
+        let entry = number % entries;
+        *served.entry(world.unix_ms() / WINDOW).or_default() += u64::from(world.serve(entry));
+        world.run(10);
+        if number % 100 == 50 {
+            // Long enough for what it had counted last to be told.
+            let next = number / 100 % entries;
+            world.kill(next);
+            world.run(10);
+            world.start(next);
+        }
+    }
+    world.run(3 * WINDOW);
+
+    let told = counts(&world);
+
+    for (window, count) in served {
+        let told = told.get(&window).copied().unwrap_or(0);
+        let off = count.abs_diff(told);
+        assert!(off * 20 <= count, "window {window}: {told} of {count}");
+    }
+}
