--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -68,6 +68,7 @@
         .minutes
         .map(|minutes| Instant::now() + Duration::from_secs(60 * minutes));
     let failed = Mutex::new(Vec::new());
+    let unplayed = Mutex::new(Vec::new());
     std::thread::scope(|threads| {
         for _ in 0..arguments.jobs.max(1) {
             threads.spawn(|| {
@@ -78,31 +79,34 @@
                         return;
                     }
                     let folder = arguments.logs.join(format!("seed-{seed}"));
-                    let kept = match run::play(seed, size, &binary, folder.clone()) {
+                    let list = match run::play(seed, size, &binary, folder.clone()) {
                         Ok(report) => {
                             print!("{report}");
-                            report.breaches.is_empty()
+                            if report.breaches.is_empty() {
+                                let _ = std::fs::remove_dir_all(&folder);
+                                continue;
+                            }
+                            &failed
                         }
                         Err(error) => {
                             println!("seed {seed}: not played: {error:#}");
-                            false
+                            &unplayed
                         }
                     };
-                    if kept {
-                        let _ = std::fs::remove_dir_all(&folder);
-                    } else if let Ok(mut failed) = failed.lock() {
-                        failed.push(seed);
+                    if let Ok(mut list) = list.lock() {
+                        list.push(seed);
                     }
                 }
             });
         }
     });
-    let mut failed = failed.into_inner().unwrap_or_default();
-    failed.sort_unstable();
-    let played = next.load(Ordering::Relaxed).min(first + arguments.seeds) - first;
-    println!(
-        "{played} seeds from {first}: {} with broken promises {failed:?}",
-        failed.len()
-    );
-    Ok(failed.is_empty())
+    let sorted = |seeds: Mutex<Vec<u64>>| {
+        let mut seeds = seeds.into_inner().unwrap_or_default();
+        seeds.sort_unstable();
+        seeds
+    };
+    let (failed, unplayed) = (sorted(failed), sorted(unplayed));
+    let begun = next.load(Ordering::Relaxed).min(first + arguments.seeds) - first;
+    println!("{begun} seeds from {first}: broken promises {failed:?}, not played {unplayed:?}");
+    Ok(failed.is_empty() && unplayed.is_empty())
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -96,7 +96,7 @@
 fn draw_fault(random: &mut Pcg64, size: &Size) -> Fault {
     let entry = random.random_range(0..size.entries);
     let replica = random.random_range(0..size.engines + 2 * size.apps);
-    match random.random_range(0..20) {
+    match random.random_range(0..22) {
         0 | 1 => Fault::Kill(entry),
         2 => Fault::KillAll,
         3 | 4 => Fault::Stop(entry),
@@ -110,8 +110,8 @@
         12 | 13 => Fault::Tables(draw_trouble(random)),
         14 => Fault::Forget,
         15 => Fault::Crash(replica),
-        16 => Fault::Leave(replica),
-        17 => Fault::Works(replica, draw_manner(random)),
+        16 | 17 => Fault::Leave(replica),
+        18 | 19 => Fault::Works(replica, draw_manner(random)),
         _ => Fault::Configure,
     }
 }
--- a/crates/soak/src/program.rs
+++ b/crates/soak/src/program.rs
@@ -101,7 +101,8 @@
         };
         let begun = self.shared.clock.now();
         self.signal(Signal::TERM);
-        let grace = self.shared.ledger.borrow().bounds.grace;
+        let bounds = self.shared.ledger.borrow().bounds;
+        let grace = bounds.grace + bounds.late;
         while self.pid.get() == Some(pid) {
             let took = self.shared.clock.now().since(begun);
             if took > grace {
