--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -85,6 +85,7 @@
         let name = rendezvous::identity(&account.name);
         line.with("account", &account.name)
             .with("quota_left", format!("{:.0}", self.quotas.left(now, name)))
+            .with("quota_part", format!("{:.0}", self.quotas.part(name)))
             .with("cost", quota_cost(account, arrival))
     }
 
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -159,6 +159,12 @@
         level - self.unseen(now, name)
     }
 
+    /// What this entry may give of the account while it is short.
+    pub fn part(&self, name: Name) -> f64 {
+        let bucket = self.buckets.get(&name);
+        bucket.and_then(|bucket| bucket.part).unwrap_or(0.0)
+    }
+
     /// Takes back the charge of a request that didn't run.
     pub fn refund(&mut self, name: Name, cost: Cost) {
         if let Some(bucket) = self.buckets.get_mut(&name) {
