Soak: take a network that no other run uses

Two runs of one seed at once, as in two test runs on one machine, couldn't bind their addresses. The first free network from the seed's own on is taken, marked by a listener for as long as the run lasts. The plan doesn't depend on it.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -64,7 +64,7 @@
 }
 
 async fn play_all(seed: u64, size: Size, binary: &Path, folder: PathBuf) -> Result<Report> {
-    let shared = Rc::new(Shared::new(seed, folder));
+    let shared = Rc::new(Shared::new(seed, folder)?);
     let world = Rc::new(start(&shared, size, binary).await?);
     let network = shared.network;
     let cloud_address = network.address(Party::Platform, Port::Cloud);
--- a/crates/soak/src/scene.rs
+++ b/crates/soak/src/scene.rs
@@ -3,11 +3,14 @@
 use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use anyhow::Result;
+use anyhow::bail;
 use clock::Clock;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -19,7 +22,7 @@
 pub const HOST: &str = "soak.example";
 /// Zones, in turn.
 pub const ZONES: [&str; 3] = ["north", "middle", "south"];
-/// Loopback networks that seeds use in turn, so that some can run at once.
+/// Loopback networks, so that some runs can go on at once, also of the same seed.
 const NETWORKS: u64 = 200;
 /// The first of these networks, `127.16.0.0`.
 const FIRST_NETWORK: u64 = 16;
@@ -38,19 +41,23 @@
     pub network: Network,
     /// Where settings and logs are kept.
     pub folder: PathBuf,
+    /// Keeps the network from other runs.
+    _taken: TcpListener,
 }
 
 impl Shared {
     /// The common things of the run of a seed.
-    pub fn new(seed: u64, folder: PathBuf) -> Shared {
-        Shared {
+    pub fn new(seed: u64, folder: PathBuf) -> Result<Shared> {
+        let (network, taken) = Network::take(seed)?;
+        Ok(Shared {
             clock: Clock::start(),
             ledger: RefCell::default(),
             tables: Rc::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
-            network: Network::of(seed),
+            network,
             folder,
-        }
+            _taken: taken,
+        })
     }
 }
 
@@ -92,13 +99,23 @@
     PeersLink = 9229,
     /// An entry's way to the table service.
     TablesLink = 9225,
+    /// Says that the network is used.
+    Mark = 9219,
 }
 
 impl Network {
-    const fn of(seed: u64) -> Network {
-        Network {
-            second: (FIRST_NETWORK + seed % NETWORKS) as u8,
+    /// A network that no other run uses, for as long as the listener lives.
+    fn take(seed: u64) -> Result<(Network, TcpListener)> {
+        for turn in 0..NETWORKS {
+            let network = Network {
+                second: (FIRST_NETWORK + (seed + turn) % NETWORKS) as u8,
+            };
+            let mark = network.address(Party::Platform, Port::Mark);
+            if let Ok(taken) = TcpListener::bind(mark) {
+                return Ok((network, taken));
+            }
         }
+        bail!("{NETWORKS} runs go on already")
     }
 
     /// The address of a party's port.
