Put three comments right

A doc line of send_configurations stood above another function; the time since which an entry is a hub is also moved while it is none; a comment of the soak borrowed wording that isn't the field's.

--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -56,7 +56,7 @@
     pub(crate) listened: Option<(holder::Id, Time)>,
     /// The hubs as they were last.
     known: Vec<holder::Id>,
-    /// Since when this entry has been one, if it is one.
+    /// When this entry last became one, or, while it is none, when others did.
     since: Time,
     /// When it tells the others next what it was told.
     next_hand_over: Time,
--- a/crates/gateway/src/lagging.rs
+++ b/crates/gateway/src/lagging.rs
@@ -60,7 +60,6 @@
         self.lagging.due = due;
     }
 
-    /// Sends our configuration to peers that lag behind.
     /// How many live entries go before this one in helping that peer.
     fn turn_to_help(&self, now: Time, peer: holder::Id) -> u64 {
         let quiet = self.quiet();
@@ -76,6 +75,7 @@
         u64::from((self.entries() / LAG_FEW).max(1))
     }
 
+    /// Sends our configuration to peers that lag behind.
     pub(crate) fn send_configurations(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let due: Vec<holder::Id> = self
             .lagging
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -27,7 +27,7 @@
 pub const APPS: [&str; 2] = ["app-a", "app-b"];
 /// The service of streams.
 pub const ENGINES: &str = "engines";
-/// A killed entry is back in touch after so long.
+/// A killed entry has started again and serves after so long.
 const BACK: Span = Span::from_millis(2_500);
 /// A row of a replica that says nothing goes after so long.
 const ROW: Span = Span::from_millis(1_500);
