Give an account two buckets: its quota, and what the platform lets pass beyond it

And what the platform lets pass beyond a quota lay in the same bucket, used up by those beyond the quota. Change: a request takes from the quota, else from a second bucket of its own rate (half of the overrun that the platform allows, a new setting) and burst (half of its allowance). Among 16 entries or fewer, which hear each other directly, the parts go: what is given away unseen is a debt. A refusal that stems from an entry's part says so. A refund gives the part back as well (test failed first).

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -207,10 +207,14 @@
         let name = rendezvous::identity(&account.name);
         let cost = quota_cost(account, arrival);
         match self.quotas.charge(now, name, cost) {
-            Ok(()) => Ok(Some((name, cost))),
+            Ok(charged) => Ok(Some((charged, cost))),
             Err(after) => {
-                let refusal = Refusal::not_run(Reason::OverLimit, "the account is over its quota");
-                Err(refusal.with_retry_after(after))
+                // An entry of many gives no more than its part while the account is short.
+                let why = match self.quotas.left(now, name) < cost as f64 {
+                    true => "the account is over its quota",
+                    false => "the account is near its quota, and this entry's part is used up",
+                };
+                Err(Refusal::not_run(Reason::OverLimit, why).with_retry_after(after))
             }
         }
     }
--- a/crates/policy/src/configs/quota.rs
+++ b/crates/policy/src/configs/quota.rs
@@ -26,9 +26,13 @@
     /// Times its equal part that an entry gives of a short account of which the whole reserve is left: others then
     /// use less than theirs.
     pub unused: f64,
-    /// Added to every account's burst, in its quota's unit: what the platform lets pass beyond quotas, so that a
-    /// request isn't refused for the grain of others before it.
+    /// What an account may have at once beyond its quota, in the quota's unit: half of what the platform lets pass,
+    /// the other half being left to what entries don't know of each other yet.
     pub grace: u64,
+    /// Part of an account's rate that comes in beyond it, half of what the platform lets pass.
+    pub overrun: f64,
+    /// Most entries that hear of each other directly; among more, counts come by way of hubs and take a second.
+    pub few: u32,
     /// Shortest time to come back after, and the shortest that a peer's counts are spread over: one exchange of
     /// counts.
     pub shortest: Span,
@@ -46,6 +50,8 @@
             short: Span::from_seconds(2),
             unused: 4.0,
             grace: 0,
+            overrun: 0.0,
+            few: 16,
             shortest: Span::from_millis(250),
         }
     }
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -6,11 +6,17 @@
 //! entry's part of a second. Here every entry keeps the whole account's token bucket: it charges its own
 //! requests at once and those of others as their counts arrive.
 //!
+//! Two buckets an account: its quota, and what the platform lets pass beyond it. A request takes from the quota, and
+//! from the other one only if the quota has no room. Were both one bucket, those that ask for more than the quota
+//! would use it up, and whoever came next within the quota would be refused.
+//!
 //! What keeps the sum within the quota:
 //! - What others are likely to have charged since they spoke last, by their recent rate, is held back.
 //! - What came through unseen all the same is a debt, paid off before anybody is served again.
-//! - While less is left than all others could give away in the same moment, an entry gives no more than its
-//!   equal part of what comes in. What one hears of many others is old: with each debt that was paid off all of
+//! - Few entries hear each other directly: what they give away in a quarter of a second unseen is well under what the
+//!   platform lets pass, and is a debt. Equal parts refused large requests while half of the burst was left.
+//! - Among many, while less is left than all others could give away in the same moment, an entry gives no more than
+//!   its equal part of what comes in. What one hears of many others is old: with each debt that was paid off all of
 //!   them found room at once, and 79 entries let through a third more than the quota at eight times its rate.
 //!   More than that is left as soon as some use less than their parts, and then others may use it.
 //! - A silent peer is taken to use its equal part. It does not use more: an entry that hears nobody
@@ -95,14 +101,21 @@
         self.fill(now);
         if rate == 0 {
             self.buckets.remove(&name);
+            self.buckets.remove(&beyond(name));
             return;
         }
-        let (rate, burst) = (rate as f64, (burst + self.config.grace) as f64);
-        let start = burst * self.config.start;
+        self.set_bucket(name, rate as f64, burst as f64);
+        if self.config.grace > 0 {
+            let spare = rate as f64 * self.config.overrun;
+            self.set_bucket(beyond(name), spare, self.config.grace as f64);
+        }
+    }
+
+    fn set_bucket(&mut self, name: Name, rate: f64, burst: f64) {
         let bucket = self.buckets.entry(name).or_insert(Bucket {
             rate,
             burst,
-            level: start,
+            level: burst * self.config.start,
             own: 0,
             part: None,
             largest: 0.0,
@@ -115,39 +128,43 @@
 
     /// Drops the quotas of accounts that aren't among `names` any more.
     pub fn retain(&mut self, names: &[Name]) {
-        self.buckets.retain(|name, _| names.contains(name));
+        let kept = |name| names.contains(&name) || names.contains(&beyond(name));
+        self.buckets.retain(|name, _| kept(*name));
     }
 
-    /// Charges a request, or says when to come back.
+    /// Charges a request and names what it was charged to, or says when to come back.
     ///
     /// One that is larger than the burst passes when the bucket is full.
-    pub fn charge(&mut self, now: Time, name: Name, cost: Cost) -> Result<(), Span> {
+    pub fn charge(&mut self, now: Time, name: Name, cost: Cost) -> Result<Name, Span> {
         self.fill(now);
+        let Err(after) = self.take(now, name, cost) else {
+            return Ok(name);
+        };
+        let spare = beyond(name);
+        match self.buckets.contains_key(&spare) && self.take(now, spare, cost).is_ok() {
+            true => Ok(spare),
+            false => Err(after),
+        }
+    }
+
+    /// Takes from one bucket, or says when there is room.
+    fn take(&mut self, now: Time, name: Name, cost: Cost) -> Result<(), Span> {
         let unseen = self.unseen(now, name);
-        let shortest = self.config.shortest;
+        let config = self.config;
         let others = f64::from(self.entries - 1);
+        let few = self.entries <= config.few;
         let Some(bucket) = self.buckets.get_mut(&name) else {
             return Ok(());
         };
         let needed = (cost as f64).min(bucket.burst);
         let left = bucket.level - unseen;
         if left < needed {
-            bucket.short_until = now + self.config.short;
-            let seconds = (needed - left) / bucket.rate.max(1.0);
-            return Err(Span::from_millis((seconds * 1_000.0) as u64).max(shortest));
+            bucket.short_until = now + config.short;
+            return Err(config.wait(needed - left, bucket.rate));
         }
-        bucket.largest = bucket.largest.max(needed);
-        let reserve = (needed * others).min(bucket.burst * self.config.reserve);
-        let plenty = left >= bucket.burst * self.config.plenty;
-        let short = left < needed + reserve || now < bucket.short_until && !plenty;
-        let first = bucket.burst / (others + 1.0);
-        let part = bucket.part.get_or_insert(first);
-        if short && *part < needed {
-            bucket.short_until = now + self.config.short;
-            let seconds = (needed - *part) / (bucket.rate / (others + 1.0)).max(1.0);
-            return Err(Span::from_millis((seconds * 1_000.0) as u64).max(shortest));
+        if !few {
+            bucket.take_part(now, &config, needed, left, others)?;
         }
-        *part = (*part - cost as f64).max(0.0);
         bucket.level -= cost as f64;
         bucket.own += cost;
         Ok(())
@@ -165,10 +182,11 @@
         bucket.and_then(|bucket| bucket.part).unwrap_or(0.0)
     }
 
-    /// Takes back the charge of a request that didn't run.
+    /// Takes back the charge of a request that didn't run; `name` is what it was charged to.
     pub fn refund(&mut self, name: Name, cost: Cost) {
         if let Some(bucket) = self.buckets.get_mut(&name) {
             bucket.level = (bucket.level + cost as f64).min(bucket.burst);
+            bucket.part = bucket.part.map(|part| part + cost as f64);
             bucket.own = bucket.own.saturating_sub(cost);
         }
     }
@@ -297,7 +315,43 @@
     }
 }
 
+/// Names the bucket of what an account may have beyond its quota, and the quota's by that one's name.
+fn beyond(name: Name) -> Name {
+    !name
+}
+
+impl Config {
+    /// Time until so many tokens have come in.
+    fn wait(&self, tokens: f64, rate: f64) -> Span {
+        let seconds = tokens / rate.max(1.0);
+        Span::from_millis((seconds * 1_000.0) as u64).max(self.shortest)
+    }
+}
+
 impl Bucket {
+    /// Takes from this entry's part if the account is short.
+    fn take_part(
+        &mut self,
+        now: Time,
+        config: &Config,
+        needed: f64,
+        left: f64,
+        others: f64,
+    ) -> Result<(), Span> {
+        self.largest = self.largest.max(needed);
+        let reserve = (needed * others).min(self.burst * config.reserve);
+        let plenty = left >= self.burst * config.plenty;
+        let short = left < needed + reserve || now < self.short_until && !plenty;
+        let first = self.burst / (others + 1.0);
+        let part = self.part.get_or_insert(first);
+        if short && *part < needed {
+            self.short_until = now + config.short;
+            return Err(config.wait(needed - *part, self.rate / (others + 1.0)));
+        }
+        *part = (*part - needed).max(0.0);
+        Ok(())
+    }
+
     /// By how much parts may be larger, since others leave some of theirs.
     fn unused(&self, config: &Config) -> f64 {
         let left = self.level / (self.burst * config.reserve).max(1.0);
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -4,6 +4,7 @@
 
 use clock::Time;
 use policy::configs::quota::Config;
+use policy::quota::Counts;
 use policy::quota::Quotas;
 
 const ACCOUNT: u64 = 7;
@@ -202,7 +203,7 @@
 
     let refused = quotas.charge(Time::from_millis(1_250), ACCOUNT, COST);
 
-    assert_eq!(refused, Ok(()));
+    assert_eq!(refused, Ok(ACCOUNT));
 }
 
 /// As many entries as a large system has, whose counts come as sums by way of another one: what an entry hears
@@ -211,9 +212,9 @@
     now: u64,
     entries: Vec<Quotas>,
     /// What each had charged, as it told last.
-    told: Vec<u64>,
+    told: Vec<Counts>,
     /// The sum of that, on its way.
-    sum: Vec<u64>,
+    sum: Vec<Counts>,
     served: Vec<(u64, u64)>,
 }
 
@@ -231,8 +232,8 @@
         Large {
             now: 0,
             entries: Large::entries(0),
-            told: vec![0; Large::ENTRIES],
-            sum: vec![0; Large::ENTRIES],
+            told: vec![Counts::new(); Large::ENTRIES],
+            sum: vec![Counts::new(); Large::ENTRIES],
             served: Vec::new(),
         }
     }
@@ -276,7 +277,7 @@
                 asked += cost;
                 let entry = (turn * 31) % Large::ENTRIES;
                 match self.entries[entry].charge(now, ACCOUNT, cost) {
-                    Ok(()) => self.served.push((self.now, cost)),
+                    Ok(_) => self.served.push((self.now, cost)),
                     Err(_) => refused += 1,
                 }
             }
@@ -289,19 +290,21 @@
     fn tell(&mut self, now: Time) {
         for entry in 0..Large::ENTRIES {
             if (self.now + entry as u64 * 6).is_multiple_of(Large::PACE) {
-                let own = self.entries[entry].counts().get(&ACCOUNT).copied();
-                self.told[entry] = own.unwrap_or(0);
+                self.told[entry] = self.entries[entry].counts();
             }
         }
-        let total: u64 = self.told.iter().sum();
         if self.now.is_multiple_of(Large::PACE) {
-            self.sum = self.told.iter().map(|own| total - own).collect();
+            let all = || self.told.iter().enumerate();
+            let others = |entry| all().filter(move |(other, _)| *other != entry);
+            let ranks = 0..Large::ENTRIES;
+            self.sum = ranks
+                .map(|entry| total(others(entry).map(|(_, counts)| counts)))
+                .collect();
         }
         if (self.now + Large::PACE / 2).is_multiple_of(Large::PACE) {
             for (entry, others) in self.sum.iter().enumerate() {
-                let counts = BTreeMap::from([(ACCOUNT, *others)]);
                 let spoken_for = Large::ENTRIES as u32 - 1;
-                self.entries[entry].absorb_sum(now, u64::MAX, &counts, spoken_for);
+                self.entries[entry].absorb_sum(now, u64::MAX, others, spoken_for);
             }
         }
     }
@@ -366,3 +369,53 @@
     let mut world = Large::new();
     assert_eq!(world.run(12_000, Large::RATE * 8 / 10), 0);
 }
+
+/// What all have charged together.
+fn total<'a>(all: impl Iterator<Item = &'a Counts>) -> Counts {
+    let mut total = Counts::new();
+    for (name, count) in all.flatten() {
+        *total.entry(*name).or_default() += count;
+    }
+    total
+}
+
+/// A request comes back refused by its replica, among many entries of a short account. Its tokens went back to the
+/// account but not to the entry's part of it, and the next request was refused for want of a part.
+#[test]
+fn a_refund_gives_the_part_back() {
+    let mut quotas = Quotas::new(Config::default());
+    quotas.set_entries(Time::ZERO, 20);
+    quotas.set(Time::ZERO, ACCOUNT, RATE, BURST);
+    let now = Time::from_millis(250);
+    let part = BURST / 20;
+    let charged = quotas.charge(now, ACCOUNT, part).expect("its first part");
+    quotas.refund(charged, part);
+    assert_eq!(quotas.charge(now, ACCOUNT, part), Ok(ACCOUNT));
+}
+
+/// An account asks for three times its quota in small requests, and now and then sends a large one that fits into
+/// the quota by itself. What the platform lets pass beyond the quota goes to those that don't fit, so that it is there
+/// for no one else; what fits is served.
+#[test]
+fn requests_beyond_the_quota_take_nothing_from_those_within() {
+    let grace = 5_000;
+    let config = Config {
+        grace,
+        ..Config::default()
+    };
+    let mut quotas = Quotas::new(config);
+    quotas.set(Time::ZERO, ACCOUNT, RATE, BURST);
+    let mut now = Time::from_millis(2_000);
+    let mut beyond = 0;
+    while quotas.charge(now, ACCOUNT, COST).is_ok() {
+        beyond += COST;
+    }
+    assert!(beyond <= BURST + grace, "{beyond}");
+    // What comes in is the quota's, to the token.
+    let mut within = 0;
+    for _ in 0..100 {
+        now = now + clock::Span::from_millis(50);
+        within += u64::from(quotas.charge(now, ACCOUNT, RATE / 20).is_ok());
+    }
+    assert_eq!(within, 100);
+}
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -23,6 +23,7 @@
         quota: policy::configs::quota::Config {
             // The other half is left to what entries don't know of each other yet.
             grace: options.quota_allowance / 2,
+            overrun: decimal("gateway.quota_overrun", &options.quota_overrun).unwrap_or(0.0) / 2.0,
             ..defaults.quota
         },
         zero_unix_ms: unix_ms(),
@@ -50,11 +51,19 @@
 
 /// How much an entry can take, 1 to 255, 255 being a whole processor core or more.
 fn capacity_of(processor: &str) -> u8 {
-    let Ok(share) = processor.parse::<f64>() else {
-        log::warn!(event = "setting_unreadable", option = "gateway.processor", value = processor; "");
-        return u8::MAX;
-    };
-    (share * f64::from(u8::MAX)).clamp(1.0, f64::from(u8::MAX)) as u8
+    let share = decimal("gateway.processor", processor);
+    share.map_or(u8::MAX, |share| {
+        (share * f64::from(u8::MAX)).clamp(1.0, f64::from(u8::MAX)) as u8
+    })
+}
+
+/// A decimal number of the settings; none if it can't be read.
+fn decimal(option: &str, text: &str) -> Option<f64> {
+    let number = text.parse::<f64>();
+    if number.is_err() {
+        log::warn!(event = "setting_unreadable", option = option, value = text; "");
+    }
+    number.ok()
 }
 
 /// The settings of membership.
--- a/crates/settings/src/configs/gateway.rs
+++ b/crates/settings/src/configs/gateway.rs
@@ -36,6 +36,8 @@
     pub repeats_allowed: u32,
     /// What the platform lets pass beyond an account's quota in one window, in the quota's unit.
     pub quota_allowance: u64,
+    /// Part of an account's quota that the platform lets pass besides, as a decimal number such as `0.1`.
+    pub quota_overrun: SmolStr,
     /// Least time for which the holder of a duty must stay the holder, milliseconds.
     #[schemars(range(min = 500, max = 600000))]
     pub duty_term_ms: u64,
@@ -71,6 +73,7 @@
             repeats_percent: 10,
             repeats_allowed: 20,
             quota_allowance: 0,
+            quota_overrun: SmolStr::new_static("0"),
             duty_term_ms: 3_000,
             duties: Vec::new(),
             usage_window_ms: 5_000,
