Move running streams with their memory off replicas that leave

The scheduler planned moves; the gateway dropped them unread. Change: an order to move goes to the request's task, which lets the replica stop the run and hand its memory over, reads what still comes, and goes on with the same request at the other replica, in the same answer. It counts as one run: whatever the other replica says, the request is not begun anew. The plan goes by the link and the size of a token's memory as the configuration tells them, the speed between zones; nothing is run again for a move. An attempt that ends with its leaving server isn't blamed as a crash.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,6 +24,8 @@
         /// Since the last report.
         tokens: u32,
     },
+    /// The run goes on at the replica that it was moved to.
+    Moved,
     /// The attempt is over.
     Ended(End),
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -30,10 +30,10 @@
         let id = job::Id(serial);
         match report {
             Report::First => {
+                let alone = open.attempt == 1 && open.first.is_none();
                 open.first.get_or_insert(now);
                 let (own, service) = (open.own_tokens, open.service.clone());
                 let took = open.started.map(|started| now.since(started));
-                let alone = open.attempt == 1;
                 self.note_begun(now, serial);
                 if let Some(took) = took.filter(|_| alone) {
                     self.work.entry(service).or_default().first_token(own, took);
@@ -41,10 +41,27 @@
                 self.scheduler.first_token(now, id);
             }
             Report::Progress { tokens } => self.scheduler.progressed(now, id, tokens),
+            Report::Moved => self.run_moved(serial, effects),
             Report::Ended(end) => self.attempt_ended(now, serial, end, effects),
         }
     }
 
+    /// The run goes on at its new place.
+    fn run_moved(&mut self, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(open) = self.open.get_mut(&serial) else {
+            return;
+        };
+        let Some(to) = open.moving.take() else {
+            return;
+        };
+        open.replica = Some(to);
+        let line = Line::info("run_moved")
+            .with("request", &open.id)
+            .with("attempt", open.attempt)
+            .with("to", self.servers.id_of(to).unwrap_or_default());
+        effects.push(Effect::Log(line));
+    }
+
     /// An attempt is over: the request is done, tried elsewhere or refused.
     fn attempt_ended(&mut self, now: Time, serial: u64, end: End, effects: &mut Vec<Effect>) {
         let Some(open) = self.open.get_mut(&serial) else {
@@ -54,6 +71,8 @@
             open.failed = Some(status);
         }
         let replica = open.replica.take();
+        // Its server left; that isn't a crash of the one that it was to be moved to.
+        let moving = open.moving.take().is_some();
         let place = replica.and_then(|key| self.servers.id_of(key));
         let line = end_line(&end)
             .with("request", &open.id)
@@ -72,10 +91,8 @@
             }
             End::NotSent => (job::End::NotSent, 0),
             End::NotStarted => (job::End::NotStarted, 0),
-            End::Broken { alive: false } => (job::End::Crashed, 0),
-            End::Failed { .. } | End::Broken { alive: true } | End::Silent { .. } => {
-                (job::End::Failed, 0)
-            }
+            End::Broken { alive: false } if !moving => (job::End::Crashed, 0),
+            End::Failed { .. } | End::Broken { .. } | End::Silent { .. } => (job::End::Failed, 0),
         };
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.attempt_ended(now, job::Id(serial), how, tokens, out);
--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -107,8 +107,8 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory_tokens: u64,
-    /// Whether a running request can be moved with its memory.
-    pub moves: bool,
+    /// Tokens of memory that move to another replica in a millisecond; none if they can't be moved.
+    pub moved_per_milli: Option<f64>,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
 }
--- a/crates/gateway/src/configs/gateway.rs
+++ b/crates/gateway/src/configs/gateway.rs
@@ -101,12 +101,27 @@
     settings.slots.enabled = false;
     // A starting entry meets replicas that have long been warm.
     settings.placement.warmup = false;
+    // On once a configuration says that replicas can move runs.
     settings.placement.wave = false;
+    settings.wave = wave_settings();
     // A killer crashes replicas as they begin to run it.
     settings.placement.blame_streams = false;
     settings
 }
 
+/// Moves of runs between replicas that do all of it themselves.
+fn wave_settings() -> policy::configs::wave::Config {
+    policy::configs::wave::Config {
+        // A call and the request after it, three round trips between zones, and a step of the engine.
+        setup: Span::from_millis(12),
+        // What was gathered of one wave, a tick of the clock and a late notice.
+        margin: Span::from_millis(300),
+        // A broken stream that may be resumed goes on elsewhere by itself.
+        reruns: false,
+        ..policy::configs::wave::Config::default()
+    }
+}
+
 /// A lease that is back in other hands soon enough that a window's usage is still reported in time.
 fn lease_settings() -> lease::configs::claim::Settings {
     lease::configs::claim::Settings {
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -44,6 +44,9 @@
         for service in &book.services {
             self.pool_key(&service.name);
         }
+        let engines = book.services.iter().filter_map(|one| one.engine.as_ref());
+        let speeds = engines.filter_map(|engine| engine.moved_per_milli);
+        self.scheduler.set_transfers(speeds.reduce(f64::min));
         self.document = document;
         self.book_since = now;
         self.book = Some(Rc::clone(&book));
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -3,6 +3,7 @@
 use clock::Time;
 use line::Line;
 use policy::decision::Decision;
+use policy::decision::Transfer;
 use policy::job;
 use policy::replica;
 use policy::scheduler::Glance;
@@ -30,10 +31,41 @@
                 serial: job.0,
                 command: Command::Stop,
             }),
-            Decision::Move { .. } => {}
+            Decision::Move { job, to, how, .. } => self.move_run(now, job, to, how, effects),
         }
     }
 
+    /// Moves a run off a server that leaves.
+    ///
+    /// Gains answers that can't be begun anew: a stream that isn't done when its server ends is cut. The scheduler
+    /// counts the job at its new place from here on; this entry does once the run is there.
+    fn move_run(
+        &mut self,
+        now: Time,
+        job: job::Id,
+        to: replica::Key,
+        how: Transfer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let (Some(open), Some(place)) = (self.open.get_mut(&job.0), self.servers.place(to)) else {
+            return;
+        };
+        if how != Transfer::Kv || open.replica.is_none() {
+            return;
+        }
+        open.moving = Some(to);
+        let line = Line::info("run_moving")
+            .with("request", &open.id)
+            .with("attempt", open.attempt)
+            .with("to", &place.incarnation)
+            .with("age_ms", now.since(open.arrived).as_millis());
+        effects.push(Effect::Log(line));
+        effects.push(Effect::Flight {
+            serial: job.0,
+            command: Command::Move(place),
+        });
+    }
+
     /// Hands a request to a replica.
     fn start(&mut self, now: Time, job: job::Id, replica: replica::Key, effects: &mut Vec<Effect>) {
         let Some(open) = self.open.get_mut(&job.0) else {
@@ -48,6 +80,7 @@
         open.attempt += 1;
         open.replica = Some(replica);
         open.started = Some(now);
+        open.moving = None;
         let rank = open.job.terms.rank;
         let urgency = (MOST_URGENT + rank.saturating_mul(RANK_STEP)).min(LEAST_URGENT);
         let model = open.job.kind == job::Kind::Model;
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -84,6 +84,8 @@
     Start(Start),
     /// Give the caller its final answer now: that of a replica if one is kept, or this.
     Refuse(Refusal),
+    /// Move the run with its memory to another replica, if it has begun; the attempt goes on.
+    Move(Place),
     /// Stop the attempt that runs; the request stays open.
     Stop,
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -169,6 +169,7 @@
             job,
             attempt: 0,
             replica: None,
+            moving: None,
             arrived,
             ends,
             patience: patience_of(route, ends.since(now)),
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -39,6 +39,8 @@
     pub ends: Time,
     /// Longest silence of a replica that is worth waiting for.
     pub patience: Option<Span>,
+    /// Where its run is being moved.
+    pub moving: Option<replica::Key>,
     /// Charged to its account's quota.
     pub charged: Option<(Name, Cost)>,
     /// Status of a replica's own failure, which the caller gets if nobody does better.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -74,6 +74,8 @@
     pub refused: BTreeMap<SmolStr, u32>,
     /// Requests handed to a replica.
     pub started: u32,
+    /// Runs that were ordered to move: serial, and the server that they go to.
+    pub moved: Vec<(u64, SmolStr)>,
     /// Lines of all logs, by event.
     lines: BTreeMap<&'static str, u32>,
     /// Entries that no message reaches or leaves.
@@ -111,6 +113,7 @@
             answers_lost: false,
             refused: BTreeMap::new(),
             started: 0,
+            moved: Vec::new(),
             lines: BTreeMap::new(),
             cut: BTreeSet::new(),
             version: 3,
@@ -332,13 +335,14 @@
                 self.configure(to, version, source);
                 None
             }
-            Effect::Flight { command, .. } => {
+            Effect::Flight { serial, command } => {
                 match command {
                     Command::Start(_) => self.started += 1,
                     Command::Refuse(refusal) => {
                         let reason = format_smolstr!("{:?}", refusal.reason);
                         *self.refused.entry(reason).or_default() += 1;
                     }
+                    Command::Move(place) => self.moved.push((serial, place.id)),
                     Command::Stop => {}
                 }
                 None
--- a/crates/policy/src/configs/wave.rs
+++ b/crates/policy/src/configs/wave.rs
@@ -20,6 +20,9 @@
     pub margin: Span,
     /// The margin is at most this part of the notice, so that a short one is still used.
     pub margin_share: f64,
+    /// Whether what can't be transferred is run again elsewhere while its replica still serves. Where another replica
+    /// goes on by itself once the stream breaks, that only reads prompts twice.
+    pub reruns: bool,
     /// Times its expected rest that a job must have left to be let finish: a job that doesn't end
     /// in time after all is run again in full.
     pub patience: f64,
@@ -33,6 +36,7 @@
             lanes: 1,
             margin: Span::from_seconds(1),
             margin_share: 0.25,
+            reruns: true,
             patience: 1.25,
         }
     }
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -169,6 +169,14 @@
         self.note_cached(now, key, sequence, prefix, stored);
     }
 
+    /// Tokens of memory that move between replicas in a millisecond; none if runs can't be moved.
+    pub fn set_transfers(&mut self, tokens_per_milli: Option<f64>) {
+        self.settings.placement.wave = tokens_per_milli.is_some();
+        if let Some(speed) = tokens_per_milli {
+            self.settings.wave.tokens_per_milli = speed;
+        }
+    }
+
     /// The replica gets no new work from now on; what runs there is moved before `deadline`.
     pub fn replica_leaving(
         &mut self,
--- a/crates/policy/src/wave/mod.rs
+++ b/crates/policy/src/wave/mod.rs
@@ -266,7 +266,7 @@
     }
 
     fn rerun(&mut self, job: &Running) {
-        let to = match job.idempotent {
+        let to = match job.idempotent && self.config.reruns {
             true => take(&mut self.targets, job.tokens),
             false => None,
         };
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -6,13 +6,16 @@
 use bytes::Bytes;
 use clock::Span;
 use gateway::arrival::Arrival;
+use gateway::attempt::Place;
 use gateway::book::Book;
 use gateway::duty;
 use gateway::effect::Addresses;
 use gateway::effect::Start;
 use gateway::server::Server;
 use http::HeaderMap;
+use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::request;
 use http::response;
 use smol_str::SmolStr;
@@ -36,6 +39,12 @@
     /// The headers with which a request goes to a backend server.
     fn forward(&self, head: &request::Parts, start: &Start, resume: Option<&Resume>) -> HeaderMap;
 
+    /// The request that stops the run of `id` and moves its memory to another server, from its own server.
+    fn move_request(&self, id: &str, to: &Place) -> Request<Bytes>;
+
+    /// What became of the memory, by the answer to [`Codec::move_request`]; none if the run goes on as it was.
+    fn moved(&self, source: &Place, status: StatusCode, body: &[u8]) -> Option<Memory>;
+
     /// What the head of a backend server's answer means to the request `id`.
     fn judge(&self, head: &response::Parts, id: &str) -> Judgement;
 
@@ -72,6 +81,19 @@
 pub struct Resume {
     /// Name of the last event that the caller got.
     pub last_event: SmolStr,
+    /// The memory that it goes on from; none to read the prompt again.
+    pub memory: Option<Memory>,
+}
+
+/// The memory of a run that was stopped to be moved.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Memory {
+    /// `host:port` of the server that ran it.
+    pub source: SmolStr,
+    /// Names it there.
+    pub handle: SmolStr,
+    /// Whether the other server has it. If not, the one that ran it still can go on.
+    pub arrived: bool,
 }
 
 /// What the head of an answer means.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 
 use crate::adapter::Judgement;
+use crate::adapter::Memory;
 use crate::adapter::Resume;
 use crate::events::Event;
 use crate::events::Splitter;
@@ -62,11 +63,11 @@
 
 impl Flight {
     /// Hands the request to a replica and passes its answer on. None if the caller is gone.
-    pub async fn exchange(&mut self, start: &Start) -> Option<End> {
+    pub async fn exchange(&mut self, start: &Start, memory: Option<Memory>) -> Option<End> {
         let resume = self
             .last_event
             .clone()
-            .map(|last_event| Resume { last_event });
+            .map(|last_event| Resume { last_event, memory });
         let head = tokio::select! {
             head = ask(&self.shared, &self.question, start, resume.as_ref()) => head,
             () = self.caller.gone() => return None,
@@ -153,7 +154,10 @@
                     .await;
             }
         }
-        if reading.splitter.has_rest() || !reading.begun {
+        // A run that was stopped to be moved ends without its last event; where only the connection's end tells
+        // that a stream is whole, it would look complete.
+        let cut = self.moving.get() && !is_framed(&answer.head.headers);
+        if reading.splitter.has_rest() || !reading.begun || cut {
             return Some(End::Broken { alive: true });
         }
         self.caller.end();
@@ -341,6 +345,12 @@
     }
 }
 
+/// Whether an answer says itself where it ends.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(http::header::CONTENT_LENGTH)
+        || headers.contains_key(http::header::TRANSFER_ENCODING)
+}
+
 /// Headers of a stream: its length isn't known, since another replica may go on with it.
 fn stream_headers(mut headers: HeaderMap) -> HeaderMap {
     headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -1,5 +1,7 @@
 //! The task of one open request: carries out what the reducer decides and reports what comes of it.
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -17,6 +19,7 @@
 
 use crate::caller::Caller;
 use crate::link::Message;
+use crate::moving::Moving;
 use crate::shared::Shared;
 
 /// One open request.
@@ -35,6 +38,8 @@
     pub tokens: u32,
     /// Longest pause between two events.
     pub pause: Span,
+    /// Whether the attempt's server was told to stop it and hand it over.
+    pub moving: Rc<Cell<bool>>,
 }
 
 /// A request as it was read.
@@ -86,7 +91,7 @@
                     self.refuse(&refusal).await;
                     break;
                 }
-                Next::Ordered(Command::Stop) | Next::Ended(_) => {}
+                Next::Ordered(Command::Stop | Command::Move(_)) | Next::Ended(_) => {}
                 Next::CallerGone => {
                     self.caller_gone();
                     break;
@@ -116,16 +121,41 @@
     }
 
     /// Makes one attempt, unless an order or the caller's end comes between. Either drops the attempt
-    /// with its connection, which stops the replica's work.
+    /// with its connection, which stops the replica's work. Only a move lets the attempt go on.
     async fn attempt(
         &mut self,
         start: &Start,
         commands: &mut mpsc::UnboundedReceiver<Command>,
     ) -> Next {
+        let (shared, id) = (Rc::clone(&self.shared), self.question.id.clone());
+        let begun = shared.clock.now();
+        let ordered = Rc::clone(&self.moving);
+        ordered.set(false);
+        let mut moving: Option<Moving> = None;
+        let end = {
+            let mut exchange = pin!(self.exchange(start, None));
+            loop {
+                tokio::select! {
+                    biased;
+                    command = commands.recv() => match command {
+                        Some(Command::Move(to)) => {
+                            ordered.set(true);
+                            moving.get_or_insert_with(|| Moving::new(&shared, &id, &start.place, to));
+                        }
+                        command => return command.map_or(Next::CallerGone, Next::Ordered),
+                    },
+                    end = &mut exchange => break end,
+                    () = progress(&mut moving) => {}
+                }
+            }
+        };
+        let Some(moving) = moving else {
+            return end.map_or(Next::CallerGone, Next::Ended);
+        };
         tokio::select! {
             biased;
-            command = commands.recv() => command.map_or(Next::CallerGone, Next::Ordered),
-            end = self.exchange(start) => end.map_or(Next::CallerGone, Next::Ended),
+            command = other_order(commands) => command.map_or(Next::CallerGone, Next::Ordered),
+            end = self.go_on(start, begun, end, moving) => end.map_or(Next::CallerGone, Next::Ended),
         }
     }
 
@@ -148,3 +178,21 @@
         });
     }
 }
+
+/// Waits for the answer to an order to move, if one was given.
+async fn progress(moving: &mut Option<Moving>) {
+    match moving {
+        Some(moving) => moving.progress().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The next order that isn't another one to move.
+async fn other_order(commands: &mut mpsc::UnboundedReceiver<Command>) -> Option<Command> {
+    loop {
+        match commands.recv().await {
+            Some(Command::Move(_)) => {}
+            command => return command,
+        }
+    }
+}
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -136,6 +136,7 @@
         last_event: None,
         tokens: 0,
         pause: Span::ZERO,
+        moving: Rc::default(),
     };
     shared.link.send(Message::Open {
         serial,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod front;
 mod link;
 mod metrics;
+mod moving;
 mod options;
 mod payload;
 mod peers;
--- /dev/null
+++ b/crates/relay/src/moving.rs
@@ -0,0 +1,119 @@
+//! Moving a run: its server stops it and hands its memory over, and the same request goes on elsewhere.
+//!
+//! Failure guarded against: a stream that may not be begun anew ends with its server. It shows as answers that break
+//! off whenever reclaimable servers are taken back. One that is moved is one run still: its server has stopped before
+//! the other one goes on, and events that both made are passed on once.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use clock::Span;
+use clock::Time;
+use gateway::attempt::End;
+use gateway::attempt::Place;
+use gateway::attempt::Report;
+use gateway::effect::Start;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use smol_str::SmolStr;
+
+use crate::adapter::Memory;
+use crate::flight::Flight;
+use crate::shared::Shared;
+
+/// Longest wait for the answer to an order to move: memory of 50,000 tokens takes 30 ms between zones and queues
+/// behind that of others.
+const MOVE_TIME: Span = Span::from_millis(1_000);
+/// Largest answer to it.
+const ANSWER_BYTES: usize = 16 << 10;
+
+/// A run on its way to another server.
+pub struct Moving {
+    to: Place,
+    memory: Pin<Box<dyn Future<Output = Option<Memory>>>>,
+    /// What came of the order, once it was answered.
+    answered: Option<Option<Memory>>,
+}
+
+impl Moving {
+    /// Orders the run's server to stop it and hand it over.
+    pub fn new(shared: &Rc<Shared>, id: &SmolStr, from: &Place, to: Place) -> Moving {
+        let ordering = order(Rc::clone(shared), id.clone(), from.clone(), to.clone());
+        Moving {
+            to,
+            memory: Box::pin(ordering),
+            answered: None,
+        }
+    }
+
+    /// Waits for the answer; forever once it came.
+    pub async fn progress(&mut self) {
+        if self.answered.is_some() {
+            return std::future::pending().await;
+        }
+        self.answered = Some(self.memory.as_mut().await);
+    }
+
+    /// What the run goes on from, if its server has stopped it.
+    async fn memory(mut self) -> Option<(Place, Memory)> {
+        if self.answered.is_none() {
+            self.progress().await;
+        }
+        let memory = self.answered.flatten()?;
+        Some((self.to, memory))
+    }
+}
+
+impl Flight {
+    /// Goes on with a run whose stream has ended since it was moved; otherwise its end stands.
+    pub async fn go_on(
+        &mut self,
+        start: &Start,
+        begun: Time,
+        end: Option<End>,
+        moving: Moving,
+    ) -> Option<End> {
+        let Some(End::Broken { .. }) = end else {
+            return end;
+        };
+        let Some((to, memory)) = moving.memory().await else {
+            return end;
+        };
+        let place = match memory.arrived {
+            true => to,
+            false => start.place.clone(),
+        };
+        let next = Start {
+            place,
+            left: start.left - self.shared.clock.now().since(begun),
+            ..start.clone()
+        };
+        if memory.arrived {
+            self.report(start, Report::Moved);
+        }
+        match self.exchange(&next, Some(memory)).await {
+            // It has run where it was: whatever the other server says, it isn't to be begun anew.
+            Some(End::NotSent | End::NotStarted) => Some(End::Broken { alive: true }),
+            end => end,
+        }
+    }
+}
+
+/// Gives the order; none if the run goes on where it is, or nobody knows.
+async fn order(shared: Rc<Shared>, id: SmolStr, from: Place, to: Place) -> Option<Memory> {
+    let ordering = async {
+        let mut connection = shared.pool.connect(&from).await.ok()?;
+        let request = shared.codec.move_request(&id, &to).map(Full::new);
+        let response = connection.sender.send_request(request).await.ok()?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_BYTES).collect().await.ok()?;
+        shared.codec.moved(&from, head.status, &body.to_bytes())
+    };
+    let answer = tokio::time::timeout(MOVE_TIME.as_duration(), ordering).await;
+    let memory = answer.ok().flatten();
+    let stopped = memory.is_some();
+    log::debug!(event = "move_answered", request = id.as_str(), stopped = stopped; "");
+    memory
+}
