Tell a replica from which other one to fetch the shared parts of a prompt

Hypothesis: a fifth of the prompt tokens that are read are shared parts that another replica keeps: a home without room spills, and after each reclaim or order the homes of a third of the prompts move. To fetch 5,000 tokens takes 5 ms, to read them 85, and costs a quarter as much by the sites' prices. Change: each request for a model names the first replica in its prefix's order that is sound and isn't the one that runs it, where the configuration says that memory can be moved.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -71,6 +71,7 @@
         let Some(open) = self.open.get_mut(&job.0) else {
             return;
         };
+        let keeper = self.scheduler.keeper(job, replica);
         let Some(place) = self.servers.place(replica) else {
             // The server went in the same step: the request is placed anew.
             return self.with_scheduler(now, effects, |scheduler, out| {
@@ -84,6 +85,7 @@
         let rank = open.job.terms.rank;
         let urgency = (MOST_URGENT + rank.saturating_mul(RANK_STEP)).min(LEAST_URGENT);
         let model = open.job.kind == job::Kind::Model;
+        let keeper = keeper.and_then(|key| self.servers.place(key));
         let start = Start {
             attempt: open.attempt,
             account: open.account.clone(),
@@ -93,6 +95,7 @@
             repeatable: open.repeat.is_repeatable(),
             urgency: model.then_some(urgency),
             tokens_per_event: open.tokens_per_event,
+            fetch: keeper.map(|place| place.address),
             place,
         };
         let (first, pool) = (open.attempt == 1, open.job.pool);
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -109,6 +109,8 @@
     pub repeatable: bool,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// `host:port` of a replica that may keep what the prompt shares with others, to be fetched from there.
+    pub fetch: Option<SmolStr>,
     /// Priority for the engine: 0 goes first, 9 last; none for plain services.
     pub urgency: Option<u8>,
 }
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -169,6 +169,18 @@
         self.note_cached(now, key, sequence, prefix, stored);
     }
 
+    /// Another replica that is likely to keep what the job shares with others, for `chosen` to fetch it from; none
+    /// where memory can't be moved.
+    ///
+    /// Gains the time to read it again: half of the shared tokens that were read twice, 0.013 of what served requests
+    /// are worth, mean of 15 days with faults.
+    pub fn keeper(&self, id: job::Id, chosen: replica::Key) -> Option<replica::Key> {
+        match self.settings.placement.wave {
+            true => self.other_home(id, chosen),
+            false => None,
+        }
+    }
+
     /// Tokens of memory that move between replicas in a millisecond; none if runs can't be moved.
     pub fn set_transfers(&mut self, tokens_per_milli: Option<f64>) {
         self.settings.placement.wave = tokens_per_milli.is_some();
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -4,9 +4,11 @@
 
 use crate::affinity::Candidate;
 use crate::decision::Decision;
+use crate::health::Allowance;
 use crate::job;
 use crate::job::Job;
 use crate::pool;
+use crate::rendezvous;
 use crate::replica;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Pool;
@@ -101,6 +103,22 @@
         Some(choice.replica())
     }
 
+    /// The first in the order of the job's prefix that isn't `chosen`: its home, or where `chosen` is that, its second
+    /// choice, which was the home before `chosen` joined or has taken what the home had no room for.
+    pub(super) fn other_home(&self, id: job::Id, chosen: replica::Key) -> Option<replica::Key> {
+        let job = self.open.get(&id)?.job;
+        let pool = self.pools.get(&job.pool)?;
+        if job.kind == job::Kind::Plain || job.prefix == 0 {
+            return None;
+        }
+        let usable = pool.members.iter().filter_map(|key| {
+            let replica = self.replicas.get(key)?;
+            let sound = pool.monitor.allowance(*key) == Allowance::Full;
+            (sound && *key != chosen).then_some((*key, replica.identity))
+        });
+        rendezvous::two(job.prefix, usable).0
+    }
+
     /// The replicas on which long jobs run.
     pub(super) fn lanes(&self, pool: &Pool) -> Vec<replica::Key> {
         let count = pool.classes.lanes(&self.settings.size, pool.members.len());
--- a/crates/relay/src/moving.rs
+++ b/crates/relay/src/moving.rs
@@ -87,6 +87,7 @@
         };
         let next = Start {
             place,
+            fetch: None,
             left: start.left - self.shared.clock.now().since(begun),
             ..start.clone()
         };
