--- /dev/null
+++ b/crates/gateway/tests/hubs.rs
@@ -0,0 +1,40 @@
+//! What entries that tell counts by hubs send each other.
+
+mod support;
+
+use support::World;
+
+/// Enough that counts travel by hubs.
+const ENTRIES: usize = 24;
+/// Hubs, and how often each tells its sum in a second.
+const SUMS_A_SECOND: u32 = 2 * 2;
+
+#[test]
+fn a_hub_tells_each_entry_once_also_after_all_were_started_anew() {
+    // After all entries had ended and started again, three of 75 lost the table service, their peers and the replicas
+    // for eight seconds and sent requests to servers that had left. They were the hubs.
+    let mut world = World::new(ENTRIES);
+    world.run(6_000);
+    for _ in 0..3 {
+        for entry in 0..ENTRIES {
+            world.kill(entry);
+        }
+        world.run(500);
+        for entry in 0..ENTRIES {
+            world.start(entry);
+        }
+        world.run(2_000);
+    }
+    // The earlier lives are still members, but no longer hubs.
+    world.run(4_000);
+    let before = world.sums.clone();
+    world.run(1_000);
+
+    for (entry, sums) in &world.sums {
+        let in_a_second = sums - before.get(entry).copied().unwrap_or(0);
+        assert!(
+            in_a_second <= SUMS_A_SECOND,
+            "entry {entry}: {in_a_second} sums"
+        );
+    }
+}
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -46,6 +46,37 @@
     assert!(world.closed.is_empty());
 }
 
+#[test]
+fn a_row_that_ended_behind_a_gap_gets_nothing_more() {
+    // A request reached a server 2.3 s after its row had ended. The server had never said that it leaves; the entry
+    // that sent the request had been cut off from the table service and had read the list again, without the row.
+    let mut world = World::new(2);
+    world.run(3_000);
+    world.lose_list(0);
+    let ended = world.end_row();
+    world.tell_ended(1, &ended.id);
+    world.run(100);
+    world.tell_all(0);
+    world.run(300);
+
+    assert_eq!(world.handed_to(0, &ended, 2_000), 0);
+}
+
+#[test]
+fn an_entry_whose_feed_is_silent_hears_of_a_row_that_ended() {
+    // Requests went to servers up to 4.2 s after their rows had ended, by entries that hear the table service late.
+    // All other entries knew. Of servers that say that they leave these entries learned in time, from peers.
+    let mut world = World::new(4);
+    world.run(3_000);
+    let ended = world.end_row();
+    for entry in 1..4 {
+        world.tell_ended(entry, &ended.id);
+    }
+    world.run(500);
+
+    assert_eq!(world.handed_to(0, &ended, 2_000), 0);
+}
+
 #[test]
 fn a_run_on_a_server_that_leaves_is_moved_and_nobody_is_blamed() {
     // Answers that may not be begun anew were cut off whenever a zone was reclaimed: moves were planned and dropped
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use gateway::book::Scaling;
 use gateway::book::Service;
 use gateway::book::Share;
+use gateway::bulletin::Bulletin;
 use gateway::configs::gateway::Settings;
 use gateway::duty;
 use gateway::effect::Command;
@@ -33,8 +34,11 @@
 use gateway::identity::Identity;
 use gateway::server::News;
 use gateway::server::Reading;
+use gateway::server::Removal;
 use gateway::server::Server;
 use lease::holder;
+use member::digest::Digest;
+use member::digest::Topic;
 use policy::mix::Market;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
@@ -82,6 +86,8 @@
     pub moved: Vec<(u64, SmolStr)>,
     /// Lines of all logs, by event.
     lines: BTreeMap<&'static str, u32>,
+    /// Sums of hubs that came to each entry.
+    pub sums: BTreeMap<usize, u32>,
     /// Entries that no message reaches or leaves.
     pub cut: BTreeSet<usize>,
     pub version: u64,
@@ -122,6 +128,7 @@
             places: BTreeMap::new(),
             moved: Vec::new(),
             lines: BTreeMap::new(),
+            sums: BTreeMap::new(),
             cut: BTreeSet::new(),
             version: 3,
             closed: Vec::new(),
@@ -198,6 +205,46 @@
         }
     }
 
+    /// Tells an entry that a server's row ended, as its feed does.
+    pub fn tell_ended(&mut self, entry: usize, id: &SmolStr) {
+        let removed = vec![Removal {
+            id: id.clone(),
+            revision: self.list,
+        }];
+        let reading = Reading {
+            revision: self.list,
+            news: News::Changes {
+                written: Vec::new(),
+                removed,
+            },
+        };
+        self.step(entry, Event::Servers(reading));
+    }
+
+    /// Ends the row of a server, the last one; nobody is told yet.
+    pub fn end_row(&mut self) -> Server {
+        self.list += 1;
+        self.servers.pop().expect("a server")
+    }
+
+    /// An entry can't follow the list any more.
+    pub fn lose_list(&mut self, entry: usize) {
+        self.step(entry, Event::ServersLost);
+    }
+
+    /// How many requests of one every 20 ms, for that long, an entry hands to a server.
+    pub fn handed_to(&mut self, entry: usize, server: &Server, millis: u64) -> usize {
+        let end = self.now + millis;
+        let mut handed = 0;
+        while self.now < end {
+            self.serve(entry);
+            let place = self.places.get(&self.next_serial);
+            handed += usize::from(place == Some(&server.incarnation));
+            self.run(20);
+        }
+        handed
+    }
+
     /// Tells an entry the servers as they are, as after a gap.
     pub fn tell_all(&mut self, entry: usize) {
         let reading = Reading {
@@ -361,6 +408,7 @@
             }
             Effect::SendDigest { address, digest } => {
                 let to = self.reach(entry, &address)?;
+                *self.sums.entry(to).or_default() += sums_in(&digest);
                 Some((to, Event::DigestReceived(digest)))
             }
             Effect::SendConfiguration { address, document } => {
@@ -411,6 +459,17 @@
     }
 }
 
+/// How many sums a digest holds.
+fn sums_in(digest: &Digest) -> u32 {
+    let counts = digest
+        .items
+        .iter()
+        .filter(|item| item.topic == Topic::Count);
+    let bulletins =
+        counts.filter_map(|item| serde_json::from_slice::<Bulletin>(&item.payload).ok());
+    bulletins.filter(|bulletin| bulletin.sums > 0).count() as u32
+}
+
 fn peer_address(entry: usize) -> SmolStr {
     format_smolstr!("10.0.0.{entry}:90")
 }
