Tell peers of rows that end, as of servers that say that they leave

Callers saw: requests reached servers up to 4.2 s after their rows had ended, at entries that heard the table service late; all other entries knew within 50 ms.

Cause: entries told each other of leaves that servers announce. About a third of the servers leave without a word, and crashed ones always do: their rows just end, and of that each entry depended on its own feed. Class: two ways to learn one fact, one of them without the second path.

Ruled out: peers' word lost or dropped. At the same entries server_leaving source=peer came within 0.3 s; of the rows that ended beside nothing was ever sent.

Mend: an entry whose feed had no gap tells which row ended at which revision of the list. Whoever's reading is older, or misses the row too, gives the server up. Why it holds: revisions order what peers and the own feed say, so an older reading doesn't bring the server back and a newer one does; rows that may have lapsed aren't told.

Test: an_entry_whose_feed_is_silent_hears_of_a_row_that_ended failed with 20 of 100 requests, now 0; two tests keep that a row that is back counts, and that lapses stay untold.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -104,11 +104,34 @@
         now: Time,
         incarnation: &SmolStr,
         effects: &mut Vec<Effect>,
+    ) {
+        self.publish_about(now, Topic::Leaving, incarnation, 1, effects);
+    }
+
+    /// Tells all entries that a backend server's row ended at that revision of the list.
+    pub(crate) fn publish_ended(
+        &mut self,
+        now: Time,
+        incarnation: &SmolStr,
+        revision: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.publish_about(now, Topic::Ended, incarnation, revision, effects);
+    }
+
+    /// Tells all entries of a backend server; of equal versions by several entries one goes round.
+    fn publish_about(
+        &mut self,
+        now: Time,
+        topic: Topic,
+        incarnation: &SmolStr,
+        version: u64,
+        effects: &mut Vec<Effect>,
     ) {
         let item = Item {
-            topic: Topic::Leaving,
+            topic,
             key: incarnation.clone(),
-            version: 1,
+            version,
             age_ms: 0,
             payload: Vec::new(),
         };
@@ -158,6 +181,7 @@
     fn news_came(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
         match item.topic {
             Topic::Leaving => self.told_leaving(now, &item.key, effects),
+            Topic::Ended => self.told_ended(now, &item.key, item.version, effects),
             Topic::Count => self.bulletin_came(now, item, effects),
             Topic::Quarantine => self.quarantine_came(now, item, effects),
             Topic::Heir | Topic::Demand => {}
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -10,6 +10,7 @@
 use crate::gateway::Gateway;
 use crate::server::News;
 use crate::server::Reading;
+use crate::server::Removal;
 use crate::server::Server;
 use crate::servers::LEAVE_TIME;
 
@@ -29,9 +30,7 @@
                 for server in written {
                     self.server_seen(now, server, effects);
                 }
-                let ids: Vec<SmolStr> = removed.into_iter().map(|row| row.id).collect();
-                let absent = self.servers.incarnations_of(&ids);
-                self.servers_missing(now, absent, effects);
+                self.rows_ended(now, &removed, effects);
             }
         }
     }
@@ -52,6 +51,42 @@
         self.servers_missing(now, absent, effects);
     }
 
+    /// Rows ended, as the feed told.
+    ///
+    /// Peers are told, unless leases may have lapsed: an entry that can't follow the list would hand requests to
+    /// servers that left without a word until its way is back, and others see their rows end within milliseconds.
+    fn rows_ended(&mut self, now: Time, removed: &[Removal], effects: &mut Vec<Effect>) {
+        let mut absent = Vec::new();
+        for row in removed {
+            for incarnation in self.servers.incarnations_of(std::slice::from_ref(&row.id)) {
+                if self.servers.is_trusted(now) && !self.servers.is_leaving(&incarnation) {
+                    self.publish_ended(now, &incarnation, row.revision, effects);
+                }
+                absent.push(incarnation);
+            }
+        }
+        self.servers_missing(now, absent, effects);
+    }
+
+    /// A peer followed the list without a gap and saw a server's row end at that revision.
+    ///
+    /// It only ever takes a server away: one whose row is back joins by our own reading.
+    pub(crate) fn told_ended(
+        &mut self,
+        now: Time,
+        incarnation: &SmolStr,
+        revision: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let behind = self.servers.reading().revision < revision;
+        if behind {
+            self.servers.note_ended(incarnation, revision);
+        }
+        if behind || self.servers.missing_since(incarnation).is_some() {
+            self.server_gone(now, incarnation, "peer", effects);
+        }
+    }
+
     /// The list can't be followed.
     pub(crate) fn servers_lost(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.store_failed = Some(now);
@@ -65,7 +100,7 @@
             return;
         }
         for incarnation in self.servers.missing() {
-            self.server_gone(now, &incarnation, effects);
+            self.server_gone(now, &incarnation, "row", effects);
         }
     }
 
@@ -96,7 +131,8 @@
             return;
         }
         self.replace_lives(now, &server, effects);
-        if !server.leaving && !self.servers.is_leaving(&incarnation) {
+        let past = self.servers.is_leaving(&incarnation) || self.servers.has_ended(&incarnation);
+        if !server.leaving && !past {
             self.server_joined(now, server, effects);
         }
     }
@@ -108,7 +144,7 @@
             .incarnations_of(std::slice::from_ref(&server.id))
         {
             if before != server.incarnation {
-                self.server_gone(now, &before, effects);
+                self.server_gone(now, &before, "row", effects);
             }
         }
     }
@@ -193,13 +229,21 @@
         });
     }
 
-    fn server_gone(&mut self, now: Time, incarnation: &SmolStr, effects: &mut Vec<Effect>) {
+    /// A server is given up, by the word of `source`.
+    fn server_gone(
+        &mut self,
+        now: Time,
+        incarnation: &SmolStr,
+        source: &'static str,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(known) = self.servers.remove(incarnation) else {
             return;
         };
         let missing = known.missing.map_or(Span::ZERO, |since| now.since(since));
         let line = Line::info("server_gone")
             .with("replica", incarnation)
+            .with("source", source)
             .with("list", self.servers.reading().revision)
             .with("missing_ms", missing.as_millis());
         effects.push(Effect::Log(line));
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -33,6 +33,9 @@
     trusted: Time,
     /// The newest reading of the list.
     reading: Reading,
+    /// Rows that ended by peers' word, and at which revision. Invariant: each is newer than our reading, which
+    /// may still name the server.
+    ended: BTreeMap<SmolStr, u64>,
 }
 
 /// When the list was read, and as of which revision.
@@ -73,6 +76,19 @@
             at: now,
             revision: revision.max(self.reading.revision),
         };
+        let known = self.reading.revision;
+        self.ended.retain(|_, ended| *ended > known);
+    }
+
+    /// Notes that a row ends at a revision that we haven't read yet.
+    pub fn note_ended(&mut self, incarnation: &SmolStr, revision: u64) {
+        let ended = self.ended.entry(incarnation.clone()).or_default();
+        *ended = revision.max(*ended);
+    }
+
+    /// Whether a row that we read has ended since.
+    pub fn has_ended(&self, incarnation: &str) -> bool {
+        self.ended.contains_key(incarnation)
     }
 
     /// The newest answer about the list.
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -104,6 +104,8 @@
 fn an_entry_whose_feed_is_silent_hears_of_a_row_that_ended() {
     // Requests went to servers up to 4.2 s after their rows had ended, by entries that hear the table service late.
     // All other entries knew. Of servers that say that they leave these entries learned in time, from peers.
+    // Cause: entries told each other of leaves only; the end of a row was each one's own to see. Evidence: at such an
+    // entry server_leaving source=peer came within 0.3 s, while 13 rows that ended beside were never heard of.
     let mut world = World::new(4);
     world.run(3_000);
     let ended = world.end_row();
@@ -115,6 +117,40 @@
     assert_eq!(world.handed_to(0, &ended, 2_000), 0);
 }
 
+#[test]
+fn peers_word_of_an_ended_row_outlasts_older_readings_but_not_newer_ones() {
+    // An entry whose feed lags hears from peers that a row ended, then reads the list as it was before that: the
+    // server would be back for as long as the feed lags. Once the row is written again the server must be back, or
+    // each lapse of a lease would cost a server for good.
+    let mut world = World::new(2);
+    world.run(3_000);
+    let before = (world.list, world.servers.clone());
+    let ended = world.end_row();
+    world.tell_ended(1, &ended.id);
+    world.run(300);
+    world.tell_as_of(0, before.0, before.1);
+    assert_eq!(world.handed_to(0, &ended, 500), 0);
+
+    world.servers.push(ended.clone());
+    world.tell_servers();
+    world.run(300);
+    assert!(world.handed_to(0, &ended, 500) > 0);
+}
+
+#[test]
+fn rows_that_may_have_lapsed_are_not_told_to_peers() {
+    // The leases of live servers lapse in an outage of the table service. An entry that was cut off besides would
+    // lose all its servers by the word of one that read the list a moment too soon.
+    let mut world = World::new(2);
+    world.run(3_000);
+    world.lose_list(1);
+    let lapsed = world.end_row();
+    world.tell_ended(1, &lapsed.id);
+    world.run(500);
+
+    assert!(world.handed_to(0, &lapsed, 500) > 0);
+}
+
 #[test]
 fn a_run_on_a_server_that_leaves_is_moved_and_nobody_is_blamed() {
     // Answers that may not be begun anew were cut off whenever a zone was reclaimed: moves were planned and dropped
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -95,7 +95,7 @@
     pub closed: Vec<(usize, SmolStr)>,
     pub servers: Vec<Server>,
     /// Revision of the list of servers.
-    list: u64,
+    pub list: u64,
     /// By how much the wall clocks of some entries are ahead, milliseconds.
     ahead: BTreeMap<usize, u64>,
     settings: Settings,
@@ -247,9 +247,14 @@
 
     /// Tells an entry the servers as they are, as after a gap.
     pub fn tell_all(&mut self, entry: usize) {
+        self.tell_as_of(entry, self.list, self.servers.clone());
+    }
+
+    /// Tells an entry these servers as of a revision of the list.
+    pub fn tell_as_of(&mut self, entry: usize, revision: u64, servers: Vec<Server>) {
         let reading = Reading {
-            revision: self.list,
-            news: News::All(self.servers.clone()),
+            revision,
+            news: News::All(servers),
         };
         self.step(entry, Event::Servers(reading));
     }
--- a/crates/member/src/digest.rs
+++ b/crates/member/src/digest.rs
@@ -64,6 +64,8 @@
     Demand,
     /// What one entry has counted; the key names the entry.
     Count,
+    /// A backend server incarnation whose row ended; the key names it, the version is the list's revision then.
+    Ended,
 }
 
 impl Topic {
@@ -72,6 +74,8 @@
     pub const fn lifetime(self) -> Span {
         match self {
             Topic::Demand | Topic::Count => Span::from_seconds(15),
+            // Whoever can read the list itself needs it no more.
+            Topic::Ended => Span::from_seconds(60),
             Topic::Quarantine => Span::from_seconds(900),
             Topic::Leaving | Topic::Heir => Span::from_seconds(3_600),
         }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -134,8 +134,8 @@
         }
     }
 
-    /// Servers of these rows, and the ends of rows that name none.
-    fn sort(&self, rows: &[Row]) -> (Vec<Server>, Vec<Removal>) {
+    /// Servers of these rows, and the rows that name none.
+    fn sort(&self, rows: &[Row]) -> (Vec<Server>, Vec<Row>) {
         let mut servers = Vec::new();
         let mut unusable = Vec::new();
         for row in rows {
@@ -143,7 +143,7 @@
                 Ok(server) => servers.push(server),
                 Err(error) => {
                     log::info!(event = "server_row_unusable", key = row.key.as_str(), error = error.to_string().as_str(); "");
-                    unusable.push(removal_of(row));
+                    unusable.push(row.clone());
                 }
             }
         }
@@ -161,8 +161,9 @@
     }
 
     fn changed(&self, changes: Changes) {
-        let (written, mut removed) = self.sort(&changes.written);
-        removed.extend(changes.deleted.iter().map(removal_of));
+        let (written, unusable) = self.sort(&changes.written);
+        let ended = unusable.iter().chain(&changes.deleted);
+        let removed = ended.map(|row| removal_of(row, changes.revision)).collect();
         self.shared.link.event(Event::Servers(Reading {
             revision: changes.revision,
             news: News::Changes { written, removed },
@@ -186,9 +187,13 @@
     }
 }
 
-fn removal_of(row: &Row) -> Removal {
+/// The end of a row, told by an answer of revision `newest`.
+fn removal_of(row: &Row, newest: u64) -> Removal {
     Removal {
         id: row.key.clone(),
-        revision: row.revision,
+        revision: match row.revision {
+            0 => newest,
+            revision => revision,
+        },
     }
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -98,6 +98,7 @@
   heir @2;
   demand @3;
   count @4;
+  ended @5;
 }
 
 struct News {
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -123,6 +123,7 @@
         Topic::Heir => WireTopic::Heir,
         Topic::Demand => WireTopic::Demand,
         Topic::Count => WireTopic::Count,
+        Topic::Ended => WireTopic::Ended,
     });
     to.set_key(item.key.as_str());
     to.set_version(item.version);
@@ -137,6 +138,7 @@
         Ok(WireTopic::Heir) => Topic::Heir,
         Ok(WireTopic::Demand) => Topic::Demand,
         Ok(WireTopic::Count) => Topic::Count,
+        Ok(WireTopic::Ended) => Topic::Ended,
         Err(_) => return Ok(None),
     };
     Ok(Some(Item {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -4347,6 +4347,7 @@
     Heir = 2,
     Demand = 3,
     Count = 4,
+    Ended = 5,
 }
 
 impl ::capnp::introspect::Introspect for Topic {
@@ -4364,6 +4365,7 @@
             2 => ::core::result::Result::Ok(Self::Heir),
             3 => ::core::result::Result::Ok(Self::Demand),
             4 => ::core::result::Result::Ok(Self::Count),
+            5 => ::core::result::Result::Ok(Self::Ended),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -4376,7 +4378,7 @@
     const TYPE_ID: u64 = 0xf180_216a_de3f_0d22u64;
 }
 mod topic {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 42] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(34, 13, 63, 222, 106, 33, 128, 241),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -4386,28 +4388,31 @@
     ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 151, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 84, 111, 112, 105, 99),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(53, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(65, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(57, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(33, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(37, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
     ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
@@ -4415,6 +4420,7 @@
     ::capnp::word(104, 101, 105, 114, 0, 0, 0, 0),
     ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
     ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+    ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
