--- a/crates/gateway/src/addresses.rs
+++ b/crates/gateway/src/addresses.rs
@@ -58,12 +58,10 @@
     /// Entries that callers may be sent to.
     fn usable(&self, now: Time) -> Vec<Usable> {
         let quiet = self.quiet();
-        let me = self.identity.incarnation;
         let others = self
             .membership
-            .directory()
-            .iter()
-            .filter(|(id, known)| *id != me && known.is_usable(now, quiet))
+            .peers()
+            .filter(|(_, known)| known.is_usable(now, quiet))
             .map(|(_, known)| Usable {
                 address: known.record.row.address.clone(),
                 zone: known.record.row.zone.clone(),
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -128,13 +128,13 @@
         effects.push(Effect::Log(Line::info("hubs_used")));
     }
 
-    /// The entries that rank first among the live ones.
+    /// The entries that rank first among the live ones. An earlier life is none: it is told what nobody sums up.
     pub(crate) fn hubs(&self, now: Time) -> Vec<holder::Id> {
         let key = rendezvous::identity(KEY);
         let quiet = self.quiet();
         let me = self.identity.incarnation;
-        let directory = self.membership.directory().iter();
-        let usable = directory.filter(|(id, known)| *id != me && known.is_usable(now, quiet));
+        let peers = self.membership.peers();
+        let usable = peers.filter(|(_, known)| known.is_usable(now, quiet));
         let own = self.is_ready().then_some(me);
         let mut ranked: Vec<holder::Id> = usable.map(|(id, _)| id).chain(own).collect();
         ranked.sort_by_key(|id| std::cmp::Reverse(rendezvous::weight(key, id.0)));
--- a/crates/gateway/src/lagging.rs
+++ b/crates/gateway/src/lagging.rs
@@ -69,8 +69,8 @@
     fn turn_to_help(&self, now: Time, peer: holder::Id) -> u64 {
         let quiet = self.quiet();
         let ours = rendezvous::weight(peer.0, self.identity.incarnation.0);
-        let directory = self.membership.directory().iter();
-        let live = directory.filter(|(id, known)| *id != peer && known.is_usable(now, quiet));
+        let peers = self.membership.peers();
+        let live = peers.filter(|(id, known)| *id != peer && known.is_usable(now, quiet));
         let ahead = live.filter(|(id, _)| rendezvous::weight(peer.0, id.0) > ours);
         ahead.count() as u64
     }
--- a/crates/gateway/tests/hubs.rs
+++ b/crates/gateway/tests/hubs.rs
@@ -2,10 +2,14 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use support::World;
 
 /// Enough that counts travel by hubs.
 const ENTRIES: usize = 24;
+/// Two rounds of heartbeats, by which all know who lives, and a telling.
+const SOON_MS: u64 = 2_500;
 /// Hubs, and how often each tells its sum in a second.
 const SUMS_A_SECOND: u32 = 2 * 2;
 
@@ -40,3 +44,27 @@
         );
     }
 }
+
+#[test]
+fn sums_come_again_soon_after_all_were_started_anew() {
+    // For five seconds after all entries had ended together and started again, nobody heard what the others count:
+    // quotas went by parts, replicas by a part of the work. All told hubs that were earlier lives, and those that
+    // have their addresses now took themselves for none.
+    let mut world = World::new(ENTRIES);
+    world.run(6_000);
+    for entry in 0..ENTRIES {
+        world.kill(entry);
+    }
+    world.run(500);
+    for entry in 0..ENTRIES {
+        world.start(entry);
+    }
+    world.run(SOON_MS);
+    let before = world.sums.clone();
+    world.run(1_000);
+
+    for entry in 0..ENTRIES {
+        let sums = |sums: &BTreeMap<usize, u32>| sums.get(&entry).copied().unwrap_or(0);
+        assert!(sums(&world.sums) > sums(&before), "entry {entry}");
+    }
+}
