Count the wait for lapsed rows from the first reading after a gap

Callers could see: less capacity for a moment after an outage of the table service, since live servers were given up whose rows came back in time.

Cause: the wait in which a missing row isn't believed began with this entry's last failed call. That lies up to 0.6 s, its pause between tries, before the return from which servers have two seconds. Class: a bound counted from another moment than the one it is promised from.

Mend: after a gap of the list it begins with the first reading, the earliest sign of the return that an entry has. Missing rows are doubted meanwhile, so that a longer wait sends nobody to a server that left.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -93,6 +93,8 @@
     pub(crate) store_away: bool,
     /// When the table service failed a call last.
     pub(crate) store_failed: Option<Time>,
+    /// Whether the list of servers couldn't be read since it was read last.
+    pub(crate) list_lost: bool,
     /// Names the next call of the table service.
     pub(crate) next_store_call: u64,
     /// Calls that wait for their turn within our share of the table service.
@@ -169,6 +171,7 @@
             stopping: None,
             store_away: false,
             store_failed: None,
+            list_lost: false,
             next_store_call: 0,
             store_refused: Vec::new(),
             store_calls: BTreeMap::new(),
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -20,6 +20,10 @@
         if let Some(failed) = self.store_failed {
             self.servers.trust_from(failed + self.settings.return_time);
         }
+        // Leases that lapsed are back within two seconds of the table service's return, not of our last failed call.
+        if std::mem::take(&mut self.list_lost) {
+            self.servers.trust_from(now + self.settings.return_time);
+        }
         if self.servers_since == Time::ZERO {
             self.servers_since = now;
         }
@@ -90,6 +94,7 @@
     /// The list can't be followed.
     pub(crate) fn servers_lost(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.store_failed = Some(now);
+        self.list_lost = true;
         let line = Line::warn("servers_lost").with("known", self.servers.count());
         effects.push(Effect::Log(line));
     }
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -82,6 +82,23 @@
     assert!(world.closed.is_empty());
 }
 
+#[test]
+fn a_row_that_lapsed_has_two_seconds_from_the_first_reading() {
+    // A live server's row lapsed in an outage and was back two seconds after the table service, as it may. The entry
+    // had given the server up half a second before: it counted from its last failed call, not from the return.
+    let mut world = World::new(1);
+    world.run(3_000);
+    world.lose_list(0);
+    world.run(600);
+    let lapsed = world.end_row();
+    world.tell_all(0);
+    world.run(2_000);
+    world.servers.push(lapsed);
+    world.tell_servers();
+
+    assert_eq!(world.logged("server_gone"), 0);
+}
+
 #[test]
 fn servers_whose_rows_lapsed_get_requests_while_the_others_are_full() {
     // Of six servers five lapsed in an outage. All work on the one whose row was back first would have been refused
