Choose as hubs the entries that can take the most

Cause: hubs were drawn among all by a hash, and 69 of 75 entries have links of 10 Mbit/s, half of which a hub's sums take: 0.64 MB a second.

Ruled out: earlier lives, sums_sent told of 75 members at most by then.

Mend: the two live entries rank first that can take the most, by the capacity that heartbeats tell, and by the hash among equals. Why it holds: any entry still can be one, and where all are alike nothing changes. Left: where all links are narrow a hub still fills half of its own; differences in place of whole counts would help.

--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -2,7 +2,7 @@
 //!
 //! Up to [`DIRECT`] entries each tells all others. Beyond, that would be thousands of messages a second, so
 //! each tells two hubs, and these tell everyone the sum of all others' counts. Any entry can be a hub: the two
-//! that rank first among the live ones, by a hash that all compute alike. Both send, and one is listened to.
+//! live ones that can take the most, by a hash that all compute alike. Both send, and one is listened to.
 //!
 //! There is no way back to telling all others: entries that were replaced stand among the members until they
 //! are known gone, and while the way changed to and fro their counts would be charged twice.
@@ -128,18 +128,25 @@
         effects.push(Effect::Log(Line::info("hubs_used")));
     }
 
-    /// The entries that rank first among the live ones. An earlier life is none: it is told what nobody sums up.
+    /// The live entries that can take the most, by a hash among equal ones. An earlier life is none: it is told what
+    /// nobody sums up.
+    ///
+    /// Guards against small entries on narrow links: what a hub sends to 75 others fills half of 10 Mbit/s, and beside
+    /// its callers' answers it lost the table service and connections to replicas.
     pub(crate) fn hubs(&self, now: Time) -> Vec<holder::Id> {
         let key = rendezvous::identity(KEY);
         let quiet = self.quiet();
         let me = self.identity.incarnation;
         let peers = self.membership.peers();
         let usable = peers.filter(|(_, known)| known.is_usable(now, quiet));
-        let own = self.is_ready().then_some(me);
-        let mut ranked: Vec<holder::Id> = usable.map(|(id, _)| id).chain(own).collect();
-        ranked.sort_by_key(|id| std::cmp::Reverse(rendezvous::weight(key, id.0)));
+        let usable = usable.map(|(id, known)| (known.capacity(), id));
+        let own = self.is_ready().then_some((self.settings.capacity, me));
+        let mut ranked: Vec<(u8, holder::Id)> = usable.chain(own).collect();
+        ranked.sort_by_key(|(capacity, id)| {
+            std::cmp::Reverse((*capacity, rendezvous::weight(key, id.0)))
+        });
         ranked.truncate(HUBS);
-        ranked
+        ranked.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Tells the hubs what is counted here; a hub tells all others.
--- a/crates/gateway/tests/hubs.rs
+++ b/crates/gateway/tests/hubs.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use gateway::configs::gateway::Settings;
 use support::World;
 
 /// Enough that counts travel by hubs.
@@ -68,3 +69,28 @@
         assert!(sums(&world.sums) > sums(&before), "entry {entry}");
     }
 }
+
+#[test]
+fn hubs_are_the_entries_that_can_take_the_most() {
+    // Beside six large entries two small ones were the hubs of 75. What a hub sends filled half of a small one's link;
+    // with its callers' streams it lost the table service and gave up 45 connections to replicas in twenty seconds.
+    const LARGE: usize = 3;
+    let settings = Settings {
+        entries: ENTRIES as u32,
+        seeds: (0..ENTRIES).map(support::peer_address).collect(),
+        ..Settings::default()
+    };
+    let mut world = World::with_settings(ENTRIES, settings);
+    for entry in LARGE..ENTRIES {
+        world.set_capacity(entry, 30);
+        world.start(entry);
+    }
+    world.run(12_000);
+    let before = world.sent.clone();
+    world.run(2_000);
+
+    let told = |entry: usize| world.sent[&entry] - before.get(&entry).copied().unwrap_or(0);
+    let hubs: Vec<usize> = (0..ENTRIES).filter(|entry| told(*entry) > 0).collect();
+    assert_eq!(hubs.len(), 2);
+    assert!(hubs.iter().all(|hub| *hub < LARGE), "{hubs:?}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -88,6 +88,8 @@
     lines: BTreeMap<&'static str, u32>,
     /// Sums of hubs that came to each entry.
     pub sums: BTreeMap<usize, u32>,
+    /// Sums that each entry sent as a hub.
+    pub sent: BTreeMap<usize, u32>,
     /// Entries that no message reaches or leaves.
     pub cut: BTreeSet<usize>,
     pub version: u64,
@@ -96,6 +98,8 @@
     pub servers: Vec<Server>,
     /// Revision of the list of servers.
     pub list: u64,
+    /// How much some entries can take.
+    capacities: BTreeMap<usize, u8>,
     /// By how much the wall clocks of some entries are ahead, milliseconds.
     ahead: BTreeMap<usize, u64>,
     settings: Settings,
@@ -129,11 +133,13 @@
             moved: Vec::new(),
             lines: BTreeMap::new(),
             sums: BTreeMap::new(),
+            sent: BTreeMap::new(),
             cut: BTreeSet::new(),
             version: 3,
             closed: Vec::new(),
             servers: some_servers(),
             list: 1,
+            capacities: BTreeMap::new(),
             ahead: BTreeMap::new(),
             settings,
             processes: (0..entries).map(|_| None).collect(),
@@ -158,6 +164,9 @@
             peer_address: peer_address(entry),
         };
         let mut settings = self.settings.clone();
+        if let Some(capacity) = self.capacities.get(&entry) {
+            settings.capacity = *capacity;
+        }
         settings.zero_unix_ms = self.unix_ms() + self.ahead.get(&entry).copied().unwrap_or(0);
         self.processes[entry] = Some(Process {
             gateway: Gateway::new(identity, settings, self.next_life),
@@ -173,6 +182,11 @@
         self.start(entry);
     }
 
+    /// From its next start on, how much an entry can take against others.
+    pub fn set_capacity(&mut self, entry: usize, capacity: u8) {
+        self.capacities.insert(entry, capacity);
+    }
+
     /// True time.
     pub fn unix_ms(&self) -> u64 {
         ZERO_UNIX_MS + self.now
@@ -413,7 +427,9 @@
             }
             Effect::SendDigest { address, digest } => {
                 let to = self.reach(entry, &address)?;
-                *self.sums.entry(to).or_default() += sums_in(&digest);
+                let sums = sums_in(&digest);
+                *self.sums.entry(to).or_default() += sums;
+                *self.sent.entry(entry).or_default() += sums;
                 Some((to, Event::DigestReceived(digest)))
             }
             Effect::SendConfiguration { address, document } => {
@@ -475,7 +491,7 @@
     bulletins.filter(|bulletin| bulletin.sums > 0).count() as u32
 }
 
-fn peer_address(entry: usize) -> SmolStr {
+pub fn peer_address(entry: usize) -> SmolStr {
     format_smolstr!("10.0.0.{entry}:90")
 }
 
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -139,6 +139,14 @@
         !self.record.gone && self.record.row.state != State::Left
     }
 
+    /// How much it can take against others, 1 to 255; 0 before it has told.
+    pub fn capacity(&self) -> u8 {
+        match self.beat.count {
+            0 => 0,
+            _ => u8::MAX - self.beat.load,
+        }
+    }
+
     /// Whether it may be named to callers: live, and heard within `quiet`.
     pub fn is_usable(&self, now: Time, quiet: Span) -> bool {
         self.is_present() && self.record.row.state == State::Live && now.since(self.heard) <= quiet
