List as known red: a flood on a short burst exceeds the quota among many entries

The model of 79 entries shows it without a network as soon as the burst is a second of the rate, on the code before this work as on this. Tried and reverted: to hold back 250 to 500 ms of the others' rate for the age of sums.

--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -210,6 +210,7 @@
 /// of was charged between a quarter and one and a quarter seconds ago.
 struct Large {
     now: u64,
+    burst: u64,
     entries: Vec<Quotas>,
     /// What each had charged, as it told last.
     told: Vec<Counts>,
@@ -229,9 +230,14 @@
     const PACE: u64 = 500;
 
     fn new() -> Large {
+        Large::with_burst(Large::BURST)
+    }
+
+    fn with_burst(burst: u64) -> Large {
         Large {
             now: 0,
-            entries: Large::entries(0),
+            burst,
+            entries: Large::entries(0, burst),
             told: vec![Counts::new(); Large::ENTRIES],
             sum: vec![Counts::new(); Large::ENTRIES],
             served: Vec::new(),
@@ -242,13 +248,13 @@
     fn replace_all(&mut self) {
         *self = Large {
             now: self.now,
-            entries: Large::entries(self.now),
+            entries: Large::entries(self.now, self.burst),
             served: std::mem::take(&mut self.served),
-            ..Large::new()
+            ..Large::with_burst(self.burst)
         };
     }
 
-    fn entries(now: u64) -> Vec<Quotas> {
+    fn entries(now: u64, burst: u64) -> Vec<Quotas> {
         let now = Time::from_millis(now);
         let config = Config {
             grace: Large::GRACE,
@@ -258,7 +264,7 @@
         for _ in 0..Large::ENTRIES {
             let mut quotas = Quotas::new(config);
             quotas.set_entries(now, Large::ENTRIES as u32);
-            quotas.set(now, ACCOUNT, Large::RATE, Large::BURST);
+            quotas.set(now, ACCOUNT, Large::RATE, burst);
             entries.push(quotas);
         }
         entries
@@ -349,6 +355,25 @@
     }
 }
 
+/// An account whose burst is a second of its rate sends several times its quota through 79 entries: 4,775,242 tokens
+/// were served in eight seconds where 4,745,688 were allowed. Seen once in five plays of one day; here it comes with
+/// eight times the quota. The cause isn't proved: counts are up to a second old, and a second is all of the burst.
+#[test]
+fn a_flood_on_a_short_burst_stays_within_the_quota() {
+    let burst = Large::RATE;
+    let allowed = (Large::RATE * 8 + burst) * 11 / 10 + Large::GRACE;
+    for times in [2, 4, 8] {
+        let mut world = Large::with_burst(burst);
+        world.run(4_000, Large::RATE / 2);
+        world.run(20_000, Large::RATE * times);
+        let most = world.most();
+        assert!(
+            most <= allowed,
+            "{times} times the quota: {most} of {allowed}"
+        );
+    }
+}
+
 /// All entries are killed while an account sends several times its quota. Each of those that take their place
 /// took half of the burst to be left, and heard of the others' charges a second later.
 #[test]
