--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -99,7 +99,7 @@
             place,
         };
         let (first, pool) = (open.attempt == 1, open.job.pool);
-        let list_age = now.since(self.servers.reading().at);
+        let list_age = now.since(self.servers.position().at);
         let line = Line::info("attempt_started")
             .with("request", &open.id)
             .with("service", &open.service)
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -44,7 +44,7 @@
         let mut absent = self.servers.incarnations();
         absent.retain(|known| servers.iter().all(|one| one.incarnation != *known));
         let line = Line::info("servers_read")
-            .with("list", self.servers.reading().revision)
+            .with("list", self.servers.position().revision)
             .with("rows", servers.len())
             .with("absent", absent.len())
             .with("trusted_in_ms", self.servers.trusted_in(now).as_millis());
@@ -82,7 +82,7 @@
         revision: u64,
         effects: &mut Vec<Effect>,
     ) {
-        let behind = self.servers.reading().revision < revision;
+        let behind = self.servers.position().revision < revision;
         if behind {
             self.servers.note_ended(incarnation, revision);
         }
@@ -193,7 +193,7 @@
         let line = Line::info("server_leaving")
             .with("replica", incarnation)
             .with("source", source)
-            .with("list", self.servers.reading().revision)
+            .with("list", self.servers.position().revision)
             .with("left_ms", until.since(now).as_millis());
         effects.push(Effect::Log(line));
         effects.push(Effect::CloseServer {
@@ -249,7 +249,7 @@
         let line = Line::info("server_gone")
             .with("replica", incarnation)
             .with("source", source)
-            .with("list", self.servers.reading().revision)
+            .with("list", self.servers.position().revision)
             .with("missing_ms", missing.as_millis());
         effects.push(Effect::Log(line));
         effects.push(Effect::CloseServer {
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -31,17 +31,19 @@
     left_order: VecDeque<SmolStr>,
     /// Missing rows don't count before this time.
     trusted: Time,
-    /// The newest reading of the list.
-    reading: Reading,
-    /// Rows that ended by peers' word, and at which revision. Invariant: each is newer than our reading, which
-    /// may still name the server.
+    /// How far the list was read.
+    position: Position,
+    /// Rows that ended by peers' word, and at which revision. Invariant: each is newer than our position, at
+    /// which the list may still name the server.
     ended: BTreeMap<SmolStr, u64>,
 }
 
-/// When the list was read, and as of which revision.
+/// How far the list was read.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Reading {
+pub(crate) struct Position {
+    /// When its feed answered last, also without news.
     pub at: Time,
+    /// The newest revision told; never falls.
     pub revision: u64,
 }
 
@@ -70,13 +72,13 @@
         self.trusted.since(now)
     }
 
-    /// Notes an answer about the list.
+    /// Notes that the feed answered; peers' word on what it has told by now isn't needed any more.
     pub fn note_reading(&mut self, now: Time, revision: u64) {
-        self.reading = Reading {
+        self.position = Position {
             at: now,
-            revision: revision.max(self.reading.revision),
+            revision: revision.max(self.position.revision),
         };
-        let known = self.reading.revision;
+        let known = self.position.revision;
         self.ended.retain(|_, ended| *ended > known);
     }
 
@@ -91,9 +93,9 @@
         self.ended.contains_key(incarnation)
     }
 
-    /// The newest answer about the list.
-    pub fn reading(&self) -> Reading {
-        self.reading
+    /// How far the list was read.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Takes a server in under the scheduler's key.
