--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -244,6 +244,24 @@
         }
     }
 
+    /// After four calm seconds so many times the quota was asked for, and no more was served than is allowed.
+    fn flooded(burst: u64, times: u64) -> Large {
+        let mut world = Large::with_burst(burst);
+        world.run(4_000, Large::RATE / 2);
+        world.run(20_000, Large::RATE * times);
+        let (most, allowed) = (world.most(), Large::allowed(burst));
+        assert!(
+            most <= allowed,
+            "{times} times the quota: {most} of {allowed}"
+        );
+        world
+    }
+
+    /// The most that may be served in eight seconds.
+    fn allowed(burst: u64) -> u64 {
+        (Large::RATE * 8 + burst) * 11 / 10 + Large::GRACE
+    }
+
     /// All entries are killed, and others take their place.
     fn replace_all(&mut self) {
         *self = Large {
@@ -335,16 +353,8 @@
 /// found room at the same moment and each let its next requests through.
 #[test]
 fn a_flood_through_a_large_system_stays_within_the_quota() {
-    let allowed = (Large::RATE * 8 + Large::BURST) * 11 / 10 + Large::GRACE;
     for times in [2, 4, 8] {
-        let mut world = Large::new();
-        world.run(4_000, Large::RATE / 2);
-        world.run(20_000, Large::RATE * times);
-        let most = world.most();
-        assert!(
-            most <= allowed,
-            "{times} times the quota: {most} of {allowed}"
-        );
+        let world = Large::flooded(Large::BURST, times);
         let late = world.served.iter().filter(|(at, _)| *at >= 14_000);
         let served: u64 = late.map(|(_, cost)| cost).sum();
         let due = Large::RATE * 10;
@@ -360,17 +370,8 @@
 /// eight times the quota. The cause isn't proved: counts are up to a second old, and a second is all of the burst.
 #[test]
 fn a_flood_on_a_short_burst_stays_within_the_quota() {
-    let burst = Large::RATE;
-    let allowed = (Large::RATE * 8 + burst) * 11 / 10 + Large::GRACE;
     for times in [2, 4, 8] {
-        let mut world = Large::with_burst(burst);
-        world.run(4_000, Large::RATE / 2);
-        world.run(20_000, Large::RATE * times);
-        let most = world.most();
-        assert!(
-            most <= allowed,
-            "{times} times the quota: {most} of {allowed}"
-        );
+        Large::flooded(Large::RATE, times);
     }
 }
 
@@ -378,7 +379,7 @@
 /// took half of the burst to be left, and heard of the others' charges a second later.
 #[test]
 fn entries_killed_together_give_no_burst_each() {
-    let allowed = (Large::RATE * 8 + Large::BURST) * 11 / 10 + Large::GRACE;
+    let allowed = Large::allowed(Large::BURST);
     let mut world = Large::new();
     world.run(12_000, Large::RATE * 4);
     world.now += 500;
