--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -42,7 +42,7 @@
     /// The request that stops the run of `id` and moves its memory to another server, from its own server.
     fn move_request(&self, id: &str, to: &Place) -> Request<Bytes>;
 
-    /// What became of the memory, by the answer to [`Codec::move_request`]; none if the run goes on as it was.
+    /// The memory that the other server has now, by the answer to [`Codec::move_request`]; none if it was not moved.
     fn moved(&self, source: &Place, status: StatusCode, body: &[u8]) -> Option<Memory>;
 
     /// What the head of a backend server's answer means to the request `id`.
@@ -92,8 +92,6 @@
     pub source: SmolStr,
     /// Names it there.
     pub handle: SmolStr,
-    /// Whether the other server has it. If not, the one that ran it still can go on.
-    pub arrived: bool,
 }
 
 /// What the head of an answer means.
--- a/crates/relay/src/moving.rs
+++ b/crates/relay/src/moving.rs
@@ -81,19 +81,13 @@
         let Some((to, memory)) = moving.memory().await else {
             return end;
         };
-        let place = match memory.arrived {
-            true => to,
-            false => start.place.clone(),
-        };
         let next = Start {
-            place,
+            place: to,
             fetch: None,
             left: start.left - self.shared.clock.now().since(begun),
             ..start.clone()
         };
-        if memory.arrived {
-            self.report(start, Report::Moved);
-        }
+        self.report(start, Report::Moved);
         match self.exchange(&next, Some(memory)).await {
             // It has run where it was: whatever the other server says, it isn't to be begun anew.
             Some(End::NotSent | End::NotStarted) => Some(End::Broken { alive: true }),
@@ -102,19 +96,59 @@
     }
 }
 
-/// Gives the order; none if the run goes on where it is, or nobody knows.
+/// Why a run wasn't moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// Its server took no connection.
+    Unreached,
+    /// The connection broke before the answer: the run may have been stopped.
+    Unanswered,
+    /// Its server says that the run goes on, is unknown to it, or found no room elsewhere.
+    NotMoved,
+    /// No answer came in time: the run may have been stopped.
+    TimedOut,
+}
+
+impl Cause {
+    /// The form used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Cause::Unreached => "unreached",
+            Cause::Unanswered => "unanswered",
+            Cause::NotMoved => "not_moved",
+            Cause::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// Gives the order and logs why nothing came of it.
 async fn order(shared: Rc<Shared>, id: SmolStr, from: Place, to: Place) -> Option<Memory> {
-    let ordering = async {
-        let mut connection = shared.pool.connect(&from).await.ok()?;
-        let request = shared.codec.move_request(&id, &to).map(Full::new);
-        let response = connection.sender.send_request(request).await.ok()?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, ANSWER_BYTES).collect().await.ok()?;
-        shared.codec.moved(&from, head.status, &body.to_bytes())
+    let ordering = hand_over(&shared, &id, &from, &to);
+    let cause = match tokio::time::timeout(MOVE_TIME.as_duration(), ordering).await {
+        Ok(Ok(memory)) => return Some(memory),
+        Ok(Err(cause)) => cause,
+        Err(_) => Cause::TimedOut,
     };
-    let answer = tokio::time::timeout(MOVE_TIME.as_duration(), ordering).await;
-    let memory = answer.ok().flatten();
-    let stopped = memory.is_some();
-    log::debug!(event = "move_answered", request = id.as_str(), stopped = stopped; "");
-    memory
+    log::info!(
+        event = "run_not_moved",
+        request = id.as_str(),
+        replica = from.incarnation.as_str(),
+        to = to.incarnation.as_str(),
+        cause = cause.as_str();
+        ""
+    );
+    None
+}
+
+/// Has the run's server stop it and hand its memory over.
+async fn hand_over(shared: &Shared, id: &str, from: &Place, to: &Place) -> Result<Memory, Cause> {
+    let connecting = shared.pool.connect(from).await;
+    let mut connection = connecting.map_err(|_| Cause::Unreached)?;
+    let request = shared.codec.move_request(id, to).map(Full::new);
+    let response = connection.sender.send_request(request).await;
+    let (head, body) = response.map_err(|_| Cause::Unanswered)?.into_parts();
+    let body = Limited::new(body, ANSWER_BYTES).collect().await;
+    let body = body.map_err(|_| Cause::Unanswered)?.to_bytes();
+    let memory = shared.codec.moved(from, head.status, &body);
+    memory.ok_or(Cause::NotMoved)
 }
