--- a/crates/gateway/src/lagging.rs
+++ b/crates/gateway/src/lagging.rs
@@ -51,28 +51,35 @@
             return;
         };
         let me = self.identity.incarnation;
+        let helpers = self.helpers(now);
         let mut due = BTreeMap::new();
         for (id, known) in self.membership.directory().latest() {
             let told = known.beat.count > 0;
             if id == me || !told || known.beat.applied >= ours {
                 continue;
             }
-            let first =
-                now + LAG_TIME + LAG_TURN.times(self.turn_to_help(now, id) * self.lag_pace());
+            let turn = self.turn_to_help(&helpers, id);
+            let first = now + LAG_TIME + LAG_TURN.times(turn * self.lag_pace());
             let at = self.lagging.due.get(&id).copied().unwrap_or(first);
             due.insert(id, at);
         }
         self.lagging.due = due;
     }
 
-    /// How many live entries go before this one in helping that peer.
-    fn turn_to_help(&self, now: Time, peer: holder::Id) -> u64 {
+    /// The other live entries, each of which helps some peers first.
+    fn helpers(&self, now: Time) -> Vec<holder::Id> {
         let quiet = self.quiet();
-        let ours = rendezvous::weight(peer.0, self.identity.incarnation.0);
         let peers = self.membership.peers();
-        let live = peers.filter(|(id, known)| *id != peer && known.is_usable(now, quiet));
-        let ahead = live.filter(|(id, _)| rendezvous::weight(peer.0, id.0) > ours);
-        ahead.count() as u64
+        let live = peers.filter(|(_, known)| known.is_usable(now, quiet));
+        live.map(|(id, _)| id).collect()
+    }
+
+    /// How many of them go before this one in helping that peer.
+    fn turn_to_help(&self, helpers: &[holder::Id], peer: holder::Id) -> u64 {
+        let weight = |id: holder::Id| rendezvous::weight(peer.0, id.0);
+        let ours = weight(self.identity.incarnation);
+        let ahead = |id: &&holder::Id| **id != peer && weight(**id) > ours;
+        helpers.iter().filter(ahead).count() as u64
     }
 
     /// By how much lagging peers are helped more slowly than among few entries.
