Read what is followed anew once the table service answers again

Cause: a question for changes that the table service swallows in an outage ends by its own time only, 11.5 s after it was asked. A change just as the outage began had made all entries ask anew, so that all were blind for 8.5 s after the return and no peer could tell. Class: silence taken for no news.

Evidence: dependency_regained name=table_service at all 75 entries within 1.5 s of the return, servers_lost at all 75 at the same moment 8.5 s later, 11.5 s after the change.

Mend: when calls of the table service succeed again after some failed, the entry reads the list and the configuration anew, unless the list was told since the first failure. Why it holds: each entry makes other calls every second or two, so that it learns of the return by them. Left: an outage too short for any call to fail, and a feed whose own connection alone is silent, are noticed after up to 11.5 s as before.

Test: the_list_is_read_anew_once_the_table_service_answers_again failed with no reading; another one keeps single failures from making all entries read.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -59,8 +59,10 @@
         /// The document as it was read.
         document: Bytes,
     },
-    /// Read the configuration again as soon as may be: a peer has a newer one.
+    /// Read the configuration again as soon as may be: there may be a newer one.
     ReadConfiguration,
+    /// Read the list of servers again as soon as may be: what it told meanwhile may be lost.
+    ReadServers,
     /// A backend server may be handed requests, also if it was given up before.
     OpenServer {
         /// The life of the server that joined.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,8 +89,8 @@
     pub(crate) news_version: u64,
     /// When the process was asked to stop.
     pub(crate) stopping: Option<Time>,
-    /// Whether the last call of the table service failed.
-    pub(crate) store_away: bool,
+    /// Since when calls of the table service fail, if the last one did.
+    pub(crate) store_away: Option<Time>,
     /// When the table service failed a call last.
     pub(crate) store_failed: Option<Time>,
     /// Whether the list of servers couldn't be read since it was read last.
@@ -169,7 +169,7 @@
             next_quarantine: Time::ZERO,
             news_version: 0,
             stopping: None,
-            store_away: false,
+            store_away: None,
             store_failed: None,
             list_lost: false,
             next_store_call: 0,
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -63,8 +63,11 @@
         if failed {
             self.store_failed = Some(now);
         }
-        if failed != self.store_away {
-            self.store_away = failed;
+        if failed != self.store_away.is_some() {
+            match self.store_away.take() {
+                None => self.store_away = Some(now),
+                Some(since) => self.read_anew(since, effects),
+            }
             let line = match failed {
                 true => Line::warn("dependency_lost"),
                 false => Line::info("dependency_regained"),
@@ -84,6 +87,18 @@
         self.pass_on(now, id, outcome, effects);
     }
 
+    /// Reads what is followed anew, once the table service answers again that has failed since then.
+    ///
+    /// Guards against questions for changes that it swallowed meanwhile: they end by their own time only, 11.5 s after
+    /// they were asked, and until then the entry neither knows who left nor which configuration is in force. A list
+    /// that was told since then is followed.
+    fn read_anew(&mut self, since: Time, effects: &mut Vec<Effect>) {
+        if self.servers.position().at < since {
+            effects.push(Effect::ReadServers);
+            effects.push(Effect::ReadConfiguration);
+        }
+    }
+
     /// Passes an answer to whoever waits for it.
     fn pass_on(&mut self, now: Time, id: call::Id, outcome: Outcome, effects: &mut Vec<Effect>) {
         match self.store_calls.remove(&id) {
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -168,6 +168,39 @@
     assert!(world.handed_to(0, &lapsed, 500) > 0);
 }
 
+#[test]
+fn the_list_is_read_anew_once_the_table_service_answers_again() {
+    // Requests reached servers up to four seconds after their rows had ended, through all entries of a large system.
+    // A change of the list had made them all ask for the next one just as the table service fell silent for three
+    // seconds. It was back, but what it had swallowed it never answered: for 8.5 seconds more nobody knew who left.
+    // Cause: only the end of a question's own time told that its answer was lost. Evidence: dependency_regained
+    // name=table_service at all entries within a second of the return, servers_lost at all 11.5 s after the change.
+    let mut world = World::new(2);
+    world.run(3_000);
+    world.store_silent = true;
+    world.run(4_000);
+    assert!(world.looks.is_empty());
+    world.store_silent = false;
+    world.run(3_000);
+
+    assert_eq!(world.looks, [(0, 1), (1, 1)].into());
+}
+
+#[test]
+fn a_list_that_was_told_since_the_table_service_failed_is_not_read_anew() {
+    // Single calls fail for many causes. Had each made all entries read the whole list, a table service that answers
+    // slowly would have been asked for more.
+    let mut world = World::new(1);
+    world.run(3_000);
+    world.store_silent = true;
+    world.run(4_000);
+    world.tell_servers();
+    world.store_silent = false;
+    world.run(3_000);
+
+    assert!(world.looks.is_empty());
+}
+
 #[test]
 fn a_run_on_a_server_that_leaves_is_moved_and_nobody_is_blamed() {
     // Answers that may not be begun anew were cut off whenever a zone was reclaimed: moves were planned and dropped
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -42,6 +42,7 @@
 use policy::mix::Market;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use store::call::Outcome;
 use store::fake::Table;
 
 pub const ACCOUNT: &str = "amber";
@@ -86,6 +87,10 @@
     pub moved: Vec<(u64, SmolStr)>,
     /// Lines of all logs, by event.
     lines: BTreeMap<&'static str, u32>,
+    /// Whether the table service answers nobody.
+    pub store_silent: bool,
+    /// How often each entry read the list of servers anew by itself.
+    pub looks: BTreeMap<usize, u32>,
     /// Sums of hubs that came to each entry.
     pub sums: BTreeMap<usize, u32>,
     /// Sums that each entry sent as a hub.
@@ -132,6 +137,8 @@
             places: BTreeMap::new(),
             moved: Vec::new(),
             lines: BTreeMap::new(),
+            store_silent: false,
+            looks: BTreeMap::new(),
             sums: BTreeMap::new(),
             sent: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -413,7 +420,10 @@
     fn carry_out(&mut self, entry: usize, effect: Effect) -> Option<(usize, Event)> {
         match effect {
             Effect::Store { id, call } => {
-                let outcome = self.table.apply(&call);
+                let outcome = match self.store_silent {
+                    true => Outcome::Unknown,
+                    false => self.table.apply(&call),
+                };
                 Some((entry, Event::Store { id, outcome }))
             }
             Effect::Duty { id, call, .. } => {
@@ -455,6 +465,10 @@
                 None
             }
             Effect::Addresses { .. } | Effect::ReadConfiguration => None,
+            Effect::ReadServers => {
+                *self.looks.entry(entry).or_default() += 1;
+                None
+            }
             Effect::OpenServer { incarnation } => {
                 self.closed
                     .retain(|one| *one != (entry, incarnation.clone()));
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -142,10 +142,10 @@
     });
     let (end, ended) = watch::channel(false);
     let front = tokio::task::spawn_local(front::serve(sockets.callers, Rc::clone(&shared), ended));
-    let hurry = Rc::new(Notify::new());
+    let read_configuration = Rc::new(Notify::new());
+    let read_servers = Rc::new(Notify::new());
     let configuration = Rc::new(ConfigurationReader::new(Rc::clone(&shared)));
     let servers = Rc::new(ServersReader::new(Rc::clone(&shared)));
-    let never = Rc::new(Notify::new());
     let tasks = [
         tokio::task::spawn_local(peer::server::serve(
             sockets.peers,
@@ -158,9 +158,13 @@
         tokio::task::spawn_local(follow::follow(
             adapter.configuration,
             configuration,
-            Rc::clone(&hurry),
+            Rc::clone(&read_configuration),
+        )),
+        tokio::task::spawn_local(follow::follow(
+            adapter.servers,
+            servers,
+            Rc::clone(&read_servers),
         )),
-        tokio::task::spawn_local(follow::follow(adapter.servers, servers, never)),
         tokio::task::spawn_local(shell::sweep(Rc::clone(&shared))),
         tokio::task::spawn_local(watch_settings(
             adapter.settings_path,
@@ -181,7 +185,8 @@
         shared,
         tables: adapter.tables,
         cloud: adapter.cloud,
-        hurry,
+        read_configuration,
+        read_servers,
         flights: HashMap::new(),
         askers: HashMap::new(),
         next_asker: 0,
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -42,7 +42,9 @@
     /// Other entries.
     pub peers: Peers,
     /// Asks for a read of the configuration.
-    pub hurry: Rc<Notify>,
+    pub read_configuration: Rc<Notify>,
+    /// Asks for a read of the list of servers.
+    pub read_servers: Rc<Notify>,
     /// Tasks of open requests.
     pub flights: HashMap<u64, mpsc::UnboundedSender<Command>>,
     /// Who waits for addresses, by number.
@@ -155,7 +157,8 @@
             Effect::SendConfiguration { address, document } => {
                 self.peers.send_configuration(address, document);
             }
-            Effect::ReadConfiguration => self.hurry.notify_one(),
+            Effect::ReadConfiguration => self.read_configuration.notify_one(),
+            Effect::ReadServers => self.read_servers.notify_one(),
             Effect::OpenServer { incarnation } => self.shared.pool.open(&incarnation),
             Effect::CloseServer { incarnation } => self.shared.pool.close(incarnation),
             Effect::Log(line) => {
