--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -114,7 +114,9 @@
                 *at = (id, known);
             }
         }
-        latest.into_values()
+        // In the order of ids, as all members come.
+        let latest: BTreeMap<holder::Id, &Known> = latest.into_values().collect();
+        latest.into_iter()
     }
 
     /// How many have not gone or left.
