Charge what silent peers used before they counted as silent

Cause: what peers are likely to use is held back while they are heard, and was free again the moment they counted as silent, 1.5 s later; each cut entry then found one and a half seconds of the quota. The bucket now takes that charge at that moment, and gives it back with the peer's next counts. Ruled out: the parts (they hold once the account is short) and the starting level.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -77,6 +77,8 @@
     rates: BTreeMap<Name, f64>,
     /// Charged to each account for it while it was silent.
     assumed: BTreeMap<Name, f64>,
+    /// Whether `assumed` holds what it is likely to have charged before it was taken for silent.
+    settled: bool,
 }
 
 impl Quotas {
@@ -240,6 +242,7 @@
         }
         known.counts = counts.clone();
         known.heard = now;
+        known.settled = false;
     }
 
     /// Takes what `entries` others have charged together as known, and charges nothing for it: they told another
@@ -253,6 +256,7 @@
         known.heard = now;
         known.entries = entries;
         known.counts = counts.clone();
+        known.settled = false;
     }
 
     /// Takes in what `entries` others have charged together. A sum that falls tells that one of them is not
@@ -290,6 +294,28 @@
         likely.sum()
     }
 
+    /// Charges what peers that have fallen silent are likely to have used until then.
+    ///
+    /// Guards against a share that was held back for them and is free once they count as silent: each entry that was
+    /// cut off in a flood gave it away a second time.
+    fn settle(&mut self, now: Time) {
+        let config = self.config;
+        let seconds = config.silence.as_millis() as f64 / 1_000.0;
+        let fallen = self
+            .peers
+            .values_mut()
+            .filter(|peer| !peer.settled && !peer.is_fresh(now, &config));
+        for peer in fallen {
+            peer.settled = true;
+            for (name, rate) in &peer.rates {
+                if let Some(bucket) = self.buckets.get_mut(name) {
+                    bucket.level -= rate * seconds;
+                    *peer.assumed.entry(*name).or_default() += rate * seconds;
+                }
+            }
+        }
+    }
+
     /// Fills the buckets, less the equal parts of those that are silent.
     fn fill(&mut self, now: Time) {
         let seconds = now.since(self.filled).as_millis() as f64 / 1_000.0;
@@ -298,6 +324,7 @@
             return;
         }
         let config = self.config;
+        self.settle(now);
         let fresh = self
             .peers
             .values()
@@ -388,6 +415,7 @@
             counts: counts.clone(),
             rates: BTreeMap::new(),
             assumed: BTreeMap::new(),
+            settled: false,
         }
     }
 
--- a/crates/policy/tests/charge.rs
+++ b/crates/policy/tests/charge.rs
@@ -333,6 +333,19 @@
     }
 }
 
+/// A fifth of the entries reaches no other while an account floods all of them: each decides by itself, of its part.
+#[test]
+fn entries_that_reach_no_home_give_their_parts() {
+    for entries in [75, 295] {
+        let mut world = World::new(entries, SHORT_BURST);
+        world.run(4_000, RATE / 2);
+        world.run(4_000, RATE * 4);
+        world.cut = (0..entries).step_by(5).collect();
+        world.run(8_000, RATE * 4);
+        world.assert_within(SHORT_BURST, &format!("{entries} entries"));
+    }
+}
+
 /// An account below its quota is refused nothing, however many entries there are.
 #[test]
 fn an_account_below_its_quota_is_refused_nothing() {
