Take connections of more than 256 entries

Among 295 entries the one that adds up counts closed the connections of 38 of them: their charges, loads and usage were missing in every sum, quotas and reports with them. The bound on connections from peers was set for small systems. It is eight times that now; an idle one takes some kilobytes. Test: 300 connections and one more that is answered, failed before.

--- a/crates/peer/src/configs/limit.rs
+++ b/crates/peer/src/configs/limit.rs
@@ -9,7 +9,7 @@
     pub greeting: Span,
     /// Longest time for a call to be answered.
     pub call: Span,
-    /// Most connections that are open at once from peers.
+    /// Most connections that are open at once from peers: an entry that adds up counts has one of each.
     pub connections: usize,
     /// Largest message, bytes.
     pub message_bytes: usize,
@@ -20,7 +20,7 @@
         Limit {
             greeting: Span::from_seconds(2),
             call: Span::from_seconds(2),
-            connections: 256,
+            connections: 2_048,
             message_bytes: 8 * 1024 * 1024,
         }
     }
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -18,6 +18,7 @@
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
 const KEY: &str = "a key that all entries share";
@@ -202,3 +203,20 @@
     let listener = Rc::new(Listener::default());
     peer::server::serve(socket, Key::new(KEY), Limit::default(), listener).await;
 }
+
+/// One entry adds up the counts of 300 and has a connection of each: those beyond the 256th were closed, and their
+/// counts were missing in every sum.
+#[test]
+fn an_entry_takes_a_connection_of_each_of_many() {
+    run(async {
+        let heard = Rc::new(Listener::default());
+        let address = serve(Rc::clone(&heard), Limit::default()).await;
+        let mut others = Vec::new();
+        for _ in 0..300 {
+            let other = TcpStream::connect(address.as_str()).await;
+            others.push(other.expect("a connection"));
+        }
+        let last = peers(KEY, Limit::default());
+        assert_eq!(last.digest(&address, &Digest::default()).await, Ok(()));
+    });
+}
