Show how old the list of servers is, and from whom it came

An entry that is told of the list showed the age of its own last read, which grows while all is well.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -130,6 +130,8 @@
     pub servers: u64,
     /// Everything up to this revision of the list of servers is known.
     pub list_revision: u64,
+    /// Milliseconds since the table service said so, here or to a peer.
+    pub list_age_ms: u64,
     /// Whether callers may be sent here.
     pub ready: bool,
     /// Whether a stop was asked for.
@@ -273,6 +275,7 @@
             members: self.membership.directory().count() as u64,
             servers: self.servers.count() as u64,
             list_revision: self.servers.position().revision,
+            list_age_ms: now.since(self.servers.position().at).as_millis(),
             ready: self.is_ready(),
             stopping: self.stopping.is_some(),
         }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -216,9 +216,7 @@
     }
 
     fn fresh(&self) {
-        let now = self.shared.clock.now();
-        self.shared.servers_at.set(now);
-        self.dependency.regained(now);
+        self.dependency.regained(self.shared.clock.now());
     }
 
     fn lost(&self, fault: Fault) {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -130,7 +130,6 @@
         metrics: Metrics::new()?,
         vitals: Cell::new(Vitals::default()),
         configuration_at: Cell::new(Time::ZERO),
-        servers_at: Cell::new(Time::ZERO),
         servers_pause: watch::Sender::new(Some(Span::ZERO)),
         limits: RefCell::new(Limits::default()),
         ready: Cell::new(false),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -33,8 +33,6 @@
     pub vitals: Cell<Vitals>,
     /// When the configuration was known to be current.
     pub configuration_at: Cell<Time>,
-    /// When the list of backend servers was known to be current.
-    pub servers_at: Cell<Time>,
     /// Least pause between two reads of the list of backend servers; none while others read it.
     pub servers_pause: watch::Sender<Option<Span>>,
     /// What callers may send now.
@@ -53,7 +51,7 @@
         let now = self.clock.now();
         let ages = Ages {
             configuration_ms: now.since(self.configuration_at.get()).as_millis(),
-            servers_ms: now.since(self.servers_at.get()).as_millis(),
+            servers_ms: self.vitals.get().list_age_ms,
         };
         self.metrics.text(&self.vitals.get(), ages)
     }
