Doubt only servers whose rows may have lapsed; name sources by type; count addresses once

Leftovers: a missing row that was believed at once was doubted too, with a poll of the scheduler each; the source of a leave was text; counting addresses built the latest life at each, two maps, for each question of callers.

--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -14,6 +14,24 @@
 use watch::server::Removal;
 use watch::server::Server;
 
+/// By whose word a server leaves or is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// Its row, read here or by a reader of the list.
+    Row,
+    /// Another entry that followed the list without a gap.
+    Peer,
+}
+
+impl Source {
+    fn as_str(self) -> &'static str {
+        match self {
+            Source::Row => "row",
+            Source::Peer => "peer",
+        }
+    }
+}
+
 impl Gateway {
     /// The list was read or changed.
     pub(crate) fn servers_read(&mut self, now: Time, reading: Reading, effects: &mut Vec<Effect>) {
@@ -106,7 +124,7 @@
             self.servers.note_ended(incarnation, revision);
         }
         if behind || self.servers.missing_since(incarnation).is_some() {
-            self.server_gone(now, incarnation, "peer", effects);
+            self.server_gone(now, incarnation, Source::Peer, effects);
         }
     }
 
@@ -124,7 +142,7 @@
             return;
         }
         for incarnation in self.servers.missing() {
-            self.server_gone(now, &incarnation, "row", effects);
+            self.server_gone(now, &incarnation, Source::Row, effects);
         }
     }
 
@@ -135,7 +153,7 @@
         incarnation: &SmolStr,
         effects: &mut Vec<Effect>,
     ) {
-        self.server_leaves(now, incarnation, now + LEAVE_TIME, "peer", effects);
+        self.server_leaves(now, incarnation, now + LEAVE_TIME, Source::Peer, effects);
     }
 
     /// A row was read here; that its server leaves is told to all.
@@ -150,8 +168,8 @@
     fn server_written(&mut self, now: Time, server: Server, effects: &mut Vec<Effect>) -> bool {
         let incarnation = server.incarnation.clone();
         let left = server.leaves_in.unwrap_or(LEAVE_TIME);
-        let news =
-            server.leaving && self.server_leaves(now, &incarnation, now + left, "row", effects);
+        let news = server.leaving
+            && self.server_leaves(now, &incarnation, now + left, Source::Row, effects);
         if let Some(known) = self.servers.get_mut(&incarnation) {
             let (key, missing) = (known.key, known.missing.take());
             known.server = server;
@@ -175,7 +193,7 @@
             .incarnations_of(std::slice::from_ref(&server.id))
         {
             if before != server.incarnation {
-                self.server_gone(now, &before, "row", effects);
+                self.server_gone(now, &before, Source::Row, effects);
             }
         }
     }
@@ -210,7 +228,7 @@
         now: Time,
         incarnation: &SmolStr,
         until: Time,
-        source: &'static str,
+        source: Source,
         effects: &mut Vec<Effect>,
     ) -> bool {
         if !self.servers.mark_leaving(incarnation) {
@@ -218,7 +236,7 @@
         }
         let line = Line::info("server_leaving")
             .with("replica", incarnation)
-            .with("source", source)
+            .with("source", source.as_str())
             .with("list", self.servers.position().revision)
             .with("left_ms", until.since(now).as_millis());
         effects.push(Effect::Log(line));
@@ -244,7 +262,10 @@
                 doubted.push(known.key);
             }
         }
-        self.servers_tick(now, effects);
+        // Where missing rows count by now, nothing is left to doubt.
+        if self.servers.is_trusted(now) {
+            return self.servers_tick(now, effects);
+        }
         for key in doubted {
             self.doubt(now, key, true, effects);
         }
@@ -265,7 +286,7 @@
         &mut self,
         now: Time,
         incarnation: &SmolStr,
-        source: &'static str,
+        source: Source,
         effects: &mut Vec<Effect>,
     ) {
         let Some(known) = self.servers.remove(incarnation) else {
@@ -274,7 +295,7 @@
         let missing = known.missing.map_or(Span::ZERO, |since| now.since(since));
         let line = Line::info("server_gone")
             .with("replica", incarnation)
-            .with("source", source)
+            .with("source", source.as_str())
             .with("list", self.servers.position().revision)
             .with("missing_ms", missing.as_millis());
         effects.push(Effect::Log(line));
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -4,6 +4,7 @@
 //! lease has lapsed for certain) is concluded from our own reads alone, in [`crate::roster`].
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use clock::Span;
 use clock::Time;
@@ -127,7 +128,9 @@
     /// How many addresses the members have that haven't gone or left. One that was killed and started again is
     /// two members until the first is known gone; both have one address.
     pub fn addresses(&self) -> usize {
-        self.latest().count()
+        let present = self.present();
+        let addresses = present.map(|(_, known)| &known.record.row.peer_address);
+        addresses.collect::<BTreeSet<_>>().len()
     }
 }
 
