Believe a reader of the list that had no gap, doubt only one that had

If the one entry that reads the list lost an answer, its word that a row is missing counted for nobody for 2.5 s, and all entries went on with a server that had left where no other had room (crates/gateway/tests/following.rs, a_gap_of_the_reader_alone_is_nobodys_doubt, failed before: 0 of 20 entries gave it up within 2 s). Cause: whether missing rows may be those of live servers went from report to report and was never taken back. Now who stands by reads as soon as the reader doubts; each report's doubt takes the place of the one before; who reads by itself asks nobody; and a list that equals that of one without a gap is believed, also after a gap of one's own.

--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -20,6 +20,7 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::presence::Source;
 
 /// What the readers' rank is drawn from.
 const KEY: &str = "reader";
@@ -50,6 +51,8 @@
     /// The list was read here.
     pub(crate) fn list_read(&mut self, now: Time, reading: Reading, effects: &mut Vec<Effect>) {
         self.watch.read(now, &reading);
+        // From here on only gaps of our own matter.
+        self.servers.doubt_until(Time::ZERO);
         self.servers_read(now, reading, effects);
     }
 
@@ -81,9 +84,9 @@
         from: holder::Id,
         effects: &mut Vec<Effect>,
     ) {
-        if report.lapsed_ms > 0 {
+        if !self.watch.is_reading(now) {
             let lapsed = Span::from_millis(report.lapsed_ms);
-            self.servers.trust_from(now + lapsed);
+            self.servers.doubt_until(now + lapsed);
         }
         if !learned.written.is_empty() || !learned.removed.is_empty() {
             let line = Line::info("list_told")
@@ -99,7 +102,12 @@
         }
         if let Some(position) = learned.position {
             self.servers.note_reading(position.at, position.revision);
+            // The same rows are missing to one that had no gap: their servers are gone.
+            if report.lapsed_ms == 0 {
+                self.missing_gone(now, Source::Peer, effects);
+            }
         }
+        self.servers_tick(now, effects);
     }
 
     /// Starts and stops reading, and passes on what is new.
@@ -172,7 +180,10 @@
         if !always && !self.watch.has_read() {
             return None;
         }
-        let lapsed = self.servers.trusted_in(now);
+        let lapsed = match self.list_lost {
+            true => self.settings.return_time,
+            false => self.servers.trusted_in(now),
+        };
         let report = self.watch.report(now, lapsed)?;
         let payload = serde_json::to_vec(&report).ok()?;
         self.news_version += 1;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -16,7 +16,7 @@
 
 /// By whose word a server leaves or is gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
+pub(crate) enum Source {
     /// Its row, read here or by a reader of the list.
     Row,
     /// Another entry that followed the list without a gap.
@@ -141,8 +141,13 @@
         if !self.servers.is_trusted(now) {
             return;
         }
+        self.missing_gone(now, Source::Row, effects);
+    }
+
+    /// Gives up all servers whose rows are missing.
+    pub(crate) fn missing_gone(&mut self, now: Time, source: Source, effects: &mut Vec<Effect>) {
         for incarnation in self.servers.missing() {
-            self.server_gone(now, &incarnation, Source::Row, effects);
+            self.server_gone(now, &incarnation, source, effects);
         }
     }
 
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -29,8 +29,10 @@
     left: BTreeSet<SmolStr>,
     /// The same, the oldest first.
     left_order: VecDeque<SmolStr>,
-    /// Missing rows don't count before this time.
+    /// Missing rows don't count before this time, after a gap of our own.
     trusted: Time,
+    /// Nor before this one, by the last word of those that read the list for us.
+    doubted: Time,
     /// How far the list was read.
     position: Position,
     /// Rows that ended by peers' word, and at which revision. Invariant: each is newer than our position, at
@@ -62,14 +64,23 @@
         self.trusted = self.trusted.max(at);
     }
 
+    /// Missing rows don't count until `at` by another entry's word; its next word takes the place of this one.
+    pub fn doubt_until(&mut self, at: Time) {
+        self.doubted = at;
+    }
+
     /// Whether a missing row means that its server is gone.
     pub fn is_trusted(&self, now: Time) -> bool {
-        now >= self.trusted
+        now >= self.trusted_at()
     }
 
     /// How long missing rows don't count yet.
     pub fn trusted_in(&self, now: Time) -> Span {
-        self.trusted.since(now)
+        self.trusted_at().since(now)
+    }
+
+    fn trusted_at(&self) -> Time {
+        self.trusted.max(self.doubted)
     }
 
     /// Notes that all up to a revision was known at that time; peers' word on that isn't needed any more.
@@ -208,7 +219,7 @@
     /// When missing rows begin to count, if there are any.
     pub fn next_wake(&self) -> Option<Time> {
         let any = self.known.values().any(|known| known.missing.is_some());
-        any.then_some(self.trusted)
+        any.then(|| self.trusted_at())
     }
 
     /// Keeps the keys of gone servers bounded.
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -69,3 +69,15 @@
     follow(&mut world, 4_000);
     assert_eq!(world.logged("server_gone") as usize, ENTRIES - 1);
 }
+
+/// The reader's answer was lost, and just then a server's row ended. Nobody believed it for 2.5 s, since the reader can't
+/// tell a server that left from one whose lease lapsed, and requests went on to it; an entry that stood by could.
+#[test]
+fn a_gap_of_the_reader_alone_is_nobodys_doubt() {
+    let mut world = settled();
+    let reader = readers(&world)[0];
+    world.lose_list(reader);
+    world.end_row();
+    follow(&mut world, 2_000);
+    assert_eq!(world.logged("server_gone") as usize, ENTRIES);
+}
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -54,12 +54,16 @@
     position: Option<Position>,
     /// Since when reports say that something is missing here.
     unequal: Option<Time>,
+    /// Whether the last report came from one that can't say whether missing rows are those of live servers.
+    doubted: bool,
     /// What was learned and is still passed on, and since when.
     passing: Vec<(Time, Change)>,
     /// Whether `passing` holds something that was not passed on yet.
     urgent: bool,
     /// Whether the table service was read since the last report.
     read: bool,
+    /// When it was read here last.
+    read_at: Option<Time>,
     /// When others were told last.
     reported: Time,
     /// This entry's moment within the spread.
@@ -75,9 +79,11 @@
             list: List::default(),
             position: None,
             unequal: None,
+            doubted: false,
             passing: Vec::new(),
             urgent: false,
             read: false,
+            read_at: None,
             reported: Time::ZERO,
             delay: Span::from_millis(moment),
         }
@@ -96,7 +102,9 @@
             revision: reading.revision,
         });
         self.unequal = None;
+        self.doubted = false;
         self.read = true;
+        self.read_at = Some(now);
     }
 
     /// Takes in a report; a hub passes on what is new in it unless another hub sent it.
@@ -105,6 +113,7 @@
         if self.position.is_none() {
             return Learned::default();
         }
+        self.doubted = report.lapsed_ms > 0;
         let mut learned = Learned::default();
         let mut changes = Vec::new();
         for change in report.changes.iter() {
@@ -173,6 +182,12 @@
         self.read
     }
 
+    /// Whether this entry reads by itself at present, and needs nobody's word on which rows may have lapsed.
+    pub fn is_reading(&self, now: Time) -> bool {
+        let standby = self.config.standby;
+        self.read_at.is_some_and(|at| now.since(at) < standby)
+    }
+
     /// What others are to be told now; `lapsed` is how long missing rows may be those of live servers.
     pub fn report(&mut self, now: Time, lapsed: Span) -> Option<Report> {
         let position = self.position?;
@@ -206,6 +221,8 @@
         };
         let patience = match role {
             Role::Alone | Role::Reader { rank: 0 } => return Time::ZERO,
+            // Those that stand by have followed the list without a gap, where the reader has not.
+            Role::Reader { rank } if self.doubted => self.config.pace.times(rank as u64),
             Role::Reader { rank } => self.config.standby + self.config.pace.times(rank as u64),
             Role::Follower => self.config.stale + self.delay,
         };
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -371,6 +371,24 @@
     }
 }
 
+/// The reader lost an answer and can't tell whether a missing row is that of a live server: who stands by has followed
+/// the list all the while and must read, or everyone would go on with servers that left.
+#[test]
+fn a_reader_that_doubts_is_stood_in_for() {
+    let mut world = World::new(3);
+    world.run(1_000);
+    let now = world.time();
+    let lapsed = Span::from_millis(2_500);
+    let doubtful = world.entries[0].report(now, lapsed).expect("a report");
+    let sure = world.entries[0].report(now, Span::ZERO).expect("a report");
+    let standby = Role::Reader { rank: 1 };
+    world.entries[1].told(now, &sure, true);
+    let soon = now + Config::default().pace;
+    assert_eq!(world.entries[1].pause(soon, standby), None);
+    world.entries[1].told(now, &doubtful, true);
+    assert!(world.entries[1].pause(soon, standby).is_some());
+}
+
 /// An entry is told late that a server started, after it has read that the server is gone again: an older word must
 /// not bring it back.
 #[test]
