Take nothing from a late answer that reports have overtaken

An entry that stands in for the reader asks for the list; while its answer is under way, reports bring the end of a server's row. The older answer still named the server, the entry took it in again and went on with it: the list as rows rejected it, so that its digest agreed with everybody's, but the entry's servers came from the answer as it was. Test a_late_answer_brings_no_server_back, failed before (121 joins for 120). Now an answer passes through the list of rows first, and only what is current there counts.

Besides: names and comments of this area say receive and report in place of told.

--- a/crates/gateway/src/configs/gateway.rs
+++ b/crates/gateway/src/configs/gateway.rs
@@ -147,7 +147,7 @@
         digest_bytes: 2_048,
         gossip_bytes_per_second: 16_384,
         renewals_per_second: 30,
-        // Members of a zone share its reads: what one of them finds it tells the others.
+        // Members of a zone share its reads: what one of them finds it passes on.
         scan_bytes_per_second: 125,
         ..member::configs::membership::Settings::default()
     }
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -90,7 +90,7 @@
     },
     /// Read the configuration again as soon as may be: there may be a newer one.
     ReadConfiguration,
-    /// Follow the list of servers from now on, or stop until told again.
+    /// Follow the list of servers from now on, or stop until the next such effect.
     FollowServers {
         /// Least pause between two reads, zero for that of few entries; none to stop.
         pause: Option<Span>,
--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -1,4 +1,4 @@
-//! Whether this entry reads the list of servers, and what entries tell each other of it.
+//! Whether this entry reads the list of servers, and the reports on it between entries.
 
 use std::collections::BTreeMap;
 
@@ -33,7 +33,7 @@
 pub(crate) struct Following {
     /// The entries that read the list for all, in the order in which they stand in for each other.
     readers: Vec<holder::Id>,
-    /// Pause between two reads as the shell was told; none while it need not read.
+    /// Pause between two reads as last passed to the shell; none while it need not read.
     pause: Option<Span>,
 }
 
@@ -50,14 +50,14 @@
 impl Gateway {
     /// The list was read here.
     pub(crate) fn list_read(&mut self, now: Time, reading: Reading, effects: &mut Vec<Effect>) {
-        self.watch.read(now, &reading);
+        let reading = self.watch.read(now, &reading);
         // From here on only gaps of our own matter.
         self.servers.doubt_until(Time::ZERO);
         self.servers_read(now, reading, effects);
     }
 
-    /// Another entry told of the list.
-    pub(crate) fn list_told(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
+    /// A report on the list came from another entry.
+    pub(crate) fn list_reported(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
         let Some(from) = holder::Id::parse(&item.key) else {
             return;
         };
@@ -72,11 +72,11 @@
         };
         let me = self.identity.incarnation;
         let passes_on = self.hub.knows(me) && !self.hub.knows(from);
-        let learned = self.watch.told(now, &report, passes_on);
-        self.take_learned(now, learned, &report, from, effects);
+        let learned = self.watch.receive(now, &report, passes_on);
+        self.apply_report(now, learned, &report, from, effects);
     }
 
-    fn take_learned(
+    fn apply_report(
         &mut self,
         now: Time,
         learned: Learned,
@@ -89,7 +89,7 @@
             self.servers.doubt_until(now + lapsed);
         }
         if !learned.written.is_empty() || !learned.removed.is_empty() {
-            let line = Line::info("list_told")
+            let line = Line::info("list_changed")
                 .with("from", from)
                 .with("list", report.revision)
                 .with("age_ms", report.age_ms)
@@ -98,7 +98,7 @@
             effects.push(Effect::Log(line));
             let (written, removed) = (learned.written, learned.removed);
             let news = News::Changes { written, removed };
-            self.servers_told(now, news, effects);
+            self.servers_reported(now, news, effects);
         }
         if let Some(position) = learned.position {
             self.servers.note_reading(position.at, position.revision);
@@ -175,7 +175,7 @@
         self.following.readers = readers;
     }
 
-    /// What is told of the list with the regular counts: `always`, also if this entry has not read it since.
+    /// The report that goes with the regular counts: with `always`, also if this entry has not read the list since.
     pub(crate) fn list_item(&mut self, now: Time, always: bool) -> Option<Item> {
         if !always && !self.watch.has_read() {
             return None;
@@ -196,7 +196,7 @@
         })
     }
 
-    /// Tells the hubs at once, or as a hub everyone, what has changed.
+    /// Reports changes to the hubs, or as a hub to everyone.
     fn report_list(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let me = self.identity.incarnation;
         let hubs = self.hubs(now);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -62,7 +62,7 @@
     /// Entries that may decide on accounts' quotas for all.
     pub(crate) homes: Vec<charge::Entry>,
     pub(crate) servers: Servers,
-    /// The list of servers as rows, and what others are told of it.
+    /// The list of servers as rows, and the reports on it.
     pub(crate) watch: Watch,
     /// Whether this entry reads the list, and who does.
     pub(crate) following: Following,
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -297,7 +297,7 @@
         self.send_bulletins(to, &own, list, effects)
     }
 
-    /// Sends what some entries count, and what is told of the list, in one message; about how many bytes.
+    /// Sends the counts of some entries and a report on the list in one message; about how many bytes.
     fn send_bulletins(
         &mut self,
         to: holder::Id,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -186,7 +186,7 @@
             Topic::Ended => self.told_ended(now, &item.key, item.version, effects),
             Topic::Count => self.bulletin_came(now, item, effects),
             Topic::Quarantine => self.quarantine_came(now, item, effects),
-            Topic::List => self.list_told(now, item, effects),
+            Topic::List => self.list_reported(now, item, effects),
             Topic::Heir | Topic::Demand => {}
         }
     }
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -55,8 +55,8 @@
         }
     }
 
-    /// Another entry told of changes; it has told everybody else too.
-    pub(crate) fn servers_told(&mut self, now: Time, news: News, effects: &mut Vec<Effect>) {
+    /// Another entry reported changes, to everybody at once.
+    pub(crate) fn servers_reported(&mut self, now: Time, news: News, effects: &mut Vec<Effect>) {
         self.doubt_after_failure();
         let News::Changes { written, removed } = news else {
             return;
@@ -161,7 +161,7 @@
         self.server_leaves(now, incarnation, now + LEAVE_TIME, Source::Peer, effects);
     }
 
-    /// A row was read here; that its server leaves is told to all.
+    /// A row was read here; that its server leaves is published to all.
     fn server_seen(&mut self, now: Time, server: Server, effects: &mut Vec<Effect>) {
         let incarnation = server.incarnation.clone();
         if self.server_written(now, server, effects) {
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -70,6 +70,20 @@
     assert_eq!(world.logged("server_gone") as usize, ENTRIES - 1);
 }
 
+/// An entry that stands in asks for the list; while its answer is under way others report that a server's row has ended.
+/// The answer is older and still names that server, and requests went on to it for as long as the entry ran.
+#[test]
+fn a_late_answer_brings_no_server_back() {
+    let mut world = settled();
+    let (revision, servers) = (world.list, world.servers.clone());
+    let reader = readers(&world)[0];
+    world.end_row();
+    follow(&mut world, 2_000);
+    let joined = world.logged("server_joined");
+    world.tell_as_of((reader + 1) % ENTRIES, revision, servers);
+    assert_eq!(world.logged("server_joined"), joined);
+}
+
 /// The reader's answer was lost, and just then a server's row ended. Nobody believed it for 2.5 s, since the reader can't
 /// tell a server that left from one whose lease lapsed, and requests went on to it; an entry that stood by could.
 #[test]
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -51,7 +51,7 @@
 }
 
 /// How long a question for changes of the configuration waits. Each is a call of all entries' share; a newer version is
-/// also heard of from other entries.
+/// also announced by other entries.
 const CONFIGURATION_WAIT: Span = Span::from_seconds(25);
 /// The same for the list of backend servers, where each entry reads for itself.
 const SERVERS_WAIT: Span = Span::from_seconds(10);
--- a/crates/watch/src/list.rs
+++ b/crates/watch/src/list.rs
@@ -81,6 +81,25 @@
         news
     }
 
+    /// Of an answer that was taken in, what holds by now.
+    pub fn up_to_date(&self, news: &News) -> News {
+        let current = |server: &&Server| {
+            self.get(&server.id)
+                .is_some_and(|known| same(known, server))
+        };
+        match news {
+            News::All(_) => News::All(self.rows.values().map(|row| row.server.clone()).collect()),
+            News::Changes { written, removed } => News::Changes {
+                written: written.iter().filter(current).cloned().collect(),
+                removed: removed
+                    .iter()
+                    .filter(|row| self.get(&row.id).is_none())
+                    .cloned()
+                    .collect(),
+            },
+        }
+    }
+
     /// Takes in a change; whether it is new here.
     pub fn take(&mut self, change: &Change) -> bool {
         let known = self.rows.get(&change.id).map(|row| row.at);
@@ -181,6 +200,11 @@
     }
 }
 
+/// Whether two rows say the same, but for the time that is left.
+fn same(one: &Server, other: &Server) -> bool {
+    hash_of(one) == hash_of(other)
+}
+
 /// Hash of what a row says; the time that is left to a server falls with each heartbeat and doesn't count.
 fn hash_of(server: &Server) -> u64 {
     let texts = [
--- a/crates/watch/src/report.rs
+++ b/crates/watch/src/report.rs
@@ -1,4 +1,4 @@
-//! What entries tell each other of the list of backend servers.
+//! Reports on the list of backend servers, from entry to entry.
 
 use serde::Deserialize;
 use serde::Serialize;
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -1,4 +1,4 @@
-//! One entry's part in following the list: whether it reads, and what it tells.
+//! One entry's part in following the list: whether it reads, and what it reports.
 
 use clock::Span;
 use clock::Time;
@@ -22,7 +22,7 @@
         /// Its place among the readers; the first one reads.
         rank: usize,
     },
-    /// It is told.
+    /// It receives reports.
     Follower,
 }
 
@@ -64,7 +64,7 @@
     read: bool,
     /// When it was read here last.
     read_at: Option<Time>,
-    /// When others were told last.
+    /// When it reported last.
     reported: Time,
     /// This entry's moment within the spread.
     delay: Span,
@@ -89,8 +89,10 @@
         }
     }
 
-    /// Takes in an answer of the table service.
-    pub fn read(&mut self, now: Time, reading: &Reading) {
+    /// Takes in an answer of the table service; what of it isn't out of date by now.
+    ///
+    /// Guards against an answer that was under way while reports brought newer changes: it names servers that are gone.
+    pub fn read(&mut self, now: Time, reading: &Reading) -> Reading {
         let first = self.position.is_none();
         let changes = self.list.read(reading);
         // What an entry finds as it starts is known to all others.
@@ -105,10 +107,14 @@
         self.doubted = false;
         self.read = true;
         self.read_at = Some(now);
+        Reading {
+            revision: reading.revision,
+            news: self.list.up_to_date(&reading.news),
+        }
     }
 
-    /// Takes in a report; a hub passes on what is new in it unless another hub sent it.
-    pub fn told(&mut self, now: Time, report: &Report, pass_on: bool) -> Learned {
+    /// Takes in a report; with `pass_on`, what is new in it goes into this entry's own reports.
+    pub fn receive(&mut self, now: Time, report: &Report, pass_on: bool) -> Learned {
         // Without a reading of its own an entry can't tell what is missing.
         if self.position.is_none() {
             return Learned::default();
@@ -116,7 +122,7 @@
         self.doubted = report.lapsed_ms > 0;
         let mut learned = Learned::default();
         let mut changes = Vec::new();
-        for change in report.changes.iter() {
+        for change in &report.changes {
             if !self.list.take(change) {
                 continue;
             }
@@ -188,7 +194,7 @@
         self.read_at.is_some_and(|at| now.since(at) < standby)
     }
 
-    /// What others are to be told now; `lapsed` is how long missing rows may be those of live servers.
+    /// A report for other entries; `lapsed` is how long missing rows may be those of live servers.
     pub fn report(&mut self, now: Time, lapsed: Span) -> Option<Report> {
         let position = self.position?;
         self.urgent = false;
@@ -214,7 +220,7 @@
         }
     }
 
-    /// When an entry reads next unless it is told more.
+    /// When an entry reads next unless a newer report comes.
     pub fn reads_at(&self, role: Role) -> Time {
         let Some(position) = self.position else {
             return Time::ZERO;
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -278,7 +278,7 @@
             if !self.frozen.contains_key(&to) {
                 let passes_on = hubs.contains(&to) && !hubs.contains(&from);
                 let now = self.time();
-                self.entries[to].told(now, &report, passes_on);
+                self.entries[to].receive(now, &report, passes_on);
             }
         }
         for entry in 0..self.entries.len() {
@@ -309,8 +309,8 @@
 
 const SIZES: [usize; 3] = [30, 300, 840];
 
-/// Each of hundreds of entries read the list by itself, each time a server's heartbeat rewrote a row: 10,000 reads of
-/// 75 entries on a quiet day. Reads must not grow with the entries.
+/// Each of many entries read the list by itself, and calls of the table service grew with entries times changes. Reads
+/// must not grow with the entries.
 #[test]
 fn reads_do_not_grow_with_the_entries() {
     for entries in SIZES {
@@ -382,17 +382,17 @@
     let doubtful = world.entries[0].report(now, lapsed).expect("a report");
     let sure = world.entries[0].report(now, Span::ZERO).expect("a report");
     let standby = Role::Reader { rank: 1 };
-    world.entries[1].told(now, &sure, true);
+    world.entries[1].receive(now, &sure, true);
     let soon = now + Config::default().pace;
     assert_eq!(world.entries[1].pause(soon, standby), None);
-    world.entries[1].told(now, &doubtful, true);
+    world.entries[1].receive(now, &doubtful, true);
     assert!(world.entries[1].pause(soon, standby).is_some());
 }
 
-/// An entry is told late that a server started, after it has read that the server is gone again: an older word must
-/// not bring it back.
+/// A report that a server started comes after its receiver has read that the server is gone again: an older report
+/// must not bring it back.
 #[test]
-fn an_older_word_brings_no_server_back() {
+fn an_older_report_brings_no_server_back() {
     let mut world = World::new(3);
     world.write(900, false);
     world.read(0);
@@ -404,7 +404,7 @@
         .expect("a report");
     world.set(SmolStr::new_static("s901"), None);
     world.read(1);
-    let learned = world.entries[1].told(Time::ZERO, &late, false);
+    let learned = world.entries[1].receive(Time::ZERO, &late, false);
     assert_eq!(learned.written, []);
     assert_eq!(learned.position, None);
     assert_eq!(world.entries[1].digest(), world.truth.digest());
