Order rows of servers by their own revisions

Cause: one answer of the feed names a row twice as written, ready and then leaving. Both counted as of the answer's revision, the second was dropped as not newer, and the leave was lost for all entries until the row's end. Ruled out: late reports (a print of each row of an answer showed both states in one answer). Change: each row carries its own revision from the adapter on; the list orders written, leaving and ended by it, and knows up to which revision it is complete, so that an older row that isn't there has ended. The special forms for a leave alone and for ended rows beside written ones go, and so does the bound on remembered ends. Reports take the newest change of a row first.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -313,8 +313,11 @@
         self.tell_as_of(entry, self.list, self.servers.clone());
     }
 
-    /// Tells an entry these servers as of a revision of the list.
-    pub fn tell_as_of(&mut self, entry: usize, revision: u64, servers: Vec<Server>) {
+    /// Tells an entry these servers as of a revision of the list, at which all wrote their rows.
+    pub fn tell_as_of(&mut self, entry: usize, revision: u64, mut servers: Vec<Server>) {
+        for server in &mut servers {
+            server.revision = revision;
+        }
         let reading = Reading {
             revision,
             news: News::All(servers),
@@ -634,6 +637,7 @@
         leaving: false,
         leaves_in: None,
         reclaimable: true,
+        revision: 1,
     });
     all.collect()
 }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -153,7 +153,7 @@
     pub key: SmolStr,
     /// Its bytes, as their writer left them.
     pub data: Bytes,
-    /// The table's revision that changed it last; 0 where the service doesn't say.
+    /// The table's revision that changed it last.
     pub revision: u64,
 }
 
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -184,7 +184,7 @@
     fn changed(&self, changes: Changes) {
         let (written, unusable) = self.sort(&changes.written);
         let ended = unusable.iter().chain(&changes.deleted);
-        let removed = ended.map(|row| removal_of(row, changes.revision)).collect();
+        let removed = ended.map(removal_of).collect();
         self.shared.link.event(Event::Servers(Reading {
             revision: changes.revision,
             news: News::Changes { written, removed },
@@ -226,13 +226,9 @@
     }
 }
 
-/// The end of a row, told by an answer of revision `newest`.
-fn removal_of(row: &Row, newest: u64) -> Removal {
+fn removal_of(row: &Row) -> Removal {
     Removal {
         id: row.key.clone(),
-        revision: match row.revision {
-            0 => newest,
-            revision => revision,
-        },
+        revision: row.revision,
     }
 }
--- a/crates/watch/src/list.rs
+++ b/crates/watch/src/list.rs
@@ -1,8 +1,9 @@
-//! The list of backend servers, with the revision at which each row is known.
+//! The list of backend servers, each row with the revision that wrote it.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
-use clock::Span;
 use policy::rendezvous;
 use smol_str::SmolStr;
 
@@ -12,29 +13,20 @@
 use crate::server::Reading;
 use crate::server::Server;
 
-/// Most ended rows that are remembered, so that older news doesn't bring them back.
-const ENDED_KEPT: usize = 4_096;
-
 /// All rows.
 #[derive(Clone, Debug, Default)]
 pub struct List {
-    rows: BTreeMap<SmolStr, Row>,
-    /// Rows that ended, and at which revision.
+    rows: BTreeMap<SmolStr, Server>,
+    /// Rows that ended, and at which revision. Invariant: each is newer than `complete`.
     ended: BTreeMap<SmolStr, u64>,
+    /// Every change up to this revision is taken in: an older row that isn't here has ended.
+    complete: u64,
     /// Invariant: over all rows, the exclusive or of their hashes.
     digest: u64,
     /// The newest revision at which a row changed.
     changed: u64,
 }
 
-/// One row.
-#[derive(Clone, Debug)]
-struct Row {
-    server: Server,
-    /// The revision by which it is known to say so.
-    at: u64,
-}
-
 impl List {
     /// Digest of all rows: equal for equal lists, whatever way their entries learned of them.
     pub fn digest(&self) -> u64 {
@@ -48,52 +40,49 @@
 
     /// What a row says.
     pub fn get(&self, id: &str) -> Option<&Server> {
-        self.rows.get(id).map(|row| &row.server)
+        self.rows.get(id)
     }
 
     /// Takes in what the table service says; what of it is new.
     pub fn read(&mut self, reading: &Reading) -> Vec<Change> {
-        let at = reading.revision;
-        let told: Vec<Change> = match &reading.news {
+        let news = self.take(self.changes_of(reading));
+        self.complete_to(reading.revision);
+        news
+    }
+
+    /// What an answer says, row by row.
+    fn changes_of(&self, reading: &Reading) -> Vec<Change> {
+        match &reading.news {
             News::All(servers) => {
-                let written = servers.iter().map(|server| written(server, at));
                 let absent = self.absent(servers);
-                written.chain(absent.map(|id| ended(id, at))).collect()
+                let ended = absent.map(|id| Change::ended(id.clone(), reading.revision));
+                servers.iter().map(Change::written).chain(ended).collect()
             }
-            News::Changes {
-                written: servers,
-                removed,
-            } => {
-                // A row that one answer names as written and as ended has ended.
-                let stays = |server: &&Server| removed.iter().all(|row| row.id != server.id);
-                let servers = servers.iter().filter(stays);
-                let servers = servers.map(|server| written(server, at));
-                let removed = removed
+            News::Changes { written, removed } => {
+                let ended = removed
                     .iter()
-                    .map(|row| ended(row.id.clone(), row.revision));
-                servers.chain(removed).collect()
-            }
-        };
-        let mut news = Vec::new();
-        for change in told {
-            let leaving = self.is_only_leaving(&change);
-            if self.take(&change) {
-                news.push(leaving.unwrap_or(change));
+                    .map(|row| Change::ended(row.id.clone(), row.revision));
+                written.iter().map(Change::written).chain(ended).collect()
             }
         }
-        news
+    }
+
+    /// Rows that aren't among these servers.
+    fn absent(&self, servers: &[Server]) -> impl Iterator<Item = &SmolStr> {
+        let named: BTreeSet<&SmolStr> = servers.iter().map(|server| &server.id).collect();
+        self.rows.keys().filter(move |id| !named.contains(id))
     }
 
     /// Of an answer that was taken in, what holds by now.
     pub fn up_to_date(&self, news: &News) -> News {
-        let current = |server: &&Server| {
-            self.get(&server.id)
-                .is_some_and(|known| same(known, server))
-        };
         match news {
-            News::All(_) => News::All(self.rows.values().map(|row| row.server.clone()).collect()),
+            News::All(_) => News::All(self.rows.values().cloned().collect()),
             News::Changes { written, removed } => News::Changes {
-                written: written.iter().filter(current).cloned().collect(),
+                written: written
+                    .iter()
+                    .filter(|server| self.is_current(server))
+                    .cloned()
+                    .collect(),
                 removed: removed
                     .iter()
                     .filter(|row| self.get(&row.id).is_none())
@@ -103,112 +92,80 @@
         }
     }
 
-    /// Takes in a change; whether it is new here.
-    pub fn take(&mut self, change: &Change) -> bool {
-        let known = self.rows.get(&change.id).map(|row| row.at);
-        let last = known.max(self.ended.get(&change.id).copied());
-        if last.is_some_and(|last| last >= change.at) {
+    /// Whether a row still says the same, but for the time that is left to its server.
+    fn is_current(&self, server: &Server) -> bool {
+        let known = self.get(&server.id);
+        known.is_some_and(|known| hash_of(known) == hash_of(server))
+    }
+
+    /// Notes that every change up to a revision is taken in.
+    pub fn complete_to(&mut self, revision: u64) {
+        self.complete = self.complete.max(revision);
+        let complete = self.complete;
+        self.ended.retain(|_, ended| *ended > complete);
+    }
+
+    /// Takes in changes; those that are new here, in the order of their revisions.
+    ///
+    /// The newest of a row comes first, so that an older one among them is never in force.
+    pub fn take(&mut self, mut changes: Vec<Change>) -> Vec<Change> {
+        changes.sort_by_key(|change| Reverse(change.at));
+        changes.retain(|change| self.take_one(change));
+        changes.reverse();
+        changes
+    }
+
+    fn take_one(&mut self, change: &Change) -> bool {
+        if self.is_overtaken(change) {
             return false;
         }
-        let server = match &change.now {
-            State::Ended => return self.end(change),
-            State::Written(server) => server.clone(),
-            State::Leaving { in_ms } => {
-                let Some(row) = self.rows.get(&change.id) else {
-                    return false;
-                };
-                Server {
-                    leaving: true,
-                    leaves_in: in_ms.map(Span::from_millis),
-                    ..row.server.clone()
-                }
-            }
-        };
-        self.write(change, server)
+        match &change.now {
+            State::Ended => self.end(change),
+            State::Written(server) => self.write(Server {
+                revision: change.at,
+                ..server.clone()
+            }),
+        }
     }
 
-    fn write(&mut self, change: &Change, server: Server) -> bool {
+    /// Whether what is known of the row is as new.
+    fn is_overtaken(&self, change: &Change) -> bool {
+        if let Some(known) = self.rows.get(&change.id) {
+            return known.revision >= change.at;
+        }
+        let ended = self.ended.get(&change.id).copied();
+        ended.unwrap_or(0).max(self.complete) >= change.at
+    }
+
+    fn write(&mut self, server: Server) -> bool {
+        let revision = server.revision;
         let hash = hash_of(&server);
-        let row = Row {
-            server,
-            at: change.at,
-        };
-        let before = self.rows.insert(change.id.clone(), row);
-        let before = before.map_or(0, |row| hash_of(&row.server));
-        self.ended.remove(&change.id);
-        self.digest ^= before ^ hash;
-        if before != hash {
-            self.changed = self.changed.max(change.at);
+        self.ended.remove(&server.id);
+        let before = self.rows.insert(server.id.clone(), server);
+        let before = before.map_or(0, |server| hash_of(&server));
+        if before == hash {
+            return false;
         }
-        before != hash
+        self.digest ^= before ^ hash;
+        self.changed = self.changed.max(revision);
+        true
     }
 
     fn end(&mut self, change: &Change) -> bool {
-        self.ended.insert(change.id.clone(), change.at);
-        if self.ended.len() > ENDED_KEPT {
-            let oldest = self.ended.iter().min_by_key(|(_, at)| **at);
-            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
-                self.ended.remove(&oldest);
-            }
+        if change.at > self.complete {
+            self.ended.insert(change.id.clone(), change.at);
         }
-        let Some(row) = self.rows.remove(&change.id) else {
+        let Some(server) = self.rows.remove(&change.id) else {
             return false;
         };
-        self.digest ^= hash_of(&row.server);
+        self.digest ^= hash_of(&server);
         self.changed = self.changed.max(change.at);
         true
     }
-
-    /// Rows that aren't among these servers.
-    fn absent(&self, servers: &[Server]) -> impl Iterator<Item = SmolStr> {
-        let named: std::collections::BTreeSet<&SmolStr> =
-            servers.iter().map(|server| &server.id).collect();
-        let absent = self.rows.keys().filter(|id| !named.contains(id));
-        absent.cloned().collect::<Vec<_>>().into_iter()
-    }
-
-    /// The shorter form of a change that says only that a known server leaves.
-    fn is_only_leaving(&self, change: &Change) -> Option<Change> {
-        let State::Written(server) = &change.now else {
-            return None;
-        };
-        let row = self.rows.get(&change.id)?;
-        let same = Server {
-            leaving: row.server.leaving,
-            leaves_in: row.server.leaves_in,
-            ..server.clone()
-        } == row.server;
-        (same && server.leaving).then(|| Change {
-            now: State::Leaving {
-                in_ms: server.leaves_in.map(Span::as_millis),
-            },
-            ..change.clone()
-        })
-    }
-}
-
-fn written(server: &Server, at: u64) -> Change {
-    Change {
-        id: server.id.clone(),
-        at,
-        now: State::Written(server.clone()),
-    }
-}
-
-fn ended(id: SmolStr, at: u64) -> Change {
-    Change {
-        id,
-        at,
-        now: State::Ended,
-    }
-}
-
-/// Whether two rows say the same, but for the time that is left.
-fn same(one: &Server, other: &Server) -> bool {
-    hash_of(one) == hash_of(other)
 }
 
-/// Hash of what a row says; the time that is left to a server falls with each heartbeat and doesn't count.
+/// Hash of what a row says; its revision and the time that is left to its server change with each heartbeat and don't
+/// count.
 fn hash_of(server: &Server) -> u64 {
     let texts = [
         &server.incarnation,
--- a/crates/watch/src/report.rs
+++ b/crates/watch/src/report.rs
@@ -29,7 +29,7 @@
 pub struct Change {
     /// The server's name.
     pub id: SmolStr,
-    /// The list's revision by which it had changed. Invariant: of two changes of a row the later has the higher one.
+    /// The list's revision that changed it. Invariant: of two changes of a row the later has the higher one.
     pub at: u64,
     /// What it is now.
     pub now: State,
@@ -41,15 +41,30 @@
 pub enum State {
     /// The row is new, or another.
     Written(Server),
-    /// Its server leaves; all else is as before.
-    Leaving {
-        /// When it is gone, where that is known, milliseconds from the report on.
-        in_ms: Option<u64>,
-    },
     /// It ended.
     Ended,
 }
 
+impl Change {
+    /// A row that is new, or says something else.
+    pub fn written(server: &Server) -> Change {
+        Change {
+            id: server.id.clone(),
+            at: server.revision,
+            now: State::Written(server.clone()),
+        }
+    }
+
+    /// A row that ended at a revision.
+    pub fn ended(id: SmolStr, at: u64) -> Change {
+        Change {
+            id,
+            at,
+            now: State::Ended,
+        }
+    }
+}
+
 fn is_zero(value: &u64) -> bool {
     *value == 0
 }
--- a/crates/watch/src/server.rs
+++ b/crates/watch/src/server.rs
@@ -22,11 +22,15 @@
     pub slots: u32,
     /// Whether it takes no new work and will leave.
     pub leaving: bool,
-    /// When it is gone, where that is known.
-    #[serde(skip)]
+    /// When it is gone, where that is known, counted from the answer or report on.
+    #[serde(rename = "leaves_in_ms", with = "span")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leaves_in: Option<Span>,
     /// Whether it can be reclaimed on short notice.
     pub reclaimable: bool,
+    /// The list's revision that wrote this row; between entries it goes with the change.
+    #[serde(skip)]
+    pub revision: u64,
 }
 
 /// One answer about the list of servers.
@@ -60,3 +64,21 @@
     /// The list's revision at which its row ended.
     pub revision: u64,
 }
+
+/// Spans as milliseconds.
+mod span {
+    use clock::Span;
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serialize;
+    use serde::Serializer;
+
+    pub fn serialize<S: Serializer>(span: &Option<Span>, to: S) -> Result<S::Ok, S::Error> {
+        span.map(Span::as_millis).serialize(to)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Span>, D::Error> {
+        let millis = Option::<u64>::deserialize(from)?;
+        Ok(millis.map(Span::from_millis))
+    }
+}
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -8,6 +8,7 @@
 use crate::list::List;
 use crate::report::Change;
 use crate::report::Report;
+use crate::report::State;
 use crate::server::Reading;
 use crate::server::Removal;
 use crate::server::Server;
@@ -121,15 +122,11 @@
         }
         self.doubted = report.lapsed_ms > 0;
         let mut learned = Learned::default();
-        let mut changes = Vec::new();
-        for change in &report.changes {
-            if !self.list.take(change) {
-                continue;
-            }
-            changes.push(change.clone());
-            match self.list.get(&change.id) {
-                Some(server) => learned.written.push(server.clone()),
-                None => learned.removed.push(Removal {
+        let changes = self.list.take(report.changes.clone());
+        for change in &changes {
+            match &change.now {
+                State::Written(server) => learned.written.push(server.clone()),
+                State::Ended => learned.removed.push(Removal {
                     id: change.id.clone(),
                     revision: change.at,
                 }),
@@ -159,7 +156,9 @@
         None
     }
 
+    /// Notes how far the list is known without a gap.
     fn know(&mut self, position: Position) {
+        self.list.complete_to(position.revision);
         let known = self.position.unwrap_or(position);
         self.position = Some(Position {
             at: known.at.max(position.at),
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -116,6 +116,7 @@
             leaving,
             leaves_in: None,
             reclaimable: true,
+            revision: self.revision + 1,
         };
         self.set(id, Some(server));
     }
@@ -139,6 +140,18 @@
         self.history.insert(self.truth.digest(), self.now);
     }
 
+    /// A list that holds this row alone.
+    fn only(&self, id: &str) -> List {
+        let row = &self.rows[id];
+        let news = News::All(row.server.clone().into_iter().collect());
+        let mut list = List::default();
+        list.read(&Reading {
+            revision: self.revision,
+            news,
+        });
+        list
+    }
+
     /// One server starts, says that it leaves, or is gone.
     fn change(&mut self, turn: u64) {
         let number = SERVERS + turn / 3;
@@ -153,6 +166,9 @@
         for row in self.rows.values_mut().filter(|row| row.server.is_some()) {
             self.revision += 1;
             row.revision = self.revision;
+            if let Some(server) = &mut row.server {
+                server.revision = self.revision;
+            }
         }
     }
 
@@ -436,3 +452,27 @@
     assert_eq!(learned.position, None);
     assert_eq!(world.entries[1].digest(), world.truth.digest());
 }
+
+/// One answer named a row twice, as ready and as leaving. The leave was dropped as no newer than the row before it, and
+/// all entries handed requests to the server until its row ended.
+#[test]
+fn a_leave_beside_the_row_before_it_is_kept() {
+    let mut world = World::new(3);
+    world.read(0);
+    world.write(900, false);
+    let ready = world.rows["s900"].server.clone().expect("a row");
+    world.write(900, true);
+    let leaving = world.rows["s900"].server.clone().expect("a row");
+    for written in [vec![ready.clone(), leaving.clone()], vec![leaving, ready]] {
+        let mut entry = World::new(1).entries.remove(0);
+        let reading = Reading {
+            revision: world.revision + 5,
+            news: News::Changes {
+                written,
+                removed: Vec::new(),
+            },
+        };
+        entry.read(world.time(), &reading);
+        assert_eq!(entry.digest(), world.only("s900").digest());
+    }
+}
