--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -144,7 +144,12 @@
                 }
             }
             Topic::Demand | Topic::Quarantine => self.scheduler_news(now, item, effects),
-            Topic::Heir | Topic::Count | Topic::Ended | Topic::List => {}
+            Topic::Heir
+            | Topic::Count
+            | Topic::Ended
+            | Topic::List
+            | Topic::Resigned
+            | Topic::Renewed => {}
         }
     }
 
--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -129,6 +129,7 @@
                     effects.push(Effect::Leads(fence));
                     self.order_step(now, order::Event::Gained(fence), effects);
                 }
+                claim::Effect::Renewed(_) => {}
                 claim::Effect::Lost(_) => self.lost(now, effects),
             }
         }
--- a/crates/gateway/src/charging.rs
+++ b/crates/gateway/src/charging.rs
@@ -15,12 +15,6 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 
-/// Entries that can take less than this part of the most able one decide on no account: a busy account's home is asked
-/// some hundred times a second.
-const HOME_CAPACITY: f64 = 0.5;
-/// With fewer able entries than that, any entry may decide: the accounts would all hang on one or two.
-const HOMES_LEAST: usize = 4;
-
 /// What was taken from a quota for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -65,7 +59,8 @@
         if !self.by_hubs() || !self.quotas.is_limited(charge.name) {
             return self.charge_by(now, serial, charge, Step::Alone, effects);
         }
-        let step = self.charges.begin(now, serial, charge, &self.homes);
+        let homes: Vec<Entry> = self.roster.homes().iter().map(|home| home.0).collect();
+        let step = self.charges.begin(now, serial, charge, &homes);
         self.charge_by(now, serial, charge, step, effects);
     }
 
@@ -223,26 +218,4 @@
             effects.push(Effect::Refund { address, grant });
         }
     }
-
-    /// Notes which entries may decide on accounts: live ones that can take the most, but for hubs.
-    ///
-    /// A hub writes to all entries at once, twice a second, and whoever asks it meanwhile waits for that.
-    pub(crate) fn find_homes(&mut self, now: Time) {
-        let quiet = self.quiet();
-        let me = (self.settings.capacity, self.identity.incarnation.0);
-        let peers = self.membership.peers();
-        let usable = peers.filter(|(_, known)| known.is_usable(now, quiet));
-        let usable = usable.map(|(id, known)| (known.capacity(), id.0));
-        let all: Vec<(u8, Entry)> = usable.chain(self.is_ready().then_some(me)).collect();
-        let most = all.iter().map(|(capacity, _)| *capacity).max().unwrap_or(0);
-        let able =
-            |(capacity, _): &&(u8, Entry)| f64::from(*capacity) >= f64::from(most) * HOME_CAPACITY;
-        let homes: Vec<&(u8, Entry)> = match all.iter().filter(able).count() >= HOMES_LEAST {
-            true => all.iter().filter(able).collect(),
-            false => all.iter().collect(),
-        };
-        let homes = homes.into_iter().map(|(_, entry)| *entry);
-        let homes = homes.filter(|home| !self.hub.knows(holder::Id(*home)));
-        self.homes = homes.collect();
-    }
 }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -8,6 +8,11 @@
 use lease::claim::Claim;
 use lease::holder;
 use line::Line;
+use member::digest::Digest;
+use member::digest::Item;
+use member::digest::Topic;
+use role::roster::HUBS;
+use smol_str::SmolStr;
 use store::call;
 
 use crate::duty;
@@ -140,8 +145,8 @@
         self.order_answered(now, id, outcome);
     }
 
-    /// Whether this entry should try to get or keep the lease: the holder as long as it may, else the hubs,
-    /// which know everyone's counts first.
+    /// Whether this entry should try to get or keep the lease: the holder as long as it may, else the hubs, which know
+    /// everyone's counts first, and among many entries all that stand by for what needs the table service.
     fn is_candidate(&self, now: Time) -> bool {
         if !self.is_ready() {
             return false;
@@ -154,7 +159,70 @@
         if young && !self.duties.predecessors.is_empty() {
             return true;
         }
-        self.hubs(now).contains(&self.identity.incarnation)
+        let most = match self.by_hubs() {
+            true => usize::MAX,
+            false => HUBS,
+        };
+        let mut claimants = self.roster.readers().iter().take(most);
+        claimants.any(|one| *one == self.identity.incarnation)
+    }
+
+    /// The holder of the lease gave up, by its own word.
+    pub(crate) fn holder_resigned(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
+        if item.key == LEASE {
+            self.claim_step(now, claim::Event::Ended(item.version), effects);
+        }
+    }
+
+    /// The holder of the lease renewed it, by its own word.
+    pub(crate) fn holder_renewed(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
+        let value = match serde_json::from_slice(&item.payload) {
+            Ok(value) => value,
+            Err(error) => {
+                let line = Line::warn("renewal_unreadable").with("error", error);
+                return effects.push(Effect::Log(line));
+            }
+        };
+        let row = call::Row {
+            key: item.key.clone(),
+            value,
+            revision: item.version,
+        };
+        self.claim_step(now, claim::Event::Renewed(row), effects);
+    }
+
+    /// Tells those who stand by for the duties of a renewal, so that they need not look at the row.
+    fn publish_renewed(&mut self, row: &call::Row, effects: &mut Vec<Effect>) {
+        let item = Item {
+            topic: Topic::Renewed,
+            key: row.key.clone(),
+            version: row.revision,
+            age_ms: 0,
+            payload: row.value.to_string().into_bytes(),
+        };
+        let digest = Digest {
+            own: self.membership.beat(),
+            items: vec![item],
+            ..Digest::default()
+        };
+        for claimant in self.roster.readers() {
+            if let Some(address) = self.membership.peer_address(*claimant).cloned() {
+                let digest = digest.clone();
+                effects.push(Effect::SendDigest { address, digest });
+            }
+        }
+    }
+
+    /// Passes on that this entry holds the lease no longer, so that nobody waits for its term to end.
+    fn publish_resigned(&mut self, now: Time, fence: u64, effects: &mut Vec<Effect>) {
+        let item = Item {
+            topic: Topic::Resigned,
+            key: SmolStr::new_static(LEASE),
+            version: fence,
+            age_ms: 0,
+            payload: Vec::new(),
+        };
+        self.attend(now, member::event::Event::Publish(item), effects);
     }
 
     /// Tells the claim of earlier lives of this entry: they are gone, since their port is ours now.
@@ -186,8 +254,10 @@
                     self.duties.fleet.gained(now, settled);
                     effects.push(Effect::Log(Line::info("duty_gained").with("fence", fence)));
                 }
+                claim::Effect::Renewed(row) => self.publish_renewed(&row, effects),
                 claim::Effect::Lost(fence) => {
                     effects.push(Effect::Log(Line::info("duty_lost").with("fence", fence)));
+                    self.publish_resigned(now, fence, effects);
                 }
             }
         }
--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -1,7 +1,5 @@
 //! Whether this entry reads the list of servers, and the reports on it between entries.
 
-use std::collections::BTreeMap;
-
 use clock::Span;
 use clock::Time;
 use lease::holder;
@@ -9,8 +7,6 @@
 use member::digest::Digest;
 use member::digest::Item;
 use member::digest::Topic;
-use policy::rendezvous;
-use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use watch::report::Report;
 use watch::server::News;
@@ -22,17 +18,9 @@
 use crate::gateway::Gateway;
 use crate::presence::Source;
 
-/// What the readers' rank is drawn from.
-const KEY: &str = "reader";
-
-/// What an entry can take, a hash among equal ones, and which it is.
-type Rank = (u8, u64, holder::Id);
-
 /// What this entry does to follow the list of servers.
 #[derive(Debug)]
 pub(crate) struct Following {
-    /// The entries that read the list for all, in the order in which they stand in for each other.
-    readers: Vec<holder::Id>,
     /// Pause between two reads as last passed to the shell; none while it need not read.
     pause: Option<Span>,
 }
@@ -41,7 +29,6 @@
     /// An entry that reads for itself, as all do at their start.
     pub fn new() -> Following {
         Following {
-            readers: Vec::new(),
             pause: Some(Span::ZERO),
         }
     }
@@ -138,43 +125,14 @@
     }
 
     fn role(&self) -> Role {
-        if !self.by_hubs() || self.following.readers.is_empty() {
+        if !self.by_hubs() || self.roster.readers().is_empty() {
             return Role::Alone;
         }
-        let mut readers = self.following.readers.iter();
+        let mut readers = self.roster.readers().iter();
         let rank = readers.position(|reader| *reader == self.identity.incarnation);
         rank.map_or(Role::Follower, |rank| Role::Reader { rank })
     }
 
-    /// Notes who reads: the hubs in their order, then of each zone the live entry that can take the most.
-    pub(crate) fn find_readers(&mut self, now: Time) {
-        if !self.by_hubs() {
-            return;
-        }
-        let key = rendezvous::identity(KEY);
-        let quiet = self.quiet();
-        let peers = self.membership.peers();
-        let usable = peers.filter(|(_, known)| known.is_usable(now, quiet));
-        let usable = usable.map(|(id, known)| (&known.record.row.zone, (known.capacity(), id)));
-        let me = (self.settings.capacity, self.identity.incarnation);
-        let own = self.is_ready().then_some((&self.identity.zone, me));
-        let mut best: BTreeMap<&SmolStr, Rank> = BTreeMap::new();
-        for (zone, (capacity, id)) in usable.chain(own) {
-            let rank = (capacity, rendezvous::weight(key, id.0), id);
-            let first = best.entry(zone).or_insert(rank);
-            *first = rank.max(*first);
-        }
-        let mut others: Vec<Rank> = best.into_values().collect();
-        others.sort();
-        let mut readers = self.hubs(now);
-        for (_, _, id) in others.into_iter().rev() {
-            if !readers.contains(&id) {
-                readers.push(id);
-            }
-        }
-        self.following.readers = readers;
-    }
-
     /// The report that goes with the regular counts: with `always`, also if this entry has not read the list since.
     pub(crate) fn list_item(&mut self, now: Time, always: bool) -> Option<Item> {
         if !always && !self.watch.has_read() {
@@ -199,7 +157,7 @@
     /// Reports changes to the hubs, or as a hub to everyone.
     fn report_list(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let me = self.identity.incarnation;
-        let hubs = self.hubs(now);
+        let hubs = self.roster.hubs().to_vec();
         let hub = hubs.contains(&me);
         let Some(item) = self.list_item(now, true) else {
             return;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,6 @@
 use line::Line;
 use member::membership::Membership;
 use policy::account;
-use policy::charge;
 use policy::charge::Charges;
 use policy::decision::Decision;
 use policy::pool;
@@ -18,8 +17,10 @@
 use policy::scheduler::Scheduler;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use role::roster::Roster;
 use smol_str::SmolStr;
 use store::call;
+use store::contact::Contact;
 use store::throttle::Throttle;
 use watch::watch::Watch;
 
@@ -59,8 +60,8 @@
     pub(crate) quotas: Quotas,
     /// Charges that wait for the entry that decides on them.
     pub(crate) charges: Charges,
-    /// Entries that may decide on accounts' quotas for all.
-    pub(crate) homes: Vec<charge::Entry>,
+    /// Which entries fill roles for all.
+    pub(crate) roster: Roster,
     pub(crate) servers: Servers,
     /// The list of servers as rows, and the reports on it.
     pub(crate) watch: Watch,
@@ -101,8 +102,8 @@
     pub(crate) news_version: u64,
     /// When the process was asked to stop.
     pub(crate) stopping: Option<Time>,
-    /// Since when calls of the table service fail, if the last one did.
-    pub(crate) store_away: Option<Time>,
+    /// Whether the table service answers our calls.
+    pub(crate) contact: Contact,
     /// When the table service failed a call last.
     pub(crate) store_failed: Option<Time>,
     /// Whether the list of servers couldn't be read since it was read last.
@@ -158,7 +159,7 @@
             membership: peers::membership(&identity, &settings, seed),
             quotas: Quotas::new(settings.quota),
             charges: Charges::new(settings.charge, identity.incarnation.0),
-            homes: Vec::new(),
+            roster: Roster::default(),
             throttle: Throttle::new(settings.store),
             servers: Servers::default(),
             watch: Watch::new(settings.watch, identity.incarnation.0),
@@ -189,7 +190,7 @@
             next_quarantine: Time::ZERO,
             news_version: 0,
             stopping: None,
-            store_away: None,
+            contact: Contact::default(),
             store_failed: None,
             list_lost: false,
             next_store_call: 0,
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -1,8 +1,8 @@
 //! How counts travel among many entries.
 //!
 //! Up to [`DIRECT`] entries each tells all others. Beyond, that would be thousands of messages a second, so
-//! each tells two hubs, and these tell everyone the sum of all others' counts. Any entry can be a hub: the two
-//! live ones that can take the most, by a hash that all compute alike. Both send, and one is listened to.
+//! each tells two hubs, and these tell everyone the sum of all others' counts. Any entry can be a hub, by
+//! [`role::roster`]. Both send, and one is listened to.
 //!
 //! There is no way back to telling all others: entries that were replaced stand among the members until they
 //! are known gone, and while the way changed to and fro their counts would be charged twice.
@@ -17,7 +17,6 @@
 use member::digest::Item;
 use member::digest::Topic;
 use policy::quota::Counts;
-use policy::rendezvous;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -30,8 +29,6 @@
 
 /// Most entries that tell each other directly: 16 messages four times a second, about one percent of a core.
 const DIRECT: usize = 16;
-/// Hubs: with one, its loss would silence all until everyone has noticed.
-pub(crate) const HUBS: usize = 2;
 /// Time between two hand-overs. While entries are replaced, not all agree on who the hubs are, and each of several
 /// hears a part.
 const HAND_OVER_TIME: Span = Span::from_millis(2_000);
@@ -41,8 +38,6 @@
 pub(crate) const PAST_MARK: char = '/';
 /// Entries told of in one message as a hub hands over: about 10 KB.
 const AT_ONCE: usize = 32;
-/// What the hubs' rank is drawn from.
-const KEY: &str = "hub";
 /// In whose name a sum is taken in; no entry draws this number.
 pub(crate) const SUM: holder::Id = holder::Id(u64::MAX);
 
@@ -135,31 +130,10 @@
         effects.push(Effect::Log(Line::info("hubs_used")));
     }
 
-    /// The live entries that can take the most, by a hash among equal ones. An earlier life is none: it is told what
-    /// nobody sums up.
-    ///
-    /// Guards against small entries on narrow links: what a hub sends to 75 others fills half of 10 Mbit/s, and beside
-    /// its callers' answers it lost the table service and connections to replicas.
-    pub(crate) fn hubs(&self, now: Time) -> Vec<holder::Id> {
-        let key = rendezvous::identity(KEY);
-        let quiet = self.quiet();
-        let me = self.identity.incarnation;
-        let peers = self.membership.peers();
-        let usable = peers.filter(|(_, known)| known.is_usable(now, quiet));
-        let usable = usable.map(|(id, known)| (known.capacity(), id));
-        let own = self.is_ready().then_some((self.settings.capacity, me));
-        let mut ranked: Vec<(u8, holder::Id)> = usable.chain(own).collect();
-        ranked.sort_by_key(|(capacity, id)| {
-            std::cmp::Reverse((*capacity, rendezvous::weight(key, id.0)))
-        });
-        ranked.truncate(HUBS);
-        ranked.into_iter().map(|(_, id)| id).collect()
-    }
-
     /// Tells the hubs what is counted here; a hub tells all others.
     pub(crate) fn tell_by_hubs(&mut self, now: Time, own: Bulletin, effects: &mut Vec<Effect>) {
         let me = self.identity.incarnation;
-        let hubs = self.hubs(now);
+        let hubs = self.roster.hubs().to_vec();
         if hubs != self.hub.known {
             let names: Vec<String> = hubs.iter().map(|hub| hub.to_string()).collect();
             let line = Line::info("hubs").with("ids", names.join(","));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod presence;
 mod progress;
 mod reports;
+mod roles;
 mod servers;
 mod stop;
 mod store_calls;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -58,8 +58,7 @@
                 self.attend(now, MemberEvent::Load(load), effects);
             }
             self.consider_hubs(now, effects);
-            self.find_homes(now);
-            self.find_readers(now);
+            self.assign_roles(now);
             self.next_bulletin = now + self.bulletin_time();
             self.publish_bulletin(now, effects);
             self.note_lagging(now);
@@ -187,6 +186,8 @@
             Topic::Count => self.bulletin_came(now, item, effects),
             Topic::Quarantine => self.quarantine_came(now, item, effects),
             Topic::List => self.list_reported(now, item, effects),
+            Topic::Renewed => self.holder_renewed(now, item, effects),
+            Topic::Resigned => self.holder_resigned(now, item, effects),
             Topic::Heir | Topic::Demand => {}
         }
     }
@@ -286,7 +287,7 @@
     pub(crate) fn sum_came(&mut self, now: Time, hub: holder::Id, sum: Bulletin) {
         // Of usage each sum tells something: what one hub hasn't heard yet the other may have.
         self.usage.absorb_sum(SUM, &sum.begun);
-        let first = self.hubs(now).first() == Some(&hub);
+        let first = self.roster.hubs().first() == Some(&hub);
         let (listened, heard) = self.hub.listened.unwrap_or((hub, now));
         let silent = now.since(heard) >= self.settings.quota.silence;
         if listened != hub && !first && !silent {
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -60,33 +60,37 @@
         effects: &mut Vec<Effect>,
     ) {
         let failed = matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
+        let was_lost = self.contact.is_lost();
         if failed {
             self.store_failed = Some(now);
-        }
-        if failed != self.store_away.is_some() {
-            match self.store_away.take() {
-                None => self.store_away = Some(now),
-                Some(since) => self.read_anew(since, effects),
+            if self.contact.failed(now) {
+                self.log_contact(Line::warn("dependency_lost"), id, &outcome, effects);
             }
-            let line = match failed {
-                true => Line::warn("dependency_lost"),
-                false => Line::info("dependency_regained"),
-            };
-            let cause = match outcome {
-                Outcome::Unavailable => "refused",
-                Outcome::Unknown => "no_answer",
-                _ => "answered",
-            };
-            let waiter = self.store_calls.get(&id);
-            let line = line
-                .with("name", "table_service")
-                .with("call", format!("{waiter:?}"))
-                .with("outcome", cause);
-            effects.push(Effect::Log(line));
+        } else if let Some(since) = self.contact.answered() {
+            self.read_anew(since, effects);
+            self.log_contact(Line::info("dependency_regained"), id, &outcome, effects);
+        }
+        let lost = self.contact.is_lost();
+        if lost != was_lost {
+            self.attend(now, member::event::Event::StoreLost(lost), effects);
         }
         self.pass_on(now, id, outcome, effects);
     }
 
+    fn log_contact(&self, line: Line, id: call::Id, outcome: &Outcome, effects: &mut Vec<Effect>) {
+        let cause = match outcome {
+            Outcome::Unavailable => "refused",
+            Outcome::Unknown => "no_answer",
+            _ => "answered",
+        };
+        let waiter = self.store_calls.get(&id);
+        let line = line
+            .with("name", "table_service")
+            .with("call", format!("{waiter:?}"))
+            .with("outcome", cause);
+        effects.push(Effect::Log(line));
+    }
+
     /// Reads what is followed anew, once the table service answers again that has failed since then.
     ///
     /// Guards against questions for changes that it swallowed meanwhile: they end by their own time only, 11.5 s after
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -3,12 +3,19 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use support::World;
 
 /// Requests of one window that the tests send, and its length in milliseconds.
 const WINDOW: u64 = 5_000;
 const REQUESTS: u64 = 50;
+/// Enough that counts travel by hubs.
+const ENTRIES: usize = 24;
+/// Time between two looks at who holds the duties, milliseconds.
+const TICK: u64 = 50;
+/// Longest time without a holder: a lease with its margin, and some tenths of a second.
+const LONGEST_GAP: u64 = 4_500 + 500;
 
 /// Lets entries find each other and one take the duties, up to the start of a window.
 fn settle(world: &mut World) {
@@ -212,3 +219,90 @@
         assert!(off * 20 <= count, "window {window}: {told} of {count}");
     }
 }
+
+/// The longest time without a holder of the duties, milliseconds, while time passes; never two at once.
+fn longest_gap(world: &mut World, millis: u64) -> u64 {
+    let (mut gap, mut longest) = (0, 0);
+    for _ in 0..millis / TICK {
+        world.run(TICK);
+        let holders = world.holders();
+        assert!(holders.len() <= 1, "holders: {holders:?}");
+        gap = match holders.is_empty() {
+            true => gap + TICK,
+            false => 0,
+        };
+        longest = longest.max(gap);
+    }
+    longest
+}
+
+/// Some entries of many, the holder of the duties among them.
+fn some_with_holder(world: &World, entries: usize, count: usize, seed: u64) -> BTreeSet<usize> {
+    let holder = world.holders()[0];
+    let mut ranked: Vec<usize> = (0..entries).filter(|entry| *entry != holder).collect();
+    ranked.sort_by_key(|entry| policy::rendezvous::weight(seed, *entry as u64));
+    ranked.truncate(count - 1);
+    ranked.push(holder);
+    ranked.into_iter().collect()
+}
+
+fn in_zones(entries: usize) -> World {
+    let mut world = World::new(entries);
+    world.zones = 3;
+    for entry in 0..entries {
+        world.start(entry);
+    }
+    settle(&mut world);
+    world
+}
+
+/// The holder of the duties and both hubs were cut off from the table service for ten seconds, and nobody else tried for
+/// the lease: while all zones were reclaimed nobody ordered replicas.
+#[test]
+fn duties_pass_on_while_any_half_is_cut_off_from_the_table_service() {
+    for seed in 0..12 {
+        let mut world = in_zones(ENTRIES);
+        world.store_cut = some_with_holder(&world, ENTRIES, ENTRIES / 2, seed);
+        let gap = longest_gap(&mut world, 15_000);
+        assert!(gap <= LONGEST_GAP, "seed {seed}: no holder for {gap} ms");
+        world.store_cut.clear();
+        let gap = longest_gap(&mut world, 10_000);
+        assert!(
+            gap <= LONGEST_GAP,
+            "seed {seed}, healed: no holder for {gap} ms"
+        );
+    }
+}
+
+/// The same where these entries reach neither the table service nor the others.
+#[test]
+fn duties_pass_on_while_any_half_is_cut_off_from_everything() {
+    for seed in 0..12 {
+        let mut world = in_zones(ENTRIES);
+        let cut = some_with_holder(&world, ENTRIES, ENTRIES / 2, seed);
+        world.store_cut = cut.clone();
+        world.cut = cut;
+        let gap = longest_gap(&mut world, 15_000);
+        assert!(gap <= LONGEST_GAP, "seed {seed}: no holder for {gap} ms");
+        world.store_cut.clear();
+        world.cut.clear();
+        let gap = longest_gap(&mut world, 10_000);
+        assert!(
+            gap <= LONGEST_GAP,
+            "seed {seed}, healed: no holder for {gap} ms"
+        );
+    }
+}
+
+/// The same where these entries are killed and don't come back.
+#[test]
+fn duties_pass_on_when_any_half_is_killed() {
+    for seed in 0..12 {
+        let mut world = in_zones(ENTRIES);
+        for entry in some_with_holder(&world, ENTRIES, ENTRIES / 2, seed) {
+            world.kill(entry);
+        }
+        let gap = longest_gap(&mut world, 15_000);
+        assert!(gap <= LONGEST_GAP, "seed {seed}: no holder for {gap} ms");
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -50,6 +50,7 @@
 pub const SERVICE: &str = "drafts";
 pub const KEY: &str = "amber-key";
 const STEP: u64 = 10;
+const ZONES: [&str; 3] = ["north", "south", "west"];
 /// True time at the start; a window begins then.
 const ZERO_UNIX_MS: u64 = 1_000_000_000;
 /// Servers of the start, in each of two zones.
@@ -99,6 +100,10 @@
     lines: BTreeMap<&'static str, u32>,
     /// Whether the table service answers nobody.
     pub store_silent: bool,
+    /// Entries that the table service doesn't answer.
+    pub store_cut: BTreeSet<usize>,
+    /// How many availability zones the entries are spread over from their next start on.
+    pub zones: usize,
     /// How often each entry read the list of servers anew by itself.
     pub looks: BTreeMap<usize, u32>,
     /// Whether each entry reads the list of servers, as it was told last.
@@ -160,6 +165,8 @@
             moved: Vec::new(),
             lines: BTreeMap::new(),
             store_silent: false,
+            store_cut: BTreeSet::new(),
+            zones: 1,
             looks: BTreeMap::new(),
             following: BTreeMap::new(),
             sums: BTreeMap::new(),
@@ -194,7 +201,7 @@
             name: format_smolstr!("entry-{entry}"),
             // Scattered, as drawn ones are.
             incarnation: holder::Id(self.next_life.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
-            zone: SmolStr::new_static("north"),
+            zone: SmolStr::new_static(ZONES[entry % self.zones]),
             caller_address: format_smolstr!("10.0.0.{entry}:80"),
             peer_address: peer_address(entry),
         };
@@ -447,6 +454,17 @@
         .collect()
     }
 
+    /// Entries that hold the duties' lease at this moment.
+    pub fn holders(&self) -> Vec<usize> {
+        let holds = |entry: &usize| {
+            self.processes[*entry].as_ref().is_some_and(|process| {
+                let now = Time::from_millis(self.now - process.started);
+                process.gateway.vitals(now).fence > 0
+            })
+        };
+        (0..self.processes.len()).filter(holds).collect()
+    }
+
     /// Which entry holds the duties, by the calls made last.
     pub fn holder(&self) -> Option<usize> {
         self.made.last().map(|made| made.entry)
@@ -482,7 +500,7 @@
     fn carry_out(&mut self, entry: usize, effect: Effect) -> Option<(usize, Event)> {
         match effect {
             Effect::Store { id, call } => {
-                let outcome = match self.store_silent {
+                let outcome = match self.store_silent || self.store_cut.contains(&entry) {
                     true => Outcome::Unknown,
                     false => self.table.apply(&call),
                 };
--- a/crates/lease/examples/rivals.rs
+++ b/crates/lease/examples/rivals.rs
@@ -58,6 +58,7 @@
                 told.extend(feed(claim, now, Event::Store { id, outcome }, table));
             }
             Effect::Gained(fence) => told.push(format!("gained fence={fence}")),
+            Effect::Renewed(_) => {}
             Effect::Lost(_) => told.push(String::from("lost")),
         }
     }
--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -33,6 +33,9 @@
 /// The table of leases.
 pub const TABLE: &str = "leases";
 
+/// A rival that heard of a renewal looks at the row itself only after so many times the usual pause.
+const QUIET_POLLS: u64 = 2;
+
 /// The lease's row. It is never deleted, so that its fencing number never falls.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
@@ -63,6 +66,8 @@
     /// A holder is gone for certain: its lease needn't be waited for. The embedder must know that no
     /// instruction of it runs any more, as of a process whose own port it has bound since.
     Gone(holder::Id),
+    /// The holder's own word of its last renewal, from [`Effect::Renewed`].
+    Renewed(call::Row),
     /// The holder under this fencing number gave up, by its own word in [`Effect::Lost`]: neither it nor one before it
     /// acts any more.
     Ended(u64),
@@ -82,6 +87,8 @@
     Gained(u64),
     /// The lease under this fencing number is held no longer, and never will be again.
     Lost(u64),
+    /// The lease was gained or renewed, and its row is now this. Rivals that know it need not look for themselves.
+    Renewed(call::Row),
 }
 
 /// The state machine.
@@ -100,6 +107,8 @@
     /// Whether a read was answered since the last uncertain write.
     known: bool,
     valid_until: Time,
+    /// The row as we wrote it, until the embedder is told.
+    renewed: Option<call::Row>,
     /// The number under which the embedder was told that we hold it.
     told: Option<u64>,
     sent: Option<Sent>,
@@ -131,6 +140,7 @@
             seen: None,
             known: false,
             valid_until: Time::ZERO,
+            renewed: None,
             told: None,
             sent: None,
             attempts: 0,
@@ -173,6 +183,7 @@
                 self.gone.insert(id);
                 self.next = now;
             }
+            Event::Renewed(row) => self.was_renewed(now, row),
             Event::Ended(fence) if fence > self.ended => {
                 self.ended = fence;
                 self.next = now;
@@ -251,8 +262,24 @@
         }
     }
 
+    /// Notes a renewal by its holder's word, and waits so much longer before the next look.
+    fn was_renewed(&mut self, now: Time, row: call::Row) {
+        let revision = self.seen.as_ref().map(|(_, watch)| watch.revision());
+        if revision.is_some_and(|known| known >= row.revision) {
+            return;
+        }
+        self.known |= self.sent.is_none();
+        self.see(now, now, Some(row));
+        self.next = self.next.max(now + self.settings.poll.times(QUIET_POLLS));
+    }
+
     fn written(&mut self, now: Time, sent: Time, row: Row, revision: u64) {
         self.known = true;
+        self.renewed = row.holder.map(|_| call::Row {
+            key: self.at.key.clone(),
+            value: serde_json::to_value(&row).unwrap_or(Value::Null),
+            revision,
+        });
         self.valid_until = match row.holder {
             Some(_) => sent + self.settings.term,
             None => Time::ZERO,
@@ -372,6 +399,9 @@
     /// Tells the embedder of a change.
     fn report(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let fence = self.fence(now);
+        if let Some(row) = self.renewed.take_if(|_| fence.is_some()) {
+            effects.push(Effect::Renewed(row));
+        }
         if fence == self.told {
             return;
         }
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -35,8 +35,8 @@
     pub late: Vec<Span>,
     /// The highest number that a holder said it gave up.
     pub resigned: u64,
-    /// Whether others learn of that at once.
-    pub tells_resigned: bool,
+    /// Whether a holder tells its rivals of renewals, and that it gave up.
+    pub tells_rivals: bool,
     /// How long the next orders are under way.
     pub order_delays: Vec<Span>,
     /// The holder of each fencing number.
@@ -197,20 +197,26 @@
             claim::Effect::Gained(fence) => {
                 self.feed(index, Event::Orders(order::Event::Gained(fence)));
             }
+            claim::Effect::Renewed(row) => self.tell(index, claim::Event::Renewed(row)),
             claim::Effect::Lost(fence) => {
                 self.feed(index, Event::Orders(order::Event::Lost));
                 self.resigned = self.resigned.max(fence);
-                for other in (0..self.rivals.len()).filter(|other| *other != index) {
-                    if self.tells_resigned {
-                        let event = Event::Claim(claim::Event::Ended(fence));
-                        self.queue
-                            .push(self.now + HOP, Delivery::Event(other, event));
-                    }
-                }
+                self.tell(index, claim::Event::Ended(fence));
             }
         }
     }
 
+    fn tell(&mut self, from: usize, event: claim::Event) {
+        if !self.tells_rivals {
+            return;
+        }
+        for other in (0..self.rivals.len()).filter(|other| *other != from) {
+            let event = Event::Claim(event.clone());
+            self.queue
+                .push(self.now + HOP, Delivery::Event(other, event));
+        }
+    }
+
     fn order_effect(&mut self, index: usize, effect: order::Effect) {
         match effect {
             order::Effect::Order {
--- a/crates/member/src/digest.rs
+++ b/crates/member/src/digest.rs
@@ -39,6 +39,8 @@
     pub applied: u64,
     /// How full it is, 0 to 255.
     pub load: u8,
+    /// Whether the table service doesn't answer it.
+    pub store_lost: bool,
 }
 
 /// A member's row as far as others know it. The member's own count of renewals orders records.
@@ -68,6 +70,10 @@
     Ended,
     /// What one entry knows of the list of backend servers; the key names the entry.
     List,
+    /// A holder of a lease gave up; the key names the lease, the version is its fencing number.
+    Resigned,
+    /// A holder renewed a lease; the key names the lease, the version is its row's revision, and the row is in it.
+    Renewed,
 }
 
 impl Topic {
@@ -75,9 +81,9 @@
     /// servers that it speaks of are gone by then.
     pub const fn lifetime(self) -> Span {
         match self {
-            Topic::Demand | Topic::Count | Topic::List => Span::from_seconds(15),
+            Topic::Demand | Topic::Count | Topic::List | Topic::Renewed => Span::from_seconds(15),
             // Whoever can read the list itself needs it no more.
-            Topic::Ended => Span::from_seconds(60),
+            Topic::Ended | Topic::Resigned => Span::from_seconds(60),
             Topic::Quarantine => Span::from_seconds(900),
             Topic::Leaving | Topic::Heir => Span::from_seconds(3_600),
         }
@@ -85,12 +91,15 @@
 
     /// Whether it is told at once and not with the next round.
     pub const fn urgent(self) -> bool {
-        !matches!(self, Topic::Demand | Topic::Count | Topic::List)
+        !matches!(
+            self,
+            Topic::Demand | Topic::Count | Topic::List | Topic::Renewed
+        )
     }
 
     /// Whether others pass it on; what isn't comes from its own entry each time.
     pub const fn is_passed_on(self) -> bool {
-        !matches!(self, Topic::Count | Topic::List)
+        !matches!(self, Topic::Count | Topic::List | Topic::Renewed)
     }
 }
 
--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -29,6 +29,8 @@
     Applied(u64),
     /// How full this entry is, 0 to 255.
     Load(u8),
+    /// Whether the table service doesn't answer this entry.
+    StoreLost(bool),
     /// This entry admits nothing new from now on.
     Drain,
     /// This entry has stopped; `heir` holds its ledger.
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -141,6 +141,7 @@
             Event::Digest(digest) => self.receive(now, digest, effects),
             Event::Applied(version) => self.applied(now, version),
             Event::Load(load) => self.beat.load = load,
+            Event::StoreLost(lost) => self.beat.store_lost = lost,
             Event::Drain => self.change_state(now, State::Draining, None),
             Event::Leave { heir } => self.leave(now, heir),
             Event::Look => self.next_whole = now,
--- /dev/null
+++ b/crates/role/src/roster.rs
@@ -0,0 +1,107 @@
+//! The roles and those who fill them, the first one first.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use lease::holder;
+use policy::rendezvous;
+use smol_str::SmolStr;
+
+use crate::candidate::Candidate;
+
+/// Hubs: with one, its loss would silence all until everyone has noticed.
+pub const HUBS: usize = 2;
+/// Most readers: each that stands by costs calls of the table service, and one of five is nearly always fit.
+const READERS: usize = 5;
+/// Entries that can take less than this part of the most able one decide on no account: a busy account's home is asked
+/// some hundred times a second.
+const HOME_CAPACITY: f64 = 0.5;
+/// With fewer able entries than that, any entry may decide: the accounts would all hang on one or two.
+const HOMES_LEAST: usize = 4;
+/// What ranks are drawn from.
+const HUB_KEY: &str = "hub";
+const READER_KEY: &str = "reader";
+
+/// Who fills which role.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Roster {
+    hubs: Vec<holder::Id>,
+    readers: Vec<holder::Id>,
+    homes: Vec<holder::Id>,
+}
+
+impl Roster {
+    /// Assigns the roles among these entries.
+    pub fn new(candidates: &[Candidate]) -> Roster {
+        let hubs = hubs(candidates);
+        Roster {
+            readers: readers(candidates, &hubs),
+            homes: homes(candidates, &hubs),
+            hubs,
+        }
+    }
+
+    /// Those who add up all counts and pass them to everyone. They need room and their peers, not the table service.
+    pub fn hubs(&self) -> &[holder::Id] {
+        &self.hubs
+    }
+
+    /// Those who need the table service for all, each in the place of those before it: the hubs, then the most able
+    /// entry of each zone. Entries that the table service doesn't answer come last.
+    pub fn readers(&self) -> &[holder::Id] {
+        &self.readers
+    }
+
+    /// Those who decide on accounts' quotas. A hub writes to all entries at once, twice a second, and whoever asks it
+    /// meanwhile waits for that; so hubs are none.
+    pub fn homes(&self) -> &[holder::Id] {
+        &self.homes
+    }
+}
+
+/// The entries that can take the most, by a hash among equal ones.
+///
+/// Guards against small entries on narrow links: what a hub sends to 75 others fills half of 10 Mbit/s, and beside its
+/// callers' answers it lost the table service and connections to replicas.
+fn hubs(candidates: &[Candidate]) -> Vec<holder::Id> {
+    let mut ranked: Vec<&Candidate> = candidates.iter().collect();
+    ranked.sort_by_key(|one| Reverse(rank(one, HUB_KEY)));
+    ranked.truncate(HUBS);
+    ranked.into_iter().map(|one| one.id).collect()
+}
+
+/// Guards against one fate for all: hubs are large entries of any zone, and a cut took both from the table service for
+/// ten seconds while others could reach it.
+fn readers(candidates: &[Candidate], hubs: &[holder::Id]) -> Vec<holder::Id> {
+    let order = |one: &Candidate| (!one.store_lost, rank(one, READER_KEY));
+    let mut best: BTreeMap<&SmolStr, &Candidate> = BTreeMap::new();
+    for one in candidates {
+        let first = best.entry(&one.zone).or_insert(one);
+        if order(one) > order(first) {
+            *first = one;
+        }
+    }
+    let mut others: Vec<&Candidate> = best.into_values().collect();
+    others.retain(|one| !hubs.contains(&one.id));
+    others.sort_by_key(|one| Reverse(order(one)));
+    others.truncate(READERS - HUBS);
+    let find = |id: &holder::Id| candidates.iter().find(|one| one.id == *id);
+    let mut readers: Vec<&Candidate> = hubs.iter().filter_map(find).chain(others).collect();
+    readers.sort_by_key(|one| one.store_lost);
+    readers.into_iter().map(|one| one.id).collect()
+}
+
+fn homes(candidates: &[Candidate], hubs: &[holder::Id]) -> Vec<holder::Id> {
+    let most = candidates.iter().map(|one| one.capacity).max().unwrap_or(0);
+    let least = f64::from(most) * HOME_CAPACITY;
+    let able = |one: &&Candidate| f64::from(one.capacity) >= least;
+    let enough = candidates.iter().filter(able).count() >= HOMES_LEAST;
+    let homes = candidates.iter().filter(|one| !enough || able(one));
+    let homes = homes.map(|one| one.id);
+    homes.filter(|id| !hubs.contains(id)).collect()
+}
+
+fn rank(one: &Candidate, key: &str) -> (u8, u64, holder::Id) {
+    let key = rendezvous::identity(key);
+    (one.capacity, rendezvous::weight(key, one.id.0), one.id)
+}
--- /dev/null
+++ b/crates/role/tests/roster.rs
@@ -0,0 +1,110 @@
+//! Who fills which role, whatever each entry can take and whoever is cut off from the table service.
+
+use std::collections::BTreeSet;
+
+use lease::holder;
+use policy::rendezvous;
+use role::candidate::Candidate;
+use role::roster::HUBS;
+use role::roster::Roster;
+use smol_str::SmolStr;
+
+const ZONES: [&str; 3] = ["north", "south", "west"];
+const SIZES: [u64; 4] = [8, 62, 295, 840];
+
+/// Entries of which every tenth can take much.
+fn candidates(count: u64) -> Vec<Candidate> {
+    let all = (0..count).map(|number| Candidate {
+        id: holder::Id(rendezvous::weight(5, number)),
+        zone: SmolStr::new_static(ZONES[number as usize % ZONES.len()]),
+        capacity: if number.is_multiple_of(10) { 255 } else { 61 },
+        store_lost: false,
+    });
+    all.collect()
+}
+
+/// A half that the table service doesn't answer.
+fn cut_half(candidates: &mut [Candidate], seed: u64) {
+    for one in candidates {
+        one.store_lost = rendezvous::weight(seed, one.id.0).is_multiple_of(2);
+    }
+}
+
+/// Two entries that disagree on a role would both fill it: the order in which they know the others must not matter.
+#[test]
+fn all_entries_assign_the_same_roles() {
+    for count in SIZES {
+        let mut known = candidates(count);
+        cut_half(&mut known, 1);
+        let roster = Roster::new(&known);
+        known.reverse();
+        assert_eq!(Roster::new(&known), roster, "{count} entries");
+    }
+}
+
+/// Both hubs were cut off from the table service, and nobody else tried for the lease of the duties: an entry that is
+/// answered comes first wherever there is one in any zone.
+#[test]
+fn those_that_the_table_service_answers_read_first() {
+    for count in SIZES {
+        for seed in 0..50 {
+            let mut known = candidates(count);
+            cut_half(&mut known, seed);
+            let lost: BTreeSet<holder::Id> = known
+                .iter()
+                .filter(|one| one.store_lost)
+                .map(|one| one.id)
+                .collect();
+            let roster = Roster::new(&known);
+            let readers = roster.readers();
+            let answered = readers.iter().take_while(|id| !lost.contains(id)).count();
+            assert!(
+                answered >= 1 || lost.len() == known.len(),
+                "{count}, seed {seed}"
+            );
+            assert!(readers[answered..].iter().all(|id| lost.contains(id)));
+        }
+    }
+}
+
+/// Were hubs to change with each outage of the table service, all counts would have to be handed over in the middle of it.
+#[test]
+fn hubs_stay_while_the_table_service_is_away() {
+    let mut known = candidates(62);
+    let before = Roster::new(&known);
+    cut_half(&mut known, 3);
+    let after = Roster::new(&known);
+    assert_eq!(after.hubs(), before.hubs());
+    assert_eq!(after.homes(), before.homes());
+}
+
+/// Small entries on narrow links were hubs, and lost the table service and their connections to what hubs send.
+#[test]
+fn hubs_and_homes_are_able_and_apart() {
+    for count in [62, 295, 840] {
+        let known = candidates(count);
+        let able: BTreeSet<holder::Id> = known
+            .iter()
+            .filter(|one| one.capacity == 255)
+            .map(|one| one.id)
+            .collect();
+        let roster = Roster::new(&known);
+        assert_eq!(roster.hubs().len(), HUBS);
+        assert!(roster.hubs().iter().all(|id| able.contains(id)));
+        assert!(roster.homes().iter().all(|id| able.contains(id)));
+        assert!(roster.homes().iter().all(|id| !roster.hubs().contains(id)));
+    }
+}
+
+/// One zone's readers would be lost with it.
+#[test]
+fn readers_stand_in_every_zone() {
+    let known = candidates(62);
+    let roster = Roster::new(&known);
+    let zones: BTreeSet<&SmolStr> = known
+        .iter()
+        .filter(|one| roster.readers().contains(&one.id))
+        .map(|one| &one.zone)
+        .collect();
+    assert_eq!(zones.len(), ZONES.len());
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod call;
 pub mod configs;
+pub mod contact;
 pub mod driver;
 pub mod fake;
 pub mod queue;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -64,6 +64,8 @@
   # Configuration version that it has in force.
   load @3 :UInt8;
   # How full it is, 0 to 255.
+  storeLost @4 :Bool;
+  # The table service doesn't answer it.
 }
 
 struct Record {
@@ -107,6 +109,8 @@
   count @4;
   ended @5;
   list @6;
+  resigned @7;
+  renewed @8;
 }
 
 struct News {
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -62,6 +62,7 @@
     to.set_count(beat.count);
     to.set_applied(beat.applied);
     to.set_load(beat.load);
+    to.set_store_lost(beat.store_lost);
 }
 
 fn read_beat(from: beat::Reader<'_>) -> Beat {
@@ -70,6 +71,7 @@
         count: from.get_count(),
         applied: from.get_applied(),
         load: from.get_load(),
+        store_lost: from.get_store_lost(),
     }
 }
 
@@ -125,6 +127,8 @@
         Topic::Count => WireTopic::Count,
         Topic::Ended => WireTopic::Ended,
         Topic::List => WireTopic::List,
+        Topic::Resigned => WireTopic::Resigned,
+        Topic::Renewed => WireTopic::Renewed,
     });
     to.set_key(item.key.as_str());
     to.set_version(item.version);
@@ -141,6 +145,8 @@
         Ok(WireTopic::Count) => Topic::Count,
         Ok(WireTopic::Ended) => Topic::Ended,
         Ok(WireTopic::List) => Topic::List,
+        Ok(WireTopic::Resigned) => Topic::Resigned,
+        Ok(WireTopic::Renewed) => Topic::Renewed,
         Err(_) => return Ok(None),
     };
     Ok(Some(Item {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -4099,6 +4099,10 @@
         pub fn get_load(self) -> u8 {
             self.reader.get_data_field::<u8>(24)
         }
+        #[inline]
+        pub fn get_store_lost(self) -> bool {
+            self.reader.get_bool_field(200)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4185,6 +4189,14 @@
         pub fn set_load(&mut self, value: u8)  {
             self.builder.set_data_field::<u8>(24, value);
         }
+        #[inline]
+        pub fn get_store_lost(self) -> bool {
+            self.builder.get_bool_field(200)
+        }
+        #[inline]
+        pub fn set_store_lost(&mut self, value: bool)  {
+            self.builder.set_bool_field(200, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4196,7 +4208,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 76] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 92] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(131, 173, 154, 165, 171, 188, 107, 163),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -4206,41 +4218,48 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 200, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4273,6 +4292,15 @@
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 76, 111, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4280,6 +4308,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4293,9 +4322,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3,4];
         pub(crate) const TYPE_ID: u64 = 0xa36b_bcab_a59a_ad83;
     }
 }
@@ -5224,6 +5253,8 @@
     Count = 4,
     Ended = 5,
     List = 6,
+    Resigned = 7,
+    Renewed = 8,
 }
 
 impl ::capnp::introspect::Introspect for Topic {
@@ -5243,6 +5274,8 @@
             4 => ::core::result::Result::Ok(Self::Count),
             5 => ::core::result::Result::Ok(Self::Ended),
             6 => ::core::result::Result::Ok(Self::List),
+            7 => ::core::result::Result::Ok(Self::Resigned),
+            8 => ::core::result::Result::Ok(Self::Renewed),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -5255,7 +5288,7 @@
     const TYPE_ID: u64 = 0xf180_216a_de3f_0d22u64;
 }
 mod topic {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 46] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 55] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(34, 13, 63, 222, 106, 33, 128, 241),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -5265,34 +5298,40 @@
     ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 223, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 84, 111, 112, 105, 99),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(28, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(36, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(93, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(65, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(89, 0, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(57, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(81, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(65, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(33, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(57, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(49, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
     ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
@@ -5302,6 +5341,9 @@
     ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
     ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
     ::capnp::word(108, 105, 115, 116, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 115, 105, 103, 110, 101, 100),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 110, 101, 119, 101, 100, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
