Keep every promise through a table service that comes back older

What the code did: ordered everything by bare numbers. Rows of the lease counted as outdated until numbers had grown past the old ones; a question for changes since a number given out again silently lacked what lay before; a check held on rows never seen; servers that had left came back; a window's counts could be fixed and reported a second time. Ruled out: a lower bound on numbers alone (a fresh entry that finds no row claimed number 1 beside its holder: histories found it).

--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -8,6 +8,7 @@
 use member::digest::Item;
 use member::digest::Topic;
 use smol_str::format_smolstr;
+use store::revision::Revision;
 use watch::report::Report;
 use watch::server::News;
 use watch::server::Reading;
@@ -23,6 +24,9 @@
 pub(crate) struct Following {
     /// Pause between two reads as last passed to the shell; none while it need not read.
     pause: Option<Span>,
+    /// When the whole list is read again, after the table service came back from a copy: by then live servers have
+    /// written their rows again, and those that are still missing are gone.
+    read_again: Option<Time>,
 }
 
 impl Following {
@@ -30,6 +34,7 @@
     pub fn new() -> Following {
         Following {
             pause: Some(Span::ZERO),
+            read_again: None,
         }
     }
 }
@@ -37,6 +42,10 @@
 impl Gateway {
     /// The list was read here.
     pub(crate) fn list_read(&mut self, now: Time, reading: Reading, effects: &mut Vec<Effect>) {
+        let known = self.servers.position().revision;
+        if known > 0 && Revision::is_of_older_era(known, reading.revision) {
+            self.following.read_again = Some(now + self.settings.return_time);
+        }
         let reading = self.watch.read(now, &reading);
         // From here on only gaps of our own matter.
         self.servers.doubt_until(Time::ZERO);
@@ -88,7 +97,7 @@
             self.servers_reported(now, news, effects);
         }
         if let Some(position) = learned.position {
-            self.servers.note_reading(position.at, position.revision);
+            self.note_reading(position.at, position.revision);
             // The same rows are missing to one that had no gap: their servers are gone.
             if report.lapsed_ms == 0 {
                 self.missing_gone(now, Source::Peer, effects);
@@ -111,6 +120,9 @@
             self.following.pause = pause;
             effects.push(Effect::FollowServers { pause });
         }
+        if self.following.read_again.take_if(|at| *at <= now).is_some() {
+            effects.push(Effect::ReadServers);
+        }
         if self.by_hubs() && self.watch.is_due(now) {
             self.report_list(now, effects);
         }
@@ -121,7 +133,8 @@
         let reads = self.following.pause.is_none();
         let reads = reads.then(|| self.watch.reads_at(self.role()));
         let due = self.watch.next_due().filter(|_| self.by_hubs());
-        reads.into_iter().chain(due).min()
+        let again = self.following.read_again;
+        reads.into_iter().chain(due).chain(again).min()
     }
 
     fn role(&self) -> Role {
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -43,7 +43,7 @@
         if self.servers_since == Time::ZERO {
             self.servers_since = now;
         }
-        self.servers.note_reading(now, reading.revision);
+        self.note_reading(now, reading.revision);
         match reading.news {
             News::All(servers) => self.all_read(now, servers, effects),
             News::Changes { written, removed } => {
@@ -55,6 +55,15 @@
         }
     }
 
+    /// Notes how far the list is known. Rows that a restored table service lacks may be those of live servers.
+    pub(crate) fn note_reading(&mut self, at: Time, revision: u64) {
+        let restored = self.servers.restored();
+        self.servers.note_reading(at, revision);
+        if self.servers.restored() != restored {
+            self.servers.trust_from(at + self.settings.return_time);
+        }
+    }
+
     /// Another entry reported changes, to everybody at once.
     pub(crate) fn servers_reported(&mut self, now: Time, news: News, effects: &mut Vec<Effect>) {
         self.doubt_after_failure();
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -87,10 +87,7 @@
         for window in oldest..newest {
             let since = self.usage.since_end(now, window);
             let delay = self.settings.usage_delay.as_millis() as i64;
-            let settle = match self.by_hubs() {
-                true => SETTLE_BY_HUBS,
-                false => SETTLE,
-            };
+            let settle = self.settle();
             if since < settle.as_millis() as i64 || since > delay {
                 continue;
             }
@@ -114,12 +111,40 @@
         }
         report.next = now + RETRY;
         match report.stage.clone() {
+            Stage::Open if self.may_have_been_lost(now, window) => self.give_up(window, effects),
             Stage::Open => self.fix(window),
             Stage::Fixed(counts) => self.send_report(window, counts, warrant, effects),
             Stage::Writing(_) | Stage::Sending(..) | Stage::Done => {}
         }
     }
 
+    /// Whether a former holder may have fixed and sent a window's counts that the table service has lost since.
+    fn may_have_been_lost(&self, now: Time, window: u64) -> bool {
+        let Some(restored) = self.servers.restored() else {
+            return false;
+        };
+        let ended_before =
+            self.usage.since_end(now, window) - now.since(restored).as_millis() as i64;
+        ended_before >= self.settle().as_millis() as i64
+    }
+
+    /// Leaves a window unreported: a second report could contradict the first.
+    fn give_up(&mut self, window: u64, effects: &mut Vec<Effect>) {
+        let line = Line::warn("usage_not_reported").with("window", window);
+        effects.push(Effect::Log(line));
+        if let Some(report) = self.duties.reports.windows.get_mut(&window) {
+            report.stage = Stage::Done;
+        }
+    }
+
+    /// After a window's end until its counts are fixed.
+    fn settle(&self) -> Span {
+        match self.by_hubs() {
+            true => SETTLE_BY_HUBS,
+            false => SETTLE,
+        }
+    }
+
     /// Writes the counts of a window, unless there are some.
     fn fix(&mut self, window: u64) {
         let mut counts = self.usage.total(window);
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -12,6 +12,7 @@
 use clock::Time;
 use policy::replica;
 use smol_str::SmolStr;
+use store::revision::Revision;
 
 use crate::attempt::Place;
 use watch::server::Server;
@@ -35,6 +36,8 @@
     doubted: Time,
     /// How far the list was read.
     position: Position,
+    /// When the table service was last seen to have come back from a copy.
+    restored: Option<Time>,
     /// Rows that ended by peers' word, and at which revision. Invariant: each is newer than our position, at
     /// which the list may still name the server.
     ended: BTreeMap<SmolStr, u64>,
@@ -85,6 +88,10 @@
 
     /// Notes that all up to a revision was known at that time; peers' word on that isn't needed any more.
     pub fn note_reading(&mut self, at: Time, revision: u64) {
+        let known = self.position.revision;
+        if known > 0 && Revision::is_of_older_era(known, revision) {
+            self.restored = Some(at);
+        }
         self.position = Position {
             at: at.max(self.position.at),
             revision: revision.max(self.position.revision),
@@ -104,6 +111,11 @@
         self.ended.contains_key(incarnation)
     }
 
+    /// When the table service was last seen to have come back from a copy, if it ever was.
+    pub fn restored(&self) -> Option<Time> {
+        self.restored
+    }
+
     /// How far the list was read.
     pub fn position(&self) -> Position {
         self.position
--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -24,6 +24,7 @@
 use store::call::Outcome;
 use store::call::Transaction;
 use store::call::Write;
+use store::revision::Revision;
 
 use crate::configs::claim::Settings;
 use crate::holder;
@@ -33,6 +34,8 @@
 /// The table of leases.
 pub const TABLE: &str = "leases";
 
+/// Fencing numbers of one era, as bits.
+const ERA_FENCES: u32 = 24;
 /// A rival that heard of a renewal looks at the row itself only after so many times the usual pause.
 const QUIET_POLLS: u64 = 2;
 
@@ -102,6 +105,12 @@
     gone: BTreeSet<holder::Id>,
     /// No lease under a number up to this one is in force.
     ended: u64,
+    /// The highest number that a row has shown.
+    highest: u64,
+    /// The number under which the lease is held until `valid_until`.
+    held: u64,
+    /// The service has lost what it had acknowledged: until then another may hold a lease that no row shows.
+    recovering: Time,
     /// The row as last seen; the watch follows its revision.
     seen: Option<(Row, Watch)>,
     /// Whether a read was answered since the last uncertain write.
@@ -137,6 +146,9 @@
             wanted: false,
             gone: BTreeSet::new(),
             ended: 0,
+            highest: 0,
+            held: 0,
+            recovering: Time::ZERO,
             seen: None,
             known: false,
             valid_until: Time::ZERO,
@@ -157,8 +169,7 @@
         if !self.wanted || now >= self.valid_until || self.pulse.slept(now) {
             return None;
         }
-        let fence = self.seen.as_ref().map(|(row, _)| row.fence);
-        fence.filter(|fence| *fence > self.ended)
+        (self.held > self.ended).then_some(self.held)
     }
 
     /// When the lease ends by our clock, unless it is renewed before.
@@ -217,7 +228,7 @@
                 self.backoff.reset();
                 self.known = true;
                 self.see(sent.at, now, row);
-                if self.may_write() {
+                if self.may_write(now) {
                     self.next = now;
                 }
             }
@@ -243,25 +254,44 @@
     /// Notes the row as a read or a conflict showed it.
     fn see(&mut self, asked: Time, now: Time, row: Option<call::Row>) {
         let Some(row) = row else {
-            self.seen = None;
+            // Rows are never deleted.
+            if self.seen.take().is_some() {
+                self.recover(now);
+            }
             return;
         };
         let Ok(value) = serde_json::from_value::<Row>(row.value) else {
             return;
         };
+        self.highest = self.highest.max(value.fence);
         match &mut self.seen {
-            Some((old, watch)) if watch.revision() <= row.revision => {
+            Some((_, watch)) if watch.revision() > row.revision => return,
+            Some((old, watch)) => {
+                let restored = Revision::is_of_older_era(watch.revision(), row.revision);
                 watch.see(row.revision, asked, now);
                 *old = value;
+                if restored {
+                    return self.recover(now);
+                }
             }
-            Some(_) => return,
             None => self.seen = Some((value, Watch::new(row.revision, now))),
         }
-        if !self.is_ours() {
+        if !self.is_ours() && now >= self.recovering {
             self.valid_until = Time::ZERO;
         }
     }
 
+    /// The row shows less than was acknowledged. A lease that was granted before runs on: its holder writes the row
+    /// again, and nobody else takes it until it has lapsed for certain.
+    fn recover(&mut self, now: Time) {
+        self.recovering = now + self.settings.term + self.settings.margin;
+    }
+
+    /// Whether we hold the lease by our own clock, whatever the row shows.
+    fn holds(&self, now: Time) -> bool {
+        self.told.is_some_and(|told| self.fence(now) == Some(told))
+    }
+
     /// Notes a renewal by its holder's word, and waits so much longer before the next look.
     fn was_renewed(&mut self, now: Time, row: call::Row) {
         let revision = self.seen.as_ref().map(|(_, watch)| watch.revision());
@@ -275,6 +305,9 @@
 
     fn written(&mut self, now: Time, sent: Time, row: Row, revision: u64) {
         self.known = true;
+        let continued = self.holds(now);
+        self.held = row.fence;
+        self.highest = self.highest.max(row.fence);
         self.renewed = row.holder.map(|_| call::Row {
             key: self.at.key.clone(),
             value: serde_json::to_value(&row).unwrap_or(Value::Null),
@@ -284,7 +317,14 @@
             Some(_) => sent + self.settings.term,
             None => Time::ZERO,
         };
+        let fence = row.fence;
         self.seen = Some((row, Watch::new(revision, now)));
+        // No row was there, of an era in which one may have been lost.
+        if !continued && fence <= self.floor() {
+            self.valid_until = Time::ZERO;
+            self.renewed = None;
+            self.recover(now);
+        }
         self.next = now
             + self
                 .backoff
@@ -292,13 +332,13 @@
                 .min(self.settings.renewal);
     }
 
-    /// Whether the row is ours or may be taken.
-    fn may_write(&self) -> bool {
-        self.is_ours()
-            || self
-                .seen
-                .as_ref()
-                .is_none_or(|(row, watch)| self.is_free(row, watch))
+    /// Whether the lease is ours or may be taken.
+    fn may_write(&self, now: Time) -> bool {
+        if now < self.recovering {
+            return self.holds(now);
+        }
+        let seen = self.seen.as_ref();
+        self.is_ours() || seen.is_none_or(|(row, watch)| self.is_free(row, watch))
     }
 
     /// Whether the lease may be taken: released, given up, its holder gone, or lapsed for certain.
@@ -330,26 +370,38 @@
                 self.write(now, None, fence, effects);
             }
             _ if !self.wanted => self.next = now + self.settings.poll,
-            Some((row, _)) if ours && row.fence > self.ended => {
+            _ if self.holds(now) => self.write(now, Some(self.me), self.held, effects),
+            _ if now < self.recovering => self.read(now, effects),
+            Some((row, _)) if ours && row.fence > self.floor() => {
                 let fence = row.fence;
                 self.write(now, Some(self.me), fence, effects);
             }
             Some((row, watch)) if !self.is_free(row, watch) => {
                 self.read(now, effects);
             }
-            Some((row, _)) => {
-                let fence = row.fence.max(self.ended) + 1;
-                self.write(now, Some(self.me), fence, effects);
-            }
-            None => self.write(now, Some(self.me), self.ended + 1, effects),
+            _ => self.write(now, Some(self.me), self.next_fence(), effects),
         }
     }
 
+    /// A number above all that were ever in use, also by holders that no row shows any more.
+    fn next_fence(&self) -> u64 {
+        self.highest.max(self.floor()) + 1
+    }
+
+    /// Nobody gains the lease under a number up to this one: it ended, or may be that of an older era's holder.
+    fn floor(&self) -> u64 {
+        let revision = self.seen.as_ref().map_or(0, |(_, watch)| watch.revision());
+        let era = Revision::unpacked(revision).era;
+        self.ended.max(era << ERA_FENCES)
+    }
+
     /// When to look at the row again: in time to see that the lease has lapsed.
     fn next_look(&mut self, now: Time) -> Time {
         let poll = now + self.backoff.spread(self.settings.poll);
         let lapse = self.seen.as_ref().map(|(row, watch)| {
-            watch.lapses_at(Span::from_millis(row.term_ms), self.settings.margin)
+            let term = Span::from_millis(row.term_ms);
+            let lapse = watch.lapses_at(term, self.settings.margin);
+            lapse.max(self.recovering)
         });
         lapse
             .filter(|lapse| *lapse > now)
--- a/crates/lease/tests/common/mod.rs
+++ b/crates/lease/tests/common/mod.rs
@@ -24,6 +24,8 @@
 
 const HOP: Span = Span::from_millis(3);
 const TIMEOUT: Span = Span::from_seconds(2);
+/// Time between two copies of the table.
+const COPY_TIME: Span = Span::from_millis(200);
 
 #[derive(Default)]
 pub struct World {
@@ -33,6 +35,8 @@
     pub now: Time,
     /// Transactions that take effect only after their sender has given up: how long after.
     pub late: Vec<Span>,
+    /// Copies of the table, the newest last, and when they were made.
+    copies: Vec<(Time, Table)>,
     /// The highest number that a holder said it gave up.
     pub resigned: u64,
     /// Whether a holder tells its rivals of renewals, and that it gave up.
@@ -133,6 +137,20 @@
         self.feed(index, Event::Orders(event));
     }
 
+    /// The service comes back from a copy that is so old, or the oldest one.
+    pub fn restore(&mut self, age: Span) {
+        let young = self.copies.iter();
+        let old = young
+            .take_while(|(at, _)| self.now.since(*at) >= age)
+            .count();
+        let Some((_, copy)) = self.copies.get(old.saturating_sub(1)) else {
+            return;
+        };
+        let copy = copy.clone();
+        self.table.restore(&copy);
+        self.copies.clear();
+    }
+
     pub fn set_frozen(&mut self, index: usize, frozen: bool) {
         self.rivals[index].frozen = frozen;
         if !frozen {
@@ -147,6 +165,10 @@
         let until = self.now + span;
         while let Some((at, delivery)) = self.queue.pop(until) {
             self.now = at;
+            let last = self.copies.last();
+            if last.is_none_or(|(made, _)| at.since(*made) >= COPY_TIME) {
+                self.copies.push((at, self.table.clone()));
+            }
             self.deliver(delivery);
             self.check();
         }
--- a/crates/lease/tests/histories.rs
+++ b/crates/lease/tests/histories.rs
@@ -26,6 +26,7 @@
     Outage(bool),
     Fault(u8),
     Late(u16),
+    Restore(u16),
     Wait(u16),
 }
 
@@ -38,6 +39,7 @@
         1 => any::<bool>().prop_map(Step::Outage),
         3 => (0..3_u8).prop_map(Step::Fault),
         3 => (0..15_000_u16).prop_map(Step::Late),
+        2 => (0..10_000_u16).prop_map(Step::Restore),
         8 => (0..9_000_u16).prop_map(Step::Wait),
     ]
 }
@@ -69,6 +71,7 @@
                     world.table.push_fault(faults[usize::from(kind)]);
                 }
                 Step::Late(millis) => world.late.push(Span::from_millis(millis.into())),
+                Step::Restore(millis) => world.restore(Span::from_millis(millis.into())),
                 Step::Wait(millis) => world.run(Span::from_millis(millis.into())),
             }
         }
--- a/crates/store/src/fake.rs
+++ b/crates/store/src/fake.rs
@@ -11,6 +11,7 @@
 use crate::call::Outcome;
 use crate::call::Row;
 use crate::call::Transaction;
+use crate::revision::Revision;
 
 /// What goes wrong with one call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -30,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     rows: BTreeMap<Address, Row>,
+    /// The newest one, packed.
     revision: u64,
     down: bool,
     faults: VecDeque<Fault>,
@@ -48,6 +50,21 @@
         self.down = down;
     }
 
+    /// Comes back from a copy, as the service of the next era: what was acknowledged since is gone, and numbers are given
+    /// out again.
+    pub fn restore(&mut self, copy: &Table) {
+        let era = Revision::unpacked(self.revision).era + 1;
+        let restored = |revision: u64| {
+            let number = Revision::unpacked(revision).number;
+            Revision { era, number }.packed()
+        };
+        self.revision = restored(copy.revision);
+        self.rows = copy.rows.clone();
+        for row in self.rows.values_mut() {
+            row.revision = restored(row.revision);
+        }
+    }
+
     /// Queues a fault: each call takes one from the queue.
     pub fn push_fault(&mut self, fault: Fault) {
         self.faults.push_back(fault);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod driver;
 pub mod fake;
 pub mod queue;
+pub mod revision;
 pub mod throttle;
--- a/crates/watch/src/list.rs
+++ b/crates/watch/src/list.rs
@@ -6,6 +6,7 @@
 
 use policy::rendezvous;
 use smol_str::SmolStr;
+use store::revision::Revision;
 
 use crate::report::Change;
 use crate::report::State;
@@ -53,6 +54,7 @@
     /// What an answer says, row by row.
     fn changes_of(&self, reading: &Reading) -> Vec<Change> {
         match &reading.news {
+            News::All(servers) if self.is_restored(reading) => self.still_leaving(servers),
             News::All(servers) => {
                 let absent = self.absent(servers);
                 let ended = absent.map(|id| Change::ended(id.clone(), reading.revision));
@@ -67,6 +69,24 @@
         }
     }
 
+    /// Whether the service came back from a copy since the list was read last.
+    fn is_restored(&self, reading: &Reading) -> bool {
+        self.complete > 0 && Revision::is_of_older_era(self.complete, reading.revision)
+    }
+
+    /// Of rows that were restored from a copy, what is believed before their servers write them again: that one leaves.
+    ///
+    /// Guards against servers that are gone or have said that they leave since the copy was made: they would be handed
+    /// requests again. Live ones write their rows again with the next heartbeat.
+    fn still_leaving(&self, servers: &[Server]) -> Vec<Change> {
+        let leaving = servers.iter().filter(|server| server.leaving);
+        let known = leaving.filter(|server| {
+            let row = self.get(&server.id);
+            row.is_some_and(|row| row.incarnation == server.incarnation)
+        });
+        known.map(Change::written).collect()
+    }
+
     /// Rows that aren't among these servers.
     fn absent(&self, servers: &[Server]) -> impl Iterator<Item = &SmolStr> {
         let named: BTreeSet<&SmolStr> = servers.iter().map(|server| &server.id).collect();
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -8,6 +8,7 @@
 use policy::rendezvous;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use store::revision::Revision;
 use watch::configs::watch::Config;
 use watch::list::List;
 use watch::report::Report;
@@ -476,3 +477,53 @@
         assert_eq!(entry.digest(), world.only("s900").digest());
     }
 }
+
+/// The table service came back from a copy some seconds old: a server that had ended since was handed requests again, and
+/// one that had started since was given up.
+#[test]
+fn a_restored_list_brings_no_server_back() {
+    let mut world = World::new(1);
+    world.write(900, false);
+    world.write(901, false);
+    world.write(902, false);
+    let copy: Vec<Server> = ["s900", "s901", "s902"]
+        .iter()
+        .filter_map(|id| world.rows[*id].server.clone())
+        .collect();
+    world.write(903, false);
+    world.write(902, true);
+    world.read(0);
+    world.set(SmolStr::new_static("s901"), None);
+    world.read(0);
+    let before = world.entries[0].digest();
+    let restored = |number| Revision { era: 1, number }.packed();
+    let reading = Reading {
+        revision: restored(3),
+        news: News::All(copy.clone()),
+    };
+    let now = world.time();
+    world.entries[0].read(now, &reading);
+    assert_eq!(world.entries[0].digest(), before);
+
+    // Its server writes a row again, by a number that was given out before.
+    let back = Server {
+        revision: restored(4),
+        ..copy[1].clone()
+    };
+    let reading = Reading {
+        revision: restored(4),
+        news: News::Changes {
+            written: vec![back],
+            removed: Vec::new(),
+        },
+    };
+    let taken = world.entries[0].read(now, &reading);
+    assert_eq!(taken.news, reading.news);
+    // Once more read whole, rows that nobody wrote again are gone.
+    let reading = Reading {
+        revision: restored(9),
+        news: News::All(Vec::new()),
+    };
+    world.entries[0].read(now, &reading);
+    assert_eq!(world.entries[0].digest(), List::default().digest());
+}
