--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -37,7 +37,7 @@
     pub work: BTreeMap<SmolStr, Work>,
     /// Answers since the order of each roll-out, by service.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub trials: BTreeMap<SmolStr, Tally>,
+    pub tallies: BTreeMap<SmolStr, Tally>,
 }
 
 fn is_zero(value: &u32) -> bool {
@@ -73,8 +73,8 @@
             let into = self.work.entry(service.clone()).or_default();
             into.add(work);
         }
-        for (service, tally) in &one.trials {
-            self.trials.entry(service.clone()).or_default().add(tally);
+        for (service, tally) in &one.tallies {
+            self.tallies.entry(service.clone()).or_default().add(tally);
         }
     }
 
@@ -102,8 +102,8 @@
                 *into = into.since(work);
             }
         }
-        for (service, tally) in &one.trials {
-            if let Some(into) = rest.trials.get_mut(service) {
+        for (service, tally) in &one.tallies {
+            if let Some(into) = rest.tallies.get_mut(service) {
                 into.take(tally);
             }
         }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -168,14 +168,14 @@
         claimants.any(|one| *one == self.identity.incarnation)
     }
 
-    /// The holder of the lease gave up, by its own word.
+    /// The holder of the lease announced that it gave up.
     pub(crate) fn holder_resigned(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
         if item.key == LEASE {
             self.claim_step(now, claim::Event::Ended(item.version), effects);
         }
     }
 
-    /// The holder of the lease renewed it, by its own word.
+    /// The holder of the lease announced a renewal.
     pub(crate) fn holder_renewed(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
         let value = match serde_json::from_slice(&item.payload) {
             Ok(value) => value,
@@ -192,7 +192,7 @@
         self.claim_step(now, claim::Event::Renewed(row), effects);
     }
 
-    /// Tells those who stand by for the duties of a renewal, so that they need not look at the row.
+    /// Sends a renewal to the other claimants, so that they need not read the row.
     fn publish_renewed(&mut self, row: &call::Row, effects: &mut Vec<Effect>) {
         let item = Item {
             topic: Topic::Renewed,
@@ -214,7 +214,7 @@
         }
     }
 
-    /// Passes on that this entry holds the lease no longer, so that nobody waits for its term to end.
+    /// Announces that this entry holds the lease no longer, so that nobody waits for its term to end.
     fn publish_resigned(&mut self, now: Time, fence: u64, effects: &mut Vec<Effect>) {
         let item = Item {
             topic: Topic::Resigned,
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -125,7 +125,7 @@
             self.quotas.forget(now, peer.0);
         }
         self.peer_loads.clear();
-        self.rollouts.told.clear();
+        self.rollouts.peer_tallies.clear();
         self.usage.forget_peers();
         effects.push(Effect::Log(Line::info("hubs_used")));
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -154,7 +154,7 @@
         }
         let account = account_of(&book, route, arrival)?;
         let service = self.draw_service(route);
-        let (pool, trial) = self.draw_pool(now, &service, &route.name);
+        let (pool, canary) = self.draw_pool(now, &service, &route.name);
         book.service(&service).ok_or_else(not_configured)?;
         let job = self.job_of(serial, route, account, &pool, arrival)?;
         let due = account.map(|account| Charge {
@@ -173,7 +173,7 @@
             work: 0,
             own_tokens: arrival.prompt.as_ref().map_or(0, work::own_tokens),
             service: service.clone(),
-            trial,
+            canary,
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
             repeat: route.repeat,
             job,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod progress;
 mod reports;
 mod roles;
+mod rollout_lead;
 mod rollouts;
 mod servers;
 mod stop;
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -23,7 +23,7 @@
     /// Which service runs it.
     pub service: SmolStr,
     /// Whether it tries a version that isn't in use yet.
-    pub trial: bool,
+    pub canary: bool,
     /// What it was counted as once it was admitted.
     pub work: u64,
     /// Prompt tokens that no other request shares.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -186,7 +186,7 @@
             Topic::Count => self.bulletin_came(now, item, effects),
             Topic::Quarantine => self.quarantine_came(now, item, effects),
             Topic::List => self.list_reported(now, item, effects),
-            Topic::Rollout => self.rollout_told(now, item, effects),
+            Topic::Rollout => self.rollout_announced(now, item, effects),
             Topic::Renewed => self.holder_renewed(now, item, effects),
             Topic::Resigned => self.holder_resigned(now, item, effects),
             Topic::Heir | Topic::Demand => {}
@@ -213,7 +213,7 @@
             begun: self.usage.told().clone(),
             unix_ms: self.usage.raw_unix_ms(now),
             work: self.work.clone(),
-            trials: self.rollouts.tallies.clone(),
+            tallies: self.rollouts.tallies.clone(),
         };
         if self.by_hubs() {
             return self.tell_by_hubs(now, bulletin, effects);
@@ -326,9 +326,9 @@
                 self.demand.told(service, rise, silent);
             }
         }
-        match bulletin.trials.is_empty() {
-            true => self.rollouts.told.remove(&peer),
-            false => self.rollouts.told.insert(peer, bulletin.trials),
+        match bulletin.tallies.is_empty() {
+            true => self.rollouts.peer_tallies.remove(&peer),
+            false => self.rollouts.peer_tallies.insert(peer, bulletin.tallies),
         };
         self.peer_work.insert(peer, bulletin.work);
         self.peer_loads.insert(peer, (now, bulletin.running));
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -12,8 +12,6 @@
 const REQUESTS: u64 = 50;
 /// Enough that counts travel by hubs.
 const ENTRIES: usize = 24;
-/// Time between two looks at who holds the duties, milliseconds.
-const TICK: u64 = 50;
 /// Longest time without a holder: a lease with its margin, and some tenths of a second.
 const LONGEST_GAP: u64 = 4_500 + 500;
 
@@ -220,22 +218,6 @@
     }
 }
 
-/// The longest time without a holder of the duties, milliseconds, while time passes; never two at once.
-fn longest_gap(world: &mut World, millis: u64) -> u64 {
-    let (mut gap, mut longest) = (0, 0);
-    for _ in 0..millis / TICK {
-        world.run(TICK);
-        let holders = world.holders();
-        assert!(holders.len() <= 1, "holders: {holders:?}");
-        gap = match holders.is_empty() {
-            true => gap + TICK,
-            false => 0,
-        };
-        longest = longest.max(gap);
-    }
-    longest
-}
-
 /// Some entries of many, the holder of the duties among them.
 fn some_with_holder(world: &World, entries: usize, count: usize, seed: u64) -> BTreeSet<usize> {
     let holder = world.holders()[0];
@@ -263,10 +245,10 @@
     for seed in 0..12 {
         let mut world = in_zones(ENTRIES);
         world.store_cut = some_with_holder(&world, ENTRIES, ENTRIES / 2, seed);
-        let gap = longest_gap(&mut world, 15_000);
+        let gap = world.longest_gap(15_000);
         assert!(gap <= LONGEST_GAP, "seed {seed}: no holder for {gap} ms");
         world.store_cut.clear();
-        let gap = longest_gap(&mut world, 10_000);
+        let gap = world.longest_gap(10_000);
         assert!(
             gap <= LONGEST_GAP,
             "seed {seed}, healed: no holder for {gap} ms"
@@ -282,11 +264,11 @@
         let cut = some_with_holder(&world, ENTRIES, ENTRIES / 2, seed);
         world.store_cut = cut.clone();
         world.cut = cut;
-        let gap = longest_gap(&mut world, 15_000);
+        let gap = world.longest_gap(15_000);
         assert!(gap <= LONGEST_GAP, "seed {seed}: no holder for {gap} ms");
         world.store_cut.clear();
         world.cut.clear();
-        let gap = longest_gap(&mut world, 10_000);
+        let gap = world.longest_gap(10_000);
         assert!(
             gap <= LONGEST_GAP,
             "seed {seed}, healed: no holder for {gap} ms"
@@ -302,7 +284,7 @@
         for entry in some_with_holder(&world, ENTRIES, ENTRIES / 2, seed) {
             world.kill(entry);
         }
-        let gap = longest_gap(&mut world, 15_000);
+        let gap = world.longest_gap(15_000);
         assert!(gap <= LONGEST_GAP, "seed {seed}: no holder for {gap} ms");
     }
 }
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -9,28 +9,11 @@
 use support::World;
 
 const ENTRIES: [usize; 3] = [4, 24, 62];
-const TICK: u64 = 50;
 /// Length of a window of usage, milliseconds.
 const WINDOW: u64 = 5_000;
 /// A lease with its margin, and some tenths of a second.
 const LONGEST_GAP: u64 = 4_500 + 500;
 
-/// Lets time pass; the longest time without a holder of the duties. Never two at once.
-fn longest_gap(world: &mut World, millis: u64) -> u64 {
-    let (mut gap, mut longest) = (0, 0);
-    for _ in 0..millis / TICK {
-        world.run(TICK);
-        let holders = world.holders();
-        assert!(holders.len() <= 1, "holders: {holders:?}");
-        gap = match holders.is_empty() {
-            true => gap + TICK,
-            false => 0,
-        };
-        longest = longest.max(gap);
-    }
-    longest
-}
-
 /// Rows of the lease had lower revisions than those known before, and nobody could hold it until numbers had grown past
 /// them; a former holder's row was back, and it acted beside the present one.
 #[test]
@@ -43,9 +26,9 @@
             let copy = world.table.clone();
             let first = world.holders()[0];
             world.kill(first);
-            longest_gap(&mut world, age.max(7_000));
+            world.longest_gap(age.max(7_000));
             world.table.restore(&copy);
-            let gap = longest_gap(&mut world, 12_000);
+            let gap = world.longest_gap(12_000);
             assert!(gap <= LONGEST_GAP, "{entries} entries, {age} ms: {gap} ms");
         }
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -51,6 +51,8 @@
 pub const SERVICE: &str = "drafts";
 pub const KEY: &str = "amber-key";
 const STEP: u64 = 10;
+/// Time between two looks at who holds the duties, milliseconds.
+const LOOK: u64 = 50;
 const ZONES: [&str; 3] = ["north", "south", "west"];
 /// True time at the start; a window begins then.
 const ZERO_UNIX_MS: u64 = 1_000_000_000;
@@ -107,7 +109,7 @@
     pub zones: usize,
     /// How often each entry read the list of servers anew by itself.
     pub looks: BTreeMap<usize, u32>,
-    /// Whether each entry reads the list of servers, as it was told last.
+    /// Whether each entry reads the list of servers, by its last effect.
     pub following: BTreeMap<usize, bool>,
     /// Sums of hubs that came to each entry.
     pub sums: BTreeMap<usize, u32>,
@@ -502,6 +504,22 @@
         (0..self.processes.len()).filter(holds).collect()
     }
 
+    /// Lets time pass; the longest time without a holder of the duties, milliseconds. Never are there two at once.
+    pub fn longest_gap(&mut self, millis: u64) -> u64 {
+        let (mut gap, mut longest) = (0, 0);
+        for _ in 0..millis / LOOK {
+            self.run(LOOK);
+            let holders = self.holders();
+            assert!(holders.len() <= 1, "holders: {holders:?}");
+            gap = match holders.is_empty() {
+                true => gap + LOOK,
+                false => 0,
+            };
+            longest = longest.max(gap);
+        }
+        longest
+    }
+
     /// Which entry holds the duties, by the calls made last.
     pub fn holder(&self) -> Option<usize> {
         self.made.last().map(|made| made.entry)
--- a/crates/rollout/src/configs/judge.rs
+++ b/crates/rollout/src/configs/judge.rs
@@ -9,9 +9,9 @@
     pub wrong_acceptance: f64,
     /// The same over all routes together.
     pub wrong_acceptance_over_all: f64,
-    /// Share of spoilt answers, beyond the old version's, that is to be found.
+    /// Share of bad answers, beyond the old version's, that is to be found.
     pub effect: f64,
-    /// Share of spoilt answers that the old version is taken to have at least.
+    /// Share of bad answers that the old version is taken to have at least.
     pub least_share: f64,
     /// How much higher the new version's share may be by chance of its few and other replicas, as a ratio.
     pub tolerance: f64,
--- a/crates/rollout/src/configs/lead.rs
+++ b/crates/rollout/src/configs/lead.rs
@@ -5,21 +5,21 @@
 /// How a roll-out goes on in time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
-    /// Share of a service's requests that a version on trial gets.
+    /// Share of a service's requests that the canary replicas get.
     pub share: f64,
     /// Most of one route's requests that it gets; routes with little traffic get more than the share.
     pub route_share: f64,
-    /// Most of all requests that a version on trial may ever get, and this many besides.
+    /// Most of all requests that the canary replicas may ever get, and this many besides.
     pub exposure: f64,
     /// See [`Config::exposure`].
     pub exposure_allowance: u64,
     /// Time kept for moving all requests, before the order's time is up.
     pub move_time: Span,
-    /// Time before the order's is up at which a trial ends, with a verdict or without.
+    /// Time before the order's is up at which the canary phase ends, with a verdict or without.
     pub last_call: Span,
     /// Part of the old version's slots that the new one must have before all requests are moved.
     pub room: f64,
-    /// Time between two words of the leader while nothing changes.
+    /// Time between two announcements while nothing changes.
     pub repeat: Span,
 }
 
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -1,6 +1,6 @@
-//! Whether a version on trial is good, by a sequential probability ratio test against the version in use.
+//! Whether a canary version is good, by a sequential probability ratio test against the version in use.
 //!
-//! An answer is spoilt if it failed, was cut or came far slower than usual. Both versions answer the same routes at the
+//! An answer is bad if it failed, was cut or came far slower than usual. Both versions answer the same routes at the
 //! same time, so bursts, reclaims and slow replicas spoil answers of both; what counts is how many more the new one spoils.
 
 use crate::configs::judge::Config;
@@ -21,7 +21,7 @@
     Bad {
         /// On which route; none if over all.
         route: Option<smol_str::SmolStr>,
-        /// Share of spoilt answers of the version in use.
+        /// Share of bad answers of the version in use.
         usual: f64,
         /// Its own.
         found: f64,
@@ -53,13 +53,13 @@
     Finding::Bad {
         route,
         usual: usual(config, pair.old),
-        found: pair.new.spoilt as f64 / pair.new.answers.max(1) as f64,
+        found: pair.new.bad as f64 / pair.new.answers.max(1) as f64,
     }
 }
 
-/// Share of spoilt answers that a version like the one in use may show.
+/// Share of bad answers that a version like the one in use may show.
 fn usual(config: &Config, old: Count) -> f64 {
-    let share = old.spoilt as f64 / old.answers.max(1) as f64;
+    let share = old.bad as f64 / old.answers.max(1) as f64;
     (share * config.tolerance).max(config.least_share)
 }
 
@@ -67,9 +67,9 @@
 fn evidence(config: &Config, pair: Pair) -> f64 {
     let same = usual(config, pair.old).min(1.0 - 2.0 * config.effect);
     let worse = same + config.effect;
-    let spoilt = pair.new.spoilt as f64;
-    let whole = pair.new.answers as f64 - spoilt;
-    spoilt * (worse / same).ln() + whole * ((1.0 - worse) / (1.0 - same)).ln()
+    let bad = pair.new.bad as f64;
+    let whole = pair.new.answers as f64 - bad;
+    bad * (worse / same).ln() + whole * ((1.0 - worse) / (1.0 - same)).ln()
 }
 
 fn rejects(config: &Config, pair: Pair) -> bool {
--- a/crates/rollout/src/lead.rs
+++ b/crates/rollout/src/lead.rs
@@ -52,7 +52,7 @@
             config,
             judge,
             begun,
-            phase: before.map_or(Phase::Trial, |stage| stage.phase),
+            phase: before.map_or(Phase::Canary, |stage| stage.phase),
             finding: Finding::Open,
             order,
         }
@@ -89,14 +89,14 @@
         }
         let left = self.order.within - now.since(self.begun);
         match self.phase {
-            Phase::Trial if left > self.config.move_time => Phase::Trial,
-            Phase::Trial if self.finding == Finding::Good && self.has_room(fleet) => Phase::Moving,
-            Phase::Trial if left > self.config.last_call => Phase::Trial,
-            Phase::Trial if self.finding == Finding::Likely && self.has_room(fleet) => {
+            Phase::Canary if left > self.config.move_time => Phase::Canary,
+            Phase::Canary if self.finding == Finding::Good && self.has_room(fleet) => Phase::Moving,
+            Phase::Canary if left > self.config.last_call => Phase::Canary,
+            Phase::Canary if self.finding == Finding::Likely && self.has_room(fleet) => {
                 Phase::Moving
             }
             // What isn't known to be good isn't used.
-            Phase::Trial => Phase::RolledBack,
+            Phase::Canary => Phase::RolledBack,
             // Old replicas stop at once when it is completed, and what runs there would be cut.
             Phase::Moving if fleet.running_old == 0 => Phase::Completed,
             other => other,
@@ -114,26 +114,26 @@
         }
     }
 
-    /// What the entries are told.
+    /// The stage to announce to all entries.
     pub fn stage(&self, now: Time, tally: &Tally) -> Stage {
         Stage {
             order: self.order.revision,
             to: self.order.to.clone(),
             phase: self.phase,
             shares: match self.phase {
-                Phase::Trial => self.shares(tally),
+                Phase::Canary => self.shares(tally),
                 _ => BTreeMap::new(),
             },
             elapsed_ms: now.since(self.begun).as_millis(),
         }
     }
 
-    /// Time between two words of the leader.
+    /// Time between two announcements.
     pub fn repeat(&self) -> Span {
         self.config.repeat
     }
 
-    /// Share of each route that tries the version: routes share the trial evenly, as far as each has requests.
+    /// Share of each route that goes to the canary replicas: all routes get an equal number, as far as each has requests.
     ///
     /// Guards against a version that is bad on a route with little traffic: by one share for all routes it would be seen
     /// too seldom to be found.
--- a/crates/rollout/src/pace.rs
+++ b/crates/rollout/src/pace.rs
@@ -2,7 +2,7 @@
 
 use clock::Span;
 
-/// An answer that takes so many times as long as usual is spoilt.
+/// An answer that takes so many times as long as usual is bad.
 const FAR_SLOWER: f64 = 2.5;
 /// Answers are never far slower by less than this.
 const LEAST: Span = Span::from_millis(30);
--- a/crates/rollout/src/split.rs
+++ b/crates/rollout/src/split.rs
@@ -1,4 +1,4 @@
-//! One entry's part: which requests try a version.
+//! One entry's part: which requests go to the new version.
 
 use clock::Span;
 use clock::Time;
@@ -8,7 +8,7 @@
 use crate::stage::Phase;
 use crate::stage::Stage;
 
-/// Word of the leader that is older counts as none: a version may have been found bad since.
+/// An older announcement counts as none: the version may have been found bad since.
 const FRESH: Span = Span::from_millis(2_500);
 
 /// What one entry knows of one service's roll-out.
@@ -16,10 +16,10 @@
 pub struct Split {
     order: Order,
     stage: Stage,
-    /// Orders the leader's words.
-    word: u64,
-    /// When its last word was given, by our clock.
-    heard: Option<Time>,
+    /// Number of the leader's newest announcement.
+    announcement: u64,
+    /// When it was made, by our clock.
+    announced: Option<Time>,
 }
 
 /// Where a new request goes.
@@ -32,7 +32,7 @@
 }
 
 impl Split {
-    /// An order without a word of the leader.
+    /// An order without an announcement of the leader.
     pub fn new(order: Order) -> Split {
         let stage = Stage {
             order: order.revision,
@@ -42,8 +42,8 @@
         Split {
             order,
             stage,
-            word: 0,
-            heard: None,
+            announcement: 0,
+            announced: None,
         }
     }
 
@@ -57,15 +57,15 @@
         self.stage.phase
     }
 
-    /// Takes in the leader's word, which is `age` old; whether the phase changed.
-    pub fn heard(&mut self, now: Time, word: u64, age: Span, stage: &Stage) -> bool {
+    /// Takes in an announcement of the leader, which is `age` old; whether the phase changed.
+    pub fn announced(&mut self, now: Time, number: u64, age: Span, stage: &Stage) -> bool {
         let other = stage.order != self.order.revision || stage.to != self.order.to;
-        if other || word <= self.word {
+        if other || number <= self.announcement {
             return false;
         }
         let changed = stage.phase != self.stage.phase;
-        self.word = word;
-        self.heard = Some(Time::from_millis(
+        self.announcement = number;
+        self.announced = Some(Time::from_millis(
             now.as_millis().saturating_sub(age.as_millis()),
         ));
         self.stage = stage.clone();
@@ -74,12 +74,12 @@
 
     /// Where a new request of a route goes; `drawn` is drawn evenly from 0 to 1.
     ///
-    /// Without fresh word nothing tries the version: were an entry cut off from the leader to go on, it would send requests
-    /// to a version that all others have given up.
+    /// Guards against an entry that is cut off from the leader: it would go on sending requests to a version that has been
+    /// rolled back.
     pub fn side(&self, now: Time, route: &SmolStr, drawn: f64) -> Side {
-        let fresh = self.heard.is_some_and(|heard| now.since(heard) <= FRESH);
+        let fresh = self.announced.is_some_and(|at| now.since(at) <= FRESH);
         let new = match self.stage.phase {
-            Phase::Trial => fresh && drawn < self.stage.shares.get(route).copied().unwrap_or(0.0),
+            Phase::Canary => fresh && drawn < self.stage.shares.get(route).copied().unwrap_or(0.0),
             Phase::Moving | Phase::Completed => true,
             Phase::RolledBack => false,
         };
--- a/crates/rollout/src/stage.rs
+++ b/crates/rollout/src/stage.rs
@@ -10,9 +10,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
-    /// A share of them tries the version.
+    /// A small share of them goes to the version.
     #[default]
-    Trial,
+    Canary,
     /// All go to the version; some still run on the old one.
     Moving,
     /// All go to the version, and nothing is left on the old one.
@@ -37,7 +37,7 @@
     pub to: SmolStr,
     /// What becomes of new requests.
     pub phase: Phase,
-    /// Share of each route that tries the version; only in the trial.
+    /// Share of each route that goes to the canary replicas; only in that phase.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub shares: BTreeMap<SmolStr, f64>,
     /// Time since the order, milliseconds.
--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -12,7 +12,7 @@
     /// All.
     pub answers: u64,
     /// Those that failed, were cut, or came far slower than usual.
-    pub spoilt: u64,
+    pub bad: u64,
 }
 
 /// Both versions' answers on one route.
@@ -20,7 +20,7 @@
 pub struct Pair {
     /// Of the version in use.
     pub old: Count,
-    /// Of the version on trial.
+    /// Of the canary version.
     pub new: Count,
 }
 
@@ -36,12 +36,12 @@
 impl Count {
     fn add(&mut self, other: Count) {
         self.answers += other.answers;
-        self.spoilt += other.spoilt;
+        self.bad += other.bad;
     }
 
     fn take(&mut self, other: Count) {
         self.answers = self.answers.saturating_sub(other.answers);
-        self.spoilt = self.spoilt.saturating_sub(other.spoilt);
+        self.bad = self.bad.saturating_sub(other.bad);
     }
 }
 
@@ -54,16 +54,16 @@
         }
     }
 
-    /// Counts an answer; `trial` if it is of the version on trial.
-    pub fn answered(&mut self, route: &SmolStr, trial: bool, spoilt: bool) {
+    /// Counts an answer; `canary` if it is of the canary version.
+    pub fn answered(&mut self, route: &SmolStr, canary: bool, bad: bool) {
         let pair = self.routes.entry(route.clone()).or_default();
-        let count = match trial {
+        let count = match canary {
             true => &mut pair.new,
             false => &mut pair.old,
         };
         count.add(Count {
             answers: 1,
-            spoilt: u64::from(spoilt),
+            bad: u64::from(bad),
         });
     }
 
--- a/crates/rollout/tests/trials.rs
+++ b/crates/rollout/tests/trials.rs
@@ -30,7 +30,7 @@
 const ROLLED_BACK_WITHIN: u64 = 5_000;
 /// Routes and their requests a second.
 const ROUTES: [(&str, f64); 3] = [("summary", 119.0), ("draft", 249.0), ("chat", 71.0)];
-/// Share of answers of any good version that are spoilt.
+/// Share of answers of any good version that are bad.
 const USUAL: f64 = 0.04;
 const SEEDS: u64 = 100;
 
@@ -64,7 +64,7 @@
     ended_at: u64,
     requests: u64,
     tried: u64,
-    spoilt: u64,
+    bad: u64,
     /// Requests sent to the version, by time.
     sent: Vec<u64>,
     known_bad_at: Option<u64>,
@@ -80,7 +80,7 @@
     known: Tally,
     words: Vec<(u64, usize, u64, u64, Stage)>,
     lead: Option<Lead>,
-    /// Both versions' answers are spoilt that much more.
+    /// Both versions' answers are bad that much more.
     burst: f64,
 }
 
@@ -169,7 +169,7 @@
         let time = Time::from_millis(now);
         let due: Vec<_> = self.words.extract_if(.., |word| word.0 <= now).collect();
         for (_, entry, word, age, stage) in due {
-            self.splits[entry].heard(time, word, Span::from_millis(age), &stage);
+            self.splits[entry].announced(time, word, Span::from_millis(age), &stage);
         }
         for (route, (name, per_second)) in ROUTES.iter().enumerate() {
             let name = SmolStr::new_static(name);
@@ -184,17 +184,17 @@
                     true => version.spoils(route, now),
                     false => USUAL,
                 };
-                let spoilt = self.random.random::<f64>() < spoils.max(self.burst);
+                let bad = self.random.random::<f64>() < spoils.max(self.burst);
                 outcome.requests += u64::from(now < WITHIN.as_millis());
                 if trial {
                     outcome.tried += u64::from(now < WITHIN.as_millis());
-                    outcome.spoilt += u64::from(spoilt);
+                    outcome.bad += u64::from(bad);
                     outcome.sent.push(now);
-                    if outcome.spoilt == KNOWN_BAD {
+                    if outcome.bad == KNOWN_BAD {
                         outcome.known_bad_at.get_or_insert(now);
                     }
                 }
-                self.tallies[entry].answered(&name, trial, spoilt);
+                self.tallies[entry].answered(&name, trial, bad);
             }
         }
     }
@@ -251,17 +251,17 @@
         Version::OneRoute(0.4, 2),
     ];
     for version in versions {
-        let mut spoilt = Vec::new();
+        let mut bad = Vec::new();
         for seed in 0..SEEDS {
             let outcome = World::new(seed).play(version, None);
             assert_contained(version, &outcome);
-            spoilt.push(outcome.spoilt);
+            bad.push(outcome.bad);
         }
-        spoilt.sort_unstable();
+        bad.sort_unstable();
         println!(
-            "{version:?}: spoilt answers p50 {} most {}",
-            spoilt[spoilt.len() / 2],
-            spoilt[spoilt.len() - 1]
+            "{version:?}: bad answers p50 {} most {}",
+            bad[bad.len() / 2],
+            bad[bad.len() - 1]
         );
     }
 }
@@ -312,7 +312,7 @@
 
 /// An entry that is cut off from the leader must not go on sending requests to a version that was found bad.
 #[test]
-fn without_fresh_word_nothing_is_tried() {
+fn without_a_fresh_announcement_nothing_is_sent() {
     let mut split = Split::new(order());
     let route = SmolStr::new_static("chat");
     let stage = Stage {
@@ -323,17 +323,17 @@
     };
     let at = Time::from_millis;
     assert_eq!(split.side(at(0), &route, 0.0), Side::Old);
-    split.heard(at(1_000), 1, Span::ZERO, &stage);
+    split.announced(at(1_000), 1, Span::ZERO, &stage);
     assert_eq!(split.side(at(1_000), &route, 0.0), Side::New);
     assert_eq!(split.side(at(5_000), &route, 0.0), Side::Old);
-    // Word that took long to come is as old as it is.
-    split.heard(at(6_000), 2, Span::from_seconds(5), &stage);
+    // An announcement that took long to come is as old as it is.
+    split.announced(at(6_000), 2, Span::from_seconds(5), &stage);
     assert_eq!(split.side(at(6_000), &route, 0.0), Side::Old);
 }
 
-/// Word of an older order must not decide on the version of the present one.
+/// An announcement for an older order must not decide on the version of the present one.
 #[test]
-fn word_of_another_order_is_passed_over() {
+fn an_announcement_for_another_order_is_ignored() {
     let mut split = Split::new(order());
     let stage = Stage {
         order: 6,
@@ -341,6 +341,6 @@
         phase: Phase::Completed,
         ..Stage::default()
     };
-    assert!(!split.heard(Time::ZERO, 9, Span::ZERO, &stage));
-    assert_eq!(split.phase(), Phase::Trial);
+    assert!(!split.announced(Time::ZERO, 9, Span::ZERO, &stage));
+    assert_eq!(split.phase(), Phase::Canary);
 }
