Lease: give a number up before the next write, and say so in the specification

A holder whose lease had run out renewed its row under the old number in the same step in which it gave that number up; the write took effect, the number couldn't be held, and a second write was needed. No rule was broken by it, but the lease stood unheld for one more round trip. Change: what has run out is noticed before the next write. The specification has the step Resign: a number that was given up is never held again, and the next write is under a new one; the walk beside the code must take it whenever the code says that it lost the lease. Ruled out: leaving the walk without that step, which would pass over the very promise that rivals act on.

--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -201,6 +201,8 @@
             }
             Event::Ended(_) => {}
         }
+        // A lease that has run out is given up before the next write, which is then under a new number.
+        self.report(now, effects);
         self.act(now, effects);
         self.report(now, effects);
     }
--- a/crates/model/src/lease.rs
+++ b/crates/model/src/lease.rs
@@ -43,6 +43,8 @@
     pub fault: Fault,
     /// Whether the engine checks fencing numbers; else new holders wait out old orders.
     pub checks_fencing: bool,
+    /// Whether a holder whose lease has run out gives its number up for good.
+    pub resigns: bool,
 }
 
 /// Everything.
@@ -83,6 +85,10 @@
     pub wait: u8,
     /// The order in flight.
     pub order: Option<Order>,
+    /// The number that it held last; followed where holders resign.
+    pub held: u8,
+    /// It holds no number up to this one any more.
+    pub ended: u8,
 }
 
 /// A write to the row.
@@ -129,6 +135,8 @@
     GiveUp(usize),
     /// A write that was given up on arrives.
     GhostArrives(usize),
+    /// Gives up the number of a lease that has run out.
+    Resign(usize),
     /// Sends an order.
     Order(usize),
     /// An order arrives at the engine.
@@ -163,6 +171,7 @@
                 Action::Answer(rival),
                 Action::GiveUp(rival),
                 Action::GhostArrives(rival),
+                Action::Resign(rival),
                 Action::Order(rival),
                 Action::OrderArrives(rival),
             ]);
@@ -219,6 +228,13 @@
                 let write = next.rivals[rival].ghost.take()?;
                 self.arrive(&mut next, rival, write);
             }
+            Action::Resign(rival) => {
+                let process = &mut next.rivals[rival];
+                if process.lease > 0 || process.held <= process.ended {
+                    return None;
+                }
+                process.ended = process.held;
+            }
             Action::Order(rival) => {
                 let process = &mut next.rivals[rival];
                 if process.lease == 0 || process.wait > 0 || process.order.is_some() {
@@ -238,6 +254,9 @@
     /// Clears what no longer has an effect, so that equal states are counted once.
     fn normalize(&self, next: &mut State) {
         for process in &mut next.rivals {
+            if !self.resigns {
+                process.held = 0;
+            }
             if process.lease == 0 {
                 process.slow = false;
             }
@@ -316,8 +335,11 @@
             };
         }
         process.fence = write.fence;
+        process.held = write.fence;
         process.slow = write.slow;
         process.lease = match self.fault {
+            // A number that was given up is never held again.
+            _ if write.fence <= process.ended => 0,
             Fault::DeadlineFromAnswer => TERM,
             _ => write.left,
         };
@@ -375,7 +397,10 @@
     if process.write.is_some() || !process.seen || !(ours || process.free) {
         return None;
     }
-    let fence = if ours { fence } else { fence + 1 };
+    let fence = match ours && fence > process.ended {
+        true => fence,
+        false => fence + 1,
+    };
     if fence > MOST_FENCES {
         return None;
     }
--- a/crates/model/tests/claim.rs
+++ b/crates/model/tests/claim.rs
@@ -81,6 +81,7 @@
             .collect();
         let specification = Lease {
             checks_fencing: true,
+            resigns: true,
             ..Lease::default()
         };
         let code = Code {
@@ -133,8 +134,13 @@
         let mut effects = Vec::new();
         self.code.claims[index].step(self.code.now, event, &mut effects);
         for effect in effects {
-            let Effect::Store { id, call } = effect else {
-                continue;
+            let (id, call) = match effect {
+                Effect::Store { id, call } => (id, call),
+                Effect::Lost(_) => {
+                    self.must(Action::Resign(index))?;
+                    continue;
+                }
+                Effect::Gained(_) | Effect::Renewed(_) => continue,
             };
             if let Call::Get { .. } = call {
                 let outcome = self.code.table.apply(&call);
--- a/crates/model/tests/lease.rs
+++ b/crates/model/tests/lease.rs
@@ -8,8 +8,8 @@
 fn no_two_rivals_hold_the_lease_and_no_old_order_lands_last() {
     for checks_fencing in [true, false] {
         let specification = Lease {
-            fault: Fault::None,
             checks_fencing,
+            ..Lease::default()
         };
         let report = check(&specification);
         println!(
@@ -22,6 +22,21 @@
     }
 }
 
+/// A holder that gave its number up takes the lease under a new one; were it to act under the old number again, so might
+/// whoever was told that it gave up.
+#[test]
+fn a_holder_that_resigns_is_never_back_under_its_number() {
+    let report = check(&Lease {
+        checks_fencing: true,
+        resigns: true,
+        ..Lease::default()
+    });
+    println!("lease resigns states={}", report.states);
+    if let Some(counterexample) = report.counterexample {
+        panic!("{counterexample}");
+    }
+}
+
 #[test]
 fn every_guard_left_out_is_found() {
     let faults = [
@@ -35,6 +50,7 @@
         let report = check(&Lease {
             fault,
             checks_fencing,
+            ..Lease::default()
         });
         let counterexample = report.counterexample.expect("not found");
         println!("lease {fault:?}: {counterexample}");
