Show how late the loop runs, and how long counts to other entries are under way

Sight for the incident of requests behind counts: neither logs nor metrics tell a process that runs late (hypothesis 1) from an entry whose news doesn't come (2) or whose link is full (3).

- loop_late, dogwoodspur_loop_lag_ms and the body of the readiness answer: from the moment at which a message was sent to the loop, or a timer was due, until the loop takes it in.
- counts_late, dogwoodspur_counts_unanswered_bytes and _ms: counts that were sent to other entries and have no answer.

No decision is changed.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -18,6 +18,7 @@
 use crate::duty;
 use crate::duty::Warrant;
 use crate::effect::Effect;
+use crate::effect::Lane;
 use crate::fleet::Fleet;
 use crate::gateway::Gateway;
 use crate::progress::Writer;
@@ -209,7 +210,11 @@
         for claimant in self.roster.readers() {
             if let Some(address) = self.membership.peer_address(*claimant).cloned() {
                 let digest = digest.clone();
-                effects.push(Effect::SendDigest { address, digest });
+                effects.push(Effect::SendDigest {
+                    address,
+                    digest,
+                    lane: Lane::News,
+                });
             }
         }
     }
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -55,6 +55,8 @@
         address: SmolStr,
         /// The digest.
         digest: Digest,
+        /// How it is sent.
+        lane: Lane,
     },
     /// Send a version of the configuration to a peer that lags behind.
     SendConfiguration {
@@ -113,6 +115,15 @@
     Exit,
 }
 
+/// How a digest is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// At once.
+    News,
+    /// As the entry's link has room: a newer one to the same peer says all that this one does, and takes its place.
+    Counts,
+}
+
 /// What the task that holds a request is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -16,6 +16,7 @@
 use watch::watch::Role;
 
 use crate::effect::Effect;
+use crate::effect::Lane;
 use crate::gateway::Gateway;
 use crate::presence::Source;
 
@@ -191,7 +192,11 @@
         for peer in to {
             if let Some(address) = self.membership.peer_address(peer).cloned() {
                 let digest = digest.clone();
-                effects.push(Effect::SendDigest { address, digest });
+                effects.push(Effect::SendDigest {
+                    address,
+                    digest,
+                    lane: Lane::News,
+                });
             }
         }
     }
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -22,6 +22,7 @@
 
 use crate::bulletin::Bulletin;
 use crate::effect::Effect;
+use crate::effect::Lane;
 use crate::gateway::Gateway;
 use crate::usage;
 use crate::work;
@@ -299,7 +300,16 @@
             ..Digest::default()
         };
         let bytes = digest.size();
-        effects.push(Effect::SendDigest { address, digest });
+        let past = bulletins.iter().any(|(_, bulletin)| bulletin.past);
+        let lane = match past {
+            true => Lane::News,
+            false => Lane::Counts,
+        };
+        effects.push(Effect::SendDigest {
+            address,
+            digest,
+            lane,
+        });
         bytes
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::bulletin::Bulletin;
 use crate::configs::gateway::Settings;
 use crate::effect::Effect;
+use crate::effect::Lane;
 use crate::gateway::Gateway;
 use crate::hubs::PAST_MARK;
 use crate::hubs::SUM;
@@ -145,11 +146,19 @@
             MemberEffect::Store { id, call } => self.ask_store(Waiter::Membership(id), call),
             MemberEffect::Send { to, digest } => {
                 if let Some(address) = self.membership.peer_address(to).cloned() {
-                    effects.push(Effect::SendDigest { address, digest });
+                    effects.push(Effect::SendDigest {
+                        address,
+                        digest,
+                        lane: Lane::News,
+                    });
                 }
             }
             MemberEffect::Greet { address, digest } => {
-                effects.push(Effect::SendDigest { address, digest });
+                effects.push(Effect::SendDigest {
+                    address,
+                    digest,
+                    lane: Lane::News,
+                });
             }
             MemberEffect::News(item) => self.news_came(now, &item, effects),
             MemberEffect::Peers(peers) => self.peers_changed(now, &peers, effects),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -570,7 +570,9 @@
                 };
                 Some((entry, Event::DutyAnswered { id, outcome }))
             }
-            Effect::SendDigest { address, digest } => {
+            Effect::SendDigest {
+                address, digest, ..
+            } => {
                 let to = self.reach(entry, &address)?;
                 let sums = sums_in(&digest);
                 *self.sums.entry(to).or_default() += sums;
--- /dev/null
+++ b/crates/relay/src/configs/mod.rs
@@ -0,0 +1,3 @@
+//! Settings, one file for each module that has some.
+
+pub mod outbox;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,8 +5,11 @@
 //! traits of [`adapter`].
 
 pub mod adapter;
+pub mod configs;
 pub mod follow;
+pub mod lag;
 pub mod logs;
+pub mod outbox;
 pub mod pool;
 pub mod run;
 
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -1,5 +1,7 @@
 //! The way of tasks to the loop.
 
+use clock::Clock;
+use clock::Time;
 use gateway::arrival::Arrival;
 use gateway::charging::Answer;
 use gateway::effect::Addresses;
@@ -44,22 +46,32 @@
     },
 }
 
+/// A message, and when it was sent.
+pub struct Sent {
+    /// When.
+    pub at: Time,
+    /// What.
+    pub message: Message,
+}
+
 /// Sends messages to the loop; bounded by the connections that tasks serve.
 #[derive(Clone)]
 pub struct Link {
-    sender: mpsc::UnboundedSender<Message>,
+    clock: Clock,
+    sender: mpsc::UnboundedSender<Sent>,
 }
 
 impl Link {
     /// A link and the loop's end of it.
-    pub fn new() -> (Link, mpsc::UnboundedReceiver<Message>) {
+    pub fn new(clock: Clock) -> (Link, mpsc::UnboundedReceiver<Sent>) {
         let (sender, receiver) = mpsc::unbounded_channel();
-        (Link { sender }, receiver)
+        (Link { clock, sender }, receiver)
     }
 
     /// Sends a message; after the loop has ended nobody waits for it.
     pub fn send(&self, message: Message) {
-        let _ = self.sender.send(message);
+        let at = self.clock.now();
+        let _ = self.sender.send(Sent { at, message });
     }
 
     /// Sends an event.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use clock::Span;
 use gateway::gateway::Vitals;
 use line::Line;
 use opentelemetry::KeyValue;
@@ -20,6 +21,7 @@
 use store::call::Outcome;
 
 use crate::logs;
+use crate::outbox;
 
 /// Bounds of the latency histograms, milliseconds: around usual targets and beyond.
 const LATENCY_BOUNDS: [f64; 11] = [
@@ -59,6 +61,9 @@
     repeats: Gauge<u64>,
     fence: Gauge<u64>,
     feed_age: Gauge<u64>,
+    lag: Gauge<u64>,
+    counts_bytes: Gauge<u64>,
+    counts_age: Gauge<u64>,
     lines: Gauge<u64>,
     memory: Gauge<u64>,
 }
@@ -142,6 +147,18 @@
                     "dogwoodspur_feed_age_ms",
                     "Since a feed was current, by feed",
                 ),
+                lag: gauge(
+                    "dogwoodspur_loop_lag_ms",
+                    "Greatest delay of the loop in the last seconds",
+                ),
+                counts_bytes: gauge(
+                    "dogwoodspur_counts_unanswered_bytes",
+                    "Counts sent to other entries without an answer yet",
+                ),
+                counts_age: gauge(
+                    "dogwoodspur_counts_unanswered_ms",
+                    "Age of the oldest of them",
+                ),
                 lines: gauge(
                     "dogwoodspur_log_lines_dropped",
                     "Log lines dropped, by kind",
@@ -211,8 +228,13 @@
     }
 
     /// All metrics in the customary text form, as of now.
-    pub fn text(&self, vitals: &Vitals, ages: Ages) -> Vec<u8> {
+    pub fn text(&self, vitals: &Vitals, ages: Ages, lag: Span, counts: outbox::Sight) -> Vec<u8> {
         self.show(vitals, ages);
+        self.gauges.lag.record(lag.as_millis(), &[]);
+        self.gauges.counts_bytes.record(counts.bytes as u64, &[]);
+        self.gauges
+            .counts_age
+            .record(counts.oldest.as_millis(), &[]);
         let mut buffer = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
             log::warn!(event = "metrics_unreadable", error = error.to_string().as_str(); "");
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,6 +1,7 @@
 //! Other entries over capnp-rpc.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use clock::Time;
 use gateway::charging::Answer;
 use gateway::charging::Grant;
+use gateway::effect::Lane;
 use gateway::event::Event;
 use gateway::event::Source;
 use lease::holder;
@@ -23,18 +25,32 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::configs::outbox::Config;
 use crate::link::Message;
+use crate::outbox::Outbox;
 use crate::shared::Shared;
 
-/// Time between two lines on digests that were lost.
-const LOSSES_TIME: Span = Span::from_seconds(1);
+/// Time between two lines on digests that were lost or are late.
+const LINES_TIME: Span = Span::from_seconds(1);
+/// Counts without an answer for so long are logged.
+const LATE: Span = Span::from_millis(500);
 
 /// The way to other entries. Nothing waits for it: words come back as events.
 pub struct Peers {
     client: client::Peers,
     me: Incarnation,
     shared: Rc<Shared>,
-    losses: Rc<Losses>,
+    digests: Rc<Digests>,
+}
+
+/// Digests to other entries.
+struct Digests {
+    client: client::Peers,
+    shared: Rc<Shared>,
+    outbox: RefCell<Outbox>,
+    losses: Losses,
+    /// When late counts were logged last.
+    late_logged: Cell<Time>,
 }
 
 /// Digests since the last line on those that were lost. One line each would be hundreds a second where a link
@@ -51,7 +67,7 @@
     fn count(&self, now: Time, lost: bool) {
         self.sent.set(self.sent.get() + 1);
         self.lost.set(self.lost.get() + u32::from(lost));
-        if self.lost.get() == 0 || now.since(self.told.get()) < LOSSES_TIME {
+        if self.lost.get() == 0 || now.since(self.told.get()) < LINES_TIME {
             return;
         }
         self.told.set(now);
@@ -60,29 +76,80 @@
     }
 }
 
+impl Digests {
+    /// Sends a digest and waits for its answer.
+    async fn send(&self, address: &SmolStr, digest: &Digest) {
+        let sent = self.client.digest(address, digest).await;
+        self.shared.metrics.digest(digest.size(), sent.is_ok());
+        self.losses.count(self.shared.clock.now(), sent.is_err());
+        if let Err(lost) = sent {
+            log::debug!(event = "digest_lost", peer = address.as_str(), error = lost.0.as_str(); "");
+        }
+    }
+
+    /// Sends the counts whose turn it is.
+    fn pump(self: &Rc<Digests>) {
+        let now = self.shared.clock.now();
+        while let Some((address, digest)) = self.next(now) {
+            let digests = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                digests.send(&address, &digest).await;
+                let now = digests.shared.clock.now();
+                digests.outbox.borrow_mut().answered(now, &address);
+                digests.pump();
+            });
+        }
+        self.show(now);
+    }
+
+    fn next(&self, now: Time) -> Option<(SmolStr, Digest)> {
+        self.outbox.borrow_mut().next(now)
+    }
+
+    /// Shows how the counts get on; logs that they are late, but not too often.
+    fn show(&self, now: Time) {
+        let sight = self.outbox.borrow().sight(now);
+        self.shared.counts.set(sight);
+        if sight.oldest < LATE || now.since(self.late_logged.get()) < LINES_TIME {
+            return;
+        }
+        self.late_logged.set(now);
+        let oldest = sight.oldest.as_millis();
+        log::info!(event = "counts_late", waiting = sight.waiting, bytes = sight.bytes, oldest_ms = oldest; "");
+    }
+}
+
 impl Peers {
     /// Calls peers in the name of `me`.
     pub fn new(client: client::Peers, me: holder::Id, shared: Rc<Shared>) -> Peers {
+        let digests = Digests {
+            client: client.clone(),
+            shared: Rc::clone(&shared),
+            outbox: RefCell::new(Outbox::new(Config::default())),
+            losses: Losses::default(),
+            late_logged: Cell::default(),
+        };
         Peers {
             client,
             me: Incarnation(me.0),
             shared,
-            losses: Rc::default(),
+            digests: Rc::new(digests),
         }
     }
 
     /// Sends a digest; its loss does no harm.
-    pub fn send_digest(&self, address: SmolStr, digest: Digest) {
-        let client = self.client.clone();
-        let (shared, losses) = (Rc::clone(&self.shared), Rc::clone(&self.losses));
-        tokio::task::spawn_local(async move {
-            let sent = client.digest(&address, &digest).await;
-            shared.metrics.digest(digest.size(), sent.is_ok());
-            losses.count(shared.clock.now(), sent.is_err());
-            if let Err(lost) = sent {
-                log::debug!(event = "digest_lost", peer = address.as_str(), error = lost.0.as_str(); "");
+    pub fn send_digest(&self, address: SmolStr, digest: Digest, lane: Lane) {
+        let digests = Rc::clone(&self.digests);
+        match lane {
+            Lane::News => {
+                tokio::task::spawn_local(async move { digests.send(&address, &digest).await });
             }
-        });
+            Lane::Counts => {
+                let now = self.shared.clock.now();
+                digests.outbox.borrow_mut().offer(now, address, digest);
+                digests.pump();
+            }
+        }
     }
 
     /// Sends a version of the configuration; a loss is made good by the next sending.
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -64,7 +64,10 @@
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
         };
-        empty(status)
+        let mut response = empty(status);
+        let lag = shared.lag.get().as_millis();
+        *response.body_mut() = Bytes::from(format!("loop_lag_ms={lag}\n"));
+        response
     } else if codec.is_metrics(&head) {
         Response::new(Bytes::from(shared.metrics_text()))
     } else {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -35,6 +35,7 @@
 use crate::adapter::Tables;
 use crate::follow;
 use crate::front;
+use crate::lag::Lag;
 use crate::link::Link;
 use crate::logs;
 use crate::metrics::Metrics;
@@ -121,7 +122,7 @@
     let identity = identity_of(&settings, &sockets)?;
     log_start(&settings, &identity);
     let clock = Clock::start();
-    let (link, messages) = Link::new();
+    let (link, messages) = Link::new(clock);
     let shared = Rc::new(Shared {
         link,
         codec: Rc::clone(&adapter.codec),
@@ -129,6 +130,8 @@
         clock,
         metrics: Metrics::new()?,
         vitals: Cell::new(Vitals::default()),
+        lag: Cell::default(),
+        counts: Cell::default(),
         configuration_at: Cell::new(Time::ZERO),
         servers_pause: watch::Sender::new(Some(Span::ZERO)),
         limits: RefCell::new(Limits::default()),
@@ -192,6 +195,7 @@
         askers: HashMap::new(),
         chargers: HashMap::new(),
         next_asker: 0,
+        lag: Lag::default(),
     };
     shell.run(messages, stops).await;
     let _ = end.send(true);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::link::Link;
 use crate::metrics::Ages;
 use crate::metrics::Metrics;
+use crate::outbox;
 use crate::pool::Pool;
 
 /// Handed to every task.
@@ -31,6 +32,10 @@
     pub metrics: Metrics,
     /// How the entry stands, as of the last step.
     pub vitals: Cell<Vitals>,
+    /// How late the loop runs.
+    pub lag: Cell<Span>,
+    /// Counts on their way to other entries.
+    pub counts: Cell<outbox::Sight>,
     /// When the configuration was known to be current.
     pub configuration_at: Cell<Time>,
     /// Least pause between two reads of the list of backend servers; none while others read it.
@@ -53,7 +58,8 @@
             configuration_ms: now.since(self.configuration_at.get()).as_millis(),
             servers_ms: self.vitals.get().list_age_ms,
         };
-        self.metrics.text(&self.vitals.get(), ages)
+        self.metrics
+            .text(&self.vitals.get(), ages, self.lag.get(), self.counts.get())
     }
 
     /// A number not used before.
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -20,7 +20,9 @@
 
 use crate::adapter::Cloud;
 use crate::adapter::Tables;
+use crate::lag::Lag;
 use crate::link::Message;
+use crate::link::Sent;
 use crate::logs;
 use crate::peers::Peers;
 use crate::shared::Shared;
@@ -54,25 +56,28 @@
     pub chargers: HashMap<u64, oneshot::Sender<Option<Answer>>>,
     /// Names the next asker.
     pub next_asker: u64,
+    /// How late the loop runs.
+    pub lag: Lag,
 }
 
 impl Shell {
     /// Runs until the reducer has nothing left to do.
     pub async fn run(
         mut self,
-        mut messages: mpsc::UnboundedReceiver<Message>,
+        mut messages: mpsc::UnboundedReceiver<Sent>,
         mut stops: mpsc::UnboundedReceiver<()>,
     ) {
-        let mut wake = Time::ZERO;
+        let mut wake = self.shared.clock.now();
         loop {
             let now = self.shared.clock.now();
             let sleep = wake.since(now).as_duration();
-            let event = tokio::select! {
+            let (due, event) = tokio::select! {
                 biased;
-                Some(()) = stops.recv() => Some(Event::StopAsked),
-                Some(message) = messages.recv() => self.event_of(message),
-                () = tokio::time::sleep(sleep) => Some(Event::Tick),
+                Some(()) = stops.recv() => (wake, Some(Event::StopAsked)),
+                Some(sent) = messages.recv() => (sent.at, self.event_of(sent.message)),
+                () = tokio::time::sleep(sleep) => (wake, Some(Event::Tick)),
             };
+            self.note_lag(due.min(wake));
             let Some(event) = event else {
                 continue;
             };
@@ -85,6 +90,15 @@
         }
     }
 
+    /// Notes how late the loop is with something that was due.
+    fn note_lag(&mut self, due: Time) {
+        let late = self.lag.note(self.shared.clock.now(), due);
+        self.shared.lag.set(self.lag.most());
+        if let Some(late) = late {
+            log::warn!(event = "loop_late", lag_ms = late.as_millis(); "");
+        }
+    }
+
     /// Takes one event; gives whether the process may end.
     fn step(&mut self, event: Event) -> bool {
         let mut effects = Vec::new();
@@ -177,7 +191,11 @@
                 }
             }
             Effect::Refund { address, grant } => self.peers.refund(address, grant),
-            Effect::SendDigest { address, digest } => self.peers.send_digest(address, digest),
+            Effect::SendDigest {
+                address,
+                digest,
+                lane,
+            } => self.peers.send_digest(address, digest, lane),
             Effect::SendConfiguration { address, document } => {
                 self.peers.send_configuration(address, document);
             }
