Tests of counts that fill an entry's link, known red

A hub offers counts to 62, 75, 300 and 840 peers twice a second and passes requests on over the same link, first in first out. Each request should wait for 100 ms at most; on the present code the wait grows for as long as the run lasts, and the counts that come are those of seconds ago.

--- /dev/null
+++ b/crates/relay/tests/outbox.rs
@@ -0,0 +1,196 @@
+//! Counts and requests that leave by the same narrow link, without a network.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use clock::Span;
+use clock::Time;
+use member::digest::Digest;
+use member::digest::Item;
+use member::digest::Topic;
+use relay::configs::outbox::Config;
+use relay::outbox::Outbox;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+/// Time between two rounds of counts, milliseconds.
+const ROUND: u64 = 500;
+/// Time between two requests, and their size.
+const REQUEST_EVERY: u64 = 40;
+const REQUEST_BYTES: usize = 12_000;
+/// From the last byte on the link until the peer's answer is here, milliseconds.
+const ANSWER: u64 = 3;
+/// A call without an answer has failed by then, milliseconds.
+const CALL: u64 = 2_000;
+/// What a server that leaves leaves to news of it and requests under way: a request may wait for the link so long.
+const LONGEST_WAIT: u64 = 100;
+
+/// An entry's own link: first in, first out.
+struct Link {
+    bytes_per_ms: f64,
+    free_at: f64,
+}
+
+impl Link {
+    /// When the last byte is through.
+    fn send(&mut self, now: u64, bytes: usize) -> u64 {
+        self.free_at = self.free_at.max(now as f64) + bytes as f64 / self.bytes_per_ms;
+        self.free_at.ceil() as u64
+    }
+
+    /// How long a byte waits that is sent now.
+    fn wait(&self, now: u64) -> u64 {
+        (self.free_at - now as f64).max(0.0) as u64
+    }
+}
+
+/// What came of a run.
+#[derive(Default)]
+struct Outcome {
+    longest_wait: u64,
+    /// The newest round that each peer has, and when it last got one.
+    rounds: BTreeMap<usize, u64>,
+}
+
+/// An entry that sends counts of `bytes` to each peer in each round, and requests besides.
+struct Run {
+    peers: usize,
+    bytes: usize,
+    megabits: u64,
+    /// Peers that never answer.
+    silent: BTreeSet<usize>,
+    until: u64,
+}
+
+impl Run {
+    fn play(&self) -> Outcome {
+        let bytes_per_ms = self.megabits as f64 * 125.0;
+        let mut outbox = Outbox::new(Config::of_link(self.megabits as f64));
+        let mut link = Link {
+            bytes_per_ms,
+            free_at: 0.0,
+        };
+        let mut answers: BTreeMap<u64, Vec<(SmolStr, Option<u64>)>> = BTreeMap::new();
+        let mut outcome = Outcome::default();
+        for now in 0..self.until {
+            let time = Time::from_millis(now);
+            for (address, round) in answers.remove(&now).unwrap_or_default() {
+                outbox.answered(time, &address);
+                if let Some(round) = round {
+                    let peer: usize = address.parse().unwrap();
+                    let newest = outcome.rounds.entry(peer).or_default();
+                    assert!(round >= *newest, "counts overtook newer ones");
+                    *newest = round;
+                }
+            }
+            if now % ROUND == 0 {
+                for peer in 0..self.peers {
+                    let digest = counts(now / ROUND, self.bytes);
+                    outbox.offer(time, format_smolstr!("{peer}"), digest);
+                }
+            }
+            while let Some((address, digest)) = outbox.next(time) {
+                let through = link.send(now, digest.size());
+                let peer: usize = address.parse().unwrap();
+                let answer = match self.silent.contains(&peer) {
+                    true => (now + CALL, None),
+                    false => (through + ANSWER, Some(digest.items[0].version)),
+                };
+                let at = answer.0.max(now + 1);
+                answers.entry(at).or_default().push((address, answer.1));
+            }
+            if now % REQUEST_EVERY == 0 {
+                outcome.longest_wait = outcome.longest_wait.max(link.wait(now));
+                link.send(now, REQUEST_BYTES);
+            }
+        }
+        outcome
+    }
+}
+
+fn counts(round: u64, bytes: usize) -> Digest {
+    let item = Item {
+        topic: Topic::Count,
+        key: SmolStr::new_static("hub"),
+        version: round,
+        age_ms: 0,
+        payload: vec![0; bytes],
+    };
+    Digest {
+        items: vec![item],
+        ..Digest::default()
+    }
+}
+
+#[test]
+fn requests_do_not_wait_behind_counts_that_fill_the_link() {
+    // A request that waited for seconds reached its server long after that had begun to leave.
+    for megabits in [10, 20] {
+        for (peers, bytes) in [(62, 14_000), (75, 14_000), (300, 6_000), (840, 3_000)] {
+            let run = Run {
+                peers,
+                bytes,
+                megabits,
+                silent: BTreeSet::new(),
+                until: 20_000,
+            };
+            let waited = run.play().longest_wait;
+            assert!(
+                waited <= LONGEST_WAIT,
+                "{waited} ms behind counts for {peers} at {megabits} Mbit/s"
+            );
+        }
+    }
+}
+
+#[test]
+fn counts_reach_every_peer_as_fast_as_the_link_allows() {
+    // Counts that are always overtaken by newer ones before their turn would never come.
+    let run = Run {
+        peers: 300,
+        bytes: 6_000,
+        megabits: 10,
+        silent: BTreeSet::new(),
+        until: 20_000,
+    };
+    let outcome = run.play();
+    // Requests leave 7,600 of 10,000 bits: a round takes 1.9 s.
+    let oldest = outcome.rounds.values().min().copied().unwrap_or(0);
+    assert_eq!(outcome.rounds.len(), 300);
+    assert!(oldest >= 30, "a peer's newest counts are of round {oldest}");
+}
+
+#[test]
+fn peers_that_do_not_answer_keep_counts_from_nobody() {
+    // A third of the peers is cut off: calls to them take two seconds to fail.
+    let run = Run {
+        peers: 75,
+        bytes: 6_000,
+        megabits: 10,
+        silent: (0..75).filter(|peer| peer % 3 == 0).collect(),
+        until: 20_000,
+    };
+    let outcome = run.play();
+    assert!(outcome.longest_wait <= LONGEST_WAIT);
+    let oldest = outcome.rounds.values().min().copied().unwrap_or(0);
+    assert_eq!(outcome.rounds.len(), 50);
+    assert!(oldest >= 36, "a peer's newest counts are of round {oldest}");
+}
+
+#[test]
+fn counts_leave_at_once_where_the_link_has_room() {
+    let mut outbox = Outbox::new(Config::of_link(1_000.0));
+    let now = Time::ZERO;
+    for peer in 0..75 {
+        outbox.offer(now, format_smolstr!("{peer}"), counts(1, 14_000));
+    }
+    let mut sent = 0;
+    while outbox.next(now).is_some() {
+        sent += 1;
+    }
+    assert_eq!(sent, 75);
+    let sight = outbox.sight(now + Span::from_millis(40));
+    assert_eq!((sight.waiting, sight.oldest.as_millis()), (0, 40));
+}
