Send counts only as fast as the entry's own link carries them

Callers saw requests reach servers that had left, on grown deployments: two of one entry arrived 8.74 and 8.40 s after they were sent, 3.2 and 3.5 s after their servers' leave.

Cause: an entry that adds up counts (a hub) sent every sum at once, each in a call of its own, whether the one before had been answered or not. On a link of 10 Mbit/s that is more than it carries after many changes, and whatever else leaves the entry waits in line: requests, connections, answers to readiness checks, news of leaves.

Ruled out for it: a late loop (no lag) and missing news (7 of 21,275 attempts later than 0.15 s after the first word of a leave).

Change: counts wait in an outbox. As much is under way as the link carries in 40 ms (gateway.link_mbps); a newer sum takes the place of one that still waits; peers that don't answer within 250 ms share a quarter of the room.

--- a/crates/relay/src/configs/outbox.rs
+++ b/crates/relay/src/configs/outbox.rs
@@ -1,10 +1,20 @@
 //! Settings of [`crate::outbox`].
 
+use clock::Span;
+
 /// How much of the entry's own link counts may fill.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
     /// Bytes that the link carries in a millisecond.
     pub bytes_per_ms: f64,
+    /// As much may be under way as the link carries in this time: what else leaves the entry waits for it.
+    pub room: Span,
+    /// Part of that room for peers that didn't answer in time.
+    pub slow_share: f64,
+    /// An answer that takes longer is overdue; its counts don't hold room any more.
+    pub overdue: Span,
+    /// How long it is remembered that a peer was slow.
+    pub slow_kept: Span,
 }
 
 impl Config {
@@ -13,8 +23,22 @@
         const BYTES_PER_MS: f64 = 125.0;
         Config {
             bytes_per_ms: megabits * BYTES_PER_MS,
+            room: Span::from_millis(40),
+            slow_share: 0.25,
+            overdue: Span::from_millis(250),
+            slow_kept: Span::from_seconds(10),
         }
     }
+
+    /// Bytes that may be under way; the last digest may go beyond.
+    pub fn window(&self) -> usize {
+        (self.bytes_per_ms * self.room.as_millis() as f64) as usize
+    }
+
+    /// Bytes of it to slow peers.
+    pub fn slow_window(&self) -> usize {
+        (self.window() as f64 * self.slow_share) as usize
+    }
 }
 
 impl Default for Config {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -152,12 +152,12 @@
                     "Greatest delay of the loop in the last seconds",
                 ),
                 counts_bytes: gauge(
-                    "dogwoodspur_counts_unanswered_bytes",
-                    "Counts sent to other entries without an answer yet",
+                    "dogwoodspur_counts_under_way_bytes",
+                    "Counts that were sent to other entries and not answered yet",
                 ),
                 counts_age: gauge(
-                    "dogwoodspur_counts_unanswered_ms",
-                    "Age of the oldest of them",
+                    "dogwoodspur_counts_waiting_ms",
+                    "How long another entry's counts have waited at most",
                 ),
                 lines: gauge(
                     "dogwoodspur_log_lines_dropped",
@@ -234,7 +234,7 @@
         self.gauges.counts_bytes.record(counts.bytes as u64, &[]);
         self.gauges
             .counts_age
-            .record(counts.oldest.as_millis(), &[]);
+            .record(counts.longest.as_millis(), &[]);
         let mut buffer = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
             log::warn!(event = "metrics_unreadable", error = error.to_string().as_str(); "");
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -7,6 +7,8 @@
 use settings::configs::gateway::Duty;
 use smol_str::ToSmolStr;
 
+use crate::configs::outbox;
+
 /// The reducer's part of the settings.
 pub fn gateway_settings(settings: &Settings) -> gateway::configs::gateway::Settings {
     let defaults = gateway::configs::gateway::Settings::default();
@@ -49,6 +51,13 @@
     .shared_out()
 }
 
+/// What counts may fill of this entry's link.
+pub fn link_of(settings: &Settings) -> outbox::Config {
+    let link = decimal("gateway.link_mbps", &settings.gateway.link_mbps);
+    let link = link.filter(|link| *link > 0.0);
+    link.map_or_else(outbox::Config::default, outbox::Config::of_link)
+}
+
 /// How much an entry can take, 1 to 255, 255 being a whole processor core or more.
 fn capacity_of(processor: &str) -> u8 {
     let share = decimal("gateway.processor", processor);
--- a/crates/relay/src/outbox.rs
+++ b/crates/relay/src/outbox.rs
@@ -1,9 +1,14 @@
 //! Counts on their way to other entries.
 //!
 //! Load pattern: an entry adds up the counts of all others and sends everyone the sum twice a second. With many
-//! entries or after many changes that is more than a narrow link carries.
+//! entries or after many changes that is more than a narrow link carries. Sent as they come, counts queue on the
+//! link for seconds, and requests, answers and news of servers that leave stand behind them.
+//!
+//! So only as much is under way as the link carries in a moment, and of two sums for one peer the newer is sent.
+//! Peers that don't answer in time get a small part of that room, so that they keep it from nobody.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use clock::Span;
@@ -13,68 +18,164 @@
 
 use crate::configs::outbox::Config;
 
-/// Digests that wait and those that are under way, by the peer's address.
+/// Counts that wait and those that are under way, by the peer's address.
 #[derive(Debug)]
 pub struct Outbox {
-    _config: Config,
-    waiting: VecDeque<(SmolStr, Digest)>,
-    /// When each digest that has no answer yet was sent, and its size.
-    under_way: BTreeMap<SmolStr, VecDeque<(Time, usize)>>,
+    config: Config,
+    /// The newest counts for each peer that waits, and since when it does.
+    waiting: BTreeMap<SmolStr, (Time, Digest)>,
+    /// Peers in the order of their turns. Invariant: each waits, and nothing is under way to it.
+    turns: VecDeque<SmolStr>,
+    /// The same for those that are slow.
+    slow_turns: VecDeque<SmolStr>,
+    under_way: BTreeMap<SmolStr, UnderWay>,
+    /// What was sent and isn't overdue, the oldest first.
+    sent: BTreeSet<(Time, SmolStr)>,
+    /// Bytes of these, and those of slow peers among them.
+    bytes: usize,
+    slow_bytes: usize,
+    /// Peers that didn't answer in time, and until when that is remembered.
+    slow: BTreeMap<SmolStr, Time>,
+}
+
+/// A digest without an answer.
+#[derive(Debug)]
+struct UnderWay {
+    since: Time,
+    bytes: usize,
+    /// Whether it takes the room of slow peers.
+    slow: bool,
+    overdue: bool,
 }
 
 /// How an outbox stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sight {
-    /// Digests that wait.
+    /// Peers whose counts wait.
     pub waiting: usize,
-    /// Bytes without an answer.
+    /// Bytes under way.
     pub bytes: usize,
-    /// How long the oldest of these has been under way.
-    pub oldest: Span,
+    /// How long a peer's counts have waited at most.
+    pub longest: Span,
 }
 
 impl Outbox {
     /// An empty one.
     pub fn new(config: Config) -> Outbox {
         Outbox {
-            _config: config,
-            waiting: VecDeque::new(),
+            config,
+            waiting: BTreeMap::new(),
+            turns: VecDeque::new(),
+            slow_turns: VecDeque::new(),
             under_way: BTreeMap::new(),
+            sent: BTreeSet::new(),
+            bytes: 0,
+            slow_bytes: 0,
+            slow: BTreeMap::new(),
         }
     }
 
-    /// Takes a digest in.
-    pub fn offer(&mut self, _now: Time, address: SmolStr, digest: Digest) {
-        self.waiting.push_back((address, digest));
+    /// Takes counts in; they take the place of older ones that still wait.
+    pub fn offer(&mut self, now: Time, address: SmolStr, digest: Digest) {
+        if let Some((_, outdated)) = self.waiting.get_mut(&address) {
+            *outdated = digest;
+            return;
+        }
+        self.waiting.insert(address.clone(), (now, digest));
+        if !self.under_way.contains_key(&address) {
+            self.queue(address);
+        }
     }
 
-    /// The next digest to send.
+    /// The next counts to send, if there is room for them.
     pub fn next(&mut self, now: Time) -> Option<(SmolStr, Digest)> {
-        let (address, digest) = self.waiting.pop_front()?;
-        let under_way = self.under_way.entry(address.clone()).or_default();
-        under_way.push_back((now, digest.size()));
+        self.mark_overdue(now);
+        if self.bytes >= self.config.window() {
+            return None;
+        }
+        let slow = self.turns.is_empty();
+        let address = match slow {
+            false => self.turns.pop_front()?,
+            true if self.slow_bytes < self.config.slow_window() => self.slow_turns.pop_front()?,
+            true => return None,
+        };
+        let (_, digest) = self.waiting.remove(&address)?;
+        let bytes = digest.size();
+        self.bytes += bytes;
+        self.slow_bytes += if slow { bytes } else { 0 };
+        self.sent.insert((now, address.clone()));
+        let sent = UnderWay {
+            since: now,
+            bytes,
+            slow,
+            overdue: false,
+        };
+        self.under_way.insert(address.clone(), sent);
         Some((address, digest))
     }
 
     /// A peer answered, or its call failed.
-    pub fn answered(&mut self, _now: Time, address: &SmolStr) {
-        let Some(under_way) = self.under_way.get_mut(address) else {
+    pub fn answered(&mut self, now: Time, address: &SmolStr) {
+        self.mark_overdue(now);
+        let Some(sent) = self.under_way.remove(address) else {
             return;
         };
-        under_way.pop_front();
-        if under_way.is_empty() {
-            self.under_way.remove(address);
+        if !sent.overdue {
+            self.sent.remove(&(sent.since, address.clone()));
+            self.release(&sent);
+            self.slow.remove(address);
+        }
+        if self.waiting.contains_key(address) {
+            self.queue(address.clone());
         }
     }
 
+    /// When [`Outbox::next`] may find room without an answer, if something waits.
+    pub fn next_wake(&self) -> Option<Time> {
+        if self.turns.is_empty() && self.slow_turns.is_empty() {
+            return None;
+        }
+        let (since, _) = self.sent.first()?;
+        Some(*since + self.config.overdue)
+    }
+
     /// How the outbox stands.
     pub fn sight(&self, now: Time) -> Sight {
-        let under_way = || self.under_way.values().flatten();
-        let oldest = under_way().map(|(at, _)| now.since(*at)).max();
+        let since = self.waiting.values().map(|(since, _)| *since).min();
         Sight {
             waiting: self.waiting.len(),
-            bytes: under_way().map(|(_, bytes)| bytes).sum(),
-            oldest: oldest.unwrap_or_default(),
+            bytes: self.bytes,
+            longest: since.map_or(Span::ZERO, |since| now.since(since)),
+        }
+    }
+
+    fn queue(&mut self, address: SmolStr) {
+        match self.slow.contains_key(&address) {
+            true => self.slow_turns.push_back(address),
+            false => self.turns.push_back(address),
         }
     }
+
+    /// Gives up the room of what has waited too long for its answer.
+    fn mark_overdue(&mut self, now: Time) {
+        self.slow.retain(|_, until| *until > now);
+        while let Some((since, address)) = self.sent.first().cloned() {
+            if now.since(since) < self.config.overdue {
+                return;
+            }
+            self.sent.pop_first();
+            let Some(mut sent) = self.under_way.remove(&address) else {
+                continue;
+            };
+            self.release(&sent);
+            sent.overdue = true;
+            self.under_way.insert(address.clone(), sent);
+            self.slow.insert(address, now + self.config.slow_kept);
+        }
+    }
+
+    fn release(&mut self, sent: &UnderWay) {
+        self.bytes -= sent.bytes;
+        self.slow_bytes -= if sent.slow { sent.bytes } else { 0 };
+    }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -25,15 +25,15 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
-use crate::configs::outbox::Config;
+use crate::configs::outbox;
 use crate::link::Message;
 use crate::outbox::Outbox;
 use crate::shared::Shared;
 
 /// Time between two lines on digests that were lost or are late.
 const LINES_TIME: Span = Span::from_seconds(1);
-/// Counts without an answer for so long are logged.
-const LATE: Span = Span::from_millis(500);
+/// Counts that wait for so long are logged.
+const LATE: Span = Span::from_seconds(1);
 
 /// The way to other entries. Nothing waits for it: words come back as events.
 pub struct Peers {
@@ -49,6 +49,8 @@
     shared: Rc<Shared>,
     outbox: RefCell<Outbox>,
     losses: Losses,
+    /// Whether a task waits to look for overdue answers.
+    wakes: Cell<bool>,
     /// When late counts were logged last.
     late_logged: Cell<Time>,
 }
@@ -100,33 +102,54 @@
             });
         }
         self.show(now);
+        self.wake_later(now);
     }
 
     fn next(&self, now: Time) -> Option<(SmolStr, Digest)> {
         self.outbox.borrow_mut().next(now)
     }
 
+    /// Looks again once answers are overdue, unless something is to do so already.
+    fn wake_later(self: &Rc<Digests>, now: Time) {
+        let wake = self.outbox.borrow().next_wake();
+        let Some(wake) = wake.filter(|_| !self.wakes.replace(true)) else {
+            return;
+        };
+        let digests = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(wake.since(now).as_duration()).await;
+            digests.wakes.set(false);
+            digests.pump();
+        });
+    }
+
     /// Shows how the counts get on; logs that they are late, but not too often.
     fn show(&self, now: Time) {
         let sight = self.outbox.borrow().sight(now);
         self.shared.counts.set(sight);
-        if sight.oldest < LATE || now.since(self.late_logged.get()) < LINES_TIME {
+        if sight.longest < LATE || now.since(self.late_logged.get()) < LINES_TIME {
             return;
         }
         self.late_logged.set(now);
-        let oldest = sight.oldest.as_millis();
-        log::info!(event = "counts_late", waiting = sight.waiting, bytes = sight.bytes, oldest_ms = oldest; "");
+        let longest = sight.longest.as_millis();
+        log::info!(event = "counts_late", waiting = sight.waiting, bytes = sight.bytes, longest_ms = longest; "");
     }
 }
 
 impl Peers {
     /// Calls peers in the name of `me`.
-    pub fn new(client: client::Peers, me: holder::Id, shared: Rc<Shared>) -> Peers {
+    pub fn new(
+        client: client::Peers,
+        me: holder::Id,
+        shared: Rc<Shared>,
+        counts: outbox::Config,
+    ) -> Peers {
         let digests = Digests {
             client: client.clone(),
             shared: Rc::clone(&shared),
-            outbox: RefCell::new(Outbox::new(Config::default())),
+            outbox: RefCell::new(Outbox::new(counts)),
             losses: Losses::default(),
+            wakes: Cell::default(),
             late_logged: Cell::default(),
         };
         Peers {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -40,6 +40,7 @@
 use crate::logs;
 use crate::metrics::Metrics;
 use crate::options::gateway_settings;
+use crate::options::link_of;
 use crate::peers::Answering;
 use crate::peers::Peers;
 use crate::pool::Pool;
@@ -185,6 +186,7 @@
             peer::client::Peers::new(key, limit),
             identity.incarnation,
             Rc::clone(&shared),
+            link_of(&settings),
         ),
         shared,
         tables: adapter.tables,
--- a/crates/settings/src/configs/gateway.rs
+++ b/crates/settings/src/configs/gateway.rs
@@ -25,6 +25,9 @@
     /// Processor cores that this entry has, as a decimal number such as `0.25`. Entries with more are named to
     /// more callers.
     pub processor: SmolStr,
+    /// Megabits a second that this entry's own link carries, as a decimal number such as `10`. Counts for other
+    /// entries leave only as fast as keeps the link free for requests.
+    pub link_mbps: SmolStr,
     /// Entries that are expected to run; fewer known ones are taken for silent.
     #[schemars(range(min = 1, max = 100000))]
     pub entries: u32,
@@ -69,6 +72,7 @@
             directory_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 8004)),
             metrics_listen: None,
             processor: SmolStr::new_static("1"),
+            link_mbps: SmolStr::new_static("1000"),
             entries: 8,
             repeats_percent: 10,
             repeats_allowed: 20,
