Report each change of the server list at once only once

Urgent reports have what no report had yet; the regular ones, twice a second, repeat the last 700 ms as before and make losses good.

--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -12,6 +12,7 @@
 use watch::report::Report;
 use watch::server::News;
 use watch::server::Reading;
+use watch::watch::Extent;
 use watch::watch::Learned;
 use watch::watch::Role;
 
@@ -147,16 +148,20 @@
         rank.map_or(Role::Follower, |rank| Role::Reader { rank })
     }
 
-    /// The report that goes with the regular counts: with `always`, also if this entry has not read the list since.
-    pub(crate) fn list_item(&mut self, now: Time, always: bool) -> Option<Item> {
-        if !always && !self.watch.has_read() {
-            return None;
+    /// The report that goes with the regular counts: by a hub always, else if this entry has read the list since.
+    pub(crate) fn regular_list_item(&mut self, now: Time, hub: bool) -> Option<Item> {
+        match hub || self.watch.has_read() {
+            true => self.list_item(now, Extent::Recent),
+            false => None,
         }
+    }
+
+    fn list_item(&mut self, now: Time, extent: Extent) -> Option<Item> {
         let lapsed = match self.list_lost {
             true => self.settings.return_time,
             false => self.servers.trusted_in(now),
         };
-        let report = self.watch.report(now, lapsed)?;
+        let report = self.watch.report(now, lapsed, extent)?;
         let payload = serde_json::to_vec(&report).ok()?;
         self.news_version += 1;
         Some(Item {
@@ -173,7 +178,7 @@
         let me = self.identity.incarnation;
         let hubs = self.roster.hubs().to_vec();
         let hub = hubs.contains(&me);
-        let Some(item) = self.list_item(now, true) else {
+        let Some(item) = self.list_item(now, Extent::New) else {
             return;
         };
         let to: Vec<holder::Id> = match hub {
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -47,6 +47,24 @@
     pub position: Option<Position>,
 }
 
+/// How much of what changed lately a report has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// What no report of this entry had before.
+    New,
+    /// Also what earlier reports had, so that a loss is made good.
+    Recent,
+}
+
+/// A change that is passed on.
+#[derive(Debug)]
+struct Passing {
+    since: Time,
+    change: Change,
+    /// Whether a report had it.
+    reported: bool,
+}
+
 /// What one entry knows of the list.
 #[derive(Debug)]
 pub struct Watch {
@@ -57,10 +75,8 @@
     unequal: Option<Time>,
     /// Whether the last report came from one that can't say whether missing rows are those of live servers.
     doubted: bool,
-    /// What was learned and is still passed on, and since when.
-    passing: Vec<(Time, Change)>,
-    /// Whether `passing` holds something that was not passed on yet.
-    urgent: bool,
+    /// What was learned and is still passed on.
+    passing: Vec<Passing>,
     /// Whether the table service was read since the last report.
     read: bool,
     /// When it was read here last.
@@ -82,7 +98,6 @@
             unequal: None,
             doubted: false,
             passing: Vec::new(),
-            urgent: false,
             read: false,
             read_at: None,
             reported: Time::ZERO,
@@ -167,19 +182,27 @@
     }
 
     fn pass_on(&mut self, now: Time, changes: Vec<Change>) {
-        self.urgent |= !changes.is_empty();
-        self.passing
-            .extend(changes.into_iter().map(|change| (now, change)));
+        let passing = changes.into_iter().map(|change| Passing {
+            since: now,
+            change,
+            reported: false,
+        });
+        self.passing.extend(passing);
     }
 
     /// Whether there is something to pass on before the next regular report.
     pub fn is_due(&self, now: Time) -> bool {
-        self.urgent && now >= self.reported + self.config.gap
+        self.is_urgent() && now >= self.reported + self.config.gap
     }
 
     /// When [`Watch::is_due`] holds next.
     pub fn next_due(&self) -> Option<Time> {
-        self.urgent.then_some(self.reported + self.config.gap)
+        self.is_urgent().then_some(self.reported + self.config.gap)
+    }
+
+    /// Whether something was not passed on yet.
+    fn is_urgent(&self) -> bool {
+        self.passing.iter().any(|one| !one.reported)
     }
 
     /// Whether the table service was read since the last report.
@@ -194,19 +217,25 @@
     }
 
     /// A report for other entries; `lapsed` is how long missing rows may be those of live servers.
-    pub fn report(&mut self, now: Time, lapsed: Span) -> Option<Report> {
+    pub fn report(&mut self, now: Time, lapsed: Span, extent: Extent) -> Option<Report> {
         let position = self.position?;
-        self.urgent = false;
         self.read = false;
         self.reported = now;
         let repeat = self.config.repeat;
-        self.passing.retain(|(since, _)| now.since(*since) < repeat);
+        self.passing
+            .retain(|one| !one.reported || now.since(one.since) < repeat);
+        let passing = self.passing.iter_mut();
+        let told = passing.filter(|one| extent == Extent::Recent || !one.reported);
+        let changes = told.map(|one| {
+            one.reported = true;
+            one.change.clone()
+        });
         Some(Report {
             revision: position.revision,
             age_ms: now.since(position.at).as_millis(),
             digest: self.list.digest(),
             lapsed_ms: lapsed.as_millis(),
-            changes: self.passing.iter().map(|(_, one)| one.clone()).collect(),
+            changes: changes.collect(),
         })
     }
 
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -16,6 +16,7 @@
 use watch::server::Reading;
 use watch::server::Removal;
 use watch::server::Server;
+use watch::watch::Extent;
 use watch::watch::Role;
 use watch::watch::Watch;
 
@@ -237,7 +238,11 @@
         if !regular && !self.entries[entry].is_due(now) {
             return;
         }
-        let Some(report) = self.entries[entry].report(now, Span::ZERO) else {
+        let extent = match regular {
+            true => Extent::Recent,
+            false => Extent::New,
+        };
+        let Some(report) = self.entries[entry].report(now, Span::ZERO, extent) else {
             return;
         };
         match hub {
@@ -412,7 +417,9 @@
     let now = world.time();
     world.entries[0].read(now, &reading);
     assert_eq!(world.entries[0].digest(), before);
-    let report = world.entries[0].report(now, Span::ZERO).expect("a report");
+    let report = world.entries[0]
+        .report(now, Span::ZERO, Extent::Recent)
+        .expect("a report");
     assert_eq!(report.changes, []);
 }
 
@@ -424,8 +431,12 @@
     world.run(1_000);
     let now = world.time();
     let lapsed = Span::from_millis(2_500);
-    let doubtful = world.entries[0].report(now, lapsed).expect("a report");
-    let sure = world.entries[0].report(now, Span::ZERO).expect("a report");
+    let doubtful = world.entries[0]
+        .report(now, lapsed, Extent::Recent)
+        .expect("a report");
+    let sure = world.entries[0]
+        .report(now, Span::ZERO, Extent::Recent)
+        .expect("a report");
     let standby = Role::Reader { rank: 1 };
     world.entries[1].receive(now, &sure, true);
     let soon = now + Config::default().pace;
@@ -445,7 +456,7 @@
     world.write(901, false);
     world.read(0);
     let late = world.entries[0]
-        .report(Time::ZERO, Span::ZERO)
+        .report(Time::ZERO, Span::ZERO, Extent::Recent)
         .expect("a report");
     world.set(SmolStr::new_static("s901"), None);
     world.read(1);
@@ -528,3 +539,30 @@
     world.entries[0].read(now, &reading);
     assert_eq!(world.entries[0].digest(), List::default().digest());
 }
+
+/// Sixty servers that came within a second were told again and again, in up to seven reports to everyone, which is more
+/// than a narrow link carries.
+#[test]
+fn a_wave_of_changes_is_told_at_once_only_once() {
+    let mut world = World::new(3);
+    world.read(0);
+    let mut told = Vec::new();
+    for server in 0..60 {
+        world.now += 2 * STEP_MILLIS;
+        world.write(900 + server, false);
+        world.read(0);
+        let now = world.time();
+        if world.entries[0].is_due(now) {
+            let report = world.entries[0].report(now, Span::ZERO, Extent::New);
+            told.extend(report.expect("a report").changes);
+        }
+    }
+    world.now += REPORT_MILLIS;
+    let now = world.time();
+    let rest = world.entries[0].report(now, Span::ZERO, Extent::New);
+    told.extend(rest.expect("a report").changes);
+    let servers: BTreeSet<&SmolStr> = told.iter().map(|change| &change.id).collect();
+    assert_eq!((servers.len(), told.len()), (60, 60));
+    let regular = world.entries[0].report(now, Span::ZERO, Extent::Recent);
+    assert!(regular.expect("a report").changes.len() >= 8);
+}
