Take news in before requests

What callers see: an entry that is behind (a freeze, an overload) works in order of arrival, and their requests go out before the news of servers, configuration and peers that came after them.

Cause, found in the code on the search for the users' record and not proved to be its cause: one queue for all messages.

Change: messages on servers, configuration, peers and duties have a queue of their own that goes first, each kind in its own order; a timer that is due goes before both.

Test: news_is_taken_in_before_requests, failed with one queue (CallerGone came first).

--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -58,20 +58,41 @@
 #[derive(Clone)]
 pub struct Link {
     clock: Clock,
-    sender: mpsc::UnboundedSender<Sent>,
+    news: mpsc::UnboundedSender<Sent>,
+    requests: mpsc::UnboundedSender<Sent>,
+}
+
+/// The loop's end of a link.
+pub struct Inbox {
+    news: mpsc::UnboundedReceiver<Sent>,
+    requests: mpsc::UnboundedReceiver<Sent>,
 }
 
 impl Link {
     /// A link and the loop's end of it.
-    pub fn new(clock: Clock) -> (Link, mpsc::UnboundedReceiver<Sent>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Link { clock, sender }, receiver)
+    pub fn new(clock: Clock) -> (Link, Inbox) {
+        let (news, new) = mpsc::unbounded_channel();
+        let (requests, asked) = mpsc::unbounded_channel();
+        let link = Link {
+            clock,
+            news,
+            requests,
+        };
+        let inbox = Inbox {
+            news: new,
+            requests: asked,
+        };
+        (link, inbox)
     }
 
     /// Sends a message; after the loop has ended nobody waits for it.
     pub fn send(&self, message: Message) {
         let at = self.clock.now();
-        let _ = self.sender.send(Sent { at, message });
+        let way = match message.is_news() {
+            true => &self.news,
+            false => &self.requests,
+        };
+        let _ = way.send(Sent { at, message });
     }
 
     /// Sends an event.
@@ -79,3 +100,46 @@
         self.send(Message::Event(event));
     }
 }
+
+impl Inbox {
+    /// The next message: news first, each kind in the order in which it was sent.
+    ///
+    /// After a freeze, or in an overload, requests would go out before the news that their server leaves.
+    pub async fn next(&mut self) -> Option<Sent> {
+        tokio::select! {
+            biased;
+            Some(sent) = self.news.recv() => Some(sent),
+            sent = self.requests.recv() => sent,
+        }
+    }
+}
+
+impl Message {
+    /// Whether it says something of servers, configuration, peers or duties, rather than of a single request.
+    fn is_news(&self) -> bool {
+        let Message::Event(event) = self else {
+            return false;
+        };
+        match event {
+            Event::Configured { .. }
+            | Event::RolloutOrdered(_)
+            | Event::RolloutWithdrawn(_)
+            | Event::RolloutsKnown(_)
+            | Event::Servers(_)
+            | Event::ServersLost
+            | Event::Store { .. }
+            | Event::DutyAnswered { .. }
+            | Event::DigestReceived(_)
+            | Event::SettingsRead(_)
+            | Event::StopAsked
+            | Event::Tick => true,
+            Event::Arrived { .. }
+            | Event::CallerGone { .. }
+            | Event::Attempt { .. }
+            | Event::AddressesAsked { .. }
+            | Event::ChargeAsked { .. }
+            | Event::ChargeAnswered { .. }
+            | Event::Refunded { .. } => false,
+        }
+    }
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -123,7 +123,7 @@
     let identity = identity_of(&settings, &sockets)?;
     log_start(&settings, &identity);
     let clock = Clock::start();
-    let (link, messages) = Link::new(clock);
+    let (link, inbox) = Link::new(clock);
     let shared = Rc::new(Shared {
         link,
         codec: Rc::clone(&adapter.codec),
@@ -199,7 +199,7 @@
         next_asker: 0,
         lag: Lag::default(),
     };
-    shell.run(messages, stops).await;
+    shell.run(inbox, stops).await;
     let _ = end.send(true);
     let _ = tokio::time::timeout(LAST_WORDS_TIME, front).await;
     for task in tasks {
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use clock::Span;
 use clock::Time;
 use gateway::charging::Answer;
 use gateway::duty;
@@ -21,16 +20,12 @@
 use crate::adapter::Cloud;
 use crate::adapter::Tables;
 use crate::lag::Lag;
+use crate::link::Inbox;
 use crate::link::Message;
-use crate::link::Sent;
 use crate::logs;
 use crate::peers::Peers;
 use crate::shared::Shared;
-
-/// The reducer is told at least this often that time has passed.
-const LONGEST_SLEEP: Span = Span::from_millis(250);
-/// And at most this often: each time costs some tens of microseconds.
-const SHORTEST_SLEEP: Span = Span::from_millis(5);
+use crate::wake::Wake;
 
 /// The loop's state.
 pub struct Shell {
@@ -61,23 +56,20 @@
 }
 
 impl Shell {
-    /// Runs until the reducer has nothing left to do.
-    pub async fn run(
-        mut self,
-        mut messages: mpsc::UnboundedReceiver<Sent>,
-        mut stops: mpsc::UnboundedReceiver<()>,
-    ) {
-        let mut wake = self.shared.clock.now();
+    /// Runs until the reducer has nothing left to do. Timers go before messages.
+    pub async fn run(mut self, mut inbox: Inbox, mut stops: mpsc::UnboundedReceiver<()>) {
+        let mut wake = Wake::new(self.shared.clock.now());
         loop {
             let now = self.shared.clock.now();
-            let sleep = wake.since(now).as_duration();
+            let sleep = wake.due().since(now).as_duration();
             let (due, event) = tokio::select! {
                 biased;
-                Some(()) = stops.recv() => (wake, Some(Event::StopAsked)),
-                Some(sent) = messages.recv() => (sent.at, self.event_of(sent.message)),
-                () = tokio::time::sleep(sleep) => (wake, Some(Event::Tick)),
+                Some(()) = stops.recv() => (wake.due(), Some(Event::StopAsked)),
+                () = std::future::ready(()), if now >= wake.due() => (wake.due(), Some(Event::Tick)),
+                Some(sent) = inbox.next() => (sent.at, self.event_of(sent.message)),
+                () = tokio::time::sleep(sleep) => (wake.due(), Some(Event::Tick)),
             };
-            self.note_lag(due.min(wake));
+            self.note_lag(due.min(wake.due()));
             let Some(event) = event else {
                 continue;
             };
@@ -85,8 +77,7 @@
                 return;
             }
             let now = self.shared.clock.now();
-            let next = self.gateway.next_wake(now).min(now + LONGEST_SLEEP);
-            wake = next.max(now + SHORTEST_SLEEP);
+            wake.set(now, self.gateway.next_wake(now));
         }
     }
 
--- /dev/null
+++ b/crates/relay/tests/link.rs
@@ -0,0 +1,27 @@
+//! The order in which the loop takes messages in.
+
+#![allow(clippy::unwrap_used)]
+
+use clock::Clock;
+use gateway::event::Event;
+use relay::link::Link;
+use relay::link::Message;
+
+/// After a freeze requests were handed to a server before the news that it had left was taken in, which came later.
+#[tokio::test]
+async fn news_is_taken_in_before_requests() {
+    let (link, mut inbox) = Link::new(Clock::start());
+    for serial in 0..3 {
+        link.event(Event::CallerGone { serial });
+    }
+    link.event(Event::ServersLost);
+    let first = inbox.next().await.unwrap().message;
+    assert!(matches!(first, Message::Event(Event::ServersLost)));
+    for expected in 0..3 {
+        let next = inbox.next().await.unwrap().message;
+        let Message::Event(Event::CallerGone { serial }) = next else {
+            panic!("not in the order in which they were sent");
+        };
+        assert_eq!(serial, expected);
+    }
+}
