Let timers run beside a steady stream of messages

What callers see: an entry under steady load misses its heartbeats, and requests are held past their deadlines.

Cause: each message put the next timer off until 5 ms after it. While messages came faster, no timer was due at all.

Change: the least time between two runs of the timers counts from the last run.

Test: timers_run_beside_a_steady_stream_of_messages, with a message each millisecond: one run in a second before, 190 or more now.

--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -73,6 +73,9 @@
             let Some(event) = event else {
                 continue;
             };
+            if matches!(event, Event::Tick) {
+                wake.acted(now);
+            }
             if self.step(event) {
                 return;
             }
--- a/crates/relay/src/wake.rs
+++ b/crates/relay/src/wake.rs
@@ -12,6 +12,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Wake {
     due: Time,
+    /// When it last did.
+    last: Time,
 }
 
 impl Wake {
@@ -19,6 +21,7 @@
     pub fn new(now: Time) -> Wake {
         Wake {
             due: now,
+            last: now,
         }
     }
 
@@ -29,6 +32,12 @@
 
     /// The reducer took an event and wants to be woken at `wanted`.
     pub fn set(&mut self, now: Time, wanted: Time) {
-        self.due = wanted.min(now + LONGEST).max(now + SHORTEST);
+        // Counted from the last time: from each message, timers would never be due beside a steady stream of them.
+        self.due = wanted.min(now + LONGEST).max(self.last + SHORTEST);
+    }
+
+    /// The reducer acted on the time.
+    pub fn acted(&mut self, now: Time) {
+        self.last = now;
     }
 }
--- /dev/null
+++ b/crates/relay/tests/wake.rs
@@ -0,0 +1,36 @@
+//! The loop's timers beside a steady stream of messages.
+
+use clock::Time;
+use relay::wake::Wake;
+
+/// Heartbeats, leases and deadlines stood still for as long as messages came faster than every 5 ms.
+#[test]
+fn timers_run_beside_a_steady_stream_of_messages() {
+    let mut wake = Wake::new(Time::ZERO);
+    let mut acted = 0;
+    for now in (0..1_000).map(Time::from_millis) {
+        if now >= wake.due() {
+            wake.acted(now);
+            acted += 1;
+        }
+        // A message each millisecond, and a timer that has long been due.
+        wake.set(now, Time::ZERO);
+    }
+    assert!(acted >= 190, "acted {acted} times in a second");
+}
+
+#[test]
+fn timers_run_at_most_every_five_milliseconds() {
+    let mut wake = Wake::new(Time::ZERO);
+    let mut last = None;
+    for now in (0..100).map(Time::from_millis) {
+        if now >= wake.due() {
+            if let Some(last) = last {
+                assert!(now.since(last).as_millis() >= 5);
+            }
+            last = Some(now);
+            wake.acted(now);
+        }
+        wake.set(now, now);
+    }
+}
