Reset connections of abandoned requests

What callers and servers see: a request that was given up, behind a full link or a cut, reaches its server when the way is free again, seconds later, though its server may have said meanwhile that it leaves.

Cause: a closed socket goes on delivering what it holds. Connections to servers are reset now, which discards it.

Not proved to be the cause of the users' record; found while looking for ways in which a request arrives late.

Test: an_abandoned_request_does_not_go_on_by_itself, failed before (the whole of what was buffered came, then a regular end).

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -147,6 +147,8 @@
         socket.set_nodelay(true)?;
         let options = SockRef::from(&socket);
         options.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        // Closed, it is reset: what an abandoned attempt has left on its way must not reach the server later.
+        options.set_linger(Some(Duration::ZERO))?;
         let probes = TcpKeepalive::new()
             .with_time(PROBE_TIME)
             .with_interval(PROBE_TIME);
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -2,10 +2,17 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use bytes::Bytes;
 use clock::Clock;
 use gateway::attempt::Place;
 use http::HeaderMap;
+use http::Request;
+use http_body_util::Full;
 use relay::pool::Pool;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
@@ -54,3 +61,37 @@
     };
     assert!(pool.takes_requests(&next));
 }
+
+#[tokio::test]
+async fn an_abandoned_request_does_not_go_on_by_itself() {
+    // A closed socket delivers what it holds: behind a full link or a cut, a request that had long been given up reached
+    // its server seconds later.
+    let (listener, place) = listener().await;
+    let check = async {
+        let pool = Pool::new(Clock::start());
+        let mut connection = pool.connect(&place).await.unwrap();
+        let (mut server, _) = listener.accept().await.unwrap();
+        let body = Bytes::from(vec![b'x'; 32 << 20]);
+        let sending = connection.sender.send_request(request(body));
+        // The server reads nothing: both sides' buffers fill.
+        let waited = tokio::time::timeout(Duration::from_millis(100), sending).await;
+        assert!(waited.is_err());
+        drop(connection);
+        tokio::task::yield_now().await;
+
+        let mut buffer = vec![0; 64 << 10];
+        let end = loop {
+            match server.read(&mut buffer).await {
+                Ok(0) => break None,
+                Ok(_) => {}
+                Err(error) => break Some(error.kind()),
+            }
+        };
+        assert_eq!(end, Some(ErrorKind::ConnectionReset));
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+fn request(body: Bytes) -> Request<Full<Bytes>> {
+    Request::post("/").body(Full::new(body)).unwrap()
+}
