Read and log the limits that backend servers name

An answer's limit is decoded in the adapter and logged as server_limit replica=... per_second=...; no decision is changed.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -7,6 +7,7 @@
 use member::digest::Digest;
 use policy::charge::Charge;
 use policy::fair::Cost;
+use policy::pace::Rate;
 use policy::quota::Name;
 use rollout::order::Order;
 use smol_str::SmolStr;
@@ -45,6 +46,13 @@
         /// What happened.
         report: Report,
     },
+    /// A backend server said in an answer how many requests it takes from all entries together.
+    LimitNamed {
+        /// The life of the server.
+        incarnation: SmolStr,
+        /// The limit; none if the answer names none.
+        rate: Option<Rate>,
+    },
     /// Someone asks which entries to use.
     AddressesAsked {
         /// Who asks.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::hubs::Hub;
 use crate::identity::Identity;
 use crate::lagging::Lagging;
+use crate::limits::Limits;
 use crate::open::Open;
 use crate::peers;
 use crate::rollouts::Rollouts;
@@ -64,6 +65,8 @@
     /// Which entries fill roles for all.
     pub(crate) roster: Roster,
     pub(crate) servers: Servers,
+    /// Limits that backend servers named.
+    pub(crate) limits: Limits,
     /// The pool in which each backend server stands, by its incarnation.
     pub(crate) grouped: BTreeMap<SmolStr, SmolStr>,
     pub(crate) rollouts: Rollouts,
@@ -166,6 +169,7 @@
             roster: Roster::default(),
             throttle: Throttle::new(settings.store),
             servers: Servers::default(),
+            limits: Limits::default(),
             grouped: BTreeMap::new(),
             rollouts: Rollouts::default(),
             watch: Watch::new(settings.watch, identity.incarnation.0),
@@ -223,6 +227,9 @@
                 attempt,
                 report,
             } => self.attempt_reported(now, serial, attempt, report, effects),
+            Event::LimitNamed { incarnation, rate } => {
+                self.limit_named(now, &incarnation, rate, effects);
+            }
             Event::AddressesAsked { asker, zone } => {
                 self.addresses_asked(now, asker, zone.as_deref(), effects);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod hubs;
 mod intake;
 mod lagging;
+mod limits;
 mod open;
 mod peers;
 mod presence;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod job;
 pub mod limit;
 pub mod mix;
+pub mod pace;
 pub mod pool;
 pub mod quarantine;
 pub mod quota;
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use http::request;
 use http::response;
+use policy::pace::Rate;
 use rollout::order::Order;
 use smol_str::SmolStr;
 use store::call::Call;
@@ -58,6 +59,9 @@
     /// Reads a question for addresses: the caller's availability zone, if it names one.
     fn question(&self, head: &request::Parts) -> Option<Option<SmolStr>>;
 
+    /// How many requests the server takes from all entries together, if its answer says so.
+    fn limit(&self, headers: &HeaderMap) -> Option<Rate>;
+
     /// The answer to a question for addresses.
     fn addresses(&self, addresses: Option<&Addresses>) -> Response<Bytes>;
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,6 +9,7 @@
 use gateway::attempt::End;
 use gateway::attempt::Report;
 use gateway::effect::Start;
+use gateway::event;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -280,6 +281,12 @@
     response: Response<Incoming>,
 ) -> Head {
     let (head, body) = response.into_parts();
+    if let Some(rate) = shared.codec.limit(&head.headers) {
+        shared.link.event(event::Event::LimitNamed {
+            incarnation: start.place.incarnation.clone(),
+            rate: Some(rate),
+        });
+    }
     match shared.codec.judge(&head, &question.id) {
         Judgement::Answer => Head::Came(Answer {
             connection,
--- a/crates/relay/src/link.rs
+++ b/crates/relay/src/link.rs
@@ -135,6 +135,7 @@
             | Event::Tick => true,
             Event::Arrived { .. }
             | Event::CallerGone { .. }
+            | Event::LimitNamed { .. }
             | Event::Attempt { .. }
             | Event::AddressesAsked { .. }
             | Event::ChargeAsked { .. }
