--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -37,6 +37,7 @@
 use member::digest::Topic;
 use policy::charge::Charge;
 use policy::mix::Market;
+use policy::pace::Rate;
 use rollout::order::Order;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
@@ -67,6 +68,16 @@
     pub call: duty::Call,
 }
 
+/// A request that was handed to a server.
+#[derive(Clone, Debug)]
+pub struct Handed {
+    pub at: u64,
+    pub entry: usize,
+    pub serial: u64,
+    pub attempt: u32,
+    pub server: SmolStr,
+}
+
 /// An entry that asked another one for a charge.
 #[derive(Clone, Copy)]
 struct Asker {
@@ -97,6 +108,8 @@
     pub started: u32,
     /// Where each request was handed to last, by serial.
     pub places: BTreeMap<u64, SmolStr>,
+    /// Requests as they were handed to servers.
+    pub handed: Vec<Handed>,
     /// Runs that were ordered to move: serial, and the server that they go to.
     pub moved: Vec<(u64, SmolStr)>,
     /// Lines of all logs, by event.
@@ -165,6 +178,7 @@
             refused: BTreeMap::new(),
             started: 0,
             places: BTreeMap::new(),
+            handed: Vec::new(),
             moved: Vec::new(),
             lines: BTreeMap::new(),
             store_silent: false,
@@ -392,6 +406,33 @@
         self.serve_path(entry, "/drafts/1")
     }
 
+    /// A request of nobody's account that isn't answered yet.
+    pub fn ask_openly(&mut self, entry: usize) {
+        self.arrive(entry, "/open/1", None);
+    }
+
+    /// A request that was handed over is answered; with its server's limit in requests a second, if that names one.
+    pub fn answer_naming(&mut self, handed: &Handed, limit: Option<f64>) {
+        let event = Event::LimitNamed {
+            incarnation: handed.server.clone(),
+            rate: limit.and_then(Rate::per_second),
+        };
+        self.step(handed.entry, event);
+        let ended = Report::Ended(End::Finished {
+            status: 200,
+            tokens: 1,
+            pause: Span::ZERO,
+        });
+        for report in [Report::First, ended] {
+            let event = Event::Attempt {
+                serial: handed.serial,
+                attempt: handed.attempt,
+                report,
+            };
+            self.step(handed.entry, event);
+        }
+    }
+
     /// A request that isn't answered yet; its serial.
     pub fn ask(&mut self, entry: usize) -> u64 {
         self.arrive(entry, "/drafts/1", None)
@@ -640,6 +681,13 @@
                 match command {
                     Command::Start(start) => {
                         self.started += 1;
+                        self.handed.push(Handed {
+                            at: self.now,
+                            entry,
+                            serial,
+                            attempt: start.attempt,
+                            server: start.place.incarnation.clone(),
+                        });
                         self.places.insert(serial, start.place.incarnation);
                     }
                     Command::Refuse(refusal) => {
@@ -742,6 +790,12 @@
         timeout: Span::from_seconds(15),
         ..route.clone()
     };
+    let open = Route {
+        name: SmolStr::new_static("open"),
+        prefix: SmolStr::new_static("/open/"),
+        public: true,
+        ..route.clone()
+    };
     let service = Service {
         name: SmolStr::new_static(SERVICE),
         connections: 64,
@@ -771,7 +825,7 @@
         plain_cost: 1,
         in_tokens: false,
     };
-    let (routes, services, accounts) = (vec![route, talks], vec![service], vec![account]);
+    let (routes, services, accounts) = (vec![route, talks, open], vec![service], vec![account]);
     Book::new(version, routes, services, accounts, Limits::default())
 }
 
