Hand a server in need no more requests than it takes from all entries

Cause: nothing read the limit. Ruled out: shares that add up wrongly around a restart (there were none).

Change: an answer's limit, or its absence while one is in force, is noted and told to the others with the counts; the newest word counts. policy::pace deals a limit to the first entries in the server's rendezvous order, so many that each has a request a second, and each of them paces itself by a token bucket that holds one request or half a second's; all others choose other servers. A request that waits for a paced server goes out when it takes one again; where all servers of a service have named limits, requests that can't be served in time are refused at once, with a time to come back. Runs aren't moved to such servers.

The other way that was weighed, an entry that grants each request for all, like the homes of quotas, costs a round trip for each and a wait where it is silent; it would serve more where all servers of a service are in need and little is asked.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::limits;
+use crate::limits::Words;
 use crate::usage::Windows;
 use crate::work::Work;
 
@@ -38,6 +40,9 @@
     /// Answers since the order of each roll-out, by service.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub tallies: BTreeMap<SmolStr, Tally>,
+    /// What servers said of their limits.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub limits: Words,
 }
 
 fn is_zero(value: &u32) -> bool {
@@ -76,6 +81,7 @@
         for (service, tally) in &one.tallies {
             self.tallies.entry(service.clone()).or_default().add(tally);
         }
+        limits::take_newest(&mut self.limits, &one.limits);
     }
 
     /// The same sum without one entry's own counts.
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -96,6 +96,7 @@
             urgency: model.then_some(urgency),
             tokens_per_event: open.tokens_per_event,
             fetch: keeper.map(|place| place.address),
+            limited: self.limits.is_limited(&place.incarnation),
             place,
         };
         let (first, pool) = (open.attempt == 1, open.job.pool);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod gateway;
 pub mod identity;
+pub mod limits;
 pub mod usage;
 pub mod work;
 
@@ -30,7 +31,6 @@
 mod hubs;
 mod intake;
 mod lagging;
-mod limits;
 mod open;
 mod peers;
 mod presence;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -60,6 +60,7 @@
             }
             self.consider_hubs(now, effects);
             self.assign_roles(now);
+            self.limits_tick(now, effects);
             self.next_bulletin = now + self.bulletin_time();
             self.publish_bulletin(now, effects);
             self.note_lagging(now);
@@ -223,6 +224,7 @@
             unix_ms: self.usage.raw_unix_ms(now),
             work: self.work.clone(),
             tallies: self.rollouts.tallies.clone(),
+            limits: self.limits.words(now),
         };
         if self.by_hubs() {
             return self.tell_by_hubs(now, bulletin, effects);
@@ -280,6 +282,7 @@
                 return;
             }
         }
+        self.limits_told(now, &bulletin.limits, effects);
         match bulletin.sums {
             0 if self.by_hubs() => self.hub_heard(now, peer, bulletin),
             0 => {
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -10,6 +10,7 @@
 
 use clock::Span;
 use clock::Time;
+use policy::rendezvous;
 use policy::replica;
 use smol_str::SmolStr;
 use store::revision::Revision;
@@ -26,6 +27,8 @@
 pub(crate) struct Servers {
     known: BTreeMap<SmolStr, Known>,
     by_key: BTreeMap<replica::Key, SmolStr>,
+    /// Known ones by the hash of their incarnation, as entries name them to each other.
+    by_identity: BTreeMap<u64, SmolStr>,
     /// Incarnations that leave or have left.
     left: BTreeSet<SmolStr>,
     /// The same, the oldest first.
@@ -125,6 +128,8 @@
     pub fn add(&mut self, key: replica::Key, server: Server) {
         let incarnation = server.incarnation.clone();
         self.by_key.insert(key, incarnation.clone());
+        let identity = rendezvous::identity(&incarnation);
+        self.by_identity.insert(identity, incarnation.clone());
         let known = Known {
             key,
             server,
@@ -135,6 +140,7 @@
 
     /// Forgets a server.
     pub fn remove(&mut self, incarnation: &str) -> Option<Known> {
+        self.by_identity.remove(&rendezvous::identity(incarnation));
         self.known.remove(incarnation)
     }
 
@@ -148,6 +154,11 @@
         self.known.get_mut(incarnation)
     }
 
+    /// The known incarnation that entries name by this hash.
+    pub fn named(&self, identity: u64) -> Option<SmolStr> {
+        self.by_identity.get(&identity).cloned()
+    }
+
     /// Notes that an incarnation leaves; whether that is news.
     pub fn mark_leaving(&mut self, incarnation: &SmolStr) -> bool {
         if !self.left.insert(incarnation.clone()) {
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod limit;
 pub mod mix;
+pub mod pace;
 pub mod placement;
 pub mod quarantine;
 pub mod quota;
--- a/crates/policy/src/configs/scheduler.rs
+++ b/crates/policy/src/configs/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::configs::fair;
 use crate::configs::health;
 use crate::configs::limit;
+use crate::configs::pace;
 use crate::configs::placement;
 use crate::configs::quarantine;
 use crate::configs::retry;
@@ -32,6 +33,8 @@
     pub health: health::Config,
     /// Account limits.
     pub limit: limit::Config,
+    /// Replicas that name limits.
+    pub pace: pace::Config,
     /// Choice of replica.
     pub placement: placement::Config,
     /// Killer requests.
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -196,7 +196,7 @@
             || replica.running() == 0
             || replica.load.jobs(now, usual)
                 < f64::from(pool.warmup.jobs(now, key, replica.spec.slots));
-        healthy && has_slots && warm
+        healthy && has_slots && warm && replica.gate.is_open(now)
     }
 
     /// Whether one more of our jobs may run there: within what its latency allows, and within our
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -222,7 +222,8 @@
             .ahead(level(&account.spec, job), job.account, account.spec.weight);
         let rate = pool.service.rate(pool.running);
         // Even the next in line waits until something ends.
-        admission::wait(ahead, rate).max(Span::from_millis(1))
+        let wait = admission::wait(ahead, rate).max(self.paced_wait(pool));
+        wait.max(Span::from_millis(1))
     }
 
     /// Whether a job of the class could start at once.
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod intake;
 mod moves;
+mod paces;
 mod placement;
 mod refusals;
 mod state;
@@ -27,6 +28,7 @@
 use crate::job;
 use crate::job::Job;
 use crate::limit;
+use crate::pace::Share;
 use crate::pool;
 use crate::quarantine;
 use crate::replica;
@@ -54,6 +56,10 @@
     leaving: BTreeSet<replica::Key>,
     /// When moves are planned next.
     review: Option<Time>,
+    /// Replicas that named a limit.
+    limited: BTreeSet<replica::Key>,
+    /// When it was looked whether one of them takes a request again.
+    paces_seen: Time,
     /// Pools to look at in the next poll.
     stirred: BTreeSet<pool::Key>,
     /// Suspects that wait outside their queue, and until when.
@@ -112,6 +118,8 @@
             steps: BTreeMap::new(),
             leaving: BTreeSet::new(),
             review: None,
+            limited: BTreeSet::new(),
+            paces_seen: Time::ZERO,
             stirred: BTreeSet::new(),
             random: Pcg64::seed_from_u64(seed),
             seed,
@@ -214,6 +222,19 @@
         self.poll(now, out);
     }
 
+    /// The replica has named a limit, of which this entry has a share, or its limit is lifted.
+    pub fn replica_paced(
+        &mut self,
+        now: Time,
+        key: replica::Key,
+        share: Share,
+        out: &mut Vec<Decision>,
+    ) {
+        if self.set_share(now, key, share) {
+            self.poll(now, out);
+        }
+    }
+
     /// The replica is gone; the embedder reports the end of each attempt there by itself.
     pub fn replica_lost(&mut self, _now: Time, key: replica::Key) {
         self.forget(key);
@@ -275,6 +296,7 @@
         self.recall_suspects(now, out);
         self.release_held(now, out);
         self.move_on(now, out);
+        self.stir_paced(now);
         while let Some(pool) = self.stirred.pop_first() {
             self.dispatch(now, pool, out);
         }
@@ -290,7 +312,7 @@
         let expiry = self.expiry.first().map(|(at, _)| *at);
         let held = self.held.first().map(|(at, _)| *at);
         let step = self.next_step();
-        [judged, expiry, held, step, self.review]
+        [judged, expiry, held, step, self.review, self.next_paced()]
             .into_iter()
             .flatten()
             .min()
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -48,6 +48,7 @@
     pub(super) fn forget(&mut self, key: replica::Key) {
         self.drop_member(key);
         self.leaving.remove(&key);
+        self.limited.remove(&key);
         let Some(replica) = self.replicas.get_mut(&key) else {
             return;
         };
@@ -171,7 +172,8 @@
         let last_call = soonest.is_some_and(|left| left <= call);
         let (mut outside, mut inside) = (Vec::new(), Vec::new());
         for candidate in self.candidates(now, pool) {
-            let Some(replica) = self.replicas.get(&candidate.key) else {
+            let replica = self.replicas.get(&candidate.key);
+            let Some(replica) = replica.filter(|replica| !replica.gate.is_limited()) else {
                 continue;
             };
             let free = (f64::from(replica.spec.slots) - candidate.load).max(0.0) as u32;
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -148,6 +148,9 @@
         open.moved = false;
         open.tried.push(replica);
         open.sent += 1;
+        if let Some(replica) = self.replicas.get_mut(&replica) {
+            replica.gate.take(now);
+        }
         self.put_on(now, id, replica);
     }
 
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -18,6 +18,7 @@
 use crate::health::Monitor;
 use crate::job;
 use crate::job::Job;
+use crate::pace;
 use crate::rendezvous;
 use crate::replica;
 use crate::retry::Budget;
@@ -107,6 +108,8 @@
     pub lost: bool,
     /// Whether it may be gone.
     pub doubted: bool,
+    /// Whether it takes requests, if it has named a limit.
+    pub gate: pace::Gate,
     pub load: Load,
     pub share: Share,
     /// Our attempts there.
@@ -126,6 +129,7 @@
             leaving: None,
             lost: false,
             doubted: false,
+            gate: pace::Gate::default(),
             jobs: BTreeSet::new(),
             trial: None,
         }
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -277,7 +277,8 @@
         let pool = self.pools.get(&open.job.pool)?;
         let free = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
-            let usable = pool.monitor.allowance(*key) != Allowance::None;
+            let usable =
+                pool.monitor.allowance(*key) != Allowance::None && replica.gate.is_open(now);
             let taken = replica.trial.is_some()
                 || self.quarantine.is_reserved(now, replica.identity)
                 || open.tried.contains(key);
--- /dev/null
+++ b/crates/policy/tests/pace.rs
@@ -0,0 +1,171 @@
+//! Replicas that name how many requests they take.
+
+#![allow(clippy::unwrap_used)]
+
+use clock::Span;
+use clock::Time;
+use policy::account;
+use policy::configs::pace::Config;
+use policy::configs::scheduler::Settings;
+use policy::decision::Decision;
+use policy::job;
+use policy::job::Job;
+use policy::pace::Rate;
+use policy::pace::Share;
+use policy::pace::share;
+use policy::pool;
+use policy::replica;
+use policy::scheduler::Scheduler;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+const ACCOUNT: account::Key = account::Key(0);
+const POOL: pool::Key = pool::Key(0);
+
+/// What all entries together may send.
+fn dealt(limit: f64, entries: u64) -> (f64, usize) {
+    let config = Config::default();
+    let all: Vec<u64> = (0..entries).map(|entry| entry * 7 + 3).collect();
+    let limit = Rate::per_second(limit).unwrap();
+    let shares = all
+        .iter()
+        .map(|me| share(&config, 99, limit, &all, *me))
+        .filter_map(|share| match share {
+            Share::Part(rate) => Some(rate.in_seconds()),
+            _ => None,
+        });
+    let shares: Vec<f64> = shares.collect();
+    (shares.iter().sum(), shares.len())
+}
+
+#[test]
+fn a_limit_is_dealt_whole_and_never_twice() {
+    for entries in [1, 8, 75, 300, 840] {
+        for limit in [0.2, 1.0, 1.9, 7.0, 250.0] {
+            let (sum, senders) = dealt(limit, entries);
+            assert!(sum <= limit + 1e-9, "{sum} of {limit}, {entries} entries");
+            assert!(sum >= 0.99 * limit - 0.002 * senders as f64);
+            assert!((1..=entries as usize).contains(&senders));
+            // What each may send at once doesn't add up to more than the limit of a second, or one request.
+            assert!(senders <= limit.max(1.0) as usize);
+        }
+    }
+}
+
+#[test]
+fn texts_that_are_no_rates_are_none() {
+    for text in [f64::NAN, f64::INFINITY, -1.0] {
+        assert_eq!(Rate::per_second(text), None);
+    }
+    assert_eq!(Rate::per_second(1.2), Some(Rate(1_200)));
+}
+
+/// A scheduler with this many replicas.
+fn scheduler(replicas: u32) -> (Scheduler, Vec<replica::Key>) {
+    let mut scheduler = Scheduler::with_settings(7, Settings::default());
+    let account = account::Spec {
+        name: SmolStr::new_static("amber"),
+        weight: 1,
+        priority: 0,
+        tokens_per_second: 0,
+        concurrent: 0,
+    };
+    scheduler.set_account(ACCOUNT, account);
+    scheduler.set_entries(1);
+    let keys = (0..replicas).map(|number| {
+        let spec = replica::Spec {
+            incarnation: format_smolstr!("r{number}"),
+            pool: POOL,
+            zone: SmolStr::new_static("north"),
+            slots: 64,
+        };
+        scheduler.replica_joined(Time::ZERO, spec, &mut Vec::new())
+    });
+    let keys = keys.collect();
+    (scheduler, keys)
+}
+
+fn job(id: u64, patience: Span) -> Job {
+    Job {
+        id: job::Id(id),
+        account: ACCOUNT,
+        pool: POOL,
+        kind: job::Kind::Plain,
+        prompt_tokens: 1,
+        max_new_tokens: 0,
+        prefix: 0,
+        fingerprint: id,
+        idempotent: true,
+        first_token: patience,
+        token_gap: patience,
+        terms: job::Terms {
+            rank: 0,
+            attempts: 2,
+            patience,
+        },
+    }
+}
+
+fn started(decisions: &[Decision]) -> Vec<replica::Key> {
+    let started = decisions.iter().filter_map(|decision| match decision {
+        Decision::Start { replica, .. } => Some(*replica),
+        _ => None,
+    });
+    started.collect()
+}
+
+#[test]
+fn other_replicas_take_what_one_in_need_does_not() {
+    let (mut scheduler, keys) = scheduler(2);
+    let mut out = Vec::new();
+    scheduler.replica_paced(Time::ZERO, keys[0], Share::Nothing, &mut out);
+    for id in 0..20 {
+        scheduler.offer(Time::ZERO, job(id, Span::from_seconds(5)), &mut out);
+    }
+    let started = started(&out);
+    assert!(!started.is_empty());
+    assert!(started.iter().all(|replica| *replica == keys[1]));
+}
+
+/// Without a wake-up at that time, a request would wait until something else happens.
+#[test]
+fn a_waiting_request_goes_out_when_its_replica_takes_one_again() {
+    let (mut scheduler, keys) = scheduler(1);
+    let mut out = Vec::new();
+    let rate = Rate::per_second(2.0).unwrap();
+    scheduler.replica_paced(Time::ZERO, keys[0], Share::Part(rate), &mut out);
+    for id in 0..2 {
+        scheduler.offer(Time::ZERO, job(id, Span::from_seconds(5)), &mut out);
+    }
+    assert_eq!(started(&out).len(), 1);
+    let wake = scheduler.next_wake().unwrap();
+    assert!(wake <= Time::from_millis(500), "woken at {wake}");
+    let mut now = Time::ZERO;
+    while started(&out).len() < 2 && now < Time::from_millis(1_000) {
+        now = scheduler
+            .next_wake()
+            .unwrap()
+            .max(now + Span::from_millis(1));
+        scheduler.poll(now, &mut out);
+    }
+    assert_eq!((started(&out).len(), now), (2, Time::from_millis(500)));
+}
+
+/// Callers that can't be served in time were held until their deadlines.
+#[test]
+fn requests_that_no_replica_in_need_can_take_in_time_are_refused_at_once() {
+    let (mut scheduler, keys) = scheduler(3);
+    let mut out = Vec::new();
+    let rate = Rate::per_second(1.0).unwrap();
+    for key in keys {
+        scheduler.replica_paced(Time::ZERO, key, Share::Part(rate), &mut out);
+    }
+    for id in 0..30 {
+        scheduler.offer(Time::ZERO, job(id, Span::from_seconds(2)), &mut out);
+    }
+    let refused = out
+        .iter()
+        .filter(|one| matches!(one, Decision::Refuse { .. }));
+    // Three go at once, six more in two seconds.
+    assert!(refused.count() >= 30 - 3 - 6);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -281,12 +281,7 @@
     response: Response<Incoming>,
 ) -> Head {
     let (head, body) = response.into_parts();
-    if let Some(rate) = shared.codec.limit(&head.headers) {
-        shared.link.event(event::Event::LimitNamed {
-            incarnation: start.place.incarnation.clone(),
-            rate: Some(rate),
-        });
-    }
+    note_limit(shared, start, &head.headers);
     match shared.codec.judge(&head, &question.id) {
         Judgement::Answer => Head::Came(Answer {
             connection,
@@ -305,6 +300,17 @@
     }
 }
 
+/// Tells the reducer of a limit that the answer names, or that it names none any more.
+fn note_limit(shared: &Shared, start: &Start, headers: &HeaderMap) {
+    let rate = shared.codec.limit(headers);
+    if rate.is_some() || start.limited {
+        shared.link.event(event::Event::LimitNamed {
+            incarnation: start.place.incarnation.clone(),
+            rate,
+        });
+    }
+}
+
 /// A connection broke while the request was at the replica. Whether the replica still takes connections
 /// tells a lost answer from a crash: requests that run where servers crash are suspected.
 async fn broken(shared: &Shared, start: &Start) -> End {
--- a/crates/role/src/roster.rs
+++ b/crates/role/src/roster.rs
@@ -28,15 +28,19 @@
     hubs: Vec<holder::Id>,
     readers: Vec<holder::Id>,
     homes: Vec<holder::Id>,
+    entries: Vec<holder::Id>,
 }
 
 impl Roster {
     /// Assigns the roles among these entries.
     pub fn new(candidates: &[Candidate]) -> Roster {
         let hubs = hubs(candidates);
+        let mut entries: Vec<holder::Id> = candidates.iter().map(|one| one.id).collect();
+        entries.sort_unstable();
         Roster {
             readers: readers(candidates, &hubs),
             homes: homes(candidates, &hubs),
+            entries,
             hubs,
         }
     }
@@ -52,6 +56,11 @@
         &self.readers
     }
 
+    /// All that take part.
+    pub fn entries(&self) -> &[holder::Id] {
+        &self.entries
+    }
+
     /// Those who decide on accounts' quotas. A hub writes to all entries at once, twice a second, and whoever asks it
     /// meanwhile waits for that; so hubs are none.
     pub fn homes(&self) -> &[holder::Id] {
