Say at once that an entry fell silent, and refute it of a live one

Cause: an entry counted as present for a time that grows with the number of entries, three rounds of heartbeats, twice that by hubs, and a relayed heartbeat counted as heard when it came, however late.

Change: who hears an entry directly says that it fell silent: few entries each for itself, among many the hubs, which are told by everyone twice a second, for all, in a message of its own; the hubs' own silence everyone notices. A later heartbeat refutes it, and a live entry that is told of its silence raises its own at once. Who was late itself, has just become a hub, or hears nobody suspects nobody. Roles follow: hubs, readers and homes that fell silent are replaced as soon.

--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -150,7 +150,8 @@
             | Topic::List
             | Topic::Resigned
             | Topic::Renewed
-            | Topic::Rollout => {}
+            | Topic::Rollout
+            | Topic::Silent => {}
         }
     }
 
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -24,6 +24,7 @@
 use crate::effect::Effect;
 use crate::effect::Lane;
 use crate::gateway::Gateway;
+use crate::silence::Watching;
 use crate::usage;
 use crate::work;
 use crate::work::Work;
@@ -49,6 +50,8 @@
     on: bool,
     /// By entry; that of ended ones stays, since their counts still hold.
     heard: BTreeMap<holder::Id, Heard>,
+    /// Since when this entry has looked for silent ones without a gap.
+    pub(crate) watching: Watching,
     /// Whose sums are taken in, and when the last one came.
     pub(crate) listened: Option<(holder::Id, Time)>,
     /// The hubs as they were last.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod rollout_lead;
 mod rollouts;
 mod servers;
+mod silence;
 mod stop;
 mod store_calls;
 mod timeouts;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -58,7 +58,9 @@
                 let load = u8::MAX - self.settings.capacity;
                 self.attend(now, MemberEvent::Load(load), effects);
             }
+            self.membership.raise_beat(now);
             self.consider_hubs(now, effects);
+            self.silence_tick(now, effects);
             self.assign_roles(now);
             self.limits_tick(now, effects);
             self.next_bulletin = now + self.bulletin_time();
@@ -199,6 +201,7 @@
             Topic::Rollout => self.rollout_announced(now, item, effects),
             Topic::Renewed => self.holder_renewed(now, item, effects),
             Topic::Resigned => self.holder_resigned(now, item, effects),
+            Topic::Silent => self.told_silent(now, item, effects),
             Topic::Heir | Topic::Demand => {}
         }
     }
--- /dev/null
+++ b/crates/gateway/tests/silence.rs
@@ -0,0 +1,114 @@
+//! Entries that end without a word, and how long callers are sent to them.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use support::World;
+use support::caller_address;
+
+/// From an entry's loss until nobody names it any more, milliseconds: the aim at every size.
+const UNNAMED: u64 = 2_500;
+const SETTLED: u64 = 9_000;
+const LOOK: u64 = 100;
+
+/// Kills entries; the longest time for which another one names one of them.
+fn named_for(entries: usize, lost: &BTreeSet<usize>) -> u64 {
+    let mut world = World::new(entries);
+    world.run(SETTLED);
+    for entry in lost {
+        world.kill(*entry);
+    }
+    let lost_at = world.now;
+    let mut last = 0;
+    while world.now < lost_at + 9_000 {
+        world.run(LOOK);
+        for entry in (0..entries).filter(|entry| !lost.contains(entry)) {
+            let named = world.ask_addresses(entry);
+            let gone = |one: &usize| named.contains(&caller_address(*one));
+            if lost.iter().any(gone) {
+                last = world.now - lost_at;
+            }
+        }
+    }
+    last
+}
+
+/// The entries that send the most sums.
+fn hubs(entries: usize) -> BTreeSet<usize> {
+    let mut world = World::new(entries);
+    world.run(SETTLED);
+    world.sent.clear();
+    world.run(1_000);
+    let mut sent: Vec<(u32, usize)> = world
+        .sent
+        .iter()
+        .map(|(entry, sums)| (*sums, *entry))
+        .collect();
+    sent.sort_unstable();
+    sent.into_iter()
+        .rev()
+        .take(2)
+        .map(|(_, entry)| entry)
+        .collect()
+}
+
+#[test]
+fn a_lost_entry_is_soon_named_no_more() {
+    // With the number of entries grew how long heartbeats took to come round, and with that how long nobody doubted one
+    // that was off: seven seconds among 62.
+    for entries in [8, 24, 62] {
+        let lost = BTreeSet::from([3]);
+        let named = named_for(entries, &lost);
+        assert!(named <= UNNAMED, "named for {named} ms, {entries} entries");
+    }
+}
+
+#[test]
+fn many_entries_lost_at_once_are_soon_named_no_more() {
+    for entries in [8, 24] {
+        let lost: BTreeSet<usize> = (0..entries).filter(|entry| entry % 3 == 0).collect();
+        let named = named_for(entries, &lost);
+        assert!(named <= UNNAMED, "named for {named} ms, {entries} entries");
+    }
+}
+
+#[test]
+fn entries_lost_with_those_who_watch_them_are_soon_named_no_more() {
+    let entries = 24;
+    let mut lost = hubs(entries);
+    lost.insert((0..entries).find(|entry| !lost.contains(entry)).unwrap());
+    let named = named_for(entries, &lost);
+    assert!(named <= 2 * UNNAMED, "named for {named} ms");
+}
+
+#[test]
+fn live_entries_stay_named() {
+    // Who is taken for lost by mistake gets no callers while the others get too many.
+    let mut world = World::new(24);
+    world.run(SETTLED);
+    let mut missing = 0;
+    for _ in 0..100 {
+        world.run(LOOK);
+        let named: BTreeSet<_> = (0..24)
+            .flat_map(|entry| world.ask_addresses(entry))
+            .collect();
+        missing += 24 - named.len();
+    }
+    assert_eq!(missing, 0);
+}
+
+#[test]
+fn an_entry_that_was_cut_off_is_soon_named_again() {
+    let mut world = World::new(24);
+    world.run(SETTLED);
+    world.cut.insert(5);
+    world.run(4_000);
+    assert!(!world.ask_addresses(7).contains(&caller_address(5)));
+    world.cut.clear();
+    world.run(3_000);
+    let named: BTreeSet<_> = (0..5).flat_map(|_| world.ask_addresses(7)).collect();
+    assert!(named.contains(&caller_address(5)));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -110,6 +110,8 @@
     pub places: BTreeMap<u64, SmolStr>,
     /// Requests as they were handed to servers.
     pub handed: Vec<Handed>,
+    /// Entries that the last answer to a caller named.
+    named: Vec<SmolStr>,
     /// Runs that were ordered to move: serial, and the server that they go to.
     pub moved: Vec<(u64, SmolStr)>,
     /// Lines of all logs, by event.
@@ -179,6 +181,7 @@
             started: 0,
             places: BTreeMap::new(),
             handed: Vec::new(),
+            named: Vec::new(),
             moved: Vec::new(),
             lines: BTreeMap::new(),
             store_silent: false,
@@ -219,7 +222,7 @@
             // Scattered, as drawn ones are.
             incarnation: holder::Id(self.next_life.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
             zone: SmolStr::new_static(ZONES[entry % self.zones]),
-            caller_address: format_smolstr!("10.0.0.{entry}:80"),
+            caller_address: caller_address(entry),
             peer_address: peer_address(entry),
         };
         let mut settings = self.settings.clone();
@@ -406,6 +409,13 @@
         self.serve_path(entry, "/drafts/1")
     }
 
+    /// Asks an entry which ones to use.
+    pub fn ask_addresses(&mut self, entry: usize) -> Vec<SmolStr> {
+        let (asker, zone) = (1, None);
+        self.step(entry, Event::AddressesAsked { asker, zone });
+        std::mem::take(&mut self.named)
+    }
+
     /// A request of nobody's account that isn't answered yet.
     pub fn ask_openly(&mut self, entry: usize) {
         self.arrive(entry, "/open/1", None);
@@ -699,7 +709,11 @@
                 }
                 None
             }
-            Effect::Addresses { .. } | Effect::ReadConfiguration => None,
+            Effect::Addresses { answer, .. } => {
+                self.named = answer.map(|answer| answer.entries).unwrap_or_default();
+                None
+            }
+            Effect::ReadConfiguration => None,
             Effect::FollowServers { pause } => {
                 self.following.insert(entry, pause.is_some());
                 None
@@ -744,6 +758,10 @@
     bulletins.filter(|bulletin| bulletin.sums > 0).count() as u32
 }
 
+pub fn caller_address(entry: usize) -> SmolStr {
+    format_smolstr!("10.0.0.{entry}:80")
+}
+
 pub fn peer_address(entry: usize) -> SmolStr {
     format_smolstr!("10.0.0.{entry}:90")
 }
--- a/crates/member/src/digest.rs
+++ b/crates/member/src/digest.rs
@@ -76,6 +76,9 @@
     Renewed,
     /// How far a service's roll-out is, by its leader; the key names the service.
     Rollout,
+    /// A member that was heard directly fell silent; the key names it, the version is the count of its last heartbeat.
+    /// A later heartbeat refutes it.
+    Silent,
 }
 
 impl Topic {
@@ -83,7 +86,9 @@
     /// servers that it speaks of are gone by then.
     pub const fn lifetime(self) -> Span {
         match self {
-            Topic::Demand | Topic::Count | Topic::List | Topic::Renewed => Span::from_seconds(15),
+            Topic::Demand | Topic::Count | Topic::List | Topic::Renewed | Topic::Silent => {
+                Span::from_seconds(15)
+            }
             // Whoever can read the list itself needs it no more.
             Topic::Ended | Topic::Resigned | Topic::Rollout => Span::from_seconds(60),
             Topic::Quarantine => Span::from_seconds(900),
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -15,6 +15,10 @@
 use crate::digest::Record;
 use crate::row::State;
 
+/// Heartbeats by which another's word of a member may be ahead of the word that it fell silent: it was on its way, or
+/// came by a longer one.
+pub const LEAD: u64 = 12;
+
 /// The members.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -30,6 +34,8 @@
     pub beat: Beat,
     /// When the heartbeat last rose, or the member was first heard of.
     pub heard: Time,
+    /// The last heartbeat that may be of before it fell silent, if it was reported silent.
+    pub suspected: Option<u64>,
 }
 
 impl Directory {
@@ -43,6 +49,7 @@
                 record: record.clone(),
                 beat: Beat::default(),
                 heard: now,
+                suspected: None,
             };
             self.members.insert(record.row.id, known);
             return true;
@@ -75,6 +82,19 @@
         newer
     }
 
+    /// Notes that a member fell silent after a heartbeat; true if that is news, and no later one is known.
+    pub fn suspect(&mut self, id: holder::Id, count: u64) -> bool {
+        let Some(known) = self.members.get_mut(&id) else {
+            return false;
+        };
+        let lead = count + LEAD;
+        if known.beat.count > lead || known.suspected.is_some_and(|known| known >= lead) {
+            return false;
+        }
+        known.suspected = Some(lead);
+        true
+    }
+
     /// Forgets members that went or left and were not heard for `keep`; names them.
     pub fn expire(&mut self, now: Time, keep: Span) -> Vec<holder::Id> {
         let expired: Vec<holder::Id> = self
@@ -148,8 +168,14 @@
         }
     }
 
-    /// Whether it may be named to callers: live, and heard within `quiet`.
+    /// Whether it was reported silent and hasn't been heard since.
+    pub fn is_suspected(&self) -> bool {
+        self.suspected.is_some_and(|count| self.beat.count <= count)
+    }
+
+    /// Whether it may be named to callers: live, heard within `quiet` and not reported silent.
     pub fn is_usable(&self, now: Time, quiet: Span) -> bool {
-        self.is_present() && self.record.row.state == State::Live && now.since(self.heard) <= quiet
+        let live = self.is_present() && self.record.row.state == State::Live;
+        live && now.since(self.heard) <= quiet && !self.is_suspected()
     }
 }
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -34,6 +34,7 @@
 use crate::digest::Topic;
 use crate::directory::Directory;
 use crate::directory::Known;
+use crate::directory::LEAD;
 use crate::event::Effect;
 use crate::event::Event;
 use crate::news::News;
@@ -236,6 +237,24 @@
         self.beat
     }
 
+    /// Raises our heartbeat, for a message past the rounds.
+    pub fn raise_beat(&mut self, now: Time) {
+        self.beat.count += 1;
+        let beat = self.beat;
+        self.directory.hear(now, &beat);
+    }
+
+    /// Notes that a member fell silent after a heartbeat; true if that is news. Our own next heartbeat refutes it of us.
+    pub fn suspect(&mut self, now: Time, id: holder::Id, count: u64) -> bool {
+        if id == self.me {
+            self.beat.count = self.beat.count.max(count + LEAD);
+            self.raise_beat(now);
+            self.hurry(now);
+            return false;
+        }
+        self.directory.suspect(id, count)
+    }
+
     /// All members known here.
     pub fn directory(&self) -> &Directory {
         &self.directory
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -112,6 +112,7 @@
   resigned @7;
   renewed @8;
   rollout @9;
+  silent @10;
 }
 
 struct News {
--- a/crates/wire/src/digest.rs
+++ b/crates/wire/src/digest.rs
@@ -130,6 +130,7 @@
         Topic::Resigned => WireTopic::Resigned,
         Topic::Renewed => WireTopic::Renewed,
         Topic::Rollout => WireTopic::Rollout,
+        Topic::Silent => WireTopic::Silent,
     });
     to.set_key(item.key.as_str());
     to.set_version(item.version);
@@ -149,6 +150,7 @@
         Ok(WireTopic::Resigned) => Topic::Resigned,
         Ok(WireTopic::Renewed) => Topic::Renewed,
         Ok(WireTopic::Rollout) => Topic::Rollout,
+        Ok(WireTopic::Silent) => Topic::Silent,
         Err(_) => return Ok(None),
     };
     Ok(Some(Item {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -5256,6 +5256,7 @@
     Resigned = 7,
     Renewed = 8,
     Rollout = 9,
+    Silent = 10,
 }
 
 impl ::capnp::introspect::Introspect for Topic {
@@ -5278,6 +5279,7 @@
             7 => ::core::result::Result::Ok(Self::Resigned),
             8 => ::core::result::Result::Ok(Self::Renewed),
             9 => ::core::result::Result::Ok(Self::Rollout),
+            10 => ::core::result::Result::Ok(Self::Silent),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -5290,7 +5292,7 @@
     const TYPE_ID: u64 = 0xf180_216a_de3f_0d22u64;
 }
 mod topic {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 59] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(34, 13, 63, 222, 106, 33, 128, 241),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -5300,43 +5302,46 @@
     ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 247, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 15, 1, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 84, 111, 112, 105, 99),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(40, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(44, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(105, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(117, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(85, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(89, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(61, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(57, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(61, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
     ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
@@ -5350,6 +5355,7 @@
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(114, 101, 110, 101, 119, 101, 100, 0),
     ::capnp::word(114, 111, 108, 108, 111, 117, 116, 0),
+    ::capnp::word(115, 105, 108, 101, 110, 116, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
