Let an entry whose counts wait for the link be heard all the same

Where counts are outdated before they are sent, what else is in the digest goes out at once as news.

--- a/crates/relay/src/outbox.rs
+++ b/crates/relay/src/outbox.rs
@@ -14,6 +14,7 @@
 use clock::Span;
 use clock::Time;
 use member::digest::Digest;
+use member::digest::Topic;
 use smol_str::SmolStr;
 
 use crate::configs::outbox::Config;
@@ -75,16 +76,19 @@
         }
     }
 
-    /// Takes counts in; they take the place of older ones that still wait.
-    pub fn offer(&mut self, now: Time, address: SmolStr, digest: Digest) {
+    /// Takes counts in. Where they take the place of older ones that still wait, gives what else is in the digest, to be
+    /// sent at once: the peer would take this entry for silent.
+    pub fn offer(&mut self, now: Time, address: SmolStr, digest: Digest) -> Option<Digest> {
         if let Some((_, outdated)) = self.waiting.get_mut(&address) {
+            let head = head_of(&digest);
             *outdated = digest;
-            return;
+            return Some(head);
         }
         self.waiting.insert(address.clone(), (now, digest));
         if !self.under_way.contains_key(&address) {
             self.queue(address);
         }
+        None
     }
 
     /// The next counts to send, if there is room for them.
@@ -179,3 +183,16 @@
         self.slow_bytes -= if sent.slow { sent.bytes } else { 0 };
     }
 }
+
+/// A digest without its counts.
+fn head_of(digest: &Digest) -> Digest {
+    let items = digest.items.iter();
+    Digest {
+        own: digest.own,
+        items: items
+            .filter(|item| item.topic != Topic::Count)
+            .cloned()
+            .collect(),
+        ..Digest::default()
+    }
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -162,16 +162,20 @@
 
     /// Sends a digest; its loss does no harm.
     pub fn send_digest(&self, address: SmolStr, digest: Digest, lane: Lane) {
-        let digests = Rc::clone(&self.digests);
-        match lane {
-            Lane::News => {
-                tokio::task::spawn_local(async move { digests.send(&address, &digest).await });
-            }
+        let news = match lane {
+            Lane::News => Some(digest),
             Lane::Counts => {
                 let now = self.shared.clock.now();
-                digests.outbox.borrow_mut().offer(now, address, digest);
-                digests.pump();
+                let mut outbox = self.digests.outbox.borrow_mut();
+                outbox.offer(now, address.clone(), digest)
             }
+        };
+        if let Some(digest) = news {
+            let digests = Rc::clone(&self.digests);
+            tokio::task::spawn_local(async move { digests.send(&address, &digest).await });
+        }
+        if lane == Lane::Counts {
+            self.digests.pump();
         }
     }
 
--- a/crates/relay/tests/outbox.rs
+++ b/crates/relay/tests/outbox.rs
@@ -24,6 +24,8 @@
 const ANSWER: u64 = 3;
 /// A call without an answer has failed by then, milliseconds.
 const CALL: u64 = 2_000;
+/// An entry that isn't heard for 1,250 ms is taken for silent; the way to it takes up to 150.
+const LONGEST_SILENCE: u64 = 1_100;
 /// What a server that leaves leaves to news of it and requests under way: a request may wait for the link so long.
 const LONGEST_WAIT: u64 = 100;
 
@@ -50,8 +52,19 @@
 #[derive(Default)]
 struct Outcome {
     longest_wait: u64,
-    /// The newest round that each peer has, and when it last got one.
+    /// The newest round that each peer has.
     rounds: BTreeMap<usize, u64>,
+    /// When each peer last heard this entry.
+    heard: BTreeMap<usize, u64>,
+    /// The longest time for which one that answers didn't.
+    longest_silence: u64,
+}
+
+impl Outcome {
+    fn hear(&mut self, peer: usize, now: u64) {
+        let before = self.heard.insert(peer, now).unwrap_or(0);
+        self.longest_silence = self.longest_silence.max(now - before);
+    }
 }
 
 /// An entry that sends counts of `bytes` to each peer in each round, and requests besides.
@@ -73,13 +86,21 @@
             free_at: 0.0,
         };
         let mut answers: BTreeMap<u64, Vec<(SmolStr, Option<u64>)>> = BTreeMap::new();
+        let mut heads: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
         let mut outcome = Outcome::default();
         for now in 0..self.until {
+            let later = heads.split_off(&(now + 1));
+            for peer in std::mem::replace(&mut heads, later).into_values().flatten() {
+                if !self.silent.contains(&peer) {
+                    outcome.hear(peer, now);
+                }
+            }
             let time = Time::from_millis(now);
             for (address, round) in answers.remove(&now).unwrap_or_default() {
                 outbox.answered(time, &address);
                 if let Some(round) = round {
                     let peer: usize = address.parse().unwrap();
+                    outcome.hear(peer, now);
                     let newest = outcome.rounds.entry(peer).or_default();
                     assert!(round >= *newest, "counts overtook newer ones");
                     *newest = round;
@@ -88,7 +109,11 @@
             if now % ROUND == 0 {
                 for peer in 0..self.peers {
                     let digest = counts(now / ROUND, self.bytes);
-                    outbox.offer(time, format_smolstr!("{peer}"), digest);
+                    let head = outbox.offer(time, format_smolstr!("{peer}"), digest);
+                    if let Some(head) = head {
+                        let through = link.send(now, head.size());
+                        heads.entry(through).or_default().push(peer);
+                    }
                 }
             }
             while let Some((address, digest)) = outbox.next(time) {
@@ -145,6 +170,28 @@
     }
 }
 
+#[test]
+fn an_entry_whose_counts_wait_is_heard_all_the_same() {
+    // Entries that add up counts would be taken for silent on narrow links, and others would take their place by turns.
+    for (peers, bytes) in [(75, 14_000), (300, 6_000)] {
+        let run = Run {
+            peers,
+            bytes,
+            megabits: 10,
+            silent: BTreeSet::new(),
+            until: 20_000,
+        };
+        let outcome = run.play();
+        assert_eq!(outcome.heard.len(), peers);
+        let silence = outcome.longest_silence;
+        assert!(
+            silence <= LONGEST_SILENCE,
+            "unheard for {silence} ms by one of {peers}"
+        );
+        assert!(outcome.longest_wait <= LONGEST_WAIT);
+    }
+}
+
 #[test]
 fn counts_reach_every_peer_as_fast_as_the_link_allows() {
     // Counts that are always overtaken by newer ones before their turn would never come.
