--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -9,7 +9,7 @@
 use smol_str::SmolStr;
 
 use crate::limits;
-use crate::limits::Words;
+use crate::limits::Reports;
 use crate::usage::Windows;
 use crate::work::Work;
 
@@ -40,9 +40,9 @@
     /// Answers since the order of each roll-out, by service.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub tallies: BTreeMap<SmolStr, Tally>,
-    /// What servers said of their limits.
+    /// Limits that servers named.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub limits: Words,
+    pub limits: Reports,
 }
 
 fn is_zero(value: &u32) -> bool {
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -158,7 +158,7 @@
     pub tokens_per_event: u32,
     /// `host:port` of a replica that may keep what the prompt shares with others, to be fetched from there.
     pub fetch: Option<SmolStr>,
-    /// Whether the replica has named a limit, which it must be heard to lift.
+    /// Whether a limit of the replica is in force: an answer without one lifts it.
     pub limited: bool,
     /// Priority for the engine: 0 goes first, 9 last; none for plain services.
     pub urgency: Option<u8>,
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,7 +1,7 @@
 //! Limits that backend servers in need name in their answers.
 //!
-//! Whoever gets an answer tells the others with its counts; the newest word of a server counts. Each limit is dealt to
-//! some of the entries by [`policy::pace`].
+//! Each entry reports the limits in its answers with its counts; of several reports on a server the newest counts. Each
+//! limit is dealt to some of the entries by [`policy::pace`].
 
 use std::collections::BTreeMap;
 
@@ -19,7 +19,7 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 
-/// How long it is told that a limit is lifted: an older word of it may still be on its way.
+/// How long it is reported that a limit is lifted: an older report may still be under way.
 const LIFTED_KEPT: Span = Span::from_seconds(60);
 
 /// What servers said last, by incarnation.
@@ -34,13 +34,13 @@
     at: Time,
     /// None if it named no limit.
     rate: Option<Rate>,
-    /// Whether it said so to this entry, which tells the others.
+    /// Whether it stood in an answer to this entry, which reports it.
     here: bool,
 }
 
-/// What one entry tells of a server's limit.
+/// One entry's report on a server's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Report {
     /// Requests in a thousand seconds, from all entries together; none once the limit is lifted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rate: Option<u32>,
@@ -48,15 +48,15 @@
     pub age_ms: u64,
 }
 
-/// What entries tell of limits, by the hash of the server's incarnation.
-pub type Words = BTreeMap<u64, Word>;
+/// Reports on limits, by the hash of the server's incarnation.
+pub type Reports = BTreeMap<u64, Report>;
 
-/// Takes the newer word of each server.
-pub(crate) fn take_newest(into: &mut Words, words: &Words) {
-    for (server, word) in words {
-        let known = into.entry(*server).or_insert(*word);
-        if word.age_ms < known.age_ms {
-            *known = *word;
+/// Takes the newer report on each server.
+pub(crate) fn take_newest(into: &mut Reports, reports: &Reports) {
+    for (server, report) in reports {
+        let known = into.entry(*server).or_insert(*report);
+        if report.age_ms < known.age_ms {
+            *known = *report;
         }
     }
 }
@@ -68,17 +68,17 @@
         named.is_some_and(|named| named.rate.is_some())
     }
 
-    /// What servers said to this entry.
-    pub(crate) fn words(&self, now: Time) -> Words {
+    /// Limits in answers to this entry.
+    pub(crate) fn reports(&self, now: Time) -> Reports {
         let here = self.named.iter().filter(|(_, named)| named.here);
-        let words = here.map(|(incarnation, named)| {
-            let word = Word {
+        let reports = here.map(|(incarnation, named)| {
+            let report = Report {
                 rate: named.rate.map(|rate| rate.0),
                 age_ms: now.since(named.at).as_millis(),
             };
-            (rendezvous::identity(incarnation), word)
+            (rendezvous::identity(incarnation), report)
         });
-        words.collect()
+        reports.collect()
     }
 
     /// Notes what a server said, unless something newer is known; whether its limit is another one now.
@@ -109,15 +109,20 @@
         self.take_limit(now, incarnation, Named { at, rate, here }, effects);
     }
 
-    /// Other entries tell what servers said to them.
-    pub(crate) fn limits_told(&mut self, now: Time, words: &Words, effects: &mut Vec<Effect>) {
-        for (server, word) in words {
+    /// Another entry reported limits.
+    pub(crate) fn limits_reported(
+        &mut self,
+        now: Time,
+        reports: &Reports,
+        effects: &mut Vec<Effect>,
+    ) {
+        for (server, report) in reports {
             let Some(incarnation) = self.servers.named(*server) else {
                 continue;
             };
             let named = Named {
-                at: Time::from_millis(now.as_millis().saturating_sub(word.age_ms)),
-                rate: word.rate.map(Rate),
+                at: Time::from_millis(now.as_millis().saturating_sub(report.age_ms)),
+                rate: report.rate.map(Rate),
                 here: false,
             };
             self.take_limit(now, &incarnation, named, effects);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -201,7 +201,7 @@
             Topic::Rollout => self.rollout_announced(now, item, effects),
             Topic::Renewed => self.holder_renewed(now, item, effects),
             Topic::Resigned => self.holder_resigned(now, item, effects),
-            Topic::Silent => self.told_silent(now, item, effects),
+            Topic::Silent => self.silence_reported(now, item, effects),
             Topic::Heir | Topic::Demand => {}
         }
     }
@@ -227,7 +227,7 @@
             unix_ms: self.usage.raw_unix_ms(now),
             work: self.work.clone(),
             tallies: self.rollouts.tallies.clone(),
-            limits: self.limits.words(now),
+            limits: self.limits.reports(now),
         };
         if self.by_hubs() {
             return self.tell_by_hubs(now, bulletin, effects);
@@ -285,7 +285,7 @@
                 return;
             }
         }
-        self.limits_told(now, &bulletin.limits, effects);
+        self.limits_reported(now, &bulletin.limits, effects);
         match bulletin.sums {
             0 if self.by_hubs() => self.hub_heard(now, peer, bulletin),
             0 => {
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -1,10 +1,10 @@
-//! Entries that fall silent.
+//! Failure detection among entries.
 //!
-//! Few entries hear each other directly. Among many, hubs hear every entry twice a second, and every entry hears the
-//! hubs as often. Whoever hears an entry directly says
-//! that it fell silent, at once and to all; a later heartbeat of that entry refutes it. So how long a lost entry is
-//! counted on doesn't grow with the time that heartbeats take to come round. Ground: suspicion and refutation as in
-//! SWIM, Das, Gupta and Motivala 2002; who was late itself doubts itself first, as in Lifeguard, Dadgar et al. 2017.
+//! Few entries exchange heartbeats directly. Among many, hubs receive one from every entry twice a second, and every
+//! entry one from each hub. An entry that misses them suspects the sender, and a hub announces it to all; a later
+//! heartbeat refutes the suspicion. So the time to detect a failure doesn't grow with the number of entries, as that of
+//! gossiped heartbeats does. Ground: suspicion and refutation as in SWIM, Das, Gupta and Motivala 2002; an entry that
+//! ran late itself suspects nobody, as in Lifeguard, Dadgar et al. 2017.
 
 use clock::Span;
 use clock::Time;
@@ -20,12 +20,12 @@
 use crate::effect::Lane;
 use crate::gateway::Gateway;
 
-/// Silence of an entry that is heard twice a second or more often.
+/// Missing heartbeats of a sender that sends two a second or more.
 const SILENT: Span = Span::from_millis(1_250);
 /// A longer pause between two looks means that this entry was late itself.
 const LATE: Span = Span::from_millis(900);
 
-/// How long this entry has looked for silent ones.
+/// For how long this entry has received heartbeats without a gap of its own.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Watching {
     since: Time,
@@ -47,13 +47,13 @@
 }
 
 impl Gateway {
-    /// Suspects entries that this one hears directly and that fell silent; a hub tells all others.
+    /// Suspects entries whose direct heartbeats are missing; a hub announces it.
     pub(crate) fn silence_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let hub = self.hub.knows(self.identity.incarnation);
         let since = self.hub.watching.look(now, hub);
         let peers = || self.membership.peers();
         let is_silent = |known: &Known| now.since(known.heard.max(since)) >= SILENT;
-        // Where nobody is heard, this entry is the one that is cut off.
+        // Without any heartbeat, this entry is the one that is cut off.
         if peers().all(|(_, known)| is_silent(known)) {
             return;
         }
@@ -72,12 +72,12 @@
             .with("hub", hub);
         effects.push(Effect::Log(line));
         if hub {
-            self.tell_silent(&silent, effects);
+            self.announce_silent(&silent, effects);
         }
     }
 
-    /// Tells all others of silent entries.
-    fn tell_silent(&mut self, silent: &[(holder::Id, u64)], effects: &mut Vec<Effect>) {
+    /// Announces suspected entries to all.
+    fn announce_silent(&mut self, silent: &[(holder::Id, u64)], effects: &mut Vec<Effect>) {
         let items = silent.iter().map(|(id, count)| Item {
             topic: Topic::Silent,
             key: format_smolstr!("{id}"),
@@ -90,7 +90,7 @@
             items: items.collect(),
             ..Digest::default()
         };
-        // Those that are meant too: one that lives refutes it.
+        // Also to the suspected ones, so that a live one refutes it.
         for (_, known) in self.membership.peers() {
             let address = known.record.row.peer_address.clone();
             effects.push(Effect::SendDigest {
@@ -101,8 +101,8 @@
         }
     }
 
-    /// Another entry says that one fell silent.
-    pub(crate) fn told_silent(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
+    /// A hub suspects an entry.
+    pub(crate) fn silence_reported(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
         let Some(id) = holder::Id::parse(&item.key) else {
             return;
         };
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -174,7 +174,7 @@
 
 #[test]
 fn a_server_that_is_well_again_gets_its_usual_share() {
-    // Who no longer sends to a server would never hear that its limit is lifted.
+    // Without requests to a server no answer would lift its limit.
     for entries in [8, 24] {
         let mut run = Run::new(entries, 2, 1.0);
         run.well = 14_000;
--- a/crates/member/src/digest.rs
+++ b/crates/member/src/digest.rs
@@ -76,8 +76,8 @@
     Renewed,
     /// How far a service's roll-out is, by its leader; the key names the service.
     Rollout,
-    /// A member that was heard directly fell silent; the key names it, the version is the count of its last heartbeat.
-    /// A later heartbeat refutes it.
+    /// A member is suspected to have failed; the key names it, the version is the count of its last heartbeat. A later
+    /// heartbeat refutes it.
     Silent,
 }
 
--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -15,8 +15,7 @@
 use crate::digest::Record;
 use crate::row::State;
 
-/// Heartbeats by which another's word of a member may be ahead of the word that it fell silent: it was on its way, or
-/// came by a longer one.
+/// Heartbeats that may come in after a suspicion though they were sent before it: gossip takes longer ways.
 pub const LEAD: u64 = 12;
 
 /// The members.
@@ -34,7 +33,7 @@
     pub beat: Beat,
     /// When the heartbeat last rose, or the member was first heard of.
     pub heard: Time,
-    /// The last heartbeat that may be of before it fell silent, if it was reported silent.
+    /// The last heartbeat that doesn't refute a suspicion, if there is one.
     pub suspected: Option<u64>,
 }
 
@@ -82,7 +81,7 @@
         newer
     }
 
-    /// Notes that a member fell silent after a heartbeat; true if that is news, and no later one is known.
+    /// Suspects a member by the count of its last heartbeat; false if it was suspected, or a later one refutes it.
     pub fn suspect(&mut self, id: holder::Id, count: u64) -> bool {
         let Some(known) = self.members.get_mut(&id) else {
             return false;
@@ -168,12 +167,12 @@
         }
     }
 
-    /// Whether it was reported silent and hasn't been heard since.
+    /// Whether it is suspected, and no heartbeat has refuted that.
     pub fn is_suspected(&self) -> bool {
         self.suspected.is_some_and(|count| self.beat.count <= count)
     }
 
-    /// Whether it may be named to callers: live, heard within `quiet` and not reported silent.
+    /// Whether it may be named to callers: live, with a heartbeat within `quiet`, and not suspected.
     pub fn is_usable(&self, now: Time, quiet: Span) -> bool {
         let live = self.is_present() && self.record.row.state == State::Live;
         live && now.since(self.heard) <= quiet && !self.is_suspected()
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -244,7 +244,7 @@
         self.directory.hear(now, &beat);
     }
 
-    /// Notes that a member fell silent after a heartbeat; true if that is news. Our own next heartbeat refutes it of us.
+    /// Suspects a member by the count of its last heartbeat; whether that is news. A suspicion of ourselves is refuted.
     pub fn suspect(&mut self, now: Time, id: holder::Id, count: u64) -> bool {
         if id == self.me {
             self.beat.count = self.beat.count.max(count + LEAD);
--- a/crates/policy/src/configs/pace.rs
+++ b/crates/policy/src/configs/pace.rs
@@ -9,7 +9,7 @@
 pub struct Config {
     /// Each entry that sends gets this much at least; all others send nothing.
     pub sender: Rate,
-    /// The least that is sent, whatever the replica says: without an answer nobody hears that it is well again.
+    /// The least that is sent, whatever the limit: only an answer without one lifts it.
     pub least: Rate,
     /// An entry saves up what it doesn't use for so long.
     pub saved: Span,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -300,7 +300,7 @@
     }
 }
 
-/// Tells the reducer of a limit that the answer names, or that it names none any more.
+/// Reports a limit that the answer names, or that it names none any more.
 fn note_limit(shared: &Shared, start: &Start, headers: &HeaderMap) {
     let rate = shared.codec.limit(headers);
     if rate.is_some() || start.limited {
--- a/crates/relay/src/outbox.rs
+++ b/crates/relay/src/outbox.rs
@@ -77,7 +77,7 @@
     }
 
     /// Takes counts in. Where they take the place of older ones that still wait, gives what else is in the digest, to be
-    /// sent at once: the peer would take this entry for silent.
+    /// sent at once: without heartbeats the peer would suspect this entry.
     pub fn offer(&mut self, now: Time, address: SmolStr, digest: Digest) -> Option<Digest> {
         if let Some((_, outdated)) = self.waiting.get_mut(&address) {
             let head = head_of(&digest);
--- a/crates/relay/tests/outbox.rs
+++ b/crates/relay/tests/outbox.rs
@@ -24,7 +24,7 @@
 const ANSWER: u64 = 3;
 /// A call without an answer has failed by then, milliseconds.
 const CALL: u64 = 2_000;
-/// An entry that isn't heard for 1,250 ms is taken for silent; the way to it takes up to 150.
+/// An entry without heartbeats for 1,250 ms is suspected; the way of one takes up to 150.
 const LONGEST_SILENCE: u64 = 1_100;
 /// What a server that leaves leaves to news of it and requests under way: a request may wait for the link so long.
 const LONGEST_WAIT: u64 = 100;
@@ -54,7 +54,7 @@
     longest_wait: u64,
     /// The newest round that each peer has.
     rounds: BTreeMap<usize, u64>,
-    /// When each peer last heard this entry.
+    /// When each peer got the last heartbeat.
     heard: BTreeMap<usize, u64>,
     /// The longest time for which one that answers didn't.
     longest_silence: u64,
@@ -171,8 +171,8 @@
 }
 
 #[test]
-fn an_entry_whose_counts_wait_is_heard_all_the_same() {
-    // Entries that add up counts would be taken for silent on narrow links, and others would take their place by turns.
+fn heartbeats_do_not_wait_behind_counts() {
+    // Entries that add up counts would be suspected on narrow links, and others would take their place by turns.
     for (peers, bytes) in [(75, 14_000), (300, 6_000)] {
         let run = Run {
             peers,
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -540,10 +540,10 @@
     assert_eq!(world.entries[0].digest(), List::default().digest());
 }
 
-/// Sixty servers that came within a second were told again and again, in up to seven reports to everyone, which is more
-/// than a narrow link carries.
+/// Sixty servers that came within a second stood in up to seven reports to everyone each, which is more than a narrow
+/// link carries.
 #[test]
-fn a_wave_of_changes_is_told_at_once_only_once() {
+fn a_wave_of_changes_is_reported_at_once_only_once() {
     let mut world = World::new(3);
     world.read(0);
     let mut told = Vec::new();
