--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -50,7 +50,7 @@
     on: bool,
     /// By entry; that of ended ones stays, since their counts still hold.
     heard: BTreeMap<holder::Id, Heard>,
-    /// Since when this entry has looked for silent ones without a gap.
+    /// For how long heartbeats were received here without a gap.
     pub(crate) watching: Watching,
     /// Whose sums are taken in, and when the last one came.
     pub(crate) listened: Option<(holder::Id, Time)>,
