Let an entry that becomes a reader ask for the list anew

Cause: each entry reads for itself as it starts, and its question for changes waits for ten seconds. The entries that become readers for all let that question run on before they ask each half second.

Change: 1.5 s after an entry became a reader, when roles have settled, it asks anew.

Test: an_entry_that_becomes_a_reader_asks_anew, failed before (no reader asked).

--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -21,11 +21,17 @@
 use crate::gateway::Gateway;
 use crate::presence::Source;
 
+/// Until a new reader asks anew: while entries start, most of them take themselves for readers for a moment.
+const SETTLED: Span = Span::from_millis(1_500);
+
 /// What this entry does to follow the list of servers.
 #[derive(Debug)]
 pub(crate) struct Following {
     /// Pause between two reads as last passed to the shell; none while it need not read.
     pause: Option<Span>,
+    /// When an entry that became a reader asks anew: its question under way was asked as one that reads for itself, and
+    /// waits for longer than the others can do without its word.
+    ask_anew: Option<Time>,
     /// When the whole list is read again, after the table service came back from a copy: by then live servers have
     /// written their rows again, and those that are still missing are gone.
     read_again: Option<Time>,
@@ -36,6 +42,7 @@
     pub fn new() -> Following {
         Following {
             pause: Some(Span::ZERO),
+            ask_anew: None,
             read_again: None,
         }
     }
@@ -119,10 +126,15 @@
                     .with("age_ms", now.since(self.servers.position().at).as_millis());
                 effects.push(Effect::Log(line));
             }
+            let alone = self.following.pause == Some(Span::ZERO);
+            let reads_for_all = pause.is_some_and(|pause| pause > Span::ZERO);
+            self.following.ask_anew = (alone && reads_for_all).then_some(now + SETTLED);
             self.following.pause = pause;
             effects.push(Effect::FollowServers { pause });
         }
-        if self.following.read_again.take_if(|at| *at <= now).is_some() {
+        let due = |at: &mut Time| *at <= now;
+        let anew = self.following.ask_anew.take_if(due).is_some();
+        if self.following.read_again.take_if(due).is_some() || anew {
             effects.push(Effect::ReadServers);
         }
         if self.by_hubs() && self.watch.is_due(now) {
@@ -135,8 +147,13 @@
         let reads = self.following.pause.is_none();
         let reads = reads.then(|| self.watch.reads_at(self.role()));
         let due = self.watch.next_due().filter(|_| self.by_hubs());
-        let again = self.following.read_again;
-        reads.into_iter().chain(due).chain(again).min()
+        let Following {
+            ask_anew,
+            read_again,
+            ..
+        } = self.following;
+        let all = reads.into_iter().chain(due).chain(ask_anew);
+        all.chain(read_again).min()
     }
 
     fn role(&self) -> Role {
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -95,3 +95,17 @@
     follow(&mut world, 2_000);
     assert_eq!(world.logged("server_gone") as usize, ENTRIES);
 }
+
+/// Each entry reads for itself as it starts, and its question for changes waits for ten seconds. Asked before the entry
+/// became a reader for all, it left all others without a word of the list for as long.
+#[test]
+fn an_entry_that_becomes_a_reader_asks_anew() {
+    let mut world = World::new(ENTRIES);
+    follow(&mut world, 4_000);
+    let readers = readers(&world);
+    assert!(!readers.is_empty());
+    for reader in readers {
+        assert!(world.looks.contains_key(&reader), "entry {reader}");
+    }
+    assert!(world.looks.len() <= 5, "{:?}", world.looks);
+}
