Write a roll-out's status until it stands

What the operator saw (by reading, not in a play): a roll-out that has ended reads as not begun or in progress for ever.

Cause: stage and status were written at once, and the first answer counted for both. A status whose write failed wasn't tried again, a phase that changed meanwhile counted as written, and a next leader took a status for written if the stage was.

Change: the stage is written first, then the status, each until it is committed, and what was asked is noted with its phase. A new leader writes the status once anew.

Test: a_status_that_could_not_be_written_is_written_later, failed before.

--- a/crates/gateway/src/rollout_lead.rs
+++ b/crates/gateway/src/rollout_lead.rs
@@ -43,16 +43,40 @@
     order: Order,
     /// None until a former leader's stage was asked for.
     lead: Option<Lead>,
-    /// Whether that question, or the writing of a stage, is under way.
-    asking: bool,
+    /// The call of the table service that is under way.
+    asked: Option<Asked>,
     /// It isn't asked or written again before.
     next_call: Time,
-    /// The phase that stands in the table service.
-    written: Option<Phase>,
+    /// The phase in the stage for a next leader, as far as known.
+    saved: Option<Phase>,
+    /// The phase in the status for the operator, as far as known. Invariant: it was saved before.
+    shown: Option<Phase>,
     next_announcement: Time,
     announcements: u64,
 }
 
+/// A call of the table service.
+#[derive(Clone, Copy, Debug)]
+enum Asked {
+    /// What a former leader saved.
+    Stage,
+    /// The stage of that phase is written for a next leader.
+    Save(Phase),
+    /// The status of that phase is written for the operator.
+    Show(Phase),
+}
+
+impl Led {
+    /// What is to be written next: only what can be gone on from is shown.
+    fn next_write(&self, phase: Phase) -> Option<Asked> {
+        match phase {
+            _ if self.saved != Some(phase) => Some(Asked::Save(phase)),
+            _ if self.shown != Some(phase) => Some(Asked::Show(phase)),
+            _ => None,
+        }
+    }
+}
+
 impl Gateway {
     /// Leads the roll-outs, as the holder of the duties.
     pub(crate) fn rollouts_tick(&mut self, now: Time, warrant: Warrant, effects: &mut Vec<Effect>) {
@@ -74,9 +98,10 @@
             self.rollouts.leads.entry(service.clone()).or_insert(Led {
                 order: known.split.order().clone(),
                 lead: None,
-                asking: false,
+                asked: None,
                 next_call: now,
-                written: None,
+                saved: None,
+                shown: None,
                 next_announcement: now,
                 announcements: 0,
             });
@@ -95,10 +120,10 @@
         let Some(led) = self.rollouts.leads.get_mut(service) else {
             return;
         };
-        let may_call = !led.asking && now >= led.next_call;
+        let may_call = led.asked.is_none() && now >= led.next_call;
         let Some(lead) = &mut led.lead else {
             if may_call {
-                led.asking = true;
+                led.asked = Some(Asked::Stage);
                 let at = Address::new(status::STAGES, service.clone());
                 self.ask_store(Waiter::Stage(service.clone()), Call::Get { at });
             }
@@ -113,20 +138,18 @@
             true => FINAL_REPEAT,
             false => lead.repeat(),
         };
-        let calls: Vec<Call> = match may_call && led.written != Some(stage.phase) {
-            true => {
-                led.asking = true;
-                writes_of(service, &stage).into_iter().collect()
-            }
-            false => Vec::new(),
-        };
+        if may_call {
+            led.asked = led.next_write(stage.phase);
+        }
+        let call = led.asked.filter(|_| may_call);
+        let call = call.and_then(|asked| write_of(service, &stage, asked));
         if changed || now >= led.next_announcement {
             led.next_announcement = now + pause;
             led.announcements += 1;
             let number = warrant.fence << NUMBER_BITS | led.announcements;
             self.publish_stage(now, service, number, &stage, effects);
         }
-        for call in calls {
+        if let Some(call) = call {
             self.ask_store(Waiter::Stage(service.clone()), call);
         }
     }
@@ -156,14 +179,14 @@
         let (Some(led), Some(since)) = (self.rollouts.leads.get_mut(service), since) else {
             return;
         };
-        led.asking = false;
-        match outcome {
-            Outcome::Row(row) => {
+        let asked = led.asked.take();
+        match (outcome, asked) {
+            (Outcome::Row(row), _) => {
                 let stage = row.and_then(|row| serde_json::from_value::<Stage>(row.value).ok());
                 let elapsed = stage.as_ref().map_or(0, |stage| stage.elapsed_ms);
                 let elapsed = Span::from_millis(elapsed).max(now.since(since));
                 let begun = Time::from_millis(now.as_millis().saturating_sub(elapsed.as_millis()));
-                led.written = stage.as_ref().map(|stage| stage.phase);
+                led.saved = stage.as_ref().map(|stage| stage.phase);
                 led.lead = Some(Lead::new(
                     configs::lead::Config::default(),
                     configs::judge::Config::default(),
@@ -172,9 +195,8 @@
                     stage.as_ref(),
                 ));
             }
-            Outcome::Committed(_) => {
-                led.written = led.lead.as_ref().map(Lead::phase);
-            }
+            (Outcome::Committed(_), Some(Asked::Save(phase))) => led.saved = Some(phase),
+            (Outcome::Committed(_), Some(Asked::Show(phase))) => led.shown = Some(phase),
             _ => led.next_call = now + RETRY,
         }
     }
@@ -222,18 +244,21 @@
     }
 }
 
-/// The stage for a next leader, then the status for the operator: only what can be gone on from is said.
-fn writes_of(service: &SmolStr, stage: &Stage) -> [Call; 2] {
-    [status::STAGES, status::TABLE].map(|table| {
-        Call::Transact(Transaction {
-            token: service.clone(),
-            checks: Vec::new(),
-            writes: vec![Write {
-                at: Address::new(table, service.clone()),
-                value: serde_json::to_value(stage).unwrap_or(Value::Null),
-            }],
-        })
-    })
+/// The writing of a stage or status.
+fn write_of(service: &SmolStr, stage: &Stage, asked: Asked) -> Option<Call> {
+    let table = match asked {
+        Asked::Stage => return None,
+        Asked::Save(_) => status::STAGES,
+        Asked::Show(_) => status::TABLE,
+    };
+    Some(Call::Transact(Transaction {
+        token: service.clone(),
+        checks: Vec::new(),
+        writes: vec![Write {
+            at: Address::new(table, service.clone()),
+            value: serde_json::to_value(stage).unwrap_or(Value::Null),
+        }],
+    }))
 }
 
 fn phase_line(service: &SmolStr, lead: &Lead, tally: &Tally) -> Line {
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -162,3 +162,17 @@
     world.order_rollout("v2", WITHIN);
     assert!(world.place_one(5).is_some());
 }
+
+/// The stage was written and the status was not: the operator read for ever that nothing had begun.
+#[test]
+fn a_status_that_could_not_be_written_is_written_later() {
+    let mut world = world();
+    world.unwritable = Some("rollout-status");
+    world.order_rollout("v2", WITHIN);
+    world.tell_servers();
+    serve(&mut world, 8_000, |_| true);
+    assert_eq!(status(&world), "none");
+    world.unwritable = None;
+    world.run(2_000);
+    assert_eq!(status(&world), "rolled-back");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -41,6 +41,7 @@
 use rollout::order::Order;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use store::call::Call;
 use store::call::Outcome;
 use store::fake::Table;
 use watch::server::News;
@@ -118,6 +119,8 @@
     lines: BTreeMap<&'static str, u32>,
     /// Whether the table service answers nobody.
     pub store_silent: bool,
+    /// The table whose writes fail.
+    pub unwritable: Option<&'static str>,
     /// Entries that the table service doesn't answer.
     pub store_cut: BTreeSet<usize>,
     /// How many availability zones the entries are spread over from their next start on.
@@ -185,6 +188,7 @@
             moved: Vec::new(),
             lines: BTreeMap::new(),
             store_silent: false,
+            unwritable: None,
             store_cut: BTreeSet::new(),
             zones: 1,
             looks: BTreeMap::new(),
@@ -608,6 +612,7 @@
             Effect::Store { id, call } => {
                 let outcome = match self.store_silent || self.store_cut.contains(&entry) {
                     true => Outcome::Unknown,
+                    false if self.is_unwritable(&call) => Outcome::Unavailable,
                     false => self.table.apply(&call),
                 };
                 Some((entry, Event::Store { id, outcome }))
@@ -739,6 +744,14 @@
         }
     }
 
+    fn is_unwritable(&self, call: &Call) -> bool {
+        let Call::Transact(transaction) = call else {
+            return false;
+        };
+        let mut writes = transaction.writes.iter();
+        writes.any(|write| self.unwritable.is_some_and(|table| write.at.table == table))
+    }
+
     /// Which entry a message comes to, unless one of both is cut off.
     fn reach(&self, from: usize, address: &SmolStr) -> Option<usize> {
         let to = (0..self.processes.len()).find(|entry| peer_address(*entry) == *address)?;
