Read and log the notices in servers' answers

What an answer states about its server, that it leaves or wants no request for a time, is decoded in the adapter and logged as server_notice replica=... leaving=... pause_ms=...; no decision is changed. An answer by another server at a reused address states nothing. Like all news on servers it overtakes requests in the inbox.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -20,6 +20,7 @@
 use crate::charging::Answer;
 use crate::configs::gateway::Settings;
 use crate::duty;
+use crate::notice::Notice;
 use watch::server;
 
 /// An event.
@@ -53,6 +54,13 @@
         /// The limit; `None` if the answer has none.
         rate: Option<Rate>,
     },
+    /// A backend server stated something about itself in an answer.
+    NoticeReceived {
+        /// Incarnation of the server.
+        incarnation: SmolStr,
+        /// What it stated.
+        notice: Notice,
+    },
     /// A caller asks which entries to use.
     AddressesRequested {
         /// Identifies the query.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -233,6 +233,10 @@
             Event::LimitReported { incarnation, rate } => {
                 self.handle_limit(now, &incarnation, rate, effects);
             }
+            Event::NoticeReceived {
+                incarnation,
+                notice,
+            } => self.handle_notice(now, &incarnation, notice, effects),
             Event::AddressesRequested { requester, zone } => {
                 self.answer_addresses(now, requester, zone.as_deref(), effects);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gateway;
 pub mod identity;
 pub mod limits;
+pub mod notice;
 pub mod usage;
 pub mod work;
 
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -11,6 +11,7 @@
 use gateway::duty;
 use gateway::effect::Addresses;
 use gateway::effect::Start;
+use gateway::notice::Notice;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -67,6 +68,9 @@
     /// Returns the rate that the server accepts from all entries together, if its answer states one.
     fn rate_limit(&self, headers: &HeaderMap) -> Option<Rate>;
 
+    /// Returns what an answer states about the server that gave it.
+    fn notice(&self, head: &response::Parts) -> Notice;
+
     /// Encodes the answer to a query for addresses.
     fn encode_addresses(&self, addresses: Option<&Addresses>) -> Response<Bytes>;
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -287,6 +287,7 @@
 ) -> Head {
     let (head, body) = response.into_parts();
     report_limit(shared, start, &head.headers);
+    report_notice(shared, start, &head);
     match shared.codec.classify(&head, &inbound.id) {
         Classification::Answer => Head::Received(Answer {
             connection,
@@ -318,6 +319,18 @@
     }
 }
 
+/// Reports what the answer states about its server.
+fn report_notice(shared: &Shared, start: &Start, head: &response::Parts) {
+    let notice = shared.codec.notice(head);
+    if notice.is_empty() {
+        return;
+    }
+    shared.handle.send_event(event::Event::NoticeReceived {
+        incarnation: start.endpoint.incarnation.clone(),
+        notice,
+    });
+}
+
 /// Returns the end of an attempt whose connection broke while the replica had the request.
 ///
 /// A new connection distinguishes a lost answer from a crash; requests during which servers crash are
--- a/crates/relay/src/inbox.rs
+++ b/crates/relay/src/inbox.rs
@@ -128,6 +128,7 @@
             | Event::RolloutsKnown(_)
             | Event::Servers(_)
             | Event::ServersLost
+            | Event::NoticeReceived { .. }
             | Event::Store { .. }
             | Event::DutyAnswered { .. }
             | Event::DigestReceived(_)
