--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use gateway::event::Source;
 use gateway::gateway::Gateway;
 use gateway::identity::Identity;
+use gateway::notice::Notice;
 use lease::holder;
 use member::digest::Digest;
 use member::digest::Topic;
@@ -432,6 +433,36 @@
             rate: limit.and_then(Rate::per_second),
         };
         self.step(sent.entry, event);
+        self.answer_sent(sent);
+    }
+
+    /// Delivers a server's notice to an entry, as in an answer.
+    pub fn notify(&mut self, entry: usize, server: &SmolStr, notice: Notice) {
+        let incarnation = server.clone();
+        let event = Event::NoticeReceived {
+            incarnation,
+            notice,
+        };
+        self.step(entry, event);
+    }
+
+    /// Answers a request that the server did not start.
+    pub fn turn_away(&mut self, sent: &SentRequest, pause: Span) {
+        let notice = Notice {
+            leaving: false,
+            pause: Some(pause),
+        };
+        self.notify(sent.entry, &sent.server, notice);
+        let event = Event::Attempt {
+            serial: sent.serial,
+            attempt: sent.attempt,
+            report: Report::Ended(End::NotStarted),
+        };
+        self.step(sent.entry, event);
+    }
+
+    /// Answers a request successfully.
+    pub fn answer_sent(&mut self, sent: &SentRequest) {
         let ended = Report::Ended(End::Finished {
             status: 200,
             tokens: 1,
