Send nothing to a server whose answer announces its leave

Class: a statement of the other side that nobody reads; the list of servers was the only source for a leave. Ruled out: that it is read and lost (no entry logs server_leaving in 6.7 s after it), and that requests were placed before it (attempt_started is logged 1.4 to 5.2 s after).

The announcement now starts the leave like a row does: it is sticky for the incarnation, closes the pool's connections, also for requests that wait for one, moves runs off, and goes to all entries as news. A restarted server is another incarnation.

--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -28,15 +28,19 @@
     /// Handles the notice in a server's answer to this entry.
     pub(crate) fn handle_notice(
         &mut self,
-        _now: Time,
+        now: Time,
         incarnation: &SmolStr,
         notice: Notice,
         effects: &mut Vec<Effect>,
     ) {
-        let line = Line::info("server_notice")
-            .with("replica", incarnation)
-            .with("leaving", notice.leaving)
-            .with("pause_ms", notice.pause.map_or(0, Span::as_millis));
-        effects.push(Effect::Log(line));
+        if notice.leaving {
+            self.handle_announced_leave(now, incarnation, effects);
+        }
+        if let Some(pause) = notice.pause {
+            let line = Line::info("server_paused")
+                .with("replica", incarnation)
+                .with("pause_ms", pause.as_millis());
+            effects.push(Effect::Log(line));
+        }
     }
 }
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -21,6 +21,8 @@
     Row,
     /// Another entry that followed the list without a gap.
     Peer,
+    /// An answer of the server itself.
+    Answer,
 }
 
 impl Source {
@@ -28,6 +30,7 @@
         match self {
             Source::Row => "row",
             Source::Peer => "peer",
+            Source::Answer => "answer",
         }
     }
 }
@@ -188,6 +191,20 @@
         );
     }
 
+    /// Handles a server's own announcement that it is leaving, and publishes it: while the table service is
+    /// away, the server's row tells nobody.
+    pub(crate) fn handle_announced_leave(
+        &mut self,
+        now: Time,
+        incarnation: &SmolStr,
+        effects: &mut Vec<Effect>,
+    ) {
+        let until = now + DEFAULT_NOTICE;
+        if self.start_leaving(now, incarnation, until, Source::Answer, effects) {
+            self.publish_leaving(now, incarnation, effects);
+        }
+    }
+
     /// Applies a row read by this entry, and publishes if its server is leaving.
     fn row_read(&mut self, now: Time, server: Server, effects: &mut Vec<Effect>) {
         let incarnation = server.incarnation.clone();
