Send nothing to a server for the time that it asks for

Class: a statement of the other side that nobody reads; worse, a server that turns requests away looks like the least loaded one. Ruled out: that the time is forgotten by a restart or with a row (the rate is the same throughout, no entry started), and that requests were placed before the answer (attempt_started is logged 1.3 to 3.1 s after).

A server's pause now closes it for placement, trials of suspects, moves, fetches and long jobs' lanes, and in the connection pool for requests that waited for their connection. It belongs to the incarnation and outlasts a lapse of its row. When all servers of a pool pause, requests whose deadlines end before are refused at once, also those that wait already, and callers are told to return after the pause. After it one request probes the server until it is answered.

Dropped: a server asks one entry, and where servers turn away a part, all entries lose them for the rest.

Found beside by the invariants' property test: a suspect was started on the replica that it had claimed although that one had closed since.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -80,7 +80,7 @@
         let Some(open) = self.requests.get_mut(&job.0) else {
             return;
         };
-        let cache_source = self.scheduler.cache_source(job, replica);
+        let cache_source = self.scheduler.cache_source(now, job, replica);
         let Some(endpoint) = self.servers.place(replica) else {
             // The server left in the same step: the request is placed again.
             return self.with_scheduler(now, effects, |scheduler, out| {
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -109,6 +109,13 @@
         /// Incarnation of the server that is leaving or gone.
         incarnation: SmolStr,
     },
+    /// Send no request to a backend server for a time; those already sent continue.
+    PauseServer {
+        /// Incarnation of the server that asked for the pause.
+        incarnation: SmolStr,
+        /// Time from now on.
+        pause: Span,
+    },
     /// Write a log line.
     Log(Line),
     /// Exit the process: nothing is left to do.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::identity::Identity;
 use crate::lagging::Lagging;
 use crate::limits::Limits;
+use crate::notice::Pauses;
 use crate::peers;
 use crate::request::Request;
 use crate::rollouts::Rollouts;
@@ -67,6 +68,8 @@
     pub(crate) servers: Servers,
     /// Rate limits that backend servers set in their answers.
     pub(crate) limits: Limits,
+    /// Pauses that backend servers asked for.
+    pub(crate) pauses: Pauses,
     /// The scheduler pool of each backend server, by incarnation.
     pub(crate) replica_pools: BTreeMap<SmolStr, SmolStr>,
     pub(crate) rollouts: Rollouts,
@@ -151,6 +154,8 @@
     pub leaving: u64,
     /// Servers whose rows are missing.
     pub missing: u64,
+    /// Servers that asked this entry for a pause.
+    pub paused: u64,
     /// Queued requests.
     pub waiting: u64,
     /// Retries left in the budgets of all services.
@@ -171,6 +176,7 @@
             throttle: Throttle::new(settings.store),
             servers: Servers::default(),
             limits: Limits::default(),
+            pauses: Pauses::default(),
             replica_pools: BTreeMap::new(),
             rollouts: Rollouts::default(),
             watch: Watch::new(settings.watch, identity.incarnation.0),
@@ -293,6 +299,7 @@
             version_age_ms: now.since(self.configured_since).as_millis(),
             leaving: self.servers.leaving_count() as u64,
             missing: self.servers.missing().len() as u64,
+            paused: self.pauses.active_count(now) as u64,
             waiting: waiting as u64,
             repeats_left: repeats.max(0.0) as u64,
             fence: self.lease(now).map_or(0, |lease| lease.fence),
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -280,10 +280,12 @@
             slots: server.slots.max(1),
         };
         self.replica_pools.insert(server.incarnation.clone(), pool);
+        let incarnation = server.incarnation.clone();
         let mut decisions = Vec::new();
         let key = self.scheduler.replica_joined(now, spec, &mut decisions);
         // The scheduler may place waiting requests at once, for which the server must be known first.
         self.servers.add(key, server);
+        self.apply_pause(now, &incarnation, effects);
         for decision in decisions {
             self.apply_decision(now, decision, effects);
         }
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -186,6 +186,30 @@
     }
 }
 
+#[test]
+fn a_pause_outlasts_a_lapse_of_the_servers_row() {
+    let mut world = World::new(1);
+    world.run(3_000);
+    let server = world.servers[0].clone();
+    world.notify(
+        0,
+        &server.incarnation,
+        Notice {
+            leaving: false,
+            pause: Some(PAUSE),
+        },
+    );
+    let listed = world.servers.remove(0);
+    world.publish_servers();
+    world.run(100);
+    world.servers.push(listed);
+    world.publish_servers();
+
+    assert_eq!(world.count_requests_to(0, &server, 2_500), 0);
+    world.run(500);
+    assert!(world.count_requests_to(0, &server, 1_000) > 0);
+}
+
 #[test]
 fn others_serve_what_servers_turn_away() {
     let run = Run {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limit;
 pub mod mix;
 pub mod pace;
+pub mod pause;
 pub mod pool;
 pub mod quarantine;
 pub mod quota;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -89,6 +89,8 @@
     pub cost: Cost,
     /// Wait that was predicted for it in the queue.
     pub wait: Span,
+    /// Time for which no replica accepts a request.
+    pub pause: Span,
     /// Cost per second that the pool completes; `None` while unknown.
     pub rate: Option<f64>,
 }
@@ -109,7 +111,9 @@
         let now = now.as_millis() as f64;
         let min_delay = settings.min_delay.as_millis() as f64;
         let max_delay = settings.max_delay.as_millis() as f64;
-        let earliest = now + min_delay.max(refused.wait.as_millis() as f64);
+        let resumed = now + refused.pause.as_millis() as f64;
+        let wait = refused.wait.max(refused.pause).as_millis() as f64;
+        let earliest = now + min_delay.max(wait);
         let weight = f64::from(refused.weight.max(1));
         let booking = self.remove(refused.account);
         let begin = booking.map_or(earliest, |booking| booking.end_ms.max(earliest));
@@ -121,11 +125,11 @@
             _ => min_delay,
         };
         // The calendar is full: spread the rest over its second half.
-        let full = begin + width > now + max_delay;
+        let full = begin + width > resumed + max_delay;
         let end_ms = if full { begin } else { begin + width };
         self.insert(refused.account, Booking { end_ms, weight });
         if full {
-            return millis(max_delay * random.random_range(0.5..1.0));
+            return millis(resumed - now + max_delay * random.random_range(0.5..1.0));
         }
         millis(begin + width * random.random::<f64>() - now)
     }
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -20,6 +20,14 @@
         };
         let took = now.since(open.started);
         let had_streamed = std::mem::replace(&mut open.streaming, true);
+        let (replica, pool) = (open.replica, open.job.pool);
+        let replica = replica.and_then(|key| self.replicas.get_mut(&key));
+        if replica.is_some_and(|replica| replica.pause.record_response(id)) {
+            self.mark_pool(pool);
+        }
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
         if had_streamed || open.moved || open.tried.len() > 1 {
             return;
         }
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -223,7 +223,7 @@
         let rate = pool.service.drain_rate(pool.running);
 
         // Even the next in line waits until a running job ends.
-        let wait = admission::wait_time(ahead, rate).max(self.paced_wait(pool));
+        let wait = admission::wait_time(ahead, rate).max(self.throttled_wait(now, pool));
         wait.max(Span::from_millis(1))
     }
 
@@ -232,7 +232,7 @@
         if pool.full || !pool.queue.is_empty() {
             return false;
         }
-        let lanes = self.lanes(pool);
+        let lanes = self.lanes(now, pool);
         let fits = |candidate: &Candidate| class == Class::Short || lanes.contains(&candidate.key);
         self.candidates(now, pool)
             .iter()
@@ -253,6 +253,9 @@
     /// Queues an open job; with `front`, ahead of its account's others.
     pub(super) fn enqueue(&mut self, now: Time, id: job::Id, front: bool) {
         let settings = self.settings;
+        let pool = self.open.get(&id).map(|open| open.job.pool);
+        let pool = pool.and_then(|key| self.pools.get(&key));
+        let pause = pool.map_or(Span::ZERO, |pool| self.remaining_pause(now, pool));
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
@@ -291,10 +294,12 @@
         // Whatever is predicted, a job is given up only after one attempt to place it. Predictions learnt
         // in an overload would otherwise refuse all jobs beside idle replicas for good, since nothing would
         // run that could correct them.
-        open.start_deadline = open
-            .start_deadline
-            .min(open.queue_deadline)
-            .max(now + MIN_WAIT);
+        open.start_deadline = open.start_deadline.min(open.queue_deadline);
+        if now + pause > open.start_deadline {
+            // No replica accepts it in time: it is refused at once.
+            open.start_deadline = now;
+        }
+        open.start_deadline = open.start_deadline.max(now + MIN_WAIT);
         self.expiry.insert((open.start_deadline, id));
         let pool = open.job.pool;
         self.mark_pool(pool);
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -8,15 +8,16 @@
 mod fleet;
 mod intake;
 mod moves;
-mod paces;
 mod placement;
 mod refusals;
 mod state;
 mod suspects;
+mod throttles;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use clock::Span;
 use clock::Time;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -56,10 +57,10 @@
     leaving: BTreeSet<replica::Key>,
     /// Time of the next planning of moves.
     next_review: Option<Time>,
-    /// Replicas that set a rate limit.
-    limited: BTreeSet<replica::Key>,
+    /// Replicas that set a rate limit or asked for a pause.
+    throttled: BTreeSet<replica::Key>,
     /// Last check whether one of them accepts requests again.
-    paces_checked: Time,
+    throttles_checked: Time,
     /// Pools whose queues are examined in the next poll.
     pending_pools: BTreeSet<pool::Key>,
     /// Suspects that wait outside their queues, and until when.
@@ -118,8 +119,8 @@
             planned_moves: BTreeMap::new(),
             leaving: BTreeSet::new(),
             next_review: None,
-            limited: BTreeSet::new(),
-            paces_checked: Time::ZERO,
+            throttled: BTreeSet::new(),
+            throttles_checked: Time::ZERO,
             pending_pools: BTreeSet::new(),
             random: Pcg64::seed_from_u64(seed),
             seed,
@@ -179,9 +180,14 @@
 
     /// Returns another replica that probably caches the job's prefix, for `chosen` to fetch it from instead
     /// of computing it again; `None` if KV memory can't be moved.
-    pub fn cache_source(&self, id: job::Id, chosen: replica::Key) -> Option<replica::Key> {
+    pub fn cache_source(
+        &self,
+        now: Time,
+        id: job::Id,
+        chosen: replica::Key,
+    ) -> Option<replica::Key> {
         match self.settings.placement.wave {
-            true => self.other_home(id, chosen),
+            true => self.other_home(now, id, chosen),
             false => None,
         }
     }
@@ -232,6 +238,18 @@
         }
     }
 
+    /// Sends the replica nothing for the time that it asked for.
+    pub fn replica_paused(
+        &mut self,
+        now: Time,
+        key: replica::Key,
+        pause: Span,
+        out: &mut Vec<Decision>,
+    ) {
+        self.start_pause(now, key, pause);
+        self.poll(now, out);
+    }
+
     /// Removes a replica that is gone; the embedder reports the end of each attempt on it separately.
     pub fn replica_lost(&mut self, _now: Time, key: replica::Key) {
         self.remove_replica(key);
@@ -293,7 +311,7 @@
         self.stop_suspects(now, out);
         self.release_held(now, out);
         self.run_moves(now, out);
-        self.mark_paced_pools(now);
+        self.mark_reopened_pools(now);
         while let Some(pool) = self.pending_pools.pop_first() {
             self.dispatch(now, pool, out);
         }
@@ -315,7 +333,7 @@
             held,
             step,
             self.next_review,
-            self.next_paced(),
+            self.next_reopening(),
         ]
         .into_iter()
         .flatten()
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -9,6 +9,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
+use crate::scheduler::state::Replica;
 use crate::scheduler::state::Round;
 use crate::wave;
 use crate::wave::Action;
@@ -48,7 +49,7 @@
     pub(super) fn remove_replica(&mut self, key: replica::Key) {
         self.remove_member(key);
         self.leaving.remove(&key);
-        self.limited.remove(&key);
+        self.throttled.remove(&key);
         let Some(replica) = self.replicas.get_mut(&key) else {
             return;
         };
@@ -178,7 +179,7 @@
         let (mut outside, mut inside) = (Vec::new(), Vec::new());
         for candidate in self.candidates(now, pool) {
             let replica = self.replicas.get(&candidate.key);
-            let Some(replica) = replica.filter(|replica| !replica.gate.is_limited()) else {
+            let Some(replica) = replica.filter(|replica| !replica.is_throttled(now)) else {
                 continue;
             };
             let free = (f64::from(replica.spec.slots) - candidate.load).max(0.0) as u32;
@@ -204,9 +205,10 @@
         let Action::Move { to, transfer, .. } = step.action else {
             return;
         };
-        let is_usable =
-            |replica: &crate::scheduler::state::Replica| replica.leaving.is_none() && !replica.lost;
-        // If the target is gone by now, the next review plans the job again.
+        let is_usable = |replica: &Replica| {
+            replica.leaving.is_none() && !replica.lost && !replica.pause.is_active(now)
+        };
+        // If the target is gone or pauses by now, the next review plans the job again.
         if !self.replicas.get(&to).is_some_and(is_usable) {
             return;
         }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -29,7 +29,7 @@
         self.hold_suspects(now, key, out);
         while let Some(pool) = self.pools.get(&key).filter(|pool| !pool.queue.is_empty()) {
             let candidates = self.candidates(now, pool);
-            let lanes = self.lanes(pool);
+            let lanes = self.lanes(now, pool);
             let heads = pool.queue.heads(self.settings.placement.max_heads);
             let start = heads
                 .iter()
@@ -107,7 +107,12 @@
     /// Returns the first replica other than `chosen` in the order of the job's prefix: its home or, if that
     /// is `chosen`, its second choice, which was the home before `chosen` joined or took what the home had
     /// no room for.
-    pub(super) fn other_home(&self, id: job::Id, chosen: replica::Key) -> Option<replica::Key> {
+    pub(super) fn other_home(
+        &self,
+        now: Time,
+        id: job::Id,
+        chosen: replica::Key,
+    ) -> Option<replica::Key> {
         let job = self.open.get(&id)?.job;
         let pool = self.pools.get(&job.pool)?;
         if job.kind == job::Kind::Plain || job.prefix == 0 {
@@ -116,25 +121,22 @@
         let usable = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
             let healthy = pool.monitor.allowance(*key) == Allowance::Full && !replica.unconfirmed;
-            (healthy && *key != chosen).then_some((*key, replica.identity))
+            let usable = healthy && !replica.pause.is_active(now);
+            (usable && *key != chosen).then_some((*key, replica.identity))
         });
         rendezvous::top_two(job.prefix, usable).0
     }
 
-    /// Returns the replicas that run long jobs, without unconfirmed ones if possible: long jobs would wait
-    /// for those beside free replicas.
-    pub(super) fn lanes(&self, pool: &Pool) -> Vec<replica::Key> {
+    /// Returns the replicas that run long jobs, without unconfirmed and pausing ones if possible: long jobs
+    /// would wait for those beside free replicas.
+    pub(super) fn lanes(&self, now: Time, pool: &Pool) -> Vec<replica::Key> {
         let with_replica = |key: &replica::Key| Some((*key, self.replicas.get(key)?));
-        let (confirmed, unconfirmed): (Vec<_>, Vec<_>) = pool
+        let (usable, others): (Vec<_>, Vec<_>) = pool
             .members
             .iter()
             .filter_map(with_replica)
-            .partition(|(_, replica)| !replica.unconfirmed);
-        let members = if confirmed.is_empty() {
-            unconfirmed
-        } else {
-            confirmed
-        };
+            .partition(|(_, replica)| !replica.unconfirmed && !replica.pause.is_active(now));
+        let members = if usable.is_empty() { others } else { usable };
         let count = pool.classes.lane_count(&self.settings.size, members.len());
         let ranked = members
             .into_iter()
@@ -157,6 +159,7 @@
         open.sent += 1;
         if let Some(replica) = self.replicas.get_mut(&replica) {
             replica.gate.take(now);
+            replica.pause.record_start(id);
         }
         self.attach(now, id, replica);
     }
@@ -188,6 +191,10 @@
         if let Some(replica) = self.replicas.get_mut(&key) {
             replica.load.ended(now, open.outstanding);
             replica.jobs.remove(&id);
+            if end == job::End::Finished {
+                replica.pause.record_response(id);
+            }
+            replica.pause.record_end(id);
         }
         self.planned_moves.remove(&id);
         let pool = open.job.pool;
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -19,6 +19,7 @@
 use crate::job;
 use crate::job::Job;
 use crate::pace;
+use crate::pause::Pause;
 use crate::rendezvous;
 use crate::replica;
 use crate::retry::Budget;
@@ -111,6 +112,8 @@
     pub unconfirmed: bool,
     /// Admits requests within the rate limit that the replica sets.
     pub gate: pace::Gate,
+    /// Pause that the replica asked for.
+    pub pause: Pause,
     pub load: Load,
     pub share: Share,
     /// Own attempts.
@@ -131,6 +134,7 @@
             lost: false,
             unconfirmed: false,
             gate: pace::Gate::default(),
+            pause: Pause::default(),
             jobs: BTreeSet::new(),
             trial: None,
         }
@@ -140,6 +144,22 @@
     pub fn running(&self) -> u32 {
         self.jobs.len() as u32
     }
+
+    /// Returns whether the replica's limit and pause allow a request now.
+    pub fn accepts(&self, now: Time) -> bool {
+        self.pause.is_over(now) && self.gate.is_open(now)
+    }
+
+    /// Returns when they allow one next; `None` while other entries use the whole limit.
+    pub fn accepts_at(&self) -> Option<Time> {
+        let opens = self.gate.opens_at()?;
+        Some(opens.max(self.pause.ends_at()))
+    }
+
+    /// Returns whether the replica sets a limit or pauses.
+    pub fn is_throttled(&self, now: Time) -> bool {
+        self.gate.is_limited() || self.pause.is_active(now)
+    }
 }
 
 /// Tokens that make up one latency sample.
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -236,7 +236,7 @@
             self.held.insert((claim.valid_from, id));
             return;
         }
-        if !self.is_claim_valid(id, claim.replica) {
+        if !self.is_claim_valid(now, id, claim.replica) {
             self.drop_trial(id);
             self.held.insert((now + self.settings.health.period, id));
             return;
@@ -255,13 +255,14 @@
     }
 
     /// Returns whether a claim holds and its replica is still usable.
-    fn is_claim_valid(&self, id: job::Id, key: replica::Key) -> bool {
+    fn is_claim_valid(&self, now: Time, id: job::Id, key: replica::Key) -> bool {
         let open = self.open.get(&id);
         let replica = self.replicas.get(&key);
         open.zip(replica).is_some_and(|(open, replica)| {
             let leaving = replica.lost || replica.leaving.is_some();
+            let usable = !leaving && replica.accepts(now);
             let fingerprint = open.job.fingerprint;
-            !leaving && self.quarantine.holds_claim(fingerprint, replica.identity)
+            usable && self.quarantine.holds_claim(fingerprint, replica.identity)
         })
     }
 
@@ -275,8 +276,7 @@
         let pool = self.pools.get(&open.job.pool)?;
         let free = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
-            let usable =
-                pool.monitor.allowance(*key) != Allowance::None && replica.gate.is_open(now);
+            let usable = pool.monitor.allowance(*key) != Allowance::None && replica.accepts(now);
             let excluded = replica.trial.is_some()
                 || self.quarantine.is_reserved(now, replica.identity)
                 || open.tried.contains(key);
--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -46,6 +46,10 @@
     Lose {
         index: usize,
     },
+    Pause {
+        index: usize,
+        ms: u64,
+    },
     Wait {
         ms: u64,
     },
@@ -67,6 +71,7 @@
         1 => Just(Step::Join),
         1 => any::<usize>().prop_map(|index| Step::Leave { index }),
         1 => any::<usize>().prop_map(|index| Step::Lose { index }),
+        1 => (any::<usize>(), 1..3_000_u64).prop_map(|(index, ms)| Step::Pause { index, ms }),
         4 => (1..600_u64).prop_map(|ms| Step::Wait { ms }),
     ]
 }
@@ -84,6 +89,7 @@
     streaming: BTreeSet<Id>,
     usable: Vec<replica::Key>,
     gone: BTreeSet<replica::Key>,
+    paused: BTreeMap<replica::Key, Time>,
     refused: Vec<Decision>,
 }
 
@@ -113,6 +119,7 @@
             streaming: BTreeSet::new(),
             usable: Vec::new(),
             gone: BTreeSet::new(),
+            paused: BTreeMap::new(),
             refused: Vec::new(),
         };
         for _ in 0..replicas {
@@ -139,6 +146,11 @@
                     self.usable.contains(&replica),
                     "started on a replica that leaves or is lost"
                 );
+                let paused = self.paused.get(&replica);
+                assert!(
+                    paused.is_none_or(|end| self.now >= *end),
+                    "started on a replica that pauses"
+                );
                 let repeated = !self.tried.entry(job).or_default().insert(replica);
                 assert!(!repeated, "tried again on the same replica");
                 let retryable = self.jobs[&job].idempotent || !self.may_have_run.contains(&job);
@@ -161,6 +173,11 @@
                     self.usable.contains(&to),
                     "moved to a replica that leaves or is lost"
                 );
+                let paused = self.paused.get(&to);
+                assert!(
+                    paused.is_none_or(|end| self.now >= *end),
+                    "moved to a replica that pauses"
+                );
             }
             Decision::Cancel { job, replica } => {
                 assert_eq!(self.running.get(&job), Some(&replica));
@@ -209,6 +226,16 @@
                     self.lose(key);
                 }
             }
+            Step::Pause { index, ms } => {
+                if let Some(key) = nth(self.usable.iter(), index) {
+                    let pause = Span::from_millis(ms);
+                    let end = self.paused.entry(key).or_default();
+                    *end = (self.now + pause).max(*end);
+                    self.apply(|scheduler, now, out| {
+                        scheduler.replica_paused(now, key, pause, out);
+                    });
+                }
+            }
             Step::Wait { ms } => self.wait(ms),
         }
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,6 +7,7 @@
 use clock::Span;
 use clock::Time;
 use gateway::attempt::End;
+use gateway::attempt::Endpoint;
 use gateway::attempt::Report;
 use gateway::effect::Start;
 use gateway::event;
@@ -235,7 +236,7 @@
             }
         };
         let remaining = start.time_left - shared.clock.now().since(started);
-        if remaining == Span::ZERO || !shared.pool.accepts_requests(&start.endpoint) {
+        if remaining == Span::ZERO || !may_forward(shared, &start.endpoint, resume) {
             return Head::Ended(End::NotSent);
         }
         let start = Start {
@@ -263,6 +264,16 @@
     }
 }
 
+/// Returns whether the server still accepts the request. A run that was moved is resumed also during a pause,
+/// since its server has already taken over its memory.
+fn may_forward(shared: &Shared, endpoint: &Endpoint, resume: Option<&Resume>) -> bool {
+    let is_moved = resume.is_some_and(|resume| resume.transfer.is_some());
+    match is_moved {
+        true => !shared.pool.is_closed(endpoint),
+        false => shared.pool.accepts_requests(endpoint),
+    }
+}
+
 /// Builds the request that is sent to the replica.
 fn build_request(
     shared: &Shared,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -270,6 +270,7 @@
             ("known", status.servers),
             ("leaving", status.leaving),
             ("missing", status.missing),
+            ("paused", status.paused),
         ];
         for (state, count) in states {
             gauges
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -54,6 +54,8 @@
     last_activity: RefCell<BTreeMap<SmolStr, Time>>,
     /// Servers that accept no more requests, by incarnation, with the time since which they don't.
     closed: RefCell<BTreeMap<SmolStr, Time>>,
+    /// Servers that asked for a pause, by incarnation, with the end of it.
+    paused: RefCell<BTreeMap<SmolStr, Time>>,
 }
 
 /// A connection to a backend server; closed when dropped.
@@ -81,6 +83,7 @@
             idle: RefCell::default(),
             last_activity: RefCell::default(),
             closed: RefCell::default(),
+            paused: RefCell::default(),
         }
     }
 
@@ -118,9 +121,29 @@
         self.closed.borrow_mut().insert(incarnation, now);
     }
 
+    /// Rejects requests to a server that were not forwarded yet, for the time that it asked for. Its idle
+    /// connections are kept.
+    pub fn pause(&self, incarnation: SmolStr, pause: Span) {
+        let until = self.clock.now() + pause;
+        let mut paused = self.paused.borrow_mut();
+        let known = paused.entry(incarnation).or_default();
+        *known = until.max(*known);
+    }
+
     /// Returns whether requests may be forwarded to a server.
     pub fn accepts_requests(&self, endpoint: &Endpoint) -> bool {
-        !self.closed.borrow().contains_key(&endpoint.incarnation)
+        !self.is_closed(endpoint) && !self.is_paused(endpoint)
+    }
+
+    /// Returns whether a server is leaving or gone.
+    pub fn is_closed(&self, endpoint: &Endpoint) -> bool {
+        self.closed.borrow().contains_key(&endpoint.incarnation)
+    }
+
+    fn is_paused(&self, endpoint: &Endpoint) -> bool {
+        let paused = self.paused.borrow();
+        let until = paused.get(&endpoint.incarnation);
+        until.is_some_and(|until| self.clock.now() < *until)
     }
 
     /// Takes an idle connection to a server, if there is one.
@@ -178,7 +201,7 @@
         let Some(idle_timeout) = idle_timeout(headers) else {
             return;
         };
-        if connection.sender.ready().await.is_err() || !self.accepts_requests(endpoint) {
+        if connection.sender.ready().await.is_err() || self.is_closed(endpoint) {
             return;
         }
         let now = self.clock.now();
@@ -199,6 +222,7 @@
         last_activity.retain(|_, time| now.since(*time) <= ACTIVITY_RETENTION);
         let mut closed = self.closed.borrow_mut();
         closed.retain(|_, time| now.since(*time) <= CLOSED_RETENTION);
+        self.paused.borrow_mut().retain(|_, until| now < *until);
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
             connections.retain(|connection| {
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -200,6 +200,9 @@
             Effect::ReadServers => self.read_servers.notify_one(),
             Effect::OpenServer { incarnation } => self.shared.pool.open(&incarnation),
             Effect::CloseServer { incarnation } => self.shared.pool.close(incarnation),
+            Effect::PauseServer { incarnation, pause } => {
+                self.shared.pool.pause(incarnation, pause);
+            }
             Effect::Log(line) => {
                 self.shared.metrics.count_line(&line);
                 logs::write(&line);
--- a/crates/relay/tests/inbox.rs
+++ b/crates/relay/tests/inbox.rs
@@ -4,6 +4,7 @@
 
 use clock::Clock;
 use gateway::event::Event;
+use gateway::notice::Notice;
 use relay::inbox::Handle;
 use relay::inbox::Message;
 
@@ -25,3 +26,19 @@
         assert_eq!(serial, expected);
     }
 }
+
+/// Requests that had waited in the inbox were forwarded to a server after it had asked for a pause.
+#[tokio::test]
+async fn a_servers_notice_is_taken_in_before_requests() {
+    let (handle, mut inbox) = Handle::new(Clock::start());
+    handle.send_event(Event::CallerDisconnected { serial: 1 });
+    handle.send_event(Event::NoticeReceived {
+        incarnation: "s1#1".into(),
+        notice: Notice::default(),
+    });
+    let first = inbox.next().await.unwrap().message;
+    assert!(matches!(
+        first,
+        Message::Event(Event::NoticeReceived { .. })
+    ));
+}
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use clock::Clock;
+use clock::Span;
 use gateway::attempt::Endpoint;
 use http::HeaderMap;
 use http::Request;
@@ -62,6 +63,34 @@
     assert!(pool.accepts_requests(&next));
 }
 
+#[tokio::test]
+async fn a_pausing_server_gets_no_request_that_waited_for_its_connection() {
+    let (_listener, endpoint) = listener().await;
+    let check = async {
+        let pool = Pool::new(Clock::start());
+        let connection = pool.connect(&endpoint).await.unwrap();
+        pool.pause(endpoint.incarnation.clone(), Span::from_seconds(60));
+        assert!(!pool.accepts_requests(&endpoint));
+        assert!(!pool.is_closed(&endpoint));
+        // The connection serves again after the pause.
+        pool.release(&endpoint, connection, &HeaderMap::new()).await;
+        assert!(pool.take(&endpoint).is_some());
+
+        pool.pause(endpoint.incarnation.clone(), Span::ZERO);
+        assert!(!pool.accepts_requests(&endpoint));
+    };
+    LocalSet::new().run_until(check).await;
+}
+
+#[tokio::test]
+async fn a_server_accepts_requests_after_its_pause() {
+    let (_listener, endpoint) = listener().await;
+    let pool = Pool::new(Clock::start());
+    pool.pause(endpoint.incarnation.clone(), Span::from_millis(5));
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    assert!(pool.accepts_requests(&endpoint));
+}
+
 #[tokio::test]
 async fn an_abandoned_request_does_not_go_on_by_itself() {
     // A closed socket still delivers its buffered data: over a full or interrupted link, an abandoned request
