Soak and mirror: replicas announce leaves in answers and ask for pauses

Replicas of the soak that leave say so in all their answers; two new faults are drawn from a sequence of their own, so that the others of a seed stay as they were: a leave that only answers announce, and a replica that turns a share of requests away and asks for 2.5 s. Two promises are checked: nothing through an entry later than 2 s after its caller got the announcement, and no more than two requests of an entry between 0.5 s after a refusal and the end of the pause. A restart or a pause of the process excuses it from both, a fault on its ways from the latter.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use clock::Span;
 use clock::Time;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::header;
@@ -35,6 +36,7 @@
 use crate::environment::ZONES;
 use crate::ledger::Attempt;
 use crate::ledger::End;
+use crate::replica::SIGNATURE_PREFIX;
 
 /// API key of all callers.
 pub const KEY: &str = "soak-key";
@@ -232,7 +234,23 @@
             false => attempt.deadline + LATE_ANSWER_WAIT,
         };
         let mut last_event = attempt.last_event.unwrap_or(0);
-        let exchanging = exchange(&mut connection, request, attempt, stream, &mut last_event);
+        let ledger = &self.environment.ledger;
+        let clock = self.environment.clock;
+        let entry = entry_index(connection.entry);
+        let record = |headers: &HeaderMap| {
+            if let Some(replica) = leaving_replica(headers) {
+                let mut ledger = ledger.borrow_mut();
+                ledger.notices.record_leave(entry, replica, clock.now());
+            }
+        };
+        let exchanging = exchange(
+            &mut connection,
+            request,
+            attempt,
+            stream,
+            &mut last_event,
+            record,
+        );
         let (end, retry_delay, stays_open) = match tokio::time::timeout(wait, exchanging).await {
             Ok(answered) => answered,
             Err(_) if leaves => (End::Left, Duration::ZERO, false),
@@ -345,7 +363,14 @@
     }
 }
 
-/// Sends a request and reads its answer. Returns how it ended, the pause before a retry, and whether the
+/// Returns the replica that announces its leave in an answer, if one does.
+fn leaving_replica(headers: &HeaderMap) -> Option<usize> {
+    let origin = caller::origin(headers).filter(|origin| origin.leaving)?;
+    let index = origin.signature.strip_prefix(SIGNATURE_PREFIX)?;
+    index.parse().ok()
+}
+
+/// Sends a request, passes the answer's headers to `record` and reads its body. Returns how it ended, the pause before a retry, and whether the
 /// connection stays open.
 async fn exchange(
     connection: &mut Connection,
@@ -353,11 +378,13 @@
     attempt: &caller::Attempt,
     stream: Option<&Stream>,
     last_event: &mut u64,
+    record: impl Fn(&HeaderMap),
 ) -> (End, Duration, bool) {
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
         Err(_) => return (End::Broken, Duration::ZERO, false),
     };
+    record(response.headers());
     let retry_delay = parse_retry_after(&response);
     let stays_open = !response
         .headers()
--- a/crates/soak/src/configs/bounds.rs
+++ b/crates/soak/src/configs/bounds.rs
@@ -11,6 +11,10 @@
     pub timeout_slack: Span,
     /// Time after a replica's notice of leaving within which it may still get requests.
     pub drain_time: Span,
+    /// Time after a replica asked for a pause within which it may still get requests.
+    pub pause_reaction: Span,
+    /// Most requests that an entry may send to a replica in the rest of a pause.
+    pub max_during_pause: usize,
     /// Time by which every entry applies a new version of the configuration.
     pub apply_time: Span,
     /// Grace period of an entry that is asked to stop.
@@ -29,6 +33,8 @@
             settle_time: Span::from_millis(3_000),
             timeout_slack: Span::from_millis(500),
             drain_time: Span::from_millis(2_000),
+            pause_reaction: Span::from_millis(500),
+            max_during_pause: 2,
             apply_time: Span::from_millis(2_000),
             grace_period: Span::from_millis(4_000),
             abandon_slack: Span::from_millis(500),
--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -17,6 +17,8 @@
     pub fault_window: Span,
     /// Number of faults.
     pub fault_count: usize,
+    /// Number of further faults in which replicas ask for pauses or announce leaves only in answers.
+    pub notice_count: usize,
 }
 
 impl Size {
@@ -33,6 +35,7 @@
             apps: 8,
             callers: 150,
             fault_count: 40,
+            notice_count: 12,
             ..Size::default()
         }
     }
@@ -47,6 +50,7 @@
             callers: 24,
             fault_window: Span::from_seconds(14),
             fault_count: 9,
+            notice_count: 3,
         }
     }
 }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Excuses the process from notices of replicas that it received so far.
+    pub fn forget_notices(&self) {
+        let mut ledger = self.environment.ledger.borrow_mut();
+        ledger.notices.forget_entry(self.index);
+    }
+
     /// Kills the process and doesn't restart it.
     pub fn shut_down(&self) {
         self.is_shut_down.set(true);
@@ -159,6 +165,7 @@
             .spawn()
             .with_context(|| format!("can't start {}", self.binary.display()))?;
         self.signalled_at.set(None);
+        self.forget_notices();
         let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
         self.pid.set(pid);
         Ok(child)
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -65,7 +65,10 @@
                 let target = Target::Entry(entry);
                 let process = &self.entries[entry];
                 let pause = || process.signal(Signal::STOP);
-                let resume = || process.signal(Signal::CONT);
+                let resume = || {
+                    process.signal(Signal::CONT);
+                    process.forget_notices();
+                };
                 self.hold_fault(target, step.duration, pause, resume).await;
             }
             Fault::Reload(entry) => self.entries[entry].signal(Signal::HUP),
@@ -107,6 +110,14 @@
             Fault::Forget => self.environment.tables.drop_history(),
             Fault::Crash(replica) => self.crash(replica, step.duration).await,
             Fault::Leave(replica) => self.leave(replica, step.duration).await,
+            Fault::LeaveUnlisted(replica) => self.leave_unlisted(replica, step.duration).await,
+            // Requests that a replica turns away are no fault for their callers.
+            Fault::TurnAway(replica, share) => {
+                let replica = &self.replicas[replica];
+                replica.set_behavior(Behavior::TurnsAway(share));
+                wait(step.duration).await;
+                replica.set_behavior(Behavior::Good);
+            }
             Fault::Works(replica, behavior) => {
                 let replica = &self.replicas[replica];
                 let target = Target::Replica(replica.index);
@@ -161,6 +172,16 @@
     async fn leave(&self, replica: usize, duration: Span) {
         let replica = &self.replicas[replica];
         replica.announce_leaving();
+        self.finish_leave(replica, duration).await;
+    }
+
+    async fn leave_unlisted(&self, replica: usize, duration: Span) {
+        let replica = &self.replicas[replica];
+        replica.announce_leaving_in_answers();
+        self.finish_leave(replica, duration).await;
+    }
+
+    async fn finish_leave(&self, replica: &Replica, duration: Span) {
         wait(LEAVE_TIME).await;
         replica.remove_row();
         self.crash(replica.index, duration).await;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -7,6 +7,8 @@
 
 use crate::caller::Class;
 use crate::configs::bounds::Bounds;
+use crate::notices;
+use crate::notices::Notices;
 use crate::promises;
 
 /// Target of a fault.
@@ -102,6 +104,8 @@
     pub configured_services: Vec<(Time, SmolStr)>,
     /// Time at which a replica announced that it leaves, by its index.
     pub leaving_since: BTreeMap<usize, Time>,
+    /// What replicas stated in their answers.
+    pub notices: Notices,
     /// Broken promises.
     pub breaches: Vec<Breach>,
     runs_by_attempt: BTreeMap<SmolStr, Vec<usize>>,
@@ -124,6 +128,13 @@
         promises::check_end(self, &attempt);
     }
 
+    /// Records a request that reaches a replica, and checks it; returns the entry that sent it.
+    pub fn record_arrival(&mut self, attempt: &str, replica: usize, at: Time) -> Option<usize> {
+        let attempt = self.attempts.get(attempt)?.clone();
+        notices::check_arrival(self, &attempt, replica, at);
+        Some(attempt.entry)
+    }
+
     /// Records a replica's start of work on an attempt, checks it, and returns the run's index.
     pub fn record_run(&mut self, run: Run) -> usize {
         let index = self.runs.len();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod environment;
 pub mod faults;
 pub mod ledger;
+pub mod notices;
 pub mod plan;
 pub mod promises;
 pub mod proxy;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -18,6 +18,8 @@
 const REPEAT_GAP_MS: std::ops::Range<u64> = 200..1_500;
 /// Duration of a fault, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 400..4_000;
+/// Distinguishes the random sequence of notices from that of the other faults.
+const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
 /// Delay of bytes or answers, in milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 20..600;
 
@@ -63,6 +65,10 @@
     Crash(usize),
     /// A replica announces that it leaves, goes, and later restarts.
     Leave(usize),
+    /// A replica announces that it leaves in its answers alone, goes, and later restarts.
+    LeaveUnlisted(usize),
+    /// A replica turns away this share of requests and asks for pauses.
+    TurnAway(usize, f64),
     /// A replica misbehaves.
     Works(usize, Behavior),
     /// The operator changes the configuration.
@@ -89,10 +95,28 @@
             start += random.random_range(REPEAT_GAP_MS);
         }
     }
+    // A sequence of their own keeps the other faults of a seed as they are.
+    let mut random = Pcg64::seed_from_u64(seed ^ NOTICE_SEED);
+    for _ in 0..size.notice_count {
+        let start = random.random_range(0..size.fault_window.as_millis());
+        steps.push(Step {
+            start: Span::from_millis(start),
+            duration: Span::from_millis(random.random_range(DURATION_MS)),
+            fault: draw_notice(&mut random, size),
+        });
+    }
     steps.sort_by_key(|step| step.start);
     steps
 }
 
+fn draw_notice(random: &mut Pcg64, size: &Size) -> Fault {
+    let replica = random.random_range(0..size.engines + 2 * size.apps);
+    match random.random_range(0..3) {
+        0 => Fault::LeaveUnlisted(replica),
+        _ => Fault::TurnAway(replica, random.random_range(0.3..1.0)),
+    }
+}
+
 fn draw_fault(random: &mut Pcg64, size: &Size) -> Fault {
     let entry = random.random_range(0..size.entries);
     let replica = random.random_range(0..size.engines + 2 * size.apps);
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -7,7 +7,9 @@
 
 use anyhow::Result;
 use bytes::Bytes;
+use clock::Span;
 use futures::stream;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -38,10 +40,14 @@
 use crate::server::Body;
 use crate::server::Disconnected;
 
+/// Start of a replica's signature, followed by its index.
+pub const SIGNATURE_PREFIX: &str = "soak.";
 /// Time that a plain call takes.
 const CALL_TIME: Duration = Duration::from_millis(30);
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Pause that a replica asks for when it turns a request away.
+const PAUSE: Span = Span::from_millis(2_500);
 /// Factor by which slow work takes longer.
 const SLOWDOWN: u32 = 8;
 
@@ -54,6 +60,8 @@
     Fails(f64),
     /// This share of answers is lost; their streams break off halfway.
     LosesAnswers(f64),
+    /// This share of requests is turned away, each with a pause.
+    TurnsAway(f64),
     /// All work takes several times as long.
     Slow,
 }
@@ -70,6 +78,8 @@
     id: RefCell<SmolStr>,
     started_ms: Cell<u64>,
     behavior: Cell<Behavior>,
+    /// Whether answers announce that the replica is leaving.
+    is_leaving: Cell<bool>,
     is_running: watch::Sender<bool>,
 }
 
@@ -113,6 +123,7 @@
             id: RefCell::new(format_smolstr!("i-{index}")),
             started_ms: Cell::new(unix_ms()),
             behavior: Cell::new(Behavior::Good),
+            is_leaving: Cell::new(false),
             is_running,
         });
         replica.write_row(false);
@@ -152,18 +163,23 @@
     pub fn restart(&self) {
         self.started_ms.set(unix_ms());
         self.behavior.set(Behavior::Good);
+        self.is_leaving.set(false);
         self.is_running.send_replace(true);
-        let index = self.index;
-        self.environment
-            .ledger
-            .borrow_mut()
-            .leaving_since
-            .remove(&index);
+        let mut ledger = self.environment.ledger.borrow_mut();
+        ledger.leaving_since.remove(&self.index);
+        ledger.notices.forget_replica(self.index);
+        drop(ledger);
         self.write_row(false);
     }
 
-    /// Announces in the replica's row that it leaves.
+    /// Announces in answers that the replica leaves, but not in its row.
+    pub fn announce_leaving_in_answers(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Announces in the replica's row and answers that it leaves.
     pub fn announce_leaving(&self) {
+        self.announce_leaving_in_answers();
         self.write_row(true);
         let now = self.environment.clock.now();
         let mut ledger = self.environment.ledger.borrow_mut();
@@ -196,6 +212,39 @@
         self.environment.random.borrow_mut().random::<f64>() < share
     }
 
+    /// Returns the headers of an answer to a request.
+    fn answer_headers(&self, received: &Received) -> HeaderMap {
+        let signature = format_smolstr!("{SIGNATURE_PREFIX}{}", self.index);
+        let mut headers = replica::answer_headers(&received.attempt, &signature);
+        if self.is_leaving.get() {
+            replica::announce_leave(&mut headers);
+        }
+        headers
+    }
+
+    /// Records a request and returns the entry that sent it, if it is known.
+    fn record_arrival(&self, received: &Received) -> Option<usize> {
+        let now = self.environment.clock.now();
+        let mut ledger = self.environment.ledger.borrow_mut();
+        ledger.record_arrival(&received.attempt, self.index, now)
+    }
+
+    /// Turns a request of an entry away if the replica does so now, and asks the entry for a pause.
+    fn turn_away(&self, entry: Option<usize>) -> Option<Response<Body>> {
+        let Behavior::TurnsAway(share) = self.behavior.get() else {
+            return None;
+        };
+        if !self.chance(share) {
+            return None;
+        }
+        if let Some(entry) = entry {
+            let now = self.environment.clock.now();
+            let mut ledger = self.environment.ledger.borrow_mut();
+            ledger.notices.record_pause(entry, self.index, now, PAUSE);
+        }
+        Some(server::complete(replica::paused(PAUSE.as_duration())))
+    }
+
     fn begin_run(&self, received: &Received) -> RunGuard {
         let run = self.environment.ledger.borrow_mut().record_run(Run {
             attempt: received.attempt.clone(),
@@ -232,11 +281,15 @@
     if received.expected.as_deref() != Some(replica.id.borrow().as_str()) {
         return Ok(server::complete(replica::not_run(false)));
     }
+    let entry = replica.record_arrival(&received);
+    if let Some(refusal) = replica.turn_away(entry) {
+        return Ok(refusal);
+    }
     let guard = replica.begin_run(&received);
     tokio::time::sleep(replica.work_time(CALL_TIME)).await;
     let breaks_off = match replica.behavior.get() {
         Behavior::Fails(share) if replica.chance(share) => {
-            return Ok(failure_response(&received));
+            return Ok(failure_response(&replica, &received));
         }
         Behavior::LosesAnswers(share) => replica.chance(share),
         _ => false,
@@ -251,14 +304,14 @@
     }
     let body = content::call_body(&received.attempt);
     let mut response = Response::new(Bytes::from(body));
-    *response.headers_mut() = replica::answer_headers(&received.attempt);
+    *response.headers_mut() = replica.answer_headers(&received);
     Ok(server::complete(response))
 }
 
-fn failure_response(received: &Received) -> Response<Body> {
+fn failure_response(replica: &Replica, received: &Received) -> Response<Body> {
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-    *response.headers_mut() = replica::answer_headers(&received.attempt);
+    *response.headers_mut() = replica.answer_headers(received);
     server::complete(response)
 }
 
@@ -271,6 +324,7 @@
     breaks_off: bool,
 ) -> Response<Body> {
     let half = received.last_event + stream.events.saturating_sub(received.last_event) / 2;
+    let headers = replica.answer_headers(received);
     let state = (received.last_event, replica, guard);
     let events = stream::unfold(state, move |(last, replica, guard)| {
         let stream = stream.clone();
@@ -288,6 +342,6 @@
     });
     let body: Body = Box::pin(StreamBody::new(events));
     let mut response = Response::new(body);
-    *response.headers_mut() = replica::answer_headers(&received.attempt);
+    *response.headers_mut() = headers;
     response
 }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -16,22 +16,20 @@
         callers: 12,
         fault_window: Span::from_millis(4_000),
         fault_count: 4,
+        notice_count: 0,
         ..Size::small()
     }
 }
 
-/// Guards against calls that run twice, untrue refusals and work sent to leaving replicas, when signals,
-/// connection faults and faults of the table service come in series under load.
-#[test]
-fn promises_hold_under_short_series_of_faults() {
+fn play(seeds: [u64; 2], size: Size) {
     let binary = run::find_entry_binary().unwrap();
     let binary = &binary;
     let play = |seed: u64| {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("seed-{seed}"));
-        run::play(seed, short_size(), binary, folder).unwrap()
+        run::play(seed, size, binary, folder).unwrap()
     };
     let reports: Vec<_> = std::thread::scope(|threads| {
-        let handles: Vec<_> = [7, 21]
+        let handles: Vec<_> = seeds
             .into_iter()
             .map(|seed| threads.spawn(move || play(seed)))
             .collect();
@@ -44,3 +42,21 @@
         assert!(report.breaches.is_empty(), "{report}");
     }
 }
+
+/// Guards against calls that run twice, untrue refusals and work sent to leaving replicas, when signals,
+/// connection faults and faults of the table service come in series under load.
+#[test]
+fn promises_hold_under_short_series_of_faults() {
+    play([7, 21], short_size());
+}
+
+/// Guards against work sent to replicas that asked for a pause or announced their leave in answers alone.
+#[test]
+fn replicas_get_the_pauses_and_leaves_that_their_answers_announce() {
+    let size = Size {
+        fault_count: 1,
+        notice_count: 5,
+        ..short_size()
+    };
+    play([3, 5], size);
+}
