Don't take the duration of a stream for its latency

Refusals said that the latency target can't be met, with three members, none open and three streams running.

Cause: such a request is scheduled as a plain call, whose whole duration is its latency sample. Found with three new fields of refusals: at_limit=3 of 3 members, probing=0 or 1, throttled=0 in 18 of 20 such refusals. Ruled out: slots (8 of 32 for each of four entries), warm-up (no engine had been replaced), ejections.

A stream that has delivered its first event gives no such sample; its pauses are sampled as of any stream. Requests that describe their prompt, all streams of the users' deployments, were never sampled that way.

--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -178,9 +178,9 @@
         }
     }
 
-    /// Samples the latency of a plain call, whose whole duration counts as its gap.
+    /// Samples the latency of a plain call, whose whole duration counts as its gap unless it was streamed.
     fn sample_plain_call(&mut self, now: Time, id: job::Id) {
-        let Some(open) = self.open.get(&id) else {
+        let Some(open) = self.open.get(&id).filter(|open| !open.streaming) else {
             return;
         };
         let (Some(key), job::Kind::Plain) = (open.replica, open.job.kind) else {
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -90,6 +90,12 @@
     pub open: usize,
     /// Members that are ejected as unhealthy.
     pub ejected: usize,
+    /// Members that take few jobs after an ejection, to prove their health.
+    pub probing: usize,
+    /// Members with as many own attempts as their latency allows.
+    pub at_limit: usize,
+    /// Members that pause or set a rate limit.
+    pub throttled: usize,
     /// Own attempts on all members.
     pub running: u32,
     /// Jobs in the queue.
@@ -386,13 +392,23 @@
             return Snapshot::default();
         };
         let candidates = self.candidates(now, pool);
-        let allowed = pool.members.iter().map(|key| pool.monitor.allowance(*key));
+        let allowances = || pool.members.iter().map(|key| pool.monitor.allowance(*key));
+        let replicas = || pool.members.iter().filter_map(|key| self.replicas.get(key));
         Snapshot {
             members: pool.members.len(),
             open: candidates.iter().filter(|candidate| candidate.open).count(),
-            ejected: allowed
+            ejected: allowances()
                 .filter(|allowance| *allowance == Allowance::None)
                 .count(),
+            probing: allowances()
+                .filter(|allowance| matches!(allowance, Allowance::Jobs(_)))
+                .count(),
+            at_limit: replicas()
+                .filter(|replica| replica.running() >= replica.load.limit())
+                .count(),
+            throttled: replicas()
+                .filter(|replica| replica.is_throttled(now))
+                .count(),
             running: pool.running,
             waiting: pool.queue.len(),
             held: self.held.len(),
--- /dev/null
+++ b/crates/policy/tests/streams.rs
@@ -0,0 +1,88 @@
+//! Streams whose requests don't describe a prompt.
+
+#![allow(clippy::unwrap_used)]
+
+use clock::Span;
+use clock::Time;
+use policy::account;
+use policy::decision::Decision;
+use policy::job;
+use policy::job::Job;
+use policy::pool;
+use policy::replica;
+use policy::scheduler::Scheduler;
+use smol_str::SmolStr;
+
+const ACCOUNT: account::Key = account::Key(0);
+const POOL: pool::Key = pool::Key(0);
+const TARGET: Span = Span::from_millis(500);
+/// Time until the first event, well within the target.
+const FIRST_EVENT: Span = Span::from_millis(50);
+/// Duration of a stream, beyond the target for its first event.
+const DURATION: Span = Span::from_millis(1_200);
+
+fn job(id: u64) -> Job {
+    Job {
+        id: job::Id(id),
+        account: ACCOUNT,
+        pool: POOL,
+        kind: job::Kind::Plain,
+        prompt_tokens: 1,
+        max_new_tokens: 0,
+        prefix: 0,
+        fingerprint: id,
+        idempotent: true,
+        first_token: TARGET,
+        token_gap: Span::from_millis(300),
+        terms: job::Terms {
+            rank: 0,
+            attempts: 2,
+            queue_timeout: Span::from_seconds(5),
+        },
+    }
+}
+
+fn scheduler() -> Scheduler {
+    let mut scheduler = Scheduler::new(7);
+    let account = account::Spec {
+        name: SmolStr::new_static("amber"),
+        weight: 1,
+        priority: 0,
+        tokens_per_second: 0,
+        concurrent: 0,
+    };
+    scheduler.set_account(ACCOUNT, account);
+    scheduler.set_entries(1);
+    let spec = replica::Spec {
+        incarnation: SmolStr::new_static("r0"),
+        pool: POOL,
+        zone: SmolStr::new_static("north"),
+        slots: 32,
+    };
+    scheduler.replica_joined(Time::ZERO, spec, &mut Vec::new());
+    scheduler
+}
+
+/// Requests were refused beside idle replicas: the duration of their streams counted as the time until their
+/// first event, which cut the jobs that a replica may run to one.
+#[test]
+fn long_streams_do_not_lower_the_number_of_concurrent_jobs() {
+    let mut scheduler = scheduler();
+    let mut now = Time::ZERO;
+    for id in 0..60 {
+        let mut out = Vec::new();
+        scheduler.offer(now, job(id), &mut out);
+        assert!(matches!(out[..], [Decision::Start { .. }]), "{id}: {out:?}");
+        scheduler.first_token(now + FIRST_EVENT, job::Id(id));
+        now = now + DURATION;
+        scheduler.attempt_ended(now, job::Id(id), job::End::Finished, 20, &mut out);
+    }
+    let mut out = Vec::new();
+    for id in 100..108 {
+        scheduler.offer(now, job(id), &mut out);
+    }
+    let started = out
+        .iter()
+        .filter(|decision| matches!(decision, Decision::Start { .. }));
+    assert_eq!(started.count(), 8);
+}
