Heed pauses that backend servers ask for on the product's own wire too

The same cause elsewhere: an engine or service that says that it didn't start a request was chosen again at once. Its refusal may now carry a Retry-After; the entry sends it nothing until then, by the same policy as on the users' platform. Stand-in engines and services ask for pauses on order. A leave needs nothing there: the instance list and reclaim notices tell it.

--- a/crates/back/src/failure.rs
+++ b/crates/back/src/failure.rs
@@ -1,5 +1,6 @@
 //! Failures of exchanges with backend servers.
 
+use clock::Span;
 use smol_str::SmolStr;
 
 /// Failure of an exchange, classified by whether the request may have run.
@@ -8,7 +9,10 @@
     /// No connection was established: no byte of the request was sent.
     NotSent,
     /// The server reported that it did not start the request.
-    NotStarted,
+    NotStarted {
+        /// Time for which the server accepts no request from this entry, if it asked for a pause.
+        pause: Option<Span>,
+    },
     /// The server responded with an error.
     Answered {
         /// HTTP status.
@@ -25,14 +29,22 @@
 impl Failure {
     /// Returns whether the request can't have run.
     pub fn definitely_not_run(&self) -> bool {
-        matches!(self, Failure::NotSent | Failure::NotStarted)
+        matches!(self, Failure::NotSent | Failure::NotStarted { .. })
+    }
+
+    /// Returns the pause that the server asked for, if it did.
+    pub const fn pause(&self) -> Option<Span> {
+        match self {
+            Failure::NotStarted { pause } => *pause,
+            _ => None,
+        }
     }
 
     /// Returns the name used in logs.
     pub const fn as_str(&self) -> &'static str {
         match self {
             Failure::NotSent => "not-sent",
-            Failure::NotStarted => "not-started",
+            Failure::NotStarted { .. } => "not-started",
             Failure::Answered { .. } => "answered",
             Failure::Broken => "broken",
             Failure::TimedOut => "timed-out",
--- a/crates/back/src/http_client.rs
+++ b/crates/back/src/http_client.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clock::Span;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::RETRY_AFTER;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -110,7 +112,8 @@
         let not_started = response.status() == StatusCode::SERVICE_UNAVAILABLE
             && response.headers().contains_key(NOT_STARTED_HEADER);
         if not_started {
-            return Err(Failure::NotStarted);
+            let pause = requested_pause(response.headers());
+            return Err(Failure::NotStarted { pause });
         }
         Ok(response)
     }
@@ -181,6 +184,14 @@
     }
 }
 
+/// Returns the pause that a refusal asks for in seconds; `None` for other values, such as dates.
+fn requested_pause(headers: &HeaderMap) -> Option<Span> {
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    let valid = seconds.is_finite() && seconds > 0.0;
+    valid.then(|| Span::from_millis((seconds * 1_000.0).ceil() as u64))
+}
+
 /// Distinguishes a request that was never sent from one that may have arrived.
 fn classify(error: &Error) -> Failure {
     if error.is_connect() {
--- a/crates/daemon/src/attempt_end.rs
+++ b/crates/daemon/src/attempt_end.rs
@@ -9,7 +9,7 @@
 /// itself reported that it did not start the request.
 pub fn end_of(failure: &Failure) -> End {
     match failure {
-        Failure::NotSent | Failure::NotStarted => End::NotStarted,
+        Failure::NotSent | Failure::NotStarted { .. } => End::NotStarted,
         Failure::Broken => End::Crashed,
         Failure::Answered { .. } | Failure::TimedOut => End::Failed,
     }
--- a/crates/daemon/src/flight/engine_events.rs
+++ b/crates/daemon/src/flight/engine_events.rs
@@ -98,7 +98,12 @@
                 self.output.refuse(&refusal).await;
                 return Flow::Break;
             }
-            (Source::Fresh, _) => self.report_end(end_of(failure)),
+            (Source::Fresh, _) => {
+                if let Some(pause) = failure.pause() {
+                    self.report(Report::PauseRequested { pause });
+                }
+                self.report_end(end_of(failure));
+            }
         }
         Flow::Continue
     }
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -88,7 +88,12 @@
                             self.report_end(attempt, End::Finished);
                             break Some(response::completed(&self.request, response_of(served)));
                         }
-                        Err(failure) => self.report_end(attempt, end_of(&failure)),
+                        Err(failure) => {
+                            if let Some(pause) = failure.pause() {
+                                self.report(attempt, Report::PauseRequested { pause });
+                            }
+                            self.report_end(attempt, end_of(&failure));
+                        }
                     }
                 }
                 Some(Command::Attach { .. } | Command::Move { .. } | Command::Stop) => {}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,6 +17,11 @@
         /// Longest gap between two of them.
         worst_gap: Span,
     },
+    /// The backend server turned the attempt away and asked for a pause; the attempt's end follows.
+    PauseRequested {
+        /// Time for which the server accepts no request from this entry.
+        pause: Span,
+    },
     /// The attempt ended.
     Ended {
         /// How it ended.
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -1,8 +1,10 @@
 //! Handlers of attempt reports, cancellations, disconnects and request timeouts.
 
+use clock::Span;
 use clock::Time;
 use policy::job;
 use policy::job::End;
+use policy::replica;
 use request::id::Id;
 use smol_str::SmolStr;
 use verdict::Reason;
@@ -53,11 +55,35 @@
                     .with("recomputed", recomputed);
                 effects.push(Effect::Log(line));
             }
+            Report::PauseRequested { pause } => {
+                if let Some(replica) = flight.replica {
+                    self.pause_replica(now, replica, pause, effects);
+                }
+            }
             Report::AttachFailed => self.attach_failed(now, serial, effects),
             Report::Ended { end, tokens } => self.attempt_ended(now, serial, end, tokens, effects),
         }
     }
 
+    /// Sends a replica nothing for the time that it asked for.
+    fn pause_replica(
+        &mut self,
+        now: Time,
+        replica: replica::Key,
+        pause: Span,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(instance) = self.backends.instance(replica) {
+            let line = Line::info("backend_paused")
+                .with("backend", &instance.incarnation)
+                .with("pause_ms", pause.as_millis());
+            effects.push(Effect::Log(line));
+        }
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.replica_paused(now, replica, pause, out);
+        });
+    }
+
     /// Handles the end of an attempt: the request is done, or the scheduler decides how to continue.
     fn attempt_ended(
         &mut self,
--- a/crates/standin/src/engine/fault.rs
+++ b/crates/standin/src/engine/fault.rs
@@ -15,6 +15,8 @@
     pub frozen: bool,
     /// Answers every new request that it was not started.
     pub refuse: bool,
+    /// Pause that a refusal asks for, milliseconds; 0 for none.
+    pub pause_ms: u64,
     /// Cuts the reader's connection once, at this offset.
     pub cut_at: Option<u32>,
     /// Fails KV exports and imports.
@@ -27,6 +29,7 @@
             slow: 1.0,
             frozen: false,
             refuse: false,
+            pause_ms: 0,
             cut_at: None,
             no_transfer: false,
         }
--- a/crates/standin/src/engine/route.rs
+++ b/crates/standin/src/engine/route.rs
@@ -62,7 +62,7 @@
 
 async fn chat(state: &Rc<State>, request: Request<Incoming>) -> io::Result<Answer> {
     if state.fault.borrow().refuse || !state.orders.serves() {
-        return Ok(service::not_started());
+        return Ok(service::not_started(state.fault.borrow().pause_ms));
     }
     let id = header(&request, "x-stream").unwrap_or_default();
     let priority = header(&request, "x-priority").and_then(|text| text.parse().ok());
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -31,6 +31,8 @@
 pub struct Fault {
     /// Answers that the call was not started.
     pub refuse: bool,
+    /// Pause that a refusal asks for, milliseconds; 0 for none.
+    pub pause_ms: u64,
     /// Executes the call, then cuts the connection without a response.
     pub lose_answer: bool,
     /// Executes the call, then answers 500.
@@ -46,6 +48,8 @@
 pub struct Counts {
     /// Keyed by method, path with query, and body, separated by spaces.
     pub executions: BTreeMap<String, u32>,
+    /// Calls that were refused as not started.
+    pub refused: u32,
 }
 
 #[derive(Serialize)]
@@ -98,6 +102,10 @@
         *self.fault.borrow_mut() = fault;
     }
 
+    fn count_refusal(&self) {
+        self.counts.borrow_mut().refused += 1;
+    }
+
     fn count(&self, call: String) {
         let mut counts = self.counts.borrow_mut();
         *counts.executions.entry(call).or_default() += 1;
@@ -123,7 +131,8 @@
     gate.wait().await;
     let fault = state.fault.borrow().clone();
     if fault.refuse {
-        return Ok(not_started());
+        state.count_refusal();
+        return Ok(not_started(fault.pause_ms));
     }
     let method = request.method().to_string();
     let path = request
@@ -152,12 +161,20 @@
     server::json(StatusCode::OK, &echo)
 }
 
-/// Returns the response for a request that was not started.
-pub fn not_started() -> Answer {
+/// Returns the response for a request that was not started, and asks for a pause unless it is 0.
+pub fn not_started(pause_ms: u64) -> Answer {
     let mut answer = server::empty(StatusCode::SERVICE_UNAVAILABLE);
     answer.headers_mut().insert(
         "x-not-started",
         hyper::header::HeaderValue::from_static("true"),
     );
+    if pause_ms > 0 {
+        let seconds = (pause_ms as f64 / 1_000.0).to_string();
+        if let Ok(seconds) = hyper::header::HeaderValue::from_str(&seconds) {
+            answer
+                .headers_mut()
+                .insert(hyper::header::RETRY_AFTER, seconds);
+        }
+    }
     answer
 }
--- a/crates/standin/tests/failures_backend.rs
+++ b/crates/standin/tests/failures_backend.rs
@@ -203,6 +203,26 @@
     });
 }
 
+/// A service turns calls away and asks for a pause. Without it each entry would choose the service again, since
+/// it has nothing to do.
+#[test]
+fn a_service_that_asks_for_a_pause_gets_one_call_of_each_entry() {
+    harness::run(async {
+        let cluster = Cluster::deployed(&SIZE).await;
+        let fault = json!({ "refuse": true, "pause_ms": 600_000 });
+        cluster
+            .backend_fault(&cluster.services[0].process, fault)
+            .await;
+        let caller = cluster.caller_with_two_tries();
+        for number in 0..40 {
+            let call = receipt(&format!("paused-{number}"), Delivery::Ticket);
+            caller.call(&call).await.unwrap();
+        }
+        let refused = cluster.service_counts(0).await.refused;
+        assert!((1..=SIZE.entries as u32).contains(&refused), "{refused}");
+    });
+}
+
 /// Sends reclaim notices to engines and kills them at the deadline.
 async fn reclaim_and_kill(cluster: &mut Cluster, engines: &[usize]) {
     for index in engines {
