--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -191,8 +191,8 @@
         );
     }
 
-    /// Handles a server's own announcement that it is leaving, and publishes it: while the table service is
-    /// away, the server's row tells nobody.
+    /// Handles a server's own announcement that it is leaving, and publishes it, since its row can't be written
+    /// while the table service is away.
     pub(crate) fn handle_announced_leave(
         &mut self,
         now: Time,
--- a/crates/policy/src/pause.rs
+++ b/crates/policy/src/pause.rs
@@ -39,7 +39,7 @@
     }
 
     /// Returns whether the replica may get a request now.
-    pub fn is_over(&self, now: Time) -> bool {
+    pub fn allows_request(&self, now: Time) -> bool {
         !self.is_active(now) && self.probe.is_none()
     }
 
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -147,7 +147,7 @@
 
     /// Returns whether the replica's limit and pause allow a request now.
     pub fn accepts(&self, now: Time) -> bool {
-        self.pause.is_over(now) && self.gate.is_open(now)
+        self.pause.allows_request(now) && self.gate.is_open(now)
     }
 
     /// Returns when they allow one next; `None` while other entries use the whole limit.
