--- a/crates/back/src/http_client.rs
+++ b/crates/back/src/http_client.rs
@@ -185,7 +185,7 @@
 }
 
 /// Returns the pause that a refusal asks for in seconds; `None` for other values, such as dates.
-fn requested_pause(headers: &HeaderMap) -> Option<Span> {
+pub fn requested_pause(headers: &HeaderMap) -> Option<Span> {
     let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
     let seconds: f64 = text.trim().parse().ok()?;
     let valid = seconds.is_finite() && seconds > 0.0;
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -370,8 +370,8 @@
     index.parse().ok()
 }
 
-/// Sends a request, passes the answer's headers to `record` and reads its body. Returns how it ended, the pause before a retry, and whether the
-/// connection stays open.
+/// Sends a request, passes the answer's headers to `record` and reads its body. Returns how it ended, the
+/// pause before a retry, and whether the connection stays open.
 async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
