Detect and log entries that reach no backend server

An entry logs servers_unreachable once several distinct servers in a row accept no connection, and servers_reachable when one does; metrics count new connections to servers by outcome and show the state. Trial connections decide quickly: when one fails, and when all servers are silent while one owes an answer. No decision on requests is changed.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -101,8 +101,8 @@
     ReadServers,
     /// Allow requests to a backend server, even if it was closed before.
     OpenServer {
-        /// Incarnation of the server that joined.
-        incarnation: SmolStr,
+        /// The server that joined.
+        endpoint: Endpoint,
     },
     /// Send no more requests to a backend server; those already sent continue.
     CloseServer {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -61,6 +61,13 @@
         /// What it stated.
         notice: Notice,
     },
+    /// This entry lost all backend servers, or reaches some again.
+    IsolationChanged {
+        /// Whether it reaches none.
+        isolated: bool,
+        /// Backend servers that were unreachable in a row.
+        unreachable: usize,
+    },
     /// A caller asks which entries to use.
     AddressesRequested {
         /// Identifies the query.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -70,6 +70,8 @@
     pub(crate) limits: Limits,
     /// Pauses that backend servers asked for.
     pub(crate) pauses: Pauses,
+    /// Since when this entry reaches no backend server.
+    pub(crate) isolated_since: Option<Time>,
     /// The scheduler pool of each backend server, by incarnation.
     pub(crate) replica_pools: BTreeMap<SmolStr, SmolStr>,
     pub(crate) rollouts: Rollouts,
@@ -156,6 +158,8 @@
     pub missing: u64,
     /// Servers that asked this entry for a pause.
     pub paused: u64,
+    /// Whether this entry reaches no server.
+    pub isolated: bool,
     /// Queued requests.
     pub waiting: u64,
     /// Retries left in the budgets of all services.
@@ -177,6 +181,7 @@
             servers: Servers::default(),
             limits: Limits::default(),
             pauses: Pauses::default(),
+            isolated_since: None,
             replica_pools: BTreeMap::new(),
             rollouts: Rollouts::default(),
             watch: Watch::new(settings.watch, identity.incarnation.0),
@@ -243,6 +248,10 @@
                 incarnation,
                 notice,
             } => self.handle_notice(now, &incarnation, notice, effects),
+            Event::IsolationChanged {
+                isolated,
+                unreachable,
+            } => self.handle_isolation_change(now, isolated, unreachable, effects),
             Event::AddressesRequested { requester, zone } => {
                 self.answer_addresses(now, requester, zone.as_deref(), effects);
             }
@@ -300,6 +309,7 @@
             leaving: self.servers.leaving_count() as u64,
             missing: self.servers.missing().len() as u64,
             paused: self.pauses.active_count(now) as u64,
+            isolated: self.isolated_since.is_some(),
             waiting: waiting as u64,
             repeats_left: repeats.max(0.0) as u64,
             fence: self.lease(now).map_or(0, |lease| lease.fence),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod following;
 mod hubs;
 mod intake;
+mod isolation;
 mod lagging;
 mod peers;
 mod presence;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -9,6 +9,7 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::servers::DEFAULT_NOTICE;
+use crate::servers::endpoint_of;
 use watch::server::Reading;
 use watch::server::Removal;
 use watch::server::Server;
@@ -259,7 +260,7 @@
             .with("zone", &server.zone);
         effects.push(Effect::Log(line));
         effects.push(Effect::OpenServer {
-            incarnation: server.incarnation.clone(),
+            endpoint: endpoint_of(&server),
         });
         let pool = self.replica_pool(&server);
         self.add_replica(now, server, pool, effects);
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -211,11 +211,7 @@
     /// Returns the address and names of a server.
     pub fn place(&self, key: replica::Key) -> Option<Endpoint> {
         let record = self.by_incarnation.get(self.by_key.get(&key)?)?;
-        Some(Endpoint {
-            address: record.server.address.clone(),
-            id: record.server.id.clone(),
-            incarnation: record.server.incarnation.clone(),
-        })
+        Some(endpoint_of(&record.server))
     }
 
     /// Returns the incarnation for a key, also after its server was removed.
@@ -262,5 +258,14 @@
     }
 }
 
+/// Returns the address and names of a server.
+pub(crate) fn endpoint_of(server: &Server) -> Endpoint {
+    Endpoint {
+        address: server.address.clone(),
+        id: server.id.clone(),
+        incarnation: server.incarnation.clone(),
+    }
+}
+
 /// How long a leaving server is expected to run if it gives no time.
 pub(crate) const DEFAULT_NOTICE: Span = Span::from_seconds(2);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -768,9 +768,9 @@
                 *self.list_reads.entry(entry).or_default() += 1;
                 None
             }
-            Effect::OpenServer { incarnation } => {
+            Effect::OpenServer { endpoint } => {
                 self.closed_servers
-                    .retain(|one| *one != (entry, incarnation.clone()));
+                    .retain(|one| *one != (entry, endpoint.incarnation.clone()));
                 None
             }
             Effect::CloseServer { incarnation } => {
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -9,6 +9,7 @@
 pub mod cover;
 pub mod fair;
 pub mod health;
+pub mod isolation;
 pub mod limit;
 pub mod mix;
 pub mod pace;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod decision;
 pub mod fair;
 pub mod health;
+pub mod isolation;
 pub mod job;
 pub mod limit;
 pub mod mix;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: forwards a request to a replica and relays its answer to the caller.
 
 use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,7 @@
 use crate::flight::Flight;
 use crate::flight::Inbound;
 use crate::pool::Connection;
+use crate::reach;
 use crate::shared::Shared;
 
 /// Interval between two progress reports of a stream.
@@ -38,6 +40,9 @@
 /// Longest wait for the rest of an unneeded answer, after which its connection is closed instead of reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Interval at which a request that awaits bytes checks whether all servers are silent.
+const SILENCE_CHECK_INTERVAL: Span = Span::from_millis(400);
+
 /// The outcome of an exchange up to the head of its answer.
 enum Head {
     Received(Answer),
@@ -138,7 +143,7 @@
                 frame = next_frame => frame,
                 () = self.caller.disconnected() => return None,
             };
-            self.shared.pool.record_activity(&start.endpoint);
+            reach::record_sign(&self.shared, &start.endpoint);
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Some(probe_after_break(&self.shared, start).await),
@@ -215,7 +220,7 @@
 
 /// Sends the request and waits for the head of its answer.
 async fn send_request(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     inbound: &Inbound,
     start: &Start,
     resume: Option<&Resume>,
@@ -225,15 +230,10 @@
     loop {
         let connection = match idle.take() {
             Some(connection) => Ok(connection),
-            None => shared.pool.connect(&start.endpoint).await,
+            None => reach::connect(shared, &start.endpoint).await,
         };
-        let mut connection = match connection {
-            Ok(connection) => connection,
-            Err(error) => {
-                let address = start.endpoint.address.as_str();
-                log::debug!(event = "not_connected", address = address, error = error.to_string().as_str(); "");
-                return Head::Ended(End::NotSent);
-            }
+        let Ok(mut connection) = connection else {
+            return Head::Ended(End::NotSent);
         };
         let remaining = start.time_left - shared.clock.now().since(started);
         if remaining == Span::ZERO || !may_forward(shared, &start.endpoint, resume) {
@@ -247,7 +247,7 @@
         let sending = connection.sender.try_send_request(request);
         let mut error = match with_silence_timeout(shared, &start, sending).await {
             Ok(Ok(response)) => {
-                shared.pool.record_activity(&start.endpoint);
+                reach::record_sign(shared, &start.endpoint);
                 return handle_head(shared, inbound, &start, connection, response).await;
             }
             Ok(Err(error)) => error,
@@ -346,8 +346,8 @@
 ///
 /// A new connection distinguishes a lost answer from a crash; requests during which servers crash are
 /// quarantined.
-async fn probe_after_break(shared: &Shared, start: &Start) -> End {
-    match shared.pool.connect(&start.endpoint).await {
+async fn probe_after_break(shared: &Rc<Shared>, start: &Start) -> End {
+    match reach::connect(shared, &start.endpoint).await {
         Ok(connection) => {
             let headers = HeaderMap::new();
             shared
@@ -367,20 +367,29 @@
 /// amplify an overload. Traffic on other connections says nothing about a plain call, which has a timeout of
 /// its own.
 async fn with_silence_timeout<T>(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     start: &Start,
     pending: impl Future<Output = T>,
 ) -> Result<T, End> {
-    let Some(limit) = start.silence_timeout else {
-        return Ok(pending.await);
-    };
     let mut pending = std::pin::pin!(pending);
+    let mut waited = Span::ZERO;
     loop {
-        match tokio::time::timeout(limit.as_duration(), pending.as_mut()).await {
-            Ok(value) => return Ok(value),
-            Err(_) if start.stream && shared.pool.was_active(&start.endpoint, limit) => {}
-            Err(_) => return Err(End::TimedOut { waited: limit }),
+        let step = match start.silence_timeout {
+            Some(limit) => SILENCE_CHECK_INTERVAL.min(limit - waited),
+            None => SILENCE_CHECK_INTERVAL,
+        };
+        if let Ok(value) = tokio::time::timeout(step.as_duration(), pending.as_mut()).await {
+            return Ok(value);
+        }
+        waited = waited + step;
+        reach::check_silence(shared);
+        let Some(limit) = start.silence_timeout.filter(|limit| waited >= *limit) else {
+            continue;
+        };
+        if !start.stream || !shared.pool.was_active(&start.endpoint, limit) {
+            return Err(End::TimedOut { waited: limit });
         }
+        waited = Span::ZERO;
     }
 }
 
--- a/crates/relay/src/inbox.rs
+++ b/crates/relay/src/inbox.rs
@@ -129,6 +129,7 @@
             | Event::Servers(_)
             | Event::ServersLost
             | Event::NoticeReceived { .. }
+            | Event::IsolationChanged { .. }
             | Event::Store { .. }
             | Event::DutyAnswered { .. }
             | Event::DigestReceived(_)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod logs;
 pub mod outbox;
 pub mod pool;
+pub mod reach;
 pub mod run;
 pub mod wake;
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -41,6 +41,7 @@
     cloud_calls: Counter<u64>,
     digests: Counter<u64>,
     digest_bytes: Counter<u64>,
+    connections: Counter<u64>,
     reducer_busy: Counter<f64>,
     first_token: Histogram<f64>,
     total_latency: Histogram<f64>,
@@ -53,6 +54,7 @@
 struct Gauges {
     open: Gauge<u64>,
     waiting: Gauge<u64>,
+    isolated: Gauge<u64>,
     version: Gauge<u64>,
     version_age: Gauge<u64>,
     members: Gauge<u64>,
@@ -124,6 +126,10 @@
                 "Digests to other entries, by outcome",
             ),
             digest_bytes: count("dogwoodspur_digest_bytes", "Their size, lost ones included"),
+            connections: count(
+                "dogwoodspur_connections",
+                "New connections to backend servers, by outcome",
+            ),
             reducer_busy: meter
                 .f64_counter("dogwoodspur_reducer_busy")
                 .with_description("Time spent in decisions")
@@ -136,6 +142,10 @@
             gauges: Gauges {
                 open: gauge("dogwoodspur_open_requests", "Requests open here"),
                 waiting: gauge("dogwoodspur_waiting_requests", "Requests in the queues"),
+                isolated: gauge(
+                    "dogwoodspur_isolated",
+                    "Whether this entry reaches no backend server",
+                ),
                 version: gauge("dogwoodspur_configuration_version", "Version in force"),
                 version_age: gauge("dogwoodspur_configuration_age_ms", "Since it came in force"),
                 members: gauge("dogwoodspur_members", "Entries known here"),
@@ -233,6 +243,15 @@
         self.digest_bytes.add(bytes as u64, &[]);
     }
 
+    /// Counts an attempt to open a connection to a backend server.
+    pub fn count_connection(&self, opened: bool) {
+        let outcome = match opened {
+            true => "opened",
+            false => "failed",
+        };
+        self.connections.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(
         &self,
@@ -263,6 +282,7 @@
         gauges.version.record(status.version, &[]);
         gauges.version_age.record(status.version_age_ms, &[]);
         gauges.members.record(status.members, &[]);
+        gauges.isolated.record(u64::from(status.isolated), &[]);
         gauges.ready.record(u64::from(status.ready), &[]);
         gauges.repeats.record(status.repeats_left, &[]);
         gauges.fence.record(status.fence, &[]);
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -21,6 +21,7 @@
 
 use crate::adapter::Transfer;
 use crate::flight::Flight;
+use crate::reach;
 use crate::shared::Shared;
 
 /// Timeout of a move request: a KV cache of 50,000 tokens takes 30 ms between zones and queues behind others.
@@ -146,12 +147,12 @@
 
 /// Has the run's server stop it and hand over its KV cache.
 async fn hand_over(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     id: &str,
     from: &Endpoint,
     to: &Endpoint,
 ) -> Result<Transfer, Cause> {
-    let connecting = shared.pool.connect(from).await;
+    let connecting = reach::connect(shared, from).await;
     let mut connection = connecting.map_err(|_| Cause::Unreached)?;
     let request = shared.codec.move_request(id, to).map(Full::new);
     let response = connection.sender.send_request(request).await;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,6 +50,10 @@
 /// Idle connections to backend servers.
 pub struct Pool {
     clock: Clock,
+    /// Servers that accept requests, by incarnation.
+    servers: RefCell<BTreeMap<SmolStr, Endpoint>>,
+    /// The server that was last tried out.
+    last_tried: RefCell<SmolStr>,
     idle: RefCell<BTreeMap<SmolStr, Vec<Connection>>>,
     /// Time of each server's last activity, by incarnation.
     last_activity: RefCell<BTreeMap<SmolStr, Time>>,
@@ -80,6 +85,8 @@
     pub fn new(clock: Clock) -> Pool {
         Pool {
             clock,
+            servers: RefCell::default(),
+            last_tried: RefCell::default(),
             idle: RefCell::default(),
             last_activity: RefCell::default(),
             closed: RefCell::default(),
@@ -106,9 +113,30 @@
         time.is_some_and(|time| self.clock.now().since(*time) <= within)
     }
 
-    /// Reopens a server, whose row may have been missing for a while although it was alive.
-    pub fn open(&self, incarnation: &str) {
-        self.closed.borrow_mut().remove(incarnation);
+    /// Opens a server, or reopens it: its row may have been missing for a while although it was alive.
+    pub fn open(&self, endpoint: Endpoint) {
+        self.closed.borrow_mut().remove(&endpoint.incarnation);
+        let mut servers = self.servers.borrow_mut();
+        servers.insert(endpoint.incarnation.clone(), endpoint);
+    }
+
+    /// Returns the number of open servers.
+    pub fn server_count(&self) -> usize {
+        self.servers.borrow().len()
+    }
+
+    /// Returns up to `count` open servers, in turn.
+    pub fn next_servers(&self, count: usize) -> Vec<Endpoint> {
+        let servers = self.servers.borrow();
+        let last = self.last_tried.borrow().clone();
+        let following = (Bound::Excluded(last.clone()), Bound::Unbounded);
+        let rest = servers.range(..=last);
+        let turn = servers.range(following).chain(rest);
+        let next: Vec<Endpoint> = turn.take(count).map(|(_, server)| server.clone()).collect();
+        if let Some(endpoint) = next.last() {
+            *self.last_tried.borrow_mut() = endpoint.incarnation.clone();
+        }
+        next
     }
 
     /// Closes a leaving server: drops its idle connections and rejects requests that were not forwarded yet.
@@ -116,6 +144,7 @@
     /// A request may wait for its connection while the server starts to leave. An entry short of processor
     /// time forwarded one 3.6 s later, when the server's end would have cut it off.
     pub fn close(&self, incarnation: SmolStr) {
+        self.servers.borrow_mut().remove(&incarnation);
         self.idle.borrow_mut().remove(&incarnation);
         let now = self.clock.now();
         self.closed.borrow_mut().insert(incarnation, now);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -47,6 +47,7 @@
 use crate::peers::Responder;
 use crate::pool::Pool;
 use crate::ports;
+use crate::reach::Reach;
 use crate::shared::Shared;
 use crate::shell;
 use crate::shell::Shell;
@@ -128,6 +129,7 @@
         handle,
         codec: Rc::clone(&adapter.codec),
         pool: Pool::new(clock),
+        reach: Reach::default(),
         clock,
         metrics: Metrics::new()?,
         status: Cell::new(Status::default()),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::outbox;
 use crate::pool::Pool;
+use crate::reach::Reach;
 
 /// The shared state.
 pub struct Shared {
@@ -26,6 +27,8 @@
     pub codec: Rc<dyn Codec>,
     /// Connections to backend servers.
     pub pool: Pool,
+    /// Whether this entry reaches backend servers.
+    pub reach: Reach,
     /// The process's clock.
     pub clock: Clock,
     /// Metrics of the entry.
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -198,7 +198,7 @@
                 self.shared.servers_poll_interval.send_replace(pause);
             }
             Effect::ReadServers => self.read_servers.notify_one(),
-            Effect::OpenServer { incarnation } => self.shared.pool.open(&incarnation),
+            Effect::OpenServer { endpoint } => self.shared.pool.open(endpoint),
             Effect::CloseServer { incarnation } => self.shared.pool.close(incarnation),
             Effect::PauseServer { incarnation, pause } => {
                 self.shared.pool.pause(incarnation, pause);
