--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -80,12 +80,7 @@
     }
 
     /// Records that no connection to a replica could be opened; `known` replicas are on the list.
-    pub fn record_unreachable(
-        &mut self,
-        now: Time,
-        replica: u64,
-        known: usize,
-    ) -> Option<Change> {
+    pub fn record_unreachable(&mut self, now: Time, replica: u64, known: usize) -> Option<Change> {
         let config = self.config;
         self.unreachable
             .retain(|_, failed_at| now.since(*failed_at) <= config.evidence_age);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -249,7 +249,8 @@
             true => "opened",
             false => "failed",
         };
-        self.connections.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.connections
+            .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
     /// Renders all metrics in the Prometheus text format.
