Keep brittle servers from turning too many requests away

A server under strain may state in its answers how many requests it can turn away within a second before it fails (Server-Brittle). Nothing read that: entries noticed a full server by its rejections alone, and each overloaded entry went on sending to it.

The number is decoded in the adapter, reported with rate limits among entries, and divided among them (policy::tolerance). An entry counts each request that may still be rejected, and each rejection for a second, against its share. Entries without a share send single requests while the server seems half empty.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -7,7 +7,6 @@
 use member::digest::Digest;
 use policy::charge::Charge;
 use policy::fair::Cost;
-use policy::pace::Rate;
 use policy::quota::Name;
 use rollout::order::Order;
 use smol_str::SmolStr;
@@ -20,6 +19,7 @@
 use crate::charging::Answer;
 use crate::configs::gateway::Settings;
 use crate::duty;
+use crate::limits::Stated;
 use crate::notice::Notice;
 use watch::server;
 
@@ -47,12 +47,12 @@
         /// The report.
         report: Report,
     },
-    /// A backend server reported in an answer how many requests it accepts from all entries together.
+    /// A backend server reported in an answer what it accepts from all entries together.
     LimitReported {
         /// Incarnation of the server.
         incarnation: SmolStr,
-        /// The limit; `None` if the answer has none.
-        rate: Option<Rate>,
+        /// What the answer states; nothing lifts earlier limits.
+        limit: Stated,
     },
     /// A backend server stated something about itself in an answer.
     NoticeReceived {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -250,8 +250,8 @@
                 attempt,
                 report,
             } => self.handle_attempt_report(now, serial, attempt, report, effects),
-            Event::LimitReported { incarnation, rate } => {
-                self.handle_limit(now, &incarnation, rate, effects);
+            Event::LimitReported { incarnation, limit } => {
+                self.handle_limit(now, &incarnation, limit, effects);
             }
             Event::NoticeReceived {
                 incarnation,
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,7 +1,7 @@
-//! Rate limits that overloaded backend servers set in their answers.
+//! Limits that overloaded backend servers set in their answers.
 //!
 //! Each entry reports the limits it received along with its counts; of several reports on a server the newest
-//! counts. [`policy::pace`] divides each limit among some of the entries.
+//! counts. [`policy::pace`] and [`policy::tolerance`] divide each limit among the entries.
 
 use std::collections::BTreeMap;
 
@@ -12,6 +12,7 @@
 use policy::pace::Rate;
 use policy::pace::Share;
 use policy::rendezvous;
+use policy::tolerance;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -28,12 +29,27 @@
     by_server: BTreeMap<SmolStr, Limit>,
 }
 
+/// What a server's answer states about the requests it accepts from all entries together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stated {
+    /// Rate of requests that it accepts.
+    pub rate: Option<Rate>,
+    /// Requests that it can turn away within a second without failing.
+    pub rejections: Option<u32>,
+}
+
+impl Stated {
+    /// Returns whether the answer states no limit.
+    pub fn is_empty(&self) -> bool {
+        *self == Stated::default()
+    }
+}
+
 /// The latest answer of a server with regard to its limit.
 #[derive(Clone, Copy, Debug)]
 struct Limit {
     received_at: Time,
-    /// The limit; none if the answer set none.
-    rate: Option<Rate>,
+    stated: Stated,
     /// Whether this entry received the answer itself, so that it reports the limit.
     local: bool,
 }
@@ -44,6 +60,9 @@
     /// Requests per thousand seconds from all entries together; none once the limit is lifted.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rate: Option<u32>,
+    /// Rejections per second that the server bears; none once the limit is lifted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rejections: Option<u32>,
     /// Milliseconds since the server's answer.
     pub age_ms: u64,
 }
@@ -65,7 +84,7 @@
     /// Returns whether a server's limit is in force.
     pub(crate) fn is_limited(&self, incarnation: &str) -> bool {
         let known = self.by_server.get(incarnation);
-        known.is_some_and(|limit| limit.rate.is_some())
+        known.is_some_and(|limit| !limit.stated.is_empty())
     }
 
     /// Returns the limits that this entry received itself.
@@ -73,7 +92,8 @@
         let own = self.by_server.iter().filter(|(_, limit)| limit.local);
         let reports = own.map(|(incarnation, limit)| {
             let report = Report {
-                rate: limit.rate.map(|rate| rate.0),
+                rate: limit.stated.rate.map(|rate| rate.0),
+                rejections: limit.stated.rejections,
                 age_ms: now.since(limit.received_at).as_millis(),
             };
             (rendezvous::identity(incarnation), report)
@@ -81,18 +101,18 @@
         reports.collect()
     }
 
-    /// Records a limit unless a newer one is known; returns whether the rate changed.
+    /// Records a limit unless a newer one is known; returns whether it changed.
     fn record(&mut self, incarnation: &SmolStr, limit: Limit) -> bool {
         let known = self.by_server.get(incarnation).copied();
         if known.is_some_and(|known| known.received_at >= limit.received_at && !limit.local) {
             return false;
         }
-        let before = known.and_then(|known| known.rate);
-        if known.is_none() && limit.rate.is_none() {
+        let before = known.map(|known| known.stated).unwrap_or_default();
+        if known.is_none() && limit.stated.is_empty() {
             return false;
         }
         self.by_server.insert(incarnation.clone(), limit);
-        before != limit.rate
+        before != limit.stated
     }
 }
 
@@ -102,7 +122,7 @@
         &mut self,
         now: Time,
         incarnation: &SmolStr,
-        rate: Option<Rate>,
+        stated: Stated,
         effects: &mut Vec<Effect>,
     ) {
         let (received_at, local) = (now, true);
@@ -111,7 +131,7 @@
             incarnation,
             Limit {
                 received_at,
-                rate,
+                stated,
                 local,
             },
             effects,
@@ -131,7 +151,10 @@
             };
             let limit = Limit {
                 received_at: Time::from_millis(now.as_millis().saturating_sub(report.age_ms)),
-                rate: report.rate.map(Rate),
+                stated: Stated {
+                    rate: report.rate.map(Rate),
+                    rejections: report.rejections,
+                },
                 local: false,
             };
             self.apply_limit(now, &incarnation, limit, effects);
@@ -142,21 +165,21 @@
     pub(crate) fn limits_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let servers = &mut self.servers;
         self.limits.by_server.retain(|incarnation, limit| {
-            let kept = limit.rate.is_some() || now.since(limit.received_at) < LIFTED_RETENTION;
+            let kept = !limit.stated.is_empty() || now.since(limit.received_at) < LIFTED_RETENTION;
             kept && servers.get_mut(incarnation).is_some()
         });
-        let limits: Vec<(SmolStr, Option<Rate>)> = self
+        let limits: Vec<(SmolStr, Stated)> = self
             .limits
             .by_server
             .iter()
-            .map(|(incarnation, limit)| (incarnation.clone(), limit.rate))
+            .map(|(incarnation, limit)| (incarnation.clone(), limit.stated))
             .collect();
-        for (incarnation, rate) in limits {
-            self.apply_share(now, &incarnation, rate, effects);
+        for (incarnation, stated) in limits {
+            self.apply_shares(now, &incarnation, stated, effects);
         }
     }
 
-    /// Records a limit and, if the rate changed, applies it.
+    /// Records a limit and, if it changed, applies it.
     fn apply_limit(
         &mut self,
         now: Time,
@@ -167,37 +190,42 @@
         if !self.limits.record(incarnation, limit) {
             return;
         }
-        let rate = limit.rate;
+        let Stated { rate, rejections } = limit.stated;
         let line = Line::info("server_limit")
             .with("replica", incarnation)
             .with("per_second", rate.map_or(0.0, Rate::requests_per_second))
             .with("limited", rate.is_some())
+            .with("brittle", rejections.is_some())
+            .with("rejections", rejections.unwrap_or(0))
             .with("here", limit.local);
         effects.push(Effect::Log(line));
-        self.apply_share(now, incarnation, rate, effects);
+        self.apply_shares(now, incarnation, limit.stated, effects);
     }
 
-    /// Passes this entry's share of a limit to the scheduler.
-    fn apply_share(
+    /// Passes this entry's shares of a server's limits to the scheduler.
+    fn apply_shares(
         &mut self,
         now: Time,
         incarnation: &SmolStr,
-        rate: Option<Rate>,
+        stated: Stated,
         effects: &mut Vec<Effect>,
     ) {
         let Some(key) = self.servers.get_mut(incarnation).map(|known| known.key) else {
             return;
         };
-        let share = rate.map_or(Share::Unlimited, |rate| self.share_of(incarnation, rate));
-        self.with_scheduler(now, effects, |scheduler, out| {
-            scheduler.replica_paced(now, key, share, out);
-        });
-    }
-
-    fn share_of(&self, incarnation: &str, rate: Rate) -> Share {
         let config = self.settings.scheduler.pace;
         let entries: Vec<u64> = self.roster.entries().iter().map(|entry| entry.0).collect();
         let server = rendezvous::identity(incarnation);
-        pace::share(&config, server, rate, &entries, self.identity.incarnation.0)
+        let me = self.identity.incarnation.0;
+        let pace = stated.rate.map_or(Share::Unlimited, |rate| {
+            pace::share(&config, server, rate, &entries, me)
+        });
+        let rejections = stated
+            .rejections
+            .map(|limit| tolerance::share(server, limit, &entries, me));
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.replica_paced(now, key, pace, out);
+            scheduler.replica_tolerance(now, key, rejections, out);
+        });
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/brittle.rs
@@ -0,0 +1,141 @@
+//! Servers that crash when they have to turn too many requests away.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use gateway::attempt::End;
+use smol_str::SmolStr;
+use support::SentRequest;
+use support::World;
+
+/// Time from a server's first report until it turns requests away sooner.
+const NOTICE_MILLIS: u64 = 3_000;
+/// Time from which servers report that they are brittle.
+const START_MILLIS: u64 = 4_000;
+const END_MILLIS: u64 = 20_000;
+/// Requests that a server runs at once.
+const SLOTS: usize = 64;
+/// Requests that wait at a server that isn't brittle.
+const QUEUE: usize = 16;
+/// Time from the start of a request until its answer.
+const ANSWER_MILLIS: u64 = 400;
+/// Time for which a server is gone after it crashed.
+const CRASH_MILLIS: u64 = 3_000;
+const STEP_MILLIS: u64 = 10;
+/// Servers of the service.
+const SERVERS: usize = 6;
+
+/// A server as it acts in the simulation.
+#[derive(Default)]
+struct Server {
+    running: Vec<(u64, SentRequest)>,
+    rejections: VecDeque<u64>,
+    gone_until: u64,
+}
+
+/// The outcome of a simulation.
+#[derive(Default)]
+struct Outcome {
+    /// Crashes while the servers were brittle.
+    crashes: usize,
+    /// Requests answered in that time.
+    answered: usize,
+}
+
+/// Plays entries that get more requests than their servers have room for, of which the servers bear that many
+/// rejections a second.
+fn simulate(entries: usize, requests_per_second: u64, limit: u32) -> Outcome {
+    let mut world = World::new(entries);
+    let mut servers: BTreeMap<SmolStr, Server> = BTreeMap::new();
+    let mut outcome = Outcome::default();
+    let mut sent = 0;
+    while world.now < END_MILLIS {
+        world.run(STEP_MILLIS);
+        while sent < requests_per_second * world.now / 1_000 {
+            sent += 1;
+            world.request_public((sent as usize * 7) % entries);
+        }
+        let now = world.now;
+        let stated = (now >= START_MILLIS).then_some(limit);
+        let brittle = now >= START_MILLIS + NOTICE_MILLIS;
+        for server in servers.values_mut() {
+            let due = server.running.extract_if(.., |(until, _)| *until <= now);
+            for (_, request) in due.collect::<Vec<_>>() {
+                outcome.answered += usize::from(brittle);
+                world.end_brittle(&request, stated, finished());
+            }
+        }
+        // An answer may start further requests.
+        while let Some(request) = world.sent_requests.pop() {
+            let server = servers.entry(request.server.clone()).or_default();
+            if now < server.gone_until {
+                world.end_attempt(&request, End::NotSent);
+                continue;
+            }
+            let room = if brittle { SLOTS } else { SLOTS + QUEUE };
+            if server.running.len() < room {
+                server.running.push((now + ANSWER_MILLIS, request));
+                continue;
+            }
+            world.end_brittle(&request, stated, End::NotStarted);
+            server.rejections.push_back(now);
+            while server
+                .rejections
+                .front()
+                .is_some_and(|at| *at + 1_000 <= now)
+            {
+                server.rejections.pop_front();
+            }
+            if brittle && server.rejections.len() > limit as usize {
+                outcome.crashes += 1;
+                server.gone_until = now + CRASH_MILLIS;
+                server.rejections.clear();
+                for (_, request) in std::mem::take(&mut server.running) {
+                    world.end_attempt(&request, End::Broken { alive: false });
+                }
+            }
+        }
+    }
+    outcome
+}
+
+fn finished() -> End {
+    End::Finished {
+        status: 200,
+        tokens: 1,
+        pause: clock::Span::ZERO,
+    }
+}
+
+/// Guards against overloaded entries that bring down one server after the other by what these must turn away.
+#[test]
+fn brittle_servers_stay_up_under_overload() {
+    for (entries, limit) in [(8, 4), (8, 12), (24, 6), (24, 40)] {
+        let outcome = simulate(entries, 1_300, limit);
+        let allowed = 2 + SERVERS / 10;
+        assert!(
+            outcome.crashes <= allowed,
+            "{} crashes at a limit of {limit}, {entries} entries, {} answered",
+            outcome.crashes,
+            outcome.answered
+        );
+    }
+}
+
+/// Guards against keeping so much off brittle servers that their room stays empty.
+#[test]
+fn the_room_of_brittle_servers_is_used() {
+    for (entries, limit) in [(8, 4), (24, 6)] {
+        let outcome = simulate(entries, 200, limit);
+        let offered = 200 * (END_MILLIS - START_MILLIS - NOTICE_MILLIS) as usize / 1_000;
+        assert!(
+            outcome.answered * 10 >= offered * 9,
+            "{} of {offered} answered, {entries} entries",
+            outcome.answered
+        );
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use gateway::event::Source;
 use gateway::gateway::Gateway;
 use gateway::identity::Identity;
+use gateway::limits::Stated;
 use gateway::notice::Notice;
 use lease::holder;
 use member::digest::Digest;
@@ -430,12 +431,38 @@
     pub fn answer_with_limit(&mut self, sent: &SentRequest, limit: Option<f64>) {
         let event = Event::LimitReported {
             incarnation: sent.server.clone(),
-            rate: limit.and_then(Rate::per_second),
+            limit: Stated {
+                rate: limit.and_then(Rate::per_second),
+                rejections: None,
+            },
         };
         self.step(sent.entry, event);
         self.answer_sent(sent);
     }
 
+    /// Delivers an answer with the number of rejections that its server bears, and the end of the attempt.
+    pub fn end_brittle(&mut self, sent: &SentRequest, rejections: Option<u32>, end: End) {
+        let event = Event::LimitReported {
+            incarnation: sent.server.clone(),
+            limit: Stated {
+                rate: None,
+                rejections,
+            },
+        };
+        self.step(sent.entry, event);
+        self.end_attempt(sent, end);
+    }
+
+    /// Ends an attempt.
+    pub fn end_attempt(&mut self, sent: &SentRequest, end: End) {
+        let event = Event::Attempt {
+            serial: sent.serial,
+            attempt: sent.attempt,
+            report: Report::Ended(end),
+        };
+        self.step(sent.entry, event);
+    }
+
     /// Delivers a server's notice to an entry, as in an answer.
     pub fn notify(&mut self, entry: usize, server: &SmolStr, notice: Notice) {
         let incarnation = server.clone();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod size;
 pub mod slots;
 pub mod subset;
+pub mod tolerance;
 pub mod warmup;
 pub mod wave;
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -22,7 +22,11 @@
         let had_streamed = std::mem::replace(&mut open.streaming, true);
         let (replica, pool) = (open.replica, open.job.pool);
         let replica = replica.and_then(|key| self.replicas.get_mut(&key));
-        if replica.is_some_and(|replica| replica.pause.record_response(id)) {
+        let makes_room = replica.is_some_and(|replica| {
+            let proven = replica.pause.record_response(id);
+            replica.tolerance.record_response(id) || proven
+        });
+        if makes_room {
             self.mark_pool(pool);
         }
         let Some(open) = self.open.get(&id) else {
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -196,7 +196,7 @@
             || replica.running() == 0
             || replica.load.jobs(now, mean_own)
                 < f64::from(pool.warmup.max_jobs(now, key, replica.spec.slots));
-        healthy && has_slots && warm && replica.accepts(now)
+        healthy && has_slots && warm && replica.accepts(now, mean_own)
     }
 
     /// Returns whether one more own job may run there, within the limit from its latency and within this
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -37,6 +37,7 @@
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
+use crate::tolerance;
 use crate::wave;
 
 pub use crate::scheduler::state::Explanation;
@@ -244,6 +245,18 @@
         }
     }
 
+    /// Sets this entry's share of the rejections per second that the replica bears; `None` if it bears any number.
+    pub fn replica_tolerance(
+        &mut self,
+        now: Time,
+        key: replica::Key,
+        share: Option<tolerance::Share>,
+        out: &mut Vec<Decision>,
+    ) {
+        self.set_tolerance(key, share);
+        self.poll(now, out);
+    }
+
     /// Sends the replica nothing for the time that it asked for.
     pub fn replica_paused(
         &mut self,
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -27,6 +27,7 @@
 use crate::size::Class;
 use crate::size::Classes;
 use crate::slots::Share;
+use crate::tolerance;
 use crate::warmup::Warmup;
 
 /// An account and the output estimate learnt from its answers.
@@ -114,6 +115,8 @@
     pub gate: pace::Gate,
     /// Pause that the replica asked for.
     pub pause: Pause,
+    /// Admits requests within the rejections that the replica bears.
+    pub tolerance: tolerance::Gate,
     pub load: Load,
     pub share: Share,
     /// Own attempts.
@@ -135,6 +138,7 @@
             unconfirmed: false,
             gate: pace::Gate::default(),
             pause: Pause::default(),
+            tolerance: tolerance::Gate::default(),
             jobs: BTreeSet::new(),
             trial: None,
         }
@@ -145,20 +149,26 @@
         self.jobs.len() as u32
     }
 
-    /// Returns whether the replica's limit and pause allow a request now.
-    pub fn accepts(&self, now: Time) -> bool {
-        self.pause.allows_request(now) && self.gate.is_open(now)
+    /// Returns whether the replica's limits and pause allow a request now.
+    pub fn accepts(&self, now: Time, mean_own: f64) -> bool {
+        let tolerates = || {
+            let jobs = self.load.jobs(now, mean_own);
+            self.tolerance.allows_request(now, jobs, self.spec.slots)
+        };
+        self.pause.allows_request(now)
+            && self.gate.is_open(now)
+            && (!self.tolerance.is_limited() || tolerates())
     }
 
     /// Returns when they allow one next; `None` while other entries use the whole limit.
-    pub fn accepts_at(&self) -> Option<Time> {
-        let opens = self.gate.opens_at()?;
-        Some(opens.max(self.pause.ends_at()))
+    pub fn accepts_at(&self, now: Time) -> Option<Time> {
+        let opens = self.gate.opens_at()?.max(self.pause.ends_at());
+        Some(self.tolerance.opens_at(now).unwrap_or(opens).max(opens))
     }
 
     /// Returns whether the replica sets a limit or pauses.
     pub fn is_throttled(&self, now: Time) -> bool {
-        self.gate.is_limited() || self.pause.is_active(now)
+        self.gate.is_limited() || self.tolerance.is_limited() || self.pause.is_active(now)
     }
 }
 
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -12,6 +12,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Claim;
 use crate::scheduler::state::Open;
+use crate::scheduler::state::Pool;
 
 /// Trials of a stream beyond the usual attempts.
 const STREAM_TRIALS: u32 = 2;
@@ -260,7 +261,9 @@
         let replica = self.replicas.get(&key);
         open.zip(replica).is_some_and(|(open, replica)| {
             let leaving = replica.lost || replica.leaving.is_some();
-            let usable = !leaving && replica.accepts(now);
+            let pool = self.pools.get(&replica.spec.pool);
+            let mean_own = pool.map_or(0.0, Pool::mean_own);
+            let usable = !leaving && replica.accepts(now, mean_own);
             let fingerprint = open.job.fingerprint;
             usable && self.quarantine.holds_claim(fingerprint, replica.identity)
         })
@@ -274,9 +277,11 @@
     fn trial_replica(&self, now: Time, id: job::Id) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
         let pool = self.pools.get(&open.job.pool)?;
+        let mean_own = pool.mean_own();
         let free = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
-            let usable = pool.monitor.allowance(*key) != Allowance::None && replica.accepts(now);
+            let healthy = pool.monitor.allowance(*key) != Allowance::None;
+            let usable = healthy && replica.accepts(now, mean_own);
             let excluded = replica.trial.is_some()
                 || self.quarantine.is_reserved(now, replica.identity)
                 || open.tried.contains(key);
--- a/crates/policy/src/scheduler/throttles.rs
+++ b/crates/policy/src/scheduler/throttles.rs
@@ -10,6 +10,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
+use crate::tolerance;
 
 /// Predicted wait where the replicas accept nothing from this entry.
 const CLOSED_WAIT: Span = Span::from_seconds(3_600);
@@ -31,6 +32,20 @@
         changed
     }
 
+    /// Sets this entry's share of the rejections that a replica bears.
+    pub(super) fn set_tolerance(&mut self, key: replica::Key, share: Option<tolerance::Share>) {
+        let Some(replica) = self.replicas.get_mut(&key) else {
+            return;
+        };
+        if !replica.tolerance.is_limited() && share.is_none() {
+            return;
+        }
+        replica.tolerance.set(share);
+        let pool = replica.spec.pool;
+        self.throttled.insert(key);
+        self.mark_pool(pool);
+    }
+
     /// Starts a replica's pause, and gives up waiting jobs that no replica accepts in time.
     pub(super) fn start_pause(&mut self, now: Time, key: replica::Key, pause: Span) {
         let Some(replica) = self.replicas.get_mut(&key) else {
@@ -45,7 +60,7 @@
 
     /// Marks pools in which a throttled replica accepts requests again.
     pub(super) fn mark_reopened_pools(&mut self, now: Time) {
-        let reopened = self.reopenings().filter(|(opens, _)| *opens <= now);
+        let reopened = self.reopenings(now).filter(|(opens, _)| *opens <= now);
         let pools: Vec<pool::Key> = reopened.map(|(_, pool)| pool).collect();
         self.throttles_checked = now;
         for pool in pools {
@@ -60,16 +75,18 @@
 
     /// Returns when a throttled replica accepts requests again next.
     pub(super) fn next_reopening(&self) -> Option<Time> {
-        self.reopenings().map(|(opens, _)| opens).min()
+        self.reopenings(self.throttles_checked)
+            .map(|(opens, _)| opens)
+            .min()
     }
 
     /// Returns when throttled replicas accept requests again, with the pools whose jobs wait for that.
-    fn reopenings(&self) -> impl Iterator<Item = (Time, pool::Key)> {
-        self.throttled.iter().filter_map(|key| {
+    fn reopenings(&self, now: Time) -> impl Iterator<Item = (Time, pool::Key)> {
+        self.throttled.iter().filter_map(move |key| {
             let replica = self.replicas.get(key)?;
             let pool = self.pools.get(&replica.spec.pool)?;
             let waits = pool.members.contains(key) && !pool.queue.is_empty();
-            let opens = replica.accepts_at().filter(|_| waits)?;
+            let opens = replica.accepts_at(now).filter(|_| waits)?;
             (opens > self.throttles_checked).then_some((opens, replica.spec.pool))
         })
     }
--- a/crates/policy/tests/proxy.rs
+++ b/crates/policy/tests/proxy.rs
@@ -45,6 +45,8 @@
 fn candidates_that_were_tried_are_not_chosen() {
     let table = table(&[100, 200]);
     let first = table.choose(&[]).expect("a candidate");
-    let second = table.choose(std::slice::from_ref(&first)).expect("another one");
+    let second = table
+        .choose(std::slice::from_ref(&first))
+        .expect("another one");
     assert_eq!(table.choose(&[first, second]), None);
 }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -11,6 +11,7 @@
 use gateway::duty;
 use gateway::effect::Addresses;
 use gateway::effect::Start;
+use gateway::limits::Stated;
 use gateway::notice::Notice;
 use http::HeaderMap;
 use http::Request;
@@ -18,7 +19,6 @@
 use http::StatusCode;
 use http::request;
 use http::response;
-use policy::pace::Rate;
 use rollout::order::Order;
 use smol_str::SmolStr;
 use store::call::Call;
@@ -65,8 +65,8 @@
     /// Decodes a query for addresses: the caller's availability zone, if it names one.
     fn address_query(&self, head: &request::Parts) -> Option<Option<SmolStr>>;
 
-    /// Returns the rate that the server accepts from all entries together, if its answer states one.
-    fn rate_limit(&self, headers: &HeaderMap) -> Option<Rate>;
+    /// Returns the limits that an answer states on the requests of all entries together.
+    fn limit(&self, headers: &HeaderMap) -> Stated;
 
     /// Returns what an answer states about the server that gave it.
     fn notice(&self, head: &response::Parts) -> Notice;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -322,13 +322,13 @@
     }
 }
 
-/// Reports the rate limit that the answer states, or that a previous limit is gone.
+/// Reports the limits that the answer states, or that previous ones are gone.
 fn report_limit(shared: &Shared, start: &Start, headers: &HeaderMap) {
-    let rate = shared.codec.rate_limit(headers);
-    if rate.is_some() || start.limited {
+    let limit = shared.codec.limit(headers);
+    if !limit.is_empty() || start.limited {
         shared.handle.send_event(event::Event::LimitReported {
             incarnation: start.endpoint.incarnation.clone(),
-            rate,
+            limit,
         });
     }
 }
