Soak and mirror: entries that lose all ways to replicas, brittle replicas

Each entry has ways of its own to replicas, through proxies whose addresses stand in the rows that it reads. Two new faults: an entry loses all of them, with open connections reset or left alone, while callers, other entries and the table service reach it; the replicas of a service say that they are brittle, and from three seconds on have little room. Two new promises, with the users' bounds: from three seconds after such a cut the entry's first tries are served like those at others; brittle replicas seldom turn too many requests away.

--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -19,6 +19,8 @@
     pub fault_count: usize,
     /// Number of further faults in which replicas ask for pauses or announce leaves only in answers.
     pub notice_count: usize,
+    /// Number of further faults in which entries lose all ways to replicas, or replicas are brittle.
+    pub cut_count: usize,
 }
 
 impl Size {
@@ -27,6 +29,11 @@
         Size::default()
     }
 
+    /// Returns the number of replicas.
+    pub fn replicas(&self) -> usize {
+        self.engines + 2 * self.apps
+    }
+
     /// Returns a size of a few hundred processes: at 12 MB an entry, about a sixth of a run's memory limit.
     pub fn limit() -> Size {
         Size {
@@ -36,6 +43,7 @@
             callers: 150,
             fault_count: 40,
             notice_count: 12,
+            cut_count: 0,
             ..Size::default()
         }
     }
@@ -51,6 +59,7 @@
             fault_window: Span::from_seconds(14),
             fault_count: 9,
             notice_count: 3,
+            cut_count: 2,
         }
     }
 }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -17,12 +17,14 @@
 use tokio::process::Child;
 use tokio::process::Command;
 
+use crate::configs::size::Size;
 use crate::environment::Environment;
 use crate::environment::Node;
 use crate::environment::Port;
 use crate::environment::ZONES;
 use crate::promises;
 use crate::proxy::Proxy;
+use crate::tables::Ways;
 
 /// Pause before a process that ended is restarted.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
@@ -39,6 +41,8 @@
     pub peers: Proxy,
     /// Proxy between the entry and the table service.
     pub tables: Proxy,
+    /// Proxies between the entry and replicas, by their index; none in large runs.
+    pub ways: Vec<Proxy>,
     environment: Rc<Environment>,
     binary: PathBuf,
     settings: PathBuf,
@@ -54,11 +58,22 @@
     pub async fn start(
         environment: Rc<Environment>,
         index: usize,
-        entries: usize,
+        size: Size,
         binary: PathBuf,
     ) -> Result<Rc<Entry>> {
-        let own_address = |port| environment.network.address(Node::Entry(index), port);
-        let tables = environment.network.address(Node::Platform, Port::Tables);
+        let network = environment.network;
+        let own_address = |port| network.address(Node::Entry(index), port);
+        let tables = own_address(Port::Tables);
+        let mut ways = Vec::new();
+        if size.cut_count > 0 {
+            for replica in 0..size.replicas() {
+                let proxied = network.address(Node::Replica(replica), Port::RequestsProxy);
+                ways.push(Proxy::start(network.way(index, replica), proxied).await?);
+            }
+        }
+        let own_ways: Ways = Box::new(move |replica| network.way(index, replica));
+        let own_ways = (!ways.is_empty()).then_some(own_ways);
+        environment.tables.serve(tables, own_ways).await?;
         let entry = Rc::new(Entry {
             index,
             callers: Proxy::start(
@@ -68,6 +83,7 @@
             .await?,
             peers: Proxy::start(own_address(Port::PeersProxy), own_address(Port::Peers)).await?,
             tables: Proxy::start(own_address(Port::TablesProxy), tables).await?,
+            ways,
             settings: environment.folder.join(format!("entry-{index}.jsonc")),
             environment,
             binary,
@@ -75,7 +91,7 @@
             signalled_at: Cell::new(None),
             is_shut_down: Cell::new(false),
         });
-        entry.write_settings(entries)?;
+        entry.write_settings(size.entries)?;
         let child = entry.spawn()?;
         tokio::task::spawn_local(Rc::clone(&entry).supervise(child));
         Ok(entry)
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -99,6 +99,8 @@
     PeersProxy = 9229,
     /// Proxy between an entry and the table service.
     TablesProxy = 9225,
+    /// Proxies between an entry and replicas, from here on.
+    Ways = 10_000,
     /// Bound while a run uses the network.
     Lock = 9219,
 }
@@ -118,6 +120,13 @@
         bail!("all {NETWORKS} loopback networks are in use")
     }
 
+    /// Returns the address of the proxy between an entry and a replica.
+    pub fn way(self, entry: usize, replica: usize) -> SocketAddr {
+        let mut address = self.address(Node::Entry(entry), Port::Ways);
+        address.set_port(address.port() + replica as u16);
+        address
+    }
+
     /// Returns the address of a node's port.
     pub fn address(self, node: Node, port: Port) -> SocketAddr {
         let (third, fourth) = match node {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,9 +15,11 @@
 use crate::entry::Entry;
 use crate::environment::Environment;
 use crate::environment::HOST;
+use crate::ledger::Cut;
 use crate::ledger::Target;
 use crate::plan::Fault;
 use crate::plan::Step;
+use crate::promises;
 use crate::proxy::Mode;
 use crate::replica::Behavior;
 use crate::replica::Replica;
@@ -118,6 +120,8 @@
                 wait(step.duration).await;
                 replica.set_behavior(Behavior::Good);
             }
+            Fault::CutOff(entry, open) => self.cut_off(entry, open, step.duration).await,
+            Fault::Brittle(first) => self.make_brittle(first, step.duration).await,
             Fault::Works(replica, behavior) => {
                 let replica = &self.replicas[replica];
                 let target = Target::Replica(replica.index);
@@ -158,6 +162,48 @@
         }
     }
 
+    /// Cuts an entry off from all replicas. For its callers that is no fault.
+    async fn cut_off(&self, entry: usize, open: Mode, duration: Span) {
+        let set = |mode| {
+            for way in &self.entries[entry].ways {
+                way.set_mode(mode);
+            }
+        };
+        let start = self.environment.clock.now();
+        let resets = open == Mode::Reset;
+        self.environment.ledger.borrow_mut().cuts.push(Cut {
+            entry,
+            start,
+            end: start + duration,
+            resets,
+        });
+        if resets {
+            set(Mode::Reset);
+            tokio::task::yield_now().await;
+        }
+        set(Mode::Refuse);
+        wait(duration).await;
+        set(Mode::Pass);
+    }
+
+    /// Makes all replicas of a service brittle.
+    async fn make_brittle(&self, first: usize, duration: Span) {
+        let service = &self.replicas[first].service;
+        let replicas = || self.replicas.iter().filter(|one| one.service == *service);
+        let start = self.environment.clock.now();
+        for replica in replicas() {
+            replica.set_behavior(Behavior::Brittle(start));
+        }
+        wait(duration).await;
+        for replica in replicas() {
+            replica.set_behavior(Behavior::Good);
+        }
+        let end = self.environment.clock.now();
+        let mut ledger = self.environment.ledger.borrow_mut();
+        let replicas: Vec<usize> = replicas().map(|one| one.index).collect();
+        promises::check_brittle(&mut ledger, &replicas, start, end);
+    }
+
     async fn crash(&self, replica: usize, duration: Span) {
         let replica = &self.replicas[replica];
         let disturbance = self.begin_disturbance(Target::Replica(replica.index));
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -80,6 +80,19 @@
     pub ended_at: Option<Time>,
 }
 
+/// A time in which an entry was cut off from all replicas.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    /// Index of the entry.
+    pub entry: usize,
+    /// Start of the cut.
+    pub start: Time,
+    /// End of the cut, as planned.
+    pub end: Time,
+    /// Whether open connections were reset at its start.
+    pub resets: bool,
+}
+
 /// A promise that was broken.
 #[derive(Clone, Debug)]
 pub struct Breach {
@@ -104,6 +117,10 @@
     pub configured_services: Vec<(Time, SmolStr)>,
     /// Time at which a replica announced that it leaves, by its index.
     pub leaving_since: BTreeMap<usize, Time>,
+    /// Times in which entries were cut off from all replicas.
+    pub cuts: Vec<Cut>,
+    /// Replicas that failed since they turned too many requests away, with the time.
+    pub brittle_failures: Vec<(usize, Time)>,
     /// What replicas stated in their answers.
     pub notices: Notices,
     /// Broken promises.
@@ -186,6 +203,29 @@
         })
     }
 
+    /// Returns whether connections that an attempt may have used were broken by a cut: those of its own entry by
+    /// a reset, or those that other entries held for it, by a fault of one of them.
+    pub fn was_reset(&self, attempt: &Attempt, ended_at: Time) -> bool {
+        let open = |cut: &&Cut| attempt.sent_at <= cut.start && cut.start <= ended_at;
+        let own = |cut: &Cut| cut.entry == attempt.entry;
+        let mut cuts = self.cuts.iter().filter(open);
+        if cuts.any(|cut| cut.resets && own(cut)) {
+            return true;
+        }
+        let is_cut_off = self
+            .cuts
+            .iter()
+            .any(|cut| own(cut) && cut.start <= ended_at && attempt.sent_at <= cut.end);
+        let is_other_entry =
+            |target| matches!(target, Target::Entry(other) if other != attempt.entry);
+        let mut faults = self.disturbances.iter();
+        is_cut_off
+            && faults.any(|fault| {
+                let over = fault.end.is_some_and(|end| end < attempt.sent_at);
+                is_other_entry(fault.target) && fault.start <= ended_at && !over
+            })
+    }
+
     /// Records a broken promise.
     pub fn record_breach(&mut self, promise: &'static str, at: Time, detail: String) {
         self.breaches.push(Breach {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -20,6 +20,10 @@
 const DURATION_MS: std::ops::Range<u64> = 400..4_000;
 /// Distinguishes the random sequence of notices from that of the other faults.
 const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
+/// Distinguishes the random sequence of cuts.
+const CUT_SEED: u64 = 0x63_7574;
+/// Duration of a cut, in milliseconds: longer than entries have to notice it.
+const CUT_DURATION_MS: std::ops::Range<u64> = 5_000..9_000;
 /// Delay of bytes or answers, in milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 20..600;
 
@@ -69,6 +73,10 @@
     LeaveUnlisted(usize),
     /// A replica turns away this share of requests and asks for pauses.
     TurnAway(usize, f64),
+    /// An entry loses all ways to replicas: new connections are refused, and open ones reset or left.
+    CutOff(usize, Mode),
+    /// All replicas of a service are brittle; named by the first of them.
+    Brittle(usize),
     /// A replica misbehaves.
     Works(usize, Behavior),
     /// The operator changes the configuration.
@@ -105,18 +113,37 @@
             fault: draw_notice(&mut random, size),
         });
     }
+    let mut random = Pcg64::seed_from_u64(seed ^ CUT_SEED);
+    for _ in 0..size.cut_count {
+        let start = random.random_range(0..size.fault_window.as_millis());
+        steps.push(Step {
+            start: Span::from_millis(start),
+            duration: Span::from_millis(random.random_range(CUT_DURATION_MS)),
+            fault: draw_cut(&mut random, size),
+        });
+    }
     steps.sort_by_key(|step| step.start);
     steps
 }
 
 fn draw_notice(random: &mut Pcg64, size: &Size) -> Fault {
-    let replica = random.random_range(0..size.engines + 2 * size.apps);
+    let replica = random.random_range(0..size.replicas());
     match random.random_range(0..3) {
         0 => Fault::LeaveUnlisted(replica),
         _ => Fault::TurnAway(replica, random.random_range(0.3..1.0)),
     }
 }
 
+fn draw_cut(random: &mut Pcg64, size: &Size) -> Fault {
+    match random.random_range(0..3) {
+        0 => Fault::Brittle(random.random_range(0..size.replicas())),
+        kind => {
+            let mode = if kind == 1 { Mode::Reset } else { Mode::Pass };
+            Fault::CutOff(random.random_range(0..size.entries), mode)
+        }
+    }
+}
+
 fn draw_fault(random: &mut Pcg64, size: &Size) -> Fault {
     let entry = random.random_range(0..size.entries);
     let replica = random.random_range(0..size.engines + 2 * size.apps);
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -10,6 +10,7 @@
 
 use crate::caller::Class;
 use crate::ledger::Attempt;
+use crate::ledger::Cut;
 use crate::ledger::End;
 use crate::ledger::Ledger;
 use crate::ledger::Run;
@@ -51,6 +52,58 @@
 pub fn check_final(ledger: &mut Ledger, faults_ended_at: Time, now: Time) {
     check_abandoned(ledger, now);
     check_recovery(ledger, faults_ended_at, now);
+    for cut in ledger.cuts.clone() {
+        check_cut(ledger, cut, now);
+    }
+}
+
+/// Checks that callers of an entry that was cut off from all replicas were served like those of the others.
+fn check_cut(ledger: &mut Ledger, cut: Cut, at: Time) {
+    let from = cut.start + ledger.bounds.cut_reaction;
+    let target = Target::Entry(cut.entry);
+    if from >= cut.end || !ledger.is_undisturbed(target, from, cut.end) {
+        return;
+    }
+    // Served and all attempts, at the entry and at the others.
+    let mut here = (0, 0);
+    let mut others = (0, 0);
+    for attempt in ledger.attempts.values() {
+        let Some((ended_at, end)) = &attempt.ended else {
+            continue;
+        };
+        let target = Target::Entry(attempt.entry);
+        let judged = attempt.sent_at >= from && *ended_at <= cut.end && *end != End::Left;
+        if !judged || !ledger.is_undisturbed(target, attempt.sent_at, *ended_at) {
+            continue;
+        }
+        let counts = match attempt.entry == cut.entry {
+            true => &mut here,
+            false => &mut others,
+        };
+        counts.0 += usize::from(matches!(end, End::Answered(200)));
+        counts.1 += 1;
+    }
+    let failed = here.1 - here.0;
+    let served_less = 3 * here.0 * others.1 < 2 * others.0 * here.1;
+    if served_less && failed > 10 + here.1 / 50 {
+        let detail = format!(
+            "entry {} served {} of {}, the others {} of {}",
+            cut.entry, here.0, here.1, others.0, others.1
+        );
+        let promise = "an entry that is cut off from all replicas serves like the others";
+        ledger.record_breach(promise, at, detail);
+    }
+}
+
+/// Checks that replicas that said they were brittle seldom had to turn too many requests away.
+pub fn check_brittle(ledger: &mut Ledger, replicas: &[usize], start: Time, end: Time) {
+    let within =
+        |(replica, at): &&(usize, Time)| replicas.contains(replica) && (start..end).contains(at);
+    let failures = ledger.brittle_failures.iter().filter(within).count();
+    if failures > 2 + replicas.len() / 10 {
+        let detail = format!("{failures} failures of {} replicas", replicas.len());
+        ledger.record_breach("brittle replicas stay up", end, detail);
+    }
 }
 
 /// Checks that a call that must not be repeated runs once, and others reach no more replicas than allowed.
@@ -100,6 +153,7 @@
 /// Checks that no running answer is broken off by an entry's ordered stop or without any fault.
 fn check_break_off(ledger: &mut Ledger, attempt: &Attempt, at: Time, end: &End) {
     if *end != End::Broken
+        || ledger.was_reset(attempt, at)
         || !ledger.is_undisturbed(Target::Entry(attempt.entry), attempt.sent_at, at)
     {
         return;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -31,6 +31,8 @@
     AnswersHeld,
     /// Open connections are reset, and new ones as they are accepted.
     Reset,
+    /// New connections are refused; open ones live on.
+    Refuse,
 }
 
 /// A proxy.
@@ -56,8 +58,21 @@
         let mode = watch::Sender::new(Mode::Pass);
         let mode_updates = mode.subscribe();
         tokio::task::spawn_local(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                tokio::task::spawn_local(forward(socket, destination, mode_updates.clone()));
+            let mut listener = Some(listener);
+            let mut mode = mode_updates.clone();
+            loop {
+                let refuses = *mode.borrow_and_update() == Mode::Refuse;
+                if refuses {
+                    listener = None;
+                } else if listener.is_none() {
+                    listener = TcpListener::bind(listen).await.ok();
+                }
+                tokio::select! {
+                    socket = accept(listener.as_ref()) => {
+                        tokio::task::spawn_local(forward(socket, destination, mode_updates.clone()));
+                    }
+                    changed = mode.changed() => if changed.is_err() { return },
+                }
             }
         });
         Ok(Proxy {
@@ -72,6 +87,18 @@
     }
 }
 
+/// Accepts the next connection; never returns without a listener.
+async fn accept(listener: Option<&TcpListener>) -> TcpStream {
+    let Some(listener) = listener else {
+        return std::future::pending().await;
+    };
+    loop {
+        if let Ok((socket, _)) = listener.accept().await {
+            return socket;
+        }
+    }
+}
+
 /// Forwards one connection until either side closes it.
 async fn forward(source: TcpStream, destination: SocketAddr, mut mode: watch::Receiver<Mode>) {
     if *mode.borrow() == Mode::Reset {
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -2,12 +2,14 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Result;
 use bytes::Bytes;
 use clock::Span;
+use clock::Time;
 use futures::stream;
 use http::HeaderMap;
 use http::Request;
@@ -42,6 +44,14 @@
 
 /// Start of a replica's signature, followed by its index.
 pub const SIGNATURE_PREFIX: &str = "soak.";
+/// Start of a replica's id, followed by its index.
+pub const ID_PREFIX: &str = "i-";
+/// Requests that a brittle replica runs at once.
+const BRITTLE_ROOM: usize = 3;
+/// Requests that a brittle replica can turn away within a second.
+const BRITTLE_REJECTIONS: u32 = 12;
+/// Time after a replica's first statement from which its room is small.
+const BRITTLE_NOTICE: Span = Span::from_millis(3_000);
 /// Time that a plain call takes.
 const CALL_TIME: Duration = Duration::from_millis(30);
 /// Time between two events of a stream.
@@ -64,6 +74,8 @@
     TurnsAway(f64),
     /// All work takes several times as long.
     Slow,
+    /// Since this time all answers state that the replica is brittle; after a notice it has little room.
+    Brittle(Time),
 }
 
 /// A replica.
@@ -80,22 +92,26 @@
     behavior: Cell<Behavior>,
     /// Whether answers announce that the replica is leaving.
     is_leaving: Cell<bool>,
+    /// Work in progress.
+    busy: Cell<usize>,
+    /// Times of recent rejections for want of room.
+    rejections: RefCell<VecDeque<Time>>,
     is_running: watch::Sender<bool>,
 }
 
 /// Records the end of a run when dropped: the work is done, or its connection was closed.
 struct RunGuard {
-    environment: Rc<Environment>,
+    replica: Rc<Replica>,
     run: usize,
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        let now = self.environment.clock.now();
-        self.environment
-            .ledger
-            .borrow_mut()
-            .finish_run(self.run, now);
+        let replica = &self.replica;
+        replica.busy.set(replica.busy.get() - 1);
+        let now = replica.environment.clock.now();
+        let mut ledger = replica.environment.ledger.borrow_mut();
+        ledger.finish_run(self.run, now);
     }
 }
 
@@ -120,10 +136,12 @@
             service: service.into(),
             proxy,
             environment,
-            id: RefCell::new(format_smolstr!("i-{index}")),
+            id: RefCell::new(format_smolstr!("{ID_PREFIX}{index}")),
             started_ms: Cell::new(unix_ms()),
             behavior: Cell::new(Behavior::Good),
             is_leaving: Cell::new(false),
+            busy: Cell::new(0),
+            rejections: RefCell::default(),
             is_running,
         });
         replica.write_row(false);
@@ -219,6 +237,7 @@
         if self.is_leaving.get() {
             replica::announce_leave(&mut headers);
         }
+        self.state_brittle(&mut headers);
         headers
     }
 
@@ -245,7 +264,35 @@
         Some(server::complete(replica::paused(PAUSE.as_duration())))
     }
 
-    fn begin_run(&self, received: &Received) -> RunGuard {
+    fn state_brittle(&self, headers: &mut HeaderMap) {
+        if let Behavior::Brittle(_) = self.behavior.get() {
+            replica::state_brittle(headers, BRITTLE_REJECTIONS);
+        }
+    }
+
+    /// Turns a request away if a brittle replica has no room for it, and records if it would fail by that.
+    fn turn_away_brittle(&self) -> Option<Response<Body>> {
+        let Behavior::Brittle(since) = self.behavior.get() else {
+            return None;
+        };
+        let now = self.environment.clock.now();
+        if now < since + BRITTLE_NOTICE || self.busy.get() < BRITTLE_ROOM {
+            return None;
+        }
+        let mut rejections = self.rejections.borrow_mut();
+        rejections.retain(|at| now.since(*at) < Span::from_seconds(1));
+        rejections.push_back(now);
+        if rejections.len() > BRITTLE_REJECTIONS as usize {
+            rejections.clear();
+            let mut ledger = self.environment.ledger.borrow_mut();
+            ledger.brittle_failures.push((self.index, now));
+        }
+        let mut refusal = replica::not_run(true);
+        self.state_brittle(refusal.headers_mut());
+        Some(server::complete(refusal))
+    }
+
+    fn begin_run(self: &Rc<Self>, received: &Received) -> RunGuard {
         let run = self.environment.ledger.borrow_mut().record_run(Run {
             attempt: received.attempt.clone(),
             replica: self.index,
@@ -253,8 +300,9 @@
             began_at: self.environment.clock.now(),
             ended_at: None,
         });
+        self.busy.set(self.busy.get() + 1);
         RunGuard {
-            environment: Rc::clone(&self.environment),
+            replica: Rc::clone(self),
             run,
         }
     }
@@ -285,6 +333,9 @@
     if let Some(refusal) = replica.turn_away(entry) {
         return Ok(refusal);
     }
+    if let Some(refusal) = replica.turn_away_brittle() {
+        return Ok(refusal);
+    }
     let guard = replica.begin_run(&received);
     tokio::time::sleep(replica.work_time(CALL_TIME)).await;
     let breaks_off = match replica.behavior.get() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -103,8 +103,6 @@
 
 /// Starts all nodes. Entries start last, when the configuration and the replicas' rows exist.
 async fn start_nodes(environment: &Rc<Environment>, size: Size, binary: &Path) -> Result<Cluster> {
-    let tables = environment.network.address(Node::Platform, Port::Tables);
-    environment.tables.serve(tables).await?;
     let engines = (0..size.engines).map(|_| ENGINES);
     let apps = APPS.iter().flat_map(|app| (0..size.apps).map(|_| *app));
     let mut cluster = Cluster {
@@ -119,7 +117,7 @@
     cluster.configure();
     for index in 0..size.entries {
         let environment = Rc::clone(environment);
-        let entry = Entry::start(environment, index, size.entries, binary.to_owned()).await?;
+        let entry = Entry::start(environment, index, size, binary.to_owned()).await?;
         cluster.entries.push(entry);
     }
     Ok(cluster)
--- a/crates/soak/src/tables.rs
+++ b/crates/soak/src/tables.rs
@@ -14,6 +14,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use mirror::replica;
 use mirror::tables::Address;
 use mirror::tables::Answer;
 use mirror::tables::Operation;
@@ -24,6 +25,7 @@
 use mirror::tables::response;
 use tokio::sync::Notify;
 
+use crate::replica::ID_PREFIX;
 use crate::server;
 use crate::server::Body;
 use crate::server::Disconnected;
@@ -66,14 +68,52 @@
     dropped_version: u64,
 }
 
+/// Returns the address at which a replica is reached, by its index.
+pub type Ways = Box<dyn Fn(usize) -> SocketAddr>;
+
+/// The tables as one entry reads them.
+struct View {
+    tables: Rc<Tables>,
+    ways: Option<Ways>,
+}
+
+impl View {
+    /// Puts the entry's own ways into rows of replicas.
+    fn apply(&self, answer: Answer) -> Answer {
+        let (Some(ways), Answer::Rows { rows, more, newest }) = (&self.ways, &answer) else {
+            return answer;
+        };
+        let through_way = |row: &Row| {
+            let index = row.address.key.strip_prefix(ID_PREFIX)?.parse().ok()?;
+            let data = replica::row_at(row.data.as_ref()?, &ways(index).to_string());
+            (row.address.table == replica::TABLE).then_some(Row {
+                data,
+                ..row.clone()
+            })
+        };
+        let rows = rows
+            .iter()
+            .map(|row| through_way(row).unwrap_or_else(|| row.clone()));
+        Answer::Rows {
+            rows: rows.collect(),
+            more: *more,
+            newest: *newest,
+        }
+    }
+}
+
 impl Tables {
-    /// Binds `address` and serves calls.
-    pub async fn serve(self: &Rc<Self>, address: SocketAddr) -> Result<()> {
+    /// Binds `address` and serves calls. With `ways`, rows of replicas have the addresses that it returns for
+    /// their indices.
+    pub async fn serve(self: &Rc<Self>, address: SocketAddr, ways: Option<Ways>) -> Result<()> {
         let listener = server::bind(address).await?;
-        let tables = Rc::clone(self);
+        let view = Rc::new(View {
+            tables: Rc::clone(self),
+            ways,
+        });
         tokio::task::spawn_local(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::task::spawn_local(server::serve(socket, Rc::clone(&tables), answer));
+                tokio::task::spawn_local(server::serve(socket, Rc::clone(&view), answer));
             }
         });
         Ok(())
@@ -202,9 +242,10 @@
 
 /// Answers one call, subject to the current misbehavior.
 async fn answer(
-    tables: Rc<Tables>,
+    view: Rc<View>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Disconnected> {
+    let tables = Rc::clone(&view.tables);
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Disconnected)?.to_bytes();
     let Some(operation) = operation(&head, &body) else {
@@ -224,7 +265,7 @@
         }
         _ => {}
     }
-    let answer = tables.execute(&operation).await;
+    let answer = view.apply(tables.execute(&operation).await);
     match tables.failure() {
         // Covers a call that was already waiting when the misbehavior began.
         Failure::Refuses => Ok(server::complete(response(&Answer::Refused))),
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -17,6 +17,7 @@
         fault_window: Span::from_millis(4_000),
         fault_count: 4,
         notice_count: 0,
+        cut_count: 0,
         ..Size::small()
     }
 }
@@ -60,3 +61,15 @@
     };
     play([3, 5], size);
 }
+
+/// Guards against failing callers of entries that lost all ways to replicas, and against bringing down brittle
+/// replicas.
+#[test]
+fn entries_that_are_cut_off_serve_and_brittle_replicas_stay_up() {
+    let size = Size {
+        fault_count: 1,
+        cut_count: 4,
+        ..short_size()
+    };
+    play([5, 8], size);
+}
