--- a/crates/gateway/src/isolation.rs
+++ b/crates/gateway/src/isolation.rs
@@ -15,7 +15,7 @@
 const MAX_PROXIES: usize = 16;
 
 impl Gateway {
-    /// Records that this entry lost all backend servers, or reaches some again, and tells its peers.
+    /// Records that this entry lost all backend servers, or reaches some again, and announces it.
     pub(crate) fn handle_isolation_change(
         &mut self,
         now: Time,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -394,6 +394,11 @@
         self.step(entry, Event::Servers(reading));
     }
 
+    /// Sets the number of connections that an entry holds for peers.
+    pub fn hold_tunnels(&mut self, entry: usize, open: usize) {
+        self.step(entry, Event::TunnelsChanged { open });
+    }
+
     /// Asks an entry to stop.
     pub fn stop(&mut self, entry: usize) {
         self.step(entry, Event::StopRequested);
