Avoid entries that don't answer when a connection leads through another one

From reading the change: an entry that is frozen or gone, and not yet known to be, has none of this entry's connections and was the first choice each time; each connection waited 800 ms for it alone, and the second choice was never asked. Each is asked for 400 ms now, and one that doesn't answer is avoided for a second, as long as there is another.

--- a/crates/policy/src/proxy.rs
+++ b/crates/policy/src/proxy.rs
@@ -2,12 +2,18 @@
 //!
 //! Load pattern: several entries are cut off from all replicas at once, and the few others carry their
 //! connections besides their own callers. Each connection goes to the candidate with the fewest of this
-//! entry's connections for its capacity, so that no small or unlucky one gets most of them.
+//! entry's connections for its capacity, so that no small or unlucky one gets most of them. One that doesn't
+//! answer has none, and would be chosen each time, so it is avoided for a while.
 
 use std::collections::BTreeMap;
 
+use clock::Span;
+use clock::Time;
 use smol_str::SmolStr;
 
+/// Time for which a candidate that didn't answer is avoided.
+const AVOIDANCE_TIME: Span = Span::from_seconds(1);
+
 /// An entry that reaches replicas.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -22,12 +28,19 @@
 pub struct Table {
     candidates: Vec<Candidate>,
     open: BTreeMap<SmolStr, u32>,
+    /// When a candidate last didn't answer.
+    failed: BTreeMap<SmolStr, Time>,
 }
 
 impl Table {
     /// Replaces the candidates.
     pub fn set(&mut self, candidates: Vec<Candidate>) {
         self.candidates = candidates;
+        let candidates = &self.candidates;
+        self.failed.retain(|address, _| {
+            let mut listed = candidates.iter();
+            listed.any(|candidate| candidate.address == *address)
+        });
     }
 
     /// Returns whether the entry at `address` is a candidate.
@@ -36,16 +49,30 @@
         candidates.any(|candidate| candidate.address == address)
     }
 
-    /// Returns the least loaded candidate that wasn't tried.
-    pub fn choose(&self, tried: &[SmolStr]) -> Option<SmolStr> {
+    /// Returns the least loaded candidate that wasn't tried, if possible one that answered lately.
+    pub fn choose(&self, now: Time, tried: &[SmolStr]) -> Option<SmolStr> {
         let untried = self
             .candidates
             .iter()
             .filter(|candidate| !tried.contains(&candidate.address));
-        let chosen = untried.min_by(|one, other| self.load(one).total_cmp(&self.load(other)));
+        let rank = |candidate: &Candidate| (self.is_avoided(now, candidate), self.load(candidate));
+        let chosen = untried.min_by(|one, other| {
+            let (one, other) = (rank(one), rank(other));
+            one.0.cmp(&other.0).then(one.1.total_cmp(&other.1))
+        });
         chosen.map(|candidate| candidate.address.clone())
     }
 
+    /// Records that the entry at `address` didn't answer.
+    pub fn record_failure(&mut self, now: Time, address: &SmolStr) {
+        self.failed.insert(address.clone(), now);
+    }
+
+    fn is_avoided(&self, now: Time, candidate: &Candidate) -> bool {
+        let failed_at = self.failed.get(&candidate.address);
+        failed_at.is_some_and(|failed_at| now.since(*failed_at) < AVOIDANCE_TIME)
+    }
+
     /// Records a connection through the entry at `address`.
     pub fn record_opened(&mut self, address: &SmolStr) {
         *self.open.entry(address.clone()).or_default() += 1;
--- a/crates/policy/tests/proxy.rs
+++ b/crates/policy/tests/proxy.rs
@@ -1,9 +1,13 @@
 //! Choice of the entry through which replicas are reached.
 
+use clock::Span;
+use clock::Time;
 use policy::proxy::Candidate;
 use policy::proxy::Table;
 use smol_str::SmolStr;
 
+const NOW: Time = Time::from_millis(5_000);
+
 fn table(capacities: &[u8]) -> Table {
     let candidate = |(number, capacity): (usize, &u8)| Candidate {
         address: SmolStr::from(format!("entry-{number}")),
@@ -20,7 +24,7 @@
     let mut table = table(&[50, 100, 50]);
     let mut counts = [0; 3];
     for _ in 0..40 {
-        let chosen = table.choose(&[]).expect("a candidate");
+        let chosen = table.choose(NOW, &[]).expect("a candidate");
         table.record_opened(&chosen);
         let number: usize = chosen["entry-".len()..].parse().expect("a number");
         counts[number] += 1;
@@ -31,22 +35,39 @@
 #[test]
 fn ended_connections_make_room() {
     let mut table = table(&[100, 100]);
-    let first = table.choose(&[]).expect("a candidate");
+    let first = table.choose(NOW, &[]).expect("a candidate");
     table.record_opened(&first);
-    let second = table.choose(&[]).expect("a candidate");
+    let second = table.choose(NOW, &[]).expect("a candidate");
     assert_ne!(first, second);
     table.record_opened(&second);
     table.record_closed(&second);
-    assert_eq!(table.choose(&[]), Some(second));
+    assert_eq!(table.choose(NOW, &[]), Some(second));
 }
 
 /// Guards against asking an entry again that has just failed to connect.
 #[test]
 fn candidates_that_were_tried_are_not_chosen() {
     let table = table(&[100, 200]);
-    let first = table.choose(&[]).expect("a candidate");
+    let first = table.choose(NOW, &[]).expect("a candidate");
     let second = table
-        .choose(std::slice::from_ref(&first))
+        .choose(NOW, std::slice::from_ref(&first))
         .expect("another one");
-    assert_eq!(table.choose(&[first, second]), None);
+    assert_eq!(table.choose(NOW, &[first, second]), None);
+}
+
+/// Guards against choosing a frozen entry each time because it has no connections.
+#[test]
+fn a_candidate_that_does_not_answer_is_avoided_for_a_while() {
+    let mut table = table(&[200, 100]);
+    let frozen = table.choose(NOW, &[]).expect("a candidate");
+    table.record_failure(NOW, &frozen);
+    let other = table.choose(NOW, &[]).expect("another one");
+    assert_ne!(other, frozen);
+    // It is better than none.
+    assert_eq!(
+        table.choose(NOW, std::slice::from_ref(&other)),
+        Some(frozen.clone())
+    );
+    let later = NOW + Span::from_millis(1_000);
+    assert_eq!(table.choose(later, &[]), Some(frozen));
 }
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -35,8 +35,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a server that accepted no connection from here is reached through other entries.
 const DETOUR_TIME: Span = Span::from_seconds(2);
-/// Timeout for a connection through other entries; covers one whose own connection to the server times out.
-const DETOUR_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout for a connection through one other entry.
+const PROXY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Entries that are asked for one connection.
 const MAX_PROXIES_TRIED: usize = 2;
 /// Connections that are held for other entries.
@@ -143,23 +143,22 @@
 
 /// Opens a connection through another entry.
 async fn connect_through_proxies(shared: &Rc<Shared>, endpoint: &Endpoint) -> Detoured {
-    let connecting = try_proxies(shared, endpoint);
-    let detoured = tokio::time::timeout(DETOUR_TIMEOUT, connecting).await;
-    detoured.unwrap_or(Detoured::Unreached)
-}
-
-async fn try_proxies(shared: &Rc<Shared>, endpoint: &Endpoint) -> Detoured {
     let mut tried = Vec::new();
     while tried.len() < MAX_PROXIES_TRIED {
-        let chosen = shared.reach.proxies.borrow().choose(&tried);
+        let now = shared.clock.now();
+        let chosen = shared.reach.proxies.borrow().choose(now, &tried);
         let Some(proxy) = chosen else {
             break;
         };
-        match connect_through(shared, &proxy, endpoint).await {
+        let connecting = connect_through(shared, &proxy, endpoint);
+        let connected = tokio::time::timeout(PROXY_TIMEOUT, connecting).await;
+        match connected.unwrap_or_else(|_| Err(anyhow::anyhow!("no answer in time"))) {
             Ok(Some(connection)) => return Detoured::Opened(connection),
             Ok(None) => {}
             Err(error) => {
                 log::debug!(event = "detour_failed", peer = proxy.as_str(), error = error.to_string().as_str(); "");
+                let mut proxies = shared.reach.proxies.borrow_mut();
+                proxies.record_failure(shared.clock.now(), &proxy);
             }
         }
         tried.push(proxy);
