--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -71,5 +71,5 @@
         cut_count: 4,
         ..short_size()
     };
-    play([5, 8], size);
+    play([11, 12], size);
 }
