--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -165,8 +165,6 @@
     pub paused: u64,
     /// Whether this entry reaches no server.
     pub isolated: bool,
-    /// Connections to servers that this entry opened for peers.
-    pub tunnels: u64,
     /// Queued requests.
     pub waiting: u64,
     /// Retries left in the budgets of all services.
@@ -320,7 +318,6 @@
             missing: self.servers.missing().len() as u64,
             paused: self.pauses.active_count(now) as u64,
             isolated: self.isolated_since.is_some(),
-            tunnels: self.tunnels as u64,
             waiting: waiting as u64,
             repeats_left: repeats.max(0.0) as u64,
             fence: self.lease(now).map_or(0, |lease| lease.fence),
--- a/crates/gateway/src/isolation.rs
+++ b/crates/gateway/src/isolation.rs
@@ -47,7 +47,7 @@
         let mut usable: Vec<_> = members
             .filter(|(_, known)| known.is_usable(now, quiet) && !known.beat.servers_lost)
             .collect();
-        usable.sort_by_key(|(id, _)| Reverse(rendezvous::weight(me, id.0)));
+        usable.sort_by_cached_key(|(id, _)| Reverse(rendezvous::weight(me, id.0)));
         let selected = usable.into_iter().take(MAX_PROXIES);
         let proxies: Vec<Candidate> = selected
             .map(|(_, known)| Candidate {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -485,12 +485,7 @@
             pause: Some(pause),
         };
         self.notify(sent.entry, &sent.server, notice);
-        let event = Event::Attempt {
-            serial: sent.serial,
-            attempt: sent.attempt,
-            report: Report::Ended(End::NotStarted),
-        };
-        self.step(sent.entry, event);
+        self.end_attempt(sent, End::NotStarted);
     }
 
     /// Answers a request successfully.
--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -8,8 +8,6 @@
 //! ([`crate::rendezvous`]), so no message is needed per request and each sender's share is large enough for
 //! whole requests. The other entries use other replicas.
 
-use std::cmp::Reverse;
-
 use clock::Span;
 use clock::Time;
 
@@ -54,10 +52,7 @@
     let limit = limit.max(config.min_rate);
     let senders = (limit.0 / config.min_share.0).max(1) as usize;
     let senders = senders.min(entries.len());
-    let mut ranked = entries.to_vec();
-    ranked.sort_by_key(|entry| Reverse(rendezvous::weight(replica, *entry)));
-    let is_sender = ranked.iter().take(senders).any(|entry| *entry == me);
-    match is_sender {
+    match rendezvous::is_among_first(replica, entries, senders, me) {
         true => Share::Part(Rate(limit.0 / senders as u32)),
         false => Share::Nothing,
     }
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -5,6 +5,8 @@
 //! several times, and copies of one killer request would reach several replicas. When a node
 //! leaves, only the keys that ranked it first move (Thaler and Ravishankar, 1998).
 
+use std::cmp::Reverse;
+
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -13,6 +15,13 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Returns whether `node` is among the first `count` of `nodes` in the order of `key`.
+pub fn is_among_first(key: u64, nodes: &[u64], count: usize, node: u64) -> bool {
+    let mut ranked = nodes.to_vec();
+    ranked.sort_by_key(|other| Reverse(weight(key, *other)));
+    ranked.iter().take(count).any(|other| *other == node)
+}
+
 /// Returns the weight of `node` for `key`; the node with the highest weight ranks first.
 pub fn weight(key: u64, node: u64) -> u64 {
     xxh3_64_with_seed(&node.to_le_bytes(), key)
--- a/crates/policy/src/tolerance.rs
+++ b/crates/policy/src/tolerance.rs
@@ -6,11 +6,10 @@
 //!
 //! The number of rejections that the replica bears is divided among the first entries in its rendezvous order
 //! ([`crate::rendezvous`]). An entry counts each request that may still be rejected, and each rejection for a
-//! second, against its share, so all entries together stay within the number whatever the replica rejects.
+//! second, against its share, so entries with shares stay within the number as long as the replica rejects at once.
 //! Entries without a share send single requests, far apart, while the replica seems half empty: more of them can't
 //! fill it before their counts show that.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
@@ -27,7 +26,6 @@
 const ACCEPTANCE_TIME: Span = Span::from_millis(100);
 /// Fraction of its slots up to which a replica seems to have room for an entry without a share.
 const LIGHT_LOAD: f64 = 0.5;
-
 /// Time between two requests of entries without a share, as long as these fit into the replica together.
 const LIGHT_INTERVAL: Span = Span::from_millis(500);
 
@@ -43,11 +41,10 @@
 /// Returns the share of the entry `me` in a replica that bears `limit` rejections per second.
 pub fn share(replica: u64, limit: u32, entries: &[u64], me: u64) -> Share {
     let count = entries.len().max(1) as u32;
-    let mut ranked = entries.to_vec();
-    ranked.sort_by_key(|entry| Reverse(rendezvous::weight(replica, *entry)));
-    let extra = ranked.iter().take((limit % count) as usize);
+    let remainder = (limit % count) as usize;
+    let has_extra = rendezvous::is_among_first(replica, entries, remainder, me);
     Share {
-        rejections: limit / count + u32::from(extra.into_iter().any(|entry| *entry == me)),
+        rejections: limit / count + u32::from(has_extra),
         entries: count,
     }
 }
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -31,8 +31,6 @@
 use crate::pool::open_socket;
 use crate::shared::Shared;
 
-/// Interval of trial connections while isolated.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a server that accepted no connection from here is reached through other entries.
 const DETOUR_TIME: Span = Span::from_seconds(2);
 /// Timeout for a connection through one other entry.
@@ -338,9 +336,10 @@
 
 /// Opens trial connections until one succeeds.
 async fn probe_until_connected(shared: Rc<Shared>) {
+    let interval = Config::default().probe_interval.as_duration();
     while shared.reach.is_isolated() {
         start_probes(&shared);
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
 }
 
