Don't count attempts that are interrupted on the way to a sound server

What callers saw: streams at an entry that is cut off from all servers broke off in mid-answer.

Cause: an attempt whose connection broke counted as one that its server had failed, whatever had broken. A request may reach a number of servers; it used one of them up for a fault of the way, and could not even return to that server, which was sound and had its prompt cached.

Ruled out: the server ended the connection (it served other entries at the same moment, and nothing was wrong with it in the record); more attempts than the route allows (attempts=2 at the refusal).

Change: a connection that breaks is examined on the same way first. If the server accepts connections only on another one (another proxy, the entry's own, or one through a proxy where the entry's own broke), the attempt ends as interrupted. It is not counted, says nothing about the server's health or its version, and the request returns to that server, twice at most, so that it reaches no further one. Where the server takes no more jobs now, the attempt counts as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -56,6 +56,8 @@
         /// Whether the replica still accepts connections; a crashed one doesn't.
         alive: bool,
     },
+    /// The connection broke on its way to the replica, which other ways still reach.
+    Interrupted,
     /// The replica sent nothing for too long.
     TimedOut {
         /// Time waited.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -96,8 +96,11 @@
             }
             End::NotSent => (job::End::NotSent, 0),
             End::NotStarted => (job::End::NotStarted, 0),
+            End::Interrupted if !moving => (job::End::Interrupted, 0),
             End::Broken { alive: false } if !moving => (job::End::Crashed, 0),
-            End::Failed { .. } | End::Broken { .. } | End::TimedOut { .. } => (job::End::Failed, 0),
+            End::Failed { .. } | End::Broken { .. } | End::Interrupted | End::TimedOut { .. } => {
+                (job::End::Failed, 0)
+            }
         };
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.attempt_ended(now, job::Id(serial), outcome, tokens, out);
@@ -163,6 +166,7 @@
         End::NotSent => info("not_sent"),
         End::NotStarted => info("not_started"),
         End::Failed { status } => info("failed").with("status", status),
+        End::Interrupted => info("interrupted"),
         End::Broken { alive } => info("broken").with("alive", alive),
         End::TimedOut { waited } => info("silent").with("waited_ms", waited.as_millis()),
     }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -291,7 +291,8 @@
             return;
         };
         let (status, tokens) = match end {
-            End::NotSent | End::NotStarted => return,
+            // An interrupted way says nothing about the version.
+            End::NotSent | End::NotStarted | End::Interrupted => return,
             End::Finished { status, tokens, .. } => (Some(*status), *tokens),
             End::Failed { .. } | End::Broken { .. } | End::TimedOut { .. } => (None, 0),
         };
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -81,6 +81,8 @@
     Failed,
     /// The replica's process died or its connection broke while the job ran there.
     Crashed,
+    /// The connection broke on the way to the replica, which accepts others.
+    Interrupted,
     /// The job was moved or cancelled, through no fault of the replica.
     Left,
 }
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -5,6 +5,7 @@
 
 use crate::decision::Decision;
 use crate::job;
+use crate::replica;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::level;
@@ -90,9 +91,10 @@
         if end == job::End::Crashed {
             self.record_crash(now, id);
         }
-        if self.detach(now, id, end).is_none() {
+        let Some(replica) = self.detach(now, id, end) else {
             return;
-        }
+        };
+        let returns = end == job::End::Interrupted && self.accepts_return(now, replica);
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
@@ -110,10 +112,27 @@
             job::End::NotStarted => {}
             job::End::NotSent => open.sent -= 1,
             job::End::Failed | job::End::Crashed => open.may_have_run = true,
+            job::End::Interrupted => {
+                open.may_have_run = true;
+                if returns {
+                    open.take_back(replica);
+                }
+            }
         }
         self.retry(now, id, end != job::End::NotSent, out);
     }
 
+    /// Returns whether a job that was interrupted at the replica may return there now.
+    fn accepts_return(&self, now: Time, key: replica::Key) -> bool {
+        let Some(replica) = self.replicas.get(&key) else {
+            return false;
+        };
+        let Some(pool) = self.pools.get(&replica.spec.pool) else {
+            return false;
+        };
+        pool.members.contains(&key) && self.is_open(now, pool, key, replica, pool.mean_own())
+    }
+
     /// Queues the job ahead of its account's others, or refuses it. If something of it `reached` a replica,
     /// another attempt draws on the retry budget.
     fn retry(&mut self, now: Time, id: job::Id, reached: bool, out: &mut Vec<Decision>) {
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -176,7 +176,8 @@
         }
     }
 
-    fn is_open(
+    /// Returns whether a replica may take one more job.
+    pub(super) fn is_open(
         &self,
         now: Time,
         pool: &Pool,
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -120,6 +120,8 @@
                 may_have_run: false,
                 claim: None,
                 tried: Vec::new(),
+                interrupted_at: None,
+                interruptions: 0,
                 sent: 0,
                 queue_deadline: now + job.terms.queue_timeout,
                 predicted,
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -61,7 +61,13 @@
     ) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
         let (job, class) = (open.job, open.class);
-        let free = |candidate: &Candidate| candidate.open && !open.tried.contains(&candidate.key);
+        let free = |candidate: &Candidate| candidate.open && open.may_try(candidate.key);
+        // The replica where the job was interrupted still has its prompt cached.
+        let interrupted_at = open.interrupted_at;
+        let returns = |candidate: &&Candidate| Some(candidate.key) == interrupted_at;
+        if let Some(candidate) = candidates.iter().filter(returns).find(|one| one.open) {
+            return Some(candidate.key);
+        }
         let in_lane = |candidate: &Candidate| lanes.contains(&candidate.key);
         let fits =
             |candidate: &Candidate| free(candidate) && in_lane(candidate) == (class == Class::Long);
@@ -155,8 +161,7 @@
         open.round = Round::default();
         open.outstanding = open.cost;
         open.moved = false;
-        open.tried.push(replica);
-        open.sent += 1;
+        open.record_attempt(replica);
         if let Some(replica) = self.replicas.get_mut(&replica) {
             replica.gate.take(now);
             replica.pause.record_start(id);
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -30,6 +30,9 @@
 use crate::tolerance;
 use crate::warmup::Warmup;
 
+/// Attempts of a job that may be interrupted without being counted.
+const MAX_INTERRUPTIONS: u32 = 2;
+
 /// An account and the output estimate learnt from its answers.
 #[derive(Debug)]
 pub(super) struct Account {
@@ -222,8 +225,12 @@
     pub claim: Option<Claim>,
     /// Replicas that were tried; bounded by the maximum attempts of a job.
     pub tried: Vec<replica::Key>,
-    /// Attempts that may have reached a replica.
+    /// Attempts that may have reached a replica; those that were interrupted there before don't count.
     pub sent: u32,
+    /// Replica where the last attempt was interrupted. Returning to it reaches no further replica.
+    pub interrupted_at: Option<replica::Key>,
+    /// Interrupted attempts that don't count.
+    pub interruptions: u32,
     /// End of its own queue timeout; it isn't started later.
     pub queue_deadline: Time,
     /// Wait predicted at its arrival.
@@ -231,6 +238,36 @@
 }
 
 impl Open {
+    /// Returns whether the job may be handed to the replica, within the replicas that it may reach.
+    pub fn may_try(&self, key: replica::Key) -> bool {
+        match self.interrupted_at {
+            Some(interrupted) if interrupted == key => true,
+            // Any other one is reached besides the one where the job was interrupted.
+            Some(_) => !self.tried.contains(&key) && self.sent + 1 < self.job.terms.attempts,
+            None => !self.tried.contains(&key),
+        }
+    }
+
+    /// Takes back an attempt that was interrupted at `key`, so that the job may return there.
+    pub fn take_back(&mut self, key: replica::Key) {
+        if self.interruptions >= MAX_INTERRUPTIONS {
+            return;
+        }
+        self.interruptions += 1;
+        self.interrupted_at = Some(key);
+        self.tried.retain(|tried| *tried != key);
+        self.sent -= 1;
+    }
+
+    /// Records an attempt at `key`.
+    pub fn record_attempt(&mut self, key: replica::Key) {
+        let left = self.interrupted_at.take().filter(|left| *left != key);
+        for tried in left.into_iter().chain([key]) {
+            self.tried.push(tried);
+            self.sent += 1;
+        }
+    }
+
     pub fn explain(&self) -> Explanation {
         Explanation {
             class: self.class,
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -284,7 +284,7 @@
             let usable = healthy && replica.accepts(now, mean_own);
             let excluded = replica.trial.is_some()
                 || self.quarantine.is_reserved(now, replica.identity)
-                || open.tried.contains(key);
+                || !open.may_try(*key);
             (usable && !excluded).then_some((*key, replica.identity))
         });
         self.quarantine.choose_replica(open.job.fingerprint, free)
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -31,6 +31,7 @@
 use crate::flight::Inbound;
 use crate::pool::Connection;
 use crate::reach;
+use crate::reach::Finding;
 use crate::shared::Shared;
 
 /// Interval between two progress reports of a stream.
@@ -102,7 +103,7 @@
             () = self.caller.disconnected() => return None,
         };
         let Ok(collected) = collected else {
-            return Some(probe_after_break(&self.shared, start).await);
+            return Some(examine_break(&self.shared, start, &connection).await);
         };
         let mut response = Response::new(collected.to_bytes());
         *response.status_mut() = head.status;
@@ -147,7 +148,9 @@
             reach::record_sign(&self.shared, &start.endpoint, &answer.connection);
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return Some(probe_after_break(&self.shared, start).await),
+                Ok(Some(Err(_))) => {
+                    return Some(examine_break(&self.shared, start, &answer.connection).await);
+                }
                 Ok(None) => break,
                 Err(end) => return Some(end),
             };
@@ -257,7 +260,7 @@
             Err(end) => return Head::Ended(end),
         };
         if error.take_message().is_none() {
-            return Head::Ended(probe_after_break(shared, &start).await);
+            return Head::Ended(examine_break(shared, &start, &connection).await);
         }
         // Nothing was sent. The replica may have closed a pooled connection while it was idle; a new
         // connection shows whether the replica is reachable.
@@ -351,11 +354,14 @@
 
 /// Returns the end of an attempt whose connection broke while the replica had the request.
 ///
-/// A new connection distinguishes a lost answer from a crash; requests during which servers crash are
-/// quarantined.
-async fn probe_after_break(shared: &Rc<Shared>, start: &Start) -> End {
-    let alive = reach::is_alive(shared, &start.endpoint).await;
-    End::Broken { alive }
+/// New connections distinguish a lost answer from a crash, and from a fault of the way; requests during which
+/// servers crash are quarantined.
+async fn examine_break(shared: &Rc<Shared>, start: &Start, connection: &Connection) -> End {
+    match reach::examine(shared, &start.endpoint, connection.proxy()).await {
+        Finding::Reached => End::Broken { alive: true },
+        Finding::Detoured => End::Interrupted,
+        Finding::Unreached => End::Broken { alive: false },
+    }
 }
 
 /// Awaits something from a replica, but times out if the replica was silent on all its connections for the
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -75,7 +75,7 @@
         end: Option<End>,
         migration: Migration,
     ) -> Option<End> {
-        let Some(End::Broken { .. }) = end else {
+        let Some(End::Broken { .. } | End::Interrupted) = end else {
             return end;
         };
         let Some((to, transfer)) = migration.transfer().await else {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -102,6 +102,11 @@
         self.detour.is_none()
     }
 
+    /// Returns the `host:port` of the entry through which the connection leads.
+    pub fn proxy(&self) -> Option<&SmolStr> {
+        self.detour.as_ref().map(|detour| &detour.proxy)
+    }
+
     /// Starts HTTP on a connection.
     pub async fn start<T>(io: T, detour: Option<Box<Detour>>) -> std::io::Result<Connection>
     where
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -106,30 +106,67 @@
             return Err(error);
         }
     }
-    match connect_through_proxies(shared, endpoint).await {
+    match connect_through_proxies(shared, endpoint, None).await {
         Detoured::Opened(connection) => Ok(connection),
         Detoured::Unreached => Err(error),
         Detoured::NoProxy => connect_directly(shared, endpoint).await,
     }
 }
 
-/// Returns whether a server accepts connections, from here or from another entry.
+/// What new connections show about a server after a connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// The server accepts connections on the same way.
+    Reached,
+    /// The server accepts connections only on another way.
+    Detoured,
+    /// The server accepts no connections.
+    Unreached,
+}
+
+/// Finds out why a connection to a server broke, which led through the entry `proxy` or was direct.
 ///
-/// The second opinion keeps servers and requests from being blamed for a crash if only the way from here is
-/// interrupted.
-pub async fn is_alive(shared: &Rc<Shared>, endpoint: &Endpoint) -> bool {
-    let direct = shared.reach.is_direct(shared.clock.now(), endpoint);
-    let connection = match connect(shared, endpoint).await {
-        Ok(connection) => connection,
-        Err(_) if !direct => return false,
-        Err(_) => match connect_through_proxies(shared, endpoint).await {
-            Detoured::Opened(connection) => connection,
-            Detoured::Unreached | Detoured::NoProxy => return false,
+/// Second opinions of other entries keep servers and requests from being blamed for a fault of the way.
+pub async fn examine(shared: &Rc<Shared>, endpoint: &Endpoint, proxy: Option<&SmolStr>) -> Finding {
+    let same_way = match proxy {
+        Some(proxy) => ask_proxy(shared, proxy, endpoint).await,
+        None => connect_if_direct(shared, endpoint).await,
+    };
+    let (finding, connection) = match same_way {
+        Some(connection) => (Finding::Reached, connection),
+        None => match connect_otherwise(shared, endpoint, proxy).await {
+            Some(connection) => (Finding::Detoured, connection),
+            None => return Finding::Unreached,
         },
     };
     let headers = HeaderMap::new();
     shared.pool.release(endpoint, connection, &headers).await;
-    true
+    finding
+}
+
+/// Opens a connection on any way other than that through `proxy`, or than the direct one.
+async fn connect_otherwise(
+    shared: &Rc<Shared>,
+    endpoint: &Endpoint,
+    proxy: Option<&SmolStr>,
+) -> Option<Connection> {
+    if proxy.is_some()
+        && let Some(connection) = connect_if_direct(shared, endpoint).await
+    {
+        return Some(connection);
+    }
+    match connect_through_proxies(shared, endpoint, proxy).await {
+        Detoured::Opened(connection) => Some(connection),
+        Detoured::Unreached | Detoured::NoProxy => None,
+    }
+}
+
+/// Opens a connection of this entry's own unless the server is known not to be reached so.
+async fn connect_if_direct(shared: &Rc<Shared>, endpoint: &Endpoint) -> Option<Connection> {
+    if !shared.reach.is_direct(shared.clock.now(), endpoint) {
+        return None;
+    }
+    connect_directly(shared, endpoint).await.ok()
 }
 
 /// Opens a connection of this entry's own and records whether that succeeded.
@@ -139,31 +176,48 @@
     connected
 }
 
-/// Opens a connection through another entry.
-async fn connect_through_proxies(shared: &Rc<Shared>, endpoint: &Endpoint) -> Detoured {
-    let mut tried = Vec::new();
-    while tried.len() < MAX_PROXIES_TRIED {
+/// Opens a connection through another entry than `avoided`.
+async fn connect_through_proxies(
+    shared: &Rc<Shared>,
+    endpoint: &Endpoint,
+    avoided: Option<&SmolStr>,
+) -> Detoured {
+    let mut excluded = Vec::from_iter(avoided.cloned());
+    let mut asked = false;
+    for _ in 0..MAX_PROXIES_TRIED {
         let now = shared.clock.now();
-        let chosen = shared.reach.proxies.borrow().choose(now, &tried);
+        let chosen = shared.reach.proxies.borrow().choose(now, &excluded);
         let Some(proxy) = chosen else {
             break;
         };
-        let connecting = connect_through(shared, &proxy, endpoint);
-        let connected = tokio::time::timeout(PROXY_TIMEOUT, connecting).await;
-        match connected.unwrap_or_else(|_| Err(anyhow::anyhow!("no answer in time"))) {
-            Ok(Some(connection)) => return Detoured::Opened(connection),
-            Ok(None) => {}
-            Err(error) => {
-                log::debug!(event = "detour_failed", peer = proxy.as_str(), error = error.to_string().as_str(); "");
-                let mut proxies = shared.reach.proxies.borrow_mut();
-                proxies.record_failure(shared.clock.now(), &proxy);
-            }
+        asked = true;
+        if let Some(connection) = ask_proxy(shared, &proxy, endpoint).await {
+            return Detoured::Opened(connection);
         }
-        tried.push(proxy);
+        excluded.push(proxy);
+    }
+    match asked {
+        true => Detoured::Unreached,
+        false => Detoured::NoProxy,
     }
-    match tried.is_empty() {
-        true => Detoured::NoProxy,
-        false => Detoured::Unreached,
+}
+
+/// Asks one entry for a connection; `None` if it doesn't reach the server or doesn't answer.
+async fn ask_proxy(
+    shared: &Rc<Shared>,
+    proxy: &SmolStr,
+    endpoint: &Endpoint,
+) -> Option<Connection> {
+    let connecting = connect_through(shared, proxy, endpoint);
+    let connected = tokio::time::timeout(PROXY_TIMEOUT, connecting).await;
+    match connected.unwrap_or_else(|_| Err(anyhow::anyhow!("no answer in time"))) {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::debug!(event = "detour_failed", peer = proxy.as_str(), error = error.to_string().as_str(); "");
+            let mut proxies = shared.reach.proxies.borrow_mut();
+            proxies.record_failure(shared.clock.now(), proxy);
+            None
+        }
     }
 }
 
