Soak: no excuse for answers that a cut breaks off

The promise "no answer is broken off" excused attempts while their entry was cut off and another one had a fault, and all that were open when a cut reset connections. Entries keep it without: the excuse is gone.

The ways refuse first now. - "A request reaches no more replicas than allowed" counted runs. It counts replicas, as its name says; a request may return to one of them, twice at most, and only if a way was interrupted meanwhile. Calls that must not be repeated still run once.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -170,18 +170,17 @@
             }
         };
         let start = self.environment.clock.now();
-        let resets = open == Mode::Reset;
         self.environment.ledger.borrow_mut().cuts.push(Cut {
             entry,
             start,
             end: start + duration,
-            resets,
         });
-        if resets {
-            set(Mode::Reset);
+        set(Mode::Refuse);
+        if open == Mode::Reset {
+            // New connections are refused before the entry notices that open ones broke.
             tokio::task::yield_now().await;
+            set(Mode::Sever);
         }
-        set(Mode::Refuse);
         wait(duration).await;
         set(Mode::Pass);
     }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -89,8 +89,6 @@
     pub start: Time,
     /// End of the cut, as planned.
     pub end: Time,
-    /// Whether open connections were reset at its start.
-    pub resets: bool,
 }
 
 /// A promise that was broken.
@@ -203,26 +201,15 @@
         })
     }
 
-    /// Returns whether connections that an attempt may have used were broken by a cut: those of its own entry by
-    /// a reset, or those that other entries held for it, by a fault of one of them.
-    pub fn was_reset(&self, attempt: &Attempt, ended_at: Time) -> bool {
-        let open = |cut: &&Cut| attempt.sent_at <= cut.start && cut.start <= ended_at;
-        let own = |cut: &Cut| cut.entry == attempt.entry;
-        let mut cuts = self.cuts.iter().filter(open);
-        if cuts.any(|cut| cut.resets && own(cut)) {
-            return true;
-        }
-        let is_cut_off = self
-            .cuts
-            .iter()
-            .any(|cut| own(cut) && cut.start <= ended_at && attempt.sent_at <= cut.end);
-        let is_other_entry =
-            |target| matches!(target, Target::Entry(other) if other != attempt.entry);
+    /// Returns whether a way to replicas was interrupted in that time: by a cut of an entry, or by a fault of an
+    /// entry that may have held connections for another one.
+    pub fn was_way_interrupted(&self, from: Time, to: Time) -> bool {
+        let mut cuts = self.cuts.iter();
         let mut faults = self.disturbances.iter();
-        is_cut_off
-            && faults.any(|fault| {
-                let over = fault.end.is_some_and(|end| end < attempt.sent_at);
-                is_other_entry(fault.target) && fault.start <= ended_at && !over
+        cuts.any(|cut| cut.start <= to && from <= cut.end)
+            || faults.any(|fault| {
+                let over = fault.end.is_some_and(|end| end < from);
+                matches!(fault.target, Target::Entry(_)) && fault.start <= to && !over
             })
     }
 
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -3,6 +3,8 @@
 //! Each check works on the evidence of callers and replicas. A promise that holds only for targets without
 //! faults is checked only where the ledger has no disturbance. An ordered stop of an entry is no disturbance.
 
+use std::collections::BTreeSet;
+
 use clock::Span;
 use clock::Time;
 use http::StatusCode;
@@ -18,6 +20,9 @@
 
 /// Most replicas that one attempt may reach.
 const MAX_RUNS: usize = 2;
+/// Most times that an attempt may return to a replica.
+const MAX_RETURNS: usize = 2;
+const RUNS_PROMISE: &str = "a request reaches no more replicas than allowed";
 /// Number of attempts of one run whose work may outlast their callers.
 const MAX_ABANDONED: usize = 3;
 
@@ -109,11 +114,15 @@
 /// Checks that a call that must not be repeated runs once, and others reach no more replicas than allowed.
 fn check_run_count(ledger: &mut Ledger, attempt: &Attempt, at: Time) {
     let runs = ledger.runs_of(&attempt.id).count();
+    let replicas: BTreeSet<usize> = ledger.runs_of(&attempt.id).map(|run| run.replica).collect();
+    // A request returns to a replica only after an interruption of the way there.
+    let returns = ledger.was_way_interrupted(attempt.sent_at, at);
     let (most, promise) = match attempt.class {
         Class::NonIdempotent => (1, "what must not be repeated runs once"),
-        _ => (MAX_RUNS, "a request reaches no more replicas than allowed"),
+        _ if returns => (MAX_RUNS + MAX_RETURNS, RUNS_PROMISE),
+        _ => (MAX_RUNS, RUNS_PROMISE),
     };
-    if runs > most {
+    if runs > most || replicas.len() > MAX_RUNS {
         let detail = format!("{} ran {runs} times", attempt.id);
         ledger.record_breach(promise, at, detail);
     }
@@ -153,7 +162,6 @@
 /// Checks that no running answer is broken off by an entry's ordered stop or without any fault.
 fn check_break_off(ledger: &mut Ledger, attempt: &Attempt, at: Time, end: &End) {
     if *end != End::Broken
-        || ledger.was_reset(attempt, at)
         || !ledger.is_undisturbed(Target::Entry(attempt.entry), attempt.sent_at, at)
     {
         return;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -33,6 +33,15 @@
     Reset,
     /// New connections are refused; open ones live on.
     Refuse,
+    /// New connections are refused, and open ones reset.
+    Sever,
+}
+
+impl Mode {
+    /// Returns whether open connections are reset.
+    fn resets(&self) -> bool {
+        matches!(self, Mode::Reset | Mode::Sever)
+    }
 }
 
 /// A proxy.
@@ -61,7 +70,7 @@
             let mut listener = Some(listener);
             let mut mode = mode_updates.clone();
             loop {
-                let refuses = *mode.borrow_and_update() == Mode::Refuse;
+                let refuses = matches!(*mode.borrow_and_update(), Mode::Refuse | Mode::Sever);
                 if refuses {
                     listener = None;
                 } else if listener.is_none() {
@@ -101,7 +110,7 @@
 
 /// Forwards one connection until either side closes it.
 async fn forward(source: TcpStream, destination: SocketAddr, mut mode: watch::Receiver<Mode>) {
-    if *mode.borrow() == Mode::Reset {
+    if mode.borrow().resets() {
         return reset_on_drop(&source);
     }
     let source = Rc::new(source);
@@ -179,7 +188,7 @@
 }
 
 async fn wait_until_reset(mode: &mut watch::Receiver<Mode>) {
-    if mode.wait_for(|mode| *mode == Mode::Reset).await.is_err() {
+    if mode.wait_for(Mode::resets).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
