--- a/crates/gateway/tests/brittle.rs
+++ b/crates/gateway/tests/brittle.rs
@@ -17,6 +17,8 @@
 /// Time from which servers report that they are brittle.
 const START_MILLIS: u64 = 4_000;
 const END_MILLIS: u64 = 20_000;
+/// Time in which many entries get to know each other.
+const JOIN_MILLIS: u64 = 20_000;
 /// Requests that a server runs at once.
 const SLOTS: usize = 64;
 /// Requests that wait at a server that isn't brittle.
@@ -49,19 +51,23 @@
 /// Plays entries that get more requests than their servers have room for, of which the servers bear that many
 /// rejections a second.
 fn simulate(entries: usize, requests_per_second: u64, limit: u32) -> Outcome {
-    let mut world = World::new(entries);
+    simulate_in(World::new(entries), entries, requests_per_second, limit)
+}
+
+fn simulate_in(mut world: World, entries: usize, requests_per_second: u64, limit: u32) -> Outcome {
+    let begin = world.now;
     let mut servers: BTreeMap<SmolStr, Server> = BTreeMap::new();
     let mut outcome = Outcome::default();
     let mut sent = 0;
-    while world.now < END_MILLIS {
+    while world.now < begin + END_MILLIS {
         world.run(STEP_MILLIS);
-        while sent < requests_per_second * world.now / 1_000 {
+        while sent < requests_per_second * (world.now - begin) / 1_000 {
             sent += 1;
             world.request_public((sent as usize * 7) % entries);
         }
         let now = world.now;
-        let stated = (now >= START_MILLIS).then_some(limit);
-        let brittle = now >= START_MILLIS + NOTICE_MILLIS;
+        let stated = (now >= begin + START_MILLIS).then_some(limit);
+        let brittle = now >= begin + START_MILLIS + NOTICE_MILLIS;
         for server in servers.values_mut() {
             let due = server.running.extract_if(.., |(until, _)| *until <= now);
             for (_, request) in due.collect::<Vec<_>>() {
@@ -126,6 +132,21 @@
     }
 }
 
+/// Guards against more entries than a server has slots that bring it down although each sends it little.
+#[test]
+fn brittle_servers_stay_up_before_many_entries() {
+    let (entries, limit) = (75, 6);
+    let mut world = World::new(entries);
+    world.run(JOIN_MILLIS);
+    let outcome = simulate_in(world, entries, 1_300, limit);
+    assert!(
+        outcome.crashes <= 2 + SERVERS / 10,
+        "{} crashes, {} answered",
+        outcome.crashes,
+        outcome.answered
+    );
+}
+
 /// Guards against keeping so much off brittle servers that their room stays empty.
 #[test]
 fn the_room_of_brittle_servers_is_used() {
