--- a/crates/policy/src/tolerance.rs
+++ b/crates/policy/src/tolerance.rs
@@ -7,8 +7,8 @@
 //! The number of rejections that the replica bears is divided among the first entries in its rendezvous order
 //! ([`crate::rendezvous`]). An entry counts each request that may still be rejected, and each rejection for a
 //! second, against its share, so entries with shares stay within the number as long as the replica rejects at once.
-//! Entries without a share send single requests, far apart, while the replica seems half empty: more of them can't
-//! fill it before their counts show that.
+//! Entries without a share send single requests, far apart, while the replica seems half empty. Many of them can
+//! still fill it: their own few requests don't show that.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
