Count a replica that was reached, also if the return to it fails

What callers could see: a request reached one more server than its route allows. After an interruption the attempt was taken back; when the return to that server then sent nothing, the count fell to zero although the server had run the request, and as many others as the route allows could follow.

Cause: a count of reached replicas that goes down. It never does now; a return adds nothing to it, and one that sends nothing gives nothing back. Replicas stay in the list of tried ones, so that nothing has to be put back in when the job starts elsewhere.

Found by reading the change.

--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -110,12 +110,12 @@
                 return;
             }
             job::End::NotStarted => {}
-            job::End::NotSent => open.sent -= 1,
+            job::End::NotSent => open.record_not_sent(),
             job::End::Failed | job::End::Crashed => open.may_have_run = true,
             job::End::Interrupted => {
                 open.may_have_run = true;
                 if returns {
-                    open.take_back(replica);
+                    open.allow_return(replica);
                 }
             }
         }
@@ -142,13 +142,14 @@
         };
         let retryable = open.job.idempotent || !open.may_have_run;
         // The caller holds the head of the answer: it gets the rest, whatever the budget allows.
-        let attempts_left = open.sent < open.job.terms.attempts;
+        let attempts_left = open.used_attempts() < open.job.terms.attempts;
         let resumable = open.streaming && retryable && attempts_left;
-        let attempts = open.sent as usize;
+        let attempts = open.used_attempts() as usize;
         let Some(pool) = self.pools.get_mut(&open.job.pool) else {
             return;
         };
-        let tried_everywhere = pool.members.iter().all(|key| open.tried.contains(key));
+        let tried_everywhere = open.interrupted_at.is_none()
+            && pool.members.iter().all(|key| open.tried.contains(key));
         let within_budget = !reached || pool.budget.spend(&settings);
         let allowed = retryable
             && attempts_left
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -121,6 +121,7 @@
                 claim: None,
                 tried: Vec::new(),
                 interrupted_at: None,
+                returned: false,
                 interruptions: 0,
                 sent: 0,
                 queue_deadline: now + job.terms.queue_timeout,
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -30,7 +30,7 @@
 use crate::tolerance;
 use crate::warmup::Warmup;
 
-/// Attempts of a job that may be interrupted without being counted.
+/// Interruptions of a job after which it may return to its replica.
 const MAX_INTERRUPTIONS: u32 = 2;
 
 /// An account and the output estimate learnt from its answers.
@@ -225,11 +225,13 @@
     pub claim: Option<Claim>,
     /// Replicas that were tried; bounded by the maximum attempts of a job.
     pub tried: Vec<replica::Key>,
-    /// Attempts that may have reached a replica; those that were interrupted there before don't count.
+    /// Attempts that may have reached a replica, without returns to one.
     pub sent: u32,
-    /// Replica where the last attempt was interrupted. Returning to it reaches no further replica.
+    /// Replica where the last attempt was interrupted and to which the job may return.
     pub interrupted_at: Option<replica::Key>,
-    /// Interrupted attempts that don't count.
+    /// Whether the current attempt is such a return.
+    pub returned: bool,
+    /// Interruptions after which the job was allowed to return.
     pub interruptions: u32,
     /// End of its own queue timeout; it isn't started later.
     pub queue_deadline: Time,
@@ -240,32 +242,33 @@
 impl Open {
     /// Returns whether the job may be handed to the replica, within the replicas that it may reach.
     pub fn may_try(&self, key: replica::Key) -> bool {
-        match self.interrupted_at {
-            Some(interrupted) if interrupted == key => true,
-            // Any other one is reached besides the one where the job was interrupted.
-            Some(_) => !self.tried.contains(&key) && self.sent + 1 < self.job.terms.attempts,
-            None => !self.tried.contains(&key),
-        }
+        let may_reach = self.sent < self.job.terms.attempts || self.interrupted_at.is_none();
+        self.interrupted_at == Some(key) || may_reach && !self.tried.contains(&key)
+    }
+
+    /// Returns the attempts so far without one that was interrupted last, to whose replica the job may return.
+    pub fn used_attempts(&self) -> u32 {
+        self.sent - u32::from(self.interrupted_at.is_some())
     }
 
-    /// Takes back an attempt that was interrupted at `key`, so that the job may return there.
-    pub fn take_back(&mut self, key: replica::Key) {
-        if self.interruptions >= MAX_INTERRUPTIONS {
-            return;
+    /// Allows the job to return to the replica `key`, where it was interrupted, as long as it rarely was.
+    pub fn allow_return(&mut self, key: replica::Key) {
+        if self.interruptions < MAX_INTERRUPTIONS {
+            self.interruptions += 1;
+            self.interrupted_at = Some(key);
         }
-        self.interruptions += 1;
-        self.interrupted_at = Some(key);
-        self.tried.retain(|tried| *tried != key);
-        self.sent -= 1;
     }
 
     /// Records an attempt at `key`.
     pub fn record_attempt(&mut self, key: replica::Key) {
-        let left = self.interrupted_at.take().filter(|left| *left != key);
-        for tried in left.into_iter().chain([key]) {
-            self.tried.push(tried);
-            self.sent += 1;
-        }
+        self.returned = self.interrupted_at.take() == Some(key);
+        self.tried.push(key);
+        self.sent += u32::from(!self.returned);
+    }
+
+    /// Records that the attempt didn't reach its replica.
+    pub fn record_not_sent(&mut self) {
+        self.sent -= u32::from(!self.returned);
     }
 
     pub fn explain(&self) -> Explanation {
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -155,9 +155,9 @@
     /// number of trials bounds the damage.
     fn may_try_quarantined(&self, id: job::Id) -> bool {
         let max_attempts = self.settings.retry.max_attempts as u32 + STREAM_TRIALS;
-        self.open
-            .get(&id)
-            .is_some_and(|open| open.streaming && open.generated > 0 && open.sent < max_attempts)
+        self.open.get(&id).is_some_and(|open| {
+            open.streaming && open.generated > 0 && open.used_attempts() < max_attempts
+        })
     }
 
     /// Ends a trial and frees the replica for other jobs.
--- a/crates/policy/tests/interruptions.rs
+++ b/crates/policy/tests/interruptions.rs
@@ -137,3 +137,14 @@
         assert!(attempts < 10, "the stream goes on");
     }
 }
+
+/// Guards against a request that reaches one more replica than it may, since it returned in vain.
+#[test]
+fn a_return_that_reaches_nobody_gives_no_attempt_back() {
+    let mut world = World::new();
+    let first = world.offer();
+    assert_eq!(world.end(End::Interrupted), Some(first));
+    let second = world.end(End::NotSent).unwrap();
+    assert_ne!(second, first);
+    assert_eq!(world.end(End::Failed), None);
+}
