Use what was there: answers of peers, new connections, drawn faults, overlaps of faults

From reading the change; nothing is decided differently. - Peers::connect_through waits as the other calls do, which drop the connection on failure too.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -175,8 +175,6 @@
 
     /// Opens a connection from the peer at `address` to a backend server, named by its incarnation; `None` if
     /// the peer doesn't reach it.
-    ///
-    /// Has no timeout of its own: callers know how long they can wait.
     pub async fn connect_through(
         &self,
         address: &SmolStr,
@@ -188,11 +186,7 @@
         let entry = self.entry(address).await?;
         let mut request = entry.connect_request();
         request.get().set_server(server);
-        let response = request.send().promise.await;
-        let response = response.inspect_err(|_| {
-            self.connections.borrow_mut().remove(address);
-        });
-        let response = response.map_err(to_error)?;
+        let response = self.await_answer(address, request.send().promise).await?;
         let response = response.get().map_err(to_error)?;
         if !response.has_tunnel() {
             return Ok(None);
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -139,8 +139,7 @@
             None => return Finding::Unreached,
         },
     };
-    let headers = HeaderMap::new();
-    shared.pool.release(endpoint, connection, &headers).await;
+    keep(shared, endpoint, connection).await;
     finding
 }
 
@@ -409,7 +408,12 @@
 /// Opens a trial connection, which then serves requests.
 async fn probe(shared: Rc<Shared>, endpoint: Endpoint) {
     if let Ok(connection) = connect_directly(&shared, &endpoint).await {
-        let headers = HeaderMap::new();
-        shared.pool.release(&endpoint, connection, &headers).await;
+        keep(&shared, &endpoint, connection).await;
     }
 }
+
+/// Keeps a new connection for a request.
+async fn keep(shared: &Shared, endpoint: &Endpoint, connection: Connection) {
+    let headers = HeaderMap::new();
+    shared.pool.release(endpoint, connection, &headers).await;
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use clock::Span;
 use clock::Time;
 use smol_str::SmolStr;
 
@@ -31,6 +32,13 @@
     end: Option<Time>,
 }
 
+impl Disturbance {
+    /// Returns whether the fault, or the `settle_time` after it, falls into that time.
+    fn overlaps(&self, from: Time, to: Time, settle_time: Span) -> bool {
+        self.start <= to && self.end.is_none_or(|end| from <= end + settle_time)
+    }
+}
+
 /// One attempt of a caller.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -195,22 +203,18 @@
     /// Returns whether the target had no fault from `settle_time` before `from` until `to`.
     pub fn is_undisturbed(&self, target: Target, from: Time, to: Time) -> bool {
         let settle_time = self.bounds.settle_time;
-        self.disturbances.iter().all(|disturbance| {
-            let is_over = disturbance.end.is_some_and(|end| end + settle_time < from);
-            disturbance.target != target || disturbance.start > to || is_over
-        })
+        let mut faults = self.disturbances.iter();
+        !faults.any(|fault| fault.target == target && fault.overlaps(from, to, settle_time))
     }
 
     /// Returns whether a way to replicas was interrupted in that time: by a cut of an entry, or by a fault of an
     /// entry that may have held connections for another one.
     pub fn was_way_interrupted(&self, from: Time, to: Time) -> bool {
+        let is_entry = |fault: &Disturbance| matches!(fault.target, Target::Entry(_));
         let mut cuts = self.cuts.iter();
         let mut faults = self.disturbances.iter();
         cuts.any(|cut| cut.start <= to && from <= cut.end)
-            || faults.any(|fault| {
-                let over = fault.end.is_some_and(|end| end < from);
-                matches!(fault.target, Target::Entry(_)) && fault.start <= to && !over
-            })
+            || faults.any(|fault| is_entry(fault) && fault.overlaps(from, to, Span::ZERO))
     }
 
     /// Records a broken promise.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! Draws a schedule of faults from a seed.
 
+use std::ops::Range;
+
 use clock::Span;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -13,19 +15,22 @@
 /// Share of faults that repeat shortly after.
 const REPEAT_SHARE: f64 = 0.35;
 /// Occurrences of a repeating fault.
-const REPEAT_COUNT: std::ops::Range<u32> = 2..4;
+const REPEAT_COUNT: Range<u32> = 2..4;
 /// Time between two occurrences of a repeating fault, in milliseconds.
-const REPEAT_GAP_MS: std::ops::Range<u64> = 200..1_500;
+const REPEAT_GAP_MS: Range<u64> = 200..1_500;
 /// Duration of a fault, in milliseconds.
-const DURATION_MS: std::ops::Range<u64> = 400..4_000;
+const DURATION_MS: Range<u64> = 400..4_000;
 /// Distinguishes the random sequence of notices from that of the other faults.
 const NOTICE_SEED: u64 = 0x6e6f_7469_6365;
 /// Distinguishes the random sequence of cuts.
 const CUT_SEED: u64 = 0x63_7574;
 /// Duration of a cut, in milliseconds: longer than entries have to notice it.
-const CUT_DURATION_MS: std::ops::Range<u64> = 5_000..9_000;
+const CUT_DURATION_MS: Range<u64> = 5_000..9_000;
 /// Delay of bytes or answers, in milliseconds.
-const DELAY_MS: std::ops::Range<u64> = 20..600;
+const DELAY_MS: Range<u64> = 20..600;
+
+/// Draws a fault.
+type Draw = fn(&mut Pcg64, &Size) -> Fault;
 
 /// A fault with its start and duration.
 #[derive(Clone, Debug)]
@@ -103,25 +108,25 @@
             start += random.random_range(REPEAT_GAP_MS);
         }
     }
-    // A sequence of their own keeps the other faults of a seed as they are.
-    let mut random = Pcg64::seed_from_u64(seed ^ NOTICE_SEED);
-    for _ in 0..size.notice_count {
-        let start = random.random_range(0..size.fault_window.as_millis());
-        steps.push(Step {
-            start: Span::from_millis(start),
-            duration: Span::from_millis(random.random_range(DURATION_MS)),
-            fault: draw_notice(&mut random, size),
-        });
-    }
-    let mut random = Pcg64::seed_from_u64(seed ^ CUT_SEED);
-    for _ in 0..size.cut_count {
-        let start = random.random_range(0..size.fault_window.as_millis());
-        steps.push(Step {
-            start: Span::from_millis(start),
-            duration: Span::from_millis(random.random_range(CUT_DURATION_MS)),
-            fault: draw_cut(&mut random, size),
-        });
-    }
+    // Sequences of their own keep the other faults of a seed as they are.
+    let mut draw_further = |seed, count, durations: Range<u64>, draw: Draw| {
+        let mut random = Pcg64::seed_from_u64(seed);
+        for _ in 0..count {
+            let start = random.random_range(0..size.fault_window.as_millis());
+            steps.push(Step {
+                start: Span::from_millis(start),
+                duration: Span::from_millis(random.random_range(durations.clone())),
+                fault: draw(&mut random, size),
+            });
+        }
+    };
+    draw_further(
+        seed ^ NOTICE_SEED,
+        size.notice_count,
+        DURATION_MS,
+        draw_notice,
+    );
+    draw_further(seed ^ CUT_SEED, size.cut_count, CUT_DURATION_MS, draw_cut);
     steps.sort_by_key(|step| step.start);
     steps
 }
