Log the software versions of attempts and moves, and streams that callers take up again

The logs of an incident named replicas, not their versions, so that only the operator's log told whether a stream went on at another one; and a caller that takes a stream up looked like any new request. attempt_started now has version, run_moving from_version and to_version, and stream_continued says which attempt began the stream. No decision reads any of it.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -22,6 +22,17 @@
     pub fingerprint: u64,
     /// Prompt of a model call.
     pub prompt: Option<Prompt>,
+    /// The stream that the caller takes up again; `None` for a new one.
+    pub continuation: Option<Continuation>,
+}
+
+/// A stream that a caller has read in part.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Continuation {
+    /// Id of the last event that the caller received.
+    pub last_event: SmolStr,
+    /// Id of the attempt that brought the first event, if the caller names it.
+    pub began_as: Option<SmolStr>,
 }
 
 /// Sizes and parts of a prompt, never its text.
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -59,14 +59,17 @@
         else {
             return;
         };
-        if transfer != Transfer::Kv || open.replica.is_none() {
+        let Some(from) = open.replica.filter(|_| transfer == Transfer::Kv) else {
             return;
-        }
+        };
         open.move_target = Some(to);
+        let version = |key| self.servers.version_of(key).cloned().unwrap_or_default();
         let line = Line::info("run_moving")
             .with("request", &open.id)
             .with("attempt", open.attempt)
+            .with("from_version", version(from))
             .with("to", &endpoint.incarnation)
+            .with("to_version", version(to))
             .with("age_ms", now.since(open.arrived_at).as_millis());
         effects.push(Effect::Log(line));
         effects.push(Effect::Flight {
@@ -109,12 +112,14 @@
             endpoint,
         };
         let (is_first, pool) = (open.attempt == 1, open.job.pool);
+        let version = self.servers.version_of(replica).cloned();
         let list_age = now.since(self.servers.position().confirmed_at);
         let line = Line::info("attempt_started")
             .with("request", &open.id)
             .with("service", &open.service)
             .with("attempt", open.attempt)
             .with("replica", &start.endpoint.incarnation)
+            .with("version", version.unwrap_or_default())
             .with("fetch", start.fetch_from.as_deref().unwrap_or_default())
             .with("waited_ms", now.since(open.arrived_at).as_millis())
             .with("left_ms", start.time_left.as_millis())
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -49,6 +49,7 @@
     ) {
         match self.validate(now, serial, arrival) {
             Ok(request) => {
+                log_continuation(arrival, effects);
                 self.timeouts.insert((request.deadline, serial));
                 self.requests.insert(serial, request);
                 self.begin_charge(now, serial, effects);
@@ -258,6 +259,21 @@
     }
 }
 
+/// Logs which stream a caller takes up again.
+fn log_continuation(arrival: &Arrival, effects: &mut Vec<Effect>) {
+    let Some(continuation) = &arrival.continuation else {
+        return;
+    };
+    let line = Line::info("stream_continued")
+        .with("request", &arrival.id)
+        .with(
+            "began_as",
+            continuation.began_as.as_deref().unwrap_or_default(),
+        )
+        .with("last_event", &continuation.last_event);
+    effects.push(Effect::Log(line));
+}
+
 fn not_configured() -> Refusal {
     Refusal::not_run(Reason::NoBackend, "the service is not configured")
 }
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -219,6 +219,12 @@
         self.by_key.get(&key).cloned()
     }
 
+    /// Returns the software version of the server for a key, while it is known.
+    pub fn version_of(&self, key: replica::Key) -> Option<&SmolStr> {
+        let record = self.by_incarnation.get(self.by_key.get(&key)?)?;
+        Some(&record.server.version)
+    }
+
     /// Returns all servers.
     pub fn iter(&self) -> impl Iterator<Item = &Record> {
         self.by_incarnation.values()
