Keep streams, moves and cache fetches within one software version

A further attempt of a stream, a run that moved with its KV cache and the source of a cache fetch were chosen among all replicas of the pool; the replicas' version was read by roll-outs alone.

Cause: the scheduler didn't know versions.

A replica now has a version and a job the one that began its stream, set by its first token. Candidates, lanes, pauses, room, targets of moves and sources of fetches are those of the version; where none is left a new job is refused at once. Jobs of a version without room hold up no others: the queue's heads skip them. Ruled out: a pool for each version, which would divide queues, estimates and retry budgets of one service.

--- a/crates/entry/src/platform.rs
+++ b/crates/entry/src/platform.rs
@@ -2,6 +2,7 @@
 
 use clock::Time;
 use policy::replica;
+use policy::version;
 use smol_str::SmolStr;
 
 use crate::backends::Change;
@@ -100,6 +101,7 @@
             incarnation: instance.incarnation.clone(),
             pool: self.catalog.intern_pool_key(&instance.pool),
             zone: instance.zone.clone(),
+            version: version::Key::default(),
             slots: ASSUMED_SLOTS,
         };
         let line = Line::info("backend_joined")
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -254,6 +254,7 @@
                 rank: route.rank,
                 attempts: route.attempts.max(1),
                 queue_timeout: left,
+                version: None,
             },
         })
     }
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -8,6 +8,7 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::servers;
 use crate::servers::DEFAULT_NOTICE;
 use crate::servers::endpoint_of;
 use watch::server::Reading;
@@ -278,6 +279,7 @@
             incarnation: server.incarnation.clone(),
             pool: self.pool_key(&pool),
             zone: server.zone.clone(),
+            version: servers::version_key(&server.version),
             slots: server.slots.max(1),
         };
         self.replica_pools.insert(server.incarnation.clone(), pool);
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -12,6 +12,7 @@
 use clock::Time;
 use policy::rendezvous;
 use policy::replica;
+use policy::version;
 use smol_str::SmolStr;
 use store::revision::Revision;
 
@@ -273,5 +274,10 @@
     }
 }
 
+/// Returns the scheduler's key of a software version.
+pub(crate) fn version_key(version: &str) -> version::Key {
+    version::Key(rendezvous::identity(version))
+}
+
 /// How long a leaving server is expected to run if it gives no time.
 pub(crate) const DEFAULT_NOTICE: Span = Span::from_seconds(2);
--- a/crates/policy/benches/patterns/slopes.rs
+++ b/crates/policy/benches/patterns/slopes.rs
@@ -23,6 +23,7 @@
 use policy::pool;
 use policy::replica;
 use policy::scheduler::Scheduler;
+use policy::version;
 
 /// Decisions measured at each size.
 const DECISIONS: u64 = 20_000;
@@ -140,6 +141,7 @@
             incarnation: format!("replica-{key}").into(),
             pool: pool::Key(0),
             zone: format!("zone-{}", key % 3).into(),
+            version: version::Key::default(),
             slots: 16,
         };
         scheduler.replica_joined(Time::ZERO, spec, &mut out);
--- a/crates/policy/examples/embed.rs
+++ b/crates/policy/examples/embed.rs
@@ -12,6 +12,7 @@
 use policy::pool;
 use policy::replica;
 use policy::scheduler::Scheduler;
+use policy::version;
 
 fn main() {
     let mut scheduler = Scheduler::new(1);
@@ -25,6 +26,7 @@
             incarnation: format!("i-{number}.1").into(),
             pool: pool::Key(0),
             zone: format!("zone-{number}").into(),
+            version: version::Key::default(),
             slots: 2,
         };
         scheduler.replica_joined(Time::ZERO, replica, &mut out);
--- a/crates/policy/src/fair/level.rs
+++ b/crates/policy/src/fair/level.rs
@@ -155,14 +155,21 @@
         self.cost.min(shared.min(u128::from(u64::MAX)) as u64)
     }
 
-    /// Returns the heads of at most `limit` lanes of a class in the order in which to serve them.
-    pub fn heads(&self, class: Class, limit: usize) -> impl Iterator<Item = (u64, Head)> {
+    /// Returns the first job that isn't skipped of at most `limit` lanes of a class, in the order in which to
+    /// serve them.
+    pub fn heads(
+        &self,
+        class: Class,
+        limit: usize,
+        skip: impl Fn(job::Id) -> bool,
+    ) -> impl Iterator<Item = (u64, Head)> {
         self.ready[class as usize]
             .iter()
             .take(limit)
             .filter_map(move |(tag, account)| {
                 let lane = self.lanes.get(account)?;
-                let (position, item) = lane.jobs[class as usize].first_key_value()?;
+                let mut jobs = lane.jobs[class as usize].iter();
+                let (position, item) = jobs.find(|(_, item)| !skip(item.id))?;
                 let place = Place {
                     account: *account,
                     class,
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -142,12 +142,12 @@
         before.sum::<Cost>() + own
     }
 
-    /// Returns the heads of about `limit` lanes in the order in which to serve them.
-    pub fn heads(&self, limit: usize) -> Vec<Head> {
+    /// Returns the heads of about `limit` lanes, without skipped jobs, in the order in which to serve them.
+    pub fn heads(&self, limit: usize, skip: impl Fn(job::Id) -> bool) -> Vec<Head> {
         let mut heads = Vec::new();
         for level in self.levels.values() {
-            let mut own: Vec<(u64, Head)> = level.heads(Class::Short, limit).collect();
-            own.extend(level.heads(Class::Long, limit));
+            let mut own: Vec<(u64, Head)> = level.heads(Class::Short, limit, &skip).collect();
+            own.extend(level.heads(Class::Long, limit, &skip));
             own.sort_by_key(|(tag, head)| (*tag, head.place));
             heads.extend(own.into_iter().map(|(_, head)| head));
             if heads.len() >= limit {
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -4,6 +4,7 @@
 
 use crate::account;
 use crate::pool;
+use crate::version;
 
 /// Job identifier, chosen by the embedder and unique among its open jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,6 +48,8 @@
     pub attempts: u32,
     /// Time after arrival at which the waiting job is given up, whatever else would allow.
     pub queue_timeout: Span,
+    /// The only software version that may run the job: the one that began its stream. `None` for a new stream.
+    pub version: Option<version::Key>,
 }
 
 impl Default for Terms {
@@ -55,6 +58,7 @@
             rank: 0,
             attempts: u32::MAX,
             queue_timeout: Span::from_millis(u64::MAX),
+            version: None,
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod slots;
 pub mod subset;
 pub mod tolerance;
+pub mod version;
 pub mod warmup;
 pub mod wave;
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -4,6 +4,7 @@
 use smol_str::SmolStr;
 
 use crate::pool;
+use crate::version;
 
 /// Identifies one incarnation within one scheduler; never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -18,6 +19,8 @@
     pub pool: pool::Key,
     /// Availability zone.
     pub zone: SmolStr,
+    /// Software version.
+    pub version: version::Key,
     /// Number of concurrent sequences (model engines) or calls (plain services), as far as known.
     pub slots: u32,
 }
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -23,6 +23,8 @@
         let had_streamed = std::mem::replace(&mut open.streaming, true);
         let (replica, pool) = (open.replica, open.job.pool);
         let replica = replica.and_then(|key| self.replicas.get_mut(&key));
+        let version = replica.as_ref().map(|replica| replica.spec.version);
+        open.job.terms.version = open.job.terms.version.or(version);
         let makes_room = replica.is_some_and(|replica| {
             let proven = replica.pause.record_response(id);
             replica.tolerance.record_response(id) || proven
@@ -145,11 +147,15 @@
         let attempts_left = open.used_attempts() < open.job.terms.attempts;
         let resumable = open.streaming && retryable && attempts_left;
         let attempts = open.used_attempts() as usize;
+        let version = open.job.terms.version;
         let Some(pool) = self.pools.get_mut(&open.job.pool) else {
             return;
         };
-        let tried_everywhere = open.interrupted_at.is_none()
-            && pool.members.iter().all(|key| open.tried.contains(key));
+        let replicas = &self.replicas;
+        let runs = |key: &&replica::Key| replicas.get(key).is_some_and(|one| one.runs(version));
+        let mut eligible = pool.members.iter().filter(runs);
+        let tried_everywhere =
+            open.interrupted_at.is_none() && eligible.all(|key| open.tried.contains(key));
         let within_budget = !reached || pool.budget.spend(&settings);
         let allowed = retryable
             && attempts_left
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -10,6 +10,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
+use crate::version;
 
 impl Scheduler {
     /// Adds a replica.
@@ -116,11 +117,17 @@
         }
     }
 
-    /// Returns every member of the pool with its load, and whether it may take one more short job.
-    pub(super) fn candidates(&self, now: Time, pool: &Pool) -> Vec<Candidate> {
+    /// Returns every member of the pool, or those of one version, with its load and whether it may take one
+    /// more short job.
+    pub(super) fn candidates(
+        &self,
+        now: Time,
+        pool: &Pool,
+        version: Option<version::Key>,
+    ) -> Vec<Candidate> {
         let mean_own = pool.mean_own();
         let candidate = |key: &replica::Key| {
-            let replica = self.replicas.get(key)?;
+            let replica = self.replicas.get(key).filter(|one| one.runs(version))?;
             Some(Candidate {
                 key: *key,
                 identity: replica.identity,
@@ -134,6 +141,12 @@
         candidates
     }
 
+    /// Returns whether a member of the pool runs that version, or any if it doesn't matter.
+    pub(super) fn has_version(&self, pool: &Pool, version: Option<version::Key>) -> bool {
+        let mut members = pool.members.iter().filter_map(|key| self.replicas.get(key));
+        members.any(|replica| replica.runs(version))
+    }
+
     /// Avoids replicas that may be gone, as long as there is room elsewhere.
     ///
     /// A replica may leave unnoticed during a partition: requests were sent to it until its absence was
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -19,6 +19,7 @@
 use crate::scheduler::state::Round;
 use crate::scheduler::state::level;
 use crate::size::Class;
+use crate::version;
 
 /// Minimum wait of a job, in which it is placed if there is room.
 const MIN_WAIT: Span = Span::from_millis(1);
@@ -162,12 +163,20 @@
         let Some(account) = self.accounts.get(&job.account) else {
             return Ok(());
         };
+        let pool = self.pools.get(&job.pool);
+        let has_version = pool.is_none_or(|pool| self.has_version(pool, job.terms.version));
         let Some(pool) = self.pools.get_mut(&job.pool) else {
             return Ok(());
         };
         if pool.members.is_empty() {
             return Err((Reason::NoBackend, "no backend server"));
         }
+        if !has_version {
+            return Err((
+                Reason::NoBackend,
+                "no backend server of the stream's version",
+            ));
+        }
         let rate = pool.service.drain_rate(pool.running);
         pool.gate.offer(
             &settings.brownout,
@@ -214,7 +223,8 @@
         let Some(pool) = self.pools.get(&job.pool) else {
             return Span::ZERO;
         };
-        if self.has_room(now, pool, class) {
+        let version = job.terms.version;
+        if self.has_room(now, pool, class, version) {
             return Span::ZERO;
         }
         let Some(account) = self.accounts.get(&job.account) else {
@@ -226,18 +236,25 @@
         let rate = pool.service.drain_rate(pool.running);
 
         // Even the next in line waits until a running job ends.
-        let wait = admission::wait_time(ahead, rate).max(self.throttled_wait(now, pool));
+        let wait = admission::wait_time(ahead, rate).max(self.throttled_wait(now, pool, version));
         wait.max(Span::from_millis(1))
     }
 
-    /// Returns whether a job of the class can start at once.
-    fn has_room(&self, now: Time, pool: &Pool, class: Class) -> bool {
+    /// Returns whether a job of the class can start at once, on one version if its stream has begun there.
+    fn has_room(
+        &self,
+        now: Time,
+        pool: &Pool,
+        class: Class,
+        version: Option<version::Key>,
+    ) -> bool {
         if pool.full || !pool.queue.is_empty() {
             return false;
         }
         let lanes = self.lanes(now, pool);
-        let fits = |candidate: &Candidate| class == Class::Short || lanes.contains(&candidate.key);
-        self.candidates(now, pool)
+        let anywhere = class == Class::Short || version.is_some();
+        let fits = |candidate: &Candidate| anywhere || lanes.contains(&candidate.key);
+        self.candidates(now, pool, version)
             .iter()
             .any(|candidate| candidate.open && fits(candidate))
     }
@@ -256,9 +273,8 @@
     /// Queues an open job; with `front`, ahead of its account's others.
     pub(super) fn enqueue(&mut self, now: Time, id: job::Id, front: bool) {
         let settings = self.settings;
-        let pool = self.open.get(&id).map(|open| open.job.pool);
-        let pool = pool.and_then(|key| self.pools.get(&key));
-        let pause = pool.map_or(Span::ZERO, |pool| self.remaining_pause(now, pool));
+        let job = self.open.get(&id).map(|open| open.job);
+        let pause = job.map_or(Span::ZERO, |job| self.pause_of(now, &job));
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -404,7 +404,7 @@
         let Some(pool) = self.pools.get(&key) else {
             return Snapshot::default();
         };
-        let candidates = self.candidates(now, pool);
+        let candidates = self.candidates(now, pool, None);
         let allowances = || pool.members.iter().map(|key| pool.monitor.allowance(*key));
         let replicas = || pool.members.iter().filter_map(|key| self.replicas.get(key));
         Snapshot {
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -1,5 +1,7 @@
 //! Leaving replicas: their jobs are moved as planned by [`crate::wave`].
 
+use std::collections::BTreeMap;
+
 use clock::Span;
 use clock::Time;
 
@@ -11,6 +13,7 @@
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
 use crate::scheduler::state::Round;
+use crate::version;
 use crate::wave;
 use crate::wave::Action;
 
@@ -92,40 +95,45 @@
         self.next_review = (!self.leaving.is_empty()).then_some(next);
         let mut planned = Vec::new();
         for pool in self.pools.values() {
-            let sources = self.sources(pool);
-            if sources.is_empty() {
-                continue;
+            for (version, sources) in self.sources(pool) {
+                let jobs = self.jobs_to_move(&sources);
+                let targets = self.targets(now, pool, version, &sources);
+                planned.extend(wave::plan(
+                    &self.settings.wave,
+                    now,
+                    &sources,
+                    &jobs,
+                    &targets,
+                ));
             }
-            let jobs = self.jobs_to_move(&sources);
-            let targets = self.targets(now, pool, &sources);
-            planned.extend(wave::plan(
-                &self.settings.wave,
-                now,
-                &sources,
-                &jobs,
-                &targets,
-            ));
         }
         let moves = planned.into_iter().filter(|step| start_of(step).is_some());
         self.planned_moves
             .extend(moves.map(|step| (step.job, step)));
     }
 
-    /// Returns the pool's leaving replicas.
-    fn sources(&self, pool: &Pool) -> Vec<wave::Source> {
-        let source = |key: &replica::Key| {
-            let replica = self.replicas.get(key)?;
+    /// Returns the pool's leaving replicas by version.
+    fn sources(&self, pool: &Pool) -> BTreeMap<version::Key, Vec<wave::Source>> {
+        let mut sources: BTreeMap<version::Key, Vec<wave::Source>> = BTreeMap::new();
+        for key in &self.leaving {
+            let Some(replica) = self.replicas.get(key) else {
+                continue;
+            };
             let is_member = self
                 .pools
                 .get(&replica.spec.pool)
                 .is_some_and(|other| std::ptr::eq(other, pool));
-            let deadline = replica.leaving.filter(|_| is_member)?;
-            Some(wave::Source {
+            let Some(deadline) = replica.leaving.filter(|_| is_member) else {
+                continue;
+            };
+            let source = wave::Source {
                 key: *key,
                 deadline,
-            })
-        };
-        self.leaving.iter().filter_map(source).collect()
+            };
+            let of_version = sources.entry(replica.spec.version).or_default();
+            of_version.push(source);
+        }
+        sources
     }
 
     /// Returns the jobs on the sources that have no planned move yet.
@@ -162,8 +170,14 @@
         })
     }
 
-    /// Returns replicas with room, if possible confirmed ones outside the zones that are leaving.
-    fn targets(&self, now: Time, pool: &Pool, sources: &[wave::Source]) -> Vec<wave::Target> {
+    /// Returns replicas of a version with room, if possible confirmed ones outside the zones that are leaving.
+    fn targets(
+        &self,
+        now: Time,
+        pool: &Pool,
+        version: version::Key,
+        sources: &[wave::Source],
+    ) -> Vec<wave::Target> {
         let settings = &self.settings;
         let zones: Vec<u64> = sources
             .iter()
@@ -177,7 +191,7 @@
         let window = settings.wave.margin + settings.placement.overbook_window;
         let overbook = soonest.is_some_and(|left| left <= window);
         let (mut outside, mut inside) = (Vec::new(), Vec::new());
-        for candidate in self.candidates(now, pool) {
+        for candidate in self.candidates(now, pool, Some(version)) {
             let replica = self.replicas.get(&candidate.key);
             let Some(replica) = replica.filter(|replica| !replica.is_throttled(now)) else {
                 continue;
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -1,5 +1,7 @@
 //! Choice of the next job and of its replica.
 
+use std::collections::BTreeSet;
+
 use clock::Time;
 
 use crate::affinity::Candidate;
@@ -27,15 +29,30 @@
             return;
         }
         self.hold_suspects(now, key, out);
+        // Versions without room: their jobs must not hold up the others.
+        let mut full = BTreeSet::new();
         while let Some(pool) = self.pools.get(&key).filter(|pool| !pool.queue.is_empty()) {
-            let candidates = self.candidates(now, pool);
+            let candidates = self.candidates(now, pool, None);
             let lanes = self.lanes(now, pool);
-            let heads = pool.queue.heads(self.settings.placement.max_heads);
-            let start = heads
-                .iter()
-                .find_map(|head| Some((*head, self.choose(now, head.id, &candidates, &lanes)?)));
+            let version = |id: job::Id| self.open.get(&id)?.job.terms.version;
+            // Suspects behind such a job haven't been held yet.
+            let waits = |id| {
+                let is_full = version(id).is_some_and(|version| full.contains(&version));
+                is_full || !full.is_empty() && self.is_suspect(now, id)
+            };
+            let heads = pool.queue.heads(self.settings.placement.max_heads, waits);
+            let bound: BTreeSet<_> = heads.iter().filter_map(|head| version(head.id)).collect();
+            let start = heads.iter().find_map(|head| {
+                let bound = self.candidates_of_version(now, key, head.id);
+                let candidates = bound.as_deref().unwrap_or(&candidates);
+                Some((*head, self.choose(now, head.id, candidates, &lanes)?))
+            });
             let Some((head, replica)) = start else {
-                break;
+                if bound.is_empty() {
+                    break;
+                }
+                full.extend(bound);
+                continue;
             };
             if let Some(pool) = self.pools.get_mut(&key) {
                 pool.queue.take(head.place);
@@ -51,6 +68,17 @@
         }
     }
 
+    /// Returns the candidates for a job whose stream a version has begun.
+    fn candidates_of_version(
+        &self,
+        now: Time,
+        key: pool::Key,
+        id: job::Id,
+    ) -> Option<Vec<Candidate>> {
+        let version = self.open.get(&id)?.job.terms.version?;
+        Some(self.candidates(now, self.pools.get(&key)?, Some(version)))
+    }
+
     /// Chooses a replica for the job among the candidates.
     pub(super) fn choose(
         &mut self,
@@ -69,8 +97,11 @@
             return Some(candidate.key);
         }
         let in_lane = |candidate: &Candidate| lanes.contains(&candidate.key);
-        let fits =
-            |candidate: &Candidate| free(candidate) && in_lane(candidate) == (class == Class::Long);
+        // The replicas of one version may all be lanes, or none of them.
+        let is_bound = job.terms.version.is_some();
+        let fits = |candidate: &Candidate| {
+            free(candidate) && (is_bound || in_lane(candidate) == (class == Class::Long))
+        };
         let narrow = |fits: &dyn Fn(&Candidate) -> bool| -> Vec<Candidate> {
             let narrowed = |candidate: &Candidate| Candidate {
                 open: fits(candidate),
@@ -110,9 +141,9 @@
         Some(choice.replica())
     }
 
-    /// Returns the first replica other than `chosen` in the order of the job's prefix: its home or, if that
-    /// is `chosen`, its second choice, which was the home before `chosen` joined or took what the home had
-    /// no room for.
+    /// Returns the first replica of the same version other than `chosen` in the order of the job's prefix: its
+    /// home or, if that is `chosen`, its second choice, which was the home before `chosen` joined or took what
+    /// the home had no room for.
     pub(super) fn other_home(
         &self,
         now: Time,
@@ -124,10 +155,12 @@
         if job.kind == job::Kind::Plain || job.prefix == 0 {
             return None;
         }
+        let version = self.replicas.get(&chosen)?.spec.version;
         let usable = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
             let healthy = pool.monitor.allowance(*key) == Allowance::Full && !replica.unconfirmed;
-            let usable = healthy && !replica.pause.is_active(now);
+            let fits = replica.spec.version == version;
+            let usable = healthy && fits && !replica.pause.is_active(now);
             (usable && *key != chosen).then_some((*key, replica.identity))
         });
         rendezvous::top_two(job.prefix, usable).0
--- a/crates/policy/src/scheduler/refusals.rs
+++ b/crates/policy/src/scheduler/refusals.rs
@@ -68,8 +68,7 @@
         let settings = self.settings.retry;
         let spec = self.accounts.get(&job.account).map(|account| &account.spec);
         let (weight, priority) = spec.map_or((1, 0), |spec| (spec.weight, level(spec, job)));
-        let pool = self.pools.get(&job.pool);
-        let pause = pool.map_or(Span::ZERO, |pool| self.remaining_pause(now, pool));
+        let pause = self.pause_of(now, job);
         let Some(pool) = self.pools.get_mut(&job.pool) else {
             return settings.min_delay;
         };
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -28,6 +28,7 @@
 use crate::size::Classes;
 use crate::slots::Share;
 use crate::tolerance;
+use crate::version;
 use crate::warmup::Warmup;
 
 /// Interruptions of a job after which it may return to its replica.
@@ -147,6 +148,11 @@
         }
     }
 
+    /// Returns whether the replica may run a job that only this version may run.
+    pub fn runs(&self, version: Option<version::Key>) -> bool {
+        version.is_none_or(|version| version == self.spec.version)
+    }
+
     /// Returns the number of own attempts.
     pub fn running(&self) -> u32 {
         self.jobs.len() as u32
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -195,12 +195,23 @@
 
     fn first_suspect(&self, now: Time, key: pool::Key) -> Option<(job::Id, Standing)> {
         let pool = self.pools.get(&key)?;
-        let heads = pool.queue.heads(self.settings.placement.max_heads);
-        heads.into_iter().find_map(|head| {
-            let open = self.open.get(&head.id)?;
-            let standing = self.quarantine.standing(now, open.job.fingerprint);
-            (standing != Standing::Clear).then_some((head.id, standing))
-        })
+        let heads = pool
+            .queue
+            .heads(self.settings.placement.max_heads, |_| false);
+        heads
+            .into_iter()
+            .find_map(|head| Some((head.id, self.suspicion(now, head.id)?)))
+    }
+
+    /// Returns whether the job must not be started like others.
+    pub(super) fn is_suspect(&self, now: Time, id: job::Id) -> bool {
+        self.settings.placement.quarantine && self.suspicion(now, id).is_some()
+    }
+
+    fn suspicion(&self, now: Time, id: job::Id) -> Option<Standing> {
+        let open = self.open.get(&id)?;
+        let standing = self.quarantine.standing(now, open.job.fingerprint);
+        (standing != Standing::Clear).then_some(standing)
     }
 
     /// Claims a replica for the suspect, if no other suspect uses it, and schedules the start for when the
@@ -281,7 +292,8 @@
         let free = pool.members.iter().filter_map(|key| {
             let replica = self.replicas.get(key)?;
             let healthy = pool.monitor.allowance(*key) != Allowance::None;
-            let usable = healthy && replica.accepts(now, mean_own);
+            let fits = replica.runs(open.job.terms.version);
+            let usable = healthy && fits && replica.accepts(now, mean_own);
             let excluded = replica.trial.is_some()
                 || self.quarantine.is_reserved(now, replica.identity)
                 || !open.may_try(*key);
--- a/crates/policy/src/scheduler/throttles.rs
+++ b/crates/policy/src/scheduler/throttles.rs
@@ -4,6 +4,7 @@
 use clock::Time;
 
 use crate::job;
+use crate::job::Job;
 use crate::pace::Share;
 use crate::pool;
 use crate::replica;
@@ -11,6 +12,7 @@
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
 use crate::tolerance;
+use crate::version;
 
 /// Predicted wait where the replicas accept nothing from this entry.
 const CLOSED_WAIT: Span = Span::from_seconds(3_600);
@@ -92,22 +94,36 @@
     }
 
     /// Returns the minimum wait of one more job that the replicas' limits and pauses impose.
-    pub(super) fn throttled_wait(&self, now: Time, pool: &Pool) -> Span {
-        let pause = self.remaining_pause(now, pool);
-        pause.max(self.paced_wait(now, pool))
+    pub(super) fn throttled_wait(
+        &self,
+        now: Time,
+        pool: &Pool,
+        version: Option<version::Key>,
+    ) -> Span {
+        let pause = self.remaining_pause(now, pool, version);
+        pause.max(self.paced_wait(now, pool, version))
     }
 
-    /// Returns how long every replica of the pool still pauses; zero if one doesn't.
-    pub(super) fn remaining_pause(&self, now: Time, pool: &Pool) -> Span {
-        let ends = self.members(pool).map(|replica| replica.pause.ends_at());
+    /// Returns how long every replica that may run the job still pauses; zero if one doesn't.
+    pub(super) fn pause_of(&self, now: Time, job: &Job) -> Span {
+        let pool = self.pools.get(&job.pool);
+        pool.map_or(Span::ZERO, |pool| {
+            self.remaining_pause(now, pool, job.terms.version)
+        })
+    }
+
+    /// Returns how long every replica of the pool, or of one version, still pauses; zero if one doesn't.
+    fn remaining_pause(&self, now: Time, pool: &Pool, version: Option<version::Key>) -> Span {
+        let members = self.members(pool, version);
+        let ends = members.map(|replica| replica.pause.ends_at());
         ends.min().map_or(Span::ZERO, |end| end.since(now))
     }
 
     /// Returns the minimum wait of one more job if every replica that doesn't pause sets a limit; zero
     /// otherwise.
-    fn paced_wait(&self, now: Time, pool: &Pool) -> Span {
+    fn paced_wait(&self, now: Time, pool: &Pool, version: Option<version::Key>) -> Span {
         let mut available = self
-            .members(pool)
+            .members(pool, version)
             .filter(|replica| !replica.pause.is_active(now))
             .peekable();
         if available.peek().is_none() {
@@ -126,23 +142,27 @@
         }
     }
 
-    fn members(&self, pool: &Pool) -> impl Iterator<Item = &Replica> {
-        let keys = pool.members.iter();
-        keys.filter_map(|key| self.replicas.get(key))
+    fn members(
+        &self,
+        pool: &Pool,
+        version: Option<version::Key>,
+    ) -> impl Iterator<Item = &Replica> {
+        let members = pool.members.iter().filter_map(|key| self.replicas.get(key));
+        members.filter(move |replica| replica.runs(version))
     }
 
     /// Makes waiting jobs due for refusal that would expire before a replica accepts requests again.
     fn give_up_unservable(&mut self, now: Time, key: pool::Key) {
-        let Some(pool) = self.pools.get(&key) else {
-            return;
-        };
-        let resumes_at = now + self.remaining_pause(now, pool);
+        let is_unservable =
+            |deadline: Time, job: &Job| job.pool == key && deadline < now + self.pause_of(now, job);
         let unservable: Vec<(Time, job::Id)> = self
             .expiry
             .iter()
-            .take_while(|(deadline, _)| *deadline < resumes_at)
             .filter(|(deadline, _)| *deadline > now)
-            .filter(|(_, id)| self.open.get(id).is_some_and(|open| open.job.pool == key))
+            .filter(|(deadline, id)| {
+                let open = self.open.get(id);
+                open.is_some_and(|open| is_unservable(*deadline, &open.job))
+            })
             .copied()
             .collect();
         for (deadline, id) in unservable {
--- a/crates/policy/tests/idle.rs
+++ b/crates/policy/tests/idle.rs
@@ -9,6 +9,7 @@
 use policy::pool;
 use policy::replica;
 use policy::scheduler::Scheduler;
+use policy::version;
 
 const ACCOUNT: account::Key = account::Key(1);
 const POOL: pool::Key = pool::Key(1);
@@ -28,6 +29,7 @@
         incarnation: "r".into(),
         pool: POOL,
         zone: "z".into(),
+        version: version::Key::default(),
         slots: 64,
     };
     scheduler.replica_joined(Time::ZERO, replica, &mut Vec::new());
--- a/crates/policy/tests/interruptions.rs
+++ b/crates/policy/tests/interruptions.rs
@@ -12,6 +12,7 @@
 use policy::pool;
 use policy::replica;
 use policy::scheduler::Scheduler;
+use policy::version;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -46,6 +47,7 @@
                 incarnation: format_smolstr!("r{number}"),
                 pool: POOL,
                 zone: SmolStr::new_static("north"),
+                version: version::Key::default(),
                 slots: 8,
             };
             scheduler.replica_joined(Time::ZERO, spec, &mut out);
@@ -71,6 +73,7 @@
                 rank: 0,
                 attempts: ATTEMPTS,
                 queue_timeout: Span::from_seconds(5),
+                version: None,
             },
         };
         self.scheduler.offer(NOW, job, &mut self.out);
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -16,6 +16,7 @@
 use policy::pool;
 use policy::replica;
 use policy::scheduler::Scheduler;
+use policy::version;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
@@ -77,6 +78,7 @@
             incarnation: format_smolstr!("r{number}"),
             pool: POOL,
             zone: SmolStr::new_static("north"),
+            version: version::Key::default(),
             slots: 64,
         };
         scheduler.replica_joined(Time::ZERO, spec, &mut Vec::new())
@@ -102,6 +104,7 @@
             rank: 0,
             attempts: 2,
             queue_timeout: timeout,
+            version: None,
         },
     }
 }
--- a/crates/policy/tests/pauses.rs
+++ b/crates/policy/tests/pauses.rs
@@ -11,6 +11,7 @@
 use policy::pool;
 use policy::replica;
 use policy::scheduler::Scheduler;
+use policy::version;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use verdict::Refusal;
@@ -46,6 +47,7 @@
                 incarnation: format_smolstr!("r{number}"),
                 pool: POOL,
                 zone: SmolStr::new_static("north"),
+                version: version::Key::default(),
                 slots: 64,
             };
             scheduler.replica_joined(Time::ZERO, spec, &mut Vec::new())
@@ -133,6 +135,7 @@
             rank: 0,
             attempts: 2,
             queue_timeout: timeout,
+            version: None,
         },
     }
 }
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -11,6 +11,7 @@
 use policy::pool;
 use policy::replica;
 use policy::scheduler::Scheduler;
+use policy::version;
 use smol_str::SmolStr;
 
 const ACCOUNT: account::Key = account::Key(0);
@@ -38,6 +39,7 @@
             rank: 0,
             attempts: 2,
             queue_timeout: Span::from_seconds(5),
+            version: None,
         },
     }
 }
@@ -57,6 +59,7 @@
         incarnation: SmolStr::new_static("r0"),
         pool: POOL,
         zone: SmolStr::new_static("north"),
+        version: version::Key::default(),
         slots: 32,
     };
     scheduler.replica_joined(Time::ZERO, spec, &mut Vec::new());
--- a/crates/policy/tests/support/world/fleet.rs
+++ b/crates/policy/tests/support/world/fleet.rs
@@ -5,6 +5,7 @@
 use policy::job;
 use policy::pool;
 use policy::replica;
+use policy::version;
 use rand::RngExt;
 
 use crate::support::engine::CacheEvent;
@@ -174,6 +175,7 @@
                 incarnation: format!("r{engine}").into(),
                 pool: pool::Key(0),
                 zone: format!("zone-{}", self.zones[engine]).into(),
+                version: version::Key::default(),
                 slots: self.pattern.shape.slots as u32,
             };
             let now = self.now();
