Let callers that return go on at the software version that began their stream

Nothing read which attempt they name, and no entry knew the version of a stream that began elsewhere.

An entry remembers the streams that began there. The table service holds one default version for each service, taken by the first entry that finds none, and a record of each stream of another version, which is written before its first event is delivered. A returning caller's entry asks its memory, then the record; without one it is the default version. So one version costs nothing, and streams are found after all entries were killed. Records go once nobody returns; those of killed entries are swept; a default without replicas is replaced.

While the table service is away new streams begin at the default version alone, and a stream whose version can't be found out is refused as not run, with a time to come back, unless a single version is known. A row that changes its version under the same incarnation counts as another replica.

Ways weighed: a hash of the id decides (moves streams when versions come and go), recording every stream (a call for each where one version serves), asking all entries (killed ones don't answer).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -58,6 +58,8 @@
     },
     /// The connection broke on its way to the replica, which other ways still reach.
     Interrupted,
+    /// The stream's version wasn't recorded in time; no event was delivered.
+    Unrecorded,
     /// The replica sent nothing for too long.
     TimedOut {
         /// Time waited.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -34,6 +34,7 @@
                 open.first_response_at.get_or_insert(now);
                 let (prompt_tokens, service) = (open.unshared_tokens, open.service.clone());
                 let elapsed = open.sent_at.map(|started| now.since(started));
+                self.begin_stream(serial);
                 self.record_start(now, serial);
                 if let Some(elapsed) = elapsed.filter(|_| first_attempt) {
                     self.work
@@ -96,6 +97,10 @@
             }
             End::NotSent => (job::End::NotSent, 0),
             End::NotStarted => (job::End::NotStarted, 0),
+            End::Unrecorded => {
+                self.avoid_records(now, serial);
+                (job::End::NotStarted, 0)
+            }
             End::Interrupted if !moving => (job::End::Interrupted, 0),
             End::Broken { alive: false } if !moving => (job::End::Crashed, 0),
             End::Failed { .. } | End::Broken { .. } | End::Interrupted | End::TimedOut { .. } => {
@@ -168,6 +173,7 @@
         End::Failed { status } => info("failed").with("status", status),
         End::Interrupted => info("interrupted"),
         End::Broken { alive } => info("broken").with("alive", alive),
+        End::Unrecorded => info("unrecorded"),
         End::TimedOut { waited } => info("silent").with("waited_ms", waited.as_millis()),
     }
 }
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -201,6 +201,11 @@
         }
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the route with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.routes.get(host)?;
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -94,6 +94,15 @@
         open.replica = Some(replica);
         open.sent_at = Some(now);
         open.move_target = None;
+        let version = self
+            .servers
+            .version_of(replica)
+            .cloned()
+            .unwrap_or_default();
+        let awaits_record = self.record_version(now, job.0, version.clone());
+        let Some(open) = self.requests.get(&job.0) else {
+            return;
+        };
         let rank = open.job.terms.rank;
         let urgency = (MOST_URGENT + rank.saturating_mul(RANK_STEP)).min(LEAST_URGENT);
         let is_model = open.job.kind == job::Kind::Model;
@@ -105,6 +114,7 @@
             silence_timeout: open.silence_timeout,
             stream: open.repeat.is_stream(),
             repeatable: open.repeat.is_repeatable(),
+            awaits_record,
             urgency: is_model.then_some(urgency),
             tokens_per_event: open.tokens_per_event,
             fetch_from: cache_source.map(|endpoint| endpoint.address),
@@ -112,14 +122,13 @@
             endpoint,
         };
         let (is_first, pool) = (open.attempt == 1, open.job.pool);
-        let version = self.servers.version_of(replica).cloned();
         let list_age = now.since(self.servers.position().confirmed_at);
         let line = Line::info("attempt_started")
             .with("request", &open.id)
             .with("service", &open.service)
             .with("attempt", open.attempt)
             .with("replica", &start.endpoint.incarnation)
-            .with("version", version.unwrap_or_default())
+            .with("version", version)
             .with("fetch", start.fetch_from.as_deref().unwrap_or_default())
             .with("waited_ms", now.since(open.arrived_at).as_millis())
             .with("left_ms", start.time_left.as_millis())
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -98,6 +98,7 @@
         self.record_demand(now);
         if let Some(lease) = self.lease(now) {
             self.progress_tick(now);
+            self.sweep_records(now);
             self.reports_tick(now, lease, effects);
             self.fleet_tick(now, lease, effects);
             self.rollouts_tick(now, lease, effects);
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -143,6 +143,11 @@
     Refuse(Refusal),
     /// Move the run with its memory to another replica, if it has started; the attempt continues.
     Move(Endpoint),
+    /// Deliver events of an attempt that waits for its version to be recorded.
+    Recorded {
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// Stop the current attempt; the request stays open.
     Stop,
 }
@@ -170,6 +175,8 @@
     pub fetch_from: Option<SmolStr>,
     /// Whether a limit that the replica reported is in force; an answer without one lifts it.
     pub limited: bool,
+    /// Whether its first event must wait for [`Command::Recorded`].
+    pub awaits_record: bool,
     /// Engine priority, 0 (most urgent) to 9; `None` for plain services.
     pub urgency: Option<u8>,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,9 @@
 use crate::rollouts::Rollouts;
 use crate::servers::Servers;
 use crate::store_calls::Waiter;
+use crate::streams::Streams;
 use crate::usage::Usage;
+use crate::versions::Versions;
 use crate::work::Demand;
 use crate::work::Work;
 
@@ -80,6 +82,10 @@
     /// The scheduler pool of each backend server, by incarnation.
     pub(crate) replica_pools: BTreeMap<SmolStr, SmolStr>,
     pub(crate) rollouts: Rollouts,
+    /// Software versions of the services' replicas.
+    pub(crate) versions: Versions,
+    /// Which version began each stream.
+    pub(crate) streams: Streams,
     /// The list of servers as rows, and the reports on it.
     pub(crate) watch: Watch,
     /// Whether this entry reads the list of servers itself.
@@ -191,6 +197,8 @@
             tunnels: 0,
             replica_pools: BTreeMap::new(),
             rollouts: Rollouts::default(),
+            versions: Versions::default(),
+            streams: Streams::default(),
             watch: Watch::new(settings.watch, identity.incarnation.0),
             following: Following::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -233,6 +241,7 @@
     /// Applies one event and appends the resulting effects.
     pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
         self.dispatch(now, event, effects);
+        self.write_records(now);
         self.dispatch_store_calls(now, effects);
     }
 
@@ -346,6 +355,7 @@
             self.servers.next_wake(),
             self.next_following_tick(),
             self.throttle.next_wake(now),
+            self.streams.next_wake(),
             self.next_stop_wake(),
         ];
         let first = wakes.into_iter().flatten().min();
@@ -375,6 +385,8 @@
         self.remove_missing_if_trusted(now, effects);
         self.following_tick(now, effects);
         self.charges_tick(now, effects);
+        self.versions_tick(now);
+        self.streams_tick(now);
         self.timeouts_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
         self.duties_tick(now, effects);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,6 +22,8 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
+use crate::servers::version_key;
+use crate::streams;
 use crate::work;
 
 /// Retry delay for callers of an entry without a configuration: about the time to read one.
@@ -35,6 +37,8 @@
 /// Fraction of a request's remaining time after which a silent replica is given up for another. The rest is
 /// enough to be served there within the deadline.
 const SILENCE_FRACTION: f64 = 0.4;
+/// Time by which a caller may return to a stream after its own time limit, for its clock and its connection.
+const RETURN_SLACK: Span = Span::from_seconds(2);
 /// Longest silence within a stream, in multiples of the target for its pauses. Callers give up after eight.
 const MAX_STREAM_PAUSES: u64 = 3;
 
@@ -51,8 +55,12 @@
             Ok(request) => {
                 log_continuation(arrival, effects);
                 self.timeouts.insert((request.deadline, serial));
+                let continues = arrival.continuation.is_some() && request.is_resumable();
                 self.requests.insert(serial, request);
-                self.begin_charge(now, serial, effects);
+                match continues {
+                    true => self.find_version(now, serial, effects),
+                    false => self.begin_charge(now, serial, effects),
+                }
             }
             Err(refusal) => {
                 let line = self.early_refusal_line(now, arrival);
@@ -164,7 +172,11 @@
         let service = self.choose_service(route);
         let (pool, canary) = self.select_pool(now, &service, &route.name);
         catalog.service(&service).ok_or_else(not_configured)?;
-        let job = self.build_job(serial, route, account, &pool, arrival)?;
+        let mut job = self.build_job(serial, route, account, &pool, arrival)?;
+        if route.repeat == (Repeat::Stream { resumable: true }) {
+            let version = self.version_in_outage(now, &service);
+            job.terms.version = version.map(|version| version_key(&version));
+        }
         let charge = account.map(|account| Charge {
             name: rendezvous::identity(&account.name),
             cost: quota_cost(account, arrival),
@@ -172,6 +184,8 @@
         let engine = catalog
             .service(&service)
             .and_then(|service| service.engine.as_ref());
+        let continuation = arrival.continuation.as_ref();
+        let named_as = continuation.and_then(|stream| stream.began_as.as_ref());
         let arrived_at = time_before(now, arrival.read_time);
         let deadline = arrived_at + route.timeout.min(arrival.deadline.unwrap_or(route.timeout));
         Ok(Request {
@@ -197,6 +211,11 @@
             failure_status: None,
             sent_at: None,
             first_response_at: None,
+            stream: streams::identity(named_as.unwrap_or(&arrival.id)),
+            version: None,
+            has_record: false,
+            recorded: None,
+            returns_until: arrived_at + arrival.deadline.unwrap_or(route.timeout) + RETURN_SLACK,
             execution_started: false,
         })
     }
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -223,6 +223,11 @@
             && self.start_leaving(now, &incarnation, now + notice, Source::Row, effects);
         if let Some(known) = self.servers.get_mut(&incarnation) {
             let (key, missing) = (known.key, known.missing_since.take());
+            if known.server.version != server.version && !server.leaving {
+                let pool = self.replica_pool(&server);
+                self.replace_replica(now, server, pool, effects);
+                return is_new;
+            }
             known.server = server;
             if missing.is_some() {
                 self.set_doubted(now, key, false, effects);
@@ -294,6 +299,20 @@
         }
     }
 
+    /// Adds a known server to the scheduler anew, with another pool or version. Running requests go on.
+    pub(crate) fn replace_replica(
+        &mut self,
+        now: Time,
+        server: Server,
+        pool: SmolStr,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(known) = self.servers.remove(&server.incarnation) {
+            self.scheduler.replica_lost(now, known.key);
+            self.add_replica(now, server, pool, effects);
+        }
+    }
+
     /// Stops new work for a server that is leaving; returns whether that wasn't known.
     fn start_leaving(
         &mut self,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -58,6 +58,16 @@
     pub sent_at: Option<Time>,
     /// When its answer began.
     pub first_response_at: Option<Time>,
+    /// Hash of the id by which its caller names its stream.
+    pub stream: u64,
+    /// The software version that began its stream, once that is known.
+    pub version: Option<SmolStr>,
+    /// Whether a version was sent to be recorded for its stream.
+    pub has_record: bool,
+    /// The version last recorded for its stream.
+    pub recorded: Option<SmolStr>,
+    /// Time from which its caller doesn't take the stream up again.
+    pub returns_until: Time,
     /// Whether a replica is known to have started to run it.
     pub execution_started: bool,
 }
--- /dev/null
+++ b/crates/gateway/src/returns.rs
@@ -0,0 +1,226 @@
+//! Callers that take a stream up again: it goes on at the software version that began it.
+
+use clock::Span;
+use clock::Time;
+use line::Line;
+use smol_str::SmolStr;
+use store::call::Outcome;
+use verdict::Reason;
+use verdict::Refusal;
+
+use crate::effect::Effect;
+use crate::gateway::Gateway;
+use crate::request::Request;
+use crate::servers::version_key;
+use crate::store_calls::Waiter;
+use crate::streams;
+use crate::streams::Record;
+
+/// Retry delay for callers whose stream's version couldn't be found out: about the time of a short outage of the
+/// table service.
+const UNKNOWN_VERSION_RETRY: Span = Span::from_millis(500);
+
+/// How the version that began a stream was found out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// The stream began at this entry.
+    Memory,
+    /// No other version has served for long.
+    Uniform,
+    /// A record in the table service.
+    Record,
+    /// There is no record: it is the default version.
+    Default,
+    /// The table service didn't answer, and no other version is known.
+    Only,
+}
+
+impl Source {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Source::Memory => "memory",
+            Source::Uniform => "uniform",
+            Source::Record => "record",
+            Source::Default => "default",
+            Source::Only => "only",
+        }
+    }
+}
+
+impl Gateway {
+    /// Finds out which version began the stream that a caller takes up; the request goes on when it is known.
+    pub(crate) fn find_version(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get(&serial) else {
+            return;
+        };
+        let (service, stream) = (open.service.clone(), open.stream);
+        if let Some(version) = self.streams.version_of(stream).cloned() {
+            return self.resume_at(now, serial, &version, Source::Memory, effects);
+        }
+        if let Some(version) = self.versions.uniform(now, &service).cloned() {
+            return self.resume_at(now, serial, &version, Source::Uniform, effects);
+        }
+        self.call_store(Waiter::Stream(serial), streams::lookup(stream));
+    }
+
+    /// Handles the table service's answer about the version that began a stream.
+    pub(crate) fn handle_stream_record(
+        &mut self,
+        now: Time,
+        serial: u64,
+        outcome: &Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(open) = self.requests.get(&serial) else {
+            return;
+        };
+        let service = open.service.clone();
+        let default = self.versions.default_of(now, &service);
+        let found = match outcome {
+            Outcome::Rows { rows, .. } => match streams::recorded_version(rows) {
+                Some(version) => Some((version, Source::Record)),
+                None => default.cloned().map(|version| (version, Source::Default)),
+            },
+            _ => None,
+        };
+        // A single version is in all likelihood the one that began the stream.
+        let only = || {
+            let only = self.versions.only(&service)?;
+            let is_default = default.is_none_or(|default| default == only);
+            is_default.then(|| (only.clone(), Source::Only))
+        };
+        match found.or_else(only) {
+            Some((version, source)) => self.resume_at(now, serial, &version, source, effects),
+            None => {
+                let message = "the version that began the stream isn't known";
+                let refusal = Refusal::not_run(Reason::StoreUnavailable, message);
+                let refusal = refusal.with_retry_after(UNKNOWN_VERSION_RETRY);
+                self.refuse(now, serial, refusal, effects);
+            }
+        }
+    }
+
+    /// Lets a request go on at the version that began its stream.
+    fn resume_at(
+        &mut self,
+        now: Time,
+        serial: u64,
+        version: &SmolStr,
+        source: Source,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(open) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        open.version = Some(version.clone());
+        open.job.terms.version = Some(version_key(version));
+        let (stream, until) = (open.stream, open.returns_until);
+        let line = Line::info("stream_version")
+            .with("request", &open.id)
+            .with("version", version)
+            .with("source", SmolStr::new_static(source.as_str()))
+            .with("waited_ms", now.since(open.arrived_at).as_millis());
+        effects.push(Effect::Log(line));
+        let service = open.service.clone();
+        if let Some(pool) = self.pool_of(&service, version) {
+            let key = self.pool_key(&pool);
+            if let Some(open) = self.requests.get_mut(&serial) {
+                open.job.pool = key;
+            }
+        }
+        self.streams.remember(stream, version.clone(), until);
+        self.begin_charge(now, serial, effects);
+    }
+
+    /// Records the version of an attempt that may begin a stream, unless all entries know it anyway; returns
+    /// whether the first event must wait for that.
+    pub(crate) fn record_version(&mut self, now: Time, serial: u64, version: SmolStr) -> bool {
+        let Some(open) = self.requests.get_mut(&serial) else {
+            return false;
+        };
+        if !open.is_resumable() || open.version.is_some() {
+            return false;
+        }
+        let is_default = self.versions.default_of(now, &open.service) == Some(&version);
+        let is_recorded = open.recorded.as_ref() == Some(&version);
+        if is_recorded || is_default && !open.has_record {
+            return false;
+        }
+        open.has_record = true;
+        self.streams.record(Record {
+            serial,
+            attempt: open.attempt,
+            stream: open.stream,
+            version,
+            until: open.returns_until,
+        });
+        let service = open.service.clone();
+        !self.store_health.is_unavailable() || self.has_alternative(now, &service)
+    }
+
+    /// Remembers the version whose replica delivers the first event of a stream.
+    pub(crate) fn begin_stream(&mut self, serial: u64) {
+        let Some(open) = self.requests.get_mut(&serial) else {
+            return;
+        };
+        if !open.is_resumable() || open.version.is_some() {
+            return;
+        }
+        let version = open.replica.and_then(|key| self.servers.version_of(key));
+        let Some(version) = version.cloned() else {
+            return;
+        };
+        open.version = Some(version.clone());
+        let (stream, until) = (open.stream, open.returns_until);
+        self.streams.remember(stream, version, until);
+    }
+
+    /// Returns the version at which new streams begin while none can be recorded: the default one, if others
+    /// serve beside it.
+    pub(crate) fn version_in_outage(&self, now: Time, service: &str) -> Option<SmolStr> {
+        let is_needed = self.store_health.is_unavailable() && self.has_alternative(now, service);
+        let default = self.versions.default_of(now, service);
+        default.filter(|_| is_needed).cloned()
+    }
+
+    /// Keeps a request whose record wasn't written in time to the default version.
+    pub(crate) fn avoid_records(&mut self, now: Time, serial: u64) {
+        let Some(open) = self.requests.get(&serial) else {
+            return;
+        };
+        if !self.has_alternative(now, &open.service) {
+            return;
+        }
+        let default = self.versions.default_of(now, &open.service);
+        if let Some(version) = default.map(|version| version_key(version)) {
+            let id = policy::job::Id(serial);
+            self.scheduler.require_version(id, version);
+        }
+    }
+
+    /// Returns whether streams can begin at the default version although others serve too.
+    fn has_alternative(&self, now: Time, service: &str) -> bool {
+        let default = self.versions.default_of(now, service);
+        let serves = default.is_some_and(|default| self.versions.has_replicas(service, default));
+        serves && self.versions.only(service).is_none()
+    }
+
+    /// Returns the pool that holds replicas of a version.
+    fn pool_of(&self, service: &str, version: &str) -> Option<SmolStr> {
+        let of_version = self.servers.iter().filter(|known| {
+            let server = &known.server;
+            server.service == service && server.version == version
+        });
+        let mut usable = of_version
+            .map(|known| &known.server.incarnation)
+            .filter(|incarnation| !self.servers.is_leaving(incarnation));
+        usable.find_map(|incarnation| self.replica_pools.get(incarnation).cloned())
+    }
+}
+
+impl Request {
+    /// Returns whether its caller may take its stream up again as another request.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.repeat.is_stream() && self.repeat.is_repeatable()
+    }
+}
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -250,10 +250,7 @@
             if self.replica_pools.get(&server.incarnation) == Some(&pool) {
                 continue;
             }
-            if let Some(known) = self.servers.remove(&server.incarnation) {
-                self.scheduler.replica_lost(now, known.key);
-                self.add_replica(now, server, pool, effects);
-            }
+            self.replace_replica(now, server, pool, effects);
         }
     }
 
@@ -292,7 +289,7 @@
         };
         let (status, tokens) = match end {
             // An interrupted way says nothing about the version.
-            End::NotSent | End::NotStarted | End::Interrupted => return,
+            End::NotSent | End::NotStarted | End::Interrupted | End::Unrecorded => return,
             End::Finished { status, tokens, .. } => (Some(*status), *tokens),
             End::Failed { .. } | End::Broken { .. } | End::TimedOut { .. } => (None, 0),
         };
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -24,6 +24,16 @@
     Progress,
     /// The stage of a service's roll-out.
     Stage(SmolStr),
+    /// The default software version of a service.
+    DefaultVersion(SmolStr),
+    /// A request whose stream's version is looked up.
+    Stream(u64),
+    /// The records of streams in one table.
+    Records(u64),
+    /// Nobody: outdated records that aren't removed now are swept later.
+    RemovedRecords,
+    /// The sweep of one table.
+    SweptRecords(u64),
 }
 
 impl Gateway {
@@ -33,8 +43,11 @@
         self.next_store_call += 1;
         let priority = match waiter {
             Waiter::Membership(_) | Waiter::Claim(_) => Priority::Lease,
-            Waiter::Report(_) | Waiter::Stage(_) => Priority::Config,
-            Waiter::Progress => Priority::Summary,
+            Waiter::Report(_) | Waiter::Stage(_) | Waiter::DefaultVersion(_) => Priority::Config,
+            Waiter::Stream(_) | Waiter::Records(_) => Priority::Intent,
+            Waiter::Progress | Waiter::RemovedRecords | Waiter::SweptRecords(_) => {
+                Priority::Summary
+            }
         };
         let refused = self.throttle.push(priority, id, call);
         self.store_calls.insert(id, waiter);
@@ -129,7 +142,17 @@
             }
             Some(Waiter::Stage(service)) => self.handle_stage_answer(now, &service, outcome),
             Some(Waiter::Progress) => self.handle_progress_answer(outcome, effects),
-            None => {}
+            Some(Waiter::DefaultVersion(service)) => {
+                self.handle_default_version(now, &service, outcome, effects);
+            }
+            Some(Waiter::Stream(serial)) => {
+                self.handle_stream_record(now, serial, &outcome, effects)
+            }
+            Some(Waiter::Records(table)) => {
+                self.handle_records_written(now, table, &outcome, effects);
+            }
+            Some(Waiter::SweptRecords(table)) => self.handle_swept_records(now, table, &outcome),
+            Some(Waiter::RemovedRecords) | None => {}
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/streams.rs
@@ -0,0 +1,308 @@
+//! Which software version began each stream, for callers that take it up again at any entry.
+//!
+//! An entry remembers the streams that began there. It also records those of another version than the default one
+//! ([`crate::versions`]) in the table service before their first event is delivered, so that other entries find
+//! them after it was killed. Records that wait are written together, one transaction for each table at a time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use clock::Span;
+use clock::Time;
+use policy::rendezvous;
+use serde_json::Value;
+use serde_json::json;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use store::call::Address;
+use store::call::Call;
+use store::call::Outcome;
+use store::call::Row;
+use store::call::Transaction;
+use store::call::Write;
+
+use crate::effect::Command;
+use crate::effect::Effect;
+use crate::gateway::Gateway;
+use crate::store_calls::Waiter;
+
+/// Tables that share the records by hash of the stream's id; each is written on its own.
+const TABLES: u64 = 16;
+/// Start of the names of these tables.
+const TABLE_PREFIX: &str = "streams-";
+/// Maximum rows of one transaction.
+const MAX_ROWS: usize = 100;
+/// Pause after a write that failed.
+const RETRY_DELAY: Span = Span::from_millis(100);
+/// Interval at which records of streams to which nobody returns any more are removed.
+const REMOVAL_INTERVAL: Span = Span::from_seconds(5);
+/// Interval at which the holder of the duties looks for records that killed entries left in one of the tables.
+const SWEEP_INTERVAL: Span = Span::from_seconds(30);
+/// Time after which such a record is removed, beyond any difference of clocks.
+const SWEEP_MARGIN: Span = Span::from_seconds(60);
+/// Maximum records of one stream: one for each attempt before its first event.
+const MAX_ATTEMPTS: u32 = 8;
+
+/// Streams that began at this entry, and the records to write.
+#[derive(Debug, Default)]
+pub(crate) struct Streams {
+    begun: BTreeMap<u64, Begun>,
+    /// Ends of `begun`. Invariant: holds exactly its entries.
+    expiry: BTreeSet<(Time, u64)>,
+    tables: BTreeMap<u64, Records>,
+    next_removal: Time,
+    next_sweep: Time,
+    swept: u64,
+}
+
+/// A stream that began here.
+#[derive(Debug)]
+struct Begun {
+    version: SmolStr,
+    until: Time,
+}
+
+/// Records of one table.
+#[derive(Debug, Default)]
+struct Records {
+    waiting: VecDeque<Record>,
+    in_flight: Vec<Record>,
+    retry_at: Time,
+    /// Keys of written records, with the time of their removal, oldest first.
+    written: BTreeSet<(Time, SmolStr)>,
+}
+
+/// The version at which an attempt began, or may begin, a stream.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    /// Number of the request at this entry.
+    pub serial: u64,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Hash of the stream's id.
+    pub stream: u64,
+    /// Version of the attempt's replica.
+    pub version: SmolStr,
+    /// Time from which no caller takes the stream up again.
+    pub until: Time,
+}
+
+impl Record {
+    /// Returns the key; later attempts follow earlier ones, which a late write must not override.
+    fn key(&self) -> SmolStr {
+        format_smolstr!("{}{:04}", key_prefix(self.stream), self.attempt)
+    }
+}
+
+impl Streams {
+    /// Remembers which version began a stream.
+    pub fn remember(&mut self, stream: u64, version: SmolStr, until: Time) {
+        if let Some(known) = self.begun.insert(stream, Begun { version, until }) {
+            self.expiry.remove(&(known.until, stream));
+        }
+        self.expiry.insert((until, stream));
+    }
+
+    /// Returns the version that began a stream here.
+    pub fn version_of(&self, stream: u64) -> Option<&SmolStr> {
+        self.begun.get(&stream).map(|begun| &begun.version)
+    }
+
+    /// Queues a record.
+    pub fn record(&mut self, record: Record) {
+        let table = self.tables.entry(record.stream % TABLES).or_default();
+        table.waiting.push_back(record);
+    }
+
+    /// Returns when records are written again after a failure.
+    pub fn next_wake(&self) -> Option<Time> {
+        let waiting = self.tables.values();
+        let waiting =
+            waiting.filter(|table| table.in_flight.is_empty() && !table.waiting.is_empty());
+        waiting.map(|table| table.retry_at).min()
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some((until, stream)) = self.expiry.first().copied() {
+            if until > now {
+                return;
+            }
+            self.expiry.pop_first();
+            self.begun.remove(&stream);
+        }
+    }
+}
+
+/// Returns the call that reads the records of a stream.
+pub(crate) fn lookup(stream: u64) -> Call {
+    Call::Scan {
+        table: table_name(stream % TABLES),
+        prefix: key_prefix(stream),
+        after: SmolStr::default(),
+        limit: MAX_ATTEMPTS,
+    }
+}
+
+/// Returns the version in the record of a stream's last attempt.
+pub(crate) fn recorded_version(rows: &[Row]) -> Option<SmolStr> {
+    let version = rows.last()?.value.get("version")?;
+    version.as_str().map(SmolStr::new)
+}
+
+impl Gateway {
+    /// Writes the records that wait.
+    pub(crate) fn write_records(&mut self, now: Time) {
+        let mut calls = Vec::new();
+        for (table, records) in &mut self.streams.tables {
+            let is_idle = records.in_flight.is_empty() && now >= records.retry_at;
+            if !is_idle || records.waiting.is_empty() {
+                continue;
+            }
+            let count = records.waiting.len().min(MAX_ROWS);
+            records.in_flight = records.waiting.drain(..count).collect();
+            let unix_ms = |at: Time| self.usage.unix_ms(at);
+            let rows = records.in_flight.iter().map(|record| {
+                let value = json!({"version": record.version, "until_ms": unix_ms(record.until)});
+                (record.key(), value)
+            });
+            calls.push((*table, transaction(*table, rows)));
+        }
+        for (table, call) in calls {
+            self.call_store(Waiter::Records(table), call);
+        }
+    }
+
+    /// Handles the answer to a write of records: their attempts may deliver events from here on.
+    pub(crate) fn handle_records_written(
+        &mut self,
+        now: Time,
+        table: u64,
+        outcome: &Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(records) = self.streams.tables.get_mut(&table) else {
+            return;
+        };
+        let in_flight = std::mem::take(&mut records.in_flight);
+        if !matches!(outcome, Outcome::Committed(_)) {
+            records.retry_at = now + RETRY_DELAY;
+            let returnable = in_flight.into_iter().filter(|record| record.until > now);
+            for record in returnable.rev() {
+                records.waiting.push_front(record);
+            }
+            return;
+        }
+        for record in in_flight {
+            records.written.insert((record.until, record.key()));
+            let Some(open) = self.requests.get_mut(&record.serial) else {
+                continue;
+            };
+            open.recorded = Some(record.version);
+            if open.attempt == record.attempt {
+                effects.push(Effect::Flight {
+                    serial: record.serial,
+                    command: Command::Recorded {
+                        attempt: record.attempt,
+                    },
+                });
+            }
+        }
+    }
+
+    /// Forgets streams to which nobody returns any more, and removes their records.
+    pub(crate) fn streams_tick(&mut self, now: Time) {
+        self.streams.expire(now);
+        if now < self.streams.next_removal {
+            return;
+        }
+        self.streams.next_removal = now + REMOVAL_INTERVAL;
+        let mut calls = Vec::new();
+        for (table, records) in &mut self.streams.tables {
+            let due = records
+                .written
+                .iter()
+                .take_while(|(until, _)| *until <= now);
+            let count = due.take(MAX_ROWS).count();
+            let keys: Vec<SmolStr> = std::iter::from_fn(|| records.written.pop_first())
+                .take(count)
+                .map(|(_, key)| key)
+                .collect();
+            if !keys.is_empty() {
+                let rows = keys.into_iter().map(|key| (key, Value::Null));
+                calls.push(transaction(*table, rows));
+            }
+        }
+        for call in calls {
+            self.call_store(Waiter::RemovedRecords, call);
+        }
+    }
+
+    /// Reads some records of the next table, to remove those that killed entries left.
+    pub(crate) fn sweep_records(&mut self, now: Time) {
+        if now < self.streams.next_sweep {
+            return;
+        }
+        self.streams.next_sweep = now + SWEEP_INTERVAL;
+        let table = self.streams.swept % TABLES;
+        self.streams.swept += 1;
+        let call = Call::Scan {
+            table: table_name(table),
+            prefix: SmolStr::default(),
+            after: SmolStr::default(),
+            limit: MAX_ROWS as u32,
+        };
+        self.call_store(Waiter::SweptRecords(table), call);
+    }
+
+    /// Removes the records that were read and are out of date.
+    pub(crate) fn handle_swept_records(&mut self, now: Time, table: u64, outcome: &Outcome) {
+        let Outcome::Rows { rows, .. } = outcome else {
+            return;
+        };
+        let newest = self
+            .usage
+            .unix_ms(now)
+            .saturating_sub(SWEEP_MARGIN.as_millis());
+        let is_outdated = |row: &&Row| {
+            let until = row.value.get("until_ms").and_then(Value::as_u64);
+            until.is_none_or(|until| until < newest)
+        };
+        let outdated: Vec<SmolStr> = rows
+            .iter()
+            .filter(is_outdated)
+            .map(|row| row.key.clone())
+            .collect();
+        if !outdated.is_empty() {
+            let rows = outdated.into_iter().map(|key| (key, Value::Null));
+            self.call_store(Waiter::RemovedRecords, transaction(table, rows));
+        }
+    }
+}
+
+/// Returns the hash by which a stream is known.
+pub(crate) fn identity(id: &str) -> u64 {
+    rendezvous::identity(id)
+}
+
+fn key_prefix(stream: u64) -> SmolStr {
+    format_smolstr!("{stream:016x}/")
+}
+
+fn table_name(table: u64) -> SmolStr {
+    format_smolstr!("{TABLE_PREFIX}{table:x}")
+}
+
+/// Returns the call that writes rows of a table; a null value removes one.
+fn transaction(table: u64, rows: impl Iterator<Item = (SmolStr, Value)>) -> Call {
+    let name = table_name(table);
+    let write = |(key, value)| Write {
+        address: Address::new(name.clone(), key),
+        value,
+    };
+    Call::Transact(Transaction {
+        token: name.clone(),
+        checks: Vec::new(),
+        writes: rows.map(write).collect(),
+    })
+}
--- /dev/null
+++ b/crates/gateway/tests/streams.rs
@@ -0,0 +1,176 @@
+//! Streams that callers take up again while several software versions serve, or while the table service is away.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use smol_str::SmolStr;
+use support::World;
+
+/// Time in which entries learn of each other and of the default version.
+const JOIN_MILLIS: u64 = 3_000;
+/// Time in which entries notice that the table service doesn't answer.
+const OUTAGE_MILLIS: u64 = 12_000;
+/// Time after which no caller returns to a stream, and a default version without replicas is replaced.
+const WINDOW_MILLIS: u64 = 62_000;
+/// Streams of a test; prompts spread them over all servers.
+const STREAMS: usize = 40;
+
+/// Starts entries before servers of v1 and, if `mixed`, as many of v2.
+fn world(entries: usize, mixed: bool) -> World {
+    let mut world = World::new(entries);
+    for server in &mut world.servers {
+        server.version = "v1".into();
+    }
+    world.publish_servers();
+    world.run(JOIN_MILLIS);
+    if mixed {
+        for _ in 0..world.servers.len() {
+            world.add_server();
+            world.servers.last_mut().unwrap().version = "v2".into();
+        }
+        world.publish_servers();
+        world.run(JOIN_MILLIS);
+    }
+    world
+}
+
+/// Begins a stream at v2.
+fn begin_at_new_version(world: &mut World, entry: usize) -> u64 {
+    for _ in 0..STREAMS {
+        let (serial, version) = world.begin_stream(entry);
+        if version.as_deref() == Some("v2") {
+            return serial;
+        }
+        world.run(10);
+    }
+    panic!("no stream of v2");
+}
+
+/// Guards against calls of the table service for each stream where a single version serves.
+#[test]
+fn streams_of_the_default_version_are_not_recorded() {
+    let mut world = world(2, false);
+    for number in 0..STREAMS {
+        world.begin_stream(number % 2);
+        world.run(10);
+    }
+    assert_eq!(world.stream_records(), 0);
+    assert!(world.awaiting_record.is_empty());
+}
+
+/// Guards against entries that assume different versions for streams without a record.
+#[test]
+fn entries_that_start_together_agree_on_the_default_version() {
+    let mut world = World::new(3);
+    for (number, server) in world.servers.iter_mut().enumerate() {
+        server.version = ["v1", "v2"][number % 2].into();
+    }
+    world.publish_servers();
+    world.run(JOIN_MILLIS);
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        begun.push(world.begin_stream(number % 3));
+        world.run(10);
+    }
+    for entry in 0..3 {
+        world.start(entry);
+    }
+    world.run(JOIN_MILLIS);
+    for (number, (serial, version)) in begun.into_iter().enumerate() {
+        assert_eq!(world.resume_stream(number % 3, serial), version);
+        world.run(10);
+    }
+    let defaults = world.rows(SmolStr::new_static("stream-defaults"));
+    assert_eq!(defaults.len(), 1, "{defaults:?}");
+}
+
+/// Guards against events of a stream whose version nobody knows once its entry is killed.
+#[test]
+fn the_first_event_waits_for_the_record() {
+    let mut world = world(1, true);
+    world.failing_table = Some("streams-");
+    let serial = begin_at_new_version(&mut world, 0);
+    world.run(500);
+    assert!(world.awaiting_record.contains(&serial));
+    world.failing_table = None;
+    world.run(500);
+    assert!(!world.awaiting_record.contains(&serial));
+    assert!(world.stream_records() > 0);
+}
+
+/// Guards against new streams that can't be taken up again, while the table service is away.
+#[test]
+fn streams_begin_at_the_default_version_while_none_can_be_recorded() {
+    let mut world = world(2, true);
+    world.store_unresponsive = true;
+    world.run(OUTAGE_MILLIS);
+    let mut served = 0;
+    for number in 0..STREAMS {
+        let (_, version) = world.begin_stream(number % 2);
+        assert_ne!(version.as_deref(), Some("v2"));
+        served += usize::from(version.is_some());
+        world.run(10);
+    }
+    assert_eq!(served, STREAMS, "{:?}", world.refused);
+}
+
+/// Guards against resuming a stream at a guess while the table service can't tell which version began it.
+#[test]
+fn a_stream_of_unknown_version_is_refused() {
+    let mut world = world(2, true);
+    let serial = begin_at_new_version(&mut world, 0);
+    world.store_unresponsive = true;
+    world.run(OUTAGE_MILLIS);
+    world.start(1);
+    assert_eq!(world.resume_stream(1, serial), None);
+    world.run(5_000);
+    assert_eq!(world.refused.get("StoreUnavailable"), Some(&1));
+}
+
+/// Guards against refusing callers that return where a single version serves, while the table service is away.
+#[test]
+fn streams_of_the_only_version_go_on_while_the_table_service_is_away() {
+    let mut world = world(2, false);
+    let (serial, _) = world.begin_stream(0);
+    world.store_unresponsive = true;
+    world.run(OUTAGE_MILLIS);
+    world.start(1);
+    world.run(100);
+    assert_eq!(world.resume_stream(1, serial).as_deref(), Some("v1"));
+}
+
+/// Guards against a record for each stream for ever after a release.
+#[test]
+fn a_default_version_without_replicas_is_replaced() {
+    let mut world = world(2, true);
+    world.servers.retain(|server| server.version == "v2");
+    world.publish_servers();
+    world.run(WINDOW_MILLIS + JOIN_MILLIS);
+    let (serial, version) = world.begin_stream(0);
+    assert_eq!(version.as_deref(), Some("v2"));
+    assert!(!world.awaiting_record.contains(&serial));
+    assert_eq!(world.stream_records(), 0);
+    let defaults = world.rows(SmolStr::new_static("stream-defaults"));
+    assert_eq!(defaults[0].value["version"], "v2");
+}
+
+/// Guards against records that fill the table service.
+#[test]
+fn records_are_removed_once_nobody_returns() {
+    let mut world = world(2, true);
+    begin_at_new_version(&mut world, 0);
+    assert!(world.stream_records() > 0);
+    world.run(30_000);
+    assert_eq!(world.stream_records(), 0);
+}
+
+/// Guards against records that killed entries leave in the table service for ever.
+#[test]
+fn records_of_killed_entries_are_swept() {
+    let mut world = world(2, true);
+    begin_at_new_version(&mut world, 0);
+    world.kill(0);
+    world.run(700_000);
+    assert_eq!(world.stream_records(), 0);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use clock::Span;
 use clock::Time;
 use gateway::arrival::Arrival;
+use gateway::arrival::Continuation;
 use gateway::arrival::Prompt;
 use gateway::attempt::End;
 use gateway::attempt::Report;
@@ -45,6 +46,7 @@
 use smol_str::format_smolstr;
 use store::call::Call;
 use store::call::Outcome;
+use store::call::Row;
 use store::fake::Table;
 use watch::server::Reading;
 use watch::server::Removal;
@@ -115,13 +117,15 @@
     pub sent_requests: Vec<SentRequest>,
     /// Entries named in the last answer to a caller.
     named_entries: Vec<SmolStr>,
+    /// Requests whose first events wait until their version is recorded.
+    pub awaiting_record: BTreeSet<u64>,
     /// Runs ordered to move: serial number and target server.
     pub moved_runs: Vec<(u64, SmolStr)>,
     /// Log lines of all entries by event.
     log_counts: BTreeMap<&'static str, u32>,
     /// Whether no call of the table service is answered.
     pub store_unresponsive: bool,
-    /// The table whose writes fail.
+    /// Start of the names of the tables whose writes fail.
     pub failing_table: Option<&'static str>,
     /// Entries whose calls of the table service aren't answered.
     pub store_partitioned: BTreeSet<usize>,
@@ -187,6 +191,7 @@
             servers_by_request: BTreeMap::new(),
             sent_requests: Vec::new(),
             named_entries: Vec::new(),
+            awaiting_record: BTreeSet::new(),
             moved_runs: Vec::new(),
             log_counts: BTreeMap::new(),
             store_unresponsive: false,
@@ -554,6 +559,70 @@
         serial
     }
 
+    /// Starts a stream that can be resumed and delivers its first event, unless that must wait; returns its
+    /// serial number and the version that began it, if any.
+    pub fn begin_stream(&mut self, entry: usize) -> (u64, Option<SmolStr>) {
+        let serial = self.converse(entry, None);
+        if !self.awaiting_record.contains(&serial) {
+            self.report(entry, serial, Report::ResponseStarted);
+        }
+        (serial, self.version_of(serial))
+    }
+
+    /// Takes up the stream that a request began; returns the version at which it goes on, if any.
+    pub fn resume_stream(&mut self, entry: usize, began: u64) -> Option<SmolStr> {
+        let continuation = Continuation {
+            last_event: SmolStr::new_static("1"),
+            began_as: Some(format_smolstr!("r{began}")),
+        };
+        let serial = self.converse(entry, Some(continuation));
+        self.version_of(serial)
+    }
+
+    fn converse(&mut self, entry: usize, continuation: Option<Continuation>) -> u64 {
+        let prompt = Some(Prompt {
+            tokens: 100,
+            max_new_tokens: 100,
+            ..Prompt::default()
+        });
+        self.next_serial += 1;
+        let path = SmolStr::new_static("/chats/1");
+        let arrival = Arrival {
+            continuation,
+            ..new_arrival(self.next_serial, path, prompt)
+        };
+        let (serial, arrival) = (self.next_serial, Box::new(arrival));
+        self.step(entry, Event::Arrived { serial, arrival });
+        serial
+    }
+
+    fn version_of(&self, serial: u64) -> Option<SmolStr> {
+        let incarnation = self.servers_by_request.get(&serial)?;
+        let mut servers = self.servers.iter();
+        let server = servers.find(|one| one.incarnation == *incarnation)?;
+        Some(server.version.clone())
+    }
+
+    /// Returns the number of recorded streams.
+    pub fn stream_records(&mut self) -> usize {
+        let names = (0..16).map(|table| format_smolstr!("streams-{table:x}"));
+        names.map(|name| self.rows(name).len()).sum()
+    }
+
+    /// Returns the rows of a table.
+    pub fn rows(&mut self, table: SmolStr) -> Vec<Row> {
+        let call = Call::Scan {
+            table,
+            prefix: SmolStr::default(),
+            after: SmolStr::default(),
+            limit: 1_000,
+        };
+        match self.table.apply(&call) {
+            Outcome::Rows { rows, .. } => rows,
+            other => panic!("not read: {other:?}"),
+        }
+    }
+
     /// Delivers a report on a request's first attempt.
     pub fn report(&mut self, entry: usize, serial: u64, report: Report) {
         let event = Event::Attempt {
@@ -567,15 +636,7 @@
     fn arrive(&mut self, entry: usize, path: &str, prompt: Option<Prompt>) -> u64 {
         self.next_serial += 1;
         let serial = self.next_serial;
-        let arrival = Box::new(Arrival {
-            id: format_smolstr!("r{serial}"),
-            host: SmolStr::new_static("models.test"),
-            path: SmolStr::from(path),
-            key: Some(SmolStr::new_static(KEY)),
-            fingerprint: serial,
-            prompt,
-            ..Arrival::default()
-        });
+        let arrival = Box::new(new_arrival(serial, SmolStr::from(path), prompt));
         self.step(entry, Event::Arrived { serial, arrival });
         serial
     }
@@ -763,6 +824,9 @@
                 match command {
                     Command::Start(start) => {
                         self.attempts_started += 1;
+                        if start.awaits_record {
+                            self.awaiting_record.insert(serial);
+                        }
                         self.sent_requests.push(SentRequest {
                             sent_at: self.now,
                             entry,
@@ -778,6 +842,9 @@
                         *self.refused.entry(reason).or_default() += 1;
                     }
                     Command::Move(place) => self.moved_runs.push((serial, place.incarnation)),
+                    Command::Recorded { .. } => {
+                        self.awaiting_record.remove(&serial);
+                    }
                     Command::Stop => {}
                 }
                 None
@@ -820,7 +887,7 @@
         let mut writes = transaction.writes.iter();
         writes.any(|write| {
             self.failing_table
-                .is_some_and(|table| write.address.table == table)
+                .is_some_and(|table| write.address.table.starts_with(table))
         })
     }
 
@@ -832,6 +899,18 @@
     }
 }
 
+fn new_arrival(serial: u64, path: SmolStr, prompt: Option<Prompt>) -> Arrival {
+    Arrival {
+        id: format_smolstr!("r{serial}"),
+        host: SmolStr::new_static("models.test"),
+        path,
+        key: Some(SmolStr::new_static(KEY)),
+        fingerprint: serial,
+        prompt,
+        ..Arrival::default()
+    }
+}
+
 /// Returns the number of hub sums in a digest.
 fn sums_in(digest: &Digest) -> u32 {
     let counts = digest
@@ -899,6 +978,12 @@
         public: true,
         ..route.clone()
     };
+    let chats = Route {
+        name: SmolStr::new_static("chats"),
+        prefix: SmolStr::new_static("/chats/"),
+        repeat: Repeat::Stream { resumable: true },
+        ..talks.clone()
+    };
     let service = Service {
         name: SmolStr::new_static(SERVICE),
         connections: 64,
@@ -928,7 +1013,11 @@
         plain_cost: 1,
         in_tokens: false,
     };
-    let (routes, services, accounts) = (vec![route, talks, open], vec![service], vec![account]);
+    let (routes, services, accounts) = (
+        vec![route, talks, chats, open],
+        vec![service],
+        vec![account],
+    );
     Catalog::new(version, routes, services, accounts, Limits::default())
 }
 
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -38,6 +38,7 @@
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
 use crate::tolerance;
+use crate::version;
 use crate::wave;
 
 pub use crate::scheduler::state::Explanation;
@@ -314,6 +315,13 @@
         self.poll(now, out);
     }
 
+    /// Lets only replicas of this version run the job from now on.
+    pub fn require_version(&mut self, id: job::Id, version: version::Key) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.job.terms.version = Some(version);
+        }
+    }
+
     /// Cancels a job, for example because its caller disconnected.
     pub fn cancel(&mut self, now: Time, id: job::Id, out: &mut Vec<Decision>) {
         if let Some(replica) = self.open.get(&id).and_then(|open| open.replica) {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,6 +21,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 
 use crate::adapter::Classification;
 use crate::adapter::Resume;
@@ -41,6 +42,9 @@
 /// Longest wait for the rest of an unneeded answer, after which its connection is closed instead of reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Longest wait for a stream's version to be recorded, after which another replica is tried that needs no record.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Interval at which a request that awaits bytes checks whether all servers are silent.
 const SILENCE_CHECK_INTERVAL: Span = Span::from_millis(400);
 
@@ -160,6 +164,15 @@
             if state.splitter.push(&bytes).is_err() {
                 return Some(End::Broken { alive: true });
             }
+            if start.awaits_record && !state.started {
+                let recorded = tokio::select! {
+                    recorded = is_recorded(&self.recorded, start.attempt) => recorded,
+                    () = self.caller.disconnected() => return None,
+                };
+                if !recorded {
+                    return Some(End::Unrecorded);
+                }
+            }
             while let Some(event) = state.splitter.next() {
                 self.relay_event(start, &answer.head, &mut state, event)
                     .await;
@@ -222,6 +235,14 @@
     }
 }
 
+/// Waits until the version of an attempt is recorded; returns false if that takes too long.
+async fn is_recorded(recorded: &watch::Sender<u32>, attempt: u32) -> bool {
+    let mut recorded = recorded.subscribe();
+    let recording = recorded.wait_for(|latest| *latest >= attempt);
+    let recording = tokio::time::timeout(RECORD_TIMEOUT, recording).await;
+    matches!(recording, Ok(Ok(_)))
+}
+
 /// Sends the request and waits for the head of its answer.
 async fn send_request(
     shared: &Rc<Shared>,
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -15,6 +15,7 @@
 use http::request;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use verdict::Refusal;
 
 use crate::caller::Caller;
@@ -40,6 +41,8 @@
     pub longest_pause: Span,
     /// Whether the attempt's server was ordered to stop the run and move it.
     pub migrating: Rc<Cell<bool>>,
+    /// The latest attempt whose version was recorded.
+    pub recorded: Rc<watch::Sender<u32>>,
 }
 
 /// A request as received.
@@ -91,6 +94,9 @@
                     self.refuse(&refusal).await;
                     break;
                 }
+                Next::Commanded(Command::Recorded { attempt }) => {
+                    self.recorded.send_replace(attempt);
+                }
                 Next::Commanded(Command::Stop | Command::Move(_)) | Next::Ended(_) => {}
                 Next::Disconnected => {
                     self.report_disconnect();
@@ -131,6 +137,7 @@
         let (shared, id) = (Rc::clone(&self.shared), self.inbound.id.clone());
         let started = shared.clock.now();
         let migrating = Rc::clone(&self.migrating);
+        let recorded = Rc::clone(&self.recorded);
         migrating.set(false);
         let mut migration: Option<Migration> = None;
         let end = {
@@ -143,6 +150,9 @@
                             migrating.set(true);
                             migration.get_or_insert_with(|| Migration::new(&shared, &id, &start.endpoint, to));
                         }
+                        Some(Command::Recorded { attempt }) => {
+                            recorded.send_replace(attempt);
+                        }
                         command => return command.map_or(Next::Disconnected, Next::Commanded),
                     },
                     end = &mut exchange => break end,
@@ -155,7 +165,7 @@
         };
         tokio::select! {
             biased;
-            command = next_command_except_move(commands) => command.map_or(Next::Disconnected, Next::Commanded),
+            command = next_command_of_request(commands, &recorded) => command.map_or(Next::Disconnected, Next::Commanded),
             end = self.continue_elsewhere(start, started, end, migration) => end.map_or(Next::Disconnected, Next::Ended),
         }
     }
@@ -188,13 +198,17 @@
     }
 }
 
-/// Receives the next command, skipping further moves.
-async fn next_command_except_move(
+/// Receives the next command that doesn't concern the current attempt alone, skipping further moves.
+async fn next_command_of_request(
     commands: &mut mpsc::UnboundedReceiver<Command>,
+    recorded: &watch::Sender<u32>,
 ) -> Option<Command> {
     loop {
         match commands.recv().await {
             Some(Command::Move(_)) => {}
+            Some(Command::Recorded { attempt }) => {
+                recorded.send_replace(attempt);
+            }
             command => return command,
         }
     }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -137,6 +137,7 @@
         tokens: 0,
         longest_pause: Span::ZERO,
         migrating: Rc::default(),
+        recorded: Rc::default(),
     };
     shared.handle.send(Message::Open {
         serial,
