Soak and mirror: replicas of two software versions, callers that name the attempt that began their stream

Replicas of streams run two versions side by side, and each restart changes a replica's version, as a release does. Events name the version that generated them; callers check that a stream holds one, over all their attempts, and name the attempt that brought its first event.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use mirror::caller;
 use mirror::caller::Addresses;
+use mirror::caller::Continuation;
 use rand::RngExt;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
@@ -124,11 +125,29 @@
     }
 }
 
+/// The part of a stream that a caller has received.
+#[derive(Clone, Debug, Default)]
+struct Progress {
+    /// Id of the last event.
+    last_event: u64,
+    /// The software version that generated the first event.
+    version: SmolStr,
+    /// Id of the attempt that brought the first event.
+    began_as: SmolStr,
+}
+
+impl Progress {
+    fn continuation(&self) -> Option<Continuation> {
+        (self.last_event > 0).then(|| Continuation {
+            last_event: self.last_event,
+            began_as: self.began_as.clone(),
+        })
+    }
+}
+
 /// Result of an attempt.
 struct Outcome {
     end: End,
-    /// Last event received of a stream.
-    last_event: u64,
     /// Least pause before a retry.
     retry_delay: Duration,
 }
@@ -169,7 +188,7 @@
         let events = self.draw(EVENT_COUNT);
         let stream = (class == Class::Stream).then_some(Stream { name, events });
         let leaves = class != Class::NonIdempotent && self.chance(LEAVE_SHARE);
-        let mut last_event = 0;
+        let mut progress = Progress::default();
         for number in 0..MAX_ATTEMPTS {
             let path = match &stream {
                 Some(stream) => stream.path(),
@@ -182,12 +201,12 @@
                 path,
                 key: KEY.into(),
                 deadline: class.timeout().as_duration(),
-                last_event: (last_event > 0).then_some(last_event),
+                continuation: progress.continuation(),
             };
-            let Some(outcome) = self.attempt(class, &attempt, stream.as_ref(), leaves).await else {
+            let attempting = self.attempt(class, &attempt, stream.as_ref(), &mut progress, leaves);
+            let Some(outcome) = attempting.await else {
                 return;
             };
-            last_event = outcome.last_event;
             if !may_retry(class, &outcome.end) {
                 return;
             }
@@ -201,6 +220,7 @@
         class: Class,
         attempt: &caller::Attempt,
         stream: Option<&Stream>,
+        progress: &mut Progress,
         leaves: bool,
     ) -> Option<Outcome> {
         let mut connection = match self.take_connection() {
@@ -233,7 +253,6 @@
             true => LEAVE_DELAY,
             false => attempt.deadline + LATE_ANSWER_WAIT,
         };
-        let mut last_event = attempt.last_event.unwrap_or(0);
         let ledger = &self.environment.ledger;
         let clock = self.environment.clock;
         let entry = entry_index(connection.entry);
@@ -243,14 +262,7 @@
                 ledger.notices.record_leave(entry, replica, clock.now());
             }
         };
-        let exchanging = exchange(
-            &mut connection,
-            request,
-            attempt,
-            stream,
-            &mut last_event,
-            record,
-        );
+        let exchanging = exchange(&mut connection, request, attempt, stream, progress, record);
         let (end, retry_delay, stays_open) = match tokio::time::timeout(wait, exchanging).await {
             Ok(answered) => answered,
             Err(_) if leaves => (End::Left, Duration::ZERO, false),
@@ -263,11 +275,7 @@
         let now = self.environment.clock.now();
         let mut ledger = self.environment.ledger.borrow_mut();
         ledger.record_end(&attempt.id, now, end.clone());
-        Some(Outcome {
-            end,
-            last_event,
-            retry_delay,
-        })
+        Some(Outcome { end, retry_delay })
     }
 
     /// Takes the open connection, unless it is unusable or a new one is drawn.
@@ -377,7 +385,7 @@
     request: Request<Full<Bytes>>,
     attempt: &caller::Attempt,
     stream: Option<&Stream>,
-    last_event: &mut u64,
+    progress: &mut Progress,
     record: impl Fn(&HeaderMap),
 ) -> (End, Duration, bool) {
     let response = match connection.sender.send_request(request).await {
@@ -392,7 +400,7 @@
         .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
     let status = response.status().as_u16();
     let end = match stream.filter(|_| status == 200) {
-        Some(stream) => read_stream(response.into_body(), stream, last_event).await,
+        Some(stream) => read_stream(response.into_body(), attempt, stream, progress).await,
         None => read_whole(response, attempt).await,
     };
     let stays_open = stays_open && matches!(end, End::Answered(_));
@@ -417,8 +425,14 @@
     }
 }
 
-/// Reads a stream to its end and checks that its events arrive in order.
-async fn read_stream(mut body: Incoming, stream: &Stream, last_event: &mut u64) -> End {
+/// Reads a stream to its end and checks that its events arrive in order and are of one software version, over all
+/// attempts of its caller.
+async fn read_stream(
+    mut body: Incoming,
+    attempt: &caller::Attempt,
+    stream: &Stream,
+    progress: &mut Progress,
+) -> End {
     let mut text = String::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
@@ -429,16 +443,22 @@
         }
         while let Some(length) = text.find("\n\n") {
             let event: String = text.drain(..length + 2).collect();
-            if event != stream.event(*last_event + 1) {
-                return End::Wrong(format_smolstr!("{event:?} after event {last_event}"));
+            if progress.last_event == 0 {
+                progress.version = content::version_of(&event).unwrap_or_default().into();
+                progress.began_as = attempt.id.clone();
+            }
+            if event != stream.event(progress.last_event + 1, &progress.version) {
+                let (last, version) = (progress.last_event, &progress.version);
+                return End::Wrong(format_smolstr!("{event:?} after event {last} of {version}"));
             }
-            *last_event += 1;
+            progress.last_event += 1;
         }
     }
-    match *last_event == stream.events && text.is_empty() {
+    match progress.last_event == stream.events && text.is_empty() {
         true => End::Answered(200),
         false => End::Wrong(format_smolstr!(
-            "ended after event {last_event} of {}",
+            "ended after event {} of {}",
+            progress.last_event,
             stream.events
         )),
     }
--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -9,6 +9,8 @@
     pub entries: usize,
     /// Replicas that serve streams.
     pub engines: usize,
+    /// Software versions that the replicas of streams run side by side; each restart changes a replica's version.
+    pub versions: usize,
     /// Replicas of each of the two plain services.
     pub apps: usize,
     /// Callers, each with one request at a time.
@@ -54,6 +56,7 @@
         Size {
             entries: 5,
             engines: 5,
+            versions: 2,
             apps: 2,
             callers: 24,
             fault_window: Span::from_seconds(14),
--- a/crates/soak/src/content.rs
+++ b/crates/soak/src/content.rs
@@ -27,12 +27,17 @@
         format!("{STREAM_PREFIX}{}/{}", self.name, self.events)
     }
 
-    /// Returns the text of one event.
-    pub fn event(&self, number: u64) -> String {
-        format!("id: {number}\ndata: {}-{number}\n\n", self.name)
+    /// Returns the text of one event as a software version generates it.
+    pub fn event(&self, number: u64, version: &str) -> String {
+        format!("id: {number}\ndata: {}-{number}@{version}\n\n", self.name)
     }
 }
 
+/// Returns the software version that generated an event.
+pub fn version_of(event: &str) -> Option<&str> {
+    Some(event.trim_end().rsplit_once('@')?.1)
+}
+
 /// Returns the body of the answer to a plain call.
 pub fn call_body(attempt: &str) -> String {
     format!("done {attempt}")
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -89,6 +89,10 @@
     environment: Rc<Environment>,
     id: RefCell<SmolStr>,
     started_ms: Cell<u64>,
+    /// Number of restarts, by which its software version changes.
+    restarts: Cell<usize>,
+    /// Software versions that replicas run side by side.
+    versions: usize,
     behavior: Cell<Behavior>,
     /// Whether answers announce that the replica is leaving.
     is_leaving: Cell<bool>,
@@ -121,6 +125,7 @@
         environment: Rc<Environment>,
         index: usize,
         service: &str,
+        versions: usize,
     ) -> Result<Rc<Replica>> {
         let node = Node::Replica(index);
         let server = environment.network.address(node, Port::Requests);
@@ -138,6 +143,8 @@
             environment,
             id: RefCell::new(format_smolstr!("{ID_PREFIX}{index}")),
             started_ms: Cell::new(unix_ms()),
+            restarts: Cell::new(0),
+            versions,
             behavior: Cell::new(Behavior::Good),
             is_leaving: Cell::new(false),
             busy: Cell::new(0),
@@ -180,6 +187,7 @@
     /// Restarts the replica under the same id, with no state from before.
     pub fn restart(&self) {
         self.started_ms.set(unix_ms());
+        self.restarts.set(self.restarts.get() + 1);
         self.behavior.set(Behavior::Good);
         self.is_leaving.set(false);
         self.is_running.send_replace(true);
@@ -211,11 +219,17 @@
             .put(replica::TABLE, &self.id.borrow(), None);
     }
 
+    /// Returns the software version of the running process.
+    fn version(&self) -> SmolStr {
+        format_smolstr!("v{}", (self.index + self.restarts.get()) % self.versions)
+    }
+
     fn write_row(&self, leaving: bool) {
         let row = Row {
             service: self.service.clone(),
             address: self.proxy.address.to_smolstr(),
             zone: ZONES[self.index % ZONES.len()].into(),
+            version: self.version(),
             slots: 32,
             leaving,
             started_ms: self.started_ms.get(),
@@ -376,9 +390,10 @@
 ) -> Response<Body> {
     let half = received.last_event + stream.events.saturating_sub(received.last_event) / 2;
     let headers = replica.answer_headers(received);
+    let version = replica.version();
     let state = (received.last_event, replica, guard);
     let events = stream::unfold(state, move |(last, replica, guard)| {
-        let stream = stream.clone();
+        let (stream, version) = (stream.clone(), version.clone());
         async move {
             if last >= stream.events {
                 return None;
@@ -387,7 +402,7 @@
                 return Some((Err(Disconnected), (last, replica, guard)));
             }
             tokio::time::sleep(replica.work_time(EVENT_INTERVAL)).await;
-            let event = Bytes::from(stream.event(last + 1));
+            let event = Bytes::from(stream.event(last + 1, &version));
             Some((Ok(Frame::data(event)), (last + 1, replica, guard)))
         }
     });
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -111,7 +111,7 @@
         replicas: Vec::new(),
     };
     for (index, service) in engines.chain(apps).enumerate() {
-        let replica = Replica::start(Rc::clone(environment), index, service).await?;
+        let replica = Replica::start(Rc::clone(environment), index, service, size.versions).await?;
         cluster.replicas.push(replica);
     }
     cluster.configure();
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -13,6 +13,7 @@
     Size {
         entries: 4,
         engines: 3,
+        versions: 1,
         callers: 12,
         fault_window: Span::from_millis(4_000),
         fault_count: 4,
@@ -73,3 +74,15 @@
     };
     play([11, 12], size);
 }
+
+/// Guards against streams that hold events of two software versions, in one answer or over a caller's attempts.
+#[test]
+fn streams_keep_to_the_version_that_began_them() {
+    let size = Size {
+        engines: 4,
+        versions: 2,
+        fault_count: 6,
+        ..short_size()
+    };
+    play([31, 32], size);
+}
