Streams across versions: wait for the default version, keep outages of the table service to the request's pool

Found by reading the change: callers that returned to an entry which had just started, before it knew the default version, were refused; they wait for it now. In a roll-out's last phase, with the table service away, every new stream would be refused, since the default version serves in another pool; it is required only where the request's own pool has replicas of it. A rejected version's pool gets no returning callers. Among many entries a few propose a default instead of all at once, and records that failed are retried every half second, within the rates of the table service.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,7 +22,6 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
-use crate::servers::version_key;
 use crate::streams;
 use crate::work;
 
@@ -174,8 +173,7 @@
         catalog.service(&service).ok_or_else(not_configured)?;
         let mut job = self.build_job(serial, route, account, &pool, arrival)?;
         if route.repeat == (Repeat::Stream { resumable: true }) {
-            let version = self.version_in_outage(now, &service);
-            job.terms.version = version.map(|version| version_key(&version));
+            job.terms.version = self.version_in_outage(now, &service, job.pool);
         }
         let charge = account.map(|account| Charge {
             name: rendezvous::identity(&account.name),
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -3,6 +3,9 @@
 use clock::Span;
 use clock::Time;
 use line::Line;
+use policy::job;
+use policy::pool;
+use policy::version;
 use smol_str::SmolStr;
 use store::call::Outcome;
 use verdict::Reason;
@@ -11,6 +14,7 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
+use crate::rollouts::Generation;
 use crate::servers::version_key;
 use crate::store_calls::Waiter;
 use crate::streams;
@@ -79,6 +83,9 @@
         let found = match outcome {
             Outcome::Rows { rows, .. } => match streams::recorded_version(rows) {
                 Some(version) => Some((version, Source::Record)),
+                None if default.is_none() => {
+                    return self.versions.await_default(now, &service, serial);
+                }
                 None => default.cloned().map(|version| (version, Source::Default)),
             },
             _ => None,
@@ -100,6 +107,19 @@
         }
     }
 
+    /// Lets requests go on that waited for the service's default version to be known.
+    pub(crate) fn resume_waiting(
+        &mut self,
+        now: Time,
+        service: &str,
+        version: &SmolStr,
+        effects: &mut Vec<Effect>,
+    ) {
+        for serial in self.versions.take_waiting(service) {
+            self.resume_at(now, serial, version, Source::Default, effects);
+        }
+    }
+
     /// Lets a request go on at the version that began its stream.
     fn resume_at(
         &mut self,
@@ -122,11 +142,12 @@
             .with("waited_ms", now.since(open.arrived_at).as_millis());
         effects.push(Effect::Log(line));
         let service = open.service.clone();
-        if let Some(pool) = self.pool_of(&service, version) {
-            let key = self.pool_key(&pool);
-            if let Some(open) = self.requests.get_mut(&serial) {
-                open.job.pool = key;
-            }
+        let pool = self.pool_of(&service, version);
+        let pool = pool.and_then(|name| self.pools.get(&name).copied());
+        let canary = self.rollouts.is_canary(&service, version);
+        if let (Some(pool), Some(open)) = (pool, self.requests.get_mut(&serial)) {
+            open.job.pool = pool;
+            open.canary = canary;
         }
         self.streams.remember(stream, version.clone(), until);
         self.begin_charge(now, serial, effects);
@@ -154,8 +175,8 @@
             version,
             until: open.returns_until,
         });
-        let service = open.service.clone();
-        !self.store_health.is_unavailable() || self.has_alternative(now, &service)
+        let (service, pool) = (open.service.clone(), open.job.pool);
+        !self.store_health.is_unavailable() || self.has_alternative(now, &service, pool)
     }
 
     /// Remembers the version whose replica delivers the first event of a stream.
@@ -177,10 +198,17 @@
 
     /// Returns the version at which new streams begin while none can be recorded: the default one, if others
     /// serve beside it.
-    pub(crate) fn version_in_outage(&self, now: Time, service: &str) -> Option<SmolStr> {
-        let is_needed = self.store_health.is_unavailable() && self.has_alternative(now, service);
+    pub(crate) fn version_in_outage(
+        &self,
+        now: Time,
+        service: &str,
+        pool: pool::Key,
+    ) -> Option<version::Key> {
+        let is_away = self.store_health.is_unavailable();
         let default = self.versions.default_of(now, service);
-        default.filter(|_| is_needed).cloned()
+        default
+            .filter(|_| is_away && self.has_alternative(now, service, pool))
+            .map(|version| version_key(version))
     }
 
     /// Keeps a request whose record wasn't written in time to the default version.
@@ -188,28 +216,31 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        if !self.has_alternative(now, &open.service) {
+        if !self.has_alternative(now, &open.service, open.job.pool) {
             return;
         }
-        let default = self.versions.default_of(now, &open.service);
-        if let Some(version) = default.map(|version| version_key(version)) {
-            let id = policy::job::Id(serial);
-            self.scheduler.require_version(id, version);
+        if let Some(version) = self.versions.default_of(now, &open.service) {
+            let version = version_key(version);
+            self.scheduler.require_version(job::Id(serial), version);
         }
     }
 
-    /// Returns whether streams can begin at the default version although others serve too.
-    fn has_alternative(&self, now: Time, service: &str) -> bool {
+    /// Returns whether streams can begin at the default version in the pool although others serve too.
+    fn has_alternative(&self, now: Time, service: &str, pool: pool::Key) -> bool {
+        if self.versions.only(service).is_some() {
+            return false;
+        }
         let default = self.versions.default_of(now, service);
-        let serves = default.is_some_and(|default| self.versions.has_replicas(service, default));
-        serves && self.versions.only(service).is_none()
+        let of_default = default.and_then(|default| self.pool_of(service, default));
+        of_default.is_some_and(|name| self.pools.get(&name) == Some(&pool))
     }
 
-    /// Returns the pool that holds replicas of a version.
+    /// Returns the pool that holds replicas of a version, unless that gets no requests.
     fn pool_of(&self, service: &str, version: &str) -> Option<SmolStr> {
         let of_version = self.servers.iter().filter(|known| {
             let server = &known.server;
-            server.service == service && server.version == version
+            let is_rejected = self.rollouts.generation(server) == Generation::Rejected;
+            server.service == service && server.version == version && !is_rejected
         });
         let mut usable = of_version
             .map(|known| &known.server.incarnation)
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Returns whether a version is on trial.
+    pub fn is_canary(&self, service: &str, version: &str) -> bool {
+        let known = self.active.get(service).map(|known| &known.split);
+        known.is_some_and(|split| split.order().to == version && split.phase() == Phase::Canary)
+    }
+
     /// Drops the led roll-outs, so that a new holder of the duties reads what former leaders saved.
     pub fn reset_leaderships(&mut self) {
         self.leaderships.clear();
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -34,7 +34,7 @@
 /// Maximum rows of one transaction.
 const MAX_ROWS: usize = 100;
 /// Pause after a write that failed.
-const RETRY_DELAY: Span = Span::from_millis(100);
+const RETRY_DELAY: Span = Span::from_millis(500);
 /// Interval at which records of streams to which nobody returns any more are removed.
 const REMOVAL_INTERVAL: Span = Span::from_seconds(5);
 /// Interval at which the holder of the duties looks for records that killed entries left in one of the tables.
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -32,6 +32,8 @@
 const REVIEW_INTERVAL: Span = Span::from_millis(250);
 /// Time after the first read of the list of servers in which the others announce themselves.
 const SETTLING: Span = Span::from_millis(1_000);
+/// The same for entries that leave the proposal to others among many.
+const PROPOSAL_DELAY: Span = Span::from_seconds(10);
 /// Pause between two calls on one service's default.
 const CALL_INTERVAL: Span = Span::from_millis(500);
 /// Time after which no caller returns to a stream, beyond the time limits of all routes.
@@ -58,6 +60,8 @@
     proposed: Option<SmolStr>,
     calling: bool,
     next_call: Time,
+    /// Requests that wait for the default to be known.
+    waiting: Vec<u64>,
 }
 
 /// The default version as the table service holds it.
@@ -77,6 +81,7 @@
             proposed: None,
             calling: false,
             next_call: Time::ZERO,
+            waiting: Vec::new(),
         }
     }
 
@@ -135,10 +140,17 @@
         counts.keys().next().filter(|_| counts.len() == 1)
     }
 
-    /// Returns whether a replica of the version is known.
-    pub fn has_replicas(&self, service: &str, version: &str) -> bool {
-        let known = self.services.get(service);
-        known.is_some_and(|known| known.counts.contains_key(version))
+    /// Keeps a request until the service's default version is known.
+    pub fn await_default(&mut self, now: Time, service: &SmolStr, serial: u64) {
+        let known = self.services.entry(service.clone());
+        let known = known.or_insert_with(|| Service::new(now));
+        known.waiting.push(serial);
+    }
+
+    /// Returns the requests that waited for the service's default version.
+    pub fn take_waiting(&mut self, service: &str) -> Vec<u64> {
+        let known = self.services.get_mut(service);
+        known.map_or_else(Vec::new, |known| std::mem::take(&mut known.waiting))
     }
 }
 
@@ -233,14 +245,18 @@
             Some(stored) if !(is_same && known.is_absent(now, RETURN_WINDOW)) => {
                 self.set_default(now, service, stored, effects);
             }
-            _ if self.is_list_settled(now) => self.propose_default(service, revision),
+            _ if self.may_propose(now) => self.propose_default(service, revision),
             _ => {}
         }
     }
 
-    /// Returns whether the servers have had time to announce themselves since the list was first read.
-    fn is_list_settled(&self, now: Time) -> bool {
-        now.since(self.servers_known_since) >= SETTLING
+    /// Returns whether this entry proposes a default: once the servers have had time to announce themselves, and
+    /// among many entries first one of a few, so that they don't all write at once.
+    fn may_propose(&self, now: Time) -> bool {
+        let known_for = now.since(self.servers_known_since);
+        let mut readers = self.roster.readers().iter();
+        let is_first = !self.uses_hubs() || readers.any(|id| *id == self.identity.incarnation);
+        known_for >= if is_first { SETTLING } else { PROPOSAL_DELAY }
     }
 
     /// Makes the version of most replicas the default, unless another entry was faster.
@@ -284,9 +300,11 @@
             .with("version", &default.version)
             .with("revision", default.revision);
         effects.push(Effect::Log(line));
+        let version = default.version.clone();
         known.default = Some(default);
         known.absent_since = None;
         known.review(now, known.counts.clone());
+        self.resume_waiting(now, service, &version, effects);
     }
 }
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use clock::Span;
 use smol_str::SmolStr;
 use support::World;
 
@@ -174,3 +175,39 @@
     world.run(700_000);
     assert_eq!(world.stream_records(), 0);
 }
+
+/// Guards against refusing callers that return before their entry, which has just started, knows the default version.
+#[test]
+fn a_caller_that_returns_to_an_entry_that_just_started_waits_for_the_default_version() {
+    let mut world = world(2, true);
+    let began = (0..STREAMS).find_map(|_| {
+        let (serial, version) = world.begin_stream(0);
+        (version.as_deref() == Some("v1")).then_some(serial)
+    });
+    world.start(1);
+    assert_eq!(world.resume_stream(1, began.unwrap()), None);
+    let resumed = world.last_serial();
+    world.run(500);
+    assert_eq!(world.version_of(resumed).as_deref(), Some("v1"));
+    assert!(world.refused.is_empty(), "{:?}", world.refused);
+}
+
+/// Guards against refusing all new streams while the table service is away and a roll-out moves them to another
+/// version than the default one.
+#[test]
+fn a_roll_out_goes_on_while_the_table_service_is_away() {
+    let mut world = world(2, true);
+    world.order_rollout("v2", Span::from_seconds(60));
+    world.run(JOIN_MILLIS);
+    world.store_unresponsive = true;
+    world.run(OUTAGE_MILLIS);
+    for number in 0..STREAMS {
+        world.begin_stream(number % 2);
+        world.run(10);
+    }
+    assert!(
+        !world.refused.contains_key("NoBackend"),
+        "{:?}",
+        world.refused
+    );
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -596,7 +596,13 @@
         serial
     }
 
-    fn version_of(&self, serial: u64) -> Option<SmolStr> {
+    /// Returns the serial number of the latest request.
+    pub fn last_serial(&self) -> u64 {
+        self.next_serial
+    }
+
+    /// Returns the version of the server that a request was last sent to.
+    pub fn version_of(&self, serial: u64) -> Option<SmolStr> {
         let incarnation = self.servers_by_request.get(&serial)?;
         let mut servers = self.servers.iter();
         let server = servers.find(|one| one.incarnation == *incarnation)?;
