--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -51,7 +51,7 @@
 struct Service {
     /// Replicas that aren't leaving, by version.
     counts: BTreeMap<SmolStr, usize>,
-    default: Option<Default>,
+    default: Option<Stored>,
     /// Since when no replica of the default version has been known.
     absent_since: Option<Time>,
     /// When more than one version, or a new one, was last known.
@@ -64,9 +64,9 @@
     waiting: Vec<u64>,
 }
 
-/// The default version as the table service holds it.
+/// A default version as the table service holds it.
 #[derive(Clone, Debug)]
-struct Default {
+struct Stored {
     version: SmolStr,
     revision: u64,
 }
@@ -212,7 +212,7 @@
             Outcome::Row(row) => self.handle_default_row(now, service, row, effects),
             Outcome::Committed(revision) => {
                 if let Some(version) = proposed {
-                    self.set_default(now, service, Default { version, revision }, effects);
+                    self.set_default(now, service, Stored { version, revision }, effects);
                 }
             }
             Outcome::Conflict(rows) => {
@@ -289,7 +289,7 @@
         &mut self,
         now: Time,
         service: &SmolStr,
-        default: Default,
+        default: Stored,
         effects: &mut Vec<Effect>,
     ) {
         let Some(known) = self.versions.services.get_mut(service) else {
@@ -309,9 +309,9 @@
 }
 
 /// Decodes a default version; a malformed one is replaced.
-fn decode(row: Row) -> Option<Default> {
+fn decode(row: Row) -> Option<Stored> {
     let version = row.value.get("version").and_then(Value::as_str)?;
-    Some(Default {
+    Some(Stored {
         version: SmolStr::new(version),
         revision: row.revision,
     })
