Streams across versions: one piece of code where several said the same

From reading the change again; behaviour stays as it is.

- Whether a route's streams can be taken up again was asked in three ways; Repeat::is_resumable answers it.
- The version at which streams begin without a record was looked up twice in a row at two of three callers; alternative() returns it.
- The absence of a default version is tracked without a copy of the counts, and a wrapper of rendezvous::identity is gone.
- Slots of brittle servers were divided for every server that states any limit, also a mere rate, and both callers looked the server up first.
They are divided where a server is brittle, once a service.
- A pause gave up waiting jobs by computing the pause of their replicas for each of them; now once a version.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -72,6 +72,11 @@
         )
     }
 
+    /// Returns whether the answer is a stream that its caller may take up again.
+    pub fn is_resumable(self) -> bool {
+        self == Repeat::Stream { resumable: true }
+    }
+
     /// Returns whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Repeat::Stream { .. })
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,7 +22,6 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
-use crate::streams;
 use crate::work;
 
 /// Retry delay for callers of an entry without a configuration: about the time to read one.
@@ -54,7 +53,7 @@
             Ok(request) => {
                 log_continuation(arrival, effects);
                 self.timeouts.insert((request.deadline, serial));
-                let continues = arrival.continuation.is_some() && request.is_resumable();
+                let continues = arrival.continuation.is_some() && request.repeat.is_resumable();
                 self.requests.insert(serial, request);
                 match continues {
                     true => self.find_version(now, serial, effects),
@@ -172,7 +171,7 @@
         let (pool, canary) = self.select_pool(now, &service, &route.name);
         catalog.service(&service).ok_or_else(not_configured)?;
         let mut job = self.build_job(serial, route, account, &pool, arrival)?;
-        if route.repeat == (Repeat::Stream { resumable: true }) {
+        if route.repeat.is_resumable() {
             job.terms.version = self.version_in_outage(now, &service, job.pool);
         }
         let charge = account.map(|account| Charge {
@@ -209,7 +208,7 @@
             failure_status: None,
             sent_at: None,
             first_response_at: None,
-            stream: streams::identity(named_as.unwrap_or(&arrival.id)),
+            stream: rendezvous::identity(named_as.unwrap_or(&arrival.id)),
             version: None,
             has_record: false,
             recorded: None,
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -25,6 +25,9 @@
 /// How long a lifted limit is still reported, so that it overrides older reports in transit.
 const LIFTED_RETENTION: Span = Span::from_seconds(60);
 
+/// Division of each service's slots, where entries are many.
+type Divisions = BTreeMap<SmolStr, Option<Division>>;
+
 /// The latest limits by the server's incarnation.
 #[derive(Debug, Default)]
 pub(crate) struct Limits {
@@ -176,16 +179,9 @@
             .iter()
             .map(|(incarnation, limit)| (incarnation.clone(), limit.stated))
             .collect();
-        let mut divisions: BTreeMap<SmolStr, Option<Division>> = BTreeMap::new();
+        let mut divisions = Divisions::new();
         for (incarnation, stated) in limits {
-            let Some(known) = self.servers.get_mut(&incarnation) else {
-                continue;
-            };
-            let (service, slots) = (known.server.service.clone(), known.server.slots);
-            let division = divisions
-                .entry(service.clone())
-                .or_insert_with(|| self.divide(&service, slots));
-            self.apply_shares(now, &incarnation, stated, division.as_ref(), effects);
+            self.apply_shares(now, &incarnation, stated, &mut divisions, effects);
         }
     }
 
@@ -209,12 +205,8 @@
             .with("rejections", rejections.unwrap_or(0))
             .with("here", limit.local);
         effects.push(Effect::Log(line));
-        let Some(known) = self.servers.get_mut(incarnation) else {
-            return;
-        };
-        let (service, slots) = (known.server.service.clone(), known.server.slots);
-        let division = self.divide(&service, slots);
-        self.apply_shares(now, incarnation, limit.stated, division.as_ref(), effects);
+        let mut divisions = Divisions::new();
+        self.apply_shares(now, incarnation, limit.stated, &mut divisions, effects);
     }
 
     /// Divides the slots of a service's servers among the entries, where these are many.
@@ -234,19 +226,20 @@
         Division::new(&servers, slots, &entries)
     }
 
-    /// Passes this entry's shares of a server's limits to the scheduler.
+    /// Passes this entry's shares of a server's limits to the scheduler; `divisions` are those made so far.
     fn apply_shares(
         &mut self,
         now: Time,
         incarnation: &SmolStr,
         stated: Stated,
-        division: Option<&Division>,
+        divisions: &mut Divisions,
         effects: &mut Vec<Effect>,
     ) {
         let Some(known) = self.servers.get_mut(incarnation) else {
             return;
         };
         let (key, slots) = (known.key, known.server.slots);
+        let service = known.server.service.clone();
         let config = self.settings.scheduler.pace;
         let entries: Vec<u64> = self.roster.entries().iter().map(|entry| entry.0).collect();
         let server = rendezvous::identity(incarnation);
@@ -254,13 +247,15 @@
         let pace = stated.rate.map_or(Share::Unlimited, |rate| {
             pace::share(&config, server, rate, &entries, me)
         });
-        let rejections = stated
-            .rejections
-            .map(|limit| tolerance::share(server, limit, &entries, me))
-            .map(|share| tolerance::Share {
-                slots: division.map(|division| division.slots_of(server, slots, me)),
-                ..share
-            });
+        let rejections = stated.rejections.map(|limit| {
+            let divided = divisions.entry(service);
+            let division = divided.or_insert_with_key(|service| self.divide(service, slots));
+            let owned = division.as_ref();
+            tolerance::Share {
+                slots: owned.map(|division| division.slots_of(server, slots, me)),
+                ..tolerance::share(server, limit, &entries, me)
+            }
+        });
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.replica_paced(now, key, pace, out);
             scheduler.replica_tolerance(now, key, rejections, out);
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -13,7 +13,6 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
-use crate::request::Request;
 use crate::rollouts::Generation;
 use crate::servers::version_key;
 use crate::store_calls::Waiter;
@@ -81,12 +80,10 @@
         let service = open.service.clone();
         let default = self.versions.default_of(now, &service);
         let found = match outcome {
-            Outcome::Rows { rows, .. } => match streams::recorded_version(rows) {
-                Some(version) => Some((version, Source::Record)),
-                None if default.is_none() => {
-                    return self.versions.await_default(now, &service, serial);
-                }
-                None => default.cloned().map(|version| (version, Source::Default)),
+            Outcome::Rows { rows, .. } => match (streams::recorded_version(rows), default) {
+                (Some(version), _) => Some((version, Source::Record)),
+                (None, Some(default)) => Some((default.clone(), Source::Default)),
+                (None, None) => return self.versions.await_default(now, &service, serial),
             },
             _ => None,
         };
@@ -159,7 +156,7 @@
         let Some(open) = self.requests.get_mut(&serial) else {
             return false;
         };
-        if !open.is_resumable() || open.version.is_some() {
+        if !open.repeat.is_resumable() || open.version.is_some() {
             return false;
         }
         let is_default = self.versions.default_of(now, &open.service) == Some(&version);
@@ -176,7 +173,7 @@
             until: open.returns_until,
         });
         let (service, pool) = (open.service.clone(), open.job.pool);
-        !self.store_health.is_unavailable() || self.has_alternative(now, &service, pool)
+        !self.store_health.is_unavailable() || self.alternative(now, &service, pool).is_some()
     }
 
     /// Remembers the version whose replica delivers the first event of a stream.
@@ -184,7 +181,7 @@
         let Some(open) = self.requests.get_mut(&serial) else {
             return;
         };
-        if !open.is_resumable() || open.version.is_some() {
+        if !open.repeat.is_resumable() || open.version.is_some() {
             return;
         }
         let version = open.replica.and_then(|key| self.servers.version_of(key));
@@ -196,8 +193,7 @@
         self.streams.remember(stream, version, until);
     }
 
-    /// Returns the version at which new streams begin while none can be recorded: the default one, if others
-    /// serve beside it.
+    /// Returns the version at which new streams begin while none can be recorded, if others serve beside it.
     pub(crate) fn version_in_outage(
         &self,
         now: Time,
@@ -205,10 +201,7 @@
         pool: pool::Key,
     ) -> Option<version::Key> {
         let is_away = self.store_health.is_unavailable();
-        let default = self.versions.default_of(now, service);
-        default
-            .filter(|_| is_away && self.has_alternative(now, service, pool))
-            .map(|version| version_key(version))
+        is_away.then(|| self.alternative(now, service, pool))?
     }
 
     /// Keeps a request whose record wasn't written in time to the default version.
@@ -216,23 +209,20 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        if !self.has_alternative(now, &open.service, open.job.pool) {
-            return;
-        }
-        if let Some(version) = self.versions.default_of(now, &open.service) {
-            let version = version_key(version);
+        if let Some(version) = self.alternative(now, &open.service, open.job.pool) {
             self.scheduler.require_version(job::Id(serial), version);
         }
     }
 
-    /// Returns whether streams can begin at the default version in the pool although others serve too.
-    fn has_alternative(&self, now: Time, service: &str, pool: pool::Key) -> bool {
+    /// Returns the default version, whose streams need no record, if others serve too and the pool has replicas of
+    /// it.
+    fn alternative(&self, now: Time, service: &str, pool: pool::Key) -> Option<version::Key> {
         if self.versions.only(service).is_some() {
-            return false;
+            return None;
         }
-        let default = self.versions.default_of(now, service);
-        let of_default = default.and_then(|default| self.pool_of(service, default));
-        of_default.is_some_and(|name| self.pools.get(&name) == Some(&pool))
+        let default = self.versions.default_of(now, service)?;
+        let of_default = self.pool_of(service, default)?;
+        (self.pools.get(&of_default) == Some(&pool)).then(|| version_key(default))
     }
 
     /// Returns the pool that holds replicas of a version, unless that gets no requests.
@@ -248,10 +238,3 @@
         usable.find_map(|incarnation| self.replica_pools.get(incarnation).cloned())
     }
 }
-
-impl Request {
-    /// Returns whether its caller may take its stream up again as another request.
-    pub(crate) fn is_resumable(&self) -> bool {
-        self.repeat.is_stream() && self.repeat.is_repeatable()
-    }
-}
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -10,7 +10,6 @@
 
 use clock::Span;
 use clock::Time;
-use policy::rendezvous;
 use serde_json::Value;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -280,11 +279,6 @@
     }
 }
 
-/// Returns the hash by which a stream is known.
-pub(crate) fn identity(id: &str) -> u64 {
-    rendezvous::identity(id)
-}
-
 fn key_prefix(stream: u64) -> SmolStr {
     format_smolstr!("{stream:016x}/")
 }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -21,7 +21,6 @@
 use store::call::Transaction;
 use store::call::Write;
 
-use crate::catalog::Repeat;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::store_calls::Waiter;
@@ -91,6 +90,11 @@
             self.changed_at = now;
         }
         self.counts = counts;
+        self.track_absence(now);
+    }
+
+    /// Updates since when the default has had no replicas.
+    fn track_absence(&mut self, now: Time) {
         let default = self.default.as_ref();
         let is_absent = default.is_some_and(|default| !self.counts.contains_key(&default.version));
         self.absent_since = is_absent.then(|| self.absent_since.unwrap_or(now));
@@ -164,9 +168,7 @@
         let Some(catalog) = &self.catalog else {
             return;
         };
-        let resumable = catalog
-            .routes()
-            .filter(|route| route.repeat == Repeat::Stream { resumable: true });
+        let resumable = catalog.routes().filter(|route| route.repeat.is_resumable());
         let services: BTreeSet<SmolStr> = resumable
             .flat_map(|route| &route.shares)
             .map(|share| share.service.clone())
@@ -303,7 +305,7 @@
         let version = default.version.clone();
         known.default = Some(default);
         known.absent_since = None;
-        known.review(now, known.counts.clone());
+        known.track_absence(now);
         self.resume_waiting(now, service, &version, effects);
     }
 }
--- a/crates/policy/src/scheduler/throttles.rs
+++ b/crates/policy/src/scheduler/throttles.rs
@@ -1,5 +1,7 @@
 //! Replicas that set rate limits or ask for pauses.
 
+use std::collections::BTreeMap;
+
 use clock::Span;
 use clock::Time;
 
@@ -153,8 +155,14 @@
 
     /// Makes waiting jobs due for refusal that would expire before a replica accepts requests again.
     fn give_up_unservable(&mut self, now: Time, key: pool::Key) {
-        let is_unservable =
-            |deadline: Time, job: &Job| job.pool == key && deadline < now + self.pause_of(now, job);
+        let mut pauses = BTreeMap::new();
+        let mut is_unservable = |deadline: Time, job: &Job| {
+            if job.pool != key {
+                return false;
+            }
+            let pause = pauses.entry(job.terms.version);
+            deadline < now + *pause.or_insert_with(|| self.pause_of(now, job))
+        };
         let unservable: Vec<(Time, job::Id)> = self
             .expiry
             .iter()
--- a/crates/policy/tests/idle.rs
+++ b/crates/policy/tests/idle.rs
@@ -1,8 +1,10 @@
 //! Idle replicas serve whatever arrives.
 
+#[path = "support/small.rs"]
+mod small;
+
 use clock::Span;
 use clock::Time;
-use policy::account;
 use policy::decision::Decision;
 use policy::job;
 use policy::job::Job;
@@ -10,21 +12,12 @@
 use policy::replica;
 use policy::scheduler::Scheduler;
 use policy::version;
+use small::ACCOUNT;
 
-const ACCOUNT: account::Key = account::Key(1);
 const POOL: pool::Key = pool::Key(1);
 
 fn scheduler() -> Scheduler {
-    let mut scheduler = Scheduler::new(7);
-    let account = account::Spec {
-        name: "a".into(),
-        weight: 1,
-        priority: 0,
-        tokens_per_second: 0,
-        concurrent: 0,
-    };
-    scheduler.set_account(ACCOUNT, account);
-    scheduler.set_entries(1);
+    let mut scheduler = small::scheduler();
     let replica = replica::Spec {
         incarnation: "r".into(),
         pool: POOL,
--- a/crates/policy/tests/interruptions.rs
+++ b/crates/policy/tests/interruptions.rs
@@ -2,9 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "support/small.rs"]
+mod small;
+
 use clock::Span;
 use clock::Time;
-use policy::account;
 use policy::decision::Decision;
 use policy::job;
 use policy::job::End;
@@ -13,10 +15,10 @@
 use policy::replica;
 use policy::scheduler::Scheduler;
 use policy::version;
+use small::ACCOUNT;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
-const ACCOUNT: account::Key = account::Key(0);
 const POOL: pool::Key = pool::Key(0);
 const ID: job::Id = job::Id(1);
 const NOW: Time = Time::from_millis(1_000);
@@ -31,16 +33,7 @@
 
 impl World {
     fn new() -> World {
-        let mut scheduler = Scheduler::new(7);
-        let account = account::Spec {
-            name: SmolStr::new_static("amber"),
-            weight: 1,
-            priority: 0,
-            tokens_per_second: 0,
-            concurrent: 0,
-        };
-        scheduler.set_account(ACCOUNT, account);
-        scheduler.set_entries(1);
+        let mut scheduler = small::scheduler();
         let mut out = Vec::new();
         for number in 0..4 {
             let spec = replica::Spec {
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -2,11 +2,12 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "support/small.rs"]
+mod small;
+
 use clock::Span;
 use clock::Time;
-use policy::account;
 use policy::configs::pace::Config;
-use policy::configs::scheduler::Settings;
 use policy::decision::Decision;
 use policy::job;
 use policy::job::Job;
@@ -17,10 +18,10 @@
 use policy::replica;
 use policy::scheduler::Scheduler;
 use policy::version;
+use small::ACCOUNT;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
-const ACCOUNT: account::Key = account::Key(0);
 const POOL: pool::Key = pool::Key(0);
 
 /// Returns the rate that all entries together may send, and the number of senders.
@@ -63,16 +64,7 @@
 
 /// Creates a scheduler with that many replicas.
 fn scheduler(replicas: u32) -> (Scheduler, Vec<replica::Key>) {
-    let mut scheduler = Scheduler::with_settings(7, Settings::default());
-    let account = account::Spec {
-        name: SmolStr::new_static("amber"),
-        weight: 1,
-        priority: 0,
-        tokens_per_second: 0,
-        concurrent: 0,
-    };
-    scheduler.set_account(ACCOUNT, account);
-    scheduler.set_entries(1);
+    let mut scheduler = small::scheduler();
     let keys = (0..replicas).map(|number| {
         let spec = replica::Spec {
             incarnation: format_smolstr!("r{number}"),
--- a/crates/policy/tests/pauses.rs
+++ b/crates/policy/tests/pauses.rs
@@ -2,9 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "support/small.rs"]
+mod small;
+
 use clock::Span;
 use clock::Time;
-use policy::account;
 use policy::decision::Decision;
 use policy::job;
 use policy::job::Job;
@@ -12,12 +14,12 @@
 use policy::replica;
 use policy::scheduler::Scheduler;
 use policy::version;
+use small::ACCOUNT;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use verdict::Refusal;
 use verdict::Verdict;
 
-const ACCOUNT: account::Key = account::Key(0);
 const POOL: pool::Key = pool::Key(0);
 const PAUSE: Span = Span::from_millis(3_000);
 
@@ -32,16 +34,7 @@
 
 impl Run {
     fn new(replicas: u32) -> Run {
-        let mut scheduler = Scheduler::new(7);
-        let account = account::Spec {
-            name: SmolStr::new_static("amber"),
-            weight: 1,
-            priority: 0,
-            tokens_per_second: 0,
-            concurrent: 0,
-        };
-        scheduler.set_account(ACCOUNT, account);
-        scheduler.set_entries(1);
+        let mut scheduler = small::scheduler();
         let keys = (0..replicas).map(|number| {
             let spec = replica::Spec {
                 incarnation: format_smolstr!("r{number}"),
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -2,9 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "support/small.rs"]
+mod small;
+
 use clock::Span;
 use clock::Time;
-use policy::account;
 use policy::decision::Decision;
 use policy::job;
 use policy::job::Job;
@@ -12,9 +14,9 @@
 use policy::replica;
 use policy::scheduler::Scheduler;
 use policy::version;
+use small::ACCOUNT;
 use smol_str::SmolStr;
 
-const ACCOUNT: account::Key = account::Key(0);
 const POOL: pool::Key = pool::Key(0);
 const TARGET: Span = Span::from_millis(500);
 /// Time until the first event, well within the target.
@@ -45,16 +47,7 @@
 }
 
 fn scheduler() -> Scheduler {
-    let mut scheduler = Scheduler::new(7);
-    let account = account::Spec {
-        name: SmolStr::new_static("amber"),
-        weight: 1,
-        priority: 0,
-        tokens_per_second: 0,
-        concurrent: 0,
-    };
-    scheduler.set_account(ACCOUNT, account);
-    scheduler.set_entries(1);
+    let mut scheduler = small::scheduler();
     let spec = replica::Spec {
         incarnation: SmolStr::new_static("r0"),
         pool: POOL,
