--- /dev/null
+++ b/crates/gateway/tests/returns.rs
@@ -0,0 +1,173 @@
+//! Streams that callers take up again after the table service lost records, or after a default version that others
+//! replaced is back.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use smol_str::SmolStr;
+use support::World;
+
+/// Time in which entries learn of each other, of a restore and of the default version.
+const JOIN_MILLIS: u64 = 3_000;
+/// Time after which a default version without replicas is replaced, with a margin.
+const REPLACED_MILLIS: u64 = 64_000;
+/// Time after which a restore or a new default version no longer matters.
+const SETTLED_MILLIS: u64 = 130_000;
+const STREAMS: usize = 40;
+
+/// Sets the versions of the first servers in order; the others run v1.
+fn set_versions(world: &mut World, versions: &[&str]) {
+    for (number, server) in world.servers.iter_mut().enumerate() {
+        server.version = SmolStr::new(versions.get(number).copied().unwrap_or("v1"));
+    }
+    world.publish_servers();
+}
+
+/// Starts entries before servers of v1, joined later by as many of v2.
+fn world(entries: usize) -> World {
+    let mut world = World::new(entries);
+    set_versions(&mut world, &[]);
+    world.run(JOIN_MILLIS);
+    for _ in 0..world.servers.len() {
+        world.add_server();
+        world.servers.last_mut().unwrap().version = "v2".into();
+    }
+    world.publish_servers();
+    world.run(JOIN_MILLIS);
+    world
+}
+
+/// Begins streams until one began at `version`.
+fn begin_at(world: &mut World, entry: usize, version: &str) -> u64 {
+    for _ in 0..STREAMS {
+        let (serial, began) = world.begin_stream(entry);
+        if began.as_deref() == Some(version) {
+            return serial;
+        }
+        world.run(10);
+    }
+    panic!("no stream of {version}");
+}
+
+/// Begins streams at one entry and takes each up at another; returns how many went on, and how many of these at another
+/// version than their own.
+fn resume_elsewhere(world: &mut World, from: usize, to: usize) -> (usize, usize) {
+    let (mut resumed, mut mixed) = (0, 0);
+    for _ in 0..STREAMS {
+        let (serial, began) = world.begin_stream(from);
+        world.run(100);
+        let version = world.resume_stream(to, serial);
+        resumed += usize::from(version.is_some());
+        mixed += usize::from(version.is_some() && version != began);
+    }
+    (resumed, mixed)
+}
+
+/// Guards against taking a stream for one of the default version because a restore lost its record.
+#[test]
+fn a_stream_whose_record_a_restore_lost_keeps_its_version() {
+    let mut world = world(2);
+    let copy = world.table.clone();
+    let serial = begin_at(&mut world, 0, "v2");
+    assert!(world.stream_records() > 0);
+    world.table.restore(&copy);
+    assert_ne!(world.resume_stream(1, serial).as_deref(), Some("v1"));
+    world.run(JOIN_MILLIS);
+    assert_eq!(world.resume_stream(1, serial).as_deref(), Some("v2"));
+}
+
+/// Guards against the same once the only entry that knew the stream's version is gone.
+#[test]
+fn a_stream_that_nobody_knows_after_a_restore_is_refused() {
+    let mut world = world(3);
+    let copy = world.table.clone();
+    let serial = begin_at(&mut world, 0, "v2");
+    world.kill(0);
+    world.table.restore(&copy);
+    for entry in [1, 2] {
+        assert_eq!(world.resume_stream(entry, serial), None);
+    }
+    world.start(0);
+    world.run(JOIN_MILLIS);
+    for entry in 0..3 {
+        assert_eq!(world.resume_stream(entry, serial), None);
+    }
+    assert_eq!(world.refused.get("StoreUnavailable"), Some(&5));
+}
+
+/// Guards against refusing, after a restore, streams of the default version that living entries know.
+#[test]
+fn streams_of_the_default_version_go_on_after_a_restore() {
+    let mut world = world(3);
+    let copy = world.table.clone();
+    let serial = begin_at(&mut world, 0, "v1");
+    world.table.restore(&copy);
+    world.run(JOIN_MILLIS);
+    assert_eq!(world.resume_stream(1, serial).as_deref(), Some("v1"));
+    world.kill(0);
+    world.start(0);
+    world.run(JOIN_MILLIS);
+    assert_eq!(resume_elsewhere(&mut world, 1, 0), (STREAMS, 0));
+}
+
+/// Guards against entries that assume different default versions because a restore lost the row that states it.
+#[test]
+fn entries_agree_on_the_default_version_after_a_restore_that_lost_it() {
+    for pause in [0, 500, 2_000] {
+        let mut world = World::new(3);
+        let copy = world.table.clone();
+        set_versions(&mut world, &[]);
+        world.run(JOIN_MILLIS);
+        set_versions(&mut world, &["v2", "v2", "v2", "v2"]);
+        world.run(JOIN_MILLIS);
+        world.table.restore(&copy);
+        world.start(1);
+        world.run(pause);
+        for (from, to) in [(0, 1), (1, 0), (2, 1), (1, 2)] {
+            let (_, mixed) = resume_elsewhere(&mut world, from, to);
+            assert_eq!(mixed, 0, "entry {from} to {to}, {pause} ms");
+        }
+        world.run(SETTLED_MILLIS);
+        for (from, to) in [(0, 1), (1, 0), (2, 1), (1, 2)] {
+            let outcome = resume_elsewhere(&mut world, from, to);
+            assert_eq!(outcome, (STREAMS, 0), "entry {from} to {to}, {pause} ms");
+        }
+    }
+}
+
+/// Guards against an entry without the table service that takes a default version for granted after others replaced
+/// it, whether or not it saw that the version's replicas were gone.
+#[test]
+fn an_entry_that_missed_the_replacement_of_the_default_version_learns_of_it() {
+    for follows_list in [true, false] {
+        let mut world = world(2);
+        let both = world.servers.clone();
+        world.store_partitioned.insert(0);
+        world.servers.retain(|server| server.version == "v2");
+        world.publish_to(&[1]);
+        if follows_list {
+            world.publish_to(&[0]);
+        }
+        world.run(REPLACED_MILLIS);
+        world.servers = both;
+        world.publish_to(&[1]);
+        if follows_list {
+            world.publish_to(&[0]);
+        }
+        world.run(100);
+        let (_, mixed) = resume_elsewhere(&mut world, 0, 1);
+        assert_eq!(mixed, 0, "without the table service, {follows_list}");
+        world.store_partitioned.clear();
+        world.publish_servers();
+        for _ in 0..3 {
+            let (_, mixed) = resume_elsewhere(&mut world, 0, 1);
+            assert_eq!(mixed, 0, "in touch again, {follows_list}");
+        }
+        world.run(SETTLED_MILLIS);
+        for (from, to) in [(0, 1), (1, 0)] {
+            let outcome = resume_elsewhere(&mut world, from, to);
+            assert_eq!(outcome, (STREAMS, 0), "{from} to {to}, {follows_list}");
+        }
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -286,9 +286,15 @@
 
     /// Delivers the whole list of servers to all entries.
     pub fn publish_servers(&mut self) {
+        let all: Vec<usize> = (0..self.processes.len()).collect();
+        self.publish_to(&all);
+    }
+
+    /// Delivers the whole list of servers to some entries.
+    pub fn publish_to(&mut self, entries: &[usize]) {
         self.list_revision += 1;
-        for entry in 0..self.processes.len() {
-            self.send_servers(entry);
+        for entry in entries {
+            self.send_servers(*entry);
         }
     }
 
