Take the absence of a stream's record for proof only while none can have been lost

"No record" meant "the default version" at any time, although a restore loses records and the row of the default, and an entry without news may hold a default that others have replaced.

Ruled out: lost memory of the entry (it resumed rightly).

Change: the row of a default states since when it holds and the service's era; a row of an older era is written again by the first entry that reads it. The absence of a record proves the default two minutes after that, and not while this entry may have missed a restore or a replacement. Meanwhile entries record what they remember and what begins. Reads of rows carry the service's revision, so that an empty answer states its era too.

--- a/crates/burn/src/reader.rs
+++ b/crates/burn/src/reader.rs
@@ -57,7 +57,7 @@
     /// A failed read ends the scan: reports are most needed during an outage, so the operator immediately
     /// receives what is available, with a gap for the rest.
     pub fn handle_outcome(&mut self, unix_ms: u64, outcome: Outcome) -> bool {
-        let Outcome::Rows { rows, more } = outcome else {
+        let Outcome::Rows { rows, more, .. } = outcome else {
             self.gaps.push(Gap {
                 entry: SmolStr::new_static(STORE_GAP),
                 from_ago_ms: 0,
--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -143,7 +143,7 @@
         match (std::mem::take(&mut self.stage), outcome) {
             (Stage::Versions, Outcome::Rows { rows, .. }) => self.take_versions(rows, history),
             (Stage::Snapshot, Outcome::Row(row)) => self.take_snapshot(row),
-            (Stage::Tail(tail), Outcome::Rows { rows, more }) => {
+            (Stage::Tail(tail), Outcome::Rows { rows, more, .. }) => {
                 self.take_tail(*tail, rows, more, history);
             }
             (Stage::Tail(mut tail), _) => {
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -34,7 +34,7 @@
                 open.first_response_at.get_or_insert(now);
                 let (prompt_tokens, service) = (open.unshared_tokens, open.service.clone());
                 let elapsed = open.sent_at.map(|started| now.since(started));
-                self.begin_stream(serial);
+                self.begin_stream(now, serial);
                 self.record_start(now, serial);
                 if let Some(elapsed) = elapsed.filter(|_| first_attempt) {
                     self.work
--- /dev/null
+++ b/crates/gateway/src/default_rows.rs
@@ -0,0 +1,318 @@
+//! Rows of the table service that hold the default version of each service.
+//!
+//! The first entry that finds none proposes the version of most replicas; a default whose replicas have been gone for
+//! long enough is replaced in the same way. A row states since when it has been in force, and the era of the table
+//! service in which it was written. In a later era streams may have lost their records, so the first entry that
+//! reads such a row writes it again.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use clock::Span;
+use clock::Time;
+use line::Line;
+use rand::RngExt;
+use serde_json::Value;
+use serde_json::json;
+use smol_str::SmolStr;
+use store::call::Address;
+use store::call::Call;
+use store::call::Check;
+use store::call::Outcome;
+use store::call::Row;
+use store::call::Transaction;
+use store::call::Write;
+use store::revision::Revision;
+
+use crate::effect::Effect;
+use crate::gateway::Gateway;
+use crate::store_calls::Waiter;
+use crate::versions::RETURN_WINDOW;
+use crate::versions::REVIEW_INTERVAL;
+use crate::versions::Service;
+use crate::versions::Stored;
+
+/// Table of the default versions, by service.
+const TABLE: &str = "stream-defaults";
+/// Time after the first read of the list of servers in which the others announce themselves.
+const SETTLING: Span = Span::from_millis(1_000);
+/// The same for entries that leave the proposal to others among many.
+const PROPOSAL_DELAY: Span = Span::from_seconds(10);
+/// Pause between two calls on one service's default.
+const CALL_INTERVAL: Span = Span::from_millis(500);
+/// Time from which a default in force proves anything: no caller returns to an older stream by then, whatever the
+/// difference of clocks.
+const PROOF_DELAY: Span = Span::from_seconds(120);
+/// Time for each entry over which all of them read the defaults again after a restore.
+const REREAD_SPREAD: Span = Span::from_millis(5);
+
+impl Gateway {
+    /// Counts the replicas of each version, and reads or replaces defaults.
+    pub(crate) fn versions_tick(&mut self, now: Time) {
+        if now < self.versions.next_review {
+            return;
+        }
+        self.versions.next_review = now + REVIEW_INTERVAL;
+        let Some(catalog) = &self.catalog else {
+            return;
+        };
+        let resumable = catalog.routes().filter(|route| route.repeat.is_resumable());
+        let services: BTreeSet<SmolStr> = resumable
+            .flat_map(|route| &route.shares)
+            .map(|share| share.service.clone())
+            .collect();
+        let mut counts: BTreeMap<SmolStr, BTreeMap<SmolStr, usize>> = BTreeMap::new();
+        for record in self.servers.iter() {
+            if !self.servers.is_leaving(&record.server.incarnation) {
+                let service = record.server.service.clone();
+                let of_service = counts.entry(service).or_default();
+                *of_service.entry(record.server.version.clone()).or_default() += 1;
+            }
+        }
+        let list_lag = self.list_lag(now);
+        for service in services {
+            let counts = counts.remove(&service).unwrap_or_default();
+            self.review_service(now, service, counts, list_lag);
+        }
+    }
+
+    /// Updates the numbers of a service's replicas, and reads its default if that is due.
+    fn review_service(
+        &mut self,
+        now: Time,
+        service: SmolStr,
+        counts: BTreeMap<SmolStr, usize>,
+        list_lag: Span,
+    ) {
+        let known = self.versions.services.entry(service.clone());
+        let known = known.or_insert_with(|| Service::new(now));
+        let was_mixed = known.is_mixed();
+        known.review(now, counts, list_lag);
+        let is_due = known.needs_call(now);
+        known.calling |= is_due;
+        let becomes_mixed = known.is_mixed() && !was_mixed;
+        if becomes_mixed && self.versions.needs_records(now, &service) {
+            self.streams.record_all_begun(&service);
+        }
+        if is_due {
+            // A scan also states the revision where there is no row.
+            let call = Call::Scan {
+                table: SmolStr::new_static(TABLE),
+                prefix: service.clone(),
+                after: SmolStr::default(),
+                limit: 1,
+            };
+            self.call_store(Waiter::DefaultVersion(service), call);
+        }
+    }
+
+    /// Returns for how long the list of servers has been out of date.
+    fn list_lag(&self, now: Time) -> Span {
+        match self.list_unavailable || self.store_health.is_unavailable() {
+            true => now.since(self.servers.position().confirmed_at),
+            false => Span::ZERO,
+        }
+    }
+
+    /// Follows the era of the table service: after a restore, all defaults are read again.
+    pub(crate) fn observe_era(&mut self, now: Time, revision: u64, effects: &mut Vec<Effect>) {
+        let era = Revision::unpacked(revision).era;
+        let known = self
+            .store_era
+            .replace(era.max(self.store_era.unwrap_or(era)));
+        if known.is_none_or(|known| known >= era) {
+            return;
+        }
+        let line = Line::warn("table_service_restored").with("era", era);
+        effects.push(Effect::Log(line));
+        let spread = REREAD_SPREAD.times(u64::from(self.entry_count()));
+        let delay = spread.scaled(self.random.random::<f64>());
+        for known in self.versions.services.values_mut() {
+            known.read_again(now + delay);
+        }
+    }
+
+    /// Handles the answer to a read or write of a service's default version.
+    pub(crate) fn handle_default_version(
+        &mut self,
+        now: Time,
+        service: &SmolStr,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(known) = self.versions.services.get_mut(service) else {
+            return;
+        };
+        known.calling = false;
+        known.next_call = now + CALL_INTERVAL;
+        let proposed = known.proposed.take();
+        match outcome {
+            Outcome::Rows { rows, .. } => {
+                let row = rows.into_iter().find(|row| row.key == *service);
+                self.handle_default_row(now, service, row, effects);
+            }
+            Outcome::Committed(revision) => {
+                let is_current = |stored: &Stored| Revision::unpacked(revision).era == stored.era;
+                if let Some(stored) = proposed.filter(is_current) {
+                    self.set_default(now, service, Stored { revision, ..stored }, effects);
+                }
+            }
+            Outcome::Conflict(rows) => {
+                let row = rows.into_iter().find_map(|(_, row)| row);
+                let stored = row.and_then(|row| self.decode(now, row));
+                if let Some(stored) = stored.filter(|stored| self.is_of_current_era(stored)) {
+                    self.set_default(now, service, stored, effects);
+                }
+            }
+            Outcome::Row(_) | Outcome::Unavailable | Outcome::Unknown => {}
+        }
+    }
+
+    fn handle_default_row(
+        &mut self,
+        now: Time,
+        service: &SmolStr,
+        row: Option<Row>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(known) = self.versions.services.get(service) else {
+            return;
+        };
+        let revision = row.as_ref().map(|row| row.revision);
+        let stored = row.and_then(|row| self.decode(now, row));
+        let must_be_replaced = |stored: &Stored| {
+            let default = known.default.as_ref();
+            let is_same = default.is_some_and(|default| default.version == stored.version);
+            is_same && known.is_absent(now, RETURN_WINDOW)
+        };
+        match stored {
+            Some(stored) if !self.is_of_current_era(&stored) => {
+                self.propose_default(now, service, revision, Some(stored.version));
+            }
+            Some(stored) if !must_be_replaced(&stored) => {
+                self.set_default(now, service, stored, effects);
+            }
+            stored if self.may_propose(now) => {
+                let candidate = known
+                    .candidate()
+                    .filter(|candidate| stored.is_none_or(|stored| stored.version != *candidate));
+                self.propose_default(now, service, revision, candidate);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether the table service wasn't restored since a default was written.
+    fn is_of_current_era(&self, stored: &Stored) -> bool {
+        stored.era == self.store_era.unwrap_or(0)
+    }
+
+    /// Returns whether this entry proposes a default: once the servers have had time to announce themselves, and
+    /// among many entries first one of a few, so that they don't all write at once.
+    fn may_propose(&self, now: Time) -> bool {
+        let known_for = now.since(self.servers_known_since);
+        let mut readers = self.roster.readers().iter();
+        let is_first = !self.uses_hubs() || readers.any(|id| *id == self.identity.incarnation);
+        known_for >= if is_first { SETTLING } else { PROPOSAL_DELAY }
+    }
+
+    /// Makes a version the default, unless another entry was faster; `revision` is that of the row, if there is one.
+    fn propose_default(
+        &mut self,
+        now: Time,
+        service: &SmolStr,
+        revision: Option<u64>,
+        version: Option<SmolStr>,
+    ) {
+        let Some(version) = version else {
+            return;
+        };
+        let era = self.store_era.unwrap_or(0);
+        // A service that was never restored has lost no row: streams can't have begun at another default.
+        let is_first = revision.is_none() && era == 0;
+        let unix_ms = self.usage.unix_ms(now);
+        let proposed = Stored {
+            version,
+            revision: 0,
+            era,
+            since_unix_ms: (!is_first).then_some(unix_ms),
+            proven_from: if is_first {
+                Time::ZERO
+            } else {
+                now + PROOF_DELAY
+            },
+        };
+        let address = Address::new(TABLE, service.clone());
+        let transaction = Transaction {
+            token: service.clone(),
+            checks: vec![Check {
+                address: address.clone(),
+                revision,
+            }],
+            writes: vec![Write {
+                address,
+                value: encode(&proposed),
+            }],
+        };
+        if let Some(known) = self.versions.services.get_mut(service) {
+            known.calling = true;
+            known.proposed = Some(proposed);
+        }
+        let waiter = Waiter::DefaultVersion(service.clone());
+        self.call_store(waiter, Call::Transact(transaction));
+    }
+
+    /// Takes over the default that the table service holds. If its streams were told by a record before, all streams
+    /// that began here are recorded.
+    fn set_default(
+        &mut self,
+        now: Time,
+        service: &SmolStr,
+        default: Stored,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(known) = self.versions.services.get_mut(service) else {
+            return;
+        };
+        let in_force = |stored: &Stored| (stored.version.clone(), stored.era, stored.since_unix_ms);
+        let before = known.default.as_ref().map(in_force);
+        let is_new = before.is_some_and(|before| before != in_force(&default));
+        let line = Line::info("default_version")
+            .with("service", service)
+            .with("version", &default.version)
+            .with("revision", default.revision)
+            .with("proven_in_ms", default.proven_from.since(now).as_millis());
+        known.set_default(now, default);
+        let repeated = match is_new && self.versions.needs_records(now, service) {
+            true => self.streams.record_all_begun(service),
+            false => 0,
+        };
+        effects.push(Effect::Log(line.with("recorded", repeated)));
+        self.resume_waiting(now, service, effects);
+    }
+
+    /// Decodes a default version; a malformed one is replaced.
+    fn decode(&self, now: Time, row: Row) -> Option<Stored> {
+        let version = row.value.get("version").and_then(Value::as_str)?;
+        let since_unix_ms = row.value.get("since_ms").and_then(Value::as_u64);
+        let proven_from = since_unix_ms.map_or(Time::ZERO, |since| {
+            let unix_ms = self.usage.unix_ms(now);
+            let left = (since + PROOF_DELAY.as_millis()).saturating_sub(unix_ms);
+            now + Span::from_millis(left).min(PROOF_DELAY)
+        });
+        Some(Stored {
+            version: SmolStr::new(version),
+            revision: row.revision,
+            era: row.value.get("era").and_then(Value::as_u64).unwrap_or(0),
+            since_unix_ms,
+            proven_from,
+        })
+    }
+}
+
+fn encode(stored: &Stored) -> Value {
+    match stored.since_unix_ms {
+        Some(since) => json!({"version": stored.version, "era": stored.era, "since_ms": since}),
+        None => json!({"version": stored.version, "era": stored.era}),
+    }
+}
--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -112,6 +112,7 @@
             self.apply_reported_changes(now, update, effects);
         }
         if let Some(position) = learned.position {
+            self.observe_era(now, position.revision, effects);
             self.advance_position(position.as_of, position.revision);
 
             // An entry without a gap misses the same rows: their servers are gone.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -133,6 +133,8 @@
     /// Whether reading the list of servers has failed since the last successful read.
     pub(crate) list_unavailable: bool,
     /// Id of the next call of the table service.
+    /// Newest known era of the table service.
+    pub(crate) store_era: Option<u64>,
     pub(crate) next_store_call: u64,
     /// Calls waiting for this entry's share of the table service's rate.
     pub(crate) throttle: Throttle<call::Id>,
@@ -230,6 +232,7 @@
             store_health: Health::default(),
             store_failed_at: None,
             list_unavailable: false,
+            store_era: None,
             next_store_call: 0,
             store_rejected: Vec::new(),
             store_calls: BTreeMap::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod attempts;
 mod configuration;
 mod decisions;
+mod default_rows;
 mod duties;
 mod failure_detector;
 mod fleet;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -50,6 +50,7 @@
         if self.servers_known_since == Time::ZERO {
             self.servers_known_since = now;
         }
+        self.observe_era(now, reading.revision, effects);
         self.advance_position(now, reading.revision);
         match reading.update {
             Update::All(servers) => self.apply_snapshot(now, servers, effects),
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -34,7 +34,7 @@
     Record,
     /// There is no record: it is the default version.
     Default,
-    /// The table service didn't answer, and no other version is known.
+    /// No record proves a version, and no other one is known.
     Only,
 }
 
@@ -78,45 +78,53 @@
             return;
         };
         let service = open.service.clone();
-        let default = self.versions.default_of(now, &service);
-        let found = match outcome {
-            Outcome::Rows { rows, .. } => match (streams::recorded_version(rows), default) {
-                (Some(version), _) => Some((version, Source::Record)),
-                (None, Some(default)) => Some((default.clone(), Source::Default)),
-                (None, None) => return self.versions.await_default(now, &service, serial),
-            },
-            _ => None,
+        let Outcome::Rows { rows, .. } = outcome else {
+            return self.resume_at_only(now, serial, effects);
         };
-        // A single version is in all likelihood the one that began the stream.
-        let only = || {
-            let only = self.versions.only(&service)?;
-            let is_default = default.is_none_or(|default| default == only);
-            is_default.then(|| (only.clone(), Source::Only))
-        };
-        match found.or_else(only) {
-            Some((version, source)) => self.resume_at(now, serial, &version, source, effects),
-            None => {
-                let message = "the version that began the stream isn't known";
-                let refusal = Refusal::not_run(Reason::StoreUnavailable, message);
-                let refusal = refusal.with_retry_after(UNKNOWN_VERSION_RETRY);
-                self.refuse(now, serial, refusal, effects);
-            }
+        if let Some(version) = streams::recorded_version(rows) {
+            return self.resume_at(now, serial, &version, Source::Record, effects);
+        }
+        match self.versions.default_of(now, &service) {
+            Some(_) => self.resume_unrecorded(now, serial, effects),
+            None => self.versions.await_default(now, &service, serial),
         }
     }
 
     /// Lets requests go on that waited for the service's default version to be known.
-    pub(crate) fn resume_waiting(
-        &mut self,
-        now: Time,
-        service: &str,
-        version: &SmolStr,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub(crate) fn resume_waiting(&mut self, now: Time, service: &str, effects: &mut Vec<Effect>) {
         for serial in self.versions.take_waiting(service) {
-            self.resume_at(now, serial, version, Source::Default, effects);
+            self.resume_unrecorded(now, serial, effects);
         }
     }
 
+    /// Lets a request go on whose stream has no record: at the default version if that proves it.
+    fn resume_unrecorded(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get(&serial) else {
+            return;
+        };
+        match self.versions.proven_default(now, &open.service).cloned() {
+            Some(version) => self.resume_at(now, serial, &version, Source::Default, effects),
+            None => self.resume_at_only(now, serial, effects),
+        }
+    }
+
+    /// Lets a request go on at the only known version, which in all likelihood began its stream, or refuses it.
+    fn resume_at_only(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get(&serial) else {
+            return;
+        };
+        let default = self.versions.default_of(now, &open.service);
+        let only = self.versions.only(&open.service);
+        let only = only.filter(|only| default.is_none_or(|default| default == *only));
+        if let Some(only) = only.cloned() {
+            return self.resume_at(now, serial, &only, Source::Only, effects);
+        }
+        let message = "the version that began the stream isn't known";
+        let refusal = Refusal::not_run(Reason::StoreUnavailable, message);
+        let refusal = refusal.with_retry_after(UNKNOWN_VERSION_RETRY);
+        self.refuse(now, serial, refusal, effects);
+    }
+
     /// Lets a request go on at the version that began its stream.
     fn resume_at(
         &mut self,
@@ -146,7 +154,8 @@
             open.job.pool = pool;
             open.canary = canary;
         }
-        self.streams.remember(stream, version.clone(), until);
+        self.streams
+            .remember(stream, service, version.clone(), until);
         self.begin_charge(now, serial, effects);
     }
 
@@ -166,7 +175,7 @@
         }
         open.has_record = true;
         self.streams.record(Record {
-            serial,
+            serial: Some(serial),
             attempt: open.attempt,
             stream: open.stream,
             version,
@@ -176,8 +185,9 @@
         !self.store_health.is_unavailable() || self.alternative(now, &service, pool).is_some()
     }
 
-    /// Remembers the version whose replica delivers the first event of a stream.
-    pub(crate) fn begin_stream(&mut self, serial: u64) {
+    /// Remembers the version whose replica delivers the first event of a stream, and records it as long as the absence
+    /// of a record doesn't prove the default version.
+    pub(crate) fn begin_stream(&mut self, now: Time, serial: u64) {
         let Some(open) = self.requests.get_mut(&serial) else {
             return;
         };
@@ -190,7 +200,12 @@
         };
         open.version = Some(version.clone());
         let (stream, until) = (open.stream, open.returns_until);
-        self.streams.remember(stream, version, until);
+        let (service, has_record) = (open.service.clone(), open.has_record);
+        let needs_record = !has_record && self.versions.needs_records(now, &service);
+        self.streams.remember(stream, service, version, until);
+        if needs_record {
+            self.streams.record_begun(stream);
+        }
     }
 
     /// Returns the version at which new streams begin while none can be recorded, if others serve beside it.
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -74,6 +74,9 @@
         outcome: Outcome,
         effects: &mut Vec<Effect>,
     ) {
+        if let Some(revision) = outcome.revision() {
+            self.observe_era(now, revision, effects);
+        }
         let failed = matches!(outcome, Outcome::Unavailable | Outcome::Unknown);
         let was_lost = self.store_health.is_unavailable();
         if failed {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -3,6 +3,9 @@
 //! An entry remembers the streams that began there. It also records those of another version than the default one
 //! ([`crate::versions`]) in the table service before their first event is delivered, so that other entries find
 //! them after it was killed. Records that wait are written together, one transaction for each table at a time.
+//!
+//! A restore of the table service may lose records, and a new default version changes what their absence means. Then
+//! each entry records all streams that it remembers.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -40,8 +43,10 @@
 const SWEEP_INTERVAL: Span = Span::from_seconds(30);
 /// Time after which such a record is removed, beyond any difference of clocks.
 const SWEEP_MARGIN: Span = Span::from_seconds(60);
-/// Maximum records of one stream: one for each attempt before its first event.
-const MAX_ATTEMPTS: u32 = 8;
+/// Maximum records of one stream: one for each attempt before its first event, and one of the attempt that began it.
+const MAX_RECORDS: u32 = 16;
+/// Number in the key of the record of a stream that has begun, which follows those of all attempts.
+const BEGUN: u32 = 9_999;
 
 /// Streams that began at this entry, and the records to write.
 #[derive(Debug, Default)]
@@ -58,6 +63,7 @@
 /// A stream that began here.
 #[derive(Debug)]
 struct Begun {
+    service: SmolStr,
     version: SmolStr,
     until: Time,
 }
@@ -75,8 +81,8 @@
 /// The version at which an attempt began, or may begin, a stream.
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
-    /// Number of the request at this entry.
-    pub serial: u64,
+    /// Number of the request whose attempt may wait for the record.
+    pub serial: Option<u64>,
     /// Number of the attempt.
     pub attempt: u32,
     /// Hash of the stream's id.
@@ -95,9 +101,14 @@
 }
 
 impl Streams {
-    /// Remembers which version began a stream.
-    pub fn remember(&mut self, stream: u64, version: SmolStr, until: Time) {
-        if let Some(known) = self.begun.insert(stream, Begun { version, until }) {
+    /// Remembers which version of a service began a stream.
+    pub fn remember(&mut self, stream: u64, service: SmolStr, version: SmolStr, until: Time) {
+        let begun = Begun {
+            service,
+            version,
+            until,
+        };
+        if let Some(known) = self.begun.insert(stream, begun) {
             self.expiry.remove(&(known.until, stream));
         }
         self.expiry.insert((until, stream));
@@ -114,6 +125,33 @@
         table.waiting.push_back(record);
     }
 
+    /// Queues a record of a stream that began here.
+    pub fn record_begun(&mut self, stream: u64) {
+        let Some(begun) = self.begun.get(&stream) else {
+            return;
+        };
+        self.record(Record {
+            serial: None,
+            attempt: BEGUN,
+            stream,
+            version: begun.version.clone(),
+            until: begun.until,
+        });
+    }
+
+    /// Queues records of all streams of a service that began here; returns their number.
+    pub fn record_all_begun(&mut self, service: &str) -> usize {
+        let of_service = self
+            .begun
+            .iter()
+            .filter(|(_, begun)| begun.service == service);
+        let streams: Vec<u64> = of_service.map(|(stream, _)| *stream).collect();
+        for stream in &streams {
+            self.record_begun(*stream);
+        }
+        streams.len()
+    }
+
     /// Returns when records are written again after a failure.
     pub fn next_wake(&self) -> Option<Time> {
         let waiting = self.tables.values();
@@ -139,7 +177,7 @@
         table: table_name(stream % TABLES),
         prefix: key_prefix(stream),
         after: SmolStr::default(),
-        limit: MAX_ATTEMPTS,
+        limit: MAX_RECORDS,
     }
 }
 
@@ -194,13 +232,16 @@
         }
         for record in in_flight {
             records.written.insert((record.until, record.key()));
-            let Some(open) = self.requests.get_mut(&record.serial) else {
+            let Some(serial) = record.serial else {
+                continue;
+            };
+            let Some(open) = self.requests.get_mut(&serial) else {
                 continue;
             };
             open.recorded = Some(record.version);
             if open.attempt == record.attempt {
                 effects.push(Effect::Flight {
-                    serial: record.serial,
+                    serial,
                     command: Command::Recorded {
                         attempt: record.attempt,
                     },
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -100,7 +100,7 @@
         let Some(mut scan) = self.in_flight.take() else {
             return (None, None);
         };
-        let Outcome::Rows { rows, more } = outcome else {
+        let Outcome::Rows { rows, more, .. } = outcome else {
             return (None, None);
         };
         scan.rows.extend(rows);
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -104,6 +104,8 @@
         rows: Vec<Row>,
         /// Whether the limit truncated the result.
         more: bool,
+        /// The service's newest revision, packed; 0 if it states none.
+        revision: u64,
     },
     /// The transaction committed at this revision.
     Committed(u64),
@@ -114,3 +116,18 @@
     /// No answer was received; a transaction may have committed.
     Unknown,
 }
+
+impl Outcome {
+    /// Returns a packed revision of the service at the time of the outcome, if it contains one.
+    pub fn revision(&self) -> Option<u64> {
+        match self {
+            Outcome::Row(row) => row.as_ref().map(|row| row.revision),
+            Outcome::Rows { revision, .. } | Outcome::Committed(revision) => Some(*revision),
+            Outcome::Conflict(rows) => {
+                let current = rows.iter().filter_map(|(_, row)| row.as_ref());
+                current.map(|row| row.revision).max()
+            }
+            Outcome::Unavailable | Outcome::Unknown => None,
+        }
+    }
+}
--- a/crates/store/src/driver.rs
+++ b/crates/store/src/driver.rs
@@ -145,6 +145,7 @@
             Ok(page) => Outcome::Rows {
                 rows: page.rows,
                 more: page.more,
+                revision: 0,
             },
             Err(_) => Outcome::Unavailable,
         }
--- a/crates/store/src/fake.rs
+++ b/crates/store/src/fake.rs
@@ -132,7 +132,11 @@
             .collect();
         let more = rows.len() > limit;
         rows.truncate(limit);
-        Outcome::Rows { rows, more }
+        Outcome::Rows {
+            rows,
+            more,
+            revision: self.revision,
+        }
     }
 
     fn transact(&mut self, transaction: &Transaction) -> Outcome {
