Avoid an entry through which an attempt met silence

What callers saw: at an entry that is cut off from all servers, a stream broke off (502, or an answer without its end): both attempts waited a second in silence.

Cause: the silence was held against the server alone. Connections kept through the entry between, whose links had fallen silent, were used again, since only new connections that failed were recorded against it. A server that was active on other ways also kept requests waiting on the silent one.

Ruled out: silent servers (a third entry is served by them), new connections through the silent entry (they fail within 400 ms and are recorded).

Change: after a silence the entry between is avoided for a second and connections kept through it are closed, unless other servers sent bytes through it meanwhile; proxy_silent logs it. Activity elsewhere no longer counts for such a way.

--- a/crates/policy/src/proxy.rs
+++ b/crates/policy/src/proxy.rs
@@ -30,6 +30,8 @@
     open: BTreeMap<SmolStr, u32>,
     /// When a candidate last didn't answer.
     failed: BTreeMap<SmolStr, Time>,
+    /// When bytes last came through a candidate.
+    active: BTreeMap<SmolStr, Time>,
 }
 
 impl Table {
@@ -37,10 +39,12 @@
     pub fn set(&mut self, candidates: Vec<Candidate>) {
         self.candidates = candidates;
         let candidates = &self.candidates;
-        self.failed.retain(|address, _| {
+        let is_listed = |address: &SmolStr| {
             let mut listed = candidates.iter();
             listed.any(|candidate| candidate.address == *address)
-        });
+        };
+        self.failed.retain(|address, _| is_listed(address));
+        self.active.retain(|address, _| is_listed(address));
     }
 
     /// Returns whether the entry at `address` is a candidate.
@@ -68,6 +72,22 @@
         self.failed.insert(address.clone(), now);
     }
 
+    /// Records that bytes came through the entry at `address`.
+    pub fn record_activity(&mut self, now: Time, address: &SmolStr) {
+        match self.active.get_mut(address) {
+            Some(time) => *time = now,
+            None => {
+                self.active.insert(address.clone(), now);
+            }
+        }
+    }
+
+    /// Returns whether bytes came through the entry at `address` within this time.
+    pub fn was_active(&self, now: Time, address: &str, within: Span) -> bool {
+        let time = self.active.get(address);
+        time.is_some_and(|time| now.since(*time) <= within)
+    }
+
     fn is_avoided(&self, now: Time, candidate: &Candidate) -> bool {
         let failed_at = self.failed.get(&candidate.address);
         failed_at.is_some_and(|failed_at| now.since(*failed_at) < AVOIDANCE_TIME)
--- a/crates/policy/tests/proxy.rs
+++ b/crates/policy/tests/proxy.rs
@@ -55,6 +55,18 @@
     assert_eq!(table.choose(NOW, &[first, second]), None);
 }
 
+/// Guards against blaming an entry for one silent server behind it, and against taking a silent entry for alive.
+#[test]
+fn a_candidate_is_active_while_bytes_come_through_it() {
+    let mut table = table(&[100, 100]);
+    let one = table.choose(NOW, &[]).expect("a candidate");
+    assert!(!table.was_active(NOW, &one, Span::from_millis(500)));
+    table.record_activity(NOW, &one);
+    let soon = NOW + Span::from_millis(400);
+    assert!(table.was_active(soon, &one, Span::from_millis(500)));
+    assert!(!table.was_active(soon, &one, Span::from_millis(300)));
+}
+
 /// Guards against choosing a frozen entry each time because it has no connections.
 #[test]
 fn a_candidate_that_does_not_answer_is_avoided_for_a_while() {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,6 +21,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 use tokio::sync::watch;
 
 use crate::adapter::Classification;
@@ -143,8 +144,8 @@
             last_event_at: self.shared.clock.now(),
         };
         loop {
-            let direct = answer.connection.is_direct();
-            let next_frame = with_silence_timeout(&self.shared, start, direct, answer.body.frame());
+            let proxy = answer.connection.proxy();
+            let next_frame = with_silence_timeout(&self.shared, start, proxy, answer.body.frame());
             let frame = tokio::select! {
                 frame = next_frame => frame,
                 () = self.caller.disconnected() => return None,
@@ -271,8 +272,8 @@
         };
         let request = build_request(shared, inbound, &start, resume);
         let sending = connection.sender.try_send_request(request);
-        let direct = connection.is_direct();
-        let mut error = match with_silence_timeout(shared, &start, direct, sending).await {
+        let proxy = connection.proxy();
+        let mut error = match with_silence_timeout(shared, &start, proxy, sending).await {
             Ok(Ok(response)) => {
                 reach::record_sign(shared, &start.endpoint, &connection);
                 return handle_head(shared, inbound, &start, connection, response).await;
@@ -390,11 +391,12 @@
 ///
 /// A replica that answers others is merely busy. Retrying elsewhere would prefill the prompt again and
 /// amplify an overload. Traffic on other connections says nothing about a plain call, which has a timeout of
-/// its own. A direct connection that is silent while this entry is isolated is given up at once.
+/// its own, nor about a way through another entry, `proxy`, that is silent itself. A direct connection that is silent
+/// while this entry is isolated is given up at once.
 async fn with_silence_timeout<T>(
     shared: &Rc<Shared>,
     start: &Start,
-    direct: bool,
+    proxy: Option<&SmolStr>,
     pending: impl Future<Output = T>,
 ) -> Result<T, End> {
     let mut pending = std::pin::pin!(pending);
@@ -409,7 +411,7 @@
         }
         waited = waited + step;
         reach::check_silence(shared);
-        let lost = direct && shared.reach.is_isolated();
+        let lost = proxy.is_none() && shared.reach.is_isolated();
         if lost && !shared.pool.was_active(&start.endpoint, step) && start.silence_timeout.is_some()
         {
             return Err(End::TimedOut { waited });
@@ -417,7 +419,12 @@
         let Some(limit) = start.silence_timeout.filter(|limit| waited >= *limit) else {
             continue;
         };
-        if !start.stream || !shared.pool.was_active(&start.endpoint, limit) {
+        let is_way_active = proxy.is_none_or(|proxy| reach::was_proxy_active(shared, proxy, limit));
+        let is_active = is_way_active && shared.pool.was_active(&start.endpoint, limit);
+        if !start.stream || !is_active {
+            if let Some(proxy) = proxy {
+                reach::record_silence(shared, proxy, limit);
+            }
             return Err(End::TimedOut { waited: limit });
         }
         waited = Span::ZERO;
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -337,13 +337,37 @@
 /// Records bytes from a server.
 pub fn record_sign(shared: &Shared, endpoint: &Endpoint, connection: &Connection) {
     shared.pool.record_activity(endpoint);
-    if !connection.is_direct() {
-        return;
-    }
     let now = shared.clock.now();
+    if let Some(proxy) = connection.proxy() {
+        let mut proxies = shared.reach.proxies.borrow_mut();
+        return proxies.record_activity(now, proxy);
+    }
     shared.reach.detector.borrow_mut().record_sign(now);
 }
 
+/// Returns whether bytes came through the entry `proxy`, from any server, within this time.
+pub fn was_proxy_active(shared: &Shared, proxy: &SmolStr, within: Span) -> bool {
+    let proxies = shared.reach.proxies.borrow();
+    proxies.was_active(shared.clock.now(), proxy, within)
+}
+
+/// Records that a request met `waited` of silence through the entry `proxy`. Unless other servers sent bytes through it
+/// meanwhile, it is avoided, and connections kept through it are closed.
+pub fn record_silence(shared: &Shared, proxy: &SmolStr, waited: Span) {
+    if was_proxy_active(shared, proxy, waited) {
+        return;
+    }
+    let waited_ms = waited.as_millis();
+    log::info!(event = "proxy_silent", peer = proxy.as_str(), waited_ms = waited_ms; "");
+    let mut proxies = shared.reach.proxies.borrow_mut();
+    proxies.record_failure(shared.clock.now(), proxy);
+    drop(proxies);
+    let kept = shared
+        .pool
+        .take_idle(|connection| connection.proxy() == Some(proxy));
+    drop(kept);
+}
+
 fn record_connected(shared: &Rc<Shared>, endpoint: &Endpoint) {
     let mut unreachable = shared.reach.unreachable.borrow_mut();
     unreachable.remove(&endpoint.incarnation);
