Tell streams apart by account, and keep them at the service that began them

What callers saw (read on, now shown by tests): two accounts whose callers chose one id for their streams overwrote each other's memory and records, so one was resumed at the version of the other's; on a route that splits its requests among services a caller that returned was drawn anew, and could go on at another service.

Cause: a stream was known by the hash of its caller's id alone, and its service was drawn for each attempt.

Change: a stream's key holds its account; records state it in key and value, and rows of entries that don't are taken as before. The service of a resumable stream is drawn by its key, so that all attempts get the same.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,6 +22,7 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
+use crate::streams;
 use crate::work;
 
 /// Retry delay for callers of an entry without a configuration: about the time to read one.
@@ -167,7 +168,16 @@
             return Err(refusal.with_retry_after(LEAVING_RETRY));
         }
         let account = authenticate(&catalog, route, arrival)?;
-        let service = self.choose_service(route);
+        let continuation = arrival.continuation.as_ref();
+        let named_as = continuation.and_then(|stream| stream.began_as.as_ref());
+        let account_name = account.map_or(PUBLIC_ACCOUNT, |account| account.name.as_str());
+        let stream = streams::Key::new(account_name, named_as.unwrap_or(&arrival.id));
+        // A caller that returns must get the service that began its stream.
+        let drawn = match route.repeat.is_resumable() {
+            true => stream.fraction(),
+            false => self.random.random(),
+        };
+        let service = choose_service(route, drawn);
         let (pool, canary) = self.select_pool(now, &service, &route.name);
         catalog.service(&service).ok_or_else(not_configured)?;
         let mut job = self.build_job(serial, route, account, &pool, arrival)?;
@@ -181,8 +191,6 @@
         let engine = catalog
             .service(&service)
             .and_then(|service| service.engine.as_ref());
-        let continuation = arrival.continuation.as_ref();
-        let named_as = continuation.and_then(|stream| stream.began_as.as_ref());
         let arrived_at = time_before(now, arrival.read_time);
         let deadline = arrived_at + route.timeout.min(arrival.deadline.unwrap_or(route.timeout));
         Ok(Request {
@@ -208,7 +216,7 @@
             failure_status: None,
             sent_at: None,
             first_response_at: None,
-            stream: rendezvous::identity(named_as.unwrap_or(&arrival.id)),
+            stream,
             version: None,
             has_record: false,
             recorded: None,
@@ -217,20 +225,6 @@
         })
     }
 
-    /// Draws one of the route's services by weight.
-    fn choose_service(&mut self, route: &Route) -> SmolStr {
-        let total: f64 = route.shares.iter().map(|share| share.weight).sum();
-        let mut drawn = self.random.random::<f64>() * total;
-        for share in &route.shares {
-            drawn -= share.weight;
-            if drawn < 0.0 {
-                return share.service.clone();
-            }
-        }
-        let last = route.shares.last();
-        last.map(|share| share.service.clone()).unwrap_or_default()
-    }
-
     /// Builds the scheduler's view of a request.
     fn build_job(
         &self,
@@ -276,6 +270,20 @@
     }
 }
 
+/// Returns one of the route's services by weight, for a number drawn from 0 to 1.
+fn choose_service(route: &Route, drawn: f64) -> SmolStr {
+    let total: f64 = route.shares.iter().map(|share| share.weight).sum();
+    let mut drawn = drawn * total;
+    for share in &route.shares {
+        drawn -= share.weight;
+        if drawn < 0.0 {
+            return share.service.clone();
+        }
+    }
+    let last = route.shares.last();
+    last.map(|share| share.service.clone()).unwrap_or_default()
+}
+
 /// Logs which stream a caller takes up again.
 fn log_continuation(arrival: &Arrival, effects: &mut Vec<Effect>) {
     let Some(continuation) = &arrival.continuation else {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -10,6 +10,7 @@
 use crate::arrival::Prompt;
 use crate::catalog::Repeat;
 use crate::charging::Grant;
+use crate::streams;
 
 /// A request between its arrival and its final answer.
 #[derive(Clone, Debug)]
@@ -58,8 +59,8 @@
     pub sent_at: Option<Time>,
     /// When its answer began.
     pub first_response_at: Option<Time>,
-    /// Hash of the id by which its caller names its stream.
-    pub stream: u64,
+    /// Its stream, as its caller names it.
+    pub stream: streams::Key,
     /// The software version that began its stream, once that is known.
     pub version: Option<SmolStr>,
     /// Whether a version was sent to be recorded for its stream.
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -77,11 +77,11 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        let service = open.service.clone();
+        let (service, stream) = (open.service.clone(), open.stream);
         let Outcome::Rows { rows, .. } = outcome else {
             return self.resume_at_only(now, serial, effects);
         };
-        if let Some(version) = streams::recorded_version(rows) {
+        if let Some(version) = streams::recorded_version(stream, rows) {
             return self.resume_at(now, serial, &version, Source::Record, effects);
         }
         match self.versions.default_of(now, &service) {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -13,6 +13,7 @@
 
 use clock::Span;
 use clock::Time;
+use policy::rendezvous;
 use serde_json::Value;
 use serde_json::json;
 use smol_str::SmolStr;
@@ -50,12 +51,46 @@
 /// Number in the key of the record of a stream that has begun, which follows those of all attempts.
 const BEGUN: u32 = 9_999;
 
+/// Identifies a stream among those of all accounts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Key {
+    /// Hash of the id by which its caller names it.
+    id: u64,
+    /// Hash of the account's name; callers of others may choose the same id.
+    account: u64,
+}
+
+impl Key {
+    /// Returns the key of the stream that a caller of an account names so.
+    pub fn new(account: &str, id: &str) -> Key {
+        Key {
+            id: rendezvous::identity(id),
+            account: rendezvous::identity(account),
+        }
+    }
+
+    /// Returns a fraction that is the same in every process.
+    pub fn fraction(self) -> f64 {
+        rendezvous::weight(self.account, self.id) as f64 / u64::MAX as f64
+    }
+
+    /// Returns the number of its table.
+    fn table(self) -> u64 {
+        self.id % TABLES
+    }
+
+    /// Returns the start of the keys of its records.
+    fn prefix(self) -> SmolStr {
+        format_smolstr!("{:016x}/", self.id)
+    }
+}
+
 /// Streams that began at this entry, and the records to write.
 #[derive(Debug, Default)]
 pub(crate) struct Streams {
-    begun: BTreeMap<u64, Begun>,
+    begun: BTreeMap<Key, Begun>,
     /// Ends of `begun`. Invariant: holds exactly its entries.
-    expiry: BTreeSet<(Time, u64)>,
+    expiry: BTreeSet<(Time, Key)>,
     tables: BTreeMap<u64, Records>,
     /// When a record last couldn't be written, unless one was written since.
     refused_at: Option<Time>,
@@ -89,8 +124,8 @@
     pub serial: Option<u64>,
     /// Number of the attempt.
     pub attempt: u32,
-    /// Hash of the stream's id.
-    pub stream: u64,
+    /// The stream.
+    pub stream: Key,
     /// Version of the attempt's replica.
     pub version: SmolStr,
     /// Time from which no caller takes the stream up again.
@@ -100,13 +135,14 @@
 impl Record {
     /// Returns the key; later attempts follow earlier ones, which a late write must not override.
     fn key(&self) -> SmolStr {
-        format_smolstr!("{}{:04}", key_prefix(self.stream), self.attempt)
+        let (prefix, account) = (self.stream.prefix(), self.stream.account);
+        format_smolstr!("{prefix}{:04}/{account:016x}", self.attempt)
     }
 }
 
 impl Streams {
     /// Remembers which version of a service began a stream.
-    pub fn remember(&mut self, stream: u64, service: SmolStr, version: SmolStr, until: Time) {
+    pub fn remember(&mut self, stream: Key, service: SmolStr, version: SmolStr, until: Time) {
         let begun = Begun {
             service,
             version,
@@ -119,18 +155,18 @@
     }
 
     /// Returns the version that began a stream here.
-    pub fn version_of(&self, stream: u64) -> Option<&SmolStr> {
+    pub fn version_of(&self, stream: Key) -> Option<&SmolStr> {
         self.begun.get(&stream).map(|begun| &begun.version)
     }
 
     /// Queues a record.
     pub fn record(&mut self, record: Record) {
-        let table = self.tables.entry(record.stream % TABLES).or_default();
+        let table = self.tables.entry(record.stream.table()).or_default();
         table.waiting.push_back(record);
     }
 
     /// Queues a record of a stream that began here.
-    pub fn record_begun(&mut self, stream: u64) {
+    pub fn record_begun(&mut self, stream: Key) {
         let Some(begun) = self.begun.get(&stream) else {
             return;
         };
@@ -149,7 +185,7 @@
             .begun
             .iter()
             .filter(|(_, begun)| begun.service == service);
-        let streams: Vec<u64> = of_service.map(|(stream, _)| *stream).collect();
+        let streams: Vec<Key> = of_service.map(|(stream, _)| *stream).collect();
         for stream in &streams {
             self.record_begun(*stream);
         }
@@ -182,18 +218,22 @@
 }
 
 /// Returns the call that reads the records of a stream.
-pub(crate) fn lookup(stream: u64) -> Call {
+pub(crate) fn lookup(stream: Key) -> Call {
     Call::Scan {
-        table: table_name(stream % TABLES),
-        prefix: key_prefix(stream),
+        table: table_name(stream.table()),
+        prefix: stream.prefix(),
         after: SmolStr::default(),
         limit: MAX_RECORDS,
     }
 }
 
 /// Returns the version in the record of a stream's last attempt.
-pub(crate) fn recorded_version(rows: &[Row]) -> Option<SmolStr> {
-    let version = rows.last()?.value.get("version")?;
+pub(crate) fn recorded_version(stream: Key, rows: &[Row]) -> Option<SmolStr> {
+    let is_of_account = |row: &&Row| {
+        let account = row.value.get("account").and_then(Value::as_u64);
+        account.is_none_or(|account| account == stream.account)
+    };
+    let version = rows.iter().rfind(is_of_account)?.value.get("version")?;
     version.as_str().map(SmolStr::new)
 }
 
@@ -210,7 +250,11 @@
             records.in_flight = records.waiting.drain(..count).collect();
             let unix_ms = |at: Time| self.usage.unix_ms(at);
             let rows = records.in_flight.iter().map(|record| {
-                let value = json!({"version": record.version, "until_ms": unix_ms(record.until)});
+                let value = json!({
+                    "version": record.version,
+                    "account": record.stream.account,
+                    "until_ms": unix_ms(record.until),
+                });
                 (record.key(), value)
             });
             calls.push((*table, transaction(*table, rows)));
@@ -332,10 +376,6 @@
     }
 }
 
-fn key_prefix(stream: u64) -> SmolStr {
-    format_smolstr!("{stream:016x}/")
-}
-
 fn table_name(table: u64) -> SmolStr {
     format_smolstr!("{TABLE_PREFIX}{table:x}")
 }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -5,8 +5,15 @@
 mod support;
 
 use clock::Span;
+use gateway::arrival::Arrival;
+use gateway::arrival::Continuation;
+use gateway::arrival::Prompt;
 use gateway::attempt::End;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use support::KEY;
+use support::OTHER_KEY;
+use support::OTHER_SERVICE;
 use support::World;
 
 /// Time in which entries learn of each other and of the default version.
@@ -258,3 +265,72 @@
     world.end_attempt(&third[2], End::Broken { alive: true });
     assert_eq!(attempts(&world).len(), 3);
 }
+
+/// Returns a caller's request for a stream.
+fn request(id: &SmolStr, key: &'static str, path: &'static str) -> Arrival {
+    Arrival {
+        id: id.clone(),
+        host: SmolStr::new_static("models.test"),
+        path: SmolStr::new_static(path),
+        key: Some(SmolStr::new_static(key)),
+        prompt: Some(Prompt {
+            tokens: 100,
+            max_new_tokens: 100,
+            ..Prompt::default()
+        }),
+        ..Arrival::default()
+    }
+}
+
+fn continuation(began_as: &SmolStr) -> Option<Continuation> {
+    Some(Continuation {
+        last_event: SmolStr::new_static("1"),
+        began_as: Some(began_as.clone()),
+    })
+}
+
+/// Guards against a stream resumed at the version of another account's stream, whose caller chose the same id.
+#[test]
+fn streams_of_two_accounts_with_one_id_keep_their_versions() {
+    let mut world = world(2, true);
+    for number in 0..STREAMS {
+        let id = format_smolstr!("same-{number}");
+        let accounts = [KEY, OTHER_KEY];
+        let began = accounts.map(|key| world.converse_as(0, &request(&id, key, "/chats/1"), None));
+        let began = began.map(|serial| world.version_of(serial));
+        world.run(20);
+        for entry in 0..2 {
+            let again = format_smolstr!("again-{number}-{entry}");
+            let resumed = accounts.map(|key| {
+                let caller = request(&again, key, "/chats/1");
+                let serial = world.converse_as(entry, &caller, continuation(&id));
+                world.version_of(serial)
+            });
+            assert_eq!(resumed, began, "stream {number}, entry {entry}");
+        }
+    }
+}
+
+/// Guards against a stream that goes on at another service of its route than the one that began it.
+#[test]
+fn a_stream_goes_on_at_the_service_that_began_it() {
+    let mut world = world(2, false);
+    for _ in 0..3 {
+        world.add_server();
+        world.servers.last_mut().unwrap().service = OTHER_SERVICE.into();
+    }
+    world.publish_servers();
+    world.run(JOIN_MILLIS);
+    let mut services = std::collections::BTreeSet::new();
+    for number in 0..STREAMS {
+        let id = format_smolstr!("shared-{number}");
+        let serial = world.converse_as(0, &request(&id, KEY, "/shared/1"), None);
+        let began = world.service_of(serial);
+        services.extend(began.clone());
+        world.run(10);
+        let again = request(&format_smolstr!("again-{number}"), KEY, "/shared/1");
+        let serial = world.converse_as(1, &again, continuation(&id));
+        assert_eq!(world.service_of(serial), began, "stream {number}");
+    }
+    assert_eq!(services.len(), 2);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -56,6 +56,10 @@
 pub const ACCOUNT: &str = "amber";
 pub const SERVICE: &str = "drafts";
 pub const KEY: &str = "amber-key";
+/// Key of another account, with the same rights.
+pub const OTHER_KEY: &str = "birch-key";
+/// A service that shares a route with [`SERVICE`], and has no servers at the start.
+pub const OTHER_SERVICE: &str = "sketches";
 const STEP_MS: u64 = 10;
 /// Time between two checks of who holds the duties, milliseconds.
 const HOLDER_CHECK_MS: u64 = 50;
@@ -585,6 +589,35 @@
         self.version_of(serial)
     }
 
+    /// Starts a stream, or takes one up, with the id, key and path that its caller names, and delivers the first event
+    /// unless that must wait; returns its serial number.
+    pub fn converse_as(
+        &mut self,
+        entry: usize,
+        caller: &Arrival,
+        continuation: Option<Continuation>,
+    ) -> u64 {
+        self.next_serial += 1;
+        let serial = self.next_serial;
+        let arrival = Box::new(Arrival {
+            continuation,
+            ..caller.clone()
+        });
+        self.step(entry, Event::Arrived { serial, arrival });
+        if !self.awaiting_record.contains(&serial) {
+            self.report(entry, serial, Report::ResponseStarted);
+        }
+        serial
+    }
+
+    /// Returns the service of the server that a request was last sent to.
+    pub fn service_of(&self, serial: u64) -> Option<SmolStr> {
+        let incarnation = self.servers_by_request.get(&serial)?;
+        let mut servers = self.servers.iter();
+        let server = servers.find(|one| one.incarnation == *incarnation)?;
+        Some(server.service.clone())
+    }
+
     fn converse(&mut self, entry: usize, continuation: Option<Continuation>) -> u64 {
         let prompt = Some(Prompt {
             tokens: 100,
@@ -1025,14 +1058,37 @@
         plain_cost: 1,
         in_tokens: false,
     };
+    let shared = Route {
+        name: SmolStr::new_static("shared"),
+        prefix: SmolStr::new_static("/shared/"),
+        shares: [SERVICE, OTHER_SERVICE].map(half_share).to_vec(),
+        ..chats.clone()
+    };
+    let other_service = Service {
+        name: SmolStr::new_static(OTHER_SERVICE),
+        scaling: None,
+        ..service.clone()
+    };
+    let other_account = Account {
+        name: SmolStr::new_static("birch"),
+        keys: vec![SmolStr::new_static(OTHER_KEY)],
+        ..account.clone()
+    };
     let (routes, services, accounts) = (
-        vec![route, talks, chats, open],
-        vec![service],
-        vec![account],
+        vec![route, talks, chats, open, shared],
+        vec![service, other_service],
+        vec![account, other_account],
     );
     Catalog::new(version, routes, services, accounts, Limits::default())
 }
 
+fn half_share(service: &'static str) -> Share {
+    Share {
+        service: SmolStr::new_static(service),
+        weight: 0.5,
+    }
+}
+
 /// Returns zone, market and count of an order for replicas.
 pub fn order(duty_call: &DutyCall) -> Option<(SmolStr, Market, u32)> {
     match &duty_call.call {
