--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -38,6 +38,8 @@
 const MAX_ROWS: usize = 100;
 /// Pause after a write that failed.
 const RETRY_DELAY: Span = Span::from_millis(500);
+/// Writes in a row that must fail before further ones are taken to fail as well; a single one may be a lost answer.
+const MIN_FAILURES: u32 = 2;
 /// Time after a write that failed in which further ones are taken to fail as well.
 const REFUSAL_MEMORY: Span = Span::from_seconds(2);
 /// Interval at which records of streams to which nobody returns any more are removed.
@@ -92,8 +94,10 @@
     /// Ends of `begun`. Invariant: holds exactly its entries.
     expiry: BTreeSet<(Time, Key)>,
     tables: BTreeMap<u64, Records>,
-    /// When a record last couldn't be written, unless one was written since.
-    refused_at: Option<Time>,
+    /// Writes that failed since the last one that didn't.
+    failures: u32,
+    /// When a write last failed.
+    failed_at: Time,
     next_removal: Time,
     next_sweep: Time,
     swept: u64,
@@ -192,10 +196,10 @@
         streams.len()
     }
 
-    /// Returns whether the table service has just written no records.
+    /// Returns whether the table service writes no records at present.
     pub fn are_refused(&self, now: Time) -> bool {
-        self.refused_at
-            .is_some_and(|refused_at| now.since(refused_at) < REFUSAL_MEMORY)
+        let is_recent = now.since(self.failed_at) < REFUSAL_MEMORY;
+        self.failures >= MIN_FAILURES && is_recent
     }
 
     /// Returns when records are written again after a failure.
@@ -278,14 +282,15 @@
         let in_flight = std::mem::take(&mut records.in_flight);
         if !matches!(outcome, Outcome::Committed(_)) {
             records.retry_at = now + RETRY_DELAY;
-            self.streams.refused_at = Some(now);
+            self.streams.failures += 1;
+            self.streams.failed_at = now;
             let returnable = in_flight.into_iter().filter(|record| record.until > now);
             for record in returnable.rev() {
                 records.waiting.push_front(record);
             }
             return;
         }
-        self.streams.refused_at = None;
+        self.streams.failures = 0;
         for record in in_flight {
             records.written.insert((record.until, record.key()));
             let Some(serial) = record.serial else {
