Await slow answers through an entry that still opens connections

The change that avoids silent entries gave up an answer after its silence timeout although its server was active on other ways, if nothing else came through the entry between, as at a quiet entry that is cut off. Such an entry is now asked for a new connection, and the answer is awaited if it opens one; a request whose server is silent everywhere tries elsewhere at once, as before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -391,7 +391,7 @@
 ///
 /// A replica that answers others is merely busy. Retrying elsewhere would prefill the prompt again and
 /// amplify an overload. Traffic on other connections says nothing about a plain call, which has a timeout of
-/// its own, nor about a way through another entry, `proxy`, that is silent itself. A direct connection that is silent
+/// its own, nor about a silent way through another entry, `proxy`. A direct connection that is silent
 /// while this entry is isolated is given up at once.
 async fn with_silence_timeout<T>(
     shared: &Rc<Shared>,
@@ -419,13 +419,15 @@
         let Some(limit) = start.silence_timeout.filter(|limit| waited >= *limit) else {
             continue;
         };
-        let is_way_active = proxy.is_none_or(|proxy| reach::was_proxy_active(shared, proxy, limit));
-        let is_active = is_way_active && shared.pool.was_active(&start.endpoint, limit);
-        if !start.stream || !is_active {
-            if let Some(proxy) = proxy {
-                reach::record_silence(shared, proxy, limit);
+        let is_active = start.stream && shared.pool.was_active(&start.endpoint, limit);
+        tokio::select! {
+            biased;
+            value = pending.as_mut() => return Ok(value),
+            is_sound = reach::check_way(shared, &start.endpoint, proxy, limit, is_active) => {
+                if !is_active || !is_sound {
+                    return Err(End::TimedOut { waited: limit });
+                }
             }
-            return Err(End::TimedOut { waited: limit });
         }
         waited = Span::ZERO;
     }
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -345,18 +345,35 @@
     shared.reach.detector.borrow_mut().record_sign(now);
 }
 
-/// Returns whether bytes came through the entry `proxy`, from any server, within this time.
-pub fn was_proxy_active(shared: &Shared, proxy: &SmolStr, within: Span) -> bool {
-    let proxies = shared.reach.proxies.borrow();
-    proxies.was_active(shared.clock.now(), proxy, within)
+/// Judges the way on which a request met `waited` of silence; returns whether it is sound.
+///
+/// A direct way is. One through an entry is if other bytes came through it meanwhile or, while the server is active on other
+/// ways, if the entry opens a new connection to it. Otherwise the entry is avoided, and connections kept through it are
+/// closed.
+pub async fn check_way(
+    shared: &Rc<Shared>,
+    endpoint: &Endpoint,
+    proxy: Option<&SmolStr>,
+    waited: Span,
+    is_server_active: bool,
+) -> bool {
+    let Some(proxy) = proxy else {
+        return true;
+    };
+    let now = shared.clock.now();
+    if shared.reach.proxies.borrow().was_active(now, proxy, waited) {
+        return true;
+    }
+    if is_server_active && let Some(connection) = ask_proxy(shared, proxy, endpoint).await {
+        keep(shared, endpoint, connection).await;
+        return true;
+    }
+    record_silence(shared, proxy, waited);
+    false
 }
 
-/// Records that a request met `waited` of silence through the entry `proxy`. Unless other servers sent bytes through it
-/// meanwhile, it is avoided, and connections kept through it are closed.
-pub fn record_silence(shared: &Shared, proxy: &SmolStr, waited: Span) {
-    if was_proxy_active(shared, proxy, waited) {
-        return;
-    }
+/// Avoids an entry that was silent, and closes connections kept through it.
+fn record_silence(shared: &Shared, proxy: &SmolStr, waited: Span) {
     let waited_ms = waited.as_millis();
     log::info!(event = "proxy_silent", peer = proxy.as_str(), waited_ms = waited_ms; "");
     let mut proxies = shared.reach.proxies.borrow_mut();
