--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -43,6 +43,17 @@
     assert!(homes <= 2, "{homes} entries decided");
 }
 
+/// Guards against more than one burst for an account where another one is configured too.
+#[test]
+fn a_flood_beside_another_account_gets_one_burst() {
+    let mut world = World::extended(ENTRIES);
+    world.run(15_000);
+    let served = flood(&mut world, 1_000, 5);
+    let allowed = BURST + 2 * RATE;
+    assert!(served <= allowed, "{served} of {allowed}");
+    assert!(served >= BURST * 9 / 10, "{served} of {allowed}");
+}
+
 /// The entry that decides on an account stops answering. A pending request is admitted after a timeout, and
 /// later ones skip that entry.
 #[test]
