--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -262,8 +262,8 @@
         self.call_store(waiter, Call::Transact(transaction));
     }
 
-    /// Takes over the default that the table service holds. If its streams were told by a record before, all streams
-    /// that began here are recorded.
+    /// Takes over the default that the table service holds. If it is a new one, all streams that began here are
+    /// recorded.
     fn set_default(
         &mut self,
         now: Time,
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -98,7 +98,7 @@
         self.counts.len() > 1
     }
 
-    /// Requires that the default is read at a time; until then its streams aren't told by the absence of a record.
+    /// Requires that the default is read again at a time; until then the absence of a record proves nothing.
     pub fn read_again(&mut self, at: Time) {
         self.reread_at = Some(at);
     }
