--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -6,10 +6,9 @@
 mod support;
 
 use smol_str::SmolStr;
+use support::JOIN_MILLIS;
 use support::World;
 
-/// Time in which entries learn of each other, of a restore and of the default version.
-const JOIN_MILLIS: u64 = 3_000;
 /// Time after which a default version without replicas is replaced, with a margin.
 const REPLACED_MILLIS: u64 = 64_000;
 /// Time after which a restore or a new default version no longer matters.
@@ -24,32 +23,6 @@
     world.publish_servers();
 }
 
-/// Starts entries before servers of v1, joined later by as many of v2.
-fn world(entries: usize) -> World {
-    let mut world = World::new(entries);
-    set_versions(&mut world, &[]);
-    world.run(JOIN_MILLIS);
-    for _ in 0..world.servers.len() {
-        world.add_server();
-        world.servers.last_mut().unwrap().version = "v2".into();
-    }
-    world.publish_servers();
-    world.run(JOIN_MILLIS);
-    world
-}
-
-/// Begins streams until one began at `version`.
-fn begin_at(world: &mut World, entry: usize, version: &str) -> u64 {
-    for _ in 0..STREAMS {
-        let (serial, began) = world.begin_stream(entry);
-        if began.as_deref() == Some(version) {
-            return serial;
-        }
-        world.run(10);
-    }
-    panic!("no stream of {version}");
-}
-
 /// Begins streams at one entry and takes each up at another; returns how many went on, and how many of these at another
 /// version than their own.
 fn resume_elsewhere(world: &mut World, from: usize, to: usize) -> (usize, usize) {
@@ -67,9 +40,9 @@
 /// Guards against taking a stream for one of the default version because a restore lost its record.
 #[test]
 fn a_stream_whose_record_a_restore_lost_keeps_its_version() {
-    let mut world = world(2);
+    let mut world = World::new(2).released(true);
     let copy = world.table.clone();
-    let serial = begin_at(&mut world, 0, "v2");
+    let serial = world.begin_stream_at(0, "v2");
     assert!(world.stream_records() > 0);
     world.table.restore(&copy);
     assert_ne!(world.resume_stream(1, serial).as_deref(), Some("v1"));
@@ -80,9 +53,9 @@
 /// Guards against the same once the only entry that knew the stream's version is gone.
 #[test]
 fn a_stream_that_nobody_knows_after_a_restore_is_refused() {
-    let mut world = world(3);
+    let mut world = World::new(3).released(true);
     let copy = world.table.clone();
-    let serial = begin_at(&mut world, 0, "v2");
+    let serial = world.begin_stream_at(0, "v2");
     world.kill(0);
     world.table.restore(&copy);
     for entry in [1, 2] {
@@ -99,9 +72,9 @@
 /// Guards against refusing, after a restore, streams of the default version that living entries know.
 #[test]
 fn streams_of_the_default_version_go_on_after_a_restore() {
-    let mut world = world(3);
+    let mut world = World::new(3).released(true);
     let copy = world.table.clone();
-    let serial = begin_at(&mut world, 0, "v1");
+    let serial = world.begin_stream_at(0, "v1");
     world.table.restore(&copy);
     world.run(JOIN_MILLIS);
     assert_eq!(world.resume_stream(1, serial).as_deref(), Some("v1"));
@@ -141,7 +114,7 @@
 #[test]
 fn an_entry_that_missed_the_replacement_of_the_default_version_learns_of_it() {
     for follows_list in [true, false] {
-        let mut world = world(2);
+        let mut world = World::new(2).released(true);
         let both = world.servers.clone();
         world.store_partitioned.insert(0);
         world.servers.retain(|server| server.version == "v2");
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -11,13 +11,12 @@
 use gateway::attempt::End;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use support::JOIN_MILLIS;
 use support::KEY;
 use support::OTHER_KEY;
 use support::OTHER_SERVICE;
 use support::World;
 
-/// Time in which entries learn of each other and of the default version.
-const JOIN_MILLIS: u64 = 3_000;
 /// Time in which entries notice that the table service doesn't answer.
 const OUTAGE_MILLIS: u64 = 12_000;
 /// Time after which no caller returns to a stream, and a default version without replicas is replaced.
@@ -27,37 +26,7 @@
 
 /// Starts entries before servers of v1 and, if `mixed`, as many of v2.
 fn world(entries: usize, mixed: bool) -> World {
-    released(World::new(entries), mixed)
-}
-
-/// Lets all servers run v1 and, if `mixed`, adds as many of v2.
-fn released(mut world: World, mixed: bool) -> World {
-    for server in &mut world.servers {
-        server.version = "v1".into();
-    }
-    world.publish_servers();
-    world.run(JOIN_MILLIS);
-    if mixed {
-        for _ in 0..world.servers.len() {
-            world.add_server();
-            world.servers.last_mut().unwrap().version = "v2".into();
-        }
-        world.publish_servers();
-        world.run(JOIN_MILLIS);
-    }
-    world
-}
-
-/// Begins a stream at v2.
-fn begin_at_new_version(world: &mut World, entry: usize) -> u64 {
-    for _ in 0..STREAMS {
-        let (serial, version) = world.begin_stream(entry);
-        if version.as_deref() == Some("v2") {
-            return serial;
-        }
-        world.run(10);
-    }
-    panic!("no stream of v2");
+    World::new(entries).released(mixed)
 }
 
 /// Guards against calls of the table service for each stream where a single version serves.
@@ -103,7 +72,7 @@
 fn the_first_event_waits_for_the_record() {
     let mut world = world(1, true);
     world.failing_table = Some("streams-");
-    let serial = begin_at_new_version(&mut world, 0);
+    let serial = world.begin_stream_at(0, "v2");
     world.run(500);
     assert!(world.awaiting_record.contains(&serial));
     world.failing_table = None;
@@ -132,7 +101,7 @@
 #[test]
 fn a_stream_of_unknown_version_is_refused() {
     let mut world = world(2, true);
-    let serial = begin_at_new_version(&mut world, 0);
+    let serial = world.begin_stream_at(0, "v2");
     world.store_unresponsive = true;
     world.run(OUTAGE_MILLIS);
     world.start(1);
@@ -172,7 +141,7 @@
 #[test]
 fn records_are_removed_once_nobody_returns() {
     let mut world = world(2, true);
-    begin_at_new_version(&mut world, 0);
+    world.begin_stream_at(0, "v2");
     assert!(world.stream_records() > 0);
     world.run(30_000);
     assert_eq!(world.stream_records(), 0);
@@ -182,7 +151,7 @@
 #[test]
 fn records_of_killed_entries_are_swept() {
     let mut world = world(2, true);
-    begin_at_new_version(&mut world, 0);
+    world.begin_stream_at(0, "v2");
     world.kill(0);
     world.run(700_000);
     assert_eq!(world.stream_records(), 0);
@@ -229,7 +198,7 @@
 fn streams_begin_at_the_default_version_once_records_are_refused() {
     let mut world = world(2, true);
     world.failing_table = Some("streams-");
-    let first = begin_at_new_version(&mut world, 0);
+    let first = world.begin_stream_at(0, "v2");
     world.run(600);
     assert!(world.awaiting_record.contains(&first));
     for _ in 0..STREAMS {
@@ -239,7 +208,7 @@
     }
     world.failing_table = None;
     world.run(1_000);
-    begin_at_new_version(&mut world, 0);
+    world.begin_stream_at(0, "v2");
 }
 
 /// Guards against refusing a stream although a sound server answered it, whose answer was withheld for want of a record.
@@ -247,7 +216,7 @@
 fn a_stream_returns_to_the_server_whose_answer_was_withheld() {
     let mut world = world(1, true);
     world.failing_table = Some("streams-");
-    let serial = begin_at_new_version(&mut world, 0);
+    let serial = world.begin_stream_at(0, "v2");
     let withheld = world.servers_by_request[&serial].clone();
     world.run(1_500);
     let attempts = |world: &World| -> Vec<_> {
@@ -296,7 +265,7 @@
 /// Guards against a stream resumed at the version of another account's stream, whose caller chose the same id.
 #[test]
 fn streams_of_two_accounts_with_one_id_keep_their_versions() {
-    let mut world = released(World::extended(2), true);
+    let mut world = World::extended(2).released(true);
     for number in 0..STREAMS {
         let id = format_smolstr!("same-{number}");
         let accounts = [KEY, OTHER_KEY];
@@ -318,7 +287,7 @@
 /// Guards against a stream that goes on at another service of its route than the one that began it.
 #[test]
 fn a_stream_goes_on_at_the_service_that_began_it() {
-    let mut world = released(World::extended(2), false);
+    let mut world = World::extended(2).released(false);
     for _ in 0..3 {
         world.add_server();
         world.servers.last_mut().unwrap().service = OTHER_SERVICE.into();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -61,6 +61,10 @@
 /// A service that shares a route with [`SERVICE`], and has no servers at the start.
 pub const OTHER_SERVICE: &str = "sketches";
 const STEP_MS: u64 = 10;
+/// Time in which entries learn of each other, of a restore and of the default version.
+pub const JOIN_MILLIS: u64 = 3_000;
+/// Streams among which one of each version is expected; prompts spread them over all servers.
+const MAX_STREAMS: usize = 40;
 /// Time between two checks of who holds the duties, milliseconds.
 const HOLDER_CHECK_MS: u64 = 50;
 const ZONES: [&str; 3] = ["north", "south", "west"];
@@ -585,6 +589,36 @@
         (serial, self.version_of(serial))
     }
 
+    /// Lets all servers run v1 and, if `mixed`, adds as many of v2.
+    pub fn released(mut self, mixed: bool) -> World {
+        for server in &mut self.servers {
+            server.version = "v1".into();
+        }
+        self.publish_servers();
+        self.run(JOIN_MILLIS);
+        if mixed {
+            for _ in 0..self.servers.len() {
+                self.add_server();
+                self.servers.last_mut().expect("a server").version = "v2".into();
+            }
+            self.publish_servers();
+            self.run(JOIN_MILLIS);
+        }
+        self
+    }
+
+    /// Begins streams until one began at `version`; returns its serial number.
+    pub fn begin_stream_at(&mut self, entry: usize, version: &str) -> u64 {
+        for _ in 0..MAX_STREAMS {
+            let (serial, began) = self.begin_stream(entry);
+            if began.as_deref() == Some(version) {
+                return serial;
+            }
+            self.run(10);
+        }
+        panic!("no stream of {version}");
+    }
+
     /// Takes up the stream that a request began; returns the version at which it goes on, if any.
     pub fn resume_stream(&mut self, entry: usize, began: u64) -> Option<SmolStr> {
         let continuation = Continuation {
