Log what a broken attempt had in common with others

The logs could not tell whether requests under which servers ended share a part of their prompts, nor whether their answers had begun. attempt_ended end=broken now has the route, the shared parts of the prompt and the age of the attempt's answer. No decision changes.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -1,5 +1,7 @@
 //! A request as it arrives, independent of its wire format.
 
+use std::rc::Rc;
+
 use clock::Span;
 use smol_str::SmolStr;
 
@@ -58,6 +60,15 @@
 }
 
 impl Prompt {
+    /// Returns the identifiers of the parts that aren't the request's own, in order.
+    pub fn shared_parts(&self) -> Rc<[u64]> {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_own, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
     /// Returns the identifier of the longest prefix that isn't the request's own.
     ///
     /// Requests that share it profit from each other's cached memory.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -10,6 +10,7 @@
 use crate::attempt::Report;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::request::Request;
 
 impl Gateway {
     /// Handles a report that an attempt made progress or ended.
@@ -32,6 +33,7 @@
             Report::ResponseStarted => {
                 let first_attempt = open.attempt == 1 && open.first_response_at.is_none();
                 open.first_response_at.get_or_insert(now);
+                open.attempt_began_at = Some(now);
                 let (prompt_tokens, service) = (open.unshared_tokens, open.service.clone());
                 let elapsed = open.sent_at.map(|started| now.since(started));
                 self.begin_stream(now, serial);
@@ -85,6 +87,10 @@
             .with("attempt", open.attempt)
             .with("replica", server.unwrap_or_default())
             .with("age_ms", now.since(open.arrived_at).as_millis());
+        let line = match end {
+            End::Broken { .. } => with_blame(line, now, open),
+            _ => line,
+        };
         effects.push(Effect::Log(line));
         if !matches!(end, End::NotSent | End::NotStarted) {
             self.record_start(now, serial);
@@ -161,6 +167,21 @@
     }
 }
 
+/// Adds to a log line what may have made the server crash: the shared parts of the prompt, and whether the answer began.
+fn with_blame(line: Line, now: Time, open: &Request) -> Line {
+    let parts: Vec<String> = open
+        .shared_parts
+        .iter()
+        .map(|part| format!("{part:016x}"))
+        .collect();
+    let began = open
+        .attempt_began_at
+        .map(|began_at| now.since(began_at).as_millis().to_string());
+    line.with("route", &open.route)
+        .with("parts", parts.join(","))
+        .with("began_ms", began.unwrap_or_default())
+}
+
 /// Returns the log line for an attempt's end.
 fn end_line(end: &End) -> Line {
     let info = |event: &'static str| Line::info("attempt_ended").with("end", SmolStr::from(event));
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -93,6 +93,7 @@
         open.attempt += 1;
         open.replica = Some(replica);
         open.sent_at = Some(now);
+        open.attempt_began_at = None;
         open.move_target = None;
         let version = self
             .servers
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,5 +1,7 @@
 //! Validation and admission of arriving requests.
 
+use std::rc::Rc;
+
 use clock::Span;
 use clock::Time;
 use line::Line;
@@ -13,6 +15,7 @@
 use verdict::Refusal;
 
 use crate::arrival::Arrival;
+use crate::arrival::Prompt;
 use crate::catalog::Account;
 use crate::catalog::Catalog;
 use crate::catalog::Repeat;
@@ -216,6 +219,11 @@
             failure_status: None,
             sent_at: None,
             first_response_at: None,
+            attempt_began_at: None,
+            shared_parts: arrival
+                .prompt
+                .as_ref()
+                .map_or_else(Rc::default, Prompt::shared_parts),
             stream,
             version: None,
             has_record: false,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,7 @@
 //! State of an open request.
 
+use std::rc::Rc;
+
 use clock::Span;
 use clock::Time;
 use policy::charge::Charge;
@@ -59,6 +61,10 @@
     pub sent_at: Option<Time>,
     /// When its answer began.
     pub first_response_at: Option<Time>,
+    /// When the answer of the current attempt began.
+    pub attempt_began_at: Option<Time>,
+    /// Parts of its prompt that other requests may share, in order.
+    pub shared_parts: Rc<[u64]>,
     /// Its stream, as its caller names it.
     pub stream: streams::Key,
     /// The software version that began its stream, once that is known.
