--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -100,6 +100,17 @@
     home: holder::Id,
 }
 
+/// What a configuration holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Document {
+    /// One account with a quota, and one service.
+    Usual,
+    /// The same without a quota.
+    Unlimited,
+    /// Another account beside it, and a route to two services.
+    Extended,
+}
+
 /// The process of an entry.
 struct Process {
     gateway: Gateway,
@@ -123,6 +134,8 @@
     pub servers_by_request: BTreeMap<u64, SmolStr>,
     /// Requests sent to servers, in order.
     pub sent_requests: Vec<SentRequest>,
+    /// Attempts that were stopped: serial and attempt numbers.
+    pub stopped: BTreeSet<(u64, u32)>,
     /// Entries named in the last answer to a caller.
     named_entries: Vec<SmolStr>,
     /// Requests whose first events wait until their version is recorded.
@@ -160,8 +173,8 @@
     /// Pending charges by requester number.
     requesters: Vec<Requester>,
     pub version: u64,
-    /// Whether configurations have another account and a route to two services.
-    extended: bool,
+    /// What configurations hold.
+    document: Document,
     /// Closed servers with the entry that closed each.
     pub closed_servers: Vec<(usize, SmolStr)>,
     pub servers: Vec<Server>,
@@ -185,15 +198,20 @@
 
     /// Starts entries with the given settings.
     pub fn with_settings(entries: usize, settings: Settings) -> World {
-        World::start_all(entries, settings, false)
+        World::start_all(entries, settings, Document::Usual)
+    }
+
+    /// Starts entries with default settings, whose only account has no quota.
+    pub fn unlimited(entries: usize) -> World {
+        World::start_all(entries, default_settings(entries), Document::Unlimited)
     }
 
     /// Starts entries with default settings, whose configuration has another account and a route to two services.
     pub fn extended(entries: usize) -> World {
-        World::start_all(entries, default_settings(entries), true)
+        World::start_all(entries, default_settings(entries), Document::Extended)
     }
 
-    fn start_all(entries: usize, settings: Settings, extended: bool) -> World {
+    fn start_all(entries: usize, settings: Settings, document: Document) -> World {
         let mut world = World {
             now: 0,
             table: Table::new(),
@@ -203,6 +221,7 @@
             attempts_started: 0,
             servers_by_request: BTreeMap::new(),
             sent_requests: Vec::new(),
+            stopped: BTreeSet::new(),
             named_entries: Vec::new(),
             awaiting_record: BTreeSet::new(),
             moved_runs: Vec::new(),
@@ -222,7 +241,7 @@
             charges_decided: BTreeMap::new(),
             requesters: Vec::new(),
             version: 3,
-            extended,
+            document,
             closed_servers: Vec::new(),
             servers: initial_servers(),
             list_revision: 1,
@@ -286,7 +305,7 @@
 
     /// Delivers a version of the configuration to an entry.
     pub fn configure(&mut self, entry: usize, version: u64, source: Source) {
-        let catalog = Rc::new(catalog(version, self.extended));
+        let catalog = Rc::new(catalog(version, self.document));
         let document = Bytes::from(version.to_string());
         self.step(
             entry,
@@ -485,12 +504,7 @@
 
     /// Ends an attempt.
     pub fn end_attempt(&mut self, sent: &SentRequest, end: End) {
-        let event = Event::Attempt {
-            serial: sent.serial,
-            attempt: sent.attempt,
-            report: Report::Ended(end),
-        };
-        self.step(sent.entry, event);
+        self.report_on(sent, Report::Ended(end));
     }
 
     /// Delivers a server's notice to an entry, as in an answer.
@@ -708,6 +722,26 @@
         }
     }
 
+    /// Sends a prompt, which stays unanswered; returns its serial number.
+    pub fn ask(&mut self, entry: usize, path: &str, prompt: Prompt) -> u64 {
+        self.arrive(entry, path, Some(prompt))
+    }
+
+    /// Returns the number of entries, running or not.
+    pub fn entry_count(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Delivers a report on an attempt.
+    pub fn report_on(&mut self, sent: &SentRequest, report: Report) {
+        let event = Event::Attempt {
+            serial: sent.serial,
+            attempt: sent.attempt,
+            report,
+        };
+        self.step(sent.entry, event);
+    }
+
     /// Delivers a report on a request's first attempt.
     pub fn report(&mut self, entry: usize, serial: u64, report: Report) {
         let event = Event::Attempt {
@@ -930,7 +964,11 @@
                     Command::Recorded { .. } => {
                         self.awaiting_record.remove(&serial);
                     }
-                    Command::Stop => {}
+                    Command::Stop => {
+                        let of_request = |sent: &&SentRequest| sent.serial == serial;
+                        let last = self.sent_requests.iter().rfind(of_request);
+                        self.stopped.extend(last.map(|sent| (serial, sent.attempt)));
+                    }
                 }
                 None
             }
@@ -1042,8 +1080,8 @@
     all.collect()
 }
 
-/// Returns a configuration; an extended one has another account, and a route to two services.
-fn catalog(version: u64, extended: bool) -> Catalog {
+/// Returns a configuration.
+fn catalog(version: u64, document: Document) -> Catalog {
     let route = Route {
         name: SmolStr::new_static("drafts"),
         host: SmolStr::new_static("models.test"),
@@ -1099,11 +1137,16 @@
             ],
         }),
     };
+    // An account without a rate has no quota.
+    let rate = match document {
+        Document::Unlimited => 0,
+        Document::Usual | Document::Extended => 40,
+    };
     let account = Account {
         name: SmolStr::new_static(ACCOUNT),
         keys: vec![SmolStr::new_static(KEY)],
         priority: 1,
-        rate: 40,
+        rate,
         burst: 400,
         plain_cost: 1,
         in_tokens: false,
@@ -1127,7 +1170,7 @@
     let mut routes = vec![route, talks, chats, open];
     let mut services = vec![service];
     let mut accounts = vec![account];
-    if extended {
+    if document == Document::Extended {
         routes.push(shared);
         services.push(other_service);
         accounts.push(other_account);
