--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -7,6 +7,7 @@
 use policy::job;
 use policy::replica;
 use policy::scheduler::Snapshot;
+use smol_str::format_smolstr;
 use verdict::Refusal;
 use verdict::Verdict;
 
@@ -42,6 +43,20 @@
         }
     }
 
+    /// Logs which parts of prompts are blocked for crashing servers, or no longer are.
+    pub(crate) fn log_part_changes(&mut self, effects: &mut Vec<Effect>) {
+        for change in self.scheduler.take_part_changes() {
+            let line = match change.blocked {
+                true => Line::warn("part_blocked")
+                    .with("crashes", change.crashes)
+                    .with("doubtful", change.doubtful),
+                false => Line::info("part_cleared"),
+            };
+            let part = format_smolstr!("{:016x}", change.part);
+            effects.push(Effect::Log(line.with("part", part)));
+        }
+    }
+
     /// Moves a run off a leaving server.
     ///
     /// This saves answers that can't be restarted: a stream that is unfinished when its server ends is cut.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -393,6 +393,7 @@
         self.streams_tick(now);
         self.timeouts_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
+        self.log_part_changes(effects);
         self.duties_tick(now, effects);
         self.stop_tick(now, effects);
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -84,13 +84,14 @@
         };
         request.grant = grant;
         let (job, service) = (request.job, request.service.clone());
+        let shared_parts = Rc::clone(&request.shared_parts);
         if let Some(prompt) = request.prompt.take() {
             request.work = work::request_work(&prompt);
             let work = self.work.entry(service).or_default();
             work.record_arrived(request.work);
         }
         self.with_scheduler(now, effects, |scheduler, out| {
-            scheduler.offer(now, job, out);
+            scheduler.offer_prompt(now, job, shared_parts, out);
         });
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -205,6 +205,10 @@
         let members = peers.len() + 1;
         let entries = self.entry_count();
         self.scheduler.set_entries(entries);
+        let own = self.identity.incarnation;
+        let all = peers.iter().chain([&own]);
+        self.scheduler
+            .set_members(own.0, all.map(|member| member.0).collect());
         self.quotas
             .set_entries(now, entries.max(self.settings.entries));
         self.throttle.set_members(now, entries as usize);
@@ -274,7 +278,11 @@
     /// Publishes which requests this entry quarantines for crashing backend servers.
     fn publish_quarantine(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let digest = self.scheduler.digest(now);
-        if digest.quarantine.items.is_empty() && digest.quarantine.claims.is_empty() {
+        let quarantine = &digest.quarantine;
+        if quarantine.items.is_empty()
+            && quarantine.claims.is_empty()
+            && quarantine.parts.is_empty()
+        {
             return;
         }
         self.publish(
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -13,6 +13,7 @@
 pub mod limit;
 pub mod mix;
 pub mod pace;
+pub mod parts;
 pub mod placement;
 pub mod quarantine;
 pub mod quota;
--- a/crates/policy/src/configs/quarantine.rs
+++ b/crates/policy/src/configs/quarantine.rs
@@ -2,6 +2,8 @@
 
 use clock::Span;
 
+use crate::configs::parts;
+
 /// When a request counts as a killer, and for how long.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -45,6 +47,8 @@
     pub max_records: usize,
     /// Maximum number of records, and of crashes, in one digest.
     pub max_digest_items: usize,
+    /// Parts that prompts share.
+    pub parts: parts::Config,
 }
 
 impl Default for Config {
@@ -61,6 +65,7 @@
             min_remaining: Span::from_seconds(5),
             max_records: 1_024,
             max_digest_items: 64,
+            parts: parts::Config::default(),
         }
     }
 }
--- a/crates/policy/src/quarantine/digest.rs
+++ b/crates/policy/src/quarantine/digest.rs
@@ -12,6 +12,8 @@
     pub crashes: Vec<Crash>,
     /// Suspects that run alone at the sender.
     pub claims: Vec<Claim>,
+    /// Parts of prompts on which replicas crashed.
+    pub parts: Vec<PartItem>,
 }
 
 impl Digest {
@@ -25,6 +27,12 @@
         for crash in &mut self.crashes {
             crash.age = crash.age + by;
         }
+        for item in &mut self.parts {
+            for (_, age) in &mut item.crashes {
+                *age = *age + by;
+            }
+            item.answered = item.answered.map(|age| age + by);
+        }
         self
     }
 }
@@ -44,6 +52,17 @@
     pub remaining: Span,
 }
 
+/// Evidence on one part of prompts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartItem {
+    /// Hash of the part's name.
+    pub part: u64,
+    /// Identities of the replicas whose crashes count against it, and the times since these.
+    pub crashes: Vec<(u64, Span)>,
+    /// Time since a replica last answered a prompt with it, if one did.
+    pub answered: Option<Span>,
+}
+
 /// A replica that crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -19,14 +19,18 @@
 //! The loss of a zone would make everything that ran there suspect, to run alone just when capacity
 //! is short. It shows as several replicas of one zone lost together, and such crashes are forgiven.
 //! That is safe because nothing is judged before `settle` has passed.
+//!
+//! Parts that several prompts share are judged apart from whole requests, see [`parts`].
 
 mod claims;
 mod crashes;
 mod digest;
+pub mod parts;
 mod record;
 mod records;
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 use clock::Span;
 use clock::Time;
@@ -40,6 +44,8 @@
 pub use self::digest::Crash;
 pub use self::digest::Digest;
 pub use self::digest::Item;
+pub use self::digest::PartItem;
+use self::parts::Parts;
 use self::record::Record;
 use self::records::Records;
 
@@ -69,6 +75,7 @@
     new_suspects: Vec<u64>,
     /// Copies of suspects that were cancelled within `settle`.
     cancelled: VecDeque<Cancelled>,
+    parts: Parts,
 }
 
 /// A suspect's copy that was cancelled on a replica.
@@ -84,6 +91,7 @@
     /// Creates a quarantine without evidence; `seed` differs between entries.
     pub fn new(config: Config, seed: u64) -> Quarantine {
         Quarantine {
+            parts: Parts::new(config.parts),
             config,
             seed,
             records: Records::default(),
@@ -211,7 +219,62 @@
 
     /// Returns whether there is evidence to send to peers immediately, and resets the flag.
     pub fn take_urgent(&mut self) -> bool {
-        std::mem::take(&mut self.urgent)
+        std::mem::take(&mut self.urgent) | self.parts.take_urgent()
+    }
+
+    /// Sets the entries that share the evidence on parts of prompts, by their identities.
+    pub fn set_members(&mut self, own: u64, members: Vec<u64>) {
+        self.parts.set_members(own, members);
+    }
+
+    /// Returns how a prompt with these shared parts may be run.
+    pub fn prompt_standing(&self, now: Time, parts: &[u64]) -> parts::Standing {
+        self.parts.standing(now, parts)
+    }
+
+    /// Returns whether a request with these shared parts is to be refused.
+    pub fn blocks(&self, parts: &[u64], request: u64) -> bool {
+        self.parts.blocks(parts, request)
+    }
+
+    /// Records that a request is tried with a blocked part.
+    pub fn begin_probe(&mut self, now: Time, part: u64, request: u64) {
+        self.parts.begin_probe(now, part, request);
+    }
+
+    /// Records that a request has its final answer.
+    pub fn end_probe(&mut self, request: u64) {
+        self.parts.end_probe(request);
+    }
+
+    /// Records the crash of a replica that was to answer the prompt of a request with these shared parts.
+    pub fn accuse_parts(
+        &mut self,
+        now: Time,
+        replica: u64,
+        zone: u64,
+        request: u64,
+        parts: &[u64],
+    ) {
+        self.add_crash(now, replica, zone);
+        self.forgive_losses(zone);
+        self.parts.accuse(now, replica, request, parts);
+    }
+
+    /// Records that a replica has written an answer to a prompt with these shared parts.
+    pub fn record_answer(&mut self, now: Time, replica: u64, parts: &Rc<[u64]>) {
+        self.parts.record_answer(now, replica, parts);
+    }
+
+    /// Judges the shared parts of prompts by the answers and crashes that are old enough to count.
+    pub fn judge_parts(&mut self, now: Time) {
+        self.parts.confirm_answers(now, &self.crashes);
+        self.parts.poll(now, &self.crashes);
+    }
+
+    /// Returns the changes of what is blocked since the last call.
+    pub fn take_changes(&mut self) -> Vec<parts::Change> {
+        self.parts.take_changes()
     }
 
     /// Returns the fingerprints that became suspect since the last call. Their running copies are
@@ -223,6 +286,7 @@
     /// Returns the digest for peers: the latest changes, and the rest in rotation.
     pub fn digest(&mut self, now: Time) -> Digest {
         self.crashes.drop_old(now, self.config.settle);
+        self.parts.tick(now, &self.crashes);
         let selected = self.records.select_for_digest(now, &self.config);
         Digest {
             items: selected
@@ -231,6 +295,7 @@
                 .collect(),
             crashes: self.crashes.recent(now),
             claims: self.claims.own(),
+            parts: self.parts.digest(now),
         }
     }
 
@@ -260,6 +325,7 @@
         for claim in &digest.claims {
             self.claims.merge(claim, now + self.config.claim_ttl);
         }
+        self.parts.merge(now, &digest.parts, &self.crashes);
     }
 
     /// Drops expired state; call it about once a second.
@@ -345,6 +411,7 @@
     fn add_crash(&mut self, now: Time, replica: u64, zone: u64) {
         let config = &self.config;
         self.claims.drop_replica(replica);
+        self.parts.forget_answers(replica);
         self.crashes
             .record(now, replica, zone, config.settle, config.max_digest_items);
         self.drop_old_cancelled(now);
--- /dev/null
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -0,0 +1,210 @@
+//! Crashes and answers, seen here or by other entries.
+
+use std::cmp::Reverse;
+
+use super::ANNOUNCEMENT;
+use super::Answer;
+use super::Crashes;
+use super::PartItem;
+use super::Parts;
+use super::Rc;
+use super::Span;
+use super::Time;
+use super::record::Crash;
+use super::record::Record;
+
+/// Maximum number of answers that await confirmation.
+const MAX_UNCONFIRMED: usize = 4_096;
+
+impl Parts {
+    /// Records the crash of a replica that was to answer the prompt of a request with these parts.
+    pub fn accuse(&mut self, now: Time, replica: u64, request: u64, parts: &[u64]) {
+        for part in parts {
+            if self.was_answered_before(*part, now) {
+                continue;
+            }
+            let crash = Crash { replica, at: now };
+            let was_probe = self
+                .probes
+                .get(part)
+                .is_some_and(|(probing, _)| *probing == request);
+            let record = self.record(*part);
+            record.is_own = true;
+            record.failed_probes += u32::from(was_probe);
+            if record.add(crash) {
+                self.urgent = true;
+                self.reviews.insert(now + self.config.settle);
+            }
+        }
+    }
+
+    /// Drops answers of a replica that crashed, which prove nothing.
+    pub fn forget_answers(&mut self, replica: u64) {
+        self.unconfirmed.retain(|answer| answer.replica != replica);
+    }
+
+    /// Records that a replica has written an answer to a prompt with these parts.
+    pub fn record_answer(&mut self, now: Time, replica: u64, parts: &Rc<[u64]>) {
+        if parts.is_empty() {
+            return;
+        }
+        let parts = Rc::clone(parts);
+        self.unconfirmed.push_back(Answer {
+            at: now,
+            replica,
+            parts,
+        });
+        if self.unconfirmed.len() > MAX_UNCONFIRMED {
+            self.unconfirmed.pop_front();
+        }
+    }
+
+    /// Takes the parts of answers that their replicas survived for sound.
+    pub fn confirm_answers(&mut self, now: Time, crashes: &Crashes) {
+        let mut is_evidence = false;
+        while let Some(answer) = self.unconfirmed.front() {
+            if now < answer.at + self.config.confirm_delay {
+                break;
+            }
+            let Some(answer) = self.unconfirmed.pop_front() else {
+                break;
+            };
+            for part in answer.parts.iter() {
+                is_evidence |= self.confirm(*part, answer.at);
+            }
+        }
+        if is_evidence {
+            self.review(now, crashes);
+        }
+    }
+
+    /// Merges what a peer knows of parts.
+    pub fn merge(&mut self, now: Time, items: &[PartItem], crashes: &Crashes) {
+        let mut is_cleared = false;
+        for item in items {
+            is_cleared |= self.merge_item(now, item);
+        }
+        if is_cleared {
+            self.review(now, crashes);
+        }
+    }
+
+    /// Returns whether an accused part is known to be sound from now on.
+    fn merge_item(&mut self, now: Time, item: &PartItem) -> bool {
+        let before = |age: Span| Time::from_millis(now.as_millis().saturating_sub(age.as_millis()));
+        let mut is_cleared = false;
+        // An answer before this entry's start would seem to be as late as the crashes.
+        let answered = item
+            .answered
+            .filter(|age| item.crashes.is_empty() || *age <= now.since(Time::ZERO));
+        if let Some(age) = answered {
+            is_cleared |= self.confirm(item.part, before(age));
+        }
+        for (replica, age) in &item.crashes {
+            let at = before(*age);
+            let answered = self.was_answered_before(item.part, at);
+            if answered && !self.is_home(item.part) {
+                continue;
+            }
+            let crash = Crash {
+                replica: *replica,
+                at,
+            };
+            let is_added = self.record(item.part).add(crash);
+            // The sender doesn't know of the answer.
+            self.urgent |= is_added && answered;
+            if is_added {
+                self.reviews.insert(at + self.config.settle);
+            }
+        }
+        is_cleared
+    }
+
+    /// Returns the evidence that this entry answers for: what it has seen, and what it is home to.
+    pub fn digest(&self, now: Time) -> Vec<PartItem> {
+        let is_sent = |part: &u64, record: &Record| record.is_own || self.is_home(*part);
+        let records = self
+            .records
+            .iter()
+            .filter(|(part, record)| is_sent(part, record));
+        let mut records: Vec<(&u64, &Record)> = records.collect();
+        records.sort_by_key(|(part, record)| {
+            let is_blocked = self.blocked.contains_key(part);
+            (Reverse(is_blocked), Reverse(record.last_crash()), **part)
+        });
+        records.truncate(self.config.max_digest_items);
+        let item = |(part, record): (&u64, &Record)| PartItem {
+            part: *part,
+            crashes: record
+                .crashes
+                .iter()
+                .filter(|crash| !self.was_answered_before(*part, crash.at))
+                .map(|crash| (crash.replica, now.since(crash.at)))
+                .collect(),
+            answered: self.answered.get(part).map(|at| now.since(*at)),
+        };
+        records.into_iter().map(item).collect()
+    }
+
+    /// Drops evidence that is out of date.
+    pub fn tick(&mut self, now: Time, crashes: &Crashes) {
+        let (memory, answer_memory) = (self.config.crash_memory, self.config.answer_memory);
+        self.answered.retain(|_, at| now.since(*at) < answer_memory);
+        let validity = self.config.answer_validity;
+        let before = self.records.len();
+        let answered = &self.answered;
+        self.records.retain(|part, record| {
+            let age = now.since(record.last_crash());
+            let is_refuted = answered
+                .get(part)
+                .is_some_and(|at| record.last_crash() < *at + validity);
+            age < memory && (!is_refuted || age < ANNOUNCEMENT)
+        });
+        if self.records.len() != before {
+            self.review(now, crashes);
+        }
+    }
+
+    /// Takes a part for sound at a time; returns whether it was accused.
+    fn confirm(&mut self, part: u64, at: Time) -> bool {
+        let known = self.answered.insert(part, at);
+        if let Some(later) = known.filter(|known| *known >= at) {
+            self.answered.insert(part, later);
+            return false;
+        }
+        if self.answered.len() > self.config.max_answered {
+            let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.answered.remove(&oldest);
+            }
+        }
+        let is_home = self.is_home(part);
+        let Some(record) = self.records.get(&part) else {
+            return false;
+        };
+        let was_refuted =
+            known.is_some_and(|known| record.last_crash() < known + self.config.answer_validity);
+        self.urgent |= !was_refuted && (record.is_own || is_home);
+        !was_refuted
+    }
+
+    /// Returns whether an answer speaks for a part at the time of a crash.
+    fn was_answered_before(&self, part: u64, crash: Time) -> bool {
+        let answered = self.answered.get(&part);
+        answered.is_some_and(|at| crash < *at + self.config.answer_validity)
+    }
+
+    /// Returns the record of a part, which may be new.
+    fn record(&mut self, part: u64) -> &mut Record {
+        if !self.records.contains_key(&part) && self.records.len() >= self.config.max_records {
+            let least = self
+                .records
+                .iter()
+                .min_by_key(|(_, record)| (record.counted.len(), record.last_crash()));
+            if let Some(least) = least.map(|(part, _)| *part) {
+                self.records.remove(&least);
+            }
+        }
+        self.records.entry(part).or_default()
+    }
+}
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -21,6 +21,7 @@
         };
         let took = now.since(open.started);
         let had_streamed = std::mem::replace(&mut open.streaming, true);
+        open.answered_at.get_or_insert(now);
         let (replica, pool) = (open.replica, open.job.pool);
         let replica = replica.and_then(|key| self.replicas.get_mut(&key));
         let version = replica.as_ref().map(|replica| replica.spec.version);
@@ -85,6 +86,7 @@
     ) {
         if end == job::End::Finished {
             self.sample_plain_call(now, id);
+            self.record_answer(now, id);
         }
         // Before the job is detached: a lost replica is removed with its last job.
         if end == job::End::Crashed {
@@ -255,6 +257,7 @@
         self.detach(now, id, job::End::Left);
         self.unqueue(id);
         self.drop_trial(id);
+        self.quarantine.end_probe(id.0);
         let Some(open) = self.open.remove(&id) else {
             return;
         };
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -1,5 +1,7 @@
 //! Arrivals: limits, shedding, admission and queueing.
 
+use std::rc::Rc;
+
 use clock::Span;
 use clock::Time;
 use verdict::Reason;
@@ -18,6 +20,7 @@
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Round;
 use crate::scheduler::state::level;
+use crate::scheduler::suspects::BLOCKED_PART;
 use crate::size::Class;
 use crate::version;
 
@@ -29,7 +32,13 @@
 
 impl Scheduler {
     /// Queues the job in its pool or refuses it.
-    pub(super) fn accept(&mut self, now: Time, job: Job, out: &mut Vec<Decision>) {
+    pub(super) fn accept(
+        &mut self,
+        now: Time,
+        job: Job,
+        shared_parts: Rc<[u64]>,
+        out: &mut Vec<Decision>,
+    ) {
         let Some(cost) = self.estimate(&job) else {
             let refusal = Refusal::not_run(Reason::Unauthorized, "no such account");
             out.push(Decision::Refuse {
@@ -46,6 +55,15 @@
             });
             return;
         }
+        if let Some(wait) = self.admit_parts(now, job.id, &shared_parts) {
+            let refusal =
+                Refusal::not_run(Reason::Quarantined, BLOCKED_PART).with_retry_after(wait);
+            out.push(Decision::Refuse {
+                job: job.id,
+                refusal,
+            });
+            return;
+        }
         let output = self.expected_output(&job).unwrap_or(0);
         let tokens = u64::from(job.prompt_tokens) + u64::from(output);
         if let Err(after) = self.limits.admit(now, job.account, tokens) {
@@ -57,7 +75,7 @@
             });
             return;
         }
-        let refused = self.open_job(now, job, cost, tokens);
+        let refused = self.open_job(now, job, shared_parts, cost, tokens);
         if let Err((reason, message)) = refused {
             self.refuse(now, job.id, reason, message, out);
         }
@@ -85,10 +103,14 @@
         &mut self,
         now: Time,
         job: Job,
+        shared_parts: Rc<[u64]>,
         cost: Cost,
         tokens: Cost,
     ) -> Result<(), (Reason, &'static str)> {
         let (allowed, predicted) = self.register(now, job, cost, tokens);
+        if let Some(open) = self.open.get_mut(&job.id) {
+            open.shared_parts = shared_parts;
+        }
         self.admit(now, &job, allowed, predicted)?;
         self.enqueue(now, job.id, false);
         Ok(())
@@ -116,6 +138,9 @@
                 round: Round::default(),
                 outstanding: 0,
                 streaming: false,
+                answered_at: None,
+                is_proven: false,
+                shared_parts: Rc::default(),
                 moved: false,
                 generated: 0,
                 may_have_run: false,
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use clock::Span;
 use clock::Time;
@@ -69,6 +70,8 @@
     held: BTreeSet<(Time, job::Id)>,
     limits: limit::Limits,
     quarantine: quarantine::Quarantine,
+    /// Changes of blocked parts that the embedder hasn't taken.
+    part_changes: Vec<quarantine::parts::Change>,
     random: Pcg64,
     seed: u64,
     next_replica: u32,
@@ -117,6 +120,7 @@
         Scheduler {
             limits: limit::Limits::new(settings.limit),
             quarantine: quarantine::Quarantine::new(settings.quarantine, seed),
+            part_changes: Vec::new(),
             held: BTreeSet::new(),
             settings,
             accounts: BTreeMap::new(),
@@ -145,6 +149,11 @@
         }
     }
 
+    /// Sets the entries that share the evidence on crashes, by their identities; `own` is this one's.
+    pub fn set_members(&mut self, own: u64, members: Vec<u64>) {
+        self.quarantine.set_members(own, members);
+    }
+
     /// Adds or changes an account.
     pub fn set_account(&mut self, key: account::Key, spec: account::Spec) {
         self.limits.set_account(key, &spec);
@@ -277,7 +286,18 @@
 
     /// Takes a request that arrived: it is started, queued or refused.
     pub fn offer(&mut self, now: Time, job: Job, out: &mut Vec<Decision>) {
-        self.accept(now, job, out);
+        self.offer_prompt(now, job, Rc::default(), out);
+    }
+
+    /// Takes a request whose prompt has parts that other requests may share, given by their hashes.
+    pub fn offer_prompt(
+        &mut self,
+        now: Time,
+        job: Job,
+        shared_parts: Rc<[u64]>,
+        out: &mut Vec<Decision>,
+    ) {
+        self.accept(now, job, shared_parts, out);
         self.poll(now, out);
     }
 
@@ -297,6 +317,7 @@
     /// Records the tokens that arrived since the last call.
     pub fn progressed(&mut self, now: Time, id: job::Id, tokens: u32) {
         self.record_progress(now, id, tokens);
+        self.prove_parts(now, id);
     }
 
     /// Records the end of an attempt that generated `tokens`.
@@ -315,6 +336,11 @@
         self.poll(now, out);
     }
 
+    /// Records that the replica crashed although the job's answer may be complete.
+    pub fn server_crashed(&mut self, now: Time, id: job::Id) {
+        self.record_lost_server(now, id);
+    }
+
     /// Lets only replicas of this version run the job from now on.
     pub fn require_version(&mut self, id: job::Id, version: version::Key) {
         if let Some(open) = self.open.get_mut(&id) {
@@ -336,6 +362,7 @@
         self.expire(now, out);
         self.evaluate_health(now);
         self.stop_suspects(now, out);
+        self.review_parts(now, out);
         self.release_held(now, out);
         self.run_moves(now, out);
         self.mark_reopened_pools(now);
@@ -390,6 +417,11 @@
         self.quarantine.take_urgent()
     }
 
+    /// Returns the changes of what is blocked for crashing replicas since the last call.
+    pub fn take_part_changes(&mut self) -> Vec<quarantine::parts::Change> {
+        std::mem::take(&mut self.part_changes)
+    }
+
     /// Explains the state of an open job.
     pub fn explain(&self, id: job::Id) -> Option<Explanation> {
         self.open.get(&id).map(Open::explain)
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -194,6 +194,8 @@
         open.round = Round::default();
         open.outstanding = open.cost;
         open.moved = false;
+        open.answered_at = None;
+        open.is_proven = false;
         open.record_attempt(replica);
         if let Some(replica) = self.replicas.get_mut(&replica) {
             replica.gate.take(now);
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -1,6 +1,7 @@
 //! Scheduler state of accounts, pools, replicas and jobs.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use clock::Span;
 use clock::Time;
@@ -222,6 +223,12 @@
     pub outstanding: u64,
     /// Whether the caller has received the first token.
     pub streaming: bool,
+    /// First token of this attempt.
+    pub answered_at: Option<Time>,
+    /// Whether this attempt's answer was recorded as proof for the prompt.
+    pub is_proven: bool,
+    /// Hashes of the prompt's parts that other jobs may share.
+    pub shared_parts: Rc<[u64]>,
     /// Whether the job was moved since its start, so that its duration is no valid sample.
     pub moved: bool,
     /// Tokens generated in all attempts.
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -1,5 +1,8 @@
 //! Requests that may have crashed a replica: held, run as trials, or refused for good.
 
+use std::rc::Rc;
+
+use clock::Span;
 use clock::Time;
 use verdict::Reason;
 
@@ -8,12 +11,15 @@
 use crate::job;
 use crate::pool;
 use crate::quarantine::Standing;
+use crate::quarantine::parts;
 use crate::replica;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Claim;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
 
+/// Message of refusals for a part of the prompt.
+pub(super) const BLOCKED_PART: &str = "a part of its prompt crashes backend servers";
 /// Trials of a stream beyond the usual attempts.
 const STREAM_TRIALS: u32 = 2;
 
@@ -24,8 +30,122 @@
         self.settings.placement.quarantine && matches!(standing, Standing::Quarantined(_))
     }
 
+    /// Takes a prompt with blocked parts if it is the one to try them; otherwise returns for how long it is refused.
+    pub(super) fn admit_parts(
+        &mut self,
+        now: Time,
+        id: job::Id,
+        shared_parts: &[u64],
+    ) -> Option<Span> {
+        if !self.settings.placement.quarantine {
+            return None;
+        }
+        match self.quarantine.prompt_standing(now, shared_parts) {
+            parts::Standing::Clear => None,
+            parts::Standing::Probe(part) => {
+                self.quarantine.begin_probe(now, part, id.0);
+                None
+            }
+            parts::Standing::Blocked(wait) => Some(wait),
+        }
+    }
+
+    /// Records that a job's answer proves nothing, since its replica crashed with the end of it.
+    pub(super) fn record_lost_server(&mut self, now: Time, id: job::Id) {
+        self.accuse_parts(now, id);
+        if let Some(open) = self.open.get_mut(&id) {
+            open.shared_parts = Rc::default();
+        }
+    }
+
+    /// Records the whole answer to a job's prompt.
+    pub(super) fn record_answer(&mut self, now: Time, id: job::Id) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let replica = open.replica.and_then(|key| self.replicas.get(&key));
+        if let Some(replica) = replica {
+            self.quarantine
+                .record_answer(now, replica.identity, &open.shared_parts);
+        }
+    }
+
+    /// Records an answer that is long enough to prove its prompt sound, once per attempt.
+    pub(super) fn prove_parts(&mut self, now: Time, id: job::Id) {
+        let window = self.settings.quarantine.parts.answer_window;
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let is_long = open.answered_at.is_some_and(|at| now.since(at) > window);
+        if !open.is_proven && is_long {
+            open.is_proven = true;
+            self.record_answer(now, id);
+        }
+    }
+
+    /// Holds a crash against the shared parts of a job's prompt, unless its answer began long before.
+    fn accuse_parts(&mut self, now: Time, id: job::Id) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let replica = open.replica.and_then(|key| self.replicas.get(&key));
+        let Some(replica) = replica.filter(|replica| replica.leaving.is_none()) else {
+            return;
+        };
+        if !self.may_crash(now, open) || open.shared_parts.is_empty() {
+            return;
+        }
+        let (identity, zone) = (replica.identity, replica.zone);
+        self.quarantine
+            .accuse_parts(now, identity, zone, id.0, &open.shared_parts);
+    }
+
+    /// Returns whether a crash of the job's replica may be due to its prompt.
+    fn may_crash(&self, now: Time, open: &Open) -> bool {
+        let window = self.settings.quarantine.parts.answer_window;
+        open.answered_at.is_none_or(|at| now.since(at) <= window)
+    }
+
+    /// Stops and refuses jobs with parts that were found to crash replicas.
+    pub(super) fn review_parts(&mut self, now: Time, out: &mut Vec<Decision>) {
+        self.quarantine.judge_parts(now);
+        let changes = self.quarantine.take_changes();
+        let guilty = |change: &&parts::Change| change.blocked && !change.doubtful;
+        let guilty: Vec<u64> = changes
+            .iter()
+            .filter(guilty)
+            .map(|change| change.part)
+            .collect();
+        self.part_changes.extend(changes);
+        if guilty.is_empty() || !self.settings.placement.quarantine {
+            return;
+        }
+        let has_guilty_part = |open: &&Open| {
+            let is_guilty = |part| guilty.contains(part);
+            open.shared_parts.iter().any(is_guilty) && self.may_crash(now, open)
+        };
+        let affected = self.open.values().filter(has_guilty_part);
+        let affected: Vec<job::Id> = affected.map(|open| open.job.id).collect();
+        for id in affected {
+            if let Some(replica) = self.detach(now, id, job::End::Left) {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.may_have_run = true;
+                }
+                out.push(Decision::Cancel { job: id, replica });
+            }
+            self.refuse(now, id, Reason::Quarantined, BLOCKED_PART, out);
+        }
+    }
+
+    /// Returns whether a part of the job's prompt is blocked.
+    fn is_blocked(&self, id: job::Id) -> bool {
+        let open = self.open.get(&id);
+        open.is_some_and(|open| self.quarantine.blocks(&open.shared_parts, id.0))
+    }
+
     /// Records that a replica crashed, or seems to have, while the job ran there.
     pub(super) fn record_crash(&mut self, now: Time, id: job::Id) {
+        self.accuse_parts(now, id);
         let Some(open) = self.open.get(&id) else {
             return;
         };
@@ -129,7 +249,11 @@
             let Some(fingerprint) = self.open.get(&id).map(|open| open.job.fingerprint) else {
                 continue;
             };
-            match self.quarantine.standing(now, fingerprint) {
+            let standing = match self.is_blocked(id) {
+                true => Standing::Quarantined(Span::ZERO),
+                false => self.quarantine.standing(now, fingerprint),
+            };
+            match standing {
                 Standing::Clear => self.enqueue(now, id, true),
                 Standing::Held(until) => {
                     self.held.insert((until, id));
@@ -154,6 +278,9 @@
     /// replica that starts to run it, so a job that has generated tokens is hardly one; if it is, the
     /// number of trials bounds the damage.
     fn may_try_quarantined(&self, id: job::Id) -> bool {
+        if self.is_blocked(id) {
+            return false;
+        }
         let max_attempts = self.settings.retry.max_attempts as u32 + STREAM_TRIALS;
         self.open.get(&id).is_some_and(|open| {
             open.streaming && open.generated > 0 && open.used_attempts() < max_attempts
@@ -209,6 +336,9 @@
     }
 
     fn suspicion(&self, now: Time, id: job::Id) -> Option<Standing> {
+        if self.is_blocked(id) {
+            return Some(Standing::Quarantined(Span::ZERO));
+        }
         let open = self.open.get(&id)?;
         let standing = self.quarantine.standing(now, open.job.fingerprint);
         (standing != Standing::Clear).then_some(standing)
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -156,6 +156,7 @@
   suspects @1 :List(Suspect);
   crashes @2 :List(Crash);
   alone @3 :List(Alone);
+  parts @4 :List(Part);
 }
 
 struct Claim {
@@ -193,6 +194,24 @@
   ageMs @2 :UInt64;
 }
 
+struct Part {
+  # Evidence on a part of prompts on which replicas crash.
+  hash @0 :UInt64;
+  # Hash of the part's name.
+  crashes @1 :List(PartCrash);
+  # Crashes that count against it.
+  isAnswered @2 :Bool;
+  # Whether a replica is known to have answered a prompt with it.
+  answeredMs @3 :UInt64;
+  # Time since the latest of these answers.
+}
+
+struct PartCrash {
+  # The crash of a replica that was to answer a prompt.
+  replica @0 :UInt64;
+  ageMs @1 :UInt64;
+}
+
 struct Alone {
   # A replica reserved for a suspect, which runs there alone.
   fingerprint @0 :UInt64;
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -7456,11 +7456,19 @@
         pub fn has_alone(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::part::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7574,6 +7582,22 @@
         pub fn has_alone(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::part::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_parts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::part::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_parts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::part::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7585,51 +7609,58 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(11, 63, 205, 133, 175, 164, 206, 199),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(66, 150, 231, 195, 177, 165, 248, 208),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 108, 97, 105, 109, 115, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7679,6 +7710,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(79, 36, 187, 129, 28, 229, 73, 183),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7686,6 +7729,7 @@
                 1 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::peer_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::peer_capnp::alone::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::peer_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7699,9 +7743,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,4,1];
         pub(crate) const TYPE_ID: u64 = 0xc7ce_a4af_85cd_3f0b;
     }
 }
@@ -8605,6 +8649,525 @@
     }
 }
 
+pub mod part {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_hash(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::part_crash::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_is_answered(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_answered_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_hash(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_hash(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::part_crash::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::part_crash::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::part_crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_is_answered(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_is_answered(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_answered_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_answered_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(79, 36, 187, 129, 28, 229, 73, 183),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(66, 150, 231, 195, 177, 165, 248, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(121, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 97, 115, 104, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 53, 124, 241, 238, 132, 2, 189),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 65, 110, 115, 119, 101, 114),
+            ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::part_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xb749_e51c_81bb_244f;
+    }
+}
+
+pub mod part_crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_replica(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_replica(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_replica(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(40, 53, 124, 241, 238, 132, 2, 189),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(66, 150, 231, 195, 177, 165, 248, 208),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 80, 97, 114, 116, 67),
+            ::capnp::word(114, 97, 115, 104, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xbd02_84ee_f17c_3528;
+    }
+}
+
 pub mod alone {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/wire/src/scheduler.rs
+++ b/crates/wire/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::peer_capnp::claim;
 use crate::peer_capnp::crash;
 use crate::peer_capnp::news;
+use crate::peer_capnp::part;
 use crate::peer_capnp::suspect;
 
 /// Encodes a scheduler's digest in capnp's packed form.
@@ -75,6 +76,10 @@
         builder.set_zone(crash.zone);
         builder.set_age_ms(crash.age.as_millis());
     }
+    let mut parts = root.reborrow().init_parts(to_u32(digest.parts.len()));
+    for (index, item) in digest.parts.iter().enumerate() {
+        write_part(item, parts.reborrow().get(to_u32(index)));
+    }
     let mut claims = root.init_alone(to_u32(digest.claims.len()));
     for (index, claim) in digest.claims.iter().enumerate() {
         let mut builder = claims.reborrow().get(to_u32(index));
@@ -97,11 +102,26 @@
     }
 }
 
+fn write_part(item: &quarantine::PartItem, mut builder: part::Builder<'_>) {
+    builder.set_hash(item.part);
+    builder.set_is_answered(item.answered.is_some());
+    builder.set_answered_ms(item.answered.map_or(0, Span::as_millis));
+    let mut crashes = builder.init_crashes(to_u32(item.crashes.len()));
+    for (index, (replica, age)) in item.crashes.iter().enumerate() {
+        let mut builder = crashes.reborrow().get(to_u32(index));
+        builder.set_replica(*replica);
+        builder.set_age_ms(age.as_millis());
+    }
+}
+
 fn read_quarantine(root: news::Reader<'_>) -> capnp::Result<quarantine::Digest> {
     let mut digest = quarantine::Digest::default();
     for reader in root.get_suspects()? {
         digest.items.push(read_suspect(reader)?);
     }
+    for reader in root.get_parts()? {
+        digest.parts.push(read_part(reader)?);
+    }
     digest.crashes = root.get_crashes()?.iter().map(read_crash).collect();
     digest.claims = root
         .get_alone()?
@@ -121,6 +141,18 @@
     })
 }
 
+fn read_part(reader: part::Reader<'_>) -> capnp::Result<quarantine::PartItem> {
+    let answered = Span::from_millis(reader.get_answered_ms());
+    let crashes = reader.get_crashes()?.iter();
+    Ok(quarantine::PartItem {
+        part: reader.get_hash(),
+        crashes: crashes
+            .map(|crash| (crash.get_replica(), Span::from_millis(crash.get_age_ms())))
+            .collect(),
+        answered: reader.get_is_answered().then_some(answered),
+    })
+}
+
 fn read_crash(reader: crash::Reader<'_>) -> quarantine::Crash {
     quarantine::Crash {
         replica: reader.get_replica(),
