Recognize the crash of a server during an answer without framing

A stream that ends with its connection, inside an event or before the first one, was taken for the fault of a server that goes on: nothing was held against the request, whether the server had crashed or not. The connection is now examined like one that breaks. Where such a stream ends between events, its answer is delivered as before, but proves its prompt sound only if the server still takes connections.

prompts_with_a_part_that_crashes_replicas_are_refused failed for unframed answers before (4 late requests where 3 may), and passes now.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -97,8 +97,16 @@
         }
         let mut longest_pause = Span::ZERO;
         let (outcome, tokens) = match end {
-            End::Finished { tokens, pause, .. } => {
+            End::Finished {
+                tokens,
+                pause,
+                survived,
+                ..
+            } => {
                 longest_pause = pause;
+                if !survived {
+                    self.scheduler.server_crashed(now, job::Id(serial));
+                }
                 (job::End::Finished, tokens)
             }
             End::NotSent => (job::End::NotSent, 0),
--- a/crates/gateway/tests/brittle.rs
+++ b/crates/gateway/tests/brittle.rs
@@ -127,6 +127,7 @@
         status: 200,
         tokens: 1,
         pause: clock::Span::ZERO,
+        survived: true,
     }
 }
 
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -222,6 +222,7 @@
                 status: 200,
                 tokens: 10,
                 pause: Span::ZERO,
+                survived: true,
             };
             self.world.end_attempt(&run.sent, end);
         }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -533,6 +533,7 @@
             status: 200,
             tokens: 1,
             pause: Span::ZERO,
+            survived: true,
         });
         for report in [Report::ResponseStarted, ended] {
             let event = Event::Attempt {
@@ -765,6 +766,7 @@
             status: 200,
             tokens: 1,
             pause: Span::ZERO,
+            survived: true,
         });
         for report in [Report::ResponseStarted, ended] {
             self.report(entry, serial, report);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -131,6 +131,7 @@
             status,
             tokens: self.tokens,
             pause: self.longest_pause,
+            survived: true,
         })
     }
 
@@ -181,11 +182,18 @@
         }
         // A run that is stopped to be moved ends without its last event. If only the end of the connection
         // delimits the stream, it would look complete.
-        let truncated = self.migrating.get() && !is_framed(&answer.head.headers);
-        if state.splitter.has_partial_event() || !state.started || truncated {
+        let framed = is_framed(&answer.head.headers);
+        if self.migrating.get() && !framed {
             return Some(End::Broken { alive: true });
         }
+        if state.splitter.has_partial_event() || !state.started {
+            return match framed {
+                true => Some(End::Broken { alive: true }),
+                false => Some(examine_break(&self.shared, start, &answer.connection).await),
+            };
+        }
         self.caller.finish();
+        let survived = framed || is_reached(&self.shared, start, &answer.connection).await;
         let headers = answer.head.headers;
         self.shared
             .pool
@@ -195,6 +203,7 @@
             status: answer.head.status.as_u16(),
             tokens: self.tokens,
             pause: self.longest_pause,
+            survived,
         })
     }
 
@@ -386,6 +395,12 @@
     }
 }
 
+/// Returns whether a replica still accepts connections after an answer that ended with its connection.
+async fn is_reached(shared: &Rc<Shared>, start: &Start, connection: &Connection) -> bool {
+    let finding = reach::examine(shared, &start.endpoint, connection.proxy()).await;
+    finding != Finding::Unreached
+}
+
 /// Awaits something from a replica, but times out if the replica was silent on all its connections for the
 /// attempt's silence timeout.
 ///
