Send heartbeats in regular rounds of gossip, whatever urgent rounds go before

Timeline of the test: entry 19 has not seen newer heartbeats of 5 to 14 of its 19 peers for over 6 s, takes them for failed and assigns the roles among the rest. For a second it decides on the account's quota itself, and then asks another home than the others do; both grant.

Cause: a round of gossip counted as regular, with heartbeats, only if a whole interval had passed since the last round of any kind. Rounds are jittered by a quarter, so half of them came too early and had none, and any urgent round put the next heartbeats off. The second account had no part in it but to shift the draws.

Ruled out: charges of the account itself; the same homes were asked before and after by 19 entries.

A regular round now has its own time, which urgent ones don't move.

--- a/crates/member/src/configs/membership.rs
+++ b/crates/member/src/configs/membership.rs
@@ -71,7 +71,7 @@
             announce_fanout: 16,
             digest_bytes: 480,
             burst_digest_bytes: 8_192,
-            gossip_bytes_per_second: 1_200,
+            gossip_bytes_per_second: 1_600,
             urgent_interval: Span::from_millis(100),
             heartbeat_timeout: Span::from_seconds(8),
             left_retention: Span::from_seconds(1_800),
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -68,6 +68,8 @@
     next_zone_read: Time,
     next_full_read: Time,
     next_gossip: Time,
+    /// Next round with heartbeats, which urgent ones don't replace.
+    next_regular_gossip: Time,
     last_gossip: Time,
     round: u64,
     /// Urgent rounds that are still to be sent.
@@ -114,6 +116,7 @@
             next_zone_read: Time::ZERO,
             next_full_read: Time::ZERO,
             next_gossip: Time::ZERO,
+            next_regular_gossip: Time::ZERO,
             last_gossip: Time::ZERO,
             round: 0,
             urgent_rounds: 0,
--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -38,9 +38,12 @@
         if now < self.next_gossip {
             return;
         }
-        let is_regular = now >= self.last_gossip + self.settings.gossip_interval || self.round == 0;
+        let is_regular = now >= self.next_regular_gossip;
         self.last_gossip = now;
-        self.next_gossip = now + self.backoff.jitter(self.settings.gossip_interval);
+        if is_regular {
+            self.next_regular_gossip = now + self.backoff.jitter(self.settings.gossip_interval);
+        }
+        self.next_gossip = self.next_regular_gossip;
         self.round += 1;
         self.beat.count += 1;
         let beat = self.beat;
