Reserve room for heartbeats beside the records of entries that start together

Records of members are hot until each entry has sent each some 14 times, and took three quarters of every digest meanwhile: 19 records and 7 heartbeats, for over half a minute among 100. Entries without newer heartbeats are taken for failed: callers aren't sent there, and roles are assigned without them. Class: bulk that crowds out what is due periodically.

--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -118,3 +118,18 @@
     let named: BTreeSet<_> = (0..5).flat_map(|_| world.ask_addresses(7)).collect();
     assert!(named.contains(&caller_address(5)));
 }
+
+/// Guards against live entries that are taken for failed, since urgent rounds or records leave no room for heartbeats.
+#[test]
+fn entries_that_start_together_name_each_other() {
+    const COUNT: usize = 40;
+    let mut world = World::new(COUNT);
+    world.run(4_000);
+    for _ in 0..32 {
+        world.run(500);
+        for entry in 0..COUNT {
+            let named = world.ask_addresses(entry).len();
+            assert_eq!(named, COUNT, "entry {entry} at {} ms", world.now);
+        }
+    }
+}
--- a/crates/member/src/membership/gossip.rs
+++ b/crates/member/src/membership/gossip.rs
@@ -20,10 +20,11 @@
 /// Share of a digest for items. They go before records: a wave that takes many members creates many
 /// records, which must not delay a leaving backend server.
 const ITEMS_SHARE: f64 = 0.5;
-/// Share of a digest for items and records; the rest is reserved for heartbeats and round-robin subjects.
-const ITEMS_AND_RECORDS_SHARE: f64 = 0.75;
-/// Share of a digest for everything but round-robin subjects.
-const BEATS_SHARE: f64 = 0.8;
+/// Share of a digest for items and records.
+const ITEMS_AND_RECORDS_SHARE: f64 = 0.5;
+/// Share of a digest for heartbeats, whatever else waits: the records of many entries that start together take half a
+/// minute to go round, and entries without heartbeats are taken for failed. The rest is for round-robin subjects.
+const BEATS_SHARE: f64 = 0.4;
 /// Most bytes of a snapshot, the answer to a greeting from a starting entry.
 const MAX_SNAPSHOT_BYTES: usize = 128 << 10;
 /// Urgent rounds after something new was learned. With two peers per round and a third of them frozen,
@@ -229,7 +230,8 @@
         if !is_regular {
             return digest;
         }
-        self.add_beats(now, share_bytes(BEATS_SHARE), &mut digest);
+        let used = digest.size().max(share_bytes(ITEMS_AND_RECORDS_SHARE));
+        self.add_beats(now, used + share_bytes(BEATS_SHARE), &mut digest);
         for _ in 0..self.rumors.len() {
             let Some(subject) = self.rumors.next_round_robin() else {
                 break;
