--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -463,3 +463,20 @@
     let refused = play.world.refused.get("Quarantined").copied().unwrap_or(0);
     assert_eq!(refused, 0, "sound requests refused");
 }
+
+/// Guards against many entries, each of which sees few of the crashes, and which learn of the others late.
+#[test]
+fn many_entries_stop_requests_that_crash_servers() {
+    let entries = std::env::var("ENTRIES")
+        .ok()
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(40);
+    let mut play = Play::new(entries, 40, Moment::AfterHead);
+    play.run(8_000);
+    for _ in 0..15 {
+        play.ask(&[COMMON, GUILTY]);
+        play.ask(&[COMMON, GUILTY]);
+        play.run(1_000);
+    }
+    play.check("many entries");
+}
