Apply the stage of a roll-out that was announced before its order was known

An entry that starts gets the leader's announcement from its first peer, as a rule before it has read the order, and dropped it: until the next announcement, five seconds later once the roll-out has ended, it sent requests by the stage before the trial, and as the next leader it began the trial anew. It now looks for an announcement when it learns of an order.

Found while tracing the lost status of a roll-out: of nine entries restarted after its end none had applied its stage after six seconds.

--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -10,6 +10,7 @@
 use clock::Time;
 use line::Line;
 use member::digest::Item;
+use member::digest::Topic;
 use policy::rendezvous;
 use rand::RngExt;
 use rollout::baseline::Baseline;
@@ -152,6 +153,10 @@
         };
         self.rollouts.active.insert(service.clone(), known);
         self.reassign_pools(now, &service, effects);
+        // The leader's word may have come before the order.
+        if let Some(item) = self.membership.item(now, Topic::Rollout, &service) {
+            self.handle_rollout_announcement(now, &item, effects);
+        }
     }
 
     /// Handles a withdrawn order: its version gets no more requests unless it is in use by now.
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -214,6 +214,11 @@
         Some(&self.directory.get(id)?.record.row.peer_address)
     }
 
+    /// Returns the latest item on a subject.
+    pub fn item(&self, now: Time, topic: Topic, key: &SmolStr) -> Option<Item> {
+        self.items.get(now, topic, key)
+    }
+
     /// Returns whether a backend server incarnation is known to be leaving. Never reverts.
     pub fn is_leaving(&self, incarnation: &str) -> bool {
         self.items.contains(Topic::Leaving, incarnation)
