Write the stage and status of a roll-out again after a restore

The operator's status of a roll-out that had ended was missing for good after the table service came back from a copy from before the order, and so was the saved stage; if entries were replaced as well, a completed roll-out was tried once more.

Cause: the leader remembers what it saved and published, and nothing looked at the era. Class: a note of an acknowledged write, kept beyond a restore.

On a new era the leader now writes both again. A new leader goes on from the later one of the saved stage and the announced one.

a_status_that_a_restore_lost_is_written_again failed before (none for rolled-back), a_rollout_that_ended_is_not_tried_again_after_a_restore as well (a request to the old version at 110 ms).

--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Follows the era of the table service: after a restore, all defaults are read again.
+    /// Follows the era of the table service: after a restore, all defaults are read again, and stages of roll-outs written.
     pub(crate) fn observe_era(&mut self, now: Time, revision: u64, effects: &mut Vec<Effect>) {
         let era = Revision::unpacked(revision).era;
         let known = self
@@ -125,6 +125,7 @@
         }
         let line = Line::warn("table_service_restored").with("era", era);
         effects.push(Effect::Log(line));
+        self.rewrite_stages();
         let spread = REREAD_SPREAD.times(u64::from(self.entry_count()));
         let delay = spread.scaled(self.random.random::<f64>());
         for known in self.versions.services.values_mut() {
--- a/crates/gateway/src/rollout_lead.rs
+++ b/crates/gateway/src/rollout_lead.rs
@@ -178,13 +178,12 @@
 
     /// Handles the table service's answer to a read or write of a stage.
     pub(crate) fn handle_stage_answer(&mut self, now: Time, service: &SmolStr, outcome: Outcome) {
-        let since = self
-            .rollouts
-            .active
-            .get(service)
-            .map(|known| known.ordered_at);
-        let (Some(leadership), Some(since)) = (self.rollouts.leaderships.get_mut(service), since)
-        else {
+        let Some(known) = self.rollouts.active.get(service) else {
+            return;
+        };
+        let since = known.ordered_at;
+        let announced = known.split.announced_stage().cloned();
+        let Some(leadership) = self.rollouts.leaderships.get_mut(service) else {
             return;
         };
         let pending = leadership.pending.take();
@@ -195,12 +194,17 @@
                 let elapsed = Span::from_millis(elapsed).max(now.since(since));
                 let begun = Time::from_millis(now.as_millis().saturating_sub(elapsed.as_millis()));
                 leadership.saved_phase = stage.as_ref().map(|stage| stage.phase);
+                // A restore may have lost what a former leader saved before it announced it.
+                let latest = stage
+                    .into_iter()
+                    .chain(announced)
+                    .max_by_key(|stage| stage.phase);
                 leadership.leader = Some(Leader::new(
                     configs::leader::Config::default(),
                     configs::judge::Config::default(),
                     leadership.order.clone(),
                     begun,
-                    stage.as_ref(),
+                    latest.as_ref(),
                 ));
             }
             (Outcome::Committed(_), Some(Pending::SaveStage(phase))) => {
@@ -213,6 +217,14 @@
         }
     }
 
+    /// Saves and publishes all stages again, which a restore of the table service may have lost.
+    pub(crate) fn rewrite_stages(&mut self) {
+        for leadership in self.rollouts.leaderships.values_mut() {
+            leadership.saved_phase = None;
+            leadership.published_phase = None;
+        }
+    }
+
     /// Returns the answers that all entries have counted since an order.
     fn total_tally(&self, service: &SmolStr) -> Tally {
         let mut sum = self
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -179,3 +179,60 @@
     world.run(2_000);
     assert_eq!(status(&world), "rolled-back");
 }
+
+/// Time in which a lost status is written again.
+const REWRITE_MILLIS: u64 = 12_000;
+
+/// Guards against an operator who never learns how a roll-out ended, since the status was lost in a restore.
+#[test]
+fn a_status_that_a_restore_lost_is_written_again() {
+    for fails in [true, false] {
+        let mut world = world();
+        let copy = world.table.clone();
+        world.order_rollout("v2", DEADLINE);
+        world.publish_servers();
+        serve(&mut world, 14_000, |_| fails);
+        let decided = status(&world);
+        assert_ne!(decided, "none");
+        world.table.restore(&copy);
+        serve(&mut world, REWRITE_MILLIS, |_| fails);
+        assert_eq!(status(&world), decided);
+        let stage = world.table.row("rollouts", SERVICE);
+        assert!(stage.is_some(), "the stage of a roll-out that is {decided}");
+    }
+}
+
+/// Guards against a roll-out that is tried once more, since a restore lost its stage and its leader is replaced.
+#[test]
+fn a_rollout_that_ended_is_not_tried_again_after_a_restore() {
+    for fails in [true, false] {
+        let mut world = world();
+        let copy = world.table.clone();
+        let order = world.order_rollout("v2", DEADLINE);
+        world.publish_servers();
+        serve(&mut world, 14_000, |_| fails);
+        let decided = status(&world);
+        world.table.restore(&copy);
+        let leader = world.holders()[0];
+        for entry in (0..8).chain([leader]) {
+            world.start(entry);
+        }
+        world.order_again(&order);
+        // Entries that went on know how it ended.
+        for number in 0..REWRITE_MILLIS / REQUEST_INTERVAL_MS {
+            let entry = 8 + number as usize % (ENTRIES - 8);
+            let placed = world.start_request(entry);
+            world.run(REQUEST_INTERVAL_MS);
+            let Some((serial, place)) = placed.filter(|_| entry != leader) else {
+                continue;
+            };
+            assert_eq!(
+                is_new(&world, &place),
+                !fails,
+                "{decided}, request {number}"
+            );
+            world.finish_request(entry, serial, false);
+        }
+        assert_eq!(status(&world), decided);
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -368,7 +368,7 @@
     }
 
     /// Orders a roll-out, which all entries read.
-    pub fn order_rollout(&mut self, to: &str, within: Span) {
+    pub fn order_rollout(&mut self, to: &str, within: Span) -> Order {
         self.list_revision += 1;
         let order = Order {
             service: SmolStr::new_static(SERVICE),
@@ -376,6 +376,12 @@
             within,
             revision: self.list_revision,
         };
+        self.order_again(&order);
+        order
+    }
+
+    /// Delivers the last order for a roll-out to all entries again, as to those that have started since.
+    pub fn order_again(&mut self, order: &Order) {
         for entry in 0..self.processes.len() {
             self.step(entry, Event::RolloutOrdered(order.clone()));
         }
--- a/crates/rollout/src/split.rs
+++ b/crates/rollout/src/split.rs
@@ -52,6 +52,11 @@
         &self.order
     }
 
+    /// Returns the stage that the leader last announced, if it has.
+    pub fn announced_stage(&self) -> Option<&Stage> {
+        self.announced_at.map(|_| &self.stage)
+    }
+
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
         self.stage.phase
