Let streams go on at their service after a change of their route's shares

Callers that took up streams after a configuration had changed the shares of a route's services got another service than the one that began the stream: 17 of 40 at the entry that began them and knew the service, as at others; 19 of 40 once a service had left the route.

Cause: the service of each attempt was drawn from the shares in force, and neither the memory nor the records of streams were asked for it. Class: a choice made anew from a state that has changed since.

An entry keeps the shares that a change replaces for as long as callers return. For 70 s streams for which the draws differ are recorded with their service before their first event, so that one without a record began before the change; the memory is asked for the service as for the version. A stream whose service left its route is refused at once, since no answer of another service continues it. While nothing can be recorded, such streams begin by the former shares, if the route still has the service.

An entry that started after the change knows no former shares; for a minute it takes a stream without a record for one drawn by the present ones.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -40,6 +40,9 @@
             .with("accounts", catalog.accounts.len())
             .with("source", source_name(source));
         effects.push(Effect::Log(line));
+        if let Some(before) = &self.catalog {
+            self.route_shares.record_change(now, before, &catalog);
+        }
         self.update_accounts(now, &catalog);
         for service in &catalog.services {
             self.pool_key(&service.name);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::peers::PeerLoad;
 use crate::request::Request;
 use crate::rollouts::Rollouts;
+use crate::route_shares;
 use crate::servers::Servers;
 use crate::store_calls::Waiter;
 use crate::streams::Streams;
@@ -134,6 +135,8 @@
     /// Whether reading the list of servers has failed since the last successful read.
     pub(crate) list_unavailable: bool,
     /// Id of the next call of the table service.
+    /// Shares of routes before the present ones.
+    pub(crate) route_shares: route_shares::History,
     /// Newest known era of the table service.
     pub(crate) store_era: Option<u64>,
     pub(crate) next_store_call: u64,
@@ -233,6 +236,7 @@
             store_health: Health::default(),
             store_failed_at: None,
             list_unavailable: false,
+            route_shares: route_shares::History::default(),
             store_era: None,
             next_store_call: 0,
             store_rejected: Vec::new(),
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -25,6 +25,7 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
+use crate::route_shares;
 use crate::streams;
 use crate::work;
 
@@ -181,7 +182,8 @@
             true => stream.fraction(),
             false => self.random.random(),
         };
-        let service = choose_service(route, drawn);
+        let (service, former_service) =
+            self.draw_service(now, route, drawn, continuation.is_none());
         let (pool, canary) = self.select_pool(now, &service, &route.name);
         catalog.service(&service).ok_or_else(not_configured)?;
         let mut job = self.build_job(serial, route, account, &pool, arrival)?;
@@ -225,6 +227,7 @@
                 .prompt
                 .as_ref()
                 .map_or_else(Rc::default, Prompt::shared_parts),
+            former_service,
             stream,
             version: None,
             has_record: false,
@@ -234,6 +237,31 @@
         })
     }
 
+    /// Draws a service for a request, and the one by former shares if that differs. While nothing can be recorded, a new
+    /// stream begins at the latter, as its caller would be taken to have.
+    fn draw_service(
+        &mut self,
+        now: Time,
+        route: &Route,
+        drawn: f64,
+        is_new: bool,
+    ) -> (SmolStr, Option<SmolStr>) {
+        let service = route_shares::choose(&route.shares, drawn);
+        if !route.repeat.is_resumable() {
+            return (service, None);
+        }
+        let oldest = self.route_shares.oldest(now, &route.name);
+        let former = oldest.map(|shares| route_shares::choose(shares, drawn));
+        let Some(former) = former.filter(|former| *former != service) else {
+            return (service, None);
+        };
+        let is_on_route = route.shares.iter().any(|share| share.service == former);
+        match is_new && is_on_route && !self.is_recording(now) {
+            true => (former, None),
+            false => (service, Some(former)),
+        }
+    }
+
     /// Builds the scheduler's view of a request.
     fn build_job(
         &self,
@@ -279,20 +307,6 @@
     }
 }
 
-/// Returns one of the route's services by weight, for a number drawn from 0 to 1.
-fn choose_service(route: &Route, drawn: f64) -> SmolStr {
-    let total: f64 = route.shares.iter().map(|share| share.weight).sum();
-    let mut drawn = drawn * total;
-    for share in &route.shares {
-        drawn -= share.weight;
-        if drawn < 0.0 {
-            return share.service.clone();
-        }
-    }
-    let last = route.shares.last();
-    last.map(|share| share.service.clone()).unwrap_or_default()
-}
-
 /// Logs which stream a caller takes up again.
 fn log_continuation(arrival: &Arrival, effects: &mut Vec<Effect>) {
     let Some(continuation) = &arrival.continuation else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod roles;
 mod rollout_lead;
 mod rollouts;
+mod route_shares;
 mod servers;
 mod stop;
 mod store_calls;
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -17,6 +17,7 @@
 use crate::servers::version_key;
 use crate::store_calls::Waiter;
 use crate::streams;
+use crate::streams::Origin;
 use crate::streams::Record;
 
 /// Retry delay for callers whose stream's version couldn't be found out: about the time of a short outage of the
@@ -57,10 +58,12 @@
             return;
         };
         let (service, stream) = (open.service.clone(), open.stream);
-        if let Some(version) = self.streams.version_of(stream).cloned() {
-            return self.resume_at(now, serial, &version, Source::Memory, effects);
+        let is_certain = open.former_service.is_none();
+        if let Some(origin) = self.streams.origin_of(stream) {
+            return self.resume_from(now, serial, &origin, Source::Memory, effects);
         }
-        if let Some(version) = self.versions.uniform(now, &service).cloned() {
+        let uniform = self.versions.uniform(now, &service).filter(|_| is_certain);
+        if let Some(version) = uniform.cloned() {
             return self.resume_at(now, serial, &version, Source::Uniform, effects);
         }
         self.call_store(Waiter::Stream(serial), streams::lookup(stream));
@@ -77,12 +80,27 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        let (service, stream) = (open.service.clone(), open.stream);
+        let (stream, former) = (open.stream, open.former_service.clone());
         let Outcome::Rows { rows, .. } = outcome else {
-            return self.resume_at_only(now, serial, effects);
+            return match former {
+                Some(_) => self.refuse_unknown(now, serial, effects),
+                None => self.resume_at_only(now, serial, effects),
+            };
+        };
+        if let Some(origin) = streams::recorded_origin(stream, rows) {
+            return self.resume_from(now, serial, &origin, Source::Record, effects);
+        }
+        if let Some(former) = former
+            && !self.assign_service(now, serial, &former, effects)
+        {
+            return;
+        }
+        let Some(open) = self.requests.get(&serial) else {
+            return;
         };
-        if let Some(version) = streams::recorded_version(stream, rows) {
-            return self.resume_at(now, serial, &version, Source::Record, effects);
+        let service = open.service.clone();
+        if let Some(version) = self.versions.uniform(now, &service).cloned() {
+            return self.resume_at(now, serial, &version, Source::Uniform, effects);
         }
         match self.versions.default_of(now, &service) {
             Some(_) => self.resume_unrecorded(now, serial, effects),
@@ -119,12 +137,32 @@
         if let Some(only) = only.cloned() {
             return self.resume_at(now, serial, &only, Source::Only, effects);
         }
-        let message = "the version that began the stream isn't known";
+        self.refuse_unknown(now, serial, effects);
+    }
+
+    /// Refuses a request for as long as it isn't known what began its stream.
+    fn refuse_unknown(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
+        let message = "what began the stream isn't known";
         let refusal = Refusal::not_run(Reason::StoreUnavailable, message);
         let refusal = refusal.with_retry_after(UNKNOWN_VERSION_RETRY);
         self.refuse(now, serial, refusal, effects);
     }
 
+    /// Lets a request go on at the service and the version that began its stream.
+    fn resume_from(
+        &mut self,
+        now: Time,
+        serial: u64,
+        origin: &Origin,
+        source: Source,
+        effects: &mut Vec<Effect>,
+    ) {
+        let service = origin.service.as_ref();
+        if service.is_none_or(|service| self.assign_service(now, serial, service, effects)) {
+            self.resume_at(now, serial, &origin.version, source, effects);
+        }
+    }
+
     /// Lets a request go on at the version that began its stream.
     fn resume_at(
         &mut self,
@@ -170,7 +208,8 @@
         }
         let is_default = self.versions.default_of(now, &open.service) == Some(&version);
         let is_recorded = open.recorded.as_ref() == Some(&version);
-        if is_recorded || is_default && !open.has_record {
+        let is_certain = is_default && open.former_service.is_none();
+        if is_recorded || is_certain && !open.has_record {
             return false;
         }
         open.has_record = true;
@@ -178,6 +217,7 @@
             serial: Some(serial),
             attempt: open.attempt,
             stream: open.stream,
+            service: open.service.clone(),
             version,
             until: open.returns_until,
         });
@@ -215,8 +255,12 @@
         service: &str,
         pool: pool::Key,
     ) -> Option<version::Key> {
-        let is_away = self.store_health.is_unavailable() || self.streams.are_refused(now);
-        is_away.then(|| self.alternative(now, service, pool))?
+        (!self.is_recording(now)).then(|| self.alternative(now, service, pool))?
+    }
+
+    /// Returns whether the table service writes records of streams.
+    pub(crate) fn is_recording(&self, now: Time) -> bool {
+        !self.store_health.is_unavailable() && !self.streams.are_refused(now)
     }
 
     /// Keeps a request whose record wasn't written in time to the default version.
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -130,6 +130,8 @@
     pub attempt: u32,
     /// The stream.
     pub stream: Key,
+    /// Service of the attempt's replica.
+    pub service: SmolStr,
     /// Version of the attempt's replica.
     pub version: SmolStr,
     /// Time from which no caller takes the stream up again.
@@ -158,9 +160,13 @@
         self.expiry.insert((until, stream));
     }
 
-    /// Returns the version that began a stream here.
-    pub fn version_of(&self, stream: Key) -> Option<&SmolStr> {
-        self.begun.get(&stream).map(|begun| &begun.version)
+    /// Returns the service and the version that began a stream here.
+    pub fn origin_of(&self, stream: Key) -> Option<Origin> {
+        let begun = self.begun.get(&stream)?;
+        Some(Origin {
+            service: Some(begun.service.clone()),
+            version: begun.version.clone(),
+        })
     }
 
     /// Queues a record.
@@ -178,6 +184,7 @@
             serial: None,
             attempt: BEGUN,
             stream,
+            service: begun.service.clone(),
             version: begun.version.clone(),
             until: begun.until,
         });
@@ -231,14 +238,27 @@
     }
 }
 
-/// Returns the version in the record of a stream's last attempt.
-pub(crate) fn recorded_version(stream: Key, rows: &[Row]) -> Option<SmolStr> {
+/// What began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Origin {
+    /// The service; `None` in a record of an entry that didn't state it.
+    pub service: Option<SmolStr>,
+    /// The software version.
+    pub version: SmolStr,
+}
+
+/// Returns the origin in the record of a stream's last attempt.
+pub(crate) fn recorded_origin(stream: Key, rows: &[Row]) -> Option<Origin> {
     let is_of_account = |row: &&Row| {
         let account = row.value.get("account").and_then(Value::as_u64);
         account.is_none_or(|account| account == stream.account)
     };
-    let version = rows.iter().rfind(is_of_account)?.value.get("version")?;
-    version.as_str().map(SmolStr::new)
+    let value = &rows.iter().rfind(is_of_account)?.value;
+    let text = |name: &str| value.get(name).and_then(Value::as_str).map(SmolStr::new);
+    Some(Origin {
+        service: text("service"),
+        version: text("version")?,
+    })
 }
 
 impl Gateway {
@@ -255,6 +275,7 @@
             let unix_ms = |at: Time| self.usage.unix_ms(at);
             let rows = records.in_flight.iter().map(|record| {
                 let value = json!({
+                    "service": record.service,
                     "version": record.version,
                     "account": record.stream.account,
                     "until_ms": unix_ms(record.until),
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -284,26 +284,117 @@
     }
 }
 
-/// Guards against a stream that goes on at another service of its route than the one that began it.
-#[test]
-fn a_stream_goes_on_at_the_service_that_began_it() {
-    let mut world = World::extended(2).released(false);
+/// Starts entries before servers of two services that share a route.
+fn two_services(entries: usize) -> World {
+    let mut world = World::extended(entries).released(false);
     for _ in 0..3 {
         world.add_server();
         world.servers.last_mut().unwrap().service = OTHER_SERVICE.into();
     }
     world.publish_servers();
     world.run(JOIN_MILLIS);
-    let mut services = std::collections::BTreeSet::new();
-    for number in 0..STREAMS {
-        let id = format_smolstr!("shared-{number}");
-        let serial = world.converse_as(0, &request(&id, KEY, "/shared/1"), None);
-        let began = world.service_of(serial);
-        services.extend(began.clone());
-        world.run(10);
-        let again = request(&format_smolstr!("again-{number}"), KEY, "/shared/1");
-        let serial = world.converse_as(1, &again, continuation(&id));
-        assert_eq!(world.service_of(serial), began, "stream {number}");
+    world
+}
+
+/// Begins streams on the shared route at an entry; returns their ids and services.
+fn begin_shared(world: &mut World, entry: usize, name: &str) -> Vec<(SmolStr, Option<SmolStr>)> {
+    let begin = |number| {
+        let id = format_smolstr!("{name}-{number}");
+        let serial = world.converse_as(entry, &request(&id, KEY, "/shared/1"), None);
+        let service = world.service_of(serial);
+        world.run(20);
+        (id, service)
+    };
+    (0..STREAMS).map(begin).collect()
+}
+
+/// Takes up streams at an entry; returns how many went on, and how many of these at another service.
+fn resume_shared(
+    world: &mut World,
+    entry: usize,
+    streams: &[(SmolStr, Option<SmolStr>)],
+) -> (usize, usize) {
+    let (mut resumed, mut mixed) = (0, 0);
+    for (id, began) in streams {
+        let again = format_smolstr!("again-{id}-{entry}-{}", world.now);
+        let caller = request(&again, KEY, "/shared/1");
+        let serial = world.converse_as(entry, &caller, continuation(id));
+        let service = world.service_of(serial);
+        resumed += usize::from(service.is_some());
+        mixed += usize::from(service.is_some() && service != *began);
+        world.run(20);
     }
+    (resumed, mixed)
+}
+
+/// Guards against a stream that goes on at another service of its route than the one that began it.
+#[test]
+fn a_stream_goes_on_at_the_service_that_began_it() {
+    let mut world = two_services(2);
+    let streams = begin_shared(&mut world, 0, "shared");
+    let services: std::collections::BTreeSet<_> = streams.iter().map(|(_, one)| one).collect();
     assert_eq!(services.len(), 2);
+    assert_eq!(resume_shared(&mut world, 1, &streams), (STREAMS, 0));
+}
+
+/// Guards against the same when the shares of the route's services change while streams are open.
+#[test]
+fn a_stream_goes_on_at_its_service_after_a_change_of_shares() {
+    let mut world = two_services(2);
+    let before = begin_shared(&mut world, 0, "before");
+    world.weights = [0.05, 0.5];
+    world.reconfigure();
+    world.run(100);
+    let after = begin_shared(&mut world, 0, "after");
+    for entry in [0, 1] {
+        assert_eq!(
+            resume_shared(&mut world, entry, &before),
+            (STREAMS, 0),
+            "before, at {entry}"
+        );
+        assert_eq!(
+            resume_shared(&mut world, entry, &after),
+            (STREAMS, 0),
+            "after, at {entry}"
+        );
+    }
+}
+
+/// Guards against the same while nothing can be recorded.
+#[test]
+fn a_stream_goes_on_at_its_service_while_the_table_service_is_away() {
+    let mut world = two_services(2);
+    world.weights = [0.05, 0.5];
+    world.reconfigure();
+    world.run(100);
+    let recorded = begin_shared(&mut world, 0, "recorded");
+    world.store_unresponsive = true;
+    world.run(3_000);
+    assert_eq!(resume_shared(&mut world, 1, &recorded).1, 0);
+    let streams = begin_shared(&mut world, 0, "away");
+    assert_eq!(resume_shared(&mut world, 0, &streams), (STREAMS, 0));
+    assert_eq!(resume_shared(&mut world, 1, &streams).1, 0);
+    world.store_unresponsive = false;
+    world.run(3_000);
+    assert_eq!(resume_shared(&mut world, 1, &streams).1, 0);
+}
+
+/// Guards against a stream that goes on at another service since its own was taken out of the route.
+#[test]
+fn a_stream_whose_service_left_its_route_is_refused() {
+    let mut world = two_services(2);
+    let streams = begin_shared(&mut world, 0, "left");
+    world.weights = [0.0, 0.5];
+    world.reconfigure();
+    world.run(100);
+    let stayed =
+        |(_, service): &&(SmolStr, Option<SmolStr>)| service.as_deref() == Some(OTHER_SERVICE);
+    let stayed = streams.iter().filter(stayed).count();
+    for entry in [0, 1] {
+        assert_eq!(
+            resume_shared(&mut world, entry, &streams),
+            (stayed, 0),
+            "at {entry}"
+        );
+    }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -175,6 +175,8 @@
     pub version: u64,
     /// What configurations hold.
     document: Document,
+    /// Weights of the two services that share a route; one without a weight isn't in it.
+    pub weights: [f64; 2],
     /// Closed servers with the entry that closed each.
     pub closed_servers: Vec<(usize, SmolStr)>,
     pub servers: Vec<Server>,
@@ -242,6 +244,7 @@
             requesters: Vec::new(),
             version: 3,
             document,
+            weights: [0.5, 0.5],
             closed_servers: Vec::new(),
             servers: initial_servers(),
             list_revision: 1,
@@ -305,7 +308,7 @@
 
     /// Delivers a version of the configuration to an entry.
     pub fn configure(&mut self, entry: usize, version: u64, source: Source) {
-        let catalog = Rc::new(catalog(version, self.document));
+        let catalog = Rc::new(catalog(version, self.document, self.weights));
         let document = Bytes::from(version.to_string());
         self.step(
             entry,
@@ -317,6 +320,14 @@
         );
     }
 
+    /// Delivers the next version of the configuration to all entries.
+    pub fn reconfigure(&mut self) {
+        self.version += 1;
+        for entry in 0..self.processes.len() {
+            self.configure(entry, self.version, Source::Store);
+        }
+    }
+
     /// Delivers the whole list of servers to all entries.
     pub fn publish_servers(&mut self) {
         let all: Vec<usize> = (0..self.processes.len()).collect();
@@ -1089,7 +1100,7 @@
 }
 
 /// Returns a configuration.
-fn catalog(version: u64, document: Document) -> Catalog {
+fn catalog(version: u64, document: Document, weights: [f64; 2]) -> Catalog {
     let route = Route {
         name: SmolStr::new_static("drafts"),
         host: SmolStr::new_static("models.test"),
@@ -1162,7 +1173,7 @@
     let shared = Route {
         name: SmolStr::new_static("shared"),
         prefix: SmolStr::new_static("/shared/"),
-        shares: [SERVICE, OTHER_SERVICE].map(half_share).to_vec(),
+        shares: shares(weights),
         ..chats.clone()
     };
     let other_service = Service {
@@ -1186,11 +1197,14 @@
     Catalog::new(version, routes, services, accounts, Limits::default())
 }
 
-fn half_share(service: &'static str) -> Share {
-    Share {
+fn shares(weights: [f64; 2]) -> Vec<Share> {
+    let all = [SERVICE, OTHER_SERVICE].into_iter().zip(weights);
+    let used = all.filter(|(_, weight)| *weight > 0.0);
+    let share = |(service, weight)| Share {
         service: SmolStr::new_static(service),
-        weight: 0.5,
-    }
+        weight,
+    };
+    used.map(share).collect()
 }
 
 /// Returns zone, market and count of an order for replicas.
