Soak and mirror: replicas that crash on a part of prompts

Streams of a run have prompts with shared parts, and for eight to twelve seconds prompts with one part come to entries in turn, on which each replica crashes that begins to answer it, before or after the head. Promise: after the fifth crash and 3 s at most three of them reach replicas from undisturbed entries.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -58,6 +58,11 @@
 /// Number of events of a stream.
 const EVENT_COUNT: std::ops::Range<u64> = 5..50;
 
+/// The part that all prompts begin with.
+const COMMON_PART: &str = "c0";
+/// Number of parts that only some prompts share.
+const SUBJECTS: u64 = 6;
+
 /// Kind of request; each has a route of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
@@ -106,6 +111,7 @@
     directories: Vec<SocketAddr>,
     zone: &'static str,
     name: SmolStr,
+    number: usize,
     cached_addresses: Option<(Time, Addresses)>,
     connection: Option<Connection>,
     request_count: u64,
@@ -164,6 +170,7 @@
             directories: (0..entries).map(directory).collect(),
             zone: ZONES[number % ZONES.len()],
             name: format_smolstr!("c{number}"),
+            number,
             cached_addresses: None,
             connection: None,
             request_count: 0,
@@ -202,6 +209,7 @@
                 key: KEY.into(),
                 deadline: class.timeout().as_duration(),
                 continuation: progress.continuation(),
+                prompt: self.prompt(stream.is_some()),
             };
             let attempting = self.attempt(class, &attempt, stream.as_ref(), &mut progress, leaves);
             let Some(outcome) = attempting.await else {
@@ -214,6 +222,35 @@
         }
     }
 
+    /// Sends one prompt with a part, which isn't retried.
+    pub async fn ask_with_part(mut self, part: SmolStr) {
+        let name = format!("{}.1", self.name);
+        let stream = Stream { name, events: 5 };
+        let own = format_smolstr!("f{:x}", self.number);
+        let attempt = caller::Attempt {
+            id: format_smolstr!("{}.1.0", self.name),
+            host: HOST.into(),
+            path: stream.path(),
+            key: KEY.into(),
+            deadline: Class::Stream.timeout().as_duration(),
+            continuation: None,
+            prompt: vec![COMMON_PART.into(), part, own],
+        };
+        let mut progress = Progress::default();
+        self.attempt(Class::Stream, &attempt, Some(&stream), &mut progress, false)
+            .await;
+    }
+
+    /// Returns the prompt of the next request: a part of all streams, one of some, and one of its own.
+    fn prompt(&self, is_stream: bool) -> Vec<SmolStr> {
+        if !is_stream || !self.environment.has_prompts.get() {
+            return Vec::new();
+        }
+        let subject = format_smolstr!("{:x}", 0x100 + self.request_count % SUBJECTS);
+        let own = format_smolstr!("e{:x}{:04x}", self.number, self.request_count);
+        vec![COMMON_PART.into(), subject, own]
+    }
+
     /// Makes one attempt and records its end. Returns none if no entry could be reached.
     async fn attempt(
         &mut self,
--- a/crates/soak/src/configs/bounds.rs
+++ b/crates/soak/src/configs/bounds.rs
@@ -17,6 +17,8 @@
     pub max_during_pause: usize,
     /// Time after the start of a cut from which callers of the entry must be served like others.
     pub cut_reaction: Span,
+    /// Time after several crashes on a part of prompts by which such prompts must be stopped.
+    pub part_reaction: Span,
     /// Time by which every entry applies a new version of the configuration.
     pub apply_time: Span,
     /// Grace period of an entry that is asked to stop.
@@ -38,6 +40,7 @@
             pause_reaction: Span::from_millis(500),
             max_during_pause: 2,
             cut_reaction: Span::from_millis(3_000),
+            part_reaction: Span::from_millis(3_000),
             apply_time: Span::from_millis(2_000),
             grace_period: Span::from_millis(4_000),
             abandon_slack: Span::from_millis(500),
--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -23,6 +23,8 @@
     pub notice_count: usize,
     /// Number of further faults in which entries lose all ways to replicas, or replicas are brittle.
     pub cut_count: usize,
+    /// Number of further faults in which replicas crash on a part of prompts. Streams have prompts only if there are any.
+    pub crash_part_count: usize,
 }
 
 impl Size {
@@ -63,6 +65,7 @@
             fault_count: 9,
             notice_count: 3,
             cut_count: 2,
+            crash_part_count: 1,
         }
     }
 }
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -1,6 +1,8 @@
 //! State shared by the nodes of one run, and their addresses.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -14,6 +16,7 @@
 use clock::Clock;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
+use smol_str::SmolStr;
 
 use crate::ledger::Ledger;
 use crate::tables::Tables;
@@ -39,6 +42,10 @@
     pub random: RefCell<Pcg64>,
     /// Addresses on which nodes listen.
     pub network: Network,
+    /// Whether streams have prompts.
+    pub has_prompts: Cell<bool>,
+    /// Parts of prompts on which replicas crash now.
+    pub crash_parts: RefCell<BTreeSet<SmolStr>>,
     /// Folder of settings and logs.
     pub folder: PathBuf,
     /// Reserves the network while the run lasts.
@@ -55,6 +62,8 @@
             tables: Rc::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
             network,
+            has_prompts: Cell::new(false),
+            crash_parts: RefCell::default(),
             folder,
             _network_lock: lock,
         })
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,7 +9,10 @@
 use mirror::document::Route;
 use rustix::process::Signal;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use tokio::task::JoinSet;
 
+use crate::caller::Caller;
 use crate::caller::Class;
 use crate::caller::KEY;
 use crate::entry::Entry;
@@ -37,6 +40,12 @@
 const LEAVE_TIME: Span = Span::from_millis(3_500);
 /// Pause between two entries that are stopped in turn.
 const STOP_PAUSE: Span = Span::from_millis(500);
+/// Time between two prompts with a crashing part.
+const PART_INTERVAL: Span = Span::from_millis(350);
+/// Interval at which replicas are checked for one.
+const HIT_CHECK_INTERVAL: Span = Span::from_millis(10);
+/// Number of the first caller that sends such prompts.
+const FIRST_PART_CALLER: usize = 1_000;
 /// Number of entries stopped in turn. Each takes its whole grace period while callers keep connections open.
 const STOPS_IN_TURN: usize = 3;
 
@@ -52,7 +61,7 @@
 
 impl Cluster {
     /// Applies a fault, and ends it after its duration.
-    pub async fn apply(&self, step: &Step) {
+    pub async fn apply(self: &Rc<Self>, step: &Step) {
         match step.fault {
             Fault::Kill(entry) => self.kill(&[entry]).await,
             Fault::KillAll => self.kill(&Vec::from_iter(0..self.entries.len())).await,
@@ -122,6 +131,7 @@
             }
             Fault::CutOff(entry, open) => self.cut_off(entry, open, step.duration).await,
             Fault::Brittle(first) => self.make_brittle(first, step.duration).await,
+            Fault::CrashPart(number) => self.crash_on_part(number, step.duration).await,
             Fault::Works(replica, behavior) => {
                 let replica = &self.replicas[replica];
                 let target = Target::Replica(replica.index);
@@ -203,6 +213,40 @@
         promises::check_brittle(&mut ledger, &replicas, start, end);
     }
 
+    /// Lets replicas crash on a part of prompts, and sends such prompts to entries in turn.
+    async fn crash_on_part(self: &Rc<Self>, number: u64, duration: Span) {
+        let environment = &self.environment;
+        let part = format_smolstr!("{number:x}");
+        environment.crash_parts.borrow_mut().insert(part.clone());
+        let end = environment.clock.now() + duration;
+        let mut asking = JoinSet::new();
+        let mut count = 0;
+        while environment.clock.now() < end {
+            let caller = FIRST_PART_CALLER + (number % 1_000) as usize * 1_000 + count;
+            let caller = Caller::new(Rc::clone(environment), caller, self.entries.len());
+            asking.spawn_local(caller.ask_with_part(part.clone()));
+            count += 1;
+            wait(PART_INTERVAL).await;
+        }
+        while asking.join_next().await.is_some() {}
+        environment.crash_parts.borrow_mut().remove(&part);
+        let now = environment.clock.now();
+        promises::check_part(&mut environment.ledger.borrow_mut(), &part, now);
+    }
+
+    /// Ends replicas that began to answer a prompt with a crashing part.
+    pub async fn crash_hit_replicas(self: Rc<Self>) {
+        loop {
+            wait(HIT_CHECK_INTERVAL).await;
+            for replica in self.replicas.iter().filter(|replica| replica.take_hit()) {
+                let (cluster, index) = (Rc::clone(&self), replica.index);
+                tokio::task::spawn_local(async move {
+                    cluster.crash(index, ROW_REMOVAL_DELAY).await;
+                });
+            }
+        }
+    }
+
     async fn crash(&self, replica: usize, duration: Span) {
         let replica = &self.replicas[replica];
         let disturbance = self.begin_disturbance(Target::Replica(replica.index));
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -127,6 +127,10 @@
     pub cuts: Vec<Cut>,
     /// Replicas that failed since they turned too many requests away, with the time.
     pub brittle_failures: Vec<(usize, Time)>,
+    /// Ends of replicas on a part of a prompt, with the part.
+    pub part_crashes: Vec<(SmolStr, Time)>,
+    /// Arrivals of prompts with such a part at replicas: the part, the entry and the time.
+    pub part_arrivals: Vec<(SmolStr, usize, Time)>,
     /// What replicas stated in their answers.
     pub notices: Notices,
     /// Broken promises.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -26,6 +26,10 @@
 const CUT_SEED: u64 = 0x63_7574;
 /// Duration of a cut, in milliseconds: longer than entries have to notice it.
 const CUT_DURATION_MS: Range<u64> = 5_000..9_000;
+/// Distinguishes the random sequence of crashing parts.
+const PART_SEED: u64 = 0x7061_7274;
+/// Time for which prompts with such a part come, in milliseconds.
+const PART_DURATION_MS: Range<u64> = 8_000..12_000;
 /// Delay of bytes or answers, in milliseconds.
 const DELAY_MS: Range<u64> = 20..600;
 
@@ -82,6 +86,8 @@
     CutOff(usize, Mode),
     /// All replicas of a service are brittle; named by the first of them.
     Brittle(usize),
+    /// Replicas crash as they begin to answer a prompt with a certain part, and such prompts come.
+    CrashPart(u64),
     /// A replica misbehaves.
     Works(usize, Behavior),
     /// The operator changes the configuration.
@@ -127,6 +133,13 @@
         draw_notice,
     );
     draw_further(seed ^ CUT_SEED, size.cut_count, CUT_DURATION_MS, draw_cut);
+    let draw_part: Draw = |random, _| Fault::CrashPart(random.random());
+    draw_further(
+        seed ^ PART_SEED,
+        size.crash_part_count,
+        PART_DURATION_MS,
+        draw_part,
+    );
     steps.sort_by_key(|step| step.start);
     steps
 }
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -9,6 +9,7 @@
 use clock::Time;
 use http::StatusCode;
 use mirror::caller;
+use smol_str::SmolStr;
 
 use crate::caller::Class;
 use crate::ledger::Attempt;
@@ -22,6 +23,10 @@
 const MAX_RUNS: usize = 2;
 /// Most times that an attempt may return to a replica.
 const MAX_RETURNS: usize = 2;
+/// Crashes on a part of prompts after which it must be known.
+const MAX_PART_CRASHES: usize = 5;
+/// Prompts with such a part that may reach replicas later.
+const MAX_LATE_PARTS: usize = 3;
 const RUNS_PROMISE: &str = "a request reaches no more replicas than allowed";
 /// Number of attempts of one run whose work may outlast their callers.
 const MAX_ABANDONED: usize = 3;
@@ -111,6 +116,25 @@
     }
 }
 
+/// Checks that prompts with a part on which replicas crash are stopped after some crashes.
+pub fn check_part(ledger: &mut Ledger, part: &SmolStr, now: Time) {
+    let crashes = ledger.part_crashes.iter().filter(|(of, _)| of == part);
+    let crashes: Vec<Time> = crashes.map(|(_, at)| *at).collect();
+    let Some(last_allowed) = crashes.get(MAX_PART_CRASHES - 1).copied() else {
+        return;
+    };
+    let from = last_allowed + ledger.bounds.part_reaction;
+    let is_late = |(of, entry, at): &&(SmolStr, usize, Time)| {
+        let since = Time::ZERO + at.since(Time::ZERO + ledger.bounds.part_reaction);
+        of == part && *at > from && ledger.is_undisturbed(Target::Entry(*entry), since, *at)
+    };
+    let late = ledger.part_arrivals.iter().filter(is_late).count();
+    if late > MAX_LATE_PARTS {
+        let detail = format!("{late} late, {} crashes", crashes.len());
+        ledger.record_breach("what crashes replicas is stopped", now, detail);
+    }
+}
+
 /// Checks that a call that must not be repeated runs once, and others reach no more replicas than allowed.
 fn check_run_count(ledger: &mut Ledger, attempt: &Attempt, at: Time) {
     let runs = ledger.runs_of(&attempt.id).count();
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -56,6 +56,8 @@
 const CALL_TIME: Duration = Duration::from_millis(30);
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Time within which a replica that crashes has ended.
+const CRASH_TIME: Duration = Duration::from_secs(1);
 /// Pause that a replica asks for when it turns a request away.
 const PAUSE: Span = Span::from_millis(2_500);
 /// Factor by which slow work takes longer.
@@ -101,6 +103,8 @@
     /// Times of recent rejections for want of room.
     rejections: RefCell<VecDeque<Time>>,
     is_running: watch::Sender<bool>,
+    /// Whether it began to answer a prompt with a crashing part.
+    is_hit: Cell<bool>,
 }
 
 /// Records the end of a run when dropped: the work is done, or its connection was closed.
@@ -150,6 +154,7 @@
             busy: Cell::new(0),
             rejections: RefCell::default(),
             is_running,
+            is_hit: Cell::new(false),
         });
         replica.write_row(false);
         let serving = Rc::clone(&replica);
@@ -184,6 +189,32 @@
         self.is_running.send_replace(false);
     }
 
+    /// Returns whether the replica began to answer a prompt with a crashing part, once.
+    pub fn take_hit(&self) -> bool {
+        self.is_hit.take() && *self.is_running.borrow()
+    }
+
+    /// Records the arrival of a prompt on a part of which replicas crash now; returns the part.
+    fn record_crash_part(&self, received: &Received, entry: Option<usize>) -> Option<SmolStr> {
+        let parts = self.environment.crash_parts.borrow();
+        let part = received.prompt.iter().find(|part| parts.contains(*part))?;
+        if let Some(entry) = entry {
+            let now = self.environment.clock.now();
+            let mut ledger = self.environment.ledger.borrow_mut();
+            ledger.part_arrivals.push((part.clone(), entry, now));
+        }
+        Some(part.clone())
+    }
+
+    /// Lets the replica crash on a part of a prompt.
+    fn hit(&self, part: SmolStr) {
+        if !self.is_hit.replace(true) {
+            let now = self.environment.clock.now();
+            let mut ledger = self.environment.ledger.borrow_mut();
+            ledger.part_crashes.push((part, now));
+        }
+    }
+
     /// Restarts the replica under the same id, with no state from before.
     pub fn restart(&self) {
         self.started_ms.set(unix_ms());
@@ -351,7 +382,11 @@
         return Ok(refusal);
     }
     let guard = replica.begin_run(&received);
+    let crash_part = replica.record_crash_part(&received, entry);
     tokio::time::sleep(replica.work_time(CALL_TIME)).await;
+    if let Some(part) = crash_part {
+        return crash_on(replica, &received, part).await;
+    }
     let breaks_off = match replica.behavior.get() {
         Behavior::Fails(share) if replica.chance(share) => {
             return Ok(failure_response(&replica, &received));
@@ -373,6 +408,28 @@
     Ok(server::complete(response))
 }
 
+/// Ends the replica before or after the head of its answer to a prompt.
+async fn crash_on(
+    replica: Rc<Replica>,
+    received: &Received,
+    part: SmolStr,
+) -> Result<Response<Body>, Disconnected> {
+    replica.hit(part);
+    let has_head = replica.chance(0.5);
+    if !has_head {
+        tokio::time::sleep(CRASH_TIME).await;
+        return Err(Disconnected);
+    }
+    let ending = stream::once(async {
+        tokio::time::sleep(CRASH_TIME).await;
+        Err(Disconnected)
+    });
+    let body: Body = Box::pin(StreamBody::new(ending));
+    let mut response = Response::new(body);
+    *response.headers_mut() = replica.answer_headers(received);
+    Ok(response)
+}
+
 fn failure_response(replica: &Replica, received: &Received) -> Response<Body> {
     let mut response = Response::new(Bytes::new());
     *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -65,7 +65,9 @@
 
 async fn play_nodes(seed: u64, size: Size, binary: &Path, folder: PathBuf) -> Result<Report> {
     let environment = Rc::new(Environment::new(seed, folder)?);
+    environment.has_prompts.set(size.crash_part_count > 0);
     let cluster = Rc::new(start_nodes(&environment, size, binary).await?);
+    let crashing = tokio::task::spawn_local(Rc::clone(&cluster).crash_hit_replicas());
     let network = environment.network;
     let cloud_address = network.address(Node::Platform, Port::Cloud);
     let cloud = Cloud::serve(Rc::clone(&environment), cloud_address).await?;
@@ -89,6 +91,7 @@
     while callers.join_next().await.is_some() {}
     let now = environment.clock.now();
     promises::check_final(&mut environment.ledger.borrow_mut(), faults_ended_at, now);
+    crashing.abort();
     for entry in &cluster.entries {
         entry.shut_down();
     }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -19,6 +19,7 @@
         fault_count: 4,
         notice_count: 0,
         cut_count: 0,
+        crash_part_count: 0,
         ..Size::small()
     }
 }
@@ -86,3 +87,16 @@
     };
     play([31, 32], size);
 }
+
+/// Guards against prompts that crash one replica after the other by a part they share, and against refusing sound
+/// ones.
+#[test]
+fn prompts_that_crash_replicas_by_a_part_are_stopped() {
+    let size = Size {
+        engines: 6,
+        fault_count: 1,
+        crash_part_count: 1,
+        ..short_size()
+    };
+    play([41, 42], size);
+}
