Take a stream's version for recorded only by its latest record

Timeline: attempts 1 to 4 of the stream reach no server, at v1, v1, v0 and v1, each with a record; attempt 5 begins it at v0, 27 ms after the fourth was sent. The record of attempt 3 has been written by then, that of attempt 4 not yet. Its caller returns to another entry, which reads the record of attempt 4 as the last one.

Cause: an attempt needed no record if the version last written was its own, though the record of another version was still on its way, with a later number. Class: a decision by what was acknowledged last instead of what was sent last.

A request now keeps its latest record and whether that was written; an attempt at another version writes one of its own and waits for it.

a_late_record_of_another_attempt_does_not_move_a_stream: v2 where v1 began it before, passes now.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -230,8 +230,7 @@
             former_service,
             stream,
             version: None,
-            has_record: false,
-            recorded: None,
+            record: None,
             returns_until: arrived_at + arrival.deadline.unwrap_or(route.timeout) + RETURN_SLACK,
             execution_started: false,
         })
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,17 @@
 use crate::charging::Grant;
 use crate::streams;
 
+/// The latest record of a stream, which overrides those of earlier attempts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LatestRecord {
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Software version of its replica.
+    pub version: SmolStr,
+    /// Whether the table service has written it.
+    pub is_written: bool,
+}
+
 /// A request between its arrival and its final answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -71,10 +82,8 @@
     pub stream: streams::Key,
     /// The software version that began its stream, once that is known.
     pub version: Option<SmolStr>,
-    /// Whether a version was sent to be recorded for its stream.
-    pub has_record: bool,
-    /// The version last recorded for its stream.
-    pub recorded: Option<SmolStr>,
+    /// The latest record of its stream.
+    pub record: Option<LatestRecord>,
     /// Time from which its caller doesn't take the stream up again.
     pub returns_until: Time,
     /// Whether a replica is known to have started to run it.
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -13,6 +13,7 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::request::LatestRecord;
 use crate::rollouts::Generation;
 use crate::servers::version_key;
 use crate::store_calls::Waiter;
@@ -207,12 +208,17 @@
             return false;
         }
         let is_default = self.versions.default_of(now, &open.service) == Some(&version);
-        let is_recorded = open.recorded.as_ref() == Some(&version);
+        let latest = open.record.as_ref();
+        let is_recorded = latest.is_some_and(|one| one.is_written && one.version == version);
         let is_certain = is_default && open.former_service.is_none();
-        if is_recorded || is_certain && !open.has_record {
+        if is_recorded || is_certain && latest.is_none() {
             return false;
         }
-        open.has_record = true;
+        open.record = Some(LatestRecord {
+            attempt: open.attempt,
+            version: version.clone(),
+            is_written: false,
+        });
         self.streams.record(Record {
             serial: Some(serial),
             attempt: open.attempt,
@@ -240,7 +246,7 @@
         };
         open.version = Some(version.clone());
         let (stream, until) = (open.stream, open.returns_until);
-        let (service, has_record) = (open.service.clone(), open.has_record);
+        let (service, has_record) = (open.service.clone(), open.record.is_some());
         let needs_record = !has_record && self.versions.needs_records(now, &service);
         self.streams.remember(stream, service, version, until);
         if needs_record {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -320,7 +320,9 @@
             let Some(open) = self.requests.get_mut(&serial) else {
                 continue;
             };
-            open.recorded = Some(record.version);
+            if let Some(latest) = &mut open.record {
+                latest.is_written |= latest.attempt == record.attempt;
+            }
             if open.attempt == record.attempt {
                 effects.push(Effect::Flight {
                     serial,
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -9,6 +9,7 @@
 use gateway::arrival::Continuation;
 use gateway::arrival::Prompt;
 use gateway::attempt::End;
+use gateway::attempt::Report;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use support::JOIN_MILLIS;
@@ -398,3 +399,40 @@
         );
     }
 }
+
+/// Guards against a record of an earlier attempt at another version that is written after the stream began.
+#[test]
+fn a_late_record_of_another_attempt_does_not_move_a_stream() {
+    let mut tried = 0;
+    let mut world = world(2, true);
+    for _ in 0..4 * STREAMS {
+        world.failing_table = None;
+        world.run(100);
+        let serial = world.open_stream(0);
+        let begins = world.version_of(serial).as_deref() == Some("v2");
+        if !begins || !has_versions(&mut world, serial, &["v1"]) {
+            continue;
+        }
+        world.failing_table = Some("streams-");
+        if !has_versions(&mut world, serial, &["v2", "v1"]) {
+            continue;
+        }
+        tried += 1;
+        let sent = world.sent_requests.last().unwrap().clone();
+        world.failing_table = None;
+        world.run(2_000);
+        world.report_on(&sent, Report::ResponseStarted);
+        let resumed = world.resume_stream(1, serial);
+        assert_eq!(resumed.as_deref(), Some("v1"));
+    }
+    assert!(tried > 0, "no stream took that course");
+}
+
+/// Lets attempts of a stream fail to reach their servers; returns whether the next ones are at these versions.
+fn has_versions(world: &mut World, serial: u64, versions: &[&str]) -> bool {
+    versions.iter().all(|version| {
+        let sent = world.sent_requests.last().unwrap().clone();
+        world.end_attempt(&sent, End::NotSent);
+        world.version_of(serial).as_deref() == Some(version)
+    })
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -611,6 +611,11 @@
         serial
     }
 
+    /// Starts a stream that can be resumed, without its first event; returns its serial number.
+    pub fn open_stream(&mut self, entry: usize) -> u64 {
+        self.converse(entry, None)
+    }
+
     /// Starts a stream that can be resumed and delivers its first event, unless that must wait; returns its
     /// serial number and the version that began it, if any.
     pub fn begin_stream(&mut self, entry: usize) -> (u64, Option<SmolStr>) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -241,12 +241,28 @@
             for replica in self.replicas.iter().filter(|replica| replica.take_hit()) {
                 let (cluster, index) = (Rc::clone(&self), replica.index);
                 tokio::task::spawn_local(async move {
+                    cluster.set_down(index, true).await;
                     cluster.crash(index, ROW_REMOVAL_DELAY).await;
+                    cluster.set_down(index, false).await;
                 });
             }
         }
     }
 
+    /// Lets all proxies in front of a replica refuse connections, or accept them again.
+    async fn set_down(&self, replica: usize, is_down: bool) {
+        self.replicas[replica].proxy.set_down(is_down);
+        for way in self
+            .entries
+            .iter()
+            .filter_map(|entry| entry.ways.get(replica))
+        {
+            way.set_down(is_down);
+        }
+        // Listeners are closed before entries notice that connections broke.
+        tokio::task::yield_now().await;
+    }
+
     async fn crash(&self, replica: usize, duration: Span) {
         let replica = &self.replicas[replica];
         let disturbance = self.begin_disturbance(Target::Replica(replica.index));
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -49,6 +49,8 @@
     /// Address on which it listens.
     pub address: SocketAddr,
     mode: watch::Sender<Mode>,
+    /// Whether the server's process is gone, so that its host refuses connections.
+    is_down: watch::Sender<bool>,
 }
 
 /// Direction of bytes.
@@ -66,12 +68,14 @@
             .with_context(|| format!("can't listen on {listen}"))?;
         let mode = watch::Sender::new(Mode::Pass);
         let mode_updates = mode.subscribe();
+        let is_down = watch::Sender::new(false);
+        let mut down = is_down.subscribe();
         tokio::task::spawn_local(async move {
             let mut listener = Some(listener);
             let mut mode = mode_updates.clone();
             loop {
                 let refuses = matches!(*mode.borrow_and_update(), Mode::Refuse | Mode::Sever);
-                if refuses {
+                if refuses || *down.borrow_and_update() {
                     listener = None;
                 } else if listener.is_none() {
                     listener = TcpListener::bind(listen).await.ok();
@@ -81,15 +85,22 @@
                         tokio::task::spawn_local(forward(socket, destination, mode_updates.clone()));
                     }
                     changed = mode.changed() => if changed.is_err() { return },
+                    changed = down.changed() => if changed.is_err() { return },
                 }
             }
         });
         Ok(Proxy {
             address: listen,
             mode,
+            is_down,
         })
     }
 
+    /// Sets whether the server's process is gone.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.send_replace(is_down);
+    }
+
     /// Sets the treatment of all connections, also of open ones.
     pub fn set_mode(&self, mode: Mode) {
         self.mode.send_replace(mode);
