--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -282,6 +282,7 @@
                 id: attempt.id.clone(),
                 class,
                 entry: entry_index(connection.entry),
+                crashes: self.environment.crashes(&attempt.prompt),
                 reused: connection.reused,
                 sent_at: self.environment.clock.now(),
                 ended: None,
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -53,6 +53,12 @@
 }
 
 impl Environment {
+    /// Returns whether replicas crash on a part of the prompt now.
+    pub fn crashes(&self, prompt: &[SmolStr]) -> bool {
+        let parts = self.crash_parts.borrow();
+        prompt.iter().any(|part| parts.contains(part))
+    }
+
     /// Reserves a network and creates the state for the run of a seed.
     pub fn new(seed: u64, folder: PathBuf) -> Result<Environment> {
         let (network, lock) = Network::acquire(seed)?;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -48,6 +48,8 @@
     pub class: Class,
     /// Index of the entry to which it was sent.
     pub entry: usize,
+    /// Whether its prompt crashes replicas, so that nobody misses its answer.
+    pub crashes: bool,
     /// Whether its connection carried an earlier attempt.
     pub reused: bool,
     /// Time at which it was sent.
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -82,7 +82,8 @@
             continue;
         };
         let target = Target::Entry(attempt.entry);
-        let judged = attempt.sent_at >= from && *ended_at <= cut.end && *end != End::Left;
+        let is_missed = *end != End::Left && !attempt.crashes;
+        let judged = attempt.sent_at >= from && *ended_at <= cut.end && is_missed;
         if !judged || !ledger.is_undisturbed(target, attempt.sent_at, *ended_at) {
             continue;
         }
