--- a/crates/policy/src/quarantine/parts/evidence.rs
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -1,19 +1,21 @@
 //! Crashes and answers, seen here or by other entries.
 
 use std::cmp::Reverse;
+use std::rc::Rc;
+
+use clock::Span;
+use clock::Time;
+
+use crate::quarantine::crashes::Crashes;
+use crate::quarantine::digest::PartItem;
 
 use super::ANNOUNCEMENT;
 use super::Answer;
-use super::Crashes;
-use super::PartItem;
 use super::Parts;
-use super::Rc;
-use super::Span;
-use super::Time;
 use super::record::Crash;
 use super::record::Record;
 
-/// Maximum number of answers that await confirmation.
+/// Maximum number of answers whose replicas may still turn out to have crashed.
 const MAX_UNCONFIRMED: usize = 4_096;
 
 impl Parts {
@@ -178,13 +180,14 @@
                 self.answered.remove(&oldest);
             }
         }
-        let is_home = self.is_home(part);
         let Some(record) = self.records.get(&part) else {
             return false;
         };
         let was_refuted =
             known.is_some_and(|known| record.last_crash() < known + self.config.answer_validity);
-        self.urgent |= !was_refuted && (record.is_own || is_home);
+        if !was_refuted && (record.is_own || self.is_home(part)) {
+            self.urgent = true;
+        }
         !was_refuted
     }
 
