--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -26,7 +26,6 @@
 
 use self::record::Record;
 use super::crashes::Crashes;
-use super::digest::PartItem;
 
 /// Time for which a part is announced as sound after it was accused.
 const ANNOUNCEMENT: Span = Span::from_seconds(30);
