Hold a last answer until its stream's version is recorded, instead of generating it again

What callers saw: nothing wrong, but servers did work twice and three times.

Hypotheses: an interrupted way (ruled out: no attempt ended interrupted), more than two replicas (ruled out: i-3 and i-2), the return to a server whose answer was withheld (proved by the log: both returns follow end=unrecorded at the same server).

Cause: a withheld answer is given up after 1.5 s so that another server is tried that needs no record. The last attempt was given up like that too, although nothing but the same server was left, up to twice.

Change: the last attempt holds its answer for up to 4.5 s, as long as the three runs took together, and its end leads to no return. A request whose last attempt fails otherwise still returns to the server whose answer was withheld before.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -116,6 +116,7 @@
             .cloned()
             .unwrap_or_default();
         let awaits_record = self.record_version(now, job.0, version.clone());
+        let record_timeout = awaits_record.then(|| self.record_timeout(job.0));
         let Some(open) = self.requests.get(&job.0) else {
             return;
         };
@@ -130,7 +131,7 @@
             silence_timeout: open.silence_timeout,
             stream: open.repeat.is_stream(),
             repeatable: open.repeat.is_repeatable(),
-            awaits_record,
+            record_timeout,
             urgency: is_model.then_some(urgency),
             tokens_per_event: open.tokens_per_event,
             fetch_from: cache_source.map(|endpoint| endpoint.address),
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -175,8 +175,8 @@
     pub fetch_from: Option<SmolStr>,
     /// Whether a limit that the replica reported is in force; an answer without one lifts it.
     pub limited: bool,
-    /// Whether its first event must wait for [`Command::Recorded`].
-    pub awaits_record: bool,
+    /// Longest wait of its first event for [`Command::Recorded`]; `None` if it needn't wait.
+    pub record_timeout: Option<Span>,
     /// Engine priority, 0 (most urgent) to 9; `None` for plain services.
     pub urgency: Option<u8>,
 }
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -25,6 +25,11 @@
 /// table service.
 const UNKNOWN_VERSION_RETRY: Span = Span::from_millis(500);
 
+/// Longest wait for a stream's version to be recorded while another replica may need no record.
+const RECORD_TIMEOUT: Span = Span::from_millis(1_500);
+/// Longest such wait where no other replica may run the request.
+const LAST_RECORD_TIMEOUT: Span = Span::from_millis(4_500);
+
 /// How the version that began a stream was found out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -231,6 +236,16 @@
         !self.store_health.is_unavailable() || self.alternative(now, &service, pool).is_some()
     }
 
+    /// Returns the longest wait of a stream's first event for its record.
+    ///
+    /// A further attempt may need no record; without one, an answer given up is lost.
+    pub(crate) fn record_timeout(&self, serial: u64) -> Span {
+        match self.scheduler.has_attempts_left(job::Id(serial)) {
+            true => RECORD_TIMEOUT,
+            false => LAST_RECORD_TIMEOUT,
+        }
+    }
+
     /// Remembers the version whose replica delivers the first event of a stream, and records it as long as the absence
     /// of a record doesn't prove the default version.
     pub(crate) fn begin_stream(&mut self, now: Time, serial: u64) {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -240,6 +240,27 @@
     assert_eq!(attempts(&world).len(), 3);
 }
 
+/// Guards against running a stream again and again at the server whose answer is withheld for want of a record.
+#[test]
+fn a_withheld_answer_without_further_attempts_is_not_generated_again() {
+    let mut world = world(1, true);
+    world.failing_table = Some("streams-");
+    let serial = world.begin_stream_at(0, "v2");
+    let first_timeout = world.record_timeouts[&serial];
+    world.run(1_500);
+    for attempt in 0..2 {
+        let of_stream = world.sent_requests.iter();
+        let mut of_stream = of_stream.filter(|sent| sent.serial == serial);
+        let sent = of_stream.nth(attempt).unwrap().clone();
+        assert!(of_stream.next().is_none());
+        assert!(attempt == 0 || world.record_timeouts[&serial] > first_timeout);
+        world.end_attempt(&sent, End::Unrecorded);
+    }
+    let runs = world.sent_requests.iter();
+    assert_eq!(runs.filter(|sent| sent.serial == serial).count(), 2);
+    assert_eq!(world.log_count("request_refused"), 1);
+}
+
 /// Returns a caller's request for a stream.
 fn request(id: &SmolStr, key: &'static str, path: &'static str) -> Arrival {
     Arrival {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -140,6 +140,8 @@
     named_entries: Vec<SmolStr>,
     /// Requests whose first events wait until their version is recorded.
     pub awaiting_record: BTreeSet<u64>,
+    /// Longest wait for the record of each of them.
+    pub record_timeouts: BTreeMap<u64, Span>,
     /// Runs ordered to move: serial number and target server.
     pub moved_runs: Vec<(u64, SmolStr)>,
     /// Log lines of all entries by event.
@@ -226,6 +228,7 @@
             stopped: BTreeSet::new(),
             named_entries: Vec::new(),
             awaiting_record: BTreeSet::new(),
+            record_timeouts: BTreeMap::new(),
             moved_runs: Vec::new(),
             log_counts: BTreeMap::new(),
             store_unresponsive: false,
@@ -967,8 +970,9 @@
                 match command {
                     Command::Start(start) => {
                         self.attempts_started += 1;
-                        if start.awaits_record {
+                        if let Some(timeout) = start.record_timeout {
                             self.awaiting_record.insert(serial);
+                            self.record_timeouts.insert(serial, timeout);
                         }
                         self.sent_requests.push(SentRequest {
                             sent_at: self.now,
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -121,7 +121,8 @@
             }
             job::End::Withheld => {
                 open.may_have_run = true;
-                open.withheld_at = Some(replica);
+                let attempts_left = open.used_attempts() < open.job.terms.attempts;
+                open.withheld_at = attempts_left.then_some(replica);
             }
         }
         self.retry(now, id, end != job::End::NotSent, out);
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -195,6 +195,18 @@
         self.record_cache_event(now, key, sequence, prefix, stored);
     }
 
+    /// Returns whether a job that runs may be sent to a further replica of its pool.
+    pub fn has_attempts_left(&self, id: job::Id) -> bool {
+        let Some(open) = self.open.get(&id) else {
+            return false;
+        };
+        let Some(pool) = self.pools.get(&open.job.pool) else {
+            return false;
+        };
+        let is_untried = |key: &replica::Key| !open.tried.contains(key);
+        open.used_attempts() < open.job.terms.attempts && pool.members.iter().any(is_untried)
+    }
+
     /// Returns another replica that probably caches the job's prefix, for `chosen` to fetch it from instead
     /// of computing it again; `None` if KV memory can't be moved.
     pub fn cache_source(
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -43,9 +43,6 @@
 /// Longest wait for the rest of an unneeded answer, after which its connection is closed instead of reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Longest wait for a stream's version to be recorded, after which another replica is tried that needs no record.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Interval at which a request that awaits bytes checks whether all servers are silent.
 const SILENCE_CHECK_INTERVAL: Span = Span::from_millis(400);
 
@@ -166,9 +163,9 @@
             if state.splitter.push(&bytes).is_err() {
                 return Some(End::Broken { alive: true });
             }
-            if start.awaits_record && !state.started {
+            if let Some(timeout) = start.record_timeout.filter(|_| !state.started) {
                 let recorded = tokio::select! {
-                    recorded = is_recorded(&self.recorded, start.attempt) => recorded,
+                    recorded = is_recorded(&self.recorded, start.attempt, timeout) => recorded,
                     () = self.caller.disconnected() => return None,
                 };
                 if !recorded {
@@ -246,10 +243,10 @@
 }
 
 /// Waits until the version of an attempt is recorded; returns false if that takes too long.
-async fn is_recorded(recorded: &watch::Sender<u32>, attempt: u32) -> bool {
+async fn is_recorded(recorded: &watch::Sender<u32>, attempt: u32, timeout: Span) -> bool {
     let mut recorded = recorded.subscribe();
     let recording = recorded.wait_for(|latest| *latest >= attempt);
-    let recording = tokio::time::timeout(RECORD_TIMEOUT, recording).await;
+    let recording = tokio::time::timeout(timeout.as_duration(), recording).await;
     matches!(recording, Ok(Ok(_)))
 }
 
