Entries that start together assume less to be left of a quota

Hypotheses: (1) each starting entry takes itself for alone and grants without bound: ruled out, a start with the configured number of entries changes no figure. (3) Starting entries see few others live (2 to 12 of 75 in the first 0.6 s, 52 after 3.5 s), so that 17 of 75 decide on one account, each with 0.3 of the burst: proved by the grants of each in the simulated world.

Change: what an entry assumes to be left of a burst grows with the entries from which it has heartbeats, up to the former part.

Evidence: the new test fails before with 4,079 of 3,780. The tests of the policy set the number of known entries where they set that of all.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -191,7 +191,7 @@
         let scheduler = Scheduler::with_settings(seed, settings.scheduler);
         Gateway {
             membership: peers::membership(&identity, &settings, seed),
-            quotas: Quotas::new(settings.quota),
+            quotas: Quotas::new(settings.quota, settings.entries),
             charges: Charges::new(settings.charge, identity.incarnation.0),
             roster: Roster::default(),
             throttle: Throttle::new(settings.store),
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -20,6 +20,9 @@
                 store_lost: known.beat.store_lost,
             })
             .collect();
+        let with_heartbeat = candidates.iter().filter(|peer| peer.capacity > 0).count();
+        let known = u32::try_from(with_heartbeat + 1).unwrap_or(u32::MAX);
+        self.quotas.set_known(now, known);
         if self.is_ready() {
             candidates.push(Candidate {
                 id: self.identity.incarnation,
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -127,3 +127,52 @@
     let served = flood(&mut world, 200, 5);
     assert!(served >= BURST * 9 / 10, "{served} of {BURST}");
 }
+
+/// Guards against granting the rest of a burst once more at each entry that takes itself for an account's home, where all
+/// entries were lost and start together.
+#[test]
+fn entries_that_start_together_keep_to_the_quota() {
+    const COUNT: usize = 40;
+    const RATE: usize = 400;
+    const WINDOW_MILLIS: u64 = 8_000;
+    let mut settings = support::default_settings(COUNT);
+    settings.seeds.truncate(3);
+    let mut world = World::steady(COUNT, settings);
+    world.run(15_000);
+    let mut next = 0;
+    let mut flood = |world: &mut World, millis: u64| {
+        for _ in 0..millis / 10 {
+            for _ in 0..15 {
+                next = (next * 7 + 31) % 1_000_003;
+                world.serve(next % COUNT);
+            }
+            world.run(10);
+        }
+    };
+    flood(&mut world, 4_000);
+    for entry in 0..COUNT {
+        world.kill(entry);
+    }
+    flood(&mut world, 300);
+    for entry in 0..COUNT {
+        world.start(entry);
+        if entry % 4 == 0 {
+            flood(&mut world, 10);
+        }
+    }
+    flood(&mut world, 6_000);
+    let times: Vec<u64> = world
+        .sent_requests
+        .iter()
+        .map(|sent| sent.sent_at)
+        .collect();
+    let in_window = |from: &u64| {
+        let window = *from..*from + WINDOW_MILLIS;
+        times.iter().filter(|at| window.contains(at)).count()
+    };
+    let most = times.iter().step_by(20).map(in_window).max();
+    // Half of the tolerated overrun is granted on purpose, the other half is for such moments.
+    let burst = RATE;
+    let allowed = (RATE * 8 + burst) * 105 / 100;
+    assert!(most <= Some(allowed), "{most:?} of {allowed}");
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -107,6 +107,8 @@
     Usual,
     /// The same without a quota.
     Unlimited,
+    /// The same with a burst of one second.
+    Steady,
     /// Another account beside it, and a route to two services.
     Extended,
 }
@@ -210,6 +212,11 @@
         World::start_all(entries, default_settings(entries), Document::Unlimited)
     }
 
+    /// Starts entries with the given settings, whose only account may use a second of its quota at once.
+    pub fn steady(entries: usize, settings: Settings) -> World {
+        World::start_all(entries, settings, Document::Steady)
+    }
+
     /// Starts entries with default settings, whose configuration has another account and a route to two services.
     pub fn extended(entries: usize) -> World {
         World::start_all(entries, default_settings(entries), Document::Extended)
@@ -1050,7 +1057,7 @@
     }
 }
 
-fn default_settings(entries: usize) -> Settings {
+pub fn default_settings(entries: usize) -> Settings {
     Settings {
         entries: entries as u32,
         seeds: (0..entries).map(peer_address).collect(),
@@ -1168,6 +1175,7 @@
     // An account without a rate has no quota.
     let rate = match document {
         Document::Unlimited => 0,
+        Document::Steady => 400,
         Document::Usual | Document::Extended => 40,
     };
     let account = Account {
--- a/crates/policy/src/configs/quota.rs
+++ b/crates/policy/src/configs/quota.rs
@@ -12,7 +12,8 @@
     pub peer_expiry: Span,
     /// Smoothing factor of a peer's rate; covers about its last four messages.
     pub smoothing: f64,
-    /// Fraction of the burst that a starting entry assumes to be left, since it can't know earlier charges.
+    /// Fraction of the burst that a starting entry assumes to be left once it knows all others, since it can't know
+    /// earlier charges.
     /// At most `reserve`, which limits it to its share: if all entries are killed at once, none of them
     /// knows.
     pub initial_level: f64,
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -21,6 +21,8 @@
 //!   share of the refill. Counts of many others are old: each time a debt was paid off all entries found room
 //!   at once, and 79 entries served a third more than the quota at eight times its rate. The level rises
 //!   above that as soon as some entries use less than their shares, which others may then use.
+//! - An entry that starts assumes a part of the burst to be left, in proportion to the entries that it knows. Entries that
+//!   start together take different ones for an account's home at first, each of which would grant that part.
 //! - A silent peer is assumed to use its equal share. It does not use more: an entry that receives no counts
 //!   refills its bucket at exactly that share.
 
@@ -43,6 +45,8 @@
 pub struct Quotas {
     config: Config,
     entries: u32,
+    /// Largest number of entries known to be live so far, this one included.
+    known: u32,
     buckets: BTreeMap<Name, Bucket>,
     peers: BTreeMap<u64, Peer>,
     refilled_at: Time,
@@ -83,11 +87,12 @@
 }
 
 impl Quotas {
-    /// Creates an instance without quotas and peers.
-    pub fn new(config: Config) -> Quotas {
+    /// Creates an instance without quotas and peers, of an entry that shares them with `entries` in all.
+    pub fn new(config: Config, entries: u32) -> Quotas {
         Quotas {
             config,
-            entries: 1,
+            entries: entries.max(1),
+            known: 1,
             buckets: BTreeMap::new(),
             peers: BTreeMap::new(),
             refilled_at: Time::ZERO,
@@ -100,6 +105,27 @@
         self.entries = entries.max(1);
     }
 
+    /// Sets the number of entries known to be live, this one included; a larger one raises what is assumed to be left of
+    /// the bursts.
+    pub fn set_known(&mut self, now: Time, known: u32) {
+        if known <= self.known {
+            return;
+        }
+        self.refill(now);
+        let before = self.known_share();
+        self.known = known;
+        let newly_known = (self.known_share() - before).max(0.0);
+        for bucket in self.buckets.values_mut() {
+            let credit = bucket.burst * self.config.initial_level * newly_known;
+            bucket.level = (bucket.level + credit).min(bucket.burst);
+        }
+    }
+
+    /// Returns the fraction of the entries that are known to be live.
+    fn known_share(&self) -> f64 {
+        (f64::from(self.known) / f64::from(self.entries)).min(1.0)
+    }
+
     /// Sets an account's quota; a rate of zero removes it.
     pub fn set_quota(&mut self, now: Time, name: Name, rate: u64, burst: u64) {
         self.refill(now);
@@ -116,10 +142,11 @@
     }
 
     fn set_bucket(&mut self, name: Name, rate: f64, burst: f64) {
+        let initial_level = self.config.initial_level * self.known_share();
         let bucket = self.buckets.entry(name).or_insert(Bucket {
             rate,
             burst,
-            level: burst * self.config.initial_level,
+            level: burst * initial_level,
             charged: 0,
             share: None,
             largest: 0.0,
--- a/crates/policy/tests/charge.rs
+++ b/crates/policy/tests/charge.rs
@@ -72,8 +72,9 @@
         };
         let mut quotas = Vec::new();
         for _ in 0..entries {
-            let mut quota = Quotas::new(config);
+            let mut quota = Quotas::new(config, 1);
             quota.set_entries(Time::ZERO, entries as u32);
+            quota.set_known(Time::ZERO, entries as u32);
             quota.set_quota(Time::ZERO, ACCOUNT, RATE, burst);
             quotas.push(quota);
         }
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -27,8 +27,9 @@
     fn new() -> World {
         let mut entries = Vec::new();
         for _ in 0..ENTRIES {
-            let mut quotas = Quotas::new(Config::default());
+            let mut quotas = Quotas::new(Config::default(), 1);
             quotas.set_entries(Time::ZERO, ENTRIES as u32);
+            quotas.set_known(Time::ZERO, ENTRIES as u32);
             quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
             entries.push(quotas);
         }
@@ -121,7 +122,7 @@
 /// A refused request that is retried after the returned time is granted, if nobody else asks.
 #[test]
 fn a_retry_after_the_returned_time_is_granted() {
-    let mut quotas = Quotas::new(Config::default());
+    let mut quotas = Quotas::new(Config::default(), 1);
     quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
     let now = Time::from_millis(5_000);
     assert!(quotas.charge(now, ACCOUNT, BURST).is_ok());
@@ -132,7 +133,7 @@
 /// A request that a replica turned away is not charged to its account.
 #[test]
 fn a_refund_gives_the_tokens_back() {
-    let mut quotas = Quotas::new(Config::default());
+    let mut quotas = Quotas::new(Config::default(), 1);
     quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
     let now = Time::from_millis(5_000);
     assert!(quotas.charge(now, ACCOUNT, BURST).is_ok());
@@ -144,8 +145,9 @@
 /// their place: an account must not lose a share of its quota for each entry that ended.
 #[test]
 fn replaced_entries_take_no_part_of_the_quota() {
-    let mut quotas = Quotas::new(Config::default());
+    let mut quotas = Quotas::new(Config::default(), 1);
     quotas.set_entries(Time::ZERO, ENTRIES as u32);
+    quotas.set_known(Time::ZERO, ENTRIES as u32);
     quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
     let others = ENTRIES as u64 - 1;
     let mut now = 0;
@@ -171,8 +173,9 @@
 /// neither charged again nor refunded.
 #[test]
 fn a_sum_that_falls_and_rises_is_charged_once() {
-    let mut quotas = Quotas::new(Config::default());
+    let mut quotas = Quotas::new(Config::default(), 1);
     quotas.set_entries(Time::ZERO, 3);
+    quotas.set_known(Time::ZERO, 3);
     quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
     let sum = |tokens| BTreeMap::from([(ACCOUNT, tokens)]);
     let mut now = 2_000;
@@ -192,8 +195,9 @@
     // Two messages delayed by a slow link arrived within a millisecond. The counts of the second were taken
     // for the charges of one millisecond, and as much was held back until the next message: accounts far
     // below their quotas were refused for half a minute.
-    let mut quotas = Quotas::new(Config::default());
+    let mut quotas = Quotas::new(Config::default(), 1);
     quotas.set_entries(Time::ZERO, 2);
+    quotas.set_known(Time::ZERO, 2);
     quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
     quotas.absorb(Time::ZERO, 1, &BTreeMap::from([(ACCOUNT, 0)]));
     quotas.absorb(Time::from_millis(999), 1, &BTreeMap::from([(ACCOUNT, 900)]));
@@ -281,8 +285,9 @@
         };
         let mut entries = Vec::new();
         for _ in 0..LargeWorld::ENTRIES {
-            let mut quotas = Quotas::new(config);
+            let mut quotas = Quotas::new(config, 1);
             quotas.set_entries(now, LargeWorld::ENTRIES as u32);
+            quotas.set_known(now, LargeWorld::ENTRIES as u32);
             quotas.set_quota(now, ACCOUNT, LargeWorld::RATE, burst);
             entries.push(quotas);
         }
@@ -402,8 +407,9 @@
 /// not to the entry's share, so the next request was refused.
 #[test]
 fn a_refund_restores_the_share() {
-    let mut quotas = Quotas::new(Config::default());
+    let mut quotas = Quotas::new(Config::default(), 1);
     quotas.set_entries(Time::ZERO, 20);
+    quotas.set_known(Time::ZERO, 20);
     quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
     let now = Time::from_millis(250);
     let share = BURST / 20;
@@ -421,7 +427,7 @@
         overrun_burst,
         ..Config::default()
     };
-    let mut quotas = Quotas::new(config);
+    let mut quotas = Quotas::new(config, 1);
     quotas.set_quota(Time::ZERO, ACCOUNT, RATE, BURST);
     let mut now = Time::from_millis(2_000);
     let mut granted = 0;
