--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -134,11 +134,11 @@
     pub(crate) store_failed_at: Option<Time>,
     /// Whether reading the list of servers has failed since the last successful read.
     pub(crate) list_unavailable: bool,
-    /// Id of the next call of the table service.
     /// Shares of routes before the present ones.
     pub(crate) route_shares: route_shares::History,
     /// Newest known era of the table service.
     pub(crate) store_era: Option<u64>,
+    /// Id of the next call of the table service.
     pub(crate) next_store_call: u64,
     /// Calls waiting for this entry's share of the table service's rate.
     pub(crate) throttle: Throttle<call::Id>,
