Try blocked parts soon after a loss of many servers, and those that never come apart

Timeline: from 1.3 s eight servers are lost at once, before an answer to that kind was finished anywhere. From 1.55 s the route's first part and another one are blocked at all entries.

Cause: (1) a part that was never answered is blocked without doubt also by a loss of many servers at once, so what runs is cancelled and no answer can clear it for 60 s. (2) A request with two suspects is never the one that tries a part; of two parts that are in all prompts none is ever tried.

Change: a part is blocked in doubt while fewer than three of its crashes are such that a request may be blamed for them, so it is tried after 1 s and what runs goes on. From 5 s after the last crash the request that tries a part may have another suspect.

Ruled out: trying each part after 3 s; two guilty parts then reach four servers late (two_parts_that_crash_servers_are_both_stopped).

--- a/crates/policy/src/configs/parts.rs
+++ b/crates/policy/src/configs/parts.rs
@@ -34,8 +34,11 @@
     pub probe_factor: u64,
     /// Maximum of that time.
     pub max_probe_delay: Span,
-    /// The same time for a part whose crashes another part may explain. The request that is tried has no such other part.
+    /// The same time for a part whose crashes another part or a loss of many replicas may explain. The request that is
+    /// tried has no such other part.
     pub doubt_delay: Span,
+    /// Time after the last crash from which such a request may have one, since the parts may never come apart.
+    pub shared_probe_delay: Span,
     /// Time after which a request that was to be tried is given up for another one.
     pub probe_timeout: Span,
 }
@@ -57,6 +60,7 @@
             probe_factor: 10,
             max_probe_delay: Span::from_seconds(86_400),
             doubt_delay: Span::from_seconds(1),
+            shared_probe_delay: Span::from_seconds(5),
             probe_timeout: Span::from_seconds(30),
         }
     }
--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -63,7 +63,7 @@
     answered: BTreeMap<u64, Time>,
     /// Answers whose replicas may still turn out to have crashed, oldest first.
     unconfirmed: VecDeque<Answer>,
-    /// Blocked parts, with whether another part may explain their crashes.
+    /// Blocked parts, with whether another part or a loss of many replicas may explain their crashes.
     blocked: BTreeMap<u64, bool>,
     /// Times at which crashes begin to count.
     reviews: BTreeSet<Time>,
@@ -121,7 +121,9 @@
         let wait = (record.last_crash() + self.probe_delay(part, record)).since(now);
         let probe = self.probes.get(&part);
         let is_free = probe.is_none_or(|(_, at)| now.since(*at) >= self.config.probe_timeout);
-        if wait == Span::ZERO && is_alone && is_free && self.is_home(part) {
+        let is_due = wait == Span::ZERO
+            && (is_alone || now.since(record.last_crash()) >= self.config.shared_probe_delay);
+        if is_due && is_free && self.is_home(part) {
             return Standing::Probe(part);
         }
         let longest = others.filter_map(|other| {
@@ -255,14 +257,18 @@
                 None => true,
             };
             record.count(|at, replica| at + settle <= now && counts(at, replica));
+            let blamable = record.counted.iter();
+            let blamable = blamable.filter(|replica| crashes.is_blamable(**replica));
+            record.is_mass_loss = blamable.count() < self.config.crash_threshold;
         }
     }
 
-    /// Returns whether another part may as well explain a suspect's crashes; `None` if a likelier one does.
+    /// Returns whether another part or a loss of many replicas may as well explain a suspect's crashes; `None` if a likelier
+    /// part does.
     fn judge(&self, part: u64, suspects: &[u64]) -> Option<bool> {
         let record = self.records.get(&part)?;
         let mut unexplained: BTreeSet<u64> = record.counted.clone();
-        let mut doubtful = false;
+        let mut doubtful = record.is_mass_loss;
         for other in suspects.iter().filter(|other| **other != part) {
             let Some(rival) = self.records.get(other) else {
                 continue;
--- a/crates/policy/src/quarantine/parts/record.rs
+++ b/crates/policy/src/quarantine/parts/record.rs
@@ -23,6 +23,8 @@
     pub crashes: Vec<Crash>,
     /// The replicas whose crashes count, as of the last review.
     pub counted: BTreeSet<u64>,
+    /// Whether too few of these replicas were lost on their own to block the part.
+    pub is_mass_loss: bool,
     /// Whether requests of this entry are among those that accuse it.
     pub is_own: bool,
     /// Requests of this entry that were tried with the part while it was blocked, and crashed their replicas.
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -139,6 +139,34 @@
     assert!(world.is_blocked(&[COMMON, GUILTY]));
 }
 
+/// Guards against refusing all prompts of a route for a minute, where many replicas were lost at once before any had
+/// answered.
+#[test]
+fn a_part_is_tried_soon_after_a_loss_of_many_replicas() {
+    let mut world = World::new(&[OWN]);
+    for replica in 0..16 {
+        let quarantine = &mut world.quarantine;
+        quarantine.record_crash(world.now, replica, ZONE + replica % 3, &[replica]);
+        quarantine.accuse_parts(world.now, replica, ZONE + replica % 3, REQUEST, &[COMMON]);
+    }
+    world.wait(GAP);
+    assert!(world.is_blocked(&[COMMON]));
+    world.wait(Span::from_seconds(1));
+    assert_eq!(world.standing(&[COMMON]), Standing::Probe(COMMON));
+}
+
+/// Guards against blocking for good what is never tried, since two suspects are in all prompts.
+#[test]
+fn parts_that_never_come_apart_are_tried_together() {
+    let mut world = World::new(&[OWN]);
+    for _ in 0..3 {
+        world.crash(REQUEST, &[COMMON, OTHER]);
+    }
+    world.wait(Span::from_seconds(5));
+    let standing = world.standing(&[COMMON, OTHER]);
+    assert!(matches!(standing, Standing::Probe(_)), "{standing:?}");
+}
+
 /// Guards against an entry that takes a part for guilty which a peer knows to be sound.
 #[test]
 fn an_answer_at_a_peer_clears_a_part() {
