Blocked parts: one comparison of answers with crashes; an answer is stored once

The rule whether an answer speaks for a part at a crash stood in four places (tick, confirm, was_answered_before, count_crashes); it is a method of the settings now. confirm inserted an older answer and put the later one back. Comments name the loss of many replicas.

--- a/crates/policy/src/configs/parts.rs
+++ b/crates/policy/src/configs/parts.rs
@@ -1,6 +1,7 @@
 //! Settings of [`crate::quarantine::parts`].
 
 use clock::Span;
+use clock::Time;
 
 /// When a part of prompts counts as the cause of crashes, and for how long.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +44,13 @@
     pub probe_timeout: Span,
 }
 
+impl Config {
+    /// Returns whether an answer speaks for a part at the time of a crash.
+    pub fn is_refuted(&self, crash: Time, answered: Time) -> bool {
+        crash < answered + self.answer_validity
+    }
+}
+
 impl Default for Config {
     fn default() -> Config {
         Config {
--- a/crates/policy/src/quarantine/parts/evidence.rs
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -152,14 +152,14 @@
     pub fn tick(&mut self, now: Time, crashes: &Crashes) {
         let (memory, answer_memory) = (self.config.crash_memory, self.config.answer_memory);
         self.answered.retain(|_, at| now.since(*at) < answer_memory);
-        let validity = self.config.answer_validity;
+        let config = self.config;
         let before = self.records.len();
         let answered = &self.answered;
         self.records.retain(|part, record| {
             let age = now.since(record.last_crash());
             let is_refuted = answered
                 .get(part)
-                .is_some_and(|at| record.last_crash() < *at + validity);
+                .is_some_and(|at| config.is_refuted(record.last_crash(), *at));
             age < memory && (!is_refuted || age < ANNOUNCEMENT)
         });
         if self.records.len() != before {
@@ -169,11 +169,11 @@
 
     /// Takes a part for sound at a time; returns whether it was accused.
     fn confirm(&mut self, part: u64, at: Time) -> bool {
-        let known = self.answered.insert(part, at);
-        if let Some(later) = known.filter(|known| *known >= at) {
-            self.answered.insert(part, later);
+        let known = self.answered.get(&part).copied();
+        if known.is_some_and(|known| known >= at) {
             return false;
         }
+        self.answered.insert(part, at);
         if self.answered.len() > self.config.max_answered {
             let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
             if let Some(oldest) = oldest.map(|(part, _)| *part) {
@@ -184,7 +184,7 @@
             return false;
         };
         let was_refuted =
-            known.is_some_and(|known| record.last_crash() < known + self.config.answer_validity);
+            known.is_some_and(|known| self.config.is_refuted(record.last_crash(), known));
         if !was_refuted && (record.is_own || self.is_home(part)) {
             self.urgent = true;
         }
@@ -194,7 +194,7 @@
     /// Returns whether an answer speaks for a part at the time of a crash.
     fn was_answered_before(&self, part: u64, crash: Time) -> bool {
         let answered = self.answered.get(&part);
-        answered.is_some_and(|at| crash < *at + self.config.answer_validity)
+        answered.is_some_and(|at| self.config.is_refuted(crash, *at))
     }
 
     /// Returns the record of a part, which may be new.
--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! A blocked part is tried again by one entry, its home, with one request, at growing intervals. If a part common to many
 //! prompts was blocked together with the guilty one, since nothing had been answered yet, it is tried soon, in a request
-//! without the other.
+//! without the other. So is one that was blocked by a loss of many replicas at once.
 
 mod evidence;
 mod record;
@@ -48,7 +48,7 @@
     pub part: u64,
     /// Whether it is blocked from now on.
     pub blocked: bool,
-    /// Whether another part may explain its crashes.
+    /// Whether another part or a loss of many replicas may explain its crashes.
     pub doubtful: bool,
     /// Crashes that count against it.
     pub crashes: usize,
@@ -143,7 +143,7 @@
         })
     }
 
-    /// Returns whether a part is blocked although another one may explain its crashes.
+    /// Returns whether a part is blocked although another one or a loss of many replicas may explain its crashes.
     pub fn is_doubtful(&self, part: u64) -> bool {
         self.blocked.get(&part) == Some(&true)
     }
@@ -252,7 +252,7 @@
             // The loss of a zone says something only about a part that nothing ever spoke for.
             let counts = |at: Time, replica: u64| match answered {
                 Some(answered) => {
-                    at >= answered + self.config.answer_validity && crashes.is_blamable(replica)
+                    !self.config.is_refuted(at, answered) && crashes.is_blamable(replica)
                 }
                 None => true,
             };
