--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use policy::demand::Offered;
 use policy::quota::Counts;
+use policy::speed::Pace;
 use rollout::tally::Tally;
 use serde::Deserialize;
 use serde::Serialize;
@@ -47,6 +49,16 @@
     /// Limits that servers reported.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub limits: Reports,
+    /// Rates of the work that callers offer, by service.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub offered: Offered,
+    /// Samples of the servers' speed since the sender's last bulletin, by the hash of the incarnation; none in a sum.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub paces: BTreeMap<u64, Pace>,
+    /// Speeds in percent of the median of the service, of the servers that differ from it, by the hash of the
+    /// incarnation; only in some of the sums.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub speeds: Option<BTreeMap<u64, u16>>,
 }
 
 fn is_zero(value: &u32) -> bool {
@@ -100,6 +112,10 @@
         for (service, tally) in &one.tallies {
             self.tallies.entry(service.clone()).or_default().add(tally);
         }
+        for (service, rates) in one.offered.iter().filter(|_| fresh) {
+            let into = self.offered.entry(service.clone()).or_default();
+            into.merge(rates);
+        }
         limits::merge_newest(&mut self.limits, &one.limits);
     }
 
@@ -134,6 +150,12 @@
                 into.subtract(tally);
             }
         }
+        for (service, rates) in &one.offered {
+            if let Some(into) = rest.offered.get_mut(service) {
+                *into = into.without(rates);
+            }
+        }
+        rest.offered.retain(|_, rates| !rates.is_empty());
         rest
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -261,6 +261,7 @@
             work: self.work.clone(),
             tallies: self.rollouts.tallies.clone(),
             limits: self.limits.reports(now),
+            ..Bulletin::default()
         };
         if self.uses_hubs() {
             return self.send_via_hubs(now, bulletin, effects);
