Try parts blocked after a loss of many servers at more entries, and pass on at once that they are sound

Only the part's home may try it, and one of 86 entries sees a prompt of 5 a second every 17 s. An entry that had proof without having accused the part told nobody, and gossip of the evidence takes 10 s among so many entries: some blocked the part after others had cleared it.

Who tries it announces the result, and bulletins state for 8 s which accused parts were found sound.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -49,6 +49,9 @@
     /// Limits that servers reported.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub limits: Reports,
+    /// Parts of prompts that were accused of crashes and found sound a short time ago, with the milliseconds since.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub cleared: BTreeMap<u64, u64>,
     /// Rates of the work that callers offer, by service.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub offered: Offered,
@@ -112,6 +115,10 @@
         for (service, tally) in &one.tallies {
             self.tallies.entry(service.clone()).or_default().add(tally);
         }
+        for (part, age) in one.cleared.iter().filter(|_| fresh) {
+            let known = self.cleared.entry(*part).or_insert(*age);
+            *known = (*known).min(*age);
+        }
         for (service, rates) in one.offered.iter().filter(|_| fresh) {
             let into = self.offered.entry(service.clone()).or_default();
             into.merge(rates);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -38,6 +38,8 @@
 ];
 /// Time between two publications of an unchanged quarantine.
 const QUARANTINE_INTERVAL: Span = Span::from_seconds(10);
+/// Time for which bulletins state that an accused part was found sound: several rounds.
+const CLEARED_WINDOW: Span = Span::from_seconds(8);
 /// Factor by which the bulletin interval grows when counts are exchanged by hubs.
 const HUB_INTERVAL_FACTOR: u64 = 2;
 
@@ -261,6 +263,7 @@
             work: self.work.clone(),
             tallies: self.rollouts.tallies.clone(),
             limits: self.limits.reports(now),
+            cleared: self.cleared_parts(now),
             ..Bulletin::default()
         };
         if self.uses_hubs() {
@@ -294,6 +297,32 @@
         );
     }
 
+    /// Returns parts of prompts that were found sound a short time ago. Gossip of the whole evidence takes many seconds
+    /// among many entries after a loss of many servers, while sound prompts are refused.
+    fn cleared_parts(&self, now: Time) -> BTreeMap<u64, u64> {
+        let cleared = self.scheduler.recently_cleared(now, CLEARED_WINDOW);
+        let cleared = cleared.into_iter();
+        cleared.map(|(part, age)| (part, age.as_millis())).collect()
+    }
+
+    fn handle_cleared_parts(
+        &mut self,
+        now: Time,
+        cleared: &BTreeMap<u64, u64>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if cleared.is_empty() {
+            return;
+        }
+        let cleared: Vec<(u64, Span)> = cleared
+            .iter()
+            .map(|(part, age)| (*part, Span::from_millis(*age)))
+            .collect();
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.absorb_cleared(now, &cleared, out);
+        });
+    }
+
     fn publish(&mut self, now: Time, topic: Topic, payload: Vec<u8>, effects: &mut Vec<Effect>) {
         self.item_version += 1;
         let item = Item {
@@ -329,6 +358,7 @@
             }
         }
         self.handle_limit_reports(now, &bulletin.limits, effects);
+        self.handle_cleared_parts(now, &bulletin.cleared, effects);
         match bulletin.sums {
             0 if self.uses_hubs() => self.handle_counts(now, peer, bulletin),
             0 => {
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -117,10 +117,17 @@
     fn ask(&mut self, shared: &[u64]) -> u64 {
         self.next_own += 1;
         let entry = self.entry(self.next_own);
-        self.ask_at(entry, shared)
+        self.ask_at(entry, "/chats/1", shared)
     }
 
-    fn ask_at(&mut self, entry: usize, shared: &[u64]) -> u64 {
+    /// Sends a prompt that no other server gets after a crash.
+    fn ask_once(&mut self, shared: &[u64]) -> u64 {
+        self.next_own += 1;
+        let entry = self.entry(self.next_own);
+        self.ask_at(entry, "/talks/1", shared)
+    }
+
+    fn ask_at(&mut self, entry: usize, path: &str, shared: &[u64]) -> u64 {
         let ids = shared.iter().copied().chain([self.next_own]);
         let prompt = Prompt {
             tokens: 100,
@@ -128,7 +135,7 @@
             parts: ids.map(|id| Part { id, tokens: 30 }).collect(),
             ..Prompt::default()
         };
-        let serial = self.world.ask(entry, "/chats/1", prompt);
+        let serial = self.world.ask(entry, path, prompt);
         self.prompts.insert(serial, shared.to_vec());
         self.take_sent();
         serial
@@ -428,7 +435,7 @@
         play.world.start(entry);
         play.run(3_000);
         play.next_own += 1;
-        play.ask_at(entry, &[COMMON, GUILTY]);
+        play.ask_at(entry, "/chats/1", &[COMMON, GUILTY]);
         play.run(1_000);
     }
     play.check("restarted");
@@ -480,3 +487,54 @@
     }
     play.check("many entries");
 }
+
+/// Guards against sound parts of a few prompts a second that stay blocked after a loss of many servers, since their homes
+/// among many entries see none of these prompts.
+#[test]
+fn parts_of_few_prompts_are_unblocked_soon_after_a_loss_of_many_servers() {
+    const RARE: [u64; 3] = [777, 888, 999];
+    let mut play = Play::new(86, 40, Moment::AfterHead);
+    play.run(8_000);
+    for subject in 0..12 {
+        for part in RARE {
+            play.ask_once(&[part, part * 1_000 + subject]);
+        }
+    }
+    for _ in 0..7 {
+        play.step();
+    }
+    let is_rare = |run: &&Run| {
+        let parts = &play.prompts[&run.sent.serial];
+        parts.iter().any(|part| RARE.contains(part))
+    };
+    let hit = play.runs.iter().filter(is_rare);
+    let hit: BTreeSet<SmolStr> = hit.map(|run| run.sent.server.clone()).collect();
+    for server in &hit {
+        play.crash(server);
+    }
+    let lost_at = play.world.now;
+    // Prompts that arrive before the crashes count would prove their parts sound.
+    play.run(500);
+    let mut asked = Vec::new();
+    for number in 0..60 {
+        for part in RARE {
+            let subject = part * 1_000 + 100 + number;
+            asked.push((play.world.now, play.ask_once(&[part, subject])));
+        }
+        play.run(200);
+    }
+    let blocked = play.world.log_count("part_blocked");
+    assert!(blocked >= 3 * 43, "{blocked} times blocked");
+    let late = asked
+        .iter()
+        .filter(|(at, _)| *at >= lost_at + 3 * CONTACT_MS);
+    let late: Vec<&u64> = late.map(|(_, serial)| serial).collect();
+    let reached = |serial: &&&u64| play.world.servers_by_request.contains_key(serial);
+    let served = late.iter().filter(reached).count();
+    assert!(
+        served * 20 >= late.len() * 19,
+        "{served} of {} were served from {} ms after the loss",
+        late.len(),
+        3 * CONTACT_MS
+    );
+}
--- a/crates/policy/src/configs/parts.rs
+++ b/crates/policy/src/configs/parts.rs
@@ -40,6 +40,10 @@
     pub doubt_delay: Span,
     /// Time after the last crash from which such a request may have one, since the parts may never come apart.
     pub shared_probe_delay: Span,
+    /// Time in which the number of entries doubles that may try a part which a loss of many replicas may explain.
+    pub spread_interval: Span,
+    /// All entries divided by the most of them that may try such a part.
+    pub probing_divisor: usize,
     /// Time after which a request that was to be tried is given up for another one.
     pub probe_timeout: Span,
 }
@@ -69,6 +73,8 @@
             max_probe_delay: Span::from_seconds(86_400),
             doubt_delay: Span::from_seconds(1),
             shared_probe_delay: Span::from_seconds(5),
+            spread_interval: Span::from_seconds(1),
+            probing_divisor: 8,
             probe_timeout: Span::from_seconds(30),
         }
     }
--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -328,6 +328,22 @@
         self.parts.merge(now, &digest.parts, &self.crashes);
     }
 
+    /// Returns parts that were accused and found sound within the last `window`, with the times since.
+    pub fn recently_cleared(&self, now: Time, window: Span) -> Vec<(u64, Span)> {
+        self.parts.recently_cleared(now, window)
+    }
+
+    /// Takes parts for sound that replicas answered those times ago, as a peer states.
+    pub fn merge_cleared(&mut self, now: Time, cleared: &[(u64, Span)]) {
+        let item = |(part, age): &(u64, Span)| PartItem {
+            part: *part,
+            crashes: Vec::new(),
+            answered: Some(*age),
+        };
+        let items: Vec<PartItem> = cleared.iter().map(item).collect();
+        self.parts.merge(now, &items, &self.crashes);
+    }
+
     /// Drops expired state; call it about once a second.
     ///
     /// A quarantined request is released on parole: one more crash is enough to quarantine it
--- a/crates/policy/src/quarantine/parts/evidence.rs
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -122,6 +122,19 @@
         is_cleared
     }
 
+    /// Returns accused parts that were found sound within the last `window`, with the times since; a bounded number.
+    pub fn recently_cleared(&self, now: Time, window: Span) -> Vec<(u64, Span)> {
+        let answered = self.records.iter().filter_map(|(part, record)| {
+            let at = *self.answered.get(part)?;
+            let is_refuted = self.config.is_refuted(record.last_crash(), at);
+            (is_refuted && now.since(at) < window).then(|| (*part, now.since(at)))
+        });
+        let mut cleared: Vec<(u64, Span)> = answered.collect();
+        cleared.sort_by_key(|(part, age)| (*age, *part));
+        cleared.truncate(self.config.max_digest_items);
+        cleared
+    }
+
     /// Returns the evidence that this entry answers for: what it has seen, and what it is home to.
     pub fn digest(&self, now: Time) -> Vec<PartItem> {
         let is_sent = |part: &u64, record: &Record| record.is_own || self.is_home(*part);
--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! A blocked part is tried again by one entry, its home, with one request, at growing intervals. If a part common to many
 //! prompts was blocked together with the guilty one, since nothing had been answered yet, it is tried soon, in a request
-//! without the other. So is one that was blocked by a loss of many replicas at once.
+//! without the other. So is one that was blocked by a loss of many replicas at once; as long as nothing speaks for it, more
+//! and more entries may try it, since its home may see none of few prompts.
 
 mod evidence;
 mod record;
@@ -30,6 +31,9 @@
 /// Time for which a part is announced as sound after it was accused.
 const ANNOUNCEMENT: Span = Span::from_seconds(30);
 
+/// Doublings of the entries that may try a part, beyond any number of entries.
+const MAX_DOUBLINGS: u64 = 16;
+
 /// How a prompt may be run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -123,7 +127,7 @@
         let is_free = probe.is_none_or(|(_, at)| now.since(*at) >= self.config.probe_timeout);
         let is_due = wait == Span::ZERO
             && (is_alone || now.since(record.last_crash()) >= self.config.shared_probe_delay);
-        if is_due && is_free && self.is_home(part) {
+        if is_due && is_free && self.may_probe(now, part, record) {
             return Standing::Probe(part);
         }
         let longest = others.filter_map(|other| {
@@ -148,9 +152,12 @@
         self.blocked.get(&part) == Some(&true)
     }
 
-    /// Records that a request is tried with a blocked part.
+    /// Records that a request is tried with a blocked part. This entry answers for what comes of it.
     pub fn begin_probe(&mut self, now: Time, part: u64, request: u64) {
         self.probes.insert(part, (request, now));
+        if let Some(record) = self.records.get_mut(&part) {
+            record.is_own = true;
+        }
     }
 
     /// Records that a request has its final answer.
@@ -193,6 +200,21 @@
         home.is_none_or(|home| home == self.own)
     }
 
+    /// Returns whether this entry may try a part whose next try is due. Only its home may, unless its crashes are those of a
+    /// loss of many replicas: then the number of entries doubles each second, up to a part of all, so that a herd of
+    /// prompts at all entries costs a replica or two. After three of them the part is no longer taken for innocent.
+    fn may_probe(&self, now: Time, part: u64, record: &Record) -> bool {
+        if !record.is_mass_loss {
+            return self.is_home(part);
+        }
+        let due = record.last_crash() + self.probe_delay(part, record);
+        let doublings = now.since(due).as_millis() / self.config.spread_interval.as_millis().max(1);
+        let most = self.members.len() / self.config.probing_divisor.max(1);
+        let allowed = (1_usize << doublings.min(MAX_DOUBLINGS)).min(most.max(1));
+        self.members.is_empty()
+            || rendezvous::is_among_first(part, &self.members, allowed, self.own)
+    }
+
     /// Decides anew what is blocked if crashes begin to count.
     pub fn poll(&mut self, now: Time, crashes: &Crashes) {
         let is_due = self.reviews.first().is_some_and(|at| *at <= now);
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -424,6 +424,17 @@
         self.poll(now, out);
     }
 
+    /// Returns parts of prompts that were accused of crashes and found sound within the last `window`, with the times since.
+    pub fn recently_cleared(&self, now: Time, window: Span) -> Vec<(u64, Span)> {
+        self.quarantine.recently_cleared(now, window)
+    }
+
+    /// Merges what other entries found sound.
+    pub fn absorb_cleared(&mut self, now: Time, cleared: &[(u64, Span)], out: &mut Vec<Decision>) {
+        self.quarantine.merge_cleared(now, cleared);
+        self.poll(now, out);
+    }
+
     /// Returns whether the digest holds state that must not wait for the period, and resets the flag.
     pub fn take_urgent(&mut self) -> bool {
         self.quarantine.take_urgent()
