Relative speeds of replicas from the samples of all entries

Cause: an entry sees too few answers of a replica to tell a slow one from chance, so all replicas get equal parts of the work although they differ in speed up to 2.67 times.

--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -21,6 +21,7 @@
 pub mod scheduler;
 pub mod size;
 pub mod slots;
+pub mod speed;
 pub mod subset;
 pub mod warmup;
 pub mod wave;
