Scheduler: work in proportion to the replicas' speed

Cause: replicas of one service that differ in speed got equal parts of the work.

Change: finished answers are samples (tokens after the first event over the time since; plain calls with their duration). The load of a candidate is divided by its speed, and prefixes have homes by weighted rendezvous hashing, also for the source of a cached prefix. Answers of several attempts are no samples.

--- a/crates/policy/src/affinity/mod.rs
+++ b/crates/policy/src/affinity/mod.rs
@@ -11,6 +11,8 @@
 //! For the same reason copies of a request that crashes replicas meet the same two; see
 //! [`crate::quarantine`].
 //!
+//! Replicas of different speeds get prefixes in proportion to their speed ([`crate::speed`]).
+//!
 //! A decision costs one pass over the candidates: an entry's subset of a pool, about 14 at full size
 //! ([`crate::subset`]).
 
@@ -85,14 +87,26 @@
 
     /// Chooses a replica for a job with that prefix; returns `None` if no candidate is open.
     pub fn choose(&mut self, now: Time, prefix: u64, candidates: &[Candidate]) -> Option<Choice> {
+        self.choose_weighted(now, prefix, candidates, |_| 1.0)
+    }
+
+    /// Chooses a replica as [`Affinity::choose`] does, where each candidate is the home of a part of the prefixes in
+    /// proportion to its `share`.
+    pub fn choose_weighted(
+        &mut self,
+        now: Time,
+        prefix: u64,
+        candidates: &[Candidate],
+        share: impl Fn(&Candidate) -> f64,
+    ) -> Option<Choice> {
         let bound = self.bound(candidates);
         let fits = |candidate: &Candidate| candidate.open && candidate.load <= bound;
-        let with_identity = || {
+        let with_share = || {
             candidates
                 .iter()
-                .map(|candidate| (candidate, candidate.identity))
+                .map(|candidate| (candidate, candidate.identity, share(candidate)))
         };
-        let (home, second) = rendezvous::top_two(prefix, with_identity());
+        let (home, second) = rendezvous::top_two_weighted(prefix, with_share());
         if let Some(home) = home.filter(|candidate| fits(candidate)) {
             return Some(Choice::Home(home.key));
         }
@@ -106,8 +120,8 @@
         if let Some(hinted) = hinted.filter(|candidate| fits(candidate)) {
             return Some(Choice::Hinted(hinted.key));
         }
-        let fitting = with_identity().filter(|(candidate, _)| fits(candidate));
-        let spilled = match rendezvous::top_two(prefix, fitting).0 {
+        let fitting = with_share().filter(|(candidate, _, _)| fits(candidate));
+        let spilled = match rendezvous::top_two_weighted(prefix, fitting).0 {
             Some(next) => next.key,
             None => self.balance(candidates)?,
         };
--- a/crates/policy/src/configs/scheduler.rs
+++ b/crates/policy/src/configs/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::configs::retry;
 use crate::configs::size;
 use crate::configs::slots;
+use crate::configs::speed;
 use crate::configs::warmup;
 use crate::configs::wave;
 
@@ -45,6 +46,8 @@
     pub size: size::Config,
     /// Slots shared among entries.
     pub slots: slots::Config,
+    /// Relative speeds of replicas.
+    pub speed: speed::Config,
     /// Warm-up of new replicas.
     pub warmup: warmup::Config,
     /// Moves of running jobs in reclaim waves.
--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -74,6 +74,14 @@
         self.peers.remove(&key);
     }
 
+    /// Sets the relative speed that the replica has persistently. Its time per token is compared with that of
+    /// replicas of its own speed: one of a slower type isn't unhealthy.
+    pub fn set_speed(&mut self, key: replica::Key, speed: f64) {
+        if let Some(peer) = self.peers.get_mut(&key) {
+            peer.speed = speed;
+        }
+    }
+
     /// Records the start of an attempt.
     pub fn record_start(&mut self, now: Time, key: replica::Key) {
         if let Some(peer) = self.peers.get_mut(&key) {
--- a/crates/policy/src/health/peer.rs
+++ b/crates/policy/src/health/peer.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
     pub state: State,
+    /// Relative speed that the replica has persistently, by which its gap is compared.
+    pub speed: f64,
     /// Moving average of the smallest token gap (or call duration) of each period, in milliseconds;
     /// valid once there are enough `samples`.
     gap: f64,
@@ -48,6 +50,7 @@
     pub fn new(now: Time, config: &Config) -> Peer {
         Peer {
             state: State::Healthy,
+            speed: 1.0,
             gap: 0.0,
             min_gap: None,
             samples: 0,
@@ -121,9 +124,9 @@
         (self.attempts >= config.min_attempts).then_some(self.failures)
     }
 
-    /// Returns the average gap, once there are enough samples.
+    /// Returns the average gap that a replica of median speed would have, once there are enough samples.
     pub fn average_gap(&self, config: &Config) -> Option<f64> {
-        (self.samples >= config.min_samples).then_some(self.gap)
+        (self.samples >= config.min_samples).then_some(self.gap * self.speed)
     }
 
     /// Returns whether it has held work without output for longer than `usual` explains.
--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -9,6 +9,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Open;
 use crate::scheduler::state::level;
+use crate::speed::Pace;
 
 /// Gaps between tokens in one latency sample of a replica.
 const GAPS_PER_SAMPLE: u32 = 32;
@@ -86,6 +87,7 @@
     ) {
         if end == job::End::Finished {
             self.sample_plain_call(now, id);
+            self.sample_speed(now, id, tokens);
             self.record_answer(now, id);
         }
         // Before the job is detached: a lost replica is removed with its last job.
@@ -253,6 +255,31 @@
         }
     }
 
+    /// Samples the speed of the replica that answered the job.
+    ///
+    /// An answer of several attempts or replicas is no sample: its tokens may come from all of them.
+    fn sample_speed(&mut self, now: Time, id: job::Id, tokens: u32) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        if open.moved || open.tried.len() > 1 {
+            return;
+        }
+        let replica = open.replica.and_then(|key| self.replicas.get(&key));
+        let Some(replica) = replica else {
+            return;
+        };
+        let millis = |since: Time| u32::try_from(now.since(since).as_millis()).unwrap_or(u32::MAX);
+        let pace = match (open.job.kind, open.answered_at) {
+            (job::Kind::Plain, _) => Pace::of_answer(1, millis(open.started)),
+            (job::Kind::Model, Some(first)) => {
+                Pace::of_answer(tokens.saturating_sub(1), millis(first))
+            }
+            (job::Kind::Model, None) => return,
+        };
+        self.speeds.record(now, replica.identity, pace);
+    }
+
     /// Removes a job, whatever its state.
     pub(super) fn close(&mut self, now: Time, id: job::Id) {
         self.detach(now, id, job::End::Left);
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -23,6 +23,7 @@
         pool.monitor.add(now, key);
         pool.warmup.add(now, key);
         self.mark_pool(replica.spec.pool);
+        self.speeds.add(replica.identity, replica.spec.pool.0);
         self.replicas.insert(key, replica);
         key
     }
@@ -95,6 +96,12 @@
     pub(super) fn evaluate_health(&mut self, now: Time) {
         for (key, pool) in &mut self.pools {
             if pool.monitor.next_wake() <= now {
+                for member in &pool.members {
+                    if let Some(replica) = self.replicas.get(member) {
+                        let speed = self.speeds.settled(replica.identity);
+                        pool.monitor.set_speed(*member, speed);
+                    }
+                }
                 pool.monitor.tick(now);
                 pool.full = false;
                 self.pending_pools.insert(*key);
@@ -183,10 +190,11 @@
             true => replica.load.jobs(now, mean_own),
             false => f64::from(replica.running()),
         };
-        match self.settings.placement.warmup {
+        let load = match self.settings.placement.warmup {
             true => pool.warmup.scaled_load(now, key, load),
             false => load,
-        }
+        };
+        load / self.speeds.relative(replica.identity)
     }
 
     /// Returns whether a replica may take one more job.
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -38,6 +38,7 @@
 use crate::scheduler::state::Open;
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
+use crate::speed;
 use crate::tolerance;
 use crate::version;
 use crate::wave;
@@ -72,6 +73,8 @@
     quarantine: quarantine::Quarantine,
     /// Changes of blocked parts that the embedder hasn't taken.
     part_changes: Vec<quarantine::parts::Change>,
+    /// Relative speeds of the replicas.
+    speeds: speed::Table,
     random: Pcg64,
     seed: u64,
     next_replica: u32,
@@ -121,6 +124,7 @@
             limits: limit::Limits::new(settings.limit),
             quarantine: quarantine::Quarantine::new(settings.quarantine, seed),
             part_changes: Vec::new(),
+            speeds: speed::Table::new(settings.speed),
             held: BTreeSet::new(),
             settings,
             accounts: BTreeMap::new(),
@@ -371,6 +375,7 @@
 
     /// Takes all decisions that are due.
     pub fn poll(&mut self, now: Time, out: &mut Vec<Decision>) {
+        self.speeds.refresh(now);
         self.expire(now, out);
         self.evaluate_health(now);
         self.stop_suspects(now, out);
@@ -434,6 +439,39 @@
         std::mem::take(&mut self.part_changes)
     }
 
+    /// Returns the relative speeds of the replicas, by the identity of the incarnation.
+    pub fn speeds(&self) -> &speed::Table {
+        &self.speeds
+    }
+
+    /// Returns the relative speed of a replica; 1 while it isn't known.
+    pub fn relative_speed(&self, key: replica::Key) -> f64 {
+        self.replicas.get(&key).map_or(speed::MEDIAN, |replica| {
+            self.speeds.relative(replica.identity)
+        })
+    }
+
+    /// Returns this entry's samples of the replicas' speed since the last call, for the other entries.
+    pub fn take_paces(&mut self) -> BTreeMap<u64, speed::Pace> {
+        self.speeds.take_samples()
+    }
+
+    /// Merges samples of another entry; the embedder drops duplicates of a message.
+    pub fn absorb_paces(&mut self, now: Time, paces: &BTreeMap<u64, speed::Pace>) {
+        self.speeds.merge(now, paces);
+    }
+
+    /// Returns the speeds in percent of the replicas that differ from the median, for entries that don't merge
+    /// samples themselves.
+    pub fn publish_speeds(&mut self, now: Time) -> BTreeMap<u64, u16> {
+        self.speeds.publish(now)
+    }
+
+    /// Applies speeds that another entry published, in place of own samples until they expire.
+    pub fn absorb_speeds(&mut self, now: Time, speeds: &BTreeMap<u64, u16>) {
+        self.speeds.absorb(now, speeds);
+    }
+
     /// Explains the state of an open job.
     pub fn explain(&self, id: job::Id) -> Option<Explanation> {
         self.open.get(&id).map(Open::explain)
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -57,6 +57,7 @@
             return;
         };
         replica.lost = true;
+        self.speeds.remove(replica.identity);
         if replica.jobs.is_empty() {
             self.replicas.remove(&key);
         }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -137,7 +137,9 @@
         if job.kind == job::Kind::Plain {
             return affinity.balance(candidates);
         }
-        let choice = affinity.choose(now, job.prefix, candidates)?;
+        let speeds = &self.speeds;
+        let share = |candidate: &Candidate| speeds.relative(candidate.identity);
+        let choice = affinity.choose_weighted(now, job.prefix, candidates, share)?;
         Some(choice.replica())
     }
 
@@ -161,9 +163,10 @@
             let healthy = pool.monitor.allowance(*key) == Allowance::Full && !replica.unconfirmed;
             let fits = replica.spec.version == version;
             let usable = healthy && fits && !replica.pause.is_active(now);
-            (usable && *key != chosen).then_some((*key, replica.identity))
+            let share = self.speeds.relative(replica.identity);
+            (usable && *key != chosen).then_some((*key, replica.identity, share))
         });
-        rendezvous::top_two(job.prefix, usable).0
+        rendezvous::top_two_weighted(job.prefix, usable).0
     }
 
     /// Returns the replicas that run long jobs, without unconfirmed and pausing ones if possible: long jobs
--- a/crates/policy/tests/health.rs
+++ b/crates/policy/tests/health.rs
@@ -184,6 +184,30 @@
     assert!((5..=7).contains(&probes), "probed {probes} times");
 }
 
+/// A replica of a slower type has longer gaps for good. One that is as slow but was known to be of the median
+/// speed is unhealthy.
+#[test]
+fn slower_types_stay_and_failing_replicas_go() {
+    const TYPE: f64 = 0.375;
+    let mut pool = Pool::new(9);
+    pool.monitor.set_speed(Key(4), TYPE);
+    let gap = |key: u32| if key == 4 || key == 7 { 90.0 } else { 20.0 };
+    pool.run(Span::from_seconds(4), |key| Work::Gap(gap(key)));
+    assert_eq!(pool.ejected(), [7]);
+    for _ in 0..60 {
+        pool.run(Span::from_seconds(1), |key| Work::Gap(gap(key)));
+        assert!(!pool.ejected().contains(&4));
+    }
+    // Its own speed protects it only up to its type.
+    let gap = |key: u32| if key == 4 { 300.0 } else { 20.0 };
+    let mut was_ejected = false;
+    for _ in 0..20 {
+        pool.run(Span::from_seconds(1), |key| Work::Gap(gap(key)));
+        was_ejected |= pool.ejected().contains(&4);
+    }
+    assert!(was_ejected);
+}
+
 proptest! {
     #![proptest_config(Proptest {
         cases: 64,
--- a/crates/policy/tests/speed.rs
+++ b/crates/policy/tests/speed.rs
@@ -1,13 +1,25 @@
 //! Relative speeds of replicas from the samples of several entries.
 
+#[path = "support/small.rs"]
+mod small;
+
 use std::collections::BTreeMap;
 
 use clock::Span;
 use clock::Time;
 use policy::configs::speed::Config;
+use policy::decision::Decision;
+use policy::job;
+use policy::job::Job;
+use policy::pool;
+use policy::rendezvous;
+use policy::replica;
+use policy::scheduler::Scheduler;
 use policy::speed::MEDIAN;
 use policy::speed::Pace;
 use policy::speed::Table;
+use policy::version;
+use small::ACCOUNT;
 
 /// Milliseconds per unit of the median type.
 const MEDIAN_MILLIS: f64 = 20.0;
@@ -329,3 +341,95 @@
     assert_eq!(table.relative(0), MEDIAN);
     assert!(table.take_samples().is_empty());
 }
+
+/// Returns a scheduler with replicas of 64 slots.
+fn scheduler(replicas: u64) -> Scheduler {
+    let mut scheduler = small::scheduler();
+    for index in 0..replicas {
+        let spec = replica::Spec {
+            incarnation: incarnation(index).into(),
+            pool: pool::Key(0),
+            zone: "z".into(),
+            version: version::Key::default(),
+            slots: 64,
+        };
+        scheduler.replica_joined(Time::ZERO, spec, &mut Vec::new());
+    }
+    scheduler
+}
+
+fn incarnation(index: u64) -> String {
+    format!("r{index}.1")
+}
+
+fn request(id: u64, kind: job::Kind) -> Job {
+    Job {
+        id: job::Id(id),
+        account: ACCOUNT,
+        pool: pool::Key(0),
+        kind,
+        prompt_tokens: 500,
+        max_new_tokens: 50,
+        prefix: id,
+        fingerprint: id,
+        idempotent: true,
+        first_token: Span::from_millis(800),
+        token_gap: Span::from_millis(100),
+        terms: job::Terms::default(),
+    }
+}
+
+/// Offers a request and returns the replica at which it starts.
+fn start(scheduler: &mut Scheduler, now: Time, job: Job) -> Option<replica::Key> {
+    let mut out = Vec::new();
+    scheduler.offer(now, job, &mut out);
+    out.iter().find_map(|decision| match decision {
+        Decision::Start { replica, .. } => Some(*replica),
+        _ => None,
+    })
+}
+
+fn finish(scheduler: &mut Scheduler, now: Time, id: u64, tokens: u32) {
+    let end = job::End::Finished;
+    scheduler.attempt_ended(now, job::Id(id), end, tokens, &mut Vec::new());
+}
+
+#[test]
+fn samples_leave_out_the_wait_before_the_start() {
+    // A replica with long prompts, or with a queue, would be called slow for them.
+    let mut scheduler = scheduler(1);
+    let replica = rendezvous::identity(&incarnation(0));
+    start(&mut scheduler, Time::ZERO, request(1, job::Kind::Model));
+    scheduler.first_token(Time::from_millis(700), job::Id(1));
+    scheduler.progressed(Time::from_millis(700), job::Id(1), 1);
+    scheduler.progressed(Time::from_millis(1_300), job::Id(1), 30);
+    finish(&mut scheduler, Time::from_millis(1_300), 1, 31);
+    let model = Pace::of_answer(30, 600);
+    assert_eq!(scheduler.take_paces(), BTreeMap::from([(replica, model)]));
+
+    let now = Time::from_millis(2_000);
+    start(&mut scheduler, now, request(2, job::Kind::Plain));
+    finish(&mut scheduler, Time::from_millis(2_090), 2, 0);
+    let plain = Pace::of_answer(1, 90);
+    assert_eq!(scheduler.take_paces(), BTreeMap::from([(replica, plain)]));
+}
+
+#[test]
+fn work_is_divided_by_speed() {
+    // A third of the replicas ran at 0.6 of the speed and received as many requests as the others.
+    for kind in [job::Kind::Model, job::Kind::Plain] {
+        let mut scheduler = scheduler(3);
+        let slow = rendezvous::identity(&incarnation(0));
+        scheduler.absorb_speeds(Time::ZERO, &BTreeMap::from([(slow, 50)]));
+        let mut counts: BTreeMap<replica::Key, u32> = BTreeMap::new();
+        for id in 0..100 {
+            let started = start(&mut scheduler, Time::from_millis(id), request(id, kind));
+            let Some(replica) = started else {
+                panic!("request {id} wasn't started");
+            };
+            *counts.entry(replica).or_default() += 1;
+        }
+        let at_slow = counts[&replica::Key(0)];
+        assert!((15..=25).contains(&at_slow), "{kind:?}: {counts:?}");
+    }
+}
