Entries exchange the replicas' speeds

Cause: each entry learned speeds from its own answers only; one of 24 gets too few to know which replicas are slow.

Change: bulletins hold the samples since the last one. With up to 16 entries each merges them; with more the hubs do, and add the speeds to their sums once in 2 s, or once in 1 s while a speed changed by more than 15 %: with 2 s alone a speed would be known 2.5 s after its 20th answer. A hub without samples of a replica goes on with the speed that it was told until that expires, and hubs don't use each other's. Samples of prompt speed are normalized by the replica's speed.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -4,6 +4,7 @@
 use clock::Time;
 use line::Line;
 use policy::job;
+use policy::speed::MEDIAN;
 use smol_str::SmolStr;
 
 use crate::attempt::End;
@@ -35,14 +36,16 @@
                 open.first_response_at.get_or_insert(now);
                 open.attempt_began_at = Some(now);
                 let (prompt_tokens, service) = (open.unshared_tokens, open.service.clone());
+                let replica = open.replica;
                 let elapsed = open.sent_at.map(|started| now.since(started));
                 self.begin_stream(now, serial);
                 self.record_start(now, serial);
                 if let Some(elapsed) = elapsed.filter(|_| first_attempt) {
+                    let speed = replica.map_or(MEDIAN, |key| self.scheduler.relative_speed(key));
                     self.work
                         .entry(service)
                         .or_default()
-                        .observe_first_token(prompt_tokens, elapsed);
+                        .observe_first_token(prompt_tokens, elapsed.scaled(speed));
                 }
                 self.scheduler.first_token(now, id);
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -44,6 +44,7 @@
 use crate::rollouts::Rollouts;
 use crate::route_shares;
 use crate::servers::Servers;
+use crate::speeds::Speeds;
 use crate::store_calls::Waiter;
 use crate::streams::Streams;
 use crate::usage::Usage;
@@ -111,6 +112,8 @@
     pub(crate) work: BTreeMap<SmolStr, Work>,
     /// Work that arrived at peers. Lost peers are kept, so that the sum doesn't decrease.
     pub(crate) peer_work: BTreeMap<holder::Id, BTreeMap<SmolStr, Work>>,
+    /// Published and logged speeds of the replicas.
+    pub(crate) speeds: Speeds,
     /// State of the exchange of counts by hubs.
     pub(crate) hub: Hub,
     /// Arrival rate of work over all entries.
@@ -183,6 +186,14 @@
     pub repeats_left: u64,
     /// Fencing number of the duties' lease; 0 unless this entry holds it.
     pub fence: u64,
+    /// Servers slower than the median of their service.
+    pub slow: u64,
+    /// Servers of about its speed, or of unknown speed.
+    pub median: u64,
+    /// Servers faster than it.
+    pub fast: u64,
+    /// Milliseconds since a hub's speeds arrived or, without them, since the last sample.
+    pub speeds_age_ms: u64,
 }
 
 impl Gateway {
@@ -222,6 +233,7 @@
             usage: Usage::new(settings.usage_window.as_millis(), settings.zero_unix_ms),
             work: BTreeMap::new(),
             peer_work: BTreeMap::new(),
+            speeds: Speeds::default(),
             hub: Hub::default(),
             demand: Demand::default(),
             duties: Duties::new(
@@ -329,7 +341,12 @@
         let pools = || self.pools.values();
         let waiting: usize = pools().map(|pool| self.scheduler.waiting(*pool)).sum();
         let repeats: f64 = pools().map(|pool| self.scheduler.retries_left(*pool)).sum();
+        let speeds = self.speed_summary(now);
         Status {
+            slow: speeds.slow,
+            median: speeds.median,
+            fast: speeds.fast,
+            speeds_age_ms: speeds.age.as_millis(),
             version_age_ms: now.since(self.configured_since).as_millis(),
             leaving: self.servers.leaving_count() as u64,
             missing: self.servers.missing().len() as u64,
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -170,7 +170,10 @@
             return;
         }
         self.handle_counts(now, me, own);
-        let total = self.total_counts(now);
+        let total = Bulletin {
+            speeds: self.due_speeds(now),
+            ..self.total_counts(now)
+        };
         self.handle_sum(now, me, self.sum_without(&total, me));
         let others: Vec<holder::Id> = self.membership.peers().map(|(id, _)| id).collect();
         let mut bytes = 0;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod rollouts;
 mod route_shares;
 mod servers;
+mod speeds;
 mod stop;
 mod store_calls;
 mod streams;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -79,6 +79,7 @@
             self.select_proxies(now, effects);
             self.next_bulletin = now + self.bulletin_interval();
             self.publish_bulletin(now, effects);
+            self.speeds_tick(now, effects);
             self.update_lagging(now);
         }
 
@@ -261,6 +262,7 @@
             work: self.work.clone(),
             tallies: self.rollouts.tallies.clone(),
             limits: self.limits.reports(now),
+            paces: self.scheduler.take_paces(),
             ..Bulletin::default()
         };
         if self.uses_hubs() {
@@ -307,7 +309,7 @@
     }
 
     fn handle_bulletin(&mut self, now: Time, item: &Item, effects: &mut Vec<Effect>) {
-        let bulletin: Bulletin = match serde_json::from_slice(&item.payload) {
+        let mut bulletin: Bulletin = match serde_json::from_slice(&item.payload) {
             Ok(bulletin) => bulletin,
             Err(error) => {
                 let line = Line::warn("bulletin_unreadable")
@@ -329,6 +331,7 @@
             }
         }
         self.handle_limit_reports(now, &bulletin.limits, effects);
+        self.absorb_paces(now, peer, &mut bulletin);
         match bulletin.sums {
             0 if self.uses_hubs() => self.handle_counts(now, peer, bulletin),
             0 => {
@@ -344,7 +347,7 @@
     ///
     /// Only one hub is followed, the first on the roster while it sends. The sums of two hubs differ by what
     /// each hasn't received yet; applied alternately, they would charge that difference repeatedly.
-    pub(crate) fn handle_sum(&mut self, now: Time, hub: holder::Id, sum: Bulletin) {
+    pub(crate) fn handle_sum(&mut self, now: Time, hub: holder::Id, mut sum: Bulletin) {
         // Usage is merged from both hubs: one may have received what the other has not.
         self.usage.absorb_sum(SUM_SENDER, &sum.begun);
         let first = self.roster.hubs().first() == Some(&hub);
@@ -359,6 +362,7 @@
             self.peer_work.remove(&SUM_SENDER);
         }
         self.hub.followed_hub = Some((hub, now));
+        self.absorb_speeds(now, hub, &mut sum);
         match changed {
             true => self
                 .quotas
--- a/crates/gateway/src/work.rs
+++ b/crates/gateway/src/work.rs
@@ -78,7 +78,8 @@
         self.tokens.saturating_sub(self.returned)
     }
 
-    /// Updates the speed by the time to the first token of a request with `unshared_tokens`.
+    /// Updates the speed by the time to the first token of a request with `unshared_tokens`, as a replica of median
+    /// speed would have taken. Otherwise the fleet is planned for the speed of the fastest replicas.
     pub fn observe_first_token(&mut self, unshared_tokens: u64, took: Span) {
         let processing_time = took - FIRST_TOKEN_OVERHEAD;
         if unshared_tokens < MIN_UNSHARED_TOKENS || processing_time == Span::ZERO {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use gateway::event::Event;
 use gateway::event::Source;
 use gateway::gateway::Gateway;
+use gateway::gateway::Status;
 use gateway::identity::Identity;
 use gateway::limits::Stated;
 use gateway::notice::Notice;
@@ -810,6 +811,19 @@
         self.log_counts.get(event).copied().unwrap_or(0)
     }
 
+    /// Returns the relative speed of a server at an entry, if the entry runs.
+    pub fn relative_speed(&self, entry: usize, incarnation: &str) -> Option<f64> {
+        let process = self.processes[entry].as_ref()?;
+        Some(process.gateway.relative_speed(incarnation))
+    }
+
+    /// Returns the snapshot of an entry that runs.
+    pub fn status(&self, entry: usize) -> Option<Status> {
+        let process = self.processes[entry].as_ref()?;
+        let now = Time::from_millis(self.now - process.started_at);
+        Some(process.gateway.status(now))
+    }
+
     /// Returns the configuration version of each live entry.
     pub fn versions(&self) -> Vec<u64> {
         let live = self.processes.iter().flatten();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -59,6 +59,8 @@
     version_age: Gauge<u64>,
     members: Gauge<u64>,
     servers: Gauge<u64>,
+    speeds: Gauge<u64>,
+    speeds_age: Gauge<u64>,
     ready: Gauge<u64>,
     repeats: Gauge<u64>,
     fence: Gauge<u64>,
@@ -150,6 +152,14 @@
                 version_age: gauge("dogwoodspur_configuration_age_ms", "Since it came in force"),
                 members: gauge("dogwoodspur_members", "Entries known here"),
                 servers: gauge("dogwoodspur_servers", "Backend servers, by state"),
+                speeds: gauge(
+                    "dogwoodspur_replica_speeds",
+                    "Backend servers, by class of their speed",
+                ),
+                speeds_age: gauge(
+                    "dogwoodspur_replica_speeds_age_ms",
+                    "Since the speeds were last learned",
+                ),
                 ready: gauge("dogwoodspur_ready", "1 while callers may be sent here"),
                 repeats: gauge("dogwoodspur_repeats_left", "Repeats that may still be made"),
                 fence: gauge(
@@ -298,6 +308,17 @@
                 .servers
                 .record(count, &[KeyValue::new("state", state)]);
         }
+        let classes = [
+            ("slow", status.slow),
+            ("median", status.median),
+            ("fast", status.fast),
+        ];
+        for (class, count) in classes {
+            gauges
+                .speeds
+                .record(count, &[KeyValue::new("class", class)]);
+        }
+        gauges.speeds_age.record(status.speeds_age_ms, &[]);
         let feeds = [
             ("configuration", ages.configuration_ms),
             ("servers", ages.servers_ms),
