Simulated replicas of three types, and no ejection while a speed is learned

Cause: in a pool of 60 replicas at 1, 1/1.6 and 1/2.67 of the speed, three or more replicas of the slowest type were ejected within 2 to 5 s of the start: with cold caches they computed prompts all the time, their gaps were 4 to 5 times the median, and no answer had been finished that could tell their speed.

Change: a new replica isn't ejected for its time per token in its first 8 s while its speed isn't known; failures and silence count as before. The simulated world exchanges samples as by a hub, for patterns that ask for it.

--- a/crates/policy/src/configs/speed.rs
+++ b/crates/policy/src/configs/speed.rs
@@ -23,6 +23,9 @@
     /// Time constant with which the speed that a replica has persistently follows the present one. A replica
     /// that fails slowly must be found before its speed is taken for that of its type.
     pub settling_time: Span,
+    /// Time in which a new replica isn't ejected for its time per token while its speed isn't known. On cold replicas
+    /// that compute prompts all the time, those of a slower type had more than four times the median.
+    pub learning_time: Span,
     /// Least time between two calculations of the relative speeds.
     pub refresh_interval: Span,
 }
@@ -38,6 +41,7 @@
             range: (0.25, 4.0),
             tolerance: 0.15,
             settling_time: Span::from_seconds(60),
+            learning_time: Span::from_seconds(8),
             refresh_interval: Span::from_millis(100),
         }
     }
--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -75,10 +75,12 @@
     }
 
     /// Sets the relative speed that the replica has persistently. Its time per token is compared with that of
-    /// replicas of its own speed: one of a slower type isn't unhealthy.
-    pub fn set_speed(&mut self, key: replica::Key, speed: f64) {
+    /// replicas of its own speed: one of a slower type isn't unhealthy. While `learning`, it isn't ejected for its
+    /// time per token.
+    pub fn set_speed(&mut self, key: replica::Key, speed: f64, learning: bool) {
         if let Some(peer) = self.peers.get_mut(&key) {
             peer.speed = speed;
+            peer.learning = learning;
         }
     }
 
@@ -243,7 +245,8 @@
             let stands_out = own >= config.failure_threshold && peers < own / 2.0;
             stands_out.then_some(own / config.failure_threshold)
         });
-    let slow = peer.average_gap(config).zip(gap).and_then(|(own, peers)| {
+    let average = peer.average_gap(config).filter(|_| !peer.learning);
+    let slow = average.zip(gap).and_then(|(own, peers)| {
         let factor = own / (peers * config.slow_factor).max(f64::MIN_POSITIVE);
         (factor >= 1.0).then_some(factor)
     });
--- a/crates/policy/src/health/peer.rs
+++ b/crates/policy/src/health/peer.rs
@@ -23,6 +23,8 @@
     pub state: State,
     /// Relative speed that the replica has persistently, by which its gap is compared.
     pub speed: f64,
+    /// Whether its speed isn't known yet, so that a long gap may be that of its type.
+    pub learning: bool,
     /// Moving average of the smallest token gap (or call duration) of each period, in milliseconds;
     /// valid once there are enough `samples`.
     gap: f64,
@@ -51,6 +53,7 @@
         Peer {
             state: State::Healthy,
             speed: 1.0,
+            learning: false,
             gap: 0.0,
             min_gap: None,
             samples: 0,
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -17,7 +17,7 @@
     pub(super) fn add_replica(&mut self, now: Time, spec: replica::Spec) -> replica::Key {
         let key = replica::Key(self.next_replica);
         self.next_replica += 1;
-        let replica = Replica::new(spec, &self.settings);
+        let replica = Replica::new(now, spec, &self.settings);
         let pool = self.pool_mut(replica.spec.pool);
         pool.members.insert(key);
         pool.monitor.add(now, key);
@@ -99,7 +99,10 @@
                 for member in &pool.members {
                     if let Some(replica) = self.replicas.get(member) {
                         let speed = self.speeds.settled(replica.identity);
-                        pool.monitor.set_speed(*member, speed);
+                        let learning =
+                            self.speeds
+                                .is_learning(now, replica.identity, replica.joined_at);
+                        pool.monitor.set_speed(*member, speed, learning);
                     }
                 }
                 pool.monitor.tick(now);
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -108,6 +108,8 @@
     pub spec: replica::Spec,
     /// Hash of its incarnation, [`rendezvous::identity`].
     pub identity: u64,
+    /// When it joined.
+    pub joined_at: Time,
     /// Hash of its availability zone, [`rendezvous::identity`].
     pub zone: u64,
     /// End of the replica, once it has got notice; never cleared.
@@ -131,8 +133,9 @@
 }
 
 impl Replica {
-    pub fn new(spec: replica::Spec, settings: &Settings) -> Replica {
+    pub fn new(now: Time, spec: replica::Spec, settings: &Settings) -> Replica {
         Replica {
+            joined_at: now,
             identity: rendezvous::identity(&spec.incarnation),
             zone: rendezvous::identity(&spec.zone),
             load: Load::new(settings.concurrency, spec.slots),
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -269,6 +269,16 @@
         }
     }
 
+    /// Returns whether a replica that joined then may still be learned: its speed isn't known, and it is new.
+    pub fn is_learning(&self, now: Time, identity: u64, joined_at: Time) -> bool {
+        let is_new = now.since(joined_at) < self.config.learning_time;
+        let published = self.published.as_ref();
+        let is_published = published.is_some_and(|(_, speeds)| speeds.contains_key(&identity));
+        let record = self.records.get(&identity);
+        let is_measured = record.is_some_and(|record| record.measured.is_some());
+        self.config.enabled && is_new && !is_published && !is_measured
+    }
+
     /// Returns the number of answers in a replica's moving average.
     pub fn answers(&self, identity: u64) -> u32 {
         self.records
--- a/crates/policy/tests/health.rs
+++ b/crates/policy/tests/health.rs
@@ -190,7 +190,7 @@
 fn slower_types_stay_and_failing_replicas_go() {
     const TYPE: f64 = 0.375;
     let mut pool = Pool::new(9);
-    pool.monitor.set_speed(Key(4), TYPE);
+    pool.monitor.set_speed(Key(4), TYPE, false);
     let gap = |key: u32| if key == 4 || key == 7 { 90.0 } else { 20.0 };
     pool.run(Span::from_seconds(4), |key| Work::Gap(gap(key)));
     assert_eq!(pool.ejected(), [7]);
@@ -208,6 +208,28 @@
     assert!(was_ejected);
 }
 
+/// A cold pool of several types: the slowest computed prompts all the time, and was ejected before its speed was
+/// known. Failures and silence count from the start.
+#[test]
+fn gaps_arent_judged_while_a_speed_is_learned() {
+    let gap = |key: u32| Work::Gap(if key == 7 { 90.0 } else { 20.0 });
+    let mut pool = Pool::new(9);
+    pool.monitor.set_speed(Key(7), 1.0, true);
+    pool.run(Span::from_seconds(8), gap);
+    assert!(pool.ejected().is_empty());
+    pool.monitor.set_speed(Key(7), 1.0, false);
+    pool.run(Span::from_seconds(1), gap);
+    assert_eq!(pool.ejected(), [7]);
+
+    let mut pool = Pool::new(9);
+    pool.monitor.set_speed(Key(7), 1.0, true);
+    pool.run(Span::from_seconds(2), |key| match key {
+        7 => Work::Fail,
+        _ => Work::Gap(20.0),
+    });
+    assert_eq!(pool.ejected(), [7]);
+}
+
 proptest! {
     #![proptest_config(Proptest {
         cases: 64,
--- a/crates/policy/tests/support/load.rs
+++ b/crates/policy/tests/support/load.rs
@@ -159,6 +159,8 @@
     pub killers: Vec<Killer>,
     /// Milliseconds until a killed replica is back; none for never.
     pub restart_ms: Option<u64>,
+    /// Whether entries exchange samples of the replicas' speed, as by a hub.
+    pub shares_speeds: bool,
 }
 
 impl Pattern {
@@ -181,6 +183,7 @@
             faults: Vec::new(),
             killers: Vec::new(),
             restart_ms: Some(10_000),
+            shares_speeds: false,
         }
     }
 
--- a/crates/policy/tests/support/patterns.rs
+++ b/crates/policy/tests/support/patterns.rs
@@ -108,6 +108,23 @@
     Pattern::new("hot-key", profiles)
 }
 
+/// Slowness of the types of replicas in [`uneven`]: a third of the replicas each.
+pub const TYPES: [f64; 3] = [1.0, 1.6, 2.67];
+
+/// Replicas of three types, with a load relative to the capacity of as many of the fastest.
+pub fn uneven(load: f64, replicas: usize) -> Pattern {
+    let scale = replicas as f64 / 9.0;
+    let mut pattern = Pattern::new("uneven", accounts(load)).scaled(scale);
+    pattern.replicas = replicas;
+    pattern.shares_speeds = true;
+    // Zones take every third replica: types that follow the same period would fill one zone each.
+    for place in 0..replicas {
+        let slowness = TYPES[place / pattern.zones % TYPES.len()];
+        pattern = pattern.fault(0, Fault::Health(place, Health::Slow(slowness)));
+    }
+    pattern
+}
+
 /// One replica becomes unhealthy at 5 s and recovers at 20 s.
 pub fn slow_replica(health: Health, name: &'static str) -> Pattern {
     Pattern::new(name, accounts(0.7))
--- a/crates/policy/tests/support/tally.rs
+++ b/crates/policy/tests/support/tally.rs
@@ -52,6 +52,8 @@
     pub false_not_run: u32,
     /// Non-idempotent requests that ran twice.
     pub duplicated: u32,
+    /// Maximum number of replicas that an entry had ejected; only in patterns that share speeds.
+    pub max_ejected: usize,
     /// Submissions that never got an answer or a refusal.
     pub unanswered: u32,
     /// Maximum number of open requests of each account, over all entries.
--- a/crates/policy/tests/support/world/mod.rs
+++ b/crates/policy/tests/support/world/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod digests;
 mod fleet;
+mod paces;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -16,6 +17,7 @@
 use policy::job;
 use policy::replica;
 use policy::scheduler::Digest;
+use policy::speed::Pace;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
@@ -52,6 +54,10 @@
     Restart(usize),
     SendDigests,
     Digest(usize, Box<Digest>),
+    SendPaces,
+    Paces(BTreeMap<u64, Pace>),
+    SendSpeeds,
+    Speeds(BTreeMap<u64, u16>),
     Transferred(usize, usize, usize, Box<Sequence>),
 }
 
@@ -174,6 +180,7 @@
             self.schedule(events.period_ms, Event::SendCacheEvents);
         }
         self.schedule(DIGEST_PERIOD_MS, Event::SendDigests);
+        self.start_exchange();
     }
 
     fn handle(&mut self, event: Event) {
@@ -197,6 +204,10 @@
             Event::Restart(place) => self.restart(place),
             Event::SendDigests => self.send_digests(),
             Event::Digest(sender, digest) => self.deliver_digest(sender, &digest),
+            Event::SendPaces => self.send_paces(),
+            Event::Paces(paces) => self.deliver_paces(&paces),
+            Event::SendSpeeds => self.send_speeds(),
+            Event::Speeds(speeds) => self.deliver_speeds(&speeds),
             Event::Transferred(entry, from, to, sequence) => {
                 self.finish_transfer(entry, from, to, *sequence)
             }
