--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -15,6 +15,7 @@
 pub mod pace;
 pub mod parts;
 pub mod placement;
+pub mod plan;
 pub mod quarantine;
 pub mod quota;
 pub mod retry;
