Entries share their offered work and refuse by one plan what exceeds the capacity

Cause: with many entries none knows what is offered to the others, so that under overload work of all ranks waits inside the replicas until it is late.

Change: gateway::plan meters the work of model requests, sends its rates in the counts (field offered), and computes the plan from the sum and the capacity: replicas that aren't leaving, times their prompt speed, times 0.85. A request beyond the plan is refused at once with the retry time of the scheduler's calendar, and its work is recorded as refused. Applied only with 0.6 of the slots occupied or requests waiting here, and with counts not older than 1.5 s. Requests that continue a stream are admitted.

Plain calls, and services whose prompt speed isn't known, have no plan. All replicas count with the same speed until relative speeds are merged.

--- a/crates/gateway/src/configs/gateway.rs
+++ b/crates/gateway/src/configs/gateway.rs
@@ -42,6 +42,8 @@
     pub cover: policy::configs::cover::Config,
     /// Scheduling.
     pub scheduler: scheduler::Settings,
+    /// The part of the offered work that is admitted under overload.
+    pub plan: policy::configs::plan::Config,
     /// Sharing of quotas.
     pub quota: policy::configs::quota::Config,
     /// Timeouts of charges at other entries.
@@ -74,6 +76,7 @@
             lease: lease_settings(),
             cover: policy::configs::cover::Config::default(),
             scheduler: scheduler_settings(),
+            plan: policy::configs::plan::Config::default(),
             quota: policy::configs::quota::Config::default(),
             charge: policy::configs::charge::Config::default(),
             watch: watch::configs::watch::Config::default(),
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -15,6 +15,7 @@
 use crate::effect::Effect;
 use crate::effect::Start;
 use crate::gateway::Gateway;
+use crate::plan::Shed;
 
 /// Range of engine priorities; the lowest number is the most urgent.
 const MOST_URGENT: u8 = 0;
@@ -168,10 +169,33 @@
 
     /// Ends an open request with a final refusal.
     pub(crate) fn refuse(
+        &mut self,
+        now: Time,
+        serial: u64,
+        refusal: Refusal,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.close_refused(now, serial, refusal, None, effects);
+    }
+
+    /// Ends a request that the plan refuses.
+    pub(crate) fn refuse_shed(
+        &mut self,
+        now: Time,
+        serial: u64,
+        refusal: Refusal,
+        shed: Shed,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.close_refused(now, serial, refusal, Some(shed), effects);
+    }
+
+    fn close_refused(
         &mut self,
         now: Time,
         serial: u64,
         mut refusal: Refusal,
+        shed: Option<Shed>,
         effects: &mut Vec<Effect>,
     ) {
         let Some(open) = self.close_request(serial, effects) else {
@@ -196,6 +220,13 @@
         };
         let line = line.with("service", &open.service).with("answer", answer);
         let line = with_pool(line, &self.scheduler.snapshot(now, open.job.pool));
+        let line = match shed {
+            Some(shed) => line
+                .with("plan", "shed")
+                .with("level", shed.level)
+                .with("work", shed.work),
+            None => line,
+        };
         self.send_refusal(serial, refusal, line, effects);
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 use crate::notice::Pauses;
 use crate::peers;
 use crate::peers::PeerLoad;
+use crate::plan::Plans;
 use crate::request::Request;
 use crate::rollouts::Rollouts;
 use crate::route_shares;
@@ -111,6 +112,8 @@
     pub(crate) work: BTreeMap<SmolStr, Work>,
     /// Work that arrived at peers. Lost peers are kept, so that the sum doesn't decrease.
     pub(crate) peer_work: BTreeMap<holder::Id, BTreeMap<SmolStr, Work>>,
+    /// Rates of offered work, and which part of it is admitted.
+    pub(crate) plans: Plans,
     /// State of the exchange of counts by hubs.
     pub(crate) hub: Hub,
     /// Arrival rate of work over all entries.
@@ -183,6 +186,12 @@
     pub repeats_left: u64,
     /// Fencing number of the duties' lease; 0 unless this entry holds it.
     pub fence: u64,
+    /// Work offered to all entries, in prompt tokens per second, of services with a known capacity.
+    pub plan_offered: u64,
+    /// Work that their replicas start in time, in prompt tokens per second.
+    pub plan_room: u64,
+    /// Milliseconds since the newest rates of other entries arrived.
+    pub plan_age_ms: u64,
 }
 
 impl Gateway {
@@ -222,6 +231,7 @@
             usage: Usage::new(settings.usage_window.as_millis(), settings.zero_unix_ms),
             work: BTreeMap::new(),
             peer_work: BTreeMap::new(),
+            plans: Plans::default(),
             hub: Hub::default(),
             demand: Demand::default(),
             duties: Duties::new(
@@ -329,7 +339,11 @@
         let pools = || self.pools.values();
         let waiting: usize = pools().map(|pool| self.scheduler.waiting(*pool)).sum();
         let repeats: f64 = pools().map(|pool| self.scheduler.retries_left(*pool)).sum();
+        let plan = self.plan_summary(now);
         Status {
+            plan_offered: plan.offered,
+            plan_room: plan.room,
+            plan_age_ms: plan.age.as_millis(),
             version_age_ms: now.since(self.configured_since).as_millis(),
             leaving: self.servers.leaving_count() as u64,
             missing: self.servers.missing().len() as u64,
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -131,6 +131,7 @@
             self.quotas.remove_peer(now, peer.0);
         }
         self.peer_loads.clear();
+        self.plans.forget_peers();
         self.rollouts.peer_tallies.clear();
         self.usage.forget_peers();
         effects.push(Effect::Log(Line::info("hubs_used")));
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -91,6 +91,9 @@
             let work = self.work.entry(service).or_default();
             work.record_arrived(request.work);
         }
+        if self.shed(now, serial, effects) {
+            return;
+        }
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.offer_prompt(now, job, shared_parts, out);
         });
@@ -204,6 +207,7 @@
             route: route.name.clone(),
             account: account.map(|account| account.name.clone()),
             work: 0,
+            continues: arrival.continuation.is_some(),
             unshared_tokens: arrival.prompt.as_ref().map_or(0, work::unshared_tokens),
             service: service.clone(),
             canary,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod isolation;
 mod lagging;
 mod peers;
+mod plan;
 mod presence;
 mod progress;
 mod reports;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -79,6 +79,7 @@
             self.select_proxies(now, effects);
             self.next_bulletin = now + self.bulletin_interval();
             self.publish_bulletin(now, effects);
+            self.plans_tick(now, effects);
             self.update_lagging(now);
         }
 
@@ -261,6 +262,7 @@
             work: self.work.clone(),
             tallies: self.rollouts.tallies.clone(),
             limits: self.limits.reports(now),
+            offered: self.plans.own_rates(now),
             ..Bulletin::default()
         };
         if self.uses_hubs() {
@@ -395,6 +397,7 @@
             false => self.rollouts.peer_tallies.insert(peer, bulletin.tallies),
         };
         self.peer_work.insert(peer, bulletin.work);
+        self.plans.record(now, peer.0, bulletin.offered);
         let load = PeerLoad {
             reported_at: now,
             active,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -38,6 +38,8 @@
     pub service: SmolStr,
     /// Whether it runs on a version under trial.
     pub canary: bool,
+    /// Whether its caller has read a part of the stream and takes it up again.
+    pub continues: bool,
     /// Work that it was counted as at admission, in prompt tokens.
     pub work: u64,
     /// Prompt tokens not shared with other requests.
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns the weighted cost of prompt and expected output, or `None` for an unknown account.
-    fn estimate(&self, job: &Job) -> Option<Cost> {
+    pub(super) fn estimate(&self, job: &Job) -> Option<Cost> {
         let output = self.expected_output(job)?;
         Some(self.cost(job.prompt_tokens, output))
     }
--- a/crates/policy/src/scheduler/refusals.rs
+++ b/crates/policy/src/scheduler/refusals.rs
@@ -63,6 +63,18 @@
         }
     }
 
+    /// Returns the time after which the caller of a job that is refused before it is offered should retry.
+    pub fn retry_after(&mut self, now: Time, job: &Job) -> Span {
+        let cost = self.estimate(job).unwrap_or(1);
+        self.retry_time(now, job, cost)
+    }
+
+    /// Returns the queue level of a job; 0 for an unknown account.
+    pub fn level_of(&self, job: &Job) -> u8 {
+        let account = self.accounts.get(&job.account);
+        account.map_or(0, |account| level(&account.spec, job))
+    }
+
     /// Returns the time after which a refused caller should retry.
     fn retry_time(&mut self, now: Time, job: &Job, cost: Cost) -> Span {
         let settings = self.settings.retry;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -35,6 +35,7 @@
     registry: Registry,
     done: Counter<u64>,
     refused: Counter<u64>,
+    shed_work: Counter<u64>,
     attempts: Counter<u64>,
     failed_attempts: Counter<u64>,
     store_calls: Counter<u64>,
@@ -62,6 +63,9 @@
     ready: Gauge<u64>,
     repeats: Gauge<u64>,
     fence: Gauge<u64>,
+    plan_offered: Gauge<u64>,
+    plan_room: Gauge<u64>,
+    plan_age: Gauge<u64>,
     feed_age: Gauge<u64>,
     lag: Gauge<u64>,
     counts_bytes: Gauge<u64>,
@@ -111,6 +115,10 @@
                 "dogwoodspur_requests_refused",
                 "Final answers of our own, by reason and verdict",
             ),
+            shed_work: count(
+                "dogwoodspur_plan_shed_tokens",
+                "Work refused by the plan, in prompt tokens, by service and level",
+            ),
             attempts: count(
                 "dogwoodspur_attempts",
                 "Requests handed to replicas, by service and whether it was the first time",
@@ -156,6 +164,18 @@
                     "dogwoodspur_duty_fence",
                     "Fencing number while duties are held",
                 ),
+                plan_offered: gauge(
+                    "dogwoodspur_plan_offered",
+                    "Work offered to all entries, prompt tokens a second",
+                ),
+                plan_room: gauge(
+                    "dogwoodspur_plan_room",
+                    "Work that the replicas start in time, prompt tokens a second",
+                ),
+                plan_age: gauge(
+                    "dogwoodspur_plan_age_ms",
+                    "Since the newest rates of other entries arrived",
+                ),
                 feed_age: gauge(
                     "dogwoodspur_feed_age_ms",
                     "Since a feed was current, by feed",
@@ -203,6 +223,10 @@
             "request_refused" => {
                 let labels = [label(line, "reason"), label(line, "verdict")];
                 self.refused.add(1, &labels);
+                if line.field("plan") == "shed" {
+                    let labels = [label(line, "service"), label(line, "level")];
+                    self.shed_work.add(number(line, "work") as u64, &labels);
+                }
             }
             "attempt_started" => {
                 let first = line.field("attempt") == "1";
@@ -287,6 +311,9 @@
         gauges.ready.record(u64::from(status.ready), &[]);
         gauges.repeats.record(status.repeats_left, &[]);
         gauges.fence.record(status.fence, &[]);
+        gauges.plan_offered.record(status.plan_offered, &[]);
+        gauges.plan_room.record(status.plan_room, &[]);
+        gauges.plan_age.record(status.plan_age_ms, &[]);
         let states = [
             ("known", status.servers),
             ("leaving", status.leaving),
