Tests of the plan over several entries; first requests at many entries keep to it

Cause: a gate's balance started at zero, so that each entry admitted one request of each class as an overload began. With 24 entries and 5 accounts that was two seconds of the capacity of six replicas, and the queue that it left lasted for the whole overload.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -129,6 +129,7 @@
         };
         let state = self.plans.services.entry(service.clone()).or_default();
         state.meter.record(now, class, work);
+        let offer = state.gate.offer(&config, now, class, work);
         let planned_at = state.planned_at;
         if planned_at.is_none_or(|at| now.since(at) >= PLAN_INTERVAL) {
             self.compute_plan(now, &service, effects);
@@ -142,7 +143,10 @@
         };
         let is_late = state.load.occupancy >= config.min_occupancy || waiting > 0;
         let fraction = state.plan.fraction(class);
-        if !is_late || fraction >= 1.0 || state.gate.admits(&config, now, class, fraction, work) {
+        if !is_late || fraction >= 1.0 {
+            return false;
+        }
+        if state.gate.admits(now, offer, fraction, &mut self.random) {
             return false;
         }
         let retry = self.scheduler.retry_after(now, &job);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -32,6 +32,7 @@
 use gateway::event::Event;
 use gateway::event::Source;
 use gateway::gateway::Gateway;
+use gateway::gateway::Status;
 use gateway::identity::Identity;
 use gateway::limits::Stated;
 use gateway::notice::Notice;
@@ -60,6 +61,10 @@
 pub const OTHER_KEY: &str = "birch-key";
 /// A service that shares a route with [`SERVICE`], and has no servers at the start.
 pub const OTHER_SERVICE: &str = "sketches";
+/// Ranks of the routes of [`World::ranked`], whose prefixes are `/rank-0/` and so on.
+pub const RANKS: [u8; 3] = [0, 1, 2];
+/// Accounts of [`World::ranked`], whose keys are `key-0` and so on.
+pub const RANKED_ACCOUNTS: usize = 5;
 const STEP_MS: u64 = 10;
 /// Time in which entries learn of each other, of a restore and of the default version.
 pub const JOIN_MILLIS: u64 = 3_000;
@@ -89,6 +94,20 @@
     pub serial: u64,
     pub attempt: u32,
     pub server: SmolStr,
+    /// Priority in the server's queue of prompts, the lowest number first.
+    pub urgency: Option<u8>,
+}
+
+/// A request that an entry refused by its plan.
+#[derive(Clone, Debug)]
+pub struct Shed {
+    pub at: u64,
+    pub entry: usize,
+    /// Id of the request.
+    pub request: SmolStr,
+    pub level: u8,
+    /// Age of the counts that the plan was computed from, milliseconds.
+    pub plan_age: u64,
 }
 
 /// A pending charge that one entry asked another for.
@@ -111,6 +130,8 @@
     Steady,
     /// Another account beside it, and a route to two services.
     Extended,
+    /// Accounts without quotas, and a route for each of [`RANKS`].
+    Ranked,
 }
 
 /// The process of an entry.
@@ -130,6 +151,10 @@
     pub duty_answers_lost: bool,
     /// Refusals received by callers, by reason.
     pub refused: BTreeMap<SmolStr, u32>,
+    /// When each refused request was refused, by serial number.
+    pub refused_at: BTreeMap<u64, u64>,
+    /// Requests that were refused by a plan, in order.
+    pub sheds: Vec<Shed>,
     /// Number of attempts sent to a replica.
     pub attempts_started: u32,
     /// Server that each request was last sent to, by serial number.
@@ -166,6 +191,8 @@
     pub sums_sent: BTreeMap<usize, u32>,
     /// Entries cut off from all messages.
     pub partitioned: BTreeSet<usize>,
+    /// Entries on one side of a partition, which exchange messages among themselves only.
+    pub separated: BTreeSet<usize>,
     /// Whether a charge sent to an unreachable entry gets no answer instead of an immediate failure.
     pub charges_hang: bool,
     /// Whether charges are held back until [`World::answer_charges`].
@@ -222,6 +249,17 @@
         World::start_all(entries, default_settings(entries), Document::Extended)
     }
 
+    /// Starts entries whose configuration has a route for each of [`RANKS`] and [`RANKED_ACCOUNTS`] accounts, before
+    /// servers with `slots` slots.
+    pub fn ranked(entries: usize, settings: Settings, slots: u32) -> World {
+        let mut world = World::start_all(entries, settings, Document::Ranked);
+        for server in &mut world.servers {
+            server.slots = slots;
+        }
+        world.publish_servers();
+        world
+    }
+
     fn start_all(entries: usize, settings: Settings, document: Document) -> World {
         let mut world = World {
             now: 0,
@@ -229,6 +267,8 @@
             duty_calls: Vec::new(),
             duty_answers_lost: false,
             refused: BTreeMap::new(),
+            refused_at: BTreeMap::new(),
+            sheds: Vec::new(),
             attempts_started: 0,
             servers_by_request: BTreeMap::new(),
             sent_requests: Vec::new(),
@@ -247,6 +287,7 @@
             sums_received: BTreeMap::new(),
             sums_sent: BTreeMap::new(),
             partitioned: BTreeSet::new(),
+            separated: BTreeSet::new(),
             charges_hang: false,
             delay_charges: false,
             delayed_charges: Vec::new(),
@@ -820,6 +861,29 @@
         .collect()
     }
 
+    /// Returns the status of a live entry, or an empty one.
+    pub fn status(&self, entry: usize) -> Status {
+        self.processes[entry]
+            .as_ref()
+            .map_or_else(Status::default, |process| {
+                let now = Time::from_millis(self.now - process.started_at);
+                process.gateway.status(now)
+            })
+    }
+
+    /// Sends a request as the caller states it; returns its serial number.
+    pub fn send(&mut self, entry: usize, arrival: Arrival) -> u64 {
+        self.next_serial += 1;
+        let serial = self.next_serial;
+        let arrival = Box::new(Arrival {
+            id: format_smolstr!("r{serial}"),
+            fingerprint: serial,
+            ..arrival
+        });
+        self.step(entry, Event::Arrived { serial, arrival });
+        serial
+    }
+
     /// Returns the entries that currently hold the duties' lease.
     pub fn holders(&self) -> Vec<usize> {
         let holds = |entry: &usize| {
@@ -987,6 +1051,7 @@
                             serial,
                             attempt: start.attempt,
                             server: start.endpoint.incarnation.clone(),
+                            urgency: start.urgency,
                         });
                         self.servers_by_request
                             .insert(serial, start.endpoint.incarnation);
@@ -994,6 +1059,7 @@
                     Command::Refuse(refusal) => {
                         let reason = format_smolstr!("{:?}", refusal.reason);
                         *self.refused.entry(reason).or_default() += 1;
+                        self.refused_at.insert(serial, self.now);
                     }
                     Command::Move(place) => self.moved_runs.push((serial, place.incarnation)),
                     Command::Recorded { .. } => {
@@ -1031,6 +1097,15 @@
             }
             Effect::PauseServer { .. } | Effect::Proxies(_) => None,
             Effect::Log(line) => {
+                if line.field("plan") == "shed" {
+                    self.sheds.push(Shed {
+                        at: self.now,
+                        entry,
+                        request: SmolStr::new(line.field("request")),
+                        level: line.field("level").parse().unwrap_or_default(),
+                        plan_age: self.status(entry).plan_age_ms,
+                    });
+                }
                 *self.log_counts.entry(line.event).or_default() += 1;
                 None
             }
@@ -1049,11 +1124,12 @@
         })
     }
 
-    /// Returns the entry at `address`, unless it or the sender is cut off.
+    /// Returns the entry at `address`, unless it or the sender is cut off or they are separated.
     fn reach(&self, from: usize, address: &SmolStr) -> Option<usize> {
         let to = (0..self.processes.len()).find(|entry| peer_address(*entry) == *address)?;
         let connected = !self.partitioned.contains(&from) && !self.partitioned.contains(&to);
-        connected.then_some(to)
+        let same_side = self.separated.contains(&from) == self.separated.contains(&to);
+        (connected && same_side).then_some(to)
     }
 }
 
@@ -1174,7 +1250,7 @@
     };
     // An account without a rate has no quota.
     let rate = match document {
-        Document::Unlimited => 0,
+        Document::Unlimited | Document::Ranked => 0,
         Document::Steady => 400,
         Document::Usual | Document::Extended => 40,
     };
@@ -1203,7 +1279,7 @@
         keys: vec![SmolStr::new_static(OTHER_KEY)],
         ..account.clone()
     };
-    let mut routes = vec![route, talks, chats, open];
+    let mut routes = vec![route.clone(), talks, chats, open];
     let mut services = vec![service];
     let mut accounts = vec![account];
     if document == Document::Extended {
@@ -1211,9 +1287,29 @@
         services.push(other_service);
         accounts.push(other_account);
     }
+    if document == Document::Ranked {
+        routes.extend(RANKS.map(|rank| Route {
+            name: format_smolstr!("rank-{rank}"),
+            prefix: format_smolstr!("/rank-{rank}/"),
+            rank,
+            ..route.clone()
+        }));
+        accounts = (0..RANKED_ACCOUNTS).map(ranked_account).collect();
+    }
     Catalog::new(version, routes, services, accounts, Limits::default())
 }
 
+/// Returns an account without a quota.
+fn ranked_account(number: usize) -> Account {
+    Account {
+        name: format_smolstr!("account-{number}"),
+        keys: vec![format_smolstr!("key-{number}")],
+        priority: 1,
+        plain_cost: 1,
+        ..Account::default()
+    }
+}
+
 fn shares(weights: [f64; 2]) -> Vec<Share> {
     let all = [SERVICE, OTHER_SERVICE].into_iter().zip(weights);
     let used = all.filter(|(_, weight)| *weight > 0.0);
--- a/crates/policy/src/configs/plan.rs
+++ b/crates/policy/src/configs/plan.rs
@@ -16,7 +16,7 @@
     pub max_age: Span,
     /// Part of the mean share of the levels that a level keeps although more urgent ones ask for everything.
     pub floor: f64,
-    /// Time without a request of a class after which its next one is admitted.
+    /// Time without a request of a level after which its next one is admitted.
     pub idle_time: Span,
 }
 
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -11,6 +11,7 @@
 
 use clock::Span;
 use clock::Time;
+use rand::RngExt;
 
 use crate::configs::plan::Config;
 use crate::demand::Class;
@@ -30,7 +31,7 @@
 }
 
 /// An account's work on one level.
-struct Offer {
+struct Demand {
     class: Class,
     rate: f64,
     weight: f64,
@@ -43,17 +44,17 @@
         if rates.total() as f64 <= capacity {
             return plan;
         }
-        let mut levels: BTreeMap<u8, Vec<Offer>> = BTreeMap::new();
+        let mut levels: BTreeMap<u8, Vec<Demand>> = BTreeMap::new();
         for (class, rate) in rates.iter() {
             let weight = weights.get(&class.account).copied().unwrap_or(1.0);
-            levels.entry(class.level).or_default().push(Offer {
+            levels.entry(class.level).or_default().push(Demand {
                 class,
                 rate: f64::from(rate),
                 weight: weight.max(f64::MIN_POSITIVE),
             });
         }
         let floor = config.floor * capacity / levels.len() as f64;
-        let total_of = |offers: &[Offer]| offers.iter().map(|offer| offer.rate).sum::<f64>();
+        let total_of = |offers: &[Demand]| offers.iter().map(|offer| offer.rate).sum::<f64>();
         let floors: f64 = levels
             .values()
             .map(|offers| total_of(offers).min(floor))
@@ -84,8 +85,8 @@
     }
 
     /// Divides `room` among the accounts of one level.
-    fn divide(&mut self, offers: &mut [Offer], room: f64) {
-        let by_weight = |offer: &Offer| offer.rate / offer.weight;
+    fn divide(&mut self, offers: &mut [Demand], room: f64) {
+        let by_weight = |offer: &Demand| offer.rate / offer.weight;
         offers.sort_by(|a, b| by_weight(a).total_cmp(&by_weight(b)));
         let mut weight: f64 = offers.iter().map(|offer| offer.weight).sum();
         let mut left = room;
@@ -106,8 +107,16 @@
 /// negative. The admitted work therefore differs from the plan by one request at most. Whether a request is admitted
 /// doesn't depend on its own size: if the balance had to cover it, small requests would use the balance up, and large
 /// ones would never be admitted.
+///
+/// A balance starts at a random phase, so that the first requests of all entries together are admitted in the planned
+/// fraction too. Started at zero, each entry admitted one request of each class: with 24 entries and 5 accounts that
+/// was two seconds of the capacity of six replicas, at the very beginning of an overload.
 #[derive(Clone, Debug, Default)]
-pub struct Gate(BTreeMap<Class, Balance>);
+pub struct Gate {
+    balances: BTreeMap<Class, Balance>,
+    /// When the last request of each level was offered.
+    levels: BTreeMap<u8, Time>,
+}
 
 /// The state of one class.
 #[derive(Clone, Copy, Debug)]
@@ -118,26 +127,45 @@
     offered_at: Time,
 }
 
+/// A request as the gate sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Class of the request.
+    pub class: Class,
+    /// Its work, in prompt tokens.
+    pub work: u64,
+    /// Whether it is the first of its level for some time.
+    pub first: bool,
+}
+
 impl Gate {
-    /// Returns whether a request of `work` prompt tokens is admitted; `fraction` is the planned one.
+    /// Records a request, also one that is admitted without the gate.
+    pub fn offer(&mut self, config: &Config, now: Time, class: Class, work: u64) -> Offer {
+        let last = self.levels.insert(class.level, now);
+        Offer {
+            class,
+            work: work.max(1),
+            first: last.is_none_or(|last| now.since(last) >= config.idle_time),
+        }
+    }
+
+    /// Returns whether a request is admitted, of whose class `fraction` is to be.
     pub fn admits(
         &mut self,
-        config: &Config,
         now: Time,
-        class: Class,
+        offer: Offer,
         fraction: f64,
-        work: u64,
+        random: &mut impl RngExt,
     ) -> bool {
-        let work = work.max(1) as f64;
-        let balance = self.0.entry(class).or_insert(Balance {
-            work: 0.0,
+        let work = offer.work as f64;
+        let balance = self.balances.entry(offer.class).or_insert_with(|| Balance {
+            work: work * (random.random::<f64>() - 1.0 + fraction),
             offered_at: now,
         });
-        let idle = now.since(balance.offered_at) >= config.idle_time;
         balance.offered_at = now;
-        // A request after a pause is admitted, but not several in a row: with many entries most requests come
-        // after a pause, and the whole overload would be admitted.
-        let admitted = balance.work >= 0.0 || (idle && balance.work > -work);
+        // The first request of a level after a pause is admitted, but not several in a row: if most requests come
+        // after a pause, as with many entries, the whole overload would be admitted.
+        let admitted = balance.work >= 0.0 || (offer.first && balance.work > -work);
         balance.work += fraction * work;
         if admitted {
             balance.work -= work;
@@ -145,9 +173,11 @@
         admitted
     }
 
-    /// Forgets the classes without a request for some time.
+    /// Forgets the classes and levels without a request for some time.
     pub fn expire(&mut self, now: Time) {
-        self.0
+        self.balances
             .retain(|_, balance| now.since(balance.offered_at) < BALANCE_RETENTION);
+        self.levels
+            .retain(|_, offered_at| now.since(*offered_at) < BALANCE_RETENTION);
     }
 }
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -12,6 +12,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::Config as Proptest;
 use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
 
 const CAPACITY: f64 = 10_000.0;
 /// Rounding of sums of floating-point numbers.
@@ -56,14 +58,21 @@
     sum * sum / (shares.len() as f64 * squares)
 }
 
+/// Offers one request to a gate; returns whether it is admitted.
+fn admits(gate: &mut Gate, random: &mut Pcg64, millis: u64, fraction: f64, work: u64) -> bool {
+    let now = at(millis);
+    let offer = gate.offer(&Config::default(), now, class(0, 1), work);
+    gate.admits(now, offer, fraction, random)
+}
+
 /// Offers requests to a gate, one in `interval` milliseconds; returns the offered and the admitted work.
 fn offer(gate: &mut Gate, fraction: f64, interval: u64, works: &[u64]) -> (u64, u64) {
-    let config = Config::default();
+    let mut random = Pcg64::seed_from_u64(3);
     let (mut offered, mut admitted) = (0, 0);
     for (number, work) in works.iter().enumerate() {
-        let now = at(1 + number as u64 * interval);
         offered += work;
-        if gate.admits(&config, now, class(0, 1), fraction, *work) {
+        let millis = 1 + number as u64 * interval;
+        if admits(gate, &mut random, millis, fraction, *work) {
             admitted += work;
         }
     }
@@ -142,11 +151,11 @@
 fn small_and_large_requests_are_admitted_alike() {
     // Guards against a balance that small requests use up before it covers a large one.
     let mut gate = Gate::default();
-    let config = Config::default();
+    let mut random = Pcg64::seed_from_u64(3);
     let mut admitted = BTreeMap::from([(100, 0), (20_000, 0)]);
     for number in 0..20_000_u64 {
         let work = if number % 7 == 0 { 20_000 } else { 100 };
-        if gate.admits(&config, at(number), class(0, 1), 0.3, work) {
+        if admits(&mut gate, &mut random, number, 0.3, work) {
             *admitted.entry(work).or_default() += 1;
         }
     }
@@ -158,37 +167,55 @@
 }
 
 #[test]
-fn the_first_request_after_a_pause_is_admitted() {
+fn the_first_request_of_a_level_after_a_pause_is_admitted() {
     // Guards against a caller with one request in several seconds that is always refused.
     let mut gate = Gate::default();
-    let config = Config::default();
-    let mut admits = |millis| gate.admits(&config, at(millis), class(20, 1), 0.0, 100);
-    assert!(admits(0));
-    assert!(!admits(10));
-    assert!(!admits(20));
-    assert!(!admits(900));
+    let mut random = Pcg64::seed_from_u64(3);
+    assert!(admits(&mut gate, &mut random, 0, 0.0, 100));
+    for millis in [10, 20, 900] {
+        assert!(!admits(&mut gate, &mut random, millis, 0.0, 100));
+    }
+
     // A caller whose requests all come after pauses is held to the plan too.
     let mut gate = Gate::default();
     let admitted: Vec<bool> = (0..8)
-        .map(|number| gate.admits(&config, at(number * 1_200), class(20, 1), 0.0, 100))
+        .map(|number| admits(&mut gate, &mut random, number * 1_200, 0.0, 100))
         .collect();
     assert_eq!(admitted.iter().filter(|one| **one).count(), 1);
     gate.expire(at(30_000));
-    assert!(gate.admits(&config, at(30_000), class(20, 1), 0.0, 100));
+    assert!(admits(&mut gate, &mut random, 30_000, 0.0, 100));
+}
+
+#[test]
+fn the_first_requests_at_many_entries_keep_to_the_plan_together() {
+    // Guards against one request of each account at each entry that is admitted as an overload begins.
+    let config = Config::default();
+    let mut random = Pcg64::seed_from_u64(3);
+    let mut admitted = 0;
+    for _ in 0..100 {
+        let mut gate = Gate::default();
+        for account in 0..10 {
+            let now = at(1 + u64::from(account));
+            let offer = gate.offer(&config, now, class(0, account), 1_000);
+            admitted += i32::from(gate.admits(now, offer, 0.25, &mut random));
+        }
+    }
+    // The first of each level, and a quarter of the others.
+    assert!((275..=375).contains(&admitted), "{admitted}");
 }
 
 #[test]
 fn many_entries_with_few_requests_keep_to_the_plan_together() {
     // Guards against admitting each first request after a pause: among 300 entries with a request in 1.5 s each,
     // that would be every request.
-    let config = Config::default();
+    let mut random = Pcg64::seed_from_u64(3);
     let (mut offered, mut admitted) = (0, 0);
     for _ in 0..300 {
         let mut gate = Gate::default();
         for number in 0..40 {
             offered += 1;
-            let now = at(1 + number * 1_500);
-            admitted += i32::from(gate.admits(&config, now, class(0, 1), 0.25, 1_000));
+            let millis = 1 + number * 1_500;
+            admitted += i32::from(admits(&mut gate, &mut random, millis, 0.25, 1_000));
         }
     }
     let fraction = f64::from(admitted) / f64::from(offered);
