Tests of the plan: an overload goes on while entries are cut off, and rates of a former incarnation expire

Cause: trials with the checks of the counts' age and of the reports' expiry taken out of gateway::plan passed all tests, since the overload had ended before entries were cut off, and no test looked at the rates after it.

Change: the overload goes on while hubs end, entries are cut off or restart; after it no rate may be left.

--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -121,23 +121,25 @@
 
     /// Advances by `millis` with requests of the streams; returns the outcome of each stream.
     fn run(&mut self, millis: u64, streams: &[Stream]) -> Vec<Outcome> {
-        let from = self.world.now;
         let before = self.world.last_serial();
-        while self.world.now < from + millis {
-            self.step(streams);
-        }
+        self.advance(millis, streams);
         let after = self.world.last_serial();
         // Until all of them have been answered or refused.
-        let settled = self.world.now + 3_000;
-        while self.world.now < settled {
-            self.step(&[]);
-        }
+        self.advance(3_000, &[]);
         let streams = streams.iter();
         streams
             .map(|stream| self.outcome(before + 1..after + 1, stream))
             .collect()
     }
 
+    /// Advances by `millis` with requests of the streams.
+    fn advance(&mut self, millis: u64, streams: &[Stream]) {
+        let until = self.world.now + millis;
+        while self.world.now < until {
+            self.step(streams);
+        }
+    }
+
     /// Advances by one step with requests of the streams.
     fn step(&mut self, streams: &[Stream]) {
         self.world.run(STEP);
@@ -380,9 +382,9 @@
     let mut simulation = Simulation::new(24);
     simulation.run(WARM_UP, &all_streams(0.5));
     let streams = streams_with_last_rank_at(0.7, 6.0);
-    simulation.run(4_000, &streams);
+    simulation.advance(4_000, &streams);
     let before = simulation.world.sums_sent.clone();
-    simulation.world.run(2_000);
+    simulation.advance(2_000, &streams);
     let hubs: Vec<usize> = (0..24)
         .filter(|entry| simulation.world.sums_sent.get(entry) > before.get(entry))
         .collect();
@@ -407,11 +409,13 @@
     // Guards against a plan from the past at entries that are cut off from all others.
     let mut simulation = Simulation::new(8);
     simulation.run(WARM_UP, &all_streams(0.5));
-    simulation.world.partitioned = (0..4).collect();
     let streams = streams_with_last_rank_at(0.7, 6.0);
+    simulation.advance(3_000, &streams);
+    simulation.world.partitioned = (0..4).collect();
     let outcomes = simulation.run(8_000, &streams);
 
     let sheds = &simulation.world.sheds;
+    assert!(sheds.iter().any(|shed| shed.entry < 4));
     assert!(sheds.iter().all(|shed| shed.plan_age <= MAX_PLAN_AGE));
     assert!(sheds.iter().any(|shed| shed.entry >= 4), "{}", sheds.len());
     let ranks = by_rank(&streams, &outcomes);
@@ -434,7 +438,7 @@
     let mut simulation = Simulation::new(8);
     simulation.run(WARM_UP, &all_streams(0.5));
     let streams = streams_with_last_rank_at(0.7, 6.0);
-    simulation.run(3_000, &streams);
+    simulation.advance(3_000, &streams);
     simulation.world.start(3);
     let restarted = simulation.world.now;
     let outcomes = simulation.run(8_000, &streams);
@@ -446,12 +450,14 @@
     let ranks = by_rank(&streams, &outcomes);
     assert!(ranks[&0].share_in_time() >= 0.98, "{:?}", ranks[&0]);
 
-    // After the overload nothing is refused, also not by rates that were counted twice.
-    let streams = all_streams(0.7);
-    simulation.world.run(3_000);
-    for outcome in simulation.run(4_000, &streams) {
+    // After the overload nothing is refused, and the last rates of the former incarnation are forgotten.
+    for outcome in simulation.run(4_000, &all_streams(0.7)) {
         assert_eq!(outcome.shed, 0, "{outcome:?}");
     }
+    simulation.advance(6_000, &[]);
+    for entry in 0..8 {
+        assert_eq!(simulation.world.status(entry).plan_offered, 0);
+    }
 }
 
 #[test]
@@ -494,10 +500,7 @@
     };
     let (mut continued, mut begun) = (Vec::new(), Vec::new());
     for _ in 0..40 {
-        let until = simulation.world.now + 100;
-        while simulation.world.now < until {
-            simulation.step(&[urgent]);
-        }
+        simulation.advance(100, &[urgent]);
         let path = SmolStr::new_static("/chats/1");
         begun.push(simulation.arrive(path.clone(), 0, None));
         let continuation = Continuation {
