Counters of offered, admitted and refused work by service and level

Change: the entry counts work by service and level and the shell adds the counts to the metrics dogwoodspur_plan_{offered,admitted,refused}_tokens; the counter derived from refusals goes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod identity;
 pub mod limits;
 pub mod notice;
+pub mod plan;
 pub mod usage;
 pub mod work;
 
@@ -36,7 +37,6 @@
 mod isolation;
 mod lagging;
 mod peers;
-mod plan;
 mod presence;
 mod progress;
 mod reports;
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -44,6 +44,21 @@
     services: BTreeMap<SmolStr, Service>,
     /// Rates that other entries reported, or a hub for all of them.
     reports: Reports,
+    /// Work since the counts were last taken, by service and level.
+    counts: BTreeMap<(SmolStr, u8), Count>,
+}
+
+/// Work of one service and level that arrived at this entry, in prompt tokens.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Name of the service.
+    pub service: SmolStr,
+    /// Priority of the account and rank of the route.
+    pub level: u8,
+    /// All of it.
+    pub offered: u64,
+    /// The part of it that the plan refused.
+    pub refused: u64,
 }
 
 /// The plan of one service.
@@ -101,6 +116,16 @@
         self.reports.clear();
     }
 
+    /// Returns the counts of a service and level.
+    fn count(&mut self, service: &SmolStr, level: u8) -> &mut Count {
+        let counts = self.counts.entry((service.clone(), level));
+        counts.or_insert_with(|| Count {
+            service: service.clone(),
+            level,
+            ..Count::default()
+        })
+    }
+
     /// Returns the rates of the work that arrives at this entry.
     pub fn own_rates(&mut self, now: Time) -> Offered {
         let services = self.services.iter_mut();
@@ -127,6 +152,7 @@
             level: self.scheduler.level_of(&job),
             account: rendezvous::identity(account) as u32,
         };
+        self.plans.count(&service, class.level).offered += work;
         let state = self.plans.services.entry(service.clone()).or_default();
         state.meter.record(now, class, work);
         let offer = state.gate.offer(&config, now, class, work);
@@ -149,6 +175,7 @@
         if state.gate.admits(now, offer, fraction, &mut self.random) {
             return false;
         }
+        self.plans.count(&service, class.level).refused += work;
         let retry = self.scheduler.retry_after(now, &job);
         let refusal = Refusal::not_run(Reason::Overloaded, "shed under overload");
         let shed = Shed {
@@ -250,6 +277,13 @@
         1.0
     }
 
+    /// Returns the work that arrived since the last call, by service and level.
+    pub fn take_plan_counts(&mut self) -> Vec<Count> {
+        std::mem::take(&mut self.plans.counts)
+            .into_values()
+            .collect()
+    }
+
     /// Returns offered work, room and the age of the counts for metrics.
     pub(crate) fn plan_summary(&self, now: Time) -> Summary {
         let planned = self.plans.services.values();
--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -312,7 +312,13 @@
     // It keeps its floor.
     assert!(last.in_time > last.offered / 20, "{last:?}");
     assert!(last.late <= max_late, "{last:?}");
-    assert!(simulation.world.log_count("plan_changed") > 0);
+    let lines = simulation.world.log_count("plan_changed");
+    let seconds = (simulation.world.now / 1_000) as u32;
+    assert!((1..=entries as u32 * seconds).contains(&lines), "{lines}");
+    let counts = (0..entries).flat_map(|entry| simulation.world.take_plan_counts(entry));
+    let refused: u64 = counts.map(|count| count.refused).sum();
+    let work = u64::from(PROMPT + 2 * OUTPUT);
+    assert_eq!(refused, simulation.world.sheds.len() as u64 * work);
     let calls = &simulation.world.sheds;
     assert!(calls.iter().all(|shed| shed.plan_age <= MAX_PLAN_AGE));
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -36,6 +36,7 @@
 use gateway::identity::Identity;
 use gateway::limits::Stated;
 use gateway::notice::Notice;
+use gateway::plan::Count;
 use lease::holder;
 use member::digest::Digest;
 use member::digest::Topic;
@@ -871,6 +872,12 @@
             })
     }
 
+    /// Returns the work that arrived at a live entry since the last call.
+    pub fn take_plan_counts(&mut self, entry: usize) -> Vec<Count> {
+        let process = self.processes[entry].as_mut();
+        process.map_or_else(Vec::new, |process| process.gateway.take_plan_counts())
+    }
+
     /// Sends a request as the caller states it; returns its serial number.
     pub fn send(&mut self, entry: usize, arrival: Arrival) -> u64 {
         self.next_serial += 1;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,13 +1,15 @@
 //! OpenTelemetry metrics, served in the Prometheus format on the metrics port.
 //!
 //! Counters are derived from the reducer's log lines, so that log and metrics never disagree; a line that is
-//! shed under load is still counted.
+//! shed under load is still counted. Work by service and level is counted by the reducer itself, since admitted
+//! requests have no line at their arrival.
 
 use std::time::Duration;
 
 use anyhow::Result;
 use clock::Span;
 use gateway::gateway::Status;
+use gateway::plan::Count;
 use line::Line;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -35,7 +37,9 @@
     registry: Registry,
     done: Counter<u64>,
     refused: Counter<u64>,
-    shed_work: Counter<u64>,
+    plan_offered: Counter<u64>,
+    plan_admitted: Counter<u64>,
+    plan_refused: Counter<u64>,
     attempts: Counter<u64>,
     failed_attempts: Counter<u64>,
     store_calls: Counter<u64>,
@@ -115,9 +119,17 @@
                 "dogwoodspur_requests_refused",
                 "Final answers of our own, by reason and verdict",
             ),
-            shed_work: count(
-                "dogwoodspur_plan_shed_tokens",
-                "Work refused by the plan, in prompt tokens, by service and level",
+            plan_offered: count(
+                "dogwoodspur_plan_offered_tokens",
+                "Work that arrived here, in prompt tokens, by service and level",
+            ),
+            plan_admitted: count(
+                "dogwoodspur_plan_admitted_tokens",
+                "Work that the plan admitted",
+            ),
+            plan_refused: count(
+                "dogwoodspur_plan_refused_tokens",
+                "Work that the plan refused",
             ),
             attempts: count(
                 "dogwoodspur_attempts",
@@ -223,10 +235,6 @@
             "request_refused" => {
                 let labels = [label(line, "reason"), label(line, "verdict")];
                 self.refused.add(1, &labels);
-                if line.field("plan") == "shed" {
-                    let labels = [label(line, "service"), label(line, "level")];
-                    self.shed_work.add(number(line, "work") as u64, &labels);
-                }
             }
             "attempt_started" => {
                 let first = line.field("attempt") == "1";
@@ -245,6 +253,18 @@
         }
     }
 
+    /// Counts the work of a service and level that arrived here.
+    pub fn count_plan(&self, count: &Count) {
+        let labels = [
+            KeyValue::new("service", count.service.to_string()),
+            KeyValue::new("level", i64::from(count.level)),
+        ];
+        let admitted = count.offered.saturating_sub(count.refused);
+        self.plan_offered.add(count.offered, &labels);
+        self.plan_admitted.add(admitted, &labels);
+        self.plan_refused.add(count.refused, &labels);
+    }
+
     /// Counts a call to the table service by its outcome.
     pub fn count_store_call(&self, outcome: &Outcome) {
         let name = match outcome {
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -120,6 +120,9 @@
     fn publish_status(&mut self, now: Time) {
         let status = self.gateway.status(now);
         self.shared.status.set(status);
+        for count in self.gateway.take_plan_counts() {
+            self.shared.metrics.count_plan(&count);
+        }
         self.shared.ready.set(status.ready);
         self.shared.stopping.set(status.stopping);
         let limits = self.gateway.limits();
