Tests of the plan: equal accounts, and what a refused caller is told

Change: several entries under overload give equal accounts equal work (Jain over 0.98 at 8 and 24 entries, with rates of 18 to 34 requests a second each); each refusal by the plan is final before it ran and names a retry time.

--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -21,6 +21,8 @@
 use smol_str::format_smolstr;
 use support::SentRequest;
 use support::World;
+use verdict::Reason;
+use verdict::Verdict;
 
 /// Time of a step of the simulation, milliseconds.
 const STEP: u64 = 10;
@@ -319,8 +321,15 @@
     let refused: u64 = counts.map(|count| count.refused).sum();
     let work = u64::from(PROMPT + 2 * OUTPUT);
     assert_eq!(refused, simulation.world.sheds.len() as u64 * work);
-    let calls = &simulation.world.sheds;
-    assert!(calls.iter().all(|shed| shed.plan_age <= MAX_PLAN_AGE));
+    for shed in &simulation.world.sheds {
+        assert!(shed.plan_age <= MAX_PLAN_AGE, "{shed:?}");
+        let refusal = &simulation.world.refusals[&shed.request];
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+        assert_eq!(refusal.reason, Reason::Overloaded);
+        // Callers that have no retry time repeat their requests at once.
+        let retry = refusal.retry_after.map_or(0, Span::as_millis);
+        assert!((50..=60_000).contains(&retry), "{retry} ms");
+    }
 }
 
 #[test]
@@ -382,6 +391,30 @@
     }
 }
 
+#[test]
+fn equal_accounts_get_equal_work_under_overload() {
+    // Guards against shares that depend on the entries that an account's callers happen to use.
+    for entries in [8, 24] {
+        let mut simulation = Simulation::new(entries);
+        simulation.run(WARM_UP, &all_streams(0.5));
+        let streams: Vec<Stream> = (0..support::RANKED_ACCOUNTS)
+            .map(|account| Stream {
+                rank: 1,
+                account,
+                rate: 18.0 + 4.0 * account as f64,
+            })
+            .collect();
+        let outcomes = simulation.run(10_000, &streams);
+        let ran = outcomes
+            .iter()
+            .map(|outcome| f64::from(outcome.in_time + outcome.late));
+        let sum: f64 = ran.clone().sum();
+        let squares: f64 = ran.map(|ran| ran * ran).sum();
+        let jain = sum * sum / (outcomes.len() as f64 * squares);
+        assert!(jain > 0.98, "{entries} entries, {jain}: {outcomes:?}");
+    }
+}
+
 #[test]
 fn a_hub_that_ends_leaves_no_plan_in_force() {
     // Guards against refusals by sums of a hub that has ended, while the overload may be over.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -50,6 +50,7 @@
 use store::call::Outcome;
 use store::call::Row;
 use store::fake::Table;
+use verdict::Refusal;
 use watch::server::Reading;
 use watch::server::Removal;
 use watch::server::Server;
@@ -152,8 +153,8 @@
     pub duty_answers_lost: bool,
     /// Refusals received by callers, by reason.
     pub refused: BTreeMap<SmolStr, u32>,
-    /// When each refused request was refused, by serial number.
-    pub refused_at: BTreeMap<u64, u64>,
+    /// Refusals by the id of the request.
+    pub refusals: BTreeMap<SmolStr, Refusal>,
     /// Requests that were refused by a plan, in order.
     pub sheds: Vec<Shed>,
     /// Number of attempts sent to a replica.
@@ -268,7 +269,7 @@
             duty_calls: Vec::new(),
             duty_answers_lost: false,
             refused: BTreeMap::new(),
-            refused_at: BTreeMap::new(),
+            refusals: BTreeMap::new(),
             sheds: Vec::new(),
             attempts_started: 0,
             servers_by_request: BTreeMap::new(),
@@ -1066,7 +1067,7 @@
                     Command::Refuse(refusal) => {
                         let reason = format_smolstr!("{:?}", refusal.reason);
                         *self.refused.entry(reason).or_default() += 1;
-                        self.refused_at.insert(serial, self.now);
+                        self.refusals.insert(format_smolstr!("r{serial}"), refusal);
                     }
                     Command::Move(place) => self.moved_runs.push((serial, place.incarnation)),
                     Command::Recorded { .. } => {
