--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 use crate::notice::Pauses;
 use crate::peers;
 use crate::peers::PeerLoad;
+use crate::plan::Plans;
 use crate::request::Request;
 use crate::rollouts::Rollouts;
 use crate::route_shares;
@@ -114,6 +115,8 @@
     pub(crate) peer_work: BTreeMap<holder::Id, BTreeMap<SmolStr, Work>>,
     /// Published and logged speeds of the replicas.
     pub(crate) speeds: Speeds,
+    /// Rates of offered work, and which part of it is admitted.
+    pub(crate) plans: Plans,
     /// State of the exchange of counts by hubs.
     pub(crate) hub: Hub,
     /// Arrival rate of work over all entries.
@@ -194,6 +197,12 @@
     pub fast: u64,
     /// Milliseconds since a hub's speeds arrived or, without them, since the last sample.
     pub speeds_age_ms: u64,
+    /// Work offered to all entries, in prompt tokens per second, of services with a known capacity.
+    pub plan_offered: u64,
+    /// Work that their replicas start in time, in prompt tokens per second.
+    pub plan_room: u64,
+    /// Milliseconds since the newest rates of other entries arrived.
+    pub plan_age_ms: u64,
 }
 
 impl Gateway {
@@ -234,6 +243,7 @@
             work: BTreeMap::new(),
             peer_work: BTreeMap::new(),
             speeds: Speeds::default(),
+            plans: Plans::default(),
             hub: Hub::default(),
             demand: Demand::default(),
             duties: Duties::new(
@@ -342,11 +352,15 @@
         let waiting: usize = pools().map(|pool| self.scheduler.waiting(*pool)).sum();
         let repeats: f64 = pools().map(|pool| self.scheduler.retries_left(*pool)).sum();
         let speeds = self.speed_summary(now);
+        let plan = self.plan_summary(now);
         Status {
             slow: speeds.slow,
             median: speeds.median,
             fast: speeds.fast,
             speeds_age_ms: speeds.age.as_millis(),
+            plan_offered: plan.offered,
+            plan_room: plan.room,
+            plan_age_ms: plan.age.as_millis(),
             version_age_ms: now.since(self.configured_since).as_millis(),
             leaving: self.servers.leaving_count() as u64,
             missing: self.servers.missing().len() as u64,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod identity;
 pub mod limits;
 pub mod notice;
+pub mod plan;
 pub mod usage;
 pub mod work;
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -82,6 +82,7 @@
             self.next_bulletin = now + self.bulletin_interval();
             self.publish_bulletin(now, effects);
             self.speeds_tick(now, effects);
+            self.plans_tick(now, effects);
             self.update_lagging(now);
         }
 
@@ -266,6 +267,7 @@
             limits: self.limits.reports(now),
             cleared: self.cleared_parts(now),
             paces: self.scheduler.take_paces(),
+            offered: self.plans.own_rates(now),
             ..Bulletin::default()
         };
         if self.uses_hubs() {
@@ -429,6 +431,7 @@
             false => self.rollouts.peer_tallies.insert(peer, bulletin.tallies),
         };
         self.peer_work.insert(peer, bulletin.work);
+        self.plans.record(now, peer.0, bulletin.offered);
         let load = PeerLoad {
             reported_at: now,
             active,
--- a/crates/gateway/tests/speeds.rs
+++ b/crates/gateway/tests/speeds.rs
@@ -174,7 +174,7 @@
         load.run(12_000, Load::assert_known_in_time);
         assert_eq!(load.known_at.len(), 6, "{entries} entries");
         assert!(load.world.log_count("replica_speeds") as usize >= 4 * entries);
-        let status = load.world.status(0).unwrap_or_default();
+        let status = load.world.status(0);
         assert_eq!((status.slow, status.median, status.fast), (2, 2, 2));
         assert!(status.speeds_age_ms <= 2_500, "{}", status.speeds_age_ms);
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,13 +1,15 @@
 //! OpenTelemetry metrics, served in the Prometheus format on the metrics port.
 //!
 //! Counters are derived from the reducer's log lines, so that log and metrics never disagree; a line that is
-//! shed under load is still counted.
+//! shed under load is still counted. Work by service and level is counted by the reducer itself, since admitted
+//! requests have no line at their arrival.
 
 use std::time::Duration;
 
 use anyhow::Result;
 use clock::Span;
 use gateway::gateway::Status;
+use gateway::plan::Count;
 use line::Line;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -35,6 +37,9 @@
     registry: Registry,
     done: Counter<u64>,
     refused: Counter<u64>,
+    plan_offered: Counter<u64>,
+    plan_admitted: Counter<u64>,
+    plan_refused: Counter<u64>,
     attempts: Counter<u64>,
     failed_attempts: Counter<u64>,
     store_calls: Counter<u64>,
@@ -64,6 +69,9 @@
     ready: Gauge<u64>,
     repeats: Gauge<u64>,
     fence: Gauge<u64>,
+    plan_offered: Gauge<u64>,
+    plan_room: Gauge<u64>,
+    plan_age: Gauge<u64>,
     feed_age: Gauge<u64>,
     lag: Gauge<u64>,
     counts_bytes: Gauge<u64>,
@@ -113,6 +121,18 @@
                 "dogwoodspur_requests_refused",
                 "Final answers of our own, by reason and verdict",
             ),
+            plan_offered: count(
+                "dogwoodspur_plan_offered_tokens",
+                "Work that arrived here, in prompt tokens, by service and level",
+            ),
+            plan_admitted: count(
+                "dogwoodspur_plan_admitted_tokens",
+                "Work that the plan admitted",
+            ),
+            plan_refused: count(
+                "dogwoodspur_plan_refused_tokens",
+                "Work that the plan refused",
+            ),
             attempts: count(
                 "dogwoodspur_attempts",
                 "Requests handed to replicas, by service and whether it was the first time",
@@ -166,6 +186,18 @@
                     "dogwoodspur_duty_fence",
                     "Fencing number while duties are held",
                 ),
+                plan_offered: gauge(
+                    "dogwoodspur_plan_offered",
+                    "Work offered to all entries, prompt tokens a second",
+                ),
+                plan_room: gauge(
+                    "dogwoodspur_plan_room",
+                    "Work that the replicas start in time, prompt tokens a second",
+                ),
+                plan_age: gauge(
+                    "dogwoodspur_plan_age_ms",
+                    "Since the newest rates of other entries arrived",
+                ),
                 feed_age: gauge(
                     "dogwoodspur_feed_age_ms",
                     "Since a feed was current, by feed",
@@ -231,6 +263,18 @@
         }
     }
 
+    /// Counts the work of a service and level that arrived here.
+    pub fn count_plan(&self, count: &Count) {
+        let labels = [
+            KeyValue::new("service", count.service.to_string()),
+            KeyValue::new("level", i64::from(count.level)),
+        ];
+        let admitted = count.offered.saturating_sub(count.refused);
+        self.plan_offered.add(count.offered, &labels);
+        self.plan_admitted.add(admitted, &labels);
+        self.plan_refused.add(count.refused, &labels);
+    }
+
     /// Counts a call to the table service by its outcome.
     pub fn count_store_call(&self, outcome: &Outcome) {
         let name = match outcome {
@@ -297,6 +341,9 @@
         gauges.ready.record(u64::from(status.ready), &[]);
         gauges.repeats.record(status.repeats_left, &[]);
         gauges.fence.record(status.fence, &[]);
+        gauges.plan_offered.record(status.plan_offered, &[]);
+        gauges.plan_room.record(status.plan_room, &[]);
+        gauges.plan_age.record(status.plan_age_ms, &[]);
         let states = [
             ("known", status.servers),
             ("leaving", status.leaving),
