--- a/crates/gateway/tests/speeds.rs
+++ b/crates/gateway/tests/speeds.rs
@@ -4,7 +4,10 @@
 
 use std::collections::BTreeMap;
 
+use gateway::arrival::Part;
+use gateway::arrival::Prompt;
 use gateway::attempt::End;
+use gateway::attempt::Report;
 use policy::rendezvous;
 use smol_str::SmolStr;
 use support::SentRequest;
@@ -261,3 +264,47 @@
         assert!(load.known_at.contains_key(&after));
     }
 }
+
+#[test]
+fn prompt_speeds_are_those_of_a_median_replica() {
+    // The fleet was planned for the speed of the fastest answers: with uneven replicas too few were ordered.
+    const TOKENS: u32 = 2_000;
+    const MILLIS: f64 = 200.0;
+    // Time to the first token that isn't spent on the prompt.
+    const OVERHEAD: f64 = 8.0;
+    let mut load = Load::new(DIRECT);
+    load.run(10_000, |_| {});
+    let mut servers = BTreeMap::new();
+    for id in 0..100 {
+        // A part of its own, so that the prompts go to all servers.
+        let own = Part { id, tokens: TOKENS };
+        let prompt = Prompt {
+            tokens: TOKENS,
+            max_new_tokens: 1,
+            parts: vec![own],
+            ..Prompt::default()
+        };
+        let serial = load.world.ask(0, "/drafts/1", prompt);
+        let server = load.world.servers_by_request[&serial].clone();
+        let took = (MILLIS + OVERHEAD) / load.speed(&server);
+        *servers.entry(server).or_insert(0) += 1;
+        load.world.run(took as u64);
+        load.world.report(0, serial, Report::ResponseStarted);
+        let end = End::Finished {
+            status: 200,
+            tokens: 1,
+            pause: clock::Span::ZERO,
+            survived: true,
+        };
+        load.world.report(0, serial, Report::Ended(end));
+    }
+    load.world.run(1_000);
+    assert!(servers.len() >= 4, "{servers:?}");
+    let work = &load.world.counts_sent[&0].work;
+    let known = work[support::SERVICE].speed;
+    let expected = f64::from(TOKENS) / MILLIS;
+    assert!(
+        (0.85..=1.15).contains(&(known / expected)),
+        "{known} for {expected}"
+    );
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -165,6 +165,8 @@
     pub sums_received: BTreeMap<usize, u32>,
     /// Hub sums sent by each entry.
     pub sums_sent: BTreeMap<usize, u32>,
+    /// Latest counts that each entry sent of its own.
+    pub counts_sent: BTreeMap<usize, Bulletin>,
     /// Entries cut off from all messages.
     pub partitioned: BTreeSet<usize>,
     /// Whether a charge sent to an unreachable entry gets no answer instead of an immediate failure.
@@ -247,6 +249,7 @@
             reads_list: BTreeMap::new(),
             sums_received: BTreeMap::new(),
             sums_sent: BTreeMap::new(),
+            counts_sent: BTreeMap::new(),
             partitioned: BTreeSet::new(),
             charges_hang: false,
             delay_charges: false,
@@ -926,6 +929,9 @@
             } => {
                 let to = self.reach(entry, &address)?;
                 let sums = sums_in(&digest);
+                if let Some(counts) = own_counts_in(&digest) {
+                    self.counts_sent.insert(entry, counts);
+                }
                 *self.sums_received.entry(to).or_default() += sums;
                 *self.sums_sent.entry(entry).or_default() += sums;
                 Some((to, Event::DigestReceived(digest)))
@@ -1094,13 +1100,22 @@
 
 /// Returns the number of hub sums in a digest.
 fn sums_in(digest: &Digest) -> u32 {
+    bulletins_in(digest)
+        .filter(|bulletin| bulletin.sums > 0)
+        .count() as u32
+}
+
+/// Returns the sender's own counts in a digest.
+fn own_counts_in(digest: &Digest) -> Option<Bulletin> {
+    bulletins_in(digest).find(|bulletin| bulletin.sums == 0 && !bulletin.past)
+}
+
+fn bulletins_in(digest: &Digest) -> impl Iterator<Item = Bulletin> {
     let counts = digest
         .items
         .iter()
         .filter(|item| item.topic == Topic::Count);
-    let bulletins =
-        counts.filter_map(|item| serde_json::from_slice::<Bulletin>(&item.payload).ok());
-    bulletins.filter(|bulletin| bulletin.sums > 0).count() as u32
+    counts.filter_map(|item| serde_json::from_slice::<Bulletin>(&item.payload).ok())
 }
 
 pub fn caller_address(entry: usize) -> SmolStr {
