Divide slots in whole numbers among more entries than slots

Cause: an equal share is rounded up to one, so 73 entries own 73 slots of a replica with 16.

Change: policy::division assigns slots to pairs of replica and entry in the order of their rendezvous weight, with the same quota for each entry. The scheduler applies it where a replica has fewer slots than there are members, and lets entries borrow part of the free slots on fresh reports. Brittle replicas (policy::tolerance) use the same mechanism.

The simulated world tells the schedulers the entries and their identities, counts attempts that meet no free slot, and ends entries.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -261,7 +261,7 @@
             let divided = divisions.entry(service);
             let division = divided.or_insert_with_key(|service| self.divide(service, slots));
             let owned = match division {
-                Some(division) => division.slots_of(server, slots, me),
+                Some(division) => division.slots_of(server, me),
                 None => tolerance::equal_slots(server, slots, &self.known_entries(), me),
             };
             tolerance::Share {
--- a/crates/policy/src/concurrency/mod.rs
+++ b/crates/policy/src/concurrency/mod.rs
@@ -30,6 +30,8 @@
 pub struct Load {
     config: Config,
     slots: u32,
+    /// Whether slots are divided, so that no other entry acts on the same report as this one.
+    divided: bool,
     own: Own,
     limit: Limit,
     reported: Option<Reported>,
@@ -55,6 +57,7 @@
         Load {
             config,
             slots,
+            divided: false,
             own: Own::default(),
             limit: Limit::new(slots),
             reported: None,
@@ -67,6 +70,11 @@
         self.config.entries = entries.max(1);
     }
 
+    /// Sets whether each entry owns slots of its own here. The other entries then don't add jobs when this one does.
+    pub fn set_divided(&mut self, divided: bool) {
+        self.divided = divided;
+    }
+
     /// Records the start of an own job with that many tokens.
     pub fn started(&mut self, now: Time, tokens: u64) {
         self.own.started(now, tokens, self.config.max_history);
@@ -149,7 +157,8 @@
             return assumed;
         };
         let added = f64::from(self.own.jobs().saturating_sub(reported.own));
-        let known = reported.others + added * peers * self.config.herd;
+        let herd = if self.divided { 0.0 } else { self.config.herd };
+        let known = reported.others + added * peers * herd;
         let age = now.since(reported.made_at).as_millis() as f64;
         let weight = (-age / self.config.report_decay.as_millis().max(1) as f64).exp();
         weight * known + (1.0 - weight) * assumed
--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -7,6 +7,7 @@
 pub mod charge;
 pub mod concurrency;
 pub mod cover;
+pub mod division;
 pub mod fair;
 pub mod health;
 pub mod isolation;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cover;
 pub mod decision;
 pub mod demand;
+pub mod division;
 pub mod fair;
 pub mod health;
 pub mod isolation;
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -10,6 +10,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
+use crate::slots;
 use crate::version;
 
 impl Scheduler {
@@ -22,6 +23,7 @@
         pool.members.insert(key);
         pool.monitor.add(now, key);
         pool.warmup.add(now, key);
+        pool.division_stale = true;
         self.mark_pool(replica.spec.pool);
         self.replicas.insert(key, replica);
         key
@@ -39,6 +41,7 @@
             pool.monitor.remove(key);
             pool.warmup.remove(key);
             pool.affinity.remove_replica(key);
+            pool.division_stale = true;
         }
         self.mark_pool(replica.spec.pool);
     }
@@ -50,14 +53,26 @@
             return;
         };
         replica.load.reported(now, &report);
-        replica.share.record_report(
-            &settings.slots,
-            replica.spec.slots,
-            settings.concurrency.entries,
-            replica.jobs.len() as u32,
-            &report,
-            drawn,
-        );
+        let (slots, running) = (replica.spec.slots, replica.jobs.len() as u32);
+        match replica.share.owned() {
+            Some(_) => {
+                let entries = self.members.len() as u32;
+                let borrowed =
+                    slots::draw_borrowed(&settings.division, slots, entries, &report, drawn);
+                let until = now + (settings.division.max_report_age - report.age);
+                replica
+                    .share
+                    .record_divided_report(until, slots, running, &report, borrowed);
+            }
+            None => replica.share.record_report(
+                &settings.slots,
+                slots,
+                settings.concurrency.entries,
+                running,
+                &report,
+                drawn,
+            ),
+        }
         let pool = replica.spec.pool;
         if let Some(pool) = self.pools.get_mut(&pool) {
             pool.monitor.record_report(now, key);
@@ -220,12 +235,16 @@
         let entries = settings.concurrency.entries;
         let (slots, running) = (replica.spec.slots, replica.running());
         let shared = settings.slots.enabled;
-        if shared && running >= replica.share.limit(slots, entries) {
+        if shared && running >= replica.share.limit(now, slots, entries) {
             return false;
         }
         if !settings.placement.concurrency {
             return running < slots;
         }
+        if shared && replica.share.owned().is_some() {
+            // What may be borrowed was drawn from a report; an estimate of the others doesn't count again.
+            return running < replica.load.limit();
+        }
         let owns_slot = shared && replica.share.is_within_share(slots, entries, running);
         let within_limit = running < replica.load.limit();
         owns_slot && within_limit || replica.load.is_open(now, mean_own)
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -107,6 +107,7 @@
         cost: Cost,
         tokens: Cost,
     ) -> Result<(), (Reason, &'static str)> {
+        self.refresh_division(job.pool);
         let (allowed, predicted) = self.register(now, job, cost, tokens);
         if let Some(open) = self.open.get_mut(&job.id) {
             open.shared_parts = shared_parts;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! embedder calls [`Scheduler::poll`] at the time that [`Scheduler::next_wake`] returns. Entries that share
 //! accounts exchange [`Scheduler::digest`]s once a period.
 
+mod division;
 mod ends;
 mod fleet;
 mod intake;
@@ -72,6 +73,9 @@
     quarantine: quarantine::Quarantine,
     /// Changes of blocked parts that the embedder hasn't taken.
     part_changes: Vec<quarantine::parts::Change>,
+    /// Identity of this entry, and those of all entries; empty until they are known.
+    own_identity: u64,
+    members: Vec<u64>,
     random: Pcg64,
     seed: u64,
     next_replica: u32,
@@ -134,6 +138,8 @@
             throttled: BTreeSet::new(),
             throttles_checked: Time::ZERO,
             pending_pools: BTreeSet::new(),
+            own_identity: 0,
+            members: Vec::new(),
             random: Pcg64::seed_from_u64(seed),
             seed,
             next_replica: 0,
@@ -149,9 +155,10 @@
         }
     }
 
-    /// Sets the entries that share the evidence on crashes, by their identities; `own` is this one's.
+    /// Sets the entries that share the replicas and the evidence on crashes, by their identities; `own` is this one's.
     pub fn set_members(&mut self, own: u64, members: Vec<u64>) {
-        self.quarantine.set_members(own, members);
+        self.quarantine.set_members(own, members.clone());
+        self.set_division_members(own, members);
     }
 
     /// Adds or changes an account.
--- a/crates/policy/src/scheduler/moves.rs
+++ b/crates/policy/src/scheduler/moves.rs
@@ -199,6 +199,10 @@
             let free = (f64::from(replica.spec.slots) - candidate.load).max(0.0) as u32;
             let slots = match (overbook, candidate.open) {
                 (true, _) => replica.spec.slots,
+                (false, true) if replica.share.owned().is_some() => {
+                    let limit = replica.share.limit(now, replica.spec.slots, 1);
+                    limit.saturating_sub(replica.running())
+                }
                 (false, true) => free.div_ceil(settings.concurrency.entries).max(1),
                 (false, false) => 0,
             };
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -14,6 +14,7 @@
 use crate::replica;
 use crate::scheduler::Scheduler;
 use crate::scheduler::state::Pool;
+use crate::scheduler::state::Replica;
 use crate::scheduler::state::Round;
 use crate::size;
 use crate::size::Class;
@@ -28,6 +29,7 @@
         {
             return;
         }
+        self.refresh_division(key);
         self.hold_suspects(now, key, out);
         // Versions without room: their jobs must not hold up the others.
         let mut full = BTreeSet::new();
@@ -114,6 +116,11 @@
         if class == Class::Short && !narrowed.iter().any(|candidate| candidate.open) {
             narrowed = narrow(&free);
         }
+        // An entry's home for a prefix is the first in its order of the replicas where the entry may run jobs.
+        narrowed.retain(|candidate| {
+            let replica = self.replicas.get(&candidate.key);
+            replica.is_some_and(|replica| !replica.is_foreign(now))
+        });
         self.choose_by_prefix(now, &job, &narrowed)
     }
 
@@ -167,7 +174,8 @@
     }
 
     /// Returns the replicas that run long jobs, without unconfirmed and pausing ones if possible: long jobs
-    /// would wait for those beside free replicas.
+    /// would wait for those beside free replicas. Where slots are divided, only replicas where this entry owns some
+    /// count, if there are any.
     pub(super) fn lanes(&self, now: Time, pool: &Pool) -> Vec<replica::Key> {
         let with_replica = |key: &replica::Key| Some((*key, self.replicas.get(key)?));
         let (usable, others): (Vec<_>, Vec<_>) = pool
@@ -175,7 +183,13 @@
             .iter()
             .filter_map(with_replica)
             .partition(|(_, replica)| !replica.unconfirmed && !replica.pause.is_active(now));
-        let members = if usable.is_empty() { others } else { usable };
+        let mut members = if usable.is_empty() { others } else { usable };
+        let is_foreign = |(_, replica): &(replica::Key, &Replica)| replica.share.owned() == Some(0);
+        if members.iter().all(is_foreign) {
+            // All that this entry can run on is borrowed: a long job takes what it gets.
+            return members.into_iter().map(|(key, _)| key).collect();
+        }
+        members.retain(|member| !is_foreign(member));
         let count = pool.classes.lane_count(&self.settings.size, members.len());
         let ranked = members
             .into_iter()
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -74,6 +74,8 @@
     pub members: BTreeSet<replica::Key>,
     /// Own attempts on its replicas, leaving ones included.
     pub running: u32,
+    /// Whether members or replicas changed since the slots were divided.
+    pub division_stale: bool,
     /// Whether the last dispatch left jobs in the queue; reset by every change.
     pub full: bool,
 }
@@ -92,6 +94,7 @@
             warmup: Warmup::new(settings.warmup),
             members: BTreeSet::new(),
             running: 0,
+            division_stale: true,
             full: false,
         }
     }
@@ -154,6 +157,11 @@
         version.is_none_or(|version| version == self.spec.version)
     }
 
+    /// Returns whether other entries own all its slots and none may be borrowed now.
+    pub fn is_foreign(&self, now: Time) -> bool {
+        self.share.owned() == Some(0) && self.share.limit(now, self.spec.slots, 1) == 0
+    }
+
     /// Returns the number of own attempts.
     pub fn running(&self) -> u32 {
         self.jobs.len() as u32
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -8,7 +8,14 @@
 //! it borrows a few equal shares more, so that the overcommitment of all entries together is
 //! bounded. While reports show work waiting inside the replica, borrowed slots are given back, one
 //! per report.
+//!
+//! With more entries than slots the entry owns the slots that [`crate::division`] assigns to it, at most replicas none.
+//! Of the slots that a report shows free all entries together borrow about half: each draws whether it may run one
+//! more attempt than it has, until the next report or until the report is too old.
+
+use clock::Time;
 
+use crate::configs::division;
 use crate::configs::slots::Config;
 use crate::replica::Report;
 
@@ -16,6 +23,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Share {
     limit: u32,
+    /// Slots that the division assigns to this entry; `None` where all entries have equal shares.
+    owned: Option<u32>,
+    /// End of the right to borrowed slots, where slots are divided.
+    borrowed_until: Time,
 }
 
 impl Share {
@@ -23,17 +34,36 @@
     pub fn new(slots: u32, entries: u32) -> Share {
         Share {
             limit: equal_share(slots, entries),
+            owned: None,
+            borrowed_until: Time::ZERO,
+        }
+    }
+
+    /// Sets the slots that the division assigns to this entry; `None` for an equal share.
+    pub fn set_owned(&mut self, owned: Option<u32>) {
+        if self.owned.is_some() != owned.is_some() {
+            self.limit = 0;
         }
+        self.owned = owned;
+    }
+
+    /// Returns the slots that the division assigns to this entry; `None` for an equal share.
+    pub fn owned(&self) -> Option<u32> {
+        self.owned
     }
 
     /// Returns the maximum number of concurrent attempts.
-    pub fn limit(&self, slots: u32, entries: u32) -> u32 {
-        self.limit.max(equal_share(slots, entries))
+    pub fn limit(&self, now: Time, slots: u32, entries: u32) -> u32 {
+        match self.owned {
+            None => self.limit.max(equal_share(slots, entries)),
+            Some(owned) if now < self.borrowed_until => self.limit.max(owned),
+            Some(owned) => owned,
+        }
     }
 
-    /// Returns whether one more attempt stays within this entry's equal share.
+    /// Returns whether one more attempt stays within this entry's share.
     pub fn is_within_share(&self, slots: u32, entries: u32, running: u32) -> bool {
-        running < equal_share(slots, entries)
+        running < self.owned.unwrap_or_else(|| equal_share(slots, entries))
     }
 
     /// Adapts the limit to a report while `running` attempts of this entry are in flight; `dither`,
@@ -56,6 +86,37 @@
         let borrowed = f64::from(free) * config.borrowed_shares / f64::from(entries.max(1));
         self.limit = equal.max(running + (borrowed + dither) as u32).min(slots);
     }
+
+    /// Adapts the limit to a report on a replica whose slots are divided: until `until` this entry may run `borrowed`
+    /// attempts more than the `running` ones.
+    pub fn record_divided_report(
+        &mut self,
+        until: Time,
+        slots: u32,
+        running: u32,
+        report: &Report,
+        borrowed: u32,
+    ) {
+        self.borrowed_until = until;
+        self.limit = match report.waiting {
+            0 => (running + borrowed).min(slots),
+            _ => running.saturating_sub(1),
+        };
+    }
+}
+
+/// Draws how many free slots of a replica, divided among `entries` entries, this one may borrow on a report; `dither`,
+/// from 0 to 1, randomizes the rounding.
+pub fn draw_borrowed(
+    config: &division::Config,
+    slots: u32,
+    entries: u32,
+    report: &Report,
+    dither: f64,
+) -> u32 {
+    let free = slots.saturating_sub(report.running);
+    let mean = f64::from(free) * config.lent_fraction / f64::from(entries.max(1));
+    (mean + dither) as u32
 }
 
 /// Returns one entry's equal share; at least one slot.
--- a/crates/policy/src/tolerance.rs
+++ b/crates/policy/src/tolerance.rs
@@ -10,12 +10,11 @@
 //! half of the slots of entries without callers are lent to the others, or they would stay empty. An entry that
 //! was rejected nevertheless sends nothing for a second.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-
 use clock::Span;
 use clock::Time;
 
+use crate::division;
+use crate::division::Site;
 use crate::job;
 use crate::rendezvous;
 
@@ -45,7 +44,7 @@
 /// Which entries own slots at each replica of a pool.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Division {
-    owners: BTreeMap<u64, Vec<u64>>,
+    owned: division::Division,
 }
 
 impl Division {
@@ -54,35 +53,23 @@
         if entries.len() * MIN_SLOTS_PER_ENTRY <= slots as usize {
             return None;
         }
-        let all_slots = replicas.len() * slots as usize;
-        let homes = (all_slots / (entries.len() * SLOTS_PER_HOME)).max(MIN_HOMES);
-        let mut owners: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
-        for entry in entries {
-            let mut ranked = replicas.to_vec();
-            ranked.sort_by_key(|replica| Reverse(rendezvous::weight(*entry, *replica)));
-            for replica in ranked.into_iter().take(homes) {
-                owners.entry(replica).or_default().push(*entry);
-            }
-        }
-        Some(Division { owners })
+        let sites: Vec<Site> = replicas
+            .iter()
+            .map(|replica| Site {
+                replica: *replica,
+                slots,
+            })
+            .collect();
+        let slots_per_entry = replicas.len() * slots as usize / entries.len();
+        let block = (slots_per_entry / MIN_HOMES).clamp(1, SLOTS_PER_HOME);
+        Some(Division {
+            owned: division::Division::new(&sites, entries, block as u32),
+        })
     }
 
-    /// Returns how many of a replica's slots the entry `me` owns. The remainder is left for entries that know others
-    /// of the entries.
-    pub fn slots_of(&self, replica: u64, slots: u32, me: u64) -> u32 {
-        let owners = self.owners.get(&replica).map_or(&[][..], Vec::as_slice);
-        if !owners.contains(&me) {
-            return 0;
-        }
-        match slots / owners.len() as u32 {
-            0 => u32::from(rendezvous::is_among_first(
-                replica,
-                owners,
-                slots as usize,
-                me,
-            )),
-            share => share,
-        }
+    /// Returns how many of a replica's slots the entry `me` owns.
+    pub fn slots_of(&self, replica: u64, me: u64) -> u32 {
+        self.owned.slots_of(replica, me)
     }
 }
 
--- a/crates/policy/tests/division.rs
+++ b/crates/policy/tests/division.rs
@@ -19,9 +19,7 @@
         };
         let mut all_owned = 0;
         for replica in &replicas {
-            let owned = entries
-                .iter()
-                .map(|me| division.slots_of(*replica, slots, *me));
+            let owned = entries.iter().map(|me| division.slots_of(*replica, *me));
             let owned = owned.sum::<u32>();
             assert!(owned <= slots, "{owned} of {slots}");
             all_owned += owned as usize;
@@ -41,9 +39,7 @@
             panic!("{} entries aren't many", entries.len());
         };
         for me in &entries {
-            let owned = replicas
-                .iter()
-                .map(|one| division.slots_of(*one, slots, *me));
+            let owned = replicas.iter().map(|one| division.slots_of(*one, *me));
             assert!(owned.sum::<u32>() > 0);
         }
     }
--- a/crates/policy/tests/support/engine.rs
+++ b/crates/policy/tests/support/engine.rs
@@ -120,6 +120,12 @@
     pub computed: u64,
     /// Duration of all steps so far, in microseconds.
     pub busy_us: u64,
+    /// Sequences submitted so far.
+    pub submitted: u64,
+    /// Submitted sequences that met no free slot.
+    pub queued: u64,
+    /// Most sequences at once beyond the slots.
+    pub max_surplus: usize,
     /// Fingerprints that crash it.
     pub killers: BTreeSet<u64>,
 }
@@ -138,6 +144,9 @@
             stepping: false,
             computed: 0,
             busy_us: 0,
+            submitted: 0,
+            queued: 0,
+            max_surplus: 0,
             killers: BTreeSet::new(),
         }
     }
@@ -145,6 +154,11 @@
     /// Adds a sequence to the engine's own queue.
     pub fn submit(&mut self, sequence: Sequence) {
         self.waiting.push_back(sequence);
+        let (running, waiting) = self.load();
+        let surplus = (running + waiting).saturating_sub(self.shape.slots);
+        self.submitted += 1;
+        self.queued += u64::from(surplus > 0);
+        self.max_surplus = self.max_surplus.max(surplus);
     }
 
     /// Removes a sequence with its state.
--- a/crates/policy/tests/support/load.rs
+++ b/crates/policy/tests/support/load.rs
@@ -1,5 +1,7 @@
 //! Data of a load pattern: accounts and their requests, the fleet, and scheduled faults.
 
+use std::ops::Range;
+
 use policy::account;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -108,6 +110,8 @@
     ReclaimZone(usize, u64),
     /// All replicas of the zone die without notice.
     LoseZone(usize),
+    /// These entries end without notice; the others learn of it after up to so many milliseconds.
+    EndEntries(Range<usize>, u64),
     /// A new incarnation takes the place of each dead replica of the zone.
     ReturnZone(usize),
 }
--- a/crates/policy/tests/support/tally.rs
+++ b/crates/policy/tests/support/tally.rs
@@ -54,6 +54,12 @@
     pub duplicated: u32,
     /// Submissions that never got an answer or a refusal.
     pub unanswered: u32,
+    /// Attempts handed to engines.
+    pub attempts: u64,
+    /// Attempts that met no free slot at their engine.
+    pub queued_inside: u64,
+    /// Most attempts at one engine beyond its slots.
+    pub max_surplus: usize,
     /// Maximum number of open requests of each account, over all entries.
     pub max_open: BTreeMap<usize, u32>,
 }
@@ -123,6 +129,11 @@
         self.wasted as f64 / (self.computed as f64).max(1.0)
     }
 
+    /// Returns the share of attempts that waited inside an engine.
+    pub fn queued_share(&self) -> f64 {
+        self.queued_inside as f64 / (self.attempts as f64).max(1.0)
+    }
+
     /// Returns Jain's fairness index of the work served to each account relative to its weighted
     /// max-min share of all work done.
     pub fn jain(&self) -> f64 {
--- a/crates/policy/tests/support/world/callers.rs
+++ b/crates/policy/tests/support/world/callers.rs
@@ -24,10 +24,11 @@
 impl World {
     pub(super) fn submit(&mut self, request: usize) {
         let arrival = self.arrivals[request].clone();
-        let outcome = &mut self.tally.outcomes[request];
-        let id = job::Id((request as u64) * 16 + u64::from(outcome.submissions));
-        let entry = (arrival.entry + 3 * outcome.submissions as usize) % self.entries.len();
-        outcome.submissions += 1;
+        let submissions = self.tally.outcomes[request].submissions;
+        let id = job::Id((request as u64) * 16 + u64::from(submissions));
+        let entry = (arrival.entry + 3 * submissions as usize) % self.entries.len();
+        let entry = self.next_live_entry(entry);
+        self.tally.outcomes[request].submissions += 1;
         let profile = &self.pattern.profiles[arrival.account];
         let job = Job {
             id,
--- a/crates/policy/tests/support/world/digests.rs
+++ b/crates/policy/tests/support/world/digests.rs
@@ -20,6 +20,9 @@
     }
 
     pub(super) fn send_digest(&mut self, sender: usize) {
+        if self.ended[sender] {
+            return;
+        }
         let now = self.now();
         if let Some(scheduler) = self.entries[sender].scheduler() {
             let digest = scheduler.digest(now);
--- a/crates/policy/tests/support/world/fleet.rs
+++ b/crates/policy/tests/support/world/fleet.rs
@@ -95,6 +95,7 @@
                     self.kill(self.places[place]);
                 }
             }
+            Fault::EndEntries(entries, spread_ms) => self.end_entries(entries, spread_ms),
             Fault::ReturnZone(zone) => {
                 for place in self.in_zone(zone) {
                     self.restart(place);
--- a/crates/policy/tests/support/world/mod.rs
+++ b/crates/policy/tests/support/world/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod digests;
 mod fleet;
+mod members;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -50,6 +51,7 @@
     Fault(usize),
     Reclaimed(usize),
     Restart(usize),
+    MembersChanged(usize),
     SendDigests,
     Digest(usize, Box<Digest>),
     Transferred(usize, usize, usize, Box<Sequence>),
@@ -78,6 +80,8 @@
     waiting: BTreeMap<u64, Event>,
     entries: Vec<Box<dyn Policy>>,
     wakes: Vec<Option<u64>>,
+    /// Whether each entry has ended.
+    ended: Vec<bool>,
     engines: Vec<Engine>,
     /// Engine at each place of the fleet.
     places: Vec<usize>,
@@ -92,6 +96,8 @@
     links: BTreeMap<usize, u64>,
     open: Vec<u32>,
     random: Pcg64,
+    /// Random numbers for the spread of member lists only.
+    members_random: Pcg64,
     /// Random numbers for cache events only, so that other draws are the same with and without
     /// them.
     cache_random: Pcg64,
@@ -113,6 +119,7 @@
             waiting: BTreeMap::new(),
             entries,
             wakes: vec![None; count],
+            ended: vec![false; count],
             engines: Vec::new(),
             places: vec![usize::MAX; pattern.replicas],
             zones: Vec::new(),
@@ -124,6 +131,7 @@
             links: BTreeMap::new(),
             open: vec![0; pattern.profiles.len()],
             random: Pcg64::seed_from_u64(seed ^ 0x5eed),
+            members_random: Pcg64::seed_from_u64(seed ^ 0x3e3b),
             cache_random: Pcg64::seed_from_u64(seed ^ 0xcac4e),
             tally: Tally::default(),
             arrivals,
@@ -155,6 +163,9 @@
                 entry.set_account(account::Key(index as u32), profile.spec.clone());
             }
         }
+        for entry in 0..self.entries.len() {
+            self.update_members(entry);
+        }
         for place in 0..self.pattern.replicas {
             self.add_replica(place);
         }
@@ -195,6 +206,7 @@
             Event::Fault(index) => self.apply_fault(index),
             Event::Reclaimed(engine) => self.kill(engine),
             Event::Restart(place) => self.restart(place),
+            Event::MembersChanged(entry) => self.update_members(entry),
             Event::SendDigests => self.send_digests(),
             Event::Digest(sender, digest) => self.deliver_digest(sender, &digest),
             Event::Transferred(entry, from, to, sequence) => {
@@ -232,6 +244,9 @@
         entry: usize,
         act: impl FnOnce(&mut dyn Policy, Time, &mut Vec<Decision>),
     ) {
+        if self.ended[entry] {
+            return;
+        }
         let now = self.now();
         let mut out = Vec::new();
         act(self.entries[entry].as_mut(), now, &mut out);
@@ -262,6 +277,11 @@
         }
         self.tally.seconds = self.pattern.seconds as f64;
         self.tally.computed = self.engines.iter().map(|engine| engine.computed).sum();
+        for engine in &self.engines {
+            self.tally.attempts += engine.submitted;
+            self.tally.queued_inside += engine.queued;
+            self.tally.max_surplus = self.tally.max_surplus.max(engine.max_surplus);
+        }
         self.tally.unanswered = self.submissions.len() as u32;
         self.tally
     }
