Relay: answers without end are bounded, and bytes that are no event are no progress

Endless header lines, header values, status lines, chunk extensions, trailers, bodies without length and streams without a boundary were bounded before, and ended when the caller had gone.

Change: `meter` counts the bytes received since the last progress of an answer: 64 KB for its head with all informational ones, 1 MB between two parts of its body. `silence` measures the time since the last event that carries data; other bytes only show that the way is sound. Blocks without data before the first event are held until it comes; later ones are passed on at once, count as no token, and end the attempt after 1 MB without an event. An error answer to a stream's request is read within the silence timeout. What breaks the protocol or a limit is a broken answer of a living replica, without a trial connection. Bodies are copied into one buffer, since each small chunk kept its read buffer.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use clock::Span;
 use clock::Time;
 use gateway::attempt::End;
@@ -17,17 +18,17 @@
 use http::Response;
 use http::StatusCode;
 use http::response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
-use smol_str::SmolStr;
 use tokio::sync::watch;
 
 use crate::adapter::Classification;
 use crate::adapter::Resume;
 use crate::adapter::Transfer;
+use crate::body;
+use crate::body::Fault;
 use crate::events::Event;
+use crate::events::MAX_EVENT_BYTES;
 use crate::events::Splitter;
 use crate::flight::Flight;
 use crate::flight::Inbound;
@@ -35,17 +36,13 @@
 use crate::reach;
 use crate::reach::Finding;
 use crate::shared::Shared;
+use crate::silence::Silence;
 
 /// Interval between two progress reports of a stream.
 const REPORT_INTERVAL: Span = Span::from_millis(250);
-/// Largest answer that is buffered until it is complete.
-const MAX_BUFFERED_BYTES: usize = 4 << 20;
 /// Longest wait for the rest of an unneeded answer, after which its connection is closed instead of reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Interval at which a request that awaits bytes checks whether all servers are silent.
-const SILENCE_CHECK_INTERVAL: Span = Span::from_millis(400);
-
 /// The outcome of an exchange up to the head of its answer.
 enum Head {
     Received(Answer),
@@ -62,6 +59,11 @@
 /// Progress of a stream that is being relayed.
 struct StreamState {
     splitter: Splitter,
+    silence: Silence,
+    /// Blocks without data before the first event. They show no answer yet, so the caller gets them with that event.
+    held: BytesMut,
+    /// Bytes of blocks without data since the last event.
+    dataless_bytes: usize,
     /// Whether an event of this attempt was relayed.
     started: bool,
     last_report: Time,
@@ -99,15 +101,19 @@
             head,
             body,
         } = answer;
-        let collecting = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+        let collecting = body::collect(body, &connection.meter);
         let collected = tokio::select! {
-            collected = collecting => collected,
+            collected = limit_error_answer(&self.shared, start, &connection, collecting) => collected,
             () = self.caller.disconnected() => return None,
         };
-        let Ok(collected) = collected else {
-            return Some(examine_break(&self.shared, start, &connection).await);
+        let collected = match collected {
+            Ok(Ok(collected)) => collected,
+            Ok(Err(fault)) => {
+                return Some(end_of_fault(&self.shared, start, &connection, fault).await);
+            }
+            Err(end) => return Some(end),
         };
-        let mut response = Response::new(collected.to_bytes());
+        let mut response = Response::new(collected);
         *response.status_mut() = head.status;
         *response.headers_mut() = self.shared.codec.response_headers(&head.headers);
         let status = head.status.as_u16();
@@ -136,6 +142,9 @@
     async fn relay_stream(&mut self, start: &Start, mut answer: Answer) -> Option<End> {
         let mut state = StreamState {
             splitter: Splitter::default(),
+            silence: Silence::new(self.shared.clock.now()),
+            held: BytesMut::new(),
+            dataless_bytes: 0,
             started: false,
             last_report: self.shared.clock.now(),
             unreported_tokens: 0,
@@ -143,38 +152,49 @@
         };
         loop {
             let proxy = answer.connection.proxy();
-            let next_frame = with_silence_timeout(&self.shared, start, proxy, answer.body.frame());
-            let frame = tokio::select! {
-                frame = next_frame => frame,
+            let reading = body::read(&mut answer.body, &answer.connection.meter);
+            let next = state.silence.limit(&self.shared, start, proxy, reading);
+            let next = tokio::select! {
+                next = next => next,
                 () = self.caller.disconnected() => return None,
             };
-            reach::record_sign(&self.shared, &start.endpoint, &answer.connection);
-            let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => {
-                    return Some(examine_break(&self.shared, start, &answer.connection).await);
+            reach::record_sign(&self.shared, &answer.connection);
+            let bytes = match next {
+                Ok(Ok(Some(bytes))) => bytes,
+                Ok(Ok(None)) => break,
+                Ok(Err(fault)) => {
+                    let connection = &answer.connection;
+                    return Some(end_of_fault(&self.shared, start, connection, fault).await);
                 }
-                Ok(None) => break,
                 Err(end) => return Some(end),
             };
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
             if state.splitter.push(&bytes).is_err() {
                 return Some(End::Broken { alive: true });
             }
-            if let Some(timeout) = start.record_timeout.filter(|_| !state.started) {
-                let recorded = tokio::select! {
-                    recorded = is_recorded(&self.recorded, start.attempt, timeout) => recorded,
-                    () = self.caller.disconnected() => return None,
-                };
-                if !recorded {
-                    return Some(End::Unrecorded);
-                }
-            }
             while let Some(event) = state.splitter.next() {
+                if !event.has_data {
+                    state.dataless_bytes += event.bytes.len();
+                    if state.dataless_bytes > MAX_EVENT_BYTES {
+                        return Some(End::Broken { alive: true });
+                    }
+                    self.relay_dataless(&mut state, event).await;
+                    continue;
+                }
+                state.dataless_bytes = 0;
+                reach::record_progress(&self.shared, &start.endpoint, &answer.connection);
+                if let Some(timeout) = start.record_timeout.filter(|_| !state.started) {
+                    let recorded = tokio::select! {
+                        recorded = is_recorded(&self.recorded, start.attempt, timeout) => recorded,
+                        () = self.caller.disconnected() => return None,
+                    };
+                    if !recorded {
+                        return Some(End::Unrecorded);
+                    }
+                }
                 self.relay_event(start, &answer.head, &mut state, event)
                     .await;
+                // Time for which the caller was slow is no silence of the replica.
+                state.silence.record_progress(self.shared.clock.now());
             }
         }
         // A run that is stopped to be moved ends without its last event. If only the end of the connection
@@ -204,6 +224,17 @@
         })
     }
 
+    /// Relays a block without data; holds it back until the stream has an event. It counts as no token.
+    async fn relay_dataless(&mut self, state: &mut StreamState, block: Event) {
+        if !state.started {
+            return state.held.extend_from_slice(&block.bytes);
+        }
+        if block.id.is_some() {
+            self.last_event = block.id;
+        }
+        self.caller.send_chunk(block.bytes).await;
+    }
+
     /// Relays one event, unless the caller already received it.
     async fn relay_event(
         &mut self,
@@ -226,6 +257,9 @@
         if event.id.is_some() {
             self.last_event = event.id;
         }
+        if !state.held.is_empty() {
+            self.caller.send_chunk(state.held.split().freeze()).await;
+        }
         self.tokens += start.tokens_per_event;
         state.unreported_tokens += start.tokens_per_event;
         self.caller.send_chunk(event.bytes).await;
@@ -279,16 +313,19 @@
         let request = build_request(shared, inbound, &start, resume);
         let sending = connection.sender.try_send_request(request);
         let proxy = connection.proxy();
-        let mut error = match with_silence_timeout(shared, &start, proxy, sending).await {
+        let mut silence = Silence::new(shared.clock.now());
+        let mut error = match silence.limit(shared, &start, proxy, sending).await {
             Ok(Ok(response)) => {
-                reach::record_sign(shared, &start.endpoint, &connection);
+                connection.meter.record_progress();
+                reach::record_progress(shared, &start.endpoint, &connection);
                 return handle_head(shared, inbound, &start, connection, response).await;
             }
             Ok(Err(error)) => error,
             Err(end) => return Head::Ended(end),
         };
         if error.take_message().is_none() {
-            return Head::Ended(examine_break(shared, &start, &connection).await);
+            let fault = Fault::new(error.error());
+            return Head::Ended(end_of_fault(shared, &start, &connection, fault).await);
         }
         // Nothing was sent. The replica may have closed a pooled connection while it was idle; a new
         // connection shows whether the replica is reachable.
@@ -340,8 +377,8 @@
             body,
         }),
         Classification::NotStarted => {
-            let rest = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-            if let Ok(Ok(_)) = tokio::time::timeout(DRAIN_TIMEOUT, rest).await {
+            let rest = body::discard(body, &connection.meter);
+            if let Ok(Ok(())) = tokio::time::timeout(DRAIN_TIMEOUT, rest).await {
                 let releasing = shared
                     .pool
                     .release(&start.endpoint, connection, &head.headers);
@@ -380,6 +417,37 @@
     });
 }
 
+/// Reads a whole answer to a stream's request within the stream's silence timeout: nothing in it is an event. A plain
+/// call's answer may take all of its time.
+async fn limit_error_answer<T>(
+    shared: &Rc<Shared>,
+    start: &Start,
+    connection: &Connection,
+    reading: impl Future<Output = T>,
+) -> Result<T, End> {
+    if !start.stream {
+        return Ok(reading.await);
+    }
+    let mut silence = Silence::new(shared.clock.now());
+    silence
+        .limit(shared, start, connection.proxy(), reading)
+        .await
+}
+
+/// Returns the end of an attempt whose answer couldn't be read. A server that sends what is no answer is alive, and
+/// needs no new connection to show that.
+async fn end_of_fault(
+    shared: &Rc<Shared>,
+    start: &Start,
+    connection: &Connection,
+    fault: Fault,
+) -> End {
+    match fault {
+        Fault::Invalid => End::Broken { alive: true },
+        Fault::Disconnected => examine_break(shared, start, connection).await,
+    }
+}
+
 /// Returns the end of an attempt whose connection broke while the replica had the request.
 ///
 /// New connections distinguish a lost answer from a crash, and from a fault of the way; requests during which
@@ -398,53 +466,6 @@
     finding != Finding::Unreached
 }
 
-/// Awaits something from a replica, but times out if the replica was silent on all its connections for the
-/// attempt's silence timeout.
-///
-/// A replica that answers others is merely busy. Retrying elsewhere would prefill the prompt again and
-/// amplify an overload. Traffic on other connections says nothing about a plain call, which has a timeout of
-/// its own, nor about a silent way through another entry, `proxy`. A direct connection that is silent
-/// while this entry is isolated is given up at once.
-async fn with_silence_timeout<T>(
-    shared: &Rc<Shared>,
-    start: &Start,
-    proxy: Option<&SmolStr>,
-    pending: impl Future<Output = T>,
-) -> Result<T, End> {
-    let mut pending = std::pin::pin!(pending);
-    let mut waited = Span::ZERO;
-    loop {
-        let step = match start.silence_timeout {
-            Some(limit) => SILENCE_CHECK_INTERVAL.min(limit - waited),
-            None => SILENCE_CHECK_INTERVAL,
-        };
-        if let Ok(value) = tokio::time::timeout(step.as_duration(), pending.as_mut()).await {
-            return Ok(value);
-        }
-        waited = waited + step;
-        reach::check_silence(shared);
-        let lost = proxy.is_none() && shared.reach.is_isolated();
-        if lost && !shared.pool.was_active(&start.endpoint, step) && start.silence_timeout.is_some()
-        {
-            return Err(End::TimedOut { waited });
-        }
-        let Some(limit) = start.silence_timeout.filter(|limit| waited >= *limit) else {
-            continue;
-        };
-        let is_active = start.stream && shared.pool.was_active(&start.endpoint, limit);
-        tokio::select! {
-            biased;
-            value = pending.as_mut() => return Ok(value),
-            is_sound = reach::check_way(shared, &start.endpoint, proxy, limit, is_active) => {
-                if !is_active || !is_sound {
-                    return Err(End::TimedOut { waited: limit });
-                }
-            }
-        }
-        waited = Span::ZERO;
-    }
-}
-
 /// Returns whether the caller already received the event `id`.
 fn is_duplicate(last: Option<&str>, id: Option<&str>) -> bool {
     let (Some(last), Some(id)) = (last, id) else {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 
 /// Largest event that is buffered until it is complete.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Buffers the bytes of a stream and yields complete events.
 #[derive(Debug, Default)]
@@ -20,6 +20,8 @@
 pub struct Event {
     /// The event's id, if it has one.
     pub id: Option<SmolStr>,
+    /// Whether it carries data. Comments don't, nor do other blocks that a reader discards.
+    pub has_data: bool,
     /// The event's bytes, including the empty line at its end.
     pub bytes: Bytes,
 }
@@ -45,6 +47,7 @@
         let bytes = self.buffer.split_to(end).freeze();
         Some(Event {
             id: event_id(&bytes),
+            has_data: has_data(&bytes),
             bytes,
         })
     }
@@ -72,6 +75,12 @@
     }
 }
 
+/// Returns whether an event has a line of data.
+fn has_data(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(*byte, b'\n' | b'\r'));
+    lines.any(|line| line == b"data" || line.starts_with(b"data:"))
+}
+
 /// Returns the id of an event.
 fn event_id(bytes: &[u8]) -> Option<SmolStr> {
     let mut lines = bytes.split(|byte| *byte == b'\n');
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,11 +17,13 @@
 pub mod wake;
 
 mod attempt;
+mod body;
 mod caller;
 mod consumers;
 mod events;
 mod flight;
 mod front;
+mod meter;
 mod metrics;
 mod migration;
 mod options;
@@ -30,3 +32,4 @@
 mod ports;
 mod shared;
 mod shell;
+mod silence;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -32,6 +32,10 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::meter::MAX_HEAD_BYTES;
+use crate::meter::Meter;
+use crate::meter::Metered;
+
 /// Connect timeout: a round trip takes a few milliseconds, and a dropped first packet is retransmitted after
 /// a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -71,6 +75,8 @@
 pub struct Connection {
     /// Sends requests.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Counts received bytes.
+    pub meter: Meter,
     task: AbortHandle,
     /// Time until which the connection may be reused.
     reusable_until: Time,
@@ -112,7 +118,11 @@
     where
         T: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        let (sender, connection) = http1::handshake(TokioIo::new(io))
+        let io = Metered::new(io);
+        let meter = io.meter();
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(io))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
@@ -122,6 +132,7 @@
         });
         Ok(Connection {
             sender,
+            meter,
             task: task.abort_handle(),
             reusable_until: Time::ZERO,
             used: false,
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -334,9 +334,14 @@
     }
 }
 
-/// Records bytes from a server.
-pub fn record_sign(shared: &Shared, endpoint: &Endpoint, connection: &Connection) {
+/// Records progress of a server's answer.
+pub fn record_progress(shared: &Shared, endpoint: &Endpoint, connection: &Connection) {
     shared.pool.record_activity(endpoint);
+    record_sign(shared, connection);
+}
+
+/// Records bytes from a server, which show that the way to it is sound.
+pub fn record_sign(shared: &Shared, connection: &Connection) {
     let now = shared.clock.now();
     if let Some(proxy) = connection.proxy() {
         let mut proxies = shared.reach.proxies.borrow_mut();
