Back: answers without end are bounded, and blame neither server nor request for a crash

Change: `Failure::Invalid` for what breaks the protocol or a limit; it ends an attempt as failed. Heads are limited to 64 KB and 16 informational ones, a stream to 1 MB without a token, an unneeded body to 4 MB, which isn't kept. Bodies are copied into one buffer, since each small chunk kept its read buffer. A body that is needed stays limited to 64 MB, which exported KV caches need.

--- a/crates/back/src/engine.rs
+++ b/crates/back/src/engine.rs
@@ -17,7 +17,7 @@
 use crate::failure::Failure;
 use crate::http_client::Exchange;
 use crate::http_client::HttpClient;
-use crate::http_client::read_body;
+use crate::http_client::discard_body;
 
 /// Timeout of short exchanges such as load, state and cancel.
 const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -190,7 +190,7 @@
     if status.is_success() {
         return Ok(Events::new(response.into_body()));
     }
-    read_body(response, SHORT_TIMEOUT).await?;
+    discard_body(response, SHORT_TIMEOUT).await?;
     Err(Failure::Answered {
         status: status.as_u16(),
         message: SmolStr::from(status.canonical_reason().unwrap_or("error")),
--- a/crates/back/src/events.rs
+++ b/crates/back/src/events.rs
@@ -6,8 +6,10 @@
 use hyper::body::Incoming;
 
 use crate::failure::Failure;
+use crate::http_client::classify_read;
 
-/// Largest event accepted from an engine, bytes.
+/// Largest event accepted from an engine, and most bytes accepted without a token or the end, bytes. An engine that
+/// sends comments without end would otherwise hold the stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// One event of an engine's stream.
@@ -29,6 +31,10 @@
 pub struct Events {
     body: Incoming,
     buffer: BytesMut,
+    /// Length of the prefix that is known to hold no boundary.
+    searched: usize,
+    /// Bytes of unknown events since the last token.
+    unknown_bytes: usize,
 }
 
 impl Events {
@@ -37,23 +43,27 @@
         Events {
             body,
             buffer: BytesMut::new(),
+            searched: 0,
+            unknown_bytes: 0,
         }
     }
 
-    /// Returns the next event. A stream that ends without [`Chunk::Done`] is [`Failure::Broken`].
+    /// Returns the next event. A stream that ends without [`Chunk::Done`] is [`Failure::Broken`], and one with too many
+    /// bytes that are no event is [`Failure::Invalid`].
     pub async fn next(&mut self) -> Result<Chunk, Failure> {
         loop {
             while let Some(event) = self.take_event() {
                 if let Some(chunk) = parse_event(&event) {
+                    self.unknown_bytes = 0;
                     return Ok(chunk);
                 }
+                self.unknown_bytes += event.len();
             }
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(Failure::Broken);
+            if self.buffer.len() + self.unknown_bytes > MAX_EVENT_BYTES {
+                return Err(Failure::Invalid);
             }
-            let Some(Ok(frame)) = self.body.frame().await else {
-                return Err(Failure::Broken);
-            };
+            let frame = self.body.frame().await.ok_or(Failure::Broken)?;
+            let frame = frame.map_err(|error| classify_read(&error))?;
             if let Ok(data) = frame.into_data() {
                 self.buffer.extend_from_slice(&data);
             }
@@ -62,7 +72,13 @@
 
     /// Removes the first whole event from the buffer.
     fn take_event(&mut self) -> Option<Bytes> {
-        let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
+        let unsearched = &self.buffer[self.searched..];
+        let Some(position) = unsearched.windows(2).position(|pair| pair == b"\n\n") else {
+            self.searched = self.buffer.len().saturating_sub(1);
+            return None;
+        };
+        let end = self.searched + position;
+        self.searched = 0;
         Some(self.buffer.split_to(end + 2).freeze())
     }
 }
--- a/crates/back/src/failure.rs
+++ b/crates/back/src/failure.rs
@@ -22,6 +22,8 @@
     },
     /// The connection broke after bytes were sent.
     Broken,
+    /// The server sent what is no answer, or more than an answer may have. It is alive, and the request may have run.
+    Invalid,
     /// The timeout expired without a response.
     TimedOut,
 }
@@ -47,6 +49,7 @@
             Failure::NotStarted { .. } => "not-started",
             Failure::Answered { .. } => "answered",
             Failure::Broken => "broken",
+            Failure::Invalid => "invalid",
             Failure::TimedOut => "timed-out",
         }
     }
--- a/crates/back/src/http_client.rs
+++ b/crates/back/src/http_client.rs
@@ -1,8 +1,13 @@
 //! Shared HTTP client for all exchanges with backend servers.
 
+use std::error::Error as _;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use clock::Span;
 use http::HeaderMap;
 use http::Method;
@@ -12,7 +17,6 @@
 use http::header::RETRY_AFTER;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::Error;
@@ -21,6 +25,7 @@
 use hyper_util::rt::TokioTimer;
 use serde_json::Value;
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 
 use crate::failure::Failure;
 
@@ -46,9 +51,19 @@
 /// Most idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
-/// Largest response that is read whole, bytes.
+/// Largest response that is read whole, bytes. Exported KV caches are tens of megabytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Largest response that is read only so that its connection can be reused, bytes.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
+
+/// Largest response head, bytes; also the size of read buffers. Sound servers send less than 8 KB.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Most informational responses (1xx) before a response. Sound servers send one or two; the HTTP library reads
+/// any number of them.
+const MAX_INFORMATIONAL: usize = 16;
+
 /// Sends requests to backend servers by IP address.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -90,6 +105,7 @@
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         HttpClient { client }
     }
@@ -103,12 +119,15 @@
             .body(Full::new(exchange.body))
             .map_err(|_| Failure::NotSent)?;
         request.headers_mut().extend(exchange.headers);
-        let sending = self.client.request(request);
-        let response = match tokio::time::timeout(exchange.head_timeout, sending).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return Err(classify(&error)),
-            Err(_) => return Err(Failure::TimedOut),
+        let exceeded = limit_informational(&mut request);
+        let sending = async {
+            tokio::select! {
+                response = self.client.request(request) => response.map_err(|error| classify(&error)),
+                () = exceeded.notified() => Err(Failure::Invalid),
+            }
         };
+        let sent = tokio::time::timeout(exchange.head_timeout, sending).await;
+        let response = sent.unwrap_or(Err(Failure::TimedOut))?;
         let not_started = response.status() == StatusCode::SERVICE_UNAVAILABLE
             && response.headers().contains_key(NOT_STARTED_HEADER);
         if not_started {
@@ -123,10 +142,10 @@
         let head_timeout = exchange.head_timeout;
         let response = self.send(exchange).await?;
         let status = response.status();
-        let bytes = read_body(response, head_timeout).await?;
         if status.is_success() {
-            return Ok(bytes);
+            return read_body(response, head_timeout).await;
         }
+        discard_body(response, head_timeout).await?;
         Err(Failure::Answered {
             status: status.as_u16(),
             message: SmolStr::from(status.canonical_reason().unwrap_or("error")),
@@ -176,12 +195,53 @@
 
 /// Reads a response body within limits of time and size.
 pub async fn read_body(response: Response<Incoming>, timeout: Duration) -> Result<Bytes, Failure> {
-    let reading = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
-    match tokio::time::timeout(timeout, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(Failure::Broken),
-        Err(_) => Err(Failure::TimedOut),
+    // Parts are copied, since each small chunk would keep the buffer that it was read into.
+    let mut collected = BytesMut::new();
+    let reading = read_parts(response, MAX_RESPONSE_BYTES, |part| {
+        collected.extend_from_slice(&part);
+    });
+    let read = tokio::time::timeout(timeout, reading).await;
+    read.unwrap_or(Err(Failure::TimedOut))?;
+    Ok(collected.freeze())
+}
+
+/// Reads an unneeded response body within limits of time and size.
+pub async fn discard_body(response: Response<Incoming>, timeout: Duration) -> Result<(), Failure> {
+    let reading = read_parts(response, MAX_DISCARDED_BYTES, drop);
+    let read = tokio::time::timeout(timeout, reading).await;
+    read.unwrap_or(Err(Failure::TimedOut))
+}
+
+async fn read_parts(
+    response: Response<Incoming>,
+    limit: usize,
+    mut take: impl FnMut(Bytes),
+) -> Result<(), Failure> {
+    let mut body = response.into_body();
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| classify_read(&error))?;
+        if let Ok(part) = frame.into_data() {
+            size += part.len();
+            if size > limit {
+                return Err(Failure::Invalid);
+            }
+            take(part);
+        }
     }
+    Ok(())
+}
+
+/// Counts the informational responses to a request; the returned notification reports that there are too many.
+fn limit_informational<T>(request: &mut Request<T>) -> Arc<Notify> {
+    let exceeded = Arc::new(Notify::new());
+    let (notify, count) = (Arc::clone(&exceeded), AtomicUsize::new(0));
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL {
+            notify.notify_one();
+        }
+    });
+    exceeded
 }
 
 /// Returns the pause that a refusal asks for in seconds; `None` for other values, such as dates.
@@ -197,5 +257,21 @@
     if error.is_connect() {
         return Failure::NotSent;
     }
-    Failure::Broken
+    match error.source().and_then(|source| source.downcast_ref()) {
+        Some(error) => classify_read(error),
+        None => Failure::Broken,
+    }
+}
+
+/// Distinguishes a connection that broke from a server that sent what is no answer.
+pub fn classify_read(error: &hyper::Error) -> Failure {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    let is_invalid = matches!(
+        source.map(std::io::Error::kind),
+        Some(std::io::ErrorKind::InvalidData | std::io::ErrorKind::InvalidInput)
+    );
+    match error.is_parse() || is_invalid {
+        true => Failure::Invalid,
+        false => Failure::Broken,
+    }
 }
--- a/crates/daemon/src/attempt_end.rs
+++ b/crates/daemon/src/attempt_end.rs
@@ -11,6 +11,6 @@
     match failure {
         Failure::NotSent | Failure::NotStarted { .. } => End::NotStarted,
         Failure::Broken => End::Crashed,
-        Failure::Answered { .. } | Failure::TimedOut => End::Failed,
+        Failure::Answered { .. } | Failure::Invalid | Failure::TimedOut => End::Failed,
     }
 }
