Back: state and test what ends a stream of endless chunk-size digits

A test checks that no data arrives and that dropping the stream closes the connection. The limit in the daemon itself is read from the code (entry flights_tick), not run.

--- a/crates/back/src/events.rs
+++ b/crates/back/src/events.rs
@@ -49,7 +49,8 @@
     }
 
     /// Returns the next event. A stream that ends without [`Chunk::Done`] is [`Failure::Broken`], and one with too many
-    /// bytes that are no event is [`Failure::Invalid`].
+    /// bytes that are no event is [`Failure::Invalid`]. There is no time limit: the caller drops a stream that takes too
+    /// long, as the daemon does after its time limit for requests (`callers.request_timeout_ms`).
     pub async fn next(&mut self) -> Result<Chunk, Failure> {
         loop {
             while let Some(event) = self.take_event() {
--- a/crates/back/tests/unbounded.rs
+++ b/crates/back/tests/unbounded.rs
@@ -259,6 +259,27 @@
     });
 }
 
+/// Guards against a stream whose flood goes on after its reader's time limit. Digits of a chunk's size are no data, so no
+/// limit of size ends it: the daemon's time limit for requests does, by dropping the stream.
+#[test]
+fn endless_digits_of_a_chunk_size_end_when_the_stream_is_dropped() {
+    run(async {
+        let client = HttpClient::new();
+        let token = "id: 0\ndata: word\n\n";
+        let first = format!("{CHUNKED}{:x}\r\n{token}\r\n", token.len());
+        let server = Server::start(&first, "0000").await;
+        let mut events = start(&client, &server).await.unwrap();
+        assert!(matches!(
+            events.next().await,
+            Ok(Chunk::Token { offset: 0, .. })
+        ));
+        let next = tokio::time::timeout(CALL_TIMEOUT, events.next()).await;
+        assert!(next.is_err(), "{next:?}");
+        drop(events);
+        server.check_end(usize::MAX >> 8).await;
+    });
+}
+
 /// Guards against floods that go on although the call was given up, and against their connections' use.
 #[test]
 fn an_endless_answer_ends_when_its_call_is_dropped() {
