Soak: replicas that answer without end

Cause: the soak played no answers without end, which docs/design/hard-load.md (part 4) asks for.

Change: a behaviour of replicas, drawn by a sequence of its own, so that the other faults of a seed stay as they are: a share of answers goes on until the connection is closed, by 64 KB (limits of size) or 16 bytes (limits of time) every 5 ms; streams do so from halfway on, without an event. Two such faults a run by default, five in a short test of its own. The promises are unchanged.

--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -25,6 +25,8 @@
     pub cut_count: usize,
     /// Number of further faults in which replicas crash on a part of prompts. Streams have prompts only if there are any.
     pub crash_part_count: usize,
+    /// Number of further faults in which a replica answers without end.
+    pub endless_count: usize,
 }
 
 impl Size {
@@ -66,6 +68,7 @@
             notice_count: 3,
             cut_count: 2,
             crash_part_count: 1,
+            endless_count: 2,
         }
     }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -30,6 +30,8 @@
 const PART_SEED: u64 = 0x7061_7274;
 /// Time for which prompts with such a part come, in milliseconds.
 const PART_DURATION_MS: Range<u64> = 8_000..12_000;
+/// Distinguishes the random sequence of answers without end.
+const ENDLESS_SEED: u64 = 0x0065_6e64_6c65_7373;
 /// Delay of bytes or answers, in milliseconds.
 const DELAY_MS: Range<u64> = 20..600;
 
@@ -140,6 +142,12 @@
         PART_DURATION_MS,
         draw_part,
     );
+    draw_further(
+        seed ^ ENDLESS_SEED,
+        size.endless_count,
+        DURATION_MS,
+        draw_endless,
+    );
     steps.sort_by_key(|step| step.start);
     steps
 }
@@ -162,6 +170,11 @@
     }
 }
 
+fn draw_endless(random: &mut Pcg64, size: &Size) -> Fault {
+    let replica = random.random_range(0..size.replicas());
+    Fault::Works(replica, Behavior::Endless(random.random_range(0.3..1.0)))
+}
+
 fn draw_fault(random: &mut Pcg64, size: &Size) -> Fault {
     let entry = random.random_range(0..size.entries);
     let replica = random.random_range(0..size.engines + 2 * size.apps);
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -63,6 +63,13 @@
 /// Factor by which slow work takes longer.
 const SLOWDOWN: u32 = 8;
 
+/// Time between two blocks of an answer without end.
+const BLOCK_INTERVAL: Duration = Duration::from_millis(5);
+/// Size of a block in an answer without end, which reaches the limits of size within a second.
+const BLOCK_BYTES: usize = 64 << 10;
+/// Size of a block in a slow answer without end, which reaches only the limits of time.
+const SLOW_BLOCK_BYTES: usize = 16;
+
 /// Behavior of a replica towards requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Behavior {
@@ -72,6 +79,8 @@
     Fails(f64),
     /// This share of answers is lost; their streams break off halfway.
     LosesAnswers(f64),
+    /// This share of answers goes on until the connection is closed; their streams hold no event from halfway on.
+    Endless(f64),
     /// This share of requests is turned away, each with a pause.
     TurnsAway(f64),
     /// All work takes several times as long.
@@ -80,6 +89,17 @@
     Brittle(Time),
 }
 
+/// End of an answer.
+#[derive(Clone, Debug)]
+enum Ending {
+    /// The answer is complete.
+    Whole,
+    /// The connection closes early.
+    BreaksOff,
+    /// This block follows until the connection is closed.
+    Endless(Bytes),
+}
+
 /// A replica.
 pub struct Replica {
     /// Index of the replica.
@@ -387,20 +407,24 @@
     if let Some(part) = crash_part {
         return crash_on(replica, &received, part).await;
     }
-    let breaks_off = match replica.behavior.get() {
+    let ending = match replica.behavior.get() {
         Behavior::Fails(share) if replica.chance(share) => {
             return Ok(failure_response(&replica, &received));
         }
-        Behavior::LosesAnswers(share) => replica.chance(share),
-        _ => false,
+        Behavior::LosesAnswers(share) if replica.chance(share) => Ending::BreaksOff,
+        Behavior::Endless(share) if replica.chance(share) => {
+            let is_slow = replica.chance(0.5);
+            Ending::Endless(endless_block(is_slow))
+        }
+        _ => Ending::Whole,
     };
     if let Some(stream) = Stream::parse(head.uri.path()) {
-        return Ok(stream_response(
-            replica, guard, &received, stream, breaks_off,
-        ));
+        return Ok(stream_response(replica, guard, &received, stream, ending));
     }
-    if breaks_off {
-        return Err(Disconnected);
+    match ending {
+        Ending::Whole => {}
+        Ending::BreaksOff => return Err(Disconnected),
+        Ending::Endless(block) => return Ok(endless_response(&replica, guard, &received, block)),
     }
     let body = content::call_body(&received.attempt);
     let mut response = Response::new(Bytes::from(body));
@@ -437,13 +461,43 @@
     server::complete(response)
 }
 
-/// Streams the events after the caller's last one; breaks off halfway through them if `breaks_off` is set.
+/// Returns the block that an answer without end repeats; it contains no event boundary.
+fn endless_block(is_slow: bool) -> Bytes {
+    let size = if is_slow {
+        SLOW_BLOCK_BYTES
+    } else {
+        BLOCK_BYTES
+    };
+    Bytes::from(vec![b'x'; size])
+}
+
+/// Answers a plain call without end.
+fn endless_response(
+    replica: &Replica,
+    guard: RunGuard,
+    received: &Received,
+    block: Bytes,
+) -> Response<Body> {
+    let blocks = stream::unfold(guard, move |guard| {
+        let block = block.clone();
+        async move {
+            tokio::time::sleep(BLOCK_INTERVAL).await;
+            Some((Ok(Frame::data(block)), guard))
+        }
+    });
+    let body: Body = Box::pin(StreamBody::new(blocks));
+    let mut response = Response::new(body);
+    *response.headers_mut() = replica.answer_headers(received);
+    response
+}
+
+/// Streams the events after the caller's last one; an ending other than [`Ending::Whole`] begins halfway through them.
 fn stream_response(
     replica: Rc<Replica>,
     guard: RunGuard,
     received: &Received,
     stream: Stream,
-    breaks_off: bool,
+    ending: Ending,
 ) -> Response<Body> {
     let half = received.last_event + stream.events.saturating_sub(received.last_event) / 2;
     let headers = replica.answer_headers(received);
@@ -451,12 +505,20 @@
     let state = (received.last_event, replica, guard);
     let events = stream::unfold(state, move |(last, replica, guard)| {
         let (stream, version) = (stream.clone(), version.clone());
+        let ending = ending.clone();
         async move {
             if last >= stream.events {
                 return None;
             }
-            if breaks_off && last >= half {
-                return Some((Err(Disconnected), (last, replica, guard)));
+            match ending {
+                Ending::BreaksOff if last >= half => {
+                    return Some((Err(Disconnected), (last, replica, guard)));
+                }
+                Ending::Endless(block) if last >= half => {
+                    tokio::time::sleep(BLOCK_INTERVAL).await;
+                    return Some((Ok(Frame::data(block)), (last, replica, guard)));
+                }
+                _ => {}
             }
             tokio::time::sleep(replica.work_time(EVENT_INTERVAL)).await;
             let event = Bytes::from(stream.event(last + 1, &version));
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -20,6 +20,7 @@
         notice_count: 0,
         cut_count: 0,
         crash_part_count: 0,
+        endless_count: 0,
         ..Size::small()
     }
 }
@@ -100,3 +101,14 @@
     };
     play([41, 42], size);
 }
+
+/// Guards against late or broken answers, and wrong refusals, when replicas send answers without end, fast or slowly.
+#[test]
+fn promises_hold_with_answers_without_end() {
+    let size = Size {
+        fault_count: 1,
+        endless_count: 5,
+        ..short_size()
+    };
+    play([51, 52], size);
+}
