Relay: comments are bounded also among events that the caller already has

Cause: each event with data reset the count of bytes without data, also one that is dropped because the caller has it. A replica that sent comments and repeated one event held a resumable stream until its time limit; before the first relayed event the comments were kept without a bound.

Change: only events that are relayed reset the count.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -62,7 +62,7 @@
     silence: Silence,
     /// Blocks without data before the first event. They show no answer yet, so the caller gets them with that event.
     held: BytesMut,
-    /// Bytes of blocks without data since the last event.
+    /// Bytes of blocks without data since the last event that was relayed.
     dataless_bytes: usize,
     /// Whether an event of this attempt was relayed.
     started: bool,
@@ -180,7 +180,6 @@
                     self.relay_dataless(&mut state, event).await;
                     continue;
                 }
-                state.dataless_bytes = 0;
                 reach::record_progress(&self.shared, &start.endpoint, &answer.connection);
                 if let Some(timeout) = start.record_timeout.filter(|_| !state.started) {
                     let recorded = tokio::select! {
@@ -246,6 +245,8 @@
         if is_duplicate(self.last_event.as_deref(), event.id.as_deref()) {
             return;
         }
+        // Events that the caller already has don't count, since a faulty replica may repeat one without end.
+        state.dataless_bytes = 0;
         if !self.caller.is_streaming() {
             let headers = stream_headers(self.shared.codec.response_headers(&head.headers));
             self.caller.start_stream(head.status, headers);
