Plan: accounts of very different weights are all bounded

Cause: the weights left to serve were found by subtraction from their sum. After weights of 1 and 0 zero was left, the share was no number, and the account of weight 0 was admitted as a whole.

Change: weights are added up from the last account to the first.

--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -88,15 +88,20 @@
     fn divide(&mut self, offers: &mut [Demand], room: f64) {
         let by_weight = |offer: &Demand| offer.rate / offer.weight;
         offers.sort_by(|a, b| by_weight(a).total_cmp(&by_weight(b)));
-        let mut weight: f64 = offers.iter().map(|offer| offer.weight).sum();
+        // Weights are added up from the end: subtracted from their sum, small ones would leave zero or less.
+        let weights_from = |sum: &mut f64, offer: &Demand| {
+            *sum += offer.weight;
+            Some(*sum)
+        };
+        let mut weights: Vec<f64> = offers.iter().rev().scan(0.0, weights_from).collect();
+        weights.reverse();
         let mut left = room;
-        for offer in offers.iter() {
-            let share = left * offer.weight / weight;
+        for (offer, weight) in offers.iter().zip(weights) {
+            let share = left * (offer.weight / weight);
             if offer.rate > share {
                 self.fractions.insert(offer.class, share / offer.rate);
             }
             left -= offer.rate.min(share);
-            weight -= offer.weight;
         }
     }
 }
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -313,3 +313,21 @@
         prop_assert!((admitted as f64 - planned).abs() <= 5_000.0, "{admitted} of {planned}");
     }
 }
+
+/// Guards against an account of a tiny weight that is admitted as a whole: subtracted from a sum, the weights before it
+/// left zero, and its share was no number.
+#[test]
+fn accounts_of_very_different_weights_are_all_bounded() {
+    let rates = rates(&[(0, 1, 20_000), (0, 2, 20_000)]);
+    for tiny in [0.0, 1e-300, 1e-20, 1e-9] {
+        for large in [1.0, 1e9] {
+            let weights = Weights::from([(1, large), (2, tiny)]);
+            let plan = Plan::new(&Config::default(), &weights, &rates, CAPACITY);
+            let admitted = plan.admitted(&rates);
+            assert!(
+                (admitted - CAPACITY).abs() < SLACK * CAPACITY,
+                "{admitted} is admitted with the weights {large} and {tiny}"
+            );
+        }
+    }
+}
