State only parts that were found sound by own answers

Cause: entries repeated in their bulletins what others had stated. The time that a message is under way, or waits at a hub, is missing in its ages, so that statements of two entries kept each other alive: with 250 ms under way the age was 1,000 and 1,250 ms at the two entries 8 s after the answer. Only the crash, forgotten after 30 s, ends that. A crash in that time didn't count against the part.

Change: an entry states only what was answered to its own requests; it still uses what others state.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -328,7 +328,7 @@
         self.parts.merge(now, &digest.parts, &self.crashes);
     }
 
-    /// Returns parts that were accused and found sound within the last `window`, with the times since.
+    /// Returns parts that were accused and found sound here within the last `window`, with the times since.
     pub fn recently_cleared(&self, now: Time, window: Span) -> Vec<(u64, Span)> {
         self.parts.recently_cleared(now, window)
     }
--- a/crates/policy/src/quarantine/parts/evidence.rs
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -11,6 +11,7 @@
 
 use super::ANNOUNCEMENT;
 use super::Answer;
+use super::Answered;
 use super::Parts;
 use super::record::Crash;
 use super::record::Record;
@@ -72,7 +73,7 @@
                 break;
             };
             for part in answer.parts.iter() {
-                is_evidence |= self.confirm(*part, answer.at);
+                is_evidence |= self.confirm(*part, answer.at, true);
             }
         }
         if is_evidence {
@@ -100,7 +101,7 @@
             .answered
             .filter(|age| item.crashes.is_empty() || *age <= now.since(Time::ZERO));
         if let Some(age) = answered {
-            is_cleared |= self.confirm(item.part, before(age));
+            is_cleared |= self.confirm(item.part, before(age), false);
         }
         for (replica, age) in &item.crashes {
             let at = before(*age);
@@ -122,10 +123,13 @@
         is_cleared
     }
 
-    /// Returns accused parts that were found sound within the last `window`, with the times since; a bounded number.
+    /// Returns accused parts that were found sound here within the last `window`, with the times since; a bounded number.
+    ///
+    /// What only other entries found isn't stated again. The time that a message is under way is missing in its ages, so
+    /// that entries which repeat each other's statements would go on with them.
     pub fn recently_cleared(&self, now: Time, window: Span) -> Vec<(u64, Span)> {
         let answered = self.records.iter().filter_map(|(part, record)| {
-            let at = *self.answered.get(part)?;
+            let at = self.answered.get(part)?.own_at?;
             let is_refuted = self.config.is_refuted(record.last_crash(), at);
             (is_refuted && now.since(at) < window).then(|| (*part, now.since(at)))
         });
@@ -156,7 +160,7 @@
                 .filter(|crash| !self.was_answered_before(*part, crash.at))
                 .map(|crash| (crash.replica, now.since(crash.at)))
                 .collect(),
-            answered: self.answered.get(part).map(|at| now.since(*at)),
+            answered: self.answered.get(part).map(|known| now.since(known.at)),
         };
         records.into_iter().map(item).collect()
     }
@@ -164,7 +168,8 @@
     /// Drops evidence that is out of date.
     pub fn tick(&mut self, now: Time, crashes: &Crashes) {
         let (memory, answer_memory) = (self.config.crash_memory, self.config.answer_memory);
-        self.answered.retain(|_, at| now.since(*at) < answer_memory);
+        self.answered
+            .retain(|_, known| now.since(known.at) < answer_memory);
         let config = self.config;
         let before = self.records.len();
         let answered = &self.answered;
@@ -172,7 +177,7 @@
             let age = now.since(record.last_crash());
             let is_refuted = answered
                 .get(part)
-                .is_some_and(|at| config.is_refuted(record.last_crash(), *at));
+                .is_some_and(|known| config.is_refuted(record.last_crash(), known.at));
             age < memory && (!is_refuted || age < ANNOUNCEMENT)
         });
         if self.records.len() != before {
@@ -180,15 +185,22 @@
         }
     }
 
-    /// Takes a part for sound at a time; returns whether it was accused.
-    fn confirm(&mut self, part: u64, at: Time) -> bool {
-        let known = self.answered.get(&part).copied();
+    /// Takes a part for sound at a time, by an answer to a request of this entry or as a peer states; returns whether it
+    /// was accused.
+    fn confirm(&mut self, part: u64, at: Time, is_own: bool) -> bool {
+        let before = self.answered.get(&part).copied();
+        let known = before.map(|before| before.at);
+        let own_before = before.and_then(|before| before.own_at);
+        let answered = Answered {
+            at: known.map_or(at, |known| known.max(at)),
+            own_at: is_own.then_some(at).max(own_before),
+        };
+        self.answered.insert(part, answered);
         if known.is_some_and(|known| known >= at) {
             return false;
         }
-        self.answered.insert(part, at);
         if self.answered.len() > self.config.max_answered {
-            let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
+            let oldest = self.answered.iter().min_by_key(|(_, known)| known.at);
             if let Some(oldest) = oldest.map(|(part, _)| *part) {
                 self.answered.remove(&oldest);
             }
@@ -207,7 +219,7 @@
     /// Returns whether an answer speaks for a part at the time of a crash.
     fn was_answered_before(&self, part: u64, crash: Time) -> bool {
         let answered = self.answered.get(&part);
-        answered.is_some_and(|at| self.config.is_refuted(crash, *at))
+        answered.is_some_and(|known| self.config.is_refuted(crash, known.at))
     }
 
     /// Returns the record of a part, which may be new.
--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -64,7 +64,7 @@
     config: Config,
     records: BTreeMap<u64, Record>,
     /// When each part was last answered.
-    answered: BTreeMap<u64, Time>,
+    answered: BTreeMap<u64, Answered>,
     /// Answers whose replicas may still turn out to have crashed, oldest first.
     unconfirmed: VecDeque<Answer>,
     /// Blocked parts, with whether another part or a loss of many replicas may explain their crashes.
@@ -80,6 +80,15 @@
     changes: Vec<Change>,
 }
 
+/// When a part was last answered.
+#[derive(Clone, Copy, Debug)]
+struct Answered {
+    /// By any replica, as far as this entry was told.
+    at: Time,
+    /// To a request of this entry, if one was.
+    own_at: Option<Time>,
+}
+
 /// An answer of a replica.
 #[derive(Clone, Debug)]
 struct Answer {
@@ -270,7 +279,7 @@
     fn count_crashes(&mut self, now: Time, crashes: &Crashes) {
         let settle = self.config.settle;
         for (part, record) in &mut self.records {
-            let answered = self.answered.get(part).copied();
+            let answered = self.answered.get(part).map(|answered| answered.at);
             // The loss of a zone says something only about a part that nothing ever spoke for.
             let counts = |at: Time, replica: u64| match answered {
                 Some(answered) => {
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -436,7 +436,8 @@
         self.poll(now, out);
     }
 
-    /// Returns parts of prompts that were accused of crashes and found sound within the last `window`, with the times since.
+    /// Returns parts of prompts that were accused of crashes and found sound here within the last `window`, with the times
+    /// since.
     pub fn recently_cleared(&self, now: Time, window: Span) -> Vec<(u64, Span)> {
         self.quarantine.recently_cleared(now, window)
     }
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -215,3 +215,36 @@
         }
     }
 }
+
+/// Guards against statements that a part is sound which two entries return to each other: each told the other's, with
+/// the time in transit taken off its age, until the crash that it refuted was forgotten. A crash in that time didn't count.
+#[test]
+fn a_sound_part_is_stated_for_the_window_only() {
+    const WINDOW: Span = Span::from_seconds(8);
+    const TRANSIT: Span = Span::from_millis(250);
+    let mut one = World::new(&[OWN, PEER]);
+    let mut other = World::new(&[OWN, PEER]);
+    other.quarantine.set_members(PEER, vec![OWN, PEER]);
+    for _ in 0..3 {
+        one.crash(REQUEST, &[COMMON]);
+        other.crash(REQUEST, &[COMMON]);
+    }
+    one.answer(99, &[COMMON]);
+    one.wait(Span::from_seconds(1));
+    let answered_at = one.now;
+    other.wait(Span::from_seconds(1));
+    let mut learned = false;
+    while one.now.since(answered_at) < WINDOW + Span::from_seconds(4) {
+        let stated = one.quarantine.recently_cleared(one.now, WINDOW);
+        let returned = other.quarantine.recently_cleared(other.now, WINDOW);
+        if one.now.since(answered_at) >= WINDOW {
+            assert_eq!((&stated, &returned), (&Vec::new(), &Vec::new()));
+        }
+        one.wait(TRANSIT);
+        other.wait(TRANSIT);
+        other.quarantine.merge_cleared(other.now, &stated);
+        one.quarantine.merge_cleared(one.now, &returned);
+        learned |= other.standing(&[COMMON]) == Standing::Clear;
+    }
+    assert!(learned, "the other entry wasn't told");
+}
