--- a/crates/gateway/src/configs/gateway.rs
+++ b/crates/gateway/src/configs/gateway.rs
@@ -107,9 +107,8 @@
     // Entries exchange their loads several times a second and need no reports from replicas.
     settings.concurrency.report_decay = Span::from_seconds(1);
     settings.concurrency.herd = 0.0;
-    // Splitting a replica's slots fails among many entries: with 79 of them, 64 slots are less than one
-    // each, and a busy entry refused requests beside idle replicas. The sum of all entries' attempts limits
-    // them instead.
+    // With 79 entries, 64 slots are less than one each. Owning slots at a few replicas would keep an entry from
+    // those that have its prompts cached, so the sum of all entries' attempts limits them instead.
     settings.slots.enabled = false;
     // A starting entry finds replicas that have long been warm.
     settings.placement.warmup = false;
--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -83,7 +83,7 @@
 /// When a part was last answered.
 #[derive(Clone, Copy, Debug)]
 struct Answered {
-    /// By any replica, as far as this entry was told.
+    /// By any replica, to requests of this entry or of others that stated it.
     at: Time,
     /// To a request of this entry, if one was.
     own_at: Option<Time>,
--- a/crates/policy/tests/many_entries.rs
+++ b/crates/policy/tests/many_entries.rs
@@ -2,7 +2,7 @@
 //!
 //! With 73 entries in front of replicas of 16 slots, an equal share of at least one slot let the entries hand each
 //! replica up to 73 requests: work queued inside the replicas, where no entry can refuse or reorder it, goodput fell to
-//! a sixth of the capacity, and priorities and accounts were no longer told apart.
+//! a sixth of the capacity, and neither priorities nor the isolation of accounts had an effect.
 
 mod support;
 
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -216,8 +216,8 @@
     }
 }
 
-/// Guards against statements that a part is sound which two entries return to each other: each told the other's, with
-/// the time in transit taken off its age, until the crash that it refuted was forgotten. A crash in that time didn't count.
+/// Guards against statements that a part is sound which two entries return to each other without end: the time in transit
+/// is missing from their ages, so a later crash would never count.
 #[test]
 fn a_sound_part_is_stated_for_the_window_only() {
     const WINDOW: Span = Span::from_seconds(8);
