--- a/review/standins/src/drill.rs
+++ b/review/standins/src/drill.rs
@@ -1,4 +1,4 @@
-//! The store comes back from an older copy, and then all entries are killed at once.
+//! All entries are killed at once while the store is away, and it comes back from an older copy.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -27,8 +27,6 @@
 const COPY_AGE: Duration = Duration::from_millis(2_500);
 /// Time for which the store is away.
 const AWAY_TIME: Duration = Duration::from_millis(400);
-/// Time from the end of the drill to the kill.
-const KILL_AFTER: Duration = Duration::from_millis(300);
 /// Time until a killed process is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 
@@ -114,15 +112,14 @@
         record.line("store: away");
         store.set_away(true);
         thread::sleep(AWAY_TIME);
-        store.restore(backup);
-        announce(2);
-        store.set_away(false);
-        record.line("store: back from the copy");
-        thread::sleep(KILL_AFTER);
         for entry in &entries {
             entry.signal("KILL");
         }
         entries.iter_mut().for_each(Entry::wait);
+        store.restore(backup);
+        announce(2);
+        store.set_away(false);
+        record.line("store: back from the copy");
         thread::sleep(RESTART_PAUSE);
         entries.iter_mut().for_each(Entry::start);
         if !entries.iter().all(Entry::wait_until_ready) {
--- a/review/standins/src/entry.rs
+++ b/review/standins/src/entry.rs
@@ -164,7 +164,8 @@
         };
         self.record.line(&format!("{}: gets {signal}", self.name));
         let id = child.id().to_string();
-        let _ = Command::new("kill").args(["-s", signal, &id]).status();
+        let order = format!("kill -s {signal} {id}");
+        let _ = Command::new("sh").args(["-c", &order]).status();
     }
 
     /// Waits for the process's end.
