Relay: a run that is moved before its first event goes on from its KV cache

Callers saw nothing, but a stream that may not be repeated ran twice: its server was reclaimed between the first token and the first event, stopped the run and handed it over, and the other server ran the request from its beginning.

Cause: the KV cache to resume from was a part of the point that the last event names. Without an event there was no such point, and the handle was dropped. Ruled out: a second attempt of the scheduler, a move that failed (no such log lines). Change: last event and KV cache are independent; a run without an event names none. An error that the other server gives to such a run is no answer to pass on, since its status may promise that the request did not run. A run that was handed over goes on also if its stream fell silent. The log has run_resumed.

--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -40,12 +40,7 @@
     ) -> Result<Arrival, Refusal>;
 
     /// Returns the headers of a request as it is forwarded to a backend server.
-    fn request_headers(
-        &self,
-        head: &request::Parts,
-        start: &Start,
-        resume: Option<&Resume>,
-    ) -> HeaderMap;
+    fn request_headers(&self, head: &request::Parts, start: &Start, resume: &Resume) -> HeaderMap;
 
     /// Builds the request that tells a run's server to stop it and move its KV cache to the server `to`.
     fn move_request(&self, id: &str, to: &Endpoint) -> Request<Bytes>;
@@ -97,12 +92,12 @@
     fn decode_catalog(&self, document: &[u8]) -> anyhow::Result<Catalog>;
 }
 
-/// The point from which a stream is resumed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// The point from which a request is resumed; empty for one that starts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Resume {
     /// Id of the last event that the caller received.
-    pub last_event: SmolStr,
-    /// The KV cache to resume from; `None` to prefill the prompt again.
+    pub last_event: Option<SmolStr>,
+    /// The KV cache to resume from; `None` to prefill the prompt again. A run may be moved before its first event.
     pub transfer: Option<Transfer>,
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -76,12 +76,12 @@
 impl Flight {
     /// Forwards the request to a replica and relays its answer; `None` if the caller disconnected.
     pub async fn exchange(&mut self, start: &Start, transfer: Option<Transfer>) -> Option<End> {
-        let resume = self.last_event.clone().map(|last_event| Resume {
-            last_event,
+        let resume = Resume {
+            last_event: self.last_event.clone(),
             transfer,
-        });
+        };
         let head = tokio::select! {
-            head = send_request(&self.shared, &self.inbound, start, resume.as_ref()) => head,
+            head = send_request(&self.shared, &self.inbound, start, &resume) => head,
             () = self.caller.disconnected() => return None,
         };
         let answer = match head {
@@ -91,11 +91,12 @@
         if start.stream && answer.head.status == StatusCode::OK {
             return self.relay_stream(start, answer).await;
         }
-        self.relay_whole(start, answer).await
+        self.relay_whole(start, answer, resume.transfer.is_some())
+            .await
     }
 
     /// Relays an answer once it is complete, so that a truncated one can be retried.
-    async fn relay_whole(&mut self, start: &Start, answer: Answer) -> Option<End> {
+    async fn relay_whole(&mut self, start: &Start, answer: Answer, is_moved: bool) -> Option<End> {
         let Answer {
             connection,
             head,
@@ -121,8 +122,9 @@
             .pool
             .release(&start.endpoint, connection, &head.headers)
             .await;
-        if self.caller.is_streaming() {
-            // The stream started on another replica, and this one can't resume it.
+        if self.caller.is_streaming() || is_moved {
+            // The run started on another replica, and this one can't resume it. Its status may state that the request
+            // did not run.
             return Some(End::Failed { status });
         }
         if head.status.is_server_error() && start.repeatable {
@@ -290,7 +292,7 @@
     shared: &Rc<Shared>,
     inbound: &Inbound,
     start: &Start,
-    resume: Option<&Resume>,
+    resume: &Resume,
 ) -> Head {
     let started = shared.clock.now();
     let direct = shared.reach.is_direct(started, &start.endpoint);
@@ -338,9 +340,8 @@
 
 /// Returns whether the server still accepts the request. A run that was moved is resumed also during a pause,
 /// since its server has already taken over its memory.
-fn may_forward(shared: &Shared, endpoint: &Endpoint, resume: Option<&Resume>) -> bool {
-    let is_moved = resume.is_some_and(|resume| resume.transfer.is_some());
-    match is_moved {
+fn may_forward(shared: &Shared, endpoint: &Endpoint, resume: &Resume) -> bool {
+    match resume.transfer.is_some() {
         true => !shared.pool.is_closed(endpoint),
         false => shared.pool.accepts_requests(endpoint),
     }
@@ -351,7 +352,7 @@
     shared: &Shared,
     inbound: &Inbound,
     start: &Start,
-    resume: Option<&Resume>,
+    resume: &Resume,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(inbound.body.clone()));
     *request.method_mut() = inbound.head.method.clone();
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -75,7 +75,7 @@
         end: Option<End>,
         migration: Migration,
     ) -> Option<End> {
-        let Some(End::Broken { .. } | End::Interrupted) = end else {
+        let Some(End::Broken { .. } | End::Interrupted | End::TimedOut { .. }) = end else {
             return end;
         };
         let Some((to, transfer)) = migration.transfer().await else {
@@ -88,6 +88,15 @@
             ..start.clone()
         };
         self.report(start, Report::Moved);
+        log::info!(
+            event = "run_resumed",
+            request = self.inbound.id.as_str(),
+            attempt = start.attempt,
+            source = transfer.source.as_str(),
+            to = next.endpoint.incarnation.as_str(),
+            last_event = self.last_event.as_deref().unwrap_or_default();
+            ""
+        );
         match self.exchange(&next, Some(transfer)).await {
             // The run has started: whatever the other server answers, the request must not be restarted.
             Some(End::NotSent | End::NotStarted) => Some(End::Broken { alive: true }),
--- a/crates/standin/tests/failures_backend.rs
+++ b/crates/standin/tests/failures_backend.rs
@@ -42,6 +42,28 @@
     });
 }
 
+/// An engine is reclaimed before the first token of a stream. The run goes on elsewhere from its KV cache; a run that began
+/// anew there would compute the prompt a second time.
+#[test]
+fn reclaimed_engine_before_the_first_token() {
+    harness::run(async {
+        let slow = Size {
+            token_ms: 1_500,
+            ..SIZE
+        };
+        let mut cluster = Cluster::deployed(&slow).await;
+        let mut reader = Reader::new(&cluster.caller(), "no token yet", 3).await;
+        let index = cluster.wait_for_busy_engine().await;
+        reclaim_and_kill(&mut cluster, &[index]).await;
+        reader.finish().await;
+        let mut computed = 0;
+        for other in (0..cluster.engines.len()).filter(|other| *other != index) {
+            computed += cluster.engine_counts(other).await.computed_tokens;
+        }
+        assert_eq!((reader.stream.reconnects(), computed), (0, 0));
+    });
+}
+
 /// Without KV transfer the prompt and the tokens so far are recomputed on another engine.
 #[test]
 fn reclaimed_engine_without_transfer() {
