Gateway: a refusal says "not run" only where no replica can have the request

Callers filed twice: an entry at the end of its grace period answered calls that a replica was running with 503, which promises that they have not run and never will.

Cause: the verdict came from the place that ended a request. The stop took every request without a known start for not run; a start is known only with the first event or the end of an attempt. Ruled out: an answer taken for "not started", a forgotten attempt. Change: one place decides for all reasons: "not run" needs that no replica has the request and none is known to have begun it. At a stop, requests that no replica has are refused 400 ms before the end as before, and those that run may be answered until 150 ms before it. Evidence: a_request_that_a_server_has_is_not_denied_at_the_end_of_a_stop, a_run_that_is_being_moved_is_not_denied_at_the_end_of_a_stop and an_answer_just_before_the_end_of_a_stop_is_delivered failed before and pass; tests of the time limit, of a failed attempt and of requests that no replica started passed before too.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -167,7 +167,7 @@
         });
     }
 
-    /// Ends an open request with a final refusal.
+    /// Ends an open request with a final refusal, which states that it did not run only if no replica can have run it.
     pub(crate) fn refuse(
         &mut self,
         now: Time,
@@ -201,7 +201,7 @@
         let Some(open) = self.close_request(serial, effects) else {
             return;
         };
-        if open.execution_started {
+        if open.may_have_run() {
             refusal.verdict = Verdict::MayHaveRun;
         }
         if refusal.verdict == Verdict::NotRun && refusal.retry_after.is_some() {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -91,3 +91,10 @@
     /// Whether a replica is known to have started to run it.
     pub execution_started: bool,
 }
+
+impl Request {
+    /// Returns whether a replica may have started to run it: one did, or one has it now.
+    pub fn may_have_run(&self) -> bool {
+        self.execution_started || self.replica.is_some()
+    }
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,6 +3,7 @@
 use clock::Span;
 use clock::Time;
 use line::Line;
+use policy::job;
 use verdict::Reason;
 use verdict::Refusal;
 
@@ -18,8 +19,11 @@
 /// longest hundredth 4 s. A stream still running at the end is cut, while a refusal lets its caller go
 /// elsewhere at once.
 const STREAM_CUTOFF: Span = Span::from_millis(5_000);
-/// Time before the end of the grace period at which open requests are refused and the process exits.
-const EXIT_MARGIN: Span = Span::from_millis(400);
+/// Time before the end of the grace period from which requests that no replica has are refused.
+const REFUSAL_MARGIN: Span = Span::from_millis(400);
+/// Time before the end of the grace period at which the process exits, whatever still runs: long enough for the last
+/// answers to be sent.
+const EXIT_MARGIN: Span = Span::from_millis(150);
 
 impl Gateway {
     /// Starts the shutdown.
@@ -47,10 +51,12 @@
     pub(crate) fn next_stop_wake(&self) -> Option<Time> {
         let requested_at = self.stop_requested_at?;
         let drain_time = self.drain_time();
-        let end = requested_at + (self.settings.grace - EXIT_MARGIN);
-        Some(match self.is_idle() {
-            true => end.min(requested_at + drain_time),
-            false => end,
+        let end_of = |margin: Span| requested_at + (self.settings.grace - margin);
+        let has_waiting = self.waiting_requests().next().is_some();
+        Some(match (self.is_idle(), has_waiting) {
+            (true, _) => requested_at + drain_time,
+            (false, true) => end_of(REFUSAL_MARGIN),
+            (false, false) => end_of(EXIT_MARGIN),
         })
     }
 
@@ -60,8 +66,13 @@
             return;
         };
         let waited = now.since(requested_at);
+        if waited >= self.settings.grace - REFUSAL_MARGIN {
+            let waiting: Vec<u64> = self.waiting_requests().collect();
+            self.refuse_all(now, waiting, effects);
+        }
         if waited >= self.settings.grace - EXIT_MARGIN {
-            self.refuse_open_requests(now, effects);
+            let open = self.requests.keys().copied().collect();
+            self.refuse_all(now, open, effects);
         } else if waited < self.drain_time() || !self.is_idle() {
             return;
         }
@@ -77,14 +88,23 @@
     /// Returns for how long callers may still use an address that they got before the shutdown.
     fn drain_time(&self) -> Span {
         let hold_time = self.settings.address_ttl.times(ADDRESS_HOLD_FACTOR);
-        hold_time.min(self.settings.grace - EXIT_MARGIN)
+        hold_time.min(self.settings.grace - REFUSAL_MARGIN)
+    }
+
+    /// Returns the open requests that no replica has.
+    fn waiting_requests(&self) -> impl Iterator<Item = u64> {
+        let waiting = self.requests.iter();
+        waiting
+            .filter(|(_, request)| request.replica.is_none())
+            .map(|(serial, _)| *serial)
     }
 
-    /// Refuses all open requests.
-    fn refuse_open_requests(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let serials: Vec<u64> = self.requests.keys().copied().collect();
+    fn refuse_all(&mut self, now: Time, serials: Vec<u64>, effects: &mut Vec<Effect>) {
         for serial in serials {
             let refusal = Refusal::not_run(Reason::Leaving, "this entry ends");
+            self.with_scheduler(now, effects, |scheduler, out| {
+                scheduler.cancel(now, job::Id(serial), out);
+            });
             self.refuse(now, serial, refusal, effects);
         }
     }
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -22,14 +22,7 @@
 
     /// Refuses one request whose deadline has passed.
     fn time_out(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
-        let running = self
-            .requests
-            .get(&serial)
-            .is_some_and(|request| request.replica.is_some());
-        let refusal = match running {
-            true => Refusal::may_have_run(Reason::TimedOut, "its time is up"),
-            false => Refusal::not_run(Reason::TimedOut, "its time is up"),
-        };
+        let refusal = Refusal::not_run(Reason::TimedOut, "its time is up");
         self.with_scheduler(now, effects, |scheduler, out| {
             scheduler.cancel(now, job::Id(serial), out);
         });
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -51,6 +51,7 @@
 use store::call::Row;
 use store::fake::Table;
 use verdict::Refusal;
+use verdict::Verdict;
 use watch::server::Reading;
 use watch::server::Removal;
 use watch::server::Server;
@@ -592,6 +593,24 @@
         std::mem::take(&mut self.named_entries)
     }
 
+    /// Sends a request without its answer; returns its serial number. `prompt` is that of a stream.
+    pub fn open(&mut self, entry: usize, path: &str, prompt: Option<Prompt>) -> u64 {
+        self.arrive(entry, path, prompt)
+    }
+
+    /// Ends the latest attempt of a request.
+    pub fn end_latest(&mut self, serial: u64, end: End) {
+        let of_request = |sent: &&SentRequest| sent.serial == serial;
+        let sent = self.sent_requests.iter().rfind(of_request).cloned();
+        self.end_attempt(&sent.expect("an attempt"), end);
+    }
+
+    /// Returns whether a request was refused as one that may have run; `None` if it wasn't refused.
+    pub fn may_have_run(&self, serial: u64) -> Option<bool> {
+        let refusal = self.refusals.get(&format_smolstr!("r{serial}"))?;
+        Some(refusal.verdict == Verdict::MayHaveRun)
+    }
+
     /// Sends a request on a public route, which stays unanswered.
     pub fn request_public(&mut self, entry: usize) {
         self.arrive(entry, "/open/1", None);
@@ -1299,6 +1318,13 @@
         public: true,
         ..route.clone()
     };
+    let filings = Route {
+        name: SmolStr::new_static("filings"),
+        prefix: SmolStr::new_static("/filings/"),
+        repeat: Repeat::NonIdempotent,
+        timeout: Span::from_seconds(15),
+        ..route.clone()
+    };
     let chats = Route {
         name: SmolStr::new_static("chats"),
         prefix: SmolStr::new_static("/chats/"),
@@ -1356,7 +1382,7 @@
         keys: vec![SmolStr::new_static(OTHER_KEY)],
         ..account.clone()
     };
-    let mut routes = vec![route.clone(), talks, chats, open];
+    let mut routes = vec![route.clone(), talks, filings, chats, open];
     let mut services = vec![service];
     let mut accounts = vec![account];
     if document == Document::Extended {
