Gateway: a stream whose version isn't known is logged with its request

Cause: stream_version_unknown named no request, and was also logged for callers that had left. Done: the line has the request's id; requests that were closed meanwhile are dropped in silence. Tests of the gateway pass.

--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -16,6 +16,7 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::request::Request;
 use crate::returns::Source;
 use crate::versions::Service;
 
@@ -35,14 +36,14 @@
 pub(crate) struct Releases {
     /// When each entry made its last statement.
     stated_at: BTreeMap<holder::Id, Time>,
+    /// Serial numbers of the requests.
     waiting: BTreeSet<u64>,
 }
 
 /// Whether all entries know the same single version of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
 enum Agreement {
     Agreed(SmolStr),
-    /// Several versions are known, or an entry can't be asked.
+    /// Several versions are known, or an entry can't be asked; holds the cause.
     Impossible(&'static str),
     /// Statements are missing that may still arrive.
     Pending,
@@ -105,18 +106,21 @@
         }
         self.record_versions(now);
         for serial in self.releases.waiting.clone() {
-            let agreement = self.agreement(now, serial);
-            if agreement == Agreement::Pending {
+            let Some(open) = self.requests.get(&serial) else {
+                self.releases.waiting.remove(&serial);
                 continue;
-            }
-            self.releases.waiting.remove(&serial);
-            match agreement {
+            };
+            match self.agreement(now, open) {
                 Agreement::Agreed(version) => {
+                    self.releases.waiting.remove(&serial);
                     self.resume_at(now, serial, &version, Source::Agreed, effects);
                 }
                 Agreement::Impossible(cause) => {
-                    let line = Line::info("stream_version_unknown").with("cause", cause);
+                    let line = Line::info("stream_version_unknown")
+                        .with("request", &open.id)
+                        .with("cause", cause);
                     effects.push(Effect::Log(line));
+                    self.releases.waiting.remove(&serial);
                     self.refuse_unknown(now, serial, effects);
                 }
                 Agreement::Pending => {}
@@ -125,10 +129,7 @@
     }
 
     /// Returns whether all entries are known to know a single version of the service of a request.
-    fn agreement(&self, now: Time, serial: u64) -> Agreement {
-        let Some(open) = self.requests.get(&serial) else {
-            return Agreement::Impossible("closed");
-        };
+    fn agreement(&self, now: Time, open: &Request) -> Agreement {
         let known = self.versions.services.get(&open.service);
         let Some(only) = known.and_then(|known| known.recent_only(now)) else {
             return Agreement::Impossible("several_versions");
