Clock: a span is subtracted from a time in one place

Cause: two modules had a function time_before of their own, and statements on versions computed the same twice more. Behaviour is as before; tests of clock, watch and gateway pass.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -45,6 +45,14 @@
     }
 }
 
+impl Sub<Span> for Time {
+    type Output = Time;
+
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
 impl fmt::Display for Time {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.0)
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -200,7 +200,7 @@
         let engine = catalog
             .service(&service)
             .and_then(|service| service.engine.as_ref());
-        let arrived_at = time_before(now, arrival.read_time);
+        let arrived_at = now - arrival.read_time;
         let deadline = arrived_at + route.timeout.min(arrival.deadline.unwrap_or(route.timeout));
         Ok(Request {
             id: arrival.id.clone(),
@@ -370,8 +370,3 @@
         _ => None,
     }
 }
-
-/// Returns the time `span` before `now`.
-fn time_before(now: Time, span: Span) -> Time {
-    Time::from_millis(now.as_millis().saturating_sub(span.as_millis()))
-}
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -86,7 +86,7 @@
                 known.record_heard(now, version, age + Span::from_millis(*millis));
             }
         }
-        let made_at = Time::ZERO + (now.since(Time::ZERO) - age);
+        let made_at = now - age;
         let known = self.releases.stated_at.entry(from).or_insert(made_at);
         *known = made_at.max(*known);
         self.settle_agreements(now, effects);
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -109,7 +109,7 @@
         if age >= RETURN_WINDOW {
             return;
         }
-        let at = Time::ZERO + (now.since(Time::ZERO) - age);
+        let at = now - age;
         let known = self.heard.entry(version.clone()).or_insert(at);
         *known = at.max(*known);
     }
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -160,7 +160,7 @@
         if report.digest == self.list.digest() {
             self.mismatch_since = None;
             self.advance_position(Position {
-                as_of: time_before(now, Span::from_millis(report.age_ms)),
+                as_of: now - Span::from_millis(report.age_ms),
                 revision: report.revision,
             });
             return self.position;
@@ -288,8 +288,3 @@
         self.list.digest()
     }
 }
-
-/// Returns the time `span` before `now`.
-fn time_before(now: Time, span: Span) -> Time {
-    Time::from_millis(now.as_millis().saturating_sub(span.as_millis()))
-}
