--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -178,6 +178,20 @@
         self.close_refused(now, serial, refusal, None, effects);
     }
 
+    /// Ends an open request with a final refusal, wherever it waits or runs.
+    pub(crate) fn cancel_and_refuse(
+        &mut self,
+        now: Time,
+        serial: u64,
+        refusal: Refusal,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.with_scheduler(now, effects, |scheduler, out| {
+            scheduler.cancel(now, job::Id(serial), out);
+        });
+        self.refuse(now, serial, refusal, effects);
+    }
+
     /// Ends a request that the plan refuses.
     pub(crate) fn refuse_shed(
         &mut self,
--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -29,7 +29,6 @@
 use crate::store_calls::Waiter;
 use crate::versions::RETURN_WINDOW;
 use crate::versions::REVIEW_INTERVAL;
-use crate::versions::Service;
 use crate::versions::Stored;
 
 /// Table of the default versions, by service.
@@ -52,8 +51,6 @@
         if now < self.versions.next_review {
             return;
         }
-        self.settle_agreements(now, effects);
-        self.forget_statements();
         self.versions.next_review = now + REVIEW_INTERVAL;
         let Some(catalog) = &self.catalog else {
             return;
@@ -63,16 +60,6 @@
             .flat_map(|route| &route.shares)
             .map(|share| share.service.clone())
             .collect();
-        let mut counts = self.version_counts();
-        let list_lag = self.list_lag(now);
-        for service in services {
-            let counts = counts.remove(&service).unwrap_or_default();
-            self.review_service(now, service, counts, list_lag);
-        }
-    }
-
-    /// Returns the numbers of replicas that aren't leaving, by service and version.
-    fn version_counts(&self) -> BTreeMap<SmolStr, BTreeMap<SmolStr, usize>> {
         let mut counts: BTreeMap<SmolStr, BTreeMap<SmolStr, usize>> = BTreeMap::new();
         for record in self.servers.iter() {
             if !self.servers.is_leaving(&record.server.incarnation) {
@@ -81,16 +68,12 @@
                 *of_service.entry(record.server.version.clone()).or_default() += 1;
             }
         }
-        counts
-    }
-
-    /// Records which versions this entry knows now.
-    pub(crate) fn record_versions(&mut self, now: Time) {
-        let counts = self.version_counts();
-        for (service, known) in &mut self.versions.services {
-            let of_service = counts.get(service).into_iter();
-            known.record_seen(now, of_service.flat_map(BTreeMap::keys));
+        let list_lag = self.list_lag(now);
+        for service in services {
+            let counts = counts.remove(&service).unwrap_or_default();
+            self.review_service(now, service, counts, list_lag);
         }
+        self.settle_agreements(now, effects);
     }
 
     /// Updates the numbers of a service's replicas, and reads its default if that is due.
@@ -101,8 +84,7 @@
         counts: BTreeMap<SmolStr, usize>,
         list_lag: Span,
     ) {
-        let known = self.versions.services.entry(service.clone());
-        let known = known.or_insert_with(Service::new);
+        let known = self.versions.services.entry(service.clone()).or_default();
         let was_mixed = known.is_mixed();
         known.review(now, counts, list_lag);
         let is_due = known.needs_call(now);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -206,6 +206,7 @@
     }
 
     fn handle_peers_change(&mut self, now: Time, peers: &[holder::Id], effects: &mut Vec<Effect>) {
+        self.releases.retain(peers);
         let members = peers.len() + 1;
         let entries = self.entry_count();
         self.scheduler.set_entries(entries);
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -299,6 +299,8 @@
         let mut decisions = Vec::new();
         let key = self.scheduler.replica_joined(now, spec, &mut decisions);
         // The scheduler may place waiting requests at once, for which the server must be known first.
+        self.versions
+            .record_joined(now, &server.service, &server.version);
         self.servers.add(key, server);
         self.apply_pause(now, &incarnation, effects);
         for decision in decisions {
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -1,9 +1,9 @@
 //! What all entries together know of the software versions that serve.
 //!
-//! An entry that the table service turns away, or that stood still, doesn't hear of new servers. A list with a single
-//! version then proves nothing about a stream that began elsewhere. So each entry states with its counts which versions
-//! it knows, and a caller that takes up a stream without a record is served once the statements of all entries, or the
-//! list itself, are newer than the request.
+//! An entry that is cut off from the table service, or was paused, doesn't hear of new servers. A list with a single
+//! version then proves nothing about a stream that began elsewhere. So the bulletins of each entry state which versions
+//! it knows, and a stream without a record is resumed once the statements of all entries, or the list itself, are newer
+//! than the request.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -18,14 +18,12 @@
 use crate::gateway::Gateway;
 use crate::request::Request;
 use crate::returns::Source;
-use crate::versions::Service;
 
 /// Longest wait for statements that are newer than a request: several rounds of them.
 const AGREEMENT_TIMEOUT: Span = Span::from_millis(1_500);
-/// Time on the way: a statement that arrives this soon after a request may be older.
+/// Longest network delay of a statement: one that arrives this soon after a request may be older.
 const STATEMENT_DELAY: Span = Span::from_millis(100);
-
-/// Time after its start in which an entry that finds another one learns of all that this one knows.
+/// Time after the start in which gossip brings all members that another entry knows.
 const GOSSIP_TIME: Span = Span::from_millis(2_000);
 
 /// The versions that an entry has seen itself, by service, with the milliseconds since.
@@ -43,12 +41,43 @@
 /// Whether all entries know the same single version of a service.
 enum Agreement {
     Agreed(SmolStr),
-    /// Several versions are known, or an entry can't be asked; holds the cause.
-    Impossible(&'static str),
+    Impossible(Cause),
     /// Statements are missing that may still arrive.
     Pending,
 }
 
+/// The reason why entries can't agree on a single version.
+#[derive(Clone, Copy, Debug)]
+enum Cause {
+    /// Several versions, or none, served lately.
+    SeveralVersions,
+    /// The single version isn't the default one, which is about to be replaced.
+    NotTheDefault,
+    /// Another entry has failed or is cut off from this one.
+    SilentEntry,
+    /// Not all entries have made a statement in time.
+    NoStatements,
+}
+
+impl Cause {
+    /// Returns the form used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Cause::SeveralVersions => "several_versions",
+            Cause::NotTheDefault => "not_the_default",
+            Cause::SilentEntry => "silent_entry",
+            Cause::NoStatements => "no_statements",
+        }
+    }
+}
+
+impl Releases {
+    /// Forgets the statements of all others but `peers`.
+    pub fn retain(&mut self, peers: &[holder::Id]) {
+        self.stated_at.retain(|id, _| peers.contains(id));
+    }
+}
+
 /// Adds a statement to a sum: the newest sight of each version counts.
 pub(crate) fn merge(into: &mut Statement, one: &Statement) {
     for (service, versions) in one {
@@ -62,8 +91,7 @@
 
 impl Gateway {
     /// Returns the versions of all services with resumable streams that this entry has seen itself.
-    pub(crate) fn statement(&mut self, now: Time) -> Statement {
-        self.record_versions(now);
+    pub(crate) fn statement(&self, now: Time) -> Statement {
         let services = self.versions.services.iter();
         services
             .map(|(service, known)| (service.clone(), known.seen_ages(now)))
@@ -80,8 +108,7 @@
         effects: &mut Vec<Effect>,
     ) {
         for (service, versions) in statement {
-            let known = self.versions.services.entry(service.clone());
-            let known = known.or_insert_with(Service::new);
+            let known = self.versions.services.entry(service.clone()).or_default();
             for (version, millis) in versions {
                 known.record_heard(now, version, age + Span::from_millis(*millis));
             }
@@ -101,10 +128,6 @@
 
     /// Decides on requests that wait for statements.
     pub(crate) fn settle_agreements(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if self.releases.waiting.is_empty() {
-            return;
-        }
-        self.record_versions(now);
         for serial in self.releases.waiting.clone() {
             let Some(open) = self.requests.get(&serial) else {
                 self.releases.waiting.remove(&serial);
@@ -118,7 +141,7 @@
                 Agreement::Impossible(cause) => {
                     let line = Line::info("stream_version_unknown")
                         .with("request", &open.id)
-                        .with("cause", cause);
+                        .with("cause", cause.as_str());
                     effects.push(Effect::Log(line));
                     self.releases.waiting.remove(&serial);
                     self.refuse_unknown(now, serial, effects);
@@ -132,22 +155,22 @@
     fn agreement(&self, now: Time, open: &Request) -> Agreement {
         let known = self.versions.services.get(&open.service);
         let Some(only) = known.and_then(|known| known.recent_only(now)) else {
-            return Agreement::Impossible("several_versions");
+            return Agreement::Impossible(Cause::SeveralVersions);
         };
         let default = self.versions.default_of(now, &open.service);
         if default.is_some_and(|default| default != only) {
-            return Agreement::Impossible("not_the_default");
+            return Agreement::Impossible(Cause::NotTheDefault);
         }
         let is_stated = self.knows_entries(now) && self.are_statements_newer(open.arrived_at);
         if is_stated || self.is_list_newer(open.arrived_at) {
             return Agreement::Agreed(only.clone());
         }
         if self.is_any_peer_silent(now) {
-            return Agreement::Impossible("silent_entry");
+            return Agreement::Impossible(Cause::SilentEntry);
         }
         match now.since(open.arrived_at) < AGREEMENT_TIMEOUT {
             true => Agreement::Pending,
-            false => Agreement::Impossible("no_statements"),
+            false => Agreement::Impossible(Cause::NoStatements),
         }
     }
 
@@ -156,7 +179,7 @@
         self.servers.position().as_of >= at
     }
 
-    /// Returns whether this entry knows all others: from the table service, or from those that it found.
+    /// Returns whether this entry knows all others, by its own read or by gossip.
     fn knows_entries(&self, now: Time) -> bool {
         let has_found = now >= Time::ZERO + GOSSIP_TIME && self.membership.peers().next().is_some();
         has_found || self.membership.has_read_all()
@@ -173,17 +196,10 @@
         !self.uses_hubs() && self.membership.peers().all(is_newer)
     }
 
-    /// Returns whether another entry is cut off from this one, or has ended without a word.
+    /// Returns whether another entry has failed or is cut off from this one.
     fn is_any_peer_silent(&self, now: Time) -> bool {
         let timeout = self.failure_timeout();
         let mut peers = self.membership.peers();
         !self.uses_hubs() && peers.any(|(_, peer)| now.since(peer.last_seen) > timeout)
     }
-
-    /// Forgets entries that have ended.
-    pub(crate) fn forget_statements(&mut self) {
-        let directory = self.membership.directory();
-        let stated_at = &mut self.releases.stated_at;
-        stated_at.retain(|id, _| directory.get(*id).is_some());
-    }
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,7 +3,6 @@
 use clock::Span;
 use clock::Time;
 use line::Line;
-use policy::job;
 use verdict::Reason;
 use verdict::Refusal;
 
@@ -60,20 +59,22 @@
         })
     }
 
-    /// Exits once no request is open, or the grace period is over.
+    /// Exits once no request is open, or the grace period is over. Requests that no replica has are refused a little
+    /// earlier than those that may still be answered.
     pub(crate) fn stop_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Some(requested_at) = self.stop_requested_at else {
             return;
         };
         let waited = now.since(requested_at);
-        if waited >= self.settings.grace - REFUSAL_MARGIN {
-            let waiting: Vec<u64> = self.waiting_requests().collect();
-            self.refuse_all(now, waiting, effects);
-        }
-        if waited >= self.settings.grace - EXIT_MARGIN {
+        let is_over = waited >= self.settings.grace - EXIT_MARGIN;
+        if is_over {
             let open = self.requests.keys().copied().collect();
             self.refuse_all(now, open, effects);
-        } else if waited < self.drain_time() || !self.is_idle() {
+        } else if waited >= self.settings.grace - REFUSAL_MARGIN {
+            let waiting = self.waiting_requests().collect();
+            self.refuse_all(now, waiting, effects);
+        }
+        if !is_over && (waited < self.drain_time() || !self.is_idle()) {
             return;
         }
         effects.push(Effect::Log(Line::info("stopped").with("waited", waited)));
@@ -102,10 +103,7 @@
     fn refuse_all(&mut self, now: Time, serials: Vec<u64>, effects: &mut Vec<Effect>) {
         for serial in serials {
             let refusal = Refusal::not_run(Reason::Leaving, "this entry ends");
-            self.with_scheduler(now, effects, |scheduler, out| {
-                scheduler.cancel(now, job::Id(serial), out);
-            });
-            self.refuse(now, serial, refusal, effects);
+            self.cancel_and_refuse(now, serial, refusal, effects);
         }
     }
 }
--- a/crates/gateway/src/timeouts.rs
+++ b/crates/gateway/src/timeouts.rs
@@ -1,7 +1,6 @@
 //! Deadlines of open requests.
 
 use clock::Time;
-use policy::job;
 use verdict::Reason;
 use verdict::Refusal;
 
@@ -16,16 +15,8 @@
                 return;
             }
             self.timeouts.remove(&(at, serial));
-            self.time_out(now, serial, effects);
+            let refusal = Refusal::not_run(Reason::TimedOut, "its time is up");
+            self.cancel_and_refuse(now, serial, refusal, effects);
         }
     }
-
-    /// Refuses one request whose deadline has passed.
-    fn time_out(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
-        let refusal = Refusal::not_run(Reason::TimedOut, "its time is up");
-        self.with_scheduler(now, effects, |scheduler, out| {
-            scheduler.cancel(now, job::Id(serial), out);
-        });
-        self.refuse(now, serial, refusal, effects);
-    }
 }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -32,11 +32,12 @@
 }
 
 /// The versions of one service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Service {
     /// Replicas that aren't leaving, by version.
     counts: BTreeMap<SmolStr, usize>,
-    /// When this entry last knew a replica of each version, within [`RETURN_WINDOW`].
+    /// When this entry last knew a replica of each version, within [`RETURN_WINDOW`]. Invariant: has every version whose
+    /// replicas this entry may use.
     seen: BTreeMap<SmolStr, Time>,
     /// The same according to other entries.
     heard: BTreeMap<SmolStr, Time>,
@@ -68,24 +69,14 @@
 }
 
 impl Service {
-    pub fn new() -> Service {
-        Service {
-            counts: BTreeMap::new(),
-            seen: BTreeMap::new(),
-            heard: BTreeMap::new(),
-            default: None,
-            reread_at: None,
-            absent_since: None,
-            proposed: None,
-            calling: false,
-            next_call: Time::ZERO,
-            waiting: Vec::new(),
-        }
-    }
-
     /// Updates the numbers of replicas, according to a list that was out of date for `list_lag`.
     pub fn review(&mut self, now: Time, counts: BTreeMap<SmolStr, usize>, list_lag: Span) {
-        self.record_seen(now, counts.keys());
+        for version in counts.keys() {
+            self.seen.insert(version.clone(), now);
+        }
+        let is_recent = |_: &SmolStr, at: &mut Time| now.since(*at) < RETURN_WINDOW;
+        self.seen.retain(is_recent);
+        self.heard.retain(is_recent);
         self.counts = counts;
         self.track_absence(now);
         let doubt_after = RETURN_WINDOW.scaled(DOUBT_FRACTION);
@@ -94,16 +85,6 @@
         }
     }
 
-    /// Records that this entry knows replicas of these versions.
-    pub fn record_seen<'a>(&mut self, now: Time, versions: impl Iterator<Item = &'a SmolStr>) {
-        for version in versions {
-            self.seen.insert(version.clone(), now);
-        }
-        let is_recent = |_: &SmolStr, at: &mut Time| now.since(*at) < RETURN_WINDOW;
-        self.seen.retain(is_recent);
-        self.heard.retain(is_recent);
-    }
-
     /// Records that another entry knew a replica of a version some time ago.
     pub fn record_heard(&mut self, now: Time, version: &SmolStr, age: Span) {
         if age >= RETURN_WINDOW {
@@ -217,10 +198,16 @@
         counts.keys().next().filter(|_| counts.len() == 1)
     }
 
+    /// Records that a replica of a version joined, if streams of its service can be resumed.
+    pub fn record_joined(&mut self, now: Time, service: &str, version: &SmolStr) {
+        if let Some(known) = self.services.get_mut(service) {
+            known.seen.insert(version.clone(), now);
+        }
+    }
+
     /// Keeps a request until the service's default version is known.
     pub fn await_default(&mut self, service: &SmolStr, serial: u64) {
-        let known = self.services.entry(service.clone());
-        let known = known.or_insert_with(Service::new);
+        let known = self.services.entry(service.clone()).or_default();
         known.waiting.push(serial);
     }
 
--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -63,23 +63,23 @@
     ]
 }
 
-/// Guards against telling callers at the end of the grace period that a request didn't run which a server is running.
+/// Guards against the verdict "not run" for a request that a server has when the grace period ends.
 #[test]
 fn a_request_that_a_server_has_is_not_denied_at_the_end_of_a_stop() {
     for (path, prompt) in long_requests() {
         let mut world = stopping_world();
-        let serial = world.open(0, path, prompt);
+        let serial = world.arrive(0, path, prompt);
         world.run(GRACE_MILLIS);
         assert_eq!(world.may_have_run(serial), Some(true), "{path}");
     }
 }
 
-/// Guards against the same for a run that is being moved off its server before its first event.
+/// Guards against the same for a run that is moved off its server before its first event.
 #[test]
 fn a_run_that_is_being_moved_is_not_denied_at_the_end_of_a_stop() {
     let [_, (path, prompt), _] = long_requests();
     let mut world = stopping_world();
-    let serial = world.open(0, path, prompt);
+    let serial = world.arrive(0, path, prompt);
     let place = world.servers_by_request[&serial].clone();
     for server in &mut world.servers {
         server.leaving |= server.incarnation == place;
@@ -90,26 +90,26 @@
     assert_eq!(world.may_have_run(serial), Some(true));
 }
 
-/// Guards against the same at the other ends of a request: its time is up while a server has it, or after one had it.
+/// Guards against the same for a request whose deadline passes while a server has it.
 #[test]
 fn a_request_that_a_server_has_is_not_denied_when_its_time_is_up() {
     for (path, prompt) in long_requests() {
         let mut world = World::new(1);
         world.run(5_000);
-        let serial = world.open(0, path, prompt);
+        let serial = world.arrive(0, path, prompt);
         world.run(16_000);
         assert_eq!(world.may_have_run(serial), Some(true), "{path}");
     }
 }
 
-/// Guards against telling callers that a request didn't run because a further server said so of its own attempt.
+/// Guards against the verdict "not run" after a failed attempt, because a further server didn't start its own.
 #[test]
 fn a_request_that_failed_once_is_not_denied_by_a_further_server() {
     for path in ["/drafts/1", "/chats/1"] {
         let mut world = World::new(1);
         world.run(5_000);
         let prompt = path.starts_with("/chats").then(Prompt::default);
-        let serial = world.open(0, path, prompt);
+        let serial = world.arrive(0, path, prompt);
         world.end_latest(serial, End::Broken { alive: true });
         world.end_latest(serial, End::NotStarted);
         world.run(16_000);
@@ -117,7 +117,7 @@
     }
 }
 
-/// Guards against holding back a repeat: what no server has run is told so, also at the end of a stop.
+/// Guards against the verdict "may have run" for a request that no server started, which would keep its caller from a retry.
 #[test]
 fn a_request_that_no_server_started_is_told_so() {
     for stops in [false, true] {
@@ -126,7 +126,7 @@
             false => World::new(1),
         };
         world.run(1_000);
-        let serial = world.open(0, "/filings/1", None);
+        let serial = world.arrive(0, "/filings/1", None);
         for _ in 0..2 {
             if world.may_have_run(serial).is_none() {
                 world.end_latest(serial, End::NotStarted);
@@ -137,11 +137,11 @@
     }
 }
 
-/// Guards against throwing away an answer that arrives before the process has to end.
+/// Guards against discarding an answer that arrives before the process has to exit.
 #[test]
 fn an_answer_just_before_the_end_of_a_stop_is_delivered() {
     let mut world = stopping_world();
-    let serial = world.open(0, "/filings/1", None);
+    let serial = world.arrive(0, "/filings/1", None);
     world.run(6_800);
     world.finish_request(0, serial, false);
     world.run(GRACE_MILLIS);
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -171,8 +171,8 @@
     began
 }
 
-/// Guards against streams that go on at the only version of an outdated list, at an entry that the table service turns
-/// away: briefly after all runs of one version, or long after.
+/// Guards against resuming a stream at the only version of an outdated list while the table service rejects the entry,
+/// whether that version has been the only one briefly or for long.
 #[test]
 fn an_entry_without_the_table_service_takes_no_outdated_list_for_proof() {
     for uniform_for in [0, WINDOW_MILLIS + 6_000] {
@@ -198,25 +198,15 @@
     }
 }
 
-/// Guards against the same at an entry that was frozen and finds callers that came meanwhile, before it hears of anything.
+/// Guards against the same at an entry that was paused, for requests that arrived before it hears of new servers.
 #[test]
 fn an_entry_that_was_frozen_takes_no_outdated_list_for_proof() {
     for uniform_for in [0, WINDOW_MILLIS + 6_000] {
         let mut world = world(3, false);
         world.run(uniform_for);
         let began = release_unheard(&mut world, &[1, 2]);
-        let resumed: Vec<u64> = began
-            .iter()
-            .map(|serial| {
-                world.resume_stream(0, *serial);
-                world.last_serial()
-            })
-            .collect();
-        world.run(RETURN_MILLIS * 4);
-        for serial in resumed {
-            let version = world.version_of(serial);
-            assert_ne!(version.as_deref(), Some("v1"), "{uniform_for} ms");
-        }
+        let resumed = resume_all(&mut world, 0, &began);
+        assert!(!resumed.contains(&Some("v1".into())), "{uniform_for} ms");
     }
 }
 
@@ -235,7 +225,7 @@
     assert!(resumed.iter().all(Option::is_none), "{resumed:?}");
 }
 
-/// Guards against a restart without the table service: an entry that has found no other one yet knows of no others.
+/// Guards against the same at an entry that started without the table service and hasn't found the others yet.
 #[test]
 fn an_entry_that_just_started_takes_no_silence_for_agreement() {
     let mut world = world(3, false);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -593,16 +593,15 @@
         std::mem::take(&mut self.named_entries)
     }
 
-    /// Sends a request without its answer; returns its serial number. `prompt` is that of a stream.
-    pub fn open(&mut self, entry: usize, path: &str, prompt: Option<Prompt>) -> u64 {
-        self.arrive(entry, path, prompt)
-    }
-
     /// Ends the latest attempt of a request.
     pub fn end_latest(&mut self, serial: u64, end: End) {
-        let of_request = |sent: &&SentRequest| sent.serial == serial;
-        let sent = self.sent_requests.iter().rfind(of_request).cloned();
-        self.end_attempt(&sent.expect("an attempt"), end);
+        let sent = self.latest_attempt(serial).cloned().expect("an attempt");
+        self.end_attempt(&sent, end);
+    }
+
+    fn latest_attempt(&self, serial: u64) -> Option<&SentRequest> {
+        let mut sent = self.sent_requests.iter();
+        sent.rfind(|sent| sent.serial == serial)
     }
 
     /// Returns whether a request was refused as one that may have run; `None` if it wasn't refused.
@@ -898,7 +897,8 @@
         self.step(entry, event);
     }
 
-    fn arrive(&mut self, entry: usize, path: &str, prompt: Option<Prompt>) -> u64 {
+    /// Sends a request, which stays unanswered; returns its serial number. Requests for streams have prompts.
+    pub fn arrive(&mut self, entry: usize, path: &str, prompt: Option<Prompt>) -> u64 {
         self.next_serial += 1;
         let serial = self.next_serial;
         let arrival = Box::new(new_arrival(serial, SmolStr::from(path), prompt));
@@ -1153,9 +1153,9 @@
                         self.awaiting_record.remove(&serial);
                     }
                     Command::Stop => {
-                        let of_request = |sent: &&SentRequest| sent.serial == serial;
-                        let last = self.sent_requests.iter().rfind(of_request);
-                        self.stopped.extend(last.map(|sent| (serial, sent.attempt)));
+                        let attempt = self.latest_attempt(serial).map(|sent| sent.attempt);
+                        self.stopped
+                            .extend(attempt.map(|attempt| (serial, attempt)));
                     }
                 }
                 None
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -67,7 +67,7 @@
 }
 
 impl Flight {
-    /// Resumes a run whose stream ended because it was moved; returns `end` unchanged if it was not.
+    /// Resumes a run whose stream ended, or fell silent, because it was moved; returns `end` unchanged if it was not.
     pub async fn continue_elsewhere(
         &mut self,
         start: &Start,
