--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cloud;
 pub mod configs;
 pub mod content;
+pub mod crowd;
 pub mod entry;
 pub mod environment;
 pub mod faults;
--- /dev/null
+++ b/crates/standin/tests/crowd.rs
@@ -0,0 +1,281 @@
+//! Callers that don't behave, against an entry with the product's own wire as a process: it lives, stays within its
+//! memory and descriptors, and answers an ordinary request.
+
+#![allow(clippy::unwrap_used)]
+
+mod harness;
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use harness::cluster::Cluster;
+use harness::cluster::Size;
+use harness::process::Process;
+use harness::process::scratch_path;
+use http::Request;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::client::conn::http2;
+use hyper::rt::Executor;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use soak::crowd;
+use soak::crowd::Crowd;
+use soak::crowd::Framing;
+use soak::crowd::Member;
+use standin::sample;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+/// Crowds are measured one at a time.
+static ALONE: Mutex<()> = Mutex::new(());
+
+/// Memory of the entry's machine.
+const MEMORY_MB: usize = 96;
+/// Descriptors that the entry may open.
+const DESCRIPTORS: usize = 300;
+/// Limit of a call's body.
+const BODY_BYTES: usize = 1 << 20;
+/// Large bodies at once, together twice the memory.
+const LARGE_BODIES: usize = 192;
+/// Connections, more than there are descriptors.
+const CONNECTIONS: usize = 400;
+/// Longest wait for an answer, after which an ordinary caller tries again, and number of tries.
+const TRY_TIMEOUT: Duration = Duration::from_secs(5);
+const TRIES: usize = 8;
+/// Longest wait for a crowd to have sent everything.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time in which a crowd goes on.
+const CROWD_TIME: Duration = Duration::from_secs(2);
+/// Size of a part of a body on HTTP/2.
+const FRAME_BYTES: usize = 16 << 10;
+
+/// An installation with one entry.
+struct World {
+    cluster: Cluster,
+}
+
+impl World {
+    async fn start() -> World {
+        let mut cluster = Cluster::start(&Size {
+            entries: 0,
+            engines: 1,
+            services: 1,
+            token_ms: 5,
+        })
+        .await;
+        let platform = cluster.platform.address("address");
+        let settings = json!({
+            "identity": {"name": "entry-0", "zone": "a"},
+            "callers": {
+                "listen": sample::ANY_PORT, "max_body_bytes": BODY_BYTES,
+                "header_timeout_ms": 600_000, "body_timeout_ms": 600_000,
+            },
+            "machine": {"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS},
+            "admin": {"listen": sample::ANY_PORT},
+            "operators": {"listen": sample::ANY_PORT, "key": sample::OPERATORS_KEY},
+            "peers": {"listen": sample::ANY_PORT, "key": sample::PEER_KEY},
+            "platform": {
+                "table_service": format!("http://{platform}"), "cloud": format!("http://{platform}"),
+                "instances_interval_ms": 200,
+            },
+            "leases": {"term_ms": 3000, "margin_ms": 500, "renew_interval_ms": 800},
+        });
+        let path = scratch_path("crowd.jsonc");
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let path = path.display().to_string();
+        let arguments = ["entry", "--settings", &path];
+        let entry = Process::start_limited("entry-0", &arguments, DESCRIPTORS).await;
+        cluster.entries.push(entry);
+        cluster.deploy().await;
+        let world = World { cluster };
+        world.check_served().await;
+        world
+    }
+
+    fn address(&self, port: &str) -> SocketAddr {
+        self.cluster.entries[0].address(port).parse().unwrap()
+    }
+
+    /// Starts a crowd at a port of the entry, and waits until it has sent everything.
+    async fn crowd(&self, port: &str, size: usize, member: &Member) -> Crowd {
+        let crowd = Crowd::start(self.address(port), size, member);
+        let settled = tokio::time::timeout(SETTLE_TIMEOUT, crowd.settle()).await;
+        assert!(settled.is_ok(), "the entry takes no connections");
+        tokio::time::sleep(CROWD_TIME).await;
+        crowd
+    }
+
+    /// Checks that an ordinary call is answered.
+    async fn check_served(&self) {
+        let request = format!("{}Connection: close\r\n\r\n", head("GET"));
+        let mut last = None;
+        for _ in 0..TRIES {
+            let asking = crowd::ask(self.address("callers"), request.as_bytes());
+            let answer = tokio::time::timeout(TRY_TIMEOUT, asking).await;
+            last = answer.ok().and_then(Result::ok).map(|(status, _)| status);
+            if last == Some(200) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        panic!("an ordinary call was answered with {last:?}");
+    }
+
+    /// Checks that the entry lives within its memory and descriptors, and answers an ordinary call.
+    async fn check(&mut self) {
+        self.check_bounds();
+        self.check_served().await;
+        self.check_bounds();
+    }
+
+    fn check_bounds(&mut self) {
+        let entry = &mut self.cluster.entries[0];
+        assert!(!entry.has_ended());
+        let memory = crowd::peak_memory(entry.id()).unwrap() >> 20;
+        assert!(memory <= MEMORY_MB, "the entry took {memory} MiB");
+        let descriptors = crowd::descriptors(entry.id()).unwrap();
+        assert!(
+            descriptors < DESCRIPTORS,
+            "the entry has {descriptors} open"
+        );
+    }
+}
+
+/// Returns the head of a call of the plain service, without its last headers.
+fn head(method: &str) -> String {
+    let (service, key) = (sample::SERVICE, sample::ACCOUNT_KEY);
+    format!(
+        "{method} /services/{service}/records HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {key}\r\n"
+    )
+}
+
+/// Runs one test alone on its own entry.
+fn alone(test: impl Future<Output = ()>) {
+    let alone = ALONE.lock();
+    harness::run(test);
+    drop(alone);
+}
+
+fn play(port: &str, size: usize, member: Member) {
+    alone(async {
+        let mut world = World::start().await;
+        let crowd = world.crowd(port, size, &member).await;
+        world.check().await;
+        drop(crowd);
+        world.check().await;
+    });
+}
+
+/// Guards against memory that grows with the number of large calls, announced by their length.
+#[test]
+fn calls_without_their_last_byte() {
+    let body = crowd::request(&head("PUT"), Framing::Length, BODY_BYTES, 1);
+    play("callers", LARGE_BODIES, Member::sending(body));
+}
+
+/// Guards against memory that grows with the number of chunks instead of their bytes.
+#[test]
+fn calls_in_chunks_of_one_byte() {
+    let body = crowd::request(&head("PUT"), Framing::Chunks(1), BODY_BYTES, 1);
+    play("callers", 8, Member::sending(body));
+}
+
+/// Guards against connections that take all descriptors and send nothing.
+#[test]
+fn callers_that_send_nothing() {
+    play("callers", CONNECTIONS, Member::silent());
+}
+
+/// Guards against connections that take all descriptors with heads that never end.
+#[test]
+fn callers_that_send_half_a_head() {
+    play("callers", CONNECTIONS, Member::sending(head("PUT")));
+}
+
+/// Guards against connections to the port for health checks that take all descriptors.
+#[test]
+fn crowd_at_the_admin_port() {
+    play("admin", CONNECTIONS, Member::silent());
+}
+
+/// Guards against connections to the port for other entries that take all descriptors.
+#[test]
+fn crowd_at_the_port_for_entries() {
+    play("peers", CONNECTIONS, Member::silent());
+}
+
+/// Guards against HTTP/2 connections without a call that take all descriptors.
+#[test]
+fn http2_connections_without_a_call() {
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0".as_slice();
+    play("callers", CONNECTIONS, Member::sending(preface));
+}
+
+/// Guards against memory for answers that aren't read.
+#[test]
+fn answers_that_callers_do_not_read() {
+    let body = crowd::request(&head("PUT"), Framing::Length, BODY_BYTES, 0);
+    play("callers", LARGE_BODIES, Member::not_reading(body));
+}
+
+/// Guards against memory that grows with the streams of a few HTTP/2 connections.
+#[test]
+fn http2_streams_without_their_last_byte() {
+    alone(async {
+        let mut world = World::start().await;
+        let mut streams = JoinSet::new();
+        for _ in 0..4 {
+            let socket = TcpStream::connect(world.address("callers")).await.unwrap();
+            let handshake = http2::handshake(LocalExecutor, TokioIo::new(socket));
+            let (sender, connection) = handshake.await.unwrap();
+            tokio::task::spawn_local(connection);
+            for _ in 0..LARGE_BODIES / 2 {
+                let mut sender = sender.clone();
+                streams.spawn_local(async move {
+                    let _ = sender.ready().await;
+                    let answer = sender.send_request(unfinished_call()).await;
+                    // The stream stays for as long as its answer, if it has one.
+                    std::future::pending::<()>().await;
+                    drop(answer);
+                });
+            }
+        }
+        tokio::time::sleep(2 * CROWD_TIME).await;
+        world.check().await;
+        drop(streams);
+        world.check().await;
+    });
+}
+
+type UnfinishedBody = StreamBody<stream::BoxStream<'static, Result<Frame<Bytes>, Infallible>>>;
+
+/// Returns a call whose body ends one byte early and stays open.
+fn unfinished_call() -> Request<UnfinishedBody> {
+    let full = Bytes::from_static(&[b'x'; FRAME_BYTES]);
+    let last = full.slice(1..);
+    let frames = stream::repeat(full)
+        .take(BODY_BYTES / FRAME_BYTES - 1)
+        .chain(stream::once(std::future::ready(last)))
+        .map(|bytes| Ok(Frame::data(bytes)))
+        .chain(stream::pending());
+    Request::put(format!("http://entry/services/{}/records", sample::SERVICE))
+        .header("authorization", format!("Bearer {}", sample::ACCOUNT_KEY))
+        .body(StreamBody::new(frames.boxed()))
+        .unwrap()
+}
+
+/// Spawns the tasks of a connection on the local thread.
+#[derive(Clone, Copy)]
+struct LocalExecutor;
+
+impl<F: Future<Output = ()> + 'static> Executor<F> for LocalExecutor {
+    fn execute(&self, future: F) {
+        tokio::task::spawn_local(future);
+    }
+}
--- a/crates/standin/tests/harness/process.rs
+++ b/crates/standin/tests/harness/process.rs
@@ -25,10 +25,26 @@
 impl Process {
     /// Starts `standin` with these arguments and waits until it listens.
     pub async fn start(name: &str, arguments: &[&str]) -> Process {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_standin"));
+        command.args(arguments);
+        Process::start_command(name, command).await
+    }
+
+    /// Starts `standin` with these arguments, able to open only this many descriptors.
+    pub async fn start_limited(name: &str, arguments: &[&str], descriptors: usize) -> Process {
+        let mut command = Command::new("sh");
+        command
+            .arg("-c")
+            .arg(format!("ulimit -n {descriptors}; exec \"$0\" \"$@\""))
+            .arg(env!("CARGO_BIN_EXE_standin"))
+            .args(arguments);
+        Process::start_command(name, command).await
+    }
+
+    async fn start_command(name: &str, mut command: Command) -> Process {
         let log = scratch_path(&format!("{name}.log"));
         let file = std::fs::File::create(&log).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_standin"))
-            .args(arguments)
+        let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(file)
