Peers: connections that prove nothing give way to other entries

What was seen: a crowd that opens connections to the port for other entries and sends nothing took every descriptor, and once the limit of 2,048 connections was reached, or a lower one, a sound entry's connection was refused.

Cause: connections without a proof counted like those of peers, and the limit knew nothing of the descriptors.

Change: at the limit the oldest connection that hasn't authenticated gives way to a new one; peers that have are never closed.

Result: connections_that_prove_nothing_give_way_to_peers failed before (the call of the first peer had no answer) and passes with the change; all tests of peer pass.

--- a/crates/peer/src/configs/limit.rs
+++ b/crates/peer/src/configs/limit.rs
@@ -25,3 +25,12 @@
         }
     }
 }
+
+impl Limit {
+    /// Lowers the number of connections to at most this one.
+    pub fn at_most(mut self, connections: u64) -> Limit {
+        let connections = usize::try_from(connections).unwrap_or(usize::MAX);
+        self.connections = self.connections.min(connections);
+        self
+    }
+}
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,7 @@
 //! Server side of the calls between entries.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use capnp::message::ReaderOptions;
@@ -12,6 +13,7 @@
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::peer_capnp::Answer;
@@ -36,26 +38,78 @@
 /// Serves peers until the future is dropped. Must run within a `LocalSet`.
 pub async fn serve(listener: TcpListener, key: Key, limit: Limit, receiver: Rc<dyn Receiver>) {
     let mut connections = JoinSet::new();
+    let mut unproved = Unproved::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             Some(_) = connections.join_next() => continue,
         };
         let Ok((socket, _)) = accepted else {
+            unproved.evict_oldest();
             tokio::time::sleep(ACCEPT_PAUSE.as_duration()).await;
             continue;
         };
-        if connections.len() >= limit.connections {
+        let is_full = connections.len() >= limit.connections;
+        if is_full && !unproved.evict_oldest() {
             log::warn!(event = "peer_refused", open = connections.len(); "");
             continue;
         }
-        connections.spawn_local(connection(socket, key.clone(), limit, Rc::clone(&receiver)));
+        let authenticated = Rc::new(Cell::new(false));
+        let task = connections.spawn_local(connection(
+            socket,
+            key.clone(),
+            limit,
+            Rc::clone(&receiver),
+            Rc::clone(&authenticated),
+        ));
+        unproved.push(task, authenticated);
+        if is_full {
+            // Lets the connection that gives way close.
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Connections whose peers haven't authenticated, oldest first. They give way to new ones, so that a crowd without the key
+/// doesn't keep peers out.
+#[derive(Default)]
+struct Unproved {
+    connections: VecDeque<(AbortHandle, Rc<Cell<bool>>)>,
+}
+
+impl Unproved {
+    fn push(&mut self, task: AbortHandle, authenticated: Rc<Cell<bool>>) {
+        self.forget_others();
+        self.connections.push_back((task, authenticated));
+    }
+
+    /// Removes those that have authenticated or ended.
+    fn forget_others(&mut self) {
+        let is_unproved = |(task, authenticated): &(AbortHandle, Rc<Cell<bool>>)| {
+            !task.is_finished() && !authenticated.get()
+        };
+        self.connections.retain(is_unproved);
+    }
+
+    /// Closes the oldest connection; returns whether there is one.
+    fn evict_oldest(&mut self) -> bool {
+        self.forget_others();
+        let oldest = self.connections.pop_front();
+        oldest.is_some_and(|(task, _)| {
+            task.abort();
+            true
+        })
     }
 }
 
 /// Serves one connection; closes it if the peer doesn't authenticate in time.
-async fn connection(socket: TcpStream, key: Key, limit: Limit, receiver: Rc<dyn Receiver>) {
-    let authenticated = Rc::new(Cell::new(false));
+async fn connection(
+    socket: TcpStream,
+    key: Key,
+    limit: Limit,
+    receiver: Rc<dyn Receiver>,
+    authenticated: Rc<Cell<bool>>,
+) {
     let door = Door {
         key,
         receiver,
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -236,3 +236,28 @@
         assert_eq!(last.digest(&address, &Digest::default()).await, Ok(()));
     });
 }
+
+/// Guards against connections without the key that keep other entries out, or push them out.
+#[test]
+fn connections_that_prove_nothing_give_way_to_peers() {
+    run(async {
+        let limit = Limit {
+            connections: 4,
+            handshake: Span::from_seconds(600),
+            ..Limit::default()
+        };
+        let address = serve(Rc::new(RecordingReceiver::default()), limit).await;
+        let peers = peers(KEY, Limit::default());
+        let mut silent = Vec::new();
+        for _ in 0..3 {
+            for _ in 0..8 {
+                silent.push(
+                    TcpStream::connect(address.as_str())
+                        .await
+                        .expect("a socket"),
+                );
+            }
+            assert_eq!(peers.spend(&address, "new").await, Ok(Answer::Granted));
+        }
+    });
+}
