Platform: what callers send and leave unread is bounded for the whole process

It ran out of memory by bodies of legal size that stop just short of their end, whole or in chunks, and by bodies over the limit in small chunks.

Cause: limits held for each request and connection, and nothing bounded their sum. A body had no time limit on this wire; its parts were kept as the HTTP library returns them, each with the buffer it was read into (8 MiB in chunks of one byte took about 150 MiB). A head had the time that a connection may be idle. No port counted its connections, so that accept and the entry's own connections failed together. Answers were kept whole for callers that read nothing.

Ruled out: the allocator, which keeps what was freed, since the peaks are reached while the crowd is there.

Change: the new crate intake. One budget of bytes for requests, from the first byte of a body to the last attempt that holds its buffer; one for answers; a bound on unfinished heads; a number of connections for each port, below the descriptors. Bodies are copied into one buffer, and its capacity is taken from the budget first. Where room is short those who make the least progress give way: bodies that stall or trickle, connections without a request, answers that aren't read; a quarter of the room is kept for small requests. Refusals are 503, not run, or the connection is closed. One guard times heads, idle connections and unread answers. Defaults come from the machine's memory and descriptors; settings are checked against them. Metrics, a log line a second for each action, and pages say what happens.

Why it holds: nothing is read into memory that isn't taken from a bound first, and each bound has somebody who can always be made to give way but running requests, whose number the connections bound.

--- /dev/null
+++ b/crates/intake/src/configs/mod.rs
@@ -0,0 +1,3 @@
+//! Settings of this crate.
+
+pub mod limits;
--- /dev/null
+++ b/crates/intake/src/socket.rs
@@ -0,0 +1,162 @@
+//! A caller's socket, which records what arrives and whether the caller takes what is sent.
+
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use clock::Clock;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio::time::sleep;
+
+use crate::connections::Connection;
+use crate::connections::Connections;
+
+/// Time for which the rest of a refused request is read and dropped. A socket that is closed with bytes unread resets
+/// the connection, and the caller may lose the refusal.
+const LINGER: Duration = Duration::from_millis(300);
+/// Most bytes that are dropped so.
+const MAX_LINGER_BYTES: usize = 1 << 20;
+/// Most bytes of a head that are read at once.
+const HEAD_READ_BYTES: usize = 8 << 10;
+/// Size of the buffer for dropped bytes.
+const DROP_BUFFER_BYTES: usize = 4_096;
+
+/// A caller's socket.
+pub struct Socket {
+    stream: TcpStream,
+    clock: Clock,
+    port: Rc<Connections>,
+    connection: Rc<Connection>,
+    linger: Option<Linger>,
+}
+
+/// Progress of dropping the rest of a refused request.
+struct Linger {
+    ends: Pin<Box<Sleep>>,
+    dropped: usize,
+}
+
+impl Socket {
+    /// Wraps the socket of a connection.
+    pub fn new(
+        stream: TcpStream,
+        clock: Clock,
+        port: Rc<Connections>,
+        connection: Rc<Connection>,
+    ) -> Socket {
+        Socket {
+            stream,
+            clock,
+            port,
+            connection,
+            linger: None,
+        }
+    }
+
+    /// Returns the socket itself, to set its options.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Reads a part of a head. Full reads make the HTTP library double its buffer.
+    fn poll_read_head(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let size = buffer.remaining().min(HEAD_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let count = part.filled().len();
+        buffer.advance(count);
+        read
+    }
+
+    /// Records the outcome of a write.
+    fn record_write<T>(&self, written: Poll<T>) -> Poll<T> {
+        let is_blocked = written.is_pending();
+        self.connection.record_write(self.clock.now(), is_blocked);
+        written
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = match self.connection.is_reading_head() {
+            true => self.poll_read_head(context, buffer),
+            false => Pin::new(&mut self.stream).poll_read(context, buffer),
+        };
+        let bytes = &buffer.filled()[before..];
+        if !bytes.is_empty() {
+            self.port
+                .record_read(&self.connection, self.clock.now(), bytes);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.record_write(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.record_write(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if this.linger.is_none() {
+            std::task::ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
+            if !this.connection.is_refused() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let linger = this.linger.get_or_insert_with(|| Linger {
+            ends: Box::pin(sleep(LINGER)),
+            dropped: 0,
+        });
+        let mut bytes = [0; DROP_BUFFER_BYTES];
+        while linger.dropped < MAX_LINGER_BYTES {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut this.stream).poll_read(context, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    linger.dropped += buffer.filled().len();
+                }
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending => return linger.ends.as_mut().poll(context).map(Ok),
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,6 +20,7 @@
 use http::response;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use intake::answers::NoRoom;
 use tokio::sync::watch;
 
 use crate::adapter::Classification;
@@ -102,7 +103,12 @@
             head,
             body,
         } = answer;
-        let collecting = body::collect(body, &connection.meter);
+        let collecting = body::collect(
+            body,
+            &connection.meter,
+            &self.shared.intake.answers,
+            body::MAX_BUFFERED_BYTES,
+        );
         let collected = tokio::select! {
             collected = limit_error_answer(&self.shared, start, &connection, collecting) => collected,
             () = self.caller.disconnected() => return None,
@@ -233,7 +239,15 @@
         if block.id.is_some() {
             self.last_event = block.id;
         }
-        self.caller.send_chunk(block.bytes).await;
+        self.send_chunk(block.bytes).await;
+    }
+
+    /// Sends a part of a stream, which counts as held until the caller has it.
+    async fn send_chunk(&mut self, bytes: Bytes) {
+        match self.shared.intake.answers.hold(bytes).await {
+            Ok(bytes) => self.caller.send_chunk(bytes).await,
+            Err(NoRoom) => self.caller.abort().await,
+        }
     }
 
     /// Relays one event, unless the caller already received it.
@@ -261,11 +275,11 @@
             self.last_event = event.id;
         }
         if !state.held.is_empty() {
-            self.caller.send_chunk(state.held.split().freeze()).await;
+            self.send_chunk(state.held.split().freeze()).await;
         }
         self.tokens += start.tokens_per_event;
         state.unreported_tokens += start.tokens_per_event;
-        self.caller.send_chunk(event.bytes).await;
+        self.send_chunk(event.bytes).await;
         let now = self.shared.clock.now();
         if !first {
             self.longest_pause = self.longest_pause.max(now.since(state.last_event_at));
@@ -445,7 +459,7 @@
     fault: Fault,
 ) -> End {
     match fault {
-        Fault::Invalid => End::Broken { alive: true },
+        Fault::Invalid | Fault::NoRoom => End::Broken { alive: true },
         Fault::Disconnected => examine_break(shared, start, connection).await,
     }
 }
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -4,14 +4,15 @@
 use std::io;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use intake::answers;
+use intake::answers::Answers;
 
 use crate::meter::Meter;
 
 /// Largest answer that is buffered until it is complete, or discarded to use its connection again.
-const MAX_BUFFERED_BYTES: usize = 4 << 20;
+pub const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
 /// The reason why a body can't be read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +21,8 @@
     Disconnected,
     /// The server sent what is no answer, or more than an answer may have.
     Invalid,
+    /// There is no room for the answer.
+    NoRoom,
 }
 
 impl Fault {
@@ -50,16 +53,22 @@
     Ok(None)
 }
 
-/// Reads a whole body. Copies its parts, since each would keep the buffer that it was read into.
-pub async fn collect(mut body: Incoming, meter: &Meter) -> Result<Bytes, Fault> {
-    let mut collected = BytesMut::new();
+/// Reads a whole body of at most `limit` bytes, which stays counted until its last part is dropped.
+pub async fn collect(
+    mut body: Incoming,
+    meter: &Meter,
+    answers: &Answers,
+    limit: usize,
+) -> Result<Bytes, Fault> {
+    let mut collector = answers.collector(limit);
     while let Some(bytes) = read(&mut body, meter).await? {
-        if collected.len() + bytes.len() > MAX_BUFFERED_BYTES {
-            return Err(Fault::Invalid);
-        }
-        collected.extend_from_slice(&bytes);
+        let pushed = collector.push(&bytes).await;
+        pushed.map_err(|fault| match fault {
+            answers::Fault::TooLarge => Fault::Invalid,
+            answers::Fault::NoRoom => Fault::NoRoom,
+        })?;
     }
-    Ok(collected.freeze())
+    Ok(collector.finish())
 }
 
 /// Reads an unneeded body to its end.
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -5,27 +5,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use clock::Span;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::header::CONNECTION;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use intake::accept;
+use intake::accept::Accepted;
+use intake::configs::limits::Times;
+use intake::request;
+use intake::request::Answer;
+use intake::request::Session;
 use socket2::SockRef;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 use verdict::Reason;
 use verdict::Refusal;
 
@@ -36,8 +35,6 @@
 use crate::payload::Payload;
 use crate::shared::Shared;
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Time by which connections outlive the callers' idle timeout. A connection that closes just as a request
@@ -47,59 +44,47 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Serves callers until `shutdown` turns true, then lets every connection finish its current answer.
-pub async fn serve(listener: TcpListener, shared: Rc<Shared>, mut shutdown: watch::Receiver<bool>) {
-    let mut connections = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            Some(_) = connections.join_next() => continue,
-            _ = shutdown.changed() => break,
-        };
-        match accepted {
-            Ok((socket, _)) => {
-                connections.spawn_local(connection(socket, Rc::clone(&shared), shutdown.clone()));
-            }
-            Err(error) => {
-                // Out of file descriptors: let some connections end before retrying.
-                log::warn!(event = "accept_failed", error = error.to_string().as_str(); "");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-            }
-        }
-    }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
+pub async fn serve(listener: TcpListener, shared: Rc<Shared>, shutdown: watch::Receiver<bool>) {
+    let intake = Rc::clone(&shared.intake);
+    let port = Rc::clone(&intake.callers);
+    let serving = accept::run(listener, intake, port, shutdown, |accepted, shutdown| {
+        connection(accepted, Rc::clone(&shared), shutdown)
+    });
+    serving.await;
 }
 
 /// Serves one connection until it is closed.
-async fn connection(socket: TcpStream, shared: Rc<Shared>, mut shutdown: watch::Receiver<bool>) {
-    let _ = socket.set_nodelay(true);
-    let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(USER_TIMEOUT));
+async fn connection(accepted: Accepted, shared: Rc<Shared>, shutdown: watch::Receiver<bool>) {
+    let Accepted { socket, session } = accepted;
+    let _ = SockRef::from(socket.stream()).set_tcp_user_timeout(Some(USER_TIMEOUT));
     let limits = shared.limits.borrow().clone();
-    let service = service_fn(move |request| answer(Rc::clone(&shared), request));
+    let times = Times {
+        head: limits.head_timeout,
+        idle: limits.idle_timeout + IDLE_MARGIN,
+        unread: shared.unread_timeout,
+    };
+    let caller = session.clone();
+    let service = service_fn(move |request| answer(Rc::clone(&shared), caller.clone(), request));
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        .header_read_timeout((limits.idle_timeout + IDLE_MARGIN).as_duration())
+        .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
-    let served = tokio::select! {
-        served = connection.as_mut() => served,
-        _ = shutdown.changed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = served {
-        log::debug!(event = "caller_connection_ended", error = error.to_string().as_str(); "");
-    }
+    let connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    session
+        .serve(connection, times, shutdown, |connection| {
+            connection.graceful_shutdown();
+        })
+        .await;
 }
 
 /// Answers one request.
 async fn answer(
     shared: Rc<Shared>,
+    session: Session,
     request: Request<Incoming>,
-) -> Result<Response<Payload>, Infallible> {
-    let mut response = match dispatch(&shared, request).await {
+) -> Result<Response<Answer<Payload>>, Infallible> {
+    let mut received = session.begin();
+    let mut response = match dispatch(&shared, &mut received, request).await {
         Ok(answer) => answer,
         Err(refusal) => shared.codec.encode_refusal(&refusal).map(Payload::from),
     };
@@ -107,17 +92,20 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    Ok(received.answer(response))
 }
 
 /// Reads a complete request, starts its task and waits for the head of its answer.
 async fn dispatch(
     shared: &Rc<Shared>,
+    received: &mut request::Request,
     request: Request<Incoming>,
 ) -> Result<Response<Payload>, Refusal> {
     let started = shared.clock.now();
     let (head, body) = request.into_parts();
-    let body = read_body(shared, body).await?;
+    let limit = shared.limits.borrow().body_bytes;
+    let body = received.receive(&head, body, limit).await?;
+    received.begin_running();
     let read_time = shared.clock.now().since(started);
     let arrival = shared.codec.decode_request(&head, &body, read_time)?;
     let (answer, answered) = oneshot::channel();
@@ -148,20 +136,3 @@
     let lost = || Refusal::may_have_run(Reason::BackendFailed, "the answer was lost here");
     answered.await.map_err(|_| lost())
 }
-
-/// Reads a body up to the size limit.
-async fn read_body(shared: &Rc<Shared>, body: Incoming) -> Result<Bytes, Refusal> {
-    let limit = shared.limits.borrow().body_bytes;
-    let too_large = || Refusal::not_run(Reason::TooLarge, "the body is too large");
-    if body.size_hint().lower() > limit as u64 {
-        return Err(too_large());
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(_) => Err(Refusal::not_run(
-            Reason::Malformed,
-            "the body can't be read",
-        )),
-    }
-}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -10,6 +10,7 @@
 use clock::Span;
 use gateway::gateway::Status;
 use gateway::plan::Count;
+use intake::intake::Intake;
 use line::Line;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
@@ -91,13 +92,14 @@
 
 impl Metrics {
     /// Creates the instruments with a registry of their own.
-    pub fn new() -> Result<Metrics> {
+    pub fn new(intake: &Intake) -> Result<Metrics> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("dogwoodspur");
+        intake.register(&meter);
         let count = |name: &'static str, description: &'static str| {
             meter
                 .u64_counter(name)
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -14,12 +14,11 @@
 use gateway::attempt::Endpoint;
 use gateway::attempt::Report;
 use gateway::effect::Start;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use smol_str::SmolStr;
 
 use crate::adapter::Transfer;
+use crate::body;
 use crate::flight::Flight;
 use crate::reach;
 use crate::shared::Shared;
@@ -166,8 +165,9 @@
     let request = shared.codec.move_request(id, to).map(Full::new);
     let response = connection.sender.send_request(request).await;
     let (head, body) = response.map_err(|_| Cause::Unanswered)?.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|_| Cause::Unanswered)?.to_bytes();
+    let answers = &shared.intake.answers;
+    let body = body::collect(body, &connection.meter, answers, MAX_ANSWER_BYTES).await;
+    let body = body.map_err(|_| Cause::Unanswered)?;
     let transfer = shared.codec.decode_moved(from, head.status, &body);
     transfer.ok_or(Cause::NotMoved)
 }
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -1,10 +1,11 @@
 //! The ports for address queries, readiness probes and metrics.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
+use clock::Span;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -13,38 +14,59 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use intake::accept;
+use intake::accept::Accepted;
+use intake::configs::limits::Port;
+use intake::configs::limits::Times;
+use intake::connections::Connections;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::inbox::Message;
 use crate::shared::Shared;
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
-/// Idle timeout of connections, longer than the usual interval of probes and queries.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest head of a request.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Time limits of connections; idle ones may last longer than the usual interval of probes and queries.
+const TIMES: Times = Times {
+    head: Span::from_seconds(5),
+    idle: Span::from_seconds(20),
+    unread: Span::from_seconds(20),
+};
 
 /// Serves one port until the future is dropped.
-pub async fn serve(listener: TcpListener, shared: Rc<Shared>) {
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_BACKOFF).await;
-            continue;
-        };
-        let shared = Rc::clone(&shared);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| answer(Rc::clone(&shared), request));
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(socket), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!(event = "port_connection_ended", error = error.to_string().as_str(); "");
-            }
-        });
-    }
+pub async fn serve(listener: TcpListener, shared: Rc<Shared>, limits: Port) {
+    let intake = Rc::clone(&shared.intake);
+    let port = Rc::new(Connections::new(limits));
+    // The future is dropped instead.
+    let (_shutdown, never) = watch::channel(false);
+    let serving = accept::run(listener, intake, port, never, |accepted, shutdown| {
+        connection(accepted, Rc::clone(&shared), shutdown)
+    });
+    serving.await;
+}
+
+/// Serves one connection until it is closed.
+async fn connection(accepted: Accepted, shared: Rc<Shared>, shutdown: watch::Receiver<bool>) {
+    let Accepted { socket, session } = accepted;
+    let caller = session.clone();
+    let service = service_fn(move |request| {
+        let mut received = caller.begin();
+        received.begin_running();
+        let answering = answer(Rc::clone(&shared), request);
+        async move { answering.await.map(|response| received.answer(response)) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .header_read_timeout(None)
+        .max_buf_size(MAX_HEAD_BYTES);
+    let connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    session
+        .serve(connection, TIMES, shutdown, |connection| {
+            connection.graceful_shutdown();
+        })
+        .await;
 }
 
 /// Answers one request.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -18,9 +18,12 @@
 use gateway::gateway::Gateway;
 use gateway::gateway::Status;
 use gateway::identity::Identity;
+use intake::configs::limits::Port;
+use intake::intake::Intake;
 use lease::holder;
 use peer::proof::Key;
 use settings::Settings;
+use settings::capacity::Capacity;
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
@@ -126,14 +129,20 @@
     let clock = Clock::start();
     let (handle, inbox) = Handle::new(clock);
     let key = Key::new(settings.peers.key.reveal());
-    let limit = peer::configs::limit::Limit::default();
+    let capacity = Capacity::derive(&settings);
+    let limit = peer::configs::limit::Limit::default().at_most(capacity.peer_connections);
+    let directory = Port::new(capacity.directory_connections, &capacity);
+    let probes = Port::new(capacity.probe_connections, &capacity);
+    let intake = Rc::new(Intake::for_process(clock, &settings, &capacity));
     let shared = Rc::new(Shared {
         handle,
         codec: Rc::clone(&adapter.codec),
         pool: Pool::new(clock),
         reach: Reach::new(peer::client::Peers::new(key.clone(), limit)),
         clock,
-        metrics: Metrics::new()?,
+        metrics: Metrics::new(&intake)?,
+        unread_timeout: Span::from_millis(settings.callers.unread_timeout_ms),
+        intake,
         status: Cell::new(Status::default()),
         lag: Cell::default(),
         outbox_stats: Cell::default(),
@@ -161,8 +170,12 @@
             limit,
             responder,
         )),
-        tokio::task::spawn_local(ports::serve(sockets.directory, Rc::clone(&shared))),
-        tokio::task::spawn_local(ports::serve(sockets.readiness, Rc::clone(&shared))),
+        tokio::task::spawn_local(ports::serve(
+            sockets.directory,
+            Rc::clone(&shared),
+            directory,
+        )),
+        tokio::task::spawn_local(ports::serve(sockets.readiness, Rc::clone(&shared), probes)),
         tokio::task::spawn_local(follow::follow(
             adapter.configuration,
             configuration,
@@ -181,7 +194,7 @@
         )),
     ];
     if let Some(metrics) = sockets.metrics {
-        tokio::task::spawn_local(ports::serve(metrics, Rc::clone(&shared)));
+        tokio::task::spawn_local(ports::serve(metrics, Rc::clone(&shared), probes));
     }
     let shell = Shell {
         gateway: Gateway::new(identity.clone(), gateway_settings(&settings), random()?),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -9,6 +9,7 @@
 use clock::Time;
 use gateway::catalog::Limits;
 use gateway::gateway::Status;
+use intake::intake::Intake;
 use tokio::sync::watch;
 
 use crate::adapter::Codec;
@@ -31,6 +32,10 @@
     pub reach: Reach,
     /// The process's clock.
     pub clock: Clock,
+    /// Bounds on what callers send and leave unread.
+    pub intake: Rc<Intake>,
+    /// Time for which a caller may leave an answer unread.
+    pub unread_timeout: Span,
     /// Metrics of the entry.
     pub metrics: Metrics,
     /// Status of the entry as of the last step.
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -127,6 +127,9 @@
         self.shared.stopping.set(status.stopping);
         let limits = self.gateway.limits();
         if *self.shared.limits.borrow() != limits {
+            if !self.shared.intake.may_fit(limits.body_bytes) {
+                log::warn!(event = "body_limit_exceeds_memory", limit_bytes = limits.body_bytes; "");
+            }
             *self.shared.limits.borrow_mut() = limits;
         }
     }
--- a/crates/settings/src/configs/callers.rs
+++ b/crates/settings/src/configs/callers.rs
@@ -23,7 +23,8 @@
     /// Maximum size of a request's body in bytes.
     #[schemars(range(min = 1024, max = 1073741824))]
     pub max_body_bytes: u64,
-    /// Maximum open connections; further ones are closed immediately.
+    /// Maximum open connections, fewer where memory or descriptors are short. At the limit, the connection that has been idle
+    /// for longest gives way to a new one.
     #[schemars(range(min = 1, max = 1000000))]
     pub max_connections: u32,
     /// Timeout for receiving a request's headers, in milliseconds.
@@ -32,6 +33,23 @@
     /// Timeout for receiving a request's body, in milliseconds.
     #[schemars(range(min = 100, max = 3600000))]
     pub body_timeout_ms: u64,
+    /// Most bytes of requests held at once, over all connections, from their first byte to the end of the last attempt.
+    /// Defaults to a quarter of the machine's memory.
+    #[schemars(range(min = 1048576))]
+    pub max_held_request_bytes: Option<u64>,
+    /// Most bytes of answers held at once for callers to read. Defaults to an eighth of the machine's memory.
+    #[schemars(range(min = 1048576))]
+    pub max_held_answer_bytes: Option<u64>,
+    /// Least pace of a request's body while others wait for room, in bytes per second.
+    #[schemars(range(min = 1, max = 1073741824))]
+    pub min_body_rate: u64,
+    /// Time for which a connection may stay open without a request, in milliseconds. In gateway mode, the operator's
+    /// configuration sets it, and the size limits and the timeout of headers as well.
+    #[schemars(range(min = 1000, max = 3600000))]
+    pub idle_timeout_ms: u64,
+    /// Time for which a caller may leave an answer unread, in milliseconds.
+    #[schemars(range(min = 1000, max = 3600000))]
+    pub unread_timeout_ms: u64,
     /// Timeout for a request from its arrival to the end of its answer, in milliseconds.
     #[schemars(range(min = 1000, max = 86400000))]
     pub request_timeout_ms: u64,
@@ -50,6 +68,11 @@
             max_connections: 10_000,
             header_timeout_ms: 10_000,
             body_timeout_ms: 60_000,
+            max_held_request_bytes: None,
+            max_held_answer_bytes: None,
+            min_body_rate: 16 * 1024,
+            idle_timeout_ms: 60_000,
+            unread_timeout_ms: 60_000,
             request_timeout_ms: 600_000,
             address_ttl_ms: 10_000,
         }
--- a/crates/settings/src/configs/mod.rs
+++ b/crates/settings/src/configs/mod.rs
@@ -6,6 +6,7 @@
 pub mod identity;
 pub mod leases;
 pub mod logs;
+pub mod machine;
 pub mod operators;
 pub mod peers;
 pub mod platform;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! The structs in [`configs`] are the single source: the schema is generated from them, files are validated
 //! against the schema, and the settings page is generated from it.
 
+pub mod capacity;
 pub mod check;
 pub mod configs;
 pub mod document;
@@ -33,6 +34,7 @@
 use crate::configs::identity::Identity;
 use crate::configs::leases::Leases;
 use crate::configs::logs::Logs;
+use crate::configs::machine::Machine;
 use crate::configs::operators::Operators;
 use crate::configs::peers::Peers;
 use crate::configs::platform::Platform;
@@ -60,6 +62,8 @@
     pub shutdown: Shutdown,
     /// The log.
     pub logs: Logs,
+    /// The machine, from which limits on callers are derived.
+    pub machine: Machine,
     /// Gateway mode.
     pub gateway: Gateway,
 }
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -1,6 +1,7 @@
 //! Rules across options, beyond the schema of each one.
 
 use crate::Settings;
+use crate::capacity::Capacity;
 
 /// A rule that the settings violate.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +18,7 @@
     check_required(settings, &mut violations);
     check_leases(settings, &mut violations);
     check_addresses(settings, &mut violations);
+    check_capacity(settings, &mut violations);
     violations
 }
 
@@ -98,3 +100,35 @@
         }
     }
 }
+
+/// Checks that what callers may send and leave unread fits into the memory, and one request into its part.
+fn check_capacity(settings: &Settings, violations: &mut Vec<Violation>) {
+    let capacity = Capacity::derive(settings);
+    if capacity.total() > capacity.limit() {
+        let option = match settings.callers.max_held_request_bytes.is_some() {
+            true => "callers.max_held_request_bytes",
+            false => "callers.max_held_answer_bytes",
+        };
+        violations.push(Violation {
+            option,
+            message: format!(
+                "requests, answers, headers and connections may take {} bytes together, expected at most {} of the \
+                 machine's {} (machine.memory_mb)",
+                capacity.total(),
+                capacity.limit(),
+                capacity.memory_bytes
+            ),
+        });
+    }
+    // In gateway mode, the operator's configuration limits bodies.
+    let limit = capacity.largest_request();
+    if !settings.gateway.enabled && settings.callers.max_body_bytes > limit {
+        violations.push(Violation {
+            option: "callers.max_body_bytes",
+            message: format!(
+                "expected at most {limit}, what one request may take of callers.max_held_request_bytes ({}), found {}",
+                capacity.request_bytes, settings.callers.max_body_bytes
+            ),
+        });
+    }
+}
