Entry: the product's own wire is bounded for the whole process

Cause: 10,000 connections of 16 MiB each were allowed, whatever the machine; an HTTP/2 connection brought 200 streams, each with a body; nothing ended a connection that never sent a preface; the admin port had no limit at all; answers of plain services were kept whole for callers that read nothing.

Change: the port for callers, the admin port and answers of plain services go through intake. HTTP/2 has 100 streams a connection, a window of 128 KB and 64 KB of unsent answer a stream. The number of connections follows from memory and descriptors.

--- a/crates/back/src/http_client.rs
+++ b/crates/back/src/http_client.rs
@@ -23,6 +23,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use intake::answers::Answers;
 use serde_json::Value;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
@@ -205,6 +206,28 @@
     Ok(collected.freeze())
 }
 
+/// Reads the body of an answer to a caller within limits of time and size, and of the room for all answers.
+pub async fn read_answer(
+    response: Response<Incoming>,
+    timeout: Duration,
+    answers: &Answers,
+) -> Result<Bytes, Failure> {
+    let reading = async {
+        let mut body = response.into_body();
+        let mut collector = answers.collector(MAX_RESPONSE_BYTES);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| classify_read(&error))?;
+            if let Ok(part) = frame.into_data() {
+                let pushed = collector.push(&part).await;
+                pushed.map_err(|_| Failure::Invalid)?;
+            }
+        }
+        Ok(collector.finish())
+    };
+    let read = tokio::time::timeout(timeout, reading).await;
+    read.unwrap_or(Err(Failure::TimedOut))
+}
+
 /// Reads an unneeded response body within limits of time and size.
 pub async fn discard_body(response: Response<Incoming>, timeout: Duration) -> Result<(), Failure> {
     let reading = read_parts(response, MAX_DISCARDED_BYTES, drop);
--- a/crates/back/src/plain.rs
+++ b/crates/back/src/plain.rs
@@ -6,12 +6,13 @@
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
+use intake::answers::Answers;
 use smol_str::SmolStr;
 
 use crate::failure::Failure;
 use crate::http_client::Exchange;
 use crate::http_client::HttpClient;
-use crate::http_client::read_body;
+use crate::http_client::read_answer;
 
 /// Timeout of a plain service's response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -44,7 +45,12 @@
 }
 
 /// Forwards a call to the service at `address` and reads its whole response.
-pub async fn call(client: &HttpClient, address: &str, call: Call) -> Result<Response, Failure> {
+pub async fn call(
+    client: &HttpClient,
+    address: &str,
+    call: Call,
+    answers: &Answers,
+) -> Result<Response, Failure> {
     let method = Method::from_bytes(call.method.as_bytes()).map_err(|_| Failure::NotSent)?;
     let mut exchange =
         Exchange::new(address, method, &call.path, RESPONSE_TIMEOUT).with_body(call.body);
@@ -55,7 +61,7 @@
     for name in CONNECTION_HEADERS {
         headers.remove(name);
     }
-    let body = read_body(response, RESPONSE_TIMEOUT).await?;
+    let body = read_answer(response, RESPONSE_TIMEOUT, answers).await?;
     Ok(Response {
         status,
         headers,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -2,9 +2,11 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use clock::Span;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -13,10 +15,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use intake::accept;
+use intake::accept::Accepted;
+use intake::configs::limits::Port;
+use intake::configs::limits::Times;
+use intake::connections::Connections;
+use intake::intake::Intake;
 use prometheus::Encoder;
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 /// State that the port exposes.
 #[derive(Clone)]
@@ -27,24 +36,44 @@
     pub registry: Registry,
 }
 
+/// Largest head of a request.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Time limits of connections; idle ones may last longer than the usual interval of checks.
+const TIMES: Times = Times {
+    head: Span::from_seconds(5),
+    idle: Span::from_seconds(60),
+    unread: Span::from_seconds(20),
+};
+
 /// Serves the port until the future is dropped.
-pub async fn serve(listener: TcpListener, admin: Admin) {
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-            continue;
-        };
-        let admin = admin.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| {
-                let answer = admin.answer(&request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(socket), service)
-                .await;
-        });
-    }
+pub async fn serve(listener: TcpListener, admin: Admin, intake: Rc<Intake>, limits: Port) {
+    let port = Rc::new(Connections::new(limits));
+    // The future is dropped instead.
+    let (_shutdown, never) = watch::channel(false);
+    let serving = accept::run(listener, intake, port, never, |accepted, shutdown| {
+        connection(accepted, admin.clone(), shutdown)
+    });
+    serving.await;
+}
+
+/// Serves one connection until it is closed.
+async fn connection(accepted: Accepted, admin: Admin, shutdown: watch::Receiver<bool>) {
+    let Accepted { socket, session } = accepted;
+    let caller = session.clone();
+    let service = service_fn(move |request| {
+        let answer = caller.begin().answer(admin.answer(&request));
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .header_read_timeout(None)
+        .max_buf_size(MAX_HEAD_BYTES);
+    let connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    session
+        .serve(connection, TIMES, shutdown, |connection| {
+            connection.graceful_shutdown();
+        })
+        .await;
 }
 
 impl Admin {
--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -22,6 +22,7 @@
 use entry::effect::Command;
 use entry::event::Event;
 use front::chat::Chat;
+use intake::answers::Answers;
 use policy::decision::Transfer;
 use policy::job::End;
 use request::id::Id;
@@ -45,7 +46,8 @@
     pub link: Rc<Link>,
     /// HTTP client for backend servers.
     pub client: HttpClient,
-
+    /// Room for answers that callers have yet to read.
+    pub answers: Answers,
     /// Signs resume tokens.
     pub signer: Signer,
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -8,6 +8,7 @@
 use entry::effect::Effect;
 use entry::entry::Stats;
 use entry::line::Line;
+use intake::intake::Intake;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -41,12 +42,13 @@
 
 impl Metrics {
     /// Creates the instruments and registers them in `registry`.
-    pub fn new(registry: &Registry) -> Result<Metrics> {
+    pub fn new(registry: &Registry, intake: &Intake) -> Result<Metrics> {
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("dogwoodspur");
+        intake.register(&meter);
         let latency = |name: &'static str, description: &'static str| {
             meter
                 .f64_histogram(name)
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -79,9 +79,13 @@
                     stream, endpoint, ..
                 }) => {
                     let attempt = stream.attempt;
-                    let called =
-                        plain::call(&self.shared.client, &endpoint.address, self.call.clone())
-                            .await;
+                    let called = plain::call(
+                        &self.shared.client,
+                        &endpoint.address,
+                        self.call.clone(),
+                        &self.shared.answers,
+                    )
+                    .await;
                     match called {
                         Ok(served) => {
                             self.report(attempt, Report::Head);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -16,6 +16,9 @@
 use entry::entry::Entry;
 use entry::identity::Identity;
 use front::configs::limit::Limit;
+use intake::configs::limits::Port;
+use intake::configs::limits::Times;
+use intake::intake::Intake;
 use peer::proof::Key;
 use prometheus::Registry;
 use request::id::Incarnation;
@@ -23,6 +26,7 @@
 use request::signer::Signer;
 use request::signer::TICKET_PURPOSE;
 use settings::Settings;
+use settings::capacity::Capacity;
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
 use store::driver::Driver;
@@ -112,9 +116,13 @@
     let link = Rc::new(link);
     let client = HttpClient::new();
     let fleet_client = client.clone();
+    let clock = Clock::start();
+    let capacity = Capacity::derive(&settings);
+    let intake = Rc::new(Intake::for_process(clock, &settings, &capacity));
     let shared = Rc::new(Shared {
         link: Rc::clone(&link),
         client: client.clone(),
+        answers: intake.answers.clone(),
         signer: Signer::new(shared_key, RESUME_PURPOSE),
     });
     let ready = Rc::new(Cell::new(false));
@@ -129,7 +137,7 @@
     let (call_sender, calls) = mpsc::channel(MAX_QUEUED_CALLS);
     let operators_key = settings.operators.key.reveal().to_owned();
     let registry = Registry::new();
-    let metrics = Metrics::new(&registry)?;
+    let metrics = Metrics::new(&registry, &intake)?;
     let admin = Admin {
         ready: Rc::clone(&ready),
         registry,
@@ -141,6 +149,7 @@
     let front = tokio::task::spawn_local(front::server::serve(
         sockets.callers,
         limit_of(&settings),
+        Rc::clone(&intake),
         callers,
         ended,
     ));
@@ -149,7 +158,8 @@
         Rc::clone(&link),
         Signer::new(shared_key, TICKET_PURPOSE),
     ));
-    let peer_limit = peer::configs::limit::Limit::default();
+    let peer_limit = peer::configs::limit::Limit::default().at_most(capacity.peer_connections);
+    let probes = Port::new(capacity.probe_connections, &capacity);
     let peer_server =
         peer::server::serve(sockets.peers, peer_key.clone(), peer_limit, peer_handler);
     let peers = Peers::new(
@@ -160,7 +170,7 @@
     );
     let tasks = [
         tokio::task::spawn_local(peer_server),
-        tokio::task::spawn_local(admin::serve(sockets.admin, admin)),
+        tokio::task::spawn_local(admin::serve(sockets.admin, admin, intake, probes)),
         tokio::task::spawn_local(serve_operators(
             sockets.operators,
             operators_key,
@@ -174,7 +184,6 @@
             interval,
         )),
     ];
-    let clock = Clock::start();
     let fleet = FleetPort {
         link: Rc::clone(&link),
         client: fleet_client,
@@ -309,9 +318,11 @@
     Limit {
         head_bytes: callers.max_header_bytes as usize,
         body_bytes: usize::try_from(callers.max_body_bytes).unwrap_or(usize::MAX),
-        connections: callers.max_connections as usize,
-        head_time: Span::from_millis(callers.header_timeout_ms),
-        body_time: Span::from_millis(callers.body_timeout_ms),
+        times: Times {
+            head: Span::from_millis(callers.header_timeout_ms),
+            idle: Span::from_millis(callers.idle_timeout_ms),
+            unread: Span::from_millis(callers.unread_timeout_ms),
+        },
     }
 }
 
--- a/crates/front/src/read.rs
+++ b/crates/front/src/read.rs
@@ -6,10 +6,8 @@
 use http::Request;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
+use intake::request;
 use smol_str::SmolStr;
 use verdict::Reason;
 use verdict::Refusal;
@@ -38,11 +36,13 @@
 /// Reads a whole request.
 pub async fn read(
     request: Request<Incoming>,
+    received: &mut request::Request,
     limit: &Limit,
 ) -> Result<(Credentials, Call), Refusal> {
     let (parts, body) = request.into_parts();
     let credentials = read_credentials(&parts.headers)?;
-    let body = read_body(body, limit).await?;
+    let body = received.receive(&parts, body, limit.body_bytes).await?;
+    received.begin_running();
     let call = route(parts, body)?;
     Ok((credentials, call))
 }
@@ -79,23 +79,6 @@
     }
 }
 
-/// Reads the whole body, or returns the refusal if it exceeds a limit.
-async fn read_body(body: Incoming, limit: &Limit) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit.body_bytes).collect();
-    match tokio::time::timeout(limit.body_time.as_duration(), reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is longer than {} bytes", limit.body_bytes);
-            Err(Refusal::not_run(Reason::TooLarge, message))
-        }
-        Ok(Err(_)) => Err(malformed("the body ended early")),
-        Err(_) => Err(Refusal::not_run(
-            Reason::TimedOut,
-            "the body took too long to arrive",
-        )),
-    }
-}
-
 /// Selects the call by path and method.
 fn route(parts: Parts, body: Bytes) -> Result<Call, Refusal> {
     let path = parts.uri.path();
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -4,7 +4,6 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use http::Request;
 use http::Response;
@@ -14,10 +13,14 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
+use intake::accept;
+use intake::accept::Accepted;
+use intake::intake::Intake;
+use intake::request::Answer;
+use intake::request::Session;
+use settings::capacity::HTTP2_WINDOW_BYTES;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
 use crate::configs::limit::Limit;
 use crate::handler::Handler;
@@ -25,64 +28,47 @@
 use crate::response;
 use crate::response::Payload;
 
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-
 /// Smallest read buffer that hyper accepts, bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// Calls that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 100;
+/// Bytes of an answer that wait to be sent on one HTTP/2 stream.
+const STREAM_BUFFER_BYTES: usize = 64 << 10;
 
 /// Serves callers until `shutdown` changes, then lets every connection finish its current response. Must run
 /// within a `LocalSet`.
 pub async fn serve(
     listener: TcpListener,
     limit: Limit,
+    intake: Rc<Intake>,
     handler: Rc<dyn Handler>,
-    mut shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
 ) {
-    let mut connections = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            Some(_) = connections.join_next() => continue,
-            _ = shutdown.changed() => break,
-        };
-        let Ok((socket, _)) = accepted else {
-            // Out of file descriptors: give open connections time to close.
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        if connections.len() >= limit.connections {
-            log::warn!(event = "connection_refused", open = connections.len(); "");
-            continue;
-        }
-        let connection = serve_connection(socket, limit, Rc::clone(&handler), shutdown.clone());
-        connections.spawn_local(connection);
-    }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
+    let port = Rc::clone(&intake.callers);
+    let serving = accept::run(listener, intake, port, shutdown, |accepted, shutdown| {
+        serve_connection(accepted, limit, Rc::clone(&handler), shutdown)
+    });
+    serving.await;
 }
 
 /// Serves one connection until it closes.
 async fn serve_connection(
-    socket: TcpStream,
+    accepted: Accepted,
     limit: Limit,
     handler: Rc<dyn Handler>,
-    mut shutdown: watch::Receiver<bool>,
+    shutdown: watch::Receiver<bool>,
 ) {
-    let _ = socket.set_nodelay(true);
-    let service = service_fn(move |request| serve_call(request, limit, Rc::clone(&handler)));
+    let Accepted { socket, session } = accepted;
+    let caller = session.clone();
+    let service =
+        service_fn(move |request| serve_call(request, limit, caller.clone(), Rc::clone(&handler)));
     let builder = connection_builder(&limit);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
-    let served = tokio::select! {
-        served = connection.as_mut() => served,
-        _ = shutdown.changed() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = served {
-        log::debug!(event = "connection_ended", error = error.to_string().as_str(); "");
-    }
+    let connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    session
+        .serve(connection, limit.times, shutdown, |connection| {
+            connection.graceful_shutdown();
+        })
+        .await;
 }
 
 /// Returns the builder for HTTP/1.1 and HTTP/2 connections with the limits.
@@ -90,12 +76,15 @@
     let mut builder = Builder::new(LocalExecutor);
     builder
         .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limit.head_time.as_duration())
+        .header_read_timeout(None)
         .max_buf_size(limit.head_bytes.max(MIN_BUFFER_BYTES));
     builder
         .http2()
         .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP2_WINDOW_BYTES)
+        .max_send_buf_size(STREAM_BUFFER_BYTES)
         .max_header_list_size(u32::try_from(limit.head_bytes).unwrap_or(u32::MAX));
     builder
 }
@@ -104,13 +93,15 @@
 async fn serve_call(
     request: Request<Incoming>,
     limit: Limit,
+    caller: Session,
     handler: Rc<dyn Handler>,
-) -> Result<Response<Payload>, Infallible> {
-    let response = match read::read(request, &limit).await {
+) -> Result<Response<Answer<Payload>>, Infallible> {
+    let mut received = caller.begin();
+    let response = match read::read(request, &mut received, &limit).await {
         Ok((credentials, call)) => handler.handle(credentials, call).await,
         Err(refusal) => response::refusal("", &refusal),
     };
-    Ok(response)
+    Ok(received.answer(response))
 }
 
 /// Spawns the tasks of an HTTP/2 connection on the local thread.
