Usage: a holder that starts after a restore knows which windows may be reported

The next holder reports a window again with other counts (93, then 61 to 76).

Cause: the stored counts of the window are lost with the restore, and only an entry that saw the era change skips such windows. A process that starts later sees one era alone.

Ruled out: stored counts that were overwritten, since the row was missing in the copy.

Change: the holder's saves, once a second, name the era and the newest window that a restore may concern. A holder that reads a save of an older era, or none in an era above 0, knows that nobody has held the duty since, and skips the windows that were final by then.

Why it holds: the save that a holder reads is either newer than the restore, and then names what its writer knew, or older, and then its era shows it.

--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -6,6 +6,7 @@
 //! already, and only the stored counts are sent, however often.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use clock::Span;
 use clock::Time;
@@ -45,6 +46,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Reports {
     windows: BTreeMap<u64, Report>,
+    /// The newest window that may have been reported with counts that a restore lost, by a former holder's word.
+    lost_until: Option<u64>,
 }
 
 /// The report of one window.
@@ -78,14 +81,12 @@
         if !self.settings.report_usage || !ready {
             return;
         }
-        let newest = self.usage.window(now);
-        let span = self.settings.usage_delay.as_millis() / self.settings.usage_window.as_millis();
-        let oldest = newest.saturating_sub(span + 1);
+        let windows = self.reportable_windows(now);
         self.duties
             .reports
             .windows
-            .retain(|window, _| *window >= oldest);
-        for window in oldest..newest {
+            .retain(|window, _| *window >= windows.start);
+        for window in windows {
             let since = self.usage.since_end(now, window);
             let delay = self.settings.usage_delay.as_millis() as i64;
             let settle_time = self.settle_time();
@@ -116,12 +117,35 @@
 
     /// Returns whether a former holder may have sent counts that the table service lost in a restore.
     fn may_be_reported(&self, now: Time, window: u64) -> bool {
-        let Some(restored) = self.servers.restored() else {
-            return false;
-        };
-        let ended_before =
-            self.usage.since_end(now, window) - now.since(restored).as_millis() as i64;
-        ended_before >= self.settle_time().as_millis() as i64
+        let newest = self.newest_lost_window(now);
+        newest.is_some_and(|newest| window <= newest)
+    }
+
+    /// Returns the newest window that may have been reported with counts that the table service lost in a restore.
+    pub(crate) fn newest_lost_window(&self, now: Time) -> Option<u64> {
+        let restored = self.servers.restored();
+        let own = restored.and_then(|restored| self.newest_settled_window(now, restored));
+        own.max(self.duties.reports.lost_until)
+    }
+
+    /// Returns the newest window whose counts were final at a time, if its report can still be due.
+    pub(crate) fn newest_settled_window(&self, now: Time, at: Time) -> Option<u64> {
+        let elapsed = now.since(at).as_millis() as i64;
+        let settle_time = self.settle_time().as_millis() as i64;
+        let is_settled = |window: &u64| self.usage.since_end(now, *window) - elapsed >= settle_time;
+        self.reportable_windows(now).rev().find(is_settled)
+    }
+
+    /// Sets the newest window that may have been reported with counts that a restore lost.
+    pub(crate) fn set_lost_windows(&mut self, newest: Option<u64>) {
+        self.duties.reports.lost_until = newest;
+    }
+
+    /// Returns the windows that have ended and whose reports can still be due.
+    fn reportable_windows(&self, now: Time) -> Range<u64> {
+        let newest = self.usage.window(now);
+        let span = self.settings.usage_delay.as_millis() / self.settings.usage_window.as_millis();
+        newest.saturating_sub(span + 1)..newest
     }
 
     /// Skips the report of a window, since a second one could contradict the first.
--- a/crates/gateway/src/store_calls.rs
+++ b/crates/gateway/src/store_calls.rs
@@ -144,7 +144,7 @@
                 self.handle_counts_written(now, window, outcome, effects)
             }
             Some(Waiter::Stage(service)) => self.handle_stage_answer(now, &service, outcome),
-            Some(Waiter::Progress) => self.handle_progress_answer(outcome, effects),
+            Some(Waiter::Progress) => self.handle_progress_answer(now, outcome, effects),
             Some(Waiter::DefaultVersion(service)) => {
                 self.handle_default_version(now, &service, outcome, effects);
             }
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -72,6 +72,47 @@
     assert_eq!(counts.len(), 1, "{reports:?}");
 }
 
+/// Guards against a second report of a window with other counts, where no entry is left that knows of the restore.
+#[test]
+fn no_window_is_reported_twice_by_entries_that_start_after_a_restore() {
+    // Killed with the restore, or some time later by when a living holder has saved its counts again.
+    for lives_on_ms in [0, 300, 2_500] {
+        let mut world = World::new(4);
+        world.run(10_000);
+        let copy = world.table.clone();
+        world.run(WINDOW_MS - world.now % WINDOW_MS);
+        let window = world.unix_ms() / WINDOW_MS;
+        while !world.reports().iter().any(|(of, _)| *of >= window) {
+            for entry in 0..4 {
+                world.serve(entry);
+            }
+            world.run(20);
+        }
+        let reported: Vec<_> = world.reports();
+        world.table.restore(&copy);
+        world.list_revision = Revision { era: 1, number: 1 }.packed();
+        world.publish_servers();
+        world.run(lives_on_ms);
+        (0..4).for_each(|entry| world.kill(entry));
+        (0..4).for_each(|entry| world.start(entry));
+        world.publish_servers();
+        world.run(20_000);
+
+        let reports = world.reports();
+        for (window, count) in &reported {
+            let again = reports.iter().filter(|(of, _)| of == window);
+            let counts: BTreeSet<u64> = again.map(|(_, count)| *count).collect();
+            assert_eq!(
+                counts,
+                BTreeSet::from([*count]),
+                "{lives_on_ms} ms: {reports:?}"
+            );
+        }
+        let newest = reports.iter().map(|(of, _)| *of).max();
+        assert!(newest > Some(window + 1), "{lives_on_ms} ms: {reports:?}");
+    }
+}
+
 /// A server's removal was lost in the restore. Its row was back as ready, and it got requests again.
 #[test]
 fn a_server_that_left_gets_no_requests_again() {
