Soak: crowds of callers that don't behave are among the faults

A crowd of 300 connections at an entry sends nothing, half heads or bodies one byte short, whole or in chunks of one byte, and comes back when it is closed. Entries have 64 MB and 400 descriptors. For other callers of the entry a crowd is no fault; the process must stay within its memory.

--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -27,6 +27,8 @@
     pub crash_part_count: usize,
     /// Number of further faults in which a replica answers without end.
     pub endless_count: usize,
+    /// Number of further faults in which a crowd of callers that don't behave stays at an entry.
+    pub crowd_count: usize,
 }
 
 impl Size {
@@ -69,6 +71,7 @@
             cut_count: 2,
             crash_part_count: 1,
             endless_count: 2,
+            crowd_count: 1,
         }
     }
 }
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -22,6 +22,43 @@
 /// Receive buffer of members that don't read.
 const SMALL_BUFFER: usize = 4_096;
 
+/// Body of a member that stops just short of its end, within the limits of a run.
+const BODY_BYTES: usize = 60_000;
+
+/// What the callers of a crowd do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Misbehavior {
+    /// They send nothing.
+    Silence,
+    /// They stop within their heads.
+    HalfHead,
+    /// They stop just short of the end of large bodies.
+    LargeBody,
+    /// They do so in chunks of one byte.
+    SmallChunks,
+}
+
+impl Misbehavior {
+    /// All kinds.
+    pub const ALL: [Misbehavior; 4] = [
+        Misbehavior::Silence,
+        Misbehavior::HalfHead,
+        Misbehavior::LargeBody,
+        Misbehavior::SmallChunks,
+    ];
+
+    /// Returns a member of the crowd; `head` begins its request.
+    pub fn member(self, head: &str) -> Member {
+        let body = |framing| request(head, framing, BODY_BYTES, 1);
+        match self {
+            Misbehavior::Silence => Member::silent(),
+            Misbehavior::HalfHead => Member::sending(Bytes::copy_from_slice(head.as_bytes())),
+            Misbehavior::LargeBody => Member::sending(body(Framing::Length)),
+            Misbehavior::SmallChunks => Member::sending(body(Framing::Chunks(1))),
+        }
+    }
+}
+
 /// Transfer coding of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -18,6 +18,7 @@
 use tokio::process::Command;
 
 use crate::configs::size::Size;
+use crate::crowd;
 use crate::environment::Environment;
 use crate::environment::Node;
 use crate::environment::Port;
@@ -28,6 +29,9 @@
 
 /// Pause before a process that ended is restarted.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
+/// Memory and descriptors of an entry's machine. Crowds of callers take more than the entry gives them.
+const MEMORY_MB: u64 = 64;
+const DESCRIPTORS: u64 = 400;
 /// Interval at which a process that was asked to stop is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -114,6 +118,17 @@
         ledger.notices.forget_entry(self.index);
     }
 
+    /// Checks that the process, if it runs, has stayed within its memory.
+    pub fn check_memory(&self) {
+        let pid = self.pid.get().map(|pid| pid.as_raw_pid() as u32);
+        let peak = pid.and_then(|pid| crowd::peak_memory(pid).ok());
+        if let Some(peak) = peak.filter(|peak| *peak > (MEMORY_MB as usize) << 20) {
+            let now = self.environment.clock.now();
+            let mut ledger = self.environment.ledger.borrow_mut();
+            promises::report_memory(&mut ledger, self.index, now, peak);
+        }
+    }
+
     /// Kills the process and doesn't restart it.
     pub fn shut_down(&self) {
         self.is_shut_down.set(true);
@@ -203,6 +218,7 @@
                 "address_ttl_ms": 2000,
             },
             "admin": {"listen": own(Port::Readiness)},
+            "machine": {"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS},
             "peers": {
                 "listen": own(Port::Peers), "advertise": own(Port::PeersProxy),
                 "key": "soak: entries of one run", "seeds": seeds.collect::<Vec<String>>(),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,9 +15,12 @@
 use crate::caller::Caller;
 use crate::caller::Class;
 use crate::caller::KEY;
+use crate::crowd::Crowd;
 use crate::entry::Entry;
 use crate::environment::Environment;
 use crate::environment::HOST;
+use crate::environment::Node;
+use crate::environment::Port;
 use crate::ledger::Cut;
 use crate::ledger::Target;
 use crate::plan::Fault;
@@ -46,6 +49,8 @@
 const HIT_CHECK_INTERVAL: Span = Span::from_millis(10);
 /// Number of the first caller that sends such prompts.
 const FIRST_PART_CALLER: usize = 1_000;
+/// Connections of a crowd, more than an entry takes.
+const CROWD_SIZE: usize = 300;
 /// Number of entries stopped in turn. Each takes its whole grace period while callers keep connections open.
 const STOPS_IN_TURN: usize = 3;
 
@@ -132,6 +137,16 @@
             Fault::CutOff(entry, open) => self.cut_off(entry, open, step.duration).await,
             Fault::Brittle(first) => self.make_brittle(first, step.duration).await,
             Fault::CrashPart(number) => self.crash_on_part(number, step.duration).await,
+            // To other callers of the entry, a crowd is no fault.
+            Fault::Crowd(entry, misbehavior) => {
+                let network = self.environment.network;
+                let address = network.address(Node::Entry(entry), Port::Requests);
+                let member = misbehavior.member(&crowd_head());
+                let crowd = Crowd::start(address, CROWD_SIZE, &member);
+                wait(step.duration).await;
+                self.entries[entry].check_memory();
+                drop(crowd);
+            }
             Fault::Works(replica, behavior) => {
                 let replica = &self.replicas[replica];
                 let target = Target::Replica(replica.index);
@@ -322,6 +337,12 @@
     }
 }
 
+/// Returns the beginning of a request of a crowd.
+fn crowd_head() -> String {
+    let class = Class::Idempotent.name();
+    format!("POST /{class}/crowd HTTP/1.1\r\nHost: {HOST}\r\n")
+}
+
 async fn wait(span: Span) {
     tokio::time::sleep(span.as_duration()).await;
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,7 @@
 use rand_pcg::Pcg64;
 
 use crate::configs::size::Size;
+use crate::crowd::Misbehavior;
 use crate::proxy::Mode;
 use crate::replica::Behavior;
 use crate::tables::Failure;
@@ -32,6 +33,8 @@
 const PART_DURATION_MS: Range<u64> = 8_000..12_000;
 /// Distinguishes the random sequence of answers without end.
 const ENDLESS_SEED: u64 = 0x0065_6e64_6c65_7373;
+/// Distinguishes the random sequence of crowds.
+const CROWD_SEED: u64 = 0x0063_726f_7764;
 /// Delay of bytes or answers, in milliseconds.
 const DELAY_MS: Range<u64> = 20..600;
 
@@ -90,6 +93,8 @@
     Brittle(usize),
     /// Replicas crash as they begin to answer a prompt with a certain part, and such prompts come.
     CrashPart(u64),
+    /// A crowd of callers that don't behave stays at an entry.
+    Crowd(usize, Misbehavior),
     /// A replica misbehaves.
     Works(usize, Behavior),
     /// The operator changes the configuration.
@@ -148,6 +153,7 @@
         DURATION_MS,
         draw_endless,
     );
+    draw_further(seed ^ CROWD_SEED, size.crowd_count, DURATION_MS, draw_crowd);
     steps.sort_by_key(|step| step.start);
     steps
 }
@@ -175,6 +181,12 @@
     Fault::Works(replica, Behavior::Endless(random.random_range(0.3..1.0)))
 }
 
+fn draw_crowd(random: &mut Pcg64, size: &Size) -> Fault {
+    let entry = random.random_range(0..size.entries);
+    let kind = random.random_range(0..Misbehavior::ALL.len());
+    Fault::Crowd(entry, Misbehavior::ALL[kind])
+}
+
 fn draw_fault(random: &mut Pcg64, size: &Size) -> Fault {
     let entry = random.random_range(0..size.entries);
     let replica = random.random_range(0..size.engines + 2 * size.apps);
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -298,6 +298,12 @@
     ledger.record_breach("no process ends by itself", at, detail);
 }
 
+/// Records a process that took more memory than its machine has.
+pub fn report_memory(ledger: &mut Ledger, entry: usize, at: Time, bytes: usize) {
+    let detail = format!("entry {entry}: {} MiB", bytes >> 20);
+    ledger.record_breach("a process stays within its memory", at, detail);
+}
+
 /// Records a process that still runs after its grace period, unless it was disturbed.
 pub fn report_slow_stop(ledger: &mut Ledger, entry: usize, at: Time, took: Span) {
     if ledger.is_undisturbed(Target::Entry(entry), at, at) {
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -21,6 +21,7 @@
         cut_count: 0,
         crash_part_count: 0,
         endless_count: 0,
+        crowd_count: 0,
         ..Size::small()
     }
 }
@@ -112,3 +113,14 @@
     };
     play([51, 52], size);
 }
+
+/// Guards against failing callers of entries at which crowds of callers don't behave.
+#[test]
+fn callers_are_served_beside_crowds_that_do_not_behave() {
+    let size = Size {
+        fault_count: 2,
+        crowd_count: 4,
+        ..short_size()
+    };
+    play([71, 72], size);
+}
