--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -71,7 +71,7 @@
             cut_count: 2,
             crash_part_count: 1,
             endless_count: 2,
-            crowd_count: 1,
+            crowd_count: 2,
         }
     }
 }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -186,7 +186,10 @@
             .folder
             .join(format!("entry-{}.log", self.index));
         let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(&self.binary)
+        let child = Command::new("sh")
+            .arg("-c")
+            .arg(format!("ulimit -n {DESCRIPTORS}; exec \"$0\" \"$@\""))
+            .arg(&self.binary)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -49,8 +49,8 @@
 const HIT_CHECK_INTERVAL: Span = Span::from_millis(10);
 /// Number of the first caller that sends such prompts.
 const FIRST_PART_CALLER: usize = 1_000;
-/// Connections of a crowd, more than an entry takes.
-const CROWD_SIZE: usize = 300;
+/// Connections of a crowd, more than an entry has descriptors or, with large bodies, memory for.
+const CROWD_SIZE: usize = 1_200;
 /// Number of entries stopped in turn. Each takes its whole grace period while callers keep connections open.
 const STOPS_IN_TURN: usize = 3;
 
