Gateway: a stream doesn't go on at a server that may have restarted

Cause: the table service was away; a server crashed and came back under its id at another version. The entry's list had its former version, and the entry had seen a connection fail there a second before.

Ruled out: a wrong version of the stream itself; both attempts name v0.

Change: while the list can't be read, a server that failed a connection counts as possibly restarted until the list is confirmed.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -98,6 +98,9 @@
         if !matches!(end, End::NotSent | End::NotStarted) {
             self.record_start(now, serial);
         }
+        if let Some(server) = replica.filter(|_| !moving) {
+            self.record_failed_connection(now, server, &end, effects);
+        }
         let mut longest_pause = Span::ZERO;
         let (outcome, tokens) = match end {
             End::Finished {
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -16,6 +16,7 @@
 use crate::effect::Start;
 use crate::gateway::Gateway;
 use crate::plan::Shed;
+use crate::returns::unknown_version_refusal;
 
 /// Range of engine priorities; the lowest number is the most urgent.
 const MOST_URGENT: u8 = 0;
@@ -96,7 +97,7 @@
 
     /// Sends a request to a replica.
     fn start(&mut self, now: Time, job: job::Id, replica: replica::Key, effects: &mut Vec<Effect>) {
-        let Some(open) = self.requests.get_mut(&job.0) else {
+        let Some(open) = self.requests.get(&job.0) else {
             return;
         };
         let cache_source = self.scheduler.cache_source(now, job, replica);
@@ -106,6 +107,13 @@
                 scheduler.attempt_ended(now, job, job::End::NotSent, 0, out);
             });
         };
+        if open.is_bound_to_version() && self.may_have_restarted(replica) {
+            let refusal = unknown_version_refusal();
+            return self.cancel_and_refuse(now, job.0, refusal, effects);
+        }
+        let Some(open) = self.requests.get_mut(&job.0) else {
+            return;
+        };
         open.attempt += 1;
         open.replica = Some(replica);
         open.sent_at = Some(now);
--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -110,9 +110,14 @@
         now.since(self.servers.position().as_of)
     }
 
+    /// Returns whether the list of servers may be out of date.
+    pub(crate) fn is_list_outdated(&self) -> bool {
+        self.list_unavailable || self.store_health.is_unavailable()
+    }
+
     /// Returns for how long the list of servers has been out of date.
     fn list_lag(&self, now: Time) -> Span {
-        match self.list_unavailable || self.store_health.is_unavailable() {
+        match self.is_list_outdated() {
             true => now.since(self.servers.position().confirmed_at),
             false => Span::ZERO,
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::plan::Plans;
 use crate::releases::Releases;
 use crate::request::Request;
+use crate::restarts::Restarts;
 use crate::rollouts::Rollouts;
 use crate::route_shares;
 use crate::servers::Servers;
@@ -143,6 +144,8 @@
     pub(crate) store_failed_at: Option<Time>,
     /// Whether reading the list of servers has failed since the last successful read.
     pub(crate) list_unavailable: bool,
+    /// Servers that may have been restarted meanwhile.
+    pub(crate) restarts: Restarts,
     /// Shares of routes before the present ones.
     pub(crate) route_shares: route_shares::History,
     /// Newest known era of the table service.
@@ -262,6 +265,7 @@
             store_health: Health::default(),
             store_failed_at: None,
             list_unavailable: false,
+            restarts: Restarts::default(),
             route_shares: route_shares::History::default(),
             store_era: None,
             next_store_call: 0,
@@ -430,6 +434,7 @@
         self.peers_tick(now, effects);
         self.remove_missing_if_trusted(now, effects);
         self.following_tick(now, effects);
+        self.restarts_tick(now, effects);
         self.charges_tick(now, effects);
         self.versions_tick(now, effects);
         self.streams_tick(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod releases;
 mod reports;
 mod request;
+mod restarts;
 mod returns;
 mod roles;
 mod rollout_lead;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -377,7 +377,7 @@
     /// A missing row isn't trusted for some time after a gap, since leases of live servers lapse while the
     /// table service is down. If only this entry lost its connection, the row of a server that left is
     /// missing just the same.
-    fn set_doubted(
+    pub(crate) fn set_doubted(
         &mut self,
         now: Time,
         key: replica::Key,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -97,4 +97,9 @@
     pub fn may_have_run(&self) -> bool {
         self.execution_started || self.replica.is_some()
     }
+
+    /// Returns whether it may go on only at the software version that began its stream.
+    pub fn is_bound_to_version(&self) -> bool {
+        self.repeat.is_resumable() && (self.version.is_some() || self.first_response_at.is_some())
+    }
 }
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -54,6 +54,12 @@
     }
 }
 
+/// Returns the refusal of a stream that can't go on, since the version that began it or that of the servers isn't known.
+pub(crate) fn unknown_version_refusal() -> Refusal {
+    let message = "what began the stream isn't known to serve";
+    Refusal::not_run(Reason::StoreUnavailable, message).with_retry_after(UNKNOWN_VERSION_RETRY)
+}
+
 impl Gateway {
     /// Finds out which version began the stream that a caller takes up; the request goes on when it is known.
     pub(crate) fn find_version(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
@@ -131,10 +137,7 @@
 
     /// Refuses a request for as long as it isn't known what began its stream.
     pub(crate) fn refuse_unknown(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
-        let message = "what began the stream isn't known";
-        let refusal = Refusal::not_run(Reason::StoreUnavailable, message);
-        let refusal = refusal.with_retry_after(UNKNOWN_VERSION_RETRY);
-        self.refuse(now, serial, refusal, effects);
+        self.refuse(now, serial, unknown_version_refusal(), effects);
     }
 
     /// Lets a request go on at the service and the version that began its stream.
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -218,6 +218,11 @@
         Some(endpoint_of(&record.server))
     }
 
+    /// Returns the key of a known server.
+    pub fn key_of(&self, incarnation: &str) -> Option<replica::Key> {
+        Some(self.by_incarnation.get(incarnation)?.key)
+    }
+
     /// Returns the incarnation for a key, also after its server was removed.
     pub fn incarnation_of(&self, key: replica::Key) -> Option<SmolStr> {
         self.by_key.get(&key).cloned()
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -570,3 +570,40 @@
         world.version_of(serial).as_deref() == Some(version)
     })
 }
+
+/// Guards against a stream that goes on at a server which crashed and came back at another version, while the table service
+/// can't tell so: the server refused a connection before.
+#[test]
+fn a_stream_does_not_go_on_at_a_server_that_may_have_restarted() {
+    let mut world = world(2, false);
+    let (serial, _) = world.begin_stream(0);
+    world.report(0, serial, Report::ResponseStarted);
+    world.store_partitioned.insert(0);
+    world.fail_list(0);
+    world.run(500);
+    world.end_latest(serial, End::Broken { alive: false });
+    let mut failed = Vec::new();
+    let mut attempts = 0;
+    for _ in 0..50 {
+        world.run(100);
+        let sent = world.sent_requests.iter();
+        let sent: Vec<_> = sent.filter(|sent| sent.serial == serial).collect();
+        if sent.len() == attempts {
+            continue;
+        }
+        attempts = sent.len();
+        let server = sent[attempts - 1].server.clone();
+        assert!(!failed.contains(&server), "{server} after {failed:?}");
+        failed.push(server);
+        // The first one was left by the break of its stream.
+        if attempts > 1 {
+            world.end_latest(serial, End::NotSent);
+        }
+    }
+    assert!(attempts > 1, "the stream is tried elsewhere");
+    // Once the list is confirmed, the servers are trusted again.
+    world.store_partitioned.clear();
+    world.publish_servers();
+    world.run(5_000);
+    assert!(world.begin_stream(0).1.is_some());
+}
