Intake: a request waits for room for its head as for its body

What was seen (read, then by a test): bodies that stall and take all room, the reserve for small requests too, let requests without a body be refused at once, for as long as no request with a body waits for room, up to the time limit of bodies.

Cause: only a body that waits for room makes others give way; a head was refused without that.

Result: a_request_without_a_body_finds_room_beside_bodies_that_stall failed before and passes; where running requests hold all room, the refusal says "not run" and when to come back (a_request_is_refused_as_not_run_where_no_body_stalls, before too).

--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -155,7 +155,7 @@
         let missing = capacity.saturating_sub(hold.bytes());
         if !hold.try_grow(missing) {
             receiver.set_waiting(true);
-            let found = self.wait_for_room(hold, missing).await;
+            let found = self.make_room(hold, missing).await;
             receiver.set_waiting(false);
             found?;
         }
@@ -163,8 +163,11 @@
         Ok(())
     }
 
-    /// Waits for room while bodies that stall give way.
-    async fn wait_for_room(&self, hold: &mut Hold, bytes: usize) -> Result<(), Refusal> {
+    /// Takes further bytes; waits for room while bodies that stall give way.
+    pub(crate) async fn make_room(&self, hold: &mut Hold, bytes: usize) -> Result<(), Refusal> {
+        if hold.try_grow(bytes) {
+            return Ok(());
+        }
         if !self.requests.may_fit(hold.bytes() + bytes) {
             return Err(self.refuse());
         }
@@ -194,7 +197,7 @@
     }
 
     /// Returns the refusal of a request that finds no room.
-    pub(crate) fn refuse(&self) -> Refusal {
+    fn refuse(&self) -> Refusal {
         self.stats.record(Action::RequestRefused);
         Refusal::not_run(Reason::Overloaded, "there is no room for the request")
             .with_retry_after(RETRY_AFTER)
--- a/crates/intake/src/request.rs
+++ b/crates/intake/src/request.rs
@@ -80,9 +80,11 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
-        let received = match self.head.try_grow(size_of_head(&head.headers)) {
-            true => self.session.intake.read_body(body, limit).await,
-            false => Err(self.session.intake.refuse()),
+        let intake = &self.session.intake;
+        let held = intake.make_room(&mut self.head, size_of_head(&head.headers));
+        let received = match held.await {
+            Ok(()) => intake.read_body(body, limit).await,
+            Err(refusal) => Err(refusal),
         };
         if received.is_err() {
             self.session.connection.refuse_rest();
