Intake: more new connections may wait to be accepted

Cause: the queue of new connections held 1,024, and crowds that come back ten times a second overflow it. The kernel then drops the first packets of ordinary callers too, which are sent again after one second, then two.

Change: a port that callers reach has a queue of 4,096, the most that Linux allows by default.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -16,6 +16,7 @@
 use entry::entry::Entry;
 use entry::identity::Identity;
 use front::configs::limit::Limit;
+use intake::accept;
 use intake::configs::limits::Port;
 use intake::configs::limits::Times;
 use intake::intake::Intake;
@@ -219,10 +220,10 @@
     /// Binds all sockets of the settings.
     pub async fn bind(settings: &Settings) -> Result<Sockets> {
         Ok(Sockets {
-            callers: listen(settings.callers.listen).await?,
-            admin: listen(settings.admin.listen).await?,
-            operators: listen(settings.operators.listen).await?,
-            peers: listen(settings.peers.listen).await?,
+            callers: listen(settings.callers.listen)?,
+            admin: listen(settings.admin.listen)?,
+            operators: listen(settings.operators.listen)?,
+            peers: listen(settings.peers.listen)?,
         })
     }
 
@@ -238,10 +239,8 @@
 }
 
 /// Binds one socket.
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("can't listen on {address}"))
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    accept::listen(address).with_context(|| format!("can't listen on {address}"))
 }
 
 /// Serves operators; a failure doesn't affect the rest of the entry.
--- a/crates/intake/src/accept.rs
+++ b/crates/intake/src/accept.rs
@@ -2,11 +2,14 @@
 
 use std::fmt::Display;
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -22,6 +25,21 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
+/// New connections that may wait to be accepted. Beyond it the kernel drops a caller's first packets, which are sent again
+/// after a second or more.
+const BACKLOG: u32 = 4_096;
+
+/// Binds the socket of a port that callers reach.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// A new connection of a caller.
 pub struct Accepted {
     /// The socket.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -18,6 +18,7 @@
 use gateway::gateway::Gateway;
 use gateway::gateway::Status;
 use gateway::identity::Identity;
+use intake::accept;
 use intake::configs::limits::Port;
 use intake::intake::Intake;
 use lease::holder;
@@ -228,12 +229,12 @@
     /// Binds the addresses of the settings.
     pub async fn bind(settings: &Settings) -> Result<Sockets> {
         Ok(Sockets {
-            callers: listen(settings.callers.listen).await?,
-            directory: listen(settings.gateway.directory_listen).await?,
-            readiness: listen(settings.admin.listen).await?,
-            peers: listen(settings.peers.listen).await?,
+            callers: listen(settings.callers.listen)?,
+            directory: listen(settings.gateway.directory_listen)?,
+            readiness: listen(settings.admin.listen)?,
+            peers: listen(settings.peers.listen)?,
             metrics: match settings.gateway.metrics_listen {
-                Some(address) => Some(listen(address).await?),
+                Some(address) => Some(listen(address)?),
                 None => None,
             },
         })
@@ -251,8 +252,8 @@
 }
 
 /// Binds one socket.
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let listener = accept::listen(address);
     listener.with_context(|| format!("failed to listen on {address}"))
 }
 
