Intake: a hold is given back whole; comments in the usual terms

From reading the change again: Hold::shrink_to had no caller, so that only the drop gives bytes back. Behavior stays.

--- a/crates/gateway/src/restarts.rs
+++ b/crates/gateway/src/restarts.rs
@@ -1,6 +1,6 @@
 //! Servers that may have been restarted since the list of servers was last confirmed.
 //!
-//! A server may come back under its id and address at another software version. The list tells so, unless the table
+//! A server may come back under its id and address at another software version. The list shows it, unless the table
 //! service is away. Then a server that failed a connection and takes one later may be another process, and a stream whose
 //! version is fixed doesn't go on there. Other requests do, but last.
 
--- a/crates/intake/src/budget.rs
+++ b/crates/intake/src/budget.rs
@@ -96,13 +96,6 @@
         grown.is_ok()
     }
 
-    /// Gives back all bytes but `bytes`.
-    pub fn shrink_to(&mut self, bytes: usize) {
-        if bytes < self.bytes {
-            self.release(self.bytes - bytes);
-        }
-    }
-
     /// Returns the bytes held.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -118,18 +111,13 @@
             _hold: self,
         })
     }
-
-    fn release(&mut self, bytes: usize) {
-        self.bytes -= bytes;
-        self.shared.used.fetch_sub(bytes, Ordering::Relaxed);
-        self.shared.freed.notify_waiters();
-    }
 }
 
 impl Drop for Hold {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.release(self.bytes);
+            self.shared.used.fetch_sub(self.bytes, Ordering::Relaxed);
+            self.shared.freed.notify_waiters();
         }
     }
 }
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -32,7 +32,7 @@
     pub(crate) limits: Limits,
     pub(crate) requests: Budget,
     pub(crate) receivers: RefCell<Receivers>,
-    /// Tells readers that their bodies give way.
+    /// Notifies readers whose bodies give way.
     pub(crate) evictions: RefCell<BTreeMap<Key, Rc<Notify>>>,
 }
 
--- a/crates/standin/tests/crowd.rs
+++ b/crates/standin/tests/crowd.rs
@@ -32,7 +32,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-/// Crowds are measured one at a time.
+/// Held by the test that runs, since others would take processor time from it.
 static ALONE: Mutex<()> = Mutex::new(());
 
 /// Memory of the entry's machine.
