Relay: what was relayed of a stream is logged, and what marked its end

The log could not tell a stream that was taken for complete from one with missing or repeated events, since attempt_ended names neither. stream_relayed now names what marked the end, the kind of connection, the first and last event, duplicates and gaps: at level info where anything is unusual, else debug. dogwoodspur_undelimited_answers counts streams that only the end of their connection marks.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -38,6 +38,8 @@
 use crate::reach::Finding;
 use crate::shared::Shared;
 use crate::silence::Silence;
+use crate::trace::Delimiter;
+use crate::trace::Trace;
 
 /// Interval between two progress reports of a stream.
 const REPORT_INTERVAL: Span = Span::from_millis(250);
@@ -72,6 +74,23 @@
     unreported_tokens: u32,
     /// Time of this attempt's last event.
     last_event_at: Time,
+    trace: Trace,
+}
+
+impl StreamState {
+    fn new(now: Time, trace: Trace) -> StreamState {
+        StreamState {
+            splitter: Splitter::default(),
+            silence: Silence::new(now),
+            held: BytesMut::new(),
+            dataless_bytes: 0,
+            started: false,
+            last_report: now,
+            unreported_tokens: 0,
+            last_event_at: now,
+            trace,
+        }
+    }
 }
 
 impl Flight {
@@ -147,17 +166,25 @@
     }
 
     /// Relays a stream event by event.
-    async fn relay_stream(&mut self, start: &Start, mut answer: Answer) -> Option<End> {
-        let mut state = StreamState {
-            splitter: Splitter::default(),
-            silence: Silence::new(self.shared.clock.now()),
-            held: BytesMut::new(),
-            dataless_bytes: 0,
-            started: false,
-            last_report: self.shared.clock.now(),
-            unreported_tokens: 0,
-            last_event_at: self.shared.clock.now(),
-        };
+    async fn relay_stream(&mut self, start: &Start, answer: Answer) -> Option<End> {
+        let trace = Trace::new(&answer.head.headers, &answer.connection);
+        let mut state = StreamState::new(self.shared.clock.now(), trace);
+        let end = self.relay_events(start, answer, &mut state).await;
+        state.trace.log(&self.inbound.id, start, end.as_ref());
+        if state.trace.delimiter == Delimiter::Connection {
+            let is_whole = matches!(end, Some(End::Finished { .. }));
+            self.shared.metrics.count_undelimited(is_whole);
+        }
+        end
+    }
+
+    /// Relays the events of a stream until its end.
+    async fn relay_events(
+        &mut self,
+        start: &Start,
+        mut answer: Answer,
+        state: &mut StreamState,
+    ) -> Option<End> {
         loop {
             let proxy = answer.connection.proxy();
             let reading = body::read(&mut answer.body, &answer.connection.meter);
@@ -185,7 +212,7 @@
                     if state.dataless_bytes > MAX_EVENT_BYTES {
                         return Some(End::Broken { alive: true });
                     }
-                    self.relay_dataless(&mut state, event).await;
+                    self.relay_dataless(state, event).await;
                     continue;
                 }
                 reach::record_progress(&self.shared, &start.endpoint, &answer.connection);
@@ -198,15 +225,14 @@
                         return Some(End::Unrecorded);
                     }
                 }
-                self.relay_event(start, &answer.head, &mut state, event)
-                    .await;
+                self.relay_event(start, &answer.head, state, event).await;
                 // Time for which the caller was slow is no silence of the replica.
                 state.silence.record_progress(self.shared.clock.now());
             }
         }
         // A run that is stopped to be moved ends without its last event. If only the end of the connection
         // delimits the stream, it would look complete.
-        let framed = is_framed(&answer.head.headers);
+        let framed = state.trace.delimiter != Delimiter::Connection;
         if self.migrating.get() && !framed {
             return Some(End::Broken { alive: true });
         }
@@ -259,8 +285,11 @@
         event: Event,
     ) {
         if is_duplicate(self.last_event.as_deref(), event.id.as_deref()) {
+            state.trace.duplicates += 1;
             return;
         }
+        let last = self.last_event.as_deref();
+        state.trace.record_event(last, event.id.as_ref());
         // Events that the caller already has don't count, since a faulty replica may repeat one without end.
         state.dataless_bytes = 0;
         if !self.caller.is_streaming() {
@@ -493,12 +522,6 @@
     }
 }
 
-/// Returns whether the answer's framing marks its end.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(http::header::CONTENT_LENGTH)
-        || headers.contains_key(http::header::TRANSFER_ENCODING)
-}
-
 /// Returns the headers of a stream without its length, since another replica may resume it.
 fn stream_headers(mut headers: HeaderMap) -> HeaderMap {
     headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,3 +33,4 @@
 mod shared;
 mod shell;
 mod silence;
+mod trace;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -43,6 +43,7 @@
     plan_refused: Counter<u64>,
     attempts: Counter<u64>,
     failed_attempts: Counter<u64>,
+    undelimited: Counter<u64>,
     store_calls: Counter<u64>,
     cloud_calls: Counter<u64>,
     digests: Counter<u64>,
@@ -143,6 +144,10 @@
                 "dogwoodspur_attempts_failed",
                 "Attempts that failed, by end",
             ),
+            undelimited: count(
+                "dogwoodspur_undelimited_answers",
+                "Answers that only the end of their connection marks, by whether they are taken for whole",
+            ),
             store_calls: count("dogwoodspur_store_calls", "Table service calls, by outcome"),
             cloud_calls: count("dogwoodspur_duty_calls", "Calls of the duties' holder"),
             digests: count(
@@ -309,6 +314,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an answer that only the end of its connection marks.
+    pub fn count_undelimited(&self, is_whole: bool) {
+        self.undelimited.add(1, &[KeyValue::new("whole", is_whole)]);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(
         &self,
