Relay: a stream is complete only if its task says so

A stream to a caller was complete when the sender of its chunks was dropped, so that each path on which a task ended early (a panic, a dropped task, a lost channel) completed the answer. The sender now marks the end; without the mark the connection is closed without the body's end. An answer that was truncated for want of room also ends its attempt, which used to run on.

No path is known on which a caller saw it.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -272,7 +272,7 @@
     async fn send_chunk(&mut self, bytes: Bytes) {
         match self.shared.intake.answers.hold(bytes).await {
             Ok(bytes) => self.caller.send_chunk(bytes).await,
-            Err(NoRoom) => self.caller.abort().await,
+            Err(NoRoom) => self.caller.abort(),
         }
     }
 
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -4,10 +4,9 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::payload::Aborted;
+use crate::payload;
 use crate::payload::Payload;
 
 /// Chunks of an answer that may be queued for a slow caller.
@@ -23,9 +22,11 @@
     /// Nothing was sent.
     AwaitingHead(oneshot::Sender<Response<Payload>>),
     /// The head was sent; chunks follow.
-    Streaming(mpsc::Sender<Result<Bytes, Aborted>>),
+    Streaming(payload::Sender),
     /// The answer is complete.
     Done,
+    /// The answer is truncated.
+    Aborted,
 }
 
 impl Caller {
@@ -41,12 +42,13 @@
         matches!(self.stage, Stage::Streaming(_))
     }
 
-    /// Waits until the caller disconnects; never returns once the answer is complete.
+    /// Waits until the caller disconnects, or its answer is truncated; never returns once the answer is complete.
     pub async fn disconnected(&mut self) {
         match &mut self.stage {
             Stage::AwaitingHead(head) => head.closed().await,
             Stage::Streaming(chunks) => chunks.closed().await,
             Stage::Done => std::future::pending().await,
+            Stage::Aborted => {}
         }
     }
 
@@ -59,8 +61,8 @@
 
     /// Sends the head of a stream.
     pub fn start_stream(&mut self, status: StatusCode, headers: HeaderMap) {
-        let (sender, chunks) = mpsc::channel(CHUNK_QUEUE);
-        let mut response = Response::new(Payload::Chunks(chunks));
+        let (sender, payload) = payload::channel(CHUNK_QUEUE);
+        let mut response = Response::new(payload);
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         if let Stage::AwaitingHead(head) =
@@ -73,19 +75,19 @@
     /// Sends a chunk of a stream; waits while the caller's queue is full.
     pub async fn send_chunk(&mut self, bytes: Bytes) {
         if let Stage::Streaming(chunks) = &self.stage {
-            let _ = chunks.send(Ok(bytes)).await;
+            chunks.send(bytes).await;
         }
     }
 
     /// Ends a complete stream.
     pub fn finish(&mut self) {
-        self.stage = Stage::Done;
+        if let Stage::Streaming(chunks) = std::mem::replace(&mut self.stage, Stage::Done) {
+            chunks.finish();
+        }
     }
 
     /// Ends a stream so that the caller can tell that it is truncated.
-    pub async fn abort(&mut self) {
-        if let Stage::Streaming(chunks) = std::mem::replace(&mut self.stage, Stage::Done) {
-            let _ = chunks.send(Err(Aborted)).await;
-        }
+    pub fn abort(&mut self) {
+        self.stage = Stage::Aborted;
     }
 }
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -91,7 +91,7 @@
                     }
                 }
                 Next::Commanded(Command::Refuse(refusal)) => {
-                    self.refuse(&refusal).await;
+                    self.refuse(&refusal);
                     break;
                 }
                 Next::Commanded(Command::Recorded { attempt }) => {
@@ -171,9 +171,9 @@
     }
 
     /// Sends the caller its final answer.
-    async fn refuse(&mut self, refusal: &Refusal) {
+    fn refuse(&mut self, refusal: &Refusal) {
         if self.caller.is_streaming() {
-            self.caller.abort().await;
+            self.caller.abort();
             return;
         }
         let answer = match self.fallback.take() {
--- a/crates/relay/src/payload.rs
+++ b/crates/relay/src/payload.rs
@@ -1,9 +1,12 @@
 //! Bodies of answers to callers.
 
+use std::cell::Cell;
 use std::fmt;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,11 +20,59 @@
 pub enum Payload {
     /// A complete body.
     Whole(Full<Bytes>),
-    /// A body in chunks; an error closes the connection, so that the client sees the truncation.
-    Chunks(mpsc::Receiver<Result<Bytes, Aborted>>),
+    /// A body in chunks.
+    Chunks(Chunks),
 }
 
-/// The error for an answer that can't be completed.
+/// Chunks of a body, until their sender is dropped. The body is truncated unless the sender marked it as complete, so
+/// that a task that ends early truncates it as well; the connection is then closed without the body's end.
+#[derive(Debug)]
+pub struct Chunks {
+    receiver: mpsc::Receiver<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+/// Sends the chunks of a body.
+#[derive(Debug)]
+pub struct Sender {
+    sender: mpsc::Sender<Bytes>,
+    is_complete: Rc<Cell<bool>>,
+}
+
+/// Creates a body of chunks, `capacity` of which may be queued, and its sender.
+pub fn channel(capacity: usize) -> (Sender, Payload) {
+    let (sender, receiver) = mpsc::channel(capacity);
+    let is_complete = Rc::new(Cell::new(false));
+    let chunks = Chunks {
+        receiver,
+        is_complete: Rc::clone(&is_complete),
+    };
+    let sender = Sender {
+        sender,
+        is_complete,
+    };
+    (sender, Payload::Chunks(chunks))
+}
+
+impl Sender {
+    /// Sends a chunk; waits while the queue is full.
+    pub async fn send(&self, bytes: Bytes) {
+        // The receiver is gone if the caller disconnected, which its task notices by itself.
+        let _ = self.sender.send(bytes).await;
+    }
+
+    /// Waits until the body is dropped.
+    pub async fn closed(&self) {
+        self.sender.closed().await;
+    }
+
+    /// Marks the chunks that were sent as the complete body.
+    pub fn finish(self) {
+        self.is_complete.set(true);
+    }
+}
+
+/// The error for a body that can't be completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Aborted;
 
@@ -53,8 +104,12 @@
                 frame.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
             }
             Payload::Chunks(chunks) => {
-                let chunk = chunks.poll_recv(context);
-                chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+                let chunk = ready!(chunks.receiver.poll_recv(context));
+                Poll::Ready(match chunk {
+                    Some(bytes) => Some(Ok(Frame::data(bytes))),
+                    None if chunks.is_complete.get() => None,
+                    None => Some(Err(Aborted)),
+                })
             }
         }
     }
