Intake: a truncated answer resets the connection of a caller over HTTP/1.0

Callers over HTTP/1.0 know the end of an answer of unknown length only by the end of their connection. A stream that was truncated ended with a proper close: they took it for complete. The socket now resets on close while such an answer is being sent, also if the process is killed, and closes properly once it is complete.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -61,7 +61,9 @@
     let Accepted { socket, session } = accepted;
     let caller = session.clone();
     let service = service_fn(move |request| {
-        let answer = caller.begin().answer(admin.answer(&request));
+        let answer = caller
+            .begin(request.version())
+            .answer(admin.answer(&request));
         async move { Ok::<_, Infallible>(answer) }
     });
     let mut builder = http1::Builder::new();
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -96,7 +96,7 @@
     caller: Session,
     handler: Rc<dyn Handler>,
 ) -> Result<Response<Answer<Payload>>, Infallible> {
-    let mut received = caller.begin();
+    let mut received = caller.begin(request.version());
     let response = match read::read(request, &mut received, &limit).await {
         Ok((credentials, call)) => handler.handle(credentials, call).await,
         Err(refusal) => response::refusal("", &refusal),
--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -53,6 +53,8 @@
     next_request: Cell<u64>,
     /// Whether a part of a request was left unread.
     is_refused: Cell<bool>,
+    /// Whether only the end of the connection marks the end of the answer that is being sent.
+    is_undelimited: Cell<bool>,
     closed_for: Cell<Option<Action>>,
     waker: RefCell<Option<Waker>>,
 }
@@ -203,6 +205,7 @@
             running: RefCell::default(),
             next_request: Cell::new(0),
             is_refused: Cell::new(false),
+            is_undelimited: Cell::new(false),
             closed_for: Cell::new(None),
             waker: RefCell::default(),
         }
@@ -296,6 +299,16 @@
         self.is_refused.get()
     }
 
+    /// Sets whether only the end of the connection marks the end of the answer that is being sent.
+    pub fn set_undelimited(&self, is_undelimited: bool) {
+        self.is_undelimited.set(is_undelimited);
+    }
+
+    /// Returns whether an end of the connection would mark the end of an answer that isn't complete.
+    pub fn is_undelimited(&self) -> bool {
+        self.is_undelimited.get()
+    }
+
     fn is_closed(&self) -> bool {
         self.closed_for.get().is_some()
     }
--- a/crates/intake/src/request.rs
+++ b/crates/intake/src/request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Response;
+use http::Version;
 use http::request::Parts;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -38,6 +39,7 @@
 /// A request that is being received or answered.
 pub struct Request {
     session: Session,
+    version: Version,
     stage: Stage,
     /// Counts the head.
     head: Hold,
@@ -57,12 +59,13 @@
 }
 
 impl Session {
-    /// Begins a request whose head is complete.
-    pub fn begin(&self) -> Request {
+    /// Begins a request of this version of HTTP, whose head is complete.
+    pub fn begin(&self, version: Version) -> Request {
         self.port.end_head(&self.connection);
         self.connection.begin_receiving();
         Request {
             session: self.clone(),
+            version,
             stage: Stage::Receiving,
             head: self.intake.requests.hold(),
         }
@@ -109,9 +112,14 @@
         self.run();
     }
 
-    /// Returns the answer, which counts as unread until the caller takes it.
+    /// Returns the answer, which counts as unread until the caller takes it. To a caller over HTTP/1.0 only the end of its
+    /// connection marks the end of an answer of unknown length, so a truncated one resets the connection.
     pub fn answer<B: Body>(mut self, response: Response<B>) -> Response<Answer<B>> {
         let number = self.run();
+        let has_length = response.body().size_hint().exact().is_some();
+        if self.version == Version::HTTP_10 && !has_length {
+            self.session.connection.set_undelimited(true);
+        }
         response.map(|body| {
             let answer = Answer {
                 body,
@@ -153,6 +161,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         let frame = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) {
+            self.request.session.connection.set_undelimited(false);
+        }
         self.mark_unread(matches!(frame, Poll::Ready(Some(Ok(_)))));
         frame
     }
--- a/crates/intake/src/socket.rs
+++ b/crates/intake/src/socket.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use clock::Clock;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -35,6 +36,8 @@
     port: Rc<Connections>,
     connection: Rc<Connection>,
     linger: Option<Linger>,
+    /// Whether the socket is set to reset the connection when it is closed.
+    resets: bool,
 }
 
 /// Progress of dropping the rest of a refused request.
@@ -57,6 +60,21 @@
             port,
             connection,
             linger: None,
+            resets: false,
+        }
+    }
+
+    /// Makes the end of the connection a reset while the caller would take a proper one for the end of its answer, also if
+    /// the process is killed.
+    fn update_reset(&mut self) {
+        let resets = self.connection.is_undelimited();
+        if resets == self.resets {
+            return;
+        }
+        self.resets = resets;
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&self.stream).set_linger(linger) {
+            log::debug!(event = "linger_not_set", error = error.to_string().as_str(); "");
         }
     }
 
@@ -113,6 +131,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset();
         let written = Pin::new(&mut self.stream).poll_write(context, buffer);
         self.record_write(written)
     }
@@ -122,6 +141,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset();
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
         self.record_write(written)
     }
@@ -136,6 +156,10 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        this.update_reset();
+        if this.resets {
+            return Poll::Ready(Ok(()));
+        }
         if this.linger.is_none() {
             std::task::ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
             if !this.connection.is_refused() {
@@ -160,3 +184,9 @@
         Poll::Ready(Ok(()))
     }
 }
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.update_reset();
+    }
+}
--- a/crates/intake/tests/room.rs
+++ b/crates/intake/tests/room.rs
@@ -93,7 +93,7 @@
         tokio::task::yield_now().await;
         assert_eq!(intake.request_bytes(), 2 * (BODY_BYTES - 1));
         let (head, ()) = Request::new(()).into_parts();
-        let mut request = session(&intake).begin();
+        let mut request = session(&intake).begin(http::Version::HTTP_11);
         let body = request
             .receive(&head, Empty::<Bytes>::new(), BODY_BYTES)
             .await;
@@ -110,7 +110,7 @@
         let full = http_body_util::Full::new(part);
         let running = intake.read_body(full, BODY_BYTES).await.unwrap();
         let (head, ()) = Request::new(()).into_parts();
-        let mut request = session(&intake).begin();
+        let mut request = session(&intake).begin(http::Version::HTTP_11);
         let refused = request
             .receive(&head, Empty::<Bytes>::new(), BODY_BYTES)
             .await;
@@ -119,7 +119,7 @@
         assert_eq!(refusal.reason, Reason::Overloaded);
         assert!(refusal.retry_after.is_some());
         drop(running);
-        let mut request = session(&intake).begin();
+        let mut request = session(&intake).begin(http::Version::HTTP_11);
         let body = request
             .receive(&head, Empty::<Bytes>::new(), BODY_BYTES)
             .await;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -83,7 +83,7 @@
     session: Session,
     request: Request<Incoming>,
 ) -> Result<Response<Answer<Payload>>, Infallible> {
-    let mut received = session.begin();
+    let mut received = session.begin(request.version());
     let mut response = match dispatch(&shared, &mut received, request).await {
         Ok(answer) => answer,
         Err(refusal) => shared.codec.encode_refusal(&refusal).map(Payload::from),
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -52,7 +52,7 @@
     let Accepted { socket, session } = accepted;
     let caller = session.clone();
     let service = service_fn(move |request| {
-        let mut received = caller.begin();
+        let mut received = caller.begin(request.version());
         received.begin_running();
         let answering = answer(Rc::clone(&shared), request);
         async move { answering.await.map(|response| received.answer(response)) }
