Relay: an answer that ends with its connection is whole only if its server's process still runs

What callers saw: a complete answer that wasn't. A server that answers with neither a length nor chunks and is killed between two events, or in the middle of a plain body, ends its connection like one that has sent everything. Streams ended as complete with two events although another server could have gone on; half of a plain body was passed on with status 200.

Cause: the stream was completed first, and only then it was looked whether the server still takes connections, for the quarantine alone; plain calls had no such look. Class: an answer counts as complete unless something proves the opposite.

Now such an answer waits for a proof. A new connection shows that a process runs there; it serves a later request. That it is the one that was asked is shown by an idle connection that is older than the request and still open: it would have ended with its process. Where none is kept, the answer counts unless this entry stood still for a second or more since the request was sent, since a restart in that time can't be told. Without the proof the attempt is broken: a stream goes on elsewhere or is truncated, a call is repeated if it may be, else its caller hears that it may have run.

Ruled out: asking the server who it is on each such answer (a probe each, which waits for a slot at plain services).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -41,8 +41,6 @@
         tokens: u32,
         /// Longest pause between two events, over all attempts.
         pause: Span,
-        /// Whether the replica is known to run after an answer that only the end of its connection delimits.
-        survived: bool,
     },
     /// No byte of the request reached the replica.
     NotSent,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -103,16 +103,8 @@
         }
         let mut longest_pause = Span::ZERO;
         let (outcome, tokens) = match end {
-            End::Finished {
-                tokens,
-                pause,
-                survived,
-                ..
-            } => {
+            End::Finished { tokens, pause, .. } => {
                 longest_pause = pause;
-                if !survived {
-                    self.scheduler.server_crashed(now, job::Id(serial));
-                }
                 (job::End::Finished, tokens)
             }
             End::NotSent => (job::End::NotSent, 0),
--- a/crates/gateway/tests/brittle.rs
+++ b/crates/gateway/tests/brittle.rs
@@ -127,7 +127,6 @@
         status: 200,
         tokens: 1,
         pause: clock::Span::ZERO,
-        survived: true,
     }
 }
 
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -229,7 +229,6 @@
                 status: 200,
                 tokens: 10,
                 pause: Span::ZERO,
-                survived: true,
             };
             self.world.end_attempt(&run.sent, end);
         }
--- a/crates/gateway/tests/plan.rs
+++ b/crates/gateway/tests/plan.rs
@@ -223,7 +223,6 @@
                         status: 200,
                         tokens: OUTPUT,
                         pause: Span::ZERO,
-                        survived: true,
                     };
                     events.push((sent, Report::Ended(end)));
                 }
--- a/crates/gateway/tests/speeds.rs
+++ b/crates/gateway/tests/speeds.rs
@@ -108,7 +108,6 @@
             status: 200,
             tokens: 0,
             pause: clock::Span::ZERO,
-            survived: true,
         };
         self.world.end_attempt(sent, end);
         let count = self.answers.entry(sent.server.clone()).or_default();
@@ -294,7 +293,6 @@
             status: 200,
             tokens: 1,
             pause: clock::Span::ZERO,
-            survived: true,
         };
         load.world.report(0, serial, Report::Ended(end));
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -672,7 +672,6 @@
             status: 200,
             tokens: 1,
             pause: Span::ZERO,
-            survived: true,
         });
         for report in [Report::ResponseStarted, ended] {
             let event = Event::Attempt {
@@ -911,7 +910,6 @@
             status: 200,
             tokens: 1,
             pause: Span::ZERO,
-            survived: true,
         });
         for report in [Report::ResponseStarted, ended] {
             self.report(entry, serial, report);
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -359,11 +359,6 @@
         self.poll(now, out);
     }
 
-    /// Records that the replica crashed although the job's answer may be complete.
-    pub fn server_crashed(&mut self, now: Time, id: job::Id) {
-        self.record_lost_server(now, id);
-    }
-
     /// Lets only replicas of this version run the job from now on.
     pub fn require_version(&mut self, id: job::Id, version: version::Key) {
         if let Some(open) = self.open.get_mut(&id) {
--- a/crates/policy/src/scheduler/suspects.rs
+++ b/crates/policy/src/scheduler/suspects.rs
@@ -1,7 +1,5 @@
 //! Requests that may have crashed a replica: held, run as trials, or refused for good.
 
-use std::rc::Rc;
-
 use clock::Span;
 use clock::Time;
 use verdict::Reason;
@@ -50,14 +48,6 @@
         }
     }
 
-    /// Records that a job's answer proves nothing, since its replica crashed with the end of it.
-    pub(super) fn record_lost_server(&mut self, now: Time, id: job::Id) {
-        self.accuse_parts(now, id);
-        if let Some(open) = self.open.get_mut(&id) {
-            open.shared_parts = Rc::default();
-        }
-    }
-
     /// Records the whole answer to a job's prompt.
     pub(super) fn record_answer(&mut self, now: Time, id: job::Id) {
         let Some(open) = self.open.get(&id) else {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,6 +14,7 @@
 use gateway::effect::Start;
 use gateway::event;
 use http::HeaderMap;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -28,6 +29,7 @@
 use crate::adapter::Transfer;
 use crate::body;
 use crate::body::Fault;
+use crate::ending;
 use crate::events::Event;
 use crate::events::MAX_EVENT_BYTES;
 use crate::events::Splitter;
@@ -46,17 +48,13 @@
 /// Longest wait for the rest of an unneeded answer, after which its connection is closed instead of reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The outcome of an exchange up to the head of its answer.
-enum Head {
-    Received(Answer),
-    Ended(End),
-}
-
 /// An answer whose body has not been read yet.
 struct Answer {
     connection: Connection,
     head: response::Parts,
     body: Incoming,
+    /// When the request was sent, or earlier.
+    sent_at: Time,
 }
 
 /// Progress of a stream that is being relayed.
@@ -105,8 +103,8 @@
             () = self.caller.disconnected() => return None,
         };
         let answer = match head {
-            Head::Received(answer) => answer,
-            Head::Ended(end) => return Some(end),
+            Ok(answer) => answer,
+            Err(end) => return Some(end),
         };
         if start.stream && answer.head.status == StatusCode::OK {
             return self.relay_stream(start, answer).await;
@@ -121,6 +119,7 @@
             connection,
             head,
             body,
+            sent_at,
         } = answer;
         let collecting = body::collect(
             body,
@@ -139,6 +138,17 @@
             }
             Err(end) => return Some(end),
         };
+        if self.is_undelimited(&head) {
+            let shared = Rc::clone(&self.shared);
+            let broken = tokio::select! {
+                broken = ending::examine(&shared, start, &connection, sent_at) => broken,
+                () = self.caller.disconnected() => return None,
+            };
+            shared.metrics.count_undelimited(broken.is_none());
+            if broken.is_some() {
+                return broken;
+            }
+        }
         let mut response = Response::new(collected);
         *response.status_mut() = head.status;
         *response.headers_mut() = self.shared.codec.response_headers(&head.headers);
@@ -161,10 +171,17 @@
             status,
             tokens: self.tokens,
             pause: self.longest_pause,
-            survived: true,
         })
     }
 
+    /// Returns whether only the end of its connection marks the end of an answer.
+    fn is_undelimited(&self, head: &response::Parts) -> bool {
+        let has_body = self.inbound.head.method != Method::HEAD
+            && head.status != StatusCode::NO_CONTENT
+            && head.status != StatusCode::NOT_MODIFIED;
+        has_body && Delimiter::of(&head.headers) == Delimiter::Connection
+    }
+
     /// Relays a stream event by event.
     async fn relay_stream(&mut self, start: &Start, answer: Answer) -> Option<End> {
         let trace = Trace::new(&answer.head.headers, &answer.connection);
@@ -230,9 +247,8 @@
                 state.silence.record_progress(self.shared.clock.now());
             }
         }
-        // A run that is stopped to be moved ends without its last event. If only the end of the connection
-        // delimits the stream, it would look complete.
         let framed = state.trace.delimiter != Delimiter::Connection;
+        // A run that is stopped to be moved ends without its last event.
         if self.migrating.get() && !framed {
             return Some(End::Broken { alive: true });
         }
@@ -242,8 +258,17 @@
                 false => Some(examine_break(&self.shared, start, &answer.connection).await),
             };
         }
+        if !framed {
+            let shared = Rc::clone(&self.shared);
+            let broken = tokio::select! {
+                broken = ending::examine(&shared, start, &answer.connection, answer.sent_at) => broken,
+                () = self.caller.disconnected() => return None,
+            };
+            if broken.is_some() {
+                return broken;
+            }
+        }
         self.caller.finish();
-        let survived = framed || is_reached(&self.shared, start, &answer.connection).await;
         let headers = answer.head.headers;
         self.shared
             .pool
@@ -253,7 +278,6 @@
             status: answer.head.status.as_u16(),
             tokens: self.tokens,
             pause: self.longest_pause,
-            survived,
         })
     }
 
@@ -330,13 +354,13 @@
     matches!(recording, Ok(Ok(_)))
 }
 
-/// Sends the request and waits for the head of its answer.
+/// Sends the request and waits for the head of its answer; returns the answer, unless the attempt ends before its body.
 async fn send_request(
     shared: &Rc<Shared>,
     inbound: &Inbound,
     start: &Start,
     resume: &Resume,
-) -> Head {
+) -> Result<Answer, End> {
     let started = shared.clock.now();
     let direct = shared.reach.is_direct(started, &start.endpoint);
     let mut idle = shared.pool.take(&start.endpoint, direct);
@@ -346,11 +370,11 @@
             None => reach::connect(shared, &start.endpoint).await,
         };
         let Ok(mut connection) = connection else {
-            return Head::Ended(End::NotSent);
+            return Err(End::NotSent);
         };
         let remaining = start.time_left - shared.clock.now().since(started);
         if remaining == Span::ZERO || !may_forward(shared, &start.endpoint, resume) {
-            return Head::Ended(End::NotSent);
+            return Err(End::NotSent);
         }
         let start = Start {
             time_left: remaining,
@@ -364,19 +388,25 @@
             Ok(Ok(response)) => {
                 connection.meter.record_progress();
                 reach::record_progress(shared, &start.endpoint, &connection);
-                return handle_head(shared, inbound, &start, connection, response).await;
+                let head = handle_head(shared, inbound, &start, connection, response).await;
+                return head.map(|(connection, head, body)| Answer {
+                    connection,
+                    head,
+                    body,
+                    sent_at: started,
+                });
             }
             Ok(Err(error)) => error,
-            Err(end) => return Head::Ended(end),
+            Err(end) => return Err(end),
         };
         if error.take_message().is_none() {
             let fault = Fault::new(error.error());
-            return Head::Ended(end_of_fault(shared, &start, &connection, fault).await);
+            return Err(end_of_fault(shared, &start, &connection, fault).await);
         }
         // Nothing was sent. The replica may have closed a pooled connection while it was idle; a new
         // connection shows whether the replica is reachable.
         if !connection.used {
-            return Head::Ended(End::NotSent);
+            return Err(End::NotSent);
         }
     }
 }
@@ -404,23 +434,19 @@
     request
 }
 
-/// Handles the head of an answer.
+/// Handles the head of an answer; returns the answer, unless the attempt ends with it.
 async fn handle_head(
     shared: &Shared,
     inbound: &Inbound,
     start: &Start,
     connection: Connection,
     response: Response<Incoming>,
-) -> Head {
+) -> Result<(Connection, response::Parts, Incoming), End> {
     let (head, body) = response.into_parts();
     report_limit(shared, start, &head.headers);
     report_notice(shared, start, &connection, &head);
     match shared.codec.classify(&head, &inbound.id) {
-        Classification::Answer => Head::Received(Answer {
-            connection,
-            head,
-            body,
-        }),
+        Classification::Answer => Ok((connection, head, body)),
         Classification::NotStarted => {
             let rest = body::discard(body, &connection.meter);
             if let Ok(Ok(())) = tokio::time::timeout(DRAIN_TIMEOUT, rest).await {
@@ -429,9 +455,9 @@
                     .release(&start.endpoint, connection, &head.headers);
                 releasing.await;
             }
-            Head::Ended(End::NotStarted)
+            Err(End::NotStarted)
         }
-        Classification::Mismatched => Head::Ended(End::Broken { alive: true }),
+        Classification::Mismatched => Err(End::Broken { alive: true }),
     }
 }
 
@@ -505,12 +531,6 @@
     }
 }
 
-/// Returns whether a replica still accepts connections after an answer that ended with its connection.
-async fn is_reached(shared: &Rc<Shared>, start: &Start, connection: &Connection) -> bool {
-    let finding = reach::examine(shared, &start.endpoint, connection.proxy()).await;
-    finding != Finding::Unreached
-}
-
 /// Returns whether the caller already received the event `id`.
 fn is_duplicate(last: Option<&str>, id: Option<&str>) -> bool {
     let (Some(last), Some(id)) = (last, id) else {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -80,12 +80,25 @@
     task: AbortHandle,
     /// Time until which the connection may be reused.
     reusable_until: Time,
+    /// When the connection was opened.
+    opened_at: Time,
     /// Whether the connection has served a request.
     pub used: bool,
     /// The way through another entry; `None` for a connection of this entry's own.
     pub detour: Option<Box<Detour>>,
 }
 
+/// The idle connections to a server that were opened before some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// One is open.
+    Open,
+    /// All that the server had no reason to close have ended.
+    Ended,
+    /// There are none.
+    None,
+}
+
 /// The part of a connection that leads through another entry.
 pub struct Detour {
     /// `host:port` of the entry.
@@ -114,7 +127,11 @@
     }
 
     /// Starts HTTP on a connection.
-    pub async fn start<T>(io: T, detour: Option<Box<Detour>>) -> std::io::Result<Connection>
+    pub async fn start<T>(
+        io: T,
+        opened_at: Time,
+        detour: Option<Box<Detour>>,
+    ) -> std::io::Result<Connection>
     where
         T: AsyncRead + AsyncWrite + Unpin + 'static,
     {
@@ -135,6 +152,7 @@
             meter,
             task: task.abort_handle(),
             reusable_until: Time::ZERO,
+            opened_at,
             used: false,
             detour,
         })
@@ -260,6 +278,23 @@
         Some(connections.remove(last))
     }
 
+    /// Returns what has become of the idle connections to a server that were opened before a time.
+    pub fn kept_since(&self, endpoint: &Endpoint, time: Time) -> Kept {
+        let now = self.clock.now();
+        let idle = self.idle.borrow();
+        let connections = idle.get(&endpoint.incarnation);
+        let kept = connections
+            .into_iter()
+            .flatten()
+            .filter(|kept| kept.opened_at < time && kept.reusable_until > now);
+        let ended: Vec<bool> = kept.map(|kept| kept.sender.is_closed()).collect();
+        match (ended.is_empty(), ended.iter().all(|ended| *ended)) {
+            (true, _) => Kept::None,
+            (false, true) => Kept::Ended,
+            (false, false) => Kept::Open,
+        }
+    }
+
     /// Takes all idle connections of a kind.
     pub fn take_idle(&self, kind: impl Fn(&Connection) -> bool) -> Vec<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -270,7 +305,8 @@
 
     /// Opens a new connection to a server.
     pub async fn connect(&self, endpoint: &Endpoint) -> std::io::Result<Connection> {
-        Connection::start(open_socket(endpoint).await?, None).await
+        let socket = open_socket(endpoint).await?;
+        Connection::start(socket, self.clock.now(), None).await
     }
 
     /// Returns a connection to the pool after its answer was read completely, if it can be reused.
@@ -291,7 +327,8 @@
         connection.used = true;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(endpoint.incarnation.clone()).or_default();
-        connections.retain(|other| other.reusable_until > now && !other.sender.is_closed());
+        // Those that have ended tell of their server's end, and are dropped when the next one is taken.
+        connections.retain(|other| other.reusable_until > now);
         if connections.len() < MAX_IDLE {
             connections.push(connection);
         }
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -241,7 +241,9 @@
         handle: stream.handle(),
         table,
     });
-    Ok(Some(Connection::start(stream, Some(detour)).await?))
+    Ok(Some(
+        Connection::start(stream, shared.clock.now(), Some(detour)).await?,
+    ))
 }
 
 /// Replaces the entries through which servers are reached.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -51,6 +51,7 @@
 use crate::peers::Responder;
 use crate::pool::Pool;
 use crate::ports;
+use crate::pulse::Pulse;
 use crate::reach::Reach;
 use crate::shared::Shared;
 use crate::shell;
@@ -145,6 +146,7 @@
         unread_timeout: Span::from_millis(settings.callers.unread_timeout_ms),
         intake,
         status: Cell::new(Status::default()),
+        pulse: Pulse::default(),
         lag: Cell::default(),
         outbox_stats: Cell::default(),
         configuration_confirmed_at: Cell::new(Time::ZERO),
@@ -188,6 +190,7 @@
             Rc::clone(&read_servers),
         )),
         tokio::task::spawn_local(shell::sweep(Rc::clone(&shared))),
+        tokio::task::spawn_local(shell::beat(Rc::clone(&shared))),
         tokio::task::spawn_local(watch_settings(
             adapter.settings_path,
             Rc::clone(&shared),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::outbox;
 use crate::pool::Pool;
+use crate::pulse::Pulse;
 use crate::reach::Reach;
 
 /// The shared state.
@@ -40,6 +41,8 @@
     pub metrics: Metrics,
     /// Status of the entry as of the last step.
     pub status: Cell<Status>,
+    /// Whether the process stood still.
+    pub pulse: Pulse,
     /// Maximum lag of the loop.
     pub lag: Cell<Span>,
     /// State of the outbox.
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -24,6 +24,7 @@
 use crate::lag::Lag;
 use crate::logs;
 use crate::peers::Peers;
+use crate::pulse;
 use crate::reach;
 use crate::shared::Shared;
 use crate::wake::Wake;
@@ -262,3 +263,11 @@
         shared.reach.sweep(shared.clock.now());
     }
 }
+
+/// Records that the process runs.
+pub async fn beat(shared: Rc<Shared>) {
+    loop {
+        shared.pulse.beat(shared.clock.now());
+        tokio::time::sleep(pulse::INTERVAL).await;
+    }
+}
