Relay: a stream that lost nothing but its end is complete

A stream that breaks after its last event goes on at another server, which has no event left and ends properly. That counted as broken again, and the caller's answer was truncated although it had all events. More streams take this way now that an end must be proved.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -252,7 +252,9 @@
         if self.migrating.get() && !framed {
             return Some(End::Broken { alive: true });
         }
-        if state.splitter.has_partial_event() || !state.started {
+        // A broken stream may have lost nothing but its end.
+        let has_nothing_left = framed && self.caller.is_streaming() && state.trace.is_empty();
+        if state.splitter.has_partial_event() || !state.started && !has_nothing_left {
             return match framed {
                 true => Some(End::Broken { alive: true }),
                 false => Some(examine_break(&self.shared, start, &answer.connection).await),
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -92,6 +92,11 @@
         self.last = Some(id.clone());
     }
 
+    /// Returns whether no event came.
+    pub fn is_empty(&self) -> bool {
+        self.events == 0 && self.duplicates == 0
+    }
+
     /// Logs the stream's end; `None` if its caller disconnected or another command arrived.
     pub fn log(&self, request: &str, start: &Start, end: Option<&End>) {
         let is_whole = matches!(end, Some(End::Finished { .. }));
