Relay: a run that was not moved ends as any other

A server was ordered to move a run that it had just finished, and answered that it doesn't know it. From then on the stream's end counted as that of a run that was stopped, so a whole stream that ends with its connection was truncated. The order is forgotten once the server says so, or couldn't be asked.

Result: a_stream_that_ends_with_its_connection_is_whole_if_its_move_came_too_late failed before and passes.

--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -156,7 +156,10 @@
                         command => return command.map_or(Next::Disconnected, Next::Commanded),
                     },
                     end = &mut exchange => break end,
-                    () = wait_for_answer(&mut migration) => {}
+                    () = wait_for_answer(&mut migration) => {
+                        let is_rejected = migration.as_ref().is_some_and(Migration::is_rejected);
+                        migrating.set(!is_rejected);
+                    }
                 }
             }
         };
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -14,6 +14,7 @@
 use gateway::attempt::Endpoint;
 use gateway::attempt::Report;
 use gateway::effect::Start;
+use http::StatusCode;
 use http_body_util::Full;
 use smol_str::SmolStr;
 
@@ -31,9 +32,9 @@
 /// A run that is being moved to another server.
 pub struct Migration {
     to: Endpoint,
-    transfer: Pin<Box<dyn Future<Output = Option<Transfer>>>>,
+    transfer: Pin<Box<dyn Future<Output = Result<Transfer, Cause>>>>,
     /// Result of the move request, once it is answered.
-    outcome: Option<Option<Transfer>>,
+    outcome: Option<Result<Transfer, Cause>>,
 }
 
 impl Migration {
@@ -55,12 +56,20 @@
         self.outcome = Some(self.transfer.as_mut().await);
     }
 
+    /// Returns whether the run ends at its server as if nothing had been asked.
+    pub fn is_rejected(&self) -> bool {
+        matches!(
+            self.outcome,
+            Some(Err(Cause::Unreached | Cause::UnknownRun))
+        )
+    }
+
     /// Returns the KV cache to resume from, if the server stopped the run and moved it.
     async fn transfer(mut self) -> Option<(Endpoint, Transfer)> {
         if self.outcome.is_none() {
             self.wait_for_answer().await;
         }
-        let transfer = self.outcome.flatten()?;
+        let transfer = self.outcome?.ok()?;
         Some((self.to, transfer))
     }
 }
@@ -111,7 +120,9 @@
     Unreached,
     /// The connection broke before the answer; the run may have been stopped.
     Unanswered,
-    /// Its server answered that the run continues, is unknown, or found no room elsewhere.
+    /// Its server doesn't know the run, which has ended there.
+    UnknownRun,
+    /// Its server answered that it found no room elsewhere, or didn't name the KV cache.
     NotMoved,
     /// The request timed out; the run may have been stopped.
     TimedOut,
@@ -123,6 +134,7 @@
         match self {
             Cause::Unreached => "unreached",
             Cause::Unanswered => "unanswered",
+            Cause::UnknownRun => "unknown_run",
             Cause::NotMoved => "not_moved",
             Cause::TimedOut => "timed_out",
         }
@@ -135,10 +147,10 @@
     id: SmolStr,
     from: Endpoint,
     to: Endpoint,
-) -> Option<Transfer> {
+) -> Result<Transfer, Cause> {
     let requesting = hand_over(&shared, &id, &from, &to);
     let cause = match tokio::time::timeout(MOVE_TIMEOUT.as_duration(), requesting).await {
-        Ok(Ok(transfer)) => return Some(transfer),
+        Ok(Ok(transfer)) => return Ok(transfer),
         Ok(Err(cause)) => cause,
         Err(_) => Cause::TimedOut,
     };
@@ -150,7 +162,7 @@
         cause = cause.as_str();
         ""
     );
-    None
+    Err(cause)
 }
 
 /// Has the run's server stop it and hand over its KV cache.
@@ -165,6 +177,9 @@
     let request = shared.codec.move_request(id, to).map(Full::new);
     let response = connection.sender.send_request(request).await;
     let (head, body) = response.map_err(|_| Cause::Unanswered)?.into_parts();
+    if head.status == StatusCode::NOT_FOUND {
+        return Err(Cause::UnknownRun);
+    }
     let answers = &shared.intake.answers;
     let body = body::collect(body, &connection.meter, answers, MAX_ANSWER_BYTES).await;
     let body = body.map_err(|_| Cause::Unanswered)?;
