--- a/crates/intake/src/socket.rs
+++ b/crates/intake/src/socket.rs
@@ -64,10 +64,15 @@
         }
     }
 
-    /// Makes the end of the connection a reset while the caller would take a proper one for the end of its answer, also if
-    /// the process is killed.
-    fn update_reset(&mut self) {
-        let resets = self.connection.is_undelimited();
+    /// Makes the end of the connection a reset from now on if the caller would take a proper one for the end of its answer,
+    /// also if the process is killed.
+    fn begin_reset(&mut self) {
+        if self.connection.is_undelimited() {
+            self.set_reset(true);
+        }
+    }
+
+    fn set_reset(&mut self, resets: bool) {
         if resets == self.resets {
             return;
         }
@@ -131,7 +136,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.update_reset();
+        self.begin_reset();
         let written = Pin::new(&mut self.stream).poll_write(context, buffer);
         self.record_write(written)
     }
@@ -141,7 +146,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.update_reset();
+        self.begin_reset();
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
         self.record_write(written)
     }
@@ -156,7 +161,8 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        this.update_reset();
+        // All that was written is in the socket by now.
+        this.set_reset(this.connection.is_undelimited());
         if this.resets {
             return Poll::Ready(Ok(()));
         }
@@ -187,6 +193,6 @@
 
 impl Drop for Socket {
     fn drop(&mut self) {
-        self.update_reset();
+        self.begin_reset();
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -30,11 +30,13 @@
 use crate::body;
 use crate::body::Fault;
 use crate::ending;
+use crate::ending::Watch;
 use crate::events::Event;
 use crate::events::MAX_EVENT_BYTES;
 use crate::events::Splitter;
 use crate::flight::Flight;
 use crate::flight::Inbound;
+use crate::migration;
 use crate::pool::Connection;
 use crate::reach;
 use crate::reach::Finding;
@@ -53,8 +55,8 @@
     connection: Connection,
     head: response::Parts,
     body: Incoming,
-    /// When the request was sent, or earlier.
-    sent_at: Time,
+    /// Tells whether its end is noticed in time.
+    watch: Watch,
 }
 
 /// Progress of a stream that is being relayed.
@@ -119,7 +121,7 @@
             connection,
             head,
             body,
-            sent_at,
+            watch,
         } = answer;
         let collecting = body::collect(
             body,
@@ -141,7 +143,7 @@
         if self.is_undelimited(&head) {
             let shared = Rc::clone(&self.shared);
             let broken = tokio::select! {
-                broken = ending::examine(&shared, start, &connection, sent_at) => broken,
+                broken = ending::examine(&shared, start, &connection, watch) => broken,
                 () = self.caller.disconnected() => return None,
             };
             shared.metrics.count_undelimited(broken.is_none());
@@ -204,12 +206,14 @@
     ) -> Option<End> {
         loop {
             let proxy = answer.connection.proxy();
+            answer.watch.read_on(self.shared.clock.now());
             let reading = body::read(&mut answer.body, &answer.connection.meter);
             let next = state.silence.limit(&self.shared, start, proxy, reading);
             let next = tokio::select! {
                 next = next => next,
                 () = self.caller.disconnected() => return None,
             };
+            answer.watch.stop_reading(self.shared.clock.now());
             reach::record_sign(&self.shared, &answer.connection);
             let bytes = match next {
                 Ok(Ok(Some(bytes))) => bytes,
@@ -248,9 +252,15 @@
             }
         }
         let framed = state.trace.delimiter != Delimiter::Connection;
-        // A run that is stopped to be moved ends without its last event.
-        if self.migrating.get() && !framed {
-            return Some(End::Broken { alive: true });
+        if !framed {
+            // A run that is stopped to be moved ends without its last event.
+            let is_stopped = tokio::select! {
+                is_stopped = migration::is_run_stopped(&self.moving) => is_stopped,
+                () = self.caller.disconnected() => return None,
+            };
+            if is_stopped {
+                return Some(End::Broken { alive: true });
+            }
         }
         // A broken stream may have lost nothing but its end.
         let has_nothing_left = framed && self.caller.is_streaming() && state.trace.is_empty();
@@ -263,7 +273,7 @@
         if !framed {
             let shared = Rc::clone(&self.shared);
             let broken = tokio::select! {
-                broken = ending::examine(&shared, start, &answer.connection, answer.sent_at) => broken,
+                broken = ending::examine(&shared, start, &answer.connection, answer.watch) => broken,
                 () = self.caller.disconnected() => return None,
             };
             if broken.is_some() {
@@ -395,7 +405,7 @@
                     connection,
                     head,
                     body,
-                    sent_at: started,
+                    watch: Watch::new(started),
                 });
             }
             Ok(Err(error)) => error,
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -4,6 +4,7 @@
 //! process that sent it still runs after its end.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use clock::Time;
 use gateway::attempt::End;
@@ -11,35 +12,83 @@
 
 use crate::pool::Connection;
 use crate::pool::Kept;
+use crate::pulse;
 use crate::reach;
 use crate::reach::Finding;
 use crate::shared::Shared;
 
+/// Time after which the end of a process would have reached connections that are kept.
+const END_DELAY: Duration = Duration::from_millis(50);
+
+/// Since when the end of an answer may have waited unnoticed.
+#[derive(Clone, Copy, Debug)]
+pub struct Watch {
+    /// When the request was sent, or earlier.
+    sent_at: Time,
+    /// When the answer was last read.
+    read_at: Time,
+    /// Whether the answer was left unread for so long that its server may have been restarted.
+    is_interrupted: bool,
+}
+
+impl Watch {
+    /// Starts to watch the answer to a request that is sent now.
+    pub fn new(sent_at: Time) -> Watch {
+        Watch {
+            sent_at,
+            read_at: sent_at,
+            is_interrupted: false,
+        }
+    }
+
+    /// Records that the entry stops to read, for instance while its caller is slow.
+    pub fn stop_reading(&mut self, now: Time) {
+        self.read_at = now;
+    }
+
+    /// Records that the entry reads on.
+    pub fn read_on(&mut self, now: Time) {
+        self.is_interrupted |= now.since(self.read_at) >= pulse::MIN_RESTART_TIME;
+    }
+
+    /// Returns whether the server can't have been restarted between the end of the answer and now.
+    fn is_prompt(&self, shared: &Shared) -> bool {
+        let now = shared.clock.now();
+        !self.is_interrupted && !shared.pulse.has_paused_since(now, self.sent_at)
+    }
+}
+
 /// Returns how an attempt ends whose answer was read up to the end of its connection; `None` if the answer is whole.
 ///
-/// A new connection shows that a process runs. It may be another one, which has taken the place of the one that was sent
-/// the request at `sent_at`. A connection kept since then would have ended with that process; without one, only a restart
-/// during a pause of this entry can go unnoticed.
+/// A new connection, on whatever way, shows that a process runs. It may be another one, which has taken the place of the
+/// one that was sent the request. A connection kept since then would have ended with that process; without one, the end
+/// must have been noticed sooner than a server restarts.
 pub async fn examine(
     shared: &Rc<Shared>,
     start: &Start,
     connection: &Connection,
-    sent_at: Time,
+    watch: Watch,
 ) -> Option<End> {
     let finding = reach::examine(shared, &start.endpoint, connection.proxy()).await;
     // Lets the tasks of kept connections notice their ends.
     tokio::task::yield_now().await;
-    let is_same = match shared.pool.kept_since(&start.endpoint, sent_at) {
+    let is_reached = finding != Finding::Unreached;
+    if !is_reached {
+        // A server that takes no new connections, such as one that is leaving, may run nevertheless.
+        tokio::time::sleep(END_DELAY).await;
+    }
+    let kept = shared.pool.kept_since(&start.endpoint, watch.sent_at);
+    let is_whole = match kept {
         Kept::Open => true,
         Kept::Ended => false,
-        Kept::None => !shared.pulse.has_paused_since(shared.clock.now(), sent_at),
+        Kept::None => is_reached && watch.is_prompt(shared),
     };
-    let is_whole = finding != Finding::Unreached && is_same;
     log::debug!(
-        event = "undelimited_answer",
+        event = "answer_ended_with_connection",
         replica = start.endpoint.incarnation.as_str(),
-        reached = finding != Finding::Unreached,
-        same_process = is_same;
+        reached = is_reached,
+        kept:? = kept,
+        whole = is_whole;
         ""
     );
     (!is_whole).then_some(End::Broken { alive: false })
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -1,6 +1,5 @@
 //! The task of one open request: carries out the reducer's commands and reports their results.
 
-use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -21,6 +20,7 @@
 use crate::caller::Caller;
 use crate::inbox::Message;
 use crate::migration::Migration;
+use crate::migration::Moving;
 use crate::shared::Shared;
 
 /// One open request.
@@ -40,7 +40,7 @@
     /// Longest pause between two events.
     pub longest_pause: Span,
     /// Whether the attempt's server was ordered to stop the run and move it.
-    pub migrating: Rc<Cell<bool>>,
+    pub moving: Rc<watch::Sender<Moving>>,
     /// The latest attempt whose version was recorded.
     pub recorded: Rc<watch::Sender<u32>>,
 }
@@ -136,9 +136,9 @@
     ) -> Next {
         let (shared, id) = (Rc::clone(&self.shared), self.inbound.id.clone());
         let started = shared.clock.now();
-        let migrating = Rc::clone(&self.migrating);
+        let moving = Rc::clone(&self.moving);
         let recorded = Rc::clone(&self.recorded);
-        migrating.set(false);
+        moving.send_replace(Moving::No);
         let mut migration: Option<Migration> = None;
         let end = {
             let mut exchange = pin!(self.exchange(start, None));
@@ -147,7 +147,7 @@
                     biased;
                     command = commands.recv() => match command {
                         Some(Command::Move(to)) => {
-                            migrating.set(true);
+                            moving.send_replace(Moving::Asked);
                             migration.get_or_insert_with(|| Migration::new(&shared, &id, &start.endpoint, to));
                         }
                         Some(Command::Recorded { attempt }) => {
@@ -157,8 +157,8 @@
                     },
                     end = &mut exchange => break end,
                     () = wait_for_answer(&mut migration) => {
-                        let is_rejected = migration.as_ref().is_some_and(Migration::is_rejected);
-                        migrating.set(!is_rejected);
+                        let standing = migration.as_ref().map(Migration::standing);
+                        moving.send_replace(standing.unwrap_or_default());
                     }
                 }
             }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -124,7 +124,7 @@
         last_event: None,
         tokens: 0,
         longest_pause: Span::ZERO,
-        migrating: Rc::default(),
+        moving: Rc::default(),
         recorded: Rc::default(),
     };
     shared.handle.send(Message::Open {
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 use crate::adapter::Transfer;
 use crate::body;
@@ -29,6 +30,25 @@
 /// Largest answer to a move request.
 const MAX_ANSWER_BYTES: usize = 16 << 10;
 
+/// Whether the server of the current attempt was ordered to stop the run and move it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Moving {
+    /// It wasn't, or it said that it doesn't know the run.
+    #[default]
+    No,
+    /// It hasn't answered yet.
+    Asked,
+    /// It has stopped the run, or may have.
+    Stopped,
+}
+
+/// Returns whether a run that has ended was stopped to be moved; waits for the answer to the order.
+pub async fn is_run_stopped(moving: &watch::Sender<Moving>) -> bool {
+    let mut answers = moving.subscribe();
+    let answered = answers.wait_for(|moving| *moving != Moving::Asked).await;
+    answered.is_ok_and(|moving| *moving == Moving::Stopped)
+}
+
 /// A run that is being moved to another server.
 pub struct Migration {
     to: Endpoint,
@@ -56,12 +76,13 @@
         self.outcome = Some(self.transfer.as_mut().await);
     }
 
-    /// Returns whether the run ends at its server as if nothing had been asked.
-    pub fn is_rejected(&self) -> bool {
-        matches!(
-            self.outcome,
-            Some(Err(Cause::Unreached | Cause::UnknownRun))
-        )
+    /// Returns how the order stands.
+    pub fn standing(&self) -> Moving {
+        match self.outcome {
+            None => Moving::Asked,
+            Some(Err(Cause::Unreached | Cause::UnknownRun)) => Moving::No,
+            Some(_) => Moving::Stopped,
+        }
     }
 
     /// Returns the KV cache to resume from, if the server stopped the run and moved it.
@@ -96,6 +117,7 @@
             ..start.clone()
         };
         self.report(start, Report::Moved);
+        self.moving.send_replace(Moving::No);
         log::info!(
             event = "run_resumed",
             request = self.inbound.id.as_str(),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,6 +5,7 @@
 //! and a request that crosses the close may or may not have run, so the pool drops them well before. An
 //! abandoned attempt must stop the server's work, so its connection is closed with it.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -52,6 +53,8 @@
 const ACTIVITY_RETENTION: Span = Span::from_seconds(20);
 /// Time for which a closed server is remembered; longer than a request may wait to be forwarded.
 const CLOSED_RETENTION: Span = Span::from_seconds(60);
+/// Time within which a process that is killed ends all its connections, with the time that their ends take to arrive.
+const SAME_TIME: Span = Span::from_millis(500);
 /// Idle connections kept for each server.
 const MAX_IDLE: usize = 8;
 
@@ -63,6 +66,8 @@
     /// The server that was last tried out.
     last_tried: RefCell<SmolStr>,
     idle: RefCell<BTreeMap<SmolStr, Vec<Connection>>>,
+    /// When an idle connection to each server last ended, by incarnation.
+    ended: RefCell<BTreeMap<SmolStr, Time>>,
     /// Time of each server's last activity, by incarnation.
     last_activity: RefCell<BTreeMap<SmolStr, Time>>,
     /// Servers that accept no more requests, by incarnation, with the time since which they don't.
@@ -82,6 +87,8 @@
     reusable_until: Time,
     /// When the connection was opened.
     opened_at: Time,
+    /// When the connection ended; `None` while it is open.
+    ended_at: Rc<Cell<Option<Time>>>,
     /// Whether the connection has served a request.
     pub used: bool,
     /// The way through another entry; `None` for a connection of this entry's own.
@@ -93,9 +100,9 @@
 pub enum Kept {
     /// One is open.
     Open,
-    /// All that the server had no reason to close have ended.
+    /// None is open, and one has ended just now.
     Ended,
-    /// There are none.
+    /// None is open. Servers close idle connections at will.
     None,
 }
 
@@ -129,7 +136,7 @@
     /// Starts HTTP on a connection.
     pub async fn start<T>(
         io: T,
-        opened_at: Time,
+        clock: Clock,
         detour: Option<Box<Detour>>,
     ) -> std::io::Result<Connection>
     where
@@ -142,17 +149,21 @@
             .handshake(TokioIo::new(io))
             .await
             .map_err(std::io::Error::other)?;
+        let ended_at = Rc::new(Cell::new(None));
+        let ended = Rc::clone(&ended_at);
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!(event = "connection_ended", error = error.to_string().as_str(); "");
             }
+            ended.set(Some(clock.now()));
         });
         Ok(Connection {
             sender,
             meter,
             task: task.abort_handle(),
             reusable_until: Time::ZERO,
-            opened_at,
+            opened_at: clock.now(),
+            ended_at,
             used: false,
             detour,
         })
@@ -173,6 +184,7 @@
             servers: RefCell::default(),
             last_tried: RefCell::default(),
             idle: RefCell::default(),
+            ended: RefCell::default(),
             last_activity: RefCell::default(),
             closed: RefCell::default(),
             paused: RefCell::default(),
@@ -267,32 +279,46 @@
 
     /// Takes an idle connection to a server, if there is one: a direct one, or one through another entry.
     pub fn take(&self, endpoint: &Endpoint, direct: bool) -> Option<Connection> {
-        let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint.incarnation)?;
-        connections
-            .retain(|connection| connection.reusable_until > now && connection.sender.is_ready());
+        self.drop_ended(&endpoint.incarnation, connections);
+        connections.retain(|connection| connection.sender.is_ready());
         let last = connections
             .iter()
             .rposition(|connection| connection.is_direct() == direct)?;
         Some(connections.remove(last))
     }
 
-    /// Returns what has become of the idle connections to a server that were opened before a time.
+    /// Returns what has become of the idle connections to a server that were opened before a time. Those through another
+    /// entry don't count, since their ends arrive later.
     pub fn kept_since(&self, endpoint: &Endpoint, time: Time) -> Kept {
         let now = self.clock.now();
-        let idle = self.idle.borrow();
-        let connections = idle.get(&endpoint.incarnation);
-        let kept = connections
-            .into_iter()
-            .flatten()
-            .filter(|kept| kept.opened_at < time && kept.reusable_until > now);
-        let ended: Vec<bool> = kept.map(|kept| kept.sender.is_closed()).collect();
-        match (ended.is_empty(), ended.iter().all(|ended| *ended)) {
-            (true, _) => Kept::None,
-            (false, true) => Kept::Ended,
-            (false, false) => Kept::Open,
+        if let Some(connections) = self.idle.borrow_mut().get_mut(&endpoint.incarnation) {
+            self.drop_ended(&endpoint.incarnation, connections);
+            let mut kept = connections.iter();
+            if kept.any(|kept| kept.opened_at < time && kept.is_direct()) {
+                return Kept::Open;
+            }
         }
+        let ended = self.ended.borrow();
+        let ended_at = ended.get(&endpoint.incarnation);
+        match ended_at.is_some_and(|at| now.since(*at) <= SAME_TIME) {
+            true => Kept::Ended,
+            false => Kept::None,
+        }
+    }
+
+    /// Drops connections that have ended or expired, and remembers when one ended.
+    fn drop_ended(&self, incarnation: &SmolStr, connections: &mut Vec<Connection>) {
+        let now = self.clock.now();
+        let mut ended = self.ended.borrow_mut();
+        connections.retain(|connection| {
+            let ended_at = connection.ended_at.get();
+            if let Some(at) = ended_at.filter(|_| connection.reusable_until > now) {
+                ended.insert(incarnation.clone(), at);
+            }
+            ended_at.is_none() && connection.reusable_until > now
+        });
     }
 
     /// Takes all idle connections of a kind.
@@ -306,7 +332,7 @@
     /// Opens a new connection to a server.
     pub async fn connect(&self, endpoint: &Endpoint) -> std::io::Result<Connection> {
         let socket = open_socket(endpoint).await?;
-        Connection::start(socket, self.clock.now(), None).await
+        Connection::start(socket, self.clock, None).await
     }
 
     /// Returns a connection to the pool after its answer was read completely, if it can be reused.
@@ -327,8 +353,7 @@
         connection.used = true;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(endpoint.incarnation.clone()).or_default();
-        // Those that have ended tell of their server's end, and are dropped when the next one is taken.
-        connections.retain(|other| other.reusable_until > now);
+        self.drop_ended(&endpoint.incarnation, connections);
         if connections.len() < MAX_IDLE {
             connections.push(connection);
         }
@@ -343,12 +368,12 @@
         closed.retain(|_, time| now.since(*time) <= CLOSED_RETENTION);
         self.paused.borrow_mut().retain(|_, until| now < *until);
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|_, connections| {
-            connections.retain(|connection| {
-                connection.reusable_until > now && !connection.sender.is_closed()
-            });
+        idle.retain(|incarnation, connections| {
+            self.drop_ended(incarnation, connections);
             !connections.is_empty()
         });
+        let mut ended = self.ended.borrow_mut();
+        ended.retain(|_, at| now.since(*at) <= SAME_TIME);
     }
 }
 
--- a/crates/relay/src/pulse.rs
+++ b/crates/relay/src/pulse.rs
@@ -8,8 +8,9 @@
 
 /// Interval of beats while nothing else happens.
 pub const INTERVAL: Duration = Duration::from_millis(250);
-/// Least time for which a server that was killed takes no connections.
-const MIN_RESTART_TIME: Span = Span::from_millis(1_000);
+/// Least time for which a server that was killed takes no connections; a supervisor starts its process again, which then
+/// loads its code and, for an engine, its weights.
+pub const MIN_RESTART_TIME: Span = Span::from_millis(1_000);
 
 /// Beats while the process runs.
 #[derive(Debug, Default)]
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -242,7 +242,7 @@
         table,
     });
     Ok(Some(
-        Connection::start(stream, shared.clock.now(), Some(detour)).await?,
+        Connection::start(stream, shared.clock, Some(detour)).await?,
     ))
 }
 
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -27,8 +27,12 @@
 impl Delimiter {
     /// Returns what marks the end of an answer with these headers.
     pub fn of(headers: &HeaderMap) -> Delimiter {
-        if headers.contains_key(TRANSFER_ENCODING) {
+        let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let last = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+        if last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) {
             Delimiter::Chunks
+        } else if last.is_some() {
+            Delimiter::Connection
         } else if headers.contains_key(CONTENT_LENGTH) {
             Delimiter::Length
         } else {
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -8,10 +8,12 @@
 use bytes::Bytes;
 use clock::Clock;
 use clock::Span;
+use clock::Time;
 use gateway::attempt::Endpoint;
 use http::HeaderMap;
 use http::Request;
 use http_body_util::Full;
+use relay::pool::Kept;
 use relay::pool::Pool;
 use relay::pool::open_socket;
 use socket2::SockRef;
@@ -138,3 +140,29 @@
     assert!(options.tcp_user_timeout().unwrap().unwrap() > SILENCE);
     assert!(options.keepalive().unwrap());
 }
+
+#[tokio::test]
+async fn an_idle_connection_tells_for_a_moment_that_its_server_has_ended() {
+    // Guards against an answer that looks whole since another process accepts connections at its server's address, and
+    // against one that looks truncated since its server closed an idle connection long before.
+    let (listener, endpoint) = listener().await;
+    let check = async {
+        let clock = Clock::start();
+        let pool = Pool::new(clock);
+        let connection = pool.connect(&endpoint).await.unwrap();
+        let (server, _) = listener.accept().await.unwrap();
+        pool.release(&endpoint, connection, &HeaderMap::new()).await;
+        assert_eq!(pool.kept_since(&endpoint, Time::ZERO), Kept::None);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        assert_eq!(pool.kept_since(&endpoint, clock.now()), Kept::Open);
+
+        drop(server);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        // Another request looks for a connection.
+        assert!(pool.take(&endpoint, true).is_none());
+        assert_eq!(pool.kept_since(&endpoint, clock.now()), Kept::Ended);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(pool.kept_since(&endpoint, clock.now()), Kept::None);
+    };
+    LocalSet::new().run_until(check).await;
+}
