Soak: a proxy resets connections by a reset

A proxy that resets connections, and one whose server reset its own, ended the other side with a FIN: dropping the owned write half of a socket shuts it down before the linger of zero takes effect. An answer that only the end of its connection marks would look complete to the entry, and a stream over HTTP/1.0 to its caller, although nothing of the kind happens on a network.

The halves are borrowed now, so that the sockets are closed once, and an error on either side ends both directions at once.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -11,8 +11,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
 /// Size of the buffer for one read, in bytes.
@@ -119,7 +119,7 @@
     }
 }
 
-/// Forwards one connection until either side closes it.
+/// Forwards one connection until both sides close it. An error on either side resets the other.
 async fn forward(source: TcpStream, destination: SocketAddr, mut mode: watch::Receiver<Mode>) {
     if mode.borrow().resets() {
         return reset_on_drop(&source);
@@ -134,51 +134,53 @@
     };
     // Nagle's algorithm would hold a packet until the one before is acknowledged.
     let _ = (source.set_nodelay(true), destination.set_nodelay(true));
-    let (client_reader, client_writer) = source.into_split();
-    let (server_reader, server_writer) = destination.into_split();
-    let (to_server_mode, to_client_mode) = (mode.clone(), mode.clone());
-    let forwarding = async {
-        tokio::join!(
-            forward_bytes(
-                client_reader,
-                server_writer,
-                to_server_mode,
-                Direction::ToServer
-            ),
-            forward_bytes(
-                server_reader,
-                client_writer,
-                to_client_mode,
-                Direction::ToClient
-            ),
-        )
+    let (mut source, mut destination) = (source, destination);
+    let ended = {
+        let (client_reader, client_writer) = source.split();
+        let (server_reader, server_writer) = destination.split();
+        let (to_server_mode, to_client_mode) = (mode.clone(), mode.clone());
+        let forwarding = async {
+            tokio::try_join!(
+                forward_bytes(
+                    client_reader,
+                    server_writer,
+                    to_server_mode,
+                    Direction::ToServer
+                ),
+                forward_bytes(
+                    server_reader,
+                    client_writer,
+                    to_client_mode,
+                    Direction::ToClient
+                ),
+            )
+        };
+        tokio::select! {
+            ended = forwarding => ended.is_ok(),
+            () = wait_until_reset(&mut mode) => false,
+        }
     };
-    tokio::select! {
-        _ = forwarding => {}
-        () = wait_until_reset(&mut mode) => {}
+    if !ended {
+        reset_on_drop(&source);
+        reset_on_drop(&destination);
     }
 }
 
-/// Forwards bytes in one direction until the end of the stream. An error on one connection resets the other.
+/// Forwards bytes in one direction until the end of the stream.
 async fn forward_bytes(
-    mut source: OwnedReadHalf,
-    mut destination: OwnedWriteHalf,
+    mut source: ReadHalf<'_>,
+    mut destination: WriteHalf<'_>,
     mut mode: watch::Receiver<Mode>,
     direction: Direction,
-) {
+) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER_SIZE];
     loop {
-        let Ok(count) = source.read(&mut buffer).await else {
-            return reset_on_drop(destination.as_ref());
-        };
+        let count = source.read(&mut buffer).await?;
         wait_until_forwarding(&mut mode, direction).await;
         if count == 0 {
-            let _ = destination.shutdown().await;
-            return;
-        }
-        if destination.write_all(&buffer[..count]).await.is_err() {
-            return reset_on_drop(source.as_ref());
+            return destination.shutdown().await;
         }
+        destination.write_all(&buffer[..count]).await?;
     }
 }
 
