Soak: replicas that answer with neither a length nor chunks are killed amid such answers

A fault of its own lets a replica send streams and plain calls that only the end of the connection marks, over HTTP/1.0 and HTTP/1.1, with and without `connection: close`, and ends it twice amid one: the listener goes, then all connections end. It comes back after 1 to 300 ms as another process, or once its row was removed. One caller in three speaks HTTP/1.0. Each crash now closes the listeners of the proxies in front of the replica too, which used to accept and close. A replica that overlapping crashes restart twice keeps its version while its process runs; its connections used to live on under another one.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -11,6 +11,7 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http::Version;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -55,6 +56,8 @@
 const NEW_CONNECTION_SHARE: f64 = 0.2;
 /// Most attempts of one request.
 const MAX_ATTEMPTS: u32 = 3;
+/// One in this many callers speaks HTTP/1.0.
+const HTTP_10_INTERVAL: usize = 3;
 /// Number of events of a stream.
 const EVENT_COUNT: std::ops::Range<u64> = 5..50;
 
@@ -241,6 +244,11 @@
             .await;
     }
 
+    /// Returns whether the caller knows the end of a stream only by the end of its connection.
+    fn speaks_http_10(&self) -> bool {
+        self.environment.has_http_10.get() && self.number.is_multiple_of(HTTP_10_INTERVAL)
+    }
+
     /// Returns the prompt of the next request: a part of all streams, one of some, and one of its own.
     fn prompt(&self, is_stream: bool) -> Vec<SmolStr> {
         if !is_stream || !self.environment.has_prompts.get() {
@@ -274,7 +282,10 @@
                 }
             }
         };
-        let request = caller::request(attempt).ok()?;
+        let mut request = caller::request(attempt).ok()?;
+        if self.speaks_http_10() {
+            *request.version_mut() = Version::HTTP_10;
+        }
         self.environment
             .ledger
             .borrow_mut()
@@ -456,9 +467,10 @@
     let Ok(body) = body.collect().await else {
         return End::Broken;
     };
-    let is_ours = body.to_bytes() == content::call_body(&attempt.id);
+    let body = body.to_bytes();
+    let is_ours = body == content::call_body(&attempt.id);
     match head.status.as_u16() {
-        200 if !is_ours => End::Wrong("another body".into()),
+        200 if !is_ours => End::Wrong(format_smolstr!("another body: {body:?}")),
         status => End::Answered(status),
     }
 }
--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -27,6 +27,9 @@
     pub crash_part_count: usize,
     /// Number of further faults in which a replica answers without end.
     pub endless_count: usize,
+    /// Number of further faults in which a replica answers with neither a length nor chunks and is killed. Some callers
+    /// speak HTTP/1.0 if there are any.
+    pub undelimited_count: usize,
     /// Number of further faults in which a crowd of callers that don't behave stays at an entry.
     pub crowd_count: usize,
 }
@@ -71,6 +74,7 @@
             cut_count: 2,
             crash_part_count: 1,
             endless_count: 2,
+            undelimited_count: 3,
             crowd_count: 2,
         }
     }
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -44,6 +44,8 @@
     pub network: Network,
     /// Whether streams have prompts.
     pub has_prompts: Cell<bool>,
+    /// Whether some callers speak HTTP/1.0.
+    pub has_http_10: Cell<bool>,
     /// Parts of prompts on which replicas crash now.
     pub crash_parts: RefCell<BTreeSet<SmolStr>>,
     /// Folder of settings and logs.
@@ -69,6 +71,7 @@
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
             network,
             has_prompts: Cell::new(false),
+            has_http_10: Cell::new(false),
             crash_parts: RefCell::default(),
             folder,
             _network_lock: lock,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -47,6 +47,13 @@
 const PART_INTERVAL: Span = Span::from_millis(350);
 /// Interval at which replicas are checked for one.
 const HIT_CHECK_INTERVAL: Span = Span::from_millis(10);
+/// Times that a replica is killed amid answers that only the end of their connections marks.
+const KILLS_AMID_ANSWERS: usize = 2;
+/// Share of such answers of that replica.
+const UNDELIMITED_SHARE: f64 = 0.8;
+/// Longest wait for such an answer, and interval at which it is looked for.
+const PARTIAL_ANSWER_WAIT: Span = Span::from_millis(2_000);
+const PARTIAL_ANSWER_INTERVAL: Span = Span::from_millis(2);
 /// Number of the first caller that sends such prompts.
 const FIRST_PART_CALLER: usize = 1_000;
 /// Connections of a crowd, more than an entry has descriptors or, with large bodies, memory for.
@@ -137,6 +144,11 @@
             Fault::CutOff(entry, open) => self.cut_off(entry, open, step.duration).await,
             Fault::Brittle(first) => self.make_brittle(first, step.duration).await,
             Fault::CrashPart(number) => self.crash_on_part(number, step.duration).await,
+            Fault::Undelimited(replica, absence) => {
+                for _ in 0..KILLS_AMID_ANSWERS {
+                    self.kill_amid_answer(replica, absence, step.duration).await;
+                }
+            }
             // To other callers of the entry, a crowd is no fault.
             Fault::Crowd(entry, misbehavior) => {
                 let network = self.environment.network;
@@ -256,14 +268,46 @@
             for replica in self.replicas.iter().filter(|replica| replica.take_hit()) {
                 let (cluster, index) = (Rc::clone(&self), replica.index);
                 tokio::task::spawn_local(async move {
-                    cluster.set_down(index, true).await;
                     cluster.crash(index, ROW_REMOVAL_DELAY).await;
-                    cluster.set_down(index, false).await;
                 });
             }
         }
     }
 
+    /// Lets a replica answer with neither a length nor chunks, which is no fault, and ends it amid such an answer.
+    async fn kill_amid_answer(&self, index: usize, absence: Option<Span>, duration: Span) {
+        let replica = &self.replicas[index];
+        replica.set_behavior(Behavior::Undelimited(UNDELIMITED_SHARE));
+        wait(duration).await;
+        let until = self.environment.clock.now() + PARTIAL_ANSWER_WAIT;
+        while !replica.has_partial_answer() && self.environment.clock.now() < until {
+            wait(PARTIAL_ANSWER_INTERVAL).await;
+        }
+        match absence {
+            None => self.crash(index, duration).await,
+            Some(absence) => {
+                let disturbance = self.begin_disturbance(Target::Replica(index));
+                self.end_process(replica).await;
+                wait(absence).await;
+                self.restart(replica).await;
+                self.end_disturbance(disturbance);
+            }
+        }
+    }
+
+    /// Ends a replica's process: its host refuses connections, and open ones end.
+    async fn end_process(&self, replica: &Replica) {
+        self.set_down(replica.index, true).await;
+        replica.crash();
+    }
+
+    async fn restart(&self, replica: &Replica) {
+        replica.restart();
+        // The process listens before its proxies do.
+        tokio::task::yield_now().await;
+        self.set_down(replica.index, false).await;
+    }
+
     /// Lets all proxies in front of a replica refuse connections, or accept them again.
     async fn set_down(&self, replica: usize, is_down: bool) {
         self.replicas[replica].proxy.set_down(is_down);
@@ -281,11 +325,11 @@
     async fn crash(&self, replica: usize, duration: Span) {
         let replica = &self.replicas[replica];
         let disturbance = self.begin_disturbance(Target::Replica(replica.index));
-        replica.crash();
+        self.end_process(replica).await;
         wait(ROW_REMOVAL_DELAY).await;
         replica.remove_row();
         wait(duration).await;
-        replica.restart();
+        self.restart(replica).await;
         self.end_disturbance(disturbance);
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -33,6 +33,10 @@
 const PART_DURATION_MS: Range<u64> = 8_000..12_000;
 /// Distinguishes the random sequence of answers without end.
 const ENDLESS_SEED: u64 = 0x0065_6e64_6c65_7373;
+/// Distinguishes the random sequence of answers that only the end of their connections marks.
+const UNDELIMITED_SEED: u64 = 0x756e_6465_6c69;
+/// Absence of a replica that is killed and comes back at once, in milliseconds.
+const ABSENCE_MS: Range<u64> = 1..300;
 /// Distinguishes the random sequence of crowds.
 const CROWD_SEED: u64 = 0x0063_726f_7764;
 /// Delay of bytes or answers, in milliseconds.
@@ -93,6 +97,9 @@
     Brittle(usize),
     /// Replicas crash as they begin to answer a prompt with a certain part, and such prompts come.
     CrashPart(u64),
+    /// A replica answers with neither a length nor chunks, and is killed amid such answers. It comes back after this
+    /// absence as another process, or later, after its row was removed.
+    Undelimited(usize, Option<Span>),
     /// A crowd of callers that don't behave stays at an entry.
     Crowd(usize, Misbehavior),
     /// A replica misbehaves.
@@ -153,6 +160,12 @@
         DURATION_MS,
         draw_endless,
     );
+    draw_further(
+        seed ^ UNDELIMITED_SEED,
+        size.undelimited_count,
+        DURATION_MS,
+        draw_undelimited,
+    );
     draw_further(seed ^ CROWD_SEED, size.crowd_count, DURATION_MS, draw_crowd);
     steps.sort_by_key(|step| step.start);
     steps
@@ -181,6 +194,13 @@
     Fault::Works(replica, Behavior::Endless(random.random_range(0.3..1.0)))
 }
 
+fn draw_undelimited(random: &mut Pcg64, size: &Size) -> Fault {
+    let replica = random.random_range(0..size.replicas());
+    let absence = random.random_range(ABSENCE_MS);
+    let returns = random.random::<bool>();
+    Fault::Undelimited(replica, returns.then(|| Span::from_millis(absence)))
+}
+
 fn draw_crowd(random: &mut Pcg64, size: &Size) -> Fault {
     let entry = random.random_range(0..size.entries);
     let kind = random.random_range(0..Misbehavior::ALL.len());
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -15,6 +15,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
+use http::header;
+use http::header::HeaderValue;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -41,6 +44,7 @@
 use crate::server;
 use crate::server::Body;
 use crate::server::Disconnected;
+use crate::server::Http11;
 
 /// Start of a replica's signature, followed by its index.
 pub const SIGNATURE_PREFIX: &str = "soak.";
@@ -58,6 +62,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 /// Time within which a replica that crashes has ended.
 const CRASH_TIME: Duration = Duration::from_secs(1);
+/// Time between the halves of a plain body without a length.
+const HALF_INTERVAL: Duration = Duration::from_millis(25);
 /// Pause that a replica asks for when it turns a request away.
 const PAUSE: Span = Span::from_millis(2_500);
 /// Factor by which slow work takes longer.
@@ -83,6 +89,8 @@
     Endless(f64),
     /// This share of requests is turned away, each with a pause.
     TurnsAway(f64),
+    /// This share of answers has neither a length nor chunks.
+    Undelimited(f64),
     /// All work takes several times as long.
     Slow,
     /// Since this time all answers state that the replica is brittle; after a notice it has little room.
@@ -94,6 +102,8 @@
 enum Ending {
     /// The answer is complete.
     Whole,
+    /// The answer is complete once the connection closes.
+    Undelimited,
     /// The connection closes early.
     BreaksOff,
     /// This block follows until the connection is closed.
@@ -120,6 +130,8 @@
     is_leaving: Cell<bool>,
     /// Work in progress.
     busy: Cell<usize>,
+    /// Answers without a length or chunks of which a part has been sent.
+    partial_answers: Cell<usize>,
     /// Times of recent rejections for want of room.
     rejections: RefCell<VecDeque<Time>>,
     is_running: watch::Sender<bool>,
@@ -172,6 +184,7 @@
             behavior: Cell::new(Behavior::Good),
             is_leaving: Cell::new(false),
             busy: Cell::new(0),
+            partial_answers: Cell::new(0),
             rejections: RefCell::default(),
             is_running,
             is_hit: Cell::new(false),
@@ -185,11 +198,18 @@
                     continue;
                 };
                 let mut connections = JoinSet::new();
+                let mut states_http_11 = false;
                 loop {
                     tokio::select! {
                         Ok((socket, _)) = listener.accept() => {
-                            let served = server::serve(socket, Rc::clone(&serving), answer);
-                            connections.spawn_local(served);
+                            let replica = Rc::clone(&serving);
+                            states_http_11 = !states_http_11;
+                            if states_http_11 {
+                                let socket = Http11(socket);
+                                connections.spawn_local(server::serve(socket, replica, answer));
+                            } else {
+                                connections.spawn_local(server::serve(socket, replica, answer));
+                            }
                         }
                         _ = running.wait_for(|is_running| !*is_running) => break,
                     }
@@ -209,6 +229,11 @@
         self.is_running.send_replace(false);
     }
 
+    /// Returns whether an answer without a length or chunks has been sent in part.
+    pub fn has_partial_answer(&self) -> bool {
+        self.partial_answers.get() > 0
+    }
+
     /// Returns whether the replica began to answer a prompt with a crashing part, once.
     pub fn take_hit(&self) -> bool {
         self.is_hit.take() && *self.is_running.borrow()
@@ -235,10 +260,13 @@
         }
     }
 
-    /// Restarts the replica under the same id, with no state from before.
+    /// Restarts the replica under the same id, with no state from before. A process that another fault restarted already
+    /// runs on and keeps its version.
     pub fn restart(&self) {
-        self.started_ms.set(unix_ms());
-        self.restarts.set(self.restarts.get() + 1);
+        if !*self.is_running.borrow() {
+            self.started_ms.set(unix_ms());
+            self.restarts.set(self.restarts.get() + 1);
+        }
         self.behavior.set(Behavior::Good);
         self.is_leaving.set(false);
         self.is_running.send_replace(true);
@@ -416,6 +444,7 @@
             let is_slow = replica.chance(0.5);
             Ending::Endless(endless_block(is_slow))
         }
+        Behavior::Undelimited(share) if replica.chance(share) => Ending::Undelimited,
         _ => Ending::Whole,
     };
     if let Some(stream) = Stream::parse(head.uri.path()) {
@@ -425,6 +454,7 @@
         Ending::Whole => {}
         Ending::BreaksOff => return Err(Disconnected),
         Ending::Endless(block) => return Ok(endless_response(&replica, guard, &received, block)),
+        Ending::Undelimited => return Ok(undelimited_response(replica, guard, &received)),
     }
     let body = content::call_body(&received.attempt);
     let mut response = Response::new(Bytes::from(body));
@@ -491,7 +521,61 @@
     response
 }
 
-/// Streams the events after the caller's last one; an ending other than [`Ending::Whole`] begins halfway through them.
+/// Counts an answer without a length or chunks while a part of it has been sent.
+struct PartialAnswer(Rc<Replica>);
+
+impl PartialAnswer {
+    fn begin(replica: &Rc<Replica>) -> PartialAnswer {
+        let count = &replica.partial_answers;
+        count.set(count.get() + 1);
+        PartialAnswer(Rc::clone(replica))
+    }
+}
+
+impl Drop for PartialAnswer {
+    fn drop(&mut self) {
+        let count = &self.0.partial_answers;
+        count.set(count.get() - 1);
+    }
+}
+
+/// Lets only the end of its connection mark the end of an answer; some say that the connection closes.
+fn undelimit(replica: &Replica, response: &mut Response<Body>) {
+    *response.version_mut() = Version::HTTP_10;
+    if replica.chance(0.5) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+}
+
+/// Answers a plain call in two halves.
+fn undelimited_response(
+    replica: Rc<Replica>,
+    guard: RunGuard,
+    received: &Received,
+) -> Response<Body> {
+    let mut first = Bytes::from(content::call_body(&received.attempt));
+    let second = first.split_off(first.len() / 2);
+    let partial = PartialAnswer::begin(&replica);
+    let halves = stream::unfold(Some((first, true)), move |half| {
+        let _held = (&guard, &partial);
+        let second = second.clone();
+        async move {
+            let (half, is_first) = half?;
+            if !is_first {
+                tokio::time::sleep(HALF_INTERVAL).await;
+            }
+            Some((Ok(Frame::data(half)), is_first.then_some((second, false))))
+        }
+    });
+    let body: Body = Box::pin(StreamBody::new(halves));
+    let mut response = Response::new(body);
+    *response.headers_mut() = replica.answer_headers(received);
+    undelimit(&replica, &mut response);
+    response
+}
+
+/// Streams the events after the caller's last one; some endings begin halfway through them.
 fn stream_response(
     replica: Rc<Replica>,
     guard: RunGuard,
@@ -502,10 +586,14 @@
     let half = received.last_event + stream.events.saturating_sub(received.last_event) / 2;
     let headers = replica.answer_headers(received);
     let version = replica.version();
+    let is_undelimited = matches!(ending, Ending::Undelimited);
+    let partial = is_undelimited.then(|| PartialAnswer::begin(&replica));
+    let answering = Rc::clone(&replica);
     let state = (received.last_event, replica, guard);
     let events = stream::unfold(state, move |(last, replica, guard)| {
         let (stream, version) = (stream.clone(), version.clone());
         let ending = ending.clone();
+        let _held = &partial;
         async move {
             if last >= stream.events {
                 return None;
@@ -528,5 +616,8 @@
     let body: Body = Box::pin(StreamBody::new(events));
     let mut response = Response::new(body);
     *response.headers_mut() = headers;
+    if is_undelimited {
+        undelimit(&answering, &mut response);
+    }
     response
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -66,6 +66,7 @@
 async fn play_nodes(seed: u64, size: Size, binary: &Path, folder: PathBuf) -> Result<Report> {
     let environment = Rc::new(Environment::new(seed, folder)?);
     environment.has_prompts.set(size.crash_part_count > 0);
+    environment.has_http_10.set(size.undelimited_count > 0);
     let cluster = Rc::new(start_nodes(&environment, size, binary).await?);
     let crashing = tokio::task::spawn_local(Rc::clone(&cluster).crash_hit_replicas());
     let network = environment.network;
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -21,6 +21,7 @@
         cut_count: 0,
         crash_part_count: 0,
         endless_count: 0,
+        undelimited_count: 0,
         crowd_count: 0,
         ..Size::small()
     }
@@ -114,6 +115,18 @@
     play([51, 52], size);
 }
 
+/// Guards against truncated answers that look complete, when replicas that answer with neither a length nor chunks are
+/// killed amid an answer, also when another process takes their place at once, and to callers over HTTP/1.0.
+#[test]
+fn answers_that_end_with_their_replica_do_not_look_complete() {
+    let size = Size {
+        fault_count: 1,
+        undelimited_count: 6,
+        ..short_size()
+    };
+    play([81, 82], size);
+}
+
 /// Guards against failing callers of entries at which crowds of callers don't behave.
 #[test]
 fn callers_are_served_beside_crowds_that_do_not_behave() {
