Soak: the report names the times for which its own process stood still

The logs of all four entries have the same: every replica silent for 800 to 1,000 ms, then the next one, with waits that ended within 20 ms of their limits mostly. The entries ran; replicas, table service and callers, all in the soak's process, handled nothing and then everything within 3 ms. Nothing in the report showed that. Stalls of 400 ms and more are listed now; they excuse nothing.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -133,6 +133,9 @@
     pub part_crashes: Vec<(SmolStr, Time)>,
     /// Arrivals of prompts with such a part at replicas: the part, the entry and the time.
     pub part_arrivals: Vec<(SmolStr, usize, Time)>,
+    /// Times for which the soak's own process stood still, with their ends: to entries, all replicas and the table service
+    /// are silent then.
+    pub stalls: Vec<(Time, Span)>,
     /// What replicas stated in their answers.
     pub notices: Notices,
     /// Broken promises.
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use clock::Span;
 use clock::Time;
 use hdrhistogram::Histogram;
 
@@ -19,6 +20,7 @@
     /// Broken promises.
     pub breaches: Vec<Breach>,
     steps: Vec<Step>,
+    stalls: Vec<(Time, Span)>,
     /// Number of windows whose usage was reported.
     usage_windows: usize,
     classes: BTreeMap<Class, Counts>,
@@ -47,6 +49,7 @@
             seed,
             breaches: ledger.breaches.clone(),
             steps,
+            stalls: ledger.stalls.clone(),
             usage_windows,
             classes,
         }
@@ -103,6 +106,13 @@
             }
             writeln!(formatter)?;
         }
+        for (end, length) in &self.stalls {
+            let (end, length) = (end.as_millis(), length.as_millis());
+            writeln!(
+                formatter,
+                "  the soak itself stood still for {length} ms until {end} ms"
+            )?;
+        }
         if self.breaches.is_empty() {
             return Ok(());
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -37,6 +37,9 @@
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which a starting entry is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the soak's own process is checked, and least delay that counts as a stall.
+const PULSE_INTERVAL: Duration = Duration::from_millis(50);
+const MIN_STALL: Span = Span::from_millis(400);
 /// Traffic before the first fault.
 const WARM_UP: Span = Span::from_millis(1_500);
 /// Upper limit of the faults' total time.
@@ -69,6 +72,7 @@
     environment.has_http_10.set(size.undelimited_count > 0);
     let cluster = Rc::new(start_nodes(&environment, size, binary).await?);
     let crashing = tokio::task::spawn_local(Rc::clone(&cluster).crash_hit_replicas());
+    let pulse = tokio::task::spawn_local(record_stalls(Rc::clone(&environment)));
     let network = environment.network;
     let cloud_address = network.address(Node::Platform, Port::Cloud);
     let cloud = Cloud::serve(Rc::clone(&environment), cloud_address).await?;
@@ -93,6 +97,7 @@
     let now = environment.clock.now();
     promises::check_final(&mut environment.ledger.borrow_mut(), faults_ended_at, now);
     crashing.abort();
+    pulse.abort();
     for entry in &cluster.entries {
         entry.shut_down();
     }
@@ -105,6 +110,20 @@
     ))
 }
 
+/// Records the times for which this process stood still.
+async fn record_stalls(environment: Rc<Environment>) {
+    let mut last = environment.clock.now();
+    loop {
+        tokio::time::sleep(PULSE_INTERVAL).await;
+        let now = environment.clock.now();
+        let elapsed = now.since(last);
+        if elapsed >= MIN_STALL {
+            environment.ledger.borrow_mut().stalls.push((now, elapsed));
+        }
+        last = now;
+    }
+}
+
 /// Starts all nodes. Entries start last, when the configuration and the replicas' rows exist.
 async fn start_nodes(environment: &Rc<Environment>, size: Size, binary: &Path) -> Result<Cluster> {
     let engines = (0..size.engines).map(|_| ENGINES);
