Relay: an event is relayed only where it follows those that the caller has

Callers got complete answers with events missing, twice or of two runs: an entry knew only the id of the last block and dropped every lower number. Seen over sockets, each with a proper end: - a run resumed later than the next event: the gap was passed on; - a run whose numbers go back, or two events under one number: the later ones were dropped; - a resumed run from its start that isn't the same run: its rest was joined to the first one; - a block without data that names the next event's id: that event was dropped. One with another id moved the point from which the stream was resumed; - events without ids, or with ids that aren't numbers: the second run's events came again from its start.

An own type now says of each event whether it follows. An attempt with an event that doesn't is broken off; another one resumes after the last event where that is allowed, else the answer is truncated. The step between ids isn't stated (they may count tokens or bytes), so a number that a run leaves out itself is no gap. One between two runs is a gap only if the steps before, two at least, were all equal. A stream whose last id is no number isn't begun again within its answer.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -38,6 +38,7 @@
 use crate::pool::Connection;
 use crate::reach;
 use crate::reach::Finding;
+use crate::sequence::Place;
 use crate::shared::Shared;
 use crate::silence::Silence;
 use crate::trace::Delimiter;
@@ -94,8 +95,14 @@
 impl Flight {
     /// Forwards the request to a replica and relays its answer; `None` if the caller disconnected.
     pub async fn exchange(&mut self, start: &Start, transfer: Option<Transfer>) -> Option<End> {
+        if self.caller.is_streaming() && !self.sequence.is_numbered() {
+            log::info!(event = "stream_not_resumed", request = self.inbound.id.as_str(); "");
+            self.caller.abort();
+            return None;
+        }
+        self.sequence.begin_attempt();
         let resume = Resume {
-            last_event: self.last_event.clone(),
+            last_event: self.sequence.last().cloned(),
             transfer,
         };
         let head = tokio::select! {
@@ -242,7 +249,20 @@
                         return Some(End::Unrecorded);
                     }
                 }
-                self.relay_event(start, &answer.head, state, event).await;
+                let before = self.sequence.last().cloned();
+                match self.sequence.place_event(&event) {
+                    Place::Next => {
+                        state
+                            .trace
+                            .record_event(before.as_deref(), event.id.as_ref());
+                        self.relay_event(start, &answer.head, state, event).await;
+                    }
+                    Place::Duplicate => state.trace.duplicates += 1,
+                    Place::Misplaced => {
+                        state.trace.misplaced = event.id;
+                        return Some(End::Broken { alive: true });
+                    }
+                }
                 // Time for which the caller was slow is no silence of the replica.
                 state.silence.record_progress(self.shared.clock.now());
             }
@@ -285,12 +305,12 @@
 
     /// Relays a block without data; holds it back until the stream has an event. It counts as no token.
     async fn relay_dataless(&mut self, state: &mut StreamState, block: Event) {
+        if self.sequence.place_dataless(&block) != Place::Next {
+            return;
+        }
         if !state.started {
             return state.held.extend_from_slice(&block.bytes);
         }
-        if block.id.is_some() {
-            self.last_event = block.id;
-        }
         self.send_chunk(block.bytes).await;
     }
 
@@ -302,7 +322,15 @@
         }
     }
 
-    /// Relays one event, unless the caller already received it.
+    /// Sends the head of a stream, unless an earlier attempt did.
+    fn start_stream(&mut self, head: &response::Parts) {
+        if !self.caller.is_streaming() {
+            let headers = stream_headers(self.shared.codec.response_headers(&head.headers));
+            self.caller.start_stream(head.status, headers);
+        }
+    }
+
+    /// Relays one event that the caller doesn't have.
     async fn relay_event(
         &mut self,
         start: &Start,
@@ -310,25 +338,13 @@
         state: &mut StreamState,
         event: Event,
     ) {
-        if is_duplicate(self.last_event.as_deref(), event.id.as_deref()) {
-            state.trace.duplicates += 1;
-            return;
-        }
-        let last = self.last_event.as_deref();
-        state.trace.record_event(last, event.id.as_ref());
         // Events that the caller already has don't count, since a faulty replica may repeat one without end.
         state.dataless_bytes = 0;
-        if !self.caller.is_streaming() {
-            let headers = stream_headers(self.shared.codec.response_headers(&head.headers));
-            self.caller.start_stream(head.status, headers);
-        }
+        self.start_stream(head);
         let first = !std::mem::replace(&mut state.started, true);
         if first {
             self.report(start, Report::ResponseStarted);
         }
-        if event.id.is_some() {
-            self.last_event = event.id;
-        }
         if !state.held.is_empty() {
             self.send_chunk(state.held.split().freeze()).await;
         }
@@ -533,17 +549,6 @@
     }
 }
 
-/// Returns whether the caller already received the event `id`.
-fn is_duplicate(last: Option<&str>, id: Option<&str>) -> bool {
-    let (Some(last), Some(id)) = (last, id) else {
-        return false;
-    };
-    match (last.parse::<u64>(), id.parse::<u64>()) {
-        (Ok(last), Ok(id)) => id <= last,
-        _ => id == last,
-    }
-}
-
 /// Returns the headers of a stream without its length, since another replica may resume it.
 fn stream_headers(mut headers: HeaderMap) -> HeaderMap {
     headers.remove(http::header::CONTENT_LENGTH);
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -30,6 +30,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TooLarge;
 
+impl Event {
+    /// Returns the event's lines of data.
+    pub fn data_lines(&self) -> impl Iterator<Item = &[u8]> {
+        data_lines(&self.bytes)
+    }
+}
+
 impl Splitter {
     /// Appends bytes.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), TooLarge> {
@@ -45,9 +52,10 @@
         let end = self.boundary()?;
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
+        let has_data = data_lines(&bytes).next().is_some();
         Some(Event {
             id: event_id(&bytes),
-            has_data: has_data(&bytes),
+            has_data,
             bytes,
         })
     }
@@ -75,10 +83,10 @@
     }
 }
 
-/// Returns whether an event has a line of data.
-fn has_data(bytes: &[u8]) -> bool {
-    let mut lines = bytes.split(|byte| matches!(*byte, b'\n' | b'\r'));
-    lines.any(|line| line == b"data" || line.starts_with(b"data:"))
+/// Returns an event's lines of data.
+fn data_lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = bytes.split(|byte| matches!(*byte, b'\n' | b'\r'));
+    lines.filter(|line| *line == b"data" || line.starts_with(b"data:"))
 }
 
 /// Returns the id of an event.
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -21,6 +21,7 @@
 use crate::caller::Caller;
 use crate::inbox::Message;
 use crate::migration::Migration;
+use crate::sequence::Sequence;
 use crate::shared::Shared;
 
 /// One open request.
@@ -33,8 +34,8 @@
     pub caller: Caller,
     /// A replica's own error answer, sent if no other replica does better.
     pub fallback: Option<Response<Bytes>>,
-    /// Id of the last event that the caller received.
-    pub last_event: Option<SmolStr>,
+    /// The events that the caller received.
+    pub sequence: Sequence,
     /// Tokens relayed so far.
     pub tokens: u32,
     /// Longest pause between two events.
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -33,6 +33,7 @@
 use crate::flight::Inbound;
 use crate::inbox::Message;
 use crate::payload::Payload;
+use crate::sequence::Sequence;
 use crate::shared::Shared;
 
 /// Smallest read buffer that the HTTP library accepts.
@@ -121,7 +122,7 @@
         },
         caller: Caller::new(answer),
         fallback: None,
-        last_event: None,
+        sequence: Sequence::default(),
         tokens: 0,
         longest_pause: Span::ZERO,
         migrating: Rc::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,6 +32,7 @@
 mod peers;
 mod ports;
 mod pulse;
+mod sequence;
 mod shared;
 mod shell;
 mod silence;
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -102,7 +102,7 @@
             attempt = start.attempt,
             source = transfer.source.as_str(),
             to = next.endpoint.incarnation.as_str(),
-            last_event = self.last_event.as_deref().unwrap_or_default();
+            last_event = self.sequence.last().map_or("", SmolStr::as_str);
             ""
         );
         match self.exchange(&next, Some(transfer)).await {
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -62,6 +62,8 @@
     pub duplicates: u32,
     /// Events that follow a number lower than the one before theirs.
     gaps: u32,
+    /// Id of the event at which the attempt ended, since it doesn't follow those that the caller has.
+    pub misplaced: Option<SmolStr>,
 }
 
 impl Trace {
@@ -76,6 +78,7 @@
             events: 0,
             duplicates: 0,
             gaps: 0,
+            misplaced: None,
         }
     }
 
@@ -87,7 +90,7 @@
         };
         let number = |id: &str| id.parse::<u64>().ok();
         let skips = number(id).zip(before.and_then(number));
-        self.gaps += u32::from(skips.is_some_and(|(id, before)| id > before + 1));
+        self.gaps += u32::from(skips.is_some_and(|(id, before)| id > before.saturating_add(1)));
         self.first.get_or_insert_with(|| id.clone());
         self.last = Some(id.clone());
     }
@@ -101,10 +104,11 @@
     pub fn log(&self, request: &str, start: &Start, end: Option<&End>) {
         let is_whole = matches!(end, Some(End::Finished { .. }));
         let is_usual = is_whole && self.delimiter != Delimiter::Connection;
-        let level = match is_usual && self.duplicates == 0 && self.gaps == 0 {
-            true => Level::Debug,
-            false => Level::Info,
-        };
+        let level =
+            match is_usual && self.duplicates == 0 && self.gaps == 0 && self.misplaced.is_none() {
+                true => Level::Debug,
+                false => Level::Info,
+            };
         log::log!(
             level,
             event = "stream_relayed",
@@ -119,7 +123,8 @@
             first = self.first.as_deref().unwrap_or_default(),
             last = self.last.as_deref().unwrap_or_default(),
             duplicates = self.duplicates,
-            gaps = self.gaps;
+            gaps = self.gaps,
+            misplaced = self.misplaced.as_deref().unwrap_or_default();
             ""
         );
     }
