Relay: a caller that returns gets no event again

A caller that takes a stream up again names its last event. The entry passed that on but didn't heed it itself, so where a replica answered from the start, the caller got the events that it had once more. And an answer from the start that ends at the caller's last event counted as broken, within one answer too, which was truncated although it was complete.

On routes that may be resumed, the entry starts from the number that the caller names, and an answer that ends properly at the caller's last event is complete. On other routes the id means nothing, and their streams are left as they are.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -100,7 +100,7 @@
             self.caller.abort();
             return None;
         }
-        self.sequence.begin_attempt();
+        self.sequence.begin_attempt(start.repeatable);
         let resume = Resume {
             last_event: self.sequence.last().cloned(),
             transfer,
@@ -273,7 +273,8 @@
             return Some(End::Broken { alive: true });
         }
         // A broken stream may have lost nothing but its end.
-        let has_nothing_left = framed && self.caller.is_streaming() && state.trace.is_empty();
+        let is_empty = self.caller.is_streaming() && state.trace.is_empty();
+        let has_nothing_left = framed && (is_empty || self.sequence.is_caught_up());
         if state.splitter.has_partial_event() || !state.started && !has_nothing_left {
             return match framed {
                 true => Some(End::Broken { alive: true }),
@@ -290,6 +291,7 @@
                 return broken;
             }
         }
+        self.start_stream(&answer.head);
         self.caller.finish();
         let headers = answer.head.headers;
         self.shared
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -111,6 +111,8 @@
     let arrival = shared.codec.decode_request(&head, &body, read_time)?;
     let (answer, answered) = oneshot::channel();
     let (commands, command_receiver) = mpsc::unbounded_channel();
+    let continuation = arrival.continuation.as_ref();
+    let requested = continuation.map(|continuation| continuation.last_event.clone());
     let serial = shared.allocate_serial();
     let flight = Flight {
         shared: Rc::clone(shared),
@@ -122,7 +124,7 @@
         },
         caller: Caller::new(answer),
         fallback: None,
-        sequence: Sequence::default(),
+        sequence: Sequence::new(requested),
         tokens: 0,
         longest_pause: Span::ZERO,
         migrating: Rc::default(),
--- a/crates/relay/src/sequence.rs
+++ b/crates/relay/src/sequence.rs
@@ -29,9 +29,11 @@
 /// The events that the caller received of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct Sequence {
-    /// Id of the last event with data that the caller received.
+    /// Id after which the caller takes up a stream.
+    requested: Option<SmolStr>,
+    /// Id of the last event with data that the caller received, whether here or from an earlier answer.
     last: Option<SmolStr>,
-    /// Hash of that event's data.
+    /// Hash of that event's data; `None` if it came in an earlier answer.
     last_data: Option<u64>,
     /// Number of the event before, in the current attempt.
     previous: Option<u64>,
@@ -51,14 +53,26 @@
 }
 
 impl Sequence {
+    /// Creates the sequence of a request whose caller names the id of the last event that it has.
+    pub fn new(requested: Option<SmolStr>) -> Sequence {
+        Sequence {
+            requested,
+            ..Sequence::default()
+        }
+    }
+
     /// Returns the id of the last event that the caller has.
     pub fn last(&self) -> Option<&SmolStr> {
         self.last.as_ref()
     }
 
-    /// Begins an attempt.
-    pub fn begin_attempt(&mut self) {
+    /// Begins an attempt. Only a stream that may be resumed goes on after the id that its caller names.
+    pub fn begin_attempt(&mut self, is_resumable: bool) {
         self.previous = None;
+        let requested = self.requested.take_if(|_| is_resumable);
+        if let Some(id) = requested.filter(|id| number(id).is_some()) {
+            self.last.get_or_insert(id);
+        }
     }
 
     /// Returns whether another run can go on where the caller's stream broke off. Without a number, nothing tells its
@@ -67,6 +81,11 @@
         self.last_number().is_some()
     }
 
+    /// Returns whether the current attempt got as far as the caller is, and no further.
+    pub fn is_caught_up(&self) -> bool {
+        self.previous.is_some() && self.previous == self.last_number()
+    }
+
     /// Returns the place of an event with data.
     pub fn place_event(&mut self, event: &Event) -> Place {
         let Some(id) = &event.id else {
