Rollouts: the number of a leader's announcements outlives the order

A leader counted its announcements anew for each order of a service. Under the same fencing token the first stages of an order that replaces another had lower numbers than the last ones of that order, and all other entries ignored them: none tried the new version until the count had caught up, or until the earlier item had expired after a minute.

The latest number is kept by service, whatever the order, and the next one is above it and above the base of the fencing token.

Result: an_order_that_replaces_another_is_followed_at_once failed before and passes.

--- a/crates/gateway/src/rollout_lead.rs
+++ b/crates/gateway/src/rollout_lead.rs
@@ -52,7 +52,6 @@
     /// The phase last written to the operator's status. Invariant: it was saved before.
     published_phase: Option<Phase>,
     next_announcement: Time,
-    announcements: u64,
 }
 
 /// A call of the table service.
@@ -106,7 +105,6 @@
                     saved_phase: None,
                     published_phase: None,
                     next_announcement: now,
-                    announcements: 0,
                 });
         }
     }
@@ -148,8 +146,9 @@
         let call = call.and_then(|pending| write_call(service, &stage, pending));
         if changed || now >= leadership.next_announcement {
             leadership.next_announcement = now + pause;
-            leadership.announcements += 1;
-            let number = lease.fence << SEQUENCE_BITS | leadership.announcements;
+            let announced = self.rollouts.announced.entry(service.clone()).or_default();
+            let number = (lease.fence << SEQUENCE_BITS).max(*announced + 1);
+            *announced = number;
             self.publish_stage(now, service, number, &stage, effects);
         }
         if let Some(call) = call {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -50,6 +50,9 @@
     pub peer_tallies: BTreeMap<lease::holder::Id, BTreeMap<SmolStr, Tally>>,
     /// Roll-outs that this entry leads, by service.
     pub leaderships: BTreeMap<SmolStr, Leadership>,
+    /// Number of the latest announcement that this entry made, by service. It outlives the order, since peers ignore
+    /// lower numbers.
+    pub announced: BTreeMap<SmolStr, u64>,
 }
 
 /// The roll-out of one service.
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -236,3 +236,37 @@
         assert_eq!(status(&world), decided);
     }
 }
+
+/// Guards against entries that ignore the stages of an order, since their numbers go back to those of an earlier order under
+/// the same leader.
+#[test]
+fn an_order_that_replaces_another_is_followed_at_once() {
+    let mut world = world();
+    world.order_rollout("v2", DEADLINE);
+    world.publish_servers();
+    serve(&mut world, 14_000, |_| false);
+    assert_eq!(status(&world), "completed");
+    let leader = world.holders();
+    for _ in 0..world.servers.len() {
+        world.add_server();
+        world.servers.last_mut().expect("added").version = "v3".into();
+    }
+    world.order_rollout("v3", DEADLINE);
+    world.publish_servers();
+    let mut tried = 0;
+    for number in 0..5_000 / REQUEST_INTERVAL_MS {
+        let entry = number as usize % ENTRIES;
+        let placed = world.start_request(entry);
+        world.run(REQUEST_INTERVAL_MS);
+        if let Some((serial, place)) = placed {
+            let mut servers = world.servers.iter();
+            let server = servers.find(|server| server.incarnation == place);
+            let is_new = server.is_some_and(|server| server.version == "v3");
+            // The leader follows its own stages, whatever their numbers.
+            tried += u64::from(is_new && !leader.contains(&entry));
+            world.finish_request(entry, serial, false);
+        }
+    }
+    assert_eq!(world.holders(), leader, "the leader was replaced");
+    assert!(tried > 0, "no entry tries the new version");
+}
