--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -33,6 +33,7 @@
 use crate::flight::Inbound;
 use crate::inbox::Message;
 use crate::payload::Payload;
+use crate::sequence::Sequence;
 use crate::shared::Shared;
 
 /// Smallest read buffer that the HTTP library accepts.
@@ -110,6 +111,8 @@
     let arrival = shared.codec.decode_request(&head, &body, read_time)?;
     let (answer, answered) = oneshot::channel();
     let (commands, command_receiver) = mpsc::unbounded_channel();
+    let continuation = arrival.continuation.as_ref();
+    let requested = continuation.map(|continuation| continuation.last_event.clone());
     let serial = shared.allocate_serial();
     let flight = Flight {
         shared: Rc::clone(shared),
@@ -121,7 +124,7 @@
         },
         caller: Caller::new(answer),
         fallback: None,
-        last_event: None,
+        sequence: Sequence::new(requested),
         tokens: 0,
         longest_pause: Span::ZERO,
         moving: Rc::default(),
