Gateway: an entry that stops refuses what it can't answer before its end

What callers saw: a call that may not be repeated arrived late in the grace period of a planned stop. It was passed on to a server, and at the end of the period it was refused with "may have run", or its stream was cut, although it would have been served elsewhere.

Cause: requests were accepted until 1.5 s before the end of the period, streams until 5 s, whatever the answers of their route take. A request that waited for a server, or whose server had not started it, was sent until the last 400 ms.

A request is accepted during a stop, and sent to its first server, only if the longest of them, with a margin of a quarter, or the request's own time limit, fits into the rest of the period. As long as nothing was measured, the time limit counts; only idempotent calls are still tried then. The cutoffs of 1.5 s and 5 s remain as lower bounds. Waiting requests are refused as soon as they don't fit.

The tests that send requests during a stop serve one of the same route before it, since the entry accepts unmeasured ones no longer; their checks are unchanged.

Why it holds: the rule is asked at arrival and again whenever a request is sent to its first server, so waiting doesn't evade it. A request that may have run is never refused by it.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -157,6 +157,8 @@
         let Some(open) = self.close_request(serial, effects) else {
             return;
         };
+        let took = now.since(open.arrived_at);
+        self.durations.record(&open.route, took);
         let first = open.first_response_at.unwrap_or(now);
         let line = Line::info("request_done")
             .routine()
@@ -165,7 +167,7 @@
             .with("service", &open.service)
             .with("account", open.account.unwrap_or_default())
             .with("first_ms", first.since(open.arrived_at).as_millis())
-            .with("total_ms", now.since(open.arrived_at).as_millis())
+            .with("total_ms", took.as_millis())
             .with("pause_ms", pause.as_millis())
             .with("tokens", tokens)
             .with("attempts", open.attempt);
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -53,6 +53,8 @@
             .filter_map(|service| service.engine.as_ref());
         let speeds = engines.filter_map(|engine| engine.transfer_tokens_per_ms);
         self.scheduler.set_transfer_speed(speeds.reduce(f64::min));
+        self.durations
+            .retain(|known| catalog.routes().any(|route| route.name == *known));
         self.document = document;
         self.configured_since = now;
         self.catalog = Some(Rc::clone(&catalog));
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::plan::Shed;
 use crate::returns::unknown_version_refusal;
+use crate::stop::leaving_refusal;
 
 /// Range of engine priorities; the lowest number is the most urgent.
 const MOST_URGENT: u8 = 0;
@@ -111,6 +112,9 @@
             let refusal = unknown_version_refusal();
             return self.cancel_and_refuse(now, job.0, refusal, effects);
         }
+        if self.is_too_late(now, open) {
+            return self.cancel_and_refuse(now, job.0, leaving_refusal(), effects);
+        }
         let Some(open) = self.requests.get_mut(&job.0) else {
             return;
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 
 use crate::catalog::Catalog;
 use crate::configs::gateway::Settings;
+use crate::durations::Durations;
 use crate::duties;
 use crate::duties::Duties;
 use crate::effect::Effect;
@@ -98,6 +99,8 @@
     pub(crate) watch: Watch,
     /// Whether this entry reads the list of servers itself.
     pub(crate) following: Following,
+    /// How long answers took, by route.
+    pub(crate) durations: Durations,
     /// Open requests by serial number.
     pub(crate) requests: BTreeMap<u64, Request>,
     /// Deadlines of all open requests.
@@ -240,6 +243,7 @@
             configured_since: Time::ZERO,
             document: Bytes::new(),
             scheduler,
+            durations: Durations::default(),
             requests: BTreeMap::new(),
             timeouts: BTreeSet::new(),
             accounts: BTreeMap::new(),
@@ -406,7 +410,7 @@
             self.next_following_tick(),
             self.throttle.next_wake(now),
             self.streams.next_wake(),
-            self.next_stop_wake(),
+            self.next_stop_wake(now),
         ];
         let first = wakes.into_iter().flatten().min();
         first.unwrap_or(now)
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -26,13 +26,12 @@
 use crate::gateway::Gateway;
 use crate::request::Request;
 use crate::route_shares;
+use crate::stop::leaving_refusal;
 use crate::streams;
 use crate::work;
 
 /// Retry delay for callers of an entry without a configuration: about the time to read one.
 const NOT_READY_RETRY: Span = Span::from_millis(300);
-/// Retry delay for callers of an entry that is about to stop; they ask for other addresses first.
-const LEAVING_RETRY: Span = Span::from_millis(50);
 /// Tokens that a request without a prompt counts as in the scheduler.
 const PLAIN_CALL_TOKENS: u32 = 1;
 /// Name of the scheduler account for requests on public routes.
@@ -171,9 +170,9 @@
         };
         let route = catalog.route(&arrival.host, &arrival.path);
         let route = route.ok_or_else(|| Refusal::not_run(Reason::Unknown, "no route"))?;
-        if self.is_ending(now, route.repeat.is_stream()) {
-            let refusal = Refusal::not_run(Reason::Leaving, "this entry is about to end");
-            return Err(refusal.with_retry_after(LEAVING_RETRY));
+        let limit = route.timeout.min(arrival.deadline.unwrap_or(route.timeout));
+        if self.is_ending(now, &route.name, route.repeat, limit - arrival.read_time) {
+            return Err(leaving_refusal());
         }
         let account = authenticate(&catalog, route, arrival)?;
         let continuation = arrival.continuation.as_ref();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod configuration;
 mod decisions;
 mod default_rows;
+mod durations;
 mod duties;
 mod failure_detector;
 mod fleet;
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -6,18 +6,25 @@
 use verdict::Reason;
 use verdict::Refusal;
 
+use crate::catalog::Repeat;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::request::Request;
 
 /// Factor on the time that an address may be kept. Callers use an address for up to that long, and the
 /// requests that still arrive are served.
 const ADDRESS_HOLD_FACTOR: u64 = 3;
-/// Time before the end of the grace period from which no new request is accepted.
+/// Time before the end of the grace period from which no new request is accepted, however short its answers are.
 const REQUEST_CUTOFF: Span = Span::from_millis(1_500);
 /// Time before the end of the grace period from which no new stream is accepted. Most last 2 to 3 s, the
 /// longest hundredth 4 s. A stream still running at the end is cut, while a refusal lets its caller go
 /// elsewhere at once.
 const STREAM_CUTOFF: Span = Span::from_millis(5_000);
+/// Factor on the longest of a route's latest answers: others take longer now and then, and a refusal costs a caller less
+/// than an answer that it doesn't get.
+const DURATION_MARGIN: f64 = 1.25;
+/// Retry delay for callers of an entry that is about to stop; they ask for other addresses first.
+const LEAVING_RETRY: Span = Span::from_millis(50);
 /// Time before the end of the grace period from which requests that no replica has are refused.
 const REFUSAL_MARGIN: Span = Span::from_millis(400);
 /// Time before the end of the grace period at which the process exits, whatever still runs: long enough for the last
@@ -36,31 +43,69 @@
         self.step_membership(now, member::event::Event::Drain, effects);
     }
 
-    /// Returns whether it is too late to accept a new request, or a stream.
-    pub(crate) fn is_ending(&self, now: Time, stream: bool) -> bool {
-        let needed = match stream {
+    /// Returns whether a request of this route, with `time_left` of its own, may not get its answer before the entry ends.
+    pub(crate) fn is_ending(
+        &self,
+        now: Time,
+        route: &str,
+        repeat: Repeat,
+        time_left: Span,
+    ) -> bool {
+        self.stop_requested_at.is_some_and(|requested_at| {
+            let needed = self.time_needed(route, repeat, time_left);
+            now.since(requested_at) + needed >= self.settings.grace
+        })
+    }
+
+    /// Returns whether it is too late to send a request to its first replica.
+    pub(crate) fn is_too_late(&self, now: Time, request: &Request) -> bool {
+        let time_left = request.deadline.since(now);
+        !request.may_have_run() && self.is_ending(now, &request.route, request.repeat, time_left)
+    }
+
+    /// Returns how long before the end of the grace period a request has to begin: what the answers of its route take or,
+    /// as long as none was measured, its time limit. An idempotent call may be repeated elsewhere, so it is tried.
+    fn time_needed(&self, route: &str, repeat: Repeat, time_left: Span) -> Span {
+        let least = match repeat.is_stream() {
             true => STREAM_CUTOFF,
             false => REQUEST_CUTOFF,
         };
-        self.stop_requested_at
-            .is_some_and(|requested_at| now.since(requested_at) + needed >= self.settings.grace)
+        let expected = match self.durations.longest(route) {
+            Some(longest) => longest.scaled(DURATION_MARGIN).min(time_left),
+            None if repeat == Repeat::Idempotent => Span::ZERO,
+            None => time_left,
+        };
+        least.max(expected + EXIT_MARGIN)
+    }
+
+    /// Returns for how much longer the process may run, once it was asked to stop.
+    pub fn grace_left(&self, now: Time) -> Span {
+        self.stop_requested_at.map_or(self.settings.grace, |at| {
+            self.settings.grace - now.since(at)
+        })
     }
 
     /// Returns when the shutdown next needs a tick.
-    pub(crate) fn next_stop_wake(&self) -> Option<Time> {
+    pub(crate) fn next_stop_wake(&self, now: Time) -> Option<Time> {
         let requested_at = self.stop_requested_at?;
         let drain_time = self.drain_time();
         let end_of = |margin: Span| requested_at + (self.settings.grace - margin);
-        let has_waiting = self.waiting_requests().next().is_some();
-        Some(match (self.is_idle(), has_waiting) {
-            (true, _) => requested_at + drain_time,
-            (false, true) => end_of(REFUSAL_MARGIN),
-            (false, false) => end_of(EXIT_MARGIN),
+        let waiting = self.waiting_requests().map(|(_, request)| {
+            let time_left = request.deadline.since(now);
+            let needed = match request.may_have_run() {
+                true => REFUSAL_MARGIN,
+                false => self.time_needed(&request.route, request.repeat, time_left),
+            };
+            end_of(needed.min(self.settings.grace)).max(now)
+        });
+        Some(match self.is_idle() {
+            true => requested_at + drain_time,
+            false => waiting.min().unwrap_or(end_of(EXIT_MARGIN)),
         })
     }
 
-    /// Exits once no request is open, or the grace period is over. Requests that no replica has are refused a little
-    /// earlier than those that may still be answered.
+    /// Exits once no request is open, or the grace period is over. Requests that no replica has are refused once their
+    /// answers wouldn't come in time, and a little before the others at the latest.
     pub(crate) fn stop_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Some(requested_at) = self.stop_requested_at else {
             return;
@@ -70,9 +115,12 @@
         if is_over {
             let open = self.requests.keys().copied().collect();
             self.refuse_all(now, open, effects);
-        } else if waited >= self.settings.grace - REFUSAL_MARGIN {
-            let waiting = self.waiting_requests().collect();
-            self.refuse_all(now, waiting, effects);
+        } else {
+            let is_last_call = waited >= self.settings.grace - REFUSAL_MARGIN;
+            let late = self.waiting_requests();
+            let late = late.filter(|(_, request)| is_last_call || self.is_too_late(now, request));
+            let late = late.map(|(serial, _)| serial).collect();
+            self.refuse_all(now, late, effects);
         }
         if !is_over && (waited < self.drain_time() || !self.is_idle()) {
             return;
@@ -93,11 +141,11 @@
     }
 
     /// Returns the open requests that no replica has.
-    fn waiting_requests(&self) -> impl Iterator<Item = u64> {
+    fn waiting_requests(&self) -> impl Iterator<Item = (u64, &Request)> {
         let waiting = self.requests.iter();
         waiting
             .filter(|(_, request)| request.replica.is_none())
-            .map(|(serial, _)| *serial)
+            .map(|(serial, request)| (*serial, request))
     }
 
     fn refuse_all(&mut self, now: Time, serials: Vec<u64>, effects: &mut Vec<Effect>) {
@@ -107,3 +155,9 @@
         }
     }
 }
+
+/// Returns the refusal of a request whose answer wouldn't come before the entry ends.
+pub(crate) fn leaving_refusal() -> Refusal {
+    let refusal = Refusal::not_run(Reason::Leaving, "this entry is about to end");
+    refusal.with_retry_after(LEAVING_RETRY)
+}
--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -12,6 +12,7 @@
     // half seconds after the entry was asked to stop, and three seconds before its grace period was over.
     let mut world = World::new(2);
     world.run(5_000);
+    assert!(world.serve_path(0, "/talks/0"));
     world.stop(0);
     world.run(1_000);
     assert!(world.serve_path(0, "/talks/1"));
@@ -40,10 +41,13 @@
 /// Time from the request to stop to the end of the grace period, with a margin.
 const GRACE_MILLIS: u64 = 8_500;
 
-/// Starts two entries and asks one to stop.
+/// Starts two entries, and asks one to stop that has measured short answers.
 fn stopping_world() -> World {
     let mut world = World::new(2);
     world.run(5_000);
+    for (path, _) in long_requests() {
+        assert!(world.serve_path(0, path), "{path}");
+    }
     world.stop(0);
     world.run(1_000);
     world
@@ -148,3 +152,111 @@
     assert_eq!(world.may_have_run(serial), None);
     assert!(world.log_count("stopped") > 0);
 }
+
+/// Time after which a request arrives late in the grace period, 2.5 s before its end.
+const LATE_MILLIS: u64 = 5_500;
+/// More requests than all servers take at once.
+const MOST_REQUESTS: usize = 1_000;
+
+/// Serves requests on a route, each answered after `took` milliseconds.
+fn measure(world: &mut World, path: &str, took: u64) {
+    for _ in 0..3 {
+        let serial = world.arrive(0, path, None);
+        world.run(took);
+        world.finish_request(0, serial, false);
+    }
+}
+
+/// Guards against passing on a call that may not be repeated, although such calls take longer than the entry has left: its
+/// caller got no answer of a server.
+#[test]
+fn a_call_that_takes_longer_than_is_left_of_a_stop_is_refused_as_not_run() {
+    for (path, took, is_served) in [
+        ("/filings/1", 3_000, false),
+        ("/filings/1", 200, true),
+        ("/drafts/1", 3_000, false),
+        ("/drafts/1", 200, true),
+        ("/talks/1", 200, false),
+    ] {
+        let mut world = World::new(2);
+        world.run(5_000);
+        measure(&mut world, path, took);
+        world.stop(0);
+        world.run(LATE_MILLIS);
+        let sent = world.attempts_started;
+        let serial = world.arrive(0, path, None);
+        let refused = (!is_served).then_some(false);
+        assert_eq!(world.may_have_run(serial), refused, "{path} {took}");
+        let handed = u32::from(is_served);
+        assert_eq!(world.attempts_started, sent + handed, "{path} {took}");
+    }
+}
+
+/// Guards against the same for streams that last longer than most.
+#[test]
+fn a_stream_that_lasts_longer_than_is_left_of_a_stop_is_refused_as_not_run() {
+    for path in ["/talks/1", "/chats/1"] {
+        let mut world = World::new(2);
+        world.run(5_000);
+        measure(&mut world, path, 7_000);
+        world.stop(0);
+        world.run(1_000);
+        let serial = world.arrive(0, path, None);
+        assert_eq!(world.may_have_run(serial), Some(false), "{path}");
+    }
+}
+
+/// Guards against the same while nothing is known of a route but its time limit.
+#[test]
+fn a_call_of_unknown_duration_is_accepted_only_if_its_time_limit_ends_before_the_stop() {
+    for (path, is_served) in [("/filings/1", false), ("/drafts/1", true)] {
+        let mut world = World::new(2);
+        world.run(5_000);
+        world.stop(0);
+        world.run(1_000);
+        let serial = world.arrive(0, path, None);
+        let refused = (!is_served).then_some(false);
+        assert_eq!(world.may_have_run(serial), refused, "{path}");
+    }
+}
+
+/// Guards against passing on a request at the end of the grace period that waited for a server until then.
+#[test]
+fn a_request_that_waits_too_long_during_a_stop_is_refused_as_not_run() {
+    let mut world = World::unlimited(2);
+    world.run(5_000);
+    measure(&mut world, "/filings/1", 3_000);
+    let serials: Vec<u64> = (0..MOST_REQUESTS)
+        .map(|_| world.arrive(0, "/filings/1", None))
+        .collect();
+    world.run(100);
+    let waits = |world: &World, serial: &u64| {
+        world.may_have_run(*serial).is_none() && !world.servers_by_request.contains_key(serial)
+    };
+    let mut waiting = serials;
+    waiting.retain(|serial| waits(&world, serial));
+    assert!(!waiting.is_empty());
+    world.stop(0);
+    world.run(3_500);
+    waiting.retain(|serial| waits(&world, serial));
+    assert!(!waiting.is_empty());
+    world.run(1_000);
+    for serial in waiting {
+        assert_eq!(world.may_have_run(serial), Some(false));
+    }
+}
+
+/// Guards against sending a request once more that no server has started, if no answer fits into the rest of a stop.
+#[test]
+fn a_request_that_no_server_started_is_not_sent_again_late_in_a_stop() {
+    let mut world = World::new(2);
+    world.run(5_000);
+    measure(&mut world, "/filings/1", 3_000);
+    world.stop(0);
+    let serial = world.arrive(0, "/filings/1", None);
+    world.run(LATE_MILLIS);
+    let sent = world.attempts_started;
+    world.end_latest(serial, End::NotStarted);
+    assert_eq!(world.may_have_run(serial), Some(false));
+    assert_eq!(world.attempts_started, sent);
+}
