Relay: an entry that stops lets slow callers read their answers

What callers saw: an answer to a call that may not be repeated was truncated in a planned stop, although seconds of the grace period were left. A request that became whole in the last moments got no answer, or one that said it may have run.

Cause: a request counts as finished once its answer is handed to the caller's connection. With nothing else open the loop ended, and connections got 250 ms to send the rest. A request that arrived after the loop's end lost its channel, which was reported as a lost answer.

Change: connections get what is left of the grace period, and the former 250 ms at least. A request that arrives after the end of the loop is refused as not run.

Why it holds: the process waits for the callers' connections themselves, not for the requests that the loop counts. The loop's end closes a request's channel before any attempt only if the loop never saw it.

--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -16,6 +16,7 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use verdict::Reason;
 use verdict::Refusal;
 
 use crate::caller::Caller;
@@ -23,6 +24,9 @@
 use crate::migration::Migration;
 use crate::shared::Shared;
 
+/// Retry delay for callers of an entry that has ended; they ask for other addresses first.
+const ENDED_RETRY: Span = Span::from_millis(50);
+
 /// One open request.
 pub struct Flight {
     /// State shared by all tasks.
@@ -68,6 +72,7 @@
     /// Runs until the request has its final answer or its caller disconnects.
     pub async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
         let mut next_command = None;
+        let mut was_started = false;
         loop {
             let next = match next_command.take() {
                 Some(command) => Next::Commanded(command),
@@ -75,6 +80,7 @@
             };
             match next {
                 Next::Commanded(Command::Start(start)) => {
+                    was_started = true;
                     match self.attempt(&start, &mut commands).await {
                         Next::Ended(end) => {
                             let over = matches!(end, End::Finished { .. });
@@ -99,6 +105,9 @@
                 }
                 Next::Commanded(Command::Stop | Command::Move(_)) | Next::Ended(_) => {}
                 Next::Disconnected => {
+                    if commands.is_closed() && !was_started {
+                        self.refuse(&ended());
+                    }
                     self.report_disconnect();
                     break;
                 }
@@ -193,6 +202,12 @@
     }
 }
 
+/// Returns the refusal of a request that arrived after the loop had ended.
+fn ended() -> Refusal {
+    let refusal = Refusal::not_run(Reason::Leaving, "this entry has ended");
+    refusal.with_retry_after(ENDED_RETRY)
+}
+
 /// Waits for the answer to a move request, if one was sent.
 async fn wait_for_answer(migration: &mut Option<Migration>) {
     match migration {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -57,8 +57,8 @@
 use crate::shell;
 use crate::shell::Shell;
 
-/// Longest time for the ends of answers to reach their callers at shutdown.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
+/// Least time for the ends of answers to reach their callers at shutdown; slow callers get the rest of the grace period.
+const MIN_DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
@@ -219,9 +219,9 @@
         last_requester: 0,
         lag: Lag::default(),
     };
-    shell.run(inbox, stops).await;
+    let grace_left = shell.run(inbox, stops).await.as_duration();
     let _ = shutdown_sender.send(true);
-    let _ = tokio::time::timeout(DRAIN_TIMEOUT, front).await;
+    let _ = tokio::time::timeout(MIN_DRAIN_TIMEOUT.max(grace_left), front).await;
     for task in tasks {
         task.abort();
     }
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use clock::Span;
 use clock::Time;
 use gateway::charging::Answer;
 use gateway::duty;
@@ -58,8 +59,8 @@
 }
 
 impl Shell {
-    /// Runs until the reducer asks to exit. Timers take precedence over messages.
-    pub async fn run(mut self, mut inbox: Inbox, mut stops: mpsc::UnboundedReceiver<()>) {
+    /// Runs until the reducer asks to exit; returns the rest of the grace period. Timers take precedence over messages.
+    pub async fn run(mut self, mut inbox: Inbox, mut stops: mpsc::UnboundedReceiver<()>) -> Span {
         let mut wake = Wake::new(self.shared.clock.now());
         loop {
             let now = self.shared.clock.now();
@@ -79,7 +80,7 @@
                 wake.record_tick(now);
             }
             if self.step(event) {
-                return;
+                return self.gateway.grace_left(self.shared.clock.now());
             }
             let now = self.shared.clock.now();
             wake.schedule(now, self.gateway.next_wake(now));
