Relay: a stream isn't sent on to the next process of a listed server

Callers saw events of two software versions in one stream: a server had been replaced under its id and address, its new row hadn't reached the entry, and a broken or returning stream was resumed there. A new stream that began there while two versions served was recorded under the listed one.

Cause: the version of a row was taken for that of whatever process takes connections at its address. A failed connection was the only sign of a restart, and only while the list couldn't be read.

Evidence: two of the new tests over sockets failed before with a whole answer whose events 4 to 6 came from the other process (a_broken_stream_does_not_go_on_at_a_process_that_replaced_the_listed_one, a_returning_caller_does_not_get_a_process_that_replaced_the_listed_one), a third since no server was asked (a_connection_is_asked_once_for_its_process). a_new_stream_does_not_begin_at_a_process_that_replaced_the_listed_one was written with the fix and not run without it.

Why it holds: a connection leads to one process for as long as it lasts. Before such a request is sent, the server is asked once on that connection when its process started. Another start than the row's ends the attempt as not sent, and streams of a fixed version avoid the server until its new row arrives. A server that states no readable start is used as before.

In a_broken_stream_goes_on_at_its_own_version the replica now says the same start as its row, which the test had given another one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,8 @@
     },
     /// No byte of the request reached the replica.
     NotSent,
+    /// Another process than the listed one answers at the replica's address; the request wasn't sent there.
+    Replaced,
     /// The replica reported that it did not run the request.
     NotStarted,
     /// The replica reported a failure; the task keeps its answer.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -95,7 +95,7 @@
             _ => line,
         };
         effects.push(Effect::Log(line));
-        if !matches!(end, End::NotSent | End::NotStarted) {
+        if !matches!(end, End::NotSent | End::Replaced | End::NotStarted) {
             self.record_start(now, serial);
         }
         if let Some(server) = replica.filter(|_| !moving) {
@@ -107,7 +107,7 @@
                 longest_pause = pause;
                 (job::End::Finished, tokens)
             }
-            End::NotSent => (job::End::NotSent, 0),
+            End::NotSent | End::Replaced => (job::End::NotSent, 0),
             End::NotStarted => (job::End::NotStarted, 0),
             End::Unrecorded => {
                 self.avoid_records(now, serial);
@@ -196,6 +196,7 @@
             .with("end", "finished")
             .with("status", status),
         End::NotSent => info("not_sent"),
+        End::Replaced => info("replaced"),
         End::NotStarted => info("not_started"),
         End::Failed { status } => info("failed").with("status", status),
         End::Interrupted => info("interrupted"),
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -126,6 +126,7 @@
             .unwrap_or_default();
         let awaits_record = self.record_version(now, job.0, version.clone());
         let record_timeout = awaits_record.then(|| self.record_timeout(job.0));
+        let bound_to_process = self.is_bound_to_process(job.0);
         let Some(open) = self.requests.get(&job.0) else {
             return;
         };
@@ -141,6 +142,7 @@
             stream: open.repeat.is_stream(),
             repeatable: open.repeat.is_repeatable(),
             record_timeout,
+            bound_to_process,
             urgency: is_model.then_some(urgency),
             tokens_per_event: open.tokens_per_event,
             fetch_from: cache_source.map(|endpoint| endpoint.address),
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -177,6 +177,9 @@
     pub limited: bool,
     /// Longest wait of its first event for [`Command::Recorded`]; `None` if it needn't wait.
     pub record_timeout: Option<Span>,
+    /// Whether the request may reach only the process that the list names, since its answer has to be of that one's
+    /// software version.
+    pub bound_to_process: bool,
     /// Engine priority, 0 (most urgent) to 9; `None` for plain services.
     pub urgency: Option<u8>,
 }
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -236,7 +236,7 @@
                 return is_new;
             }
             known.server = server;
-            if missing.is_some() {
+            if missing.is_some() && !self.may_have_restarted(key) {
                 self.set_doubted(now, key, false, effects);
             }
             return is_new;
--- a/crates/gateway/src/restarts.rs
+++ b/crates/gateway/src/restarts.rs
@@ -1,10 +1,12 @@
-//! Servers that may have been restarted since the list of servers was last confirmed.
+//! Servers that were restarted, or may have been, since the list of servers was last confirmed.
 //!
 //! A server may come back under its id and address at another software version. The list shows it, unless the table
-//! service is away. Then a server that failed a connection and takes one later may be another process, and a stream whose
+//! service is away or the new row is late. A process that says that it isn't the listed one is another one until its row
+//! arrives. While the table service is away, a server that failed a connection and takes one later may be another process, and a stream whose
 //! version is fixed doesn't go on there. Other requests do, but last.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use clock::Time;
 use policy::replica;
@@ -18,10 +20,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct Restarts {
     failed_at: BTreeMap<SmolStr, Time>,
+    /// Incarnations in whose place another process answers.
+    replaced: BTreeSet<SmolStr>,
 }
 
 impl Gateway {
-    /// Records that a server failed a connection, if it did and the list wouldn't tell of its restart.
+    /// Records that a server was replaced, or that it failed a connection and the list wouldn't tell of its restart.
     pub(crate) fn record_failed_connection(
         &mut self,
         now: Time,
@@ -29,26 +33,45 @@
         end: &End,
         effects: &mut Vec<Effect>,
     ) {
-        let failed = matches!(end, End::NotSent | End::Broken { alive: false });
-        if !failed || !self.is_list_outdated() {
-            return;
-        }
         let Some(incarnation) = self.servers.incarnation_of(server) else {
             return;
         };
-        self.restarts.failed_at.insert(incarnation, now);
+        let failed = matches!(end, End::NotSent | End::Broken { alive: false });
+        if *end == End::Replaced {
+            self.restarts.replaced.insert(incarnation);
+        } else if failed && self.is_list_outdated() {
+            self.restarts.failed_at.insert(incarnation, now);
+        } else {
+            return;
+        }
         self.set_doubted(now, server, true, effects);
     }
 
     /// Returns whether a server may be another process than the one in the list.
     pub(crate) fn may_have_restarted(&self, server: replica::Key) -> bool {
-        let incarnation = self.servers.incarnation_of(server);
-        let failed_at = incarnation.and_then(|known| self.restarts.failed_at.get(&known));
-        failed_at.is_some_and(|at| *at > self.servers.position().confirmed_at)
+        let Some(incarnation) = self.servers.incarnation_of(server) else {
+            return false;
+        };
+        let failed_at = self.restarts.failed_at.get(&incarnation);
+        let has_failed = failed_at.is_some_and(|at| *at > self.servers.position().confirmed_at);
+        has_failed || self.restarts.replaced.contains(&incarnation)
+    }
+
+    /// Returns whether a request may reach only the listed process of its replica: its stream goes on at a fixed version, or
+    /// begins where several ones serve.
+    pub(crate) fn is_bound_to_process(&self, serial: u64) -> bool {
+        let Some(open) = self.requests.get(&serial) else {
+            return false;
+        };
+        let may_begin_mixed = open.repeat.is_resumable() && self.versions.are_mixed(&open.service);
+        open.is_bound_to_version() || may_begin_mixed
     }
 
-    /// Trusts servers again once the list is confirmed.
+    /// Trusts servers again once the list is confirmed, and forgets replaced ones with their rows.
     pub(crate) fn restarts_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let servers = &self.servers;
+        let replaced = &mut self.restarts.replaced;
+        replaced.retain(|incarnation| servers.key_of(incarnation).is_some());
         let confirmed_at = self.servers.position().confirmed_at;
         let confirmed = self
             .restarts
@@ -57,7 +80,9 @@
         let confirmed: Vec<SmolStr> = confirmed.map(|(incarnation, _)| incarnation).collect();
         for incarnation in confirmed {
             let is_missing = self.servers.missing_since(&incarnation).is_some();
-            if let Some(key) = self.servers.key_of(&incarnation).filter(|_| !is_missing) {
+            let is_replaced = self.restarts.replaced.contains(&incarnation);
+            let is_trusted = !is_missing && !is_replaced;
+            if let Some(key) = self.servers.key_of(&incarnation).filter(|_| is_trusted) {
                 self.set_doubted(now, key, false, effects);
             }
         }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -300,7 +300,9 @@
         };
         let (status, tokens) = match end {
             // An interrupted way says nothing about the version.
-            End::NotSent | End::NotStarted | End::Interrupted | End::Unrecorded => return,
+            End::NotSent | End::Replaced | End::NotStarted | End::Interrupted | End::Unrecorded => {
+                return;
+            }
             End::Finished { status, tokens, .. } => (Some(*status), *tokens),
             End::Failed { .. } | End::Broken { .. } | End::TimedOut { .. } => (None, 0),
         };
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -48,6 +48,17 @@
     /// Decodes the answer to [`Codec::move_request`]; `None` if the KV cache was not moved.
     fn decode_moved(&self, source: &Endpoint, status: StatusCode, body: &[u8]) -> Option<Transfer>;
 
+    /// Builds the request that asks a server which process it is.
+    fn process_request(&self) -> Request<Bytes>;
+
+    /// Decodes the answer to [`Codec::process_request`]: whether it is the listed process; `None` if that can't be told.
+    fn is_listed_process(
+        &self,
+        endpoint: &Endpoint,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Option<bool>;
+
     /// Classifies a backend server's answer to the request `id` by its head.
     fn classify(&self, head: &response::Parts, id: &str) -> Classification;
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -36,6 +36,7 @@
 use crate::flight::Flight;
 use crate::flight::Inbound;
 use crate::pool::Connection;
+use crate::process;
 use crate::reach;
 use crate::reach::Finding;
 use crate::shared::Shared;
@@ -374,6 +375,9 @@
         let Ok(mut connection) = connection else {
             return Err(End::NotSent);
         };
+        if start.bound_to_process {
+            connection = process::confirm(shared, &start.endpoint, connection).await?;
+        }
         let remaining = start.time_left - shared.clock.now().since(started);
         if remaining == Span::ZERO || !may_forward(shared, &start.endpoint, resume) {
             return Err(End::NotSent);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod payload;
 mod peers;
 mod ports;
+mod process;
 mod pulse;
 mod shared;
 mod shell;
--- a/crates/relay/src/migration.rs
+++ b/crates/relay/src/migration.rs
@@ -92,6 +92,8 @@
         let next = Start {
             endpoint: to,
             fetch_from: None,
+            // The run's memory is of its version.
+            bound_to_process: true,
             time_left: start.time_left - self.shared.clock.now().since(started),
             ..start.clone()
         };
@@ -107,7 +109,9 @@
         );
         match self.exchange(&next, Some(transfer)).await {
             // The run has started: whatever the other server answers, the request must not be restarted.
-            Some(End::NotSent | End::NotStarted) => Some(End::Broken { alive: true }),
+            Some(End::NotSent | End::Replaced | End::NotStarted) => {
+                Some(End::Broken { alive: true })
+            }
             end => end,
         }
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -84,6 +84,8 @@
     opened_at: Time,
     /// Whether the connection has served a request.
     pub used: bool,
+    /// Whether the server was asked which process it is.
+    pub identified: bool,
     /// The way through another entry; `None` for a connection of this entry's own.
     pub detour: Option<Box<Detour>>,
 }
@@ -154,6 +156,7 @@
             reusable_until: Time::ZERO,
             opened_at,
             used: false,
+            identified: false,
             detour,
         })
     }
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -388,6 +388,9 @@
 ) -> Result<Response<Body>, Disconnected> {
     let (head, body) = request.into_parts();
     body.collect().await.map_err(|_| Disconnected)?;
+    if replica::asks_report(&head) {
+        return Ok(server::complete(replica::report(replica.started_ms.get())));
+    }
     let Some(received) = replica::received(&head) else {
         return Ok(server::complete(replica::not_run(true)));
     };
