Gateway: test of an entry that is out of step during a release

Operators saw streams go on at another version at an entry that was out of step for a few seconds while servers of a new version joined. Played here among 3 entries, with the entry cut off from the table service, from the other entries, from both, or without the new rows only, at once, after 2 s and 4 s more, and in touch again: no stream went on at another version.

--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -152,17 +152,23 @@
 
 /// Adds servers of a second version, of which only some entries hear, and begins streams there at once.
 fn release_unheard(world: &mut World, heard_by: &[usize]) -> Vec<u64> {
+    release_through(world, heard_by, &heard_by[..1])
+}
+
+/// Does the same, and begins the streams through these entries in turn.
+fn release_through(world: &mut World, heard_by: &[usize], entries: &[usize]) -> Vec<u64> {
     for _ in 0..world.servers.len() {
         world.add_server();
         world.servers.last_mut().expect("a server").version = "v2".into();
     }
     world.publish_to(heard_by);
-    let began = (0..STREAMS).filter_map(|_| {
-        let serial = world.open_stream(heard_by[0]);
+    let began = (0..STREAMS).filter_map(|number| {
+        let entry = entries[number % entries.len()];
+        let serial = world.open_stream(entry);
         world.run(10);
         let is_new = world.version_of(serial).as_deref() == Some("v2");
         is_new.then(|| {
-            world.report(heard_by[0], serial, Report::ResponseStarted);
+            world.report(entry, serial, Report::ResponseStarted);
             serial
         })
     });
@@ -225,6 +231,48 @@
     assert!(resumed.iter().all(Option::is_none), "{resumed:?}");
 }
 
+/// Ways in which an entry is out of step with the others.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    Store,
+    Entries,
+    Both,
+    /// Only the list of servers comes late.
+    List,
+}
+
+/// Guards against streams that began through other entries at servers of a version of which an entry that is out of step
+/// for some seconds has not heard, and go on there at another one.
+#[test]
+fn an_entry_out_of_step_during_a_release_continues_no_stream_at_another_version() {
+    for cut in [Cut::Store, Cut::Entries, Cut::Both, Cut::List] {
+        let mut world = world(3, false);
+        if matches!(cut, Cut::Store | Cut::Both) {
+            world.store_partitioned.insert(0);
+            world.fail_list(0);
+        }
+        if matches!(cut, Cut::Entries | Cut::Both) {
+            world.partitioned.insert(0);
+        }
+        world.run(1_000);
+        let began = release_through(&mut world, &[1, 2], &[1, 2]);
+        for pause in [0, 2_000, 4_000] {
+            world.run(pause);
+            let resumed = resume_all(&mut world, 0, &began);
+            let case = format!("{cut:?}, after {pause} ms: {resumed:?}");
+            assert!(!resumed.contains(&Some("v1".into())), "{case}");
+        }
+        // The entry is in touch again, but its list is still the one before.
+        world.store_partitioned.clear();
+        world.partitioned.clear();
+        for _ in 0..3 {
+            let resumed = resume_all(&mut world, 0, &began);
+            let case = format!("{cut:?}, in touch again: {resumed:?}");
+            assert!(!resumed.contains(&Some("v1".into())), "{case}");
+        }
+    }
+}
+
 /// Guards against the same at an entry that started without the table service and hasn't found the others yet.
 #[test]
 fn an_entry_that_just_started_takes_no_silence_for_agreement() {
