--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -38,6 +38,7 @@
 use crate::flight::Inbound;
 use crate::migration;
 use crate::pool::Connection;
+use crate::process;
 use crate::reach;
 use crate::reach::Finding;
 use crate::sequence::Place;
@@ -402,6 +403,9 @@
         let Ok(mut connection) = connection else {
             return Err(End::NotSent);
         };
+        if start.bound_to_process {
+            connection = process::confirm(shared, &start.endpoint, connection).await?;
+        }
         let remaining = start.time_left - shared.clock.now().since(started);
         if remaining == Span::ZERO || !may_forward(shared, &start.endpoint, resume) {
             return Err(End::NotSent);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -91,6 +91,8 @@
     ended_at: Rc<Cell<Option<Time>>>,
     /// Whether the connection has served a request.
     pub used: bool,
+    /// Whether the server was asked which process it is.
+    pub identified: bool,
     /// The way through another entry; `None` for a connection of this entry's own.
     pub detour: Option<Box<Detour>>,
 }
@@ -165,6 +167,7 @@
             opened_at: clock.now(),
             ended_at,
             used: false,
+            identified: false,
             detour,
         })
     }
