Relay: one idle connection tells of a server's end; engines are asked which process they are

The soak's killed replicas come back within 1 to 300 ms.

From the first answer on that ends with its connection, one idle connection to that server is kept from requests. Without one, an engine is asked on the new connection for the start of its process. Plain services state none, and their first such answer stays unproved against a restart within milliseconds.

Also: the lookup of a stream's record takes a page with more behind it for unknown, since the last record counts (found by review, no test).

--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -88,7 +88,11 @@
             return;
         };
         let (stream, former) = (open.stream, open.former_service.clone());
-        let Outcome::Rows { rows, .. } = outcome else {
+        // The last record counts, which a page with more behind it doesn't hold.
+        let Outcome::Rows {
+            rows, more: false, ..
+        } = outcome
+        else {
             return match former {
                 Some(_) => self.refuse_unknown(now, serial, effects),
                 None => self.await_agreement(now, serial, effects),
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -12,6 +12,7 @@
 
 use crate::pool::Connection;
 use crate::pool::Kept;
+use crate::process;
 use crate::pulse;
 use crate::reach;
 use crate::reach::Finding;
@@ -61,14 +62,16 @@
 /// Returns how an attempt ends whose answer was read up to the end of its connection; `None` if the answer is whole.
 ///
 /// A new connection, on whatever way, shows that a process runs. It may be another one, which has taken the place of the
-/// one that was sent the request. A connection kept since then would have ended with that process; without one, the end
-/// must have been noticed sooner than a server restarts.
+/// one that was sent the request. A connection kept since then would have ended with that process, so one is kept from now
+/// on. Without one, the end must have been noticed sooner than a server restarts, and an engine must not state another
+/// process than the listed one.
 pub async fn examine(
     shared: &Rc<Shared>,
     start: &Start,
     connection: &Connection,
     watch: Watch,
 ) -> Option<End> {
+    shared.pool.reserve_idle(&start.endpoint);
     let finding = reach::examine(shared, &start.endpoint, connection.proxy()).await;
     // Lets the tasks of kept connections notice their ends.
     tokio::task::yield_now().await;
@@ -81,7 +84,7 @@
     let is_whole = match kept {
         Kept::Open => true,
         Kept::Ended => false,
-        Kept::None => is_reached && watch.is_prompt(shared),
+        Kept::None => is_reached && watch.is_prompt(shared) && !is_replaced(shared, start).await,
     };
     log::debug!(
         event = "answer_ended_with_connection",
@@ -93,3 +96,8 @@
     );
     (!is_whole).then_some(End::Broken { alive: false })
 }
+
+/// Returns whether an engine states that it is another process than the listed one. Plain services state none.
+async fn is_replaced(shared: &Rc<Shared>, start: &Start) -> bool {
+    start.stream && process::is_replaced(shared, &start.endpoint).await
+}
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,6 +8,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +67,8 @@
     /// The server that was last tried out.
     last_tried: RefCell<SmolStr>,
     idle: RefCell<BTreeMap<SmolStr, Vec<Connection>>>,
+    /// Servers, by incarnation, to which the last idle connection isn't used for requests: its end tells of their end.
+    reserved: RefCell<BTreeSet<SmolStr>>,
     /// When an idle connection to each server last ended, by incarnation.
     ended: RefCell<BTreeMap<SmolStr, Time>>,
     /// Time of each server's last activity, by incarnation.
@@ -187,6 +190,7 @@
             servers: RefCell::default(),
             last_tried: RefCell::default(),
             idle: RefCell::default(),
+            reserved: RefCell::default(),
             ended: RefCell::default(),
             last_activity: RefCell::default(),
             closed: RefCell::default(),
@@ -251,6 +255,7 @@
     pub fn close(&self, incarnation: SmolStr) {
         self.servers.borrow_mut().remove(&incarnation);
         self.idle.borrow_mut().remove(&incarnation);
+        self.reserved.borrow_mut().remove(&incarnation);
         let now = self.clock.now();
         self.closed.borrow_mut().insert(incarnation, now);
     }
@@ -280,18 +285,38 @@
         until.is_some_and(|until| self.clock.now() < *until)
     }
 
-    /// Takes an idle connection to a server, if there is one: a direct one, or one through another entry.
+    /// Takes an idle connection to a server for a request, if there is one: a direct one, or one through another entry.
     pub fn take(&self, endpoint: &Endpoint, direct: bool) -> Option<Connection> {
+        let is_reserved = self.reserved.borrow().contains(&endpoint.incarnation);
+        self.take_newest(endpoint, direct, usize::from(is_reserved))
+    }
+
+    /// Takes the newest idle connection of a kind to a server, if more than `spared` are left.
+    pub fn take_newest(
+        &self,
+        endpoint: &Endpoint,
+        direct: bool,
+        spared: usize,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint.incarnation)?;
         self.drop_ended(&endpoint.incarnation, connections);
         connections.retain(|connection| connection.sender.is_ready());
+        if connections.len() <= spared {
+            return None;
+        }
         let last = connections
             .iter()
             .rposition(|connection| connection.is_direct() == direct)?;
         Some(connections.remove(last))
     }
 
+    /// Keeps an idle connection to a server from now on.
+    pub fn reserve_idle(&self, endpoint: &Endpoint) {
+        let mut reserved = self.reserved.borrow_mut();
+        reserved.insert(endpoint.incarnation.clone());
+    }
+
     /// Returns what has become of the idle connections to a server that were opened before a time. Those through another
     /// entry don't count, since their ends arrive later.
     pub fn kept_since(&self, endpoint: &Endpoint, time: Time) -> Kept {
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -8,6 +8,7 @@
 
 use gateway::attempt::End;
 use gateway::attempt::Endpoint;
+use http::HeaderMap;
 use http_body_util::Full;
 
 use crate::body;
@@ -55,6 +56,18 @@
     Ok(connection)
 }
 
+/// Returns whether a server says that it is another process than the listed one.
+pub async fn is_replaced(shared: &Rc<Shared>, endpoint: &Endpoint) -> bool {
+    let direct = shared.reach.is_direct(shared.clock.now(), endpoint);
+    let Some(mut connection) = shared.pool.take_newest(endpoint, direct, 0) else {
+        return false;
+    };
+    let identity = identify(shared, endpoint, &mut connection).await;
+    let no_headers = HeaderMap::new();
+    shared.pool.release(endpoint, connection, &no_headers).await;
+    identity == Identity::Other
+}
+
 /// Asks the server on a connection whether it is the listed process.
 async fn identify(
     shared: &Rc<Shared>,
