--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -48,8 +48,8 @@
     /// Decodes the answer to [`Codec::move_request`]; `None` if the KV cache was not moved.
     fn decode_moved(&self, source: &Endpoint, status: StatusCode, body: &[u8]) -> Option<Transfer>;
 
-    /// Builds the request that asks a server which process it is.
-    fn process_request(&self) -> Request<Bytes>;
+    /// Builds the request that asks a server which process it is; `None` if the list doesn't name the listed one.
+    fn process_request(&self, endpoint: &Endpoint) -> Option<Request<Bytes>>;
 
     /// Decodes the answer to [`Codec::process_request`]: whether it is the listed process; `None` if that can't be told.
     fn is_listed_process(
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -6,9 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use gateway::attempt::End;
 use gateway::attempt::Endpoint;
 use http::HeaderMap;
+use http::Request;
 use http_body_util::Full;
 
 use crate::body;
@@ -75,7 +77,10 @@
     connection: &mut Connection,
 ) -> Identity {
     connection.identified = true;
-    let asking = tokio::time::timeout(TIMEOUT, ask(shared, endpoint, connection));
+    let Some(request) = shared.codec.process_request(endpoint) else {
+        return Identity::Unknown;
+    };
+    let asking = tokio::time::timeout(TIMEOUT, ask(shared, endpoint, connection, request));
     let identity = match asking.await {
         Ok(Some(true)) => Identity::Listed,
         Ok(Some(false)) => Identity::Other,
@@ -108,9 +113,13 @@
     shared: &Rc<Shared>,
     endpoint: &Endpoint,
     connection: &mut Connection,
+    request: Request<Bytes>,
 ) -> Option<bool> {
-    let request = shared.codec.process_request().map(Full::new);
-    let response = connection.sender.send_request(request).await.ok()?;
+    let response = connection
+        .sender
+        .send_request(request.map(Full::new))
+        .await
+        .ok()?;
     let (head, body) = response.into_parts();
     let answers = &shared.intake.answers;
     let body = body::collect(body, &connection.meter, answers, MAX_ANSWER_BYTES).await;
