Relay: an answer whose server's address another server has isn't whole; names of ending

A server at whose address another one is open has ended.

Also: ending::Reading (was Watch) pauses and resumes; the page of restarts reads as one thing.

--- a/crates/gateway/src/restarts.rs
+++ b/crates/gateway/src/restarts.rs
@@ -1,9 +1,9 @@
 //! Servers that were restarted, or may have been, since the list of servers was last confirmed.
 //!
 //! A server may come back under its id and address at another software version. The list shows it, unless the table
-//! service is away or the new row is late. A process that says that it isn't the listed one is another one until its row
-//! arrives. While the table service is away, a server that failed a connection and takes one later may be another process, and a stream whose
-//! version is fixed doesn't go on there. Other requests do, but last.
+//! service is away or the new row is late. A server counts as another process until its row arrives if it says so, or if it
+//! failed a connection while the table service is away. A stream whose version is fixed doesn't go on there; other requests
+//! do, but last.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -30,7 +30,7 @@
 use crate::body;
 use crate::body::Fault;
 use crate::ending;
-use crate::ending::Watch;
+use crate::ending::Reading;
 use crate::events::Event;
 use crate::events::MAX_EVENT_BYTES;
 use crate::events::Splitter;
@@ -58,7 +58,7 @@
     head: response::Parts,
     body: Incoming,
     /// Tells whether its end is noticed in time.
-    watch: Watch,
+    reading: Reading,
 }
 
 /// Progress of a stream that is being relayed.
@@ -129,7 +129,7 @@
             connection,
             head,
             body,
-            watch,
+            reading,
         } = answer;
         let collecting = body::collect(
             body,
@@ -151,7 +151,7 @@
         if self.is_undelimited(&head) {
             let shared = Rc::clone(&self.shared);
             let broken = tokio::select! {
-                broken = ending::examine(&shared, start, &connection, watch) => broken,
+                broken = ending::examine(&shared, start, &connection, reading) => broken,
                 () = self.caller.disconnected() => return None,
             };
             shared.metrics.count_undelimited(broken.is_none());
@@ -214,14 +214,14 @@
     ) -> Option<End> {
         loop {
             let proxy = answer.connection.proxy();
-            answer.watch.read_on(self.shared.clock.now());
+            answer.reading.resume(self.shared.clock.now());
             let reading = body::read(&mut answer.body, &answer.connection.meter);
             let next = state.silence.limit(&self.shared, start, proxy, reading);
             let next = tokio::select! {
                 next = next => next,
                 () = self.caller.disconnected() => return None,
             };
-            answer.watch.stop_reading(self.shared.clock.now());
+            answer.reading.pause(self.shared.clock.now());
             reach::record_sign(&self.shared, &answer.connection);
             let bytes = match next {
                 Ok(Ok(Some(bytes))) => bytes,
@@ -295,7 +295,7 @@
         if !framed {
             let shared = Rc::clone(&self.shared);
             let broken = tokio::select! {
-                broken = ending::examine(&shared, start, &answer.connection, answer.watch) => broken,
+                broken = ending::examine(&shared, start, &answer.connection, answer.reading) => broken,
                 () = self.caller.disconnected() => return None,
             };
             if broken.is_some() {
@@ -427,7 +427,7 @@
                     connection,
                     head,
                     body,
-                    watch: Watch::new(started),
+                    reading: Reading::new(started),
                 });
             }
             Ok(Err(error)) => error,
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -21,41 +21,41 @@
 /// Time after which the end of a process would have reached connections that are kept.
 const END_DELAY: Duration = Duration::from_millis(50);
 
-/// Since when the end of an answer may have waited unnoticed.
+/// Tells whether the end of an answer is noticed as soon as it arrives.
 #[derive(Clone, Copy, Debug)]
-pub struct Watch {
+pub struct Reading {
     /// When the request was sent, or earlier.
     sent_at: Time,
-    /// When the answer was last read.
-    read_at: Time,
+    /// When the entry last stopped to read.
+    paused_at: Time,
     /// Whether the answer was left unread for so long that its server may have been restarted.
-    is_interrupted: bool,
+    was_paused: bool,
 }
 
-impl Watch {
-    /// Starts to watch the answer to a request that is sent now.
-    pub fn new(sent_at: Time) -> Watch {
-        Watch {
+impl Reading {
+    /// Starts with a request that was sent at `sent_at`, or later.
+    pub fn new(sent_at: Time) -> Reading {
+        Reading {
             sent_at,
-            read_at: sent_at,
-            is_interrupted: false,
+            paused_at: sent_at,
+            was_paused: false,
         }
     }
 
     /// Records that the entry stops to read, for instance while its caller is slow.
-    pub fn stop_reading(&mut self, now: Time) {
-        self.read_at = now;
+    pub fn pause(&mut self, now: Time) {
+        self.paused_at = now;
     }
 
     /// Records that the entry reads on.
-    pub fn read_on(&mut self, now: Time) {
-        self.is_interrupted |= now.since(self.read_at) >= pulse::MIN_RESTART_TIME;
+    pub fn resume(&mut self, now: Time) {
+        self.was_paused |= now.since(self.paused_at) >= pulse::MIN_RESTART_TIME;
     }
 
-    /// Returns whether the server can't have been restarted between the end of the answer and now.
+    /// Returns whether a restart of the server would have been noticed.
     fn is_prompt(&self, shared: &Shared) -> bool {
         let now = shared.clock.now();
-        !self.is_interrupted && !shared.pulse.has_paused_since(now, self.sent_at)
+        !self.was_paused && !shared.pulse.has_paused_since(now, self.sent_at)
     }
 }
 
@@ -69,7 +69,7 @@
     shared: &Rc<Shared>,
     start: &Start,
     connection: &Connection,
-    watch: Watch,
+    reading: Reading,
 ) -> Option<End> {
     shared.pool.reserve_idle(&start.endpoint);
     let finding = reach::examine(shared, &start.endpoint, connection.proxy()).await;
@@ -80,11 +80,12 @@
         // A server that takes no new connections, such as one that is leaving, may run nevertheless.
         tokio::time::sleep(END_DELAY).await;
     }
-    let kept = shared.pool.kept_since(&start.endpoint, watch.sent_at);
+    let kept = shared.pool.kept_since(&start.endpoint, reading.sent_at);
     let is_whole = match kept {
+        _ if shared.pool.is_succeeded(&start.endpoint) => false,
         Kept::Open => true,
         Kept::Ended => false,
-        Kept::None => is_reached && watch.is_prompt(shared) && !is_replaced(shared, start).await,
+        Kept::None => is_reached && reading.is_prompt(shared) && !is_replaced(shared, start).await,
     };
     log::debug!(
         event = "answer_ended_with_connection",
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -229,6 +229,15 @@
         self.servers.borrow().get(incarnation).cloned()
     }
 
+    /// Returns whether another server is open at the address of this one.
+    pub fn is_succeeded(&self, endpoint: &Endpoint) -> bool {
+        let servers = self.servers.borrow();
+        let mut others = servers.values();
+        others.any(|other| {
+            other.address == endpoint.address && other.incarnation != endpoint.incarnation
+        })
+    }
+
     /// Returns the number of open servers.
     pub fn server_count(&self) -> usize {
         self.servers.borrow().len()
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -141,6 +141,22 @@
     assert!(options.keepalive().unwrap());
 }
 
+#[tokio::test]
+async fn a_server_whose_address_another_one_has_is_succeeded() {
+    // Guards against an answer that looks whole since the next process at its server's address accepts connections.
+    let (_listener, endpoint) = listener().await;
+    let pool = Pool::new(Clock::start());
+    pool.open(endpoint.clone());
+    assert!(!pool.is_succeeded(&endpoint));
+    pool.close(endpoint.incarnation.clone());
+    assert!(!pool.is_succeeded(&endpoint));
+    pool.open(Endpoint {
+        incarnation: "s1#2".into(),
+        ..endpoint.clone()
+    });
+    assert!(pool.is_succeeded(&endpoint));
+}
+
 #[tokio::test]
 async fn an_idle_connection_tells_for_a_moment_that_its_server_has_ended() {
     // Guards against an answer that looks whole since another process accepts connections at its server's address, and
