Gateway: one refusal for callers of an entry that stops

relay::flight had a copy of gateway::stop's refusal with its own retry delay of the same 50 ms. The gateway's is public now and takes the message, so that callers get the same answers as before.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -17,6 +17,7 @@
 use crate::gateway::Gateway;
 use crate::plan::Shed;
 use crate::returns::unknown_version_refusal;
+use crate::stop::ABOUT_TO_END;
 use crate::stop::leaving_refusal;
 
 /// Range of engine priorities; the lowest number is the most urgent.
@@ -113,7 +114,7 @@
             return self.cancel_and_refuse(now, job.0, refusal, effects);
         }
         if self.is_too_late(now, open) {
-            return self.cancel_and_refuse(now, job.0, leaving_refusal(), effects);
+            return self.cancel_and_refuse(now, job.0, leaving_refusal(ABOUT_TO_END), effects);
         }
         let Some(open) = self.requests.get_mut(&job.0) else {
             return;
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -26,6 +26,7 @@
 use crate::gateway::Gateway;
 use crate::request::Request;
 use crate::route_shares;
+use crate::stop::ABOUT_TO_END;
 use crate::stop::leaving_refusal;
 use crate::streams;
 use crate::work;
@@ -172,7 +173,7 @@
         let route = route.ok_or_else(|| Refusal::not_run(Reason::Unknown, "no route"))?;
         let limit = route.timeout.min(arrival.deadline.unwrap_or(route.timeout));
         if self.is_ending(now, &route.name, route.repeat, limit - arrival.read_time) {
-            return Err(leaving_refusal());
+            return Err(leaving_refusal(ABOUT_TO_END));
         }
         let account = authenticate(&catalog, route, arrival)?;
         let continuation = arrival.continuation.as_ref();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limits;
 pub mod notice;
 pub mod plan;
+pub mod stop;
 pub mod usage;
 pub mod work;
 
@@ -51,7 +52,6 @@
 mod route_shares;
 mod servers;
 mod speeds;
-mod stop;
 mod store_calls;
 mod streams;
 mod timeouts;
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -23,7 +23,9 @@
 /// Factor on the longest of a route's latest answers: others take longer now and then, and a refusal costs a caller less
 /// than an answer that it doesn't get.
 const DURATION_MARGIN: f64 = 1.25;
-/// Retry delay for callers of an entry that is about to stop; they ask for other addresses first.
+/// Message to callers of an entry that doesn't accept their requests any more.
+pub(crate) const ABOUT_TO_END: &str = "this entry is about to end";
+/// Retry delay for callers of an entry that stops; they ask for other addresses first.
 const LEAVING_RETRY: Span = Span::from_millis(50);
 /// Time before the end of the grace period from which requests that no replica has are refused.
 const REFUSAL_MARGIN: Span = Span::from_millis(400);
@@ -156,8 +158,8 @@
     }
 }
 
-/// Returns the refusal of a request whose answer wouldn't come before the entry ends.
-pub(crate) fn leaving_refusal() -> Refusal {
-    let refusal = Refusal::not_run(Reason::Leaving, "this entry is about to end");
+/// Returns the refusal of a request whose answer wouldn't come before the entry ends, or that came after its end.
+pub fn leaving_refusal(message: &'static str) -> Refusal {
+    let refusal = Refusal::not_run(Reason::Leaving, message);
     refusal.with_retry_after(LEAVING_RETRY)
 }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -48,7 +48,7 @@
     /// Decodes the answer to [`Codec::move_request`]; `None` if the KV cache was not moved.
     fn decode_moved(&self, source: &Endpoint, status: StatusCode, body: &[u8]) -> Option<Transfer>;
 
-    /// Builds the request that asks a server which process it is; `None` if the list doesn't name the listed one.
+    /// Builds the request that asks a server which process it is; `None` if its row doesn't state one.
     fn process_request(&self, endpoint: &Endpoint) -> Option<Request<Bytes>>;
 
     /// Decodes the answer to [`Codec::process_request`]: whether it is the listed process; `None` if that can't be told.
--- a/crates/relay/src/flight.rs
+++ b/crates/relay/src/flight.rs
@@ -10,12 +10,12 @@
 use gateway::effect::Command;
 use gateway::effect::Start;
 use gateway::event::Event;
+use gateway::stop::leaving_refusal;
 use http::Response;
 use http::request;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use verdict::Reason;
 use verdict::Refusal;
 
 use crate::caller::Caller;
@@ -25,9 +25,6 @@
 use crate::sequence::Sequence;
 use crate::shared::Shared;
 
-/// Retry delay for callers of an entry that has ended; they ask for other addresses first.
-const ENDED_RETRY: Span = Span::from_millis(50);
-
 /// One open request.
 pub struct Flight {
     /// State shared by all tasks.
@@ -107,7 +104,7 @@
                 Next::Commanded(Command::Stop | Command::Move(_)) | Next::Ended(_) => {}
                 Next::Disconnected => {
                     if commands.is_closed() && !was_started {
-                        self.refuse(&ended());
+                        self.refuse(&leaving_refusal("this entry has ended"));
                     }
                     self.report_disconnect();
                     break;
@@ -203,12 +200,6 @@
     }
 }
 
-/// Returns the refusal of a request that arrived after the loop had ended.
-fn ended() -> Refusal {
-    let refusal = Refusal::not_run(Reason::Leaving, "this entry has ended");
-    refusal.with_retry_after(ENDED_RETRY)
-}
-
 /// Waits for the answer to a move request, if one was sent.
 async fn wait_for_answer(migration: &mut Option<Migration>) {
     match migration {
