Relay: both kinds of answers that end with their connection are examined by one function

Streams and plain answers had a copy each of the wait for the proof or the caller's end. Behavior stays.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -149,12 +149,8 @@
             Err(end) => return Some(end),
         };
         if self.is_undelimited(&head) {
-            let shared = Rc::clone(&self.shared);
-            let broken = tokio::select! {
-                broken = ending::examine(&shared, start, &connection, reading) => broken,
-                () = self.caller.disconnected() => return None,
-            };
-            shared.metrics.count_undelimited(broken.is_none());
+            let broken = self.examine_ending(start, &connection, reading).await?;
+            self.shared.metrics.count_undelimited(broken.is_none());
             if broken.is_some() {
                 return broken;
             }
@@ -184,6 +180,20 @@
         })
     }
 
+    /// Returns how the attempt ends unless its answer, which ended with its connection, is whole; `None` if the caller
+    /// disconnected.
+    async fn examine_ending(
+        &mut self,
+        start: &Start,
+        connection: &Connection,
+        reading: Reading,
+    ) -> Option<Option<End>> {
+        tokio::select! {
+            broken = ending::examine(&self.shared, start, connection, reading) => Some(broken),
+            () = self.caller.disconnected() => None,
+        }
+    }
+
     /// Returns whether only the end of its connection marks the end of an answer.
     fn is_undelimited(&self, head: &response::Parts) -> bool {
         let has_body = self.inbound.head.method != Method::HEAD
@@ -293,11 +303,8 @@
             };
         }
         if !framed {
-            let shared = Rc::clone(&self.shared);
-            let broken = tokio::select! {
-                broken = ending::examine(&shared, start, &answer.connection, answer.reading) => broken,
-                () = self.caller.disconnected() => return None,
-            };
+            let examining = self.examine_ending(start, &answer.connection, answer.reading);
+            let broken = examining.await?;
             if broken.is_some() {
                 return broken;
             }
