Gateway: logs tell when versions were recorded, forgotten and agreed, and how old the list was

Lines now have `time`; `stream_recorded` and `stream_records_removed` are new; `stream_version` and `stream_version_unknown` state the age of the list. The soak has a size of 24 entries, at which what entries know goes through a few of them.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -441,7 +441,7 @@
         self.restarts_tick(now, effects);
         self.charges_tick(now, effects);
         self.versions_tick(now, effects);
-        self.streams_tick(now);
+        self.streams_tick(now, effects);
         self.timeouts_tick(now, effects);
         self.with_scheduler(now, effects, |scheduler, out| scheduler.poll(now, out));
         self.log_part_changes(effects);
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -141,7 +141,9 @@
                 Agreement::Impossible(cause) => {
                     let line = Line::info("stream_version_unknown")
                         .with("request", &open.id)
-                        .with("cause", cause.as_str());
+                        .with("cause", cause.as_str())
+                        .with("waited_ms", now.since(open.arrived_at).as_millis())
+                        .with("list_age_ms", self.list_age(now).as_millis());
                     effects.push(Effect::Log(line));
                     self.releases.waiting.remove(&serial);
                     self.refuse_unknown(now, serial, effects);
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -168,6 +168,7 @@
         source: Source,
         effects: &mut Vec<Effect>,
     ) {
+        let list_age = self.list_age(now);
         let Some(open) = self.requests.get_mut(&serial) else {
             return;
         };
@@ -178,7 +179,8 @@
             .with("request", &open.id)
             .with("version", version)
             .with("source", SmolStr::new_static(source.as_str()))
-            .with("waited_ms", now.since(open.arrived_at).as_millis());
+            .with("waited_ms", now.since(open.arrived_at).as_millis())
+            .with("list_age_ms", list_age.as_millis());
         effects.push(Effect::Log(line));
         let service = open.service.clone();
         let pool = self.pool_of(&service, version);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -13,6 +13,7 @@
 
 use clock::Span;
 use clock::Time;
+use line::Line;
 use policy::rendezvous;
 use serde_json::Value;
 use serde_json::json;
@@ -320,6 +321,13 @@
             let Some(open) = self.requests.get_mut(&serial) else {
                 continue;
             };
+            let line = Line::info("stream_recorded")
+                .routine()
+                .with("request", &open.id)
+                .with("attempt", record.attempt)
+                .with("version", &record.version)
+                .with("kept_ms", record.until.since(now).as_millis());
+            effects.push(Effect::Log(line));
             if let Some(latest) = &mut open.record {
                 latest.is_written |= latest.attempt == record.attempt;
             }
@@ -335,12 +343,13 @@
     }
 
     /// Forgets streams to which nobody returns any more, and removes their records.
-    pub(crate) fn streams_tick(&mut self, now: Time) {
+    pub(crate) fn streams_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.streams.expire(now);
         if now < self.streams.next_removal {
             return;
         }
         self.streams.next_removal = now + REMOVAL_INTERVAL;
+        let mut removed = 0;
         let mut calls = Vec::new();
         for (table, records) in &mut self.streams.tables {
             let due = records
@@ -353,10 +362,15 @@
                 .map(|(_, key)| key)
                 .collect();
             if !keys.is_empty() {
+                removed += keys.len();
                 let rows = keys.into_iter().map(|key| (key, Value::Null));
                 calls.push(transaction(*table, rows));
             }
         }
+        if removed > 0 {
+            let line = Line::info("stream_records_removed").with("count", removed);
+            effects.push(Effect::Log(line));
+        }
         for call in calls {
             self.call_store(Waiter::RemovedRecords, call);
         }
--- a/crates/line/src/text.rs
+++ b/crates/line/src/text.rs
@@ -1,6 +1,9 @@
 //! Text format of the log: one line of key=value pairs per event.
 
 use std::io::Write;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use log::Level;
 use log::Record;
@@ -20,7 +23,14 @@
     // The visitor never fails; a value that can't be formatted would only be missing from its line.
     let _ = record.key_values().visit(&mut fields);
     let level = level_name(record.level());
-    writeln!(output, "level={level}{}", fields.text)
+    let time = unix_time().as_secs_f64();
+    writeln!(output, "level={level} time={time:.3}{}", fields.text)
+}
+
+/// Returns the time of day, by which lines of several processes are compared.
+fn unix_time() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default()
 }
 
 /// Sends the line to the process's logger; `entry` names its entry in a process with several entries.
--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -40,6 +40,23 @@
         Size::default()
     }
 
+    /// Returns a size at which entries exchange what they know through a few of them, while versions are released.
+    pub fn many() -> Size {
+        Size {
+            entries: 24,
+            engines: 12,
+            callers: 60,
+            fault_count: 30,
+            notice_count: 3,
+            cut_count: 3,
+            crash_part_count: 0,
+            endless_count: 1,
+            undelimited_count: 3,
+            crowd_count: 0,
+            ..Size::default()
+        }
+    }
+
     /// Returns the number of replicas.
     pub fn replicas(&self) -> usize {
         self.engines + 2 * self.apps
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,7 +26,7 @@
     /// start no further seeds after this many minutes
     #[argh(option)]
     minutes: Option<u64>,
-    /// size of each run, small or limit (small)
+    /// size of each run: small, many (24 entries) or limit (200 entries) (small)
     #[argh(option, default = "String::from(\"small\")")]
     size: String,
     /// seeds played at once (4)
@@ -55,8 +55,9 @@
 fn play(arguments: &Arguments) -> Result<bool> {
     let size = match arguments.size.as_str() {
         "small" => Size::small(),
+        "many" => Size::many(),
         "limit" => Size::limit(),
-        other => bail!("unknown size {other}: expected small or limit"),
+        other => bail!("unknown size {other}: expected small, many or limit"),
     };
     let binary = match &arguments.program {
         Some(program) => program.clone(),
