Tests: streams that go on at another version since what is known came late, or was forgotten

Three ways in which an entry continues a stream at another software version than the one that began it, each failing on this code:

- Among more than 16 entries, the list of servers comes through two others.
- A record is removed 2 s after the time limit of the request that began the stream.
Then its absence is taken for proof of the default version: 8 s after the time limit.

The control, that streams of the only version go on at an entry that the table service turns away, holds.

--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -5,30 +5,9 @@
 use support::World;
 
 const ENTRIES: usize = 20;
-/// Time between two reads by an entry that follows the list.
-const READ_INTERVAL_MILLIS: u64 = 500;
-
-/// Advances time while entries that follow the list read it.
-fn run_following(world: &mut World, millis: u64) {
-    for _ in 0..millis / READ_INTERVAL_MILLIS {
-        world.run(READ_INTERVAL_MILLIS);
-        for entry in readers(world) {
-            world.send_servers(entry);
-        }
-    }
-}
-
-fn readers(world: &World) -> Vec<usize> {
-    let following = world.reads_list.iter();
-    following
-        .filter(|(_, reads)| **reads)
-        .map(|(entry, _)| *entry)
-        .collect()
-}
-
 fn settled_world() -> World {
     let mut world = World::new(ENTRIES);
-    run_following(&mut world, 10_000);
+    world.run_following(10_000);
     world
 }
 
@@ -38,8 +17,8 @@
 fn one_of_many_entries_reads_the_list() {
     let mut world = settled_world();
     for _ in 0..10 {
-        run_following(&mut world, 1_000);
-        let readers = readers(&world);
+        world.run_following(1_000);
+        let readers = world.readers();
         assert_eq!(readers.len(), 1, "{readers:?}");
     }
 }
@@ -50,11 +29,11 @@
     let mut world = settled_world();
     let joined = world.log_count("server_joined");
     let server = world.add_server();
-    run_following(&mut world, 2_000);
+    world.run_following(2_000);
     let joined = world.log_count("server_joined") - joined;
     assert_eq!(joined as usize, ENTRIES, "entries that know the new server");
     assert_eq!(world.remove_server().id, server.id);
-    run_following(&mut world, 2_000);
+    world.run_following(2_000);
     assert_eq!(world.log_count("server_gone") as usize, ENTRIES);
 }
 
@@ -62,11 +41,11 @@
 #[test]
 fn a_killed_reader_is_replaced() {
     let mut world = settled_world();
-    let reader = readers(&world)[0];
+    let reader = world.readers()[0];
     world.kill(reader);
     world.reads_list.remove(&reader);
     world.remove_server();
-    run_following(&mut world, 4_000);
+    world.run_following(4_000);
     assert_eq!(world.log_count("server_gone") as usize, ENTRIES - 1);
 }
 
@@ -76,9 +55,9 @@
 fn a_stale_read_does_not_restore_a_server() {
     let mut world = settled_world();
     let (revision, servers) = (world.list_revision, world.servers.clone());
-    let reader = readers(&world)[0];
+    let reader = world.readers()[0];
     world.remove_server();
-    run_following(&mut world, 2_000);
+    world.run_following(2_000);
     let joined = world.log_count("server_joined");
     world.send_servers_as_of((reader + 1) % ENTRIES, revision, servers);
     assert_eq!(world.log_count("server_joined"), joined);
@@ -90,10 +69,10 @@
 #[test]
 fn a_gap_of_one_reader_does_not_delay_removals() {
     let mut world = settled_world();
-    let reader = readers(&world)[0];
+    let reader = world.readers()[0];
     world.fail_list(reader);
     world.remove_server();
-    run_following(&mut world, 2_000);
+    world.run_following(2_000);
     assert_eq!(world.log_count("server_gone") as usize, ENTRIES);
 }
 
@@ -102,8 +81,8 @@
 #[test]
 fn an_entry_that_becomes_a_reader_reads_again() {
     let mut world = World::new(ENTRIES);
-    run_following(&mut world, 4_000);
-    let readers = readers(&world);
+    world.run_following(4_000);
+    let readers = world.readers();
     assert!(!readers.is_empty());
     for reader in readers {
         assert!(world.list_reads.contains_key(&reader), "entry {reader}");
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -22,6 +22,10 @@
 const OUTAGE_MILLIS: u64 = 12_000;
 /// Time after which no caller returns to a stream, and a default version without replicas is replaced.
 const WINDOW_MILLIS: u64 = 62_000;
+/// Entries that learn of the list of servers from others.
+const MANY_ENTRIES: usize = 20;
+/// Time limit of streams.
+const CHAT_TIMEOUT_MILLIS: u64 = 15_000;
 /// Pause after which a refused caller returns.
 const RETURN_MILLIS: u64 = 500;
 /// Returns of a refused caller.
@@ -284,6 +288,76 @@
     assert!(!resumed.contains(&Some("v1".into())), "{resumed:?}");
 }
 
+/// Guards against a list of servers that counts as newer than a request since it reached the entry late, among entries that
+/// learn of the list from others.
+#[test]
+fn a_list_that_came_late_proves_no_version() {
+    for delay in [300, 600, 1_500] {
+        let mut world = World::new(MANY_ENTRIES).released(false);
+        world.run_following(10_000);
+        let is_hub = |entry: &usize| world.sums_sent.get(entry).is_some_and(|sent| *sent > 0);
+        let readers = world.readers();
+        let mut others =
+            (0..MANY_ENTRIES).filter(|entry| !is_hub(entry) && !readers.contains(entry));
+        let (late, other) = (others.next().unwrap(), others.next().unwrap());
+        world.store_partitioned.insert(late);
+        world.message_delays.insert(late, delay);
+        world.run_following(5_000);
+        let began = release_unheard(&mut world, &[readers[0], other]);
+        let resumed = resume_all(&mut world, late, &began);
+        let case = format!("{delay} ms: {resumed:?}");
+        assert!(!resumed.contains(&Some("v1".into())), "{case}");
+    }
+}
+
+/// Guards against refusing all callers that return to an entry that the table service turns away, among entries that learn of
+/// the list of servers from others.
+#[test]
+fn streams_of_the_only_version_go_on_at_one_of_many_entries_without_the_table_service() {
+    let mut world = World::new(MANY_ENTRIES).released(false);
+    world.run_following(10_000);
+    let readers = world.readers();
+    let alone = (0..MANY_ENTRIES).rfind(|entry| !readers.contains(entry));
+    let alone = alone.unwrap();
+    world.store_partitioned.insert(alone);
+    world.run_following(5_000);
+    let (serial, _) = world.begin_stream(readers[0]);
+    world.resume_stream(alone, serial);
+    let resumed = world.last_serial();
+    world.run_following(3_000);
+    assert_eq!(world.version_of(resumed).as_deref(), Some("v1"));
+}
+
+/// Guards against statements of the others that count as newer than a request since they arrived late.
+#[test]
+fn statements_that_came_late_prove_no_version() {
+    for delay in [200, 400, 800, 1_200] {
+        let mut world = world(3, false);
+        world.store_partitioned.insert(0);
+        world.fail_list(0);
+        world.message_delays.insert(0, delay);
+        world.run(3_000);
+        let began = release_through(&mut world, &[1, 2], &[1, 2]);
+        let resumed = resume_all(&mut world, 0, &began);
+        let case = format!("{delay} ms: {resumed:?}");
+        assert!(!resumed.contains(&Some("v1".into())), "{case}");
+    }
+}
+
+/// Guards against the default version for a stream whose record was removed before its caller returned.
+#[test]
+fn a_caller_that_returns_late_gets_the_version_that_began_its_stream() {
+    for late_by in [0, 3_000, 8_000, 20_000, 50_000] {
+        let mut world = world(2, true);
+        let serial = world.begin_stream_at(0, "v2");
+        world.run(CHAT_TIMEOUT_MILLIS + late_by);
+        for entry in [1, 0] {
+            let version = world.resume_stream(entry, serial);
+            assert_eq!(version.as_deref(), Some("v2"), "{late_by} ms, {entry}");
+        }
+    }
+}
+
 /// Guards against a record for each stream for ever after a release.
 #[test]
 fn a_default_version_without_replicas_is_replaced() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -73,6 +73,8 @@
 const STEP_MS: u64 = 10;
 /// Time in which entries learn of each other, of a restore and of the default version.
 pub const JOIN_MILLIS: u64 = 3_000;
+/// Time between two reads of the list of servers by an entry that follows it.
+const READ_INTERVAL_MILLIS: u64 = 500;
 /// Streams among which one of each version is expected; prompts spread them over all servers.
 const MAX_STREAMS: usize = 40;
 /// Time between two checks of who holds the duties, milliseconds.
@@ -200,6 +202,10 @@
     pub sums_sent: BTreeMap<usize, u32>,
     /// Latest counts that each entry sent of its own.
     pub counts_sent: BTreeMap<usize, Bulletin>,
+    /// Milliseconds by which messages to an entry are late.
+    pub message_delays: BTreeMap<usize, u64>,
+    /// Messages on their way, with the time of their arrival, by receiver.
+    delayed_messages: BTreeMap<usize, VecDeque<(u64, Event)>>,
     /// Entries cut off from all messages.
     pub partitioned: BTreeSet<usize>,
     /// Entries on one side of a partition, which exchange messages among themselves only.
@@ -298,6 +304,8 @@
             sums_received: BTreeMap::new(),
             sums_sent: BTreeMap::new(),
             counts_sent: BTreeMap::new(),
+            message_delays: BTreeMap::new(),
+            delayed_messages: BTreeMap::new(),
             partitioned: BTreeSet::new(),
             separated: BTreeSet::new(),
             charges_hang: false,
@@ -575,12 +583,45 @@
         while self.now < end {
             self.now += STEP_MS;
             for entry in 0..self.processes.len() {
+                self.deliver_messages(entry);
                 self.confirm_servers(entry);
                 self.step(entry, Event::Tick);
             }
         }
     }
 
+    /// Advances the time while entries that follow the list of servers read it.
+    pub fn run_following(&mut self, millis: u64) {
+        for _ in 0..millis / READ_INTERVAL_MILLIS {
+            self.run(READ_INTERVAL_MILLIS);
+            for entry in self.readers() {
+                self.send_servers(entry);
+            }
+        }
+    }
+
+    /// Returns the entries that read the list of servers.
+    pub fn readers(&self) -> Vec<usize> {
+        let reads = |entry: &usize| self.reads_list.get(entry) == Some(&true);
+        let all = 0..self.processes.len();
+        let reached = all.filter(|entry| !self.store_partitioned.contains(entry));
+        reached.filter(reads).collect()
+    }
+
+    /// Delivers the messages to an entry that have arrived.
+    fn deliver_messages(&mut self, entry: usize) {
+        let now = self.now;
+        let mut arrived = Vec::new();
+        if let Some(on_their_way) = self.delayed_messages.get_mut(&entry) {
+            while let Some((_, event)) = on_their_way.pop_front_if(|(at, _)| *at <= now) {
+                arrived.push(event);
+            }
+        }
+        for event in arrived {
+            self.step(entry, event);
+        }
+    }
+
     /// Sends a request and answers it at once; returns whether it reached a replica.
     pub fn serve(&mut self, entry: usize) -> bool {
         self.serve_path(entry, "/drafts/1")
@@ -1063,7 +1104,14 @@
                 }
                 *self.sums_received.entry(to).or_default() += sums;
                 *self.sums_sent.entry(entry).or_default() += sums;
-                Some((to, Event::DigestReceived(digest)))
+                let event = Event::DigestReceived(digest);
+                if let Some(delay) = self.message_delays.get(&to) {
+                    let arrives_at = self.now + delay;
+                    let on_their_way = self.delayed_messages.entry(to).or_default();
+                    on_their_way.push_back((arrives_at, event));
+                    return None;
+                }
+                Some((to, event))
             }
             Effect::RequestCharge {
                 serial,
