Gateway: a stream's version is kept for as long as its absence would prove another one

Cause: two modules disagree on when nobody returns any more. The default version counts as proved by the absence of a record for streams up to 60 s beyond their time limits (`RETURN_WINDOW`), while the entry that began a stream forgot it, and removed its record, 2 s after.

Now both use `RETURN_WINDOW`. Records of versions other than the default stay some 60 s longer in the table service, in as many calls as before; a stream takes some 200 bytes for that time in the entry where it began.

`records_are_removed_once_nobody_returns` ran 30 s and wanted no record: it held the two seconds. It now wants the record 3 s before the window ends, and none 6 s after it.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -29,6 +29,7 @@
 use crate::stop::ABOUT_TO_END;
 use crate::stop::leaving_refusal;
 use crate::streams;
+use crate::versions::RETURN_WINDOW;
 use crate::work;
 
 /// Retry delay for callers of an entry without a configuration: about the time to read one.
@@ -40,8 +41,6 @@
 /// Fraction of a request's remaining time after which a silent replica is given up for another. The rest is
 /// enough to be served there within the deadline.
 const SILENCE_FRACTION: f64 = 0.4;
-/// Time by which a caller may return to a stream after its own time limit, for its clock and its connection.
-const RETURN_SLACK: Span = Span::from_seconds(2);
 /// Longest silence within a stream, in multiples of the target for its pauses. Callers give up after eight.
 const MAX_STREAM_PAUSES: u64 = 3;
 
@@ -235,7 +234,7 @@
             stream,
             version: None,
             record: None,
-            returns_until: arrived_at + arrival.deadline.unwrap_or(route.timeout) + RETURN_SLACK,
+            returns_until: arrived_at + arrival.deadline.unwrap_or(route.timeout) + RETURN_WINDOW,
             execution_started: false,
         })
     }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -379,7 +379,9 @@
     let mut world = world(2, true);
     world.begin_stream_at(0, "v2");
     assert!(world.stream_records() > 0);
-    world.run(30_000);
+    world.run(CHAT_TIMEOUT_MILLIS + WINDOW_MILLIS - 3_000);
+    assert!(world.stream_records() > 0);
+    world.run(9_000);
     assert_eq!(world.stream_records(), 0);
 }
 
