Gateway: what other entries say is as old as the message that it answers shows

What callers saw: streams went on at another software version (rule ORDER) through entries that the table service turned away, during a release; among more than 16 entries, and among fewer with messages more than 100 ms late.

Cause: where no record proves which version began a stream, an entry goes on only if it knows a single version by news that are newer than the request. How old news were was taken from their arrival. The time for which a report waited in its sender's outbox, its way, and the time for which the receiver left it unread didn't count; a reader's answer of the table service counted as of its processing. Among many entries with little processor time that is seconds.

Ruled out for these: a record that was written late (the version was read from no record) and the default version (source=agreed).

Messages with counts state when they were sent, by their sender's clock. A report on the list to an entry repeats the time of the last message from that entry and for how long it has been there, so that the receiver knows a time before which the report wasn't written, by its own clock and without any assumption on delays. Readers date their list by the request. Each hop passes the certain age on. Entries that exchange counts directly echo only those that say that requests wait there. The list's age for timers of reads stays as it was. A request waits up to 2.5 s for a newer list among many entries, since a read and two rounds of reports must follow it, and 1.5 s as before among few.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use watch::report::Echo;
 
 use crate::limits;
 use crate::limits::Reports;
@@ -43,6 +44,14 @@
     pub begun: Windows,
     /// The sender's clock when the bulletin was written, in Unix milliseconds.
     pub unix_ms: u64,
+    /// The same in milliseconds since the sender's start, which no change of the time of day moves.
+    pub sent_at_ms: u64,
+    /// Whether requests wait at the sender for statements that are newer than this bulletin.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub awaits_statements: bool,
+    /// What shows each entry that awaits a statement that this one is newer.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub echoes: Vec<Echo>,
     /// Arrived work by service. A sum holds the total tokens and the median of the entries' speeds.
     pub work: BTreeMap<SmolStr, Work>,
     /// Answers since each roll-out was ordered, by service.
--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -61,7 +61,7 @@
         if known > 0 && Revision::is_of_older_era(known, reading.revision) {
             self.following.reread_after_restore = Some(now + self.settings.missing_row_grace);
         }
-        let reading = self.watch.apply_reading(now, &reading);
+        let reading = self.watch.apply_reading(now, requested_at, &reading);
 
         // From here on only this entry's own gaps matter.
         self.servers.set_peer_distrust(Time::ZERO);
@@ -84,7 +84,9 @@
         };
         let me = self.identity.incarnation;
         let relays = self.hub.is_hub(me) && !self.hub.is_hub(from);
-        let learned = self.watch.receive(now, &report, relays);
+        let echo = report.echo.filter(|echo| echo.to == me.0);
+        let written_after = echo.map(|echo| echo.written_after());
+        let learned = self.watch.receive(now, &report, written_after, relays);
         self.apply_report(now, learned, &report, from, effects);
     }
 
@@ -114,7 +116,7 @@
         }
         if let Some(position) = learned.position {
             self.observe_era(now, position.revision, effects);
-            self.advance_position(position.as_of, position.as_of, position.revision);
+            self.advance_position(position.as_of, position.certain_as_of, position.revision);
 
             // An entry without a gap misses the same rows: their servers are gone.
             if report.lapsed_ms == 0 {
@@ -180,19 +182,27 @@
 
     /// Returns the report that accompanies the periodic counts: a hub always sends it, others if they have
     /// read the list since.
-    pub(crate) fn periodic_list_report(&mut self, now: Time, is_hub: bool) -> Option<Item> {
+    pub(crate) fn periodic_list_report(&mut self, now: Time, is_hub: bool) -> Option<Report> {
         match is_hub || self.watch.has_read() {
-            true => self.list_item(now, Extent::Recent),
+            true => self.list_report(now, Extent::Recent),
             false => None,
         }
     }
 
-    fn list_item(&mut self, now: Time, extent: Extent) -> Option<Item> {
+    fn list_report(&mut self, now: Time, extent: Extent) -> Option<Report> {
         let lapsed = match self.list_unavailable {
             true => self.settings.missing_row_grace,
             false => self.servers.trusted_in(now),
         };
-        let report = self.watch.report(now, lapsed, extent)?;
+        self.watch.report(now, lapsed, extent)
+    }
+
+    /// Returns the item that carries a report to one entry.
+    pub(crate) fn list_item(&mut self, now: Time, to: holder::Id, report: &Report) -> Option<Item> {
+        let report = Report {
+            echo: self.hub.echo(now, to),
+            ..report.clone()
+        };
         let payload = serde_json::to_vec(&report).ok()?;
         self.item_version += 1;
         Some(Item {
@@ -209,31 +219,33 @@
         let me = self.identity.incarnation;
         let hubs = self.roster.hubs().to_vec();
         let is_hub = hubs.contains(&me);
-        let Some(item) = self.list_item(now, Extent::New) else {
+        let Some(report) = self.list_report(now, Extent::New) else {
             return;
         };
         let to: Vec<holder::Id> = match is_hub {
             true => self.membership.peers().map(|(id, _)| id).collect(),
             false => hubs,
         };
-        let digest = Digest {
-            own: self.membership.beat(),
-            items: vec![item],
-            ..Digest::default()
-        };
+        let mut bytes = 0;
+        for peer in &to {
+            let Some(address) = self.membership.peer_address(*peer).cloned() else {
+                continue;
+            };
+            let digest = Digest {
+                own: self.membership.beat(),
+                items: self.list_item(now, *peer, &report).into_iter().collect(),
+                ..Digest::default()
+            };
+            bytes += digest.size();
+            effects.push(Effect::SendDigest {
+                address,
+                digest,
+                lane: Lane::Immediate,
+            });
+        }
         let line = Line::info("report_sent")
             .with("to", to.len())
-            .with("bytes", digest.size());
+            .with("bytes", bytes);
         effects.push(Effect::Log(line));
-        for peer in to {
-            if let Some(address) = self.membership.peer_address(peer).cloned() {
-                let digest = digest.clone();
-                effects.push(Effect::SendDigest {
-                    address,
-                    digest,
-                    lane: Lane::Immediate,
-                });
-            }
-        }
     }
 }
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -20,6 +20,8 @@
 use policy::quota::Counts;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use watch::report::Echo;
+use watch::report::Report;
 
 use crate::bulletin::Bulletin;
 use crate::effect::Effect;
@@ -52,6 +54,8 @@
     enabled: bool,
     /// Latest counts by entry. Those of ended entries are kept, since they still belong to the sum.
     contributions: BTreeMap<holder::Id, Contribution>,
+    /// The last message of each entry with counts.
+    heard: BTreeMap<holder::Id, Heard>,
     /// Tracks gaps in the heartbeats that this entry receives.
     pub(crate) monitor: Monitor,
     /// The hub whose sums are applied, and when the last one arrived.
@@ -64,6 +68,26 @@
     next_hand_over: Time,
 }
 
+/// A message of another entry.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Heard {
+    /// When it was sent, by that entry's clock, in milliseconds since its start.
+    pub sent_at_ms: u64,
+    /// When it arrived.
+    pub received_at: Time,
+}
+
+impl Heard {
+    /// Returns what proves to its sender that something written now is newer than it.
+    pub fn echo(self, now: Time, to: holder::Id) -> Echo {
+        Echo {
+            to: to.0,
+            sent_at_ms: self.sent_at_ms,
+            held_ms: now.since(self.received_at).as_millis(),
+        }
+    }
+}
+
 /// One entry's part of a hub's sum.
 #[derive(Debug)]
 struct Contribution {
@@ -100,6 +124,21 @@
     pub(crate) fn is_hub(&self, entry: holder::Id) -> bool {
         self.current_hubs.contains(&entry)
     }
+
+    /// Records a message of another entry.
+    pub(crate) fn record_heard(&mut self, from: holder::Id, heard: Heard) {
+        self.heard.insert(from, heard);
+    }
+
+    /// Forgets what others than `peers` have sent.
+    pub(crate) fn retain_heard(&mut self, peers: &[holder::Id]) {
+        self.heard.retain(|id, _| peers.contains(id));
+    }
+
+    /// Returns what proves to an entry that something written to it now is newer than its last message.
+    pub(crate) fn echo(&self, now: Time, to: holder::Id) -> Option<Echo> {
+        self.heard.get(&to).map(|heard| heard.echo(now, to))
+    }
 }
 
 impl Gateway {
@@ -154,7 +193,7 @@
         }
         let list = self.periodic_list_report(now, hubs.contains(&me));
         for hub in hubs.iter().filter(|hub| **hub != me) {
-            self.send_bulletin(*hub, &own, list.as_ref(), effects);
+            self.send_bulletin(now, *hub, &own, list.as_ref(), effects);
         }
         if now >= self.hub.next_hand_over {
             self.hub.next_hand_over = now + HAND_OVER_INTERVAL;
@@ -165,7 +204,7 @@
                     .begun
                     .retain(|window, _| *window >= oldest);
             }
-            self.hand_over(&hubs, effects);
+            self.hand_over(now, &hubs, effects);
         }
         if !hubs.contains(&me) {
             return;
@@ -180,7 +219,7 @@
         let mut bytes = 0;
         for to in &others {
             let share = self.sum_without(&total, *to);
-            bytes += self.send_bulletin(*to, &share, list.as_ref(), effects);
+            bytes += self.send_bulletin(now, *to, &share, list.as_ref(), effects);
         }
         let line = Line::info("sums_sent")
             .with("to", others.len())
@@ -194,7 +233,7 @@
     /// while a quarter of a large system was restarted in turn, usage reports missed up to a third. Ended
     /// entries aren't detected at once, so all are forwarded; newer counts from a live entry replace them
     /// soon.
-    fn hand_over(&mut self, hubs: &[holder::Id], effects: &mut Vec<Effect>) {
+    fn hand_over(&mut self, now: Time, hubs: &[holder::Id], effects: &mut Vec<Effect>) {
         let me = self.identity.incarnation;
         let forwarded: Vec<(holder::Id, Bulletin)> = self
             .hub
@@ -205,7 +244,7 @@
             .collect();
         for hub in hubs.iter().filter(|hub| **hub != me) {
             for chunk in forwarded.chunks(ENTRIES_PER_MESSAGE) {
-                self.send_bulletins(*hub, chunk, None, effects);
+                self.send_bulletins(now, *hub, chunk, None, effects);
             }
         }
     }
@@ -264,6 +303,7 @@
         let timeout = self.failure_timeout();
         let mut total = Bulletin {
             unix_ms: self.usage.unix_ms(now),
+            sent_at_ms: now.as_millis(),
             ..Bulletin::default()
         };
         for contribution in self.hub.contributions.values() {
@@ -282,27 +322,30 @@
     /// Sends this entry's counts, or a sum, to `to` and returns the approximate size in bytes.
     fn send_bulletin(
         &mut self,
+        now: Time,
         to: holder::Id,
         bulletin: &Bulletin,
-        list: Option<&Item>,
+        list: Option<&Report>,
         effects: &mut Vec<Effect>,
     ) -> usize {
         let own = [(self.identity.incarnation, bulletin.clone())];
-        self.send_bulletins(to, &own, list, effects)
+        self.send_bulletins(now, to, &own, list, effects)
     }
 
     /// Sends bulletins and a report on the server list in one message; returns the approximate size in bytes.
     fn send_bulletins(
         &mut self,
+        now: Time,
         to: holder::Id,
         bulletins: &[(holder::Id, Bulletin)],
-        list: Option<&Item>,
+        list: Option<&Report>,
         effects: &mut Vec<Effect>,
     ) -> usize {
         let Some(address) = self.membership.peer_address(to).cloned() else {
             return 0;
         };
-        let mut items: Vec<Item> = list.cloned().into_iter().collect();
+        let list = list.and_then(|report| self.list_item(now, to, report));
+        let mut items = Vec::from_iter(list);
         for (entry, bulletin) in bulletins {
             match serde_json::to_vec(bulletin) {
                 Ok(payload) => items.push(self.count_item(*entry, payload, bulletin.past)),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,12 +16,14 @@
 use policy::replica;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use watch::report::Echo;
 
 use crate::bulletin::Bulletin;
 use crate::configs::gateway::Settings;
 use crate::effect::Effect;
 use crate::effect::Lane;
 use crate::gateway::Gateway;
+use crate::hubs::Heard;
 use crate::hubs::PAST_SEPARATOR;
 use crate::hubs::SUM_SENDER;
 use crate::identity::Identity;
@@ -207,6 +209,7 @@
 
     fn handle_peers_change(&mut self, now: Time, peers: &[holder::Id], effects: &mut Vec<Effect>) {
         self.releases.retain(peers);
+        self.hub.retain_heard(peers);
         let members = peers.len() + 1;
         let entries = self.entry_count();
         self.scheduler.set_entries(entries);
@@ -263,6 +266,9 @@
             running,
             begun: self.usage.own_windows().clone(),
             unix_ms: self.usage.raw_unix_ms(now),
+            sent_at_ms: now.as_millis(),
+            awaits_statements: self.releases.has_waiting(),
+            echoes: self.releases.take_echoes(now),
             work: self.work.clone(),
             tallies: self.rollouts.tallies.clone(),
             limits: self.limits.reports(now),
@@ -363,12 +369,25 @@
                 return;
             }
         }
+        let heard = Heard {
+            sent_at_ms: bulletin.sent_at_ms,
+            received_at: now,
+        };
+        if self.uses_hubs() && !bulletin.past {
+            self.hub.record_heard(peer, heard);
+        }
+        if bulletin.awaits_statements {
+            self.releases.record_awaiting(peer, heard);
+        }
         self.handle_limit_reports(now, &bulletin.limits, effects);
         self.handle_cleared_parts(now, &bulletin.cleared, effects);
         self.absorb_paces(now, peer, &mut bulletin);
         if let Some(statement) = bulletin.versions.take() {
             let age = Span::from_millis(item.age_ms);
-            self.handle_statement(now, peer, age, &statement, effects);
+            let me = self.identity.incarnation.0;
+            let echo = bulletin.echoes.iter().find(|echo| echo.to == me);
+            let made_after = echo.map(Echo::written_after);
+            self.handle_statement(now, peer, age, made_after, &statement, effects);
         }
         match bulletin.sums {
             0 if self.uses_hubs() => self.handle_counts(now, peer, bulletin),
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -3,7 +3,8 @@
 //! An entry that is cut off from the table service, or was paused, doesn't hear of new servers. A list with a single
 //! version then proves nothing about a stream that began elsewhere. So the bulletins of each entry state which versions
 //! it knows, and a stream without a record is resumed once the statements of all entries, or the list itself, are newer
-//! than the request.
+//! than the request. That one is newer isn't taken from when it arrives, which may be seconds later than it was made: it
+//! has to answer a message that was sent after the request came.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,16 +14,18 @@
 use lease::holder;
 use line::Line;
 use smol_str::SmolStr;
+use watch::report::Echo;
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::hubs::Heard;
 use crate::request::Request;
 use crate::returns::Source;
 
 /// Longest wait for statements that are newer than a request: several rounds of them.
 const AGREEMENT_TIMEOUT: Span = Span::from_millis(1_500);
-/// Longest network delay of a statement: one that arrives this soon after a request may be older.
-const STATEMENT_DELAY: Span = Span::from_millis(100);
+/// The same for a newer list of servers among many entries: a read by one of them, and two rounds in which it is passed on.
+const LIST_AGREEMENT_TIMEOUT: Span = Span::from_millis(2_500);
 /// Time after the start in which gossip brings all members that another entry knows.
 const GOSSIP_TIME: Span = Span::from_millis(2_000);
 
@@ -32,8 +35,10 @@
 /// Statements of the others, and requests that wait for them.
 #[derive(Debug, Default)]
 pub(crate) struct Releases {
-    /// When each entry made its last statement.
-    stated_at: BTreeMap<holder::Id, Time>,
+    /// Time after which each entry certainly made its last statement.
+    stated_after: BTreeMap<holder::Id, Time>,
+    /// Entries that await a statement of this one, with the message that said so.
+    awaiting: BTreeMap<holder::Id, Heard>,
     /// Serial numbers of the requests.
     waiting: BTreeSet<u64>,
 }
@@ -74,7 +79,24 @@
 impl Releases {
     /// Forgets the statements of all others but `peers`.
     pub fn retain(&mut self, peers: &[holder::Id]) {
-        self.stated_at.retain(|id, _| peers.contains(id));
+        self.stated_after.retain(|id, _| peers.contains(id));
+        self.awaiting.retain(|id, _| peers.contains(id));
+    }
+
+    /// Returns whether requests wait for statements of the others.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Records that an entry awaits a statement of this one.
+    pub fn record_awaiting(&mut self, from: holder::Id, heard: Heard) {
+        self.awaiting.insert(from, heard);
+    }
+
+    /// Returns what shows those that await a statement that one made now is newer.
+    pub fn take_echoes(&mut self, now: Time) -> Vec<Echo> {
+        let awaiting = std::mem::take(&mut self.awaiting).into_iter();
+        awaiting.map(|(id, heard)| heard.echo(now, id)).collect()
     }
 }
 
@@ -98,12 +120,14 @@
             .collect()
     }
 
-    /// Handles another entry's statement, which was made `age` ago.
+    /// Handles another entry's statement, which was made `age` ago, without the time on its way, and after `made_after`, if
+    /// that is known.
     pub(crate) fn handle_statement(
         &mut self,
         now: Time,
         from: holder::Id,
         age: Span,
+        made_after: Option<Time>,
         statement: &Statement,
         effects: &mut Vec<Effect>,
     ) {
@@ -113,9 +137,10 @@
                 known.record_heard(now, version, age + Span::from_millis(*millis));
             }
         }
-        let made_at = now - age;
-        let known = self.releases.stated_at.entry(from).or_insert(made_at);
-        *known = made_at.max(*known);
+        if let Some(made_after) = made_after {
+            let known = self.releases.stated_after.entry(from).or_default();
+            *known = made_after.max(*known);
+        }
         self.settle_agreements(now, effects);
     }
 
@@ -170,7 +195,11 @@
         if self.is_any_peer_silent(now) {
             return Agreement::Impossible(Cause::SilentEntry);
         }
-        match now.since(open.arrived_at) < AGREEMENT_TIMEOUT {
+        let timeout = match self.uses_hubs() {
+            true => LIST_AGREEMENT_TIMEOUT,
+            false => AGREEMENT_TIMEOUT,
+        };
+        match now.since(open.arrived_at) < timeout {
             true => Agreement::Pending,
             false => Agreement::Impossible(Cause::NoStatements),
         }
@@ -190,11 +219,8 @@
     /// Returns whether all other entries have made statements since a time. Hubs sum statements up, so that the time of a
     /// single one isn't known.
     fn are_statements_newer(&self, at: Time) -> bool {
-        let stated_at = &self.releases.stated_at;
-        let is_newer = |(id, _)| {
-            let stated_at = stated_at.get(&id);
-            stated_at.is_some_and(|stated_at| *stated_at >= at + STATEMENT_DELAY)
-        };
+        let stated_after = &self.releases.stated_after;
+        let is_newer = |(id, _)| stated_after.get(&id).is_some_and(|after| *after >= at);
         !self.uses_hubs() && self.membership.peers().all(is_newer)
     }
 
--- a/crates/watch/src/report.rs
+++ b/crates/watch/src/report.rs
@@ -1,5 +1,7 @@
 //! Reports on the list of backend servers that entries send each other.
 
+use clock::Span;
+use clock::Time;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -12,8 +14,15 @@
 pub struct Report {
     /// The revision up to which `digest` covers all changes.
     pub revision: u64,
-    /// Time since the table service was read at this revision, milliseconds.
+    /// Time since the table service was read at this revision, milliseconds. Leaves out how long it took to learn of that.
     pub age_ms: u64,
+    /// Time before the report up to which the list certainly contains all that was there, milliseconds; `None` if that isn't
+    /// known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub certain_age_ms: Option<u64>,
+    /// What shows the receiver that the report isn't older than it seems; `None` if the sender hasn't heard of it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub echo: Option<Echo>,
     /// Digest of all rows, see [`crate::list::List::digest`].
     pub digest: u64,
     /// Time during which missing rows may belong to live servers whose leases lapsed, milliseconds.
@@ -24,6 +33,25 @@
     pub changes: Vec<Change>,
 }
 
+/// The newest message of a receiver that had arrived when something was written to it. However late that arrives, it was
+/// written after this message was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The receiver's incarnation.
+    pub to: u64,
+    /// When it sent the message, by its own clock, in milliseconds since its start.
+    pub sent_at_ms: u64,
+    /// For how long the message had been there, milliseconds.
+    pub held_ms: u64,
+}
+
+impl Echo {
+    /// Returns the time after which it was written, by the receiver's clock.
+    pub fn written_after(&self) -> Time {
+        Time::from_millis(self.sent_at_ms) + Span::from_millis(self.held_ms)
+    }
+}
+
 /// A change of one row.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Change {
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -30,8 +30,11 @@
 /// How current an entry's list is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Position {
-    /// When the table service was read at this revision, by this entry's clock.
+    /// When the table service was read at this revision, by this entry's clock, as far as reports tell without the time that
+    /// they took.
     pub as_of: Time,
+    /// Time up to which the list certainly contains all that was there.
+    pub certain_as_of: Time,
     /// The revision up to which all changes are known.
     pub revision: u64,
 }
@@ -105,11 +108,11 @@
         }
     }
 
-    /// Applies an answer of the table service and returns the part that is still current.
+    /// Applies an answer of the table service to a read that began at `requested_at`, and returns the part that is still current.
     ///
     /// Guards against an answer that was in flight while reports brought newer changes: it contains
     /// servers that have ended.
-    pub fn apply_reading(&mut self, now: Time, reading: &Reading) -> Reading {
+    pub fn apply_reading(&mut self, now: Time, requested_at: Time, reading: &Reading) -> Reading {
         let is_first = self.position.is_none();
         let changes = self.list.apply_reading(reading);
         // All other entries know what an entry finds when it starts.
@@ -118,6 +121,7 @@
         }
         self.advance_position(Position {
             as_of: now,
+            certain_as_of: requested_at,
             revision: reading.revision,
         });
         self.mismatch_since = None;
@@ -130,8 +134,15 @@
         }
     }
 
-    /// Applies a report; with `relay`, its new changes go into this entry's own reports.
-    pub fn receive(&mut self, now: Time, report: &Report, relay: bool) -> Learned {
+    /// Applies a report that was written after `written_after`, if that is known; with `relay`, its new changes go into this
+    /// entry's own reports.
+    pub fn receive(
+        &mut self,
+        now: Time,
+        report: &Report,
+        written_after: Option<Time>,
+        relay: bool,
+    ) -> Learned {
         // Without a first reading, an entry can't tell what is missing.
         if self.position.is_none() {
             return Learned::default();
@@ -151,16 +162,24 @@
         if relay {
             self.relay(now, changes);
         }
-        learned.position = self.compare_digest(now, report);
+        learned.position = self.compare_digest(now, report, written_after);
         learned
     }
 
     /// Compares the list's digest with a report's and returns the position if they are equal.
-    fn compare_digest(&mut self, now: Time, report: &Report) -> Option<Position> {
+    fn compare_digest(
+        &mut self,
+        now: Time,
+        report: &Report,
+        written_after: Option<Time>,
+    ) -> Option<Position> {
         if report.digest == self.list.digest() {
             self.mismatch_since = None;
+            let certain = written_after.zip(report.certain_age_ms);
+            let certain_as_of = certain.map(|(at, age)| at.min(now) - Span::from_millis(age));
             self.advance_position(Position {
                 as_of: now - Span::from_millis(report.age_ms),
+                certain_as_of: certain_as_of.unwrap_or(Time::ZERO),
                 revision: report.revision,
             });
             return self.position;
@@ -178,6 +197,7 @@
         let known = self.position.unwrap_or(position);
         self.position = Some(Position {
             as_of: known.as_of.max(position.as_of),
+            certain_as_of: known.certain_as_of.max(position.certain_as_of),
             revision: known.revision.max(position.revision),
         });
     }
@@ -236,6 +256,8 @@
         Some(Report {
             revision: position.revision,
             age_ms: now.since(position.as_of).as_millis(),
+            certain_age_ms: Some(now.since(position.certain_as_of).as_millis()),
+            echo: None,
             digest: self.list.digest(),
             lapsed_ms: lapsed.as_millis(),
             changes: changes.collect(),
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -11,6 +11,7 @@
 use store::revision::Revision;
 use watch::configs::watch::Config;
 use watch::list::List;
+use watch::report::Echo;
 use watch::report::Report;
 use watch::server::Reading;
 use watch::server::Removal;
@@ -281,7 +282,7 @@
             }
         };
         let now = self.time();
-        self.entries[entry].apply_reading(now, &reading);
+        self.entries[entry].apply_reading(now, now, &reading);
     }
 
     fn send(&mut self, from: usize, to: usize, report: &Report) {
@@ -302,7 +303,7 @@
             if !self.frozen.contains_key(&to) {
                 let passes_on = hubs.contains(&to) && !hubs.contains(&from);
                 let now = self.time();
-                self.entries[to].receive(now, &report, passes_on);
+                self.entries[to].receive(now, &report, None, passes_on);
             }
         }
         for entry in 0..self.entries.len() {
@@ -415,7 +416,7 @@
     };
     let before = world.entries[0].digest();
     let now = world.time();
-    world.entries[0].apply_reading(now, &reading);
+    world.entries[0].apply_reading(now, now, &reading);
     assert_eq!(world.entries[0].digest(), before);
     let report = world.entries[0]
         .report(now, Span::ZERO, Extent::Recent)
@@ -438,10 +439,10 @@
         .report(now, Span::ZERO, Extent::Recent)
         .expect("a report");
     let standby = Role::Reader { rank: 1 };
-    world.entries[1].receive(now, &certain, true);
+    world.entries[1].receive(now, &certain, None, true);
     let soon = now + Config::default().reader_interval;
     assert_eq!(world.entries[1].read_interval(soon, standby), None);
-    world.entries[1].receive(now, &unsure, true);
+    world.entries[1].receive(now, &unsure, None, true);
     assert!(world.entries[1].read_interval(soon, standby).is_some());
 }
 
@@ -460,7 +461,7 @@
         .expect("a report");
     world.set(SmolStr::new_static("s901"), None);
     world.read(1);
-    let learned = world.entries[1].receive(Time::ZERO, &late, false);
+    let learned = world.entries[1].receive(Time::ZERO, &late, None, false);
     assert_eq!(learned.written, []);
     assert_eq!(learned.position, None);
     assert_eq!(world.entries[1].digest(), world.truth.digest());
@@ -485,7 +486,7 @@
                 removed: Vec::new(),
             },
         };
-        entry.apply_reading(world.time(), &reading);
+        entry.apply_reading(world.time(), world.time(), &reading);
         assert_eq!(entry.digest(), world.single_row("s900").digest());
     }
 }
@@ -514,7 +515,7 @@
         update: Update::All(backup.clone()),
     };
     let now = world.time();
-    world.entries[0].apply_reading(now, &reading);
+    world.entries[0].apply_reading(now, now, &reading);
     assert_eq!(world.entries[0].digest(), before);
 
     // The server rewrites its row, at a revision number that was used before the restore.
@@ -529,14 +530,14 @@
             removed: Vec::new(),
         },
     };
-    let applied = world.entries[0].apply_reading(now, &reading);
+    let applied = world.entries[0].apply_reading(now, now, &reading);
     assert_eq!(applied.update, reading.update);
     // The next full reading removes rows that nobody rewrote.
     let reading = Reading {
         revision: restored(9),
         update: Update::All(Vec::new()),
     };
-    world.entries[0].apply_reading(now, &reading);
+    world.entries[0].apply_reading(now, now, &reading);
     assert_eq!(world.entries[0].digest(), List::default().digest());
 }
 
@@ -566,3 +567,36 @@
     let regular = world.entries[0].report(now, Span::ZERO, Extent::Recent);
     assert!(regular.expect("a report").changes.len() >= 8);
 }
+
+/// Guards against a list that counts as current since an answer was processed late, or since a report took long.
+#[test]
+fn a_list_is_as_old_as_the_request_for_it_and_the_time_on_its_way() {
+    let at = Time::from_millis;
+    let mut reader = Watch::new(Config::default(), 1);
+    let mut follower = Watch::new(Config::default(), 2);
+    let reading = Reading {
+        revision: 1,
+        update: Update::All(Vec::new()),
+    };
+    follower.apply_reading(at(1_000), at(900), &reading);
+    // The answer to a read that began at 6.0 s was left unread until 10.0 s.
+    reader.apply_reading(at(10_000), at(6_000), &reading);
+    let report = reader.report(at(10_100), Span::ZERO, Extent::Recent);
+    let report = report.expect("a report");
+    assert_eq!(report.certain_age_ms, Some(4_100));
+    // Nothing shows when it was written.
+    follower.receive(at(10_200), &report, None, false);
+    assert_eq!(certain_as_of(&follower), at(900));
+    // The reader had had a message of 7.5 s by the follower's clock for half a second when it wrote.
+    let echo = Echo {
+        to: 2,
+        sent_at_ms: 7_500,
+        held_ms: 500,
+    };
+    follower.receive(at(10_200), &report, Some(echo.written_after()), false);
+    assert_eq!(certain_as_of(&follower), at(3_900));
+}
+
+fn certain_as_of(watch: &Watch) -> Time {
+    watch.position().expect("a position").certain_as_of
+}
