Relay: an answer that ends with its connection is whole only if its engine says that it still runs

Cause: the question which process an engine is counted only if it was answered with another one; no answer within a second, a closed connection, or no connection to ask on counted as proof of the opposite.

Now the engine is asked first, on its newest connection or a new one, also where an idle connection has stayed open. Kept connections are looked at 10 ms after the end also where the server takes new ones, since those of one process don't end in the same instant.

`a_stream_of_a_replica_that_answers_nothing_is_not_complete` failed before (200, last chunk sent, 2 events).

--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -13,6 +13,7 @@
 use crate::pool::Connection;
 use crate::pool::Kept;
 use crate::process;
+use crate::process::Identity;
 use crate::pulse;
 use crate::reach;
 use crate::reach::Finding;
@@ -20,6 +21,8 @@
 
 /// Time after which the end of a process would have reached connections that are kept.
 const END_DELAY: Duration = Duration::from_millis(50);
+/// The same where the server takes connections, which the end of its process would soon end.
+const REACHED_END_DELAY: Duration = Duration::from_millis(10);
 
 /// Tells whether the end of an answer is noticed as soon as it arrives.
 #[derive(Clone, Copy, Debug)]
@@ -61,10 +64,10 @@
 
 /// Returns how an attempt ends whose answer was read up to the end of its connection; `None` if the answer is whole.
 ///
-/// A new connection, on whatever way, shows that a process runs. It may be another one, which has taken the place of the
-/// one that was sent the request. A connection kept since then would have ended with that process, so one is kept from now
-/// on. Without one, the end must have been noticed sooner than a server restarts, and an engine must not state another
-/// process than the listed one.
+/// An engine is asked which process it is. A new connection alone shows little: the kernel, or something in front of the
+/// server, may have taken it, or another process in the place of the one that was sent the request. A connection kept since
+/// then would have ended with that process, so one is kept from now on. Where the server answers but doesn't state its
+/// process, or can't be asked, and none was kept, the end must have been noticed sooner than a server restarts.
 pub async fn examine(
     shared: &Rc<Shared>,
     start: &Start,
@@ -73,32 +76,36 @@
 ) -> Option<End> {
     shared.pool.reserve_idle(&start.endpoint);
     let finding = reach::examine(shared, &start.endpoint, connection.proxy()).await;
-    // Lets the tasks of kept connections notice their ends.
-    tokio::task::yield_now().await;
     let is_reached = finding != Finding::Unreached;
-    if !is_reached {
-        // A server that takes no new connections, such as one that is leaving, may run nevertheless.
-        tokio::time::sleep(END_DELAY).await;
-    }
+    // A server that takes no new connections, such as one that is leaving, may run nevertheless.
+    let delay = match is_reached {
+        true => REACHED_END_DELAY,
+        false => END_DELAY,
+    };
+    tokio::time::sleep(delay).await;
+    let is_prompt = reading.is_prompt(shared);
+    let identity = match is_reached && start.stream {
+        true => process::ask_identity(shared, &start.endpoint).await,
+        // Plain services can't be asked.
+        false if is_reached => Identity::Unstated,
+        false => Identity::Unknown,
+    };
     let kept = shared.pool.kept_since(&start.endpoint, reading.sent_at);
-    let is_whole = match kept {
+    let is_whole = match (identity, kept) {
         _ if shared.pool.is_succeeded(&start.endpoint) => false,
-        Kept::Open => true,
-        Kept::Ended => false,
-        Kept::None => is_reached && reading.is_prompt(shared) && !is_replaced(shared, start).await,
+        (Identity::Other, _) | (_, Kept::Ended) => false,
+        (Identity::Listed, _) | (_, Kept::Open) => true,
+        (Identity::Unstated, Kept::None) => is_prompt,
+        (Identity::Unknown, Kept::None) => false,
     };
     log::debug!(
         event = "answer_ended_with_connection",
         replica = start.endpoint.incarnation.as_str(),
         reached = is_reached,
         kept:? = kept,
+        identity:? = identity,
         whole = is_whole;
         ""
     );
     (!is_whole).then_some(End::Broken { alive: false })
 }
-
-/// Returns whether an engine states that it is another process than the listed one. Plain services state none.
-async fn is_replaced(shared: &Rc<Shared>, start: &Start) -> bool {
-    start.stream && process::is_replaced(shared, &start.endpoint).await
-}
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -25,12 +25,14 @@
 
 /// What a server says of its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Identity {
+pub enum Identity {
     /// It is the one in the list.
     Listed,
     /// It is another one.
     Other,
-    /// It didn't say, or the connection ended.
+    /// A process answered, but not which one it is, or the list doesn't state that of the server.
+    Unstated,
+    /// Nothing answered.
     Unknown,
 }
 
@@ -58,16 +60,20 @@
     Ok(connection)
 }
 
-/// Returns whether a server says that it is another process than the listed one.
-pub async fn is_replaced(shared: &Rc<Shared>, endpoint: &Endpoint) -> bool {
+/// Asks a server on its newest connection, or on a new one, which process it is.
+pub async fn ask_identity(shared: &Rc<Shared>, endpoint: &Endpoint) -> Identity {
     let direct = shared.reach.is_direct(shared.clock.now(), endpoint);
-    let Some(mut connection) = shared.pool.take_newest(endpoint, direct, 0) else {
-        return false;
+    let connection = match shared.pool.take_newest(endpoint, direct, 0) {
+        Some(connection) => Ok(connection),
+        None => reach::connect(shared, endpoint).await,
+    };
+    let Ok(mut connection) = connection else {
+        return Identity::Unknown;
     };
     let identity = identify(shared, endpoint, &mut connection).await;
     let no_headers = HeaderMap::new();
     shared.pool.release(endpoint, connection, &no_headers).await;
-    identity == Identity::Other
+    identity
 }
 
 /// Asks the server on a connection whether it is the listed process.
@@ -78,14 +84,10 @@
 ) -> Identity {
     connection.identified = true;
     let Some(request) = shared.codec.process_request(endpoint) else {
-        return Identity::Unknown;
+        return Identity::Unstated;
     };
     let asking = tokio::time::timeout(TIMEOUT, ask(shared, endpoint, connection, request));
-    let identity = match asking.await {
-        Ok(Some(true)) => Identity::Listed,
-        Ok(Some(false)) => Identity::Other,
-        Ok(None) | Err(_) => Identity::Unknown,
-    };
+    let identity = asking.await.unwrap_or(Identity::Unknown);
     if identity != Identity::Listed {
         log::info!(
             event = "process_not_confirmed",
@@ -103,30 +105,35 @@
         match self {
             Identity::Listed => "listed",
             Identity::Other => "other",
+            Identity::Unstated => "unstated",
             Identity::Unknown => "unknown",
         }
     }
 }
 
-/// Returns whether the server is the listed process; `None` if it doesn't say.
+/// Asks the server whether it is the listed process.
 async fn ask(
     shared: &Rc<Shared>,
     endpoint: &Endpoint,
     connection: &mut Connection,
     request: Request<Bytes>,
-) -> Option<bool> {
-    let response = connection
-        .sender
-        .send_request(request.map(Full::new))
-        .await
-        .ok()?;
+) -> Identity {
+    let asking = connection.sender.send_request(request.map(Full::new));
+    let Ok(response) = asking.await else {
+        return Identity::Unknown;
+    };
     let (head, body) = response.into_parts();
     let answers = &shared.intake.answers;
     let body = body::collect(body, &connection.meter, answers, MAX_ANSWER_BYTES).await;
-    let identity = shared
-        .codec
-        .is_listed_process(endpoint, head.status, &body.ok()?);
+    let Ok(body) = body else {
+        return Identity::Unknown;
+    };
+    let is_listed = shared.codec.is_listed_process(endpoint, head.status, &body);
     // Ready once the library has seen the end of the answer; an error shows at the next request.
     let _ = connection.sender.ready().await;
-    identity
+    match is_listed {
+        Some(true) => Identity::Listed,
+        Some(false) => Identity::Other,
+        None => Identity::Unstated,
+    }
 }
