Scheduler: a broken stream pauses before it tries again all servers that refused it

Cause: attempts that didn't reach a server aren't counted, and where all servers have been tried, a stream whose caller already has its head may try all of them again at once. A refused connection takes a tenth of a millisecond, so nothing limits the rate: processor time and new connections until the time limit, and the first instant at which a restarted process listens.

The stream now waits 50 ms before it tries all of them again, and twice as long each further time, up to 800 ms; the queue isn't kept waiting behind it. `a_broken_stream_pauses_before_it_tries_replicas_again_that_refused_it` failed before (100 attempts within 0 ms).

--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -193,6 +193,9 @@
             && within_budget;
         if resumable && tried_everywhere {
             self.forget_tried(id);
+            if !reached {
+                return self.back_off(now, id);
+            }
         }
         if !allowed && !resumable {
             self.refuse(
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -152,6 +152,7 @@
                 returned: false,
                 withheld_at: None,
                 interruptions: 0,
+                backoff: Span::ZERO,
                 sent: 0,
                 queue_deadline: now + job.terms.queue_timeout,
                 predicted,
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! embedder calls [`Scheduler::poll`] at the time that [`Scheduler::next_wake`] returns. Entries that share
 //! accounts exchange [`Scheduler::digest`]s once a period.
 
+mod backoff;
 mod division;
 mod ends;
 mod fleet;
@@ -70,6 +71,8 @@
     pending_pools: BTreeSet<pool::Key>,
     /// Suspects that wait outside their queues, and until when.
     held: BTreeSet<(Time, job::Id)>,
+    /// Streams that no replica accepts, and when they try again.
+    backing_off: BTreeSet<(Time, job::Id)>,
     limits: limit::Limits,
     quarantine: quarantine::Quarantine,
     /// Changes of blocked parts that the embedder hasn't taken.
@@ -130,6 +133,7 @@
             part_changes: Vec::new(),
             speeds: speed::Table::new(settings.speed),
             held: BTreeSet::new(),
+            backing_off: BTreeSet::new(),
             settings,
             accounts: BTreeMap::new(),
             pools: BTreeMap::new(),
@@ -383,6 +387,7 @@
         self.stop_suspects(now, out);
         self.review_parts(now, out);
         self.release_held(now, out);
+        self.resume_backed_off(now);
         self.run_moves(now, out);
         self.mark_reopened_pools(now);
         while let Some(pool) = self.pending_pools.pop_first() {
@@ -399,11 +404,13 @@
         let judged = judged.map(|pool| pool.monitor.next_wake()).min();
         let expiry = self.expiry.first().map(|(due, _)| *due);
         let held = self.held.first().map(|(due, _)| *due);
+        let backing_off = self.backing_off.first().map(|(due, _)| *due);
         let step = self.next_move();
         [
             judged,
             expiry,
             held,
+            backing_off,
             step,
             self.next_review,
             self.next_reopening(),
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -267,6 +267,8 @@
     pub withheld_at: Option<replica::Key>,
     /// Interruptions after which the job was allowed to return.
     pub interruptions: u32,
+    /// Last pause before all replicas were tried again.
+    pub backoff: Span,
     /// End of its own queue timeout; it isn't started later.
     pub queue_deadline: Time,
     /// Wait predicted at its arrival.
--- a/crates/policy/tests/streams.rs
+++ b/crates/policy/tests/streams.rs
@@ -82,3 +82,42 @@
         .filter(|decision| matches!(decision, Decision::Start { .. }));
     assert_eq!(started.count(), 8);
 }
+
+/// Guards against a broken stream that tries replicas without pause while all of them refuse connections.
+#[test]
+fn a_broken_stream_pauses_before_it_tries_replicas_again_that_refused_it() {
+    let mut scheduler = scheduler();
+    let second = replica::Spec {
+        incarnation: SmolStr::new_static("r1"),
+        pool: POOL,
+        zone: SmolStr::new_static("north"),
+        version: version::Key::default(),
+        slots: 32,
+    };
+    scheduler.replica_joined(Time::ZERO, second, &mut Vec::new());
+    let mut out = Vec::new();
+    scheduler.offer(Time::ZERO, job(1), &mut out);
+    scheduler.first_token(Time::ZERO + FIRST_EVENT, job::Id(1));
+    let broken_at = Time::ZERO + FIRST_EVENT + FIRST_EVENT;
+    scheduler.attempt_ended(broken_at, job::Id(1), job::End::Failed, 1, &mut out);
+    let mut starts = out.split_off(1);
+    let mut refused = 0;
+    for millis in 0..3_000 {
+        let now = broken_at + Span::from_millis(millis);
+        let mut out = Vec::new();
+        scheduler.poll(now, &mut out);
+        starts.append(&mut out);
+        while let Some(decision) = starts.pop() {
+            assert!(matches!(decision, Decision::Start { .. }), "{decision:?}");
+            refused += 1;
+            let mut out = Vec::new();
+            scheduler.attempt_ended(now, job::Id(1), job::End::NotSent, 0, &mut out);
+            starts.append(&mut out);
+            assert!(refused < 100, "{refused} attempts within {millis} ms");
+        }
+    }
+    assert!((4..=20).contains(&refused), "{refused} attempts");
+    let woken = scheduler.next_wake().expect("another try");
+    scheduler.poll(woken, &mut starts);
+    assert!(matches!(starts[..], [Decision::Start { .. }]), "{starts:?}");
+}
