Gateway: an unreadable record of a stream's version isn't no record

Cause: a record without a readable version counted as none, and the absence of a record proves the default version. Such a return is refused now as not run, with a time to come back, as where the version isn't known.

`a_stream_whose_record_is_unreadable_is_refused` failed before (v1 for v2).

--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -20,6 +20,7 @@
 use crate::streams;
 use crate::streams::Origin;
 use crate::streams::Record;
+use crate::streams::Recorded;
 
 /// Retry delay for callers whose stream's version couldn't be found out: about the time of a short outage of the
 /// table service.
@@ -98,8 +99,12 @@
                 None => self.await_agreement(now, serial, effects),
             };
         };
-        if let Some(origin) = streams::recorded_origin(stream, rows) {
-            return self.resume_from(now, serial, &origin, Source::Record, effects);
+        match streams::recorded_origin(stream, rows) {
+            Recorded::Origin(origin) => {
+                return self.resume_from(now, serial, &origin, Source::Record, effects);
+            }
+            Recorded::Unreadable => return self.refuse_unknown(now, serial, effects),
+            Recorded::Nothing => {}
         }
         if let Some(former) = former
             && !self.assign_service(now, serial, &former, effects)
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -248,18 +248,34 @@
     pub version: SmolStr,
 }
 
-/// Returns the origin in the record of a stream's last attempt.
-pub(crate) fn recorded_origin(stream: Key, rows: &[Row]) -> Option<Origin> {
+/// What the table service holds of a stream's origin.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Recorded {
+    /// No record.
+    Nothing,
+    /// A record that can't be read.
+    Unreadable,
+    /// The record of its last attempt.
+    Origin(Origin),
+}
+
+/// Returns what the records of a stream tell of its origin.
+pub(crate) fn recorded_origin(stream: Key, rows: &[Row]) -> Recorded {
     let is_of_account = |row: &&Row| {
         let account = row.value.get("account").and_then(Value::as_u64);
         account.is_none_or(|account| account == stream.account)
     };
-    let value = &rows.iter().rfind(is_of_account)?.value;
-    let text = |name: &str| value.get(name).and_then(Value::as_str).map(SmolStr::new);
-    Some(Origin {
-        service: text("service"),
-        version: text("version")?,
-    })
+    let Some(last) = rows.iter().rfind(is_of_account) else {
+        return Recorded::Nothing;
+    };
+    let text = |name: &str| last.value.get(name).and_then(Value::as_str);
+    match text("version") {
+        Some(version) => Recorded::Origin(Origin {
+            service: text("service").map(SmolStr::new),
+            version: SmolStr::new(version),
+        }),
+        None => Recorded::Unreadable,
+    }
 }
 
 impl Gateway {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -358,6 +358,16 @@
     }
 }
 
+/// Guards against the default version for a stream whose record can't be read.
+#[test]
+fn a_stream_whose_record_is_unreadable_is_refused() {
+    let mut world = world(2, true);
+    let serial = world.begin_stream_at(0, "v2");
+    world.spoil_records();
+    assert_eq!(world.resume_stream(1, serial), None);
+    assert_eq!(world.refused.get("StoreUnavailable"), Some(&1));
+}
+
 /// Guards against a record for each stream for ever after a release.
 #[test]
 fn a_default_version_without_replicas_is_replaced() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -46,9 +46,12 @@
 use rollout::order::Order;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use store::call::Address;
 use store::call::Call;
 use store::call::Outcome;
 use store::call::Row;
+use store::call::Transaction;
+use store::call::Write;
 use store::fake::Table;
 use verdict::Refusal;
 use verdict::Verdict;
@@ -893,6 +896,22 @@
         names.map(|name| self.rows(name).len()).sum()
     }
 
+    /// Replaces the records of streams by what no entry can read.
+    pub fn spoil_records(&mut self) {
+        for table in (0..16).map(|table| format_smolstr!("streams-{table:x}")) {
+            let rows = self.rows(table.clone()).into_iter();
+            let spoil = |row: Row| Write {
+                address: Address::new(table.clone(), row.key),
+                value: serde_json::Value::from("?"),
+            };
+            self.table.apply(&Call::Transact(Transaction {
+                token: table.clone(),
+                checks: Vec::new(),
+                writes: rows.map(spoil).collect(),
+            }));
+        }
+    }
+
     /// Returns the rows of a table.
     pub fn rows(&mut self, table: SmolStr) -> Vec<Row> {
         let call = Call::Scan {
