Gateway: a stream that began at the next process of a listed server is known by that process's start

What callers would see: a server comes back under its id at another software version. Until its new row reaches an entry, new streams begin there, and while a single version is listed nobody asks which process answers. The more entries there are, the longer rows take to all of them.

Cause: the version of a stream is that of the row that was known when it began. Asking each process first was weighed: the question is priced and costs a round trip for each new connection. The row that comes later states when the process started, so it shows which streams that process began: those sent a second or more after its start are its own, those sent within a second of it may be either's, and are refused when their callers return. The entry that began them corrects its memory and records them; open ones are bound to the right version as well (`gateway::origins`, log line `stream_origins_corrected`). Servers' rows carry that start among entries. An attempt's version is the one it was sent at, also if the server's row is removed before its first event.

`a_stream_that_began_at_a_process_before_its_row_came_goes_on_at_its_version` and `a_stream_that_breaks_after_the_row_of_its_process_came_goes_on_at_its_version` fail without the correction (v1 for a stream of either process; a further attempt at another server than the new process).

Left: a stream that breaks, or whose caller returns, before the row has come.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,6 +11,7 @@
 use crate::attempt::Report;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::origins::Runner;
 use crate::request::Request;
 
 impl Gateway {
@@ -50,13 +51,13 @@
                 self.scheduler.first_token(now, id);
             }
             Report::Progress { tokens } => self.scheduler.progressed(now, id, tokens),
-            Report::Moved => self.complete_move(serial, effects),
+            Report::Moved => self.complete_move(now, serial, effects),
             Report::Ended(end) => self.attempt_ended(now, serial, end, effects),
         }
     }
 
     /// Records that a run continues on the replica that it was moved to.
-    fn complete_move(&mut self, serial: u64, effects: &mut Vec<Effect>) {
+    fn complete_move(&mut self, now: Time, serial: u64, effects: &mut Vec<Effect>) {
         let Some(open) = self.requests.get_mut(&serial) else {
             return;
         };
@@ -64,6 +65,15 @@
             return;
         };
         open.replica = Some(to);
+        if let Some(endpoint) = self.servers.place(to) {
+            let version = self.servers.version_of(to).cloned();
+            open.runner = Some(Runner {
+                id: endpoint.id,
+                incarnation: endpoint.incarnation,
+                version: version.unwrap_or_default(),
+                sent_at: now,
+            });
+        }
         let line = Line::info("run_moved")
             .with("request", &open.id)
             .with("attempt", open.attempt)
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -15,6 +15,7 @@
 use crate::effect::Effect;
 use crate::effect::Start;
 use crate::gateway::Gateway;
+use crate::origins::Runner;
 use crate::plan::Shed;
 use crate::returns::unknown_version_refusal;
 use crate::stop::ABOUT_TO_END;
@@ -129,6 +130,12 @@
             .version_of(replica)
             .cloned()
             .unwrap_or_default();
+        open.runner = Some(Runner {
+            id: endpoint.id.clone(),
+            incarnation: endpoint.incarnation.clone(),
+            version: version.clone(),
+            sent_at: now,
+        });
         let awaits_record = self.record_version(now, job.0, version.clone());
         let record_timeout = awaits_record.then(|| self.record_timeout(job.0));
         let bound_to_process = self.is_bound_to_process(job.0);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -215,6 +215,7 @@
             job,
             attempt: 0,
             replica: None,
+            runner: None,
             move_target: None,
             arrived_at,
             deadline,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod intake;
 mod isolation;
 mod lagging;
+mod origins;
 mod peers;
 mod presence;
 mod progress;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -275,6 +275,7 @@
         effects.push(Effect::OpenServer {
             endpoint: endpoint_of(&server),
         });
+        self.correct_origins(now, &server, effects);
         let pool = self.replica_pool(&server);
         self.add_replica(now, server, pool, effects);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,6 +12,7 @@
 use crate::arrival::Prompt;
 use crate::catalog::Repeat;
 use crate::charging::Grant;
+use crate::origins::Runner;
 use crate::streams;
 
 /// The latest record of a stream, which overrides those of earlier attempts.
@@ -58,6 +59,8 @@
     pub arrived_at: Time,
     /// When its final answer is due. Invariant: `Gateway::timeouts` has an entry for it.
     pub deadline: Time,
+    /// The process to which the current or last attempt was sent, as the list named it.
+    pub runner: Option<Runner>,
     /// How long a replica may be silent before another one is tried.
     pub silence_timeout: Option<Span>,
     /// The replica that its run is being moved to.
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -13,6 +13,7 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::origins;
 use crate::request::LatestRecord;
 use crate::rollouts::Generation;
 use crate::servers::version_key;
@@ -158,6 +159,9 @@
         source: Source,
         effects: &mut Vec<Effect>,
     ) {
+        if origins::is_unknown(&origin.version) {
+            return self.refuse_unknown(now, serial, effects);
+        }
         let service = origin.service.as_ref();
         if service.is_none_or(|service| self.assign_service(now, serial, service, effects)) {
             self.resume_at(now, serial, &origin.version, source, effects);
@@ -196,7 +200,7 @@
             open.canary = canary;
         }
         self.streams
-            .remember(stream, service, version.clone(), until);
+            .remember(stream, (service, version.clone()), None, until);
         self.begin_charge(now, serial, effects);
     }
 
@@ -252,15 +256,16 @@
         if !open.repeat.is_resumable() || open.version.is_some() {
             return;
         }
-        let version = open.replica.and_then(|key| self.servers.version_of(key));
-        let Some(version) = version.cloned() else {
+        let Some(runner) = open.runner.clone() else {
             return;
         };
+        let version = runner.version.clone();
         open.version = Some(version.clone());
         let (stream, until) = (open.stream, open.returns_until);
         let (service, has_record) = (open.service.clone(), open.record.is_some());
         let needs_record = !has_record && self.versions.needs_records(now, &service);
-        self.streams.remember(stream, service, version, until);
+        self.streams
+            .remember(stream, (service, version), Some(runner), until);
         if needs_record {
             self.streams.record_begun(stream);
         }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -29,6 +29,7 @@
 use crate::effect::Command;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::origins::Runner;
 use crate::store_calls::Waiter;
 
 /// Tables that share the records by hash of the stream's id; each is written on its own.
@@ -109,6 +110,8 @@
 struct Begun {
     service: SmolStr,
     version: SmolStr,
+    /// The process that began it; `None` if that was certain, or if it only went on here.
+    runner: Option<Runner>,
     until: Time,
 }
 
@@ -149,10 +152,18 @@
 
 impl Streams {
     /// Remembers which version of a service began a stream.
-    pub fn remember(&mut self, stream: Key, service: SmolStr, version: SmolStr, until: Time) {
+    pub fn remember(
+        &mut self,
+        stream: Key,
+        origin: (SmolStr, SmolStr),
+        runner: Option<Runner>,
+        until: Time,
+    ) {
+        let (service, version) = origin;
         let begun = Begun {
             service,
             version,
+            runner,
             until,
         };
         if let Some(known) = self.begun.insert(stream, begun) {
@@ -170,6 +181,21 @@
         })
     }
 
+    /// Returns the processes that began streams here.
+    pub fn runners(&self) -> impl Iterator<Item = (Key, &Runner)> {
+        let begun = self.begun.iter();
+        begun.filter_map(|(stream, begun)| Some((*stream, begun.runner.as_ref()?)))
+    }
+
+    /// Replaces the version that began a stream, and records it.
+    pub fn correct(&mut self, stream: Key, version: SmolStr) {
+        if let Some(begun) = self.begun.get_mut(&stream) {
+            begun.version = version;
+            begun.runner = None;
+        }
+        self.record_begun(stream);
+    }
+
     /// Queues a record.
     pub fn record(&mut self, record: Record) {
         let table = self.tables.entry(record.stream.table()).or_default();
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -358,6 +358,77 @@
     }
 }
 
+/// Begins streams at an entry until one began at the first server; returns its serial number.
+fn begin_at_first_server(world: &mut World, entry: usize) -> u64 {
+    let first = world.servers[0].incarnation.clone();
+    for _ in 0..STREAMS {
+        let (serial, _) = world.begin_stream(entry);
+        if world.servers_by_request[&serial] == first {
+            return serial;
+        }
+        world.run(10);
+    }
+    panic!("no stream at the first server");
+}
+
+/// Puts a process of v2 in the place of the first server's, whose row comes with the next list.
+fn restart_first_server(world: &mut World) {
+    let started_unix_ms = Some(world.unix_ms());
+    let server = &mut world.servers[0];
+    server.incarnation = "s0#2".into();
+    server.version = "v2".into();
+    server.started_unix_ms = started_unix_ms;
+}
+
+/// Guards against a stream that began at the next process of a listed server, before its row came, and goes on at the version
+/// that was listed.
+#[test]
+fn a_stream_that_began_at_a_process_before_its_row_came_goes_on_at_its_version() {
+    for is_lasting in [false, true] {
+        let mut world = world(2, false);
+        let former = begin_at_first_server(&mut world, 0);
+        world.run(3_000);
+        let started = world.unix_ms();
+        let unclear = begin_at_first_server(&mut world, 0);
+        world.run(2_000);
+        let next = begin_at_first_server(&mut world, 0);
+        world.run(100);
+        restart_first_server(&mut world);
+        world.servers[0].started_unix_ms = Some(started);
+        world.publish_servers();
+        if !is_lasting {
+            for serial in [former, unclear, next] {
+                world.end_latest(serial, End::Broken { alive: true });
+            }
+        }
+        world.run(1_000);
+        for entry in [1, 0] {
+            assert_eq!(world.resume_stream(entry, former).as_deref(), Some("v1"));
+            assert_eq!(world.resume_stream(entry, unclear), None);
+            let resumed = world.resume_stream(entry, next);
+            assert_eq!(resumed.as_deref(), Some("v2"), "entry {entry}");
+        }
+    }
+}
+
+/// Guards against a broken stream that goes on at the version listed for the process that began it, whose row came meanwhile.
+#[test]
+fn a_stream_that_breaks_after_the_row_of_its_process_came_goes_on_at_its_version() {
+    let mut world = world(1, false);
+    let next = begin_at_first_server(&mut world, 0);
+    let started = world.unix_ms() - 2_000;
+    restart_first_server(&mut world);
+    world.servers[0].started_unix_ms = Some(started);
+    world.publish_servers();
+    world.run(100);
+    let sent = world.sent_requests.len();
+    world.end_latest(next, End::Broken { alive: true });
+    world.run(100);
+    let further = world.sent_requests[sent..].iter();
+    let mut further = further.filter(|sent| sent.serial == next);
+    assert!(further.all(|sent| sent.server == "s0#2"));
+}
+
 /// Guards against the default version for a stream whose record can't be read.
 #[test]
 fn a_stream_whose_record_is_unreadable_is_refused() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1343,6 +1343,7 @@
         address: format_smolstr!("10.1.0.{number}:80"),
         zone: SmolStr::new_static(zones[number % zones.len()]),
         version: SmolStr::default(),
+        started_unix_ms: None,
         slots: 64,
         leaving: false,
         leaves_in: None,
--- a/crates/watch/src/server.rs
+++ b/crates/watch/src/server.rs
@@ -21,6 +21,9 @@
     /// Its software version; empty if unknown.
     #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
     pub version: SmolStr,
+    /// When its process started, in Unix milliseconds, if it states that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_unix_ms: Option<u64>,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts no new requests because it will leave.
--- a/crates/watch/tests/order.rs
+++ b/crates/watch/tests/order.rs
@@ -37,6 +37,7 @@
         address: format_smolstr!("10.1.0.{row}:80"),
         zone: SmolStr::new_static("north"),
         version: SmolStr::default(),
+        started_unix_ms: None,
         slots: 16,
         leaving,
         leaves_in: None,
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -117,6 +117,7 @@
             address: format_smolstr!("10.1.0.{number}:80"),
             zone: SmolStr::new_static("north"),
             version: SmolStr::default(),
+            started_unix_ms: None,
             slots: 16,
             leaving,
             leaves_in: None,
