Gateway: a server that failed is trusted again by a list that was requested since

Newer was taken from when an answer was processed, so one that had been requested before, and was left unread, cleared it. It now counts from the request, or, where the list comes from other entries, from the time that it certainly covers.

`a_list_that_was_requested_before_a_server_failed_does_not_clear_it` failed before.

--- a/crates/gateway/src/restarts.rs
+++ b/crates/gateway/src/restarts.rs
@@ -53,7 +53,7 @@
             return false;
         };
         let failed_at = self.restarts.failed_at.get(&incarnation);
-        let has_failed = failed_at.is_some_and(|at| *at > self.servers.position().confirmed_at);
+        let has_failed = failed_at.is_some_and(|at| *at > self.servers.position().as_of);
         has_failed || self.restarts.replaced.contains(&incarnation)
     }
 
@@ -67,16 +67,13 @@
         open.is_bound_to_version() || may_begin_mixed
     }
 
-    /// Trusts servers again once the list is confirmed, and forgets replaced ones with their rows.
+    /// Trusts servers again once the list is newer than their failures, and forgets replaced ones with their rows.
     pub(crate) fn restarts_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let servers = &self.servers;
         let replaced = &mut self.restarts.replaced;
         replaced.retain(|incarnation| servers.key_of(incarnation).is_some());
-        let confirmed_at = self.servers.position().confirmed_at;
-        let confirmed = self
-            .restarts
-            .failed_at
-            .extract_if(.., |_, at| *at <= confirmed_at);
+        let as_of = self.servers.position().as_of;
+        let confirmed = self.restarts.failed_at.extract_if(.., |_, at| *at <= as_of);
         let confirmed: Vec<SmolStr> = confirmed.map(|(incarnation, _)| incarnation).collect();
         for incarnation in confirmed {
             let is_missing = self.servers.missing_since(&incarnation).is_some();
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -245,11 +245,13 @@
     List,
 }
 
+const CUTS: [Cut; 4] = [Cut::Store, Cut::Entries, Cut::Both, Cut::List];
+
 /// Guards against streams that began through other entries at servers of a version of which an entry that is out of step
 /// for some seconds has not heard, and go on there at another one.
 #[test]
 fn an_entry_out_of_step_during_a_release_continues_no_stream_at_another_version() {
-    for cut in [Cut::Store, Cut::Entries, Cut::Both, Cut::List] {
+    for cut in CUTS {
         let mut world = world(3, false);
         if matches!(cut, Cut::Store | Cut::Both) {
             world.store_partitioned.insert(0);
@@ -277,6 +279,47 @@
     }
 }
 
+/// Guards against the same among entries that learn of the list from others, where messages to the one that is out of step may
+/// be late as well.
+#[test]
+fn one_of_many_entries_out_of_step_during_a_release_continues_no_stream_at_another_version() {
+    for (cut, delay) in CUTS.iter().flat_map(|cut| [(cut, 0), (cut, 1_500)]) {
+        let mut world = World::new(MANY_ENTRIES).released(false);
+        world.run_following(10_000);
+        let is_hub = |entry: &usize| world.sums_sent.get(entry).is_some_and(|sent| *sent > 0);
+        let readers = world.readers();
+        let mut others =
+            (0..MANY_ENTRIES).filter(|entry| !is_hub(entry) && !readers.contains(entry));
+        let (late, other) = (others.next().unwrap(), others.next().unwrap());
+        if matches!(cut, Cut::Store | Cut::Both) {
+            world.store_partitioned.insert(late);
+        }
+        if matches!(cut, Cut::Entries | Cut::Both) {
+            world.partitioned.insert(late);
+        }
+        if delay > 0 {
+            world.message_delays.insert(late, delay);
+        }
+        world.run_following(3_000);
+        let began = release_unheard(&mut world, &[readers[0], other]);
+        for pause in [0, 2_000] {
+            world.run_following(pause);
+            let resumed = resume_all(&mut world, late, &began);
+            let case = format!("{cut:?}, {delay} ms late, after {pause} ms: {resumed:?}");
+            assert!(!resumed.contains(&Some("v1".into())), "{case}");
+        }
+        // In touch again, while late messages still arrive.
+        world.store_partitioned.clear();
+        world.partitioned.clear();
+        world.message_delays.clear();
+        for _ in 0..3 {
+            let resumed = resume_all(&mut world, late, &began);
+            let case = format!("{cut:?}, {delay} ms late, in touch again: {resumed:?}");
+            assert!(!resumed.contains(&Some("v1".into())), "{case}");
+        }
+    }
+}
+
 /// Guards against the same at an entry that started without the table service and hasn't found the others yet.
 #[test]
 fn an_entry_that_just_started_takes_no_silence_for_agreement() {
@@ -439,6 +482,35 @@
     assert_eq!(world.refused.get("StoreUnavailable"), Some(&1));
 }
 
+/// Guards against a stream that goes on at a server that may have restarted, since a list that was requested before is
+/// processed only now.
+#[test]
+fn a_list_that_was_requested_before_a_server_failed_does_not_clear_it() {
+    let mut world = world(1, false);
+    let serial = begin_at_first_server(&mut world, 0);
+    world.store_partitioned.insert(0);
+    world.fail_list(0);
+    world.run(1_000);
+    world.end_latest(serial, End::Broken { alive: false });
+    world.run(100);
+    world.send_servers_requested(0, 500);
+    for _ in 0..STREAMS {
+        world.resume_stream(0, serial);
+        let resumed = world.last_serial();
+        world.run(50);
+        let server = world.servers_by_request.get(&resumed);
+        assert_ne!(server, Some(&"s0#1".into()));
+    }
+    world.send_servers(0);
+    let is_used = (0..STREAMS).any(|_| {
+        world.resume_stream(0, serial);
+        let resumed = world.last_serial();
+        world.run(50);
+        world.servers_by_request.get(&resumed) == Some(&"s0#1".into())
+    });
+    assert!(is_used, "once the list is newer than the failure");
+}
+
 /// Guards against a record for each stream for ever after a release.
 #[test]
 fn a_default_version_without_replicas_is_replaced() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -205,6 +205,8 @@
     pub sums_sent: BTreeMap<usize, u32>,
     /// Latest counts that each entry sent of its own.
     pub counts_sent: BTreeMap<usize, Bulletin>,
+    /// Time since the request for an answer about the list of servers that is delivered, milliseconds.
+    request_age: u64,
     /// Milliseconds by which messages to an entry are late.
     pub message_delays: BTreeMap<usize, u64>,
     /// Messages on their way, with the time of their arrival, by receiver.
@@ -307,6 +309,7 @@
             sums_received: BTreeMap::new(),
             sums_sent: BTreeMap::new(),
             counts_sent: BTreeMap::new(),
+            request_age: 0,
             message_delays: BTreeMap::new(),
             delayed_messages: BTreeMap::new(),
             partitioned: BTreeSet::new(),
@@ -543,7 +546,7 @@
         };
         process.list_revision = Some(reading.revision);
         process.list_confirmed_at = self.now;
-        let requested_at = Time::from_millis(self.now - process.started_at);
+        let requested_at = Time::from_millis(self.now - process.started_at - self.request_age);
         self.step(
             entry,
             Event::Servers {
@@ -553,6 +556,13 @@
         );
     }
 
+    /// Delivers the whole list of servers to an entry, which requested it some time ago.
+    pub fn send_servers_requested(&mut self, entry: usize, millis_ago: u64) {
+        self.request_age = millis_ago;
+        self.send_servers(entry);
+        self.request_age = 0;
+    }
+
     /// Delivers the whole list of servers to an entry, as after a gap.
     pub fn send_servers(&mut self, entry: usize) {
         self.send_servers_as_of(entry, self.list_revision, self.servers.clone());
