--- a/crates/back/src/http_client.rs
+++ b/crates/back/src/http_client.rs
@@ -144,7 +144,7 @@
         let response = self.send(exchange).await?;
         let status = response.status();
         if status.is_success() {
-            return read_body(response, head_timeout).await;
+            return read_body(response, head_timeout, MAX_RESPONSE_BYTES).await;
         }
         discard_body(response, head_timeout).await?;
         Err(Failure::Answered {
@@ -194,11 +194,15 @@
     }
 }
 
-/// Reads a response body within limits of time and size.
-pub async fn read_body(response: Response<Incoming>, timeout: Duration) -> Result<Bytes, Failure> {
+/// Reads a response body of at most `limit` bytes within a time limit.
+pub async fn read_body(
+    response: Response<Incoming>,
+    timeout: Duration,
+    limit: usize,
+) -> Result<Bytes, Failure> {
     // Parts are copied, since each small chunk would keep the buffer that it was read into.
     let mut collected = BytesMut::new();
-    let reading = read_parts(response, MAX_RESPONSE_BYTES, |part| {
+    let reading = read_parts(response, limit, |part| {
         collected.extend_from_slice(&part);
     });
     let read = tokio::time::timeout(timeout, reading).await;
