Scheduler: a broken stream that is turned away returns to a replica that has run it

Cause: a stream whose caller holds its head had no place left, though going back to a replica that it has reached before reaches no further one.

`a_stream_that_is_turned_away_returns_to_a_replica_that_has_run_it` failed before (no further attempt); `returns_of_a_stream_that_is_turned_away_are_bounded` keeps the number of replicas.

--- a/crates/policy/src/scheduler/ends.rs
+++ b/crates/policy/src/scheduler/ends.rs
@@ -98,6 +98,9 @@
             return;
         };
         let returns = end == job::End::Interrupted && self.accepts_return(now, replica);
+        let former = (end == job::End::NotStarted)
+            .then(|| self.former_replica(now, id, replica))
+            .flatten();
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
@@ -112,7 +115,11 @@
                 self.close(now, id);
                 return;
             }
-            job::End::NotStarted => {}
+            job::End::NotStarted => {
+                if let Some(former) = former {
+                    open.allow_return(former);
+                }
+            }
             job::End::NotSent => open.record_not_sent(),
             job::End::Failed | job::End::Crashed => open.may_have_run = true,
             job::End::Interrupted => {
@@ -141,6 +148,23 @@
         pool.members.contains(&key) && self.is_open(now, pool, key, replica, pool.mean_own())
     }
 
+    /// Returns a replica to which a broken stream may return that another one has just turned away: it reaches no further
+    /// replica by that.
+    fn former_replica(
+        &self,
+        now: Time,
+        id: job::Id,
+        refused_by: replica::Key,
+    ) -> Option<replica::Key> {
+        let open = self.open.get(&id)?;
+        let attempts_left = open.used_attempts() < open.job.terms.attempts;
+        if !open.streaming || !open.job.idempotent || attempts_left {
+            return None;
+        }
+        let mut former = open.tried.iter().rev().copied();
+        former.find(|key| *key != refused_by && self.accepts_return(now, *key))
+    }
+
     /// Lets a job whose attempts are used up return to the replica whose answer was withheld.
     fn return_to_withheld(&mut self, now: Time, id: job::Id) {
         let Some(open) = self.open.get_mut(&id) else {
--- a/crates/policy/tests/interruptions.rs
+++ b/crates/policy/tests/interruptions.rs
@@ -144,3 +144,29 @@
     assert_ne!(second, first);
     assert_eq!(world.end(End::Failed), None);
 }
+
+/// Guards against a stream that breaks off since its last replica turned it away, although one that has run it accepts it.
+#[test]
+fn a_stream_that_is_turned_away_returns_to_a_replica_that_has_run_it() {
+    let mut world = World::new();
+    let first = world.offer();
+    let second = world.end(End::Failed).unwrap();
+    assert_eq!(world.end(End::NotStarted), Some(first));
+    assert_ne!(second, first);
+    assert_eq!(world.end(End::Failed), None);
+}
+
+/// Guards against a stream that is turned away again and again and never ends.
+#[test]
+fn returns_of_a_stream_that_is_turned_away_are_bounded() {
+    let mut world = World::new();
+    let mut reached = vec![world.offer()];
+    reached.extend(world.end(End::Failed));
+    while let Some(next) = world.end(End::NotStarted) {
+        reached.push(next);
+        assert!(reached.len() < 10, "the stream goes on");
+    }
+    reached.sort_unstable();
+    reached.dedup();
+    assert_eq!(reached.len(), ATTEMPTS as usize);
+}
