--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -200,7 +200,7 @@
             open.canary = canary;
         }
         self.streams
-            .remember(stream, (service, version.clone()), None, until);
+            .remember(stream, service, version.clone(), None, until);
         self.begin_charge(now, serial, effects);
     }
 
@@ -265,7 +265,7 @@
         let (service, has_record) = (open.service.clone(), open.record.is_some());
         let needs_record = !has_record && self.versions.needs_records(now, &service);
         self.streams
-            .remember(stream, (service, version), Some(runner), until);
+            .remember(stream, service, version, Some(runner), until);
         if needs_record {
             self.streams.record_begun(stream);
         }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -155,11 +155,11 @@
     pub fn remember(
         &mut self,
         stream: Key,
-        origin: (SmolStr, SmolStr),
+        service: SmolStr,
+        version: SmolStr,
         runner: Option<Runner>,
         until: Time,
     ) {
-        let (service, version) = origin;
         let begun = Begun {
             service,
             version,
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -284,13 +284,7 @@
 #[test]
 fn one_of_many_entries_out_of_step_during_a_release_continues_no_stream_at_another_version() {
     for (cut, delay) in CUTS.iter().flat_map(|cut| [(cut, 0), (cut, 1_500)]) {
-        let mut world = World::new(MANY_ENTRIES).released(false);
-        world.run_following(10_000);
-        let is_hub = |entry: &usize| world.sums_sent.get(entry).is_some_and(|sent| *sent > 0);
-        let readers = world.readers();
-        let mut others =
-            (0..MANY_ENTRIES).filter(|entry| !is_hub(entry) && !readers.contains(entry));
-        let (late, other) = (others.next().unwrap(), others.next().unwrap());
+        let (mut world, reader, [late, other]) = many_entries();
         if matches!(cut, Cut::Store | Cut::Both) {
             world.store_partitioned.insert(late);
         }
@@ -301,7 +295,7 @@
             world.message_delays.insert(late, delay);
         }
         world.run_following(3_000);
-        let began = release_unheard(&mut world, &[readers[0], other]);
+        let began = release_unheard(&mut world, &[reader, other]);
         for pause in [0, 2_000] {
             world.run_following(pause);
             let resumed = resume_all(&mut world, late, &began);
@@ -331,22 +325,28 @@
     assert!(!resumed.contains(&Some("v1".into())), "{resumed:?}");
 }
 
+/// Starts many entries before servers of v1; returns the one that reads the list of servers, and two that learn of it.
+fn many_entries() -> (World, usize, [usize; 2]) {
+    let mut world = World::new(MANY_ENTRIES).released(false);
+    world.run_following(10_000);
+    let readers = world.readers();
+    let is_hub = |entry: &usize| world.sums_sent.get(entry).is_some_and(|sent| *sent > 0);
+    let follows = |entry: &usize| !is_hub(entry) && !readers.contains(entry);
+    let mut followers = (0..MANY_ENTRIES).filter(follows);
+    let two = [followers.next().unwrap(), followers.next().unwrap()];
+    (world, readers[0], two)
+}
+
 /// Guards against a list of servers that counts as newer than a request since it reached the entry late, among entries that
 /// learn of the list from others.
 #[test]
 fn a_list_that_came_late_proves_no_version() {
     for delay in [300, 600, 1_500] {
-        let mut world = World::new(MANY_ENTRIES).released(false);
-        world.run_following(10_000);
-        let is_hub = |entry: &usize| world.sums_sent.get(entry).is_some_and(|sent| *sent > 0);
-        let readers = world.readers();
-        let mut others =
-            (0..MANY_ENTRIES).filter(|entry| !is_hub(entry) && !readers.contains(entry));
-        let (late, other) = (others.next().unwrap(), others.next().unwrap());
+        let (mut world, reader, [late, other]) = many_entries();
         world.store_partitioned.insert(late);
         world.message_delays.insert(late, delay);
         world.run_following(5_000);
-        let began = release_unheard(&mut world, &[readers[0], other]);
+        let began = release_unheard(&mut world, &[reader, other]);
         let resumed = resume_all(&mut world, late, &began);
         let case = format!("{delay} ms: {resumed:?}");
         assert!(!resumed.contains(&Some("v1".into())), "{case}");
