Relay: an engine is asked for the end of its answer also if its row states no process

Cause: the question which process an engine is was asked only if the row states one, since nothing could be compared otherwise. But any answer shows that a process runs, and none shows nothing. Requests of a fixed version are preceded by the question only where it can be compared, as before.

`a_stream_of_a_replica_that_answers_nothing_is_not_complete` now plays rows without a start as well and failed on them. `a_stream_is_complete_if_its_replica_answers_without_stating_its_process` is its control: one report is asked for. `an_answer_is_not_complete_if_connections_to_its_replica_end_at_once` held before, also on.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -155,6 +155,7 @@
             repeatable: open.repeat.is_repeatable(),
             record_timeout,
             bound_to_process,
+            is_model_call: is_model,
             urgency: is_model.then_some(urgency),
             tokens_per_event: open.tokens_per_event,
             fetch_from: cache_source.map(|endpoint| endpoint.address),
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -180,6 +180,8 @@
     /// Whether the request may reach only the process that the list names, since its answer has to be of that one's
     /// software version.
     pub bound_to_process: bool,
+    /// Whether an engine runs it, which can be asked for a report on itself.
+    pub is_model_call: bool,
     /// Engine priority, 0 (most urgent) to 9; `None` for plain services.
     pub urgency: Option<u8>,
 }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -48,10 +48,13 @@
     /// Decodes the answer to [`Codec::move_request`]; `None` if the KV cache was not moved.
     fn decode_moved(&self, source: &Endpoint, status: StatusCode, body: &[u8]) -> Option<Transfer>;
 
-    /// Builds the request that asks a server which process it is; `None` if its row doesn't state one.
-    fn process_request(&self, endpoint: &Endpoint) -> Option<Request<Bytes>>;
+    /// Returns whether a server's row states which process it is.
+    fn states_process(&self, endpoint: &Endpoint) -> bool;
 
-    /// Decodes the answer to [`Codec::process_request`]: whether it is the listed process; `None` if that can't be told.
+    /// Builds the request that asks an engine for a report on itself, which states its process.
+    fn report_request(&self) -> Request<Bytes>;
+
+    /// Decodes the answer to [`Codec::report_request`]: whether it is the listed process; `None` if that can't be told.
     fn is_listed_process(
         &self,
         endpoint: &Endpoint,
--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -16,7 +16,6 @@
 use crate::process::Identity;
 use crate::pulse;
 use crate::reach;
-use crate::reach::Finding;
 use crate::shared::Shared;
 
 /// Time after which the end of a process would have reached connections that are kept.
@@ -64,7 +63,7 @@
 
 /// Returns how an attempt ends whose answer was read up to the end of its connection; `None` if the answer is whole.
 ///
-/// An engine is asked which process it is. A new connection alone shows little: the kernel, or something in front of the
+/// An engine is asked for a report on a new connection. That one alone shows little: the kernel, or something in front of the
 /// server, may have taken it, or another process in the place of the one that was sent the request. A connection kept since
 /// then would have ended with that process, so one is kept from now on. Where the server answers but doesn't state its
 /// process, or can't be asked, and none was kept, the end must have been noticed sooner than a server restarts.
@@ -75,20 +74,17 @@
     reading: Reading,
 ) -> Option<End> {
     shared.pool.reserve_idle(&start.endpoint);
-    let finding = reach::examine(shared, &start.endpoint, connection.proxy()).await;
-    let is_reached = finding != Finding::Unreached;
+    let (_, new) = reach::try_ways(shared, &start.endpoint, connection.proxy()).await;
     // A server that takes no new connections, such as one that is leaving, may run nevertheless.
-    let delay = match is_reached {
+    let delay = match new.is_some() {
         true => REACHED_END_DELAY,
         false => END_DELAY,
     };
     tokio::time::sleep(delay).await;
     let is_prompt = reading.is_prompt(shared);
-    let identity = match is_reached && start.stream {
-        true => process::ask_identity(shared, &start.endpoint).await,
-        // Plain services can't be asked.
-        false if is_reached => Identity::Unstated,
-        false => Identity::Unknown,
+    let identity = match new.filter(Connection::is_open) {
+        Some(new) => identify(shared, start, new).await,
+        None => Identity::Unknown,
     };
     let kept = shared.pool.kept_since(&start.endpoint, reading.sent_at);
     let is_whole = match (identity, kept) {
@@ -101,7 +97,6 @@
     log::debug!(
         event = "answer_ended_with_connection",
         replica = start.endpoint.incarnation.as_str(),
-        reached = is_reached,
         kept:? = kept,
         identity:? = identity,
         whole = is_whole;
@@ -109,3 +104,13 @@
     );
     (!is_whole).then_some(End::Broken { alive: false })
 }
+
+/// Returns what an engine says of its process on a new connection. Plain services can't be asked.
+async fn identify(shared: &Rc<Shared>, start: &Start, mut new: Connection) -> Identity {
+    let identity = match start.is_model_call {
+        true => process::identify(shared, &start.endpoint, &mut new).await,
+        false => Identity::Unstated,
+    };
+    reach::keep(shared, &start.endpoint, new).await;
+    identity
+}
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -133,6 +133,11 @@
         self.detour.is_none()
     }
 
+    /// Returns whether the server hasn't ended the connection, as far as its task has noticed.
+    pub fn is_open(&self) -> bool {
+        self.ended_at.get().is_none() && self.sender.is_ready()
+    }
+
     /// Returns the `host:port` of the entry through which the connection leads.
     pub fn proxy(&self) -> Option<&SmolStr> {
         self.detour.as_ref().map(|detour| &detour.proxy)
--- a/crates/relay/src/process.rs
+++ b/crates/relay/src/process.rs
@@ -6,11 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gateway::attempt::End;
 use gateway::attempt::Endpoint;
-use http::HeaderMap;
-use http::Request;
 use http_body_util::Full;
 
 use crate::body;
@@ -43,7 +40,7 @@
     endpoint: &Endpoint,
     mut connection: Connection,
 ) -> Result<Connection, End> {
-    while !connection.identified {
+    while !connection.identified && shared.codec.states_process(endpoint) {
         if identify(shared, endpoint, &mut connection).await == Identity::Other {
             return Err(End::Replaced);
         }
@@ -60,33 +57,15 @@
     Ok(connection)
 }
 
-/// Asks a server on its newest connection, or on a new one, which process it is.
-pub async fn ask_identity(shared: &Rc<Shared>, endpoint: &Endpoint) -> Identity {
-    let direct = shared.reach.is_direct(shared.clock.now(), endpoint);
-    let connection = match shared.pool.take_newest(endpoint, direct, 0) {
-        Some(connection) => Ok(connection),
-        None => reach::connect(shared, endpoint).await,
-    };
-    let Ok(mut connection) = connection else {
-        return Identity::Unknown;
-    };
-    let identity = identify(shared, endpoint, &mut connection).await;
-    let no_headers = HeaderMap::new();
-    shared.pool.release(endpoint, connection, &no_headers).await;
-    identity
-}
-
-/// Asks the server on a connection whether it is the listed process.
-async fn identify(
+/// Asks the server on a connection whether it is the listed process. One whose row doesn't state a process may prove by its
+/// answer that one runs.
+pub async fn identify(
     shared: &Rc<Shared>,
     endpoint: &Endpoint,
     connection: &mut Connection,
 ) -> Identity {
     connection.identified = true;
-    let Some(request) = shared.codec.process_request(endpoint) else {
-        return Identity::Unstated;
-    };
-    let asking = tokio::time::timeout(TIMEOUT, ask(shared, endpoint, connection, request));
+    let asking = tokio::time::timeout(TIMEOUT, ask(shared, endpoint, connection));
     let identity = asking.await.unwrap_or(Identity::Unknown);
     if identity != Identity::Listed {
         log::info!(
@@ -112,12 +91,8 @@
 }
 
 /// Asks the server whether it is the listed process.
-async fn ask(
-    shared: &Rc<Shared>,
-    endpoint: &Endpoint,
-    connection: &mut Connection,
-    request: Request<Bytes>,
-) -> Identity {
+async fn ask(shared: &Rc<Shared>, endpoint: &Endpoint, connection: &mut Connection) -> Identity {
+    let request = shared.codec.report_request();
     let asking = connection.sender.send_request(request.map(Full::new));
     let Ok(response) = asking.await else {
         return Identity::Unknown;
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -128,19 +128,30 @@
 ///
 /// Second opinions of other entries keep servers and requests from being blamed for a fault of the way.
 pub async fn examine(shared: &Rc<Shared>, endpoint: &Endpoint, proxy: Option<&SmolStr>) -> Finding {
+    let (finding, connection) = try_ways(shared, endpoint, proxy).await;
+    if let Some(connection) = connection {
+        keep(shared, endpoint, connection).await;
+    }
+    finding
+}
+
+/// Opens a connection to a server whose last one broke, or ended, which led through the entry `proxy` or was direct.
+pub async fn try_ways(
+    shared: &Rc<Shared>,
+    endpoint: &Endpoint,
+    proxy: Option<&SmolStr>,
+) -> (Finding, Option<Connection>) {
     let same_way = match proxy {
         Some(proxy) => ask_proxy(shared, proxy, endpoint).await,
         None => connect_if_direct(shared, endpoint).await,
     };
-    let (finding, connection) = match same_way {
-        Some(connection) => (Finding::Reached, connection),
-        None => match connect_otherwise(shared, endpoint, proxy).await {
-            Some(connection) => (Finding::Detoured, connection),
-            None => return Finding::Unreached,
-        },
-    };
-    keep(shared, endpoint, connection).await;
-    finding
+    if same_way.is_some() {
+        return (Finding::Reached, same_way);
+    }
+    match connect_otherwise(shared, endpoint, proxy).await {
+        Some(connection) => (Finding::Detoured, Some(connection)),
+        None => (Finding::Unreached, None),
+    }
 }
 
 /// Opens a connection on any way other than that through `proxy`, or than the direct one.
@@ -461,7 +472,7 @@
 }
 
 /// Keeps a new connection for a request.
-async fn keep(shared: &Shared, endpoint: &Endpoint, connection: Connection) {
+pub async fn keep(shared: &Shared, endpoint: &Endpoint, connection: Connection) {
     let headers = HeaderMap::new();
     shared.pool.release(endpoint, connection, &headers).await;
 }
