--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -55,7 +55,7 @@
     /// Latest counts by entry. Those of ended entries are kept, since they still belong to the sum.
     contributions: BTreeMap<holder::Id, Contribution>,
     /// The last message of each entry with counts.
-    heard: BTreeMap<holder::Id, Heard>,
+    last_messages: BTreeMap<holder::Id, LastMessage>,
     /// Tracks gaps in the heartbeats that this entry receives.
     pub(crate) monitor: Monitor,
     /// The hub whose sums are applied, and when the last one arrived.
@@ -68,16 +68,16 @@
     next_hand_over: Time,
 }
 
-/// A message of another entry.
+/// The last message of another entry.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Heard {
+pub(crate) struct LastMessage {
     /// When it was sent, by that entry's clock, in milliseconds since its start.
     pub sent_at_ms: u64,
     /// When it arrived.
     pub received_at: Time,
 }
 
-impl Heard {
+impl LastMessage {
     /// Returns what proves to its sender that something written now is newer than it.
     pub fn echo(self, now: Time, to: holder::Id) -> Echo {
         Echo {
@@ -125,19 +125,21 @@
         self.current_hubs.contains(&entry)
     }
 
-    /// Records a message of another entry.
-    pub(crate) fn record_heard(&mut self, from: holder::Id, heard: Heard) {
-        self.heard.insert(from, heard);
+    /// Records another entry's message, which is the last one.
+    pub(crate) fn record_message(&mut self, from: holder::Id, message: LastMessage) {
+        self.last_messages.insert(from, message);
     }
 
     /// Forgets what others than `peers` have sent.
-    pub(crate) fn retain_heard(&mut self, peers: &[holder::Id]) {
-        self.heard.retain(|id, _| peers.contains(id));
+    pub(crate) fn retain_messages(&mut self, peers: &[holder::Id]) {
+        self.last_messages.retain(|id, _| peers.contains(id));
     }
 
     /// Returns what proves to an entry that something written to it now is newer than its last message.
     pub(crate) fn echo(&self, now: Time, to: holder::Id) -> Option<Echo> {
-        self.heard.get(&to).map(|heard| heard.echo(now, to))
+        self.last_messages
+            .get(&to)
+            .map(|message| message.echo(now, to))
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,7 +23,7 @@
 use crate::effect::Effect;
 use crate::effect::Lane;
 use crate::gateway::Gateway;
-use crate::hubs::Heard;
+use crate::hubs::LastMessage;
 use crate::hubs::PAST_SEPARATOR;
 use crate::hubs::SUM_SENDER;
 use crate::identity::Identity;
@@ -209,7 +209,7 @@
 
     fn handle_peers_change(&mut self, now: Time, peers: &[holder::Id], effects: &mut Vec<Effect>) {
         self.releases.retain(peers);
-        self.hub.retain_heard(peers);
+        self.hub.retain_messages(peers);
         let members = peers.len() + 1;
         let entries = self.entry_count();
         self.scheduler.set_entries(entries);
@@ -369,15 +369,15 @@
                 return;
             }
         }
-        let heard = Heard {
+        let message = LastMessage {
             sent_at_ms: bulletin.sent_at_ms,
             received_at: now,
         };
         if self.uses_hubs() && !bulletin.past {
-            self.hub.record_heard(peer, heard);
+            self.hub.record_message(peer, message);
         }
         if bulletin.awaits_statements {
-            self.releases.record_awaiting(peer, heard);
+            self.releases.record_awaiting(peer, message);
         }
         self.handle_limit_reports(now, &bulletin.limits, effects);
         self.handle_cleared_parts(now, &bulletin.cleared, effects);
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -18,7 +18,7 @@
 
 use crate::effect::Effect;
 use crate::gateway::Gateway;
-use crate::hubs::Heard;
+use crate::hubs::LastMessage;
 use crate::request::Request;
 use crate::returns::Source;
 
@@ -38,7 +38,7 @@
     /// Time after which each entry certainly made its last statement.
     stated_after: BTreeMap<holder::Id, Time>,
     /// Entries that await a statement of this one, with the message that said so.
-    awaiting: BTreeMap<holder::Id, Heard>,
+    awaiting: BTreeMap<holder::Id, LastMessage>,
     /// Serial numbers of the requests.
     waiting: BTreeSet<u64>,
 }
@@ -89,14 +89,16 @@
     }
 
     /// Records that an entry awaits a statement of this one.
-    pub fn record_awaiting(&mut self, from: holder::Id, heard: Heard) {
-        self.awaiting.insert(from, heard);
+    pub fn record_awaiting(&mut self, from: holder::Id, message: LastMessage) {
+        self.awaiting.insert(from, message);
     }
 
     /// Returns what shows those that await a statement that one made now is newer.
     pub fn take_echoes(&mut self, now: Time) -> Vec<Echo> {
         let awaiting = std::mem::take(&mut self.awaiting).into_iter();
-        awaiting.map(|(id, heard)| heard.echo(now, id)).collect()
+        awaiting
+            .map(|(id, message)| message.echo(now, id))
+            .collect()
     }
 }
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -302,7 +302,7 @@
             let case = format!("{cut:?}, {delay} ms late, after {pause} ms: {resumed:?}");
             assert!(!resumed.contains(&Some("v1".into())), "{case}");
         }
-        // In touch again, while late messages still arrive.
+        // It reaches everyone again, while late messages still arrive.
         world.store_partitioned.clear();
         world.partitioned.clear();
         world.message_delays.clear();
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -54,7 +54,8 @@
     /// Builds the request that asks an engine for a report on itself, which states its process.
     fn report_request(&self) -> Request<Bytes>;
 
-    /// Decodes the answer to [`Codec::report_request`]: whether it is the listed process; `None` if that can't be told.
+    /// Decodes the answer to [`Codec::report_request`]: whether it is the listed process; `None` if it doesn't
+    /// state that.
     fn is_listed_process(
         &self,
         endpoint: &Endpoint,
--- a/crates/watch/src/report.rs
+++ b/crates/watch/src/report.rs
@@ -20,7 +20,8 @@
     /// known.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub certain_age_ms: Option<u64>,
-    /// What shows the receiver that the report isn't older than it seems; `None` if the sender hasn't heard of it.
+    /// What shows the receiver that the report isn't older than it seems; `None` if the sender
+    /// has no message from it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub echo: Option<Echo>,
     /// Digest of all rows, see [`crate::list::List::digest`].
