Quarantine: a part without which nothing was answered is tried soon

Cause: the part that all prompts begin with had three crashes and no answer, and no other part shared all three, since each crash came with other parts. It was blocked for a minute, all prompts with it. That nothing was answered counted against the part, though nothing at all had been answered since the start: the absence of evidence in a state that has just begun was taken for proof. (In the logs of all five entries: `part_blocked crashes=3 doubtful=false` on the same part, 0.5 to 1 s after their start.)

A blocked part now counts as doubtful, and is tried by one entry after a second, as long as no prompt without it was answered here later than any with it. If the replica crashes on that one as well, the part counts as guilty, and is tried at growing intervals as before.

`a_part_of_all_prompts_is_tried_soon_if_none_was_answered` failed before (blocked where a trial was due). `a_blocked_part_is_tried_again_at_growing_intervals` had no answer to any prompt, so that its part could not be told from failing replicas; it now answers a prompt without it first, and holds all its bounds.

--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! A blocked part is tried again by one entry, its home, with one request, at growing intervals. If a part common to many
 //! prompts was blocked together with the guilty one, since nothing had been answered yet, it is tried soon, in a request
-//! without the other. So is one that was blocked by a loss of many replicas at once; as long as nothing speaks for it, more
+//! without the other. So is one without which nothing was answered, and one that was blocked by a loss of many replicas at once; as long as nothing speaks for it, more
 //! and more entries may try it, since its home may see none of few prompts.
 
 mod evidence;
@@ -52,7 +52,7 @@
     pub part: u64,
     /// Whether it is blocked from now on.
     pub blocked: bool,
-    /// Whether another part or a loss of many replicas may explain its crashes.
+    /// Whether something else may explain its crashes.
     pub doubtful: bool,
     /// Crashes that count against it.
     pub crashes: usize,
@@ -67,7 +67,7 @@
     answered: BTreeMap<u64, Answered>,
     /// Answers whose replicas may still turn out to have crashed, oldest first.
     unconfirmed: VecDeque<Answer>,
-    /// Blocked parts, with whether another part or a loss of many replicas may explain their crashes.
+    /// Blocked parts, with whether something else may explain their crashes.
     blocked: BTreeMap<u64, bool>,
     /// Times at which crashes begin to count.
     reviews: BTreeSet<Time>,
@@ -294,12 +294,12 @@
         }
     }
 
-    /// Returns whether another part or a loss of many replicas may as well explain a suspect's crashes; `None` if a likelier
-    /// part does.
+    /// Returns whether another part, or something that has nothing to do with prompts, may as well explain a suspect's
+    /// crashes; `None` if a likelier part does.
     fn judge(&self, part: u64, suspects: &[u64]) -> Option<bool> {
         let record = self.records.get(&part)?;
         let mut unexplained: BTreeSet<u64> = record.counted.clone();
-        let mut doubtful = record.is_mass_loss;
+        let mut doubtful = record.is_mass_loss || !self.is_answered_without(part);
         for other in suspects.iter().filter(|other| **other != part) {
             let Some(rival) = self.records.get(other) else {
                 continue;
@@ -314,6 +314,15 @@
         (!unexplained.is_empty()).then_some(doubtful && record.failed_probes == 0)
     }
 
+    /// Returns whether a prompt without this part was answered here, later than any with it. Otherwise its crashes may be due
+    /// to the replicas: after a start of all entries, nothing speaks for a part that all prompts share.
+    fn is_answered_without(&self, part: u64) -> bool {
+        let own_at = |known: &Answered| known.own_at;
+        // An answer speaks for all parts of its prompt at the same time.
+        let last = self.answered.get(&part).and_then(own_at);
+        self.answered.values().any(|known| known.own_at > last)
+    }
+
     /// Returns the rank of a suspect among those that share its crashes.
     fn likelihood(&self, part: u64) -> (bool, usize) {
         let never_answered = !self.answered.contains_key(&part);
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -71,6 +71,8 @@
 #[test]
 fn a_blocked_part_is_tried_again_at_growing_intervals() {
     let mut world = World::new(&[OWN]);
+    world.answer(99, &[OTHER]);
+    world.wait(Span::from_seconds(1));
     for _ in 0..3 {
         assert_eq!(world.standing(&[GUILTY]), Standing::Clear);
         world.crash(REQUEST, &[GUILTY]);
@@ -139,6 +141,24 @@
     assert!(world.is_blocked(&[COMMON, GUILTY]));
 }
 
+/// Guards against refusing all prompts for a minute, since replicas crashed one after the other before any had answered.
+#[test]
+fn a_part_of_all_prompts_is_tried_soon_if_none_was_answered() {
+    let mut world = World::new(&[OWN]);
+    for other in [2, 3, 4] {
+        world.crash(REQUEST, &[COMMON, other]);
+    }
+    assert!(world.is_blocked(&[COMMON, OTHER]));
+    world.wait(Span::from_seconds(1));
+    assert_eq!(world.standing(&[COMMON, OTHER]), Standing::Probe(COMMON));
+    world.quarantine.begin_probe(world.now, COMMON, REQUEST);
+    // The replica crashes as well: now it counts as guilty.
+    world.crash(REQUEST, &[COMMON, OTHER]);
+    world.quarantine.end_probe(REQUEST);
+    world.wait(Span::from_seconds(50));
+    assert!(world.is_blocked(&[COMMON, OTHER]));
+}
+
 /// Guards against refusing all prompts of a route for a minute, where many replicas were lost at once before any had
 /// answered.
 #[test]
