Watch: a follower whose reports leave their age open reads the list itself

While entries are replaced by those of a next release, a hub of the former one doesn't repeat when it received a follower's last message, so that the follower can't tell how old its reports are. After 30 s its list would prove no default version any more, and callers that return there would be refused until the hubs are replaced too.

A follower now reads the list itself where the time that it certainly covers is 10 s ago or more, at most as often; with reports that state their age it reads as rarely as before (`reads_do_not_grow_with_the_entries`, whose messages now carry what hubs send). `a_follower_reads_the_list_where_reports_leave_its_age_open` failed before (0 reads, 3 wanted).

--- a/crates/watch/src/configs/watch.rs
+++ b/crates/watch/src/configs/watch.rs
@@ -12,6 +12,9 @@
     pub reader_timeout: Span,
     /// Age of the list after which a follower reads it itself.
     pub follower_timeout: Span,
+    /// Age up to which a follower's list is certain after which it reads the list itself, although reports arrive: their
+    /// senders may not say when they wrote them.
+    pub certainty_timeout: Span,
     /// Most random delay of a follower's first read: all followers lose the reports at the same time.
     pub follower_jitter: Span,
     /// How long a digest may differ from the reports': the missing change may be in flight from another
@@ -31,6 +34,7 @@
             reader_interval: Span::from_millis(350),
             reader_timeout: Span::from_millis(900),
             follower_timeout: Span::from_millis(1_800),
+            certainty_timeout: Span::from_seconds(10),
             follower_jitter: Span::from_millis(600),
             mismatch_timeout: Span::from_millis(400),
             follower_interval: Span::from_millis(700),
--- a/crates/watch/src/watch.rs
+++ b/crates/watch/src/watch.rs
@@ -293,7 +293,11 @@
             }
             Role::Follower => self.config.follower_timeout + self.jitter,
         };
-        let stale = position.as_of + timeout;
+        let certain_until = position.certain_as_of + self.config.certainty_timeout;
+        let stale = match role {
+            Role::Follower => (position.as_of + timeout).min(certain_until + self.jitter),
+            _ => position.as_of + timeout,
+        };
         match self.mismatch_since {
             Some(since) => stale.min(since + self.config.mismatch_timeout + self.jitter),
             None => stale,
--- a/crates/watch/tests/spread.rs
+++ b/crates/watch/tests/spread.rs
@@ -292,7 +292,17 @@
             return;
         }
         let at = self.now + 1 + self.draw(MAX_LATENCY_MILLIS);
-        let message = (from, to, report.clone());
+        // The last message of the receiver has just arrived.
+        let echo = Echo {
+            to: to as u64,
+            sent_at_ms: self.now,
+            held_ms: 0,
+        };
+        let report = Report {
+            echo: Some(echo),
+            ..report.clone()
+        };
+        let message = (from, to, report);
         self.in_flight.entry(at).or_default().push(message);
     }
 
@@ -304,7 +314,8 @@
             if !self.frozen.contains_key(&to) {
                 let passes_on = hubs.contains(&to) && !hubs.contains(&from);
                 let now = self.time();
-                self.entries[to].receive(now, &report, None, passes_on);
+                let written_after = report.echo.map(|echo| echo.written_after());
+                self.entries[to].receive(now, &report, written_after, passes_on);
             }
         }
         for entry in 0..self.entries.len() {
@@ -601,3 +612,29 @@
 fn certain_as_of(watch: &Watch) -> Time {
     watch.position().expect("a position").certain_as_of
 }
+
+/// Guards against a follower whose list proves nothing for as long as reports don't say when they were written.
+#[test]
+fn a_follower_reads_the_list_where_reports_leave_its_age_open() {
+    let config = Config::default();
+    let at = Time::from_millis;
+    let mut follower = Watch::new(config, 2);
+    let reading = Reading {
+        revision: 1,
+        update: Update::All(Vec::new()),
+    };
+    follower.apply_reading(at(1_000), at(1_000), &reading);
+    let mut sender = Watch::new(config, 1);
+    let mut reads = 0;
+    for millis in (1_000..40_000).step_by(100) {
+        sender.apply_reading(at(millis), at(millis), &reading);
+        let report = sender.report(at(millis), Span::ZERO, Extent::Recent);
+        let report = report.expect("a report");
+        follower.receive(at(millis), &report, None, false);
+        if follower.read_interval(at(millis), Role::Follower).is_some() {
+            follower.apply_reading(at(millis), at(millis), &reading);
+            reads += 1;
+        }
+    }
+    assert_eq!(reads, 3);
+}
