--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -8,8 +8,9 @@
 //!
 //! A blocked part is tried again by one entry, its home, with one request, at growing intervals. If a part common to many
 //! prompts was blocked together with the guilty one, since nothing had been answered yet, it is tried soon, in a request
-//! without the other. So is one without which nothing was answered, and one that was blocked by a loss of many replicas at once; as long as nothing speaks for it, more
-//! and more entries may try it, since its home may see none of few prompts.
+//! without the other. So is one without which nothing was answered, and one that was blocked by a loss of many replicas at
+//! once; as long as nothing speaks for the latter, more and more entries may try it, since its home may see none of few
+//! prompts.
 
 mod evidence;
 mod record;
