Gateway: one constructor for the process that gets an attempt, one computation of a request's time limit

Found when the change was read again: an attempt and a move built the same value from an endpoint, and a request's time limit was computed twice in one function. No change of behavior.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -67,12 +67,7 @@
         open.replica = Some(to);
         if let Some(endpoint) = self.servers.place(to) {
             let version = self.servers.version_of(to).cloned();
-            open.runner = Some(Runner {
-                id: endpoint.id,
-                incarnation: endpoint.incarnation,
-                version: version.unwrap_or_default(),
-                sent_at: now,
-            });
+            open.runner = Some(Runner::new(&endpoint, version.unwrap_or_default(), now));
         }
         let line = Line::info("run_moved")
             .with("request", &open.id)
--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -130,12 +130,7 @@
             .version_of(replica)
             .cloned()
             .unwrap_or_default();
-        open.runner = Some(Runner {
-            id: endpoint.id.clone(),
-            incarnation: endpoint.incarnation.clone(),
-            version: version.clone(),
-            sent_at: now,
-        });
+        open.runner = Some(Runner::new(&endpoint, version.clone(), now));
         let awaits_record = self.record_version(now, job.0, version.clone());
         let record_timeout = awaits_record.then(|| self.record_timeout(job.0));
         let bound_to_process = self.is_bound_to_process(job.0);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -200,7 +200,7 @@
             .service(&service)
             .and_then(|service| service.engine.as_ref());
         let arrived_at = now - arrival.read_time;
-        let deadline = arrived_at + route.timeout.min(arrival.deadline.unwrap_or(route.timeout));
+        let deadline = arrived_at + limit;
         Ok(Request {
             id: arrival.id.clone(),
             route: route.name.clone(),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 use watch::server::Server;
 
+use crate::attempt::Endpoint;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::servers::version_key;
@@ -45,6 +46,16 @@
 }
 
 impl Runner {
+    /// Creates the process to which an attempt is sent at a time.
+    pub fn new(endpoint: &Endpoint, version: SmolStr, sent_at: Time) -> Runner {
+        Runner {
+            id: endpoint.id.clone(),
+            incarnation: endpoint.incarnation.clone(),
+            version,
+            sent_at,
+        }
+    }
+
     /// Returns which process of a server got the attempt, if the server's row is that of a process that started at `started`.
     fn process(&self, server: &Server, started: Time) -> Process {
         let is_affected = self.id == server.id
