--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -237,6 +237,22 @@
         !self.store_health.is_unavailable() || self.alternative(now, &service, pool).is_some()
     }
 
+    /// Logs that the first event of a request's attempt doesn't wait until its version is recorded.
+    pub(crate) fn log_unrecorded(&self, serial: u64, effects: &mut Vec<Effect>) {
+        let Some(open) = self.requests.get(&serial) else {
+            return;
+        };
+        let record = open.record.as_ref();
+        let unwritten = record.filter(|one| one.attempt == open.attempt && !one.is_written);
+        if let Some(record) = unwritten {
+            let line = Line::warn("stream_unrecorded")
+                .with("request", &open.id)
+                .with("attempt", record.attempt)
+                .with("version", &record.version);
+            effects.push(Effect::Log(line));
+        }
+    }
+
     /// Returns the longest wait of a stream's first event for its record.
     ///
     /// A further attempt may need no record; without one, an answer given up is lost.
