Tests: streams that go on at another version since what isn't known counts as proof

A simulated cluster under random faults (versions.rs): callers begin and take up streams through entries that are killed, restarted, cut off from the table service or from each other, while servers of three versions replace each other; calls of the table service take time, are refused, lose their answers or are applied late.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod slow_store;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -44,6 +46,7 @@
 use policy::mix::Market;
 use policy::pace::Rate;
 use rollout::order::Order;
+use slow_store::SlowStore;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use store::call::Address;
@@ -106,6 +109,10 @@
     pub server: SmolStr,
     /// Priority in the server's queue of prompts, the lowest number first.
     pub urgency: Option<u8>,
+    /// Whether only the listed process of the server may get it.
+    pub bound_to_process: bool,
+    /// Longest wait of its first event for its record; `None` if it needn't wait.
+    pub record_timeout: Option<Span>,
 }
 
 /// A request that an entry refused by its plan.
@@ -147,6 +154,8 @@
 /// The process of an entry.
 struct Process {
     gateway: Gateway,
+    /// Number of its life.
+    life: u64,
     /// Simulated time at its start, the zero of its clock.
     started_at: u64,
     /// Revision of the list that its feed delivered last; none once the feed has failed.
@@ -193,6 +202,10 @@
     pub failing_table: Option<&'static str>,
     /// Entries whose calls of the table service aren't answered.
     pub store_partitioned: BTreeSet<usize>,
+    /// Takes time for calls, and fails some of them; `None` if each is answered at once.
+    pub slow_store: Option<SlowStore>,
+    /// Log lines of the decisions on versions of streams, if they are kept.
+    pub version_log: Option<Vec<String>>,
     /// Number of availability zones for entries that start from now on.
     pub zones: usize,
     /// Additional reads of the list of servers that each entry requested.
@@ -303,6 +316,8 @@
             store_unresponsive: false,
             failing_table: None,
             store_partitioned: BTreeSet::new(),
+            slow_store: None,
+            version_log: None,
             zones: 1,
             list_reads: BTreeMap::new(),
             reads_list: BTreeMap::new(),
@@ -356,6 +371,7 @@
         settings.zero_unix_ms = self.unix_ms() + self.clock_leads.get(&entry).copied().unwrap_or(0);
         self.processes[entry] = Some(Process {
             gateway: Gateway::new(identity, settings, self.next_life),
+            life: self.next_life,
             started_at: self.now,
             list_revision: None,
             list_confirmed_at: self.now,
@@ -580,6 +596,23 @@
         self.read_servers(entry, reading);
     }
 
+    /// Delivers the whole list of servers to an entry, which requested it some time ago, with rows as they were written.
+    pub fn send_rows_requested(&mut self, entry: usize, millis_ago: u64) {
+        self.request_age = millis_ago.min(self.age_of(entry));
+        let reading = Reading {
+            revision: self.list_revision,
+            update: Update::All(self.servers.clone()),
+        };
+        self.read_servers(entry, reading);
+        self.request_age = 0;
+    }
+
+    /// Returns for how long an entry has run.
+    fn age_of(&self, entry: usize) -> u64 {
+        let process = self.processes[entry].as_ref();
+        process.map_or(0, |process| self.now - process.started_at)
+    }
+
     /// Sets the number of connections that an entry holds for peers.
     pub fn hold_tunnels(&mut self, entry: usize, open: usize) {
         self.step(entry, Event::TunnelsChanged { open });
@@ -595,6 +628,7 @@
         let end = self.now + millis;
         while self.now < end {
             self.now += STEP_MS;
+            self.answer_slow_calls();
             for entry in 0..self.processes.len() {
                 self.deliver_messages(entry);
                 self.confirm_servers(entry);
@@ -621,6 +655,24 @@
         reached.filter(reads).collect()
     }
 
+    /// Delivers the answers of a slow table service that have arrived.
+    fn answer_slow_calls(&mut self) {
+        let Some(store) = &mut self.slow_store else {
+            return;
+        };
+        for (entry, life, event) in store.advance(self.now, &mut self.table) {
+            let process = self.processes[entry].as_ref();
+            if process.is_some_and(|process| process.life == life) {
+                self.step(entry, event);
+            }
+        }
+    }
+
+    /// Returns whether an entry runs.
+    pub fn is_running(&self, entry: usize) -> bool {
+        self.processes[entry].is_some()
+    }
+
     /// Delivers the messages to an entry that have arrived.
     fn deliver_messages(&mut self, entry: usize) {
         let now = self.now;
@@ -1102,12 +1154,17 @@
     fn carry_out(&mut self, entry: usize, effect: Effect) -> Option<(usize, Event)> {
         match effect {
             Effect::Store { id, call } => {
-                let outcome =
-                    match self.store_unresponsive || self.store_partitioned.contains(&entry) {
-                        true => Outcome::Unknown,
-                        false if self.is_unwritable(&call) => Outcome::Unavailable,
-                        false => self.table.apply(&call),
-                    };
+                let is_cut_off = self.store_unresponsive || self.store_partitioned.contains(&entry);
+                if let (Some(store), Some(process)) = (&mut self.slow_store, &self.processes[entry])
+                {
+                    store.call(self.now, entry, process.life, is_cut_off, id, call);
+                    return None;
+                }
+                let outcome = match is_cut_off {
+                    true => Outcome::Unknown,
+                    false if self.is_unwritable(&call) => Outcome::Unavailable,
+                    false => self.table.apply(&call),
+                };
                 Some((entry, Event::Store { id, outcome }))
             }
             Effect::Duty { id, call, .. } => {
@@ -1203,6 +1260,7 @@
                 match command {
                     Command::Start(start) => {
                         self.attempts_started += 1;
+                        self.awaiting_record.remove(&serial);
                         if let Some(timeout) = start.record_timeout {
                             self.awaiting_record.insert(serial);
                             self.record_timeouts.insert(serial, timeout);
@@ -1214,6 +1272,8 @@
                             attempt: start.attempt,
                             server: start.endpoint.incarnation.clone(),
                             urgency: start.urgency,
+                            bound_to_process: start.bound_to_process,
+                            record_timeout: start.record_timeout,
                         });
                         self.servers_by_request
                             .insert(serial, start.endpoint.incarnation);
@@ -1269,6 +1329,12 @@
                     });
                 }
                 *self.log_counts.entry(line.event).or_default() += 1;
+                if let Some(log) = &mut self.version_log {
+                    log.push(format!(
+                        "{} entry-{entry} {} {:?}",
+                        self.now, line.event, line.fields
+                    ));
+                }
                 None
             }
             Effect::Exit => None,
