Gateway: entries that have just started agree on no version

Callers that returned to a stream got events of another software version. An entry that can't read the stream's record takes the only version that any entry has known in the last 60 s. Entries that had all just started, as after a loss of most of them, had known nothing for longer than their own life: after a release of v2 they agreed on v2 for streams of v1.

Statements now say for how long their entry knows which versions served; entries take over the longest of these, since all follow one list. Without 60 s of it nobody agrees (stream_version_unknown cause=short_memory). An entry that finds no default version in a table service that was never restored was there when the system started, and covers all. Servers that are leaving count as serving.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -69,6 +69,9 @@
     /// Software versions that the sender knows; `None` from an entry that doesn't state them.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub versions: Option<Statement>,
+    /// Time before now for which `versions` names all that served, by service, milliseconds.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub versions_known_for: BTreeMap<SmolStr, u64>,
     /// Samples of the servers' speed since the sender's last bulletin, by the hash of the incarnation; none in a sum.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub paces: BTreeMap<u64, Pace>,
@@ -140,6 +143,11 @@
         if let Some(versions) = &one.versions {
             releases::merge(self.versions.get_or_insert_default(), versions);
         }
+        // All entries follow one list, so that the longest memory holds for the sum.
+        for (service, millis) in &one.versions_known_for {
+            let into = self.versions_known_for.entry(service.clone()).or_default();
+            *into = (*into).max(*millis);
+        }
         limits::merge_newest(&mut self.limits, &one.limits);
     }
 
--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -62,10 +62,14 @@
             .collect();
         let mut counts: BTreeMap<SmolStr, BTreeMap<SmolStr, usize>> = BTreeMap::new();
         for record in self.servers.iter() {
-            if !self.servers.is_leaving(&record.server.incarnation) {
-                let service = record.server.service.clone();
-                let of_service = counts.entry(service).or_default();
-                *of_service.entry(record.server.version.clone()).or_default() += 1;
+            let server = &record.server;
+            if self.servers.is_leaving(&server.incarnation) {
+                // Its streams go on, and their callers may return.
+                self.versions
+                    .record_seen(now, &server.service, &server.version);
+            } else {
+                let of_service = counts.entry(server.service.clone()).or_default();
+                *of_service.entry(server.version.clone()).or_default() += 1;
             }
         }
         let list_lag = self.list_lag(now);
@@ -185,6 +189,10 @@
         row: Option<Row>,
         effects: &mut Vec<Effect>,
     ) {
+        if row.is_none() && self.store_era.unwrap_or(0) == 0 {
+            // Nothing has served before the first default of a table service that was never restored.
+            self.versions.extend_coverage(now, service, RETURN_WINDOW);
+        }
         let Some(known) = self.versions.services.get(service) else {
             return;
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod addresses;
 mod attempts;
 mod configuration;
+mod coverage;
 mod decisions;
 mod default_rows;
 mod durations;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -276,6 +276,7 @@
             paces: self.scheduler.take_paces(),
             offered: self.plans.own_rates(now),
             versions: Some(self.statement(now)),
+            versions_known_for: self.coverage_millis(now),
             ..Bulletin::default()
         };
         if self.uses_hubs() {
@@ -382,12 +383,12 @@
         self.handle_limit_reports(now, &bulletin.limits, effects);
         self.handle_cleared_parts(now, &bulletin.cleared, effects);
         self.absorb_paces(now, peer, &mut bulletin);
-        if let Some(statement) = bulletin.versions.take() {
+        if bulletin.versions.is_some() {
             let age = Span::from_millis(item.age_ms);
             let me = self.identity.incarnation.0;
             let echo = bulletin.echoes.iter().find(|echo| echo.to == me);
             let made_after = echo.map(Echo::written_after);
-            self.handle_statement(now, peer, age, made_after, &statement, effects);
+            self.handle_statement(now, peer, age, made_after, &bulletin, effects);
         }
         match bulletin.sums {
             0 if self.uses_hubs() => self.handle_counts(now, peer, bulletin),
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -11,6 +11,7 @@
 use crate::servers;
 use crate::servers::DEFAULT_NOTICE;
 use crate::servers::endpoint_of;
+use crate::versions::LIST_DELAY;
 use watch::server::Reading;
 use watch::server::Removal;
 use watch::server::Server;
@@ -52,6 +53,9 @@
         if std::mem::take(&mut self.list_unavailable) {
             self.servers
                 .distrust_until(now + self.settings.missing_row_grace);
+            if now.since(self.servers.position().confirmed_at) >= LIST_DELAY {
+                self.versions.restart_coverage(now);
+            }
         }
         if self.servers_known_since == Time::ZERO {
             self.servers_known_since = now;
@@ -301,7 +305,7 @@
         let key = self.scheduler.replica_joined(now, spec, &mut decisions);
         // The scheduler may place waiting requests at once, for which the server must be known first.
         self.versions
-            .record_joined(now, &server.service, &server.version);
+            .record_seen(now, &server.service, &server.version);
         self.servers.add(key, server);
         self.apply_pause(now, &incarnation, effects);
         for decision in decisions {
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -16,11 +16,13 @@
 use smol_str::SmolStr;
 use watch::report::Echo;
 
+use crate::bulletin::Bulletin;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::hubs::LastMessage;
 use crate::request::Request;
 use crate::returns::Source;
+use crate::versions::RETURN_WINDOW;
 
 /// Longest wait for statements that are newer than a request: several rounds of them.
 const AGREEMENT_TIMEOUT: Span = Span::from_millis(1_500);
@@ -58,6 +60,8 @@
     SeveralVersions,
     /// The single version isn't the default one, which is about to be replaced.
     NotTheDefault,
+    /// No entry that can be asked has been there for as long as callers return to streams.
+    ShortMemory,
     /// Another entry has failed or is cut off from this one.
     SilentEntry,
     /// Not all entries have made a statement in time.
@@ -70,6 +74,7 @@
         match self {
             Cause::SeveralVersions => "several_versions",
             Cause::NotTheDefault => "not_the_default",
+            Cause::ShortMemory => "short_memory",
             Cause::SilentEntry => "silent_entry",
             Cause::NoStatements => "no_statements",
         }
@@ -122,7 +127,15 @@
             .collect()
     }
 
-    /// Handles another entry's statement, which was made `age` ago, without the time on its way, and after `made_after`, if
+    /// Returns the time before now for which the statement names all versions that served, by service, milliseconds.
+    pub(crate) fn coverage_millis(&self, now: Time) -> BTreeMap<SmolStr, u64> {
+        let services = self.versions.services.iter();
+        services
+            .map(|(service, known)| (service.clone(), known.coverage(now).as_millis()))
+            .collect()
+    }
+
+    /// Handles the statement in another entry's bulletin, which was made `age` ago, without the time on its way, and after `made_after`, if
     /// that is known.
     pub(crate) fn handle_statement(
         &mut self,
@@ -130,14 +143,17 @@
         from: holder::Id,
         age: Span,
         made_after: Option<Time>,
-        statement: &Statement,
+        bulletin: &Bulletin,
         effects: &mut Vec<Effect>,
     ) {
-        for (service, versions) in statement {
+        for (service, versions) in bulletin.versions.iter().flatten() {
             let known = self.versions.services.entry(service.clone()).or_default();
             for (version, millis) in versions {
                 known.record_heard(now, version, age + Span::from_millis(*millis));
             }
+            if let Some(millis) = bulletin.versions_known_for.get(service) {
+                known.extend_coverage(now, age + Span::from_millis(*millis));
+            }
         }
         if let Some(made_after) = made_after {
             let known = self.releases.stated_after.entry(from).or_default();
@@ -190,8 +206,9 @@
         if default.is_some_and(|default| default != only) {
             return Agreement::Impossible(Cause::NotTheDefault);
         }
+        let is_covered = known.is_some_and(|known| known.coverage(now) >= RETURN_WINDOW);
         let is_stated = self.knows_entries(now) && self.are_statements_newer(open.arrived_at);
-        if is_stated || self.is_list_newer(open.arrived_at) {
+        if is_covered && (is_stated || self.is_list_newer(open.arrived_at)) {
             return Agreement::Agreed(only.clone());
         }
         if self.is_any_peer_silent(now) {
@@ -203,7 +220,8 @@
         };
         match now.since(open.arrived_at) < timeout {
             true => Agreement::Pending,
-            false => Agreement::Impossible(Cause::NoStatements),
+            false if is_covered => Agreement::Impossible(Cause::NoStatements),
+            false => Agreement::Impossible(Cause::ShortMemory),
         }
     }
 
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -14,6 +14,8 @@
 use clock::Time;
 use smol_str::SmolStr;
 
+use crate::coverage::Coverage;
+
 /// Interval at which the replicas of each version are counted.
 pub(crate) const REVIEW_INTERVAL: Span = Span::from_millis(250);
 /// Time after which no caller returns to a stream, beyond the time limits of all routes.
@@ -22,7 +24,7 @@
 /// another one may soon replace it.
 const DOUBT_FRACTION: f64 = 0.5;
 /// Time after which the list of servers has reached all entries that can replace the default version.
-const LIST_DELAY: Span = Span::from_seconds(5);
+pub(crate) const LIST_DELAY: Span = Span::from_seconds(5);
 
 /// The versions of all services that have resumable streams.
 #[derive(Debug, Default)]
@@ -41,6 +43,8 @@
     seen: BTreeMap<SmolStr, Time>,
     /// The same according to other entries.
     heard: BTreeMap<SmolStr, Time>,
+    /// The time that `seen` and `heard` cover; `None` before the list of servers is known.
+    coverage: Option<Coverage>,
     pub default: Option<Stored>,
     /// When the default must be read again, since it may have been lost or replaced.
     reread_at: Option<Time>,
@@ -74,6 +78,7 @@
         for version in counts.keys() {
             self.seen.insert(version.clone(), now);
         }
+        self.coverage.get_or_insert_with(|| Coverage::new(now));
         let is_recent = |_: &SmolStr, at: &mut Time| now.since(*at) < RETURN_WINDOW;
         self.seen.retain(is_recent);
         self.heard.retain(is_recent);
@@ -95,6 +100,24 @@
         *known = at.max(*known);
     }
 
+    /// Extends the time for which all versions are known to a time before now.
+    pub fn extend_coverage(&mut self, now: Time, span: Span) {
+        if let Some(coverage) = &mut self.coverage {
+            coverage.extend(now, span);
+        }
+    }
+
+    /// Covers only the time from now on.
+    fn restart_coverage(&mut self, now: Time) {
+        self.coverage = Some(Coverage::new(now));
+    }
+
+    /// Returns the time before now for which all versions that served are known.
+    pub fn coverage(&self, now: Time) -> Span {
+        let coverage = self.coverage.as_ref();
+        coverage.map_or(Span::ZERO, |coverage| coverage.span(now))
+    }
+
     /// Returns the versions that this entry has known, with the milliseconds since.
     pub fn seen_ages(&self, now: Time) -> BTreeMap<SmolStr, u64> {
         let ages = self.seen.iter();
@@ -103,6 +126,7 @@
     }
 
     /// Returns the version of all replicas that any entry has known within [`RETURN_WINDOW`], if it is the same.
+    /// [`Service::coverage`] states whether that includes all versions of this time.
     pub fn recent_only(&self, now: Time) -> Option<&SmolStr> {
         let known = self.seen.iter().chain(&self.heard);
         let mut recent = known.filter(|(_, at)| now.since(**at) < RETURN_WINDOW);
@@ -204,13 +228,27 @@
         counts.keys().next().filter(|_| counts.len() == 1)
     }
 
-    /// Records that a replica of a version joined, if streams of its service can be resumed.
-    pub fn record_joined(&mut self, now: Time, service: &str, version: &SmolStr) {
+    /// Records that a replica of a version serves, if streams of its service can be resumed.
+    pub fn record_seen(&mut self, now: Time, service: &str, version: &SmolStr) {
         if let Some(known) = self.services.get_mut(service) {
             known.seen.insert(version.clone(), now);
         }
     }
 
+    /// Extends the time for which all versions of a service are known to a time before now.
+    pub fn extend_coverage(&mut self, now: Time, service: &str, span: Span) {
+        if let Some(known) = self.services.get_mut(service) {
+            known.extend_coverage(now, span);
+        }
+    }
+
+    /// Covers only the time from now on, since this entry didn't follow the list of servers for a while.
+    pub fn restart_coverage(&mut self, now: Time) {
+        for known in self.services.values_mut() {
+            known.restart_coverage(now);
+        }
+    }
+
     /// Keeps a request until the service's default version is known.
     pub fn await_default(&mut self, service: &SmolStr, serial: u64) {
         let known = self.services.entry(service.clone()).or_default();
