Gateway: an unrecorded stream counts for one of the default version only while that has servers

Callers that returned to a stream got events of the default version, while another one had begun it. That a stream has no record proves the default version; but an entry that can't reach the table service delivered first events without one, so as not to refuse streams that could only run at another version. It did so too where it didn't know the default version, having just started, and where the default had servers in another pool of a roll-out. Once the default version's servers were back, or at an entry that still knew some, the stream went on there.

First events wait for their record now, unless the default version is known to have no servers.

--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -22,6 +22,7 @@
 use crate::streams::Origin;
 use crate::streams::Record;
 use crate::streams::Recorded;
+use crate::versions::Service;
 
 /// Retry delay for callers whose stream's version couldn't be found out: about the time of a short outage of the
 /// table service.
@@ -233,8 +234,16 @@
             version,
             until: open.returns_until,
         });
-        let (service, pool) = (open.service.clone(), open.job.pool);
-        !self.store_health.is_unavailable() || self.alternative(now, &service, pool).is_some()
+        let service = open.service.clone();
+        !self.may_begin_unrecorded(now, &service)
+    }
+
+    /// Returns whether streams may begin at other versions than the default one without a record: none can be written, and
+    /// the default one has no replicas, which its row states.
+    fn may_begin_unrecorded(&self, now: Time, service: &str) -> bool {
+        let known = self.versions.services.get(service);
+        let is_without_default = known.is_some_and(Service::is_without_default);
+        self.store_health.is_unavailable() && is_without_default && self.is_list_recent(now)
     }
 
     /// Logs that the first event of a request's attempt doesn't wait until its version is recorded.
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -20,9 +20,9 @@
 pub(crate) const REVIEW_INTERVAL: Span = Span::from_millis(250);
 /// Time after which no caller returns to a stream, beyond the time limits of all routes.
 pub(crate) const RETURN_WINDOW: Span = Span::from_seconds(60);
-/// Fraction of [`RETURN_WINDOW`] after which an entry without news of the default version's replicas assumes that
-/// another one may soon replace it.
-const DOUBT_FRACTION: f64 = 0.5;
+/// Time after which an entry without news of the default version's replicas assumes that another one may soon replace
+/// it: half of [`RETURN_WINDOW`].
+pub(crate) const DOUBT_AFTER: Span = Span::from_seconds(30);
 /// Time after which the list of servers has reached all entries that can replace the default version.
 pub(crate) const LIST_DELAY: Span = Span::from_seconds(5);
 
@@ -50,6 +50,8 @@
     reread_at: Option<Time>,
     /// Since when no replica of the default version has been known.
     absent_since: Option<Time>,
+    /// Whether the row states that the default proves nothing since then.
+    absence_stated: bool,
     /// The default that a call in flight writes.
     pub proposed: Option<Stored>,
     pub calling: bool,
@@ -72,6 +74,13 @@
     pub proven_from: Time,
 }
 
+impl Stored {
+    /// Returns whether it proves nothing for as long as callers return to streams.
+    pub fn proves_nothing_soon(&self, now: Time) -> bool {
+        self.proven_from >= now + RETURN_WINDOW
+    }
+}
+
 impl Service {
     /// Updates the numbers of replicas, according to a list that was out of date for `list_lag`.
     pub fn review(&mut self, now: Time, counts: BTreeMap<SmolStr, usize>, list_lag: Span) {
@@ -84,8 +93,7 @@
         self.heard.retain(is_recent);
         self.counts = counts;
         self.track_absence(now);
-        let doubt_after = RETURN_WINDOW.scaled(DOUBT_FRACTION);
-        if self.is_absent(now, doubt_after) || list_lag >= doubt_after {
+        if self.is_absent(now, DOUBT_AFTER) || list_lag >= DOUBT_AFTER {
             self.reread_at = Some(now + LIST_DELAY);
         }
     }
@@ -146,9 +154,13 @@
 
     /// Takes over the default that the table service holds.
     pub fn set_default(&mut self, now: Time, default: Stored) {
+        let before = self.default.as_ref().map(|before| &before.version);
+        if before != Some(&default.version) {
+            self.absent_since = None;
+        }
+        self.absence_stated = default.proves_nothing_soon(now);
         self.default = Some(default);
         self.reread_at = self.reread_at.filter(|at| *at > now);
-        self.absent_since = None;
         self.track_absence(now);
     }
 
@@ -157,6 +169,7 @@
         let default = self.default.as_ref();
         let is_absent = default.is_some_and(|default| !self.counts.contains_key(&default.version));
         self.absent_since = is_absent.then(|| self.absent_since.unwrap_or(now));
+        self.absence_stated &= is_absent;
     }
 
     /// Returns whether the default has had no replicas for `span`.
@@ -165,11 +178,23 @@
             .is_some_and(|since| now.since(since) >= span)
     }
 
+    /// Returns whether the row has to state that the default has no replicas: entries that can't write records begin streams
+    /// at other versions then.
+    pub fn must_state_absence(&self) -> bool {
+        self.absent_since.is_some() && !self.absence_stated
+    }
+
+    /// Returns whether the default is known and has no replicas.
+    pub fn is_without_default(&self) -> bool {
+        self.absent_since.is_some()
+    }
+
     /// Returns whether the default must be read, or replaced.
     pub fn needs_call(&self, now: Time) -> bool {
         let is_due = !self.calling && now >= self.next_call && !self.counts.is_empty();
         let must_reread = self.reread_at.is_some_and(|at| now >= at);
-        is_due && (self.default.is_none() || must_reread || self.is_absent(now, RETURN_WINDOW))
+        let is_gone = self.must_state_absence() || self.is_absent(now, RETURN_WINDOW);
+        is_due && (self.default.is_none() || must_reread || is_gone)
     }
 
     /// Returns the version to propose as default: the present one while it has replicas, else that of most replicas.
@@ -192,10 +217,9 @@
     /// Returns the default version, unless another entry may have replaced it since.
     pub fn default_of(&self, now: Time, service: &str) -> Option<&SmolStr> {
         let known = self.services.get(service)?;
-        let doubt_after = RETURN_WINDOW.scaled(DOUBT_FRACTION);
         let default = known.default.as_ref();
         default
-            .filter(|_| !known.is_absent(now, doubt_after))
+            .filter(|_| !known.is_absent(now, DOUBT_AFTER))
             .map(|default| &default.version)
     }
 
@@ -204,7 +228,7 @@
     /// may not show.
     pub fn proven_default(&self, now: Time, service: &str, list_age: Span) -> Option<&SmolStr> {
         let known = self.services.get(service)?;
-        let is_current = list_age < RETURN_WINDOW.scaled(DOUBT_FRACTION);
+        let is_current = list_age < DOUBT_AFTER;
         self.default_of(now, service)
             .filter(|_| is_current && known.is_proven(now))
     }
