Gateway: entries state only the versions of the time in which they were there; a default that was gone proves nothing until its row says so

An entry that had started a second ago stated the long memory that others had stated to it, but only the versions that it had seen itself; a third one took both together for proof. Statements cover the entry's own time.

An entry cut off from the table service saw the default version's last servers go and new ones come, without reading the row that says so, and took the missing record for proof again. It now has to read that row, or write it, first.

--- a/crates/gateway/src/coverage.rs
+++ b/crates/gateway/src/coverage.rs
@@ -11,8 +11,10 @@
 pub(crate) struct Coverage {
     /// Since when this entry has followed the list of servers.
     since: Time,
-    /// Time before that, as far as others, or the start of the system, cover it.
+    /// Time before that in which nothing else can have served, since the system started then.
     before: Span,
+    /// Time before `since` that statements of others cover.
+    stated: Span,
 }
 
 impl Coverage {
@@ -21,16 +23,28 @@
         Coverage {
             since: now,
             before: Span::ZERO,
+            stated: Span::ZERO,
         }
     }
 
-    /// Extends the coverage to a time before now.
+    /// Records that nothing else served in a time before now.
     pub fn extend(&mut self, now: Time, span: Span) {
         self.before = self.before.max(span - now.since(self.since));
     }
 
+    /// Records that another entry stated the versions of a time before now.
+    pub fn record_stated(&mut self, now: Time, span: Span) {
+        self.stated = self.stated.max(span - now.since(self.since));
+    }
+
+    /// Returns the time before now that this entry covers by itself. Others can't pass on what they were told, as its age
+    /// would be lost on the way.
+    pub fn own_span(&self, now: Time) -> Span {
+        now.since(self.since) + self.before
+    }
+
     /// Returns the time before now that is covered.
     pub fn span(&self, now: Time) -> Span {
-        now.since(self.since) + self.before
+        now.since(self.since) + self.before.max(self.stated)
     }
 }
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -131,7 +131,7 @@
     pub(crate) fn coverage_millis(&self, now: Time) -> BTreeMap<SmolStr, u64> {
         let services = self.versions.services.iter();
         services
-            .map(|(service, known)| (service.clone(), known.coverage(now).as_millis()))
+            .map(|(service, known)| (service.clone(), known.own_coverage(now).as_millis()))
             .collect()
     }
 
@@ -152,7 +152,7 @@
                 known.record_heard(now, version, age + Span::from_millis(*millis));
             }
             if let Some(millis) = bulletin.versions_known_for.get(service) {
-                known.extend_coverage(now, age + Span::from_millis(*millis));
+                known.record_stated(now, age + Span::from_millis(*millis));
             }
         }
         if let Some(made_after) = made_after {
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -185,12 +185,15 @@
         open.version = Some(version.clone());
         open.job.terms.version = Some(version_key(version));
         let (stream, until) = (open.stream, open.returns_until);
+        let known = self.versions.services.get(&open.service);
+        let known_for = known.map_or(Span::ZERO, |known| known.coverage(now));
         let line = Line::info("stream_version")
             .with("request", &open.id)
             .with("version", version)
             .with("source", SmolStr::new_static(source.as_str()))
             .with("waited_ms", now.since(open.arrived_at).as_millis())
-            .with("list_age_ms", list_age.as_millis());
+            .with("list_age_ms", list_age.as_millis())
+            .with("known_for_ms", known_for.as_millis());
         effects.push(Effect::Log(line));
         let service = open.service.clone();
         let pool = self.pool_of(&service, version);
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -50,8 +50,8 @@
     reread_at: Option<Time>,
     /// Since when no replica of the default version has been known.
     absent_since: Option<Time>,
-    /// Whether the row states that the default proves nothing since then.
-    absence_stated: bool,
+    /// Whether the default had no replicas at a time, which its row may not state yet.
+    unstated_absence: bool,
     /// The default that a call in flight writes.
     pub proposed: Option<Stored>,
     pub calling: bool,
@@ -108,18 +108,31 @@
         *known = at.max(*known);
     }
 
-    /// Extends the time for which all versions are known to a time before now.
-    pub fn extend_coverage(&mut self, now: Time, span: Span) {
+    /// Records that nothing but the known versions served in a time before now.
+    fn extend_coverage(&mut self, now: Time, span: Span) {
         if let Some(coverage) = &mut self.coverage {
             coverage.extend(now, span);
         }
     }
 
+    /// Records that another entry stated the versions of a time before now.
+    pub fn record_stated(&mut self, now: Time, span: Span) {
+        if let Some(coverage) = &mut self.coverage {
+            coverage.record_stated(now, span);
+        }
+    }
+
     /// Covers only the time from now on.
     fn restart_coverage(&mut self, now: Time) {
         self.coverage = Some(Coverage::new(now));
     }
 
+    /// Returns the time before now for which this entry itself knows all versions that served.
+    pub fn own_coverage(&self, now: Time) -> Span {
+        let coverage = self.coverage.as_ref();
+        coverage.map_or(Span::ZERO, |coverage| coverage.own_span(now))
+    }
+
     /// Returns the time before now for which all versions that served are known.
     pub fn coverage(&self, now: Time) -> Span {
         let coverage = self.coverage.as_ref();
@@ -158,7 +171,7 @@
         if before != Some(&default.version) {
             self.absent_since = None;
         }
-        self.absence_stated = default.proves_nothing_soon(now);
+        self.unstated_absence &= !default.proves_nothing_soon(now);
         self.default = Some(default);
         self.reread_at = self.reread_at.filter(|at| *at > now);
         self.track_absence(now);
@@ -168,8 +181,8 @@
     fn track_absence(&mut self, now: Time) {
         let default = self.default.as_ref();
         let is_absent = default.is_some_and(|default| !self.counts.contains_key(&default.version));
+        self.unstated_absence |= is_absent && self.absent_since.is_none();
         self.absent_since = is_absent.then(|| self.absent_since.unwrap_or(now));
-        self.absence_stated &= is_absent;
     }
 
     /// Returns whether the default has had no replicas for `span`.
@@ -178,10 +191,10 @@
             .is_some_and(|since| now.since(since) >= span)
     }
 
-    /// Returns whether the row has to state that the default has no replicas: entries that can't write records begin streams
+    /// Returns whether the row has to state that the default had no replicas: entries that can't write records begin streams
     /// at other versions then.
     pub fn must_state_absence(&self) -> bool {
-        self.absent_since.is_some() && !self.absence_stated
+        self.unstated_absence
     }
 
     /// Returns whether the default is known and has no replicas.
@@ -209,7 +222,7 @@
     fn is_proven(&self, now: Time) -> bool {
         let default = self.default.as_ref();
         let in_force = default.is_some_and(|default| now >= default.proven_from);
-        in_force && self.reread_at.is_none()
+        in_force && self.reread_at.is_none() && !self.unstated_absence
     }
 }
 
@@ -259,7 +272,7 @@
         }
     }
 
-    /// Extends the time for which all versions of a service are known to a time before now.
+    /// Records that nothing but the known versions of a service served in a time before now.
     pub fn extend_coverage(&mut self, now: Time, service: &str, span: Span) {
         if let Some(known) = self.services.get_mut(service) {
             known.extend_coverage(now, span);
