Gateway: a stream doesn't begin unrecorded at another version than the one recorded for an earlier attempt

The first event waits for its own record in that case.

In the random faults, entries read the list of servers from their start on; some didn't read it until they announced a change.

--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -209,7 +209,8 @@
     }
 
     /// Records the version of an attempt that may begin a stream, unless all entries know it anyway; returns
-    /// whether the first event must wait for that.
+    /// whether the first event must wait for that. It always does if the record of an earlier attempt, which may have been
+    /// written, states another version.
     pub(crate) fn record_version(&mut self, now: Time, serial: u64, version: SmolStr) -> bool {
         let Some(open) = self.requests.get_mut(&serial) else {
             return false;
@@ -224,6 +225,7 @@
         if is_recorded || is_certain && latest.is_none() {
             return false;
         }
+        let is_of_another = latest.is_some_and(|one| one.version != version);
         open.record = Some(LatestRecord {
             attempt: open.attempt,
             version: version.clone(),
@@ -238,7 +240,7 @@
             until: open.returns_until,
         });
         let service = open.service.clone();
-        !self.may_begin_unrecorded(now, &service)
+        is_of_another || !self.may_begin_unrecorded(now, &service)
     }
 
     /// Returns whether streams may begin at other versions than the default one without a record: none can be written, and
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -376,6 +376,7 @@
             list_revision: None,
             list_confirmed_at: self.now,
         });
+        self.reads_list.remove(&entry);
         self.configure(entry, self.version, Source::Store);
         self.send_servers(entry);
     }
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -260,7 +260,14 @@
     }
 
     fn read_lists(&mut self) {
-        for entry in self.world.readers() {
+        let all = 0..self.world.entry_count();
+        // An entry reads from its start on, until it says otherwise.
+        let reads = |entry: &usize| {
+            let is_reached = !self.world.store_partitioned.contains(entry);
+            is_reached && self.world.reads_list.get(entry) != Some(&false)
+        };
+        let readers: Vec<usize> = all.filter(reads).collect();
+        for entry in readers {
             let held_until = self.lists_held.get(&entry).copied().unwrap_or(0);
             let due = self.next_read.get(&entry).copied().unwrap_or(0);
             let now = self.world.now;
@@ -469,7 +476,7 @@
                 self.note(format!("store cut {entries:?} {lasts}"));
                 for entry in entries {
                     self.world.store_partitioned.insert(entry);
-                    if self.world.reads_list.get(&entry) == Some(&true)
+                    if self.world.reads_list.get(&entry) != Some(&false)
                         && self.world.is_running(entry)
                     {
                         self.world.fail_list(entry);
