Gateway: after a restore of the table service, the record of an attempt proves nothing

A stream's first attempt is recorded at one version, its second one, which begins the stream, at another. A restore that loses the second record leaves the first, which was taken for that of the stream: callers that returned within a second or two of the restore, or after the entry was killed, got another version than they had.

Records state the era of the table service in which they were written. One of an attempt from an earlier era is refused; entries write those of all streams that they remember again, under a key that no attempt has.

--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -100,11 +100,13 @@
                 None => self.await_agreement(now, serial, effects),
             };
         };
-        match streams::recorded_origin(stream, rows) {
+        match streams::recorded_origin(stream, rows, self.store_era.unwrap_or(0)) {
             Recorded::Origin(origin) => {
                 return self.resume_from(now, serial, &origin, Source::Record, effects);
             }
-            Recorded::Unreadable => return self.refuse_unknown(now, serial, effects),
+            Recorded::Unreadable | Recorded::Restored => {
+                return self.refuse_unknown(now, serial, effects);
+            }
             Recorded::Nothing => {}
         }
         if let Some(former) = former
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -5,7 +5,8 @@
 //! them after it was killed. Records that wait are written together, one transaction for each table at a time.
 //!
 //! A restore of the table service may lose records, and a new default version changes what their absence means. Then
-//! each entry records all streams that it remembers.
+//! each entry records all streams that it remembers. Until then the record of an attempt from before the restore proves
+//! nothing, since that of a later attempt may be lost.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -281,12 +282,14 @@
     Nothing,
     /// A record that can't be read.
     Unreadable,
+    /// The record of an attempt from before the table service was restored, which may have lost that of a later one.
+    Restored,
     /// The record of its last attempt.
     Origin(Origin),
 }
 
-/// Returns what the records of a stream tell of its origin.
-pub(crate) fn recorded_origin(stream: Key, rows: &[Row]) -> Recorded {
+/// Returns what the records of a stream tell of its origin, in an era of the table service.
+pub(crate) fn recorded_origin(stream: Key, rows: &[Row], era: u64) -> Recorded {
     let is_of_account = |row: &&Row| {
         let account = row.value.get("account").and_then(Value::as_u64);
         account.is_none_or(|account| account == stream.account)
@@ -295,7 +298,10 @@
         return Recorded::Nothing;
     };
     let text = |name: &str| last.value.get(name).and_then(Value::as_str);
+    let written_in = last.value.get("era").and_then(Value::as_u64).unwrap_or(0);
+    let is_final = last.key.starts_with(begun_prefix(stream).as_str());
     match text("version") {
+        Some(_) if written_in < era && !is_final => Recorded::Restored,
         Some(version) => Recorded::Origin(Origin {
             service: text("service").map(SmolStr::new),
             version: SmolStr::new(version),
@@ -316,11 +322,13 @@
             let count = records.waiting.len().min(MAX_ROWS);
             records.in_flight = records.waiting.drain(..count).collect();
             let unix_ms = |at: Time| self.usage.unix_ms(at);
+            let era = self.store_era.unwrap_or(0);
             let rows = records.in_flight.iter().map(|record| {
                 let value = json!({
                     "service": record.service,
                     "version": record.version,
                     "account": record.stream.account,
+                    "era": era,
                     "until_ms": unix_ms(record.until),
                 });
                 (record.key(), value)
@@ -460,6 +468,12 @@
     }
 }
 
+/// Returns the start of the keys of a stream's records that state what began it, whatever its attempts were.
+fn begun_prefix(stream: Key) -> SmolStr {
+    let prefix = stream.prefix();
+    format_smolstr!("{prefix}{BEGUN:04}/")
+}
+
 fn table_name(table: u64) -> SmolStr {
     format_smolstr!("{TABLE_PREFIX}{table:x}")
 }
