Gateway: each resumable stream is sent only to the listed process of its server

A server that came back in place at another version, before its row arrived, got new streams as long as the list held one version, since the question which process it is is priced as a probe. Such a stream was taken for one of the listed version: its entry, or the one to which its caller returned, went on with it there. Rows are late for as long as the table service is away.

A connection is asked once before a resumable stream is first sent on it. That is one question for each new connection, and none on a kept one.

--- a/crates/gateway/src/restarts.rs
+++ b/crates/gateway/src/restarts.rs
@@ -57,14 +57,11 @@
         has_failed || self.restarts.replaced.contains(&incarnation)
     }
 
-    /// Returns whether a request may reach only the listed process of its replica: its stream goes on at a fixed version, or
-    /// begins where several ones serve.
+    /// Returns whether a request may reach only the listed process of its replica: its stream may go on elsewhere, at the
+    /// version that is listed.
     pub(crate) fn is_bound_to_process(&self, serial: u64) -> bool {
-        let Some(open) = self.requests.get(&serial) else {
-            return false;
-        };
-        let may_begin_mixed = open.repeat.is_resumable() && self.versions.are_mixed(&open.service);
-        open.is_bound_to_version() || may_begin_mixed
+        let open = self.requests.get(&serial);
+        open.is_some_and(|open| open.repeat.is_resumable())
     }
 
     /// Trusts servers again once the list is newer than their failures, and forgets replaced ones with their rows.
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -227,12 +227,6 @@
         known.is_some_and(|known| known.is_mixed() && !known.is_proven(now))
     }
 
-    /// Returns whether several versions of a service have replicas.
-    pub fn are_mixed(&self, service: &str) -> bool {
-        let known = self.services.get(service);
-        known.is_some_and(Service::is_mixed)
-    }
-
     /// Returns the version of all replicas, if they run the same.
     pub fn only(&self, service: &str) -> Option<&SmolStr> {
         let counts = &self.services.get(service)?.counts;
