Gateway: an entry that started after a change of a route's shares learns of the former ones

A stream without a record began before the last change of its route's shares, and is drawn by the former ones.

Entries state the former shares that callers may still return by, and take over those of others. Until an entry knows of as much time as callers take to return, streams of a split route are recorded, and a missing record proves no service.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -15,6 +15,7 @@
 use crate::limits::Reports;
 use crate::releases;
 use crate::releases::Statement;
+use crate::route_shares;
 use crate::usage::Windows;
 use crate::work::Work;
 
@@ -72,6 +73,9 @@
     /// Time before now for which `versions` names all that served, by service, milliseconds.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub versions_known_for: BTreeMap<SmolStr, u64>,
+    /// Shares of routes that were in force before the present ones.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub former_shares: route_shares::Statement,
     /// Samples of the servers' speed since the sender's last bulletin, by the hash of the incarnation; none in a sum.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub paces: BTreeMap<u64, Pace>,
@@ -148,6 +152,7 @@
             let into = self.versions_known_for.entry(service.clone()).or_default();
             *into = (*into).max(*millis);
         }
+        route_shares::merge(&mut self.former_shares, &one.former_shares);
         limits::merge_newest(&mut self.limits, &one.limits);
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -253,9 +253,7 @@
         if !route.repeat.is_resumable() {
             return (service, None);
         }
-        let oldest = self.route_shares.oldest(now, &route.name);
-        let former = oldest.map(|shares| route_shares::choose(shares, drawn));
-        let Some(former) = former.filter(|former| *former != service) else {
+        let Some(former) = self.former_service(now, &route.name, drawn, &service) else {
             return (service, None);
         };
         let is_on_route = route.shares.iter().any(|share| share.service == former);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -277,6 +277,7 @@
             offered: self.plans.own_rates(now),
             versions: Some(self.statement(now)),
             versions_known_for: self.coverage_millis(now),
+            former_shares: self.route_shares.statement(now),
             ..Bulletin::default()
         };
         if self.uses_hubs() {
@@ -383,6 +384,7 @@
         self.handle_limit_reports(now, &bulletin.limits, effects);
         self.handle_cleared_parts(now, &bulletin.cleared, effects);
         self.absorb_paces(now, peer, &mut bulletin);
+        self.route_shares.absorb(now, &bulletin.former_shares);
         if bulletin.versions.is_some() {
             let age = Span::from_millis(item.age_ms);
             let me = self.identity.incarnation.0;
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -68,7 +68,8 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        let (stream, is_certain) = (open.stream, open.former_service.is_none());
+        let is_certain = open.former_service.is_none() && self.knows_former_shares(now, open);
+        let stream = open.stream;
         if let Some(origin) = self.streams.origin_of(stream) {
             return self.resume_from(now, serial, &origin, Source::Memory, effects);
         }
@@ -89,15 +90,18 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        let (stream, former) = (open.stream, open.former_service.clone());
+        let knows_former_shares = self.knows_former_shares(now, open);
+        let (stream, route, service) = (open.stream, open.route.clone(), open.service.clone());
+        // Others may have stated former shares since the request arrived.
+        let former = self.former_service(now, &route, stream.fraction(), &service);
         // The last record counts, which a page with more behind it doesn't hold.
         let Outcome::Rows {
             rows, more: false, ..
         } = outcome
         else {
             return match former {
-                Some(_) => self.refuse_unknown(now, serial, effects),
-                None => self.await_agreement(now, serial, effects),
+                None if knows_former_shares => self.await_agreement(now, serial, effects),
+                _ => self.refuse_unknown(now, serial, effects),
             };
         };
         match streams::recorded_origin(stream, rows, self.store_era.unwrap_or(0)) {
@@ -107,6 +111,9 @@
             Recorded::Unreadable | Recorded::Restored => {
                 return self.refuse_unknown(now, serial, effects);
             }
+            Recorded::Nothing if !knows_former_shares => {
+                return self.refuse_unknown(now, serial, effects);
+            }
             Recorded::Nothing => {}
         }
         if let Some(former) = former
@@ -212,6 +219,10 @@
     /// Records the version of an attempt that may begin a stream, unless all entries know it anyway; returns
     /// whether the first event must wait for that. A stream without a record would be taken for one of the default version.
     pub(crate) fn record_version(&mut self, now: Time, serial: u64, version: SmolStr) -> bool {
+        let Some(open) = self.requests.get(&serial) else {
+            return false;
+        };
+        let knows_former_shares = self.knows_former_shares(now, open);
         let Some(open) = self.requests.get_mut(&serial) else {
             return false;
         };
@@ -221,7 +232,7 @@
         let is_default = self.versions.default_of(now, &open.service) == Some(&version);
         let latest = open.record.as_ref();
         let is_recorded = latest.is_some_and(|one| one.is_written && one.version == version);
-        let is_certain = is_default && open.former_service.is_none();
+        let is_certain = is_default && open.former_service.is_none() && knows_former_shares;
         if is_recorded || is_certain && latest.is_none() {
             return false;
         }
--- a/crates/gateway/src/route_shares.rs
+++ b/crates/gateway/src/route_shares.rs
@@ -2,7 +2,8 @@
 //!
 //! A stream is drawn for a service by its key and the shares in force, and a caller that takes it up must get the service
 //! that began it. After a change of shares, streams for which the draws differ are recorded with their service; one
-//! without a record began before the change.
+//! without a record began before the change. Entries that start later learn of former shares from others, and take no
+//! missing record for proof until then.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -10,6 +11,8 @@
 use clock::Span;
 use clock::Time;
 use line::Line;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use verdict::Reason;
 use verdict::Refusal;
@@ -18,6 +21,7 @@
 use crate::catalog::Share;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
+use crate::request::Request;
 use crate::versions::RETURN_WINDOW;
 
 /// Time in which all entries apply a change of shares.
@@ -29,6 +33,19 @@
     by_route: BTreeMap<SmolStr, VecDeque<Former>>,
 }
 
+/// Former shares as entries tell each other, by route.
+pub type Statement = BTreeMap<SmolStr, Vec<Stated>>;
+
+/// Shares that a change replaced, as another entry knows them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Stated {
+    /// Services with their weights.
+    pub shares: Vec<(SmolStr, f64)>,
+    /// Time for which callers may still take up streams that were drawn by them, milliseconds.
+    pub left_ms: u64,
+}
+
 /// Shares that a change replaced.
 #[derive(Debug)]
 struct Former {
@@ -53,6 +70,45 @@
         }
     }
 
+    /// Returns the former shares for other entries.
+    pub fn statement(&self, now: Time) -> Statement {
+        let state = |former: &Former| Stated {
+            shares: former
+                .shares
+                .iter()
+                .map(|share| (share.service.clone(), share.weight))
+                .collect(),
+            left_ms: former.until.since(now).as_millis(),
+        };
+        let routes = self.by_route.iter();
+        let stated = routes.map(|(route, formers)| {
+            let in_use = formers.iter().filter(|former| former.until > now);
+            (route.clone(), in_use.map(state).collect::<Vec<_>>())
+        });
+        stated.filter(|(_, formers)| !formers.is_empty()).collect()
+    }
+
+    /// Takes over former shares that another entry knows.
+    pub fn absorb(&mut self, now: Time, statement: &Statement) {
+        for (route, formers) in statement {
+            let known = self.by_route.entry(route.clone()).or_default();
+            for stated in formers {
+                let shares = stated.shares.iter().map(|(service, weight)| Share {
+                    service: service.clone(),
+                    weight: *weight,
+                });
+                let former = Former {
+                    shares: shares.collect(),
+                    until: now + Span::from_millis(stated.left_ms),
+                };
+                if known.iter().all(|one| one.shares != former.shares) {
+                    let later = known.iter().position(|one| one.until > former.until);
+                    known.insert(later.unwrap_or(known.len()), former);
+                }
+            }
+        }
+    }
+
     /// Returns the oldest shares by which a caller's stream may have been drawn, if they aren't the present ones.
     pub fn oldest(&mut self, now: Time, route: &SmolStr) -> Option<&[Share]> {
         let formers = self.by_route.get_mut(route)?;
@@ -77,7 +133,42 @@
     last.map(|share| share.service.clone()).unwrap_or_default()
 }
 
+/// Adds former shares to those of a sum.
+pub(crate) fn merge(into: &mut Statement, one: &Statement) {
+    for (route, formers) in one {
+        let into = into.entry(route.clone()).or_default();
+        for former in formers {
+            if into.iter().all(|known| known.shares != former.shares) {
+                into.push(former.clone());
+            }
+        }
+    }
+}
+
 impl Gateway {
+    /// Returns the service for which a request's stream would have been drawn by former shares, if that is another one than
+    /// the present one.
+    pub(crate) fn former_service(
+        &mut self,
+        now: Time,
+        route: &SmolStr,
+        drawn: f64,
+        service: &SmolStr,
+    ) -> Option<SmolStr> {
+        let shares = self.route_shares.oldest(now, route)?;
+        Some(choose(shares, drawn)).filter(|former| former != service)
+    }
+
+    /// Returns whether this entry knows all shares of a request's route by which its stream may have been drawn.
+    pub(crate) fn knows_former_shares(&self, now: Time, open: &Request) -> bool {
+        let catalog = self.catalog.as_ref();
+        let mut routes = catalog.into_iter().flat_map(|catalog| catalog.routes());
+        let route = routes.find(|route| route.name == open.route);
+        let is_split = route.is_some_and(|route| route.shares.len() > 1);
+        let known = self.versions.services.get(&open.service);
+        !is_split || known.is_some_and(|known| known.coverage(now) >= RETURN_WINDOW)
+    }
+
     /// Assigns a request to the service that began its stream. Returns false, and refuses the request, if the
     /// route doesn't lead there any more.
     pub(crate) fn assign_service(
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -772,6 +772,37 @@
     }
 }
 
+/// Guards against the same at, or through, entries that started after the change and know nothing of the shares before.
+#[test]
+fn a_stream_goes_on_at_its_service_where_an_entry_started_after_a_change_of_shares() {
+    for entries in [3, 20] {
+        let mut world = two_services(entries);
+        let before = begin_shared(&mut world, 0, "before");
+        world.weights = [0.05, 0.5];
+        world.reconfigure();
+        world.run(1_000);
+        world.start(1);
+        let mut at_once = begin_shared(&mut world, 1, "at-once");
+        // Some wait for the quota, as the entry has just started.
+        at_once.retain(|(_, service)| service.is_some());
+        assert!(at_once.len() > STREAMS / 2);
+        assert_eq!(resume_shared(&mut world, 0, &at_once).1, 0, "{entries}");
+        world.start(1);
+        assert_eq!(resume_shared(&mut world, 1, &before).1, 0, "{entries}");
+        world.run(JOIN_MILLIS);
+        let (resumed, mixed) = resume_shared(&mut world, 1, &before);
+        assert_eq!(mixed, 0, "{entries}");
+        assert!(resumed > STREAMS / 2, "{entries}: {resumed}");
+        for entry in 0..entries {
+            world.start(entry);
+        }
+        for _ in 0..3 {
+            assert_eq!(resume_shared(&mut world, 1, &before).1, 0, "{entries}");
+            world.run(1_000);
+        }
+    }
+}
+
 /// Guards against the same while nothing can be recorded.
 #[test]
 fn a_stream_goes_on_at_its_service_while_the_table_service_is_away() {
