--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -224,6 +224,10 @@
     pub message_delays: BTreeMap<usize, u64>,
     /// Messages on their way, with the time of their arrival, by receiver.
     delayed_messages: BTreeMap<usize, VecDeque<(u64, Event)>>,
+    /// Entries that are paused.
+    pub frozen: BTreeSet<usize>,
+    /// Events that reached paused entries, in order.
+    held_events: BTreeMap<usize, Vec<Event>>,
     /// Entries cut off from all messages.
     pub partitioned: BTreeSet<usize>,
     /// Entries on one side of a partition, which exchange messages among themselves only.
@@ -327,6 +331,8 @@
             request_age: 0,
             message_delays: BTreeMap::new(),
             delayed_messages: BTreeMap::new(),
+            frozen: BTreeSet::new(),
+            held_events: BTreeMap::new(),
             partitioned: BTreeSet::new(),
             separated: BTreeSet::new(),
             charges_hang: false,
@@ -397,8 +403,18 @@
         ZERO_UNIX_MS + self.now
     }
 
+    /// Lets a paused entry go on: it handles what has reached it meanwhile.
+    pub fn thaw(&mut self, entry: usize) {
+        self.frozen.remove(&entry);
+        for event in self.held_events.remove(&entry).unwrap_or_default() {
+            self.step(entry, event);
+        }
+    }
+
     /// Kills an entry's process.
     pub fn kill(&mut self, entry: usize) {
+        self.frozen.remove(&entry);
+        self.held_events.remove(&entry);
         self.processes[entry] = None;
     }
 
@@ -1140,6 +1156,14 @@
         // Events keep their order, as on connections.
         let mut events = VecDeque::from([(entry, event)]);
         while let Some((entry, event)) = events.pop_front() {
+            if self.frozen.contains(&entry) {
+                let held = self.held_events.entry(entry).or_default();
+                match event {
+                    Event::Tick => {}
+                    event => held.push(event),
+                }
+                continue;
+            }
             let Some(process) = &mut self.processes[entry] else {
                 continue;
             };
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -53,6 +53,7 @@
     Run { entry: usize },
     Answer,
     Exchange { entry: usize },
+    Thaw { entry: usize },
     Hurry { entry: usize },
     Sound,
     Restore,
@@ -245,6 +246,7 @@
             Change::Hurry { entry } => {
                 self.world.message_delays.remove(&entry);
             }
+            Change::Thaw { entry } => self.world.thaw(entry),
             Change::Sound => self.set_store_faults(Faults::default()),
             Change::Restore => {
                 if let Some(copy) = self.copy.take() {
@@ -471,7 +473,7 @@
         let share = [0.1, 0.3, 0.6][self.between(0, 2) as usize];
         let entries = self.some_entries(share);
         let lasts = self.between(500, 9_000);
-        match self.between(0, 12) {
+        match self.between(0, 13) {
             0 | 1 => {
                 self.note(format!("store cut {entries:?} {lasts}"));
                 for entry in entries {
@@ -532,6 +534,13 @@
             }
             9 | 10 => self.release(),
             11 => self.crash(),
+            12 => {
+                self.note(format!("entries paused {entries:?} {lasts}"));
+                for entry in entries {
+                    self.world.frozen.insert(entry);
+                    self.later(lasts, Change::Thaw { entry });
+                }
+            }
             _ if self.kinds.restored && self.copy.is_none() => {
                 self.copy = Some(self.world.table.clone());
                 let age = self.between(200, 3_000);
@@ -673,3 +682,13 @@
     };
     play_all(20, kinds, 15..21);
 }
+
+/// Guards against the same under all of these faults.
+#[test]
+fn all_faults_at_random_mix_no_versions() {
+    let kinds = Kinds {
+        replaced: true,
+        restored: true,
+    };
+    play_all(20, kinds, 1..5);
+}
