Gateway: knowledge of versions outlives a failed read; former shares aren't passed round without end

An entry whose reads had failed for 5 s knew versions only from then on, so that after an outage of the table service nobody had known them for long enough, and for a minute returns on split routes would have been refused. And former shares that one entry had forgotten could come back from another that forgets them milliseconds later, and so on: those with less than the time of a change left aren't taken over. record_version looks its request up once.

--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -11,7 +11,6 @@
 use crate::servers;
 use crate::servers::DEFAULT_NOTICE;
 use crate::servers::endpoint_of;
-use crate::versions::LIST_DELAY;
 use watch::server::Reading;
 use watch::server::Removal;
 use watch::server::Server;
@@ -53,9 +52,6 @@
         if std::mem::take(&mut self.list_unavailable) {
             self.servers
                 .distrust_until(now + self.settings.missing_row_grace);
-            if now.since(self.servers.position().confirmed_at) >= LIST_DELAY {
-                self.versions.restart_coverage(now);
-            }
         }
         if self.servers_known_since == Time::ZERO {
             self.servers_known_since = now;
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -135,8 +135,8 @@
             .collect()
     }
 
-    /// Handles the statement in another entry's bulletin, which was made `age` ago, without the time on its way, and after `made_after`, if
-    /// that is known.
+    /// Handles the statement in another entry's bulletin, which was made `age` ago, without the time on its way, and after
+    /// `made_after`, if that is known.
     pub(crate) fn handle_statement(
         &mut self,
         now: Time,
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -222,20 +222,20 @@
         let Some(open) = self.requests.get(&serial) else {
             return false;
         };
-        let knows_former_shares = self.knows_former_shares(now, open);
-        let Some(open) = self.requests.get_mut(&serial) else {
-            return false;
-        };
         if !open.repeat.is_resumable() || open.version.is_some() {
             return false;
         }
         let is_default = self.versions.default_of(now, &open.service) == Some(&version);
         let latest = open.record.as_ref();
         let is_recorded = latest.is_some_and(|one| one.is_written && one.version == version);
-        let is_certain = is_default && open.former_service.is_none() && knows_former_shares;
+        let is_certain =
+            is_default && open.former_service.is_none() && self.knows_former_shares(now, open);
         if is_recorded || is_certain && latest.is_none() {
             return false;
         }
+        let Some(open) = self.requests.get_mut(&serial) else {
+            return false;
+        };
         open.record = Some(LatestRecord {
             attempt: open.attempt,
             version: version.clone(),
--- a/crates/gateway/src/route_shares.rs
+++ b/crates/gateway/src/route_shares.rs
@@ -88,11 +88,13 @@
         stated.filter(|(_, formers)| !formers.is_empty()).collect()
     }
 
-    /// Takes over former shares that another entry knows.
+    /// Takes over former shares that another entry knows, unless they are about to be forgotten: entries would remind each
+    /// other of them without end.
     pub fn absorb(&mut self, now: Time, statement: &Statement) {
         for (route, formers) in statement {
             let known = self.by_route.entry(route.clone()).or_default();
-            for stated in formers {
+            let lasting = |stated: &&Stated| stated.left_ms >= APPLY_TIME.as_millis();
+            for stated in formers.iter().filter(lasting) {
                 let shares = stated.shares.iter().map(|(service, weight)| Share {
                     service: service.clone(),
                     weight: *weight,
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -24,7 +24,7 @@
 /// it: half of [`RETURN_WINDOW`].
 const DOUBT_AFTER: Span = Span::from_seconds(30);
 /// Time after which the list of servers has reached all entries that can replace the default version.
-pub(crate) const LIST_DELAY: Span = Span::from_seconds(5);
+const LIST_DELAY: Span = Span::from_seconds(5);
 
 /// The versions of all services that have resumable streams.
 #[derive(Debug, Default)]
@@ -113,11 +113,6 @@
         }
     }
 
-    /// Covers only the time from now on.
-    fn restart_coverage(&mut self, now: Time) {
-        self.coverage = Some(Coverage::new(now));
-    }
-
     /// Returns the time before now for which this entry itself knows all versions that served.
     pub fn own_coverage(&self, now: Time) -> Span {
         let coverage = self.coverage.as_ref();
@@ -247,13 +242,6 @@
         }
     }
 
-    /// Covers only the time from now on, since this entry didn't follow the list of servers for a while.
-    pub fn restart_coverage(&mut self, now: Time) {
-        for known in self.services.values_mut() {
-            known.restart_coverage(now);
-        }
-    }
-
     /// Keeps a request until the service's default version is known.
     pub fn await_default(&mut self, service: &SmolStr, serial: u64) {
         let known = self.services.entry(service.clone()).or_default();
