--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -241,14 +241,25 @@
             }
             return is_new;
         }
+        // A row of an earlier process may be written late.
+        let is_latest = !self.has_later_process(&server);
         self.remove_previous_incarnations(now, &server, effects);
         let is_past = self.servers.is_leaving(&incarnation) || self.servers.has_ended(&incarnation);
         if !server.leaving && !is_past {
+            if is_latest {
+                self.correct_origins(now, &server, effects);
+            }
             self.server_joined(now, server, effects);
         }
         is_new
     }
 
+    /// Returns whether a process of a server is known that started after the one of a row.
+    fn has_later_process(&self, row: &Server) -> bool {
+        let mut servers = self.servers.iter().map(|known| &known.server);
+        servers.any(|known| known.id == row.id && known.started_unix_ms > row.started_unix_ms)
+    }
+
     /// Removes earlier incarnations of a server.
     fn remove_previous_incarnations(
         &mut self,
@@ -275,7 +286,6 @@
         effects.push(Effect::OpenServer {
             endpoint: endpoint_of(&server),
         });
-        self.correct_origins(now, &server, effects);
         let pool = self.replica_pool(&server);
         self.add_replica(now, server, pool, effects);
     }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -472,6 +472,30 @@
     assert!(further.all(|sent| sent.server == "s0#2"));
 }
 
+/// Guards against the same for a stream of the listed process, since the row of an earlier one was written late.
+#[test]
+fn a_late_row_of_an_earlier_process_changes_no_stream() {
+    let mut world = world(1, false);
+    let started = world.unix_ms();
+    restart_first_server(&mut world);
+    world.publish_servers();
+    world.run(3_000);
+    let stream = (0..STREAMS)
+        .map(|_| world.begin_stream(0))
+        .find(|(_, version)| version.as_deref() == Some("v2"));
+    let (stream, _) = stream.unwrap();
+    let late = &mut world.servers[0];
+    late.incarnation = "s0#1b".into();
+    late.version = "v1".into();
+    late.started_unix_ms = Some(started - 700);
+    world.publish_servers();
+    let sent = world.sent_requests.len();
+    world.end_latest(stream, End::Broken { alive: true });
+    world.run(100);
+    let further = world.sent_requests[sent..].iter();
+    assert_eq!(further.filter(|sent| sent.serial == stream).count(), 0);
+}
+
 /// Guards against the default version for a stream whose record can't be read.
 #[test]
 fn a_stream_whose_record_is_unreadable_is_refused() {
