--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -45,23 +45,36 @@
 /// A change to come.
 #[derive(Clone, Debug)]
 enum Change {
+    /// A server's row is written.
     Write(Server),
+    /// A server's row is removed.
     Remove(SmolStr),
+    /// A server's process starts; its row follows.
     Start(Server),
+    /// A server's process ends.
     Stop(SmolStr),
+    /// An entry reaches the table service again.
     Reach { entry: usize },
+    /// An entry starts.
     Run { entry: usize },
+    /// The table service answers again.
     Answer,
+    /// An entry exchanges messages again.
     Exchange { entry: usize },
+    /// A paused entry goes on.
     Thaw { entry: usize },
+    /// Messages to an entry are in time again.
     Hurry { entry: usize },
+    /// Calls of the table service no longer fail.
     Sound,
+    /// The table service comes back from a copy.
     Restore,
 }
 
 /// A stream of a caller.
 #[derive(Clone, Debug)]
 struct Stream {
+    /// Number of the request that began it.
     serial: u64,
     begun_at: u64,
     /// Version of its first event, with the request that brought it.
@@ -86,20 +99,28 @@
     world: World,
     random: Pcg64Mcg,
     backends: BTreeMap<SmolStr, Backend>,
+    /// Changes by time and number.
     changes: BTreeMap<(u64, u64), Change>,
+    /// Number of the last change, which also names servers.
     changed: u64,
     streams: Vec<Stream>,
     open: BTreeMap<u64, Open>,
     /// Callers that return: time and stream.
     returning: BTreeSet<(u64, usize)>,
+    /// When each entry reads the list of servers next.
     next_read: BTreeMap<usize, u64>,
+    /// Times until which lists don't reach entries.
     lists_held: BTreeMap<usize, u64>,
+    /// The copy from which the table service is restored.
     copy: Option<store::fake::Table>,
-    /// Whether servers come back at other versions, and the store loses what it acknowledged.
     kinds: Kinds,
+    /// Attempts that were looked at.
     seen: usize,
+    /// Streams that held events of two versions.
     mixed: Vec<String>,
+    /// First events of callers that returned.
     resumed: u32,
+    /// What happened, for the log.
     history: Vec<String>,
 }
 
