--- a/crates/gateway/src/coverage.rs
+++ b/crates/gateway/src/coverage.rs
@@ -1,7 +1,7 @@
 //! For how long before now an entry knows which software versions of a service have served.
 //!
 //! An entry that has just started knows what serves, but not what served before. That it knows of no other version proves
-//! nothing about that time, unless an entry that was there says so.
+//! nothing about that time, unless an entry that ran then states the same.
 
 use clock::Span;
 use clock::Time;
@@ -37,8 +37,8 @@
         self.stated = self.stated.max(span - now.since(self.since));
     }
 
-    /// Returns the time before now that this entry covers by itself. Others can't pass on what they were told, as its age
-    /// would be lost on the way.
+    /// Returns the time before now that this entry covers without statements of others. Those aren't passed on, since their
+    /// age would be lost on the way.
     pub fn own_span(&self, now: Time) -> Span {
         now.since(self.since) + self.before
     }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -43,7 +43,7 @@
     seen: BTreeMap<SmolStr, Time>,
     /// The same according to other entries.
     heard: BTreeMap<SmolStr, Time>,
-    /// The time that `seen` and `heard` cover; `None` before the list of servers is known.
+    /// Time that `seen` and `heard` cover; `None` before the list of servers is known.
     coverage: Option<Coverage>,
     pub default: Option<Stored>,
     /// When the default must be read again, since it may have been lost or replaced.
