--- a/crates/gateway/src/route_shares.rs
+++ b/crates/gateway/src/route_shares.rs
@@ -163,12 +163,14 @@
 
     /// Returns whether this entry knows all shares of a request's route by which its stream may have been drawn.
     pub(crate) fn knows_former_shares(&self, now: Time, open: &Request) -> bool {
+        let known = self.versions.services.get(&open.service);
+        if known.is_some_and(|known| known.coverage(now) >= RETURN_WINDOW) {
+            return true;
+        }
         let catalog = self.catalog.as_ref();
         let mut routes = catalog.into_iter().flat_map(|catalog| catalog.routes());
         let route = routes.find(|route| route.name == open.route);
-        let is_split = route.is_some_and(|route| route.shares.len() > 1);
-        let known = self.versions.services.get(&open.service);
-        !is_split || known.is_some_and(|known| known.coverage(now) >= RETURN_WINDOW)
+        route.is_none_or(|route| route.shares.len() <= 1)
     }
 
     /// Assigns a request to the service that began its stream. Returns false, and refuses the request, if the
