Gateway: a default version holds only for as long as nobody can have replaced it; replacements take two steps

Cause: an entry that starts while the default version has no servers reads its row and dates the absence from then on. Another entry, which has seen the whole absence, replaces the default after a minute and begins streams at the new one without a record. When servers of the former default come back within 30 s of the first entry's start, that one never doubts its row: it takes each stream without a record for one of the former default. The same holds after every read, which started the absence anew. Time that an entry didn't see counted as time in which nothing happened.

Change: a row holds for 40 s after any moment at which the list had servers of its version, if there was such a moment before the read; later ones extend it without a gap, and after a gap the row is read again. Before its replacement a default is marked as retiring, and it is replaced only by an entry whose list was requested after that. So a row without the mark proves that no replacement is on its way, which the table service may apply late. An entry replaces only while its list isn't out of date, and while no other has stated for a minute that it knows servers of the default, including ones that leave. Entries state the revision of a default that replaced another; the others read it. Streams at the default begin unrecorded for 40 s longer than the row certainly holds, since a new default proves nothing for two minutes, and while the table service is away for as long as other entries answer and name no newer one. A caller whose entry waits for a read of the default that fails is decided on at once.

Ruled out: a late list (list_age_ms is small in all lines), a lost record (none was due), clocks (all are right in these plays).

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -73,6 +73,9 @@
     /// Time before now for which `versions` names all that served, by service, milliseconds.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub versions_known_for: BTreeMap<SmolStr, u64>,
+    /// Revisions of the default versions that have replaced others lately, by service.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub default_revisions: BTreeMap<SmolStr, u64>,
     /// Shares of routes that were in force before the present ones.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub former_shares: route_shares::Statement,
@@ -152,6 +155,10 @@
             let into = self.versions_known_for.entry(service.clone()).or_default();
             *into = (*into).max(*millis);
         }
+        for (service, revision) in &one.default_revisions {
+            let into = self.default_revisions.entry(service.clone()).or_default();
+            *into = (*into).max(*revision);
+        }
         route_shares::merge(&mut self.former_shares, &one.former_shares);
         limits::merge_newest(&mut self.limits, &one.limits);
     }
--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -1,9 +1,12 @@
 //! Rows of the table service that hold the default version of each service.
 //!
-//! The first entry that finds none proposes the version of most replicas; a default whose replicas have been gone for
-//! long enough is replaced in the same way. A row states since when it has been in force, and the era of the table
-//! service in which it was written. In a later era streams may have lost their records, so the first entry that
-//! reads such a row writes it again.
+//! The first entry that finds none proposes the version of most replicas. A default whose replicas have been gone for
+//! long enough is replaced in two steps: it is marked as retiring, and then replaced by an entry whose list shows that
+//! its replicas were still gone when it was marked. So a row without the mark proves that no replacement is on its way, which the
+//! table service might apply seconds late. A marked default whose replicas are back is written without the mark.
+//!
+//! A row states since when it has been in force, and the era of the table service in which it was written. In a later era
+//! streams may have lost their records, so the first entry that reads such a row writes it again.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -27,8 +30,10 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::store_calls::Waiter;
+use crate::versions::ListState;
 use crate::versions::RETURN_WINDOW;
 use crate::versions::REVIEW_INTERVAL;
+use crate::versions::Service;
 use crate::versions::Stored;
 
 /// Table of the default versions, by service.
@@ -42,7 +47,7 @@
 /// Time from which a default in force proves anything: no caller returns to an older stream by then, whatever the
 /// difference of clocks.
 const PROOF_DELAY: Span = Span::from_seconds(120);
-/// Time for each entry over which all of them read the defaults again after a restore.
+/// Time for each entry over which all of them read the defaults again after a restore or a replacement.
 const REREAD_SPREAD: Span = Span::from_millis(5);
 
 impl Gateway {
@@ -72,10 +77,13 @@
                 *of_service.entry(server.version.clone()).or_default() += 1;
             }
         }
-        let list_lag = self.list_lag(now);
+        let list = ListState {
+            as_of: self.servers.position().as_of,
+            is_outdated: self.is_list_outdated(),
+        };
         for service in services {
             let counts = counts.remove(&service).unwrap_or_default();
-            self.review_service(now, service, counts, list_lag);
+            self.review_service(now, service, counts, list);
         }
         self.settle_agreements(now, effects);
     }
@@ -86,13 +94,15 @@
         now: Time,
         service: SmolStr,
         counts: BTreeMap<SmolStr, usize>,
-        list_lag: Span,
+        list: ListState,
     ) {
         let known = self.versions.services.entry(service.clone()).or_default();
         let was_mixed = known.is_mixed();
-        known.review(now, counts, list_lag);
+        known.review(now, counts, list);
         let is_due = known.needs_call(now);
-        known.calling |= is_due;
+        if is_due {
+            known.begin_call(None);
+        }
         let becomes_mixed = known.is_mixed() && !was_mixed;
         if becomes_mixed && self.versions.needs_records(now, &service) {
             self.streams.record_all_begun(&service);
@@ -119,14 +129,6 @@
         self.list_unavailable || self.store_health.is_unavailable()
     }
 
-    /// Returns for how long the list of servers has been out of date.
-    fn list_lag(&self, now: Time) -> Span {
-        match self.is_list_outdated() {
-            true => now.since(self.servers.position().confirmed_at),
-            false => Span::ZERO,
-        }
-    }
-
     /// Follows the era of the table service: after a restore, all defaults are read again, and stages of roll-outs written.
     pub(crate) fn observe_era(&mut self, now: Time, revision: u64, effects: &mut Vec<Effect>) {
         let era = Revision::unpacked(revision).era;
@@ -139,10 +141,41 @@
         let line = Line::warn("table_service_restored").with("era", era);
         effects.push(Effect::Log(line));
         self.rewrite_stages();
-        let spread = REREAD_SPREAD.times(u64::from(self.entry_count()));
-        let delay = spread.scaled(self.random.random::<f64>());
+        let at = now + self.reread_delay();
         for known in self.versions.services.values_mut() {
-            known.read_again(now + delay);
+            known.read_again(at);
+        }
+    }
+
+    /// Draws a delay so that all entries don't read the defaults at the same moment.
+    fn reread_delay(&mut self) -> Span {
+        let spread = REREAD_SPREAD.times(u64::from(self.entry_count()));
+        spread.scaled(self.random.random::<f64>())
+    }
+
+    /// Returns the revisions of the defaults that have replaced others lately, by service.
+    pub(crate) fn default_revisions(&self, now: Time) -> BTreeMap<SmolStr, u64> {
+        let span = PROOF_DELAY;
+        let services = self.versions.services.iter();
+        services
+            .filter_map(|(service, known)| Some((service.clone(), known.new_revision(now, span)?)))
+            .collect()
+    }
+
+    /// Handles the revisions of the defaults that another entry goes by.
+    pub(crate) fn handle_default_revisions(
+        &mut self,
+        now: Time,
+        revisions: &BTreeMap<SmolStr, u64>,
+    ) {
+        if revisions.is_empty() {
+            return;
+        }
+        let at = now + self.reread_delay();
+        for (service, revision) in revisions {
+            if let Some(known) = self.versions.services.get_mut(service) {
+                known.record_revision(*revision, at);
+            }
         }
     }
 
@@ -178,7 +211,9 @@
                     self.set_default(now, service, stored, effects);
                 }
             }
-            Outcome::Row(_) | Outcome::Unavailable | Outcome::Unknown => {}
+            Outcome::Row(_) | Outcome::Unavailable | Outcome::Unknown => {
+                self.resume_waiting(now, service, effects);
+            }
         }
     }
 
@@ -198,28 +233,56 @@
         };
         let revision = row.as_ref().map(|row| row.revision);
         let stored = row.and_then(|row| self.decode(now, row));
-        let must_be_replaced = |stored: &Stored| {
-            let default = known.default.as_ref();
-            let is_same = default.is_some_and(|default| default.version == stored.version);
-            is_same && known.is_absent(now, RETURN_WINDOW)
-        };
-        match stored {
-            Some(stored) if !self.is_of_current_era(&stored) => {
-                self.propose_default(now, service, revision, Some(stored.version));
-            }
-            Some(stored) if !must_be_replaced(&stored) => {
-                self.set_default(now, service, stored, effects);
-            }
-            stored if self.may_propose(now) => {
-                let candidate = known
-                    .candidate()
-                    .filter(|candidate| stored.is_none_or(|stored| stored.version != *candidate));
+        let Some(stored) = stored else {
+            if self.may_propose(now) {
+                let candidate = known.candidate();
                 self.propose_default(now, service, revision, candidate);
             }
-            _ => {}
+            return;
+        };
+        let default = known.default.as_ref();
+        let is_same = default.is_some_and(|default| default.version == stored.version);
+        let must_be_replaced = is_same && known.is_replaceable(now);
+        let candidate = known.candidate();
+        if !self.is_of_current_era(&stored) {
+            return self.propose_default(now, service, revision, Some(stored.version));
+        }
+        if must_be_replaced && self.may_propose(now) && !self.is_list_outdated() {
+            match stored.is_retiring {
+                false => return self.write_mark(service, stored, true),
+                true if self.has_list_since_mark(service) => {
+                    return self.propose_default(now, service, revision, candidate);
+                }
+                true => {}
+            }
+        }
+        let is_retiring = stored.is_retiring;
+        self.set_default(now, service, stored.clone(), effects);
+        let known = self.versions.services.get(service);
+        if known.is_some_and(Service::is_back) {
+            self.write_mark(service, stored, false);
+        } else if is_retiring && must_be_replaced && !self.has_list_since_mark(service) {
+            effects.push(Effect::ReadServers);
         }
     }
 
+    /// Returns whether the list has all that was there when this entry learned that the default is to be replaced.
+    fn has_list_since_mark(&self, service: &str) -> bool {
+        let known = self.versions.services.get(service);
+        let marked_at = known.and_then(|known| known.retiring_since);
+        marked_at.is_some_and(|at| self.servers.position().as_of >= at)
+    }
+
+    /// Marks a default as retiring, or removes the mark.
+    fn write_mark(&mut self, service: &SmolStr, stored: Stored, is_retiring: bool) {
+        let revision = Some(stored.revision);
+        let marked = Stored {
+            is_retiring,
+            ..stored
+        };
+        self.write_default(service, revision, marked);
+    }
+
     /// Returns whether the table service wasn't restored since a default was written.
     fn is_of_current_era(&self, stored: &Stored) -> bool {
         stored.era == self.store_era.unwrap_or(0)
@@ -254,12 +317,18 @@
             revision: 0,
             era,
             since_unix_ms: (!is_first).then_some(unix_ms),
+            is_retiring: false,
             proven_from: if is_first {
                 Time::ZERO
             } else {
                 now + PROOF_DELAY
             },
         };
+        self.write_default(service, revision, proposed);
+    }
+
+    /// Writes a default, unless the row has changed since `revision`.
+    fn write_default(&mut self, service: &SmolStr, revision: Option<u64>, proposed: Stored) {
         let address = Address::new(TABLE, service.clone());
         let transaction = Transaction {
             token: service.clone(),
@@ -273,8 +342,7 @@
             }],
         };
         if let Some(known) = self.versions.services.get_mut(service) {
-            known.calling = true;
-            known.proposed = Some(proposed);
+            known.begin_call(Some(proposed));
         }
         let waiter = Waiter::DefaultVersion(service.clone());
         self.call_store(waiter, Call::Transact(transaction));
@@ -299,6 +367,7 @@
             .with("service", service)
             .with("version", &default.version)
             .with("revision", default.revision)
+            .with("retiring", default.is_retiring)
             .with("proven_in_ms", default.proven_from.since(now).as_millis());
         known.set_default(now, default);
         let repeated = match is_new && self.versions.needs_records(now, service) {
@@ -318,19 +387,25 @@
             let left = (since + PROOF_DELAY.as_millis()).saturating_sub(unix_ms);
             now + Span::from_millis(left).min(PROOF_DELAY)
         });
+        let is_retiring = row.value.get("retiring").and_then(Value::as_bool);
         Some(Stored {
             version: SmolStr::new(version),
             revision: row.revision,
             era: row.value.get("era").and_then(Value::as_u64).unwrap_or(0),
             since_unix_ms,
+            is_retiring: is_retiring.unwrap_or(false),
             proven_from,
         })
     }
 }
 
 fn encode(stored: &Stored) -> Value {
-    match stored.since_unix_ms {
-        Some(since) => json!({"version": stored.version, "era": stored.era, "since_ms": since}),
-        None => json!({"version": stored.version, "era": stored.era}),
+    let mut value = json!({"version": stored.version, "era": stored.era});
+    if let Some(since) = stored.since_unix_ms {
+        value["since_ms"] = json!(since);
+    }
+    if stored.is_retiring {
+        value["retiring"] = json!(true);
     }
+    value
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,4 +57,5 @@
 mod store_calls;
 mod streams;
 mod timeouts;
+mod trust;
 mod versions;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -277,6 +277,7 @@
             offered: self.plans.own_rates(now),
             versions: Some(self.statement(now)),
             versions_known_for: self.coverage_millis(now),
+            default_revisions: self.default_revisions(now),
             former_shares: self.route_shares.statement(now),
             ..Bulletin::default()
         };
@@ -385,6 +386,7 @@
         self.handle_cleared_parts(now, &bulletin.cleared, effects);
         self.absorb_paces(now, peer, &mut bulletin);
         self.route_shares.absorb(now, &bulletin.former_shares);
+        self.handle_default_revisions(now, &bulletin.default_revisions);
         if bulletin.versions.is_some() {
             let age = Span::from_millis(item.age_ms);
             let me = self.identity.incarnation.0;
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -149,7 +149,8 @@
         for (service, versions) in bulletin.versions.iter().flatten() {
             let known = self.versions.services.entry(service.clone()).or_default();
             for (version, millis) in versions {
-                known.record_heard(now, version, age + Span::from_millis(*millis));
+                let age = age + Span::from_millis(*millis);
+                known.record_heard(now, version, age);
             }
             if let Some(millis) = bulletin.versions_known_for.get(service) {
                 known.record_stated(now, age + Span::from_millis(*millis));
@@ -225,6 +226,13 @@
         }
     }
 
+    /// Returns whether another entry exchanges messages with this one, if there is any.
+    pub(crate) fn is_in_contact(&self, now: Time) -> bool {
+        let timeout = self.failure_timeout();
+        let mut peers = self.membership.peers().peekable();
+        peers.peek().is_none() || peers.any(|(_, peer)| now.since(peer.last_seen) <= timeout)
+    }
+
     /// Returns whether the list of servers contains all that was there at a time.
     fn is_list_newer(&self, at: Time) -> bool {
         self.servers.position().as_of >= at
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -125,9 +125,10 @@
             return;
         };
         let service = open.service.clone();
-        match self.versions.default_of(now, &service) {
-            Some(_) => self.resume_unrecorded(now, serial, effects),
-            None => self.versions.await_default(&service, serial),
+        let is_certain = self.versions.default_of(now, &service).is_some();
+        match !is_certain && self.versions.awaits_default(now, &service) {
+            true => self.versions.await_default(&service, serial),
+            false => self.resume_unrecorded(now, serial, effects),
         }
     }
 
@@ -143,12 +144,8 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        let list_age = self.list_age(now);
-        let proven = self
-            .versions
-            .proven_default(now, &open.service, list_age)
-            .cloned();
-        match proven {
+        let proven = self.versions.proven_default(now, &open.service);
+        match proven.cloned() {
             Some(version) => self.resume_at(now, serial, &version, Source::Default, effects),
             None => self.await_agreement(now, serial, effects),
         }
@@ -225,7 +222,11 @@
         if !open.repeat.is_resumable() || open.version.is_some() {
             return false;
         }
-        let is_default = self.versions.default_of(now, &open.service) == Some(&version);
+        let is_cut_off = self.is_list_outdated() && self.is_in_contact(now);
+        let unrecorded = self
+            .versions
+            .unrecorded_version(now, &open.service, is_cut_off);
+        let is_default = unrecorded == Some(&version);
         let latest = open.record.as_ref();
         let is_recorded = latest.is_some_and(|one| one.is_written && one.version == version);
         let is_certain =
@@ -317,7 +318,8 @@
         if self.versions.only(service).is_some() {
             return None;
         }
-        let default = self.versions.default_of(now, service)?;
+        let is_cut_off = self.is_list_outdated() && self.is_in_contact(now);
+        let default = self.versions.unrecorded_version(now, service, is_cut_off)?;
         let of_default = self.pool_of(service, default)?;
         (self.pools.get(&of_default) == Some(&pool)).then(|| version_key(default))
     }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -6,7 +6,7 @@
 //! That a stream has no record proves that the default version began it, unless the record may have been lost, or
 //! the stream may have begun before this default was in force. So the proof counts only some time after the row
 //! was written, and not while the table service may have been restored or others may have replaced the default
-//! since this entry read it.
+//! since this entry read it ([`crate::trust`]).
 
 use std::collections::BTreeMap;
 
@@ -15,16 +15,17 @@
 use smol_str::SmolStr;
 
 use crate::coverage::Coverage;
+use crate::trust::Trust;
 
 /// Interval at which the replicas of each version are counted.
 pub(crate) const REVIEW_INTERVAL: Span = Span::from_millis(250);
 /// Time after which no caller returns to a stream, beyond the time limits of all routes.
 pub(crate) const RETURN_WINDOW: Span = Span::from_seconds(60);
-/// Time after which an entry without news of the default version's replicas assumes that another one may soon replace
-/// it: half of [`RETURN_WINDOW`].
-const DOUBT_AFTER: Span = Span::from_seconds(30);
-/// Time after which the list of servers has reached all entries that can replace the default version.
-const LIST_DELAY: Span = Span::from_seconds(5);
+/// Time without replicas after which the default version is replaced.
+pub(crate) const REPLACE_AFTER: Span = Span::from_seconds(60);
+/// Time after the default may have been replaced in which streams at it still begin unrecorded. Invariant: shorter than the
+/// time for which a new default proves nothing, less that for which callers return.
+const UNRECORDED_GRACE: Span = Span::from_seconds(40);
 
 /// The versions of all services that have resumable streams.
 #[derive(Debug, Default)]
@@ -45,15 +46,25 @@
     heard: BTreeMap<SmolStr, Time>,
     /// Time that `seen` and `heard` cover; `None` before the list of servers is known.
     coverage: Option<Coverage>,
+    /// As of when the list last had a replica of each version that wasn't leaving.
+    listed: BTreeMap<SmolStr, Time>,
     pub default: Option<Stored>,
+    /// For how long `default` holds.
+    trust: Trust,
     /// When the default must be read again, since it may have been lost or replaced.
     reread_at: Option<Time>,
-    /// Since when no replica of the default version has been known.
+    /// Since when the list, which was never out of date meanwhile, has had no replica of the default version.
     absent_since: Option<Time>,
+    /// When this entry learned that the default is to be replaced.
+    pub retiring_since: Option<Time>,
     /// The default that a call in flight writes.
     pub proposed: Option<Stored>,
+    /// `listed` when the call in flight was made.
+    listed_at_call: BTreeMap<SmolStr, Time>,
     pub calling: bool,
     pub next_call: Time,
+    /// When this entry last learned of another default than before.
+    changed_at: Option<Time>,
     /// Requests that wait for the default to be known.
     waiting: Vec<u64>,
 }
@@ -68,25 +79,42 @@
     pub era: u64,
     /// Unix time from which it has been in force, milliseconds; `None` if from the start of the system.
     pub since_unix_ms: Option<u64>,
+    /// Whether it is to be replaced, since it has had no replicas for [`REPLACE_AFTER`].
+    pub is_retiring: bool,
     /// Time from which the absence of a record proves that this version began a stream.
     pub proven_from: Time,
 }
 
+/// What an entry knows of the list of servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ListState {
+    /// The list has all that was there then.
+    pub as_of: Time,
+    pub is_outdated: bool,
+}
+
 impl Service {
-    /// Updates the numbers of replicas, according to a list that was out of date for `list_lag`.
-    pub fn review(&mut self, now: Time, counts: BTreeMap<SmolStr, usize>, list_lag: Span) {
+    /// Updates the numbers of replicas.
+    pub fn review(&mut self, now: Time, counts: BTreeMap<SmolStr, usize>, list: ListState) {
         for version in counts.keys() {
             self.seen.insert(version.clone(), now);
+            self.listed.insert(version.clone(), list.as_of);
         }
         self.coverage.get_or_insert_with(|| Coverage::new(now));
         let is_recent = |_: &SmolStr, at: &mut Time| now.since(*at) < RETURN_WINDOW;
         self.seen.retain(is_recent);
         self.heard.retain(is_recent);
+        self.listed.retain(is_recent);
         self.counts = counts;
-        self.track_absence(now);
-        if self.is_absent(now, DOUBT_AFTER) || list_lag >= DOUBT_AFTER {
-            self.reread_at = Some(now + LIST_DELAY);
+        let default = self.default.as_ref();
+        if let Some(default) = default.filter(|default| self.counts.contains_key(&default.version))
+        {
+            match default.is_retiring {
+                true => self.trust.end(),
+                false => self.trust.record_listed(list.as_of),
+            }
         }
+        self.track_absence(now, list.is_outdated);
     }
 
     /// Records that another entry knew a replica of a version some time ago.
@@ -151,32 +179,85 @@
         self.reread_at = Some(at);
     }
 
+    /// Records the revision of a default that another entry goes by; a newer one than the known is read at `at`.
+    pub fn record_revision(&mut self, revision: u64, at: Time) {
+        let default = self.default.as_ref();
+        if default.is_some_and(|default| default.revision < revision) {
+            self.trust.end();
+            self.reread_at = Some(self.reread_at.map_or(at, |due| due.min(at)));
+        }
+    }
+
+    /// Returns the revision of a default that has replaced another one within `span`.
+    pub fn new_revision(&self, now: Time, span: Span) -> Option<u64> {
+        let is_new = self.changed_at.is_some_and(|at| now.since(at) < span);
+        let default = self.default.as_ref().filter(|_| is_new);
+        default.map(|default| default.revision)
+    }
+
+    /// Prepares a call that reads or writes the default.
+    pub fn begin_call(&mut self, proposed: Option<Stored>) {
+        self.calling = true;
+        self.proposed = proposed;
+        self.listed_at_call = self.listed.clone();
+    }
+
     /// Takes over the default that the table service holds.
     pub fn set_default(&mut self, now: Time, default: Stored) {
+        let before = self.default.as_ref();
+        if before.is_some_and(|before| before.version != default.version) {
+            self.changed_at = Some(now);
+            self.absent_since = None;
+        }
+        self.trust = match default.is_retiring {
+            true => Trust::default(),
+            false => Trust::new(self.listed_at_call.get(&default.version).copied()),
+        };
+        self.retiring_since = default
+            .is_retiring
+            .then(|| self.retiring_since.unwrap_or(now));
         self.default = Some(default);
         self.reread_at = self.reread_at.filter(|at| *at > now);
-        self.absent_since = None;
-        self.track_absence(now);
+        self.track_absence(now, false);
     }
 
     /// Updates since when the default has had no replicas.
-    fn track_absence(&mut self, now: Time) {
+    fn track_absence(&mut self, now: Time, is_outdated: bool) {
         let default = self.default.as_ref();
-        let is_absent = default.is_some_and(|default| !self.counts.contains_key(&default.version));
-        self.absent_since = is_absent.then(|| self.absent_since.unwrap_or(now));
+        // Also replicas that leave are there, as others may not know that they do.
+        let is_absent =
+            default.is_some_and(|default| self.seen.get(&default.version) != Some(&now));
+        let is_certain = is_absent && !is_outdated;
+        self.absent_since = is_certain.then(|| self.absent_since.unwrap_or(now));
     }
 
-    /// Returns whether the default has had no replicas for `span`.
-    pub fn is_absent(&self, now: Time, span: Span) -> bool {
-        self.absent_since
-            .is_some_and(|since| now.since(since) >= span)
+    /// Returns whether no entry has known a replica of the default for [`REPLACE_AFTER`].
+    pub fn is_replaceable(&self, now: Time) -> bool {
+        let heard = |default: &Stored| self.heard.get(&default.version).copied();
+        let heard_at = self.default.as_ref().and_then(heard);
+        let is_unheard = heard_at.is_none_or(|at| now.since(at) >= REPLACE_AFTER);
+        let is_absent = |since: Time| now.since(since) >= REPLACE_AFTER;
+        is_unheard && self.absent_since.is_some_and(is_absent)
+    }
+
+    /// Returns whether the default has replicas although it is to be replaced.
+    pub fn is_back(&self) -> bool {
+        let default = self.default.as_ref();
+        default.is_some_and(|default| {
+            default.is_retiring && self.counts.contains_key(&default.version)
+        })
     }
 
     /// Returns whether the default must be read, or replaced.
     pub fn needs_call(&self, now: Time) -> bool {
         let is_due = !self.calling && now >= self.next_call && !self.counts.is_empty();
-        let must_reread = self.reread_at.is_some_and(|at| now >= at);
-        is_due && (self.default.is_none() || must_reread || self.is_absent(now, RETURN_WINDOW))
+        let must_reread = self.reread_at.is_some_and(|at| now >= at) || self.trust.is_broken();
+        is_due && (self.default.is_none() || must_reread || self.is_replaceable(now))
+    }
+
+    /// Returns whether a call that reads the default is under way, or about to be made.
+    pub fn awaits_call(&self, now: Time) -> bool {
+        self.default.is_none() || self.calling || self.needs_call(now)
     }
 
     /// Returns the version to propose as default: the present one while it has replicas, else that of most replicas.
@@ -187,32 +268,53 @@
         present.or(most.map(|(version, _)| version)).cloned()
     }
 
+    /// Returns the default version, if it certainly is the default now.
+    fn certain_default(&self, now: Time) -> Option<&Stored> {
+        let default = self.default.as_ref();
+        default.filter(|_| self.trust.held(now, Span::ZERO))
+    }
+
     /// Returns whether the absence of a record proves that the default version began a stream.
     fn is_proven(&self, now: Time) -> bool {
-        let default = self.default.as_ref();
+        let default = self.certain_default(now);
         let in_force = default.is_some_and(|default| now >= default.proven_from);
         in_force && self.reread_at.is_none()
     }
+
+    /// Returns whether a stream may begin at the default version without a record. Without the table service nothing
+    /// could be recorded; then it may for as long as other entries name no newer default.
+    fn needs_no_record(&self, now: Time, is_cut_off: bool) -> bool {
+        let is_known = self.default.is_some() && !self.trust.is_broken();
+        is_known && (is_cut_off || self.trust.held(now, UNRECORDED_GRACE))
+    }
 }
 
 impl Versions {
-    /// Returns the default version, unless another entry may have replaced it since.
+    /// Returns the default version, if it certainly is the default now.
     pub fn default_of(&self, now: Time, service: &str) -> Option<&SmolStr> {
-        let known = self.services.get(service)?;
-        let default = known.default.as_ref();
-        default
-            .filter(|_| !known.is_absent(now, DOUBT_AFTER))
-            .map(|default| &default.version)
+        let default = self.services.get(service)?.certain_default(now);
+        default.map(|default| &default.version)
     }
 
-    /// Returns the version that began all streams without a record, according to a list of servers that was current
-    /// `list_age` ago. Others replace a default whose replicas have been gone for [`RETURN_WINDOW`], which an older list
-    /// may not show.
-    pub fn proven_default(&self, now: Time, service: &str, list_age: Span) -> Option<&SmolStr> {
+    /// Returns the version that began all streams without a record.
+    pub fn proven_default(&self, now: Time, service: &str) -> Option<&SmolStr> {
         let known = self.services.get(service)?;
-        let is_current = list_age < DOUBT_AFTER;
         self.default_of(now, service)
-            .filter(|_| is_current && known.is_proven(now))
+            .filter(|_| known.is_proven(now))
+    }
+
+    /// Returns the version at which streams begin without a record.
+    pub fn unrecorded_version(
+        &self,
+        now: Time,
+        service: &str,
+        is_cut_off: bool,
+    ) -> Option<&SmolStr> {
+        let known = self.services.get(service)?;
+        let default = known.default.as_ref();
+        default
+            .filter(|_| known.needs_no_record(now, is_cut_off))
+            .map(|default| &default.version)
     }
 
     /// Returns whether also streams of the default version are recorded, since the absence of a record proves nothing
@@ -242,6 +344,12 @@
         }
     }
 
+    /// Returns whether the service's default version may be known or certain soon.
+    pub fn awaits_default(&self, now: Time, service: &str) -> bool {
+        let known = self.services.get(service);
+        known.is_none_or(|known| known.awaits_call(now))
+    }
+
     /// Keeps a request until the service's default version is known.
     pub fn await_default(&mut self, service: &SmolStr, serial: u64) {
         let known = self.services.entry(service.clone()).or_default();
--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -144,3 +144,28 @@
         }
     }
 }
+
+/// Guards against an entry that started while the default version had no servers, and takes it for granted once they are back
+/// although others replaced it meanwhile.
+#[test]
+fn an_entry_that_started_during_an_absence_learns_that_the_default_version_was_replaced() {
+    for entries in [2, 20] {
+        let mut world = World::new(entries).released(true);
+        let both = world.servers.clone();
+        world.servers.retain(|server| server.version == "v2");
+        world.publish_servers();
+        world.run_following(45_000);
+        world.start(1);
+        world.run_following(REPLACED_MILLIS - 45_000);
+        world.servers = both;
+        world.publish_servers();
+        world.run(300);
+        let (_, mixed) = resume_elsewhere(&mut world, 0, 1);
+        assert_eq!(mixed, 0, "{entries} entries");
+        world.run_following(SETTLED_MILLIS);
+        for (from, to) in [(0, 1), (1, 0)] {
+            let outcome = resume_elsewhere(&mut world, from, to);
+            assert_eq!(outcome, (STREAMS, 0), "{from} to {to}, {entries} entries");
+        }
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -210,6 +210,8 @@
     pub zones: usize,
     /// Additional reads of the list of servers that each entry requested.
     pub list_reads: BTreeMap<usize, u32>,
+    /// Entries whose additional reads are yet to be answered.
+    requested_reads: BTreeSet<usize>,
     /// Whether each entry reads the list of servers, by its latest effect.
     pub reads_list: BTreeMap<usize, bool>,
     /// Hub sums received by each entry.
@@ -324,6 +326,7 @@
             version_log: None,
             zones: 1,
             list_reads: BTreeMap::new(),
+            requested_reads: BTreeSet::new(),
             reads_list: BTreeMap::new(),
             sums_received: BTreeMap::new(),
             sums_sent: BTreeMap::new(),
@@ -572,6 +575,14 @@
         }
     }
 
+    /// Delivers the whole list of servers to an entry that requested an additional read, once it reaches the table service.
+    fn answer_requested_read(&mut self, entry: usize) {
+        let is_cut_off = self.store_unresponsive || self.store_partitioned.contains(&entry);
+        if !is_cut_off && self.requested_reads.remove(&entry) {
+            self.send_servers(entry);
+        }
+    }
+
     /// Delivers an answer of the feed of servers that was requested just now.
     fn read_servers(&mut self, entry: usize, reading: Reading) {
         let Some(process) = &mut self.processes[entry] else {
@@ -648,6 +659,7 @@
             self.answer_slow_calls();
             for entry in 0..self.processes.len() {
                 self.deliver_messages(entry);
+                self.answer_requested_read(entry);
                 self.confirm_servers(entry);
                 self.step(entry, Event::Tick);
             }
@@ -1331,6 +1343,7 @@
             }
             Effect::ReadServers => {
                 *self.list_reads.entry(entry).or_default() += 1;
+                self.requested_reads.insert(entry);
                 None
             }
             Effect::OpenServer { endpoint } => {
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -21,14 +21,12 @@
 
 /// Time between two steps of callers, servers and faults.
 const STEP_MS: u64 = 20;
-/// Time for which faults are played.
-const PLAY_MS: u64 = 60_000;
 /// Mean time between two new streams.
 const STREAM_INTERVAL_MS: u64 = 60;
 /// Mean time between two faults.
 const FAULT_INTERVAL_MS: u64 = 1_500;
-/// Time within which callers return to a stream.
-const RETURN_WINDOW_MS: u64 = 15_000;
+/// Longest usual time before a caller returns.
+const RETURN_DELAY_MS: u64 = 1_500;
 /// Times that a caller takes its stream up.
 const MAX_RETURNS: u32 = 3;
 /// Time for which a server that leaves serves on.
@@ -113,7 +111,7 @@
     lists_held: BTreeMap<usize, u64>,
     /// The copy from which the table service is restored.
     copy: Option<store::fake::Table>,
-    kinds: Kinds,
+    setup: Setup,
     /// Attempts that were looked at.
     seen: usize,
     /// Streams that held events of two versions.
@@ -124,18 +122,49 @@
     history: Vec<String>,
 }
 
-/// Which faults are played beside the usual ones.
-#[derive(Clone, Copy, Debug, Default)]
-struct Kinds {
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+struct Setup {
+    entries: usize,
+    /// Time for which faults are played.
+    play_ms: u64,
+    /// Time within which callers return to a stream.
+    returns_within_ms: u64,
+    /// Share of the returns that come at any moment of this time, not soon.
+    late_returns: f64,
     /// Servers come back in place at another version.
     replaced: bool,
     /// The table service is restored from a copy.
     restored: bool,
 }
 
+impl Setup {
+    /// A minute of the usual faults.
+    const fn usual(entries: usize) -> Setup {
+        Setup {
+            entries,
+            play_ms: 60_000,
+            returns_within_ms: 15_000,
+            late_returns: 0.0,
+            replaced: false,
+            restored: false,
+        }
+    }
+
+    /// Several times as long as anything about versions is remembered, with callers that return late.
+    const fn long(entries: usize) -> Setup {
+        Setup {
+            play_ms: 240_000,
+            returns_within_ms: 58_000,
+            late_returns: 0.3,
+            ..Setup::usual(entries)
+        }
+    }
+}
+
 impl Play {
-    fn new(seed: u64, entries: usize, kinds: Kinds) -> Play {
-        let mut world = World::unlimited(entries).released(false);
+    fn new(seed: u64, setup: Setup) -> Play {
+        let mut world = World::unlimited(setup.entries).released(false);
         let unix_ms = world.unix_ms();
         for server in &mut world.servers {
             server.started_unix_ms = Some(unix_ms - 20_000);
@@ -164,7 +193,7 @@
             next_read: BTreeMap::new(),
             lists_held: BTreeMap::new(),
             copy: None,
-            kinds,
+            setup,
             seen: 0,
             mixed: Vec::new(),
             resumed: 0,
@@ -173,7 +202,7 @@
     }
 
     fn run(&mut self) {
-        let end = self.world.now + PLAY_MS;
+        let end = self.world.now + self.setup.play_ms;
         while self.world.now < end {
             self.world.run(STEP_MS);
             self.apply_changes();
@@ -353,13 +382,17 @@
 
     /// Lets the caller of a stream that has begun return.
     fn lose_caller(&mut self, stream: usize) {
-        let delay = self.between(10, 1_500);
+        let longest = match self.setup.late_returns > 0.0 && self.chance(self.setup.late_returns) {
+            true => self.setup.returns_within_ms,
+            false => RETURN_DELAY_MS,
+        };
+        let delay = self.between(10, longest);
         let one = &mut self.streams[stream];
         one.returns += 1;
         let returns_at = self.world.now + delay;
         if one.version.is_some()
             && one.returns <= MAX_RETURNS
-            && returns_at < one.begun_at + RETURN_WINDOW_MS
+            && returns_at < one.begun_at + self.setup.returns_within_ms
         {
             self.returning.insert((returns_at, stream));
         }
@@ -562,7 +595,7 @@
                     self.later(lasts, Change::Thaw { entry });
                 }
             }
-            _ if self.kinds.restored && self.copy.is_none() => {
+            _ if self.setup.restored && self.copy.is_none() => {
                 self.copy = Some(self.world.table.clone());
                 let age = self.between(200, 3_000);
                 self.later(age, Change::Restore);
@@ -600,7 +633,7 @@
             let mut next = self.backends[&id].row.clone();
             next.version = to.into();
             next.leaving = false;
-            if self.kinds.replaced && self.chance(0.5) {
+            if self.setup.replaced && self.chance(0.5) {
                 let down = self.between(20, 1_500);
                 self.later(pause, Change::Stop(id));
                 self.later(pause + down, Change::Start(next));
@@ -645,10 +678,10 @@
 }
 
 /// Plays seeds; with `VERSIONS_LOG` it prints the logs of those that mix versions.
-fn play_all(entries: usize, kinds: Kinds, usual: std::ops::Range<u64>) {
+fn play_all(setup: Setup, usual: std::ops::Range<u64>) {
     let mut broken = Vec::new();
     for seed in seeds(usual) {
-        let mut play = Play::new(seed, entries, kinds);
+        let mut play = Play::new(seed, setup);
         play.run();
         println!(
             "seed {seed}: {} streams, {} went on, {} mixed, refused {:?}",
@@ -675,41 +708,81 @@
 /// Guards against streams of two versions at few entries, each of which reads the list of servers itself.
 #[test]
 fn few_entries_under_random_faults_mix_no_versions() {
-    play_all(3, Kinds::default(), 386..398);
+    play_all(Setup::usual(3), 386..398);
 }
 
 /// Guards against the same among entries that learn of the list from others.
 #[test]
 fn many_entries_under_random_faults_mix_no_versions() {
-    play_all(20, Kinds::default(), 4..9);
+    play_all(Setup::usual(20), 4..9);
 }
 
 /// Guards against the same where servers come back in place at another version.
 #[test]
 fn replaced_servers_under_random_faults_mix_no_versions() {
-    let kinds = Kinds {
+    let setup = Setup {
         replaced: true,
-        restored: false,
+        ..Setup::usual(20)
     };
-    play_all(20, kinds, 4..8);
+    play_all(setup, 4..8);
 }
 
 /// Guards against the same where the table service loses what it acknowledged.
 #[test]
 fn restored_tables_under_random_faults_mix_no_versions() {
-    let kinds = Kinds {
-        replaced: false,
+    let setup = Setup {
         restored: true,
+        ..Setup::usual(20)
     };
-    play_all(20, kinds, 28..34);
+    play_all(setup, 28..34);
 }
 
 /// Guards against the same under all of these faults.
 #[test]
 fn all_faults_at_random_mix_no_versions() {
-    let kinds = Kinds {
+    let setup = Setup {
+        replaced: true,
+        restored: true,
+        ..Setup::usual(20)
+    };
+    play_all(setup, 1..5);
+}
+
+/// Guards against the same while default versions are replaced.
+#[test]
+fn long_plays_among_few_entries_mix_no_versions() {
+    play_all(Setup::long(3), 9_400..9_402);
+}
+
+/// Guards against the same among entries that exchange statements with all others.
+#[test]
+fn long_plays_among_several_entries_mix_no_versions() {
+    play_all(Setup::long(8), 9_604..9_605);
+}
+
+/// Guards against the same among entries that learn of the list from others.
+#[test]
+fn long_plays_among_many_entries_mix_no_versions() {
+    play_all(Setup::long(20), 9_600..9_601);
+}
+
+/// Guards against the same where servers come back in place at another version.
+#[test]
+fn long_plays_of_replaced_servers_mix_no_versions() {
+    let setup = Setup {
+        replaced: true,
+        ..Setup::long(8)
+    };
+    play_all(setup, 9_716..9_717);
+}
+
+/// Guards against the same under all of these faults.
+#[test]
+fn long_plays_of_all_faults_mix_no_versions() {
+    let setup = Setup {
         replaced: true,
         restored: true,
+        ..Setup::long(8)
     };
-    play_all(20, kinds, 1..5);
+    play_all(setup, 9_800..9_801);
 }
