Gateway: what is known of versions and shares reaches back as far as callers return, from their arrival

Cause: a caller returns to a stream until a minute after its time limit, and its request may wait until it is known what began the stream. Agreement among the entries counted a minute back from the moment of the decision. So a version that began the stream more than a minute before was no longer known, and the only one of the last minute was taken.

The same elsewhere: former shares of a route were forgotten a minute and ten seconds after a change, whatever the time limit; statements and memory of versions ended after a minute; a new default proved something after two minutes, whatever the time limits.

Change: versions are remembered for the longest time limit of the routes with resumable streams, a minute and the longest wait; agreement needs a single version, and knowledge without a gap, since a minute and the time limit before the request arrived. Former shares and new defaults use the same span.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -41,7 +41,9 @@
             .with("source", source_name(source));
         effects.push(Effect::Log(line));
         if let Some(before) = &self.catalog {
-            self.route_shares.record_change(now, before, &catalog);
+            let horizon = self.versions.return_horizon();
+            self.route_shares
+                .record_change(now, before, &catalog, horizon);
         }
         self.update_accounts(now, &catalog);
         for service in &catalog.services {
--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -27,11 +27,11 @@
 use store::call::Write;
 use store::revision::Revision;
 
+use crate::catalog::Route;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::store_calls::Waiter;
 use crate::versions::ListState;
-use crate::versions::RETURN_WINDOW;
 use crate::versions::REVIEW_INTERVAL;
 use crate::versions::Service;
 use crate::versions::Stored;
@@ -44,9 +44,9 @@
 const PROPOSAL_DELAY: Span = Span::from_seconds(10);
 /// Pause between two calls on one service's default.
 const CALL_INTERVAL: Span = Span::from_millis(500);
-/// Time from which a default in force proves anything: no caller returns to an older stream by then, whatever the
+/// Time from which a default in force proves anything, beyond that in which callers return to older streams. Longer than any
 /// difference of clocks.
-const PROOF_DELAY: Span = Span::from_seconds(120);
+const PROOF_MARGIN: Span = Span::from_seconds(45);
 /// Time for each entry over which all of them read the defaults again after a restore or a replacement.
 const REREAD_SPREAD: Span = Span::from_millis(5);
 
@@ -61,7 +61,12 @@
             return;
         };
         let resumable = catalog.routes().filter(|route| route.repeat.is_resumable());
+        let resumable: Vec<&Route> = resumable.collect();
+        for route in &resumable {
+            self.versions.record_limit(route.timeout);
+        }
         let services: BTreeSet<SmolStr> = resumable
+            .iter()
             .flat_map(|route| &route.shares)
             .map(|share| share.service.clone())
             .collect();
@@ -96,9 +101,10 @@
         counts: BTreeMap<SmolStr, usize>,
         list: ListState,
     ) {
+        let memory = self.versions.memory();
         let known = self.versions.services.entry(service.clone()).or_default();
         let was_mixed = known.is_mixed();
-        known.review(now, counts, list);
+        known.review(now, counts, list, memory);
         let is_due = known.needs_call(now);
         if is_due {
             known.begin_call(None);
@@ -155,7 +161,7 @@
 
     /// Returns the revisions of the defaults that have replaced others lately, by service.
     pub(crate) fn default_revisions(&self, now: Time) -> BTreeMap<SmolStr, u64> {
-        let span = PROOF_DELAY;
+        let span = self.proof_delay();
         let services = self.versions.services.iter();
         services
             .filter_map(|(service, known)| Some((service.clone(), known.new_revision(now, span)?)))
@@ -179,6 +185,11 @@
         }
     }
 
+    /// Returns the time for which a new default proves nothing.
+    fn proof_delay(&self) -> Span {
+        self.versions.return_horizon() + PROOF_MARGIN
+    }
+
     /// Handles the answer to a read or write of a service's default version.
     pub(crate) fn handle_default_version(
         &mut self,
@@ -226,7 +237,8 @@
     ) {
         if row.is_none() && self.store_era.unwrap_or(0) == 0 {
             // Nothing has served before the first default of a table service that was never restored.
-            self.versions.extend_coverage(now, service, RETURN_WINDOW);
+            let span = self.versions.memory();
+            self.versions.extend_coverage(now, service, span);
         }
         let Some(known) = self.versions.services.get(service) else {
             return;
@@ -321,7 +333,7 @@
             proven_from: if is_first {
                 Time::ZERO
             } else {
-                now + PROOF_DELAY
+                now + self.proof_delay()
             },
         };
         self.write_default(service, revision, proposed);
@@ -384,8 +396,9 @@
         let since_unix_ms = row.value.get("since_ms").and_then(Value::as_u64);
         let proven_from = since_unix_ms.map_or(Time::ZERO, |since| {
             let unix_ms = self.usage.unix_ms(now);
-            let left = (since + PROOF_DELAY.as_millis()).saturating_sub(unix_ms);
-            now + Span::from_millis(left).min(PROOF_DELAY)
+            let delay = self.proof_delay();
+            let left = (since + delay.as_millis()).saturating_sub(unix_ms);
+            now + Span::from_millis(left).min(delay)
         });
         let is_retiring = row.value.get("retiring").and_then(Value::as_bool);
         Some(Stored {
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -22,7 +22,6 @@
 use crate::hubs::LastMessage;
 use crate::request::Request;
 use crate::returns::Source;
-use crate::versions::RETURN_WINDOW;
 
 /// Longest wait for statements that are newer than a request: several rounds of them.
 const AGREEMENT_TIMEOUT: Span = Span::from_millis(1_500);
@@ -146,11 +145,12 @@
         bulletin: &Bulletin,
         effects: &mut Vec<Effect>,
     ) {
+        let memory = self.versions.memory();
         for (service, versions) in bulletin.versions.iter().flatten() {
             let known = self.versions.services.entry(service.clone()).or_default();
             for (version, millis) in versions {
                 let age = age + Span::from_millis(*millis);
-                known.record_heard(now, version, age);
+                known.record_heard(now, version, age, memory);
             }
             if let Some(millis) = bulletin.versions_known_for.get(service) {
                 known.record_stated(now, age + Span::from_millis(*millis));
@@ -200,14 +200,15 @@
     /// Returns whether all entries are known to know a single version of the service of a request.
     fn agreement(&self, now: Time, open: &Request) -> Agreement {
         let known = self.versions.services.get(&open.service);
-        let Some(only) = known.and_then(|known| known.recent_only(now)) else {
+        let span = self.return_span(now, open);
+        let Some(only) = known.and_then(|known| known.recent_only(now, span)) else {
             return Agreement::Impossible(Cause::SeveralVersions);
         };
         let default = self.versions.default_of(now, &open.service);
         if default.is_some_and(|default| default != only) {
             return Agreement::Impossible(Cause::NotTheDefault);
         }
-        let is_covered = known.is_some_and(|known| known.coverage(now) >= RETURN_WINDOW);
+        let is_covered = known.is_some_and(|known| known.coverage(now) >= span);
         let is_stated = self.knows_entries(now) && self.are_statements_newer(open.arrived_at);
         if is_covered && (is_stated || self.is_list_newer(open.arrived_at)) {
             return Agreement::Agreed(only.clone());
@@ -226,6 +227,11 @@
         }
     }
 
+    /// Returns the time before now in which a caller's stream may have begun.
+    pub(crate) fn return_span(&self, now: Time, open: &Request) -> Span {
+        self.versions.return_horizon() + now.since(open.arrived_at)
+    }
+
     /// Returns whether another entry exchanges messages with this one, if there is any.
     pub(crate) fn is_in_contact(&self, now: Time) -> bool {
         let timeout = self.failure_timeout();
--- a/crates/gateway/src/route_shares.rs
+++ b/crates/gateway/src/route_shares.rs
@@ -22,7 +22,6 @@
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
-use crate::versions::RETURN_WINDOW;
 
 /// Time in which all entries apply a change of shares.
 const APPLY_TIME: Span = Span::from_seconds(10);
@@ -56,13 +55,19 @@
 
 impl History {
     /// Records the shares that a new configuration replaces.
-    pub fn record_change(&mut self, now: Time, before: &Catalog, after: &Catalog) {
+    pub fn record_change(
+        &mut self,
+        now: Time,
+        before: &Catalog,
+        after: &Catalog,
+        return_horizon: Span,
+    ) {
         for route in before.routes().filter(|route| route.repeat.is_resumable()) {
             let same_route = after.routes().find(|other| other.name == route.name);
             if same_route.is_some_and(|other| other.shares != route.shares) {
                 let former = Former {
                     shares: route.shares.clone(),
-                    until: now + RETURN_WINDOW + APPLY_TIME,
+                    until: now + return_horizon + APPLY_TIME,
                 };
                 let formers = self.by_route.entry(route.name.clone()).or_default();
                 formers.push_back(former);
@@ -164,7 +169,8 @@
     /// Returns whether this entry knows all shares of a request's route by which its stream may have been drawn.
     pub(crate) fn knows_former_shares(&self, now: Time, open: &Request) -> bool {
         let known = self.versions.services.get(&open.service);
-        if known.is_some_and(|known| known.coverage(now) >= RETURN_WINDOW) {
+        let span = self.return_span(now, open);
+        if known.is_some_and(|known| known.coverage(now) >= span) {
             return true;
         }
         let catalog = self.catalog.as_ref();
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -19,19 +19,23 @@
 
 /// Interval at which the replicas of each version are counted.
 pub(crate) const REVIEW_INTERVAL: Span = Span::from_millis(250);
-/// Time after which no caller returns to a stream, beyond the time limits of all routes.
+/// Time after which no caller returns to a stream, beyond the time limit of its route.
 pub(crate) const RETURN_WINDOW: Span = Span::from_seconds(60);
 /// Time without replicas after which the default version is replaced.
 pub(crate) const REPLACE_AFTER: Span = Span::from_seconds(60);
+/// Longest time for which a request waits until it is known what began its stream.
+const LONGEST_WAIT: Span = Span::from_seconds(10);
 /// Time after the default may have been replaced in which streams at it still begin unrecorded. Invariant: shorter than the
 /// time for which a new default proves nothing, less that for which callers return.
 const UNRECORDED_GRACE: Span = Span::from_seconds(40);
 
 /// The versions of all services that have resumable streams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Versions {
     pub services: BTreeMap<SmolStr, Service>,
     pub next_review: Time,
+    /// Longest time limit of a route with resumable streams so far.
+    longest_limit: Span,
 }
 
 /// The versions of one service.
@@ -39,7 +43,7 @@
 pub(crate) struct Service {
     /// Replicas that aren't leaving, by version.
     counts: BTreeMap<SmolStr, usize>,
-    /// When this entry last knew a replica of each version, within [`RETURN_WINDOW`]. Invariant: has every version whose
+    /// When this entry last knew a replica of each version, within [`Versions::memory`]. Invariant: has every version whose
     /// replicas this entry may use.
     seen: BTreeMap<SmolStr, Time>,
     /// The same according to other entries.
@@ -94,14 +98,20 @@
 }
 
 impl Service {
-    /// Updates the numbers of replicas.
-    pub fn review(&mut self, now: Time, counts: BTreeMap<SmolStr, usize>, list: ListState) {
+    /// Updates the numbers of replicas; versions are remembered for `memory`.
+    pub fn review(
+        &mut self,
+        now: Time,
+        counts: BTreeMap<SmolStr, usize>,
+        list: ListState,
+        memory: Span,
+    ) {
         for version in counts.keys() {
             self.seen.insert(version.clone(), now);
             self.listed.insert(version.clone(), list.as_of);
         }
         self.coverage.get_or_insert_with(|| Coverage::new(now));
-        let is_recent = |_: &SmolStr, at: &mut Time| now.since(*at) < RETURN_WINDOW;
+        let is_recent = |_: &SmolStr, at: &mut Time| now.since(*at) < memory;
         self.seen.retain(is_recent);
         self.heard.retain(is_recent);
         self.listed.retain(is_recent);
@@ -118,8 +128,8 @@
     }
 
     /// Records that another entry knew a replica of a version some time ago.
-    pub fn record_heard(&mut self, now: Time, version: &SmolStr, age: Span) {
-        if age >= RETURN_WINDOW {
+    pub fn record_heard(&mut self, now: Time, version: &SmolStr, age: Span, memory: Span) {
+        if age >= memory {
             return;
         }
         let at = now - age;
@@ -160,11 +170,11 @@
             .collect()
     }
 
-    /// Returns the version of all replicas that any entry has known within [`RETURN_WINDOW`], if it is the same.
+    /// Returns the version of all replicas that any entry has known within `span`, if it is the same.
     /// [`Service::coverage`] states whether that includes all versions of this time.
-    pub fn recent_only(&self, now: Time) -> Option<&SmolStr> {
+    pub fn recent_only(&self, now: Time, span: Span) -> Option<&SmolStr> {
         let known = self.seen.iter().chain(&self.heard);
-        let mut recent = known.filter(|(_, at)| now.since(**at) < RETURN_WINDOW);
+        let mut recent = known.filter(|(_, at)| now.since(**at) < span);
         let (first, _) = recent.next()?;
         recent.all(|(version, _)| version == first).then_some(first)
     }
@@ -289,7 +299,32 @@
     }
 }
 
+impl Default for Versions {
+    fn default() -> Versions {
+        Versions {
+            services: BTreeMap::new(),
+            next_review: Time::ZERO,
+            longest_limit: Span::ZERO,
+        }
+    }
+}
+
 impl Versions {
+    /// Records the time limit of a route with resumable streams.
+    pub fn record_limit(&mut self, limit: Span) {
+        self.longest_limit = self.longest_limit.max(limit);
+    }
+
+    /// Returns the time after the start of a stream after which no caller returns to it.
+    pub fn return_horizon(&self) -> Span {
+        self.longest_limit + RETURN_WINDOW
+    }
+
+    /// Returns the time for which versions are remembered: callers that returned in time may wait.
+    pub fn memory(&self) -> Span {
+        self.return_horizon() + LONGEST_WAIT
+    }
+
     /// Returns the default version, if it certainly is the default now.
     pub fn default_of(&self, now: Time, service: &str) -> Option<&SmolStr> {
         let default = self.services.get(service)?.certain_default(now);
--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use support::JOIN_MILLIS;
 use support::World;
 
@@ -13,6 +14,8 @@
 const REPLACED_MILLIS: u64 = 64_000;
 /// Time after which a restore or a new default version no longer matters.
 const SETTLED_MILLIS: u64 = 130_000;
+/// Time after the start of a stream at which its caller may still return: more than a minute, less than that after its time limit.
+const LATE_RETURN_MILLIS: u64 = 66_000;
 const STREAMS: usize = 40;
 
 /// Sets the versions of the first servers in order; the others run v1.
@@ -169,3 +172,29 @@
         }
     }
 }
+
+/// Guards against entries that agree on the only version of the last minute, although callers return for longer to streams with
+/// a time limit.
+#[test]
+fn entries_agree_on_no_version_while_callers_may_return_to_an_earlier_one() {
+    for entries in [3, 20] {
+        let mut world = World::new(entries).released(false);
+        world.run_following(80_000);
+        let begun: Vec<u64> = (0..STREAMS).map(|_| world.begin_stream(0).0).collect();
+        world.run(100);
+        for server in &mut world.servers {
+            server.version = "v2".into();
+            server.incarnation = format_smolstr!("{}@2", server.incarnation);
+        }
+        world.publish_servers();
+        world.kill(0);
+        world.run_following(LATE_RETURN_MILLIS);
+        let mixed = begun.iter().filter(|serial| {
+            world.resume_stream(1, **serial);
+            let resumed = world.last_serial();
+            world.run(100);
+            world.version_of(resumed).is_some()
+        });
+        assert_eq!(mixed.count(), 0, "{entries} entries");
+    }
+}
