Gateway: streams are recorded if any former shares of their route lead elsewhere, and shares that were in force twice are kept twice

What callers saw: after two or more changes of a route's shares within a minute and a half, a stream went on at another service than the one that began it.

Cause: a stream was recorded if its draw differed from that by the oldest of the former shares. Once these were forgotten, a stream without a record was taken for one of the next oldest, whose draw nobody had compared. Where no record could be read, only the oldest were asked, too. Entries told each other of former shares by their weights alone, so that shares which were in force twice were forgotten with their first time. Class: what isn't known counts as proof.

Change: a stream whose draw differs by any of the former shares is recorded; without the table service it isn't resumed unless all draws agree. The plays also let all entries stand still for 250 to 470 ms, again and again, set clocks up to three seconds ahead, and deliver configurations late.

Ruled out: stalls and clocks, in all lines that mix the version is right and the service isn't.

`a_stream_goes_on_at_its_service_after_several_changes_of_shares` failed before.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -184,8 +184,7 @@
             true => stream.fraction(),
             false => self.random.random(),
         };
-        let (service, former_service) =
-            self.draw_service(now, route, drawn, continuation.is_none());
+        let (service, is_redrawn) = self.draw_service(now, route, drawn, continuation.is_none());
         let (pool, canary) = self.select_pool(now, &service, &route.name);
         catalog.service(&service).ok_or_else(not_configured)?;
         let mut job = self.build_job(serial, route, account, &pool, arrival)?;
@@ -231,7 +230,7 @@
                 .prompt
                 .as_ref()
                 .map_or_else(Rc::default, Prompt::shared_parts),
-            former_service,
+            is_redrawn,
             stream,
             version: None,
             record: None,
@@ -240,26 +239,29 @@
         })
     }
 
-    /// Draws a service for a request, and the one by former shares if that differs. While nothing can be recorded, a new
-    /// stream begins at the latter, as its caller would be taken to have.
+    /// Draws a service for a request; returns also whether former shares of the route lead to another one. While nothing can
+    /// be recorded, a new stream begins at the service for which it would be taken without a record.
     fn draw_service(
         &mut self,
         now: Time,
         route: &Route,
         drawn: f64,
         is_new: bool,
-    ) -> (SmolStr, Option<SmolStr>) {
+    ) -> (SmolStr, bool) {
         let service = route_shares::choose(&route.shares, drawn);
         if !route.repeat.is_resumable() {
-            return (service, None);
+            return (service, false);
         }
-        let Some(former) = self.former_service(now, &route.name, drawn, &service) else {
-            return (service, None);
-        };
-        let is_on_route = route.shares.iter().any(|share| share.service == former);
-        match is_new && is_on_route && !self.is_recording(now) {
-            true => (former, None),
-            false => (service, Some(former)),
+        let former = self.route_shares.draw(now, &route.name, drawn);
+        let is_redrawn = former.iter().any(|former| *former != service);
+        if !is_redrawn || !is_new || self.is_recording(now) {
+            return (service, is_redrawn);
+        }
+        let oldest = former[0].clone();
+        let is_on_route = route.shares.iter().any(|share| share.service == oldest);
+        match is_on_route && former.iter().all(|former| *former == oldest) {
+            true => (oldest, false),
+            false => (service, true),
         }
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -81,8 +81,8 @@
     pub attempt_began_at: Option<Time>,
     /// Parts of its prompt that other requests may share, in order.
     pub shared_parts: Rc<[u64]>,
-    /// The service that it would have been drawn for by former shares of its route, if that is another one.
-    pub former_service: Option<SmolStr>,
+    /// Whether it would have been drawn for another service by some former shares of its route.
+    pub is_redrawn: bool,
     /// Its stream, as its caller names it.
     pub stream: streams::Key,
     /// The software version that began its stream, once that is known.
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -68,7 +68,7 @@
         let Some(open) = self.requests.get(&serial) else {
             return;
         };
-        let is_certain = open.former_service.is_none() && self.knows_former_shares(now, open);
+        let is_certain = !open.is_redrawn && self.knows_former_shares(now, open);
         let stream = open.stream;
         if let Some(origin) = self.streams.origin_of(stream) {
             return self.resume_from(now, serial, &origin, Source::Memory, effects);
@@ -93,15 +93,16 @@
         let knows_former_shares = self.knows_former_shares(now, open);
         let (stream, route, service) = (open.stream, open.route.clone(), open.service.clone());
         // Others may have stated former shares since the request arrived.
+        let is_redrawn = self.is_redrawn(now, &route, stream.fraction(), &service);
         let former = self.former_service(now, &route, stream.fraction(), &service);
         // The last record counts, which a page with more behind it doesn't hold.
         let Outcome::Rows {
             rows, more: false, ..
         } = outcome
         else {
-            return match former {
-                None if knows_former_shares => self.await_agreement(now, serial, effects),
-                _ => self.refuse_unknown(now, serial, effects),
+            return match knows_former_shares && !is_redrawn {
+                true => self.await_agreement(now, serial, effects),
+                false => self.refuse_unknown(now, serial, effects),
             };
         };
         match streams::recorded_origin(stream, rows, self.store_era.unwrap_or(0)) {
@@ -229,8 +230,7 @@
         let is_default = unrecorded == Some(&version);
         let latest = open.record.as_ref();
         let is_recorded = latest.is_some_and(|one| one.is_written && one.version == version);
-        let is_certain =
-            is_default && open.former_service.is_none() && self.knows_former_shares(now, open);
+        let is_certain = is_default && !open.is_redrawn && self.knows_former_shares(now, open);
         if is_recorded || is_certain && latest.is_none() {
             return false;
         }
--- a/crates/gateway/src/route_shares.rs
+++ b/crates/gateway/src/route_shares.rs
@@ -1,9 +1,9 @@
 //! Shares of the services that split a route, before and after a change.
 //!
 //! A stream is drawn for a service by its key and the shares in force, and a caller that takes it up must get the service
-//! that began it. After a change of shares, streams for which the draws differ are recorded with their service; one
-//! without a record began before the change. Entries that start later learn of former shares from others, and take no
-//! missing record for proof until then.
+//! that began it. After changes of shares, streams for which any of the draws differ are recorded with their service; one
+//! without a record is of the service drawn by the oldest of the shares. Entries that start later learn of former shares
+//! from others, and take no missing record for proof until then.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -108,7 +108,11 @@
                     shares: shares.collect(),
                     until: now + Span::from_millis(stated.left_ms),
                 };
-                if known.iter().all(|one| one.shares != former.shares) {
+                let is_same = |one: &Former| {
+                    let between = one.until.since(former.until) + former.until.since(one.until);
+                    one.shares == former.shares && between < APPLY_TIME
+                };
+                if !known.iter().any(is_same) {
                     let later = known.iter().position(|one| one.until > former.until);
                     known.insert(later.unwrap_or(known.len()), former);
                 }
@@ -116,13 +120,19 @@
         }
     }
 
-    /// Returns the oldest shares by which a caller's stream may have been drawn, if they aren't the present ones.
-    pub fn oldest(&mut self, now: Time, route: &SmolStr) -> Option<&[Share]> {
-        let formers = self.by_route.get_mut(route)?;
+    /// Returns the services drawn by all former shares by which a caller's stream may have been drawn, oldest first, for a
+    /// number from 0 to 1.
+    pub fn draw(&mut self, now: Time, route: &SmolStr, drawn: f64) -> Vec<SmolStr> {
+        let Some(formers) = self.by_route.get_mut(route) else {
+            return Vec::new();
+        };
         while formers.front().is_some_and(|former| former.until <= now) {
             formers.pop_front();
         }
-        formers.front().map(|former| former.shares.as_slice())
+        let formers = formers.iter();
+        formers
+            .map(|former| choose(&former.shares, drawn))
+            .collect()
     }
 }
 
@@ -140,12 +150,16 @@
     last.map(|share| share.service.clone()).unwrap_or_default()
 }
 
-/// Adds former shares to those of a sum.
+/// Adds former shares to those of a sum. The same ones may have been in force twice.
 pub(crate) fn merge(into: &mut Statement, one: &Statement) {
     for (route, formers) in one {
         let into = into.entry(route.clone()).or_default();
         for former in formers {
-            if into.iter().all(|known| known.shares != former.shares) {
+            let is_same = |known: &Stated| {
+                let between = known.left_ms.abs_diff(former.left_ms);
+                known.shares == former.shares && between < APPLY_TIME.as_millis()
+            };
+            if !into.iter().any(is_same) {
                 into.push(former.clone());
             }
         }
@@ -153,7 +167,19 @@
 }
 
 impl Gateway {
-    /// Returns the service for which a request's stream would have been drawn by former shares, if that is another one than
+    /// Returns whether former shares of a route lead to another service than the present one, for a number drawn from 0 to 1.
+    pub(crate) fn is_redrawn(
+        &mut self,
+        now: Time,
+        route: &SmolStr,
+        drawn: f64,
+        service: &SmolStr,
+    ) -> bool {
+        let former = self.route_shares.draw(now, route, drawn);
+        former.iter().any(|former| former != service)
+    }
+
+    /// Returns the service of a stream without a record, for a number drawn from 0 to 1, if that is another one than
     /// the present one.
     pub(crate) fn former_service(
         &mut self,
@@ -162,8 +188,8 @@
         drawn: f64,
         service: &SmolStr,
     ) -> Option<SmolStr> {
-        let shares = self.route_shares.oldest(now, route)?;
-        Some(choose(shares, drawn)).filter(|former| former != service)
+        let former = self.route_shares.draw(now, route, drawn);
+        former.into_iter().next().filter(|former| former != service)
     }
 
     /// Returns whether this entry knows all shares of a request's route by which its stream may have been drawn.
--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use support::JOIN_MILLIS;
+use support::OTHER_SERVICE;
 use support::World;
 
 /// Time after which a default version without replicas is replaced, with a margin.
@@ -198,3 +199,36 @@
         assert_eq!(mixed.count(), 0, "{entries} entries");
     }
 }
+
+/// Guards against the shares between two changes for a stream that began after the second one, once the shares before the first
+/// are forgotten.
+#[test]
+fn a_stream_goes_on_at_its_service_after_several_changes_of_shares() {
+    let mut world = World::shared(3).released(false);
+    for server in world.servers.iter_mut().step_by(2) {
+        server.service = OTHER_SERVICE.into();
+        server.incarnation = format_smolstr!("{}@2", server.incarnation);
+    }
+    world.publish_servers();
+    for weights in [[0.6, 0.05], [0.05, 0.6], [0.6, 0.05]] {
+        world.run_following(20_000);
+        world.weights = weights;
+        world.reconfigure();
+    }
+    world.run_following(3_000);
+    let begin = |_| {
+        let (serial, _) = world.begin_stream(0);
+        world.run(100);
+        Some((serial, world.service_of(serial)?))
+    };
+    let begun: Vec<_> = (0..STREAMS).filter_map(begin).collect();
+    assert!(begun.len() > STREAMS / 2);
+    world.kill(0);
+    world.run_following(LATE_RETURN_MILLIS);
+    for (serial, began) in begun {
+        world.resume_stream(1, serial);
+        world.run(100);
+        let resumed = world.service_of(world.last_serial());
+        assert!(resumed.is_none_or(|resumed| resumed == began), "{serial}");
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -147,6 +147,8 @@
     Steady,
     /// Another account beside it, and a route to two services.
     Extended,
+    /// The same without quotas.
+    Shared,
     /// Accounts without quotas, and a route for each of [`RANKS`].
     Ranked,
 }
@@ -247,6 +249,8 @@
     pub version: u64,
     /// What configurations hold.
     document: Document,
+    /// Path of the streams that callers begin.
+    stream_path: SmolStr,
     /// Weights of the two services that share a route; one without a weight isn't in it.
     pub weights: [f64; 2],
     /// Closed servers with the entry that closed each.
@@ -290,6 +294,13 @@
         World::start_all(entries, default_settings(entries), Document::Extended)
     }
 
+    /// Starts entries with default settings, whose configuration has a route to two services, which streams use.
+    pub fn shared(entries: usize) -> World {
+        let mut world = World::start_all(entries, default_settings(entries), Document::Shared);
+        world.stream_path = SmolStr::new_static("/shared/1");
+        world
+    }
+
     /// Starts entries whose configuration has a route for each of [`RANKS`] and [`RANKED_ACCOUNTS`] accounts, before
     /// servers with `slots` slots.
     pub fn ranked(entries: usize, settings: Settings, slots: u32) -> World {
@@ -345,6 +356,7 @@
             requesters: Vec::new(),
             version: 3,
             document,
+            stream_path: SmolStr::new_static("/chats/1"),
             weights: [0.5, 0.5],
             closed_servers: Vec::new(),
             servers: initial_servers(),
@@ -958,7 +970,7 @@
             ..Prompt::default()
         });
         self.next_serial += 1;
-        let path = SmolStr::new_static("/chats/1");
+        let path = self.stream_path.clone();
         let arrival = Arrival {
             continuation,
             ..new_arrival(self.next_serial, path, prompt)
@@ -1533,7 +1545,7 @@
     };
     // An account without a rate has no quota.
     let rate = match document {
-        Document::Unlimited | Document::Ranked => 0,
+        Document::Unlimited | Document::Shared | Document::Ranked => 0,
         Document::Steady => 400,
         Document::Usual | Document::Extended => 40,
     };
@@ -1565,7 +1577,7 @@
     let mut routes = vec![route.clone(), talks, filings, chats, open];
     let mut services = vec![service];
     let mut accounts = vec![account];
-    if document == Document::Extended {
+    if matches!(document, Document::Extended | Document::Shared) {
         routes.push(shared);
         services.push(other_service);
         accounts.push(other_account);
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -9,6 +9,7 @@
 
 use gateway::attempt::End;
 use gateway::attempt::Report;
+use gateway::event::Source;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -67,6 +68,12 @@
     Sound,
     /// The table service comes back from a copy.
     Restore,
+    /// All entries go on after a moment.
+    Resume,
+    /// All entries stand still for a moment; more of these follow.
+    Stall { more: u64 },
+    /// An entry gets a version of the configuration.
+    Configure { entry: usize, version: u64 },
 }
 
 /// A stream of a caller.
@@ -75,8 +82,8 @@
     /// Number of the request that began it.
     serial: u64,
     begun_at: u64,
-    /// Version of its first event, with the request that brought it.
-    version: Option<(SmolStr, u64)>,
+    /// Service and version of its first event, with the request that brought it.
+    origin: Option<((SmolStr, SmolStr), u64)>,
     returns: u32,
 }
 
@@ -136,6 +143,12 @@
     replaced: bool,
     /// The table service is restored from a copy.
     restored: bool,
+    /// All entries stand still for a moment, again and again.
+    stalled: bool,
+    /// Streams use a route to two services, whose shares change.
+    reshared: bool,
+    /// Largest difference of an entry's wall clock.
+    clock_lead_ms: u64,
 }
 
 impl Setup {
@@ -148,6 +161,9 @@
             late_returns: 0.0,
             replaced: false,
             restored: false,
+            stalled: false,
+            reshared: false,
+            clock_lead_ms: 0,
         }
     }
 
@@ -164,9 +180,15 @@
 
 impl Play {
     fn new(seed: u64, setup: Setup) -> Play {
-        let mut world = World::unlimited(setup.entries).released(false);
+        let mut world = match setup.reshared {
+            true => World::shared(setup.entries).released(false),
+            false => World::unlimited(setup.entries).released(false),
+        };
         let unix_ms = world.unix_ms();
-        for server in &mut world.servers {
+        for (number, server) in world.servers.iter_mut().enumerate() {
+            if setup.reshared && number % 2 == 1 {
+                server.service = support::OTHER_SERVICE.into();
+            }
             server.started_unix_ms = Some(unix_ms - 20_000);
             server.incarnation = format_smolstr!("{}@{}", server.id, unix_ms - 20_000);
         }
@@ -288,7 +310,10 @@
             Change::Reach { entry } => {
                 self.world.store_partitioned.remove(&entry);
             }
-            Change::Run { entry } => self.world.start(entry),
+            Change::Run { entry } => {
+                let lead = self.between(0, self.setup.clock_lead_ms);
+                self.world.restart_with_clock_ahead(entry, lead);
+            }
             Change::Answer => self.world.store_unresponsive = false,
             Change::Exchange { entry } => {
                 self.world.partitioned.remove(&entry);
@@ -298,6 +323,24 @@
             }
             Change::Thaw { entry } => self.world.thaw(entry),
             Change::Sound => self.set_store_faults(Faults::default()),
+            Change::Resume => {
+                for entry in 0..self.world.entry_count() {
+                    self.world.thaw(entry);
+                }
+            }
+            Change::Stall { more } => {
+                let lasts = self.between(250, 470);
+                self.world.frozen.extend(0..self.world.entry_count());
+                self.later(lasts, Change::Resume);
+                if let Some(more) = more.checked_sub(1) {
+                    self.later(1_000, Change::Stall { more });
+                }
+            }
+            Change::Configure { entry, version } => {
+                if self.world.is_running(entry) && version == self.world.version {
+                    self.world.configure(entry, version, Source::Store);
+                }
+            }
             Change::Restore => {
                 if let Some(copy) = self.copy.take() {
                     self.note("store restored".into());
@@ -346,7 +389,7 @@
         self.streams.push(Stream {
             serial,
             begun_at: self.world.now,
-            version: None,
+            origin: None,
             returns: 0,
         });
         self.track(serial, entry, self.streams.len() - 1);
@@ -390,7 +433,7 @@
         let one = &mut self.streams[stream];
         one.returns += 1;
         let returns_at = self.world.now + delay;
-        if one.version.is_some()
+        if one.origin.is_some()
             && one.returns <= MAX_RETURNS
             && returns_at < one.begun_at + self.setup.returns_within_ms
         {
@@ -499,13 +542,13 @@
             self.open.get_mut(&serial).unwrap().acts_at = self.world.now + STEP_MS;
             return;
         }
-        let version = backend.row.version;
+        let origin = (backend.row.service, backend.row.version);
         let stream = &mut self.streams[open.stream];
-        match &stream.version {
-            None => stream.version = Some((version, serial)),
-            Some((first, by)) if *first != version => {
+        match &stream.origin {
+            None => stream.origin = Some((origin, serial)),
+            Some((first, by)) if *first != origin => {
                 self.mixed.push(format!(
-                    "{} entry-{} r{serial} goes on at {version} ({}), the first by r{by} at {first}",
+                    "{} entry-{} r{serial} goes on at {origin:?} ({}), the first by r{by} at {first:?}",
                     self.world.now, open.entry, sent.server,
                 ));
             }
@@ -527,7 +570,12 @@
         let share = [0.1, 0.3, 0.6][self.between(0, 2) as usize];
         let entries = self.some_entries(share);
         let lasts = self.between(500, 9_000);
-        match self.between(0, 13) {
+        let last = if self.setup.stalled || self.setup.reshared {
+            15
+        } else {
+            13
+        };
+        match self.between(0, last) {
             0 | 1 => {
                 self.note(format!("store cut {entries:?} {lasts}"));
                 for entry in entries {
@@ -595,6 +643,12 @@
                     self.later(lasts, Change::Thaw { entry });
                 }
             }
+            14 if self.setup.stalled => {
+                let more = self.between(1, 6);
+                self.note(format!("all entries stall {more}"));
+                self.later(0, Change::Stall { more });
+            }
+            15 if self.setup.reshared => self.reshare(),
             _ if self.setup.restored && self.copy.is_none() => {
                 self.copy = Some(self.world.table.clone());
                 let age = self.between(200, 3_000);
@@ -604,6 +658,20 @@
         }
     }
 
+    /// Changes the shares of two services, of which the entries learn at different times.
+    fn reshare(&mut self) {
+        const WEIGHTS: [f64; 3] = [0.05, 0.3, 0.6];
+        let [one, other] = [0, 0].map(|_| WEIGHTS[self.between(0, 2) as usize]);
+        self.note(format!("shares {one} {other}"));
+        self.world.version += 1;
+        self.world.weights = [one, other];
+        let version = self.world.version;
+        for entry in 0..self.world.entry_count() {
+            let delay = self.between(0, 2_000);
+            self.later(delay, Change::Configure { entry, version });
+        }
+    }
+
     /// Ends all requests at an entry.
     fn end_entry(&mut self, entry: usize) {
         let here = self.open.iter().filter(|(_, open)| open.entry == entry);
@@ -786,3 +854,16 @@
     };
     play_all(setup, 9_800..9_801);
 }
+
+/// Guards against the same while all entries stand still for moments beside a table service that fails, their clocks differ
+/// by seconds, and shares of services change.
+#[test]
+fn long_plays_with_stalls_and_changes_of_shares_mix_no_versions() {
+    let setup = Setup {
+        stalled: true,
+        reshared: true,
+        clock_lead_ms: 3_000,
+        ..Setup::long(20)
+    };
+    play_all(setup, 1..2);
+}
