Gateway: counts of ended entries that a hub hands over set no clock

What callers saw: a stream of another version than the default one went on at the default version.

Cause: a hub hands over the counts of ended entries to other hubs. They bear no time. An entry that has just started, and hasn't learned that counts go by hubs, took each of them for that of a peer whose clock reads 0. With more of these than peers, the median of the clocks is 1970, for as long as no sum of a hub corrects it: then records of streams are out of date when they are written, a new default counts as proven, and requests count for windows of 1970. It needs more than 16 entries, and entries that restart.

Change: such counts, which only hubs send, switch the receiver to hubs, which merge them without a clock.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -364,8 +364,11 @@
         let Some(peer) = holder::Id::parse(name) else {
             return;
         };
-        if bulletin.sums > 0 {
+        // A hub sends the counts of entries that have ended to other hubs only, and they bear no time.
+        if bulletin.sums > 0 || bulletin.past {
             self.use_hubs(now, effects);
+        }
+        if bulletin.sums > 0 {
             // A sum for an earlier incarnation at this address contains our own counts: applied, they were
             // charged and reported twice for some seconds after each restart.
             if bulletin.without != Some(self.identity.incarnation.0) {
--- a/crates/gateway/tests/hubs.rs
+++ b/crates/gateway/tests/hubs.rs
@@ -94,3 +94,20 @@
     assert_eq!(hubs.len(), 2);
     assert!(hubs.iter().all(|hub| *hub < LARGE), "{hubs:?}");
 }
+
+/// Guards against the time of an entry that has just started, which another hub's counts of ended entries set to 1970.
+#[test]
+fn counts_of_ended_entries_set_no_clock() {
+    let mut world = World::new(ENTRIES).released(true);
+    world.start(0);
+    world.hand_over_counts(0);
+    for _ in 0..20 {
+        world.begin_stream(0);
+        world.run(10);
+    }
+    let now = world.unix_ms();
+    let records = world.stream_record_ends();
+    assert!(!records.is_empty());
+    let wrong = records.iter().filter(|until| **until < now - 60_000);
+    assert_eq!(wrong.count(), 0, "of {}", records.len());
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -41,6 +41,7 @@
 use gateway::plan::Count;
 use lease::holder;
 use member::digest::Digest;
+use member::digest::Item;
 use member::digest::Topic;
 use policy::charge::Charge;
 use policy::mix::Market;
@@ -999,6 +1000,31 @@
         names.map(|name| self.rows(name).len()).sum()
     }
 
+    /// Delivers counts of ended entries to an entry, as a hub hands them over to another one.
+    pub fn hand_over_counts(&mut self, entry: usize) {
+        let payload = serde_json::to_vec(&Bulletin::default().past()).expect("a bulletin");
+        let item = |ended: u64| Item {
+            topic: Topic::Count,
+            key: format_smolstr!("{}/{}", holder::Id(ended), holder::Id(1)),
+            version: 1,
+            age_ms: 0,
+            payload: payload.clone(),
+        };
+        let digest = Digest {
+            items: (10..20).map(item).collect(),
+            ..Digest::default()
+        };
+        self.step(entry, Event::DigestReceived(digest));
+    }
+
+    /// Returns the Unix times, in milliseconds, until which streams are recorded.
+    pub fn stream_record_ends(&mut self) -> Vec<u64> {
+        let names = (0..16).map(|table| format_smolstr!("streams-{table:x}"));
+        let rows: Vec<Row> = names.flat_map(|name| self.rows(name)).collect();
+        let ends = rows.iter().map(|row| row.value["until_ms"].as_u64());
+        ends.flatten().collect()
+    }
+
     /// Replaces the records of streams by what no entry can read.
     pub fn spoil_records(&mut self) {
         for table in (0..16).map(|table| format_smolstr!("streams-{table:x}")) {
