Gateway: a record of a stream isn't removed by a clock alone

Change: a record that is out of date by its time is removed only once it has been known to be there for as long as callers return, and if it hasn't been written again meanwhile.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -22,6 +22,7 @@
 use smol_str::format_smolstr;
 use store::call::Address;
 use store::call::Call;
+use store::call::Check;
 use store::call::Outcome;
 use store::call::Row;
 use store::call::Transaction;
@@ -49,8 +50,10 @@
 const REMOVAL_INTERVAL: Span = Span::from_seconds(5);
 /// Interval at which the holder of the duties looks for records that killed entries left in one of the tables.
 const SWEEP_INTERVAL: Span = Span::from_seconds(30);
-/// Time after which such a record is removed, beyond any difference of clocks.
+/// Time after which such a record is removed, beyond usual differences of clocks.
 const SWEEP_MARGIN: Span = Span::from_seconds(60);
+/// Maximum records that one call of a sweep removes, each of which is checked and written.
+const MAX_SWEPT: usize = MAX_ROWS / 2;
 /// Maximum records of one stream: one for each attempt before its first event, and one of the attempt that began it.
 const MAX_RECORDS: u32 = 16;
 /// Number in the key of the record of a stream that has begun, which follows those of all attempts.
@@ -104,6 +107,17 @@
     next_removal: Time,
     next_sweep: Time,
     swept: u64,
+    /// Records that sweeps found out of date, by the clocks of those who wrote them, oldest first.
+    outdated: VecDeque<Outdated>,
+}
+
+/// A record that a sweep found out of date.
+#[derive(Debug)]
+struct Outdated {
+    table: u64,
+    key: SmolStr,
+    revision: u64,
+    found_at: Time,
 }
 
 /// A stream that began here.
@@ -432,6 +446,7 @@
             return;
         }
         self.streams.next_sweep = now + SWEEP_INTERVAL;
+        self.remove_outdated(now);
         let table = self.streams.swept % TABLES;
         self.streams.swept += 1;
         let call = Call::Scan {
@@ -443,7 +458,7 @@
         self.call_store(Waiter::SweptRecords(table), call);
     }
 
-    /// Removes the records that were read and are out of date.
+    /// Notes the records that were read and are out of date.
     pub(crate) fn handle_swept_records(&mut self, now: Time, table: u64, outcome: &Outcome) {
         let Outcome::Rows { rows, .. } = outcome else {
             return;
@@ -456,18 +471,49 @@
             let until = row.value.get("until_ms").and_then(Value::as_u64);
             until.is_none_or(|until| until < newest)
         };
-        let outdated: Vec<SmolStr> = rows
-            .iter()
-            .filter(is_outdated)
-            .map(|row| row.key.clone())
-            .collect();
-        if !outdated.is_empty() {
-            let rows = outdated.into_iter().map(|key| (key, Value::Null));
-            self.call_store(Waiter::RemovedRecords, transaction(table, rows));
+        let outdated = rows.iter().filter(is_outdated).map(|row| Outdated {
+            table,
+            key: row.key.clone(),
+            revision: row.revision,
+            found_at: now,
+        });
+        self.streams.outdated.extend(outdated);
+    }
+
+    /// Removes records that were found out of date for so long ago that nobody returns to their streams, even if the clock of
+    /// the entry that wrote them was wrong.
+    fn remove_outdated(&mut self, now: Time) {
+        let horizon = self.versions.return_horizon();
+        let outdated = &mut self.streams.outdated;
+        let is_due = |one: &mut Outdated| now.since(one.found_at) >= horizon;
+        let due: Vec<Outdated> = std::iter::from_fn(|| outdated.pop_front_if(is_due)).collect();
+        for of_table in due.chunk_by(|one, next| one.table == next.table) {
+            for chunk in of_table.chunks(MAX_SWEPT) {
+                self.call_store(Waiter::RemovedRecords, removal(chunk));
+            }
         }
     }
 }
 
+/// Returns the call that removes records of one table, unless one of them has been written again.
+fn removal(outdated: &[Outdated]) -> Call {
+    let name = outdated.first().map(|one| table_name(one.table));
+    let address = |one: &Outdated| Address::new(table_name(one.table), one.key.clone());
+    let checks = outdated.iter().map(|one| Check {
+        address: address(one),
+        revision: Some(one.revision),
+    });
+    let writes = outdated.iter().map(|one| Write {
+        address: address(one),
+        value: Value::Null,
+    });
+    Call::Transact(Transaction {
+        token: name.unwrap_or_default(),
+        checks: checks.collect(),
+        writes: writes.collect(),
+    })
+}
+
 /// Returns the start of the keys of a stream's records that state what began it, whatever its attempts were.
 fn begun_prefix(stream: Key) -> SmolStr {
     let prefix = stream.prefix();
--- a/crates/gateway/tests/unproven.rs
+++ b/crates/gateway/tests/unproven.rs
@@ -164,3 +164,22 @@
     let begun = [(stream, SmolStr::new_static("v1"))];
     assert_eq!(count_mixed(&mut world, 1, &begun), 0);
 }
+
+/// Guards against records that an entry removes early, whose clock differs from that of the entry which wrote them.
+#[test]
+fn a_record_is_not_removed_by_an_entry_whose_clock_is_ahead() {
+    let mut world = World::new(2).released(true);
+    world.kill(1);
+    world.restart_with_clock_ahead(0, 300_000);
+    world.run(OUTAGE_MILLIS);
+    // Else one of them would follow the other's clock.
+    world.partitioned.insert(1);
+    world.start(1);
+    world.run(JOIN_MILLIS);
+    let begun: Vec<(u64, SmolStr)> = (0..STREAMS)
+        .map(|_| (world.begin_stream_at(1, "v2"), "v2".into()))
+        .collect();
+    world.kill(1);
+    world.run(60_000);
+    assert_eq!(count_mixed(&mut world, 0, &begun), 0);
+}
