Gateway: time in which an entry was paused or cut off proves nothing about versions

What callers saw: streams that went on at another software version than the one that began them.

- entries that are cut off together from the table service and from the others went by their default version without a limit, since they were in contact with each other; an entry that was in contact again after two minutes no longer learned of the replacement (`entries_without_the_table_service_stop_to_go_by_a_default_version_that_may_be_replaced`);
- an entry that was paused for a minute counted this time as absence of the default version's servers, and replaced it (`a_paused_entry_replaces_no_default_version_that_had_servers_meanwhile`);
- an entry that was paused counted as one that knows all versions of that time; since it doubted its default it agreed on another one (`an_entry_that_doubts_its_default_version_agrees_on_no_other_after_a_pause`);
- servers whose rows are missing, and which are kept while reads of the list fail, counted as sight of the default version (`missing_rows_prove_no_default_version`).

Cause and class: as before, time that an entry didn't see counted as time in which nothing happened.

Change: a pause of two seconds between two counts of the servers starts absence and coverage anew, and statements that may have been made before don't extend it. Only rows that are there count as sight. Without the table service streams at the default begin unrecorded beyond the usual time only while all entries are in contact. Entries state the revision of a replacement for as long as it is in force. The last known default forbids agreement on another version. Requests that waited for longer than versions are remembered aren't agreed on.

--- a/crates/gateway/src/bulletin.rs
+++ b/crates/gateway/src/bulletin.rs
@@ -73,7 +73,7 @@
     /// Time before now for which `versions` names all that served, by service, milliseconds.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub versions_known_for: BTreeMap<SmolStr, u64>,
-    /// Revisions of the default versions that have replaced others lately, by service.
+    /// Revisions of the default versions that have replaced others, by service.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub default_revisions: BTreeMap<SmolStr, u64>,
     /// Shares of routes that were in force before the present ones.
--- a/crates/gateway/src/coverage.rs
+++ b/crates/gateway/src/coverage.rs
@@ -6,6 +6,9 @@
 use clock::Span;
 use clock::Time;
 
+/// Longest time for which messages are on their way.
+const MESSAGE_DELAY: Span = Span::from_seconds(2);
+
 /// The time that one entry's knowledge of a service's versions covers.
 #[derive(Debug)]
 pub(crate) struct Coverage {
@@ -15,6 +18,8 @@
     before: Span,
     /// Time before `since` that statements of others cover.
     stated: Span,
+    /// Time before which a statement may have been made before `since`.
+    accepts_from: Time,
 }
 
 impl Coverage {
@@ -24,6 +29,15 @@
             since: now,
             before: Span::ZERO,
             stated: Span::ZERO,
+            accepts_from: now,
+        }
+    }
+
+    /// Creates the coverage of an entry that was paused until now, and finds messages which came meanwhile.
+    pub fn resumed(now: Time) -> Coverage {
+        Coverage {
+            accepts_from: now + MESSAGE_DELAY,
+            ..Coverage::new(now)
         }
     }
 
@@ -34,6 +48,9 @@
 
     /// Records that another entry stated the versions of a time before now.
     pub fn record_stated(&mut self, now: Time, span: Span) {
+        if now < self.accepts_from {
+            return;
+        }
         self.stated = self.stated.max(span - now.since(self.since));
     }
 
--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -71,6 +71,7 @@
             .map(|share| share.service.clone())
             .collect();
         let mut counts: BTreeMap<SmolStr, BTreeMap<SmolStr, usize>> = BTreeMap::new();
+        let mut listed: BTreeMap<SmolStr, BTreeSet<SmolStr>> = BTreeMap::new();
         for record in self.servers.iter() {
             let server = &record.server;
             if self.servers.is_leaving(&server.incarnation) {
@@ -80,6 +81,10 @@
             } else {
                 let of_service = counts.entry(server.service.clone()).or_default();
                 *of_service.entry(server.version.clone()).or_default() += 1;
+                if record.missing_since.is_none() {
+                    let of_service = listed.entry(server.service.clone()).or_default();
+                    of_service.insert(server.version.clone());
+                }
             }
         }
         let list = ListState {
@@ -88,7 +93,8 @@
         };
         for service in services {
             let counts = counts.remove(&service).unwrap_or_default();
-            self.review_service(now, service, counts, list);
+            let listed = listed.remove(&service).unwrap_or_default();
+            self.review_service(now, service, counts, &listed, list);
         }
         self.settle_agreements(now, effects);
     }
@@ -99,12 +105,13 @@
         now: Time,
         service: SmolStr,
         counts: BTreeMap<SmolStr, usize>,
+        listed: &BTreeSet<SmolStr>,
         list: ListState,
     ) {
         let memory = self.versions.memory();
         let known = self.versions.services.entry(service.clone()).or_default();
         let was_mixed = known.is_mixed();
-        known.review(now, counts, list, memory);
+        known.review(now, counts, listed, list, memory);
         let is_due = known.needs_call(now);
         if is_due {
             known.begin_call(None);
@@ -159,12 +166,11 @@
         spread.scaled(self.random.random::<f64>())
     }
 
-    /// Returns the revisions of the defaults that have replaced others lately, by service.
-    pub(crate) fn default_revisions(&self, now: Time) -> BTreeMap<SmolStr, u64> {
-        let span = self.proof_delay();
+    /// Returns the revisions of the defaults that have replaced others, by service.
+    pub(crate) fn default_revisions(&self) -> BTreeMap<SmolStr, u64> {
         let services = self.versions.services.iter();
         services
-            .filter_map(|(service, known)| Some((service.clone(), known.new_revision(now, span)?)))
+            .filter_map(|(service, known)| Some((service.clone(), known.replacement_revision()?)))
             .collect()
     }
 
@@ -212,6 +218,10 @@
             Outcome::Committed(revision) => {
                 let is_current = |stored: &Stored| Revision::unpacked(revision).era == stored.era;
                 if let Some(stored) = proposed.filter(is_current) {
+                    if stored.is_retiring {
+                        // Shows whether the replicas are still gone.
+                        effects.push(Effect::ReadServers);
+                    }
                     self.set_default(now, service, Stored { revision, ..stored }, effects);
                 }
             }
@@ -268,13 +278,10 @@
                 true => {}
             }
         }
-        let is_retiring = stored.is_retiring;
         self.set_default(now, service, stored.clone(), effects);
         let known = self.versions.services.get(service);
         if known.is_some_and(Service::is_back) {
             self.write_mark(service, stored, false);
-        } else if is_retiring && must_be_replaced && !self.has_list_since_mark(service) {
-            effects.push(Effect::ReadServers);
         }
     }
 
--- a/crates/gateway/src/hubs.rs
+++ b/crates/gateway/src/hubs.rs
@@ -60,6 +60,8 @@
     pub(crate) monitor: Monitor,
     /// The hub whose sums are applied, and when the last one arrived.
     pub(crate) followed_hub: Option<(holder::Id, Time)>,
+    /// Number of other entries whose counts the last sum of that hub held, without those of silent ones.
+    summed: u32,
     /// The hubs as of the last round.
     current_hubs: Vec<holder::Id>,
     /// When this entry last became a hub, or, while it is none, when the hubs last changed.
@@ -125,6 +127,18 @@
         self.current_hubs.contains(&entry)
     }
 
+    /// Records the number of other entries that a sum of the followed hub covers.
+    pub(crate) fn record_sum(&mut self, entries: u32) {
+        self.summed = entries;
+    }
+
+    /// Returns how many other entries the last sum covers; none if it is older than `timeout`.
+    pub(crate) fn summed_entries(&self, now: Time, timeout: Span) -> usize {
+        let followed = self.followed_hub;
+        let is_recent = followed.is_some_and(|(_, at)| now.since(at) <= timeout);
+        if is_recent { self.summed as usize } else { 0 }
+    }
+
     /// Records another entry's message, which is the last one.
     pub(crate) fn record_message(&mut self, from: holder::Id, message: LastMessage) {
         self.last_messages.insert(from, message);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -277,7 +277,7 @@
             offered: self.plans.own_rates(now),
             versions: Some(self.statement(now)),
             versions_known_for: self.coverage_millis(now),
-            default_revisions: self.default_revisions(now),
+            default_revisions: self.default_revisions(),
             former_shares: self.route_shares.statement(now),
             ..Bulletin::default()
         };
@@ -427,6 +427,7 @@
             self.peer_work.remove(&SUM_SENDER);
         }
         self.hub.followed_hub = Some((hub, now));
+        self.hub.record_sum(sum.sums);
         self.absorb_speeds(now, hub, &mut sum);
         match changed {
             true => self
--- a/crates/gateway/src/releases.rs
+++ b/crates/gateway/src/releases.rs
@@ -204,10 +204,13 @@
         let Some(only) = known.and_then(|known| known.recent_only(now, span)) else {
             return Agreement::Impossible(Cause::SeveralVersions);
         };
-        let default = self.versions.default_of(now, &open.service);
-        if default.is_some_and(|default| default != only) {
+        let default = known.and_then(|known| known.default.as_ref());
+        if default.is_some_and(|default| default.version != *only) {
             return Agreement::Impossible(Cause::NotTheDefault);
         }
+        if span > self.versions.memory() {
+            return Agreement::Impossible(Cause::ShortMemory);
+        }
         let is_covered = known.is_some_and(|known| known.coverage(now) >= span);
         let is_stated = self.knows_entries(now) && self.are_statements_newer(open.arrived_at);
         if is_covered && (is_stated || self.is_list_newer(open.arrived_at)) {
@@ -232,11 +235,14 @@
         self.versions.return_horizon() + now.since(open.arrived_at)
     }
 
-    /// Returns whether another entry exchanges messages with this one, if there is any.
-    pub(crate) fn is_in_contact(&self, now: Time) -> bool {
+    /// Returns whether all other entries exchange messages with this one, directly or by hubs.
+    pub(crate) fn is_in_contact_with_all(&self, now: Time) -> bool {
         let timeout = self.failure_timeout();
-        let mut peers = self.membership.peers().peekable();
-        peers.peek().is_none() || peers.any(|(_, peer)| now.since(peer.last_seen) <= timeout)
+        if self.uses_hubs() {
+            return self.hub.summed_entries(now, timeout) >= self.membership.peers().count();
+        }
+        let mut peers = self.membership.peers();
+        peers.all(|(_, peer)| now.since(peer.last_seen) <= timeout)
     }
 
     /// Returns whether the list of servers contains all that was there at a time.
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -223,11 +223,7 @@
         if !open.repeat.is_resumable() || open.version.is_some() {
             return false;
         }
-        let is_cut_off = self.is_list_outdated() && self.is_in_contact(now);
-        let unrecorded = self
-            .versions
-            .unrecorded_version(now, &open.service, is_cut_off);
-        let is_default = unrecorded == Some(&version);
+        let is_default = self.unrecorded_version(now, &open.service) == Some(&version);
         let latest = open.record.as_ref();
         let is_recorded = latest.is_some_and(|one| one.is_written && one.version == version);
         let is_certain = is_default && !open.is_redrawn && self.knows_former_shares(now, open);
@@ -253,6 +249,12 @@
         true
     }
 
+    /// Returns the version at which streams of a service begin without a record.
+    fn unrecorded_version(&self, now: Time, service: &str) -> Option<&SmolStr> {
+        let is_agreed = self.is_list_outdated() && self.is_in_contact_with_all(now);
+        self.versions.unrecorded_version(now, service, is_agreed)
+    }
+
     /// Returns the longest wait of a stream's first event for its record.
     ///
     /// A further attempt may need no record; without one, an answer given up is lost.
@@ -318,8 +320,7 @@
         if self.versions.only(service).is_some() {
             return None;
         }
-        let is_cut_off = self.is_list_outdated() && self.is_in_contact(now);
-        let default = self.versions.unrecorded_version(now, service, is_cut_off)?;
+        let default = self.unrecorded_version(now, service)?;
         let of_default = self.pool_of(service, default)?;
         (self.pools.get(&of_default) == Some(&pool)).then(|| version_key(default))
     }
--- a/crates/gateway/src/route_shares.rs
+++ b/crates/gateway/src/route_shares.rs
@@ -109,8 +109,8 @@
                     until: now + Span::from_millis(stated.left_ms),
                 };
                 let is_same = |one: &Former| {
-                    let between = one.until.since(former.until) + former.until.since(one.until);
-                    one.shares == former.shares && between < APPLY_TIME
+                    let ends = (one.until.as_millis(), former.until.as_millis());
+                    one.shares == former.shares && are_same_change(ends)
                 };
                 if !known.iter().any(is_same) {
                     let later = known.iter().position(|one| one.until > former.until);
@@ -150,14 +150,18 @@
     last.map(|share| share.service.clone()).unwrap_or_default()
 }
 
+/// Returns whether entries forget shares so close to each other, in milliseconds, that the same change replaced them.
+fn are_same_change((one, other): (u64, u64)) -> bool {
+    one.abs_diff(other) < APPLY_TIME.as_millis()
+}
+
 /// Adds former shares to those of a sum. The same ones may have been in force twice.
 pub(crate) fn merge(into: &mut Statement, one: &Statement) {
     for (route, formers) in one {
         let into = into.entry(route.clone()).or_default();
         for former in formers {
             let is_same = |known: &Stated| {
-                let between = known.left_ms.abs_diff(former.left_ms);
-                known.shares == former.shares && between < APPLY_TIME.as_millis()
+                known.shares == former.shares && are_same_change((known.left_ms, former.left_ms))
             };
             if !into.iter().any(is_same) {
                 into.push(former.clone());
--- a/crates/gateway/src/trust.rs
+++ b/crates/gateway/src/trust.rs
@@ -8,41 +8,46 @@
 use clock::Span;
 use clock::Time;
 
-/// Time for which replicas on the list show that nobody has replaced the default, beyond what the lists of entries differ
-/// by.
-const SPAN: Span = Span::from_seconds(40);
+/// Time for which replicas on the list show that nobody has replaced the default. Invariant: shorter than
+/// [`crate::versions::REPLACE_AFTER`] by more than the lists of entries lag.
+const HOLD_TIME: Span = Span::from_seconds(40);
 
 /// The time for which a row that was read still holds.
 #[derive(Debug, Default)]
 pub(crate) struct Trust {
     /// When the row may have been replaced.
     until: Time,
-    /// Whether the list has had replicas only later than that.
-    is_broken: bool,
+    /// Whether the list has had replicas only later than that, so that the row must be read again.
+    must_reread: bool,
 }
 
 impl Trust {
+    /// Creates the trust in a row that may be replaced at any moment.
+    pub fn none() -> Trust {
+        Trust::default()
+    }
+
     /// Creates the trust in a row that was read when the list had had replicas of its version at a time, if ever.
     pub fn new(listed: Option<Time>) -> Trust {
         Trust {
-            until: listed.map_or(Time::ZERO, |at| at + SPAN),
-            is_broken: false,
+            until: listed.map_or(Time::ZERO, |at| at + HOLD_TIME),
+            must_reread: false,
         }
     }
 
     /// Records that the list had replicas of the version at a time.
     pub fn record_listed(&mut self, at: Time) {
         if at < self.until {
-            self.until = self.until.max(at + SPAN);
+            self.until = self.until.max(at + HOLD_TIME);
         } else {
-            self.is_broken = true;
+            self.must_reread = true;
         }
     }
 
     /// Records that the row may have been replaced.
     pub fn end(&mut self) {
         self.until = Time::ZERO;
-        self.is_broken = true;
+        self.must_reread = true;
     }
 
     /// Returns whether the row held `span` ago.
@@ -51,7 +56,7 @@
     }
 
     /// Returns whether the row must be read again to hold.
-    pub fn is_broken(&self) -> bool {
-        self.is_broken
+    pub fn must_reread(&self) -> bool {
+        self.must_reread
     }
 }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -9,6 +9,7 @@
 //! since this entry read it ([`crate::trust`]).
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use clock::Span;
 use clock::Time;
@@ -25,6 +26,8 @@
 pub(crate) const REPLACE_AFTER: Span = Span::from_seconds(60);
 /// Longest time for which a request waits until it is known what began its stream.
 const LONGEST_WAIT: Span = Span::from_seconds(10);
+/// Time between two reviews from which this entry counts as paused meanwhile: versions may have come and gone.
+const PAUSE: Span = Span::from_seconds(2);
 /// Time after the default may have been replaced in which streams at it still begin unrecorded. Invariant: shorter than the
 /// time for which a new default proves nothing, less that for which callers return.
 const UNRECORDED_GRACE: Span = Span::from_seconds(40);
@@ -57,6 +60,8 @@
     trust: Trust,
     /// When the default must be read again, since it may have been lost or replaced.
     reread_at: Option<Time>,
+    /// When the replicas were last counted.
+    reviewed_at: Option<Time>,
     /// Since when the list, which was never out of date meanwhile, has had no replica of the default version.
     absent_since: Option<Time>,
     /// When this entry learned that the default is to be replaced.
@@ -67,8 +72,6 @@
     listed_at_call: BTreeMap<SmolStr, Time>,
     pub calling: bool,
     pub next_call: Time,
-    /// When this entry last learned of another default than before.
-    changed_at: Option<Time>,
     /// Requests that wait for the default to be known.
     waiting: Vec<u64>,
 }
@@ -103,11 +106,19 @@
         &mut self,
         now: Time,
         counts: BTreeMap<SmolStr, usize>,
+        listed: &BTreeSet<SmolStr>,
         list: ListState,
         memory: Span,
     ) {
+        let reviewed_at = self.reviewed_at.replace(now);
+        if reviewed_at.is_some_and(|at| now.since(at) >= PAUSE) {
+            self.absent_since = None;
+            self.coverage = Some(Coverage::resumed(now));
+        }
         for version in counts.keys() {
             self.seen.insert(version.clone(), now);
+        }
+        for version in listed {
             self.listed.insert(version.clone(), list.as_of);
         }
         self.coverage.get_or_insert_with(|| Coverage::new(now));
@@ -117,8 +128,7 @@
         self.listed.retain(is_recent);
         self.counts = counts;
         let default = self.default.as_ref();
-        if let Some(default) = default.filter(|default| self.counts.contains_key(&default.version))
-        {
+        if let Some(default) = default.filter(|default| listed.contains(&default.version)) {
             match default.is_retiring {
                 true => self.trust.end(),
                 false => self.trust.record_listed(list.as_of),
@@ -198,11 +208,11 @@
         }
     }
 
-    /// Returns the revision of a default that has replaced another one within `span`.
-    pub fn new_revision(&self, now: Time, span: Span) -> Option<u64> {
-        let is_new = self.changed_at.is_some_and(|at| now.since(at) < span);
-        let default = self.default.as_ref().filter(|_| is_new);
-        default.map(|default| default.revision)
+    /// Returns the revision of a default that has replaced another one.
+    pub fn replacement_revision(&self) -> Option<u64> {
+        let default = self.default.as_ref();
+        let replacement = default.filter(|default| default.since_unix_ms.is_some());
+        replacement.map(|default| default.revision)
     }
 
     /// Prepares a call that reads or writes the default.
@@ -216,16 +226,15 @@
     pub fn set_default(&mut self, now: Time, default: Stored) {
         let before = self.default.as_ref();
         if before.is_some_and(|before| before.version != default.version) {
-            self.changed_at = Some(now);
             self.absent_since = None;
         }
         self.trust = match default.is_retiring {
-            true => Trust::default(),
+            true => Trust::none(),
             false => Trust::new(self.listed_at_call.get(&default.version).copied()),
         };
-        self.retiring_since = default
-            .is_retiring
-            .then(|| self.retiring_since.unwrap_or(now));
+        let is_known = before.is_some_and(|before| before.revision == default.revision);
+        let known_since = self.retiring_since.filter(|_| is_known);
+        self.retiring_since = default.is_retiring.then(|| known_since.unwrap_or(now));
         self.default = Some(default);
         self.reread_at = self.reread_at.filter(|at| *at > now);
         self.track_absence(now, false);
@@ -261,7 +270,7 @@
     /// Returns whether the default must be read, or replaced.
     pub fn needs_call(&self, now: Time) -> bool {
         let is_due = !self.calling && now >= self.next_call && !self.counts.is_empty();
-        let must_reread = self.reread_at.is_some_and(|at| now >= at) || self.trust.is_broken();
+        let must_reread = self.reread_at.is_some_and(|at| now >= at) || self.trust.must_reread();
         is_due && (self.default.is_none() || must_reread || self.is_replaceable(now))
     }
 
@@ -292,10 +301,10 @@
     }
 
     /// Returns whether a stream may begin at the default version without a record. Without the table service nothing
-    /// could be recorded; then it may for as long as other entries name no newer default.
-    fn needs_no_record(&self, now: Time, is_cut_off: bool) -> bool {
-        let is_known = self.default.is_some() && !self.trust.is_broken();
-        is_known && (is_cut_off || self.trust.held(now, UNRECORDED_GRACE))
+    /// could be recorded; then it may for as long as all entries are in contact (`is_agreed`) and name no newer default.
+    fn needs_no_record(&self, now: Time, is_agreed: bool) -> bool {
+        let is_known = self.default.is_some() && !self.trust.must_reread();
+        is_known && (is_agreed || self.trust.held(now, UNRECORDED_GRACE))
     }
 }
 
@@ -343,12 +352,12 @@
         &self,
         now: Time,
         service: &str,
-        is_cut_off: bool,
+        is_agreed: bool,
     ) -> Option<&SmolStr> {
         let known = self.services.get(service)?;
         let default = known.default.as_ref();
         default
-            .filter(|_| known.needs_no_record(now, is_cut_off))
+            .filter(|_| known.needs_no_record(now, is_agreed))
             .map(|default| &default.version)
     }
 
--- a/crates/gateway/tests/returns.rs
+++ b/crates/gateway/tests/returns.rs
@@ -232,3 +232,127 @@
         assert!(resumed.is_none_or(|resumed| resumed == began), "{serial}");
     }
 }
+
+/// Lets all servers run a version, as after they have started anew.
+fn restart_servers(world: &mut World, version: &str) {
+    for server in &mut world.servers {
+        server.version = version.into();
+        server.incarnation = format_smolstr!("{}@{version}", server.id);
+    }
+}
+
+/// Guards against entries that are cut off together from the table service and the others, and go by their default version for
+/// as long as they hear of each other; and against one that is in contact again once nobody states the replacement any more.
+#[test]
+fn entries_without_the_table_service_stop_to_go_by_a_default_version_that_may_be_replaced() {
+    for (cut_off, is_rejoined) in [(vec![0], false), (vec![0, 1], false), (vec![0], true)] {
+        let mut world = World::new(4).released(true);
+        let both = world.servers.clone();
+        world.separated = cut_off.iter().copied().collect();
+        world.store_partitioned = world.separated.clone();
+        for entry in &cut_off {
+            world.fail_list(*entry);
+        }
+        world.servers.retain(|server| server.version == "v2");
+        world.publish_to(&[2, 3]);
+        world.run(REPLACED_MILLIS + SETTLED_MILLIS);
+        if is_rejoined {
+            world.separated.clear();
+            world.run(JOIN_MILLIS);
+        }
+        world.servers = both;
+        let mixed = (0..STREAMS).filter(|_| {
+            let (serial, began) = world.begin_stream(0);
+            // Its caller gets no event before it is recorded.
+            let has_begun = !world.awaiting_record.contains(&serial);
+            world.run(100);
+            let resumed = world.resume_stream(2, serial);
+            has_begun && resumed.is_some() && resumed != began
+        });
+        let mixed = mixed.count();
+        assert_eq!(mixed, 0, "{cut_off:?}, in contact again: {is_rejoined}");
+    }
+}
+
+/// Guards against servers whose rows are missing, and which are kept while reads of the list fail now and then, as a proof that
+/// the default version has servers.
+#[test]
+fn missing_rows_prove_no_default_version() {
+    let mut world = World::new(3).released(true);
+    let both = world.servers.clone();
+    world.separated = [0].into();
+    world.servers.retain(|server| server.version == "v2");
+    world.publish_to(&[1, 2]);
+    for _ in 0..REPLACED_MILLIS / 1_000 + 1 {
+        world.fail_list(0);
+        world.send_servers(0);
+        world.run(1_000);
+    }
+    world.servers = both;
+    let (_, mixed) = resume_elsewhere(&mut world, 1, 0);
+    assert_eq!(mixed, 0);
+}
+
+/// Guards against an entry that was paused for a minute, and takes this time for one in which the default version had no servers.
+#[test]
+fn a_paused_entry_replaces_no_default_version_that_had_servers_meanwhile() {
+    let mut world = World::new(3).released(true);
+    let both = world.servers.clone();
+    let mut released = both.clone();
+    released.retain(|server| server.version == "v2");
+    world.separated = [0].into();
+    world.servers = released.clone();
+    world.publish_servers();
+    world.run(3_000);
+    world.frozen.insert(0);
+    for (servers, millis) in [(&released, 27_000), (&both, 29_000), (&released, 3_000)] {
+        world.servers = servers.clone();
+        world.publish_to(&[1, 2]);
+        world.run(millis);
+    }
+    world.thaw(0);
+    for _ in 0..6 {
+        world.run(500);
+        world.send_servers(0);
+    }
+    world.servers = both;
+    world.publish_to(&[1, 2]);
+    world.run(200);
+    let (_, mixed) = resume_elsewhere(&mut world, 0, 1);
+    assert_eq!(mixed, 0);
+}
+
+/// Guards against agreement on the only version that a paused entry knows, which isn't the default that it last read.
+#[test]
+fn an_entry_that_doubts_its_default_version_agrees_on_no_other_after_a_pause() {
+    let mut world = World::unlimited(2).released(false);
+    world.run_following(80_000);
+    world.frozen.insert(1);
+    world.partitioned.insert(1);
+    restart_servers(&mut world, "v2");
+    world.publish_to(&[0]);
+    for _ in 0..70 {
+        world.run(1_000);
+        world.send_servers(0);
+    }
+    let begun: Vec<u64> = (0..STREAMS).map(|_| world.begin_stream(0).0).collect();
+    restart_servers(&mut world, "v3");
+    world.publish_to(&[0]);
+    world.run(500);
+    world.kill(0);
+    world.partitioned.clear();
+    world.thaw(1);
+    for _ in 0..20 {
+        world.send_servers(1);
+        world.run(1_000);
+    }
+    let mixed = begun.iter().filter(|serial| {
+        world.resume_stream(1, **serial);
+        let resumed = world.last_serial();
+        world.run(100);
+        world.send_servers(1);
+        world.run(100);
+        world.version_of(resumed).is_some()
+    });
+    assert_eq!(mixed.count(), 0);
+}
