Gateway: records that killed entries left are found in whole tables, whoever holds the duties

What callers saw: nothing yet. Records of streams that killed entries left, or whose removal failed, could stay in the table service for ever, so that its tables grow without bound.

And each process began with the first of the 16 tables when it became the holder of the duties and took eight minutes for all of them; where holders change sooner than that, the last tables were never swept.

Change: the clock chooses the table, so that each holder goes on where the one before stopped. A table is read page by page, one a second, and where its time is over the next round goes on after the last key that was read. A table of up to 100 rows costs one read in 30 s, as before; a read that fails is repeated after a second, before it was left out.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -47,8 +47,11 @@
 const REFUSAL_MEMORY: Span = Span::from_seconds(2);
 /// Interval at which records of streams to which nobody returns any more are removed.
 const REMOVAL_INTERVAL: Span = Span::from_seconds(5);
-/// Interval at which the holder of the duties looks for records that killed entries left in one of the tables.
+/// Time for which the holder of the duties looks for records that killed entries left in one of the tables, before it
+/// goes on to the next.
 const SWEEP_INTERVAL: Span = Span::from_seconds(30);
+/// Interval at which it reads the pages of a table.
+const SWEEP_PAGE_INTERVAL: Span = Span::from_seconds(1);
 /// Time after which such a record is removed, beyond any difference of clocks.
 const SWEEP_MARGIN: Span = Span::from_seconds(60);
 /// Maximum records of one stream: one for each attempt before its first event, and one of the attempt that began it.
@@ -103,7 +106,8 @@
     failed_at: Time,
     next_removal: Time,
     next_sweep: Time,
-    swept: u64,
+    /// Last key read of each table that hasn't been read to its end.
+    sweeps: BTreeMap<u64, SmolStr>,
 }
 
 /// A stream that began here.
@@ -426,28 +430,51 @@
         }
     }
 
-    /// Reads some records of the next table, to remove those that killed entries left.
+    /// Reads the next records of a table, to remove those that killed entries left. The clock chooses the table, so that
+    /// each holder of the duties goes on where the one before stopped.
     pub(crate) fn sweep_records(&mut self, now: Time) {
         if now < self.streams.next_sweep {
             return;
         }
-        self.streams.next_sweep = now + SWEEP_INTERVAL;
-        let table = self.streams.swept % TABLES;
-        self.streams.swept += 1;
+        self.streams.next_sweep = now + SWEEP_PAGE_INTERVAL;
+        let table = self.swept_table(now);
+        let after = self.streams.sweeps.get(&table).cloned();
         let call = Call::Scan {
             table: table_name(table),
             prefix: SmolStr::default(),
-            after: SmolStr::default(),
+            after: after.unwrap_or_default(),
             limit: MAX_ROWS as u32,
         };
         self.call_store(Waiter::SweptRecords(table), call);
     }
 
+    /// Returns the table that is swept now.
+    fn swept_table(&self, now: Time) -> u64 {
+        self.usage.unix_ms(now) / SWEEP_INTERVAL.as_millis() % TABLES
+    }
+
+    /// Returns the time until the next table is swept.
+    fn until_next_table(&self, now: Time) -> Span {
+        let interval = SWEEP_INTERVAL.as_millis();
+        Span::from_millis(interval - self.usage.unix_ms(now) % interval)
+    }
+
     /// Removes the records that were read and are out of date.
     pub(crate) fn handle_swept_records(&mut self, now: Time, table: u64, outcome: &Outcome) {
-        let Outcome::Rows { rows, .. } = outcome else {
+        let Outcome::Rows { rows, more, .. } = outcome else {
             return;
         };
+        match rows.last().filter(|_| *more) {
+            Some(last) => {
+                self.streams.sweeps.insert(table, last.key.clone());
+            }
+            None => {
+                self.streams.sweeps.remove(&table);
+                if table == self.swept_table(now) {
+                    self.streams.next_sweep = now + self.until_next_table(now);
+                }
+            }
+        }
         let newest = self
             .usage
             .unix_ms(now)
