Quarantine: a trial that crashed its replica goes to no other one, and counts once

Cause: a request that tries a blocked part is repeated at another replica after the crash, like any idempotent one. Both crashes counted as failed trials, and the time until the next trial grows tenfold with each.

Change: the crash ends the trial. The request is refused, as all others with that part.

--- a/crates/policy/src/quarantine/parts/evidence.rs
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -31,6 +31,10 @@
                 .probes
                 .get(part)
                 .is_some_and(|(probing, _)| *probing == request);
+            if was_probe {
+                // It isn't tried at another replica.
+                self.probes.remove(part);
+            }
             let record = self.record(*part);
             record.is_own = true;
             record.failed_probes += u32::from(was_probe);
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -268,3 +268,25 @@
     }
     assert!(learned, "the other entry wasn't told");
 }
+
+/// Blocks the guilty part and begins to try it again after a minute.
+fn trial(request: u64) -> World {
+    let mut world = World::new(&[OWN]);
+    world.answer(99, &[OTHER]);
+    world.wait(Span::from_seconds(1));
+    for _ in 0..3 {
+        world.crash(REQUEST, &[GUILTY]);
+    }
+    world.wait(Span::from_seconds(61));
+    assert_eq!(world.standing(&[GUILTY]), Standing::Probe(GUILTY));
+    world.quarantine.begin_probe(world.now, GUILTY, request);
+    world
+}
+
+/// Guards against a trial that costs two replicas, and counts as two.
+#[test]
+fn a_trial_that_crashed_its_replica_goes_to_no_other() {
+    let mut world = trial(5);
+    world.crash(5, &[GUILTY]);
+    assert!(world.quarantine.blocks(&[GUILTY], 5));
+}
