Quarantine: a part is announced as sound for 30 s after it was found so, however long ago its last crash was

Cause: an entry keeps the record of an accused part for 30 s, to tell the others that it is sound, and these were counted from the last crash. The first trial of a blocked part comes a minute after it, so the record was gone before the next message. Entries that had seen the crashes themselves went on to state them and learned of the answer now and then; entries that had started later did neither.

Change: the time counts from when an answer first spoke against all crashes.

--- a/crates/policy/src/quarantine/parts/evidence.rs
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -182,7 +182,10 @@
             let is_refuted = answered
                 .get(part)
                 .is_some_and(|known| config.is_refuted(record.last_crash(), known.at));
-            age < memory && (!is_refuted || age < ANNOUNCEMENT)
+            record.refuted_since = is_refuted.then(|| record.refuted_since.unwrap_or(now));
+            // A trial may be answered long after the last crash.
+            let is_announced = |since: Time| now.since(since) < ANNOUNCEMENT;
+            age < memory && record.refuted_since.is_none_or(is_announced)
         });
         if self.records.len() != before {
             self.review(now, crashes);
--- a/crates/policy/src/quarantine/parts/mod.rs
+++ b/crates/policy/src/quarantine/parts/mod.rs
@@ -29,7 +29,7 @@
 use self::record::Record;
 use super::crashes::Crashes;
 
-/// Time for which a part is announced as sound after it was accused.
+/// Time for which an accused part is announced as sound after it was answered.
 const ANNOUNCEMENT: Span = Span::from_seconds(30);
 
 /// Doublings of the entries that may try a part, beyond any number of entries.
--- a/crates/policy/src/quarantine/parts/record.rs
+++ b/crates/policy/src/quarantine/parts/record.rs
@@ -29,6 +29,8 @@
     pub is_own: bool,
     /// Requests of this entry that were tried with the part while it was blocked, and crashed their replicas.
     pub failed_probes: u32,
+    /// Since when an answer speaks against all crashes, if one does.
+    pub refuted_since: Option<Time>,
 }
 
 impl Record {
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -290,3 +290,21 @@
     world.crash(5, &[GUILTY]);
     assert!(world.quarantine.blocks(&[GUILTY], 5));
 }
+
+/// Guards against entries that block a sound part for days, since it was found sound long after its last crash.
+#[test]
+fn a_part_whose_trial_was_answered_is_announced_as_sound() {
+    let mut world = trial(5);
+    world.answer(99, &[GUILTY]);
+    world.wait(Span::from_seconds(1));
+    assert_eq!(world.standing(&[GUILTY]), Standing::Clear);
+    for _ in 0..2 {
+        let digest = world.quarantine.digest(world.now);
+        let item = digest.parts.iter().find(|item| item.part == GUILTY);
+        let is_sound = item.is_some_and(|item| item.answered.is_some() && item.crashes.is_empty());
+        assert!(is_sound, "{item:?}");
+        world.wait(Span::from_seconds(10));
+    }
+    world.wait(Span::from_seconds(60));
+    assert!(world.quarantine.digest(world.now).parts.is_empty());
+}
