Membership: a member that joins as another one goes is told to the parts that use the list of peers

What callers saw: nothing yet. Quotas, quarantine and limits of an entry could go on with a list of peers that held a lost entry and lacked one that had started, until the number of members changed again.

Cause: the list was passed on whenever the number of present members changed within a step. One message may state that one is gone and another has joined, as where an entry was killed and started again; then their number stays the same.

Change: the directory counts changes of presence, and the list is passed on whenever there was one.

--- a/crates/member/src/directory.rs
+++ b/crates/member/src/directory.rs
@@ -23,6 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     members: BTreeMap<holder::Id, Member>,
+    presence_changes: u64,
 }
 
 /// A known member.
@@ -52,8 +53,10 @@
                 suspected_count: None,
             };
             self.members.insert(record.row.id, member);
+            self.presence_changes += 1;
             return true;
         };
+        let was_present = member.is_present();
         let old = &member.record;
         let newer = record.row.renewals > old.row.renewals;
         let lapsed = record.row.renewals == old.row.renewals && record.gone && !old.gone;
@@ -65,6 +68,7 @@
             || record.row.heir != old.row.heir
             || record.row.address != old.row.address;
         member.record = record.clone();
+        self.presence_changes += u64::from(member.is_present() != was_present);
         is_news
     }
 
@@ -145,6 +149,11 @@
         latest.into_iter()
     }
 
+    /// Returns how often a member became present or ceased to be.
+    pub fn presence_changes(&self) -> u64 {
+        self.presence_changes
+    }
+
     /// Returns the number of members that are not gone and have not left.
     pub fn present_count(&self) -> usize {
         self.present().count()
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -138,7 +138,7 @@
 
     /// Handles an event and appends the effects to execute.
     pub fn step(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
-        let before = self.directory.present_count();
+        let before = self.directory.presence_changes();
         if self.stalls.record_step(now) {
             self.registration.invalidate(now);
         }
@@ -441,13 +441,13 @@
     }
 
     /// Emits effects for our lease, the present members and our leaving if they have changed.
-    fn emit_changes(&mut self, before: usize, effects: &mut Vec<Effect>) {
+    fn emit_changes(&mut self, before: u64, effects: &mut Vec<Effect>) {
         let holding = self.registration.holding();
         if holding != self.holding {
             self.holding = holding;
             effects.push(Effect::Lease(holding));
         }
-        if self.directory.present_count() != before {
+        if self.directory.presence_changes() != before {
             let peers = self.directory.present().map(|(id, _)| id);
             effects.push(Effect::Peers(peers.filter(|id| *id != self.me).collect()));
         }
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -1,7 +1,9 @@
 //! Members that start, leave, pause and lose each other, in virtual time.
 
 use clock::Span;
+use lease::holder;
 use member::configs::membership::Settings;
+use member::digest::Digest;
 use member::digest::Item;
 use member::digest::Topic;
 use member::event::Effect;
@@ -277,3 +279,28 @@
         assert_eq!(offered(&mut fleet, index).len(), 8, "at {index}");
     }
 }
+
+/// Guards against a list of peers that holds a lost member for good, since another one joined in the same message.
+#[test]
+fn a_member_that_takes_the_place_of_another_is_told_to_all_parts() {
+    let mut fleet = eight_entries();
+    let lost = fleet.id(1);
+    let directory = fleet.nodes[0].membership.directory();
+    let mut record = directory.get(lost).expect("known").record.clone();
+    let mut joined = record.clone();
+    joined.row.id = holder::Id(9);
+    record.gone = true;
+    fleet.nodes[0].effects.clear();
+    let digest = Digest {
+        records: vec![record, joined],
+        ..Digest::default()
+    };
+    fleet.feed(0, Event::Digest(digest));
+    let effects = fleet.nodes[0].effects.iter();
+    let peers = effects.filter_map(|(_, effect)| match effect {
+        Effect::Peers(peers) => Some(peers.clone()),
+        _ => None,
+    });
+    let expected: Vec<holder::Id> = (3..=9).map(holder::Id).collect();
+    assert_eq!(peers.last(), Some(expected));
+}
