--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -48,10 +48,15 @@
 const REFUSAL_MEMORY: Span = Span::from_seconds(2);
 /// Interval at which records of streams to which nobody returns any more are removed.
 const REMOVAL_INTERVAL: Span = Span::from_seconds(5);
-/// Interval at which the holder of the duties looks for records that killed entries left in one of the tables.
+/// Time for which the holder of the duties looks for records that killed entries left in one of the tables, before it
+/// goes on to the next.
 const SWEEP_INTERVAL: Span = Span::from_seconds(30);
+/// Interval at which it reads the pages of a table.
+const SWEEP_PAGE_INTERVAL: Span = Span::from_seconds(1);
 /// Time after which such a record is removed, beyond usual differences of clocks.
 const SWEEP_MARGIN: Span = Span::from_seconds(60);
+/// Name of the field of a record whose time is that of a clock which nobody confirmed.
+const UNCONFIRMED: &str = "unconfirmed";
 /// Maximum records that one call of a sweep removes, each of which is checked and written.
 const MAX_SWEPT: usize = MAX_ROWS / 2;
 /// Maximum records of one stream: one for each attempt before its first event, and one of the attempt that began it.
@@ -106,8 +111,9 @@
     failed_at: Time,
     next_removal: Time,
     next_sweep: Time,
-    swept: u64,
-    /// Records that sweeps found out of date, by the clocks of those who wrote them, oldest first.
+    /// Last key read of each table that hasn't been read to its end.
+    sweeps: BTreeMap<u64, SmolStr>,
+    /// Records that sweeps found out of date by clocks that nobody confirmed, oldest first.
     outdated: VecDeque<Outdated>,
 }
 
@@ -337,14 +343,18 @@
             records.in_flight = records.waiting.drain(..count).collect();
             let unix_ms = |at: Time| self.usage.unix_ms(at);
             let era = self.store_era.unwrap_or(0);
+            let is_confirmed = self.usage.is_clock_confirmed();
             let rows = records.in_flight.iter().map(|record| {
-                let value = json!({
+                let mut value = json!({
                     "service": record.service,
                     "version": record.version,
                     "account": record.stream.account,
                     "era": era,
                     "until_ms": unix_ms(record.until),
                 });
+                if !is_confirmed {
+                    value[UNCONFIRMED] = json!(true);
+                }
                 (record.key(), value)
             });
             calls.push((*table, transaction(*table, rows)));
@@ -440,29 +450,52 @@
         }
     }
 
-    /// Reads some records of the next table, to remove those that killed entries left.
+    /// Reads the next records of a table, to remove those that killed entries left. The clock chooses the table, so that
+    /// each holder of the duties goes on where the one before stopped.
     pub(crate) fn sweep_records(&mut self, now: Time) {
         if now < self.streams.next_sweep {
             return;
         }
-        self.streams.next_sweep = now + SWEEP_INTERVAL;
+        self.streams.next_sweep = now + SWEEP_PAGE_INTERVAL;
         self.remove_outdated(now);
-        let table = self.streams.swept % TABLES;
-        self.streams.swept += 1;
+        let table = self.swept_table(now);
+        let after = self.streams.sweeps.get(&table).cloned();
         let call = Call::Scan {
             table: table_name(table),
             prefix: SmolStr::default(),
-            after: SmolStr::default(),
+            after: after.unwrap_or_default(),
             limit: MAX_ROWS as u32,
         };
         self.call_store(Waiter::SweptRecords(table), call);
     }
 
-    /// Notes the records that were read and are out of date.
+    /// Returns the table that is swept now.
+    fn swept_table(&self, now: Time) -> u64 {
+        self.usage.unix_ms(now) / SWEEP_INTERVAL.as_millis() % TABLES
+    }
+
+    /// Returns the time until the next table is swept.
+    fn until_next_table(&self, now: Time) -> Span {
+        let interval = SWEEP_INTERVAL.as_millis();
+        Span::from_millis(interval - self.usage.unix_ms(now) % interval)
+    }
+
+    /// Removes the records that were read and are out of date, or notes them if the clocks that say so aren't confirmed.
     pub(crate) fn handle_swept_records(&mut self, now: Time, table: u64, outcome: &Outcome) {
-        let Outcome::Rows { rows, .. } = outcome else {
+        let Outcome::Rows { rows, more, .. } = outcome else {
             return;
         };
+        match rows.last().filter(|_| *more) {
+            Some(last) => {
+                self.streams.sweeps.insert(table, last.key.clone());
+            }
+            None => {
+                self.streams.sweeps.remove(&table);
+                if table == self.swept_table(now) {
+                    self.streams.next_sweep = now + self.until_next_table(now);
+                }
+            }
+        }
         let newest = self
             .usage
             .unix_ms(now)
@@ -471,23 +504,34 @@
             let until = row.value.get("until_ms").and_then(Value::as_u64);
             until.is_none_or(|until| until < newest)
         };
-        let outdated = rows.iter().filter(is_outdated).map(|row| Outdated {
+        let is_confirmed = self.usage.is_clock_confirmed();
+        let is_certain = |row: &Row| is_confirmed && row.value.get(UNCONFIRMED).is_none();
+        let outdated = |row: &Row| Outdated {
             table,
             key: row.key.clone(),
             revision: row.revision,
             found_at: now,
-        });
-        self.streams.outdated.extend(outdated);
+        };
+        let rows = rows.iter().filter(is_outdated);
+        let (certain, uncertain): (Vec<&Row>, Vec<&Row>) = rows.partition(|row| is_certain(row));
+        let certain: Vec<Outdated> = certain.into_iter().map(outdated).collect();
+        let uncertain = uncertain.into_iter().map(outdated);
+        self.streams.outdated.extend(uncertain);
+        self.remove(&certain);
     }
 
-    /// Removes records that were found out of date for so long ago that nobody returns to their streams, even if the clock of
-    /// the entry that wrote them was wrong.
+    /// Removes records that were found out of date for so long ago that nobody returns to their streams, even if a clock was
+    /// wrong.
     fn remove_outdated(&mut self, now: Time) {
         let horizon = self.versions.return_horizon();
         let outdated = &mut self.streams.outdated;
         let is_due = |one: &mut Outdated| now.since(one.found_at) >= horizon;
         let due: Vec<Outdated> = std::iter::from_fn(|| outdated.pop_front_if(is_due)).collect();
-        for of_table in due.chunk_by(|one, next| one.table == next.table) {
+        self.remove(&due);
+    }
+
+    fn remove(&mut self, outdated: &[Outdated]) {
+        for of_table in outdated.chunk_by(|one, next| one.table == next.table) {
             for chunk in of_table.chunks(MAX_SWEPT) {
                 self.call_store(Waiter::RemovedRecords, removal(chunk));
             }
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -32,6 +32,8 @@
     peers: BTreeMap<holder::Id, Windows>,
     /// Totals that a former holder of the duties saved, if counts are exchanged by hubs.
     restored: Windows,
+    /// Whether the clocks of others were compared with it.
+    is_clock_confirmed: bool,
     /// By how much each peer's clock is ahead of ours, in milliseconds.
     clock_offsets: BTreeMap<holder::Id, i64>,
 }
@@ -55,6 +57,11 @@
         unix.saturating_add_signed(self.correction_ms)
     }
 
+    /// Returns whether the time was compared with that of other entries.
+    pub fn is_clock_confirmed(&self) -> bool {
+        self.is_clock_confirmed
+    }
+
     /// Returns the window that contains `at`.
     pub fn window(&self, at: Time) -> u64 {
         self.unix_ms(at) / self.window_ms
@@ -180,6 +187,7 @@
 
     /// Corrects our clock if it is off by more than [`CLOCK_SLACK_MS`].
     fn set_correction(&mut self, ahead_ms: i64) {
+        self.is_clock_confirmed = true;
         self.correction_ms = match ahead_ms.abs() > CLOCK_SLACK_MS {
             true => ahead_ms,
             false => 0,
--- a/crates/policy/src/quarantine/parts/evidence.rs
+++ b/crates/policy/src/quarantine/parts/evidence.rs
@@ -31,6 +31,10 @@
                 .probes
                 .get(part)
                 .is_some_and(|(probing, _)| *probing == request);
+            if was_probe {
+                // It isn't tried at another replica.
+                self.probes.remove(part);
+            }
             let record = self.record(*part);
             record.is_own = true;
             record.failed_probes += u32::from(was_probe);
@@ -178,7 +182,10 @@
             let is_refuted = answered
                 .get(part)
                 .is_some_and(|known| config.is_refuted(record.last_crash(), known.at));
-            age < memory && (!is_refuted || age < ANNOUNCEMENT)
+            record.refuted_since = is_refuted.then(|| record.refuted_since.unwrap_or(now));
+            // A trial may be answered long after the last crash.
+            let is_announced = |since: Time| now.since(since) < ANNOUNCEMENT;
+            age < memory && record.refuted_since.is_none_or(is_announced)
         });
         if self.records.len() != before {
             self.review(now, crashes);
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -268,3 +268,43 @@
     }
     assert!(learned, "the other entry wasn't told");
 }
+
+/// Blocks the guilty part and begins to try it again after a minute.
+fn trial(request: u64) -> World {
+    let mut world = World::new(&[OWN]);
+    world.answer(99, &[OTHER]);
+    world.wait(Span::from_seconds(1));
+    for _ in 0..3 {
+        world.crash(REQUEST, &[GUILTY]);
+    }
+    world.wait(Span::from_seconds(61));
+    assert_eq!(world.standing(&[GUILTY]), Standing::Probe(GUILTY));
+    world.quarantine.begin_probe(world.now, GUILTY, request);
+    world
+}
+
+/// Guards against a trial that costs two replicas, and counts as two.
+#[test]
+fn a_trial_that_crashed_its_replica_goes_to_no_other() {
+    let mut world = trial(5);
+    world.crash(5, &[GUILTY]);
+    assert!(world.quarantine.blocks(&[GUILTY], 5));
+}
+
+/// Guards against entries that block a sound part for days, since it was found sound long after its last crash.
+#[test]
+fn a_part_whose_trial_was_answered_is_announced_as_sound() {
+    let mut world = trial(5);
+    world.answer(99, &[GUILTY]);
+    world.wait(Span::from_seconds(1));
+    assert_eq!(world.standing(&[GUILTY]), Standing::Clear);
+    for _ in 0..2 {
+        let digest = world.quarantine.digest(world.now);
+        let item = digest.parts.iter().find(|item| item.part == GUILTY);
+        let is_sound = item.is_some_and(|item| item.answered.is_some() && item.crashes.is_empty());
+        assert!(is_sound, "{item:?}");
+        world.wait(Span::from_seconds(10));
+    }
+    world.wait(Span::from_seconds(60));
+    assert!(world.quarantine.digest(world.now).parts.is_empty());
+}
