Health: quick replicas aren't compared by single milliseconds; a failing one is ejected in place of a slow one

Callers saw one replica of three fail every request that reached it and keep its share; sound replicas of a quick service were ejected for 5 s and more.

Cause: at most a third of a pool is ejected, and whoever was ejected first kept that place, for whatever fault. A replica counts as slow at four times the median, and the times are whole milliseconds: any time is a multiple of a median of none, so a replica whose shortest calls take 1 ms beside two of 0 ms was ejected.

Now no replica counts as slow below 5 ms (`min_slow_gap`), and a replica that stands out for a worse fault (silent, failing, slow, in this order) takes the place of one that is ejected for a lesser one, which is probed early. Still at most a third.

--- a/crates/policy/src/configs/health.rs
+++ b/crates/policy/src/configs/health.rs
@@ -9,6 +9,9 @@
     /// slow. Together with `gap_smoothing` it avoids wrong ejections; lower values eject healthy
     /// replicas.
     pub slow_factor: f64,
+    /// Gap below which no replica counts as slow. Gaps are whole milliseconds, so that those of quick calls are a
+    /// multiple of each other, or of none, by chance.
+    pub min_slow_gap: Span,
     /// Weight of a period's smallest gap in the average.
     pub gap_smoothing: f64,
     /// Periods with a gap before a replica is compared with its peers.
@@ -46,6 +49,7 @@
     fn default() -> Config {
         Config {
             slow_factor: 4.0,
+            min_slow_gap: Span::from_millis(5),
             gap_smoothing: 0.05,
             min_samples: 8,
             failure_smoothing: 0.1,
--- a/crates/policy/src/health/mod.rs
+++ b/crates/policy/src/health/mod.rs
@@ -5,8 +5,8 @@
 //! fails each request in an instant: the slow one holds its share of requests past their target,
 //! and the fast-failing one looks idle and attracts all of them. Each replica is compared with the
 //! median of its peers, so that load, a bad version or a bad request that affects all of them
-//! ejects nobody, and never more than a third is ejected. An ejected replica is probed with one
-//! job, then two, four and so on; each relapse doubles its ejection time. Comparison with peers and
+//! ejects nobody, and never more than a third is ejected: one that fails takes the place of one that is slow. An ejected
+//! replica is probed with one job, then two, four and so on; each relapse doubles its ejection time. Comparison with peers and
 //! latency-induced probation follow Dean and Barroso, "The Tail at Scale", 2013; the thresholds are
 //! in [`crate::configs::health::Config`].
 //!
@@ -23,6 +23,7 @@
 use crate::job::End;
 use crate::replica;
 
+use self::peer::Fault;
 use self::peer::Peer;
 use self::peer::State;
 
@@ -50,6 +51,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Outlier {
     replica: replica::Key,
+    fault: Fault,
     /// Factor by which it exceeds a threshold.
     severity: f64,
 }
@@ -116,7 +118,7 @@
     /// Returns how many jobs the replica may be given.
     pub fn allowance(&self, key: replica::Key) -> Allowance {
         match self.peers.get(&key).map(|peer| peer.state) {
-            None | Some(State::Ejected(_)) => Allowance::None,
+            None | Some(State::Ejected(..)) => Allowance::None,
             Some(State::Probing(jobs)) => Allowance::Jobs(jobs),
             Some(State::Healthy) => Allowance::Full,
         }
@@ -147,7 +149,7 @@
     /// Probes the replicas whose ejection time is over.
     fn probe_expired(&mut self, now: Time) {
         for peer in self.peers.values_mut() {
-            if matches!(peer.state, State::Ejected(until) if until <= now) {
+            if matches!(peer.state, State::Ejected(until, _) if until <= now) {
                 peer.probe(now);
             }
         }
@@ -169,28 +171,49 @@
         let mut outliers: Vec<Outlier> = self
             .peers
             .iter()
-            .filter(|(_, peer)| !matches!(peer.state, State::Ejected(_)))
+            .filter(|(_, peer)| !matches!(peer.state, State::Ejected(..)))
             .filter_map(|(key, peer)| {
-                let severity = severity(now, peer, gap, failures, config)?;
+                let (fault, severity) = judge(now, peer, gap, failures, config)?;
                 Some(Outlier {
                     replica: *key,
+                    fault,
                     severity,
                 })
             })
             .collect();
-        outliers.sort_by(|one, other| other.severity.total_cmp(&one.severity));
+        outliers.sort_by(|one, other| {
+            let by_severity = other.severity.total_cmp(&one.severity);
+            other.fault.cmp(&one.fault).then(by_severity)
+        });
         outliers
     }
 
     fn eject(&mut self, now: Time, outlier: Outlier) {
-        if self.ejected_count() >= self.max_ejected() {
+        let has_room = self.ejected_count() < self.max_ejected();
+        if !has_room && !self.readmit_lesser(now, outlier.fault) {
             return;
         }
         if let Some(peer) = self.peers.get_mut(&outlier.replica) {
-            peer.eject(now, &self.config);
+            peer.eject(now, outlier.fault, &self.config);
         }
     }
 
+    /// Probes a replica that is ejected for a lesser fault early; returns whether there is one.
+    fn readmit_lesser(&mut self, now: Time, fault: Fault) -> bool {
+        let lesser = self.peers.values_mut().filter_map(|peer| match peer.state {
+            State::Ejected(until, ejected_for) if ejected_for < fault => {
+                Some((ejected_for, until, peer))
+            }
+            State::Ejected(..) | State::Healthy | State::Probing(_) => None,
+        });
+        let least = lesser.min_by_key(|(ejected_for, until, _)| (*ejected_for, *until));
+        let Some((.., peer)) = least else {
+            return false;
+        };
+        peer.probe(now);
+        true
+    }
+
     fn advance_probes(&mut self, now: Time) {
         for peer in self.peers.values_mut() {
             if let State::Probing(allowed) = peer.state {
@@ -206,7 +229,7 @@
                 .peers
                 .values_mut()
                 .filter_map(|peer| match peer.state {
-                    State::Ejected(until) => Some((until.since(now), peer)),
+                    State::Ejected(until, _) => Some((until.since(now), peer)),
                     State::Healthy | State::Probing(_) => None,
                 })
                 .min_by_key(|(remaining, _)| *remaining);
@@ -218,7 +241,7 @@
     }
 
     fn ejected_count(&self) -> usize {
-        let is_ejected = |peer: &&Peer| matches!(peer.state, State::Ejected(_));
+        let is_ejected = |peer: &&Peer| matches!(peer.state, State::Ejected(..));
         self.peers.values().filter(is_ejected).count()
     }
 
@@ -227,30 +250,31 @@
     }
 }
 
-/// Returns the factor by which the replica exceeds a threshold, if it does: 1 and more.
-fn severity(
+/// Returns how the replica stands out, if it does, and the factor by which it exceeds a threshold: 1 and more.
+fn judge(
     now: Time,
     peer: &Peer,
     gap: Option<f64>,
     failures: Option<f64>,
     config: &Config,
-) -> Option<f64> {
+) -> Option<(Fault, f64)> {
     if peer.is_silent(now, gap.unwrap_or(0.0), config) {
-        return Some(f64::INFINITY);
+        return Some((Fault::Silent, f64::INFINITY));
     }
     let failing = peer
         .failure_rate(config)
         .zip(failures)
         .and_then(|(own, peers)| {
             let stands_out = own >= config.failure_threshold && peers < own / 2.0;
-            stands_out.then_some(own / config.failure_threshold)
+            stands_out.then_some((Fault::Failing, own / config.failure_threshold))
         });
     let average = peer.average_gap(config).filter(|_| !peer.learning);
     let slow = average.zip(gap).and_then(|(own, peers)| {
-        let factor = own / (peers * config.slow_factor).max(f64::MIN_POSITIVE);
-        (factor >= 1.0).then_some(factor)
+        let least = config.min_slow_gap.as_millis() as f64;
+        let factor = own / (peers * config.slow_factor).max(least);
+        (factor >= 1.0).then_some((Fault::Slow, factor))
     });
-    failing.into_iter().chain(slow).max_by(f64::total_cmp)
+    failing.or(slow)
 }
 
 /// Returns the median; of two middle values the lower, so that one replica of a pair can stand out.
--- a/crates/policy/src/health/peer.rs
+++ b/crates/policy/src/health/peer.rs
@@ -6,13 +6,24 @@
 use crate::configs::health::Config;
 use crate::job::End;
 
+/// How a replica stands out, from the least harm to its requests to the most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Fault {
+    /// Its answers take several times as long.
+    Slow,
+    /// It fails its requests.
+    Failing,
+    /// It holds its requests without a sign of life.
+    Silent,
+}
+
 /// Health state of a replica.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum State {
     /// Comparable to its peers.
     Healthy,
-    /// Ejected until this time.
-    Ejected(Time),
+    /// Ejected until this time, for this fault.
+    Ejected(Time, Fault),
     /// Probed with at most this many concurrent jobs.
     Probing(u32),
 }
@@ -142,8 +153,8 @@
     }
 
     /// Ejects it; the next ejection lasts twice as long.
-    pub fn eject(&mut self, now: Time, config: &Config) {
-        self.enter(now, State::Ejected(now + self.next_ejection));
+    pub fn eject(&mut self, now: Time, fault: Fault, config: &Config) {
+        self.enter(now, State::Ejected(now + self.next_ejection, fault));
         self.next_ejection = self.next_ejection.times(2).min(config.max_ejection);
     }
 
--- a/crates/policy/tests/health.rs
+++ b/crates/policy/tests/health.rs
@@ -230,6 +230,41 @@
     assert_eq!(pool.ejected(), [7]);
 }
 
+/// Guards against ejecting a sound replica of a quick service: the clock counts whole milliseconds, and any time is a
+/// multiple of none.
+#[test]
+fn times_of_a_few_milliseconds_eject_nobody() {
+    for slowest in [1.0, 2.0, 4.0] {
+        let mut pool = Pool::new(3);
+        for _ in 0..8 {
+            pool.run(Span::from_seconds(1), |key| {
+                Work::Gap(if key == 2 { slowest } else { 0.0 })
+            });
+            assert!(pool.ejected().is_empty(), "{slowest}");
+        }
+    }
+}
+
+/// Guards against a replica that fails each request and keeps its share, since a slow one was ejected before.
+#[test]
+fn a_failing_replica_is_ejected_in_place_of_a_slow_one() {
+    let slow = |key: u32| Work::Gap(if key == 1 { 300.0 } else { 30.0 });
+    let mut pool = Pool::new(3);
+    pool.run(Span::from_seconds(3), slow);
+    assert_eq!(pool.ejected(), [1]);
+    pool.run(Span::from_seconds(1), |key| match key {
+        2 => Work::Fail,
+        _ => slow(key),
+    });
+    assert_eq!(pool.ejected(), [2]);
+    // Replicas don't take turns.
+    pool.run(Span::from_seconds(3), |key| match key {
+        2 => Work::Fail,
+        _ => slow(key),
+    });
+    assert_eq!(pool.ejected(), [2]);
+}
+
 proptest! {
     #![proptest_config(Proptest {
         cases: 64,
