Back: an answer that ends with its connection is whole only if its service's process stays

On the product's own wire callers got half of a plain answer as a complete one, with status 200 and its length, when the service was killed while it sent an answer with neither a length nor chunks.

Cause: `back::plain` took the end of such a connection for the end of the answer; a process that is killed ends its connections the same way.

Now a second connection to the service is opened once such a head has arrived, and read after the body: if it has ended within 50 ms, or was never taken, the answer is broken off and may have run. The same for exported caches (`fetch`). Answers with a length or chunks open none. Left: a service that is killed and back within milliseconds before the second connection is there.

--- a/crates/back/src/http_client.rs
+++ b/crates/back/src/http_client.rs
@@ -29,12 +29,13 @@
 use tokio::sync::Notify;
 
 use crate::failure::Failure;
+use crate::witness::Witness;
 
 /// Header by which a server reports that it did not start a request.
 pub const NOT_STARTED_HEADER: &str = "x-not-started";
 
 /// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time before the first TCP keepalive probe, and between probes. Only probes detect a connection that
 /// died silently while it waits for a response.
@@ -140,11 +141,14 @@
 
     /// Sends a request and returns the body of a successful response.
     pub async fn fetch(&self, exchange: Exchange<'_>) -> Result<Bytes, Failure> {
-        let head_timeout = exchange.head_timeout;
+        let (address, head_timeout) = (exchange.address, exchange.head_timeout);
         let response = self.send(exchange).await?;
         let status = response.status();
         if status.is_success() {
-            return read_body(response, head_timeout, MAX_RESPONSE_BYTES).await;
+            let witness = Witness::summon(address, &response).await?;
+            let body = read_body(response, head_timeout, MAX_RESPONSE_BYTES).await?;
+            witness.confirm().await?;
+            return Ok(body);
         }
         discard_body(response, head_timeout).await?;
         Err(Failure::Answered {
--- a/crates/back/src/lib.rs
+++ b/crates/back/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod failure;
 pub mod http_client;
 pub mod plain;
+mod witness;
--- a/crates/back/src/plain.rs
+++ b/crates/back/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::http_client::Exchange;
 use crate::http_client::HttpClient;
 use crate::http_client::read_answer;
+use crate::witness::Witness;
 
 /// Timeout of a plain service's response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -61,7 +62,9 @@
     for name in CONNECTION_HEADERS {
         headers.remove(name);
     }
+    let witness = Witness::summon(address, &response).await?;
     let body = read_answer(response, RESPONSE_TIMEOUT, answers).await?;
+    witness.confirm().await?;
     Ok(Response {
         status,
         headers,
