Back: reports of engines and lists of the cloud have limits of their own

One faulty engine that answered the question for its load without end made the entry keep 64 MiB, the limit of exported caches, and parse it as JSON into many times that.

Now a report is read up to 4 MiB and a list of the cloud up to 16 MiB; only exported caches keep 64 MiB. The sum over many faulty engines still isn't bounded.

--- a/crates/back/src/cloud.rs
+++ b/crates/back/src/cloud.rs
@@ -16,6 +16,9 @@
 /// Timeout of a cloud response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Largest list, bytes.
+const MAX_LIST_BYTES: usize = 16 * 1024 * 1024;
+
 /// One instance in the list.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Instance {
@@ -131,7 +134,8 @@
 
     /// Fetches one list.
     async fn list<T: DeserializeOwned>(&self, path: &str, field: &str) -> Result<Vec<T>, Failure> {
-        let exchange = Exchange::new(self.address, Method::GET, path, RESPONSE_TIMEOUT);
+        let exchange = Exchange::new(self.address, Method::GET, path, RESPONSE_TIMEOUT)
+            .with_max_bytes(MAX_LIST_BYTES);
         let mut value = self.client.fetch_json(exchange).await?;
         deserialize(value[field].take())
     }
--- a/crates/back/src/engine.rs
+++ b/crates/back/src/engine.rs
@@ -17,6 +17,7 @@
 use crate::failure::Failure;
 use crate::http_client::Exchange;
 use crate::http_client::HttpClient;
+use crate::http_client::MAX_RESPONSE_BYTES;
 use crate::http_client::discard_body;
 
 /// Timeout of short exchanges such as load, state and cancel.
@@ -132,7 +133,8 @@
     /// Parks a stream and exports its KV cache and state.
     pub async fn export(&self, stream: Stream) -> Result<Bytes, Failure> {
         let path = format!("/v1/streams/{stream}/export");
-        let exchange = Exchange::new(self.address, Method::POST, &path, TRANSFER_TIMEOUT);
+        let exchange = Exchange::new(self.address, Method::POST, &path, TRANSFER_TIMEOUT)
+            .with_max_bytes(MAX_RESPONSE_BYTES);
         self.client.fetch(exchange).await
     }
 
--- a/crates/back/src/http_client.rs
+++ b/crates/back/src/http_client.rs
@@ -53,8 +53,11 @@
 /// Most idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
-/// Largest response that is read whole, bytes. Exported KV caches are tens of megabytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Largest answer to a caller, and largest exported KV cache, bytes.
+pub(crate) const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Largest report that is read whole unless the exchange sets another limit, bytes. Sound engines send a few kilobytes.
+const MAX_REPORT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Largest response that is read only so that its connection can be reused, bytes.
 const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
@@ -87,6 +90,8 @@
     pub body: Bytes,
     /// Timeout until the head of the response.
     pub head_timeout: Duration,
+    /// Largest response that is read whole, bytes.
+    pub max_bytes: usize,
 }
 
 impl HttpClient {
@@ -142,11 +147,12 @@
     /// Sends a request and returns the body of a successful response.
     pub async fn fetch(&self, exchange: Exchange<'_>) -> Result<Bytes, Failure> {
         let (address, head_timeout) = (exchange.address, exchange.head_timeout);
+        let max_bytes = exchange.max_bytes;
         let response = self.send(exchange).await?;
         let status = response.status();
         if status.is_success() {
             let witness = Witness::summon(address, &response).await?;
-            let body = read_body(response, head_timeout, MAX_RESPONSE_BYTES).await?;
+            let body = read_body(response, head_timeout, max_bytes).await?;
             witness.confirm().await?;
             return Ok(body);
         }
@@ -188,9 +194,16 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             head_timeout,
+            max_bytes: MAX_REPORT_BYTES,
         }
     }
 
+    /// Sets the largest response that is read whole, bytes.
+    pub fn with_max_bytes(mut self, max_bytes: usize) -> Exchange<'a> {
+        self.max_bytes = max_bytes;
+        self
+    }
+
     /// Sets the body.
     pub fn with_body(mut self, body: impl Into<Bytes>) -> Exchange<'a> {
         self.body = body.into();
--- a/crates/back/tests/unbounded.rs
+++ b/crates/back/tests/unbounded.rs
@@ -46,6 +46,8 @@
 const EVENT_BYTES: usize = 1 << 20;
 const DISCARDED_BYTES: usize = 4 << 20;
 const BODY_BYTES: usize = 64 << 20;
+/// Limit of a report.
+const REPORT_BYTES: usize = 4 << 20;
 const HEAD: &str = "HTTP/1.1 200 X\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 X\r\ntransfer-encoding: chunked\r\n\r\n";
@@ -231,6 +233,18 @@
     });
 }
 
+/// Guards against reports that take as much memory as an exported cache, and many times that once they are parsed.
+#[test]
+fn an_endless_report_is_an_invalid_answer() {
+    run(async {
+        let client = HttpClient::new();
+        let server = Server::start(&format!("{CHUNKED}1\r\n[\r\n"), &chunk("0,")).await;
+        let load = Engine::new(&client, &server.address()).load().await;
+        assert_eq!(load, Err(Failure::Invalid));
+        server.check_end(2 * REPORT_BYTES).await;
+    });
+}
+
 /// Guards against failures whose bodies are kept although nothing needs them.
 #[test]
 fn an_endless_body_of_a_failure_is_an_invalid_answer() {
