Operators' port: its connections are bounded like those of the other ports

400 connections to the operators' port that sent nothing took all 300 descriptors of an entry (16 MiB): its own connections to backend servers and the store, and callers' new ones, have none left then. The port was served by the gRPC library's own accept loop, which has no limit.

Limits of calls, their time limit and the check of the key are as before (`ops::server::Api`, which `ops::serve` uses as well). A call without the key is refused before its message is read.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod link;
 pub mod logs;
 pub mod metrics;
+pub mod operators;
 pub mod output;
 pub mod peers;
 pub mod plain;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -20,6 +20,7 @@
 use intake::configs::limits::Port;
 use intake::configs::limits::Times;
 use intake::intake::Intake;
+use ops::server::Api;
 use peer::proof::Key;
 use prometheus::Registry;
 use request::id::Incarnation;
@@ -46,6 +47,7 @@
 use crate::link::Link;
 use crate::logs;
 use crate::metrics::Metrics;
+use crate::operators;
 use crate::peers::PeerHandler;
 use crate::peers::Peers;
 use crate::platform;
@@ -136,7 +138,7 @@
     let tickets = Signer::new(shared_key, TICKET_PURPOSE);
     let callers = Rc::new(Callers::new(shared, identity.incarnation, tickets));
     let (call_sender, calls) = mpsc::channel(MAX_QUEUED_CALLS);
-    let operators_key = settings.operators.key.reveal().to_owned();
+    let operators_api = Api::new(settings.operators.key.reveal(), call_sender);
     let registry = Registry::new();
     let metrics = Metrics::new(&registry, &intake)?;
     let admin = Admin {
@@ -171,12 +173,13 @@
     );
     let tasks = [
         tokio::task::spawn_local(peer_server),
-        tokio::task::spawn_local(admin::serve(sockets.admin, admin, intake, probes)),
-        tokio::task::spawn_local(serve_operators(
+        tokio::task::spawn_local(operators::serve(
             sockets.operators,
-            operators_key,
-            call_sender,
+            operators_api,
+            Rc::clone(&intake),
+            probes,
         )),
+        tokio::task::spawn_local(admin::serve(sockets.admin, admin, intake, probes)),
         tokio::task::spawn_local(platform::poll(
             Rc::clone(&link),
             client,
@@ -243,13 +246,6 @@
     accept::listen(address).with_context(|| format!("can't listen on {address}"))
 }
 
-/// Serves operators; a failure doesn't affect the rest of the entry.
-async fn serve_operators(listener: TcpListener, key: String, calls: ops::CallSender) {
-    if let Err(error) = ops::serve(listener, &key, calls).await {
-        log::error!(event = "operators_port_failed", error = error.to_string().as_str(); "");
-    }
-}
-
 /// Forwards SIGTERM: the first requests a graceful stop, the second skips the grace period.
 async fn watch_signals(stop: mpsc::UnboundedSender<bool>) {
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -1,20 +1,19 @@
 //! Accepts callers' connections and serves their calls.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
-use hyper::rt::Executor;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::conn::auto::Builder;
 use intake::accept;
 use intake::accept::Accepted;
+use intake::executor::LocalExecutor;
 use intake::intake::Intake;
 use intake::request::Answer;
 use intake::request::Session;
@@ -103,13 +102,3 @@
     };
     Ok(received.answer(response))
 }
-
-/// Spawns the tasks of an HTTP/2 connection on the local thread.
-#[derive(Clone, Copy)]
-struct LocalExecutor;
-
-impl<F: Future<Output = ()> + 'static> Executor<F> for LocalExecutor {
-    fn execute(&self, future: F) {
-        tokio::task::spawn_local(future);
-    }
-}
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod configs;
 pub mod connections;
+pub mod executor;
 pub mod guard;
 pub mod intake;
 pub mod receivers;
--- a/crates/ops/src/server.rs
+++ b/crates/ops/src/server.rs
@@ -1,5 +1,6 @@
 //! gRPC server of the operators' port.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::future::pending;
 use std::time::Duration;
@@ -12,6 +13,12 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Response;
 use tonic::Status;
+use tonic::body::Body;
+use tonic::codegen::Service;
+use tonic::codegen::StdError;
+use tonic::codegen::http;
+use tonic::service::Interceptor;
+use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Server;
 
 use crate::call::Call;
@@ -26,13 +33,51 @@
 /// Largest request; the largest deployment, with 5,000 grants, takes a tenth of it.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 /// Most concurrent calls on one connection.
-const MAX_CALLS_PER_CONNECTION: usize = 16;
+pub const MAX_CALLS_PER_CONNECTION: u32 = 16;
 /// Timeout of one call: the longest wait of a change, and as much again for the store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(120);
 /// Interval of HTTP/2 pings, which detect connections of operators that have vanished.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(30);
+pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(30);
 
-/// Serves operators forever.
+/// Body of an answer.
+pub type Payload = Body;
+
+/// The API, for a server that accepts and bounds its connections itself.
+#[derive(Clone)]
+pub struct Api {
+    service: InterceptedService<OperatorsServer<Port>, Authorization>,
+}
+
+impl Api {
+    /// Creates the API, which passes calls with the operators' key on to `calls`.
+    pub fn new(key: &str, calls: CallSender) -> Api {
+        let port = OperatorsServer::new(Port { calls })
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(usize::MAX);
+        let authorization = Authorization {
+            key_hash: hash_key(key),
+        };
+        Api {
+            service: InterceptedService::new(port, authorization),
+        }
+    }
+
+    /// Answers one request. The message of one without the key isn't read.
+    pub async fn answer<B>(&self, request: http::Request<B>) -> http::Response<Payload>
+    where
+        B: tonic::codegen::Body + Send + 'static,
+        B::Error: Into<StdError> + Send + 'static,
+    {
+        let mut service = self.service.clone();
+        let answering = tokio::time::timeout(CALL_TIMEOUT, service.call(request));
+        match answering.await {
+            Ok(Ok::<_, Infallible>(response)) => response.map(Payload::new),
+            Err(_) => Status::cancelled("the call took too long").into_http(),
+        }
+    }
+}
+
+/// Serves operators forever, without a limit on connections.
 pub async fn serve(listener: TcpListener, key: &str, calls: CallSender) -> anyhow::Result<()> {
     serve_until(listener, key, calls, pending()).await
 }
@@ -44,25 +89,29 @@
     calls: CallSender,
     stop: impl Future<Output = ()>,
 ) -> anyhow::Result<()> {
-    let key_hash = hash_key(key);
-    let port = OperatorsServer::new(Port { calls })
-        .max_decoding_message_size(MAX_MESSAGE_BYTES)
-        .max_encoding_message_size(usize::MAX);
-    let authorized_service = tonic::service::interceptor::InterceptedService::new(
-        port,
-        move |request: tonic::Request<()>| authorize(&key_hash, request),
-    );
     Server::builder()
         .timeout(CALL_TIMEOUT)
-        .concurrency_limit_per_connection(MAX_CALLS_PER_CONNECTION)
+        .concurrency_limit_per_connection(MAX_CALLS_PER_CONNECTION as usize)
         .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
-        .add_service(authorized_service)
+        .add_service(Api::new(key, calls).service)
         .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop)
         .await?;
     Ok(())
 }
 
 /// Accepts calls that carry the operators' key.
+#[derive(Clone)]
+struct Authorization {
+    key_hash: SmolStr,
+}
+
+impl Interceptor for Authorization {
+    fn call(&mut self, request: tonic::Request<()>) -> Result<tonic::Request<()>, Status> {
+        authorize(&self.key_hash, request)
+    }
+}
+
+/// Checks that a call carries the operators' key.
 ///
 /// Compares hashes in constant time, so that neither the length nor a prefix of the key leaks through
 /// timing.
