Soak: a stall says what the loop did meanwhile

The report named the times for which the soak's process stood still, not why: whether a part of the soak took long turns, many of them, or other processes had the processors. Tasks are now counted by part (turns, their time, the longest), and a stall states them beside the time that the thread ran and the time that it was ready while others ran.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -39,6 +39,8 @@
 use crate::ledger::Attempt;
 use crate::ledger::End;
 use crate::replica::SIGNATURE_PREFIX;
+use crate::stall;
+use crate::stall::Part;
 
 /// API key of all callers.
 pub const KEY: &str = "soak-key";
@@ -390,7 +392,7 @@
     let socket = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
     let socket = socket.ok()?.ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.ok()?;
-    let task = tokio::task::spawn_local(async move {
+    let task = stall::spawn(Part::Callers, async move {
         // The request on this connection sees how it ended.
         let _ = connection.await;
     });
--- a/crates/soak/src/cloud.rs
+++ b/crates/soak/src/cloud.rs
@@ -20,6 +20,8 @@
 use crate::server;
 use crate::server::Body;
 use crate::server::Disconnected;
+use crate::stall;
+use crate::stall::Part;
 
 /// The stand-in of the API.
 pub struct Cloud {
@@ -44,9 +46,10 @@
             state: RefCell::default(),
         });
         let serving = Rc::clone(&cloud);
-        tokio::task::spawn_local(async move {
+        stall::spawn(Part::Platform, async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::task::spawn_local(server::serve(socket, Rc::clone(&serving), answer));
+                let call = server::serve(socket, Rc::clone(&serving), answer);
+                stall::spawn(Part::Platform, call);
             }
         });
         Ok(cloud)
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -17,6 +17,9 @@
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
+use crate::stall;
+use crate::stall::Part;
+
 /// Pause before a member whose connection was closed comes back.
 const RETURN_PAUSE: Duration = Duration::from_millis(100);
 /// Receive buffer of members that don't read.
@@ -147,7 +150,8 @@
         let state = Rc::new(State::default());
         let mut members = JoinSet::new();
         for _ in 0..size {
-            members.spawn_local(stay(address, member.clone(), Rc::clone(&state)));
+            let staying = stay(address, member.clone(), Rc::clone(&state));
+            members.spawn_local(stall::timed(Part::Crowds, staying));
         }
         Crowd {
             state,
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -25,6 +25,8 @@
 use crate::environment::ZONES;
 use crate::promises;
 use crate::proxy::Proxy;
+use crate::stall;
+use crate::stall::Part;
 use crate::tables::Ways;
 
 /// Pause before a process that ended is restarted.
@@ -100,7 +102,7 @@
         });
         entry.write_settings(size.entries)?;
         let child = entry.spawn()?;
-        tokio::task::spawn_local(Rc::clone(&entry).supervise(child));
+        stall::spawn(Part::Entries, Rc::clone(&entry).supervise(child));
         Ok(entry)
     }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -29,6 +29,8 @@
 use crate::proxy::Mode;
 use crate::replica::Behavior;
 use crate::replica::Replica;
+use crate::stall;
+use crate::stall::Part;
 use crate::tables::Failure;
 
 /// Services of plain calls; the route that changes alternates between them.
@@ -251,7 +253,8 @@
         while environment.clock.now() < end {
             let caller = FIRST_PART_CALLER + (number % 1_000) as usize * 1_000 + count;
             let caller = Caller::new(Rc::clone(environment), caller, self.entries.len());
-            asking.spawn_local(caller.ask_with_part(part.clone()));
+            let prompt = caller.ask_with_part(part.clone());
+            asking.spawn_local(stall::timed(Part::Callers, prompt));
             count += 1;
             wait(PART_INTERVAL).await;
         }
@@ -267,7 +270,7 @@
             wait(HIT_CHECK_INTERVAL).await;
             for replica in self.replicas.iter().filter(|replica| replica.take_hit()) {
                 let (cluster, index) = (Rc::clone(&self), replica.index);
-                tokio::task::spawn_local(async move {
+                stall::spawn(Part::Faults, async move {
                     cluster.crash(index, ROW_REMOVAL_DELAY).await;
                 });
             }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -11,6 +11,7 @@
 use crate::notices;
 use crate::notices::Notices;
 use crate::promises;
+use crate::stall::Stall;
 
 /// Target of a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,9 +134,8 @@
     pub part_crashes: Vec<(SmolStr, Time)>,
     /// Arrivals of prompts with such a part at replicas: the part, the entry and the time.
     pub part_arrivals: Vec<(SmolStr, usize, Time)>,
-    /// Times for which the soak's own process stood still, with their ends: to entries, all replicas and the table service
-    /// are silent then.
-    pub stalls: Vec<(Time, Span)>,
+    /// Times for which the soak's own loop stood still.
+    pub stalls: Vec<Stall>,
     /// What replicas stated in their answers.
     pub notices: Notices,
     /// Broken promises.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod report;
 pub mod run;
 pub mod server;
+pub mod stall;
 pub mod tables;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -15,6 +15,9 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
+use crate::stall;
+use crate::stall::Part;
+
 /// Size of the buffer for one read, in bytes.
 const BUFFER_SIZE: usize = 16 << 10;
 
@@ -70,7 +73,7 @@
         let mode_updates = mode.subscribe();
         let is_down = watch::Sender::new(false);
         let mut down = is_down.subscribe();
-        tokio::task::spawn_local(async move {
+        stall::spawn(Part::Proxies, async move {
             let mut listener = Some(listener);
             let mut mode = mode_updates.clone();
             loop {
@@ -81,12 +84,13 @@
                     listener = TcpListener::bind(listen).await.ok();
                 }
                 tokio::select! {
-                    socket = accept(listener.as_ref()) => {
-                        tokio::task::spawn_local(forward(socket, destination, mode_updates.clone()));
-                    }
-                    changed = mode.changed() => if changed.is_err() { return },
-                    changed = down.changed() => if changed.is_err() { return },
-                }
+                                    socket = accept(listener.as_ref()) => {
+                                        let forwarding = forward(socket, destination, mode_updates.clone());
+                stall::spawn(Part::Proxies, forwarding);
+                                    }
+                                    changed = mode.changed() => if changed.is_err() { return },
+                                    changed = down.changed() => if changed.is_err() { return },
+                                }
             }
         });
         Ok(Proxy {
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -45,6 +45,8 @@
 use crate::server::Body;
 use crate::server::Disconnected;
 use crate::server::Http11;
+use crate::stall;
+use crate::stall::Part;
 
 /// Start of a replica's signature, followed by its index.
 pub const SIGNATURE_PREFIX: &str = "soak.";
@@ -191,7 +193,7 @@
         });
         replica.write_row(false);
         let serving = Rc::clone(&replica);
-        tokio::task::spawn_local(async move {
+        stall::spawn(Part::Replicas, async move {
             while running.wait_for(|is_running| *is_running).await.is_ok() {
                 let Ok(listener) = server::bind(server).await else {
                     tokio::time::sleep(CALL_TIME).await;
@@ -201,18 +203,20 @@
                 let mut states_http_11 = false;
                 loop {
                     tokio::select! {
-                        Ok((socket, _)) = listener.accept() => {
-                            let replica = Rc::clone(&serving);
-                            states_http_11 = !states_http_11;
-                            if states_http_11 {
-                                let socket = Http11(socket);
-                                connections.spawn_local(server::serve(socket, replica, answer));
-                            } else {
-                                connections.spawn_local(server::serve(socket, replica, answer));
-                            }
-                        }
-                        _ = running.wait_for(|is_running| !*is_running) => break,
-                    }
+                                            Ok((socket, _)) = listener.accept() => {
+                                                let replica = Rc::clone(&serving);
+                                                states_http_11 = !states_http_11;
+                                                if states_http_11 {
+                                                    let socket = Http11(socket);
+                                                    let serving = server::serve(socket, replica, answer);
+                    connections.spawn_local(stall::timed(Part::Replicas, serving));
+                                                } else {
+                                                    let serving = server::serve(socket, replica, answer);
+                    connections.spawn_local(stall::timed(Part::Replicas, serving));
+                                                }
+                                            }
+                                            _ = running.wait_for(|is_running| !*is_running) => break,
+                                        }
                 }
             }
         });
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use clock::Span;
 use clock::Time;
 use hdrhistogram::Histogram;
 
@@ -12,6 +11,7 @@
 use crate::ledger::End;
 use crate::ledger::Ledger;
 use crate::plan::Step;
+use crate::stall::Stall;
 
 /// Result of a seed.
 pub struct Report {
@@ -20,7 +20,7 @@
     /// Broken promises.
     pub breaches: Vec<Breach>,
     steps: Vec<Step>,
-    stalls: Vec<(Time, Span)>,
+    stalls: Vec<Stall>,
     /// Number of windows whose usage was reported.
     usage_windows: usize,
     classes: BTreeMap<Class, Counts>,
@@ -106,12 +106,8 @@
             }
             writeln!(formatter)?;
         }
-        for (end, length) in &self.stalls {
-            let (end, length) = (end.as_millis(), length.as_millis());
-            writeln!(
-                formatter,
-                "  the soak itself stood still for {length} ms until {end} ms"
-            )?;
+        for stall in &self.stalls {
+            writeln!(formatter, "  {stall}")?;
         }
         if self.breaches.is_empty() {
             return Ok(());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,6 +30,8 @@
 use crate::promises;
 use crate::replica::Replica;
 use crate::report::Report;
+use crate::stall;
+use crate::stall::Part;
 
 /// File name of the entry binary.
 const ENTRY_BINARY: &str = "dogwoodspur-platform";
@@ -37,9 +39,6 @@
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which a starting entry is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which the soak's own process is checked, and least delay that counts as a stall.
-const PULSE_INTERVAL: Duration = Duration::from_millis(50);
-const MIN_STALL: Span = Span::from_millis(400);
 /// Traffic before the first fault.
 const WARM_UP: Span = Span::from_millis(1_500);
 /// Upper limit of the faults' total time.
@@ -71,8 +70,8 @@
     environment.has_prompts.set(size.crash_part_count > 0);
     environment.has_http_10.set(size.undelimited_count > 0);
     let cluster = Rc::new(start_nodes(&environment, size, binary).await?);
-    let crashing = tokio::task::spawn_local(Rc::clone(&cluster).crash_hit_replicas());
-    let pulse = tokio::task::spawn_local(record_stalls(Rc::clone(&environment)));
+    let crashing = stall::spawn(Part::Faults, Rc::clone(&cluster).crash_hit_replicas());
+    let pulse = tokio::task::spawn_local(stall::record(Rc::clone(&environment)));
     let network = environment.network;
     let cloud_address = network.address(Node::Platform, Port::Cloud);
     let cloud = Cloud::serve(Rc::clone(&environment), cloud_address).await?;
@@ -87,7 +86,7 @@
     let mut callers = JoinSet::new();
     for number in 0..size.callers {
         let caller = Caller::new(Rc::clone(&environment), number, size.entries);
-        callers.spawn_local(caller.run(stop.subscribe()));
+        callers.spawn_local(stall::timed(Part::Callers, caller.run(stop.subscribe())));
     }
     faults.await?;
     let faults_ended_at = environment.clock.now();
@@ -110,20 +109,6 @@
     ))
 }
 
-/// Records the times for which this process stood still.
-async fn record_stalls(environment: Rc<Environment>) {
-    let mut last = environment.clock.now();
-    loop {
-        tokio::time::sleep(PULSE_INTERVAL).await;
-        let now = environment.clock.now();
-        let elapsed = now.since(last);
-        if elapsed >= MIN_STALL {
-            environment.ledger.borrow_mut().stalls.push((now, elapsed));
-        }
-        last = now;
-    }
-}
-
 /// Starts all nodes. Entries start last, when the configuration and the replicas' rows exist.
 async fn start_nodes(environment: &Rc<Environment>, size: Size, binary: &Path) -> Result<Cluster> {
     let engines = (0..size.engines).map(|_| ENGINES);
@@ -168,11 +153,11 @@
     let mut running = JoinSet::new();
     for step in steps {
         let cluster = Rc::clone(&cluster);
-        running.spawn_local(async move {
+        running.spawn_local(stall::timed(Part::Faults, async move {
             let wait = (started_at + step.start).since(cluster.environment.clock.now());
             tokio::time::sleep(wait.as_duration()).await;
             cluster.apply(&step).await;
-        });
+        }));
     }
     while running.join_next().await.is_some() {}
 }
--- a/crates/soak/src/tables.rs
+++ b/crates/soak/src/tables.rs
@@ -29,6 +29,8 @@
 use crate::server;
 use crate::server::Body;
 use crate::server::Disconnected;
+use crate::stall;
+use crate::stall::Part;
 
 /// Delay of a late transaction.
 const LATE_COMMIT_DELAY: Duration = Duration::from_millis(1_500);
@@ -111,9 +113,10 @@
             tables: Rc::clone(self),
             ways,
         });
-        tokio::task::spawn_local(async move {
+        stall::spawn(Part::Platform, async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::task::spawn_local(server::serve(socket, Rc::clone(&view), answer));
+                let serving = server::serve(socket, Rc::clone(&view), answer);
+                stall::spawn(Part::Platform, serving);
             }
         });
         Ok(())
@@ -257,7 +260,7 @@
         Failure::Silent => std::future::pending::<()>().await,
         Failure::Slow(span) => tokio::time::sleep(span.as_duration()).await,
         Failure::Late if is_change => {
-            tokio::task::spawn_local(async move {
+            stall::spawn(Part::Platform, async move {
                 tokio::time::sleep(LATE_COMMIT_DELAY).await;
                 tables.execute(&operation).await;
             });
