Soak: crowds and starts of processes don't hold the soak's loop

The trace names crowds as by far the largest part of the loop (2,496 ms of 3,300 ms in its busy intervals, up to 4,280 turns in 50 ms): 1,200 connections that come back together stand in the queue before every replica, proxy and caller, and each turn writes up to 360 KB. The start of a process held the loop until the program was loaded (30 ms a start; entries that are killed together start together).

Change: a crowd has a thread and a runtime of its own, and processes are started from a blocking thread.

--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -1,9 +1,11 @@
 //! Callers that don't behave: many connections that send what an entry must bound, and come back when it closes them.
 
-use std::cell::Cell;
 use std::fs;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -15,11 +17,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
-use crate::stall;
-use crate::stall::Part;
-
 /// Pause before a member whose connection was closed comes back.
 const RETURN_PAUSE: Duration = Duration::from_millis(100);
 /// Receive buffer of members that don't read.
@@ -130,41 +130,52 @@
     message.freeze()
 }
 
-/// Members that stay until they are dropped.
+/// Members that stay until they are dropped. They have a thread of their own: the caller's goes on beside them.
 pub struct Crowd {
-    state: Rc<State>,
+    state: Arc<State>,
     size: usize,
-    _members: JoinSet<()>,
+    /// Ends the members when dropped.
+    _stay: oneshot::Sender<()>,
 }
 
 #[derive(Default)]
 struct State {
     /// Members that have sent everything, or were closed, at least once.
-    settled: Cell<usize>,
+    settled: AtomicUsize,
     changed: Notify,
 }
 
 impl Crowd {
-    /// Starts a crowd of `size` connections to an address. Must run within a `LocalSet`.
-    pub fn start(address: SocketAddr, size: usize, member: &Member) -> Crowd {
-        let state = Rc::new(State::default());
-        let mut members = JoinSet::new();
-        for _ in 0..size {
-            let staying = stay(address, member.clone(), Rc::clone(&state));
-            members.spawn_local(stall::timed(Part::Crowds, staying));
-        }
-        Crowd {
+    /// Starts a crowd of `size` connections to an address.
+    pub fn start(address: SocketAddr, size: usize, member: &Member) -> Result<Crowd> {
+        let state = Arc::new(State::default());
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (stay, stayed) = oneshot::channel();
+        let (member, shared) = (member.clone(), Arc::clone(&state));
+        thread::Builder::new().spawn(move || {
+            runtime.block_on(async move {
+                let mut members = JoinSet::new();
+                for _ in 0..size {
+                    members.spawn(return_often(address, member.clone(), Arc::clone(&shared)));
+                }
+                // An error says that the crowd was dropped.
+                let _ = stayed.await;
+            });
+        })?;
+        Ok(Crowd {
             state,
             size,
-            _members: members,
-        }
+            _stay: stay,
+        })
     }
 
     /// Waits until each member has sent everything, or was closed, at least once.
     pub async fn settle(&self) {
         loop {
             let changed = self.state.changed.notified();
-            if self.state.settled.get() >= self.size {
+            if self.state.settled.load(Ordering::Acquire) >= self.size {
                 return;
             }
             changed.await;
@@ -173,7 +184,7 @@
 }
 
 /// Sends the message on one connection after the other.
-async fn stay(address: SocketAddr, member: Member, state: Rc<State>) {
+async fn return_often(address: SocketAddr, member: Member, state: Arc<State>) {
     let mut is_first = true;
     loop {
         if let Ok(mut socket) = TcpStream::connect(address).await {
@@ -207,7 +218,7 @@
 impl State {
     fn mark_settled(&self, is_first: &mut bool) {
         if std::mem::take(is_first) {
-            self.settled.set(self.settled.get() + 1);
+            self.settled.fetch_add(1, Ordering::Release);
             self.changed.notify_waiters();
         }
     }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -101,7 +101,7 @@
             is_shut_down: Cell::new(false),
         });
         entry.write_settings(size.entries)?;
-        let child = entry.spawn()?;
+        let child = entry.spawn().await?;
         stall::spawn(Part::Entries, Rc::clone(&entry).supervise(child));
         Ok(entry)
     }
@@ -188,20 +188,22 @@
                 promises::report_unexpected_exit(&mut ledger, self.index, now, &status);
             }
             tokio::time::sleep(RESTART_PAUSE).await;
-            match self.spawn() {
+            match self.spawn().await {
                 Ok(next) => child = next,
                 Err(error) => return eprintln!("entry {}: {error:#}", self.index),
             }
         }
     }
 
-    fn spawn(&self) -> Result<Child> {
+    /// Starts the process. The thread that does so is held until the program is loaded, so it isn't the loop's.
+    async fn spawn(&self) -> Result<Child> {
         let log = self
             .environment
             .folder
             .join(format!("entry-{}.log", self.index));
         let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new("sh")
+        let mut command = Command::new("sh");
+        command
             .arg("-c")
             .arg(format!("ulimit -n {DESCRIPTORS}; exec \"$0\" \"$@\""))
             .arg(&self.binary)
@@ -210,8 +212,9 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .kill_on_drop(true)
-            .spawn()
+            .kill_on_drop(true);
+        let child = tokio::task::spawn_blocking(move || command.spawn())
+            .await?
             .with_context(|| format!("can't start {}", self.binary.display()))?;
         self.signalled_at.set(None);
         self.is_paused.set(false);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -157,6 +157,9 @@
                 let address = network.address(Node::Entry(entry), Port::Requests);
                 let member = misbehavior.member(&crowd_head());
                 let crowd = Crowd::start(address, CROWD_SIZE, &member);
+                if let Err(error) = &crowd {
+                    eprintln!("crowd at entry {entry}: {error:#}");
+                }
                 wait(step.duration).await;
                 self.entries[entry].check_memory();
                 drop(crowd);
--- a/crates/soak/src/stall.rs
+++ b/crates/soak/src/stall.rs
@@ -27,8 +27,6 @@
 pub enum Part {
     /// Callers.
     Callers,
-    /// Crowds.
-    Crowds,
     /// Starts and ends of entries' processes.
     Entries,
     /// Steps of the plan.
@@ -43,9 +41,8 @@
 
 impl Part {
     /// All parts, in the order of their counts.
-    const ALL: [Part; 7] = [
+    const ALL: [Part; 6] = [
         Part::Callers,
-        Part::Crowds,
         Part::Entries,
         Part::Faults,
         Part::Platform,
--- a/crates/standin/tests/crowd.rs
+++ b/crates/standin/tests/crowd.rs
@@ -104,7 +104,7 @@
 
     /// Starts a crowd at a port of the entry, and waits until it has sent everything.
     async fn crowd(&self, port: &str, size: usize, member: &Member) -> Crowd {
-        let crowd = Crowd::start(self.address(port), size, member);
+        let crowd = Crowd::start(self.address(port), size, member).unwrap();
         let settled = tokio::time::timeout(SETTLE_TIMEOUT, crowd.settle()).await;
         assert!(settled.is_ok(), "the entry takes no connections");
         tokio::time::sleep(CROWD_TIME).await;
