Soak: what fails while the soak itself stands still is undecided, and such a seed isn't kept

Cause: checks of times excuse faults of entries, replicas and the table service, not the soak's own stalls, which silence all of them at once; the report named stalls beside the verdict.

Change: a check that depends on the soak's promptness records since when; at the end, those that overlap a stall or the settling time after it are "undecided". A seed with a stall is never "kept", and `soak` fails for it. Checks of what ran, of contents, duties, memory and exits judge as before; no bound changes. The short runs fail for undecided checks as they did before, and print their reports.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -107,6 +107,8 @@
 pub struct Breach {
     /// Name of the promise.
     pub promise: &'static str,
+    /// Time from which the soak had to be prompt for this check; none if the check doesn't depend on that.
+    pub prompt_since: Option<Time>,
     /// Time at which the breach was detected.
     pub detected_at: Time,
     /// Evidence of the breach.
@@ -226,10 +228,35 @@
             || faults.any(|fault| is_entry(fault) && fault.overlaps(from, to, Span::ZERO))
     }
 
-    /// Records a broken promise.
+    /// Returns whether a breach proves nothing, since the soak itself stood still within the time that was judged.
+    pub fn is_undecided(&self, breach: &Breach) -> bool {
+        let settle_time = self.bounds.settle_time;
+        breach.prompt_since.is_some_and(|from| {
+            let mut stalls = self.stalls.iter();
+            stalls.any(|stall| stall.overlaps(from, breach.detected_at, settle_time))
+        })
+    }
+
+    /// Records a broken promise, which is judged only if the soak itself stood still at no time since `from`.
+    pub fn record_slow(&mut self, promise: &'static str, from: Time, at: Time, detail: String) {
+        self.record(promise, Some(from), at, detail);
+    }
+
+    /// Records a broken promise, whatever the soak itself did.
     pub fn record_breach(&mut self, promise: &'static str, at: Time, detail: String) {
+        self.record(promise, None, at, detail);
+    }
+
+    fn record(
+        &mut self,
+        promise: &'static str,
+        prompt_since: Option<Time>,
+        at: Time,
+        detail: String,
+    ) {
         self.breaches.push(Breach {
             promise,
+            prompt_since,
             detected_at: at,
             detail,
         });
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -35,7 +35,7 @@
     /// path of the entry binary; by default `dogwoodspur-platform` beside this one
     #[argh(option)]
     program: Option<PathBuf>,
-    /// folder that keeps the logs of seeds with broken promises
+    /// folder that keeps the logs of seeds that didn't keep all promises
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     logs: PathBuf,
 }
@@ -51,7 +51,7 @@
     }
 }
 
-/// Plays all seeds and returns whether every promise was kept.
+/// Plays all seeds and returns whether every promise was kept and the soak stood still at no time.
 fn play(arguments: &Arguments) -> Result<bool> {
     let size = match arguments.size.as_str() {
         "small" => Size::small(),
@@ -69,6 +69,7 @@
         .minutes
         .map(|minutes| Instant::now() + Duration::from_secs(60 * minutes));
     let failed = Mutex::new(Vec::new());
+    let undecided = Mutex::new(Vec::new());
     let unplayed = Mutex::new(Vec::new());
     std::thread::scope(|threads| {
         for _ in 0..arguments.jobs.max(1) {
@@ -83,11 +84,14 @@
                     let list = match run::play(seed, size, &binary, folder.clone()) {
                         Ok(report) => {
                             print!("{report}");
-                            if report.breaches.is_empty() {
+                            if report.is_kept() {
                                 let _ = std::fs::remove_dir_all(&folder);
                                 continue;
                             }
-                            &failed
+                            match report.breaches.is_empty() {
+                                true => &undecided,
+                                false => &failed,
+                            }
                         }
                         Err(error) => {
                             println!("seed {seed}: not played: {error:#}");
@@ -106,8 +110,11 @@
         seeds.sort_unstable();
         seeds
     };
-    let (failed, unplayed) = (sorted(failed), sorted(unplayed));
+    let (failed, undecided) = (sorted(failed), sorted(undecided));
+    let unplayed = sorted(unplayed);
     let begun = next.load(Ordering::Relaxed).min(first + arguments.seeds) - first;
-    println!("{begun} seeds from {first}: broken promises {failed:?}, not played {unplayed:?}");
-    Ok(failed.is_empty() && unplayed.is_empty())
+    println!(
+        "{begun} seeds from {first}: broken promises {failed:?}, undecided {undecided:?}, not played {unplayed:?}"
+    );
+    Ok(failed.is_empty() && undecided.is_empty() && unplayed.is_empty())
 }
--- a/crates/soak/src/notices.rs
+++ b/crates/soak/src/notices.rs
@@ -77,11 +77,8 @@
             "{} from entry {} reached replica {replica} {after} ms after its announcement",
             attempt.id, attempt.entry
         );
-        ledger.record_breach(
-            "a replica that announces its leave gets nothing more",
-            at,
-            detail,
-        );
+        let promise = "a replica that announces its leave gets nothing more";
+        ledger.record_slow(promise, announced, at, detail);
     }
 }
 
@@ -112,7 +109,8 @@
                 at.since(pause.start).as_millis(),
                 pause.end.since(pause.start).as_millis()
             );
-            ledger.record_breach("a replica gets the pause that it asks for", at, detail);
+            let promise = "a replica gets the pause that it asks for";
+            ledger.record_slow(promise, pause.start, at, detail);
         }
     }
 }
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -1,7 +1,8 @@
 //! Checks the promises that hold under every fault.
 //!
 //! Each check works on the evidence of callers and replicas. A promise that holds only for targets without
-//! faults is checked only where the ledger has no disturbance. An ordered stop of an entry is no disturbance.
+//! faults is checked only where the ledger has no disturbance. An ordered stop of an entry is no disturbance. What
+//! breaks a promise about times while the soak itself stands still is undecided.
 
 use std::collections::BTreeSet;
 
@@ -63,12 +64,12 @@
     check_abandoned(ledger, now);
     check_recovery(ledger, faults_ended_at, now);
     for cut in ledger.cuts.clone() {
-        check_cut(ledger, cut, now);
+        check_cut(ledger, cut);
     }
 }
 
 /// Checks that callers of an entry that was cut off from all replicas were served like those of the others.
-fn check_cut(ledger: &mut Ledger, cut: Cut, at: Time) {
+fn check_cut(ledger: &mut Ledger, cut: Cut) {
     let from = cut.start + ledger.bounds.cut_reaction;
     let target = Target::Entry(cut.entry);
     if from >= cut.end || !ledger.is_undisturbed(target, from, cut.end) {
@@ -102,7 +103,7 @@
             cut.entry, here.0, here.1, others.0, others.1
         );
         let promise = "an entry that is cut off from all replicas serves like the others";
-        ledger.record_breach(promise, at, detail);
+        ledger.record_slow(promise, cut.start, cut.end, detail);
     }
 }
 
@@ -113,7 +114,7 @@
     let failures = ledger.brittle_failures.iter().filter(within).count();
     if failures > 2 + replicas.len() / 10 {
         let detail = format!("{failures} failures of {} replicas", replicas.len());
-        ledger.record_breach("brittle replicas stay up", end, detail);
+        ledger.record_slow("brittle replicas stay up", start, end, detail);
     }
 }
 
@@ -132,7 +133,12 @@
     let late = ledger.part_arrivals.iter().filter(is_late).count();
     if late > MAX_LATE_PARTS {
         let detail = format!("{late} late, {} crashes", crashes.len());
-        ledger.record_breach("what crashes replicas is stopped", now, detail);
+        ledger.record_slow(
+            "what crashes replicas is stopped",
+            last_allowed,
+            now,
+            detail,
+        );
     }
 }
 
@@ -180,7 +186,8 @@
             "{} at entry {}: {took} ms, {end:?}",
             attempt.id, attempt.entry
         );
-        ledger.record_breach("everybody gets a final answer in time", at, detail);
+        let promise = "everybody gets a final answer in time";
+        ledger.record_slow(promise, attempt.sent_at, at, detail);
     }
 }
 
@@ -196,7 +203,7 @@
         |run: &Run| ledger.is_undisturbed(Target::Replica(run.replica), attempt.sent_at, at);
     if !runs.is_empty() && runs.iter().all(undisturbed) {
         let detail = format!("{} at entry {}", attempt.id, attempt.entry);
-        ledger.record_breach("no answer is broken off", at, detail);
+        ledger.record_slow("no answer is broken off", attempt.sent_at, at, detail);
     }
 }
 
@@ -212,11 +219,8 @@
             "{} from entry {} reached replica {} {after} ms after it said that it leaves",
             attempt.id, attempt.entry, run.replica
         );
-        ledger.record_breach(
-            "a replica that leaves gets nothing more",
-            run.began_at,
-            detail,
-        );
+        let promise = "a replica that leaves gets nothing more";
+        ledger.record_slow(promise, left_at, run.began_at, detail);
     }
 }
 
@@ -237,7 +241,8 @@
             "{} from entry {} ran at {}",
             attempt.id, attempt.entry, run.service
         );
-        ledger.record_breach("a new configuration holds everywhere", run.began_at, detail);
+        let promise = "a new configuration holds everywhere";
+        ledger.record_slow(promise, known, run.began_at, detail);
     }
 }
 
@@ -269,7 +274,9 @@
         left.partition(|(attempt, at)| outlasts(attempt, *at));
     if abandoned.len() > MAX_ABANDONED && abandoned.len() * 4 > abandoned.len() + others.len() {
         let detail = format!("{} of {}", abandoned.len(), abandoned.len() + others.len());
-        ledger.record_breach("work stops when its caller has left", now, detail);
+        let sent = abandoned.iter().map(|(attempt, _)| attempt.sent_at);
+        let from = sent.min().unwrap_or(now);
+        ledger.record_slow("work stops when its caller has left", from, now, detail);
     }
 }
 
@@ -288,7 +295,8 @@
     }
     if all == 0 || (served as f64) < all as f64 * ledger.bounds.min_served_share {
         let detail = format!("{served} of {all} were served");
-        ledger.record_breach("all is well again once faults are over", now, detail);
+        let promise = "all is well again once faults are over";
+        ledger.record_slow(promise, faults_ended_at, now, detail);
     }
 }
 
@@ -308,6 +316,11 @@
 pub fn report_slow_stop(ledger: &mut Ledger, entry: usize, at: Time, took: Span) {
     if ledger.is_undisturbed(Target::Entry(entry), at, at) {
         let detail = format!("entry {entry} after {} ms", took.as_millis());
-        ledger.record_breach("a process that is asked to stop does", at, detail);
+        ledger.record_slow(
+            "a process that is asked to stop does",
+            at,
+            at + took,
+            detail,
+        );
     }
 }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -19,6 +19,8 @@
     pub seed: u64,
     /// Broken promises.
     pub breaches: Vec<Breach>,
+    /// Failed checks that prove nothing, since the soak itself stood still.
+    pub undecided: Vec<Breach>,
     steps: Vec<Step>,
     stalls: Vec<Stall>,
     /// Number of windows whose usage was reported.
@@ -45,15 +47,23 @@
             let counts = classes.entry(attempt.class).or_default();
             counts.record(attempt.sent_at, *at, end);
         }
+        let all = ledger.breaches.iter().cloned();
+        let (undecided, breaches) = all.partition(|breach| ledger.is_undecided(breach));
         Report {
             seed,
-            breaches: ledger.breaches.clone(),
+            breaches,
+            undecided,
             steps,
             stalls: ledger.stalls.clone(),
             usage_windows,
             classes,
         }
     }
+
+    /// Returns whether the soak never stood still and all promises were kept.
+    pub fn is_kept(&self) -> bool {
+        self.breaches.is_empty() && self.undecided.is_empty() && self.stalls.is_empty()
+    }
 }
 
 impl Counts {
@@ -82,7 +92,8 @@
 impl fmt::Display for Report {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let verdict = match self.breaches.len() {
-            0 => String::from("kept"),
+            0 if self.is_kept() => String::from("kept"),
+            0 => format!("undecided, {} checks failed", self.undecided.len()),
             broken => format!("{broken} BROKEN"),
         };
         writeln!(
@@ -109,7 +120,7 @@
         for stall in &self.stalls {
             writeln!(formatter, "  {stall}")?;
         }
-        if self.breaches.is_empty() {
+        if self.breaches.is_empty() && self.undecided.is_empty() {
             return Ok(());
         }
         for step in &self.steps {
@@ -120,11 +131,13 @@
                 step.fault
             )?;
         }
-        for breach in &self.breaches {
+        let broken = self.breaches.iter().map(|breach| ("BROKEN", breach));
+        let undecided = self.undecided.iter().map(|breach| ("undecided", breach));
+        for (verdict, breach) in broken.chain(undecided) {
             let at = breach.detected_at.as_millis();
             writeln!(
                 formatter,
-                "  BROKEN at {at} ms: {}: {}",
+                "  {verdict} at {at} ms: {}: {}",
                 breach.promise, breach.detail
             )?;
         }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -45,7 +45,9 @@
             .collect()
     });
     for report in reports {
+        println!("{report}");
         assert!(report.breaches.is_empty(), "{report}");
+        assert!(report.undecided.is_empty(), "{report}");
     }
 }
 
