--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -60,6 +60,8 @@
 const MAX_ATTEMPTS: u32 = 3;
 /// One in this many callers speaks HTTP/1.0.
 const HTTP_10_INTERVAL: usize = 3;
+/// Share of returns to a stream that come late.
+const LATE_RETURN_SHARE: f64 = 0.7;
 /// Number of events of a stream.
 const EVENT_COUNT: std::ops::Range<u64> = 5..50;
 
@@ -139,6 +141,8 @@
 /// The part of a stream that a caller has received.
 #[derive(Clone, Debug, Default)]
 struct Progress {
+    /// Time of the first attempt.
+    first_sent_at: Time,
     /// Id of the last event.
     last_event: u64,
     /// The software version that generated the first event.
@@ -148,6 +152,11 @@
 }
 
 impl Progress {
+    /// Returns the time since the first attempt, if events were received.
+    fn returns_after(&self, now: Time) -> Option<Span> {
+        (self.last_event > 0).then(|| now.since(self.first_sent_at))
+    }
+
     fn continuation(&self) -> Option<Continuation> {
         (self.last_event > 0).then(|| Continuation {
             last_event: self.last_event,
@@ -199,8 +208,11 @@
         let name = format!("{}.{}", self.name, self.request_count);
         let events = self.draw(EVENT_COUNT);
         let stream = (class == Class::Stream).then_some(Stream { name, events });
-        let leaves = class != Class::NonIdempotent && self.chance(LEAVE_SHARE);
-        let mut progress = Progress::default();
+        let mut leaves = class != Class::NonIdempotent && self.chance(LEAVE_SHARE);
+        let mut progress = Progress {
+            first_sent_at: self.environment.clock.now(),
+            ..Progress::default()
+        };
         for number in 0..MAX_ATTEMPTS {
             let path = match &stream {
                 Some(stream) => stream.path(),
@@ -220,13 +232,35 @@
             let Some(outcome) = attempting.await else {
                 return;
             };
-            if !may_retry(class, &outcome.end) {
+            let returns = self.draw_return(&outcome.end, &progress);
+            if returns.is_none() && !may_retry(class, &outcome.end) {
                 return;
             }
-            tokio::time::sleep(outcome.retry_delay).await;
+            leaves &= returns.is_none();
+            let pause = returns.unwrap_or(Duration::ZERO);
+            tokio::time::sleep(pause.max(outcome.retry_delay)).await;
         }
     }
 
+    /// Draws the pause after which the caller returns to a stream that it left or that broke off: none, or one that ends
+    /// by the time limit of its first attempt and the time for returns.
+    fn draw_return(&self, end: &End, progress: &Progress) -> Option<Duration> {
+        let return_time = self.environment.return_time.get();
+        let interrupted = matches!(end, End::Left | End::Broken);
+        if return_time == Span::ZERO || progress.last_event == 0 || !interrupted {
+            return None;
+        }
+        let until = progress.first_sent_at + Class::Stream.timeout() + return_time;
+        let left = until.since(self.environment.clock.now());
+        let is_late = self.chance(LATE_RETURN_SHARE) && left > Span::ZERO;
+        let pause = if is_late {
+            self.draw(0..left.as_millis())
+        } else {
+            0
+        };
+        Some(Duration::from_millis(pause))
+    }
+
     /// Sends one prompt with a part, which isn't retried.
     pub async fn ask_with_part(mut self, part: SmolStr) {
         let name = format!("{}.1", self.name);
@@ -298,6 +332,7 @@
                 crashes: self.environment.crashes(&attempt.prompt),
                 reused: connection.reused,
                 sent_at: self.environment.clock.now(),
+                returns_after: progress.returns_after(self.environment.clock.now()),
                 ended: None,
             });
         let wait = match leaves {
--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -32,6 +32,13 @@
     pub undelimited_count: usize,
     /// Number of further faults in which a crowd of callers that don't behave stays at an entry.
     pub crowd_count: usize,
+    /// Number of further releases: the replicas of streams go one after the other and come back with another version. They
+    /// all begin with the same one if there are any.
+    pub release_count: usize,
+    /// Number of further faults in which some entries are killed at once, or the table service refuses some entries.
+    pub together_count: usize,
+    /// Time after its time limit by which a caller returns to a stream that it has left; zero if it doesn't return.
+    pub return_time: Span,
 }
 
 impl Size {
@@ -57,6 +64,38 @@
         }
     }
 
+    /// Returns a size for a day of minutes: releases go back and forth while callers return to their streams, at once and
+    /// late.
+    pub fn day() -> Size {
+        Size {
+            fault_window: Span::from_seconds(200),
+            fault_count: 6,
+            notice_count: 0,
+            cut_count: 0,
+            endless_count: 0,
+            undelimited_count: 0,
+            release_count: 8,
+            together_count: 12,
+            return_time: Span::from_seconds(50),
+            ..Size::many()
+        }
+    }
+
+    /// Returns a size for such a day in a minute.
+    pub fn short_day() -> Size {
+        Size {
+            entries: 6,
+            engines: 4,
+            callers: 20,
+            fault_window: Span::from_seconds(20),
+            fault_count: 1,
+            release_count: 2,
+            together_count: 3,
+            return_time: Span::from_seconds(10),
+            ..Size::day()
+        }
+    }
+
     /// Returns the number of replicas.
     pub fn replicas(&self) -> usize {
         self.engines + 2 * self.apps
@@ -93,6 +132,9 @@
             endless_count: 2,
             undelimited_count: 3,
             crowd_count: 2,
+            release_count: 0,
+            together_count: 0,
+            return_time: Span::ZERO,
         }
     }
 }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -27,6 +27,7 @@
 use crate::proxy::Proxy;
 use crate::stall;
 use crate::stall::Part;
+use crate::tables::Reader;
 use crate::tables::Ways;
 
 /// Pause before a process that ended is restarted.
@@ -81,7 +82,11 @@
         }
         let own_ways: Ways = Box::new(move |replica| network.way(index, replica));
         let own_ways = (!ways.is_empty()).then_some(own_ways);
-        environment.tables.serve(tables, own_ways).await?;
+        let reader = Reader {
+            entry: index,
+            ways: own_ways,
+        };
+        environment.tables.serve(tables, Some(reader)).await?;
         let entry = Rc::new(Entry {
             index,
             callers: Proxy::start(
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -14,6 +14,7 @@
 use anyhow::Result;
 use anyhow::bail;
 use clock::Clock;
+use clock::Span;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use smol_str::SmolStr;
@@ -46,6 +47,8 @@
     pub has_prompts: Cell<bool>,
     /// Whether some callers speak HTTP/1.0.
     pub has_http_10: Cell<bool>,
+    /// Time after its time limit by which a caller returns to a stream that it has left; zero if it doesn't return.
+    pub return_time: Cell<Span>,
     /// Parts of prompts on which replicas crash now.
     pub crash_parts: RefCell<BTreeSet<SmolStr>>,
     /// Folder of settings and logs.
@@ -72,6 +75,7 @@
             network,
             has_prompts: Cell::new(false),
             has_http_10: Cell::new(false),
+            return_time: Cell::new(Span::ZERO),
             crash_parts: RefCell::default(),
             folder,
             _network_lock: lock,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,5 +1,6 @@
 //! Applies the steps of a plan.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use clock::Span;
@@ -43,6 +44,8 @@
 const ROW_REMOVAL_DELAY: Span = Span::from_millis(1_500);
 /// Time for which a replica goes on after it announced that it leaves.
 const LEAVE_TIME: Span = Span::from_millis(3_500);
+/// Time from the removal of a replica's row until the one of another version is there.
+const RELEASE_ABSENCE: Span = Span::from_millis(500);
 /// Pause between two entries that are stopped in turn.
 const STOP_PAUSE: Span = Span::from_millis(500);
 /// Time between two prompts with a crashing part.
@@ -71,6 +74,8 @@
     pub entries: Vec<Rc<Entry>>,
     /// Replicas.
     pub replicas: Vec<Rc<Replica>>,
+    /// Number of releases so far.
+    pub releases: Cell<usize>,
 }
 
 impl Cluster {
@@ -171,6 +176,12 @@
                 let end = || replica.set_behavior(Behavior::Good);
                 self.hold_fault(target, step.duration, begin, end).await;
             }
+            Fault::Release => self.release(step.duration).await,
+            Fault::KillTogether(first, count) => self.kill(&self.together(first, count)).await,
+            Fault::TablesRefuse(first, count) => {
+                self.refuse_tables(&self.together(first, count), step.duration)
+                    .await;
+            }
             Fault::Configure => self.configure(),
         }
     }
@@ -188,6 +199,48 @@
             .push((self.environment.clock.now(), service));
     }
 
+    /// Returns this number of entries from the first on.
+    fn together(&self, first: usize, count: usize) -> Vec<usize> {
+        let entries = self.entries.len();
+        (first..first + count)
+            .map(|entry| entry % entries)
+            .collect()
+    }
+
+    /// Lets the table service refuse some entries.
+    async fn refuse_tables(&self, entries: &[usize], duration: Span) {
+        let begin = |entry: &usize| {
+            self.environment.tables.refuse(*entry, true);
+            self.begin_disturbance(Target::Entry(*entry))
+        };
+        let disturbances: Vec<usize> = entries.iter().map(begin).collect();
+        wait(duration).await;
+        for (entry, disturbance) in entries.iter().zip(disturbances) {
+            self.environment.tables.refuse(*entry, false);
+            self.end_disturbance(disturbance);
+        }
+    }
+
+    /// Replaces the replicas of streams by ones of the next version, one after the other. Before it is through, another
+    /// release may begin.
+    async fn release(self: &Rc<Self>, duration: Span) {
+        let version = self.releases.get() + 1;
+        self.releases.set(version);
+        let is_engine = |replica: &&Rc<Replica>| replica.service == ENGINES;
+        let engines: Vec<_> = self.replicas.iter().filter(is_engine).collect();
+        let interval = Span::from_millis(duration.as_millis() / engines.len() as u64);
+        let mut leaving = JoinSet::new();
+        for engine in engines {
+            engine.plan_release(version);
+            let (cluster, index) = (Rc::clone(self), engine.index);
+            leaving.spawn_local(stall::timed(Part::Faults, async move {
+                cluster.leave(index, RELEASE_ABSENCE).await;
+            }));
+            wait(interval).await;
+        }
+        while leaving.join_next().await.is_some() {}
+    }
+
     async fn kill(&self, entries: &[usize]) {
         let now = self.environment.clock.now();
         let disturbances: Vec<usize> = entries
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -55,6 +55,8 @@
     pub reused: bool,
     /// Time at which it was sent.
     pub sent_at: Time,
+    /// Time since the first attempt of its stream, if it goes on with one.
+    pub returns_after: Option<Span>,
     /// Time and kind of its end, as its caller saw it.
     pub ended: Option<(Time, End)>,
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,7 +26,8 @@
     /// start no further seeds after this many minutes
     #[argh(option)]
     minutes: Option<u64>,
-    /// size of each run: small, many (24 entries) or limit (200 entries) (small)
+    /// size of each run: small, many (24 entries), day (24 entries, up to five minutes), short-day or limit (200 entries)
+    /// (small)
     #[argh(option, default = "String::from(\"small\")")]
     size: String,
     /// seeds played at once (4)
@@ -56,8 +57,10 @@
     let size = match arguments.size.as_str() {
         "small" => Size::small(),
         "many" => Size::many(),
+        "day" => Size::day(),
+        "short-day" => Size::short_day(),
         "limit" => Size::limit(),
-        other => bail!("unknown size {other}: expected small, many or limit"),
+        other => bail!("unknown size {other}: expected small, many, day, short-day or limit"),
     };
     let binary = match &arguments.program {
         Some(program) => program.clone(),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -39,6 +39,12 @@
 const ABSENCE_MS: Range<u64> = 1..300;
 /// Distinguishes the random sequence of crowds.
 const CROWD_SEED: u64 = 0x0063_726f_7764;
+/// Distinguishes the random sequence of releases.
+const RELEASE_SEED: u64 = 0x7265_6c65_6173;
+/// Time in which a release replaces all replicas, in milliseconds.
+const RELEASE_DURATION_MS: Range<u64> = 3_000..50_000;
+/// Distinguishes the random sequence of faults of several entries.
+const TOGETHER_SEED: u64 = 0x746f_6765_7468;
 /// Delay of bytes or answers, in milliseconds.
 const DELAY_MS: Range<u64> = 20..600;
 
@@ -102,6 +108,12 @@
     Undelimited(usize, Option<Span>),
     /// A crowd of callers that don't behave stays at an entry.
     Crowd(usize, Misbehavior),
+    /// The replicas of streams are replaced, one after the other, by ones of another version.
+    Release,
+    /// Entries are killed at once: the first of them, and how many.
+    KillTogether(usize, usize),
+    /// The table service refuses some entries: the first of them, and how many.
+    TablesRefuse(usize, usize),
     /// A replica misbehaves.
     Works(usize, Behavior),
     /// The operator changes the configuration.
@@ -167,10 +179,31 @@
         draw_undelimited,
     );
     draw_further(seed ^ CROWD_SEED, size.crowd_count, DURATION_MS, draw_crowd);
+    draw_further(
+        seed ^ RELEASE_SEED,
+        size.release_count,
+        RELEASE_DURATION_MS,
+        |_, _| Fault::Release,
+    );
+    draw_further(
+        seed ^ TOGETHER_SEED,
+        size.together_count,
+        CUT_DURATION_MS,
+        draw_together,
+    );
     steps.sort_by_key(|step| step.start);
     steps
 }
 
+fn draw_together(random: &mut Pcg64, size: &Size) -> Fault {
+    let first = random.random_range(0..size.entries);
+    let count = random.random_range(2..=size.entries);
+    match random.random::<bool>() {
+        true => Fault::KillTogether(first, count),
+        false => Fault::TablesRefuse(first, count),
+    }
+}
+
 fn draw_notice(random: &mut Pcg64, size: &Size) -> Fault {
     let replica = random.random_range(0..size.replicas());
     match random.random_range(0..3) {
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -32,6 +32,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::configs::size::Size;
 use crate::content;
 use crate::content::Stream;
 use crate::environment::Environment;
@@ -127,6 +128,9 @@
     restarts: Cell<usize>,
     /// Software versions that replicas run side by side.
     versions: usize,
+    /// The version that releases have given it, and the one of the next process.
+    released: Cell<Option<usize>>,
+    next_release: Cell<Option<usize>>,
     behavior: Cell<Behavior>,
     /// Whether answers announce that the replica is leaving.
     is_leaving: Cell<bool>,
@@ -163,7 +167,7 @@
         environment: Rc<Environment>,
         index: usize,
         service: &str,
-        versions: usize,
+        size: &Size,
     ) -> Result<Rc<Replica>> {
         let node = Node::Replica(index);
         let server = environment.network.address(node, Port::Requests);
@@ -182,7 +186,9 @@
             id: RefCell::new(format_smolstr!("{ID_PREFIX}{index}")),
             started_ms: Cell::new(unix_ms()),
             restarts: Cell::new(0),
-            versions,
+            versions: size.versions,
+            released: Cell::new((size.release_count > 0).then_some(0)),
+            next_release: Cell::new((size.release_count > 0).then_some(0)),
             behavior: Cell::new(Behavior::Good),
             is_leaving: Cell::new(false),
             busy: Cell::new(0),
@@ -270,6 +276,7 @@
         if !*self.is_running.borrow() {
             self.started_ms.set(unix_ms());
             self.restarts.set(self.restarts.get() + 1);
+            self.released.set(self.next_release.get());
         }
         self.behavior.set(Behavior::Good);
         self.is_leaving.set(false);
@@ -281,6 +288,11 @@
         self.write_row(false);
     }
 
+    /// Sets the version of the next process, and of those after it.
+    pub fn plan_release(&self, version: usize) {
+        self.next_release.set(Some(version % self.versions));
+    }
+
     /// Announces in answers that the replica leaves, but not in its row.
     pub fn announce_leaving_in_answers(&self) {
         self.is_leaving.set(true);
@@ -304,7 +316,8 @@
 
     /// Returns the software version of the running process.
     fn version(&self) -> SmolStr {
-        format_smolstr!("v{}", (self.index + self.restarts.get()) % self.versions)
+        let own = (self.index + self.restarts.get()) % self.versions;
+        format_smolstr!("v{}", self.released.get().unwrap_or(own))
     }
 
     fn write_row(&self, leaving: bool) {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -26,6 +26,16 @@
     /// Number of windows whose usage was reported.
     usage_windows: usize,
     classes: BTreeMap<Class, Counts>,
+    returns: Returns,
+}
+
+/// Attempts that went on with a stream.
+#[derive(Default)]
+struct Returns {
+    all: usize,
+    /// Those that came after the stream's time limit, and those of them that were served.
+    late: usize,
+    late_served: usize,
 }
 
 /// Ends of the attempts of one class.
@@ -40,12 +50,16 @@
     /// Summarizes a ledger.
     pub fn new(seed: u64, steps: Vec<Step>, ledger: &Ledger, usage_windows: usize) -> Report {
         let mut classes: BTreeMap<Class, Counts> = BTreeMap::new();
+        let mut returns = Returns::default();
         for attempt in ledger.attempts.values() {
             let Some((at, end)) = &attempt.ended else {
                 continue;
             };
             let counts = classes.entry(attempt.class).or_default();
             counts.record(attempt.sent_at, *at, end);
+            if let Some(after) = attempt.returns_after {
+                returns.record(after > attempt.class.timeout(), end);
+            }
         }
         let all = ledger.breaches.iter().cloned();
         let (undecided, breaches) = all.partition(|breach| ledger.is_undecided(breach));
@@ -57,6 +71,7 @@
             stalls: ledger.stalls.clone(),
             usage_windows,
             classes,
+            returns,
         }
     }
 
@@ -66,6 +81,14 @@
     }
 }
 
+impl Returns {
+    fn record(&mut self, is_late: bool, end: &End) {
+        self.all += 1;
+        self.late += usize::from(is_late);
+        self.late_served += usize::from(is_late && *end == End::Answered(200));
+    }
+}
+
 impl Counts {
     fn record(&mut self, sent: Time, at: Time, end: &End) {
         let name = match end {
@@ -117,6 +140,15 @@
             }
             writeln!(formatter)?;
         }
+        let Returns {
+            all,
+            late,
+            late_served,
+        } = self.returns;
+        writeln!(
+            formatter,
+            "  {all} attempts went on with streams, {late} after their time limits, {late_served} of these served"
+        )?;
         for stall in &self.stalls {
             writeln!(formatter, "  {stall}")?;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! Plays one seed.
 
+use std::cell::Cell;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -69,6 +70,7 @@
     let environment = Rc::new(Environment::new(seed, folder)?);
     environment.has_prompts.set(size.crash_part_count > 0);
     environment.has_http_10.set(size.undelimited_count > 0);
+    environment.return_time.set(size.return_time);
     let cluster = Rc::new(start_nodes(&environment, size, binary).await?);
     let crashing = stall::spawn(Part::Faults, Rc::clone(&cluster).crash_hit_replicas());
     let pulse = tokio::task::spawn_local(stall::record(Rc::clone(&environment)));
@@ -117,9 +119,10 @@
         environment: Rc::clone(environment),
         entries: Vec::new(),
         replicas: Vec::new(),
+        releases: Cell::new(0),
     };
     for (index, service) in engines.chain(apps).enumerate() {
-        let replica = Replica::start(Rc::clone(environment), index, service, size.versions).await?;
+        let replica = Replica::start(Rc::clone(environment), index, service, &size).await?;
         cluster.replicas.push(replica);
     }
     cluster.configure();
--- a/crates/soak/src/tables.rs
+++ b/crates/soak/src/tables.rs
@@ -58,6 +58,8 @@
     state: RefCell<State>,
     changed: Notify,
     failure: Cell<Option<Failure>>,
+    /// Entries that are refused, with the number of faults that refuse them.
+    refused: RefCell<BTreeMap<usize, usize>>,
 }
 
 #[derive(Default)]
@@ -73,16 +75,35 @@
 /// Returns the address at which a replica is reached, by its index.
 pub type Ways = Box<dyn Fn(usize) -> SocketAddr>;
 
+/// The entry that an address serves.
+pub struct Reader {
+    /// Index of the entry.
+    pub entry: usize,
+    /// The entry's own addresses of replicas, if it has any.
+    pub ways: Option<Ways>,
+}
+
 /// The tables as one entry reads them.
 struct View {
     tables: Rc<Tables>,
-    ways: Option<Ways>,
+    reader: Option<Reader>,
 }
 
 impl View {
+    /// Returns whether all calls of the entry are refused now.
+    fn is_refused(&self) -> bool {
+        let refused = self.tables.refused.borrow();
+        let count = self
+            .reader
+            .as_ref()
+            .and_then(|reader| refused.get(&reader.entry));
+        count.is_some_and(|count| *count > 0)
+    }
+
     /// Puts the entry's own ways into rows of replicas.
     fn apply(&self, answer: Answer) -> Answer {
-        let (Some(ways), Answer::Rows { rows, more, newest }) = (&self.ways, &answer) else {
+        let ways = self.reader.as_ref().and_then(|reader| reader.ways.as_ref());
+        let (Some(ways), Answer::Rows { rows, more, newest }) = (ways, &answer) else {
             return answer;
         };
         let through_way = |row: &Row| {
@@ -105,13 +126,13 @@
 }
 
 impl Tables {
-    /// Binds `address` and serves calls. With `ways`, rows of replicas have the addresses that it returns for
-    /// their indices.
-    pub async fn serve(self: &Rc<Self>, address: SocketAddr, ways: Option<Ways>) -> Result<()> {
+    /// Binds `address` and serves calls, all of one reader if one is given. With its ways, rows of replicas have the
+    /// addresses that they return for their indices.
+    pub async fn serve(self: &Rc<Self>, address: SocketAddr, reader: Option<Reader>) -> Result<()> {
         let listener = server::bind(address).await?;
         let view = Rc::new(View {
             tables: Rc::clone(self),
-            ways,
+            reader,
         });
         stall::spawn(Part::Platform, async move {
             while let Ok((socket, _)) = listener.accept().await {
@@ -127,6 +148,16 @@
         self.failure.set(Some(failure));
     }
 
+    /// Refuses calls of an entry, or ends one such fault.
+    pub fn refuse(&self, entry: usize, refuses: bool) {
+        let mut refused = self.refused.borrow_mut();
+        let count = refused.entry(entry).or_default();
+        *count = match refuses {
+            true => *count + 1,
+            false => count.saturating_sub(1),
+        };
+    }
+
     /// Drops the history of changes; the rows stay.
     pub fn drop_history(&self) {
         let mut state = self.state.borrow_mut();
@@ -256,6 +287,7 @@
     };
     let is_change = matches!(operation, Operation::Transact(_));
     match tables.failure() {
+        _ if view.is_refused() => return Ok(server::complete(response(&Answer::Refused))),
         Failure::Refuses => return Ok(server::complete(response(&Answer::Refused))),
         Failure::Silent => std::future::pending::<()>().await,
         Failure::Slow(span) => tokio::time::sleep(span.as_duration()).await,
@@ -271,6 +303,7 @@
     let answer = view.apply(tables.execute(&operation).await);
     match tables.failure() {
         // Covers a call that was already waiting when the misbehavior began.
+        _ if view.is_refused() => Ok(server::complete(response(&Answer::Refused))),
         Failure::Refuses => Ok(server::complete(response(&Answer::Refused))),
         Failure::LosesAnswers if is_change => Err(Disconnected),
         Failure::Silent => std::future::pending().await,
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -129,6 +129,13 @@
     play([81, 82], size);
 }
 
+/// Guards against streams of two versions when releases go back and forth, entries restart together, the table service
+/// refuses some of them, and callers return late.
+#[test]
+fn streams_keep_to_their_version_through_releases_back_and_forth() {
+    play([91, 92], Size::short_day());
+}
+
 /// Guards against failing callers of entries at which crowds of callers don't behave.
 #[test]
 fn callers_are_served_beside_crowds_that_do_not_behave() {
--- a/crates/soak/tests/stalls.rs
+++ b/crates/soak/tests/stalls.rs
@@ -24,6 +24,7 @@
         crashes: false,
         reused: false,
         sent_at: SENT_AT,
+        returns_after: None,
         ended: None,
     });
     if runs {
