Soak: recovery isn't judged by streams of a version that no replica runs any more

Trace: all 38 refusals in the entries' logs from 212 s on (faults ended after about 206 s) say "no backend server of the stream's version" for streams of v1, for which source=memory or record is logged; all streams that began in that time ran at v0, which all replicas ran after the last release. Such a stream can't go on anywhere without mixing versions.

Change: an attempt whose caller has events of a version that no replica runs at the end isn't counted; all others are, and the share stays.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -333,6 +333,7 @@
                 reused: connection.reused,
                 sent_at: self.environment.clock.now(),
                 returns_after: progress.returns_after(self.environment.clock.now()),
+                version: progress.version.clone(),
                 ended: None,
             });
         let wait = match leaves {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,6 +1,7 @@
 //! Records what callers and replicas observed, and which faults were active.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use clock::Span;
 use clock::Time;
@@ -57,6 +58,8 @@
     pub sent_at: Time,
     /// Time since the first attempt of its stream, if it goes on with one.
     pub returns_after: Option<Span>,
+    /// Software version of the events that its caller already has; empty for none.
+    pub version: SmolStr,
     /// Time and kind of its end, as its caller saw it.
     pub ended: Option<(Time, End)>,
 }
@@ -140,6 +143,8 @@
     pub part_arrivals: Vec<(SmolStr, usize, Time)>,
     /// Times for which the soak's own loop stood still.
     pub stalls: Vec<Stall>,
+    /// Software versions of streams that replicas run once all faults are over.
+    pub last_versions: BTreeSet<SmolStr>,
     /// What replicas stated in their answers.
     pub notices: Notices,
     /// Broken promises.
@@ -190,6 +195,11 @@
         }
     }
 
+    /// Returns whether no replica can go on with the stream of an attempt: all of its version are gone for good.
+    pub fn is_version_gone(&self, attempt: &Attempt) -> bool {
+        !attempt.version.is_empty() && !self.last_versions.contains(&attempt.version)
+    }
+
     /// Returns the runs of an attempt, in order.
     pub fn runs_of(&self, attempt: &str) -> impl Iterator<Item = &Run> {
         let runs = self.runs_by_attempt.get(attempt).into_iter().flatten();
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -285,7 +285,8 @@
     let from = faults_ended_at + ledger.bounds.recovery_time;
     let sent = ledger.attempts.values().filter(|attempt| {
         let ended = attempt.ended.as_ref();
-        attempt.sent_at >= from && ended.is_some_and(|(_, end)| *end != End::Left)
+        let is_judged = attempt.sent_at >= from && !ledger.is_version_gone(attempt);
+        is_judged && ended.is_some_and(|(_, end)| *end != End::Left)
     });
     let (mut all, mut served) = (0_usize, 0_usize);
     for attempt in sent {
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -315,7 +315,7 @@
     }
 
     /// Returns the software version of the running process.
-    fn version(&self) -> SmolStr {
+    pub fn version(&self) -> SmolStr {
         let own = (self.index + self.restarts.get()) % self.versions;
         format_smolstr!("v{}", self.released.get().unwrap_or(own))
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -96,6 +96,8 @@
     stop.send_replace(faults_ended_at + bounds.recovery_time + RECOVERED_TRAFFIC);
     while callers.join_next().await.is_some() {}
     let now = environment.clock.now();
+    let engines = cluster.replicas.iter().filter(|one| one.service == ENGINES);
+    environment.ledger.borrow_mut().last_versions = engines.map(|one| one.version()).collect();
     promises::check_final(&mut environment.ledger.borrow_mut(), faults_ended_at, now);
     crashing.abort();
     pulse.abort();
--- a/crates/soak/tests/stalls.rs
+++ b/crates/soak/tests/stalls.rs
@@ -25,6 +25,7 @@
         reused: false,
         sent_at: SENT_AT,
         returns_after: None,
+        version: SmolStr::default(),
         ended: None,
     });
     if runs {
