Soak: a release doesn't end a process that has just come without notice

Change: a release leaves a replica that is being replaced already; it comes back with the newest version.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -232,10 +232,13 @@
         let mut leaving = JoinSet::new();
         for engine in engines {
             engine.plan_release(version);
-            let (cluster, index) = (Rc::clone(self), engine.index);
-            leaving.spawn_local(stall::timed(Part::Faults, async move {
-                cluster.leave(index, RELEASE_ABSENCE).await;
-            }));
+            // One that another release replaces now comes back with this version.
+            if !engine.is_leaving() {
+                let (cluster, index) = (Rc::clone(self), engine.index);
+                leaving.spawn_local(stall::timed(Part::Faults, async move {
+                    cluster.leave(index, RELEASE_ABSENCE).await;
+                }));
+            }
             wait(interval).await;
         }
         while leaving.join_next().await.is_some() {}
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -288,6 +288,11 @@
         self.write_row(false);
     }
 
+    /// Returns whether the replica has announced that it leaves, and no other process has taken its place.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
     /// Sets the version of the next process, and of those after it.
     pub fn plan_release(&self, version: usize) {
         self.next_release.set(Some(version % self.versions));
