--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,6 +1,7 @@
 //! Records what callers and replicas observed, and which faults were active.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use clock::Span;
 use clock::Time;
@@ -11,6 +12,7 @@
 use crate::notices;
 use crate::notices::Notices;
 use crate::promises;
+use crate::stall::Stall;
 
 /// Target of a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +56,10 @@
     pub reused: bool,
     /// Time at which it was sent.
     pub sent_at: Time,
+    /// Time since the first attempt of its stream, if it goes on with one.
+    pub returns_after: Option<Span>,
+    /// Software version of the events that its caller already has; empty for none.
+    pub version: SmolStr,
     /// Time and kind of its end, as its caller saw it.
     pub ended: Option<(Time, End)>,
 }
@@ -106,6 +112,8 @@
 pub struct Breach {
     /// Name of the promise.
     pub promise: &'static str,
+    /// Time from which the soak had to be prompt for this check; none if the check doesn't depend on that.
+    pub prompt_since: Option<Time>,
     /// Time at which the breach was detected.
     pub detected_at: Time,
     /// Evidence of the breach.
@@ -133,9 +141,10 @@
     pub part_crashes: Vec<(SmolStr, Time)>,
     /// Arrivals of prompts with such a part at replicas: the part, the entry and the time.
     pub part_arrivals: Vec<(SmolStr, usize, Time)>,
-    /// Times for which the soak's own process stood still, with their ends: to entries, all replicas and the table service
-    /// are silent then.
-    pub stalls: Vec<(Time, Span)>,
+    /// Times for which the soak's own loop stood still.
+    pub stalls: Vec<Stall>,
+    /// Software versions of streams that replicas run once all faults are over.
+    pub last_versions: BTreeSet<SmolStr>,
     /// What replicas stated in their answers.
     pub notices: Notices,
     /// Broken promises.
@@ -186,6 +195,11 @@
         }
     }
 
+    /// Returns whether no replica can go on with the stream of an attempt: all of its version are gone for good.
+    pub fn is_version_gone(&self, attempt: &Attempt) -> bool {
+        !attempt.version.is_empty() && !self.last_versions.contains(&attempt.version)
+    }
+
     /// Returns the runs of an attempt, in order.
     pub fn runs_of(&self, attempt: &str) -> impl Iterator<Item = &Run> {
         let runs = self.runs_by_attempt.get(attempt).into_iter().flatten();
@@ -226,10 +240,35 @@
             || faults.any(|fault| is_entry(fault) && fault.overlaps(from, to, Span::ZERO))
     }
 
-    /// Records a broken promise.
+    /// Returns whether a breach proves nothing, since the soak itself stood still within the time that was judged.
+    pub fn is_undecided(&self, breach: &Breach) -> bool {
+        let settle_time = self.bounds.settle_time;
+        breach.prompt_since.is_some_and(|from| {
+            let mut stalls = self.stalls.iter();
+            stalls.any(|stall| stall.overlaps(from, breach.detected_at, settle_time))
+        })
+    }
+
+    /// Records a broken promise, which is judged only if the soak itself stood still at no time since `from`.
+    pub fn record_slow(&mut self, promise: &'static str, from: Time, at: Time, detail: String) {
+        self.record(promise, Some(from), at, detail);
+    }
+
+    /// Records a broken promise, whatever the soak itself did.
     pub fn record_breach(&mut self, promise: &'static str, at: Time, detail: String) {
+        self.record(promise, None, at, detail);
+    }
+
+    fn record(
+        &mut self,
+        promise: &'static str,
+        prompt_since: Option<Time>,
+        at: Time,
+        detail: String,
+    ) {
         self.breaches.push(Breach {
             promise,
+            prompt_since,
             detected_at: at,
             detail,
         });
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,7 +26,8 @@
     /// start no further seeds after this many minutes
     #[argh(option)]
     minutes: Option<u64>,
-    /// size of each run: small, many (24 entries) or limit (200 entries) (small)
+    /// size of each run: small, many (24 entries), day (24 entries, up to five minutes), short-day or limit (200 entries)
+    /// (small)
     #[argh(option, default = "String::from(\"small\")")]
     size: String,
     /// seeds played at once (4)
@@ -35,7 +36,7 @@
     /// path of the entry binary; by default `dogwoodspur-platform` beside this one
     #[argh(option)]
     program: Option<PathBuf>,
-    /// folder that keeps the logs of seeds with broken promises
+    /// folder that keeps the logs of seeds that didn't keep all promises
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     logs: PathBuf,
 }
@@ -51,13 +52,15 @@
     }
 }
 
-/// Plays all seeds and returns whether every promise was kept.
+/// Plays all seeds and returns whether every promise was kept and the soak stood still at no time.
 fn play(arguments: &Arguments) -> Result<bool> {
     let size = match arguments.size.as_str() {
         "small" => Size::small(),
         "many" => Size::many(),
+        "day" => Size::day(),
+        "short-day" => Size::short_day(),
         "limit" => Size::limit(),
-        other => bail!("unknown size {other}: expected small, many or limit"),
+        other => bail!("unknown size {other}: expected small, many, day, short-day or limit"),
     };
     let binary = match &arguments.program {
         Some(program) => program.clone(),
@@ -69,6 +72,7 @@
         .minutes
         .map(|minutes| Instant::now() + Duration::from_secs(60 * minutes));
     let failed = Mutex::new(Vec::new());
+    let undecided = Mutex::new(Vec::new());
     let unplayed = Mutex::new(Vec::new());
     std::thread::scope(|threads| {
         for _ in 0..arguments.jobs.max(1) {
@@ -83,11 +87,14 @@
                     let list = match run::play(seed, size, &binary, folder.clone()) {
                         Ok(report) => {
                             print!("{report}");
-                            if report.breaches.is_empty() {
+                            if report.is_kept() {
                                 let _ = std::fs::remove_dir_all(&folder);
                                 continue;
                             }
-                            &failed
+                            match report.breaches.is_empty() {
+                                true => &undecided,
+                                false => &failed,
+                            }
                         }
                         Err(error) => {
                             println!("seed {seed}: not played: {error:#}");
@@ -106,8 +113,11 @@
         seeds.sort_unstable();
         seeds
     };
-    let (failed, unplayed) = (sorted(failed), sorted(unplayed));
+    let (failed, undecided) = (sorted(failed), sorted(undecided));
+    let unplayed = sorted(unplayed);
     let begun = next.load(Ordering::Relaxed).min(first + arguments.seeds) - first;
-    println!("{begun} seeds from {first}: broken promises {failed:?}, not played {unplayed:?}");
-    Ok(failed.is_empty() && unplayed.is_empty())
+    println!(
+        "{begun} seeds from {first}: broken promises {failed:?}, undecided {undecided:?}, not played {unplayed:?}"
+    );
+    Ok(failed.is_empty() && undecided.is_empty() && unplayed.is_empty())
 }
--- a/crates/soak/src/replica.rs
+++ b/crates/soak/src/replica.rs
@@ -32,6 +32,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::configs::size::Size;
 use crate::content;
 use crate::content::Stream;
 use crate::environment::Environment;
@@ -45,6 +46,8 @@
 use crate::server::Body;
 use crate::server::Disconnected;
 use crate::server::Http11;
+use crate::stall;
+use crate::stall::Part;
 
 /// Start of a replica's signature, followed by its index.
 pub const SIGNATURE_PREFIX: &str = "soak.";
@@ -125,6 +128,9 @@
     restarts: Cell<usize>,
     /// Software versions that replicas run side by side.
     versions: usize,
+    /// The version that releases have given it, and the one of the next process.
+    released: Cell<Option<usize>>,
+    next_release: Cell<Option<usize>>,
     behavior: Cell<Behavior>,
     /// Whether answers announce that the replica is leaving.
     is_leaving: Cell<bool>,
@@ -161,7 +167,7 @@
         environment: Rc<Environment>,
         index: usize,
         service: &str,
-        versions: usize,
+        size: &Size,
     ) -> Result<Rc<Replica>> {
         let node = Node::Replica(index);
         let server = environment.network.address(node, Port::Requests);
@@ -180,7 +186,9 @@
             id: RefCell::new(format_smolstr!("{ID_PREFIX}{index}")),
             started_ms: Cell::new(unix_ms()),
             restarts: Cell::new(0),
-            versions,
+            versions: size.versions,
+            released: Cell::new((size.release_count > 0).then_some(0)),
+            next_release: Cell::new((size.release_count > 0).then_some(0)),
             behavior: Cell::new(Behavior::Good),
             is_leaving: Cell::new(false),
             busy: Cell::new(0),
@@ -191,7 +199,7 @@
         });
         replica.write_row(false);
         let serving = Rc::clone(&replica);
-        tokio::task::spawn_local(async move {
+        stall::spawn(Part::Replicas, async move {
             while running.wait_for(|is_running| *is_running).await.is_ok() {
                 let Ok(listener) = server::bind(server).await else {
                     tokio::time::sleep(CALL_TIME).await;
@@ -201,18 +209,20 @@
                 let mut states_http_11 = false;
                 loop {
                     tokio::select! {
-                        Ok((socket, _)) = listener.accept() => {
-                            let replica = Rc::clone(&serving);
-                            states_http_11 = !states_http_11;
-                            if states_http_11 {
-                                let socket = Http11(socket);
-                                connections.spawn_local(server::serve(socket, replica, answer));
-                            } else {
-                                connections.spawn_local(server::serve(socket, replica, answer));
-                            }
-                        }
-                        _ = running.wait_for(|is_running| !*is_running) => break,
-                    }
+                                            Ok((socket, _)) = listener.accept() => {
+                                                let replica = Rc::clone(&serving);
+                                                states_http_11 = !states_http_11;
+                                                if states_http_11 {
+                                                    let socket = Http11(socket);
+                                                    let serving = server::serve(socket, replica, answer);
+                    connections.spawn_local(stall::timed(Part::Replicas, serving));
+                                                } else {
+                                                    let serving = server::serve(socket, replica, answer);
+                    connections.spawn_local(stall::timed(Part::Replicas, serving));
+                                                }
+                                            }
+                                            _ = running.wait_for(|is_running| !*is_running) => break,
+                                        }
                 }
             }
         });
@@ -266,6 +276,7 @@
         if !*self.is_running.borrow() {
             self.started_ms.set(unix_ms());
             self.restarts.set(self.restarts.get() + 1);
+            self.released.set(self.next_release.get());
         }
         self.behavior.set(Behavior::Good);
         self.is_leaving.set(false);
@@ -277,6 +288,16 @@
         self.write_row(false);
     }
 
+    /// Returns whether the replica has announced that it leaves, and no other process has taken its place.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
+    /// Sets the version of the next process, and of those after it.
+    pub fn plan_release(&self, version: usize) {
+        self.next_release.set(Some(version % self.versions));
+    }
+
     /// Announces in answers that the replica leaves, but not in its row.
     pub fn announce_leaving_in_answers(&self) {
         self.is_leaving.set(true);
@@ -299,8 +320,9 @@
     }
 
     /// Returns the software version of the running process.
-    fn version(&self) -> SmolStr {
-        format_smolstr!("v{}", (self.index + self.restarts.get()) % self.versions)
+    pub fn version(&self) -> SmolStr {
+        let own = (self.index + self.restarts.get()) % self.versions;
+        format_smolstr!("v{}", self.released.get().unwrap_or(own))
     }
 
     fn write_row(&self, leaving: bool) {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use clock::Span;
 use clock::Time;
 use hdrhistogram::Histogram;
 
@@ -12,6 +11,7 @@
 use crate::ledger::End;
 use crate::ledger::Ledger;
 use crate::plan::Step;
+use crate::stall::Stall;
 
 /// Result of a seed.
 pub struct Report {
@@ -19,11 +19,23 @@
     pub seed: u64,
     /// Broken promises.
     pub breaches: Vec<Breach>,
+    /// Failed checks that prove nothing, since the soak itself stood still.
+    pub undecided: Vec<Breach>,
     steps: Vec<Step>,
-    stalls: Vec<(Time, Span)>,
+    stalls: Vec<Stall>,
     /// Number of windows whose usage was reported.
     usage_windows: usize,
     classes: BTreeMap<Class, Counts>,
+    returns: Returns,
+}
+
+/// Attempts that went on with a stream.
+#[derive(Default)]
+struct Returns {
+    all: usize,
+    /// Those that came after the stream's time limit, and those of them that were served.
+    late: usize,
+    late_served: usize,
 }
 
 /// Ends of the attempts of one class.
@@ -38,22 +50,43 @@
     /// Summarizes a ledger.
     pub fn new(seed: u64, steps: Vec<Step>, ledger: &Ledger, usage_windows: usize) -> Report {
         let mut classes: BTreeMap<Class, Counts> = BTreeMap::new();
+        let mut returns = Returns::default();
         for attempt in ledger.attempts.values() {
             let Some((at, end)) = &attempt.ended else {
                 continue;
             };
             let counts = classes.entry(attempt.class).or_default();
             counts.record(attempt.sent_at, *at, end);
+            if let Some(after) = attempt.returns_after {
+                returns.record(after > attempt.class.timeout(), end);
+            }
         }
+        let all = ledger.breaches.iter().cloned();
+        let (undecided, breaches) = all.partition(|breach| ledger.is_undecided(breach));
         Report {
             seed,
-            breaches: ledger.breaches.clone(),
+            breaches,
+            undecided,
             steps,
             stalls: ledger.stalls.clone(),
             usage_windows,
             classes,
+            returns,
         }
     }
+
+    /// Returns whether the soak never stood still and all promises were kept.
+    pub fn is_kept(&self) -> bool {
+        self.breaches.is_empty() && self.undecided.is_empty() && self.stalls.is_empty()
+    }
+}
+
+impl Returns {
+    fn record(&mut self, is_late: bool, end: &End) {
+        self.all += 1;
+        self.late += usize::from(is_late);
+        self.late_served += usize::from(is_late && *end == End::Answered(200));
+    }
 }
 
 impl Counts {
@@ -82,7 +115,8 @@
 impl fmt::Display for Report {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let verdict = match self.breaches.len() {
-            0 => String::from("kept"),
+            0 if self.is_kept() => String::from("kept"),
+            0 => format!("undecided, {} checks failed", self.undecided.len()),
             broken => format!("{broken} BROKEN"),
         };
         writeln!(
@@ -106,14 +140,19 @@
             }
             writeln!(formatter)?;
         }
-        for (end, length) in &self.stalls {
-            let (end, length) = (end.as_millis(), length.as_millis());
-            writeln!(
-                formatter,
-                "  the soak itself stood still for {length} ms until {end} ms"
-            )?;
+        let Returns {
+            all,
+            late,
+            late_served,
+        } = self.returns;
+        writeln!(
+            formatter,
+            "  {all} attempts went on with streams, {late} after their time limits, {late_served} of these served"
+        )?;
+        for stall in &self.stalls {
+            writeln!(formatter, "  {stall}")?;
         }
-        if self.breaches.is_empty() {
+        if self.breaches.is_empty() && self.undecided.is_empty() {
             return Ok(());
         }
         for step in &self.steps {
@@ -124,11 +163,13 @@
                 step.fault
             )?;
         }
-        for breach in &self.breaches {
+        let broken = self.breaches.iter().map(|breach| ("BROKEN", breach));
+        let undecided = self.undecided.iter().map(|breach| ("undecided", breach));
+        for (verdict, breach) in broken.chain(undecided) {
             let at = breach.detected_at.as_millis();
             writeln!(
                 formatter,
-                "  BROKEN at {at} ms: {}: {}",
+                "  {verdict} at {at} ms: {}: {}",
                 breach.promise, breach.detail
             )?;
         }
