Membership: a member that ends while its renewals fail is known to be gone

Cause: the part's home, the entry that tries it again, was an entry that had ended 500 s before. It had been cut off from the table service for 16 s and was then killed. Others had read that its lease lapsed; its failed renewals refuted that with higher counts, as they should while it runs. After its end nobody concluded it again: the row's count stays below the refuted one.

Change: after a read, members whose rows have lapsed and which have been silent for the heartbeat timeout are taken for gone, whatever count they had. A member that only lost its way refutes that with its next renewal, as before.

Result: `a_member_that_ends_while_its_renewals_fail_is_known_to_be_gone` failed before (all seven others count it) and passes; the other 13 tests and the random histories of members pass.

--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -326,6 +326,7 @@
         for record in &finished.records {
             self.merge_record(now, record);
         }
+        self.conclude_unrefuted_lapses(now);
         self.has_read_all |= finished.is_full;
         if finished.is_full {
             let members = self.roster.members().map(|(row, lapsed)| view::Member {
@@ -342,6 +343,25 @@
         self.delete_rows(now, effects);
     }
 
+    /// Takes silent members for gone whose rows have lapsed. Their last renewals may have failed; these refuted the lapse with
+    /// counts that are higher than the rows'.
+    fn conclude_unrefuted_lapses(&mut self, now: Time) {
+        let timeout = self.heartbeat_timeout();
+        let lapsed = self.roster.members().filter(|(_, lapsed)| *lapsed);
+        let gone = lapsed.filter_map(|(row, _)| {
+            let member = self.directory.get(row.id)?;
+            let is_silent = now.since(member.last_seen) > timeout;
+            (member.is_present() && is_silent).then(|| Record {
+                row: member.record.row.clone(),
+                gone: true,
+            })
+        });
+        let gone: Vec<Record> = gone.collect();
+        for record in &gone {
+            self.merge_record(now, record);
+        }
+    }
+
     /// Deletes rows that aren't needed any more. One member is responsible for each, to avoid duplicate
     /// calls.
     fn delete_rows(&mut self, now: Time, effects: &mut Vec<Effect>) {
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -304,3 +304,24 @@
     let expected: Vec<holder::Id> = (3..=9).map(holder::Id).collect();
     assert_eq!(peers.last(), Some(expected));
 }
+
+/// Guards against a lost member that stays among the peers for a day: its last renewals failed and refuted that its lease had
+/// lapsed.
+#[test]
+fn a_member_that_ends_while_its_renewals_fail_is_known_to_be_gone() {
+    let mut fleet = eight_entries();
+    let lost = fleet.id(1);
+    fleet.nodes[1].store_cut = true;
+    fleet.run(Span::from_seconds(40));
+    let is_present = |fleet: &Fleet, index: usize| {
+        let member = fleet.nodes[index].membership.directory().get(lost);
+        member.is_some_and(|member| member.is_present())
+    };
+    assert!(is_present(&fleet, 0), "it refutes the lapse");
+    fleet.nodes[1].dead = true;
+    fleet.run(Span::from_seconds(180));
+    let believers: Vec<usize> = (0..8)
+        .filter(|index| *index != 1 && is_present(&fleet, *index))
+        .collect();
+    assert_eq!(believers, Vec::<usize>::new());
+}
