Tests: parts of prompts and quotas in plays several times as long as their trials and memory

A part that crashes servers for three minutes, and is answered for the twelve after, among six entries that are restarted, cut off from each other and from the table service for up to 90 s: at last all its prompts are served. Both are left out of debug builds.

--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -60,6 +60,8 @@
     world: World,
     moment: Moment,
     prompts: BTreeMap<u64, Vec<u64>>,
+    /// Whether servers answer guilty parts by now.
+    is_mended: bool,
     runs: Vec<Run>,
     /// Attempts at servers that take no connection any more.
     unsent: Vec<SentRequest>,
@@ -94,6 +96,7 @@
             world,
             moment,
             prompts: BTreeMap::new(),
+            is_mended: false,
             runs: Vec::new(),
             unsent: Vec::new(),
             seen: 0,
@@ -244,7 +247,8 @@
                 continue;
             }
             let parts = self.prompts.get(&sent.serial).cloned().unwrap_or_default();
-            let crashes = parts.contains(&GUILTY) || parts.contains(&ALSO_GUILTY);
+            let is_guilty = parts.contains(&GUILTY) || parts.contains(&ALSO_GUILTY);
+            let crashes = is_guilty && !self.is_mended;
             if crashes {
                 self.reached.push(self.world.now);
             }
@@ -337,6 +341,15 @@
     }
 }
 
+/// Returns the seeds of a play: `usual`, or those that `HORIZONS_FROM` and `HORIZONS_SEEDS` name.
+fn seeds(usual: std::ops::Range<u64>) -> std::ops::Range<u64> {
+    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    match number("HORIZONS_FROM") {
+        Some(from) => from..from + number("HORIZONS_SEEDS").unwrap_or(1),
+        None => usual,
+    }
+}
+
 const MOMENTS: [(Moment, &str); 2] = [
     (Moment::BeforeHead, "before the head"),
     (Moment::AfterHead, "after the head"),
@@ -537,3 +550,67 @@
         3 * CONTACT_MS
     );
 }
+
+/// Guards against a part that stays blocked at entries which learned of its crashes and not of its later answers, and against
+/// one that is forgotten while it still crashes servers, over several times as long as it waits for its next trial.
+#[test]
+#[cfg_attr(debug_assertions, ignore = "slow without optimization")]
+fn a_part_is_blocked_for_as_long_as_it_crashes_servers() {
+    /// Time until a blocked part is tried again, and until it is after a trial that crashed a server.
+    const TRIAL_MS: u64 = 60_000;
+    const NEXT_TRIAL_MS: u64 = 600_000;
+    const ENTRIES: usize = 6;
+    for seed in seeds(107..117) {
+        let mut drawn = seed * 1_000;
+        let mut draw = |below: u64| {
+            drawn += 1;
+            rendezvous::weight(drawn, seed) % below
+        };
+        let mut play = Play::new(ENTRIES, 9, Moment::AfterHead);
+        play.run(5_000);
+        let guilty_until = play.world.now + 3 * TRIAL_MS;
+        let end = guilty_until + NEXT_TRIAL_MS + 2 * TRIAL_MS;
+        let mut faults_end = 0;
+        let mut next_fault = play.world.now + 15_000;
+        let mut served = Vec::new();
+        while play.world.now < end {
+            let now = play.world.now;
+            play.is_mended = now >= guilty_until;
+            if now >= faults_end {
+                play.world.partitioned.clear();
+                play.world.store_partitioned.clear();
+            }
+            if now >= next_fault && now < end - 2 * TRIAL_MS {
+                next_fault = now + 5_000 + draw(30_000);
+                faults_end = now + 1_000 + draw(90_000);
+                let entry = draw(ENTRIES as u64) as usize;
+                match draw(3) {
+                    0 => play.world.start(entry),
+                    1 => _ = play.world.partitioned.insert(entry),
+                    _ => _ = play.world.store_partitioned.insert(entry),
+                }
+            }
+            if now.is_multiple_of(500) {
+                let serial = play.ask(&[COMMON, GUILTY]);
+                served.push((now, serial));
+            }
+            if now.is_multiple_of(250) {
+                play.ask_soundly(100 + draw(u64::from(PARTS)));
+            }
+            play.step();
+        }
+        let crashes = play.crashes.len();
+        // A trial follows a minute after the last crash, and the next one ten minutes later; each entry that was cut off
+        // may make one of its own.
+        assert!(crashes <= 5 + 2 * ENTRIES, "seed {seed}: {crashes} crashes");
+        let late = served.iter().filter(|(at, _)| *at >= end - TRIAL_MS);
+        let late: Vec<u64> = late.map(|(_, serial)| *serial).collect();
+        let reached = |serial: &&u64| play.world.servers_by_request.contains_key(serial);
+        let count = late.iter().filter(reached).count();
+        println!(
+            "seed {seed}: {crashes} crashes, {count} of {} served at last",
+            late.len()
+        );
+        assert_eq!(count, late.len(), "seed {seed}: still blocked");
+    }
+}
--- a/crates/gateway/tests/horizons.rs
+++ b/crates/gateway/tests/horizons.rs
@@ -113,3 +113,54 @@
         }
     }
 }
+
+/// Guards against an account that gets more than its quota while entries are cut off for longer than the others remember
+/// their counts, or once they are back.
+#[test]
+#[cfg_attr(debug_assertions, ignore = "slow without optimization")]
+fn a_quota_is_kept_through_long_cuts() {
+    const ENTRIES: usize = 8;
+    const RATE: u64 = 400;
+    const WINDOW_MS: u64 = 8_000;
+    /// Time after which a silent entry is forgotten.
+    const EXPIRY_MS: u64 = 60_000;
+    for seed in seeds(1..3) {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut world = World::steady(ENTRIES, support::default_settings(ENTRIES));
+        world.run(15_000);
+        let start = world.now;
+        let end = start + 4 * EXPIRY_MS;
+        let (mut next_cut, mut cut_until) = (world.now + 5_000, 0);
+        while world.now < end {
+            if world.now >= cut_until {
+                world.partitioned.clear();
+                world.separated.clear();
+            }
+            if world.now >= next_cut {
+                cut_until = world.now + between(&mut random, 5_000, EXPIRY_MS * 3 / 2);
+                next_cut = cut_until + between(&mut random, 1_000, 20_000);
+                let entries = 1 + random.next_u64() as usize % (ENTRIES - 1);
+                match random.next_u64() % 2 {
+                    0 => world.separated = (0..entries).collect(),
+                    _ => world.partitioned = (0..entries).collect(),
+                }
+            }
+            for _ in 0..8 {
+                let entry = random.next_u64() as usize % ENTRIES;
+                world.serve(entry);
+            }
+            world.run(10);
+        }
+        let sent = world.sent_requests.iter().map(|sent| sent.sent_at);
+        let times: Vec<u64> = sent.filter(|at| *at >= start).collect();
+        let most = times.iter().enumerate().step_by(20).map(|(first, from)| {
+            let within = |at: &&u64| **at < from + WINDOW_MS;
+            let count = times[first..].iter().take_while(within).count();
+            (count, *from)
+        });
+        let (most, from) = most.max().unwrap();
+        let allowed = (RATE * 9 * 110 / 100) as usize;
+        println!("seed {seed}: {most} of {allowed} from {from} ms");
+        assert!(most <= allowed, "seed {seed}: {most} from {from} ms");
+    }
+}
