--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -297,12 +297,12 @@
     };
     fleet.feed(0, Event::Digest(digest));
     let effects = fleet.nodes[0].effects.iter();
-    let peers = effects.filter_map(|(_, effect)| match effect {
+    let mut peers = effects.filter_map(|(_, effect)| match effect {
         Effect::Peers(peers) => Some(peers.clone()),
         _ => None,
     });
     let expected: Vec<holder::Id> = (3..=9).map(holder::Id).collect();
-    assert_eq!(peers.last(), Some(expected));
+    assert_eq!(peers.next_back(), Some(expected));
 }
 
 /// Guards against a lost member that stays among the peers for a day: its last renewals failed and refuted that its lease had
