Policy: lower ranks and accounts far above their share leave slots to others where slots are divided

Cause: each entry started lower ranks in any slot of its own that was free at that moment. The slots it owned were then taken when more urgent jobs arrived, and under overload no replica has enough free ones to borrow.

Change: a job gives way if its entry is offered a higher level, or if its account offers over eight times the mean of the others by weight. Such a job leaves the square root of the owned slots free, unless reports show the replica mostly free.

--- a/crates/policy/src/configs/mod.rs
+++ b/crates/policy/src/configs/mod.rs
@@ -6,6 +6,7 @@
 pub mod brownout;
 pub mod charge;
 pub mod concurrency;
+pub mod contention;
 pub mod cover;
 pub mod division;
 pub mod fair;
--- a/crates/policy/src/configs/scheduler.rs
+++ b/crates/policy/src/configs/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::configs::affinity;
 use crate::configs::brownout;
 use crate::configs::concurrency;
+use crate::configs::contention;
 use crate::configs::division;
 use crate::configs::fair;
 use crate::configs::health;
@@ -29,6 +30,8 @@
     pub brownout: brownout::Config,
     /// Load estimates and limits of replicas.
     pub concurrency: concurrency::Config,
+    /// Jobs that give way where slots are divided.
+    pub contention: contention::Config,
     /// Slots divided among more entries than a replica has slots.
     pub division: division::Config,
     /// Fair queueing.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod charge;
 pub mod concurrency;
 pub mod configs;
+pub mod contention;
 pub mod cover;
 pub mod decision;
 pub mod demand;
--- a/crates/policy/src/scheduler/fleet.rs
+++ b/crates/policy/src/scheduler/fleet.rs
@@ -64,6 +64,8 @@
                 replica
                     .share
                     .record_divided_report(until, slots, running, &report, borrowed);
+                let lendable = slots::lendable(&settings.division, slots, &report);
+                replica.share.set_mostly_free(until, lendable > 0.0);
             }
             None => replica.share.record_report(
                 &settings.slots,
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -122,7 +122,8 @@
         let sizes = self.settings.size;
         let class = self.pool_mut(job.pool).classes.classify(&sizes, cost);
         let allowed = self.allowed(&job);
-        let predicted = self.predicted_wait(now, &job, class);
+        let yields = self.record_offer(now, &job, cost);
+        let predicted = self.predicted_wait(now, &job, class, yields);
         self.open.insert(
             job.id,
             Open {
@@ -134,6 +135,7 @@
                 place: None,
                 start_deadline: now,
                 borrows_from: now,
+                yields,
                 replica: None,
                 started: now,
                 last_token_at: now,
@@ -161,6 +163,19 @@
         (allowed, predicted)
     }
 
+    /// Records the job as offered and returns whether it gives way.
+    fn record_offer(&mut self, now: Time, job: &Job, cost: Cost) -> bool {
+        let config = self.settings.contention;
+        let spec = self.accounts.get(&job.account).map(|account| &account.spec);
+        let (weight, level) = spec.map_or((1, 0), |spec| (spec.weight, level(spec, job)));
+        let Some(pool) = self.pools.get_mut(&job.pool) else {
+            return false;
+        };
+        pool.offered
+            .record(&config, now, level, job.account, weight, cost);
+        pool.offered.yields(&config, now, level, job.account)
+    }
+
     /// Registers a job that runs already and whose caller holds the head of its answer.
     pub(super) fn register_running(&mut self, now: Time, job: Job, replica: replica::Key) {
         let Some(cost) = self.estimate(&job) else {
@@ -248,12 +263,12 @@
     }
 
     /// Predicts the time in the queue; zero if the job can start at once.
-    fn predicted_wait(&self, now: Time, job: &Job, class: Class) -> Span {
+    fn predicted_wait(&self, now: Time, job: &Job, class: Class, yields: bool) -> Span {
         let Some(pool) = self.pools.get(&job.pool) else {
             return Span::ZERO;
         };
         let version = job.terms.version;
-        if self.has_room(now, pool, class, version) {
+        if self.has_room(now, pool, class, version, yields) {
             return Span::ZERO;
         }
         let Some(account) = self.accounts.get(&job.account) else {
@@ -276,15 +291,19 @@
         pool: &Pool,
         class: Class,
         version: Option<version::Key>,
+        yields: bool,
     ) -> bool {
         if pool.full || !pool.queue.is_empty() {
             return false;
         }
+        let may_own = !yields || self.has_spare_slots(now, pool);
         let lanes = self.lanes(now, pool);
         let anywhere = class == Class::Short || version.is_some();
         let fits = |candidate: &Candidate| anywhere || lanes.contains(&candidate.key);
         self.candidates(now, pool, version).iter().any(|candidate| {
-            candidate.open && fits(candidate) && !self.would_borrow(now, candidate)
+            let owns = !self.would_borrow(now, candidate)
+                && (may_own || self.is_mostly_free(now, candidate));
+            candidate.open && fits(candidate) && owns
         })
     }
 
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -5,6 +5,7 @@
 use clock::Time;
 
 use crate::affinity::Candidate;
+use crate::contention;
 use crate::decision::Decision;
 use crate::health::Allowance;
 use crate::job;
@@ -90,11 +91,16 @@
         lanes: &[replica::Key],
     ) -> Option<replica::Key> {
         let open = self.open.get(&id)?;
-        let (job, class) = (open.job, open.class);
+        let pool = self.pools.get(&open.job.pool)?;
+        let (job, class, yields) = (open.job, open.class, open.yields);
         let may_borrow = now >= open.borrows_from;
+        let may_own = !yields || self.has_spare_slots(now, pool);
         let free = |candidate: &Candidate| {
-            let borrows = || self.would_borrow(now, candidate);
-            candidate.open && open.may_try(candidate.key) && (may_borrow || !borrows())
+            let fits = match self.would_borrow(now, candidate) {
+                true => may_borrow,
+                false => may_own || self.is_mostly_free(now, candidate),
+            };
+            candidate.open && open.may_try(candidate.key) && fits
         };
         // The replica where the job was interrupted still has its prompt cached.
         let interrupted_at = open.interrupted_at;
@@ -128,6 +134,26 @@
         self.choose_by_prefix(now, &job, &narrowed)
     }
 
+    /// Returns whether a job that gives way may take a slot of this entry where slots are divided: enough free ones are left
+    /// to others then.
+    pub(super) fn has_spare_slots(&self, now: Time, pool: &Pool) -> bool {
+        let (mut owned, mut free) = (0, 0);
+        let members = pool.members.iter();
+        for replica in members.filter_map(|key| self.replicas.get(key)) {
+            let usable = replica.share.usable(now);
+            owned += usable;
+            free += usable.saturating_sub(replica.running());
+        }
+        free > contention::reserve(&self.settings.contention, owned)
+    }
+
+    /// Returns whether a job that gives way may take any slot of this entry there: slots aren't divided, or a report shows
+    /// more of them free than the reserve of their owners.
+    pub(super) fn is_mostly_free(&self, now: Time, candidate: &Candidate) -> bool {
+        let replica = self.replicas.get(&candidate.key);
+        replica.is_some_and(|one| one.share.owned().is_none() || one.share.is_mostly_free(now))
+    }
+
     /// Returns whether a job at this candidate would take a borrowed slot where slots are divided.
     pub(super) fn would_borrow(&self, now: Time, candidate: &Candidate) -> bool {
         let replica = self.replicas.get(&candidate.key);
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -12,6 +12,7 @@
 use crate::brownout::Gate;
 use crate::concurrency::Load;
 use crate::configs::scheduler::Settings;
+use crate::contention::Meter;
 use crate::fair::Cost;
 use crate::fair::Estimate;
 use crate::fair::Place;
@@ -67,6 +68,8 @@
     pub gate: Gate,
     pub budget: Budget,
     pub calendar: Calendar,
+    /// Work offered here, by level and account.
+    pub offered: Meter,
     pub affinity: Affinity,
     pub monitor: Monitor,
     pub warmup: Warmup,
@@ -89,6 +92,7 @@
             gate: Gate::default(),
             budget: Budget::new(&settings.retry),
             calendar: Calendar::default(),
+            offered: Meter::default(),
             affinity: Affinity::new(settings.affinity, seed),
             monitor: Monitor::new(settings.health),
             warmup: Warmup::new(settings.warmup),
@@ -231,6 +235,8 @@
     pub start_deadline: Time,
     /// Time from which the waiting job may take a borrowed slot.
     pub borrows_from: Time,
+    /// Whether it leaves part of the entry's slots to other jobs.
+    pub yields: bool,
     pub replica: Option<replica::Key>,
     pub started: Time,
     /// Tokens since the last latency sample.
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -34,6 +34,8 @@
     returns: bool,
     /// End of the right to borrowed slots, where slots are divided.
     borrowed_until: Time,
+    /// End of the time for which a report shows more free slots than the reserve of their owners.
+    mostly_free_until: Time,
 }
 
 impl Share {
@@ -46,6 +48,7 @@
             gained_from: Time::ZERO,
             returns: false,
             borrowed_until: Time::ZERO,
+            mostly_free_until: Time::ZERO,
         }
     }
 
@@ -93,6 +96,16 @@
         }
     }
 
+    /// Returns whether a report that isn't too old shows more free slots than the reserve of their owners.
+    pub fn is_mostly_free(&self, now: Time) -> bool {
+        now < self.mostly_free_until
+    }
+
+    /// Records whether a report that is valid until `until` shows more free slots than the reserve of their owners.
+    pub fn set_mostly_free(&mut self, until: Time, mostly_free: bool) {
+        self.mostly_free_until = if mostly_free { until } else { Time::ZERO };
+    }
+
     /// Returns whether one more attempt stays within this entry's share.
     pub fn is_within_share(&self, slots: u32, entries: u32, running: u32) -> bool {
         running < self.owned.unwrap_or_else(|| equal_share(slots, entries))
@@ -152,12 +165,16 @@
     report: &Report,
     dither: f64,
 ) -> u32 {
-    let free = f64::from(slots.saturating_sub(report.running));
-    let lendable = (free - f64::from(slots) * config.reserve).max(0.0);
-    let mean = lendable * config.lent_fraction / f64::from(entries.max(1));
+    let mean = lendable(config, slots, report) * config.lent_fraction / f64::from(entries.max(1));
     (mean + dither) as u32
 }
 
+/// Returns the free slots of a replica beyond the reserve of their owners.
+pub fn lendable(config: &division::Config, slots: u32, report: &Report) -> f64 {
+    let free = f64::from(slots.saturating_sub(report.running));
+    (free - f64::from(slots) * config.reserve).max(0.0)
+}
+
 /// Returns one entry's equal share; at least one slot.
 fn equal_share(slots: u32, entries: u32) -> u32 {
     slots.div_ceil(entries.max(1)).max(1)
