Gateway: entries read a default that may have been replaced at different times

A review counted 60 reads by 60 entries within 10 ms after an outage, and as many after a replacement was stated: what must be read again was read at the next count of the servers, whatever time was drawn for it. Now the drawn time holds for both, 5 ms an entry; a caller that returns meanwhile waits for the read as before. The tests of the crate pass (24 binaries); no test counts the reads.

--- a/crates/gateway/src/default_rows.rs
+++ b/crates/gateway/src/default_rows.rs
@@ -112,6 +112,7 @@
         let known = self.versions.services.entry(service.clone()).or_default();
         let was_mixed = known.is_mixed();
         known.review(now, counts, listed, list, memory);
+        let lacks_reread = known.lacks_reread();
         let is_due = known.needs_call(now);
         if is_due {
             known.begin_call(None);
@@ -120,6 +121,12 @@
         if becomes_mixed && self.versions.needs_records(now, &service) {
             self.streams.record_all_begun(&service);
         }
+        if lacks_reread {
+            let at = now + self.reread_delay();
+            if let Some(known) = self.versions.services.get_mut(&service) {
+                known.read_again(at);
+            }
+        }
         if is_due {
             // A scan also states the revision where there is no row.
             let call = Call::Scan {
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -126,10 +126,10 @@
             return;
         };
         let service = open.service.clone();
-        let is_certain = self.versions.default_of(now, &service).is_some();
-        match !is_certain && self.versions.awaits_default(now, &service) {
-            true => self.versions.await_default(&service, serial),
-            false => self.resume_unrecorded(now, serial, effects),
+        let is_default_known = self.versions.default_of(now, &service).is_some();
+        match is_default_known || !self.versions.awaits_default(now, &service) {
+            true => self.resume_unrecorded(now, serial, effects),
+            false => self.versions.await_default(&service, serial),
         }
     }
 
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -194,6 +194,11 @@
         self.counts.len() > 1
     }
 
+    /// Returns whether the default may have been replaced, and no time is set at which it is read again.
+    pub fn lacks_reread(&self) -> bool {
+        self.trust.must_reread() && self.reread_at.is_none()
+    }
+
     /// Requires that the default is read again at a time; until then the absence of a record proves nothing.
     pub fn read_again(&mut self, at: Time) {
         self.reread_at = Some(at);
@@ -270,13 +275,14 @@
     /// Returns whether the default must be read, or replaced.
     pub fn needs_call(&self, now: Time) -> bool {
         let is_due = !self.calling && now >= self.next_call && !self.counts.is_empty();
-        let must_reread = self.reread_at.is_some_and(|at| now >= at) || self.trust.must_reread();
+        let must_reread = self.reread_at.is_some_and(|at| now >= at);
         is_due && (self.default.is_none() || must_reread || self.is_replaceable(now))
     }
 
     /// Returns whether a call that reads the default is under way, or about to be made.
     pub fn awaits_call(&self, now: Time) -> bool {
-        self.default.is_none() || self.calling || self.needs_call(now)
+        let is_due = self.reread_at.is_some() && !self.counts.is_empty();
+        self.default.is_none() || self.calling || is_due || self.needs_call(now)
     }
 
     /// Returns the version to propose as default: the present one while it has replicas, else that of most replicas.
