--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -93,8 +93,12 @@
         let knows_former_shares = self.knows_former_shares(now, open);
         let (stream, route, service) = (open.stream, open.route.clone(), open.service.clone());
         // Others may have stated former shares since the request arrived.
-        let is_redrawn = self.is_redrawn(now, &route, stream.fraction(), &service);
-        let former = self.former_service(now, &route, stream.fraction(), &service);
+        let former = self.route_shares.draw(now, &route, stream.fraction());
+        let is_redrawn = former.iter().any(|former| *former != service);
+        let former = former
+            .into_iter()
+            .next()
+            .filter(|oldest| *oldest != service);
         // The last record counts, which a page with more behind it doesn't hold.
         let Outcome::Rows {
             rows, more: false, ..
--- a/crates/gateway/src/route_shares.rs
+++ b/crates/gateway/src/route_shares.rs
@@ -171,31 +171,6 @@
 }
 
 impl Gateway {
-    /// Returns whether former shares of a route lead to another service than the present one, for a number drawn from 0 to 1.
-    pub(crate) fn is_redrawn(
-        &mut self,
-        now: Time,
-        route: &SmolStr,
-        drawn: f64,
-        service: &SmolStr,
-    ) -> bool {
-        let former = self.route_shares.draw(now, route, drawn);
-        former.iter().any(|former| former != service)
-    }
-
-    /// Returns the service of a stream without a record, for a number drawn from 0 to 1, if that is another one than
-    /// the present one.
-    pub(crate) fn former_service(
-        &mut self,
-        now: Time,
-        route: &SmolStr,
-        drawn: f64,
-        service: &SmolStr,
-    ) -> Option<SmolStr> {
-        let former = self.route_shares.draw(now, route, drawn);
-        former.into_iter().next().filter(|former| former != service)
-    }
-
     /// Returns whether this entry knows all shares of a request's route by which its stream may have been drawn.
     pub(crate) fn knows_former_shares(&self, now: Time, open: &Request) -> bool {
         let known = self.versions.services.get(&open.service);
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -33,7 +33,7 @@
 const UNRECORDED_GRACE: Span = Span::from_seconds(40);
 
 /// The versions of all services that have resumable streams.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Versions {
     pub services: BTreeMap<SmolStr, Service>,
     pub next_review: Time,
@@ -314,16 +314,6 @@
     }
 }
 
-impl Default for Versions {
-    fn default() -> Versions {
-        Versions {
-            services: BTreeMap::new(),
-            next_review: Time::ZERO,
-            longest_limit: Span::ZERO,
-        }
-    }
-}
-
 impl Versions {
     /// Records the time limit of a route with resumable streams.
     pub fn record_limit(&mut self, limit: Span) {
@@ -349,8 +339,8 @@
     /// Returns the version that began all streams without a record.
     pub fn proven_default(&self, now: Time, service: &str) -> Option<&SmolStr> {
         let known = self.services.get(service)?;
-        self.default_of(now, service)
-            .filter(|_| known.is_proven(now))
+        let default = known.default.as_ref().filter(|_| known.is_proven(now));
+        default.map(|default| &default.version)
     }
 
     /// Returns the version at which streams begin without a record.
