Intake: connections that end with unread requests are counted

A stopping entry may close connections whose requests it hasn't read, and its port with connections that nobody accepted. Neither showed in a log. Both are counted now by callers_limited (unread_dropped, waiting_dropped), and a last line states what a process leaves unfinished and how late its loop was. No decision changes.

--- a/crates/intake/src/accept.rs
+++ b/crates/intake/src/accept.rs
@@ -21,6 +21,7 @@
 use crate::request::Session;
 use crate::socket::Socket;
 use crate::stats::Action;
+use crate::stats::Stats;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
@@ -107,10 +108,20 @@
             tokio::task::yield_now().await;
         }
     }
-    drop(listener);
+    drop_waiting(listener, &intake.stats);
     while connections.join_next().await.is_some() {}
 }
 
+/// Closes a port with the connections that wait to be accepted.
+fn drop_waiting(listener: TcpListener, stats: &Stats) {
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while listener.accept().is_ok() {
+        stats.record(Action::WaitingDropped);
+    }
+}
+
 fn register(
     stream: TcpStream,
     intake: &Rc<Intake>,
@@ -123,6 +134,7 @@
         intake.clock,
         Rc::clone(port),
         Rc::clone(&connection),
+        intake.stats.clone(),
     );
     let session = Session {
         intake: Rc::clone(intake),
--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -90,6 +90,16 @@
         self.open.borrow().len()
     }
 
+    /// Returns the number of requests that are being received, and of those that run.
+    pub fn count_requests(&self) -> (usize, usize) {
+        let open = self.open.borrow();
+        let receiving = open.values().map(|connection| connection.receiving.get());
+        let running = open
+            .values()
+            .map(|connection| connection.running.borrow().len());
+        (receiving.sum(), running.sum())
+    }
+
     /// Returns whether there is room for another connection.
     pub fn has_room(&self) -> bool {
         self.count() < self.port.connections
--- a/crates/intake/src/socket.rs
+++ b/crates/intake/src/socket.rs
@@ -1,6 +1,7 @@
 //! A caller's socket, which records what arrives and whether the caller takes what is sent.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -18,6 +19,8 @@
 
 use crate::connections::Connection;
 use crate::connections::Connections;
+use crate::stats::Action;
+use crate::stats::Stats;
 
 /// Time for which the rest of a refused request is read and dropped. A socket that is closed with bytes unread resets
 /// the connection, and the caller may lose the refusal.
@@ -35,6 +38,7 @@
     clock: Clock,
     port: Rc<Connections>,
     connection: Rc<Connection>,
+    stats: Stats,
     linger: Option<Linger>,
     /// Whether the socket is set to reset the connection when it is closed.
     resets: bool,
@@ -53,12 +57,14 @@
         clock: Clock,
         port: Rc<Connections>,
         connection: Rc<Connection>,
+        stats: Stats,
     ) -> Socket {
         Socket {
             stream,
             clock,
             port,
             connection,
+            stats,
             linger: None,
             resets: false,
         }
@@ -83,6 +89,12 @@
         }
     }
 
+    /// Returns whether bytes have arrived that weren't read.
+    fn has_arrived(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(1))
+    }
+
     /// Returns the socket itself, to set its options.
     pub fn stream(&self) -> &TcpStream {
         &self.stream
@@ -194,5 +206,8 @@
 impl Drop for Socket {
     fn drop(&mut self) {
         self.begin_reset();
+        if self.connection.is_reading_head() && self.has_arrived() {
+            self.stats.record(Action::UnreadDropped);
+        }
     }
 }
--- a/crates/intake/src/stats.rs
+++ b/crates/intake/src/stats.rs
@@ -39,11 +39,15 @@
     UnreadEvicted,
     /// There was no room for an answer.
     AnswerDropped,
+    /// A connection without a request was closed although bytes had arrived on it.
+    UnreadDropped,
+    /// Connections that callers had opened were closed with their port.
+    WaitingDropped,
 }
 
 impl Action {
     /// All actions.
-    pub const ALL: [Action; 12] = [
+    pub const ALL: [Action; 14] = [
         Action::ConnectionEvicted,
         Action::ConnectionRefused,
         Action::AcceptFailed,
@@ -56,6 +60,8 @@
         Action::UnreadTimeout,
         Action::UnreadEvicted,
         Action::AnswerDropped,
+        Action::UnreadDropped,
+        Action::WaitingDropped,
     ];
 
     /// Returns the form used in logs and metrics.
@@ -73,6 +79,8 @@
             Action::UnreadTimeout => "unread_timeout",
             Action::UnreadEvicted => "unread_evicted",
             Action::AnswerDropped => "answer_dropped",
+            Action::UnreadDropped => "unread_dropped",
+            Action::WaitingDropped => "waiting_dropped",
         }
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -21,6 +21,7 @@
 use intake::accept;
 use intake::configs::limits::Port;
 use intake::intake::Intake;
+use intake::stats::Action;
 use lease::holder;
 use peer::proof::Key;
 use settings::Settings;
@@ -219,9 +220,11 @@
         last_requester: 0,
         lag: Lag::default(),
     };
+    let last = Rc::clone(&shell.shared);
     let grace_left = shell.run(inbox, stops).await.as_duration();
     let _ = shutdown_sender.send(true);
     let _ = tokio::time::timeout(MIN_DRAIN_TIMEOUT.max(grace_left), front).await;
+    log_end(&last);
     for task in tasks {
         task.abort();
     }
@@ -340,6 +343,21 @@
     );
 }
 
+/// Logs what a stopped process leaves unfinished.
+fn log_end(shared: &Shared) {
+    let (receiving, running) = shared.intake.callers.count_requests();
+    let dropped = |action| shared.intake.stats.count(action);
+    log::info!(
+        event = "ended",
+        receiving = receiving,
+        running = running,
+        unread_dropped = dropped(Action::UnreadDropped),
+        waiting_dropped = dropped(Action::WaitingDropped),
+        loop_lag_ms = shared.lag.get().as_millis();
+        ""
+    );
+}
+
 /// Returns a random number from the operating system.
 fn random() -> Result<u64> {
     getrandom::u64().map_err(|error| anyhow::anyhow!("failed to read random bytes: {error}"))
