Intake: what has arrived is read before an entry ends

Callers saw connections that ended, by FIN or reset, with no byte of an answer to a request that had been sent whole up to 1.5 s before, while the entry that they called was stopping. Chance decided between that and a refusal as not run. Cause: what wasn't read counted as not there, in three places. The loop's timer comes before its messages, so that after a pause of the process the end of the stop was decided by what had been read before it. A connection chose at random between its socket and the shutdown, and knew of its socket only what the event loop had learned before the pause. The port was closed with connections that nobody had accepted, which the kernel then resets. The ports for address queries, probes and metrics weren't shut down at all. Change: a tick of a stopping entry is preceded by turns of the event loop; a port accepts what the kernel holds before it closes; a connection that is asked to finish, reaches a limit or gives way reads from the socket itself first, waits for a head of which a part is there, and a new connection for its first head. All ports finish their answers. Bytes behind the last request are dropped before the close, so that a reset doesn't take the answer.

--- a/crates/intake/src/accept.rs
+++ b/crates/intake/src/accept.rs
@@ -21,7 +21,6 @@
 use crate::request::Session;
 use crate::socket::Socket;
 use crate::stats::Action;
-use crate::stats::Stats;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
@@ -61,65 +60,119 @@
     }
 }
 
-/// Serves the connections of a port until `shutdown` changes, then lets each finish. `serve` starts the task of a
-/// connection, which is closed at its limits. Must run within a `LocalSet`.
-pub async fn run<F>(
+/// Serves the connections of a port until `shutdown` changes, then lets each finish, also those that nobody has accepted
+/// yet. `serve` starts the task of a connection, which is closed at its limits. Must run within a `LocalSet`.
+pub async fn run<S, F>(
     listener: TcpListener,
     intake: Rc<Intake>,
     port: Rc<Connections>,
     mut shutdown: watch::Receiver<bool>,
-    serve: impl Fn(Accepted, watch::Receiver<bool>) -> F,
+    serve: S,
 ) where
+    S: Fn(Accepted, watch::Receiver<bool>) -> F,
     F: Future<Output = ()> + 'static,
 {
-    let mut connections = JoinSet::new();
+    let mut acceptor = Acceptor {
+        intake,
+        port,
+        shutdown: shutdown.clone(),
+        serve,
+        connections: JoinSet::new(),
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            Some(_) = connections.join_next() => continue,
+            Some(_) = acceptor.connections.join_next() => continue,
             _ = shutdown.changed() => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                // Out of descriptors: an idle connection gives way.
-                log::debug!(event = "accept_failed", error = error.to_string().as_str(); "");
-                intake.stats.record(Action::AcceptFailed);
-                port.evict(intake.clock.now());
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-                continue;
-            }
-        };
-        if !port.has_room() {
-            if !port.evict(intake.clock.now()) {
-                intake.stats.record(Action::ConnectionRefused);
-                continue;
-            }
-            intake.stats.record(Action::ConnectionEvicted);
+        match accepted {
+            Ok((stream, _)) => acceptor.admit(stream).await,
+            Err(error) => acceptor.recover(&error).await,
         }
-        let (accepted, registration) = register(stream, &intake, &port);
-        let serving = serve(accepted, shutdown.clone());
-        connections.spawn_local(async move {
+    }
+    acceptor.close(listener).await;
+    while acceptor.connections.join_next().await.is_some() {}
+}
+
+/// Starts the connections of a port.
+struct Acceptor<S> {
+    intake: Rc<Intake>,
+    port: Rc<Connections>,
+    shutdown: watch::Receiver<bool>,
+    serve: S,
+    connections: JoinSet<()>,
+}
+
+impl<S, F> Acceptor<S>
+where
+    S: Fn(Accepted, watch::Receiver<bool>) -> F,
+    F: Future<Output = ()> + 'static,
+{
+    /// Starts a new connection if there is room for it.
+    async fn admit(&mut self, stream: TcpStream) {
+        if !self.make_room().await {
+            self.intake.stats.record(Action::ConnectionRefused);
+            return;
+        }
+        let (accepted, registration) = register(stream, &self.intake, &self.port);
+        let serving = (self.serve)(accepted, self.shutdown.clone());
+        self.connections.spawn_local(async move {
             serving.await;
             drop(registration);
         });
-        if !port.has_room() {
-            // Lets connections that give way close.
+    }
+
+    /// Closes connections until there is room for another one; returns whether there is.
+    async fn make_room(&self) -> bool {
+        while !self.port.has_room() {
+            if !self.port.evict(self.intake.clock.now()) {
+                return false;
+            }
+            self.intake.stats.record(Action::ConnectionEvicted);
+            // Lets it close; it stays open if a request has arrived on it.
             tokio::task::yield_now().await;
         }
+        true
+    }
+
+    /// Lets an idle connection give way after a failed attempt to accept one, for want of descriptors.
+    async fn recover(&self, error: &io::Error) {
+        log::debug!(event = "accept_failed", error = error.to_string().as_str(); "");
+        self.intake.stats.record(Action::AcceptFailed);
+        self.port.evict(self.intake.clock.now());
+        tokio::time::sleep(ACCEPT_BACKOFF).await;
+    }
+
+    /// Closes the port. Connections that the kernel has opened for callers are served: requests may wait in them.
+    async fn close(&mut self, listener: TcpListener) {
+        let mut waiting = 0;
+        match listener.into_std() {
+            Ok(listener) => {
+                while let Ok((stream, _)) = listener.accept()
+                    && waiting < BACKLOG
+                {
+                    waiting += 1;
+                    if let Some(stream) = to_tokio(stream) {
+                        self.admit(stream).await;
+                    }
+                }
+            }
+            Err(error) => log::warn!(event = "port_closed", error = error.to_string().as_str(); ""),
+        }
+        if waiting > 0 {
+            log::info!(event = "port_closed", waiting = waiting; "");
+        }
     }
-    drop_waiting(listener, &intake.stats);
-    while connections.join_next().await.is_some() {}
 }
 
-/// Closes a port with the connections that wait to be accepted.
-fn drop_waiting(listener: TcpListener, stats: &Stats) {
-    let Ok(listener) = listener.into_std() else {
-        return;
-    };
-    while listener.accept().is_ok() {
-        stats.record(Action::WaitingDropped);
+/// Registers an accepted socket with the event loop.
+fn to_tokio(stream: std::net::TcpStream) -> Option<TcpStream> {
+    let registered = stream.set_nonblocking(true);
+    let registered = registered.and_then(|()| TcpStream::from_std(stream));
+    if let Err(error) = &registered {
+        log::warn!(event = "connection_unregistered", error = error.to_string().as_str(); "");
     }
+    registered.ok()
 }
 
 fn register(
@@ -163,10 +216,16 @@
     {
         let mut guard = Guard::new(self.intake.clock, &self.connection, times);
         let ended = tokio::select! {
+            biased;
             ended = guard.watch(connection.as_mut()) => ended,
-            _ = shutdown.changed() => {
-                shut_down(connection.as_mut());
-                guard.watch(connection).await
+            _ = shutdown.wait_for(|is_shut_down| *is_shut_down) => {
+                match guard.watch_heads(connection.as_mut()).await {
+                    Some(ended) => ended,
+                    None => {
+                        shut_down(connection.as_mut());
+                        guard.watch(connection).await
+                    }
+                }
             }
         };
         match ended {
--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -19,6 +19,8 @@
 
 /// Age up to which a connection that had no request yet counts like one that had.
 const NEW_AGE: Span = Span::from_millis(1_000);
+/// Time in which a new connection is expected to bring the head of its first request.
+pub(crate) const FIRST_HEAD_TIME: Span = Span::from_millis(200);
 /// Time for which answers may be unread before their connection gives way to a new one.
 const UNREAD_STALL: Span = Span::from_seconds(2);
 
@@ -55,6 +57,8 @@
     is_refused: Cell<bool>,
     /// Whether only the end of the connection marks the end of the answer that is being sent.
     is_undelimited: Cell<bool>,
+    /// Whether reads ask the socket itself, instead of what the event loop knows of it.
+    is_probing: Cell<bool>,
     closed_for: Cell<Option<Action>>,
     waker: RefCell<Option<Waker>>,
 }
@@ -216,6 +220,7 @@
             next_request: Cell::new(0),
             is_refused: Cell::new(false),
             is_undelimited: Cell::new(false),
+            is_probing: Cell::new(false),
             closed_for: Cell::new(None),
             waker: RefCell::default(),
         }
@@ -241,6 +246,34 @@
         closed_for
     }
 
+    /// Withdraws a request to close the connection.
+    pub fn keep_open(&self) {
+        self.closed_for.set(None);
+    }
+
+    /// Sets whether reads ask the socket itself. After a pause of the process the event loop knows nothing of what has
+    /// arrived meanwhile.
+    pub fn set_probing(&self, is_probing: bool) {
+        self.is_probing.set(is_probing);
+    }
+
+    /// Returns whether reads ask the socket itself.
+    pub fn is_probing(&self) -> bool {
+        self.is_probing.get()
+    }
+
+    /// Returns whether a request runs.
+    pub fn is_running(&self) -> bool {
+        !self.running.borrow().is_empty()
+    }
+
+    /// Returns whether a new request is to be expected: a part of its head has arrived, or the connection is too new to
+    /// have brought its first one.
+    pub fn is_awaiting_head(&self, now: Time) -> bool {
+        let is_new = !self.had_request.get() && now.since(self.idle_since.get()) < FIRST_HEAD_TIME;
+        self.is_reading_head() && (is_new || self.head_since.get().is_some())
+    }
+
     /// Returns when a time limit ends the connection, and which one.
     pub fn deadline(&self, times: &Times) -> Option<(Time, Action)> {
         if let Some(since) = self.unread_since() {
@@ -348,7 +381,7 @@
         if let Some(since) = self.unread_since() {
             return (now.since(since) >= UNREAD_STALL).then_some((Rank::Unread, since));
         }
-        if !self.running.borrow().is_empty() {
+        if self.is_running() {
             return None;
         }
         if self.receiving.get() > 0 {
--- a/crates/intake/src/guard.rs
+++ b/crates/intake/src/guard.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::pin::pin;
 use std::task::Context;
 use std::task::Poll;
 
@@ -10,10 +11,12 @@
 use clock::Time;
 use tokio::time::Instant;
 use tokio::time::Sleep;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 
 use crate::configs::limits::Times;
 use crate::connections::Connection;
+use crate::connections::FIRST_HEAD_TIME;
 use crate::stats::Action;
 
 /// Watches over one connection.
@@ -37,19 +40,70 @@
 
     /// Runs the connection's task until it ends, or returns why the connection is to be closed.
     pub async fn watch<F: Future>(&mut self, mut task: Pin<&mut F>) -> Result<F::Output, Action> {
+        poll_fn(|context| self.poll_watch(task.as_mut(), context)).await
+    }
+
+    /// The same until no head is awaited; `None` if the connection is still open then.
+    pub async fn watch_heads<F: Future>(
+        &mut self,
+        mut task: Pin<&mut F>,
+    ) -> Option<Result<F::Output, Action>> {
+        let mut first_head = pin!(sleep(FIRST_HEAD_TIME.as_duration()));
         poll_fn(|context| {
-            // What has arrived meanwhile counts, also after a pause of the process.
-            if let Poll::Ready(output) = task.as_mut().poll(context) {
-                return Poll::Ready(Ok(output));
+            if let Poll::Ready(ended) = self.poll_watch(task.as_mut(), context) {
+                return Poll::Ready(Some(ended));
             }
-            if let Some(action) = self.connection.closed_for(context.waker()) {
-                return Poll::Ready(Err(action));
+            if let Poll::Ready(output) = self.probe(task.as_mut(), context) {
+                return Poll::Ready(Some(Ok(output)));
             }
-            self.poll_deadline(context).map(Err)
+            if !self.connection.is_awaiting_head(self.clock.now()) {
+                return Poll::Ready(None);
+            }
+            // The timer of an unfinished head is set already.
+            let _ = first_head.as_mut().poll(context);
+            Poll::Pending
         })
         .await
     }
 
+    fn poll_watch<F: Future>(
+        &mut self,
+        mut task: Pin<&mut F>,
+        context: &mut Context<'_>,
+    ) -> Poll<Result<F::Output, Action>> {
+        if let Poll::Ready(output) = task.as_mut().poll(context) {
+            return Poll::Ready(Ok(output));
+        }
+        if self.poll_end(context).is_pending() {
+            return Poll::Pending;
+        }
+        // What has arrived meanwhile counts, also after a pause of the process.
+        let was_running = self.connection.is_running();
+        if let Poll::Ready(output) = self.probe(task, context) {
+            return Poll::Ready(Ok(output));
+        }
+        if !was_running && self.connection.is_running() {
+            self.connection.keep_open();
+        }
+        self.poll_end(context).map(Err)
+    }
+
+    /// Polls the connection's task with what has arrived at its socket by now.
+    fn probe<F: Future>(&self, task: Pin<&mut F>, context: &mut Context<'_>) -> Poll<F::Output> {
+        self.connection.set_probing(true);
+        let polled = task.poll(context);
+        self.connection.set_probing(false);
+        polled
+    }
+
+    /// Resolves once the connection is to be closed.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Action> {
+        match self.connection.closed_for(context.waker()) {
+            Some(action) => Poll::Ready(action),
+            None => self.poll_deadline(context),
+        }
+    }
+
     /// Resolves at the connection's time limit. The timer is set again only if the limit is earlier, or it has fired.
     fn poll_deadline(&mut self, context: &mut Context<'_>) -> Poll<Action> {
         while let Some((deadline, action)) = self.connection.deadline(&self.times) {
--- a/crates/intake/src/socket.rs
+++ b/crates/intake/src/socket.rs
@@ -1,6 +1,7 @@
 //! A caller's socket, which records what arrives and whether the caller takes what is sent.
 
 use std::io;
+use std::io::Read;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -22,8 +23,8 @@
 use crate::stats::Action;
 use crate::stats::Stats;
 
-/// Time for which the rest of a refused request is read and dropped. A socket that is closed with bytes unread resets
-/// the connection, and the caller may lose the refusal.
+/// Time for which the rest of a refused request, or what follows the last one, is read and dropped. A socket that is
+/// closed with bytes unread resets the connection, and the caller may lose its answer.
 const LINGER: Duration = Duration::from_millis(300);
 /// Most bytes that are dropped so.
 const MAX_LINGER_BYTES: usize = 1 << 20;
@@ -108,12 +109,28 @@
     ) -> Poll<io::Result<()>> {
         let size = buffer.remaining().min(HEAD_READ_BYTES);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(size));
-        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let read = self.poll_read_some(context, &mut part);
         let count = part.filled().len();
         buffer.advance(count);
         read
     }
 
+    fn poll_read_some(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_ready() || !self.connection.is_probing() {
+            return read;
+        }
+        let socket = SockRef::from(&self.stream);
+        match (&*socket).read(buffer.initialize_unfilled()) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
+            read => Poll::Ready(read.map(|count| buffer.advance(count))),
+        }
+    }
+
     /// Records the outcome of a write.
     fn record_write<T>(&self, written: Poll<T>) -> Poll<T> {
         let is_blocked = written.is_pending();
@@ -131,7 +148,7 @@
         let before = buffer.filled().len();
         let read = match self.connection.is_reading_head() {
             true => self.poll_read_head(context, buffer),
-            false => Pin::new(&mut self.stream).poll_read(context, buffer),
+            false => self.poll_read_some(context, buffer),
         };
         let bytes = &buffer.filled()[before..];
         if !bytes.is_empty() {
@@ -180,7 +197,7 @@
         }
         if this.linger.is_none() {
             std::task::ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
-            if !this.connection.is_refused() {
+            if !this.connection.is_refused() && !this.has_arrived() {
                 return Poll::Ready(Ok(()));
             }
         }
--- a/crates/intake/src/stats.rs
+++ b/crates/intake/src/stats.rs
@@ -41,13 +41,11 @@
     AnswerDropped,
     /// A connection without a request was closed although bytes had arrived on it.
     UnreadDropped,
-    /// Connections that callers had opened were closed with their port.
-    WaitingDropped,
 }
 
 impl Action {
     /// All actions.
-    pub const ALL: [Action; 14] = [
+    pub const ALL: [Action; 13] = [
         Action::ConnectionEvicted,
         Action::ConnectionRefused,
         Action::AcceptFailed,
@@ -61,7 +59,6 @@
         Action::UnreadEvicted,
         Action::AnswerDropped,
         Action::UnreadDropped,
-        Action::WaitingDropped,
     ];
 
     /// Returns the form used in logs and metrics.
@@ -80,7 +77,6 @@
             Action::UnreadEvicted => "unread_evicted",
             Action::AnswerDropped => "answer_dropped",
             Action::UnreadDropped => "unread_dropped",
-            Action::WaitingDropped => "waiting_dropped",
         }
     }
 }
--- a/crates/intake/tests/connections.rs
+++ b/crates/intake/tests/connections.rs
@@ -1,13 +1,20 @@
 //! Which connection gives way to a new one.
 
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
 
+use clock::Clock;
 use clock::Span;
 use clock::Time;
 use intake::configs::limits::Port;
 use intake::configs::limits::Times;
 use intake::connections::Connection;
 use intake::connections::Connections;
+use intake::guard::Guard;
 use intake::stats::Action;
 
 const TIMES: Times = Times {
@@ -33,7 +40,7 @@
 
 /// Returns whether the connection was closed.
 fn is_closed(connection: &Connection) -> bool {
-    let waker = std::task::Waker::noop();
+    let waker = Waker::noop();
     connection.closed_for(waker).is_some()
 }
 
@@ -143,3 +150,37 @@
     let unread = Some((at(30_200), Action::UnreadTimeout));
     assert_eq!(second.deadline(&TIMES), unread);
 }
+
+/// Guards against closing a connection whose request has arrived without the event loop knowing of it.
+#[test]
+fn a_connection_does_not_give_way_with_an_unread_request() {
+    let port = port();
+    let connection = open(&port, 0);
+    connection.close(Action::ConnectionEvicted);
+    let mut request = pin!(poll_fn(|_| {
+        if connection.is_probing() {
+            connection.begin_running();
+        }
+        Poll::<()>::Pending
+    }));
+    let mut guard = Guard::new(Clock::start(), &connection, TIMES);
+    let mut watching = pin!(guard.watch(request.as_mut()));
+    let mut context = Context::from_waker(Waker::noop());
+    assert!(watching.as_mut().poll(&mut context).is_pending());
+    assert!(!is_closed(&connection));
+}
+
+/// Guards against keeping connections that are to be closed for another reason.
+#[test]
+fn a_connection_whose_request_runs_is_closed_for_its_unread_answer() {
+    let port = port();
+    let connection = open(&port, 0);
+    connection.begin_running();
+    connection.close(Action::UnreadEvicted);
+    let mut request = pin!(std::future::pending::<()>());
+    let mut guard = Guard::new(Clock::start(), &connection, TIMES);
+    let mut watching = pin!(guard.watch(request.as_mut()));
+    let mut context = Context::from_waker(Waker::noop());
+    let ended = watching.as_mut().poll(&mut context);
+    assert_eq!(ended, Poll::Ready(Err(Action::UnreadEvicted)));
+}
--- a/crates/relay/src/inbox.rs
+++ b/crates/relay/src/inbox.rs
@@ -113,6 +113,12 @@
             sent = self.requests.recv() => sent,
         }
     }
+
+    /// Returns the next message, in the same order, if there is one by now.
+    pub fn take(&mut self) -> Option<Sent> {
+        let control = self.control.try_recv();
+        control.or_else(|_| self.requests.try_recv()).ok()
+    }
 }
 
 impl Message {
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -35,13 +35,16 @@
     unread: Span::from_seconds(20),
 };
 
-/// Serves one port until the future is dropped.
-pub async fn serve(listener: TcpListener, shared: Rc<Shared>, limits: Port) {
+/// Serves one port until `shutdown` turns true, then lets every connection finish its current answer.
+pub async fn serve(
+    listener: TcpListener,
+    shared: Rc<Shared>,
+    limits: Port,
+    shutdown: watch::Receiver<bool>,
+) {
     let intake = Rc::clone(&shared.intake);
     let port = Rc::new(Connections::new(limits));
-    // The future is dropped instead.
-    let (_shutdown, never) = watch::channel(false);
-    let serving = accept::run(listener, intake, port, never, |accepted, shutdown| {
+    let serving = accept::run(listener, intake, port, shutdown, |accepted, shutdown| {
         connection(accepted, Rc::clone(&shared), shutdown)
     });
     serving.await;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -33,6 +33,8 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::adapter::Cloud;
 use crate::adapter::Codec;
@@ -61,6 +63,10 @@
 /// Least time for the ends of answers to reach their callers at shutdown; slow callers get the rest of the grace period.
 const MIN_DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time before the end of the process at which the other ports close. No more than
+/// `MIN_DRAIN_TIMEOUT`.
+const LAST_CALL: Duration = Duration::from_millis(100);
+
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -160,9 +166,26 @@
     let responder = Rc::new(Responder {
         shared: Rc::clone(&shared),
     });
-    let (shutdown_sender, shutdown) = watch::channel(false);
-    let front =
-        tokio::task::spawn_local(front::serve(sockets.callers, Rc::clone(&shared), shutdown));
+    let (end_callers, callers_end) = watch::channel(false);
+    let mut callers = JoinSet::new();
+    callers.spawn_local(front::serve(
+        sockets.callers,
+        Rc::clone(&shared),
+        callers_end,
+    ));
+    let (end_ports, ports_end) = watch::channel(false);
+    let mut ports = JoinSet::new();
+    let others = [
+        (Some(sockets.directory), directory),
+        (Some(sockets.readiness), probes),
+        (sockets.metrics, probes),
+    ];
+    for (listener, limits) in others {
+        if let Some(listener) = listener {
+            let shared = Rc::clone(&shared);
+            ports.spawn_local(ports::serve(listener, shared, limits, ports_end.clone()));
+        }
+    }
     let read_configuration = Rc::new(Notify::new());
     let read_servers = Rc::new(Notify::new());
     let configuration = Rc::new(ConfigurationConsumer::new(Rc::clone(&shared)));
@@ -174,12 +197,6 @@
             limit,
             responder,
         )),
-        tokio::task::spawn_local(ports::serve(
-            sockets.directory,
-            Rc::clone(&shared),
-            directory,
-        )),
-        tokio::task::spawn_local(ports::serve(sockets.readiness, Rc::clone(&shared), probes)),
         tokio::task::spawn_local(follow::follow(
             adapter.configuration,
             configuration,
@@ -198,9 +215,6 @@
             reload,
         )),
     ];
-    if let Some(metrics) = sockets.metrics {
-        tokio::task::spawn_local(ports::serve(metrics, Rc::clone(&shared), probes));
-    }
     let shell = Shell {
         gateway: Gateway::new(identity.clone(), gateway_settings(&settings), random()?),
         peers: Peers::new(
@@ -220,11 +234,18 @@
         last_requester: 0,
         lag: Lag::default(),
     };
-    let last = Rc::clone(&shell.shared);
+    let shared = Rc::clone(&shell.shared);
     let grace_left = shell.run(inbox, stops).await.as_duration();
-    let _ = shutdown_sender.send(true);
-    let _ = tokio::time::timeout(MIN_DRAIN_TIMEOUT.max(grace_left), front).await;
-    log_end(&last);
+    let until_last_call = MIN_DRAIN_TIMEOUT.max(grace_left) - LAST_CALL;
+    let _ = end_callers.send(true);
+    let _ = timeout(until_last_call, join_all(&mut callers)).await;
+    let _ = end_ports.send(true);
+    let ending = async {
+        join_all(&mut callers).await;
+        join_all(&mut ports).await;
+    };
+    let _ = timeout(LAST_CALL, ending).await;
+    log_end(&shared);
     for task in tasks {
         task.abort();
     }
@@ -343,16 +364,19 @@
     );
 }
 
+/// Waits for all tasks of a set.
+async fn join_all(tasks: &mut JoinSet<()>) {
+    while tasks.join_next().await.is_some() {}
+}
+
 /// Logs what a stopped process leaves unfinished.
 fn log_end(shared: &Shared) {
     let (receiving, running) = shared.intake.callers.count_requests();
-    let dropped = |action| shared.intake.stats.count(action);
     log::info!(
         event = "ended",
         receiving = receiving,
         running = running,
-        unread_dropped = dropped(Action::UnreadDropped),
-        waiting_dropped = dropped(Action::WaitingDropped),
+        unread_dropped = shared.intake.stats.count(Action::UnreadDropped),
         loop_lag_ms = shared.lag.get().as_millis();
         ""
     );
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -30,6 +30,9 @@
 use crate::shared::Shared;
 use crate::wake::Wake;
 
+/// Turns of the event loop in which a new connection is accepted, and its request read and sent here.
+const CATCH_UP_TURNS: usize = 4;
+
 /// The loop's state.
 pub struct Shell {
     /// The reducer.
@@ -78,6 +81,9 @@
             };
             if matches!(event, Event::Tick) {
                 wake.record_tick(now);
+                if self.shared.stopping.get() {
+                    self.catch_up(&mut inbox).await;
+                }
             }
             if self.step(event) {
                 return self.gateway.grace_left(self.shared.clock.now());
@@ -87,6 +93,18 @@
         }
     }
 
+    /// Handles what has arrived before a tick decides whether a request is open. The process may have stood still since.
+    async fn catch_up(&mut self, inbox: &mut Inbox) {
+        for _ in 0..CATCH_UP_TURNS {
+            tokio::task::yield_now().await;
+            while let Some(sent) = inbox.take() {
+                if let Some(event) = self.event_from(sent.message) {
+                    self.step(event);
+                }
+            }
+        }
+    }
+
     /// Records the lag of handling something that was due.
     fn record_lag(&mut self, due: Time) {
         let late = self.lag.record(self.shared.clock.now(), due);
