Intake: bodies that aren't whole before an entry ends are refused as not run

Callers whose bodies were still arriving at the end of the grace period saw their connections end without an answer. Cause: only requests that are whole are known to the reducer, which refuses those that are open at the end. Bodies were dropped with their connections. Change: a tenth of a second before the process ends, all bodies that aren't complete are refused as not run, with a time to come back. Evidence: a_request_that_is_not_whole_before_an_entry_ends_is_refused_as_not_run failed before (no byte of an answer), and holds now.

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -24,7 +24,7 @@
 /// than an answer that it doesn't get.
 const DURATION_MARGIN: f64 = 1.25;
 /// Message to callers of an entry that doesn't accept their requests any more.
-pub(crate) const ABOUT_TO_END: &str = "this entry is about to end";
+pub const ABOUT_TO_END: &str = "this entry is about to end";
 /// Retry delay for callers of an entry that stops; they ask for other addresses first.
 const LEAVING_RETRY: Span = Span::from_millis(50);
 /// Time before the end of the grace period from which requests that no replica has are refused.
--- a/crates/intake/src/intake.rs
+++ b/crates/intake/src/intake.rs
@@ -9,6 +9,8 @@
 use settings::Settings;
 use settings::capacity::Capacity;
 use tokio::sync::Notify;
+use tokio::sync::watch;
+use verdict::Refusal;
 
 use crate::answers::Answers;
 use crate::budget::Budget;
@@ -32,6 +34,8 @@
     pub(crate) limits: Limits,
     pub(crate) requests: Budget,
     pub(crate) receivers: RefCell<Receivers>,
+    /// Why bodies that aren't complete are refused, once the process is about to end.
+    pub(crate) ending: watch::Sender<Option<Refusal>>,
     /// Notifies readers whose bodies give way.
     pub(crate) evictions: RefCell<BTreeMap<Key, Rc<Notify>>>,
 }
@@ -54,6 +58,7 @@
             limits,
             requests: Budget::new(limits.request_bytes, limits.small_request_bytes),
             receivers: RefCell::new(Receivers::new(limits.body_rate)),
+            ending: watch::Sender::new(None),
             evictions: RefCell::default(),
         }
     }
@@ -74,6 +79,21 @@
         Intake::new(clock, Limits::new(settings, capacity), callers)
     }
 
+    /// Refuses all requests whose bodies aren't complete, now and from now on.
+    pub fn refuse_bodies(&self, refusal: Refusal) {
+        self.ending.send_replace(Some(refusal));
+    }
+
+    /// Returns the refusal of requests whose bodies aren't complete, once the process is about to end.
+    pub(crate) async fn ending(&self) -> Refusal {
+        let mut ending = self.ending.subscribe();
+        let refusal = ending.wait_for(Option::is_some).await;
+        match refusal.as_deref() {
+            Ok(Some(refusal)) => refusal.clone(),
+            _ => std::future::pending().await,
+        }
+    }
+
     /// Returns whether a body of this size can be held, at least while there are no others.
     pub fn may_fit(&self, bytes: usize) -> bool {
         self.requests.may_fit(bytes)
--- a/crates/intake/src/request.rs
+++ b/crates/intake/src/request.rs
@@ -85,9 +85,14 @@
     {
         let intake = &self.session.intake;
         let held = intake.make_room(&mut self.head, size_of_head(&head.headers));
-        let received = match held.await {
-            Ok(()) => intake.read_body(body, limit).await,
-            Err(refusal) => Err(refusal),
+        let receiving = async {
+            held.await?;
+            intake.read_body(body, limit).await
+        };
+        let received = tokio::select! {
+            biased;
+            received = receiving => received,
+            refusal = intake.ending() => Err(refusal),
         };
         if received.is_err() {
             self.session.connection.refuse_rest();
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -18,6 +18,8 @@
 use gateway::gateway::Gateway;
 use gateway::gateway::Status;
 use gateway::identity::Identity;
+use gateway::stop::ABOUT_TO_END;
+use gateway::stop::leaving_refusal;
 use intake::accept;
 use intake::configs::limits::Port;
 use intake::intake::Intake;
@@ -63,7 +65,7 @@
 /// Least time for the ends of answers to reach their callers at shutdown; slow callers get the rest of the grace period.
 const MIN_DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time before the end of the process at which the other ports close. No more than
+/// Time before the end of the process at which bodies that aren't complete are refused and the other ports close. No more than
 /// `MIN_DRAIN_TIMEOUT`.
 const LAST_CALL: Duration = Duration::from_millis(100);
 
@@ -238,7 +240,12 @@
     let grace_left = shell.run(inbox, stops).await.as_duration();
     let until_last_call = MIN_DRAIN_TIMEOUT.max(grace_left) - LAST_CALL;
     let _ = end_callers.send(true);
-    let _ = timeout(until_last_call, join_all(&mut callers)).await;
+    if timeout(until_last_call, join_all(&mut callers))
+        .await
+        .is_err()
+    {
+        shared.intake.refuse_bodies(leaving_refusal(ABOUT_TO_END));
+    }
     let _ = end_ports.send(true);
     let ending = async {
         join_all(&mut callers).await;
