Gateway: the end of a stop is fixed when the stop is requested

Callers saw: a reload of the settings in the middle of a stop changed its end at once. A shorter grace period cut answers under way, a longer one let the entry run past the time at which whoever sent the signal kills it.

Cause: the stop kept only when it was requested; each decision read the grace period and the time for which addresses are valid from the settings in force.

Fix: the stop holds its own grace period and drain time, taken from the settings at the request.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -49,6 +49,7 @@
 use crate::route_shares;
 use crate::servers::Servers;
 use crate::speeds::Speeds;
+use crate::stop::Stop;
 use crate::store_calls::Waiter;
 use crate::streams::Streams;
 use crate::usage::Usage;
@@ -138,8 +139,8 @@
     pub(crate) next_quarantine: Time,
     /// Version of the last item sent; receivers order items by it.
     pub(crate) item_version: u64,
-    /// When the process was asked to stop.
-    pub(crate) stop_requested_at: Option<Time>,
+    /// The shutdown, once it was requested.
+    pub(crate) stop: Option<Stop>,
 
     /// Whether the table service answers.
     pub(crate) store_health: Health,
@@ -265,7 +266,7 @@
             next_bulletin: Time::ZERO,
             next_quarantine: Time::ZERO,
             item_version: 0,
-            stop_requested_at: None,
+            stop: None,
             store_health: Health::default(),
             store_failed_at: None,
             list_unavailable: false,
@@ -352,7 +353,7 @@
 
     /// Whether the entry accepts callers.
     pub fn is_ready(&self) -> bool {
-        self.catalog.is_some() && self.stop_requested_at.is_none()
+        self.catalog.is_some() && self.stop.is_none()
     }
 
     /// Returns the limits on the size and number of callers' requests.
@@ -391,7 +392,7 @@
             list_revision: self.servers.position().revision,
             list_age_ms: now.since(self.servers.position().confirmed_at).as_millis(),
             ready: self.is_ready(),
-            stopping: self.stop_requested_at.is_some(),
+            stopping: self.stop.is_some(),
         }
     }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -7,6 +7,7 @@
 use verdict::Refusal;
 
 use crate::catalog::Repeat;
+use crate::configs::gateway::Settings;
 use crate::effect::Effect;
 use crate::gateway::Gateway;
 use crate::request::Request;
@@ -33,13 +34,49 @@
 /// answers to be sent.
 const EXIT_MARGIN: Span = Span::from_millis(150);
 
+/// A shutdown that was requested. Its end is fixed then: whoever requested it ends the process by the grace period that
+/// was in force, and a reload of the settings doesn't change that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Stop {
+    requested_at: Time,
+    grace: Span,
+    /// Time for which callers may still use an address that they got before the shutdown.
+    drain_time: Span,
+}
+
+impl Stop {
+    fn new(now: Time, settings: &Settings) -> Stop {
+        let hold_time = settings.address_ttl.times(ADDRESS_HOLD_FACTOR);
+        Stop {
+            requested_at: now,
+            grace: settings.grace,
+            drain_time: hold_time.min(settings.grace - REFUSAL_MARGIN),
+        }
+    }
+
+    /// Returns the rest of the grace period.
+    fn time_left(&self, now: Time) -> Span {
+        self.grace - now.since(self.requested_at)
+    }
+
+    /// Returns the time that lies `margin` before the end of the grace period.
+    fn before_end(&self, margin: Span) -> Time {
+        self.requested_at + (self.grace - margin)
+    }
+
+    /// Returns the time until which callers may come with an address that they got before the shutdown.
+    fn drain_end(&self) -> Time {
+        self.requested_at + self.drain_time
+    }
+}
+
 impl Gateway {
     /// Starts the shutdown.
     pub(crate) fn begin_stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if self.stop_requested_at.is_some() {
+        if self.stop.is_some() {
             return;
         }
-        self.stop_requested_at = Some(now);
+        self.stop = Some(Stop::new(now, &self.settings));
         let line = Line::info("stop_asked").with("open", self.requests.len());
         effects.push(Effect::Log(line));
         self.step_membership(now, member::event::Event::Drain, effects);
@@ -53,9 +90,9 @@
         repeat: Repeat,
         time_left: Span,
     ) -> bool {
-        self.stop_requested_at.is_some_and(|requested_at| {
+        self.stop.is_some_and(|stop| {
             let needed = self.time_needed(route, repeat, time_left);
-            now.since(requested_at) + needed >= self.settings.grace
+            now >= stop.before_end(needed)
         })
     }
 
@@ -82,51 +119,48 @@
 
     /// Returns for how much longer the process may run, once it was asked to stop.
     pub fn grace_left(&self, now: Time) -> Span {
-        self.stop_requested_at.map_or(self.settings.grace, |at| {
-            self.settings.grace - now.since(at)
-        })
+        self.stop
+            .map_or(self.settings.grace, |stop| stop.time_left(now))
     }
 
     /// Returns when the shutdown next needs a tick.
     pub(crate) fn next_stop_wake(&self, now: Time) -> Option<Time> {
-        let requested_at = self.stop_requested_at?;
-        let drain_time = self.drain_time();
-        let end_of = |margin: Span| requested_at + (self.settings.grace - margin);
+        let stop = self.stop?;
         let waiting = self.waiting_requests().map(|(_, request)| {
             let time_left = request.deadline.since(now);
             let needed = match request.may_have_run() {
                 true => REFUSAL_MARGIN,
                 false => self.time_needed(&request.route, request.repeat, time_left),
             };
-            end_of(needed.min(self.settings.grace)).max(now)
+            stop.before_end(needed).max(now)
         });
         Some(match self.is_idle() {
-            true => requested_at + drain_time,
-            false => waiting.min().unwrap_or(end_of(EXIT_MARGIN)),
+            true => stop.drain_end(),
+            false => waiting.min().unwrap_or(stop.before_end(EXIT_MARGIN)),
         })
     }
 
     /// Exits once no request is open, or the grace period is over. Requests that no replica has are refused once their
     /// answers wouldn't come in time, and a little before the others at the latest.
     pub(crate) fn stop_tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let Some(requested_at) = self.stop_requested_at else {
+        let Some(stop) = self.stop else {
             return;
         };
-        let waited = now.since(requested_at);
-        let is_over = waited >= self.settings.grace - EXIT_MARGIN;
+        let is_over = now >= stop.before_end(EXIT_MARGIN);
         if is_over {
             let open = self.requests.keys().copied().collect();
             self.refuse_all(now, open, effects);
         } else {
-            let is_last_call = waited >= self.settings.grace - REFUSAL_MARGIN;
+            let is_last_call = now >= stop.before_end(REFUSAL_MARGIN);
             let late = self.waiting_requests();
             let late = late.filter(|(_, request)| is_last_call || self.is_too_late(now, request));
             let late = late.map(|(serial, _)| serial).collect();
             self.refuse_all(now, late, effects);
         }
-        if !is_over && (waited < self.drain_time() || !self.is_idle()) {
+        if !is_over && (now < stop.drain_end() || !self.is_idle()) {
             return;
         }
+        let waited = now.since(stop.requested_at);
         effects.push(Effect::Log(Line::info("stopped").with("waited", waited)));
         effects.push(Effect::Exit);
     }
@@ -136,12 +170,6 @@
         self.requests.is_empty() && self.tunnels == 0
     }
 
-    /// Returns for how long callers may still use an address that they got before the shutdown.
-    fn drain_time(&self) -> Span {
-        let hold_time = self.settings.address_ttl.times(ADDRESS_HOLD_FACTOR);
-        hold_time.min(self.settings.grace - REFUSAL_MARGIN)
-    }
-
     /// Returns the open requests that no replica has.
     fn waiting_requests(&self) -> impl Iterator<Item = (u64, &Request)> {
         let waiting = self.requests.iter();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -664,6 +664,11 @@
         self.step(entry, Event::StopRequested);
     }
 
+    /// Delivers settings that an entry has read again.
+    pub fn reload(&mut self, entry: usize, settings: Settings) {
+        self.step(entry, Event::SettingsRead(Box::new(settings)));
+    }
+
     /// Advances the time in steps, with a tick of every entry in each.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis;
