Signals: handled before anything else, in both programs

Callers saw: a signal in the first milliseconds of an entry killed it with the requests of all callers that had connected. SIGHUP killed the daemon at any time.

Cause: the sockets were bound before a spawned task installed the handlers, so connections were taken while the default action of SIGTERM and SIGHUP still stood. The daemon had no handler of SIGHUP. A failed installation was a log line, or nothing.

Fix: the crate signals starts the runtime and installs all handlers before the settings are read; a failure ends the start with an error. Requests are kept until the entry serves; a stop before the sockets are bound ends the process with exit code 0. SIGINT is a graceful stop like SIGTERM, SIGQUIT an end at once. The daemon answers SIGHUP with a log line, as its settings are read at the start only. The line `starting` comes before a port is open. A signal before main begins still kills the process; no port is open then.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,7 +4,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::Context;
+use anyhow::Result;
 use argh::FromArgs;
+use signals::runtime::Runtime;
 
 /// One entry of dogwoodspur: serves callers and operators by its settings file.
 #[derive(FromArgs)]
@@ -34,7 +37,7 @@
     if arguments.check || arguments.print {
         return show(&arguments);
     }
-    match daemon::run(&arguments.settings) {
+    match serve(&arguments.settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
@@ -43,6 +46,12 @@
     }
 }
 
+/// Serves until the entry is stopped. Signals are handled before the settings are read.
+fn serve(path: &Path) -> Result<()> {
+    let runtime = Runtime::start().context("can't handle signals")?;
+    daemon::run(runtime, path)
+}
+
 /// Checks the settings, and prints them on request.
 fn show(arguments: &Arguments) -> ExitCode {
     match settings::load::read_strict(&arguments.settings) {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -29,15 +29,15 @@
 use request::signer::TICKET_PURPOSE;
 use settings::Settings;
 use settings::capacity::Capacity;
+use signals::request::Request;
+use signals::request::Requests;
+use signals::runtime::Runtime;
 use smol_str::SmolStr;
 use smol_str::ToSmolStr;
 use store::driver::Driver;
 use tokio::net::TcpListener;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::task::LocalSet;
 
 use crate::admin;
 use crate::admin::Admin;
@@ -82,25 +82,26 @@
 }
 
 /// Runs the entry of a settings file until it is stopped.
-pub fn run(path: &Path) -> Result<()> {
+pub fn run(runtime: Runtime, path: &Path) -> Result<()> {
     let loaded = settings::read(path)?;
     logs::init(loaded.settings.logs.level.filter());
+    log::info!(event = "starting", process = std::process::id(); "");
     for warning in &loaded.warnings.0 {
         log::warn!(event = "unknown_setting", what = warning.to_string().as_str(); "");
     }
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let local = LocalSet::new();
-    local.block_on(&runtime, async {
-        let (stop, stops) = mpsc::unbounded_channel();
-        tokio::task::spawn_local(watch_signals(stop));
+    runtime.block_on(async |mut requests| {
+        if requests.take_stop().await {
+            log::info!(event = "stopped_before_start"; "");
+            return Ok(());
+        }
         let sockets = Sockets::bind(&loaded.settings).await?;
         let bound = sockets.bound()?;
         println!(
             "listening callers={} admin={} operators={} peers={}",
             bound.callers, bound.admin, bound.operators, bound.peers
         );
+        let (stop, stops) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(watch_signals(requests, stop));
         serve(loaded.settings, sockets, stops).await
     })
 }
@@ -246,15 +247,18 @@
     accept::listen(address).with_context(|| format!("can't listen on {address}"))
 }
 
-/// Forwards SIGTERM: the first requests a graceful stop, the second skips the grace period.
-async fn watch_signals(stop: mpsc::UnboundedSender<bool>) {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        return;
-    };
+/// Forwards requests to stop; an immediate one skips the grace period.
+async fn watch_signals(mut requests: Requests, stop: mpsc::UnboundedSender<bool>) {
     let mut immediate = false;
-    while terminate.recv().await.is_some() {
-        let _ = stop.send(immediate);
-        immediate = true;
+    loop {
+        match requests.next().await {
+            Request::Stop => {
+                let _ = stop.send(immediate);
+                immediate = true;
+            }
+            Request::Quit => drop(stop.send(true)),
+            Request::Reload => log::warn!(event = "reload_unsupported"; ""),
+        }
     }
 }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -28,10 +28,11 @@
 use peer::proof::Key;
 use settings::Settings;
 use settings::capacity::Capacity;
+use signals::request::Request;
+use signals::request::Requests;
+use signals::runtime::Runtime;
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -89,18 +90,21 @@
 }
 
 /// Runs a gateway until it is stopped.
-pub fn run(settings: Settings, adapter: Adapter) -> Result<()> {
+pub fn run(runtime: Runtime, settings: Settings, adapter: Adapter) -> Result<()> {
     logs::init(settings.logs.level.filter());
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, async {
+    log::info!(event = "starting", process = std::process::id(); "");
+    runtime.block_on(async |mut requests| {
+        if requests.take_stop().await {
+            log::info!(event = "stopped_before_start"; "");
+            return Ok(());
+        }
+        let sockets = Sockets::bind(&settings).await?;
         let (stop, stops) = mpsc::unbounded_channel();
         let reload = Rc::new(Notify::new());
-        tokio::task::spawn_local(watch_signals(stop, Rc::clone(&reload)));
-        let sockets = Sockets::bind(&settings).await?;
-        serve(settings, sockets, adapter, stops, reload).await
+        tokio::select! {
+            served = serve(settings, sockets, adapter, stops, Rc::clone(&reload)) => served,
+            () = watch_signals(requests, stop, reload) => Ok(()),
+        }
     })
 }
 
@@ -291,23 +295,22 @@
     listener.with_context(|| format!("failed to listen on {address}"))
 }
 
-/// Forwards SIGTERM as a stop and SIGHUP as a reload.
-async fn watch_signals(stop: mpsc::UnboundedSender<()>, reload: Rc<Notify>) {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
-        log::error!(event = "signals_unwatched"; "");
-        return;
-    };
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log::error!(event = "signals_unwatched"; "");
-        return;
-    };
+/// Forwards stops and reloads; returns when the process is to end at once.
+async fn watch_signals(
+    mut requests: Requests,
+    stop: mpsc::UnboundedSender<()>,
+    reload: Rc<Notify>,
+) {
     loop {
-        tokio::select! {
-            Some(()) = terminate.recv() => {
+        match requests.next().await {
+            Request::Stop => {
                 let _ = stop.send(());
             }
-            Some(()) = hangup.recv() => reload.notify_one(),
-            else => return,
+            Request::Reload => reload.notify_one(),
+            Request::Quit => {
+                log::warn!(event = "quit"; "");
+                return;
+            }
         }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod run;
 pub mod server;
 pub mod stall;
+pub mod starts;
 pub mod tables;
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use signals::runtime::Runtime;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -64,7 +65,7 @@
         Subcommand::Engine(engine) => block_on(component::run_engine(engine)),
         Subcommand::Service(service) => block_on(component::run_service(service)),
         Subcommand::Entry(entry) => {
-            daemon::run(&entry.settings)?;
+            daemon::run(Runtime::start()?, &entry.settings)?;
             Ok(ExitCode::SUCCESS)
         }
         Subcommand::Operator(operator) => Ok(run_operator(&operator)),
