Daemon: requests that its loop hasn't read are refused as not run, with a time to come back

Callers whose requests became whole after the event loop of a stopping entry had ended were told that they may have run, without a time to come back, although no server saw them: they can't repeat a call that isn't idempotent. Cause: a call whose answer channel closed was refused as one that was open when the process stopped; whether it had been started wasn't looked at. The end of the stop is decided by what the loop has read. Change: the task of a call knows whether an attempt was begun. Without one, and for queries that the loop hasn't handled, the refusal is that of a leaving entry.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -4,6 +4,7 @@
 
 use entry::arrival::Arrival;
 use entry::arrival::Work;
+use entry::arrival::leaving_refusal;
 use entry::effect::Addresses;
 use front::call::Call;
 use front::call::Credentials;
@@ -106,7 +107,7 @@
         Box::pin(async move {
             match answer.await {
                 Ok(addresses) => addresses_answer(&addresses, &signer),
-                Err(_) => stopped_response(),
+                Err(_) => unread_response(),
             }
         })
     }
@@ -126,7 +127,7 @@
                 "cancelled" : name }
                 )),
                 Ok(Some(refusal)) => response::refusal(&name, &refusal),
-                Err(_) => stopped_response(),
+                Err(_) => unread_response(),
             }
         })
     }
@@ -145,13 +146,24 @@
 
 /// Awaits the response of a call's task.
 fn await_response(answer: oneshot::Receiver<Response<Payload>>) -> ResponseFuture {
-    Box::pin(async move { answer.await.unwrap_or_else(|_| stopped_response()) })
+    let lost = || Refusal::may_have_run(Reason::BackendFailed, "the answer was lost here");
+    Box::pin(async move {
+        let response = answer.await;
+        response.unwrap_or_else(|_| response::refusal("", &lost()))
+    })
 }
 
-/// Creates the response to a call that was open when the process stopped.
-fn stopped_response() -> Response<Payload> {
-    let refusal = Refusal::may_have_run(Reason::Leaving, "this entry has stopped");
-    response::refusal("", &refusal)
+/// Creates the response to a query that the event loop ended without handling; it answers those that it handles at once.
+fn unread_response() -> Response<Payload> {
+    response::refusal("", &leaving_refusal())
+}
+
+/// Returns the refusal of a call that was open as the event loop ended.
+pub(crate) fn ended_refusal(may_have_run: bool) -> Refusal {
+    match may_have_run {
+        true => Refusal::may_have_run(Reason::Leaving, "this entry has stopped"),
+        false => leaving_refusal(),
+    }
 }
 
 /// Converts a model call for the reducer.
--- a/crates/daemon/src/flight.rs
+++ b/crates/daemon/src/flight.rs
@@ -33,6 +33,7 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
+use crate::callers::ended_refusal;
 use crate::link::Link;
 use crate::link::Message;
 use crate::output::Output;
@@ -63,6 +64,8 @@
     sequencer: Sequencer,
     phase: Phase,
     running: Option<Attempt>,
+    /// Whether an attempt was begun, or adopted from another entry.
+    may_have_run: bool,
     /// Tokens forwarded since the last report.
     unreported: u32,
     /// Longest gap between two tokens since the last report.
@@ -143,6 +146,7 @@
             sequencer: Sequencer::starting_at(next),
             phase: Phase::Idle,
             running: None,
+            may_have_run: false,
             unreported: 0,
             worst_gap: Span::ZERO,
             last_token: None,
@@ -159,7 +163,10 @@
                 biased;
                 command = self.commands.recv() => match command {
                     Some(command) => self.execute(command).await,
-                    None => Flow::Break,
+                    None => {
+                        self.output.refuse(&ended_refusal(self.may_have_run)).await;
+                        Flow::Break
+                    }
                 },
                 () = self.output.closed() => {
                     self.shared.link.send_event(Event::CallerDisconnected { serial: self.serial });
@@ -206,6 +213,7 @@
                 if self.forwarded >= u64::from(self.chat.max_new_tokens) {
                     return self.finish_complete(stream).await;
                 }
+                self.may_have_run = true;
                 self.start(stream, endpoint, priority, account);
             }
             Command::Attach {
@@ -214,14 +222,17 @@
                 endpoint,
                 base,
                 account,
-            } => self.attach(Attempt {
-                attempt,
-                stream,
-                endpoint,
-                account,
-                base,
-                source: Source::Adopted,
-            }),
+            } => {
+                self.may_have_run = true;
+                self.attach(Attempt {
+                    attempt,
+                    stream,
+                    endpoint,
+                    account,
+                    base,
+                    source: Source::Adopted,
+                });
+            }
             Command::Move {
                 stream,
                 endpoint,
--- a/crates/daemon/src/plain.rs
+++ b/crates/daemon/src/plain.rs
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use crate::attempt_end::end_of;
+use crate::callers::ended_refusal;
 use crate::flight::Shared;
 use crate::link::Message;
 
@@ -60,6 +61,7 @@
     /// otherwise such a call would stay open with no task to report its end.
     pub async fn run(mut self) {
         let mut caller_gone = false;
+        let mut may_have_run = false;
         let response = loop {
             let command = tokio::select! {
                 biased;
@@ -71,13 +73,20 @@
                 }
             };
             match command {
-                None | Some(Command::HandOff { .. } | Command::Drop) => break None,
+                None => {
+                    break Some(response::refusal(
+                        &self.request,
+                        &ended_refusal(may_have_run),
+                    ));
+                }
+                Some(Command::HandOff { .. } | Command::Drop) => break None,
                 Some(Command::Refuse(refusal)) => {
                     break Some(response::refusal(&self.request, &refusal));
                 }
                 Some(Command::Start {
                     stream, endpoint, ..
                 }) => {
+                    may_have_run = true;
                     let attempt = stream.attempt;
                     let called = plain::call(
                         &self.shared.client,
--- a/crates/entry/src/arrival.rs
+++ b/crates/entry/src/arrival.rs
@@ -1,6 +1,10 @@
 //! A caller's request as the reducer sees it: without the body, only what decisions need.
 
 use smol_str::SmolStr;
+use verdict::Reason;
+use verdict::Refusal;
+
+use crate::arrivals::LEAVING_RETRY_DELAY;
 
 /// A request that was read in full.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,3 +47,9 @@
         path: SmolStr,
     },
 }
+
+/// Returns the refusal of a request that hasn't been started by an entry that leaves.
+pub fn leaving_refusal() -> Refusal {
+    let refusal = Refusal::not_run(Reason::Leaving, "this entry is leaving");
+    refusal.with_retry_after(LEAVING_RETRY_DELAY)
+}
--- a/crates/entry/src/arrivals.rs
+++ b/crates/entry/src/arrivals.rs
@@ -15,6 +15,7 @@
 
 use crate::arrival::Arrival;
 use crate::arrival::Work;
+use crate::arrival::leaving_refusal;
 use crate::attempt::Endpoint;
 use crate::effect::Command;
 use crate::effect::Effect;
@@ -135,8 +136,7 @@
     /// Checks account, deployment and grant, and builds the open request.
     fn admit(&mut self, now: Time, serial: u64, arrival: &Arrival) -> Result<Flight, Refusal> {
         if self.stop.is_stopping() {
-            let refusal = Refusal::not_run(Reason::Leaving, "this entry is leaving");
-            return Err(refusal.with_retry_after(LEAVING_RETRY_DELAY));
+            return Err(leaving_refusal());
         }
         if !self.is_ready(now) {
             let refusal = Refusal::not_run(
--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -201,9 +201,19 @@
         })
     }
 
+    /// Requests a graceful stop.
+    pub fn request_stop(&self) {
+        let _ = self.stop.send(false);
+    }
+
+    /// Returns whether the entry has ended.
+    pub fn has_ended(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Stops the entry gracefully and waits until it has ended.
     pub async fn stop(self) -> anyhow::Result<()> {
-        let _ = self.stop.send(false);
+        self.request_stop();
         self.task.await?
     }
 }
