--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -189,7 +189,12 @@
 impl Entry {
     /// Starts an entry.
     pub async fn start(entry: &sample::Entry<'_>) -> anyhow::Result<Entry> {
-        let loaded = settings::load::parse(entry.name, &sample::settings(entry))?;
+        Entry::start_with(entry.name, &sample::settings(entry)).await
+    }
+
+    /// Starts an entry with the text of its settings.
+    pub async fn start_with(name: &str, text: &str) -> anyhow::Result<Entry> {
+        let loaded = settings::load::parse(name, text)?;
         let sockets = Sockets::bind(&loaded.settings).await?;
         let bound = sockets.bound()?;
         let (stop, stops) = mpsc::unbounded_channel();
@@ -201,9 +206,19 @@
         })
     }
 
+    /// Requests a graceful stop.
+    pub fn request_stop(&self) {
+        let _ = self.stop.send(false);
+    }
+
+    /// Returns whether the entry has ended.
+    pub fn has_ended(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Stops the entry gracefully and waits until it has ended.
     pub async fn stop(self) -> anyhow::Result<()> {
-        let _ = self.stop.send(false);
+        self.request_stop();
         self.task.await?
     }
 }
