Soak: every request that arrives is answered, also around stops and starts

The soak judged an attempt whose connection ended only if a replica had run it, so requests that an entry lost before broke no promise. Change: the proxy in front of an entry records whether the entry took a connection, when it was last handed bytes, and when its side ended. A request that was handed over whole and gets no byte of an answer breaks a promise, unless it crosses the close of a kept connection within 200 ms and no replica ran it, the entry was killed, or its way to callers was harmed. Standing still excuses nothing. The report names the cause of each attempt that ended without an answer, was broken off, or was answered 502. A process that takes connections and ends by SIGHUP or SIGTERM has ended by itself, and the pauses of an ordered stop are counted out of its time exactly. New faults, drawn from a sequence of their own: a quarter of a core, a pause over the end of a stop with callers that send meanwhile on kept, early and new connections, signals in series from the first connection on, a reload amid a stop. `--size stops` plays mostly these.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -111,6 +111,22 @@
     }
 }
 
+/// Connection on which a call is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    /// One that carried a call before.
+    Kept,
+    /// One that was opened long before.
+    Early,
+    /// One that is opened for the call.
+    New,
+}
+
+impl Opening {
+    /// All kinds.
+    pub const ALL: [Opening; 3] = [Opening::Kept, Opening::Early, Opening::New];
+}
+
 /// A caller.
 pub struct Caller {
     environment: Rc<Environment>,
@@ -129,6 +145,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     entry: SocketAddr,
+    /// The caller's own address.
+    local: Option<SocketAddr>,
     reused: bool,
 }
 
@@ -246,7 +264,7 @@
     /// by the time limit of its first attempt and the time for returns.
     fn draw_return(&self, end: &End, progress: &Progress) -> Option<Duration> {
         let return_time = self.environment.return_time.get();
-        let interrupted = matches!(end, End::Left | End::Broken);
+        let interrupted = matches!(end, End::Left | End::Broken | End::Unanswered);
         if return_time == Span::ZERO || progress.last_event == 0 || !interrupted {
             return None;
         }
@@ -280,6 +298,40 @@
             .await;
     }
 
+    /// Sends one call to an entry at that time, which isn't retried.
+    pub async fn call_late(mut self, entry: SocketAddr, opening: Opening, at: Time) {
+        if opening != Opening::New {
+            self.connection = connect(entry).await;
+        }
+        if opening == Opening::Kept {
+            self.call().await;
+        }
+        tokio::time::sleep(at.since(self.environment.clock.now()).as_duration()).await;
+        if opening == Opening::New {
+            self.connection = connect(entry).await;
+        }
+        if self.connection.is_some() {
+            self.call().await;
+        }
+    }
+
+    async fn call(&mut self) {
+        let class = [Class::Idempotent, Class::NonIdempotent][self.number % 2];
+        self.request_count += 1;
+        let attempt = caller::Attempt {
+            id: format_smolstr!("{}.{}.0", self.name, self.request_count),
+            host: HOST.into(),
+            path: format!("/{}/{}", class.name(), self.request_count),
+            key: KEY.into(),
+            deadline: class.timeout().as_duration(),
+            continuation: None,
+            prompt: Vec::new(),
+        };
+        let mut progress = Progress::default();
+        self.attempt(class, &attempt, None, &mut progress, false)
+            .await;
+    }
+
     /// Returns whether the caller knows the end of a stream only by the end of its connection.
     fn speaks_http_10(&self) -> bool {
         self.environment.has_http_10.get() && self.number.is_multiple_of(HTTP_10_INTERVAL)
@@ -355,12 +407,18 @@
             Err(_) if leaves => (End::Left, Duration::ZERO, false),
             Err(_) => (End::Waited, Duration::ZERO, false),
         };
+        let passage = connection
+            .local
+            .and_then(|local| self.environment.passages.get(local));
         if stays_open {
             connection.reused = true;
             self.connection = Some(connection);
         }
         let now = self.environment.clock.now();
         let mut ledger = self.environment.ledger.borrow_mut();
+        if let Some(passage) = passage.filter(|_| end == End::Unanswered) {
+            ledger.passages.insert(attempt.id.clone(), passage);
+        }
         ledger.record_end(&attempt.id, now, end.clone());
         Some(Outcome { end, retry_delay })
     }
@@ -419,7 +477,7 @@
     match end {
         End::Answered(200) | End::Left | End::Waited | End::Wrong(_) => false,
         End::Answered(status) => class != Class::NonIdempotent || *status == 503,
-        End::Broken | End::NotSent => class != Class::NonIdempotent,
+        End::Broken | End::Unanswered | End::NotSent => class != Class::NonIdempotent,
     }
 }
 
@@ -427,6 +485,7 @@
     let connecting = TcpStream::connect(entry);
     let socket = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
     let socket = socket.ok()?.ok()?;
+    let local = socket.local_addr().ok();
     let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.ok()?;
     let task = stall::spawn(Part::Callers, async move {
         // The request on this connection sees how it ended.
@@ -436,6 +495,7 @@
         sender,
         task: task.abort_handle(),
         entry,
+        local,
         reused: false,
     })
 }
@@ -477,7 +537,7 @@
 ) -> (End, Duration, bool) {
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
-        Err(_) => return (End::Broken, Duration::ZERO, false),
+        Err(_) => return (End::Unanswered, Duration::ZERO, false),
     };
     record(response.headers());
     let retry_delay = parse_retry_after(&response);
--- a/crates/soak/src/configs/size.rs
+++ b/crates/soak/src/configs/size.rs
@@ -37,6 +37,8 @@
     pub release_count: usize,
     /// Number of further faults in which some entries are killed at once, or the table service refuses some entries.
     pub together_count: usize,
+    /// Number of further faults around starts and stops of entries: pauses, slices of a core, signals in series.
+    pub stop_count: usize,
     /// Time after its time limit by which a caller returns to a stream that it has left; zero if it doesn't return.
     pub return_time: Span,
 }
@@ -76,6 +78,7 @@
             undelimited_count: 0,
             release_count: 8,
             together_count: 12,
+            stop_count: 0,
             return_time: Span::from_seconds(50),
             ..Size::many()
         }
@@ -96,6 +99,21 @@
         }
     }
 
+    /// Returns a size with mostly stops, starts and pauses of entries.
+    pub fn stops() -> Size {
+        Size {
+            fault_count: 2,
+            notice_count: 0,
+            cut_count: 0,
+            crash_part_count: 0,
+            endless_count: 0,
+            undelimited_count: 0,
+            crowd_count: 0,
+            stop_count: 9,
+            ..Size::default()
+        }
+    }
+
     /// Returns the number of replicas.
     pub fn replicas(&self) -> usize {
         self.engines + 2 * self.apps
@@ -111,6 +129,7 @@
             fault_count: 40,
             notice_count: 12,
             cut_count: 0,
+            stop_count: 0,
             ..Size::default()
         }
     }
@@ -134,6 +153,7 @@
             crowd_count: 2,
             release_count: 0,
             together_count: 0,
+            stop_count: 3,
             return_time: Span::ZERO,
         }
     }
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -2,13 +2,17 @@
 
 use std::cell::Cell;
 use std::fs::File;
+use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::Context;
 use anyhow::Result;
+use clock::Span;
 use clock::Time;
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -16,6 +20,7 @@
 use serde_json::json;
 use tokio::process::Child;
 use tokio::process::Command;
+use tokio::sync::Notify;
 
 use crate::configs::size::Size;
 use crate::crowd;
@@ -23,6 +28,9 @@
 use crate::environment::Node;
 use crate::environment::Port;
 use crate::environment::ZONES;
+use crate::ledger::Harm;
+use crate::ledger::Stop;
+use crate::ledger::Target;
 use crate::promises;
 use crate::proxy::Proxy;
 use crate::stall;
@@ -35,6 +43,10 @@
 /// Memory and descriptors of an entry's machine. Crowds of callers take more than the entry gives them.
 const MEMORY_MB: u64 = 64;
 const DESCRIPTORS: u64 = 400;
+/// Time in which a killed entry is restarted and serves.
+pub const RESTART_TIME: Span = Span::from_millis(2_500);
+/// Time after its start by which a process handles signals.
+const START_TIME: Span = Span::from_seconds(1);
 /// Interval at which a process that was asked to stop is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -57,8 +69,14 @@
     pid: Cell<Option<Pid>>,
     /// Time of the signal that ends the process, if one was sent.
     signalled_at: Cell<Option<Time>>,
-    /// Whether the process is paused.
-    is_paused: Cell<bool>,
+    /// Wakes those that wait for the next process.
+    pub started: Notify,
+    spawned_at: Cell<Time>,
+    /// Whether the process is known to take connections.
+    is_listening: Cell<bool>,
+    /// Time since which the process is paused, and the time of its pauses before.
+    paused_since: Cell<Option<Time>>,
+    paused_for: Cell<Span>,
     is_shut_down: Cell<bool>,
 }
 
@@ -89,9 +107,10 @@
         environment.tables.serve(tables, Some(reader)).await?;
         let entry = Rc::new(Entry {
             index,
-            callers: Proxy::start(
+            callers: Proxy::start_watched(
                 own_address(Port::RequestsProxy),
                 own_address(Port::Requests),
+                Rc::clone(&environment.passages),
             )
             .await?,
             peers: Proxy::start(own_address(Port::PeersProxy), own_address(Port::Peers)).await?,
@@ -102,7 +121,11 @@
             binary,
             pid: Cell::new(None),
             signalled_at: Cell::new(None),
-            is_paused: Cell::new(false),
+            started: Notify::new(),
+            spawned_at: Cell::default(),
+            is_listening: Cell::new(false),
+            paused_since: Cell::new(None),
+            paused_for: Cell::default(),
             is_shut_down: Cell::new(false),
         });
         entry.write_settings(size.entries)?;
@@ -117,8 +140,13 @@
             self.signalled_at.set(Some(self.environment.clock.now()));
         }
         match signal {
-            Signal::STOP => self.is_paused.set(true),
-            Signal::CONT => self.is_paused.set(false),
+            Signal::STOP if self.paused_since.get().is_none() => {
+                self.paused_since.set(Some(self.environment.clock.now()));
+            }
+            Signal::CONT => {
+                self.paused_for.set(self.paused_time());
+                self.paused_since.set(None);
+            }
             _ => {}
         }
         let sent = self.pid.get().map(|pid| kill_process(pid, signal));
@@ -127,6 +155,24 @@
         }
     }
 
+    /// Returns for how long the process has been paused.
+    fn paused_time(&self) -> Span {
+        let now = self.environment.clock.now();
+        let current = self.paused_since.get().map(|since| now.since(since));
+        self.paused_for.get() + current.unwrap_or_default()
+    }
+
+    /// Returns the address on which the process takes requests.
+    pub fn requests_address(&self) -> SocketAddr {
+        let network = self.environment.network;
+        network.address(Node::Entry(self.index), Port::Requests)
+    }
+
+    /// Sets whether the process is known to take connections.
+    pub fn set_listening(&self, is_listening: bool) {
+        self.is_listening.set(is_listening);
+    }
+
     /// Excuses the process from notices of replicas that it received so far.
     pub fn forget_notices(&self) {
         let mut ledger = self.environment.ledger.borrow_mut();
@@ -159,21 +205,27 @@
         let stopped_at = self.environment.clock.now();
         self.signal(Signal::TERM);
         let bounds = self.environment.ledger.borrow().bounds;
-        let mut grace = bounds.grace_period + bounds.timeout_slack;
+        let grace = bounds.grace_period + bounds.timeout_slack;
+        let paused_before = self.paused_time();
+        self.environment.ledger.borrow_mut().stops.push(Stop {
+            entry: self.index,
+            asked_at: stopped_at,
+            ended_at: None,
+        });
         while self.pid.get() == Some(pid) {
-            let took = self.environment.clock.now().since(stopped_at);
-            if took > grace {
+            let now = self.environment.clock.now();
+            let took = now.since(stopped_at);
+            if took > grace + (self.paused_time() - paused_before) {
                 let mut ledger = self.environment.ledger.borrow_mut();
                 promises::report_slow_stop(&mut ledger, self.index, stopped_at, took);
+                let target = Target::Entry(self.index);
+                let kill = ledger.begin_disturbance(target, Harm::Killed, now);
+                ledger.end_disturbance(kill, now + RESTART_TIME);
                 drop(ledger);
                 self.signal(Signal::KILL);
                 return;
             }
-            let polled_at = self.environment.clock.now();
             tokio::time::sleep(POLL_INTERVAL).await;
-            if self.is_paused.get() {
-                grace = grace + self.environment.clock.now().since(polled_at);
-            }
         }
     }
 
@@ -181,14 +233,19 @@
         loop {
             let ended = child.wait().await;
             self.pid.set(None);
-            let signalled_at = self.signalled_at.take();
+            let now = self.environment.clock.now();
+            self.environment
+                .ledger
+                .borrow_mut()
+                .end_stops(self.index, now);
+            let was_signalled = self.signalled_at.take().is_some();
             if self.is_shut_down.get() {
                 return;
             }
-            if signalled_at.is_none() {
+            let ended_by = ended.as_ref().ok().and_then(ExitStatus::signal);
+            if !was_signalled || self.is_up() && is_unhandled(ended_by) {
                 let status =
                     ended.map_or_else(|error| error.to_string(), |status| status.to_string());
-                let now = self.environment.clock.now();
                 let mut ledger = self.environment.ledger.borrow_mut();
                 promises::report_unexpected_exit(&mut ledger, self.index, now, &status);
             }
@@ -222,13 +279,23 @@
             .await?
             .with_context(|| format!("can't start {}", self.binary.display()))?;
         self.signalled_at.set(None);
-        self.is_paused.set(false);
+        self.spawned_at.set(self.environment.clock.now());
+        self.is_listening.set(false);
+        self.paused_since.set(None);
+        self.paused_for.set(Span::ZERO);
         self.forget_notices();
         let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
         self.pid.set(pid);
+        self.started.notify_waiters();
         Ok(child)
     }
 
+    /// Returns whether the process must handle signals: it takes connections, or has long started.
+    fn is_up(&self) -> bool {
+        let age = self.environment.clock.now().since(self.spawned_at.get());
+        self.is_listening.get() || age > START_TIME
+    }
+
     fn write_settings(&self, entries: usize) -> Result<()> {
         let network = self.environment.network;
         let grace = self.environment.ledger.borrow().bounds.grace_period;
@@ -266,3 +333,8 @@
         Ok(())
     }
 }
+
+/// Returns whether a process ended by a signal that it must handle.
+fn is_unhandled(signal: Option<i32>) -> bool {
+    signal.is_some_and(|signal| signal != Signal::KILL.as_raw())
+}
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -20,6 +20,7 @@
 use smol_str::SmolStr;
 
 use crate::ledger::Ledger;
+use crate::passages::Passages;
 use crate::tables::Tables;
 
 /// Host name that callers resolve.
@@ -41,6 +42,8 @@
     pub tables: Rc<Tables>,
     /// Random numbers for everything that the plan doesn't fix.
     pub random: RefCell<Pcg64>,
+    /// What the proxies in front of entries see of callers' connections.
+    pub passages: Rc<Passages>,
     /// Addresses on which nodes listen.
     pub network: Network,
     /// Whether streams have prompts.
@@ -67,8 +70,10 @@
     /// Reserves a network and creates the state for the run of a seed.
     pub fn new(seed: u64, folder: PathBuf) -> Result<Environment> {
         let (network, lock) = Network::acquire(seed)?;
+        let clock = Clock::start();
         Ok(Environment {
-            clock: Clock::start(),
+            clock,
+            passages: Rc::new(Passages::new(clock)),
             ledger: RefCell::default(),
             tables: Rc::default(),
             random: RefCell::new(Pcg64::seed_from_u64(seed)),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,11 +18,13 @@
 use crate::caller::KEY;
 use crate::crowd::Crowd;
 use crate::entry::Entry;
+use crate::entry::RESTART_TIME;
 use crate::environment::Environment;
 use crate::environment::HOST;
 use crate::environment::Node;
 use crate::environment::Port;
 use crate::ledger::Cut;
+use crate::ledger::Harm;
 use crate::ledger::Target;
 use crate::plan::Fault;
 use crate::plan::Step;
@@ -38,8 +40,6 @@
 pub const APPS: [&str; 2] = ["app-a", "app-b"];
 /// Service of streams.
 pub const ENGINES: &str = "engines";
-/// Time in which a killed entry is restarted and serves.
-const RESTART_TIME: Span = Span::from_millis(2_500);
 /// Time after which the row of a crashed replica is removed.
 const ROW_REMOVAL_DELAY: Span = Span::from_millis(1_500);
 /// Time for which a replica goes on after it announced that it leaves.
@@ -92,7 +92,7 @@
                 }
             }
             Fault::Pause(entry) => {
-                let target = Target::Entry(entry);
+                let target = (Target::Entry(entry), Harm::Paused);
                 let process = &self.entries[entry];
                 let pause = || process.signal(Signal::STOP);
                 let resume = || {
@@ -102,39 +102,39 @@
                 self.hold_fault(target, step.duration, pause, resume).await;
             }
             Fault::Reload(entry) => self.entries[entry].signal(Signal::HUP),
+            Fault::PartOfCore(entry) => self.run_in_slices(entry, step.duration).await,
+            Fault::PauseAtEnd(entry, lead, pause) => self.pause_at_end(entry, lead, pause).await,
+            Fault::SignalsAtStart(entry, series) => self.signal_at_start(entry, series).await,
+            Fault::ReloadAmidStop(entry, after) => self.reload_amid_stop(entry, after).await,
             Fault::Callers(entry, mode) => {
                 let proxy = &self.entries[entry].callers;
-                self.disturb_link(Target::Entry(entry), step.duration, mode, |mode| {
-                    proxy.set_mode(mode)
-                })
-                .await;
+                let target = (Target::Entry(entry), Harm::CallersWay);
+                self.disturb_link(target, step.duration, mode, |mode| proxy.set_mode(mode))
+                    .await;
             }
             Fault::Peers(entry, mode) => {
                 let proxy = &self.entries[entry].peers;
-                self.disturb_link(Target::Entry(entry), step.duration, mode, |mode| {
-                    proxy.set_mode(mode)
-                })
-                .await;
+                let target = (Target::Entry(entry), Harm::OtherWay);
+                self.disturb_link(target, step.duration, mode, |mode| proxy.set_mode(mode))
+                    .await;
             }
             Fault::TablesWay(entry, mode) => {
                 let proxy = &self.entries[entry].tables;
-                self.disturb_link(Target::Entry(entry), step.duration, mode, |mode| {
-                    proxy.set_mode(mode)
-                })
-                .await;
+                let target = (Target::Entry(entry), Harm::OtherWay);
+                self.disturb_link(target, step.duration, mode, |mode| proxy.set_mode(mode))
+                    .await;
             }
             Fault::ReplicaWay(replica, mode) => {
                 let proxy = &self.replicas[replica].proxy;
-                self.disturb_link(Target::Replica(replica), step.duration, mode, |mode| {
-                    proxy.set_mode(mode)
-                })
-                .await;
+                let target = (Target::Replica(replica), Harm::OtherWay);
+                self.disturb_link(target, step.duration, mode, |mode| proxy.set_mode(mode))
+                    .await;
             }
             Fault::Tables(failure) => {
                 let tables = &self.environment.tables;
                 let begin = || tables.set_failure(failure);
                 let end = || tables.set_failure(Failure::None);
-                self.hold_fault(Target::Tables, step.duration, begin, end)
+                self.hold_fault((Target::Tables, Harm::Failing), step.duration, begin, end)
                     .await;
             }
             Fault::Forget => self.environment.tables.drop_history(),
@@ -171,7 +171,7 @@
             }
             Fault::Works(replica, behavior) => {
                 let replica = &self.replicas[replica];
-                let target = Target::Replica(replica.index);
+                let target = (Target::Replica(replica.index), Harm::Failing);
                 let begin = || replica.set_behavior(behavior);
                 let end = || replica.set_behavior(Behavior::Good);
                 self.hold_fault(target, step.duration, begin, end).await;
@@ -211,7 +211,7 @@
     async fn refuse_tables(&self, entries: &[usize], duration: Span) {
         let begin = |entry: &usize| {
             self.environment.tables.refuse(*entry, true);
-            self.begin_disturbance(Target::Entry(*entry))
+            self.begin_disturbance((Target::Entry(*entry), Harm::Failing))
         };
         let disturbances: Vec<usize> = entries.iter().map(begin).collect();
         wait(duration).await;
@@ -248,7 +248,7 @@
         let now = self.environment.clock.now();
         let disturbances: Vec<usize> = entries
             .iter()
-            .map(|entry| self.begin_disturbance(Target::Entry(*entry)))
+            .map(|entry| self.begin_disturbance((Target::Entry(*entry), Harm::Killed)))
             .collect();
         for entry in entries {
             self.entries[*entry].signal(Signal::KILL);
@@ -348,7 +348,7 @@
         match absence {
             None => self.crash(index, duration).await,
             Some(absence) => {
-                let disturbance = self.begin_disturbance(Target::Replica(index));
+                let disturbance = self.begin_disturbance((Target::Replica(index), Harm::Killed));
                 self.end_process(replica).await;
                 wait(absence).await;
                 self.restart(replica).await;
@@ -386,7 +386,7 @@
 
     async fn crash(&self, replica: usize, duration: Span) {
         let replica = &self.replicas[replica];
-        let disturbance = self.begin_disturbance(Target::Replica(replica.index));
+        let disturbance = self.begin_disturbance((Target::Replica(replica.index), Harm::Killed));
         self.end_process(replica).await;
         wait(ROW_REMOVAL_DELAY).await;
         replica.remove_row();
@@ -413,12 +413,25 @@
         self.crash(replica.index, duration).await;
     }
 
-    async fn disturb_link(&self, target: Target, duration: Span, mode: Mode, set: impl Fn(Mode)) {
+    async fn disturb_link(
+        &self,
+        target: (Target, Harm),
+        duration: Span,
+        mode: Mode,
+        set: impl Fn(Mode),
+    ) {
         self.hold_fault(target, duration, || set(mode), || set(Mode::Pass))
             .await;
     }
 
-    async fn hold_fault(&self, target: Target, duration: Span, begin: impl Fn(), end: impl Fn()) {
+    /// Holds a fault that harms a target so.
+    pub(crate) async fn hold_fault(
+        &self,
+        target: (Target, Harm),
+        duration: Span,
+        begin: impl Fn(),
+        end: impl Fn(),
+    ) {
         let disturbance = self.begin_disturbance(target);
         begin();
         wait(duration).await;
@@ -426,15 +439,17 @@
         self.end_disturbance(disturbance);
     }
 
-    fn begin_disturbance(&self, target: Target) -> usize {
+    /// Records that a fault begins, for [`Cluster::end_disturbance`].
+    pub(crate) fn begin_disturbance(&self, (target, harm): (Target, Harm)) -> usize {
         let now = self.environment.clock.now();
         self.environment
             .ledger
             .borrow_mut()
-            .begin_disturbance(target, now)
+            .begin_disturbance(target, harm, now)
     }
 
-    fn end_disturbance(&self, disturbance: usize) {
+    /// Records that a fault ends.
+    pub(crate) fn end_disturbance(&self, disturbance: usize) {
         let now = self.environment.clock.now();
         self.environment
             .ledger
@@ -449,7 +464,7 @@
     format!("POST /{class}/crowd HTTP/1.1\r\nHost: {HOST}\r\n")
 }
 
-async fn wait(span: Span) {
+pub(crate) async fn wait(span: Span) {
     tokio::time::sleep(span.as_duration()).await;
 }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -11,6 +11,7 @@
 use crate::configs::bounds::Bounds;
 use crate::notices;
 use crate::notices::Notices;
+use crate::passages::Passage;
 use crate::promises;
 use crate::stall::Stall;
 
@@ -25,10 +26,26 @@
     Tables,
 }
 
+/// What a fault does to its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Harm {
+    /// Its process is killed.
+    Killed,
+    /// Connections from callers to it misbehave.
+    CallersWay,
+    /// Other connections from or to it misbehave.
+    OtherWay,
+    /// Its process stands still, in one piece or in slices.
+    Paused,
+    /// It misbehaves towards those that call it, or is refused by the table service.
+    Failing,
+}
+
 /// A period during which a target was faulty.
 #[derive(Clone, Copy, Debug)]
 struct Disturbance {
     target: Target,
+    harm: Harm,
     start: Time,
     /// None while the fault lasts.
     end: Option<Time>,
@@ -73,7 +90,9 @@
     Wrong(SmolStr),
     /// No connection could be opened.
     NotSent,
-    /// The connection ended before the answer was complete.
+    /// The connection ended with no byte of an answer.
+    Unanswered,
+    /// The connection ended within the answer.
     Broken,
     /// The caller cancelled the attempt, as planned.
     Left,
@@ -96,6 +115,17 @@
     pub ended_at: Option<Time>,
 }
 
+/// An ordered stop of an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// Index of the entry.
+    pub entry: usize,
+    /// Time of SIGTERM.
+    pub asked_at: Time,
+    /// Time at which the process was found to have ended.
+    pub ended_at: Option<Time>,
+}
+
 /// A time in which an entry was cut off from all replicas.
 #[derive(Clone, Copy, Debug)]
 pub struct Cut {
@@ -133,6 +163,10 @@
     pub configured_services: Vec<(Time, SmolStr)>,
     /// Time at which a replica announced that it leaves, by its index.
     pub leaving_since: BTreeMap<usize, Time>,
+    /// Ordered stops of entries.
+    pub stops: Vec<Stop>,
+    /// What the proxy in front of an entry saw of the connections of unanswered attempts, by attempt.
+    pub passages: BTreeMap<SmolStr, Passage>,
     /// Times in which entries were cut off from all replicas.
     pub cuts: Vec<Cut>,
     /// Replicas that failed since they turned too many requests away, with the time.
@@ -207,9 +241,10 @@
     }
 
     /// Records the start of a fault and returns its index, for [`Ledger::end_disturbance`].
-    pub fn begin_disturbance(&mut self, target: Target, at: Time) -> usize {
+    pub fn begin_disturbance(&mut self, target: Target, harm: Harm, at: Time) -> usize {
         self.disturbances.push(Disturbance {
             target,
+            harm,
             start: at,
             end: None,
         });
@@ -230,6 +265,33 @@
         !faults.any(|fault| fault.target == target && fault.overlaps(from, to, settle_time))
     }
 
+    /// Records that the process of an entry has ended.
+    pub fn end_stops(&mut self, entry: usize, at: Time) {
+        let open = self.stops.iter_mut().filter(|stop| stop.entry == entry);
+        for stop in open.filter(|stop| stop.ended_at.is_none()) {
+            stop.ended_at = Some(at);
+        }
+    }
+
+    /// Returns what a fault did to the target from `settle_time` before `from` until `to`, if one was among `harms`;
+    /// earlier ones in that list first.
+    pub fn find_harm(
+        &self,
+        target: Target,
+        harms: &[Harm],
+        (from, to): (Time, Time),
+        settle_time: Span,
+    ) -> Option<Harm> {
+        let has = |harm: &&Harm| {
+            let mut faults = self.disturbances.iter();
+            faults.any(|fault| {
+                (fault.target, fault.harm) == (target, **harm)
+                    && fault.overlaps(from, to, settle_time)
+            })
+        };
+        harms.iter().find(has).copied()
+    }
+
     /// Returns whether a way to replicas was interrupted in that time: by a cut of an entry, or by a fault of an
     /// entry that may have held connections for another one.
     pub fn was_way_interrupted(&self, from: Time, to: Time) -> bool {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 //! isn't stepped, since that needs privileges that a test must not have.
 
 pub mod caller;
+pub mod causes;
 pub mod cloud;
 pub mod configs;
 pub mod content;
@@ -18,6 +19,7 @@
 pub mod faults;
 pub mod ledger;
 pub mod notices;
+pub mod passages;
 pub mod plan;
 pub mod promises;
 pub mod proxy;
@@ -26,4 +28,5 @@
 pub mod run;
 pub mod server;
 pub mod stall;
+pub mod stops;
 pub mod tables;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,8 +26,8 @@
     /// start no further seeds after this many minutes
     #[argh(option)]
     minutes: Option<u64>,
-    /// size of each run: small, many (24 entries), day (24 entries, up to five minutes), short-day or limit (200 entries)
-    /// (small)
+    /// size of each run: small, many (24 entries), day (24 entries, up to five minutes), short-day, stops (mostly stops
+    /// and starts of entries) or limit (200 entries) (small)
     #[argh(option, default = "String::from(\"small\")")]
     size: String,
     /// seeds played at once (4)
@@ -59,8 +59,11 @@
         "many" => Size::many(),
         "day" => Size::day(),
         "short-day" => Size::short_day(),
+        "stops" => Size::stops(),
         "limit" => Size::limit(),
-        other => bail!("unknown size {other}: expected small, many, day, short-day or limit"),
+        other => {
+            bail!("unknown size {other}: expected small, many, day, short-day, stops or limit")
+        }
     };
     let binary = match &arguments.program {
         Some(program) => program.clone(),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -45,6 +45,20 @@
 const RELEASE_DURATION_MS: Range<u64> = 3_000..50_000;
 /// Distinguishes the random sequence of faults of several entries.
 const TOGETHER_SEED: u64 = 0x746f_6765_7468;
+/// Distinguishes the random sequence of faults around starts and stops of entries.
+const STOP_SEED: u64 = 0x0073_746f_7073;
+/// Time before the end of a stop from which the entry stands still, and for how long, in milliseconds.
+const PAUSE_LEAD_MS: Range<u64> = 5..100;
+const END_PAUSE_MS: Range<u64> = 60..1_500;
+/// Time from an entry's first connection to the first signal, for half of the series, in milliseconds. The others begin
+/// at once.
+const SIGNAL_PAUSE_MS: Range<u64> = 0..40;
+/// Time between two signals of a series, in milliseconds.
+const SIGNAL_GAP_MS: Range<u64> = 0..10;
+/// SIGHUPs of a series.
+const RELOADS: Range<u32> = 1..4;
+/// Time from SIGTERM to a reload amid the stop, in milliseconds.
+const RELOAD_MS: Range<u64> = 0..4_000;
 /// Delay of bytes or answers, in milliseconds.
 const DELAY_MS: Range<u64> = 20..600;
 
@@ -118,6 +132,27 @@
     Works(usize, Behavior),
     /// The operator changes the configuration.
     Configure,
+    /// An entry's process runs in short slices only.
+    PartOfCore(usize),
+    /// An entry is asked to stop and stands still from so long before the end of the stop, for so long.
+    PauseAtEnd(usize, Span, Span),
+    /// An entry is asked to stop, and gets signals as soon as its next process takes connections.
+    SignalsAtStart(usize, Series),
+    /// An entry is asked to stop, and so much later to reload.
+    ReloadAmidStop(usize, Span),
+}
+
+/// Signals to a process that has just started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Series {
+    /// Time from the first connection that it takes until the first signal.
+    pub pause: Span,
+    /// Number of SIGHUPs.
+    pub reloads: u32,
+    /// Time between two signals.
+    pub gap: Span,
+    /// Whether SIGTERM follows, and one more SIGHUP.
+    pub stops: bool,
 }
 
 /// Draws the steps of a seed, in order of their start.
@@ -191,10 +226,33 @@
         CUT_DURATION_MS,
         draw_together,
     );
+    draw_further(seed ^ STOP_SEED, size.stop_count, DURATION_MS, draw_stop);
     steps.sort_by_key(|step| step.start);
     steps
 }
 
+fn draw_stop(random: &mut Pcg64, size: &Size) -> Fault {
+    let entry = random.random_range(0..size.entries);
+    let mut draw = |range| Span::from_millis(random.random_range(range));
+    match draw(0..5).as_millis() {
+        0 => Fault::PartOfCore(entry),
+        1 => Fault::ReloadAmidStop(entry, draw(RELOAD_MS)),
+        2 => Fault::PauseAtEnd(entry, draw(PAUSE_LEAD_MS), draw(END_PAUSE_MS)),
+        _ => Fault::SignalsAtStart(entry, draw_series(random)),
+    }
+}
+
+fn draw_series(random: &mut Pcg64) -> Series {
+    let pause = random.random_range(SIGNAL_PAUSE_MS);
+    let begins_at_once = random.random::<bool>();
+    Series {
+        pause: Span::from_millis(if begins_at_once { 0 } else { pause }),
+        reloads: random.random_range(RELOADS),
+        gap: Span::from_millis(random.random_range(SIGNAL_GAP_MS)),
+        stops: random.random(),
+    }
+}
+
 fn draw_together(random: &mut Pcg64, size: &Size) -> Fault {
     let first = random.random_range(0..size.entries);
     let count = random.random_range(2..=size.entries);
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -13,9 +13,12 @@
 use smol_str::SmolStr;
 
 use crate::caller::Class;
+use crate::causes;
+use crate::causes::Cause;
 use crate::ledger::Attempt;
 use crate::ledger::Cut;
 use crate::ledger::End;
+use crate::ledger::Harm;
 use crate::ledger::Ledger;
 use crate::ledger::Run;
 use crate::ledger::Target;
@@ -57,6 +60,7 @@
     }
     check_timeliness(ledger, attempt, at, &end);
     check_break_off(ledger, attempt, at, &end);
+    check_unanswered(ledger, attempt, at);
 }
 
 /// Checks the promises that can be judged only when a run is over; its faults ended at `faults_ended_at`.
@@ -193,7 +197,7 @@
 
 /// Checks that no running answer is broken off by an entry's ordered stop or without any fault.
 fn check_break_off(ledger: &mut Ledger, attempt: &Attempt, at: Time, end: &End) {
-    if *end != End::Broken
+    if !matches!(end, End::Broken | End::Unanswered)
         || !ledger.is_undisturbed(Target::Entry(attempt.entry), attempt.sent_at, at)
     {
         return;
@@ -207,6 +211,26 @@
     }
 }
 
+/// Checks that no request that was sent whole ends with no byte of an answer, whether or not it reached a replica.
+fn check_unanswered(ledger: &mut Ledger, attempt: &Attempt, at: Time) {
+    let unanswered = matches!(attempt.ended, Some((_, End::Unanswered)));
+    if !unanswered || causes::find(ledger, attempt) != Some(Cause::Unexplained) {
+        return;
+    }
+    let passage = ledger.passages.get(&attempt.id).copied();
+    let delivered_at = passage.and_then(|passage| passage.delivered_at);
+    let detail = format!(
+        "{} at entry {}: no answer {} ms after its last byte, {} connection",
+        attempt.id,
+        attempt.entry,
+        at.since(delivered_at.unwrap_or(attempt.sent_at))
+            .as_millis(),
+        if attempt.reused { "kept" } else { "new" }
+    );
+    let promise = "every request that arrives is answered";
+    ledger.record_slow(promise, attempt.sent_at, at, detail);
+}
+
 /// Checks that a replica that announced that it leaves gets no more requests.
 fn check_leaving(ledger: &mut Ledger, attempt: &Attempt, run: &Run) {
     let Some(left_at) = ledger.leaving_since.get(&run.replica).copied() else {
@@ -315,7 +339,16 @@
 
 /// Records a process that still runs after its grace period, unless it was disturbed.
 pub fn report_slow_stop(ledger: &mut Ledger, entry: usize, at: Time, took: Span) {
-    if ledger.is_undisturbed(Target::Entry(entry), at, at) {
+    // The pauses of a process are counted out of that time.
+    let harms = [
+        Harm::Killed,
+        Harm::CallersWay,
+        Harm::OtherWay,
+        Harm::Failing,
+    ];
+    let settle_time = ledger.bounds.settle_time;
+    let harm = ledger.find_harm(Target::Entry(entry), &harms, (at, at), settle_time);
+    if harm.is_none() {
         let detail = format!("entry {entry} after {} ms", took.as_millis());
         ledger.record_slow(
             "a process that is asked to stop does",
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -15,6 +15,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
+use crate::passages::Passages;
 use crate::stall;
 use crate::stall::Part;
 
@@ -56,6 +57,29 @@
     is_down: watch::Sender<bool>,
 }
 
+/// Records what becomes of a connection, if its proxy does so.
+struct Watch {
+    passages: Option<Rc<Passages>>,
+    client: Option<SocketAddr>,
+}
+
+impl Watch {
+    fn new(passages: Option<Rc<Passages>>, source: &TcpStream) -> Watch {
+        let watch = Watch {
+            passages,
+            client: source.peer_addr().ok(),
+        };
+        watch.record(Passages::record_opened);
+        watch
+    }
+
+    fn record(&self, event: impl Fn(&Passages, SocketAddr)) {
+        if let (Some(passages), Some(client)) = (&self.passages, self.client) {
+            event(passages, client);
+        }
+    }
+}
+
 /// Direction of bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
@@ -66,6 +90,23 @@
 impl Proxy {
     /// Listens on `listen` and forwards connections to `destination`.
     pub async fn start(listen: SocketAddr, destination: SocketAddr) -> Result<Proxy> {
+        Proxy::start_with(listen, destination, None).await
+    }
+
+    /// Does so and records what becomes of each connection.
+    pub async fn start_watched(
+        listen: SocketAddr,
+        destination: SocketAddr,
+        passages: Rc<Passages>,
+    ) -> Result<Proxy> {
+        Proxy::start_with(listen, destination, Some(passages)).await
+    }
+
+    async fn start_with(
+        listen: SocketAddr,
+        destination: SocketAddr,
+        passages: Option<Rc<Passages>>,
+    ) -> Result<Proxy> {
         let listener = TcpListener::bind(listen)
             .await
             .with_context(|| format!("can't listen on {listen}"))?;
@@ -85,7 +126,8 @@
                 }
                 tokio::select! {
                                     socket = accept(listener.as_ref()) => {
-                                        let forwarding = forward(socket, destination, mode_updates.clone());
+                                        let watch = Watch::new(passages.clone(), &socket);
+                                        let forwarding = forward(socket, destination, mode_updates.clone(), watch);
                 stall::spawn(Part::Proxies, forwarding);
                                     }
                                     changed = mode.changed() => if changed.is_err() { return },
@@ -124,7 +166,12 @@
 }
 
 /// Forwards one connection until both sides close it. An error on either side resets the other.
-async fn forward(source: TcpStream, destination: SocketAddr, mut mode: watch::Receiver<Mode>) {
+async fn forward(
+    source: TcpStream,
+    destination: SocketAddr,
+    mut mode: watch::Receiver<Mode>,
+    watch: Watch,
+) {
     if mode.borrow().resets() {
         return reset_on_drop(&source);
     }
@@ -136,6 +183,7 @@
     let (Ok(destination), Ok(source)) = (connected, Rc::try_unwrap(source)) else {
         return;
     };
+    watch.record(Passages::record_taken);
     // Nagle's algorithm would hold a packet until the one before is acknowledged.
     let _ = (source.set_nodelay(true), destination.set_nodelay(true));
     let (mut source, mut destination) = (source, destination);
@@ -149,13 +197,15 @@
                     client_reader,
                     server_writer,
                     to_server_mode,
-                    Direction::ToServer
+                    Direction::ToServer,
+                    &watch
                 ),
                 forward_bytes(
                     server_reader,
                     client_writer,
                     to_client_mode,
-                    Direction::ToClient
+                    Direction::ToClient,
+                    &watch
                 ),
             )
         };
@@ -176,11 +226,19 @@
     mut destination: WriteHalf<'_>,
     mut mode: watch::Receiver<Mode>,
     direction: Direction,
+    watch: &Watch,
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER_SIZE];
     loop {
-        let count = source.read(&mut buffer).await?;
+        let read = source.read(&mut buffer).await;
+        if direction == Direction::ToClient && !matches!(read, Ok(1..)) {
+            watch.record(Passages::record_ended);
+        }
+        let count = read?;
         wait_until_forwarding(&mut mode, direction).await;
+        if direction == Direction::ToServer && count > 0 {
+            watch.record(Passages::record_delivered);
+        }
         if count == 0 {
             return destination.shutdown().await;
         }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -7,6 +7,8 @@
 use hdrhistogram::Histogram;
 
 use crate::caller::Class;
+use crate::causes;
+use crate::causes::Cause;
 use crate::ledger::Breach;
 use crate::ledger::End;
 use crate::ledger::Ledger;
@@ -27,6 +29,8 @@
     usage_windows: usize,
     classes: BTreeMap<Class, Counts>,
     returns: Returns,
+    /// Ends without a complete answer by kind and cause.
+    causes: BTreeMap<(&'static str, Cause), usize>,
 }
 
 /// Attempts that went on with a stream.
@@ -51,10 +55,14 @@
     pub fn new(seed: u64, steps: Vec<Step>, ledger: &Ledger, usage_windows: usize) -> Report {
         let mut classes: BTreeMap<Class, Counts> = BTreeMap::new();
         let mut returns = Returns::default();
+        let mut causes = BTreeMap::new();
         for attempt in ledger.attempts.values() {
             let Some((at, end)) = &attempt.ended else {
                 continue;
             };
+            if let Some(cause) = causes::find(ledger, attempt) {
+                *causes.entry((kind_of(end), cause)).or_default() += 1;
+            }
             let counts = classes.entry(attempt.class).or_default();
             counts.record(attempt.sent_at, *at, end);
             if let Some(after) = attempt.returns_after {
@@ -72,6 +80,7 @@
             usage_windows,
             classes,
             returns,
+            causes,
         }
     }
 
@@ -81,6 +90,15 @@
     }
 }
 
+/// Returns the name of an end without a complete answer.
+const fn kind_of(end: &End) -> &'static str {
+    match end {
+        End::Unanswered => "unanswered",
+        End::Broken => "broken off",
+        _ => "answered 502",
+    }
+}
+
 impl Returns {
     fn record(&mut self, is_late: bool, end: &End) {
         self.all += 1;
@@ -95,6 +113,7 @@
             End::Answered(status) => format!("{status}"),
             End::Wrong(_) => String::from("wrong"),
             End::NotSent => String::from("not-sent"),
+            End::Unanswered => String::from("unanswered"),
             End::Broken => String::from("broken"),
             End::Left => String::from("left"),
             End::Waited => String::from("waited"),
@@ -149,6 +168,9 @@
             formatter,
             "  {all} attempts went on with streams, {late} after their time limits, {late_served} of these served"
         )?;
+        for ((kind, cause), count) in &self.causes {
+            writeln!(formatter, "  {kind}: {cause}: {count}")?;
+        }
         for stall in &self.stalls {
             writeln!(formatter, "  {stall}")?;
         }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -23,6 +23,7 @@
         endless_count: 0,
         undelimited_count: 0,
         crowd_count: 0,
+        stop_count: 0,
         ..Size::small()
     }
 }
@@ -146,3 +147,15 @@
     };
     play([71, 72], size);
 }
+
+/// Guards against requests that end without an answer while entries stop, stand still or have a part of a core, and
+/// against processes that end by signals they get as they start.
+#[test]
+fn every_request_is_answered_around_stops_and_starts() {
+    let size = Size {
+        fault_count: 0,
+        stop_count: 6,
+        ..short_size()
+    };
+    play([101, 102], size);
+}
--- /dev/null
+++ b/crates/soak/tests/unanswered.rs
@@ -0,0 +1,134 @@
+//! Verdicts on connections that end without an answer.
+
+use clock::Span;
+use clock::Time;
+use smol_str::SmolStr;
+use soak::caller::Class;
+use soak::causes;
+use soak::causes::Cause;
+use soak::ledger::Attempt;
+use soak::ledger::End;
+use soak::ledger::Harm;
+use soak::ledger::Ledger;
+use soak::ledger::Run;
+use soak::ledger::Target;
+use soak::passages::Passage;
+
+const SENT_AT: Time = Time::from_millis(10_000);
+const ID: SmolStr = SmolStr::new_static("c1.1.0");
+
+/// An attempt that ends without an answer, on a connection that the entry took.
+#[derive(Clone, Copy)]
+struct Play {
+    reused: bool,
+    /// Time from the last byte to the end of the connection, if the request reached the entry.
+    silence: Option<Span>,
+    is_taken: bool,
+    runs: bool,
+    harm: Option<Harm>,
+}
+
+const KEPT: Play = Play {
+    reused: true,
+    silence: Some(Span::from_millis(199)),
+    is_taken: true,
+    runs: false,
+    harm: None,
+};
+
+impl Play {
+    /// Returns the cause of the end, and the number of broken promises.
+    fn judge(self) -> (Option<Cause>, usize) {
+        let mut ledger = Ledger::default();
+        if let Some(harm) = self.harm {
+            let fault = ledger.begin_disturbance(Target::Entry(0), harm, SENT_AT);
+            ledger.end_disturbance(fault, SENT_AT + Span::from_millis(1));
+        }
+        ledger.record_attempt(Attempt {
+            id: ID,
+            class: Class::Idempotent,
+            entry: 0,
+            crashes: false,
+            reused: self.reused,
+            sent_at: SENT_AT,
+            returns_after: None,
+            version: SmolStr::default(),
+            ended: None,
+        });
+        if self.runs {
+            ledger.record_run(Run {
+                attempt: ID,
+                replica: 0,
+                service: SmolStr::new_static("app-a"),
+                began_at: SENT_AT,
+                ended_at: None,
+            });
+        }
+        let ended_at = SENT_AT + self.silence.unwrap_or_default();
+        let passage = Passage {
+            is_taken: self.is_taken,
+            delivered_at: self.silence.map(|_| SENT_AT),
+            ended_at: Some(ended_at),
+        };
+        ledger.passages.insert(ID, passage);
+        ledger.record_end(&ID, ended_at, End::Unanswered);
+        let cause = causes::find(&ledger, &ledger.attempts[&ID]);
+        (cause, ledger.breaches.len())
+    }
+}
+
+/// Guards against blaming entries for requests that cross the close of a kept connection.
+#[test]
+fn a_request_may_cross_the_close_of_a_kept_connection() {
+    assert_eq!(KEPT.judge(), (Some(Cause::CrossedClose), 0));
+}
+
+/// Guards against overlooking requests that an entry lost although no replica ran them.
+#[test]
+fn a_request_that_arrived_and_never_ran_is_judged() {
+    let late = Play {
+        silence: Some(Span::from_millis(200)),
+        ..KEPT
+    };
+    let new = Play {
+        reused: false,
+        ..KEPT
+    };
+    let ran = Play { runs: true, ..KEPT };
+    for play in [late, new] {
+        assert_eq!(play.judge(), (Some(Cause::Unexplained), 1));
+    }
+    // A request that ran breaks the promise on running answers as well.
+    assert_eq!(ran.judge(), (Some(Cause::Unexplained), 2));
+}
+
+/// Guards against excusing an entry that only stood still, or whose table service failed.
+#[test]
+fn only_kills_and_harmed_ways_of_callers_excuse_a_lost_request() {
+    let play = |harm| Play {
+        reused: false,
+        harm: Some(harm),
+        ..KEPT
+    };
+    for harm in [Harm::Paused, Harm::Failing, Harm::OtherWay] {
+        assert_eq!(play(harm).judge(), (Some(Cause::Unexplained), 1));
+    }
+    for harm in [Harm::Killed, Harm::CallersWay] {
+        assert_eq!(play(harm).judge(), (Some(Cause::Entry(harm)), 0));
+    }
+}
+
+/// Guards against judging requests that never reached the entry.
+#[test]
+fn a_request_that_did_not_arrive_is_not_judged() {
+    let unsent = Play {
+        silence: None,
+        ..KEPT
+    };
+    let refused = Play {
+        is_taken: false,
+        ..unsent
+    };
+    assert_eq!(unsent.judge(), (Some(Cause::Unsent), 0));
+    assert_eq!(refused.judge(), (Some(Cause::Refused), 0));
+}
