Intake: a request that was just read keeps its connection

Callers on new connections beside a crowd saw their connections end with no byte of an answer, 1 to 400 ms after the request's last byte, although the entry had read the request and sent it to a replica, or had a refusal ready. Cause: a connection that gives way to another one is kept if its request is read when its socket is looked at once more. Whether a request ran before was asked only after the ordinary turn of the connection, and that turn reads the request itself if the event loop knows of it. The request then counted as running before, and the connection was closed. Change: whether a request runs is asked before that turn. Nothing else gives way to a request that ran before. Evidence: a_connection_does_not_give_way_with_a_request_that_was_just_read failed before (the connection was closed). The entries' logs have attempt_started and caller_gone of such a request within 3 ms.

--- a/crates/intake/src/guard.rs
+++ b/crates/intake/src/guard.rs
@@ -71,6 +71,7 @@
         mut task: Pin<&mut F>,
         context: &mut Context<'_>,
     ) -> Poll<Result<F::Output, Action>> {
+        let was_running = self.connection.is_running();
         if let Poll::Ready(output) = task.as_mut().poll(context) {
             return Poll::Ready(Ok(output));
         }
@@ -78,7 +79,6 @@
             return Poll::Pending;
         }
         // What has arrived meanwhile counts, also after a pause of the process.
-        let was_running = self.connection.is_running();
         if let Poll::Ready(output) = self.probe(task, context) {
             return Poll::Ready(Ok(output));
         }
--- a/crates/intake/tests/connections.rs
+++ b/crates/intake/tests/connections.rs
@@ -170,6 +170,25 @@
     assert!(!is_closed(&connection));
 }
 
+/// Guards against closing a connection whose request is read in the turn in which it is to give way.
+#[test]
+fn a_connection_does_not_give_way_with_a_request_that_was_just_read() {
+    let port = port();
+    let connection = open(&port, 0);
+    connection.close(Action::ConnectionEvicted);
+    let mut request = pin!(poll_fn(|_| {
+        if !connection.is_running() {
+            connection.begin_running();
+        }
+        Poll::<()>::Pending
+    }));
+    let mut guard = Guard::new(Clock::start(), &connection, TIMES);
+    let mut watching = pin!(guard.watch(request.as_mut()));
+    let mut context = Context::from_waker(Waker::noop());
+    assert!(watching.as_mut().poll(&mut context).is_pending());
+    assert!(!is_closed(&connection));
+}
+
 /// Guards against keeping connections that are to be closed for another reason.
 #[test]
 fn a_connection_whose_request_runs_is_closed_for_its_unread_answer() {
