Soak: the report names attempts by cause, and logs of kept seeds can be kept

A cause without an attempt's name can't be traced, and the logs of seeds that kept their promises were always removed.

--- a/crates/soak/src/causes.rs
+++ b/crates/soak/src/causes.rs
@@ -33,6 +33,8 @@
     Entry(Harm),
     /// A replica that ran the request was harmed so.
     Replica(Harm),
+    /// No replica ran the request, and some replica was harmed so meanwhile.
+    SomeReplica(Harm),
     /// The time limit of the request was over.
     TimeLimit,
     /// The grace period of the entry's stop was over.
@@ -49,6 +51,9 @@
             Cause::CrossedClose => write!(formatter, "crossed a close"),
             Cause::Entry(harm) => write!(formatter, "entry {}", name(*harm)),
             Cause::Replica(harm) => write!(formatter, "replica {}", name(*harm)),
+            Cause::SomeReplica(harm) => {
+                write!(formatter, "never ran, some replica {}", name(*harm))
+            }
             Cause::TimeLimit => write!(formatter, "time limit"),
             Cause::StopEnd => write!(formatter, "end of a stop"),
             Cause::Unexplained => write!(formatter, "unexplained"),
@@ -119,7 +124,13 @@
     if let Some(harm) = runs.find_map(|run| harm_of(Target::Replica(run.replica), &all)) {
         return Cause::Replica(harm);
     }
-    harm_of(entry, &HARMFUL).map_or(Cause::Unexplained, Cause::Entry)
+    if let Some(harm) = harm_of(entry, &HARMFUL) {
+        return Cause::Entry(harm);
+    }
+    let ran = ledger.runs_of(&attempt.id).next().is_some();
+    let some = |harm: &&Harm| !ran && ledger.is_any_replica_harmed(**harm, time);
+    let some = all.iter().find(some).copied();
+    some.map_or(Cause::Unexplained, Cause::SomeReplica)
 }
 
 fn is_at_end_of_stop(ledger: &Ledger, entry: usize, at: Time) -> bool {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -292,6 +292,13 @@
         harms.iter().find(has).copied()
     }
 
+    /// Returns whether a fault did this to any replica in that time.
+    pub fn is_any_replica_harmed(&self, harm: Harm, (from, to): (Time, Time)) -> bool {
+        let is_replica = |fault: &Disturbance| matches!(fault.target, Target::Replica(_));
+        let mut faults = self.disturbances.iter().filter(|fault| is_replica(fault));
+        faults.any(|fault| fault.harm == harm && fault.overlaps(from, to, Span::ZERO))
+    }
+
     /// Returns whether a way to replicas was interrupted in that time: by a cut of an entry, or by a fault of an
     /// entry that may have held connections for another one.
     pub fn was_way_interrupted(&self, from: Time, to: Time) -> bool {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// path of the entry binary; by default `dogwoodspur-platform` beside this one
     #[argh(option)]
     program: Option<PathBuf>,
+    /// keep the logs of all seeds
+    #[argh(switch)]
+    keep_logs: bool,
     /// folder that keeps the logs of seeds that didn't keep all promises
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     logs: PathBuf,
@@ -91,7 +94,9 @@
                         Ok(report) => {
                             print!("{report}");
                             if report.is_kept() {
-                                let _ = std::fs::remove_dir_all(&folder);
+                                if !arguments.keep_logs {
+                                    let _ = std::fs::remove_dir_all(&folder);
+                                }
                                 continue;
                             }
                             match report.breaches.is_empty() {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -5,6 +5,7 @@
 
 use clock::Time;
 use hdrhistogram::Histogram;
+use smol_str::SmolStr;
 
 use crate::caller::Class;
 use crate::causes;
@@ -15,6 +16,9 @@
 use crate::plan::Step;
 use crate::stall::Stall;
 
+/// Attempts of one cause that a report names.
+const NAMED_ATTEMPTS: usize = 4;
+
 /// Result of a seed.
 pub struct Report {
     /// The seed.
@@ -29,8 +33,8 @@
     usage_windows: usize,
     classes: BTreeMap<Class, Counts>,
     returns: Returns,
-    /// Ends without a complete answer by kind and cause.
-    causes: BTreeMap<(&'static str, Cause), usize>,
+    /// Attempts that ended without a complete answer, by kind and cause.
+    causes: BTreeMap<(&'static str, Cause), Vec<SmolStr>>,
 }
 
 /// Attempts that went on with a stream.
@@ -61,7 +65,8 @@
                 continue;
             };
             if let Some(cause) = causes::find(ledger, attempt) {
-                *causes.entry((kind_of(end), cause)).or_default() += 1;
+                let attempts: &mut Vec<SmolStr> = causes.entry((kind_of(end), cause)).or_default();
+                attempts.push(attempt.id.clone());
             }
             let counts = classes.entry(attempt.class).or_default();
             counts.record(attempt.sent_at, *at, end);
@@ -168,8 +173,9 @@
             formatter,
             "  {all} attempts went on with streams, {late} after their time limits, {late_served} of these served"
         )?;
-        for ((kind, cause), count) in &self.causes {
-            writeln!(formatter, "  {kind}: {cause}: {count}")?;
+        for ((kind, cause), attempts) in &self.causes {
+            let named = attempts[..attempts.len().min(NAMED_ATTEMPTS)].join(" ");
+            writeln!(formatter, "  {kind}: {cause}: {} ({named})", attempts.len())?;
         }
         for stall in &self.stalls {
             writeln!(formatter, "  {stall}")?;
--- a/crates/soak/tests/unanswered.rs
+++ b/crates/soak/tests/unanswered.rs
@@ -1,4 +1,4 @@
-//! Verdicts on connections that end without an answer.
+//! Verdicts on connections that end without an answer, and causes of incomplete ones.
 
 use clock::Span;
 use clock::Time;
@@ -11,6 +11,7 @@
 use soak::ledger::Harm;
 use soak::ledger::Ledger;
 use soak::ledger::Run;
+use soak::ledger::Stop;
 use soak::ledger::Target;
 use soak::passages::Passage;
 
@@ -36,6 +37,39 @@
     harm: None,
 };
 
+fn record_attempt(ledger: &mut Ledger, reused: bool) {
+    ledger.record_attempt(Attempt {
+        id: ID,
+        class: Class::Idempotent,
+        entry: 0,
+        crashes: false,
+        reused,
+        sent_at: SENT_AT,
+        returns_after: None,
+        version: SmolStr::default(),
+        ended: None,
+    });
+}
+
+fn record_run(ledger: &mut Ledger) {
+    ledger.record_run(Run {
+        attempt: ID,
+        replica: 0,
+        service: SmolStr::new_static("app-a"),
+        began_at: SENT_AT,
+        ended_at: None,
+    });
+}
+
+/// Returns the cause of an answer that was broken off so long after its request, where `record` recorded more.
+fn cause_of_break(after: Span, record: impl FnOnce(&mut Ledger)) -> Option<Cause> {
+    let mut ledger = Ledger::default();
+    record_attempt(&mut ledger, false);
+    record(&mut ledger);
+    ledger.record_end(&ID, SENT_AT + after, End::Broken);
+    causes::find(&ledger, &ledger.attempts[&ID])
+}
+
 impl Play {
     /// Returns the cause of the end, and the number of broken promises.
     fn judge(self) -> (Option<Cause>, usize) {
@@ -44,25 +78,9 @@
             let fault = ledger.begin_disturbance(Target::Entry(0), harm, SENT_AT);
             ledger.end_disturbance(fault, SENT_AT + Span::from_millis(1));
         }
-        ledger.record_attempt(Attempt {
-            id: ID,
-            class: Class::Idempotent,
-            entry: 0,
-            crashes: false,
-            reused: self.reused,
-            sent_at: SENT_AT,
-            returns_after: None,
-            version: SmolStr::default(),
-            ended: None,
-        });
+        record_attempt(&mut ledger, self.reused);
         if self.runs {
-            ledger.record_run(Run {
-                attempt: ID,
-                replica: 0,
-                service: SmolStr::new_static("app-a"),
-                began_at: SENT_AT,
-                ended_at: None,
-            });
+            record_run(&mut ledger);
         }
         let ended_at = SENT_AT + self.silence.unwrap_or_default();
         let passage = Passage {
@@ -132,3 +150,39 @@
     assert_eq!(unsent.judge(), (Some(Cause::Unsent), 0));
     assert_eq!(refused.judge(), (Some(Cause::Refused), 0));
 }
+
+/// Guards against a report that lays what an entry did to its replicas, its time limits or its stops.
+#[test]
+fn a_broken_answer_has_a_cause_only_if_something_happened_just_then() {
+    let soon = Span::from_millis(500);
+    let harm = |ledger: &mut Ledger, target, harm, at| {
+        let fault = ledger.begin_disturbance(target, harm, at);
+        ledger.end_disturbance(fault, at + Span::from_millis(1));
+    };
+    let replica = Target::Replica(0);
+    assert_eq!(cause_of_break(soon, record_run), Some(Cause::Unexplained));
+    let before = |ledger: &mut Ledger| {
+        record_run(ledger);
+        harm(ledger, replica, Harm::Killed, Time::from_millis(9_000));
+    };
+    assert_eq!(cause_of_break(soon, before), Some(Cause::Unexplained));
+    let meanwhile = |ledger: &mut Ledger| {
+        record_run(ledger);
+        harm(ledger, replica, Harm::Killed, SENT_AT);
+    };
+    let killed = Cause::Replica(Harm::Killed);
+    assert_eq!(cause_of_break(soon, meanwhile), Some(killed));
+    let elsewhere = |ledger: &mut Ledger| harm(ledger, replica, Harm::OtherWay, SENT_AT);
+    let some = Cause::SomeReplica(Harm::OtherWay);
+    assert_eq!(cause_of_break(soon, elsewhere), Some(some));
+    let stopped = |ledger: &mut Ledger| {
+        ledger.stops.push(Stop {
+            entry: 0,
+            asked_at: Time::from_millis(6_800),
+            ended_at: None,
+        });
+    };
+    assert_eq!(cause_of_break(soon, stopped), Some(Cause::StopEnd));
+    let limit = Class::Idempotent.timeout();
+    assert_eq!(cause_of_break(limit, record_run), Some(Cause::TimeLimit));
+}
