--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -5,47 +5,35 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use clock::Span;
 use clock::Time;
 use http::HeaderMap;
-use http::Request;
-use http::Response;
 use http::Version;
-use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use mirror::caller;
 use mirror::caller::Addresses;
-use mirror::caller::Continuation;
 use rand::RngExt;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
-use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 
-use crate::content;
 use crate::content::Stream;
 use crate::environment::Environment;
 use crate::environment::HOST;
 use crate::environment::Node;
 use crate::environment::Port;
 use crate::environment::ZONES;
+use crate::exchange;
+use crate::exchange::Connection;
+use crate::exchange::Progress;
+use crate::exchange::exchange;
 use crate::ledger::Attempt;
 use crate::ledger::End;
 use crate::replica::SIGNATURE_PREFIX;
-use crate::stall;
-use crate::stall::Part;
 
 /// API key of all callers.
 pub const KEY: &str = "soak-key";
-/// Timeout of connection attempts and address queries.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of address queries.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a caller waits beyond its deadline, to tell a late answer from none.
 const LATE_ANSWER_WAIT: Duration = Duration::from_secs(2);
 /// Longest pause between two requests, in milliseconds.
@@ -140,49 +128,6 @@
     request_count: u64,
 }
 
-/// A connection to an entry.
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-    entry: SocketAddr,
-    /// The caller's own address.
-    local: Option<SocketAddr>,
-    reused: bool,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-/// The part of a stream that a caller has received.
-#[derive(Clone, Debug, Default)]
-struct Progress {
-    /// Time of the first attempt.
-    first_sent_at: Time,
-    /// Id of the last event.
-    last_event: u64,
-    /// The software version that generated the first event.
-    version: SmolStr,
-    /// Id of the attempt that brought the first event.
-    began_as: SmolStr,
-}
-
-impl Progress {
-    /// Returns the time since the first attempt, if events were received.
-    fn returns_after(&self, now: Time) -> Option<Span> {
-        (self.last_event > 0).then(|| now.since(self.first_sent_at))
-    }
-
-    fn continuation(&self) -> Option<Continuation> {
-        (self.last_event > 0).then(|| Continuation {
-            last_event: self.last_event,
-            began_as: self.began_as.clone(),
-        })
-    }
-}
-
 /// Result of an attempt.
 struct Outcome {
     end: End,
@@ -301,14 +246,14 @@
     /// Sends one call to an entry at that time, which isn't retried.
     pub async fn call_late(mut self, entry: SocketAddr, opening: Opening, at: Time) {
         if opening != Opening::New {
-            self.connection = connect(entry).await;
+            self.connection = exchange::connect(entry).await;
         }
         if opening == Opening::Kept {
             self.call().await;
         }
         tokio::time::sleep(at.since(self.environment.clock.now()).as_duration()).await;
         if opening == Opening::New {
-            self.connection = connect(entry).await;
+            self.connection = exchange::connect(entry).await;
         }
         if self.connection.is_some() {
             self.call().await;
@@ -360,7 +305,7 @@
             Some(connection) => connection,
             None => {
                 let entry = self.choose_entry().await?;
-                match connect(entry).await {
+                match exchange::connect(entry).await {
                     Some(connection) => connection,
                     // An address that refused a connection isn't used again until addresses are refreshed.
                     None => {
@@ -380,7 +325,7 @@
             .record_attempt(Attempt {
                 id: attempt.id.clone(),
                 class,
-                entry: entry_index(connection.entry),
+                entry: exchange::entry_index(connection.entry),
                 crashes: self.environment.crashes(&attempt.prompt),
                 reused: connection.reused,
                 sent_at: self.environment.clock.now(),
@@ -394,7 +339,7 @@
         };
         let ledger = &self.environment.ledger;
         let clock = self.environment.clock;
-        let entry = entry_index(connection.entry);
+        let entry = exchange::entry_index(connection.entry);
         let record = |headers: &HeaderMap| {
             if let Some(replica) = leaving_replica(headers) {
                 let mut ledger = ledger.borrow_mut();
@@ -438,8 +383,10 @@
             |(at, addresses): &(Time, Addresses)| now.since(*at).as_duration() < addresses.ttl;
         if !self.cached_addresses.as_ref().is_some_and(is_fresh) {
             let directory = self.directories[self.draw(0..self.directories.len() as u64) as usize];
-            let query =
-                tokio::time::timeout(CONNECT_TIMEOUT, query_addresses(directory, self.zone));
+            let query = tokio::time::timeout(
+                QUERY_TIMEOUT,
+                exchange::query_addresses(directory, self.zone),
+            );
             if let Ok(Some(addresses)) = query.await {
                 self.cached_addresses = Some((self.environment.clock.now(), addresses));
             }
@@ -481,133 +428,9 @@
     }
 }
 
-async fn connect(entry: SocketAddr) -> Option<Connection> {
-    let connecting = TcpStream::connect(entry);
-    let socket = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let socket = socket.ok()?.ok()?;
-    let local = socket.local_addr().ok();
-    let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.ok()?;
-    let task = stall::spawn(Part::Callers, async move {
-        // The request on this connection sees how it ended.
-        let _ = connection.await;
-    });
-    Some(Connection {
-        sender,
-        task: task.abort_handle(),
-        entry,
-        local,
-        reused: false,
-    })
-}
-
-/// Queries an entry for the addresses of entries.
-pub async fn query_addresses(directory: SocketAddr, zone: &str) -> Option<Addresses> {
-    let mut connection = connect(directory).await?;
-    let request = caller::address_query(HOST, zone);
-    let response = connection.sender.send_request(request).await.ok()?;
-    let (head, body) = response.into_parts();
-    let body = body.collect().await.ok()?.to_bytes();
-    caller::addresses(head.status, &body)
-}
-
-/// Returns the index of the entry with that address.
-fn entry_index(address: SocketAddr) -> usize {
-    match address {
-        SocketAddr::V4(address) => usize::from(address.ip().octets()[3]) - 1,
-        SocketAddr::V6(_) => 0,
-    }
-}
-
 /// Returns the replica that announces its leave in an answer, if one does.
 fn leaving_replica(headers: &HeaderMap) -> Option<usize> {
     let origin = caller::origin(headers).filter(|origin| origin.leaving)?;
     let index = origin.signature.strip_prefix(SIGNATURE_PREFIX)?;
     index.parse().ok()
 }
-
-/// Sends a request, passes the answer's headers to `record` and reads its body. Returns how it ended, the
-/// pause before a retry, and whether the connection stays open.
-async fn exchange(
-    connection: &mut Connection,
-    request: Request<Full<Bytes>>,
-    attempt: &caller::Attempt,
-    stream: Option<&Stream>,
-    progress: &mut Progress,
-    record: impl Fn(&HeaderMap),
-) -> (End, Duration, bool) {
-    let response = match connection.sender.send_request(request).await {
-        Ok(response) => response,
-        Err(_) => return (End::Unanswered, Duration::ZERO, false),
-    };
-    record(response.headers());
-    let retry_delay = parse_retry_after(&response);
-    let stays_open = !response
-        .headers()
-        .get(header::CONNECTION)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-    let status = response.status().as_u16();
-    let end = match stream.filter(|_| status == 200) {
-        Some(stream) => read_stream(response.into_body(), attempt, stream, progress).await,
-        None => read_whole(response, attempt).await,
-    };
-    let stays_open = stays_open && matches!(end, End::Answered(_));
-    (end, retry_delay, stays_open)
-}
-
-fn parse_retry_after(response: &Response<Incoming>) -> Duration {
-    let stated = response.headers().get(header::RETRY_AFTER);
-    let seconds = stated.and_then(|value| value.to_str().ok()?.parse().ok());
-    Duration::from_secs_f64(seconds.unwrap_or(0.0_f64).clamp(0.0, 2.0))
-}
-
-async fn read_whole(response: Response<Incoming>, attempt: &caller::Attempt) -> End {
-    let (head, body) = response.into_parts();
-    let Ok(body) = body.collect().await else {
-        return End::Broken;
-    };
-    let body = body.to_bytes();
-    let is_ours = body == content::call_body(&attempt.id);
-    match head.status.as_u16() {
-        200 if !is_ours => End::Wrong(format_smolstr!("another body: {body:?}")),
-        status => End::Answered(status),
-    }
-}
-
-/// Reads a stream to its end and checks that its events arrive in order and are of one software version, over all
-/// attempts of its caller.
-async fn read_stream(
-    mut body: Incoming,
-    attempt: &caller::Attempt,
-    stream: &Stream,
-    progress: &mut Progress,
-) -> End {
-    let mut text = String::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return End::Broken;
-        };
-        if let Some(bytes) = frame.data_ref() {
-            text.push_str(&String::from_utf8_lossy(bytes));
-        }
-        while let Some(length) = text.find("\n\n") {
-            let event: String = text.drain(..length + 2).collect();
-            if progress.last_event == 0 {
-                progress.version = content::version_of(&event).unwrap_or_default().into();
-                progress.began_as = attempt.id.clone();
-            }
-            if event != stream.event(progress.last_event + 1, &progress.version) {
-                let (last, version) = (progress.last_event, &progress.version);
-                return End::Wrong(format_smolstr!("{event:?} after event {last} of {version}"));
-            }
-            progress.last_event += 1;
-        }
-    }
-    match progress.last_event == stream.events && text.is_empty() {
-        true => End::Answered(200),
-        false => End::Wrong(format_smolstr!(
-            "ended after event {} of {}",
-            progress.last_event,
-            stream.events
-        )),
-    }
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod crowd;
 pub mod entry;
 pub mod environment;
+pub mod exchange;
 pub mod faults;
 pub mod ledger;
 pub mod notices;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,7 +15,6 @@
 use tokio::task::JoinSet;
 use tokio::task::LocalSet;
 
-use crate::caller;
 use crate::caller::Caller;
 use crate::cloud::Cloud;
 use crate::configs::size::Size;
@@ -23,6 +22,7 @@
 use crate::environment::Environment;
 use crate::environment::Node;
 use crate::environment::Port;
+use crate::exchange;
 use crate::faults::APPS;
 use crate::faults::Cluster;
 use crate::faults::ENGINES;
@@ -143,7 +143,7 @@
         let directory = environment
             .network
             .address(Node::Entry(entry), Port::Directory);
-        while caller::query_addresses(directory, "").await.is_none() {
+        while exchange::query_addresses(directory, "").await.is_none() {
             if environment.clock.now().since(started_at).as_duration() > START_TIMEOUT {
                 bail!("entry {entry} answered no address query within {START_TIMEOUT:?}");
             }
