--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,15 +9,18 @@
 //! isn't stepped, since that needs privileges that a test must not have.
 
 pub mod caller;
+pub mod causes;
 pub mod cloud;
 pub mod configs;
 pub mod content;
 pub mod crowd;
 pub mod entry;
 pub mod environment;
+pub mod exchange;
 pub mod faults;
 pub mod ledger;
 pub mod notices;
+pub mod passages;
 pub mod plan;
 pub mod promises;
 pub mod proxy;
@@ -27,4 +30,5 @@
 pub mod server;
 pub mod stall;
 pub mod starts;
+pub mod stops;
 pub mod tables;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -5,14 +5,20 @@
 
 use clock::Time;
 use hdrhistogram::Histogram;
+use smol_str::SmolStr;
 
 use crate::caller::Class;
+use crate::causes;
+use crate::causes::Cause;
 use crate::ledger::Breach;
 use crate::ledger::End;
 use crate::ledger::Ledger;
 use crate::plan::Step;
 use crate::stall::Stall;
 
+/// Attempts of one cause that a report names.
+const NAMED_ATTEMPTS: usize = 4;
+
 /// Result of a seed.
 pub struct Report {
     /// The seed.
@@ -27,6 +33,8 @@
     usage_windows: usize,
     classes: BTreeMap<Class, Counts>,
     returns: Returns,
+    /// Attempts that ended without a complete answer, by kind and cause.
+    causes: BTreeMap<(&'static str, Cause), Vec<SmolStr>>,
 }
 
 /// Attempts that went on with a stream.
@@ -51,10 +59,15 @@
     pub fn new(seed: u64, steps: Vec<Step>, ledger: &Ledger, usage_windows: usize) -> Report {
         let mut classes: BTreeMap<Class, Counts> = BTreeMap::new();
         let mut returns = Returns::default();
+        let mut causes = BTreeMap::new();
         for attempt in ledger.attempts.values() {
             let Some((at, end)) = &attempt.ended else {
                 continue;
             };
+            if let Some(cause) = causes::find(ledger, attempt) {
+                let attempts: &mut Vec<SmolStr> = causes.entry((kind_of(end), cause)).or_default();
+                attempts.push(attempt.id.clone());
+            }
             let counts = classes.entry(attempt.class).or_default();
             counts.record(attempt.sent_at, *at, end);
             if let Some(after) = attempt.returns_after {
@@ -72,6 +85,7 @@
             usage_windows,
             classes,
             returns,
+            causes,
         }
     }
 
@@ -81,6 +95,15 @@
     }
 }
 
+/// Returns the name of an end without a complete answer.
+const fn kind_of(end: &End) -> &'static str {
+    match end {
+        End::Unanswered => "unanswered",
+        End::Broken => "broken off",
+        _ => "answered 502",
+    }
+}
+
 impl Returns {
     fn record(&mut self, is_late: bool, end: &End) {
         self.all += 1;
@@ -95,6 +118,7 @@
             End::Answered(status) => format!("{status}"),
             End::Wrong(_) => String::from("wrong"),
             End::NotSent => String::from("not-sent"),
+            End::Unanswered => String::from("unanswered"),
             End::Broken => String::from("broken"),
             End::Left => String::from("left"),
             End::Waited => String::from("waited"),
@@ -149,6 +173,10 @@
             formatter,
             "  {all} attempts went on with streams, {late} after their time limits, {late_served} of these served"
         )?;
+        for ((kind, cause), attempts) in &self.causes {
+            let named = attempts[..attempts.len().min(NAMED_ATTEMPTS)].join(" ");
+            writeln!(formatter, "  {kind}: {cause}: {} ({named})", attempts.len())?;
+        }
         for stall in &self.stalls {
             writeln!(formatter, "  {stall}")?;
         }
