Scheduler: streams that no replica may resume hold up no other job

Callers of an entry were refused with "the latency target can't be met" for seconds, beside open replicas and with nothing running.

Cause: a broken stream whose version isn't known, or has left, stayed in the queue. Dispatch passes over jobs of a version without room, but admission took the pool for full as long as any job waited, and counted its work as ahead of each new one. Nothing ran, so nothing corrected the prediction until the stream's time was up.

Such jobs now wait outside the queue and return to it when a replica of their version joins. A new job can start at once if all waiting ones are bound to other versions without room. Log lines with the state of a pool count the former as 'stranded'.

Failed before: streams_that_no_replica_may_resume_hold_up_no_others and streams_whose_version_pauses_hold_up_no_others, 0 of 30 jobs started each. The world of tests/versions.rs doesn't blame streams for crashes any more, like the gateway's settings; its four former tests are as they were. a_stream_goes_on_when_its_version_is_back passed before too.

--- a/crates/gateway/src/decisions.rs
+++ b/crates/gateway/src/decisions.rs
@@ -273,5 +273,6 @@
         .with("throttled", pool.throttled)
         .with("running", pool.running)
         .with("waiting", pool.waiting)
+        .with("stranded", pool.stranded)
         .with("held", pool.held)
 }
--- a/crates/policy/src/fair/level.rs
+++ b/crates/policy/src/fair/level.rs
@@ -74,6 +74,12 @@
         self.waiting
     }
 
+    /// Returns the waiting jobs in no particular order.
+    pub fn jobs(&self) -> impl Iterator<Item = job::Id> {
+        let lanes = self.lanes.values().flat_map(|lane| &lane.jobs);
+        lanes.flat_map(|jobs| jobs.values().map(|item| item.id))
+    }
+
     /// Returns the total cost of the waiting jobs.
     pub fn cost(&self) -> Cost {
         self.cost
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -92,6 +92,11 @@
         self.levels.values().all(|level| level.len() == 0)
     }
 
+    /// Returns the waiting jobs in no particular order.
+    pub fn jobs(&self) -> impl Iterator<Item = job::Id> {
+        self.levels.values().flat_map(Level::jobs)
+    }
+
     /// Returns the total cost of the waiting jobs.
     pub fn cost(&self) -> Cost {
         self.levels.values().map(Level::cost).sum()
--- a/crates/policy/src/scheduler/intake.rs
+++ b/crates/policy/src/scheduler/intake.rs
@@ -293,7 +293,7 @@
         version: Option<version::Key>,
         yields: bool,
     ) -> bool {
-        if pool.full || !pool.queue.is_empty() {
+        if pool.full || !self.is_queue_bypassed(now, pool, version) {
             return false;
         }
         let may_own = !yields || self.has_spare_slots(now, pool);
@@ -312,8 +312,11 @@
         let Some(open) = self.open.get_mut(&id) else {
             return;
         };
-        let place = open.place.take();
-        if let Some((place, pool)) = place.zip(self.pools.get_mut(&open.job.pool)) {
+        let Some(pool) = self.pools.get_mut(&open.job.pool) else {
+            return;
+        };
+        pool.stranded.remove(&id);
+        if let Some(place) = open.place.take() {
             pool.queue.remove(place);
         }
     }
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod refusals;
 mod state;
+mod stranded;
 mod suspects;
 mod throttles;
 
@@ -115,6 +116,8 @@
     pub running: u32,
     /// Jobs in the queue.
     pub waiting: usize,
+    /// Jobs outside the queue, whose version has no member.
+    pub stranded: usize,
     /// Suspects that wait outside their queues, of all pools.
     pub held: usize,
 }
@@ -367,6 +370,8 @@
     pub fn require_version(&mut self, id: job::Id, version: version::Key) {
         if let Some(open) = self.open.get_mut(&id) {
             open.job.terms.version = Some(version);
+            let pool = open.job.pool;
+            self.mark_pool(pool);
         }
     }
 
@@ -535,6 +540,7 @@
                 .count(),
             running: pool.running,
             waiting: pool.queue.len(),
+            stranded: pool.stranded.len(),
             held: self.held.len(),
         }
     }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -23,6 +23,7 @@
 impl Scheduler {
     /// Starts jobs of the pool while there is room.
     pub(super) fn dispatch(&mut self, now: Time, key: pool::Key, out: &mut Vec<Decision>) {
+        self.requeue_stranded(now, key);
         if self
             .pools
             .get(&key)
@@ -34,10 +35,11 @@
         self.hold_suspects(now, key, out);
         // Versions without room: their jobs must not hold up the others.
         let mut full = BTreeSet::new();
+        let mut holds_up = false;
         while let Some(pool) = self.pools.get(&key).filter(|pool| !pool.queue.is_empty()) {
             let candidates = self.candidates(now, pool, None);
             let lanes = self.lanes(now, pool);
-            let version = |id: job::Id| self.open.get(&id)?.job.terms.version;
+            let version = |id: job::Id| self.version_of(id);
             // Suspects behind such a job haven't been held yet.
             let waits = |id| {
                 let is_full = version(id).is_some_and(|version| full.contains(&version));
@@ -52,8 +54,12 @@
             });
             let Some((head, replica)) = start else {
                 if bound.is_empty() {
+                    holds_up = !heads.is_empty();
                     break;
                 }
+                if self.strand_jobs(key, &bound) {
+                    continue;
+                }
                 full.extend(bound);
                 continue;
             };
@@ -67,7 +73,7 @@
             });
         }
         if let Some(pool) = self.pools.get_mut(&key) {
-            pool.full = !pool.queue.is_empty();
+            pool.full = holds_up;
         }
     }
 
@@ -78,7 +84,7 @@
         key: pool::Key,
         id: job::Id,
     ) -> Option<Vec<Candidate>> {
-        let version = self.open.get(&id)?.job.terms.version?;
+        let version = self.version_of(id)?;
         Some(self.candidates(now, self.pools.get(&key)?, Some(version)))
     }
 
--- a/crates/policy/src/scheduler/state.rs
+++ b/crates/policy/src/scheduler/state.rs
@@ -79,7 +79,9 @@
     pub running: u32,
     /// Whether members or replicas changed since the slots were divided.
     pub division_stale: bool,
-    /// Whether the last dispatch left jobs in the queue; reset by every change.
+    /// Jobs outside the queue, whose version has no member.
+    pub stranded: BTreeSet<job::Id>,
+    /// Whether the last dispatch left jobs in the queue that hold up others; reset by every change.
     pub full: bool,
 }
 
@@ -99,6 +101,7 @@
             members: BTreeSet::new(),
             running: 0,
             division_stale: true,
+            stranded: BTreeSet::new(),
             full: false,
         }
     }
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -7,6 +7,7 @@
 
 use clock::Span;
 use clock::Time;
+use policy::configs::scheduler::Settings;
 use policy::decision::Decision;
 use policy::job;
 use policy::job::Job;
@@ -23,28 +24,41 @@
 const NOW: Time = Time::from_millis(1_000);
 const OLD: version::Key = version::Key(1);
 const NEW: version::Key = version::Key(2);
+/// A version that no replica runs.
+const GONE: version::Key = version::Key(3);
+/// Time from the start of a job until its end.
+const ANSWER_TIME: Span = Span::from_millis(1_000);
+/// Time between two offers.
+const OFFER_INTERVAL: Span = Span::from_millis(100);
 /// Length of a prompt that is long beside the usual ones.
 const LONG_PROMPT: u32 = 60_000;
 
+fn spec(version: version::Key, number: usize) -> replica::Spec {
+    replica::Spec {
+        incarnation: format_smolstr!("r{}-{number}", version.0),
+        pool: POOL,
+        zone: SmolStr::new_static("north"),
+        version,
+        slots: 8,
+    }
+}
+
 /// A scheduler with replicas of two versions.
 struct World {
     scheduler: Scheduler,
     old: Vec<replica::Key>,
     new: Vec<replica::Key>,
+    now: Time,
     last_id: u64,
 }
 
 impl World {
     fn new(old: usize, new: usize) -> World {
-        let mut scheduler = small::scheduler();
+        let mut settings = Settings::default();
+        settings.placement.blame_streams = false;
+        let mut scheduler = small::scheduler_with(settings);
         let mut join = |version: version::Key, number: usize| {
-            let spec = replica::Spec {
-                incarnation: format_smolstr!("r{}-{number}", version.0),
-                pool: POOL,
-                zone: SmolStr::new_static("north"),
-                version,
-                slots: 8,
-            };
+            let spec = spec(version, number);
             scheduler.replica_joined(Time::ZERO, spec, &mut Vec::new())
         };
         let old = (0..old).map(|number| join(OLD, number)).collect();
@@ -53,10 +67,54 @@
             scheduler,
             old,
             new,
+            now: NOW,
             last_id: 0,
         }
     }
 
+    /// Serves jobs one after the other, so that their durations are known.
+    fn serve_jobs(&mut self) {
+        for _ in 0..10 {
+            let started = self.offer(None, 100);
+            replica_of(&started);
+            let id = job::Id(self.last_id);
+            self.scheduler.first_token(self.now, id);
+            self.now = self.now + ANSWER_TIME;
+            self.end(id, job::End::Finished);
+        }
+    }
+
+    /// Begins a stream at the old version.
+    fn begin_stream(&mut self) -> job::Id {
+        let started = self.offer(Some(OLD), 100);
+        assert!(self.old.contains(&replica_of(&started)));
+        let id = job::Id(self.last_id);
+        self.scheduler.first_token(self.now, id);
+        self.scheduler.progressed(self.now, id, 4);
+        id
+    }
+
+    /// Ends an attempt, after which no job starts.
+    fn end(&mut self, id: job::Id, end: job::End) {
+        let mut out = Vec::new();
+        self.scheduler
+            .attempt_ended(self.now, id, end, 50, &mut out);
+        assert!(out.is_empty(), "{out:?}");
+    }
+
+    /// Offers jobs that any version may run, each after the one before has ended; returns how many were started.
+    fn serve_others(&mut self, jobs: usize) -> usize {
+        let mut started = 0;
+        for _ in 0..jobs {
+            self.now = self.now + OFFER_INTERVAL;
+            if let Some(Decision::Start { job, .. }) = self.offer(None, 100) {
+                started += 1;
+                self.end(job, job::End::Finished);
+            }
+        }
+        started
+    }
+
     /// Offers a job that only `version` may run, and returns the decision.
     fn offer(&mut self, version: Option<version::Key>, prompt_tokens: u32) -> Option<Decision> {
         self.last_id += 1;
@@ -78,7 +136,7 @@
             },
         };
         let mut out = Vec::new();
-        self.scheduler.offer(NOW, job, &mut out);
+        self.scheduler.offer(self.now, job, &mut out);
         out.pop()
     }
 }
@@ -132,9 +190,11 @@
     let mut out = Vec::new();
     let pause = Span::from_seconds(30);
     let key = world.old[0];
-    world.scheduler.replica_paused(NOW, key, pause, &mut out);
+    world
+        .scheduler
+        .replica_paused(world.now, key, pause, &mut out);
     let refused = world.offer(Some(OLD), 100);
-    let soon = NOW + Span::from_millis(2);
+    let soon = world.now + Span::from_millis(2);
     world.scheduler.poll(soon, &mut out);
     let refused = refused.or_else(|| out.pop());
     assert!(
@@ -142,3 +202,54 @@
         "{refused:?}"
     );
 }
+
+/// Guards against refusals beside idle replicas while broken streams wait for a version that no replica runs.
+#[test]
+fn streams_that_no_replica_may_resume_hold_up_no_others() {
+    let mut world = World::new(1, 3);
+    world.serve_jobs();
+    let streams = [world.begin_stream(), world.begin_stream()];
+    for stream in streams {
+        world.scheduler.require_version(stream, GONE);
+        world.end(stream, job::End::Crashed);
+    }
+    assert_eq!(world.serve_others(30), 30);
+}
+
+/// Guards against the same while the only replica of the streams' version accepts nothing.
+#[test]
+fn streams_whose_version_pauses_hold_up_no_others() {
+    let mut world = World::new(1, 3);
+    world.serve_jobs();
+    let streams = [world.begin_stream(), world.begin_stream()];
+    let (key, pause) = (world.old[0], Span::from_seconds(10));
+    world
+        .scheduler
+        .replica_paused(world.now, key, pause, &mut Vec::new());
+    for stream in streams {
+        world.end(stream, job::End::Crashed);
+    }
+    assert_eq!(world.serve_others(30), 30);
+}
+
+/// Guards against streams that are forgotten while no replica may resume them.
+#[test]
+fn a_stream_goes_on_when_its_version_is_back() {
+    let mut world = World::new(1, 3);
+    world.serve_jobs();
+    let stream = world.begin_stream();
+    world.scheduler.replica_lost(world.now, world.old[0]);
+    world.end(stream, job::End::Crashed);
+    world.serve_others(30);
+    let mut out = Vec::new();
+    let back = world
+        .scheduler
+        .replica_joined(world.now, spec(OLD, 1), &mut out);
+    assert_eq!(
+        out,
+        [Decision::Start {
+            job: stream,
+            replica: back
+        }]
+    );
+}
