Intake tests: connections that give way while their requests are read

The connection is chosen first and its request is read by its task's ordinary poll, before the reads that ask the socket itself: Guard::poll_watch takes that request for one that ran before, and closes the connection while it runs. 2. A request whose body doesn't come with the first read is still being received after the one poll of poll_watch, so the connection is closed; the whole request was in the socket.

--- a/crates/intake/tests/pauses.rs
+++ b/crates/intake/tests/pauses.rs
@@ -185,3 +185,136 @@
         assert!(join(caller).await >= LARGE_ANSWER_BYTES);
     });
 }
+
+/// How a request is read and answered.
+#[derive(Clone, Copy)]
+struct Kind {
+    /// Length of its body.
+    body_bytes: usize,
+    /// Time that its answer takes.
+    time: Duration,
+}
+
+/// Serves a connection whose requests are received as a whole before they run.
+async fn receive(accepted: Accepted, shutdown: watch::Receiver<bool>, kind: Kind) {
+    let Accepted { socket, session } = accepted;
+    let caller = session.clone();
+    let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
+        let mut received = caller.begin(request.version());
+        async move {
+            let (head, body) = request.into_parts();
+            let body = received.receive(&head, body, LARGE_ANSWER_BYTES).await;
+            received.begin_running();
+            tokio::time::sleep(kind.time).await;
+            let length = body.map_or(0, |body| body.len());
+            let answer = Full::new(Bytes::from(length.to_string()));
+            Ok::<_, Infallible>(received.answer(Response::new(answer)))
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+    let times = Times {
+        head: Span::from_seconds(5),
+        idle: Span::from_seconds(60),
+        unread: Span::from_seconds(60),
+    };
+    let connection = pin!(connection);
+    session
+        .serve(connection, times, shutdown, |connection| {
+            connection.graceful_shutdown();
+        })
+        .await;
+}
+
+/// Lets a port with room for two connections stand still. A new connection arrives `newcomer` after the pause began, and
+/// requests on both others `requests` after it. Returns how many of these got no answer.
+fn count_lost(kind: Kind, newcomer: Duration, requests: Duration) -> usize {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let limits = Limits {
+            request_bytes: 8 << 20,
+            small_request_bytes: 0,
+            answer_bytes: 1 << 20,
+            body_time: Span::from_seconds(600),
+            body_rate: 1,
+        };
+        let port = Port {
+            connections: 2,
+            head_bytes: 1 << 20,
+        };
+        let intake = Rc::new(Intake::new(Clock::start(), limits, port));
+        let listener = accept::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let port = Rc::clone(&intake.callers);
+        let (_shutdown, never) = watch::channel(false);
+        let serving = accept::run(listener, intake, port, never, move |accepted, shutdown| {
+            receive(accepted, shutdown, kind)
+        });
+        tokio::task::spawn_local(serving);
+        let stall_at = Instant::now() + Duration::from_millis(400);
+        let until = |at: Instant| thread::sleep(at.saturating_duration_since(Instant::now()));
+        let callers = [(); 2].map(|()| {
+            thread::spawn(move || {
+                let mut socket = connect(address);
+                assert!(exchange(&mut socket));
+                until(stall_at + requests);
+                let head = format!(
+                    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
+                    kind.body_bytes
+                );
+                let mut request = head.into_bytes();
+                request.resize(request.len() + kind.body_bytes, b'x');
+                let mut buffer = [0; 4096];
+                socket.write_all(&request).is_ok()
+                    && socket.read(&mut buffer).is_ok_and(|count| count > 0)
+            })
+        });
+        let newcomer = thread::spawn(move || {
+            until(stall_at + newcomer);
+            connect(address)
+        });
+        tokio::time::sleep_until(stall_at.into()).await;
+        thread::sleep(STALL);
+        let mut lost = 0;
+        for caller in callers {
+            lost += usize::from(!join(caller).await);
+        }
+        join(newcomer).await;
+        lost
+    })
+}
+
+const EARLY: Duration = Duration::from_millis(80);
+const LATE: Duration = Duration::from_millis(160);
+
+/// Guards against closing a connection for a new one after its request was read, since it was chosen before.
+#[test]
+fn a_connection_that_was_to_give_way_does_not_after_its_request_was_read() {
+    let kind = Kind {
+        body_bytes: 10,
+        time: Duration::from_millis(100),
+    };
+    assert_eq!(count_lost(kind, EARLY, LATE), 0, "requests lost");
+}
+
+/// Guards against closing a connection for a new one while a request that has arrived as a whole is being read.
+#[test]
+fn a_connection_does_not_give_way_with_a_request_whose_body_has_arrived() {
+    let kind = Kind {
+        body_bytes: 64 << 10,
+        time: Duration::ZERO,
+    };
+    assert_eq!(count_lost(kind, EARLY, LATE), 0, "requests lost");
+}
+
+/// The same with the new connection behind the requests.
+#[test]
+fn a_connection_does_not_give_way_to_one_behind_its_request() {
+    let kind = Kind {
+        body_bytes: 64 << 10,
+        time: Duration::from_millis(100),
+    };
+    assert_eq!(count_lost(kind, LATE, EARLY), 0, "requests lost");
+}
