Intake tests: a head that begins behind another request on its connection

What is read while a request runs isn't recorded as part of a head, so a port that closes doesn't wait for the rest of it.

--- a/crates/intake/tests/pauses.rs
+++ b/crates/intake/tests/pauses.rs
@@ -318,3 +318,52 @@
     };
     assert_eq!(count_lost(kind, LATE, EARLY), 0, "requests lost");
 }
+
+/// Guards against closing a connection within a head that began to arrive with the request before.
+#[test]
+fn a_port_that_closes_waits_for_a_head_that_began_behind_another_request() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let limits = Limits {
+            request_bytes: 1 << 20,
+            small_request_bytes: 0,
+            answer_bytes: 1 << 20,
+            body_time: Span::from_seconds(600),
+            body_rate: 1,
+        };
+        let port = Port {
+            connections: 2,
+            head_bytes: 1 << 20,
+        };
+        let kind = Kind {
+            body_bytes: 0,
+            time: Duration::ZERO,
+        };
+        let intake = Rc::new(Intake::new(Clock::start(), limits, port));
+        let listener = accept::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let port = Rc::clone(&intake.callers);
+        let (shutdown, end) = watch::channel(false);
+        let serving = accept::run(listener, intake, port, end, move |accepted, shutdown| {
+            receive(accepted, shutdown, kind)
+        });
+        tokio::task::spawn_local(serving);
+        let shutdown_at = Instant::now() + Duration::from_millis(200);
+        let caller = thread::spawn(move || {
+            let mut socket = connect(address);
+            let (first, rest) = REQUEST.split_at(10);
+            let mut buffer = [0; 4096];
+            socket.write_all(&[REQUEST, first].concat()).unwrap();
+            assert!(socket.read(&mut buffer).unwrap() > 0);
+            let rest_at = shutdown_at + Duration::from_millis(200);
+            thread::sleep(rest_at.saturating_duration_since(Instant::now()));
+            socket.write_all(rest).is_ok() && socket.read(&mut buffer).is_ok_and(|count| count > 0)
+        });
+        tokio::time::sleep_until(shutdown_at.into()).await;
+        shutdown.send(true).unwrap();
+        assert!(join(caller).await, "the request was lost");
+    });
+}
