Intake: a port that closes without descriptors waits for them

Callers whose connections wait to be accepted as a port closes saw a reset instead of an answer, if the process had no descriptor left. Cause: the first error of accept ended the loop, and the listener was dropped with the connections that the kernel holds. Change: other errors than 'would block' are retried after a pause, as while the port is open; idle connections close meanwhile. A new connection asks a bounded number of others to give way. The value of the shutdown isn't borrowed while a connection finishes.

--- a/crates/intake/src/accept.rs
+++ b/crates/intake/src/accept.rs
@@ -25,6 +25,12 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
+/// Connections that are asked to give way to one new one.
+const MAX_EVICTIONS: usize = 16;
+
+/// Failed attempts to accept the connections that wait as a port closes. Descriptors are free once idle ones have closed.
+const CLOSE_ATTEMPTS: u32 = 50;
+
 /// New connections that may wait to be accepted. Beyond it the kernel drops a caller's first packets, which are sent again
 /// after a second or more.
 const BACKLOG: u32 = 4_096;
@@ -124,15 +130,15 @@
 
     /// Closes connections until there is room for another one; returns whether there is.
     async fn make_room(&self) -> bool {
-        while !self.port.has_room() {
-            if !self.port.evict(self.intake.clock.now()) {
-                return false;
+        for _ in 0..MAX_EVICTIONS {
+            if self.port.has_room() || !self.port.evict(self.intake.clock.now()) {
+                break;
             }
             self.intake.stats.record(Action::ConnectionEvicted);
             // Lets it close; it stays open if a request has arrived on it.
             tokio::task::yield_now().await;
         }
-        true
+        self.port.has_room()
     }
 
     /// Lets an idle connection give way after a failed attempt to accept one, for want of descriptors.
@@ -145,22 +151,31 @@
 
     /// Closes the port. Connections that the kernel has opened for callers are served: requests may wait in them.
     async fn close(&mut self, listener: TcpListener) {
-        let mut waiting = 0;
-        match listener.into_std() {
-            Ok(listener) => {
-                while let Ok((stream, _)) = listener.accept()
-                    && waiting < BACKLOG
-                {
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!(event = "port_closed", error = error.to_string().as_str(); "");
+                return;
+            }
+        };
+        let (mut waiting, mut failures) = (0, 0);
+        while waiting < BACKLOG && failures < CLOSE_ATTEMPTS {
+            match listener.accept() {
+                Ok((stream, _)) => {
                     waiting += 1;
                     if let Some(stream) = to_tokio(stream) {
                         self.admit(stream).await;
                     }
                 }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => {
+                    failures += 1;
+                    self.recover(&error).await;
+                }
             }
-            Err(error) => log::warn!(event = "port_closed", error = error.to_string().as_str(); ""),
         }
-        if waiting > 0 {
-            log::info!(event = "port_closed", waiting = waiting; "");
+        if waiting > 0 || failures > 0 {
+            log::info!(event = "port_closed", waiting = waiting, failures = failures; "");
         }
     }
 }
@@ -218,7 +233,7 @@
         let ended = tokio::select! {
             biased;
             ended = guard.watch(connection.as_mut()) => ended,
-            _ = shutdown.wait_for(|is_shut_down| *is_shut_down) => {
+            () = async { shutdown.wait_for(|is_shut_down| *is_shut_down).await.map_or((), |_| ()) } => {
                 match guard.watch_heads(connection.as_mut()).await {
                     Some(ended) => ended,
                     None => {
