Intake: a connection doesn't give way with a request that has just begun

Callers on kept connections saw these end without an answer while their requests ran, where a port was full: without a stall, at any time. Cause: a connection is chosen first and closed a turn later. Whether its request ran before was asked after the poll that reads it, and a body that needs more than one read wasn't waited for. Change: what has begun is compared with before the poll; what is in the socket is read to its end before a connection is closed.

--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -45,6 +45,7 @@
     is_http2: Cell<bool>,
     had_request: Cell<bool>,
     last_read: Cell<Time>,
+    bytes_read: Cell<u64>,
     /// Since when the caller takes no more bytes.
     blocked_since: Cell<Option<Time>>,
     /// Requests whose bodies are being received.
@@ -63,6 +64,14 @@
     waker: RefCell<Option<Waker>>,
 }
 
+/// How far the requests of a connection are.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    is_receiving: bool,
+    is_running: bool,
+    next_request: u64,
+}
+
 /// How readily a connection gives way: the least goes first, and among equals the one that waits for longest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
@@ -165,6 +174,8 @@
     /// Records bytes that arrived on a connection.
     pub fn record_read(&self, connection: &Connection, now: Time, bytes: &[u8]) {
         connection.last_read.set(now);
+        let bytes_read = connection.bytes_read.get() + bytes.len() as u64;
+        connection.bytes_read.set(bytes_read);
         if !connection.had_request.get() && bytes.starts_with(b"PRI") {
             connection.is_http2.set(true);
         }
@@ -214,6 +225,7 @@
             is_http2: Cell::new(false),
             had_request: Cell::new(false),
             last_read: Cell::new(now),
+            bytes_read: Cell::new(0),
             blocked_since: Cell::new(None),
             receiving: Cell::new(0),
             running: RefCell::default(),
@@ -262,6 +274,27 @@
         self.is_probing.get()
     }
 
+    /// Returns the number of bytes that have been read.
+    pub fn bytes_read(&self) -> u64 {
+        self.bytes_read.get()
+    }
+
+    /// Returns how far the connection's requests are.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            is_receiving: self.receiving.get() > 0,
+            is_running: self.is_running(),
+            next_request: self.next_request.get(),
+        }
+    }
+
+    /// Returns whether a request has begun on a connection that had none that ran.
+    pub fn has_begun_since(&self, before: Progress) -> bool {
+        let now = self.progress();
+        let is_received = now.is_receiving && !before.is_receiving;
+        !before.is_running && (is_received || now.next_request != before.next_request)
+    }
+
     /// Returns whether a request runs.
     pub fn is_running(&self) -> bool {
         !self.running.borrow().is_empty()
--- a/crates/intake/src/guard.rs
+++ b/crates/intake/src/guard.rs
@@ -19,6 +19,9 @@
 use crate::connections::FIRST_HEAD_TIME;
 use crate::stats::Action;
 
+/// Most reads of one connection before it is closed, enough for the largest body that a socket holds.
+const MAX_PROBES: usize = 1_000;
+
 /// Watches over one connection.
 pub struct Guard<'a> {
     clock: Clock,
@@ -71,7 +74,7 @@
         mut task: Pin<&mut F>,
         context: &mut Context<'_>,
     ) -> Poll<Result<F::Output, Action>> {
-        let was_running = self.connection.is_running();
+        let before = self.connection.progress();
         if let Poll::Ready(output) = task.as_mut().poll(context) {
             return Poll::Ready(Ok(output));
         }
@@ -82,16 +85,27 @@
         if let Poll::Ready(output) = self.probe(task, context) {
             return Poll::Ready(Ok(output));
         }
-        if !was_running && self.connection.is_running() {
+        if self.connection.has_begun_since(before) {
             self.connection.keep_open();
         }
         self.poll_end(context).map(Err)
     }
 
-    /// Polls the connection's task with what has arrived at its socket by now.
-    fn probe<F: Future>(&self, task: Pin<&mut F>, context: &mut Context<'_>) -> Poll<F::Output> {
+    /// Polls the connection's task with all that has arrived at its socket by now.
+    fn probe<F: Future>(
+        &self,
+        mut task: Pin<&mut F>,
+        context: &mut Context<'_>,
+    ) -> Poll<F::Output> {
         self.connection.set_probing(true);
-        let polled = task.poll(context);
+        let mut polled = Poll::Pending;
+        for _ in 0..MAX_PROBES {
+            let read = self.connection.bytes_read();
+            polled = task.as_mut().poll(context);
+            if polled.is_ready() || self.connection.bytes_read() == read {
+                break;
+            }
+        }
         self.connection.set_probing(false);
         polled
     }
