Relay: bodies are refused before the grace period ends

Callers whose bodies weren't whole were refused 4.004 to 4.011 s after the stop with a grace period of 4 s, if another request still ran: that is when the process is killed. Cause: the loop exits 150 ms before the end, and the least time for answers minus the last call added 150 ms. Change: the last call counts from the end of the grace period; the rest of the least time comes after it.

--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -66,8 +66,7 @@
 /// Least time for the ends of answers to reach their callers at shutdown; slow callers get the rest of the grace period.
 const MIN_DRAIN_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time before the end of the process at which bodies that aren't complete are refused and the other ports close. No more than
-/// `MIN_DRAIN_TIMEOUT`.
+/// Time before the end of the process at which bodies that aren't complete are refused and the other ports close.
 const LAST_CALL: Duration = Duration::from_millis(100);
 
 /// Interval at which the settings file is checked for changes.
@@ -243,7 +242,7 @@
     };
     let shared = Rc::clone(&shell.shared);
     let grace_left = shell.run(inbox, stops).await.as_duration();
-    let until_last_call = MIN_DRAIN_TIMEOUT.max(grace_left) - LAST_CALL;
+    let until_last_call = grace_left.saturating_sub(LAST_CALL);
     let _ = end_callers.send(true);
     if timeout(until_last_call, join_all(&mut callers))
         .await
@@ -256,7 +255,8 @@
         join_all(&mut callers).await;
         join_all(&mut ports).await;
     };
-    let _ = timeout(LAST_CALL, ending).await;
+    let left = MIN_DRAIN_TIMEOUT.saturating_sub(until_last_call);
+    let _ = timeout(left.max(LAST_CALL), ending).await;
     log_end(&shared);
     for task in tasks {
         task.abort();
