--- a/crates/intake/src/accept.rs
+++ b/crates/intake/src/accept.rs
@@ -248,7 +248,12 @@
             Ok(Err(error)) => {
                 log::debug!(event = "caller_connection_ended", error = error.to_string().as_str(); "");
             }
-            Err(action) => self.record_closed(action),
+            Err(action) => {
+                self.record_closed(action);
+                if self.connection.has_request() {
+                    self.intake.stats.record(Action::RequestDropped);
+                }
+            }
         }
     }
 
--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -389,6 +389,11 @@
         self.closed_for.get().is_some()
     }
 
+    /// Returns whether a request is received or runs.
+    pub fn has_request(&self) -> bool {
+        !self.is_idle()
+    }
+
     /// Returns whether the connection has no request.
     fn is_idle(&self) -> bool {
         self.receiving.get() == 0 && self.running.borrow().is_empty()
--- a/crates/intake/src/stats.rs
+++ b/crates/intake/src/stats.rs
@@ -39,13 +39,15 @@
     UnreadEvicted,
     /// There was no room for an answer.
     AnswerDropped,
+    /// A connection was closed while a request on it was received or ran.
+    RequestDropped,
     /// A connection without a request was closed although bytes had arrived on it.
     UnreadDropped,
 }
 
 impl Action {
     /// All actions.
-    pub const ALL: [Action; 13] = [
+    pub const ALL: [Action; 14] = [
         Action::ConnectionEvicted,
         Action::ConnectionRefused,
         Action::AcceptFailed,
@@ -58,6 +60,7 @@
         Action::UnreadTimeout,
         Action::UnreadEvicted,
         Action::AnswerDropped,
+        Action::RequestDropped,
         Action::UnreadDropped,
     ];
 
@@ -76,6 +79,7 @@
             Action::UnreadTimeout => "unread_timeout",
             Action::UnreadEvicted => "unread_evicted",
             Action::AnswerDropped => "answer_dropped",
+            Action::RequestDropped => "request_dropped",
             Action::UnreadDropped => "unread_dropped",
         }
     }
