Daemon: a stop that is requested repeatedly is one graceful stop

Callers saw: a second SIGTERM ended the grace period at once. Waiting requests were refused, streams handed on, and the entry was gone while callers still had its address.

Cause: the second SIGTERM was taken for an operator's wish to skip the grace period, but supervisors send the signal in series.

Evidence: crates/daemon/tests/signals.rs, a_stop_that_is_requested_repeatedly_is_one_graceful_stop. Failed before: with four SIGTERM the entry ended after 3.0 s, while callers may keep its address for 6 s; its log has hurry=true for the second signal on.

Fix: SIGTERM and SIGINT are graceful however often they come. SIGQUIT skips the grace period; the same test plays it.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -249,13 +249,9 @@
 
 /// Forwards requests to stop; an immediate one skips the grace period.
 async fn watch_signals(mut requests: Requests, stop: mpsc::UnboundedSender<bool>) {
-    let mut immediate = false;
     loop {
         match requests.next().await {
-            Request::Stop => {
-                let _ = stop.send(immediate);
-                immediate = true;
-            }
+            Request::Stop => drop(stop.send(false)),
             Request::Quit => drop(stop.send(true)),
             Request::Reload => log::warn!(event = "reload_unsupported"; ""),
         }
--- a/crates/daemon/tests/signals.rs
+++ b/crates/daemon/tests/signals.rs
@@ -4,6 +4,7 @@
 
 use std::net::Ipv4Addr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use rustix::process::Signal;
 use serde_json::json;
@@ -61,6 +62,28 @@
     }
 }
 
+/// Time for which callers may keep an address, longer than anything else that a stop waits for here.
+const PATIENT_TTL: Duration = Duration::from_millis(6_000);
+
+/// Guards against ending requests, and leaving callers with a cached address alone, because a stop is requested repeatedly.
+#[test]
+fn a_stop_that_is_requested_repeatedly_is_one_graceful_stop() {
+    let program = Program {
+        settings: patient_settings,
+        ..program()
+    };
+    for signal in [Signal::TERM, Signal::INT] {
+        let outcome = program.play(Moment::Connected, &[signal; 4], true).unwrap();
+        assert!(outcome.is_answered(), "{outcome:?}");
+        assert!(outcome.lasted >= PATIENT_TTL, "{outcome:?}");
+        assert_eq!(outcome.status.unwrap().code(), Some(0));
+    }
+    let signals = [Signal::TERM, Signal::QUIT];
+    let outcome = program.play(Moment::Connected, &signals, true).unwrap();
+    assert!(outcome.lasted < PATIENT_TTL, "{outcome:?}");
+    assert_eq!(outcome.status.unwrap().code(), Some(0));
+}
+
 fn program() -> Program {
     Program {
         path: PathBuf::from(env!("CARGO_BIN_EXE_dogwoodspurd")),
@@ -71,11 +94,19 @@
 
 /// Returns settings of an entry whose platform isn't there.
 fn settings(host: Ipv4Addr) -> String {
+    settings_with(host, 100)
+}
+
+fn patient_settings(host: Ipv4Addr) -> String {
+    settings_with(host, PATIENT_TTL.as_millis() as u64)
+}
+
+fn settings_with(host: Ipv4Addr, address_ttl_ms: u64) -> String {
     let port = |offset: u16| format!("{host}:{}", CALLERS_PORT + offset);
     let absent = format!("http://{}", port(9));
     let settings = json!({
         "identity": {"name": "entry", "zone": "a"},
-        "callers": {"listen": port(0), "address_ttl_ms": 100},
+        "callers": {"listen": port(0), "address_ttl_ms": address_ttl_ms},
         "admin": {"listen": port(1)},
         "operators": {"listen": port(2), "key": "operators-of-one-test"},
         "peers": {"listen": port(3), "key": "signals: entries of one test"},
--- a/crates/settings/src/configs/shutdown.rs
+++ b/crates/settings/src/configs/shutdown.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A planned stop (SIGTERM). A second signal skips the grace period.
+/// A planned stop (SIGTERM or SIGINT, however often they come). SIGQUIT skips the grace period.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default)]
 pub struct Shutdown {
