Daemon: ports for probes and operators finish their answers before the process ends

Probes and operators lost calls whose connections the entry's ports had taken: those ports were aborted at the end of the process, with the connections that they held and those that waited to be accepted, while callers got up to five seconds. Cause: the two ports were served until their futures were dropped. Change: they get the signal to finish, after the callers' port has ended, and 300 ms for it: more than a new connection has for its first request. A last line, ended, states what the process leaves unfinished. Evidence: crates/daemon/tests/ports.rs, ports that end right after the process stood still for 60, 400 and 1,500 ms. With the ports aborted as before 0 of 8 probes got an answer, and the operators' connections were reset; all are answered now. An operator whose change is under way as the entry ends (crates/standin/tests/stops.rs) was answered before as well.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod attempt_end;
 pub mod callers;
+pub mod ending;
 pub mod fleet_port;
 pub mod flight;
 pub mod link;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -35,12 +35,16 @@
     unread: Span::from_seconds(20),
 };
 
-/// Serves the port until the future is dropped.
-pub async fn serve(listener: TcpListener, api: Api, intake: Rc<Intake>, limits: Port) {
+/// Serves the port until `shutdown` turns true, then lets every connection finish its current answers.
+pub async fn serve(
+    listener: TcpListener,
+    api: Api,
+    intake: Rc<Intake>,
+    limits: Port,
+    shutdown: watch::Receiver<bool>,
+) {
     let port = Rc::new(Connections::new(limits));
-    // The future is dropped instead.
-    let (_shutdown, never) = watch::channel(false);
-    let serving = accept::run(listener, intake, port, never, |accepted, shutdown| {
+    let serving = accept::run(listener, intake, port, shutdown, |accepted, shutdown| {
         connection(accepted, api.clone(), shutdown)
     });
     serving.await;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -36,12 +36,13 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
-use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use crate::admin;
 use crate::admin::Admin;
 use crate::callers::Callers;
+use crate::ending;
+use crate::ending::Ports;
 use crate::fleet_port::FleetPort;
 use crate::flight::Shared;
 use crate::link::Link;
@@ -57,9 +58,6 @@
 /// Maximum operators' calls queued for the event loop.
 const MAX_QUEUED_CALLS: usize = 64;
 
-/// Maximum time to deliver the ends of answers to callers at shutdown.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Bound sockets of one entry.
 pub struct Sockets {
     callers: TcpListener,
@@ -148,21 +146,27 @@
     let interval = Duration::from_millis(settings.platform.instances_interval_ms);
     let cloud = host_of(&settings.platform.cloud);
     let own = identity.caller_address.clone();
-    let (end, ended) = watch::channel(false);
-    let front = tokio::task::spawn_local(front::server::serve(
-        sockets.callers,
-        limit_of(&settings),
-        Rc::clone(&intake),
-        callers,
-        ended,
-    ));
+    let mut callers_port = Ports::new();
+    callers_port.start(|end| {
+        let (limit, intake) = (limit_of(&settings), Rc::clone(&intake));
+        front::server::serve(sockets.callers, limit, intake, callers, end)
+    });
+    let probes = Port::new(capacity.probe_connections, &capacity);
+    let mut other_ports = Ports::new();
+    other_ports.start(|end| {
+        let intake = Rc::clone(&intake);
+        operators::serve(sockets.operators, operators_api, intake, probes, end)
+    });
+    other_ports.start(|end| {
+        let intake = Rc::clone(&intake);
+        admin::serve(sockets.admin, admin, intake, probes, end)
+    });
     let peer_key = Key::new(shared_key);
     let peer_handler = Rc::new(PeerHandler::new(
         Rc::clone(&link),
         Signer::new(shared_key, TICKET_PURPOSE),
     ));
     let peer_limit = peer::configs::limit::Limit::default().at_most(capacity.peer_connections);
-    let probes = Port::new(capacity.probe_connections, &capacity);
     let peer_server =
         peer::server::serve(sockets.peers, peer_key.clone(), peer_limit, peer_handler);
     let peers = Peers::new(
@@ -173,13 +177,6 @@
     );
     let tasks = [
         tokio::task::spawn_local(peer_server),
-        tokio::task::spawn_local(operators::serve(
-            sockets.operators,
-            operators_api,
-            Rc::clone(&intake),
-            probes,
-        )),
-        tokio::task::spawn_local(admin::serve(sockets.admin, admin, intake, probes)),
         tokio::task::spawn_local(platform::poll(
             Rc::clone(&link),
             client,
@@ -210,9 +207,7 @@
         pending: PendingReplies::default(),
     };
     shell.run(messages, calls, stops).await;
-    // The ends of answers may still be on their way to callers.
-    let _ = end.send(true);
-    let _ = tokio::time::timeout(DRAIN_TIMEOUT, front).await;
+    ending::end(callers_port, other_ports, &intake).await;
     for task in tasks {
         task.abort();
     }
