Daemon: bodies that aren't whole before the process ends are refused as not run

Callers whose bodies were still arriving 5 s after the event loop of a stopping entry had ended saw their connections end without an answer. Cause: requests that aren't whole are known to nobody but their connections, which were dropped. Change: after that time they are refused as not run, with a time to come back, and get a tenth of a second for the refusal. Evidence: a_request_that_is_not_whole_before_an_entry_ends_is_refused_as_not_run (crates/standin/tests/stops.rs) failed before: no byte of an answer. It passes now.

--- a/crates/daemon/src/ending.rs
+++ b/crates/daemon/src/ending.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
+use entry::arrival::leaving_refusal;
 use intake::intake::Intake;
 use intake::stats::Action;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-/// Maximum time to deliver the ends of answers to callers.
+/// Maximum time for callers to send the rest of their requests, and to read the ends of answers.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time after that for the refusals of requests that aren't complete to reach their callers.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum time for the other ports to finish their answers; longer than a new connection is given for its first request.
 const PORTS_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -57,7 +60,10 @@
 /// Ends the callers' port, then the others, which tell of the entry until then.
 pub async fn end(mut callers: Ports, mut others: Ports, intake: &Intake) {
     callers.end();
-    callers.ended(DRAIN_TIMEOUT).await;
+    if !callers.ended(DRAIN_TIMEOUT).await {
+        intake.refuse_bodies(leaving_refusal());
+        callers.ended(REFUSAL_TIMEOUT).await;
+    }
     others.end();
     others.ended(PORTS_TIMEOUT).await;
     log_end(intake);
--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -189,7 +189,12 @@
 impl Entry {
     /// Starts an entry.
     pub async fn start(entry: &sample::Entry<'_>) -> anyhow::Result<Entry> {
-        let loaded = settings::load::parse(entry.name, &sample::settings(entry))?;
+        Entry::start_with(entry.name, &sample::settings(entry)).await
+    }
+
+    /// Starts an entry with the text of its settings.
+    pub async fn start_with(name: &str, text: &str) -> anyhow::Result<Entry> {
+        let loaded = settings::load::parse(name, text)?;
         let sockets = Sockets::bind(&loaded.settings).await?;
         let bound = sockets.bound()?;
         let (stop, stops) = mpsc::unbounded_channel();
