Peer: calls of other entries are answered before the process ends

Other entries lost the answers to calls that were under way as an entry ended, or that had arrived while it stood still: a charge that was made counted as not made, and was made again elsewhere; a ticket that was spent got no answer, so that its caller was told that its request may have run. Cause: the port was dropped with its connections at the end of the process. Change: the port takes no more connections then, and ends once no call with an answer has been open for 20 ms, so that what has arrived is read and answers are sent. In both programs the bound of the other ports holds for it. Gossip doesn't keep it open.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -167,24 +167,23 @@
         Signer::new(shared_key, TICKET_PURPOSE),
     ));
     let peer_limit = peer::configs::limit::Limit::default().at_most(capacity.peer_connections);
-    let peer_server =
-        peer::server::serve(sockets.peers, peer_key.clone(), peer_limit, peer_handler);
+    other_ports.start(|end| {
+        let key = peer_key.clone();
+        peer::server::serve(sockets.peers, key, peer_limit, peer_handler, end)
+    });
     let peers = Peers::new(
         Rc::clone(&link),
         peer::client::Peers::new(peer_key, peer_limit),
         identity.incarnation,
         Signer::new(shared_key, TICKET_PURPOSE),
     );
-    let tasks = [
-        tokio::task::spawn_local(peer_server),
-        tokio::task::spawn_local(platform::poll(
-            Rc::clone(&link),
-            client,
-            cloud,
-            own,
-            interval,
-        )),
-    ];
+    let tasks = [tokio::task::spawn_local(platform::poll(
+        Rc::clone(&link),
+        client,
+        cloud,
+        own,
+        interval,
+    ))];
     let fleet = FleetPort {
         link: Rc::clone(&link),
         client: fleet_client,
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -26,23 +27,36 @@
 use crate::proof::NONCE_BYTES;
 use crate::proof::Side;
 use crate::receiver::Charge;
+use crate::receiver::Pending;
 use crate::receiver::Receiver;
 use crate::tunnel;
 
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_PAUSE: Span = Span::from_millis(10);
 
+/// Time without a call after which an ending server takes all calls for answered.
+const SETTLING_TIME: Span = Span::from_millis(20);
+
 /// Size of a Cap'n Proto word in bytes.
 const WORD_BYTES: usize = 8;
 
-/// Serves peers until the future is dropped. Must run within a `LocalSet`.
-pub async fn serve(listener: TcpListener, key: Key, limit: Limit, receiver: Rc<dyn Receiver>) {
+/// Serves peers until `shutdown` turns true, then answers the calls that have arrived and ends all connections. Must run
+/// within a `LocalSet`.
+pub async fn serve(
+    listener: TcpListener,
+    key: Key,
+    limit: Limit,
+    receiver: Rc<dyn Receiver>,
+    mut shutdown: watch::Receiver<bool>,
+) {
+    let calls = Calls::default();
     let mut connections = JoinSet::new();
     let mut unproved = Unproved::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             Some(_) = connections.join_next() => continue,
+            _ = shutdown.wait_for(|is_shut_down| *is_shut_down) => break,
         };
         let Ok((socket, _)) = accepted else {
             unproved.evict_oldest();
@@ -60,6 +74,7 @@
             key.clone(),
             limit,
             Rc::clone(&receiver),
+            calls.clone(),
             Rc::clone(&authenticated),
         ));
         unproved.push(task, authenticated);
@@ -68,6 +83,47 @@
             tokio::task::yield_now().await;
         }
     }
+    drop(listener);
+    calls.settle().await;
+}
+
+/// Calls of peers that wait for their answers. Messages whose loss is made good don't count.
+#[derive(Clone, Default)]
+struct Calls {
+    open: Rc<Cell<usize>>,
+    /// Number of calls so far.
+    count: Rc<Cell<u64>>,
+}
+
+impl Calls {
+    /// Waits for an answer, which counts as a call until it is given.
+    async fn answer<T>(&self, answer: Pending<T>) -> Option<T> {
+        self.count.set(self.count.get() + 1);
+        self.open.set(self.open.get() + 1);
+        let _open = Open(Rc::clone(&self.open));
+        answer.await
+    }
+
+    /// Waits until no call has been open for a while. Calls that have arrived may wait to be read, and answers to be sent.
+    async fn settle(&self) {
+        let mut count = self.count.get();
+        loop {
+            tokio::time::sleep(SETTLING_TIME.as_duration()).await;
+            let count_before = std::mem::replace(&mut count, self.count.get());
+            if self.open.get() == 0 && count == count_before {
+                return;
+            }
+        }
+    }
+}
+
+/// Counts a call as open until it is dropped.
+struct Open(Rc<Cell<usize>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Connections whose peers haven't authenticated, oldest first. They give way to new ones, so that a crowd without the key
@@ -108,11 +164,13 @@
     key: Key,
     limit: Limit,
     receiver: Rc<dyn Receiver>,
+    calls: Calls,
     authenticated: Rc<Cell<bool>>,
 ) {
     let door = Door {
         key,
         receiver,
+        calls,
         authenticated: Rc::clone(&authenticated),
         nonces: Cell::new(None),
     };
@@ -152,6 +210,7 @@
 struct Door {
     key: Key,
     receiver: Rc<dyn Receiver>,
+    calls: Calls,
     authenticated: Rc<Cell<bool>>,
     nonces: Cell<Option<Nonces>>,
 }
@@ -196,10 +255,11 @@
             return Err(capnp::Error::failed(String::from("not an entry")));
         }
         self.authenticated.set(true);
-        let receiver = Rc::clone(&self.receiver);
-        results
-            .get()
-            .set_entry(capnp_rpc::new_client(AuthenticatedEntry { receiver }));
+        let entry = AuthenticatedEntry {
+            receiver: Rc::clone(&self.receiver),
+            calls: self.calls.clone(),
+        };
+        results.get().set_entry(capnp_rpc::new_client(entry));
         Ok(())
     }
 }
@@ -207,6 +267,7 @@
 /// Capability of an authenticated peer.
 struct AuthenticatedEntry {
     receiver: Rc<dyn Receiver>,
+    calls: Calls,
 }
 
 impl entry::Server for AuthenticatedEntry {
@@ -216,7 +277,8 @@
         mut results: entry::SpendResults,
     ) -> Result<(), capnp::Error> {
         let ticket = SmolStr::from(params.get()?.get_ticket()?.to_str()?);
-        let answer = self.receiver.spend(ticket).await.ok_or_else(no_answer)?;
+        let answer = self.calls.answer(self.receiver.spend(ticket)).await;
+        let answer = answer.ok_or_else(no_answer)?;
         results.get().set_answer(to_wire(answer));
         Ok(())
     }
@@ -228,7 +290,7 @@
     ) -> Result<(), capnp::Error> {
         let estates = serde_json::from_slice(params.get()?.get_estates()?)
             .map_err(|error| capnp::Error::failed(error.to_string()))?;
-        let incarnation = self.receiver.inherit(estates).await;
+        let incarnation = self.calls.answer(self.receiver.inherit(estates)).await;
         results.get().set_taken(incarnation.is_some());
         results
             .get()
@@ -266,8 +328,9 @@
         let answer = self
             .receiver
             .charge(params.get_account(), params.get_tokens());
+        let answer = self.calls.answer(answer).await;
         let mut results = results.get();
-        match answer.await.ok_or_else(no_answer)? {
+        match answer.ok_or_else(no_answer)? {
             Charge::Granted { bucket } => {
                 results.set_granted(true);
                 results.set_bucket(bucket);
@@ -294,7 +357,8 @@
         mut results: entry::ConnectResults,
     ) -> Result<(), capnp::Error> {
         let server = SmolStr::from(params.get()?.get_server()?.to_str()?);
-        if let Some(connection) = self.receiver.connect(server).await {
+        let connecting = self.receiver.connect(server);
+        if let Some(connection) = self.calls.answer(connecting).await {
             let tunnel = tunnel::Server::new(connection);
             results.get().set_tunnel(capnp_rpc::new_client(tunnel));
         }
--- a/crates/peer/tests/calls.rs
+++ b/crates/peer/tests/calls.rs
@@ -20,6 +20,7 @@
 use smol_str::ToSmolStr;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 const KEY: &str = "a key that all entries share";
@@ -94,7 +95,11 @@
 async fn serve(receiver: Rc<RecordingReceiver>, limit: Limit) -> SmolStr {
     let socket = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = socket.local_addr().expect("an address").to_smolstr();
-    tokio::task::spawn_local(peer::server::serve(socket, Key::new(KEY), limit, receiver));
+    let serving = async move {
+        let (_shutdown, never) = watch::channel(false);
+        peer::server::serve(socket, Key::new(KEY), limit, receiver, never).await;
+    };
+    tokio::task::spawn_local(serving);
     address
 }
 
@@ -217,7 +222,8 @@
 async fn serve_on(socket: std::net::TcpListener) {
     let socket = TcpListener::from_std(socket).expect("a socket of the runtime");
     let receiver = Rc::new(RecordingReceiver::default());
-    peer::server::serve(socket, Key::new(KEY), Limit::default(), receiver).await;
+    let (_shutdown, never) = watch::channel(false);
+    peer::server::serve(socket, Key::new(KEY), Limit::default(), receiver, never).await;
 }
 
 /// An entry that aggregates counts of 300 entries has a connection from each. A limit of 256 closed the rest,
--- a/crates/peer/tests/tunnels.rs
+++ b/crates/peer/tests/tunnels.rs
@@ -25,6 +25,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
@@ -104,7 +105,10 @@
         let open = Rc::clone(&opener.open);
         let pauses = Rc::clone(&opener.pauses);
         let (key, limit) = (Key::new(KEY), Limit::default());
-        let serving = peer::server::serve(socket, key, limit, Rc::new(opener));
+        let serving = async move {
+            let (_shutdown, never) = watch::channel(false);
+            peer::server::serve(socket, key, limit, Rc::new(opener), never).await;
+        };
         Setup {
             server,
             open,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -188,17 +188,18 @@
             ports.spawn_local(ports::serve(listener, shared, limits, ports_end.clone()));
         }
     }
+    ports.spawn_local(peer::server::serve(
+        sockets.peers,
+        key.clone(),
+        limit,
+        responder,
+        ports_end,
+    ));
     let read_configuration = Rc::new(Notify::new());
     let read_servers = Rc::new(Notify::new());
     let configuration = Rc::new(ConfigurationConsumer::new(Rc::clone(&shared)));
     let servers = Rc::new(ServersConsumer::new(Rc::clone(&shared)));
     let tasks = [
-        tokio::task::spawn_local(peer::server::serve(
-            sockets.peers,
-            key.clone(),
-            limit,
-            responder,
-        )),
         tokio::task::spawn_local(follow::follow(
             adapter.configuration,
             configuration,
