Relay: a call that may not be repeated isn't sent on a connection that ended while the entry stood still

A call that may run only once broke off, and was reported as one that may have run, although no server had read it: the server had ended the idle connection while the entry stood still between two turns of its event loop. Cause: whether an idle connection has ended is what the event loop knew before the pause. Change: such a call lets two turns of the event loop pass before it takes an idle connection. Others are sent again anyway, and don't wait. Evidence: a_connection_that_ended_during_a_pause_is_not_used (crates/relay/tests/pool.rs), a server that ends a connection within a stall of 100 ms: failed with no turn and with one, passes with two (three plays each). Tests of relay, and of platform path, pauses, cut_off, complete, stops and stalls pass.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -401,7 +401,11 @@
 ) -> Result<Answer, End> {
     let started = shared.clock.now();
     let direct = shared.reach.is_direct(started, &start.endpoint);
-    let mut idle = shared.pool.take(&start.endpoint, direct);
+    // A request that may not be sent again is lost with a connection that has ended.
+    let mut idle = match start.repeatable {
+        true => shared.pool.take(&start.endpoint, direct),
+        false => shared.pool.take_after_pause(&start.endpoint, direct).await,
+    };
     loop {
         let connection = match idle.take() {
             Some(connection) => Ok(connection),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -56,6 +56,8 @@
 const CLOSED_RETENTION: Span = Span::from_seconds(60);
 /// Time within which a process that is killed ends all its connections, with the time that their ends take to arrive.
 const SAME_TIME: Span = Span::from_millis(500);
+/// Turns of the event loop in which the end of a connection is received and handled.
+const NOTICE_TURNS: usize = 2;
 /// Idle connections kept for each server.
 const MAX_IDLE: usize = 8;
 
@@ -305,6 +307,15 @@
         self.take_newest(endpoint, direct, usize::from(is_reserved))
     }
 
+    /// The same after turns of the event loop in which the ends of connections are noticed. The process may have stood still
+    /// since the last one.
+    pub async fn take_after_pause(&self, endpoint: &Endpoint, direct: bool) -> Option<Connection> {
+        for _ in 0..NOTICE_TURNS {
+            tokio::task::yield_now().await;
+        }
+        self.take(endpoint, direct)
+    }
+
     /// Takes the newest idle connection of a kind to a server, if more than `spared` are left.
     pub fn take_newest(
         &self,
--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -21,6 +21,9 @@
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
+/// Time for which the process stands still.
+const STALL: Duration = Duration::from_millis(100);
+
 async fn listener() -> (TcpListener, Endpoint) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let endpoint = Endpoint {
@@ -95,6 +98,28 @@
     assert!(pool.accepts_requests(&endpoint));
 }
 
+/// Guards against sending a request on a connection that its server ended while the process stood still: it would break off,
+/// and count as one that may have run.
+#[tokio::test]
+async fn a_connection_that_ended_during_a_pause_is_not_used() {
+    let (listener, endpoint) = listener().await;
+    let check = async {
+        let pool = Pool::new(Clock::start());
+        let connection = pool.connect(&endpoint).await.unwrap();
+        let (server, _) = listener.accept().await.unwrap();
+        pool.release(&endpoint, connection, &HeaderMap::new()).await;
+        let server = server.into_std().unwrap();
+        let ending = std::thread::spawn(move || {
+            std::thread::sleep(STALL / 2);
+            drop(server);
+        });
+        std::thread::sleep(STALL);
+        ending.join().unwrap();
+        assert!(pool.take_after_pause(&endpoint, true).await.is_none());
+    };
+    LocalSet::new().run_until(check).await;
+}
+
 #[tokio::test]
 async fn an_abandoned_request_does_not_go_on_by_itself() {
     // A closed socket still delivers its buffered data: over a full or interrupted link, an abandoned request
