Relay: the grace period counts from a stop that was handled late

Callers saw: an entry that stood still as SIGTERM came ended its grace period late. Whoever sent the signal counts from the signal and kills the entry, with its answers under way, before it refuses or finishes them.

Cause: the stop began when the loop took it from its channel.

Fix: the loop notes its turns. A stop counts from the turn before the last gap, if the gap ended a moment ago: after a pause, timers are handled before the signal. Without a gap it counts from the last turn. Callers with a cached address are waited for from the moment at which the stop is handled, within the grace period. The line stop_asked states how long the stop may have been pending and what is left of the grace period.

Left: a process that stands still before its loop begins counts from there.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -151,7 +151,11 @@
     /// The settings were reloaded.
     SettingsRead(Box<Settings>),
     /// The process was asked to stop.
-    StopRequested,
+    StopRequested {
+        /// Latest time at which the process is known to have run before; it may have stood still since, with the request
+        /// pending.
+        since: Time,
+    },
 }
 
 /// Origin of a version of the configuration.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -347,7 +347,7 @@
             }
             Event::Tick => self.tick(now, effects),
             Event::SettingsRead(settings) => self.apply_settings(now, *settings, effects),
-            Event::StopRequested => self.begin_stop(now, effects),
+            Event::StopRequested { since } => self.begin_stop(now, since, effects),
         }
     }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -38,19 +38,23 @@
 /// was in force, and a reload of the settings doesn't change that.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Stop {
+    /// When the request was handled.
+    begun_at: Time,
+    /// Earliest time at which it may have been made.
     requested_at: Time,
     grace: Span,
-    /// Time for which callers may still use an address that they got before the shutdown.
+    /// Time for which callers may still use an address that they got before `begun_at`.
     drain_time: Span,
 }
 
 impl Stop {
-    fn new(now: Time, settings: &Settings) -> Stop {
+    fn new(now: Time, since: Time, settings: &Settings) -> Stop {
         let hold_time = settings.address_ttl.times(ADDRESS_HOLD_FACTOR);
         Stop {
-            requested_at: now,
+            begun_at: now,
+            requested_at: since.min(now),
             grace: settings.grace,
-            drain_time: hold_time.min(settings.grace - REFUSAL_MARGIN),
+            drain_time: hold_time,
         }
     }
 
@@ -66,18 +70,22 @@
 
     /// Returns the time until which callers may come with an address that they got before the shutdown.
     fn drain_end(&self) -> Time {
-        self.requested_at + self.drain_time
+        let drain_end = self.begun_at + self.drain_time;
+        drain_end.min(self.before_end(REFUSAL_MARGIN))
     }
 }
 
 impl Gateway {
     /// Starts the shutdown.
-    pub(crate) fn begin_stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    pub(crate) fn begin_stop(&mut self, now: Time, since: Time, effects: &mut Vec<Effect>) {
         if self.stop.is_some() {
             return;
         }
-        self.stop = Some(Stop::new(now, &self.settings));
-        let line = Line::info("stop_asked").with("open", self.requests.len());
+        self.stop = Some(Stop::new(now, since, &self.settings));
+        let line = Line::info("stop_asked")
+            .with("open", self.requests.len())
+            .with("pending_ms", now.since(since).as_millis())
+            .with("left_ms", self.grace_left(now).as_millis());
         effects.push(Effect::Log(line));
         self.step_membership(now, member::event::Event::Drain, effects);
     }
@@ -160,7 +168,7 @@
         if !is_over && (now < stop.drain_end() || !self.is_idle()) {
             return;
         }
-        let waited = now.since(stop.requested_at);
+        let waited = now.since(stop.begun_at);
         effects.push(Effect::Log(Line::info("stopped").with("waited", waited)));
         effects.push(Effect::Exit);
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -661,7 +661,13 @@
 
     /// Asks an entry to stop.
     pub fn stop(&mut self, entry: usize) {
-        self.step(entry, Event::StopRequested);
+        self.stop_pending(entry, 0);
+    }
+
+    /// Asks an entry to stop that stood still for so long with the request pending.
+    pub fn stop_pending(&mut self, entry: usize, millis: u64) {
+        let since = Time::from_millis(self.age_of(entry) - millis);
+        self.step(entry, Event::StopRequested { since });
     }
 
     /// Delivers settings that an entry has read again.
--- a/crates/relay/src/inbox.rs
+++ b/crates/relay/src/inbox.rs
@@ -141,7 +141,7 @@
             | Event::DutyAnswered { .. }
             | Event::DigestReceived(_)
             | Event::SettingsRead(_)
-            | Event::StopRequested
+            | Event::StopRequested { .. }
             | Event::Tick => true,
             Event::Arrived { .. }
             | Event::CallerDisconnected { .. }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pool;
 pub mod reach;
 pub mod run;
+pub mod standstill;
 pub mod wake;
 
 mod attempt;
--- a/crates/relay/src/shell.rs
+++ b/crates/relay/src/shell.rs
@@ -28,6 +28,7 @@
 use crate::pulse;
 use crate::reach;
 use crate::shared::Shared;
+use crate::standstill::Standstill;
 use crate::wake::Wake;
 
 /// Turns of the event loop in which a new connection is accepted, and its request read and sent here.
@@ -65,12 +66,17 @@
     /// Runs until the reducer asks to exit; returns the rest of the grace period. Timers take precedence over messages.
     pub async fn run(mut self, mut inbox: Inbox, mut stops: mpsc::UnboundedReceiver<()>) -> Span {
         let mut wake = Wake::new(self.shared.clock.now());
+        let mut standstill = Standstill::default();
         loop {
             let now = self.shared.clock.now();
+            standstill.record_turn(now);
             let sleep = wake.due().since(now).as_duration();
             let (due, event) = tokio::select! {
                 biased;
-                Some(()) = stops.recv() => (wake.due(), Some(Event::StopRequested)),
+                Some(()) = stops.recv() => {
+                    let since = standstill.pending_since(self.shared.clock.now());
+                    (wake.due(), Some(Event::StopRequested { since }))
+                }
                 () = std::future::ready(()), if now >= wake.due() => (wake.due(), Some(Event::Tick)),
                 Some(sent) = inbox.next() => (sent.sent_at, self.event_from(sent.message)),
                 () = tokio::time::sleep(sleep) => (wake.due(), Some(Event::Tick)),
--- a/crates/soak/src/starts.rs
+++ b/crates/soak/src/starts.rs
@@ -34,6 +34,8 @@
 const POLL_INTERVAL: Duration = Duration::from_micros(200);
 /// Time between two signals of a series.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time for which a program stands still before it is continued.
+pub const PAUSE: Duration = Duration::from_millis(1_500);
 /// Begin of the first line that a program writes; it handles signals by then.
 const STARTING: &str = "event=start";
 
@@ -51,6 +53,8 @@
     Starting,
     /// As soon as the callers' port takes a connection.
     Connected,
+    /// As soon as the early caller has its answer.
+    Answered,
 }
 
 /// What a play showed.
@@ -142,11 +146,17 @@
             Moment::Starting => {
                 wait_for("the start", || child.has_ended() || has_started(&log_path))?
             }
+            Moment::Answered => {
+                wait_for("the answer", || child.has_ended() || caller.is_finished())?
+            }
             Moment::Connected => wait_for("the port", || {
                 child.has_ended() || TcpStream::connect(callers).is_ok()
             })?,
         }
         for signal in signals {
+            if *signal == Signal::CONT {
+                thread::sleep(PAUSE);
+            }
             child.signal(*signal)?;
             thread::sleep(SIGNAL_INTERVAL);
         }
