Soak: requests that cross the close of a connection that gives way in a crowd

The platform's rules allow it: the process hasn't read the request, and the connection ends within 200 ms. Change: the proxy records whether the entry's side was reset, that is whether bytes were left unread. Such an end within 200 ms is allowed while a crowd is at that entry. What the entry has read, what waits for longer and what ends without a crowd is judged as before. Bytes that are handed over after the entry's side ended no longer count as delivered.

--- a/crates/soak/src/causes.rs
+++ b/crates/soak/src/causes.rs
@@ -29,6 +29,8 @@
     Unsent,
     /// The request crossed the close of a kept connection.
     CrossedClose,
+    /// The request crossed the close of a connection that gave way in a crowd, and the entry's process didn't read it.
+    GaveWay,
     /// The entry was harmed so.
     Entry(Harm),
     /// A replica that ran the request was harmed so.
@@ -49,6 +51,7 @@
             Cause::Refused => write!(formatter, "port closed"),
             Cause::Unsent => write!(formatter, "closed before it arrived"),
             Cause::CrossedClose => write!(formatter, "crossed a close"),
+            Cause::GaveWay => write!(formatter, "gave way unread in a crowd"),
             Cause::Entry(harm) => write!(formatter, "entry {}", name(*harm)),
             Cause::Replica(harm) => write!(formatter, "replica {}", name(*harm)),
             Cause::SomeReplica(harm) => {
@@ -99,9 +102,14 @@
     }
     let unanswered_for = passage.ended_at.unwrap_or(at).since(delivered_at);
     let ran = ledger.runs_of(&attempt.id).next().is_some();
-    match !ran && attempt.reused && unanswered_for < CROSSING_TIME {
-        true => Cause::CrossedClose,
-        false => Cause::Unexplained,
+    if ran || unanswered_for >= CROSSING_TIME {
+        return Cause::Unexplained;
+    }
+    let is_crowded = ledger.was_crowded(attempt.entry, attempt.sent_at, at);
+    match (attempt.reused, passage.is_unread && is_crowded) {
+        (true, _) => Cause::CrossedClose,
+        (false, true) => Cause::GaveWay,
+        (false, false) => Cause::Unexplained,
     }
 }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -161,6 +161,9 @@
                 let network = self.environment.network;
                 let address = network.address(Node::Entry(entry), Port::Requests);
                 let member = misbehavior.member(&crowd_head());
+                let start = self.environment.clock.now();
+                let crowded = (entry, start, start + step.duration);
+                self.environment.ledger.borrow_mut().crowds.push(crowded);
                 let crowd = Crowd::start(address, CROWD_SIZE, &member);
                 if let Err(error) = &crowd {
                     eprintln!("crowd at entry {entry}: {error:#}");
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -167,6 +167,8 @@
     pub stops: Vec<Stop>,
     /// What the proxy in front of an entry saw of the connections of unanswered attempts, by attempt.
     pub passages: BTreeMap<SmolStr, Passage>,
+    /// Times in which crowds were at entries, which close connections for want of room: the entry, start and end.
+    pub crowds: Vec<(usize, Time, Time)>,
     /// Times in which entries were cut off from all replicas.
     pub cuts: Vec<Cut>,
     /// Replicas that failed since they turned too many requests away, with the time.
@@ -299,6 +301,12 @@
         faults.any(|fault| fault.harm == harm && fault.overlaps(from, to, Span::ZERO))
     }
 
+    /// Returns whether a crowd was at the entry in that time.
+    pub fn was_crowded(&self, entry: usize, from: Time, to: Time) -> bool {
+        let mut crowds = self.crowds.iter();
+        crowds.any(|(of, start, end)| *of == entry && *start <= to && from <= *end)
+    }
+
     /// Returns whether a way to replicas was interrupted in that time: by a cut of an entry, or by a fault of an
     /// entry that may have held connections for another one.
     pub fn was_way_interrupted(&self, from: Time, to: Time) -> bool {
--- a/crates/soak/src/passages.rs
+++ b/crates/soak/src/passages.rs
@@ -12,10 +12,12 @@
 pub struct Passage {
     /// Whether the entry's port took the connection.
     pub is_taken: bool,
-    /// Time at which bytes of the caller were last handed to the entry's socket.
+    /// Time at which bytes of the caller were last handed to the entry's socket, before its side ended.
     pub delivered_at: Option<Time>,
     /// Time at which the entry's side of the connection ended.
     pub ended_at: Option<Time>,
+    /// Whether its side was reset: the entry's process hadn't read all of the bytes.
+    pub is_unread: bool,
 }
 
 /// Connections by the callers' addresses; a later one from the same address replaces the earlier one.
@@ -50,12 +52,19 @@
 
     /// Records that bytes are handed to the entry's socket.
     pub fn record_delivered(&self, caller: SocketAddr) {
-        self.update(caller, |passage, now| passage.delivered_at = Some(now));
+        self.update(caller, |passage, now| {
+            if passage.ended_at.is_none() {
+                passage.delivered_at = Some(now);
+            }
+        });
     }
 
-    /// Records that the entry's side ended.
-    pub fn record_ended(&self, caller: SocketAddr) {
-        self.update(caller, |passage, now| passage.ended_at = Some(now));
+    /// Records that the entry's side ended, and whether it was reset.
+    pub fn record_ended(&self, caller: SocketAddr, is_unread: bool) {
+        self.update(caller, |passage, now| {
+            passage.ended_at = Some(now);
+            passage.is_unread = is_unread;
+        });
     }
 
     fn update(&self, caller: SocketAddr, change: impl Fn(&mut Passage, Time)) {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -232,7 +232,9 @@
     loop {
         let read = source.read(&mut buffer).await;
         if direction == Direction::ToClient && !matches!(read, Ok(1..)) {
-            watch.record(Passages::record_ended);
+            // A reset that came after the end is pending.
+            let is_reset = read.is_err() || !matches!(source.as_ref().take_error(), Ok(None));
+            watch.record(|passages, client| passages.record_ended(client, is_reset));
         }
         let count = read?;
         wait_until_forwarding(&mut mode, direction).await;
--- a/crates/soak/tests/unanswered.rs
+++ b/crates/soak/tests/unanswered.rs
@@ -26,6 +26,8 @@
     silence: Option<Span>,
     is_taken: bool,
     runs: bool,
+    is_unread: bool,
+    is_crowded: bool,
     harm: Option<Harm>,
 }
 
@@ -34,6 +36,8 @@
     silence: Some(Span::from_millis(199)),
     is_taken: true,
     runs: false,
+    is_unread: false,
+    is_crowded: false,
     harm: None,
 };
 
@@ -78,6 +82,9 @@
             let fault = ledger.begin_disturbance(Target::Entry(0), harm, SENT_AT);
             ledger.end_disturbance(fault, SENT_AT + Span::from_millis(1));
         }
+        if self.is_crowded {
+            ledger.crowds.push((0, SENT_AT, SENT_AT));
+        }
         record_attempt(&mut ledger, self.reused);
         if self.runs {
             record_run(&mut ledger);
@@ -87,6 +94,7 @@
             is_taken: self.is_taken,
             delivered_at: self.silence.map(|_| SENT_AT),
             ended_at: Some(ended_at),
+            is_unread: self.is_unread,
         };
         ledger.passages.insert(ID, passage);
         ledger.record_end(&ID, ended_at, End::Unanswered);
@@ -136,6 +144,34 @@
     }
 }
 
+/// Guards against blaming entries for requests that cross the close of a connection that gives way in a crowd, and against
+/// overlooking those that the entry has read, or that wait for longer, or without a crowd.
+#[test]
+fn a_request_on_a_new_connection_may_be_lost_only_unread_and_in_a_crowd() {
+    let unread = Play {
+        reused: false,
+        is_unread: true,
+        is_crowded: true,
+        ..KEPT
+    };
+    assert_eq!(unread.judge(), (Some(Cause::GaveWay), 0));
+    let read = Play {
+        is_unread: false,
+        ..unread
+    };
+    let alone = Play {
+        is_crowded: false,
+        ..unread
+    };
+    let late = Play {
+        silence: Some(Span::from_millis(200)),
+        ..unread
+    };
+    for play in [read, alone, late] {
+        assert_eq!(play.judge(), (Some(Cause::Unexplained), 1));
+    }
+}
+
 /// Guards against judging requests that never reached the entry.
 #[test]
 fn a_request_that_did_not_arrive_is_not_judged() {
