Scheduler: jobs that have tried the open replicas hold up no others

A job that has tried some replicas waits for the rest, while its account's lane waits behind it and admission takes the pool for full.

Dispatch now passes over such a job while no replica that it may try has room, and looks at the next one; a new job can start at once if only such jobs wait. They keep their place: the next replica that they may try is theirs. While no replica at all is open, dispatch ends after the first heads.

Failed before: streams_that_have_tried_the_open_replicas_hold_up_no_others (0 of 30 started) and a_job_that_has_tried_the_open_replica_holds_up_no_others (0 of 3).

A trial that let a stream return to replicas that it has tried, once the others have left, broke invariants::every_job_ends_once_with_a_true_verdict and was taken back.

--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod moves;
 mod placement;
 mod refusals;
+mod selective;
 mod state;
 mod stranded;
 mod suspects;
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -1,7 +1,5 @@
 //! Choice of the next job and of its replica.
 
-use std::collections::BTreeSet;
-
 use clock::Time;
 
 use crate::affinity::Candidate;
@@ -14,6 +12,7 @@
 use crate::rendezvous;
 use crate::replica;
 use crate::scheduler::Scheduler;
+use crate::scheduler::selective::Passed;
 use crate::scheduler::state::Pool;
 use crate::scheduler::state::Replica;
 use crate::scheduler::state::Round;
@@ -33,35 +32,29 @@
         }
         self.refresh_division(now, key);
         self.hold_suspects(now, key, out);
-        // Versions without room: their jobs must not hold up the others.
-        let mut full = BTreeSet::new();
+        let mut passed = Passed::default();
         let mut holds_up = false;
         while let Some(pool) = self.pools.get(&key).filter(|pool| !pool.queue.is_empty()) {
             let candidates = self.candidates(now, pool, None);
             let lanes = self.lanes(now, pool);
-            let version = |id: job::Id| self.version_of(id);
-            // Suspects behind such a job haven't been held yet.
+            // Suspects behind a job that is passed over haven't been held yet.
             let waits = |id| {
-                let is_full = version(id).is_some_and(|version| full.contains(&version));
-                is_full || !full.is_empty() && self.is_suspect(now, id)
+                passed.contains(id, self.version_of(id))
+                    || passed.is_any() && self.is_suspect(now, id)
             };
             let heads = pool.queue.heads(self.settings.placement.max_heads, waits);
-            let bound: BTreeSet<_> = heads.iter().filter_map(|head| version(head.id)).collect();
             let start = heads.iter().find_map(|head| {
                 let bound = self.candidates_of_version(now, key, head.id);
                 let candidates = bound.as_deref().unwrap_or(&candidates);
                 Some((*head, self.choose(now, head.id, candidates, &lanes)?))
             });
             let Some((head, replica)) = start else {
-                if bound.is_empty() {
-                    holds_up = !heads.is_empty();
-                    break;
-                }
-                if self.strand_jobs(key, &bound) {
+                let is_any_open = candidates.iter().any(|candidate| candidate.open);
+                if self.pass_over(now, key, &heads, is_any_open, &mut passed) {
                     continue;
                 }
-                full.extend(bound);
-                continue;
+                holds_up = !heads.is_empty();
+                break;
             };
             if let Some(pool) = self.pools.get_mut(&key) {
                 pool.queue.take(head.place);
--- a/crates/policy/src/scheduler/stranded.rs
+++ b/crates/policy/src/scheduler/stranded.rs
@@ -12,7 +12,6 @@
 use crate::job;
 use crate::pool;
 use crate::scheduler::Scheduler;
-use crate::scheduler::state::Pool;
 use crate::version;
 
 impl Scheduler {
@@ -68,31 +67,6 @@
         }
     }
 
-    /// Returns whether all waiting jobs of the pool wait for other versions that have no room, so that they hold up no
-    /// job that `version` may run.
-    pub(super) fn is_queue_bypassed(
-        &self,
-        now: Time,
-        pool: &Pool,
-        version: Option<version::Key>,
-    ) -> bool {
-        let mut full = Vec::new();
-        pool.queue.jobs().all(|id| {
-            let bound = self.version_of(id);
-            let Some(bound) = bound.filter(|bound| version != Some(*bound)) else {
-                return false;
-            };
-            if !full.contains(&bound) {
-                let mut candidates = self.candidates(now, pool, Some(bound)).into_iter();
-                if candidates.any(|candidate| candidate.open) {
-                    return false;
-                }
-                full.push(bound);
-            }
-            true
-        })
-    }
-
     /// Returns the only version that may run the job, if any.
     pub(super) fn version_of(&self, id: job::Id) -> Option<version::Key> {
         self.open.get(&id)?.job.terms.version
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -30,6 +30,8 @@
 const ANSWER_TIME: Span = Span::from_millis(1_000);
 /// Time between two offers.
 const OFFER_INTERVAL: Span = Span::from_millis(100);
+/// Pause of a replica, longer than each test.
+const PAUSE: Span = Span::from_seconds(10);
 /// Length of a prompt that is long beside the usual ones.
 const LONG_PROMPT: u32 = 60_000;
 
@@ -94,6 +96,20 @@
         id
     }
 
+    /// Breaks streams at a replica of the old version while the other one pauses.
+    fn break_streams_beside_a_pause(&mut self) {
+        self.pause(self.old[0]);
+        let streams = [self.begin_stream(), self.begin_stream()];
+        for stream in streams {
+            self.end(stream, job::End::Crashed);
+        }
+    }
+
+    fn pause(&mut self, key: replica::Key) {
+        self.scheduler
+            .replica_paused(self.now, key, PAUSE, &mut Vec::new());
+    }
+
     /// Ends an attempt, after which no job starts.
     fn end(&mut self, id: job::Id, end: job::End) {
         let mut out = Vec::new();
@@ -222,10 +238,7 @@
     let mut world = World::new(1, 3);
     world.serve_jobs();
     let streams = [world.begin_stream(), world.begin_stream()];
-    let (key, pause) = (world.old[0], Span::from_seconds(10));
-    world
-        .scheduler
-        .replica_paused(world.now, key, pause, &mut Vec::new());
+    world.pause(world.old[0]);
     for stream in streams {
         world.end(stream, job::End::Crashed);
     }
@@ -253,3 +266,26 @@
         }]
     );
 }
+
+/// Guards against the same while broken streams wait for a replica that they haven't tried, beside those that they have.
+#[test]
+fn streams_that_have_tried_the_open_replicas_hold_up_no_others() {
+    let mut world = World::new(2, 3);
+    world.serve_jobs();
+    world.break_streams_beside_a_pause();
+    assert_eq!(world.serve_others(30), 30);
+}
+
+/// Guards against jobs that wait behind one that has tried the only open replica.
+#[test]
+fn a_job_that_has_tried_the_open_replica_holds_up_no_others() {
+    let mut world = World::new(0, 3);
+    world.serve_jobs();
+    for key in [world.new[0], world.new[1]] {
+        world.pause(key);
+    }
+    let started = world.offer(None, 100);
+    assert_eq!(replica_of(&started), world.new[2]);
+    world.end(job::Id(world.last_id), job::End::NotStarted);
+    assert_eq!(world.serve_others(3), 3);
+}
