--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::Range;
 
 use smol_str::SmolStr;
 use support::SentRequest;
@@ -29,8 +30,8 @@
     limit: f64,
     /// Entries that are restarted halfway.
     restarted: BTreeSet<usize>,
-    /// Time from which the servers report no limit, in milliseconds.
-    recovery: u64,
+    /// Times in which the servers report a limit, in milliseconds.
+    periods: Vec<Range<u64>>,
     end: u64,
 }
 
@@ -47,7 +48,7 @@
             limited_servers,
             limit,
             restarted: BTreeSet::new(),
-            recovery: u64::MAX,
+            periods: std::iter::once(LIMIT_START_MILLIS..24_000).collect(),
             end: 24_000,
         }
     }
@@ -84,23 +85,31 @@
             }
             let later = due.split_off(&(world.now + 1));
             for handed in std::mem::replace(&mut due, later).into_values().flatten() {
-                let reports = limited.contains(&handed.server)
-                    && (LIMIT_START_MILLIS..self.recovery).contains(&world.now);
+                let is_short = self
+                    .periods
+                    .iter()
+                    .any(|period| period.contains(&world.now));
+                let reports = limited.contains(&handed.server) && is_short;
                 world.answer_with_limit(&handed, reports.then_some(self.limit));
             }
         }
         (arrivals, limited)
     }
 
-    /// Returns the most requests that a limited server received in a window, once the limit must be enforced.
+    /// Returns the most requests that a limited server received in a window in which the limit must be enforced.
     fn max_requests(&self, arrivals: &Arrivals, limited: &BTreeSet<SmolStr>) -> usize {
+        let periods = self.periods.iter();
+        let max_requests = periods.map(|period| Run::max_within(arrivals, limited, period));
+        max_requests.max().unwrap_or(0)
+    }
+
+    /// The same within one of the times in which the servers report a limit.
+    fn max_within(arrivals: &Arrivals, limited: &BTreeSet<SmolStr>, period: &Range<u64>) -> usize {
+        let enforced = period.start + REACTION_MILLIS..period.end;
         let counted = limited.iter().filter_map(|server| arrivals.get(server));
         let max_requests = counted.map(|times| {
-            let times: Vec<u64> = times
-                .iter()
-                .copied()
-                .filter(|at| *at >= LIMIT_START_MILLIS + REACTION_MILLIS)
-                .collect();
+            let times = times.iter().copied();
+            let times: Vec<u64> = times.filter(|at| enforced.contains(at)).collect();
             let starts = times.iter().enumerate();
             starts
                 .map(|(first, at)| {
@@ -187,7 +196,7 @@
     // If a limited server got no requests, no answer would lift its limit.
     for entries in [8, 24] {
         let mut run = Run::new(entries, 2, 1.0);
-        run.recovery = 14_000;
+        run.periods = std::iter::once(LIMIT_START_MILLIS..14_000).collect();
         let (arrivals, limited) = run.simulate();
         let requests = Run::requests(&arrivals, &limited, 18_000, 24_000);
         let expected = run.requests_per_second as usize * 6 * 2 / 6;
@@ -197,3 +206,41 @@
         );
     }
 }
+
+/// Guards against a limit that isn't enforced, or isn't lifted, since an entry remembers an earlier one: a lifted limit is
+/// announced for a minute, and comes back within that time or after it, while entries restart.
+#[test]
+#[cfg_attr(debug_assertions, ignore = "slow without optimization")]
+fn long_plays_of_limits_that_come_and_go() {
+    let pauses = [10_000, 50_000, 61_000, 75_000];
+    for entries in [8, 24] {
+        let mut run = Run::new(entries, 2, 2.0);
+        run.periods.clear();
+        let mut start = LIMIT_START_MILLIS;
+        for pause in pauses {
+            run.periods.push(start..start + 12_000);
+            start += 12_000 + pause;
+        }
+        run.end = start;
+        run.restarted = (0..entries).filter(|entry| entry % 4 == 1).collect();
+        let (arrivals, limited) = run.simulate();
+        for period in &run.periods {
+            let max_requests = Run::max_within(&arrivals, &limited, period);
+            assert!(
+                max_requests <= run.allowed(),
+                "{max_requests} in 4 s from {} ms on, {entries} entries",
+                period.start
+            );
+        }
+        let usual = run.requests_per_second as usize / 3;
+        for (period, pause) in run.periods.iter().zip(pauses) {
+            let (from, to) = (period.end + 4_000, period.end + pause);
+            let requests = Run::requests(&arrivals, &limited, from, to);
+            let expected = usual * (to - from) as usize / 1_000;
+            assert!(
+                requests * 2 >= expected,
+                "{requests} of {expected} after {from} ms, {entries} entries"
+            );
+        }
+    }
+}
