Intake tests: one port over sockets for all plays; wording of comments

The plays of pauses, full ports and missing descriptors set the same port up four times. Their checks are unchanged. A port waits for its shutdown in a function of its own.

--- a/crates/daemon/src/ending.rs
+++ b/crates/daemon/src/ending.rs
@@ -16,7 +16,7 @@
 /// Maximum time for the other ports to finish their answers; longer than a new connection is given for its first request.
 const PORTS_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Ports that finish their answers when they are told to.
+/// Ports that finish their answers on shutdown.
 pub struct Ports {
     end: watch::Sender<bool>,
     tasks: JoinSet<()>,
@@ -39,7 +39,7 @@
         self.tasks.spawn_local(serve(self.end.subscribe()));
     }
 
-    /// Tells all ports to finish.
+    /// Asks all ports to finish.
     fn end(&self) {
         self.end.send_replace(true);
     }
--- a/crates/intake/src/accept.rs
+++ b/crates/intake/src/accept.rs
@@ -180,6 +180,12 @@
     }
 }
 
+/// Waits until a port is to close.
+async fn wait_for_shutdown(shutdown: &mut watch::Receiver<bool>) {
+    // The borrowed value isn't kept: its sender would be blocked.
+    let _ = shutdown.wait_for(|is_shut_down| *is_shut_down).await;
+}
+
 /// Registers an accepted socket with the event loop.
 fn to_tokio(stream: std::net::TcpStream) -> Option<TcpStream> {
     let registered = stream.set_nonblocking(true);
@@ -233,7 +239,7 @@
         let ended = tokio::select! {
             biased;
             ended = guard.watch(connection.as_mut()) => ended,
-            () = async { shutdown.wait_for(|is_shut_down| *is_shut_down).await.map_or((), |_| ()) } => {
+            () = wait_for_shutdown(&mut shutdown) => {
                 match guard.watch_heads(connection.as_mut()).await {
                     Some(ended) => ended,
                     None => {
--- a/crates/intake/tests/descriptors.rs
+++ b/crates/intake/tests/descriptors.rs
@@ -2,65 +2,41 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::convert::Infallible;
+mod support;
+
 use std::fs::File;
 use std::io::Read;
 use std::io::Write;
-use std::net::SocketAddr;
-use std::net::TcpStream;
-use std::pin::pin;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use clock::Clock;
-use clock::Span;
+use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::server::conn::http1;
+use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use intake::accept;
 use intake::accept::Accepted;
-use intake::configs::limits::Limits;
-use intake::configs::limits::Port;
-use intake::configs::limits::Times;
-use intake::intake::Intake;
+use intake::request::Session;
 use tokio::sync::watch;
-use tokio::task::LocalSet;
 
-const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+use support::LONG_TIMES;
+use support::REQUEST;
+use support::connect;
+use support::run;
+use support::start;
+
 /// Connections of each kind.
 const CALLERS: usize = 3;
 
 async fn serve(accepted: Accepted, shutdown: watch::Receiver<bool>) {
-    let Accepted { socket, session } = accepted;
-    let caller = session.clone();
-    let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
-        let body = Full::new(Bytes::from("fine"));
-        let answer = caller.begin(request.version()).answer(Response::new(body));
-        async move { Ok::<_, Infallible>(answer) }
-    });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
-    let times = Times {
-        head: Span::from_seconds(5),
-        idle: Span::from_seconds(60),
-        unread: Span::from_seconds(60),
-    };
-    let connection = pin!(connection);
-    session
-        .serve(connection, times, shutdown, |connection| {
-            connection.graceful_shutdown();
+    let service = |caller: Session| {
+        service_fn(move |request: Request<Incoming>| {
+            let body = Full::new(Bytes::from("fine"));
+            let answer = caller.begin(request.version()).answer(Response::new(body));
+            async move { Ok(answer) }
         })
-        .await;
-}
-
-fn connect(address: SocketAddr) -> TcpStream {
-    let socket = TcpStream::connect(address).unwrap();
-    socket
-        .set_read_timeout(Some(Duration::from_secs(10)))
-        .unwrap();
-    socket
+    };
+    support::serve(accepted, shutdown, LONG_TIMES, service).await;
 }
 
 /// Opens files until the process has no descriptor left.
@@ -71,28 +47,9 @@
 /// Guards against resetting connections that wait to be accepted, where descriptors are free as soon as idle ones close.
 #[test]
 fn a_port_that_closes_without_descriptors_serves_those_that_wait() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&runtime, async {
-        let limits = Limits {
-            request_bytes: 1 << 20,
-            small_request_bytes: 0,
-            answer_bytes: 1 << 20,
-            body_time: Span::from_seconds(600),
-            body_rate: 1,
-        };
-        let port = Port {
-            connections: 10 * CALLERS,
-            head_bytes: 1 << 20,
-        };
-        let intake = Rc::new(Intake::new(Clock::start(), limits, port));
-        let listener = accept::listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap();
-        let port = Rc::clone(&intake.callers);
-        let (shutdown, end) = watch::channel(false);
-        tokio::task::spawn_local(accept::run(listener, intake, Rc::clone(&port), end, serve));
+    run(async {
+        let served = start(10 * CALLERS, serve);
+        let (address, port) = (served.address, served.port);
         let idle = [(); CALLERS].map(|()| connect(address));
         while port.count() < CALLERS {
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -105,7 +62,7 @@
             socket.write_all(REQUEST).unwrap();
         }
         let taken = take_descriptors();
-        shutdown.send(true).unwrap();
+        served.shutdown.send(true).unwrap();
         tokio::time::sleep(Duration::from_secs(1)).await;
         drop(taken);
         drop(idle);
--- a/crates/intake/tests/full.rs
+++ b/crates/intake/tests/full.rs
@@ -2,36 +2,31 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::pin::pin;
 use std::rc::Rc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use clock::Clock;
-use clock::Span;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use intake::accept;
 use intake::accept::Accepted;
-use intake::configs::limits::Limits;
-use intake::configs::limits::Port;
-use intake::configs::limits::Times;
-use intake::intake::Intake;
+use intake::request::Session;
 use tokio::sync::watch;
-use tokio::task::LocalSet;
+
+use support::LONG_TIMES;
+use support::run;
+use support::start;
 
 /// Connections of the port.
 const CONNECTIONS: usize = 40;
@@ -56,35 +51,24 @@
 }
 
 async fn serve(accepted: Accepted, shutdown: watch::Receiver<bool>, counts: Counts) {
-    let Accepted { socket, session } = accepted;
-    let caller = session.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let mut received = caller.begin(request.version());
-        let counts = counts.clone();
-        async move {
-            count(&counts.begun);
-            let (head, body) = request.into_parts();
-            let _ = received.receive(&head, body, MAX_BODY_BYTES).await;
-            received.begin_running();
-            count(&counts.received);
-            tokio::time::sleep(ANSWER_TIME).await;
-            count(&counts.answered);
-            let answer = Response::new(Full::new(Bytes::from("fine")));
-            Ok::<_, Infallible>(received.answer(answer))
-        }
-    });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
-    let times = Times {
-        head: Span::from_seconds(5),
-        idle: Span::from_seconds(60),
-        unread: Span::from_seconds(60),
-    };
-    let connection = pin!(connection);
-    session
-        .serve(connection, times, shutdown, |connection| {
-            connection.graceful_shutdown();
+    let service = move |caller: Session| {
+        service_fn(move |request: Request<Incoming>| {
+            let mut received = caller.begin(request.version());
+            let counts = counts.clone();
+            async move {
+                count(&counts.begun);
+                let (head, body) = request.into_parts();
+                let _ = received.receive(&head, body, MAX_BODY_BYTES).await;
+                received.begin_running();
+                count(&counts.received);
+                tokio::time::sleep(ANSWER_TIME).await;
+                count(&counts.answered);
+                let answer = Response::new(Full::new(Bytes::from("fine")));
+                Ok(received.answer(answer))
+            }
         })
-        .await;
+    };
+    support::serve(accepted, shutdown, LONG_TIMES, service).await;
 }
 
 /// Sends requests, on a new connection whenever one has ended.
@@ -110,33 +94,13 @@
 /// Lets more callers than the port has room for send requests; returns how many requests ended without an answer while
 /// they were received, and while they ran.
 fn play(body_bytes: usize) -> (usize, usize) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
-    LocalSet::new().block_on(&runtime, async {
-        let limits = Limits {
-            request_bytes: 16 << 20,
-            small_request_bytes: 0,
-            answer_bytes: 1 << 20,
-            body_time: Span::from_seconds(600),
-            body_rate: 1,
-        };
-        let port = Port {
-            connections: CONNECTIONS,
-            head_bytes: 1 << 20,
-        };
-        let intake = Rc::new(Intake::new(Clock::start(), limits, port));
-        let listener = accept::listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = listener.local_addr().unwrap();
-        let port = Rc::clone(&intake.callers);
-        let (_shutdown, never) = watch::channel(false);
+    run(async {
         let counts = Counts::default();
         let counted = counts.clone();
-        let serving = accept::run(listener, intake, port, never, move |accepted, shutdown| {
+        let served = start(CONNECTIONS, move |accepted, shutdown| {
             serve(accepted, shutdown, counted.clone())
         });
-        tokio::task::spawn_local(serving);
+        let address = served.address;
         let end = Instant::now() + DURATION;
         let callers = (0..CALLERS).map(|number| {
             let pause = Duration::from_millis(5 + number % 17);
--- a/crates/relay/src/standstill.rs
+++ b/crates/relay/src/standstill.rs
@@ -1,4 +1,4 @@
-//! Tells since when something that reaches the loop now may have been pending.
+//! Since when something that reaches the loop now may have been pending.
 
 use clock::Span;
 use clock::Time;
--- a/crates/standin/tests/stalls.rs
+++ b/crates/standin/tests/stalls.rs
@@ -239,7 +239,7 @@
     (Instant::now(), exchange(id).await)
 }
 
-/// Tells a caller when to send its request.
+/// Asks a caller to send its request.
 struct Starter {
     ready: Sender<()>,
     at: Receiver<Instant>,
--- a/crates/standin/tests/stops.rs
+++ b/crates/standin/tests/stops.rs
@@ -23,7 +23,7 @@
 use harness::raw;
 use harness::wait_for;
 
-/// What an operator is told whose change may have taken effect.
+/// The fault of a change that may have taken effect.
 const OUTCOME_UNKNOWN: &str = "the change may have taken effect: repeat it with the same change id";
 /// Time for a call to reach its entry.
 const DELIVERY: Duration = Duration::from_millis(100);
